--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# The everyday commands. `make demo` and `make test` are all that a newcomer needs.
+DEPLOYMENT ?= portavia
+MINUTES ?= 10
+BUILD_DIR ?= build
+
+.PHONY: demo build test check-format check-tidy test-sanitized mutants soak packages clean
+
+packages:
+	@scripts/install-packages.sh
+
+build: packages
+	@cmake -S . -B $(BUILD_DIR) -G Ninja -DCMAKE_BUILD_TYPE=Release $(CMAKE_FLAGS) > $(BUILD_DIR).configure.log 2>&1 || (cat $(BUILD_DIR).configure.log; exit 1)
+	@cmake --build $(BUILD_DIR)
+
+demo: build
+	@scripts/demo.sh $(BUILD_DIR) $(DEPLOYMENT)
+
+test: build
+	@ctest --test-dir $(BUILD_DIR) --output-on-failure -j $$(nproc)
+
+check-format:
+	@scripts/check-format.sh
+
+check-tidy: build
+	@scripts/check-tidy.sh $(BUILD_DIR)
+
+test-sanitized:
+	@$(MAKE) --no-print-directory test BUILD_DIR=build-sanitized CMAKE_FLAGS="-DCYPRESSWALL_SANITIZE=ON"
+
+mutants: build
+	@scripts/run-mutants.sh
+
+soak: build
+	@scripts/soak.sh $(BUILD_DIR) $(MINUTES)
+
+clean:
+	rm -rf build build-sanitized *.configure.log
--- /dev/null
+++ b/src/cypresswall/common/identifiers.h
@@ -0,0 +1,60 @@
+/// Identifiers that several subsystems share.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <msgpack.hpp>
+#include <string>
+
+namespace cypresswall::common {
+
+/// Name of a zone (one hall), as the operators declare it.
+using ZoneName = std::string;
+/// Name of an engine (a runner of a model), unique in the fleet.
+using EngineName = std::string;
+/// Name of a model, unique in the fleet.
+using ModelName = std::string;
+/// Name of a service, unique in the fleet.
+using ServiceName = std::string;
+/// Name of a tenant, unique in the fleet.
+using TenantName = std::string;
+/// Name of a machine as the platform's machine list gives it.
+using MachineName = std::string;
+/// "IP:port" of a TCP endpoint.
+using Address = std::string;
+
+/// One life of one daemon process. A restarted process on the same address has another
+/// incarnation and is another node: nothing that the earlier life promised binds it.
+struct NodeId {
+  Address address;
+  std::uint64_t incarnation = 0;
+
+  auto operator<=>(const NodeId&) const = default;
+  bool empty() const { return address.empty(); }
+  /// \return "address#incarnation", for logs.
+  std::string toString() const { return address + "#" + std::to_string(incarnation); }
+
+  MSGPACK_DEFINE(address, incarnation)
+};
+
+/// Authority over one zone's engines. Ordered by generation, then term; a higher epoch always
+/// belongs to a later holder of the zone's lease.
+struct Epoch {
+  std::uint32_t generation = 0;
+  std::uint32_t term = 0;
+
+  auto operator<=>(const Epoch&) const = default;
+  std::string toString() const { return std::to_string(generation) + "." + std::to_string(term); }
+
+  MSGPACK_DEFINE(generation, term)
+};
+
+}  // namespace cypresswall::common
+
+template <>
+struct std::hash<cypresswall::common::NodeId> {
+  std::size_t operator()(const cypresswall::common::NodeId& node) const noexcept {
+    return std::hash<std::string>{}(node.address) ^ (node.incarnation * 0x9E3779B97F4A7C15ULL);
+  }
+};
--- /dev/null
+++ b/src/cypresswall/configuration/configuration_view.h
@@ -0,0 +1,20 @@
+/// Read access to the configuration in force on this node.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "cypresswall/configuration/fleet.h"
+
+namespace cypresswall::configuration {
+
+class ConfigurationView {
+ public:
+  virtual ~ConfigurationView() = default;
+  /// \return the newest configuration held; version 0 before the first snapshot. Never null.
+  virtual std::shared_ptr<const FleetConfiguration> current() const = 0;
+  /// Calls `listener` after each change of current(); listeners live as long as the view.
+  virtual void onChange(std::function<void(const FleetConfiguration&)> listener) = 0;
+};
+
+}  // namespace cypresswall::configuration
--- /dev/null
+++ b/src/cypresswall/configuration/fleet.h
@@ -0,0 +1,156 @@
+/// What operators declare: the typed fleet configuration and the changes made to it. Every change
+/// has a version; a configuration is the result of all changes up to its version.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cypresswall/common/identifiers.h"
+#include "cypresswall/common/time.h"
+#include "cypresswall/engines/engine_types.h"
+
+namespace cypresswall::configuration {
+
+struct ZoneDeclaration {
+  common::ZoneName name;
+  std::string region;
+};
+
+struct AdapterDeclaration {
+  std::string name;
+  std::string weights_uri;
+};
+
+/// A model with the version that is to be served.
+struct ModelDeclaration {
+  common::ModelName name;
+  std::string version;
+  std::string weights_uri;
+  std::vector<AdapterDeclaration> adapters;
+};
+
+/// A runner of the platform that the system may give work and orders to.
+struct EngineDeclaration {
+  common::EngineName name;
+  common::ZoneName zone;
+  common::MachineName machine;
+  common::Address address;
+  /// Model that the engine is to serve.
+  common::ModelName model;
+  engines::EngineRole initial_role = engines::EngineRole::kMixed;
+};
+
+enum class Urgency : std::uint8_t { kLow, kNormal, kHigh, kCritical };
+
+/// A service that language models back. Callers name it in the OpenAI field "model".
+struct ModelServiceDeclaration {
+  common::ServiceName name;
+  common::ModelName model;
+  std::string adapter;
+  Urgency urgency = Urgency::kNormal;
+  common::Duration first_token_limit = std::chrono::milliseconds(1300);
+  common::Duration between_tokens_limit = std::chrono::milliseconds(79);
+  std::uint32_t maximum_tokens = 4096;
+};
+
+/// One kind of call to a plain HTTP service, found by method and longest path prefix.
+struct OperationDeclaration {
+  std::string method;
+  std::string path_prefix;
+  /// False for operations that may run at most once.
+  bool repeatable = false;
+  common::Duration time_limit = std::chrono::seconds(5);
+};
+
+struct BackendDeclaration {
+  common::ZoneName zone;
+  common::MachineName machine;
+  common::Address address;
+};
+
+/// A plain HTTP service (portal, booking) behind the gateway at /services/<name>/.
+struct HttpServiceDeclaration {
+  common::ServiceName name;
+  Urgency urgency = Urgency::kNormal;
+  std::vector<BackendDeclaration> backends;
+  std::vector<OperationDeclaration> operations;
+};
+
+/// Limits of one tenant over the whole zone, zero meaning no limit.
+struct TenantDeclaration {
+  common::TenantName name;
+  /// Key that callers give as "Authorization: Bearer <key>"; empty for the tenant "default".
+  std::string api_key;
+  double requests_per_second = 0;
+  double tokens_per_second = 0;
+};
+
+/// How the planner weighs goodput against role changes.
+struct PlanningPolicy {
+  /// Cost of one role change, in answers delivered in time that it must save beyond those it
+  /// loses. Low where goodput counts most, high where changes do.
+  double role_change_weight = 1.0;
+  /// Over how long a change has to pay for itself.
+  common::Duration horizon = std::chrono::seconds(120);
+  /// False leaves the roles as operators set them.
+  bool automatic_roles = true;
+};
+
+/// A role that an operator set by hand; the planner leaves the engine alone.
+struct EngineOverride {
+  common::EngineName engine;
+  bool drained = false;
+  bool role_pinned = false;
+  engines::EngineRole role = engines::EngineRole::kMixed;
+};
+
+/// Everything declared, at one version.
+struct FleetConfiguration {
+  std::uint64_t version = 0;
+  std::map<common::ZoneName, ZoneDeclaration> zones;
+  std::map<common::ModelName, ModelDeclaration> models;
+  std::map<common::EngineName, EngineDeclaration> engines;
+  std::map<common::ServiceName, ModelServiceDeclaration> model_services;
+  std::map<common::ServiceName, HttpServiceDeclaration> http_services;
+  std::map<common::TenantName, TenantDeclaration> tenants;
+  std::map<common::EngineName, EngineOverride> engine_overrides;
+  /// Nodes and machines that operators drain, by machine or node address.
+  std::map<std::string, bool> drained_nodes;
+  PlanningPolicy planning;
+};
+
+/// Kinds of declared objects, as named in files and commands.
+enum class ObjectKind : std::uint8_t {
+  kZone,
+  kModel,
+  kEngine,
+  kModelService,
+  kHttpService,
+  kTenant,
+  kEngineOverride,
+  kNodeDrain,
+  kPlanning,
+};
+
+/// One declared object set or removed. The value is the object as JSON (docs/settings.md), empty
+/// when the object is removed.
+struct ObjectChange {
+  ObjectKind kind = ObjectKind::kZone;
+  std::string name;
+  bool removed = false;
+  std::string value_json;
+};
+
+/// One accepted change: all of it is in force, or none.
+struct ConfigurationChange {
+  /// Dense, from 1.
+  std::uint64_t version = 0;
+  /// Given by the operator's client; settles lost answers.
+  std::string change_id;
+  std::string author;
+  std::vector<ObjectChange> objects;
+};
+
+}  // namespace cypresswall::configuration
--- /dev/null
+++ b/src/cypresswall/platform/object_store.h
@@ -0,0 +1,67 @@
+/// The platform's object API as the system uses it: versioned objects, compare-and-set, list and
+/// watch. Implemented over HTTP (HttpObjectStore) and by the simulator.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cypresswall/common/result.h"
+
+namespace cypresswall::platform {
+
+/// Why a call to the store failed.
+enum class StoreFailure {
+  kUnavailable,     ///< nothing was sent, or the store said that it did nothing
+  kUnknownOutcome,  ///< a write may or may not have taken effect; read back to settle it
+  kConflict,        ///< compare-and-set found another version
+  kNotFound,
+  kCompacted,  ///< the watch can't continue from the given revision; list again
+};
+
+/// One stored object.
+struct StoredObject {
+  std::string key;
+  /// Version of this object, from 1; zero stands for "does not exist" in compare-and-set.
+  std::uint64_t version = 0;
+  std::string value;
+  /// Identifier that the writer gave with its write; settles lost answers.
+  std::string change_id;
+};
+
+/// All objects under a prefix at one revision of the store.
+struct ObjectListing {
+  std::uint64_t revision = 0;
+  std::vector<StoredObject> objects;
+};
+
+/// A compare-and-set write.
+struct ObjectWrite {
+  std::string key;
+  std::uint64_t expected_version = 0;
+  std::string value;
+  std::string change_id;
+};
+
+template <typename Value>
+using StoreResult = common::Result<Value, StoreFailure>;
+template <typename Value>
+using StoreCallback = std::function<void(StoreResult<Value>)>;
+
+/// Client of the object API. Each callback is called exactly once, never before the call returns,
+/// on the process's one thread, and within the client's time limit.
+class ObjectStore {
+ public:
+  virtual ~ObjectStore() = default;
+  virtual void get(const std::string& key, StoreCallback<StoredObject> callback) = 0;
+  /// \param callback gets the object as written, or kConflict, kUnknownOutcome, kUnavailable
+  virtual void compareAndSet(ObjectWrite write, StoreCallback<StoredObject> callback) = 0;
+  virtual void list(const std::string& prefix, StoreCallback<ObjectListing> callback) = 0;
+  /// Waits for changes under `prefix` after `revision` (long poll); an empty listing means that
+  /// nothing changed within the poll time. Gaps in what it gives are possible.
+  virtual void watch(const std::string& prefix, std::uint64_t revision,
+                     StoreCallback<ObjectListing> callback) = 0;
+};
+
+}  // namespace cypresswall::platform
--- /dev/null
+++ b/src/cypresswall/routing/router.h
@@ -0,0 +1,72 @@
+/// Choice of the engine for one attempt at a model request.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cypresswall/common/prompt.h"
+#include "cypresswall/common/result.h"
+#include "cypresswall/common/time.h"
+#include "cypresswall/engines/engine_types.h"
+
+namespace cypresswall::routing {
+
+/// What routing has to know of an attempt.
+struct RouteRequest {
+  std::string stream_id;
+  common::ModelName model;
+  std::string version;
+  std::string adapter;
+  common::PromptShape shape;
+  std::uint32_t maximum_tokens = 0;
+  /// Tokens already given to the caller by earlier attempts.
+  std::uint32_t resume_from = 0;
+  std::uint8_t priority = 0;
+  /// Time left until the first token is due.
+  common::Duration first_token_limit{0};
+  common::Duration between_tokens_limit{0};
+  /// Engines that already failed or refused this request.
+  std::vector<common::EngineName> excluded;
+};
+
+/// The engine chosen, and why.
+struct Route {
+  engines::EngineEndpoint engine;
+  /// Set when another engine computes the prompt first and hands over the KV cache.
+  std::optional<engines::EngineEndpoint> prefill_engine;
+  common::Duration expected_first_token{0};
+  common::Duration expected_between_tokens{0};
+  std::uint32_t expected_cached_pieces = 0;
+};
+
+enum class RouteFailure {
+  kUnknownModel,  ///< no engine of the zone serves the model
+  kOverloaded,    ///< no engine can meet the limits; see RouteRefusal
+};
+
+/// Why no engine was chosen.
+struct RouteRefusal {
+  RouteFailure reason = RouteFailure::kOverloaded;
+  /// When an attempt would probably be admitted, from the queues' drain time.
+  common::Duration retry_after{0};
+  std::string message;
+};
+
+using RouteChoice = std::variant<Route, RouteRefusal>;
+
+class Router {
+ public:
+  virtual ~Router() = default;
+  virtual RouteChoice choose(const RouteRequest& request) = 0;
+  /// Tells the router what became of a choice, so that its estimates include work that no load
+  /// report shows yet. Each started attempt ends in exactly one of finished and failed.
+  virtual void attemptStarted(const RouteRequest& request, const Route& route) = 0;
+  virtual void firstTokenReceived(const std::string& stream_id) = 0;
+  virtual void attemptFinished(const std::string& stream_id) = 0;
+  virtual void attemptFailed(const std::string& stream_id, engines::StreamFailure failure) = 0;
+};
+
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/tests/support/property.h
@@ -0,0 +1,38 @@
+/// Glue between RapidCheck and CppUnit: a falsified property fails the surrounding CppUnit test.
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <rapidcheck/detail/TestParams.h>
+
+#include <sstream>
+#include <string>
+#include <utility>
+
+namespace cypresswall::testing {
+
+/// The fixed seed of every property, so that each run gives the same verdict.
+inline constexpr std::uint64_t kPropertySeed = 20261202;
+
+/// Checks `property` for `runs` generated cases from the fixed seed and fails the CppUnit test,
+/// with the shrunk counterexample, when it does not hold.
+/// \param name printed with the counterexample
+/// \param runs number of generated cases
+/// \param property a callable accepted by rc::check
+template <typename Property>
+void requireProperty(const std::string& name, int runs, Property&& property) {
+  rc::detail::TestParams params;
+  params.seed = kPropertySeed;
+  params.maxSuccess = runs;
+  rc::detail::TestMetadata metadata;
+  metadata.id = name;
+  metadata.description = name;
+  const auto result = rc::detail::checkTestable(std::forward<Property>(property), metadata, params);
+  if (!result.template is<rc::detail::SuccessResult>()) {
+    std::ostringstream message;
+    rc::detail::printResultMessage(result, message);
+    CPPUNIT_FAIL(name + ": " + message.str());
+  }
+}
+
+}  // namespace cypresswall::testing
