--- /dev/null
+++ b/src/cypresswall/api/process_context.h
@@ -0,0 +1,40 @@
+/// What every deciding module of one daemon process is built from. All of it is injected: the Asio
+/// runtime fills it in the daemon, the simulator in tests and experiments.
+#pragma once
+
+#include "cypresswall/api/envelope.h"
+#include "cypresswall/common/counters.h"
+#include "cypresswall/common/event_log.h"
+#include "cypresswall/common/identifiers.h"
+#include "cypresswall/common/random.h"
+#include "cypresswall/common/time.h"
+
+namespace cypresswall::api {
+
+/// References stay valid for the life of the process. Modules run on one thread; they may capture
+/// `this` in timers and in callbacks of clients, since the process drops all pending callbacks
+/// before it destroys its modules.
+struct ProcessContext {
+  common::NodeId self;
+  common::ZoneName zone;
+  common::Clock& clock;
+  common::Scheduler& scheduler;
+  common::RandomSource& random;
+  common::LogSink& log;
+  common::CounterRegistry& counters;
+  PeerTransport& transport;
+  MessageDispatcher& dispatcher;
+
+  /// Sends `message` to one life of a peer.
+  template <typename Message>
+  void sendTo(const common::NodeId& peer, const Message& message) const {
+    transport.send(Envelope::make(self, peer, message));
+  }
+  /// Sends `message` to whichever process listens at `address`.
+  template <typename Message>
+  void sendToAddress(const common::Address& address, const Message& message) const {
+    transport.send(Envelope::make(self, common::NodeId{address, 0}, message));
+  }
+};
+
+}  // namespace cypresswall::api
--- /dev/null
+++ b/src/cypresswall/common/counters.h
@@ -0,0 +1,78 @@
+/// Named counters and gauges. Modules count every drop, refusal and retry; the daemon exports the
+/// registry in the Prometheus text format, the simulator and tests read it directly.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cypresswall::common {
+
+/// A value that is only used on the process's one thread.
+class Counter {
+ public:
+  void add(std::uint64_t amount = 1) { value_ += static_cast<double>(amount); }
+  /// For gauges.
+  void set(double value) { value_ = value; }
+  double value() const { return value_; }
+
+ private:
+  double value_ = 0;
+};
+
+enum class CounterKind : std::uint8_t { kCounter, kGauge };
+
+/// All counters of one process, by name. Names follow Prometheus usage
+/// ("cypresswall_lease_acquired_total"); label values that vary are part of the name's key.
+class CounterRegistry {
+ public:
+  struct Entry {
+    CounterKind kind = CounterKind::kCounter;
+    std::string help;
+    /// By label value; the empty label stands for a counter without label.
+    std::map<std::string, std::unique_ptr<Counter>> by_label;
+    /// Name of the one label, empty if there is none.
+    std::string label_name;
+  };
+
+  /// \return the counter, created on first use; valid as long as the registry.
+  Counter& counter(const std::string& name, const std::string& help,
+                   const std::string& label_name = "", const std::string& label_value = "") {
+    return find(CounterKind::kCounter, name, help, label_name, label_value);
+  }
+  Counter& gauge(const std::string& name, const std::string& help,
+                 const std::string& label_name = "", const std::string& label_value = "") {
+    return find(CounterKind::kGauge, name, help, label_name, label_value);
+  }
+  const std::map<std::string, Entry>& entries() const { return entries_; }
+  /// \return the sum over all label values of `name`, zero if it does not exist.
+  double total(const std::string& name) const {
+    const auto entry = entries_.find(name);
+    double sum = 0;
+    if (entry != entries_.end()) {
+      for (const auto& [label, counter] : entry->second.by_label) {
+        sum += counter->value();
+      }
+    }
+    return sum;
+  }
+
+ private:
+  Counter& find(CounterKind kind, const std::string& name, const std::string& help,
+                const std::string& label_name, const std::string& label_value) {
+    Entry& entry = entries_[name];
+    entry.kind = kind;
+    entry.help = help;
+    entry.label_name = label_name;
+    auto& slot = entry.by_label[label_value];
+    if (!slot) {
+      slot = std::make_unique<Counter>();
+    }
+    return *slot;
+  }
+
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace cypresswall::common
--- a/src/cypresswall/common/time.h
+++ b/src/cypresswall/common/time.h
@@ -17,7 +17,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicTimeline>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming): standard name
 };
 
 /// A reading of one process's own monotonic clock. Readings of two processes can't be compared.
