Hand each stream event's attempt number to its handler

Cause: events of another attempt or request could only be told apart inside each engine client, where no test of the deciding modules sees the check. What was ruled out: carrying the stream identifier in every event; a number that the process does not use again says as much in fewer bytes and needs no change of the wire format. Change: StreamHandler gets the attempt number that the event carried; attempt numbers are unique in the sending process.

--- a/src/cypresswall/engines/engine_client.h
+++ b/src/cypresswall/engines/engine_client.h
@@ -12,13 +12,15 @@
 namespace cypresswall::engines {
 
 /// Receives what one attempt's stream gives. Exactly one of onFinished and onFailed is called, as
-/// the last call; nothing is called after the stream was cancelled.
+/// the last call; nothing is called after the stream was cancelled. A client passes on the attempt
+/// number that each event carried, unchecked: the handler drops events of other attempts.
 class StreamHandler {
  public:
   virtual ~StreamHandler() = default;
+  /// \param attempt number that the event carried
   /// \param index position of the token in the whole answer, from 0
-  virtual void onToken(std::uint32_t index, const std::string& text) = 0;
-  virtual void onFinished(const StreamUsage& usage) = 0;
+  virtual void onToken(std::uint32_t attempt, std::uint32_t index, const std::string& text) = 0;
+  virtual void onFinished(std::uint32_t attempt, const StreamUsage& usage) = 0;
   virtual void onFailed(StreamFailure failure, const std::string& message) = 0;
 };
 
--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -144,7 +144,8 @@
 struct StreamRequest {
   /// Identifies the request; the same for all its attempts.
   std::string stream_id;
-  /// Attempt number, from 1; answers carry it back.
+  /// Attempt number; answers carry it back. It rises over the attempts of a request and is not
+  /// used again by the same process, so that it also tells requests apart.
   std::uint32_t attempt = 1;
   common::ModelName model;
   std::string version;
