Add the simulator's core: virtual time, processes, network, event digest

Cause: the deciding modules need one deterministic runtime in which processes can be killed, paused, replaced and cut off, before their own tests can be written.

What was ruled out: running the modules on Asio with a fake clock, since the order of its handlers is not ours to fix; and a thread per process, which can't be replayed.

Change: VirtualTime (events of one moment run in the order of scheduling), SimulatedProcess (own drifting clock, timers, seeded random numbers, pause, wake in an order drawn from the seed, kill that drops callbacks before modules), SimulatedNetwork (delay, loss, duplication, reordering, cuts between zones, one way, inside a zone; messages go through the wire encoding), EventDigest and FaultCounters.

--- /dev/null
+++ b/src/cypresswall/simulation/simulated_network.h
@@ -0,0 +1,102 @@
+/// The network between simulated processes: delay, loss, duplication, reordering and cuts, all
+/// drawn from the run's seed.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "cypresswall/api/envelope.h"
+#include "cypresswall/common/random.h"
+#include "cypresswall/simulation/event_digest.h"
+#include "cypresswall/simulation/fault_counters.h"
+#include "cypresswall/simulation/virtual_time.h"
+
+namespace cypresswall::simulation {
+
+class SimulatedProcess;
+
+/// Behaviour of the links in one direction between two zones, or inside one.
+struct LinkSettings {
+  common::Duration delay = std::chrono::microseconds(100);
+  /// Upper bound of a uniformly distributed addition to the delay.
+  common::Duration jitter = std::chrono::microseconds(50);
+  double loss = 0;
+  double duplication = 0;
+  /// Share of messages that are held back by up to `reorder_delay`.
+  double reordering = 0;
+  common::Duration reorder_delay = std::chrono::milliseconds(20);
+};
+
+struct NetworkSettings {
+  LinkSettings inside_zone;
+  LinkSettings between_zones{.delay = std::chrono::microseconds(1500),
+                             .jitter = std::chrono::microseconds(200)};
+  /// Sends every message through its wire encoding. Costs time; off for long experiments.
+  bool encode_messages = true;
+};
+
+class SimulatedNetwork {
+ public:
+  SimulatedNetwork(NetworkSettings settings, std::uint64_t seed, VirtualTime& time,
+                   FaultCounters& faults, EventDigest& digest);
+
+  /// Makes `process` the one that is reached at its address.
+  void attach(SimulatedProcess& process);
+  /// Forgets `process` if it still is the one at its address.
+  void detach(const SimulatedProcess& process);
+  /// Takes one message from a process.
+  void send(const SimulatedProcess& sender, api::Envelope envelope);
+
+  /// Sets the behaviour of the links from one zone to another (or inside, if they are equal).
+  void setLink(const common::ZoneName& from, const common::ZoneName& to, LinkSettings settings);
+  /// Changes the behaviour of all links that were not set one by one.
+  void setDefaults(LinkSettings inside_zone, LinkSettings between_zones);
+
+  /// Cuts all links between two zones, both ways.
+  void cutZones(const common::ZoneName& first, const common::ZoneName& second);
+  /// Cuts what goes from one zone to another; the way back still works.
+  void cutOneWay(const common::ZoneName& from, const common::ZoneName& to);
+  /// Cuts what goes from one address to another.
+  void cutAddresses(const common::Address& from, const common::Address& to);
+  void healZones(const common::ZoneName& first, const common::ZoneName& second);
+  /// Ends all cuts.
+  void healAll();
+  bool zonesCut(const common::ZoneName& from, const common::ZoneName& to) const;
+
+  /// Draws the delay of one message, also for clients of engines and platform.
+  common::Duration drawDelay(const common::ZoneName& from, const common::ZoneName& to);
+  /// \return messages handed over so far.
+  std::uint64_t deliveredMessages() const { return delivered_; }
+  /// \return encoded bytes sent so far; zero unless messages are encoded.
+  std::uint64_t sentBytes() const { return sent_bytes_; }
+
+ private:
+  using ZonePair = std::pair<common::ZoneName, common::ZoneName>;
+
+  const LinkSettings& link(const common::ZoneName& from, const common::ZoneName& to) const;
+  common::Duration drawDelay(const LinkSettings& link);
+  bool cut(const common::ZoneName& from_zone, const api::Envelope& envelope,
+           const common::ZoneName& to_zone) const;
+  void scheduleDelivery(const LinkSettings& link, const common::ZoneName& from_zone,
+                        api::Envelope envelope);
+  void deliver(const common::ZoneName& from_zone, api::Envelope envelope);
+  SimulatedProcess* find(const common::Address& address) const;
+
+  NetworkSettings settings_;
+  common::SeededRandom random_;
+  VirtualTime& time_;
+  FaultCounters& faults_;
+  EventDigest& digest_;
+  std::unordered_map<common::Address, SimulatedProcess*> processes_;
+  std::map<ZonePair, LinkSettings> links_;
+  std::set<ZonePair> zone_cuts_;
+  std::set<std::pair<common::Address, common::Address>> address_cuts_;
+  std::uint64_t delivered_ = 0;
+  std::uint64_t sent_bytes_ = 0;
+};
+
+}  // namespace cypresswall::simulation
--- /dev/null
+++ b/src/cypresswall/simulation/simulated_process.h
@@ -0,0 +1,126 @@
+/// One daemon process of a simulated run: its own clock with offset and drift, its timers, its
+/// random numbers, and the modules that live in it. It can be paused, woken and killed.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/simulation/callback_table.h"
+#include "cypresswall/simulation/fault_counters.h"
+#include "cypresswall/simulation/virtual_time.h"
+
+namespace cypresswall::simulation {
+
+class SimulatedNetwork;
+
+/// How a process's own clock differs from the true time.
+struct ClockSettings {
+  common::Duration offset{0};
+  /// Parts per million by which the clock runs fast (positive) or slow (negative).
+  std::int64_t drift_ppm = 0;
+};
+
+struct ProcessSettings {
+  common::NodeId self;
+  common::ZoneName zone;
+  ClockSettings clock;
+  std::uint64_t seed = 0;
+  common::LogSink* log = nullptr;
+};
+
+/// Life of a process. A killed one stays as an empty shell until the run ends, so that events on
+/// their way to it find nothing but its death.
+class SimulatedProcess final : private common::Clock,
+                               private common::Scheduler,
+                               private api::PeerTransport {
+ public:
+  SimulatedProcess(ProcessSettings settings, VirtualTime& time, SimulatedNetwork& network,
+                   FaultCounters& faults);
+  ~SimulatedProcess() override;
+
+  /// What the modules of this process are built from.
+  const api::ProcessContext& context() const { return context_; }
+  const common::NodeId& id() const { return settings_.self; }
+  const common::ZoneName& zone() const { return settings_.zone; }
+  const common::CounterRegistry& counters() const { return counters_; }
+
+  /// Builds a module that lives in this process; destroyed, last one first, when it dies.
+  template <typename Module, typename... Arguments>
+  Module& emplace(Arguments&&... arguments) {
+    auto module = std::make_shared<Module>(std::forward<Arguments>(arguments)...);
+    Module& reference = *module;
+    modules_.push_back(std::move(module));
+    return reference;
+  }
+
+  /// Runs `callback` in this process `delay` of true time from now: late if it is paused then,
+  /// never if it is dead. Answers from outside (store, engines, services) come in this way.
+  void deliverAfter(common::Duration delay, std::function<void()> callback);
+  /// As deliverAfter(), but returns a handle for cancelDelivery().
+  CallbackTable::Handle deliverCancellableAfter(common::Duration delay,
+                                                std::function<void()> callback);
+  void cancelDelivery(CallbackTable::Handle handle) { callbacks_.remove(handle); }
+  /// Runs `callback` in this process now, on wake if it is paused, never if it is dead.
+  void deliver(std::function<void()> callback);
+  /// Hands a received message to the process's dispatcher.
+  void receive(api::Envelope envelope);
+
+  /// Holds all events of this process until resume(). Ignored if paused or dead.
+  void pause();
+  /// Runs what was held, now, in an order drawn from the seed: timers first, messages and answers
+  /// first, or as they came.
+  void resume();
+  /// Drops all pending callbacks, then destroys the modules. If called by the process itself, it
+  /// dies at the end of the running callback.
+  void kill();
+
+  bool alive() const { return alive_; }
+  bool paused() const { return paused_; }
+  /// \return messages that no module understood.
+  std::uint64_t undispatchedMessages() const { return undispatched_; }
+
+ private:
+  enum class EventSource : std::uint8_t { kTimer, kOutside };
+  struct HeldEvent {
+    CallbackTable::Handle handle = 0;
+    EventSource source = EventSource::kTimer;
+  };
+
+  common::MonotonicTime now() const override;
+  common::TimerId schedule(common::Duration delay, std::function<void()> callback) override;
+  void cancel(common::TimerId timer) override;
+  void send(api::Envelope envelope) override;
+
+  common::MonotonicTime localTime(common::MonotonicTime true_time) const;
+  /// \return the true time that passes until this clock has advanced by `local`.
+  common::Duration trueDelay(common::Duration local) const;
+  void fire(CallbackTable::Handle handle, EventSource source);
+  void run(CallbackTable::Handle handle);
+  void orderHeldEvents();
+  void die();
+
+  ProcessSettings settings_;
+  VirtualTime& time_;
+  SimulatedNetwork& network_;
+  FaultCounters& faults_;
+  common::MonotonicTime started_;
+  std::unique_ptr<common::SeededRandom> random_;
+  common::CounterRegistry counters_;
+  api::MessageDispatcher dispatcher_;
+  api::ProcessContext context_;
+  CallbackTable callbacks_;
+  std::vector<HeldEvent> held_;
+  std::vector<std::shared_ptr<void>> modules_;
+  std::uint64_t undispatched_ = 0;
+  bool alive_ = true;
+  bool paused_ = false;
+  bool running_ = false;
+  bool kill_requested_ = false;
+};
+
+}  // namespace cypresswall::simulation
