--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -166,6 +166,7 @@
 struct StreamUsage {
   std::uint32_t prompt_tokens = 0;
   std::uint32_t cached_prompt_tokens = 0;
+  /// Tokens of the whole answer, those before `resume_from` included.
   std::uint32_t output_tokens = 0;
   /// "stop" or "length".
   std::string finish_reason;
--- /dev/null
+++ b/src/cypresswall/execution/engine_attempt.cpp
@@ -0,0 +1,107 @@
+#include "cypresswall/execution/engine_attempt.h"
+
+#include <utility>
+
+namespace cypresswall::execution {
+namespace {
+
+common::Counter& droppedEvents(common::CounterRegistry& registry, const char* reason) {
+  return registry.counter("cypresswall_execution_stream_events_dropped_total",
+                          "Stream events not passed on to the caller", "reason", reason);
+}
+
+common::Counter& brokenAttempts(common::CounterRegistry& registry, const char* reason) {
+  return registry.counter("cypresswall_execution_streams_broken_total",
+                          "Streams whose events don't make up a whole answer", "reason", reason);
+}
+
+}  // namespace
+
+StreamEventCounters::StreamEventCounters(common::CounterRegistry& registry)
+    : late(droppedEvents(registry, "late")),
+      crossed(droppedEvents(registry, "crossed")),
+      doubled(droppedEvents(registry, "doubled")),
+      gap(brokenAttempts(registry, "gap")),
+      short_of(brokenAttempts(registry, "short")) {}
+
+EngineAttempt::EngineAttempt(Listener& listener, StreamEventCounters& counters)
+    : listener_(&listener), counters_(counters) {}
+
+void EngineAttempt::begin(engines::EngineClient& client, const engines::EngineEndpoint& engine,
+                          engines::StreamRequest request) {
+  number_ = request.attempt;
+  next_index_ = request.resume_from;
+  phase_ = request.phase;
+  stream_ = client.startStream(engine, std::move(request), *this);
+}
+
+void EngineAttempt::pause() {
+  if (stream_) {
+    stream_->pause();
+  }
+}
+
+void EngineAttempt::resume() {
+  if (stream_) {
+    stream_->resume();
+  }
+}
+
+void EngineAttempt::onToken(std::uint32_t attempt, std::uint32_t index, const std::string& text) {
+  if (!belongsHere(attempt)) {
+    return;
+  }
+  if (index < next_index_ || phase_ == engines::StreamPhase::kPrefillOnly) {
+    counters_.doubled.add();
+    return;
+  }
+  if (index > next_index_) {
+    counters_.gap.add();
+    breakOff("token " + std::to_string(index) + " came in place of token " +
+             std::to_string(next_index_));
+    return;
+  }
+  ++next_index_;
+  listener_->onAttemptToken(index, text);
+}
+
+void EngineAttempt::onFinished(std::uint32_t attempt, const engines::StreamUsage& usage) {
+  if (!belongsHere(attempt)) {
+    return;
+  }
+  const bool whole =
+      phase_ == engines::StreamPhase::kPrefillOnly || usage.output_tokens == next_index_;
+  if (!whole) {
+    counters_.short_of.add();
+    breakOff("stream of " + std::to_string(usage.output_tokens) + " tokens ended after token " +
+             std::to_string(next_index_));
+    return;
+  }
+  std::exchange(listener_, nullptr)->onAttemptFinished(usage);
+}
+
+void EngineAttempt::onFailed(engines::StreamFailure failure, const std::string& message) {
+  if (listener_ == nullptr) {
+    counters_.late.add();
+    return;
+  }
+  std::exchange(listener_, nullptr)->onAttemptFailed(failure, message);
+}
+
+bool EngineAttempt::belongsHere(std::uint32_t attempt) {
+  if (listener_ == nullptr) {
+    counters_.late.add();
+    return false;
+  }
+  if (attempt != number_) {
+    counters_.crossed.add();
+    return false;
+  }
+  return true;
+}
+
+void EngineAttempt::breakOff(const std::string& message) {
+  std::exchange(listener_, nullptr)->onAttemptFailed(engines::StreamFailure::kMalformed, message);
+}
+
+}  // namespace cypresswall::execution
--- /dev/null
+++ b/src/cypresswall/execution/engine_model_executor.h
@@ -0,0 +1,25 @@
+/// The executor of model requests over model engines.
+#pragma once
+
+#include <memory>
+
+#include "cypresswall/execution/model_execution_core.h"
+#include "cypresswall/execution/model_executor.h"
+
+namespace cypresswall::execution {
+
+/// Runs each request on an engine that the router chooses, and goes on elsewhere when an engine
+/// fails. All references must outlive it.
+class EngineModelExecutor final : public ModelExecutor {
+ public:
+  EngineModelExecutor(api::ProcessContext& process,
+                      const configuration::ConfigurationView& configuration,
+                      admission::AdmissionController& admission, routing::Router& router,
+                      engines::EngineClient& engines, const ExecutionSettings& settings = {});
+  std::unique_ptr<ModelExecution> start(ModelCall call, ModelCallObserver& observer) override;
+
+ private:
+  ModelExecutionCore core_;
+};
+
+}  // namespace cypresswall::execution
--- /dev/null
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -0,0 +1,84 @@
+#include "cypresswall/execution/model_execution_core.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "cypresswall/common/prompt.h"
+
+namespace cypresswall::execution {
+namespace {
+
+/// Attempt numbers start below this, so that two lives of a process seldom use the same ones.
+constexpr std::uint64_t kFirstAttemptBound = 1U << 30;
+
+common::Counter& ended(common::CounterRegistry& registry, const char* outcome) {
+  return registry.counter("cypresswall_execution_model_requests_total",
+                          "Model requests by how they ended", "outcome", outcome);
+}
+
+common::Counter& retries(common::CounterRegistry& registry, const char* reason) {
+  return registry.counter("cypresswall_execution_model_retries_total",
+                          "Further attempts at model requests", "reason", reason);
+}
+
+std::string streamPrefix(const common::NodeId& self) {
+  std::array<char, 18> text{};
+  const auto hash = static_cast<unsigned long long>(common::hash64(self.toString()));
+  std::snprintf(text.data(), text.size(), "%016llx-", hash);
+  return text.data();
+}
+
+}  // namespace
+
+ModelRequestCounters::ModelRequestCounters(common::CounterRegistry& registry)
+    : started(registry.counter("cypresswall_execution_model_requests_started_total",
+                               "Model requests taken from callers")),
+      done(ended(registry, "done")),
+      abandoned(ended(registry, "abandoned")),
+      failed_not_run(ended(registry, "not_run")),
+      failed_unknown(ended(registry, "unknown")),
+      refused(ended(registry, "refused")),
+      attempts(registry.counter("cypresswall_execution_model_attempts_total",
+                                "Streams started on engines")),
+      retries_after_run(retries(registry, "broken")),
+      retries_after_no_run(retries(registry, "not_run")),
+      resumed(registry.counter("cypresswall_execution_model_resumed_total",
+                               "Answers resumed after their first token")),
+      silent(registry.counter("cypresswall_execution_model_silent_total",
+                              "Attempts given up because the engine was silent")),
+      budget_spent(registry.counter("cypresswall_execution_model_retry_budget_spent_total",
+                                    "Retries not made because the budget was spent")) {}
+
+ModelExecutionCore::ModelExecutionCore(api::ProcessContext& process_context,
+                                       const configuration::ConfigurationView& configuration_view,
+                                       admission::AdmissionController& admission_controller,
+                                       routing::Router& request_router,
+                                       engines::EngineClient& engine_client,
+                                       const ExecutionSettings& execution_settings)
+    : process(process_context),
+      configuration(configuration_view),
+      admission(admission_controller),
+      router(request_router),
+      engines(engine_client),
+      settings(execution_settings),
+      budget(execution_settings),
+      stream_events(process_context.counters),
+      counters(process_context.counters),
+      stream_prefix_(streamPrefix(process_context.self)),
+      next_attempt_(static_cast<std::uint32_t>(process_context.random.below(kFirstAttemptBound)) +
+                    1) {}
+
+std::string ModelExecutionCore::nextStreamId() {
+  return stream_prefix_ + std::to_string(next_stream_++);
+}
+
+void ModelExecutionCore::retire(std::unique_ptr<EngineAttempt> attempt) {
+  attempt->detach();
+  if (retired_.empty()) {
+    process.scheduler.schedule(common::Duration{0}, [this] { retired_.clear(); });
+  }
+  retired_.push_back(std::move(attempt));
+}
+
+}  // namespace cypresswall::execution
--- /dev/null
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -0,0 +1,71 @@
+/// What all model requests of a node share.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cypresswall/admission/admission.h"
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/configuration/configuration_view.h"
+#include "cypresswall/engines/engine_client.h"
+#include "cypresswall/execution/engine_attempt.h"
+#include "cypresswall/execution/execution_settings.h"
+#include "cypresswall/execution/retry_budget.h"
+#include "cypresswall/routing/router.h"
+
+namespace cypresswall::execution {
+
+/// Counters of model requests.
+struct ModelRequestCounters {
+  explicit ModelRequestCounters(common::CounterRegistry& registry);
+  common::Counter& started;
+  common::Counter& done;
+  common::Counter& abandoned;
+  common::Counter& failed_not_run;
+  common::Counter& failed_unknown;
+  common::Counter& refused;
+  common::Counter& attempts;
+  common::Counter& retries_after_run;
+  common::Counter& retries_after_no_run;
+  common::Counter& resumed;
+  common::Counter& silent;
+  common::Counter& budget_spent;
+};
+
+/// Names streams and attempts, pays for retries, and ends streams outside their own callbacks.
+class ModelExecutionCore {
+ public:
+  ModelExecutionCore(api::ProcessContext& process_context,
+                     const configuration::ConfigurationView& configuration_view,
+                     admission::AdmissionController& admission_controller,
+                     routing::Router& request_router, engines::EngineClient& engine_client,
+                     const ExecutionSettings& execution_settings);
+
+  /// \return an identifier that no other request of any process has
+  std::string nextStreamId();
+  /// \return a number that no other attempt of this process has
+  std::uint32_t nextAttemptNumber() { return next_attempt_++; }
+  /// Takes an attempt that is over. It is destroyed on the next turn, since its own stream may be
+  /// in the middle of a call to it.
+  void retire(std::unique_ptr<EngineAttempt> attempt);
+
+  api::ProcessContext& process;
+  const configuration::ConfigurationView& configuration;
+  admission::AdmissionController& admission;
+  routing::Router& router;
+  engines::EngineClient& engines;
+  const ExecutionSettings settings;
+  RetryBudget budget;
+  StreamEventCounters stream_events;
+  ModelRequestCounters counters;
+
+ private:
+  std::vector<std::unique_ptr<EngineAttempt>> retired_;
+  const std::string stream_prefix_;
+  std::uint64_t next_stream_ = 1;
+  std::uint32_t next_attempt_;
+};
+
+}  // namespace cypresswall::execution
--- /dev/null
+++ b/src/cypresswall/execution/model_request.h
@@ -0,0 +1,90 @@
+/// The state machine of one model request: one attempt after another until the whole answer was
+/// given or the request is given up.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cypresswall/admission/admission.h"
+#include "cypresswall/execution/engine_attempt.h"
+#include "cypresswall/execution/model_execution_core.h"
+#include "cypresswall/execution/model_executor.h"
+#include "cypresswall/execution/model_target.h"
+#include "cypresswall/execution/silence_watch.h"
+#include "cypresswall/routing/router.h"
+
+namespace cypresswall::execution {
+
+/// Owned by the caller's handle, and for the length of a callback by the event that it handles, so
+/// that the observer may destroy the handle from any call.
+class ModelRequest final : public std::enable_shared_from_this<ModelRequest>,
+                           private EngineAttempt::Listener {
+ public:
+  ModelRequest(ModelExecutionCore& core, ModelCall call, ModelCallObserver& observer);
+  /// Called once, after construction. Never calls the observer before it returns.
+  void start();
+  /// The caller went away: nothing is said to the observer any more.
+  void abandon();
+  void pause();
+  void resume();
+
+ private:
+  void onAttemptToken(std::uint32_t index, const std::string& text) override;
+  void onAttemptFinished(const engines::StreamUsage& usage) override;
+  void onAttemptFailed(engines::StreamFailure failure, const std::string& message) override;
+
+  bool admit();
+  void nextAttempt();
+  routing::RouteRequest routeRequest() const;
+  /// Time left for the first token, or for the next one of a resumed answer.
+  common::Duration timeToFirstToken() const;
+  void onRefused(const routing::RouteRefusal& refusal);
+  void beginAttempt();
+  void beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase);
+  void handOverToDecode();
+
+  void attemptLost(engines::StreamFailure failure, const std::string& message);
+  void retryAfterRun(const std::string& message);
+  void retryAfterNoRun(const std::string& message);
+  void scheduleAttempt(common::Duration delay);
+  void scheduleStep(common::Duration delay, std::function<void()> step);
+
+  void watchSilence();
+  SilenceWatch::Limits silenceLimits() const;
+  void onSilence(bool beyond_hard);
+  bool retryAffordable() const;
+  bool resuming() const { return tokens_given_ > 0; }
+
+  void giveUp(ErrorKind kind, const std::string& message, common::Duration retry_after);
+  void close();
+  void retireAttempt();
+
+  ModelExecutionCore& core_;
+  ModelCall call_;
+  ModelCallObserver* observer_;
+  ModelTarget target_;
+  std::string stream_id_;
+  std::optional<admission::AdmissionRequest> admitted_;
+  common::MonotonicTime first_token_due_{};
+  common::MonotonicTime resume_until_{};
+  std::vector<common::EngineName> excluded_;
+  std::optional<routing::Route> route_;
+  std::unique_ptr<EngineAttempt> attempt_;
+  engines::StreamPhase phase_ = engines::StreamPhase::kWhole;
+  SilenceWatch silence_;
+  common::TimerId step_timer_ = 0;
+  std::uint32_t tokens_given_ = 0;
+  std::uint32_t runs_ = 0;
+  std::uint32_t unrun_attempts_ = 0;
+  bool may_have_run_ = false;
+  bool token_seen_in_attempt_ = false;
+  bool paused_ = false;
+  bool starting_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace cypresswall::execution
--- /dev/null
+++ b/src/cypresswall/membership/machine_register.h
@@ -0,0 +1,74 @@
+/// The zone's copy of the platform's machine list. In the usual case one node of the zone reads the
+/// list and sends changes to its peers; the others read only when no fresh read is seen.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/membership/membership_settings.h"
+#include "cypresswall/membership/messages.h"
+#include "cypresswall/platform/machine_list.h"
+
+namespace cypresswall::membership {
+
+class MachineRegister {
+ public:
+  /// Tells the register who else is in the zone.
+  struct ZonePeers {
+    std::function<std::vector<common::NodeId>()> peers;
+    /// Position of this node among the live nodes of the zone, from 0.
+    std::function<std::size_t()> rank;
+  };
+
+  MachineRegister(const MembershipSettings& settings, const api::ProcessContext& context,
+                  platform::MachineList& list, ZonePeers zone_peers);
+
+  void start();
+  bool machineLeaving(const common::MachineName& machine) const;
+  /// \param address an IP number, or "IP:port"
+  bool addressLeaving(const common::Address& address) const;
+  /// \return true if the list shows every machine with this IP number as gone.
+  bool addressGone(const common::Address& address) const;
+  /// \return the IP numbers of live machines, in order.
+  const std::set<std::string>& liveAddresses() const { return live_addresses_; }
+  std::uint64_t version() const { return version_; }
+  std::uint32_t reads() const { return reads_; }
+  void onChange(std::function<void()> listener) { listener_ = std::move(listener); }
+  /// Notes a peer's heartbeat: whether it read the list, and which version it holds.
+  void heartbeatReceived(const common::NodeId& sender, std::uint64_t version, std::uint32_t reads);
+
+ private:
+  void poll();
+  void readFinished(const std::vector<platform::Machine>& machines);
+  std::vector<MachineEntry> changesAgainst(const std::vector<platform::Machine>& machines) const;
+  void apply(std::uint64_t version, const std::vector<MachineEntry>& machines);
+  void receive(const common::NodeId& sender, const MachinesUpdate& update);
+  void answer(const common::NodeId& sender, const MachinesRequest& request);
+  void rebuildIndex();
+
+  MembershipSettings settings_;
+  api::ProcessContext context_;
+  platform::MachineList& list_;
+  ZonePeers zone_peers_;
+  std::function<void()> listener_;
+  std::map<common::MachineName, MachineEntry> machines_;
+  std::set<std::string> live_addresses_;
+  std::set<std::string> leaving_addresses_;
+  std::set<std::string> gone_addresses_;
+  std::map<common::NodeId, std::uint32_t> peer_reads_;
+  std::uint64_t version_ = 0;
+  std::uint32_t reads_ = 0;
+  bool reading_ = false;
+  common::MonotonicTime last_fresh_read_;
+  common::MonotonicTime last_poll_;
+  common::MonotonicTime last_request_;
+  common::Counter& read_count_;
+  common::Counter& failure_count_;
+};
+
+}  // namespace cypresswall::membership
--- a/src/cypresswall/membership/membership_view.h
+++ b/src/cypresswall/membership/membership_view.h
@@ -1,7 +1,9 @@
 /// Read access to the nodes of this node's own zone and to machines that are leaving.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +11,14 @@
 
 namespace cypresswall::membership {
 
+/// Small values that other subsystems attach to a node; they spread to the zone on change.
+enum class DigestTopic : std::uint16_t {
+  kConfigurationVersion = 1,
+  /// Epoch of the lease that the node holds: generation in the high half, term in the low half;
+  /// zero if it holds none.
+  kHeldEpoch = 2,
+};
+
 enum class MemberState : std::uint8_t { kAlive, kSuspect, kLeaving, kDead };
 
 struct Member {
@@ -30,7 +40,16 @@
   virtual bool machineLeaving(const common::MachineName& machine) const = 0;
   /// \return true if the IP number belongs to a machine that is leaving or gone.
   virtual bool addressLeaving(const common::Address& address) const = 0;
-  /// Calls `listener` after each change; listeners live as long as the view.
+  /// \return true if the process has ended for good: a later life answers at its address, or the
+  /// machine list shows its machine as gone. Silence alone is no proof.
+  virtual bool surelyDead(const common::NodeId& node) const = 0;
+  /// Attaches a value to this node, for its zone peers to read.
+  virtual void setDigest(DigestTopic topic, std::uint64_t value) = 0;
+  /// \return the newest value known of a member's digest, nothing if there is none.
+  virtual std::optional<std::uint64_t> digest(const common::NodeId& node,
+                                              DigestTopic topic) const = 0;
+  /// Calls `listener` after each change of members, their digests or machines; listeners live as
+  /// long as the view.
   virtual void onChange(std::function<void()> listener) = 0;
 };
 
--- /dev/null
+++ b/tests/support/virtual_world.cpp
@@ -0,0 +1,239 @@
+#include "tests/support/virtual_world.h"
+
+#include <algorithm>
+
+namespace cypresswall::testing {
+namespace {
+
+constexpr common::Duration kStoreTimeLimit = std::chrono::milliseconds(500);
+
+/// True duration of `local` microseconds on a clock of the given rate.
+common::Duration trueDuration(common::Duration local, double clock_rate) {
+  return common::Duration(
+      static_cast<std::int64_t>(static_cast<double>(local.count()) / clock_rate));
+}
+
+}  // namespace
+
+VirtualProcess::VirtualProcess(VirtualWorld& world, common::NodeId node, common::ZoneName zone,
+                               double clock_rate)
+    : world_(world),
+      node_(std::move(node)),
+      zone_(std::move(zone)),
+      clock_rate_(clock_rate),
+      serial_(world.next_serial_++),
+      random_(world.random.next()) {}
+
+api::ProcessContext VirtualProcess::context() {
+  return api::ProcessContext{node_,     zone_, *this,      *this, random_, common::nullLogSink(),
+                             counters_, *this, dispatcher_};
+}
+
+common::MonotonicTime VirtualProcess::now() const {
+  const auto local = static_cast<double>(world_.now_.count()) * clock_rate_;
+  return common::MonotonicTime(common::Duration(static_cast<std::int64_t>(local)));
+}
+
+common::TimerId VirtualProcess::schedule(common::Duration delay, std::function<void()> callback) {
+  const common::TimerId timer = ++world_.next_sequence_;
+  timers_.insert(timer);
+  const auto wait = std::max(common::Duration(1), trueDuration(delay, clock_rate_));
+  auto run = [this, timer, callback = std::move(callback)] {
+    if (timers_.erase(timer) != 0) {
+      callback();
+    }
+  };
+  world_.post(world_.now_ + wait, {serial_, node_.address, std::move(run)});
+  return timer;
+}
+
+void VirtualProcess::cancel(common::TimerId timer) { timers_.erase(timer); }
+
+void VirtualProcess::send(api::Envelope envelope) {
+  ++world_.messages;
+  world_.message_bytes += api::encodeEnvelope(envelope).size();
+  const auto receiver = envelope.receiver;
+  const bool lost = world_.random.unit() < world_.message_loss;
+  if (lost || !world_.reachable(node_.address, receiver.address)) {
+    return;
+  }
+  auto deliver = [&world = world_, envelope = std::move(envelope)] {
+    auto& process = world.process(envelope.receiver.address);
+    const auto wanted = envelope.receiver.incarnation;
+    if (wanted == 0 || wanted == process.node_.incarnation) {
+      process.dispatcher_.dispatch(envelope);
+    }
+  };
+  world_.post(world_.now_ + world_.networkDelay(), {0, receiver.address, std::move(deliver)});
+}
+
+template <typename Value>
+void VirtualProcess::answerLater(platform::StoreCallback<Value> callback,
+                                 std::function<platform::StoreResult<Value>()> work) {
+  using Failure = common::Failure<platform::StoreFailure>;
+  const bool reachable = !world_.store.down && !world_.store_unreachable_.contains(node_.address);
+  if (!reachable) {
+    world_.post(world_.now_ + kStoreTimeLimit,
+                {serial_, node_.address, [callback = std::move(callback)] {
+                   callback(Failure{platform::StoreFailure::kUnavailable, "store down"});
+                 }});
+    return;
+  }
+  auto arrive = [this, serial = serial_, address = node_.address, callback = std::move(callback),
+                 work = std::move(work), &world = world_] {
+    auto result = std::make_shared<platform::StoreResult<Value>>(work());
+    world.post(world.now_ + world.networkDelay(),
+               {serial, address, [callback, result] { callback(*result); }});
+  };
+  world_.post(world_.now_ + world_.networkDelay(), {0, "", std::move(arrive)});
+}
+
+void VirtualProcess::get(const std::string& key,
+                         platform::StoreCallback<platform::StoredObject> callback) {
+  auto& store = world_.store;
+  answerLater<platform::StoredObject>(
+      std::move(callback), [&store, key]() -> platform::StoreResult<platform::StoredObject> {
+        const auto object = store.objects.find(key);
+        if (object == store.objects.end()) {
+          return common::Failure<platform::StoreFailure>{platform::StoreFailure::kNotFound, key};
+        }
+        return object->second;
+      });
+}
+
+void VirtualProcess::compareAndSet(platform::ObjectWrite write,
+                                   platform::StoreCallback<platform::StoredObject> callback) {
+  using Result = platform::StoreResult<platform::StoredObject>;
+  using Failure = common::Failure<platform::StoreFailure>;
+  auto& world = world_;
+  answerLater<platform::StoredObject>(
+      std::move(callback), [&world, write = std::move(write)]() -> Result {
+        auto& store = world.store;
+        const auto known = store.objects.find(write.key);
+        const auto version = known == store.objects.end() ? 0 : known->second.version;
+        if (version != write.expected_version) {
+          return Failure{platform::StoreFailure::kConflict, write.key};
+        }
+        ++store.writes;
+        const platform::StoredObject object{write.key, version + 1, write.value, write.change_id};
+        store.objects[write.key] = object;
+        if (world.random.unit() < store.lost_answers) {
+          ++store.answers_lost;
+          return Failure{platform::StoreFailure::kUnknownOutcome, "answer lost"};
+        }
+        return object;
+      });
+}
+
+void VirtualProcess::list(const std::string&,
+                          platform::StoreCallback<platform::ObjectListing> callback) {
+  answerLater<platform::ObjectListing>(
+      std::move(callback), []() -> platform::StoreResult<platform::ObjectListing> {
+        return common::Failure<platform::StoreFailure>{platform::StoreFailure::kUnavailable, ""};
+      });
+}
+
+void VirtualProcess::watch(const std::string& prefix, std::uint64_t,
+                           platform::StoreCallback<platform::ObjectListing> callback) {
+  list(prefix, std::move(callback));
+}
+
+void VirtualProcess::fetch(const common::ZoneName& zone, platform::MachineListCallback callback) {
+  using Result = common::Result<std::vector<platform::Machine>, platform::MachineListFailure>;
+  auto answer = [&world = world_, zone, callback = std::move(callback)] {
+    if (world.machine_list_down) {
+      callback(common::Failure<platform::MachineListFailure>{
+          platform::MachineListFailure::kUnavailable, "down"});
+      return;
+    }
+    ++world.machine_list_reads;
+    std::vector<platform::Machine> machines;
+    for (const auto& machine : world.machines) {
+      if (machine.zone == zone) {
+        machines.push_back(machine);
+      }
+    }
+    callback(Result(machines));
+  };
+  world_.post(world_.now_ + world_.networkDelay(), {serial_, node_.address, std::move(answer)});
+}
+
+VirtualProcess& VirtualWorld::spawn(const common::NodeId& node, const common::ZoneName& zone,
+                                    double clock_rate) {
+  kill(node.address);
+  auto process = std::make_unique<VirtualProcess>(*this, node, zone, clock_rate);
+  return *(processes_[node.address] = std::move(process));
+}
+
+void VirtualWorld::kill(const common::Address& address) { processes_.erase(address); }
+
+void VirtualWorld::pause(const common::Address& address, common::Duration length) {
+  if (running(address)) {
+    process(address).paused_until_ = now_ + length;
+  }
+}
+
+bool VirtualWorld::paused(const common::Address& address) const {
+  const auto process = processes_.find(address);
+  return process != processes_.end() && process->second->paused_until_ > now_;
+}
+
+void VirtualWorld::setStoreReachable(const common::Address& address, bool reachable) {
+  if (reachable) {
+    store_unreachable_.erase(address);
+  } else {
+    store_unreachable_.insert(address);
+  }
+}
+
+void VirtualWorld::at(common::Duration time, std::function<void()> callback) {
+  post(time, {0, "", std::move(callback)});
+}
+
+void VirtualWorld::post(common::Duration time, Event event) {
+  queue_.emplace(std::make_pair(std::max(time, now_), ++next_sequence_), std::move(event));
+}
+
+bool VirtualWorld::reachable(const common::Address& from, const common::Address& to) const {
+  const auto group = [this](const common::Address& address) {
+    const auto it = groups_.find(address);
+    return it == groups_.end() ? 0 : it->second;
+  };
+  return group(from) == group(to);
+}
+
+common::Duration VirtualWorld::networkDelay() {
+  const auto spread = static_cast<std::uint64_t>((maximum_delay - minimum_delay).count());
+  return minimum_delay + common::Duration(random.below(spread + 1));
+}
+
+VirtualProcess* VirtualWorld::owner(const Event& event) const {
+  const auto process = processes_.find(event.address);
+  return process == processes_.end() ? nullptr : process->second.get();
+}
+
+void VirtualWorld::runUntil(common::Duration end) {
+  while (!queue_.empty() && queue_.begin()->first.first <= end) {
+    auto node = queue_.extract(queue_.begin());
+    now_ = node.key().first;
+    Event& event = node.mapped();
+    VirtualProcess* process = owner(event);
+    const bool owned = !event.address.empty();
+    const bool gone =
+        owned && (process == nullptr || (event.owner != 0 && event.owner != process->serial_));
+    if (gone) {
+      continue;
+    }
+    if (owned && process->paused_until_ > now_) {
+      post(process->paused_until_, std::move(event));
+      continue;
+    }
+    event.run();
+    if (after_each_event) {
+      after_each_event();
+    }
+  }
+  now_ = end;
+}
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/support/virtual_world.h
@@ -0,0 +1,141 @@
+/// A small network of processes in virtual time for tests of single subsystems: message delay and
+/// loss, cuts, paused and ended processes, drifting clocks, a store and a machine list with faults.
+/// One seed gives one run.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/platform/object_store.h"
+
+namespace cypresswall::testing {
+
+class VirtualWorld;
+
+/// The platform's store with faults; shared by all processes of a world.
+class VirtualStore {
+ public:
+  bool down = false;
+  /// Share of writes that take effect but whose answer is lost.
+  double lost_answers = 0;
+  std::map<std::string, platform::StoredObject> objects;
+  std::uint64_t writes = 0;
+  std::uint64_t answers_lost = 0;
+};
+
+/// One process: clock, timers, transport and clients. Destroying it drops all its callbacks.
+class VirtualProcess final : public common::Clock,
+                             public common::Scheduler,
+                             public api::PeerTransport,
+                             public platform::ObjectStore,
+                             public platform::MachineList {
+ public:
+  VirtualProcess(VirtualWorld& world, common::NodeId node, common::ZoneName zone,
+                 double clock_rate);
+
+  api::ProcessContext context();
+  const common::NodeId& node() const { return node_; }
+  common::CounterRegistry& counters() { return counters_; }
+
+  common::MonotonicTime now() const override;
+  common::TimerId schedule(common::Duration delay, std::function<void()> callback) override;
+  void cancel(common::TimerId timer) override;
+  void send(api::Envelope envelope) override;
+  void get(const std::string& key,
+           platform::StoreCallback<platform::StoredObject> callback) override;
+  void compareAndSet(platform::ObjectWrite write,
+                     platform::StoreCallback<platform::StoredObject> callback) override;
+  void list(const std::string& prefix,
+            platform::StoreCallback<platform::ObjectListing> callback) override;
+  void watch(const std::string& prefix, std::uint64_t revision,
+             platform::StoreCallback<platform::ObjectListing> callback) override;
+  void fetch(const common::ZoneName& zone, platform::MachineListCallback callback) override;
+
+ private:
+  friend class VirtualWorld;
+  template <typename Value>
+  void answerLater(platform::StoreCallback<Value> callback,
+                   std::function<platform::StoreResult<Value>()> work);
+
+  VirtualWorld& world_;
+  common::NodeId node_;
+  common::ZoneName zone_;
+  double clock_rate_;
+  std::uint64_t serial_;
+  common::CounterRegistry counters_;
+  api::MessageDispatcher dispatcher_;
+  common::SeededRandom random_;
+  std::set<common::TimerId> timers_;
+  common::Duration paused_until_{0};
+};
+
+class VirtualWorld {
+ public:
+  explicit VirtualWorld(std::uint64_t seed) : random(seed) {}
+
+  /// Starts a process; one that runs at the same address ends first.
+  VirtualProcess& spawn(const common::NodeId& node, const common::ZoneName& zone,
+                        double clock_rate = 1.0);
+  /// Ends a process; its memory and pending callbacks are gone.
+  void kill(const common::Address& address);
+  /// Stops a process for `length`; what reaches it meanwhile is handled afterwards.
+  void pause(const common::Address& address, common::Duration length);
+  bool running(const common::Address& address) const { return processes_.contains(address); }
+  bool paused(const common::Address& address) const;
+  VirtualProcess& process(const common::Address& address) { return *processes_.at(address); }
+
+  /// Puts an address into a group; processes of different groups don't reach each other.
+  void setGroup(const common::Address& address, int group) { groups_[address] = group; }
+  void healNetwork() { groups_.clear(); }
+  void setStoreReachable(const common::Address& address, bool reachable);
+
+  common::Duration now() const { return now_; }
+  void runFor(common::Duration length) { runUntil(now_ + length); }
+  void runUntil(common::Duration end);
+  /// Runs `callback` at a true time that no process's clock affects.
+  void at(common::Duration time, std::function<void()> callback);
+  /// Called after every event.
+  std::function<void()> after_each_event;
+
+  common::SeededRandom random;
+  common::Duration minimum_delay = std::chrono::microseconds(200);
+  common::Duration maximum_delay = std::chrono::milliseconds(5);
+  double message_loss = 0;
+  VirtualStore store;
+  std::vector<platform::Machine> machines;
+  bool machine_list_down = false;
+  std::uint64_t machine_list_reads = 0;
+  std::uint64_t messages = 0;
+  std::uint64_t message_bytes = 0;
+
+ private:
+  friend class VirtualProcess;
+  struct Event {
+    /// Serial number of the process that it belongs to, zero for none.
+    std::uint64_t owner = 0;
+    common::Address address;
+    std::function<void()> run;
+  };
+  void post(common::Duration time, Event event);
+  bool reachable(const common::Address& from, const common::Address& to) const;
+  common::Duration networkDelay();
+  VirtualProcess* owner(const Event& event) const;
+
+  common::Duration now_{0};
+  std::uint64_t next_sequence_ = 0;
+  std::uint64_t next_serial_ = 1;
+  std::map<std::pair<common::Duration, std::uint64_t>, Event> queue_;
+  std::map<common::Address, std::unique_ptr<VirtualProcess>> processes_;
+  std::map<common::Address, int> groups_;
+  std::set<common::Address> store_unreachable_;
+};
+
+}  // namespace cypresswall::testing
