Add routing: engine directory, prefix index and cost router

Cause: requests need an engine chosen from load that is always somewhat old, with caches known only in part, at a control cost that fits 13 nodes and 370 engines a zone.

What was ruled out: every node polling every engine (13 times the polls); publishing whole load reports (hundreds of bytes an engine); broadcasting all cache events (their volume grows with the prompts). Names instead of indexes in deltas cost more bytes than a roster digest with indexes.

Change: each engine is watched by one node (rendezvous hashing, overlap at hand-over). The watcher publishes deltas within a byte budget: significant changes first, a one-byte confirmation for the rest, cache changes in what is left. Gaps in a peer's sequence numbers and unknown identities are asked for again. The router adds the work it sent since a report, weighs the wait, the uncached prompt and the decode step against the request's limits, and refuses at once with Retry-After from the drain time. A Route names the version that the engine has loaded.

Figures: 13 nodes, 370 engines, every load changed at random 4 times a second: a node sends under 4500 B/s with envelopes (routing_test, targetZoneStaysWithinItsByteBudget).

--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -3,9 +3,22 @@
 #include <algorithm>
 #include <utility>
 
-#include "cypresswall/common/prompt.h"
-
 namespace cypresswall::membership {
+namespace {
+
+constexpr std::uint32_t kHashStart = 2166136261U;
+constexpr std::uint32_t kHashPrime = 16777619U;
+
+/// FNV-1a; the same on every machine, unlike std::hash.
+std::uint32_t hashInto(std::uint32_t hash, const std::string& text) {
+  for (const char c : text) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * kHashPrime;
+  }
+  return hash;
+}
+
+}  // namespace
+
 Membership::Membership(MembershipSettings settings, const api::ProcessContext& context,
                        platform::MachineList& machine_list)
     : settings_(std::move(settings)),
@@ -199,11 +212,11 @@
   std::vector<common::NodeId> nodes = peerNodes();
   nodes.push_back(context_.self);
   std::sort(nodes.begin(), nodes.end());
-  std::uint64_t hash = 0;
+  std::uint32_t hash = kHashStart;
   for (const auto& node : nodes) {
-    hash = common::hash64(node.toString(), hash);
+    hash = hashInto(hash, node.toString());
   }
-  return static_cast<std::uint32_t>(hash);
+  return hash;
 }
 
 std::vector<Member> Membership::members() const {
--- a/src/cypresswall/membership/membership_view.h
+++ b/src/cypresswall/membership/membership_view.h
@@ -27,6 +27,8 @@
   MemberState state = MemberState::kAlive;
   /// "IP:port" of the member's HTTP front; empty if not yet known.
   common::Address gateway_address;
+
+  bool operator==(const Member&) const = default;
 };
 
 class MembershipView {
--- /dev/null
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -0,0 +1,339 @@
+#include "cypresswall/routing/delta_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cypresswall::routing {
+namespace {
+
+/// Bytes of one message beside its lists: envelope, sender, receiver, digest, sequence.
+constexpr double kEnvelopeBytes = 80;
+/// Upper estimates of one list entry.
+constexpr double kDeltaBytes = 16;
+constexpr double kIdentityBytes = 80;
+constexpr double kHintBytes = 14;
+/// A publication waits until the budget pays for its fixed part this many times.
+constexpr double kFixedPartShare = 2.0;
+/// Unspent budget is kept for this long.
+constexpr double kBudgetSeconds = 2.0;
+constexpr std::size_t kMaximumQueuedHints = 512;
+/// Above this many, sequence numbers of peers that are gone are forgotten.
+constexpr std::size_t kMaximumRememberedPeers = 64;
+constexpr auto kAgeUnit = std::chrono::milliseconds(10);
+/// Significance of a change of state, role or identity.
+constexpr double kUrgentSignificance = 1000.0;
+
+}  // namespace
+
+DeltaExchange::DeltaExchange(const DirectorySettings& settings, const api::ProcessContext& context,
+                             membership::MembershipView& membership, EngineTable& table,
+                             PrefixIndex& prefixes)
+    : settings_(settings),
+      context_(context),
+      membership_(membership),
+      table_(table),
+      prefixes_(prefixes),
+      sent_bytes_(context.counters.counter("cypresswall_engine_deltas_sent_bytes_total",
+                                           "Bytes of engine deltas sent, envelopes included")),
+      sent_messages_(context.counters.counter("cypresswall_engine_deltas_sent_total",
+                                              "Messages with engine deltas sent")),
+      deferred_changes_(context.counters.counter("cypresswall_engine_deltas_deferred_total",
+                                                 "Changes kept back by the byte budget")),
+      dropped_hints_(context.counters.counter("cypresswall_cache_hints_dropped_total",
+                                              "Cache changes not passed on to peers")),
+      foreign_roster_(context.counters.counter("cypresswall_engine_deltas_foreign_roster_total",
+                                               "Engine deltas dropped: other engine list")),
+      late_messages_(context.counters.counter("cypresswall_engine_deltas_late_total",
+                                              "Engine deltas dropped: late or doubled")),
+      identity_requests_(context.counters.counter("cypresswall_engine_identity_requests_total",
+                                                  "Requests for missing parts of engine views")) {
+  context_.dispatcher.handle<EngineDeltas>(
+      [this](const common::NodeId& sender, const EngineDeltas& message) {
+        onDeltas(sender, message);
+      });
+  context_.dispatcher.handle<IdentityRequest>(
+      [this](const common::NodeId& sender, const IdentityRequest& request) {
+        onIdentityRequest(sender, request);
+      });
+}
+
+void DeltaExchange::start(EnginePoller& poller) {
+  poller_ = &poller;
+  budget_filled_at_ = context_.clock.now();
+  context_.scheduler.schedule(settings_.publish_period, [this] { tick(); });
+}
+
+void DeltaExchange::addCacheHint(EngineSlot slot, bool stored, common::PieceHash piece) {
+  hints_.push_back(CacheHint{indexOf(slot), stored, piece});
+  if (hints_.size() > kMaximumQueuedHints) {
+    hints_.pop_front();
+    dropped_hints_.add();
+  }
+}
+
+std::uint16_t DeltaExchange::indexOf(EngineSlot slot) const {
+  const auto& names = table_.names();
+  const auto& name = table_.record(slot).declaration.name;
+  return static_cast<std::uint16_t>(std::lower_bound(names.begin(), names.end(), name) -
+                                    names.begin());
+}
+
+EngineSlot DeltaExchange::slotAt(std::uint16_t index) const {
+  return index < table_.roster().size() ? table_.roster()[index] : kNoEngineSlot;
+}
+
+common::Duration DeltaExchange::ageOf(EngineSlot slot) const {
+  return context_.clock.now() - table_.record(slot).observed_at;
+}
+
+std::vector<common::NodeId> DeltaExchange::peers() const {
+  std::vector<common::NodeId> found;
+  for (const membership::Member& member : membership_.members()) {
+    if (member.node != context_.self && member.state != membership::MemberState::kDead) {
+      found.push_back(member.node);
+    }
+  }
+  return found;
+}
+
+void DeltaExchange::tick() {
+  const common::MonotonicTime now = context_.clock.now();
+  const double rate = settings_.publish_bytes_per_second;
+  budget_bytes_ += rate * common::toSeconds(now - budget_filled_at_);
+  budget_bytes_ = std::min(budget_bytes_, rate * kBudgetSeconds);
+  budget_filled_at_ = now;
+  const auto targets = peers();
+  if (received_.size() > kMaximumRememberedPeers) {
+    std::erase_if(received_, [&](const auto& item) {
+      return std::find(targets.begin(), targets.end(), item.first) == targets.end();
+    });
+  }
+  if (targets.empty()) {
+    hints_.clear();
+  } else {
+    publish(targets);
+  }
+  context_.scheduler.schedule(settings_.publish_period, [this] { tick(); });
+}
+
+std::vector<DeltaExchange::PendingChange> DeltaExchange::collectChanges(EngineDeltas& message) {
+  std::vector<PendingChange> changes;
+  for (const EngineSlot slot : poller_->watched()) {
+    const EngineRecord& record = table_.record(slot);
+    if (!record.reported) {
+      continue;
+    }
+    const EngineDelta delta = makeDelta(indexOf(slot), record.load, record.reachable, ageOf(slot));
+    const auto last = published_.find(slot);
+    double significance = kUrgentSignificance;
+    if (last != published_.end()) {
+      // A change that was kept back gains weight, so that none is kept back for good.
+      const double waited = common::toSeconds(context_.clock.now() - last->second.at);
+      significance = changeSignificance(last->second.delta, delta, record.load) * (1.0 + waited);
+    }
+    if (significance > 0) {
+      changes.push_back(PendingChange{significance, slot, delta});
+    } else if (record.reachable) {
+      message.confirmed.push_back(delta.index);
+      message.confirmed_age_centiseconds =
+          std::max(message.confirmed_age_centiseconds, delta.age_centiseconds);
+    }
+  }
+  std::stable_sort(changes.begin(), changes.end(),
+                   [](const PendingChange& left, const PendingChange& right) {
+                     return left.significance > right.significance;
+                   });
+  std::sort(message.confirmed.begin(), message.confirmed.end());
+  message.confirmed = differencesOf(message.confirmed);
+  return changes;
+}
+
+void DeltaExchange::addChanges(EngineDeltas& message, const std::vector<PendingChange>& changes,
+                               double budget) {
+  for (const PendingChange& change : changes) {
+    const auto last = published_.find(change.slot);
+    const bool identity_changed =
+        last != published_.end() && last->second.delta.identity_tag != change.delta.identity_tag;
+    const double cost = kDeltaBytes + (identity_changed ? kIdentityBytes : 0);
+    if (budget < cost) {
+      deferred_changes_.add();
+      if (table_.record(change.slot).reachable) {
+        message.heard.push_back(change.delta.index);
+      }
+      continue;
+    }
+    budget -= cost;
+    if (identity_changed) {
+      message.identities.push_back(
+          makeIdentity(change.delta.index, table_.record(change.slot).load));
+    }
+    message.changed.push_back(change.delta);
+    published_[change.slot] = Published{change.delta, context_.clock.now()};
+  }
+  std::sort(message.heard.begin(), message.heard.end());
+  message.heard = differencesOf(message.heard);
+  addHints(message, budget);
+}
+
+void DeltaExchange::addHints(EngineDeltas& message, double budget) {
+  while (!hints_.empty() && budget >= kHintBytes) {
+    message.cache_hints.push_back(hints_.back());
+    hints_.pop_back();
+    budget -= kHintBytes;
+  }
+  std::reverse(message.cache_hints.begin(), message.cache_hints.end());
+}
+
+void DeltaExchange::publish(const std::vector<common::NodeId>& targets) {
+  EngineDeltas message;
+  message.roster_digest = table_.digest();
+  auto changes = collectChanges(message);
+  if (changes.empty() && message.confirmed.empty() && hints_.empty()) {
+    return;
+  }
+  const double budget = budget_bytes_ / static_cast<double>(targets.size());
+  const double fixed =
+      kEnvelopeBytes + static_cast<double>(message.confirmed.size() + changes.size());
+  const bool urgent = !changes.empty() && changes.front().significance >= kUrgentSignificance;
+  if (budget < fixed * (urgent ? 1.0 : kFixedPartShare)) {
+    return;
+  }
+  addChanges(message, changes, budget - fixed);
+  message.sequence = ++sequence_;
+  api::Envelope envelope = api::Envelope::make(context_.self, targets.front(), message);
+  for (const common::NodeId& peer : targets) {
+    envelope.receiver = peer;
+    context_.transport.send(envelope);
+  }
+  const std::size_t bytes = api::encodeEnvelope(envelope).size() * targets.size();
+  budget_bytes_ -= static_cast<double>(bytes);
+  sent_bytes_.add(bytes);
+  sent_messages_.add(targets.size());
+}
+
+void DeltaExchange::onDeltas(const common::NodeId& sender, const EngineDeltas& message) {
+  if (message.roster_digest != table_.digest()) {
+    foreign_roster_.add();
+    return;
+  }
+  std::uint64_t& last = received_[sender];
+  const bool answer = message.sequence == 0;
+  if (!answer && message.sequence <= last) {
+    late_messages_.add();
+    return;
+  }
+  std::set<std::uint16_t> unknown;
+  if (!answer && message.sequence != last + 1) {
+    const auto confirmed = sumsOf(message.confirmed);
+    unknown.insert(confirmed.begin(), confirmed.end());
+  }
+  if (!answer) {
+    last = message.sequence;
+  }
+  if (identities_digest_ != message.roster_digest) {
+    identities_.clear();
+    identities_digest_ = message.roster_digest;
+  }
+  for (const EngineIdentity& identity : message.identities) {
+    identities_[identity.index] = identity;
+  }
+  applyChanges(message, unknown);
+  applyConfirmations(message, unknown);
+  applyHeard(message);
+  applyHints(message);
+  if (!unknown.empty()) {
+    identity_requests_.add();
+    context_.sendTo(sender, IdentityRequest{table_.digest(), {unknown.begin(), unknown.end()}});
+  }
+}
+
+void DeltaExchange::applyChanges(const EngineDeltas& message, std::set<std::uint16_t>& unknown) {
+  const common::MonotonicTime now = context_.clock.now();
+  for (const EngineDelta& delta : message.changed) {
+    const EngineSlot slot = slotAt(delta.index);
+    const auto identity = identities_.find(delta.index);
+    if (slot == kNoEngineSlot) {
+      continue;
+    }
+    EngineObservation observation;
+    observation.load = table_.record(slot).load;
+    if (identity != identities_.end()) {
+      applyIdentity(identity->second, observation.load);
+    }
+    if (identityTag(observation.load) != delta.identity_tag) {
+      unknown.insert(delta.index);
+      continue;
+    }
+    unknown.erase(delta.index);
+    observation.reachable = applyDelta(delta, observation.load);
+    observation.observed_at = now - kAgeUnit * delta.age_centiseconds;
+    table_.observe(slot, observation, now);
+  }
+}
+
+void DeltaExchange::applyConfirmations(const EngineDeltas& message,
+                                       std::set<std::uint16_t>& unknown) {
+  const common::MonotonicTime now = context_.clock.now();
+  const common::MonotonicTime observed_at = now - kAgeUnit * message.confirmed_age_centiseconds;
+  for (const std::uint16_t index : sumsOf(message.confirmed)) {
+    const EngineSlot slot = slotAt(index);
+    if (slot == kNoEngineSlot) {
+      continue;
+    }
+    if (!table_.record(slot).reported) {
+      unknown.insert(index);
+    }
+    if (unknown.count(index) == 0) {
+      table_.confirm(slot, observed_at, now);
+    }
+  }
+}
+
+void DeltaExchange::applyHeard(const EngineDeltas& message) {
+  const common::MonotonicTime now = context_.clock.now();
+  for (const std::uint16_t index : sumsOf(message.heard)) {
+    const EngineSlot slot = slotAt(index);
+    if (slot != kNoEngineSlot) {
+      table_.hear(slot, now, now);
+    }
+  }
+}
+
+void DeltaExchange::applyHints(const EngineDeltas& message) {
+  for (const CacheHint& hint : message.cache_hints) {
+    const EngineSlot slot = slotAt(hint.index);
+    if (slot == kNoEngineSlot) {
+      continue;
+    }
+    if (hint.stored) {
+      prefixes_.stored(slot, hint.piece);
+    } else {
+      prefixes_.evicted(slot, hint.piece);
+    }
+  }
+}
+
+void DeltaExchange::onIdentityRequest(const common::NodeId& sender,
+                                      const IdentityRequest& request) {
+  if (request.roster_digest != table_.digest()) {
+    foreign_roster_.add();
+    return;
+  }
+  EngineDeltas answer;
+  answer.roster_digest = table_.digest();
+  for (const std::uint16_t index : request.indexes) {
+    const EngineSlot slot = slotAt(index);
+    if (slot == kNoEngineSlot || !table_.record(slot).reported) {
+      continue;
+    }
+    const EngineRecord& record = table_.record(slot);
+    answer.identities.push_back(makeIdentity(index, record.load));
+    answer.changed.push_back(makeDelta(index, record.load, record.reachable, ageOf(slot)));
+  }
+  const api::Envelope envelope = api::Envelope::make(context_.self, sender, answer);
+  sent_bytes_.add(api::encodeEnvelope(envelope).size());
+  sent_messages_.add();
+  context_.transport.send(envelope);
+}
+
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/src/cypresswall/routing/delta_exchange.h
@@ -0,0 +1,88 @@
+/// Passes on what this node learnt by watching engines to the zone's other nodes, within a budget
+/// of bytes, and takes in what they publish.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/membership/membership_view.h"
+#include "cypresswall/routing/engine_deltas.h"
+#include "cypresswall/routing/engine_poller.h"
+#include "cypresswall/routing/engine_table.h"
+
+namespace cypresswall::routing {
+
+class DeltaExchange {
+ public:
+  /// Registers the handlers of EngineDeltas and IdentityRequest.
+  DeltaExchange(const DirectorySettings& settings, const api::ProcessContext& context,
+                membership::MembershipView& membership, EngineTable& table, PrefixIndex& prefixes);
+
+  /// Begins to publish what `poller` learns; called once.
+  void start(EnginePoller& poller);
+  /// Queues a change of a watched engine's cache for the peers.
+  void addCacheHint(EngineSlot slot, bool stored, common::PieceHash piece);
+  /// Forgets what was published of an engine, as its slot has another engine now.
+  void forget(EngineSlot slot) { published_.erase(slot); }
+
+ private:
+  /// An engine whose load is to be published, and how soon.
+  struct PendingChange {
+    double significance = 0;
+    EngineSlot slot = kNoEngineSlot;
+    EngineDelta delta;
+  };
+
+  /// What the peers were last told of an engine.
+  struct Published {
+    EngineDelta delta;
+    common::MonotonicTime at{};
+  };
+
+  void tick();
+  void publish(const std::vector<common::NodeId>& peers);
+  std::vector<common::NodeId> peers() const;
+  std::vector<PendingChange> collectChanges(EngineDeltas& message);
+  /// \param budget bytes left for this message
+  void addChanges(EngineDeltas& message, const std::vector<PendingChange>& changes, double budget);
+  void addHints(EngineDeltas& message, double budget);
+  common::Duration ageOf(EngineSlot slot) const;
+  std::uint16_t indexOf(EngineSlot slot) const;
+  EngineSlot slotAt(std::uint16_t index) const;
+
+  void onDeltas(const common::NodeId& sender, const EngineDeltas& message);
+  void applyChanges(const EngineDeltas& message, std::set<std::uint16_t>& unknown);
+  void applyConfirmations(const EngineDeltas& message, std::set<std::uint16_t>& unknown);
+  void applyHeard(const EngineDeltas& message);
+  void applyHints(const EngineDeltas& message);
+  void onIdentityRequest(const common::NodeId& sender, const IdentityRequest& request);
+
+  DirectorySettings settings_;
+  const api::ProcessContext& context_;
+  membership::MembershipView& membership_;
+  EngineTable& table_;
+  PrefixIndex& prefixes_;
+  EnginePoller* poller_ = nullptr;
+  std::uint64_t sequence_ = 0;
+  double budget_bytes_ = 0;
+  common::MonotonicTime budget_filled_at_{};
+  std::map<EngineSlot, Published> published_;
+  /// Highest sequence number taken from each peer's life.
+  std::map<common::NodeId, std::uint64_t> received_;
+  std::map<std::uint16_t, EngineIdentity> identities_;
+  std::uint32_t identities_digest_ = 0;
+  std::deque<CacheHint> hints_;
+  common::Counter& sent_bytes_;
+  common::Counter& sent_messages_;
+  common::Counter& deferred_changes_;
+  common::Counter& dropped_hints_;
+  common::Counter& foreign_roster_;
+  common::Counter& late_messages_;
+  common::Counter& identity_requests_;
+};
+
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -0,0 +1,137 @@
+#include "cypresswall/routing/engine_poller.h"
+
+#include <utility>
+
+namespace cypresswall::routing {
+namespace {
+
+/// Polls are spread over this many turns of one poll period.
+constexpr std::uint32_t kPhases = 5;
+
+}  // namespace
+
+EnginePoller::EnginePoller(const DirectorySettings& settings, const api::ProcessContext& context,
+                           engines::EngineClient& client, EngineTable& table, PrefixIndex& prefixes,
+                           CacheEventListener listener)
+    : settings_(settings),
+      context_(context),
+      client_(client),
+      table_(table),
+      prefixes_(prefixes),
+      cache_listener_(std::move(listener)),
+      polls_(context.counters.counter("cypresswall_engine_polls_total",
+                                      "Load reports asked of watched engines")),
+      poll_failures_(context.counters.counter("cypresswall_engine_poll_failures_total",
+                                              "Load reports that could not be read")),
+      cache_gaps_(context.counters.counter("cypresswall_cache_event_gaps_total",
+                                           "Batches of cache events with a gap")) {}
+
+void EnginePoller::start() { tick(); }
+
+void EnginePoller::watch(const std::set<EngineSlot>& slots) {
+  for (const EngineSlot slot : watched_) {
+    if (slots.count(slot) == 0) {
+      states_.erase(slot);
+      table_.setWatched(slot, false);
+    }
+  }
+  watched_ = slots;
+  for (const EngineSlot slot : watched_) {
+    table_.setWatched(slot, true);
+  }
+}
+
+void EnginePoller::tick() {
+  phase_ = (phase_ + 1) % kPhases;
+  const common::MonotonicTime now = context_.clock.now();
+  for (const EngineSlot slot : watched_) {
+    if (slot % kPhases != phase_) {
+      continue;
+    }
+    PollState& state = states_[slot];
+    if (!state.load_pending) {
+      pollLoad(slot);
+    }
+    if (!state.cache_pending && now - state.cache_polled_at >= settings_.cache_poll_period) {
+      state.cache_polled_at = now;
+      pollCache(slot);
+    }
+  }
+  context_.scheduler.schedule(settings_.poll_period / kPhases, [this] { tick(); });
+}
+
+bool EnginePoller::stillDeclared(EngineSlot slot, const common::EngineName& name) const {
+  return table_.slotOf(name) == slot && watched_.count(slot) != 0;
+}
+
+void EnginePoller::pollLoad(EngineSlot slot) {
+  states_[slot].load_pending = true;
+  polls_.add();
+  const engines::EngineEndpoint endpoint = table_.record(slot).endpoint();
+  client_.fetchLoad(endpoint, [this, slot, name = endpoint.name](const auto& result) {
+    if (stillDeclared(slot, name)) {
+      states_[slot].load_pending = false;
+      onLoad(slot, result);
+    }
+  });
+}
+
+void EnginePoller::onLoad(
+    EngineSlot slot, const common::Result<engines::EngineLoad, engines::EngineFailure>& result) {
+  PollState& state = states_[slot];
+  const common::MonotonicTime now = context_.clock.now();
+  if (!result.ok()) {
+    poll_failures_.add();
+    ++state.failures;
+    if (state.failures >= settings_.unreachable_after_failures) {
+      table_.setReachable(slot, false, now);
+    }
+    return;
+  }
+  state.failures = 0;
+  table_.observe(slot, EngineObservation{result.value(), now - result.value().age, true}, now);
+}
+
+void EnginePoller::pollCache(EngineSlot slot) {
+  PollState& state = states_[slot];
+  state.cache_pending = true;
+  const engines::EngineEndpoint endpoint = table_.record(slot).endpoint();
+  client_.fetchCacheEvents(endpoint, state.last_cache_event,
+                           [this, slot, name = endpoint.name](const auto& result) {
+                             if (!stillDeclared(slot, name)) {
+                               return;
+                             }
+                             states_[slot].cache_pending = false;
+                             if (result.ok()) {
+                               onCacheEvents(slot, result.value());
+                             }
+                           });
+}
+
+void EnginePoller::onCacheEvents(EngineSlot slot, const engines::CacheEvents& events) {
+  const EngineRecord& record = table_.record(slot);
+  if (!record.reported || record.load.incarnation != events.incarnation) {
+    return;
+  }
+  PollState& state = states_[slot];
+  bool gap = false;
+  for (const engines::CacheEvent& event : events.events) {
+    gap = gap || (state.last_cache_event != 0 && event.sequence != state.last_cache_event + 1);
+    state.last_cache_event = event.sequence;
+    const bool stored = event.kind == engines::CacheEventKind::kStored;
+    if (stored) {
+      prefixes_.stored(slot, event.piece);
+    } else {
+      prefixes_.evicted(slot, event.piece);
+    }
+    cache_listener_(slot, stored, event.piece);
+  }
+  if (gap) {
+    cache_gaps_.add();
+    prefixes_.gapSeen(slot);
+  } else if (!events.events.empty()) {
+    prefixes_.batchWithoutGap(slot);
+  }
+}
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -35,6 +35,9 @@
 /// The engine chosen, and why.
 struct Route {
   engines::EngineEndpoint engine;
+  /// Version of the model that the engine has loaded; differs from the one asked for while a new
+  /// version is being rolled out.
+  std::string version;
   /// Set when another engine computes the prompt first and hands over the KV cache.
   std::optional<engines::EngineEndpoint> prefill_engine;
   common::Duration expected_first_token{0};
--- /dev/null
+++ b/src/cypresswall/routing/settings.h
@@ -0,0 +1,70 @@
+/// Periods and limits of the engine directory, the prefix index and the router.
+#pragma once
+
+#include <cstdint>
+
+#include "cypresswall/common/time.h"
+
+namespace cypresswall::routing {
+
+/// Bounds of the approximate index of cached prefixes.
+struct PrefixIndexSettings {
+  /// Cache pieces remembered, rounded up to a power of two; each takes 32 bytes.
+  std::uint32_t maximum_pieces = 1U << 18;
+  /// Factor on an engine's trust for each gap found in its cache events.
+  double gap_trust_factor = 0.8;
+  /// Trust never falls below this.
+  double minimum_trust = 0.3;
+  /// Part of the lost trust that each batch of events without a gap restores.
+  double trust_recovery = 0.1;
+};
+
+/// How engines are watched and how what is learnt is passed on.
+struct DirectorySettings {
+  /// Between two load reports read from one watched engine.
+  common::Duration poll_period = std::chrono::milliseconds(250);
+  /// Between two reads of a watched engine's cache events.
+  common::Duration cache_poll_period = std::chrono::milliseconds(500);
+  /// Shortest time between two publications to the zone's peers.
+  common::Duration publish_period = std::chrono::milliseconds(250);
+  /// An engine whose newest report describes a moment longer ago gets no work.
+  common::Duration silence_limit = std::chrono::seconds(3);
+  /// How long a node goes on watching an engine after another node took it over.
+  common::Duration hand_over_overlap = std::chrono::seconds(1);
+  /// Bytes of publications to all peers together, envelopes included, without TCP/IP headers.
+  std::uint32_t publish_bytes_per_second = 3500;
+  /// Consecutive polls that reached nothing after which an engine gets no work.
+  std::uint32_t unreachable_after_failures = 2;
+  PrefixIndexSettings prefix_index;
+};
+
+/// How the router weighs engines.
+struct RouterSettings {
+  /// Above this many candidates a sample is weighed instead of all of them.
+  std::uint32_t full_scan_limit = 512;
+  /// Size of that sample, beside the engines that hold a prefix of the prompt.
+  std::uint32_t sample_size = 64;
+  /// Engines whose cost is within this of the least are held equal.
+  double cost_tolerance = 0.03;
+  /// Weight of the time between tokens, as a share of its limit, against the same for the first
+  /// token.
+  double between_tokens_weight = 1.0;
+  /// Limits used where a request gives none.
+  common::Duration default_first_token_limit = std::chrono::milliseconds(1300);
+  common::Duration default_between_tokens_limit = std::chrono::milliseconds(79);
+  /// A request is never refused for an engine on which it would wait less than this: it is then
+  /// late because of its own length.
+  common::Duration negligible_wait = std::chrono::milliseconds(20);
+  /// Prompt tokens that an engine computes in one step beside the output of its streams.
+  double prefill_chunk_tokens = 512;
+  /// Cost of handing a KV cache from a prefill engine to a decode engine.
+  common::Duration kv_transfer_base = std::chrono::milliseconds(10);
+  double kv_transfer_seconds_per_token = 2e-6;
+  /// Bounds of Retry-After.
+  common::Duration minimum_retry_after = std::chrono::seconds(1);
+  common::Duration maximum_retry_after = std::chrono::seconds(60);
+  /// A report that describes a moment this short after an attempt started may not show it yet.
+  common::Duration report_slack = std::chrono::milliseconds(20);
+};
+
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/tests/routing/engine_directory_test.cpp
@@ -0,0 +1,254 @@
+#include "cypresswall/routing/engine_directory.h"
+
+#include "tests/support/engine_world.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::routing {
+namespace {
+
+using testing::ScriptedEngineClient;
+using testing::SettableConfiguration;
+using testing::SettableMembership;
+
+struct Node {
+  simulation::SimulatedProcess* process = nullptr;
+  SettableConfiguration* configuration = nullptr;
+  SettableMembership* membership = nullptr;
+  EngineDirectory* directory = nullptr;
+};
+
+/// A zone of directories before scripted engines.
+class Zone {
+ public:
+  Zone(std::uint64_t seed, int nodes, int engines) : simulation_(seed) {
+    for (int i = 0; i < engines; ++i) {
+      const std::string name = "e" + std::to_string(1000 + i);
+      testing::declareEngine(fleet, name, "m");
+      this->engines[name + ":1"].load = testing::idleLoad("m", engines::EngineRole::kMixed);
+    }
+    for (int i = 0; i < nodes; ++i) {
+      addNode("10.0.0." + std::to_string(i + 1) + ":7000");
+    }
+    shareMembers();
+  }
+
+  Node& addNode(const std::string& address) {
+    Node node;
+    node.process = &simulation_.start(address, "z");
+    node.configuration = &node.process->emplace<SettableConfiguration>();
+    node.membership = &node.process->emplace<SettableMembership>(node.process->id(), "z");
+    auto& client = node.process->emplace<ScriptedEngineClient>(*node.process, engines);
+    node.directory =
+        &node.process->emplace<EngineDirectory>(DirectorySettings{}, node.process->context(),
+                                                client, *node.configuration, *node.membership);
+    node.directory->start();
+    node.configuration->set(fleet);
+    nodes.push_back(node);
+    return nodes.back();
+  }
+
+  void shareMembers() {
+    std::vector<common::NodeId> ids;
+    for (const Node& node : nodes) {
+      if (node.process->alive()) {
+        ids.push_back(node.process->id());
+      }
+    }
+    for (const Node& node : nodes) {
+      if (node.process->alive()) {
+        node.membership->setMembers(ids);
+      }
+    }
+  }
+
+  void run(common::Duration time) { simulation_.time().runFor(time); }
+  simulation::Simulation& simulation() { return simulation_; }
+  EngineAvailability seenBy(std::size_t node, const std::string& engine) {
+    return nodes[node].directory->find(engine)->availability;
+  }
+
+  configuration::FleetConfiguration fleet;
+  testing::ScriptedEngines engines;
+  std::vector<Node> nodes;
+
+ private:
+  simulation::Simulation simulation_;
+};
+
+class EngineDirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EngineDirectoryTest);
+  CPPUNIT_TEST(everyNodeLearnsEveryEngine);
+  CPPUNIT_TEST(oneNodeWatchesAnEngine);
+  CPPUNIT_TEST(changedLoadReachesPeers);
+  CPPUNIT_TEST(lostMessagesAreMadeUpFor);
+  CPPUNIT_TEST(engineOfADeadWatcherIsTakenOver);
+  CPPUNIT_TEST(deadEngineGetsNoWork);
+  CPPUNIT_TEST(leavingMachineGetsNoWork);
+  CPPUNIT_TEST(drainedEngineGetsNoWork);
+  CPPUNIT_TEST(restartForgetsCachedPieces);
+  CPPUNIT_TEST(cacheEventsReachPeers);
+  CPPUNIT_TEST(targetZoneStaysWithinItsByteBudget);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void everyNodeLearnsEveryEngine() {
+    Zone zone(1, 4, 16);
+    zone.run(std::chrono::seconds(2));
+    for (std::size_t node = 0; node < 4; ++node) {
+      for (const EngineRecord& record : zone.nodes[node].directory->records()) {
+        CPPUNIT_ASSERT(record.availability == EngineAvailability::kAvailable);
+        CPPUNIT_ASSERT_EQUAL(10000.0, record.load.prefill_tokens_per_second);
+      }
+    }
+  }
+
+  void oneNodeWatchesAnEngine() {
+    Zone zone(2, 4, 40);
+    zone.run(std::chrono::seconds(3));
+    for (const auto& name : zone.nodes[0].directory->table().names()) {
+      int watchers = 0;
+      for (const Node& node : zone.nodes) {
+        watchers += node.directory->find(name)->watched_here ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_EQUAL(1, watchers);
+    }
+  }
+
+  void changedLoadReachesPeers() {
+    Zone zone(3, 4, 16);
+    zone.run(std::chrono::seconds(2));
+    zone.engines["e1003:1"].load.queued_prefill_tokens = 40000;
+    zone.run(std::chrono::seconds(1));
+    for (const Node& node : zone.nodes) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{40000},
+                           node.directory->find("e1003")->load.queued_prefill_tokens);
+    }
+  }
+
+  void lostMessagesAreMadeUpFor() {
+    Zone zone(4, 4, 16);
+    simulation::LinkSettings lossy;
+    lossy.loss = 0.3;
+    lossy.duplication = 0.1;
+    lossy.reordering = 0.1;
+    zone.simulation().network().setDefaults(lossy, lossy);
+    zone.run(std::chrono::seconds(2));
+    for (auto& [address, engine] : zone.engines) {
+      engine.load.queued_prefill_tokens = 20000;
+    }
+    zone.run(std::chrono::seconds(1));
+    zone.simulation().network().setDefaults({}, {});
+    zone.run(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(zone.simulation().faults().count(simulation::FaultKind::kMessageLost) > 10);
+    for (const Node& node : zone.nodes) {
+      for (const EngineRecord& record : node.directory->records()) {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{20000}, record.load.queued_prefill_tokens);
+      }
+    }
+  }
+
+  void engineOfADeadWatcherIsTakenOver() {
+    Zone zone(5, 3, 12);
+    zone.run(std::chrono::seconds(2));
+    zone.simulation().kill(*zone.nodes[0].process);
+    zone.shareMembers();
+    zone.run(std::chrono::seconds(4));
+    for (const EngineRecord& record : zone.nodes[1].directory->records()) {
+      CPPUNIT_ASSERT(record.availability == EngineAvailability::kAvailable);
+    }
+  }
+
+  void deadEngineGetsNoWork() {
+    Zone zone(6, 3, 12);
+    zone.run(std::chrono::seconds(2));
+    zone.engines["e1005:1"].reachable = false;
+    zone.run(std::chrono::milliseconds(1500));
+    for (std::size_t node = 0; node < 3; ++node) {
+      CPPUNIT_ASSERT(zone.seenBy(node, "e1005") == EngineAvailability::kUnreachable);
+    }
+    zone.engines["e1005:1"].reachable = true;
+    zone.run(std::chrono::milliseconds(1500));
+    for (std::size_t node = 0; node < 3; ++node) {
+      CPPUNIT_ASSERT(zone.seenBy(node, "e1005") == EngineAvailability::kAvailable);
+    }
+  }
+
+  void leavingMachineGetsNoWork() {
+    Zone zone(7, 1, 4);
+    zone.run(std::chrono::seconds(1));
+    zone.nodes[0].membership->setLeaving("machine-e1001", true);
+    CPPUNIT_ASSERT(zone.seenBy(0, "e1001") == EngineAvailability::kMachineLeaving);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         zone.nodes[0].directory->table().candidates("m", "", "").size());
+  }
+
+  void drainedEngineGetsNoWork() {
+    Zone zone(8, 1, 4);
+    zone.run(std::chrono::seconds(1));
+    zone.nodes[0].directory->setDraining({"e1002"});
+    CPPUNIT_ASSERT(zone.seenBy(0, "e1002") == EngineAvailability::kDraining);
+    zone.nodes[0].directory->setDraining({});
+    zone.fleet.engine_overrides["e1001"].drained = true;
+    zone.fleet.drained_nodes["machine-e1003"] = true;
+    zone.nodes[0].configuration->set(zone.fleet);
+    CPPUNIT_ASSERT(zone.seenBy(0, "e1001") == EngineAvailability::kDrainedByOperator);
+    CPPUNIT_ASSERT(zone.seenBy(0, "e1002") == EngineAvailability::kAvailable);
+    CPPUNIT_ASSERT(zone.seenBy(0, "e1003") == EngineAvailability::kDrainedByOperator);
+  }
+
+  void restartForgetsCachedPieces() {
+    Zone zone(9, 1, 1);
+    auto& engine = zone.engines["e1000:1"];
+    engine.events = {{1, engines::CacheEventKind::kStored, 77}};
+    zone.run(std::chrono::seconds(2));
+    std::vector<PrefixMatch> matches;
+    zone.nodes[0].directory->prefixes().match({77}, matches);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, matches.size());
+    engine.events.clear();
+    engine.load.incarnation = 2;
+    zone.run(std::chrono::seconds(2));
+    zone.nodes[0].directory->prefixes().match({77}, matches);
+    CPPUNIT_ASSERT(matches.empty());
+  }
+
+  void cacheEventsReachPeers() {
+    Zone zone(10, 3, 6);
+    zone.engines["e1004:1"].events = {{1, engines::CacheEventKind::kStored, 77}};
+    zone.run(std::chrono::seconds(3));
+    for (const Node& node : zone.nodes) {
+      std::vector<PrefixMatch> matches;
+      node.directory->prefixes().match({77}, matches);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, matches.size());
+    }
+  }
+
+  void targetZoneStaysWithinItsByteBudget() {
+    Zone zone(11, 13, 370);
+    zone.run(std::chrono::seconds(5));
+    common::SeededRandom random(5);
+    const auto sent = [&] {
+      return zone.nodes[0].process->counters().total("cypresswall_engine_deltas_sent_bytes_total");
+    };
+    const double before = sent();
+    constexpr int kSeconds = 20;
+    for (int i = 0; i < kSeconds * 4; ++i) {
+      for (auto& [address, engine] : zone.engines) {
+        engine.load.running_streams = static_cast<std::uint32_t>(10 + random.below(20));
+        engine.load.queued_prefill_tokens = random.below(20000);
+      }
+      zone.run(std::chrono::milliseconds(250));
+    }
+    const double rate = (sent() - before) / kSeconds;
+    CPPUNIT_ASSERT_MESSAGE("bytes a second: " + std::to_string(rate), rate < 4500);
+    int fresh = 0;
+    for (const EngineRecord& record : zone.nodes[1].directory->records()) {
+      fresh += record.availability == EngineAvailability::kAvailable ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(370, fresh);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineDirectoryTest);
+
+}  // namespace
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/tests/routing/prefix_index_test.cpp
@@ -0,0 +1,104 @@
+#include "cypresswall/routing/prefix_index.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "tests/support/property.h"
+
+namespace cypresswall::routing {
+namespace {
+
+std::uint32_t depthOf(PrefixIndex& index, EngineSlot engine,
+                      const std::vector<common::PieceHash>& pieces) {
+  std::vector<PrefixMatch> matches;
+  index.match(pieces, matches);
+  for (const PrefixMatch& match : matches) {
+    if (match.engine == engine) {
+      return match.pieces;
+    }
+  }
+  return 0;
+}
+
+class PrefixIndexTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PrefixIndexTest);
+  CPPUNIT_TEST(agreesWithExactIndex);
+  CPPUNIT_TEST(forgetsARestartedEngine);
+  CPPUNIT_TEST(gapsLowerTrustWithinBounds);
+  CPPUNIT_TEST(staysWithinItsMemory);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void agreesWithExactIndex() {
+    testing::requireProperty("few pieces on few engines are found exactly", 200, [] {
+      PrefixIndex index({});
+      std::map<EngineSlot, std::set<common::PieceHash>> exact;
+      const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+          rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 40)));
+      for (const auto& [engine, step] : steps) {
+        const common::PieceHash piece = common::hash64(std::to_string(step / 2));
+        const auto slot = static_cast<EngineSlot>(engine);
+        if (step % 2 == 0) {
+          index.stored(slot, piece);
+          exact[slot].insert(piece);
+        } else {
+          index.evicted(slot, piece);
+          exact[slot].erase(piece);
+        }
+      }
+      std::vector<common::PieceHash> prompt;
+      for (int i = 0; i < 20; ++i) {
+        prompt.push_back(common::hash64(std::to_string(i)));
+      }
+      for (EngineSlot engine = 0; engine < 5; ++engine) {
+        std::uint32_t depth = 0;
+        while (depth < prompt.size() && exact[engine].count(prompt[depth]) != 0) {
+          ++depth;
+        }
+        RC_ASSERT(depthOf(index, engine, prompt) == depth);
+      }
+    });
+  }
+
+  void forgetsARestartedEngine() {
+    PrefixIndex index({});
+    index.stored(1, 77);
+    index.stored(2, 77);
+    index.forgetEngine(1);
+    CPPUNIT_ASSERT_EQUAL(0U, depthOf(index, 1, {77}));
+    CPPUNIT_ASSERT_EQUAL(1U, depthOf(index, 2, {77}));
+    index.stored(1, 77);
+    CPPUNIT_ASSERT_EQUAL(1U, depthOf(index, 1, {77}));
+  }
+
+  void gapsLowerTrustWithinBounds() {
+    const PrefixIndexSettings settings;
+    PrefixIndex index(settings);
+    for (int i = 0; i < 50; ++i) {
+      index.gapSeen(3);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(settings.minimum_trust, index.trust(3), 1e-9);
+    for (int i = 0; i < 200; ++i) {
+      index.batchWithoutGap(3);
+    }
+    CPPUNIT_ASSERT(index.trust(3) > 0.99 && index.trust(3) <= 1.0);
+  }
+
+  void staysWithinItsMemory() {
+    PrefixIndexSettings settings;
+    settings.maximum_pieces = 1024;
+    PrefixIndex index(settings);
+    const std::size_t before = index.memoryBytes();
+    for (std::uint64_t i = 0; i < 100000; ++i) {
+      index.stored(static_cast<EngineSlot>(i % 100), common::hash64(std::to_string(i)));
+    }
+    CPPUNIT_ASSERT_EQUAL(before, index.memoryBytes());
+    CPPUNIT_ASSERT_EQUAL(1U, depthOf(index, 99, {common::hash64("99999")}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PrefixIndexTest);
+
+}  // namespace
+}  // namespace cypresswall::routing
