Add the Asio runtime: clock, timers, peer transport, curl driver, logs, metrics

Cause: the deciding modules need a process to run in, and the clients of engines, platform and services need one HTTP driver on the one thread.

Ruled out: one shared connection per pair of peers (needs a tie-break when both connect at once; two one-way connections need none); reuse of connections for requests that may run once only (libcurl sends a request again by itself when a reused connection ends before an answer, so such requests take a new one).

Change: AsioClock (CLOCK_BOOTTIME), AsioScheduler, TcpPeerTransport with bounded queues, backoff and drop counters, CurlMulti over Asio with cancellation and pause, the log4cplus sink, Prometheus text, and parsing of IP:port addresses.

--- /dev/null
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -0,0 +1,203 @@
+#include "cypresswall/runtime/curl_job.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cypresswall::runtime {
+namespace {
+
+constexpr int kStatusOk = 200;
+/// Error bodies longer than this are cut off; they are only for people.
+constexpr std::size_t kMaximumErrorBodyBytes = 64U << 10;
+/// The smallest upload buffer of libcurl; prompts are sent seldom, but many streams are open.
+constexpr long kUploadBufferBytes = 16L << 10;
+
+long milliseconds(common::Duration duration) {
+  const auto count = std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+  return static_cast<long>(count);
+}
+
+std::string_view trimmed(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t\r\n";
+  const auto first = text.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
+}  // namespace
+
+CurlJob::CurlJob(CurlRequest request, CurlTransferHandler* handler,
+                 std::function<void(CurlResponse)> callback)
+    : request_(std::move(request)),
+      handler_(handler),
+      callback_(std::move(callback)),
+      easy_(curl_easy_init()) {
+  if (!easy_) {
+    throw CurlError("curl_easy_init failed");
+  }
+  configure();
+}
+
+void CurlJob::abandon() {
+  handler_ = nullptr;
+  callback_ = nullptr;
+}
+
+void CurlJob::configure() {
+  CURL* const easy = easy_.get();
+  const std::string url = "http://" + request_.address + request_.target;
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, static_cast<char*>(error_text_));
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, static_cast<long>(request_.buffer_bytes));
+  curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, kUploadBufferBytes);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlJob::onBodyBytes);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlJob::onHeaderBytes);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+  if (request_.connection_use == ConnectionUse::kFresh) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  }
+  configureMethod();
+  configureHeaders();
+  configureTimeLimits();
+}
+
+void CurlJob::configureMethod() {
+  CURL* const easy = easy_.get();
+  if (request_.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT") {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request_.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request_.body.c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+}
+
+void CurlJob::configureHeaders() {
+  // An empty "Expect" keeps libcurl from waiting for "100 Continue" before large bodies.
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  bool has_content_type = false;
+  for (const CurlHeader& header : request_.headers) {
+    has_content_type = has_content_type || curl_strequal(header.name.c_str(), "Content-Type") != 0;
+    const std::string line =
+        header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
+    list = curl_slist_append(list, line.c_str());
+  }
+  if (!has_content_type) {
+    // Otherwise libcurl would call every body a form.
+    list = curl_slist_append(list, "Content-Type:");
+  }
+  header_list_.reset(list);
+  curl_easy_setopt(easy_.get(), CURLOPT_HTTPHEADER, list);
+}
+
+void CurlJob::configureTimeLimits() {
+  CURL* const easy = easy_.get();
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, milliseconds(request_.connect_time_limit));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, milliseconds(request_.total_time_limit));
+  const auto idle = std::chrono::ceil<std::chrono::seconds>(request_.idle_time_limit).count();
+  if (idle > 0) {
+    curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+    curl_easy_setopt(easy, CURLOPT_LOW_SPEED_TIME, static_cast<long>(idle));
+  }
+}
+
+std::size_t CurlJob::onBodyBytes(char* data, std::size_t size, std::size_t count, void* job) {
+  return static_cast<CurlJob*>(job)->takeBody(std::string_view(data, size * count));
+}
+
+std::size_t CurlJob::onHeaderBytes(char* data, std::size_t size, std::size_t count, void* job) {
+  static_cast<CurlJob*>(job)->takeHeader(std::string_view(data, size * count));
+  return size * count;
+}
+
+std::size_t CurlJob::takeBody(std::string_view bytes) {
+  if (abandoned()) {
+    return CURL_WRITEFUNC_ERROR;
+  }
+  if (streaming_) {
+    handler_->onBody(bytes);
+    return bytes.size();
+  }
+  const std::size_t limit =
+      handler_ != nullptr ? kMaximumErrorBodyBytes : request_.maximum_body_bytes;
+  if (limit != 0 && response_.body.size() + bytes.size() > limit) {
+    body_too_long_ = true;
+    return CURL_WRITEFUNC_ERROR;
+  }
+  response_.body += bytes;
+  return bytes.size();
+}
+
+void CurlJob::takeHeader(std::string_view line) {
+  if (line.starts_with("HTTP/")) {
+    response_.headers.clear();
+    response_.status = static_cast<int>(numberOf(CURLINFO_RESPONSE_CODE));
+    streaming_ = handler_ != nullptr && response_.status == kStatusOk;
+    return;
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return;
+  }
+  response_.headers.push_back(
+      {std::string(trimmed(line.substr(0, colon))), std::string(trimmed(line.substr(colon + 1)))});
+}
+
+long CurlJob::numberOf(CURLINFO info) const {
+  long value = 0;
+  curl_easy_getinfo(easy_.get(), info, &value);
+  return value;
+}
+
+CurlOutcome CurlJob::outcomeOf(CURLcode code) const {
+  if (code == CURLE_OK) {
+    return CurlOutcome::kAnswered;
+  }
+  const bool nothing_sent = numberOf(CURLINFO_REQUEST_SIZE) == 0;
+  const bool nothing_received = numberOf(CURLINFO_RESPONSE_CODE) == 0;
+  return nothing_sent && nothing_received ? CurlOutcome::kNotSent : CurlOutcome::kBroken;
+}
+
+void CurlJob::finish(CURLcode code) {
+  CurlResponse response = std::move(response_);
+  response.outcome = outcomeOf(code);
+  response.status = static_cast<int>(numberOf(CURLINFO_RESPONSE_CODE));
+  if (code != CURLE_OK) {
+    const std::string detail =
+        error_text_[0] != '\0' ? std::string(error_text_) : std::string(curl_easy_strerror(code));
+    response.error = body_too_long_ ? "answer is too long" : detail;
+  }
+  deliver(std::move(response));
+}
+
+void CurlJob::finishNotSent(const std::string& error) {
+  CurlResponse response;
+  response.outcome = CurlOutcome::kNotSent;
+  response.error = error;
+  deliver(std::move(response));
+}
+
+void CurlJob::deliver(CurlResponse response) {
+  CurlTransferHandler* const handler = std::exchange(handler_, nullptr);
+  const auto callback = std::exchange(callback_, nullptr);
+  if (handler != nullptr) {
+    handler->onDone(std::move(response));
+  } else if (callback) {
+    callback(std::move(response));
+  }
+}
+
+}  // namespace cypresswall::runtime
--- /dev/null
+++ b/src/cypresswall/runtime/curl_job.h
@@ -0,0 +1,70 @@
+/// One easy handle of libcurl with everything that it points to. Internal to CurlMulti.
+#pragma once
+
+#include <curl/curl.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cypresswall/runtime/curl_multi.h"
+#include "cypresswall/runtime/curl_request.h"
+
+namespace cypresswall::runtime {
+
+struct CurlEasyDeleter {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+struct CurlListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+/// A request under way. Exactly one of `handler` and `callback` is set until it ended or was
+/// abandoned.
+class CurlJob {
+ public:
+  /// \throws CurlError if libcurl has no memory
+  CurlJob(CurlRequest request, CurlTransferHandler* handler,
+          std::function<void(CurlResponse)> callback);
+
+  CURL* easy() const { return easy_.get(); }
+  const CurlRequest& request() const { return request_; }
+  /// The owner went away: nobody is called any more, and the next byte ends the request.
+  void abandon();
+  bool abandoned() const { return handler_ == nullptr && !callback_; }
+  /// Gives the end of the request to its owner.
+  void finish(CURLcode code);
+  /// Gives an end that libcurl had no part in.
+  void finishNotSent(const std::string& error);
+
+  /// True while libcurl's multi handle holds the easy handle.
+  bool added = false;
+  bool paused = false;
+
+ private:
+  static std::size_t onBodyBytes(char* data, std::size_t size, std::size_t count, void* job);
+  static std::size_t onHeaderBytes(char* data, std::size_t size, std::size_t count, void* job);
+
+  void configure();
+  void configureMethod();
+  void configureHeaders();
+  void configureTimeLimits();
+  std::size_t takeBody(std::string_view bytes);
+  void takeHeader(std::string_view line);
+  CurlOutcome outcomeOf(CURLcode code) const;
+  long numberOf(CURLINFO info) const;
+  void deliver(CurlResponse response);
+
+  CurlRequest request_;
+  CurlTransferHandler* handler_;
+  std::function<void(CurlResponse)> callback_;
+  std::unique_ptr<CURL, CurlEasyDeleter> easy_;
+  std::unique_ptr<curl_slist, CurlListDeleter> header_list_;
+  CurlResponse response_;
+  bool body_too_long_ = false;
+  /// Whether the body is given to the handler in pieces; decided by the status.
+  bool streaming_ = false;
+  char error_text_[CURL_ERROR_SIZE] = {};
+};
+
+}  // namespace cypresswall::runtime
--- /dev/null
+++ b/src/cypresswall/runtime/incoming_peer.h
@@ -0,0 +1,39 @@
+/// One connection on which a peer sends to this node.
+#pragma once
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+
+#include "cypresswall/runtime/message_frame.h"
+#include "cypresswall/runtime/tcp_peer_transport.h"
+
+namespace cypresswall::runtime {
+
+/// Reads frames until the connection ends. \pre `transport` outlives the connection or calls
+/// close()
+class IncomingPeer final : public std::enable_shared_from_this<IncomingPeer> {
+ public:
+  IncomingPeer(asio::ip::tcp::socket socket, TcpPeerTransport& transport);
+  void start();
+  void close();
+
+ private:
+  static constexpr std::size_t kReadBytes = 16U << 10;
+
+  void read();
+  void finishRead(const std::error_code& error, std::size_t size);
+  /// Hands received bytes on. \return false if the connection has to end.
+  bool take(std::size_t size);
+  void end();
+
+  asio::ip::tcp::socket socket_;
+  /// Null after close().
+  TcpPeerTransport* transport_;
+  std::string remote_;
+  FrameReader frames_;
+  std::array<char, kReadBytes> buffer_{};
+};
+
+}  // namespace cypresswall::runtime
--- /dev/null
+++ b/src/cypresswall/runtime/log_sink.cpp
@@ -0,0 +1,81 @@
+#include "cypresswall/runtime/log_sink.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+
+#include <memory>
+
+namespace cypresswall::runtime {
+namespace {
+
+/// Time in UTC with milliseconds; the message holds everything else.
+constexpr const char* kLinePattern = "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z %m%n";
+
+log4cplus::LogLevel toLog4cplus(common::LogLevel level) {
+  switch (level) {
+    case common::LogLevel::kDebug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case common::LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case common::LogLevel::kWarning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case common::LogLevel::kError:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::ERROR_LOG_LEVEL;
+}
+
+log4cplus::SharedAppenderPtr makeAppender() {
+  constexpr bool kToStandardError = true;
+  constexpr bool kFlushEachLine = true;
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kLinePattern));
+  return appender;
+}
+
+}  // namespace
+
+common::LogLevel parseLogLevel(const std::string& name) {
+  for (const auto level : {common::LogLevel::kDebug, common::LogLevel::kInfo,
+                           common::LogLevel::kWarning, common::LogLevel::kError}) {
+    if (name == toString(level)) {
+      return level;
+    }
+  }
+  throw LogLevelError("'" + name + "' is no log level; use debug, info, warning or error");
+}
+
+const char* toString(common::LogLevel level) {
+  switch (level) {
+    case common::LogLevel::kDebug:
+      return "debug";
+    case common::LogLevel::kInfo:
+      return "info";
+    case common::LogLevel::kWarning:
+      return "warning";
+    case common::LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
+Log4cplusSink::Log4cplusSink(common::LogLevel level)
+    : logger_(log4cplus::Logger::getInstance("cypresswall")), level_(level) {
+  logger_.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+  logger_.setAdditivity(false);
+  logger_.removeAllAppenders();
+  logger_.addAppender(makeAppender());
+}
+
+void Log4cplusSink::write(common::LogLevel level, const std::string& line) {
+  const std::string whole = std::string("level=") + toString(level) + " " + process_pairs_ + line;
+  logger_.forcedLog(toLog4cplus(level), whole);
+}
+
+void Log4cplusSink::setProcess(const std::string& node, const std::string& zone) {
+  process_pairs_ =
+      "node=" + common::quoteLogValue(node) + " zone=" + common::quoteLogValue(zone) + " ";
+}
+
+}  // namespace cypresswall::runtime
--- /dev/null
+++ b/src/cypresswall/runtime/log_sink.h
@@ -0,0 +1,45 @@
+/// Log lines through log4cplus: time, level, node and zone, then the event's own pairs.
+#pragma once
+
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+
+#include <string>
+
+#include "cypresswall/common/errors.h"
+#include "cypresswall/common/event_log.h"
+
+namespace cypresswall::runtime {
+
+/// A level name that is not known.
+class LogLevelError : public common::Error {
+ public:
+  using common::Error::Error;
+};
+
+/// \param name "debug", "info", "warning" or "error"
+/// \throws LogLevelError
+common::LogLevel parseLogLevel(const std::string& name);
+const char* toString(common::LogLevel level);
+
+/// Writes each event as one line to standard error:
+///
+///     time=2026-01-31T10:00:00.123Z level=info node=127.0.0.1:7001 zone=kumamoto event=...
+class Log4cplusSink final : public common::LogSink {
+ public:
+  explicit Log4cplusSink(common::LogLevel level);
+  bool enabled(common::LogLevel level) const override { return level >= level_; }
+  void write(common::LogLevel level, const std::string& line) override;
+  /// Takes effect at once; used when the settings are read again.
+  void setLevel(common::LogLevel level) { level_ = level; }
+  /// Sets the pairs that stand in every line.
+  void setProcess(const std::string& node, const std::string& zone);
+
+ private:
+  log4cplus::Initializer initializer_;
+  log4cplus::Logger logger_;
+  common::LogLevel level_;
+  std::string process_pairs_;
+};
+
+}  // namespace cypresswall::runtime
--- /dev/null
+++ b/src/cypresswall/runtime/tcp_peer_transport.h
@@ -0,0 +1,80 @@
+/// Messages between daemons over TCP. A node sends on connections that it makes itself, one for
+/// each peer that it talks to, and receives on connections that peers make to it.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <unordered_set>
+
+#include "cypresswall/api/envelope.h"
+#include "cypresswall/common/event_log.h"
+#include "cypresswall/common/random.h"
+#include "cypresswall/runtime/fault_switch.h"
+#include "cypresswall/runtime/outgoing_peer.h"
+#include "cypresswall/runtime/transport_settings.h"
+
+namespace cypresswall::runtime {
+
+/// The listening address can't be used.
+class TransportError : public common::Error {
+ public:
+  using common::Error::Error;
+};
+
+class IncomingPeer;
+
+/// Garbage or a message of another protocol version ends the connection on which it came, with one
+/// log line. A message for another incarnation of this address is dropped and counted.
+class TcpPeerTransport final : public api::PeerTransport {
+ public:
+  TcpPeerTransport(asio::io_context& context, TransportSettings settings,
+                   common::RandomSource& random, common::LogSink& log,
+                   common::CounterRegistry& counters);
+  ~TcpPeerTransport() override;
+
+  /// Binds and listens. \return the address in use, with the real port. \throws TransportError
+  common::Address listen();
+  /// Begins to accept and to hand received messages to `dispatcher`. \pre listen() succeeded
+  void start(const common::NodeId& self, const api::MessageDispatcher& dispatcher);
+  /// Ends all connections and stops listening; later sends are dropped.
+  void close();
+
+  void send(api::Envelope envelope) override;
+  FaultSwitch& faultSwitch() { return fault_switch_; }
+
+ private:
+  friend class IncomingPeer;
+
+  OutgoingPeer* outgoingTo(const common::Address& address);
+  void deliverToSelf(api::Envelope envelope);
+  void accept();
+  void acceptAgainLater();
+  void addIncoming(asio::ip::tcp::socket socket);
+  void removeIncoming(const std::shared_ptr<IncomingPeer>& peer) { incoming_.erase(peer); }
+  /// Takes one frame. \throws api::MessageError if the sender doesn't speak this protocol
+  void receive(std::string_view frame);
+  void dispatch(const api::Envelope& envelope);
+  void forgetIdlePeers();
+
+  asio::io_context& context_;
+  TransportSettings settings_;
+  common::RandomSource& random_;
+  common::LogSink& log_;
+  TransportCounters counters_;
+  FaultSwitch fault_switch_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
+  common::NodeId self_;
+  const api::MessageDispatcher* dispatcher_ = nullptr;
+  bool closed_ = false;
+  std::map<common::Address, std::shared_ptr<OutgoingPeer>> outgoing_;
+  std::unordered_set<std::shared_ptr<IncomingPeer>> incoming_;
+  /// Expires with this object, so that queued handlers can tell.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cypresswall::runtime
--- /dev/null
+++ b/src/cypresswall/runtime/transport_settings.h
@@ -0,0 +1,55 @@
+/// Limits, periods and counters of the peer transport.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+#include "cypresswall/api/envelope.h"
+#include "cypresswall/common/counters.h"
+#include "cypresswall/common/time.h"
+
+namespace cypresswall::runtime {
+
+struct TransportSettings {
+  /// "IP:port" to listen on; port 0 takes a free one.
+  common::Address listen_address;
+  std::size_t maximum_envelope_bytes = api::kMaximumEnvelopeBytes;
+  /// Bounds of the queue to one peer; the oldest messages go first.
+  std::size_t maximum_queued_messages = 4096;
+  std::size_t maximum_queued_bytes = 8U << 20;
+  /// A message that waited longer for a connection is dropped: its news is old.
+  common::Duration queue_time_limit = std::chrono::seconds(2);
+  common::Duration connect_time_limit = std::chrono::seconds(1);
+  /// Wait after a failed connect; doubles up to the maximum, with jitter.
+  common::Duration minimum_backoff = std::chrono::milliseconds(50);
+  common::Duration maximum_backoff = std::chrono::seconds(1);
+  /// A connection on which nothing is sent for so long is closed.
+  common::Duration idle_time_limit = std::chrono::seconds(90);
+  /// Unacknowledged data for so long breaks a connection (TCP_USER_TIMEOUT).
+  common::Duration unacknowledged_time_limit = std::chrono::seconds(3);
+  std::size_t maximum_incoming_connections = 2048;
+};
+
+/// Counters of the transport; the references are valid as long as the registry.
+struct TransportCounters {
+  explicit TransportCounters(common::CounterRegistry& registry);
+
+  common::Counter& sent_messages;
+  common::Counter& sent_bytes;
+  common::Counter& received_messages;
+  common::Counter& received_bytes;
+  common::Counter& connects;
+  common::Counter& failed_connects;
+  common::Counter& protocol_errors;
+  common::Counter& refused_connections;
+  common::Counter& dropped_queue_full;
+  common::Counter& dropped_queue_time;
+  common::Counter& dropped_connection_lost;
+  common::Counter& dropped_too_large;
+  common::Counter& dropped_bad_address;
+  common::Counter& dropped_other_incarnation;
+  common::Counter& dropped_handler_error;
+  common::Counter& dropped_fault_switch;
+};
+
+}  // namespace cypresswall::runtime
--- /dev/null
+++ b/tests/runtime/curl_multi_test.cpp
@@ -0,0 +1,160 @@
+#include "cypresswall/runtime/curl_multi.h"
+
+#include <asio/io_context.hpp>
+#include <optional>
+#include <string>
+
+#include "tests/support/event_loop.h"
+#include "tests/support/property.h"
+#include "tests/support/scripted_server.h"
+
+namespace cypresswall::runtime {
+namespace {
+
+using testing::httpAnswer;
+using testing::runUntil;
+
+class Recorder : public CurlTransferHandler {
+ public:
+  void onBody(std::string_view bytes) override {
+    body += bytes;
+    if (destroy_on_body) {
+      transfer.reset();
+    }
+  }
+  void onDone(CurlResponse response) override { done = std::move(response); }
+
+  std::unique_ptr<CurlTransfer> transfer;
+  bool destroy_on_body = false;
+  std::string body;
+  std::optional<CurlResponse> done;
+};
+
+class CurlMultiTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CurlMultiTest);
+  CPPUNIT_TEST(fetchesAndReusesTheConnection);
+  CPPUNIT_TEST(freshRequestsAreNeverSentTwice);
+  CPPUNIT_TEST(tellsNotSentFromBroken);
+  CPPUNIT_TEST(timeLimitAfterSendingIsBroken);
+  CPPUNIT_TEST(streamsTheBodyAndPauses);
+  CPPUNIT_TEST(destroyingInsideACallbackEndsTheConnection);
+  CPPUNIT_TEST(startsRequestsInsideACallback);
+  CPPUNIT_TEST(refusesTooLongAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void fetchesAndReusesTheConnection() {
+    for (int i = 0; i < 3; ++i) {
+      server_.answer(httpAnswer(200, "body", "X-Kind: test\r\n"));
+      const CurlResponse response = fetch(request("GET"));
+      CPPUNIT_ASSERT(response.outcome == CurlOutcome::kAnswered);
+      CPPUNIT_ASSERT_EQUAL(200, response.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("body"), response.body);
+      CPPUNIT_ASSERT_EQUAL(std::string("test"), response.header("x-kind"));
+    }
+    CPPUNIT_ASSERT_EQUAL(1, server_.connections());
+  }
+
+  void freshRequestsAreNeverSentTwice() {
+    server_.answer(httpAnswer(200, "first"));
+    fetch(request("GET"));
+    // The server takes the next request and closes without an answer. On a reused connection
+    // libcurl would send it again by itself.
+    server_.answer("", true);
+    CurlRequest once = request("POST");
+    once.body = "booking";
+    once.connection_use = ConnectionUse::kFresh;
+    const CurlResponse response = fetch(once);
+    CPPUNIT_ASSERT(response.outcome == CurlOutcome::kBroken);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_.requests().size());
+  }
+
+  void tellsNotSentFromBroken() {
+    CurlRequest nowhere = request("POST");
+    asio::ip::tcp::acceptor unused(context_, {asio::ip::make_address("127.0.0.1"), 0});
+    nowhere.address = "127.0.0.1:" + std::to_string(unused.local_endpoint().port());
+    unused.close();
+    CPPUNIT_ASSERT(fetch(nowhere).outcome == CurlOutcome::kNotSent);
+    server_.answer("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true);
+    CPPUNIT_ASSERT(fetch(request("POST")).outcome == CurlOutcome::kBroken);
+  }
+
+  void timeLimitAfterSendingIsBroken() {
+    CurlRequest slow = request("POST");
+    slow.total_time_limit = std::chrono::milliseconds(50);
+    CPPUNIT_ASSERT(fetch(slow).outcome == CurlOutcome::kBroken);
+  }
+
+  void streamsTheBodyAndPauses() {
+    server_.answer("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab");
+    Recorder recorder;
+    recorder.transfer = curl_.start(request("GET"), recorder);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return recorder.body == "ab"; }));
+    recorder.transfer->pause();
+    context_.restart();
+    context_.poll();
+    server_.sendMore("cdef");
+    context_.restart();
+    context_.run_for(std::chrono::milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), recorder.body);
+    recorder.transfer->resume();
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return recorder.done.has_value(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("abcdef"), recorder.body);
+  }
+
+  void destroyingInsideACallbackEndsTheConnection() {
+    server_.answer("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab");
+    Recorder recorder;
+    recorder.destroy_on_body = true;
+    recorder.transfer = curl_.start(request("GET"), recorder);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.closedByClient() == 1; }));
+    CPPUNIT_ASSERT(!recorder.done.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, curl_.running());
+  }
+
+  void startsRequestsInsideACallback() {
+    server_.answer(httpAnswer(200, "one"));
+    server_.answer(httpAnswer(200, "two"));
+    std::string bodies;
+    curl_.fetch(request("GET"), [&](const CurlResponse& first) {
+      bodies += first.body;
+      curl_.fetch(request("GET"), [&](const CurlResponse& second) { bodies += second.body; });
+    });
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return bodies == "onetwo"; }));
+  }
+
+  void refusesTooLongAnswers() {
+    server_.answer(httpAnswer(200, std::string(1000, 'x')));
+    CurlRequest small = request("GET");
+    small.maximum_body_bytes = 100;
+    const CurlResponse response = fetch(small);
+    CPPUNIT_ASSERT(response.outcome == CurlOutcome::kBroken);
+    CPPUNIT_ASSERT_EQUAL(std::string("answer is too long"), response.error);
+  }
+
+ private:
+  CurlRequest request(const std::string& method) {
+    CurlRequest made;
+    made.method = method;
+    made.address = server_.address();
+    made.target = "/path?query=1";
+    return made;
+  }
+
+  CurlResponse fetch(const CurlRequest& wanted) {
+    std::optional<CurlResponse> result;
+    curl_.fetch(wanted, [&](CurlResponse response) { result = std::move(response); });
+    CPPUNIT_ASSERT(!result.has_value());
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return result.has_value(); }));
+    return *result;
+  }
+
+  asio::io_context context_;
+  testing::ScriptedServer server_{context_};
+  CurlMulti curl_{context_};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CurlMultiTest);
+
+}  // namespace
+}  // namespace cypresswall::runtime
--- /dev/null
+++ b/tests/support/scripted_server.h
@@ -0,0 +1,136 @@
+/// A TCP server for client tests that reads one HTTP request per connection turn and answers with
+/// the raw bytes that the test scripted, so that broken and malformed answers can be given too.
+#pragma once
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <cstdlib>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cypresswall::testing {
+
+/// What the server does with one request.
+struct ScriptedAnswer {
+  /// Raw bytes, status line included.
+  std::string bytes;
+  /// Ends the connection after the bytes.
+  bool close = false;
+};
+
+/// \return a whole HTTP answer with Content-Length.
+inline std::string httpAnswer(int status, const std::string& body,
+                              const std::string& extra_headers = "") {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Scripted\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + extra_headers +
+         "\r\n" + body;
+}
+
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(asio::io_context& context)
+      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  /// The next request gets this answer; without an answer left the server stays silent.
+  void answer(std::string bytes, bool close = false) {
+    answers_.push_back({std::move(bytes), close});
+  }
+  /// Requests received, each with its head and body.
+  const std::vector<std::string>& requests() const { return requests_; }
+  int connections() const { return connections_; }
+  /// Connections that the client ended.
+  int closedByClient() const { return closed_by_client_; }
+  /// Sends more bytes on the newest connection.
+  void sendMore(const std::string& bytes) { asio::write(newest_->socket, asio::buffer(bytes)); }
+  void closeNewest() { newest_->socket.close(); }
+
+ private:
+  struct Connection {
+    explicit Connection(asio::ip::tcp::socket taken) : socket(std::move(taken)) {}
+    asio::ip::tcp::socket socket;
+    std::array<char, 4096> buffer{};
+    std::string received;
+  };
+
+  void accept() {
+    acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      ++connections_;
+      newest_ = std::make_shared<Connection>(std::move(socket));
+      read(newest_);
+      accept();
+    });
+  }
+
+  void read(const std::shared_ptr<Connection>& connection) {
+    connection->socket.async_read_some(
+        asio::buffer(connection->buffer),
+        [this, connection](const std::error_code& error, std::size_t size) {
+          if (error) {
+            closed_by_client_ += error == asio::error::operation_aborted ? 0 : 1;
+            return;
+          }
+          connection->received.append(connection->buffer.data(), size);
+          takeRequests(*connection);
+          if (connection->socket.is_open()) {
+            read(connection);
+          }
+        });
+  }
+
+  static std::size_t bodyLength(const std::string& head) {
+    const std::string name = "Content-Length: ";
+    const auto at = head.find(name);
+    return at == std::string::npos ? 0 : std::strtoul(head.c_str() + at + name.size(), nullptr, 10);
+  }
+
+  void takeRequests(Connection& connection) {
+    for (;;) {
+      const auto end = connection.received.find("\r\n\r\n");
+      if (end == std::string::npos) {
+        return;
+      }
+      const auto size = end + 4 + bodyLength(connection.received.substr(0, end + 2));
+      if (connection.received.size() < size) {
+        return;
+      }
+      requests_.push_back(connection.received.substr(0, size));
+      connection.received.erase(0, size);
+      giveAnswer(connection);
+    }
+  }
+
+  void giveAnswer(Connection& connection) {
+    if (answers_.empty()) {
+      return;
+    }
+    const ScriptedAnswer answer = answers_.front();
+    answers_.pop_front();
+    asio::write(connection.socket, asio::buffer(answer.bytes));
+    if (answer.close) {
+      connection.socket.close();
+    }
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::shared_ptr<Connection> newest_;
+  std::deque<ScriptedAnswer> answers_;
+  std::vector<std::string> requests_;
+  int connections_ = 0;
+  int closed_by_client_ = 0;
+};
+
+}  // namespace cypresswall::testing
