--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -3,7 +3,7 @@
 
 add_library(cypresswall_options INTERFACE)
 target_compile_definitions(cypresswall_options INTERFACE
-  ASIO_STANDALONE ASIO_NO_DEPRECATED MSGPACK_NO_BOOST FMT_HEADER_ONLY=0
+  ASIO_STANDALONE MSGPACK_NO_BOOST FMT_HEADER_ONLY=0
   CYPRESSWALL_VERSION="${PROJECT_VERSION}")
 target_compile_options(cypresswall_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
 target_include_directories(cypresswall_options INTERFACE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
--- a/src/cypresswall/common/identifiers.h
+++ b/src/cypresswall/common/identifiers.h
@@ -30,7 +30,7 @@
   Address address;
   std::uint64_t incarnation = 0;
 
-  auto operator<=>(const NodeId&) const = default;
+  auto operator<=>(const NodeId&) const = default;  // NOLINT(modernize-use-nullptr): false positive
   bool empty() const { return address.empty(); }
   /// \return "address#incarnation", for logs.
   std::string toString() const { return address + "#" + std::to_string(incarnation); }
@@ -44,7 +44,7 @@
   std::uint32_t generation = 0;
   std::uint32_t term = 0;
 
-  auto operator<=>(const Epoch&) const = default;
+  auto operator<=>(const Epoch&) const = default;  // NOLINT(modernize-use-nullptr): false positive
   std::string toString() const { return std::to_string(generation) + "." + std::to_string(term); }
 
   MSGPACK_DEFINE(generation, term)
--- /dev/null
+++ b/src/cypresswall/configuration/object_codec.h
@@ -0,0 +1,66 @@
+/// JSON form of declared objects. Durations are texts ("79ms"), roles and urgencies their names.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "cypresswall/configuration/fleet.h"
+#include "cypresswall/configuration/object_fields.h"
+#include "cypresswall/configuration/object_kind.h"
+
+namespace cypresswall::configuration {
+
+/// How strictly a decoder reads.
+struct DecodeOptions {
+  /// True refuses fields that the object does not have. False ignores them, so that a node reads
+  /// entries that a newer node accepted.
+  bool refuse_unknown_fields = true;
+  /// True takes numbers and booleans written as text, as a YAML file gives them.
+  bool scalars_as_text = false;
+};
+
+/// One field that can't be decoded.
+struct FieldError {
+  /// Path of the field within the object, for example "operations[0].time_limit".
+  std::string field;
+  std::string message;
+};
+
+/// Raised by the decoder at the first field that it can't read.
+class FieldDecodeError : public common::Error {
+ public:
+  explicit FieldDecodeError(FieldError error)
+      : common::Error(error.field + ": " + error.message), error_(std::move(error)) {}
+  const FieldError& error() const { return error_; }
+
+ private:
+  FieldError error_;
+};
+
+nlohmann::json encodeObject(const ZoneDeclaration& object);
+nlohmann::json encodeObject(const ModelDeclaration& object);
+nlohmann::json encodeObject(const EngineDeclaration& object);
+nlohmann::json encodeObject(const ModelServiceDeclaration& object);
+nlohmann::json encodeObject(const HttpServiceDeclaration& object);
+nlohmann::json encodeObject(const TenantDeclaration& object);
+nlohmann::json encodeObject(const PlanningPolicy& object);
+nlohmann::json encodeObject(const EngineOverride& object);
+nlohmann::json encodeObject(const NodeDrain& object);
+
+/// Decodes one object over the defaults of its type. Instantiated for each type above.
+/// \throws FieldDecodeError
+template <typename Object>
+Object decodeObject(const nlohmann::json& json, const DecodeOptions& options);
+
+/// \return the change that sets `object` under `name`.
+template <typename Object>
+ObjectChange setObject(ObjectKind kind, const std::string& name, const Object& object) {
+  return ObjectChange{kind, name, false, encodeObject(object).dump()};
+}
+
+/// \return the change that removes the object `name`.
+inline ObjectChange removeObject(ObjectKind kind, const std::string& name) {
+  return ObjectChange{kind, name, true, {}};
+}
+
+}  // namespace cypresswall::configuration
--- /dev/null
+++ b/src/cypresswall/configuration/object_kind.h
@@ -0,0 +1,50 @@
+/// Names of the kinds of declared objects, of urgencies, and the errors that name an object.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cypresswall/common/errors.h"
+#include "cypresswall/configuration/fleet.h"
+
+namespace cypresswall::configuration {
+
+/// Name of the only object of kind kPlanning.
+inline constexpr std::string_view kPlanningObjectName = "planning";
+
+/// \return the name used in commands and messages, for example "model_service".
+const char* toString(ObjectKind kind);
+/// Reads what toString(ObjectKind) writes.
+std::optional<ObjectKind> parseObjectKind(std::string_view text);
+
+/// \return "low", "normal", "high" or "critical".
+const char* toString(Urgency urgency);
+/// Reads what toString(Urgency) writes.
+std::optional<Urgency> parseUrgency(std::string_view text);
+
+/// One thing that is wrong with one declared object.
+struct ObjectError {
+  ObjectKind kind = ObjectKind::kZone;
+  std::string name;
+  /// Path of the field within the object, for example "backends[1].address"; may be empty.
+  std::string field;
+  std::string message;
+
+  bool operator==(const ObjectError&) const = default;
+  /// \return for example `engine e1, field zone: zone "hall-x" is not declared`.
+  std::string toString() const;
+};
+
+/// A change, object or file that can't be taken; carries each thing that is wrong.
+class ConfigurationError : public common::Error {
+ public:
+  explicit ConfigurationError(std::vector<ObjectError> errors);
+  const std::vector<ObjectError>& errors() const { return errors_; }
+
+ private:
+  std::vector<ObjectError> errors_;
+};
+
+}  // namespace cypresswall::configuration
--- /dev/null
+++ b/src/cypresswall/emulation/engine.h
@@ -0,0 +1,200 @@
+/// Emulated model engine: continuous batching with a prefill and decode cost model, a prefix
+/// cache, fenced orders, changes that take it away, and faults. It does no I/O and takes one event
+/// for each step of the engine, however many streams run.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cypresswall/common/random.h"
+#include "cypresswall/common/time.h"
+#include "cypresswall/emulation/answer.h"
+#include "cypresswall/emulation/engine_ledger.h"
+#include "cypresswall/emulation/engine_settings.h"
+#include "cypresswall/emulation/load_history.h"
+#include "cypresswall/emulation/order_fence.h"
+#include "cypresswall/emulation/prefix_cache.h"
+#include "cypresswall/emulation/weight_source.h"
+#include "cypresswall/engines/engine_types.h"
+
+namespace cypresswall::emulation {
+
+/// Receives what one stream gives. One of onFinished and onBroken is the last call. Nothing is
+/// called before startStream() returned or after cancelStream().
+class StreamObserver {
+ public:
+  virtual ~StreamObserver() = default;
+  /// \param index position in the whole answer, from 0
+  virtual void onToken(std::uint32_t index, const std::string& text) = 0;
+  virtual void onFinished(const engines::StreamUsage& usage) = 0;
+  /// The engine ended the stream before its end.
+  virtual void onBroken() = 0;
+};
+
+/// KV cache of one computed prompt on its way to another engine.
+struct KvExport {
+  std::uint32_t tokens = 0;
+  std::uint64_t bytes = 0;
+};
+
+/// Reaches the other engines for KV imports.
+class KvPeer {
+ public:
+  virtual ~KvPeer() = default;
+  /// Calls exportKv() of the engine at `source`. The callback is called exactly once, never before
+  /// the call returns, with nothing if the engine can't be reached or has no such cache.
+  virtual void fetchKv(const common::Address& source, const std::string& stream_id,
+                       std::function<void(std::optional<KvExport>)> callback) = 0;
+};
+
+enum class StartResult : std::uint8_t {
+  kStarted,
+  kRefused,      ///< not run; see the message
+  kUnreachable,  ///< the engine is down
+};
+
+struct StreamStart {
+  StartResult result = StartResult::kStarted;
+  std::string message;
+};
+
+class EmulatedEngine {
+ public:
+  /// \param weights may be null: weights then arrive at once
+  /// \param kv_peer may be null: imports then fail
+  EmulatedEngine(EngineSettings settings, const common::Clock& clock, common::Scheduler& scheduler,
+                 common::RandomSource& random, WeightSource* weights, KvPeer* kv_peer);
+  ~EmulatedEngine();
+  EmulatedEngine(const EmulatedEngine&) = delete;
+  EmulatedEngine& operator=(const EmulatedEngine&) = delete;
+
+  /// Takes a stream; `observer` must live until its last call or cancelStream(). The prompt's text
+  /// is not needed, its shape is.
+  StreamStart startStream(engines::StreamRequest request, StreamObserver& observer);
+  /// Ends a stream; unknown ones are ignored.
+  void cancelStream(const std::string& stream_id, std::uint32_t attempt);
+  /// \return nothing if the engine is down.
+  std::optional<engines::OrderReply> handleOrder(const engines::EngineOrder& order);
+  /// \return the lagged load report; nothing if the engine is down.
+  std::optional<engines::EngineLoad> load() const;
+  /// \return nothing if the engine is down.
+  std::optional<engines::CacheEvents> cacheEvents(std::uint64_t after) const;
+  /// Gives away, and drops, the KV cache kept for `stream_id`.
+  std::optional<KvExport> exportKv(const std::string& stream_id);
+
+  /// Breaks all streams and stays down for the restart time; then another incarnation runs.
+  void crash();
+  void setFaults(const EngineFaults& faults);
+  const EngineFaults& faults() const { return faults_; }
+  /// Calls `listener` after each step that gave tokens, so that what the step gave can be sent in
+  /// one go.
+  void onStepEnd(std::function<void()> listener) { step_listener_ = std::move(listener); }
+
+  /// The engine as it is now, without lag. Tests and offline planners only.
+  engines::EngineLoad presentLoad() const;
+  bool down() const { return down_; }
+  std::uint64_t incarnation() const { return incarnation_; }
+  const EngineLedger& ledger() const { return ledger_; }
+  const PrefixCache& cache() const { return cache_; }
+  const EngineSettings& settings() const { return settings_; }
+
+ private:
+  enum class Stage : std::uint8_t { kImporting, kWaiting, kPrefill, kDecode, kEnded };
+  struct ActiveStream;
+  using StreamKey = std::pair<std::string, std::uint32_t>;
+  /// Priority first, then arrival.
+  using WaitingKey = std::pair<int, std::uint64_t>;
+  using StreamPointer = std::shared_ptr<ActiveStream>;
+  struct KeptKv {
+    std::uint32_t tokens = 0;
+    common::MonotonicTime expires_at;
+  };
+  /// The part of a prompt that one step computes.
+  struct PrefillChunk {
+    ActiveStream* stream = nullptr;
+    std::uint32_t tokens = 0;
+  };
+
+  std::string refusalReason(const engines::StreamRequest& request) const;
+  bool roleTakes(engines::StreamPhase phase) const;
+  void importKv(const StreamPointer& stream);
+  void kvArrived(const StreamPointer& stream, const KvExport& kv);
+  void enqueue(const StreamPointer& stream);
+
+  void beginStep();
+  void admitWaiting();
+  void admit(const StreamPointer& stream);
+  std::uint32_t planPrefill(std::uint32_t decoding);
+  std::uint32_t planDecodeSteps(std::uint32_t decoding, std::uint32_t prefill_tokens) const;
+  common::Duration stepDuration(std::uint32_t decoding, std::uint32_t prefill_tokens) const;
+  double prefillSpeed(bool decoding) const;
+  void finishStep();
+  void finishPrefills();
+  void decodeStreams();
+  void giveToken(ActiveStream& stream);
+  void finishStream(ActiveStream& stream);
+  void endStream(ActiveStream& stream, StreamEnd end);
+  void breakAllStreams(StreamEnd end);
+  void removeEnded();
+  bool idle() const { return streams_.empty(); }
+
+  void beginChange(const engines::OrderContent& content);
+  void fetchWeights();
+  void weightsArrived(std::uint64_t change, const WeightTransfer& transfer);
+  void awayFor(common::Duration duration);
+  void finishChange();
+  bool alreadyThere(const engines::OrderContent& content) const;
+  bool takesEngineAway(const engines::OrderContent& content) const;
+  void restart();
+  void recordLoad();
+
+  EngineSettings settings_;
+  const common::Clock& clock_;
+  common::Scheduler& scheduler_;
+  WeightSource* weights_;
+  KvPeer* kv_peer_;
+  PrefixCache cache_;
+  OrderFence fence_;
+  EngineLedger ledger_;
+  LoadHistory load_history_;
+  EngineFaults faults_;
+  std::function<void()> step_listener_;
+
+  bool down_ = false;
+  std::uint64_t incarnation_;
+  engines::EngineRole role_;
+  common::ModelName model_;
+  std::string version_;
+  std::vector<std::string> adapters_;
+
+  /// The change under way.
+  std::optional<engines::OrderContent> change_;
+  std::uint64_t change_number_ = 0;
+  common::MonotonicTime change_started_;
+  common::TimerId change_timer_ = 0;
+
+  std::map<StreamKey, StreamPointer> streams_;
+  std::map<WaitingKey, StreamPointer> waiting_;
+  std::vector<StreamPointer> running_;
+  /// Ended streams that code up the stack may still use.
+  std::vector<StreamPointer> ended_;
+  std::uint64_t arrivals_ = 0;
+  std::map<std::string, KeptKv> kept_kv_;
+
+  common::TimerId step_timer_ = 0;
+  bool step_running_ = false;
+  bool delivering_ = false;
+  std::uint32_t decode_steps_ = 0;
+  std::vector<PrefillChunk> chunks_;
+  /// Shows callbacks that the engine is gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cypresswall::emulation
--- /dev/null
+++ b/src/cypresswall/emulation/engine_changes.cpp
@@ -0,0 +1,175 @@
+// Orders to an emulated engine, the changes that they start, crashes and restarts.
+#include <algorithm>
+
+#include "cypresswall/emulation/engine.h"
+#include "cypresswall/emulation/engine_stream.h"
+
+namespace cypresswall::emulation {
+
+using engines::OrderKind;
+
+std::optional<engines::OrderReply> EmulatedEngine::handleOrder(const engines::EngineOrder& order) {
+  if (down_) {
+    return std::nullopt;
+  }
+  const FenceSituation situation{incarnation_, change_.has_value(), idle()};
+  engines::OrderReply reply;
+  reply.verdict = fence_.judge(order, situation);
+  ++ledger_.orders_received;
+  if (ledger_.orders.size() < settings_.ledger_limit) {
+    ledger_.orders.push_back({order, reply.verdict, incarnation_, clock_.now()});
+  }
+  if (reply.verdict == engines::OrderVerdict::kAccepted) {
+    beginChange(order.content);
+  }
+  reply.highest_epoch = fence_.highestEpoch();
+  reply.last_sequence = fence_.lastSequence();
+  reply.in_progress = change_.has_value();
+  return reply;
+}
+
+bool EmulatedEngine::alreadyThere(const engines::OrderContent& content) const {
+  switch (content.kind) {
+    case OrderKind::kRaiseFence:
+      return true;
+    case OrderKind::kChangeRole:
+      return content.role == role_;
+    case OrderKind::kLoadModel:
+      return content.model == model_ && content.version == version_;
+    case OrderKind::kLoadAdapter:
+      return std::find(adapters_.begin(), adapters_.end(), content.adapter) != adapters_.end();
+    case OrderKind::kUnloadAdapter:
+      return false;
+  }
+  return true;
+}
+
+bool EmulatedEngine::takesEngineAway(const engines::OrderContent& content) const {
+  return content.kind == OrderKind::kChangeRole || content.kind == OrderKind::kLoadModel;
+}
+
+void EmulatedEngine::beginChange(const engines::OrderContent& content) {
+  if (alreadyThere(content)) {
+    recordLoad();
+    return;
+  }
+  if (content.kind == OrderKind::kUnloadAdapter) {
+    std::erase(adapters_, content.adapter);
+    recordLoad();
+    return;
+  }
+  change_ = content;
+  change_started_ = clock_.now();
+  ++change_number_;
+  if (takesEngineAway(content)) {
+    breakAllStreams(StreamEnd::kCutByOrder);
+    kept_kv_.clear();
+  }
+  switch (content.kind) {
+    case OrderKind::kChangeRole:
+      awayFor(settings_.role_change_time);
+      break;
+    case OrderKind::kLoadModel:
+      fetchWeights();
+      break;
+    default:
+      awayFor(settings_.adapter_load_time);
+      break;
+  }
+  recordLoad();
+}
+
+void EmulatedEngine::fetchWeights() {
+  if (weights_ == nullptr) {
+    awayFor(settings_.model_load_time);
+    return;
+  }
+  weights_->fetch("weights://" + change_->model + "/" + change_->version,
+                  [this, alive = alive_, change = change_number_](const WeightTransfer& transfer) {
+                    if (*alive) {
+                      weightsArrived(change, transfer);
+                    }
+                  });
+}
+
+void EmulatedEngine::weightsArrived(std::uint64_t change, const WeightTransfer& transfer) {
+  if (!change_ || change != change_number_) {
+    return;
+  }
+  if (transfer.complete) {
+    awayFor(settings_.model_load_time);
+    return;
+  }
+  change_timer_ = scheduler_.schedule(transfer.retry_after, [this] { fetchWeights(); });
+}
+
+void EmulatedEngine::awayFor(common::Duration duration) {
+  if (faults_.crash_in_next_change) {
+    faults_.crash_in_next_change = false;
+    change_timer_ = scheduler_.schedule(duration / 2, [this] { crash(); });
+    return;
+  }
+  change_timer_ = scheduler_.schedule(duration, [this] { finishChange(); });
+}
+
+void EmulatedEngine::finishChange() {
+  const engines::OrderContent content = *change_;
+  change_.reset();
+  switch (content.kind) {
+    case OrderKind::kChangeRole:
+      role_ = content.role;
+      ++ledger_.role_changes;
+      break;
+    case OrderKind::kLoadModel:
+      model_ = content.model;
+      version_ = content.version;
+      adapters_.clear();
+      ++ledger_.model_loads;
+      break;
+    case OrderKind::kLoadAdapter:
+      adapters_.push_back(content.adapter);
+      break;
+    default:
+      break;
+  }
+  if (takesEngineAway(content)) {
+    cache_.clear();
+    ledger_.time_away += clock_.now() - change_started_;
+  }
+  recordLoad();
+}
+
+void EmulatedEngine::crash() {
+  if (down_) {
+    return;
+  }
+  down_ = true;
+  ++ledger_.crashes;
+  scheduler_.cancel(step_timer_);
+  scheduler_.cancel(change_timer_);
+  step_running_ = false;
+  if (change_ && takesEngineAway(*change_)) {
+    ledger_.time_away += clock_.now() - change_started_;
+  }
+  change_.reset();
+  breakAllStreams(StreamEnd::kCrashed);
+  kept_kv_.clear();
+  cache_.forget();
+  load_history_.clear();
+  fence_ = OrderFence();
+  change_timer_ = scheduler_.schedule(settings_.restart_time, [this] { restart(); });
+}
+
+void EmulatedEngine::restart() {
+  ++incarnation_;
+  down_ = false;
+  recordLoad();
+}
+
+void EmulatedEngine::setFaults(const EngineFaults& faults) {
+  faults_ = faults;
+  cache_.setEventFaults(faults.cache_events);
+  recordLoad();
+}
+
+}  // namespace cypresswall::emulation
--- /dev/null
+++ b/src/cypresswall/emulation/engine_stream.h
@@ -0,0 +1,30 @@
+/// State of one stream inside an emulated engine. Private to the engine's source files.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "cypresswall/emulation/engine.h"
+
+namespace cypresswall::emulation {
+
+struct EmulatedEngine::ActiveStream {
+  /// Without the prompt's text.
+  engines::StreamRequest request;
+  StreamObserver* observer = nullptr;
+  Stage stage = Stage::kWaiting;
+  std::uint64_t arrival = 0;
+  AnswerSeed seed = 0;
+  /// Tokens in the whole answer.
+  std::uint32_t answer_length = 0;
+  /// Index of the next token to give.
+  std::uint32_t next_index = 0;
+  std::uint32_t given = 0;
+  std::uint32_t prefill_remaining = 0;
+  std::uint32_t cached_tokens = 0;
+  std::uint32_t imported_tokens = 0;
+  /// Index in the ledger's list, or its size limit if the entry is not kept.
+  std::size_t ledger_index = 0;
+};
+
+}  // namespace cypresswall::emulation
--- /dev/null
+++ b/src/cypresswall/emulation/object_store.h
@@ -0,0 +1,121 @@
+/// The platform's object API, emulated with its faults: outages, slowness, answers lost after the
+/// change took effect, gaps in watches, and a store restored to an older state.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cypresswall/common/time.h"
+#include "cypresswall/platform/object_store.h"
+
+namespace cypresswall::emulation {
+
+struct ObjectStoreFaults {
+  /// Every call fails, nothing is done.
+  bool down = false;
+  /// From call to answer; a write takes effect halfway.
+  common::Duration delay{0};
+  /// Writes whose answers are lost, after they took effect or failed.
+  std::uint32_t lose_next_answers = 0;
+  /// The next answer of a watch that has changes leaves out all but the newest, or the only one;
+  /// cleared when it happened.
+  bool watch_gap = false;
+};
+
+/// One write that the store received while it was up.
+struct ObjectWriteEntry {
+  platform::ObjectWrite write;
+  bool took_effect = false;
+  bool answer_lost = false;
+  /// Revision of the store after the write.
+  std::uint64_t revision = 0;
+  common::MonotonicTime at;
+};
+
+struct ObjectStoreLedger {
+  std::vector<ObjectWriteEntry> writes;
+  std::uint64_t reads = 0;
+  std::uint64_t lists = 0;
+  std::uint64_t watches = 0;
+  std::uint64_t answers_lost = 0;
+  std::uint64_t refused_while_down = 0;
+  std::uint64_t restores = 0;
+};
+
+class EmulatedObjectStore final : public platform::ObjectStore {
+ public:
+  /// How long watch() waits for a change.
+  static constexpr common::Duration kWatchTime = std::chrono::seconds(5);
+
+  EmulatedObjectStore(const common::Clock& clock, common::Scheduler& scheduler)
+      : clock_(clock), scheduler_(scheduler) {}
+
+  void get(const std::string& key,
+           platform::StoreCallback<platform::StoredObject> callback) override;
+  void compareAndSet(platform::ObjectWrite write,
+                     platform::StoreCallback<platform::StoredObject> callback) override;
+  void list(const std::string& prefix,
+            platform::StoreCallback<platform::ObjectListing> callback) override;
+  void watch(const std::string& prefix, std::uint64_t revision,
+             platform::StoreCallback<platform::ObjectListing> callback) override {
+    watchFor(prefix, revision, kWatchTime, std::move(callback));
+  }
+  /// Like watch(), for a chosen time.
+  void watchFor(const std::string& prefix, std::uint64_t revision, common::Duration wait,
+                platform::StoreCallback<platform::ObjectListing> callback);
+
+  /// Pending watches fail at once when the store goes down.
+  void setFaults(const ObjectStoreFaults& faults);
+  const ObjectStoreFaults& faults() const { return faults_; }
+  /// Goes back to the state at `revision`, as a store restored from a backup does. Watches that
+  /// are ahead of it get kCompacted.
+  void restoreToRevision(std::uint64_t revision);
+
+  std::uint64_t revision() const { return revision_; }
+  /// \return revision of the last write of `key`, zero if there is none.
+  std::uint64_t revisionOf(const std::string& key) const;
+  /// \return the object as it is now, without faults; version 0 if there is none.
+  platform::StoredObject peek(const std::string& key) const;
+  const ObjectStoreLedger& ledger() const { return ledger_; }
+
+ private:
+  struct Versioned {
+    std::uint64_t revision = 0;
+    platform::StoredObject object;
+  };
+  struct PendingWatch {
+    std::string prefix;
+    std::uint64_t revision = 0;
+    common::TimerId timer = 0;
+    platform::StoreCallback<platform::ObjectListing> callback;
+  };
+
+  /// Runs `effect` after half of the delay, unless the store is down, and gives what it returns to
+  /// `callback` after the other half.
+  template <typename Value, typename Effect>
+  void serve(platform::StoreCallback<Value> callback, Effect effect);
+  platform::StoreResult<platform::StoredObject> write(const platform::ObjectWrite& write);
+  platform::ObjectListing changesAfter(const std::string& prefix, std::uint64_t revision) const;
+  void beginWatch(const std::string& prefix, std::uint64_t revision, common::Duration wait,
+                  platform::StoreCallback<platform::ObjectListing> callback);
+  void answerWatches();
+  void endWatch(std::uint64_t watch, platform::StoreResult<platform::ObjectListing> result);
+  void failWatches(platform::StoreFailure failure, std::uint64_t ahead_of);
+  void leaveGap(platform::ObjectListing& listing);
+
+  const common::Clock& clock_;
+  common::Scheduler& scheduler_;
+  ObjectStoreFaults faults_;
+  ObjectStoreLedger ledger_;
+  std::uint64_t revision_ = 0;
+  std::map<std::string, Versioned> objects_;
+  /// Every write in order, from which an older state is restored.
+  std::vector<Versioned> history_;
+  std::uint64_t next_watch_ = 1;
+  std::map<std::uint64_t, PendingWatch> watches_;
+};
+
+}  // namespace cypresswall::emulation
--- /dev/null
+++ b/src/cypresswall/emulation/weight_source.h
@@ -0,0 +1,28 @@
+/// Where emulated engines read model weights from.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "cypresswall/common/time.h"
+
+namespace cypresswall::emulation {
+
+/// How a transfer of weights ended.
+struct WeightTransfer {
+  bool complete = false;
+  std::uint64_t bytes = 0;
+  /// When to ask again if the transfer was refused for load.
+  common::Duration retry_after{0};
+};
+
+class WeightSource {
+ public:
+  virtual ~WeightSource() = default;
+  /// Transfers the weights at `uri`. The callback is called exactly once, when the transfer is
+  /// complete or refused, never before the call returns.
+  virtual void fetch(const std::string& uri, std::function<void(WeightTransfer)> callback) = 0;
+};
+
+}  // namespace cypresswall::emulation
--- a/src/cypresswall/execution/engine_model_executor.cpp
+++ b/src/cypresswall/execution/engine_model_executor.cpp
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-EngineModelExecutor::EngineModelExecutor(api::ProcessContext& process,
+EngineModelExecutor::EngineModelExecutor(const api::ProcessContext& process,
                                          const configuration::ConfigurationView& configuration,
                                          admission::AdmissionController& admission,
                                          routing::Router& router, engines::EngineClient& engines,
--- a/src/cypresswall/execution/engine_model_executor.h
+++ b/src/cypresswall/execution/engine_model_executor.h
@@ -12,7 +12,7 @@
 /// fails. All references must outlive it.
 class EngineModelExecutor final : public ModelExecutor {
  public:
-  EngineModelExecutor(api::ProcessContext& process,
+  EngineModelExecutor(const api::ProcessContext& process,
                       const configuration::ConfigurationView& configuration,
                       admission::AdmissionController& admission, routing::Router& router,
                       engines::EngineClient& engines, const ExecutionSettings& settings = {});
--- a/src/cypresswall/execution/model_execution_core.cpp
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -50,7 +50,7 @@
       budget_spent(registry.counter("cypresswall_execution_model_retry_budget_spent_total",
                                     "Retries not made because the budget was spent")) {}
 
-ModelExecutionCore::ModelExecutionCore(api::ProcessContext& process_context,
+ModelExecutionCore::ModelExecutionCore(const api::ProcessContext& process_context,
                                        const configuration::ConfigurationView& configuration_view,
                                        admission::AdmissionController& admission_controller,
                                        routing::Router& request_router,
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -37,7 +37,7 @@
 /// Names streams and attempts, pays for retries, and ends streams outside their own callbacks.
 class ModelExecutionCore {
  public:
-  ModelExecutionCore(api::ProcessContext& process_context,
+  ModelExecutionCore(const api::ProcessContext& process_context,
                      const configuration::ConfigurationView& configuration_view,
                      admission::AdmissionController& admission_controller,
                      routing::Router& request_router, engines::EngineClient& engine_client,
@@ -51,7 +51,7 @@
   /// in the middle of a call to it.
   void retire(std::unique_ptr<EngineAttempt> attempt);
 
-  api::ProcessContext& process;
+  const api::ProcessContext& process;
   const configuration::ConfigurationView& configuration;
   admission::AdmissionController& admission;
   routing::Router& router;
--- /dev/null
+++ b/src/cypresswall/http/connection.cpp
@@ -0,0 +1,122 @@
+#include "cypresswall/http/connection.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+namespace cypresswall::http {
+namespace {
+
+/// How long, and for how many bytes, a closed connection is read on so that the caller gets the
+/// last answer and no reset.
+constexpr std::chrono::seconds kLingerTime(2);
+constexpr std::size_t kLingerBytes = 64U << 20;
+constexpr std::size_t kLingerBufferBytes = 4096;
+
+/// Reads and drops what the caller still sends, until it closes or a limit is reached.
+class LingeringClose : public std::enable_shared_from_this<LingeringClose> {
+ public:
+  explicit LingeringClose(asio::ip::tcp::socket socket)
+      : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+
+  void start() {
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    timer_.expires_after(kLingerTime);
+    timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+      if (!error) {
+        self->finish();
+      }
+    });
+    readOn();
+  }
+
+ private:
+  void readOn() {
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const asio::error_code& error, std::size_t length) {
+          self->dropped_ += length;
+          if (error || self->dropped_ > kLingerBytes) {
+            self->finish();
+          } else {
+            self->readOn();
+          }
+        });
+  }
+
+  void finish() {
+    asio::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+  }
+
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::array<char, kLingerBufferBytes> buffer_{};
+  std::size_t dropped_ = 0;
+};
+
+}  // namespace
+
+void Connection::removeExchange(const Exchange* exchange) {
+  std::erase_if(exchanges_, [&](const auto& held) { return held.get() == exchange; });
+}
+
+void Connection::readEnded(const asio::error_code& error) {
+  if (!error && !receiving_since_) {
+    receiving_since_ = std::chrono::steady_clock::now();
+  }
+  if (error == asio::error::eof && receiving_since_ && on_truncated_) {
+    on_truncated_();
+  }
+}
+
+void Connection::sendLastAnswer(const std::string& answer) {
+  if (socket_ == nullptr || hasExchanges()) {
+    return;
+  }
+  asio::error_code ignored;
+  socket_->non_blocking(true, ignored);
+  socket_->write_some(asio::buffer(answer), ignored);
+  socket_->lingerOnClose();
+}
+
+void Connection::shutdown() {
+  if (socket_ != nullptr) {
+    asio::error_code ignored;
+    socket_->Base::shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  }
+}
+
+ConnectionSocket::~ConnectionSocket() {
+  if (connection_) {
+    connection_->socketGone();
+  }
+}
+
+void ConnectionSocket::shutdown(shutdown_type what, asio::error_code& error) {
+  if (!linger_on_close_) {
+    Base::shutdown(what, error);
+  }
+}
+
+void ConnectionSocket::close() {
+  if (connection_) {
+    connection_->socketGone();
+  }
+  if (std::exchange(linger_on_close_, false) && is_open()) {
+    std::make_shared<LingeringClose>(Base(std::move(static_cast<Base&>(*this))))->start();
+    return;
+  }
+  Base::close();
+}
+
+std::shared_ptr<Connection>& lastPreparedConnection() {
+  thread_local std::shared_ptr<Connection> connection;
+  return connection;
+}
+
+}  // namespace cypresswall::http
--- /dev/null
+++ b/src/cypresswall/http/exchange.cpp
@@ -0,0 +1,173 @@
+#include "cypresswall/http/exchange.h"
+
+#include <asio/post.hpp>
+#include <utility>
+
+#include "cypresswall/http/status_text.h"
+
+namespace cypresswall::http {
+
+Exchange::Exchange(std::shared_ptr<ServerState> server, std::shared_ptr<Connection> connection,
+                   restinio::impl::connection_handle_t handle, restinio::request_id_t request_id,
+                   bool keep_alive)
+    : server_(std::move(server)),
+      connection_(std::move(connection)),
+      handle_(std::move(handle)),
+      request_id_(request_id),
+      keep_alive_(keep_alive) {
+  ++server_->open_requests;
+}
+
+Exchange::~Exchange() {
+  if (!completed_) {
+    --server_->open_requests;
+  }
+}
+
+template <typename Output>
+restinio::response_builder_t<Output> Exchange::makeBuilder(int status,
+                                                           const std::vector<Header>& headers) {
+  restinio::http_status_line_t line(
+      restinio::http_status_code_t(static_cast<std::uint16_t>(status)), statusText(status));
+  restinio::response_builder_t<Output> builder(std::move(line), std::move(handle_), request_id_,
+                                               keep_alive_ && !server_->stopping);
+  for (const Header& header : headers) {
+    builder.append_header(header.name, header.value);
+  }
+  return builder;
+}
+
+void Exchange::respond(int status, const std::vector<Header>& headers, std::string body) {
+  if (state_ != State::kWaiting) {
+    return;
+  }
+  state_ = State::kSent;
+  bytes_in_flight_ = body.size();
+  auto builder = makeBuilder<restinio::restinio_controlled_output_t>(status, headers);
+  if (!body.empty()) {
+    builder.set_body(std::move(body));
+  }
+  builder.done([self = shared_from_this()](const auto&) { self->written(true); });
+}
+
+void Exchange::startStream(int status, const std::vector<Header>& headers) {
+  if (state_ != State::kWaiting) {
+    return;
+  }
+  state_ = State::kStreaming;
+  builder_.emplace(makeBuilder<restinio::chunked_output_t>(status, headers));
+  header_pending_ = true;
+  scheduleFlush();
+}
+
+void Exchange::write(std::string chunk) {
+  if (state_ != State::kStreaming) {
+    return;
+  }
+  if (buffer_.empty()) {
+    buffer_ = std::move(chunk);
+  } else {
+    buffer_ += chunk;
+  }
+  scheduleFlush();
+}
+
+void Exchange::finishStream() {
+  if (state_ != State::kStreaming) {
+    return;
+  }
+  state_ = State::kFinishing;
+  scheduleFlush();
+}
+
+void Exchange::abort() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  state_ = State::kClosed;
+  on_closed_ = nullptr;
+  connection_->shutdown();
+  complete();
+}
+
+void Exchange::responderDropped() {
+  if (state_ == State::kWaiting) {
+    respond(500, {}, "");
+  } else if (state_ == State::kStreaming) {
+    abort();
+  }
+  on_drained_ = nullptr;
+  on_closed_ = nullptr;
+}
+
+void Exchange::connectionClosed() {
+  const bool answer_open = state_ != State::kSent && state_ != State::kClosed;
+  state_ = State::kClosed;
+  if (answer_open && on_closed_) {
+    asio::post(server_->context, std::exchange(on_closed_, nullptr));
+  }
+  complete();
+}
+
+void Exchange::scheduleFlush() {
+  if (flush_scheduled_ || write_in_flight_) {
+    return;
+  }
+  flush_scheduled_ = true;
+  asio::post(server_->context, [self = shared_from_this()] {
+    self->flush_scheduled_ = false;
+    self->flush();
+  });
+}
+
+void Exchange::flush() {
+  const bool last = state_ == State::kFinishing;
+  if (state_ != State::kStreaming && !last) {
+    return;
+  }
+  if (buffer_.empty() && !header_pending_ && !last) {
+    return;
+  }
+  header_pending_ = false;
+  write_in_flight_ = true;
+  bytes_in_flight_ = buffer_.size();
+  if (!buffer_.empty()) {
+    builder_->append_chunk(restinio::writable_item_t(std::exchange(buffer_, std::string())));
+  }
+  auto notify = [self = shared_from_this(), last](const auto&) { self->written(last); };
+  if (last) {
+    state_ = State::kSent;
+    builder_->done(std::move(notify));
+  } else {
+    builder_->flush(std::move(notify));
+  }
+}
+
+void Exchange::written(bool last) {
+  write_in_flight_ = false;
+  bytes_in_flight_ = 0;
+  if (last) {
+    complete();
+    return;
+  }
+  // Not at once: RESTinio has not finished with the write that it reports.
+  if (!buffer_.empty() || state_ == State::kFinishing) {
+    scheduleFlush();
+  }
+  if (state_ == State::kStreaming && on_drained_) {
+    on_drained_();
+  }
+}
+
+void Exchange::complete() {
+  if (std::exchange(completed_, true)) {
+    return;
+  }
+  --server_->open_requests;
+  on_drained_ = nullptr;
+  builder_.reset();
+  handle_.reset();
+  connection_->removeExchange(this);
+}
+
+}  // namespace cypresswall::http
--- /dev/null
+++ b/src/cypresswall/http/server.cpp
@@ -0,0 +1,397 @@
+#include "cypresswall/http/server.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <charconv>
+#include <restinio/http_server.hpp>
+#include <restinio/settings.hpp>
+#include <restinio/uri_helpers.hpp>
+#include <unordered_map>
+#include <utility>
+
+#include "cypresswall/http/exchange.h"
+#include "cypresswall/http/rejection.h"
+
+namespace cypresswall::http {
+namespace {
+
+/// Requests that one connection may have open at a time. With more than one, RESTinio reads on
+/// while a request runs, and so notices a caller that goes away.
+constexpr std::size_t kPipelinedRequests = 2;
+constexpr std::size_t kMaximumHeaderFields = 128;
+constexpr std::size_t kReadBufferBytes = 4096;
+/// How often connections are checked for requests that arrive too slowly.
+constexpr std::chrono::seconds kReceiveCheckPeriod(1);
+
+/// Gives the Responder interface to an Exchange, and tells it when the handler lets go.
+class ExchangeResponder final : public Responder {
+ public:
+  explicit ExchangeResponder(std::shared_ptr<Exchange> exchange) : exchange_(std::move(exchange)) {}
+  ~ExchangeResponder() override { exchange_->responderDropped(); }
+  ExchangeResponder(const ExchangeResponder&) = delete;
+  ExchangeResponder& operator=(const ExchangeResponder&) = delete;
+
+  void respond(int status, const std::vector<Header>& headers, std::string body) override {
+    exchange_->respond(status, headers, std::move(body));
+  }
+  void startStream(int status, const std::vector<Header>& headers) override {
+    exchange_->startStream(status, headers);
+  }
+  void write(std::string chunk) override { exchange_->write(std::move(chunk)); }
+  void finishStream() override { exchange_->finishStream(); }
+  void abort() override { exchange_->abort(); }
+  std::size_t pendingBytes() const override { return exchange_->pendingBytes(); }
+  void onDrained(std::function<void()> callback) override {
+    exchange_->onDrained(std::move(callback));
+  }
+  void onClosed(std::function<void()> callback) override {
+    exchange_->onClosed(std::move(callback));
+  }
+
+ private:
+  std::shared_ptr<Exchange> exchange_;
+};
+
+/// \return "IP:port" of a peer, or "unknown".
+std::string addressText(const restinio::endpoint_t& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+/// Turns RESTinio's request into ours. \throws std::exception on an undecodable target
+Request convertRequest(const restinio::request_handle_t& source) {
+  Request request;
+  const auto& header = source->header();
+  request.method = header.method().c_str();
+  request.target = header.request_target();
+  request.path =
+      restinio::utils::unescape_percent_encoding<restinio::utils::relaxed_unescape_traits>(
+          header.path());
+  const auto query = restinio::parse_query<restinio::parse_query_traits::relaxed>(header.query());
+  for (const auto& [name, value] : query) {
+    request.query.emplace(std::string(name), std::string(value));
+  }
+  header.for_each_field([&](const restinio::http_header_field_t& field) {
+    request.headers.push_back({field.name(), field.value()});
+  });
+  request.body = source->body();
+  request.remote_address = addressText(source->remote_endpoint());
+  return request;
+}
+
+std::size_t headerBytes(const restinio::http_request_header_t& header) {
+  std::size_t bytes = header.request_target().size();
+  header.for_each_field([&](const restinio::http_header_field_t& field) {
+    bytes += field.name().size() + field.value().size();
+  });
+  return bytes;
+}
+
+/// All connections of one server, and the way from RESTinio's events to the handler. Outlives the
+/// server as long as connections end.
+class ConnectionTable : public std::enable_shared_from_this<ConnectionTable> {
+ public:
+  ConnectionTable(asio::io_context& context, ServerSettings settings, Handler handler)
+      : state_(std::make_shared<ServerState>(context)),
+        settings_(std::move(settings)),
+        handler_(std::move(handler)),
+        receive_timer_(context) {}
+
+  const std::shared_ptr<ServerState>& state() const { return state_; }
+  const ServerSettings& settings() const { return settings_; }
+
+  void connectionAccepted(ConnectionId id, const restinio::endpoint_t& remote) {
+    Entry entry{std::exchange(lastPreparedConnection(), nullptr), addressText(remote)};
+    entry.connection->onTruncated([this, id] { requestTruncated(id); });
+    connections_[id] = std::move(entry);
+    scheduleReceiveCheck();
+  }
+
+  void connectionClosed(ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+      return;
+    }
+    const auto connection = found->second.connection;
+    connections_.erase(found);
+    connection->onTruncated(nullptr);
+    for (const auto& exchange : connection->takeExchanges()) {
+      exchange->connectionClosed();
+    }
+  }
+
+  restinio::request_handling_status_t handleRequest(const restinio::request_handle_t& source) {
+    const auto found = connections_.find(source->connection_id());
+    if (found == connections_.end() || !handler_) {
+      return restinio::request_rejected();
+    }
+    const auto connection = found->second.connection;
+    connection->requestCompleted();
+    auto exchange = std::make_shared<Exchange>(
+        state_, connection, std::move(restinio::impl::access_req_connection(*source)),
+        source->request_id(), source->header().should_keep_alive());
+    connection->addExchange(exchange);
+    runHandler(source, std::make_shared<ExchangeResponder>(std::move(exchange)));
+    return restinio::request_accepted();
+  }
+
+  /// An error that RESTinio logs directly before it closes the connection.
+  void libraryError(const std::string& message) {
+    const auto fault = parseLibraryError(message);
+    if (!fault) {
+      return;
+    }
+    const auto found = connections_.find(fault->connection);
+    if (found != connections_.end()) {
+      reject(found->second, fault->status, fault->reason);
+    }
+  }
+
+  void requestTruncated(ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) {
+      reject(found->second, 400, "request ended before it was whole");
+    }
+  }
+
+  void closeAll() {
+    handler_ = nullptr;
+    receive_timer_.cancel();
+    auto connections = std::exchange(connections_, {});
+    for (auto& [id, entry] : connections) {
+      entry.connection->onTruncated(nullptr);
+      entry.connection->shutdown();
+      for (const auto& exchange : entry.connection->takeExchanges()) {
+        exchange->connectionClosed();
+      }
+    }
+  }
+
+ private:
+  struct Entry {
+    std::shared_ptr<Connection> connection;
+    std::string remote_address;
+  };
+
+  void runHandler(const restinio::request_handle_t& source,
+                  const std::shared_ptr<Responder>& responder) {
+    Request request;
+    if (headerBytes(source->header()) > settings_.maximum_header_bytes) {
+      rejectThrough(*responder, source, 431, "request header too large");
+      return;
+    }
+    try {
+      request = convertRequest(source);
+    } catch (const std::exception& error) {
+      rejectThrough(*responder, source, 400, std::string("request target: ") + error.what());
+      return;
+    }
+    handler_(std::move(request), responder);
+  }
+
+  void rejectThrough(Responder& responder, const restinio::request_handle_t& source, int status,
+                     const std::string& reason) {
+    auto headers = settings_.rejection_headers;
+    headers.push_back({"Content-Type", "application/json"});
+    responder.respond(status, headers, rejectionBody(reason));
+    report({status, reason, addressText(source->remote_endpoint())});
+  }
+
+  void reject(const Entry& entry, int status, const std::string& reason) {
+    entry.connection->sendLastAnswer(rejectionAnswer(status, reason, settings_.rejection_headers));
+    entry.connection->requestCompleted();
+    report({status, reason, entry.remote_address});
+  }
+
+  void report(const Rejection& rejection) const {
+    if (settings_.on_rejected) {
+      settings_.on_rejected(rejection);
+    }
+  }
+
+  void scheduleReceiveCheck() {
+    if (std::exchange(receive_check_scheduled_, true)) {
+      return;
+    }
+    receive_timer_.expires_after(kReceiveCheckPeriod);
+    receive_timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+      const auto self = weak.lock();
+      if (self && !error) {
+        self->receive_check_scheduled_ = false;
+        self->endSlowRequests();
+      }
+    });
+  }
+
+  void endSlowRequests() {
+    const auto limit = std::chrono::steady_clock::now() - settings_.header_time_limit;
+    for (const auto& [id, entry] : connections_) {
+      const auto since = entry.connection->receivingSince();
+      if (since && *since < limit && !entry.connection->hasExchanges()) {
+        reject(entry, 408, "request did not arrive in time");
+        entry.connection->shutdown();
+      }
+    }
+    if (!connections_.empty()) {
+      scheduleReceiveCheck();
+    }
+  }
+
+  std::shared_ptr<ServerState> state_;
+  ServerSettings settings_;
+  Handler handler_;
+  asio::steady_timer receive_timer_;
+  bool receive_check_scheduled_ = false;
+  std::unordered_map<ConnectionId, Entry> connections_;
+};
+
+/// Hears of connections that RESTinio accepts and closes.
+class StateListener {
+ public:
+  explicit StateListener(std::shared_ptr<ConnectionTable> table) : table_(std::move(table)) {}
+
+  void state_changed(  // NOLINT: name given by RESTinio
+      const restinio::connection_state::notice_t& notice) noexcept {
+    const auto cause = notice.cause();
+    if (std::holds_alternative<restinio::connection_state::accepted_t>(cause)) {
+      table_->connectionAccepted(notice.connection_id(), notice.remote_endpoint());
+    } else {
+      table_->connectionClosed(notice.connection_id());
+    }
+  }
+
+ private:
+  std::shared_ptr<ConnectionTable> table_;
+};
+
+/// RESTinio's logger: errors of connections become rejections, the rest is not formatted.
+class ErrorLogger {
+ public:
+  explicit ErrorLogger(std::shared_ptr<ConnectionTable> table) : table_(std::move(table)) {}
+
+  template <typename MessageBuilder>
+  void trace(MessageBuilder&&) const {}
+  template <typename MessageBuilder>
+  void info(MessageBuilder&&) const {}
+  template <typename MessageBuilder>
+  void warn(MessageBuilder&&) const {}
+  template <typename MessageBuilder>
+  void error(MessageBuilder&& builder) const {
+    table_->libraryError(builder());
+  }
+
+ private:
+  std::shared_ptr<ConnectionTable> table_;
+};
+
+struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t, ErrorLogger,
+                                         restinio::details::autodetect_request_handler_type,
+                                         restinio::noop_strand_t, ConnectionSocket> {
+  // The names are given by RESTinio.
+  using connection_state_listener_t = StateListener;          // NOLINT
+  static constexpr bool use_connection_count_limiter = true;  // NOLINT
+};
+
+/// Splits "IP:port". \throws ListenError
+std::pair<asio::ip::address, std::uint16_t> parseAddress(const std::string& address) {
+  const auto colon = address.rfind(':');
+  asio::error_code error;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const char* begin = colon == std::string::npos ? end : address.data() + colon + 1;
+  const auto parsed = std::from_chars(begin, end, port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+    throw ListenError("address '" + address + "' is not IP:port");
+  }
+  return {ip, port};
+}
+
+class RestinioServer final : public Server {
+ public:
+  RestinioServer(asio::io_context& context, ServerSettings settings, Handler handler)
+      : context_(context),
+        table_(
+            std::make_shared<ConnectionTable>(context, std::move(settings), std::move(handler))) {}
+  ~RestinioServer() override { close(); }
+  RestinioServer(const RestinioServer&) = delete;
+  RestinioServer& operator=(const RestinioServer&) = delete;
+
+  void start() override {
+    const auto& address = table_->settings().address;
+    const auto [ip, port] = parseAddress(address);
+    try {
+      server_ = std::make_unique<restinio::http_server_t<ServerTraits>>(
+          restinio::external_io_context(context_), restinioSettings(ip, port));
+      server_->open_sync();
+    } catch (const std::exception& error) {
+      server_.reset();
+      throw ListenError("can't listen on " + address + ": " + error.what());
+    }
+  }
+
+  void stopListening() override {
+    table_->state()->stopping = true;
+    if (server_) {
+      server_->close_sync();
+    }
+  }
+
+  void close() override {
+    stopListening();
+    table_->closeAll();
+  }
+
+  std::uint16_t port() const override { return port_; }
+  std::size_t openRequests() const override { return table_->state()->open_requests; }
+
+ private:
+  restinio::server_settings_t<ServerTraits> restinioSettings(const asio::ip::address& ip,
+                                                             std::uint16_t port) {
+    const auto& settings = table_->settings();
+    restinio::server_settings_t<ServerTraits> result(
+        port, ip.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4());
+    result.address(ip)
+        .buffer_size(kReadBufferBytes)
+        .max_pipelined_requests(kPipelinedRequests)
+        .max_parallel_connections(settings.maximum_connections)
+        .concurrent_accepts_count(1)
+        .read_next_http_message_timelimit(settings.idle_time_limit)
+        .handle_request_timeout(settings.idle_time_limit)
+        .write_http_response_timelimit(settings.write_time_limit)
+        .incoming_http_msg_limits(messageLimits(settings))
+        .logger(table_)
+        .connection_state_listener(std::make_shared<StateListener>(table_))
+        .request_handler([table = table_](const restinio::request_handle_t& request) {
+          return table->handleRequest(request);
+        })
+        .socket_options_setter(
+            [](auto& options) { options.set_option(asio::ip::tcp::no_delay(true)); })
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
+          port_ = acceptor.local_endpoint().port();
+        });
+    return result;
+  }
+
+  static restinio::incoming_http_msg_limits_t messageLimits(const ServerSettings& settings) {
+    return restinio::incoming_http_msg_limits_t()
+        .max_url_size(settings.maximum_header_bytes)
+        .max_field_name_size(settings.maximum_header_bytes)
+        .max_field_value_size(settings.maximum_header_bytes)
+        .max_field_count(kMaximumHeaderFields)
+        .max_body_size(settings.maximum_body_bytes);
+  }
+
+  asio::io_context& context_;
+  std::shared_ptr<ConnectionTable> table_;
+  std::unique_ptr<restinio::http_server_t<ServerTraits>> server_;
+  std::uint16_t port_ = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<Server> makeServer(asio::io_context& context, ServerSettings settings,
+                                   Handler handler) {
+  return std::make_unique<RestinioServer>(context, std::move(settings), std::move(handler));
+}
+
+}  // namespace cypresswall::http
--- a/src/cypresswall/http/server.h
+++ b/src/cypresswall/http/server.h
@@ -59,20 +59,38 @@
   virtual std::size_t pendingBytes() const = 0;
   /// Calls `callback` whenever queued bytes were taken by the socket.
   virtual void onDrained(std::function<void()> callback) = 0;
-  /// Calls `callback` once if the caller's connection ends before the answer is complete.
+  /// Calls `callback` once, on a later turn of the event loop, if the caller's connection ends
+  /// before the answer is complete. The connection counts as ended as soon as the caller closes its
+  /// side, also if it only closes it for sending.
   virtual void onClosed(std::function<void()> callback) = 0;
 };
 
 using Handler = std::function<void(Request request, std::shared_ptr<Responder> responder)>;
 
+/// A request that the server answered by itself with a 4xx because it was malformed, truncated or
+/// over a limit, or whose connection it had to end.
+struct Rejection {
+  int status = 400;
+  std::string reason;
+  std::string remote_address;
+};
+
 struct ServerSettings {
   /// "IP:port"; port 0 takes a free one.
   std::string address;
   std::size_t maximum_header_bytes = 32U << 10;
   std::size_t maximum_body_bytes = 16U << 20;
   std::size_t maximum_connections = 10000;
+  /// Time in which a request must arrive whole, from its first byte.
   common::Duration header_time_limit = std::chrono::seconds(10);
+  /// Longest silence of a kept-alive connection, and of a handler that writes nothing.
   common::Duration idle_time_limit = std::chrono::minutes(5);
+  /// How long the socket may take none of the queued bytes before the connection is ended.
+  common::Duration write_time_limit = std::chrono::seconds(30);
+  /// Headers of the server's own 4xx answers, besides Content-Type.
+  std::vector<Header> rejection_headers = {};
+  /// Called once for each rejection, for the log and counters; may be empty.
+  std::function<void(const Rejection&)> on_rejected = {};
 };
 
 class Server {
--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -3,22 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace cypresswall::membership {
-namespace {
-
-constexpr std::uint32_t kHashStart = 2166136261U;
-constexpr std::uint32_t kHashPrime = 16777619U;
-
-/// FNV-1a; the same on every machine, unlike std::hash.
-std::uint32_t hashInto(std::uint32_t hash, const std::string& text) {
-  for (const char c : text) {
-    hash = (hash ^ static_cast<unsigned char>(c)) * kHashPrime;
-  }
-  return hash;
-}
-
-}  // namespace
+#include "cypresswall/common/prompt.h"
 
+namespace cypresswall::membership {
 Membership::Membership(MembershipSettings settings, const api::ProcessContext& context,
                        platform::MachineList& machine_list)
     : settings_(std::move(settings)),
@@ -212,11 +199,11 @@
   std::vector<common::NodeId> nodes = peerNodes();
   nodes.push_back(context_.self);
   std::sort(nodes.begin(), nodes.end());
-  std::uint32_t hash = kHashStart;
+  std::uint64_t hash = 0;
   for (const auto& node : nodes) {
-    hash = hashInto(hash, node.toString());
+    hash = common::hash64(node.toString(), hash);
   }
-  return hash;
+  return static_cast<std::uint32_t>(hash);
 }
 
 std::vector<Member> Membership::members() const {
--- a/src/cypresswall/simulation/simulated_process.h
+++ b/src/cypresswall/simulation/simulated_process.h
@@ -44,7 +44,7 @@
   ~SimulatedProcess() override;
 
   /// What the modules of this process are built from.
-  const api::ProcessContext& context() const { return context_; }
+  api::ProcessContext& context() { return context_; }
   const common::NodeId& id() const { return settings_.self; }
   const common::ZoneName& zone() const { return settings_.zone; }
   const common::CounterRegistry& counters() const { return counters_; }
--- a/src/cypresswall/simulation/simulation.cpp
+++ b/src/cypresswall/simulation/simulation.cpp
@@ -36,8 +36,9 @@
     }
   }
   const std::uint64_t seed = deriveSeed("process", processes_.size());
-  // Never zero, and without any order that a module could rely on.
-  const std::uint64_t incarnation = deriveSeed("incarnation", processes_.size()) | 1U;
+  // A later life at an address has the higher incarnation, as with incarnations made from time.
+  const std::uint64_t incarnation =
+      ((processes_.size() + 1) << 32U) | (deriveSeed("incarnation", processes_.size()) >> 32U);
   ProcessSettings settings{common::NodeId{address, incarnation}, zone, clock, seed, log};
   processes_.push_back(
       std::make_unique<SimulatedProcess>(std::move(settings), time_, network_, faults_));
--- /dev/null
+++ b/tests/configuration/change_test.cpp
@@ -0,0 +1,189 @@
+#include "cypresswall/configuration/change.h"
+
+#include "cypresswall/configuration/duration_text.h"
+#include "cypresswall/configuration/fleet_file.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::configuration {
+namespace {
+
+const char* const kFleet = R"(zones:
+  - {name: quay, region: dobrogea}
+models:
+  - name: dispatch
+    version: "1"
+    adapters: [{name: customs, weights_uri: "w://c"}]
+engines:
+  - name: e1
+    zone: quay
+    address: 127.0.0.1:9001
+    model: dispatch
+    initial_role: decode
+model_services:
+  - {name: summary, model: dispatch, first_token_limit: 1.3s, between_tokens_limit: 79ms}
+http_services:
+  - name: portal
+    backends: [{zone: quay, address: "127.0.0.1:9100"}]
+    operations: [{method: GET, path_prefix: /fixes, repeatable: true}]
+planning: {role_change_weight: 2.5}
+)";
+
+ConfigurationChange changeOf(std::vector<ObjectChange> objects) {
+  return ConfigurationChange{1, "change-1", "test", std::move(objects)};
+}
+
+FleetConfiguration load(const std::string& text) {
+  return checkChange({}, changeOf(differenceToFleetFile(text, "fleet.yaml", {})));
+}
+
+template <typename Error, typename Call>
+Error requireThrow(Call&& call) {
+  try {
+    call();
+  } catch (const Error& error) {
+    return error;
+  }
+  CPPUNIT_FAIL("no error was thrown");
+  throw std::logic_error("not reached");
+}
+
+std::string firstError(const std::vector<ObjectChange>& objects) {
+  const FleetConfiguration base = load(kFleet);
+  return requireThrow<ConfigurationError>([&] { checkChange(base, changeOf(objects)); })
+      .errors()
+      .front()
+      .toString();
+}
+
+class ChangeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChangeTest);
+  CPPUNIT_TEST(loadsAFleetFile);
+  CPPUNIT_TEST(sameFileGivesNoDifference);
+  CPPUNIT_TEST(wholeConfigurationRoundTrips);
+  CPPUNIT_TEST(listIsTheWholeOfItsKind);
+  CPPUNIT_TEST(fileErrorsNameFileLineAndKey);
+  CPPUNIT_TEST(refusesDanglingReference);
+  CPPUNIT_TEST(refusesRemovalOfWhatIsInUse);
+  CPPUNIT_TEST(refusesDuplicateAddress);
+  CPPUNIT_TEST(refusesImpossibleNumbers);
+  CPPUNIT_TEST(refusesUnknownFieldUnlessTolerant);
+  CPPUNIT_TEST(durationsRoundTrip);
+  CPPUNIT_TEST(anyFileGivesAChangeOrAnError);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void loadsAFleetFile() {
+    const FleetConfiguration fleet = load(kFleet);
+    CPPUNIT_ASSERT(fleet.engines.at("e1").initial_role == engines::EngineRole::kDecode);
+    CPPUNIT_ASSERT(fleet.model_services.at("summary").first_token_limit ==
+                   std::chrono::milliseconds(1300));
+    CPPUNIT_ASSERT(fleet.http_services.at("portal").operations.at(0).repeatable);
+    CPPUNIT_ASSERT_EQUAL(2.5, fleet.planning.role_change_weight);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), fleet.models.at("dispatch").version);
+  }
+
+  void sameFileGivesNoDifference() {
+    CPPUNIT_ASSERT(differenceToFleetFile(kFleet, "fleet.yaml", load(kFleet)).empty());
+  }
+
+  void wholeConfigurationRoundTrips() {
+    FleetConfiguration fleet = load(kFleet);
+    fleet.drained_nodes["127.0.0.2:7000"] = true;
+    fleet.engine_overrides["e1"] = EngineOverride{"e1", true, true, engines::EngineRole::kPrefill};
+    const auto encoded = encodeConfiguration(fleet);
+    CPPUNIT_ASSERT_EQUAL(encoded.dump(), encodeConfiguration(decodeConfiguration(encoded)).dump());
+  }
+
+  void listIsTheWholeOfItsKind() {
+    const auto changes = differenceToFleetFile("engines: []\n", "f", load(kFleet));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.size());
+    CPPUNIT_ASSERT(changes[0].removed && changes[0].name == "e1");
+  }
+
+  void fileErrorsNameFileLineAndKey() {
+    const auto parse = [](const std::string& text) {
+      return requireThrow<FleetFileError>([&] { differenceToFleetFile(text, "f.yaml", {}); });
+    };
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("f.yaml:3: zones[1].colour: is not a known field"),
+        std::string(parse("zones:\n  - name: a\n  - {name: b, colour: red}\n").what()));
+    CPPUNIT_ASSERT_EQUAL(std::string("zone"), parse("zone: []\n").key());
+    CPPUNIT_ASSERT_EQUAL(2, parse("zones: []\nzones: []\n").line());
+    CPPUNIT_ASSERT_EQUAL(std::string("zones[1].name"),
+                         parse("zones:\n  - name: a\n  - name: a\n").key());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("tenants[0].tokens_per_second"),
+        parse("tenants:\n- {name: t, api_key: k, tokens_per_second: many}\n").key());
+    CPPUNIT_ASSERT_EQUAL(2, parse("zones:\n  - [unclosed\n").line() > 1 ? 2 : 0);
+  }
+
+  void refusesDanglingReference() {
+    EngineDeclaration engine{"e2", "nowhere", "", "127.0.0.1:9002", "dispatch", {}};
+    CPPUNIT_ASSERT_EQUAL(std::string("engine e2, field zone: zone nowhere is not declared"),
+                         firstError({setObject(ObjectKind::kEngine, "e2", engine)}));
+  }
+
+  void refusesRemovalOfWhatIsInUse() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("model dispatch: can't be removed: engine e1 uses it (field model)"),
+        firstError({removeObject(ObjectKind::kModel, "dispatch")}));
+    CPPUNIT_ASSERT_EQUAL(std::string("zone mole: can't be removed: it is not declared"),
+                         firstError({removeObject(ObjectKind::kZone, "mole")}));
+  }
+
+  void refusesDuplicateAddress() {
+    EngineDeclaration engine{"e2", "quay", "", "127.0.0.1:9001", "dispatch", {}};
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("engine e2, field address: 127.0.0.1:9001 is already the address of engine e1"),
+        firstError({setObject(ObjectKind::kEngine, "e2", engine)}));
+    engine.address = "localhost:9002";
+    CPPUNIT_ASSERT(firstError({setObject(ObjectKind::kEngine, "e2", engine)}).find("IP number") !=
+                   std::string::npos);
+  }
+
+  void refusesImpossibleNumbers() {
+    PlanningPolicy planning;
+    planning.horizon = common::Duration::zero();
+    CPPUNIT_ASSERT_EQUAL(std::string("planning planning, field horizon: must be longer than zero"),
+                         firstError({setObject(ObjectKind::kPlanning, "planning", planning)}));
+    TenantDeclaration tenant{"t", "key", -1, 0};
+    CPPUNIT_ASSERT_EQUAL(std::string("tenant t, field requests_per_second: must not be negative"),
+                         firstError({setObject(ObjectKind::kTenant, "t", tenant)}));
+  }
+
+  void refusesUnknownFieldUnlessTolerant() {
+    const ObjectChange zone{ObjectKind::kZone, "z", false, R"({"name":"z","new_field":1})"};
+    CPPUNIT_ASSERT_EQUAL(std::string("zone z, field new_field: is not a known field"),
+                         firstError({zone}));
+    const auto fleet = applyChange({}, changeOf({zone}), DecodeOptions{false, false});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.zones.count("z"));
+  }
+
+  void durationsRoundTrip() {
+    testing::requireProperty("durations round-trip", 500, [] {
+      const common::Duration duration(*rc::gen::inRange<std::int64_t>(0, 4000000000));
+      RC_ASSERT(parseDuration(formatDuration(duration)) == duration);
+    });
+    for (const char* text : {"", "s", "-1s", "1", "1 s", "1days", "nan", "1e3s", "999999999h"}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !parseDuration(text));
+    }
+  }
+
+  void anyFileGivesAChangeOrAnError() {
+    testing::requireProperty("a mutated fleet file never crashes", 300, [] {
+      std::string text = kFleet;
+      const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
+      const auto length = *rc::gen::inRange<std::size_t>(0, 8);
+      text.replace(position, length, *rc::gen::arbitrary<std::string>());
+      try {
+        load(text);
+      } catch (const common::Error&) {  // NOLINT(bugprone-empty-catch): refusing is fine
+      }
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChangeTest);
+
+}  // namespace
+}  // namespace cypresswall::configuration
--- /dev/null
+++ b/tests/execution/fake_engines.cpp
@@ -0,0 +1,176 @@
+#include "tests/execution/fake_engines.h"
+
+#include <algorithm>
+
+namespace cypresswall::testing {
+
+using Kind = StreamScript::Kind;
+
+std::string expectedToken(const std::string& prompt, std::uint32_t index) {
+  return prompt + "/" + std::to_string(index) + " ";
+}
+
+class FakeEngines::FakeStream final : public engines::Stream {
+ public:
+  FakeStream(FakeEngines& owner, engines::StreamRequest request, engines::StreamHandler& handler,
+             StreamScript script)
+      : owner_(owner),
+        request_(std::move(request)),
+        handler_(handler),
+        script_(script),
+        next_(request_.resume_from) {
+    owner_.open_.insert(this);
+    arm();
+  }
+  ~FakeStream() override {
+    owner_.time_.cancel(timer_);
+    owner_.open_.erase(this);
+  }
+  void pause() override {
+    paused_ = true;
+    owner_.time_.cancel(timer_);
+  }
+  void resume() override {
+    paused_ = false;
+    arm();
+  }
+
+ private:
+  void arm() {
+    timer_ = owner_.time_.schedule(owner_.token_time, [this] { turn(); });
+  }
+
+  void turn() {
+    const bool here = next_ - request_.resume_from == script_.position;
+    if (script_.kind == Kind::kNotSent || script_.kind == Kind::kRefused) {
+      fail(script_.kind == Kind::kNotSent ? engines::StreamFailure::kNotSent
+                                          : engines::StreamFailure::kRefused);
+      return;
+    }
+    owner_.ran.insert(request_.stream_id);
+    if (request_.phase == engines::StreamPhase::kPrefillOnly) {
+      turnPrefill();
+    } else if (next_ >= owner_.answer_tokens) {
+      finish(owner_.answer_tokens);
+    } else if (here && script_.kind != Kind::kGood) {
+      turnFaulty();
+    } else {
+      give(next_++);
+      arm();
+    }
+  }
+
+  void turnPrefill() {
+    if (script_.kind == Kind::kGood) {
+      finish(0);
+    } else if (script_.kind == Kind::kSilentAt) {
+      ++owner_.faults[script_.kind];
+    } else {
+      fail(engines::StreamFailure::kBroken);
+    }
+  }
+
+  void turnFaulty() {
+    const auto kind = script_.kind;
+    script_.kind = Kind::kGood;
+    switch (kind) {
+      case Kind::kBrokenAt:
+        script_.kind = kind;
+        fail(engines::StreamFailure::kBroken);
+        return;
+      case Kind::kSilentAt:
+        ++owner_.faults[kind];
+        return;
+      case Kind::kLosesAt:
+        ++next_;
+        break;
+      case Kind::kDoublesAt:
+        give(next_);
+        break;
+      case Kind::kSwapsAt:
+        give(next_ + 1);
+        break;
+      case Kind::kCrossesAt:
+        cross(next_++);
+        break;
+      case Kind::kEndsAt:
+        ++owner_.faults[kind];
+        finish(owner_.answer_tokens);
+        return;
+      case Kind::kLateEvents:
+        script_.kind = kind;
+        fail(engines::StreamFailure::kBroken);
+        give(next_);
+        handler_.onFinished(request_.attempt, {});
+        return;
+      default:
+        break;
+    }
+    ++owner_.faults[kind];
+    arm();
+  }
+
+  void cross(std::uint32_t index) {
+    for (auto* other : owner_.open_) {
+      if (other != this) {
+        other->handler_.onToken(request_.attempt, index, expectedToken(request_.prompt, index));
+        return;
+      }
+    }
+  }
+
+  void give(std::uint32_t index) {
+    handler_.onToken(request_.attempt, index, expectedToken(request_.prompt, index));
+  }
+
+  void finish(std::uint32_t output_tokens) {
+    engines::StreamUsage usage;
+    usage.output_tokens = output_tokens;
+    handler_.onFinished(request_.attempt, usage);
+  }
+
+  void fail(engines::StreamFailure failure) {
+    ++owner_.faults[script_.kind];
+    handler_.onFailed(failure, "as scripted");
+  }
+
+  FakeEngines& owner_;
+  engines::StreamRequest request_;
+  engines::StreamHandler& handler_;
+  StreamScript script_;
+  std::uint32_t next_;
+  bool paused_ = false;
+  common::TimerId timer_ = 0;
+};
+
+std::unique_ptr<engines::Stream> FakeEngines::startStream(const engines::EngineEndpoint& engine,
+                                                          engines::StreamRequest request,
+                                                          engines::StreamHandler& handler) {
+  StreamScript script;
+  if (started.size() < scripts.size()) {
+    script = scripts[started.size()];
+  }
+  started.emplace_back(engine.name, request);
+  return std::make_unique<FakeStream>(*this, std::move(request), handler, script);
+}
+
+routing::RouteChoice FakeRouter::choose(const routing::RouteRequest& request) {
+  requests.push_back(request);
+  const auto excluded = [&request](const std::string& name) {
+    return std::find(request.excluded.begin(), request.excluded.end(), name) !=
+           request.excluded.end();
+  };
+  const auto engine = std::find_if_not(names.begin(), names.end(), excluded);
+  if (refuses || engine == names.end()) {
+    return routing::RouteRefusal{routing::RouteFailure::kOverloaded, retry_after, "full"};
+  }
+  routing::Route route;
+  route.engine = {*engine, *engine + ":1"};
+  route.expected_first_token = expected_first_token;
+  if (!prefill_name.empty() && !excluded(prefill_name)) {
+    route.prefill_engine = engines::EngineEndpoint{prefill_name, prefill_name + ":1"};
+  }
+  return route;
+}
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/execution/process_fixture.h
@@ -0,0 +1,68 @@
+/// A process context over virtual time, and the fakes that every executor needs.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "cypresswall/admission/admission.h"
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/configuration/configuration_view.h"
+#include "cypresswall/simulation/virtual_time.h"
+
+namespace cypresswall::testing {
+
+class NullTransport final : public api::PeerTransport {
+ public:
+  void send(api::Envelope) override {}
+};
+
+/// One process without peers.
+struct ProcessFixture {
+  explicit ProcessFixture(std::uint64_t seed = 1) : random(seed) {}
+
+  simulation::VirtualTime time;
+  common::SeededRandom random;
+  common::CounterRegistry counters;
+  NullTransport transport;
+  api::MessageDispatcher dispatcher;
+  api::ProcessContext context{common::NodeId{"127.0.0.1:1", 7},
+                              "quay",
+                              time,
+                              time,
+                              random,
+                              common::nullLogSink(),
+                              counters,
+                              transport,
+                              dispatcher};
+};
+
+class FixedConfiguration final : public configuration::ConfigurationView {
+ public:
+  std::shared_ptr<const configuration::FleetConfiguration> current() const override {
+    return std::make_shared<const configuration::FleetConfiguration>(fleet);
+  }
+  void onChange(std::function<void(const configuration::FleetConfiguration&)>) override {}
+
+  configuration::FleetConfiguration fleet;
+};
+
+/// Admits everything unless told otherwise; keeps count of what was not released.
+class FakeAdmission final : public admission::AdmissionController {
+ public:
+  std::optional<admission::Refusal> admit(const admission::AdmissionRequest&) override {
+    if (!refusal) {
+      ++held;
+    }
+    return refusal;
+  }
+  void released(const admission::AdmissionRequest&) override { --held; }
+
+  std::optional<admission::Refusal> refusal;
+  int held = 0;
+};
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,269 @@
+#include "cypresswall/http/server.h"
+
+#include <vector>
+
+#include "tests/http/http_client.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::http {
+namespace {
+
+class ServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServerTest);
+  CPPUNIT_TEST(answersAndKeepsTheConnection);
+  CPPUNIT_TEST(streamsInChunks);
+  CPPUNIT_TEST(writesOfOneTurnLeaveTogether);
+  CPPUNIT_TEST(takenPortIsNamed);
+  CPPUNIT_TEST(badAddressIsNamed);
+  CPPUNIT_TEST(noticesACallerThatLeavesWithoutAnyWrite);
+  CPPUNIT_TEST(malformedRequestGets400);
+  CPPUNIT_TEST(truncatedRequestGets400);
+  CPPUNIT_TEST(oversizedBodyGets413);
+  CPPUNIT_TEST(oversizedChunkedBodyGets413);
+  CPPUNIT_TEST(oversizedHeaderGets431);
+  CPPUNIT_TEST(undecodableTargetGets400);
+  CPPUNIT_TEST(slowRequestGets408);
+  CPPUNIT_TEST(abortBreaksTheAnswer);
+  CPPUNIT_TEST(droppedResponderGives500);
+  CPPUNIT_TEST(slowReaderIsSeenAndDrains);
+  CPPUNIT_TEST(stuckReaderIsEnded);
+  CPPUNIT_TEST(stopListeningFinishesOpenRequests);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void answersAndKeepsTheConnection() {
+    startServer();
+    RawClient client(context_, server_->port());
+    client.startReading();
+    client.send("POST /a%20b?x=1&y=%2F HTTP/1.1\r\nX-Name: v\r\nContent-Length: 3\r\n\r\nabc");
+    CPPUNIT_ASSERT(waitForRequests(1));
+    const Request& request = requests_[0];
+    CPPUNIT_ASSERT_EQUAL(std::string("POST"), request.method);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a b"), request.path);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a%20b?x=1&y=%2F"), request.target);
+    CPPUNIT_ASSERT_EQUAL(std::string("/"), request.query.at("y"));
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), request.header("x-name"));
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), request.body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->openRequests());
+    responders_[0]->respond(200, {{"X-Answer", "1"}}, "first");
+    CPPUNIT_ASSERT(client.waitFor("first"));
+    CPPUNIT_ASSERT(client.received.starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT(client.received.find("X-Answer: 1\r\n") != std::string::npos);
+    client.send("GET / HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(waitForRequests(2));
+    responders_[1]->respond(200, {}, "second");
+    CPPUNIT_ASSERT(client.waitFor("second"));
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return server_->openRequests() == 0; }));
+  }
+
+  void streamsInChunks() {
+    startServer();
+    auto client = request("GET /s HTTP/1.1\r\n\r\n");
+    responders_[0]->startStream(200, {{"Content-Type", "text/event-stream"}});
+    responders_[0]->write("one");
+    CPPUNIT_ASSERT(client->waitFor("3\r\none\r\n"));
+    responders_[0]->write("three");
+    responders_[0]->finishStream();
+    CPPUNIT_ASSERT(client->waitFor("5\r\nthree\r\n0\r\n\r\n"));
+    CPPUNIT_ASSERT(client->received.find("Transfer-Encoding: chunked") != std::string::npos);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return server_->openRequests() == 0; }));
+  }
+
+  void writesOfOneTurnLeaveTogether() {
+    startServer();
+    auto client = request("GET /s HTTP/1.1\r\n\r\n");
+    responders_[0]->startStream(200, {});
+    responders_[0]->write("one");
+    responders_[0]->write("two");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, responders_[0]->pendingBytes());
+    CPPUNIT_ASSERT(client->waitFor("6\r\nonetwo\r\n"));
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return responders_[0]->pendingBytes() == 0; }));
+  }
+
+  void takenPortIsNamed() {
+    startServer();
+    const auto address = "127.0.0.1:" + std::to_string(server_->port());
+    const auto second = makeServer(context_, {.address = address}, {});
+    try {
+      second->start();
+      CPPUNIT_FAIL("no ListenError");
+    } catch (const ListenError& error) {
+      CPPUNIT_ASSERT(std::string(error.what()).find(address) != std::string::npos);
+    }
+  }
+
+  void badAddressIsNamed() {
+    for (const auto* address : {"", "host:80", "127.0.0.1", "127.0.0.1:99999", "127.0.0.1:8x"}) {
+      CPPUNIT_ASSERT_THROW(makeServer(context_, {.address = address}, {})->start(), ListenError);
+    }
+  }
+
+  void noticesACallerThatLeavesWithoutAnyWrite() {
+    startServer();
+    auto client = request("GET /s HTTP/1.1\r\n\r\n");
+    bool left = false;
+    responders_[0]->onClosed([&] { left = true; });
+    client->close();
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return left; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->openRequests());
+    responders_[0]->startStream(200, {});
+    responders_[0]->write("to nobody");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, responders_[0]->pendingBytes());
+  }
+
+  void malformedRequestGets400() { expectRejection("no http at all\r\n\r\n", "400"); }
+
+  void truncatedRequestGets400() {
+    startServer();
+    RawClient client(context_, server_->port());
+    client.startReading();
+    client.send("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc");
+    client.shutdownSend();
+    expectRejected(client, "400");
+  }
+
+  void oversizedBodyGets413() {
+    settings_.maximum_body_bytes = 1000;
+    expectRejection("POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(200000, 'x'),
+                    "413");
+  }
+
+  void oversizedChunkedBodyGets413() {
+    settings_.maximum_body_bytes = 1000;
+    expectRejection(
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + std::string(2048, 'x'),
+        "413");
+  }
+
+  void oversizedHeaderGets431() {
+    settings_.maximum_header_bytes = 1000;
+    expectRejection("GET / HTTP/1.1\r\nX-Long: " + std::string(2000, 'x') + "\r\n\r\n", "431");
+  }
+
+  void undecodableTargetGets400() { expectRejection("GET /%zz HTTP/1.1\r\n\r\n", "400"); }
+
+  void slowRequestGets408() {
+    settings_.header_time_limit = std::chrono::milliseconds(50);
+    expectRejection("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc", "408");
+  }
+
+  void abortBreaksTheAnswer() {
+    startServer();
+    auto client = request("GET /s HTTP/1.1\r\n\r\n");
+    responders_[0]->startStream(200, {});
+    responders_[0]->write("part");
+    CPPUNIT_ASSERT(client->waitFor("part"));
+    responders_[0]->abort();
+    CPPUNIT_ASSERT(client->waitClosed());
+    CPPUNIT_ASSERT(client->received.find("0\r\n\r\n") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->openRequests());
+  }
+
+  void droppedResponderGives500() {
+    startServer();
+    auto client = request("GET /s HTTP/1.1\r\n\r\n");
+    responders_.clear();
+    CPPUNIT_ASSERT(client->waitFor("HTTP/1.1 500 "));
+  }
+
+  void slowReaderIsSeenAndDrains() {
+    startServer();
+    auto client = std::make_unique<RawClient>(context_, server_->port());
+    client->send("GET /s HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(waitForRequests(1));
+    constexpr std::size_t kBytes = 32U << 20;
+    int drained = 0;
+    responders_[0]->onDrained([&] { ++drained; });
+    responders_[0]->startStream(200, {});
+    responders_[0]->write(std::string(kBytes, 'x'));
+    context_.restart();
+    context_.poll();
+    CPPUNIT_ASSERT_EQUAL(kBytes, responders_[0]->pendingBytes());
+    client->startReading();
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return responders_[0]->pendingBytes() == 0; }));
+    CPPUNIT_ASSERT(drained > 0);
+  }
+
+  void stuckReaderIsEnded() {
+    settings_.write_time_limit = std::chrono::milliseconds(50);
+    startServer();
+    RawClient client(context_, server_->port());
+    client.send("GET /s HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(waitForRequests(1));
+    bool ended = false;
+    responders_[0]->onClosed([&] { ended = true; });
+    responders_[0]->startStream(200, {});
+    responders_[0]->write(std::string(32U << 20, 'x'));
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return ended; }));
+  }
+
+  void stopListeningFinishesOpenRequests() {
+    startServer();
+    const auto port = server_->port();
+    auto client = request("GET /s HTTP/1.1\r\n\r\n");
+    server_->stopListening();
+    CPPUNIT_ASSERT_THROW(RawClient(context_, port), std::system_error);
+    responders_[0]->respond(200, {}, "whole");
+    CPPUNIT_ASSERT(client->waitFor("whole"));
+    CPPUNIT_ASSERT(client->received.find("Connection: close") != std::string::npos);
+    CPPUNIT_ASSERT(client->waitClosed());
+  }
+
+ private:
+  void startServer() {
+    settings_.address = "127.0.0.1:0";
+    settings_.rejection_headers = {{"X-Rejected", "yes"}};
+    settings_.on_rejected = [this](const Rejection& rejection) {
+      rejections_.push_back(rejection);
+    };
+    server_ = makeServer(context_, settings_,
+                         [this](Request request, std::shared_ptr<Responder> responder) {
+                           requests_.push_back(std::move(request));
+                           responders_.push_back(std::move(responder));
+                         });
+    server_->start();
+    CPPUNIT_ASSERT(server_->port() != 0);
+  }
+
+  bool waitForRequests(std::size_t count) {
+    return runUntil(context_, [&] { return requests_.size() >= count; });
+  }
+
+  std::unique_ptr<RawClient> request(const std::string& bytes) {
+    auto client = std::make_unique<RawClient>(context_, server_->port());
+    client->startReading();
+    client->send(bytes);
+    CPPUNIT_ASSERT(waitForRequests(1));
+    return client;
+  }
+
+  void expectRejection(const std::string& bytes, const std::string& status) {
+    startServer();
+    RawClient client(context_, server_->port());
+    client.startReading();
+    client.send(bytes);
+    expectRejected(client, status);
+  }
+
+  /// The caller gets one answer with the status; one rejection is reported; no handler is called.
+  void expectRejected(RawClient& client, const std::string& status) {
+    CPPUNIT_ASSERT(client.waitFor("bad_request"));
+    CPPUNIT_ASSERT(client.received.starts_with("HTTP/1.1 " + status + " "));
+    CPPUNIT_ASSERT(client.received.find("X-Rejected: yes\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rejections_.size());
+    CPPUNIT_ASSERT_EQUAL(status, std::to_string(rejections_[0].status));
+    CPPUNIT_ASSERT(requests_.empty());
+  }
+
+  asio::io_context context_;
+  ServerSettings settings_;
+  std::vector<Rejection> rejections_;
+  std::vector<Request> requests_;
+  std::vector<std::shared_ptr<Responder>> responders_;
+  std::unique_ptr<Server> server_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerTest);
+
+}  // namespace
+}  // namespace cypresswall::http
--- a/tests/support/property.h
+++ b/tests/support/property.h
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/detail/TestParams.h>
 
+#include <cstdlib>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -14,6 +15,9 @@
 /// The fixed seed of every property, so that each run gives the same verdict.
 inline constexpr std::uint64_t kPropertySeed = 20261202;
 
+/// If set, a counterexample is reported as found, without the time that shrinking takes.
+inline constexpr const char* kNoShrinkVariable = "CYPRESSWALL_NO_SHRINK";
+
 /// Checks `property` for `runs` generated cases from the fixed seed and fails the CppUnit test,
 /// with the shrunk counterexample, when it does not hold.
 /// \param name printed with the counterexample
@@ -24,6 +28,7 @@
   rc::detail::TestParams params;
   params.seed = kPropertySeed;
   params.maxSuccess = runs;
+  params.disableShrinking = std::getenv(kNoShrinkVariable) != nullptr;
   rc::detail::TestMetadata metadata;
   metadata.id = name;
   metadata.description = name;
--- a/tests/support/virtual_world.cpp
+++ b/tests/support/virtual_world.cpp
@@ -79,7 +79,7 @@
                  }});
     return;
   }
-  auto arrive = [this, serial = serial_, address = node_.address, callback = std::move(callback),
+  auto arrive = [serial = serial_, address = node_.address, callback = std::move(callback),
                  work = std::move(work), &world = world_] {
     auto result = std::make_shared<platform::StoreResult<Value>>(work());
     world.post(world.now_ + world.networkDelay(),
