Reach emulated engines, platform and services from simulated processes

Cause: the deciding modules talk to engines, store, machine list and services through client interfaces; the simulator needs those clients with the faults that the proofs inject.

What was ruled out: calling the emulation straight from a process, which has no delay, no cut and no lost answer; and callbacks kept by events outside the process, which would outlive its modules.

Change: OutsideCall carries one request and one answer with the network's delay; in a cut the caller learns "not sent" or "unknown" as over a real connection; answers can be lost after the effect and requests can arrive after the caller gave up. SimulatedEngines, SimulatedPlatform and SimulatedServices hold the emulated parts by address; streams give tokens in order, break in a cut and are cancelled when their process dies. Callbacks are kept by the process and dropped with it.

--- /dev/null
+++ b/src/cypresswall/simulation/outside_call.cpp
@@ -0,0 +1,13 @@
+#include "cypresswall/simulation/outside_call.h"
+
+namespace cypresswall::simulation {
+
+bool OutsidePath::strikes(double share, FaultKind kind) const {
+  if (share <= 0 || simulation_.random().unit() >= share) {
+    return false;
+  }
+  simulation_.faults().add(kind);
+  return true;
+}
+
+}  // namespace cypresswall::simulation
--- /dev/null
+++ b/src/cypresswall/simulation/simulated_engines.h
@@ -0,0 +1,98 @@
+/// The emulated engines of a simulated run, reached by address, and the client through which the
+/// daemon processes talk to them.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cypresswall/emulation/engine.h"
+#include "cypresswall/engines/engine_client.h"
+#include "cypresswall/simulation/outside_call.h"
+
+namespace cypresswall::simulation {
+
+/// How calls to engines go wrong.
+struct EngineCallFaults {
+  CallFaults orders;
+  CallFaults reports;
+  /// Share of streams whose start takes effect though the connection breaks at once.
+  double stream_start_broken = 0;
+};
+
+/// All engines; lives outside the processes, on true time.
+class SimulatedEngines {
+ public:
+  explicit SimulatedEngines(Simulation& simulation, emulation::WeightSource* weights = nullptr);
+
+  emulation::EmulatedEngine& add(const common::Address& address, const common::ZoneName& zone,
+                                 emulation::EngineSettings settings);
+  /// \return null if no engine has the address.
+  emulation::EmulatedEngine* find(const common::Address& address) const;
+  NetworkPlace placeOf(const common::Address& address) const;
+  /// Crashes an engine and counts the fault.
+  void crash(const common::Address& address);
+  const std::map<common::Address, std::unique_ptr<emulation::EmulatedEngine>>& all() const {
+    return engines_;
+  }
+
+  EngineCallFaults faults;
+
+ private:
+  /// Lets engines fetch each other's KV cache.
+  class KvDirectory final : public emulation::KvPeer {
+   public:
+    explicit KvDirectory(SimulatedEngines& engines) : engines_(engines) {}
+    void fetchKv(const common::Address& source, const std::string& stream_id,
+                 std::function<void(std::optional<emulation::KvExport>)> callback) override;
+
+   private:
+    SimulatedEngines& engines_;
+  };
+
+  Simulation& simulation_;
+  common::SeededRandom random_;
+  emulation::WeightSource* weights_;
+  KvDirectory kv_peer_{*this};
+  std::map<common::Address, common::ZoneName> zones_;
+  std::map<common::Address, std::unique_ptr<emulation::EmulatedEngine>> engines_;
+};
+
+/// Limits of the client, as in the daemon's HTTP client.
+struct EngineClientSettings {
+  common::Duration order_time_limit = std::chrono::seconds(2);
+  common::Duration report_time_limit = std::chrono::seconds(1);
+  /// How long a stream whose connection is cut stays silent before it counts as broken.
+  common::Duration broken_after = std::chrono::seconds(3);
+};
+
+/// The client of one process.
+class SimulatedEngineClient final : public engines::EngineClient {
+ public:
+  SimulatedEngineClient(Simulation& simulation, SimulatedProcess& process,
+                        SimulatedEngines& engines, EngineClientSettings settings = {});
+
+  std::unique_ptr<engines::Stream> startStream(const engines::EngineEndpoint& engine,
+                                               engines::StreamRequest request,
+                                               engines::StreamHandler& handler) override;
+  void sendOrder(const engines::EngineEndpoint& engine, const engines::EngineOrder& order,
+                 engines::EngineCallback<engines::OrderReply> callback) override;
+  void fetchLoad(const engines::EngineEndpoint& engine,
+                 engines::EngineCallback<engines::EngineLoad> callback) override;
+  void fetchCacheEvents(const engines::EngineEndpoint& engine, std::uint64_t after,
+                        engines::EngineCallback<engines::CacheEvents> callback) override;
+
+ private:
+  template <typename Answer, typename Question>
+  void ask(const engines::EngineEndpoint& engine, const CallFaults& faults,
+           common::Duration time_limit, Question question,
+           engines::EngineCallback<Answer> callback);
+
+  Simulation& simulation_;
+  SimulatedProcess& process_;
+  SimulatedEngines& engines_;
+  EngineClientSettings settings_;
+};
+
+}  // namespace cypresswall::simulation
--- a/src/cypresswall/simulation/simulated_network.cpp
+++ b/src/cypresswall/simulation/simulated_network.cpp
@@ -71,17 +71,11 @@
   address_cuts_.clear();
 }
 
-bool SimulatedNetwork::zonesCut(const common::ZoneName& from, const common::ZoneName& to) const {
-  return !zone_cuts_.empty() && zone_cuts_.contains({from, to});
-}
-
-bool SimulatedNetwork::cut(const common::ZoneName& from_zone, const api::Envelope& envelope,
-                           const common::ZoneName& to_zone) const {
-  if (zonesCut(from_zone, to_zone)) {
+bool SimulatedNetwork::cutBetween(const NetworkPlace& from, const NetworkPlace& to) const {
+  if (!zone_cuts_.empty() && zone_cuts_.contains({from.zone, to.zone})) {
     return true;
   }
-  return !address_cuts_.empty() &&
-         address_cuts_.contains({envelope.sender.address, envelope.receiver.address});
+  return !address_cuts_.empty() && address_cuts_.contains({from.address, to.address});
 }
 
 common::Duration SimulatedNetwork::drawDelay(const LinkSettings& link) {
@@ -134,7 +128,8 @@
   if (receiver == nullptr) {
     return;
   }
-  if (cut(from_zone, envelope, receiver->zone())) {
+  if (cutBetween({envelope.sender.address, from_zone},
+                 {envelope.receiver.address, receiver->zone()})) {
     faults_.add(FaultKind::kMessageCut);
     return;
   }
--- a/src/cypresswall/simulation/simulated_network.h
+++ b/src/cypresswall/simulation/simulated_network.h
@@ -39,6 +39,12 @@
   bool encode_messages = true;
 };
 
+/// Where something that sends or receives is found.
+struct NetworkPlace {
+  common::Address address;
+  common::ZoneName zone;
+};
+
 class SimulatedNetwork {
  public:
   SimulatedNetwork(NetworkSettings settings, std::uint64_t seed, VirtualTime& time,
@@ -65,7 +71,8 @@
   void healZones(const common::ZoneName& first, const common::ZoneName& second);
   /// Ends all cuts.
   void healAll();
-  bool zonesCut(const common::ZoneName& from, const common::ZoneName& to) const;
+  /// \return true if nothing gets from one place to another now.
+  bool cutBetween(const NetworkPlace& from, const NetworkPlace& to) const;
 
   /// Draws the delay of one message, also for clients of engines and platform.
   common::Duration drawDelay(const common::ZoneName& from, const common::ZoneName& to);
@@ -79,8 +86,6 @@
 
   const LinkSettings& link(const common::ZoneName& from, const common::ZoneName& to) const;
   common::Duration drawDelay(const LinkSettings& link);
-  bool cut(const common::ZoneName& from_zone, const api::Envelope& envelope,
-           const common::ZoneName& to_zone) const;
   void scheduleDelivery(const LinkSettings& link, const common::ZoneName& from_zone,
                         api::Envelope envelope);
   void deliver(const common::ZoneName& from_zone, api::Envelope envelope);
--- /dev/null
+++ b/src/cypresswall/simulation/simulated_platform.cpp
@@ -0,0 +1,163 @@
+#include "cypresswall/simulation/simulated_platform.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cypresswall::simulation {
+namespace {
+
+constexpr common::Duration kStoreTimeLimit = std::chrono::seconds(3);
+constexpr common::Duration kWatchTimeLimit =
+    emulation::EmulatedObjectStore::kWatchTime + std::chrono::seconds(2);
+constexpr common::Duration kMachineListTimeLimit = std::chrono::seconds(2);
+
+}  // namespace
+
+SimulatedPlatform::SimulatedPlatform(Simulation& simulation, PlatformSettings settings)
+    : simulation_(simulation),
+      store_(simulation.time(), simulation.time()),
+      machines_(settings.machine_list_lag, simulation.time(), simulation.time()) {}
+
+void SimulatedPlatform::setDown(bool down) {
+  auto faults = store_.faults();
+  if (down && !faults.down) {
+    simulation_.faults().add(FaultKind::kStoreOutage);
+  }
+  faults.down = down;
+  store_.setFaults(faults);
+  machines_.setDown(down);
+}
+
+void SimulatedPlatform::setSlow(common::Duration delay) {
+  auto faults = store_.faults();
+  if (delay > faults.delay) {
+    simulation_.faults().add(FaultKind::kStoreSlow);
+  }
+  faults.delay = delay;
+  store_.setFaults(faults);
+}
+
+void SimulatedPlatform::loseAnswers(std::uint32_t count) {
+  auto faults = store_.faults();
+  faults.lose_next_answers += count;
+  store_.setFaults(faults);
+}
+
+void SimulatedPlatform::leaveWatchGap() {
+  auto faults = store_.faults();
+  faults.watch_gap = true;
+  store_.setFaults(faults);
+  simulation_.faults().add(FaultKind::kStoreWatchGap);
+}
+
+void SimulatedPlatform::restore(std::uint64_t revisions) {
+  const std::uint64_t now = store_.revision();
+  store_.restoreToRevision(now - std::min(now, revisions));
+  simulation_.faults().add(FaultKind::kStoreRestored);
+}
+
+void SimulatedPlatform::setMachineState(const common::MachineName& machine,
+                                        platform::MachineState state) {
+  for (platform::Machine known : machines_.visible("")) {
+    if (known.name == machine) {
+      known.state = state;
+      machines_.set(std::move(known));
+    }
+  }
+  if (state != platform::MachineState::kLive) {
+    simulation_.faults().add(FaultKind::kMachineLeaving);
+  }
+}
+
+SimulatedObjectStore::SimulatedObjectStore(Simulation& simulation, SimulatedProcess& process,
+                                           SimulatedPlatform& platform)
+    : simulation_(simulation),
+      path_(simulation, process, SimulatedPlatform::place()),
+      platform_(platform) {}
+
+template <typename Value, typename Request>
+void SimulatedObjectStore::ask(common::Duration time_limit, platform::StoreFailure unknown,
+                               Request request, platform::StoreCallback<Value> callback) {
+  using Answer = platform::StoreResult<Value>;
+  auto effect = [&platform = platform_,
+                 request = std::move(request)](typename OutsideCall<Answer>::Reply reply) {
+    request(platform.store(), [reply = std::move(reply)](Answer answer) { reply(answer); });
+  };
+  auto done = [callback = std::move(callback), unknown](CallResult result,
+                                                        std::optional<Answer> answer) {
+    if (result == CallResult::kAnswered) {
+      callback(std::move(*answer));
+      return;
+    }
+    const bool sent = result == CallResult::kUnknown;
+    callback(common::Failure<platform::StoreFailure>{
+        sent ? unknown : platform::StoreFailure::kUnavailable, "no answer from the store"});
+  };
+  OutsideCall<Answer>::start(path_, CallFaults{}, time_limit, std::move(effect), std::move(done));
+}
+
+void SimulatedObjectStore::get(const std::string& key,
+                               platform::StoreCallback<platform::StoredObject> callback) {
+  ask<platform::StoredObject>(
+      kStoreTimeLimit, platform::StoreFailure::kUnavailable,
+      [key](auto& store, auto reply) { store.get(key, std::move(reply)); }, std::move(callback));
+}
+
+void SimulatedObjectStore::compareAndSet(platform::ObjectWrite write,
+                                         platform::StoreCallback<platform::StoredObject> callback) {
+  // The emulated store says itself that an answer was lost, so the count is taken there.
+  auto counted = [this, callback = std::move(callback)](auto result) {
+    if (!result.ok() && result.failure().kind == platform::StoreFailure::kUnknownOutcome) {
+      simulation_.faults().add(FaultKind::kStoreAnswerLost);
+    }
+    callback(std::move(result));
+  };
+  ask<platform::StoredObject>(
+      kStoreTimeLimit, platform::StoreFailure::kUnknownOutcome,
+      [write = std::move(write)](auto& store, auto reply) {
+        store.compareAndSet(write, std::move(reply));
+      },
+      std::move(counted));
+}
+
+void SimulatedObjectStore::list(const std::string& prefix,
+                                platform::StoreCallback<platform::ObjectListing> callback) {
+  ask<platform::ObjectListing>(
+      kStoreTimeLimit, platform::StoreFailure::kUnavailable,
+      [prefix](auto& store, auto reply) { store.list(prefix, std::move(reply)); },
+      std::move(callback));
+}
+
+void SimulatedObjectStore::watch(const std::string& prefix, std::uint64_t revision,
+                                 platform::StoreCallback<platform::ObjectListing> callback) {
+  ask<platform::ObjectListing>(
+      kWatchTimeLimit, platform::StoreFailure::kUnavailable,
+      [prefix, revision](auto& store, auto reply) {
+        store.watch(prefix, revision, std::move(reply));
+      },
+      std::move(callback));
+}
+
+SimulatedMachineList::SimulatedMachineList(Simulation& simulation, SimulatedProcess& process,
+                                           SimulatedPlatform& platform)
+    : path_(simulation, process, SimulatedPlatform::place()), platform_(platform) {}
+
+void SimulatedMachineList::fetch(const common::ZoneName& zone,
+                                 platform::MachineListCallback callback) {
+  using Answer = common::Result<std::vector<platform::Machine>, platform::MachineListFailure>;
+  auto effect = [&platform = platform_, zone](OutsideCall<Answer>::Reply reply) {
+    platform.machines().fetch(zone, [reply = std::move(reply)](Answer answer) { reply(answer); });
+  };
+  auto done = [callback = std::move(callback)](CallResult result, std::optional<Answer> answer) {
+    if (result == CallResult::kAnswered) {
+      callback(std::move(*answer));
+      return;
+    }
+    callback(common::Failure<platform::MachineListFailure>{
+        platform::MachineListFailure::kUnavailable, "no answer from the machine list"});
+  };
+  OutsideCall<Answer>::start(path_, CallFaults{}, kMachineListTimeLimit, std::move(effect),
+                             std::move(done));
+}
+
+}  // namespace cypresswall::simulation
--- /dev/null
+++ b/src/cypresswall/simulation/simulated_platform.h
@@ -0,0 +1,85 @@
+/// The platform of a simulated run, store and machine list, and the clients through which the
+/// daemon processes reach it. It stands in a zone of its own, so that any zone can be cut off.
+#pragma once
+
+#include <string>
+
+#include "cypresswall/emulation/machine_list.h"
+#include "cypresswall/emulation/object_store.h"
+#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/platform/object_store.h"
+#include "cypresswall/simulation/outside_call.h"
+
+namespace cypresswall::simulation {
+
+struct PlatformSettings {
+  /// How long the machine list hides a change.
+  common::Duration machine_list_lag = std::chrono::milliseconds(500);
+};
+
+class SimulatedPlatform {
+ public:
+  /// Name of the platform's zone for cuts.
+  static constexpr const char* kZone = "platform";
+
+  explicit SimulatedPlatform(Simulation& simulation, PlatformSettings settings = {});
+
+  emulation::EmulatedObjectStore& store() { return store_; }
+  emulation::EmulatedMachineList& machines() { return machines_; }
+  static NetworkPlace place() { return {"platform:1", kZone}; }
+
+  /// Switches an outage of store and machine list on or off; counts the fault when it begins.
+  void setDown(bool down);
+  /// Makes every call of the store take this long; counts the fault unless it is zero.
+  void setSlow(common::Duration delay);
+  /// Loses the answers of the next writes.
+  void loseAnswers(std::uint32_t count);
+  /// Leaves changes out of the next answer of a watch.
+  void leaveWatchGap();
+  /// Sets the store back by `revisions`.
+  void restore(std::uint64_t revisions);
+  /// Marks a machine as leaving (or gone) and counts the fault.
+  void setMachineState(const common::MachineName& machine, platform::MachineState state);
+
+ private:
+  Simulation& simulation_;
+  emulation::EmulatedObjectStore store_;
+  emulation::EmulatedMachineList machines_;
+};
+
+class SimulatedObjectStore final : public platform::ObjectStore {
+ public:
+  SimulatedObjectStore(Simulation& simulation, SimulatedProcess& process,
+                       SimulatedPlatform& platform);
+
+  void get(const std::string& key,
+           platform::StoreCallback<platform::StoredObject> callback) override;
+  void compareAndSet(platform::ObjectWrite write,
+                     platform::StoreCallback<platform::StoredObject> callback) override;
+  void list(const std::string& prefix,
+            platform::StoreCallback<platform::ObjectListing> callback) override;
+  void watch(const std::string& prefix, std::uint64_t revision,
+             platform::StoreCallback<platform::ObjectListing> callback) override;
+
+ private:
+  template <typename Value, typename Request>
+  void ask(common::Duration time_limit, platform::StoreFailure unknown, Request request,
+           platform::StoreCallback<Value> callback);
+
+  Simulation& simulation_;
+  OutsidePath path_;
+  SimulatedPlatform& platform_;
+};
+
+class SimulatedMachineList final : public platform::MachineList {
+ public:
+  SimulatedMachineList(Simulation& simulation, SimulatedProcess& process,
+                       SimulatedPlatform& platform);
+  void fetch(const common::ZoneName& zone, platform::MachineListCallback callback) override;
+
+ private:
+  OutsidePath path_;
+  SimulatedPlatform& platform_;
+};
+
+}  // namespace cypresswall::simulation
--- a/src/cypresswall/simulation/simulated_process.cpp
+++ b/src/cypresswall/simulation/simulated_process.cpp
@@ -59,18 +59,15 @@
 
 void SimulatedProcess::cancel(common::TimerId timer) { callbacks_.remove(timer); }
 
-void SimulatedProcess::deliverAfter(common::Duration delay, std::function<void()> callback) {
-  deliverCancellableAfter(delay, std::move(callback));
+CallbackTable::Handle SimulatedProcess::keep(std::function<void()> callback) {
+  return alive_ ? callbacks_.add(std::move(callback)) : 0;
 }
 
-CallbackTable::Handle SimulatedProcess::deliverCancellableAfter(common::Duration delay,
-                                                                std::function<void()> callback) {
-  if (!alive_) {
-    return 0;
+void SimulatedProcess::deliverAfter(common::Duration delay, std::function<void()> callback) {
+  const auto handle = keep(std::move(callback));
+  if (handle != 0) {
+    time_.schedule(delay, [this, handle] { trigger(handle); });
   }
-  const auto handle = callbacks_.add(std::move(callback));
-  time_.schedule(delay, [this, handle] { fire(handle, EventSource::kOutside); });
-  return handle;
 }
 
 void SimulatedProcess::deliver(std::function<void()> callback) {
--- a/src/cypresswall/simulation/simulated_process.h
+++ b/src/cypresswall/simulation/simulated_process.h
@@ -61,10 +61,14 @@
   /// Runs `callback` in this process `delay` of true time from now: late if it is paused then,
   /// never if it is dead. Answers from outside (store, engines, services) come in this way.
   void deliverAfter(common::Duration delay, std::function<void()> callback);
-  /// As deliverAfter(), but returns a handle for cancelDelivery().
-  CallbackTable::Handle deliverCancellableAfter(common::Duration delay,
-                                                std::function<void()> callback);
-  void cancelDelivery(CallbackTable::Handle handle) { callbacks_.remove(handle); }
+  /// Keeps `callback` until trigger() runs it or forget() drops it; dropped when the process dies.
+  /// \return zero if the process is dead.
+  CallbackTable::Handle keep(std::function<void()> callback);
+  /// Runs a kept callback in this process, on wake if it is paused. Unknown handles are ignored.
+  void trigger(CallbackTable::Handle handle) { fire(handle, EventSource::kOutside); }
+  void forget(CallbackTable::Handle handle) { callbacks_.remove(handle); }
+  /// \return true if a kept callback has not yet run.
+  bool pending(CallbackTable::Handle handle) const { return callbacks_.contains(handle); }
   /// Runs `callback` in this process now, on wake if it is paused, never if it is dead.
   void deliver(std::function<void()> callback);
   /// Hands a received message to the process's dispatcher.
--- /dev/null
+++ b/src/cypresswall/simulation/simulated_services.h
@@ -0,0 +1,56 @@
+/// The plain HTTP back ends of a simulated run, reached by address, and the client through which
+/// the daemon processes call them.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cypresswall/emulation/service.h"
+#include "cypresswall/services/service_client.h"
+#include "cypresswall/simulation/outside_call.h"
+
+namespace cypresswall::simulation {
+
+/// All back ends; lives outside the processes, on true time.
+class SimulatedServices {
+ public:
+  explicit SimulatedServices(Simulation& simulation) : simulation_(simulation) {}
+
+  emulation::EmulatedService& add(const common::Address& address, const common::ZoneName& zone,
+                                  const std::string& name, common::Duration answer_time);
+  /// \return null if no back end has the address.
+  emulation::EmulatedService* find(const common::Address& address) const;
+  NetworkPlace placeOf(const common::Address& address) const;
+  /// \return how often calls with `key` were run, over all back ends.
+  std::uint32_t executionsOfKey(const std::string& key) const;
+  /// \return how often calls of `request_id` were run, over all back ends.
+  std::uint32_t executionsOfRequest(const std::string& request_id) const;
+  const std::map<common::Address, std::unique_ptr<emulation::EmulatedService>>& all() const {
+    return services_;
+  }
+
+  CallFaults faults;
+
+ private:
+  Simulation& simulation_;
+  std::map<common::Address, common::ZoneName> zones_;
+  std::map<common::Address, std::unique_ptr<emulation::EmulatedService>> services_;
+};
+
+/// The client of one process.
+class SimulatedServiceClient final : public services::ServiceClient {
+ public:
+  SimulatedServiceClient(Simulation& simulation, SimulatedProcess& process,
+                         SimulatedServices& services);
+  std::unique_ptr<services::ServiceCall> call(
+      const common::Address& address, services::ServiceRequest request,
+      std::function<void(services::ServiceResponse)> callback) override;
+
+ private:
+  Simulation& simulation_;
+  SimulatedProcess& process_;
+  SimulatedServices& services_;
+};
+
+}  // namespace cypresswall::simulation
--- /dev/null
+++ b/src/cypresswall/simulation/simulated_stream.cpp
@@ -0,0 +1,252 @@
+#include "cypresswall/simulation/simulated_stream.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cypresswall/simulation/simulated_engines.h"
+
+namespace cypresswall::simulation {
+
+/// Both directions of one connection. It stays alive until neither end needs it.
+class SimulatedStream::Connection final : public emulation::StreamObserver,
+                                          public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(const OutsidePath& path, SimulatedEngines& engines, common::Address address,
+             engines::StreamRequest request, engines::StreamHandler& handler,
+             common::Duration broken_after)
+      : path_(path),
+        engines_(engines),
+        address_(std::move(address)),
+        stream_id_(request.stream_id),
+        attempt_(request.attempt),
+        request_(std::move(request)),
+        handler_(&handler),
+        broken_after_(broken_after) {}
+
+  void connect() {
+    later(path_.requestDelay(), [](Connection& self) { self.requestArrives(); });
+  }
+
+  void pauseReading() { reading_ = false; }
+  void resumeReading() {
+    reading_ = true;
+    scheduleRead(common::Duration{0});
+  }
+
+  /// The process closed its end, or died.
+  void close() {
+    handler_ = nullptr;
+    incoming_.clear();
+    closed_ = true;
+    if (!engine_side_ended_) {
+      later(path_.requestDelay(), [](Connection& self) { self.closeArrives(); });
+    }
+  }
+
+  void onToken(std::uint32_t index, const std::string& text) override {
+    receiveLater(Event{Event::Kind::kToken, index, text, {}, {}, {}});
+  }
+  void onFinished(const engines::StreamUsage& usage) override {
+    endEngineSide();
+    receiveLater(Event{Event::Kind::kFinished, 0, {}, usage, {}, {}});
+  }
+  void onBroken() override {
+    endEngineSide();
+    fail(engines::StreamFailure::kBroken);
+  }
+
+ private:
+  /// What travels from the engine to the process.
+  struct Event {
+    enum class Kind : std::uint8_t { kToken, kFinished, kFailed };
+    Kind kind = Kind::kToken;
+    std::uint32_t index = 0;
+    std::string text;
+    engines::StreamUsage usage;
+    engines::StreamFailure failure{};
+    common::MonotonicTime arrives_at;
+  };
+
+  template <typename Callback>
+  void later(common::Duration delay, Callback callback) {
+    path_.simulation().time().schedule(delay,
+                                       [self = shared_from_this(), callback] { callback(*self); });
+  }
+
+  void requestArrives() {
+    if (path_.requestCut()) {
+      fail(engines::StreamFailure::kNotSent);
+      return;
+    }
+    emulation::EmulatedEngine* engine = engines_.find(address_);
+    if (engine == nullptr) {
+      fail(engines::StreamFailure::kNotSent);
+      return;
+    }
+    // The engine keeps a plain reference to its observer.
+    held_by_engine_ = shared_from_this();
+    engine_side_ended_ = false;
+    const auto start = engine->startStream(std::move(request_), *this);
+    if (start.result != emulation::StartResult::kStarted) {
+      endEngineSide();
+      fail(start.result == emulation::StartResult::kRefused ? engines::StreamFailure::kRefused
+                                                            : engines::StreamFailure::kNotSent);
+      return;
+    }
+    if (closed_) {
+      // The end of the connection follows the request that is still on its way.
+      later(path_.requestDelay(), [](Connection& self) { self.closeArrives(); });
+    } else if (path_.strikes(engines_.faults.stream_start_broken, FaultKind::kStreamBroken)) {
+      breakConnection();
+    }
+  }
+
+  void closeArrives() {
+    if (engine_side_ended_) {
+      return;
+    }
+    // In a cut the engine notices the loss of its client only when its writes fail.
+    if (path_.requestCut()) {
+      later(broken_after_, [](Connection& self) { self.cancelOnEngine(); });
+      return;
+    }
+    cancelOnEngine();
+  }
+
+  void cancelOnEngine() {
+    if (engine_side_ended_) {
+      return;
+    }
+    emulation::EmulatedEngine* engine = engines_.find(address_);
+    if (engine != nullptr) {
+      engine->cancelStream(stream_id_, attempt_);
+    }
+    endEngineSide();
+  }
+
+  void endEngineSide() {
+    engine_side_ended_ = true;
+    // The engine may be in the middle of a call to this object.
+    later(common::Duration{0}, [](Connection& self) { self.held_by_engine_.reset(); });
+  }
+
+  void fail(engines::StreamFailure failure) {
+    receiveLater(Event{Event::Kind::kFailed, 0, {}, {}, failure, {}});
+  }
+
+  /// The connection is gone; both ends notice after a while.
+  void breakConnection() {
+    if (std::exchange(broken_, true)) {
+      return;
+    }
+    incoming_.clear();
+    later(broken_after_, [](Connection& self) {
+      self.cancelOnEngine();
+      self.enqueue(Event{Event::Kind::kFailed, 0, {}, {}, engines::StreamFailure::kBroken, {}});
+    });
+  }
+
+  void receiveLater(Event event) {
+    if (handler_ == nullptr || broken_) {
+      return;
+    }
+    if (path_.answerCut()) {
+      breakConnection();
+      return;
+    }
+    enqueue(std::move(event));
+  }
+
+  void enqueue(Event event) {
+    if (handler_ == nullptr) {
+      return;
+    }
+    const auto now = path_.simulation().time().now();
+    event.arrives_at = now + path_.answerDelay();
+    if (!incoming_.empty()) {
+      event.arrives_at = std::max(event.arrives_at, incoming_.back().arrives_at);
+    }
+    const auto delay = event.arrives_at - now;
+    incoming_.push_back(std::move(event));
+    scheduleRead(delay);
+  }
+
+  void scheduleRead(common::Duration delay) {
+    if (read_scheduled_ || incoming_.empty() || !reading_) {
+      return;
+    }
+    read_scheduled_ = true;
+    path_.process().deliverAfter(delay, [self = shared_from_this()] { self->read(); });
+  }
+
+  void read() {
+    read_scheduled_ = false;
+    const auto now = path_.simulation().time().now();
+    while (handler_ != nullptr && reading_ && !incoming_.empty() &&
+           incoming_.front().arrives_at <= now) {
+      const Event event = std::move(incoming_.front());
+      incoming_.pop_front();
+      hand(event);
+    }
+    if (!incoming_.empty()) {
+      scheduleRead(std::max(incoming_.front().arrives_at - now, common::Duration{0}));
+    }
+  }
+
+  void hand(const Event& event) {
+    engines::StreamHandler& handler = *handler_;
+    switch (event.kind) {
+      case Event::Kind::kToken:
+        handler.onToken(attempt_, event.index, event.text);
+        break;
+      case Event::Kind::kFinished:
+        handler_ = nullptr;
+        handler.onFinished(attempt_, event.usage);
+        break;
+      case Event::Kind::kFailed:
+        handler_ = nullptr;
+        handler.onFailed(event.failure, "simulated");
+        break;
+    }
+  }
+
+  OutsidePath path_;
+  SimulatedEngines& engines_;
+  common::Address address_;
+  std::string stream_id_;
+  std::uint32_t attempt_;
+  engines::StreamRequest request_;
+  /// Null once the process closed its end or got its last call.
+  engines::StreamHandler* handler_;
+  common::Duration broken_after_;
+  std::deque<Event> incoming_;
+  std::shared_ptr<Connection> held_by_engine_;
+  bool engine_side_ended_ = true;
+  bool closed_ = false;
+  bool broken_ = false;
+  bool reading_ = true;
+  bool read_scheduled_ = false;
+};
+
+SimulatedStream::SimulatedStream(std::shared_ptr<Connection> connection)
+    : connection_(std::move(connection)) {
+  connection_->connect();
+}
+
+SimulatedStream::~SimulatedStream() { connection_->close(); }
+
+std::unique_ptr<SimulatedStream> SimulatedStream::start(const OutsidePath& path,
+                                                        SimulatedEngines& engines,
+                                                        const common::Address& address,
+                                                        engines::StreamRequest request,
+                                                        engines::StreamHandler& handler,
+                                                        common::Duration broken_after) {
+  return std::unique_ptr<SimulatedStream>(new SimulatedStream(std::make_shared<Connection>(
+      path, engines, address, std::move(request), handler, broken_after)));
+}
+
+void SimulatedStream::pause() { connection_->pauseReading(); }
+
+void SimulatedStream::resume() { connection_->resumeReading(); }
+
+}  // namespace cypresswall::simulation
--- /dev/null
+++ b/src/cypresswall/simulation/simulated_stream.h
@@ -0,0 +1,39 @@
+/// A stream between a simulated process and an emulated engine: tokens in order, in groups as the
+/// engine's steps give them, broken by cuts.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cypresswall/emulation/engine.h"
+#include "cypresswall/engines/engine_client.h"
+#include "cypresswall/simulation/outside_call.h"
+
+namespace cypresswall::simulation {
+
+class SimulatedEngines;
+
+/// The process's end; destroying it closes the connection.
+class SimulatedStream final : public engines::Stream {
+ public:
+  static std::unique_ptr<SimulatedStream> start(const OutsidePath& path, SimulatedEngines& engines,
+                                                const common::Address& address,
+                                                engines::StreamRequest request,
+                                                engines::StreamHandler& handler,
+                                                common::Duration broken_after);
+  ~SimulatedStream() override;
+  SimulatedStream(const SimulatedStream&) = delete;
+  SimulatedStream& operator=(const SimulatedStream&) = delete;
+  void pause() override;
+  void resume() override;
+
+ private:
+  class Connection;
+  explicit SimulatedStream(std::shared_ptr<Connection> connection);
+
+  std::shared_ptr<Connection> connection_;
+};
+
+}  // namespace cypresswall::simulation
--- /dev/null
+++ b/tests/simulation/simulated_clients_test.cpp
@@ -0,0 +1,244 @@
+/// The simulated clients of engines, platform and services: what arrives, and what a caller learns
+/// when connections are cut, answers are lost or processes die.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+
+#include "cypresswall/emulation/answer.h"
+#include "cypresswall/simulation/simulated_engines.h"
+#include "cypresswall/simulation/simulated_platform.h"
+#include "cypresswall/simulation/simulated_services.h"
+
+namespace cypresswall::simulation {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kEngineAddress = "10.1.0.1:9000";
+constexpr const char* kServiceAddress = "10.1.0.2:9100";
+const std::string kVersion = "2026-12";
+
+/// Keeps what a stream gave.
+class RecordingHandler final : public engines::StreamHandler {
+ public:
+  void onToken(std::uint32_t, std::uint32_t index, const std::string& token) override {
+    CPPUNIT_ASSERT_EQUAL(next_index++, index);
+    text += token;
+  }
+  void onFinished(std::uint32_t, const engines::StreamUsage&) override { finished = true; }
+  void onFailed(engines::StreamFailure reason, const std::string&) override { failure = reason; }
+
+  std::string text;
+  std::uint32_t next_index = 0;
+  bool finished = false;
+  std::optional<engines::StreamFailure> failure;
+};
+
+/// Holds what must end with a process.
+struct StreamHolder {
+  std::unique_ptr<engines::Stream> stream;
+};
+
+struct World {
+  explicit World(std::uint64_t seed = 1) : simulation(seed) {
+    emulation::EngineSettings settings;
+    settings.name = "engine-1";
+    settings.model = "model";
+    settings.version = kVersion;
+    engine = &engines.add(kEngineAddress, "a", settings);
+    service = &services.add(kServiceAddress, "a", "portal", milliseconds(5));
+  }
+
+  static engines::StreamRequest request() {
+    engines::StreamRequest request;
+    request.stream_id = "request-1";
+    request.model = "model";
+    request.version = kVersion;
+    request.shape.tokens = 100;
+    request.shape.content_hash = 42;
+    request.maximum_tokens = 50;
+    return request;
+  }
+
+  Simulation simulation;
+  SimulatedEngines engines{simulation};
+  SimulatedServices services{simulation};
+  SimulatedPlatform platform{simulation};
+  emulation::EmulatedEngine* engine = nullptr;
+  emulation::EmulatedService* service = nullptr;
+  SimulatedProcess& process = simulation.start("10.0.0.1:7000", "a");
+};
+
+class SimulatedClientsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SimulatedClientsTest);
+  CPPUNIT_TEST(streamGivesTheWholeAnswer);
+  CPPUNIT_TEST(cutBreaksStreamAndCancelsIt);
+  CPPUNIT_TEST(deathOfTheProcessCancelsItsStreams);
+  CPPUNIT_TEST(lostOrderAnswerTookEffect);
+  CPPUNIT_TEST(lateOrderArrivesAfterTheCallerGaveUp);
+  CPPUNIT_TEST(lostStoreAnswerIsUnknown);
+  CPPUNIT_TEST(storeOutOfReachIsUnavailable);
+  CPPUNIT_TEST(machineListShowsLeavingAfterItsLag);
+  CPPUNIT_TEST(serviceBrokenAfterRunIsBroken);
+  CPPUNIT_TEST(abandonedServiceCallIsNotAnswered);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void streamGivesTheWholeAnswer() {
+    World world;
+    SimulatedEngineClient client(world.simulation, world.process, world.engines);
+    RecordingHandler handler;
+    const auto stream = client.startStream({"engine-1", kEngineAddress}, World::request(), handler);
+    world.simulation.time().runFor(seconds(10));
+    CPPUNIT_ASSERT(handler.finished);
+    const auto seed = emulation::answerSeed("model", kVersion, "", 42);
+    CPPUNIT_ASSERT_EQUAL(emulation::expectedAnswer(seed, 50), handler.text);
+  }
+
+  void cutBreaksStreamAndCancelsIt() {
+    World world;
+    SimulatedEngineClient client(world.simulation, world.process, world.engines);
+    RecordingHandler handler;
+    const auto stream = client.startStream({"engine-1", kEngineAddress}, World::request(), handler);
+    world.simulation.time().runFor(milliseconds(200));
+    world.simulation.network().cutAddresses(kEngineAddress, world.process.id().address);
+    world.simulation.time().runFor(seconds(10));
+    CPPUNIT_ASSERT(handler.failure == engines::StreamFailure::kBroken);
+    CPPUNIT_ASSERT(!handler.text.empty());
+    CPPUNIT_ASSERT(world.engine->ledger().streams.at(0).end != emulation::StreamEnd::kRunning);
+  }
+
+  void deathOfTheProcessCancelsItsStreams() {
+    World world;
+    RecordingHandler handler;
+    auto& client = world.process.emplace<SimulatedEngineClient>(world.simulation, world.process,
+                                                                world.engines);
+    auto& holder = world.process.emplace<StreamHolder>();
+    holder.stream = client.startStream({"engine-1", kEngineAddress}, World::request(), handler);
+    world.simulation.time().runFor(milliseconds(200));
+    world.simulation.kill(world.process);
+    world.simulation.time().runFor(milliseconds(50));
+    CPPUNIT_ASSERT(!handler.finished && !handler.failure);
+    CPPUNIT_ASSERT(world.engine->ledger().streams.at(0).end == emulation::StreamEnd::kCancelled);
+  }
+
+  static engines::EngineOrder fenceOrder(const emulation::EmulatedEngine& engine) {
+    engines::EngineOrder order;
+    order.epoch = {1, 1};
+    order.sequence = 1;
+    order.engine_incarnation = engine.incarnation();
+    return order;
+  }
+
+  void lostOrderAnswerTookEffect() {
+    World world;
+    world.engines.faults.orders.answer_lost = 1;
+    SimulatedEngineClient client(world.simulation, world.process, world.engines);
+    std::optional<engines::EngineFailure> failure;
+    client.sendOrder({"engine-1", kEngineAddress}, fenceOrder(*world.engine),
+                     [&](const auto& result) { failure = result.failure().kind; });
+    world.simulation.time().runFor(seconds(3));
+    CPPUNIT_ASSERT(failure == engines::EngineFailure::kUnknownOutcome);
+    CPPUNIT_ASSERT(world.engine->ledger().orders.at(0).verdict == engines::OrderVerdict::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         world.simulation.faults().count(FaultKind::kEngineAnswerLost));
+  }
+
+  void lateOrderArrivesAfterTheCallerGaveUp() {
+    World world(3);
+    world.engines.faults.orders.late = 1;
+    world.engines.faults.orders.late_by = seconds(100);
+    SimulatedEngineClient client(world.simulation, world.process, world.engines);
+    int answers = 0;
+    client.sendOrder({"engine-1", kEngineAddress}, fenceOrder(*world.engine),
+                     [&](const auto& result) {
+                       ++answers;
+                       CPPUNIT_ASSERT(!result.ok());
+                     });
+    world.simulation.time().runFor(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(1, answers);
+    CPPUNIT_ASSERT(world.engine->ledger().orders.empty());
+    world.simulation.time().runFor(seconds(100));
+    CPPUNIT_ASSERT_EQUAL(1, answers);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.engine->ledger().orders.size());
+  }
+
+  void lostStoreAnswerIsUnknown() {
+    World world;
+    SimulatedObjectStore store(world.simulation, world.process, world.platform);
+    world.platform.loseAnswers(1);
+    std::optional<platform::StoreFailure> failure;
+    store.compareAndSet({"key", 0, "value", "change-1"},
+                        [&](const auto& result) { failure = result.failure().kind; });
+    world.simulation.time().runFor(seconds(5));
+    CPPUNIT_ASSERT(failure == platform::StoreFailure::kUnknownOutcome);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.platform.store().peek("key").version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         world.simulation.faults().count(FaultKind::kStoreAnswerLost));
+  }
+
+  void storeOutOfReachIsUnavailable() {
+    World world;
+    SimulatedObjectStore store(world.simulation, world.process, world.platform);
+    world.simulation.network().cutZones("a", SimulatedPlatform::kZone);
+    std::optional<platform::StoreFailure> failure;
+    store.get("key", [&](const auto& result) { failure = result.failure().kind; });
+    world.simulation.time().runFor(seconds(5));
+    CPPUNIT_ASSERT(failure == platform::StoreFailure::kUnavailable);
+  }
+
+  void machineListShowsLeavingAfterItsLag() {
+    World world;
+    world.platform.machines().setAtOnce({"machine-1", "a", platform::MachineState::kLive, {}});
+    SimulatedMachineList list(world.simulation, world.process, world.platform);
+    platform::MachineState seen = platform::MachineState::kLive;
+    const auto read = [&] {
+      list.fetch("a", [&](const auto& result) { seen = result.value().at(0).state; });
+      world.simulation.time().runFor(milliseconds(100));
+    };
+    world.platform.setMachineState("machine-1", platform::MachineState::kLeaving);
+    read();
+    CPPUNIT_ASSERT(seen == platform::MachineState::kLive);
+    world.simulation.time().runFor(seconds(1));
+    read();
+    CPPUNIT_ASSERT(seen == platform::MachineState::kLeaving);
+  }
+
+  static services::ServiceRequest booking() {
+    services::ServiceRequest request;
+    request.request_id = "booking-1";
+    request.method = "POST";
+    request.target = "/slots";
+    request.time_limit = seconds(2);
+    return request;
+  }
+
+  void serviceBrokenAfterRunIsBroken() {
+    World world;
+    world.service->setFaults({.break_after_run = 1});
+    SimulatedServiceClient client(world.simulation, world.process, world.services);
+    std::optional<services::ServiceOutcome> outcome;
+    const auto call = client.call(kServiceAddress, booking(),
+                                  [&](const auto& response) { outcome = response.outcome; });
+    world.simulation.time().runFor(seconds(3));
+    CPPUNIT_ASSERT(outcome == services::ServiceOutcome::kBroken);
+    CPPUNIT_ASSERT_EQUAL(1U, world.services.executionsOfRequest("booking-1"));
+  }
+
+  void abandonedServiceCallIsNotAnswered() {
+    World world;
+    SimulatedServiceClient client(world.simulation, world.process, world.services);
+    bool answered = false;
+    auto call = client.call(kServiceAddress, booking(), [&](const auto&) { answered = true; });
+    call.reset();
+    world.simulation.time().runFor(seconds(3));
+    CPPUNIT_ASSERT(!answered);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SimulatedClientsTest);
+
+}  // namespace
+}  // namespace cypresswall::simulation
