Add the stand-ins of engines, platform and services

Cause: the whole path needs outside systems as separate processes, with faults that tests switch. What was ruled out: a process for each engine; one process hosts any number of engines, each at its own address, so that a whole fleet needs few processes. Fronts that are tied to sockets; they take a request and a responder, so their tests run in virtual time. Change: cypresswall-engine-standin, cypresswall-platform-standin and cypresswall-service-standin over the emulation library; docs/protocols.md names what they add.

--- /dev/null
+++ b/standins/fronts/json_http.cpp
@@ -0,0 +1,56 @@
+#include "standins/fronts/json_http.h"
+
+#include <charconv>
+#include <utility>
+
+namespace cypresswall::standins {
+
+using nlohmann::json;
+
+void respondJson(http::Responder& responder, int status, const json& body,
+                 std::vector<http::Header> headers) {
+  headers.push_back({"Content-Type", "application/json"});
+  responder.respond(status, headers, body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void respondError(http::Responder& responder, int status, const std::string& message) {
+  respondJson(responder, status, json{{"error", message}});
+}
+
+json parseObject(const std::string& body) {
+  json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_object()) {
+    throw RequestError("the body is no JSON object");
+  }
+  return parsed;
+}
+
+common::Duration millisecondsOr(const json& object, const char* name, common::Duration fallback) {
+  const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count();
+  return std::chrono::milliseconds(fieldOr<std::int64_t>(object, name, whole));
+}
+
+std::uint64_t queryNumberOr(const http::Request& request, const std::string& name,
+                            std::uint64_t fallback) {
+  const auto value = request.query.find(name);
+  if (value == request.query.end()) {
+    return fallback;
+  }
+  std::uint64_t number = 0;
+  const char* end = value->second.data() + value->second.size();
+  const auto parsed = std::from_chars(value->second.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    throw RequestError(name + " is no whole number");
+  }
+  return number;
+}
+
+void answering(const ResponderPointer& responder, const std::function<void()>& handler) {
+  try {
+    handler();
+  } catch (const RequestError& error) {
+    respondError(*responder, 400, error.what());
+  }
+}
+
+}  // namespace cypresswall::standins
--- /dev/null
+++ b/standins/fronts/json_http.h
@@ -0,0 +1,65 @@
+/// JSON bodies over http::Responder, as all stand-ins use them.
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "cypresswall/common/errors.h"
+#include "cypresswall/common/time.h"
+#include "cypresswall/http/server.h"
+
+namespace cypresswall::standins {
+
+using ResponderPointer = std::shared_ptr<http::Responder>;
+
+/// A request that breaks the protocol; answered with 400.
+class RequestError : public common::Error {
+ public:
+  using common::Error::Error;
+};
+
+void respondJson(http::Responder& responder, int status, const nlohmann::json& body,
+                 std::vector<http::Header> headers = {});
+/// Answers with `{"error": message}`.
+void respondError(http::Responder& responder, int status, const std::string& message);
+
+/// \return the body as a JSON object. \throws RequestError
+nlohmann::json parseObject(const std::string& body);
+
+/// \return field `name`, or `fallback` if it is absent. \throws RequestError if it has another type
+template <typename Value>
+Value fieldOr(const nlohmann::json& object, const char* name, Value fallback) {
+  const auto field = object.find(name);
+  if (field == object.end() || field->is_null()) {
+    return fallback;
+  }
+  try {
+    return field->get<Value>();
+  } catch (const nlohmann::json::exception& error) {
+    throw RequestError(std::string(name) + ": " + error.what());
+  }
+}
+
+/// \return field `name`. \throws RequestError if it is absent or has another type
+template <typename Value>
+Value requiredField(const nlohmann::json& object, const char* name) {
+  if (!object.contains(name)) {
+    throw RequestError(std::string(name) + " is missing");
+  }
+  return fieldOr<Value>(object, name, Value{});
+}
+
+/// Reads a field given in whole milliseconds.
+common::Duration millisecondsOr(const nlohmann::json& object, const char* name,
+                                common::Duration fallback);
+
+/// \return a query value as a number. \throws RequestError if it is no whole number
+std::uint64_t queryNumberOr(const http::Request& request, const std::string& name,
+                            std::uint64_t fallback);
+
+/// Calls `handler`, and answers 400 if it throws RequestError.
+void answering(const ResponderPointer& responder, const std::function<void()>& handler);
+
+}  // namespace cypresswall::standins
--- /dev/null
+++ b/standins/fronts/service_front.cpp
@@ -0,0 +1,70 @@
+#include "standins/fronts/service_front.h"
+
+#include <utility>
+
+namespace cypresswall::standins {
+
+using nlohmann::json;
+
+void ServiceFront::handle(const http::Request& request, const ResponderPointer& responder) {
+  answering(responder, [&] { route(request, responder); });
+}
+
+void ServiceFront::route(const http::Request& request, const ResponderPointer& responder) {
+  const std::string requested = request.method + " " + request.path;
+  if (requested == "GET /admin/ledger") {
+    respondJson(*responder, 200, encodeLedger());
+  } else if (requested == "POST /admin/faults") {
+    setFaults(request, responder);
+  } else if (request.path.starts_with("/admin/")) {
+    respondError(*responder, 404, "no such call");
+  } else {
+    call(request, responder);
+  }
+}
+
+void ServiceFront::call(const http::Request& request, const ResponderPointer& responder) {
+  const emulation::EmulatedServiceCall call{request.header("X-Request-Id"),
+                                            request.header("Idempotency-Key"), request.method,
+                                            request.target, request.body};
+  service_.handle(call, [responder](const emulation::EmulatedServiceAnswer& answer) {
+    std::vector<http::Header> headers = {{"Content-Type", "application/json"}};
+    switch (answer.end) {
+      case emulation::EmulatedServiceEnd::kAnswered:
+        responder->respond(answer.status, headers, answer.body);
+        return;
+      case emulation::EmulatedServiceEnd::kRefused:
+        headers.push_back({"X-Cypresswall-Outcome", "not-run"});
+        responder->respond(answer.status, headers, answer.body);
+        return;
+      case emulation::EmulatedServiceEnd::kBroken:
+        responder->abort();
+        return;
+    }
+  });
+}
+
+void ServiceFront::setFaults(const http::Request& request, const ResponderPointer& responder) {
+  const json body = parseObject(request.body);
+  emulation::ServiceFaults faults = service_.faults();
+  faults.refuse_next = fieldOr(body, "refuse_next", faults.refuse_next);
+  faults.break_before_run = fieldOr(body, "break_before_run", faults.break_before_run);
+  faults.break_after_run = fieldOr(body, "break_after_run", faults.break_after_run);
+  faults.delay = millisecondsOr(body, "delay_ms", faults.delay);
+  service_.setFaults(faults);
+  responder->respond(204, {}, "");
+}
+
+json ServiceFront::encodeLedger() const {
+  json executions = json::array();
+  for (const emulation::ServiceExecutionEntry& entry : service_.executions()) {
+    executions.push_back({{"request_id", entry.request_id},
+                          {"key", entry.key},
+                          {"method", entry.method},
+                          {"path", entry.path},
+                          {"count", entry.count}});
+  }
+  return {{"executions", std::move(executions)}};
+}
+
+}  // namespace cypresswall::standins
