--- a/src/cypresswall/routing/cost_model.cpp
+++ b/src/cypresswall/routing/cost_model.cpp
@@ -7,6 +7,26 @@
 
 /// Speed assumed of an engine that declares none.
 constexpr double kDefaultPrefillTokensPerSecond = 5000;
+/// Slack of CostInputs::slackened_lone_step.
+constexpr double kLoneStepSlack = 1.25;
+
+/// While streams run, each chunk of prompt shares its step with one token of every stream.
+double secondsPerPrefillToken(const EngineEstimate& engine, double step, double chunks_per_token) {
+  const bool shared = engine.role != engines::EngineRole::kPrefill && streamsOn(engine) > 0;
+  return engine.seconds_per_prefill_token + (shared ? step * chunks_per_token : 0);
+}
+
+double slotWait(const EngineEstimate& engine, double step) {
+  const std::uint32_t streams = streamsOn(engine);
+  if (engine.maximum_streams == 0 || streams < engine.maximum_streams) {
+    return 0;
+  }
+  const double decode_tokens = engine.queued_decode_tokens + engine.unreported_decode_tokens;
+  const double seconds_per_stream = decode_tokens / std::max<double>(streams, 1.0) * step;
+  const double places_needed = streams - engine.maximum_streams + 1.0;
+  // Streams end one after the other, spread over the time that one takes.
+  return seconds_per_stream * places_needed / engine.maximum_streams;
+}
 
 }  // namespace
 
@@ -25,17 +45,25 @@
   estimate.role = load.role;
 }
 
-double slotSeconds(const EngineEstimate& engine) {
-  const std::uint32_t streams = streamsOn(engine);
-  if (engine.maximum_streams == 0 || streams < engine.maximum_streams) {
-    return 0;
+CostInputs costInputs(const EngineEstimate& engine, double chunks_per_token) {
+  CostInputs inputs;
+  inputs.step = engine.decode_step_base + engine.decode_step_per_stream * (streamsOn(engine) + 1.0);
+  inputs.seconds_per_prefill_token = secondsPerPrefillToken(engine, inputs.step, chunks_per_token);
+  inputs.queue_empty_at =
+      engine.observed_at + engine.queued_prefill_tokens * inputs.seconds_per_prefill_token;
+  inputs.unreported_wait = engine.unreported_prefill_tokens * inputs.seconds_per_prefill_token;
+  inputs.slot_wait = slotWait(engine, inputs.step);
+  inputs.slackened_lone_step =
+      (engine.decode_step_base + engine.decode_step_per_stream) * kLoneStepSlack;
+  inputs.role = engine.role;
+  return inputs;
+}
+
+void EstimateTable::reserve(EngineSlot slot) {
+  if (slot >= estimates_.size()) {
+    estimates_.resize(static_cast<std::size_t>(slot) + 1);
+    inputs_.resize(static_cast<std::size_t>(slot) + 1);
   }
-  const double decode_tokens = engine.queued_decode_tokens + engine.unreported_decode_tokens;
-  const double tokens_per_stream = decode_tokens / std::max<double>(streams, 1.0);
-  const double seconds_per_stream = tokens_per_stream * stepSeconds(engine);
-  const double places_needed = streams - engine.maximum_streams + 1.0;
-  // Streams end one after the other, spread over the time that one takes.
-  return seconds_per_stream * places_needed / engine.maximum_streams;
 }
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/cost_model.h
+++ b/src/cypresswall/routing/cost_model.h
@@ -3,14 +3,15 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "cypresswall/common/time.h"
 #include "cypresswall/engines/engine_types.h"
+#include "cypresswall/routing/prefix_index.h"
 
 namespace cypresswall::routing {
 
-/// What the router needs of one engine, in plain numbers and one place, so that weighing all
-/// engines of a zone stays within microseconds. Times are in seconds on this node's clock.
+/// What is known of one engine, in plain numbers. Times are in seconds on this node's clock.
 struct EngineEstimate {
   double observed_at = 0;
   double seconds_per_prefill_token = 0;
@@ -27,45 +28,60 @@
   engines::EngineRole role = engines::EngineRole::kMixed;
 };
 
-/// Rebuilds the reported part of an estimate; the unreported part stays.
-void applyReport(EngineEstimate& estimate, const engines::EngineLoad& load,
-                 common::MonotonicTime observed_at);
+/// The part of an estimate that every choice reads, worked out when the estimate changes. One
+/// cache line, so that weighing all engines of a zone stays within microseconds.
+struct alignas(64) CostInputs {
+  /// When the reported prompts will be computed.
+  double queue_empty_at = 0;
+  /// Time that the unreported prompts take.
+  double unreported_wait = 0;
+  /// Time until a place for one more stream is free; zero while the engine has one.
+  double slot_wait = 0;
+  double seconds_per_prefill_token = 0;
+  /// Time of one decode step with one more stream.
+  double step = 0;
+  /// Time of a decode step with a single stream, with some slack.
+  double slackened_lone_step = 0;
+  engines::EngineRole role = engines::EngineRole::kMixed;
+};
 
 /// \return `time` as used in EngineEstimate.
 inline double toModelTime(common::MonotonicTime time) {
   return common::toSeconds(time.time_since_epoch());
 }
 
+/// Rebuilds the reported part of an estimate; the unreported part stays.
+void applyReport(EngineEstimate& estimate, const engines::EngineLoad& load,
+                 common::MonotonicTime observed_at);
+
 /// \return streams that the engine has now, as far as known.
 inline std::uint32_t streamsOn(const EngineEstimate& engine) {
   return engine.streams + engine.unreported_streams;
 }
 
-/// \return the time of one decode step with one more stream, in seconds.
-inline double stepSeconds(const EngineEstimate& engine) {
-  const double streams = streamsOn(engine) + 1.0;
-  return engine.decode_step_base + engine.decode_step_per_stream * streams;
-}
+/// \param chunks_per_token inverse of the prompt tokens that are computed in one step beside the
+///   output of running streams
+CostInputs costInputs(const EngineEstimate& engine, double chunks_per_token);
 
-/// \return seconds for each prompt token on an engine that also generates output: while streams
-///   run, each chunk of prompt shares its step with one token of every stream.
-inline double wholeSecondsPerPrefillToken(const EngineEstimate& engine, double chunk_tokens) {
-  if (streamsOn(engine) == 0) {
-    return engine.seconds_per_prefill_token;
-  }
-  return engine.seconds_per_prefill_token + stepSeconds(engine) / chunk_tokens;
-}
+/// Estimates of all engines by slot, with the inputs that follow from them.
+class EstimateTable {
+ public:
+  explicit EstimateTable(double prefill_chunk_tokens)
+      : chunks_per_token_(1.0 / prefill_chunk_tokens) {}
 
-/// \return the time until prompts queued before a new one are computed, in seconds.
-/// \param per_token seconds that the engine takes for each prompt token
-inline double queueSeconds(const EngineEstimate& engine, double per_token, double now) {
-  const double left = engine.queued_prefill_tokens * per_token - (now - engine.observed_at);
-  const double waiting = left > 0 ? left : 0;
-  return waiting + engine.unreported_prefill_tokens * per_token;
-}
+  /// Makes room for `slot`.
+  void reserve(EngineSlot slot);
+  /// \return the estimate for changing; call refresh() afterwards.
+  EngineEstimate& edit(EngineSlot slot) { return estimates_[slot]; }
+  /// Works the inputs of an engine out anew.
+  void refresh(EngineSlot slot) { inputs_[slot] = costInputs(estimates_[slot], chunks_per_token_); }
+  const EngineEstimate& estimate(EngineSlot slot) const { return estimates_[slot]; }
+  const CostInputs& inputs(EngineSlot slot) const { return inputs_[slot]; }
 
-/// \return the time until a place for one more stream is free, in seconds: zero while the engine
-///   has one.
-double slotSeconds(const EngineEstimate& engine);
+ private:
+  double chunks_per_token_;
+  std::vector<EngineEstimate> estimates_;
+  std::vector<CostInputs> inputs_;
+};
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -7,10 +7,6 @@
 namespace cypresswall::routing {
 namespace {
 
-/// Added to the cost of an engine that can't meet the limits, so that any that can goes first.
-constexpr double kLatePenalty = 100.0;
-/// The between-tokens limit is never taken as less than this many lone decode steps.
-constexpr double kLoneStepSlack = 1.25;
 /// Retry-After is stretched by up to this share at random, so that callers don't return together.
 constexpr double kRetryJitter = 0.25;
 /// Wait told to callers when no engine of a model is available.
@@ -32,10 +28,12 @@
 CostRouter::CostRouter(const RouterSettings& settings, const api::ProcessContext& context,
                        EngineDirectory& directory)
     : settings_(settings),
+      model_(settings),
       context_(context),
       directory_(directory),
       table_(directory.table()),
       prefixes_(directory.prefixes()),
+      estimates_(settings.prefill_chunk_tokens),
       sent_(settings.report_slack, estimates_),
       routed_(
           context.counters.counter("cypresswall_routes_total", "Engines chosen", "kind", "whole")),
@@ -56,9 +54,7 @@
 }
 
 void CostRouter::onEngineChange(EngineSlot slot, bool restarted) {
-  if (slot >= estimates_.size()) {
-    estimates_.resize(static_cast<std::size_t>(slot) + 1);
-  }
+  estimates_.reserve(slot);
   if (slot >= name_hashes_.size()) {
     name_hashes_.resize(static_cast<std::size_t>(slot) + 1);
     cached_pieces_.resize(static_cast<std::size_t>(slot) + 1);
@@ -69,12 +65,13 @@
     sent_.forgetEngine(slot);
   }
   if (record.reported) {
-    applyReport(estimates_[slot], record.load, record.observed_at);
+    applyReport(estimates_.edit(slot), record.load, record.observed_at);
     sent_.reported(slot, record.observed_at);
+    estimates_.refresh(slot);
   }
 }
 
-CostRouter::Work CostRouter::workOf(const RouteRequest& request) const {
+Work CostRouter::workOf(const RouteRequest& request) const {
   Work work;
   work.prompt_tokens = request.shape.tokens + request.resume_from;
   work.decode_tokens = request.maximum_tokens > request.resume_from
@@ -84,8 +81,9 @@
       secondsOr(request.first_token_limit, settings_.default_first_token_limit);
   work.between_tokens_limit =
       secondsOr(request.between_tokens_limit, settings_.default_between_tokens_limit);
-  work.has_affinity = !request.shape.pieces.empty();
-  work.affinity = work.has_affinity ? request.shape.pieces.front() : 0;
+  work.inverse_first_token_limit = 1.0 / work.first_token_limit;
+  work.inverse_between_tokens_limit = 1.0 / work.between_tokens_limit;
+  work.affinity = request.shape.pieces.empty() ? 0 : request.shape.pieces.front();
   return work;
 }
 
@@ -145,164 +143,112 @@
   return std::max(0.0, work.prompt_tokens - cached);
 }
 
-void CostRouter::price(Offer& offer, const Work& work, const EngineEstimate& engine) const {
-  const double lone_step = engine.decode_step_base + engine.decode_step_per_stream;
-  const double step_limit = std::max(work.between_tokens_limit, lone_step * kLoneStepSlack);
-  offer.cost = offer.first_token / work.first_token_limit +
-               settings_.between_tokens_weight * offer.between_tokens / step_limit;
-  const bool waits = offer.wait > common::toSeconds(settings_.negligible_wait);
-  double relief = 0;
-  if (waits && offer.first_token > work.first_token_limit) {
-    relief = std::min(offer.wait, offer.first_token - work.first_token_limit);
-  }
-  if (offer.between_tokens > step_limit) {
-    const double streams = streamsOn(engine) + 1.0;
-    const double excess = (offer.between_tokens - step_limit) / engine.decode_step_per_stream;
-    const double tokens = engine.queued_decode_tokens + engine.unreported_decode_tokens;
-    relief = std::max(relief, tokens / streams * offer.between_tokens * excess / streams);
+void CostRouter::priceEngines(const Work& work, double now) {
+  whole_engines_.clear();
+  prefill_engines_.clear();
+  decode_engines_.clear();
+  for (const EngineSlot slot : narrowed_) {
+    const CostInputs& engine = estimates_.inputs(slot);
+    const double uncached = uncachedTokens(slot, work);
+    if (engine.role == engines::EngineRole::kPrefill) {
+      prefill_engines_.push_back({model_.prefill(engine, work, uncached, now).cost, slot});
+      continue;
+    }
+    // A decode engine computes prompts as well, only slowly.
+    whole_engines_.push_back({model_.whole(engine, work, uncached, now).cost, slot});
+    if (engine.role == engines::EngineRole::kDecode) {
+      decode_engines_.push_back({model_.decode(engine, work).cost, slot});
+    }
   }
-  offer.relief = relief;
-  offer.cost += relief > 0 ? kLatePenalty + relief : 0;
-}
-
-CostRouter::Offer CostRouter::offerWhole(EngineSlot slot, const Work& work, double now) const {
-  const EngineEstimate& engine = estimates_[slot];
-  Offer offer;
-  offer.engine = slot;
-  const double per_token = wholeSecondsPerPrefillToken(engine, settings_.prefill_chunk_tokens);
-  offer.wait = queueSeconds(engine, per_token, now) + slotSeconds(engine);
-  offer.between_tokens = stepSeconds(engine);
-  offer.first_token = offer.wait + uncachedTokens(slot, work) * per_token + offer.between_tokens;
-  price(offer, work, engine);
-  return offer;
-}
-
-CostRouter::Offer CostRouter::offerPrefill(EngineSlot slot, const Work& work, double now) const {
-  const EngineEstimate& engine = estimates_[slot];
-  Offer offer;
-  offer.engine = slot;
-  const double per_token = engine.seconds_per_prefill_token;
-  offer.wait = queueSeconds(engine, per_token, now) + slotSeconds(engine);
-  offer.first_token = offer.wait + uncachedTokens(slot, work) * per_token;
-  price(offer, work, engine);
-  return offer;
-}
-
-CostRouter::Offer CostRouter::offerDecode(EngineSlot slot, const Work& work) const {
-  const EngineEstimate& engine = estimates_[slot];
-  Offer offer;
-  offer.engine = slot;
-  offer.wait = slotSeconds(engine);
-  offer.between_tokens = stepSeconds(engine);
-  offer.first_token = offer.wait + offer.between_tokens;
-  price(offer, work, engine);
-  return offer;
 }
 
-CostRouter::Offer CostRouter::combine(const Offer& prefill, const Offer& decode,
-                                      const Work& work) const {
-  Offer offer = decode;
-  offer.wait += prefill.wait;
-  offer.first_token += prefill.first_token + common::toSeconds(settings_.kv_transfer_base) +
-                       settings_.kv_transfer_seconds_per_token * work.prompt_tokens;
-  price(offer, work, estimates_[decode.engine]);
-  return offer;
-}
-
-std::optional<CostRouter::Offer> CostRouter::cheapest(std::vector<Offer>& offers,
-                                                      const Work& work) {
-  if (offers.empty()) {
-    return std::nullopt;
-  }
+EngineSlot CostRouter::cheapest(const std::vector<PricedEngine>& engines, const Work& work) {
   double least = std::numeric_limits<double>::infinity();
-  for (const Offer& offer : offers) {
-    least = std::min(least, offer.cost);
+  for (const PricedEngine& engine : engines) {
+    least = std::min(least, engine.cost);
   }
-  const std::uint64_t salt = work.has_affinity ? work.affinity : context_.random.next();
-  const Offer* best = nullptr;
+  const double limit = least + settings_.cost_tolerance;
+  const std::uint64_t salt = work.affinity != 0 ? work.affinity : context_.random.next();
+  EngineSlot best = kNoEngineSlot;
   std::uint64_t best_rank = 0;
-  for (const Offer& offer : offers) {
-    if (offer.cost > least + settings_.cost_tolerance) {
+  for (const PricedEngine& engine : engines) {
+    if (engine.cost > limit) {
       continue;
     }
-    const std::uint64_t rank = mixBits(name_hashes_[offer.engine] ^ salt);
-    if (best == nullptr || rank > best_rank) {
-      best = &offer;
+    const std::uint64_t rank = mixBits(name_hashes_[engine.engine] ^ salt);
+    if (best == kNoEngineSlot || rank > best_rank) {
+      best = engine.engine;
       best_rank = rank;
     }
   }
-  return *best;
+  return best;
 }
 
-void CostRouter::collectOffers(const Work& work, double now) {
-  whole_offers_.clear();
-  prefill_offers_.clear();
-  decode_offers_.clear();
-  for (const EngineSlot slot : narrowed_) {
-    switch (estimates_[slot].role) {
-      case engines::EngineRole::kMixed:
-        whole_offers_.push_back(offerWhole(slot, work, now));
-        break;
-      case engines::EngineRole::kPrefill:
-        prefill_offers_.push_back(offerPrefill(slot, work, now));
-        break;
-      case engines::EngineRole::kDecode:
-        // A decode engine computes prompts as well, only slowly.
-        decode_offers_.push_back(offerDecode(slot, work));
-        whole_offers_.push_back(offerWhole(slot, work, now));
-        break;
-    }
+CostRouter::Selection CostRouter::select(const Work& work, double now) {
+  priceEngines(work, now);
+  Selection whole;
+  whole.engine = cheapest(whole_engines_, work);
+  if (!whole.empty()) {
+    whole.offer = model_.whole(estimates_.inputs(whole.engine), work,
+                               uncachedTokens(whole.engine, work), now);
+  }
+  Selection split;
+  split.engine = cheapest(decode_engines_, work);
+  split.prefill = cheapest(prefill_engines_, work);
+  if (split.empty() || !split.split()) {
+    return whole;
   }
+  const CostInputs& decode = estimates_.inputs(split.engine);
+  const Offer prefill = model_.prefill(estimates_.inputs(split.prefill), work,
+                                       uncachedTokens(split.prefill, work), now);
+  split.offer = model_.combined(prefill, model_.decode(decode, work), decode, work);
+  return whole.empty() || split.offer.cost < whole.offer.cost ? split : whole;
 }
 
-Route CostRouter::makeRoute(const Offer& offer, EngineSlot prefill) const {
-  const EngineRecord& record = table_.record(offer.engine);
+Route CostRouter::makeRoute(const Selection& selection) const {
+  const EngineRecord& record = table_.record(selection.engine);
   Route route;
   route.engine = record.endpoint();
   route.version = record.load.version;
-  route.expected_first_token = common::fromSeconds(offer.first_token);
-  route.expected_between_tokens = common::fromSeconds(offer.between_tokens);
-  const EngineSlot computing = prefill == kNoEngineSlot ? offer.engine : prefill;
-  route.expected_cached_pieces = cached_pieces_[computing];
-  if (prefill != kNoEngineSlot) {
-    route.prefill_engine = table_.record(prefill).endpoint();
+  route.expected_first_token = common::fromSeconds(selection.offer.first_token);
+  route.expected_between_tokens = common::fromSeconds(selection.offer.between_tokens);
+  route.expected_cached_pieces = cached_pieces_[selection.computing()];
+  if (selection.split()) {
+    route.prefill_engine = table_.record(selection.prefill).endpoint();
   }
   return route;
 }
 
+void CostRouter::countDemand(const RouteRequest& request, const Work& work,
+                             const Selection& selection) {
+  // Further attempts at a request ask for nothing new.
+  if (request.resume_from > 0 || !request.excluded.empty()) {
+    return;
+  }
+  const bool refused = selection.empty() || !selection.offer.meetsLimits();
+  const double uncached =
+      selection.empty() ? work.prompt_tokens : uncachedTokens(selection.computing(), work);
+  demand_.asked(request.model, static_cast<std::uint64_t>(uncached),
+                static_cast<std::uint64_t>(work.decode_tokens), refused);
+}
+
 RouteChoice CostRouter::choose(const RouteRequest& request) {
   const Work work = workOf(request);
-  const double now = toModelTime(context_.clock.now());
   const auto& all = candidatesFor(request);
   notePrefixes(request);
   narrow(request, all);
-  collectOffers(work, now);
-  const auto whole = cheapest(whole_offers_, work);
-  const auto prefill = cheapest(prefill_offers_, work);
-  const auto decode = cheapest(decode_offers_, work);
-  std::optional<Offer> split;
-  if (prefill && decode) {
-    split = combine(*prefill, *decode, work);
-  }
-  const bool disaggregate = split && (!whole || split->cost < whole->cost);
-  const std::optional<Offer> best = disaggregate ? split : whole;
-  const bool refused = !best || best->relief > 0;
-  if (request.resume_from == 0 && request.excluded.empty()) {
-    const double uncached =
-        best && !disaggregate ? uncachedTokens(best->engine, work) : work.prompt_tokens;
-    demand_.asked(request.model, static_cast<std::uint64_t>(uncached),
-                  static_cast<std::uint64_t>(work.decode_tokens), refused);
-  }
+  const Selection selection = select(work, toModelTime(context_.clock.now()));
+  countDemand(request, work, selection);
   RouteChoice choice;
-  if (!best) {
+  if (selection.empty()) {
     choice = refuseWithoutEngine(request.model);
     refused_no_engine_.add();
-  } else if (refused) {
-    choice = refuse(*best, work, request.model);
+  } else if (!selection.offer.meetsLimits()) {
+    choice = refuse(selection, work, request.model);
     refused_overloaded_.add();
   } else {
-    choice = makeRoute(*best, disaggregate ? prefill->engine : kNoEngineSlot);
-    (disaggregate ? routed_disaggregated_ : routed_).add();
+    choice = makeRoute(selection);
+    (selection.split() ? routed_disaggregated_ : routed_).add();
   }
   clearPrefixes();
   return choice;
@@ -314,7 +260,7 @@
                     settings_.maximum_retry_after);
 }
 
-RouteRefusal CostRouter::refuse(const Offer& best, const Work& work,
+RouteRefusal CostRouter::refuse(const Selection& best, const Work& work,
                                 const common::ModelName& model) {
   // Callers told earlier to come back take the next places; this one comes after them. The other
   // nodes refuse about as many as this one.
@@ -322,14 +268,15 @@
   double& promised = promised_until_[model];
   promised = std::max(promised, now);
   const double after_promised = promised - now;
-  const EngineEstimate& engine = estimates_[best.engine];
+  const CostInputs& engine = estimates_.inputs(best.computing());
   const double service = work.prompt_tokens * engine.seconds_per_prefill_token;
+  const double relief = reliefSeconds(best.offer, work, estimates_.estimate(best.engine));
   promised += service * static_cast<double>(directory_.aliveNodes()) /
               static_cast<double>(std::max<std::size_t>(narrowed_.size(), 1));
   promised = std::min(promised, now + common::toSeconds(settings_.maximum_retry_after));
   RouteRefusal refusal;
   refusal.reason = RouteFailure::kOverloaded;
-  refusal.retry_after = boundedRetry(best.relief + after_promised);
+  refusal.retry_after = boundedRetry(relief + after_promised);
   refusal.message = "no engine of model " + model + " can meet the request's limits now";
   return refusal;
 }
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +10,7 @@
 #include "cypresswall/routing/cost_model.h"
 #include "cypresswall/routing/demand_ledger.h"
 #include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/routing/offers.h"
 #include "cypresswall/routing/router.h"
 #include "cypresswall/routing/sent_work.h"
 
@@ -34,25 +34,21 @@
   DemandLedger& demand() { return demand_; }
 
  private:
-  /// A request in the model's numbers.
-  struct Work {
-    double prompt_tokens = 0;
-    double decode_tokens = 0;
-    /// Seconds.
-    double first_token_limit = 0;
-    double between_tokens_limit = 0;
-    std::uint64_t affinity = 0;
-    bool has_affinity = false;
+  /// One engine with the cost of its offer.
+  struct PricedEngine {
+    double cost = 0;
+    EngineSlot engine = kNoEngineSlot;
   };
-  /// What one engine would make of it, in seconds.
-  struct Offer {
+  /// The engines chosen for a request, not yet judged against its limits.
+  struct Selection {
     EngineSlot engine = kNoEngineSlot;
-    double cost = 0;
-    double wait = 0;
-    double first_token = 0;
-    double between_tokens = 0;
-    /// Time until the limits could be met; zero if they are met now.
-    double relief = 0;
+    /// kNoEngineSlot unless another engine computes the prompt.
+    EngineSlot prefill = kNoEngineSlot;
+    Offer offer;
+
+    bool empty() const { return engine == kNoEngineSlot; }
+    bool split() const { return prefill != kNoEngineSlot; }
+    EngineSlot computing() const { return split() ? prefill : engine; }
   };
 
   Work workOf(const RouteRequest& request) const;
@@ -60,26 +56,26 @@
   void narrow(const RouteRequest& request, const std::vector<EngineSlot>& all);
   void notePrefixes(const RouteRequest& request);
   void clearPrefixes();
-  Offer offerWhole(EngineSlot slot, const Work& work, double now) const;
-  Offer offerPrefill(EngineSlot slot, const Work& work, double now) const;
-  Offer offerDecode(EngineSlot slot, const Work& work) const;
-  Offer combine(const Offer& prefill, const Offer& decode, const Work& work) const;
-  void price(Offer& offer, const Work& work, const EngineEstimate& engine) const;
-  std::optional<Offer> cheapest(std::vector<Offer>& offers, const Work& work);
   double uncachedTokens(EngineSlot slot, const Work& work) const;
-  void collectOffers(const Work& work, double now);
-  Route makeRoute(const Offer& offer, EngineSlot prefill) const;
-  RouteRefusal refuse(const Offer& best, const Work& work, const common::ModelName& model);
+  void priceEngines(const Work& work, double now);
+  /// \return the cheapest engine, or among near equals the one that the prompt's hash prefers;
+  ///   kNoEngineSlot if there is none.
+  EngineSlot cheapest(const std::vector<PricedEngine>& engines, const Work& work);
+  Selection select(const Work& work, double now);
+  void countDemand(const RouteRequest& request, const Work& work, const Selection& selection);
+  Route makeRoute(const Selection& selection) const;
+  RouteRefusal refuse(const Selection& best, const Work& work, const common::ModelName& model);
   RouteRefusal refuseWithoutEngine(const common::ModelName& model) const;
   common::Duration boundedRetry(double seconds) const;
   void onEngineChange(EngineSlot slot, bool restarted);
 
   RouterSettings settings_;
+  OfferModel model_;
   const api::ProcessContext& context_;
   EngineDirectory& directory_;
   EngineTable& table_;
   PrefixIndex& prefixes_;
-  std::vector<EngineEstimate> estimates_;
+  EstimateTable estimates_;
   std::vector<std::uint64_t> name_hashes_;
   SentWork sent_;
   DemandLedger demand_;
@@ -89,9 +85,9 @@
   std::vector<EngineSlot> narrowed_;
   std::vector<PrefixMatch> matches_;
   std::vector<std::uint32_t> cached_pieces_;
-  std::vector<Offer> whole_offers_;
-  std::vector<Offer> prefill_offers_;
-  std::vector<Offer> decode_offers_;
+  std::vector<PricedEngine> whole_engines_;
+  std::vector<PricedEngine> prefill_engines_;
+  std::vector<PricedEngine> decode_engines_;
   common::Counter& routed_;
   common::Counter& routed_disaggregated_;
   common::Counter& refused_overloaded_;
--- /dev/null
+++ b/src/cypresswall/routing/offers.h
@@ -0,0 +1,115 @@
+/// What one engine would make of one request: expected times, and the cost by which engines are
+/// compared. Inline, since a choice weighs every engine of the zone within microseconds.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "cypresswall/routing/cost_model.h"
+#include "cypresswall/routing/settings.h"
+
+namespace cypresswall::routing {
+
+/// Added to the cost of an engine that can't meet the limits, so that any that can goes first.
+inline constexpr double kLatePenalty = 100.0;
+
+/// A request in the model's numbers; times in seconds.
+struct Work {
+  double prompt_tokens = 0;
+  double decode_tokens = 0;
+  double first_token_limit = 0;
+  double between_tokens_limit = 0;
+  double inverse_first_token_limit = 0;
+  double inverse_between_tokens_limit = 0;
+  /// First piece of the prompt, or zero if it has none.
+  std::uint64_t affinity = 0;
+};
+
+/// What one engine, or a prefill and a decode engine together, would make of it; in seconds.
+struct Offer {
+  double cost = 0;
+  double wait = 0;
+  double first_token = 0;
+  double between_tokens = 0;
+  /// Time between tokens that is still accepted.
+  double step_limit = 0;
+  /// The wait makes the first token late; an engine without a queue is never called late.
+  bool late = false;
+
+  bool meetsLimits() const { return !late && between_tokens <= step_limit; }
+};
+
+/// Formulas of offers under one router's settings.
+class OfferModel {
+ public:
+  explicit OfferModel(const RouterSettings& settings)
+      : between_weight_(settings.between_tokens_weight),
+        negligible_wait_(common::toSeconds(settings.negligible_wait)),
+        kv_base_(common::toSeconds(settings.kv_transfer_base)),
+        kv_per_token_(settings.kv_transfer_seconds_per_token) {}
+
+  /// An engine that runs the whole request.
+  /// \param uncached prompt tokens that the engine has to compute
+  Offer whole(const CostInputs& engine, const Work& work, double uncached, double now) const {
+    Offer offer;
+    offer.wait = wait(engine, now);
+    offer.between_tokens = engine.step;
+    offer.first_token = offer.wait + uncached * engine.seconds_per_prefill_token + engine.step;
+    price(offer, work, engine);
+    return offer;
+  }
+  /// An engine that only computes the prompt.
+  Offer prefill(const CostInputs& engine, const Work& work, double uncached, double now) const {
+    Offer offer;
+    offer.wait = wait(engine, now);
+    offer.first_token = offer.wait + uncached * engine.seconds_per_prefill_token;
+    price(offer, work, engine);
+    return offer;
+  }
+  /// An engine that takes over a computed prompt.
+  Offer decode(const CostInputs& engine, const Work& work) const {
+    Offer offer;
+    offer.wait = engine.slot_wait;
+    offer.between_tokens = engine.step;
+    offer.first_token = offer.wait + engine.step;
+    price(offer, work, engine);
+    return offer;
+  }
+  /// \param decode_engine the engine behind `decode`
+  Offer combined(const Offer& prefill, const Offer& decode, const CostInputs& decode_engine,
+                 const Work& work) const {
+    Offer offer = decode;
+    offer.wait += prefill.wait;
+    offer.first_token += prefill.first_token + kv_base_ + kv_per_token_ * work.prompt_tokens;
+    price(offer, work, decode_engine);
+    return offer;
+  }
+
+ private:
+  static double wait(const CostInputs& engine, double now) {
+    const double queue = std::max(0.0, engine.queue_empty_at - now);
+    return queue + engine.unreported_wait + engine.slot_wait;
+  }
+
+  void price(Offer& offer, const Work& work, const CostInputs& engine) const {
+    offer.step_limit = std::max(engine.slackened_lone_step, work.between_tokens_limit);
+    offer.late = offer.wait > negligible_wait_ && offer.first_token > work.first_token_limit;
+    offer.cost = offer.first_token * work.inverse_first_token_limit +
+                 between_weight_ * offer.between_tokens * work.inverse_between_tokens_limit;
+    // The cost itself ranks late engines among each other; written without branches.
+    const bool misses = offer.late | (offer.between_tokens > offer.step_limit);
+    offer.cost += misses ? kLatePenalty : 0.0;
+  }
+
+  double between_weight_;
+  double negligible_wait_;
+  double kv_base_;
+  double kv_per_token_;
+};
+
+/// \param engine the engine that generates the output
+/// \return the time until the offer's queue, and the number of streams, are short enough for the
+///   limits; zero if the offer meets them.
+double reliefSeconds(const Offer& offer, const Work& work, const EngineEstimate& engine);
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/sent_work.cpp
+++ b/src/cypresswall/routing/sent_work.cpp
@@ -8,9 +8,7 @@
   if (engine >= queues_.size()) {
     queues_.resize(static_cast<std::size_t>(engine) + 1);
   }
-  if (engine >= estimates_.size()) {
-    estimates_.resize(static_cast<std::size_t>(engine) + 1);
-  }
+  estimates_.reserve(engine);
   return queues_[engine];
 }
 
@@ -21,28 +19,26 @@
   attempt.id = next_id_++;
   for (const WorkShare& share : shares) {
     queueOf(share.engine).push_back(Unreported{attempt.id, now, share});
-    EngineEstimate& estimate = estimates_[share.engine];
+    EngineEstimate& estimate = estimates_.edit(share.engine);
     estimate.unreported_prefill_tokens += share.prefill_tokens;
     estimate.unreported_decode_tokens += share.decode_tokens;
     ++estimate.unreported_streams;
+    estimates_.refresh(share.engine);
     attempt.engines.push_back(share.engine);
   }
   attempts_[stream_id] = std::move(attempt);
 }
 
 void SentWork::subtract(const WorkShare& share) {
-  EngineEstimate& estimate = estimates_[share.engine];
+  EngineEstimate& estimate = estimates_.edit(share.engine);
   --estimate.unreported_streams;
-  if (estimate.unreported_streams == 0) {
-    // Rounding errors must not build up over millions of attempts.
-    estimate.unreported_prefill_tokens = 0;
-    estimate.unreported_decode_tokens = 0;
-    return;
-  }
+  // Rounding errors must not build up over millions of attempts.
+  const double kept = estimate.unreported_streams == 0 ? 0.0 : 1.0;
   estimate.unreported_prefill_tokens =
-      std::max(0.0, estimate.unreported_prefill_tokens - share.prefill_tokens);
+      kept * std::max(0.0, estimate.unreported_prefill_tokens - share.prefill_tokens);
   estimate.unreported_decode_tokens =
-      std::max(0.0, estimate.unreported_decode_tokens - share.decode_tokens);
+      kept * std::max(0.0, estimate.unreported_decode_tokens - share.decode_tokens);
+  estimates_.refresh(share.engine);
 }
 
 void SentWork::firstToken(const std::string& stream_id) {
@@ -53,10 +49,11 @@
   for (const EngineSlot engine : attempt->second.engines) {
     for (Unreported& entry : queueOf(engine)) {
       if (entry.id == attempt->second.id) {
-        EngineEstimate& estimate = estimates_[engine];
+        EngineEstimate& estimate = estimates_.edit(engine);
         estimate.unreported_prefill_tokens =
             std::max(0.0, estimate.unreported_prefill_tokens - entry.share.prefill_tokens);
         entry.share.prefill_tokens = 0;
+        estimates_.refresh(engine);
       }
     }
   }
--- a/src/cypresswall/routing/sent_work.h
+++ b/src/cypresswall/routing/sent_work.h
@@ -23,7 +23,7 @@
 
 class SentWork {
  public:
-  SentWork(common::Duration report_slack, std::vector<EngineEstimate>& estimates)
+  SentWork(common::Duration report_slack, EstimateTable& estimates)
       : report_slack_(report_slack), estimates_(estimates) {}
 
   /// Notes an attempt that takes one place on each engine of `shares`.
@@ -57,7 +57,7 @@
   };
 
   common::Duration report_slack_;
-  std::vector<EngineEstimate>& estimates_;
+  EstimateTable& estimates_;
   std::uint64_t next_id_ = 1;
   std::unordered_map<std::string, Attempt> attempts_;
   std::vector<std::deque<Unreported>> queues_;
