Run service requests: repeatable with retries, others at most once

Cause: plain HTTP services behind the gateway had no executor. What was ruled out: retrying a broken call that carries a key, trusting the back end to know the key; whether it does can't be checked from here, so an unknown outcome stays unknown.

--- a/src/cypresswall/execution/execution_settings.h
+++ b/src/cypresswall/execution/execution_settings.h
@@ -40,6 +40,9 @@
   common::Duration minimum_retry_after = std::chrono::milliseconds(100);
   /// Retry-After where no estimate is known.
   common::Duration default_retry_after = std::chrono::seconds(1);
+  /// A granted claim of an idempotency key is used only this long after it was asked for; it must
+  /// be far below the time for which claims are kept.
+  common::Duration claim_use_limit = std::chrono::seconds(10);
   /// Longest recorded answer of an operation with an idempotency key.
   std::size_t maximum_recorded_bytes = 16U << 10;
 };
--- /dev/null
+++ b/src/cypresswall/execution/http_service_executor.h
@@ -0,0 +1,26 @@
+/// The executor of requests to plain HTTP services.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+
+#include "cypresswall/execution/service_execution_core.h"
+#include "cypresswall/execution/service_executor.h"
+
+namespace cypresswall::execution {
+
+class HttpServiceExecutor final : public ServiceExecutor {
+ public:
+  HttpServiceExecutor(const api::ProcessContext& process, const ServiceInterfaces& interfaces,
+                      const ExecutionSettings& settings = {});
+  std::unique_ptr<ServiceExecution> start(ServiceCallRequest request,
+                                          ServiceCallCallback callback) override;
+  /// \return requests not ended, those included that run on without their caller; a planned stop
+  ///   waits until there are none
+  std::size_t running() const { return core_.running(); }
+
+ private:
+  ServiceExecutionCore core_;
+};
+
+}  // namespace cypresswall::execution
--- a/src/cypresswall/execution/model_execution_core.cpp
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -65,6 +65,7 @@
       budget(execution_settings),
       stream_events(process_context.counters),
       counters(process_context.counters),
+      retired_(process_context.scheduler),
       stream_prefix_(streamPrefix(process_context.self)),
       next_attempt_(static_cast<std::uint32_t>(process_context.random.below(kFirstAttemptBound)) +
                     1) {}
@@ -75,10 +76,7 @@
 
 void ModelExecutionCore::retire(std::unique_ptr<EngineAttempt> attempt) {
   attempt->detach();
-  if (retired_.empty()) {
-    process.scheduler.schedule(common::Duration{0}, [this] { retired_.clear(); });
-  }
-  retired_.push_back(std::move(attempt));
+  retired_.add(std::move(attempt));
 }
 
 }  // namespace cypresswall::execution
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -4,12 +4,12 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/engines/engine_client.h"
+#include "cypresswall/execution/deferred_destruction.h"
 #include "cypresswall/execution/engine_attempt.h"
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/execution/retry_budget.h"
@@ -62,7 +62,7 @@
   ModelRequestCounters counters;
 
  private:
-  std::vector<std::unique_ptr<EngineAttempt>> retired_;
+  DeferredDestruction<EngineAttempt> retired_;
   const std::string stream_prefix_;
   std::uint64_t next_stream_ = 1;
   std::uint32_t next_attempt_;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cypresswall/execution/refusal_error.h"
+
 namespace cypresswall::execution {
 namespace {
 
@@ -13,19 +15,6 @@
   return failure == engines::StreamFailure::kNotSent || failure == engines::StreamFailure::kRefused;
 }
 
-ErrorKind errorKindOf(admission::RefusalReason reason) {
-  switch (reason) {
-    case admission::RefusalReason::kTenantRequestLimit:
-    case admission::RefusalReason::kTenantTokenLimit:
-      return ErrorKind::kTenantLimit;
-    case admission::RefusalReason::kShedding:
-      return ErrorKind::kOverloaded;
-    case admission::RefusalReason::kDraining:
-      return ErrorKind::kDraining;
-  }
-  return ErrorKind::kOverloaded;
-}
-
 common::Duration scaled(common::Duration duration, double factor) {
   return common::fromSeconds(common::toSeconds(duration) * factor);
 }
--- /dev/null
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -0,0 +1,72 @@
+/// What all service requests of a node share.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include "cypresswall/admission/admission.h"
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/configuration/configuration_view.h"
+#include "cypresswall/execution/deferred_destruction.h"
+#include "cypresswall/execution/execution_settings.h"
+#include "cypresswall/execution/retry_budget.h"
+#include "cypresswall/idempotency/key_claims.h"
+#include "cypresswall/membership/membership_view.h"
+#include "cypresswall/services/service_client.h"
+
+namespace cypresswall::execution {
+
+class ServiceRun;
+
+/// The interfaces through which service requests act. All must outlive the executor.
+struct ServiceInterfaces {
+  const configuration::ConfigurationView& configuration;
+  const membership::MembershipView& membership;
+  admission::AdmissionController& admission;
+  services::ServiceClient& client;
+  idempotency::KeyClaims& claims;
+};
+
+/// Counters of service requests.
+struct ServiceRequestCounters {
+  explicit ServiceRequestCounters(common::CounterRegistry& registry);
+  common::Counter& started;
+  common::Counter& done;
+  common::Counter& failed_not_run;
+  common::Counter& failed_unknown;
+  common::Counter& abandoned;
+  common::Counter& attempts;
+  common::Counter& retries_after_run;
+  common::Counter& retries_after_no_run;
+  common::Counter& budget_spent;
+  common::Counter& late_answers;      ///< dropped: of an attempt that was over
+  common::Counter& late_grants;       ///< claims not used because they came too late
+  common::Counter& finished_unheard;  ///< run to the end though the caller had gone
+};
+
+/// Owns the running requests: one that may not be repeated runs on when its caller goes away.
+class ServiceExecutionCore {
+ public:
+  ServiceExecutionCore(const api::ProcessContext& process_context,
+                       const ServiceInterfaces& service_interfaces,
+                       const ExecutionSettings& execution_settings);
+
+  void add(std::shared_ptr<ServiceRun> run);
+  void remove(const ServiceRun& run) { runs_.erase(&run); }
+  std::size_t running() const { return runs_.size(); }
+
+  const api::ProcessContext& process;
+  const ServiceInterfaces interfaces;
+  const ExecutionSettings settings;
+  RetryBudget budget;
+  ServiceRequestCounters counters;
+  DeferredDestruction<services::ServiceCall> ended_calls;
+
+ private:
+  /// Only looked up, never iterated in an order that matters.
+  std::map<const ServiceRun*, std::shared_ptr<ServiceRun>> runs_;
+};
+
+}  // namespace cypresswall::execution
--- /dev/null
+++ b/src/cypresswall/execution/service_operation.h
@@ -0,0 +1,17 @@
+/// What the configuration says of one call to a plain HTTP service.
+#pragma once
+
+#include <string>
+
+#include "cypresswall/configuration/fleet.h"
+
+namespace cypresswall::execution {
+
+/// Finds the declared operation of that method with the longest path prefix.
+/// \param target path with query
+/// \return the operation; if none is declared, one that may be repeated only for GET and HEAD
+configuration::OperationDeclaration findOperation(
+    const configuration::HttpServiceDeclaration& service, const std::string& method,
+    const std::string& target);
+
+}  // namespace cypresswall::execution
