Add the zone's lease: voters, elections, voter changes, records, generations

Cause: orders and claims need one holder per zone that works on while the store is down. Ruled out: a store-only lease (ends with the store), abstaining after a restart (a restarted process is a new voter under its own NodeId instead, so it has no promise to forget), and a new generation as soon as a majority is silent: a cut-off majority can't learn of it and would hold on. A generation now ends only when every voter that the store names has ended for good or was sealed, and a lease needs a grant of at least one of these. Change: Voter, Replicator, GenerationKeeper, ZoneAuthority with AuthorityView and QuorumLog; probes before campaigns, so that a node that was away raises no epoch.

--- /dev/null
+++ b/src/cypresswall/lease/replicator.h
@@ -0,0 +1,113 @@
+/// The holder's side of the records: collects them from the voters after an election, keeps every
+/// voter up to date and tells when a record is committed.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/lease/lease_settings.h"
+#include "cypresswall/lease/messages.h"
+#include "cypresswall/lease/quorum_log.h"
+#include "cypresswall/lease/record_store.h"
+#include "cypresswall/lease/voter_set.h"
+
+namespace cypresswall::lease {
+
+class Replicator {
+ public:
+  /// What the replicator needs of the lease.
+  struct Lease {
+    std::function<void(const common::NodeId&, const FetchRequest&)> send_fetch;
+    std::function<void(const common::NodeId&, const ReplicateRequest&)> send_records;
+    /// \return true if records kept by `nodes` survive: a majority of each voter set in use.
+    std::function<bool(const NodeSet& nodes)> survives;
+    /// A voter obeys a higher epoch.
+    std::function<void()> superseded;
+  };
+
+  Replicator(const LeaseSettings& settings, const common::Clock& clock, Lease lease)
+      : settings_(settings), clock_(clock), lease_(std::move(lease)) {}
+
+  /// Starts under a newly won epoch; everything known before is dropped.
+  void begin(const common::Epoch& epoch);
+  /// Ends; callbacks of uncommitted records get false.
+  void end();
+  /// Keeps a node up to date from now on, beginning with what it holds.
+  void track(const common::NodeId& node);
+  /// Keeps only `nodes` up to date.
+  void retain(const NodeSet& nodes);
+  /// Starts over with a node whose records were forgotten. \return true if that was so.
+  bool checkLife(const common::NodeId& node, std::uint32_t records_life);
+  /// Sends again what is not acknowledged; to be called often.
+  void tick();
+
+  /// \return true once the records of a majority were collected and are kept by a majority.
+  bool recovered() const { return recovered_ && recovery_records_ == 0; }
+  /// \return true if the node holds every committed record.
+  bool synced(const common::NodeId& node) const;
+  /// Evaluates again which records are committed, after a change of the voter sets.
+  void checkCommitted();
+
+  void handle(const common::NodeId& sender, const FetchReply& reply);
+  void handle(const common::NodeId& sender, const ReplicateReply& reply);
+
+  void replicate(const RecordKey& key, std::string payload, QuorumLog::Committed committed);
+  void erase(const RecordKey& key);
+  const RecordStore::Records& records() const { return records_; }
+
+ private:
+  using Content = std::map<RecordKey, RecordVersion>;
+  /// One node that is kept up to date.
+  struct Follower {
+    bool known = false;
+    std::uint32_t records_life = 0;
+    std::uint64_t fetch_request = 0;
+    common::MonotonicTime last_sent;
+    /// What it held when it was asked.
+    Content content;
+    /// Records that it has not acknowledged.
+    Content missing;
+  };
+  /// One message of records on its way.
+  struct Batch {
+    common::NodeId node;
+    std::vector<std::pair<RecordKey, RecordVersion>> records;
+  };
+  /// A record that is not committed yet.
+  struct Pending {
+    RecordKey key;
+    NodeSet acknowledged;
+    QuorumLog::Committed committed;
+    bool recovery = false;
+  };
+
+  void fetch(const common::NodeId& node, Follower& follower, const RecordKey& after);
+  void fetchFinished(const common::NodeId& node, Follower& follower);
+  void tryRecovery();
+  void adoptRecords(const NodeSet& collected);
+  void compare(const common::NodeId& node, Follower& follower);
+  void submit(const RecordKey& key, std::string payload, QuorumLog::Committed committed,
+              bool recovery);
+  void sendMissing(const common::NodeId& node, Follower& follower);
+  void acknowledged(const common::NodeId& node, const RecordKey& key, const RecordVersion& version);
+
+  LeaseSettings settings_;
+  const common::Clock& clock_;
+  Lease lease_;
+  common::Epoch epoch_;
+  std::uint64_t next_request_ = 0;
+  std::uint64_t next_sequence_ = 0;
+  bool recovered_ = false;
+  std::size_t recovery_records_ = 0;
+  RecordStore::Records records_;
+  std::map<common::NodeId, Follower> followers_;
+  std::map<std::uint64_t, Batch> batches_;
+  /// By sequence number under the present epoch.
+  std::map<std::uint64_t, Pending> pending_;
+};
+
+}  // namespace cypresswall::lease
--- /dev/null
+++ b/tests/lease/lease_zone.h
@@ -0,0 +1,264 @@
+/// One zone of nodes with membership and authority in a virtual world, faults at random, and the
+/// checks that must hold after every event.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cypresswall/lease/zone_authority.h"
+#include "cypresswall/membership/membership.h"
+#include "tests/support/virtual_world.h"
+
+namespace cypresswall::testing {
+
+/// Counts of what happened in a run, so that a test can require that faults really happened.
+struct ZoneLedger {
+  std::uint64_t kills = 0;
+  std::uint64_t restarts = 0;
+  std::uint64_t pauses = 0;
+  std::uint64_t pauses_of_holder = 0;
+  std::uint64_t cuts = 0;
+  std::uint64_t store_outages = 0;
+  std::uint64_t departures = 0;
+  std::uint64_t acquisitions = 0;
+  std::uint64_t generations = 0;
+  std::uint64_t committed_records = 0;
+  std::uint64_t checks = 0;
+};
+
+class LeaseZone {
+ public:
+  struct Node {
+    std::unique_ptr<membership::Membership> membership;
+    std::unique_ptr<lease::ZoneAuthority> authority;
+  };
+
+  explicit LeaseZone(std::uint64_t seed, double clock_drift = 0)
+      : world(seed), drift_(clock_drift) {
+    world.after_each_event = [this] { check(); };
+  }
+
+  static common::Address address(int index) { return "10.0.0." + std::to_string(index) + ":7000"; }
+  static std::string machine(int index) { return "machine-" + std::to_string(index); }
+
+  lease::ZoneAuthority& start(int index) {
+    stop(index);
+    const double rate = 1.0 + drift_ * (2 * world.random.unit() - 1);
+    auto& process = world.spawn({address(index), ++next_incarnation_}, "hall-a", rate);
+    setMachine(index, platform::MachineState::kLive);
+    membership::MembershipSettings settings;
+    settings.machine = machine(index);
+    settings.seeds = {address(1), address(2)};
+    Node& node = nodes[index];
+    node.membership =
+        std::make_unique<membership::Membership>(settings, process.context(), process);
+    node.authority = std::make_unique<lease::ZoneAuthority>(
+        lease::LeaseSettings{}, process.context(), *node.membership, process);
+    node.authority->onChange([this, index](std::optional<common::Epoch> epoch) {
+      if (epoch) {
+        acquired(index, *epoch);
+      }
+    });
+    node.membership->start();
+    node.authority->start();
+    if (on_start) {
+      on_start(index, process);
+    }
+    return *node.authority;
+  }
+  void startAll(int count) {
+    for (int index = 1; index <= count; ++index) {
+      start(index);
+    }
+  }
+  /// Ends a process without notice.
+  void stop(int index) {
+    if (before_stop) {
+      before_stop(index);
+    }
+    nodes.erase(index);
+    world.kill(address(index));
+  }
+  void setMachine(int index, platform::MachineState state) {
+    for (auto& entry : world.machines) {
+      if (entry.name == machine(index)) {
+        entry.state = state;
+        return;
+      }
+    }
+    world.machines.push_back(
+        {machine(index), "hall-a", state, {"10.0.0." + std::to_string(index)}});
+  }
+
+  /// \return the index of the node that holds the lease now, if one does.
+  std::optional<int> holder() const {
+    for (const auto& [index, node] : nodes) {
+      if (node.authority->heldEpoch()) {
+        return index;
+      }
+    }
+    return std::nullopt;
+  }
+  /// Runs until a node that is not paused holds the lease. \return the time it took, or nothing.
+  std::optional<common::Duration> awaitHolder(common::Duration limit) {
+    const auto begin = world.now();
+    while (world.now() - begin < limit) {
+      const auto index = holder();
+      if (index && !world.paused(address(*index))) {
+        return world.now() - begin;
+      }
+      world.runFor(std::chrono::milliseconds(5));
+    }
+    return std::nullopt;
+  }
+
+  /// Replicates the next value of the test's counter on the holder.
+  void writeRecord() {
+    const auto index = holder();
+    if (!index || world.paused(address(*index))) {
+      return;
+    }
+    auto& authority = *nodes.at(*index).authority;
+    const auto generation = authority.heldEpoch()->generation;
+    const std::uint64_t value = ++written_;
+    authority.replicate(lease::RecordModule::kOrders, "counter", std::to_string(value),
+                        [this, value, generation](bool committed) {
+                          if (committed) {
+                            ++ledger.committed_records;
+                            auto& newest = committed_[generation];
+                            newest = std::max(newest, value);
+                          }
+                        });
+  }
+
+  void randomFault(int count) {
+    using std::chrono::milliseconds;
+    auto& random = world.random;
+    const int index = 1 + static_cast<int>(random.below(static_cast<std::uint64_t>(count)));
+    switch (random.below(9)) {
+      case 0:
+        ledger.kills += nodes.contains(index) ? 1 : 0;
+        stop(index);
+        break;
+      case 1:
+      case 2:
+        ++ledger.restarts;
+        start(index);
+        break;
+      case 3:
+        pause(index);
+        break;
+      case 4:
+        if (const auto current = holder()) {
+          ++ledger.pauses_of_holder;
+          pause(*current);
+        }
+        break;
+      case 5:
+        ++ledger.cuts;
+        for (int node = 1; node <= count; ++node) {
+          world.setGroup(address(node), static_cast<int>(random.below(2)));
+        }
+        break;
+      case 6:
+        world.healNetwork();
+        break;
+      case 7:
+        world.store.down = !world.store.down;
+        ledger.store_outages += world.store.down ? 1 : 0;
+        break;
+      default:
+        depart(index);
+    }
+  }
+  /// Ends all faults and starts every node that is not running.
+  void endFaults(int count) {
+    world.healNetwork();
+    world.store.down = false;
+    world.store.lost_answers = 0;
+    world.message_loss = 0;
+    for (int index = 1; index <= count; ++index) {
+      if (!nodes.contains(index)) {
+        start(index);
+      }
+    }
+  }
+
+  VirtualWorld world;
+  std::map<int, Node> nodes;
+  ZoneLedger ledger;
+  std::function<void(int, VirtualProcess&)> on_start;
+  std::function<void(int)> before_stop;
+  /// What was found broken first; empty if nothing.
+  std::string violation;
+
+ private:
+  void pause(int index) {
+    ++ledger.pauses;
+    const auto length = 200 + static_cast<std::int64_t>(world.random.below(3000));
+    world.pause(address(index), std::chrono::milliseconds(length));
+  }
+  /// A machine leaves: announced, then gone from the list with its process.
+  void depart(int index) {
+    if (!nodes.contains(index)) {
+      return;
+    }
+    ++ledger.departures;
+    nodes.at(index).membership->announceLeaving();
+    nodes.at(index).authority->resign();
+    setMachine(index, platform::MachineState::kLeaving);
+    const auto incarnation = nodes.at(index).membership->self().incarnation;
+    world.at(world.now() + std::chrono::seconds(2), [this, index, incarnation] {
+      const auto node = nodes.find(index);
+      if (node != nodes.end() && node->second.membership->self().incarnation == incarnation) {
+        stop(index);
+        setMachine(index, platform::MachineState::kGone);
+      }
+    });
+  }
+  void acquired(int index, const common::Epoch& epoch) {
+    ++ledger.acquisitions;
+    if (epoch <= highest_epoch_) {
+      report("epoch " + epoch.toString() + " after " + highest_epoch_.toString());
+    }
+    ledger.generations += epoch.generation > highest_epoch_.generation ? 1 : 0;
+    highest_epoch_ = std::max(highest_epoch_, epoch);
+    const auto records = nodes.at(index).authority->records(lease::RecordModule::kOrders);
+    const auto counter = records.find("counter");
+    const std::uint64_t held = counter == records.end() ? 0 : std::stoull(counter->second);
+    if (held < committed_[epoch.generation]) {
+      report("committed record " + std::to_string(committed_[epoch.generation]) + " lost, " +
+             std::to_string(held) + " found under epoch " + epoch.toString());
+    }
+  }
+  void check() {
+    ++ledger.checks;
+    int holders = 0;
+    for (const auto& [index, node] : nodes) {
+      holders += node.authority && node.authority->heldEpoch() ? 1 : 0;
+    }
+    if (holders > 1) {
+      report("two holders at once");
+    }
+  }
+  void report(const std::string& what) {
+    if (violation.empty()) {
+      violation = what + " at " + std::to_string(common::toSeconds(world.now())) + " s";
+    }
+  }
+
+  double drift_;
+  std::uint64_t next_incarnation_ = 0;
+  std::uint64_t written_ = 0;
+  /// Highest committed value of the counter, by generation.
+  std::map<std::uint32_t, std::uint64_t> committed_;
+  common::Epoch highest_epoch_;
+};
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/lease/zone_authority_test.cpp
@@ -0,0 +1,189 @@
+#include "cypresswall/lease/zone_authority.h"
+
+#include <algorithm>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "tests/lease/lease_zone.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::lease {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::LeaseZone;
+
+class ZoneAuthorityTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ZoneAuthorityTest);
+  CPPUNIT_TEST(oneHolderAndFiveVoters);
+  CPPUNIT_TEST(singleNodeHoldsAlone);
+  CPPUNIT_TEST(nextHolderAfterAKill);
+  CPPUNIT_TEST(worksThroughAStoreOutage);
+  CPPUNIT_TEST(pausedHolderWakesWithoutLease);
+  CPPUNIT_TEST(minorityHasNoHolder);
+  CPPUNIT_TEST(plannedStopHandsOver);
+  CPPUNIT_TEST(allVotersReplacedOneByOneWithTheStoreDown);
+  CPPUNIT_TEST(newGenerationAfterEveryVoterRestarted);
+  CPPUNIT_TEST(silentMajorityIsNotReplaced);
+  CPPUNIT_TEST(lostStoreAnswersAreSettled);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void oneHolderAndFiveVoters() {
+    LeaseZone zone(1);
+    zone.startAll(7);
+    CPPUNIT_ASSERT(zone.awaitHolder(5s).has_value());
+    zone.world.runFor(5s);
+    const auto& authority = *zone.nodes.at(zone.holder().value()).authority;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, authority.voterSet().members.size());
+    for (const auto& [index, node] : zone.nodes) {
+      CPPUNIT_ASSERT(!node.authority->believedHolder().empty());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, zone.ledger.acquisitions);
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+  }
+
+  void singleNodeHoldsAlone() {
+    LeaseZone zone(2);
+    zone.start(1);
+    CPPUNIT_ASSERT(zone.awaitHolder(4s).has_value());
+  }
+
+  void nextHolderAfterAKill() {
+    LeaseZone zone(3);
+    zone.startAll(5);
+    zone.awaitHolder(5s);
+    zone.writeRecord();
+    zone.world.runFor(2s);
+    zone.stop(zone.holder().value());
+    const auto time = zone.awaitHolder(5s);
+    CPPUNIT_ASSERT(time.has_value());
+    CPPUNIT_ASSERT(*time < 2s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, zone.ledger.committed_records);
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+  }
+
+  void worksThroughAStoreOutage() {
+    LeaseZone zone(4);
+    zone.startAll(5);
+    zone.awaitHolder(5s);
+    zone.world.runFor(2s);
+    zone.world.store.down = true;
+    zone.world.runFor(60s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, zone.ledger.acquisitions);
+    zone.stop(zone.holder().value());
+    CPPUNIT_ASSERT(zone.awaitHolder(2s).has_value());
+  }
+
+  void pausedHolderWakesWithoutLease() {
+    LeaseZone zone(5);
+    zone.startAll(5);
+    zone.awaitHolder(5s);
+    zone.world.runFor(2s);
+    const int paused = zone.holder().value();
+    zone.world.pause(LeaseZone::address(paused), 3s);
+    zone.world.runFor(2500ms);
+    CPPUNIT_ASSERT(zone.holder().value() != paused);
+    zone.world.runFor(2s);
+    CPPUNIT_ASSERT(!zone.nodes.at(paused).authority->heldEpoch());
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+  }
+
+  void minorityHasNoHolder() {
+    LeaseZone zone(6);
+    zone.startAll(5);
+    zone.awaitHolder(5s);
+    zone.world.runFor(3s);
+    const int old_holder = zone.holder().value();
+    const int companion = old_holder == 1 ? 2 : 1;
+    zone.world.setGroup(LeaseZone::address(old_holder), 1);
+    zone.world.setGroup(LeaseZone::address(companion), 1);
+    zone.world.runFor(3s);
+    const int new_holder = zone.holder().value();
+    CPPUNIT_ASSERT(new_holder != old_holder && new_holder != companion);
+    zone.world.runFor(60s);
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+  }
+
+  void plannedStopHandsOver() {
+    LeaseZone zone(7);
+    zone.startAll(5);
+    zone.awaitHolder(5s);
+    zone.writeRecord();
+    zone.world.runFor(2s);
+    const int leaving = zone.holder().value();
+    zone.nodes.at(leaving).membership->announceLeaving();
+    zone.nodes.at(leaving).authority->resign();
+    zone.world.runFor(600ms);
+    CPPUNIT_ASSERT(zone.holder().has_value());
+    CPPUNIT_ASSERT(zone.holder().value() != leaving);
+    zone.world.runFor(4s);
+    const auto& authority = *zone.nodes.at(zone.holder().value()).authority;
+    const auto node = zone.nodes.at(leaving).membership->self();
+    CPPUNIT_ASSERT(!authority.voterSet().contains(node));
+    CPPUNIT_ASSERT(zone.nodes.at(leaving).authority->mayStop());
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+  }
+
+  void allVotersReplacedOneByOneWithTheStoreDown() {
+    LeaseZone zone(8);
+    zone.startAll(5);
+    zone.awaitHolder(5s);
+    zone.world.runFor(2s);
+    zone.world.store.down = true;
+    for (int index = 1; index <= 4; ++index) {
+      zone.writeRecord();
+      zone.world.runFor(1s);
+      zone.start(index);
+      zone.world.runFor(6s);
+    }
+    CPPUNIT_ASSERT(zone.holder().has_value());
+    zone.world.store.down = false;
+    zone.world.runFor(5s);
+    zone.start(5);
+    zone.world.runFor(5s);
+    CPPUNIT_ASSERT(zone.holder().has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, zone.ledger.generations);
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+  }
+
+  void newGenerationAfterEveryVoterRestarted() {
+    LeaseZone zone(9);
+    zone.startAll(5);
+    zone.awaitHolder(5s);
+    zone.world.runFor(2s);
+    zone.startAll(5);
+    CPPUNIT_ASSERT(zone.awaitHolder(8s).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, zone.ledger.generations);
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+  }
+
+  void silentMajorityIsNotReplaced() {
+    LeaseZone zone(10);
+    zone.startAll(5);
+    zone.awaitHolder(5s);
+    zone.world.runFor(3s);
+    for (const int index : {1, 2, 3}) {
+      zone.world.setGroup(LeaseZone::address(index), 1);
+      zone.world.setStoreReachable(LeaseZone::address(index), false);
+    }
+    zone.world.runFor(60s);
+    CPPUNIT_ASSERT(zone.holder().value() <= 3);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, zone.ledger.generations);
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+  }
+
+  void lostStoreAnswersAreSettled() {
+    LeaseZone zone(11);
+    zone.world.store.lost_answers = 1;
+    zone.startAll(3);
+    CPPUNIT_ASSERT(zone.awaitHolder(6s).has_value());
+    CPPUNIT_ASSERT(zone.world.store.answers_lost > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ZoneAuthorityTest);
+
+}  // namespace
+}  // namespace cypresswall::lease
