Add cypresswall-bench load

Cause: the ratios between a gateway and an engine asked directly need one tool that puts the same load on both in one run and checks every answer. What was ruled out: ready-made load generators, which can't read the engine protocol nor check an answer byte by byte; a closed loop, which hides waiting. Change: an open loop with Poisson arrivals over a mix of kinds, streams held open, exact percentiles of the first token and between tokens, ends of requests by kind, processor time and memory of watched processes; text, JSON and CSV.

--- /dev/null
+++ b/apps/cypresswall-bench/main.cpp
@@ -0,0 +1,125 @@
+/// Load and experiment tool. "cypresswall-bench load" puts load on real processes.
+#include <gflags/gflags.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "bench/load/load_report.h"
+#include "bench/load/load_run.h"
+
+DEFINE_string(direct, "", "load: comma-separated IP:port of engines that are asked directly");
+DEFINE_string(gateway, "", "load: comma-separated IP:port of gateways");
+DEFINE_string(mix, "long:0.3:8000:40,short:0.7:60:12",
+              "load: name:share:prompt_tokens:output_tokens[:service], comma-separated");
+DEFINE_string(service, "model", "load: service that the gateway is asked for");
+DEFINE_string(model, "model", "load: model that the engines serve");
+DEFINE_string(model_version, "1", "load: version of that model");
+DEFINE_string(adapter, "", "load: adapter of the service");
+DEFINE_string(api_key, "", "load: key of the tenant");
+DEFINE_double(rate, 0, "load: requests a second over all threads");
+DEFINE_uint32(streams, 0, "load: streams that are held open, over all threads");
+DEFINE_double(ramp, 0, "load: seconds over which held streams are started");
+DEFINE_double(duration, 10, "load: seconds in which requests come, in each phase");
+DEFINE_double(drain, 10, "load: seconds that open requests get to end");
+DEFINE_uint32(rounds, 1, "load: phases of each target; targets take turns");
+DEFINE_uint32(threads, 1, "load: threads of the generator");
+DEFINE_uint64(seed, 1, "load: seed of arrivals and kinds");
+DEFINE_string(watch, "", "load: name=pid, comma-separated: processes to measure");
+DEFINE_string(json, "", "load: file for the results as JSON");
+DEFINE_string(csv, "", "load: file for the results as CSV");
+
+namespace {
+
+using namespace cypresswall;  // NOLINT: a program's main
+
+constexpr int kExitDone = 0;
+constexpr int kExitBadUsage = 2;
+
+std::vector<std::string> splitList(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream stream(text);
+  std::string part;
+  while (std::getline(stream, part, ',')) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+void addTarget(bench::LoadRunSettings& settings, const std::string& name, bench::Dialect dialect,
+               const std::string& addresses) {
+  if (addresses.empty()) {
+    return;
+  }
+  bench::LoadTarget target;
+  target.name = name;
+  target.dialect = dialect;
+  target.addresses = splitList(addresses);
+  target.model = FLAGS_model;
+  target.version = FLAGS_model_version;
+  target.adapter = FLAGS_adapter;
+  target.api_key = FLAGS_api_key;
+  settings.targets.push_back(std::move(target));
+}
+
+/// \throws common::Error for flags that can't be used
+bench::LoadRunSettings settingsFromFlags() {
+  bench::LoadRunSettings settings;
+  addTarget(settings, "direct", bench::Dialect::kEngine, FLAGS_direct);
+  addTarget(settings, "gateway", bench::Dialect::kGateway, FLAGS_gateway);
+  if (settings.targets.empty()) {
+    throw common::Error("--direct or --gateway must name an address");
+  }
+  if (FLAGS_rate <= 0 && FLAGS_streams == 0) {
+    throw common::Error("--rate or --streams must be above zero");
+  }
+  if (FLAGS_threads == 0 || FLAGS_rounds == 0 || FLAGS_duration <= 0) {
+    throw common::Error("--threads, --rounds and --duration must be above zero");
+  }
+  settings.plan.kinds = bench::parseMix(FLAGS_mix, FLAGS_service);
+  settings.plan.requests_per_second = FLAGS_rate;
+  settings.plan.held_streams = FLAGS_streams;
+  settings.plan.ramp = common::fromSeconds(FLAGS_ramp);
+  settings.plan.duration = common::fromSeconds(FLAGS_duration);
+  settings.plan.drain = common::fromSeconds(FLAGS_drain);
+  settings.plan.seed = FLAGS_seed;
+  settings.rounds = FLAGS_rounds;
+  settings.threads = FLAGS_threads;
+  settings.watched = bench::parseWatchList(FLAGS_watch);
+  return settings;
+}
+
+int load() {
+  bench::LoadRunSettings settings;
+  try {
+    settings = settingsFromFlags();
+  } catch (const common::Error& error) {
+    std::cerr << "cypresswall-bench load: " << error.what() << "\n";
+    return kExitBadUsage;
+  }
+  const auto reports =
+      bench::runLoad(settings, [](const std::string& line) { std::cerr << line << "\n"; });
+  bench::writeText(std::cout, reports);
+  if (!FLAGS_json.empty()) {
+    std::ofstream(FLAGS_json) << bench::encodeReports(reports).dump(2) << "\n";
+  }
+  if (!FLAGS_csv.empty()) {
+    std::ofstream file(FLAGS_csv);
+    bench::writeCsv(file, reports);
+  }
+  return kExitDone;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("cypresswall-bench load [flags]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (argc == 2 && std::string(argv[1]) == "load") {
+    return load();
+  }
+  std::cerr << "usage: cypresswall-bench load [flags]; see --help\n";
+  return kExitBadUsage;
+}
--- /dev/null
+++ b/bench/load/load_report.h
@@ -0,0 +1,17 @@
+/// Reports of a load run: text for people, JSON and CSV for programs.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <vector>
+
+#include "bench/load/load_run.h"
+
+namespace cypresswall::bench {
+
+void writeText(std::ostream& out, const std::vector<TargetReport>& reports);
+nlohmann::json encodeReports(const std::vector<TargetReport>& reports);
+/// One row for each target and kind, with a header line.
+void writeCsv(std::ostream& out, const std::vector<TargetReport>& reports);
+
+}  // namespace cypresswall::bench
