Admit by tenants' shares and shed low urgency first

Cause: every request was admitted. Expected time over the limit as the sign of load: a service of long prompts is near its limit on an idle fleet too; the router's refusals are the sign.

--- /dev/null
+++ b/src/cypresswall/admission/engine_priority.h
@@ -0,0 +1,25 @@
+/// How an urgency is written as an engine's priority (0 to 9, higher first).
+#pragma once
+
+#include <cstdint>
+
+#include "cypresswall/configuration/fleet.h"
+
+namespace cypresswall::admission {
+
+/// Each urgency has two priorities; the higher one is for answers that are resumed half-way.
+constexpr std::uint8_t kPrioritiesPerUrgency = 2;
+constexpr std::uint8_t kLowestPriority = 1;
+
+constexpr std::uint8_t enginePriority(configuration::Urgency urgency, bool resuming) {
+  const auto rank = static_cast<std::uint8_t>(urgency);
+  return static_cast<std::uint8_t>(kLowestPriority + kPrioritiesPerUrgency * rank +
+                                   (resuming ? 1 : 0));
+}
+
+/// \param priority made by enginePriority()
+constexpr configuration::Urgency urgencyOfPriority(std::uint8_t priority) {
+  return static_cast<configuration::Urgency>((priority - kLowestPriority) / kPrioritiesPerUrgency);
+}
+
+}  // namespace cypresswall::admission
--- /dev/null
+++ b/src/cypresswall/admission/load_probe.h
@@ -0,0 +1,20 @@
+/// What admission knows of the load on a model's engines.
+#pragma once
+
+#include "cypresswall/common/identifiers.h"
+#include "cypresswall/common/time.h"
+#include "cypresswall/configuration/fleet.h"
+
+namespace cypresswall::admission {
+
+class LoadProbe {
+ public:
+  virtual ~LoadProbe() = default;
+  /// \return part of the requests of this urgency to admit, 0 to 1.
+  virtual double admittedShare(const common::ModelName& model,
+                               configuration::Urgency urgency) const = 0;
+  /// \return when the model's queues will probably have drained enough.
+  virtual common::Duration drainTime(const common::ModelName& model) const = 0;
+};
+
+}  // namespace cypresswall::admission
--- /dev/null
+++ b/src/cypresswall/admission/observed_router.cpp
@@ -0,0 +1,88 @@
+#include "cypresswall/admission/observed_router.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "cypresswall/admission/engine_priority.h"
+
+namespace cypresswall::admission {
+namespace {
+
+/// The level at which everything but the highest urgency is shed.
+constexpr double kHighestLevel = 3;
+
+}  // namespace
+
+void SheddingLevel::onChoice(configuration::Urgency urgency, bool refused,
+                             common::MonotonicTime now) {
+  if (now - window_start_ >= settings_.window) {
+    closeWindow(now);
+  }
+  auto& count = counts_[static_cast<std::size_t>(urgency)];
+  ++count.asked;
+  count.refused += refused ? 1 : 0;
+}
+
+void SheddingLevel::closeWindow(common::MonotonicTime now) {
+  if (overloaded()) {
+    level_ = std::min(kHighestLevel, level_ + settings_.step_up);
+  } else {
+    level_ = levelAt(now);
+  }
+  counts_ = {};
+  window_start_ = now;
+}
+
+/// Only refusals of classes above the one that is shed next count: the router refuses the others by
+/// itself, and shedding them would help nobody.
+bool SheddingLevel::overloaded() const {
+  Count kept;
+  for (auto rank = static_cast<std::size_t>(level_) + 1; rank < kClasses; ++rank) {
+    kept.asked += counts_[rank].asked;
+    kept.refused += counts_[rank].refused;
+  }
+  return kept.refused > settings_.refused_share * kept.asked;
+}
+
+double SheddingLevel::levelAt(common::MonotonicTime now) const {
+  const double windows =
+      common::toSeconds(now - window_start_) / common::toSeconds(settings_.window);
+  return std::max(0.0, level_ - settings_.step_down * std::floor(windows));
+}
+
+double SheddingLevel::admittedShare(configuration::Urgency urgency,
+                                    common::MonotonicTime now) const {
+  const double shed = levelAt(now) - static_cast<double>(urgency);
+  return std::clamp(1 - shed, 0.0, 1.0);
+}
+
+ObservedRouter::ObservedRouter(routing::Router& router, const common::Clock& clock,
+                               const SheddingSettings& settings)
+    : router_(router), clock_(clock), settings_(settings) {}
+
+routing::RouteChoice ObservedRouter::choose(const routing::RouteRequest& request) {
+  auto choice = router_.choose(request);
+  const auto* refusal = std::get_if<routing::RouteRefusal>(&choice);
+  const bool overloaded =
+      refusal != nullptr && refusal->reason == routing::RouteFailure::kOverloaded;
+  auto& load =
+      models_.try_emplace(request.model, ModelLoad{SheddingLevel(settings_)}).first->second;
+  load.level.onChoice(urgencyOfPriority(request.priority), overloaded, clock_.now());
+  if (overloaded) {
+    load.last_retry_after = refusal->retry_after;
+  }
+  return choice;
+}
+
+double ObservedRouter::admittedShare(const common::ModelName& model,
+                                     configuration::Urgency urgency) const {
+  const auto load = models_.find(model);
+  return load == models_.end() ? 1 : load->second.level.admittedShare(urgency, clock_.now());
+}
+
+common::Duration ObservedRouter::drainTime(const common::ModelName& model) const {
+  const auto load = models_.find(model);
+  return load == models_.end() ? common::Duration{0} : load->second.last_retry_after;
+}
+
+}  // namespace cypresswall::admission
--- /dev/null
+++ b/src/cypresswall/admission/observed_router.h
@@ -0,0 +1,76 @@
+/// Learns from the router's refusals how much to shed.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+
+#include "cypresswall/admission/admission_settings.h"
+#include "cypresswall/admission/load_probe.h"
+#include "cypresswall/routing/router.h"
+
+namespace cypresswall::admission {
+
+/// How much of one model's load is shed, in classes: 1.3 means all of the lowest urgency and three
+/// tenths of the next. Rises while the router refuses requests of a class above the one that is
+/// shed next, falls while it does not. The highest urgency is never shed.
+class SheddingLevel {
+ public:
+  explicit SheddingLevel(const SheddingSettings& settings) : settings_(settings) {}
+  void onChoice(configuration::Urgency urgency, bool refused, common::MonotonicTime now);
+  double admittedShare(configuration::Urgency urgency, common::MonotonicTime now) const;
+
+ private:
+  static constexpr std::size_t kClasses = 4;
+  struct Count {
+    std::uint32_t asked = 0;
+    std::uint32_t refused = 0;
+  };
+
+  void closeWindow(common::MonotonicTime now);
+  double levelAt(common::MonotonicTime now) const;
+  bool overloaded() const;
+
+  SheddingSettings settings_;
+  std::array<Count, kClasses> counts_{};
+  common::MonotonicTime window_start_{};
+  double level_ = 0;
+};
+
+/// Passes everything on to the router that it wraps, and keeps a shedding level for each model.
+class ObservedRouter final : public routing::Router, public LoadProbe {
+ public:
+  ObservedRouter(routing::Router& router, const common::Clock& clock,
+                 const SheddingSettings& settings = {});
+
+  routing::RouteChoice choose(const routing::RouteRequest& request) override;
+  void attemptStarted(const routing::RouteRequest& request, const routing::Route& route) override {
+    router_.attemptStarted(request, route);
+  }
+  void firstTokenReceived(const std::string& stream_id) override {
+    router_.firstTokenReceived(stream_id);
+  }
+  void attemptFinished(const std::string& stream_id) override {
+    router_.attemptFinished(stream_id);
+  }
+  void attemptFailed(const std::string& stream_id, engines::StreamFailure failure) override {
+    router_.attemptFailed(stream_id, failure);
+  }
+
+  double admittedShare(const common::ModelName& model,
+                       configuration::Urgency urgency) const override;
+  common::Duration drainTime(const common::ModelName& model) const override;
+
+ private:
+  struct ModelLoad {
+    SheddingLevel level;
+    common::Duration last_retry_after{0};
+  };
+
+  routing::Router& router_;
+  const common::Clock& clock_;
+  const SheddingSettings settings_;
+  std::map<common::ModelName, ModelLoad> models_;
+};
+
+}  // namespace cypresswall::admission
--- /dev/null
+++ b/src/cypresswall/admission/zone_admission_controller.cpp
@@ -0,0 +1,108 @@
+#include "cypresswall/admission/zone_admission_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cypresswall::admission {
+namespace {
+
+/// Retry-After of shed requests is drawn out at random by up to this part, so that they don't all
+/// come back at once.
+constexpr double kRetrySpread = 0.5;
+
+const char* nameOf(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kTenantRequestLimit:
+      return "tenant_requests";
+    case RefusalReason::kTenantTokenLimit:
+      return "tenant_tokens";
+    case RefusalReason::kShedding:
+      return "shedding";
+    case RefusalReason::kDraining:
+      return "draining";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+ZoneAdmissionController::ZoneAdmissionController(
+    const api::ProcessContext& process, const configuration::ConfigurationView& configuration,
+    membership::MembershipView& membership, const LoadProbe& load,
+    const AdmissionSettings& settings)
+    : process_(process),
+      configuration_(configuration),
+      load_(load),
+      settings_(settings),
+      tenants_(process, configuration, membership, settings),
+      admitted_(
+          process.counters.counter("cypresswall_admission_admitted_total", "Requests admitted")),
+      in_flight_gauge_(process.counters.gauge("cypresswall_admission_in_flight",
+                                              "Requests admitted and not ended")) {}
+
+std::optional<Refusal> ZoneAdmissionController::admit(const AdmissionRequest& request) {
+  auto refusal = decide(request);
+  if (refusal) {
+    refusedCounter(refusal->reason).add();
+    return refusal;
+  }
+  admitted_.add();
+  in_flight_gauge_.set(++in_flight_);
+  return std::nullopt;
+}
+
+std::optional<Refusal> ZoneAdmissionController::decide(const AdmissionRequest& request) {
+  if (draining_) {
+    return refuse(RefusalReason::kDraining, settings_.draining_retry_after,
+                  "this node is about to stop");
+  }
+  if (in_flight_ >= settings_.maximum_in_flight) {
+    return refuse(RefusalReason::kShedding, settings_.minimum_retry_after,
+                  "this node serves as many requests as it can hold");
+  }
+  const auto model = modelOf(request.service);
+  if (!model.empty() && sheds(request, model)) {
+    return refuse(RefusalReason::kShedding, load_.drainTime(model),
+                  "requests of this urgency are shed while model " + model + " is overloaded");
+  }
+  return tenants_.take(request);
+}
+
+bool ZoneAdmissionController::sheds(const AdmissionRequest& request,
+                                    const common::ModelName& model) {
+  const double admitted_share = load_.admittedShare(model, request.urgency);
+  return admitted_share < 1 && process_.random.unit() >= admitted_share;
+}
+
+Refusal ZoneAdmissionController::refuse(RefusalReason reason, common::Duration retry_after,
+                                        std::string message) {
+  const double spread =
+      reason == RefusalReason::kShedding ? 1 + kRetrySpread * process_.random.unit() : 1;
+  const auto drawn_out = common::fromSeconds(common::toSeconds(retry_after) * spread);
+  Refusal refusal;
+  refusal.reason = reason;
+  refusal.retry_after =
+      std::clamp(drawn_out, settings_.minimum_retry_after, settings_.maximum_retry_after);
+  refusal.message = std::move(message);
+  return refusal;
+}
+
+common::ModelName ZoneAdmissionController::modelOf(const common::ServiceName& service) const {
+  const auto fleet = configuration_.current();
+  const auto declared = fleet->model_services.find(service);
+  if (declared != fleet->model_services.end()) {
+    return declared->second.model;
+  }
+  return fleet->models.count(service) != 0 ? service : common::ModelName();
+}
+
+common::Counter& ZoneAdmissionController::refusedCounter(RefusalReason reason) {
+  return process_.counters.counter("cypresswall_admission_refused_total", "Requests refused",
+                                   "reason", nameOf(reason));
+}
+
+void ZoneAdmissionController::released(const AdmissionRequest&) {
+  in_flight_gauge_.set(--in_flight_);
+}
+
+}  // namespace cypresswall::admission
--- /dev/null
+++ b/src/cypresswall/admission/zone_admission_controller.h
@@ -0,0 +1,47 @@
+/// The admission controller of a gateway node.
+#pragma once
+
+#include <optional>
+
+#include "cypresswall/admission/admission.h"
+#include "cypresswall/admission/admission_settings.h"
+#include "cypresswall/admission/load_probe.h"
+#include "cypresswall/admission/tenant_limits.h"
+
+namespace cypresswall::admission {
+
+/// Refuses, in this order: everything while the node drains; what is beyond the requests that the
+/// node can hold; low urgencies first while a model is overloaded; what is beyond a tenant's share.
+class ZoneAdmissionController final : public AdmissionController {
+ public:
+  ZoneAdmissionController(const api::ProcessContext& process,
+                          const configuration::ConfigurationView& configuration,
+                          membership::MembershipView& membership, const LoadProbe& load,
+                          const AdmissionSettings& settings = {});
+
+  std::optional<Refusal> admit(const AdmissionRequest& request) override;
+  void released(const AdmissionRequest& request) override;
+  /// From now on new work is refused; requests that run are not touched.
+  void setDraining(bool draining) { draining_ = draining; }
+  std::uint32_t inFlight() const { return in_flight_; }
+
+ private:
+  std::optional<Refusal> decide(const AdmissionRequest& request);
+  bool sheds(const AdmissionRequest& request, const common::ModelName& model);
+  Refusal refuse(RefusalReason reason, common::Duration retry_after, std::string message);
+  /// \return the model behind a service, empty for plain HTTP services
+  common::ModelName modelOf(const common::ServiceName& service) const;
+  common::Counter& refusedCounter(RefusalReason reason);
+
+  const api::ProcessContext& process_;
+  const configuration::ConfigurationView& configuration_;
+  const LoadProbe& load_;
+  const AdmissionSettings settings_;
+  TenantLimits tenants_;
+  common::Counter& admitted_;
+  common::Counter& in_flight_gauge_;
+  std::uint32_t in_flight_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace cypresswall::admission
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cypresswall/admission/engine_priority.h"
 #include "cypresswall/execution/refusal_error.h"
 
 namespace cypresswall::execution {
@@ -87,7 +88,7 @@
   request.shape = target_.shape;
   request.maximum_tokens = target_.maximum_tokens;
   request.resume_from = tokens_given_;
-  request.priority = enginePriority(target_.service.urgency, resuming());
+  request.priority = admission::enginePriority(target_.service.urgency, resuming());
   request.first_token_limit = timeToFirstToken();
   request.between_tokens_limit = target_.service.between_tokens_limit;
   request.excluded = excluded_;
@@ -130,7 +131,7 @@
   request.model = target_.service.model;
   request.version = target_.version;
   request.adapter = target_.service.adapter;
-  request.priority = enginePriority(target_.service.urgency, resuming());
+  request.priority = admission::enginePriority(target_.service.urgency, resuming());
   request.prompt = call_.prompt;
   request.shape = target_.shape;
   request.maximum_tokens = target_.maximum_tokens;
--- a/src/cypresswall/execution/model_target.cpp
+++ b/src/cypresswall/execution/model_target.cpp
@@ -43,9 +43,4 @@
   return target;
 }
 
-std::uint8_t enginePriority(configuration::Urgency urgency, bool resuming) {
-  const auto rank = static_cast<std::uint8_t>(urgency);
-  return static_cast<std::uint8_t>(2 * rank + 1 + (resuming ? 1 : 0));
-}
-
 }  // namespace cypresswall::execution
--- a/src/cypresswall/execution/model_target.h
+++ b/src/cypresswall/execution/model_target.h
@@ -25,8 +25,4 @@
 std::optional<ModelTarget> resolveTarget(const configuration::FleetConfiguration& fleet,
                                          const ModelCall& call);
 
-/// \return the engine priority (0 to 9) of a new request of this urgency; a resumed answer goes one
-///   above.
-std::uint8_t enginePriority(configuration::Urgency urgency, bool resuming);
-
 }  // namespace cypresswall::execution
--- /dev/null
+++ b/tests/admission/zone_admission_controller_test.cpp
@@ -0,0 +1,142 @@
+#include "cypresswall/admission/zone_admission_controller.h"
+
+#include "cypresswall/admission/engine_priority.h"
+#include "cypresswall/admission/observed_router.h"
+#include "tests/execution/fake_engines.h"
+#include "tests/execution/fake_services.h"
+#include "tests/execution/process_fixture.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::admission {
+namespace {
+
+using configuration::Urgency;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A node whose engines can be overloaded for urgencies up to a given one.
+struct World {
+  explicit World(AdmissionSettings settings = {})
+      : controller(process.context, configuration, membership, router, settings) {
+    auto& service = configuration.fleet.model_services["summary"];
+    service.name = "summary";
+    service.model = "dispatch";
+  }
+
+  std::optional<Refusal> admit(Urgency urgency) {
+    AdmissionRequest request;
+    request.service = "summary";
+    request.urgency = urgency;
+    auto refusal = controller.admit(request);
+    if (!refusal) {
+      controller.released(request);
+    }
+    return refusal;
+  }
+  /// Lets requests of one urgency reach the router for a time.
+  void route(Urgency urgency, bool refused, common::Duration duration) {
+    for (auto passed = common::Duration{0}; passed < duration; passed += milliseconds(10)) {
+      routing::RouteRequest request;
+      request.model = "dispatch";
+      request.priority = enginePriority(urgency, false);
+      engines_router.refuses = refused;
+      router.choose(request);
+      process.time.runFor(milliseconds(10));
+    }
+  }
+  int admittedOfHundred(Urgency urgency) {
+    int admitted = 0;
+    for (int number = 0; number < 100; ++number) {
+      admitted += admit(urgency) ? 0 : 1;
+    }
+    return admitted;
+  }
+
+  testing::ProcessFixture process;
+  testing::FixedConfiguration configuration;
+  testing::FakeMembership membership;
+  testing::FakeRouter engines_router;
+  ObservedRouter router{engines_router, process.time};
+  ZoneAdmissionController controller;
+};
+
+class ZoneAdmissionControllerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ZoneAdmissionControllerTest);
+  CPPUNIT_TEST(drainingRefusesNewWork);
+  CPPUNIT_TEST(lowUrgencyIsShedFirst);
+  CPPUNIT_TEST(refusalsOfAClassDoNotShedIt);
+  CPPUNIT_TEST(sheddingEndsWithTheOverload);
+  CPPUNIT_TEST(boundsRequestsInFlight);
+  CPPUNIT_TEST(priorityGivesTheUrgencyBack);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void drainingRefusesNewWork() {
+    World world;
+    CPPUNIT_ASSERT(!world.admit(Urgency::kNormal));
+    world.controller.setDraining(true);
+    const auto refusal = world.admit(Urgency::kCritical);
+    CPPUNIT_ASSERT(refusal->reason == RefusalReason::kDraining);
+    CPPUNIT_ASSERT(refusal->retry_after == seconds(1));
+  }
+
+  void lowUrgencyIsShedFirst() {
+    World world;
+    world.route(Urgency::kHigh, true, milliseconds(1500));
+    CPPUNIT_ASSERT_LESS(20, world.admittedOfHundred(Urgency::kLow));
+    CPPUNIT_ASSERT_EQUAL(100, world.admittedOfHundred(Urgency::kNormal));
+    world.route(Urgency::kHigh, true, seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, world.admittedOfHundred(Urgency::kLow));
+    CPPUNIT_ASSERT_LESS(100, world.admittedOfHundred(Urgency::kNormal));
+    CPPUNIT_ASSERT_EQUAL(100, world.admittedOfHundred(Urgency::kHigh));
+    const auto refusal = world.admit(Urgency::kLow);
+    CPPUNIT_ASSERT(refusal->reason == RefusalReason::kShedding);
+    CPPUNIT_ASSERT(refusal->retry_after >= world.engines_router.retry_after);
+  }
+
+  void refusalsOfAClassDoNotShedIt() {
+    World world;
+    world.route(Urgency::kLow, true, seconds(60));
+    CPPUNIT_ASSERT_EQUAL(100, world.admittedOfHundred(Urgency::kLow));
+    world.route(Urgency::kNormal, true, seconds(60));
+    CPPUNIT_ASSERT_LESS(20, world.admittedOfHundred(Urgency::kLow));
+    CPPUNIT_ASSERT_EQUAL(100, world.admittedOfHundred(Urgency::kNormal));
+  }
+
+  void sheddingEndsWithTheOverload() {
+    World world;
+    world.route(Urgency::kCritical, true, seconds(60));
+    CPPUNIT_ASSERT_LESS(20, world.admittedOfHundred(Urgency::kHigh));
+    CPPUNIT_ASSERT_EQUAL(100, world.admittedOfHundred(Urgency::kCritical));
+    // Also if nothing is asked for that could show that the overload is over.
+    world.process.time.runFor(seconds(60));
+    CPPUNIT_ASSERT_EQUAL(100, world.admittedOfHundred(Urgency::kLow));
+  }
+
+  void boundsRequestsInFlight() {
+    AdmissionSettings settings;
+    settings.maximum_in_flight = 2;
+    World world(settings);
+    const AdmissionRequest request;
+    CPPUNIT_ASSERT(!world.controller.admit(request));
+    CPPUNIT_ASSERT(!world.controller.admit(request));
+    CPPUNIT_ASSERT(world.controller.admit(request)->reason == RefusalReason::kShedding);
+    world.controller.released(request);
+    CPPUNIT_ASSERT(!world.controller.admit(request));
+  }
+
+  void priorityGivesTheUrgencyBack() {
+    for (const auto urgency :
+         {Urgency::kLow, Urgency::kNormal, Urgency::kHigh, Urgency::kCritical}) {
+      for (const bool resuming : {false, true}) {
+        CPPUNIT_ASSERT(urgencyOfPriority(enginePriority(urgency, resuming)) == urgency);
+        CPPUNIT_ASSERT(enginePriority(urgency, resuming) <= 9);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ZoneAdmissionControllerTest);
+
+}  // namespace
+}  // namespace cypresswall::admission
