Put one daemon's modules together as node::Node

Cause: the daemon and the simulator must run the same composition. Change: membership, gossip, lease, configuration, engine directory, router and model executor in one object without I/O. Admission admits everything until its module joins. Conclusion: it builds; nothing is measured.

--- /dev/null
+++ b/src/cypresswall/node/node.h
@@ -0,0 +1,66 @@
+/// One daemon's deciding modules, put together: the same object runs in cypresswalld and in the
+/// simulator. It does no I/O; clock, timers, transport and clients are injected.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/configuration/configuration_replica.h"
+#include "cypresswall/engines/engine_client.h"
+#include "cypresswall/execution/engine_model_executor.h"
+#include "cypresswall/lease/zone_authority.h"
+#include "cypresswall/membership/membership.h"
+#include "cypresswall/membership/zone_gossip.h"
+#include "cypresswall/node/node_settings.h"
+#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/platform/object_store.h"
+#include "cypresswall/routing/cost_router.h"
+#include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/services/service_client.h"
+
+namespace cypresswall::node {
+
+/// Clients of everything outside the system. All must outlive the node.
+struct NodeClients {
+  platform::ObjectStore& object_store;
+  platform::MachineList& machine_list;
+  engines::EngineClient& engines;
+  services::ServiceClient& services;
+};
+
+class Node {
+ public:
+  /// Builds the modules; nothing is sent before start().
+  Node(NodeSettings settings, const api::ProcessContext& context, const NodeClients& clients);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /// Joins the zone and begins to work.
+  void start();
+  /// \return true once a configuration is held, so that requests can be judged.
+  bool ready() const { return configuration_.ready(); }
+
+  membership::Membership& membership() { return membership_; }
+  membership::ZoneGossip& gossip() { return gossip_; }
+  lease::ZoneAuthority& authority() { return authority_; }
+  configuration::ConfigurationReplica& configuration() { return configuration_; }
+  routing::EngineDirectory& engines() { return engines_; }
+  routing::CostRouter& router() { return router_; }
+  execution::ModelExecutor& modelExecutor() { return *model_executor_; }
+
+ private:
+  NodeSettings settings_;
+  api::ProcessContext context_;
+  membership::Membership membership_;
+  membership::ZoneGossip gossip_;
+  lease::ZoneAuthority authority_;
+  configuration::ConfigurationReplica configuration_;
+  routing::EngineDirectory engines_;
+  routing::CostRouter router_;
+  std::unique_ptr<admission::AdmissionController> admission_;
+  std::unique_ptr<execution::ModelExecutor> model_executor_;
+};
+
+}  // namespace cypresswall::node
