Join admission, service execution and the planned stop to node::Node

Cause: requests need limits and services before the first whole path; a stop must cut nothing. Change: admission with shedding learnt from the router, the service executor (keys are refused as not run until claims exist), drain on a planned stop or when the machine list shows the own machine as leaving: new work is refused, the lease is given up, the process ends when nothing runs. Conclusion: it builds; the drain is not yet tested in the composition.

--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -5,13 +5,22 @@
 namespace cypresswall::node {
 namespace {
 
-/// Admits everything.
-class OpenAdmission final : public admission::AdmissionController {
+/// Grants no claim: requests with an idempotency key are refused as not run.
+class NoKeyClaims final : public idempotency::KeyClaims {
  public:
-  std::optional<admission::Refusal> admit(const admission::AdmissionRequest&) override {
-    return std::nullopt;
+  explicit NoKeyClaims(common::Scheduler& scheduler) : scheduler_(scheduler) {}
+  void claim(const std::string&, std::uint64_t,
+             std::function<void(idempotency::ClaimAnswer)> callback) override {
+    scheduler_.schedule(common::Duration(0), [callback = std::move(callback)] {
+      callback(idempotency::ClaimAnswer{idempotency::ClaimVerdict::kUnavailable, "",
+                                        std::chrono::seconds(1)});
+    });
   }
-  void released(const admission::AdmissionRequest&) override {}
+  void complete(const std::string&, std::string) override {}
+  void release(const std::string&) override {}
+
+ private:
+  common::Scheduler& scheduler_;
 };
 
 }  // namespace
@@ -25,9 +34,21 @@
       configuration_(settings_.configuration, context_, membership_, gossip_, clients.object_store),
       engines_(settings_.directory, context_, clients.engines, configuration_, membership_),
       router_(settings_.router, context_, engines_),
-      admission_(std::make_unique<OpenAdmission>()),
-      model_executor_(std::make_unique<execution::EngineModelExecutor>(
-          context_, configuration_, *admission_, router_, clients.engines, settings_.execution)) {}
+      observed_router_(router_, context_.clock, settings_.shedding),
+      admission_(context_, configuration_, membership_, observed_router_, settings_.admission),
+      key_claims_(std::make_unique<NoKeyClaims>(context_.scheduler)),
+      model_executor_(context_, configuration_, admission_, observed_router_, clients.engines,
+                      settings_.execution),
+      service_executor_(context_,
+                        execution::ServiceInterfaces{configuration_, membership_, admission_,
+                                                     clients.services, *key_claims_},
+                        settings_.execution) {
+  membership_.onChange([this] {
+    if (membership_.leaving()) {
+      drain();
+    }
+  });
+}
 
 Node::~Node() = default;
 
@@ -39,4 +60,44 @@
   engines_.start();
 }
 
+void Node::drain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "drain_started")
+      .field("in_flight", admission_.inFlight());
+  admission_.setDraining(true);
+  authority_.resign();
+}
+
+void Node::beginStop(std::function<void()> done) {
+  const bool first = !stopped_;
+  stopped_ = std::move(done);
+  if (!first) {
+    return;
+  }
+  stop_deadline_ = context_.clock.now() + settings_.stop_limit;
+  membership_.announceLeaving();
+  drain();
+  checkStop();
+}
+
+bool Node::mayStop() const {
+  return admission_.inFlight() == 0 && service_executor_.running() == 0 && authority_.mayStop();
+}
+
+void Node::checkStop() {
+  const bool late = context_.clock.now() >= stop_deadline_;
+  if (!late && !mayStop()) {
+    context_.scheduler.schedule(settings_.stop_check_interval, [this] { checkStop(); });
+    return;
+  }
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "drain_finished")
+      .field("in_flight", admission_.inFlight())
+      .field("limit_reached", late);
+  membership_.announceStopped();
+  stopped_();
+}
+
 }  // namespace cypresswall::node
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -5,10 +5,13 @@
 #include <functional>
 #include <memory>
 
+#include "cypresswall/admission/observed_router.h"
+#include "cypresswall/admission/zone_admission_controller.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/configuration/configuration_replica.h"
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/execution/engine_model_executor.h"
+#include "cypresswall/execution/http_service_executor.h"
 #include "cypresswall/lease/zone_authority.h"
 #include "cypresswall/membership/membership.h"
 #include "cypresswall/membership/zone_gossip.h"
@@ -39,8 +42,15 @@
 
   /// Joins the zone and begins to work.
   void start();
-  /// \return true once a configuration is held, so that requests can be judged.
-  bool ready() const { return configuration_.ready(); }
+  /// \return true once a configuration is held, so that requests can be judged, and until the node
+  ///   drains.
+  bool ready() const { return configuration_.ready() && !draining_; }
+
+  /// Planned stop: takes no new requests, gives up the lease and its place as a voter, and calls
+  /// `done` once nothing runs here that an end of the process would cut, or after
+  /// NodeSettings::stop_limit. A second call replaces `done`.
+  void beginStop(std::function<void()> done);
+  bool draining() const { return draining_; }
 
   membership::Membership& membership() { return membership_; }
   membership::ZoneGossip& gossip() { return gossip_; }
@@ -48,9 +58,16 @@
   configuration::ConfigurationReplica& configuration() { return configuration_; }
   routing::EngineDirectory& engines() { return engines_; }
   routing::CostRouter& router() { return router_; }
-  execution::ModelExecutor& modelExecutor() { return *model_executor_; }
+  admission::ZoneAdmissionController& admission() { return admission_; }
+  execution::ModelExecutor& modelExecutor() { return model_executor_; }
+  execution::ServiceExecutor& serviceExecutor() { return service_executor_; }
 
  private:
+  /// Stops taking new work; what runs goes on.
+  void drain();
+  void checkStop();
+  bool mayStop() const;
+
   NodeSettings settings_;
   api::ProcessContext context_;
   membership::Membership membership_;
@@ -59,8 +76,14 @@
   configuration::ConfigurationReplica configuration_;
   routing::EngineDirectory engines_;
   routing::CostRouter router_;
-  std::unique_ptr<admission::AdmissionController> admission_;
-  std::unique_ptr<execution::ModelExecutor> model_executor_;
+  admission::ObservedRouter observed_router_;
+  admission::ZoneAdmissionController admission_;
+  std::unique_ptr<idempotency::KeyClaims> key_claims_;
+  execution::EngineModelExecutor model_executor_;
+  execution::HttpServiceExecutor service_executor_;
+  bool draining_ = false;
+  std::function<void()> stopped_;
+  common::MonotonicTime stop_deadline_;
 };
 
 }  // namespace cypresswall::node
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -1,6 +1,7 @@
 /// Settings of all modules of one node.
 #pragma once
 
+#include "cypresswall/admission/admission_settings.h"
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/lease/lease_settings.h"
@@ -15,7 +16,13 @@
   configuration::ConfigurationSettings configuration;
   routing::DirectorySettings directory;
   routing::RouterSettings router;
+  admission::SheddingSettings shedding;
+  admission::AdmissionSettings admission;
   execution::ExecutionSettings execution;
+  /// A planned stop waits no longer than this for requests that run.
+  common::Duration stop_limit = std::chrono::minutes(10);
+  /// How often a planned stop looks whether anything still runs.
+  common::Duration stop_check_interval = std::chrono::milliseconds(20);
 };
 
 }  // namespace cypresswall::node
