Add the callers' gateway

Cause: callers need the OpenAI API for models and plain HTTP for services in front of the executors.

What was ruled out: building a JSON document of a request body, since unknown or repeated fields of a large body then cost many times its size (a body of brackets, of numbers or of empty messages); an outcome header on streams, since the outcome is not known when the headers leave; taking the caller's X-Request-Id as ours, since answers are matched by it; passing the tenant's key on to services.

Change: Gateway with one session object for each request; bodies are read event by event into a small typed request; the constant parts of a token's event are built once for each stream; slow readers pause the execution above 32 KiB and resume it below 8 KiB, stuck ones are ended after 30 s; an error after the first token is the stream's last event. HttpRoutes gives paths to handlers. The HTTP server no longer calls a close callback whose Responder was dropped meanwhile.

--- /dev/null
+++ b/src/cypresswall/gateway/http_routes.h
@@ -0,0 +1,27 @@
+/// Chooses the handler of an HTTP request by the longest matching path prefix.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cypresswall/http/server.h"
+
+namespace cypresswall::gateway {
+
+/// Paths of one HTTP server. Handlers must outlive the server that uses them.
+class HttpRoutes {
+ public:
+  /// Gives all paths that are `prefix`, or continue it after a slash, to `handler`; a longer prefix
+  /// goes before a shorter one. A later handler of the same prefix replaces the earlier one.
+  void add(std::string prefix, http::Handler handler);
+  /// Calls the matching handler, or answers 404.
+  void handle(http::Request request, const std::shared_ptr<http::Responder>& responder) const;
+
+ private:
+  const http::Handler* find(const std::string& path) const;
+
+  std::map<std::string, http::Handler> handlers_;
+};
+
+}  // namespace cypresswall::gateway
--- /dev/null
+++ b/src/cypresswall/gateway/model_session.cpp
@@ -0,0 +1,177 @@
+#include "cypresswall/gateway/model_session.h"
+
+#include <utility>
+
+#include "cypresswall/gateway/error_answer.h"
+
+namespace cypresswall::gateway {
+
+ModelSession::ModelSession(GatewayContext& context, const GatewaySettings& settings,
+                           GatewayCounters& counters, CompletionRequest request,
+                           common::TenantName tenant, std::string request_id,
+                           std::shared_ptr<http::Responder> responder)
+    : context_(context),
+      settings_(settings),
+      counters_(counters),
+      request_(std::move(request)),
+      tenant_(std::move(tenant)),
+      identity_{request_.kind, std::move(request_id), request_.model, context.unix_time()},
+      responder_(std::move(responder)) {}
+
+ModelSession::~ModelSession() { cancelStuckTimer(); }
+
+void ModelSession::start(std::function<void()> ended) {
+  ended_ = std::move(ended);
+  responder_->onClosed([this] { callerGone(); });
+  execution::ModelCall call;
+  call.request_id = identity_.request_id;
+  call.tenant = tenant_;
+  call.service = request_.model;
+  call.prompt = std::move(request_.prompt);
+  call.maximum_tokens = request_.maximum_tokens;
+  execution_ = context_.models.start(std::move(call), *this);
+}
+
+void ModelSession::onToken(std::uint32_t /*index*/, const std::string& text) {
+  if (over_) {
+    return;
+  }
+  ++tokens_;
+  counters_.tokens.add();
+  if (request_.stream) {
+    streamToken(text);
+  } else {
+    collectToken(text);
+  }
+}
+
+void ModelSession::streamToken(const std::string& text) {
+  if (!format_) {
+    openStream();
+  }
+  std::string event;
+  format_->appendToken(event, text);
+  responder_->write(std::move(event));
+  pauseIfFull();
+}
+
+void ModelSession::collectToken(const std::string& text) {
+  text_ += text;
+  if (text_.size() > settings_.maximum_answer_bytes) {
+    execution_.reset();
+    onError({execution::ErrorKind::kBackendFailed, execution::Outcome::kUnknown,
+             "the answer is too long to be given whole", common::Duration::zero()});
+  }
+}
+
+void ModelSession::openStream() {
+  format_.emplace(identity_);
+  responder_->onDrained([this] { callerDrained(); });
+  responder_->startStream(200, {{"Content-Type", "text/event-stream"},
+                                {"Cache-Control", "no-cache"},
+                                {kRequestIdHeader, identity_.request_id}});
+  auto opening = format_->opening();
+  if (!opening.empty()) {
+    responder_->write(std::move(opening));
+  }
+}
+
+void ModelSession::onFinished(const engines::StreamUsage& usage) {
+  if (over_) {
+    return;
+  }
+  if (request_.stream) {
+    if (!format_) {
+      openStream();
+    }
+    responder_->write(format_->ending(usage, request_.include_usage));
+    responder_->finishStream();
+  } else {
+    responder_->respond(200,
+                        {{"Content-Type", "application/json"},
+                         {kRequestIdHeader, identity_.request_id},
+                         {kOutcomeHeader, execution::toString(execution::Outcome::kDone)}},
+                        wholeAnswer(identity_, text_, usage));
+  }
+  end(execution::toString(execution::Outcome::kDone), usage.finish_reason);
+}
+
+void ModelSession::onError(const execution::ExecutionError& error) {
+  if (over_) {
+    return;
+  }
+  const auto answer = errorAnswerOf(error);
+  if (format_) {
+    responder_->write("data: " + errorBody(answer) + "\n\n");
+    responder_->finishStream();
+  } else {
+    respondWithError(*responder_, answer, identity_.request_id);
+  }
+  end(execution::toString(error.outcome), answer.code + ": " + error.message);
+}
+
+void ModelSession::pauseIfFull() {
+  if (paused_ || responder_->pendingBytes() <= settings_.pause_above_bytes) {
+    return;
+  }
+  paused_ = true;
+  counters_.pauses.add();
+  execution_->pause();
+  stuck_timer_ =
+      context_.scheduler.schedule(settings_.stuck_reader_limit, [this] { callerStuck(); });
+}
+
+void ModelSession::callerDrained() {
+  if (over_ || !paused_ || responder_->pendingBytes() > settings_.resume_below_bytes) {
+    return;
+  }
+  paused_ = false;
+  cancelStuckTimer();
+  execution_->resume();
+}
+
+void ModelSession::callerGone() {
+  if (over_) {
+    return;
+  }
+  execution_.reset();
+  end("caller-gone", "the connection ended");
+}
+
+void ModelSession::callerStuck() {
+  stuck_timer_ = 0;
+  if (over_) {
+    return;
+  }
+  counters_.stuck_readers.add();
+  execution_.reset();
+  responder_->abort();
+  end("caller-gone", "the caller read nothing for too long");
+}
+
+void ModelSession::cancelStuckTimer() {
+  if (stuck_timer_ != 0) {
+    context_.scheduler.cancel(std::exchange(stuck_timer_, 0));
+  }
+}
+
+void ModelSession::logEnd(const char* result, const std::string& reason) {
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "request_ended")
+      .field("request", identity_.request_id)
+      .field("tenant", tenant_)
+      .field("service", identity_.model)
+      .field("result", result)
+      .field("reason", reason)
+      .field("streamed", request_.stream)
+      .field("output_tokens", tokens_);
+}
+
+void ModelSession::end(const char* result, const std::string& reason) {
+  over_ = true;
+  cancelStuckTimer();
+  counters_.requestsEnded(result).add();
+  logEnd(result, reason);
+  ended_();
+}
+
+}  // namespace cypresswall::gateway
--- a/src/cypresswall/http/exchange.cpp
+++ b/src/cypresswall/http/exchange.cpp
@@ -104,7 +104,12 @@
   const bool answer_open = state_ != State::kSent && state_ != State::kClosed;
   state_ = State::kClosed;
   if (answer_open && on_closed_) {
-    asio::post(server_->context, std::exchange(on_closed_, nullptr));
+    // The handler may drop its Responder, and with it the callback, before the post runs.
+    asio::post(server_->context, [self = shared_from_this()] {
+      if (const auto callback = std::exchange(self->on_closed_, nullptr)) {
+        callback();
+      }
+    });
   }
   complete();
 }
@@ -155,7 +160,9 @@
     scheduleFlush();
   }
   if (state_ == State::kStreaming && on_drained_) {
-    on_drained_();
+    // A copy, since the callback may drop the Responder.
+    const auto callback = on_drained_;
+    callback();
   }
 }
 
