Add the HTTP client of engines, and send no request twice

Cause: engines are reached by streams, orders and reports as in docs/protocols.md. libcurl by itself sends a request again when a reused connection ends before an answer; an engine that had begun a stream could then refuse the second copy, and "not run" would be told of a stream that ran.

Ruled out: a new connection for every request (a round trip more before each first token); full JSON trees for each token (a flat scanner reads the usual form, everything else falls back, and a property holds that both read alike).

Change: HttpEngineClient, HttpStream, the SSE parser, JSON of the engine protocol; CurlMulti stops libcurl's second sending, so such a request ends as broken.

Conclusion: engines_test and runtime_test pass; requestsAreNeverSentTwice fails without the check.

--- /dev/null
+++ b/src/cypresswall/engines/http_stream.cpp
@@ -0,0 +1,111 @@
+#include "cypresswall/engines/http_stream.h"
+
+#include <utility>
+
+#include "cypresswall/engines/engine_json.h"
+
+namespace cypresswall::engines {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+HttpStreamCounters::HttpStreamCounters(common::CounterRegistry& registry)
+    : tokens(registry.counter("cypresswall_engine_tokens_total", "Tokens received from engines.")),
+      failed(registry.counter("cypresswall_engine_streams_failed_total",
+                              "Attempts at streams that failed on the engine's side.")) {}
+
+HttpStream::HttpStream(runtime::CurlMulti& curl, runtime::CurlRequest request,
+                       std::uint32_t attempt, HttpStreamCounters& counters, StreamHandler& handler)
+    : attempt_(attempt),
+      counters_(counters),
+      handler_(&handler),
+      transfer_(curl.start(std::move(request), *this)) {}
+
+void HttpStream::pause() { transfer_->pause(); }
+
+void HttpStream::resume() { transfer_->resume(); }
+
+void HttpStream::onBody(std::string_view bytes) {
+  if (handler_ == nullptr) {
+    return;
+  }
+  // The parser lives on the stack while it runs: the handler may destroy this object.
+  SseParser parser = std::move(parser_);
+  const std::weak_ptr<bool> alive = alive_;
+  try {
+    parser.feed(bytes, [&](std::string_view data) { return takeEvent(data) && !alive.expired(); });
+    if (!alive.expired()) {
+      parser_ = std::move(parser);
+    }
+  } catch (const common::Error& error) {
+    fail(StreamFailure::kMalformed, error.what());
+  }
+}
+
+bool HttpStream::takeEvent(std::string_view data) {
+  if (parseTokenEventFast(data, token_)) {
+    return takeToken(token_);
+  }
+  const StreamEvent event = parseStreamEvent(data);
+  if (const auto* token = std::get_if<TokenEvent>(&event)) {
+    return takeToken(*token);
+  }
+  return takeDone(std::get<DoneEvent>(event));
+}
+
+bool HttpStream::takeToken(const TokenEvent& event) {
+  counters_.tokens.add();
+  const std::weak_ptr<bool> alive = alive_;
+  // A copy, since the handler may destroy this object.
+  const std::string text = event.text;
+  handler_->onToken(event.attempt, event.index, text);
+  return !alive.expired();
+}
+
+bool HttpStream::takeDone(const DoneEvent& event) {
+  if (event.attempt == attempt_) {
+    // Given once the answer is complete, so that its connection can be used again.
+    usage_ = event.usage;
+    return false;
+  }
+  const std::weak_ptr<bool> alive = alive_;
+  handler_->onFinished(event.attempt, event.usage);
+  return !alive.expired();
+}
+
+void HttpStream::onDone(runtime::CurlResponse response) {
+  if (handler_ == nullptr) {
+    return;
+  }
+  if (usage_) {
+    std::exchange(handler_, nullptr)->onFinished(attempt_, *usage_);
+  } else {
+    failFrom(response);
+  }
+}
+
+void HttpStream::failFrom(const runtime::CurlResponse& response) {
+  if (response.outcome == runtime::CurlOutcome::kNotSent) {
+    fail(StreamFailure::kNotSent, response.error);
+    return;
+  }
+  if (response.outcome == runtime::CurlOutcome::kBroken || response.status == kStatusOk) {
+    fail(StreamFailure::kBroken,
+         response.error.empty() ? "the stream ended without its last event" : response.error);
+    return;
+  }
+  const StreamRefusal refusal = parseStreamRefusal(response.body);
+  const std::string message = "status " + std::to_string(response.status) + ": " + refusal.error;
+  fail(refusal.not_run ? StreamFailure::kRefused : StreamFailure::kMalformed, message);
+}
+
+void HttpStream::fail(StreamFailure failure, const std::string& message) {
+  counters_.failed.add();
+  if (StreamHandler* const handler = std::exchange(handler_, nullptr)) {
+    handler->onFailed(failure, message);
+  }
+}
+
+}  // namespace cypresswall::engines
--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -62,6 +62,8 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlJob::onHeaderBytes);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlJob::beforeSending);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
   if (request_.connection_use == ConnectionUse::kFresh) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   }
@@ -123,6 +125,12 @@
   return size * count;
 }
 
+int CurlJob::beforeSending(void* job, char*, char*, int, int) {
+  // libcurl comes here a second time if a reused connection ended before it gave an answer.
+  const bool sent_before = static_cast<CurlJob*>(job)->numberOf(CURLINFO_REQUEST_SIZE) != 0;
+  return sent_before ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t CurlJob::takeBody(std::string_view bytes) {
   if (abandoned()) {
     return CURL_WRITEFUNC_ERROR;
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -20,13 +20,14 @@
 
 /// Whether a request may go out on a connection that was used before.
 enum class ConnectionUse : std::uint8_t {
-  /// Reuses idle connections. If the peer closes such a connection before it answers, libcurl sends
-  /// the request again on a new one, so the peer may see it twice.
   kReuse,
-  /// Makes a new connection, so the request goes out once at most.
+  /// Makes a new connection. A reused one may be closed by the peer just when the request is sent,
+  /// which leaves it unknown whether the request ran.
   kFresh,
 };
 
+/// A request goes out once at most: where libcurl by itself would send it again on another
+/// connection, it ends as broken.
 struct CurlRequest {
   std::string method = "GET";
   common::Address address;
--- /dev/null
+++ b/tests/engines/stream_event_test.cpp
@@ -0,0 +1,157 @@
+#include "cypresswall/engines/stream_event.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "cypresswall/engines/engine_json.h"
+#include "cypresswall/engines/sse_parser.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::engines {
+namespace {
+
+std::string tokenJson(const std::string& text) {
+  return R"({"attempt": 2, "index": 7, "token": ")" + text + "\"}";
+}
+
+class StreamEventTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StreamEventTest);
+  CPPUNIT_TEST(readsTokensFast);
+  CPPUNIT_TEST(leavesOtherFormsToTheFullParser);
+  CPPUNIT_TEST(fastAndFullParserAgree);
+  CPPUNIT_TEST(anyBytesAreReadOrRefused);
+  CPPUNIT_TEST(readsTheLastEvent);
+  CPPUNIT_TEST(eventsSurviveAnySplit);
+  CPPUNIT_TEST(boundsAnEvent);
+  CPPUNIT_TEST(refusesMalformedAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void readsTokensFast() {
+    TokenEvent event;
+    for (const std::string text : {" plain", "", "\u5BAE\u5D0E", "na\u00EFve", "{\u20AC,}"}) {
+      CPPUNIT_ASSERT(parseTokenEventFast(tokenJson(text), event));
+      CPPUNIT_ASSERT(event == (TokenEvent{2, 7, text}));
+    }
+    CPPUNIT_ASSERT(parseTokenEventFast(R"({"token":"a","index":0,"attempt":1})", event));
+    CPPUNIT_ASSERT(event == (TokenEvent{1, 0, "a"}));
+  }
+
+  void leavesOtherFormsToTheFullParser() {
+    TokenEvent event;
+    const std::vector<std::string> others = {
+        "",
+        "{}",
+        "[]",
+        tokenJson("\\n"),
+        tokenJson("\x01"),
+        tokenJson("\xff"),
+        tokenJson("\xe5\xae"),
+        tokenJson("x") + "x",
+        R"({"attempt": 1, "index": 0})",
+        R"({"attempt": 1, "attempt": 1, "index": 0, "token": "x"})",
+        R"({"attempt": 01, "index": 0, "token": "x"})",
+        R"({"attempt": -1, "index": 0, "token": "x"})",
+        R"({"attempt": 1.5, "index": 0, "token": "x"})",
+        R"({"attempt": 1, "index": 9999999999, "token": "x"})",
+        R"({"attempt": 1, "index": 0, "token": "x", "more": 1})",
+        R"({"attempt": 1, "index": 0, "token": "x")",
+        R"({"attempt": 1, "index": 0, "token": "x)"};
+    for (const std::string& json : others) {
+      CPPUNIT_ASSERT_MESSAGE(json, !parseTokenEventFast(json, event));
+    }
+  }
+
+  void fastAndFullParserAgree() {
+    testing::requireProperty(
+        "what the fast parser accepts, the full parser reads alike", 2000,
+        [](std::uint32_t attempt, std::uint32_t index, const std::string& text, bool raw,
+           std::uint8_t cut) {
+          const nlohmann::json value = {{"attempt", attempt}, {"index", index}, {"token", text}};
+          std::string json =
+              raw ? tokenJson(text)
+                  : value.dump(-1, ' ', cut % 2 == 0, nlohmann::json::error_handler_t::replace);
+          if (cut > 200) {
+            json.resize(json.size() - std::min<std::size_t>(json.size(), cut - 200U));
+          }
+          TokenEvent fast;
+          if (parseTokenEventFast(json, fast)) {
+            RC_ASSERT(std::get<TokenEvent>(parseStreamEvent(json)) == fast);
+          }
+        });
+  }
+
+  void anyBytesAreReadOrRefused() {
+    testing::requireProperty(
+        "no answer of an engine crashes a parser", 2000, [](const std::string& bytes) {
+          for (const auto& parse : {+[](std::string_view json) { parseStreamEvent(json); },
+                                    +[](std::string_view json) { parseEngineLoad(json); },
+                                    +[](std::string_view json) { parseOrderReply(json); },
+                                    +[](std::string_view json) { parseCacheEvents(json); }}) {
+            RC_ASSERT_THROWS_AS(parse(bytes), EngineProtocolError);
+          }
+          RC_ASSERT(!parseStreamRefusal(bytes).not_run);
+        });
+  }
+
+  void readsTheLastEvent() {
+    const auto event = std::get<DoneEvent>(parseStreamEvent(
+        R"({"attempt": 3, "done": true, "prompt_tokens": 10, "cached_prompt_tokens": 4,
+            "output_tokens": 5, "finish_reason": "stop", "unknown": null})"));
+    CPPUNIT_ASSERT_EQUAL(3U, event.attempt);
+    CPPUNIT_ASSERT_EQUAL(10U, event.usage.prompt_tokens);
+    CPPUNIT_ASSERT_EQUAL(4U, event.usage.cached_prompt_tokens);
+    CPPUNIT_ASSERT_EQUAL(5U, event.usage.output_tokens);
+    CPPUNIT_ASSERT_EQUAL(std::string("stop"), event.usage.finish_reason);
+  }
+
+  void eventsSurviveAnySplit() {
+    const std::string bytes =
+        ": comment\r\n\r\ndata: one\r\n\r\nevent: x\ndata:two\ndata: lines\n\ndata: cut";
+    testing::requireProperty(
+        "events come whole however the bytes are split", 200,
+        [&](const std::vector<std::uint8_t>& cuts) {
+          SseParser parser;
+          std::vector<std::string> events;
+          std::size_t position = 0;
+          std::size_t turn = 0;
+          while (position < bytes.size()) {
+            const std::size_t step = cuts.empty() ? 1 : 1 + cuts[turn++ % cuts.size()] % 9;
+            parser.feed(std::string_view(bytes).substr(position, step), [&](std::string_view data) {
+              events.emplace_back(data);
+              return true;
+            });
+            position += step;
+          }
+          RC_ASSERT(events == (std::vector<std::string>{"one", "two\nlines"}));
+        });
+  }
+
+  void boundsAnEvent() {
+    SseParser parser;
+    const std::string piece(64U << 10, 'x');
+    const auto ignore = [](std::string_view) { return true; };
+    const auto feedForever = [&] {
+      for (std::size_t fed = 0; fed <= 2 * SseParser::kMaximumEventBytes; fed += piece.size()) {
+        parser.feed(piece, ignore);
+      }
+    };
+    CPPUNIT_ASSERT_THROW(feedForever(), SseError);
+  }
+
+  void refusesMalformedAnswers() {
+    CPPUNIT_ASSERT_THROW(parseOrderReply(R"({"verdict": "perhaps"})"), EngineProtocolError);
+    CPPUNIT_ASSERT_THROW(parseCacheEvents(R"({"incarnation": 1, "last_sequence": 1, "events":
+        [{"sequence": 1, "kind": "stored", "piece": "xyz"}]})"),
+                         EngineProtocolError);
+    CPPUNIT_ASSERT_THROW(parseStreamEvent(R"({"attempt": -1, "index": 0, "token": "\n"})"),
+                         EngineProtocolError);
+    CPPUNIT_ASSERT_THROW(parseStreamEvent(R"({"attempt": 1, "done": false})"), EngineProtocolError);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamEventTest);
+
+}  // namespace
+}  // namespace cypresswall::engines
--- a/tests/runtime/curl_multi_test.cpp
+++ b/tests/runtime/curl_multi_test.cpp
@@ -33,7 +33,8 @@
 class CurlMultiTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CurlMultiTest);
   CPPUNIT_TEST(fetchesAndReusesTheConnection);
-  CPPUNIT_TEST(freshRequestsAreNeverSentTwice);
+  CPPUNIT_TEST(requestsAreNeverSentTwice);
+  CPPUNIT_TEST(freshRequestsTakeANewConnection);
   CPPUNIT_TEST(tellsNotSentFromBroken);
   CPPUNIT_TEST(timeLimitAfterSendingIsBroken);
   CPPUNIT_TEST(streamsTheBodyAndPauses);
@@ -55,7 +56,7 @@
     CPPUNIT_ASSERT_EQUAL(1, server_.connections());
   }
 
-  void freshRequestsAreNeverSentTwice() {
+  void requestsAreNeverSentTwice() {
     server_.answer(httpAnswer(200, "first"));
     fetch(request("GET"));
     // The server takes the next request and closes without an answer. On a reused connection
@@ -63,10 +64,21 @@
     server_.answer("", true);
     CurlRequest once = request("POST");
     once.body = "booking";
-    once.connection_use = ConnectionUse::kFresh;
-    const CurlResponse response = fetch(once);
-    CPPUNIT_ASSERT(response.outcome == CurlOutcome::kBroken);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_.requests().size());
+    CPPUNIT_ASSERT(fetch(once).outcome == CurlOutcome::kBroken);
+    // Whatever was sent before a later request has arrived with it.
+    server_.answer(httpAnswer(200, "last"));
+    CPPUNIT_ASSERT(fetch(request("GET")).outcome == CurlOutcome::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, server_.requests().size());
+  }
+
+  void freshRequestsTakeANewConnection() {
+    server_.answer(httpAnswer(200, "first"));
+    fetch(request("GET"));
+    server_.answer(httpAnswer(200, "second"));
+    CurlRequest fresh = request("POST");
+    fresh.connection_use = ConnectionUse::kFresh;
+    CPPUNIT_ASSERT(fetch(fresh).outcome == CurlOutcome::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(2, server_.connections());
   }
 
   void tellsNotSentFromBroken() {
