Add the HTTP clients of the platform and of plain services

Cause: the daemon reaches the object API, the machine list and the services as docs/protocols.md says, and what it tells callers depends on the exact kind of each failure.

Ruled out: reading 409 as a conflict in any case (the store may hold this write's own earlier copy); reused connections for writes (a connection that the peer closes at that moment leaves the outcome unknown without need).

"Not sent" is told only if libcurl handed no byte of the request to the network.

--- /dev/null
+++ b/src/cypresswall/platform/http_object_store.h
@@ -0,0 +1,57 @@
+/// Client of the platform's object API over HTTP (docs/protocols.md).
+#pragma once
+
+#include <chrono>
+
+#include "cypresswall/common/counters.h"
+#include "cypresswall/platform/object_store.h"
+#include "cypresswall/runtime/curl_multi.h"
+
+namespace cypresswall::platform {
+
+struct HttpObjectStoreSettings {
+  common::Address address;
+  common::Duration connect_time_limit = std::chrono::seconds(1);
+  common::Duration read_time_limit = std::chrono::seconds(3);
+  common::Duration write_time_limit = std::chrono::seconds(3);
+  /// How long the store may hold a watch without changes.
+  common::Duration watch_poll_time = std::chrono::seconds(5);
+};
+
+/// Numbers of calls by how they ended.
+struct HttpObjectStoreCounters {
+  explicit HttpObjectStoreCounters(common::CounterRegistry& registry);
+
+  common::Counter& calls;
+  common::Counter& unavailable;
+  common::Counter& unknown_outcome;
+  common::Counter& conflicts;
+};
+
+/// A failed write is kUnavailable only if no byte was sent or the store said that it did nothing.
+/// \pre `curl` and `counters` outlive the client
+class HttpObjectStore final : public ObjectStore {
+ public:
+  HttpObjectStore(runtime::CurlMulti& curl, common::CounterRegistry& counters,
+                  HttpObjectStoreSettings settings);
+
+  void get(const std::string& key, StoreCallback<StoredObject> callback) override;
+  void compareAndSet(ObjectWrite write, StoreCallback<StoredObject> callback) override;
+  void list(const std::string& prefix, StoreCallback<ObjectListing> callback) override;
+  void watch(const std::string& prefix, std::uint64_t revision,
+             StoreCallback<ObjectListing> callback) override;
+
+ private:
+  runtime::CurlRequest request(std::string method, std::string target,
+                               common::Duration time_limit) const;
+  template <typename Value>
+  StoreResult<Value> counted(StoreResult<Value> result);
+  StoreResult<StoredObject> writeResult(const runtime::CurlResponse& response,
+                                        const ObjectWrite& write) const;
+
+  runtime::CurlMulti& curl_;
+  HttpObjectStoreCounters counters_;
+  HttpObjectStoreSettings settings_;
+};
+
+}  // namespace cypresswall::platform
--- /dev/null
+++ b/src/cypresswall/platform/platform_json.cpp
@@ -0,0 +1,83 @@
+#include "cypresswall/platform/platform_json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cypresswall::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+StoredObject objectOf(const Json& value) {
+  StoredObject object;
+  object.key = value.at("key").get<std::string>();
+  object.version = value.at("version").get<std::uint64_t>();
+  object.value = value.at("value").get<std::string>();
+  object.change_id = value.at("change_id").get<std::string>();
+  return object;
+}
+
+MachineState stateOf(const std::string& name) {
+  if (name == "live") {
+    return MachineState::kLive;
+  }
+  if (name == "leaving") {
+    return MachineState::kLeaving;
+  }
+  if (name == "gone") {
+    return MachineState::kGone;
+  }
+  throw PlatformProtocolError("unknown machine state '" + name + "'");
+}
+
+Machine machineOf(const Json& value) {
+  Machine machine;
+  machine.name = value.at("name").get<std::string>();
+  machine.zone = value.at("zone").get<std::string>();
+  machine.state = stateOf(value.at("state").get<std::string>());
+  machine.addresses = value.at("addresses").get<std::vector<std::string>>();
+  return machine;
+}
+
+/// Parses `json` and converts it; every failure becomes a PlatformProtocolError.
+template <typename Convert>
+auto converted(std::string_view json, Convert convert) {
+  try {
+    return convert(Json::parse(json));
+  } catch (const Json::exception& error) {
+    throw PlatformProtocolError(std::string("platform's answer can't be read: ") + error.what());
+  }
+}
+
+}  // namespace
+
+std::string objectWriteJson(const ObjectWrite& write) {
+  const Json value = {{"expected_version", write.expected_version},
+                      {"value", write.value},
+                      {"change_id", write.change_id}};
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+StoredObject parseStoredObject(std::string_view json) { return converted(json, objectOf); }
+
+ObjectListing parseObjectListing(std::string_view json) {
+  return converted(json, [](const Json& value) {
+    ObjectListing listing;
+    listing.revision = value.at("revision").get<std::uint64_t>();
+    for (const Json& object : value.at("objects")) {
+      listing.objects.push_back(objectOf(object));
+    }
+    return listing;
+  });
+}
+
+std::vector<Machine> parseMachines(std::string_view json) {
+  return converted(json, [](const Json& value) {
+    std::vector<Machine> machines;
+    for (const Json& machine : value.at("machines")) {
+      machines.push_back(machineOf(machine));
+    }
+    return machines;
+  });
+}
+
+}  // namespace cypresswall::platform
--- /dev/null
+++ b/src/cypresswall/platform/platform_json.h
@@ -0,0 +1,28 @@
+/// JSON of the object API and of the machine list (docs/protocols.md).
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cypresswall/common/errors.h"
+#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/platform/object_store.h"
+
+namespace cypresswall::platform {
+
+/// An answer of the platform that can't be understood.
+class PlatformProtocolError : public common::Error {
+ public:
+  using common::Error::Error;
+};
+
+/// The body of a PUT; the key stands in the path.
+std::string objectWriteJson(const ObjectWrite& write);
+
+/// Each reads one answer. \throws PlatformProtocolError
+StoredObject parseStoredObject(std::string_view json);
+ObjectListing parseObjectListing(std::string_view json);
+std::vector<Machine> parseMachines(std::string_view json);
+
+}  // namespace cypresswall::platform
--- /dev/null
+++ b/src/cypresswall/services/http_service_client.cpp
@@ -0,0 +1,133 @@
+#include "cypresswall/services/http_service_client.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace cypresswall::services {
+namespace {
+
+using runtime::CurlHeader;
+using runtime::CurlOutcome;
+using runtime::CurlRequest;
+using runtime::CurlResponse;
+
+constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusServerError = 500;
+constexpr const char* kOutcomeHeader = "X-Cypresswall-Outcome";
+constexpr const char* kOutcomeNotRun = "not-run";
+constexpr const char* kRequestIdHeader = "X-Request-Id";
+
+/// Headers that belong to one connection or that each side writes itself.
+constexpr std::array<const char*, 13> kConnectionHeaders = {"Connection",
+                                                            "Keep-Alive",
+                                                            "Proxy-Authenticate",
+                                                            "Proxy-Authorization",
+                                                            "Proxy-Connection",
+                                                            "TE",
+                                                            "Trailer",
+                                                            "Transfer-Encoding",
+                                                            "Upgrade",
+                                                            "Host",
+                                                            "Content-Length",
+                                                            "Expect",
+                                                            kOutcomeHeader};
+
+bool sameName(const std::string& left, const char* right) {
+  return strcasecmp(left.c_str(), right) == 0;
+}
+
+bool passedOn(const std::string& name) {
+  return std::none_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                      [&](const char* own) { return sameName(name, own); });
+}
+
+bool hasLineBreak(const std::string& text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos;
+}
+
+std::vector<CurlHeader> requestHeaders(const ServiceRequest& request) {
+  std::vector<CurlHeader> headers = {{kRequestIdHeader, request.request_id}};
+  for (const HttpHeader& header : request.headers) {
+    const bool own = sameName(header.name, kRequestIdHeader);
+    if (!own && passedOn(header.name) && !hasLineBreak(header.name + header.value)) {
+      headers.push_back({header.name, header.value});
+    }
+  }
+  return headers;
+}
+
+/// \return true if the service itself said that it did not run the request.
+bool saidNotRun(const CurlResponse& response) {
+  const bool refusing =
+      response.status == kStatusTooManyRequests || response.status >= kStatusServerError;
+  return refusing && response.header(kOutcomeHeader) == kOutcomeNotRun;
+}
+
+ServiceOutcome outcomeOf(const CurlResponse& response) {
+  switch (response.outcome) {
+    case CurlOutcome::kNotSent:
+      return ServiceOutcome::kNotSent;
+    case CurlOutcome::kBroken:
+      return ServiceOutcome::kBroken;
+    case CurlOutcome::kAnswered:
+      break;
+  }
+  return saidNotRun(response) ? ServiceOutcome::kRefused : ServiceOutcome::kAnswered;
+}
+
+ServiceResponse serviceResponseOf(CurlResponse response) {
+  ServiceResponse result;
+  result.outcome = outcomeOf(response);
+  result.status = response.status;
+  result.error = std::move(response.error);
+  if (response.outcome != CurlOutcome::kAnswered) {
+    return result;
+  }
+  result.body = std::move(response.body);
+  for (CurlHeader& header : response.headers) {
+    if (passedOn(header.name)) {
+      result.headers.push_back({std::move(header.name), std::move(header.value)});
+    }
+  }
+  return result;
+}
+
+class HttpServiceCall final : public ServiceCall {
+ public:
+  explicit HttpServiceCall(std::unique_ptr<runtime::CurlTransfer> transfer)
+      : transfer_(std::move(transfer)) {}
+
+ private:
+  std::unique_ptr<runtime::CurlTransfer> transfer_;
+};
+
+}  // namespace
+
+HttpServiceClient::HttpServiceClient(runtime::CurlMulti& curl, const HttpServiceSettings& settings)
+    : curl_(curl), settings_(settings) {}
+
+std::unique_ptr<ServiceCall> HttpServiceClient::call(
+    const common::Address& address, ServiceRequest request,
+    std::function<void(ServiceResponse)> callback) {
+  CurlRequest sent;
+  sent.method = request.method;
+  sent.address = address;
+  sent.target = request.target;
+  sent.headers = requestHeaders(request);
+  sent.body = std::move(request.body);
+  const bool only_reads = sent.method == "GET" || sent.method == "HEAD";
+  sent.connection_use =
+      only_reads ? runtime::ConnectionUse::kReuse : runtime::ConnectionUse::kFresh;
+  sent.connect_time_limit = settings_.connect_time_limit;
+  sent.total_time_limit = request.time_limit;
+  sent.maximum_body_bytes = settings_.maximum_answer_bytes;
+  return std::make_unique<HttpServiceCall>(
+      curl_.startFetch(std::move(sent), [callback = std::move(callback)](CurlResponse response) {
+        callback(serviceResponseOf(std::move(response)));
+      }));
+}
+
+}  // namespace cypresswall::services
