Name the log event that has no fields

Cause: clang-tidy takes an unnamed object that is destroyed at once for a mistake. What was ruled out: switching the check off. Change: the event has a name.

--- a/standins/process/standin_process.cpp
+++ b/standins/process/standin_process.cpp
@@ -41,7 +41,7 @@
     return kExitCannotListen;
   }
   context_.run();
-  common::LogEvent(log_, common::LogLevel::kInfo, "stopped");
+  const common::LogEvent stopped(log_, common::LogLevel::kInfo, "stopped");
   return 0;
 }
 
