Add the zone controller, fenced orders, drains and the role planner

Cause: roles, versions and adapters of engines have to change under load, by orders that never conflict, never cut a stream, and have no effect once their sender lost its authority.

What was ruled out: ordering without a drain and relying on only_if_idle alone (a busy engine would never be idle); drains that end by a fixed time at the holder only (a lost holder would leave engines drained); starting sequence numbers anew when the same epoch is held again after a lapse (two contents under one number).

Change: every node has a controller. The lease's holder raises each engine's fence, then carries one change an engine at a time through draining, ordering and confirming. An order without an answer is sent again unchanged; a busy one that is given up is made ineffective by a fence order with the next number. heldEpoch() is asked directly before each sending. Drain tables carry epoch and version: nodes acknowledge them, drop those of earlier holders, and drop tables that nobody renews. The planner weighs the answers lost without a change over the horizon against those lost while the engine is away plus the policy's weight; baselines stand behind the same interface. A Route's version and the demand of callers feed both.

--- /dev/null
+++ b/src/cypresswall/orders/order_channel.h
@@ -0,0 +1,82 @@
+/// All orders from one holder to one engine: one at a time, numbered, and sent again unchanged
+/// until the engine answers.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/engines/engine_client.h"
+#include "cypresswall/lease/authority_view.h"
+#include "cypresswall/orders/settings.h"
+
+namespace cypresswall::orders {
+
+/// How an order ended.
+enum class OrderResult : std::uint8_t {
+  kTaken,             ///< the engine accepted it, now or when it was sent before
+  kBusy,              ///< streams run or a change is under way; the order stays open, see resend()
+  kStaleEpoch,        ///< another holder has the engine; this one gives it no more orders
+  kWrongIncarnation,  ///< the engine restarted; nothing was done
+  kConflict,          ///< the engine obeyed a later order of this epoch; nothing was done
+  kAuthorityLost,     ///< the order was not sent: the lease is no longer held
+};
+
+class OrderChannel {
+ public:
+  using Callback = std::function<void(OrderResult)>;
+
+  OrderChannel(const OrderSettings& settings, const api::ProcessContext& context,
+               lease::AuthorityView& authority, engines::EngineClient& client,
+               engines::EngineEndpoint endpoint, const common::Epoch& epoch);
+  ~OrderChannel();
+  OrderChannel(const OrderChannel&) = delete;
+  OrderChannel& operator=(const OrderChannel&) = delete;
+
+  /// Sends a new order to one life of the engine.
+  /// \pre !open()
+  /// \param callback called for each result; after any but kBusy the order is closed
+  void submit(std::uint64_t engine_incarnation, const engines::OrderContent& content,
+              Callback callback);
+  /// Sends the open order again, the very same.
+  /// \pre open() and the last result was kBusy
+  void resend();
+  /// Gives up an order that was answered with kBusy. A copy that is still on its way is made
+  /// ineffective by a later number: raises the fence once more with the next sequence number.
+  /// \pre open() and the last result was kBusy
+  void withdraw(Callback callback);
+
+  bool open() const { return open_.has_value(); }
+  bool busy() const { return busy_; }
+  const engines::EngineEndpoint& endpoint() const { return endpoint_; }
+  std::uint64_t sequence() const { return sequence_; }
+
+ private:
+  void send();
+  void onReply(const engines::EngineOrder& order,
+               const common::Result<engines::OrderReply, engines::EngineFailure>& result);
+  void scheduleResend();
+  void close(OrderResult result);
+
+  OrderSettings settings_;
+  const api::ProcessContext& context_;
+  lease::AuthorityView& authority_;
+  engines::EngineClient& client_;
+  engines::EngineEndpoint endpoint_;
+  common::Epoch epoch_;
+  std::uint64_t sequence_ = 0;
+  std::optional<engines::EngineOrder> open_;
+  Callback callback_;
+  bool busy_ = false;
+  common::Duration resend_delay_{0};
+  common::TimerId resend_timer_ = 0;
+  /// Shows replies on their way that the channel is gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  common::Counter& sent_;
+  common::Counter& resent_;
+  common::Counter& without_authority_;
+};
+
+}  // namespace cypresswall::orders
--- /dev/null
+++ b/src/cypresswall/orders/zone_controller.cpp
@@ -0,0 +1,281 @@
+#include "cypresswall/orders/zone_controller.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "cypresswall/orders/desired_state.h"
+#include "cypresswall/orders/planning_input.h"
+#include "cypresswall/planning/role_planner.h"
+
+namespace cypresswall::orders {
+namespace {
+
+/// Ended changes kept for operators.
+constexpr std::size_t kRememberedChanges = 256;
+/// Weight of the newest change in the moving average of the time away.
+constexpr double kTimeAwayWeight = 0.3;
+
+}  // namespace
+
+ZoneController::ZoneController(const ControllerSettings& settings,
+                               const api::ProcessContext& context, lease::AuthorityView& authority,
+                               routing::EngineDirectory& directory, engines::EngineClient& client,
+                               configuration::ConfigurationView& configuration,
+                               membership::MembershipView& membership,
+                               std::unique_ptr<planning::Planner> planner)
+    : settings_(settings),
+      context_(context),
+      authority_(authority),
+      directory_(directory),
+      client_(client),
+      configuration_(configuration),
+      planner_(std::move(planner)),
+      follower_(settings.drain, context, directory),
+      drains_(settings.drain, context, membership, follower_),
+      epochs_(context.counters.counter("cypresswall_controller_epochs_total",
+                                       "Epochs under which this node acted")),
+      demand_dropped_(context.counters.counter("cypresswall_demand_reports_dropped_total",
+                                               "Demand reports without a known holder")) {
+  if (!planner_) {
+    planner_ = std::make_unique<planning::RolePlanner>(planning::RolePlannerSettings{});
+  }
+  context_.dispatcher.handle<DemandReport>(
+      [this](const common::NodeId&, const DemandReport& report) {
+        if (!active_) {
+          demand_dropped_.add();
+          return;
+        }
+        for (const auto& [model, count] : report.counts) {
+          demand_->add(model, count, context_.clock.now());
+        }
+      });
+  authority_.onChange([this](std::optional<common::Epoch>) { updateAuthority(); });
+}
+
+void ZoneController::start() {
+  tick();
+  context_.scheduler.schedule(settings_.demand_period, [this] { reportDemand(); });
+}
+
+void ZoneController::tick() {
+  updateAuthority();
+  if (active_) {
+    controlRound();
+  }
+  context_.scheduler.schedule(settings_.control_period, [this] { tick(); });
+}
+
+void ZoneController::updateAuthority() {
+  const auto held = authority_.heldEpoch();
+  if (held && held != epoch_) {
+    begin(*held);
+  }
+  active_ = held.has_value();
+}
+
+void ZoneController::begin(const common::Epoch& epoch) {
+  controls_.clear();
+  explanations_.clear();
+  epoch_ = epoch;
+  demand_.emplace(settings_.demand, context_.clock.now());
+  planned_at_ = context_.clock.now();
+  drains_.begin(epoch);
+  epochs_.add();
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "controller_began")
+      .field("zone", context_.zone)
+      .field("epoch", epoch.toString());
+}
+
+void ZoneController::controlRound() {
+  const auto records = directory_.records();
+  updateControls(records);
+  tickControls();
+  drains_.renewIfDue();
+  if (!fencesTried()) {
+    return;
+  }
+  startDeclaredChanges(records);
+  const common::MonotonicTime now = context_.clock.now();
+  if (now - planned_at_ >= settings_.planning_period && demand_->warm(now)) {
+    planned_at_ = now;
+    planRoles(records);
+  }
+}
+
+void ZoneController::updateControls(const std::vector<routing::EngineRecord>& records) {
+  std::set<common::EngineName> declared;
+  for (const routing::EngineRecord& record : records) {
+    declared.insert(record.declaration.name);
+    auto& control = controls_[record.declaration.name];
+    const bool moved = control && control->endpoint().address != record.declaration.address;
+    if (!control || moved) {
+      drains_.remove(record.declaration.name);
+      control = std::make_unique<EngineControl>(
+          settings_, context_, authority_, client_, drains_, record.endpoint(), *epoch_,
+          [this](const ChangeRecord& ended) { onChangeEnded(ended); });
+    }
+    if (record.reported) {
+      control->observeIncarnation(record.load.incarnation, record.observed_at);
+    }
+    cancelUnwanted(record);
+  }
+  std::erase_if(controls_, [&](const auto& item) {
+    const bool gone = declared.count(item.first) == 0;
+    if (gone) {
+      drains_.remove(item.first);
+    }
+    return gone;
+  });
+}
+
+void ZoneController::tickControls() {
+  std::uint32_t fences = 0;
+  for (auto& [name, control] : controls_) {
+    const bool to_fence = control->phase() == ControlPhase::kUnknown;
+    if (to_fence && ++fences > settings_.order.fences_per_period) {
+      continue;
+    }
+    control->tick();
+  }
+}
+
+bool ZoneController::fencesTried() const {
+  return std::all_of(controls_.begin(), controls_.end(),
+                     [](const auto& item) { return item.second->fenceTried(); });
+}
+
+bool ZoneController::mayBeChanged(const routing::EngineRecord& record) const {
+  const auto control = controls_.find(record.declaration.name);
+  return record.availability == routing::EngineAvailability::kAvailable &&
+         control != controls_.end() && control->second->phase() == ControlPhase::kIdle &&
+         control->second->pausedUntil() <= context_.clock.now();
+}
+
+bool ZoneController::roomForChange(const common::ModelName& model,
+                                   const std::vector<routing::EngineRecord>& records) const {
+  std::size_t engines = 0;
+  std::size_t away = 0;
+  for (const routing::EngineRecord& record : records) {
+    if (record.declaration.model != model) {
+      continue;
+    }
+    ++engines;
+    const auto control = controls_.find(record.declaration.name);
+    const bool changing = control != controls_.end() && control->second->changing() &&
+                          control->second->change().change.drain;
+    away += changing || record.availability == routing::EngineAvailability::kChanging ? 1 : 0;
+  }
+  const auto allowed =
+      static_cast<std::size_t>(settings_.maximum_away_share * static_cast<double>(engines));
+  return away < std::max<std::size_t>(1, allowed);
+}
+
+void ZoneController::cancelUnwanted(const routing::EngineRecord& record) {
+  EngineControl& control = *controls_.at(record.declaration.name);
+  if (control.phase() != ControlPhase::kDraining) {
+    return;
+  }
+  // An operator's drain and a leaving machine go first: such an engine gets no order.
+  const bool withdrawn = record.availability == routing::EngineAvailability::kDrainedByOperator ||
+                         record.availability == routing::EngineAvailability::kMachineLeaving;
+  const auto& content = control.change().change.content;
+  const auto fleet = configuration_.current();
+  const auto declared = declaredChange(*fleet, record);
+  const bool role_fixed = content.kind == engines::OrderKind::kChangeRole &&
+                          rolePinned(*fleet, record.declaration.name) &&
+                          (!declared || !(declared->content == content));
+  if (withdrawn || role_fixed) {
+    control.cancel(ChangeOutcome::kWithdrawn);
+  }
+}
+
+void ZoneController::startDeclaredChanges(const std::vector<routing::EngineRecord>& records) {
+  const auto fleet = configuration_.current();
+  for (const routing::EngineRecord& record : records) {
+    if (!mayBeChanged(record)) {
+      continue;
+    }
+    const auto change = declaredChange(*fleet, record);
+    if (!change) {
+      continue;
+    }
+    if (!change->drain || roomForChange(record.declaration.model, records)) {
+      controls_.at(record.declaration.name)->start(*change);
+    }
+  }
+}
+
+void ZoneController::planRoles(const std::vector<routing::EngineRecord>& records) {
+  const auto fleet = configuration_.current();
+  const PlanningSources sources{*fleet, records, controls_, *demand_, context_.clock.now()};
+  planning::PlanningInput input = makePlanningInput(sources, capacity_);
+  input.expected_time_away = time_away_;
+  planning::Plan plan = planner_->plan(input);
+  explanations_ = std::move(plan.explanations);
+  if (!fleet->planning.automatic_roles) {
+    return;
+  }
+  for (const planning::RoleChange& change : plan.changes) {
+    const routing::EngineRecord* record = directory_.find(change.engine);
+    const bool allowed = record != nullptr && mayBeChanged(*record) &&
+                         !rolePinned(*fleet, change.engine) && record->load.role != change.role;
+    if (allowed) {
+      controls_.at(change.engine)->start(roleChange(change.role, "planned by " + planner_->name()));
+    }
+  }
+}
+
+void ZoneController::onChangeEnded(const ChangeRecord& record) {
+  ended_.push_front(record);
+  if (ended_.size() > kRememberedChanges) {
+    ended_.pop_back();
+  }
+  context_.counters
+      .counter("cypresswall_engine_changes_total", "Changes of engines by how they ended",
+               "outcome", toString(record.outcome))
+      .add();
+  const bool role = record.change.content.kind == engines::OrderKind::kChangeRole;
+  if (role && record.outcome == ChangeOutcome::kDone) {
+    context_.counters.counter("cypresswall_role_changes_total", "Roles of engines changed").add();
+    const auto took = record.ended_at - record.started_at;
+    const double average = time_away_.count() == 0
+                               ? common::toSeconds(took)
+                               : kTimeAwayWeight * common::toSeconds(took) +
+                                     (1 - kTimeAwayWeight) * common::toSeconds(time_away_);
+    time_away_ = common::fromSeconds(average);
+  }
+}
+
+void ZoneController::reportDemand() {
+  DemandReport report{directory_.demand().take()};
+  const common::NodeId holder = authority_.believedHolder();
+  if (active_) {
+    for (const auto& [model, count] : report.counts) {
+      demand_->add(model, count, context_.clock.now());
+    }
+  } else if (holder.empty() || holder == context_.self) {
+    demand_dropped_.add(report.counts.empty() ? 0 : 1);
+  } else if (!report.counts.empty()) {
+    context_.sendTo(holder, report);
+  }
+  context_.scheduler.schedule(settings_.demand_period, [this] { reportDemand(); });
+}
+
+const EngineControl* ZoneController::control(const common::EngineName& engine) const {
+  const auto found = controls_.find(engine);
+  return active_ && found != controls_.end() ? found->second.get() : nullptr;
+}
+
+std::vector<ChangeRecord> ZoneController::changes() const {
+  std::vector<ChangeRecord> rows;
+  for (const auto& [name, control] : controls_) {
+    if (active_ && control->changing()) {
+      rows.push_back(control->change());
+    }
+  }
+  rows.insert(rows.end(), ended_.begin(), ended_.end());
+  return rows;
+}
+
+}  // namespace cypresswall::orders
--- /dev/null
+++ b/src/cypresswall/planning/demand_estimator.cpp
@@ -0,0 +1,59 @@
+#include "cypresswall/planning/demand_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cypresswall::planning {
+namespace {
+
+/// Below this part of a window no rate is told, since the first counts would look like a flood.
+constexpr double kLeastSeenShare = 0.05;
+
+}  // namespace
+
+void DemandEstimator::DecayingSum::decayTo(common::MonotonicTime now, common::Duration window) {
+  const double age = common::toSeconds(now - updated_at);
+  const double kept = std::exp(-std::max(0.0, age) / common::toSeconds(window));
+  requests *= kept;
+  prefill_tokens *= kept;
+  decode_tokens *= kept;
+  updated_at = now;
+}
+
+void DemandEstimator::add(const common::ModelName& model, const routing::DemandCount& count,
+                          common::MonotonicTime now) {
+  ModelSums& sums = sums_[model];
+  for (const auto& [sum, window] : {std::pair(&sums.short_window, settings_.short_window),
+                                    std::pair(&sums.long_window, settings_.long_window)}) {
+    sum->decayTo(now, window);
+    sum->requests += static_cast<double>(count.requests);
+    sum->prefill_tokens += static_cast<double>(count.prefill_tokens);
+    sum->decode_tokens += static_cast<double>(count.decode_tokens);
+  }
+}
+
+DemandRate DemandEstimator::rate(DecayingSum sum, common::MonotonicTime now,
+                                 common::Duration window) const {
+  sum.decayTo(now, window);
+  const double seconds = common::toSeconds(window);
+  // A window that was not seen whole holds only this part of a steady demand's sum.
+  const double seen = 1.0 - std::exp(-common::toSeconds(now - started_at_) / seconds);
+  if (seen < kLeastSeenShare) {
+    return {};
+  }
+  const double scale = 1.0 / (seconds * seen);
+  return {sum.requests * scale, sum.prefill_tokens * scale, sum.decode_tokens * scale};
+}
+
+ModelDemand DemandEstimator::demand(const common::ModelName& model,
+                                    common::MonotonicTime now) const {
+  ModelDemand demand;
+  const auto sums = sums_.find(model);
+  if (sums != sums_.end()) {
+    demand.short_window = rate(sums->second.short_window, now, settings_.short_window);
+    demand.long_window = rate(sums->second.long_window, now, settings_.long_window);
+  }
+  return demand;
+}
+
+}  // namespace cypresswall::planning
--- /dev/null
+++ b/src/cypresswall/planning/demand_estimator.h
@@ -0,0 +1,54 @@
+/// Rates of demand per model over a short and a long window, from counts that the zone's nodes
+/// report. Exponentially decaying sums: constant memory per model, no buckets to rotate.
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "cypresswall/common/time.h"
+#include "cypresswall/planning/planner.h"
+#include "cypresswall/routing/demand_ledger.h"
+
+namespace cypresswall::planning {
+
+struct DemandSettings {
+  common::Duration short_window = std::chrono::seconds(10);
+  common::Duration long_window = std::chrono::seconds(60);
+};
+
+class DemandEstimator {
+ public:
+  DemandEstimator(const DemandSettings& settings, common::MonotonicTime now)
+      : settings_(settings), started_at_(now) {}
+
+  /// Adds what one node counted since its last report.
+  void add(const common::ModelName& model, const routing::DemandCount& count,
+           common::MonotonicTime now);
+  /// \return the rates of a model; zero for one never asked for.
+  ModelDemand demand(const common::ModelName& model, common::MonotonicTime now) const;
+  /// \return true once the short window was seen whole.
+  bool warm(common::MonotonicTime now) const { return now - started_at_ >= settings_.short_window; }
+
+ private:
+  /// A sum whose parts fade with their age.
+  struct DecayingSum {
+    double requests = 0;
+    double prefill_tokens = 0;
+    double decode_tokens = 0;
+    common::MonotonicTime updated_at{};
+
+    void decayTo(common::MonotonicTime now, common::Duration window);
+  };
+  struct ModelSums {
+    DecayingSum short_window;
+    DecayingSum long_window;
+  };
+
+  DemandRate rate(DecayingSum sum, common::MonotonicTime now, common::Duration window) const;
+
+  DemandSettings settings_;
+  common::MonotonicTime started_at_;
+  std::map<common::ModelName, ModelSums> sums_;
+};
+
+}  // namespace cypresswall::planning
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -154,11 +154,15 @@
       prefill_engines_.push_back({model_.prefill(engine, work, uncached, now).cost, slot});
       continue;
     }
-    // A decode engine computes prompts as well, only slowly.
+    // A decode engine computes prompts as well, only slowly; a mixed one takes computed prompts.
     whole_engines_.push_back({model_.whole(engine, work, uncached, now).cost, slot});
-    if (engine.role == engines::EngineRole::kDecode) {
-      decode_engines_.push_back({model_.decode(engine, work).cost, slot});
-    }
+  }
+  if (prefill_engines_.empty()) {
+    return;
+  }
+  for (const PricedEngine& whole : whole_engines_) {
+    const double cost = model_.decode(estimates_.inputs(whole.engine), work).cost;
+    decode_engines_.push_back({cost, whole.engine});
   }
 }
 
@@ -228,8 +232,8 @@
   const bool refused = selection.empty() || !selection.offer.meetsLimits();
   const double uncached =
       selection.empty() ? work.prompt_tokens : uncachedTokens(selection.computing(), work);
-  demand_.asked(request.model, static_cast<std::uint64_t>(uncached),
-                static_cast<std::uint64_t>(work.decode_tokens), refused);
+  directory_.demand().asked(request.model, static_cast<std::uint64_t>(uncached),
+                            static_cast<std::uint64_t>(work.decode_tokens), refused);
 }
 
 RouteChoice CostRouter::choose(const RouteRequest& request) {
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -8,7 +8,6 @@
 
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/routing/cost_model.h"
-#include "cypresswall/routing/demand_ledger.h"
 #include "cypresswall/routing/engine_directory.h"
 #include "cypresswall/routing/offers.h"
 #include "cypresswall/routing/router.h"
@@ -30,9 +29,6 @@
   void attemptFinished(const std::string& stream_id) override;
   void attemptFailed(const std::string& stream_id, engines::StreamFailure failure) override;
 
-  /// What callers asked of each model at this node.
-  DemandLedger& demand() { return demand_; }
-
  private:
   /// One engine with the cost of its offer.
   struct PricedEngine {
@@ -78,7 +74,6 @@
   EstimateTable estimates_;
   std::vector<std::uint64_t> name_hashes_;
   SentWork sent_;
-  DemandLedger demand_;
   /// By model, the model time up to which refused callers were told to come back.
   std::map<common::ModelName, double> promised_until_;
   // Scratch space, kept so that a choice allocates nothing.
--- a/src/cypresswall/routing/demand_ledger.h
+++ b/src/cypresswall/routing/demand_ledger.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <msgpack.hpp>
+#include <utility>
 
 #include "cypresswall/common/identifiers.h"
 
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -12,6 +12,7 @@
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/membership/membership_view.h"
 #include "cypresswall/routing/delta_exchange.h"
+#include "cypresswall/routing/demand_ledger.h"
 #include "cypresswall/routing/engine_poller.h"
 #include "cypresswall/routing/engine_table.h"
 #include "cypresswall/routing/prefix_index.h"
@@ -37,6 +38,8 @@
 
   /// \return the zone's nodes that are alive, at least 1.
   std::size_t aliveNodes() const { return alive_nodes_; }
+  /// What callers asked of each model at this node.
+  DemandLedger& demand() { return demand_; }
   EngineTable& table() { return table_; }
   PrefixIndex& prefixes() { return prefixes_; }
 
@@ -51,6 +54,7 @@
   membership::MembershipView& membership_;
   configuration::ConfigurationView& configuration_;
   std::size_t alive_nodes_ = 1;
+  DemandLedger demand_;
   /// Members for which the watches were last assigned.
   std::vector<membership::Member> assigned_members_;
   bool roster_changed_ = true;
--- /dev/null
+++ b/tests/orders/zone_fixture.h
@@ -0,0 +1,186 @@
+/// A zone of controllers with routers and streams before emulated engines, in virtual time, with a
+/// lease that the test hands around and a record of every order sent.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cypresswall/orders/zone_controller.h"
+#include "cypresswall/routing/cost_router.h"
+#include "cypresswall/simulation/simulated_engines.h"
+#include "tests/support/engine_world.h"
+
+namespace cypresswall::testing {
+
+/// Who holds the lease, as it truly is.
+struct LeaseTruth {
+  common::NodeId holder;
+  common::Epoch epoch;
+};
+
+/// One process's view of LeaseTruth: right whenever asked, late in what it tells by itself.
+class TrueAuthority final : public lease::AuthorityView {
+ public:
+  TrueAuthority(common::NodeId self, const LeaseTruth& truth)
+      : self_(std::move(self)), truth_(truth) {}
+  std::optional<common::Epoch> heldEpoch() const override {
+    return truth_.holder == self_ ? std::optional(truth_.epoch) : std::nullopt;
+  }
+  common::NodeId believedHolder() const override { return truth_.holder; }
+  void onChange(std::function<void(std::optional<common::Epoch>)>) override {}
+
+ private:
+  common::NodeId self_;
+  const LeaseTruth& truth_;
+};
+
+/// What was seen of all orders of a run, and which promises they broke.
+class OrderAudit {
+ public:
+  explicit OrderAudit(const LeaseTruth& truth) : truth_(truth) {}
+  /// \return a number that names the sending.
+  void sent(const common::NodeId& sender, const common::Address& engine,
+            const engines::EngineOrder& order);
+  void answered(const common::Address& engine, const engines::EngineOrder& order);
+
+  std::vector<std::string> violations;
+  std::uint64_t orders = 0;
+  std::uint64_t repeated = 0;
+
+ private:
+  struct Sent {
+    engines::EngineOrder order;
+    bool answered = false;
+  };
+  using Key = std::pair<common::Address, std::pair<common::Epoch, std::uint64_t>>;
+
+  const LeaseTruth& truth_;
+  std::map<Key, Sent> sent_;
+  std::map<std::pair<common::Address, common::Epoch>, std::uint64_t> newest_;
+};
+
+/// Passes everything on to the simulated engines and reports orders to the audit.
+class AuditedEngineClient final : public engines::EngineClient {
+ public:
+  AuditedEngineClient(simulation::Simulation& simulation, simulation::SimulatedProcess& process,
+                      simulation::SimulatedEngines& engines, OrderAudit& audit)
+      : client_(simulation, process, engines), self_(process.id()), audit_(audit) {}
+  std::unique_ptr<engines::Stream> startStream(const engines::EngineEndpoint& engine,
+                                               engines::StreamRequest request,
+                                               engines::StreamHandler& handler) override {
+    return client_.startStream(engine, std::move(request), handler);
+  }
+  void sendOrder(const engines::EngineEndpoint& engine, const engines::EngineOrder& order,
+                 engines::EngineCallback<engines::OrderReply> callback) override {
+    audit_.sent(self_, engine.address, order);
+    client_.sendOrder(engine, order,
+                      [this, address = engine.address, order,
+                       callback = std::move(callback)](const auto& result) {
+                        if (result.ok()) {
+                          audit_.answered(address, order);
+                        }
+                        callback(result);
+                      });
+  }
+  void fetchLoad(const engines::EngineEndpoint& engine,
+                 engines::EngineCallback<engines::EngineLoad> callback) override {
+    client_.fetchLoad(engine, std::move(callback));
+  }
+  void fetchCacheEvents(const engines::EngineEndpoint& engine, std::uint64_t after,
+                        engines::EngineCallback<engines::CacheEvents> callback) override {
+    client_.fetchCacheEvents(engine, after, std::move(callback));
+  }
+
+ private:
+  simulation::SimulatedEngineClient client_;
+  common::NodeId self_;
+  OrderAudit& audit_;
+};
+
+/// Asks for changes of role as the test tells; shared by all controllers of a run.
+struct PlannerScript {
+  std::vector<planning::RoleChange> wanted;
+};
+
+class ScriptedPlanner final : public planning::Planner {
+ public:
+  explicit ScriptedPlanner(PlannerScript& script) : script_(script) {}
+  std::string name() const override { return "scripted"; }
+  planning::Plan plan(const planning::PlanningInput&) override { return {script_.wanted, {}}; }
+
+ private:
+  PlannerScript& script_;
+};
+
+/// Starts streams through one node's router for as long as the node lives.
+class StreamDriver {
+ public:
+  StreamDriver(const api::ProcessContext& context, routing::Router& router,
+               engines::EngineClient& client, const bool& enabled);
+
+  std::uint64_t started = 0;
+  std::uint64_t finished = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t broken = 0;
+
+ private:
+  class Attempt;
+  void startOne();
+  void ended(const std::string& id);
+
+  const api::ProcessContext& context_;
+  routing::Router& router_;
+  engines::EngineClient& client_;
+  const bool& enabled_;
+  std::uint64_t next_id_ = 0;
+  std::map<std::string, std::unique_ptr<Attempt>> attempts_;
+};
+
+struct ZoneNode {
+  simulation::SimulatedProcess* process = nullptr;
+  SettableConfiguration* configuration = nullptr;
+  SettableMembership* membership = nullptr;
+  routing::EngineDirectory* directory = nullptr;
+  routing::CostRouter* router = nullptr;
+  orders::ZoneController* controller = nullptr;
+  StreamDriver* streams = nullptr;
+};
+
+class ZoneFixture {
+ public:
+  ZoneFixture(std::uint64_t seed, int nodes, int engines);
+
+  /// Starts a node anew at its address; an earlier life there ends.
+  void restart(std::size_t node);
+  void kill(std::size_t node);
+  /// Gives the lease to a node under the next epoch.
+  void giveLease(std::size_t node);
+  void loseLease() { truth.holder = {}; }
+  void run(common::Duration time) { simulation.time().runFor(time); }
+  void setConfiguration();
+  void shareMembers();
+  emulation::EmulatedEngine& engine(int i) { return *engines.find(nameOf(i) + ":1"); }
+  static std::string nameOf(int i);
+  /// \return the index of the node that holds the lease, or -1.
+  int holder() const;
+  /// \return what is wrong although all faults are over, empty if nothing.
+  std::string unsettled();
+  std::uint64_t streamsCutByOrders() const;
+  std::uint64_t roleChanges() const;
+
+  simulation::Simulation simulation;
+  simulation::SimulatedEngines engines{simulation};
+  LeaseTruth truth;
+  OrderAudit audit{truth};
+  PlannerScript script;
+  bool streams_enabled = true;
+  configuration::FleetConfiguration fleet;
+  std::vector<ZoneNode> nodes;
+  orders::ControllerSettings settings;
+};
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/planning/role_planner_test.cpp
@@ -0,0 +1,211 @@
+#include "cypresswall/planning/role_planner.h"
+
+#include <cmath>
+
+#include "cypresswall/planning/baseline_planners.h"
+#include "cypresswall/planning/demand_estimator.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::planning {
+namespace {
+
+using engines::EngineRole;
+
+PlannedEngine engineOf(int number, EngineRole role) {
+  PlannedEngine engine;
+  engine.name = std::string("e").append(std::to_string(100 + number));
+  engine.model = "m";
+  engine.role = role;
+  engine.available = true;
+  engine.changeable = true;
+  engine.prefill_tokens_per_second = 16000;
+  engine.decode_step_base = 0.012;
+  engine.decode_step_per_stream = 0.0004;
+  engine.maximum_streams = 32;
+  return engine;
+}
+
+PlanningInput zoneOf(int mixed, int prefill, int decode) {
+  PlanningInput input;
+  int number = 0;
+  for (const auto& [role, count] :
+       {std::pair(EngineRole::kMixed, mixed), std::pair(EngineRole::kPrefill, prefill),
+        std::pair(EngineRole::kDecode, decode)}) {
+    for (int i = 0; i < count; ++i) {
+      input.engines.push_back(engineOf(number++, role));
+    }
+  }
+  return input;
+}
+
+void ask(PlanningInput& input, const DemandRate& short_window, const DemandRate& long_window) {
+  input.demand["m"].short_window = short_window;
+  input.demand["m"].long_window = long_window;
+}
+
+class RolePlannerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RolePlannerTest);
+  CPPUNIT_TEST(steadyDemandChangesNothing);
+  CPPUNIT_TEST(swingToPromptsMovesADecodeEngine);
+  CPPUNIT_TEST(dearChangesNeedMoreGain);
+  CPPUNIT_TEST(oneEngineAwayAtATime);
+  CPPUNIT_TEST(neverMovesWhatMayNotBeMoved);
+  CPPUNIT_TEST(planSettlesUnderConstantDemand);
+  CPPUNIT_TEST(pastSwingAsksForNothing);
+  CPPUNIT_TEST(utilisationScalesWithDemand);
+  CPPUNIT_TEST(baselinesDoWhatTheySay);
+  CPPUNIT_TEST(estimatorFindsSteadyRates);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void steadyDemandChangesNothing() {
+    RolePlanner planner({});
+    PlanningInput input = zoneOf(6, 3, 3);
+    const DemandRate rate{20, 30000, 3000};
+    ask(input, rate, rate);
+    const Plan plan = planner.plan(input);
+    CPPUNIT_ASSERT(plan.changes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan.explanations.size());
+    CPPUNIT_ASSERT(!plan.explanations[0].conclusion.empty());
+  }
+
+  void swingToPromptsMovesADecodeEngine() {
+    RolePlanner planner({});
+    PlanningInput input = zoneOf(0, 2, 8);
+    const DemandRate swing{20, 90000, 1500};
+    ask(input, swing, {20, 50000, 3000});
+    const Plan plan = planner.plan(input);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan.changes.size());
+    CPPUNIT_ASSERT(plan.changes[0].role != EngineRole::kDecode);
+    const ModelExplanation& why = plan.explanations[0];
+    CPPUNIT_ASSERT(why.alternatives[0].benefit > why.required_benefit);
+    CPPUNIT_ASSERT(why.alternatives[0].from == EngineRole::kDecode);
+  }
+
+  void dearChangesNeedMoreGain() {
+    RolePlanner planner({});
+    PlanningInput input = zoneOf(0, 2, 8);
+    const DemandRate swing{20, 90000, 1500};
+    ask(input, swing, swing);
+    input.policy.role_change_weight = 1e6;
+    CPPUNIT_ASSERT(planner.plan(input).changes.empty());
+    input.policy.role_change_weight = 1;
+    input.policy.automatic_roles = false;
+    CPPUNIT_ASSERT(planner.plan(input).changes.empty());
+  }
+
+  void oneEngineAwayAtATime() {
+    RolePlanner planner({});
+    PlanningInput input = zoneOf(0, 2, 8);
+    const DemandRate swing{20, 90000, 1500};
+    ask(input, swing, swing);
+    input.changes_under_way["m"] = 1;
+    CPPUNIT_ASSERT(planner.plan(input).changes.empty());
+  }
+
+  void neverMovesWhatMayNotBeMoved() {
+    testing::requireProperty("only changeable engines move, each to another role", 300, [] {
+      PlanningInput input =
+          zoneOf(*rc::gen::inRange(0, 6), *rc::gen::inRange(0, 6), *rc::gen::inRange(0, 6));
+      for (PlannedEngine& engine : input.engines) {
+        engine.changeable = *rc::gen::arbitrary<bool>();
+        engine.available = engine.changeable || *rc::gen::arbitrary<bool>();
+      }
+      const auto rate = [] {
+        return DemandRate{static_cast<double>(*rc::gen::inRange(0, 100)),
+                          static_cast<double>(*rc::gen::inRange(0, 200000)),
+                          static_cast<double>(*rc::gen::inRange(0, 20000))};
+      };
+      ask(input, rate(), rate());
+      RolePlanner planner({});
+      const Plan plan = planner.plan(input);
+      RC_ASSERT(plan.changes.size() <= 1U);
+      for (const RoleChange& change : plan.changes) {
+        for (const PlannedEngine& engine : input.engines) {
+          if (engine.name == change.engine) {
+            RC_ASSERT(engine.changeable);
+            RC_ASSERT(engine.role != change.role);
+          }
+        }
+      }
+    });
+  }
+
+  void planSettlesUnderConstantDemand() {
+    testing::requireProperty("constant demand ends in no change, without a circle", 200, [] {
+      PlanningInput input =
+          zoneOf(*rc::gen::inRange(0, 5), *rc::gen::inRange(0, 5), *rc::gen::inRange(1, 6));
+      const DemandRate rate{static_cast<double>(*rc::gen::inRange(1, 100)),
+                            static_cast<double>(*rc::gen::inRange(0, 150000)),
+                            static_cast<double>(*rc::gen::inRange(0, 12000))};
+      ask(input, rate, rate);
+      RolePlanner planner({});
+      std::size_t changes = 0;
+      for (Plan plan = planner.plan(input); !plan.changes.empty(); plan = planner.plan(input)) {
+        for (PlannedEngine& engine : input.engines) {
+          if (engine.name == plan.changes[0].engine) {
+            engine.role = plan.changes[0].role;
+          }
+        }
+        RC_ASSERT(++changes <= 2 * input.engines.size());
+      }
+    });
+  }
+
+  void pastSwingAsksForNothing() {
+    RolePlanner planner({});
+    PlanningInput input = zoneOf(0, 2, 8);
+    ask(input, {20, 20000, 3000}, {20, 90000, 1500});
+    CPPUNIT_ASSERT(planner.plan(input).changes.empty());
+  }
+
+  void utilisationScalesWithDemand() {
+    const CapacityModel model({});
+    RoleCapacity capacity;
+    const PlannedEngine engine = engineOf(0, EngineRole::kMixed);
+    const double speed = CapacityModel::decodeSpeed(engine, std::chrono::milliseconds(79));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(32 / 0.0248, speed, 1e-6);
+    model.add(capacity, engine, EngineRole::kMixed, speed);
+    const double half = model.utilisation(capacity, {1, 6400, 0});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, half, 1e-3);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, model.utilisation(capacity, {1, 6400, speed / 2}), 1e-3);
+    CPPUNIT_ASSERT(std::isinf(model.utilisation({}, {1, 1, 1})));
+    CPPUNIT_ASSERT_EQUAL(0.0, model.lostShare(half));
+    CPPUNIT_ASSERT(model.lostShare(2.0) > 0.5);
+  }
+
+  void baselinesDoWhatTheySay() {
+    PlanningInput input = zoneOf(4, 0, 0);
+    const DemandRate prompts{20, 60000, 100};
+    ask(input, prompts, prompts);
+    CPPUNIT_ASSERT(AllMixedPlanner().plan(input).changes.empty());
+    CPPUNIT_ASSERT(FixedRolesPlanner().plan(input).changes.empty());
+    const Plan split = StaticSplitPlanner(0.5).plan(input);
+    CPPUNIT_ASSERT(split.changes.at(0).role == EngineRole::kPrefill);
+    const Plan threshold = ThresholdPlanner(CapacitySettings{}, 0.8).plan(input);
+    CPPUNIT_ASSERT(threshold.changes.at(0).role == EngineRole::kPrefill);
+  }
+
+  void estimatorFindsSteadyRates() {
+    const common::MonotonicTime start(std::chrono::seconds(100));
+    DemandEstimator estimator({}, start);
+    common::MonotonicTime now = start;
+    for (int second = 0; second < 30; ++second) {
+      now += std::chrono::seconds(1);
+      estimator.add("m", routing::DemandCount{10, 5000, 800, 0}, now);
+    }
+    const ModelDemand demand = estimator.demand("m", now);
+    for (const DemandRate& rate : {demand.short_window, demand.long_window}) {
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(10, rate.requests_per_second, 0.6);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(5000, rate.prefill_tokens_per_second, 300);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(800, rate.decode_tokens_per_second, 50);
+    }
+    CPPUNIT_ASSERT(estimator.warm(now));
+    CPPUNIT_ASSERT(!DemandEstimator({}, now).warm(now));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RolePlannerTest);
+
+}  // namespace
+}  // namespace cypresswall::planning
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -153,7 +153,7 @@
     // 50,000 tokens at 10,000 a second leave about 3.8 s until a first token within 1.3 s.
     CPPUNIT_ASSERT(refusal.retry_after > std::chrono::seconds(3));
     CPPUNIT_ASSERT(refusal.retry_after < std::chrono::seconds(6));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.router->demand().take().at("m").refused);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.directory->demand().take().at("m").refused);
   }
 
   void longPromptIsTakenByAnIdleEngine() {
