Add cypresswall-bench simulate

Cause: goodput and role changes through swings of the mix have to be measured on the daemon's own modules, with seeds, before and after each change to them. What was ruled out: a model of the router beside the router; the runs use node::Node itself on the emulated engines. Single figures; each comes with its spread over seeds. Change: scenario files (fleet, kinds, load over time, faults) whose errors name file, line and key, runs under the planner, all roles mixed, and each static split; text, JSON and CSV. The run shows answers "unknown" to short requests that were given up in a first silence and then refused; reported, not yet mended.

--- a/apps/cypresswall-bench/main.cpp
+++ b/apps/cypresswall-bench/main.cpp
@@ -1,4 +1,5 @@
-/// Load and experiment tool. "cypresswall-bench load" puts load on real processes.
+/// Load and experiment tool. "cypresswall-bench load" puts load on real processes,
+/// "cypresswall-bench simulate SCENARIO..." runs scenarios in virtual time.
 #include <gflags/gflags.h>
 
 #include <fstream>
@@ -9,6 +10,7 @@
 
 #include "bench/load/load_report.h"
 #include "bench/load/load_run.h"
+#include "bench/simulate/scenario_report.h"
 
 DEFINE_string(direct, "", "load: comma-separated IP:port of engines that are asked directly");
 DEFINE_string(gateway, "", "load: comma-separated IP:port of gateways");
@@ -26,16 +28,22 @@
 DEFINE_double(drain, 10, "load: seconds that open requests get to end");
 DEFINE_uint32(rounds, 1, "load: phases of each target; targets take turns");
 DEFINE_uint32(threads, 1, "load: threads of the generator");
-DEFINE_uint64(seed, 1, "load: seed of arrivals and kinds");
+DEFINE_uint64(seed, 1, "load: seed of arrivals and kinds; simulate: first seed");
+DEFINE_uint32(seeds, 10, "simulate: seeds of each policy");
+DEFINE_string(
+    policies, "planned,mixed,split",
+    "simulate: planned (roles follow demand), mixed (all mixed), split (each static split "
+    "of a zone's engines)");
 DEFINE_string(watch, "", "load: name=pid, comma-separated: processes to measure");
-DEFINE_string(json, "", "load: file for the results as JSON");
-DEFINE_string(csv, "", "load: file for the results as CSV");
+DEFINE_string(json, "", "file for the results as JSON");
+DEFINE_string(csv, "", "file for the results as CSV");
 
 namespace {
 
 using namespace cypresswall;  // NOLINT: a program's main
 
 constexpr int kExitDone = 0;
+constexpr int kExitFailed = 1;
 constexpr int kExitBadUsage = 2;
 
 std::vector<std::string> splitList(const std::string& text) {
@@ -112,14 +120,82 @@
   return kExitDone;
 }
 
+/// \throws common::Error for an unknown policy
+std::vector<bench::RolePolicy> policiesFromFlags(const bench::Scenario& scenario) {
+  std::vector<bench::RolePolicy> policies;
+  const std::uint32_t engines = scenario.fleet.engines_per_zone;
+  for (const std::string& name : splitList(FLAGS_policies)) {
+    if (name == "planned" || name == "mixed") {
+      policies.push_back({name, name == "planned", 0, 0});
+    } else if (name == "split") {
+      for (std::uint32_t prefill = 1; prefill < engines; ++prefill) {
+        policies.push_back({"split-" + std::to_string(prefill), false, prefill, engines - prefill});
+      }
+    } else {
+      throw common::Error("--policies: unknown policy " + name);
+    }
+  }
+  return policies;
+}
+
+bench::ScenarioOutcome simulateScenario(const bench::Scenario& scenario) {
+  bench::ScenarioOutcome outcome{scenario.name, {}};
+  for (const bench::RolePolicy& policy : policiesFromFlags(scenario)) {
+    bench::PolicyOutcome policy_outcome{policy, {}};
+    for (std::uint32_t run = 0; run < FLAGS_seeds; ++run) {
+      std::cerr << scenario.name << ", " << policy.name << ": seed " << run + 1 << " of "
+                << FLAGS_seeds << "\n";
+      policy_outcome.runs.push_back(bench::runScenario(scenario, policy, FLAGS_seed + run));
+    }
+    outcome.policies.push_back(std::move(policy_outcome));
+  }
+  return outcome;
+}
+
+int simulate(const std::vector<std::string>& files) {
+  std::vector<bench::Scenario> scenarios;
+  try {
+    if (files.empty() || FLAGS_seeds == 0) {
+      throw common::Error("a scenario file is required, and --seeds above zero");
+    }
+    for (const std::string& file : files) {
+      scenarios.push_back(bench::loadScenario(file));
+      policiesFromFlags(scenarios.back());
+    }
+  } catch (const common::Error& error) {
+    std::cerr << "cypresswall-bench simulate: " << error.what() << "\n";
+    return kExitBadUsage;
+  }
+  nlohmann::json results = nlohmann::json::array();
+  std::ofstream csv(FLAGS_csv.empty() ? "/dev/null" : FLAGS_csv);
+  for (const bench::Scenario& scenario : scenarios) {
+    try {
+      const bench::ScenarioOutcome outcome = simulateScenario(scenario);
+      bench::writeText(std::cout, outcome);
+      bench::writeCsv(csv, outcome, results.empty());
+      results.push_back(bench::encodeOutcome(outcome));
+    } catch (const common::Error& error) {
+      std::cerr << scenario.name << ": " << error.what() << "\n";
+      return kExitFailed;
+    }
+  }
+  if (!FLAGS_json.empty()) {
+    std::ofstream(FLAGS_json) << results.dump(2) << "\n";
+  }
+  return kExitDone;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("cypresswall-bench load [flags]");
+  gflags::SetUsageMessage("cypresswall-bench load [flags] | simulate SCENARIO... [flags]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (argc == 2 && std::string(argv[1]) == "load") {
     return load();
   }
-  std::cerr << "usage: cypresswall-bench load [flags]; see --help\n";
+  if (argc >= 2 && std::string(argv[1]) == "simulate") {
+    return simulate(std::vector<std::string>(argv + 2, argv + argc));
+  }
+  std::cerr << "usage: cypresswall-bench load [flags] | simulate SCENARIO... [flags]; see --help\n";
   return kExitBadUsage;
 }
--- /dev/null
+++ b/bench/simulate/scenario_fleet.h
@@ -0,0 +1,107 @@
+/// A scenario's fleet in virtual time: nodes with the daemon's own deciding modules, emulated
+/// engines and platform, and callers that note when their tokens came.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/simulate/scenario.h"
+#include "cypresswall/common/errors.h"
+#include "cypresswall/common/random.h"
+#include "cypresswall/execution/model_executor.h"
+#include "cypresswall/node/node.h"
+#include "cypresswall/simulation/simulated_engines.h"
+#include "cypresswall/simulation/simulated_platform.h"
+#include "cypresswall/simulation/simulated_services.h"
+#include "cypresswall/simulation/simulation.h"
+
+namespace cypresswall::bench {
+
+/// A fleet that does not come up within its bound.
+class FleetStartError : public common::Error {
+ public:
+  using common::Error::Error;
+};
+
+/// How roles are assigned in a run.
+struct RolePolicy {
+  /// For reports.
+  std::string name = "planned";
+  /// False leaves the roles as they are at the start.
+  bool automatic = true;
+  /// Of each zone's engines, in the order of their names, this many begin in the role "prefill" and
+  /// this many in "decode"; the others are mixed.
+  std::uint32_t prefill_engines = 0;
+  std::uint32_t decode_engines = 0;
+};
+
+enum class AskEnd : std::uint8_t { kOpen, kDone, kRefused, kFailed };
+
+/// One request as its caller saw it.
+struct AskRecord {
+  std::size_t kind = 0;
+  common::MonotonicTime asked_at;
+  common::MonotonicTime first_token_at;
+  common::MonotonicTime last_token_at;
+  common::MonotonicTime ended_at;
+  std::uint32_t tokens = 0;
+  std::uint32_t expected_tokens = 0;
+  AskEnd end = AskEnd::kOpen;
+  common::Duration retry_after{0};
+  std::string error;
+};
+
+class ScenarioFleet {
+ public:
+  ScenarioFleet(const Scenario& scenario, const RolePolicy& policy, std::uint64_t seed);
+  ~ScenarioFleet();
+  ScenarioFleet(const ScenarioFleet&) = delete;
+  ScenarioFleet& operator=(const ScenarioFleet&) = delete;
+
+  /// Starts all nodes and puts the declarations in force. \throws FleetStartError
+  void bringUp();
+  /// Sends one request of a kind to a node drawn at random.
+  void ask(std::size_t kind);
+  void beginFault(const ScenarioFault& fault);
+
+  simulation::VirtualTime& time() { return simulation_.time(); }
+  common::RandomSource& random() { return random_; }
+  const std::deque<AskRecord>& records() const { return records_; }
+  /// \return the sum of all engines' ledgers, without the lists.
+  emulation::EngineLedger engineTotals() const;
+  std::uint64_t eventsRun() { return simulation_.time().executedEvents(); }
+
+ private:
+  class Session;
+  struct FleetNode {
+    simulation::SimulatedProcess* process = nullptr;
+    node::Node* node = nullptr;
+  };
+
+  void addEngines(const RolePolicy& policy);
+  void startNode(std::uint32_t zone, std::uint32_t number);
+  node::NodeSettings nodeSettings(std::uint32_t zone, std::uint32_t number) const;
+  std::vector<common::Address> zoneAddresses(std::uint32_t zone) const;
+  std::vector<configuration::ObjectChange> declarations(const RolePolicy& policy) const;
+  engines::EngineRole initialRole(const RolePolicy& policy, std::uint32_t number) const;
+  common::PromptShape drawPrompt(const ScenarioKind& kind);
+  void changeAllEngines(const std::function<void(emulation::EngineFaults&)>& change);
+  void sessionEnded(std::uint64_t session);
+
+  const Scenario& scenario_;
+  simulation::Simulation simulation_;
+  common::SeededRandom random_;
+  simulation::SimulatedPlatform platform_;
+  simulation::SimulatedEngines engines_;
+  simulation::SimulatedServices services_;
+  std::vector<configuration::ObjectChange> declared_;
+  std::deque<AskRecord> records_;
+  std::uint64_t next_session_ = 1;
+  std::map<std::uint64_t, std::unique_ptr<Session>> sessions_;
+  std::vector<FleetNode> nodes_;
+};
+
+}  // namespace cypresswall::bench
--- /dev/null
+++ b/bench/simulate/scenario_run.h
@@ -0,0 +1,63 @@
+/// Runs a scenario under several role policies and seeds, and sums up what callers saw.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "bench/load/latency_samples.h"
+#include "bench/simulate/scenario.h"
+#include "bench/simulate/scenario_fleet.h"
+
+namespace cypresswall::bench {
+
+/// Requests of one kind in one run.
+struct KindOutcome {
+  std::uint64_t asked = 0;
+  /// Whole answers whose first token, and mean time between tokens, met the kind's limits.
+  std::uint64_t in_time = 0;
+  std::uint64_t late = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t failed = 0;
+  LatencySamples first_token;
+  /// Mean time between tokens of each answer.
+  LatencySamples between_tokens;
+};
+
+/// One run: one policy, one seed.
+struct RunOutcome {
+  std::map<std::string, KindOutcome> kinds;
+  LatencySamples refusal;
+  std::uint64_t refusals_without_retry_after = 0;
+  emulation::EngineLedger engines;
+  std::map<std::string, std::uint64_t> errors;
+  /// Simulated time over processor time.
+  double speed = 0;
+
+  /// \return answers in time over requests asked, 0 to 1.
+  double goodput() const;
+  KindOutcome total() const;
+  double cacheHitShare() const;
+};
+
+/// \throws FleetStartError
+RunOutcome runScenario(const Scenario& scenario, const RolePolicy& policy, std::uint64_t seed);
+
+/// All seeds of one policy.
+struct PolicyOutcome {
+  RolePolicy policy;
+  std::vector<RunOutcome> runs;
+};
+
+/// Mean and spread of a figure over the runs of a policy.
+struct Spread {
+  double mean = 0;
+  double least = 0;
+  double most = 0;
+};
+Spread spreadOf(const PolicyOutcome& outcome,
+                const std::function<double(const RunOutcome&)>& figure);
+
+}  // namespace cypresswall::bench
