Add cypresswalld with checked settings

Cause: the deciding modules, the gateway and the HTTP clients need a program that puts them together, and operators need settings whose every mistake is named before a socket opens.

Ruled out: a hand-written flag for each key (one table gives file, flags, defaults, checks and the page docs/settings.md, and a test holds the page to the table); a port of zero (peers could not know it).

Change: settings/ with the table of keys, YAML source, flags and loader; apps/cypresswalld with /healthz, /readyz and /metrics, SIGTERM as a planned stop, SIGHUP for the log level, exit codes 0 to 3, and the transport's fault switch as two keys of test builds.

--- /dev/null
+++ b/apps/cypresswalld/daemon.h
@@ -0,0 +1,79 @@
+/// The parts of one cypresswalld process, put together on one thread and one event loop.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <functional>
+#include <memory>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/engines/http_engine_client.h"
+#include "cypresswall/gateway/gateway.h"
+#include "cypresswall/gateway/http_routes.h"
+#include "cypresswall/http/server.h"
+#include "cypresswall/node/node.h"
+#include "cypresswall/platform/http_machine_list.h"
+#include "cypresswall/platform/http_object_store.h"
+#include "cypresswall/runtime/asio_clock.h"
+#include "cypresswall/runtime/asio_scheduler.h"
+#include "cypresswall/runtime/curl_multi.h"
+#include "cypresswall/runtime/log_sink.h"
+#include "cypresswall/runtime/tcp_peer_transport.h"
+#include "cypresswall/services/http_service_client.h"
+#include "cypresswall/settings/daemon_settings.h"
+
+namespace cypresswall::daemon {
+
+class Daemon {
+ public:
+  /// Reads the settings again; used on SIGHUP. Throws settings::SettingsError if they are wrong.
+  using Reload = std::function<settings::DaemonSettings()>;
+
+  /// Listens on both addresses. \throws runtime::TransportError, http::ListenError
+  Daemon(settings::DaemonSettings settings, Reload reload);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// Works until a planned stop is over. \return the program's exit code
+  int run();
+
+ private:
+  api::ProcessContext processContext();
+  gateway::GatewayContext gatewayContext();
+  http::ServerSettings serverSettings();
+  void waitForSignal();
+  void takeSignal(int signal);
+  void reload();
+  void applyReloadable(const settings::DaemonSettings& settings);
+  void beginStop();
+  /// Ends the event loop once the last answers are out, or after a short limit.
+  void finishStop(common::MonotonicTime limit);
+
+  settings::DaemonSettings settings_;
+  Reload reload_;
+  // The order of the members is the order of dependence: each uses those above it.
+  asio::io_context context_{1};
+  runtime::AsioClock clock_;
+  runtime::AsioScheduler scheduler_{context_};
+  common::SeededRandom random_;
+  common::CounterRegistry counters_;
+  runtime::Log4cplusSink log_;
+  api::MessageDispatcher dispatcher_;
+  runtime::TcpPeerTransport transport_;
+  common::NodeId self_;
+  runtime::CurlMulti curl_{context_};
+  platform::HttpObjectStore object_store_;
+  platform::HttpMachineList machine_list_;
+  engines::HttpEngineClient engines_;
+  services::HttpServiceClient services_;
+  node::Node node_;
+  gateway::Gateway gateway_;
+  gateway::HttpRoutes routes_;
+  std::unique_ptr<http::Server> server_;
+  asio::signal_set signals_;
+  bool stopping_ = false;
+  int exit_code_ = 0;
+};
+
+}  // namespace cypresswall::daemon
--- /dev/null
+++ b/apps/cypresswalld/main.cpp
@@ -0,0 +1,98 @@
+/// cypresswalld: the one daemon of cypresswall. Every machine runs the same.
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "apps/cypresswalld/daemon.h"
+#include "cypresswall/settings/key_table.h"
+#include "cypresswall/settings/settings_documents.h"
+#include "cypresswall/settings/settings_flags.h"
+#include "cypresswall/settings/settings_loader.h"
+
+DEFINE_string(settings, "", "settings file (YAML); flags go over it");
+DEFINE_bool(check_settings, false, "check the settings, print the verdict and exit");
+DEFINE_bool(print_default_settings, false, "print a settings file with all defaults and exit");
+DEFINE_bool(print_settings_table, false, "print the table of docs/settings.md and exit");
+
+namespace GFLAGS_NAMESPACE {
+/// What gflags calls on a wrong command line; declared by none of its headers.
+extern void (*gflags_exitfunc)(int);
+}  // namespace GFLAGS_NAMESPACE
+
+namespace {
+
+using namespace cypresswall;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitBadSettings = 2;
+constexpr int kExitCannotListen = 3;
+
+settings::DaemonSettings loadSettings() {
+  settings::SourceValues values;
+  if (!FLAGS_settings.empty()) {
+    values = settings::readSettingsFile(FLAGS_settings);
+  }
+  return settings::makeSettings(settings::merged(values, settings::settingFlagValues()));
+}
+
+void printSettingsTable() {
+  for (const settings::SettingKey& key : settings::settingKeys()) {
+    std::cout << settings::documentRow(key) << "\n";
+  }
+}
+
+int runDaemon(const settings::DaemonSettings& loaded) {
+  try {
+    daemon::Daemon daemon(loaded, loadSettings);
+    return daemon.run();
+  } catch (const runtime::TransportError& error) {
+    std::cerr << "cypresswalld: " << error.what() << "\n";
+    return kExitCannotListen;
+  } catch (const http::ListenError& error) {
+    std::cerr << "cypresswalld: " << error.what() << "\n";
+    return kExitCannotListen;
+  }
+}
+
+int runProgram() {
+  if (FLAGS_print_default_settings) {
+    std::cout << settings::defaultSettingsText();
+    return kExitOk;
+  }
+  if (FLAGS_print_settings_table) {
+    printSettingsTable();
+    return kExitOk;
+  }
+  const settings::DaemonSettings loaded = loadSettings();
+  if (FLAGS_check_settings) {
+    std::cout << "settings: ok\n";
+    return kExitOk;
+  }
+  return runDaemon(loaded);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  GFLAGS_NAMESPACE::gflags_exitfunc = [](int) { std::exit(kExitBadSettings); };
+  gflags::SetUsageMessage("the daemon of cypresswall\nusage: cypresswalld --settings FILE [flags]");
+  gflags::SetVersionString(CYPRESSWALL_VERSION);
+  settings::registerSettingFlags();
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (argc > 1) {
+    std::cerr << "cypresswalld: unexpected argument '" << argv[1] << "'\n";
+    return kExitBadSettings;
+  }
+  try {
+    return runProgram();
+  } catch (const settings::SettingsError& error) {
+    std::cerr << error.what() << "\n";
+    return kExitBadSettings;
+  } catch (const std::exception& error) {
+    std::cerr << "cypresswalld: " << error.what() << "\n";
+    return kExitFailure;
+  }
+}
--- a/src/cypresswall/runtime/log_sink.cpp
+++ b/src/cypresswall/runtime/log_sink.cpp
@@ -2,6 +2,7 @@
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
+#include <log4cplus/config.hxx>
 
 #include <memory>
 
@@ -62,6 +63,8 @@
 
 Log4cplusSink::Log4cplusSink(common::LogLevel level)
     : logger_(log4cplus::Logger::getInstance("cypresswall")), level_(level) {
+  // The threads serve asynchronous appenders only, which are not used.
+  log4cplus::setThreadPoolSize(1);
   logger_.setLogLevel(log4cplus::ALL_LOG_LEVEL);
   logger_.setAdditivity(false);
   logger_.removeAllAppenders();
--- a/src/cypresswall/runtime/tcp_peer_transport.cpp
+++ b/src/cypresswall/runtime/tcp_peer_transport.cpp
@@ -97,6 +97,14 @@
   }
 }
 
+std::size_t TcpPeerTransport::queuedMessages() const {
+  std::size_t queued = 0;
+  for (const auto& [address, peer] : outgoing_) {
+    queued += peer->deliverable();
+  }
+  return queued;
+}
+
 OutgoingPeer* TcpPeerTransport::outgoingTo(const common::Address& address) {
   const auto known = outgoing_.find(address);
   if (known != outgoing_.end()) {
--- a/src/cypresswall/runtime/tcp_peer_transport.h
+++ b/src/cypresswall/runtime/tcp_peer_transport.h
@@ -44,6 +44,8 @@
   void close();
 
   void send(api::Envelope envelope) override;
+  /// \return messages that wait for peers with an open connection, or are being written to them.
+  std::size_t queuedMessages() const;
   FaultSwitch& faultSwitch() { return fault_switch_; }
 
  private:
--- /dev/null
+++ b/src/cypresswall/settings/setting_key.cpp
@@ -0,0 +1,118 @@
+#include "cypresswall/settings/setting_key.h"
+
+#include <utility>
+
+#include "cypresswall/configuration/duration_text.h"
+
+namespace cypresswall::settings {
+namespace {
+
+using configuration::formatDuration;
+
+std::string rangeText(const std::string& least, const std::string& most) {
+  return least + " to " + most;
+}
+
+[[noreturn]] void throwOutOfRange(const std::string& text, const std::string& range) {
+  throw ValueError("'" + text + "' is outside the range " + range);
+}
+
+using SizeParser = std::uint64_t (*)(const std::string&);
+
+/// Reads a number within a range into `field`.
+auto sizeSetter(SizeParser parse, std::size_t least, std::size_t most, std::string range,
+                SettingField<std::size_t> field) {
+  return [=, range = std::move(range)](DaemonSettings& settings, const GivenValue& value) {
+    const std::string& text = singleText(value);
+    const std::uint64_t number = parse(text);
+    if (number < least || number > most) {
+      throwOutOfRange(text, range);
+    }
+    field(settings) = number;
+  };
+}
+
+}  // namespace
+
+const std::string& singleText(const GivenValue& value) {
+  if (value.is_list || value.items.size() != 1) {
+    throw ValueError("a single value is wanted, not a list");
+  }
+  return value.items.front();
+}
+
+SettingKey durationKey(std::string name, common::Duration least, common::Duration most,
+                       SettingField<common::Duration> field, std::string meaning) {
+  DaemonSettings defaults;
+  SettingKey key;
+  key.name = std::move(name);
+  key.unit = "duration";
+  key.range = rangeText(formatDuration(least), formatDuration(most));
+  key.default_text = formatDuration(field(defaults));
+  key.meaning = std::move(meaning);
+  key.apply = [=, range = key.range](DaemonSettings& settings, const GivenValue& value) {
+    const std::string& text = singleText(value);
+    const common::Duration duration = parseDurationValue(text);
+    if (duration < least || duration > most) {
+      throwOutOfRange(text, range);
+    }
+    field(settings) = duration;
+  };
+  return key;
+}
+
+SettingKey bytesKey(std::string name, std::size_t least, std::size_t most,
+                    SettingField<std::size_t> field, std::string meaning) {
+  DaemonSettings defaults;
+  SettingKey key;
+  key.name = std::move(name);
+  key.unit = "bytes";
+  key.range = rangeText(formatBytes(least), formatBytes(most));
+  key.default_text = formatBytes(field(defaults));
+  key.meaning = std::move(meaning);
+  key.apply = sizeSetter(parseBytes, least, most, key.range, field);
+  return key;
+}
+
+SettingKey countKey(std::string name, std::size_t least, std::size_t most,
+                    SettingField<std::size_t> field, std::string meaning) {
+  DaemonSettings defaults;
+  SettingKey key;
+  key.name = std::move(name);
+  key.unit = "count";
+  key.range = rangeText(std::to_string(least), std::to_string(most));
+  key.default_text = std::to_string(field(defaults));
+  key.meaning = std::move(meaning);
+  key.apply = sizeSetter(parseCount, least, most, key.range, field);
+  return key;
+}
+
+SettingKey nameKey(std::string name, SettingField<std::string> field, std::string meaning) {
+  SettingKey key;
+  key.name = std::move(name);
+  key.unit = "name";
+  key.range = "1 to 64 letters, digits, '-', '_', '.'";
+  key.meaning = std::move(meaning);
+  key.required = true;
+  key.apply = [field](DaemonSettings& settings, const GivenValue& value) {
+    field(settings) = parseName(singleText(value));
+  };
+  return key;
+}
+
+SettingKey addressKey(std::string name, std::string default_text,
+                      SettingField<common::Address> field, std::string meaning) {
+  SettingKey key;
+  key.name = std::move(name);
+  key.unit = "IP:port";
+  key.range = "an IP number, port 1 to 65535";
+  key.default_text = std::move(default_text);
+  key.meaning = std::move(meaning);
+  key.required = key.default_text.empty();
+  key.apply = [field](DaemonSettings& settings, const GivenValue& value) {
+    field(settings) = parseReachableAddress(singleText(value));
+  };
+  return key;
+}
+
+}  // namespace cypresswall::settings
--- /dev/null
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -0,0 +1,100 @@
+#include "cypresswall/settings/settings_loader.h"
+
+#include <utility>
+
+#include "cypresswall/settings/key_table.h"
+
+namespace cypresswall::settings {
+namespace {
+
+/// Applies values and collects problems.
+class Loader {
+ public:
+  explicit Loader(const SourceValues& values) : values_(values) {}
+
+  DaemonSettings load() {
+    for (const SettingKey& key : settingKeys()) {
+      applyKey(key);
+    }
+    if (problems_.empty()) {
+      checkTogether();
+    }
+    if (!problems_.empty()) {
+      throw SettingsError(problems_);
+    }
+    settings_.node.membership.gateway_address = settings_.server.address;
+    return std::move(settings_);
+  }
+
+ private:
+  void applyKey(const SettingKey& key) {
+    const auto given = values_.find(key.name);
+    if (given == values_.end()) {
+      if (key.required) {
+        problems_.push_back(key.name + ": must be given, in the settings file or as a flag");
+      }
+      return;
+    }
+    try {
+      key.apply(settings_, given->second.value);
+    } catch (const ValueError& error) {
+      report(key.name, error.what());
+    }
+  }
+
+  /// Checks what no key can check alone.
+  void checkTogether() {
+    const auto& membership = settings_.node.membership;
+    const auto& lease = settings_.node.lease;
+    require(settings_.transport.listen_address != settings_.server.address, "node.gateway_address",
+            "must differ from node.peer_address");
+    require(membership.suspect_after > membership.heartbeat_interval, "timings.suspect_after",
+            "must be longer than timings.heartbeat_interval");
+    require(membership.dead_after > membership.suspect_after, "timings.dead_after",
+            "must be longer than timings.suspect_after");
+    require(lease.drift_margin * 2 < lease.duration, "timings.lease_drift_margin",
+            "must be less than half of timings.lease_duration");
+    require(lease.renew_interval < lease.duration - lease.drift_margin,
+            "timings.lease_renew_interval",
+            "must be less than timings.lease_duration without its margin");
+    require(settings_.gateway.resume_below_bytes < settings_.gateway.pause_above_bytes,
+            "limits.resume_below_bytes", "must be less than limits.pause_above_bytes");
+    checkSeeds();
+  }
+
+  void checkSeeds() {
+    for (const auto& zone : settings_.node.membership.other_zones) {
+      require(zone.zone != settings_.zone, "seeds",
+              "zone '" + zone.zone + "' is the own zone; write its seeds as IP:port");
+    }
+  }
+
+  void require(bool holds, const std::string& key, const std::string& problem) {
+    if (!holds) {
+      report(key, problem);
+    }
+  }
+
+  void report(const std::string& key, const std::string& problem) {
+    const auto given = values_.find(key);
+    const std::string place = given == values_.end() ? "default" : given->second.place;
+    problems_.push_back(place + ": " + key + ": " + problem);
+  }
+
+  const SourceValues& values_;
+  DaemonSettings settings_;
+  std::vector<std::string> problems_;
+};
+
+}  // namespace
+
+DaemonSettings makeSettings(const SourceValues& values) { return Loader(values).load(); }
+
+SourceValues merged(SourceValues lower, const SourceValues& upper) {
+  for (const auto& [name, value] : upper) {
+    lower.insert_or_assign(name, value);
+  }
+  return lower;
+}
+
+}  // namespace cypresswall::settings
--- /dev/null
+++ b/src/cypresswall/settings/value_text.h
@@ -0,0 +1,43 @@
+/// Values of settings as text: how each type is read, and written again for documents.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "cypresswall/common/errors.h"
+#include "cypresswall/common/identifiers.h"
+#include "cypresswall/common/time.h"
+#include "cypresswall/membership/membership_settings.h"
+
+namespace cypresswall::settings {
+
+/// A text that is no value of the wanted type or outside the key's range. The message says what was
+/// wanted, without naming the key.
+class ValueError : public common::Error {
+ public:
+  using common::Error::Error;
+};
+
+/// \throws ValueError, each of these
+std::uint64_t parseCount(const std::string& text);
+/// A count of bytes, or one directly followed by KiB, MiB or GiB.
+std::uint64_t parseBytes(const std::string& text);
+common::Duration parseDurationValue(const std::string& text);
+/// A name of letters, digits, '-', '_' and '.', of 1 to 64 characters.
+std::string parseName(const std::string& text);
+/// An address that peers can reach: an IP number that is not "any", with a port that is not zero.
+common::Address parseReachableAddress(const std::string& text);
+
+/// A node to begin with: "IP:port" in the own zone, "zone/region@IP:port" in another one.
+struct Seed {
+  /// Empty for the own zone.
+  common::ZoneName zone;
+  membership::RegionName region;
+  common::Address address;
+};
+Seed parseSeed(const std::string& text);
+
+/// Writes what parseBytes() reads, in the largest unit that gives a whole number.
+std::string formatBytes(std::uint64_t bytes);
+
+}  // namespace cypresswall::settings
