Add the operators' language, its service and cypressctl

Cause: operators need to ask what runs and why, and to issue changes that take effect everywhere or are refused with a reason.

What was ruled out: a parser generator (generated code must be committed, and the grammar is small); JSON only (people type it); reporting a refusal as final after an earlier attempt's answer was lost (that attempt may still take effect).

Change: lexer, typed tree, parser with the place at fault and the nearest known word, formatter, completion from the parser's own expectations; queries over the configuration and injected state providers; CommandService with waiting until a change is in force; POST /operators/v1/command; cypressctl with tables, JSON, YAML, scripts, an interactive mode and exit codes.

--- /dev/null
+++ b/apps/cypressctl/console.h
@@ -0,0 +1,12 @@
+/// The interactive mode: a prompt with history and completion.
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace cypresswall::cypressctl {
+
+/// Reads commands until the end of the input, "exit" or "quit", and hands each to `run`.
+void runConsole(const std::function<void(const std::string& command)>& run);
+
+}  // namespace cypresswall::cypressctl
--- /dev/null
+++ b/src/cypresswall/operators/command.h
@@ -0,0 +1,162 @@
+/// The operators' commands as typed trees; docs/operators.md describes the language.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cypresswall/common/time.h"
+#include "cypresswall/configuration/fleet.h"
+#include "cypresswall/engines/engine_types.h"
+
+namespace cypresswall::operators {
+
+/// What `show` lists.
+enum class Subject {
+  kEngines,
+  kRequests,
+  kServices,
+  kModels,
+  kZones,
+  kChanges,
+  kLeases,
+  kNodes,
+  kTenants,
+};
+
+enum class Comparison { kEqual, kNotEqual, kLess, kLessOrEqual, kGreater, kGreaterOrEqual };
+
+/// One `column operator value` after `where`.
+struct Condition {
+  std::string column;
+  Comparison comparison = Comparison::kEqual;
+  std::string value;
+  bool operator==(const Condition&) const = default;
+};
+
+struct ShowCommand {
+  Subject subject = Subject::kEngines;
+  std::vector<Condition> conditions;
+  bool operator==(const ShowCommand&) const = default;
+};
+
+enum class WhySubject { kEngine, kRequest, kChange };
+
+struct WhyCommand {
+  WhySubject subject = WhySubject::kEngine;
+  std::string name;
+  bool operator==(const WhyCommand&) const = default;
+};
+
+/// Options that are not given keep what is declared already.
+struct DeclareZoneCommand {
+  std::string zone;
+  std::optional<std::string> region;
+  bool operator==(const DeclareZoneCommand&) const = default;
+};
+
+struct AdapterClause {
+  std::string name;
+  std::string weights_uri;
+  bool operator==(const AdapterClause&) const = default;
+};
+
+struct DeclareModelCommand {
+  std::string model;
+  std::optional<std::string> version;
+  std::optional<std::string> weights;
+  /// Added to the declared ones, or replacing those of the same name.
+  std::vector<AdapterClause> adapters;
+  bool operator==(const DeclareModelCommand&) const = default;
+};
+
+struct DeclareEngineCommand {
+  std::string engine;
+  std::optional<std::string> zone;
+  std::optional<std::string> machine;
+  std::optional<std::string> address;
+  std::optional<std::string> model;
+  std::optional<engines::EngineRole> role;
+  bool operator==(const DeclareEngineCommand&) const = default;
+};
+
+struct DeclareTenantCommand {
+  std::string tenant;
+  std::optional<std::string> key;
+  std::optional<double> requests;
+  std::optional<double> tokens;
+  bool operator==(const DeclareTenantCommand&) const = default;
+};
+
+struct BindServiceCommand {
+  std::string service;
+  std::string model;
+  std::optional<std::string> adapter;
+  std::optional<configuration::Urgency> urgency;
+  std::optional<common::Duration> first_token;
+  std::optional<common::Duration> between_tokens;
+  std::optional<std::uint32_t> maximum_tokens;
+  bool operator==(const BindServiceCommand&) const = default;
+};
+
+enum class RemoveTarget { kZone, kModel, kEngine, kService, kTenant };
+
+struct RemoveCommand {
+  RemoveTarget target = RemoveTarget::kZone;
+  std::string name;
+  bool operator==(const RemoveCommand&) const = default;
+};
+
+enum class DrainTarget { kNode, kMachine, kEngine };
+
+struct DrainCommand {
+  DrainTarget target = DrainTarget::kNode;
+  std::string name;
+  /// False undoes a drain.
+  bool drained = true;
+  bool operator==(const DrainCommand&) const = default;
+};
+
+struct PinCommand {
+  std::string engine;
+  /// Nothing gives the role back to the planner.
+  std::optional<engines::EngineRole> role;
+  bool operator==(const PinCommand&) const = default;
+};
+
+struct SetPlanningCommand {
+  std::optional<double> role_change_weight;
+  std::optional<common::Duration> horizon;
+  std::optional<bool> automatic_roles;
+  bool operator==(const SetPlanningCommand&) const = default;
+};
+
+/// Applies a fleet file. The client reads it and sends its text along.
+struct ApplyCommand {
+  std::string file;
+  bool operator==(const ApplyCommand&) const = default;
+};
+
+struct HistoryCommand {
+  static constexpr std::uint32_t kDefaultCount = 20;
+  std::uint32_t count = kDefaultCount;
+  bool operator==(const HistoryCommand&) const = default;
+};
+
+struct HelpCommand {
+  /// Empty asks for all commands.
+  std::string topic;
+  bool operator==(const HelpCommand&) const = default;
+};
+
+using Command = std::variant<ShowCommand, WhyCommand, DeclareZoneCommand, DeclareModelCommand,
+                             DeclareEngineCommand, DeclareTenantCommand, BindServiceCommand,
+                             RemoveCommand, DrainCommand, PinCommand, SetPlanningCommand,
+                             ApplyCommand, HistoryCommand, HelpCommand>;
+
+/// \return true for commands that change the configuration.
+bool isChange(const Command& command);
+
+}  // namespace cypresswall::operators
--- /dev/null
+++ b/src/cypresswall/operators/queries.cpp
@@ -0,0 +1,350 @@
+#include "cypresswall/operators/queries.h"
+
+#include <algorithm>
+
+#include "cypresswall/configuration/duration_text.h"
+#include "cypresswall/configuration/object_kind.h"
+#include "cypresswall/operators/change_builder.h"
+#include "cypresswall/operators/vocabulary.h"
+
+namespace cypresswall::operators {
+namespace {
+
+using Row = std::vector<Cell>;
+
+Cell text(const std::string& value) { return value; }
+Cell text(const char* value) { return std::string(value); }
+template <typename Number>
+Cell count(Number value) {
+  return static_cast<std::int64_t>(value);
+}
+Cell milliseconds(common::Duration value) {
+  return count(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+const char* toString(engines::EngineState state) {
+  switch (state) {
+    case engines::EngineState::kReady:
+      return "ready";
+    case engines::EngineState::kChanging:
+      return "changing";
+    case engines::EngineState::kFailed:
+      break;
+  }
+  return "failed";
+}
+
+ResultTable tableOf(Subject subject) { return ResultTable{columnsOf(subject), {}}; }
+
+ResultTable explanationTable(const std::vector<Explanation>& lines) {
+  ResultTable table{{"item", "value"}, {}};
+  for (const Explanation& line : lines) {
+    table.rows.push_back({text(line.item), text(line.value)});
+  }
+  return table;
+}
+
+/// \return for example "set engine e1, remove tenant t".
+std::string describeObjects(const configuration::LoggedChange& entry) {
+  std::string description;
+  for (const configuration::ObjectChange& object : entry.change.objects) {
+    description.append(description.empty() ? "" : ", ");
+    description.append(object.removed ? "remove " : "set ");
+    description.append(configuration::toString(object.kind)).append(" ").append(object.name);
+  }
+  return description;
+}
+
+Row changeRow(const configuration::ChangeRecord& record, const configuration::ChangeLog& log) {
+  const configuration::LoggedChange* entry = log.find(record.version);
+  return {count(record.version), text(record.change_id), text(record.author),
+          text(entry == nullptr ? "(not kept on this node)" : describeObjects(*entry))};
+}
+
+Row engineRow(const configuration::EngineDeclaration& declared, const EngineRow* live,
+              const configuration::EngineOverride* engine_override) {
+  const bool drained = engine_override != nullptr && engine_override->drained;
+  const bool pinned = engine_override != nullptr && engine_override->role_pinned;
+  Row row = {text(declared.name), text(declared.zone), text(declared.machine),
+             text(declared.address)};
+  if (live == nullptr || !live->seen) {
+    const Row unseen = {text(declared.model),
+                        text(""),
+                        text(engines::toString(declared.initial_role)),
+                        text("unseen"),
+                        count(0),
+                        count(0),
+                        drained,
+                        pinned,
+                        text(""),
+                        text("")};
+    row.insert(row.end(), unseen.begin(), unseen.end());
+    return row;
+  }
+  const std::string cache = std::to_string(live->cache_pieces_used)
+                                .append("/")
+                                .append(std::to_string(live->cache_pieces_total));
+  const Row seen = {text(live->model),
+                    text(live->version),
+                    text(engines::toString(live->role)),
+                    text(toString(live->state)),
+                    count(live->running_streams),
+                    count(live->waiting_streams),
+                    drained,
+                    pinned,
+                    text(cache),
+                    milliseconds(live->age)};
+  row.insert(row.end(), seen.begin(), seen.end());
+  return row;
+}
+
+template <typename Objects>
+const typename Objects::mapped_type* findOrNull(const Objects& objects, const std::string& name) {
+  const auto found = objects.find(name);
+  return found == objects.end() ? nullptr : &found->second;
+}
+
+}  // namespace
+
+ResultTable Queries::show(const ShowCommand& command) const {
+  ResultTable table;
+  switch (command.subject) {
+    case Subject::kEngines:
+      table = engines(command);
+      break;
+    case Subject::kRequests:
+      table = requests();
+      break;
+    case Subject::kServices:
+      table = services();
+      break;
+    case Subject::kModels:
+      table = models();
+      break;
+    case Subject::kZones:
+      table = zones();
+      break;
+    case Subject::kChanges:
+      table = changes();
+      break;
+    case Subject::kLeases:
+      table = leases();
+      break;
+    case Subject::kNodes:
+      table = nodes();
+      break;
+    case Subject::kTenants:
+      table = tenants();
+      break;
+  }
+  filterRows(table, command.conditions);
+  return table;
+}
+
+/// Engines of the own zone; those of another zone, which this node does not watch, only if the
+/// command names that zone.
+ResultTable Queries::engines(const ShowCommand& command) const {
+  ResultTable table = tableOf(Subject::kEngines);
+  std::map<common::EngineName, EngineRow> live;
+  for (const EngineRow& row : providers_.engines()) {
+    live[row.name] = row;
+  }
+  const auto named = [&](const common::ZoneName& zone) {
+    return std::any_of(command.conditions.begin(), command.conditions.end(), [&](const auto& one) {
+      return one.column == "zone" && matches(Cell{zone}, one.comparison, one.value);
+    });
+  };
+  const auto fleet = configuration_.current();
+  for (const auto& [name, declared] : fleet->engines) {
+    if (declared.zone == zone_ || named(declared.zone)) {
+      table.rows.push_back(
+          engineRow(declared, findOrNull(live, name), findOrNull(fleet->engine_overrides, name)));
+    }
+  }
+  return table;
+}
+
+ResultTable Queries::requests() const {
+  ResultTable table = tableOf(Subject::kRequests);
+  for (const RequestRow& row : providers_.requests()) {
+    table.rows.push_back({text(row.id), text(row.tenant), text(row.service), text(row.engine),
+                          text(row.state), count(row.tokens), milliseconds(row.age)});
+  }
+  return table;
+}
+
+ResultTable Queries::services() const {
+  ResultTable table = tableOf(Subject::kServices);
+  const auto fleet = configuration_.current();
+  for (const auto& [name, service] : fleet->model_services) {
+    table.rows.push_back({text(name), text("model"), text(service.model), text(service.adapter),
+                          text(configuration::toString(service.urgency)),
+                          text(configuration::formatDuration(service.first_token_limit)),
+                          text(configuration::formatDuration(service.between_tokens_limit)),
+                          count(service.maximum_tokens), count(0)});
+  }
+  for (const auto& [name, service] : fleet->http_services) {
+    table.rows.push_back({text(name), text("http"), text(""), text(""),
+                          text(configuration::toString(service.urgency)), text(""), text(""),
+                          count(0), count(service.backends.size())});
+  }
+  return table;
+}
+
+ResultTable Queries::models() const {
+  ResultTable table = tableOf(Subject::kModels);
+  const auto fleet = configuration_.current();
+  std::map<common::ModelName, std::int64_t> engines_of;
+  for (const auto& [name, engine] : fleet->engines) {
+    ++engines_of[engine.model];
+  }
+  for (const auto& [name, model] : fleet->models) {
+    std::string adapters;
+    for (const auto& adapter : model.adapters) {
+      adapters.append(adapters.empty() ? "" : ",").append(adapter.name);
+    }
+    table.rows.push_back({text(name), text(model.version), text(model.weights_uri), text(adapters),
+                          Cell{engines_of[name]}});
+  }
+  return table;
+}
+
+ResultTable Queries::zones() const {
+  ResultTable table = tableOf(Subject::kZones);
+  const auto fleet = configuration_.current();
+  const auto versions = configuration_.zoneVersions();
+  std::map<common::ZoneName, std::int64_t> engines_in;
+  for (const auto& [name, engine] : fleet->engines) {
+    ++engines_in[engine.zone];
+  }
+  std::map<common::ZoneName, std::string> summaries;
+  for (const ZoneSummaryRow& row : providers_.zoneSummaries()) {
+    summaries[row.zone] = row.summary;
+  }
+  std::map<common::ZoneName, std::string> region_of;
+  for (const auto& [name, zone] : fleet->zones) {
+    region_of[name] = zone.region;
+  }
+  for (const auto& [name, version] : versions) {
+    region_of.try_emplace(name);
+  }
+  for (const auto& [name, region] : region_of) {
+    const auto* version = findOrNull(versions, name);
+    table.rows.push_back({text(name), text(region), Cell{engines_in[name]},
+                          version == nullptr ? text("not heard") : count(version->newest),
+                          version == nullptr ? text("not heard") : count(version->in_force),
+                          text(summaries[name])});
+  }
+  return table;
+}
+
+ResultTable Queries::changes() const {
+  ResultTable table = tableOf(Subject::kChanges);
+  const configuration::ChangeLog& log = configuration_.log();
+  for (const configuration::ChangeRecord& record : log.records()) {
+    table.rows.push_back(changeRow(record, log));
+  }
+  return table;
+}
+
+ResultTable Queries::history(const HistoryCommand& command) const {
+  ResultTable table = tableOf(Subject::kChanges);
+  const configuration::ChangeLog& log = configuration_.log();
+  const auto& records = log.records();
+  const std::size_t shown = std::min<std::size_t>(command.count, records.size());
+  for (std::size_t index = 0; index < shown; ++index) {
+    table.rows.push_back(changeRow(records[records.size() - 1 - index], log));
+  }
+  return table;
+}
+
+ResultTable Queries::leases() const {
+  ResultTable table = tableOf(Subject::kLeases);
+  for (const LeaseRow& row : providers_.leases()) {
+    table.rows.push_back({text(row.zone), text(row.holder), text(row.epoch), Cell{row.held_here}});
+  }
+  return table;
+}
+
+ResultTable Queries::nodes() const {
+  ResultTable table = tableOf(Subject::kNodes);
+  const auto fleet = configuration_.current();
+  for (const NodeRow& row : providers_.nodes()) {
+    const bool drained =
+        fleet->drained_nodes.count(row.address) > 0 || fleet->drained_nodes.count(row.machine) > 0;
+    table.rows.push_back({text(row.address), text(zone_), text(row.machine), text(row.state),
+                          text(row.gateway_address), count(row.configuration_version),
+                          Cell{drained}});
+  }
+  return table;
+}
+
+ResultTable Queries::tenants() const {
+  ResultTable table = tableOf(Subject::kTenants);
+  for (const auto& [name, tenant] : configuration_.current()->tenants) {
+    table.rows.push_back(
+        {text(name), Cell{tenant.requests_per_second}, Cell{tenant.tokens_per_second}});
+  }
+  return table;
+}
+
+ResultTable Queries::why(const WhyCommand& command) const {
+  std::vector<Explanation> lines;
+  switch (command.subject) {
+    case WhySubject::kEngine:
+      lines = providers_.explainEngine(command.name);
+      break;
+    case WhySubject::kRequest:
+      lines = providers_.explainRequest(command.name);
+      break;
+    case WhySubject::kChange:
+      lines = explainChange(command.name);
+      break;
+  }
+  if (lines.empty()) {
+    throw CommandError("nothing is known here of " + nameOf(kWhySubjects, command.subject) + " " +
+                       command.name);
+  }
+  return explanationTable(lines);
+}
+
+std::vector<Explanation> Queries::explainChange(const std::string& name) const {
+  const configuration::ChangeLog& log = configuration_.log();
+  const auto& records = log.records();
+  const auto record = std::find_if(records.begin(), records.end(), [&](const auto& known) {
+    return known.change_id == name || std::to_string(known.version) == name;
+  });
+  if (record == records.end()) {
+    return {};
+  }
+  std::vector<Explanation> lines = {{"version", std::to_string(record->version)},
+                                    {"change", record->change_id},
+                                    {"author", record->author}};
+  if (const configuration::LoggedChange* entry = log.find(record->version)) {
+    for (const configuration::ObjectChange& object : entry->change.objects) {
+      const std::string what =
+          std::string(configuration::toString(object.kind)) + " " + object.name;
+      const bool secret = object.kind == configuration::ObjectKind::kTenant;
+      const std::string value = secret ? "(not shown: holds a key)" : object.value_json;
+      lines.push_back({what, object.removed ? "removed" : value});
+    }
+  }
+  for (const auto& [zone, versions] : configuration_.zoneVersions()) {
+    const bool in_force = versions.in_force >= record->version;
+    lines.push_back({std::string("in force in ").append(zone), in_force ? "yes" : "not yet"});
+  }
+  return lines;
+}
+
+ResultTable Queries::help(const HelpCommand& command) {
+  ResultTable table{{"command", "syntax", "meaning"}, {}};
+  for (const CommandHelp& help : commandHelp()) {
+    if (command.topic.empty() || command.topic == help.command) {
+      table.rows.push_back(
+          {std::string(help.command), std::string(help.syntax), std::string(help.meaning)});
+    }
+  }
+  return table;
+}
+
+}  // namespace cypresswall::operators
--- /dev/null
+++ b/src/cypresswall/operators/state_providers.h
@@ -0,0 +1,88 @@
+/// What commands show beside the configuration: typed rows about the node's own zone, given by the
+/// parts of the daemon. Each method has an empty default, so that a part that is not wired shows
+/// nothing.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cypresswall/common/identifiers.h"
+#include "cypresswall/common/time.h"
+#include "cypresswall/engines/engine_types.h"
+
+namespace cypresswall::operators {
+
+/// An engine of the own zone as last seen.
+struct EngineRow {
+  common::EngineName name;
+  engines::EngineState state = engines::EngineState::kReady;
+  /// False while no report of the engine is held.
+  bool seen = false;
+  engines::EngineRole role = engines::EngineRole::kMixed;
+  common::ModelName model;
+  std::string version;
+  std::uint32_t running_streams = 0;
+  std::uint32_t waiting_streams = 0;
+  std::uint32_t cache_pieces_used = 0;
+  std::uint32_t cache_pieces_total = 0;
+  /// How old the report is.
+  common::Duration age{0};
+};
+
+/// A request that runs through this node.
+struct RequestRow {
+  std::string id;
+  common::TenantName tenant;
+  common::ServiceName service;
+  common::EngineName engine;
+  std::string state;
+  std::uint32_t tokens = 0;
+  common::Duration age{0};
+};
+
+struct LeaseRow {
+  common::ZoneName zone;
+  /// Empty if no holder is known.
+  std::string holder;
+  std::string epoch;
+  bool held_here = false;
+};
+
+/// A node of the own zone.
+struct NodeRow {
+  common::Address address;
+  common::MachineName machine;
+  std::string state;
+  common::Address gateway_address;
+  std::uint64_t configuration_version = 0;
+};
+
+/// What this node knows of another zone, in one line.
+struct ZoneSummaryRow {
+  common::ZoneName zone;
+  std::string summary;
+};
+
+/// One line of the answer to `why`.
+struct Explanation {
+  std::string item;
+  std::string value;
+};
+
+class StateProviders {
+ public:
+  virtual ~StateProviders() = default;
+  virtual std::vector<EngineRow> engines() const { return {}; }
+  virtual std::vector<RequestRow> requests() const { return {}; }
+  virtual std::vector<LeaseRow> leases() const { return {}; }
+  virtual std::vector<NodeRow> nodes() const { return {}; }
+  virtual std::vector<ZoneSummaryRow> zoneSummaries() const { return {}; }
+  /// \return inputs, alternatives and costs of the last decision about an engine's role; empty if
+  ///   there was none.
+  virtual std::vector<Explanation> explainEngine(const common::EngineName&) const { return {}; }
+  /// \return what became of a request and where it was sent; empty if it is not known.
+  virtual std::vector<Explanation> explainRequest(const std::string&) const { return {}; }
+};
+
+}  // namespace cypresswall::operators
