Simulate whole fleets, and prove whole answers and one lease holder on them

Cause: the promises have to hold for the daemon's real modules together, under generated faults, not for each module alone.

What was ruled out: a second composition of the modules for tests (it would prove another program than the one that runs); schedules drawn inside the run from its seed (they can't shrink).

Change: SimulatedFleet runs node::Node on simulated processes with emulated engines, services and platform, and callers that keep what they were told; ScheduledFault and FaultPlayer make faults data; RapidCheck generates topology, seed and schedule and shrinks them. INV-4 (properties_answers_test) compares every answer with the one its prompt leads to. INV-3, the lease's part (properties_authority_test), asks every awake process every 5 ms of true time, and each that wakes before it runs anything, whether it holds the lease.

--- /dev/null
+++ b/src/cypresswall/simulation/fleet/fleet_topology.h
@@ -0,0 +1,48 @@
+/// The places, machines and declared objects of a simulated fleet.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cypresswall/common/identifiers.h"
+#include "cypresswall/configuration/fleet.h"
+
+namespace cypresswall::simulation {
+
+/// Sizes of a generated fleet. Everything in it has a name and an address that follow from its
+/// zone and its number.
+struct FleetTopology {
+  std::uint32_t zones = 2;
+  std::uint32_t nodes_per_zone = 3;
+  std::uint32_t engines_per_zone = 2;
+  std::uint32_t backends_per_zone = 1;
+};
+
+/// Names of what every generated fleet declares.
+inline constexpr const char* kModelName = "assistant-lm";
+inline constexpr const char* kModelVersion = "2026-12";
+inline constexpr const char* kModelServiceName = "assistant";
+inline constexpr const char* kHttpServiceName = "booking";
+/// Operations of the HTTP service: polls may be repeated, bookings may not.
+inline constexpr const char* kRepeatablePath = "/slots";
+inline constexpr const char* kOncePath = "/bookings";
+
+common::ZoneName zoneName(std::uint32_t zone);
+/// \return internal address of a node; `generation` counts replacements under a new address.
+common::Address nodeAddress(std::uint32_t zone, std::uint32_t node, std::uint32_t generation = 0);
+common::MachineName nodeMachine(std::uint32_t zone, std::uint32_t node,
+                                std::uint32_t generation = 0);
+common::EngineName engineName(std::uint32_t zone, std::uint32_t engine);
+common::Address engineAddress(std::uint32_t zone, std::uint32_t engine);
+common::MachineName engineMachine(std::uint32_t zone, std::uint32_t engine);
+common::Address backendAddress(std::uint32_t zone, std::uint32_t backend);
+common::MachineName backendMachine(std::uint32_t zone, std::uint32_t backend);
+
+/// \return the IP number of an "IP:port" address.
+std::string ipOf(const common::Address& address);
+
+/// \return everything that the fleet declares, as the first change of its configuration.
+std::vector<configuration::ObjectChange> declarations(const FleetTopology& topology);
+
+}  // namespace cypresswall::simulation
--- a/src/cypresswall/simulation/simulated_network.h
+++ b/src/cypresswall/simulation/simulated_network.h
@@ -71,6 +71,8 @@
   void healZones(const common::ZoneName& first, const common::ZoneName& second);
   /// Ends all cuts.
   void healAll();
+  /// \return true while any cut is in force.
+  bool anyCut() const { return !zone_cuts_.empty() || !address_cuts_.empty(); }
   /// \return true if nothing gets from one place to another now.
   bool cutBetween(const NetworkPlace& from, const NetworkPlace& to) const;
 
--- a/src/cypresswall/simulation/simulation.cpp
+++ b/src/cypresswall/simulation/simulation.cpp
@@ -62,7 +62,14 @@
   }
   digest_.add(time_.now(), "pause", process.id().incarnation);
   process.pause();
-  time_.schedule(duration, [&process] { process.resume(); });
+  time_.schedule(duration, [this, &process] {
+    if (process.paused()) {
+      process.resume();
+      if (wake_listener_) {
+        wake_listener_(process);
+      }
+    }
+  });
 }
 
 }  // namespace cypresswall::simulation
--- a/src/cypresswall/simulation/simulation.h
+++ b/src/cypresswall/simulation/simulation.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -32,6 +33,10 @@
   void kill(SimulatedProcess& process);
   /// Pauses a process and wakes it after `duration` of true time.
   void pauseFor(SimulatedProcess& process, common::Duration duration);
+  /// Calls `listener` when a process woke from a pause, before it runs anything.
+  void onWake(std::function<void(SimulatedProcess&)> listener) {
+    wake_listener_ = std::move(listener);
+  }
 
   VirtualTime& time() { return time_; }
   SimulatedNetwork& network() { return network_; }
@@ -52,6 +57,7 @@
   common::SeededRandom random_;
   SimulatedNetwork network_;
   std::vector<std::unique_ptr<SimulatedProcess>> processes_;
+  std::function<void(SimulatedProcess&)> wake_listener_;
 };
 
 }  // namespace cypresswall::simulation
--- /dev/null
+++ b/tests/properties/answers/whole_answers_test.cpp
@@ -0,0 +1,84 @@
+/// INV-4: each caller gets the whole answer to its own request and no other. INV-10: a request
+/// given up on gets its final answer at once, with a time to come back.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+
+#include "tests/properties/support/generators.h"
+#include "tests/properties/support/workload.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::testing {
+namespace {
+
+using simulation::CallerRecord;
+using simulation::CallerResult;
+using simulation::FaultAction;
+using simulation::FaultKind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kRuns = 40;
+constexpr common::Duration kAskingTime = seconds(20);
+/// Until every request has ended after the last fault.
+constexpr common::Duration kSettlingTime = seconds(60);
+
+RunBounds answerBounds() {
+  RunBounds bounds;
+  bounds.actions = {FaultAction::kKillNode,    FaultAction::kPauseNode,   FaultAction::kCutOffNode,
+                    FaultAction::kCrashEngine, FaultAction::kBreakStream, FaultAction::kCutZones};
+  bounds.maximum_zones = 2;
+  return bounds;
+}
+
+void requireOwnAnswer(const CallerRecord& record) {
+  const std::string expected = simulation::SimulatedFleet::expectedAnswer(record);
+  RC_ASSERT(record.misplaced_tokens == 0U);
+  RC_ASSERT(record.late_calls == 0U);
+  if (record.result == CallerResult::kDone) {
+    RC_ASSERT(record.answer == expected);
+  } else {
+    RC_ASSERT(expected.compare(0, record.answer.size(), record.answer) == 0);
+  }
+}
+
+class WholeAnswersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WholeAnswersTest);
+  CPPUNIT_TEST(eachCallerGetsItsOwnWholeAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void eachCallerGetsItsOwnWholeAnswer() {
+    simulation::FaultCounters faults;
+    RequestTally tally;
+    requireProperty("INV-4 whole answers", kRuns, [&] {
+      const GeneratedRun run = *runs(answerBounds());
+      simulation::FleetSettings settings;
+      settings.topology = run.topology;
+      simulation::SimulatedFleet fleet(run.seed, settings);
+      fleet.bringUp();
+      planRequests(fleet, {.within = kAskingTime});
+      simulation::FaultPlayer player(fleet);
+      player.play(run.faults);
+      fleet.time().runFor(kAskingTime + seconds(10));
+      player.endAll();
+      fleet.time().runFor(kSettlingTime);
+      RC_ASSERT(fleet.openRequests() == 0U);
+      for (const CallerRecord& record : fleet.records()) {
+        requireOwnAnswer(record);
+      }
+      tally.add(fleet);
+      faults.merge(fleet.faults());
+    });
+    std::cout << "\nINV-4: " << tally.summary() << "; faults: " << faults.summary() << std::endl;
+    CPPUNIT_ASSERT(tally.done > tally.errors + tally.broken);
+    CPPUNIT_ASSERT(faults.count(FaultKind::kKill) > 0);
+    CPPUNIT_ASSERT(faults.count(FaultKind::kEngineCrash) > 0);
+    CPPUNIT_ASSERT(faults.count(FaultKind::kStreamBroken) > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WholeAnswersTest);
+
+}  // namespace
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/properties/support/workload.cpp
@@ -0,0 +1,43 @@
+#include "tests/properties/support/workload.h"
+
+namespace cypresswall::testing {
+
+void planRequests(simulation::SimulatedFleet& fleet, const ModelWorkload& workload) {
+  for (std::uint32_t number = 0; number < workload.requests; ++number) {
+    const auto at = common::Duration(fleet.simulation().random().below(workload.within.count()));
+    fleet.time().schedule(at, [&fleet, workload] {
+      auto& random = fleet.simulation().random();
+      const auto index = random.below(fleet.nodeCount());
+      const auto prompt = static_cast<std::uint32_t>(1 + random.below(workload.longest_prompt));
+      const auto answer = static_cast<std::uint32_t>(1 + random.below(workload.longest_answer));
+      fleet.askModel(index, prompt, answer);
+    });
+  }
+}
+
+void RequestTally::add(const simulation::SimulatedFleet& fleet) {
+  for (const simulation::CallerRecord& record : fleet.records()) {
+    switch (record.result) {
+      case simulation::CallerResult::kDone:
+        ++done;
+        break;
+      case simulation::CallerResult::kError:
+        ++errors;
+        break;
+      case simulation::CallerResult::kBroken:
+        ++broken;
+        break;
+      case simulation::CallerResult::kOpen:
+        ++open;
+        break;
+    }
+  }
+}
+
+std::string RequestTally::summary() const {
+  return std::to_string(done) + " requests done, " + std::to_string(errors) +
+         " refused or failed, " + std::to_string(broken) + " broken, " + std::to_string(open) +
+         " open";
+}
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/properties/support/workload.h
@@ -0,0 +1,31 @@
+/// Requests of callers over a while, at random nodes of a fleet.
+#pragma once
+
+#include <cstdint>
+
+#include "cypresswall/simulation/fleet/simulated_fleet.h"
+
+namespace cypresswall::testing {
+
+struct ModelWorkload {
+  std::uint32_t requests = 60;
+  common::Duration within = std::chrono::seconds(20);
+  std::uint32_t longest_prompt = 6000;
+  std::uint32_t longest_answer = 120;
+};
+
+/// Plans all requests of a workload, counted from now.
+void planRequests(simulation::SimulatedFleet& fleet, const ModelWorkload& workload);
+
+/// How the requests of a run ended.
+struct RequestTally {
+  std::uint64_t done = 0;
+  std::uint64_t errors = 0;
+  std::uint64_t broken = 0;
+  std::uint64_t open = 0;
+
+  void add(const simulation::SimulatedFleet& fleet);
+  std::string summary() const;
+};
+
+}  // namespace cypresswall::testing
