--- a/src/cypresswall/execution/engine_model_executor.h
+++ b/src/cypresswall/execution/engine_model_executor.h
@@ -17,6 +17,7 @@
                       admission::AdmissionController& admission, routing::Router& router,
                       engines::EngineClient& engines, const ExecutionSettings& settings = {});
   std::unique_ptr<ModelExecution> start(ModelCall call, ModelCallObserver& observer) override;
+  const RequestJournal& journal() const { return core_.journal; }
 
  private:
   ModelExecutionCore core_;
--- a/src/cypresswall/execution/execution_settings.h
+++ b/src/cypresswall/execution/execution_settings.h
@@ -43,6 +43,8 @@
   /// A granted claim of an idempotency key is used only this long after it was asked for; it must
   /// be far below the time for which claims are kept.
   common::Duration claim_use_limit = std::chrono::seconds(10);
+  /// Ended requests that operators can still ask about, for models and for services.
+  std::size_t kept_request_records = 1000;
   /// Longest recorded answer of an operation with an idempotency key.
   std::size_t maximum_recorded_bytes = 16U << 10;
 };
--- a/src/cypresswall/execution/http_service_executor.h
+++ b/src/cypresswall/execution/http_service_executor.h
@@ -18,6 +18,7 @@
   /// \return requests not ended, those included that run on without their caller; a planned stop
   ///   waits until there are none
   std::size_t running() const { return core_.running(); }
+  const RequestJournal& journal() const { return core_.journal; }
 
  private:
   ServiceExecutionCore core_;
--- a/src/cypresswall/execution/model_execution_core.cpp
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -65,6 +65,7 @@
       budget(execution_settings),
       stream_events(process_context.counters),
       counters(process_context.counters),
+      journal(execution_settings.kept_request_records),
       retired_(process_context.scheduler),
       stream_prefix_(streamPrefix(process_context.self)),
       next_attempt_(static_cast<std::uint32_t>(process_context.random.below(kFirstAttemptBound)) +
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -12,6 +12,7 @@
 #include "cypresswall/execution/deferred_destruction.h"
 #include "cypresswall/execution/engine_attempt.h"
 #include "cypresswall/execution/execution_settings.h"
+#include "cypresswall/execution/request_journal.h"
 #include "cypresswall/execution/retry_budget.h"
 #include "cypresswall/routing/router.h"
 
@@ -60,6 +61,7 @@
   RetryBudget budget;
   StreamEventCounters stream_events;
   ModelRequestCounters counters;
+  RequestJournal journal;
 
  private:
   DeferredDestruction<EngineAttempt> retired_;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -7,20 +7,6 @@
 #include "cypresswall/execution/refusal_error.h"
 
 namespace cypresswall::execution {
-namespace {
-
-/// A hard limit is at least this many soft ones.
-constexpr int kSoftLimitsPerHardLimit = 2;
-
-bool provedNotRun(engines::StreamFailure failure) {
-  return failure == engines::StreamFailure::kNotSent || failure == engines::StreamFailure::kRefused;
-}
-
-common::Duration scaled(common::Duration duration, double factor) {
-  return common::fromSeconds(common::toSeconds(duration) * factor);
-}
-
-}  // namespace
 
 ModelRequest::ModelRequest(ModelExecutionCore& core, ModelCall call, ModelCallObserver& observer)
     : core_(core),
@@ -31,6 +17,7 @@
 
 void ModelRequest::start() {
   starting_ = true;
+  openRecord();
   core_.counters.started.add();
   core_.budget.requestStarted();
   auto target = resolveTarget(*core_.configuration.current(), call_);
@@ -39,6 +26,9 @@
            common::Duration{0});
   } else {
     target_ = std::move(*target);
+    record_->model = target_.service.model;
+    record_->prompt_tokens = target_.shape.tokens;
+    record_->maximum_tokens = target_.maximum_tokens;
     first_token_due_ = core_.process.clock.now() + target_.service.first_token_limit;
     if (admit()) {
       nextAttempt();
@@ -76,6 +66,7 @@
   }
   route_ = std::get<routing::Route>(std::move(choice));
   core_.router.attemptStarted(request, *route_);
+  recordAttempt();
   beginAttempt();
 }
 
@@ -151,47 +142,10 @@
   }
 }
 
-void ModelRequest::watchSilence() {
-  silence_.start(silenceLimits(), [weak = weak_from_this()](bool beyond_hard) {
-    if (const auto self = weak.lock()) {
-      self->onSilence(beyond_hard);
-    }
-  });
-}
-
-SilenceWatch::Limits ModelRequest::silenceLimits() const {
-  const auto& settings = core_.settings;
-  SilenceWatch::Limits limits;
-  if (token_seen_in_attempt_) {
-    limits.soft = std::max(
-        scaled(target_.service.between_tokens_limit, settings.between_tokens_silence_factor),
-        settings.between_tokens_silence_floor);
-  } else {
-    limits.soft =
-        std::max(scaled(route_->expected_first_token, settings.first_token_silence_factor) +
-                     settings.first_token_silence_margin,
-                 scaled(target_.service.first_token_limit, settings.first_token_silence_share));
-  }
-  limits.hard = std::max(limits.soft * kSoftLimitsPerHardLimit, settings.silence_maximum);
-  return limits;
-}
-
-void ModelRequest::onSilence(bool beyond_hard) {
-  if (!beyond_hard && !retryAffordable()) {
-    return;
-  }
-  core_.counters.silent.add();
-  attemptLost(engines::StreamFailure::kBroken, "the engine was silent for too long");
-}
-
-bool ModelRequest::retryAffordable() const {
-  return runs_ + 1 < core_.settings.maximum_runs && core_.budget.available() &&
-         timeToFirstToken() > common::Duration{0};
-}
-
 void ModelRequest::onAttemptToken(std::uint32_t index, const std::string& text) {
   const auto self = shared_from_this();
   tokens_given_ = index + 1;
+  record_->tokens_given = tokens_given_;
   if (token_seen_in_attempt_) {
     silence_.progress();
   } else {
@@ -212,7 +166,8 @@
   core_.router.attemptFinished(stream_id_);
   route_.reset();
   core_.counters.done.add();
-  close();
+  recordResult("done");
+  close("done");
   observer_->onFinished(usage);
 }
 
@@ -228,74 +183,6 @@
   attemptLost(failure, message);
 }
 
-void ModelRequest::attemptLost(engines::StreamFailure failure, const std::string& message) {
-  silence_.stop();
-  const auto& engine =
-      phase_ == engines::StreamPhase::kPrefillOnly ? *route_->prefill_engine : route_->engine;
-  common::LogEvent(core_.process.log, common::LogLevel::kWarning, "attempt_failed")
-      .field("request", call_.request_id)
-      .field("stream", stream_id_)
-      .field("engine", engine.name)
-      .field("tokens_given", tokens_given_)
-      .field("reason", message);
-  excluded_.push_back(engine.name);
-  retireAttempt();
-  core_.router.attemptFailed(stream_id_, failure);
-  route_.reset();
-  if (token_seen_in_attempt_) {
-    resume_until_ = core_.process.clock.now() + core_.settings.resume_time_limit;
-  }
-  if (provedNotRun(failure)) {
-    retryAfterNoRun(message);
-  } else {
-    may_have_run_ = true;
-    retryAfterRun(message);
-  }
-}
-
-void ModelRequest::retryAfterRun(const std::string& message) {
-  ++runs_;
-  if (runs_ >= core_.settings.maximum_runs) {
-    giveUp(ErrorKind::kBackendFailed, message, core_.settings.default_retry_after);
-    return;
-  }
-  if (!core_.budget.withdraw()) {
-    core_.counters.budget_spent.add();
-    giveUp(ErrorKind::kBackendFailed, message + "; the retry budget is spent",
-           core_.settings.default_retry_after);
-    return;
-  }
-  core_.counters.retries_after_run.add();
-  if (resuming()) {
-    core_.counters.resumed.add();
-  }
-  scheduleAttempt(backoffBefore(runs_, core_.settings, core_.process.random));
-}
-
-void ModelRequest::retryAfterNoRun(const std::string& message) {
-  ++unrun_attempts_;
-  if (unrun_attempts_ >= core_.settings.maximum_unrun_attempts) {
-    giveUp(ErrorKind::kNoBackend, message, core_.settings.default_retry_after);
-    return;
-  }
-  core_.counters.retries_after_no_run.add();
-  scheduleAttempt(backoffBefore(unrun_attempts_, core_.settings, core_.process.random));
-}
-
-void ModelRequest::scheduleAttempt(common::Duration delay) {
-  scheduleStep(delay, [this] { nextAttempt(); });
-}
-
-void ModelRequest::scheduleStep(common::Duration delay, std::function<void()> step) {
-  step_timer_ =
-      core_.process.scheduler.schedule(delay, [weak = weak_from_this(), step = std::move(step)] {
-        if (const auto self = weak.lock()) {
-          self->step_timer_ = 0;
-          step();
-        }
-      });
-}
-
 void ModelRequest::giveUp(ErrorKind kind, const std::string& message,
                           common::Duration retry_after) {
   ExecutionError error;
@@ -310,7 +197,7 @@
       .field("stream", stream_id_)
       .field("outcome", toString(error.outcome))
       .field("reason", message);
-  close();
+  close(std::string(toString(error.outcome)) + ": " + message);
   if (!starting_) {
     observer_->onError(error);
     return;
@@ -332,11 +219,12 @@
     route_.reset();
   }
   core_.counters.abandoned.add();
-  close();
+  close("the caller went away");
 }
 
-void ModelRequest::close() {
+void ModelRequest::close(const std::string& state) {
   closed_ = true;
+  core_.journal.end(record_, state, core_.process.clock.now());
   silence_.stop();
   core_.process.scheduler.cancel(std::exchange(step_timer_, 0));
   retireAttempt();
@@ -368,4 +256,32 @@
   watchSilence();
 }
 
+void ModelRequest::openRecord() {
+  RequestRecord record;
+  record.request_id = call_.request_id;
+  record.stream_id = stream_id_;
+  record.tenant = call_.tenant;
+  record.service = call_.service;
+  record.started = core_.process.clock.now();
+  record_ = core_.journal.begin(std::move(record));
+}
+
+void ModelRequest::recordAttempt() {
+  AttemptRecord attempt;
+  attempt.started = core_.process.clock.now();
+  attempt.target = route_->engine.name;
+  if (route_->prefill_engine) {
+    attempt.prefill_target = route_->prefill_engine->name;
+  }
+  attempt.expected_first_token = route_->expected_first_token;
+  attempt.expected_between_tokens = route_->expected_between_tokens;
+  attempt.expected_cached_pieces = route_->expected_cached_pieces;
+  attempt.resume_from = tokens_given_;
+  record_->attempts.push_back(std::move(attempt));
+}
+
+void ModelRequest::recordResult(const std::string& result) {
+  record_->attempts.back().result = result;
+}
+
 }  // namespace cypresswall::execution
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -60,14 +60,19 @@
   bool resuming() const { return tokens_given_ > 0; }
 
   void giveUp(ErrorKind kind, const std::string& message, common::Duration retry_after);
-  void close();
+  /// Ends everything but the observer's last call.
+  void close(const std::string& state);
   void retireAttempt();
+  void openRecord();
+  void recordAttempt();
+  void recordResult(const std::string& result);
 
   ModelExecutionCore& core_;
   ModelCall call_;
   ModelCallObserver* observer_;
   ModelTarget target_;
   std::string stream_id_;
+  std::shared_ptr<RequestRecord> record_;
   std::optional<admission::AdmissionRequest> admitted_;
   common::MonotonicTime first_token_due_{};
   common::MonotonicTime resume_until_{};
--- a/src/cypresswall/execution/service_execution_core.cpp
+++ b/src/cypresswall/execution/service_execution_core.cpp
@@ -47,6 +47,7 @@
       settings(execution_settings),
       budget(execution_settings),
       counters(process_context.counters),
+      journal(execution_settings.kept_request_records),
       ended_calls(process_context.scheduler) {}
 
 void ServiceExecutionCore::add(std::shared_ptr<ServiceRun> run) {
--- a/src/cypresswall/execution/service_execution_core.h
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -11,6 +11,7 @@
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/execution/deferred_destruction.h"
 #include "cypresswall/execution/execution_settings.h"
+#include "cypresswall/execution/request_journal.h"
 #include "cypresswall/execution/retry_budget.h"
 #include "cypresswall/idempotency/key_claims.h"
 #include "cypresswall/membership/membership_view.h"
@@ -62,6 +63,7 @@
   const ExecutionSettings settings;
   RetryBudget budget;
   ServiceRequestCounters counters;
+  RequestJournal journal;
   DeferredDestruction<services::ServiceCall> ended_calls;
 
  private:
--- /dev/null
+++ b/src/cypresswall/execution/service_headers.cpp
@@ -0,0 +1,54 @@
+#include "cypresswall/execution/service_headers.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+
+namespace cypresswall::execution {
+namespace {
+
+constexpr const char* kRequestIdHeader = "X-Request-Id";
+constexpr const char* kKeyHeader = "Idempotency-Key";
+constexpr const char* kRetryAfterHeader = "Retry-After";
+/// Longer waits are not believed.
+constexpr long kMaximumRetrySeconds = 3600;
+
+bool sameName(const std::string& left, const std::string& right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
+    return std::tolower(static_cast<unsigned char>(a)) ==
+           std::tolower(static_cast<unsigned char>(b));
+  });
+}
+
+}  // namespace
+
+std::vector<services::HttpHeader> headersForBackend(const ServiceCallRequest& request,
+                                                    bool repeatable) {
+  std::vector<services::HttpHeader> headers;
+  for (const auto& header : request.headers) {
+    if (!sameName(header.name, kRequestIdHeader) && !sameName(header.name, kKeyHeader)) {
+      headers.push_back(header);
+    }
+  }
+  headers.push_back({kRequestIdHeader, request.request_id});
+  if (!repeatable) {
+    const auto& key =
+        request.idempotency_key.empty() ? request.request_id : request.idempotency_key;
+    headers.push_back({kKeyHeader, key});
+  }
+  return headers;
+}
+
+common::Duration retryAfterOf(const services::ServiceResponse& response,
+                              common::Duration otherwise) {
+  for (const auto& header : response.headers) {
+    if (sameName(header.name, kRetryAfterHeader)) {
+      const auto seconds =
+          std::min(std::strtol(header.value.c_str(), nullptr, 10), kMaximumRetrySeconds);
+      return std::max<common::Duration>(std::chrono::seconds(seconds), otherwise);
+    }
+  }
+  return otherwise;
+}
+
+}  // namespace cypresswall::execution
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -1,22 +1,16 @@
 #include "cypresswall/execution/service_run.h"
 
 #include <algorithm>
-#include <cctype>
-#include <cstdlib>
 #include <utility>
 
-#include "cypresswall/common/prompt.h"
 #include "cypresswall/execution/backend_choice.h"
-#include "cypresswall/execution/recorded_answer.h"
 #include "cypresswall/execution/refusal_error.h"
+#include "cypresswall/execution/service_headers.h"
 #include "cypresswall/execution/service_operation.h"
 
 namespace cypresswall::execution {
 namespace {
 
-constexpr const char* kRequestIdHeader = "X-Request-Id";
-constexpr const char* kKeyHeader = "Idempotency-Key";
-constexpr const char* kRetryAfterHeader = "Retry-After";
 constexpr int kFirstServerError = 500;
 /// Statuses that say nothing about the request itself: another back end may do better.
 constexpr int kBadGateway = 502;
@@ -24,22 +18,11 @@
 /// Part of the remaining time that one of several attempts may use.
 constexpr int kAttemptsPerRemainingTime = 2;
 
-bool sameName(const std::string& left, const std::string& right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-    return std::tolower(static_cast<unsigned char>(a)) ==
-           std::tolower(static_cast<unsigned char>(b));
-  });
-}
-
-common::Duration retryAfterOf(const services::ServiceResponse& response,
-                              common::Duration otherwise) {
-  for (const auto& header : response.headers) {
-    if (sameName(header.name, kRetryAfterHeader)) {
-      const auto seconds = std::strtol(header.value.c_str(), nullptr, 10);
-      return std::max<common::Duration>(std::chrono::seconds(seconds), otherwise);
-    }
+std::string resultOf(const services::ServiceResponse& response) {
+  if (response.outcome == services::ServiceOutcome::kAnswered) {
+    return "status " + std::to_string(response.status);
   }
-  return otherwise;
+  return response.error.empty() ? "no answer" : response.error;
 }
 
 }  // namespace
@@ -50,6 +33,7 @@
 
 void ServiceRun::start() {
   starting_ = true;
+  openRecord();
   core_.counters.started.add();
   core_.budget.requestStarted();
   const auto fleet = core_.interfaces.configuration.current();
@@ -84,76 +68,6 @@
   return true;
 }
 
-void ServiceRun::claimKey() {
-  claim_sent_ = core_.process.clock.now();
-  core_.interfaces.claims.claim(claimName(), claimDigest(),
-                                [weak = weak_from_this()](const idempotency::ClaimAnswer& answer) {
-                                  if (const auto self = weak.lock()) {
-                                    self->onClaim(answer);
-                                  }
-                                });
-}
-
-void ServiceRun::onClaim(const idempotency::ClaimAnswer& answer) {
-  if (closed_) {
-    return;
-  }
-  const auto retry_after = std::max(answer.retry_after, core_.settings.default_retry_after);
-  switch (answer.verdict) {
-    case idempotency::ClaimVerdict::kGranted:
-      onGranted();
-      return;
-    case idempotency::ClaimVerdict::kCompleted:
-      answerFromRecord(answer);
-      return;
-    case idempotency::ClaimVerdict::kInProgress:
-      failAs(Outcome::kUnknown, ErrorKind::kInProgress,
-             "an earlier request with this idempotency key has not ended", retry_after);
-      return;
-    case idempotency::ClaimVerdict::kDifferentBody:
-      failAs(Outcome::kNotRun, ErrorKind::kKeyReused,
-             "the idempotency key was used for another request", common::Duration{0});
-      return;
-    case idempotency::ClaimVerdict::kUncertain:
-      failAs(Outcome::kUnknown, ErrorKind::kBackendFailed,
-             "whether the request with this idempotency key ran can't be known", retry_after);
-      return;
-    case idempotency::ClaimVerdict::kUnavailable:
-      failAs(Outcome::kNotRun, ErrorKind::kNoBackend,
-             "the idempotency key can't be claimed at present", retry_after);
-      return;
-  }
-}
-
-/// Why the operation still runs at most once if this process pauses between grant and send: a claim
-/// is granted to one attempt, and never again as long as its holders remember it; if they forget
-/// it, the key becomes uncertain, which grants nothing. Holders drop old claims only long after
-/// `claim_use_limit`, so a grant that is read later than that is not used, and not given back
-/// either, since it may no longer be this attempt's to give. A pause between this check and the
-/// send leaves that retention, and the key in the request's header, between it and a second run.
-void ServiceRun::onGranted() {
-  const auto age = core_.process.clock.now() - claim_sent_;
-  if (age > core_.settings.claim_use_limit) {
-    core_.counters.late_grants.add();
-    failAs(Outcome::kNotRun, ErrorKind::kDeadlineExceeded,
-           "the claim of the idempotency key came too late", core_.settings.default_retry_after);
-    return;
-  }
-  claim_held_ = true;
-  deadline_ = core_.process.clock.now() + operation_.time_limit;
-  nextAttempt();
-}
-
-void ServiceRun::answerFromRecord(const idempotency::ClaimAnswer& answer) {
-  auto recorded = decodeRecordedAnswer(answer.recorded_answer);
-  if (recorded) {
-    finish(std::move(*recorded));
-    return;
-  }
-  failAs(Outcome::kDone, ErrorKind::kBackendFailed,
-         "the request ran before; its answer was too large to be kept", common::Duration{0});
-}
-
 void ServiceRun::nextAttempt() {
   if (!callback_) {
     fail(ErrorKind::kDeadlineExceeded, "the caller went away before the request was sent",
@@ -195,10 +109,11 @@
   call.attempt = ++attempt_;
   call.method = request_.method;
   call.target = request_.target;
-  call.headers = headersForBackend();
+  call.headers = headersForBackend(request_, operation_.repeatable);
   call.body = request_.body;
   call.time_limit = attemptTimeLimit(remaining);
   excluded_.insert(backend);
+  recordAttempt(backend);
   core_.counters.attempts.add();
   call_ = core_.interfaces.client.call(
       backend, std::move(call),
@@ -215,28 +130,13 @@
   return retry_possible ? remaining / kAttemptsPerRemainingTime : remaining;
 }
 
-std::vector<services::HttpHeader> ServiceRun::headersForBackend() const {
-  std::vector<services::HttpHeader> headers;
-  for (const auto& header : request_.headers) {
-    if (!sameName(header.name, kRequestIdHeader) && !sameName(header.name, kKeyHeader)) {
-      headers.push_back(header);
-    }
-  }
-  headers.push_back({kRequestIdHeader, request_.request_id});
-  if (!operation_.repeatable) {
-    const auto& key =
-        request_.idempotency_key.empty() ? request_.request_id : request_.idempotency_key;
-    headers.push_back({kKeyHeader, key});
-  }
-  return headers;
-}
-
 void ServiceRun::onResponse(std::uint32_t attempt, services::ServiceResponse response) {
   if (closed_ || attempt != attempt_ || !call_) {
     core_.counters.late_answers.add();
     return;
   }
   core_.ended_calls.add(std::move(call_));
+  record_->attempts.back().result = resultOf(response);
   switch (response.outcome) {
     case services::ServiceOutcome::kAnswered:
       onAnswered(std::move(response));
@@ -312,15 +212,6 @@
   });
 }
 
-std::string ServiceRun::claimName() const {
-  return request_.tenant + "\n" + request_.service + "\n" + request_.idempotency_key;
-}
-
-std::uint64_t ServiceRun::claimDigest() const {
-  const auto target = common::hash64(request_.target, common::hash64(request_.method));
-  return common::hash64(request_.body, target);
-}
-
 void ServiceRun::fail(ErrorKind kind, const std::string& message, common::Duration retry_after) {
   failAs(may_have_run_ ? Outcome::kUnknown : Outcome::kNotRun, kind, message, retry_after);
 }
@@ -339,20 +230,6 @@
   finish(std::move(answer));
 }
 
-/// A claim is given back only if the operation surely did not run; an unknown outcome is recorded
-/// like an answer, so that a caller who asks again hears it and nothing runs.
-void ServiceRun::settleClaim(const ServiceCallAnswer& answer) {
-  if (!std::exchange(claim_held_, false)) {
-    return;
-  }
-  if (answer.outcome == Outcome::kNotRun) {
-    core_.interfaces.claims.release(claimName());
-    return;
-  }
-  core_.interfaces.claims.complete(
-      claimName(), encodeRecordedAnswer(answer, core_.settings.maximum_recorded_bytes));
-}
-
 void ServiceRun::finish(ServiceCallAnswer answer) {
   const auto self = shared_from_this();
   switch (answer.outcome) {
@@ -366,7 +243,9 @@
       core_.counters.failed_unknown.add();
       break;
   }
-  close();
+  close(std::string(toString(answer.outcome)) + (answer.status != 0
+                                                     ? ", status " + std::to_string(answer.status)
+                                                     : ": " + answer.error.message));
   if (!callback_) {
     core_.counters.finished_unheard.add();
     return;
@@ -388,11 +267,12 @@
     return;
   }
   core_.counters.abandoned.add();
-  close();
+  close("the caller went away");
 }
 
-void ServiceRun::close() {
+void ServiceRun::close(const std::string& state) {
   closed_ = true;
+  core_.journal.end(record_, state, core_.process.clock.now());
   core_.process.scheduler.cancel(std::exchange(retry_timer_, 0));
   if (call_) {
     core_.ended_calls.add(std::move(call_));
@@ -404,4 +284,20 @@
   core_.remove(*this);
 }
 
+void ServiceRun::openRecord() {
+  RequestRecord record;
+  record.request_id = request_.request_id;
+  record.tenant = request_.tenant;
+  record.service = request_.service;
+  record.started = core_.process.clock.now();
+  record_ = core_.journal.begin(std::move(record));
+}
+
+void ServiceRun::recordAttempt(const common::Address& backend) {
+  AttemptRecord attempt;
+  attempt.started = core_.process.clock.now();
+  attempt.target = backend;
+  record_->attempts.push_back(std::move(attempt));
+}
+
 }  // namespace cypresswall::execution
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -36,7 +36,6 @@
   std::optional<common::Address> nextBackend();
   void beginCall(const common::Address& backend);
   common::Duration attemptTimeLimit(common::Duration remaining) const;
-  std::vector<services::HttpHeader> headersForBackend() const;
   void onResponse(std::uint32_t attempt, services::ServiceResponse response);
   void onAnswered(services::ServiceResponse response);
   void onProvedNotRun(const services::ServiceResponse& response);
@@ -53,7 +52,9 @@
               common::Duration retry_after);
   void settleClaim(const ServiceCallAnswer& answer);
   void finish(ServiceCallAnswer answer);
-  void close();
+  void close(const std::string& state);
+  void openRecord();
+  void recordAttempt(const common::Address& backend);
 
   ServiceExecutionCore& core_;
   ServiceCallRequest request_;
@@ -66,6 +67,7 @@
   common::MonotonicTime claim_sent_{};
   std::set<common::Address> excluded_;
   std::unique_ptr<services::ServiceCall> call_;
+  std::shared_ptr<RequestRecord> record_;
   common::TimerId retry_timer_ = 0;
   std::uint32_t attempt_ = 0;
   std::uint32_t runs_ = 0;
--- a/tests/execution/engine_model_executor_test.cpp
+++ b/tests/execution/engine_model_executor_test.cpp
@@ -125,6 +125,10 @@
     CPPUNIT_ASSERT(request.attempt > world.engines.started.at(0).second.attempt);
     CPPUNIT_ASSERT_EQUAL(world.engines.started.at(0).second.stream_id, request.stream_id);
     CPPUNIT_ASSERT_EQUAL(1.0, world.count("cypresswall_execution_model_resumed_total"));
+    const auto record = world.executor.journal().find("events");
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), record->state);
+    CPPUNIT_ASSERT_EQUAL(std::string("engine-1: as scripted"), record->attempts.at(0).result);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{5}, record->attempts.at(1).resume_from);
   }
 
   void refusalIsGivenWithinOneTurn() {
