Simulate the daemon's planner and the threshold rule

Cause: the zone controller and the planners exist; scenarios ran with fixed roles only. What was ruled out: waiting for the controller to become part of node::Node; until then the bench starts it beside the node with the same interfaces.

--- a/apps/cypresswall-bench/main.cpp
+++ b/apps/cypresswall-bench/main.cpp
@@ -34,6 +34,7 @@
     policies, "planned,mixed,split",
     "simulate: planned (roles follow demand), mixed (all mixed), split (each static split "
     "of a zone's engines)");
+DEFINE_bool(require_all_done, false, "load: exit code 1 unless every request was served whole");
 DEFINE_string(watch, "", "load: name=pid, comma-separated: processes to measure");
 DEFINE_string(json, "", "file for the results as JSON");
 DEFINE_string(csv, "", "file for the results as CSV");
@@ -99,6 +100,16 @@
   return settings;
 }
 
+bool allDone(const std::vector<bench::TargetReport>& reports) {
+  for (const bench::TargetReport& report : reports) {
+    const bench::KindResult total = report.result.total();
+    if (total.requests() == 0 || total.count(bench::RequestEnd::kDone) != total.requests()) {
+      return false;
+    }
+  }
+  return true;
+}
+
 int load() {
   bench::LoadRunSettings settings;
   try {
@@ -117,7 +128,7 @@
     std::ofstream file(FLAGS_csv);
     bench::writeCsv(file, reports);
   }
-  return kExitDone;
+  return FLAGS_require_all_done && !allDone(reports) ? kExitFailed : kExitDone;
 }
 
 /// \throws common::Error for an unknown policy
@@ -125,11 +136,16 @@
   std::vector<bench::RolePolicy> policies;
   const std::uint32_t engines = scenario.fleet.engines_per_zone;
   for (const std::string& name : splitList(FLAGS_policies)) {
-    if (name == "planned" || name == "mixed") {
-      policies.push_back({name, name == "planned", 0, 0});
+    if (name == "planned") {
+      policies.push_back({name, bench::PlannerKind::kCost, 0, 0});
+    } else if (name == "threshold") {
+      policies.push_back({name, bench::PlannerKind::kThreshold, 0, 0});
+    } else if (name == "mixed") {
+      policies.push_back({name, bench::PlannerKind::kFixed, 0, 0});
     } else if (name == "split") {
       for (std::uint32_t prefill = 1; prefill < engines; ++prefill) {
-        policies.push_back({"split-" + std::to_string(prefill), false, prefill, engines - prefill});
+        policies.push_back({"split-" + std::to_string(prefill), bench::PlannerKind::kFixed, prefill,
+                            engines - prefill});
       }
     } else {
       throw common::Error("--policies: unknown policy " + name);
--- a/bench/simulate/scenario_fleet.cpp
+++ b/bench/simulate/scenario_fleet.cpp
@@ -5,6 +5,7 @@
 
 #include "cypresswall/configuration/object_codec.h"
 #include "cypresswall/configuration/object_kind.h"
+#include "cypresswall/planning/baseline_planners.h"
 
 namespace cypresswall::bench {
 namespace {
@@ -12,6 +13,8 @@
 constexpr const char* kModel = "model";
 constexpr const char* kVersion = "1";
 constexpr const char* kRegion = "region-1";
+/// Utilisation at which the threshold planner moves an engine.
+constexpr double kPlannerThreshold = 0.75;
 constexpr common::Duration kStartLimit = std::chrono::seconds(60);
 /// Zones have to know each other before all of them can approve a change.
 constexpr common::Duration kMeetingTime = std::chrono::seconds(5);
@@ -93,34 +96,34 @@
 
 ScenarioFleet::ScenarioFleet(const Scenario& scenario, const RolePolicy& policy, std::uint64_t seed)
     : scenario_(scenario),
+      policy_(policy),
       simulation_(seed, networkOf(scenario)),
       random_(simulation_.deriveSeed("load")),
       platform_(simulation_),
       engines_(simulation_),
       services_(simulation_),
-      declared_(declarations(policy)) {
-  addEngines(policy);
+      declared_(declarations()) {
+  addEngines();
 }
 
 ScenarioFleet::~ScenarioFleet() = default;
 
-engines::EngineRole ScenarioFleet::initialRole(const RolePolicy& policy,
-                                               std::uint32_t number) const {
-  if (number < policy.prefill_engines) {
+engines::EngineRole ScenarioFleet::initialRole(std::uint32_t number) const {
+  if (number < policy_.prefill_engines) {
     return engines::EngineRole::kPrefill;
   }
-  return number < policy.prefill_engines + policy.decode_engines ? engines::EngineRole::kDecode
-                                                                 : engines::EngineRole::kMixed;
+  return number < policy_.prefill_engines + policy_.decode_engines ? engines::EngineRole::kDecode
+                                                                   : engines::EngineRole::kMixed;
 }
 
-void ScenarioFleet::addEngines(const RolePolicy& policy) {
+void ScenarioFleet::addEngines() {
   for (std::uint32_t zone = 0; zone < scenario_.fleet.zones; ++zone) {
     for (std::uint32_t number = 0; number < scenario_.fleet.engines_per_zone; ++number) {
       emulation::EngineSettings engine = scenario_.fleet.engine;
       engine.name = machineName("runner", zone, number);
       engine.model = kModel;
       engine.version = kVersion;
-      engine.role = initialRole(policy, number);
+      engine.role = initialRole(number);
       engine.incarnation = 1;
       engine.ledger_limit = 0;
       engines_.add(engineAddress(zone, number), zoneName(zone), std::move(engine));
@@ -138,8 +141,7 @@
   }
 }
 
-std::vector<configuration::ObjectChange> ScenarioFleet::declarations(
-    const RolePolicy& policy) const {
+std::vector<configuration::ObjectChange> ScenarioFleet::declarations() const {
   using configuration::ObjectKind;
   using configuration::setObject;
   std::vector<configuration::ObjectChange> objects;
@@ -154,7 +156,7 @@
                                                     machineName("accelerator", zone, number),
                                                     engineAddress(zone, number),
                                                     kModel,
-                                                    initialRole(policy, number)};
+                                                    initialRole(number)};
       objects.push_back(setObject(ObjectKind::kEngine, engine.name, engine));
     }
   }
@@ -169,7 +171,7 @@
     objects.push_back(setObject(ObjectKind::kModelService, kind.name, service));
   }
   configuration::PlanningPolicy planning = scenario_.planning;
-  planning.automatic_roles = policy.automatic;
+  planning.automatic_roles = policy_.planner != PlannerKind::kFixed;
   objects.push_back(
       setObject(ObjectKind::kPlanning, std::string(configuration::kPlanningObjectName), planning));
   return objects;
@@ -209,8 +211,22 @@
       process.emplace<simulation::SimulatedServiceClient>(simulation_, process, services_);
   const node::NodeClients clients{store, machines, engines, services};
   auto& node = process.emplace<node::Node>(nodeSettings(zone, number), process.context(), clients);
+  auto& controller = process.emplace<orders::ZoneController>(
+      orders::ControllerSettings{}, process.context(), node.authority(), node.engines(), engines,
+      node.configuration(), node.membership(), makePlanner());
   nodes_.push_back({&process, &node});
-  process.deliver([&node] { node.start(); });
+  process.deliver([&node, &controller] {
+    node.start();
+    controller.start();
+  });
+}
+
+std::unique_ptr<planning::Planner> ScenarioFleet::makePlanner() const {
+  if (policy_.planner == PlannerKind::kThreshold) {
+    return std::make_unique<planning::ThresholdPlanner>(planning::CapacitySettings{},
+                                                        kPlannerThreshold);
+  }
+  return nullptr;
 }
 
 void ScenarioFleet::bringUp() {
--- a/bench/simulate/scenario_fleet.h
+++ b/bench/simulate/scenario_fleet.h
@@ -13,6 +13,7 @@
 #include "cypresswall/common/random.h"
 #include "cypresswall/execution/model_executor.h"
 #include "cypresswall/node/node.h"
+#include "cypresswall/orders/zone_controller.h"
 #include "cypresswall/simulation/simulated_engines.h"
 #include "cypresswall/simulation/simulated_platform.h"
 #include "cypresswall/simulation/simulated_services.h"
@@ -26,12 +27,18 @@
   using common::Error::Error;
 };
 
+/// Who assigns roles while a run goes on.
+enum class PlannerKind : std::uint8_t {
+  kFixed,      ///< nobody: roles stay as they are at the start
+  kCost,       ///< the daemon's own planner
+  kThreshold,  ///< planning::ThresholdPlanner
+};
+
 /// How roles are assigned in a run.
 struct RolePolicy {
   /// For reports.
   std::string name = "planned";
-  /// False leaves the roles as they are at the start.
-  bool automatic = true;
+  PlannerKind planner = PlannerKind::kCost;
   /// Of each zone's engines, in the order of their names, this many begin in the role "prefill" and
   /// this many in "decode"; the others are mixed.
   std::uint32_t prefill_engines = 0;
@@ -81,17 +88,19 @@
     node::Node* node = nullptr;
   };
 
-  void addEngines(const RolePolicy& policy);
+  void addEngines();
   void startNode(std::uint32_t zone, std::uint32_t number);
+  std::unique_ptr<planning::Planner> makePlanner() const;
   node::NodeSettings nodeSettings(std::uint32_t zone, std::uint32_t number) const;
   std::vector<common::Address> zoneAddresses(std::uint32_t zone) const;
-  std::vector<configuration::ObjectChange> declarations(const RolePolicy& policy) const;
-  engines::EngineRole initialRole(const RolePolicy& policy, std::uint32_t number) const;
+  std::vector<configuration::ObjectChange> declarations() const;
+  engines::EngineRole initialRole(std::uint32_t number) const;
   common::PromptShape drawPrompt(const ScenarioKind& kind);
   void changeAllEngines(const std::function<void(emulation::EngineFaults&)>& change);
   void sessionEnded(std::uint64_t session);
 
   const Scenario& scenario_;
+  RolePolicy policy_;
   simulation::Simulation simulation_;
   common::SeededRandom random_;
   simulation::SimulatedPlatform platform_;
--- a/tests/bench/scenario_test.cpp
+++ b/tests/bench/scenario_test.cpp
@@ -61,7 +61,7 @@
 
   void oneSeedGivesOneResult() {
     const Scenario scenario = parseScenario(kSmall, "small.yaml");
-    const RolePolicy policy{"mixed", false, 0, 0};
+    const RolePolicy policy{"mixed", PlannerKind::kFixed, 0, 0};
     const RunOutcome first = runScenario(scenario, policy, 7);
     const RunOutcome again = runScenario(scenario, policy, 7);
     const RunOutcome other = runScenario(scenario, policy, 8);
