Add claims on idempotency keys, held by a quorum of the zone's voters

Cause: a request that may not be repeated must run at most once, also when its caller asks again at another node and when nodes, holder or network fail. Ruled out: an owner by rendezvous hashing with one backup: two sides of a cut choose other owners, so both could grant one key. Change: a gateway node asks the lease holder; the holder answers "granted" only once a majority of the voters keeps the claim. Resent claims carry one identifier and are granted to it alone; a grant that comes after its caller gave up is given back. Completed answers are kept, in bounds, for the retention; a claim of a dead node and, after a lost quorum, every unknown key is uncertain.

--- /dev/null
+++ b/src/cypresswall/idempotency/claim_table.cpp
@@ -0,0 +1,224 @@
+#include "cypresswall/idempotency/claim_table.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cypresswall::idempotency {
+namespace {
+
+using lease::RecordModule;
+
+constexpr const char* kClaimPrefix = "claim/";
+/// Marks a generation in which every claim of earlier ones has outlived the retention.
+constexpr const char* kCertainPrefix = "certain/";
+
+std::string certainKey(std::uint32_t generation) {
+  return kCertainPrefix + std::to_string(generation);
+}
+
+std::string encode(const ClaimRecord& record) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, record);
+  return {buffer.data(), buffer.size()};
+}
+
+}  // namespace
+
+ClaimTable::ClaimTable(const ClaimSettings& settings, const api::ProcessContext& context,
+                       lease::AuthorityView& authority, lease::QuorumLog& log,
+                       membership::MembershipView& membership)
+    : settings_(settings),
+      context_(context),
+      authority_(authority),
+      log_(log),
+      membership_(membership),
+      granted_count_(context.counters.counter("cypresswall_claims_granted_total",
+                                              "Claims on idempotency keys granted")),
+      full_count_(context.counters.counter("cypresswall_claims_refused_full_total",
+                                           "Claims refused because the table was full")),
+      uncertain_count_(context.counters.counter("cypresswall_claims_uncertain_total",
+                                                "Claims answered as uncertain")),
+      answer_dropped_count_(context.counters.counter("cypresswall_claim_answers_dropped_total",
+                                                     "Answers too large to keep")) {}
+
+void ClaimTable::start() {
+  authority_.onChange([this](std::optional<common::Epoch> epoch) { leaseChanged(epoch); });
+  sweep();
+}
+
+void ClaimTable::leaseChanged(std::optional<common::Epoch> epoch) {
+  entries_.clear();
+  answer_bytes_ = 0;
+  if (epoch) {
+    load(*epoch);
+  }
+}
+
+void ClaimTable::load(const common::Epoch& epoch) {
+  const auto now = context_.clock.now();
+  generation_ = epoch.generation;
+  const auto records = log_.records(RecordModule::kIdempotency);
+  const std::string prefix = kClaimPrefix;
+  for (const auto& [key, payload] : records) {
+    if (!key.starts_with(prefix)) {
+      continue;
+    }
+    Entry entry{api::decodeBody<ClaimRecord>(payload), false, now + settings_.retention};
+    answer_bytes_ += entry.record.answer.size();
+    entries_[key.substr(prefix.size())] = std::move(entry);
+  }
+  uncertain_until_.reset();
+  if (generation_ > 1 && !records.contains(certainKey(generation_))) {
+    uncertain_until_ = now + settings_.retention;
+  }
+}
+
+void ClaimTable::sweep() {
+  context_.scheduler.schedule(settings_.sweep_interval, [this] { sweep(); });
+  if (!authority_.heldEpoch()) {
+    return;
+  }
+  const auto now = context_.clock.now();
+  std::vector<std::string> expired;
+  for (const auto& [key, entry] : entries_) {
+    if (now >= entry.expires) {
+      expired.push_back(key);
+    }
+  }
+  for (const auto& key : expired) {
+    forget(key);
+  }
+  if (uncertain_until_ && now >= *uncertain_until_) {
+    uncertain_until_.reset();
+    log_.replicate(RecordModule::kIdempotency, certainKey(generation_), "", [](bool) {});
+  }
+}
+
+void ClaimTable::forget(const std::string& key) {
+  answer_bytes_ -= entries_.at(key).record.answer.size();
+  entries_.erase(key);
+  log_.erase(RecordModule::kIdempotency, kClaimPrefix + key);
+}
+
+void ClaimTable::claim(const ClaimRequest& request, const ClaimAnswered& answered) {
+  ClaimReply reply;
+  reply.claim = request.claim;
+  if (!authority_.heldEpoch()) {
+    answered(reply);
+    return;
+  }
+  const auto entry = entries_.find(request.key);
+  if (entry == entries_.end() || entry->second.record.state == ClaimState::kReleased) {
+    grantNew(request, answered);
+    return;
+  }
+  const bool same_claim = entry->second.record.claim == request.claim;
+  if (entry->second.committing && same_claim) {
+    return;  // answered when the claim is committed
+  }
+  reply = judge(request, entry->second);
+  uncertain_count_.add(reply.verdict == HolderVerdict::kUncertain ? 1 : 0);
+  answered(reply);
+}
+
+void ClaimTable::grantNew(const ClaimRequest& request, const ClaimAnswered& answered) {
+  ClaimReply reply;
+  reply.claim = request.claim;
+  reply.retry_after_us = static_cast<std::uint64_t>(settings_.retry_after.count());
+  const auto now = context_.clock.now();
+  if (uncertain_until_ && now < *uncertain_until_) {
+    uncertain_count_.add();
+    reply.verdict = HolderVerdict::kUncertain;
+    reply.retry_after_us = static_cast<std::uint64_t>((*uncertain_until_ - now).count());
+    answered(reply);
+    return;
+  }
+  if (entries_.size() >= settings_.maximum_claims) {
+    full_count_.add();
+    reply.verdict = HolderVerdict::kFull;
+    answered(reply);
+    return;
+  }
+  reply.verdict = HolderVerdict::kGranted;
+  put(request.key, ClaimRecord{ClaimState::kInProgress, request.digest, request.claim, {}},
+      [this, reply, answered] {
+        granted_count_.add();
+        answered(reply);
+      });
+}
+
+ClaimReply ClaimTable::judge(const ClaimRequest& request, const Entry& entry) const {
+  ClaimReply reply;
+  reply.claim = request.claim;
+  reply.retry_after_us = static_cast<std::uint64_t>(settings_.retry_after.count());
+  if (entry.record.digest != request.digest) {
+    reply.verdict = HolderVerdict::kDifferentBody;
+  } else if (entry.record.state == ClaimState::kCompleted) {
+    reply.verdict = HolderVerdict::kCompleted;
+    reply.recorded_answer = entry.record.answer;
+  } else if (entry.record.claim == request.claim) {
+    reply.verdict = HolderVerdict::kGranted;
+  } else if (claimerAlive(entry.record.claim.node)) {
+    reply.verdict = HolderVerdict::kInProgress;
+  } else {
+    reply.verdict = HolderVerdict::kUncertain;
+  }
+  return reply;
+}
+
+void ClaimTable::report(const ClaimReport& report, const ReportTaken& taken) {
+  if (!authority_.heldEpoch()) {
+    return;
+  }
+  const auto entry = entries_.find(report.key);
+  const bool known = entry != entries_.end() && entry->second.record.claim == report.claim;
+  if (known && entry->second.committing) {
+    return;  // sent again
+  }
+  const bool open = known && entry->second.record.state == ClaimState::kInProgress;
+  const bool lost = entry == entries_.end() && report.completed;
+  if (!open && !lost) {
+    taken();
+    return;
+  }
+  const auto state = report.completed ? ClaimState::kCompleted : ClaimState::kReleased;
+  put(report.key, ClaimRecord{state, report.digest, report.claim, keepable(report.answer)}, taken);
+}
+
+std::string ClaimTable::keepable(const std::string& answer) const {
+  const bool fits = answer.size() <= settings_.maximum_answer_bytes &&
+                    answer_bytes_ + answer.size() <= settings_.maximum_total_answer_bytes;
+  if (!fits) {
+    answer_dropped_count_.add();
+  }
+  return fits ? answer : std::string();
+}
+
+void ClaimTable::put(const std::string& key, ClaimRecord record, std::function<void()> committed) {
+  Entry& entry = entries_[key];
+  answer_bytes_ -= entry.record.answer.size();
+  answer_bytes_ += record.answer.size();
+  const bool released = record.state == ClaimState::kReleased;
+  const auto keep = released ? settings_.released_retention : settings_.retention;
+  const std::string payload = encode(record);
+  const ClaimId claim = record.claim;
+  entry = Entry{std::move(record), true, context_.clock.now() + keep};
+  log_.replicate(RecordModule::kIdempotency, kClaimPrefix + key, payload,
+                 [this, key, claim, committed = std::move(committed)](bool kept) {
+                   const auto found = entries_.find(key);
+                   if (!kept || found == entries_.end() || !(found->second.record.claim == claim)) {
+                     return;
+                   }
+                   found->second.committing = false;
+                   committed();
+                 });
+}
+
+bool ClaimTable::claimerAlive(const common::NodeId& node) const {
+  const auto members = membership_.members();
+  return std::any_of(members.begin(), members.end(),
+                     [&](const auto& member) { return member.node == node; });
+}
+
+}  // namespace cypresswall::idempotency
--- /dev/null
+++ b/src/cypresswall/idempotency/claim_table.h
@@ -0,0 +1,86 @@
+/// The lease holder's table of claims. Each change is kept by a majority of the voters before it is
+/// answered.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/idempotency/claim_settings.h"
+#include "cypresswall/idempotency/messages.h"
+#include "cypresswall/lease/authority_view.h"
+#include "cypresswall/lease/quorum_log.h"
+#include "cypresswall/membership/membership_view.h"
+
+namespace cypresswall::idempotency {
+
+enum class ClaimState : std::uint8_t { kInProgress, kCompleted, kReleased };
+
+}  // namespace cypresswall::idempotency
+
+MSGPACK_ADD_ENUM(cypresswall::idempotency::ClaimState)
+
+namespace cypresswall::idempotency {
+
+/// A claim as the voters keep it.
+struct ClaimRecord {
+  ClaimState state = ClaimState::kInProgress;
+  std::uint64_t digest = 0;
+  ClaimId claim;
+  std::string answer;
+  MSGPACK_DEFINE(state, digest, claim, answer)
+};
+
+class ClaimTable {
+ public:
+  using ClaimAnswered = std::function<void(const ClaimReply&)>;
+  using ReportTaken = std::function<void()>;
+
+  ClaimTable(const ClaimSettings& settings, const api::ProcessContext& context,
+             lease::AuthorityView& authority, lease::QuorumLog& log,
+             membership::MembershipView& membership);
+
+  void start();
+  /// Judges a claim. `answered` may be called later, or never if the lease is lost meanwhile.
+  void claim(const ClaimRequest& request, const ClaimAnswered& answered);
+  /// Takes a report. `taken` is called once a majority of the voters keeps it.
+  void report(const ClaimReport& report, const ReportTaken& taken);
+
+ private:
+  struct Entry {
+    ClaimRecord record;
+    /// No majority keeps the present state yet.
+    bool committing = false;
+    common::MonotonicTime expires;
+  };
+
+  void leaseChanged(std::optional<common::Epoch> epoch);
+  void load(const common::Epoch& epoch);
+  void sweep();
+  void grantNew(const ClaimRequest& request, const ClaimAnswered& answered);
+  ClaimReply judge(const ClaimRequest& request, const Entry& entry) const;
+  void put(const std::string& key, ClaimRecord record, std::function<void()> committed);
+  void forget(const std::string& key);
+  bool claimerAlive(const common::NodeId& node) const;
+  std::string keepable(const std::string& answer) const;
+
+  ClaimSettings settings_;
+  api::ProcessContext context_;
+  lease::AuthorityView& authority_;
+  lease::QuorumLog& log_;
+  membership::MembershipView& membership_;
+  std::map<std::string, Entry> entries_;
+  std::size_t answer_bytes_ = 0;
+  /// While set and in the future, unknown keys may have been claimed in an earlier generation.
+  std::optional<common::MonotonicTime> uncertain_until_;
+  std::uint32_t generation_ = 0;
+  common::Counter& granted_count_;
+  common::Counter& full_count_;
+  common::Counter& uncertain_count_;
+  common::Counter& answer_dropped_count_;
+};
+
+}  // namespace cypresswall::idempotency
--- /dev/null
+++ b/src/cypresswall/idempotency/messages.h
@@ -0,0 +1,72 @@
+/// Messages between a gateway node and the lease holder about claims on idempotency keys.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "cypresswall/api/envelope.h"
+#include "cypresswall/common/identifiers.h"
+
+namespace cypresswall::idempotency {
+
+/// Names one call of claim() on one node.
+struct ClaimId {
+  common::NodeId node;
+  std::uint64_t number = 0;
+
+  bool operator==(const ClaimId&) const = default;
+  MSGPACK_DEFINE(node, number)
+};
+
+struct ClaimRequest {
+  static constexpr auto kType = api::messageType(api::MessageType::kIdempotencyFirst, 0);
+  ClaimId claim;
+  std::string key;
+  std::uint64_t digest = 0;
+  MSGPACK_DEFINE(claim, key, digest)
+};
+
+enum class HolderVerdict : std::uint8_t {
+  kGranted,
+  kCompleted,
+  kInProgress,
+  kDifferentBody,
+  kUncertain,
+  kFull,
+  kNotHolder,
+};
+
+}  // namespace cypresswall::idempotency
+
+MSGPACK_ADD_ENUM(cypresswall::idempotency::HolderVerdict)
+
+namespace cypresswall::idempotency {
+
+struct ClaimReply {
+  static constexpr auto kType = api::messageType(api::MessageType::kIdempotencyFirst, 1);
+  ClaimId claim;
+  HolderVerdict verdict = HolderVerdict::kNotHolder;
+  std::string recorded_answer;
+  std::uint64_t retry_after_us = 0;
+  MSGPACK_DEFINE(claim, verdict, recorded_answer, retry_after_us)
+};
+
+/// How a granted claim ended.
+struct ClaimReport {
+  static constexpr auto kType = api::messageType(api::MessageType::kIdempotencyFirst, 2);
+  ClaimId claim;
+  std::string key;
+  std::uint64_t digest = 0;
+  /// True: the request ran and `answer` is its answer. False: it surely did not run.
+  bool completed = false;
+  std::string answer;
+  MSGPACK_DEFINE(claim, key, digest, completed, answer)
+};
+
+struct ClaimReportReply {
+  static constexpr auto kType = api::messageType(api::MessageType::kIdempotencyFirst, 3);
+  ClaimId claim;
+  MSGPACK_DEFINE(claim)
+};
+
+}  // namespace cypresswall::idempotency
--- /dev/null
+++ b/tests/idempotency/quorum_key_claims_test.cpp
@@ -0,0 +1,228 @@
+#include "cypresswall/idempotency/quorum_key_claims.h"
+
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/lease/fault_schedule.h"
+#include "tests/lease/lease_zone.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::idempotency {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Fault;
+using testing::LeaseZone;
+
+constexpr std::uint64_t kDigest = 77;
+constexpr int kRuns = 120;
+
+/// A zone whose nodes claim keys; counts how often each key was granted and run.
+class ClaimZone {
+ public:
+  explicit ClaimZone(std::uint64_t seed, double drift = 0) : zone(seed, drift) {
+    zone.before_stop = [this](int index) { claims.erase(index); };
+    zone.on_start = [this](int index, testing::VirtualProcess& process) {
+      auto& node = zone.nodes.at(index);
+      claims[index] = std::make_unique<QuorumKeyClaims>(
+          settings, process.context(), *node.authority, *node.authority, *node.membership);
+      claims[index]->start();
+    };
+  }
+  /// Claims and waits for the answer.
+  ClaimVerdict claim(int index, const std::string& key, std::uint64_t digest = kDigest) {
+    std::optional<ClaimAnswer> answer;
+    claims.at(index)->claim(key, digest, [&](ClaimAnswer given) { answer = std::move(given); });
+    for (int turn = 0; turn < 400 && !answer; ++turn) {
+      zone.world.runFor(10ms);
+    }
+    CPPUNIT_ASSERT(answer.has_value());
+    last_answer = answer->recorded_answer;
+    return answer->verdict;
+  }
+  /// Claims a key and, if granted, runs it: completes, releases or leaves it open by `choice`.
+  void use(int index, const std::string& key, std::uint64_t choice) {
+    if (!claims.contains(index)) {
+      return;
+    }
+    ++asked;
+    claims.at(index)->claim(key, kDigest, [this, index, key, choice](ClaimAnswer answer) {
+      ++verdicts[answer.verdict];
+      if (answer.verdict != ClaimVerdict::kGranted) {
+        return;
+      }
+      if (choice % 4 == 0) {
+        claims.at(index)->release(key);
+        return;
+      }
+      ++runs[key];
+      if (choice % 4 != 1) {
+        claims.at(index)->complete(key, "answer");
+      }
+    });
+  }
+
+  ClaimSettings settings;
+  LeaseZone zone;
+  std::map<int, std::unique_ptr<QuorumKeyClaims>> claims;
+  std::map<std::string, int> runs;
+  std::map<ClaimVerdict, int> verdicts;
+  int asked = 0;
+  std::string last_answer;
+};
+
+class QuorumKeyClaimsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuorumKeyClaimsTest);
+  CPPUNIT_TEST(grantsOnceAndReplaysTheAnswer);
+  CPPUNIT_TEST(releasedKeyIsGrantedAgain);
+  CPPUNIT_TEST(claimOutlivesTheHolder);
+  CPPUNIT_TEST(claimOfADeadNodeIsUncertain);
+  CPPUNIT_TEST(noHolderIsUnavailable);
+  CPPUNIT_TEST(newGenerationIsUncertain);
+  CPPUNIT_TEST(tableIsBounded);
+  CPPUNIT_TEST(keyRunsAtMostOnceUnderAnyFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void grantsOnceAndReplaysTheAnswer() {
+    ClaimZone zone(1);
+    zone.zone.startAll(5);
+    zone.zone.awaitHolder(6s);
+    zone.zone.world.runFor(1s);
+    CPPUNIT_ASSERT(zone.claim(1, "k") == ClaimVerdict::kGranted);
+    CPPUNIT_ASSERT(zone.claim(2, "k") == ClaimVerdict::kInProgress);
+    CPPUNIT_ASSERT(zone.claim(1, "k") == ClaimVerdict::kInProgress);
+    CPPUNIT_ASSERT(zone.claim(2, "k", kDigest + 1) == ClaimVerdict::kDifferentBody);
+    zone.claims.at(1)->complete("k", "booked");
+    zone.zone.world.runFor(100ms);
+    CPPUNIT_ASSERT(!zone.claims.at(1)->reportsPending());
+    CPPUNIT_ASSERT(zone.claim(3, "k") == ClaimVerdict::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string("booked"), zone.last_answer);
+  }
+
+  void releasedKeyIsGrantedAgain() {
+    ClaimZone zone(2);
+    zone.zone.startAll(3);
+    zone.zone.awaitHolder(6s);
+    zone.zone.world.runFor(1s);
+    CPPUNIT_ASSERT(zone.claim(1, "k") == ClaimVerdict::kGranted);
+    zone.claims.at(1)->release("k");
+    zone.zone.world.runFor(100ms);
+    CPPUNIT_ASSERT(zone.claim(2, "k") == ClaimVerdict::kGranted);
+  }
+
+  void claimOutlivesTheHolder() {
+    ClaimZone zone(3);
+    zone.zone.startAll(5);
+    zone.zone.awaitHolder(6s);
+    zone.zone.world.runFor(3s);
+    const int holder = zone.zone.holder().value();
+    const int claimer = holder == 1 ? 2 : 1;
+    CPPUNIT_ASSERT(zone.claim(claimer, "k") == ClaimVerdict::kGranted);
+    zone.zone.stop(holder);
+    const int other = holder == 3 ? 4 : 3;
+    CPPUNIT_ASSERT(zone.claim(other, "k") == ClaimVerdict::kInProgress);
+    zone.claims.at(claimer)->complete("k", "done");
+    zone.zone.world.runFor(1s);
+    CPPUNIT_ASSERT(zone.claim(other, "k") == ClaimVerdict::kCompleted);
+  }
+
+  void claimOfADeadNodeIsUncertain() {
+    ClaimZone zone(4);
+    zone.zone.startAll(5);
+    zone.zone.awaitHolder(6s);
+    zone.zone.world.runFor(3s);
+    const int claimer = zone.zone.holder().value() == 1 ? 2 : 1;
+    CPPUNIT_ASSERT(zone.claim(claimer, "k") == ClaimVerdict::kGranted);
+    zone.zone.stop(claimer);
+    zone.zone.world.runFor(4s);
+    CPPUNIT_ASSERT(zone.claim(3, "k") == ClaimVerdict::kUncertain);
+  }
+
+  void noHolderIsUnavailable() {
+    ClaimZone zone(5);
+    zone.zone.world.store.down = true;
+    zone.zone.startAll(3);
+    CPPUNIT_ASSERT(zone.claim(1, "k") == ClaimVerdict::kUnavailable);
+  }
+
+  void newGenerationIsUncertain() {
+    ClaimZone zone(6);
+    zone.zone.startAll(3);
+    zone.zone.awaitHolder(6s);
+    zone.zone.world.runFor(2s);
+    CPPUNIT_ASSERT(zone.claim(1, "k") == ClaimVerdict::kGranted);
+    zone.zone.startAll(3);
+    zone.zone.awaitHolder(10s);
+    zone.zone.world.runFor(1s);
+    CPPUNIT_ASSERT(zone.claim(2, "k") == ClaimVerdict::kUncertain);
+    zone.zone.world.runFor(11min);
+    CPPUNIT_ASSERT(zone.claim(2, "k") == ClaimVerdict::kGranted);
+    zone.zone.stop(zone.zone.holder().value());
+    zone.zone.awaitHolder(5s);
+    CPPUNIT_ASSERT(zone.claim(zone.zone.holder().value(), "l") == ClaimVerdict::kGranted);
+  }
+
+  void tableIsBounded() {
+    ClaimZone zone(7);
+    zone.settings.maximum_claims = 2;
+    zone.settings.maximum_answer_bytes = 4;
+    zone.zone.startAll(3);
+    zone.zone.awaitHolder(6s);
+    zone.zone.world.runFor(1s);
+    CPPUNIT_ASSERT(zone.claim(1, "a") == ClaimVerdict::kGranted);
+    CPPUNIT_ASSERT(zone.claim(1, "b") == ClaimVerdict::kGranted);
+    CPPUNIT_ASSERT(zone.claim(1, "c") == ClaimVerdict::kUnavailable);
+    zone.claims.at(1)->complete("a", "too long");
+    zone.zone.world.runFor(100ms);
+    CPPUNIT_ASSERT(zone.claim(2, "a") == ClaimVerdict::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.last_answer);
+    zone.zone.world.runFor(11min);
+    CPPUNIT_ASSERT(zone.claim(1, "c") == ClaimVerdict::kGranted);
+  }
+
+  /// Keys are asked for again and again at random nodes through random faults. Runs last less than
+  /// the retention, so that no key may run twice.
+  void keyRunsAtMostOnceUnderAnyFaults() {
+    std::map<ClaimVerdict, int> verdicts;
+    int asked = 0;
+    testing::requireProperty("a key runs at most once", kRuns, [&] {
+      const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40U);
+      const int nodes = *rc::gen::inRange(3, 8);
+      const auto faults = *testing::faultSchedule(*rc::gen::arbitrary<bool>());
+      ClaimZone zone(seed, testing::kClockDrift);
+      testing::runFaults(zone.zone, nodes, faults, [&] {
+        for (int attempt = 0; attempt < 3; ++attempt) {
+          const auto choice = zone.zone.world.random.next();
+          const int node = 1 + static_cast<int>(choice % static_cast<std::uint64_t>(nodes));
+          zone.use(node, "key-" + std::to_string((choice >> 8U) % 60), choice >> 16U);
+        }
+      });
+      for (const auto& [key, count] : zone.runs) {
+        RC_LOG() << key << " ran " << count << " times\n";
+        RC_ASSERT(count <= 1);
+      }
+      for (const auto& [verdict, count] : zone.verdicts) {
+        verdicts[verdict] += count;
+      }
+      asked += zone.asked;
+    });
+    std::cout << "\n  claims " << asked << ": granted " << verdicts[ClaimVerdict::kGranted]
+              << ", completed " << verdicts[ClaimVerdict::kCompleted] << ", in progress "
+              << verdicts[ClaimVerdict::kInProgress] << ", uncertain "
+              << verdicts[ClaimVerdict::kUncertain] << ", unavailable "
+              << verdicts[ClaimVerdict::kUnavailable] << "\n";
+    CPPUNIT_ASSERT(verdicts[ClaimVerdict::kGranted] > 10 * kRuns);
+    CPPUNIT_ASSERT(verdicts[ClaimVerdict::kCompleted] > kRuns);
+    CPPUNIT_ASSERT(verdicts[ClaimVerdict::kUncertain] > kRuns);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuorumKeyClaimsTest);
+
+}  // namespace
+}  // namespace cypresswall::idempotency
--- a/tests/lease/lease_property_test.cpp
+++ b/tests/lease/lease_property_test.cpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/lease/fault_schedule.h"
 #include "tests/lease/lease_zone.h"
 #include "tests/support/property.h"
 
@@ -10,15 +11,10 @@
 namespace {
 
 using namespace std::chrono_literals;
-using testing::Fault;
-using testing::FaultKind;
 using testing::LeaseZone;
 using testing::ZoneLedger;
 
-/// Clocks differ in speed by up to this share; the drift margin covers it.
-constexpr double kClockDrift = 0.02;
 constexpr int kRuns = 150;
-constexpr int kFaultsPerRun = 40;
 
 void addTo(ZoneLedger& sum, const ZoneLedger& ledger) {
   sum.kills += ledger.kills;
@@ -41,44 +37,6 @@
   return times.at(index);
 }
 
-/// Faults of every kind; `calm` leaves long times between them, so that voters are replaced one by
-/// one within one generation.
-rc::Gen<std::vector<Fault>> faultSchedule(bool calm) {
-  const auto kinds = rc::gen::weightedElement<FaultKind>({{2, FaultKind::kKill},
-                                                          {4, FaultKind::kRestart},
-                                                          {2, FaultKind::kPause},
-                                                          {2, FaultKind::kPauseHolder},
-                                                          {2, FaultKind::kCut},
-                                                          {calm ? 8 : 3, FaultKind::kHeal},
-                                                          {2, FaultKind::kStore},
-                                                          {2, FaultKind::kDepart},
-                                                          {1, FaultKind::kReplace}});
-  const auto waits =
-      calm ? rc::gen::inRange<std::int64_t>(1000, 6000) : rc::gen::inRange<std::int64_t>(20, 1500);
-  const auto fault = rc::gen::build<Fault>(
-      rc::gen::set(&Fault::kind, kinds),
-      rc::gen::set(&Fault::node, rc::gen::inRange<std::uint8_t>(0, 12)),
-      rc::gen::set(&Fault::pattern, rc::gen::inRange<std::uint32_t>(0, 1U << 16)),
-      rc::gen::set(&Fault::wait_ms, waits));
-  return rc::gen::container<std::vector<Fault>>(kFaultsPerRun, fault);
-}
-
-/// Runs a fault schedule, records written all the while.
-void runFaults(LeaseZone& zone, int nodes, const std::vector<Fault>& faults) {
-  zone.world.message_loss = 0.02;
-  zone.world.store.lost_answers = 0.2;
-  zone.startAll(nodes);
-  zone.world.runFor(3s);
-  for (const auto& fault : faults) {
-    zone.apply(fault, nodes);
-    const auto end = zone.world.now() + std::chrono::milliseconds(fault.wait_ms);
-    while (zone.world.now() < end) {
-      zone.writeRecord();
-      zone.world.runFor(100ms);
-    }
-  }
-}
-
 class LeasePropertyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LeasePropertyTest);
   CPPUNIT_TEST(oneHolderAtATimeInFaultStorms);
@@ -98,9 +56,9 @@
     testing::requireProperty("one holder at a time", kRuns, [&] {
       const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40U);
       const int nodes = calm ? *rc::gen::inRange(5, 10) : *rc::gen::inRange(2, 8);
-      const auto faults = *faultSchedule(calm);
-      LeaseZone zone(seed, kClockDrift);
-      runFaults(zone, nodes, faults);
+      const auto faults = *testing::faultSchedule(calm);
+      LeaseZone zone(seed, testing::kClockDrift);
+      testing::runFaults(zone, nodes, faults, [] {});
       RC_LOG() << zone.violation;
       RC_ASSERT(zone.violation.empty());
       zone.endFaults(nodes);
@@ -134,7 +92,7 @@
   void recoversFromALostHolderInTime() {
     std::vector<common::Duration> times;
     for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-      LeaseZone zone(seed, kClockDrift);
+      LeaseZone zone(seed, testing::kClockDrift);
       zone.startAll(5);
       CPPUNIT_ASSERT(zone.awaitHolder(6s).has_value());
       zone.world.runFor(3s + std::chrono::milliseconds(seed));
