Watch libcurl's sockets by one epoll set

Cause: each wait of Asio for a socket of libcurl re-arms the socket by epoll_ctl and makes an operation object; at one event for each token that was a fourth system call beside recv, poll (libcurl's own) and send, and libcurl moved a timer of Asio with nearly every byte.

What was ruled out: leaving waits armed in Asio, which has no level-triggered wait; larger reads, since tokens come one by one.

Change: SocketPoll holds libcurl's sockets in a level-triggered epoll set, which is one descriptor in Asio's loop, and gives up to 256 events a turn. The timer is armed again only for an earlier time.

--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -3,14 +3,16 @@
 #include <curl/curl.h>
 #include <unistd.h>
 
-#include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "cypresswall/runtime/curl_job.h"
+#include "cypresswall/runtime/socket_poll.h"
 
 namespace cypresswall::runtime {
 namespace {
@@ -25,20 +27,6 @@
   }
 }
 
-/// A socket of libcurl and what libcurl waits for on it.
-struct WatchedSocket {
-  WatchedSocket(asio::io_context& context, curl_socket_t handle) : descriptor(context, handle) {}
-  ~WatchedSocket() { descriptor.release(); }
-  WatchedSocket(const WatchedSocket&) = delete;
-  WatchedSocket& operator=(const WatchedSocket&) = delete;
-
-  asio::posix::stream_descriptor descriptor;
-  bool wants_read = false;
-  bool wants_write = false;
-  bool waits_for_read = false;
-  bool waits_for_write = false;
-};
-
 }  // namespace
 
 /// Owns the multi handle. Handlers queued in Asio hold it weakly.
@@ -54,16 +42,15 @@
   FaultSwitch& faultSwitch() { return fault_switch_; }
 
  private:
-  using SocketPointer = std::shared_ptr<WatchedSocket>;
-
   static int onSocketWanted(CURL* easy, curl_socket_t handle, int what, void* driver, void* unused);
   static int onTimerWanted(CURLM* multi, long milliseconds, void* driver);
   static int onSocketClosed(void* driver, curl_socket_t handle);
 
   void watch(curl_socket_t handle, int what);
-  void waitFor(curl_socket_t handle, const SocketPointer& socket, int event);
-  void socketReady(curl_socket_t handle, const SocketPointer& socket, int event, bool failed);
+  void socketReady(curl_socket_t handle, SocketReadiness readiness);
   void setTimer(long milliseconds);
+  void armTimer();
+  void timerExpired();
   void act(curl_socket_t handle, int events);
   void collectFinished();
   void runDeferred();
@@ -76,8 +63,12 @@
   asio::io_context& context_;
   CURLM* multi_;
   asio::steady_timer timer_;
+  /// When libcurl wants to be called. The timer may be armed for an earlier time, since libcurl
+  /// moves its wish with nearly every byte.
+  std::optional<std::chrono::steady_clock::time_point> timer_wanted_;
+  bool timer_armed_ = false;
   FaultSwitch fault_switch_;
-  std::unordered_map<curl_socket_t, SocketPointer> sockets_;
+  std::shared_ptr<SocketPoll> sockets_;
   std::unordered_map<CURL*, JobPointer> jobs_;
   /// Jobs to add or remove once libcurl is not on the stack.
   std::vector<JobPointer> to_add_;
@@ -86,7 +77,12 @@
 };
 
 CurlMulti::Driver::Driver(asio::io_context& context, const CurlMultiSettings& settings)
-    : context_(context), multi_(nullptr), timer_(context) {
+    : context_(context),
+      multi_(nullptr),
+      timer_(context),
+      sockets_(std::make_shared<SocketPoll>(context, [this](int socket, SocketReadiness readiness) {
+        socketReady(socket, readiness);
+      })) {
   initializeOnce();
   multi_ = curl_multi_init();
   if (multi_ == nullptr) {
@@ -103,6 +99,7 @@
 
 CurlMulti::Driver::~Driver() {
   inside_curl_ = true;
+  sockets_->stop();
   for (const auto& [easy, job] : jobs_) {
     job->abandon();
     if (job->added) {
@@ -201,76 +198,61 @@
 }
 
 int CurlMulti::Driver::onSocketClosed(void* driver, curl_socket_t handle) {
-  static_cast<Driver*>(driver)->sockets_.erase(handle);
+  static_cast<Driver*>(driver)->sockets_->forget(handle);
   return ::close(handle);
 }
 
 void CurlMulti::Driver::watch(curl_socket_t handle, int what) {
   if (what == CURL_POLL_REMOVE) {
-    sockets_.erase(handle);
+    sockets_->forget(handle);
     return;
   }
-  auto known = sockets_.find(handle);
-  if (known == sockets_.end()) {
-    known = sockets_.emplace(handle, std::make_shared<WatchedSocket>(context_, handle)).first;
-  }
-  const SocketPointer socket = known->second;
-  socket->wants_read = (what & CURL_POLL_IN) != 0;
-  socket->wants_write = (what & CURL_POLL_OUT) != 0;
-  waitFor(handle, socket, CURL_CSELECT_IN);
-  waitFor(handle, socket, CURL_CSELECT_OUT);
+  // A socket that can't be watched is left to the time limits of its request.
+  sockets_->watch(handle, {(what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0});
 }
 
-void CurlMulti::Driver::waitFor(curl_socket_t handle, const SocketPointer& socket, int event) {
-  const bool reading = event == CURL_CSELECT_IN;
-  const bool wanted = reading ? socket->wants_read : socket->wants_write;
-  bool& waiting = reading ? socket->waits_for_read : socket->waits_for_write;
-  if (!wanted || waiting) {
-    return;
-  }
-  waiting = true;
-  const auto kind = reading ? asio::posix::stream_descriptor::wait_read
-                            : asio::posix::stream_descriptor::wait_write;
-  socket->descriptor.async_wait(
-      kind, [weak = weak_from_this(), handle, socket, event](const std::error_code& error) {
-        if (const auto driver = weak.lock()) {
-          driver->socketReady(handle, socket, event, static_cast<bool>(error));
-        }
-      });
-}
-
-void CurlMulti::Driver::socketReady(curl_socket_t handle, const SocketPointer& socket, int event,
-                                    bool failed) {
-  const bool reading = event == CURL_CSELECT_IN;
-  (reading ? socket->waits_for_read : socket->waits_for_write) = false;
-  const auto known = sockets_.find(handle);
-  if (known == sockets_.end() || known->second != socket) {
-    return;
-  }
-  const bool wanted = reading ? socket->wants_read : socket->wants_write;
-  if (wanted) {
-    act(handle, failed ? CURL_CSELECT_ERR : event);
-  }
-  const auto after = sockets_.find(handle);
-  if (after != sockets_.end() && after->second == socket && !failed) {
-    waitFor(handle, socket, event);
-  }
+void CurlMulti::Driver::socketReady(curl_socket_t handle, SocketReadiness readiness) {
+  act(handle,
+      (readiness.readable ? CURL_CSELECT_IN : 0) | (readiness.writable ? CURL_CSELECT_OUT : 0));
 }
 
 void CurlMulti::Driver::setTimer(long milliseconds) {
   if (milliseconds < 0) {
+    timer_wanted_.reset();
+    timer_armed_ = false;
     timer_.cancel();
     return;
   }
-  timer_.expires_after(std::chrono::milliseconds(milliseconds));
+  timer_wanted_ = std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
+  if (!timer_armed_ || timer_.expiry() > *timer_wanted_) {
+    armTimer();
+  }
+}
+
+void CurlMulti::Driver::armTimer() {
+  timer_armed_ = true;
+  timer_.expires_at(*timer_wanted_);
   timer_.async_wait([weak = weak_from_this()](const std::error_code& error) {
     const auto driver = weak.lock();
     if (driver && !error) {
-      driver->act(CURL_SOCKET_TIMEOUT, 0);
+      driver->timerExpired();
     }
   });
 }
 
+void CurlMulti::Driver::timerExpired() {
+  timer_armed_ = false;
+  if (!timer_wanted_) {
+    return;
+  }
+  if (std::chrono::steady_clock::now() < *timer_wanted_) {
+    armTimer();
+    return;
+  }
+  timer_wanted_.reset();
+  act(CURL_SOCKET_TIMEOUT, 0);
+}
+
 void CurlMulti::Driver::act(curl_socket_t handle, int events) {
   const auto self = shared_from_this();
   int running = 0;
--- /dev/null
+++ b/src/cypresswall/runtime/socket_poll.cpp
@@ -0,0 +1,88 @@
+#include "cypresswall/runtime/socket_poll.h"
+
+#include <sys/epoll.h>
+
+#include <array>
+#include <cerrno>
+#include <string>
+#include <system_error>
+#include <utility>
+
+namespace cypresswall::runtime {
+namespace {
+
+/// Events taken in one turn of the event loop; others of the process get their turn in between.
+constexpr int kEventsPerTurn = 256;
+
+int openSet() {
+  const int set = ::epoll_create1(EPOLL_CLOEXEC);
+  if (set < 0) {
+    throw SocketPollError("epoll_create1 failed: " + std::generic_category().message(errno));
+  }
+  return set;
+}
+
+}  // namespace
+
+SocketPoll::SocketPoll(asio::io_context& context, Listener listener)
+    : set_(context, openSet()), listener_(std::move(listener)) {}
+
+bool SocketPoll::watch(int socket, SocketReadiness awaited) {
+  epoll_event event{};
+  event.events = (awaited.readable ? EPOLLIN : 0U) | (awaited.writable ? EPOLLOUT : 0U);
+  event.data.fd = socket;
+  const bool known = watched_.contains(socket);
+  const int change = known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+  if (::epoll_ctl(set_.native_handle(), change, socket, &event) != 0) {
+    watched_.erase(socket);
+    return false;
+  }
+  watched_.insert(socket);
+  waitIfNeeded();
+  return true;
+}
+
+void SocketPoll::forget(int socket) {
+  if (watched_.erase(socket) == 0) {
+    return;
+  }
+  epoll_event unused{};
+  ::epoll_ctl(set_.native_handle(), EPOLL_CTL_DEL, socket, &unused);
+  if (watched_.empty() && waiting_) {
+    set_.cancel();
+  }
+}
+
+void SocketPoll::stop() { stopped_ = true; }
+
+void SocketPoll::waitIfNeeded() {
+  if (waiting_ || stopped_ || watched_.empty()) {
+    return;
+  }
+  waiting_ = true;
+  set_.async_wait(asio::posix::stream_descriptor::wait_read,
+                  [weak = weak_from_this()](const std::error_code&) {
+                    if (const auto self = weak.lock()) {
+                      self->waiting_ = false;
+                      self->poll();
+                    }
+                  });
+}
+
+void SocketPoll::poll() {
+  std::array<epoll_event, kEventsPerTurn> events{};
+  const int count = ::epoll_wait(set_.native_handle(), events.data(), kEventsPerTurn, 0);
+  for (int at = 0; at < count && !stopped_; ++at) {
+    const epoll_event& event = events[static_cast<std::size_t>(at)];
+    // The listener may have forgotten the socket of a later event.
+    if (!watched_.contains(event.data.fd)) {
+      continue;
+    }
+    const bool failed = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
+    listener_(event.data.fd,
+              {failed || (event.events & EPOLLIN) != 0, failed || (event.events & EPOLLOUT) != 0});
+  }
+  waitIfNeeded();
+}
+
+}  // namespace cypresswall::runtime
