Join the zone controller and the operators' commands to the daemon

Cause: the whole path needs a holder that orders and operators who declare. Change: zone controller, command service and the state that queries read are part of node::Node; cypresswalld serves /operators.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "apps/cypresswalld/health.h"
+#include "cypresswall/operators/command_api.h"
 
 namespace cypresswall::daemon {
 namespace {
@@ -62,6 +63,7 @@
   applyReloadable(settings_);
   gateway_.mount(routes_);
   mountHealth(routes_, node_, counters_);
+  routes_.add("/operators", operators::makeCommandHandler(node_.commands()));
   server_->start();
 }
 
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -34,6 +34,8 @@
       configuration_(settings_.configuration, context_, membership_, gossip_, clients.object_store),
       engines_(settings_.directory, context_, clients.engines, configuration_, membership_),
       router_(settings_.router, context_, engines_),
+      controller_(settings_.controller, context_, authority_, engines_, clients.engines,
+                  configuration_, membership_),
       observed_router_(router_, context_.clock, settings_.shedding),
       admission_(context_, configuration_, membership_, observed_router_, settings_.admission),
       key_claims_(std::make_unique<NoKeyClaims>(context_.scheduler)),
@@ -42,7 +44,10 @@
       service_executor_(context_,
                         execution::ServiceInterfaces{configuration_, membership_, admission_,
                                                      clients.services, *key_claims_},
-                        settings_.execution) {
+                        settings_.execution),
+      state_(NodeStateSources{context_.clock, membership_, authority_, configuration_, engines_,
+                              controller_}),
+      commands_(context_, configuration_, state_) {
   membership_.onChange([this] {
     if (membership_.leaving()) {
       drain();
@@ -58,6 +63,7 @@
   authority_.start();
   configuration_.start();
   engines_.start();
+  controller_.start();
 }
 
 void Node::drain() {
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -16,6 +16,9 @@
 #include "cypresswall/membership/membership.h"
 #include "cypresswall/membership/zone_gossip.h"
 #include "cypresswall/node/node_settings.h"
+#include "cypresswall/node/node_state.h"
+#include "cypresswall/operators/command_service.h"
+#include "cypresswall/orders/zone_controller.h"
 #include "cypresswall/platform/machine_list.h"
 #include "cypresswall/platform/object_store.h"
 #include "cypresswall/routing/cost_router.h"
@@ -58,6 +61,8 @@
   configuration::ConfigurationReplica& configuration() { return configuration_; }
   routing::EngineDirectory& engines() { return engines_; }
   routing::CostRouter& router() { return router_; }
+  orders::ZoneController& controller() { return controller_; }
+  operators::CommandService& commands() { return commands_; }
   admission::ZoneAdmissionController& admission() { return admission_; }
   execution::ModelExecutor& modelExecutor() { return model_executor_; }
   execution::ServiceExecutor& serviceExecutor() { return service_executor_; }
@@ -76,11 +81,14 @@
   configuration::ConfigurationReplica configuration_;
   routing::EngineDirectory engines_;
   routing::CostRouter router_;
+  orders::ZoneController controller_;
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
   std::unique_ptr<idempotency::KeyClaims> key_claims_;
   execution::EngineModelExecutor model_executor_;
   execution::HttpServiceExecutor service_executor_;
+  NodeState state_;
+  operators::CommandService commands_;
   bool draining_ = false;
   std::function<void()> stopped_;
   common::MonotonicTime stop_deadline_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -6,6 +6,7 @@
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/lease/lease_settings.h"
 #include "cypresswall/membership/membership_settings.h"
+#include "cypresswall/orders/settings.h"
 #include "cypresswall/routing/settings.h"
 
 namespace cypresswall::node {
@@ -16,6 +17,7 @@
   configuration::ConfigurationSettings configuration;
   routing::DirectorySettings directory;
   routing::RouterSettings router;
+  orders::ControllerSettings controller;
   admission::SheddingSettings shedding;
   admission::AdmissionSettings admission;
   execution::ExecutionSettings execution;
--- /dev/null
+++ b/src/cypresswall/node/node_state.cpp
@@ -0,0 +1,160 @@
+#include "cypresswall/node/node_state.h"
+
+#include <iomanip>
+#include <sstream>
+
+namespace cypresswall::node {
+namespace {
+
+const char* toString(membership::MemberState state) {
+  switch (state) {
+    case membership::MemberState::kAlive:
+      return "alive";
+    case membership::MemberState::kSuspect:
+      return "suspect";
+    case membership::MemberState::kLeaving:
+      return "leaving";
+    case membership::MemberState::kDead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+std::string number(double value) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(2) << value;
+  return text.str();
+}
+
+std::string describeDemand(const planning::DemandRate& rate) {
+  return number(rate.requests_per_second) + " requests/s, " +
+         number(rate.prefill_tokens_per_second) + " prompt tokens/s, " +
+         number(rate.decode_tokens_per_second) + " output tokens/s";
+}
+
+std::string describeAlternative(const planning::PlanAlternative& alternative) {
+  return alternative.engine + " from " + engines::toString(alternative.from) + " to " +
+         engines::toString(alternative.to) + ": " + number(alternative.benefit) +
+         " answers in time gained";
+}
+
+std::string describeChange(const orders::ChangeRecord& record) {
+  return "to " + std::string(engines::toString(record.change.content.role)) + ", " +
+         orders::toString(record.outcome) + ", epoch " + record.epoch.toString() + ", because " +
+         record.change.reason;
+}
+
+}  // namespace
+
+std::vector<operators::EngineRow> NodeState::engines() const {
+  std::vector<operators::EngineRow> rows;
+  const auto now = sources_.clock.now();
+  for (const routing::EngineRecord& record : sources_.engines.records()) {
+    operators::EngineRow row;
+    row.name = record.declaration.name;
+    row.state = record.load.state;
+    row.seen = record.reported;
+    row.role = record.reported ? record.load.role : record.declaration.initial_role;
+    row.model = record.reported ? record.load.model : record.declaration.model;
+    row.version = record.load.version;
+    row.running_streams = record.load.running_streams;
+    row.waiting_streams = record.load.waiting_streams;
+    row.cache_pieces_used = record.load.cache_pieces_used;
+    row.cache_pieces_total = record.load.cache_pieces_total;
+    row.age = record.reported ? now - record.observed_at : common::Duration(0);
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::vector<operators::LeaseRow> NodeState::leases() const {
+  operators::LeaseRow row;
+  row.zone = sources_.membership.zone();
+  const auto epoch = sources_.authority.heldEpoch();
+  row.held_here = epoch.has_value();
+  const common::NodeId holder = sources_.authority.believedHolder();
+  row.holder = holder.address;
+  row.epoch = epoch ? epoch->toString() : sources_.authority.voter().promised().toString();
+  return {row};
+}
+
+std::vector<operators::NodeRow> NodeState::nodes() const {
+  std::vector<operators::NodeRow> rows;
+  for (const membership::Member& member : sources_.membership.members()) {
+    operators::NodeRow row;
+    row.address = member.node.address;
+    row.machine = member.machine;
+    row.state = toString(member.state);
+    row.gateway_address = member.gateway_address;
+    row.configuration_version =
+        member.node == sources_.membership.self()
+            ? sources_.configuration.current()->version
+            : sources_.membership
+                  .digest(member.node, membership::DigestTopic::kConfigurationVersion)
+                  .value_or(0);
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::vector<operators::Explanation> NodeState::explainEngine(const common::EngineName& name) const {
+  std::vector<operators::Explanation> lines;
+  explainView(name, lines);
+  if (sources_.controller.activeEpoch()) {
+    explainChanges(name, lines);
+    explainPlan(name, lines);
+  } else {
+    lines.push_back({"decided by", "the zone's lease holder, node " +
+                                       sources_.authority.believedHolder().address +
+                                       "; ask there for the planner's inputs"});
+  }
+  return lines;
+}
+
+void NodeState::explainView(const common::EngineName& name,
+                            std::vector<operators::Explanation>& lines) const {
+  const routing::EngineRecord* record = sources_.engines.find(name);
+  if (record == nullptr) {
+    lines.push_back({"engine", "not of this node's zone"});
+    return;
+  }
+  lines.push_back({"availability", routing::toString(record->availability)});
+  lines.push_back({"role", engines::toString(record->load.role)});
+  lines.push_back({"fence", record->load.highest_epoch.toString() + ", last order " +
+                                std::to_string(record->load.last_sequence)});
+}
+
+void NodeState::explainChanges(const common::EngineName& name,
+                               std::vector<operators::Explanation>& lines) const {
+  for (const orders::ChangeRecord& record : sources_.controller.changes()) {
+    if (record.engine == name) {
+      lines.push_back({"change", describeChange(record)});
+    }
+  }
+}
+
+void NodeState::explainPlan(const common::EngineName& name,
+                            std::vector<operators::Explanation>& lines) const {
+  const auto configuration = sources_.configuration.current();
+  const auto engine = configuration->engines.find(name);
+  if (engine == configuration->engines.end()) {
+    return;
+  }
+  for (const planning::ModelExplanation& plan : sources_.controller.explanations()) {
+    if (plan.model != engine->second.model) {
+      continue;
+    }
+    lines.push_back({"demand, short window", describeDemand(plan.demand.short_window)});
+    lines.push_back({"demand, long window", describeDemand(plan.demand.long_window)});
+    lines.push_back({"utilisation", number(plan.utilisation_short) + " short, " +
+                                        number(plan.utilisation_long) + " long"});
+    lines.push_back({"lost without a change", number(plan.lost_without_change) + " answers"});
+    lines.push_back({"a change must gain", number(plan.required_benefit) + " answers"});
+    for (const planning::PlanAlternative& alternative : plan.alternatives) {
+      lines.push_back({"alternative", describeAlternative(alternative)});
+    }
+    lines.push_back({"conclusion", plan.conclusion});
+  }
+}
+
+}  // namespace cypresswall::node
--- /dev/null
+++ b/src/cypresswall/node/node_state.h
@@ -0,0 +1,47 @@
+/// What operators' queries read from one node: its zone's engines, nodes and lease, and why the
+/// zone's controller acted as it did.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "cypresswall/configuration/configuration_replica.h"
+#include "cypresswall/lease/zone_authority.h"
+#include "cypresswall/membership/membership.h"
+#include "cypresswall/operators/state_providers.h"
+#include "cypresswall/orders/zone_controller.h"
+#include "cypresswall/routing/engine_directory.h"
+
+namespace cypresswall::node {
+
+/// The modules that queries read. All must outlive the reader.
+struct NodeStateSources {
+  const common::Clock& clock;
+  const membership::Membership& membership;
+  const lease::ZoneAuthority& authority;
+  const configuration::ConfigurationReplica& configuration;
+  const routing::EngineDirectory& engines;
+  const orders::ZoneController& controller;
+};
+
+class NodeState final : public operators::StateProviders {
+ public:
+  explicit NodeState(const NodeStateSources& sources) : sources_(sources) {}
+
+  std::vector<operators::EngineRow> engines() const override;
+  std::vector<operators::LeaseRow> leases() const override;
+  std::vector<operators::NodeRow> nodes() const override;
+  std::vector<operators::Explanation> explainEngine(const common::EngineName& name) const override;
+
+ private:
+  void explainView(const common::EngineName& name,
+                   std::vector<operators::Explanation>& lines) const;
+  void explainChanges(const common::EngineName& name,
+                      std::vector<operators::Explanation>& lines) const;
+  void explainPlan(const common::EngineName& name,
+                   std::vector<operators::Explanation>& lines) const;
+
+  NodeStateSources sources_;
+};
+
+}  // namespace cypresswall::node
