--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -120,6 +120,10 @@
   }
   lines.push_back({"availability", routing::toString(record->availability)});
   lines.push_back({"role", engines::toString(record->load.role)});
+  if (!record->watched_here) {
+    lines.push_back({"fence", "known to the node that watches the engine"});
+    return;
+  }
   lines.push_back({"fence", record->load.highest_epoch.toString() + ", last order " +
                                 std::to_string(record->load.last_sequence)});
 }
