--- a/src/cypresswall/orders/engine_control.cpp
+++ b/src/cypresswall/orders/engine_control.cpp
@@ -210,6 +210,11 @@
   }
   const common::MonotonicTime described = context_.clock.now() - load.age;
   const bool idle = load.running_streams == 0 && load.waiting_streams == 0;
+  if (!drains_.acknowledged(endpoint().name)) {
+    // A node joined that has not heard of the drain yet.
+    drain_acknowledged_ = false;
+    return;
+  }
   if (idle && described >= acknowledged_at_ && !load.order_in_progress) {
     sendOrder();
   }
--- a/tests/orders/zone_fixture.cpp
+++ b/tests/orders/zone_fixture.cpp
@@ -1,5 +1,6 @@
 #include "tests/orders/zone_fixture.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cypresswall::testing {
@@ -32,6 +33,9 @@
     }
     return;
   }
+  if (planned && !drained_everywhere(engine)) {
+    violations.push_back("ordered before it was drained: " + describe(engine, order));
+  }
   std::uint64_t& newest = newest_[{engine, order.epoch}];
   if (order.sequence <= newest) {
     violations.push_back("number went back: " + describe(engine, order));
@@ -120,6 +124,13 @@
 ZoneFixture::ZoneFixture(std::uint64_t seed, int node_count, int engine_count) : simulation(seed) {
   settings.drain.limit = std::chrono::seconds(10);
   fleet.planning.automatic_roles = true;
+  audit.drained_everywhere = [this](const common::Address& address) {
+    return std::all_of(nodes.begin(), nodes.end(), [&](const ZoneNode& node) {
+      const auto name = address.substr(0, address.find(':'));
+      return !node.process->alive() ||
+             node.directory->find(name)->availability != routing::EngineAvailability::kAvailable;
+    });
+  };
   for (int i = 0; i < engine_count; ++i) {
     declareEngine(fleet, nameOf(i), "m");
     emulation::EngineSettings engine;
--- a/tests/orders/zone_fixture.h
+++ b/tests/orders/zone_fixture.h
@@ -47,6 +47,8 @@
             const engines::EngineOrder& order);
   void answered(const common::Address& engine, const engines::EngineOrder& order);
 
+  /// Tells whether every live node gives the engine no new work.
+  std::function<bool(const common::Address& engine)> drained_everywhere;
   std::vector<std::string> violations;
   std::uint64_t orders = 0;
   std::uint64_t repeated = 0;
