--- a/tests/orders/zone_controller_test.cpp
+++ b/tests/orders/zone_controller_test.cpp
@@ -202,17 +202,20 @@
 
   void regainingOneEpochUsesNoNumberTwice() {
     ZoneFixture zone(12, 2, 3);
+    zone.settings.demand.short_window = kSecond;
+    zone.restart(0);
+    zone.giveLease(0);
     zone.engines.faults.orders.answer_lost = 0.4;
     const auto holder = zone.truth.holder;
     for (int i = 0; i < 30; ++i) {
       zone.script.wanted = {
           {ZoneFixture::nameOf(i % 3), i % 2 == 0 ? EngineRole::kDecode : EngineRole::kMixed}};
-      zone.run(kSecond);
+      zone.run(4 * kSecond);
       zone.truth.holder = {};
       zone.run(kSecond / 3);
       zone.truth.holder = holder;
     }
-    CPPUNIT_ASSERT(zone.audit.orders > 10);
+    CPPUNIT_ASSERT(zone.roleChanges() > 5);
     CPPUNIT_ASSERT_EQUAL(std::string(),
                          zone.audit.violations.empty() ? "" : zone.audit.violations.front());
   }
--- a/tests/routing/prefix_index_test.cpp
+++ b/tests/routing/prefix_index_test.cpp
@@ -48,6 +48,7 @@
         }
       }
       std::vector<common::PieceHash> prompt;
+      prompt.reserve(20);
       for (int i = 0; i < 20; ++i) {
         prompt.push_back(common::hash64(std::to_string(i)));
       }
