Try the daemon's command line as a process

Cause: exit codes, checked settings and signals of cypresswalld were tried by hand only.

Ruled out: calling main() inside the test program (gflags and signal handlers are the process's own).

Change: daemon_test starts the program and holds it to exit code 2 for wrong flags and settings, 3 for taken ports with one line, 0 after SIGTERM, and to the log level that SIGHUP brings.

--- /dev/null
+++ b/tests/daemon/child_process.h
@@ -0,0 +1,100 @@
+/// A program run by a test: its standard error is read line by line, and it is ended with the test.
+#pragma once
+
+#include <poll.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+extern char** environ;  // NOLINT: POSIX name
+
+namespace cypresswall::testing {
+
+class ChildProcess {
+ public:
+  ChildProcess(const std::string& program, const std::vector<std::string>& arguments) {
+    int pipe_ends[2];
+    if (pipe(pipe_ends) != 0) {
+      throw std::runtime_error("pipe failed");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
+    posix_spawn_file_actions_addclose(&actions, pipe_ends[0]);
+    std::vector<char*> words = {const_cast<char*>(program.c_str())};
+    for (const std::string& argument : arguments) {
+      words.push_back(const_cast<char*>(argument.c_str()));
+    }
+    words.push_back(nullptr);
+    const int result =
+        posix_spawn(&process_, program.c_str(), &actions, nullptr, words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(pipe_ends[1]);
+    output_ = pipe_ends[0];
+    if (result != 0) {
+      throw std::runtime_error("can't start " + program);
+    }
+  }
+  ~ChildProcess() {
+    if (running_) {
+      kill(process_, SIGKILL);
+      waitpid(process_, nullptr, 0);
+    }
+    close(output_);
+  }
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  void signal(int number) const { kill(process_, number); }
+
+  /// Reads until `text` was seen. \return false at the end of the output or the time limit
+  bool waitForText(const std::string& text) {
+    while (seen_.find(text) == std::string::npos) {
+      if (!readMore()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// Reads to the end of the output. \return the exit code, -1 if a signal ended the process
+  int waitForExit() {
+    while (readMore()) {
+    }
+    int status = 0;
+    waitpid(process_, &status, 0);
+    running_ = false;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+  const std::string& output() const { return seen_; }
+
+ private:
+  bool readMore() {
+    constexpr int kTimeLimitMilliseconds = 20000;
+    pollfd wanted{output_, POLLIN, 0};
+    if (poll(&wanted, 1, kTimeLimitMilliseconds) <= 0) {
+      return false;
+    }
+    char buffer[4096];
+    const auto size = read(output_, buffer, sizeof buffer);
+    if (size <= 0) {
+      return false;
+    }
+    seen_.append(buffer, static_cast<std::size_t>(size));
+    return true;
+  }
+
+  pid_t process_ = 0;
+  bool running_ = true;
+  int output_ = -1;
+  std::string seen_;
+};
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/daemon/command_line_test.cpp
@@ -0,0 +1,144 @@
+/// cypresswalld as a process: flags, settings, exit codes and signals.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "tests/daemon/child_process.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::daemon {
+namespace {
+
+using testing::ChildProcess;
+
+/// A bound port of the loopback, which nobody else can take while this lives.
+class TakenPort {
+ public:
+  TakenPort() : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    listen(socket_, 1);
+    socklen_t size = sizeof address;
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+    text_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+  ~TakenPort() { close(socket_); }
+  TakenPort(const TakenPort&) = delete;
+  TakenPort& operator=(const TakenPort&) = delete;
+  const std::string& address() const { return text_; }
+
+ private:
+  int socket_;
+  std::string text_;
+};
+
+/// \return an address whose port was free a moment ago.
+std::string freeAddress() { return TakenPort().address(); }
+
+class CommandLineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CommandLineTest);
+  CPPUNIT_TEST(wrongFlagsExitWithTwo);
+  CPPUNIT_TEST(wrongSettingsExitWithTwo);
+  CPPUNIT_TEST(checkedSettingsOpenNothing);
+  CPPUNIT_TEST(takenPortsExitWithThree);
+  CPPUNIT_TEST(stopsOnSigterm);
+  CPPUNIT_TEST(readsTheLogLevelAgainOnSighup);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void tearDown() override { std::remove(file_.c_str()); }
+
+  void wrongFlagsExitWithTwo() {
+    CPPUNIT_ASSERT_EQUAL(2, ChildProcess(CYPRESSWALL_DAEMON, {"--nonsense"}).waitForExit());
+    CPPUNIT_ASSERT_EQUAL(2, ChildProcess(CYPRESSWALL_DAEMON, {"extra"}).waitForExit());
+    CPPUNIT_ASSERT_EQUAL(2, ChildProcess(CYPRESSWALL_DAEMON, {}).waitForExit());
+  }
+
+  void wrongSettingsExitWithTwo() {
+    writeSettings(freeAddress(), freeAddress(), "limits: {connections: 0}\n");
+    ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
+    CPPUNIT_ASSERT_EQUAL(2, daemon.waitForExit());
+    const std::string place = file_ + ":10: limits.connections:";
+    CPPUNIT_ASSERT_MESSAGE(daemon.output(), daemon.output().starts_with(place));
+  }
+
+  void checkedSettingsOpenNothing() {
+    // Both ports are taken, which only an attempt to listen would show.
+    const TakenPort peer;
+    const TakenPort gateway;
+    writeSettings(peer.address(), gateway.address(), "");
+    ChildProcess good(CYPRESSWALL_DAEMON, {"--settings", file_, "--check_settings"});
+    CPPUNIT_ASSERT_EQUAL(0, good.waitForExit());
+    ChildProcess bad(CYPRESSWALL_DAEMON,
+                     {"--settings", file_, "--check_settings", "--node_zone", "a b"});
+    CPPUNIT_ASSERT_EQUAL(2, bad.waitForExit());
+    CPPUNIT_ASSERT(bad.output().starts_with("--node_zone: node.zone:"));
+  }
+
+  void takenPortsExitWithThree() {
+    const TakenPort taken;
+    writeSettings(taken.address(), freeAddress(), "");
+    expectTaken(taken.address());
+    writeSettings(freeAddress(), taken.address(), "");
+    expectTaken(taken.address());
+  }
+
+  void stopsOnSigterm() {
+    writeSettings(freeAddress(), freeAddress(), "");
+    ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
+    CPPUNIT_ASSERT_MESSAGE(daemon.output(), daemon.waitForText("event=daemon_started"));
+    daemon.signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, daemon.waitForExit());
+    CPPUNIT_ASSERT(daemon.output().find("event=drain_finished") != std::string::npos);
+  }
+
+  void readsTheLogLevelAgainOnSighup() {
+    const std::string peer = freeAddress();
+    const std::string gateway = freeAddress();
+    writeSettings(peer, gateway, "");
+    ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
+    CPPUNIT_ASSERT_MESSAGE(daemon.output(), daemon.waitForText("event=daemon_started"));
+    writeSettings(peer, gateway, "log: {level: loud}\n");
+    daemon.signal(SIGHUP);
+    CPPUNIT_ASSERT(daemon.waitForText("event=settings_not_reloaded"));
+    writeSettings(peer, gateway, "log: {level: error}\n");
+    daemon.signal(SIGHUP);
+    // At level error neither the reload nor the stop is logged.
+    daemon.signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, daemon.waitForExit());
+    CPPUNIT_ASSERT(daemon.output().find("event=daemon_stopped") == std::string::npos);
+  }
+
+ private:
+  void writeSettings(const std::string& peer, const std::string& gateway,
+                     const std::string& more) const {
+    std::ofstream file(file_);
+    file << "node:\n  peer_address: " << peer << "\n  gateway_address: " << gateway
+         << "\n  zone: z\n  region: r\n  machine: m\nplatform:\n  object_api: 127.0.0.1:1\n"
+         << "  machine_list: 127.0.0.1:1\n"
+         << more;
+  }
+
+  void expectTaken(const std::string& address) const {
+    ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
+    CPPUNIT_ASSERT_EQUAL(3, daemon.waitForExit());
+    const std::string& output = daemon.output();
+    CPPUNIT_ASSERT_MESSAGE(output, output.find(address) != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, std::count(output.begin(), output.end(), '\n'));
+  }
+
+  const std::string file_ = "daemon_test." + std::to_string(getpid()) + ".yaml";
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CommandLineTest);
+
+}  // namespace
+}  // namespace cypresswall::daemon
