Answer "Expect: 100-continue", accept in batches, name every request

Cause: found with curl against the running daemon. A caller with a body over 1 MB waits a second for "100 Continue" before it sends, which RESTinio does not give: a second added to the first token of every long prompt. With a busy loop one connection was accepted a turn, so that new callers waited for hundreds of turns (thousands of connections stood in the listen queue of a daemon that was asked for more tokens than one core relays). Paths that nobody serves got a 404 without X-Request-Id.

Change: the first bytes of a request that are a whole header with that expectation are answered at once; 16 connections are accepted a turn; the gateway takes all paths that nobody else takes.

--- a/src/cypresswall/gateway/gateway.cpp
+++ b/src/cypresswall/gateway/gateway.cpp
@@ -15,7 +15,7 @@
 constexpr const char* kChatPath = "/v1/chat/completions";
 constexpr const char* kTextPath = "/v1/completions";
 constexpr const char* kModelsPath = "/v1/models";
-constexpr const char* kServicesPath = "/services";
+constexpr const char* kServicesPath = "/services/";
 constexpr const char* kOwner = "cypresswall";
 
 void requireMethod(const http::Request& request, const char* method) {
@@ -77,8 +77,7 @@
                               const std::shared_ptr<http::Responder>& responder) {
     handle(std::move(request), responder);
   };
-  routes.add("/v1", handler);
-  routes.add(kServicesPath, handler);
+  routes.add("", handler);
 }
 
 void Gateway::handle(http::Request request, const std::shared_ptr<http::Responder>& responder) {
@@ -100,6 +99,8 @@
   } else if (request.path == kModelsPath || request.path.starts_with("/v1/models/")) {
     requireMethod(request, "GET");
     answerModels(request, *responder, request_id);
+  } else if (!request.path.starts_with(kServicesPath)) {
+    throw RequestError(notFoundError("no resource at " + request.path));
   } else {
     startService(request, responder, request_id);
   }
--- a/src/cypresswall/gateway/gateway.h
+++ b/src/cypresswall/gateway/gateway.h
@@ -33,7 +33,7 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  /// Adds /v1 and /services to `routes`.
+  /// Takes all paths of `routes` that nobody else takes.
   void mount(HttpRoutes& routes);
   /// Takes one request of a caller.
   void handle(http::Request request, const std::shared_ptr<http::Responder>& responder);
--- a/src/cypresswall/http/connection.cpp
+++ b/src/cypresswall/http/connection.cpp
@@ -5,6 +5,8 @@
 #include <asio/buffer.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <cctype>
+#include <string_view>
 
 namespace cypresswall::http {
 namespace {
@@ -15,6 +17,19 @@
 constexpr std::size_t kLingerBytes = 64U << 20;
 constexpr std::size_t kLingerBufferBytes = 4096;
 
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// \return true if the bytes are a whole header after which the caller waits for a go-ahead.
+bool waitsForContinue(std::string_view bytes) {
+  constexpr std::string_view kExpectation = "\r\nexpect: 100-continue\r\n";
+  const auto same = [](char a, char b) {
+    return std::tolower(static_cast<unsigned char>(a)) == static_cast<unsigned char>(b);
+  };
+  return bytes.ends_with("\r\n\r\n") &&
+         std::search(bytes.begin(), bytes.end(), kExpectation.begin(), kExpectation.end(), same) !=
+             bytes.end();
+}
+
 /// Reads and drops what the caller still sends, until it closes or a limit is reached.
 class LingeringClose : public std::enable_shared_from_this<LingeringClose> {
  public:
@@ -65,9 +80,12 @@
   std::erase_if(exchanges_, [&](const auto& held) { return held.get() == exchange; });
 }
 
-void Connection::readEnded(const asio::error_code& error) {
+void Connection::readEnded(const asio::error_code& error, std::string_view bytes) {
   if (!error && !receiving_since_) {
     receiving_since_ = std::chrono::steady_clock::now();
+    if (!hasExchanges() && waitsForContinue(bytes)) {
+      sendNow(kContinue);
+    }
   }
   if (error == asio::error::eof && receiving_since_ && on_truncated_) {
     on_truncated_();
--- a/src/cypresswall/http/connection.h
+++ b/src/cypresswall/http/connection.h
@@ -3,6 +3,7 @@
 /// limit for requests that arrive in part, and an abort in the middle of an answer.
 #pragma once
 
+#include <asio/buffer.hpp>
 #include <asio/error.hpp>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
@@ -40,9 +41,10 @@
     return exchanges_.empty() ? nullptr : exchanges_.front().get();
   }
 
-  /// Notes the result of a read. The first bytes of a request start its time limit; the end of the
-  /// stream in the middle of a request is told to the listener.
-  void readEnded(const asio::error_code& error);
+  /// Notes the result of a read. The first bytes of a request start its time limit, and are
+  /// answered by "100 Continue" if the caller waits for that; the end of the stream in the middle
+  /// of a request is told to the listener.
+  void readEnded(const asio::error_code& error, std::string_view bytes);
   /// Calls `listener` when the caller ends its side in the middle of a request.
   void onTruncated(std::function<void()> listener) { on_truncated_ = std::move(listener); }
   /// Notes that a whole request arrived.
@@ -94,10 +96,11 @@
 
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers& buffers, Handler handler) {  // NOLINT: name of the base
-    Base::async_read_some(buffers, [connection = connection_, handler = std::move(handler)](
-                                       const asio::error_code& error, std::size_t length) mutable {
+    const asio::mutable_buffer target = *asio::buffer_sequence_begin(buffers);
+    Base::async_read_some(target, [connection = connection_, target, handler = std::move(handler)](
+                                      const asio::error_code& error, std::size_t length) mutable {
       if (connection) {
-        connection->readEnded(error);
+        connection->readEnded(error, {static_cast<const char*>(target.data()), length});
       }
       handler(error, length);
     });
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -18,6 +18,9 @@
 /// Requests that one connection may have open at a time. With more than one, RESTinio reads on
 /// while a request runs, and so notices a caller that goes away.
 constexpr std::size_t kPipelinedRequests = 2;
+/// Connections accepted in one turn of the event loop, so that callers don't wait for many turns
+/// while the loop is busy with streams.
+constexpr std::size_t kAcceptsPerTurn = 16;
 constexpr std::size_t kMaximumHeaderFields = 128;
 constexpr std::size_t kReadBufferBytes = 4096;
 /// How often connections are checked for requests that arrive too slowly and silent handlers.
@@ -373,7 +376,7 @@
         .buffer_size(kReadBufferBytes)
         .max_pipelined_requests(kPipelinedRequests)
         .max_parallel_connections(settings.maximum_connections)
-        .concurrent_accepts_count(1)
+        .concurrent_accepts_count(kAcceptsPerTurn)
         .read_next_http_message_timelimit(settings.idle_time_limit)
         .handle_request_timeout(kNoHandlerLimit)
         .write_http_response_timelimit(settings.write_time_limit)
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(oversizedHeaderGets431);
   CPPUNIT_TEST(undecodableTargetGets400);
   CPPUNIT_TEST(slowRequestGets408);
+  CPPUNIT_TEST(callerThatWaitsForContinueGetsIt);
   CPPUNIT_TEST(abortBreaksTheAnswer);
   CPPUNIT_TEST(droppedResponderGives500);
   CPPUNIT_TEST(slowReaderIsSeenAndDrains);
@@ -150,6 +151,17 @@
     expectRejection("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc", "408");
   }
 
+  void callerThatWaitsForContinueGetsIt() {
+    startServer();
+    RawClient client(context_, server_->port());
+    client.startReading();
+    client.send("POST / HTTP/1.1\r\nExpect: 100-Continue\r\nContent-Length: 4\r\n\r\n");
+    CPPUNIT_ASSERT(client.waitFor("HTTP/1.1 100 Continue\r\n\r\n"));
+    client.send("body");
+    CPPUNIT_ASSERT(waitForRequests(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), requests_[0].body);
+  }
+
   void abortBreaksTheAnswer() {
     startServer();
     auto client = request("GET /s HTTP/1.1\r\n\r\n");
