Read recorded answers within limits

Cause: a damaged record could claim any number of headers or bytes. What was ruled out: trusting the peer; records pass through several nodes. Change: limits on what a record may claim; properties for round trips and for garbage. Figures: 5,000 generated inputs, no crash and no answer called not-run (execution_test RecordedAnswerTest).

--- a/src/cypresswall/execution/recorded_answer.cpp
+++ b/src/cypresswall/execution/recorded_answer.cpp
@@ -10,6 +10,9 @@
 namespace cypresswall::execution {
 namespace {
 
+/// More headers than any back end sends; a record that claims more is not read.
+constexpr std::size_t kMaximumHeaders = 1024;
+
 struct WireHeader {
   std::string name;
   std::string value;
@@ -69,7 +72,9 @@
     return std::nullopt;
   }
   try {
-    const auto handle = msgpack::unpack(recorded.data(), recorded.size());
+    const msgpack::unpack_limit limit(kMaximumHeaders, kMaximumHeaders, recorded.size(),
+                                      recorded.size(), recorded.size());
+    const auto handle = msgpack::unpack(recorded.data(), recorded.size(), nullptr, nullptr, limit);
     return fromWire(handle.get().as<WireAnswer>());
   } catch (const std::exception&) {
     return std::nullopt;
--- /dev/null
+++ b/tests/execution/recorded_answer_test.cpp
@@ -0,0 +1,53 @@
+#include "cypresswall/execution/recorded_answer.h"
+
+#include "tests/support/property.h"
+
+namespace cypresswall::execution {
+namespace {
+
+constexpr std::size_t kMaximumBytes = 16U << 10;
+
+class RecordedAnswerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RecordedAnswerTest);
+  CPPUNIT_TEST(readsBackWhatWasRecorded);
+  CPPUNIT_TEST(garbageIsNoAnswer);
+  CPPUNIT_TEST(hugeCountsAreNotBelieved);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void readsBackWhatWasRecorded() {
+    testing::requireProperty(
+        "a recorded answer reads back", 200, [](const std::string& body, const std::string& value) {
+          ServiceCallAnswer answer;
+          answer.outcome = Outcome::kDone;
+          answer.status = 201;
+          answer.headers = {{"X-Slot", value}};
+          answer.body = body;
+          const auto read = decodeRecordedAnswer(encodeRecordedAnswer(answer, kMaximumBytes));
+          RC_ASSERT(read.has_value());
+          RC_ASSERT(read->status == 201);
+          RC_ASSERT(read->body == body);
+          RC_ASSERT(read->headers.at(0).value == value);
+        });
+  }
+
+  void garbageIsNoAnswer() {
+    testing::requireProperty("garbage is never an answer with a true outcome", 5000,
+                             [](const std::string& garbage) {
+                               const auto read = decodeRecordedAnswer(garbage);
+                               RC_ASSERT(!read || read->outcome != Outcome::kNotRun);
+                             });
+  }
+
+  void hugeCountsAreNotBelieved() {
+    // An array said to hold 2^32 - 1 elements.
+    CPPUNIT_ASSERT(!decodeRecordedAnswer("\xdd\xff\xff\xff\xff"));
+    // A string said to be 2^32 - 1 bytes long.
+    CPPUNIT_ASSERT(!decodeRecordedAnswer("\xdb\xff\xff\xff\xff"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RecordedAnswerTest);
+
+}  // namespace
+}  // namespace cypresswall::execution
