--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -3,28 +3,6 @@
 #include <utility>
 
 namespace cypresswall::node {
-namespace {
-
-/// Grants no claim: requests with an idempotency key are refused as not run.
-class NoKeyClaims final : public idempotency::KeyClaims {
- public:
-  explicit NoKeyClaims(common::Scheduler& scheduler) : scheduler_(scheduler) {}
-  void claim(const std::string&, std::uint64_t,
-             std::function<void(idempotency::ClaimAnswer)> callback) override {
-    scheduler_.schedule(common::Duration(0), [callback = std::move(callback)] {
-      callback(idempotency::ClaimAnswer{idempotency::ClaimVerdict::kUnavailable, "",
-                                        std::chrono::seconds(1)});
-    });
-  }
-  void complete(const std::string&, std::string) override {}
-  void release(const std::string&) override {}
-
- private:
-  common::Scheduler& scheduler_;
-};
-
-}  // namespace
-
 Node::Node(NodeSettings settings, const api::ProcessContext& context, const NodeClients& clients)
     : settings_(std::move(settings)),
       context_(context),
@@ -38,15 +16,15 @@
                   configuration_, membership_),
       observed_router_(router_, context_.clock, settings_.shedding),
       admission_(context_, configuration_, membership_, observed_router_, settings_.admission),
-      key_claims_(std::make_unique<NoKeyClaims>(context_.scheduler)),
+      key_claims_(settings_.claims, context_, authority_, authority_, membership_),
       model_executor_(context_, configuration_, admission_, observed_router_, clients.engines,
                       settings_.execution),
       service_executor_(context_,
                         execution::ServiceInterfaces{configuration_, membership_, admission_,
-                                                     clients.services, *key_claims_},
+                                                     clients.services, key_claims_},
                         settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, authority_, configuration_, engines_,
-                              controller_}),
+                              controller_, model_executor_.journal(), service_executor_.journal()}),
       commands_(context_, configuration_, state_) {
   membership_.onChange([this] {
     if (membership_.leaving()) {
@@ -64,6 +42,7 @@
   configuration_.start();
   engines_.start();
   controller_.start();
+  key_claims_.start();
 }
 
 void Node::drain() {
@@ -90,7 +69,8 @@
 }
 
 bool Node::mayStop() const {
-  return admission_.inFlight() == 0 && service_executor_.running() == 0 && authority_.mayStop();
+  return admission_.inFlight() == 0 && service_executor_.running() == 0 &&
+         !key_claims_.reportsPending() && authority_.mayStop();
 }
 
 void Node::checkStop() {
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <functional>
-#include <memory>
 
 #include "cypresswall/admission/observed_router.h"
 #include "cypresswall/admission/zone_admission_controller.h"
@@ -12,6 +11,7 @@
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/execution/engine_model_executor.h"
 #include "cypresswall/execution/http_service_executor.h"
+#include "cypresswall/idempotency/quorum_key_claims.h"
 #include "cypresswall/lease/zone_authority.h"
 #include "cypresswall/membership/membership.h"
 #include "cypresswall/membership/zone_gossip.h"
@@ -62,6 +62,7 @@
   routing::EngineDirectory& engines() { return engines_; }
   routing::CostRouter& router() { return router_; }
   orders::ZoneController& controller() { return controller_; }
+  idempotency::KeyClaims& keyClaims() { return key_claims_; }
   operators::CommandService& commands() { return commands_; }
   admission::ZoneAdmissionController& admission() { return admission_; }
   execution::ModelExecutor& modelExecutor() { return model_executor_; }
@@ -84,7 +85,7 @@
   orders::ZoneController controller_;
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
-  std::unique_ptr<idempotency::KeyClaims> key_claims_;
+  idempotency::QuorumKeyClaims key_claims_;
   execution::EngineModelExecutor model_executor_;
   execution::HttpServiceExecutor service_executor_;
   NodeState state_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -4,6 +4,7 @@
 #include "cypresswall/admission/admission_settings.h"
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/execution/execution_settings.h"
+#include "cypresswall/idempotency/claim_settings.h"
 #include "cypresswall/lease/lease_settings.h"
 #include "cypresswall/membership/membership_settings.h"
 #include "cypresswall/orders/settings.h"
@@ -14,6 +15,7 @@
 struct NodeSettings {
   membership::MembershipSettings membership;
   lease::LeaseSettings lease;
+  idempotency::ClaimSettings claims;
   configuration::ConfigurationSettings configuration;
   routing::DirectorySettings directory;
   routing::RouterSettings router;
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -44,6 +44,43 @@
          record.change.reason;
 }
 
+std::string milliseconds(common::Duration duration) {
+  constexpr double kMicrosecondsPerMillisecond = 1000;
+  return number(static_cast<double>(duration.count()) / kMicrosecondsPerMillisecond) + " ms";
+}
+
+std::string describeAttempt(const execution::AttemptRecord& attempt) {
+  std::string text = "on " + attempt.target;
+  if (!attempt.prefill_target.empty()) {
+    text += ", prompt on " + attempt.prefill_target;
+  }
+  if (attempt.expected_first_token.count() > 0) {
+    text += ", first token expected in " + milliseconds(attempt.expected_first_token) + ", then " +
+            milliseconds(attempt.expected_between_tokens) + " each, " +
+            std::to_string(attempt.expected_cached_pieces) + " cached pieces";
+  }
+  if (attempt.resume_from > 0) {
+    text += ", from token " + std::to_string(attempt.resume_from);
+  }
+  return text + ": " + (attempt.result.empty() ? "running" : attempt.result);
+}
+
+std::vector<operators::Explanation> describeRequest(const execution::RequestRecord& record) {
+  std::vector<operators::Explanation> lines;
+  lines.push_back({"service", record.service});
+  lines.push_back({"tenant", record.tenant});
+  lines.push_back({"state", record.state});
+  if (record.prompt_tokens > 0) {
+    lines.push_back({"tokens", std::to_string(record.prompt_tokens) + " in the prompt, " +
+                                   std::to_string(record.tokens_given) + " given, at most " +
+                                   std::to_string(record.maximum_tokens)});
+  }
+  for (const execution::AttemptRecord& attempt : record.attempts) {
+    lines.push_back({"attempt", describeAttempt(attempt)});
+  }
+  return lines;
+}
+
 }  // namespace
 
 std::vector<operators::EngineRow> NodeState::engines() const {
@@ -67,6 +104,39 @@
   return rows;
 }
 
+std::vector<operators::RequestRow> NodeState::requests() const {
+  std::vector<operators::RequestRow> rows;
+  addRequests(sources_.model_requests, rows);
+  addRequests(sources_.service_requests, rows);
+  return rows;
+}
+
+void NodeState::addRequests(const execution::RequestJournal& journal,
+                            std::vector<operators::RequestRow>& rows) const {
+  const auto now = sources_.clock.now();
+  for (const auto& record : journal.running()) {
+    operators::RequestRow row;
+    row.id = record->request_id;
+    row.tenant = record->tenant;
+    row.service = record->service;
+    row.engine = record->attempts.empty() ? "" : record->attempts.back().target;
+    row.state = record->state;
+    row.tokens = record->tokens_given;
+    row.age = now - record->started;
+    rows.push_back(std::move(row));
+  }
+}
+
+std::vector<operators::Explanation> NodeState::explainRequest(const std::string& id) const {
+  for (const auto* journal : {&sources_.model_requests, &sources_.service_requests}) {
+    const auto record = journal->find(id);
+    if (record) {
+      return describeRequest(*record);
+    }
+  }
+  return {};
+}
+
 std::vector<operators::LeaseRow> NodeState::leases() const {
   operators::LeaseRow row;
   row.zone = sources_.membership.zone();
--- a/src/cypresswall/node/node_state.h
+++ b/src/cypresswall/node/node_state.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cypresswall/configuration/configuration_replica.h"
+#include "cypresswall/execution/request_journal.h"
 #include "cypresswall/lease/zone_authority.h"
 #include "cypresswall/membership/membership.h"
 #include "cypresswall/operators/state_providers.h"
@@ -22,6 +23,8 @@
   const configuration::ConfigurationReplica& configuration;
   const routing::EngineDirectory& engines;
   const orders::ZoneController& controller;
+  const execution::RequestJournal& model_requests;
+  const execution::RequestJournal& service_requests;
 };
 
 class NodeState final : public operators::StateProviders {
@@ -29,11 +32,16 @@
   explicit NodeState(const NodeStateSources& sources) : sources_(sources) {}
 
   std::vector<operators::EngineRow> engines() const override;
+  std::vector<operators::RequestRow> requests() const override;
   std::vector<operators::LeaseRow> leases() const override;
   std::vector<operators::NodeRow> nodes() const override;
   std::vector<operators::Explanation> explainEngine(const common::EngineName& name) const override;
 
+  std::vector<operators::Explanation> explainRequest(const std::string& id) const override;
+
  private:
+  void addRequests(const execution::RequestJournal& journal,
+                   std::vector<operators::RequestRow>& rows) const;
   void explainView(const common::EngineName& name,
                    std::vector<operators::Explanation>& lines) const;
   void explainChanges(const common::EngineName& name,
