--- a/tests/configuration/replica_test.cpp
+++ b/tests/configuration/replica_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(zoneWithoutStoreIsRelayed);
   CPPUNIT_TEST(restoredStoreIsRefusedThenWrittenBack);
   CPPUNIT_TEST(replacedNodeIgnoresARestoredStore);
+  CPPUNIT_TEST(replacedNodeIsNotMadeReadyByAZoneThatLags);
   CPPUNIT_TEST(watchGapIsRepaired);
   CPPUNIT_TEST(invalidChangeNamesTheField);
   CPPUNIT_TEST(newNodeFarBehindTakesASnapshot);
@@ -162,6 +163,20 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, fleet.nodes[0].replica->log().version());
   }
 
+  void replacedNodeIsNotMadeReadyByAZoneThatLags() {
+    ReplicaFleet fleet(14, 2, 3);
+    start(fleet);
+    fleet.simulation.network().cutZones("zone-0", "zone-1");
+    fleet.store.unreachable_from.insert("zone-0");
+    const auto number = fleet.submit(3, "a", {}, true);
+    fleet.runFor(4s);
+    CPPUNIT_ASSERT(fleet.submissions[number].result.status == CommitStatus::kAccepted);
+    fleet.simulation.network().healAll();
+    fleet.start(4);
+    fleet.simulation.time().runUntilTrue([&] { return fleet.nodes[4].replica->ready(); }, 10s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, fleet.nodes[4].replica->log().version());
+  }
+
   void watchGapIsRepaired() {
     ReplicaFleet fleet(11, 2, 2);
     start(fleet);
