--- /dev/null
+++ b/bench/measure_gateway.sh
@@ -0,0 +1,77 @@
+#!/usr/bin/env bash
+# Measures one daemon against engines that are asked directly, in one run: the time that it adds to
+# the first token, the tokens that it relays a second of processor time, its memory with 5000 open
+# streams and when idle.
+# usage: measure_gateway.sh BUILD_DIR [SECONDS_PER_PHASE]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build_dir=${1:?usage: measure_gateway.sh BUILD_DIR [SECONDS_PER_PHASE]}
+seconds=${2:-20}
+bin=$build_dir/bin
+platform=127.0.8.2:8000
+node=127.0.8.11
+gateway=$node:8080
+engines=127.0.8.101:8001,127.0.8.102:8001,127.0.8.103:8001,127.0.8.104:8001
+logs=$(mktemp -d)
+pids=()
+daemon=
+ulimit -n "$(ulimit -Hn)"
+
+stop() {
+  [ "${#pids[@]}" -eq 0 ] || kill -TERM "${pids[@]}" 2>/dev/null || true
+  wait 2>/dev/null || true
+  pids=()
+}
+trap stop EXIT
+
+fetch() {
+  curl --silent --show-error --fail --max-time 10 --retry 60 --retry-delay 1 --retry-max-time 60 \
+    --retry-all-errors "$@" 2>>"$logs/fetch.log"
+}
+
+# begin ENGINE_FLAGS...: starts a fresh platform, engines and daemon, and puts the fleet in force.
+begin() {
+  stop
+  "$bin/cypresswall-platform-standin" --address $platform >"$logs/platform.log" 2>&1 &
+  pids+=($!)
+  local engine
+  for engine in ${engines//,/ }; do
+    "$bin/cypresswall-engine-standin" --addresses "$engine" --ledger_limit 1000 "$@" \
+      >"$logs/engine-$engine.log" 2>&1 &
+    pids+=($!)
+  done
+  "$bin/cypresswalld" --node_zone bench --node_region bench --node_machine node-1 \
+    --node_peer_address $node:7000 --node_gateway_address $gateway --platform_object_api $platform \
+    --platform_machine_list $platform --log_level warning >"$logs/daemon.log" 2>&1 &
+  daemon=$!
+  pids+=("$daemon")
+  fetch "http://$gateway/readyz" >/dev/null
+  "$bin/cypressctl" --server $gateway apply -f bench/fleets/one-node.yaml --wait >/dev/null
+  # Until an engine serves.
+  fetch "http://$gateway/v1/completions" -H 'Content-Type: application/json' \
+    -d '{"model":"bench","prompt":"ready?","max_tokens":1}' >/dev/null
+}
+
+resident() { awk '/VmRSS/ {print $2 " kB"}' "/proc/$1/status"; }
+
+echo "== idle"
+begin
+echo "resident memory of the idle daemon: $(resident "$daemon")"
+
+echo "== first token, at half of the engines' capacity"
+# 4 engines x 32 streams, 12 ms + 0.4 ms per stream and step: a request of 60 prompt and 40 output
+# tokens holds a place for about 0.75 s at half load, so 85 a second fill half of the 128 places.
+"$bin/cypresswall-bench" load --direct $engines --gateway $gateway --service bench \
+  --mix short:1:60:40 --rate 85 --rounds 3 --duration "$seconds" --watch daemon="$daemon"
+
+echo "== relayed tokens a second of processor time"
+begin --maximum_streams 1000 --decode_step_base_us 8000 --decode_step_per_stream_us 0
+"$bin/cypresswall-bench" load --gateway $gateway --service bench --mix held:1:20:1000000 \
+  --streams 800 --duration "$seconds" --drain 0 --threads 3 --watch daemon="$daemon"
+
+echo "== 5000 open streams"
+begin --maximum_streams 1400 --decode_step_base_us 1000000 --decode_step_per_stream_us 0
+"$bin/cypresswall-bench" load --gateway $gateway --service bench --mix held:1:20:1000000 \
+  --streams 5000 --ramp 10 --duration "$seconds" --drain 0 --threads 2 --watch daemon="$daemon"
+rm -rf "$logs"
