--- a/tests/lease/lease_zone.h
+++ b/tests/lease/lease_zone.h
@@ -76,6 +76,7 @@
   explicit LeaseZone(std::uint64_t seed, double clock_drift = 0)
       : world(seed), drift_(clock_drift) {
     world.after_each_event = [this] { check(); };
+    world.on_send = [this](const api::Envelope& envelope) { checkProposal(envelope); };
   }
 
   static common::Address address(int index) { return "10.0.0." + std::to_string(index) + ":7000"; }
@@ -83,7 +84,10 @@
 
   lease::ZoneAuthority& start(int index) {
     stop(index);
-    const double rate = 1.0 + drift_ * (2 * world.random.unit() - 1);
+    const auto fixed_rate = clock_rates.find(index);
+    const double rate = fixed_rate != clock_rates.end()
+                            ? fixed_rate->second
+                            : 1.0 + drift_ * (2 * world.random.unit() - 1);
     auto& process = world.spawn({address(index), ++next_incarnation_}, "hall-a", rate);
     setMachine(index, platform::MachineState::kLive);
     membership::MembershipSettings settings;
@@ -92,8 +96,8 @@
     Node& node = nodes[index];
     node.membership =
         std::make_unique<membership::Membership>(settings, process.context(), process);
-    node.authority = std::make_unique<lease::ZoneAuthority>(
-        lease::LeaseSettings{}, process.context(), *node.membership, process);
+    node.authority = std::make_unique<lease::ZoneAuthority>(lease_settings, process.context(),
+                                                            *node.membership, process);
     node.authority->onChange([this, index](std::optional<common::Epoch> epoch) {
       if (epoch) {
         acquired(index, *epoch);
@@ -265,6 +269,9 @@
   }
 
   VirtualWorld world;
+  lease::LeaseSettings lease_settings;
+  /// Speeds of clocks that are not left to chance.
+  std::map<int, double> clock_rates;
   std::map<int, Node> nodes;
   ZoneLedger ledger;
   std::function<void(int, VirtualProcess&)> on_start;
@@ -325,6 +332,27 @@
       report("two holders at once");
     }
   }
+  /// The first set that a holder proposes must have the members of a set of an earlier holder: a
+  /// holder commits the newest set anew before it changes it. Two successive holders that each
+  /// began with a change of the same set could otherwise both find a quorum.
+  void checkProposal(const api::Envelope& envelope) {
+    if (envelope.type != lease::LeaseRequest::kType) {
+      return;
+    }
+    for (const auto& set : api::decodeBody<lease::LeaseRequest>(envelope.body).set) {
+      const auto& version = set.version;
+      const auto [proposed, added] = proposed_sets_.try_emplace(version, set.members);
+      if (!added || version.index != 0 || version.term == 0) {
+        continue;
+      }
+      const bool known = std::any_of(proposed_sets_.begin(), proposed, [&](const auto& earlier) {
+        return earlier.first.generation == version.generation && earlier.second == set.members;
+      });
+      if (!known) {
+        report("first set of term " + std::to_string(version.term) + " is a changed one");
+      }
+    }
+  }
   void report(const std::string& what) {
     if (violation.empty()) {
       violation = what + " at " + std::to_string(common::toSeconds(world.now())) + " s";
@@ -337,6 +365,7 @@
   /// Highest committed value of the counter, by generation.
   std::map<std::uint32_t, std::uint64_t> committed_;
   common::Epoch highest_epoch_;
+  std::map<lease::VoterSetVersion, lease::NodeList> proposed_sets_;
   lease::NodeList last_members_;
 };
 
--- a/tests/lease/zone_authority_test.cpp
+++ b/tests/lease/zone_authority_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(newGenerationAfterEveryVoterRestarted);
   CPPUNIT_TEST(silentMajorityIsNotReplaced);
   CPPUNIT_TEST(lostStoreAnswersAreSettled);
+  CPPUNIT_TEST(slowClockOfAHolderNeverOverlaps);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -181,6 +182,30 @@
     CPPUNIT_ASSERT(zone.awaitHolder(6s).has_value());
     CPPUNIT_ASSERT(zone.world.store.answers_lost > 0);
   }
+
+  /// A holder with a slow clock is cut off; voters with fast clocks elect the next as early as they
+  /// can.
+  void slowClockOfAHolderNeverOverlaps() {
+    int slow_holders = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+      LeaseZone zone(seed);
+      zone.clock_rates = {{1, 0.98}, {2, 0.98}, {3, 1.02}, {4, 1.02}, {5, 1.02}};
+      zone.lease_settings.minimum_backoff = 1ms;
+      zone.lease_settings.maximum_backoff = 30ms;
+      zone.lease_settings.tick_interval = 1ms;
+      zone.world.maximum_delay = 300us;
+      zone.startAll(5);
+      zone.awaitHolder(6s);
+      zone.world.runFor(3s);
+      const int holder = zone.holder().value();
+      slow_holders += holder <= 2 ? 1 : 0;
+      zone.world.setGroup(LeaseZone::address(holder), 1);
+      zone.world.runFor(3s);
+      CPPUNIT_ASSERT(zone.holder().value_or(holder) != holder);
+      CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+    }
+    CPPUNIT_ASSERT(slow_holders >= 5);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ZoneAuthorityTest);
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(digestsSpread);
   CPPUNIT_TEST(oneNodeReadsTheMachineList);
   CPPUNIT_TEST(leavingMachineIsKnownEverywhereInTime);
+  CPPUNIT_TEST(readerCutOffFromTheListIsReplaced);
   CPPUNIT_TEST(goneMachineIsSurelyDead);
   CPPUNIT_TEST(controlBytesStayInBudget);
   CPPUNIT_TEST(viewsAgreeAfterAnyFaults);
@@ -211,6 +212,19 @@
     CPPUNIT_ASSERT(zone.memberships.at(8)->leaving());
   }
 
+  void readerCutOffFromTheListIsReplaced() {
+    ZoneOfNodes zone(13);
+    zone.startAll(5);
+    zone.world.runFor(5s);
+    zone.world.setStoreReachable(addressOf(1), false);
+    zone.world.runFor(50ms);
+    zone.world.machines[3].state = platform::MachineState::kLeaving;
+    zone.world.runFor(2500ms);
+    for (const auto& [index, membership] : zone.memberships) {
+      CPPUNIT_ASSERT(membership->machineLeaving(machineOf(4)));
+    }
+  }
+
   void goneMachineIsSurelyDead() {
     ZoneOfNodes zone(10);
     zone.startAll(4);
--- a/tests/support/virtual_world.cpp
+++ b/tests/support/virtual_world.cpp
@@ -51,6 +51,9 @@
 
 void VirtualProcess::send(api::Envelope envelope) {
   ++world_.messages;
+  if (world_.on_send) {
+    world_.on_send(envelope);
+  }
   world_.message_bytes += api::encodeEnvelope(envelope).size();
   const auto receiver = envelope.receiver;
   const bool lost = world_.random.unit() < world_.message_loss;
@@ -140,8 +143,9 @@
 
 void VirtualProcess::fetch(const common::ZoneName& zone, platform::MachineListCallback callback) {
   using Result = common::Result<std::vector<platform::Machine>, platform::MachineListFailure>;
-  auto answer = [&world = world_, zone, callback = std::move(callback)] {
-    if (world.machine_list_down) {
+  const bool unreachable = world_.store_unreachable_.contains(node_.address);
+  auto answer = [&world = world_, unreachable, zone, callback = std::move(callback)] {
+    if (world.machine_list_down || unreachable) {
       callback(common::Failure<platform::MachineListFailure>{
           platform::MachineListFailure::kUnavailable, "down"});
       return;
--- a/tests/support/virtual_world.h
+++ b/tests/support/virtual_world.h
@@ -95,6 +95,7 @@
   /// Puts an address into a group; processes of different groups don't reach each other.
   void setGroup(const common::Address& address, int group) { groups_[address] = group; }
   void healNetwork() { groups_.clear(); }
+  /// Whether a process reaches the platform: store and machine list.
   void setStoreReachable(const common::Address& address, bool reachable);
 
   common::Duration now() const { return now_; }
@@ -102,6 +103,8 @@
   void runUntil(common::Duration end);
   /// Runs `callback` at a true time that no process's clock affects.
   void at(common::Duration time, std::function<void()> callback);
+  /// Called with every message that a process sends.
+  std::function<void(const api::Envelope&)> on_send;
   /// Called after every event.
   std::function<void()> after_each_event;
 
