--- a/tests/lease/zone_authority_test.cpp
+++ b/tests/lease/zone_authority_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
   CPPUNIT_TEST(silentMajorityIsNotReplaced);
   CPPUNIT_TEST(lostStoreAnswersAreSettled);
   CPPUNIT_TEST(slowClockOfAHolderNeverOverlaps);
+  CPPUNIT_TEST(idleControlBytesStayInBudget);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -183,6 +185,30 @@
     CPPUNIT_ASSERT(zone.world.store.answers_lost > 0);
   }
 
+  /// Bytes of encoded envelopes that a node of a zone of 13 sends a second for membership and
+  /// lease.
+  void idleControlBytesStayInBudget() {
+    constexpr int kSeconds = 60;
+    LeaseZone zone(12);
+    zone.startAll(13);
+    zone.awaitHolder(6s);
+    zone.world.runFor(5s);
+    std::map<common::Address, std::size_t> bytes;
+    zone.world.on_send = [&](const api::Envelope& envelope) {
+      bytes[envelope.sender.address] += api::encodeEnvelope(envelope).size();
+    };
+    zone.world.runFor(std::chrono::seconds(kSeconds));
+    const auto holder = LeaseZone::address(zone.holder().value());
+    std::size_t others = 0;
+    for (const auto& [address, sent] : bytes) {
+      others = address == holder ? others : std::max(others, sent);
+    }
+    std::cout << "\n  bytes sent a second: holder " << bytes[holder] / kSeconds << ", other nodes "
+              << others / kSeconds << " at most\n";
+    CPPUNIT_ASSERT(bytes[holder] / kSeconds < 4000);
+    CPPUNIT_ASSERT(others / kSeconds < 2500);
+  }
+
   /// A holder with a slow clock is cut off; voters with fast clocks elect the next as early as they
   /// can.
   void slowClockOfAHolderNeverOverlaps() {
