Check that a test's port was really taken

Change: the test fails with a message if no port of the loopback can be taken. Conclusion: no other change.

--- a/tests/daemon/command_line_test.cpp
+++ b/tests/daemon/command_line_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <fstream>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -24,10 +25,12 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    listen(socket_, 1);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
     socklen_t size = sizeof address;
-    getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+    if (bind(socket_, generic, size) != 0 || listen(socket_, 1) != 0 ||
+        getsockname(socket_, generic, &size) != 0) {
+      throw std::runtime_error("no port of the loopback can be taken");
+    }
     text_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
   }
   ~TakenPort() { close(socket_); }
