Ask again before output is computed on an engine chosen earlier

Cause: with prefill and decode on two engines, the second stream starts when the prompt is computed, seconds after the route was chosen; a machine that began to leave in between got new work. What was ruled out: choosing a new route at that point in every case; it would forget the prompt that was just computed. Change: Router::takesWork, asked before the second stream; the attempt counts as not sent if the engine takes no new work. Conclusion: a decode engine that leaves during the prefill gets no stream.

--- a/src/cypresswall/admission/observed_router.h
+++ b/src/cypresswall/admission/observed_router.h
@@ -44,6 +44,9 @@
                  const SheddingSettings& settings = {});
 
   routing::RouteChoice choose(const routing::RouteRequest& request) override;
+  bool takesWork(const engines::EngineEndpoint& engine) const override {
+    return router_.takesWork(engine);
+  }
   void attemptStarted(const routing::RouteRequest& request, const routing::Route& route) override {
     router_.attemptStarted(request, route);
   }
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -174,8 +174,17 @@
 void ModelRequest::handOverToDecode() {
   retireAttempt();
   silence_.stop();
-  scheduleStep(common::Duration{0},
-               [this] { beginStream(route_->engine, engines::StreamPhase::kDecodeOnly); });
+  scheduleStep(common::Duration{0}, [this] { beginDecode(); });
+}
+
+/// The prompt may have taken seconds, in which the decode engine may have begun to leave.
+void ModelRequest::beginDecode() {
+  phase_ = engines::StreamPhase::kDecodeOnly;
+  if (core_.router.takesWork(route_->engine)) {
+    beginStream(route_->engine, engines::StreamPhase::kDecodeOnly);
+    return;
+  }
+  attemptLost(engines::StreamFailure::kNotSent, "the engine takes no new work any more");
 }
 
 void ModelRequest::onAttemptFailed(engines::StreamFailure failure, const std::string& message) {
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -46,6 +46,7 @@
   void beginAttempt();
   void beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase);
   void handOverToDecode();
+  void beginDecode();
 
   void attemptLost(engines::StreamFailure failure, const std::string& message);
   void retryAfterRun(const std::string& message);
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -324,6 +324,12 @@
 
 void CostRouter::attemptFinished(const std::string& stream_id) { sent_.ended(stream_id); }
 
+bool CostRouter::takesWork(const engines::EngineEndpoint& engine) const {
+  const EngineSlot slot = table_.slotOf(engine.name);
+  return slot != kNoEngineSlot &&
+         table_.record(slot).availability == EngineAvailability::kAvailable;
+}
+
 void CostRouter::attemptFailed(const std::string& stream_id, engines::StreamFailure) {
   sent_.ended(stream_id);
 }
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -24,6 +24,7 @@
              EngineDirectory& directory);
 
   RouteChoice choose(const RouteRequest& request) override;
+  bool takesWork(const engines::EngineEndpoint& engine) const override;
   void attemptStarted(const RouteRequest& request, const Route& route) override;
   void firstTokenReceived(const std::string& stream_id) override;
   void attemptFinished(const std::string& stream_id) override;
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -64,6 +64,9 @@
  public:
   virtual ~Router() = default;
   virtual RouteChoice choose(const RouteRequest& request) = 0;
+  /// Asked again before the second stream of a route that was chosen some time ago.
+  /// \return false if the engine may not be given new work by now: leaving, drained or away
+  virtual bool takesWork(const engines::EngineEndpoint& engine) const = 0;
   /// Tells the router what became of a choice, so that its estimates include work that no load
   /// report shows yet. Each started attempt ends in exactly one of finished and failed.
   virtual void attemptStarted(const RouteRequest& request, const Route& route) = 0;
--- a/tests/execution/engine_model_executor_test.cpp
+++ b/tests/execution/engine_model_executor_test.cpp
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(slowReaderIsNotSilence);
   CPPUNIT_TEST(handsPrefillOverToDecode);
   CPPUNIT_TEST(lostPrefillEngineIsRoutedAround);
+  CPPUNIT_TEST(engineThatLeavesDuringPrefillGetsNoDecode);
   CPPUNIT_TEST(halfGivenAnswerWaitsForAnEngine);
   CPPUNIT_TEST(callerGoneCancelsAndReleases);
   CPPUNIT_TEST(retryBudgetBoundsRetries);
@@ -223,6 +224,20 @@
     assertNothingHeld(world);
   }
 
+  void engineThatLeavesDuringPrefillGetsNoDecode() {
+    World world;
+    world.router.prefill_name = "prefill-1";
+    RecordingObserver observer;
+    const auto handle = world.start(observer);
+    world.router.leaving = {"engine-1"};
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(world.wholeAnswer(observer));
+    for (const auto& [engine, request] : world.engines.started) {
+      CPPUNIT_ASSERT(engine != "engine-1");
+    }
+    assertNothingHeld(world);
+  }
+
   void lostPrefillEngineIsRoutedAround() {
     for (const auto kind : {Kind::kBrokenAt, Kind::kRefused, Kind::kSilentAt}) {
       World world;
--- a/tests/execution/fake_engines.cpp
+++ b/tests/execution/fake_engines.cpp
@@ -156,9 +156,9 @@
 
 routing::RouteChoice FakeRouter::choose(const routing::RouteRequest& request) {
   requests.push_back(request);
-  const auto excluded = [&request](const std::string& name) {
-    return std::find(request.excluded.begin(), request.excluded.end(), name) !=
-           request.excluded.end();
+  const auto excluded = [this, &request](const std::string& name) {
+    return leaving.count(name) != 0 || std::find(request.excluded.begin(), request.excluded.end(),
+                                                 name) != request.excluded.end();
   };
   const auto engine = std::find_if_not(names.begin(), names.end(), excluded);
   if (refuses || engine == names.end()) {
--- a/tests/execution/fake_engines.h
+++ b/tests/execution/fake_engines.h
@@ -72,6 +72,9 @@
 class FakeRouter final : public routing::Router {
  public:
   routing::RouteChoice choose(const routing::RouteRequest& request) override;
+  bool takesWork(const engines::EngineEndpoint& engine) const override {
+    return leaving.count(engine.name) == 0;
+  }
   void attemptStarted(const routing::RouteRequest&, const routing::Route&) override { ++open; }
   void firstTokenReceived(const std::string&) override {}
   void attemptFinished(const std::string&) override { --open; }
@@ -79,6 +82,8 @@
 
   std::vector<std::string> names{"engine-1", "engine-2", "engine-3", "engine-4"};
   std::string prefill_name;
+  /// Engines that are given no new work, by choose() either.
+  std::set<std::string> leaving;
   bool refuses = false;
   common::Duration retry_after = std::chrono::seconds(3);
   common::Duration expected_first_token = std::chrono::milliseconds(20);
