Hold the fault switch to test builds

Cause: that the transport's fault switch cuts in test builds, and does nothing in others, was shown by no test. Change: one test sends with each side blocked and counts what arrives, in either kind of build.

--- a/tests/runtime/tcp_peer_transport_test.cpp
+++ b/tests/runtime/tcp_peer_transport_test.cpp
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(closesOnGarbageWithOneLine);
   CPPUNIT_TEST(closesOnAnotherProtocolVersion);
   CPPUNIT_TEST(refusesAPortInUse);
+  CPPUNIT_TEST(faultSwitchCutsOnlyInTestBuilds);
   CPPUNIT_TEST(framesSurviveAnySplit);
   CPPUNIT_TEST_SUITE_END();
 
@@ -157,6 +158,26 @@
     CPPUNIT_ASSERT_THROW(Node(context_, 2, node.id.address), TransportError);
   }
 
+  void faultSwitchCutsOnlyInTestBuilds() {
+    Node left(context_, 1);
+    Node right(context_, 2);
+    left.transport.faultSwitch().set({{right.id.address}, {}});
+    left.send(right.id, "cut on its way out");
+    left.transport.faultSwitch().set({});
+    right.transport.faultSwitch().set({{}, {left.id.address}});
+    left.send(right.id, "cut on its way in");
+    CPPUNIT_ASSERT(testing::runUntil(context_, [&] {
+      return right.counters.total("cypresswall_transport_received_messages_total") > 0;
+    }));
+    right.transport.faultSwitch().set({});
+    left.send(right.id, "whole");
+    CPPUNIT_ASSERT(testing::runUntil(
+        context_, [&] { return !right.notes.empty() && right.notes.back() == "whole"; }));
+    const std::size_t expected = kFaultSwitchesCompiled ? 1 : 3;
+    CPPUNIT_ASSERT_EQUAL(expected, right.notes.size());
+    CPPUNIT_ASSERT_EQUAL(kFaultSwitchesCompiled ? 1.0 : 0.0, left.dropped());
+  }
+
   void framesSurviveAnySplit() {
     testing::requireProperty(
         "frames come whole and in order however the bytes are split", 200,
