--- a/bench/measure_gateway.sh
+++ b/bench/measure_gateway.sh
@@ -2,12 +2,15 @@
 # Measures one daemon against engines that are asked directly, in one run: the time that it adds to
 # the first token, the tokens that it relays a second of processor time, its memory with 5000 open
 # streams and when idle.
-# usage: measure_gateway.sh BUILD_DIR [SECONDS_PER_PHASE]
+# usage: [RATE=N] measure_gateway.sh BUILD_DIR [SECONDS_PER_PHASE [PART...]]
+# parts: first_token (N requests a second, default 85), relay, streams
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 build_dir=${1:?usage: measure_gateway.sh BUILD_DIR [SECONDS_PER_PHASE]}
 seconds=${2:-20}
+parts=("${@:3}")
+[ "${#parts[@]}" -gt 0 ] || parts=(first_token relay streams)
 bin=$build_dir/bin
 platform=127.0.8.2:8000
 node=127.0.8.11
@@ -55,23 +58,30 @@
 
 resident() { awk '/VmRSS/ {print $2 " kB"}' "/proc/$1/status"; }
 
-echo "== idle"
-begin
-echo "resident memory of the idle daemon: $(resident "$daemon")"
+measure_first_token() {
+  begin
+  echo "resident memory of the idle daemon: $(resident "$daemon")"
+  # 4 engines x 32 streams, 12 ms + 0.4 ms per stream and step: a request of 60 prompt and 40 output
+  # tokens holds a place for about 0.75 s at half load, so 85 a second fill half of the 128 places.
+  "$bin/cypresswall-bench" load --direct $engines --gateway $gateway --service bench \
+    --mix short:1:60:40 --rate "${RATE:-85}" --rounds 3 --duration "$seconds" --watch daemon="$daemon"
+}
 
-echo "== first token, at half of the engines' capacity"
-# 4 engines x 32 streams, 12 ms + 0.4 ms per stream and step: a request of 60 prompt and 40 output
-# tokens holds a place for about 0.75 s at half load, so 85 a second fill half of the 128 places.
-"$bin/cypresswall-bench" load --direct $engines --gateway $gateway --service bench \
-  --mix short:1:60:40 --rate 85 --rounds 3 --duration "$seconds" --watch daemon="$daemon"
+# More tokens than one daemon can relay, so that its processor time is the limit.
+measure_relay() {
+  begin --maximum_streams 1000 --decode_step_base_us 8000 --decode_step_per_stream_us 0
+  "$bin/cypresswall-bench" load --gateway $gateway --service bench --mix held:1:20:1000000 \
+    --streams 800 --duration "$seconds" --drain 0 --threads 3 --watch daemon="$daemon"
+}
 
-echo "== relayed tokens a second of processor time"
-begin --maximum_streams 1000 --decode_step_base_us 8000 --decode_step_per_stream_us 0
-"$bin/cypresswall-bench" load --gateway $gateway --service bench --mix held:1:20:1000000 \
-  --streams 800 --duration "$seconds" --drain 0 --threads 3 --watch daemon="$daemon"
+measure_streams() {
+  begin --maximum_streams 5000 --decode_step_base_us 500000 --decode_step_per_stream_us 0
+  "$bin/cypresswall-bench" load --gateway $gateway --service bench --mix held:1:20:1000000 \
+    --streams 5000 --ramp 10 --duration "$seconds" --drain 0 --threads 2 --watch daemon="$daemon"
+}
 
-echo "== 5000 open streams"
-begin --maximum_streams 1400 --decode_step_base_us 1000000 --decode_step_per_stream_us 0
-"$bin/cypresswall-bench" load --gateway $gateway --service bench --mix held:1:20:1000000 \
-  --streams 5000 --ramp 10 --duration "$seconds" --drain 0 --threads 2 --watch daemon="$daemon"
+for part in "${parts[@]}"; do
+  echo "== $part (load average of the machine: $(cut -d' ' -f1 /proc/loadavg))"
+  "measure_$part"
+done
 rm -rf "$logs"
