Let a new voter grant to the holder whose records it keeps

Cause: in a rolling replacement of three real daemons under load, the last node never ended: its stop waits until another voter takes the lease, and no node could join the voters. A node that joins is sent the records of the epoch first, which makes it promise that epoch; the holder's request for its grant in the same epoch was then refused as promised to somebody else. With no records to send (as in the lease's own tests) the two never met. Ruled out: the network and the machine (messages passed, the node answered), the planner of voter sets (it proposed the right set once a second, and took it back after change_timeout). Change: the voter remembers whose records made it promise, and grants to that node in that epoch; to nobody else, and not after a release. Process tests: daemons and stand-ins under a mixed load with a killed holder, a holder paused beyond its lease, a store outage with a lost answer, an engine that crashes in mid-change, and the replacement of every node.

--- a/src/cypresswall/lease/voter.cpp
+++ b/src/cypresswall/lease/voter.cpp
@@ -14,6 +14,7 @@
     const auto latest = same_epoch ? std::max(grant_->expires, expires) : expires;
     grant_ = Grant{sender, request.epoch, latest};
     promised_ = request.epoch;
+    promised_holder_ = {};
     promise_vacated_ = false;
   }
   if (reply.verdict == GrantVerdict::kOlderSet) {
@@ -33,8 +34,10 @@
   if (renewal && request.epoch == promised_) {
     return GrantVerdict::kGranted;
   }
+  // Records of the holder may come before its first request for a grant.
+  const bool from_holder = request.epoch == promised_ && sender == promised_holder_;
   const bool vacated = request.epoch == promised_ && promise_vacated_;
-  if (request.epoch <= promised_ && !vacated) {
+  if (request.epoch <= promised_ && !vacated && !from_holder) {
     return GrantVerdict::kPromised;
   }
   const auto holder = grantedTo();
@@ -69,27 +72,29 @@
 void Voter::handle(const common::NodeId& sender, const ReleaseNotice& notice) {
   if (grant_ && grant_->holder == sender && grant_->epoch == notice.epoch) {
     grant_.reset();
+    promised_holder_ = {};
     promise_vacated_ = notice.never_held;
   }
 }
 
-bool Voter::obeys(const common::Epoch& epoch) {
+bool Voter::obeys(const common::NodeId& sender, const common::Epoch& epoch) {
   if (epoch < promised_ || epoch.generation < lowest_generation_ ||
       epoch.generation < newest_set_.version.generation) {
     return false;
   }
   if (epoch > promised_) {
     promised_ = epoch;
+    promised_holder_ = sender;
     promise_vacated_ = false;
   }
   return true;
 }
 
-FetchReply Voter::handle(const FetchRequest& request) {
+FetchReply Voter::handle(const common::NodeId& sender, const FetchRequest& request) {
   FetchReply reply;
   reply.request = request.request;
   reply.records_life = records_life_;
-  reply.accepted = obeys(request.epoch);
+  reply.accepted = obeys(sender, request.epoch);
   if (reply.accepted) {
     reply.records = records_.page(request.after, settings_.maximum_batch_bytes);
     const auto& all = records_.records();
@@ -98,8 +103,8 @@
   return reply;
 }
 
-ReplicateReply Voter::handle(const ReplicateRequest& request) {
-  ReplicateReply reply{request.request, obeys(request.epoch), records_life_};
+ReplicateReply Voter::handle(const common::NodeId& sender, const ReplicateRequest& request) {
+  ReplicateReply reply{request.request, obeys(sender, request.epoch), records_life_};
   if (reply.accepted) {
     for (const auto& record : request.records) {
       records_.apply(record);
--- a/src/cypresswall/lease/voter.h
+++ b/src/cypresswall/lease/voter.h
@@ -21,8 +21,8 @@
 
   LeaseReply handle(const common::NodeId& sender, const LeaseRequest& request);
   void handle(const common::NodeId& sender, const ReleaseNotice& notice);
-  FetchReply handle(const FetchRequest& request);
-  ReplicateReply handle(const ReplicateRequest& request);
+  FetchReply handle(const common::NodeId& sender, const FetchRequest& request);
+  ReplicateReply handle(const common::NodeId& sender, const ReplicateRequest& request);
   /// Refuses every request of generations before the one named, from now on, unless this voter
   /// knows a newer set than the sender judged by.
   SealReply handle(const SealRequest& request);
@@ -52,13 +52,15 @@
   GrantVerdict judge(const common::NodeId& sender, const LeaseRequest& request);
   GrantVerdict judgeSet(const LeaseRequest& request);
   /// \return true if a request of the holder of `epoch` is to be carried out; promises the epoch.
-  bool obeys(const common::Epoch& epoch);
+  bool obeys(const common::NodeId& sender, const common::Epoch& epoch);
 
   LeaseSettings settings_;
   common::NodeId self_;
   const common::Clock& clock_;
   VoterSet newest_set_;
   common::Epoch promised_;
+  /// The holder of the promised epoch, if it is known from its records; a grant may follow.
+  common::NodeId promised_holder_;
   /// The promised epoch was given back by a candidate that never won it.
   bool promise_vacated_ = false;
   std::optional<Grant> grant_;
--- a/src/cypresswall/lease/zone_authority.cpp
+++ b/src/cypresswall/lease/zone_authority.cpp
@@ -303,7 +303,7 @@
 }
 
 void ZoneAuthority::handle(const common::NodeId& sender, const FetchRequest& request) {
-  deliver(sender, voter_.handle(request));
+  deliver(sender, voter_.handle(sender, request));
 }
 
 void ZoneAuthority::handle(const common::NodeId& sender, const FetchReply& reply) {
@@ -313,7 +313,7 @@
 }
 
 void ZoneAuthority::handle(const common::NodeId& sender, const ReplicateRequest& request) {
-  deliver(sender, voter_.handle(request));
+  deliver(sender, voter_.handle(sender, request));
 }
 
 void ZoneAuthority::handle(const common::NodeId& sender, const ReplicateReply& reply) {
--- a/tests/lease/voter_test.cpp
+++ b/tests/lease/voter_test.cpp
@@ -113,30 +113,30 @@
     LeaseRequest same = request({1, 4});
     same.set_version = {1, 3, 0};
     CPPUNIT_ASSERT(voter_->handle(kFirst, same).verdict == GrantVerdict::kSealed);
-    CPPUNIT_ASSERT(!voter_->handle(ReplicateRequest{1, {1, 4}, {}}).accepted);
+    CPPUNIT_ASSERT(!voter_->handle(kFirst, ReplicateRequest{1, {1, 4}, {}}).accepted);
   }
 
   void refusesRecordsOfAnOlderEpoch() {
     ask(kFirst, {1, 5});
-    CPPUNIT_ASSERT(voter_->handle(recordUnder({1, 5}, 1)).accepted);
+    CPPUNIT_ASSERT(voter_->handle(kFirst, recordUnder({1, 5}, 1)).accepted);
     clock_.time += 2s;
     ask(kSecond, {1, 6});
-    CPPUNIT_ASSERT(!voter_->handle(recordUnder({1, 5}, 2)).accepted);
-    CPPUNIT_ASSERT(!voter_->handle(FetchRequest{1, {1, 5}, {}}).accepted);
+    CPPUNIT_ASSERT(!voter_->handle(kFirst, recordUnder({1, 5}, 2)).accepted);
+    CPPUNIT_ASSERT(!voter_->handle(kFirst, FetchRequest{1, {1, 5}, {}}).accepted);
     const auto& record = voter_->records().records().begin()->second;
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, record.version.sequence);
   }
 
   void removedVoterForgetsItsRecordsOnce() {
     ask(kFirst, {1, 1});
-    voter_->handle(recordUnder({1, 1}, 1));
+    voter_->handle(kFirst, recordUnder({1, 1}, 1));
     const VoterSet without{{1, 1, 1}, {kFirst}, {}};
     voter_->learn(without);
     CPPUNIT_ASSERT(!voter_->records().records().empty());
     voter_->learnCommitted(without);
     CPPUNIT_ASSERT(voter_->records().records().empty());
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1},
-                         voter_->handle(FetchRequest{1, {1, 1}, {}}).records_life);
+                         voter_->handle(kFirst, FetchRequest{1, {1, 1}, {}}).records_life);
   }
 
  private:
--- /dev/null
+++ b/tests/process/http_call.cpp
@@ -0,0 +1,75 @@
+#include "tests/process/http_call.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <memory>
+
+namespace cypresswall::testing {
+namespace {
+
+constexpr long kConnectMilliseconds = 1000;
+constexpr long kTotalMilliseconds = 30000;
+
+std::size_t takeBody(char* data, std::size_t size, std::size_t count, void* answer) {
+  static_cast<HttpAnswer*>(answer)->body.append(data, size * count);
+  return size * count;
+}
+
+std::size_t takeHeader(char* data, std::size_t size, std::size_t count, void* answer) {
+  const std::string line(data, size * count);
+  const auto colon = line.find(": ");
+  if (colon != std::string::npos) {
+    std::string name = line.substr(0, colon);
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    const auto end = line.find_first_of("\r\n", colon);
+    static_cast<HttpAnswer*>(answer)->headers[name] = line.substr(colon + 2, end - colon - 2);
+  }
+  return size * count;
+}
+
+}  // namespace
+
+std::string HttpAnswer::header(const std::string& name) const {
+  const auto found = headers.find(name);
+  return found == headers.end() ? "" : found->second;
+}
+
+HttpAnswer httpCall(const std::string& method, const std::string& address,
+                    const std::string& target, const std::string& body,
+                    const std::map<std::string, std::string>& headers) {
+  HttpAnswer answer;
+  const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl(curl_easy_init(),
+                                                                 &curl_easy_cleanup);
+  curl_slist* list = curl_slist_append(nullptr, "Content-Type: application/json");
+  for (const auto& [name, value] : headers) {
+    list = curl_slist_append(list, (name + ": " + value).c_str());
+  }
+  const std::string url = "http://" + address + target;
+  curl_easy_setopt(curl.get(), CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl.get(), CURLOPT_CUSTOMREQUEST, method.c_str());
+  curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, list);
+  curl_easy_setopt(curl.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectMilliseconds);
+  curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, kTotalMilliseconds);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, &takeBody);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &answer);
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, &takeHeader);
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &answer);
+  if (!body.empty()) {
+    curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.c_str());
+    curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+  }
+  const CURLcode result = curl_easy_perform(curl.get());
+  long status = 0;
+  curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
+  curl_slist_free_all(list);
+  answer.status = static_cast<int>(status);
+  answer.complete = result == CURLE_OK;
+  answer.not_connected = result == CURLE_COULDNT_CONNECT;
+  return answer;
+}
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/process/process_faults_test.cpp
@@ -0,0 +1,202 @@
+/// The invariants under faults of real processes: daemons and stand-ins on loopback under a mixed
+/// load, with kills, pauses beyond the lease, outages of the store and crashes of engines.
+#include <csignal>
+#include <cstdio>
+#include <map>
+#include <set>
+
+#include "tests/process/test_fleet.h"
+#include "tests/process/workload.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kNodes = 3;
+constexpr std::size_t kEngines = 4;
+constexpr std::size_t kThreads = 6;
+constexpr int kStopSeconds = 30;
+
+class ProcessFaultsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ProcessFaultsTest);
+  CPPUNIT_TEST(killedHolderIsReplacedAndNothingRunsTwice);
+  CPPUNIT_TEST(pausedHolderGivesNoOrderAfterItsLease);
+  CPPUNIT_TEST(storeOutageAndLostAnswerAreToldTruly);
+  CPPUNIT_TEST(engineCrashInMidChangeLeavesNothingDrained);
+  CPPUNIT_TEST(rollingReplacementCutsNoRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void killedHolderIsReplacedAndNothingRunsTwice() {
+    TestFleet fleet(kNodes, kEngines);
+    Workload load(fleet, kThreads);
+    load.waitForMore(20, 5);
+    const std::size_t killed = fleet.holder();
+    fleet.daemon(killed).kill();
+    load.setUsed(killed, false);
+    waitUntil("another node holds the lease",
+              [&] { return fleet.holder(others(killed)) < fleet.nodes(); });
+    load.waitForMore(20, 5);
+    fleet.restart(killed);
+    load.setUsed(killed, true);
+    load.waitForMore(20, 5);
+    conclude("kill", fleet, load.finish());
+  }
+
+  void pausedHolderGivesNoOrderAfterItsLease() {
+    TestFleet fleet(kNodes, kEngines);
+    Workload load(fleet, kThreads);
+    load.waitForMore(10, 2);
+    const std::size_t paused = fleet.holder();
+    const std::size_t asked = others(paused).front();
+    load.setUsed(paused, false);
+    accept(fleet.command(asked, "pin engine runner-0 role decode"));
+    fleet.daemon(paused).signal(SIGSTOP);
+    waitUntil("another node holds the lease",
+              [&] { return fleet.holder(others(paused)) < fleet.nodes(); });
+    waitUntil("the next holder carries out the pin",
+              [&] { return fleet.engineLoad(0).value("role", "") == "decode"; });
+    fleet.daemon(paused).signal(SIGCONT);
+    waitUntil("the woken node answers", [&] { return fleet.ready(paused); });
+    accept(fleet.command(asked, "pin engine runner-0 role mixed"));
+    waitUntil("orders go on under the next holder",
+              [&] { return fleet.engineLoad(0).value("role", "") == "mixed"; });
+    load.waitForMore(10, 2);
+    conclude("pause", fleet, load.finish());
+  }
+
+  void storeOutageAndLostAnswerAreToldTruly() {
+    TestFleet fleet(kNodes, kEngines);
+    Workload load(fleet, kThreads);
+    fleet.platformFault({{"lose_next_answers", 1}});
+    accept(fleet.command(1, "declare tenant lost-answer key key-1 requests 10"));
+    fleet.platformFault({{"down", true}});
+    const json refused = fleet.command(1, "declare tenant never key key-2 requests 10");
+    CPPUNIT_ASSERT_EQUAL(std::string("store_unavailable"), refused.value("status", ""));
+    load.waitForMore(20, 5);
+    fleet.platformFault({{"down", false}});
+    waitUntil("changes are accepted again", [&] {
+      return fleet.command(2, "declare tenant after key key-3 requests 10").value("status", "") ==
+             "accepted";
+    });
+    for (std::size_t node = 0; node < fleet.nodes(); ++node) {
+      const std::string tenants = fleet.command(node, "show tenants").dump();
+      CPPUNIT_ASSERT(tenants.find("lost-answer") != std::string::npos);
+      CPPUNIT_ASSERT(tenants.find("after") != std::string::npos);
+      CPPUNIT_ASSERT(tenants.find("never") == std::string::npos);
+    }
+    conclude("store", fleet, load.finish());
+  }
+
+  void engineCrashInMidChangeLeavesNothingDrained() {
+    TestFleet fleet(kNodes, kEngines);
+    Workload load(fleet, kThreads);
+    load.waitForMore(10, 2);
+    fleet.engineFault(1, {{"crash_in_next_change", true}});
+    const json before = fleet.engineLoad(1);
+    accept(fleet.command(0, "pin engine runner-1 role decode"));
+    waitUntil("the engine came back in a new life", [&] {
+      const json load_now = fleet.engineLoad(1);
+      return load_now.is_object() && load_now.value("incarnation", 0ULL) != 0 &&
+             load_now["incarnation"] != before["incarnation"];
+    });
+    waitUntil("the change is carried out after all", [&] {
+      const json load_now = fleet.engineLoad(1);
+      return load_now.is_object() && load_now.value("role", "") == "decode" &&
+             load_now.value("state", "") == "ready";
+    });
+    accept(fleet.command(0, "unpin engine runner-1"));
+    waitUntil("no engine is left drained", [&] {
+      const std::string answer = fleet.command(0, "show engines where engine = runner-1").dump();
+      return answer.find("draining") == std::string::npos;
+    });
+    load.waitForMore(20, 5);
+    const WorkloadReport report = load.finish();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, report.broken_streams);
+    conclude("engine-crash", fleet, report);
+  }
+
+  void rollingReplacementCutsNoRequest() {
+    TestFleet fleet(kNodes, kEngines);
+    Workload load(fleet, kThreads);
+    load.waitForMore(10, 2);
+    for (std::size_t node = 0; node < fleet.nodes(); ++node) {
+      fleet.daemon(node).signal(SIGTERM);
+      CPPUNIT_ASSERT_EQUAL(0, fleet.daemon(node).waitForExit(kStopSeconds));
+      fleet.restart(node);
+      load.waitForMore(5, 1);
+    }
+    const WorkloadReport report = load.finish();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, report.broken_streams);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, report.failed_streams);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, report.bookings_unknown);
+    conclude("rolling", fleet, report);
+  }
+
+ private:
+  static std::vector<std::size_t> others(std::size_t left_out) {
+    std::vector<std::size_t> nodes;
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      if (node != left_out) {
+        nodes.push_back(node);
+      }
+    }
+    return nodes;
+  }
+
+  static void accept(const json& answer) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.dump(), std::string("accepted"),
+                                 answer.value("status", ""));
+  }
+
+  /// Requires that no promise was broken, and prints what happened.
+  static void conclude(const char* name, const TestFleet& fleet, const WorkloadReport& report) {
+    std::printf(
+        "%s: streams whole=%llu failed=%llu broken=%llu refused=%llu bookings done=%llu "
+        "not_run=%llu unknown=%llu violations=%zu\n",
+        name, static_cast<unsigned long long>(report.whole_streams),
+        static_cast<unsigned long long>(report.failed_streams),
+        static_cast<unsigned long long>(report.broken_streams),
+        static_cast<unsigned long long>(report.refused_streams),
+        static_cast<unsigned long long>(report.bookings_done),
+        static_cast<unsigned long long>(report.bookings_not_run),
+        static_cast<unsigned long long>(report.bookings_unknown), report.violations.size());
+    for (const std::string& violation : report.violations) {
+      std::printf("violation: %s\n", violation.c_str());
+    }
+    CPPUNIT_ASSERT(report.violations.empty());
+    for (std::size_t engine = 0; engine < fleet.engines(); ++engine) {
+      checkOrders(fleet.engineLedger(engine));
+    }
+  }
+
+  /// No stream was cut by an order; accepted orders of one life of an engine never go back in
+  /// epoch; no two orders with one number differ.
+  static void checkOrders(const json& ledger) {
+    CPPUNIT_ASSERT_EQUAL(0, ledger["counts"]["streams_cut_by_order"].get<int>());
+    std::map<std::string, std::string> content_by_number;
+    std::map<std::uint64_t, std::pair<int, int>> highest_by_life;
+    for (const json& order : ledger["orders"]) {
+      const auto target = order["engine_incarnation"].get<std::uint64_t>();
+      const std::string number =
+          std::to_string(target) + order["epoch"].dump() + order["sequence"].dump();
+      const auto [known, added] = content_by_number.emplace(number, order["content"].dump());
+      CPPUNIT_ASSERT_EQUAL(known->second, order["content"].dump());
+      if (order["verdict"] != "accepted") {
+        continue;
+      }
+      const std::pair<int, int> epoch{order["epoch"]["generation"].get<int>(),
+                                      order["epoch"]["term"].get<int>()};
+      auto& highest = highest_by_life[target];
+      CPPUNIT_ASSERT(epoch >= highest);
+      highest = epoch;
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ProcessFaultsTest);
+
+}  // namespace
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/process/test_fleet.cpp
@@ -0,0 +1,204 @@
+#include "tests/process/test_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <thread>
+
+namespace cypresswall::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr auto kPollInterval = std::chrono::milliseconds(20);
+constexpr auto kWaitLimit = std::chrono::seconds(40);
+constexpr const char* kZone = "hall";
+constexpr const char* kRegion = "coast";
+
+enum HostPart { kPlatformPart = 1, kEnginePart = 50, kServicePart = 100, kNodePart = 150 };
+
+std::string joined(const std::vector<std::string>& words) {
+  std::string text;
+  for (const std::string& word : words) {
+    text += text.empty() ? word : "," + word;
+  }
+  return text;
+}
+
+}  // namespace
+
+void waitUntil(const std::string& what, const std::function<bool()>& condition) {
+  const auto deadline = std::chrono::steady_clock::now() + kWaitLimit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > deadline) {
+      CPPUNIT_FAIL("did not happen in time: " + what);
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+TestFleet::TestFleet(std::size_t nodes, std::size_t engines) {
+  constexpr int kNumbers = 200;
+  const int process = getpid();
+  network_ = "127." + std::to_string(20 + process % kNumbers) + "." +
+             std::to_string(process / kNumbers % kNumbers);
+  folder_ = (std::filesystem::temp_directory_path() /
+             ("cypresswall-process-test-" + std::to_string(process)))
+                .string();
+  std::filesystem::create_directories(folder_);
+  platform_ = host(kPlatformPart, 0) + ":8000";
+  service_ = host(kServicePart, 0) + ":8100";
+  for (std::size_t engine = 0; engine < engines; ++engine) {
+    engines_.push_back(host(kEnginePart, engine) + ":8001");
+  }
+  platform_program_ = std::make_unique<Program>(
+      "cypresswall-platform-standin",
+      std::vector<std::string>{"--address", platform_, "--machine_list_lag_ms", "100"},
+      folder_ + "/platform.log");
+  engine_program_ = std::make_unique<Program>(
+      "cypresswall-engine-standin",
+      std::vector<std::string>{"--addresses", joined(engines_), "--model", kModel,
+                               "--model_version", kModelVersion, "--role_change_ms", "500",
+                               "--restart_ms", "1000"},
+      folder_ + "/engines.log");
+  service_program_ = std::make_unique<Program>("cypresswall-service-standin",
+                                               std::vector<std::string>{"--addresses", service_},
+                                               folder_ + "/service.log");
+  for (std::size_t node = 0; node < nodes; ++node) {
+    gateways_.push_back(host(kNodePart, node) + ":8080");
+  }
+  daemons_.resize(nodes);
+  waitUntil("platform answers",
+            [this] { return httpCall("GET", platform_, "/machines?zone=hall").status == 200; });
+  for (std::size_t node = 0; node < nodes; ++node) {
+    startDaemon(node);
+  }
+  for (std::size_t node = 0; node < nodes; ++node) {
+    waitUntil("a node is ready", [this, node] { return ready(node); });
+  }
+  declare();
+}
+
+TestFleet::~TestFleet() {
+  daemons_.clear();
+  if (std::getenv("CYPRESSWALL_KEEP_LOGS") != nullptr) {
+    return;
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string TestFleet::host(int part, std::size_t number) const {
+  return network_ + "." + std::to_string(static_cast<std::size_t>(part) + number);
+}
+
+std::string TestFleet::peerAddress(std::size_t node) const {
+  return host(kNodePart, node) + ":7000";
+}
+
+void TestFleet::startDaemon(std::size_t node) {
+  std::vector<std::string> seeds;
+  for (std::size_t other = 0; other < daemons_.size(); ++other) {
+    seeds.push_back(peerAddress(other));
+  }
+  daemons_[node] = std::make_unique<Program>(
+      "cypresswalld",
+      std::vector<std::string>{"--node_peer_address", peerAddress(node), "--node_gateway_address",
+                               gateways_[node], "--node_zone", kZone, "--node_region", kRegion,
+                               "--node_machine", "machine-" + std::to_string(node), "--seeds",
+                               joined(seeds), "--platform_object_api", platform_,
+                               "--platform_machine_list", platform_},
+      folder_ + "/node-" + std::to_string(node) + ".log");
+}
+
+void TestFleet::restart(std::size_t node) {
+  startDaemon(node);
+  waitUntil("a restarted node is ready", [this, node] { return ready(node); });
+}
+
+bool TestFleet::ready(std::size_t node) const {
+  return httpCall("GET", gateways_[node], "/readyz").status == 200;
+}
+
+void TestFleet::declare() {
+  std::string file =
+      "zones: [{name: hall, region: coast}]\n"
+      "models: [{name: model, version: \"1\", weights_uri: \"weights://model\"}]\n"
+      "model_services: [{name: chat, model: model, urgency: high}]\n"
+      "planning: {automatic_roles: false}\n"
+      "http_services:\n  - name: booking\n    backends: [{zone: hall, machine: web, "
+      "address: \"" +
+      service_ +
+      "\"}]\n    operations:\n      - {method: POST, path_prefix: /bookings, "
+      "repeatable: false, time_limit: 3s}\n"
+      "      - {method: GET, path_prefix: /slots, repeatable: true}\nengines:\n";
+  for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
+    file += "  - {name: " + engineName(engine) + ", zone: hall, machine: m" +
+            std::to_string(engine) + ", address: \"" + engines_[engine] + "\", model: model}\n";
+  }
+  const json request = {{"command", "apply fleet.yaml"}, {"file", file}, {"wait", true}};
+  waitUntil("the fleet is declared", [&] {
+    const auto answer = httpCall("POST", gateways_[0], "/operators/v1/command", request.dump());
+    return answer.status == 200;
+  });
+  waitUntil("every node serves the model", [this] {
+    for (const std::string& gateway : gateways_) {
+      const auto answer = httpCall("POST", gateway, "/v1/completions",
+                                   R"({"model":"chat","prompt":"warm","max_tokens":1})");
+      if (answer.status != 200) {
+        return false;
+      }
+    }
+    return true;
+  });
+  waitUntil("a node holds the lease", [this] { return holder() < nodes(); });
+}
+
+json TestFleet::command(std::size_t node, const std::string& text) const {
+  const json request = {{"command", text}, {"wait", true}};
+  const auto answer = httpCall("POST", gateways_[node], "/operators/v1/command", request.dump());
+  return json::parse(answer.body, nullptr, false);
+}
+
+std::size_t TestFleet::holder(const std::vector<std::size_t>& asked) const {
+  for (const std::size_t node : asked) {
+    const auto answer = command(node, "show leases where here = yes");
+    if (answer.is_object() && answer.contains("rows") && !answer["rows"].empty()) {
+      return node;
+    }
+  }
+  return nodes();
+}
+
+std::size_t TestFleet::holder() const {
+  std::vector<std::size_t> all;
+  for (std::size_t node = 0; node < nodes(); ++node) {
+    all.push_back(node);
+  }
+  return holder(all);
+}
+
+void TestFleet::engineFault(std::size_t engine, const json& fault) const {
+  httpCall("POST", engines_[engine], "/admin/faults", fault.dump());
+}
+
+json TestFleet::engineLoad(std::size_t engine) const {
+  return json::parse(httpCall("GET", engines_[engine], "/v1/load").body, nullptr, false);
+}
+
+json TestFleet::engineLedger(std::size_t engine) const {
+  return json::parse(httpCall("GET", engines_[engine], "/admin/ledger").body);
+}
+
+void TestFleet::platformFault(const json& fault) const {
+  httpCall("POST", platform_, "/admin/faults", fault.dump());
+}
+
+json TestFleet::serviceLedger() const {
+  return json::parse(httpCall("GET", service_, "/admin/ledger").body);
+}
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/process/test_fleet.h
@@ -0,0 +1,70 @@
+/// A fleet of real processes on loopback for one test: platform, engines, a service with a ledger,
+/// and one zone of daemons.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/process/http_call.h"
+#include "tests/process/program.h"
+
+namespace cypresswall::testing {
+
+inline constexpr const char* kModel = "model";
+inline constexpr const char* kModelVersion = "1";
+inline constexpr const char* kModelService = "chat";
+inline constexpr const char* kHttpService = "booking";
+
+/// Waits until `condition` holds, asking again and again; fails the test after a generous limit.
+void waitUntil(const std::string& what, const std::function<bool()>& condition);
+
+class TestFleet {
+ public:
+  /// Starts everything, declares the fleet, and waits until it serves.
+  TestFleet(std::size_t nodes, std::size_t engines);
+  ~TestFleet();
+
+  std::size_t nodes() const { return daemons_.size(); }
+  const std::string& gateway(std::size_t node) const { return gateways_[node]; }
+  Program& daemon(std::size_t node) { return *daemons_[node]; }
+  /// Starts a daemon in the place of one that has ended, and waits until it is ready.
+  void restart(std::size_t node);
+  bool ready(std::size_t node) const;
+
+  /// Carries out an operators' command at a node. \return the answer's JSON
+  nlohmann::json command(std::size_t node, const std::string& text) const;
+  /// \return number of the node that says it holds the lease; nodes() if none of the asked does.
+  std::size_t holder(const std::vector<std::size_t>& asked) const;
+  std::size_t holder() const;
+
+  std::string engineName(std::size_t engine) const { return "runner-" + std::to_string(engine); }
+  void engineFault(std::size_t engine, const nlohmann::json& fault) const;
+  nlohmann::json engineLoad(std::size_t engine) const;
+  nlohmann::json engineLedger(std::size_t engine) const;
+  void platformFault(const nlohmann::json& fault) const;
+  nlohmann::json serviceLedger() const;
+  std::size_t engines() const { return engines_.size(); }
+
+ private:
+  void startDaemon(std::size_t node);
+  void declare();
+  std::string peerAddress(std::size_t node) const;
+  std::string host(int part, std::size_t number) const;
+
+  /// First two numbers after 127, of this test process's own.
+  std::string network_;
+  std::string folder_;
+  std::string platform_;
+  std::string service_;
+  std::vector<std::string> engines_;
+  std::vector<std::string> gateways_;
+  std::unique_ptr<Program> platform_program_;
+  std::unique_ptr<Program> engine_program_;
+  std::unique_ptr<Program> service_program_;
+  std::vector<std::unique_ptr<Program>> daemons_;
+};
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/process/workload.cpp
@@ -0,0 +1,219 @@
+#include "tests/process/workload.h"
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "cypresswall/common/prompt.h"
+#include "cypresswall/emulation/answer.h"
+
+namespace cypresswall::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t kAnswerTokens = 24;
+constexpr int kBookingTries = 4;
+/// Every so many requests of a thread one is a booking.
+constexpr std::uint64_t kBookingShare = 3;
+
+std::string expectedText(const std::string& prompt) {
+  const auto shape = common::shapeOfPrompt(prompt, std::string(kModel) + "/" + kModelVersion + "/");
+  return emulation::expectedAnswer(
+      emulation::answerSeed(kModel, kModelVersion, "", shape.content_hash), kAnswerTokens);
+}
+
+/// A streamed answer as its caller read it.
+struct StreamedText {
+  std::string text;
+  bool ended = false;
+  bool error = false;
+};
+
+StreamedText readStream(const std::string& body) {
+  StreamedText streamed;
+  std::istringstream lines(body);
+  std::string line;
+  const std::string prefix = "data: ";
+  while (std::getline(lines, line)) {
+    if (line.rfind(prefix, 0) != 0) {
+      continue;
+    }
+    const std::string data = line.substr(prefix.size());
+    if (data == "[DONE]") {
+      streamed.ended = true;
+      continue;
+    }
+    const json event = json::parse(data, nullptr, false);
+    if (event.is_discarded()) {
+      continue;  // the connection ended within this event
+    }
+    if (event.contains("error")) {
+      streamed.error = true;
+    } else {
+      streamed.text += event["choices"][0].value("text", "");
+    }
+  }
+  return streamed;
+}
+
+}  // namespace
+
+Workload::Workload(const TestFleet& fleet, std::size_t threads)
+    : fleet_(fleet), used_(fleet.nodes()) {
+  for (auto& used : used_) {
+    used = true;
+  }
+  for (std::size_t thread = 0; thread < threads; ++thread) {
+    threads_.emplace_back([this, thread] { run(thread); });
+  }
+}
+
+Workload::~Workload() {
+  stop_ = true;
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+}
+
+void Workload::run(std::size_t thread) {
+  for (std::uint64_t number = 0; !stop_; ++number) {
+    const std::string name = std::to_string(thread) + "-" + std::to_string(number);
+    if (number % kBookingShare == 0) {
+      book(thread, "key-" + name);
+    } else {
+      stream(pickGateway(thread + number), "container " + name + " passed the gate");
+    }
+  }
+}
+
+const std::string& Workload::pickGateway(std::uint64_t number) const {
+  for (std::size_t step = 0; step < used_.size(); ++step) {
+    const std::size_t node = (number + step) % used_.size();
+    if (used_[node]) {
+      return fleet_.gateway(node);
+    }
+  }
+  return fleet_.gateway(0);
+}
+
+void Workload::stream(const std::string& gateway, const std::string& prompt) {
+  const json request = {{"model", kModelService},
+                        {"prompt", prompt},
+                        {"max_tokens", kAnswerTokens},
+                        {"stream", true}};
+  checkStream(httpCall("POST", gateway, "/v1/completions", request.dump()), prompt);
+}
+
+void Workload::checkStream(const HttpAnswer& answer, const std::string& prompt) {
+  const std::lock_guard lock(mutex_);
+  if (answer.status != 200) {
+    report_.refused_streams += 1;
+    checkRefusal(answer);
+    return;
+  }
+  const StreamedText streamed = readStream(answer.body);
+  const std::string expected = expectedText(prompt);
+  if (expected.compare(0, streamed.text.size(), streamed.text) != 0) {
+    violation("altered answer to '" + prompt + "': " + streamed.text);
+  } else if (streamed.error) {
+    report_.failed_streams += 1;
+  } else if (!answer.complete || !streamed.ended) {
+    report_.broken_streams += 1;
+    if (answer.complete) {
+      violation("an answer ended without a word: " + prompt);
+    }
+  } else if (streamed.text != expected) {
+    violation("short answer to '" + prompt + "'");
+  } else {
+    report_.whole_streams += 1;
+  }
+}
+
+void Workload::book(std::size_t thread, const std::string& key) {
+  for (int attempt = 0; attempt < kBookingTries && !stop_; ++attempt) {
+    const auto& gateway = pickGateway(thread + static_cast<std::uint64_t>(attempt));
+    const auto answer =
+        httpCall("POST", gateway, std::string("/services/") + kHttpService + "/bookings",
+                 R"({"slot":")" + key + "\"}", {{"Idempotency-Key", key}});
+    noteBooking(answer, key);
+    if (answer.status == 200) {
+      return;
+    }
+  }
+}
+
+void Workload::noteBooking(const HttpAnswer& answer, const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  KeyHistory& history = keys_[key];
+  if (answer.not_connected) {
+    return;
+  }
+  const std::string outcome = answer.header("x-cypresswall-outcome");
+  if (answer.complete && outcome == "done") {
+    history.told_done = true;
+    report_.bookings_done += 1;
+  } else if (answer.complete && outcome == "not-run") {
+    report_.bookings_not_run += 1;
+    checkRefusal(answer);
+    return;
+  } else {
+    report_.bookings_unknown += 1;
+  }
+  history.only_told_not_run = false;
+}
+
+void Workload::checkRefusal(const HttpAnswer& answer) {
+  const bool refused_for_load = answer.status == 503 || answer.status == 429;
+  if (refused_for_load && answer.header("retry-after").empty()) {
+    violation("a refusal without Retry-After: " + answer.body);
+  }
+}
+
+WorkloadReport Workload::report() const {
+  const std::lock_guard lock(mutex_);
+  return report_;
+}
+
+void Workload::waitForMore(std::uint64_t streams, std::uint64_t bookings) const {
+  const WorkloadReport before = report();
+  waitUntil("the load goes on", [&] {
+    const WorkloadReport now = report();
+    return now.whole_streams >= before.whole_streams + streams &&
+           now.bookings_done >= before.bookings_done + bookings;
+  });
+}
+
+WorkloadReport Workload::finish() {
+  stop_ = true;
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+  checkLedger();
+  return report();
+}
+
+void Workload::checkLedger() {
+  std::map<std::string, std::uint64_t> runs;
+  const json ledger = fleet_.serviceLedger();
+  for (const json& execution : ledger["executions"]) {
+    runs[execution["key"].get<std::string>()] += execution["count"].get<std::uint64_t>();
+  }
+  const std::lock_guard lock(mutex_);
+  for (const auto& [key, history] : keys_) {
+    const std::uint64_t count = runs[key];
+    if (count > 1) {
+      violation(key + " ran " + std::to_string(count) + " times");
+    }
+    if (history.told_done && count != 1) {
+      violation(key + " was said to be done and ran " + std::to_string(count) + " times");
+    }
+    if (history.only_told_not_run && count != 0) {
+      violation(key + " was said not to have run, and ran");
+    }
+  }
+}
+
+void Workload::violation(const std::string& text) { report_.violations.push_back(text); }
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/process/workload.h
@@ -0,0 +1,73 @@
+/// A mixed load on a TestFleet: streamed answers that are compared byte by byte with what the
+/// emulated engines compute, and bookings that may run at most once, checked against the service's
+/// ledger.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/process/test_fleet.h"
+
+namespace cypresswall::testing {
+
+/// What happened so far. Everything but the violations may be a fault's rightful consequence.
+struct WorkloadReport {
+  std::uint64_t whole_streams = 0;
+  /// Streams that ended with an explicit error, or with their gateway's connection.
+  std::uint64_t failed_streams = 0;
+  std::uint64_t broken_streams = 0;
+  std::uint64_t refused_streams = 0;
+  std::uint64_t bookings_done = 0;
+  std::uint64_t bookings_not_run = 0;
+  std::uint64_t bookings_unknown = 0;
+  /// Answers that differ from what was to be given, and refusals for load without Retry-After.
+  std::vector<std::string> violations;
+};
+
+class Workload {
+ public:
+  Workload(const TestFleet& fleet, std::size_t threads);
+  ~Workload();
+  Workload(const Workload&) = delete;
+  Workload& operator=(const Workload&) = delete;
+
+  /// Callers leave a node out from now on, or ask it again.
+  void setUsed(std::size_t node, bool used) { used_[node] = used; }
+  WorkloadReport report() const;
+  /// Waits until so many more streams came whole and so many more bookings were done.
+  void waitForMore(std::uint64_t streams, std::uint64_t bookings) const;
+  /// Ends the load and adds what the service's ledger shows to the violations.
+  WorkloadReport finish();
+
+ private:
+  /// What callers were told about one key.
+  struct KeyHistory {
+    bool told_done = false;
+    bool only_told_not_run = true;
+  };
+
+  void run(std::size_t thread);
+  void stream(const std::string& gateway, const std::string& prompt);
+  void checkStream(const HttpAnswer& answer, const std::string& prompt);
+  void book(std::size_t thread, const std::string& key);
+  void noteBooking(const HttpAnswer& answer, const std::string& key);
+  void checkRefusal(const HttpAnswer& answer);
+  void checkLedger();
+  const std::string& pickGateway(std::uint64_t number) const;
+  void violation(const std::string& text);
+
+  const TestFleet& fleet_;
+  std::vector<std::atomic<bool>> used_;
+  std::atomic<bool> stop_{false};
+  mutable std::mutex mutex_;
+  WorkloadReport report_;
+  std::map<std::string, KeyHistory> keys_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace cypresswall::testing
