Take the scenario file's nodes by reference

Cause: clang-tidy finds a copy where a reference does, and a move that moves nothing. What was ruled out: switching the checks off. Change: the section's constructor takes a const reference.

--- a/bench/simulate/scenario_file.cpp
+++ b/bench/simulate/scenario_file.cpp
@@ -17,8 +17,8 @@
 /// One map of the file; every key has to be asked for, so that unknown ones are found.
 class Section {
  public:
-  Section(YAML::Node node, std::string path, const std::string& file)
-      : node_(std::move(node)), path_(std::move(path)), file_(file) {
+  Section(const YAML::Node& node, std::string path, const std::string& file)
+      : node_(node), path_(std::move(path)), file_(file) {
     if (!node_.IsMap()) {
       fail(node_, path_, "must be a map");
     }
