Let Asio allocate alike in every file

Cause: AddressSanitizer stopped runtime_test with "alloc-dealloc-mismatch (operator new vs free)". Asio 1.22 uses aligned_alloc only where a header of the C++ library came before its own config header, so files whose first include is Asio allocated by operator new what others freed by free.

Ruled out: switching the check off; an order of includes (nothing would hold it).

Change: ASIO_DISABLE_STD_ALIGNED_ALLOC for every target.

Conclusion: the other test programs were not yet run under the sanitizers with it.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -2,8 +2,10 @@
 # libraries, programs and tests. One call each keeps the subsystem folders free of repetition.
 
 add_library(cypresswall_options INTERFACE)
+# ASIO_DISABLE_STD_ALIGNED_ALLOC: otherwise Asio chooses between operator new and aligned_alloc by
+# whether a header of the C++ library came before its own, so that two files may disagree.
 target_compile_definitions(cypresswall_options INTERFACE
-  ASIO_STANDALONE MSGPACK_NO_BOOST FMT_HEADER_ONLY=0
+  ASIO_STANDALONE ASIO_DISABLE_STD_ALIGNED_ALLOC MSGPACK_NO_BOOST FMT_HEADER_ONLY=0
   CYPRESSWALL_VERSION="${PROJECT_VERSION}")
 target_compile_options(cypresswall_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
 target_include_directories(cypresswall_options INTERFACE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
