Say that the store did nothing when a change is refused for it

Cause: an operator saw only "store_unavailable: status 503", which does not say whether anything was done.

What was ruled out: nothing else was tried.

Change: the refusal says that the platform's store did nothing and why.

--- a/src/cypresswall/configuration/committer.cpp
+++ b/src/cypresswall/configuration/committer.cpp
@@ -150,7 +150,7 @@
 void Committer::baseRead(const AttemptPointer& attempt, const Stored& result) {
   if (!result.ok()) {
     if (result.failure().kind != StoreFailure::kNotFound) {
-      finish(attempt, refusal(CommitStatus::kStoreUnavailable, result.failure().message));
+      finish(attempt, storeUnavailable(result.failure().message));
     } else if (attempt->base_reads < kBaseReads) {
       context_.scheduler.schedule(settings_.approval_retry,
                                   [this, attempt] { checkBase(attempt); });
@@ -168,7 +168,7 @@
       return;
     }
   } catch (const EncodingError& error) {
-    finish(attempt, refusal(CommitStatus::kStoreUnavailable, error.what()));
+    finish(attempt, storeUnavailable(error.what()));
     return;
   }
   if (!overtaken(attempt)) {
@@ -200,7 +200,7 @@
     attempt->may_be_stored = true;
     settleLater(attempt, &Committer::write);
   } else {
-    finish(attempt, refusal(CommitStatus::kStoreUnavailable, result.failure().message));
+    finish(attempt, storeUnavailable(result.failure().message));
   }
 }
 
@@ -296,6 +296,11 @@
   return result;
 }
 
+CommitResult Committer::storeUnavailable(const std::string& reason) const {
+  return refusal(CommitStatus::kStoreUnavailable,
+                 "the platform's store did nothing (" + reason + "); try again later");
+}
+
 void Committer::finish(const AttemptPointer& attempt, CommitResult result) {
   context_.counters
       .counter("cypresswall_configuration_submissions_total", "Changes submitted, by their end",
--- a/src/cypresswall/configuration/committer.h
+++ b/src/cypresswall/configuration/committer.h
@@ -100,6 +100,7 @@
   void writeSnapshot();
   CommitResult conflict() const;
   CommitResult refusal(CommitStatus status, std::string message) const;
+  CommitResult storeUnavailable(const std::string& reason) const;
   void finish(const AttemptPointer& attempt, CommitResult result);
 
   const ConfigurationSettings& settings_;
