Prove leaving engines, planned stops and true "not run"; catch up after a pause

Cause: INV-5, INV-7 and INV-8 had no proof on whole nodes.

Requests with a key are all refused as not run until claims are joined to the node, so INV-6 says nothing of keys yet.

--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -237,6 +237,10 @@
 }
 
 RouteChoice CostRouter::choose(const RouteRequest& request) {
+  if (directory_.catchingUp()) {
+    refused_no_engine_.add();
+    return refuseWithoutEngine(request.model);
+  }
   const Work work = workOf(request);
   const auto& all = candidatesFor(request);
   notePrefixes(request);
--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -14,13 +14,17 @@
       context_(context),
       membership_(membership),
       configuration_(configuration),
+      swept_at_(context.clock.now()),
+      catch_up_until_(context.clock.now()),
       table_(settings),
       prefixes_(settings.prefix_index),
       exchange_(settings, context, membership, table_, prefixes_),
       poller_(settings, context, client, table_, prefixes_,
               [this](EngineSlot slot, bool stored, common::PieceHash piece) {
                 exchange_.addCacheHint(slot, stored, piece);
-              }) {
+              }),
+      pauses_(context.counters.counter("cypresswall_routing_own_pauses_total",
+                                       "Times that routing stopped to catch up after a pause")) {
   table_.onChange([this](EngineSlot slot, bool restarted) {
     if (restarted) {
       prefixes_.forgetEngine(slot);
@@ -37,6 +41,7 @@
   onConfiguration(*configuration_.current());
   poller_.start();
   exchange_.start(poller_);
+  swept_at_ = context_.clock.now();
   sweep();
 }
 
@@ -89,7 +94,23 @@
   poller_.watch(watched);
 }
 
+void EngineDirectory::notePause() {
+  const common::MonotonicTime now = context_.clock.now();
+  if (now - swept_at_ > settings_.pause_limit) {
+    swept_at_ = now;
+    catch_up_until_ = now + settings_.catch_up_time;
+    pauses_.add();
+  }
+}
+
+bool EngineDirectory::catchingUp() {
+  notePause();
+  return context_.clock.now() < catch_up_until_;
+}
+
 void EngineDirectory::sweep() {
+  notePause();
+  swept_at_ = context_.clock.now();
   table_.sweep(context_.clock.now());
   if (!handed_over_.empty()) {
     assignWatches();
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -36,6 +36,10 @@
   /// Replaces the set of engines that get no new work because a planned change needs them idle.
   void setDraining(const std::set<common::EngineName>& engines);
 
+  /// \return true for a while after the process was paused: what it knows of engines and machines
+  ///   is old, and messages that waited for it look newer than they are.
+  bool catchingUp();
+
   /// \return the zone's nodes that are alive, at least 1.
   std::size_t aliveNodes() const { return alive_nodes_; }
   /// What callers asked of each model at this node.
@@ -48,12 +52,15 @@
   void onMembership();
   void assignWatches();
   void sweep();
+  void notePause();
 
   DirectorySettings settings_;
   const api::ProcessContext& context_;
   membership::MembershipView& membership_;
   configuration::ConfigurationView& configuration_;
   std::size_t alive_nodes_ = 1;
+  common::MonotonicTime swept_at_;
+  common::MonotonicTime catch_up_until_;
   DemandLedger demand_;
   /// Members for which the watches were last assigned.
   std::vector<membership::Member> assigned_members_;
@@ -64,6 +71,7 @@
   EnginePoller poller_;
   /// Engines that another node took over, and until when this node goes on watching them.
   std::map<EngineSlot, common::MonotonicTime> handed_over_;
+  common::Counter& pauses_;
 };
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -33,6 +33,10 @@
   common::Duration hand_over_overlap = std::chrono::seconds(1);
   /// Bytes of publications to all peers together, envelopes included, without TCP/IP headers.
   std::uint32_t publish_bytes_per_second = 3500;
+  /// A process whose timers are late by this much was paused, and routes nothing for a while.
+  common::Duration pause_limit = std::chrono::milliseconds(1500);
+  /// How long it then takes to learn what changed meanwhile: two heartbeats, and a poll of engines.
+  common::Duration catch_up_time = std::chrono::milliseconds(1000);
   /// Consecutive polls that reached nothing after which an engine gets no work.
   std::uint32_t unreachable_after_failures = 2;
   PrefixIndexSettings prefix_index;
--- a/src/cypresswall/simulation/fault_counters.cpp
+++ b/src/cypresswall/simulation/fault_counters.cpp
@@ -26,6 +26,7 @@
       "stream_broken",
       "service_broken_before",
       "service_broken_after",
+      "service_answer_late",
       "service_refused",
       "lease_expired",
       "operator_race",
--- a/src/cypresswall/simulation/fault_counters.h
+++ b/src/cypresswall/simulation/fault_counters.h
@@ -31,6 +31,7 @@
   kStreamBroken,
   kServiceBrokenBefore,  ///< service calls broken before the service ran them
   kServiceBrokenAfter,   ///< service calls broken after the service ran them
+  kServiceAnswerLate,    ///< service calls that arrived after the caller gave up, or nearly
   kServiceRefused,
   kLeaseExpired,  ///< leases that lapsed under a holder that had not given them up
   kOperatorRace,  ///< operators' changes of which at most one could win
--- a/src/cypresswall/simulation/fleet/fault_schedule.cpp
+++ b/src/cypresswall/simulation/fleet/fault_schedule.cpp
@@ -16,16 +16,27 @@
 
 const char* toString(FaultAction action) {
   static constexpr std::array<const char*, static_cast<std::size_t>(FaultAction::kCount)> kNames{
-      "kill_node",           "replace_node",
-      "pause_node",          "cut_off_node",
-      "cut_zones",           "cut_one_way",
-      "cut_platform",        "store_down",
-      "store_slow",          "lose_store_answers",
-      "store_watch_gap",     "restore_store",
-      "crash_engine",        "crash_engine_in_change",
-      "lose_order_answers",  "late_orders",
-      "break_stream",        "service_break_before",
-      "service_break_after", "service_refuse"};
+      "kill_node",
+      "stop_node",
+      "replace_node",
+      "pause_node",
+      "cut_off_node",
+      "cut_zones",
+      "cut_one_way",
+      "cut_platform",
+      "store_down",
+      "store_slow",
+      "lose_store_answers",
+      "store_watch_gap",
+      "restore_store",
+      "crash_engine",
+      "crash_engine_in_change",
+      "lose_order_answers",
+      "late_orders",
+      "break_stream",
+      "service_break_before",
+      "service_break_after",
+      "service_refuse"};
   return action < FaultAction::kCount ? kNames[static_cast<std::size_t>(action)] : "unknown";
 }
 
@@ -156,6 +167,9 @@
     case FaultAction::kReplaceNode:
       fleet_.killNode(nodeOf(fault));
       break;
+    case FaultAction::kStopNode:
+      fleet_.stopNode(nodeOf(fault));
+      break;
     case FaultAction::kPauseNode:
       fleet_.pauseNode(nodeOf(fault), fault.duration);
       break;
@@ -208,6 +222,7 @@
 void FaultPlayer::end(const ScheduledFault& fault) {
   switch (fault.action) {
     case FaultAction::kKillNode:
+    case FaultAction::kStopNode:
       fleet_.startNode(nodeOf(fault));
       break;
     case FaultAction::kReplaceNode:
--- a/src/cypresswall/simulation/fleet/fault_schedule.h
+++ b/src/cypresswall/simulation/fleet/fault_schedule.h
@@ -15,6 +15,7 @@
 
 enum class FaultAction : std::uint8_t {
   kKillNode,     ///< restarted at the same address afterwards
+  kStopNode,     ///< a planned stop; started again afterwards
   kReplaceNode,  ///< killed; a new machine takes its place afterwards
   kPauseNode,
   kCutOffNode,  ///< from the other nodes of its zone
--- a/src/cypresswall/simulation/fleet/simulated_callers.h
+++ b/src/cypresswall/simulation/fleet/simulated_callers.h
@@ -20,8 +20,9 @@
 enum class CallerResult : std::uint8_t {
   kOpen,  ///< no end yet
   kDone,
-  kError,   ///< a final answer that is an error; see `error`
-  kBroken,  ///< the connection ended first: the caller knows nothing
+  kError,         ///< a final answer that is an error; see `error`
+  kBroken,        ///< the connection ended first: the caller knows nothing
+  kNotConnected,  ///< no process listened at the node's address
 };
 
 /// One request of a caller and all that became of it.
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -91,8 +91,10 @@
 void SimulatedFleet::startNode(std::size_t index) {
   NodeSlot& slot = slots_[index];
   if (slot.process != nullptr) {
+    slot.restart_wanted = slot.node->draining();
     return;
   }
+  slot.restart_wanted = false;
   const auto address = nodeAddress(slot.zone, slot.number, slot.generation);
   SimulatedProcess& process =
       simulation_.start(address, zoneName(slot.zone), drawClock(), settings_.log);
@@ -113,11 +115,33 @@
     return;
   }
   simulation_.kill(*slot.process);
+  clear(slot);
+}
+
+void SimulatedFleet::clear(NodeSlot& slot) {
   slot.process = nullptr;
   slot.node = nullptr;
   slot.front = nullptr;
 }
 
+void SimulatedFleet::stopNode(std::size_t index) {
+  NodeSlot& slot = slots_[index];
+  if (slot.process == nullptr) {
+    return;
+  }
+  faults().add(FaultKind::kPlannedStop);
+  SimulatedProcess* process = slot.process;
+  process->deliver([this, index, process, node = slot.node] {
+    node->beginStop([this, index, process] {
+      process->kill();
+      clear(slots_[index]);
+      if (slots_[index].restart_wanted) {
+        time().schedule(common::Duration{0}, [this, index] { startNode(index); });
+      }
+    });
+  });
+}
+
 void SimulatedFleet::pauseNode(std::size_t index, common::Duration duration) {
   if (running(index)) {
     simulation_.pauseFor(*slots_[index].process, duration);
@@ -191,11 +215,6 @@
   return record;
 }
 
-void SimulatedFleet::endAtOnce(CallerRecord& record) {
-  record.result = CallerResult::kBroken;
-  record.ended_at = time().now();
-}
-
 CallerRecord& SimulatedFleet::askModel(std::size_t index, std::uint32_t prompt_tokens,
                                        std::uint32_t maximum_tokens) {
   CallerRecord& record = newRecord("model");
@@ -203,7 +222,7 @@
   record.maximum_tokens = maximum_tokens;
   const NodeSlot& slot = slots_[index];
   if (slot.process == nullptr) {
-    endAtOnce(record);
+    record.result = CallerResult::kNotConnected;
     return record;
   }
   slot.front->expect(record);
@@ -213,6 +232,41 @@
   return record;
 }
 
+CallerRecord& SimulatedFleet::callService(std::size_t index, const char* kind,
+                                          execution::ServiceCallRequest request) {
+  CallerRecord& record = newRecord(kind);
+  record.key = request.idempotency_key;
+  request.request_id = record.request_id;
+  request.service = kHttpServiceName;
+  const NodeSlot& slot = slots_[index];
+  if (slot.process == nullptr) {
+    record.result = CallerResult::kNotConnected;
+    return record;
+  }
+  slot.front->expect(record);
+  slot.process->deliver([front = slot.front, node = slot.node, &record, request] {
+    front->startServiceCall(node->serviceExecutor(), record, request);
+  });
+  return record;
+}
+
+CallerRecord& SimulatedFleet::book(std::size_t index, const std::string& key) {
+  execution::ServiceCallRequest request;
+  request.method = "POST";
+  request.target = kOncePath;
+  // One key stands for one booking, with one content.
+  request.body = key;
+  request.idempotency_key = key;
+  return callService(index, "booking", std::move(request));
+}
+
+CallerRecord& SimulatedFleet::poll(std::size_t index) {
+  execution::ServiceCallRequest request;
+  request.method = "GET";
+  request.target = kRepeatablePath;
+  return callService(index, "poll", std::move(request));
+}
+
 void SimulatedFleet::submit(std::size_t index, configuration::ConfigurationChangeRequest request,
                             configuration::CommitCallback callback) {
   const NodeSlot& slot = slots_[index];
--- a/src/cypresswall/simulation/fleet/simulated_fleet.h
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.h
@@ -49,6 +49,8 @@
   SimulatedProcess* process = nullptr;
   node::Node* node = nullptr;
   CallerFront* front = nullptr;
+  /// Start again once the planned stop under way has ended.
+  bool restart_wanted = false;
 };
 
 class SimulatedFleet {
@@ -74,6 +76,8 @@
   void startNode(std::size_t index);
   /// Kills the process in a slot, if there is one.
   void killNode(std::size_t index);
+  /// Begins a planned stop; the process ends by itself when nothing runs on it any more.
+  void stopNode(std::size_t index);
   void pauseNode(std::size_t index, common::Duration duration);
   /// Starts a process in an empty slot on a new machine with a new address; the machine of the
   /// earlier one is shown as gone.
@@ -85,6 +89,11 @@
   /// \return its record, valid as long as the fleet
   CallerRecord& askModel(std::size_t index, std::uint32_t prompt_tokens,
                          std::uint32_t maximum_tokens);
+  /// Sends a booking, which may run at most once, to a node.
+  /// \param key idempotency key, empty for none
+  CallerRecord& book(std::size_t index, const std::string& key);
+  /// Sends a poll, which may be repeated, to a node.
+  CallerRecord& poll(std::size_t index);
   /// Submits a change of the configuration at a node.
   /// \param callback not called if the process dies first
   void submit(std::size_t index, configuration::ConfigurationChangeRequest request,
@@ -105,7 +114,9 @@
                   const common::Address& address);
   void addOutside();
   CallerRecord& newRecord(const char* kind);
-  void endAtOnce(CallerRecord& record);
+  CallerRecord& callService(std::size_t index, const char* kind,
+                            execution::ServiceCallRequest request);
+  void clear(NodeSlot& slot);
   ClockSettings drawClock();
 
   FleetSettings settings_;
--- a/tests/properties/answers/whole_answers_test.cpp
+++ b/tests/properties/answers/whole_answers_test.cpp
@@ -31,6 +31,16 @@
   return bounds;
 }
 
+/// INV-10: a request given up on says when to come back, and its refusal comes at once.
+void requireRetryAfter(const CallerRecord& record) {
+  using execution::ErrorKind;
+  const bool for_load =
+      record.result == CallerResult::kError &&
+      (record.error.kind == ErrorKind::kOverloaded ||
+       record.error.kind == ErrorKind::kTenantLimit || record.error.kind == ErrorKind::kDraining);
+  RC_ASSERT(!for_load || record.error.retry_after > common::Duration{0});
+}
+
 void requireOwnAnswer(const CallerRecord& record) {
   const std::string expected = simulation::SimulatedFleet::expectedAnswer(record);
   RC_ASSERT(record.misplaced_tokens == 0U);
@@ -66,6 +76,7 @@
       RC_ASSERT(fleet.openRequests() == 0U);
       for (const CallerRecord& record : fleet.records()) {
         requireOwnAnswer(record);
+        requireRetryAfter(record);
       }
       tally.add(fleet);
       faults.merge(fleet.faults());
--- a/tests/properties/support/workload.cpp
+++ b/tests/properties/support/workload.cpp
@@ -24,6 +24,9 @@
       case simulation::CallerResult::kError:
         ++errors;
         break;
+      case simulation::CallerResult::kNotConnected:
+        ++not_connected;
+        break;
       case simulation::CallerResult::kBroken:
         ++broken;
         break;
@@ -36,8 +39,8 @@
 
 std::string RequestTally::summary() const {
   return std::to_string(done) + " requests done, " + std::to_string(errors) +
-         " refused or failed, " + std::to_string(broken) + " broken, " + std::to_string(open) +
-         " open";
+         " refused or failed, " + std::to_string(broken) + " broken, " +
+         std::to_string(not_connected) + " not connected, " + std::to_string(open) + " open";
 }
 
 }  // namespace cypresswall::testing
--- a/tests/properties/support/workload.h
+++ b/tests/properties/support/workload.h
@@ -22,6 +22,7 @@
   std::uint64_t done = 0;
   std::uint64_t errors = 0;
   std::uint64_t broken = 0;
+  std::uint64_t not_connected = 0;
   std::uint64_t open = 0;
 
   void add(const simulation::SimulatedFleet& fleet);
