--- a/src/cypresswall/configuration/change_encoding.cpp
+++ b/src/cypresswall/configuration/change_encoding.cpp
@@ -127,11 +127,14 @@
                          {"change_id", record.change_id},
                          {"author", record.author}});
     }
-    return json{{"version", snapshot.configuration.version},
-                {"digest", encodeDigest(snapshot.digest)},
-                {"records", std::move(records)},
-                {"configuration", encodeConfiguration(snapshot.configuration)}}
-        .dump();
+    json encoded{{"version", snapshot.configuration.version},
+                 {"digest", encodeDigest(snapshot.digest)},
+                 {"records", std::move(records)},
+                 {"configuration", encodeConfiguration(snapshot.configuration)}};
+    if (snapshot.last_change) {
+      encoded["last_change"] = encodeChange(*snapshot.last_change);
+    }
+    return encoded.dump();
   });
 }
 
@@ -146,6 +149,9 @@
           {record.at("version").get<std::uint64_t>(), decodeDigest(record.at("digest")),
            record.at("change_id").get<std::string>(), record.at("author").get<std::string>()});
     }
+    if (source.contains("last_change")) {
+      snapshot.last_change = decodeChange(source.at("last_change").get<std::string>());
+    }
     return snapshot;
   });
 }
--- a/src/cypresswall/configuration/change_log.cpp
+++ b/src/cypresswall/configuration/change_log.cpp
@@ -67,6 +67,11 @@
   changes_.clear();
   retained_bytes_ = 0;
   records_.assign(snapshot.records.begin(), snapshot.records.end());
+  const auto& last = snapshot.last_change;
+  if (last && last->change.version == version() && last->digest == digest_) {
+    changes_.push_back(*last);
+    retained_bytes_ = sizeOf(*last);
+  }
   return true;
 }
 
@@ -129,7 +134,10 @@
 }
 
 ConfigurationSnapshot ChangeLog::snapshot() const {
-  ConfigurationSnapshot snapshot{*current_, digest_, {}};
+  ConfigurationSnapshot snapshot{*current_, digest_, {}, std::nullopt};
+  if (!changes_.empty()) {
+    snapshot.last_change = changes_.back();
+  }
   const std::size_t count = std::min(records_.size(), settings_.snapshot_records);
   snapshot.records.assign(records_.end() - static_cast<std::ptrdiff_t>(count), records_.end());
   return snapshot;
--- a/src/cypresswall/configuration/change_log.h
+++ b/src/cypresswall/configuration/change_log.h
@@ -37,6 +37,9 @@
   FleetConfiguration configuration;
   ChainDigest digest = 0;
   std::vector<ChangeRecord> records;
+  /// The change that led to it; lets a node that began with the snapshot write that change back to
+  /// a store that lost it.
+  std::optional<LoggedChange> last_change;
 };
 
 enum class AppendResult {
--- /dev/null
+++ b/tests/properties/configuration/configuration_history.h
@@ -0,0 +1,47 @@
+/// Watches the configuration in force on every process of a fleet.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cypresswall/simulation/fleet/simulated_fleet.h"
+
+namespace cypresswall::testing {
+
+class ConfigurationHistory {
+ public:
+  /// Looks at every process at each step of kPeriod.
+  static constexpr common::Duration kPeriod = std::chrono::milliseconds(50);
+
+  explicit ConfigurationHistory(simulation::SimulatedFleet& fleet);
+
+  /// \return a description of each fault found: a version that went back, or one version with two
+  ///   contents.
+  const std::vector<std::string>& violations() const { return violations_; }
+  /// \return true if every process that lived and was awake over the whole time held at least
+  ///   `version` at its end; processes without the full time are passed over.
+  bool heldEverywhere(std::uint64_t version, common::MonotonicTime from,
+                      common::MonotonicTime to) const;
+  /// \return true if a cut between zones, or inside one, was seen in that time.
+  bool cutWithin(common::MonotonicTime from, common::MonotonicTime to) const;
+
+ private:
+  struct Sample {
+    common::MonotonicTime at;
+    std::uint64_t version = 0;
+    bool awake = true;
+  };
+
+  void look();
+  void lookAt(const simulation::NodeSlot& slot);
+
+  simulation::SimulatedFleet& fleet_;
+  std::map<common::NodeId, std::vector<Sample>> samples_;
+  std::map<std::uint64_t, std::string> contents_;
+  std::vector<common::MonotonicTime> cuts_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/properties/configuration/operators.h
@@ -0,0 +1,44 @@
+/// Operators of a simulated fleet who change its configuration, alone and racing one another, and
+/// remember what they were told.
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "cypresswall/simulation/fleet/simulated_fleet.h"
+
+namespace cypresswall::testing {
+
+/// One change as its operator saw it. Each declares a tenant that no other change names.
+struct OperatorChange {
+  std::string tenant;
+  common::NodeId node;
+  std::optional<configuration::CommitResult> result;
+  common::MonotonicTime answered_at;
+  /// Number of the race it took part in; changes of one race expect one version.
+  std::optional<std::uint64_t> race;
+};
+
+class Operators {
+ public:
+  explicit Operators(simulation::SimulatedFleet& fleet) : fleet_(fleet) {}
+
+  /// Submits one change at a node.
+  OperatorChange& change(std::size_t node);
+  /// Submits two changes at two nodes, both made for the version that the first node holds.
+  void race(std::size_t first, std::size_t second);
+  /// Plans changes and races at random nodes over a while.
+  void work(std::uint32_t changes, std::uint32_t races, common::Duration within);
+
+  const std::deque<OperatorChange>& changes() const { return changes_; }
+
+ private:
+  OperatorChange& submit(std::size_t node, std::optional<std::uint64_t> expected_version);
+
+  simulation::SimulatedFleet& fleet_;
+  std::deque<OperatorChange> changes_;
+  std::uint64_t races_ = 0;
+};
+
+}  // namespace cypresswall::testing
