--- a/scripts/run-mutants.sh
+++ b/scripts/run-mutants.sh
@@ -21,11 +21,12 @@
 
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
-copy=$scratch/source
-build=$scratch/build
+# The same layout as a working copy, so that the compiler cache knows what it compiled there.
+copy=$scratch/copy
+build=$copy/build
 mkdir -p "$copy"
 git ls-files -z --cached --others --exclude-standard | xargs -0 cp --parents -t "$copy" 2>/dev/null || true
-export CCACHE_BASEDIR=$scratch CCACHE_NOHASHDIR=1 CYPRESSWALL_NO_SHRINK=1
+export CCACHE_BASEDIR=$copy CCACHE_NOHASHDIR=1 CYPRESSWALL_NO_SHRINK=1
 cmake -S "$copy" -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Release >"$scratch/configure.log" 2>&1 ||
   { cat "$scratch/configure.log"; exit 1; }
 
