Let a change of an engine's identity through a spent byte budget

Cause: an urgent publication left as soon as the budget paid its fixed part; a change that carries an identity (model, version, adapters, speeds) costs 96 bytes more, found nothing left and was deferred, each time anew. In a zone of 13 nodes and 370 moving engines peers never learnt it. Ruled out: losses (the test network has none) and the slow refresh (it spends the same budget). Change: an urgent publication waits until the budget pays its first change too. Before: EngineDirectoryTest::newVersionIsToldThoughTheBudgetIsSpent red, peers still at the old version after 10 s. After: green, with targetZoneStaysWithinItsByteBudget unchanged. Conclusion: mended.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -1,8 +1,6 @@
 # Compile options shared by every target, and the functions that declare the project's
 # libraries, programs and tests. One call each keeps the subsystem folders free of repetition.
 
-# ASIO_DISABLE_STD_ALIGNED_ALLOC: otherwise Asio takes aligned_alloc or operator new by whether a
-# standard header came before its own, and one translation unit frees what another allocated.
 add_library(cypresswall_options INTERFACE)
 # ASIO_DISABLE_STD_ALIGNED_ALLOC: otherwise Asio chooses between operator new and aligned_alloc by
 # whether a header of the C++ library came before its own, so that two files may disagree.
--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -148,13 +148,19 @@
   return changes;
 }
 
+bool DeltaExchange::identityChanged(const PendingChange& change) const {
+  const auto last = published_.find(change.slot);
+  return last != published_.end() && last->second.delta.identity_tag != change.delta.identity_tag;
+}
+
+double DeltaExchange::costOf(const PendingChange& change) const {
+  return kDeltaBytes + (identityChanged(change) ? kIdentityBytes : 0);
+}
+
 void DeltaExchange::addChanges(EngineDeltas& message, const std::vector<PendingChange>& changes,
                                double budget) {
   for (const PendingChange& change : changes) {
-    const auto last = published_.find(change.slot);
-    const bool identity_changed =
-        last != published_.end() && last->second.delta.identity_tag != change.delta.identity_tag;
-    const double cost = kDeltaBytes + (identity_changed ? kIdentityBytes : 0);
+    const double cost = costOf(change);
     if (budget < cost) {
       deferred_changes_.add();
       if (table_.record(change.slot).reachable) {
@@ -163,7 +169,7 @@
       continue;
     }
     budget -= cost;
-    if (identity_changed) {
+    if (identityChanged(change)) {
       message.identities.push_back(
           makeIdentity(change.delta.index, table_.record(change.slot).load));
     }
@@ -195,7 +201,10 @@
   const double fixed =
       kEnvelopeBytes + static_cast<double>(message.confirmed.size() + changes.size());
   const bool urgent = !changes.empty() && changes.front().significance >= kUrgentSignificance;
-  if (budget < fixed * (urgent ? 1.0 : kFixedPartShare)) {
+  // An urgent publication has to pay for its first change too, or it would spend the budget on its
+  // fixed part again and again and never carry the change.
+  const double least = urgent ? fixed + costOf(changes.front()) : fixed * kFixedPartShare;
+  if (budget < least) {
     return;
   }
   addChanges(message, changes, budget - fixed);
--- a/src/cypresswall/routing/delta_exchange.h
+++ b/src/cypresswall/routing/delta_exchange.h
@@ -48,6 +48,10 @@
   std::vector<common::NodeId> peers() const;
   std::vector<PendingChange> collectChanges(EngineDeltas& message);
   /// \param budget bytes left for this message
+  /// \return true if the engine's model, version, adapters or speeds differ from those published.
+  bool identityChanged(const PendingChange& change) const;
+  /// \return upper estimate of the bytes that a change adds to a message.
+  double costOf(const PendingChange& change) const;
   void addChanges(EngineDeltas& message, const std::vector<PendingChange>& changes, double budget);
   void addHints(EngineDeltas& message, double budget);
   common::Duration ageOf(EngineSlot slot) const;
--- a/tests/routing/engine_directory_test.cpp
+++ b/tests/routing/engine_directory_test.cpp
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(restartForgetsCachedPieces);
   CPPUNIT_TEST(cacheEventsReachPeers);
   CPPUNIT_TEST(targetZoneStaysWithinItsByteBudget);
+  CPPUNIT_TEST(newVersionIsToldThoughTheBudgetIsSpent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -222,6 +223,18 @@
     }
   }
 
+  void newVersionIsToldThoughTheBudgetIsSpent() {
+    Zone zone(12, 13, 370);
+    common::SeededRandom random(6);
+    zone.run(std::chrono::seconds(5));
+    moveLoads(zone, random, 5);
+    zone.engines["e1100:1"].load.version = "2";
+    moveLoads(zone, random, 10);
+    for (const Node& node : zone.nodes) {
+      CPPUNIT_ASSERT_EQUAL(std::string("2"), node.directory->find("e1100")->load.version);
+    }
+  }
+
   void targetZoneStaysWithinItsByteBudget() {
     Zone zone(11, 13, 370);
     zone.run(std::chrono::seconds(5));
@@ -231,13 +244,7 @@
     };
     const double before = sent();
     constexpr int kSeconds = 20;
-    for (int i = 0; i < kSeconds * 4; ++i) {
-      for (auto& [address, engine] : zone.engines) {
-        engine.load.running_streams = static_cast<std::uint32_t>(10 + random.below(20));
-        engine.load.queued_prefill_tokens = random.below(20000);
-      }
-      zone.run(std::chrono::milliseconds(250));
-    }
+    moveLoads(zone, random, kSeconds);
     const double rate = (sent() - before) / kSeconds;
     CPPUNIT_ASSERT_MESSAGE("bytes a second: " + std::to_string(rate), rate < 4500);
     int fresh = 0;
@@ -246,6 +253,19 @@
     }
     CPPUNIT_ASSERT_EQUAL(370, fresh);
   }
+
+ private:
+  /// Changes the load of every engine four times a second.
+  static void moveLoads(Zone& zone, common::SeededRandom& random, int seconds) {
+    constexpr int kChangesPerSecond = 4;
+    for (int i = 0; i < seconds * kChangesPerSecond; ++i) {
+      for (auto& [address, engine] : zone.engines) {
+        engine.load.running_streams = static_cast<std::uint32_t>(10 + random.below(20));
+        engine.load.queued_prefill_tokens = random.below(20000);
+      }
+      zone.run(std::chrono::milliseconds(250));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EngineDirectoryTest);
