--- a/bench/scale/hollow_engine_client.cpp
+++ b/bench/scale/hollow_engine_client.cpp
@@ -1,5 +1,7 @@
 #include "bench/scale/hollow_engine_client.h"
 
+#include <algorithm>
+#include <string>
 #include <utility>
 
 namespace cypresswall::bench {
@@ -33,8 +35,9 @@
 
 }  // namespace
 
-HollowEngineClient::HollowEngineClient(common::Scheduler& scheduler, common::RandomSource& random)
-    : scheduler_(scheduler), random_(random) {}
+HollowEngineClient::HollowEngineClient(common::Scheduler& scheduler, common::RandomSource& random,
+                                       std::uint32_t models)
+    : scheduler_(scheduler), random_(random), models_(models) {}
 
 HollowEngineClient::HollowEngine& HollowEngineClient::find(const common::EngineName& name) {
   HollowEngine& engine = engines_[name];
@@ -46,7 +49,8 @@
     engine.load.prefill_tokens_per_second = 16000;
     engine.load.decode_step_base = std::chrono::milliseconds(12);
     engine.load.decode_step_per_stream = std::chrono::microseconds(400);
-    engine.load.model = common::ModelName("model-0");
+    const auto number = std::stoul(name.substr(name.rfind('-') + 1));
+    engine.load.model = "model-" + std::to_string(number % models_);
     engine.load.version = std::string("1");
   }
   return engine;
@@ -64,6 +68,9 @@
   engines::EngineLoad& load = find(engine.name).load;
   load.highest_epoch = order.epoch;
   load.last_sequence = order.sequence;
+  if (order.content.kind == engines::OrderKind::kChangeRole) {
+    load.role = order.content.role;
+  }
   engines::OrderReply reply;
   reply.highest_epoch = order.epoch;
   reply.last_sequence = order.sequence;
--- a/bench/scale/hollow_engine_client.h
+++ b/bench/scale/hollow_engine_client.h
@@ -15,7 +15,9 @@
 /// All hollow engines of one process. Answers come on the next turn of the event loop.
 class HollowEngineClient final : public engines::EngineClient {
  public:
-  HollowEngineClient(common::Scheduler& scheduler, common::RandomSource& random);
+  /// \param models an engine whose name ends in "-N" serves "model-M", M being N modulo `models`
+  HollowEngineClient(common::Scheduler& scheduler, common::RandomSource& random,
+                     std::uint32_t models);
 
   std::unique_ptr<engines::Stream> startStream(const engines::EngineEndpoint& engine,
                                                engines::StreamRequest request,
@@ -38,6 +40,7 @@
 
   common::Scheduler& scheduler_;
   common::RandomSource& random_;
+  std::uint32_t models_;
   std::map<common::EngineName, HollowEngine> engines_;
 };
 
--- a/bench/scale/hollow_fleet.cpp
+++ b/bench/scale/hollow_fleet.cpp
@@ -105,7 +105,7 @@
     for (std::uint32_t node = first; node < settings_.nodes_per_zone; ++node) {
       nodes_.push_back(std::make_unique<HollowNode>(
           environment, scaleNodeAddress(settings_, zone, node), scaleZoneName(zone),
-          nodeSettings(zone), settings_.seed * 100000 + zone * 1000 + node));
+          nodeSettings(zone), settings_.models, settings_.seed * 100000 + zone * 1000 + node));
     }
   }
   for (auto& node : nodes_) {
--- a/bench/scale/hollow_node.cpp
+++ b/bench/scale/hollow_node.cpp
@@ -15,14 +15,14 @@
 
 HollowNode::HollowNode(const HollowEnvironment& environment, const common::Address& address,
                        const common::ZoneName& zone, node::NodeSettings settings,
-                       std::uint64_t seed)
+                       std::uint32_t models, std::uint64_t seed)
     : zone_(zone),
       address_(address),
       random_(seed),
       scheduler_(environment.context),
       transport_(environment.context, transportSettings(address), random_, environment.log,
                  counters_),
-      engines_(scheduler_, random_) {
+      engines_(scheduler_, random_, models) {
   const common::NodeId self{transport_.listen(), random_.next() | 1U};
   transport_.start(self, dispatcher_);
   const api::ProcessContext context{self,       zone_,      environment.clock,
--- a/bench/scale/hollow_node.h
+++ b/bench/scale/hollow_node.h
@@ -28,7 +28,8 @@
  public:
   /// Listens at once. \throws runtime::TransportError
   HollowNode(const HollowEnvironment& environment, const common::Address& address,
-             const common::ZoneName& zone, node::NodeSettings settings, std::uint64_t seed);
+             const common::ZoneName& zone, node::NodeSettings settings, std::uint32_t models,
+             std::uint64_t seed);
   ~HollowNode();
 
   void start();
