--- a/tests/process/process_faults_test.cpp
+++ b/tests/process/process_faults_test.cpp
@@ -154,7 +154,7 @@
   /// Requires that no promise was broken, and prints what happened.
   static void conclude(const char* name, const TestFleet& fleet, const WorkloadReport& report) {
     std::printf(
-        "%s: streams whole=%llu failed=%llu broken=%llu refused=%llu bookings done=%llu "
+        "\n%s: streams whole=%llu failed=%llu broken=%llu refused=%llu bookings done=%llu "
         "not_run=%llu unknown=%llu violations=%zu\n",
         name, static_cast<unsigned long long>(report.whole_streams),
         static_cast<unsigned long long>(report.failed_streams),
