End simulated connections and callers with their run; mend what clang-tidy found

Change: records outlive the simulation; the engines hold the connections that they refer to. Three findings of clang-tidy in tests. Conclusion: mended.

--- a/src/cypresswall/simulation/fleet/simulated_fleet.h
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.h
@@ -120,12 +120,13 @@
   ClockSettings drawClock();
 
   FleetSettings settings_;
+  // Callers write their records until the simulation has ended their processes.
+  std::deque<CallerRecord> records_;
+  std::vector<NodeSlot> slots_;
   Simulation simulation_;
   SimulatedPlatform platform_;
   SimulatedEngines engines_;
   SimulatedServices services_;
-  std::vector<NodeSlot> slots_;
-  std::deque<CallerRecord> records_;
 };
 
 }  // namespace cypresswall::simulation
--- a/src/cypresswall/simulation/simulated_engines.h
+++ b/src/cypresswall/simulation/simulated_engines.h
@@ -37,6 +37,10 @@
     return engines_;
   }
 
+  /// Keeps a stream's connection alive while an engine refers to it, until release().
+  void hold(const std::shared_ptr<void>& connection) { held_[connection.get()] = connection; }
+  void release(const void* connection) { held_.erase(connection); }
+
   EngineCallFaults faults;
 
  private:
@@ -56,6 +60,8 @@
   emulation::WeightSource* weights_;
   KvDirectory kv_peer_{*this};
   std::map<common::Address, common::ZoneName> zones_;
+  /// Outlive the engines, which refer to them.
+  std::map<const void*, std::shared_ptr<void>> held_;
   std::map<common::Address, std::unique_ptr<emulation::EmulatedEngine>> engines_;
 };
 
--- a/src/cypresswall/simulation/simulated_stream.cpp
+++ b/src/cypresswall/simulation/simulated_stream.cpp
@@ -84,7 +84,7 @@
       return;
     }
     // The engine keeps a plain reference to its observer.
-    held_by_engine_ = shared_from_this();
+    engines_.hold(shared_from_this());
     engine_side_ended_ = false;
     const auto start = engine->startStream(std::move(request_), *this);
     if (start.result != emulation::StartResult::kStarted) {
@@ -127,7 +127,7 @@
   void endEngineSide() {
     engine_side_ended_ = true;
     // The engine may be in the middle of a call to this object.
-    later(common::Duration{0}, [](Connection& self) { self.held_by_engine_.reset(); });
+    later(common::Duration{0}, [](Connection& self) { self.engines_.release(&self); });
   }
 
   void fail(engines::StreamFailure failure) {
@@ -220,7 +220,6 @@
   engines::StreamHandler* handler_;
   common::Duration broken_after_;
   std::deque<Event> incoming_;
-  std::shared_ptr<Connection> held_by_engine_;
   bool engine_side_ended_ = true;
   bool closed_ = false;
   bool broken_ = false;
--- a/tests/orders/order_invariants_test.cpp
+++ b/tests/orders/order_invariants_test.cpp
@@ -46,6 +46,7 @@
 
 rc::Gen<std::vector<Action>> anySchedule() {
   std::vector<Step> steps;
+  steps.reserve(static_cast<std::size_t>(Step::kCount));
   for (int step = 0; step < static_cast<int>(Step::kCount); ++step) {
     steps.push_back(static_cast<Step>(step));
   }
--- a/tests/process/http_call.cpp
+++ b/tests/process/http_call.cpp
@@ -45,7 +45,9 @@
                                                                  &curl_easy_cleanup);
   curl_slist* list = curl_slist_append(nullptr, "Content-Type: application/json");
   for (const auto& [name, value] : headers) {
-    list = curl_slist_append(list, (name + ": " + value).c_str());
+    std::string header = name;
+    header.append(": ").append(value);
+    list = curl_slist_append(list, header.c_str());
   }
   const std::string url = "http://" + address + target;
   curl_easy_setopt(curl.get(), CURLOPT_URL, url.c_str());
--- a/tests/support/main.cpp
+++ b/tests/support/main.cpp
@@ -16,7 +16,7 @@
 /// \return the full name of the first test at or below `test` that is named `wanted`, with or
 ///   without its namespaces; empty if there is none.
 std::string findFullName(const CppUnit::Test& test, const std::string& wanted) {
-  const std::string name = test.getName();
+  std::string name = test.getName();
   const std::string ending = "::" + wanted;
   const bool ends_so = name.size() > ending.size() &&
                        name.compare(name.size() - ending.size(), ending.size(), ending) == 0;
