--- a/bench/scale/scale_run.cpp
+++ b/bench/scale/scale_run.cpp
@@ -26,12 +26,33 @@
   double sent_bytes = 0;
   double received_bytes = 0;
   double sent_messages = 0;
+  std::map<std::string, double> bytes_by_type;
 };
 
 Traffic trafficOf(const HollowNode& node) {
-  return Traffic{node.counters().total("cypresswall_transport_sent_bytes_total"),
-                 node.counters().total("cypresswall_transport_received_bytes_total"),
-                 node.counters().total("cypresswall_transport_sent_messages_total")};
+  Traffic traffic{node.counters().total("cypresswall_transport_sent_bytes_total"),
+                  node.counters().total("cypresswall_transport_received_bytes_total"),
+                  node.counters().total("cypresswall_transport_sent_messages_total"),
+                  {}};
+  const auto queued = node.counters().entries().find("cypresswall_transport_queued_bytes_total");
+  if (queued != node.counters().entries().end()) {
+    for (const auto& [type, counter] : queued->second.by_label) {
+      traffic.bytes_by_type[type] = counter->value();
+    }
+  }
+  return traffic;
+}
+
+/// \return what was queued between two readings, by message type, in bytes a second.
+std::map<std::string, double> ratesByType(const Traffic& before, const Traffic& after,
+                                          double seconds) {
+  std::map<std::string, double> rates;
+  for (const auto& [type, bytes] : after.bytes_by_type) {
+    const auto earlier = before.bytes_by_type.find(type);
+    const double base = earlier == before.bytes_by_type.end() ? 0 : earlier->second;
+    rates[type] = (bytes - base) / seconds;
+  }
+  return rates;
 }
 
 /// One run on its event loop. Each step blocks by running the loop until its event has come.
@@ -187,7 +208,10 @@
       const double received = (now.received_bytes - before[i].received_bytes) / seconds;
       report_.sent_bytes_mean += sent / count;
       report_.received_bytes_mean += received / count;
-      report_.sent_bytes_maximum = std::max(report_.sent_bytes_maximum, sent);
+      if (sent > report_.sent_bytes_maximum) {
+        report_.sent_bytes_maximum = sent;
+        report_.busiest_node_bytes_by_type = ratesByType(before[i], now, seconds);
+      }
       report_.received_bytes_maximum = std::max(report_.received_bytes_maximum, received);
       report_.sent_messages_mean += (now.sent_messages - before[i].sent_messages) / seconds / count;
     }
@@ -302,6 +326,7 @@
                                {"sent_bytes_maximum", report.sent_bytes_maximum},
                                {"received_bytes_mean", report.received_bytes_mean},
                                {"received_bytes_maximum", report.received_bytes_maximum},
+                               {"busiest_node_bytes_by_type", report.busiest_node_bytes_by_type},
                                {"sent_messages_mean", report.sent_messages_mean},
                                {"hollow_core_share", report.hollow_core_share},
                                {"hollow_resident_bytes", report.hollow_resident_bytes},
--- a/bench/scale/scale_run.h
+++ b/bench/scale/scale_run.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,8 @@
   double received_bytes_mean = 0;
   double received_bytes_maximum = 0;
   double sent_messages_mean = 0;
+  /// Bytes that the node which sent most queued, by message type (a number of api::MessageType).
+  std::map<std::string, double> busiest_node_bytes_by_type;
   /// Share of a core and resident bytes of this process, divided by its hollow nodes.
   double hollow_core_share = 0;
   double hollow_resident_bytes = 0;
--- a/src/cypresswall/runtime/tcp_peer_transport.cpp
+++ b/src/cypresswall/runtime/tcp_peer_transport.cpp
@@ -93,6 +93,7 @@
     return;
   }
   if (OutgoingPeer* peer = outgoingTo(envelope.receiver.address)) {
+    counters_.queuedBytes(envelope.type).add(payload.size() + kFrameHeaderBytes);
     peer->send(encodeFrame(payload));
   }
 }
--- a/src/cypresswall/runtime/transport_settings.cpp
+++ b/src/cypresswall/runtime/transport_settings.cpp
@@ -1,5 +1,7 @@
 #include "cypresswall/runtime/transport_settings.h"
 
+#include <string>
+
 namespace cypresswall::runtime {
 namespace {
 
@@ -35,6 +37,18 @@
       dropped_bad_address(dropped(registry, "bad_address")),
       dropped_other_incarnation(dropped(registry, "other_incarnation")),
       dropped_handler_error(dropped(registry, "handler_error")),
-      dropped_fault_switch(dropped(registry, "fault_switch")) {}
+      dropped_fault_switch(dropped(registry, "fault_switch")),
+      registry_(registry) {}
+
+common::Counter& TransportCounters::queuedBytes(api::MessageType type) {
+  const auto number = static_cast<std::uint16_t>(type);
+  common::Counter*& known = queued_bytes_by_type_[number];
+  if (known == nullptr) {
+    known = &registry_.counter("cypresswall_transport_queued_bytes_total",
+                               "Bytes of messages queued for other nodes, by message type.", "type",
+                               std::to_string(number));
+  }
+  return *known;
+}
 
 }  // namespace cypresswall::runtime
--- a/src/cypresswall/runtime/transport_settings.h
+++ b/src/cypresswall/runtime/transport_settings.h
@@ -3,6 +3,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <unordered_map>
 
 #include "cypresswall/api/envelope.h"
 #include "cypresswall/common/counters.h"
@@ -34,6 +36,9 @@
 struct TransportCounters {
   explicit TransportCounters(common::CounterRegistry& registry);
 
+  /// \return the counter of bytes queued in messages of one type, framing included.
+  common::Counter& queuedBytes(api::MessageType type);
+
   common::Counter& sent_messages;
   common::Counter& sent_bytes;
   common::Counter& received_messages;
@@ -50,6 +55,10 @@
   common::Counter& dropped_other_incarnation;
   common::Counter& dropped_handler_error;
   common::Counter& dropped_fault_switch;
+
+ private:
+  common::CounterRegistry& registry_;
+  std::unordered_map<std::uint16_t, common::Counter*> queued_bytes_by_type_;
 };
 
 }  // namespace cypresswall::runtime
--- a/tests/runtime/tcp_peer_transport_test.cpp
+++ b/tests/runtime/tcp_peer_transport_test.cpp
@@ -90,6 +90,8 @@
     CPPUNIT_ASSERT(right.notes == (std::vector<std::string>{"one", large, "three"}));
     CPPUNIT_ASSERT(left.id == right.senders[0]);
     CPPUNIT_ASSERT_EQUAL(1.0, left.counters.total("cypresswall_transport_connects_total"));
+    CPPUNIT_ASSERT_EQUAL(left.counters.total("cypresswall_transport_sent_bytes_total"),
+                         left.counters.total("cypresswall_transport_queued_bytes_total"));
   }
 
   void deliversToItself() {
