Read an engine less often while its reports would alter no choice

Cause: a watched engine was asked for its load 4 times and for cache events twice a second, whatever it did; watchers told peers every 250 ms that nothing had changed. Ruled out: one call for both (the engines' protocol is not ours); longer periods than two polls (a changed load must be on every node within 1 s, and catch_up_time waits for one read of every engine). Change: a ready engine whose report differs from the last significant one by less than what is worth publishing is read every second poll period; reads of cache events that bring nothing double their period up to four times, until an event or a moved report comes; confirmations alone are sent once in two poll periods. A failed read, a changing engine or an order in progress is read as before.

--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -190,11 +190,17 @@
   std::reverse(message.cache_hints.begin(), message.cache_hints.end());
 }
 
+bool DeltaExchange::confirmationDue() const {
+  const common::Duration interval = settings_.poll_period * settings_.steady_poll_factor;
+  return context_.clock.now() - last_sent_at_ >= interval;
+}
+
 void DeltaExchange::publish(const std::vector<common::NodeId>& targets) {
   EngineDeltas message;
   message.roster_digest = table_.digest();
   auto changes = collectChanges(message);
-  if (changes.empty() && message.confirmed.empty() && hints_.empty()) {
+  const bool only_confirms = changes.empty() && hints_.empty();
+  if (only_confirms && (message.confirmed.empty() || !confirmationDue())) {
     return;
   }
   const double budget = budget_bytes_ / static_cast<double>(targets.size());
@@ -209,6 +215,7 @@
   }
   addChanges(message, changes, budget - fixed);
   message.sequence = ++sequence_;
+  last_sent_at_ = context_.clock.now();
   api::Envelope envelope = api::Envelope::make(context_.self, targets.front(), message);
   for (const common::NodeId& peer : targets) {
     envelope.receiver = peer;
--- a/src/cypresswall/routing/delta_exchange.h
+++ b/src/cypresswall/routing/delta_exchange.h
@@ -45,6 +45,8 @@
 
   void tick();
   void publish(const std::vector<common::NodeId>& peers);
+  /// \return true if peers were told nothing for as long as steady engines go unread.
+  bool confirmationDue() const;
   std::vector<common::NodeId> peers() const;
   std::vector<PendingChange> collectChanges(EngineDeltas& message);
   /// \param budget bytes left for this message
@@ -74,6 +76,7 @@
   std::uint64_t sequence_ = 0;
   double budget_bytes_ = 0;
   common::MonotonicTime budget_filled_at_{};
+  common::MonotonicTime last_sent_at_{};
   std::map<EngineSlot, Published> published_;
   /// Highest sequence number taken from each peer's life.
   std::map<common::NodeId, std::uint64_t> received_;
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -1,5 +1,6 @@
 #include "cypresswall/routing/engine_poller.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cypresswall::routing {
@@ -21,6 +22,8 @@
       cache_listener_(std::move(listener)),
       polls_(context.counters.counter("cypresswall_engine_polls_total",
                                       "Load reports asked of watched engines")),
+      cache_polls_(context.counters.counter("cypresswall_engine_cache_polls_total",
+                                            "Cache events asked of watched engines")),
       poll_failures_(context.counters.counter("cypresswall_engine_poll_failures_total",
                                               "Load reports that could not be read")),
       cache_gaps_(context.counters.counter("cypresswall_cache_event_gaps_total",
@@ -43,16 +46,20 @@
 
 void EnginePoller::tick() {
   phase_ = (phase_ + 1) % kPhases;
+  turn_ += phase_ == 0 ? 1 : 0;
+  // Steady engines are read in the same turns, so that one publication confirms them all.
+  const bool steady_turn = turn_ % std::max(settings_.steady_poll_factor, 1U) == 0;
   const common::MonotonicTime now = context_.clock.now();
   for (const EngineSlot slot : watched_) {
     if (slot % kPhases != phase_) {
       continue;
     }
     PollState& state = states_[slot];
-    if (!state.load_pending) {
+    if (!state.load_pending && (steady_turn || !state.steady)) {
       pollLoad(slot);
     }
-    if (!state.cache_pending && now - state.cache_polled_at >= settings_.cache_poll_period) {
+    const auto cache_period = settings_.cache_poll_period * state.cache_poll_factor;
+    if (!state.cache_pending && now - state.cache_polled_at >= cache_period) {
       state.cache_polled_at = now;
       pollCache(slot);
     }
@@ -83,18 +90,34 @@
   if (!result.ok()) {
     poll_failures_.add();
     ++state.failures;
+    state.steady = false;
     if (state.failures >= settings_.unreachable_after_failures) {
       table_.setReachable(slot, false, now);
     }
     return;
   }
   state.failures = 0;
+  judge(state, result.value());
   table_.observe(slot, EngineObservation{result.value(), now - result.value().age, true}, now);
 }
 
+void EnginePoller::judge(PollState& state, const engines::EngineLoad& load) {
+  const EngineDelta delta = makeDelta(0, load, true, common::Duration{0});
+  const bool moved = !state.reference || changeSignificance(*state.reference, delta, load) > 0;
+  if (moved) {
+    state.reference = delta;
+  }
+  if (moved || load.cache_pieces_used != state.cache_pieces_used) {
+    state.cache_poll_factor = 1;
+    state.cache_pieces_used = load.cache_pieces_used;
+  }
+  state.steady = !moved && load.state == engines::EngineState::kReady && !load.order_in_progress;
+}
+
 void EnginePoller::pollCache(EngineSlot slot) {
   PollState& state = states_[slot];
   state.cache_pending = true;
+  cache_polls_.add();
   const engines::EngineEndpoint endpoint = table_.record(slot).endpoint();
   client_.fetchCacheEvents(endpoint, state.last_cache_event,
                            [this, slot, name = endpoint.name](const auto& result) {
@@ -114,6 +137,10 @@
     return;
   }
   PollState& state = states_[slot];
+  state.cache_poll_factor =
+      events.events.empty()
+          ? std::min(2 * state.cache_poll_factor, std::max(settings_.quiet_cache_poll_factor, 1U))
+          : 1;
   bool gap = false;
   for (const engines::CacheEvent& event : events.events) {
     gap = gap || (state.last_cache_event != 0 && event.sequence != state.last_cache_event + 1);
--- a/src/cypresswall/routing/engine_poller.h
+++ b/src/cypresswall/routing/engine_poller.h
@@ -1,13 +1,16 @@
-/// Reads load reports and cache events from the engines that this node watches.
+/// Reads load reports and cache events from the engines that this node watches: often while what is
+/// read would alter a choice, seldom while it stands still.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/engines/engine_client.h"
+#include "cypresswall/routing/engine_deltas.h"
 #include "cypresswall/routing/engine_table.h"
 
 namespace cypresswall::routing {
@@ -38,9 +41,18 @@
     /// Sequence number of the last cache event read; zero if none was read in this life.
     std::uint64_t last_cache_event = 0;
     common::MonotonicTime cache_polled_at{};
+    /// Cache events are read every so many cache poll periods.
+    std::uint32_t cache_poll_factor = 1;
+    /// The last report that would alter a choice; later ones are compared with it.
+    std::optional<EngineDelta> reference;
+    std::uint32_t cache_pieces_used = 0;
+    /// The newest report would not alter a choice, and the engine is at rest.
+    bool steady = false;
   };
 
   void tick();
+  /// Notes whether a report moved so far that the next must be read soon.
+  static void judge(PollState& state, const engines::EngineLoad& load);
   void pollLoad(EngineSlot slot);
   void pollCache(EngineSlot slot);
   void onLoad(EngineSlot slot, const common::Result<engines::EngineLoad, engines::EngineFailure>&);
@@ -56,7 +68,10 @@
   std::set<EngineSlot> watched_;
   std::map<EngineSlot, PollState> states_;
   std::uint32_t phase_ = 0;
+  /// Poll periods begun.
+  std::uint64_t turn_ = 0;
   common::Counter& polls_;
+  common::Counter& cache_polls_;
   common::Counter& poll_failures_;
   common::Counter& cache_gaps_;
 };
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -21,10 +21,16 @@
 
 /// How engines are watched and how what is learnt is passed on.
 struct DirectorySettings {
-  /// Between two load reports read from one watched engine.
+  /// Between two load reports read from one watched engine whose load moves.
   common::Duration poll_period = std::chrono::milliseconds(250);
+  /// A ready engine whose reports would not alter a choice is read every so many poll periods. With
+  /// a publication this must stay below `catch_up_time`, which waits for one read of every engine.
+  std::uint32_t steady_poll_factor = 2;
   /// Between two reads of a watched engine's cache events.
   common::Duration cache_poll_period = std::chrono::milliseconds(500);
+  /// While reads bring no event and the engine's load stands still, the time between two of them
+  /// doubles up to so many periods.
+  std::uint32_t quiet_cache_poll_factor = 4;
   /// Shortest time between two publications to the zone's peers.
   common::Duration publish_period = std::chrono::milliseconds(250);
   /// An engine whose newest report describes a moment longer ago gets no work.
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -192,11 +192,13 @@
       durationKey(
           "timings.engine_poll_interval", milliseconds(10), seconds(60),
           [](auto& s) -> auto& { return s.node.directory.poll_period; },
-          "Between two load reports read from a watched engine."),
+          "Between two load reports read from a watched engine; twice that while its load stands "
+          "still."),
       durationKey(
           "timings.cache_poll_interval", milliseconds(10), seconds(60),
           [](auto& s) -> auto& { return s.node.directory.cache_poll_period; },
-          "Between two reads of a watched engine's cache events."),
+          "Between two reads of a watched engine's cache events; up to four times that while none "
+          "come."),
       durationKey(
           "timings.engine_publish_interval", milliseconds(10), seconds(60),
           [](auto& s) -> auto& { return s.node.directory.publish_period; },
--- a/tests/routing/engine_directory_test.cpp
+++ b/tests/routing/engine_directory_test.cpp
@@ -89,6 +89,9 @@
   CPPUNIT_TEST(cacheEventsReachPeers);
   CPPUNIT_TEST(targetZoneStaysWithinItsByteBudget);
   CPPUNIT_TEST(newVersionIsToldThoughTheBudgetIsSpent);
+  CPPUNIT_TEST(steadyEngineIsReadLessOften);
+  CPPUNIT_TEST(quietCacheIsReadLessOften);
+  CPPUNIT_TEST(steadyZoneIsConfirmedLessOften);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -235,6 +238,63 @@
     }
   }
 
+  void steadyEngineIsReadLessOften() {
+    Zone zone(13, 1, 3);
+    auto& moving = zone.engines["e1001:1"];
+    auto& changing = zone.engines["e1002:1"];
+    changing.load.state = engines::EngineState::kChanging;
+    std::map<common::Address, std::uint64_t> before;
+    constexpr int kWarmUpTurns = 8;
+    for (int turn = 0; turn < kWarmUpTurns + 40; ++turn) {
+      if (turn == kWarmUpTurns) {
+        for (const auto& [address, engine] : zone.engines) {
+          before[address] = engine.load_reads;
+        }
+      }
+      moving.load.queued_prefill_tokens += 4000;
+      zone.run(std::chrono::milliseconds(250));
+    }
+    const auto reads = [&](const common::Address& address) {
+      return zone.engines[address].load_reads - before[address];
+    };
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, reads("e1000:1"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, reads("e1001:1"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, reads("e1002:1"));
+  }
+
+  void quietCacheIsReadLessOften() {
+    Zone zone(14, 1, 1);
+    auto& engine = zone.engines["e1000:1"];
+    const auto readsIn = [&](common::Duration time) {
+      const auto reads = [&] {
+        return zone.nodes[0].process->counters().total("cypresswall_engine_cache_polls_total");
+      };
+      const double before = reads();
+      zone.run(time);
+      return reads() - before;
+    };
+    zone.run(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(5.0, readsIn(std::chrono::seconds(10)));
+    engine.events = {{1, engines::CacheEventKind::kStored, 77}};
+    engine.load.cache_pieces_used = 1;
+    CPPUNIT_ASSERT(readsIn(std::chrono::milliseconds(1000)) >= 1.0);
+    std::vector<PrefixMatch> matches;
+    zone.nodes[0].directory->prefixes().match({77}, matches);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, matches.size());
+  }
+
+  void steadyZoneIsConfirmedLessOften() {
+    Zone zone(15, 2, 8);
+    zone.run(std::chrono::seconds(3));
+    auto& counters = zone.nodes[0].process->counters();
+    const double before = counters.total("cypresswall_engine_deltas_sent_total");
+    zone.run(std::chrono::seconds(10));
+    CPPUNIT_ASSERT_EQUAL(20.0, counters.total("cypresswall_engine_deltas_sent_total") - before);
+    for (const EngineRecord& record : zone.nodes[1].directory->records()) {
+      CPPUNIT_ASSERT(record.availability == EngineAvailability::kAvailable);
+    }
+  }
+
   void targetZoneStaysWithinItsByteBudget() {
     Zone zone(11, 13, 370);
     zone.run(std::chrono::seconds(5));
