Gossip signs of life by version, collected for a second

Cause: each zone renews its contacts every 10 s, with a payload that did not change, in a message of its own to each node of each zone: 103 B/s a zone at the busiest node. Each also changed the hash of the whole table, so that most comparisons of tables ended in an exchange of all versions. Ruled out: a counter "payload unchanged since version N": two nodes that both speak for a zone at its start give version 1 to different payloads, which then never meet (test red in that form). Change: a value whose payload did not change goes out as version and hash of the payload, together with others of the same second. A receiver with another payload, or one that knows a later version (the zone began anew), sends its versions. Table hashes cover payloads, no longer versions. A lost sign of life is made up by the next (10 s) or by an exchange of versions, within the 20 s after which a zone is held silent.

--- a/src/cypresswall/membership/membership_settings.h
+++ b/src/cypresswall/membership/membership_settings.h
@@ -50,6 +50,10 @@
 
   /// Changed gossip entries are sent in batches of this period.
   common::Duration gossip_flush_interval = std::chrono::milliseconds(100);
+  /// Signs of life, values whose payload did not change, are collected for this long before they
+  /// are passed on. A zone's pass through about four zones, in less than `zone_silent_after` with
+  /// the time between two of them.
+  common::Duration gossip_refresh_flush_interval = std::chrono::seconds(1);
   /// How often tables are compared by hash.
   common::Duration gossip_refresh_interval = std::chrono::seconds(5);
   /// An other zone unheard of for this long is not chosen to relay.
--- a/src/cypresswall/membership/messages.h
+++ b/src/cypresswall/membership/messages.h
@@ -99,7 +99,25 @@
   MSGPACK_DEFINE(sender_zone, entries)
 };
 
-/// Hash of the sender's whole table; a receiver with another hash answers with its versions.
+/// A higher version of a value whose payload did not change: a sign of life.
+struct GossipRefresh {
+  common::ZoneName zone;
+  std::uint16_t topic = 0;
+  std::uint64_t version = 0;
+  std::uint32_t payload_hash = 0;
+  MSGPACK_DEFINE(zone, topic, version, payload_hash)
+};
+
+/// A receiver that holds another payload asks for what it lacks.
+struct GossipRefreshes {
+  static constexpr auto kType = api::messageType(api::MessageType::kMembershipFirst, 23);
+  common::ZoneName sender_zone;
+  std::vector<GossipRefresh> entries;
+  MSGPACK_DEFINE(sender_zone, entries)
+};
+
+/// Hash of the payloads of the sender's whole table; a receiver with another hash answers with its
+/// versions.
 struct GossipDigest {
   static constexpr auto kType = api::messageType(api::MessageType::kMembershipFirst, 21);
   common::ZoneName sender_zone;
--- a/src/cypresswall/membership/zone_gossip.cpp
+++ b/src/cypresswall/membership/zone_gossip.cpp
@@ -1,7 +1,8 @@
 #include "cypresswall/membership/zone_gossip.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
+#include <utility>
 
 #include "cypresswall/common/prompt.h"
 #include "cypresswall/membership/zone_links.h"
@@ -17,6 +18,10 @@
   return {buffer.data(), buffer.size()};
 }
 
+std::uint32_t hashOf(const std::string& payload) {
+  return static_cast<std::uint32_t>(common::hash64(payload));
+}
+
 std::optional<ZoneContacts> decodeContacts(const std::string& payload) {
   try {
     return api::decodeBody<ZoneContacts>(payload);
@@ -40,11 +45,14 @@
 
 void ZoneGossip::registerHandlers() {
   auto& dispatcher = context_.dispatcher;
-  dispatcher.handle<GossipEntries>([this](const common::NodeId&, const GossipEntries& message) {
-    for (const auto& entry : message.entries) {
-      store(entry, message.sender_zone, message.sender_zone != context_.zone);
-    }
-  });
+  dispatcher.handle<GossipEntries>(
+      [this](const common::NodeId& sender, const GossipEntries& message) {
+        receiveEntries(sender, message);
+      });
+  dispatcher.handle<GossipRefreshes>(
+      [this](const common::NodeId& sender, const GossipRefreshes& message) {
+        receiveRefreshes(sender, message);
+      });
   dispatcher.handle<GossipDigest>([this](const common::NodeId& sender, const GossipDigest& digest) {
     receiveDigest(sender, digest);
   });
@@ -155,12 +163,22 @@
     return;
   }
   last_heard_[entry.zone] = context_.clock.now();
+  const bool refresh = value.version != 0 && value.payload == entry.payload;
   value = Value{entry.version, entry.payload, source};
+  Outbox& outbox = refresh ? refreshes_ : changes_;
+  if (!refresh) {
+    refreshes_.to_peers.erase(key);
+    refreshes_.to_links.erase(key);
+  }
   if (to_peers) {
-    to_peers_.push_back(key);
+    outbox.to_peers.insert(key);
+  }
+  outbox.to_links.insert(key);
+  scheduleFlush(
+      outbox, refresh ? settings_.gossip_refresh_flush_interval : settings_.gossip_flush_interval);
+  if (refresh) {
+    return;
   }
-  to_links_.push_back(key);
-  scheduleFlush();
   const auto listeners = listeners_.find(entry.topic);
   if (listeners != listeners_.end()) {
     for (const auto& listener : listeners->second) {
@@ -169,50 +187,63 @@
   }
 }
 
-void ZoneGossip::scheduleFlush() {
-  if (flush_scheduled_) {
+void ZoneGossip::scheduleFlush(Outbox& outbox, common::Duration delay) {
+  if (outbox.flush_scheduled) {
     return;
   }
-  flush_scheduled_ = true;
-  context_.scheduler.schedule(settings_.gossip_flush_interval, [this] { flush(); });
+  outbox.flush_scheduled = true;
+  context_.scheduler.schedule(delay, [this, &outbox] { flush(outbox); });
 }
 
-void ZoneGossip::flush() {
-  flush_scheduled_ = false;
-  const auto entryOf = [this](const Key& key) {
-    const Value& value = table_.at(key);
-    return GossipEntry{key.first, key.second, value.version, value.payload};
-  };
-  const std::set<Key> peer_keys(to_peers_.begin(), to_peers_.end());
-  const std::set<Key> link_keys(to_links_.begin(), to_links_.end());
-  to_peers_.clear();
-  to_links_.clear();
-  std::vector<GossipEntry> entries;
-  entries.reserve(peer_keys.size());
-  for (const auto& key : peer_keys) {
-    entries.push_back(entryOf(key));
-  }
+GossipEntry ZoneGossip::entryOf(const Key& key) const {
+  const Value& value = table_.at(key);
+  return GossipEntry{key.first, key.second, value.version, value.payload};
+}
+
+void ZoneGossip::flush(Outbox& outbox) {
+  outbox.flush_scheduled = false;
+  const auto peer_keys = std::exchange(outbox.to_peers, {});
+  const auto link_keys = std::exchange(outbox.to_links, {});
   for (const auto& peer : peers()) {
-    sendEntries(peer.address, entries);
+    sendKeys(peer.address, outbox, {peer_keys.begin(), peer_keys.end()});
   }
   if (!representative()) {
     return;
   }
   const auto contacts = zoneContacts();
   for (const auto& zone : links()) {
-    entries.clear();
-    for (const auto& key : link_keys) {
-      if (key.first != zone && table_.at(key).source != zone) {
-        entries.push_back(entryOf(key));
-      }
-    }
+    std::vector<Key> keys;
+    std::copy_if(link_keys.begin(), link_keys.end(), std::back_inserter(keys), [&](const Key& key) {
+      return key.first != zone && table_.at(key).source != zone;
+    });
     const auto known = contacts.find(zone);
     for (const auto& address : known->second) {
-      sendEntries(address, entries);
+      sendKeys(address, outbox, keys);
     }
   }
 }
 
+void ZoneGossip::sendKeys(const common::Address& address, const Outbox& outbox,
+                          const std::vector<Key>& keys) const {
+  if (keys.empty()) {
+    return;
+  }
+  if (&outbox == &changes_) {
+    std::vector<GossipEntry> entries;
+    entries.reserve(keys.size());
+    std::transform(keys.begin(), keys.end(), std::back_inserter(entries),
+                   [this](const Key& key) { return entryOf(key); });
+    sendEntries(address, entries);
+    return;
+  }
+  GossipRefreshes message{context_.zone, {}};
+  for (const Key& key : keys) {
+    const Value& value = table_.at(key);
+    message.entries.push_back({key.first, key.second, value.version, hashOf(value.payload)});
+  }
+  context_.sendToAddress(address, message);
+}
+
 void ZoneGossip::sendEntries(const common::Address& address,
                              const std::vector<GossipEntry>& entries) const {
   if (!entries.empty()) {
@@ -220,6 +251,41 @@
   }
 }
 
+void ZoneGossip::receiveEntries(const common::NodeId& sender, const GossipEntries& message) {
+  bool sender_behind = false;
+  for (const auto& entry : message.entries) {
+    sender_behind = sender_behind || versionOf({entry.zone, entry.topic}) > entry.version;
+    store(entry, message.sender_zone, message.sender_zone != context_.zone);
+  }
+  // A zone that began anew counts from one again: it has to learn how far it had got.
+  if (sender_behind) {
+    context_.sendTo(sender, ownVersions(true));
+  }
+}
+
+void ZoneGossip::receiveRefreshes(const common::NodeId& sender, const GossipRefreshes& message) {
+  bool differs = false;
+  for (const auto& refresh : message.entries) {
+    const Key key{refresh.zone, refresh.topic};
+    const auto known = table_.find(key);
+    if (versionOf(key) < refresh.version && known != table_.end() &&
+        hashOf(known->second.payload) == refresh.payload_hash) {
+      const std::string payload = known->second.payload;
+      store({refresh.zone, refresh.topic, refresh.version, payload}, message.sender_zone,
+            message.sender_zone != context_.zone);
+    }
+    differs = differs || versionOf(key) != refresh.version;
+  }
+  if (differs) {
+    context_.sendTo(sender, ownVersions(true));
+  }
+}
+
+std::uint64_t ZoneGossip::versionOf(const Key& key) const {
+  const auto known = table_.find(key);
+  return known == table_.end() ? 0 : known->second.version;
+}
+
 void ZoneGossip::receiveDigest(const common::NodeId& sender, const GossipDigest& digest) {
   if (digest.hash != tableHash()) {
     context_.sendTo(sender, ownVersions(true));
@@ -243,7 +309,7 @@
   for (const auto& [key, value] : table_) {
     const auto other = known.find(key);
     if (value.version > (other == known.end() ? 0 : other->second)) {
-      newer.push_back({key.first, key.second, value.version, value.payload});
+      newer.push_back(entryOf(key));
     }
   }
   sendEntries(sender.address, newer);
@@ -256,7 +322,8 @@
   std::uint64_t hash = 0;
   for (const auto& [key, value] : table_) {
     hash = common::hash64(key.first, hash);
-    hash = common::hash64(std::to_string(key.second) + ":" + std::to_string(value.version), hash);
+    hash = common::hash64(std::to_string(key.second), hash);
+    hash = common::hash64(value.payload, hash);
   }
   return hash;
 }
--- a/src/cypresswall/membership/zone_gossip.h
+++ b/src/cypresswall/membership/zone_gossip.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -71,11 +72,27 @@
   void registerHandlers();
   void refresh();
   void publishContacts();
+  /// Keys of changed values that are still to be passed on.
+  struct Outbox {
+    std::set<Key> to_peers;
+    std::set<Key> to_links;
+    bool flush_scheduled = false;
+  };
+
   void store(const GossipEntry& entry, const common::ZoneName& source, bool to_peers);
   bool acceptable(const GossipEntry& entry) const;
-  void scheduleFlush();
-  void flush();
+  /// Passes on what `outbox` holds after `delay`, together with what comes until then.
+  void scheduleFlush(Outbox& outbox, common::Duration delay);
+  void flush(Outbox& outbox);
+  /// Sends the values of `keys`, without their payload if they come from the refresh outbox.
+  void sendKeys(const common::Address& address, const Outbox& outbox,
+                const std::vector<Key>& keys) const;
   void sendEntries(const common::Address& address, const std::vector<GossipEntry>& entries) const;
+  GossipEntry entryOf(const Key& key) const;
+  /// \return zero for a key that was never heard of.
+  std::uint64_t versionOf(const Key& key) const;
+  void receiveEntries(const common::NodeId& sender, const GossipEntries& message);
+  void receiveRefreshes(const common::NodeId& sender, const GossipRefreshes& message);
   void receiveDigest(const common::NodeId& sender, const GossipDigest& digest);
   void receiveVersions(const common::NodeId& sender, const GossipVersions& versions);
   GossipVersions ownVersions(bool answer_wanted) const;
@@ -90,9 +107,9 @@
   std::map<std::uint16_t, std::string> published_;
   std::map<std::uint16_t, std::vector<UpdateListener>> listeners_;
   std::map<common::ZoneName, common::MonotonicTime> last_heard_;
-  std::vector<Key> to_peers_;
-  std::vector<Key> to_links_;
-  bool flush_scheduled_ = false;
+  Outbox changes_;
+  /// Values of which only the version rose.
+  Outbox refreshes_;
   std::uint64_t refresh_round_ = 0;
   common::MonotonicTime start_time_;
   common::MonotonicTime contacts_time_;
--- a/tests/membership/zone_gossip_test.cpp
+++ b/tests/membership/zone_gossip_test.cpp
@@ -26,6 +26,11 @@
   return "10.0." + std::to_string(zone) + "." + std::to_string(node) + ":7000";
 }
 
+std::string zoneNameOf(const common::Address& address) {
+  const auto first = address.find('.', address.find('.') + 1) + 1;
+  return "zone-" + address.substr(first, address.find('.', first) - first);
+}
+
 /// Seven zones in three regions; each knows one seed of the next zone only.
 class Fleet {
  public:
@@ -82,6 +87,7 @@
   CPPUNIT_TEST(changeReachesEveryNodeFast);
   CPPUNIT_TEST(changeSurvivesLossAndCut);
   CPPUNIT_TEST(restartedZonePublishesAnew);
+  CPPUNIT_TEST(signsOfLifeCarryNoPayload);
   CPPUNIT_TEST(oversizedPayloadIsRefused);
   CPPUNIT_TEST(linksAreMutualConnectedAndFew);
   CPPUNIT_TEST_SUITE_END();
@@ -142,6 +148,34 @@
     CPPUNIT_ASSERT(fleet.everyNodeHolds(zoneName(2), "new life"));
   }
 
+  /// While nothing changes, zones are heard of by versions alone, and still by every node in time.
+  void signsOfLifeCarryNoPayload() {
+    Fleet fleet(6);
+    fleet.world.runFor(40s);
+    std::map<std::pair<common::Address, common::ZoneName>, common::Duration> heard;
+    common::Duration longest{0};
+    std::uint64_t payloads = 0;
+    fleet.world.on_send = [&](const api::Envelope& envelope) {
+      payloads += envelope.type == GossipEntries::kType ? 1 : 0;
+      if (envelope.type != GossipRefreshes::kType) {
+        return;
+      }
+      for (const auto& entry : api::decodeBody<GossipRefreshes>(envelope.body).entries) {
+        auto& last = heard[{envelope.receiver.address, entry.zone}];
+        longest = std::max(longest, fleet.world.now() - std::max(last, common::Duration(40s)));
+        last = fleet.world.now();
+      }
+    };
+    fleet.world.runFor(60s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, payloads);
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{kZones * kNodesPerZone * (kZones - 1)},
+        static_cast<std::size_t>(std::count_if(heard.begin(), heard.end(), [](const auto& entry) {
+          return entry.first.second != zoneNameOf(entry.first.first);
+        })));
+    CPPUNIT_ASSERT(longest < MembershipSettings{}.zone_silent_after);
+  }
+
   void oversizedPayloadIsRefused() {
     Fleet fleet(5);
     const std::string large(MembershipSettings{}.maximum_gossip_payload + 1, 'x');
