Use easy handles of ended fetches again

Change: CurlMulti keeps up to 32 handles of ended fetches, reset; streams, with their own buffer size, take new ones.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -29,17 +29,22 @@
 }  // namespace
 
 CurlJob::CurlJob(CurlRequest request, CurlTransferHandler* handler,
-                 std::function<void(CurlResponse)> callback)
+                 std::function<void(CurlResponse)> callback, CurlEasyPointer easy)
     : request_(std::move(request)),
       handler_(handler),
       callback_(std::move(callback)),
-      easy_(curl_easy_init()) {
+      easy_(easy ? std::move(easy) : CurlEasyPointer(curl_easy_init())) {
   if (!easy_) {
     throw CurlError("curl_easy_init failed");
   }
   configure();
 }
 
+CurlEasyPointer CurlJob::takeEasy() {
+  curl_easy_reset(easy_.get());
+  return std::move(easy_);
+}
+
 void CurlJob::abandon() {
   handler_ = nullptr;
   callback_ = nullptr;
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -15,6 +15,7 @@
 struct CurlEasyDeleter {
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
 };
+using CurlEasyPointer = std::unique_ptr<CURL, CurlEasyDeleter>;
 struct CurlListDeleter {
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
@@ -23,11 +24,14 @@
 /// abandoned.
 class CurlJob {
  public:
+  /// \param easy a handle without options; a new one is made if it is empty
   /// \throws CurlError if libcurl has no memory
   CurlJob(CurlRequest request, CurlTransferHandler* handler,
-          std::function<void(CurlResponse)> callback);
+          std::function<void(CurlResponse)> callback, CurlEasyPointer easy = nullptr);
 
   CURL* easy() const { return easy_.get(); }
+  /// Gives the handle away, without options, once the request ended; easy() is null from then on.
+  CurlEasyPointer takeEasy();
   const CurlRequest& request() const { return request_; }
   /// The owner went away: nobody is called any more, and the next byte ends the request.
   void abandon();
@@ -60,7 +64,7 @@
   CurlRequest request_;
   CurlTransferHandler* handler_;
   std::function<void(CurlResponse)> callback_;
-  std::unique_ptr<CURL, CurlEasyDeleter> easy_;
+  CurlEasyPointer easy_;
   std::unique_ptr<curl_slist, CurlListDeleter> header_list_;
   CurlResponse response_;
   bool body_too_long_ = false;
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -19,6 +19,9 @@
 
 using JobPointer = std::shared_ptr<CurlJob>;
 
+/// Handles kept for reuse; more requests than this seldom end at once.
+constexpr std::size_t kMaximumIdleHandles = 32;
+
 /// libcurl wants to be set up once per process, before anything else.
 void initializeOnce() {
   static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -35,6 +38,8 @@
   Driver(asio::io_context& context, const CurlMultiSettings& settings);
   ~Driver();
 
+  /// \return a request of which the whole answer is given to `callback`.
+  JobPointer makeFetch(CurlRequest request, std::function<void(CurlResponse)> callback);
   void begin(const JobPointer& job);
   void abandon(const JobPointer& job);
   void setPaused(const JobPointer& job, bool paused);
@@ -59,6 +64,8 @@
   /// Ends a request that libcurl never got, on a turn of its own.
   void failLater(const JobPointer& job, const char* error);
   void remove(const JobPointer& job);
+  /// Keeps the handle of an ended fetch.
+  void recycle(CurlJob& job);
 
   asio::io_context& context_;
   CURLM* multi_;
@@ -74,6 +81,8 @@
   std::vector<JobPointer> to_add_;
   std::vector<JobPointer> to_remove_;
   bool inside_curl_ = false;
+  /// Handles of ended fetches, used again since making one takes a part of each read of an engine.
+  std::vector<CurlEasyPointer> idle_handles_;
 };
 
 CurlMulti::Driver::Driver(asio::io_context& context, const CurlMultiSettings& settings)
@@ -109,6 +118,25 @@
   curl_multi_cleanup(multi_);
 }
 
+JobPointer CurlMulti::Driver::makeFetch(CurlRequest request,
+                                        std::function<void(CurlResponse)> callback) {
+  CurlEasyPointer easy;
+  if (!idle_handles_.empty()) {
+    easy = std::move(idle_handles_.back());
+    idle_handles_.pop_back();
+  }
+  return std::make_shared<CurlJob>(std::move(request), nullptr, std::move(callback),
+                                   std::move(easy));
+}
+
+void CurlMulti::Driver::recycle(CurlJob& job) {
+  // Streams have another buffer size, and seldom end.
+  const bool usual = job.request().buffer_bytes == CurlRequest{}.buffer_bytes;
+  if (usual && !job.added && idle_handles_.size() < kMaximumIdleHandles) {
+    idle_handles_.push_back(job.takeEasy());
+  }
+}
+
 void CurlMulti::Driver::begin(const JobPointer& job) {
   jobs_.emplace(job->easy(), job);
   // libcurl must not be entered while it is on the stack.
@@ -277,6 +305,7 @@
     const JobPointer job = known->second;
     remove(job);
     job->finish(code);
+    recycle(*job);
   }
 }
 
@@ -338,12 +367,12 @@
 }
 
 void CurlMulti::fetch(CurlRequest request, std::function<void(CurlResponse)> callback) {
-  driver_->begin(std::make_shared<CurlJob>(std::move(request), nullptr, std::move(callback)));
+  driver_->begin(driver_->makeFetch(std::move(request), std::move(callback)));
 }
 
 std::unique_ptr<CurlTransfer> CurlMulti::startFetch(CurlRequest request,
                                                     std::function<void(CurlResponse)> callback) {
-  auto job = std::make_shared<CurlJob>(std::move(request), nullptr, std::move(callback));
+  auto job = driver_->makeFetch(std::move(request), std::move(callback));
   driver_->begin(job);
   return std::make_unique<TransferHandle<Driver>>(driver_, std::move(job));
 }
