Test that a handle used again sends nothing of an earlier request

Cause: handles of libcurl are used again since; no test looked at what a later request of another kind sends.

--- a/tests/runtime/curl_multi_test.cpp
+++ b/tests/runtime/curl_multi_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(fetchesAndReusesTheConnection);
   CPPUNIT_TEST(requestsAreNeverSentTwice);
   CPPUNIT_TEST(freshRequestsTakeANewConnection);
+  CPPUNIT_TEST(nothingOfAnEarlierRequestIsSentAgain);
   CPPUNIT_TEST(tellsNotSentFromBroken);
   CPPUNIT_TEST(timeLimitAfterSendingIsBroken);
   CPPUNIT_TEST(streamsTheBodyAndPauses);
@@ -81,6 +82,22 @@
     CPPUNIT_ASSERT_EQUAL(2, server_.connections());
   }
 
+  void nothingOfAnEarlierRequestIsSentAgain() {
+    server_.answer(httpAnswer(200, "first"));
+    CurlRequest order = request("POST");
+    order.body = "order-body";
+    order.headers.push_back({"X-Order", "seven"});
+    order.connection_use = ConnectionUse::kFresh;
+    fetch(order);
+    server_.answer(httpAnswer(200, "second"));
+    CPPUNIT_ASSERT_EQUAL(std::string("second"), fetch(request("GET")).body);
+    const std::string& last = server_.requests().back();
+    CPPUNIT_ASSERT_EQUAL(std::string("GET "), last.substr(0, 4));
+    CPPUNIT_ASSERT(last.find("seven") == std::string::npos);
+    CPPUNIT_ASSERT(last.find("order-body") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(1, server_.connections());
+  }
+
   void tellsNotSentFromBroken() {
     CurlRequest nowhere = request("POST");
     asio::ip::tcp::acceptor unused(context_, {asio::ip::make_address("127.0.0.1"), 0});
