Declare pass-through requests, callers' time limits and platform-declared fleets

Cause: the users' platform has engines that answer callers in the callers' own protocol, routes with a time limit and a number of runs of their own, and an operator who writes the whole fleet into the platform's store. Ruled out: a second data path beside the executors, since retries, outcomes, routing and drains would stand twice. Change: the fields and calls that the executors, the engine client and the node will honour; nothing uses them yet. One header field type replaces three equal ones.

--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -53,15 +53,24 @@
   common::Duration first_token_limit = std::chrono::milliseconds(1300);
   common::Duration between_tokens_limit = std::chrono::milliseconds(79);
   std::uint32_t maximum_tokens = 4096;
+  /// False if a request that may have run must not run again: it is neither repeated nor resumed.
+  bool repeatable = true;
+  /// Longest time that a request is held, from its arrival to its last token; zero sets no limit.
+  common::Duration time_limit{0};
+  /// Engines that one request may run on, one after the other; zero leaves it to the node.
+  std::uint32_t maximum_runs = 0;
 };
 
 /// One kind of call to a plain HTTP service, found by method and longest path prefix.
 struct OperationDeclaration {
+  /// Empty for any method.
   std::string method;
   std::string path_prefix;
   /// False for operations that may run at most once.
   bool repeatable = false;
   common::Duration time_limit = std::chrono::seconds(5);
+  /// Back ends that one request may run on, one after the other; zero leaves it to the node.
+  std::uint32_t maximum_runs = 0;
 };
 
 struct BackendDeclaration {
--- a/src/cypresswall/engines/engine_client.h
+++ b/src/cypresswall/engines/engine_client.h
@@ -17,6 +17,9 @@
 class StreamHandler {
  public:
   virtual ~StreamHandler() = default;
+  /// Gives the head of an answer that is passed through, before its first token. Not called for
+  /// requests without StreamRequest::pass_through.
+  virtual void onHead(std::uint32_t /*attempt*/, const AnswerHead& /*head*/) {}
   /// \param attempt number that the event carried
   /// \param index position of the token in the whole answer, from 0
   virtual void onToken(std::uint32_t attempt, std::uint32_t index, const std::string& text) = 0;
--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "cypresswall/common/header_field.h"
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/prompt.h"
 #include "cypresswall/common/time.h"
@@ -140,6 +142,22 @@
   kDecodeOnly,   ///< imports the KV cache named by kv_source first
 };
 
+/// A caller's request that an engine gets as it came: for platforms whose engines answer callers in
+/// the callers' own protocol, so that nothing of request or answer may be rewritten.
+struct PassThroughRequest {
+  std::string method;
+  /// Raw request target, with the query.
+  std::string target;
+  std::vector<common::HeaderField> headers;
+  std::string body;
+};
+
+/// Status and header of an answer that is passed through.
+struct AnswerHead {
+  int status = 0;
+  std::vector<common::HeaderField> headers;
+};
+
 /// One attempt at a model request on one engine.
 struct StreamRequest {
   /// Identifies the request; the same for all its attempts.
@@ -160,6 +178,11 @@
   StreamPhase phase = StreamPhase::kWhole;
   /// For kDecodeOnly: address of the engine that holds the KV cache of this stream_id.
   common::Address kv_source;
+  /// Set if the caller's own request is handed on unchanged; `prompt` is then empty and the text of
+  /// each token is a whole event of the answer, byte for byte.
+  std::shared_ptr<const PassThroughRequest> pass_through;
+  /// What is left of the caller's time; zero sets no limit.
+  common::Duration time_limit{0};
 };
 
 /// How many tokens a finished stream used.
--- a/src/cypresswall/execution/model_executor.h
+++ b/src/cypresswall/execution/model_executor.h
@@ -24,12 +24,19 @@
   /// For the simulator, which has no text: used instead of measuring `prompt` if its tokens are
   /// not zero.
   common::PromptShape shape;
+  /// Set if the caller's own request is handed on unchanged (engines::StreamRequest).
+  std::shared_ptr<const engines::PassThroughRequest> pass_through;
+  /// How long the caller waits for the whole answer; zero leaves it to the service's time limit.
+  common::Duration time_limit{0};
 };
 
 /// Receives the answer. Exactly one of onFinished and onError is called, as the last call.
 class ModelCallObserver {
  public:
   virtual ~ModelCallObserver() = default;
+  /// Gives the head of an answer that is passed through, once, before the first token; the answer
+  /// keeps the head of its first engine though another one resumes it.
+  virtual void onHead(const engines::AnswerHead& /*head*/) {}
   /// Tokens come in order, each index once.
   virtual void onToken(std::uint32_t index, const std::string& text) = 0;
   virtual void onFinished(const engines::StreamUsage& usage) = 0;
--- a/src/cypresswall/execution/service_executor.h
+++ b/src/cypresswall/execution/service_executor.h
@@ -24,6 +24,8 @@
   std::string body;
   /// Empty if the caller gave none.
   std::string idempotency_key;
+  /// How long the caller waits; zero leaves it to the operation's time limit.
+  common::Duration time_limit{0};
 };
 
 /// The final answer: the back end's response, or an error.
--- a/src/cypresswall/http/server.h
+++ b/src/cypresswall/http/server.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cypresswall/common/errors.h"
+#include "cypresswall/common/header_field.h"
 #include "cypresswall/common/time.h"
 
 namespace cypresswall::http {
@@ -22,10 +23,7 @@
   using common::Error::Error;
 };
 
-struct Header {
-  std::string name;
-  std::string value;
-};
+using Header = common::HeaderField;
 
 struct Request {
   std::string method;
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -33,6 +33,9 @@
   platform::MachineList& machine_list;
   engines::EngineClient& engines;
   services::ServiceClient& services;
+  /// Set where the platform itself declares the fleet: followed in place of the replicated
+  /// configuration, which then takes no changes.
+  configuration::ConfigurationView* declared = nullptr;
 };
 
 class Node {
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -8,15 +8,13 @@
 #include <string_view>
 #include <vector>
 
+#include "cypresswall/common/header_field.h"
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/time.h"
 
 namespace cypresswall::runtime {
 
-struct CurlHeader {
-  std::string name;
-  std::string value;
-};
+using CurlHeader = common::HeaderField;
 
 /// Whether a request may go out on a connection that was used before.
 enum class ConnectionUse : std::uint8_t {
--- a/src/cypresswall/services/service_client.h
+++ b/src/cypresswall/services/service_client.h
@@ -9,15 +9,13 @@
 #include <utility>
 #include <vector>
 
+#include "cypresswall/common/header_field.h"
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/time.h"
 
 namespace cypresswall::services {
 
-struct HttpHeader {
-  std::string name;
-  std::string value;
-};
+using HttpHeader = common::HeaderField;
 
 /// One attempt at a service request.
 struct ServiceRequest {
