--- a/src/cypresswall/gateway/gateway.cpp
+++ b/src/cypresswall/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "cypresswall/gateway/header_filter.h"
 #include "cypresswall/gateway/model_session.h"
+#include "cypresswall/gateway/pass_through_session.h"
 #include "cypresswall/gateway/service_session.h"
 
 namespace cypresswall::gateway {
@@ -132,7 +133,25 @@
         invalidRequestError("Idempotency-Key is too long", "", "invalid_idempotency_key"));
   }
   call.body = std::move(request.body);
-  keep(std::make_unique<ServiceSession>(context_, counters_, std::move(call), responder));
+  const auto write_error = [](http::Responder& caller, const execution::ExecutionError& error,
+                              const std::string& id) {
+    respondWithError(caller, errorAnswerOf(error), id);
+  };
+  passServiceCall(std::move(call), responder, write_error);
+}
+
+void Gateway::passModelCall(execution::ModelCall call,
+                            const std::shared_ptr<http::Responder>& responder,
+                            ErrorWriter write_error) {
+  keep(std::make_unique<PassThroughSession>(context_, settings_, counters_, std::move(call),
+                                            responder, std::move(write_error)));
+}
+
+void Gateway::passServiceCall(execution::ServiceCallRequest request,
+                              const std::shared_ptr<http::Responder>& responder,
+                              ErrorWriter write_error) {
+  keep(std::make_unique<ServiceSession>(context_, counters_, std::move(request), responder,
+                                        std::move(write_error)));
 }
 
 void Gateway::answerModels(const http::Request& request, http::Responder& responder,
--- a/src/cypresswall/gateway/gateway.h
+++ b/src/cypresswall/gateway/gateway.h
@@ -37,6 +37,12 @@
   void mount(HttpRoutes& routes);
   /// Takes one request of a caller.
   void handle(http::Request request, const std::shared_ptr<http::Responder>& responder);
+  /// Takes a model request whose answer is given as the engine makes it.
+  void passModelCall(execution::ModelCall call, const std::shared_ptr<http::Responder>& responder,
+                     ErrorWriter write_error);
+  /// Takes a request to a plain HTTP service whose errors are written in the caller's protocol.
+  void passServiceCall(execution::ServiceCallRequest request,
+                       const std::shared_ptr<http::Responder>& responder, ErrorWriter write_error);
   /// Logs and counts a request that the HTTP server itself refused.
   void reportRejection(const http::Rejection& rejection);
 
--- a/src/cypresswall/gateway/model_session.cpp
+++ b/src/cypresswall/gateway/model_session.cpp
@@ -16,9 +16,8 @@
       request_(std::move(request)),
       tenant_(std::move(tenant)),
       identity_{request_.kind, std::move(request_id), request_.model, context.unix_time()},
-      responder_(std::move(responder)) {}
-
-ModelSession::~ModelSession() { cancelStuckTimer(); }
+      responder_(std::move(responder)),
+      pace_(context, settings, counters, *responder_, [this] { callerStuck(); }) {}
 
 void ModelSession::start(std::function<void()> ended) {
   ended_ = std::move(ended);
@@ -52,7 +51,7 @@
   event_.clear();
   format_->appendToken(event_, text);
   responder_->write(event_);
-  pauseIfFull();
+  pace_.written(*execution_);
 }
 
 void ModelSession::collectToken(const std::string& text) {
@@ -66,7 +65,11 @@
 
 void ModelSession::openStream() {
   format_.emplace(identity_);
-  responder_->onDrained([this] { callerDrained(); });
+  responder_->onDrained([this] {
+    if (!over_) {
+      pace_.drained(*execution_);
+    }
+  });
   responder_->startStream(200, {{"Content-Type", "text/event-stream"},
                                 {"Cache-Control", "no-cache"},
                                 {kRequestIdHeader, identity_.request_id}});
@@ -107,26 +110,6 @@
   end(execution::toString(error.outcome), answer.code + ": " + error.message);
 }
 
-void ModelSession::pauseIfFull() {
-  if (paused_ || responder_->pendingBytes() <= settings_.pause_above_bytes) {
-    return;
-  }
-  paused_ = true;
-  counters_.pauses.add();
-  execution_->pause();
-  stuck_timer_ =
-      context_.scheduler.schedule(settings_.stuck_reader_limit, [this] { callerStuck(); });
-}
-
-void ModelSession::callerDrained() {
-  if (over_ || !paused_ || responder_->pendingBytes() > settings_.resume_below_bytes) {
-    return;
-  }
-  paused_ = false;
-  cancelStuckTimer();
-  execution_->resume();
-}
-
 void ModelSession::callerGone() {
   if (over_) {
     return;
@@ -136,22 +119,14 @@
 }
 
 void ModelSession::callerStuck() {
-  stuck_timer_ = 0;
   if (over_) {
     return;
   }
-  counters_.stuck_readers.add();
   execution_.reset();
   responder_->abort();
   end("caller-gone", "the caller read nothing for too long");
 }
 
-void ModelSession::cancelStuckTimer() {
-  if (stuck_timer_ != 0) {
-    context_.scheduler.cancel(std::exchange(stuck_timer_, 0));
-  }
-}
-
 void ModelSession::logEnd(const char* result, const std::string& reason) {
   common::LogEvent(context_.log, common::LogLevel::kInfo, "request_ended")
       .field("request", identity_.request_id)
@@ -165,7 +140,7 @@
 
 void ModelSession::end(const char* result, const std::string& reason) {
   over_ = true;
-  cancelStuckTimer();
+  pace_.stop();
   counters_.requestsEnded(result).add();
   logEnd(result, reason);
   ended_();
--- a/src/cypresswall/gateway/model_session.h
+++ b/src/cypresswall/gateway/model_session.h
@@ -9,6 +9,7 @@
 #include "cypresswall/execution/model_executor.h"
 #include "cypresswall/gateway/completion_format.h"
 #include "cypresswall/gateway/completion_request.h"
+#include "cypresswall/gateway/reader_pace.h"
 #include "cypresswall/gateway/session.h"
 #include "cypresswall/http/server.h"
 
@@ -19,9 +20,6 @@
   ModelSession(GatewayContext& context, const GatewaySettings& settings, GatewayCounters& counters,
                CompletionRequest request, common::TenantName tenant, std::string request_id,
                std::shared_ptr<http::Responder> responder);
-  ~ModelSession() override;
-  ModelSession(const ModelSession&) = delete;
-  ModelSession& operator=(const ModelSession&) = delete;
 
   void start(std::function<void()> ended) override;
 
@@ -34,11 +32,8 @@
   void collectToken(const std::string& text);
   /// Sends the headers of a streamed answer, and its first event.
   void openStream();
-  void pauseIfFull();
-  void callerDrained();
   void callerGone();
   void callerStuck();
-  void cancelStuckTimer();
   void logEnd(const char* result, const std::string& reason);
   /// Nothing is done with the execution or the caller after this.
   void end(const char* result, const std::string& reason);
@@ -59,9 +54,8 @@
   /// Text of an answer that is not streamed.
   std::string text_;
   std::uint32_t tokens_ = 0;
-  bool paused_ = false;
+  ReaderPace pace_;
   bool over_ = false;
-  common::TimerId stuck_timer_ = 0;
 };
 
 }  // namespace cypresswall::gateway
--- a/src/cypresswall/gateway/service_session.cpp
+++ b/src/cypresswall/gateway/service_session.cpp
@@ -52,12 +52,13 @@
 
 ServiceSession::ServiceSession(GatewayContext& context, GatewayCounters& counters,
                                execution::ServiceCallRequest request,
-                               std::shared_ptr<http::Responder> responder)
+                               std::shared_ptr<http::Responder> responder, ErrorWriter write_error)
     : context_(context),
       counters_(counters),
       request_(std::move(request)),
       request_id_(request_.request_id),
-      responder_(std::move(responder)) {}
+      responder_(std::move(responder)),
+      write_error_(std::move(write_error)) {}
 
 void ServiceSession::start(std::function<void()> ended) {
   ended_ = std::move(ended);
@@ -73,9 +74,9 @@
     return;
   }
   if (answer.status == 0) {
-    const auto error = errorAnswerOf(answer.error);
-    respondWithError(*responder_, error, request_id_);
-    end(execution::toString(error.outcome), error.code + ": " + error.message);
+    write_error_(*responder_, answer.error, request_id_);
+    end(execution::toString(answer.error.outcome),
+        errorAnswerOf(answer.error).code + ": " + answer.error.message);
     return;
   }
   auto headers = headersForCaller(answer.headers);
--- a/src/cypresswall/gateway/service_session.h
+++ b/src/cypresswall/gateway/service_session.h
@@ -13,8 +13,10 @@
 
 class ServiceSession final : public Session {
  public:
+  /// \param write_error answers a request that got no answer from the service
   ServiceSession(GatewayContext& context, GatewayCounters& counters,
-                 execution::ServiceCallRequest request, std::shared_ptr<http::Responder> responder);
+                 execution::ServiceCallRequest request, std::shared_ptr<http::Responder> responder,
+                 ErrorWriter write_error);
 
   void start(std::function<void()> ended) override;
 
@@ -28,6 +30,7 @@
   execution::ServiceCallRequest request_;
   std::string request_id_;
   std::shared_ptr<http::Responder> responder_;
+  ErrorWriter write_error_;
   std::function<void()> ended_;
   std::unique_ptr<execution::ServiceExecution> execution_;
   bool over_ = false;
--- a/src/cypresswall/gateway/session.h
+++ b/src/cypresswall/gateway/session.h
@@ -13,6 +13,7 @@
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/execution/model_executor.h"
 #include "cypresswall/execution/service_executor.h"
+#include "cypresswall/http/server.h"
 
 namespace cypresswall::gateway {
 
@@ -59,6 +60,10 @@
   common::CounterRegistry& registry_;
 };
 
+/// Writes the final answer to a request that was not served.
+using ErrorWriter = std::function<void(http::Responder&, const execution::ExecutionError&,
+                                       const std::string& request_id)>;
+
 using SessionId = std::uint64_t;
 
 /// One request under way.
--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -136,6 +136,10 @@
     return CURL_WRITEFUNC_ERROR;
   }
   if (streaming_) {
+    giveHead();
+    if (abandoned()) {
+      return CURL_WRITEFUNC_ERROR;
+    }
     handler_->onBody(bytes);
     return bytes.size();
   }
@@ -149,6 +153,12 @@
   return bytes.size();
 }
 
+void CurlJob::giveHead() {
+  if (!std::exchange(head_given_, true)) {
+    handler_->onHead(response_);
+  }
+}
+
 void CurlJob::takeHeader(std::string_view line) {
   if (line.starts_with("HTTP/")) {
     response_.headers.clear();
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -53,6 +53,7 @@
   void configureTimeLimits();
   std::size_t takeBody(std::string_view bytes);
   void takeHeader(std::string_view line);
+  void giveHead();
   CurlOutcome outcomeOf(CURLcode code) const;
   long numberOf(CURLINFO info) const;
   void deliver(CurlResponse response);
@@ -66,6 +67,7 @@
   bool body_too_long_ = false;
   /// Whether the body is given to the handler in pieces; decided by the status.
   bool streaming_ = false;
+  bool head_given_ = false;
   char error_text_[CURL_ERROR_SIZE] = {};
 };
 
--- a/src/cypresswall/runtime/curl_multi.h
+++ b/src/cypresswall/runtime/curl_multi.h
@@ -24,6 +24,8 @@
 class CurlTransferHandler {
  public:
   virtual ~CurlTransferHandler() = default;
+  /// Gives status and headers of an answer with status 200, once, before its first byte of body.
+  virtual void onHead(const CurlResponse& /*head*/) {}
   /// Gives bytes of the body as they come, only for answers with status 200; other bodies are
   /// collected into CurlResponse::body.
   virtual void onBody(std::string_view bytes) = 0;
