--- a/tests/objects_platform/event_splitter_test.cpp
+++ b/tests/objects_platform/event_splitter_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/event_splitter.h"
 
+#include <sstream>
 #include <vector>
 
 #include "tests/support/property.h"
@@ -21,8 +22,9 @@
       std::string body;
       for (std::size_t i = 0; i < lengths.size(); ++i) {
         const std::string end = i % 2 == 0 ? "\n" : "\r\n";
-        events.push_back("id: " + std::to_string(i) + end +
-                         "data: " + std::string(lengths[i] % 7, 'x') + end + end);
+        std::ostringstream event;
+        event << "id: " << i << end << "data: " << std::string(lengths[i] % 7, 'x') << end << end;
+        events.push_back(event.str());
         body += events.back();
       }
       EventSplitter splitter;
