Pass requests through, keep callers' time limits, run what may not be repeated once

Cause: the executors ignored the fields declared before: a service that may not be repeated was repeated and resumed, callers' time limits and declared numbers of runs counted for nothing, and attempts that engines refused cost no retry though they arrive at engines too. Ruled out: charging refused attempts in every fleet, since an existing test holds that they go elsewhere without budget; it is a setting (charge_refused_attempts, off). Giving the head of a resuming engine: the caller has one already. Ending a silent engine's answer early if nobody can take it over: with a time limit it now stays until then, repeatable or not; without one the 10 s remain. Change: ModelRequest hands the caller's request on and gives the first head once; it stops after a run of a service that may not be repeated, where an engine that only computed the prompt counts as none; it answers when the shorter of the caller's and the service's limit has passed and tells each attempt what is left. ServiceRun bounds its deadline by the caller's limit, also after the wait for a claim. Declared runs replace the node's. An operation without a method fits any. Conclusion: callers of such services are told the truth in time.

--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -54,6 +54,7 @@
   common::Duration between_tokens_limit = std::chrono::milliseconds(79);
   std::uint32_t maximum_tokens = 4096;
   /// False if a request that may have run must not run again: it is neither repeated nor resumed.
+  /// An engine that only computes the prompt does not run it, so that this may be repeated.
   bool repeatable = true;
   /// Longest time that a request is held, from its arrival to its last token; zero sets no limit.
   common::Duration time_limit{0};
@@ -63,7 +64,7 @@
 
 /// One kind of call to a plain HTTP service, found by method and longest path prefix.
 struct OperationDeclaration {
-  /// Empty for any method.
+  /// Empty for any method that no operation with the same prefix names.
   std::string method;
   std::string path_prefix;
   /// False for operations that may run at most once.
--- a/src/cypresswall/execution/engine_attempt.cpp
+++ b/src/cypresswall/execution/engine_attempt.cpp
@@ -47,6 +47,18 @@
   }
 }
 
+void EngineAttempt::onHead(std::uint32_t attempt, const engines::AnswerHead& head) {
+  if (!belongsHere(attempt)) {
+    return;
+  }
+  if (head_given_ || phase_ == engines::StreamPhase::kPrefillOnly) {
+    counters_.doubled.add();
+    return;
+  }
+  head_given_ = true;
+  listener_->onAttemptHead(head);
+}
+
 void EngineAttempt::onToken(std::uint32_t attempt, std::uint32_t index, const std::string& text) {
   if (!belongsHere(attempt)) {
     return;
--- a/src/cypresswall/execution/engine_attempt.h
+++ b/src/cypresswall/execution/engine_attempt.h
@@ -15,19 +15,20 @@
   explicit StreamEventCounters(common::CounterRegistry& registry);
   common::Counter& late;      ///< after the attempt had ended
   common::Counter& crossed;   ///< of another attempt
-  common::Counter& doubled;   ///< tokens already given
+  common::Counter& doubled;   ///< tokens or heads already given
   common::Counter& gap;       ///< attempts broken by a jump of the token index
   common::Counter& short_of;  ///< attempts broken by an end before the last token
 };
 
-/// Passes on the tokens of one attempt, in order and each once, and how the attempt ended. Events
-/// that carry another attempt number, that repeat a token or that come after the end are dropped
-/// and counted. A token that skips one, or an end that comes too early, breaks the attempt.
+/// Passes on the head of one attempt, its tokens, in order and each once, and how it ended. Events
+/// that carry another attempt number, that repeat a head or token or that come after the end are
+/// dropped and counted. A token that skips one, or an end that comes too early, breaks the attempt.
 class EngineAttempt final : public engines::StreamHandler {
  public:
   class Listener {
    public:
     virtual ~Listener() = default;
+    virtual void onAttemptHead(const engines::AnswerHead& head) = 0;
     virtual void onAttemptToken(std::uint32_t index, const std::string& text) = 0;
     virtual void onAttemptFinished(const engines::StreamUsage& usage) = 0;
     virtual void onAttemptFailed(engines::StreamFailure failure, const std::string& message) = 0;
@@ -42,6 +43,7 @@
   void pause();
   void resume();
 
+  void onHead(std::uint32_t attempt, const engines::AnswerHead& head) override;
   void onToken(std::uint32_t attempt, std::uint32_t index, const std::string& text) override;
   void onFinished(std::uint32_t attempt, const engines::StreamUsage& usage) override;
   void onFailed(engines::StreamFailure failure, const std::string& message) override;
@@ -54,6 +56,7 @@
   StreamEventCounters& counters_;
   std::uint32_t number_ = 0;
   std::uint32_t next_index_ = 0;
+  bool head_given_ = false;
   engines::StreamPhase phase_ = engines::StreamPhase::kWhole;
   std::unique_ptr<engines::Stream> stream_;
 };
--- a/src/cypresswall/execution/execution_settings.h
+++ b/src/cypresswall/execution/execution_settings.h
@@ -14,6 +14,9 @@
   std::uint32_t maximum_runs = 4;
   /// Attempts of one request that surely did not run (refused or not sent).
   std::uint32_t maximum_unrun_attempts = 8;
+  /// An attempt that a back end refused counts as one of the request's runs, and the next one is
+  /// paid for from the retry budget: for platforms that count whatever arrives at a back end.
+  bool charge_refused_attempts = false;
   /// Retries allowed to the node for each request it starts.
   double retry_share = 0.1;
   /// Retries that the node may save up, so that the streams of one lost engine can resume at once.
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -30,6 +30,7 @@
     record_->prompt_tokens = target_.shape.tokens;
     record_->maximum_tokens = target_.maximum_tokens;
     first_token_due_ = core_.process.clock.now() + target_.service.first_token_limit;
+    setDeadline();
     if (admit()) {
       nextAttempt();
     }
@@ -87,10 +88,9 @@
 }
 
 common::Duration ModelRequest::timeToFirstToken() const {
-  if (resuming()) {
-    return target_.service.first_token_limit;
-  }
-  return first_token_due_ - core_.process.clock.now();
+  const auto now = core_.process.clock.now();
+  const auto left = resuming() ? target_.service.first_token_limit : first_token_due_ - now;
+  return deadline_ ? std::min(left, *deadline_ - now) : left;
 }
 
 void ModelRequest::onRefused(const routing::RouteRefusal& refusal) {
@@ -124,10 +124,14 @@
   request.adapter = target_.service.adapter;
   request.priority = admission::enginePriority(target_.service.urgency, resuming());
   request.prompt = call_.prompt;
+  request.pass_through = call_.pass_through;
   request.shape = target_.shape;
   request.maximum_tokens = target_.maximum_tokens;
   request.resume_from = tokens_given_;
   request.phase = phase;
+  if (deadline_) {
+    request.time_limit = *deadline_ - core_.process.clock.now();
+  }
   if (phase == engines::StreamPhase::kDecodeOnly) {
     request.kv_source = route_->prefill_engine->address;
   }
@@ -142,6 +146,15 @@
   }
 }
 
+void ModelRequest::onAttemptHead(const engines::AnswerHead& head) {
+  if (head_given_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  head_given_ = true;
+  observer_->onHead(head);
+}
+
 void ModelRequest::onAttemptToken(std::uint32_t index, const std::string& text) {
   const auto self = shared_from_this();
   tokens_given_ = index + 1;
@@ -159,7 +172,7 @@
 void ModelRequest::onAttemptFinished(const engines::StreamUsage& usage) {
   const auto self = shared_from_this();
   if (phase_ == engines::StreamPhase::kPrefillOnly) {
-    may_have_run_ = true;
+    may_have_run_ = may_have_run_ || attemptRuns();
     handOverToDecode();
     return;
   }
@@ -179,6 +192,10 @@
 
 /// The prompt may have taken seconds, in which the decode engine may have begun to leave.
 void ModelRequest::beginDecode() {
+  if (deadlinePassed()) {
+    onDeadline();
+    return;
+  }
   phase_ = engines::StreamPhase::kDecodeOnly;
   if (core_.router.takesWork(route_->engine)) {
     beginStream(route_->engine, engines::StreamPhase::kDecodeOnly);
@@ -236,6 +253,7 @@
   core_.journal.end(record_, state, core_.process.clock.now());
   silence_.stop();
   core_.process.scheduler.cancel(std::exchange(step_timer_, 0));
+  core_.process.scheduler.cancel(std::exchange(deadline_timer_, 0));
   retireAttempt();
   if (admitted_) {
     core_.admission.released(*admitted_);
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -33,6 +33,7 @@
   void resume();
 
  private:
+  void onAttemptHead(const engines::AnswerHead& head) override;
   void onAttemptToken(std::uint32_t index, const std::string& text) override;
   void onAttemptFinished(const engines::StreamUsage& usage) override;
   void onAttemptFailed(engines::StreamFailure failure, const std::string& message) override;
@@ -42,6 +43,9 @@
   routing::RouteRequest routeRequest() const;
   /// Time left for the first token, or for the next one of a resumed answer.
   common::Duration timeToFirstToken() const;
+  void setDeadline();
+  bool deadlinePassed() const;
+  void onDeadline();
   void onRefused(const routing::RouteRefusal& refusal);
   void beginAttempt();
   void beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase);
@@ -50,7 +54,8 @@
 
   void attemptLost(engines::StreamFailure failure, const std::string& message);
   void retryAfterRun(const std::string& message);
-  void retryAfterNoRun(const std::string& message);
+  void retryAfterNoRun(engines::StreamFailure failure, const std::string& message);
+  bool payForRefusal(const std::string& message);
   void scheduleAttempt(common::Duration delay);
   void scheduleStep(common::Duration delay, std::function<void()> step);
 
@@ -58,6 +63,9 @@
   SilenceWatch::Limits silenceLimits() const;
   void onSilence(bool beyond_hard);
   bool retryAffordable() const;
+  /// \return true if the attempt that is under way counts as a run of the request
+  bool attemptRuns() const;
+  std::uint32_t maximumRuns() const;
   bool resuming() const { return tokens_given_ > 0; }
 
   void giveUp(ErrorKind kind, const std::string& message, common::Duration retry_after);
@@ -77,6 +85,9 @@
   std::optional<admission::AdmissionRequest> admitted_;
   common::MonotonicTime first_token_due_{};
   common::MonotonicTime resume_until_{};
+  /// When the caller is answered in any case; empty if nobody set a time limit.
+  std::optional<common::MonotonicTime> deadline_;
+  common::TimerId deadline_timer_ = 0;
   std::vector<common::EngineName> excluded_;
   std::optional<routing::Route> route_;
   std::unique_ptr<EngineAttempt> attempt_;
@@ -86,6 +97,7 @@
   std::uint32_t tokens_given_ = 0;
   std::uint32_t runs_ = 0;
   std::uint32_t unrun_attempts_ = 0;
+  bool head_given_ = false;
   bool may_have_run_ = false;
   bool token_seen_in_attempt_ = false;
   bool paused_ = false;
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -1,4 +1,4 @@
-/// How a model request goes on when an attempt fails or its engine is silent.
+/// How a model request goes on when an attempt fails, its engine is silent or its time is over.
 #include <algorithm>
 #include <utility>
 
@@ -45,8 +45,12 @@
   return limits;
 }
 
+/// A request that has a deadline and can't be taken elsewhere stays where it is until then.
 void ModelRequest::onSilence(bool beyond_hard) {
-  if (!beyond_hard && !retryAffordable()) {
+  if (!retryAffordable() && (!beyond_hard || deadline_)) {
+    if (beyond_hard) {
+      watchSilence();
+    }
     return;
   }
   core_.counters.silent.add();
@@ -54,10 +58,20 @@
 }
 
 bool ModelRequest::retryAffordable() const {
-  return runs_ + 1 < core_.settings.maximum_runs && core_.budget.available() &&
+  const bool repeatable = target_.service.repeatable || !attemptRuns();
+  return repeatable && runs_ + 1 < maximumRuns() && core_.budget.available() &&
          timeToFirstToken() > common::Duration{0};
 }
 
+bool ModelRequest::attemptRuns() const {
+  return target_.service.repeatable || phase_ != engines::StreamPhase::kPrefillOnly;
+}
+
+std::uint32_t ModelRequest::maximumRuns() const {
+  const auto declared = target_.service.maximum_runs;
+  return declared > 0 ? declared : core_.settings.maximum_runs;
+}
+
 void ModelRequest::attemptLost(engines::StreamFailure failure, const std::string& message) {
   silence_.stop();
   const auto& engine =
@@ -77,16 +91,20 @@
     resume_until_ = core_.process.clock.now() + core_.settings.resume_time_limit;
   }
   if (provedNotRun(failure)) {
-    retryAfterNoRun(message);
-  } else {
-    may_have_run_ = true;
-    retryAfterRun(message);
+    retryAfterNoRun(failure, message);
+    return;
   }
+  may_have_run_ = may_have_run_ || attemptRuns();
+  if (may_have_run_ && !target_.service.repeatable) {
+    giveUp(ErrorKind::kBackendFailed, message, core_.settings.default_retry_after);
+    return;
+  }
+  retryAfterRun(message);
 }
 
 void ModelRequest::retryAfterRun(const std::string& message) {
   ++runs_;
-  if (runs_ >= core_.settings.maximum_runs) {
+  if (runs_ >= maximumRuns()) {
     giveUp(ErrorKind::kBackendFailed, message, core_.settings.default_retry_after);
     return;
   }
@@ -103,7 +121,12 @@
   scheduleAttempt(backoffBefore(runs_, core_.settings, core_.process.random));
 }
 
-void ModelRequest::retryAfterNoRun(const std::string& message) {
+void ModelRequest::retryAfterNoRun(engines::StreamFailure failure, const std::string& message) {
+  const bool charged =
+      core_.settings.charge_refused_attempts && failure == engines::StreamFailure::kRefused;
+  if (charged && !payForRefusal(message)) {
+    return;
+  }
   ++unrun_attempts_;
   if (unrun_attempts_ >= core_.settings.maximum_unrun_attempts) {
     giveUp(ErrorKind::kNoBackend, message, core_.settings.default_retry_after);
@@ -113,6 +136,23 @@
   scheduleAttempt(backoffBefore(unrun_attempts_, core_.settings, core_.process.random));
 }
 
+/// A refused attempt reached an engine, like one that ran.
+/// \return false if the request was given up, since no further attempt may be made
+bool ModelRequest::payForRefusal(const std::string& message) {
+  ++runs_;
+  if (runs_ >= maximumRuns()) {
+    giveUp(ErrorKind::kOverloaded, message, core_.settings.default_retry_after);
+    return false;
+  }
+  if (!core_.budget.withdraw()) {
+    core_.counters.budget_spent.add();
+    giveUp(ErrorKind::kOverloaded, message + "; the retry budget is spent",
+           core_.settings.default_retry_after);
+    return false;
+  }
+  return true;
+}
+
 void ModelRequest::scheduleAttempt(common::Duration delay) {
   scheduleStep(delay, [this] { nextAttempt(); });
 }
@@ -127,4 +167,37 @@
       });
 }
 
+void ModelRequest::setDeadline() {
+  auto limit = target_.service.time_limit;
+  if (call_.time_limit > common::Duration{0}) {
+    limit = limit > common::Duration{0} ? std::min(limit, call_.time_limit) : call_.time_limit;
+  }
+  if (limit <= common::Duration{0}) {
+    return;
+  }
+  deadline_ = core_.process.clock.now() + limit;
+  deadline_timer_ = core_.process.scheduler.schedule(limit, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->deadline_timer_ = 0;
+      self->onDeadline();
+    }
+  });
+}
+
+bool ModelRequest::deadlinePassed() const {
+  return deadline_ && core_.process.clock.now() >= *deadline_;
+}
+
+/// The attempt under way may run on its engine until the cancellation arrives there.
+void ModelRequest::onDeadline() {
+  may_have_run_ = may_have_run_ || (attempt_ != nullptr && attemptRuns());
+  if (route_) {
+    recordResult("ended by the request's time limit");
+    core_.router.attemptFinished(stream_id_);
+    route_.reset();
+  }
+  giveUp(ErrorKind::kDeadlineExceeded, "the request's time limit has passed",
+         core_.settings.default_retry_after);
+}
+
 }  // namespace cypresswall::execution
--- a/src/cypresswall/execution/service_operation.cpp
+++ b/src/cypresswall/execution/service_operation.cpp
@@ -5,7 +5,17 @@
 
 bool matches(const configuration::OperationDeclaration& operation, const std::string& method,
              const std::string& path) {
-  return operation.method == method && path.rfind(operation.path_prefix, 0) == 0;
+  const bool method_matches = operation.method.empty() || operation.method == method;
+  return method_matches && path.rfind(operation.path_prefix, 0) == 0;
+}
+
+/// \return true if `operation` says more of a call than `other`, both matching it
+bool moreSpecific(const configuration::OperationDeclaration& operation,
+                  const configuration::OperationDeclaration& other) {
+  if (operation.path_prefix.size() != other.path_prefix.size()) {
+    return operation.path_prefix.size() > other.path_prefix.size();
+  }
+  return other.method.empty() && !operation.method.empty();
 }
 
 }  // namespace
@@ -16,8 +26,7 @@
   const auto path = target.substr(0, target.find('?'));
   const configuration::OperationDeclaration* best = nullptr;
   for (const auto& operation : service.operations) {
-    const bool longer = best == nullptr || operation.path_prefix.size() > best->path_prefix.size();
-    if (longer && matches(operation, method, path)) {
+    if (matches(operation, method, path) && (best == nullptr || moreSpecific(operation, *best))) {
       best = &operation;
     }
   }
--- a/src/cypresswall/execution/service_operation.h
+++ b/src/cypresswall/execution/service_operation.h
@@ -7,9 +7,9 @@
 
 namespace cypresswall::execution {
 
-/// Finds the declared operation of that method with the longest path prefix.
-/// \param target path with query
-/// \return the operation; if none is declared, one that may be repeated only for GET and HEAD
+/// Finds the declared operation of that method, or of any, with the longest path prefix; of two
+/// with the same prefix the one that names the method. \param target path with query \return the
+/// operation; if none is declared, one that may be repeated only for GET and HEAD
 configuration::OperationDeclaration findOperation(
     const configuration::HttpServiceDeclaration& service, const std::string& method,
     const std::string& target);
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -33,6 +33,7 @@
 
 void ServiceRun::start() {
   starting_ = true;
+  arrival_ = core_.process.clock.now();
   openRecord();
   core_.counters.started.add();
   core_.budget.requestStarted();
@@ -44,7 +45,7 @@
   } else if (admit(declared->second)) {
     service_ = declared->second;
     operation_ = findOperation(service_, request_.method, request_.target);
-    deadline_ = core_.process.clock.now() + operation_.time_limit;
+    setDeadline();
     if (usesClaim()) {
       claimKey();
     } else {
@@ -54,6 +55,17 @@
   starting_ = false;
 }
 
+void ServiceRun::setDeadline() {
+  deadline_ = core_.process.clock.now() + operation_.time_limit;
+  if (request_.time_limit > common::Duration{0}) {
+    deadline_ = std::min(deadline_, arrival_ + request_.time_limit);
+  }
+}
+
+std::uint32_t ServiceRun::maximumRuns() const {
+  return operation_.maximum_runs > 0 ? operation_.maximum_runs : core_.settings.maximum_runs;
+}
+
 bool ServiceRun::admit(const configuration::HttpServiceDeclaration& service) {
   admission::AdmissionRequest request;
   request.tenant = request_.tenant;
@@ -75,7 +87,7 @@
     return;
   }
   if (deadline_ <= core_.process.clock.now()) {
-    fail(ErrorKind::kDeadlineExceeded, "the operation's time limit has passed",
+    fail(ErrorKind::kDeadlineExceeded, "the request's time limit has passed",
          core_.settings.default_retry_after);
     return;
   }
@@ -126,7 +138,7 @@
 
 common::Duration ServiceRun::attemptTimeLimit(common::Duration remaining) const {
   const bool retry_possible = operation_.repeatable && service_.backends.size() > 1 &&
-                              runs_ + 1 < core_.settings.maximum_runs && core_.budget.available();
+                              runs_ + 1 < maximumRuns() && core_.budget.available();
   return retry_possible ? remaining / kAttemptsPerRemainingTime : remaining;
 }
 
@@ -169,11 +181,11 @@
 }
 
 void ServiceRun::onProvedNotRun(const services::ServiceResponse& response) {
+  const bool refused = response.outcome == services::ServiceOutcome::kRefused;
+  const bool charged = refused && core_.settings.charge_refused_attempts;
   ++unrun_attempts_;
-  if (unrun_attempts_ >= core_.settings.maximum_unrun_attempts) {
-    const auto kind = response.outcome == services::ServiceOutcome::kRefused
-                          ? ErrorKind::kOverloaded
-                          : ErrorKind::kNoBackend;
+  if (unrun_attempts_ >= core_.settings.maximum_unrun_attempts || (charged && !payForRun())) {
+    const auto kind = refused ? ErrorKind::kOverloaded : ErrorKind::kNoBackend;
     fail(kind, response.error, retryAfterOf(response, core_.settings.default_retry_after));
     return;
   }
@@ -191,15 +203,22 @@
 }
 
 bool ServiceRun::payForRetry() {
+  if (!payForRun()) {
+    return false;
+  }
+  core_.counters.retries_after_run.add();
+  return true;
+}
+
+bool ServiceRun::payForRun() {
   ++runs_;
-  if (runs_ >= core_.settings.maximum_runs || deadline_ <= core_.process.clock.now()) {
+  if (runs_ >= maximumRuns() || deadline_ <= core_.process.clock.now()) {
     return false;
   }
   if (!core_.budget.withdraw()) {
     core_.counters.budget_spent.add();
     return false;
   }
-  core_.counters.retries_after_run.add();
   return true;
 }
 
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -41,6 +41,11 @@
   void onProvedNotRun(const services::ServiceResponse& response);
   void onBroken(const services::ServiceResponse& response);
   bool payForRetry();
+  /// Counts a run. \return false if no further one may be made
+  bool payForRun();
+  std::uint32_t maximumRuns() const;
+  /// Counts the operation's time limit from now and the caller's from the request's arrival.
+  void setDeadline();
   void scheduleAttempt(common::Duration delay);
 
   bool usesClaim() const { return !operation_.repeatable && !request_.idempotency_key.empty(); }
@@ -63,6 +68,7 @@
   configuration::HttpServiceDeclaration service_;
   configuration::OperationDeclaration operation_;
   std::optional<admission::AdmissionRequest> admitted_;
+  common::MonotonicTime arrival_{};
   common::MonotonicTime deadline_{};
   common::MonotonicTime claim_sent_{};
   std::set<common::Address> excluded_;
--- a/src/cypresswall/execution/service_run_claim.cpp
+++ b/src/cypresswall/execution/service_run_claim.cpp
@@ -64,7 +64,7 @@
     return;
   }
   claim_held_ = true;
-  deadline_ = core_.process.clock.now() + operation_.time_limit;
+  setDeadline();
   nextAttempt();
 }
 
--- a/tests/execution/engine_model_executor_test.cpp
+++ b/tests/execution/engine_model_executor_test.cpp
@@ -3,84 +3,21 @@
 #include <optional>
 #include <vector>
 
-#include "tests/execution/fake_engines.h"
-#include "tests/execution/process_fixture.h"
+#include "tests/execution/model_world.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::execution {
 namespace {
 
+using testing::RecordingObserver;
 using testing::StreamScript;
+using World = testing::ModelWorld;
 using Kind = StreamScript::Kind;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr auto kLongRun = std::chrono::minutes(5);
 
-struct RecordingObserver final : ModelCallObserver {
-  void onToken(std::uint32_t index, const std::string& text) override {
-    in_order = in_order && index == tokens.size() && ends == 0;
-    tokens.push_back(text);
-    if (on_token) {
-      on_token();
-    }
-  }
-  void onFinished(const engines::StreamUsage&) override {
-    ++ends;
-    done = true;
-  }
-  void onError(const ExecutionError& given) override {
-    ++ends;
-    error = given;
-  }
-
-  std::vector<std::string> tokens;
-  std::function<void()> on_token;
-  bool in_order = true;
-  bool done = false;
-  int ends = 0;
-  std::optional<ExecutionError> error;
-};
-
-/// One node with an executor over fake engines.
-struct World {
-  explicit World(ExecutionSettings settings = {})
-      : executor(process.context, configuration, admission, router, engines, settings) {
-    configuration.fleet.models["dispatch"] = {"dispatch", "v1", "", {}};
-    configuration.fleet.model_services["summary"].name = "summary";
-    configuration.fleet.model_services["summary"].model = "dispatch";
-    configuration.fleet.model_services["summary"].urgency = configuration::Urgency::kHigh;
-  }
-  std::unique_ptr<ModelExecution> start(RecordingObserver& observer,
-                                        const std::string& prompt = "events") {
-    ModelCall call;
-    call.request_id = prompt;
-    call.service = "summary";
-    call.prompt = prompt;
-    return executor.start(call, observer);
-  }
-  bool wholeAnswer(const RecordingObserver& observer, const std::string& prompt = "events") const {
-    return observer.done && observer.tokens.size() == engines.answer_tokens &&
-           isPrefix(observer, prompt);
-  }
-  static bool isPrefix(const RecordingObserver& observer, const std::string& prompt) {
-    for (std::uint32_t index = 0; index < observer.tokens.size(); ++index) {
-      if (observer.tokens[index] != testing::expectedToken(prompt, index)) {
-        return false;
-      }
-    }
-    return observer.in_order;
-  }
-  double count(const std::string& name) const { return process.counters.total(name); }
-
-  testing::ProcessFixture process;
-  testing::FixedConfiguration configuration;
-  testing::FakeAdmission admission;
-  testing::FakeRouter router;
-  testing::FakeEngines engines{process.time};
-  EngineModelExecutor executor;
-};
-
 class EngineModelExecutorTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EngineModelExecutorTest);
   CPPUNIT_TEST(givesTheWholeAnswer);
--- a/tests/execution/fake_engines.cpp
+++ b/tests/execution/fake_engines.cpp
@@ -55,11 +55,19 @@
     } else if (here && script_.kind != Kind::kGood) {
       turnFaulty();
     } else {
+      giveHead();
       give(next_++);
       arm();
     }
   }
 
+  /// A passed-through answer begins with a head that names the attempt.
+  void giveHead() {
+    if (request_.pass_through && next_ == request_.resume_from) {
+      handler_.onHead(request_.attempt, {200, {{"attempt", std::to_string(request_.attempt)}}});
+    }
+  }
+
   void turnPrefill() {
     if (script_.kind == Kind::kGood) {
       finish(0);
@@ -113,16 +121,19 @@
   void cross(std::uint32_t index) {
     for (auto* other : owner_.open_) {
       if (other != this) {
-        other->handler_.onToken(request_.attempt, index, expectedToken(request_.prompt, index));
+        other->handler_.onToken(request_.attempt, index, text(index));
         return;
       }
     }
   }
 
-  void give(std::uint32_t index) {
-    handler_.onToken(request_.attempt, index, expectedToken(request_.prompt, index));
+  std::string text(std::uint32_t index) const {
+    return expectedToken(request_.pass_through ? request_.pass_through->body : request_.prompt,
+                         index);
   }
 
+  void give(std::uint32_t index) { handler_.onToken(request_.attempt, index, text(index)); }
+
   void finish(std::uint32_t output_tokens) {
     engines::StreamUsage usage;
     usage.output_tokens = output_tokens;
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -104,6 +104,10 @@
   CPPUNIT_TEST(callerGoneStillRecordsTheAnswer);
   CPPUNIT_TEST(lateGrantIsNotUsed);
   CPPUNIT_TEST(unknownServiceIsNotRun);
+  CPPUNIT_TEST(callersTimeLimitBoundsEveryAttempt);
+  CPPUNIT_TEST(claimDoesNotLengthenTheCallersTime);
+  CPPUNIT_TEST(declaredRunsReplaceTheNodesOwn);
+  CPPUNIT_TEST(refusedAttemptsDrawOnTheBudget);
   CPPUNIT_TEST(runsAtMostOnceUnderFaults);
   CPPUNIT_TEST_SUITE_END();
 
@@ -250,6 +254,61 @@
     CPPUNIT_ASSERT(caller->answer().outcome == Outcome::kNotRun);
   }
 
+  void callersTimeLimitBoundsEveryAttempt() {
+    World world;
+    world.client.scripts = {CallScript::kRefused, CallScript::kSlow};
+    auto request = World::request("POST", "/slots");
+    request.time_limit = milliseconds(500);
+    CPPUNIT_ASSERT(world.ask(request).outcome == Outcome::kDone);
+    CPPUNIT_ASSERT(world.client.calls.at(0).second.time_limit == milliseconds(500));
+    CPPUNIT_ASSERT(world.client.calls.at(1).second.time_limit == milliseconds(470));
+    request.time_limit = seconds(60);
+    world.ask(request);
+    CPPUNIT_ASSERT(world.client.calls.at(2).second.time_limit == seconds(2));
+  }
+
+  void claimDoesNotLengthenTheCallersTime() {
+    World world;
+    world.claims.answer_time = milliseconds(300);
+    auto request = World::request("POST", "/slots", "key");
+    request.time_limit = milliseconds(500);
+    world.ask(request);
+    CPPUNIT_ASSERT(world.client.calls.at(0).second.time_limit == milliseconds(200));
+    request.idempotency_key = "other key";
+    request.time_limit = milliseconds(300);
+    const auto answer = world.ask(request);
+    CPPUNIT_ASSERT(answer.error.kind == ErrorKind::kDeadlineExceeded);
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.client.calls.size());
+  }
+
+  void declaredRunsReplaceTheNodesOwn() {
+    for (const std::uint32_t runs : {1U, 2U, 6U}) {
+      World world;
+      world.configuration.fleet.http_services["booking"].operations.at(0).maximum_runs = runs;
+      world.client.scripts.assign(9, CallScript::kBrokenAfterRun);
+      const auto answer = world.ask(World::request("POST", "/slots/search"));
+      CPPUNIT_ASSERT(answer.outcome == Outcome::kUnknown);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{runs}, world.client.calls.size());
+    }
+  }
+
+  void refusedAttemptsDrawOnTheBudget() {
+    ExecutionSettings settings;
+    settings.charge_refused_attempts = true;
+    settings.retry_burst = 1;
+    settings.retry_share = 0;
+    World world(settings);
+    world.client.scripts = {CallScript::kRefused, CallScript::kNotSent, CallScript::kRefused};
+    const auto answer = world.ask(World::request("POST", "/slots"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.client.calls.size());
+    CPPUNIT_ASSERT(answer.error.kind == ErrorKind::kOverloaded);
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(answer.error.retry_after > common::Duration{0});
+    CPPUNIT_ASSERT_EQUAL(1.0, world.process.counters.total(
+                                  "cypresswall_execution_service_retry_budget_spent_total"));
+  }
+
   void runsAtMostOnceUnderFaults() {
     std::map<CallScript, int> faults;
     std::map<ClaimVerdict, int> verdicts;
--- /dev/null
+++ b/tests/execution/model_request_test.cpp
@@ -0,0 +1,277 @@
+#include "cypresswall/execution/model_request.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/execution/model_world.h"
+
+namespace cypresswall::execution {
+namespace {
+
+using testing::RecordingObserver;
+using testing::StreamScript;
+using Kind = StreamScript::Kind;
+using World = testing::ModelWorld;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kLongRun = std::chrono::minutes(5);
+
+class ModelRequestTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ModelRequestTest);
+  CPPUNIT_TEST(passesTheRequestThroughAndTheHeadOnce);
+  CPPUNIT_TEST(requestThatMayHaveRunIsNotRepeated);
+  CPPUNIT_TEST(requestThatDidNotRunIsRepeated);
+  CPPUNIT_TEST(failedPrefillIsRepeated);
+  CPPUNIT_TEST(silenceDoesNotEndARequestThatMayNotBeRepeated);
+  CPPUNIT_TEST(silentEngineIsHeldToTheDeadlineOnly);
+  CPPUNIT_TEST(shorterTimeLimitCounts);
+  CPPUNIT_TEST(deadlineBeforeAnyRunIsNotRun);
+  CPPUNIT_TEST(deadlineWhileThePromptIsComputedIsNotRun);
+  CPPUNIT_TEST(declaredRunsReplaceTheNodesOwn);
+  CPPUNIT_TEST(refusedAttemptsDrawOnTheBudget);
+  CPPUNIT_TEST(refusedAttemptsStayWithinTheShare);
+  CPPUNIT_TEST(longFirstTokenLimitIsGivenToTheRouter);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void passesTheRequestThroughAndTheHeadOnce() {
+    World world;
+    world.engines.scripts = {{Kind::kBrokenAt, 5}};
+    auto call = World::call("");
+    engines::PassThroughRequest request{
+        "POST", "/chat?x=%20", {{"X-One", "1"}}, "{ \"raw\" : 1}\n"};
+    call.pass_through = std::make_shared<const engines::PassThroughRequest>(request);
+    RecordingObserver observer;
+    const auto handle = world.executor.start(call, observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(world.wholeAnswer(observer, request.body));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, observer.heads.size());
+    const auto& first = world.engines.started.at(0).second;
+    CPPUNIT_ASSERT_EQUAL(std::to_string(first.attempt), observer.heads[0].headers.at(0).value);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.engines.started.size());
+    for (const auto& [engine, attempt] : world.engines.started) {
+      CPPUNIT_ASSERT_EQUAL(request.target, attempt.pass_through->target);
+      CPPUNIT_ASSERT_EQUAL(request.body, attempt.pass_through->body);
+      CPPUNIT_ASSERT(request.headers == attempt.pass_through->headers);
+    }
+  }
+
+  void requestThatMayHaveRunIsNotRepeated() {
+    for (const StreamScript script :
+         {StreamScript{Kind::kBrokenAt, 0}, {Kind::kBrokenAt, 5}, {Kind::kLosesAt, 2}}) {
+      World world;
+      world.service().repeatable = false;
+      world.engines.scripts = {script};
+      RecordingObserver observer;
+      const auto handle = world.start(observer);
+      world.process.time.runFor(kLongRun);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.engines.started.size());
+      CPPUNIT_ASSERT(observer.error->outcome == Outcome::kUnknown);
+      CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kBackendFailed);
+      assertNothingHeld(world);
+    }
+  }
+
+  void requestThatDidNotRunIsRepeated() {
+    World world;
+    world.service().repeatable = false;
+    world.engines.scripts = {{Kind::kRefused}, {Kind::kNotSent}};
+    RecordingObserver observer;
+    const auto handle = world.start(observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(world.wholeAnswer(observer));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.engines.started.size());
+  }
+
+  void failedPrefillIsRepeated() {
+    for (const auto kind : {Kind::kBrokenAt, Kind::kSilentAt}) {
+      World world;
+      world.service().repeatable = false;
+      world.router.prefill_name = "prefill-1";
+      world.engines.scripts = {{kind, 0}, {Kind::kRefused}, {Kind::kNotSent}};
+      RecordingObserver observer;
+      const auto handle = world.start(observer);
+      world.process.time.runFor(kLongRun);
+      CPPUNIT_ASSERT(world.wholeAnswer(observer));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, world.engines.started.size());
+    }
+    World world;
+    world.service().repeatable = false;
+    world.router.prefill_name = "prefill-1";
+    world.router.names = {"engine-1"};
+    world.engines.scripts = {{Kind::kBrokenAt, 0}, {Kind::kRefused}};
+    RecordingObserver observer;
+    const auto handle = world.start(observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(observer.error->outcome == Outcome::kNotRun);
+  }
+
+  void silenceDoesNotEndARequestThatMayNotBeRepeated() {
+    for (const std::uint32_t position : {0U, 3U}) {
+      World world;
+      world.service().repeatable = false;
+      world.service().time_limit = seconds(60);
+      world.engines.scripts = {{Kind::kSilentAt, position}};
+      RecordingObserver observer;
+      const auto handle = world.start(observer);
+      world.process.time.runFor(seconds(60) - milliseconds(1));
+      CPPUNIT_ASSERT_EQUAL(0, observer.ends);
+      world.process.time.runFor(milliseconds(1));
+      CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kDeadlineExceeded);
+      CPPUNIT_ASSERT(observer.error->outcome == Outcome::kUnknown);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.engines.started.size());
+      assertNothingHeld(world);
+    }
+  }
+
+  void silentEngineIsHeldToTheDeadlineOnly() {
+    ExecutionSettings settings;
+    settings.retry_burst = 0;
+    World world(settings);
+    world.engines.scripts = {{Kind::kSilentAt, 3}};
+    auto call = World::call();
+    call.time_limit = seconds(30);
+    RecordingObserver observer;
+    const auto handle = world.executor.start(call, observer);
+    world.process.time.runFor(seconds(29));
+    CPPUNIT_ASSERT_EQUAL(0, observer.ends);
+    world.process.time.runFor(seconds(1));
+    CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kDeadlineExceeded);
+  }
+
+  void shorterTimeLimitCounts() {
+    for (const auto& [service, caller] : {std::pair{seconds(2), seconds(9)},
+                                          {seconds(9), seconds(2)},
+                                          {seconds(0), seconds(2)},
+                                          {seconds(2), seconds(0)}}) {
+      World world;
+      world.service().time_limit = service;
+      world.engines.token_time = milliseconds(600);
+      auto call = World::call();
+      call.time_limit = caller;
+      RecordingObserver observer;
+      const auto handle = world.executor.start(call, observer);
+      world.process.time.runFor(seconds(2) - milliseconds(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, observer.tokens.size());
+      CPPUNIT_ASSERT_EQUAL(0, observer.ends);
+      world.process.time.runFor(milliseconds(1));
+      CPPUNIT_ASSERT(observer.error->outcome == Outcome::kUnknown);
+      CPPUNIT_ASSERT(world.engines.started.at(0).second.time_limit == seconds(2));
+      world.process.time.runFor(kLongRun);
+      CPPUNIT_ASSERT_EQUAL(1, observer.ends);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, observer.tokens.size());
+      assertNothingHeld(world);
+    }
+  }
+
+  void deadlineBeforeAnyRunIsNotRun() {
+    World world;
+    world.service().time_limit = milliseconds(70);
+    world.engines.scripts.assign(8, {Kind::kRefused});
+    world.engines.token_time = milliseconds(30);
+    RecordingObserver observer;
+    const auto handle = world.start(observer);
+    world.process.time.runFor(milliseconds(65));
+    CPPUNIT_ASSERT_EQUAL(0, observer.ends);
+    CPPUNIT_ASSERT(world.engines.started.at(1).second.time_limit == milliseconds(40));
+    CPPUNIT_ASSERT(world.router.requests.at(1).first_token_limit == milliseconds(40));
+    // The third attempt waits for its turn when the time is over.
+    world.process.time.runFor(milliseconds(5));
+    CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kDeadlineExceeded);
+    const auto started = world.engines.started.size();
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT_EQUAL(started, world.engines.started.size());
+    CPPUNIT_ASSERT_EQUAL(1, observer.ends);
+    assertNothingHeld(world);
+  }
+
+  void deadlineWhileThePromptIsComputedIsNotRun() {
+    World world;
+    world.service().repeatable = false;
+    world.service().time_limit = milliseconds(50);
+    world.router.prefill_name = "prefill-1";
+    world.engines.scripts = {{Kind::kSilentAt, 0}};
+    RecordingObserver observer;
+    const auto handle = world.start(observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kDeadlineExceeded);
+    CPPUNIT_ASSERT(observer.error->outcome == Outcome::kNotRun);
+    assertNothingHeld(world);
+  }
+
+  void declaredRunsReplaceTheNodesOwn() {
+    for (const std::uint32_t runs : {1U, 2U, 6U}) {
+      World world;
+      world.router.names.assign({"a", "b", "c", "d", "e", "f", "g"});
+      world.service().maximum_runs = runs;
+      world.engines.scripts.assign(9, {Kind::kBrokenAt, 0});
+      RecordingObserver observer;
+      const auto handle = world.start(observer);
+      world.process.time.runFor(kLongRun);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{runs}, world.engines.started.size());
+      CPPUNIT_ASSERT(observer.error->outcome == Outcome::kUnknown);
+    }
+  }
+
+  void refusedAttemptsDrawOnTheBudget() {
+    ExecutionSettings settings;
+    settings.charge_refused_attempts = true;
+    settings.retry_burst = 1;
+    settings.retry_share = 0;
+    World world(settings);
+    world.engines.scripts = {
+        {Kind::kNotSent}, {Kind::kRefused}, {Kind::kNotSent}, {Kind::kRefused}, {Kind::kRefused}};
+    RecordingObserver observer;
+    const auto handle = world.start(observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, world.engines.started.size());
+    CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kOverloaded);
+    CPPUNIT_ASSERT(observer.error->outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(observer.error->retry_after > common::Duration{0});
+    assertNothingHeld(world);
+  }
+
+  void refusedAttemptsStayWithinTheShare() {
+    ExecutionSettings settings;
+    settings.charge_refused_attempts = true;
+    settings.retry_burst = 3;
+    World world(settings);
+    world.service().maximum_runs = 3;
+    for (int number = 0; number < 300; ++number) {
+      world.engines.scripts.push_back({number % 2 == 0 ? Kind::kRefused : Kind::kBrokenAt, 0});
+    }
+    constexpr std::size_t kRequests = 100;
+    for (std::size_t number = 0; number < kRequests; ++number) {
+      RecordingObserver observer;
+      const auto handle = world.start(observer);
+      world.process.time.runFor(seconds(1));
+      CPPUNIT_ASSERT_EQUAL(1, observer.ends);
+    }
+    const auto extra = world.engines.started.size() - kRequests;
+    CPPUNIT_ASSERT(extra > 3);
+    CPPUNIT_ASSERT(extra <= 13);
+  }
+
+  void longFirstTokenLimitIsGivenToTheRouter() {
+    World world;
+    world.service().first_token_limit = std::chrono::hours(24);
+    auto call = World::call();
+    call.time_limit = seconds(20);
+    RecordingObserver observer;
+    const auto handle = world.executor.start(call, observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(world.wholeAnswer(observer));
+    CPPUNIT_ASSERT(world.router.requests.at(0).first_token_limit == seconds(20));
+  }
+
+ private:
+  static void assertNothingHeld(const World& world) {
+    CPPUNIT_ASSERT_EQUAL(0, world.admission.held);
+    CPPUNIT_ASSERT_EQUAL(0, world.router.open);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ModelRequestTest);
+
+}  // namespace
+}  // namespace cypresswall::execution
