Let the platform declare the fleet: nodes follow its view and refuse operators' changes

Cause: where the platform's store holds the whole fleet, the replicated configuration of the nodes would be a second truth. Ruled out: feeding the platform's fleet into the replicated log: two writers of one log, and each node reads the platform's store anyway. Leaving the replica running beside it: it would ask the object store for a log that nobody writes. Change: NodeClients::declared takes the replica's place for all modules and for operators' queries (Node::configurationView); the replica is not started, a node is ready from the first version above zero, changes are refused with the reason. The version held is told to the other nodes as before. The simulated fleet can be declared in the same way; its passed-through answers have heads. Conclusion: the daemon's modules work under a platform's declaration without knowing of it.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -77,7 +77,7 @@
 gateway::GatewayContext Daemon::gatewayContext() {
   return gateway::GatewayContext{node_.modelExecutor(),
                                  node_.serviceExecutor(),
-                                 node_.configuration(),
+                                 node_.configurationView(),
                                  scheduler_,
                                  log_,
                                  counters_,
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 namespace cypresswall::node {
+
 Node::Node(NodeSettings settings, const api::ProcessContext& context, const NodeClients& clients)
     : settings_(std::move(settings)),
       context_(context),
@@ -10,23 +11,26 @@
       gossip_(settings_.membership, context_, membership_),
       authority_(settings_.lease, context_, membership_, clients.object_store),
       configuration_(settings_.configuration, context_, membership_, gossip_, clients.object_store),
-      engines_(settings_.directory, context_, clients.engines, configuration_, membership_),
+      declared_(clients.declared),
+      configuration_view_(declared_ != nullptr ? *declared_ : configuration_),
+      engines_(settings_.directory, context_, clients.engines, configuration_view_, membership_),
       router_(settings_.router, context_, engines_),
       controller_(settings_.controller, context_, authority_, engines_, clients.engines,
-                  configuration_, membership_,
+                  configuration_view_, membership_,
                   settings_.make_planner ? settings_.make_planner() : nullptr),
       observed_router_(router_, context_.clock, settings_.shedding),
-      admission_(context_, configuration_, membership_, observed_router_, settings_.admission),
+      admission_(context_, configuration_view_, membership_, observed_router_, settings_.admission),
       key_claims_(settings_.claims, context_, authority_, authority_, membership_),
-      model_executor_(context_, configuration_, admission_, observed_router_, clients.engines,
+      model_executor_(context_, configuration_view_, admission_, observed_router_, clients.engines,
                       settings_.execution),
       service_executor_(context_,
-                        execution::ServiceInterfaces{configuration_, membership_, admission_,
+                        execution::ServiceInterfaces{configuration_view_, membership_, admission_,
                                                      clients.services, key_claims_},
                         settings_.execution),
-      state_(NodeStateSources{context_.clock, membership_, authority_, configuration_, engines_,
-                              controller_, model_executor_.journal(), service_executor_.journal()}),
-      commands_(context_, configuration_, state_) {
+      state_(NodeStateSources{context_.clock, membership_, authority_, configuration_view_,
+                              engines_, controller_, model_executor_.journal(),
+                              service_executor_.journal()}),
+      commands_(context_, configuration_, state_, declared_) {
   membership_.onChange([this] {
     if (membership_.leaving()) {
       drain();
@@ -40,12 +44,28 @@
   membership_.start();
   gossip_.start();
   authority_.start();
-  configuration_.start();
+  if (declared_ == nullptr) {
+    configuration_.start();
+  } else {
+    followDeclared();
+  }
   engines_.start();
   controller_.start();
   key_claims_.start();
 }
 
+bool Node::configurationHeld() const {
+  return declared_ != nullptr ? declared_->current()->version > 0 : configuration_.ready();
+}
+
+void Node::followDeclared() {
+  const auto tell = [this](const configuration::FleetConfiguration& fleet) {
+    membership_.setDigest(membership::DigestTopic::kConfigurationVersion, fleet.version);
+  };
+  declared_->onChange(tell);
+  tell(*declared_->current());
+}
+
 void Node::drain() {
   if (draining_) {
     return;
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -50,7 +50,7 @@
   void start();
   /// \return true once a configuration is held, so that requests can be judged, and until the node
   ///   drains.
-  bool ready() const { return configuration_.ready() && !draining_; }
+  bool ready() const { return configurationHeld() && !draining_; }
 
   /// Planned stop: takes no new requests, gives up the lease and its place as a voter, and calls
   /// `done` once nothing runs here that an end of the process would cut, or after
@@ -61,7 +61,10 @@
   membership::Membership& membership() { return membership_; }
   membership::ZoneGossip& gossip() { return gossip_; }
   lease::ZoneAuthority& authority() { return authority_; }
+  /// The replicated configuration; empty and not running if the platform declares the fleet.
   configuration::ConfigurationReplica& configuration() { return configuration_; }
+  /// What this node works by, whoever declared it.
+  configuration::ConfigurationView& configurationView() { return configuration_view_; }
   routing::EngineDirectory& engines() { return engines_; }
   routing::CostRouter& router() { return router_; }
   orders::ZoneController& controller() { return controller_; }
@@ -72,6 +75,9 @@
   execution::ServiceExecutor& serviceExecutor() { return service_executor_; }
 
  private:
+  bool configurationHeld() const;
+  /// Tells the other nodes which version of a declared fleet this node holds.
+  void followDeclared();
   /// Stops taking new work; what runs goes on.
   void drain();
   void checkStop();
@@ -83,6 +89,8 @@
   membership::ZoneGossip gossip_;
   lease::ZoneAuthority authority_;
   configuration::ConfigurationReplica configuration_;
+  configuration::ConfigurationView* declared_;
+  configuration::ConfigurationView& configuration_view_;
   routing::EngineDirectory engines_;
   routing::CostRouter router_;
   orders::ZoneController controller_;
--- a/src/cypresswall/node/node_state.h
+++ b/src/cypresswall/node/node_state.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "cypresswall/configuration/configuration_replica.h"
+#include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/execution/request_journal.h"
 #include "cypresswall/lease/zone_authority.h"
 #include "cypresswall/membership/membership.h"
@@ -20,7 +20,7 @@
   const common::Clock& clock;
   const membership::Membership& membership;
   const lease::ZoneAuthority& authority;
-  const configuration::ConfigurationReplica& configuration;
+  const configuration::ConfigurationView& configuration;
   const routing::EngineDirectory& engines;
   const orders::ZoneController& controller;
   const execution::RequestJournal& model_requests;
--- a/src/cypresswall/operators/command_service.cpp
+++ b/src/cypresswall/operators/command_service.cpp
@@ -63,14 +63,19 @@
 
 CommandService::CommandService(const api::ProcessContext& context,
                                configuration::ConfigurationReplica& configuration,
-                               const StateProviders& providers)
+                               const StateProviders& providers,
+                               const configuration::ConfigurationView* declared)
     : context_(context),
       configuration_(configuration),
-      queries_(context.zone, configuration, providers) {}
+      declared_(declared),
+      queries_(context.zone, configuration, providers, declared) {}
 
 void CommandService::execute(const CommandRequest& request, const Callback& callback) {
   try {
     const Command command = parseCommand(request.command);
+    if (isChange(command) && declared_ != nullptr) {
+      throw CommandError("the fleet is declared by the platform: change it there");
+    }
     if (isChange(command)) {
       submit(command, request, callback);
     } else {
@@ -87,7 +92,8 @@
 
 CommandResponse CommandService::query(const Command& command) const {
   CommandResponse response;
-  response.version = configuration_.log().version();
+  response.version =
+      declared_ != nullptr ? declared_->current()->version : configuration_.log().version();
   if (const auto* show = std::get_if<ShowCommand>(&command)) {
     response.table = queries_.show(*show);
   } else if (const auto* why = std::get_if<WhyCommand>(&command)) {
--- a/src/cypresswall/operators/command_service.h
+++ b/src/cypresswall/operators/command_service.h
@@ -75,9 +75,12 @@
   /// The users ask for 7 s; a little more shows that a zone is late, and which.
   static constexpr common::Duration kWaitLimit = std::chrono::seconds(10);
 
+  /// \param declared set where the platform declares the fleet: queries read it in place of the
+  ///   replicated configuration, and changes are refused
   CommandService(const api::ProcessContext& context,
                  configuration::ConfigurationReplica& configuration,
-                 const StateProviders& providers);
+                 const StateProviders& providers,
+                 const configuration::ConfigurationView* declared = nullptr);
   CommandService(const CommandService&) = delete;
   CommandService& operator=(const CommandService&) = delete;
 
@@ -96,6 +99,7 @@
 
   api::ProcessContext context_;
   configuration::ConfigurationReplica& configuration_;
+  const configuration::ConfigurationView* declared_;
   Queries queries_;
 };
 
--- a/src/cypresswall/operators/queries.cpp
+++ b/src/cypresswall/operators/queries.cpp
@@ -212,7 +212,7 @@
 ResultTable Queries::zones() const {
   ResultTable table = tableOf(Subject::kZones);
   const auto fleet = configuration_.current();
-  const auto versions = configuration_.zoneVersions();
+  const auto versions = zoneVersions();
   std::map<common::ZoneName, std::int64_t> engines_in;
   for (const auto& [name, engine] : fleet->engines) {
     ++engines_in[engine.zone];
@@ -238,9 +238,19 @@
   return table;
 }
 
+std::map<common::ZoneName, configuration::ZoneVersions> Queries::zoneVersions() const {
+  if (&configuration_ == &replica_) {
+    return replica_.zoneVersions();
+  }
+  configuration::ZoneVersions own;
+  own.newest = configuration_.current()->version;
+  own.in_force = own.newest;
+  return {{zone_, own}};
+}
+
 ResultTable Queries::changes() const {
   ResultTable table = tableOf(Subject::kChanges);
-  const configuration::ChangeLog& log = configuration_.log();
+  const configuration::ChangeLog& log = replica_.log();
   for (const configuration::ChangeRecord& record : log.records()) {
     table.rows.push_back(changeRow(record, log));
   }
@@ -249,7 +259,7 @@
 
 ResultTable Queries::history(const HistoryCommand& command) const {
   ResultTable table = tableOf(Subject::kChanges);
-  const configuration::ChangeLog& log = configuration_.log();
+  const configuration::ChangeLog& log = replica_.log();
   const auto& records = log.records();
   const std::size_t shown = std::min<std::size_t>(command.count, records.size());
   for (std::size_t index = 0; index < shown; ++index) {
@@ -309,7 +319,7 @@
 }
 
 std::vector<Explanation> Queries::explainChange(const std::string& name) const {
-  const configuration::ChangeLog& log = configuration_.log();
+  const configuration::ChangeLog& log = replica_.log();
   const auto& records = log.records();
   const auto record = std::find_if(records.begin(), records.end(), [&](const auto& known) {
     return known.change_id == name || std::to_string(known.version) == name;
@@ -329,7 +339,7 @@
       lines.push_back({what, object.removed ? "removed" : value});
     }
   }
-  for (const auto& [zone, versions] : configuration_.zoneVersions()) {
+  for (const auto& [zone, versions] : replica_.zoneVersions()) {
     const bool in_force = versions.in_force >= record->version;
     lines.push_back({std::string("in force in ").append(zone), in_force ? "yes" : "not yet"});
   }
--- a/src/cypresswall/operators/queries.h
+++ b/src/cypresswall/operators/queries.h
@@ -1,6 +1,10 @@
 /// Answers queries from the configuration in force and from what the daemon's parts report.
 #pragma once
 
+#include <map>
+#include <utility>
+#include <vector>
+
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/configuration/configuration_replica.h"
 #include "cypresswall/operators/command.h"
@@ -12,9 +16,14 @@
 class Queries {
  public:
   /// \param zone this node's own zone
-  Queries(common::ZoneName zone, const configuration::ConfigurationReplica& configuration,
-          const StateProviders& providers)
-      : zone_(std::move(zone)), configuration_(configuration), providers_(providers) {}
+  /// \param declared read in place of the replicated configuration if it is set
+  Queries(common::ZoneName zone, const configuration::ConfigurationReplica& replica,
+          const StateProviders& providers,
+          const configuration::ConfigurationView* declared = nullptr)
+      : zone_(std::move(zone)),
+        replica_(replica),
+        configuration_(declared != nullptr ? *declared : replica),
+        providers_(providers) {}
 
   ResultTable show(const ShowCommand& command) const;
   /// \throws CommandError if nothing is known of the subject
@@ -32,10 +41,13 @@
   ResultTable nodes() const;
   ResultTable tenants() const;
   ResultTable requests() const;
+  /// \return what is known of the versions in force in each zone; of a declared fleet only the own
+  std::map<common::ZoneName, configuration::ZoneVersions> zoneVersions() const;
   std::vector<Explanation> explainChange(const std::string& name) const;
 
   common::ZoneName zone_;
-  const configuration::ConfigurationReplica& configuration_;
+  const configuration::ConfigurationReplica& replica_;
+  const configuration::ConfigurationView& configuration_;
   const StateProviders& providers_;
 };
 
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -102,7 +102,7 @@
   auto& machines = process.emplace<SimulatedMachineList>(simulation_, process, platform_);
   auto& engines = process.emplace<SimulatedEngineClient>(simulation_, process, engines_);
   auto& services = process.emplace<SimulatedServiceClient>(simulation_, process, services_);
-  const node::NodeClients clients{store, machines, engines, services};
+  const node::NodeClients clients{store, machines, engines, services, settings_.declared};
   slot.process = &process;
   slot.node = &process.emplace<node::Node>(nodeSettings(slot), process.context(), clients);
   slot.front = &process.emplace<CallerFront>(simulation_, process);
@@ -174,7 +174,7 @@
 
 bool SimulatedFleet::everyNodeHas(std::uint64_t version) const {
   return std::all_of(slots_.begin(), slots_.end(), [version](const NodeSlot& slot) {
-    return slot.node == nullptr || slot.node->configuration().current()->version >= version;
+    return slot.node == nullptr || slot.node->configurationView().current()->version >= version;
   });
 }
 
@@ -191,6 +191,12 @@
   }
   // Zones have to know each other before all of them can approve a change.
   time().runFor(std::chrono::seconds(5));
+  if (settings_.declared == nullptr) {
+    declareFleet();
+  }
+}
+
+void SimulatedFleet::declareFleet() {
   configuration::CommitResult result;
   bool answered = false;
   submit(0, {declarations(settings_.topology), "declarations", "fleet", std::nullopt, false},
--- a/src/cypresswall/simulation/fleet/simulated_fleet.h
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.h
@@ -11,6 +11,7 @@
 
 #include "cypresswall/common/errors.h"
 #include "cypresswall/configuration/configuration_replica.h"
+#include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/node/node.h"
 #include "cypresswall/simulation/fleet/fleet_topology.h"
 #include "cypresswall/simulation/fleet/simulated_callers.h"
@@ -37,6 +38,8 @@
   std::int64_t maximum_drift_ppm = 200;
   common::Duration service_answer_time = std::chrono::milliseconds(5);
   common::LogSink* log = nullptr;
+  /// Set if the platform declares the fleet; it must hold `topology` before bringUp().
+  configuration::ConfigurationView* declared = nullptr;
 };
 
 /// One place for a node; processes come and go in it.
@@ -109,6 +112,7 @@
 
  private:
   node::NodeSettings nodeSettings(const NodeSlot& slot) const;
+  void declareFleet();
   std::vector<common::Address> zoneAddresses(std::uint32_t zone) const;
   void addMachine(std::uint32_t zone, const common::MachineName& name,
                   const common::Address& address);
--- a/src/cypresswall/simulation/simulated_stream.cpp
+++ b/src/cypresswall/simulation/simulated_stream.cpp
@@ -6,6 +6,11 @@
 #include "cypresswall/simulation/simulated_engines.h"
 
 namespace cypresswall::simulation {
+namespace {
+
+constexpr int kPassedThroughStatus = 200;
+
+}  // namespace
 
 /// Both directions of one connection. It stays alive until neither end needs it.
 class SimulatedStream::Connection final : public emulation::StreamObserver,
@@ -58,7 +63,7 @@
  private:
   /// What travels from the engine to the process.
   struct Event {
-    enum class Kind : std::uint8_t { kToken, kFinished, kFailed };
+    enum class Kind : std::uint8_t { kHead, kToken, kFinished, kFailed };
     Kind kind = Kind::kToken;
     std::uint32_t index = 0;
     std::string text;
@@ -86,6 +91,7 @@
     // The engine keeps a plain reference to its observer.
     engines_.hold(shared_from_this());
     engine_side_ended_ = false;
+    const bool pass_through = request_.pass_through != nullptr;
     const auto start = engine->startStream(std::move(request_), *this);
     if (start.result != emulation::StartResult::kStarted) {
       endEngineSide();
@@ -93,6 +99,9 @@
                                                             : engines::StreamFailure::kNotSent);
       return;
     }
+    if (pass_through) {
+      receiveLater(Event{Event::Kind::kHead, 0, address_, {}, {}, {}});
+    }
     if (closed_) {
       // The end of the connection follows the request that is still on its way.
       later(path_.requestDelay(), [](Connection& self) { self.closeArrives(); });
@@ -196,6 +205,9 @@
   void hand(const Event& event) {
     engines::StreamHandler& handler = *handler_;
     switch (event.kind) {
+      case Event::Kind::kHead:
+        handler.onHead(attempt_, {kPassedThroughStatus, {{"engine", event.text}}});
+        break;
       case Event::Kind::kToken:
         handler.onToken(attempt_, event.index, event.text);
         break;
--- a/src/cypresswall/simulation/simulated_stream.h
+++ b/src/cypresswall/simulation/simulated_stream.h
@@ -1,5 +1,6 @@
 /// A stream between a simulated process and an emulated engine: tokens in order, in groups as the
-/// engine's steps give them, broken by cuts.
+/// engine's steps give them, broken by cuts. An answer that is passed through has a head that names
+/// the engine's address in its field "engine".
 #pragma once
 
 #include <deque>
--- /dev/null
+++ b/tests/node/declared_fleet_test.cpp
@@ -0,0 +1,189 @@
+/// Nodes of a fleet that the platform declares: they follow its configuration, and requests that
+/// are passed through keep their bytes and their promises when an engine dies.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cypresswall/configuration/change.h"
+#include "cypresswall/configuration/static_view.h"
+#include "cypresswall/emulation/answer.h"
+#include "cypresswall/simulation/fleet/simulated_fleet.h"
+
+namespace cypresswall::node {
+namespace {
+
+using configuration::FleetConfiguration;
+using simulation::SimulatedFleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kTokens = 200;
+constexpr std::uint64_t kContentHash = 77;
+constexpr std::uint64_t kVersion = 41;
+constexpr const char* kOnceService = "once";
+
+struct PassThroughCaller final : execution::ModelCallObserver {
+  void onHead(const engines::AnswerHead& head) override { heads.push_back(head); }
+  void onToken(std::uint32_t, const std::string& text) override { body += text; }
+  void onFinished(const engines::StreamUsage&) override { done = true; }
+  void onError(const execution::ExecutionError& given) override { error = given; }
+  bool ended() const { return done || error.has_value(); }
+
+  std::vector<engines::AnswerHead> heads;
+  std::string body;
+  bool done = false;
+  std::optional<execution::ExecutionError> error;
+};
+
+class DeclaredFleetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DeclaredFleetTest);
+  CPPUNIT_TEST(notReadyBeforeThePlatformDeclares);
+  CPPUNIT_TEST(operatorsSeeTheDeclaredFleetAndCanNotChangeIt);
+  CPPUNIT_TEST(passedThroughAnswerKeepsItsBytesAndFirstHead);
+  CPPUNIT_TEST(unrepeatableRequestRunsOnceAndIsToldUnknown);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    settings_.topology.zones = 1;
+    settings_.topology.engines_per_zone = 3;
+    settings_.declared = &declared_;
+    fleet_ = std::make_unique<SimulatedFleet>(1, settings_);
+  }
+  void tearDown() override {
+    caller_handle_.reset();
+    fleet_.reset();
+  }
+
+  void notReadyBeforeThePlatformDeclares() {
+    fleet_->startNode(0);
+    fleet_->time().runFor(seconds(30));
+    CPPUNIT_ASSERT(!node().ready());
+    declared_.set(declaration());
+    CPPUNIT_ASSERT(node().ready());
+    CPPUNIT_ASSERT_EQUAL(kVersion, node().configurationView().current()->version);
+    CPPUNIT_ASSERT(!node().configuration().ready());
+  }
+
+  void operatorsSeeTheDeclaredFleetAndCanNotChangeIt() {
+    bringUp();
+    const auto engines = command("show engines");
+    CPPUNIT_ASSERT(engines.status == operators::CommandStatus::kOk);
+    CPPUNIT_ASSERT_EQUAL(kVersion, engines.version);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, engines.table.rows.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, command("show services").table.rows.size());
+    const auto zone = command("show zones").table.rows.at(0);
+    CPPUNIT_ASSERT(zone.at(4) == operators::Cell{static_cast<std::int64_t>(kVersion)});
+    for (const auto& row : command("show nodes").table.rows) {
+      CPPUNIT_ASSERT(row.at(5) == operators::Cell{static_cast<std::int64_t>(kVersion)});
+    }
+    const auto refused = command("drain engine " + simulation::engineName(0, 0));
+    CPPUNIT_ASSERT(refused.status == operators::CommandStatus::kRefused);
+    CPPUNIT_ASSERT(refused.message.find("declared by the platform") != std::string::npos);
+  }
+
+  void passedThroughAnswerKeepsItsBytesAndFirstHead() {
+    bringUp();
+    ask(simulation::kModelServiceName);
+    const auto first = crashTheEngineMidStream();
+    fleet_->time().runFor(seconds(60));
+    CPPUNIT_ASSERT(caller_.done);
+    CPPUNIT_ASSERT_EQUAL(wholeAnswer(), caller_.body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, caller_.heads.size());
+    CPPUNIT_ASSERT_EQUAL(first, caller_.heads[0].headers.at(0).value);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs());
+  }
+
+  void unrepeatableRequestRunsOnceAndIsToldUnknown() {
+    bringUp();
+    ask(kOnceService);
+    crashTheEngineMidStream();
+    fleet_->time().runFor(seconds(60));
+    CPPUNIT_ASSERT(caller_.error.has_value());
+    CPPUNIT_ASSERT(caller_.error->outcome == execution::Outcome::kUnknown);
+    CPPUNIT_ASSERT(caller_.error->kind == execution::ErrorKind::kBackendFailed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, wholeAnswer().find(caller_.body));
+  }
+
+ private:
+  FleetConfiguration declaration() const {
+    configuration::ConfigurationChange change;
+    change.version = kVersion;
+    change.objects = simulation::declarations(settings_.topology);
+    auto fleet = configuration::applyChange({}, change);
+    auto once = fleet.model_services.at(simulation::kModelServiceName);
+    once.name = kOnceService;
+    once.repeatable = false;
+    fleet.model_services[kOnceService] = once;
+    return fleet;
+  }
+
+  void bringUp() {
+    declared_.set(declaration());
+    fleet_->bringUp();
+    fleet_->time().runFor(seconds(10));
+  }
+
+  Node& node() { return *fleet_->slot(0).node; }
+
+  operators::CommandResponse command(const std::string& text) {
+    operators::CommandRequest request;
+    request.command = text;
+    std::optional<operators::CommandResponse> response;
+    node().commands().execute(
+        request, [&](operators::CommandResponse given) { response = std::move(given); });
+    return response.value();
+  }
+
+  void ask(const std::string& service) {
+    execution::ModelCall call;
+    call.request_id = "request";
+    call.service = service;
+    call.maximum_tokens = kTokens;
+    call.shape.tokens = 600;
+    call.shape.content_hash = kContentHash;
+    call.pass_through = std::make_shared<const engines::PassThroughRequest>(
+        engines::PassThroughRequest{"POST", "/chat?a=%20b", {{"X-One", "1"}}, "raw body"});
+    fleet_->slot(0).process->deliver(
+        [this, call] { caller_handle_ = node().modelExecutor().start(call, caller_); });
+  }
+
+  /// \return the address of the engine that had begun the answer
+  std::string crashTheEngineMidStream() {
+    CPPUNIT_ASSERT(
+        fleet_->time().runUntilTrue([this] { return !caller_.body.empty(); }, seconds(10)));
+    CPPUNIT_ASSERT(!caller_.ended());
+    auto address = caller_.heads.at(0).headers.at(0).value;
+    fleet_->engines().crash(address);
+    return address;
+  }
+
+  std::size_t runs() const {
+    std::size_t streams = 0;
+    for (const auto& [address, engine] : fleet_->engines().all()) {
+      streams += engine->ledger().streams.size();
+    }
+    return streams;
+  }
+
+  static std::string wholeAnswer() {
+    return emulation::expectedAnswer(
+        emulation::answerSeed(simulation::kModelName, simulation::kModelVersion, "", kContentHash),
+        kTokens);
+  }
+
+  configuration::StaticConfigurationView declared_;
+  simulation::FleetSettings settings_;
+  PassThroughCaller caller_;
+  std::unique_ptr<SimulatedFleet> fleet_;
+  std::unique_ptr<execution::ModelExecution> caller_handle_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DeclaredFleetTest);
+
+}  // namespace
+}  // namespace cypresswall::node
