Show that engines without a reported speed and long limits can be routed

Cause: an engine whose load report gives speed zero, or a request with a very long limit for its first token, might divide by zero. Ruled out by reading: the router assumes 5,000 prompt tokens a second of an engine that reports none, and the other quotients are guarded by their callers; so no code changed. Found: engines are held equal within 0.03 of the limit, so with a limit of a minute queues that differ by 1.8 s count as equal. Left as it is: whoever declares a service sets the limit to its objective. Conclusion: safe with zeros; a limit far above the objective blunts the choice of engines.

--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -86,9 +86,34 @@
   CPPUNIT_TEST(otherVersionServesDuringRollOut);
   CPPUNIT_TEST(unknownModelIsToldApart);
   CPPUNIT_TEST(neverChoosesAnEngineThatMayGetNoWork);
+  CPPUNIT_TEST(reportsWithoutSpeedAndLongLimitsAreRouted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void reportsWithoutSpeedAndLongLimitsAreRouted() {
+    RouterWorld world(3);
+    for (int i = 0; i < 3; ++i) {
+      auto& load = world.load(i);
+      load.prefill_tokens_per_second = 0;
+      load.decode_step_base = common::Duration{0};
+      load.decode_step_per_stream = common::Duration{0};
+      load.queued_prefill_tokens = i == 1 ? 0 : 4000;
+      load.queued_decode_tokens = 4000;
+      load.running_streams = 40;
+    }
+    world.run(std::chrono::seconds(1));
+    RouteRequest request = requestOf(1000);
+    CPPUNIT_ASSERT_EQUAL(std::string("e101"), world.route(request).engine.name);
+    request.first_token_limit = std::chrono::hours(24 * 365);
+    const Route route = world.route(request);
+    CPPUNIT_ASSERT(route.expected_first_token > common::Duration{0});
+    CPPUNIT_ASSERT(route.expected_first_token < std::chrono::seconds(2));
+    CPPUNIT_ASSERT(route.expected_between_tokens == common::Duration{0});
+    request.first_token_limit = std::chrono::microseconds(1);
+    request.excluded = {"e101"};  // an engine without a queue is never called late
+    CPPUNIT_ASSERT(world.refusal(request).retry_after <= RouterSettings{}.maximum_retry_after);
+  }
+
   void takesTheIdleEngine() {
     RouterWorld world(4);
     for (int i = 0; i < 4; ++i) {
