Follow the users' platform: its store, its runners and the fleet that it declares

Cause: on the users' platform the store, the list of runners and the operator's configuration speak a dialect of their own. Ruled out: a copy of HttpObjectStore, since what an answer means for a write is the same in both dialects (that part is now store_answer.*, used by both); lists at an interval, since a change has to be in force within 2 s and calls are priced; a product zone for each of the platform's zones, since one or two machines each would lose the zone's authority with a single machine. Change: ObjectStoreClient, ObjectWatch (list, then watch, list again only on 410, never back), RunnerRegistry, FleetDeclaration with its translation, RunnerMachineList; requests through libcurl may set a limit after which a silent peer's connection ends, since a cut may swallow the end of a watch.

--- a/src/cypresswall/platform/http_object_store.h
+++ b/src/cypresswall/platform/http_object_store.h
@@ -5,6 +5,7 @@
 
 #include "cypresswall/common/counters.h"
 #include "cypresswall/platform/object_store.h"
+#include "cypresswall/platform/store_answer.h"
 #include "cypresswall/runtime/curl_multi.h"
 
 namespace cypresswall::platform {
@@ -18,16 +19,6 @@
   common::Duration watch_poll_time = std::chrono::seconds(5);
 };
 
-/// Numbers of calls by how they ended.
-struct HttpObjectStoreCounters {
-  explicit HttpObjectStoreCounters(common::CounterRegistry& registry);
-
-  common::Counter& calls;
-  common::Counter& unavailable;
-  common::Counter& unknown_outcome;
-  common::Counter& conflicts;
-};
-
 /// A failed write is kUnavailable only if no byte was sent or the store said that it did nothing.
 /// \pre `curl` and `counters` outlive the client
 class HttpObjectStore final : public ObjectStore {
@@ -44,13 +35,9 @@
  private:
   runtime::CurlRequest request(std::string method, std::string target,
                                common::Duration time_limit) const;
-  template <typename Value>
-  StoreResult<Value> counted(StoreResult<Value> result);
-  StoreResult<StoredObject> writeResult(const runtime::CurlResponse& response,
-                                        const ObjectWrite& write) const;
 
   runtime::CurlMulti& curl_;
-  HttpObjectStoreCounters counters_;
+  StoreCallCounters counters_;
   HttpObjectStoreSettings settings_;
 };
 
--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -1,5 +1,9 @@
 #include "cypresswall/runtime/curl_job.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -17,6 +21,10 @@
   return static_cast<long>(count);
 }
 
+void setNumber(int socket, int level, int option, int value) {
+  setsockopt(socket, level, option, &value, sizeof value);
+}
+
 std::string_view trimmed(std::string_view text) {
   constexpr std::string_view kBlanks = " \t\r\n";
   const auto first = text.find_first_not_of(kBlanks);
@@ -64,6 +72,10 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlJob::beforeSending);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+  if (request_.dead_peer_limit.count() > 0) {
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlJob::onSocketMade);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
+  }
   if (request_.connection_use == ConnectionUse::kFresh) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   }
@@ -125,6 +137,21 @@
   return size * count;
 }
 
+int CurlJob::onSocketMade(void* job, curl_socket_t socket, curlsocktype purpose) {
+  if (purpose == CURLSOCKTYPE_IPCXN) {
+    // Probes go out each second; the user timeout ends the connection once none was answered.
+    constexpr int kProbeSeconds = 1;
+    const auto limit = static_cast<CurlJob*>(job)->request_.dead_peer_limit;
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(limit).count();
+    setNumber(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setNumber(socket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+    setNumber(socket, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+    setNumber(socket, IPPROTO_TCP, TCP_KEEPCNT, static_cast<int>(seconds));
+    setNumber(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds(limit)));
+  }
+  return CURL_SOCKOPT_OK;
+}
+
 int CurlJob::beforeSending(void* job, char*, char*, int, int) {
   // libcurl comes here a second time if a reused connection ended before it gave an answer.
   const bool sent_before = static_cast<CurlJob*>(job)->numberOf(CURLINFO_REQUEST_SIZE) != 0;
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -44,6 +44,7 @@
  private:
   static std::size_t onBodyBytes(char* data, std::size_t size, std::size_t count, void* job);
   static std::size_t onHeaderBytes(char* data, std::size_t size, std::size_t count, void* job);
+  static int onSocketMade(void* job, curl_socket_t socket, curlsocktype purpose);
   static int beforeSending(void* job, char* remote_ip, char* local_ip, int remote_port,
                            int local_port);
 
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -39,6 +39,10 @@
   common::Duration total_time_limit{0};
   /// Longest time without a byte, in whole seconds; zero sets none.
   common::Duration idle_time_limit{0};
+  /// A connection whose peer acknowledges nothing for this long, in whole seconds, is ended; while
+  /// it is idle the peer is probed. Applies to a connection that the request makes. Zero leaves it
+  /// to the system.
+  common::Duration dead_peer_limit{0};
   /// An answer with a longer body fails. Streams that are read as they come set none (zero).
   std::size_t maximum_body_bytes = 16U << 20;
   /// Size of the receive buffer of this request.
--- /dev/null
+++ b/tests/objects_platform/fake_store.h
@@ -0,0 +1,90 @@
+/// The platform's store as a test plays it: keeps objects and history of one kind, and answers the
+/// calls when the test lets it.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/store_calls.h"
+#include "platform/wire.h"
+
+namespace cypresswall::objects_platform::testing {
+
+class FakeStore final : public StoreCalls {
+ public:
+  struct Call {
+    runtime::CurlRequest request;
+    StoreAnswer answer;
+  };
+
+  void fetch(runtime::CurlRequest request, StoreAnswer answer) override {
+    targets.push_back(request.method + " " + request.target);
+    bodies.push_back(request.body);
+    calls.push_back({std::move(request), std::move(answer)});
+  }
+
+  /// Answers the oldest open call.
+  void answer(int status, const std::string& body) {
+    runtime::CurlResponse response;
+    response.outcome = runtime::CurlOutcome::kAnswered;
+    response.status = status;
+    response.body = body;
+    give(response);
+  }
+  /// Ends the oldest open call without an answer.
+  void fail(runtime::CurlOutcome outcome) {
+    runtime::CurlResponse response;
+    response.outcome = outcome;
+    response.error = "cut";
+    give(response);
+  }
+
+  std::deque<Call> calls;
+  std::vector<std::string> targets;
+  std::vector<std::string> bodies;
+
+ private:
+  void give(const runtime::CurlResponse& response) {
+    const Call call = std::move(calls.front());
+    calls.pop_front();
+    call.answer(response);
+  }
+};
+
+/// \return an object of the store as JSON.
+inline std::string objectJson(const std::string& name, std::uint64_t revision,
+                              const std::string& spec = "{}") {
+  return R"({"metadata": {"name": ")" + name + R"(", "revision": )" + std::to_string(revision) +
+         R"(, "created": 1, "finalizers": [], "deletion_requested": false}, "spec": )" + spec +
+         R"(, "status": null})";
+}
+
+inline std::string joined(const std::vector<std::string>& items) {
+  std::string text;
+  for (const std::string& item : items) {
+    text += (text.empty() ? "" : ", ") + item;
+  }
+  return text;
+}
+
+inline std::string pageJson(std::uint64_t at, const std::vector<std::string>& objects,
+                            bool has_more = false) {
+  return R"({"items": [)" + joined(objects) + R"(], "has_more": )" + (has_more ? "true" : "false") +
+         R"(, "at": )" + std::to_string(at) + "}";
+}
+
+/// \param events objects as JSON, with whether they are gone
+inline std::string eventsJson(std::uint64_t at,
+                              const std::vector<std::pair<std::string, bool>>& events) {
+  std::vector<std::string> items;
+  for (const auto& [object, gone] : events) {
+    items.push_back(R"({"gone": )" + std::string(gone ? "true" : "false") + R"(, "object": )" +
+                    object + "}");
+  }
+  return R"({"events": [)" + joined(items) + R"(], "at": )" + std::to_string(at) + "}";
+}
+
+}  // namespace cypresswall::objects_platform::testing
--- /dev/null
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -0,0 +1,257 @@
+#include "platform/fleet_declaration.h"
+
+#include <string>
+
+#include "platform/runner_machine_list.h"
+#include "tests/objects_platform/fake_store.h"
+#include "tests/support/property.h"
+#include "tests/support/virtual_world.h"
+
+namespace cypresswall::objects_platform {
+namespace {
+
+using configuration::FleetConfiguration;
+using configuration::Urgency;
+using std::chrono::milliseconds;
+
+std::string configurationJson(std::uint64_t version) {
+  return R"({"version": )" + std::to_string(version) + R"(, "routes": [
+      {"name": "r-a", "host": "Digest.example", "path_prefix": "/a/", "kind": "streaming",
+       "timeout_ms": 5000, "target_latency_ms": 500, "priority": 1, "max_attempts": 1,
+       "backends": [{"service": "llm", "weight": 90}, {"service": "llm-2", "weight": 10}],
+       "sticky": true, "resumable": false, "target_gap_ms": 150},
+      {"name": "r-b", "host": "digest.example", "path_prefix": "/a/b/", "kind": "streaming",
+       "timeout_ms": 3000, "priority": 0, "service": "llm", "max_attempts": 2, "sticky": true,
+       "resumable": true, "target_gap_ms": 150},
+      {"name": "r-c", "host": "track.example", "path_prefix": "/", "kind": "idempotent",
+       "timeout_ms": 1000, "priority": 2, "service": "api", "max_attempts": 2},
+      {"name": "r-d", "host": "track.example", "path_prefix": "/post/", "kind": "non_idempotent",
+       "timeout_ms": 1000, "priority": 9, "service": "api", "max_attempts": 1}],
+    "services": [
+      {"name": "llm", "engine": {"kv_tokens": 495255, "models": [{"name": "m"}]}},
+      {"name": "llm-2", "engine": {"models": [{"name": "n"}]}},
+      {"name": "api", "health_path": "/healthz", "max_conns": 100}],
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+               "idle_timeout_ms": 15000}})";
+}
+
+wire::StoreObject object(const std::string& name, std::uint64_t revision, const std::string& spec) {
+  return {name, revision, wire::Json::parse(spec)};
+}
+
+wire::StoreObject runnerObject(const std::string& id, const std::string& service,
+                               const std::string& address, const std::string& state = "ready",
+                               const std::string& more = "") {
+  return object(id, 1,
+                R"({"service": ")" + service + R"(", "address": ")" + address +
+                    R"(", "zone": "hall-a", "slots": 48, "state": ")" + state +
+                    R"(", "cold_left_ms": 0, "call_seq": 4)" + more + "}");
+}
+
+constexpr const char* kPrefill =
+    R"(, "stage": "prefill", "models": [{"name": "m", "version": 1, "adapters": []}])";
+
+class FleetDeclarationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetDeclarationTest);
+  CPPUNIT_TEST(nothingIsDeclaredUntilBothAreKnown);
+  CPPUNIT_TEST(translatesRoutes);
+  CPPUNIT_TEST(translatesRunners);
+  CPPUNIT_TEST(runnersChangeUnderTheSameVersion);
+  CPPUNIT_TEST(versionsNeverGoBack);
+  CPPUNIT_TEST(whatCannotBeReadChangesNothing);
+  CPPUNIT_TEST(routesMatchTheLongestPrefix);
+  CPPUNIT_TEST(runnersAreFoundByAddress);
+  CPPUNIT_TEST(drainingRunnersAreLeavingMachines);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void nothingIsDeclaredUntilBothAreKnown() {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet_.current()->version);
+    putConfiguration(7);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet_.current()->version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet_.routes().version());
+    runners_.onCaughtUp();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fleet_.current()->version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fleet_.routes().version());
+    CPPUNIT_ASSERT_EQUAL(1, changes_);
+  }
+
+  void translatesRoutes() {
+    declare();
+    const FleetConfiguration& fleet = *fleet_.current();
+    CPPUNIT_ASSERT_EQUAL(std::string("dobrogea"), fleet.zones.at("dobrogea").region);
+    CPPUNIT_ASSERT(!fleet.planning.automatic_roles);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.model_services.size());
+    const auto& digest = fleet.model_services.at("r-a@llm");
+    CPPUNIT_ASSERT_EQUAL(std::string("llm/m"), digest.model);
+    CPPUNIT_ASSERT(digest.urgency == Urgency::kHigh);
+    CPPUNIT_ASSERT(!digest.repeatable);
+    CPPUNIT_ASSERT(digest.time_limit == milliseconds(5000));
+    CPPUNIT_ASSERT(digest.first_token_limit == milliseconds(5000));
+    CPPUNIT_ASSERT(digest.between_tokens_limit == milliseconds(150));
+    CPPUNIT_ASSERT_EQUAL(1U, digest.maximum_runs);
+    CPPUNIT_ASSERT_EQUAL(std::string("llm-2/n"), fleet.model_services.at("r-a@llm-2").model);
+    CPPUNIT_ASSERT(fleet.model_services.at("r-b@llm").repeatable);
+    CPPUNIT_ASSERT(fleet.model_services.at("r-b@llm").urgency == Urgency::kCritical);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), fleet.models.at("llm/m").version);
+    const auto& operation = fleet.http_services.at("r-c@api").operations.at(0);
+    CPPUNIT_ASSERT(operation.repeatable);
+    CPPUNIT_ASSERT(operation.method.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("/"), operation.path_prefix);
+    CPPUNIT_ASSERT(operation.time_limit == milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(2U, operation.maximum_runs);
+    CPPUNIT_ASSERT(!fleet.http_services.at("r-d@api").operations.at(0).repeatable);
+    CPPUNIT_ASSERT(fleet.http_services.at("r-d@api").urgency == Urgency::kLow);
+  }
+
+  void translatesRunners() {
+    runners_.onPut(runnerObject("i-1", "llm", "10.0.0.1:80", "ready", kPrefill));
+    runners_.onPut(runnerObject("i-2", "llm", "10.0.0.2:80", "draining"));
+    runners_.onPut(runnerObject("i-3", "api", "10.0.0.3:80"));
+    runners_.onPut(runnerObject("i-4", "api", "10.0.0.4:80", "draining"));
+    runners_.onPut(runnerObject("i-5", "of-another", "10.0.0.5:80"));
+    declare();
+    const FleetConfiguration& fleet = *fleet_.current();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.engines.size());
+    const auto& engine = fleet.engines.at("i-1");
+    CPPUNIT_ASSERT_EQUAL(std::string("dobrogea"), engine.zone);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), engine.machine);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), engine.address);
+    CPPUNIT_ASSERT_EQUAL(std::string("llm/m"), engine.model);
+    CPPUNIT_ASSERT(engine.initial_role == engines::EngineRole::kPrefill);
+    CPPUNIT_ASSERT(fleet.engines.at("i-2").initial_role == engines::EngineRole::kMixed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.engine_overrides.size());
+    CPPUNIT_ASSERT(fleet.engine_overrides.at("i-2").drained);
+    const auto& backends = fleet.http_services.at("r-c@api").backends;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, backends.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("i-3"), backends.at(0).machine);
+    CPPUNIT_ASSERT_EQUAL(std::string("dobrogea"), backends.at(0).zone);
+  }
+
+  void runnersChangeUnderTheSameVersion() {
+    runners_.onPut(runnerObject("i-3", "api", "10.0.0.3:80"));
+    declare();
+    runners_.onPut(runnerObject("i-3", "api", "10.0.0.3:80"));
+    runners_.onCaughtUp();
+    CPPUNIT_ASSERT_EQUAL(1, changes_);
+    runners_.onGone("i-3");
+    runners_.onCaughtUp();
+    CPPUNIT_ASSERT_EQUAL(2, changes_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fleet_.current()->version);
+    CPPUNIT_ASSERT(fleet_.current()->http_services.at("r-c@api").backends.empty());
+  }
+
+  void versionsNeverGoBack() {
+    declare();
+    putConfiguration(6);
+    putConfiguration(7);
+    fleet_.onGone("main");
+    fleet_.onCaughtUp();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fleet_.current()->version);
+    CPPUNIT_ASSERT_EQUAL(1, changes_);
+    CPPUNIT_ASSERT_EQUAL(2.0,
+                         process_.counters().total("cypresswall_declared_older_versions_total"));
+    putConfiguration(12);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, fleet_.current()->version);
+  }
+
+  void whatCannotBeReadChangesNothing() {
+    declare();
+    std::string unknown = configurationJson(8);
+    unknown.replace(unknown.find("\"service\": \"api\""), 16, "\"service\": \"b\"");
+    fleet_.onPut(object("main", 8, unknown));
+    fleet_.onPut(object("main", 9, R"({"version": "9"})"));
+    fleet_.onPut(object("other", 9, "{}"));
+    fleet_.onCaughtUp();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fleet_.current()->version);
+    CPPUNIT_ASSERT_EQUAL(2.0, process_.counters().total("cypresswall_declared_unreadable_total"));
+    runners_.onPut(object("i-9", 9, R"({"service": "api", "state": "ready"})"));
+    CPPUNIT_ASSERT(runners_.runners().empty());
+    CPPUNIT_ASSERT_EQUAL(1.0, process_.counters().total("cypresswall_runners_unreadable_total"));
+  }
+
+  void routesMatchTheLongestPrefix() {
+    declare();
+    const RouteTable& routes = fleet_.routes();
+    CPPUNIT_ASSERT_EQUAL(std::string("r-a"), routes.match("DIGEST.example:80", "/a/x")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("r-b"), routes.match("digest.example", "/a/b/c/d")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("r-a"), routes.match("digest.example", "/a/bc")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("r-a"), routes.match("digest.example", "/a/")->name);
+    CPPUNIT_ASSERT(routes.match("digest.example", "/a") == nullptr);
+    CPPUNIT_ASSERT(routes.match("digest.example", "") == nullptr);
+    CPPUNIT_ASSERT(routes.match("other.example", "/a/x") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("r-c"), routes.match("track.example", "/anything")->name);
+    const Route& route = *routes.match("digest.example", "/a/x");
+    CPPUNIT_ASSERT(route.kind == RouteKind::kStreaming && route.sticky && !route.repeatable());
+    CPPUNIT_ASSERT(route.target_latency == milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, route.backends.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("r-a@llm-2"), route.backends.at(1).service);
+    CPPUNIT_ASSERT_EQUAL(10.0, route.backends.at(1).weight);
+    CPPUNIT_ASSERT(route.backends.at(1).is_model);
+    CPPUNIT_ASSERT(!routes.match("track.example", "/x")->backends.at(0).is_model);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{16384}, routes.limits().maximum_header_bytes);
+    CPPUNIT_ASSERT(routes.limits().idle_time_limit == milliseconds(15000));
+  }
+
+  void runnersAreFoundByAddress() {
+    runners_.onPut(runnerObject("i-1", "api", "10.0.0.1:80"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), runners_.findByAddress("10.0.0.1:80")->id);
+    // The address goes to another runner before the entry of the first is gone.
+    runners_.onPut(runnerObject("i-2", "llm", "10.0.0.1:80"));
+    runners_.onGone("i-1");
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), runners_.findByAddress("10.0.0.1:80")->id);
+    CPPUNIT_ASSERT(runners_.findById("i-1") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, runners_.findById("i-2")->call_sequence);
+    runners_.onGone("i-2");
+    CPPUNIT_ASSERT(runners_.findByAddress("10.0.0.1:80") == nullptr);
+  }
+
+  void drainingRunnersAreLeavingMachines() {
+    RunnerMachineList list(process_, runners_);
+    std::vector<platform::Machine> machines;
+    bool failed = false;
+    const auto read = [&](auto result) {
+      failed = !result.ok();
+      machines = result.ok() ? result.value() : std::vector<platform::Machine>();
+    };
+    list.fetch("dobrogea", read);
+    CPPUNIT_ASSERT(!failed);
+    world_.runFor(milliseconds(1));
+    CPPUNIT_ASSERT(failed);
+    runners_.onPut(runnerObject("i-1", "api", "10.0.0.1:80"));
+    runners_.onPut(runnerObject("i-2", "api", "10.0.0.2:80", "draining"));
+    runners_.onCaughtUp();
+    list.fetch("dobrogea", read);
+    world_.runFor(milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, machines.size());
+    CPPUNIT_ASSERT(machines.at(0).state == platform::MachineState::kLive);
+    CPPUNIT_ASSERT(machines.at(1).state == platform::MachineState::kLeaving);
+    CPPUNIT_ASSERT(machines.at(1).addresses.empty());
+  }
+
+ private:
+  void putConfiguration(std::uint64_t version) {
+    fleet_.onPut(object("main", version, configurationJson(version)));
+    fleet_.onCaughtUp();
+  }
+  void declare() {
+    putConfiguration(7);
+    runners_.onCaughtUp();
+  }
+
+  cypresswall::testing::VirtualWorld world_{1};
+  cypresswall::testing::VirtualProcess& process_ = world_.spawn({"10.0.0.1:1", 1}, "z");
+  RunnerRegistry runners_{process_.context()};
+  FleetDeclaration fleet_{process_.context(), runners_, "dobrogea"};
+  int changes_ = 0;
+
+ public:
+  void setUp() override {
+    fleet_.onChange([this](const FleetConfiguration&) { ++changes_; });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetDeclarationTest);
+
+}  // namespace
+}  // namespace cypresswall::objects_platform
--- /dev/null
+++ b/tests/objects_platform/object_watch_test.cpp
@@ -0,0 +1,142 @@
+#include "platform/object_watch.h"
+
+#include <string>
+#include <vector>
+
+#include "tests/objects_platform/fake_store.h"
+#include "tests/support/property.h"
+#include "tests/support/virtual_world.h"
+
+namespace cypresswall::objects_platform {
+namespace {
+
+using std::chrono::seconds;
+using testing::eventsJson;
+using testing::objectJson;
+using testing::pageJson;
+
+/// Notes what it is told, as "+name", "-name" and ".".
+class NotingListener final : public ObjectWatchListener {
+ public:
+  void onPut(const wire::StoreObject& object) override {
+    told += "+" + object.name + std::to_string(object.revision) + " ";
+  }
+  void onGone(const std::string& name) override { told += "-" + name + " "; }
+  void onCaughtUp() override { told += ". "; }
+  std::string takeTold() { return std::exchange(told, ""); }
+
+ private:
+  std::string told;
+};
+
+class ObjectWatchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ObjectWatchTest);
+  CPPUNIT_TEST(listsThenWatchesOn);
+  CPPUNIT_TEST(readsEveryPage);
+  CPPUNIT_TEST(listsAgainWhenHistoryIsGone);
+  CPPUNIT_TEST(keepsWhatItKnowsWhileTheStoreIsDown);
+  CPPUNIT_TEST(neverGoesBack);
+  CPPUNIT_TEST(answersThatCannotBeReadAreFailures);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void listsThenWatchesOn() {
+    watch_.start();
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers"), store_.targets.at(0));
+    store_.answer(200, pageJson(7, {objectJson("a", 3), objectJson("b", 7)}));
+    CPPUNIT_ASSERT_EQUAL(std::string("+a3 +b7 . "), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers?watch=7&wait_ms=10000"),
+                         store_.targets.at(1));
+    store_.answer(200, eventsJson(9, {{objectJson("a", 8), false}, {objectJson("b", 9), true}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("+a8 -b . "), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers?watch=9&wait_ms=10000"),
+                         store_.targets.at(2));
+    store_.answer(200, eventsJson(12, {}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, watch_.revision());
+  }
+
+  void readsEveryPage() {
+    watch_.start();
+    store_.answer(200, pageJson(7, {objectJson("a", 3), objectJson("b c", 4)}, true));
+    CPPUNIT_ASSERT_EQUAL(std::string(), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers?after=b%20c"), store_.targets.at(1));
+    // What changes between the pages comes again with the watch, from the first page on.
+    store_.answer(200, pageJson(9, {objectJson("d", 9)}));
+    CPPUNIT_ASSERT_EQUAL(std::string("+a3 +b c4 +d9 . "), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, watch_.revision());
+    store_.answer(200, eventsJson(9, {{objectJson("a", 8), true}, {objectJson("d", 9), false}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("-a . "), listener_.takeTold());
+  }
+
+  void listsAgainWhenHistoryIsGone() {
+    begin();
+    store_.answer(410, "{}");
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers"), store_.targets.back());
+    store_.answer(200, pageJson(40, {objectJson("b", 7), objectJson("c", 39)}));
+    CPPUNIT_ASSERT_EQUAL(std::string("+c39 -a . "), listener_.takeTold());
+    CPPUNIT_ASSERT(store_.targets.back().find("watch=40&") != std::string::npos);
+  }
+
+  void keepsWhatItKnowsWhileTheStoreIsDown() {
+    begin();
+    for (int failure = 0; failure < 20; ++failure) {
+      if (failure % 2 == 0) {
+        store_.answer(503, "");
+      } else {
+        store_.fail(runtime::CurlOutcome::kBroken);
+      }
+      CPPUNIT_ASSERT(store_.calls.empty());
+      world_.runFor(seconds(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.calls.size());
+      CPPUNIT_ASSERT(store_.targets.back().find("watch=7&") != std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), listener_.takeTold());
+    store_.answer(200, eventsJson(8, {{objectJson("b", 8), true}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("-b . "), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(20.0,
+                         process_.counters().total("cypresswall_object_watch_failures_total"));
+  }
+
+  void neverGoesBack() {
+    begin();
+    store_.answer(410, "{}");
+    store_.answer(200, pageJson(6, {}));
+    CPPUNIT_ASSERT_EQUAL(std::string(), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, watch_.revision());
+    world_.runFor(seconds(1));
+    store_.answer(200, pageJson(9, {objectJson("a", 2), objectJson("b", 9)}));
+    CPPUNIT_ASSERT_EQUAL(std::string("+b9 . "), listener_.takeTold());
+    store_.answer(200, eventsJson(8, {{objectJson("b", 9), true}}));
+    CPPUNIT_ASSERT_EQUAL(std::string(), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, watch_.revision());
+    CPPUNIT_ASSERT_EQUAL(2.0,
+                         process_.counters().total("cypresswall_object_watch_older_answers_total"));
+  }
+
+  void answersThatCannotBeReadAreFailures() {
+    begin();
+    store_.answer(200, R"({"events": [{"gone": false, "object": {}}], "at": 9})");
+    CPPUNIT_ASSERT_EQUAL(std::string(), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, watch_.revision());
+    world_.runFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.calls.size());
+  }
+
+ private:
+  void begin() {
+    watch_.start();
+    store_.answer(200, pageJson(7, {objectJson("a", 3), objectJson("b", 7)}));
+    listener_.takeTold();
+  }
+
+  cypresswall::testing::VirtualWorld world_{1};
+  cypresswall::testing::VirtualProcess& process_ = world_.spawn({"10.0.0.1:1", 1}, "z");
+  testing::FakeStore store_;
+  NotingListener listener_;
+  ObjectWatch watch_{"servers", {}, process_.context(), store_, listener_};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ObjectWatchTest);
+
+}  // namespace
+}  // namespace cypresswall::objects_platform
