Let the daemon take its outside world through an interface

Cause: the daemon built the clients of one protocol and the gateway by itself, so that another platform would have needed a second daemon. Ruled out: a copied daemon. Change: surroundings:: Surroundings gives the node's clients and makes the Front that answers callers; today's clients and gateway are the one implementation, that of platform/ the other, chosen by platform.protocol.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -5,7 +5,6 @@
 #include <random>
 #include <utility>
 
-#include "apps/cypresswalld/health.h"
 #include "cypresswall/operators/command_api.h"
 
 namespace cypresswall::daemon {
@@ -32,39 +31,25 @@
       std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
-std::int64_t unixTime() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count();
-}
-
 }  // namespace
 
-Daemon::Daemon(settings::DaemonSettings settings, Reload reload)
+Daemon::Daemon(settings::DaemonSettings settings, Reload reload,
+               const surroundings::MakeSurroundings& make_surroundings)
     : settings_(std::move(settings)),
       reload_(std::move(reload)),
       random_(randomSeed()),
       log_(settings_.log_level),
       transport_(context_, settings_.transport, random_, log_, counters_),
       self_{transport_.listen(), newIncarnation()},
-      object_store_(curl_, counters_, settings_.object_store),
-      machine_list_(curl_, settings_.machine_list),
-      engines_(curl_, counters_, settings_.engines),
-      services_(curl_, settings_.services),
-      node_(settings_.node, processContext(),
-            node::NodeClients{object_store_, machine_list_, engines_, services_}),
-      gateway_(gatewayContext(), settings_.gateway),
-      server_(http::makeServer(
-          context_, serverSettings(),
-          [this](http::Request request, const std::shared_ptr<http::Responder>& responder) {
-            routes_.handle(std::move(request), responder);
-          })),
+      surroundings_(make_surroundings({settings_, processContext(), curl_})),
+      node_(settings_.node, processContext(), surroundings_->clients()),
+      front_(surroundings_->makeFront(node_)),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   log_.setProcess(self_.address, settings_.zone);
   applyReloadable(settings_);
-  gateway_.mount(routes_);
-  mountHealth(routes_, node_, counters_);
-  routes_.add("/operators", operators::makeCommandHandler(node_.commands()));
-  server_->start();
+  front_->mount(routes_);
+  mountOwnPaths();
+  startServers();
 }
 
 Daemon::~Daemon() = default;
@@ -74,26 +59,49 @@
                              log_,  counters_,      transport_, dispatcher_};
 }
 
-gateway::GatewayContext Daemon::gatewayContext() {
-  return gateway::GatewayContext{node_.modelExecutor(),
-                                 node_.serviceExecutor(),
-                                 node_.configuration(),
-                                 scheduler_,
-                                 log_,
-                                 counters_,
-                                 random_,
-                                 unixTime};
-}
-
 http::ServerSettings Daemon::serverSettings() {
   http::ServerSettings settings = settings_.server;
-  settings.rejection_headers = {{"X-Cypresswall-Outcome", "not-run"}};
+  settings.rejection_headers = front_->rejectionHeaders();
   settings.on_rejected = [this](const http::Rejection& rejection) {
-    gateway_.reportRejection(rejection);
+    front_->reportRejection(rejection);
   };
   return settings;
 }
 
+http::ServerSettings Daemon::ownServerSettings() {
+  http::ServerSettings settings;
+  settings.address = settings_.readiness_address;
+  return settings;
+}
+
+void Daemon::mountOwnPaths() {
+  gateway::HttpRoutes& routes = settings_.readiness_address.empty() ? routes_ : own_routes_;
+  mountHealth(
+      routes, [this] { return readiness(); }, counters_);
+  routes.add("/operators", operators::makeCommandHandler(node_.commands()));
+}
+
+void Daemon::startServers() {
+  const auto handlerOf = [](const gateway::HttpRoutes& routes) {
+    return [&routes](http::Request request, const std::shared_ptr<http::Responder>& responder) {
+      routes.handle(std::move(request), responder);
+    };
+  };
+  server_ = http::makeServer(context_, serverSettings(), handlerOf(routes_));
+  server_->start();
+  if (!settings_.readiness_address.empty()) {
+    own_server_ = http::makeServer(context_, ownServerSettings(), handlerOf(own_routes_));
+    own_server_->start();
+  }
+}
+
+Readiness Daemon::readiness() const {
+  if (stopping_ || node_.draining()) {
+    return Readiness::kDraining;
+  }
+  return node_.ready() ? Readiness::kReady : Readiness::kNoConfiguration;
+}
+
 int Daemon::run() {
   LogEvent(log_, LogLevel::kInfo, "daemon_started")
       .field("version", CYPRESSWALL_VERSION)
@@ -102,6 +110,7 @@
       .field("machine", settings_.node.membership.machine)
       .field("region", settings_.node.membership.region);
   transport_.start(self_, dispatcher_);
+  surroundings_->start();
   node_.start();
   waitForSignal();
   context_.run();
@@ -124,7 +133,7 @@
   } else if (!stopping_) {
     beginStop();
   } else {
-    LogEvent(log_, LogLevel::kWarning, "stop_forced").field("in_flight", gateway_.openRequests());
+    LogEvent(log_, LogLevel::kWarning, "stop_forced").field("in_flight", front_->openRequests());
     exit_code_ = kExitForced;
     context_.stop();
   }
@@ -147,7 +156,15 @@
 
 void Daemon::beginStop() {
   stopping_ = true;
-  LogEvent(log_, LogLevel::kInfo, "stop_began").field("in_flight", gateway_.openRequests());
+  LogEvent(log_, LogLevel::kInfo, "stop_began").field("in_flight", front_->openRequests());
+  if (settings_.stop_lame_duck.count() > 0) {
+    scheduler_.schedule(settings_.stop_lame_duck, [this] { stopNode(); });
+  } else {
+    stopNode();
+  }
+}
+
+void Daemon::stopNode() {
   node_.beginStop([this] {
     server_->stopListening();
     finishStop(clock_.now() + kLastAnswersLimit);
--- a/apps/cypresswalld/daemon.h
+++ b/apps/cypresswalld/daemon.h
@@ -6,21 +6,18 @@
 #include <functional>
 #include <memory>
 
+#include "apps/cypresswalld/health.h"
 #include "cypresswall/api/process_context.h"
-#include "cypresswall/engines/http_engine_client.h"
-#include "cypresswall/gateway/gateway.h"
 #include "cypresswall/gateway/http_routes.h"
 #include "cypresswall/http/server.h"
 #include "cypresswall/node/node.h"
-#include "cypresswall/platform/http_machine_list.h"
-#include "cypresswall/platform/http_object_store.h"
 #include "cypresswall/runtime/asio_clock.h"
 #include "cypresswall/runtime/asio_scheduler.h"
 #include "cypresswall/runtime/curl_multi.h"
 #include "cypresswall/runtime/log_sink.h"
 #include "cypresswall/runtime/tcp_peer_transport.h"
-#include "cypresswall/services/http_service_client.h"
 #include "cypresswall/settings/daemon_settings.h"
+#include "cypresswall/surroundings/surroundings.h"
 
 namespace cypresswall::daemon {
 
@@ -29,8 +26,9 @@
   /// Reads the settings again; used on SIGHUP. Throws settings::SettingsError if they are wrong.
   using Reload = std::function<settings::DaemonSettings()>;
 
-  /// Listens on both addresses. \throws runtime::TransportError, http::ListenError
-  Daemon(settings::DaemonSettings settings, Reload reload);
+  /// Listens on all addresses. \throws runtime::TransportError, http::ListenError
+  Daemon(settings::DaemonSettings settings, Reload reload,
+         const surroundings::MakeSurroundings& make_surroundings);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
@@ -40,13 +38,20 @@
 
  private:
   api::ProcessContext processContext();
-  gateway::GatewayContext gatewayContext();
   http::ServerSettings serverSettings();
+  http::ServerSettings ownServerSettings();
+  /// Adds the daemon's own paths to the routes of its own server, or to the callers'.
+  void mountOwnPaths();
+  void startServers();
+  Readiness readiness() const;
   void waitForSignal();
   void takeSignal(int signal);
   void reload();
   void applyReloadable(const settings::DaemonSettings& settings);
+  /// Says at once that this node isn't ready; requests are still taken for the lame-duck time, in
+  /// which whoever sends callers here takes note.
   void beginStop();
+  void stopNode();
   /// Ends the event loop once the last answers are out, or after a short limit.
   void finishStop(common::MonotonicTime limit);
 
@@ -63,14 +68,14 @@
   runtime::TcpPeerTransport transport_;
   common::NodeId self_;
   runtime::CurlMulti curl_{context_};
-  platform::HttpObjectStore object_store_;
-  platform::HttpMachineList machine_list_;
-  engines::HttpEngineClient engines_;
-  services::HttpServiceClient services_;
+  std::unique_ptr<surroundings::Surroundings> surroundings_;
   node::Node node_;
-  gateway::Gateway gateway_;
+  std::unique_ptr<surroundings::Front> front_;
   gateway::HttpRoutes routes_;
+  gateway::HttpRoutes own_routes_;
   std::unique_ptr<http::Server> server_;
+  /// Null if the daemon's own paths are served with the callers'.
+  std::unique_ptr<http::Server> own_server_;
   asio::signal_set signals_;
   bool stopping_ = false;
   int exit_code_ = 0;
--- a/apps/cypresswalld/health.cpp
+++ b/apps/cypresswalld/health.cpp
@@ -1,6 +1,7 @@
 #include "apps/cypresswalld/health.h"
 
 #include <memory>
+#include <utility>
 
 #include "cypresswall/runtime/metrics_text.h"
 
@@ -16,13 +17,14 @@
   responder.respond(status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(text));
 }
 
-void respondReadiness(http::Responder& responder, const node::Node& node) {
-  if (node.ready()) {
+void respondReadiness(http::Responder& responder, Readiness readiness) {
+  if (readiness == Readiness::kReady) {
     respondText(responder, kStatusOk, "ready\n");
     return;
   }
-  const char* const reason = node.draining() ? "draining\n" : "no configuration held yet\n";
-  respondText(responder, kStatusUnavailable, reason);
+  const bool draining = readiness == Readiness::kDraining;
+  respondText(responder, kStatusUnavailable,
+              draining ? "draining\n" : "no configuration held yet\n");
 }
 
 void respondMetrics(http::Responder& responder, common::CounterRegistry& counters) {
@@ -33,13 +35,14 @@
 
 }  // namespace
 
-void mountHealth(gateway::HttpRoutes& routes, const node::Node& node,
+void mountHealth(gateway::HttpRoutes& routes, std::function<Readiness()> readiness,
                  common::CounterRegistry& counters) {
   routes.add("/healthz", [](const http::Request&, const ResponderPointer& responder) {
     respondText(*responder, kStatusOk, "ok\n");
   });
-  routes.add("/readyz", [&node](const http::Request&, const ResponderPointer& responder) {
-    respondReadiness(*responder, node);
+  routes.add("/readyz", [readiness = std::move(readiness)](const http::Request&,
+                                                           const ResponderPointer& responder) {
+    respondReadiness(*responder, readiness());
   });
   routes.add("/metrics", [&counters](const http::Request&, const ResponderPointer& responder) {
     respondMetrics(*responder, counters);
--- a/apps/cypresswalld/health.h
+++ b/apps/cypresswalld/health.h
@@ -1,14 +1,19 @@
 /// The daemon's own HTTP paths: /healthz, /readyz and /metrics.
 #pragma once
 
+#include <cstdint>
+#include <functional>
+
 #include "cypresswall/common/counters.h"
 #include "cypresswall/gateway/http_routes.h"
-#include "cypresswall/node/node.h"
 
 namespace cypresswall::daemon {
 
-/// Adds the paths to `routes`. \pre `node` and `counters` outlive the routes
-void mountHealth(gateway::HttpRoutes& routes, const node::Node& node,
+/// Whether callers should be sent to this node.
+enum class Readiness : std::uint8_t { kReady, kNoConfiguration, kDraining };
+
+/// Adds the paths to `routes`. \pre `counters` outlives the routes
+void mountHealth(gateway::HttpRoutes& routes, std::function<Readiness()> readiness,
                  common::CounterRegistry& counters);
 
 }  // namespace cypresswall::daemon
--- a/apps/cypresswalld/main.cpp
+++ b/apps/cypresswalld/main.cpp
@@ -10,6 +10,8 @@
 #include "cypresswall/settings/settings_documents.h"
 #include "cypresswall/settings/settings_flags.h"
 #include "cypresswall/settings/settings_loader.h"
+#include "cypresswall/surroundings/http_surroundings.h"
+#include "platform/objects_surroundings.h"
 
 DEFINE_string(settings, "", "settings file (YAML); flags go over it");
 DEFINE_bool(check_settings, false, "check the settings, print the verdict and exit");
@@ -44,9 +46,15 @@
   }
 }
 
+surroundings::MakeSurroundings surroundingsOf(const settings::DaemonSettings& loaded) {
+  return loaded.platform_protocol == settings::PlatformProtocol::kObjects
+             ? objects_platform::makeObjectsSurroundings
+             : surroundings::makeHttpSurroundings;
+}
+
 int runDaemon(const settings::DaemonSettings& loaded) {
   try {
-    daemon::Daemon daemon(loaded, loadSettings);
+    daemon::Daemon daemon(loaded, loadSettings, surroundingsOf(loaded));
     return daemon.run();
   } catch (const runtime::TransportError& error) {
     std::cerr << "cypresswalld: " << error.what() << "\n";
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -2,6 +2,8 @@
 /// parts; docs/settings.md lists every key.
 #pragma once
 
+#include <cstdint>
+
 #include "cypresswall/common/event_log.h"
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/engines/http_engine_client.h"
@@ -16,10 +18,21 @@
 
 namespace cypresswall::settings {
 
+/// Which protocol the platform around the daemon speaks.
+enum class PlatformProtocol : std::uint8_t {
+  kCypresswall,  ///< the project's own (docs/protocols.md)
+  kObjects,      ///< that of the folder platform/
+};
+
 struct DaemonSettings {
   common::ZoneName zone;
   common::LogLevel log_level = common::LogLevel::kInfo;
   node::NodeSettings node;
+  PlatformProtocol platform_protocol = PlatformProtocol::kCypresswall;
+  /// Where the daemon serves its own paths; empty serves them with the callers'.
+  common::Address readiness_address;
+  /// A planned stop takes requests for so long after the node has said that it isn't ready.
+  common::Duration stop_lame_duck{0};
   runtime::TransportSettings transport;
   http::ServerSettings server;
   gateway::GatewaySettings gateway;
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -36,6 +36,42 @@
   return key;
 }
 
+SettingKey platformProtocolKey() {
+  SettingKey key;
+  key.name = "platform.protocol";
+  key.unit = "protocol";
+  key.range = "cypresswall, objects";
+  key.default_text = "cypresswall";
+  key.meaning =
+      "Protocol of the platform: the project's own, or that of the folder platform/, where the "
+      "platform also declares the fleet and callers come by the platform's routes.";
+  key.apply = [](DaemonSettings& settings, const GivenValue& value) {
+    const std::string& text = singleText(value);
+    if (text != "cypresswall" && text != "objects") {
+      throw ValueError("'" + text + "' is no protocol; write cypresswall or objects");
+    }
+    settings.platform_protocol =
+        text == "objects" ? PlatformProtocol::kObjects : PlatformProtocol::kCypresswall;
+  };
+  return key;
+}
+
+SettingKey readinessAddressKey() {
+  SettingKey key = addressKey(
+      "node.readiness_address", "none", [](auto& s) -> auto& { return s.readiness_address; },
+      "Where the node serves /readyz, /healthz, /metrics and /operators, if not at the address "
+      "for callers.");
+  key.range = "an IP number, port 1 to 65535, or none";
+  key.apply = [with_address = key.apply](DaemonSettings& settings, const GivenValue& value) {
+    if (singleText(value) == "none") {
+      settings.readiness_address.clear();
+    } else {
+      with_address(settings, value);
+    }
+  };
+  return key;
+}
+
 void addOtherZoneSeed(std::vector<membership::ZoneSeed>& zones, const Seed& seed) {
   const auto known = std::find_if(zones.begin(), zones.end(),
                                   [&](const auto& zone) { return zone.zone == seed.zone; });
@@ -98,6 +134,7 @@
       addressKey(
           "node.gateway_address", "", [](auto& s) -> auto& { return s.server.address; },
           "Where callers, operators and metrics readers reach this node over HTTP."),
+      readinessAddressKey(),
       nameKey(
           "node.zone", [](auto& s) -> auto& { return s.zone; }, "Zone that this node works in."),
       nameKey(
@@ -107,6 +144,7 @@
           "node.machine", [](auto& s) -> auto& { return s.node.membership.machine; },
           "Machine that the process runs on, as the platform's machine list names it."),
       seedsKey(),
+      platformProtocolKey(),
       addressKey(
           "platform.object_api", "", [](auto& s) -> auto& { return s.object_store.address; },
           "The platform's object API."),
@@ -250,6 +288,10 @@
           "timings.stop_limit", milliseconds(0), hours(24),
           [](auto& s) -> auto& { return s.node.stop_limit; },
           "How long a planned stop (SIGTERM) waits for requests that run."),
+      durationKey(
+          "timings.stop_lame_duck", milliseconds(0), hours(1),
+          [](auto& s) -> auto& { return s.stop_lame_duck; },
+          "How long a planned stop takes requests after /readyz has turned, before stop_limit."),
   };
 }
 
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -48,6 +48,10 @@
     const auto& lease = settings_.node.lease;
     require(settings_.transport.listen_address != settings_.server.address, "node.gateway_address",
             "must differ from node.peer_address");
+    require(settings_.readiness_address != settings_.server.address &&
+                settings_.readiness_address != settings_.transport.listen_address,
+            "node.readiness_address",
+            "must differ from node.gateway_address and node.peer_address");
     require(membership.suspect_after > membership.heartbeat_interval, "timings.suspect_after",
             "must be longer than timings.heartbeat_interval");
     require(membership.dead_after > membership.suspect_after, "timings.dead_after",
--- /dev/null
+++ b/src/cypresswall/surroundings/http_surroundings.cpp
@@ -0,0 +1,75 @@
+#include "cypresswall/surroundings/http_surroundings.h"
+
+#include <chrono>
+#include <utility>
+
+#include "cypresswall/engines/http_engine_client.h"
+#include "cypresswall/gateway/gateway.h"
+#include "cypresswall/platform/http_machine_list.h"
+#include "cypresswall/platform/http_object_store.h"
+#include "cypresswall/services/http_service_client.h"
+
+namespace cypresswall::surroundings {
+namespace {
+
+std::int64_t unixTime() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count();
+}
+
+gateway::GatewayContext gatewayContext(const api::ProcessContext& process, node::Node& node) {
+  return {node.modelExecutor(), node.serviceExecutor(), node.configuration(), process.scheduler,
+          process.log,          process.counters,       process.random,       unixTime};
+}
+
+class GatewayFront final : public Front {
+ public:
+  GatewayFront(gateway::GatewayContext context, const gateway::GatewaySettings& settings)
+      : gateway_(std::move(context), settings) {}
+
+  void mount(gateway::HttpRoutes& routes) override { gateway_.mount(routes); }
+  std::vector<http::Header> rejectionHeaders() const override {
+    return {{"X-Cypresswall-Outcome", "not-run"}};
+  }
+  void reportRejection(const http::Rejection& rejection) override {
+    gateway_.reportRejection(rejection);
+  }
+  std::size_t openRequests() const override { return gateway_.openRequests(); }
+
+ private:
+  gateway::Gateway gateway_;
+};
+
+class HttpSurroundings final : public Surroundings {
+ public:
+  explicit HttpSurroundings(const SurroundingsContext& context)
+      : context_(context),
+        object_store_(context.curl, context.process.counters, context.settings.object_store),
+        machine_list_(context.curl, context.settings.machine_list),
+        engines_(context.curl, context.process.counters, context.settings.engines),
+        services_(context.curl, context.settings.services) {}
+
+  node::NodeClients clients() override {
+    return {object_store_, machine_list_, engines_, services_};
+  }
+  std::unique_ptr<Front> makeFront(node::Node& node) override {
+    return std::make_unique<GatewayFront>(gatewayContext(context_.process, node),
+                                          context_.settings.gateway);
+  }
+  void start() override {}
+
+ private:
+  SurroundingsContext context_;
+  platform::HttpObjectStore object_store_;
+  platform::HttpMachineList machine_list_;
+  engines::HttpEngineClient engines_;
+  services::HttpServiceClient services_;
+};
+
+}  // namespace
+
+std::unique_ptr<Surroundings> makeHttpSurroundings(const SurroundingsContext& context) {
+  return std::make_unique<HttpSurroundings>(context);
+}
+
+}  // namespace cypresswall::surroundings
