Put the ingress, engine and service clients into the platform's surroundings

Cause: the daemon on the users' platform refused every request until the ingress stood. Change: the surroundings of that platform use its engine and service clients and its ingress before the product's gateway; a resumed stream knows the last event that its caller has.

--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -128,6 +128,7 @@
   request.shape = target_.shape;
   request.maximum_tokens = target_.maximum_tokens;
   request.resume_from = tokens_given_;
+  request.last_token = last_token_;
   request.phase = phase;
   if (deadline_) {
     request.time_limit = *deadline_ - core_.process.clock.now();
@@ -158,6 +159,9 @@
 void ModelRequest::onAttemptToken(std::uint32_t index, const std::string& text) {
   const auto self = shared_from_this();
   tokens_given_ = index + 1;
+  if (call_.pass_through) {
+    last_token_ = text;
+  }
   record_->tokens_given = tokens_given_;
   if (token_seen_in_attempt_) {
     silence_.progress();
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -95,6 +95,8 @@
   SilenceWatch silence_;
   common::TimerId step_timer_ = 0;
   std::uint32_t tokens_given_ = 0;
+  /// Kept only of answers that are passed through.
+  std::string last_token_;
   std::uint32_t runs_ = 0;
   std::uint32_t unrun_attempts_ = 0;
   bool head_given_ = false;
--- a/src/cypresswall/surroundings/http_surroundings.cpp
+++ b/src/cypresswall/surroundings/http_surroundings.cpp
@@ -1,6 +1,5 @@
 #include "cypresswall/surroundings/http_surroundings.h"
 
-#include <chrono>
 #include <utility>
 
 #include "cypresswall/engines/http_engine_client.h"
@@ -8,20 +7,11 @@
 #include "cypresswall/platform/http_machine_list.h"
 #include "cypresswall/platform/http_object_store.h"
 #include "cypresswall/services/http_service_client.h"
+#include "cypresswall/surroundings/gateway_context.h"
 
 namespace cypresswall::surroundings {
 namespace {
 
-std::int64_t unixTime() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count();
-}
-
-gateway::GatewayContext gatewayContext(const api::ProcessContext& process, node::Node& node) {
-  return {node.modelExecutor(), node.serviceExecutor(), node.configuration(), process.scheduler,
-          process.log,          process.counters,       process.random,       unixTime};
-}
-
 class GatewayFront final : public Front {
  public:
   GatewayFront(gateway::GatewayContext context, const gateway::GatewaySettings& settings)
