--- a/scripts/check-tidy.sh
+++ b/scripts/check-tidy.sh
@@ -6,7 +6,7 @@
 build_dir=$1
 shift
 if [ "$#" -eq 0 ]; then
-  mapfile -t files < <(git ls-files -- 'src/*.cpp' 'apps/*.cpp' 'standins/*.cpp' 'bench/*.cpp' 'tests/*.cpp')
+  mapfile -t files < <(git ls-files -- 'src/*.cpp' 'platform/*.cpp' 'apps/*.cpp' 'standins/*.cpp' 'bench/*.cpp' 'tests/*.cpp')
 else
   files=("$@")
 fi
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -61,6 +61,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("127.0.1.1:7000"), settings.transport.listen_address);
     CPPUNIT_ASSERT_EQUAL(std::string("127.0.1.1:8080"), settings.node.membership.gateway_address);
     CPPUNIT_ASSERT(settings.node.lease.duration == lease::LeaseSettings().duration);
+    CPPUNIT_ASSERT(settings.platform_protocol == PlatformProtocol::kCypresswall);
+    CPPUNIT_ASSERT(settings.readiness_address.empty());
   }
 
   void readsEveryKind() {
@@ -97,6 +99,7 @@
         {kLeast + "log: {level: info}\nlog: {level: info}", "node.yaml:11: log.level: given twice"},
         {kLeast + "timings: {idle_limit: 5}", "node.yaml:10: timings.idle_limit: '5'"},
         {kLeast + "timings: {idle_limit: -5s}", "node.yaml:10: timings.idle_limit: '-5s'"},
+        {kLeast + "  protocol: other", "node.yaml:10: platform.protocol: 'other'"},
         {kLeast + "seeds: [localhost:1]", "node.yaml:10: seeds: 'localhost:1'"},
         {kLeast + "seeds: [{a: b}]", "node.yaml:10: seeds: an item"},
         {kLeast + "seeds: [a/x@127.0.0.1:1, a/y@127.0.0.1:2]", "node.yaml:10: seeds: zone 'a'"},
@@ -137,6 +140,9 @@
     }
     const std::string same = replaced(kLeast, "127.0.1.1:8080", "127.0.1.1:7000");
     CPPUNIT_ASSERT(problemsOf(same).find("node.gateway_address") != std::string::npos);
+    const std::string both =
+        replaced(kLeast, "  zone:", "  readiness_address: 127.0.1.1:8080\n  zone:");
+    CPPUNIT_ASSERT(problemsOf(both).find("node.readiness_address") != std::string::npos);
   }
 
   void flagsGoOverTheFile() {
