--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(shorterTimeLimitCounts);
   CPPUNIT_TEST(deadlineBeforeAnyRunIsNotRun);
   CPPUNIT_TEST(deadlineWhileThePromptIsComputedIsNotRun);
+  CPPUNIT_TEST(pausedProcessStartsNothingBeyondTheDeadline);
   CPPUNIT_TEST(declaredRunsReplaceTheNodesOwn);
   CPPUNIT_TEST(refusedAttemptsDrawOnTheBudget);
   CPPUNIT_TEST(refusedAttemptsStayWithinTheShare);
@@ -199,6 +200,26 @@
     assertNothingHeld(world);
   }
 
+  void pausedProcessStartsNothingBeyondTheDeadline() {
+    for (const auto kind : {Kind::kGood, Kind::kRefused}) {
+      World world;
+      world.service().repeatable = false;
+      world.service().time_limit = seconds(1);
+      world.router.prefill_name = "prefill-1";
+      world.engines.scripts = {{kind, 0}};
+      RecordingObserver observer;
+      const auto handle = world.start(observer);
+      // After the engine's answer, before what follows from it.
+      world.process.time.schedule(world.engines.token_time,
+                                  [&world] { world.process.clock.late_by = seconds(1); });
+      world.process.time.runFor(world.engines.token_time);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.engines.started.size());
+      CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kDeadlineExceeded);
+      CPPUNIT_ASSERT(observer.error->outcome == Outcome::kNotRun);
+      assertNothingHeld(world);
+    }
+  }
+
   void declaredRunsReplaceTheNodesOwn() {
     for (const std::uint32_t runs : {1U, 2U, 6U}) {
       World world;
--- a/tests/execution/process_fixture.h
+++ b/tests/execution/process_fixture.h
@@ -20,18 +20,31 @@
   void send(api::Envelope) override {}
 };
 
+/// The clock of a process whose timers come late, since it was paused.
+class LateClock final : public common::Clock {
+ public:
+  explicit LateClock(const common::Clock& timers) : timers_(timers) {}
+  common::MonotonicTime now() const override { return timers_.now() + late_by; }
+
+  common::Duration late_by{0};
+
+ private:
+  const common::Clock& timers_;
+};
+
 /// One process without peers.
 struct ProcessFixture {
   explicit ProcessFixture(std::uint64_t seed = 1) : random(seed) {}
 
   simulation::VirtualTime time;
+  LateClock clock{time};
   common::SeededRandom random;
   common::CounterRegistry counters;
   NullTransport transport;
   api::MessageDispatcher dispatcher;
   api::ProcessContext context{common::NodeId{"127.0.0.1:1", 7},
                               "quay",
-                              time,
+                              clock,
                               time,
                               random,
                               common::nullLogSink(),
