--- a/src/cypresswall/routing/offers.h
+++ b/src/cypresswall/routing/offers.h
@@ -46,7 +46,7 @@
       : between_weight_(settings.between_tokens_weight),
         negligible_wait_(common::toSeconds(settings.negligible_wait)),
         kv_base_(common::toSeconds(settings.kv_transfer_base)),
-        kv_per_token_(settings.kv_transfer_seconds_per_token) {}
+        kv_per_token_(common::toSeconds(settings.kv_transfer_per_thousand_tokens) / kThousand) {}
 
   /// An engine that runs the whole request.
   /// \param uncached prompt tokens that the engine has to compute
@@ -86,6 +86,8 @@
   }
 
  private:
+  static constexpr double kThousand = 1000;
+
   static double wait(const CostInputs& engine, double now) {
     const double queue = std::max(0.0, engine.queue_empty_at - now);
     return queue + engine.unreported_wait + engine.slot_wait;
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -63,7 +63,8 @@
   double prefill_chunk_tokens = 512;
   /// Cost of handing a KV cache from a prefill engine to a decode engine.
   common::Duration kv_transfer_base = std::chrono::milliseconds(10);
-  double kv_transfer_seconds_per_token = 26e-6;
+  /// Time for the KV cache of 1,000 tokens, beside the base.
+  common::Duration kv_transfer_per_thousand_tokens = std::chrono::milliseconds(26);
   /// Bounds of Retry-After.
   common::Duration minimum_retry_after = std::chrono::seconds(1);
   common::Duration maximum_retry_after = std::chrono::seconds(60);
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -272,6 +272,10 @@
           "timings.engine_order_limit", milliseconds(50), seconds(60),
           [](auto& s) -> auto& { return s.engines.order_time_limit; },
           "Time limit of an order to an engine; then the same order is sent again."),
+      durationKey(
+          "timings.kv_transfer", std::chrono::microseconds(1), seconds(10),
+          [](auto& s) -> auto& { return s.node.router.kv_transfer_per_thousand_tokens; },
+          "Time that engines take to hand over the KV cache of 1,000 tokens."),
       durationKey(
           "timings.service_connect_limit", milliseconds(10), seconds(30),
           [](auto& s) -> auto& { return s.services.connect_time_limit; },
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -92,7 +92,13 @@
 
 }  // namespace
 
-DaemonSettings makeSettings(const SourceValues& values) { return Loader(values).load(); }
+DaemonSettings makeSettings(const SourceValues& values) {
+  DaemonSettings settings = Loader(values).load();
+  // That platform counts every request that arrives at a back end, refused or not.
+  settings.node.execution.charge_refused_attempts =
+      settings.platform_protocol == PlatformProtocol::kObjects;
+  return settings;
+}
 
 SourceValues merged(SourceValues lower, const SourceValues& upper) {
   for (const auto& [name, value] : upper) {
