--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -76,9 +76,12 @@
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlJob::onSocketMade);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
   }
-  if (request_.connection_use == ConnectionUse::kFresh) {
+  if (request_.connection_use != ConnectionUse::kReuse) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   }
+  if (request_.connection_use == ConnectionUse::kOnce) {
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
   configureMethod();
   configureHeaders();
   configureTimeLimits();
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -22,6 +22,8 @@
   /// Makes a new connection. A reused one may be closed by the peer just when the request is sent,
   /// which leaves it unknown whether the request ran.
   kFresh,
+  /// Makes a new connection and closes it after the answer, for peers that allow few connections.
+  kOnce,
 };
 
 /// A request goes out once at most: where libcurl by itself would send it again on another
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -7,6 +7,8 @@
 namespace cypresswall::settings {
 namespace {
 
+constexpr double kRetryBurstOfCountingPlatform = 5;
+
 /// Applies values and collects problems.
 class Loader {
  public:
@@ -94,9 +96,12 @@
 
 DaemonSettings makeSettings(const SourceValues& values) {
   DaemonSettings settings = Loader(values).load();
-  // That platform counts every request that arrives at a back end, refused or not.
-  settings.node.execution.charge_refused_attempts =
-      settings.platform_protocol == PlatformProtocol::kObjects;
+  if (settings.platform_protocol == PlatformProtocol::kObjects) {
+    // That platform counts every request that arrives at a back end, refused or not, over all nodes
+    // together: a node may save up only its part of what the platform allows at once.
+    settings.node.execution.charge_refused_attempts = true;
+    settings.node.execution.retry_burst = kRetryBurstOfCountingPlatform;
+  }
   return settings;
 }
 
