--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -48,6 +48,7 @@
  private:
   static std::size_t onBodyBytes(char* data, std::size_t size, std::size_t count, void* job);
   static std::size_t onHeaderBytes(char* data, std::size_t size, std::size_t count, void* job);
+  static int onSocketMade(void* job, curl_socket_t socket, curlsocktype purpose);
   static int beforeSending(void* job, char* remote_ip, char* local_ip, int remote_port,
                            int local_port);
 
@@ -57,6 +58,7 @@
   void configureTimeLimits();
   std::size_t takeBody(std::string_view bytes);
   void takeHeader(std::string_view line);
+  void giveHead();
   CurlOutcome outcomeOf(CURLcode code) const;
   long numberOf(CURLINFO info) const;
   void deliver(CurlResponse response);
@@ -70,6 +72,7 @@
   bool body_too_long_ = false;
   /// Whether the body is given to the handler in pieces; decided by the status.
   bool streaming_ = false;
+  bool head_given_ = false;
   char error_text_[CURL_ERROR_SIZE] = {};
 };
 
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -8,15 +8,13 @@
 #include <string_view>
 #include <vector>
 
+#include "cypresswall/common/header_field.h"
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/time.h"
 
 namespace cypresswall::runtime {
 
-struct CurlHeader {
-  std::string name;
-  std::string value;
-};
+using CurlHeader = common::HeaderField;
 
 /// Whether a request may go out on a connection that was used before.
 enum class ConnectionUse : std::uint8_t {
@@ -24,6 +22,8 @@
   /// Makes a new connection. A reused one may be closed by the peer just when the request is sent,
   /// which leaves it unknown whether the request ran.
   kFresh,
+  /// Makes a new connection and closes it after the answer, for peers that allow few connections.
+  kOnce,
 };
 
 /// A request goes out once at most: where libcurl by itself would send it again on another
@@ -41,6 +41,10 @@
   common::Duration total_time_limit{0};
   /// Longest time without a byte, in whole seconds; zero sets none.
   common::Duration idle_time_limit{0};
+  /// A connection whose peer acknowledges nothing for this long, in whole seconds, is ended; while
+  /// it is idle the peer is probed. Applies to a connection that the request makes. Zero leaves it
+  /// to the system.
+  common::Duration dead_peer_limit{0};
   /// An answer with a longer body fails. Streams that are read as they come set none (zero).
   std::size_t maximum_body_bytes = 16U << 20;
   /// Size of the receive buffer of this request.
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -7,6 +7,8 @@
 namespace cypresswall::settings {
 namespace {
 
+constexpr double kRetryBurstOfCountingPlatform = 5;
+
 /// Applies values and collects problems.
 class Loader {
  public:
@@ -48,6 +50,10 @@
     const auto& lease = settings_.node.lease;
     require(settings_.transport.listen_address != settings_.server.address, "node.gateway_address",
             "must differ from node.peer_address");
+    require(settings_.readiness_address != settings_.server.address &&
+                settings_.readiness_address != settings_.transport.listen_address,
+            "node.readiness_address",
+            "must differ from node.gateway_address and node.peer_address");
     require(membership.suspect_after > membership.heartbeat_interval, "timings.suspect_after",
             "must be longer than timings.heartbeat_interval");
     require(membership.dead_after > membership.suspect_after, "timings.dead_after",
@@ -88,7 +94,16 @@
 
 }  // namespace
 
-DaemonSettings makeSettings(const SourceValues& values) { return Loader(values).load(); }
+DaemonSettings makeSettings(const SourceValues& values) {
+  DaemonSettings settings = Loader(values).load();
+  if (settings.platform_protocol == PlatformProtocol::kObjects) {
+    // That platform counts every request that arrives at a back end, refused or not, over all nodes
+    // together: a node may save up only its part of what the platform allows at once.
+    settings.node.execution.charge_refused_attempts = true;
+    settings.node.execution.retry_burst = kRetryBurstOfCountingPlatform;
+  }
+  return settings;
+}
 
 SourceValues merged(SourceValues lower, const SourceValues& upper) {
   for (const auto& [name, value] : upper) {
