Mend what clang-tidy found in the tests of platform/

Cause: a name without its trailing underscore and a vector that grew in a loop. Change: both mended.

--- a/tests/objects_platform/fake_store.h
+++ b/tests/objects_platform/fake_store.h
@@ -80,6 +80,7 @@
 inline std::string eventsJson(std::uint64_t at,
                               const std::vector<std::pair<std::string, bool>>& events) {
   std::vector<std::string> items;
+  items.reserve(events.size());
   for (const auto& [object, gone] : events) {
     items.push_back(R"({"gone": )" + std::string(gone ? "true" : "false") + R"(, "object": )" +
                     object + "}");
--- a/tests/objects_platform/object_watch_test.cpp
+++ b/tests/objects_platform/object_watch_test.cpp
@@ -19,14 +19,14 @@
 class NotingListener final : public ObjectWatchListener {
  public:
   void onPut(const wire::StoreObject& object) override {
-    told += "+" + object.name + std::to_string(object.revision) + " ";
+    told_ += "+" + object.name + std::to_string(object.revision) + " ";
   }
-  void onGone(const std::string& name) override { told += "-" + name + " "; }
-  void onCaughtUp() override { told += ". "; }
-  std::string takeTold() { return std::exchange(told, ""); }
+  void onGone(const std::string& name) override { told_ += "-" + name + " "; }
+  void onCaughtUp() override { told_ += ". "; }
+  std::string takeTold() { return std::exchange(told_, ""); }
 
  private:
-  std::string told;
+  std::string told_;
 };
 
 class ObjectWatchTest : public CppUnit::TestFixture {
