Give each idempotency key one owning zone in the fleet

Ruled out: claims in every zone (a cut refuses all keys, 30 times the cost), compare-and-set in the store (one writer for the fleet, ends with the store), keys bound to the zone first asked (callers' keys name no zone), hashing over the zones alive (two sides of a cut choose two owners), asking old and new owner after a change of the zones (an old owner lost for good refuses all the same). Change: a key belongs to the zone with the highest hash among the declared zones. A claim goes to one of that zone's two gossip contacts, which passes it on once to its lease holder; the holder answers the claimer. No answer in 2 s: not run, with Retry-After. The configuration carries the last eight sets of zones; a holder grants a new claim only if its zone owned the key under every set whose claims may still be remembered, else the key is uncertain until the retention and a minute have passed, noted on the voters. A claimer of another zone counts as in progress until it reports. Left, and written down: a zone cut off for over a minute while the zones change with late delivery. Slopes of claims between zones are assumed, not measured.

--- a/src/cypresswall/configuration/change.cpp
+++ b/src/cypresswall/configuration/change.cpp
@@ -1,6 +1,8 @@
 #include "cypresswall/configuration/change.h"
 
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace cypresswall::configuration {
 namespace {
@@ -85,6 +87,46 @@
   fail(change, "kind", "is not a known kind of object");
 }
 
+std::vector<common::ZoneName> zoneNames(const FleetConfiguration& configuration) {
+  std::vector<common::ZoneName> names;
+  for (const auto& [name, zone] : configuration.zones) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+/// Notes the set of zones if the change to this version altered it.
+void noteZoneSet(FleetConfiguration& configuration) {
+  auto& sets = configuration.zone_sets;
+  auto names = zoneNames(configuration);
+  if (sets.empty() ? names.empty() : sets.back().zones == names) {
+    return;
+  }
+  sets.push_back({configuration.version, std::move(names)});
+  if (sets.size() > kRememberedZoneSets) {
+    sets.erase(sets.begin());
+  }
+}
+
+json encodeZoneSets(const std::vector<ZoneSet>& sets) {
+  json list = json::array();
+  for (const ZoneSet& set : sets) {
+    list.push_back({{"version", set.version}, {"zones", set.zones}});
+  }
+  return list;
+}
+
+void decodeZoneSets(const json& source, FleetConfiguration& result) {
+  for (const json& set : source.value("zone_sets", json::array())) {
+    result.zone_sets.push_back({set.at("version").get<std::uint64_t>(),
+                                set.at("zones").get<std::vector<common::ZoneName>>()});
+  }
+  if (result.zone_sets.empty() && !result.zones.empty()) {
+    // Written by a release that kept no sets.
+    result.zone_sets.push_back({0, zoneNames(result)});
+  }
+}
+
 template <typename Object>
 json encodeList(const std::map<std::string, Object>& objects) {
   json list = json::array();
@@ -140,6 +182,7 @@
     applyObject(result, object, options);
   }
   result.version = change.version;
+  noteZoneSet(result);
   return result;
 }
 
@@ -169,6 +212,7 @@
     result["drained_nodes"].push_back(name);
   }
   result["planning"] = encodeObject(configuration.planning);
+  result["zone_sets"] = encodeZoneSets(configuration.zone_sets);
   return result;
 }
 
@@ -177,6 +221,7 @@
   try {
     result.version = source.at("version").get<std::uint64_t>();
     decodeList(source, "zones", ObjectKind::kZone, &ZoneDeclaration::name, result.zones);
+    decodeZoneSets(source, result);
     decodeList(source, "models", ObjectKind::kModel, &ModelDeclaration::name, result.models);
     decodeList(source, "engines", ObjectKind::kEngine, &EngineDeclaration::name, result.engines);
     decodeList(source, "model_services", ObjectKind::kModelService, &ModelServiceDeclaration::name,
--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -2,6 +2,7 @@
 /// has a version; a configuration is the result of all changes up to its version.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -18,6 +19,16 @@
   std::string region;
 };
 
+/// The zones that are declared from one version on.
+struct ZoneSet {
+  std::uint64_t version = 0;
+  /// Sorted.
+  std::vector<common::ZoneName> zones;
+};
+
+/// Older sets of zones are forgotten.
+inline constexpr std::size_t kRememberedZoneSets = 8;
+
 struct AdapterDeclaration {
   std::string name;
   std::string weights_uri;
@@ -119,6 +130,9 @@
   /// Nodes and machines that operators drain, by machine or node address.
   std::map<std::string, bool> drained_nodes;
   PlanningPolicy planning;
+  /// Follows from the changes: the sets of zones up to now, oldest first, the last one in force.
+  /// Empty until a zone is declared; as many as kRememberedZoneSets may lack earlier ones.
+  std::vector<ZoneSet> zone_sets;
 };
 
 /// Kinds of declared objects, as named in files and commands.
--- a/src/cypresswall/idempotency/claim_settings.h
+++ b/src/cypresswall/idempotency/claim_settings.h
@@ -17,6 +17,11 @@
   /// which leaves time for another node to take the lease over.
   common::Duration resend_interval = std::chrono::milliseconds(150);
   common::Duration claim_timeout = std::chrono::seconds(2);
+  /// The same for a claim whose key another zone owns; covers the way there and back.
+  common::Duration remote_resend_interval = std::chrono::milliseconds(300);
+  /// After a change of the declared zones, keys that changed their owner are uncertain for the
+  /// retention and this long, within which every node has the change and requests end.
+  common::Duration ownership_margin = std::chrono::minutes(1);
   /// Reports of completed and released claims are sent again until acknowledged, at most this long.
   common::Duration report_interval = std::chrono::milliseconds(300);
   common::Duration report_timeout = std::chrono::seconds(60);
--- a/src/cypresswall/idempotency/claim_table.cpp
+++ b/src/cypresswall/idempotency/claim_table.cpp
@@ -13,13 +13,17 @@
 /// Marks a generation in which every claim of earlier ones has outlived the retention.
 constexpr const char* kCertainPrefix = "certain/";
 
+/// Holds the version of the set of zones before which no claim is remembered any more.
+constexpr const char* kSettledZonesKey = "settled-zones";
+
 std::string certainKey(std::uint32_t generation) {
   return kCertainPrefix + std::to_string(generation);
 }
 
-std::string encode(const ClaimRecord& record) {
+template <typename Value>
+std::string encode(const Value& value) {
   msgpack::sbuffer buffer;
-  msgpack::pack(buffer, record);
+  msgpack::pack(buffer, value);
   return {buffer.data(), buffer.size()};
 }
 
@@ -27,18 +31,25 @@
 
 ClaimTable::ClaimTable(const ClaimSettings& settings, const api::ProcessContext& context,
                        lease::AuthorityView& authority, lease::QuorumLog& log,
-                       membership::MembershipView& membership)
+                       membership::MembershipView& membership, const KeyOwnership& ownership)
     : settings_(settings),
       context_(context),
       authority_(authority),
       log_(log),
       membership_(membership),
+      ownership_(ownership),
       granted_count_(context.counters.counter("cypresswall_claims_granted_total",
                                               "Claims on idempotency keys granted")),
       full_count_(context.counters.counter("cypresswall_claims_refused_full_total",
                                            "Claims refused because the table was full")),
       uncertain_count_(context.counters.counter("cypresswall_claims_uncertain_total",
                                                 "Claims answered as uncertain")),
+      moved_count_(
+          context.counters.counter("cypresswall_claims_moved_total",
+                                   "Claims answered as uncertain because their key changed "
+                                   "its zone within the retention")),
+      not_owner_count_(context.counters.counter("cypresswall_claims_not_owner_total",
+                                                "Claims on keys that this zone does not own")),
       answer_dropped_count_(context.counters.counter("cypresswall_claim_answers_dropped_total",
                                                      "Answers too large to keep")) {}
 
@@ -72,6 +83,11 @@
   if (generation_ > 1 && !records.contains(certainKey(generation_))) {
     uncertain_until_ = now + settings_.retention;
   }
+  const auto settled = records.find(kSettledZonesKey);
+  settled_zones_version_ =
+      settled == records.end() ? 0 : api::decodeBody<std::uint64_t>(settled->second);
+  zones_version_ = ownership_.version();
+  zones_version_since_ = now;
 }
 
 void ClaimTable::sweep() {
@@ -93,6 +109,27 @@
     uncertain_until_.reset();
     log_.replicate(RecordModule::kIdempotency, certainKey(generation_), "", [](bool) {});
   }
+  settleOwnership();
+}
+
+/// Notes on the voters that a set of zones has been in force for so long that no claim of an
+/// earlier one is remembered. A change of holder starts the time anew.
+void ClaimTable::settleOwnership() {
+  const auto now = context_.clock.now();
+  if (zones_version_ != ownership_.version()) {
+    zones_version_ = ownership_.version();
+    zones_version_since_ = now;
+    return;
+  }
+  if (zones_version_ <= settled_zones_version_ || now < ownershipSettlesAt()) {
+    return;
+  }
+  log_.replicate(RecordModule::kIdempotency, kSettledZonesKey, encode(zones_version_),
+                 [this, version = zones_version_](bool kept) {
+                   if (kept && authority_.heldEpoch()) {
+                     settled_zones_version_ = std::max(settled_zones_version_, version);
+                   }
+                 });
 }
 
 void ClaimTable::forget(const std::string& key) {
@@ -104,7 +141,7 @@
 void ClaimTable::claim(const ClaimRequest& request, const ClaimAnswered& answered) {
   ClaimReply reply;
   reply.claim = request.claim;
-  if (!authority_.heldEpoch()) {
+  if (!mayJudge(request)) {
     answered(reply);
     return;
   }
@@ -122,6 +159,23 @@
   answered(reply);
 }
 
+common::MonotonicTime ClaimTable::ownershipSettlesAt() const {
+  return zones_version_since_ + settings_.retention + settings_.ownership_margin;
+}
+
+/// A holder that knows an older set of zones than the claimer, or than an earlier holder, must not
+/// judge: the key may belong to another zone meanwhile.
+bool ClaimTable::mayJudge(const ClaimRequest& request) const {
+  if (!authority_.heldEpoch()) {
+    return false;
+  }
+  const auto version = ownership_.version();
+  const bool owner = request.zones_version <= version && settled_zones_version_ <= version &&
+                     ownership_.owner(request.key) == context_.zone;
+  not_owner_count_.add(owner ? 0 : 1);
+  return owner;
+}
+
 void ClaimTable::grantNew(const ClaimRequest& request, const ClaimAnswered& answered) {
   ClaimReply reply;
   reply.claim = request.claim;
@@ -134,6 +188,14 @@
     answered(reply);
     return;
   }
+  if (!ownership_.ownedSince(request.key, settled_zones_version_)) {
+    moved_count_.add();
+    reply.verdict = HolderVerdict::kUncertain;
+    const auto wait = std::max(ownershipSettlesAt() - now, settings_.retry_after);
+    reply.retry_after_us = static_cast<std::uint64_t>(wait.count());
+    answered(reply);
+    return;
+  }
   if (entries_.size() >= settings_.maximum_claims) {
     full_count_.add();
     reply.verdict = HolderVerdict::kFull;
@@ -141,7 +203,8 @@
     return;
   }
   reply.verdict = HolderVerdict::kGranted;
-  put(request.key, ClaimRecord{ClaimState::kInProgress, request.digest, request.claim, {}},
+  put(request.key,
+      ClaimRecord{ClaimState::kInProgress, request.digest, request.claim, {}, request.zone},
       [this, reply, answered] {
         granted_count_.add();
         answered(reply);
@@ -159,7 +222,7 @@
     reply.recorded_answer = entry.record.answer;
   } else if (entry.record.claim == request.claim) {
     reply.verdict = HolderVerdict::kGranted;
-  } else if (claimerAlive(entry.record.claim.node)) {
+  } else if (claimerMayReport(entry.record)) {
     reply.verdict = HolderVerdict::kInProgress;
   } else {
     reply.verdict = HolderVerdict::kUncertain;
@@ -183,7 +246,8 @@
     return;
   }
   const auto state = report.completed ? ClaimState::kCompleted : ClaimState::kReleased;
-  put(report.key, ClaimRecord{state, report.digest, report.claim, keepable(report.answer)}, taken);
+  put(report.key,
+      ClaimRecord{state, report.digest, report.claim, keepable(report.answer), report.zone}, taken);
 }
 
 std::string ClaimTable::keepable(const std::string& answer) const {
@@ -215,10 +279,14 @@
                  });
 }
 
-bool ClaimTable::claimerAlive(const common::NodeId& node) const {
+/// Whether a node of another zone has ended is not known here; it may always report.
+bool ClaimTable::claimerMayReport(const ClaimRecord& record) const {
+  if (record.zone != context_.zone) {
+    return true;
+  }
   const auto members = membership_.members();
   return std::any_of(members.begin(), members.end(),
-                     [&](const auto& member) { return member.node == node; });
+                     [&](const auto& member) { return member.node == record.claim.node; });
 }
 
 }  // namespace cypresswall::idempotency
--- a/src/cypresswall/idempotency/claim_table.h
+++ b/src/cypresswall/idempotency/claim_table.h
@@ -10,6 +10,7 @@
 
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/idempotency/claim_settings.h"
+#include "cypresswall/idempotency/key_ownership.h"
 #include "cypresswall/idempotency/messages.h"
 #include "cypresswall/lease/authority_view.h"
 #include "cypresswall/lease/quorum_log.h"
@@ -31,7 +32,9 @@
   std::uint64_t digest = 0;
   ClaimId claim;
   std::string answer;
-  MSGPACK_DEFINE(state, digest, claim, answer)
+  /// Zone of the claimer.
+  common::ZoneName zone = {};
+  MSGPACK_DEFINE(state, digest, claim, answer, zone)
 };
 
 class ClaimTable {
@@ -41,7 +44,7 @@
 
   ClaimTable(const ClaimSettings& settings, const api::ProcessContext& context,
              lease::AuthorityView& authority, lease::QuorumLog& log,
-             membership::MembershipView& membership);
+             membership::MembershipView& membership, const KeyOwnership& ownership);
 
   void start();
   /// Judges a claim. `answered` may be called later, or never if the lease is lost meanwhile.
@@ -60,11 +63,14 @@
   void leaseChanged(std::optional<common::Epoch> epoch);
   void load(const common::Epoch& epoch);
   void sweep();
+  void settleOwnership();
+  common::MonotonicTime ownershipSettlesAt() const;
+  bool mayJudge(const ClaimRequest& request) const;
   void grantNew(const ClaimRequest& request, const ClaimAnswered& answered);
   ClaimReply judge(const ClaimRequest& request, const Entry& entry) const;
   void put(const std::string& key, ClaimRecord record, std::function<void()> committed);
   void forget(const std::string& key);
-  bool claimerAlive(const common::NodeId& node) const;
+  bool claimerMayReport(const ClaimRecord& record) const;
   std::string keepable(const std::string& answer) const;
 
   ClaimSettings settings_;
@@ -72,14 +78,23 @@
   lease::AuthorityView& authority_;
   lease::QuorumLog& log_;
   membership::MembershipView& membership_;
+  const KeyOwnership& ownership_;
   std::map<std::string, Entry> entries_;
   std::size_t answer_bytes_ = 0;
   /// While set and in the future, unknown keys may have been claimed in an earlier generation.
   std::optional<common::MonotonicTime> uncertain_until_;
   std::uint32_t generation_ = 0;
+  /// Claims made under sets of zones before this one have outlived the retention; kept on the
+  /// voters.
+  std::uint64_t settled_zones_version_ = 0;
+  /// The set in force, and since when this holder knows it.
+  std::uint64_t zones_version_ = 0;
+  common::MonotonicTime zones_version_since_;
   common::Counter& granted_count_;
   common::Counter& full_count_;
   common::Counter& uncertain_count_;
+  common::Counter& moved_count_;
+  common::Counter& not_owner_count_;
   common::Counter& answer_dropped_count_;
 };
 
--- a/src/cypresswall/idempotency/key_claims.h
+++ b/src/cypresswall/idempotency/key_claims.h
@@ -1,5 +1,6 @@
 /// At-most-once execution of requests that carry an idempotency key: a key is claimed before its
-/// request is sent on, and the claim is held by a quorum of the zone's voters.
+/// request is sent on, and the claim is held by a quorum of the voters of the zone that owns the
+/// key.
 #pragma once
 
 #include <cstdint>
@@ -17,7 +18,7 @@
   kInProgress,     ///< another attempt holds the claim and has not said how it ended
   kDifferentBody,  ///< the key was used for another request
   kUncertain,      ///< earlier claims were lost; whether the key ran can't be known
-  kUnavailable,    ///< no claim was made: no quorum or holder can be reached
+  kUnavailable,    ///< no claim was made: no quorum or holder of the key's zone can be reached
 };
 
 struct ClaimAnswer {
--- a/src/cypresswall/idempotency/messages.h
+++ b/src/cypresswall/idempotency/messages.h
@@ -1,4 +1,5 @@
-/// Messages between a gateway node and the lease holder about claims on idempotency keys.
+/// Messages between a gateway node and a lease holder about claims on idempotency keys. A node of
+/// the key's zone that does not hold the lease passes those of other zones on to its holder, once.
 #pragma once
 
 #include <cstdint>
@@ -23,7 +24,12 @@
   ClaimId claim;
   std::string key;
   std::uint64_t digest = 0;
-  MSGPACK_DEFINE(claim, key, digest)
+  /// Zone of the claimer.
+  common::ZoneName zone = {};
+  /// Version of the set of zones by which the claimer chose the owner.
+  std::uint64_t zones_version = 0;
+  bool forwarded = false;
+  MSGPACK_DEFINE(claim, key, digest, zone, zones_version, forwarded)
 };
 
 enum class HolderVerdict : std::uint8_t {
@@ -33,6 +39,7 @@
   kDifferentBody,
   kUncertain,
   kFull,
+  /// Not the holder of the zone that owns the key, or not known to be.
   kNotHolder,
 };
 
@@ -60,7 +67,10 @@
   /// True: the request ran and `answer` is its answer. False: it surely did not run.
   bool completed = false;
   std::string answer;
-  MSGPACK_DEFINE(claim, key, digest, completed, answer)
+  /// Zone of the claimer.
+  common::ZoneName zone = {};
+  bool forwarded = false;
+  MSGPACK_DEFINE(claim, key, digest, completed, answer, zone, forwarded)
 };
 
 struct ClaimReportReply {
--- a/src/cypresswall/idempotency/quorum_key_claims.cpp
+++ b/src/cypresswall/idempotency/quorum_key_claims.cpp
@@ -28,18 +28,23 @@
 }  // namespace
 
 QuorumKeyClaims::QuorumKeyClaims(ClaimSettings settings, const api::ProcessContext& context,
-                                 lease::AuthorityView& authority, lease::QuorumLog& log,
-                                 membership::MembershipView& membership)
+                                 const ClaimInterfaces& interfaces)
     : settings_(settings),
       context_(context),
-      authority_(authority),
-      table_(settings, context, authority, log, membership),
+      authority_(interfaces.authority),
+      gossip_(interfaces.gossip),
+      ownership_(context.zone, interfaces.configuration),
+      table_(settings, context, interfaces.authority, interfaces.log, interfaces.membership,
+             ownership_),
       unavailable_count_(context.counters.counter("cypresswall_claims_unavailable_total",
                                                   "Claims given up without an answer")),
       resent_count_(context.counters.counter("cypresswall_claims_resent_total",
                                              "Claims and reports sent again")),
       late_count_(context.counters.counter("cypresswall_claims_late_answers_total",
                                            "Answers to claims that were not waited for")),
+      passed_on_count_(context.counters.counter("cypresswall_claims_passed_on_total",
+                                                "Claims and reports of other zones passed on to "
+                                                "the lease holder")),
       report_lost_count_(context.counters.counter("cypresswall_claim_reports_lost_total",
                                                   "Reports of ended claims given up")) {
   auto& dispatcher = context_.dispatcher;
@@ -63,12 +68,49 @@
                               [this, message] { handle(context_.self, message); });
 }
 
+/// Sends to the lease holder of `owner`, or to a node there that passes it on; each attempt goes to
+/// another one of those that are known.
+template <typename Message>
+void QuorumKeyClaims::sendToOwner(const common::ZoneName& owner, const Message& message,
+                                  std::size_t attempt) {
+  if (owner == context_.zone) {
+    const auto holder = authority_.believedHolder();
+    if (!holder.empty()) {
+      deliver(holder, message);
+    }
+    return;
+  }
+  const auto contacts = gossip_.contactsOf(owner);
+  if (!contacts.empty()) {
+    context_.sendToAddress(contacts[(message.claim.number + attempt) % contacts.size()], message);
+  }
+}
+
+/// \return true if this node does not hold the lease and the message, which came from another zone,
+///   was left to the holder.
+template <typename Message>
+bool QuorumKeyClaims::passOn(const Message& message) {
+  if (message.forwarded || message.zone == context_.zone || authority_.heldEpoch()) {
+    return false;
+  }
+  const auto holder = authority_.believedHolder();
+  if (!holder.empty() && holder != context_.self) {
+    passed_on_count_.add();
+    Message forwarded = message;
+    forwarded.forwarded = true;
+    context_.sendTo(holder, forwarded);
+  }
+  return true;
+}
+
 void QuorumKeyClaims::claim(const std::string& key, std::uint64_t digest,
                             std::function<void(ClaimAnswer)> callback) {
   const std::uint64_t number = ++next_number_;
-  Waiting waiting{ClaimRequest{{context_.self, number}, key, digest},
-                  context_.clock.now() + settings_.claim_timeout, std::move(callback)};
-  waiting_[number] = std::move(waiting);
+  ClaimRequest request{{context_.self, number}, key, digest};
+  request.zone = context_.zone;
+  request.zones_version = ownership_.version();
+  waiting_[number] = Waiting{std::move(request), ownership_.owner(key),
+                             context_.clock.now() + settings_.claim_timeout, std::move(callback)};
   sendClaim(number);
 }
 
@@ -79,30 +121,40 @@
   }
   if (context_.clock.now() >= waiting->second.deadline) {
     unavailable_count_.add();
-    abandoned_[number] = waiting->second.request;
-    if (abandoned_.size() > kRememberedAbandoned) {
-      abandoned_.erase(abandoned_.begin());
-    }
+    rememberAbandoned({waiting->second.request, waiting->second.owner});
     finish(number, ClaimAnswer{ClaimVerdict::kUnavailable, {}, settings_.retry_after});
     return;
   }
-  const auto holder = authority_.believedHolder();
-  if (!holder.empty()) {
-    deliver(holder, waiting->second.request);
-  }
-  context_.scheduler.schedule(settings_.resend_interval, [this, number] {
+  Waiting& claim = waiting->second;
+  sendToOwner(claim.owner, claim.request, claim.sent++);
+  const auto interval =
+      claim.owner == context_.zone ? settings_.resend_interval : settings_.remote_resend_interval;
+  context_.scheduler.schedule(interval, [this, number] {
     resent_count_.add(waiting_.contains(number) ? 1 : 0);
     sendClaim(number);
   });
 }
 
+void QuorumKeyClaims::rememberAbandoned(Abandoned abandoned) {
+  const auto number = abandoned.request.claim.number;
+  abandoned_[number] = std::move(abandoned);
+  if (abandoned_.size() > kRememberedAbandoned) {
+    abandoned_.erase(abandoned_.begin());
+  }
+}
+
 void QuorumKeyClaims::finish(std::uint64_t number, ClaimAnswer answer) {
   const auto waiting = waiting_.extract(number);
   waiting.mapped().callback(std::move(answer));
 }
 
-void QuorumKeyClaims::handle(const common::NodeId& sender, const ClaimRequest& request) {
-  table_.claim(request, [this, sender](const ClaimReply& reply) { deliver(sender, reply); });
+void QuorumKeyClaims::handle(const common::NodeId&, const ClaimRequest& request) {
+  if (passOn(request)) {
+    return;
+  }
+  table_.claim(request, [this, claimer = request.claim.node](const ClaimReply& reply) {
+    deliver(claimer, reply);
+  });
 }
 
 void QuorumKeyClaims::handle(const common::NodeId&, const ClaimReply& reply) {
@@ -117,7 +169,7 @@
   }
   const ClaimRequest request = waiting->second.request;
   if (reply.verdict == HolderVerdict::kGranted) {
-    running_[request.key] = Running{request.claim, request.digest};
+    running_[request.key] = Running{request.claim, request.digest, waiting->second.owner};
   }
   finish(reply.claim.number,
          ClaimAnswer{toVerdict(reply.verdict), reply.recorded_answer,
@@ -130,11 +182,9 @@
   if (!granted || reply.claim.node != context_.self || abandoned == abandoned_.end()) {
     return;
   }
-  const ClaimRequest request = abandoned->second;
-  reports_[request.claim.number] =
-      Report{ClaimReport{request.claim, request.key, request.digest, false, {}},
-             context_.clock.now() + settings_.report_timeout};
-  sendReport(request.claim.number);
+  const ClaimRequest& request = abandoned->second.request;
+  startReport(ClaimReport{request.claim, request.key, request.digest, false, {}},
+              abandoned->second.owner);
 }
 
 void QuorumKeyClaims::complete(const std::string& key, std::string answer) {
@@ -148,17 +198,23 @@
   if (running.empty()) {
     return;
   }
-  const ClaimId claim = running.mapped().claim;
+  const Running& claim = running.mapped();
   if (answer.size() > settings_.maximum_answer_bytes) {
     answer.clear();
   }
   if (!completed) {
-    abandoned_[claim.number] = ClaimRequest{claim, key, running.mapped().digest};
+    rememberAbandoned({ClaimRequest{claim.claim, key, claim.digest}, claim.owner});
   }
-  reports_[claim.number] =
-      Report{ClaimReport{claim, key, running.mapped().digest, completed, std::move(answer)},
-             context_.clock.now() + settings_.report_timeout};
-  sendReport(claim.number);
+  startReport(ClaimReport{claim.claim, key, claim.digest, completed, std::move(answer)},
+              claim.owner);
+}
+
+void QuorumKeyClaims::startReport(ClaimReport report, const common::ZoneName& owner) {
+  const auto number = report.claim.number;
+  report.zone = context_.zone;
+  reports_[number] =
+      Report{std::move(report), owner, context_.clock.now() + settings_.report_timeout};
+  sendReport(number);
 }
 
 void QuorumKeyClaims::sendReport(std::uint64_t number) {
@@ -171,19 +227,19 @@
     reports_.erase(report);
     return;
   }
-  const auto holder = authority_.believedHolder();
-  if (!holder.empty()) {
-    deliver(holder, report->second.report);
-  }
+  sendToOwner(report->second.owner, report->second.report, report->second.sent++);
   context_.scheduler.schedule(settings_.report_interval, [this, number] {
     resent_count_.add(reports_.contains(number) ? 1 : 0);
     sendReport(number);
   });
 }
 
-void QuorumKeyClaims::handle(const common::NodeId& sender, const ClaimReport& report) {
+void QuorumKeyClaims::handle(const common::NodeId&, const ClaimReport& report) {
+  if (passOn(report)) {
+    return;
+  }
   table_.report(report,
-                [this, sender, claim = report.claim] { deliver(sender, ClaimReportReply{claim}); });
+                [this, claim = report.claim] { deliver(claim.node, ClaimReportReply{claim}); });
 }
 
 void QuorumKeyClaims::handle(const common::NodeId&, const ClaimReportReply& reply) {
--- a/src/cypresswall/idempotency/quorum_key_claims.h
+++ b/src/cypresswall/idempotency/quorum_key_claims.h
@@ -1,4 +1,6 @@
-/// KeyClaims by way of the zone's lease holder, which keeps every claim on a quorum of the voters.
+/// KeyClaims by way of the lease holder of the zone that owns the key, which keeps every claim on a
+/// quorum of its zone's voters. Claims on keys of other zones go to a node there, which passes them
+/// on to its holder; the holder answers the claimer directly.
 #pragma once
 
 #include <cstdint>
@@ -10,15 +12,25 @@
 #include "cypresswall/idempotency/claim_settings.h"
 #include "cypresswall/idempotency/claim_table.h"
 #include "cypresswall/idempotency/key_claims.h"
+#include "cypresswall/idempotency/key_ownership.h"
 #include "cypresswall/idempotency/messages.h"
+#include "cypresswall/membership/zone_gossip.h"
 
 namespace cypresswall::idempotency {
 
+/// Modules of the same node that claims rest on. All must outlive the claims.
+struct ClaimInterfaces {
+  lease::AuthorityView& authority;
+  lease::QuorumLog& log;
+  membership::MembershipView& membership;
+  const membership::ZoneGossip& gossip;
+  configuration::ConfigurationView& configuration;
+};
+
 class QuorumKeyClaims final : public KeyClaims {
  public:
   QuorumKeyClaims(ClaimSettings settings, const api::ProcessContext& context,
-                  lease::AuthorityView& authority, lease::QuorumLog& log,
-                  membership::MembershipView& membership);
+                  const ClaimInterfaces& interfaces);
   QuorumKeyClaims(const QuorumKeyClaims&) = delete;
   QuorumKeyClaims& operator=(const QuorumKeyClaims&) = delete;
 
@@ -35,27 +47,44 @@
   /// A claim without an answer yet.
   struct Waiting {
     ClaimRequest request;
+    /// Zone that owns the key; stays the same however the configuration changes meanwhile.
+    common::ZoneName owner;
     common::MonotonicTime deadline;
     std::function<void(ClaimAnswer)> callback;
+    std::size_t sent = 0;
   };
   /// A claim that was granted and has not ended.
   struct Running {
     ClaimId claim;
     std::uint64_t digest = 0;
+    common::ZoneName owner;
+  };
+  /// A claim that was given up; a late grant of it is given back.
+  struct Abandoned {
+    ClaimRequest request;
+    common::ZoneName owner;
   };
   struct Report {
     ClaimReport report;
+    common::ZoneName owner;
     common::MonotonicTime deadline;
+    std::size_t sent = 0;
   };
 
   template <typename Message>
   void deliver(const common::NodeId& node, const Message& message);
+  template <typename Message>
+  void sendToOwner(const common::ZoneName& owner, const Message& message, std::size_t attempt);
+  template <typename Message>
+  bool passOn(const Message& message);
   void handle(const common::NodeId& sender, const ClaimRequest& request);
   void handle(const common::NodeId& sender, const ClaimReply& reply);
   void handle(const common::NodeId& sender, const ClaimReport& report);
   void handle(const common::NodeId& sender, const ClaimReportReply& reply);
   void sendClaim(std::uint64_t number);
   void sendReport(std::uint64_t number);
+  void startReport(ClaimReport report, const common::ZoneName& owner);
+  void rememberAbandoned(Abandoned abandoned);
   void finish(std::uint64_t number, ClaimAnswer answer);
   void end(const std::string& key, bool completed, std::string answer);
   void giveBackAbandoned(const ClaimReply& reply);
@@ -63,16 +92,18 @@
   ClaimSettings settings_;
   api::ProcessContext context_;
   lease::AuthorityView& authority_;
+  const membership::ZoneGossip& gossip_;
+  KeyOwnership ownership_;
   ClaimTable table_;
   std::uint64_t next_number_ = 0;
   std::map<std::uint64_t, Waiting> waiting_;
   std::map<std::string, Running> running_;
   std::map<std::uint64_t, Report> reports_;
-  /// Claims that were given up before their answer; a late grant of one is given back.
-  std::map<std::uint64_t, ClaimRequest> abandoned_;
+  std::map<std::uint64_t, Abandoned> abandoned_;
   common::Counter& unavailable_count_;
   common::Counter& resent_count_;
   common::Counter& late_count_;
+  common::Counter& passed_on_count_;
   common::Counter& report_lost_count_;
 };
 
--- a/src/cypresswall/membership/zone_gossip.cpp
+++ b/src/cypresswall/membership/zone_gossip.cpp
@@ -279,6 +279,23 @@
   return contacts;
 }
 
+std::vector<common::Address> ZoneGossip::contactsOf(const common::ZoneName& zone) const {
+  std::vector<common::Address> addresses;
+  const auto known = table_.find({zone, kContactsTopic});
+  if (known != table_.end()) {
+    if (auto decoded = decodeContacts(known->second.payload)) {
+      addresses = std::move(decoded->addresses);
+    }
+  }
+  for (const auto& seed : settings_.other_zones) {
+    if (addresses.empty() && seed.zone == zone) {
+      addresses = seed.addresses;
+    }
+  }
+  addresses.resize(std::min(addresses.size(), settings_.contacts_per_zone));
+  return addresses;
+}
+
 std::map<common::ZoneName, std::string> ZoneGossip::values(GossipTopic topic) const {
   std::map<common::ZoneName, std::string> values;
   for (const auto& [key, value] : table_) {
--- a/src/cypresswall/membership/zone_gossip.h
+++ b/src/cypresswall/membership/zone_gossip.h
@@ -56,6 +56,8 @@
   /// \return up to two addresses of live nodes for every other known zone; seeds until the zone
   ///   itself was heard.
   std::map<common::ZoneName, std::vector<common::Address>> zoneContacts() const;
+  /// \return the addresses of zoneContacts() for one other zone; empty if it is not known.
+  std::vector<common::Address> contactsOf(const common::ZoneName& zone) const;
   /// \return true if this node speaks for its zone: the lowest node that is alive.
   bool representative() const;
 
--- a/tests/configuration/change_test.cpp
+++ b/tests/configuration/change_test.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(loadsAFleetFile);
   CPPUNIT_TEST(sameFileGivesNoDifference);
   CPPUNIT_TEST(wholeConfigurationRoundTrips);
+  CPPUNIT_TEST(setsOfZonesAreRemembered);
   CPPUNIT_TEST(listIsTheWholeOfItsKind);
   CPPUNIT_TEST(fileErrorsNameFileLineAndKey);
   CPPUNIT_TEST(refusesDanglingReference);
@@ -94,6 +95,29 @@
     CPPUNIT_ASSERT_EQUAL(encoded.dump(), encodeConfiguration(decodeConfiguration(encoded)).dump());
   }
 
+  void setsOfZonesAreRemembered() {
+    FleetConfiguration fleet = load(kFleet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.zone_sets.size());
+    CPPUNIT_ASSERT(fleet.zone_sets[0].zones == std::vector<std::string>{"quay"});
+    for (std::uint64_t version = 2; version <= 2 * kRememberedZoneSets; ++version) {
+      const bool add = version % 2 == 0;
+      ConfigurationChange change =
+          changeOf({add ? setObject(ObjectKind::kZone, "hall", ZoneDeclaration{"hall", "dobrogea"})
+                        : removeObject(ObjectKind::kZone, "hall")});
+      change.version = version;
+      fleet = checkChange(fleet, change);
+      CPPUNIT_ASSERT_EQUAL(version, fleet.zone_sets.back().version);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{add ? 2U : 1U}, fleet.zone_sets.back().zones.size());
+    }
+    CPPUNIT_ASSERT_EQUAL(kRememberedZoneSets, fleet.zone_sets.size());
+    ConfigurationChange other = changeOf({removeObject(ObjectKind::kEngine, "e1")});
+    other.version = fleet.version + 1;
+    const auto sets = checkChange(fleet, other).zone_sets;
+    CPPUNIT_ASSERT_EQUAL(fleet.version, sets.back().version);
+    CPPUNIT_ASSERT_EQUAL(kRememberedZoneSets,
+                         decodeConfiguration(encodeConfiguration(fleet)).zone_sets.size());
+  }
+
   void listIsTheWholeOfItsKind() {
     const auto changes = differenceToFleetFile("engines: []\n", "f", load(kFleet));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.size());
--- a/tests/idempotency/quorum_key_claims_test.cpp
+++ b/tests/idempotency/quorum_key_claims_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cypresswall/configuration/static_view.h"
 #include "tests/lease/fault_schedule.h"
 #include "tests/lease/lease_zone.h"
 #include "tests/support/property.h"
@@ -24,11 +25,18 @@
 class ClaimZone {
  public:
   explicit ClaimZone(std::uint64_t seed, double drift = 0) : zone(seed, drift) {
-    zone.before_stop = [this](int index) { claims.erase(index); };
+    zone.before_stop = [this](int index) {
+      claims.erase(index);
+      gossips.erase(index);
+    };
     zone.on_start = [this](int index, testing::VirtualProcess& process) {
       auto& node = zone.nodes.at(index);
+      gossips[index] = std::make_unique<membership::ZoneGossip>(
+          membership::MembershipSettings{}, process.context(), *node.membership);
       claims[index] = std::make_unique<QuorumKeyClaims>(
-          settings, process.context(), *node.authority, *node.authority, *node.membership);
+          settings, process.context(),
+          ClaimInterfaces{*node.authority, *node.authority, *node.membership, *gossips[index],
+                          configuration});
       claims[index]->start();
     };
   }
@@ -67,6 +75,9 @@
 
   ClaimSettings settings;
   LeaseZone zone;
+  /// As every node has it in force; without a declared zone, each zone keeps its own claims.
+  configuration::StaticConfigurationView configuration;
+  std::map<int, std::unique_ptr<membership::ZoneGossip>> gossips;
   std::map<int, std::unique_ptr<QuorumKeyClaims>> claims;
   std::map<std::string, int> runs;
   std::map<ClaimVerdict, int> verdicts;
