Keep long prompts off decode engines while prefill engines exist

Splitting roles could not help, since the router sent long prompts to decode engines as soon as these looked cheaper; there one prompt holds up every short request for a second, and a step with a chunk of it exceeds the limit between tokens.

Tried and dropped: a price on the prompt's time on any engine that also generates output (weights 1 and 4).

Change: a prompt longer than one step's chunk is refused by decode engines while a prefill engine can be chosen.

--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -143,6 +143,10 @@
   return std::max(0.0, work.prompt_tokens - cached);
 }
 
+bool CostRouter::crowdsOut(const CostInputs& engine, double uncached) const {
+  return engine.role == engines::EngineRole::kDecode && uncached > settings_.prefill_chunk_tokens;
+}
+
 void CostRouter::priceEngines(const Work& work, double now) {
   whole_engines_.clear();
   prefill_engines_.clear();
@@ -160,9 +164,12 @@
   if (prefill_engines_.empty()) {
     return;
   }
-  for (const PricedEngine& whole : whole_engines_) {
-    const double cost = model_.decode(estimates_.inputs(whole.engine), work).cost;
-    decode_engines_.push_back({cost, whole.engine});
+  for (PricedEngine& whole : whole_engines_) {
+    const CostInputs& engine = estimates_.inputs(whole.engine);
+    decode_engines_.push_back({model_.decode(engine, work).cost, whole.engine});
+    if (crowdsOut(engine, uncachedTokens(whole.engine, work))) {
+      whole.cost += kLatePenalty;
+    }
   }
 }
 
@@ -193,8 +200,11 @@
   Selection whole;
   whole.engine = cheapest(whole_engines_, work);
   if (!whole.empty()) {
-    whole.offer = model_.whole(estimates_.inputs(whole.engine), work,
-                               uncachedTokens(whole.engine, work), now);
+    const CostInputs& engine = estimates_.inputs(whole.engine);
+    const double uncached = uncachedTokens(whole.engine, work);
+    whole.offer = model_.whole(engine, work, uncached, now);
+    whole.offer.crowds_out = !prefill_engines_.empty() && crowdsOut(engine, uncached);
+    whole.offer.cost += whole.offer.crowds_out ? kLatePenalty : 0.0;
   }
   Selection split;
   split.engine = cheapest(decode_engines_, work);
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -54,6 +54,9 @@
   void notePrefixes(const RouteRequest& request);
   void clearPrefixes();
   double uncachedTokens(EngineSlot slot, const Work& work) const;
+  /// \return true if `engine` is a decode engine and the prompt takes it longer than one step, for
+  ///   which every stream on it, and every short prompt that comes, would wait.
+  bool crowdsOut(const CostInputs& engine, double uncached) const;
   void priceEngines(const Work& work, double now);
   /// \return the cheapest engine, or among near equals the one that the prompt's hash prefers;
   ///   kNoEngineSlot if there is none.
--- a/src/cypresswall/routing/offers.h
+++ b/src/cypresswall/routing/offers.h
@@ -35,8 +35,10 @@
   double step_limit = 0;
   /// The wait makes the first token late; an engine without a queue is never called late.
   bool late = false;
+  /// The prompt would hold up the output of a decode engine, though prefill engines exist for it.
+  bool crowds_out = false;
 
-  bool meetsLimits() const { return !late && between_tokens <= step_limit; }
+  bool meetsLimits() const { return !late && !crowds_out && between_tokens <= step_limit; }
 };
 
 /// Formulas of offers under one router's settings.
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(refusesAtOnceWithRetryAfter);
   CPPUNIT_TEST(longPromptIsTakenByAnIdleEngine);
   CPPUNIT_TEST(splitsPrefillAndDecode);
+  CPPUNIT_TEST(longPromptsLeaveDecodeEnginesAlone);
   CPPUNIT_TEST(prefillEnginesAloneServeNothing);
   CPPUNIT_TEST(otherVersionServesDuringRollOut);
   CPPUNIT_TEST(unknownModelIsToldApart);
@@ -176,6 +177,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e103"), route.engine.name);
   }
 
+  void longPromptsLeaveDecodeEnginesAlone() {
+    RouterWorld world(2);
+    world.load(0).role = EngineRole::kPrefill;
+    world.load(1).role = EngineRole::kDecode;
+    world.load(0).queued_prefill_tokens = 9000;
+    world.run(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(world.route(requestOf(3000)).prefill_engine.has_value());
+    CPPUNIT_ASSERT(!world.route(requestOf(200)).prefill_engine.has_value());
+    world.load(0).queued_prefill_tokens = 50000;
+    world.run(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(world.refusal(requestOf(3000)).retry_after.count() > 0);
+    CPPUNIT_ASSERT_EQUAL(std::string("e101"), world.route(requestOf(200)).engine.name);
+    // Without a prefill engine it is the decode engine or nothing.
+    world.engines["e100:1"].reachable = false;
+    world.run(std::chrono::seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::string("e101"), world.route(requestOf(3000)).engine.name);
+  }
+
   void prefillEnginesAloneServeNothing() {
     RouterWorld world(2);
     world.load(0).role = world.load(1).role = EngineRole::kPrefill;
