Measure against routers, splits with mixed engines and an offline planner

Cause: the simulator lacked baselines that the goals name, and did not tell when and why answers were lost.

Change: the policies round-robin, least-loaded and offline; static splits with the others mixed; a timeline of losses by kind in reports. The offline planner runs the trace under each static assignment worth a try, finds the best schedule by dynamic programming over the minutes with the cost of changes, and follows it in a run of the same seed.

--- a/apps/cypresswall-bench/main.cpp
+++ b/apps/cypresswall-bench/main.cpp
@@ -11,6 +11,7 @@
 #include "apps/cypresswall-bench/scale_command.h"
 #include "bench/load/load_report.h"
 #include "bench/load/load_run.h"
+#include "bench/simulate/offline_planner.h"
 #include "bench/simulate/scenario_report.h"
 
 DEFINE_string(direct, "", "load: comma-separated IP:port of engines that are asked directly");
@@ -33,8 +34,10 @@
 DEFINE_uint32(seeds, 10, "simulate: seeds of each policy");
 DEFINE_string(
     policies, "planned,mixed,split",
-    "simulate: planned (roles follow demand), mixed (all mixed), split (each static split "
-    "of a zone's engines)");
+    "simulate: planned (roles follow demand), mixed (all mixed), split (each static split of a "
+    "zone's engines, the others in the role decode or mixed), threshold (rule of thumb), "
+    "round-robin and least-loaded (all mixed under these routers), offline (the best schedule of "
+    "roles for the known trace)");
 DEFINE_bool(
     require_whole, false,
     "load: exit code 1 unless every request was answered whole or refused for load, nine in "
@@ -151,10 +154,18 @@
       policies.push_back({name, bench::PlannerKind::kThreshold, 0, 0});
     } else if (name == "mixed") {
       policies.push_back({name, bench::PlannerKind::kFixed, 0, 0});
+    } else if (name == "round-robin") {
+      policies.push_back({name, bench::PlannerKind::kFixed, 0, 0, bench::RouterKind::kRoundRobin});
+    } else if (name == "least-loaded") {
+      policies.push_back({name, bench::PlannerKind::kFixed, 0, 0, bench::RouterKind::kLeastLoaded});
+    } else if (name == "offline") {
+      policies.push_back({name, bench::PlannerKind::kScheduled, 0, 0});
     } else if (name == "split") {
       for (std::uint32_t prefill = 1; prefill < engines; ++prefill) {
         policies.push_back({"split-" + std::to_string(prefill), bench::PlannerKind::kFixed, prefill,
                             engines - prefill});
+        policies.push_back(
+            {"prefill-mixed-" + std::to_string(prefill), bench::PlannerKind::kFixed, prefill, 0});
       }
     } else {
       throw common::Error("--policies: unknown policy " + name);
@@ -170,7 +181,12 @@
     for (std::uint32_t run = 0; run < FLAGS_seeds; ++run) {
       std::cerr << scenario.name << ", " << policy.name << ": seed " << run + 1 << " of "
                 << FLAGS_seeds << "\n";
-      policy_outcome.runs.push_back(bench::runScenario(scenario, policy, FLAGS_seed + run));
+      bench::RolePolicy run_policy = policy;
+      if (policy.planner == bench::PlannerKind::kScheduled) {
+        const auto traced = bench::traceRoles(scenario, FLAGS_seed + run);
+        run_policy.schedule = bench::bestSchedule(scenario, traced);
+      }
+      policy_outcome.runs.push_back(bench::runScenario(scenario, run_policy, FLAGS_seed + run));
     }
     outcome.policies.push_back(std::move(policy_outcome));
   }
--- /dev/null
+++ b/bench/simulate/baseline_routers.h
@@ -0,0 +1,74 @@
+/// Routers that the cost-based one is measured against. They refuse nothing for load.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/routing/router.h"
+
+namespace cypresswall::bench {
+
+/// What the baselines share: which engines may be chosen, and routes to them.
+class BaselineRouter : public routing::Router {
+ public:
+  explicit BaselineRouter(routing::EngineDirectory& directory) : directory_(directory) {}
+
+  routing::RouteChoice choose(const routing::RouteRequest& request) override;
+  bool takesWork(const engines::EngineEndpoint& engine) const override;
+  void attemptStarted(const routing::RouteRequest&, const routing::Route&) override {}
+  void firstTokenReceived(const std::string&) override {}
+  void attemptFinished(const std::string&) override {}
+  void attemptFailed(const std::string&, engines::StreamFailure) override {}
+
+ protected:
+  /// \param engines not empty, ordered by name
+  virtual routing::EngineSlot pick(const std::vector<routing::EngineSlot>& engines) = 0;
+  routing::EngineTable& table() const { return directory_.table(); }
+
+ private:
+  routing::EngineDirectory& directory_;
+};
+
+/// Takes the engines in turn.
+class RoundRobinRouter final : public BaselineRouter {
+ public:
+  using BaselineRouter::BaselineRouter;
+
+ protected:
+  routing::EngineSlot pick(const std::vector<routing::EngineSlot>& engines) override;
+
+ private:
+  std::size_t next_ = 0;
+};
+
+/// Takes the engine with the fewest streams: those of its last report and those that this node
+/// began there since.
+class LeastLoadedRouter final : public BaselineRouter {
+ public:
+  LeastLoadedRouter(const api::ProcessContext& context, routing::EngineDirectory& directory)
+      : BaselineRouter(directory), context_(context) {}
+
+  void attemptStarted(const routing::RouteRequest& request, const routing::Route& route) override;
+  void attemptFinished(const std::string& stream_id) override { begun_.erase(stream_id); }
+  void attemptFailed(const std::string& stream_id, engines::StreamFailure) override {
+    begun_.erase(stream_id);
+  }
+
+ protected:
+  routing::EngineSlot pick(const std::vector<routing::EngineSlot>& engines) override;
+
+ private:
+  struct Begun {
+    routing::EngineSlot engine = routing::kNoEngineSlot;
+    common::MonotonicTime at;
+  };
+  std::size_t streamsOn(routing::EngineSlot engine) const;
+
+  const api::ProcessContext& context_;
+  /// Attempts under way, by stream.
+  std::map<std::string, Begun> begun_;
+};
+
+}  // namespace cypresswall::bench
--- a/bench/simulate/scenario_fleet.cpp
+++ b/bench/simulate/scenario_fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bench/simulate/baseline_routers.h"
 #include "cypresswall/configuration/object_codec.h"
 #include "cypresswall/configuration/object_kind.h"
 #include "cypresswall/planning/baseline_planners.h"
@@ -185,9 +186,15 @@
   return addresses;
 }
 
-node::NodeSettings ScenarioFleet::nodeSettings(std::uint32_t zone, std::uint32_t number) const {
+node::NodeSettings ScenarioFleet::nodeSettings(std::uint32_t zone, std::uint32_t number) {
   node::NodeSettings settings;
   settings.make_planner = [this] { return makePlanner(); };
+  if (policy_.router != RouterKind::kCost) {
+    settings.make_router = [this](const api::ProcessContext& context,
+                                  routing::EngineDirectory& directory) {
+      return makeRouter(context, directory);
+    };
+  }
   settings.membership.machine = machineName("node", zone, number);
   settings.membership.gateway_address = nodeIp(zone, number) + ":8000";
   settings.membership.region = kRegion;
@@ -216,14 +223,25 @@
   process.deliver([&node] { node.start(); });
 }
 
-std::unique_ptr<planning::Planner> ScenarioFleet::makePlanner() const {
+std::unique_ptr<planning::Planner> ScenarioFleet::makePlanner() {
   if (policy_.planner == PlannerKind::kThreshold) {
     return std::make_unique<planning::ThresholdPlanner>(planning::CapacitySettings{},
                                                         kPlannerThreshold);
   }
+  if (policy_.planner == PlannerKind::kScheduled) {
+    return std::make_unique<ScheduledPlanner>(policy_.schedule, load_start_, time());
+  }
   return nullptr;
 }
 
+std::unique_ptr<routing::Router> ScenarioFleet::makeRouter(
+    const api::ProcessContext& context, routing::EngineDirectory& directory) const {
+  if (policy_.router == RouterKind::kRoundRobin) {
+    return std::make_unique<RoundRobinRouter>(directory);
+  }
+  return std::make_unique<LeastLoadedRouter>(context, directory);
+}
+
 void ScenarioFleet::bringUp() {
   for (std::uint32_t zone = 0; zone < scenario_.fleet.zones; ++zone) {
     for (std::uint32_t number = 0; number < scenario_.fleet.nodes_per_zone; ++number) {
--- a/bench/simulate/scenario_fleet.h
+++ b/bench/simulate/scenario_fleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bench/simulate/scenario.h"
+#include "bench/simulate/scheduled_planner.h"
 #include "cypresswall/common/errors.h"
 #include "cypresswall/common/random.h"
 #include "cypresswall/execution/model_executor.h"
@@ -31,6 +32,14 @@
   kFixed,      ///< nobody: roles stay as they are at the start
   kCost,       ///< the daemon's own planner
   kThreshold,  ///< planning::ThresholdPlanner
+  kScheduled,  ///< ScheduledPlanner, the offline bound
+};
+
+/// Who chooses the engine of a request.
+enum class RouterKind : std::uint8_t {
+  kCost,         ///< the daemon's own router
+  kRoundRobin,   ///< RoundRobinRouter
+  kLeastLoaded,  ///< LeastLoadedRouter
 };
 
 /// How roles are assigned in a run.
@@ -42,6 +51,9 @@
   /// this many in "decode"; the others are mixed.
   std::uint32_t prefill_engines = 0;
   std::uint32_t decode_engines = 0;
+  RouterKind router = RouterKind::kCost;
+  /// Of PlannerKind::kScheduled.
+  std::vector<ScheduleEntry> schedule = {};
 };
 
 enum class AskEnd : std::uint8_t { kOpen, kDone, kRefused, kFailed };
@@ -69,6 +81,8 @@
 
   /// Starts all nodes and puts the declarations in force. \throws FleetStartError
   void bringUp();
+  /// Tells a scheduled planner that the load starts now.
+  void beginLoad() { load_start_ = time().now(); }
   /// Sends one request of a kind to a node drawn at random.
   void ask(std::size_t kind);
   void beginFault(const ScenarioFault& fault);
@@ -89,8 +103,10 @@
 
   void addEngines();
   void startNode(std::uint32_t zone, std::uint32_t number);
-  std::unique_ptr<planning::Planner> makePlanner() const;
-  node::NodeSettings nodeSettings(std::uint32_t zone, std::uint32_t number) const;
+  std::unique_ptr<planning::Planner> makePlanner();
+  std::unique_ptr<routing::Router> makeRouter(const api::ProcessContext& context,
+                                              routing::EngineDirectory& directory) const;
+  node::NodeSettings nodeSettings(std::uint32_t zone, std::uint32_t number);
   std::vector<common::Address> zoneAddresses(std::uint32_t zone) const;
   std::vector<configuration::ObjectChange> declarations() const;
   engines::EngineRole initialRole(std::uint32_t number) const;
@@ -100,6 +116,8 @@
 
   const Scenario& scenario_;
   RolePolicy policy_;
+  /// Zero until beginLoad().
+  common::MonotonicTime load_start_{};
   simulation::Simulation simulation_;
   common::SeededRandom random_;
   simulation::SimulatedPlatform platform_;
--- a/bench/simulate/scenario_report.cpp
+++ b/bench/simulate/scenario_report.cpp
@@ -61,6 +61,22 @@
   return all;
 }
 
+/// What was lost of each kind, and why, period by period; periods without a loss are left out.
+void writeTimeline(std::ostream& out, const RunOutcome& run) {
+  for (std::size_t period = 0; period < run.timeline.size(); ++period) {
+    const double begin = common::toSeconds(kTimelinePeriod) * static_cast<double>(period);
+    for (const auto& [name, kind] : run.timeline[period]) {
+      if (kind.in_time == kind.asked) {
+        continue;
+      }
+      out << "  first seed, from " << std::setprecision(0) << begin << " s, " << name << ": asked "
+          << kind.asked << ", first token late " << kind.late_first_token
+          << ", between tokens late " << kind.late - kind.late_first_token << ", refused "
+          << kind.refused << ", failed " << kind.failed << "\n";
+    }
+  }
+}
+
 void writePolicy(std::ostream& out, const PolicyOutcome& policy) {
   out << policy.policy.name << " (" << policy.runs.size() << " seeds)\n";
   for (const Figure& figure : figures()) {
@@ -71,9 +87,10 @@
   }
   for (const auto& [name, kind] : policy.runs.front().kinds) {
     out << "  first seed, " << name << ": asked " << kind.asked << ", in time " << kind.in_time
-        << ", late " << kind.late << ", refused " << kind.refused << ", failed " << kind.failed
-        << "\n";
+        << ", late " << kind.late << " (first token " << kind.late_first_token << "), refused "
+        << kind.refused << ", failed " << kind.failed << "\n";
   }
+  writeTimeline(out, policy.runs.front());
   std::size_t shown = 0;
   for (const auto& [message, count] : policy.runs.front().errors) {
     if (shown++ < kShownErrors) {
--- a/bench/simulate/scenario_run.cpp
+++ b/bench/simulate/scenario_run.cpp
@@ -58,23 +58,37 @@
   const common::Duration between = (record.last_token_at - record.first_token_at) / gaps;
   outcome.first_token.add(first_token);
   outcome.between_tokens.add(between);
-  const bool in_time =
-      first_token <= kind.first_token_limit && between <= kind.between_tokens_limit;
+  const bool late_first_token = first_token > kind.first_token_limit;
+  const bool in_time = !late_first_token && between <= kind.between_tokens_limit;
   ++(in_time ? outcome.in_time : outcome.late);
+  outcome.late_first_token += late_first_token ? 1 : 0;
 }
 
-void countRecord(const AskRecord& record, const ScenarioKind& kind, RunOutcome& run) {
-  KindOutcome& outcome = run.kinds[kind.name];
+bool answeredWhole(const AskRecord& record) {
+  return record.end == AskEnd::kDone && record.tokens == record.expected_tokens;
+}
+
+void countKind(const AskRecord& record, const ScenarioKind& kind, KindOutcome& outcome) {
   ++outcome.asked;
-  if (record.end == AskEnd::kDone && record.tokens == record.expected_tokens) {
+  if (answeredWhole(record)) {
     countDone(record, kind, outcome);
+  } else {
+    ++(record.end == AskEnd::kRefused ? outcome.refused : outcome.failed);
+  }
+}
+
+/// \param at since the start of the run
+void countRecord(const AskRecord& record, common::Duration at, const ScenarioKind& kind,
+                 RunOutcome& run) {
+  countKind(record, kind, run.kinds[kind.name]);
+  const auto period = static_cast<std::size_t>(at / kTimelinePeriod);
+  run.timeline.resize(std::max(run.timeline.size(), period + 1));
+  countKind(record, kind, run.timeline[period][kind.name]);
+  if (answeredWhole(record)) {
     return;
   }
   if (record.end == AskEnd::kRefused) {
-    ++outcome.refused;
     run.refusal.add(record.ended_at - record.asked_at);
-  } else {
-    ++outcome.failed;
   }
   ++run.errors[record.end == AskEnd::kOpen ? "still open" : record.error];
 }
@@ -109,6 +123,7 @@
 RunOutcome runScenario(const Scenario& scenario, const RolePolicy& policy, std::uint64_t seed) {
   ScenarioFleet fleet(scenario, policy, seed);
   fleet.bringUp();
+  fleet.beginLoad();
   const common::MonotonicTime start = fleet.time().now();
   const double processor_start = processorSeconds();
   std::deque<ArrivalProcess> arrivals;
@@ -121,8 +136,9 @@
   fleet.time().runFor(scenario.duration + kDrainTime);
   RunOutcome outcome;
   for (const AskRecord& record : fleet.records()) {
-    if (record.asked_at - start >= scenario.warm_up) {
-      countRecord(record, scenario.kinds[record.kind], outcome);
+    const common::Duration at = record.asked_at - start;
+    if (at >= scenario.warm_up) {
+      countRecord(record, at, scenario.kinds[record.kind], outcome);
     }
   }
   outcome.engines = fleet.engineTotals();
--- a/bench/simulate/scenario_run.h
+++ b/bench/simulate/scenario_run.h
@@ -19,6 +19,8 @@
   /// Whole answers whose first token, and mean time between tokens, met the kind's limits.
   std::uint64_t in_time = 0;
   std::uint64_t late = 0;
+  /// Of the late answers, those whose first token was late; the others were slow between tokens.
+  std::uint64_t late_first_token = 0;
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
   LatencySamples first_token;
@@ -26,9 +28,14 @@
   LatencySamples between_tokens;
 };
 
+/// Part of a run's simulated time that RunOutcome::timeline tells apart.
+inline constexpr common::Duration kTimelinePeriod = std::chrono::seconds(60);
+
 /// One run: one policy, one seed.
 struct RunOutcome {
   std::map<std::string, KindOutcome> kinds;
+  /// The same by the period in which requests were asked, the first one from the start.
+  std::vector<std::map<std::string, KindOutcome>> timeline;
   LatencySamples refusal;
   std::uint64_t refusals_without_retry_after = 0;
   emulation::EngineLedger engines;
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -3,6 +3,19 @@
 #include <utility>
 
 namespace cypresswall::node {
+namespace {
+
+std::unique_ptr<routing::Router> makeRouter(const NodeSettings& settings,
+                                            const api::ProcessContext& context,
+                                            routing::EngineDirectory& directory) {
+  if (settings.make_router) {
+    return settings.make_router(context, directory);
+  }
+  return std::make_unique<routing::CostRouter>(settings.router, context, directory);
+}
+
+}  // namespace
+
 Node::Node(NodeSettings settings, const api::ProcessContext& context, const NodeClients& clients)
     : settings_(std::move(settings)),
       context_(context),
@@ -11,11 +24,11 @@
       authority_(settings_.lease, context_, membership_, clients.object_store),
       configuration_(settings_.configuration, context_, membership_, gossip_, clients.object_store),
       engines_(settings_.directory, context_, clients.engines, configuration_, membership_),
-      router_(settings_.router, context_, engines_),
+      router_(makeRouter(settings_, context_, engines_)),
       controller_(settings_.controller, context_, authority_, engines_, clients.engines,
                   configuration_, membership_,
                   settings_.make_planner ? settings_.make_planner() : nullptr),
-      observed_router_(router_, context_.clock, settings_.shedding),
+      observed_router_(*router_, context_.clock, settings_.shedding),
       admission_(context_, configuration_, membership_, observed_router_, settings_.admission),
       key_claims_(settings_.claims, context_, authority_, authority_, membership_),
       model_executor_(context_, configuration_, admission_, observed_router_, clients.engines,
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -60,7 +60,6 @@
   lease::ZoneAuthority& authority() { return authority_; }
   configuration::ConfigurationReplica& configuration() { return configuration_; }
   routing::EngineDirectory& engines() { return engines_; }
-  routing::CostRouter& router() { return router_; }
   orders::ZoneController& controller() { return controller_; }
   idempotency::KeyClaims& keyClaims() { return key_claims_; }
   operators::CommandService& commands() { return commands_; }
@@ -81,7 +80,7 @@
   lease::ZoneAuthority authority_;
   configuration::ConfigurationReplica configuration_;
   routing::EngineDirectory engines_;
-  routing::CostRouter router_;
+  std::unique_ptr<routing::Router> router_;
   orders::ZoneController controller_;
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -12,6 +12,8 @@
 #include "cypresswall/membership/membership_settings.h"
 #include "cypresswall/orders/settings.h"
 #include "cypresswall/planning/planner.h"
+#include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/routing/router.h"
 #include "cypresswall/routing/settings.h"
 
 namespace cypresswall::node {
@@ -26,6 +28,10 @@
   orders::ControllerSettings controller;
   /// Makes the planner of roles; empty takes the cost-based one. Set by experiments only.
   std::function<std::unique_ptr<planning::Planner>()> make_planner = {};
+  /// Makes the router; empty takes the cost-based one. Set by experiments only.
+  std::function<std::unique_ptr<routing::Router>(const api::ProcessContext&,
+                                                 routing::EngineDirectory&)>
+      make_router = {};
   admission::SheddingSettings shedding;
   admission::AdmissionSettings admission;
   execution::ExecutionSettings execution;
--- a/tests/bench/scenario_test.cpp
+++ b/tests/bench/scenario_test.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "bench/simulate/offline_planner.h"
 #include "bench/simulate/scenario_run.h"
 #include "tests/support/property.h"
 
@@ -27,6 +28,9 @@
   CPPUNIT_TEST(ratesChangeEvenly);
   CPPUNIT_TEST(errorsNameFileLineAndKey);
   CPPUNIT_TEST(oneSeedGivesOneResult);
+  CPPUNIT_TEST(timelineAddsUp);
+  CPPUNIT_TEST(baselineRoutersServe);
+  CPPUNIT_TEST(scheduleFollowsTheTrace);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -75,6 +79,48 @@
     CPPUNIT_ASSERT(first.engines.tokens != other.engines.tokens);
   }
 
+  void timelineAddsUp() {
+    const Scenario scenario = parseScenario(kSmall, "small.yaml");
+    const RunOutcome run = runScenario(scenario, {"mixed", PlannerKind::kFixed, 0, 0}, 7);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.timeline.size());
+    CPPUNIT_ASSERT_EQUAL(run.total().in_time, run.timeline[0].at("short").in_time);
+    CPPUNIT_ASSERT(run.total().late_first_token <= run.total().late);
+  }
+
+  void baselineRoutersServe() {
+    const Scenario scenario = parseScenario(kSmall, "small.yaml");
+    for (const RouterKind router : {RouterKind::kRoundRobin, RouterKind::kLeastLoaded}) {
+      const RunOutcome run =
+          runScenario(scenario, {"baseline", PlannerKind::kFixed, 0, 0, router}, 7);
+      CPPUNIT_ASSERT(run.total().in_time > run.total().asked / 2);
+    }
+  }
+
+  void scheduleFollowsTheTrace() {
+    Scenario scenario = parseScenario(kSmall, "small.yaml");
+    scenario.planning.role_change_weight = 1;
+    const auto traced = [](RoleCounts roles, std::uint64_t first, std::uint64_t second) {
+      TracedRoles result{roles, {}};
+      for (const std::uint64_t in_time : {first, second}) {
+        KindOutcome kind;
+        kind.asked = 100;
+        kind.in_time = in_time;
+        result.run.timeline.push_back({{"short", kind}});
+      }
+      return result;
+    };
+    // The second period is worth a change of one engine, of about six answers; the first is not.
+    const auto schedule = bestSchedule(scenario, {traced({0, 0}, 99, 50), traced({1, 0}, 98, 90)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, schedule.size());
+    CPPUNIT_ASSERT(schedule[0].at == std::chrono::seconds(54));
+    CPPUNIT_ASSERT_EQUAL(1U, schedule[0].roles.prefill);
+    CPPUNIT_ASSERT(
+        bestSchedule(scenario, {traced({0, 0}, 99, 88), traced({1, 0}, 98, 90)}).empty());
+    scenario.planning.role_change_weight = 100;
+    CPPUNIT_ASSERT(
+        bestSchedule(scenario, {traced({0, 0}, 99, 50), traced({1, 0}, 98, 90)}).empty());
+  }
+
  private:
   /// Expects the error that the small scenario gives with `from` replaced by `to`.
   static void requireError(const std::string& from, const std::string& to,
