Let the planner count who waits behind long prompts

Ruled out: lag of the demand alone (the former planner stayed at one prefill engine a zone to the end of the swing); refusals as a signal (6% in one scenario's swing, none in the other's).

Change: nodes count long requests and their prompts; the capacity model adds what is late by waiting (Erlang's C formula); the planner looks up to three changes ahead. Waiting counts only while long prompts strain the engines beyond the doubt of the estimate.

--- a/apps/cypresswall-bench/main.cpp
+++ b/apps/cypresswall-bench/main.cpp
@@ -184,6 +184,10 @@
       bench::RolePolicy run_policy = policy;
       if (policy.planner == bench::PlannerKind::kScheduled) {
         const auto traced = bench::traceRoles(scenario, FLAGS_seed + run);
+        for (const bench::TracedRoles& roles : traced) {
+          std::cerr << "  traced " << roles.roles.prefill << " prefill, " << roles.roles.decode
+                    << " decode: goodput " << roles.run.goodput() << "\n";
+        }
         run_policy.schedule = bench::bestSchedule(scenario, traced);
       }
       policy_outcome.runs.push_back(bench::runScenario(scenario, run_policy, FLAGS_seed + run));
--- a/bench/decision_cost/planner_benchmark.cpp
+++ b/bench/decision_cost/planner_benchmark.cpp
@@ -30,9 +30,10 @@
   for (int model = 0; model < kModels; ++model) {
     planning::ModelDemand& demand =
         input.demand[std::string("model-").append(std::to_string(model))];
-    demand.short_window = {engines_per_model * 3, engines_per_model * 9000,
-                           engines_per_model * 500};
-    demand.long_window = {engines_per_model * 3, engines_per_model * 6000, engines_per_model * 700};
+    demand.short_window = {engines_per_model * 3, engines_per_model * 9000, engines_per_model * 500,
+                           engines_per_model * 1.5, engines_per_model * 8500};
+    demand.long_window = {engines_per_model * 3, engines_per_model * 6000, engines_per_model * 700,
+                          engines_per_model, engines_per_model * 5500};
   }
   return input;
 }
--- a/src/cypresswall/orders/planning_input.cpp
+++ b/src/cypresswall/orders/planning_input.cpp
@@ -53,16 +53,29 @@
   return engine;
 }
 
-common::Duration tightestLimit(const configuration::FleetConfiguration& fleet,
-                               const common::ModelName& model) {
-  common::Duration tightest{0};
+/// Takes the limits of the services that the model backs; limits that none has stay as they are.
+void applyLimits(const configuration::FleetConfiguration& fleet, const common::ModelName& model,
+                 planning::ModelDemand& demand) {
+  std::vector<common::Duration> between_tokens;
+  std::vector<common::Duration> first_token;
   for (const auto& [name, service] : fleet.model_services) {
-    const common::Duration limit = service.between_tokens_limit;
-    if (service.model == model && limit.count() > 0) {
-      tightest = tightest.count() == 0 ? limit : std::min(tightest, limit);
+    if (service.model != model) {
+      continue;
     }
+    if (service.between_tokens_limit.count() > 0) {
+      between_tokens.push_back(service.between_tokens_limit);
+    }
+    if (service.first_token_limit.count() > 0) {
+      first_token.push_back(service.first_token_limit);
+    }
+  }
+  if (!between_tokens.empty()) {
+    demand.between_tokens_limit = *std::min_element(between_tokens.begin(), between_tokens.end());
+  }
+  if (!first_token.empty()) {
+    demand.short_first_token_limit = *std::min_element(first_token.begin(), first_token.end());
+    demand.long_first_token_limit = *std::max_element(first_token.begin(), first_token.end());
   }
-  return tightest.count() == 0 ? planning::ModelDemand{}.between_tokens_limit : tightest;
 }
 
 }  // namespace
@@ -82,7 +95,7 @@
   }
   for (const auto& [model, declaration] : sources.fleet.models) {
     planning::ModelDemand demand = sources.demand.demand(model, sources.now);
-    demand.between_tokens_limit = tightestLimit(sources.fleet, model);
+    applyLimits(sources.fleet, model, demand);
     input.demand[model] = demand;
   }
   return input;
--- a/src/cypresswall/planning/capacity_model.cpp
+++ b/src/cypresswall/planning/capacity_model.cpp
@@ -12,6 +12,29 @@
 /// Halvings of the search; the result is exact to about one part in ten thousand.
 constexpr int kSearchSteps = 20;
 
+/// Erlang's formula is used up to this utilisation; beyond it the rest is refused.
+constexpr double kMostQueued = 0.98;
+
+/// Prompt tokens a second of a mixed engine whose chunks share their steps with output.
+double sharedPrefillSpeed(const PlannedEngine& engine, const CapacitySettings& settings) {
+  const double alone = engine.prefill_tokens_per_second * settings.mixed_prefill_share;
+  if (alone <= 0) {
+    return 0;
+  }
+  const double step = engine.decode_step_base + engine.decode_step_per_stream;
+  return 1.0 / (1.0 / alone + step / settings.prefill_chunk_tokens);
+}
+
+/// \return the probability that all of `servers` are busy (Erlang's C formula).
+double waitProbability(double servers, double utilisation) {
+  const double offered = servers * utilisation;
+  double blocked = 1.0;
+  for (double server = 1; server <= servers; ++server) {
+    blocked = offered * blocked / (server + offered * blocked);
+  }
+  return blocked / (1.0 - utilisation * (1.0 - blocked));
+}
+
 double shareOf(double work, double speed) {
   if (work <= 0) {
     return 0;
@@ -40,14 +63,18 @@
   switch (role) {
     case engines::EngineRole::kPrefill:
       capacity.prefill_only += prefill;
+      capacity.prefill_engines += sign;
       break;
     case engines::EngineRole::kMixed:
       capacity.mixed_prefill += prefill * settings_.mixed_prefill_share;
       capacity.mixed_decode += decode;
+      capacity.shared_prefill += sign * sharedPrefillSpeed(engine, settings_);
+      capacity.mixed_engines += sign;
       break;
     case engines::EngineRole::kDecode:
       capacity.decode_prefill += prefill * settings_.decode_prefill_share;
       capacity.decode_decode += decode;
+      capacity.decode_engines += sign;
       break;
   }
 }
@@ -100,4 +127,57 @@
   return refused + (1.0 - refused) * late;
 }
 
+double CapacityModel::lateShare(double servers, double utilisation, double service,
+                                double slack) const {
+  if (servers < 1 || slack <= 0) {
+    return 1;
+  }
+  const double queued = std::min(utilisation, kMostQueued);
+  const double refused = utilisation > 1 ? 1.0 - 1.0 / utilisation : 0;
+  const double idle = (1.0 - queued) * slack / service;
+  const double informed = waitProbability(servers, queued) * std::exp(-servers * idle);
+  const double blind = queued * std::exp(-idle);
+  const double late = settings_.blind_share * blind + (1.0 - settings_.blind_share) * informed;
+  return refused + (1.0 - refused) * late;
+}
+
+double CapacityModel::lostByWaiting(const RoleCapacity& capacity, const ModelDemand& limits,
+                                    const DemandRate& demand) const {
+  const double servers = capacity.prefill_engines + capacity.mixed_engines;
+  const double speed = capacity.prefill_only + capacity.shared_prefill;
+  if (demand.long_requests_per_second <= 0 || servers < 1 || speed <= 0) {
+    return 0;
+  }
+  const double prompt = demand.long_prefill_tokens_per_second / demand.long_requests_per_second;
+  const double utilisation = demand.long_prefill_tokens_per_second / speed;
+  const double service = prompt * servers / speed;
+  const double slack = common::toSeconds(limits.long_first_token_limit) - service;
+  double lost = demand.long_requests_per_second * lateShare(servers, utilisation, service, slack);
+  if (capacity.mixed_engines >= 1) {
+    // Between two ways in which the router may fill the engines: evenly, and prefill ones first.
+    const double left = demand.long_prefill_tokens_per_second -
+                        settings_.comfortable_utilisation * capacity.prefill_only;
+    const double overflow = std::max(0.0, left) / capacity.shared_prefill;
+    const double shared_utilisation = (utilisation + overflow) / 2;
+    const double shared_service = prompt * capacity.mixed_engines / capacity.shared_prefill;
+    // Decode engines get no long prompts, so short ones wait only on their share of mixed ones.
+    const double exposed = (demand.requests_per_second - demand.long_requests_per_second) *
+                           capacity.mixed_engines /
+                           (capacity.mixed_engines + capacity.decode_engines);
+    lost += exposed * lateShare(capacity.mixed_engines, shared_utilisation, shared_service,
+                                common::toSeconds(limits.short_first_token_limit));
+  }
+  return lost;
+}
+
+double CapacityModel::longPromptStrain(const std::vector<const PlannedEngine*>& engines,
+                                       const CapacitySettings& settings,
+                                       double long_tokens_per_second) {
+  double speed = 0;
+  for (const PlannedEngine* engine : engines) {
+    speed += engine->available ? sharedPrefillSpeed(*engine, settings) : 0;
+  }
+  return shareOf(long_tokens_per_second, speed);
+}
+
 }  // namespace cypresswall::planning
--- a/src/cypresswall/planning/demand_estimator.cpp
+++ b/src/cypresswall/planning/demand_estimator.cpp
@@ -17,6 +17,8 @@
   requests *= kept;
   prefill_tokens *= kept;
   decode_tokens *= kept;
+  long_requests *= kept;
+  long_prefill_tokens *= kept;
   updated_at = now;
 }
 
@@ -29,6 +31,8 @@
     sum->requests += static_cast<double>(count.requests);
     sum->prefill_tokens += static_cast<double>(count.prefill_tokens);
     sum->decode_tokens += static_cast<double>(count.decode_tokens);
+    sum->long_requests += static_cast<double>(count.long_requests);
+    sum->long_prefill_tokens += static_cast<double>(count.long_prefill_tokens);
   }
 }
 
@@ -42,7 +46,8 @@
     return {};
   }
   const double scale = 1.0 / (seconds * seen);
-  return {sum.requests * scale, sum.prefill_tokens * scale, sum.decode_tokens * scale};
+  return {sum.requests * scale, sum.prefill_tokens * scale, sum.decode_tokens * scale,
+          sum.long_requests * scale, sum.long_prefill_tokens * scale};
 }
 
 ModelDemand DemandEstimator::demand(const common::ModelName& model,
--- a/src/cypresswall/planning/demand_estimator.h
+++ b/src/cypresswall/planning/demand_estimator.h
@@ -35,6 +35,8 @@
     double requests = 0;
     double prefill_tokens = 0;
     double decode_tokens = 0;
+    double long_requests = 0;
+    double long_prefill_tokens = 0;
     common::MonotonicTime updated_at{};
 
     void decayTo(common::MonotonicTime now, common::Duration window);
--- a/src/cypresswall/planning/planner.h
+++ b/src/cypresswall/planning/planner.h
@@ -20,6 +20,9 @@
   /// Prompt tokens that engines have to compute.
   double prefill_tokens_per_second = 0;
   double decode_tokens_per_second = 0;
+  /// Of these, requests whose prompt takes an engine longer than one step, and their prompts.
+  double long_requests_per_second = 0;
+  double long_prefill_tokens_per_second = 0;
 };
 
 /// Demand for one model over a short and a long window.
@@ -28,6 +31,10 @@
   DemandRate long_window;
   /// Tightest limit between tokens of the services that the model backs.
   common::Duration between_tokens_limit = std::chrono::milliseconds(79);
+  /// Tightest and loosest limits of the first token of these services. Short prompts are taken to
+  /// have the tightest, long ones the loosest.
+  common::Duration short_first_token_limit = std::chrono::milliseconds(1300);
+  common::Duration long_first_token_limit = std::chrono::milliseconds(1300);
 };
 
 /// One engine as the planner sees it.
--- a/src/cypresswall/planning/role_planner.cpp
+++ b/src/cypresswall/planning/role_planner.cpp
@@ -11,6 +11,15 @@
 
 constexpr std::array kRoles = {EngineRole::kMixed, EngineRole::kPrefill, EngineRole::kDecode};
 
+std::size_t indexOf(EngineRole role) {
+  return static_cast<std::size_t>(
+      std::distance(kRoles.begin(), std::find(kRoles.begin(), kRoles.end(), role)));
+}
+
+/// Relative variance of a weighted demand estimate at one prompt a second: prompts come at random,
+/// vary in length, and fade from windows of 10 and 60 s.
+constexpr double kEstimateVariance = 0.031;
+
 std::string sentence(const PlanAlternative& best, double required) {
   const std::string gain = std::to_string(std::lround(best.benefit));
   const std::string needed = std::to_string(std::lround(required));
@@ -48,6 +57,10 @@
         capacity_.add(state.capacity, *engine, engine->role, speed);
       }
     }
+    for (const EngineRole role : kRoles) {
+      state.cheapest[indexOf(role)] = cheapestToMove(state, role);
+    }
+    state.strained = strained(state);
     states.push_back(std::move(state));
   }
   return states;
@@ -61,35 +74,102 @@
   return plan;
 }
 
+bool RolePlanner::strained(const ModelState& state) const {
+  const DemandRate& recent = state.demand.short_window;
+  const DemandRate& past = state.demand.long_window;
+  const double weight = settings_.short_window_weight;
+  const auto mean = [weight](double left, double right) {
+    return weight * left + (1.0 - weight) * right;
+  };
+  const double requests = mean(recent.long_requests_per_second, past.long_requests_per_second);
+  if (requests <= 0) {
+    return false;
+  }
+  const double tokens =
+      mean(recent.long_prefill_tokens_per_second, past.long_prefill_tokens_per_second);
+  const double strain = CapacityModel::longPromptStrain(state.engines, settings_.capacity, tokens);
+  const double doubt = settings_.strain_doubt * std::sqrt(kEstimateVariance / requests);
+  return strain * (1.0 - doubt) > settings_.strain_threshold;
+}
+
 std::uint32_t RolePlanner::maximumAway(const ModelState& state) const {
   const double share = settings_.maximum_away_share * static_cast<double>(state.engines.size());
   return std::max(1U, static_cast<std::uint32_t>(share));
 }
 
-double RolePlanner::lostAnswers(const ModelState& state, const DemandRate& demand,
-                                const PlannedEngine* engine, EngineRole to, double horizon) const {
-  RoleCapacity capacity = state.capacity;
-  if (engine == nullptr) {
-    const double lost = capacity_.lostShare(capacity_.utilisation(capacity, demand));
-    return lost * demand.requests_per_second * horizon;
+double RolePlanner::lostRate(const ModelState& state, const RoleCapacity& capacity,
+                             const DemandRate& demand) const {
+  const double requests = demand.requests_per_second;
+  const double overloaded = requests * capacity_.lostShare(capacity_.utilisation(capacity, demand));
+  const double waiting =
+      state.strained ? capacity_.lostByWaiting(capacity, state.demand, demand) : 0;
+  return std::min(requests, overloaded + waiting);
+}
+
+double RolePlanner::lostRate(Forecast& forecast, const RoleCapacity& capacity) const {
+  const std::array<double, 3> key = {capacity.prefill_engines, capacity.mixed_engines,
+                                     capacity.decode_engines};
+  const auto [entry, added] = forecast.rates.try_emplace(key, 0.0);
+  if (added) {
+    entry->second = lostRate(forecast.state, capacity, forecast.demand);
+  }
+  return entry->second;
+}
+
+RolePlanner::Path RolePlanner::startOf(const ModelState& state, double horizon) const {
+  Path path{state.capacity, {}, horizon, settings_.maximum_steps};
+  for (std::size_t role = 0; role < kRoles.size(); ++role) {
+    path.movable[role] = static_cast<std::size_t>(std::count_if(
+        state.engines.begin(), state.engines.end(),
+        [&](const auto* engine) { return engine->changeable && engine->role == kRoles[role]; }));
+  }
+  return path;
+}
+
+double RolePlanner::lostByMove(Forecast& forecast, Path path, const PlannedEngine& engine,
+                               EngineRole to) const {
+  const ModelState& state = forecast.state;
+  const double speed = CapacityModel::decodeSpeed(engine, state.demand.between_tokens_limit);
+  capacity_.add(path.capacity, engine, engine.role, speed, -1.0);
+  const double away = std::min(path.left, state.time_away);
+  const double lost_away = lostRate(forecast, path.capacity) * away;
+  capacity_.add(path.capacity, engine, to, speed);
+  path.left -= away;
+  --path.steps;
+  --path.movable[indexOf(engine.role)];
+  return lost_away + lostOnPath(forecast, path);
+}
+
+double RolePlanner::lostOnPath(Forecast& forecast, const Path& path) const {
+  const double rate = lostRate(forecast, path.capacity);
+  double least = rate * path.left;
+  // Only waiting has gains that a single change does not show.
+  if (path.steps <= 0 || rate <= 0 || !forecast.state.strained) {
+    return least;
+  }
+  for (std::size_t role = 0; role < kRoles.size(); ++role) {
+    const PlannedEngine* engine = forecast.state.cheapest[role];
+    if (engine == nullptr || path.movable[role] == 0) {
+      continue;
+    }
+    for (const EngineRole to : kRoles) {
+      if (to != kRoles[role]) {
+        least = std::min(least, forecast.weight + lostByMove(forecast, path, *engine, to));
+      }
+    }
   }
-  const double speed = CapacityModel::decodeSpeed(*engine, state.demand.between_tokens_limit);
-  capacity_.add(capacity, *engine, engine->role, speed, -1.0);
-  const double away = std::min(horizon, state.time_away);
-  const double lost_away = capacity_.lostShare(capacity_.utilisation(capacity, demand));
-  capacity_.add(capacity, *engine, to, speed);
-  const double lost_after = capacity_.lostShare(capacity_.utilisation(capacity, demand));
-  return demand.requests_per_second * (lost_away * away + lost_after * (horizon - away));
+  return least;
 }
 
-double RolePlanner::benefit(const ModelState& state, const PlannedEngine& engine, EngineRole to,
-                            double horizon) const {
-  const auto gain = [&](const DemandRate& demand) {
-    return lostAnswers(state, demand, nullptr, to, horizon) -
-           lostAnswers(state, demand, &engine, to, horizon);
+double RolePlanner::benefit(Forecast& recent, Forecast& past, const PlannedEngine& engine,
+                            EngineRole to, double horizon) const {
+  const Path start = startOf(recent.state, horizon);
+  const auto gain = [&](Forecast& forecast) {
+    return lostRate(forecast, start.capacity) * start.left -
+           lostByMove(forecast, start, engine, to);
   };
-  const double gain_short = gain(state.demand.short_window);
-  const double gain_long = gain(state.demand.long_window);
+  const double gain_short = gain(recent);
+  const double gain_long = gain(past);
   // A change that only one window asks for counts for that window's weight; one that the short
   // window does not ask for is of the past.
   if (gain_short <= 0) {
@@ -114,14 +194,17 @@
                                                 const configuration::PlanningPolicy& policy) const {
   std::vector<PlanAlternative> alternatives;
   const double horizon = common::toSeconds(policy.horizon);
+  Forecast recent{state, state.demand.short_window, policy.role_change_weight};
+  Forecast past{state, state.demand.long_window, policy.role_change_weight};
   for (const EngineRole from : kRoles) {
-    const PlannedEngine* engine = cheapestToMove(state, from);
+    const PlannedEngine* engine = state.cheapest[indexOf(from)];
     if (engine == nullptr) {
       continue;
     }
     for (const EngineRole to : kRoles) {
       if (to != from) {
-        alternatives.push_back({engine->name, from, to, benefit(state, *engine, to, horizon)});
+        alternatives.push_back(
+            {engine->name, from, to, benefit(recent, past, *engine, to, horizon)});
       }
     }
   }
@@ -140,9 +223,8 @@
   explanation.required_benefit = policy.role_change_weight;
   explanation.utilisation_short = capacity_.utilisation(state.capacity, state.demand.short_window);
   explanation.utilisation_long = capacity_.utilisation(state.capacity, state.demand.long_window);
-  explanation.lost_without_change =
-      lostAnswers(state, state.demand.short_window, nullptr, EngineRole::kMixed,
-                  common::toSeconds(policy.horizon));
+  explanation.lost_without_change = lostRate(state, state.capacity, state.demand.short_window) *
+                                    common::toSeconds(policy.horizon);
   if (!policy.automatic_roles) {
     explanation.conclusion = "no change: roles are left to the operators";
   } else if (explanation.lost_without_change <= 0) {
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -243,7 +243,8 @@
   const double uncached =
       selection.empty() ? work.prompt_tokens : uncachedTokens(selection.computing(), work);
   directory_.demand().asked(request.model, static_cast<std::uint64_t>(uncached),
-                            static_cast<std::uint64_t>(work.decode_tokens), refused);
+                            static_cast<std::uint64_t>(work.decode_tokens), refused,
+                            uncached > settings_.prefill_chunk_tokens);
 }
 
 RouteChoice CostRouter::choose(const RouteRequest& request) {
--- a/src/cypresswall/routing/demand_ledger.h
+++ b/src/cypresswall/routing/demand_ledger.h
@@ -18,20 +18,27 @@
   std::uint64_t decode_tokens = 0;
   /// Requests refused because no engine could meet their limits.
   std::uint64_t refused = 0;
+  /// Of these, requests whose prompt takes an engine longer than one step, and their prompt tokens.
+  std::uint64_t long_requests = 0;
+  std::uint64_t long_prefill_tokens = 0;
 
-  MSGPACK_DEFINE_ARRAY(requests, prefill_tokens, decode_tokens, refused)
+  MSGPACK_DEFINE_ARRAY(requests, prefill_tokens, decode_tokens, refused, long_requests,
+                       long_prefill_tokens)
 };
 
 class DemandLedger {
  public:
   /// Counts one request that was routed or refused.
+  /// \param is_long the prompt takes an engine longer than one step
   void asked(const common::ModelName& model, std::uint64_t prefill_tokens,
-             std::uint64_t decode_tokens, bool refused) {
+             std::uint64_t decode_tokens, bool refused, bool is_long) {
     DemandCount& count = counts_[model];
     ++count.requests;
     count.prefill_tokens += prefill_tokens;
     count.decode_tokens += decode_tokens;
     count.refused += refused ? 1 : 0;
+    count.long_requests += is_long ? 1 : 0;
+    count.long_prefill_tokens += is_long ? prefill_tokens : 0;
   }
   /// \return everything counted since the last call.
   std::map<common::ModelName, DemandCount> take() { return std::exchange(counts_, {}); }
--- a/tests/planning/role_planner_test.cpp
+++ b/tests/planning/role_planner_test.cpp
@@ -1,5 +1,6 @@
 #include "cypresswall/planning/role_planner.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "cypresswall/planning/baseline_planners.h"
@@ -43,6 +44,16 @@
   input.demand["m"].long_window = long_window;
 }
 
+/// Mixed engines under one zone's part of the load of the scenario portavia-ship-berths while the
+/// ship berths, times `load`.
+PlanningInput strainedZone(int engines, double load) {
+  PlanningInput input = zoneOf(engines, 0, 0);
+  const DemandRate rate{8.25 * load, 20000 * load, 750 * load, 3.25 * load, 19500 * load};
+  ask(input, rate, rate);
+  input.demand["m"].short_first_token_limit = std::chrono::milliseconds(500);
+  return input;
+}
+
 class RolePlannerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RolePlannerTest);
   CPPUNIT_TEST(steadyDemandChangesNothing);
@@ -52,6 +63,9 @@
   CPPUNIT_TEST(neverMovesWhatMayNotBeMoved);
   CPPUNIT_TEST(planSettlesUnderConstantDemand);
   CPPUNIT_TEST(pastSwingAsksForNothing);
+  CPPUNIT_TEST(longPromptsAreParted);
+  CPPUNIT_TEST(lightOrDoubtfulStrainAsksForNothing);
+  CPPUNIT_TEST(waitingFallsWithPartedRoles);
   CPPUNIT_TEST(utilisationScalesWithDemand);
   CPPUNIT_TEST(baselinesDoWhatTheySay);
   CPPUNIT_TEST(estimatorFindsSteadyRates);
@@ -159,6 +173,58 @@
     CPPUNIT_ASSERT(planner.plan(input).changes.empty());
   }
 
+  void longPromptsAreParted() {
+    RolePlanner planner({});
+    PlanningInput input = strainedZone(3, 1.0);
+    // While one of three engines is away the others are full: that takes minutes to pay off.
+    input.policy.horizon = std::chrono::seconds(240);
+    std::size_t changes = 0;
+    for (Plan plan = planner.plan(input); !plan.changes.empty(); plan = planner.plan(input)) {
+      for (PlannedEngine& engine : input.engines) {
+        engine.role = engine.name == plan.changes[0].engine ? plan.changes[0].role : engine.role;
+      }
+      CPPUNIT_ASSERT(++changes <= 3U);
+    }
+    const auto prefill = std::count_if(
+        input.engines.begin(), input.engines.end(),
+        [](const PlannedEngine& engine) { return engine.role == EngineRole::kPrefill; });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, prefill);
+    input = strainedZone(3, 1.0);
+    input.policy.role_change_weight = 1e4;
+    CPPUNIT_ASSERT(planner.plan(input).changes.empty());
+  }
+
+  void lightOrDoubtfulStrainAsksForNothing() {
+    RolePlanner planner({});
+    CPPUNIT_ASSERT(planner.plan(strainedZone(3, 0.5)).changes.empty());
+    // The same strain of fewer, longer prompts may be chance.
+    PlanningInput input = strainedZone(3, 1.0);
+    for (DemandRate* rate : {&input.demand["m"].short_window, &input.demand["m"].long_window}) {
+      rate->long_requests_per_second /= 4;
+    }
+    CPPUNIT_ASSERT(planner.plan(input).changes.empty());
+  }
+
+  void waitingFallsWithPartedRoles() {
+    const CapacityModel model({});
+    const PlanningInput input = strainedZone(3, 1.0);
+    const ModelDemand& demand = input.demand.at("m");
+    const auto lost = [&](const std::vector<EngineRole>& roles, const DemandRate& rate) {
+      RoleCapacity capacity;
+      for (const EngineRole role : roles) {
+        model.add(capacity, engineOf(0, role), role, 1290);
+      }
+      return model.lostByWaiting(capacity, demand, rate);
+    };
+    const std::vector<EngineRole> mixed(3, EngineRole::kMixed);
+    const std::vector<EngineRole> parted = {EngineRole::kPrefill, EngineRole::kPrefill,
+                                            EngineRole::kDecode};
+    const DemandRate& rate = demand.short_window;
+    CPPUNIT_ASSERT(lost(parted, rate) < lost(mixed, rate) / 2);
+    CPPUNIT_ASSERT(lost(mixed, rate) < rate.requests_per_second);
+    CPPUNIT_ASSERT_EQUAL(0.0, lost(mixed, {20, 3000, 500}));
+  }
+
   void utilisationScalesWithDemand() {
     const CapacityModel model({});
     RoleCapacity capacity;
@@ -192,13 +258,15 @@
     common::MonotonicTime now = start;
     for (int second = 0; second < 30; ++second) {
       now += std::chrono::seconds(1);
-      estimator.add("m", routing::DemandCount{10, 5000, 800, 0}, now);
+      estimator.add("m", routing::DemandCount{10, 5000, 800, 0, 2, 4000}, now);
     }
     const ModelDemand demand = estimator.demand("m", now);
     for (const DemandRate& rate : {demand.short_window, demand.long_window}) {
       CPPUNIT_ASSERT_DOUBLES_EQUAL(10, rate.requests_per_second, 0.6);
       CPPUNIT_ASSERT_DOUBLES_EQUAL(5000, rate.prefill_tokens_per_second, 300);
       CPPUNIT_ASSERT_DOUBLES_EQUAL(800, rate.decode_tokens_per_second, 50);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(2, rate.long_requests_per_second, 0.15);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(4000, rate.long_prefill_tokens_per_second, 250);
     }
     CPPUNIT_ASSERT(estimator.warm(now));
     CPPUNIT_ASSERT(!DemandEstimator({}, now).warm(now));
