Record the second round on roles; weigh crowding out once an engine

Cause: the routing benchmark showed the check of decode engines done a second time for each engine with split roles.

Change: the check's result is kept from the first pass.

--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -159,17 +159,16 @@
       continue;
     }
     // A decode engine computes prompts as well, only slowly; a mixed one takes computed prompts.
-    whole_engines_.push_back({model_.whole(engine, work, uncached, now).cost, slot});
+    const double cost = model_.whole(engine, work, uncached, now).cost;
+    whole_engines_.push_back({cost, slot, crowdsOut(engine, uncached)});
   }
   if (prefill_engines_.empty()) {
     return;
   }
   for (PricedEngine& whole : whole_engines_) {
-    const CostInputs& engine = estimates_.inputs(whole.engine);
-    decode_engines_.push_back({model_.decode(engine, work).cost, whole.engine});
-    if (crowdsOut(engine, uncachedTokens(whole.engine, work))) {
-      whole.cost += kLatePenalty;
-    }
+    const double cost = model_.decode(estimates_.inputs(whole.engine), work).cost;
+    decode_engines_.push_back({cost, whole.engine});
+    whole.cost += whole.crowds_out ? kLatePenalty : 0.0;
   }
 }
 
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -35,6 +35,7 @@
   struct PricedEngine {
     double cost = 0;
     EngineSlot engine = kNoEngineSlot;
+    bool crowds_out = false;
   };
   /// The engines chosen for a request, not yet judged against its limits.
   struct Selection {
