--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -66,7 +66,6 @@
   /// What this node works by, whoever declared it.
   configuration::ConfigurationView& configurationView() { return configuration_view_; }
   routing::EngineDirectory& engines() { return engines_; }
-  routing::CostRouter& router() { return router_; }
   orders::ZoneController& controller() { return controller_; }
   idempotency::KeyClaims& keyClaims() { return key_claims_; }
   operators::CommandService& commands() { return commands_; }
@@ -92,7 +91,7 @@
   configuration::ConfigurationView* declared_;
   configuration::ConfigurationView& configuration_view_;
   routing::EngineDirectory engines_;
-  routing::CostRouter router_;
+  std::unique_ptr<routing::Router> router_;
   orders::ZoneController controller_;
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -147,6 +147,10 @@
   return std::max(0.0, work.prompt_tokens - cached);
 }
 
+bool CostRouter::crowdsOut(const CostInputs& engine, double uncached) const {
+  return engine.role == engines::EngineRole::kDecode && uncached > settings_.prefill_chunk_tokens;
+}
+
 void CostRouter::priceEngines(const Work& work, double now) {
   whole_engines_.clear();
   prefill_engines_.clear();
@@ -159,14 +163,16 @@
       continue;
     }
     // A decode engine computes prompts as well, only slowly; a mixed one takes computed prompts.
-    whole_engines_.push_back({model_.whole(engine, work, uncached, now).cost, slot});
+    const double cost = model_.whole(engine, work, uncached, now).cost;
+    whole_engines_.push_back({cost, slot, crowdsOut(engine, uncached)});
   }
   if (prefill_engines_.empty()) {
     return;
   }
-  for (const PricedEngine& whole : whole_engines_) {
+  for (PricedEngine& whole : whole_engines_) {
     const double cost = model_.decode(estimates_.inputs(whole.engine), work).cost;
     decode_engines_.push_back({cost, whole.engine});
+    whole.cost += whole.crowds_out ? kLatePenalty : 0.0;
   }
 }
 
@@ -213,8 +219,11 @@
   Selection whole;
   whole.engine = cheapest(whole_engines_, work);
   if (!whole.empty()) {
-    whole.offer = model_.whole(estimates_.inputs(whole.engine), work,
-                               uncachedTokens(whole.engine, work), now);
+    const CostInputs& engine = estimates_.inputs(whole.engine);
+    const double uncached = uncachedTokens(whole.engine, work);
+    whole.offer = model_.whole(engine, work, uncached, now);
+    whole.offer.crowds_out = !prefill_engines_.empty() && crowdsOut(engine, uncached);
+    whole.offer.cost += whole.offer.crowds_out ? kLatePenalty : 0.0;
   }
   Selection split;
   split.engine = cheapest(decode_engines_, work);
@@ -253,7 +262,8 @@
   const double uncached =
       selection.empty() ? work.prompt_tokens : uncachedTokens(selection.computing(), work);
   directory_.demand().asked(request.model, static_cast<std::uint64_t>(uncached),
-                            static_cast<std::uint64_t>(work.decode_tokens), refused);
+                            static_cast<std::uint64_t>(work.decode_tokens), refused,
+                            uncached > settings_.prefill_chunk_tokens);
 }
 
 RouteChoice CostRouter::choose(const RouteRequest& request) {
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -36,6 +36,7 @@
   struct PricedEngine {
     double cost = 0;
     EngineSlot engine = kNoEngineSlot;
+    bool crowds_out = false;
   };
   /// The engines chosen for a request, not yet judged against its limits.
   struct Selection {
@@ -55,6 +56,9 @@
   void notePrefixes(const RouteRequest& request);
   void clearPrefixes();
   double uncachedTokens(EngineSlot slot, const Work& work) const;
+  /// \return true if `engine` is a decode engine and the prompt takes it longer than one step, for
+  ///   which every stream on it, and every short prompt that comes, would wait.
+  bool crowdsOut(const CostInputs& engine, double uncached) const;
   void priceEngines(const Work& work, double now);
   /// \return the cheapest engine. Among near equals a prompt with whole cache pieces gets the one
   ///   that its hash prefers, another the one whose turn it is; kNoEngineSlot if there is none.
