--- a/src/cypresswall/membership/zone_gossip.h
+++ b/src/cypresswall/membership/zone_gossip.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,6 +57,8 @@
   /// \return up to two addresses of live nodes for every other known zone; seeds until the zone
   ///   itself was heard.
   std::map<common::ZoneName, std::vector<common::Address>> zoneContacts() const;
+  /// \return the addresses of zoneContacts() for one other zone; empty if it is not known.
+  std::vector<common::Address> contactsOf(const common::ZoneName& zone) const;
   /// \return true if this node speaks for its zone: the lowest node that is alive.
   bool representative() const;
 
@@ -71,11 +74,27 @@
   void registerHandlers();
   void refresh();
   void publishContacts();
+  /// Keys of changed values that are still to be passed on.
+  struct Outbox {
+    std::set<Key> to_peers;
+    std::set<Key> to_links;
+    bool flush_scheduled = false;
+  };
+
   void store(const GossipEntry& entry, const common::ZoneName& source, bool to_peers);
   bool acceptable(const GossipEntry& entry) const;
-  void scheduleFlush();
-  void flush();
+  /// Passes on what `outbox` holds after `delay`, together with what comes until then.
+  void scheduleFlush(Outbox& outbox, common::Duration delay);
+  void flush(Outbox& outbox);
+  /// Sends the values of `keys`, without their payload if they come from the refresh outbox.
+  void sendKeys(const common::Address& address, const Outbox& outbox,
+                const std::vector<Key>& keys) const;
   void sendEntries(const common::Address& address, const std::vector<GossipEntry>& entries) const;
+  GossipEntry entryOf(const Key& key) const;
+  /// \return zero for a key that was never heard of.
+  std::uint64_t versionOf(const Key& key) const;
+  void receiveEntries(const common::NodeId& sender, const GossipEntries& message);
+  void receiveRefreshes(const common::NodeId& sender, const GossipRefreshes& message);
   void receiveDigest(const common::NodeId& sender, const GossipDigest& digest);
   void receiveVersions(const common::NodeId& sender, const GossipVersions& versions);
   GossipVersions ownVersions(bool answer_wanted) const;
@@ -90,9 +109,9 @@
   std::map<std::uint16_t, std::string> published_;
   std::map<std::uint16_t, std::vector<UpdateListener>> listeners_;
   std::map<common::ZoneName, common::MonotonicTime> last_heard_;
-  std::vector<Key> to_peers_;
-  std::vector<Key> to_links_;
-  bool flush_scheduled_ = false;
+  Outbox changes_;
+  /// Values of which only the version rose.
+  Outbox refreshes_;
   std::uint64_t refresh_round_ = 0;
   common::MonotonicTime start_time_;
   common::MonotonicTime contacts_time_;
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -3,6 +3,18 @@
 #include <utility>
 
 namespace cypresswall::node {
+namespace {
+
+std::unique_ptr<routing::Router> makeRouter(const NodeSettings& settings,
+                                            const api::ProcessContext& context,
+                                            routing::EngineDirectory& directory) {
+  if (settings.make_router) {
+    return settings.make_router(context, directory);
+  }
+  return std::make_unique<routing::CostRouter>(settings.router, context, directory);
+}
+
+}  // namespace
 
 Node::Node(NodeSettings settings, const api::ProcessContext& context, const NodeClients& clients)
     : settings_(std::move(settings)),
@@ -14,13 +26,15 @@
       declared_(clients.declared),
       configuration_view_(declared_ != nullptr ? *declared_ : configuration_),
       engines_(settings_.directory, context_, clients.engines, configuration_view_, membership_),
-      router_(settings_.router, context_, engines_),
+      router_(makeRouter(settings_, context_, engines_)),
       controller_(settings_.controller, context_, authority_, engines_, clients.engines,
                   configuration_view_, membership_,
                   settings_.make_planner ? settings_.make_planner() : nullptr),
-      observed_router_(router_, context_.clock, settings_.shedding),
+      observed_router_(*router_, context_.clock, settings_.shedding),
       admission_(context_, configuration_view_, membership_, observed_router_, settings_.admission),
-      key_claims_(settings_.claims, context_, authority_, authority_, membership_),
+      key_claims_(settings_.claims, context_,
+                  idempotency::ClaimInterfaces{authority_, authority_, membership_, gossip_,
+                                               configuration_view_}),
       model_executor_(context_, configuration_view_, admission_, observed_router_, clients.engines,
                       settings_.execution),
       service_executor_(context_,
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
+#include <tuple>
 
 namespace cypresswall::routing {
 namespace {
@@ -35,6 +37,7 @@
       prefixes_(directory.prefixes()),
       estimates_(settings.prefill_chunk_tokens),
       sent_(settings.report_slack, estimates_),
+      turn_salt_(context.random.next()),
       routed_(
           context.counters.counter("cypresswall_routes_total", "Engines chosen", "kind", "whole")),
       routed_disaggregated_(context.counters.counter("cypresswall_routes_total", "Engines chosen",
@@ -58,6 +61,7 @@
   if (slot >= name_hashes_.size()) {
     name_hashes_.resize(static_cast<std::size_t>(slot) + 1);
     cached_pieces_.resize(static_cast<std::size_t>(slot) + 1);
+    last_attempt_.resize(static_cast<std::size_t>(slot) + 1);
   }
   const EngineRecord& record = table_.record(slot);
   name_hashes_[slot] = common::hash64(record.declaration.name);
@@ -143,6 +147,10 @@
   return std::max(0.0, work.prompt_tokens - cached);
 }
 
+bool CostRouter::crowdsOut(const CostInputs& engine, double uncached) const {
+  return engine.role == engines::EngineRole::kDecode && uncached > settings_.prefill_chunk_tokens;
+}
+
 void CostRouter::priceEngines(const Work& work, double now) {
   whole_engines_.clear();
   prefill_engines_.clear();
@@ -155,14 +163,16 @@
       continue;
     }
     // A decode engine computes prompts as well, only slowly; a mixed one takes computed prompts.
-    whole_engines_.push_back({model_.whole(engine, work, uncached, now).cost, slot});
+    const double cost = model_.whole(engine, work, uncached, now).cost;
+    whole_engines_.push_back({cost, slot, crowdsOut(engine, uncached)});
   }
   if (prefill_engines_.empty()) {
     return;
   }
-  for (const PricedEngine& whole : whole_engines_) {
+  for (PricedEngine& whole : whole_engines_) {
     const double cost = model_.decode(estimates_.inputs(whole.engine), work).cost;
     decode_engines_.push_back({cost, whole.engine});
+    whole.cost += whole.crowds_out ? kLatePenalty : 0.0;
   }
 }
 
@@ -172,14 +182,18 @@
     least = std::min(least, engine.cost);
   }
   const double limit = least + settings_.cost_tolerance;
-  const std::uint64_t salt = work.affinity != 0 ? work.affinity : context_.random.next();
+  equals_.clear();
+  std::copy_if(engines.begin(), engines.end(), std::back_inserter(equals_),
+               [limit](const PricedEngine& engine) { return engine.cost <= limit; });
+  return work.affinity != 0 ? preferredByHash(equals_, work.affinity) : nextInTurn(equals_);
+}
+
+EngineSlot CostRouter::preferredByHash(const std::vector<PricedEngine>& equals,
+                                       common::PieceHash piece) const {
   EngineSlot best = kNoEngineSlot;
   std::uint64_t best_rank = 0;
-  for (const PricedEngine& engine : engines) {
-    if (engine.cost > limit) {
-      continue;
-    }
-    const std::uint64_t rank = mixBits(name_hashes_[engine.engine] ^ salt);
+  for (const PricedEngine& engine : equals) {
+    const std::uint64_t rank = mixBits(name_hashes_[engine.engine] ^ piece);
     if (best == kNoEngineSlot || rank > best_rank) {
       best = engine.engine;
       best_rank = rank;
@@ -188,13 +202,28 @@
   return best;
 }
 
+EngineSlot CostRouter::nextInTurn(const std::vector<PricedEngine>& equals) const {
+  const auto turn = [this](EngineSlot slot) {
+    const bool full = estimates_.inputs(slot).slot_wait > 0;
+    return std::tuple(full, last_attempt_[slot], mixBits(name_hashes_[slot] ^ turn_salt_));
+  };
+  const auto next = std::min_element(equals.begin(), equals.end(),
+                                     [&turn](const PricedEngine& a, const PricedEngine& b) {
+                                       return turn(a.engine) < turn(b.engine);
+                                     });
+  return next == equals.end() ? kNoEngineSlot : next->engine;
+}
+
 CostRouter::Selection CostRouter::select(const Work& work, double now) {
   priceEngines(work, now);
   Selection whole;
   whole.engine = cheapest(whole_engines_, work);
   if (!whole.empty()) {
-    whole.offer = model_.whole(estimates_.inputs(whole.engine), work,
-                               uncachedTokens(whole.engine, work), now);
+    const CostInputs& engine = estimates_.inputs(whole.engine);
+    const double uncached = uncachedTokens(whole.engine, work);
+    whole.offer = model_.whole(engine, work, uncached, now);
+    whole.offer.crowds_out = !prefill_engines_.empty() && crowdsOut(engine, uncached);
+    whole.offer.cost += whole.offer.crowds_out ? kLatePenalty : 0.0;
   }
   Selection split;
   split.engine = cheapest(decode_engines_, work);
@@ -233,7 +262,8 @@
   const double uncached =
       selection.empty() ? work.prompt_tokens : uncachedTokens(selection.computing(), work);
   directory_.demand().asked(request.model, static_cast<std::uint64_t>(uncached),
-                            static_cast<std::uint64_t>(work.decode_tokens), refused);
+                            static_cast<std::uint64_t>(work.decode_tokens), refused,
+                            uncached > settings_.prefill_chunk_tokens);
 }
 
 RouteChoice CostRouter::choose(const RouteRequest& request) {
@@ -312,13 +342,16 @@
                         static_cast<double>(common::kTokensPerCachePiece);
   const double uncached = std::max(0.0, work.prompt_tokens - cached);
   std::vector<WorkShare> shares;
+  ++attempts_;
   if (computing != kNoEngineSlot) {
+    last_attempt_[computing] = attempts_;
     shares.push_back({computing, uncached, computing == engine ? work.decode_tokens : 0});
     for (const common::PieceHash piece : request.shape.pieces) {
       prefixes_.stored(computing, piece);
     }
   }
   if (engine != kNoEngineSlot && engine != computing) {
+    last_attempt_[engine] = attempts_;
     shares.push_back({engine, 0, work.decode_tokens});
   }
   sent_.started(request.stream_id, shares, context_.clock.now());
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -73,15 +73,34 @@
   return request;
 }
 
+/// Routes short requests whose limits are so wide that all engines count as equal; each ends before
+/// the next. \return the engines that got one
+std::set<std::string> enginesOfRequests(RouterWorld& world, int count) {
+  std::set<std::string> engines;
+  RouteRequest request = requestOf(60);
+  request.first_token_limit = std::chrono::seconds(60);
+  request.between_tokens_limit = std::chrono::seconds(10);
+  for (int i = 0; i < count; ++i) {
+    const Route route = world.route(request);
+    world.router->attemptStarted(request, route);
+    world.router->attemptFinished(request.stream_id);
+    engines.insert(route.engine.name);
+  }
+  return engines;
+}
+
 class CostRouterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CostRouterTest);
   CPPUNIT_TEST(takesTheIdleEngine);
   CPPUNIT_TEST(countsWorkThatNoReportShows);
+  CPPUNIT_TEST(equalEnginesTakeShortPromptsInTurn);
+  CPPUNIT_TEST(fullEngineGetsNoTurn);
   CPPUNIT_TEST(prefersTheEngineWithThePrefix);
   CPPUNIT_TEST(equalPrefixesMeetOnAllNodes);
   CPPUNIT_TEST(refusesAtOnceWithRetryAfter);
   CPPUNIT_TEST(longPromptIsTakenByAnIdleEngine);
   CPPUNIT_TEST(splitsPrefillAndDecode);
+  CPPUNIT_TEST(longPromptsLeaveDecodeEnginesAlone);
   CPPUNIT_TEST(prefillEnginesAloneServeNothing);
   CPPUNIT_TEST(otherVersionServesDuringRollOut);
   CPPUNIT_TEST(unknownModelIsToldApart);
@@ -145,6 +164,23 @@
     CPPUNIT_ASSERT(after.expected_first_token < std::chrono::milliseconds(150));
   }
 
+  void equalEnginesTakeShortPromptsInTurn() {
+    constexpr int kEngines = 4;
+    RouterWorld world(kEngines);
+    world.run(std::chrono::seconds(1));
+    for (int turn = 0; turn < 3; ++turn) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{kEngines}, enginesOfRequests(world, kEngines).size());
+    }
+  }
+
+  void fullEngineGetsNoTurn() {
+    RouterWorld world(3);
+    world.load(1).running_streams = world.load(1).maximum_streams;
+    world.load(1).queued_decode_tokens = 32 * 20;
+    world.run(std::chrono::seconds(1));
+    CPPUNIT_ASSERT((std::set<std::string>{"e100", "e102"}) == enginesOfRequests(world, 6));
+  }
+
   void prefersTheEngineWithThePrefix() {
     RouterWorld world(8);
     auto& engine = world.engines["e105:1"];
@@ -201,6 +237,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e103"), route.engine.name);
   }
 
+  void longPromptsLeaveDecodeEnginesAlone() {
+    RouterWorld world(2);
+    world.load(0).role = EngineRole::kPrefill;
+    world.load(1).role = EngineRole::kDecode;
+    world.load(0).queued_prefill_tokens = 9000;
+    world.run(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(world.route(requestOf(3000)).prefill_engine.has_value());
+    CPPUNIT_ASSERT(!world.route(requestOf(200)).prefill_engine.has_value());
+    const DemandCount demand = world.directory->demand().take()["m"];
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, demand.long_requests);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3000}, demand.long_prefill_tokens);
+    world.load(0).queued_prefill_tokens = 50000;
+    world.run(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(world.refusal(requestOf(3000)).retry_after.count() > 0);
+    CPPUNIT_ASSERT_EQUAL(std::string("e101"), world.route(requestOf(200)).engine.name);
+    // Without a prefill engine it is the decode engine or nothing.
+    world.engines["e100:1"].reachable = false;
+    world.run(std::chrono::seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::string("e101"), world.route(requestOf(3000)).engine.name);
+  }
+
   void prefillEnginesAloneServeNothing() {
     RouterWorld world(2);
     world.load(0).role = world.load(1).role = EngineRole::kPrefill;
