--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -127,8 +127,7 @@
   common::PieceHash piece = 0;
 };
 
-/// A batch of cache events; a jump in the sequence numbers is a gap. Events of one change may share
-/// a number.
+/// A batch of cache events; a jump in the sequence numbers is a gap.
 struct CacheEvents {
   std::uint64_t incarnation = 0;
   /// Sequence number of the newest event that the engine has made.
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -143,7 +143,7 @@
           : 1;
   bool gap = false;
   for (const engines::CacheEvent& event : events.events) {
-    gap = gap || (state.last_cache_event != 0 && event.sequence > state.last_cache_event + 1);
+    gap = gap || (state.last_cache_event != 0 && event.sequence != state.last_cache_event + 1);
     state.last_cache_event = event.sequence;
     const bool stored = event.kind == engines::CacheEventKind::kStored;
     if (stored) {
