--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double kRetryBurstOfCountingPlatform = 5;
+/// Twice the limit: an attempt given up earlier has its prompt read again elsewhere for nothing.
+constexpr double kSilenceShareOfCountingPlatform = 2;
 
 /// Applies values and collects problems.
 class Loader {
@@ -101,6 +103,7 @@
     // together: a node may save up only its part of what the platform allows at once.
     settings.node.execution.charge_refused_attempts = true;
     settings.node.execution.retry_burst = kRetryBurstOfCountingPlatform;
+    settings.node.execution.first_token_silence_share = kSilenceShareOfCountingPlatform;
   }
   return settings;
 }
