--- a/tests/node/declared_fleet_test.cpp
+++ b/tests/node/declared_fleet_test.cpp
@@ -76,9 +76,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, engines.table.rows.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, command("show services").table.rows.size());
     const auto zone = command("show zones").table.rows.at(0);
-    CPPUNIT_ASSERT(zone.at(4) == operators::Cell{static_cast<std::int64_t>(kVersion)});
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(kVersion), std::get<std::int64_t>(zone.at(4)));
     for (const auto& row : command("show nodes").table.rows) {
-      CPPUNIT_ASSERT(row.at(5) == operators::Cell{static_cast<std::int64_t>(kVersion)});
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(kVersion), std::get<std::int64_t>(row.at(5)));
     }
     const auto refused = command("drain engine " + simulation::engineName(0, 0));
     CPPUNIT_ASSERT(refused.status == operators::CommandStatus::kRefused);
--- a/tests/runtime/curl_multi_test.cpp
+++ b/tests/runtime/curl_multi_test.cpp
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "tests/support/event_loop.h"
 #include "tests/support/property.h"
@@ -16,6 +17,10 @@
 
 class Recorder : public CurlTransferHandler {
  public:
+  void onHead(const CurlResponse& head) override {
+    CPPUNIT_ASSERT(body.empty());
+    heads.push_back(head);
+  }
   void onBody(std::string_view bytes) override {
     body += bytes;
     if (destroy_on_body) {
@@ -26,6 +31,7 @@
 
   std::unique_ptr<CurlTransfer> transfer;
   bool destroy_on_body = false;
+  std::vector<CurlResponse> heads;
   std::string body;
   std::optional<CurlResponse> done;
 };
@@ -35,6 +41,8 @@
   CPPUNIT_TEST(fetchesAndReusesTheConnection);
   CPPUNIT_TEST(requestsAreNeverSentTwice);
   CPPUNIT_TEST(freshRequestsTakeANewConnection);
+  CPPUNIT_TEST(connectionUsedOnceIsClosed);
+  CPPUNIT_TEST(headComesOnceBeforeTheBody);
   CPPUNIT_TEST(nothingOfAnEarlierRequestIsSentAgain);
   CPPUNIT_TEST(tellsNotSentFromBroken);
   CPPUNIT_TEST(timeLimitAfterSendingIsBroken);
@@ -82,6 +90,31 @@
     CPPUNIT_ASSERT_EQUAL(2, server_.connections());
   }
 
+  /// Kept idle connections would fill up a peer that allows few.
+  void connectionUsedOnceIsClosed() {
+    for (int turn = 1; turn <= 2; ++turn) {
+      server_.answer(httpAnswer(200, "answer"));
+      CurlRequest once = request("POST");
+      once.connection_use = ConnectionUse::kOnce;
+      CPPUNIT_ASSERT(fetch(once).outcome == CurlOutcome::kAnswered);
+      CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.closedByClient() == turn; }));
+    }
+    CPPUNIT_ASSERT_EQUAL(2, server_.connections());
+  }
+
+  void headComesOnceBeforeTheBody() {
+    server_.answer("HTTP/1.1 200 OK\r\nX-Kind: test\r\nContent-Length: 4\r\n\r\nab");
+    Recorder recorder;
+    recorder.transfer = curl_.start(request("POST"), recorder);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return recorder.body == "ab"; }));
+    server_.sendMore("cd");
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return recorder.done.has_value(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recorder.heads.size());
+    CPPUNIT_ASSERT_EQUAL(200, recorder.heads[0].status);
+    CPPUNIT_ASSERT_EQUAL(std::string("test"), recorder.heads[0].header("x-kind"));
+    CPPUNIT_ASSERT_EQUAL(std::string("abcd"), recorder.body);
+  }
+
   void nothingOfAnEarlierRequestIsSentAgain() {
     server_.answer(httpAnswer(200, "first"));
     CurlRequest order = request("POST");
