Compare header names in one place

Ruled out: joining the lists of connection headers as well, since they differ on purpose (the platform's runners get Host). The sanitized build was not run again.

--- a/src/cypresswall/execution/service_headers.cpp
+++ b/src/cypresswall/execution/service_headers.cpp
@@ -1,9 +1,10 @@
 #include "cypresswall/execution/service_headers.h"
 
 #include <algorithm>
-#include <cctype>
 #include <cstdlib>
 
+#include "cypresswall/common/header_names.h"
+
 namespace cypresswall::execution {
 namespace {
 
@@ -13,20 +14,14 @@
 /// Longer waits are not believed.
 constexpr long kMaximumRetrySeconds = 3600;
 
-bool sameName(const std::string& left, const std::string& right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-    return std::tolower(static_cast<unsigned char>(a)) ==
-           std::tolower(static_cast<unsigned char>(b));
-  });
-}
-
 }  // namespace
 
 std::vector<services::HttpHeader> headersForBackend(const ServiceCallRequest& request,
                                                     bool repeatable) {
   std::vector<services::HttpHeader> headers;
   for (const auto& header : request.headers) {
-    if (!sameName(header.name, kRequestIdHeader) && !sameName(header.name, kKeyHeader)) {
+    if (!common::sameHeaderName(header.name, kRequestIdHeader) &&
+        !common::sameHeaderName(header.name, kKeyHeader)) {
       headers.push_back(header);
     }
   }
@@ -42,7 +37,7 @@
 common::Duration retryAfterOf(const services::ServiceResponse& response,
                               common::Duration otherwise) {
   for (const auto& header : response.headers) {
-    if (sameName(header.name, kRetryAfterHeader)) {
+    if (common::sameHeaderName(header.name, kRetryAfterHeader)) {
       const auto seconds =
           std::min(std::strtol(header.value.c_str(), nullptr, 10), kMaximumRetrySeconds);
       return std::max<common::Duration>(std::chrono::seconds(seconds), otherwise);
--- a/src/cypresswall/runtime/curl_request.cpp
+++ b/src/cypresswall/runtime/curl_request.cpp
@@ -1,16 +1,12 @@
 #include "cypresswall/runtime/curl_request.h"
 
-#include <strings.h>
-
 #include <cctype>
 
+#include "cypresswall/common/header_names.h"
+
 namespace cypresswall::runtime {
 namespace {
 
-bool sameName(std::string_view left, std::string_view right) {
-  return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 bool isUnreserved(unsigned char c) {
   return std::isalnum(c) != 0 || c == '-' || c == '.' || c == '_' || c == '~';
 }
@@ -19,7 +15,7 @@
 
 std::string CurlResponse::header(std::string_view name) const {
   for (const CurlHeader& candidate : headers) {
-    if (sameName(candidate.name, name)) {
+    if (common::sameHeaderName(candidate.name, name)) {
       return candidate.value;
     }
   }
--- a/src/cypresswall/services/http_service_client.cpp
+++ b/src/cypresswall/services/http_service_client.cpp
@@ -1,11 +1,11 @@
 #include "cypresswall/services/http_service_client.h"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <array>
 #include <string_view>
 
+#include "cypresswall/common/header_names.h"
+
 namespace cypresswall::services {
 namespace {
 
@@ -35,13 +35,9 @@
                                                             "Expect",
                                                             kOutcomeHeader};
 
-bool sameName(const std::string& left, const char* right) {
-  return strcasecmp(left.c_str(), right) == 0;
-}
-
 bool passedOn(const std::string& name) {
   return std::none_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
-                      [&](const char* own) { return sameName(name, own); });
+                      [&](const char* own) { return common::sameHeaderName(name, own); });
 }
 
 bool hasLineBreak(const std::string& text) {
@@ -51,7 +47,7 @@
 std::vector<CurlHeader> requestHeaders(const ServiceRequest& request) {
   std::vector<CurlHeader> headers = {{kRequestIdHeader, request.request_id}};
   for (const HttpHeader& header : request.headers) {
-    const bool own = sameName(header.name, kRequestIdHeader);
+    const bool own = common::sameHeaderName(header.name, kRequestIdHeader);
     if (!own && passedOn(header.name) && !hasLineBreak(header.name + header.value)) {
       headers.push_back({header.name, header.value});
     }
