--- a/bench/simulate/baseline_routers.h
+++ b/bench/simulate/baseline_routers.h
@@ -18,6 +18,7 @@
   routing::RouteChoice choose(const routing::RouteRequest& request) override;
   bool takesWork(const engines::EngineEndpoint& engine) const override;
   void attemptStarted(const routing::RouteRequest&, const routing::Route&) override {}
+  void promptComputed(const std::string&) override {}
   void firstTokenReceived(const std::string&) override {}
   void attemptFinished(const std::string&) override {}
   void attemptFailed(const std::string&, engines::StreamFailure) override {}
--- a/src/cypresswall/admission/observed_router.h
+++ b/src/cypresswall/admission/observed_router.h
@@ -50,6 +50,7 @@
   void attemptStarted(const routing::RouteRequest& request, const routing::Route& route) override {
     router_.attemptStarted(request, route);
   }
+  void promptComputed(const std::string& stream_id) override { router_.promptComputed(stream_id); }
   void firstTokenReceived(const std::string& stream_id) override {
     router_.firstTokenReceived(stream_id);
   }
--- a/src/cypresswall/common/prompt.h
+++ b/src/cypresswall/common/prompt.h
@@ -23,8 +23,16 @@
   std::uint32_t tokens = 0;
   /// One hash for each whole piece, in order; a last part of a piece is not cached.
   std::vector<PieceHash> pieces;
+  /// Tokens of the prompt up to the end of each piece, rising; empty if each piece has
+  /// kTokensPerCachePiece. Filled where callers name the parts of their prompts themselves.
+  std::vector<std::uint32_t> piece_ends;
   /// Hash of the whole text; decides the emulated answer.
   std::uint64_t content_hash = 0;
+
+  /// \return the tokens of the first `count` pieces
+  std::uint32_t tokensOfPieces(std::size_t count) const;
+  /// \return the number of pieces that end before the prompt does: others may share these
+  std::size_t sharedPieces() const;
 };
 
 /// Measures `text` for a model. `salt` keeps the pieces of different models, versions and adapters
--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -115,6 +116,10 @@
   double prefill_tokens_per_second = 0;
   common::Duration decode_step_base{0};
   common::Duration decode_step_per_stream{0};
+  /// Time that each prompt takes beside its tokens, and for each pair of a computed token with one
+  /// before it (attention grows with the square of the prompt); zero if not declared.
+  common::Duration prefill_base{0};
+  double prefill_seconds_per_pair = 0;
   common::Duration age{0};
 };
 
@@ -127,11 +132,16 @@
   common::PieceHash piece = 0;
 };
 
-/// A batch of cache events; a jump in the sequence numbers is a gap.
+/// A batch of cache events.
 struct CacheEvents {
   std::uint64_t incarnation = 0;
   /// Sequence number of the newest event that the engine has made.
   std::uint64_t last_sequence = 0;
+  /// The events tell all that the engine held when it had made the event of `last_sequence`.
+  bool snapshot = false;
+  /// Set if the engine itself tells whether events before these are gone, so that the batch reaches
+  /// to `last_sequence` whatever it holds; otherwise a jump in the sequence numbers is a gap.
+  std::optional<bool> gap;
   std::vector<CacheEvent> events;
 };
 
@@ -181,6 +191,9 @@
   StreamPhase phase = StreamPhase::kWhole;
   /// For kDecodeOnly: address of the engine that holds the KV cache of this stream_id.
   common::Address kv_source;
+  /// Address of an engine from which cached pieces of the prompt are to be copied first; empty if
+  /// none, always so for platforms whose engines can't.
+  common::Address prefix_source;
   /// Set if the caller's own request is handed on unchanged; `prompt` is then empty and the text of
   /// each token is a whole event of the answer, byte for byte.
   std::shared_ptr<const PassThroughRequest> pass_through;
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -75,6 +75,10 @@
   void openRecord();
   void recordAttempt();
   void recordResult(const std::string& result);
+  void logRoute() const;
+  void logPrompt() const;
+  void logFirstToken() const;
+  std::int64_t millisecondsSinceRouted() const;
 
   ModelExecutionCore& core_;
   ModelCall call_;
--- a/src/cypresswall/execution/request_journal.h
+++ b/src/cypresswall/execution/request_journal.h
@@ -23,7 +23,7 @@
   std::string prefill_target;
   common::Duration expected_first_token{0};
   common::Duration expected_between_tokens{0};
-  std::uint32_t expected_cached_pieces = 0;
+  std::uint32_t expected_cached_tokens = 0;
   /// Tokens that the caller already had.
   std::uint32_t resume_from = 0;
   /// Empty while the attempt runs.
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -57,7 +57,7 @@
   if (attempt.expected_first_token.count() > 0) {
     text += ", first token expected in " + milliseconds(attempt.expected_first_token) + ", then " +
             milliseconds(attempt.expected_between_tokens) + " each, " +
-            std::to_string(attempt.expected_cached_pieces) + " cached pieces";
+            std::to_string(attempt.expected_cached_tokens) + " cached tokens";
   }
   if (attempt.resume_from > 0) {
     text += ", from token " + std::to_string(attempt.resume_from);
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -21,6 +21,19 @@
   return value ^ (value >> 31);
 }
 
+/// Prompts that share fewer tokens than these needn't meet on one engine.
+constexpr std::uint32_t kLeastAffinityTokens = 1024;
+
+/// \return the number of pieces by whose last one equal prompts meet. Where callers name the parts
+///   of their prompts, that is the longest prefix that others may share; otherwise one piece, since
+///   nobody knows which of the rest is the prompt's own.
+std::size_t affinityPieces(const common::PromptShape& shape) {
+  const std::size_t pieces = shape.piece_ends.empty()
+                                 ? std::min<std::size_t>(shape.pieces.size(), 1)
+                                 : shape.sharedPieces();
+  return shape.tokensOfPieces(pieces) < kLeastAffinityTokens ? 0 : pieces;
+}
+
 double secondsOr(common::Duration limit, common::Duration fallback) {
   return common::toSeconds(limit.count() > 0 ? limit : fallback);
 }
@@ -37,6 +50,7 @@
       prefixes_(directory.prefixes()),
       estimates_(settings.prefill_chunk_tokens),
       sent_(settings.report_slack, estimates_),
+      long_prompts_(settings_, context.clock, directory.work(), prefixes_, estimates_),
       turn_salt_(context.random.next()),
       routed_(
           context.counters.counter("cypresswall_routes_total", "Engines chosen", "kind", "whole")),
@@ -60,17 +74,19 @@
   estimates_.reserve(slot);
   if (slot >= name_hashes_.size()) {
     name_hashes_.resize(static_cast<std::size_t>(slot) + 1);
-    cached_pieces_.resize(static_cast<std::size_t>(slot) + 1);
+    cached_tokens_.resize(static_cast<std::size_t>(slot) + 1);
     last_attempt_.resize(static_cast<std::size_t>(slot) + 1);
   }
   const EngineRecord& record = table_.record(slot);
   name_hashes_[slot] = common::hash64(record.declaration.name);
   if (restarted) {
     sent_.forgetEngine(slot);
+    long_prompts_.forgetEngine(slot);
   }
   if (record.reported) {
     applyReport(estimates_.edit(slot), record.load, record.observed_at);
     sent_.reported(slot, record.observed_at);
+    long_prompts_.refresh(slot);
     estimates_.refresh(slot);
   }
 }
@@ -87,7 +103,9 @@
       secondsOr(request.between_tokens_limit, settings_.default_between_tokens_limit);
   work.inverse_first_token_limit = 1.0 / work.first_token_limit;
   work.inverse_between_tokens_limit = 1.0 / work.between_tokens_limit;
-  work.affinity = request.shape.pieces.empty() ? 0 : request.shape.pieces.front();
+  const std::size_t pieces = affinityPieces(request.shape);
+  work.affinity = pieces == 0 ? 0 : request.shape.pieces[pieces - 1];
+  work.affinity_tokens = request.shape.tokensOfPieces(pieces);
   return work;
 }
 
@@ -126,29 +144,60 @@
 void CostRouter::notePrefixes(const RouteRequest& request) {
   prefixes_.match(request.shape.pieces, matches_);
   for (const PrefixMatch& match : matches_) {
-    if (match.engine < cached_pieces_.size()) {
-      const double trusted = match.pieces * prefixes_.trust(match.engine);
-      cached_pieces_[match.engine] = static_cast<std::uint32_t>(std::lround(trusted));
+    if (match.engine < cached_tokens_.size()) {
+      const double tokens = request.shape.tokensOfPieces(match.pieces);
+      cached_tokens_[match.engine] =
+          static_cast<std::uint32_t>(std::lround(tokens * prefixes_.trust(match.engine)));
+    }
+  }
+  findPrefixSource(request);
+}
+
+void CostRouter::findPrefixSource(const RouteRequest& request) {
+  prefix_source_ = kNoEngineSlot;
+  source_tokens_ = 0;
+  if (!settings_.copies_prefixes) {
+    return;
+  }
+  for (const PrefixMatch& match : matches_) {
+    const std::uint32_t tokens =
+        match.engine < cached_tokens_.size() ? cached_tokens_[match.engine] : 0;
+    const bool usable =
+        tokens > source_tokens_ &&
+        table_.record(match.engine).availability == EngineAvailability::kAvailable &&
+        !long_prompts_.beingComputed(match.engine, request.shape.pieces[match.pieces - 1]);
+    if (usable) {
+      prefix_source_ = match.engine;
+      source_tokens_ = tokens;
     }
   }
 }
 
 void CostRouter::clearPrefixes() {
   for (const PrefixMatch& match : matches_) {
-    if (match.engine < cached_pieces_.size()) {
-      cached_pieces_[match.engine] = 0;
+    if (match.engine < cached_tokens_.size()) {
+      cached_tokens_[match.engine] = 0;
     }
   }
 }
 
-double CostRouter::uncachedTokens(EngineSlot slot, const Work& work) const {
-  const double cached =
-      static_cast<double>(cached_pieces_[slot]) * static_cast<double>(common::kTokensPerCachePiece);
-  return std::max(0.0, work.prompt_tokens - cached);
+PromptWork CostRouter::promptWork(EngineSlot slot, const Work& work) const {
+  PromptWork prompt;
+  const std::uint32_t cached = cached_tokens_[slot];
+  prompt.cached = cached;
+  prompt.uncached = std::max(0.0, work.prompt_tokens - cached);
+  if (prefix_source_ != kNoEngineSlot && prefix_source_ != slot &&
+      source_tokens_ >= cached + settings_.minimum_copied_tokens) {
+    prompt.copied = source_tokens_ - cached;
+    prompt.uncached = std::max(0.0, prompt.uncached - prompt.copied);
+  }
+  return prompt;
 }
 
-bool CostRouter::crowdsOut(const CostInputs& engine, double uncached) const {
-  return engine.role == engines::EngineRole::kDecode && uncached > settings_.prefill_chunk_tokens;
+bool CostRouter::crowdsOut(const CostInputs& engine, const Work& work, double uncached) const {
+  return engine.role == engines::EngineRole::kDecode && uncached > settings_.prefill_chunk_tokens &&
+         uncached * engine.seconds_per_prefill_token >
+             work.between_tokens_limit * settings_.crowding_share;
 }
 
 void CostRouter::priceEngines(const Work& work, double now) {
@@ -157,14 +206,14 @@
   decode_engines_.clear();
   for (const EngineSlot slot : narrowed_) {
     const CostInputs& engine = estimates_.inputs(slot);
-    const double uncached = uncachedTokens(slot, work);
+    const PromptWork prompt = promptWork(slot, work);
     if (engine.role == engines::EngineRole::kPrefill) {
-      prefill_engines_.push_back({model_.prefill(engine, work, uncached, now).cost, slot});
+      prefill_engines_.push_back({model_.prefill(engine, work, prompt, now).cost, slot});
       continue;
     }
     // A decode engine computes prompts as well, only slowly; a mixed one takes computed prompts.
-    const double cost = model_.whole(engine, work, uncached, now).cost;
-    whole_engines_.push_back({cost, slot, crowdsOut(engine, uncached)});
+    const double cost = model_.whole(engine, work, prompt, now).cost;
+    whole_engines_.push_back({cost, slot, crowdsOut(engine, work, prompt.uncached)});
   }
   if (prefill_engines_.empty()) {
     return;
@@ -176,12 +225,26 @@
   }
 }
 
-EngineSlot CostRouter::cheapest(const std::vector<PricedEngine>& engines, const Work& work) {
+double CostRouter::computingTolerance(const Work& work) const {
+  if (work.affinity == 0 || !settings_.copies_prefixes || !matches_.empty()) {
+    return settings_.cost_tolerance;
+  }
+  // Nobody holds the shared part yet: who computes it again elsewhere loses all of its time.
+  double least = std::numeric_limits<double>::infinity();
+  for (const EngineSlot slot : narrowed_) {
+    least = std::min<double>(least, estimates_.inputs(slot).seconds_per_prefill_token);
+  }
+  return settings_.cost_tolerance +
+         settings_.affinity_share * work.affinity_tokens * least * work.inverse_first_token_limit;
+}
+
+EngineSlot CostRouter::cheapest(const std::vector<PricedEngine>& engines, const Work& work,
+                                double tolerance) {
   double least = std::numeric_limits<double>::infinity();
   for (const PricedEngine& engine : engines) {
     least = std::min(least, engine.cost);
   }
-  const double limit = least + settings_.cost_tolerance;
+  const double limit = least + tolerance;
   equals_.clear();
   std::copy_if(engines.begin(), engines.end(), std::back_inserter(equals_),
                [limit](const PricedEngine& engine) { return engine.cost <= limit; });
@@ -216,36 +279,46 @@
 
 CostRouter::Selection CostRouter::select(const Work& work, double now) {
   priceEngines(work, now);
+  const double tolerance = computingTolerance(work);
   Selection whole;
-  whole.engine = cheapest(whole_engines_, work);
+  whole.engine = cheapest(whole_engines_, work, tolerance);
   if (!whole.empty()) {
     const CostInputs& engine = estimates_.inputs(whole.engine);
-    const double uncached = uncachedTokens(whole.engine, work);
-    whole.offer = model_.whole(engine, work, uncached, now);
-    whole.offer.crowds_out = !prefill_engines_.empty() && crowdsOut(engine, uncached);
+    const PromptWork prompt = promptWork(whole.engine, work);
+    whole.offer = model_.whole(engine, work, prompt, now);
+    whole.offer.crowds_out = !prefill_engines_.empty() && crowdsOut(engine, work, prompt.uncached);
     whole.offer.cost += whole.offer.crowds_out ? kLatePenalty : 0.0;
   }
   Selection split;
-  split.engine = cheapest(decode_engines_, work);
-  split.prefill = cheapest(prefill_engines_, work);
+  split.engine = cheapest(decode_engines_, work, settings_.cost_tolerance);
+  split.prefill = cheapest(prefill_engines_, work, tolerance);
   if (split.empty() || !split.split()) {
     return whole;
   }
   const CostInputs& decode = estimates_.inputs(split.engine);
-  const Offer prefill = model_.prefill(estimates_.inputs(split.prefill), work,
-                                       uncachedTokens(split.prefill, work), now);
+  const Offer prefill =
+      model_.prefill(estimates_.inputs(split.prefill), work, promptWork(split.prefill, work), now);
   split.offer = model_.combined(prefill, model_.decode(decode, work), decode, work);
   return whole.empty() || split.offer.cost < whole.offer.cost ? split : whole;
 }
 
-Route CostRouter::makeRoute(const Selection& selection) const {
+Route CostRouter::makeRoute(const Selection& selection, const Work& work) const {
   const EngineRecord& record = table_.record(selection.engine);
   Route route;
   route.engine = record.endpoint();
   route.version = record.load.version;
   route.expected_first_token = common::fromSeconds(selection.offer.first_token);
   route.expected_between_tokens = common::fromSeconds(selection.offer.between_tokens);
-  route.expected_cached_pieces = cached_pieces_[selection.computing()];
+  const PromptWork prompt = promptWork(selection.computing(), work);
+  const CostInputs& computing = estimates_.inputs(selection.computing());
+  route.expected_cached_tokens = cached_tokens_[selection.computing()];
+  route.expected_copied_tokens = static_cast<std::uint32_t>(prompt.copied);
+  route.expected_prompt = common::fromSeconds(model_.promptSeconds(computing, prompt));
+  route.known_holders = static_cast<std::uint32_t>(matches_.size());
+  route.expected_wait = common::fromSeconds(selection.offer.wait);
+  if (prompt.copied > 0) {
+    route.prefix_source = table_.record(prefix_source_).endpoint();
+  }
   if (selection.split()) {
     route.prefill_engine = table_.record(selection.prefill).endpoint();
   }
@@ -260,7 +333,7 @@
   }
   const bool refused = selection.empty() || !selection.offer.meetsLimits();
   const double uncached =
-      selection.empty() ? work.prompt_tokens : uncachedTokens(selection.computing(), work);
+      selection.empty() ? work.prompt_tokens : promptWork(selection.computing(), work).uncached;
   directory_.demand().asked(request.model, static_cast<std::uint64_t>(uncached),
                             static_cast<std::uint64_t>(work.decode_tokens), refused,
                             uncached > settings_.prefill_chunk_tokens);
@@ -285,7 +358,7 @@
     choice = refuse(selection, work, request.model);
     refused_overloaded_.add();
   } else {
-    choice = makeRoute(selection);
+    choice = makeRoute(selection, work);
     (selection.split() ? routed_disaggregated_ : routed_).add();
   }
   clearPrefixes();
@@ -338,14 +411,18 @@
       route.prefill_engine ? table_.slotOf(route.prefill_engine->name) : kNoEngineSlot;
   const EngineSlot computing = route.prefill_engine ? prefill : engine;
   const Work work = workOf(request);
-  const double cached = static_cast<double>(route.expected_cached_pieces) *
-                        static_cast<double>(common::kTokensPerCachePiece);
-  const double uncached = std::max(0.0, work.prompt_tokens - cached);
+  PromptWork prompt;
+  prompt.copied = route.expected_copied_tokens;
+  prompt.cached = route.expected_cached_tokens;
+  prompt.uncached =
+      std::max(0.0, work.prompt_tokens - route.expected_cached_tokens - prompt.copied);
   std::vector<WorkShare> shares;
   ++attempts_;
   if (computing != kNoEngineSlot) {
     last_attempt_[computing] = attempts_;
-    shares.push_back({computing, uncached, computing == engine ? work.decode_tokens : 0});
+    shares.push_back({computing, prompt.uncached, computing == engine ? work.decode_tokens : 0});
+    long_prompts_.started(request.stream_id, computing,
+                          engine == computing ? kNoEngineSlot : engine, prompt, request.shape);
     for (const common::PieceHash piece : request.shape.pieces) {
       prefixes_.stored(computing, piece);
     }
@@ -357,9 +434,17 @@
   sent_.started(request.stream_id, shares, context_.clock.now());
 }
 
-void CostRouter::firstTokenReceived(const std::string& stream_id) { sent_.firstToken(stream_id); }
+void CostRouter::promptComputed(const std::string& stream_id) {
+  long_prompts_.computed(stream_id);
+  sent_.firstToken(stream_id);
+}
 
-void CostRouter::attemptFinished(const std::string& stream_id) { sent_.ended(stream_id); }
+void CostRouter::firstTokenReceived(const std::string& stream_id) { promptComputed(stream_id); }
+
+void CostRouter::attemptFinished(const std::string& stream_id) {
+  long_prompts_.abandoned(stream_id);
+  sent_.ended(stream_id);
+}
 
 bool CostRouter::takesWork(const engines::EngineEndpoint& engine) const {
   const EngineSlot slot = table_.slotOf(engine.name);
@@ -368,7 +453,7 @@
 }
 
 void CostRouter::attemptFailed(const std::string& stream_id, engines::StreamFailure) {
-  sent_.ended(stream_id);
+  attemptFinished(stream_id);
 }
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -9,6 +9,7 @@
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/routing/cost_model.h"
 #include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/routing/long_prompts.h"
 #include "cypresswall/routing/offers.h"
 #include "cypresswall/routing/router.h"
 #include "cypresswall/routing/sent_work.h"
@@ -27,6 +28,7 @@
   RouteChoice choose(const RouteRequest& request) override;
   bool takesWork(const engines::EngineEndpoint& engine) const override;
   void attemptStarted(const RouteRequest& request, const Route& route) override;
+  void promptComputed(const std::string& stream_id) override;
   void firstTokenReceived(const std::string& stream_id) override;
   void attemptFinished(const std::string& stream_id) override;
   void attemptFailed(const std::string& stream_id, engines::StreamFailure failure) override;
@@ -55,14 +57,20 @@
   void narrow(const RouteRequest& request, const std::vector<EngineSlot>& all);
   void notePrefixes(const RouteRequest& request);
   void clearPrefixes();
-  double uncachedTokens(EngineSlot slot, const Work& work) const;
-  /// \return true if `engine` is a decode engine and the prompt takes it longer than one step, for
-  ///   which every stream on it, and every short prompt that comes, would wait.
-  bool crowdsOut(const CostInputs& engine, double uncached) const;
+  /// Finds the engine from which others may copy the cached start of the prompt.
+  void findPrefixSource(const RouteRequest& request);
+  /// \return what the engine would have to do for the prompt, copying what it lacks if it can
+  PromptWork promptWork(EngineSlot slot, const Work& work) const;
+  /// \return true if `engine` is a decode engine and the prompt takes it longer than one step, and
+  ///   than its streams may be held up.
+  bool crowdsOut(const CostInputs& engine, const Work& work, double uncached) const;
   void priceEngines(const Work& work, double now);
   /// \return the cheapest engine. Among near equals a prompt with whole cache pieces gets the one
   ///   that its hash prefers, another the one whose turn it is; kNoEngineSlot if there is none.
-  EngineSlot cheapest(const std::vector<PricedEngine>& engines, const Work& work);
+  /// \param tolerance how much dearer than the cheapest an equal may be
+  EngineSlot cheapest(const std::vector<PricedEngine>& engines, const Work& work, double tolerance);
+  /// \return the tolerance among engines that would compute the prompt
+  double computingTolerance(const Work& work) const;
   /// \return the highest rank by the hash of the prompt's first piece.
   EngineSlot preferredByHash(const std::vector<PricedEngine>& equals,
                              common::PieceHash piece) const;
@@ -70,7 +78,7 @@
   EngineSlot nextInTurn(const std::vector<PricedEngine>& equals) const;
   Selection select(const Work& work, double now);
   void countDemand(const RouteRequest& request, const Work& work, const Selection& selection);
-  Route makeRoute(const Selection& selection) const;
+  Route makeRoute(const Selection& selection, const Work& work) const;
   RouteRefusal refuse(const Selection& best, const Work& work, const common::ModelName& model);
   RouteRefusal refuseWithoutEngine(const common::ModelName& model) const;
   common::Duration boundedRetry(double seconds) const;
@@ -85,6 +93,7 @@
   EstimateTable estimates_;
   std::vector<std::uint64_t> name_hashes_;
   SentWork sent_;
+  LongPrompts long_prompts_;
   /// Number of the last attempt sent to each engine, zero before the first.
   std::vector<std::uint64_t> last_attempt_;
   std::uint64_t attempts_ = 0;
@@ -95,7 +104,10 @@
   // Scratch space, kept so that a choice allocates nothing.
   std::vector<EngineSlot> narrowed_;
   std::vector<PrefixMatch> matches_;
-  std::vector<std::uint32_t> cached_pieces_;
+  std::vector<std::uint32_t> cached_tokens_;
+  /// Engine from which others can copy cached tokens of the prompt, and how many.
+  EngineSlot prefix_source_ = kNoEngineSlot;
+  std::uint32_t source_tokens_ = 0;
   std::vector<PricedEngine> whole_engines_;
   std::vector<PricedEngine> prefill_engines_;
   std::vector<PricedEngine> decode_engines_;
--- a/src/cypresswall/routing/engine_deltas.cpp
+++ b/src/cypresswall/routing/engine_deltas.cpp
@@ -8,6 +8,8 @@
 namespace cypresswall::routing {
 namespace {
 
+constexpr double kPicosecondsPerSecond = 1e12;
+
 constexpr std::uint64_t kTokensPerUnit = 100;
 constexpr auto kAgeUnit = std::chrono::milliseconds(10);
 constexpr unsigned kRoleShift = 2;
@@ -96,6 +98,9 @@
   identity.decode_step_base_us = static_cast<std::uint32_t>(load.decode_step_base.count());
   identity.decode_step_per_stream_us =
       static_cast<std::uint32_t>(load.decode_step_per_stream.count());
+  identity.prefill_base_us = static_cast<std::uint32_t>(load.prefill_base.count());
+  identity.prefill_pair_picoseconds =
+      static_cast<std::uint32_t>(load.prefill_seconds_per_pair * kPicosecondsPerSecond);
   return identity;
 }
 
@@ -125,6 +130,8 @@
   load.prefill_tokens_per_second = identity.prefill_tokens_per_second;
   load.decode_step_base = common::Duration(identity.decode_step_base_us);
   load.decode_step_per_stream = common::Duration(identity.decode_step_per_stream_us);
+  load.prefill_base = common::Duration(identity.prefill_base_us);
+  load.prefill_seconds_per_pair = identity.prefill_pair_picoseconds / kPicosecondsPerSecond;
 }
 
 double changeSignificance(const EngineDelta& published, const EngineDelta& now,
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -17,6 +17,7 @@
 #include "cypresswall/routing/engine_table.h"
 #include "cypresswall/routing/prefix_index.h"
 #include "cypresswall/routing/settings.h"
+#include "cypresswall/routing/work_exchange.h"
 
 namespace cypresswall::routing {
 
@@ -46,6 +47,7 @@
   DemandLedger& demand() { return demand_; }
   EngineTable& table() { return table_; }
   PrefixIndex& prefixes() { return prefixes_; }
+  WorkExchange& work() { return work_; }
 
  private:
   void onConfiguration(const configuration::FleetConfiguration& fleet);
@@ -68,6 +70,7 @@
   EngineTable table_;
   PrefixIndex prefixes_;
   DeltaExchange exchange_;
+  WorkExchange work_;
   EnginePoller poller_;
   /// Engines that another node took over, and until when this node goes on watching them.
   std::map<EngineSlot, common::MonotonicTime> handed_over_;
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -131,6 +131,16 @@
                            });
 }
 
+void EnginePoller::applyCacheEvent(EngineSlot slot, const engines::CacheEvent& event) {
+  const bool stored = event.kind == engines::CacheEventKind::kStored;
+  if (stored) {
+    prefixes_.stored(slot, event.piece);
+  } else if (!prefixes_.evicted(slot, event.piece)) {
+    return;
+  }
+  cache_listener_(slot, stored, event.piece);
+}
+
 void EnginePoller::onCacheEvents(EngineSlot slot, const engines::CacheEvents& events) {
   const EngineRecord& record = table_.record(slot);
   if (!record.reported || record.load.incarnation != events.incarnation) {
@@ -141,17 +151,17 @@
       events.events.empty()
           ? std::min(2 * state.cache_poll_factor, std::max(settings_.quiet_cache_poll_factor, 1U))
           : 1;
-  bool gap = false;
+  bool gap = events.gap.value_or(false);
   for (const engines::CacheEvent& event : events.events) {
-    gap = gap || (state.last_cache_event != 0 && event.sequence != state.last_cache_event + 1);
+    // One change of the engine may concern several pieces.
+    const bool follows =
+        event.sequence == state.last_cache_event || event.sequence == state.last_cache_event + 1;
+    gap = gap || (state.last_cache_event != 0 && !events.gap && !events.snapshot && !follows);
     state.last_cache_event = event.sequence;
-    const bool stored = event.kind == engines::CacheEventKind::kStored;
-    if (stored) {
-      prefixes_.stored(slot, event.piece);
-    } else {
-      prefixes_.evicted(slot, event.piece);
-    }
-    cache_listener_(slot, stored, event.piece);
+    applyCacheEvent(slot, event);
+  }
+  if (events.snapshot || events.gap) {
+    state.last_cache_event = events.last_sequence;
   }
   if (gap) {
     cache_gaps_.add();
--- a/src/cypresswall/routing/engine_poller.h
+++ b/src/cypresswall/routing/engine_poller.h
@@ -56,6 +56,7 @@
   void pollLoad(EngineSlot slot);
   void pollCache(EngineSlot slot);
   void onLoad(EngineSlot slot, const common::Result<engines::EngineLoad, engines::EngineFailure>&);
+  void applyCacheEvent(EngineSlot slot, const engines::CacheEvent& event);
   void onCacheEvents(EngineSlot slot, const engines::CacheEvents& events);
   bool stillDeclared(EngineSlot slot, const common::EngineName& name) const;
 
--- /dev/null
+++ b/src/cypresswall/routing/long_prompts.cpp
@@ -0,0 +1,195 @@
+#include "cypresswall/routing/long_prompts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cypresswall::routing {
+namespace {
+
+/// Bounds of the pace learnt of an engine.
+constexpr double kLeastPace = 0.25;
+constexpr double kGreatestPace = 20;
+
+}  // namespace
+
+LongPrompts::LongPrompts(const RouterSettings& settings, const common::Clock& clock,
+                         WorkExchange& exchange, PrefixIndex& prefixes, EstimateTable& estimates)
+    : settings_(settings),
+      model_(settings),
+      clock_(clock),
+      exchange_(exchange),
+      prefixes_(prefixes),
+      estimates_(estimates) {
+  exchange_.setListener(this);
+}
+
+LongPrompts::~LongPrompts() { exchange_.setListener(nullptr); }
+
+LongPrompts::Engine& LongPrompts::engineAt(EngineSlot slot) {
+  if (slot >= engines_.size()) {
+    engines_.resize(static_cast<std::size_t>(slot) + 1);
+  }
+  estimates_.reserve(slot);
+  return engines_[slot];
+}
+
+bool LongPrompts::isLong(const PromptWork& prompt) const {
+  return prompt.uncached > settings_.prefill_chunk_tokens || prompt.copied > 0;
+}
+
+void LongPrompts::started(const std::string& stream_id, EngineSlot engine, EngineSlot output,
+                          const PromptWork& prompt, const common::PromptShape& shape) {
+  abandoned(stream_id);
+  if (!isLong(prompt)) {
+    return;
+  }
+  OwnPrompt own;
+  own.engine = engine;
+  own.started_at = now();
+  own.alone = engineAt(engine).backlog.empty();
+  own.seconds_at_pace_one =
+      model_.promptSeconds(estimates_.inputs(engine), prompt) / estimates_.estimate(engine).pace;
+  StartedPrompt notice;
+  notice.uncached_tokens = static_cast<std::uint32_t>(prompt.uncached);
+  notice.copied_tokens = static_cast<std::uint32_t>(prompt.copied);
+  notice.cached_tokens = static_cast<std::uint32_t>(prompt.cached);
+  notice.pieces = shape.pieces;
+  while (notice.held_pieces < shape.pieces.size() &&
+         shape.tokensOfPieces(notice.held_pieces + std::size_t{1}) <= prompt.cached) {
+    ++notice.held_pieces;
+  }
+  own.number = exchange_.started(engine, output, notice);
+  add(engine, output, exchange_.keyOf(own.number), notice);
+  own_[stream_id] = own;
+}
+
+void LongPrompts::add(EngineSlot slot, EngineSlot output, PromptKey key,
+                      const StartedPrompt& prompt) {
+  PromptWork work;
+  work.uncached = prompt.uncached_tokens;
+  work.copied = prompt.copied_tokens;
+  work.cached = prompt.cached_tokens;
+  Engine& engine = engineAt(slot);
+  engine.backlog.add(key, now(), model_.promptSeconds(estimates_.inputs(slot), work));
+  const auto held = std::min<std::size_t>(prompt.held_pieces, prompt.pieces.size());
+  engine.computing.push_back({key, prompt.pieces, held, output});
+  publishBacklog(slot);
+}
+
+void LongPrompts::remove(EngineSlot slot, PromptKey key, bool computed) {
+  Engine& engine = engineAt(slot);
+  const auto found = std::find_if(engine.computing.begin(), engine.computing.end(),
+                                  [&](const Computing& entry) { return entry.key == key; });
+  if (found == engine.computing.end()) {
+    return;
+  }
+  const Computing ended = std::move(*found);
+  engine.computing.erase(found);
+  engine.backlog.remove(key, now());
+  settlePieces(slot, ended, computed);
+  publishBacklog(slot);
+}
+
+void LongPrompts::settlePieces(EngineSlot slot, const Computing& ended, bool computed) {
+  if (!computed) {
+    for (std::size_t i = ended.held; i < ended.pieces.size(); ++i) {
+      // Another prompt may be computing the same piece.
+      if (!beingComputed(slot, ended.pieces[i])) {
+        prefixes_.evicted(slot, ended.pieces[i]);
+      }
+    }
+    return;
+  }
+  // Said once more: a prompt that was to compute them before this one may have been given up.
+  for (const common::PieceHash piece : ended.pieces) {
+    prefixes_.stored(slot, piece);
+    if (ended.output != kNoEngineSlot) {
+      prefixes_.stored(ended.output, piece);
+    }
+  }
+}
+
+void LongPrompts::end(const std::string& stream_id, bool computed) {
+  const auto found = own_.find(stream_id);
+  if (found == own_.end()) {
+    return;
+  }
+  const OwnPrompt prompt = found->second;
+  own_.erase(found);
+  EndedPrompt notice;
+  notice.number = prompt.number;
+  notice.computed = computed;
+  if (computed) {
+    notice.pace = static_cast<float>(shownPace(prompt));
+    learnPace(prompt.engine, notice.pace);
+  }
+  remove(prompt.engine, exchange_.keyOf(prompt.number), computed);
+  exchange_.ended(prompt.engine, std::move(notice));
+}
+
+double LongPrompts::shownPace(const OwnPrompt& prompt) const {
+  if (!prompt.alone || prompt.seconds_at_pace_one <= 0) {
+    return 0;
+  }
+  return (now() - prompt.started_at) / prompt.seconds_at_pace_one;
+}
+
+void LongPrompts::learnPace(EngineSlot slot, double shown) {
+  if (!(shown > 0)) {
+    return;
+  }
+  double& pace = estimates_.edit(slot).pace;
+  pace += settings_.pace_weight * (std::clamp(shown, kLeastPace, kGreatestPace) - pace);
+  estimates_.refresh(slot);
+}
+
+bool LongPrompts::beingComputed(EngineSlot engine, common::PieceHash piece) const {
+  if (engine >= engines_.size()) {
+    return false;
+  }
+  const auto& computing = engines_[engine].computing;
+  return std::any_of(computing.begin(), computing.end(), [&](const Computing& entry) {
+    const auto first_new = entry.pieces.begin() + static_cast<std::ptrdiff_t>(entry.held);
+    return std::find(first_new, entry.pieces.end(), piece) != entry.pieces.end();
+  });
+}
+
+void LongPrompts::refresh(EngineSlot engine) {
+  if (engineAt(engine).backlog.empty()) {
+    return;
+  }
+  Engine& state = engineAt(engine);
+  state.backlog.expire(now(), common::toSeconds(settings_.backlog_expiry));
+  std::erase_if(state.computing,
+                [&](const Computing& entry) { return !state.backlog.holds(entry.key); });
+  publishBacklog(engine);
+}
+
+void LongPrompts::forgetEngine(EngineSlot engine) {
+  engineAt(engine) = Engine{};
+  estimates_.edit(engine).pace = 1;
+  publishBacklog(engine);
+}
+
+void LongPrompts::publishBacklog(EngineSlot slot) {
+  const PromptBacklog& backlog = engines_[slot].backlog;
+  EngineEstimate& estimate = estimates_.edit(slot);
+  estimate.has_backlog = !backlog.empty();
+  estimate.backlog_empty_at = backlog.emptyAt();
+  estimates_.refresh(slot);
+}
+
+void LongPrompts::onPeerStarted(EngineSlot engine, EngineSlot output, PromptKey key,
+                                const StartedPrompt& prompt) {
+  add(engine, output, key, prompt);
+  for (const common::PieceHash piece : prompt.pieces) {
+    prefixes_.stored(engine, piece);
+  }
+}
+
+void LongPrompts::onPeerEnded(EngineSlot engine, PromptKey key, const EndedPrompt& prompt) {
+  remove(engine, key, prompt.computed);
+  learnPace(engine, prompt.pace);
+}
+
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/src/cypresswall/routing/long_prompts.h
@@ -0,0 +1,94 @@
+/// The long prompts under way on the zone's engines, sent by this node and, as far as told, by its
+/// peers: how long each engine will be busy with them, which cached pieces are still being
+/// computed, and the pace that engines showed.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/routing/cost_model.h"
+#include "cypresswall/routing/offers.h"
+#include "cypresswall/routing/prompt_backlog.h"
+#include "cypresswall/routing/work_exchange.h"
+
+namespace cypresswall::routing {
+
+/// Writes the backlogs and paces into the estimates that the router weighs.
+class LongPrompts final : public WorkExchange::Listener {
+ public:
+  /// \pre all references outlive this object, which becomes the listener of `exchange`
+  LongPrompts(const RouterSettings& settings, const common::Clock& clock, WorkExchange& exchange,
+              PrefixIndex& prefixes, EstimateTable& estimates);
+  ~LongPrompts() override;
+  LongPrompts(const LongPrompts&) = delete;
+  LongPrompts& operator=(const LongPrompts&) = delete;
+
+  /// Notes that this node sent a prompt; one that takes the engine no more than a step is left out.
+  /// \param output engine that takes the KV cache over, or kNoEngineSlot
+  void started(const std::string& stream_id, EngineSlot engine, EngineSlot output,
+               const PromptWork& prompt, const common::PromptShape& shape);
+  void computed(const std::string& stream_id) { end(stream_id, true); }
+  /// The attempt ended; does nothing after computed().
+  void abandoned(const std::string& stream_id) { end(stream_id, false); }
+
+  /// \return true if the engine was sent the piece, but has not computed it yet
+  bool beingComputed(EngineSlot engine, common::PieceHash piece) const;
+  /// Brings an engine's estimate up to date; called at each of its reports.
+  void refresh(EngineSlot engine);
+  /// The engine restarted, or the slot has another engine.
+  void forgetEngine(EngineSlot engine);
+
+  void onPeerStarted(EngineSlot engine, EngineSlot output, PromptKey key,
+                     const StartedPrompt& prompt) override;
+  void onPeerEnded(EngineSlot engine, PromptKey key, const EndedPrompt& prompt) override;
+
+ private:
+  /// One of this node's prompts.
+  struct OwnPrompt {
+    EngineSlot engine = kNoEngineSlot;
+    std::uint32_t number = 0;
+    double started_at = 0;
+    /// Time that an engine of pace 1 would need.
+    double seconds_at_pace_one = 0;
+    /// The engine had no other long prompt when this one came.
+    bool alone = false;
+  };
+  /// Pieces that one prompt makes an engine hold.
+  struct Computing {
+    PromptKey key = 0;
+    std::vector<common::PieceHash> pieces;
+    /// So many of them, from the first on, it held before.
+    std::size_t held = 0;
+    EngineSlot output = kNoEngineSlot;
+  };
+  struct Engine {
+    PromptBacklog backlog;
+    std::vector<Computing> computing;
+  };
+
+  double now() const { return toModelTime(clock_.now()); }
+  Engine& engineAt(EngineSlot slot);
+  bool isLong(const PromptWork& prompt) const;
+  void add(EngineSlot slot, EngineSlot output, PromptKey key, const StartedPrompt& prompt);
+  /// Brings the index of cached pieces up to date at the end of a prompt.
+  void settlePieces(EngineSlot slot, const Computing& ended, bool computed);
+  void remove(EngineSlot slot, PromptKey key, bool computed);
+  void end(const std::string& stream_id, bool computed);
+  /// \return the pace that the engine showed, or zero if that can't be told from this prompt
+  double shownPace(const OwnPrompt& prompt) const;
+  void learnPace(EngineSlot slot, double shown);
+  void publishBacklog(EngineSlot slot);
+
+  const RouterSettings& settings_;
+  OfferModel model_;
+  const common::Clock& clock_;
+  WorkExchange& exchange_;
+  PrefixIndex& prefixes_;
+  EstimateTable& estimates_;
+  std::vector<Engine> engines_;
+  std::unordered_map<std::string, OwnPrompt> own_;
+};
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/offers.h
+++ b/src/cypresswall/routing/offers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 #include "cypresswall/routing/cost_model.h"
@@ -21,8 +22,26 @@
   double between_tokens_limit = 0;
   double inverse_first_token_limit = 0;
   double inverse_between_tokens_limit = 0;
-  /// First piece of the prompt, or zero if it has none.
+  /// Piece of the prompt by which equal prompts meet, or zero if it has none that is worth it.
   std::uint64_t affinity = 0;
+  /// Tokens up to the end of that piece.
+  double affinity_tokens = 0;
+};
+
+/// What an engine has to do before it holds the whole prompt, in tokens.
+struct PromptWork {
+  /// Computed by the engine itself.
+  double uncached = 0;
+  /// Copied from another engine that holds them.
+  double copied = 0;
+  /// Held by the engine already.
+  double cached = 0;
+
+  /// \return pairs of a token that is computed with one before it
+  double pairs() const {
+    constexpr double kHalf = 0.5;
+    return uncached * (cached + copied + kHalf * uncached);
+  }
 };
 
 /// What one engine, or a prefill and a decode engine together, would make of it; in seconds.
@@ -51,23 +70,30 @@
         kv_per_token_(common::toSeconds(settings.kv_transfer_per_thousand_tokens) / kThousand) {}
 
   /// An engine that runs the whole request.
-  /// \param uncached prompt tokens that the engine has to compute
-  Offer whole(const CostInputs& engine, const Work& work, double uncached, double now) const {
+  Offer whole(const CostInputs& engine, const Work& work, const PromptWork& prompt,
+              double now) const {
     Offer offer;
     offer.wait = wait(engine, now);
     offer.between_tokens = engine.step;
-    offer.first_token = offer.wait + uncached * engine.seconds_per_prefill_token + engine.step;
+    offer.first_token = offer.wait + promptSeconds(engine, prompt) + engine.step;
     price(offer, work, engine);
     return offer;
   }
   /// An engine that only computes the prompt.
-  Offer prefill(const CostInputs& engine, const Work& work, double uncached, double now) const {
+  Offer prefill(const CostInputs& engine, const Work& work, const PromptWork& prompt,
+                double now) const {
     Offer offer;
     offer.wait = wait(engine, now);
-    offer.first_token = offer.wait + uncached * engine.seconds_per_prefill_token;
+    offer.first_token = offer.wait + promptSeconds(engine, prompt);
     price(offer, work, engine);
     return offer;
   }
+  /// \return seconds that the engine needs for the prompt alone
+  double promptSeconds(const CostInputs& engine, const PromptWork& prompt) const {
+    const double copying = prompt.copied > 0 ? kv_base_ + kv_per_token_ * prompt.copied : 0;
+    return engine.prefill_base + prompt.uncached * engine.seconds_per_prefill_token +
+           prompt.pairs() * engine.prefill_seconds_per_pair + copying;
+  }
   /// An engine that takes over a computed prompt.
   Offer decode(const CostInputs& engine, const Work& work) const {
     Offer offer;
@@ -91,12 +117,17 @@
   static constexpr double kThousand = 1000;
 
   static double wait(const CostInputs& engine, double now) {
-    const double queue = std::max(0.0, engine.queue_empty_at - now);
-    return queue + engine.unreported_wait + engine.slot_wait;
+    const double queue = std::max(0.0, engine.queue_empty_at - now) + engine.unreported_wait;
+    return std::max(queue, backlogWait(engine, now)) + engine.slot_wait;
+  }
+
+  /// An engine that is late with its prompts by some time is expected to need as long again.
+  static double backlogWait(const CostInputs& engine, double now) {
+    return engine.has_backlog ? std::abs(engine.backlog_empty_at - now) : 0.0;
   }
 
   void price(Offer& offer, const Work& work, const CostInputs& engine) const {
-    offer.step_limit = std::max(engine.slackened_lone_step, work.between_tokens_limit);
+    offer.step_limit = std::max<double>(engine.slackened_lone_step, work.between_tokens_limit);
     offer.late = offer.wait > negligible_wait_ && offer.first_token > work.first_token_limit;
     offer.cost = offer.first_token * work.inverse_first_token_limit +
                  between_weight_ * offer.between_tokens * work.inverse_between_tokens_limit;
--- a/src/cypresswall/routing/prefix_index.cpp
+++ b/src/cypresswall/routing/prefix_index.cpp
@@ -82,16 +82,19 @@
   *free_place = Holder{engine, life};
 }
 
-void PrefixIndex::evicted(EngineSlot engine, common::PieceHash piece) {
+bool PrefixIndex::evicted(EngineSlot engine, common::PieceHash piece) {
   Way* way = find(piece);
   if (way == nullptr) {
-    return;
+    return false;
   }
+  bool held = false;
   for (Holder& holder : way->holders) {
     if (holder.engine == engine) {
+      held = held || current(holder);
       holder = Holder{};
     }
   }
+  return held;
 }
 
 void PrefixIndex::forgetEngine(EngineSlot engine) {
--- a/src/cypresswall/routing/prefix_index.h
+++ b/src/cypresswall/routing/prefix_index.h
@@ -30,7 +30,8 @@
   /// Notes that `engine` holds `piece`.
   void stored(EngineSlot engine, common::PieceHash piece);
   /// Notes that `engine` no longer holds `piece`.
-  void evicted(EngineSlot engine, common::PieceHash piece);
+  /// \return true if it was believed to
+  bool evicted(EngineSlot engine, common::PieceHash piece);
   /// Forgets all that is known of an engine: it restarted, or its slot has another engine.
   void forgetEngine(EngineSlot engine);
   /// Lowers the trust in an engine's entries: events were lost. The entries stay, since most of
--- /dev/null
+++ b/src/cypresswall/routing/prompt_backlog.cpp
@@ -0,0 +1,52 @@
+#include "cypresswall/routing/prompt_backlog.h"
+
+#include <algorithm>
+
+namespace cypresswall::routing {
+
+void PromptBacklog::add(PromptKey key, double started_at, double seconds) {
+  const auto later = std::find_if(prompts_.begin(), prompts_.end(), [&](const Prompt& prompt) {
+    return prompt.started_at > started_at;
+  });
+  prompts_.insert(later, Prompt{key, started_at, seconds});
+}
+
+bool PromptBacklog::remove(PromptKey key, double now) {
+  const auto found = std::find_if(prompts_.begin(), prompts_.end(),
+                                  [&](const Prompt& prompt) { return prompt.key == key; });
+  if (found == prompts_.end()) {
+    return false;
+  }
+  if (found == prompts_.begin()) {
+    last_end_ = now;
+  }
+  prompts_.erase(found);
+  return true;
+}
+
+void PromptBacklog::expire(double now, double limit) {
+  while (!prompts_.empty()) {
+    const Prompt& first = prompts_.front();
+    const double due = std::max(first.started_at, last_end_) + first.seconds;
+    if (due + limit >= now) {
+      return;
+    }
+    last_end_ = due;
+    prompts_.erase(prompts_.begin());
+  }
+}
+
+bool PromptBacklog::holds(PromptKey key) const {
+  return std::any_of(prompts_.begin(), prompts_.end(),
+                     [&](const Prompt& prompt) { return prompt.key == key; });
+}
+
+double PromptBacklog::emptyAt() const {
+  double end = last_end_;
+  for (const Prompt& prompt : prompts_) {
+    end = std::max(end, prompt.started_at) + prompt.seconds;
+  }
+  return end;
+}
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -42,7 +42,15 @@
   std::optional<engines::EngineEndpoint> prefill_engine;
   common::Duration expected_first_token{0};
   common::Duration expected_between_tokens{0};
-  std::uint32_t expected_cached_pieces = 0;
+  std::uint32_t expected_cached_tokens = 0;
+  /// Set when the engine that computes the prompt first copies a cached part of it from another.
+  std::optional<engines::EngineEndpoint> prefix_source;
+  std::uint32_t expected_copied_tokens = 0;
+  /// Engines believed to hold a part of the prompt, whether they may get work or not.
+  std::uint32_t known_holders = 0;
+  /// Time expected for the prompt alone, and before it begins.
+  common::Duration expected_prompt{0};
+  common::Duration expected_wait{0};
 };
 
 enum class RouteFailure {
@@ -70,6 +78,8 @@
   /// Tells the router what became of a choice, so that its estimates include work that no load
   /// report shows yet. Each started attempt ends in exactly one of finished and failed.
   virtual void attemptStarted(const RouteRequest& request, const Route& route) = 0;
+  /// The first of two engines of a route has computed the prompt.
+  virtual void promptComputed(const std::string& stream_id) = 0;
   virtual void firstTokenReceived(const std::string& stream_id) = 0;
   virtual void attemptFinished(const std::string& stream_id) = 0;
   virtual void attemptFailed(const std::string& stream_id, engines::StreamFailure failure) = 0;
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -74,6 +74,19 @@
   /// Bounds of Retry-After.
   common::Duration minimum_retry_after = std::chrono::seconds(1);
   common::Duration maximum_retry_after = std::chrono::seconds(60);
+  /// Engines copy cached pieces of a prompt from one another when told where they are.
+  bool copies_prefixes = false;
+  /// Fewer tokens than these are computed rather than copied.
+  std::uint32_t minimum_copied_tokens = 1024;
+  /// Prompts that share a part whose computation takes long meet on the engine that hashing
+  /// prefers, if that costs no more than this share of the computation.
+  double affinity_share = 0.1;
+  /// Part of the limit between tokens for which a prompt may hold up the output of a decode engine.
+  double crowding_share = 0.6;
+  /// A long prompt whose end was not told is forgotten when it is overdue by this.
+  common::Duration backlog_expiry = std::chrono::seconds(2);
+  /// Weight of the newest measurement in the pace learnt of an engine.
+  double pace_weight = 0.25;
   /// A report that describes a moment this short after an attempt started may not show it yet.
   common::Duration report_slack = std::chrono::milliseconds(20);
 };
--- /dev/null
+++ b/src/cypresswall/routing/work_exchange.h
@@ -0,0 +1,103 @@
+/// Tells the zone's other nodes at once of each long prompt that this node sends to an engine, and
+/// of its end. Load reports come too late for that: such a prompt holds an engine for a tenth of a
+/// second and more, and reports are a few tenths old.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/membership/membership_view.h"
+#include "cypresswall/routing/engine_table.h"
+#include "cypresswall/routing/prompt_backlog.h"
+
+namespace cypresswall::routing {
+
+/// A long prompt that was sent to an engine.
+struct StartedPrompt {
+  common::EngineName engine;
+  /// Counts up per sender.
+  std::uint32_t number = 0;
+  std::uint32_t uncached_tokens = 0;
+  /// Tokens whose KV cache the engine copies from another one first.
+  std::uint32_t copied_tokens = 0;
+  std::uint32_t cached_tokens = 0;
+  /// The pieces that the engine will hold afterwards, and how many of them it held before.
+  std::vector<common::PieceHash> pieces;
+  std::uint32_t held_pieces = 0;
+  /// Engine that takes the KV cache over for the output and then holds the pieces too; empty if the
+  /// prompt stays where it is.
+  common::EngineName output_engine;
+
+  MSGPACK_DEFINE(engine, number, uncached_tokens, copied_tokens, cached_tokens, pieces, held_pieces,
+                 output_engine)
+};
+
+/// The end of a long prompt.
+struct EndedPrompt {
+  common::EngineName engine;
+  std::uint32_t number = 0;
+  /// False if the engine did not compute it, so that it does not hold its pieces.
+  bool computed = true;
+  /// Pace that the engine showed with it, as a multiple of what was expected of one of pace 1; zero
+  /// if other prompts were in its way.
+  float pace = 0;
+
+  MSGPACK_DEFINE(engine, number, computed, pace)
+};
+
+/// What one node did. Nothing is sent again: a lost start costs a worse choice, and a prompt whose
+/// end was lost is forgotten when it is long overdue.
+struct WorkNotice {
+  static constexpr api::MessageType kType = api::messageType(api::MessageType::kRoutingFirst, 2);
+
+  std::vector<StartedPrompt> started;
+  std::vector<EndedPrompt> ended;
+
+  MSGPACK_DEFINE(started, ended)
+};
+
+class WorkExchange {
+ public:
+  /// Is told what other nodes did.
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void onPeerStarted(EngineSlot engine, EngineSlot output, PromptKey key,
+                               const StartedPrompt& prompt) = 0;
+    virtual void onPeerEnded(EngineSlot engine, PromptKey key, const EndedPrompt& prompt) = 0;
+  };
+
+  /// Registers the handler of WorkNotice.
+  WorkExchange(const api::ProcessContext& context, const membership::MembershipView& membership,
+               const EngineTable& table);
+
+  /// \param listener outlives this object, or nullptr
+  void setListener(Listener* listener) { listener_ = listener; }
+
+  /// Tells the peers that this node sent a prompt to an engine. The names of the engines and
+  /// `prompt.number` are filled in here.
+  /// \param output kNoEngineSlot if the prompt stays where it is
+  /// \return the number to end it with
+  std::uint32_t started(EngineSlot engine, EngineSlot output, StartedPrompt prompt);
+  /// `prompt.engine` is filled in here.
+  void ended(EngineSlot engine, EndedPrompt prompt);
+  /// \return the key of this node's prompt of that number
+  PromptKey keyOf(std::uint32_t number) const { return keyOf(context_.self, number); }
+
+ private:
+  static PromptKey keyOf(const common::NodeId& node, std::uint32_t number);
+  void send(const WorkNotice& notice);
+  void onNotice(const common::NodeId& sender, const WorkNotice& notice);
+
+  const api::ProcessContext& context_;
+  const membership::MembershipView& membership_;
+  const EngineTable& table_;
+  Listener* listener_ = nullptr;
+  std::uint32_t next_number_ = 1;
+  common::Counter& sent_;
+  common::Counter& received_;
+  common::Counter& unknown_engine_;
+};
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -102,6 +102,7 @@
     // That platform counts every request that arrives at a back end, refused or not, over all nodes
     // together: a node may save up only its part of what the platform allows at once.
     settings.node.execution.charge_refused_attempts = true;
+    settings.node.router.copies_prefixes = true;
     settings.node.execution.retry_burst = kRetryBurstOfCountingPlatform;
     settings.node.execution.first_token_silence_share = kSilenceShareOfCountingPlatform;
   }
--- a/tests/execution/fake_engines.h
+++ b/tests/execution/fake_engines.h
@@ -76,6 +76,7 @@
     return leaving.count(engine.name) == 0;
   }
   void attemptStarted(const routing::RouteRequest&, const routing::Route&) override { ++open; }
+  void promptComputed(const std::string&) override {}
   void firstTokenReceived(const std::string&) override {}
   void attemptFinished(const std::string&) override { --open; }
   void attemptFailed(const std::string&, engines::StreamFailure) override { --open; }
--- a/tests/objects_platform/load_report_test.cpp
+++ b/tests/objects_platform/load_report_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/load_report.h"
 
+#include "platform/prompt_parts.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::objects_platform {
@@ -10,6 +11,9 @@
   CPPUNIT_TEST(readsALoadReport);
   CPPUNIT_TEST(decodeRunnersReadPromptsAtHalfPace);
   CPPUNIT_TEST(refusesWhatIsNoReport);
+  CPPUNIT_TEST(readsWhatARunnerHolds);
+  CPPUNIT_TEST(readsChangesOfTheCache);
+  CPPUNIT_TEST(refusesWhatTellsNoCache);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -35,6 +39,42 @@
     CPPUNIT_ASSERT_EQUAL(prefill->prefill_tokens_per_second, 2 * decode->prefill_tokens_per_second);
   }
 
+  void readsWhatARunnerHolds() {
+    const auto list = parseCacheList(
+        R"({"epoch":3,"next_token":41,"held":[["","5c1e",13300,"m"],["","91bd",90,"m"]]})", "i-1",
+        facts());
+    CPPUNIT_ASSERT(list.has_value());
+    CPPUNIT_ASSERT(list->snapshot);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, list->last_sequence);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list->events.size());
+    // The same piece as that of a prompt which names the part.
+    const auto shape = shapeOfParts("5c1e:13300,aa:10", 13310, "api/m");
+    CPPUNIT_ASSERT_EQUAL(shape.pieces.at(0), list->events.at(0).piece);
+  }
+
+  void readsChangesOfTheCache() {
+    const auto changes = parseCacheEvents(
+        R"({"epoch":3,"next_token":44,"lost":true,"events":[[41,"+","","5c1e",13300,"m"],)"
+        R"([42,"+","","91bd",90,"m"],[43,"-","","77aa",0,"m"]]})",
+        "i-1", facts());
+    CPPUNIT_ASSERT(changes.has_value());
+    CPPUNIT_ASSERT(!changes->snapshot);
+    CPPUNIT_ASSERT(changes->gap.value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{43}, changes->last_sequence);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changes->events.size());
+    CPPUNIT_ASSERT(changes->events.at(0).kind == engines::CacheEventKind::kStored);
+    CPPUNIT_ASSERT(changes->events.at(1).kind == engines::CacheEventKind::kEvicted);
+  }
+
+  void refusesWhatTellsNoCache() {
+    for (const char* body : {"", "[]", "{}", R"({"next_token":1})", R"({"held":[]})",
+                             R"({"next_token":1,"held":[[1]],"events":[[1]]})",
+                             R"({"next_token":"x","held":[],"events":[]})"}) {
+      CPPUNIT_ASSERT_MESSAGE(body, !parseCacheList(body, "i-1", facts()).has_value());
+      CPPUNIT_ASSERT_MESSAGE(body, !parseCacheEvents(body, "i-1", facts()).has_value());
+    }
+  }
+
   void refusesWhatIsNoReport() {
     for (const char* body :
          {"", "[]", "{}", R"({"stage":7})", R"({"stage":"decode","queued":"x"})"}) {
--- a/tests/routing/engine_directory_test.cpp
+++ b/tests/routing/engine_directory_test.cpp
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(newVersionIsToldThoughTheBudgetIsSpent);
   CPPUNIT_TEST(steadyEngineIsReadLessOften);
   CPPUNIT_TEST(quietCacheIsReadLessOften);
+  CPPUNIT_TEST(listedCacheIsKnownToAllAtOnce);
   CPPUNIT_TEST(steadyZoneIsConfirmedLessOften);
   CPPUNIT_TEST_SUITE_END();
 
@@ -283,6 +284,34 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, matches.size());
   }
 
+  /// Nodes that all restarted know again what the engines hold.
+  void listedCacheIsKnownToAllAtOnce() {
+    Zone zone(16, 3, 2);
+    auto& engine = zone.engines["e1000:1"];
+    engine.lists_cache = true;
+    engine.load.cache_pieces_used = 2;
+    engine.events = {{40, engines::CacheEventKind::kStored, 77},
+                     {40, engines::CacheEventKind::kStored, 78}};
+    zone.run(std::chrono::seconds(3));
+    for (const Node& node : zone.nodes) {
+      std::vector<PrefixMatch> matches;
+      node.directory->prefixes().match({77}, matches);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, matches.size());
+      CPPUNIT_ASSERT_EQUAL(1.0, node.directory->prefixes().trust(matches.at(0).engine));
+    }
+    engine.events.push_back({45, engines::CacheEventKind::kEvicted, 77});
+    zone.run(std::chrono::seconds(5));
+    for (const Node& node : zone.nodes) {
+      std::vector<PrefixMatch> matches;
+      node.directory->prefixes().match({77}, matches);
+      CPPUNIT_ASSERT(matches.empty());
+      node.directory->prefixes().match({78}, matches);
+      CPPUNIT_ASSERT_EQUAL(1.0, node.directory->prefixes().trust(matches.at(0).engine));
+      CPPUNIT_ASSERT_EQUAL(0.0,
+                           node.process->counters().total("cypresswall_cache_event_gaps_total"));
+    }
+  }
+
   void steadyZoneIsConfirmedLessOften() {
     Zone zone(15, 2, 8);
     zone.run(std::chrono::seconds(3));
--- /dev/null
+++ b/tests/routing/prompt_backlog_test.cpp
@@ -0,0 +1,79 @@
+#include "cypresswall/routing/prompt_backlog.h"
+
+#include "tests/support/property.h"
+
+namespace cypresswall::routing {
+namespace {
+
+class PromptBacklogTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PromptBacklogTest);
+  CPPUNIT_TEST(promptsFollowOneAnother);
+  CPPUNIT_TEST(anEarlyEndBringsTheRestForward);
+  CPPUNIT_TEST(overduePromptsAreForgotten);
+  CPPUNIT_TEST(emptiesWhateverTheOrderOfEnds);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void promptsFollowOneAnother() {
+    PromptBacklog backlog;
+    backlog.add(1, 10.0, 0.5);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10.5, backlog.emptyAt(), 1e-9);
+    backlog.add(2, 10.1, 0.2);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10.7, backlog.emptyAt(), 1e-9);
+    backlog.add(3, 20.0, 0.2);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(20.2, backlog.emptyAt(), 1e-9);
+  }
+
+  void anEarlyEndBringsTheRestForward() {
+    PromptBacklog backlog;
+    backlog.add(1, 10.0, 0.5);
+    backlog.add(2, 10.0, 0.5);
+    CPPUNIT_ASSERT(backlog.remove(1, 10.2));
+    CPPUNIT_ASSERT(!backlog.remove(1, 10.2));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10.7, backlog.emptyAt(), 1e-9);
+  }
+
+  void overduePromptsAreForgotten() {
+    PromptBacklog backlog;
+    backlog.add(1, 10.0, 0.5);
+    backlog.add(2, 10.0, 0.5);
+    backlog.expire(12.4, 2.0);
+    CPPUNIT_ASSERT(backlog.holds(1));
+    backlog.expire(12.6, 2.0);
+    CPPUNIT_ASSERT(!backlog.holds(1));
+    CPPUNIT_ASSERT(backlog.holds(2));
+    backlog.expire(13.1, 2.0);
+    CPPUNIT_ASSERT(backlog.empty());
+  }
+
+  void emptiesWhateverTheOrderOfEnds() {
+    testing::requireProperty("every prompt can be taken out once", 200, [] {
+      const auto count = *rc::gen::inRange<PromptKey>(1, 20);
+      PromptBacklog backlog;
+      double expected = 0;
+      for (PromptKey key = 0; key < count; ++key) {
+        const double seconds = *rc::gen::inRange(1, 100) / 100.0;
+        backlog.add(key, 5.0, seconds);
+        expected += seconds;
+        RC_ASSERT(std::abs(backlog.emptyAt() - 5.0 - expected) < 1e-6);
+      }
+      std::vector<PromptKey> keys;
+      for (PromptKey key = 0; key < count; ++key) {
+        keys.insert(keys.begin() + *rc::gen::inRange<int>(0, static_cast<int>(keys.size()) + 1),
+                    key);
+      }
+      double before = backlog.emptyAt();
+      for (const PromptKey key : keys) {
+        RC_ASSERT(backlog.remove(key, 5.0));
+        RC_ASSERT(backlog.emptyAt() <= before + 1e-9);
+        before = backlog.emptyAt();
+      }
+      RC_ASSERT(backlog.empty());
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptBacklogTest);
+
+}  // namespace
+}  // namespace cypresswall::routing
--- a/tests/support/engine_world.h
+++ b/tests/support/engine_world.h
@@ -21,6 +21,8 @@
 struct ScriptedEngine {
   engines::EngineLoad load;
   std::vector<engines::CacheEvent> events;
+  /// The engine begins with all that it holds, leaves out changes of no use and tells gaps itself.
+  bool lists_cache = false;
   bool reachable = true;
   std::uint64_t load_reads = 0;
 };
@@ -51,6 +53,10 @@
     ScriptedEngine& engine = engines_[endpoint.address];
     engines::CacheEvents events;
     events.incarnation = engine.load.incarnation;
+    if (engine.lists_cache) {
+      events.snapshot = after == 0;
+      events.gap = false;
+    }
     for (const auto& event : engine.events) {
       events.last_sequence = event.sequence;
       if (event.sequence > after) {
