--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
+constexpr int kInternalError = 500;
 /// Statuses that say nothing about the request itself: another back end may do better.
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
@@ -165,7 +166,8 @@
 
 void ServiceRun::onAnswered(services::ServiceResponse response) {
   const bool elsewhere_may_help =
-      response.status >= kBadGateway && response.status <= kGatewayTimeout;
+      response.status == kInternalError ||
+      (response.status >= kBadGateway && response.status <= kGatewayTimeout);
   if (operation_.repeatable && elsewhere_may_help && payForRetry()) {
     may_have_run_ = true;
     scheduleAttempt(backoffBefore(runs_, core_.settings, core_.process.random));
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -93,6 +93,7 @@
   CPPUNIT_TEST_SUITE(HttpServiceExecutorTest);
   CPPUNIT_TEST(relaysTheAnswer);
   CPPUNIT_TEST(repeatsWhatMayBeRepeated);
+  CPPUNIT_TEST(anInternalErrorIsRepeatedElsewhere);
   CPPUNIT_TEST(longestPrefixDecides);
   CPPUNIT_TEST(unknownOutcomeIsNotRepeated);
   CPPUNIT_TEST(provedNotRunGoesElsewhere);
@@ -130,6 +131,21 @@
     CPPUNIT_ASSERT(world.client.calls[0].first != world.client.calls[1].first);
   }
 
+  void anInternalErrorIsRepeatedElsewhere() {
+    World world;
+    world.client.scripts = {CallScript::kServerError};
+    const auto answer = world.ask(World::request("GET", "/slots"));
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.client.calls.size());
+    CPPUNIT_ASSERT(world.client.calls[0].first != world.client.calls[1].first);
+    World spent;
+    spent.client.scripts.assign(10, CallScript::kServerError);
+    const auto given_up = spent.ask(World::request("GET", "/slots"));
+    CPPUNIT_ASSERT(given_up.outcome == Outcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(500, given_up.status);
+  }
+
   void longestPrefixDecides() {
     World world;
     world.client.scripts = {CallScript::kBrokenAfterRun};
