Let a zone of many nodes publish its engines' load

A publication to 58 peers has to pay twice its fixed part, 9.4 KB, and the budget never saves up more than 7 KB: nothing was published after the start, and only nodes that watch an engine themselves had one to choose. Ruled out: differing lists of engines (equal on all nodes from second 9 of the start on). Change: each peer may be told one small publication a second whatever the budget. The test fails without it. The bytes a node sends grow with its zone: zones of that size need a tree or several product zones (open).

--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -16,6 +16,9 @@
 constexpr double kFixedPartShare = 2.0;
 /// Unspent budget is kept for this long.
 constexpr double kBudgetSeconds = 2.0;
+/// Whatever the budget, each peer may be told this much: one small publication a second. With less
+/// the peers of a zone of many nodes would take all engines for silent.
+constexpr double kLeastBytesPerPeerSecond = 120;
 constexpr std::size_t kMaximumQueuedHints = 512;
 /// Above this many, sequence numbers of peers that are gone are forgotten.
 constexpr std::size_t kMaximumRememberedPeers = 64;
@@ -98,11 +101,12 @@
 
 void DeltaExchange::tick() {
   const common::MonotonicTime now = context_.clock.now();
-  const double rate = settings_.publish_bytes_per_second;
+  const auto targets = peers();
+  const double rate = std::max<double>(settings_.publish_bytes_per_second,
+                                       kLeastBytesPerPeerSecond * targets.size());
   budget_bytes_ += rate * common::toSeconds(now - budget_filled_at_);
   budget_bytes_ = std::min(budget_bytes_, rate * kBudgetSeconds);
   budget_filled_at_ = now;
-  const auto targets = peers();
   if (received_.size() > kMaximumRememberedPeers) {
     std::erase_if(received_, [&](const auto& item) {
       return std::find(targets.begin(), targets.end(), item.first) == targets.end();
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -37,7 +37,8 @@
   common::Duration silence_limit = std::chrono::seconds(3);
   /// How long a node goes on watching an engine after another node took it over.
   common::Duration hand_over_overlap = std::chrono::seconds(1);
-  /// Bytes of publications to all peers together, envelopes included, without TCP/IP headers.
+  /// Bytes of publications to all peers together, envelopes included, without TCP/IP headers. In a
+  /// zone of many nodes more is spent: what one small publication a second to each peer takes.
   std::uint32_t publish_bytes_per_second = 3500;
   /// A process whose timers are late by this much was paused, and routes nothing for a while.
   common::Duration pause_limit = std::chrono::milliseconds(1500);
--- a/tests/routing/engine_directory_test.cpp
+++ b/tests/routing/engine_directory_test.cpp
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(steadyEngineIsReadLessOften);
   CPPUNIT_TEST(quietCacheIsReadLessOften);
   CPPUNIT_TEST(listedCacheIsKnownToAllAtOnce);
+  CPPUNIT_TEST(zoneOfManyNodesKnowsEveryEngine);
   CPPUNIT_TEST(steadyZoneIsConfirmedLessOften);
   CPPUNIT_TEST_SUITE_END();
 
@@ -312,6 +313,25 @@
     }
   }
 
+  /// Two publications to 59 peers once cost more than the budget could ever save up.
+  void zoneOfManyNodesKnowsEveryEngine() {
+    Zone zone(17, 60, 60);
+    for (int second = 0; second < 10; ++second) {
+      for (auto& [address, engine] : zone.engines) {
+        engine.load.running_streams = static_cast<std::uint32_t>(second % 5 * 6);
+      }
+      zone.run(std::chrono::seconds(1));
+      if (second < 4) {
+        continue;
+      }
+      for (const Node& node : zone.nodes) {
+        for (const EngineRecord& record : node.directory->records()) {
+          CPPUNIT_ASSERT(record.availability == EngineAvailability::kAvailable);
+        }
+      }
+    }
+  }
+
   void steadyZoneIsConfirmedLessOften() {
     Zone zone(15, 2, 8);
     zone.run(std::chrono::seconds(3));
--- a/tests/routing/long_prompts_test.cpp
+++ b/tests/routing/long_prompts_test.cpp
@@ -44,7 +44,7 @@
     const RouteRequest request = requestOf(id, subject);
     const RouteChoice choice = router(node).choose(request);
     CPPUNIT_ASSERT_MESSAGE("refused", std::holds_alternative<Route>(choice));
-    const Route route = std::get<Route>(choice);
+    Route route = std::get<Route>(choice);
     router(node).attemptStarted(request, route);
     return route;
   }
