--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -165,6 +165,7 @@
     const bool usable =
         tokens > source_tokens_ &&
         table_.record(match.engine).availability == EngineAvailability::kAvailable &&
+        !long_prompts_.overdue(match.engine) &&
         !long_prompts_.beingComputed(match.engine, request.shape.pieces[match.pieces - 1]);
     if (usable) {
       prefix_source_ = match.engine;
--- a/src/cypresswall/routing/long_prompts.cpp
+++ b/src/cypresswall/routing/long_prompts.cpp
@@ -9,6 +9,8 @@
 /// Bounds of the pace learnt of an engine.
 constexpr double kLeastPace = 0.25;
 constexpr double kGreatestPace = 20;
+/// An engine later than this with its last prompt is no place to copy from.
+constexpr double kOverdueSeconds = 0.4;
 
 }  // namespace
 
@@ -154,6 +156,11 @@
   });
 }
 
+bool LongPrompts::overdue(EngineSlot engine) const {
+  const EngineEstimate& estimate = estimates_.estimate(engine);
+  return estimate.has_backlog && now() > estimate.backlog_empty_at + kOverdueSeconds;
+}
+
 void LongPrompts::refresh(EngineSlot engine) {
   if (engineAt(engine).backlog.empty()) {
     return;
--- a/src/cypresswall/routing/long_prompts.h
+++ b/src/cypresswall/routing/long_prompts.h
@@ -35,6 +35,8 @@
 
   /// \return true if the engine was sent the piece, but has not computed it yet
   bool beingComputed(EngineSlot engine, common::PieceHash piece) const;
+  /// \return true if the engine is so late with a prompt that it may be gone
+  bool overdue(EngineSlot engine) const;
   /// Brings an engine's estimate up to date; called at each of its reports.
   void refresh(EngineSlot engine);
   /// The engine restarted, or the slot has another engine.
--- a/tests/objects_platform/load_report_test.cpp
+++ b/tests/objects_platform/load_report_test.cpp
@@ -55,7 +55,7 @@
   void readsChangesOfTheCache() {
     const auto changes = parseCacheEvents(
         R"({"epoch":3,"next_token":44,"lost":true,"events":[[41,"+","","5c1e",13300,"m"],)"
-        R"([42,"+","","91bd",90,"m"],[43,"-","","77aa",0,"m"]]})",
+        R"([42,"+","","91bd",90,"m"],[43,"-","","77aa",8000,"m"]]})",
         "i-1", facts());
     CPPUNIT_ASSERT(changes.has_value());
     CPPUNIT_ASSERT(!changes->snapshot);
--- a/tests/routing/long_prompts_test.cpp
+++ b/tests/routing/long_prompts_test.cpp
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(peersKnowWhereASharedPartIs);
   CPPUNIT_TEST(aBusyHolderIsCopiedFrom);
   CPPUNIT_TEST(nothingIsCopiedBeforeItIsComputed);
+  CPPUNIT_TEST(nothingIsCopiedFromASilentHolder);
   CPPUNIT_TEST(anAbandonedPromptLeavesNothingBehind);
   CPPUNIT_TEST(aSlowEngineIsLearnt);
   CPPUNIT_TEST(peersLearnOfASlowEngine);
@@ -162,6 +163,18 @@
     }
   }
 
+  void nothingIsCopiedFromASilentHolder() {
+    TwoNodes zone;
+    const Route holder = zone.begin(0, "a", "one");
+    zone.compute(0, "a", milliseconds(320));
+    zone.begin(0, "b", "one");  // goes to the holder, which says nothing any more
+    zone.run(milliseconds(700));
+    const Route elsewhere = zone.begin(1, "c", "one");
+    CPPUNIT_ASSERT(elsewhere.prefill_engine->name != holder.prefill_engine->name);
+    // The engine that took the first prompt over for its output holds it as well.
+    CPPUNIT_ASSERT_EQUAL(holder.engine.address, elsewhere.prefix_source.value().address);
+  }
+
   void anAbandonedPromptLeavesNothingBehind() {
     TwoNodes zone;
     zone.begin(0, "a", "one");
