--- a/tests/objects_platform/object_watch_test.cpp
+++ b/tests/objects_platform/object_watch_test.cpp
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(keepsWhatItKnowsWhileTheStoreIsDown);
   CPPUNIT_TEST(neverGoesBack);
   CPPUNIT_TEST(answersThatCannotBeReadAreFailures);
+  CPPUNIT_TEST(looksAgainInPlaceOfASwallowedWatch);
+  CPPUNIT_TEST(changesInQuickSuccessionCostOneCall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -122,6 +124,37 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.calls.size());
   }
 
+  void looksAgainInPlaceOfASwallowedWatch() {
+    watch_.lookAgain();
+    CPPUNIT_ASSERT(store_.targets.empty());
+    begin();
+    watch_.lookAgain();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_.calls.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/servers?watch=7&wait_ms=10000"),
+                         store_.targets.back());
+    // The answer of the dropped watch changes nothing and begins no further one.
+    store_.answer(200, eventsJson(8, {{objectJson("a", 8), true}}));
+    CPPUNIT_ASSERT_EQUAL(std::string(), listener_.takeTold());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.calls.size());
+    store_.answer(200, eventsJson(9, {{objectJson("b", 9), true}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("-b . "), listener_.takeTold());
+  }
+
+  void changesInQuickSuccessionCostOneCall() {
+    ObjectWatchSettings settings;
+    settings.settle_time = std::chrono::milliseconds(200);
+    ObjectWatch watch("servers", settings, process_.context(), store_, listener_);
+    watch.start();
+    store_.answer(200, pageJson(7, {}));
+    store_.answer(200, eventsJson(8, {{objectJson("a", 8), false}}));
+    CPPUNIT_ASSERT(store_.calls.empty());
+    world_.runFor(std::chrono::milliseconds(250));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.calls.size());
+    // A watch that ended without a change is followed by the next at once.
+    store_.answer(200, eventsJson(8, {}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.calls.size());
+  }
+
  private:
   void begin() {
     watch_.start();
