--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -343,7 +343,9 @@
 RouteChoice CostRouter::choose(const RouteRequest& request) {
   if (directory_.catchingUp()) {
     refused_no_engine_.add();
-    return refuseWithoutEngine(request.model);
+    RouteRefusal refusal = refuseWithoutEngine(request.model);
+    refusal.message = "this node was paused and learns the state of the engines anew";
+    return refusal;
   }
   const Work work = workOf(request);
   const auto& all = candidatesFor(request);
--- a/src/cypresswall/runtime/log_sink.cpp
+++ b/src/cypresswall/runtime/log_sink.cpp
@@ -1,11 +1,16 @@
 #include "cypresswall/runtime/log_sink.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
-#include <log4cplus/config.hxx>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
+#include <cstdint>
+#include <log4cplus/config.hxx>
 #include <memory>
 
+#include "cypresswall/runtime/bounded_line_writer.h"
+
 namespace cypresswall::runtime {
 namespace {
 
@@ -26,17 +31,36 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
-log4cplus::SharedAppenderPtr makeAppender() {
-  constexpr bool kToStandardError = true;
-  constexpr bool kFlushEachLine = true;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kLinePattern));
-  return appender;
-}
+/// What may wait for a reader that stalls.
+constexpr std::size_t kMaximumKeptBytes = std::size_t{256} << 10U;
+/// How long the end of a process waits for its reader.
+constexpr int kFlushAtEndMilliseconds = 50;
 
 }  // namespace
 
+/// Formats events and hands them to a writer that does not wait.
+class LineAppender final : public log4cplus::Appender {
+ public:
+  LineAppender() { setLayout(std::make_unique<log4cplus::PatternLayout>(kLinePattern)); }
+  ~LineAppender() override { destructorImpl(); }
+  LineAppender(const LineAppender&) = delete;
+  LineAppender& operator=(const LineAppender&) = delete;
+
+  void close() override {
+    writer_.flushWithin(kFlushAtEndMilliseconds);
+    closed = true;
+  }
+  std::uint64_t takeDropped() { return writer_.takeDropped(); }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    writer_.write(formatEvent(event));
+  }
+
+ private:
+  BoundedLineWriter writer_{STDOUT_FILENO, kMaximumKeptBytes};
+};
+
 common::LogLevel parseLogLevel(const std::string& name) {
   for (const auto level : {common::LogLevel::kDebug, common::LogLevel::kInfo,
                            common::LogLevel::kWarning, common::LogLevel::kError}) {
@@ -62,16 +86,28 @@
 }
 
 Log4cplusSink::Log4cplusSink(common::LogLevel level)
-    : logger_(log4cplus::Logger::getInstance("cypresswall")), level_(level) {
+    : appender_(new LineAppender()),
+      logger_(log4cplus::Logger::getInstance("cypresswall")),
+      level_(level) {
   // The threads serve asynchronous appenders only, which are not used.
   log4cplus::setThreadPoolSize(1);
   logger_.setLogLevel(log4cplus::ALL_LOG_LEVEL);
   logger_.setAdditivity(false);
   logger_.removeAllAppenders();
-  logger_.addAppender(makeAppender());
+  logger_.addAppender(log4cplus::SharedAppenderPtr(appender_.get()));
 }
 
+Log4cplusSink::~Log4cplusSink() = default;
+
 void Log4cplusSink::write(common::LogLevel level, const std::string& line) {
+  writeLine(level, line);
+  if (const std::uint64_t dropped = appender_->takeDropped(); dropped > 0) {
+    writeLine(common::LogLevel::kWarning,
+              "event=log_lines_dropped lines=" + std::to_string(dropped));
+  }
+}
+
+void Log4cplusSink::writeLine(common::LogLevel level, const std::string& line) {
   const std::string whole = std::string("level=") + toString(level) + " " + process_pairs_ + line;
   logger_.forcedLog(toLog4cplus(level), whole);
 }
--- a/src/cypresswall/runtime/log_sink.h
+++ b/src/cypresswall/runtime/log_sink.h
@@ -22,12 +22,18 @@
 common::LogLevel parseLogLevel(const std::string& name);
 const char* toString(common::LogLevel level);
 
-/// Writes each event as one line to standard error:
+class LineAppender;
+
+/// Writes each event as one line to standard output, without ever waiting for its reader. Lines
+/// that had to be dropped are counted, and told in a line of their own once there is room again:
 ///
 ///     time=2026-01-31T10:00:00.123Z level=info node=127.0.0.1:7001 zone=kumamoto event=...
 class Log4cplusSink final : public common::LogSink {
  public:
   explicit Log4cplusSink(common::LogLevel level);
+  ~Log4cplusSink() override;
+  Log4cplusSink(const Log4cplusSink&) = delete;
+  Log4cplusSink& operator=(const Log4cplusSink&) = delete;
   bool enabled(common::LogLevel level) const override { return level >= level_; }
   void write(common::LogLevel level, const std::string& line) override;
   /// Takes effect at once; used when the settings are read again.
@@ -36,7 +42,10 @@
   void setProcess(const std::string& node, const std::string& zone);
 
  private:
+  void writeLine(common::LogLevel level, const std::string& line);
+
   log4cplus::Initializer initializer_;
+  log4cplus::helpers::SharedObjectPtr<LineAppender> appender_;
   log4cplus::Logger logger_;
   common::LogLevel level_;
   std::string process_pairs_;
--- a/tests/daemon/child_process.h
+++ b/tests/daemon/child_process.h
@@ -1,4 +1,4 @@
-/// A program run by a test: its standard error is read line by line, and it is ended with the test.
+/// A program run by a test: its output is read line by line, and it is ended with the test.
 #pragma once
 
 #include <poll.h>
@@ -25,6 +25,7 @@
     }
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
     posix_spawn_file_actions_addclose(&actions, pipe_ends[0]);
     std::vector<char*> words = {const_cast<char*>(program.c_str())};
