--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -317,45 +317,6 @@
   record_->attempts.push_back(std::move(attempt));
 }
 
-void ModelRequest::logRoute() const {
-  const auto milliseconds = [](common::Duration duration) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  };
-  common::LogEvent event(core_.process.log, common::LogLevel::kInfo, "request_routed");
-  event.field("request", call_.request_id)
-      .field("service", call_.service)
-      .field("engine", route_->engine.name)
-      .field("prefill_engine", route_->prefill_engine ? route_->prefill_engine->name : "")
-      .field("prompt_tokens", target_.shape.tokens)
-      .field("cached_tokens", route_->expected_cached_tokens)
-      .field("known_holders", route_->known_holders)
-      .field("copied_tokens", route_->expected_copied_tokens)
-      .field("copied_from", route_->prefix_source ? route_->prefix_source->name : "")
-      .field("expected_wait_ms", milliseconds(route_->expected_wait))
-      .field("expected_prompt_ms", milliseconds(route_->expected_prompt))
-      .field("expected_first_token_ms", milliseconds(route_->expected_first_token))
-      .field("time_left_ms", milliseconds(timeToFirstToken()));
-}
-
-void ModelRequest::logPrompt() const {
-  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "prompt_computed")
-      .field("request", call_.request_id)
-      .field("engine", route_->prefill_engine->name)
-      .field("after_ms", millisecondsSinceRouted());
-}
-
-void ModelRequest::logFirstToken() const {
-  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "first_token")
-      .field("request", call_.request_id)
-      .field("engine", route_->engine.name)
-      .field("after_ms", millisecondsSinceRouted());
-}
-
-std::int64_t ModelRequest::millisecondsSinceRouted() const {
-  const auto elapsed = core_.process.clock.now() - record_->attempts.back().started;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
-}
-
 void ModelRequest::recordResult(const std::string& result) {
   record_->attempts.back().result = result;
 }
--- /dev/null
+++ b/src/cypresswall/execution/model_request_log.cpp
@@ -0,0 +1,54 @@
+/// The lines that tell where a model request went and what came of it.
+#include <chrono>
+
+#include "cypresswall/execution/model_request.h"
+
+namespace cypresswall::execution {
+namespace {
+
+std::int64_t inMilliseconds(common::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string nameOf(const std::optional<engines::EngineEndpoint>& engine) {
+  return engine ? engine->name : std::string();
+}
+
+}  // namespace
+
+void ModelRequest::logRoute() const {
+  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "request_routed")
+      .field("request", call_.request_id)
+      .field("service", call_.service)
+      .field("engine", route_->engine.name)
+      .field("prefill_engine", nameOf(route_->prefill_engine))
+      .field("prompt_tokens", target_.shape.tokens)
+      .field("cached_tokens", route_->expected_cached_tokens)
+      .field("known_holders", route_->known_holders)
+      .field("copied_tokens", route_->expected_copied_tokens)
+      .field("copied_from", nameOf(route_->prefix_source))
+      .field("expected_wait_ms", inMilliseconds(route_->expected_wait))
+      .field("expected_prompt_ms", inMilliseconds(route_->expected_prompt))
+      .field("expected_first_token_ms", inMilliseconds(route_->expected_first_token))
+      .field("time_left_ms", inMilliseconds(timeToFirstToken()));
+}
+
+void ModelRequest::logPrompt() const {
+  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "prompt_computed")
+      .field("request", call_.request_id)
+      .field("engine", route_->prefill_engine->name)
+      .field("after_ms", millisecondsSinceRouted());
+}
+
+void ModelRequest::logFirstToken() const {
+  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "first_token")
+      .field("request", call_.request_id)
+      .field("engine", route_->engine.name)
+      .field("after_ms", millisecondsSinceRouted());
+}
+
+std::int64_t ModelRequest::millisecondsSinceRouted() const {
+  return inMilliseconds(core_.process.clock.now() - record_->attempts.back().started);
+}
+
+}  // namespace cypresswall::execution
--- a/tests/routing/long_prompts_test.cpp
+++ b/tests/routing/long_prompts_test.cpp
@@ -188,28 +188,14 @@
 
   void aSlowEngineIsLearnt() {
     TwoNodes zone;
-    std::string slow;
-    for (int i = 0; i < 12; ++i) {
-      const std::string id = std::to_string(i);
-      const Route route = zone.begin(0, id, id);
-      slow = slow.empty() ? route.prefill_engine->name : slow;
-      const bool is_slow = route.prefill_engine->name == slow;
-      zone.compute(0, id, is_slow ? milliseconds(1300) : milliseconds(320));
-    }
+    const std::string slow = useWithOneSlowEngine(zone);
     const Route later = zone.begin(0, "later", "later");
     CPPUNIT_ASSERT(later.prefill_engine->name != slow);
   }
 
   void peersLearnOfASlowEngine() {
     TwoNodes zone;
-    std::string slow;
-    for (int i = 0; i < 12; ++i) {
-      const std::string id = std::to_string(i);
-      const Route route = zone.begin(0, id, id);
-      slow = slow.empty() ? route.prefill_engine->name : slow;
-      const bool is_slow = route.prefill_engine->name == slow;
-      zone.compute(0, id, is_slow ? milliseconds(1300) : milliseconds(320));
-    }
+    const std::string slow = useWithOneSlowEngine(zone);
     const Route elsewhere = zone.begin(1, "elsewhere", "elsewhere");
     CPPUNIT_ASSERT(elsewhere.prefill_engine->name != slow);
     CPPUNIT_ASSERT(elsewhere.expected_prompt < milliseconds(400));
@@ -225,6 +211,21 @@
     zone.run(seconds(5));
     CPPUNIT_ASSERT(zone.begin(1, "e", "five").expected_wait == common::Duration{0});
   }
+
+ private:
+  /// Computes twelve prompts one after the other; the first engine chosen takes four times as long
+  /// as the others. \return its name
+  static std::string useWithOneSlowEngine(TwoNodes& zone) {
+    std::string slow;
+    for (int i = 0; i < 12; ++i) {
+      const std::string id = std::to_string(i);
+      const Route route = zone.begin(0, id, id);
+      slow = slow.empty() ? route.prefill_engine->name : slow;
+      const bool is_slow = route.prefill_engine->name == slow;
+      zone.compute(0, id, is_slow ? milliseconds(1300) : milliseconds(320));
+    }
+    return slow;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LongPromptsTest);
