--- a/tests/membership/store_followers_test.cpp
+++ b/tests/membership/store_followers_test.cpp
@@ -61,6 +61,7 @@
 
 std::vector<Member> membersOf(int count) {
   std::vector<Member> members;
+  members.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     members.push_back(Member{nodeOf(i), "", MemberState::kAlive, ""});
   }
