--- a/src/cypresswall/execution/model_request_log.cpp
+++ b/src/cypresswall/execution/model_request_log.cpp
@@ -24,6 +24,7 @@
       .field("prefill_engine", nameOf(route_->prefill_engine))
       .field("prompt_tokens", target_.shape.tokens)
       .field("cached_tokens", route_->expected_cached_tokens)
+      .field("shared_part", route_->shared_part)
       .field("known_holders", route_->known_holders)
       .field("copied_tokens", route_->expected_copied_tokens)
       .field("copied_from", nameOf(route_->prefix_source))
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -316,6 +316,7 @@
   route.expected_copied_tokens = static_cast<std::uint32_t>(prompt.copied);
   route.expected_prompt = common::fromSeconds(model_.promptSeconds(computing, prompt));
   route.known_holders = static_cast<std::uint32_t>(matches_.size());
+  route.shared_part = work.affinity;
   route.expected_wait = common::fromSeconds(selection.offer.wait);
   if (prompt.copied > 0) {
     route.prefix_source = table_.record(prefix_source_).endpoint();
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -48,6 +48,8 @@
   std::uint32_t expected_copied_tokens = 0;
   /// Engines believed to hold a part of the prompt, whether they may get work or not.
   std::uint32_t known_holders = 0;
+  /// Names the longest part of the prompt that others share; zero if there is none.
+  common::PieceHash shared_part = 0;
   /// Time expected for the prompt alone, and before it begins.
   common::Duration expected_prompt{0};
   common::Duration expected_wait{0};
--- a/tests/daemon/planned_stop_test.cpp
+++ b/tests/daemon/planned_stop_test.cpp
@@ -34,7 +34,8 @@
   void ownPathsHaveAnAddressOfTheirOwn() {
     writeSettings("");
     ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
-    CPPUNIT_ASSERT_MESSAGE(daemon.output(), daemon.waitForText("event=daemon_started"));
+    const bool started = daemon.waitForText("event=daemon_started");
+    CPPUNIT_ASSERT_MESSAGE(daemon.output(), started);
     CPPUNIT_ASSERT_EQUAL(200, get(readiness_, "/healthz").status);
     CPPUNIT_ASSERT_EQUAL(200, get(readiness_, "/metrics").status);
     CPPUNIT_ASSERT_EQUAL(std::string("no configuration held yet\n"),
@@ -46,7 +47,8 @@
   void takesRequestsWhileALameDuck() {
     writeSettings("timings: {stop_lame_duck: 1h}\n");
     ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
-    CPPUNIT_ASSERT_MESSAGE(daemon.output(), daemon.waitForText("event=daemon_started"));
+    const bool started = daemon.waitForText("event=daemon_started");
+    CPPUNIT_ASSERT_MESSAGE(daemon.output(), started);
     daemon.signal(SIGTERM);
     CPPUNIT_ASSERT(daemon.waitForText("event=stop_began"));
     const CurlResponse ready = get(readiness_, "/readyz");
@@ -62,7 +64,8 @@
   void objectsProtocolRefusesUntilAConfigurationIsHeld() {
     writeSettings("  protocol: objects\n");
     ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
-    CPPUNIT_ASSERT_MESSAGE(daemon.output(), daemon.waitForText("event=daemon_started"));
+    const bool started = daemon.waitForText("event=daemon_started");
+    CPPUNIT_ASSERT_MESSAGE(daemon.output(), started);
     CPPUNIT_ASSERT_EQUAL(503, get(readiness_, "/readyz").status);
     CPPUNIT_ASSERT_EQUAL(503, get(gateway_, "/any/path").status);
     daemon.signal(SIGTERM);
