Count what a prompt occupies and displaces while prompts wait

Change: occupancy and displacement, weighed by the share of computing engines at which prompts wait. aBusyHolderIsCopiedFrom queues four prompts in place of two, since two are now waited for (aShortQueueIsWaitedFor, new, fails without the change).

--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -201,21 +201,45 @@
              work.between_tokens_limit * settings_.crowding_share;
 }
 
+void CostRouter::countContention(const CostInputs& engine, const Offer& offer) {
+  if (engine.role != engines::EngineRole::kDecode) {
+    ++computing_engines_;
+    waiting_engines_ += offer.wait > 0 ? 1 : 0;
+  }
+}
+
+void CostRouter::chargeOccupancy() {
+  const double engines = std::max<double>(computing_engines_, 1);
+  contention_ = waiting_engines_ / engines;
+  for (auto* const priced : {&prefill_engines_, &whole_engines_}) {
+    for (PricedEngine& engine : *priced) {
+      engine.cost += contention_ * engine.occupancy;
+    }
+  }
+}
+
 void CostRouter::priceEngines(const Work& work, double now) {
   whole_engines_.clear();
   prefill_engines_.clear();
   decode_engines_.clear();
+  computing_engines_ = 0;
+  waiting_engines_ = 0;
   for (const EngineSlot slot : narrowed_) {
     const CostInputs& engine = estimates_.inputs(slot);
     const PromptWork prompt = promptWork(slot, work);
     if (engine.role == engines::EngineRole::kPrefill) {
-      prefill_engines_.push_back({model_.prefill(engine, work, prompt, now).cost, slot});
+      const Offer offer = model_.prefill(engine, work, prompt, now);
+      prefill_engines_.push_back({offer.cost, slot, false, offer.occupancy});
+      countContention(engine, offer);
       continue;
     }
     // A decode engine computes prompts as well, only slowly; a mixed one takes computed prompts.
-    const double cost = model_.whole(engine, work, prompt, now).cost;
-    whole_engines_.push_back({cost, slot, crowdsOut(engine, work, prompt.uncached)});
+    const Offer offer = model_.whole(engine, work, prompt, now);
+    whole_engines_.push_back(
+        {offer.cost, slot, crowdsOut(engine, work, prompt.uncached), offer.occupancy});
+    countContention(engine, offer);
   }
+  chargeOccupancy();
   if (prefill_engines_.empty()) {
     return;
   }
@@ -289,6 +313,7 @@
     whole.offer = model_.whole(engine, work, prompt, now);
     whole.offer.crowds_out = !prefill_engines_.empty() && crowdsOut(engine, work, prompt.uncached);
     whole.offer.cost += whole.offer.crowds_out ? kLatePenalty : 0.0;
+    whole.offer.cost += contention_ * whole.offer.occupancy;
   }
   Selection split;
   split.engine = cheapest(decode_engines_, work, settings_.cost_tolerance);
@@ -300,6 +325,7 @@
   const Offer prefill =
       model_.prefill(estimates_.inputs(split.prefill), work, promptWork(split.prefill, work), now);
   split.offer = model_.combined(prefill, model_.decode(decode, work), decode, work);
+  split.offer.cost += contention_ * split.offer.occupancy;
   return whole.empty() || split.offer.cost < whole.offer.cost ? split : whole;
 }
 
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -39,6 +39,8 @@
     double cost = 0;
     EngineSlot engine = kNoEngineSlot;
     bool crowds_out = false;
+    /// As in Offer.
+    double occupancy = 0;
   };
   /// The engines chosen for a request, not yet judged against its limits.
   struct Selection {
@@ -76,6 +78,9 @@
                              common::PieceHash piece) const;
   /// \return the engine that got work longest ago, of those with a place free if there are any.
   EngineSlot nextInTurn(const std::vector<PricedEngine>& equals) const;
+  void countContention(const CostInputs& engine, const Offer& offer);
+  /// Adds to the costs what others bear, by the share of engines at which prompts wait.
+  void chargeOccupancy();
   Selection select(const Work& work, double now);
   void countDemand(const RouteRequest& request, const Work& work, const Selection& selection);
   Route makeRoute(const Selection& selection, const Work& work) const;
@@ -108,6 +113,11 @@
   /// Engine from which others can copy cached tokens of the prompt, and how many.
   EngineSlot prefix_source_ = kNoEngineSlot;
   std::uint32_t source_tokens_ = 0;
+  /// Engines that compute prompts, those of them at which prompts wait, and their share; of the
+  /// request that is weighed.
+  std::uint32_t computing_engines_ = 0;
+  std::uint32_t waiting_engines_ = 0;
+  double contention_ = 0;
   std::vector<PricedEngine> whole_engines_;
   std::vector<PricedEngine> prefill_engines_;
   std::vector<PricedEngine> decode_engines_;
--- a/src/cypresswall/routing/offers.h
+++ b/src/cypresswall/routing/offers.h
@@ -47,6 +47,9 @@
 /// What one engine, or a prefill and a decode engine together, would make of it; in seconds.
 struct Offer {
   double cost = 0;
+  /// Cost that others bear if prompts wait at every engine: the time for which the prompt occupies
+  /// the engine, and the cached tokens that give way to copied ones. No part of `cost`.
+  double occupancy = 0;
   double wait = 0;
   double first_token = 0;
   double between_tokens = 0;
@@ -65,6 +68,8 @@
  public:
   explicit OfferModel(const RouterSettings& settings)
       : between_weight_(settings.between_tokens_weight),
+        occupancy_weight_(settings.occupancy_weight),
+        displacement_share_(settings.displacement_share),
         negligible_wait_(common::toSeconds(settings.negligible_wait)),
         kv_base_(common::toSeconds(settings.kv_transfer_base)),
         kv_per_token_(common::toSeconds(settings.kv_transfer_per_thousand_tokens) / kThousand) {}
@@ -75,7 +80,9 @@
     Offer offer;
     offer.wait = wait(engine, now);
     offer.between_tokens = engine.step;
-    offer.first_token = offer.wait + promptSeconds(engine, prompt) + engine.step;
+    const double computing = promptSeconds(engine, prompt);
+    offer.first_token = offer.wait + computing + engine.step;
+    offer.occupancy = occupancy(engine, work, prompt, computing);
     price(offer, work, engine);
     return offer;
   }
@@ -84,7 +91,9 @@
                 double now) const {
     Offer offer;
     offer.wait = wait(engine, now);
-    offer.first_token = offer.wait + promptSeconds(engine, prompt);
+    const double computing = promptSeconds(engine, prompt);
+    offer.first_token = offer.wait + computing;
+    offer.occupancy = occupancy(engine, work, prompt, computing);
     price(offer, work, engine);
     return offer;
   }
@@ -109,6 +118,7 @@
     Offer offer = decode;
     offer.wait += prefill.wait;
     offer.first_token += prefill.first_token + kv_base_ + kv_per_token_ * work.prompt_tokens;
+    offer.occupancy = prefill.occupancy;
     price(offer, work, decode_engine);
     return offer;
   }
@@ -126,6 +136,12 @@
     return engine.has_backlog ? std::abs(engine.backlog_empty_at - now) : 0.0;
   }
 
+  double occupancy(const CostInputs& engine, const Work& work, const PromptWork& prompt,
+                   double computing) const {
+    const double displaced = displacement_share_ * prompt.copied * engine.seconds_per_prefill_token;
+    return occupancy_weight_ * (computing + displaced) * work.inverse_first_token_limit;
+  }
+
   void price(Offer& offer, const Work& work, const CostInputs& engine) const {
     offer.step_limit = std::max<double>(engine.slackened_lone_step, work.between_tokens_limit);
     offer.late = offer.wait > negligible_wait_ && offer.first_token > work.first_token_limit;
@@ -137,6 +153,8 @@
   }
 
   double between_weight_;
+  double occupancy_weight_;
+  double displacement_share_;
   double negligible_wait_;
   double kv_base_;
   double kv_per_token_;
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -80,6 +80,12 @@
   bool copies_prefixes = false;
   /// Fewer tokens than these are computed rather than copied.
   std::uint32_t minimum_copied_tokens = 1024;
+  /// Weight of the time for which a prompt occupies an engine, beside the time that the request
+  /// itself waits, when prompts wait at every engine: what it occupies, others wait for.
+  double occupancy_weight = 1.5;
+  /// Share of the computing time of copied tokens that a copy costs in the end, by the cached
+  /// tokens that it displaces and that are computed again later.
+  double displacement_share = 1;
   /// Prompts that share a part whose computation takes long meet on the engine that hashing
   /// prefers, if that costs no more than this share of the computation.
   double affinity_share = 0.1;
--- a/tests/routing/long_prompts_test.cpp
+++ b/tests/routing/long_prompts_test.cpp
@@ -105,6 +105,7 @@
   CPPUNIT_TEST(peersAvoidAnEngineThatIsBusy);
   CPPUNIT_TEST(peersKnowWhereASharedPartIs);
   CPPUNIT_TEST(aBusyHolderIsCopiedFrom);
+  CPPUNIT_TEST(aShortQueueIsWaitedFor);
   CPPUNIT_TEST(nothingIsCopiedBeforeItIsComputed);
   CPPUNIT_TEST(nothingIsCopiedFromASilentHolder);
   CPPUNIT_TEST(anAbandonedPromptLeavesNothingBehind);
@@ -144,8 +145,10 @@
     TwoNodes zone;
     const Route holder = zone.begin(0, "a", "one");
     zone.compute(0, "a", milliseconds(320));
-    zone.begin(0, "b", "one");
-    zone.begin(0, "c", "one");
+    for (const char* id : {"b", "c", "e", "f"}) {
+      const Route queued = zone.begin(0, id, "one");
+      CPPUNIT_ASSERT_EQUAL(holder.prefill_engine->name, queued.prefill_engine->name);
+    }
     zone.run(milliseconds(5));
     const Route relieved = zone.begin(1, "d", "one");
     CPPUNIT_ASSERT(relieved.prefill_engine->name != holder.prefill_engine->name);
@@ -154,6 +157,20 @@
     CPPUNIT_ASSERT_EQUAL(kSharedTokens, relieved.expected_copied_tokens);
   }
 
+  /// A copy displaces cached tokens that others want: the less is copied, the more prompts wait.
+  void aShortQueueIsWaitedFor() {
+    TwoNodes zone;
+    const Route holder = zone.begin(0, "a", "one");
+    zone.compute(0, "a", milliseconds(320));
+    zone.begin(0, "b", "one");
+    zone.begin(0, "c", "one");
+    zone.run(milliseconds(5));
+    const Route route = zone.begin(1, "d", "one");
+    CPPUNIT_ASSERT_EQUAL(holder.prefill_engine->name, route.prefill_engine->name);
+    CPPUNIT_ASSERT(!route.prefix_source.has_value());
+    CPPUNIT_ASSERT_EQUAL(kSharedTokens, route.expected_cached_tokens);
+  }
+
   void nothingIsCopiedBeforeItIsComputed() {
     TwoNodes zone;
     zone.begin(0, "a", "one");
