End a stopped process without waiting for the library's threads

Found by marks between the daemon's members; without the shutdown the same join hung in the library's static objects. Ruled out: requests or connections left over (in_flight=0, limit_reached=false). Change: log4cplus is never shut down; the appender is flushed, then the process ends by quick_exit. A sanitized build looks for leaks before that. The test freezes the library's thread by ptrace and fails without the change.

--- a/apps/cypresswalld/main.cpp
+++ b/apps/cypresswalld/main.cpp
@@ -1,5 +1,8 @@
 /// cypresswalld: the one daemon of cypresswall. Every machine runs the same.
 #include <gflags/gflags.h>
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/lsan_interface.h>
+#endif
 
 #include <cstdlib>
 #include <iostream>
@@ -65,6 +68,18 @@
   }
 }
 
+/// Ends the process without the destructors of static objects: log4cplus joins its threads there,
+/// which a process that ends need not wait for. On the users' platform that never returned, so that
+/// each stop lasted until the platform's SIGKILL.
+[[noreturn]] void endProcess(int exit_code) {
+#ifdef __SANITIZE_ADDRESS__
+  __lsan_do_leak_check();
+#endif
+  std::cout.flush();
+  std::cerr.flush();
+  std::quick_exit(exit_code);
+}
+
 int runProgram() {
   if (FLAGS_print_default_settings) {
     std::cout << settings::defaultSettingsText();
@@ -79,7 +94,7 @@
     std::cout << "settings: ok\n";
     return kExitOk;
   }
-  return runDaemon(loaded);
+  endProcess(runDaemon(loaded));
 }
 
 }  // namespace
--- a/src/cypresswall/runtime/log_sink.cpp
+++ b/src/cypresswall/runtime/log_sink.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/runtime/log_sink.h"
 
 #include <log4cplus/appender.h>
+#include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/spi/loggingevent.h>
 #include <unistd.h>
@@ -61,6 +62,18 @@
   BoundedLineWriter writer_{STDOUT_FILENO, kMaximumKeptBytes};
 };
 
+namespace {
+
+/// Initializes log4cplus for the whole life of the process. It is never shut down: that joins the
+/// library's threads, which a process that ends need not wait for and which, on the users'
+/// platform, never returned.
+bool initializeOnce() {
+  static const auto* const initializer = new log4cplus::Initializer();
+  return initializer != nullptr;
+}
+
+}  // namespace
+
 common::LogLevel parseLogLevel(const std::string& name) {
   for (const auto level : {common::LogLevel::kDebug, common::LogLevel::kInfo,
                            common::LogLevel::kWarning, common::LogLevel::kError}) {
@@ -86,7 +99,8 @@
 }
 
 Log4cplusSink::Log4cplusSink(common::LogLevel level)
-    : appender_(new LineAppender()),
+    : initialized_(initializeOnce()),
+      appender_(new LineAppender()),
       logger_(log4cplus::Logger::getInstance("cypresswall")),
       level_(level) {
   // The threads serve asynchronous appenders only, which are not used.
@@ -97,7 +111,7 @@
   logger_.addAppender(log4cplus::SharedAppenderPtr(appender_.get()));
 }
 
-Log4cplusSink::~Log4cplusSink() = default;
+Log4cplusSink::~Log4cplusSink() { logger_.removeAllAppenders(); }
 
 void Log4cplusSink::write(common::LogLevel level, const std::string& line) {
   writeLine(level, line);
--- a/src/cypresswall/runtime/log_sink.h
+++ b/src/cypresswall/runtime/log_sink.h
@@ -1,7 +1,6 @@
 /// Log lines through log4cplus: time, level, node and zone, then the event's own pairs.
 #pragma once
 
-#include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 
 #include <string>
@@ -44,7 +43,7 @@
  private:
   void writeLine(common::LogLevel level, const std::string& line);
 
-  log4cplus::Initializer initializer_;
+  bool initialized_;
   log4cplus::helpers::SharedObjectPtr<LineAppender> appender_;
   log4cplus::Logger logger_;
   common::LogLevel level_;
--- a/tests/daemon/child_process.h
+++ b/tests/daemon/child_process.h
@@ -3,11 +3,13 @@
 
 #include <poll.h>
 #include <spawn.h>
+#include <sys/ptrace.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -45,6 +47,10 @@
   ~ChildProcess() {
     if (running_) {
       kill(process_, SIGKILL);
+      // A process is reaped after all its threads that somebody traces.
+      for (const pid_t thread : frozen_) {
+        waitpid(thread, nullptr, __WALL);
+      }
       waitpid(process_, nullptr, 0);
     }
     close(output_);
@@ -76,6 +82,28 @@
 
   const std::string& output() const { return seen_; }
 
+  /// Freezes all threads but the first, as a platform may that gives them no turn.
+  /// \return how many these are
+  std::size_t freezeOtherThreads() {
+    const auto tasks = "/proc/" + std::to_string(process_) + "/task";
+    for (const auto& entry : std::filesystem::directory_iterator(tasks)) {
+      const auto thread = static_cast<pid_t>(std::stoi(entry.path().filename().string()));
+      if (thread != process_ && ptrace(PTRACE_SEIZE, thread, nullptr, nullptr) == 0 &&
+          ptrace(PTRACE_INTERRUPT, thread, nullptr, nullptr) == 0) {
+        waitpid(thread, nullptr, __WALL);
+        frozen_.push_back(thread);
+      }
+    }
+    return frozen_.size();
+  }
+
+  /// \return true if the process ends within the time limit, though threads are frozen
+  bool endsWithFrozenThreads() {
+    while (readMore()) {
+    }
+    return ended_;
+  }
+
  private:
   bool readMore() {
     constexpr int kTimeLimitMilliseconds = 20000;
@@ -86,6 +114,7 @@
     char buffer[4096];
     const auto size = read(output_, buffer, sizeof buffer);
     if (size <= 0) {
+      ended_ = true;
       return false;
     }
     seen_.append(buffer, static_cast<std::size_t>(size));
@@ -94,8 +123,11 @@
 
   pid_t process_ = 0;
   bool running_ = true;
+  /// The output was closed.
+  bool ended_ = false;
   int output_ = -1;
   std::string seen_;
+  std::vector<pid_t> frozen_;
 };
 
 }  // namespace cypresswall::testing
--- a/tests/daemon/planned_stop_test.cpp
+++ b/tests/daemon/planned_stop_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST_SUITE(PlannedStopTest);
   CPPUNIT_TEST(ownPathsHaveAnAddressOfTheirOwn);
   CPPUNIT_TEST(takesRequestsWhileALameDuck);
+  CPPUNIT_TEST(threadsOfLibrariesDelayNoEnd);
   CPPUNIT_TEST(objectsProtocolRefusesUntilAConfigurationIsHeld);
   CPPUNIT_TEST_SUITE_END();
 
@@ -61,6 +62,19 @@
     CPPUNIT_ASSERT_EQUAL(1, daemon.waitForExit());
   }
 
+  /// On the users' platform the end of each process waited for a thread of log4cplus until SIGKILL
+  /// (incidents 6d94, 4b2c).
+  void threadsOfLibrariesDelayNoEnd() {
+    writeSettings("");
+    ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
+    const bool started = daemon.waitForText("event=daemon_started");
+    CPPUNIT_ASSERT_MESSAGE(daemon.output(), started);
+    CPPUNIT_ASSERT(daemon.freezeOtherThreads() > 0);
+    daemon.signal(SIGTERM);
+    CPPUNIT_ASSERT_MESSAGE(daemon.output(), daemon.endsWithFrozenThreads());
+    CPPUNIT_ASSERT(daemon.output().find("event=daemon_stopped") != std::string::npos);
+  }
+
   void objectsProtocolRefusesUntilAConfigurationIsHeld() {
     writeSettings("  protocol: objects\n");
     ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
