--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -43,8 +43,7 @@
   const auto dot = target.rfind('.');
   constexpr int kProxyHosts = 20;
   const int host = std::stoi(target.substr(dot + 1, colon - dot - 1)) + kProxyHosts;
-  const std::string address =
-      target.substr(0, dot + 1) + std::to_string(host) + target.substr(colon);
+  std::string address = target.substr(0, dot + 1) + std::to_string(host) + target.substr(colon);
   proxies_.push_back(std::make_unique<TcpProxy>(address, target));
   return address;
 }
