Rank nodes and send to a whole zone in one place each

watcherOf() and the store's relay each had a rendezvous hash of their own, and notices of prompts and announcements a loop over the peers that encoded the same message for each of them. Now rendezvousRank() and sendToZone(), which encodes once. The relay also works out once a tick whether a node reads, in place of three times. Which nodes read the store differs from before; how many and when does not.

--- /dev/null
+++ b/src/cypresswall/membership/rendezvous.h
@@ -0,0 +1,16 @@
+/// Rendezvous hashing over the nodes of a zone: which nodes do something for the others, the same
+/// on every node without a word exchanged. A node that comes or goes moves only its own share.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "cypresswall/common/identifiers.h"
+
+namespace cypresswall::membership {
+
+/// \param name of what is to be done
+/// \return the rank of `node` for it; the nodes with the highest ranks do it
+std::uint64_t rendezvousRank(std::string_view name, const common::NodeId& node);
+
+}  // namespace cypresswall::membership
--- a/src/cypresswall/routing/watch_assignment.cpp
+++ b/src/cypresswall/routing/watch_assignment.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-#include "cypresswall/common/prompt.h"
+#include "cypresswall/membership/rendezvous.h"
 
 namespace cypresswall::routing {
 
@@ -13,8 +13,7 @@
     if (member.state != membership::MemberState::kAlive) {
       continue;
     }
-    const std::uint64_t seed = common::hash64(member.node.address, member.node.incarnation);
-    const std::uint64_t score = common::hash64(engine, seed);
+    const std::uint64_t score = membership::rendezvousRank(engine, member.node);
     if (best == nullptr || score > best_score) {
       best = &member;
       best_score = score;
--- a/src/cypresswall/routing/work_exchange.cpp
+++ b/src/cypresswall/routing/work_exchange.cpp
@@ -3,6 +3,8 @@
 #include <string>
 #include <utility>
 
+#include "cypresswall/membership/zone_broadcast.h"
+
 namespace cypresswall::routing {
 
 WorkExchange::WorkExchange(const api::ProcessContext& context,
@@ -46,13 +48,7 @@
 }
 
 void WorkExchange::send(const WorkNotice& notice) {
-  for (const membership::Member& member : membership_.members()) {
-    if (member.node == context_.self || member.state == membership::MemberState::kDead) {
-      continue;
-    }
-    context_.transport.send(api::Envelope::make(context_.self, member.node, notice));
-    sent_.add();
-  }
+  sent_.add(membership::sendToZone(context_, membership_, notice));
 }
 
 void WorkExchange::onNotice(const common::NodeId& sender, const WorkNotice& notice) {
--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -3,20 +3,14 @@
 #include <algorithm>
 #include <utility>
 
-#include "cypresswall/common/prompt.h"
+#include "cypresswall/membership/rendezvous.h"
+#include "cypresswall/membership/zone_broadcast.h"
 
 namespace cypresswall::store_relay {
-namespace {
 
 using membership::Member;
 using membership::MemberState;
-
-/// Rank of a node for a topic, the same on every node (rendezvous hashing).
-std::uint64_t rankOf(const common::NodeId& node, Topic topic) {
-  return common::hash64(node.toString(), static_cast<std::uint64_t>(topic));
-}
-
-}  // namespace
+using membership::rendezvousRank;
 
 StoreRelay::StoreRelay(const StoreRelaySettings& settings, const api::ProcessContext& context,
                        membership::MembershipView& membership)
@@ -62,28 +56,28 @@
 }
 
 void StoreRelay::tickTopic(Topic topic, Followed& followed) {
-  if (reader(topic)) {
+  const bool reads = reader(topic);
+  if (reads) {
     announce(topic, followed);
   }
-  const bool relying = !pollTime(topic).has_value();
-  noteReliance(topic, followed, relying);
+  const bool relying = !reads && hearsReaders(followed);
+  noteReliance(topic, followed, relying, reads);
   if (!relying && !followed.copy.asking()) {
     followed.copy.askStore();
   }
 }
 
-void StoreRelay::noteReliance(Topic topic, Followed& followed, bool relying) {
+void StoreRelay::noteReliance(Topic topic, Followed& followed, bool relying, bool reads) {
   if (std::exchange(followed.relying, relying) == relying) {
     return;
   }
-  const bool own_reader = reader(topic);
-  if (!relying && !own_reader) {
+  if (!relying && !reads) {
     silences_.add();
   }
   common::LogEvent(context_.log, common::LogLevel::kInfo, "store_source_changed")
       .field("topic", nameOf(topic))
       .field("source", relying ? "readers" : "store")
-      .field("reader", own_reader)
+      .field("reader", reads)
       .field("revision", followed.copy.revision());
 }
 
@@ -91,21 +85,17 @@
   if (!withinLimit(followed.contact_time, settings_.reader_contact_limit)) {
     return;
   }
-  const Announcement announcement{static_cast<std::uint8_t>(topic), followed.history.changed(),
-                                  followed.history.revision()};
-  for (const Member& member : membership_.members()) {
-    if (member.node != membership_.self()) {
-      context_.sendTo(member.node, announcement);
-    }
-  }
+  membership::sendToZone(context_, membership_,
+                         Announcement{static_cast<std::uint8_t>(topic), followed.history.changed(),
+                                      followed.history.revision()});
 }
 
 bool StoreRelay::reader(Topic topic) const {
-  const std::uint64_t own = rankOf(membership_.self(), topic);
+  const std::uint64_t own = rendezvousRank(nameOf(topic), membership_.self());
   const auto members = membership_.members();
   const auto ahead = std::count_if(members.begin(), members.end(), [&](const Member& member) {
     return member.state == MemberState::kAlive && member.node != membership_.self() &&
-           rankOf(member.node, topic) > own;
+           rendezvousRank(nameOf(topic), member.node) > own;
   });
   return static_cast<std::size_t>(ahead) < settings_.readers;
 }
@@ -115,12 +105,15 @@
   return time && context_.clock.now() - *time <= limit;
 }
 
+bool StoreRelay::hearsReaders(const Followed& followed) const {
+  return withinLimit(followed.heard_time, settings_.silence_limit);
+}
+
 std::optional<common::Duration> StoreRelay::pollTime(Topic topic) const {
   if (reader(topic)) {
     return settings_.reader_poll_time;
   }
-  const Followed& followed = followed_.at(topic);
-  if (withinLimit(followed.heard_time, settings_.silence_limit)) {
+  if (hearsReaders(followed_.at(topic))) {
     return std::nullopt;
   }
   return settings_.other_poll_time;
@@ -156,8 +149,7 @@
   followed->announced = std::max(followed->announced, announcement.changed);
   if (!behind(*followed)) {
     if (followed->copy.revision() < announcement.seen) {
-      followed->copy.takeChanges({}, announcement.seen);
-      followed->history.add({}, announcement.seen);
+      take(*followed, {}, announcement.seen);
     }
     return;
   }
@@ -173,6 +165,12 @@
       settings_.patience, [this, topic, sender] { pull(topic, sender); });
 }
 
+void StoreRelay::take(Followed& followed, std::vector<StoreChange> changes,
+                      std::uint64_t revision) {
+  followed.copy.takeChanges(changes, revision);
+  followed.history.add(std::move(changes), revision);
+}
+
 void StoreRelay::pull(Topic topic, const common::NodeId& reader) {
   Followed& followed = followed_.at(topic);
   followed.pull_timer = 0;
@@ -219,8 +217,7 @@
   context_.scheduler.cancel(std::exchange(followed->pull_timer, 0));
   const bool useful = reply.available && reply.revision > followed->copy.revision();
   if (useful) {
-    followed->copy.takeChanges(reply.changes, reply.revision);
-    followed->history.add(reply.changes, reply.revision);
+    take(*followed, reply.changes, reply.revision);
   }
   if (!behind(*followed)) {
     return;
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -87,12 +87,15 @@
   void announce(Topic topic, const Followed& followed);
   bool reader(Topic topic) const;
   bool withinLimit(const std::optional<common::MonotonicTime>& time, common::Duration limit) const;
-  void noteReliance(Topic topic, Followed& followed, bool relying);
+  bool hearsReaders(const Followed& followed) const;
+  void noteReliance(Topic topic, Followed& followed, bool relying, bool reads);
 
   Followed* find(std::uint8_t topic);
   void onAnnouncement(const common::NodeId& sender, const Announcement& announcement);
   void onRequest(const common::NodeId& sender, const ChangesRequest& request);
   void onReply(const common::NodeId& sender, const ChangesReply& reply);
+  /// Takes what a peer read.
+  static void take(Followed& followed, std::vector<StoreChange> changes, std::uint64_t revision);
   void pull(Topic topic, const common::NodeId& reader);
   void giveUpPull(Topic topic);
   static bool behind(const Followed& followed) {
