--- a/src/cypresswall/surroundings/surroundings.h
+++ b/src/cypresswall/surroundings/surroundings.h
@@ -48,7 +48,7 @@
   virtual node::NodeClients clients() = 0;
   /// Makes what answers callers with the node that was built from clients().
   virtual std::unique_ptr<Front> makeFront(node::Node& node) = 0;
-  /// Begins to follow the platform. Called once.
+  /// Begins to follow the platform. Called once, after makeFront().
   virtual void start() = 0;
 };
 
--- a/tests/objects_platform/relayed_watch_test.cpp
+++ b/tests/objects_platform/relayed_watch_test.cpp
@@ -5,16 +5,16 @@
 
 #include "platform/runner_registry.h"
 #include "tests/objects_platform/fake_store.h"
-#include "tests/store_relay/relay_zone.h"
+#include "tests/support/engine_world.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::objects_platform {
 namespace {
 
+using cypresswall::testing::SettableMembership;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using store_relay::Topic;
-using store_relay::testing::ZoneMembership;
 using testing::eventsJson;
 using testing::objectJson;
 using testing::pageJson;
@@ -26,7 +26,7 @@
 struct RelayNode {
   RelayNode(simulation::Simulation& simulation, const common::Address& address)
       : process(simulation.start(address, "z")),
-        membership(process.id()),
+        membership(process.id(), "z"),
         runners(process.context()),
         relay(settings(), process.context(), membership),
         watch(Topic::kListedEngines, "servers", {}, process.context(), store, runners) {
@@ -40,7 +40,7 @@
 
   simulation::SimulatedProcess& process;
   testing::FakeStore store;
-  ZoneMembership membership;
+  SettableMembership membership;
   RunnerRegistry runners;
   store_relay::StoreRelay relay;
   RelayedWatch watch;
@@ -80,7 +80,7 @@
         {first_.process.id(), "", membership::MemberState::kAlive, ""},
         {second_.process.id(), "", membership::MemberState::kAlive, ""}};
     for (RelayNode* const node : {&first_, &second_}) {
-      node->membership.show(members);
+      node->membership.setMembers(members);
       node->watch.start();
       node->store.answer(200, pageJson(7, {}));
       node->relay.start();
--- a/tests/store_relay/relay_zone.h
+++ b/tests/store_relay/relay_zone.h
@@ -12,9 +12,12 @@
 
 #include "cypresswall/simulation/simulation.h"
 #include "cypresswall/store_relay/store_relay.h"
+#include "tests/support/engine_world.h"
 
 namespace cypresswall::store_relay::testing {
 
+using cypresswall::testing::SettableMembership;
+
 inline constexpr Topic kTopic = Topic::kListedEngines;
 inline constexpr const char* kZone = "z";
 
@@ -53,32 +56,6 @@
   std::map<std::string, std::string> objects_;
 };
 
-/// Members of the zone as one node sees them; a test tells who is suspected.
-class ZoneMembership final : public membership::MembershipView {
- public:
-  explicit ZoneMembership(common::NodeId self) : self_(std::move(self)) {}
-
-  const common::NodeId& self() const override { return self_; }
-  const common::ZoneName& zone() const override { return zone_; }
-  std::vector<membership::Member> members() const override { return shown_; }
-  bool machineLeaving(const common::MachineName&) const override { return false; }
-  bool addressLeaving(const common::Address&) const override { return false; }
-  bool surelyDead(const common::NodeId&) const override { return false; }
-  void setDigest(membership::DigestTopic, std::uint64_t) override {}
-  std::optional<std::uint64_t> digest(const common::NodeId&,
-                                      membership::DigestTopic) const override {
-    return std::nullopt;
-  }
-  void onChange(std::function<void()>) override {}
-
-  void show(std::vector<membership::Member> members) { shown_ = std::move(members); }
-
- private:
-  std::vector<membership::Member> shown_;
-  common::NodeId self_;
-  common::ZoneName zone_ = kZone;
-};
-
 /// Follows the store as an adapter does: one call at a time, which waits there until something
 /// changes or its poll time is over.
 class ScriptedCopy final : public StoreCopy {
@@ -171,7 +148,7 @@
  public:
   struct Node {
     simulation::SimulatedProcess* process = nullptr;
-    std::unique_ptr<ZoneMembership> membership;
+    std::unique_ptr<SettableMembership> membership;
     StoreRelay* relay = nullptr;
     ScriptedCopy* copy = nullptr;
   };
@@ -181,7 +158,7 @@
     for (int number = 0; number < count; ++number) {
       Node node;
       node.process = &simulation.start(addressOf(number), kZone);
-      node.membership = std::make_unique<ZoneMembership>(node.process->id());
+      node.membership = std::make_unique<SettableMembership>(node.process->id(), kZone);
       node.relay =
           &node.process->emplace<StoreRelay>(settings, node.process->context(), *node.membership);
       node.copy = &node.process->emplace<ScriptedCopy>(store, *node.process, *node.relay);
@@ -209,7 +186,7 @@
                          ""});
     }
     for (Node& node : nodes) {
-      node.membership->show(members);
+      node.membership->setMembers(members);
     }
   }
 
--- a/tests/support/engine_world.h
+++ b/tests/support/engine_world.h
@@ -131,10 +131,14 @@
     listeners_.push_back(std::move(listener));
   }
   void setMembers(const std::vector<common::NodeId>& nodes) {
-    members_.clear();
+    std::vector<membership::Member> members;
     for (const auto& node : nodes) {
-      members_.push_back(membership::Member{node, "", membership::MemberState::kAlive, ""});
+      members.push_back(membership::Member{node, "", membership::MemberState::kAlive, ""});
     }
+    setMembers(std::move(members));
+  }
+  void setMembers(std::vector<membership::Member> members) {
+    members_ = std::move(members);
     notify();
   }
   void setLeaving(const common::MachineName& machine, bool leaving) {
