--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -34,6 +34,22 @@
   return shape.tokensOfPieces(pieces) < kLeastAffinityTokens ? 0 : pieces;
 }
 
+/// How many of the engines that compute prompts have prompts waiting.
+class Contention {
+ public:
+  void count(const CostInputs& engine, const Offer& offer) {
+    if (engine.role != engines::EngineRole::kDecode) {
+      ++computing_;
+      waiting_ += offer.wait > 0 ? 1 : 0;
+    }
+  }
+  double share() const { return waiting_ / std::max(computing_, 1.0); }
+
+ private:
+  double computing_ = 0;
+  double waiting_ = 0;
+};
+
 double secondsOr(common::Duration limit, common::Duration fallback) {
   return common::toSeconds(limit.count() > 0 ? limit : fallback);
 }
@@ -50,7 +66,7 @@
       prefixes_(directory.prefixes()),
       estimates_(settings.prefill_chunk_tokens),
       sent_(settings.report_slack, estimates_),
-      long_prompts_(settings_, context.clock, directory.work(), prefixes_, estimates_),
+      long_prompts_(settings_, model_, context.clock, directory.work(), prefixes_, estimates_),
       turn_salt_(context.random.next()),
       routed_(
           context.counters.counter("cypresswall_routes_total", "Engines chosen", "kind", "whole")),
@@ -201,16 +217,7 @@
              work.between_tokens_limit * settings_.crowding_share;
 }
 
-void CostRouter::countContention(const CostInputs& engine, const Offer& offer) {
-  if (engine.role != engines::EngineRole::kDecode) {
-    ++computing_engines_;
-    waiting_engines_ += offer.wait > 0 ? 1 : 0;
-  }
-}
-
 void CostRouter::chargeOccupancy() {
-  const double engines = std::max<double>(computing_engines_, 1);
-  contention_ = waiting_engines_ / engines;
   for (auto* const priced : {&prefill_engines_, &whole_engines_}) {
     for (PricedEngine& engine : *priced) {
       engine.cost += contention_ * engine.occupancy;
@@ -222,23 +229,23 @@
   whole_engines_.clear();
   prefill_engines_.clear();
   decode_engines_.clear();
-  computing_engines_ = 0;
-  waiting_engines_ = 0;
+  Contention contention;
   for (const EngineSlot slot : narrowed_) {
     const CostInputs& engine = estimates_.inputs(slot);
     const PromptWork prompt = promptWork(slot, work);
     if (engine.role == engines::EngineRole::kPrefill) {
       const Offer offer = model_.prefill(engine, work, prompt, now);
       prefill_engines_.push_back({offer.cost, slot, false, offer.occupancy});
-      countContention(engine, offer);
+      contention.count(engine, offer);
       continue;
     }
     // A decode engine computes prompts as well, only slowly; a mixed one takes computed prompts.
     const Offer offer = model_.whole(engine, work, prompt, now);
     whole_engines_.push_back(
         {offer.cost, slot, crowdsOut(engine, work, prompt.uncached), offer.occupancy});
-    countContention(engine, offer);
+    contention.count(engine, offer);
   }
+  contention_ = contention.share();
   chargeOccupancy();
   if (prefill_engines_.empty()) {
     return;
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -78,7 +78,6 @@
                              common::PieceHash piece) const;
   /// \return the engine that got work longest ago, of those with a place free if there are any.
   EngineSlot nextInTurn(const std::vector<PricedEngine>& equals) const;
-  void countContention(const CostInputs& engine, const Offer& offer);
   /// Adds to the costs what others bear, by the share of engines at which prompts wait.
   void chargeOccupancy();
   Selection select(const Work& work, double now);
@@ -113,10 +112,7 @@
   /// Engine from which others can copy cached tokens of the prompt, and how many.
   EngineSlot prefix_source_ = kNoEngineSlot;
   std::uint32_t source_tokens_ = 0;
-  /// Engines that compute prompts, those of them at which prompts wait, and their share; of the
-  /// request that is weighed.
-  std::uint32_t computing_engines_ = 0;
-  std::uint32_t waiting_engines_ = 0;
+  /// Share of the engines that compute prompts at which prompts wait, for the request weighed.
   double contention_ = 0;
   std::vector<PricedEngine> whole_engines_;
   std::vector<PricedEngine> prefill_engines_;
--- a/src/cypresswall/routing/long_prompts.cpp
+++ b/src/cypresswall/routing/long_prompts.cpp
@@ -14,10 +14,11 @@
 
 }  // namespace
 
-LongPrompts::LongPrompts(const RouterSettings& settings, const common::Clock& clock,
-                         WorkExchange& exchange, PrefixIndex& prefixes, EstimateTable& estimates)
+LongPrompts::LongPrompts(const RouterSettings& settings, const OfferModel& model,
+                         const common::Clock& clock, WorkExchange& exchange, PrefixIndex& prefixes,
+                         EstimateTable& estimates)
     : settings_(settings),
-      model_(settings),
+      model_(model),
       clock_(clock),
       exchange_(exchange),
       prefixes_(prefixes),
--- a/src/cypresswall/routing/long_prompts.h
+++ b/src/cypresswall/routing/long_prompts.h
@@ -19,8 +19,8 @@
 class LongPrompts final : public WorkExchange::Listener {
  public:
   /// \pre all references outlive this object, which becomes the listener of `exchange`
-  LongPrompts(const RouterSettings& settings, const common::Clock& clock, WorkExchange& exchange,
-              PrefixIndex& prefixes, EstimateTable& estimates);
+  LongPrompts(const RouterSettings& settings, const OfferModel& model, const common::Clock& clock,
+              WorkExchange& exchange, PrefixIndex& prefixes, EstimateTable& estimates);
   ~LongPrompts() override;
   LongPrompts(const LongPrompts&) = delete;
   LongPrompts& operator=(const LongPrompts&) = delete;
@@ -84,7 +84,7 @@
   void publishBacklog(EngineSlot slot);
 
   const RouterSettings& settings_;
-  OfferModel model_;
+  const OfferModel& model_;
   const common::Clock& clock_;
   WorkExchange& exchange_;
   PrefixIndex& prefixes_;
--- a/src/cypresswall/runtime/log_sink.cpp
+++ b/src/cypresswall/runtime/log_sink.cpp
@@ -67,9 +67,10 @@
 /// Initializes log4cplus for the whole life of the process. It is never shut down: that joins the
 /// library's threads, which a process that ends need not wait for and which, on the users'
 /// platform, never returned.
-bool initializeOnce() {
+log4cplus::Logger makeLogger() {
   static const auto* const initializer = new log4cplus::Initializer();
-  return initializer != nullptr;
+  static_cast<void>(initializer);
+  return log4cplus::Logger::getInstance("cypresswall");
 }
 
 }  // namespace
@@ -99,10 +100,7 @@
 }
 
 Log4cplusSink::Log4cplusSink(common::LogLevel level)
-    : initialized_(initializeOnce()),
-      appender_(new LineAppender()),
-      logger_(log4cplus::Logger::getInstance("cypresswall")),
-      level_(level) {
+    : logger_(makeLogger()), appender_(new LineAppender()), level_(level) {
   // The threads serve asynchronous appenders only, which are not used.
   log4cplus::setThreadPoolSize(1);
   logger_.setLogLevel(log4cplus::ALL_LOG_LEVEL);
--- a/src/cypresswall/runtime/log_sink.h
+++ b/src/cypresswall/runtime/log_sink.h
@@ -43,9 +43,8 @@
  private:
   void writeLine(common::LogLevel level, const std::string& line);
 
-  bool initialized_;
-  log4cplus::helpers::SharedObjectPtr<LineAppender> appender_;
   log4cplus::Logger logger_;
+  log4cplus::helpers::SharedObjectPtr<LineAppender> appender_;
   common::LogLevel level_;
   std::string process_pairs_;
 };
