--- a/tests/support/engine_world.h
+++ b/tests/support/engine_world.h
@@ -132,6 +132,7 @@
   }
   void setMembers(const std::vector<common::NodeId>& nodes) {
     std::vector<membership::Member> members;
+    members.reserve(nodes.size());
     for (const auto& node : nodes) {
       members.push_back(membership::Member{node, "", membership::MemberState::kAlive, ""});
     }
