--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -62,6 +62,8 @@
   std::string adapter;
   Urgency urgency = Urgency::kNormal;
   common::Duration first_token_limit = std::chrono::milliseconds(1300);
+  /// First token that operators aim at, by which roles are planned; zero takes the limit.
+  common::Duration first_token_target{0};
   common::Duration between_tokens_limit = std::chrono::milliseconds(79);
   std::uint32_t maximum_tokens = 4096;
   /// False if a request that may have run must not run again: it is neither repeated nor resumed.
--- a/src/cypresswall/configuration/object_fields.h
+++ b/src/cypresswall/configuration/object_fields.h
@@ -45,6 +45,7 @@
   visitor("adapter", service.adapter, FieldPresence::kOptional);
   visitor("urgency", service.urgency, FieldPresence::kOptional);
   visitor("first_token_limit", service.first_token_limit, FieldPresence::kOptional);
+  visitor("first_token_target", service.first_token_target, FieldPresence::kOptional);
   visitor("between_tokens_limit", service.between_tokens_limit, FieldPresence::kOptional);
   visitor("maximum_tokens", service.maximum_tokens, FieldPresence::kOptional);
   visitor("repeatable", service.repeatable, FieldPresence::kOptional);
--- a/src/cypresswall/engines/engine_types.cpp
+++ b/src/cypresswall/engines/engine_types.cpp
@@ -14,6 +14,22 @@
   return "unknown";
 }
 
+const char* toString(OrderKind kind) {
+  switch (kind) {
+    case OrderKind::kRaiseFence:
+      return "raise-fence";
+    case OrderKind::kChangeRole:
+      return "change-role";
+    case OrderKind::kLoadModel:
+      return "load-model";
+    case OrderKind::kLoadAdapter:
+      return "load-adapter";
+    case OrderKind::kUnloadAdapter:
+      return "unload-adapter";
+  }
+  return "unknown";
+}
+
 bool parseRole(const std::string& text, EngineRole& role) {
   for (const auto candidate : {EngineRole::kMixed, EngineRole::kPrefill, EngineRole::kDecode}) {
     if (text == toString(candidate)) {
--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -37,6 +37,9 @@
   kUnloadAdapter,
 };
 
+/// \return a word for logs, such as "change-role".
+const char* toString(OrderKind kind);
+
 }  // namespace cypresswall::engines
 
 MSGPACK_ADD_ENUM(cypresswall::engines::EngineRole)
@@ -68,9 +71,13 @@
   /// when it restarts; this keeps orders that were sent to its earlier life from taking effect.
   std::uint64_t engine_incarnation = 0;
   OrderContent content;
+  /// Orders that the engine had taken, by its own count (EngineLoad::last_sequence), when this one
+  /// was decided. Engines that count by themselves refuse the order at any other count, so that one
+  /// which is carried out late has no effect after a newer one.
+  std::uint64_t orders_taken = 0;
 
   bool operator==(const EngineOrder&) const = default;
-  MSGPACK_DEFINE(epoch, sequence, engine_incarnation, content)
+  MSGPACK_DEFINE(epoch, sequence, engine_incarnation, content, orders_taken)
 };
 
 enum class OrderVerdict : std::uint8_t {
--- /dev/null
+++ b/src/cypresswall/lease/store_lease.cpp
@@ -0,0 +1,225 @@
+#include "cypresswall/lease/store_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cypresswall/membership/rendezvous.h"
+
+namespace cypresswall::lease {
+namespace {
+
+using platform::StoredObject;
+using platform::StoreFailure;
+using platform::StoreResult;
+
+/// Own writes whose late effect is still recognized.
+constexpr std::size_t kRememberedWrites = 64;
+
+}  // namespace
+
+StoreLease::StoreLease(const StoreLeaseSettings& settings, const api::ProcessContext& context,
+                       const membership::MembershipView& membership, platform::ObjectStore& store)
+    : settings_(settings),
+      context_(context),
+      membership_(membership),
+      store_(store),
+      key_(leaseKey(context.zone)),
+      acquired_(context.counters.counter("cypresswall_store_lease_acquired_total",
+                                         "Times that this node got the lease in the store")),
+      lost_(context.counters.counter("cypresswall_store_lease_lost_total",
+                                     "Times that this node lost or gave up the lease")),
+      unreadable_(context.counters.counter("cypresswall_store_lease_unreadable_total",
+                                           "Stored leases that could not be read")) {}
+
+void StoreLease::start() { tick(); }
+
+void StoreLease::resign() { resigned_ = true; }
+
+bool StoreLease::running() const { return context_.clock.now() < lease_until_; }
+
+std::optional<common::Epoch> StoreLease::heldEpoch() const {
+  return held_ && running() ? held_ : std::nullopt;
+}
+
+common::NodeId StoreLease::believedHolder() const {
+  common::NodeId best;
+  std::uint64_t best_rank = 0;
+  for (const membership::Member& member : membership_.members()) {
+    const std::uint64_t rank = membership::rendezvousRank(key_, member.node);
+    if (member.state == membership::MemberState::kAlive && (best.empty() || rank > best_rank)) {
+      best = member.node;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+void StoreLease::onChange(std::function<void(std::optional<common::Epoch>)> listener) {
+  listeners_.push_back(std::move(listener));
+}
+
+void StoreLease::superseded(const common::Epoch& epoch) {
+  spent_term_ = std::max(spent_term_, epoch.term);
+  if (held_ == epoch) {
+    lose("superseded");
+    doubtful_ = true;
+    callAgainAfter(settings_.duration);
+  }
+}
+
+void StoreLease::tick() {
+  context_.scheduler.schedule(settings_.tick_interval, [this] { tick(); });
+  if (held_ && !running()) {
+    lose("expired");
+  }
+  if (needed_ && !resigned_ && !call_under_way_ && context_.clock.now() >= next_call_at_) {
+    act();
+  }
+}
+
+void StoreLease::act() {
+  if (doubtful_) {
+    read();
+  } else if (owned()) {
+    if (!running() || context_.clock.now() - last_sent_ >= settings_.renew_interval) {
+      write(seen_->record.term);
+    }
+  } else if (mayTakeOver()) {
+    write(nextTerm());
+  }
+}
+
+bool StoreLease::owned() const {
+  return seen_->version != 0 && seen_->record.holder == context_.self &&
+         seen_->record.term > spent_term_;
+}
+
+bool StoreLease::mayTakeOver() const {
+  // The last holder's time to act ends `duration` after it sent the write that made this version,
+  // so at the latest that long after the version was first seen.
+  const common::Duration wait = settings_.duration + settings_.hand_over_gap;
+  return seen_->version == 0 || seen_->record.holder == context_.self ||
+         context_.clock.now() - seen_->since >= wait;
+}
+
+std::uint32_t StoreLease::nextTerm() const { return std::max(seen_->record.term, spent_term_) + 1; }
+
+void StoreLease::read() {
+  call_under_way_ = true;
+  store_.get(key_, [this](const StoreResult<StoredObject>& result) { onRead(result); });
+}
+
+void StoreLease::onRead(const StoreResult<StoredObject>& result) {
+  call_under_way_ = false;
+  if (result.ok()) {
+    observe(result.value());
+  } else if (result.failure().kind == StoreFailure::kNotFound) {
+    seen_.emplace().since = context_.clock.now();
+    doubtful_ = false;
+  } else {
+    callAgainAfter(settings_.retry_delay);
+  }
+}
+
+void StoreLease::write(std::uint32_t term) {
+  platform::ObjectWrite request;
+  request.key = key_;
+  request.expected_version = seen_->version;
+  request.value = encodeLeaseRecord({context_.self, term});
+  request.change_id = context_.self.toString() + "/" + std::to_string(++next_change_);
+  last_sent_ = context_.clock.now();
+  sent_[request.change_id] = last_sent_;
+  if (sent_.size() > kRememberedWrites) {
+    sent_.erase(std::min_element(sent_.begin(), sent_.end(),
+                                 [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+  call_under_way_ = true;
+  store_.compareAndSet(std::move(request),
+                       [this](const StoreResult<StoredObject>& result) { onWritten(result); });
+}
+
+void StoreLease::onWritten(const StoreResult<StoredObject>& result) {
+  call_under_way_ = false;
+  if (result.ok()) {
+    observe(result.value());
+    return;
+  }
+  doubtful_ = true;
+  if (result.failure().kind != StoreFailure::kConflict) {
+    callAgainAfter(settings_.retry_delay);
+  }
+}
+
+void StoreLease::observe(const StoredObject& object) {
+  const bool changed = !seen_ || seen_->version != object.version;
+  try {
+    LeaseRecord record = decodeLeaseRecord(object.value);
+    doubtful_ = false;
+    if (changed) {
+      Seen& seen = seen_.emplace();
+      seen.version = object.version;
+      seen.record = std::move(record);
+      seen.since = context_.clock.now();
+    }
+  } catch (const LeaseRecordError& error) {
+    // Not ours to replace: a lower term than one that was used could follow.
+    doubtful_ = true;
+    callAgainAfter(settings_.duration + settings_.hand_over_gap);
+    unreadable_.add();
+    if (!std::exchange(unreadable_told_, true)) {
+      common::LogEvent(context_.log, common::LogLevel::kWarning, "stored_lease_unreadable")
+          .field("key", key_)
+          .field("version", object.version)
+          .field("reason", error.what());
+    }
+    return;
+  }
+  if (owned()) {
+    observeOwn(object.change_id);
+  } else if (held_) {
+    lose("taken over");
+  }
+}
+
+void StoreLease::observeOwn(const std::string& change_id) {
+  const auto sent = sent_.find(change_id);
+  if (sent == sent_.end()) {
+    return;
+  }
+  lease_until_ = std::max(lease_until_, sent->second + settings_.duration - settings_.drift_margin);
+  if (running() && !held_) {
+    hold();
+  }
+}
+
+void StoreLease::hold() {
+  held_ = common::Epoch{0, seen_->record.term};
+  acquired_.add();
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "lease_acquired")
+      .field("zone", context_.zone)
+      .field("epoch", held_->toString())
+      .field("version", seen_->version);
+  for (const auto& listener : listeners_) {
+    listener(held_);
+  }
+}
+
+void StoreLease::lose(const char* reason) {
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "lease_lost")
+      .field("zone", context_.zone)
+      .field("epoch", held_->toString())
+      .field("needed", needed_)
+      .field("reason", reason);
+  lost_.add();
+  held_.reset();
+  lease_until_ = context_.clock.now();
+  for (const auto& listener : listeners_) {
+    listener(std::nullopt);
+  }
+}
+
+void StoreLease::callAgainAfter(common::Duration delay) {
+  next_call_at_ = context_.clock.now() + delay;
+}
+
+}  // namespace cypresswall::lease
--- a/src/cypresswall/lease/zone_authority.h
+++ b/src/cypresswall/lease/zone_authority.h
@@ -41,6 +41,7 @@
 
   std::optional<common::Epoch> heldEpoch() const override;
   common::NodeId believedHolder() const override;
+  common::Epoch highestEpoch() const override { return voter_.promised(); }
   void onChange(std::function<void(std::optional<common::Epoch>)> listener) override;
 
   void replicate(RecordModule module, const std::string& key, std::string payload,
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -22,12 +22,13 @@
       membership_(settings_.membership, context_, clients.machine_list),
       gossip_(settings_.membership, context_, membership_),
       authority_(settings_.lease, context_, membership_, clients.object_store),
+      orders_authority_(makeOrdersAuthority(clients.object_store)),
       configuration_(settings_.configuration, context_, membership_, gossip_, clients.object_store),
       declared_(clients.declared),
       configuration_view_(declared_ != nullptr ? *declared_ : configuration_),
       engines_(settings_.directory, context_, clients.engines, configuration_view_, membership_),
       router_(makeRouter(settings_, context_, engines_)),
-      controller_(settings_.controller, context_, authority_, engines_, clients.engines,
+      controller_(settings_.controller, context_, orders_authority_, engines_, clients.engines,
                   configuration_view_, membership_,
                   settings_.make_planner ? settings_.make_planner() : nullptr),
       observed_router_(*router_, context_.clock, settings_.shedding),
@@ -41,7 +42,7 @@
                         execution::ServiceInterfaces{configuration_view_, membership_, admission_,
                                                      clients.services, key_claims_},
                         settings_.execution),
-      state_(NodeStateSources{context_.clock, membership_, authority_, configuration_view_,
+      state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, controller_, model_executor_.journal(),
                               service_executor_.journal()}),
       commands_(context_, configuration_, state_, declared_) {
@@ -57,7 +58,7 @@
 void Node::start() {
   membership_.start();
   gossip_.start();
-  authority_.start();
+  startAuthority();
   if (declared_ == nullptr) {
     configuration_.start();
   } else {
@@ -65,6 +66,21 @@
   }
   engines_.start();
   controller_.start();
+}
+
+lease::AuthorityView& Node::makeOrdersAuthority(platform::ObjectStore& store) {
+  if (!settings_.lease_in_store) {
+    return authority_;
+  }
+  return store_lease_.emplace(settings_.store_lease, context_, membership_, store);
+}
+
+void Node::startAuthority() {
+  if (store_lease_) {
+    store_lease_->start();
+    return;
+  }
+  authority_.start();
   key_claims_.start();
 }
 
@@ -89,6 +105,9 @@
       .field("in_flight", admission_.inFlight());
   admission_.setDraining(true);
   authority_.resign();
+  if (store_lease_) {
+    store_lease_->resign();
+  }
 }
 
 void Node::beginStop(std::function<void()> done) {
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <functional>
+#include <memory>
+#include <optional>
 
 #include "cypresswall/admission/observed_router.h"
 #include "cypresswall/admission/zone_admission_controller.h"
@@ -12,6 +14,7 @@
 #include "cypresswall/execution/engine_model_executor.h"
 #include "cypresswall/execution/http_service_executor.h"
 #include "cypresswall/idempotency/quorum_key_claims.h"
+#include "cypresswall/lease/store_lease.h"
 #include "cypresswall/lease/zone_authority.h"
 #include "cypresswall/membership/membership.h"
 #include "cypresswall/membership/zone_gossip.h"
@@ -79,6 +82,8 @@
   void followDeclared();
   /// Stops taking new work; what runs goes on.
   void drain();
+  lease::AuthorityView& makeOrdersAuthority(platform::ObjectStore& store);
+  void startAuthority();
   void checkStop();
   bool mayStop() const;
 
@@ -86,7 +91,10 @@
   api::ProcessContext context_;
   membership::Membership membership_;
   membership::ZoneGossip gossip_;
+  /// Runs unless the lease is in the store.
   lease::ZoneAuthority authority_;
+  std::optional<lease::StoreLease> store_lease_;
+  lease::AuthorityView& orders_authority_;
   configuration::ConfigurationReplica configuration_;
   configuration::ConfigurationView* declared_;
   configuration::ConfigurationView& configuration_view_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -9,6 +9,7 @@
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/idempotency/claim_settings.h"
 #include "cypresswall/lease/lease_settings.h"
+#include "cypresswall/lease/store_lease.h"
 #include "cypresswall/membership/membership_settings.h"
 #include "cypresswall/orders/settings.h"
 #include "cypresswall/planning/planner.h"
@@ -21,12 +22,16 @@
 struct NodeSettings {
   membership::MembershipSettings membership;
   lease::LeaseSettings lease;
+  /// The lease for orders is an object of the platform's store; otherwise, and for idempotency
+  /// keys always, a quorum of the zone's nodes grants it.
+  bool lease_in_store = false;
+  lease::StoreLeaseSettings store_lease;
   idempotency::ClaimSettings claims;
   configuration::ConfigurationSettings configuration;
   routing::DirectorySettings directory;
   routing::RouterSettings router;
   orders::ControllerSettings controller;
-  /// Makes the planner of roles; empty takes the cost-based one. Set by experiments only.
+  /// Makes the planner of roles; empty takes the cost-based one.
   std::function<std::unique_ptr<planning::Planner>()> make_planner = {};
   /// Makes the router; empty takes the cost-based one. Set by experiments only.
   std::function<std::unique_ptr<routing::Router>(const api::ProcessContext&,
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -144,7 +144,7 @@
   row.held_here = epoch.has_value();
   const common::NodeId holder = sources_.authority.believedHolder();
   row.holder = holder.address;
-  row.epoch = epoch ? epoch->toString() : sources_.authority.voter().promised().toString();
+  row.epoch = epoch.value_or(sources_.authority.highestEpoch()).toString();
   return {row};
 }
 
--- a/src/cypresswall/node/node_state.h
+++ b/src/cypresswall/node/node_state.h
@@ -7,7 +7,7 @@
 
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/execution/request_journal.h"
-#include "cypresswall/lease/zone_authority.h"
+#include "cypresswall/lease/authority_view.h"
 #include "cypresswall/membership/membership.h"
 #include "cypresswall/operators/state_providers.h"
 #include "cypresswall/orders/zone_controller.h"
@@ -19,7 +19,7 @@
 struct NodeStateSources {
   const common::Clock& clock;
   const membership::Membership& membership;
-  const lease::ZoneAuthority& authority;
+  const lease::AuthorityView& authority;
   const configuration::ConfigurationView& configuration;
   const routing::EngineDirectory& engines;
   const orders::ZoneController& controller;
--- a/src/cypresswall/orders/engine_control.cpp
+++ b/src/cypresswall/orders/engine_control.cpp
@@ -82,17 +82,14 @@
         cancel(ChangeOutcome::kDrainCancelled);
         break;
       }
-      if (!drain_acknowledged_ && drains_.acknowledged(endpoint().name)) {
-        drain_acknowledged_ = true;
-        acknowledged_at_ = context_.clock.now();
-      }
+      noteAcknowledgement();
       if (drain_acknowledged_) {
         readLoad();
       }
       break;
     case ControlPhase::kOrdering:
       if (channel_.open() && channel_.busy()) {
-        drainOverdue() ? withdraw() : channel_.resend();
+        tickOrder();
       }
       break;
     case ControlPhase::kFencing:
@@ -107,6 +104,29 @@
   }
 }
 
+void EngineControl::noteAcknowledgement() {
+  if (drain_acknowledged_) {
+    return;
+  }
+  const common::MonotonicTime now = context_.clock.now();
+  const bool waited = settings_.order.engines_finish_streams &&
+                      now - record_.started_at >= settings_.drain.acknowledgement_limit;
+  if (waited || drains_.acknowledged(endpoint().name)) {
+    drain_acknowledged_ = true;
+    acknowledged_at_ = now;
+  }
+}
+
+void EngineControl::tickOrder() {
+  if (settings_.order.engines_finish_streams) {
+    readLoad();
+  } else if (drainOverdue()) {
+    withdraw();
+  } else {
+    channel_.resend();
+  }
+}
+
 void EngineControl::observeIncarnation(std::uint64_t incarnation,
                                        common::MonotonicTime observed_at) {
   const bool newer = observed_at > fenced_at_ && incarnation != incarnation_;
@@ -136,6 +156,7 @@
 }
 
 void EngineControl::onLoad(const engines::EngineLoad& load) {
+  orders_taken_ = load.last_sequence;
   switch (phase_) {
     case ControlPhase::kUnknown:
       raiseFence(load.incarnation);
@@ -143,6 +164,9 @@
     case ControlPhase::kDraining:
       checkDrained(load);
       break;
+    case ControlPhase::kOrdering:
+      settleOrder(load);
+      break;
     case ControlPhase::kConfirming:
       checkDone(load);
       break;
@@ -154,7 +178,7 @@
 void EngineControl::raiseFence(std::uint64_t incarnation) {
   phase_ = ControlPhase::kFencing;
   incarnation_ = incarnation;
-  channel_.submit(incarnation, engines::OrderContent{},
+  channel_.submit(incarnation, orders_taken_, engines::OrderContent{},
                   [this](OrderResult result) { onFence(result); });
 }
 
@@ -187,6 +211,8 @@
   common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_change_started")
       .field("engine", record_.engine)
       .field("epoch", epoch_.toString())
+      .field("order", engines::toString(record_.change.content.kind))
+      .field("role", engines::toString(record_.change.content.role))
       .field("reason", record_.change.reason);
   if (record_.change.drain) {
     phase_ = ControlPhase::kDraining;
@@ -208,29 +234,62 @@
     endChange(ChangeOutcome::kEngineRestarted, ControlPhase::kUnknown);
     return;
   }
-  const common::MonotonicTime described = context_.clock.now() - load.age;
-  const bool idle = load.running_streams == 0 && load.waiting_streams == 0;
-  if (!drains_.acknowledged(endpoint().name)) {
+  if (!settings_.order.engines_finish_streams && !drains_.acknowledged(endpoint().name)) {
     // A node joined that has not heard of the drain yet.
     drain_acknowledged_ = false;
     return;
   }
-  if (idle && described >= acknowledged_at_ && !load.order_in_progress) {
+  if (mayOrder(load)) {
     sendOrder();
   }
 }
 
+bool EngineControl::mayOrder(const engines::EngineLoad& load) const {
+  const common::MonotonicTime described = context_.clock.now() - load.age;
+  const bool running = load.running_streams != 0 && !settings_.order.engines_finish_streams;
+  const bool idle = !running && load.waiting_streams == 0;
+  return idle && described >= acknowledged_at_ && !load.order_in_progress;
+}
+
+void EngineControl::settleOrder(const engines::EngineLoad& load) {
+  if (!channel_.open() || !channel_.busy()) {
+    return;
+  }
+  if (load.incarnation != incarnation_) {
+    channel_.settle();
+    restarts_in_change_.add();
+    endChange(ChangeOutcome::kEngineRestarted, ControlPhase::kUnknown);
+  } else if (load.order_in_progress) {
+    return;
+  } else if (load.role == record_.change.content.role) {
+    channel_.settle();
+    noteTaken();
+  } else if (load.last_sequence != ordered_at_count_) {
+    channel_.settle();
+    endChange(ChangeOutcome::kRefused, ControlPhase::kUnknown);
+  } else if (drainOverdue()) {
+    withdraw();
+  } else {
+    channel_.resend();
+  }
+}
+
 void EngineControl::sendOrder() {
   phase_ = ControlPhase::kOrdering;
-  channel_.submit(incarnation_, record_.change.content,
+  ordered_at_count_ = orders_taken_;
+  channel_.submit(incarnation_, orders_taken_, record_.change.content,
                   [this](OrderResult result) { onOrder(result); });
 }
 
+void EngineControl::noteTaken() {
+  taken_at_ = context_.clock.now();
+  phase_ = ControlPhase::kConfirming;
+}
+
 void EngineControl::onOrder(OrderResult result) {
   switch (result) {
     case OrderResult::kTaken:
-      taken_at_ = context_.clock.now();
-      phase_ = ControlPhase::kConfirming;
+      noteTaken();
       break;
     case OrderResult::kBusy:
       break;
@@ -281,7 +340,8 @@
   common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_change_ended")
       .field("engine", record_.engine)
       .field("epoch", epoch_.toString())
-      .field("outcome", toString(outcome));
+      .field("outcome", toString(outcome))
+      .field("after_ms", (record_.ended_at - record_.started_at) / std::chrono::milliseconds(1));
   listener_(record_);
 }
 
--- a/src/cypresswall/orders/engine_control.h
+++ b/src/cypresswall/orders/engine_control.h
@@ -100,7 +100,13 @@
   void raiseFence(std::uint64_t incarnation);
   void onFence(OrderResult result);
   void checkDrained(const engines::EngineLoad& load);
+  bool mayOrder(const engines::EngineLoad& load) const;
+  void noteAcknowledgement();
+  void tickOrder();
+  /// Finds out from a report what became of an order that was answered with "busy".
+  void settleOrder(const engines::EngineLoad& load);
   void sendOrder();
+  void noteTaken();
   void onOrder(OrderResult result);
   void checkDone(const engines::EngineLoad& load);
   void withdraw();
@@ -117,6 +123,10 @@
   ControlPhase phase_ = ControlPhase::kUnknown;
   /// The life of the engine whose fence was raised.
   std::uint64_t incarnation_ = 0;
+  /// By the engine's own count, as last read.
+  std::uint64_t orders_taken_ = 0;
+  /// That count when the open order was decided.
+  std::uint64_t ordered_at_count_ = 0;
   common::MonotonicTime fenced_at_{};
   bool fence_tried_ = false;
   bool load_pending_ = false;
--- a/src/cypresswall/orders/order_channel.cpp
+++ b/src/cypresswall/orders/order_channel.cpp
@@ -27,9 +27,9 @@
   context_.scheduler.cancel(resend_timer_);
 }
 
-void OrderChannel::submit(std::uint64_t engine_incarnation, const engines::OrderContent& content,
-                          Callback callback) {
-  open_ = engines::EngineOrder{epoch_, ++sequence_, engine_incarnation, content};
+void OrderChannel::submit(std::uint64_t engine_incarnation, std::uint64_t orders_taken,
+                          const engines::OrderContent& content, Callback callback) {
+  open_ = engines::EngineOrder{epoch_, ++sequence_, engine_incarnation, content, orders_taken};
   callback_ = std::move(callback);
   resend_delay_ = settings_.resend_delay;
   sent_.add();
@@ -43,9 +43,16 @@
 
 void OrderChannel::withdraw(Callback callback) {
   const std::uint64_t incarnation = open_->engine_incarnation;
+  const std::uint64_t orders_taken = open_->orders_taken;
   busy_ = false;
   open_.reset();
-  submit(incarnation, engines::OrderContent{}, std::move(callback));
+  submit(incarnation, orders_taken, engines::OrderContent{}, std::move(callback));
+}
+
+void OrderChannel::settle() {
+  busy_ = false;
+  open_.reset();
+  callback_ = nullptr;
 }
 
 void OrderChannel::send() {
@@ -89,6 +96,7 @@
       close(OrderResult::kTaken);
       break;
     case OrderVerdict::kStaleEpoch:
+      authority_.superseded(epoch_);
       close(OrderResult::kStaleEpoch);
       break;
     case OrderVerdict::kWrongIncarnation:
--- a/src/cypresswall/orders/order_channel.h
+++ b/src/cypresswall/orders/order_channel.h
@@ -37,9 +37,10 @@
 
   /// Sends a new order to one life of the engine.
   /// \pre !open()
+  /// \param orders_taken the engine's own count of orders
   /// \param callback called for each result; after any but kBusy the order is closed
-  void submit(std::uint64_t engine_incarnation, const engines::OrderContent& content,
-              Callback callback);
+  void submit(std::uint64_t engine_incarnation, std::uint64_t orders_taken,
+              const engines::OrderContent& content, Callback callback);
   /// Sends the open order again, the very same.
   /// \pre open() and the last result was kBusy
   void resend();
@@ -47,6 +48,9 @@
   /// ineffective by a later number: raises the fence once more with the next sequence number.
   /// \pre open() and the last result was kBusy
   void withdraw(Callback callback);
+  /// Closes an order that was answered with kBusy, without a further result: the engine's report
+  /// showed what became of it. \pre open() and the last result was kBusy
+  void settle();
 
   bool open() const { return open_.has_value(); }
   bool busy() const { return busy_; }
--- a/src/cypresswall/orders/planning_input.cpp
+++ b/src/cypresswall/orders/planning_input.cpp
@@ -39,6 +39,8 @@
   engine.streams = record.load.running_streams + record.load.waiting_streams;
   const auto control = sources.controls.find(engine.name);
   if (control == sources.controls.end()) {
+    engine.changeable =
+        sources.without_lease && engine.available && !rolePinned(sources.fleet, engine.name);
     return engine;
   }
   const EngineControl& state = *control->second;
@@ -65,7 +67,9 @@
     if (service.between_tokens_limit.count() > 0) {
       between_tokens.push_back(service.between_tokens_limit);
     }
-    if (service.first_token_limit.count() > 0) {
+    if (service.first_token_target.count() > 0) {
+      first_token.push_back(service.first_token_target);
+    } else if (service.first_token_limit.count() > 0) {
       first_token.push_back(service.first_token_limit);
     }
   }
--- a/src/cypresswall/orders/planning_input.h
+++ b/src/cypresswall/orders/planning_input.h
@@ -20,6 +20,9 @@
   const std::map<common::EngineName, std::unique_ptr<EngineControl>>& controls;
   const planning::DemandEstimator& demand;
   common::MonotonicTime now;
+  /// The lease is not held yet, so that no engine has a control: any that is available counts as
+  /// changeable.
+  bool without_lease = false;
 };
 
 /// Engines that are changing count in the role they are changing to.
--- a/src/cypresswall/orders/settings.h
+++ b/src/cypresswall/orders/settings.h
@@ -17,6 +17,10 @@
   common::Duration limit = std::chrono::seconds(60);
   /// Between two reads of a draining or changing engine's load.
   common::Duration check_period = std::chrono::milliseconds(100);
+  /// Longest wait for the nodes' acknowledgements where engines let their streams finish
+  /// (OrderSettings::engines_finish_streams): a node that is paused or cut off then only has its
+  /// requests refused.
+  common::Duration acknowledgement_limit = std::chrono::seconds(1);
 };
 
 struct OrderSettings {
@@ -25,6 +29,9 @@
   common::Duration maximum_resend_delay = std::chrono::seconds(2);
   /// Engines whose fence a new holder begins to raise in one control period.
   std::uint32_t fences_per_period = 64;
+  /// Engines let running streams finish before they carry an order out, refuse what has not begun
+  /// meanwhile, and refuse an order unless its orders_taken is their own count.
+  bool engines_finish_streams = false;
 };
 
 struct ControllerSettings {
@@ -37,6 +44,8 @@
   common::Duration planning_period = std::chrono::seconds(1);
   /// Between two demand reports of a node to the holder.
   common::Duration demand_period = std::chrono::seconds(1);
+  /// A lease that is held only while needed is given back after this long with nothing to order.
+  common::Duration lease_idle_time = std::chrono::seconds(3);
   /// Engines of one model that may be away at once for declared loads and pinned roles: this
   /// share, at least one.
   double maximum_away_share = 0.1;
--- a/src/cypresswall/orders/zone_controller.cpp
+++ b/src/cypresswall/orders/zone_controller.cpp
@@ -42,7 +42,7 @@
   }
   context_.dispatcher.handle<DemandReport>(
       [this](const common::NodeId&, const DemandReport& report) {
-        if (!active_) {
+        if (!demand_) {
           demand_dropped_.add();
           return;
         }
@@ -62,6 +62,10 @@
   updateAuthority();
   if (active_) {
     controlRound();
+  } else if (demand_) {
+    standbyRound();
+  } else {
+    authority_.setNeeded(false);
   }
   context_.scheduler.schedule(settings_.control_period, [this] { tick(); });
 }
@@ -72,13 +76,19 @@
     begin(*held);
   }
   active_ = held.has_value();
+  if (!plans()) {
+    demand_.reset();
+  } else if (!demand_) {
+    demand_.emplace(settings_.demand, context_.clock.now());
+  }
 }
 
+bool ZoneController::plans() const { return authority_.believedHolder() == context_.self; }
+
 void ZoneController::begin(const common::Epoch& epoch) {
   controls_.clear();
   explanations_.clear();
   epoch_ = epoch;
-  demand_.emplace(settings_.demand, context_.clock.now());
   planned_at_ = context_.clock.now();
   drains_.begin(epoch);
   epochs_.add();
@@ -95,12 +105,41 @@
   if (!fencesTried()) {
     return;
   }
-  startDeclaredChanges(records);
+  if (demand_) {
+    startDeclaredChanges(records);
+    if (planningDue()) {
+      planRoles(records);
+    }
+  }
+  noteNeed(changesUnderWay());
+}
+
+bool ZoneController::planningDue() const {
+  const common::MonotonicTime now = context_.clock.now();
+  return now - planned_at_ >= settings_.planning_period && demand_->warm(now);
+}
+
+bool ZoneController::changesUnderWay() const {
+  return std::any_of(controls_.begin(), controls_.end(),
+                     [](const auto& item) { return item.second->changing(); });
+}
+
+void ZoneController::noteNeed(bool needed) {
   const common::MonotonicTime now = context_.clock.now();
-  if (now - planned_at_ >= settings_.planning_period && demand_->warm(now)) {
-    planned_at_ = now;
-    planRoles(records);
+  if (needed) {
+    needed_at_ = now;
+  }
+  authority_.setNeeded(needed || now - needed_at_ < settings_.lease_idle_time);
+}
+
+void ZoneController::standbyRound() {
+  if (!planningDue()) {
+    return;
   }
+  const auto records = directory_.records();
+  const planning::Plan plan = makePlan(records, {}, true);
+  const auto fleet = configuration_.current();
+  noteNeed(fleet->planning.automatic_roles && !plan.changes.empty());
 }
 
 void ZoneController::updateControls(const std::vector<routing::EngineRecord>& records) {
@@ -206,13 +245,39 @@
   }
 }
 
-void ZoneController::planRoles(const std::vector<routing::EngineRecord>& records) {
+planning::Plan ZoneController::makePlan(const std::vector<routing::EngineRecord>& records,
+                                        const Controls& controls, bool without_lease) {
+  planned_at_ = context_.clock.now();
   const auto fleet = configuration_.current();
-  const PlanningSources sources{*fleet, records, controls_, *demand_, context_.clock.now()};
+  const PlanningSources sources{*fleet, records, controls, *demand_, planned_at_, without_lease};
   planning::PlanningInput input = makePlanningInput(sources, capacity_);
   input.expected_time_away = time_away_;
   planning::Plan plan = planner_->plan(input);
-  explanations_ = std::move(plan.explanations);
+  explanations_ = plan.explanations;
+  if (fleet->planning.automatic_roles && !plan.changes.empty()) {
+    logPlan();
+  }
+  return plan;
+}
+
+void ZoneController::logPlan() const {
+  for (const planning::ModelExplanation& model : explanations_) {
+    common::LogEvent(context_.log, common::LogLevel::kInfo, "roles_planned")
+        .field("model", model.model)
+        .field("prefill_engines", model.prefill_engines)
+        .field("decode_engines", model.decode_engines)
+        .field("utilisation", model.utilisation_short)
+        .field("utilisation_long", model.utilisation_long)
+        .field("decode_utilisation", model.decode_utilisation_short)
+        .field("decode_utilisation_long", model.decode_utilisation_long)
+        .field("lost_without_change", model.lost_without_change)
+        .field("conclusion", model.conclusion);
+  }
+}
+
+void ZoneController::planRoles(const std::vector<routing::EngineRecord>& records) {
+  const auto fleet = configuration_.current();
+  const planning::Plan plan = makePlan(records, controls_, false);
   if (!fleet->planning.automatic_roles) {
     return;
   }
@@ -250,7 +315,7 @@
 void ZoneController::reportDemand() {
   DemandReport report{directory_.demand().take()};
   const common::NodeId holder = authority_.believedHolder();
-  if (active_) {
+  if (demand_) {
     for (const auto& [model, count] : report.counts) {
       demand_->add(model, count, context_.clock.now());
     }
--- a/src/cypresswall/orders/zone_controller.h
+++ b/src/cypresswall/orders/zone_controller.h
@@ -55,11 +55,22 @@
   void tick();
   void updateAuthority();
   void begin(const common::Epoch& epoch);
+  /// \return true if this node is the one that plans the zone's roles.
+  bool plans() const;
   void controlRound();
+  /// Plans without the lease, and asks for it once there is something to order.
+  void standbyRound();
+  bool planningDue() const;
+  bool changesUnderWay() const;
+  /// Notes whether there is something to order, so that the lease is kept or given back.
+  void noteNeed(bool needed);
   void updateControls(const std::vector<routing::EngineRecord>& records);
   void tickControls();
   bool fencesTried() const;
   void startDeclaredChanges(const std::vector<routing::EngineRecord>& records);
+  planning::Plan makePlan(const std::vector<routing::EngineRecord>& records,
+                          const Controls& controls, bool without_lease);
+  void logPlan() const;
   void planRoles(const std::vector<routing::EngineRecord>& records);
   bool mayBeChanged(const routing::EngineRecord& record) const;
   bool roomForChange(const common::ModelName& model,
@@ -83,8 +94,10 @@
   std::optional<common::Epoch> epoch_;
   bool active_ = false;
   Controls controls_;
+  /// Set while this node plans.
   std::optional<planning::DemandEstimator> demand_;
   common::MonotonicTime planned_at_{};
+  common::MonotonicTime needed_at_{};
   std::vector<planning::ModelExplanation> explanations_;
   std::deque<ChangeRecord> ended_;
   /// Moving average of drain and change together.
--- a/src/cypresswall/planning/capacity_model.h
+++ b/src/cypresswall/planning/capacity_model.h
@@ -60,13 +60,13 @@
   ///   not depend on the roles, so that a change of roles does not change what asks for it.
   static double longPromptStrain(const std::vector<const PlannedEngine*>& engines,
                                  const CapacitySettings& settings, double long_tokens_per_second);
-
- private:
-  bool fits(const RoleCapacity& capacity, const DemandRate& demand, double time_share) const;
   /// \return the part of requests that wait longer than `slack` seconds for one of `servers`
   ///   engines, each busy for `service` seconds with a prompt.
   double lateShare(double servers, double utilisation, double service, double slack) const;
 
+ private:
+  bool fits(const RoleCapacity& capacity, const DemandRate& demand, double time_share) const;
+
   CapacitySettings settings_;
 };
 
--- a/src/cypresswall/planning/demand_estimator.cpp
+++ b/src/cypresswall/planning/demand_estimator.cpp
@@ -8,6 +8,8 @@
 
 /// Below this part of a window no rate is told, since the first counts would look like a flood.
 constexpr double kLeastSeenShare = 0.05;
+/// In a second.
+constexpr double kMicroseconds = 1e6;
 
 }  // namespace
 
@@ -19,6 +21,9 @@
   decode_tokens *= kept;
   long_requests *= kept;
   long_prefill_tokens *= kept;
+  prefill_engine_requests *= kept;
+  prefill_engine_seconds *= kept;
+  decode_engine_seconds *= kept;
   updated_at = now;
 }
 
@@ -33,6 +38,9 @@
     sum->decode_tokens += static_cast<double>(count.decode_tokens);
     sum->long_requests += static_cast<double>(count.long_requests);
     sum->long_prefill_tokens += static_cast<double>(count.long_prefill_tokens);
+    sum->prefill_engine_requests += static_cast<double>(count.prefill_engine_requests);
+    sum->prefill_engine_seconds += static_cast<double>(count.prefill_engine_us) / kMicroseconds;
+    sum->decode_engine_seconds += static_cast<double>(count.decode_engine_us) / kMicroseconds;
   }
 }
 
@@ -46,8 +54,14 @@
     return {};
   }
   const double scale = 1.0 / (seconds * seen);
-  return {sum.requests * scale, sum.prefill_tokens * scale, sum.decode_tokens * scale,
-          sum.long_requests * scale, sum.long_prefill_tokens * scale};
+  return {sum.requests * scale,
+          sum.prefill_tokens * scale,
+          sum.decode_tokens * scale,
+          sum.long_requests * scale,
+          sum.long_prefill_tokens * scale,
+          sum.prefill_engine_requests * scale,
+          sum.prefill_engine_seconds * scale,
+          sum.decode_engine_seconds * scale};
 }
 
 ModelDemand DemandEstimator::demand(const common::ModelName& model,
--- a/src/cypresswall/planning/demand_estimator.h
+++ b/src/cypresswall/planning/demand_estimator.h
@@ -37,6 +37,9 @@
     double decode_tokens = 0;
     double long_requests = 0;
     double long_prefill_tokens = 0;
+    double prefill_engine_requests = 0;
+    double prefill_engine_seconds = 0;
+    double decode_engine_seconds = 0;
     common::MonotonicTime updated_at{};
 
     void decayTo(common::MonotonicTime now, common::Duration window);
--- /dev/null
+++ b/src/cypresswall/planning/disaggregated_planner.cpp
@@ -0,0 +1,204 @@
+#include "cypresswall/planning/disaggregated_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace cypresswall::planning {
+namespace {
+
+using engines::EngineRole;
+
+/// Utilisation of engines that are not there, in place of infinity.
+constexpr double kHopeless = 64.0;
+/// Share of an engine's time that is left for output whatever prompts it has.
+constexpr double kLeastTimeLeft = 0.1;
+
+double utilisationOf(double work, double engines) {
+  if (work <= 0) {
+    return 0;
+  }
+  return engines > 0 ? std::min(kHopeless, work / engines) : kHopeless;
+}
+
+void sortByStreams(std::vector<const PlannedEngine*>& engines) {
+  std::stable_sort(engines.begin(), engines.end(), [](const auto* left, const auto* right) {
+    return left->streams < right->streams;
+  });
+}
+
+std::string describe(const PlanAlternative& move, double required) {
+  const std::string text = move.engine + " from " + engines::toString(move.from) + " to " +
+                           engines::toString(move.to) + " gains " + std::to_string(move.benefit) +
+                           " engine seconds, " + std::to_string(required) + " needed";
+  return (move.benefit > required ? "change " : "no change: ") + text;
+}
+
+}  // namespace
+
+Plan DisaggregatedPlanner::plan(const PlanningInput& input) {
+  Plan plan;
+  std::set<common::ModelName> models;
+  for (const PlannedEngine& engine : input.engines) {
+    models.insert(engine.model);
+  }
+  for (const common::ModelName& model : models) {
+    ModelState state = stateOf(model, input);
+    planModel(state, plan);
+  }
+  return plan;
+}
+
+DisaggregatedPlanner::ModelState DisaggregatedPlanner::stateOf(const common::ModelName& model,
+                                                               const PlanningInput& input) const {
+  ModelState state;
+  state.model = model;
+  const auto demand = input.demand.find(model);
+  state.demand = demand == input.demand.end() ? ModelDemand{} : demand->second;
+  const common::Duration away = input.expected_time_away;
+  state.time_away = common::toSeconds(away.count() > 0 ? away : settings_.expected_time_away);
+  state.horizon = common::toSeconds(input.policy.horizon);
+  state.weight = input.policy.role_change_weight;
+  const auto under_way = input.changes_under_way.find(model);
+  state.under_way = under_way == input.changes_under_way.end() ? 0 : under_way->second;
+  for (const PlannedEngine& engine : input.engines) {
+    if (engine.model != model) {
+      continue;
+    }
+    ++state.engines;
+    state.decode_speed = std::max(
+        state.decode_speed, CapacityModel::decodeSpeed(engine, state.demand.between_tokens_limit));
+    const bool prefill = engine.role == EngineRole::kPrefill;
+    if (engine.available) {
+      (prefill ? state.split.prefill : state.split.decode) += 1;
+    }
+    if (engine.changeable) {
+      (prefill ? state.movable_prefill : state.movable_decode).push_back(&engine);
+    }
+  }
+  sortByStreams(state.movable_prefill);
+  sortByStreams(state.movable_decode);
+  return state;
+}
+
+double DisaggregatedPlanner::prefillUtilisation(const DemandRate& demand, const Split& split) {
+  return utilisationOf(demand.prefill_engine_seconds, split.prefill);
+}
+
+double DisaggregatedPlanner::outputTime(const ModelState& state, const DemandRate& demand) {
+  return state.decode_speed > 0 ? demand.decode_tokens_per_second / state.decode_speed : 0;
+}
+
+double DisaggregatedPlanner::decodeUtilisation(const ModelState& state, const DemandRate& demand,
+                                               const Split& split) {
+  const double prompts = utilisationOf(demand.decode_engine_seconds, split.decode);
+  // Output of many streams is generated in the same steps, in the time that prompts leave.
+  const double left = std::max(kLeastTimeLeft, 1.0 - prompts);
+  return std::max(prompts, utilisationOf(outputTime(state, demand), split.decode) / left);
+}
+
+double DisaggregatedPlanner::lateDecodeShare(double utilisation) const {
+  const double comfortable = settings_.comfortable_decode_utilisation;
+  const double excess = std::clamp((utilisation - comfortable) / (1.0 - comfortable), 0.0, 1.0);
+  const double refused = utilisation > 1 ? 1.0 - 1.0 / utilisation : 0;
+  return refused + (1.0 - refused) * settings_.late_share_at_full_decode * excess * excess;
+}
+
+double DisaggregatedPlanner::lostRate(const ModelState& state, const DemandRate& demand,
+                                      const Split& split) const {
+  double lost = 0;
+  if (demand.prefill_engine_requests_per_second > 0) {
+    const double service =
+        demand.prefill_engine_seconds / demand.prefill_engine_requests_per_second;
+    const double slack = common::toSeconds(state.demand.long_first_token_limit) - service;
+    lost += demand.prefill_engine_seconds * capacity_.lateShare(split.prefill,
+                                                                prefillUtilisation(demand, split),
+                                                                service, std::max(slack, service));
+  }
+  const double decode_time = demand.decode_engine_seconds + outputTime(state, demand);
+  return lost + decode_time * lateDecodeShare(decodeUtilisation(state, demand, split));
+}
+
+double DisaggregatedPlanner::benefit(const ModelState& state, const DemandRate& demand,
+                                     const Split& away, const Split& after) const {
+  const double time_away = std::min(state.time_away, state.horizon);
+  const double without = lostRate(state, demand, state.split) * state.horizon;
+  const double with = lostRate(state, demand, away) * time_away +
+                      lostRate(state, demand, after) * (state.horizon - time_away);
+  return without - with;
+}
+
+double DisaggregatedPlanner::benefit(const ModelState& state, EngineRole to) const {
+  const double towards = to == EngineRole::kPrefill ? 1.0 : -1.0;
+  Split after{state.split.prefill + towards, state.split.decode - towards};
+  const Split away{std::min(state.split.prefill, after.prefill),
+                   std::min(state.split.decode, after.decode)};
+  const double recent = benefit(state, state.demand.short_window, away, after);
+  const double past = benefit(state, state.demand.long_window, away, after);
+  // A move that the short window alone does not ask for is of the past.
+  if (recent <= state.weight) {
+    return std::min(recent, past);
+  }
+  const double weight = settings_.short_window_weight;
+  return weight * recent + (1.0 - weight) * past;
+}
+
+PlanAlternative DisaggregatedPlanner::best(const ModelState& state) const {
+  PlanAlternative best;
+  const double kept = settings_.minimum_engines;
+  const auto weigh = [&](const auto& movable, double engines, EngineRole from, EngineRole to) {
+    if (movable.empty() || engines <= kept) {
+      return;
+    }
+    const double gain = benefit(state, to);
+    if (best.engine.empty() || gain > best.benefit) {
+      best = {movable.front()->name, from, to, gain};
+    }
+  };
+  weigh(state.movable_decode, state.split.decode, EngineRole::kDecode, EngineRole::kPrefill);
+  weigh(state.movable_prefill, state.split.prefill, EngineRole::kPrefill, EngineRole::kDecode);
+  return best;
+}
+
+void DisaggregatedPlanner::planModel(ModelState& state, Plan& plan) const {
+  ModelExplanation explanation;
+  explanation.model = state.model;
+  explanation.demand = state.demand;
+  explanation.required_benefit = state.weight;
+  explanation.utilisation_short = prefillUtilisation(state.demand.short_window, state.split);
+  explanation.utilisation_long = prefillUtilisation(state.demand.long_window, state.split);
+  explanation.decode_utilisation_short =
+      decodeUtilisation(state, state.demand.short_window, state.split);
+  explanation.decode_utilisation_long =
+      decodeUtilisation(state, state.demand.long_window, state.split);
+  explanation.prefill_engines = static_cast<std::uint32_t>(state.split.prefill);
+  explanation.decode_engines = static_cast<std::uint32_t>(state.split.decode);
+  explanation.lost_without_change =
+      lostRate(state, state.demand.short_window, state.split) * state.horizon;
+  const double share = settings_.maximum_away_share * state.engines;
+  const auto allowed = std::max(1U, static_cast<std::uint32_t>(share));
+  explanation.conclusion = "no change: as many engines are away as may be";
+  for (; state.under_way < allowed; ++state.under_way) {
+    const PlanAlternative move = best(state);
+    if (move.engine.empty()) {
+      explanation.conclusion = "no change: no engine may be changed";
+      break;
+    }
+    explanation.alternatives.push_back(move);
+    explanation.conclusion = describe(move, state.weight);
+    if (move.benefit <= state.weight) {
+      break;
+    }
+    plan.changes.push_back({move.engine, move.to});
+    const double towards = move.to == EngineRole::kPrefill ? 1.0 : -1.0;
+    state.split.prefill += towards;
+    state.split.decode -= towards;
+    auto& movable =
+        move.from == EngineRole::kPrefill ? state.movable_prefill : state.movable_decode;
+    movable.erase(movable.begin());
+  }
+  plan.explanations.push_back(std::move(explanation));
+}
+
+}  // namespace cypresswall::planning
--- a/src/cypresswall/planning/planner.h
+++ b/src/cypresswall/planning/planner.h
@@ -23,6 +23,12 @@
   /// Of these, requests whose prompt takes an engine longer than one step, and their prompts.
   double long_requests_per_second = 0;
   double long_prefill_tokens_per_second = 0;
+  /// Requests whose prompt a prefill engine computes for another one.
+  double prefill_engine_requests_per_second = 0;
+  /// Seconds a second that these prompts take prefill engines, and that the other prompts take the
+  /// engines that also generate the output.
+  double prefill_engine_seconds = 0;
+  double decode_engine_seconds = 0;
 };
 
 /// Demand for one model over a short and a long window.
@@ -81,6 +87,13 @@
   /// Part of the engines' time that the demand takes, with the roles as they are.
   double utilisation_short = 0;
   double utilisation_long = 0;
+  /// The same of the decode engines alone, where roles are parted; above it is then that of the
+  /// prefill engines.
+  double decode_utilisation_short = 0;
+  double decode_utilisation_long = 0;
+  /// Engines that take work, or will once a change under way is done.
+  std::uint32_t prefill_engines = 0;
+  std::uint32_t decode_engines = 0;
   /// Answers late or refused over the horizon, with the roles as they are.
   double lost_without_change = 0;
   /// What a change has to gain.
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -367,11 +367,22 @@
     return;
   }
   const bool refused = selection.empty() || !selection.offer.meetsLimits();
-  const double uncached =
-      selection.empty() ? work.prompt_tokens : promptWork(selection.computing(), work).uncached;
-  directory_.demand().asked(request.model, static_cast<std::uint64_t>(uncached),
-                            static_cast<std::uint64_t>(work.decode_tokens), refused,
-                            uncached > settings_.prefill_chunk_tokens);
+  DemandOfRequest demand;
+  double uncached = work.prompt_tokens;
+  if (!selection.empty()) {
+    const PromptWork prompt = promptWork(selection.computing(), work);
+    const CostInputs& engine = estimates_.inputs(selection.computing());
+    uncached = prompt.uncached;
+    demand.split = selection.split();
+    // Beside its base, a prompt occupies the engine; the base is time on the way.
+    demand.prompt_time =
+        common::fromSeconds(model_.promptSeconds(engine, prompt) - engine.prefill_base);
+  }
+  demand.prefill_tokens = static_cast<std::uint64_t>(uncached);
+  demand.decode_tokens = static_cast<std::uint64_t>(work.decode_tokens);
+  demand.refused = refused;
+  demand.is_long = uncached > settings_.prefill_chunk_tokens;
+  directory_.demand().asked(request.model, demand);
 }
 
 RouteChoice CostRouter::choose(const RouteRequest& request) {
--- a/src/cypresswall/routing/demand_ledger.h
+++ b/src/cypresswall/routing/demand_ledger.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cypresswall/common/identifiers.h"
+#include "cypresswall/common/time.h"
 
 namespace cypresswall::routing {
 
@@ -21,24 +22,44 @@
   /// Of these, requests whose prompt takes an engine longer than one step, and their prompt tokens.
   std::uint64_t long_requests = 0;
   std::uint64_t long_prefill_tokens = 0;
+  /// Requests whose prompt a prefill engine computes for another one, and the time that takes it.
+  std::uint64_t prefill_engine_requests = 0;
+  std::uint64_t prefill_engine_us = 0;
+  /// Time that the other prompts take the engines that also generate the output.
+  std::uint64_t decode_engine_us = 0;
 
   MSGPACK_DEFINE_ARRAY(requests, prefill_tokens, decode_tokens, refused, long_requests,
-                       long_prefill_tokens)
+                       long_prefill_tokens, prefill_engine_requests, prefill_engine_us,
+                       decode_engine_us)
+};
+
+/// One request as it is counted.
+struct DemandOfRequest {
+  std::uint64_t prefill_tokens = 0;
+  std::uint64_t decode_tokens = 0;
+  bool refused = false;
+  /// The prompt takes an engine longer than one step.
+  bool is_long = false;
+  /// A prefill engine computes the prompt for another engine.
+  bool split = false;
+  /// Time that the prompt takes the engine that computes it.
+  common::Duration prompt_time{0};
 };
 
 class DemandLedger {
  public:
   /// Counts one request that was routed or refused.
-  /// \param is_long the prompt takes an engine longer than one step
-  void asked(const common::ModelName& model, std::uint64_t prefill_tokens,
-             std::uint64_t decode_tokens, bool refused, bool is_long) {
+  void asked(const common::ModelName& model, const DemandOfRequest& request) {
     DemandCount& count = counts_[model];
+    const auto prompt_us = static_cast<std::uint64_t>(request.prompt_time.count());
     ++count.requests;
-    count.prefill_tokens += prefill_tokens;
-    count.decode_tokens += decode_tokens;
-    count.refused += refused ? 1 : 0;
-    count.long_requests += is_long ? 1 : 0;
-    count.long_prefill_tokens += is_long ? prefill_tokens : 0;
+    count.prefill_tokens += request.prefill_tokens;
+    count.decode_tokens += request.decode_tokens;
+    count.refused += request.refused ? 1 : 0;
+    count.long_requests += request.is_long ? 1 : 0;
+    count.long_prefill_tokens += request.is_long ? request.prefill_tokens : 0;
+    count.prefill_engine_requests += request.split ? 1 : 0;
+    (request.split ? count.prefill_engine_us : count.decode_engine_us) += prompt_us;
   }
   /// \return everything counted since the last call.
   std::map<common::ModelName, DemandCount> take() { return std::exchange(counts_, {}); }
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -6,6 +6,7 @@
 
 #include "cypresswall/common/event_log.h"
 #include "cypresswall/common/identifiers.h"
+#include "cypresswall/configuration/fleet.h"
 #include "cypresswall/engines/http_engine_client.h"
 #include "cypresswall/gateway/session.h"
 #include "cypresswall/http/server.h"
@@ -29,6 +30,8 @@
   common::LogLevel log_level = common::LogLevel::kInfo;
   node::NodeSettings node;
   PlatformProtocol platform_protocol = PlatformProtocol::kCypresswall;
+  /// Policy of planning where the platform declares the fleet, but no policy.
+  configuration::PlanningPolicy planning;
   /// Where the daemon serves its own paths; empty serves them with the callers'.
   common::Address readiness_address;
   /// A planned stop takes requests for so long after the node has said that it isn't ready.
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -260,6 +260,38 @@
   };
 }
 
+Keys planningKeys() {
+  return {
+      switchKey(
+          "planning.automatic_roles", [](auto& s) -> auto& { return s.planning.automatic_roles; },
+          "Whether engines' roles follow the demand, where the platform declares the fleet."),
+      numberKey(
+          "planning.role_change_weight", 0, 1e6,
+          [](auto& s) -> auto& { return s.planning.role_change_weight; },
+          "What a change of role has to gain there, in the planner's units."),
+      durationKey(
+          "planning.horizon", seconds(1), hours(1),
+          [](auto& s) -> auto& { return s.planning.horizon; },
+          "Over how long a change of role has to pay for itself there."),
+      durationKey(
+          "planning.short_window", milliseconds(500), minutes(10),
+          [](auto& s) -> auto& { return s.node.controller.demand.short_window; },
+          "Window of the newest demand by which roles are planned."),
+      durationKey(
+          "planning.long_window", seconds(1), hours(1),
+          [](auto& s) -> auto& { return s.node.controller.demand.long_window; },
+          "Window of the demand against which the newest is held."),
+      durationKey(
+          "planning.interval", milliseconds(100), minutes(10),
+          [](auto& s) -> auto& { return s.node.controller.planning_period; },
+          "Between two rounds of the planner."),
+      durationKey(
+          "planning.report_interval", milliseconds(100), minutes(10),
+          [](auto& s) -> auto& { return s.node.controller.demand_period; },
+          "Between two reports of a node's demand to the node that plans."),
+  };
+}
+
 Keys requestTimingKeys() {
   return {
       durationKey(
@@ -323,7 +355,7 @@
 Keys allKeys() {
   Keys keys;
   for (Keys (*const part)() : {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys,
-                               requestTimingKeys, faultKeys}) {
+                               planningKeys, requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
--- a/src/cypresswall/settings/setting_key.cpp
+++ b/src/cypresswall/settings/setting_key.cpp
@@ -87,6 +87,44 @@
   return key;
 }
 
+SettingKey numberKey(std::string name, double least, double most, SettingField<double> field,
+                     std::string meaning) {
+  DaemonSettings defaults;
+  SettingKey key;
+  key.name = std::move(name);
+  key.unit = "number";
+  key.range = rangeText(formatNumber(least), formatNumber(most));
+  key.default_text = formatNumber(field(defaults));
+  key.meaning = std::move(meaning);
+  key.apply = [=, range = key.range](DaemonSettings& settings, const GivenValue& value) {
+    const std::string& text = singleText(value);
+    const double number = parseNumber(text);
+    if (!(number >= least && number <= most)) {
+      throwOutOfRange(text, range);
+    }
+    field(settings) = number;
+  };
+  return key;
+}
+
+SettingKey switchKey(std::string name, SettingField<bool> field, std::string meaning) {
+  DaemonSettings defaults;
+  SettingKey key;
+  key.name = std::move(name);
+  key.unit = "switch";
+  key.range = "on, off";
+  key.default_text = field(defaults) ? "on" : "off";
+  key.meaning = std::move(meaning);
+  key.apply = [field](DaemonSettings& settings, const GivenValue& value) {
+    const std::string& text = singleText(value);
+    if (text != "on" && text != "off") {
+      throw ValueError("'" + text + "' is no switch; write on or off");
+    }
+    field(settings) = text == "on";
+  };
+  return key;
+}
+
 SettingKey nameKey(std::string name, SettingField<std::string> field, std::string meaning) {
   SettingKey key;
   key.name = std::move(name);
--- a/src/cypresswall/settings/setting_key.h
+++ b/src/cypresswall/settings/setting_key.h
@@ -42,6 +42,10 @@
                     SettingField<std::size_t> field, std::string meaning);
 SettingKey countKey(std::string name, std::size_t least, std::size_t most,
                     SettingField<std::size_t> field, std::string meaning);
+SettingKey numberKey(std::string name, double least, double most, SettingField<double> field,
+                     std::string meaning);
+/// A key that is "on" or "off".
+SettingKey switchKey(std::string name, SettingField<bool> field, std::string meaning);
 SettingKey nameKey(std::string name, SettingField<std::string> field, std::string meaning);
 /// \param default_text empty if the key must be given
 SettingKey addressKey(std::string name, std::string default_text,
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "cypresswall/planning/disaggregated_planner.h"
 #include "cypresswall/settings/key_table.h"
 
 namespace cypresswall::settings {
@@ -105,6 +106,13 @@
     settings.node.router.copies_prefixes = true;
     settings.node.execution.retry_burst = kRetryBurstOfCountingPlatform;
     settings.node.execution.first_token_silence_share = kSilenceShareOfCountingPlatform;
+    // Its engines have only the roles "prefill" and "decode", and its store outlives the nodes.
+    settings.node.lease_in_store = true;
+    settings.node.controller.order.engines_finish_streams = true;
+    settings.node.make_planner = [] {
+      return std::make_unique<planning::DisaggregatedPlanner>(
+          planning::DisaggregatedPlannerSettings{});
+    };
   }
   return settings;
 }
--- a/src/cypresswall/settings/value_text.cpp
+++ b/src/cypresswall/settings/value_text.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <string_view>
 #include <utility>
 
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr std::size_t kMaximumNameBytes = 64;
+/// More than the shortest exact text of any double takes.
+constexpr std::size_t kMaximumNumberBytes = 32;
 
 using ByteUnit = std::pair<std::string_view, unsigned>;
 /// Units of bytes with their power of two, largest first.
@@ -49,6 +52,16 @@
   return parseCount(text);
 }
 
+double parseNumber(const std::string& text) {
+  double value = 0;
+  const char* const end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (text.empty() || result.ec != std::errc() || result.ptr != end || !std::isfinite(value)) {
+    throw ValueError("'" + text + "' is no number");
+  }
+  return value;
+}
+
 common::Duration parseDurationValue(const std::string& text) {
   const auto duration = configuration::parseDuration(text);
   if (!duration) {
@@ -109,4 +122,10 @@
   return std::to_string(bytes);
 }
 
+std::string formatNumber(double number) {
+  std::array<char, kMaximumNumberBytes> text{};
+  const auto result = std::to_chars(text.data(), text.data() + text.size(), number);
+  return {text.data(), result.ptr};
+}
+
 }  // namespace cypresswall::settings
--- a/src/cypresswall/settings/value_text.h
+++ b/src/cypresswall/settings/value_text.h
@@ -22,6 +22,8 @@
 std::uint64_t parseCount(const std::string& text);
 /// A count of bytes, or one directly followed by KiB, MiB or GiB.
 std::uint64_t parseBytes(const std::string& text);
+/// A number in decimal digits, such as 0.5.
+double parseNumber(const std::string& text);
 common::Duration parseDurationValue(const std::string& text);
 /// A name of letters, digits, '-', '_' and '.', of 1 to 64 characters.
 std::string parseName(const std::string& text);
@@ -39,5 +41,7 @@
 
 /// Writes what parseBytes() reads, in the largest unit that gives a whole number.
 std::string formatBytes(std::uint64_t bytes);
+/// Writes what parseNumber() reads, in the fewest digits.
+std::string formatNumber(double number);
 
 }  // namespace cypresswall::settings
--- a/tests/objects_platform/fleet_declaration_test.cpp
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -14,6 +14,7 @@
 using configuration::FleetConfiguration;
 using configuration::Urgency;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 std::string configurationJson(std::uint64_t version) {
   return R"({"version": )" + std::to_string(version) + R"(, "routes": [
@@ -92,6 +93,7 @@
     const FleetConfiguration& fleet = *fleet_.current();
     CPPUNIT_ASSERT_EQUAL(std::string("dobrogea"), fleet.zones.at("dobrogea").region);
     CPPUNIT_ASSERT(!fleet.planning.automatic_roles);
+    CPPUNIT_ASSERT(fleet.planning.horizon == seconds(20));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.model_services.size());
     const auto& digest = fleet.model_services.at("r-a@llm");
     CPPUNIT_ASSERT_EQUAL(std::string("llm/m"), digest.model);
@@ -254,7 +256,11 @@
   cypresswall::testing::VirtualWorld world_{1};
   cypresswall::testing::VirtualProcess& process_ = world_.spawn({"10.0.0.1:1", 1}, "z");
   RunnerRegistry runners_{process_.context()};
-  FleetDeclaration fleet_{process_.context(), runners_, "dobrogea"};
+  FleetDeclaration fleet_{
+      process_.context(),
+      runners_,
+      "dobrogea",
+      {.role_change_weight = 5, .horizon = seconds(20), .automatic_roles = false}};
   int changes_ = 0;
 
  public:
--- a/tests/orders/zone_controller_test.cpp
+++ b/tests/orders/zone_controller_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(emptyTableIsNotRenewed);
   CPPUNIT_TEST(drainThatTakesTooLongIsGivenUp);
   CPPUNIT_TEST(regainingOneEpochUsesNoNumberTwice);
+  CPPUNIT_TEST(asksForTheLeaseOnceThereIsSomethingToOrder);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -217,6 +218,26 @@
     zone.engine(1).cancelStream("endless", 1);
   }
 
+  /// Where the lease is held only while it is needed, one node plans without it, asks for it when
+  /// its plan changes something, and lets it go some time after the last change.
+  void asksForTheLeaseOnceThereIsSomethingToOrder() {
+    ZoneFixture zone(5, 3, 6);
+    zone.loseLease();
+    zone.truth.planner = zone.nodes[1].process->id();
+    zone.run(15 * kSecond);
+    CPPUNIT_ASSERT(zone.truth.in_need.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, zone.audit.orders);
+    zone.script.wanted = {{ZoneFixture::nameOf(2), EngineRole::kPrefill}};
+    zone.run(2 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.truth.in_need.size());
+    CPPUNIT_ASSERT(zone.truth.in_need.contains(zone.truth.planner));
+    zone.giveLease(1);
+    zone.run(15 * kSecond);
+    CPPUNIT_ASSERT(zone.engine(2).presentLoad().role == EngineRole::kPrefill);
+    CPPUNIT_ASSERT(zone.truth.in_need.empty());
+    CPPUNIT_ASSERT(zone.audit.violations.empty());
+  }
+
   void regainingOneEpochUsesNoNumberTwice() {
     ZoneFixture zone(12, 2, 3);
     zone.settings.demand.short_window = kSecond;
--- a/tests/orders/zone_fixture.h
+++ b/tests/orders/zone_fixture.h
@@ -20,22 +20,34 @@
 struct LeaseTruth {
   common::NodeId holder;
   common::Epoch epoch;
+  /// Takes the lease once it is needed; empty where the lease is always held.
+  common::NodeId planner;
+  /// Who said last that there is something to order.
+  std::set<common::NodeId> in_need;
 };
 
 /// One process's view of LeaseTruth: right whenever asked, late in what it tells by itself.
 class TrueAuthority final : public lease::AuthorityView {
  public:
-  TrueAuthority(common::NodeId self, const LeaseTruth& truth)
-      : self_(std::move(self)), truth_(truth) {}
+  TrueAuthority(common::NodeId self, LeaseTruth& truth) : self_(std::move(self)), truth_(truth) {}
   std::optional<common::Epoch> heldEpoch() const override {
     return truth_.holder == self_ ? std::optional(truth_.epoch) : std::nullopt;
   }
-  common::NodeId believedHolder() const override { return truth_.holder; }
+  common::NodeId believedHolder() const override {
+    return truth_.planner.empty() ? truth_.holder : truth_.planner;
+  }
+  void setNeeded(bool needed) override {
+    if (needed) {
+      truth_.in_need.insert(self_);
+    } else {
+      truth_.in_need.erase(self_);
+    }
+  }
   void onChange(std::function<void(std::optional<common::Epoch>)>) override {}
 
  private:
   common::NodeId self_;
-  const LeaseTruth& truth_;
+  LeaseTruth& truth_;
 };
 
 /// What was seen of all orders of a run, and which promises they broke.
--- /dev/null
+++ b/tests/planning/disaggregated_planner_test.cpp
@@ -0,0 +1,231 @@
+#include "cypresswall/planning/disaggregated_planner.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "tests/support/property.h"
+
+namespace cypresswall::planning {
+namespace {
+
+using engines::EngineRole;
+
+const common::ModelName kModel = "m";
+
+PlannedEngine engineOf(int number, EngineRole role) {
+  PlannedEngine engine;
+  engine.name = std::string("e").append(std::to_string(100 + number));
+  engine.model = kModel;
+  engine.role = role;
+  engine.available = true;
+  engine.changeable = true;
+  engine.prefill_tokens_per_second = 50000;
+  engine.decode_step_base = 0.005;
+  engine.decode_step_per_stream = 0.00004;
+  engine.maximum_streams = 32;
+  return engine;
+}
+
+PlanningInput zoneOf(int prefill, int decode) {
+  PlanningInput input;
+  int number = 0;
+  for (const auto& [role, count] :
+       {std::pair(EngineRole::kPrefill, prefill), std::pair(EngineRole::kDecode, decode)}) {
+    for (int i = 0; i < count; ++i) {
+      input.engines.push_back(engineOf(number++, role));
+    }
+  }
+  input.policy.horizon = std::chrono::seconds(20);
+  input.policy.role_change_weight = 5;
+  return input;
+}
+
+/// Prompts of 0.1 s that keep `prefill_engines` busy, and others that keep `decode_engines` busy.
+DemandRate demandOf(double prefill_engines, double decode_engines) {
+  DemandRate rate;
+  rate.requests_per_second = 10 * prefill_engines + 30 * decode_engines;
+  rate.prefill_engine_requests_per_second = 10 * prefill_engines;
+  rate.prefill_engine_seconds = prefill_engines;
+  rate.decode_engine_seconds = decode_engines;
+  return rate;
+}
+
+void ask(PlanningInput& input, const DemandRate& short_window, const DemandRate& long_window) {
+  input.demand[kModel].short_window = short_window;
+  input.demand[kModel].long_window = long_window;
+  input.demand[kModel].long_first_token_limit = std::chrono::milliseconds(600);
+}
+
+class DisaggregatedPlannerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DisaggregatedPlannerTest);
+  CPPUNIT_TEST(noDemandChangesNothing);
+  CPPUNIT_TEST(demandThatIsServedChangesNothing);
+  CPPUNIT_TEST(promptsBeyondThePrefillEnginesMoveDecodeEngines);
+  CPPUNIT_TEST(leastBusyEngineGoesFirst);
+  CPPUNIT_TEST(busyDecodeEnginesAreRelieved);
+  CPPUNIT_TEST(settlesUnderConstantDemand);
+  CPPUNIT_TEST(demandOfThePastMovesNothing);
+  CPPUNIT_TEST(aHigherWeightOfChangesKeepsRoles);
+  CPPUNIT_TEST(changesUnderWayCountAgainstTheShareAway);
+  CPPUNIT_TEST(lastEngineOfARoleStays);
+  CPPUNIT_TEST(outputOfManyStreamsSharesSteps);
+  CPPUNIT_TEST(plansKeepTheirBounds);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void noDemandChangesNothing() {
+    PlanningInput input = zoneOf(24, 36);
+    CPPUNIT_ASSERT(planner_.plan(input).changes.empty());
+  }
+
+  void demandThatIsServedChangesNothing() {
+    PlanningInput input = zoneOf(24, 36);
+    ask(input, demandOf(12, 12), demandOf(12, 12));
+    const Plan plan = planner_.plan(input);
+    CPPUNIT_ASSERT(plan.changes.empty());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, plan.explanations.front().utilisation_short, 0.01);
+    CPPUNIT_ASSERT_EQUAL(24U, plan.explanations.front().prefill_engines);
+  }
+
+  void promptsBeyondThePrefillEnginesMoveDecodeEngines() {
+    PlanningInput input = zoneOf(24, 36);
+    ask(input, demandOf(30, 10), demandOf(30, 10));
+    const Plan plan = planner_.plan(input);
+    // 12% of 60 engines may be away at once.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, plan.changes.size());
+    for (const RoleChange& change : plan.changes) {
+      CPPUNIT_ASSERT(change.role == EngineRole::kPrefill);
+    }
+  }
+
+  void leastBusyEngineGoesFirst() {
+    PlanningInput input = zoneOf(2, 6);
+    for (PlannedEngine& engine : input.engines) {
+      engine.streams = engine.name == "e105" ? 1 : 4;
+    }
+    ask(input, demandOf(4, 1), demandOf(4, 1));
+    const Plan plan = planner_.plan(input);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan.changes.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("e105"), plan.changes.front().engine);
+  }
+
+  void busyDecodeEnginesAreRelieved() {
+    PlanningInput input = zoneOf(30, 10);
+    ask(input, demandOf(5, 12), demandOf(5, 12));
+    const Plan plan = planner_.plan(input);
+    CPPUNIT_ASSERT(!plan.changes.empty());
+    CPPUNIT_ASSERT(plan.changes.front().role == EngineRole::kDecode);
+  }
+
+  /// Whatever the demand, no engine goes back, and the roles come to rest.
+  void settlesUnderConstantDemand() {
+    testing::requireProperty("roles settle", 200, [this] {
+      PlanningInput input = zoneOf(*rc::gen::inRange(1, 40), *rc::gen::inRange(1, 40));
+      const DemandRate rate = demandOf(*rc::gen::inRange(0, 100), *rc::gen::inRange(0, 100));
+      ask(input, rate, rate);
+      std::set<common::EngineName> moved;
+      for (std::size_t round = 0; round <= input.engines.size(); ++round) {
+        const Plan plan = planner_.plan(input);
+        if (plan.changes.empty()) {
+          return;
+        }
+        for (const RoleChange& change : plan.changes) {
+          RC_ASSERT(moved.insert(change.engine).second);
+          const auto engine =
+              std::find_if(input.engines.begin(), input.engines.end(),
+                           [&](const auto& each) { return each.name == change.engine; });
+          engine->role = change.role;
+        }
+      }
+      RC_FAIL("roles don't settle");
+    });
+  }
+
+  void demandOfThePastMovesNothing() {
+    PlanningInput input = zoneOf(24, 36);
+    ask(input, demandOf(10, 10), demandOf(40, 10));
+    CPPUNIT_ASSERT(planner_.plan(input).changes.empty());
+  }
+
+  void aHigherWeightOfChangesKeepsRoles() {
+    PlanningInput input = zoneOf(24, 36);
+    ask(input, demandOf(30, 10), demandOf(30, 10));
+    input.policy.role_change_weight = 1000;
+    CPPUNIT_ASSERT(planner_.plan(input).changes.empty());
+  }
+
+  void changesUnderWayCountAgainstTheShareAway() {
+    PlanningInput input = zoneOf(24, 36);
+    ask(input, demandOf(30, 10), demandOf(30, 10));
+    input.changes_under_way[kModel] = 5;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, planner_.plan(input).changes.size());
+    input.changes_under_way[kModel] = 7;
+    CPPUNIT_ASSERT(planner_.plan(input).changes.empty());
+  }
+
+  void lastEngineOfARoleStays() {
+    PlanningInput input = zoneOf(4, 1);
+    ask(input, demandOf(8, 0), demandOf(8, 0));
+    CPPUNIT_ASSERT(planner_.plan(input).changes.empty());
+  }
+
+  void outputOfManyStreamsSharesSteps() {
+    PlanningInput input = zoneOf(24, 12);
+    DemandRate rate = demandOf(5, 4);
+    // 12 engines generate some 61,000 tokens a second with all places taken.
+    rate.decode_tokens_per_second = 20000;
+    ask(input, rate, rate);
+    CPPUNIT_ASSERT(planner_.plan(input).changes.empty());
+    rate.decode_tokens_per_second = 60000;
+    ask(input, rate, rate);
+    CPPUNIT_ASSERT(!planner_.plan(input).changes.empty());
+  }
+
+  /// Only changeable engines, each once, all to one role, no more than may be away, and an engine
+  /// left in each role.
+  void plansKeepTheirBounds() {
+    testing::requireProperty("plans keep their bounds", 500, [this] {
+      const int prefill = *rc::gen::inRange(0, 40);
+      const int decode = *rc::gen::inRange(0, 40);
+      PlanningInput input = zoneOf(prefill, decode);
+      std::set<common::EngineName> changeable;
+      for (PlannedEngine& engine : input.engines) {
+        engine.changeable = *rc::gen::arbitrary<bool>();
+        engine.available = engine.changeable || *rc::gen::arbitrary<bool>();
+        engine.streams = *rc::gen::inRange(0U, 32U);
+        if (engine.changeable) {
+          changeable.insert(engine.name);
+        }
+      }
+      const auto rate = [] {
+        DemandRate any = demandOf(*rc::gen::inRange(0, 100), *rc::gen::inRange(0, 100));
+        any.decode_tokens_per_second = *rc::gen::inRange(0, 200000);
+        return any;
+      };
+      ask(input, rate(), rate());
+      const Plan plan = planner_.plan(input);
+      std::set<common::EngineName> named;
+      for (const RoleChange& change : plan.changes) {
+        RC_ASSERT(changeable.contains(change.engine));
+        RC_ASSERT(named.insert(change.engine).second);
+        RC_ASSERT(change.role == plan.changes.front().role);
+      }
+      const auto allowed = std::max(1.0, 0.12 * (prefill + decode));
+      RC_ASSERT(static_cast<double>(plan.changes.size()) <= allowed);
+      const bool to_prefill =
+          !plan.changes.empty() && plan.changes.front().role == EngineRole::kPrefill;
+      RC_ASSERT(plan.changes.empty() ||
+                static_cast<int>(plan.changes.size()) < (to_prefill ? decode : prefill));
+    });
+  }
+
+ private:
+  DisaggregatedPlanner planner_{DisaggregatedPlannerSettings{}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DisaggregatedPlannerTest);
+
+}  // namespace
+}  // namespace cypresswall::planning
--- a/tests/support/virtual_world.cpp
+++ b/tests/support/virtual_world.cpp
@@ -5,6 +5,9 @@
 namespace cypresswall::testing {
 namespace {
 
+/// A late write takes effect at least this long after it was sent.
+constexpr common::Duration kLeastLateness = std::chrono::seconds(1);
+
 constexpr common::Duration kStoreTimeLimit = std::chrono::milliseconds(500);
 
 /// True duration of `local` microseconds on a clock of the given rate.
@@ -104,6 +107,16 @@
       });
 }
 
+std::optional<platform::StoredObject> VirtualStore::write(const platform::ObjectWrite& write) {
+  const auto known = objects.find(write.key);
+  const auto version = known == objects.end() ? 0 : known->second.version;
+  if (version != write.expected_version) {
+    return std::nullopt;
+  }
+  ++writes;
+  return objects[write.key] = {write.key, version + 1, write.value, write.change_id};
+}
+
 void VirtualProcess::compareAndSet(platform::ObjectWrite write,
                                    platform::StoreCallback<platform::StoredObject> callback) {
   using Result = platform::StoreResult<platform::StoredObject>;
@@ -112,19 +125,21 @@
   answerLater<platform::StoredObject>(
       std::move(callback), [&world, write = std::move(write)]() -> Result {
         auto& store = world.store;
-        const auto known = store.objects.find(write.key);
-        const auto version = known == store.objects.end() ? 0 : known->second.version;
-        if (version != write.expected_version) {
+        if (store.late_writes > 0 && world.random.unit() < store.late_writes) {
+          const auto delay = kLeastLateness + common::fromSeconds(3.0 * world.random.unit());
+          world.at(world.now() + delay,
+                   [&store, write] { store.late_effects += store.write(write) ? 1 : 0; });
+          return Failure{platform::StoreFailure::kUnknownOutcome, "no answer yet"};
+        }
+        const auto object = store.write(write);
+        if (!object) {
           return Failure{platform::StoreFailure::kConflict, write.key};
         }
-        ++store.writes;
-        const platform::StoredObject object{write.key, version + 1, write.value, write.change_id};
-        store.objects[write.key] = object;
         if (world.random.unit() < store.lost_answers) {
           ++store.answers_lost;
           return Failure{platform::StoreFailure::kUnknownOutcome, "answer lost"};
         }
-        return object;
+        return *object;
       });
 }
 
--- a/tests/support/virtual_world.h
+++ b/tests/support/virtual_world.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -26,9 +27,16 @@
   bool down = false;
   /// Share of writes that take effect but whose answer is lost.
   double lost_answers = 0;
+  /// Share of writes that get no answer and take effect seconds later, if their condition still
+  /// holds then.
+  double late_writes = 0;
   std::map<std::string, platform::StoredObject> objects;
   std::uint64_t writes = 0;
   std::uint64_t answers_lost = 0;
+  std::uint64_t late_effects = 0;
+
+  /// \return the object as written, or nothing if another version is there.
+  std::optional<platform::StoredObject> write(const platform::ObjectWrite& write);
 };
 
 /// One process: clock, timers, transport and clients. Destroying it drops all its callbacks.
