Eject engines at which attempts fail, for a node at once and for the zone by their watcher

Change: EngineEjection. A node ejects an engine at once for itself; it tells the engine's watcher, which ejects for the zone when two nodes told. Bounded shares, doubled times, another incarnation is taken back at once. An attempt that was given up before it was tried is told apart from one that reached nothing. Failing first: EngineEjectionTest needs the module.

--- a/bench/simulate/baseline_routers.h
+++ b/bench/simulate/baseline_routers.h
@@ -21,7 +21,8 @@
   void promptComputed(const std::string&) override {}
   void firstTokenReceived(const std::string&) override {}
   void attemptFinished(const std::string&) override {}
-  void attemptFailed(const std::string&, engines::StreamFailure) override {}
+  void attemptFailed(const std::string&, const common::EngineName&,
+                     engines::StreamFailure) override {}
 
  protected:
   /// \param engines not empty, ordered by name
@@ -53,7 +54,8 @@
 
   void attemptStarted(const routing::RouteRequest& request, const routing::Route& route) override;
   void attemptFinished(const std::string& stream_id) override { begun_.erase(stream_id); }
-  void attemptFailed(const std::string& stream_id, engines::StreamFailure) override {
+  void attemptFailed(const std::string& stream_id, const common::EngineName&,
+                     engines::StreamFailure) override {
     begun_.erase(stream_id);
   }
 
--- a/src/cypresswall/admission/observed_router.h
+++ b/src/cypresswall/admission/observed_router.h
@@ -57,8 +57,9 @@
   void attemptFinished(const std::string& stream_id) override {
     router_.attemptFinished(stream_id);
   }
-  void attemptFailed(const std::string& stream_id, engines::StreamFailure failure) override {
-    router_.attemptFailed(stream_id, failure);
+  void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
+                     engines::StreamFailure failure) override {
+    router_.attemptFailed(stream_id, engine, failure);
   }
 
   double admittedShare(const common::ModelName& model,
--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -220,6 +220,7 @@
 
 /// Why an attempt failed.
 enum class StreamFailure : std::uint8_t {
+  kNotTried,  ///< given up before anything was sent: the engine takes no work by now
   kNotSent,   ///< no byte reached the engine
   kRefused,   ///< the engine said that it did not run the stream (busy, changing, wrong model)
   kBroken,    ///< the connection ended or timed out after bytes were sent
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -211,7 +211,7 @@
     beginStream(route_->engine, engines::StreamPhase::kDecodeOnly);
     return;
   }
-  attemptLost(engines::StreamFailure::kNotSent, "the engine takes no new work any more");
+  attemptLost(engines::StreamFailure::kNotTried, "the engine takes no new work any more");
 }
 
 void ModelRequest::onAttemptFailed(engines::StreamFailure failure, const std::string& message) {
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -11,7 +11,8 @@
 constexpr int kSoftLimitsPerHardLimit = 2;
 
 bool provedNotRun(engines::StreamFailure failure) {
-  return failure == engines::StreamFailure::kNotSent || failure == engines::StreamFailure::kRefused;
+  return failure == engines::StreamFailure::kNotTried ||
+         failure == engines::StreamFailure::kNotSent || failure == engines::StreamFailure::kRefused;
 }
 
 common::Duration scaled(common::Duration duration, double factor) {
@@ -85,7 +86,7 @@
   recordResult(engine.name + ": " + message);
   excluded_.push_back(engine.name);
   retireAttempt();
-  core_.router.attemptFailed(stream_id_, failure);
+  core_.router.attemptFailed(stream_id_, engine.name, failure);
   route_.reset();
   if (token_seen_in_attempt_) {
     resume_until_ = core_.process.clock.now() + core_.settings.resume_time_limit;
--- a/src/cypresswall/lease/store_lease.cpp
+++ b/src/cypresswall/lease/store_lease.cpp
@@ -156,7 +156,7 @@
     LeaseRecord record = decodeLeaseRecord(object.value);
     doubtful_ = false;
     if (changed) {
-      Seen& seen = seen_.emplace();
+      SeenLease& seen = seen_.emplace();
       seen.version = object.version;
       seen.record = std::move(record);
       seen.since = context_.clock.now();
--- a/src/cypresswall/lease/store_lease.h
+++ b/src/cypresswall/lease/store_lease.h
@@ -32,6 +32,15 @@
   common::Duration tick_interval = std::chrono::milliseconds(50);
 };
 
+/// The stored lease as a node last saw it.
+struct SeenLease {
+  /// Zero if there is none.
+  std::uint64_t version = 0;
+  LeaseRecord record;
+  /// This version was there at this time, at the latest.
+  common::MonotonicTime since{};
+};
+
 class StoreLease final : public AuthorityView {
  public:
   StoreLease(const StoreLeaseSettings& settings, const api::ProcessContext& context,
@@ -53,15 +62,6 @@
   void superseded(const common::Epoch& epoch) override;
 
  private:
-  /// The stored object as last seen.
-  struct Seen {
-    /// Zero if there is none.
-    std::uint64_t version = 0;
-    LeaseRecord record;
-    /// This version was there at this time, at the latest.
-    common::MonotonicTime since{};
-  };
-
   void tick();
   void act();
   void read();
@@ -89,7 +89,7 @@
   bool resigned_ = false;
   bool call_under_way_ = false;
   common::MonotonicTime next_call_at_{};
-  std::optional<Seen> seen_;
+  std::optional<SeenLease> seen_;
   /// What was seen may have changed: it is read before the next write.
   bool doubtful_ = true;
   /// When this node's writes were sent, by their change identifiers. A write may take effect long
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -500,8 +500,10 @@
          table_.record(slot).availability == EngineAvailability::kAvailable;
 }
 
-void CostRouter::attemptFailed(const std::string& stream_id, engines::StreamFailure) {
+void CostRouter::attemptFailed(const std::string& stream_id, const common::EngineName& engine,
+                               engines::StreamFailure failure) {
   attemptFinished(stream_id);
+  directory_.ejection().attemptFailed(table_.slotOf(engine), failure);
 }
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -31,7 +31,8 @@
   void promptComputed(const std::string& stream_id) override;
   void firstTokenReceived(const std::string& stream_id) override;
   void attemptFinished(const std::string& stream_id) override;
-  void attemptFailed(const std::string& stream_id, engines::StreamFailure failure) override;
+  void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
+                     engines::StreamFailure failure) override;
 
  private:
   /// One engine with the cost of its offer.
--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -20,6 +20,7 @@
       prefixes_(settings.prefix_index),
       exchange_(settings, context, membership, table_, prefixes_),
       work_(context, membership, table_),
+      ejection_(settings.ejection, context, membership, table_),
       poller_(settings, context, client, table_, prefixes_,
               [this](EngineSlot slot, bool stored, common::PieceHash piece) {
                 exchange_.addCacheHint(slot, stored, piece);
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -13,6 +13,7 @@
 #include "cypresswall/membership/membership_view.h"
 #include "cypresswall/routing/delta_exchange.h"
 #include "cypresswall/routing/demand_ledger.h"
+#include "cypresswall/routing/engine_ejection.h"
 #include "cypresswall/routing/engine_poller.h"
 #include "cypresswall/routing/engine_table.h"
 #include "cypresswall/routing/prefix_index.h"
@@ -48,6 +49,7 @@
   EngineTable& table() { return table_; }
   PrefixIndex& prefixes() { return prefixes_; }
   WorkExchange& work() { return work_; }
+  EngineEjection& ejection() { return ejection_; }
 
  private:
   void onConfiguration(const configuration::FleetConfiguration& fleet);
@@ -71,6 +73,7 @@
   PrefixIndex prefixes_;
   DeltaExchange exchange_;
   WorkExchange work_;
+  EngineEjection ejection_;
   EnginePoller poller_;
   /// Engines that another node took over, and until when this node goes on watching them.
   std::map<EngineSlot, common::MonotonicTime> handed_over_;
--- /dev/null
+++ b/src/cypresswall/routing/engine_ejection.cpp
@@ -0,0 +1,176 @@
+#include "cypresswall/routing/engine_ejection.h"
+
+#include <algorithm>
+#include <set>
+
+#include "cypresswall/membership/zone_broadcast.h"
+#include "cypresswall/routing/watch_assignment.h"
+
+namespace cypresswall::routing {
+namespace {
+
+constexpr const char* kOwnAttempts = "own attempts";
+constexpr const char* kZone = "zone";
+
+}  // namespace
+
+EngineEjection::EngineEjection(const EjectionSettings& settings, const api::ProcessContext& context,
+                               const membership::MembershipView& membership, EngineTable& table)
+    : settings_(settings),
+      context_(context),
+      membership_(membership),
+      table_(table),
+      own_(context.counters.counter("cypresswall_engine_ejections_total",
+                                    "Engines taken out of routing for a while", "source", "own")),
+      by_peers_(context.counters.counter("cypresswall_engine_ejections_total",
+                                         "Engines taken out of routing for a while", "source",
+                                         "zone")),
+      kept_(context.counters.counter("cypresswall_engine_ejections_refused_total",
+                                     "Engines kept since too many are ejected already")) {
+  context_.dispatcher.handle<EngineFailureReport>(
+      [this](const common::NodeId& sender, const EngineFailureReport& report) {
+        onReport(sender, report);
+      });
+  context_.dispatcher.handle<EngineEjected>(
+      [this](const common::NodeId&, const EngineEjected& notice) { onEjected(notice); });
+  table_.onChange([this](EngineSlot slot, bool restarted) {
+    if (restarted) {
+      engines_.erase(slot);
+    }
+  });
+}
+
+void EngineEjection::attemptFailed(EngineSlot slot, engines::StreamFailure failure) {
+  const bool unhealthy = failure == engines::StreamFailure::kNotSent ||
+                         failure == engines::StreamFailure::kBroken ||
+                         failure == engines::StreamFailure::kMalformed;
+  if (slot == kNoEngineSlot || !unhealthy) {
+    return;
+  }
+  const common::MonotonicTime now = context_.clock.now();
+  const bool unreached = failure == engines::StreamFailure::kNotSent;
+  Engine& engine = engines_[slot];
+  bool sick = unreached;
+  if (!unreached) {
+    std::erase_if(engine.broken, [&](auto at) { return now - at > settings_.window; });
+    engine.broken.push_back(now);
+    sick = engine.broken.size() >= settings_.own_broken_streams;
+  }
+  if (sick && now >= engine.ejected_until && mayEject(slot, unreached)) {
+    own_.add();
+    eject(slot, nextTime(engine), unreached, kOwnAttempts);
+  }
+  tell(slot, unreached);
+}
+
+void EngineEjection::tell(EngineSlot slot, bool unreached) {
+  const EngineFailureReport report{table_.record(slot).declaration.name, unreached};
+  const common::NodeId watcher = watcherOf(report.engine, membership_.members());
+  if (watcher == context_.self) {
+    onReport(context_.self, report);
+  } else if (!watcher.empty()) {
+    context_.sendTo(watcher, report);
+  }
+}
+
+void EngineEjection::onReport(const common::NodeId& sender, const EngineFailureReport& report) {
+  const EngineSlot slot = table_.slotOf(report.engine);
+  if (slot == kNoEngineSlot) {
+    return;
+  }
+  const common::MonotonicTime now = context_.clock.now();
+  Engine& engine = engines_[slot];
+  std::erase_if(engine.told,
+                [&](const Failure& failure) { return now - failure.at > settings_.window; });
+  if (engine.told.size() < settings_.remembered_failures) {
+    engine.told.push_back({sender, report.unreached, now});
+  }
+  if (convincing(engine, report.unreached) && mayEject(slot, report.unreached)) {
+    engine.told.clear();
+    ejectForZone(slot, report.unreached);
+  }
+}
+
+bool EngineEjection::convincing(const Engine& engine, bool unreached) const {
+  std::set<common::NodeId> nodes;
+  std::size_t failures = 0;
+  for (const Failure& failure : engine.told) {
+    if (failure.unreached == unreached) {
+      nodes.insert(failure.node);
+      ++failures;
+    }
+  }
+  const std::size_t needed = unreached ? settings_.witnesses : settings_.zone_broken_streams;
+  return nodes.size() >= settings_.witnesses && failures >= needed;
+}
+
+void EngineEjection::ejectForZone(EngineSlot slot, bool unreached) {
+  const common::Duration time = nextTime(engines_[slot]);
+  EngineEjected notice;
+  notice.engine = table_.record(slot).declaration.name;
+  notice.unreached = unreached;
+  notice.milliseconds = static_cast<std::uint32_t>(time / std::chrono::milliseconds(1));
+  membership::sendToZone(context_, membership_, notice);
+  by_peers_.add();
+  eject(slot, time, unreached, kZone);
+}
+
+void EngineEjection::onEjected(const EngineEjected& notice) {
+  const EngineSlot slot = table_.slotOf(notice.engine);
+  if (slot == kNoEngineSlot) {
+    return;
+  }
+  if (!mayEject(slot, notice.unreached)) {
+    kept_.add();
+    return;
+  }
+  by_peers_.add();
+  const common::Duration told = std::chrono::milliseconds(notice.milliseconds);
+  eject(slot, std::min(told, settings_.maximum_time), notice.unreached, kZone);
+}
+
+common::Duration EngineEjection::nextTime(Engine& engine) const {
+  const common::MonotonicTime now = context_.clock.now();
+  const bool soon = now - engine.ejected_until <= settings_.memory;
+  engine.in_a_row = engine.in_a_row > 0 && soon ? engine.in_a_row + 1 : 1;
+  common::Duration time = settings_.base_time;
+  for (std::uint32_t i = 1; i < engine.in_a_row && time < settings_.maximum_time; ++i) {
+    time *= 2;
+  }
+  return std::min(time, settings_.maximum_time);
+}
+
+bool EngineEjection::mayEject(EngineSlot slot, bool unreached) const {
+  const EngineRecord& wanted = table_.record(slot);
+  std::size_t alike = 0;
+  std::size_t ejected = 0;
+  for (const EngineSlot other : table_.roster()) {
+    const EngineRecord& record = table_.record(other);
+    if (record.load.model != wanted.load.model || record.load.role != wanted.load.role) {
+      continue;
+    }
+    ++alike;
+    const bool out = record.availability == EngineAvailability::kEjected;
+    ejected += out && other != slot ? 1 : 0;
+  }
+  const double share =
+      unreached ? settings_.maximum_unreached_share : settings_.maximum_broken_share;
+  return static_cast<double>(ejected + 1) <= share * static_cast<double>(alike);
+}
+
+void EngineEjection::eject(EngineSlot slot, common::Duration time, bool unreached,
+                           const char* source) {
+  const common::MonotonicTime now = context_.clock.now();
+  Engine& engine = engines_[slot];
+  engine.ejected_until = std::max(engine.ejected_until, now + time);
+  engine.broken.clear();
+  table_.eject(slot, engine.ejected_until, now);
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_ejected")
+      .field("engine", table_.record(slot).declaration.name)
+      .field("source", source)
+      .field("failure", unreached ? "unreached" : "broken")
+      .field("in_a_row", engine.in_a_row)
+      .field("for_ms", time / std::chrono::milliseconds(1));
+}
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/engine_record.cpp
+++ b/src/cypresswall/routing/engine_record.cpp
@@ -12,6 +12,8 @@
       return "silent";
     case EngineAvailability::kUnreachable:
       return "unreachable";
+    case EngineAvailability::kEjected:
+      return "ejected";
     case EngineAvailability::kChanging:
       return "changing";
     case EngineAvailability::kFailed:
--- a/src/cypresswall/routing/engine_record.h
+++ b/src/cypresswall/routing/engine_record.h
@@ -15,6 +15,7 @@
   kNotReported,        ///< no load report was seen yet
   kSilent,             ///< the newest report is too old
   kUnreachable,        ///< its watcher can't reach it
+  kEjected,            ///< attempts failed there; tried again after a while
   kChanging,           ///< away for a change of role or a load of weights
   kFailed,             ///< says itself that it failed
   kDraining,           ///< the zone's controller drains it for a planned change
--- a/src/cypresswall/routing/engine_table.cpp
+++ b/src/cypresswall/routing/engine_table.cpp
@@ -104,6 +104,9 @@
   if (record.reported && observation.observed_at < record.observed_at) {
     return;
   }
+  if (restarted) {
+    entries_[slot].ejected_until = {};
+  }
   const bool identity_changed = !record.reported || restarted ||
                                 record.load.model != observation.load.model ||
                                 record.load.version != observation.load.version ||
@@ -138,6 +141,11 @@
   refresh(slot, now);
 }
 
+void EngineTable::eject(EngineSlot slot, common::MonotonicTime until, common::MonotonicTime now) {
+  entries_[slot].ejected_until = until;
+  refresh(slot, now);
+}
+
 void EngineTable::setReachable(EngineSlot slot, bool reachable, common::MonotonicTime now) {
   if (entries_[slot].record.reachable == reachable) {
     return;
@@ -171,6 +179,9 @@
   if (now - record.heard_at > settings_.silence_limit) {
     return EngineAvailability::kSilent;
   }
+  if (now < entry.ejected_until) {
+    return EngineAvailability::kEjected;
+  }
   if (record.load.state == engines::EngineState::kChanging) {
     return EngineAvailability::kChanging;
   }
--- a/src/cypresswall/routing/engine_table.h
+++ b/src/cypresswall/routing/engine_table.h
@@ -43,6 +43,8 @@
   void confirm(EngineSlot slot, common::MonotonicTime observed_at, common::MonotonicTime now);
   /// Notes that the engine reported of `heard_at`, though what is not known.
   void hear(EngineSlot slot, common::MonotonicTime heard_at, common::MonotonicTime now);
+  /// The engine gets no work until `until`.
+  void eject(EngineSlot slot, common::MonotonicTime until, common::MonotonicTime now);
   void setReachable(EngineSlot slot, bool reachable, common::MonotonicTime now);
   void setWatched(EngineSlot slot, bool watched) { entries_[slot].record.watched_here = watched; }
   /// Finds engines that fell silent.
@@ -70,6 +72,7 @@
     bool declared = false;
     bool machine_leaving = false;
     bool drained_by_operator = false;
+    common::MonotonicTime ejected_until{};
   };
 
   EngineSlot takeSlot();
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -84,7 +84,9 @@
   virtual void promptComputed(const std::string& stream_id) = 0;
   virtual void firstTokenReceived(const std::string& stream_id) = 0;
   virtual void attemptFinished(const std::string& stream_id) = 0;
-  virtual void attemptFailed(const std::string& stream_id, engines::StreamFailure failure) = 0;
+  /// \param engine where the attempt failed, of the one or two engines of its route
+  virtual void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
+                             engines::StreamFailure failure) = 0;
 };
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -20,6 +20,28 @@
   double trust_recovery = 0.1;
 };
 
+/// When engines at which attempts fail get no work, and for how long.
+struct EjectionSettings {
+  /// Failures older than this don't count.
+  common::Duration window = std::chrono::seconds(1);
+  /// First ejection; doubled with each one that begins within `memory` of the end of the last.
+  common::Duration base_time = std::chrono::milliseconds(500);
+  common::Duration maximum_time = std::chrono::seconds(4);
+  common::Duration memory = std::chrono::seconds(3);
+  /// Streams that broke at a node in the window after which the node ejects the engine for itself.
+  std::size_t own_broken_streams = 3;
+  /// Nodes that have to tell of failures before an engine is ejected for the zone.
+  std::size_t witnesses = 2;
+  /// Streams that broke in the zone in the window, before that.
+  std::size_t zone_broken_streams = 5;
+  /// Share of a model's engines of one role that may be ejected at a time: those that attempts
+  /// don't reach, and those at which streams break. The latter still serve some.
+  double maximum_unreached_share = 0.5;
+  double maximum_broken_share = 0.2;
+  /// Failures of one engine remembered at a time.
+  std::size_t remembered_failures = 32;
+};
+
 /// How engines are watched and how what is learnt is passed on.
 struct DirectorySettings {
   /// Between two load reports read from one watched engine whose load moves.
@@ -48,6 +70,7 @@
   /// Consecutive polls that reached nothing after which an engine gets no work.
   std::uint32_t unreachable_after_failures = 2;
   PrefixIndexSettings prefix_index;
+  EjectionSettings ejection;
 };
 
 /// How the router weighs engines.
--- a/tests/execution/fake_engines.h
+++ b/tests/execution/fake_engines.h
@@ -79,7 +79,10 @@
   void promptComputed(const std::string&) override {}
   void firstTokenReceived(const std::string&) override {}
   void attemptFinished(const std::string&) override { --open; }
-  void attemptFailed(const std::string&, engines::StreamFailure) override { --open; }
+  void attemptFailed(const std::string&, const common::EngineName&,
+                     engines::StreamFailure) override {
+    --open;
+  }
 
   std::vector<std::string> names{"engine-1", "engine-2", "engine-3", "engine-4"};
   std::string prefill_name;
--- a/tests/orders/zone_fixture.cpp
+++ b/tests/orders/zone_fixture.cpp
@@ -56,7 +56,8 @@
 
 class StreamDriver::Attempt final : public engines::StreamHandler {
  public:
-  Attempt(StreamDriver& driver, std::string id) : driver_(driver), id_(std::move(id)) {}
+  Attempt(StreamDriver& driver, std::string id, common::EngineName engine)
+      : driver_(driver), id_(std::move(id)), engine_(std::move(engine)) {}
   void onToken(std::uint32_t, std::uint32_t index, const std::string&) override {
     if (index == 0) {
       driver_.router_.firstTokenReceived(id_);
@@ -69,7 +70,7 @@
   }
   void onFailed(engines::StreamFailure failure, const std::string&) override {
     ++(failure == engines::StreamFailure::kBroken ? driver_.broken : driver_.refused);
-    driver_.router_.attemptFailed(id_, failure);
+    driver_.router_.attemptFailed(id_, engine_, failure);
     driver_.ended(id_);
   }
   std::unique_ptr<engines::Stream> stream;
@@ -77,6 +78,7 @@
  private:
   StreamDriver& driver_;
   std::string id_;
+  common::EngineName engine_;
 };
 
 StreamDriver::StreamDriver(const api::ProcessContext& context, routing::Router& router,
@@ -110,7 +112,7 @@
   stream.model = request.model;
   stream.shape = request.shape;
   stream.maximum_tokens = request.maximum_tokens;
-  auto attempt = std::make_unique<Attempt>(*this, request.stream_id);
+  auto attempt = std::make_unique<Attempt>(*this, request.stream_id, route->engine.name);
   attempt->stream = client_.startStream(route->engine, stream, *attempt);
   attempts_[request.stream_id] = std::move(attempt);
   ++started;
--- /dev/null
+++ b/tests/routing/engine_ejection_test.cpp
@@ -0,0 +1,257 @@
+#include "cypresswall/routing/engine_ejection.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "cypresswall/routing/watch_assignment.h"
+#include "tests/support/engine_world.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::routing {
+namespace {
+
+using namespace std::chrono_literals;
+using engines::StreamFailure;
+
+/// Nodes of one zone, each with the table of the same idle engines.
+class EjectionZone {
+ public:
+  EjectionZone(int node_count, int engine_count) : simulation_(1) {
+    for (int i = 0; i < engine_count; ++i) {
+      testing::declareEngine(fleet_, nameOf(i), "m");
+    }
+    std::vector<common::NodeId> ids;
+    for (int i = 0; i < node_count; ++i) {
+      Node& node = nodes.emplace_back();
+      node.process = &simulation_.start(addressOf(i), "z");
+      ids.push_back(node.process->id());
+    }
+    for (Node& node : nodes) {
+      node.membership =
+          &node.process->emplace<testing::SettableMembership>(node.process->id(), "z");
+      node.membership->setMembers(ids);
+      node.table = &node.process->emplace<EngineTable>(DirectorySettings{});
+      node.table->declare(fleet_, "z", node.process->context().clock.now());
+      node.ejection = &node.process->emplace<EngineEjection>(settings, node.process->context(),
+                                                             *node.membership, *node.table);
+    }
+    members = nodes.front().membership->members();
+    report();
+  }
+
+  struct Node {
+    simulation::SimulatedProcess* process = nullptr;
+    testing::SettableMembership* membership = nullptr;
+    EngineTable* table = nullptr;
+    EngineEjection* ejection = nullptr;
+  };
+
+  static common::Address addressOf(int i) {
+    return std::string("10.0.0.").append(std::to_string(i + 1)).append(":7000");
+  }
+  static std::string nameOf(int i) { return std::string("e").append(std::to_string(100 + i)); }
+  /// All engines are reported as idle at every node.
+  void report() {
+    for (Node& node : nodes) {
+      const auto now = node.process->context().clock.now();
+      for (const EngineSlot slot : node.table->roster()) {
+        node.table->observe(slot, {testing::idleLoad("m", engines::EngineRole::kMixed), now, true},
+                            now);
+      }
+    }
+  }
+  void run(common::Duration time) {
+    simulation_.time().runFor(time);
+    for (Node& node : nodes) {
+      node.table->sweep(node.process->context().clock.now());
+    }
+  }
+  void fail(std::size_t node, int engine, StreamFailure failure) {
+    Node& at = nodes[node];
+    at.ejection->attemptFailed(at.table->slotOf(nameOf(engine)), failure);
+  }
+  bool ejected(std::size_t node, int engine) const {
+    const EngineTable& table = *nodes[node].table;
+    return table.record(table.slotOf(nameOf(engine))).availability == EngineAvailability::kEjected;
+  }
+  int nodesWithout(int engine) const {
+    int count = 0;
+    for (std::size_t node = 0; node < nodes.size(); ++node) {
+      count += ejected(node, engine) ? 1 : 0;
+    }
+    return count;
+  }
+  int ejectedAt(std::size_t node) const {
+    int count = 0;
+    for (std::size_t engine = 0; engine < fleet_.engines.size(); ++engine) {
+      count += ejected(node, static_cast<int>(engine)) ? 1 : 0;
+    }
+    return count;
+  }
+
+  EjectionSettings settings;
+  std::vector<Node> nodes;
+  std::vector<membership::Member> members;
+
+ private:
+  simulation::Simulation simulation_;
+  configuration::FleetConfiguration fleet_;
+};
+
+class EngineEjectionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EngineEjectionTest);
+  CPPUNIT_TEST(oneFailedConnectionEjectsAtItsNodeOnly);
+  CPPUNIT_TEST(twoNodesEjectForTheZone);
+  CPPUNIT_TEST(ejectedEnginesComeBack);
+  CPPUNIT_TEST(repeatedEjectionsLastLonger);
+  CPPUNIT_TEST(aLongGoodTimeIsForgiven);
+  CPPUNIT_TEST(brokenStreamsNeedSeveral);
+  CPPUNIT_TEST(refusalsEjectNothing);
+  CPPUNIT_TEST(restartedEngineIsTakenBackAtOnce);
+  CPPUNIT_TEST(aNodeCutOffFromEnginesKeepsHalfOfThem);
+  CPPUNIT_TEST(ejectionCostsOneMessageAFailureAndOneANode);
+  CPPUNIT_TEST(neverMoreThanTheShare);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void oneFailedConnectionEjectsAtItsNodeOnly() {
+    EjectionZone zone(5, 10);
+    zone.fail(0, 3, StreamFailure::kNotSent);
+    CPPUNIT_ASSERT(zone.ejected(0, 3));
+    zone.run(100ms);
+    CPPUNIT_ASSERT_EQUAL(1, zone.nodesWithout(3));
+  }
+
+  void twoNodesEjectForTheZone() {
+    EjectionZone zone(5, 10);
+    zone.fail(0, 3, StreamFailure::kNotSent);
+    zone.fail(1, 3, StreamFailure::kNotSent);
+    zone.run(100ms);
+    CPPUNIT_ASSERT_EQUAL(5, zone.nodesWithout(3));
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesWithout(4));
+  }
+
+  void ejectedEnginesComeBack() {
+    EjectionZone zone(3, 10);
+    zone.fail(0, 3, StreamFailure::kNotSent);
+    zone.fail(1, 3, StreamFailure::kNotSent);
+    zone.run(100ms);
+    zone.run(600ms);
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesWithout(3));
+  }
+
+  void repeatedEjectionsLastLonger() {
+    EjectionZone zone(1, 10);
+    common::Duration lasted{0};
+    for (const common::Duration expected : {500ms, 1000ms, 2000ms, 4000ms, 4000ms}) {
+      zone.fail(0, 3, StreamFailure::kNotSent);
+      lasted = 0ms;
+      while (zone.ejected(0, 3)) {
+        zone.report();
+        zone.run(50ms);
+        lasted += 50ms;
+      }
+      CPPUNIT_ASSERT(lasted >= expected && lasted <= expected + 100ms);
+    }
+  }
+
+  void aLongGoodTimeIsForgiven() {
+    EjectionZone zone(1, 10);
+    for (int round = 0; round < 3; ++round) {
+      zone.fail(0, 3, StreamFailure::kNotSent);
+      zone.run(550ms);
+      zone.report();
+      CPPUNIT_ASSERT(!zone.ejected(0, 3));
+      zone.run(4s);
+      zone.report();
+    }
+  }
+
+  void brokenStreamsNeedSeveral() {
+    EjectionZone zone(4, 10);
+    zone.fail(0, 3, StreamFailure::kBroken);
+    zone.fail(0, 3, StreamFailure::kBroken);
+    zone.run(10ms);
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesWithout(3));
+    zone.fail(0, 3, StreamFailure::kBroken);
+    zone.run(10ms);
+    CPPUNIT_ASSERT_EQUAL(1, zone.nodesWithout(3));
+    zone.fail(1, 3, StreamFailure::kBroken);
+    zone.fail(1, 3, StreamFailure::kBroken);
+    zone.run(10ms);
+    CPPUNIT_ASSERT_EQUAL(4, zone.nodesWithout(3));
+  }
+
+  void refusalsEjectNothing() {
+    EjectionZone zone(3, 10);
+    for (int i = 0; i < 50; ++i) {
+      zone.fail(0, 3, StreamFailure::kRefused);
+      zone.fail(1, 3, StreamFailure::kNotTried);
+    }
+    zone.run(10ms);
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesWithout(3));
+  }
+
+  void restartedEngineIsTakenBackAtOnce() {
+    EjectionZone zone(1, 10);
+    zone.fail(0, 3, StreamFailure::kNotSent);
+    auto& node = zone.nodes[0];
+    const auto now = node.process->context().clock.now();
+    auto load = testing::idleLoad("m", engines::EngineRole::kMixed);
+    load.incarnation += 1;
+    node.table->observe(node.table->slotOf(EjectionZone::nameOf(3)), {load, now, true}, now);
+    CPPUNIT_ASSERT(!zone.ejected(0, 3));
+  }
+
+  /// Its own link is at fault, not all engines: it goes on trying, and convinces nobody.
+  void aNodeCutOffFromEnginesKeepsHalfOfThem() {
+    EjectionZone zone(4, 10);
+    for (int engine = 0; engine < 10; ++engine) {
+      zone.fail(2, engine, StreamFailure::kNotSent);
+      zone.fail(2, engine, StreamFailure::kNotSent);
+    }
+    zone.run(50ms);
+    CPPUNIT_ASSERT_EQUAL(5, zone.ejectedAt(2));
+    CPPUNIT_ASSERT_EQUAL(0, zone.ejectedAt(0));
+  }
+
+  void ejectionCostsOneMessageAFailureAndOneANode() {
+    EjectionZone zone(40, 10);
+    for (std::size_t node = 0; node < 40; ++node) {
+      if (!zone.ejected(node, 3)) {
+        zone.fail(node, 3, StreamFailure::kNotSent);
+      }
+      zone.run(2ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(40, zone.nodesWithout(3));
+    std::uint64_t failures = 0;
+    for (const auto& node : zone.nodes) {
+      failures += static_cast<std::uint64_t>(
+          node.process->context().counters.total("cypresswall_engine_ejections_total"));
+    }
+    // Few nodes find out by themselves; each node then ejects once or twice.
+    CPPUNIT_ASSERT(failures <= 50);
+  }
+
+  void neverMoreThanTheShare() {
+    testing::requireProperty("no more engines are ejected than may be", 100, [] {
+      EjectionZone zone(3, *rc::gen::inRange(1, 12));
+      const int engines = static_cast<int>(zone.nodes[0].table->roster().size());
+      const int failures = *rc::gen::inRange(1, 200);
+      for (int i = 0; i < failures; ++i) {
+        zone.fail(static_cast<std::size_t>(*rc::gen::inRange(0, 3)), *rc::gen::inRange(0, engines),
+                  *rc::gen::element(StreamFailure::kNotSent, StreamFailure::kBroken));
+        zone.run(std::chrono::milliseconds(*rc::gen::inRange(0, 30)));
+        for (std::size_t node = 0; node < 3; ++node) {
+          RC_ASSERT(zone.ejectedAt(node) * 2 <= engines);
+        }
+      }
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineEjectionTest);
+
+}  // namespace
+}  // namespace cypresswall::routing
--- a/tests/routing/long_prompts_test.cpp
+++ b/tests/routing/long_prompts_test.cpp
@@ -194,9 +194,9 @@
 
   void anAbandonedPromptLeavesNothingBehind() {
     TwoNodes zone;
-    zone.begin(0, "a", "one");
+    const Route first = zone.begin(0, "a", "one");
     zone.run(milliseconds(50));
-    zone.router(0).attemptFailed("a", engines::StreamFailure::kBroken);
+    zone.router(0).attemptFailed("a", first.engine.name, engines::StreamFailure::kBroken);
     zone.run(milliseconds(5));
     const Route again = zone.begin(1, "b", "one");
     CPPUNIT_ASSERT_EQUAL(0U, again.expected_cached_tokens);
