--- a/tests/routing/engine_ejection_test.cpp
+++ b/tests/routing/engine_ejection_test.cpp
@@ -14,12 +14,14 @@
 using namespace std::chrono_literals;
 using engines::StreamFailure;
 
+const common::ModelName kModel = "m";
+
 /// Nodes of one zone, each with the table of the same idle engines.
 class EjectionZone {
  public:
   EjectionZone(int node_count, int engine_count) : simulation_(1) {
     for (int i = 0; i < engine_count; ++i) {
-      testing::declareEngine(fleet_, nameOf(i), "m");
+      testing::declareEngine(fleet_, nameOf(i), kModel);
     }
     std::vector<common::NodeId> ids;
     for (int i = 0; i < node_count; ++i) {
@@ -56,8 +58,7 @@
     for (Node& node : nodes) {
       const auto now = node.process->context().clock.now();
       for (const EngineSlot slot : node.table->roster()) {
-        node.table->observe(slot, {testing::idleLoad("m", engines::EngineRole::kMixed), now, true},
-                            now);
+        node.table->observe(slot, {idle, now, true}, now);
       }
     }
   }
@@ -91,6 +92,7 @@
   }
 
   EjectionSettings settings;
+  const engines::EngineLoad idle = testing::idleLoad(kModel, engines::EngineRole::kMixed);
   std::vector<Node> nodes;
   std::vector<membership::Member> members;
 
@@ -198,7 +200,7 @@
     zone.fail(0, 3, StreamFailure::kNotSent);
     auto& node = zone.nodes[0];
     const auto now = node.process->context().clock.now();
-    auto load = testing::idleLoad("m", engines::EngineRole::kMixed);
+    auto load = zone.idle;
     load.incarnation += 1;
     node.table->observe(node.table->slotOf(EjectionZone::nameOf(3)), {load, now, true}, now);
     CPPUNIT_ASSERT(!zone.ejected(0, 3));
