--- a/src/cypresswall/orders/zone_controller.cpp
+++ b/src/cypresswall/orders/zone_controller.cpp
@@ -138,8 +138,7 @@
   }
   const auto records = directory_.records();
   const planning::Plan plan = makePlan(records, {}, true);
-  const auto fleet = configuration_.current();
-  noteNeed(fleet->planning.automatic_roles && !plan.changes.empty());
+  noteNeed(!plan.changes.empty());
 }
 
 void ZoneController::updateControls(const std::vector<routing::EngineRecord>& records) {
@@ -253,8 +252,11 @@
   planning::PlanningInput input = makePlanningInput(sources, capacity_);
   input.expected_time_away = time_away_;
   planning::Plan plan = planner_->plan(input);
-  explanations_ = plan.explanations;
-  if (fleet->planning.automatic_roles && !plan.changes.empty()) {
+  explanations_ = std::move(plan.explanations);
+  if (!fleet->planning.automatic_roles) {
+    plan.changes.clear();
+  }
+  if (!plan.changes.empty()) {
     logPlan();
   }
   return plan;
@@ -278,9 +280,6 @@
 void ZoneController::planRoles(const std::vector<routing::EngineRecord>& records) {
   const auto fleet = configuration_.current();
   const planning::Plan plan = makePlan(records, controls_, false);
-  if (!fleet->planning.automatic_roles) {
-    return;
-  }
   for (const planning::RoleChange& change : plan.changes) {
     const routing::EngineRecord* record = directory_.find(change.engine);
     const bool allowed = record != nullptr && mayBeChanged(*record) &&
--- a/src/cypresswall/orders/zone_controller.h
+++ b/src/cypresswall/orders/zone_controller.h
@@ -68,6 +68,7 @@
   void tickControls();
   bool fencesTried() const;
   void startDeclaredChanges(const std::vector<routing::EngineRecord>& records);
+  /// \return the planner's changes, none if roles are left to the operators.
   planning::Plan makePlan(const std::vector<routing::EngineRecord>& records,
                           const Controls& controls, bool without_lease);
   void logPlan() const;
--- a/src/cypresswall/planning/disaggregated_planner.cpp
+++ b/src/cypresswall/planning/disaggregated_planner.cpp
@@ -37,6 +37,11 @@
 
 }  // namespace
 
+DisaggregatedPlanner::Split DisaggregatedPlanner::Split::movedTo(EngineRole to) const {
+  const double towards = to == EngineRole::kPrefill ? 1.0 : -1.0;
+  return {prefill + towards, decode - towards};
+}
+
 Plan DisaggregatedPlanner::plan(const PlanningInput& input) {
   Plan plan;
   std::set<common::ModelName> models;
@@ -130,8 +135,7 @@
 }
 
 double DisaggregatedPlanner::benefit(const ModelState& state, EngineRole to) const {
-  const double towards = to == EngineRole::kPrefill ? 1.0 : -1.0;
-  Split after{state.split.prefill + towards, state.split.decode - towards};
+  const Split after = state.split.movedTo(to);
   const Split away{std::min(state.split.prefill, after.prefill),
                    std::min(state.split.decode, after.decode)};
   const double recent = benefit(state, state.demand.short_window, away, after);
@@ -191,9 +195,7 @@
       break;
     }
     plan.changes.push_back({move.engine, move.to});
-    const double towards = move.to == EngineRole::kPrefill ? 1.0 : -1.0;
-    state.split.prefill += towards;
-    state.split.decode -= towards;
+    state.split = state.split.movedTo(move.to);
     auto& movable =
         move.from == EngineRole::kPrefill ? state.movable_prefill : state.movable_decode;
     movable.erase(movable.begin());
--- a/src/cypresswall/planning/disaggregated_planner.h
+++ b/src/cypresswall/planning/disaggregated_planner.h
@@ -42,6 +42,9 @@
   struct Split {
     double prefill = 0;
     double decode = 0;
+
+    /// \return the split once one engine more has the role `to`, and one less the other
+    Split movedTo(engines::EngineRole to) const;
   };
   struct ModelState {
     common::ModelName model;
--- a/src/cypresswall/runtime/log_sink.cpp
+++ b/src/cypresswall/runtime/log_sink.cpp
@@ -64,8 +64,8 @@
 namespace {
 
 /// Initializes log4cplus for the whole life of the process. It is never shut down, as the library's
-/// Initializer would do at its end: that joins the library's threads, which a process that ends need
-/// not wait for and which, on the users' platform, never returned.
+/// Initializer would do at its end: that joins the library's threads, which a process that ends
+/// need not wait for and which, on the users' platform, never returned.
 log4cplus::Logger makeLogger() {
   log4cplus::initialize();
   return log4cplus::Logger::getInstance("cypresswall");
--- a/src/cypresswall/settings/setting_key.cpp
+++ b/src/cypresswall/settings/setting_key.cpp
@@ -19,6 +19,18 @@
 
 using SizeParser = std::uint64_t (*)(const std::string&);
 
+/// \return a key without `apply`
+SettingKey describe(std::string name, std::string unit, std::string range, std::string default_text,
+                    std::string meaning) {
+  SettingKey key;
+  key.name = std::move(name);
+  key.unit = std::move(unit);
+  key.range = std::move(range);
+  key.default_text = std::move(default_text);
+  key.meaning = std::move(meaning);
+  return key;
+}
+
 /// Reads a number within a range into `field`.
 auto sizeSetter(SizeParser parse, std::size_t least, std::size_t most, std::string range,
                 SettingField<std::size_t> field) {
@@ -44,12 +56,9 @@
 SettingKey durationKey(std::string name, common::Duration least, common::Duration most,
                        SettingField<common::Duration> field, std::string meaning) {
   DaemonSettings defaults;
-  SettingKey key;
-  key.name = std::move(name);
-  key.unit = "duration";
-  key.range = rangeText(formatDuration(least), formatDuration(most));
-  key.default_text = formatDuration(field(defaults));
-  key.meaning = std::move(meaning);
+  SettingKey key =
+      describe(std::move(name), "duration", rangeText(formatDuration(least), formatDuration(most)),
+               formatDuration(field(defaults)), std::move(meaning));
   key.apply = [=, range = key.range](DaemonSettings& settings, const GivenValue& value) {
     const std::string& text = singleText(value);
     const common::Duration duration = parseDurationValue(text);
@@ -64,12 +73,9 @@
 SettingKey bytesKey(std::string name, std::size_t least, std::size_t most,
                     SettingField<std::size_t> field, std::string meaning) {
   DaemonSettings defaults;
-  SettingKey key;
-  key.name = std::move(name);
-  key.unit = "bytes";
-  key.range = rangeText(formatBytes(least), formatBytes(most));
-  key.default_text = formatBytes(field(defaults));
-  key.meaning = std::move(meaning);
+  SettingKey key =
+      describe(std::move(name), "bytes", rangeText(formatBytes(least), formatBytes(most)),
+               formatBytes(field(defaults)), std::move(meaning));
   key.apply = sizeSetter(parseBytes, least, most, key.range, field);
   return key;
 }
@@ -77,12 +83,9 @@
 SettingKey countKey(std::string name, std::size_t least, std::size_t most,
                     SettingField<std::size_t> field, std::string meaning) {
   DaemonSettings defaults;
-  SettingKey key;
-  key.name = std::move(name);
-  key.unit = "count";
-  key.range = rangeText(std::to_string(least), std::to_string(most));
-  key.default_text = std::to_string(field(defaults));
-  key.meaning = std::move(meaning);
+  SettingKey key =
+      describe(std::move(name), "count", rangeText(std::to_string(least), std::to_string(most)),
+               std::to_string(field(defaults)), std::move(meaning));
   key.apply = sizeSetter(parseCount, least, most, key.range, field);
   return key;
 }
@@ -90,12 +93,9 @@
 SettingKey numberKey(std::string name, double least, double most, SettingField<double> field,
                      std::string meaning) {
   DaemonSettings defaults;
-  SettingKey key;
-  key.name = std::move(name);
-  key.unit = "number";
-  key.range = rangeText(formatNumber(least), formatNumber(most));
-  key.default_text = formatNumber(field(defaults));
-  key.meaning = std::move(meaning);
+  SettingKey key =
+      describe(std::move(name), "number", rangeText(formatNumber(least), formatNumber(most)),
+               formatNumber(field(defaults)), std::move(meaning));
   key.apply = [=, range = key.range](DaemonSettings& settings, const GivenValue& value) {
     const std::string& text = singleText(value);
     const double number = parseNumber(text);
@@ -109,12 +109,8 @@
 
 SettingKey switchKey(std::string name, SettingField<bool> field, std::string meaning) {
   DaemonSettings defaults;
-  SettingKey key;
-  key.name = std::move(name);
-  key.unit = "switch";
-  key.range = "on, off";
-  key.default_text = field(defaults) ? "on" : "off";
-  key.meaning = std::move(meaning);
+  SettingKey key = describe(std::move(name), "switch", "on, off", field(defaults) ? "on" : "off",
+                            std::move(meaning));
   key.apply = [field](DaemonSettings& settings, const GivenValue& value) {
     const std::string& text = singleText(value);
     if (text != "on" && text != "off") {
@@ -126,11 +122,8 @@
 }
 
 SettingKey nameKey(std::string name, SettingField<std::string> field, std::string meaning) {
-  SettingKey key;
-  key.name = std::move(name);
-  key.unit = "name";
-  key.range = "1 to 64 letters, digits, '-', '_', '.'";
-  key.meaning = std::move(meaning);
+  SettingKey key = describe(std::move(name), "name", "1 to 64 letters, digits, '-', '_', '.'", "",
+                            std::move(meaning));
   key.required = true;
   key.apply = [field](DaemonSettings& settings, const GivenValue& value) {
     field(settings) = parseName(singleText(value));
@@ -140,12 +133,8 @@
 
 SettingKey addressKey(std::string name, std::string default_text,
                       SettingField<common::Address> field, std::string meaning) {
-  SettingKey key;
-  key.name = std::move(name);
-  key.unit = "IP:port";
-  key.range = "an IP number, port 1 to 65535";
-  key.default_text = std::move(default_text);
-  key.meaning = std::move(meaning);
+  SettingKey key = describe(std::move(name), "IP:port", "an IP number, port 1 to 65535",
+                            std::move(default_text), std::move(meaning));
   key.required = key.default_text.empty();
   key.apply = [field](DaemonSettings& settings, const GivenValue& value) {
     field(settings) = parseReachableAddress(singleText(value));
--- a/tests/planning/disaggregated_planner_test.cpp
+++ b/tests/planning/disaggregated_planner_test.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "tests/planning/planned_zone.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::planning {
@@ -12,15 +13,9 @@
 
 using engines::EngineRole;
 
-const common::ModelName kModel = "m";
-
-PlannedEngine engineOf(int number, EngineRole role) {
+/// Speeds of the engines of these tests.
+PlannedEngine speeds() {
   PlannedEngine engine;
-  engine.name = std::string("e").append(std::to_string(100 + number));
-  engine.model = kModel;
-  engine.role = role;
-  engine.available = true;
-  engine.changeable = true;
   engine.prefill_tokens_per_second = 50000;
   engine.decode_step_base = 0.005;
   engine.decode_step_per_stream = 0.00004;
@@ -29,14 +24,8 @@
 }
 
 PlanningInput zoneOf(int prefill, int decode) {
-  PlanningInput input;
-  int number = 0;
-  for (const auto& [role, count] :
-       {std::pair(EngineRole::kPrefill, prefill), std::pair(EngineRole::kDecode, decode)}) {
-    for (int i = 0; i < count; ++i) {
-      input.engines.push_back(engineOf(number++, role));
-    }
-  }
+  PlanningInput input = testing::plannedZone(
+      speeds(), {{EngineRole::kPrefill, prefill}, {EngineRole::kDecode, decode}});
   input.policy.horizon = std::chrono::seconds(20);
   input.policy.role_change_weight = 5;
   return input;
@@ -53,9 +42,8 @@
 }
 
 void ask(PlanningInput& input, const DemandRate& short_window, const DemandRate& long_window) {
-  input.demand[kModel].short_window = short_window;
-  input.demand[kModel].long_window = long_window;
-  input.demand[kModel].long_first_token_limit = std::chrono::milliseconds(600);
+  testing::setDemand(input, short_window, long_window);
+  input.demand[testing::kPlannedModel].long_first_token_limit = std::chrono::milliseconds(600);
 }
 
 class DisaggregatedPlannerTest : public CppUnit::TestFixture {
@@ -159,9 +147,9 @@
   void changesUnderWayCountAgainstTheShareAway() {
     PlanningInput input = zoneOf(24, 36);
     ask(input, demandOf(30, 10), demandOf(30, 10));
-    input.changes_under_way[kModel] = 5;
+    input.changes_under_way[testing::kPlannedModel] = 5;
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, planner_.plan(input).changes.size());
-    input.changes_under_way[kModel] = 7;
+    input.changes_under_way[testing::kPlannedModel] = 7;
     CPPUNIT_ASSERT(planner_.plan(input).changes.empty());
   }
 
--- a/tests/planning/role_planner_test.cpp
+++ b/tests/planning/role_planner_test.cpp
@@ -5,6 +5,7 @@
 
 #include "cypresswall/planning/baseline_planners.h"
 #include "cypresswall/planning/demand_estimator.h"
+#include "tests/planning/planned_zone.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::planning {
@@ -12,13 +13,9 @@
 
 using engines::EngineRole;
 
-PlannedEngine engineOf(int number, EngineRole role) {
+/// Speeds of the engines of these tests.
+PlannedEngine speeds() {
   PlannedEngine engine;
-  engine.name = std::string("e").append(std::to_string(100 + number));
-  engine.model = "m";
-  engine.role = role;
-  engine.available = true;
-  engine.changeable = true;
   engine.prefill_tokens_per_second = 16000;
   engine.decode_step_base = 0.012;
   engine.decode_step_per_stream = 0.0004;
@@ -26,22 +23,14 @@
   return engine;
 }
 
-PlanningInput zoneOf(int mixed, int prefill, int decode) {
-  PlanningInput input;
-  int number = 0;
-  for (const auto& [role, count] :
-       {std::pair(EngineRole::kMixed, mixed), std::pair(EngineRole::kPrefill, prefill),
-        std::pair(EngineRole::kDecode, decode)}) {
-    for (int i = 0; i < count; ++i) {
-      input.engines.push_back(engineOf(number++, role));
-    }
-  }
-  return input;
+PlannedEngine engineOf(int number, EngineRole role) {
+  return testing::plannedEngine(number, role, speeds());
 }
 
-void ask(PlanningInput& input, const DemandRate& short_window, const DemandRate& long_window) {
-  input.demand["m"].short_window = short_window;
-  input.demand["m"].long_window = long_window;
+PlanningInput zoneOf(int mixed, int prefill, int decode) {
+  return testing::plannedZone(speeds(), {{EngineRole::kMixed, mixed},
+                                         {EngineRole::kPrefill, prefill},
+                                         {EngineRole::kDecode, decode}});
 }
 
 /// Mixed engines under one zone's part of the load of the scenario portavia-ship-berths while the
@@ -49,7 +38,7 @@
 PlanningInput strainedZone(int engines, double load) {
   PlanningInput input = zoneOf(engines, 0, 0);
   const DemandRate rate{8.25 * load, 20000 * load, 750 * load, 3.25 * load, 19500 * load};
-  ask(input, rate, rate);
+  testing::setDemand(input, rate, rate);
   input.demand["m"].short_first_token_limit = std::chrono::milliseconds(500);
   return input;
 }
@@ -76,7 +65,7 @@
     RolePlanner planner({});
     PlanningInput input = zoneOf(6, 3, 3);
     const DemandRate rate{20, 30000, 3000};
-    ask(input, rate, rate);
+    testing::setDemand(input, rate, rate);
     const Plan plan = planner.plan(input);
     CPPUNIT_ASSERT(plan.changes.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan.explanations.size());
@@ -87,7 +76,7 @@
     RolePlanner planner({});
     PlanningInput input = zoneOf(0, 2, 8);
     const DemandRate swing{20, 90000, 1500};
-    ask(input, swing, {20, 50000, 3000});
+    testing::setDemand(input, swing, {20, 50000, 3000});
     const Plan plan = planner.plan(input);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan.changes.size());
     CPPUNIT_ASSERT(plan.changes[0].role != EngineRole::kDecode);
@@ -100,7 +89,7 @@
     RolePlanner planner({});
     PlanningInput input = zoneOf(0, 2, 8);
     const DemandRate swing{20, 90000, 1500};
-    ask(input, swing, swing);
+    testing::setDemand(input, swing, swing);
     input.policy.role_change_weight = 1e6;
     CPPUNIT_ASSERT(planner.plan(input).changes.empty());
     input.policy.role_change_weight = 1;
@@ -112,7 +101,7 @@
     RolePlanner planner({});
     PlanningInput input = zoneOf(0, 2, 8);
     const DemandRate swing{20, 90000, 1500};
-    ask(input, swing, swing);
+    testing::setDemand(input, swing, swing);
     input.changes_under_way["m"] = 1;
     CPPUNIT_ASSERT(planner.plan(input).changes.empty());
   }
@@ -130,7 +119,7 @@
                           static_cast<double>(*rc::gen::inRange(0, 200000)),
                           static_cast<double>(*rc::gen::inRange(0, 20000))};
       };
-      ask(input, rate(), rate());
+      testing::setDemand(input, rate(), rate());
       RolePlanner planner({});
       const Plan plan = planner.plan(input);
       RC_ASSERT(plan.changes.size() <= 1U);
@@ -152,7 +141,7 @@
       const DemandRate rate{static_cast<double>(*rc::gen::inRange(1, 100)),
                             static_cast<double>(*rc::gen::inRange(0, 150000)),
                             static_cast<double>(*rc::gen::inRange(0, 12000))};
-      ask(input, rate, rate);
+      testing::setDemand(input, rate, rate);
       RolePlanner planner({});
       std::size_t changes = 0;
       for (Plan plan = planner.plan(input); !plan.changes.empty(); plan = planner.plan(input)) {
@@ -169,7 +158,7 @@
   void pastSwingAsksForNothing() {
     RolePlanner planner({});
     PlanningInput input = zoneOf(0, 2, 8);
-    ask(input, {20, 20000, 3000}, {20, 90000, 1500});
+    testing::setDemand(input, {20, 20000, 3000}, {20, 90000, 1500});
     CPPUNIT_ASSERT(planner.plan(input).changes.empty());
   }
 
@@ -243,7 +232,7 @@
   void baselinesDoWhatTheySay() {
     PlanningInput input = zoneOf(4, 0, 0);
     const DemandRate prompts{20, 60000, 100};
-    ask(input, prompts, prompts);
+    testing::setDemand(input, prompts, prompts);
     CPPUNIT_ASSERT(AllMixedPlanner().plan(input).changes.empty());
     CPPUNIT_ASSERT(FixedRolesPlanner().plan(input).changes.empty());
     const Plan split = StaticSplitPlanner(0.5).plan(input);
