Find the one node for a task in one place, and keep an ejection's end once

The node that takes the lease was found by the same loop as the node that watches an engine: both are now membership::rendezvousNode, and routing/watch_assignment is gone. When an engine's ejection ends stood in the table and in EngineEjection; the table alone keeps it. Behaviour is as it was.

--- a/src/cypresswall/lease/store_lease.cpp
+++ b/src/cypresswall/lease/store_lease.cpp
@@ -42,16 +42,7 @@
 }
 
 common::NodeId StoreLease::believedHolder() const {
-  common::NodeId best;
-  std::uint64_t best_rank = 0;
-  for (const membership::Member& member : membership_.members()) {
-    const std::uint64_t rank = membership::rendezvousRank(key_, member.node);
-    if (member.state == membership::MemberState::kAlive && (best.empty() || rank > best_rank)) {
-      best = member.node;
-      best_rank = rank;
-    }
-  }
-  return best;
+  return membership::rendezvousNode(key_, membership_.members());
 }
 
 void StoreLease::onChange(std::function<void(std::optional<common::Epoch>)> listener) {
--- a/src/cypresswall/membership/rendezvous.h
+++ b/src/cypresswall/membership/rendezvous.h
@@ -4,13 +4,18 @@
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 #include "cypresswall/common/identifiers.h"
+#include "cypresswall/membership/membership_view.h"
 
 namespace cypresswall::membership {
 
 /// \param name of what is to be done
 /// \return the rank of `node` for it; the nodes with the highest ranks do it
 std::uint64_t rendezvousRank(std::string_view name, const common::NodeId& node);
+/// \return the one member of `members` that does it: the alive one of the highest rank; empty if no
+///   member is alive. Members that are suspected or leaving do nothing.
+common::NodeId rendezvousNode(std::string_view name, const std::vector<Member>& members);
 
 }  // namespace cypresswall::membership
--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "cypresswall/routing/watch_assignment.h"
+#include "cypresswall/membership/rendezvous.h"
 
 namespace cypresswall::routing {
 
@@ -77,7 +77,7 @@
   std::set<EngineSlot> watched;
   for (const EngineSlot slot : table_.roster()) {
     const EngineRecord& record = table_.record(slot);
-    const common::NodeId watcher = watcherOf(record.declaration.name, members);
+    const common::NodeId watcher = membership::rendezvousNode(record.declaration.name, members);
     if (watcher == context_.self || watcher.empty()) {
       watched.insert(slot);
       handed_over_.erase(slot);
--- a/src/cypresswall/routing/engine_ejection.cpp
+++ b/src/cypresswall/routing/engine_ejection.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "cypresswall/membership/rendezvous.h"
 #include "cypresswall/membership/zone_broadcast.h"
-#include "cypresswall/routing/watch_assignment.h"
 
 namespace cypresswall::routing {
 namespace {
@@ -56,16 +56,16 @@
     engine.broken.push_back(now);
     sick = engine.broken.size() >= settings_.own_broken_streams;
   }
-  if (sick && now >= engine.ejected_until && mayEject(slot, unreached)) {
+  if (sick && now >= table_.ejectedUntil(slot) && mayEject(slot, unreached)) {
     own_.add();
-    eject(slot, nextTime(engine), unreached, kOwnAttempts);
+    eject(slot, nextTime(slot), unreached, kOwnAttempts);
   }
   tell(slot, unreached);
 }
 
 void EngineEjection::tell(EngineSlot slot, bool unreached) {
   const EngineFailureReport report{table_.record(slot).declaration.name, unreached};
-  const common::NodeId watcher = watcherOf(report.engine, membership_.members());
+  const common::NodeId watcher = membership::rendezvousNode(report.engine, membership_.members());
   if (watcher == context_.self) {
     onReport(context_.self, report);
   } else if (!watcher.empty()) {
@@ -105,7 +105,7 @@
 }
 
 void EngineEjection::ejectForZone(EngineSlot slot, bool unreached) {
-  const common::Duration time = nextTime(engines_[slot]);
+  const common::Duration time = nextTime(slot);
   EngineEjected notice;
   notice.engine = table_.record(slot).declaration.name;
   notice.unreached = unreached;
@@ -129,9 +129,9 @@
   eject(slot, std::min(told, settings_.maximum_time), notice.unreached, kZone);
 }
 
-common::Duration EngineEjection::nextTime(Engine& engine) const {
-  const common::MonotonicTime now = context_.clock.now();
-  const bool soon = now - engine.ejected_until <= settings_.memory;
+common::Duration EngineEjection::nextTime(EngineSlot slot) {
+  Engine& engine = engines_[slot];
+  const bool soon = context_.clock.now() - table_.ejectedUntil(slot) <= settings_.memory;
   engine.in_a_row = engine.in_a_row > 0 && soon ? engine.in_a_row + 1 : 1;
   common::Duration time = settings_.base_time;
   for (std::uint32_t i = 1; i < engine.in_a_row && time < settings_.maximum_time; ++i) {
@@ -162,9 +162,8 @@
                            const char* source) {
   const common::MonotonicTime now = context_.clock.now();
   Engine& engine = engines_[slot];
-  engine.ejected_until = std::max(engine.ejected_until, now + time);
   engine.broken.clear();
-  table_.eject(slot, engine.ejected_until, now);
+  table_.eject(slot, std::max(table_.ejectedUntil(slot), now + time), now);
   common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_ejected")
       .field("engine", table_.record(slot).declaration.name)
       .field("source", source)
--- a/src/cypresswall/routing/engine_ejection.h
+++ b/src/cypresswall/routing/engine_ejection.h
@@ -63,7 +63,6 @@
     std::vector<Failure> told;
     /// Of the last window, this node's own broken streams.
     std::vector<common::MonotonicTime> broken;
-    common::MonotonicTime ejected_until{};
     /// Ejections in a row, each begun soon after the one before ended.
     std::uint32_t in_a_row = 0;
   };
@@ -75,7 +74,7 @@
   bool convincing(const Engine& engine, bool unreached) const;
   void ejectForZone(EngineSlot slot, bool unreached);
   /// \return for how long the engine's next ejection lasts
-  common::Duration nextTime(Engine& engine) const;
+  common::Duration nextTime(EngineSlot slot);
   /// \return true unless as many engines of the model and role are ejected as may be
   bool mayEject(EngineSlot slot, bool unreached) const;
   void eject(EngineSlot slot, common::Duration time, bool unreached, const char* source);
--- a/src/cypresswall/routing/engine_table.h
+++ b/src/cypresswall/routing/engine_table.h
@@ -45,6 +45,8 @@
   void hear(EngineSlot slot, common::MonotonicTime heard_at, common::MonotonicTime now);
   /// The engine gets no work until `until`.
   void eject(EngineSlot slot, common::MonotonicTime until, common::MonotonicTime now);
+  /// \return the end of its last ejection; the clock's beginning if it never was ejected.
+  common::MonotonicTime ejectedUntil(EngineSlot slot) const { return entries_[slot].ejected_until; }
   void setReachable(EngineSlot slot, bool reachable, common::MonotonicTime now);
   void setWatched(EngineSlot slot, bool watched) { entries_[slot].record.watched_here = watched; }
   /// Finds engines that fell silent.
--- a/tests/routing/engine_ejection_test.cpp
+++ b/tests/routing/engine_ejection_test.cpp
@@ -4,7 +4,6 @@
 #include <memory>
 #include <vector>
 
-#include "cypresswall/routing/watch_assignment.h"
 #include "tests/support/engine_world.h"
 #include "tests/support/property.h"
 
