--- a/bench/simulate/baseline_routers.h
+++ b/bench/simulate/baseline_routers.h
@@ -20,6 +20,7 @@
   void attemptStarted(const routing::RouteRequest&, const routing::Route&) override {}
   void promptComputed(const std::string&) override {}
   void firstTokenReceived(const std::string&) override {}
+  void answerCompleted(const std::string&) override {}
   void attemptFinished(const std::string&) override {}
   void attemptFailed(const std::string&, const common::EngineName&,
                      engines::StreamFailure) override {}
@@ -53,6 +54,7 @@
       : BaselineRouter(directory), context_(context) {}
 
   void attemptStarted(const routing::RouteRequest& request, const routing::Route& route) override;
+  void answerCompleted(const std::string&) override {}
   void attemptFinished(const std::string& stream_id) override { begun_.erase(stream_id); }
   void attemptFailed(const std::string& stream_id, const common::EngineName&,
                      engines::StreamFailure) override {
--- a/src/cypresswall/admission/observed_router.h
+++ b/src/cypresswall/admission/observed_router.h
@@ -54,6 +54,9 @@
   void firstTokenReceived(const std::string& stream_id) override {
     router_.firstTokenReceived(stream_id);
   }
+  void answerCompleted(const std::string& stream_id) override {
+    router_.answerCompleted(stream_id);
+  }
   void attemptFinished(const std::string& stream_id) override {
     router_.attemptFinished(stream_id);
   }
--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -127,6 +127,8 @@
   /// before it (attention grows with the square of the prompt); zero if not declared.
   common::Duration prefill_base{0};
   double prefill_seconds_per_pair = 0;
+  /// Time that the KV cache of one token takes to or from another engine; zero if not declared.
+  double kv_seconds_per_token = 0;
   common::Duration age{0};
 };
 
@@ -137,6 +139,8 @@
   std::uint64_t sequence = 0;
   CacheEventKind kind = CacheEventKind::kStored;
   common::PieceHash piece = 0;
+  /// Length of the piece; zero if not told.
+  std::uint32_t tokens = 0;
 };
 
 /// A batch of cache events.
--- a/src/cypresswall/execution/execution_settings.h
+++ b/src/cypresswall/execution/execution_settings.h
@@ -25,6 +25,11 @@
   /// the pause before; each pause is shortened at random by up to a half.
   common::Duration backoff_base = std::chrono::milliseconds(10);
   common::Duration backoff_maximum = std::chrono::milliseconds(200);
+  /// Share of the operators' target within which the first token has to be expected for a request
+  /// to be admitted; the rest is time on the way and the error of estimates. Under a load beyond
+  /// what engines can compute, a queue up to the callers' patience makes nearly every answer late:
+  /// planned within the target, half as many answers again come in time.
+  double planned_target_share = 0.85;
   /// An engine silent for this many times its expected first-token time, plus the margin, and for
   /// at least this share of the limit, is given up if a retry can be afforded.
   double first_token_silence_factor = 4;
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -43,6 +43,10 @@
   routing::RouteRequest routeRequest() const;
   /// Time left for the first token, or for the next one of a resumed answer.
   common::Duration timeToFirstToken() const;
+  /// \return the time within which the first token has to be expected of an engine. A request that
+  ///   has lost an attempt is worth something even if it comes late; one that has not begun would
+  ///   only make others late.
+  common::Duration plannedFirstToken() const;
   void setDeadline();
   bool deadlinePassed() const;
   void onDeadline();
--- a/src/cypresswall/planning/demand_estimator.cpp
+++ b/src/cypresswall/planning/demand_estimator.cpp
@@ -11,6 +11,10 @@
 /// In a second.
 constexpr double kMicroseconds = 1e6;
 
+double secondsOf(std::uint64_t microseconds) {
+  return static_cast<double>(microseconds) / kMicroseconds;
+}
+
 }  // namespace
 
 void DemandEstimator::DecayingSum::decayTo(common::MonotonicTime now, common::Duration window) {
@@ -24,6 +28,10 @@
   prefill_engine_requests *= kept;
   prefill_engine_seconds *= kept;
   decode_engine_seconds *= kept;
+  flexible_prefill_seconds *= kept;
+  flexible_decode_seconds *= kept;
+  flexible_decode_requests *= kept;
+  output_seconds *= kept;
   updated_at = now;
 }
 
@@ -39,8 +47,12 @@
     sum->long_requests += static_cast<double>(count.long_requests);
     sum->long_prefill_tokens += static_cast<double>(count.long_prefill_tokens);
     sum->prefill_engine_requests += static_cast<double>(count.prefill_engine_requests);
-    sum->prefill_engine_seconds += static_cast<double>(count.prefill_engine_us) / kMicroseconds;
-    sum->decode_engine_seconds += static_cast<double>(count.decode_engine_us) / kMicroseconds;
+    sum->prefill_engine_seconds += secondsOf(count.prefill_engine_us);
+    sum->decode_engine_seconds += secondsOf(count.decode_engine_us);
+    sum->flexible_prefill_seconds += secondsOf(count.flexible_prefill_us);
+    sum->flexible_decode_seconds += secondsOf(count.flexible_decode_us);
+    sum->flexible_decode_requests += static_cast<double>(count.flexible_decode_requests);
+    sum->output_seconds += secondsOf(count.output_us);
   }
 }
 
@@ -61,7 +73,11 @@
           sum.long_prefill_tokens * scale,
           sum.prefill_engine_requests * scale,
           sum.prefill_engine_seconds * scale,
-          sum.decode_engine_seconds * scale};
+          sum.decode_engine_seconds * scale,
+          sum.flexible_prefill_seconds * scale,
+          sum.flexible_decode_seconds * scale,
+          sum.flexible_decode_requests * scale,
+          sum.output_seconds * scale};
 }
 
 ModelDemand DemandEstimator::demand(const common::ModelName& model,
--- a/src/cypresswall/planning/demand_estimator.h
+++ b/src/cypresswall/planning/demand_estimator.h
@@ -40,6 +40,10 @@
     double prefill_engine_requests = 0;
     double prefill_engine_seconds = 0;
     double decode_engine_seconds = 0;
+    double flexible_prefill_seconds = 0;
+    double flexible_decode_seconds = 0;
+    double flexible_decode_requests = 0;
+    double output_seconds = 0;
     common::MonotonicTime updated_at{};
 
     void decayTo(common::MonotonicTime now, common::Duration window);
--- a/src/cypresswall/planning/disaggregated_planner.cpp
+++ b/src/cypresswall/planning/disaggregated_planner.cpp
@@ -12,8 +12,6 @@
 
 /// Utilisation of engines that are not there, in place of infinity.
 constexpr double kHopeless = 64.0;
-/// Share of an engine's time that is left for output whatever prompts it has.
-constexpr double kLeastTimeLeft = 0.1;
 
 double utilisationOf(double work, double engines) {
   if (work <= 0) {
@@ -87,20 +85,37 @@
   return state;
 }
 
-double DisaggregatedPlanner::prefillUtilisation(const DemandRate& demand, const Split& split) {
-  return utilisationOf(demand.prefill_engine_seconds, split.prefill);
+DisaggregatedPlanner::SharedWork DisaggregatedPlanner::share(const ModelState& state,
+                                                             const DemandRate& demand,
+                                                             const Split& split) const {
+  SharedWork work;
+  work.output_seconds = state.decode_speed > 0 && demand.output_seconds <= 0
+                            ? demand.decode_tokens_per_second / state.decode_speed
+                            : demand.output_seconds;
+  const double slowness = 1.0 / settings_.decode_prompt_share;
+  const double fixed_prefill = demand.prefill_engine_seconds - demand.flexible_prefill_seconds;
+  const double fixed_decode = demand.decode_engine_seconds - demand.flexible_decode_seconds;
+  // In seconds of prefill engines.
+  const double all = demand.prefill_engine_seconds + demand.flexible_decode_seconds / slowness;
+  const double even = split.prefill * (fixed_decode + work.output_seconds + slowness * all) /
+                      std::max(1.0, split.decode + slowness * split.prefill);
+  const double flexible_requests = demand.flexible_decode_requests_per_second;
+  work.prefill_seconds = std::clamp(even, std::max(0.0, fixed_prefill), std::max(all, 0.0));
+  work.decode_prompt_seconds = fixed_decode + slowness * (all - work.prefill_seconds);
+  work.decode_worth = fixed_decode + work.output_seconds + all - work.prefill_seconds;
+  work.prefill_requests_per_second =
+      all > 0 ? (demand.prefill_engine_requests_per_second + flexible_requests) *
+                    work.prefill_seconds / all
+              : 0;
+  return work;
 }
 
-double DisaggregatedPlanner::outputTime(const ModelState& state, const DemandRate& demand) {
-  return state.decode_speed > 0 ? demand.decode_tokens_per_second / state.decode_speed : 0;
+double DisaggregatedPlanner::prefillUtilisation(const SharedWork& work, const Split& split) {
+  return utilisationOf(work.prefill_seconds, split.prefill);
 }
 
-double DisaggregatedPlanner::decodeUtilisation(const ModelState& state, const DemandRate& demand,
-                                               const Split& split) {
-  const double prompts = utilisationOf(demand.decode_engine_seconds, split.decode);
-  // Output of many streams is generated in the same steps, in the time that prompts leave.
-  const double left = std::max(kLeastTimeLeft, 1.0 - prompts);
-  return std::max(prompts, utilisationOf(outputTime(state, demand), split.decode) / left);
+double DisaggregatedPlanner::decodeUtilisation(const SharedWork& work, const Split& split) {
+  return utilisationOf(work.decode_prompt_seconds + work.output_seconds, split.decode);
 }
 
 double DisaggregatedPlanner::lateDecodeShare(double utilisation) const {
@@ -112,17 +127,16 @@
 
 double DisaggregatedPlanner::lostRate(const ModelState& state, const DemandRate& demand,
                                       const Split& split) const {
+  const SharedWork work = share(state, demand, split);
   double lost = 0;
-  if (demand.prefill_engine_requests_per_second > 0) {
-    const double service =
-        demand.prefill_engine_seconds / demand.prefill_engine_requests_per_second;
+  if (work.prefill_requests_per_second > 0) {
+    const double service = work.prefill_seconds / work.prefill_requests_per_second;
     const double slack = common::toSeconds(state.demand.long_first_token_limit) - service;
-    lost += demand.prefill_engine_seconds * capacity_.lateShare(split.prefill,
-                                                                prefillUtilisation(demand, split),
-                                                                service, std::max(slack, service));
+    lost +=
+        work.prefill_seconds * capacity_.lateShare(split.prefill, prefillUtilisation(work, split),
+                                                   service, std::max(slack, service));
   }
-  const double decode_time = demand.decode_engine_seconds + outputTime(state, demand);
-  return lost + decode_time * lateDecodeShare(decodeUtilisation(state, demand, split));
+  return lost + work.decode_worth * lateDecodeShare(decodeUtilisation(work, split));
 }
 
 double DisaggregatedPlanner::benefit(const ModelState& state, const DemandRate& demand,
@@ -170,12 +184,12 @@
   explanation.model = state.model;
   explanation.demand = state.demand;
   explanation.required_benefit = state.weight;
-  explanation.utilisation_short = prefillUtilisation(state.demand.short_window, state.split);
-  explanation.utilisation_long = prefillUtilisation(state.demand.long_window, state.split);
-  explanation.decode_utilisation_short =
-      decodeUtilisation(state, state.demand.short_window, state.split);
-  explanation.decode_utilisation_long =
-      decodeUtilisation(state, state.demand.long_window, state.split);
+  const SharedWork recent = share(state, state.demand.short_window, state.split);
+  const SharedWork past = share(state, state.demand.long_window, state.split);
+  explanation.utilisation_short = prefillUtilisation(recent, state.split);
+  explanation.utilisation_long = prefillUtilisation(past, state.split);
+  explanation.decode_utilisation_short = decodeUtilisation(recent, state.split);
+  explanation.decode_utilisation_long = decodeUtilisation(past, state.split);
   explanation.prefill_engines = static_cast<std::uint32_t>(state.split.prefill);
   explanation.decode_engines = static_cast<std::uint32_t>(state.split.decode);
   explanation.lost_without_change =
--- a/src/cypresswall/planning/disaggregated_planner.h
+++ b/src/cypresswall/planning/disaggregated_planner.h
@@ -19,14 +19,16 @@
   /// Weight of the short window's demand against the long one's.
   double short_window_weight = 0.6;
   /// Engines of one model that may be away at once: this share, at least one.
-  double maximum_away_share = 0.12;
+  double maximum_away_share = 0.25;
   /// Above this utilisation prompts computed between the output of decode engines begin to stretch
   /// the time between tokens beyond its limit.
   double comfortable_decode_utilisation = 0.6;
   /// Share of the answers that are late for that at full utilisation.
   double late_share_at_full_decode = 0.7;
-  /// Engines that each role keeps, if it has them.
-  std::uint32_t minimum_engines = 1;
+  /// Engines that each role keeps, if it has them: the loss of one must not take a role away.
+  std::uint32_t minimum_engines = 2;
+  /// Speed of a decode engine with prompts, as a part of that of a prefill engine.
+  double decode_prompt_share = 0.5;
 };
 
 class DisaggregatedPlanner final : public Planner {
@@ -46,6 +48,17 @@
     /// \return the split once one engine more has the role `to`, and one less the other
     Split movedTo(engines::EngineRole to) const;
   };
+  /// The work of one model as a split of its engines would share it.
+  struct SharedWork {
+    double prefill_requests_per_second = 0;
+    /// Seconds a second, all together.
+    double prefill_seconds = 0;
+    double decode_prompt_seconds = 0;
+    double output_seconds = 0;
+    /// What the answers of the decode engines are worth, in seconds a second: a prompt is not worth
+    /// more for being computed where that takes longer.
+    double decode_worth = 0;
+  };
   struct ModelState {
     common::ModelName model;
     ModelDemand demand;
@@ -75,11 +88,10 @@
   /// \return engine seconds a second that are spent on answers that come late or never.
   double lostRate(const ModelState& state, const DemandRate& demand, const Split& split) const;
   double lateDecodeShare(double utilisation) const;
-  /// \return seconds a second that all places of an engine would take for the output.
-  static double outputTime(const ModelState& state, const DemandRate& demand);
-  static double decodeUtilisation(const ModelState& state, const DemandRate& demand,
-                                  const Split& split);
-  static double prefillUtilisation(const DemandRate& demand, const Split& split);
+  /// Prompts that may be computed in either role go where that makes both roles equally busy.
+  SharedWork share(const ModelState& state, const DemandRate& demand, const Split& split) const;
+  static double decodeUtilisation(const SharedWork& work, const Split& split);
+  static double prefillUtilisation(const SharedWork& work, const Split& split);
 
   DisaggregatedPlannerSettings settings_;
   CapacityModel capacity_;
--- a/src/cypresswall/planning/planner.h
+++ b/src/cypresswall/planning/planner.h
@@ -29,6 +29,13 @@
   /// engines that also generate the output.
   double prefill_engine_seconds = 0;
   double decode_engine_seconds = 0;
+  /// Of these two, what long prompts take that an engine of either role may compute, and how many
+  /// of them a second are at engines that also generate the output.
+  double flexible_prefill_seconds = 0;
+  double flexible_decode_seconds = 0;
+  double flexible_decode_requests_per_second = 0;
+  /// Seconds a second that the output takes engines with all of their places taken.
+  double output_seconds = 0;
 };
 
 /// Demand for one model over a short and a long window.
--- a/src/cypresswall/routing/cost_model.h
+++ b/src/cypresswall/routing/cost_model.h
@@ -8,6 +8,7 @@
 #include "cypresswall/common/time.h"
 #include "cypresswall/engines/engine_types.h"
 #include "cypresswall/routing/prefix_index.h"
+#include "cypresswall/routing/prompt_speed.h"
 
 namespace cypresswall::routing {
 
@@ -28,8 +29,12 @@
   std::uint32_t unreported_streams = 0;
   std::uint32_t maximum_streams = 0;
   engines::EngineRole role = engines::EngineRole::kMixed;
-  /// Time that the engine takes for prompts, as a multiple of what its report promises.
-  double pace = 1;
+  /// Seconds that the KV cache of a token takes to another engine; zero if not declared.
+  double kv_seconds_per_token = 0;
+  /// What prompts were seen to take, beside what the report promises.
+  PromptSpeed prompt_speed;
+  /// Factor on the reported times of a decode step.
+  double step_scale = 1;
   /// Whether long prompts are under way to it or on it, and when they will all be computed.
   bool has_backlog = false;
   double backlog_empty_at = 0;
@@ -47,13 +52,16 @@
   /// Time until a place for one more stream is free; zero while the engine has one.
   double slot_wait = 0;
   // Spans of time and not moments: single precision is enough.
-  float prefill_base = 0;
+  /// Time that a prompt takes beside its computation, without occupying the engine.
+  float prefill_way = 0;
   float seconds_per_prefill_token = 0;
   float prefill_seconds_per_pair = 0;
   /// Time of one decode step with one more stream.
   float step = 0;
   /// Time of a decode step with a single stream, with some slack.
   float slackened_lone_step = 0;
+  /// As in EngineEstimate.
+  float kv_seconds_per_token = 0;
   engines::EngineRole role = engines::EngineRole::kMixed;
   bool has_backlog = false;
 };
@@ -67,6 +75,11 @@
 void applyReport(EngineEstimate& estimate, const engines::EngineLoad& load,
                  common::MonotonicTime observed_at);
 
+/// \return seconds of a decode step with so many streams
+inline double stepSeconds(const EngineEstimate& engine, double streams) {
+  return engine.step_scale * (engine.decode_step_base + engine.decode_step_per_stream * streams);
+}
+
 /// \return streams that the engine has now, as far as known.
 inline std::uint32_t streamsOn(const EngineEstimate& engine) {
   return engine.streams + engine.unreported_streams;
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -66,7 +66,8 @@
       prefixes_(directory.prefixes()),
       estimates_(settings.prefill_chunk_tokens),
       sent_(settings.report_slack, estimates_),
-      long_prompts_(settings_, model_, context.clock, directory.work(), prefixes_, estimates_),
+      long_prompts_(settings_, model_, context.clock, directory, estimates_),
+      output_speeds_(settings.output_speed),
       turn_salt_(context.random.next()),
       routed_(
           context.counters.counter("cypresswall_routes_total", "Engines chosen", "kind", "whole")),
@@ -101,6 +102,9 @@
   }
   if (record.reported) {
     applyReport(estimates_.edit(slot), record.load, record.observed_at);
+    prefixes_.setCapacity(
+        slot, std::uint64_t{record.load.cache_pieces_total} * common::kTokensPerCachePiece);
+    estimates_.edit(slot).step_scale = output_speeds_.scale(record.load.model);
     sent_.reported(slot, record.observed_at);
     long_prompts_.refresh(slot);
     estimates_.refresh(slot);
@@ -251,7 +255,7 @@
     return;
   }
   for (PricedEngine& whole : whole_engines_) {
-    const double cost = model_.decode(estimates_.inputs(whole.engine), work).cost;
+    const double cost = model_.decode(estimates_.inputs(whole.engine), work, now).cost;
     decode_engines_.push_back({cost, whole.engine});
     whole.cost += whole.crowds_out ? kLatePenalty : 0.0;
   }
@@ -331,7 +335,7 @@
   const CostInputs& decode = estimates_.inputs(split.engine);
   const Offer prefill =
       model_.prefill(estimates_.inputs(split.prefill), work, promptWork(split.prefill, work), now);
-  split.offer = model_.combined(prefill, model_.decode(decode, work), decode, work);
+  split.offer = model_.combined(prefill, model_.decode(decode, work, now), decode, work);
   split.offer.cost += contention_ * split.offer.occupancy;
   return whole.empty() || split.offer.cost < whole.offer.cost ? split : whole;
 }
@@ -374,9 +378,13 @@
     const CostInputs& engine = estimates_.inputs(selection.computing());
     uncached = prompt.uncached;
     demand.split = selection.split();
-    // Beside its base, a prompt occupies the engine; the base is time on the way.
-    demand.prompt_time =
-        common::fromSeconds(model_.promptSeconds(engine, prompt) - engine.prefill_base);
+    const EngineEstimate& output = estimates_.estimate(selection.engine);
+    const double places = std::max<double>(output.maximum_streams, 1.0);
+    demand.output_time =
+        common::fromSeconds(work.decode_tokens * stepSeconds(output, places) / places);
+    demand.flexible = uncached > settings_.prefill_chunk_tokens &&
+                      !crowdsOut(estimates_.inputs(selection.engine), work, uncached);
+    demand.prompt_time = common::fromSeconds(model_.occupyingSeconds(engine, prompt));
   }
   demand.prefill_tokens = static_cast<std::uint64_t>(uncached);
   demand.decode_tokens = static_cast<std::uint64_t>(work.decode_tokens);
@@ -471,15 +479,16 @@
     shares.push_back({computing, prompt.uncached, computing == engine ? work.decode_tokens : 0});
     long_prompts_.started(request.stream_id, computing,
                           engine == computing ? kNoEngineSlot : engine, prompt, request.shape);
-    for (const common::PieceHash piece : request.shape.pieces) {
-      prefixes_.stored(computing, piece);
-    }
+    prefixes_.usedBy(computing, request.shape, context_.clock.now());
   }
   if (engine != kNoEngineSlot && engine != computing) {
     last_attempt_[engine] = attempts_;
     shares.push_back({engine, 0, work.decode_tokens});
   }
   sent_.started(request.stream_id, shares, context_.clock.now());
+  if (engine != kNoEngineSlot && work.decode_tokens >= settings_.output_speed.minimum_tokens) {
+    awaited_outputs_[request.stream_id] = {engine, work.decode_tokens - 1};
+  }
 }
 
 void CostRouter::promptComputed(const std::string& stream_id) {
@@ -487,9 +496,29 @@
   sent_.firstToken(stream_id);
 }
 
-void CostRouter::firstTokenReceived(const std::string& stream_id) { promptComputed(stream_id); }
+void CostRouter::firstTokenReceived(const std::string& stream_id) {
+  promptComputed(stream_id);
+  const auto awaited = awaited_outputs_.extract(stream_id);
+  if (awaited.empty()) {
+    return;
+  }
+  const EngineSlot slot = awaited.mapped().engine;
+  const EngineEstimate& engine = estimates_.estimate(slot);
+  // Prompts between the output's steps would count as time of these.
+  if (!engine.has_backlog) {
+    const double step = stepSeconds(engine, streamsOn(engine)) / engine.step_scale;
+    output_speeds_.begin(stream_id, table_.record(slot).load.model, awaited.mapped().tokens * step,
+                         toModelTime(context_.clock.now()));
+  }
+}
+
+void CostRouter::answerCompleted(const std::string& stream_id) {
+  output_speeds_.complete(stream_id, toModelTime(context_.clock.now()));
+}
 
 void CostRouter::attemptFinished(const std::string& stream_id) {
+  awaited_outputs_.erase(stream_id);
+  output_speeds_.forget(stream_id);
   long_prompts_.abandoned(stream_id);
   sent_.ended(stream_id);
 }
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
@@ -11,6 +12,7 @@
 #include "cypresswall/routing/engine_directory.h"
 #include "cypresswall/routing/long_prompts.h"
 #include "cypresswall/routing/offers.h"
+#include "cypresswall/routing/output_speed.h"
 #include "cypresswall/routing/router.h"
 #include "cypresswall/routing/sent_work.h"
 
@@ -30,6 +32,7 @@
   void attemptStarted(const RouteRequest& request, const Route& route) override;
   void promptComputed(const std::string& stream_id) override;
   void firstTokenReceived(const std::string& stream_id) override;
+  void answerCompleted(const std::string& stream_id) override;
   void attemptFinished(const std::string& stream_id) override;
   void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
                      engines::StreamFailure failure) override;
@@ -55,6 +58,13 @@
     EngineSlot computing() const { return split() ? prefill : engine; }
   };
 
+  /// An answer that has not begun.
+  struct AwaitedOutput {
+    EngineSlot engine = kNoEngineSlot;
+    /// Tokens after the first.
+    double tokens = 0;
+  };
+
   Work workOf(const RouteRequest& request) const;
   const std::vector<EngineSlot>& candidatesFor(const RouteRequest& request);
   void narrow(const RouteRequest& request, const std::vector<EngineSlot>& all);
@@ -99,6 +109,9 @@
   std::vector<std::uint64_t> name_hashes_;
   SentWork sent_;
   LongPrompts long_prompts_;
+  OutputSpeeds output_speeds_;
+  /// Answers whose first token was not received yet, if their length tells of the time of a step.
+  std::unordered_map<std::string, AwaitedOutput> awaited_outputs_;
   /// Number of the last attempt sent to each engine, zero before the first.
   std::vector<std::uint64_t> last_attempt_;
   std::uint64_t attempts_ = 0;
--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -326,9 +326,9 @@
       continue;
     }
     if (hint.stored) {
-      prefixes_.stored(slot, hint.piece);
+      prefixes_.stored(slot, hint.piece, 0, context_.clock.now());
     } else {
-      prefixes_.evicted(slot, hint.piece);
+      prefixes_.evictionReported(slot, hint.piece, context_.clock.now());
     }
   }
 }
--- a/src/cypresswall/routing/demand_ledger.h
+++ b/src/cypresswall/routing/demand_ledger.h
@@ -27,10 +27,18 @@
   std::uint64_t prefill_engine_us = 0;
   /// Time that the other prompts take the engines that also generate the output.
   std::uint64_t decode_engine_us = 0;
+  /// Of these two times, what long prompts take that an engine of either role may compute, and how
+  /// many of them are at engines that also generate the output.
+  std::uint64_t flexible_prefill_us = 0;
+  std::uint64_t flexible_decode_us = 0;
+  std::uint64_t flexible_decode_requests = 0;
+  /// Time of an engine with all of its places taken that the output takes.
+  std::uint64_t output_us = 0;
 
   MSGPACK_DEFINE_ARRAY(requests, prefill_tokens, decode_tokens, refused, long_requests,
                        long_prefill_tokens, prefill_engine_requests, prefill_engine_us,
-                       decode_engine_us)
+                       decode_engine_us, flexible_prefill_us, flexible_decode_us,
+                       flexible_decode_requests, output_us)
 };
 
 /// One request as it is counted.
@@ -44,6 +52,10 @@
   bool split = false;
   /// Time that the prompt takes the engine that computes it.
   common::Duration prompt_time{0};
+  /// The prompt is long, and a decode engine may compute it without holding up output for too long.
+  bool flexible = false;
+  /// Time that the output takes an engine of which it has one place.
+  common::Duration output_time{0};
 };
 
 class DemandLedger {
@@ -60,6 +72,11 @@
     count.long_prefill_tokens += request.is_long ? request.prefill_tokens : 0;
     count.prefill_engine_requests += request.split ? 1 : 0;
     (request.split ? count.prefill_engine_us : count.decode_engine_us) += prompt_us;
+    if (request.flexible) {
+      (request.split ? count.flexible_prefill_us : count.flexible_decode_us) += prompt_us;
+      count.flexible_decode_requests += request.split ? 0 : 1;
+    }
+    count.output_us += static_cast<std::uint64_t>(request.output_time.count());
   }
   /// \return everything counted since the last call.
   std::map<common::ModelName, DemandCount> take() { return std::exchange(counts_, {}); }
--- a/src/cypresswall/routing/engine_deltas.cpp
+++ b/src/cypresswall/routing/engine_deltas.cpp
@@ -101,6 +101,8 @@
   identity.prefill_base_us = static_cast<std::uint32_t>(load.prefill_base.count());
   identity.prefill_pair_picoseconds =
       static_cast<std::uint32_t>(load.prefill_seconds_per_pair * kPicosecondsPerSecond);
+  identity.kv_token_picoseconds =
+      static_cast<std::uint32_t>(load.kv_seconds_per_token * kPicosecondsPerSecond);
   return identity;
 }
 
@@ -132,6 +134,7 @@
   load.decode_step_per_stream = common::Duration(identity.decode_step_per_stream_us);
   load.prefill_base = common::Duration(identity.prefill_base_us);
   load.prefill_seconds_per_pair = identity.prefill_pair_picoseconds / kPicosecondsPerSecond;
+  load.kv_seconds_per_token = identity.kv_token_picoseconds / kPicosecondsPerSecond;
 }
 
 double changeSignificance(const EngineDelta& published, const EngineDelta& now,
--- a/src/cypresswall/routing/engine_deltas.h
+++ b/src/cypresswall/routing/engine_deltas.h
@@ -46,10 +46,11 @@
   std::uint32_t decode_step_per_stream_us = 0;
   std::uint32_t prefill_base_us = 0;
   std::uint32_t prefill_pair_picoseconds = 0;
+  std::uint32_t kv_token_picoseconds = 0;
 
   MSGPACK_DEFINE(index, incarnation, model, version, adapters, maximum_streams, cache_pieces_total,
                  prefill_tokens_per_second, decode_step_base_us, decode_step_per_stream_us,
-                 prefill_base_us, prefill_pair_picoseconds)
+                 prefill_base_us, prefill_pair_picoseconds, kv_token_picoseconds)
 };
 
 /// A change of an engine's prefix cache, passed on as far as the byte budget allows.
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -134,8 +134,8 @@
 void EnginePoller::applyCacheEvent(EngineSlot slot, const engines::CacheEvent& event) {
   const bool stored = event.kind == engines::CacheEventKind::kStored;
   if (stored) {
-    prefixes_.stored(slot, event.piece);
-  } else if (!prefixes_.evicted(slot, event.piece)) {
+    prefixes_.stored(slot, event.piece, event.tokens, context_.clock.now());
+  } else if (!prefixes_.evictionReported(slot, event.piece, context_.clock.now())) {
     return;
   }
   cache_listener_(slot, stored, event.piece);
--- a/src/cypresswall/routing/long_prompts.cpp
+++ b/src/cypresswall/routing/long_prompts.cpp
@@ -6,28 +6,34 @@
 namespace cypresswall::routing {
 namespace {
 
-/// Bounds of the pace learnt of an engine.
-constexpr double kLeastPace = 0.25;
-constexpr double kGreatestPace = 20;
 /// An engine later than this with its last prompt is no place to copy from.
 constexpr double kOverdueSeconds = 0.4;
 
 }  // namespace
 
 LongPrompts::LongPrompts(const RouterSettings& settings, const OfferModel& model,
-                         const common::Clock& clock, WorkExchange& exchange, PrefixIndex& prefixes,
+                         const common::Clock& clock, EngineDirectory& directory,
                          EstimateTable& estimates)
     : settings_(settings),
       model_(model),
       clock_(clock),
-      exchange_(exchange),
-      prefixes_(prefixes),
-      estimates_(estimates) {
+      table_(directory.table()),
+      exchange_(directory.work()),
+      prefixes_(directory.prefixes()),
+      estimates_(estimates),
+      speeds_(settings.prompt_speed) {
   exchange_.setListener(this);
 }
 
 LongPrompts::~LongPrompts() { exchange_.setListener(nullptr); }
 
+common::PromptShape LongPrompts::Computing::shape() const {
+  common::PromptShape shape;
+  shape.pieces = pieces;
+  shape.piece_ends = piece_ends;
+  return shape;
+}
+
 LongPrompts::Engine& LongPrompts::engineAt(EngineSlot slot) {
   if (slot >= engines_.size()) {
     engines_.resize(static_cast<std::size_t>(slot) + 1);
@@ -48,15 +54,12 @@
   }
   OwnPrompt own;
   own.engine = engine;
-  own.started_at = now();
-  own.alone = engineAt(engine).backlog.empty();
-  own.seconds_at_pace_one =
-      model_.promptSeconds(estimates_.inputs(engine), prompt) / estimates_.estimate(engine).pace;
   StartedPrompt notice;
   notice.uncached_tokens = static_cast<std::uint32_t>(prompt.uncached);
   notice.copied_tokens = static_cast<std::uint32_t>(prompt.copied);
   notice.cached_tokens = static_cast<std::uint32_t>(prompt.cached);
   notice.pieces = shape.pieces;
+  notice.piece_ends = shape.piece_ends;
   while (notice.held_pieces < shape.pieces.size() &&
          shape.tokensOfPieces(notice.held_pieces + std::size_t{1}) <= prompt.cached) {
     ++notice.held_pieces;
@@ -73,9 +76,13 @@
   work.copied = prompt.copied_tokens;
   work.cached = prompt.cached_tokens;
   Engine& engine = engineAt(slot);
-  engine.backlog.add(key, now(), model_.promptSeconds(estimates_.inputs(slot), work));
+  const CostInputs& inputs = estimates_.inputs(slot);
+  engine.backlog.add(key, now(), model_.occupyingSeconds(inputs, work));
   const auto held = std::min<std::size_t>(prompt.held_pieces, prompt.pieces.size());
-  engine.computing.push_back({key, prompt.pieces, held, output});
+  const double promised = work.copied > 0 ? 0
+                                          : OfferModel::computingSeconds(inputs, work) /
+                                                estimates_.estimate(slot).prompt_speed.scale;
+  engine.computing.push_back({key, prompt.pieces, prompt.piece_ends, held, output, promised});
   publishBacklog(slot);
 }
 
@@ -88,7 +95,10 @@
   }
   const Computing ended = std::move(*found);
   engine.computing.erase(found);
-  engine.backlog.remove(key, now());
+  if (computed) {
+    learnSpeed(slot, ended);
+  }
+  engine.backlog.remove(key, now(), computed);
   settlePieces(slot, ended, computed);
   publishBacklog(slot);
 }
@@ -98,17 +108,16 @@
     for (std::size_t i = ended.held; i < ended.pieces.size(); ++i) {
       // Another prompt may be computing the same piece.
       if (!beingComputed(slot, ended.pieces[i])) {
-        prefixes_.evicted(slot, ended.pieces[i]);
+        prefixes_.removed(slot, ended.pieces[i]);
       }
     }
     return;
   }
   // Said once more: a prompt that was to compute them before this one may have been given up.
-  for (const common::PieceHash piece : ended.pieces) {
-    prefixes_.stored(slot, piece);
-    if (ended.output != kNoEngineSlot) {
-      prefixes_.stored(ended.output, piece);
-    }
+  const common::PromptShape shape = ended.shape();
+  prefixes_.usedBy(slot, shape, clock_.now());
+  if (ended.output != kNoEngineSlot) {
+    prefixes_.usedBy(ended.output, shape, clock_.now());
   }
 }
 
@@ -122,27 +131,25 @@
   EndedPrompt notice;
   notice.number = prompt.number;
   notice.computed = computed;
-  if (computed) {
-    notice.pace = static_cast<float>(shownPace(prompt));
-    learnPace(prompt.engine, notice.pace);
-  }
   remove(prompt.engine, exchange_.keyOf(prompt.number), computed);
   exchange_.ended(prompt.engine, std::move(notice));
 }
 
-double LongPrompts::shownPace(const OwnPrompt& prompt) const {
-  if (!prompt.alone || prompt.seconds_at_pace_one <= 0) {
-    return 0;
+void LongPrompts::learnSpeed(EngineSlot slot, const Computing& computed) {
+  const auto stretch = engineAt(slot).backlog.stretchOf(computed.key, now());
+  if (!stretch || computed.promised <= 0) {
+    return;
   }
-  return (now() - prompt.started_at) / prompt.seconds_at_pace_one;
+  const PromptSample sample{computed.promised, stretch->seconds, stretch->with_way};
+  speeds_.add(table_.record(slot).load.model, slot, sample, estimates_.estimate(slot).prefill_base,
+              now());
+  publishSpeed(slot);
 }
 
-void LongPrompts::learnPace(EngineSlot slot, double shown) {
-  if (!(shown > 0)) {
-    return;
-  }
-  double& pace = estimates_.edit(slot).pace;
-  pace += settings_.pace_weight * (std::clamp(shown, kLeastPace, kGreatestPace) - pace);
+void LongPrompts::publishSpeed(EngineSlot slot) {
+  EngineEstimate& estimate = estimates_.edit(slot);
+  estimate.prompt_speed =
+      speeds_.speed(table_.record(slot).load.model, slot, estimate.prefill_base, now());
   estimates_.refresh(slot);
 }
 
@@ -163,6 +170,8 @@
 }
 
 void LongPrompts::refresh(EngineSlot engine) {
+  engineAt(engine);
+  publishSpeed(engine);
   if (engineAt(engine).backlog.empty()) {
     return;
   }
@@ -175,7 +184,8 @@
 
 void LongPrompts::forgetEngine(EngineSlot engine) {
   engineAt(engine) = Engine{};
-  estimates_.edit(engine).pace = 1;
+  speeds_.forget(engine);
+  publishSpeed(engine);
   publishBacklog(engine);
 }
 
@@ -190,14 +200,14 @@
 void LongPrompts::onPeerStarted(EngineSlot engine, EngineSlot output, PromptKey key,
                                 const StartedPrompt& prompt) {
   add(engine, output, key, prompt);
-  for (const common::PieceHash piece : prompt.pieces) {
-    prefixes_.stored(engine, piece);
-  }
+  common::PromptShape shape;
+  shape.pieces = prompt.pieces;
+  shape.piece_ends = prompt.piece_ends;
+  prefixes_.usedBy(engine, shape, clock_.now());
 }
 
 void LongPrompts::onPeerEnded(EngineSlot engine, PromptKey key, const EndedPrompt& prompt) {
   remove(engine, key, prompt.computed);
-  learnPace(engine, prompt.pace);
 }
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/long_prompts.h
+++ b/src/cypresswall/routing/long_prompts.h
@@ -1,6 +1,6 @@
 /// The long prompts under way on the zone's engines, sent by this node and, as far as told, by its
 /// peers: how long each engine will be busy with them, which cached pieces are still being
-/// computed, and the pace that engines showed.
+/// computed, and the speed that engines showed.
 #pragma once
 
 #include <string>
@@ -9,18 +9,20 @@
 
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/routing/cost_model.h"
+#include "cypresswall/routing/engine_directory.h"
 #include "cypresswall/routing/offers.h"
 #include "cypresswall/routing/prompt_backlog.h"
 #include "cypresswall/routing/work_exchange.h"
 
 namespace cypresswall::routing {
 
-/// Writes the backlogs and paces into the estimates that the router weighs.
+/// Writes the backlogs and speeds into the estimates that the router weighs.
 class LongPrompts final : public WorkExchange::Listener {
  public:
-  /// \pre all references outlive this object, which becomes the listener of `exchange`
+  /// \pre all references outlive this object, which becomes the listener of the directory's work
+  ///   exchange
   LongPrompts(const RouterSettings& settings, const OfferModel& model, const common::Clock& clock,
-              WorkExchange& exchange, PrefixIndex& prefixes, EstimateTable& estimates);
+              EngineDirectory& directory, EstimateTable& estimates);
   ~LongPrompts() override;
   LongPrompts(const LongPrompts&) = delete;
   LongPrompts& operator=(const LongPrompts&) = delete;
@@ -51,19 +53,20 @@
   struct OwnPrompt {
     EngineSlot engine = kNoEngineSlot;
     std::uint32_t number = 0;
-    double started_at = 0;
-    /// Time that an engine of pace 1 would need.
-    double seconds_at_pace_one = 0;
-    /// The engine had no other long prompt when this one came.
-    bool alone = false;
   };
   /// Pieces that one prompt makes an engine hold.
   struct Computing {
     PromptKey key = 0;
     std::vector<common::PieceHash> pieces;
+    /// As in PromptShape.
+    std::vector<std::uint32_t> piece_ends;
     /// So many of them, from the first on, it held before.
     std::size_t held = 0;
     EngineSlot output = kNoEngineSlot;
+    /// Seconds that the engine's declared speed promises; zero if a copy is part of it.
+    double promised = 0;
+
+    common::PromptShape shape() const;
   };
   struct Engine {
     PromptBacklog backlog;
@@ -78,17 +81,20 @@
   void settlePieces(EngineSlot slot, const Computing& ended, bool computed);
   void remove(EngineSlot slot, PromptKey key, bool computed);
   void end(const std::string& stream_id, bool computed);
-  /// \return the pace that the engine showed, or zero if that can't be told from this prompt
-  double shownPace(const OwnPrompt& prompt) const;
-  void learnPace(EngineSlot slot, double shown);
+  /// Learns the engine's speed from a prompt that it has just computed.
+  void learnSpeed(EngineSlot slot, const Computing& computed);
+  /// Writes what is known of the engine's speed into its estimate.
+  void publishSpeed(EngineSlot slot);
   void publishBacklog(EngineSlot slot);
 
   const RouterSettings& settings_;
   const OfferModel& model_;
   const common::Clock& clock_;
+  const EngineTable& table_;
   WorkExchange& exchange_;
   PrefixIndex& prefixes_;
   EstimateTable& estimates_;
+  PromptSpeeds speeds_;
   std::vector<Engine> engines_;
   std::unordered_map<std::string, OwnPrompt> own_;
 };
--- a/src/cypresswall/routing/offers.h
+++ b/src/cypresswall/routing/offers.h
@@ -72,6 +72,7 @@
         displacement_share_(settings.displacement_share),
         negligible_wait_(common::toSeconds(settings.negligible_wait)),
         kv_base_(common::toSeconds(settings.kv_transfer_base)),
+        copy_base_(common::toSeconds(settings.prefix_copy_base)),
         kv_per_token_(common::toSeconds(settings.kv_transfer_per_thousand_tokens) / kThousand) {}
 
   /// An engine that runs the whole request.
@@ -80,9 +81,8 @@
     Offer offer;
     offer.wait = wait(engine, now);
     offer.between_tokens = engine.step;
-    const double computing = promptSeconds(engine, prompt);
-    offer.first_token = offer.wait + computing + engine.step;
-    offer.occupancy = occupancy(engine, work, prompt, computing);
+    offer.first_token = offer.wait + promptSeconds(engine, prompt) + engine.step;
+    offer.occupancy = occupancy(engine, work, prompt);
     price(offer, work, engine);
     return offer;
   }
@@ -91,22 +91,37 @@
                 double now) const {
     Offer offer;
     offer.wait = wait(engine, now);
-    const double computing = promptSeconds(engine, prompt);
-    offer.first_token = offer.wait + computing;
-    offer.occupancy = occupancy(engine, work, prompt, computing);
+    offer.first_token = offer.wait + promptSeconds(engine, prompt);
+    offer.occupancy = occupancy(engine, work, prompt);
     price(offer, work, engine);
     return offer;
   }
-  /// \return seconds that the engine needs for the prompt alone
+  /// \return seconds from sending the prompt to an engine without a queue until it is computed
   double promptSeconds(const CostInputs& engine, const PromptWork& prompt) const {
-    const double copying = prompt.copied > 0 ? kv_base_ + kv_per_token_ * prompt.copied : 0;
-    return engine.prefill_base + prompt.uncached * engine.seconds_per_prefill_token +
-           prompt.pairs() * engine.prefill_seconds_per_pair + copying;
+    return engine.prefill_way + occupyingSeconds(engine, prompt);
+  }
+  /// \return seconds for which the prompt keeps the engine from others
+  double occupyingSeconds(const CostInputs& engine, const PromptWork& prompt) const {
+    return computingSeconds(engine, prompt) + copyingSeconds(engine, prompt.copied);
+  }
+  /// \return seconds that the engine computes the prompt's uncached tokens
+  static double computingSeconds(const CostInputs& engine, const PromptWork& prompt) {
+    return prompt.uncached * engine.seconds_per_prefill_token +
+           prompt.pairs() * engine.prefill_seconds_per_pair;
+  }
+  /// \return seconds that the KV cache of so many tokens takes from another engine
+  double copyingSeconds(const CostInputs& engine, double tokens) const {
+    if (tokens <= 0) {
+      return 0;
+    }
+    const double per_token =
+        engine.kv_seconds_per_token > 0 ? engine.kv_seconds_per_token : kv_per_token_;
+    return copy_base_ + per_token * tokens;
   }
   /// An engine that takes over a computed prompt.
-  Offer decode(const CostInputs& engine, const Work& work) const {
+  Offer decode(const CostInputs& engine, const Work& work, double now) const {
     Offer offer;
-    offer.wait = engine.slot_wait;
+    offer.wait = wait(engine, now);
     offer.between_tokens = engine.step;
     offer.first_token = offer.wait + engine.step;
     price(offer, work, engine);
@@ -117,7 +132,8 @@
                  const Work& work) const {
     Offer offer = decode;
     offer.wait += prefill.wait;
-    offer.first_token += prefill.first_token + kv_base_ + kv_per_token_ * work.prompt_tokens;
+    offer.first_token +=
+        prefill.first_token + kv_base_ + copyingSeconds(decode_engine, work.prompt_tokens);
     offer.occupancy = prefill.occupancy;
     price(offer, work, decode_engine);
     return offer;
@@ -136,10 +152,10 @@
     return engine.has_backlog ? std::abs(engine.backlog_empty_at - now) : 0.0;
   }
 
-  double occupancy(const CostInputs& engine, const Work& work, const PromptWork& prompt,
-                   double computing) const {
+  double occupancy(const CostInputs& engine, const Work& work, const PromptWork& prompt) const {
     const double displaced = displacement_share_ * prompt.copied * engine.seconds_per_prefill_token;
-    return occupancy_weight_ * (computing + displaced) * work.inverse_first_token_limit;
+    return occupancy_weight_ * (occupyingSeconds(engine, prompt) + displaced) *
+           work.inverse_first_token_limit;
   }
 
   void price(Offer& offer, const Work& work, const CostInputs& engine) const {
@@ -157,6 +173,7 @@
   double displacement_share_;
   double negligible_wait_;
   double kv_base_;
+  double copy_base_;
   double kv_per_token_;
 };
 
--- /dev/null
+++ b/src/cypresswall/routing/output_speed.h
@@ -0,0 +1,46 @@
+/// How long decode steps really take, learnt from answers that were given whole.
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "cypresswall/common/identifiers.h"
+#include "cypresswall/routing/settings.h"
+
+namespace cypresswall::routing {
+
+/// Learns, by model, the factor between the time that output takes and what the engines' declared
+/// or assumed steps promise. Pure state.
+class OutputSpeeds {
+ public:
+  explicit OutputSpeeds(const OutputSpeedSettings& settings) : settings_(settings) {}
+
+  /// The first token of an answer was received.
+  /// \param promised seconds that the rest of the output should take
+  void begin(const std::string& stream_id, const common::ModelName& model, double promised,
+             double now);
+  /// The answer was given whole, at `now`.
+  void complete(const std::string& stream_id, double now);
+  /// The stream ended, in whatever way.
+  void forget(const std::string& stream_id) { running_.erase(stream_id); }
+  /// \return the factor on the promised time of a step
+  double scale(const common::ModelName& model) const;
+
+ private:
+  struct Running {
+    common::ModelName model;
+    double promised = 0;
+    double began_at = 0;
+  };
+  struct Sums {
+    double promised = 0;
+    double taken = 0;
+  };
+
+  OutputSpeedSettings settings_;
+  std::unordered_map<std::string, Running> running_;
+  std::map<common::ModelName, Sums> models_;
+};
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/prefix_index.cpp
+++ b/src/cypresswall/routing/prefix_index.cpp
@@ -6,111 +6,131 @@
 namespace cypresswall::routing {
 namespace {
 
-/// The low half of a hash picks the set, the high half is kept as the key.
-constexpr unsigned kKeyShift = 32;
+constexpr std::size_t kBitsPerWord = 64;
 
-std::uint32_t keyOf(common::PieceHash piece) {
-  return static_cast<std::uint32_t>(piece >> kKeyShift);
-}
+std::uint64_t bitOf(EngineSlot engine) { return std::uint64_t{1} << (engine % kBitsPerWord); }
 
 }  // namespace
 
-PrefixIndex::PrefixIndex(const PrefixIndexSettings& settings) : settings_(settings) {
-  const std::size_t pieces =
-      std::bit_ceil(std::max<std::size_t>(settings.maximum_pieces, kWaysPerSet));
-  ways_.resize(pieces);
-  set_mask_ = pieces / kWaysPerSet - 1;
+PrefixIndex::Engine& PrefixIndex::engineAt(EngineSlot engine) {
+  if (engine >= engines_.size()) {
+    engines_.resize(static_cast<std::size_t>(engine) + 1);
+  }
+  return engines_[engine];
 }
 
-std::size_t PrefixIndex::setStart(common::PieceHash piece) const {
-  return (piece & set_mask_) * kWaysPerSet;
+void PrefixIndex::setCapacity(EngineSlot engine, std::uint64_t tokens) {
+  engineAt(engine).capacity = tokens;
+  makeRoom(engine);
 }
 
-PrefixIndex::Way* PrefixIndex::find(common::PieceHash piece) {
-  const std::size_t start = setStart(piece);
-  const std::uint32_t key = keyOf(piece);
-  for (std::size_t i = start; i < start + kWaysPerSet; ++i) {
-    if (ways_[i].last_used != 0 && ways_[i].key == key) {
-      return &ways_[i];
-    }
+std::uint32_t PrefixIndex::tokensOf(common::PieceHash piece, std::uint32_t told) const {
+  if (told > 0) {
+    return told;
   }
-  return nullptr;
+  const auto known = pieces_.find(piece);
+  return known == pieces_.end() ? common::kTokensPerCachePiece : known->second.tokens;
 }
 
-PrefixIndex::Way& PrefixIndex::findOrReplace(common::PieceHash piece) {
-  if (Way* way = find(piece)) {
-    return *way;
+void PrefixIndex::addHolder(EngineSlot engine, common::PieceHash piece, std::uint32_t tokens) {
+  Piece& entry = pieces_[piece];
+  entry.tokens = tokens;
+  ++entry.holders;
+  const std::size_t word = engine / kBitsPerWord;
+  if (entry.engines.size() <= word) {
+    entry.engines.resize(word + 1);
   }
-  const auto first = ways_.begin() + static_cast<std::ptrdiff_t>(setStart(piece));
-  const auto oldest = std::min_element(
-      first, first + kWaysPerSet,
-      [](const Way& left, const Way& right) { return left.last_used < right.last_used; });
-  *oldest = Way{};
-  oldest->key = keyOf(piece);
-  return *oldest;
+  entry.engines[word] |= bitOf(engine);
+  ++size_;
 }
 
-PrefixIndex::EngineKnowledge& PrefixIndex::knowledge(EngineSlot engine) {
-  if (engine >= engines_.size()) {
-    engines_.resize(static_cast<std::size_t>(engine) + 1);
+void PrefixIndex::dropHolder(EngineSlot engine, common::PieceHash piece) {
+  const auto entry = pieces_.find(piece);
+  entry->second.engines[engine / kBitsPerWord] &= ~bitOf(engine);
+  --size_;
+  if (--entry->second.holders == 0) {
+    pieces_.erase(entry);
   }
-  return engines_[engine];
 }
 
-bool PrefixIndex::current(const Holder& holder) const {
-  return holder.engine < engines_.size() && engines_[holder.engine].life == holder.life;
+void PrefixIndex::erase(EngineSlot slot, std::list<Held>::iterator held) {
+  Engine& engine = engines_[slot];
+  engine.tokens -= held->tokens;
+  dropHolder(slot, held->piece);
+  engine.by_piece.erase(held->piece);
+  engine.held.erase(held);
 }
 
-void PrefixIndex::stored(EngineSlot engine, common::PieceHash piece) {
-  const std::uint16_t life = knowledge(engine).life;
-  Way& way = findOrReplace(piece);
-  way.last_used = ++use_count_;
-  Holder* free_place = nullptr;
-  for (Holder& holder : way.holders) {
-    if (holder.engine == engine) {
-      holder.life = life;
-      return;
-    }
-    if (free_place == nullptr && !current(holder)) {
-      free_place = &holder;
-    }
+void PrefixIndex::makeRoom(EngineSlot slot) {
+  Engine& engine = engines_[slot];
+  const std::size_t most = std::max<std::size_t>(1, settings_.maximum_pieces / engines_.size());
+  const auto full = [&] {
+    return engine.held.size() > most || (engine.capacity > 0 && engine.tokens > engine.capacity);
+  };
+  while (engine.held.size() > 1 && full()) {
+    erase(slot, std::prev(engine.held.end()));
+  }
+}
+
+void PrefixIndex::stored(EngineSlot engine, common::PieceHash piece, std::uint32_t tokens,
+                         common::MonotonicTime now) {
+  Engine& state = engineAt(engine);
+  const auto known = state.by_piece.find(piece);
+  if (known != state.by_piece.end()) {
+    known->second->used_at = now;
+    state.held.splice(state.held.begin(), state.held, known->second);
+    return;
   }
-  if (free_place == nullptr) {
-    std::rotate(way.holders.begin(), way.holders.begin() + 1, way.holders.end());
-    free_place = &way.holders.back();
+  const std::uint32_t length = tokensOf(piece, tokens);
+  state.held.push_front({piece, length, now});
+  state.by_piece[piece] = state.held.begin();
+  state.tokens += length;
+  addHolder(engine, piece, length);
+  makeRoom(engine);
+}
+
+void PrefixIndex::usedBy(EngineSlot engine, const common::PromptShape& shape,
+                         common::MonotonicTime now) {
+  for (std::size_t i = shape.pieces.size(); i-- > 0;) {
+    stored(engine, shape.pieces[i], shape.tokensOfPieces(i + 1) - shape.tokensOfPieces(i), now);
   }
-  *free_place = Holder{engine, life};
 }
 
-bool PrefixIndex::evicted(EngineSlot engine, common::PieceHash piece) {
-  Way* way = find(piece);
-  if (way == nullptr) {
-    return false;
+void PrefixIndex::removed(EngineSlot engine, common::PieceHash piece) {
+  Engine& state = engineAt(engine);
+  const auto known = state.by_piece.find(piece);
+  if (known != state.by_piece.end()) {
+    erase(engine, known->second);
   }
-  bool held = false;
-  for (Holder& holder : way->holders) {
-    if (holder.engine == engine) {
-      held = held || current(holder);
-      holder = Holder{};
-    }
+}
+
+bool PrefixIndex::evictionReported(EngineSlot engine, common::PieceHash piece,
+                                   common::MonotonicTime now) {
+  Engine& state = engineAt(engine);
+  const auto known = state.by_piece.find(piece);
+  if (known == state.by_piece.end() || now - known->second->used_at < settings_.event_lag) {
+    return false;
   }
-  return held;
+  erase(engine, known->second);
+  return true;
 }
 
 void PrefixIndex::forgetEngine(EngineSlot engine) {
-  EngineKnowledge& known = knowledge(engine);
-  ++known.life;
-  known.trust = 1.0;
+  Engine& state = engineAt(engine);
+  while (!state.held.empty()) {
+    erase(engine, state.held.begin());
+  }
+  state.trust = 1.0;
 }
 
 void PrefixIndex::gapSeen(EngineSlot engine) {
-  EngineKnowledge& known = knowledge(engine);
-  known.trust = std::max(settings_.minimum_trust, known.trust * settings_.gap_trust_factor);
+  Engine& state = engineAt(engine);
+  state.trust = std::max(settings_.minimum_trust, state.trust * settings_.gap_trust_factor);
 }
 
 void PrefixIndex::batchWithoutGap(EngineSlot engine) {
-  EngineKnowledge& known = knowledge(engine);
-  known.trust += (1.0 - known.trust) * settings_.trust_recovery;
+  Engine& state = engineAt(engine);
+  state.trust += (1.0 - state.trust) * settings_.trust_recovery;
 }
 
 double PrefixIndex::trust(EngineSlot engine) const {
@@ -118,35 +138,29 @@
 }
 
 void PrefixIndex::match(const std::vector<common::PieceHash>& pieces,
-                        std::vector<PrefixMatch>& matches) {
+                        std::vector<PrefixMatch>& matches) const {
   matches.clear();
   std::uint32_t depth = 0;
   for (const common::PieceHash piece : pieces) {
-    Way* way = find(piece);
-    if (way == nullptr) {
+    const auto found = pieces_.find(piece);
+    if (found == pieces_.end()) {
       return;
     }
-    way->last_used = ++use_count_;
-    bool extended = false;
-    for (const Holder& holder : way->holders) {
-      if (!current(holder)) {
-        continue;
-      }
-      if (depth == 0) {
-        matches.push_back({holder.engine, 1});
-        extended = true;
-        continue;
+    const Words& engines = found->second.engines;
+    if (depth == 0) {
+      for (std::size_t word = 0; word < engines.size(); ++word) {
+        for (std::uint64_t left = engines[word]; left != 0; left &= left - 1) {
+          const auto bit = static_cast<std::size_t>(std::countr_zero(left));
+          matches.push_back({static_cast<EngineSlot>(word * kBitsPerWord + bit), 1});
+        }
       }
+    } else {
       for (PrefixMatch& match : matches) {
-        if (match.engine == holder.engine && match.pieces == depth) {
-          match.pieces = depth + 1;
-          extended = true;
-        }
+        const std::size_t word = match.engine / kBitsPerWord;
+        const bool holds = word < engines.size() && (engines[word] & bitOf(match.engine)) != 0;
+        match.pieces += match.pieces == depth && holds ? 1 : 0;
       }
     }
-    if (!extended) {
-      return;
-    }
     ++depth;
   }
 }
--- a/src/cypresswall/routing/prefix_index.h
+++ b/src/cypresswall/routing/prefix_index.h
@@ -1,13 +1,16 @@
-/// Approximate index of which engines hold which pieces of the KV cache. Fed by cache events (late,
-/// with gaps), by hints of peers and by what this node itself sent. Bounded: a set-associative
-/// table of fixed size in which the least recently used piece of a set is replaced.
+/// Which engines hold which pieces of the KV cache, as far as it is known. Fed by what nodes send
+/// to engines, corrected by the engines' cache events, which come late and with gaps. Each engine
+/// is taken to give up the pieces unused for longest once its memory is full, as engines do: under
+/// load a cache turns over within a second, which is less than events take.
 #pragma once
 
-#include <array>
 #include <cstdint>
+#include <list>
+#include <unordered_map>
 #include <vector>
 
 #include "cypresswall/common/prompt.h"
+#include "cypresswall/common/time.h"
 #include "cypresswall/routing/settings.h"
 
 namespace cypresswall::routing {
@@ -25,13 +28,23 @@
 
 class PrefixIndex {
  public:
-  explicit PrefixIndex(const PrefixIndexSettings& settings);
+  explicit PrefixIndex(const PrefixIndexSettings& settings) : settings_(settings) {}
 
-  /// Notes that `engine` holds `piece`.
-  void stored(EngineSlot engine, common::PieceHash piece);
-  /// Notes that `engine` no longer holds `piece`.
-  /// \return true if it was believed to
-  bool evicted(EngineSlot engine, common::PieceHash piece);
+  /// Sets the tokens that an engine has memory for; zero if that is not known.
+  void setCapacity(EngineSlot engine, std::uint64_t tokens);
+  /// Notes that `engine` holds `piece`, and that it was used just now.
+  /// \param tokens length of the piece; zero takes the length known of it, or the usual one
+  void stored(EngineSlot engine, common::PieceHash piece, std::uint32_t tokens,
+              common::MonotonicTime now);
+  /// Notes that a prompt of this shape uses its first `pieces` pieces at `engine`. The start of a
+  /// prompt outlives its end.
+  void usedBy(EngineSlot engine, const common::PromptShape& shape, common::MonotonicTime now);
+  /// Notes that `engine` does not hold `piece`.
+  void removed(EngineSlot engine, common::PieceHash piece);
+  /// Takes in an event that `engine` gave `piece` up. It is passed over if the piece was used
+  /// since: events are late.
+  /// \return true if it changed what is known
+  bool evictionReported(EngineSlot engine, common::PieceHash piece, common::MonotonicTime now);
   /// Forgets all that is known of an engine: it restarted, or its slot has another engine.
   void forgetEngine(EngineSlot engine);
   /// Lowers the trust in an engine's entries: events were lost. The entries stay, since most of
@@ -44,42 +57,47 @@
 
   /// Finds the engines that hold the start of a prompt.
   /// \param matches cleared, then filled with the engines that hold at least the first piece
-  void match(const std::vector<common::PieceHash>& pieces, std::vector<PrefixMatch>& matches);
+  void match(const std::vector<common::PieceHash>& pieces, std::vector<PrefixMatch>& matches) const;
 
-  /// \return the bytes that the table takes.
-  std::size_t memoryBytes() const { return ways_.size() * sizeof(Way); }
+  /// \return pairs of an engine and a piece that are remembered.
+  std::size_t size() const { return size_; }
 
  private:
-  static constexpr std::size_t kWaysPerSet = 8;
-  static constexpr std::size_t kHoldersPerPiece = 6;
+  using Words = std::vector<std::uint64_t>;
 
-  /// An engine in one of its lives; entries of earlier lives don't count.
-  struct Holder {
-    EngineSlot engine = kNoEngineSlot;
-    std::uint16_t life = 0;
+  /// One piece at one engine.
+  struct Held {
+    common::PieceHash piece = 0;
+    std::uint32_t tokens = 0;
+    common::MonotonicTime used_at{};
   };
-  struct Way {
-    std::uint32_t key = 0;
-    /// Zero marks a free way.
-    std::uint32_t last_used = 0;
-    std::array<Holder, kHoldersPerPiece> holders;
-  };
-  struct EngineKnowledge {
-    std::uint16_t life = 1;
+  struct Engine {
+    /// The most recently used first.
+    std::list<Held> held;
+    std::unordered_map<common::PieceHash, std::list<Held>::iterator> by_piece;
+    std::uint64_t tokens = 0;
+    std::uint64_t capacity = 0;
     double trust = 1.0;
   };
+  struct Piece {
+    std::uint32_t tokens = 0;
+    std::uint32_t holders = 0;
+    /// One bit an engine.
+    Words engines;
+  };
 
-  Way* find(common::PieceHash piece);
-  Way& findOrReplace(common::PieceHash piece);
-  std::size_t setStart(common::PieceHash piece) const;
-  bool current(const Holder& holder) const;
-  EngineKnowledge& knowledge(EngineSlot engine);
+  Engine& engineAt(EngineSlot engine);
+  std::uint32_t tokensOf(common::PieceHash piece, std::uint32_t told) const;
+  void addHolder(EngineSlot engine, common::PieceHash piece, std::uint32_t tokens);
+  void dropHolder(EngineSlot engine, common::PieceHash piece);
+  void erase(EngineSlot slot, std::list<Held>::iterator held);
+  /// Gives up what was unused for longest until the engine's memory suffices.
+  void makeRoom(EngineSlot slot);
 
   PrefixIndexSettings settings_;
-  std::vector<Way> ways_;
-  std::uint64_t set_mask_ = 0;
-  std::uint32_t use_count_ = 0;
-  std::vector<EngineKnowledge> engines_;
+  std::vector<Engine> engines_;
+  std::unordered_map<common::PieceHash, Piece> pieces_;
+  std::size_t size_ = 0;
 };
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/prompt_backlog.cpp
+++ b/src/cypresswall/routing/prompt_backlog.cpp
@@ -8,10 +8,24 @@
   const auto later = std::find_if(prompts_.begin(), prompts_.end(), [&](const Prompt& prompt) {
     return prompt.started_at > started_at;
   });
-  prompts_.insert(later, Prompt{key, started_at, seconds});
+  prompts_.insert(later, Prompt{key, started_at, seconds, prompts_.empty()});
 }
 
-bool PromptBacklog::remove(PromptKey key, double now) {
+std::optional<PromptStretch> PromptBacklog::stretchOf(PromptKey key, double now) const {
+  if (prompts_.empty() || prompts_.front().key != key) {
+    return std::nullopt;
+  }
+  const Prompt& first = prompts_.front();
+  if (first.alone) {
+    return PromptStretch{now - first.started_at, true};
+  }
+  if (last_end_told_ && last_end_ > first.started_at) {
+    return PromptStretch{now - last_end_, false};
+  }
+  return std::nullopt;
+}
+
+bool PromptBacklog::remove(PromptKey key, double now, bool computed) {
   const auto found = std::find_if(prompts_.begin(), prompts_.end(),
                                   [&](const Prompt& prompt) { return prompt.key == key; });
   if (found == prompts_.end()) {
@@ -19,6 +33,7 @@
   }
   if (found == prompts_.begin()) {
     last_end_ = now;
+    last_end_told_ = computed;
   }
   prompts_.erase(found);
   return true;
@@ -32,6 +47,7 @@
       return;
     }
     last_end_ = due;
+    last_end_told_ = false;
     prompts_.erase(prompts_.begin());
   }
 }
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -83,6 +83,8 @@
   /// The first of two engines of a route has computed the prompt.
   virtual void promptComputed(const std::string& stream_id) = 0;
   virtual void firstTokenReceived(const std::string& stream_id) = 0;
+  /// The attempt gave its whole answer; attemptFinished() follows.
+  virtual void answerCompleted(const std::string& stream_id) = 0;
   virtual void attemptFinished(const std::string& stream_id) = 0;
   /// \param engine where the attempt failed, of the one or two engines of its route
   virtual void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -10,12 +10,15 @@
 
 /// Bounds of the approximate index of cached prefixes.
 struct PrefixIndexSettings {
-  /// Cache pieces remembered, rounded up to a power of two; each takes 32 bytes.
-  std::size_t maximum_pieces = std::size_t{1} << 18U;
+  /// Pairs of an engine and a piece that are remembered, shared evenly by the engines; each takes
+  /// some 150 bytes.
+  std::size_t maximum_pieces = std::size_t{1} << 16U;
+  /// Age that a report of a piece given up may have: one poll of the events, and their own delay.
+  common::Duration event_lag = std::chrono::milliseconds(700);
   /// Factor on an engine's trust for each gap found in its cache events.
-  double gap_trust_factor = 0.8;
+  double gap_trust_factor = 0.95;
   /// Trust never falls below this.
-  double minimum_trust = 0.3;
+  double minimum_trust = 0.8;
   /// Part of the lost trust that each batch of events without a gap restores.
   double trust_recovery = 0.1;
 };
@@ -73,6 +76,40 @@
   EjectionSettings ejection;
 };
 
+/// How the time that prompts take is learnt.
+struct PromptSpeedSettings {
+  /// Weight that the former samples of a model keep at each new one: some 50 samples count.
+  double retention = 0.98;
+  /// Samples of a model that the assumed speed counts for.
+  double prior_samples = 0.1;
+  /// Samples within this share of what was expected have full weight.
+  double usual_deviation = 0.15;
+  /// Weight of the newest sample in an engine's own scale.
+  double engine_weight = 0.25;
+  /// Samples of an engine at which its own scale counts as much as its model's.
+  double engine_samples = 1;
+  /// Time in which the samples of an engine lose half of their weight, seconds: an engine that was
+  /// slow is tried again.
+  double engine_half_life = 3;
+  /// A sample that is off by more than this factor counts as off by it: one stalled prompt must not
+  /// make a model look slow, while a speed that did change is followed within a few samples.
+  double model_outlier_factor = 4;
+  double engine_outlier_factor = 4;
+};
+
+/// How the time between tokens is learnt.
+struct OutputSpeedSettings {
+  /// Weight that the former answers of a model keep at each new one: some 30 answers count.
+  double retention = 0.97;
+  /// Answers for which the assumed steps count.
+  double prior_answers = 0.5;
+  /// An answer that took longer than this many times what was expected counts as that.
+  double outlier_factor = 4;
+  double least_scale = 1e-3;
+  /// The output of shorter answers ends within a step or two, which tells nothing.
+  std::uint32_t minimum_tokens = 16;
+};
+
 /// How the router weighs engines.
 struct RouterSettings {
   /// Above this many candidates a sample is weighed instead of all of them.
@@ -99,6 +136,8 @@
   /// Bounds of Retry-After.
   common::Duration minimum_retry_after = std::chrono::seconds(1);
   common::Duration maximum_retry_after = std::chrono::seconds(60);
+  /// Time that a copy of cached pieces takes beside its tokens.
+  common::Duration prefix_copy_base = std::chrono::milliseconds(1);
   /// Engines copy cached pieces of a prompt from one another when told where they are.
   bool copies_prefixes = false;
   /// Fewer tokens than these are computed rather than copied.
@@ -116,8 +155,8 @@
   double crowding_share = 0.6;
   /// A long prompt whose end was not told is forgotten when it is overdue by this.
   common::Duration backlog_expiry = std::chrono::seconds(2);
-  /// Weight of the newest measurement in the pace learnt of an engine.
-  double pace_weight = 0.25;
+  PromptSpeedSettings prompt_speed;
+  OutputSpeedSettings output_speed;
   /// A report that describes a moment this short after an attempt started may not show it yet.
   common::Duration report_slack = std::chrono::milliseconds(20);
 };
--- a/src/cypresswall/routing/work_exchange.h
+++ b/src/cypresswall/routing/work_exchange.h
@@ -25,12 +25,14 @@
   /// The pieces that the engine will hold afterwards, and how many of them it held before.
   std::vector<common::PieceHash> pieces;
   std::uint32_t held_pieces = 0;
+  /// Tokens up to the end of each piece; empty if all have the usual length.
+  std::vector<std::uint32_t> piece_ends;
   /// Engine that takes the KV cache over for the output and then holds the pieces too; empty if the
   /// prompt stays where it is.
   common::EngineName output_engine;
 
   MSGPACK_DEFINE(engine, number, uncached_tokens, copied_tokens, cached_tokens, pieces, held_pieces,
-                 output_engine)
+                 piece_ends, output_engine)
 };
 
 /// The end of a long prompt.
@@ -39,11 +41,8 @@
   std::uint32_t number = 0;
   /// False if the engine did not compute it, so that it does not hold its pieces.
   bool computed = true;
-  /// Pace that the engine showed with it, as a multiple of what was expected of one of pace 1; zero
-  /// if other prompts were in its way.
-  float pace = 0;
 
-  MSGPACK_DEFINE(engine, number, computed, pace)
+  MSGPACK_DEFINE(engine, number, computed)
 };
 
 /// What one node did. Nothing is sent again: a lost start costs a worse choice, and a prompt whose
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -164,7 +164,7 @@
       countKey(
           "limits.cache_pieces", 64, 16777216,
           [](auto& s) -> auto& { return s.node.directory.prefix_index.maximum_pieces; },
-          "Cached pieces of prompts whose engines a node remembers; each takes 32 bytes."),
+          "Cached pieces of prompts whose engines a node remembers; each takes some 150 bytes."),
       bytesKey(
           "limits.header_bytes", kKibibyte, kMebibyte,
           [](auto& s) -> auto& { return s.server.maximum_header_bytes; },
--- a/tests/execution/fake_engines.h
+++ b/tests/execution/fake_engines.h
@@ -78,6 +78,7 @@
   void attemptStarted(const routing::RouteRequest&, const routing::Route&) override { ++open; }
   void promptComputed(const std::string&) override {}
   void firstTokenReceived(const std::string&) override {}
+  void answerCompleted(const std::string&) override {}
   void attemptFinished(const std::string&) override { --open; }
   void attemptFailed(const std::string&, const common::EngineName&,
                      engines::StreamFailure) override {
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -32,9 +32,22 @@
   CPPUNIT_TEST(refusedAttemptsDrawOnTheBudget);
   CPPUNIT_TEST(refusedAttemptsStayWithinTheShare);
   CPPUNIT_TEST(longFirstTokenLimitIsGivenToTheRouter);
+  CPPUNIT_TEST(onlyTheFirstAttemptIsPlannedWithinTheTarget);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void onlyTheFirstAttemptIsPlannedWithinTheTarget() {
+    World world;
+    world.service().first_token_limit = seconds(2);
+    world.service().first_token_target = milliseconds(200);
+    world.engines.scripts = {{Kind::kRefused}};
+    RecordingObserver observer;
+    const auto handle = world.start(observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(world.router.requests.at(0).first_token_limit == milliseconds(170));
+    CPPUNIT_ASSERT(world.router.requests.at(1).first_token_limit > milliseconds(1900));
+  }
+
   void passesTheRequestThroughAndTheHeadOnce() {
     World world;
     world.engines.scripts = {{Kind::kBrokenAt, 5}};
