Reckon with how long running streams go on, and keep a share of the engines in each role

And the planner, in a stretch with many prompts, left two of twelve engines for output; when the mix swung back these were full for 8 s. Ruled out: prompts between the output (none at these engines in that stretch). Change: what a running stream has left is learnt (half the mean square of the answers' lengths over their mean), and each role keeps 0.3 of the engines.

--- a/src/cypresswall/planning/disaggregated_planner.cpp
+++ b/src/cypresswall/planning/disaggregated_planner.cpp
@@ -164,7 +164,8 @@
 
 PlanAlternative DisaggregatedPlanner::best(const ModelState& state) const {
   PlanAlternative best;
-  const double kept = settings_.minimum_engines;
+  const double kept = std::max<double>(settings_.minimum_engines,
+                                       std::ceil(settings_.minimum_share * state.engines));
   const auto weigh = [&](const auto& movable, double engines, EngineRole from, EngineRole to) {
     if (movable.empty() || engines <= kept) {
       return;
--- a/src/cypresswall/planning/disaggregated_planner.h
+++ b/src/cypresswall/planning/disaggregated_planner.h
@@ -25,7 +25,10 @@
   double comfortable_decode_utilisation = 0.6;
   /// Share of the answers that are late for that at full utilisation.
   double late_share_at_full_decode = 0.7;
-  /// Engines that each role keeps, if it has them: the loss of one must not take a role away.
+  /// Share of the engines that each role keeps, if it has them, and their least number: mixes swing
+  /// faster than engines that finish their streams can follow, and the loss of one engine must not
+  /// take a role away.
+  double minimum_share = 0.3;
   std::uint32_t minimum_engines = 2;
   /// Speed of a decode engine with prompts, as a part of that of a prefill engine.
   double decode_prompt_share = 0.5;
--- a/src/cypresswall/routing/cost_model.cpp
+++ b/src/cypresswall/routing/cost_model.cpp
@@ -18,16 +18,23 @@
   return promised * engine.prompt_speed.scale;
 }
 
+double streamRemaining(const EngineEstimate& engine, double step) {
+  if (engine.stream_remaining > 0) {
+    return engine.stream_remaining;
+  }
+  const double decode_tokens = engine.queued_decode_tokens + engine.unreported_decode_tokens;
+  return decode_tokens / std::max<double>(streamsOn(engine), 1.0) * step;
+}
+
 double slotWait(const EngineEstimate& engine, double step) {
   const std::uint32_t streams = streamsOn(engine);
   if (engine.maximum_streams == 0 || streams < engine.maximum_streams) {
     return 0;
   }
-  const double decode_tokens = engine.queued_decode_tokens + engine.unreported_decode_tokens;
-  const double seconds_per_stream = decode_tokens / std::max<double>(streams, 1.0) * step;
+  const double remaining = streamRemaining(engine, step);
   const double places_needed = streams - engine.maximum_streams + 1.0;
   // Streams end one after the other, spread over the time that one takes.
-  return seconds_per_stream * places_needed / engine.maximum_streams;
+  return remaining * places_needed / engine.maximum_streams;
 }
 
 }  // namespace
--- a/src/cypresswall/routing/cost_model.h
+++ b/src/cypresswall/routing/cost_model.h
@@ -35,6 +35,8 @@
   PromptSpeed prompt_speed;
   /// Factor on the reported times of a decode step.
   double step_scale = 1;
+  /// Seconds for which a running stream goes on, in the mean; zero if not known.
+  double stream_remaining = 0;
   /// Whether long prompts are under way to it or on it, and when they will all be computed.
   bool has_backlog = false;
   double backlog_empty_at = 0;
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -105,6 +105,7 @@
     prefixes_.setCapacity(
         slot, std::uint64_t{record.load.cache_pieces_total} * common::kTokensPerCachePiece);
     estimates_.edit(slot).step_scale = output_speeds_.scale(record.load.model);
+    estimates_.edit(slot).stream_remaining = output_speeds_.remainingSeconds(record.load.model);
     sent_.reported(slot, record.observed_at);
     long_prompts_.refresh(slot);
     estimates_.refresh(slot);
@@ -486,7 +487,7 @@
     shares.push_back({engine, 0, work.decode_tokens});
   }
   sent_.started(request.stream_id, shares, context_.clock.now());
-  if (engine != kNoEngineSlot && work.decode_tokens >= settings_.output_speed.minimum_tokens) {
+  if (engine != kNoEngineSlot) {
     awaited_outputs_[request.stream_id] = {engine, work.decode_tokens - 1};
   }
 }
@@ -505,11 +506,12 @@
   const EngineSlot slot = awaited.mapped().engine;
   const EngineEstimate& engine = estimates_.estimate(slot);
   // Prompts between the output's steps would count as time of these.
-  if (!engine.has_backlog) {
-    const double step = stepSeconds(engine, streamsOn(engine)) / engine.step_scale;
-    output_speeds_.begin(stream_id, table_.record(slot).load.model, awaited.mapped().tokens * step,
-                         toModelTime(context_.clock.now()));
-  }
+  const bool tells =
+      !engine.has_backlog && awaited.mapped().tokens >= settings_.output_speed.minimum_tokens;
+  const double step = stepSeconds(engine, streamsOn(engine)) / engine.step_scale;
+  output_speeds_.begin(stream_id, table_.record(slot).load.model,
+                       tells ? awaited.mapped().tokens * step : 0,
+                       toModelTime(context_.clock.now()));
 }
 
 void CostRouter::answerCompleted(const std::string& stream_id) {
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -110,7 +110,7 @@
   SentWork sent_;
   LongPrompts long_prompts_;
   OutputSpeeds output_speeds_;
-  /// Answers whose first token was not received yet, if their length tells of the time of a step.
+  /// Answers whose first token was not received yet.
   std::unordered_map<std::string, AwaitedOutput> awaited_outputs_;
   /// Number of the last attempt sent to each engine, zero before the first.
   std::vector<std::uint64_t> last_attempt_;
--- a/src/cypresswall/routing/output_speed.cpp
+++ b/src/cypresswall/routing/output_speed.cpp
@@ -6,9 +6,7 @@
 
 void OutputSpeeds::begin(const std::string& stream_id, const common::ModelName& model,
                          double promised, double now) {
-  if (promised > 0) {
-    running_[stream_id] = Running{model, promised, now};
-  }
+  running_[stream_id] = Running{model, promised, now};
 }
 
 void OutputSpeeds::complete(const std::string& stream_id, double now) {
@@ -17,23 +15,41 @@
     return;
   }
   const Running& stream = node.mapped();
-  const auto [entry, first] = models_.try_emplace(stream.model);
-  Sums& sums = entry->second;
-  if (first) {
+  Sums& sums = models_[stream.model];
+  const double lasted = std::max(0.0, now - stream.began_at);
+  const double kept = settings_.length_retention;
+  sums.seconds = kept * sums.seconds + lasted;
+  sums.squared_seconds = kept * sums.squared_seconds + lasted * lasted;
+  if (stream.promised <= 0) {
+    return;
+  }
+  if (sums.promised <= 0) {
     sums.promised = stream.promised * settings_.prior_answers;
     sums.taken = sums.promised;
   }
-  const double taken = std::clamp(now - stream.began_at, 0.0,
-                                  stream.promised * scale(stream.model) * settings_.outlier_factor);
+  const double expected = stream.promised * scale(stream.model);
   sums.promised = settings_.retention * sums.promised + stream.promised;
-  sums.taken = settings_.retention * sums.taken + taken;
+  sums.taken =
+      settings_.retention * sums.taken + std::min(lasted, expected * settings_.outlier_factor);
 }
 
 double OutputSpeeds::scale(const common::ModelName& model) const {
   const auto found = models_.find(model);
-  return found == models_.end()
-             ? 1.0
-             : std::max(settings_.least_scale, found->second.taken / found->second.promised);
+  if (found == models_.end() || found->second.promised <= 0) {
+    return 1;
+  }
+  return std::max(settings_.least_scale, found->second.taken / found->second.promised);
+}
+
+double OutputSpeeds::remainingSeconds(const common::ModelName& model) const {
+  // Long streams are seen running more often: the mean of what is left is half of the mean square
+  // over the mean.
+  constexpr double kHalf = 0.5;
+  const auto found = models_.find(model);
+  if (found == models_.end() || found->second.seconds <= 0) {
+    return 0;
+  }
+  return kHalf * found->second.squared_seconds / found->second.seconds;
 }
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/output_speed.h
+++ b/src/cypresswall/routing/output_speed.h
@@ -17,7 +17,8 @@
   explicit OutputSpeeds(const OutputSpeedSettings& settings) : settings_(settings) {}
 
   /// The first token of an answer was received.
-  /// \param promised seconds that the rest of the output should take
+  /// \param promised seconds that the rest of the output should take; zero if it is too short to
+  ///   tell of the time of a step
   void begin(const std::string& stream_id, const common::ModelName& model, double promised,
              double now);
   /// The answer was given whole, at `now`.
@@ -26,6 +27,8 @@
   void forget(const std::string& stream_id) { running_.erase(stream_id); }
   /// \return the factor on the promised time of a step
   double scale(const common::ModelName& model) const;
+  /// \return seconds for which a stream that is seen running goes on, in the mean; zero until known
+  double remainingSeconds(const common::ModelName& model) const;
 
  private:
   struct Running {
@@ -36,6 +39,9 @@
   struct Sums {
     double promised = 0;
     double taken = 0;
+    /// Of all answers, whatever their length.
+    double seconds = 0;
+    double squared_seconds = 0;
   };
 
   OutputSpeedSettings settings_;
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -101,6 +101,8 @@
 struct OutputSpeedSettings {
   /// Weight that the former answers of a model keep at each new one: some 30 answers count.
   double retention = 0.97;
+  /// The same for the time that answers last, of which all count: some 300.
+  double length_retention = 0.997;
   /// Answers for which the assumed steps count.
   double prior_answers = 0.5;
   /// An answer that took longer than this many times what was expected counts as that.
--- /dev/null
+++ b/tests/routing/output_speed_test.cpp
@@ -0,0 +1,61 @@
+#include "cypresswall/routing/output_speed.h"
+
+#include "tests/support/property.h"
+
+namespace cypresswall::routing {
+namespace {
+
+constexpr const char* kModel = "m";
+
+class OutputSpeedTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OutputSpeedTest);
+  CPPUNIT_TEST(assumedStepsHoldUntilAnswersCome);
+  CPPUNIT_TEST(slowStepsAreLearnt);
+  CPPUNIT_TEST(brokenAnswersTellNothing);
+  CPPUNIT_TEST(longAnswersDominateWhatIsLeft);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void assumedStepsHoldUntilAnswersCome() {
+    const OutputSpeeds speeds{OutputSpeedSettings{}};
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1, speeds.scale(kModel), 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0, speeds.remainingSeconds(kModel), 1e-9);
+  }
+
+  void slowStepsAreLearnt() {
+    OutputSpeeds speeds{OutputSpeedSettings{}};
+    for (int i = 0; i < 40; ++i) {
+      answer(speeds, 0.5, 3.5);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(7, speeds.scale(kModel), 0.3);
+  }
+
+  void brokenAnswersTellNothing() {
+    OutputSpeeds speeds{OutputSpeedSettings{}};
+    speeds.begin("a", kModel, 0.5, 10);
+    speeds.forget("a");
+    speeds.complete("a", 100);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1, speeds.scale(kModel), 1e-9);
+  }
+
+  /// Nine answers of 20 ms for each one of 3 s: nearly all that are seen running are long ones.
+  void longAnswersDominateWhatIsLeft() {
+    OutputSpeeds speeds{OutputSpeedSettings{}};
+    for (int i = 0; i < 1000; ++i) {
+      answer(speeds, 0, i % 10 == 0 ? 3.0 : 0.02);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.4, speeds.remainingSeconds(kModel), 0.2);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1, speeds.scale(kModel), 1e-9);
+  }
+
+ private:
+  static void answer(OutputSpeeds& speeds, double promised, double lasted) {
+    speeds.begin("a", kModel, promised, 10);
+    speeds.complete("a", 10 + lasted);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OutputSpeedTest);
+
+}  // namespace
+}  // namespace cypresswall::routing
