Gather long answers on few decode engines, and keep prompts away from these

Cause (new customer): a long answer takes 59 steps an event; with prompts between its steps an event takes 135 ms in place of 38, at a limit of 150, and the whole answer 12 s in place of 3. All decode engines had both: 16% of the long answers came late, and others ran into their deadline. Ruled out: many streams on an engine (a step takes 15% longer with 48 than with one). Change: engines tell which of their runs are well into their output; long answers go to as few decode engines as hold them with half of the places taken, and one more, in an order that all nodes share; at these a prompt may wait and be computed for 0.3 of the limit between tokens only.

--- a/src/cypresswall/routing/cost_model.cpp
+++ b/src/cypresswall/routing/cost_model.cpp
@@ -54,6 +54,7 @@
   estimate.queued_decode_tokens = static_cast<double>(load.queued_decode_tokens);
   estimate.streams = load.running_streams + load.waiting_streams;
   estimate.maximum_streams = load.maximum_streams;
+  estimate.output_streams = load.output_streams.value_or(load.running_streams);
   estimate.role = load.role;
 }
 
--- a/src/cypresswall/routing/cost_model.h
+++ b/src/cypresswall/routing/cost_model.h
@@ -28,6 +28,8 @@
   std::uint32_t streams = 0;
   std::uint32_t unreported_streams = 0;
   std::uint32_t maximum_streams = 0;
+  /// Streams that are well into their output.
+  std::uint32_t output_streams = 0;
   engines::EngineRole role = engines::EngineRole::kMixed;
   /// Seconds that the KV cache of a token takes to another engine; zero if not declared.
   double kv_seconds_per_token = 0;
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -14,6 +14,9 @@
 /// Wait told to callers when no engine of a model is available.
 constexpr double kNoEngineRetrySeconds = 2.0;
 
+/// Cost of a long answer on an engine that hosts none: below that of a late one.
+constexpr double kAstrayPenalty = 10.0;
+
 /// Finalizer of splitmix64: spreads the bits of `value`.
 std::uint64_t mixBits(std::uint64_t value) {
   value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9ULL;
@@ -93,6 +96,7 @@
     name_hashes_.resize(static_cast<std::size_t>(slot) + 1);
     cached_tokens_.resize(static_cast<std::size_t>(slot) + 1);
     last_attempt_.resize(static_cast<std::size_t>(slot) + 1);
+    output_hosts_.resize(static_cast<std::size_t>(slot) + 1);
   }
   const EngineRecord& record = table_.record(slot);
   name_hashes_[slot] = common::hash64(record.declaration.name);
@@ -216,10 +220,48 @@
   return prompt;
 }
 
-bool CostRouter::crowdsOut(const CostInputs& engine, const Work& work, double uncached) const {
-  return engine.role == engines::EngineRole::kDecode && uncached > settings_.prefill_chunk_tokens &&
-         uncached * engine.seconds_per_prefill_token >
-             work.between_tokens_limit * settings_.crowding_share;
+void CostRouter::chooseOutputHosts() {
+  decode_order_.clear();
+  double outputs = 0;
+  double places = 1;
+  for (const EngineSlot slot : narrowed_) {
+    const EngineEstimate& engine = estimates_.estimate(slot);
+    output_hosts_[slot] = false;
+    if (engine.role == engines::EngineRole::kDecode) {
+      decode_order_.push_back(slot);
+      outputs += engine.output_streams;
+      places = std::max<double>(places, engine.maximum_streams);
+    }
+  }
+  const double needed = std::ceil(outputs / (settings_.output_fill * places)) + 1;
+  const double least =
+      std::ceil(settings_.minimum_host_share * static_cast<double>(decode_order_.size()));
+  const auto hosts =
+      std::min(decode_order_.size(), static_cast<std::size_t>(std::max(needed, least)));
+  // The same order at every node, without a word exchanged.
+  std::partial_sort(decode_order_.begin(),
+                    decode_order_.begin() + static_cast<std::ptrdiff_t>(hosts), decode_order_.end(),
+                    [this](EngineSlot left, EngineSlot right) {
+                      return name_hashes_[left] < name_hashes_[right];
+                    });
+  for (std::size_t i = 0; i < hosts; ++i) {
+    output_hosts_[decode_order_[i]] = true;
+  }
+}
+
+bool CostRouter::crowdsOut(EngineSlot slot, const Work& work, const PromptWork& prompt,
+                           double now) const {
+  const CostInputs& engine = estimates_.inputs(slot);
+  if (engine.role != engines::EngineRole::kDecode ||
+      prompt.uncached <= settings_.prefill_chunk_tokens) {
+    return false;
+  }
+  const double computing = OfferModel::computingSeconds(engine, prompt);
+  if (hostsOutput(slot)) {
+    return OfferModel::promptsWait(engine, now) + computing >
+           work.between_tokens_limit * settings_.host_crowding_share;
+  }
+  return computing > work.between_tokens_limit * settings_.crowding_share;
 }
 
 void CostRouter::chargeOccupancy() {
@@ -234,6 +276,7 @@
   whole_engines_.clear();
   prefill_engines_.clear();
   decode_engines_.clear();
+  chooseOutputHosts();
   Contention contention;
   for (const EngineSlot slot : narrowed_) {
     const CostInputs& engine = estimates_.inputs(slot);
@@ -247,7 +290,7 @@
     // A decode engine computes prompts as well, only slowly; a mixed one takes computed prompts.
     const Offer offer = model_.whole(engine, work, prompt, now);
     whole_engines_.push_back(
-        {offer.cost, slot, crowdsOut(engine, work, prompt.uncached), offer.occupancy});
+        {offer.cost, slot, crowdsOut(slot, work, prompt, now), offer.occupancy});
     contention.count(engine, offer);
   }
   contention_ = contention.share();
@@ -257,8 +300,10 @@
   }
   for (PricedEngine& whole : whole_engines_) {
     const double cost = model_.decode(estimates_.inputs(whole.engine), work, now).cost;
-    decode_engines_.push_back({cost, whole.engine});
-    whole.cost += whole.crowds_out ? kLatePenalty : 0.0;
+    const bool astray =
+        work.decode_tokens >= settings_.output_speed.minimum_tokens && !hostsOutput(whole.engine);
+    decode_engines_.push_back({cost + (astray ? kAstrayPenalty : 0.0), whole.engine});
+    whole.cost += (whole.crowds_out ? kLatePenalty : 0.0) + (astray ? kAstrayPenalty : 0.0);
   }
 }
 
@@ -323,7 +368,8 @@
     const CostInputs& engine = estimates_.inputs(whole.engine);
     const PromptWork prompt = promptWork(whole.engine, work);
     whole.offer = model_.whole(engine, work, prompt, now);
-    whole.offer.crowds_out = !prefill_engines_.empty() && crowdsOut(engine, work, prompt.uncached);
+    whole.offer.crowds_out =
+        !prefill_engines_.empty() && crowdsOut(whole.engine, work, prompt, now);
     whole.offer.cost += whole.offer.crowds_out ? kLatePenalty : 0.0;
     whole.offer.cost += contention_ * whole.offer.occupancy;
   }
@@ -383,8 +429,10 @@
     const double places = std::max<double>(output.maximum_streams, 1.0);
     demand.output_time =
         common::fromSeconds(work.decode_tokens * stepSeconds(output, places) / places);
+    const CostInputs& decode_engine = estimates_.inputs(selection.engine);
     demand.flexible = uncached > settings_.prefill_chunk_tokens &&
-                      !crowdsOut(estimates_.inputs(selection.engine), work, uncached);
+                      uncached * decode_engine.seconds_per_prefill_token <
+                          work.between_tokens_limit * settings_.crowding_share;
     demand.prompt_time = common::fromSeconds(model_.occupyingSeconds(engine, prompt));
   }
   demand.prefill_tokens = static_cast<std::uint64_t>(uncached);
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -74,9 +74,12 @@
   void findPrefixSource(const RouteRequest& request);
   /// \return what the engine would have to do for the prompt, copying what it lacks if it can
   PromptWork promptWork(EngineSlot slot, const Work& work) const;
+  /// Finds the decode engines on which long answers are gathered.
+  void chooseOutputHosts();
+  bool hostsOutput(EngineSlot slot) const { return output_hosts_[slot]; }
   /// \return true if `engine` is a decode engine and the prompt takes it longer than one step, and
   ///   than its streams may be held up.
-  bool crowdsOut(const CostInputs& engine, const Work& work, double uncached) const;
+  bool crowdsOut(EngineSlot slot, const Work& work, const PromptWork& prompt, double now) const;
   void priceEngines(const Work& work, double now);
   /// \return the cheapest engine. Among near equals a prompt with whole cache pieces gets the one
   ///   that its hash prefers, another the one whose turn it is; kNoEngineSlot if there is none.
@@ -132,6 +135,9 @@
   std::vector<PricedEngine> prefill_engines_;
   std::vector<PricedEngine> decode_engines_;
   std::vector<PricedEngine> equals_;
+  std::vector<EngineSlot> decode_order_;
+  /// By slot, whether long answers are gathered there.
+  std::vector<bool> output_hosts_;
   common::Counter& routed_;
   common::Counter& routed_disaggregated_;
   common::Counter& refused_overloaded_;
--- a/src/cypresswall/routing/engine_deltas.cpp
+++ b/src/cypresswall/routing/engine_deltas.cpp
@@ -76,6 +76,7 @@
   }
   delta.running_streams = load.running_streams;
   delta.waiting_streams = load.waiting_streams;
+  delta.output_streams = load.output_streams.value_or(load.running_streams);
   delta.prefill_hundreds = tokensToUnits(load.queued_prefill_tokens);
   delta.decode_hundreds = tokensToUnits(load.queued_decode_tokens);
   delta.age_centiseconds =
@@ -117,6 +118,7 @@
                   : engines::EngineRole::kMixed;
   load.running_streams = delta.running_streams;
   load.waiting_streams = delta.waiting_streams;
+  load.output_streams = delta.output_streams;
   load.queued_prefill_tokens = delta.prefill_hundreds * kTokensPerUnit;
   load.queued_decode_tokens = delta.decode_hundreds * kTokensPerUnit;
   return (delta.flags & kUnreachableFlag) == 0;
--- a/src/cypresswall/routing/engine_deltas.h
+++ b/src/cypresswall/routing/engine_deltas.h
@@ -21,6 +21,7 @@
   std::uint8_t flags = 0;
   std::uint32_t running_streams = 0;
   std::uint32_t waiting_streams = 0;
+  std::uint32_t output_streams = 0;
   std::uint32_t prefill_hundreds = 0;
   std::uint32_t decode_hundreds = 0;
   /// How long before sending the described moment was, in units of 10 ms.
@@ -28,8 +29,8 @@
   /// Tag of the rarely changing part that belongs to this load.
   std::uint16_t identity_tag = 0;
 
-  MSGPACK_DEFINE(index, flags, running_streams, waiting_streams, prefill_hundreds, decode_hundreds,
-                 age_centiseconds, identity_tag)
+  MSGPACK_DEFINE(index, flags, running_streams, waiting_streams, output_streams, prefill_hundreds,
+                 decode_hundreds, age_centiseconds, identity_tag)
 };
 
 /// The rarely changing part of a load report.
--- a/src/cypresswall/routing/offers.h
+++ b/src/cypresswall/routing/offers.h
@@ -104,6 +104,11 @@
   double occupyingSeconds(const CostInputs& engine, const PromptWork& prompt) const {
     return computingSeconds(engine, prompt) + copyingSeconds(engine, prompt.copied);
   }
+  /// \return seconds until the engine will be through with the prompts that it has
+  static double promptsWait(const CostInputs& engine, double now) {
+    const double queue = std::max(0.0, engine.queue_empty_at - now) + engine.unreported_wait;
+    return std::max(queue, backlogWait(engine, now));
+  }
   /// \return seconds that the engine computes the prompt's uncached tokens
   static double computingSeconds(const CostInputs& engine, const PromptWork& prompt) {
     return prompt.uncached * engine.seconds_per_prefill_token +
@@ -143,8 +148,7 @@
   static constexpr double kThousand = 1000;
 
   static double wait(const CostInputs& engine, double now) {
-    const double queue = std::max(0.0, engine.queue_empty_at - now) + engine.unreported_wait;
-    return std::max(queue, backlogWait(engine, now)) + engine.slot_wait;
+    return promptsWait(engine, now) + engine.slot_wait;
   }
 
   /// An engine that is late with its prompts by some time is expected to need as long again.
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -155,6 +155,15 @@
   double affinity_share = 0.1;
   /// Part of the limit between tokens for which a prompt may hold up the output of a decode engine.
   double crowding_share = 0.6;
+  /// Long answers are gathered on as few decode engines as hold them with this share of their
+  /// places taken, and one more: a step takes little longer with many streams, but a prompt between
+  /// their steps holds up all of them.
+  double output_fill = 0.5;
+  /// Share of the decode engines on which long answers are gathered at the least: reports are late,
+  /// and many answers may begin between two of them.
+  double minimum_host_share = 0.25;
+  /// Part of the limit between tokens that prompts may wait and be computed at such an engine.
+  double host_crowding_share = 0.3;
   /// A long prompt whose end was not told is forgotten when it is overdue by this.
   common::Duration backlog_expiry = std::chrono::seconds(2);
   PromptSpeedSettings prompt_speed;
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -100,6 +100,7 @@
   CPPUNIT_TEST(refusesAtOnceWithRetryAfter);
   CPPUNIT_TEST(longPromptIsTakenByAnIdleEngine);
   CPPUNIT_TEST(splitsPrefillAndDecode);
+  CPPUNIT_TEST(longAnswersAreGathered);
   CPPUNIT_TEST(longPromptsLeaveDecodeEnginesAlone);
   CPPUNIT_TEST(prefillEnginesAloneServeNothing);
   CPPUNIT_TEST(otherVersionServesDuringRollOut);
@@ -237,6 +238,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e103"), route.engine.name);
   }
 
+  /// Prompts between the steps of many streams would hold all of these up.
+  void longAnswersAreGathered() {
+    RouterWorld world(9);
+    world.load(0).role = EngineRole::kPrefill;
+    for (int i = 1; i < 9; ++i) {
+      world.load(i).role = EngineRole::kDecode;
+      world.load(i).maximum_streams = 16;
+      world.load(i).output_streams = 2;
+    }
+    world.run(std::chrono::seconds(1));
+    std::set<std::string> hosts;
+    for (int i = 0; i < 30; ++i) {
+      RouteRequest request = requestOf(100);
+      request.stream_id = "long" + std::to_string(i);
+      request.maximum_tokens = 200;
+      hosts.insert(world.route(request).engine.name);
+    }
+    // Sixteen streams half fill two engines; one more is for those to come.
+    CPPUNIT_ASSERT(hosts.size() <= 3);
+    for (int i = 0; i < 30; ++i) {
+      RouteRequest request = requestOf(4000);
+      request.stream_id = "short" + std::to_string(i);
+      request.maximum_tokens = 2;
+      const Route route = world.route(request);
+      CPPUNIT_ASSERT(route.prefill_engine.has_value() || !hosts.contains(route.engine.name));
+    }
+  }
+
   void longPromptsLeaveDecodeEnginesAlone() {
     RouterWorld world(2);
     world.load(0).role = EngineRole::kPrefill;
