--- a/bench/simulate/baseline_routers.cpp
+++ b/bench/simulate/baseline_routers.cpp
@@ -20,7 +20,7 @@
   });
   if (engines.empty()) {
     return routing::RouteRefusal{routing::RouteFailure::kOverloaded, kRetryAfter,
-                                 "no engine is available"};
+                                 "no engine is available", std::nullopt};
   }
   const routing::EngineRecord& record = table().record(pick(engines));
   routing::Route route;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -106,6 +106,7 @@
 }
 
 void ModelRequest::onRefused(const routing::RouteRefusal& refusal) {
+  logRefusal(refusal);
   if (resuming() && core_.process.clock.now() < resume_until_) {
     // The caller reads a half-given answer: look again, also on engines that failed before.
     excluded_.clear();
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -80,6 +80,7 @@
   void recordAttempt();
   void recordResult(const std::string& result);
   void logRoute() const;
+  void logRefusal(const routing::RouteRefusal& refusal) const;
   void logPrompt() const;
   void logFirstToken() const;
   std::int64_t millisecondsSinceRouted() const;
--- a/src/cypresswall/execution/model_request_log.cpp
+++ b/src/cypresswall/execution/model_request_log.cpp
@@ -34,6 +34,22 @@
       .field("time_left_ms", inMilliseconds(timeToFirstToken()));
 }
 
+void ModelRequest::logRefusal(const routing::RouteRefusal& refusal) const {
+  if (!refusal.best) {
+    return;
+  }
+  const routing::RefusedOffer& best = *refusal.best;
+  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "request_refused")
+      .field("request", call_.request_id)
+      .field("service", call_.service)
+      .field("engine", best.engine)
+      .field("expected_wait_ms", inMilliseconds(best.expected_wait))
+      .field("expected_first_token_ms", inMilliseconds(best.expected_first_token))
+      .field("limit_ms", inMilliseconds(best.first_token_limit))
+      .field("report_age_ms", inMilliseconds(best.report_age))
+      .field("retry_after_ms", inMilliseconds(refusal.retry_after));
+}
+
 void ModelRequest::logPrompt() const {
   common::LogEvent(core_.process.log, common::LogLevel::kInfo, "prompt_computed")
       .field("request", call_.request_id)
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -494,6 +494,11 @@
   refusal.reason = RouteFailure::kOverloaded;
   refusal.retry_after = boundedRetry(relief + after_promised);
   refusal.message = "no engine of model " + model + " can meet the request's limits now";
+  const EngineRecord& record = table_.record(best.computing());
+  refusal.best = RefusedOffer{record.declaration.name, common::fromSeconds(best.offer.wait),
+                              common::fromSeconds(best.offer.first_token),
+                              common::fromSeconds(work.first_token_limit),
+                              context_.clock.now() - record.observed_at};
   return refusal;
 }
 
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -60,12 +60,24 @@
   kOverloaded,    ///< no engine can meet the limits; see RouteRefusal
 };
 
+/// The best engine for a refused request, and what it would have made of it.
+struct RefusedOffer {
+  common::EngineName engine;
+  common::Duration expected_wait{0};
+  common::Duration expected_first_token{0};
+  common::Duration first_token_limit{0};
+  /// Age of the engine's report behind these estimates.
+  common::Duration report_age{0};
+};
+
 /// Why no engine was chosen.
 struct RouteRefusal {
   RouteFailure reason = RouteFailure::kOverloaded;
   /// When an attempt would probably be admitted, from the queues' drain time.
   common::Duration retry_after{0};
   std::string message;
+  /// Empty if no engine was available.
+  std::optional<RefusedOffer> best;
 };
 
 using RouteChoice = std::variant<Route, RouteRefusal>;
--- a/tests/execution/fake_engines.cpp
+++ b/tests/execution/fake_engines.cpp
@@ -173,7 +173,8 @@
   };
   const auto engine = std::find_if_not(names.begin(), names.end(), excluded);
   if (refuses || engine == names.end()) {
-    return routing::RouteRefusal{routing::RouteFailure::kOverloaded, retry_after, "full"};
+    return routing::RouteRefusal{routing::RouteFailure::kOverloaded, retry_after, "full",
+                                 std::nullopt};
   }
   routing::Route route;
   route.engine = {*engine, *engine + ":1"};
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -215,6 +215,8 @@
     // 50,000 tokens at 10,000 a second leave about 3.8 s until a first token within 1.3 s.
     CPPUNIT_ASSERT(refusal.retry_after > std::chrono::seconds(3));
     CPPUNIT_ASSERT(refusal.retry_after < std::chrono::seconds(6));
+    CPPUNIT_ASSERT_EQUAL(std::string("e100"), refusal.best.value().engine);
+    CPPUNIT_ASSERT(refusal.best->expected_wait > std::chrono::seconds(3));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.directory->demand().take().at("m").refused);
   }
 
