--- a/tests/planning/disaggregated_planner_test.cpp
+++ b/tests/planning/disaggregated_planner_test.cpp
@@ -180,7 +180,7 @@
   /// more as prefill engines.
   void promptsOfEitherRoleMoveIdleDecodeEngines() {
     PlanningInput input = zoneOf(8, 16);
-    DemandRate rate = demandOf(8, 20);
+    DemandRate rate = demandOf(6, 24);
     rate.flexible_prefill_seconds = rate.prefill_engine_seconds;
     rate.flexible_decode_seconds = rate.decode_engine_seconds;
     rate.flexible_decode_requests_per_second = 100;
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -255,7 +255,9 @@
       RouteRequest request = requestOf(100);
       request.stream_id = "long" + std::to_string(i);
       request.maximum_tokens = 200;
-      hosts.insert(world.route(request).engine.name);
+      const Route route = world.route(request);
+      world.router->attemptStarted(request, route);
+      hosts.insert(route.engine.name);
     }
     // Sixteen streams half fill two engines; one more is for those to come.
     CPPUNIT_ASSERT(hosts.size() <= 3);
