--- a/src/cypresswall/routing/engine_deltas.cpp
+++ b/src/cypresswall/routing/engine_deltas.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double kPicosecondsPerSecond = 1e12;
+/// Longer times are told as this one: 4 ms for a token.
+constexpr double kMostPicoseconds = 4e9;
 
 constexpr std::uint64_t kTokensPerUnit = 100;
 constexpr auto kAgeUnit = std::chrono::milliseconds(10);
@@ -102,8 +104,8 @@
   identity.prefill_base_us = static_cast<std::uint32_t>(load.prefill_base.count());
   identity.prefill_pair_picoseconds =
       static_cast<std::uint32_t>(load.prefill_seconds_per_pair * kPicosecondsPerSecond);
-  identity.kv_token_picoseconds =
-      static_cast<std::uint32_t>(load.kv_seconds_per_token * kPicosecondsPerSecond);
+  identity.kv_token_picoseconds = static_cast<std::uint32_t>(
+      std::min(load.kv_seconds_per_token * kPicosecondsPerSecond, kMostPicoseconds));
   return identity;
 }
 
