--- a/src/cypresswall/planning/disaggregated_planner.cpp
+++ b/src/cypresswall/planning/disaggregated_planner.cpp
@@ -92,7 +92,7 @@
   work.output_seconds = state.decode_speed > 0 && demand.output_seconds <= 0
                             ? demand.decode_tokens_per_second / state.decode_speed
                             : demand.output_seconds;
-  const double slowness = 1.0 / settings_.decode_prompt_share;
+  const double slowness = 1.0 / settings_.capacity.decode_prefill_share;
   const double fixed_prefill = demand.prefill_engine_seconds - demand.flexible_prefill_seconds;
   const double fixed_decode = demand.decode_engine_seconds - demand.flexible_decode_seconds;
   // In seconds of prefill engines.
--- a/src/cypresswall/planning/disaggregated_planner.h
+++ b/src/cypresswall/planning/disaggregated_planner.h
@@ -30,8 +30,6 @@
   /// take a role away.
   double minimum_share = 0.3;
   std::uint32_t minimum_engines = 2;
-  /// Speed of a decode engine with prompts, as a part of that of a prefill engine.
-  double decode_prompt_share = 0.5;
 };
 
 class DisaggregatedPlanner final : public Planner {
--- a/src/cypresswall/routing/long_prompts.cpp
+++ b/src/cypresswall/routing/long_prompts.cpp
@@ -27,13 +27,6 @@
 
 LongPrompts::~LongPrompts() { exchange_.setListener(nullptr); }
 
-common::PromptShape LongPrompts::Computing::shape() const {
-  common::PromptShape shape;
-  shape.pieces = pieces;
-  shape.piece_ends = piece_ends;
-  return shape;
-}
-
 LongPrompts::Engine& LongPrompts::engineAt(EngineSlot slot) {
   if (slot >= engines_.size()) {
     engines_.resize(static_cast<std::size_t>(slot) + 1);
@@ -82,7 +75,7 @@
   const double promised = work.copied > 0 ? 0
                                           : OfferModel::computingSeconds(inputs, work) /
                                                 estimates_.estimate(slot).prompt_speed.scale;
-  engine.computing.push_back({key, prompt.pieces, prompt.piece_ends, held, output, promised});
+  engine.computing.push_back({key, prompt.shape(), held, output, promised});
   publishBacklog(slot);
 }
 
@@ -105,19 +98,18 @@
 
 void LongPrompts::settlePieces(EngineSlot slot, const Computing& ended, bool computed) {
   if (!computed) {
-    for (std::size_t i = ended.held; i < ended.pieces.size(); ++i) {
+    for (std::size_t i = ended.held; i < ended.shape.pieces.size(); ++i) {
       // Another prompt may be computing the same piece.
-      if (!beingComputed(slot, ended.pieces[i])) {
-        prefixes_.removed(slot, ended.pieces[i]);
+      if (!beingComputed(slot, ended.shape.pieces[i])) {
+        prefixes_.removed(slot, ended.shape.pieces[i]);
       }
     }
     return;
   }
   // Said once more: a prompt that was to compute them before this one may have been given up.
-  const common::PromptShape shape = ended.shape();
-  prefixes_.usedBy(slot, shape, clock_.now());
+  prefixes_.usedBy(slot, ended.shape, clock_.now());
   if (ended.output != kNoEngineSlot) {
-    prefixes_.usedBy(ended.output, shape, clock_.now());
+    prefixes_.usedBy(ended.output, ended.shape, clock_.now());
   }
 }
 
@@ -159,8 +151,8 @@
   }
   const auto& computing = engines_[engine].computing;
   return std::any_of(computing.begin(), computing.end(), [&](const Computing& entry) {
-    const auto first_new = entry.pieces.begin() + static_cast<std::ptrdiff_t>(entry.held);
-    return std::find(first_new, entry.pieces.end(), piece) != entry.pieces.end();
+    const auto first_new = entry.shape.pieces.begin() + static_cast<std::ptrdiff_t>(entry.held);
+    return std::find(first_new, entry.shape.pieces.end(), piece) != entry.shape.pieces.end();
   });
 }
 
@@ -170,12 +162,11 @@
 }
 
 void LongPrompts::refresh(EngineSlot engine) {
-  engineAt(engine);
+  Engine& state = engineAt(engine);
   publishSpeed(engine);
-  if (engineAt(engine).backlog.empty()) {
+  if (state.backlog.empty()) {
     return;
   }
-  Engine& state = engineAt(engine);
   state.backlog.expire(now(), common::toSeconds(settings_.backlog_expiry));
   std::erase_if(state.computing,
                 [&](const Computing& entry) { return !state.backlog.holds(entry.key); });
@@ -200,10 +191,7 @@
 void LongPrompts::onPeerStarted(EngineSlot engine, EngineSlot output, PromptKey key,
                                 const StartedPrompt& prompt) {
   add(engine, output, key, prompt);
-  common::PromptShape shape;
-  shape.pieces = prompt.pieces;
-  shape.piece_ends = prompt.piece_ends;
-  prefixes_.usedBy(engine, shape, clock_.now());
+  prefixes_.usedBy(engine, prompt.shape(), clock_.now());
 }
 
 void LongPrompts::onPeerEnded(EngineSlot engine, PromptKey key, const EndedPrompt& prompt) {
--- a/src/cypresswall/routing/long_prompts.h
+++ b/src/cypresswall/routing/long_prompts.h
@@ -57,16 +57,12 @@
   /// Pieces that one prompt makes an engine hold.
   struct Computing {
     PromptKey key = 0;
-    std::vector<common::PieceHash> pieces;
-    /// As in PromptShape.
-    std::vector<std::uint32_t> piece_ends;
+    common::PromptShape shape;
     /// So many of them, from the first on, it held before.
     std::size_t held = 0;
     EngineSlot output = kNoEngineSlot;
     /// Seconds that the engine's declared speed promises; zero if a copy is part of it.
     double promised = 0;
-
-    common::PromptShape shape() const;
   };
   struct Engine {
     PromptBacklog backlog;
--- a/src/cypresswall/routing/prefix_index.h
+++ b/src/cypresswall/routing/prefix_index.h
@@ -36,8 +36,8 @@
   /// \param tokens length of the piece; zero takes the length known of it, or the usual one
   void stored(EngineSlot engine, common::PieceHash piece, std::uint32_t tokens,
               common::MonotonicTime now);
-  /// Notes that a prompt of this shape uses its first `pieces` pieces at `engine`. The start of a
-  /// prompt outlives its end.
+  /// Notes that a prompt of this shape uses its pieces at `engine`. The start of a prompt outlives
+  /// its end.
   void usedBy(EngineSlot engine, const common::PromptShape& shape, common::MonotonicTime now);
   /// Notes that `engine` does not hold `piece`.
   void removed(EngineSlot engine, common::PieceHash piece);
--- a/src/cypresswall/routing/work_exchange.h
+++ b/src/cypresswall/routing/work_exchange.h
@@ -31,6 +31,14 @@
   /// prompt stays where it is.
   common::EngineName output_engine;
 
+  /// \return the pieces as a shape, without the length of the whole prompt
+  common::PromptShape shape() const {
+    common::PromptShape shape;
+    shape.pieces = pieces;
+    shape.piece_ends = piece_ends;
+    return shape;
+  }
+
   MSGPACK_DEFINE(engine, number, uncached_tokens, copied_tokens, cached_tokens, pieces, held_pieces,
                  piece_ends, output_engine)
 };
