Name one position in a continued answer, and pass no piece on twice

Cause: fields that only the system sets were dropped from a caller's request, but not the position in an answer, which callers set as well when they take an answer up at another node. A node that had to continue such an answer added its own position behind the caller's; the engine went by the first one and gave again what the caller had since received. An attempt that gives a piece at or below the last one fails, and nothing of it reaches the caller. Events without identifier (comments) mark no position; an answer that has none is ended rather than begun anew behind what the caller has.

--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -198,8 +198,8 @@
   std::uint32_t maximum_tokens = 0;
   /// Number of output tokens that the caller already has; the stream starts with the next.
   std::uint32_t resume_from = 0;
-  /// Text of the last token that the caller has; empty unless `resume_from` is above zero and the
-  /// request is passed through.
+  /// Text of the last token given to the caller that marks a position in the answer; empty if there
+  /// was none, or if the request isn't passed through.
   std::string last_token;
   StreamPhase phase = StreamPhase::kWhole;
   /// For kDecodeOnly: address of the engine that holds the KV cache of this stream_id.
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -174,7 +174,7 @@
 void ModelRequest::onAttemptToken(std::uint32_t index, const std::string& text) {
   const auto self = shared_from_this();
   tokens_given_ = index + 1;
-  if (call_.pass_through) {
+  if (call_.pass_through && core_.engines.marksPosition(text)) {
     last_token_ = text;
   }
   record_->tokens_given = tokens_given_;
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -71,6 +71,9 @@
   bool attemptRuns() const;
   std::uint32_t maximumRuns() const;
   bool resuming() const { return tokens_given_ > 0; }
+  /// Whether another engine can be told where to go on. Without it the answer would begin anew
+  /// behind what the caller has.
+  bool canGoOn() const { return !resuming() || !call_.pass_through || !last_token_.empty(); }
 
   void giveUp(ErrorKind kind, const std::string& message, common::Duration retry_after);
   /// Ends everything but the observer's last call.
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -91,6 +91,12 @@
   if (token_seen_in_attempt_) {
     resume_until_ = core_.process.clock.now() + core_.settings.resume_time_limit;
   }
+  if (!canGoOn()) {
+    may_have_run_ = true;
+    giveUp(ErrorKind::kBackendFailed, message + "; no position to go on from",
+           core_.settings.default_retry_after);
+    return;
+  }
   if (provedNotRun(failure)) {
     retryAfterNoRun(failure, message);
     return;
--- a/tests/execution/fake_engines.h
+++ b/tests/execution/fake_engines.h
@@ -45,6 +45,7 @@
   std::unique_ptr<engines::Stream> startStream(const engines::EngineEndpoint& engine,
                                                engines::StreamRequest request,
                                                engines::StreamHandler& handler) override;
+  bool marksPosition(const std::string& token) const override { return unmarked.count(token) == 0; }
   void sendOrder(const engines::EngineEndpoint&, const engines::EngineOrder&,
                  engines::EngineCallback<engines::OrderReply>) override {}
   void fetchLoad(const engines::EngineEndpoint&,
@@ -53,6 +54,8 @@
                         engines::EngineCallback<engines::CacheEvents>) override {}
 
   std::vector<StreamScript> scripts;
+  /// Tokens that mark no position to go on from.
+  std::set<std::string> unmarked;
   std::uint32_t answer_tokens = 12;
   common::Duration token_time = std::chrono::milliseconds(20);
   /// Every stream started, with the engine that it went to.
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -7,6 +7,7 @@
 namespace cypresswall::execution {
 namespace {
 
+using testing::expectedToken;
 using testing::RecordingObserver;
 using testing::StreamScript;
 using Kind = StreamScript::Kind;
@@ -19,6 +20,8 @@
 class ModelRequestTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ModelRequestTest);
   CPPUNIT_TEST(passesTheRequestThroughAndTheHeadOnce);
+  CPPUNIT_TEST(goesOnBehindTheLastMarkedPosition);
+  CPPUNIT_TEST(answerWithoutAPositionIsNotBegunAnew);
   CPPUNIT_TEST(requestThatMayHaveRunIsNotRepeated);
   CPPUNIT_TEST(requestThatDidNotRunIsRepeated);
   CPPUNIT_TEST(failedPrefillIsRepeated);
@@ -70,6 +73,29 @@
     }
   }
 
+  void goesOnBehindTheLastMarkedPosition() {
+    World world;
+    world.engines.scripts = {{Kind::kBrokenAt, 5}};
+    world.engines.unmarked = {expectedToken("ask", 4)};
+    RecordingObserver observer;
+    const auto handle = world.executor.start(passedThrough("ask"), observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT_EQUAL(expectedToken("ask", 3), world.engines.started.at(1).second.last_token);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{5}, world.engines.started.at(1).second.resume_from);
+  }
+
+  void answerWithoutAPositionIsNotBegunAnew() {
+    World world;
+    world.engines.scripts = {{Kind::kBrokenAt, 2}};
+    world.engines.unmarked = {expectedToken("ask", 0), expectedToken("ask", 1)};
+    RecordingObserver observer;
+    const auto handle = world.executor.start(passedThrough("ask"), observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.engines.started.size());
+    CPPUNIT_ASSERT(observer.error.has_value());
+    CPPUNIT_ASSERT(observer.error->outcome == Outcome::kUnknown);
+  }
+
   void requestThatMayHaveRunIsNotRepeated() {
     for (const StreamScript script :
          {StreamScript{Kind::kBrokenAt, 0}, {Kind::kBrokenAt, 5}, {Kind::kLosesAt, 2}}) {
@@ -299,6 +325,13 @@
   }
 
  private:
+  static ModelCall passedThrough(const std::string& body) {
+    auto call = World::call("");
+    call.pass_through = std::make_shared<const engines::PassThroughRequest>(
+        engines::PassThroughRequest{"POST", "/chat", {}, body});
+    return call;
+  }
+
   static void assertNothingHeld(const World& world) {
     CPPUNIT_ASSERT_EQUAL(0, world.admission.held);
     CPPUNIT_ASSERT_EQUAL(0, world.router.open);
--- a/tests/objects_platform/engine_client/engine_client_test.cpp
+++ b/tests/objects_platform/engine_client/engine_client_test.cpp
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(aContinuedAnswerNamesOnePosition);
   CPPUNIT_TEST(aCallersPositionIsPassedOnUntilAPieceCame);
   CPPUNIT_TEST(fieldsOfTheSystemReplaceTheCallers);
+  CPPUNIT_TEST(aPieceThatTheCallerHasIsNotPassedOn);
+  CPPUNIT_TEST(eventsWithoutIdentifierMarkNoPosition);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -92,6 +94,18 @@
     }
   }
 
+  void aPieceThatTheCallerHasIsNotPassedOn() {
+    server_.answer(std::string(kHead) + "id: 21\ndata: a\n\nid: 21\ndata: a\n\n", true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run(resumedCall()).size());
+    server_.answer(std::string(kHead) + "id: 20\ndata: a\n\n", true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run(resumedCall()).size());
+  }
+
+  void eventsWithoutIdentifierMarkNoPosition() {
+    CPPUNIT_ASSERT(client_.marksPosition("id: 7\ndata: a\n\n"));
+    CPPUNIT_ASSERT(!client_.marksPosition(": still there\n\n"));
+  }
+
  private:
   /// A call whose caller has the pieces up to 20 from an earlier connection.
   static engines::StreamRequest resumedCall() {
