Round the speeds of engines that peers are told, and ask seldom for what can't match

Cause of the collapse of the larger site: an engine's figures go to peers in whole units, cut off rather than rounded. At three values in a hundred, the time of a copied token there among them (2,016,492 ps), a peer that turns what it took in into units again gets one less, so the tag of what it was told never matches. It asked for the identity, took the answer for unknown too and asked again at once, at the pace of the answers, for every engine, at every node; engines known by peers' word only counted as unknown, and requests were refused. Ruled out: foretold caches, notices of prompts, gathered answers and packed differences of the configuration: the nodes were as busy before the first request, and the other larger sites, whose values round well, were not. Change: figures are rounded, which makes telling and taking in exact; an identity that doesn't match is asked for once a second at most and counted.

--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -23,6 +23,10 @@
 /// Above this many, sequence numbers of peers that are gone are forgotten.
 constexpr std::size_t kMaximumRememberedPeers = 64;
 constexpr auto kAgeUnit = std::chrono::milliseconds(10);
+/// An engine's identity is asked for again after this. The answer to a request takes some ten
+/// milliseconds; a peer whose answers never match (another build's, say) must not be asked at the
+/// pace of its answers.
+constexpr auto kIdentityRetry = std::chrono::seconds(1);
 /// Significance of a change of state, role or identity.
 constexpr double kUrgentSignificance = 1000.0;
 
@@ -48,6 +52,9 @@
                                                "Engine deltas dropped: other engine list")),
       late_messages_(context.counters.counter("cypresswall_engine_deltas_late_total",
                                               "Engine deltas dropped: late or doubled")),
+      unmatched_identities_(
+          context.counters.counter("cypresswall_engine_identities_unmatched_total",
+                                   "Engine views not taken in: their identity isn't known here")),
       identity_requests_(context.counters.counter("cypresswall_engine_identity_requests_total",
                                                   "Requests for missing parts of engine views")) {
   context_.dispatcher.handle<EngineDeltas>(
@@ -252,6 +259,7 @@
   }
   if (identities_digest_ != message.roster_digest) {
     identities_.clear();
+    asked_.clear();
     identities_digest_ = message.roster_digest;
   }
   for (const EngineIdentity& identity : message.identities) {
@@ -267,6 +275,16 @@
   }
 }
 
+bool DeltaExchange::mayAskFor(std::uint16_t index) {
+  const common::MonotonicTime now = context_.clock.now();
+  const auto [asked, first] = asked_.try_emplace(index, now);
+  if (!first && now - asked->second < kIdentityRetry) {
+    return false;
+  }
+  asked->second = now;
+  return true;
+}
+
 void DeltaExchange::applyChanges(const EngineDeltas& message, std::set<std::uint16_t>& unknown) {
   const common::MonotonicTime now = context_.clock.now();
   for (const EngineDelta& delta : message.changed) {
@@ -281,7 +299,10 @@
       applyIdentity(identity->second, observation.load);
     }
     if (identityTag(observation.load) != delta.identity_tag) {
-      unknown.insert(delta.index);
+      unmatched_identities_.add();
+      if (mayAskFor(delta.index)) {
+        unknown.insert(delta.index);
+      }
       continue;
     }
     unknown.erase(delta.index);
--- a/src/cypresswall/routing/delta_exchange.h
+++ b/src/cypresswall/routing/delta_exchange.h
@@ -61,6 +61,8 @@
   EngineSlot slotAt(std::uint16_t index) const;
 
   void onDeltas(const common::NodeId& sender, const EngineDeltas& message);
+  /// \return true unless the identity of the engine at `index` was asked for lately
+  bool mayAskFor(std::uint16_t index);
   void applyChanges(const EngineDeltas& message, std::set<std::uint16_t>& unknown);
   void applyConfirmations(const EngineDeltas& message, std::set<std::uint16_t>& unknown);
   void applyHeard(const EngineDeltas& message);
@@ -82,6 +84,8 @@
   std::map<common::NodeId, std::uint64_t> received_;
   std::map<std::uint16_t, EngineIdentity> identities_;
   std::uint32_t identities_digest_ = 0;
+  /// When an engine's identity was last asked for since it didn't match.
+  std::map<std::uint16_t, common::MonotonicTime> asked_;
   std::deque<CacheHint> hints_;
   common::Counter& sent_bytes_;
   common::Counter& sent_messages_;
@@ -89,6 +93,7 @@
   common::Counter& dropped_hints_;
   common::Counter& foreign_roster_;
   common::Counter& late_messages_;
+  common::Counter& unmatched_identities_;
   common::Counter& identity_requests_;
 };
 
--- a/src/cypresswall/routing/engine_deltas.cpp
+++ b/src/cypresswall/routing/engine_deltas.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr double kPicosecondsPerSecond = 1e12;
-/// Longer times are told as this one: 4 ms for a token.
-constexpr double kMostPicoseconds = 4e9;
+/// Larger figures are told as this one: 4 ms a token in picoseconds, 4e9 tokens a second.
+constexpr double kMostUnits = 4e9;
 
 constexpr std::uint64_t kTokensPerUnit = 100;
 constexpr auto kAgeUnit = std::chrono::milliseconds(10);
@@ -29,6 +29,13 @@
   return static_cast<std::uint32_t>((tokens + kTokensPerUnit / 2) / kTokensPerUnit);
 }
 
+/// Rounds to whole units. Cut off in place of that, what a peer takes in would at some values be
+/// one unit less when it is told again, and would never match the tag of what it was told: peers
+/// then ask for the identity again and again.
+std::uint32_t wholeUnits(double value) {
+  return static_cast<std::uint32_t>(std::llround(std::clamp(value, 0.0, kMostUnits)));
+}
+
 double difference(std::uint32_t left, std::uint32_t right) {
   return std::abs(static_cast<double>(left) - static_cast<double>(right));
 }
@@ -96,16 +103,14 @@
   identity.adapters = load.adapters;
   identity.maximum_streams = load.maximum_streams;
   identity.cache_pieces_total = load.cache_pieces_total;
-  identity.prefill_tokens_per_second =
-      static_cast<std::uint32_t>(std::max(0.0, load.prefill_tokens_per_second));
+  identity.prefill_tokens_per_second = wholeUnits(load.prefill_tokens_per_second);
   identity.decode_step_base_us = static_cast<std::uint32_t>(load.decode_step_base.count());
   identity.decode_step_per_stream_us =
       static_cast<std::uint32_t>(load.decode_step_per_stream.count());
   identity.prefill_base_us = static_cast<std::uint32_t>(load.prefill_base.count());
   identity.prefill_pair_picoseconds =
-      static_cast<std::uint32_t>(load.prefill_seconds_per_pair * kPicosecondsPerSecond);
-  identity.kv_token_picoseconds = static_cast<std::uint32_t>(
-      std::min(load.kv_seconds_per_token * kPicosecondsPerSecond, kMostPicoseconds));
+      wholeUnits(load.prefill_seconds_per_pair * kPicosecondsPerSecond);
+  identity.kv_token_picoseconds = wholeUnits(load.kv_seconds_per_token * kPicosecondsPerSecond);
   return identity;
 }
 
