--- a/tests/objects_platform/relayed_watch_test.cpp
+++ b/tests/objects_platform/relayed_watch_test.cpp
@@ -50,6 +50,10 @@
   CPPUNIT_TEST_SUITE(RelayedWatchTest);
   CPPUNIT_TEST(runnersReachTheNodeThatDoesNotRead);
   CPPUNIT_TEST(unreadableContentIsNoRunner);
+  CPPUNIT_TEST(anAnswerUnderWayIsAwaited);
+  CPPUNIT_TEST(aReplyThatCannotBeGivenIsNotAskedForWhileTheStoreAnswers);
+  CPPUNIT_TEST(anOlderAnswerOfTheStoreLeavesTheBaseOfDifferences);
+  CPPUNIT_TEST(aDifferenceThatCannotBeAppliedIsNotTaken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,7 +77,74 @@
     CPPUNIT_ASSERT(other_->runners.findById("i-3") != nullptr);
   }
 
+  // Seen: a node handled a request by a version whose successor was confirmed 5 s before.
+  // How it may come about: a large change that no reader can give has to come from the store, which
+  // takes seconds on a busy link; each further announcement makes the node ask a reader again, who
+  // has nothing, and the call under way is dropped for a new one.
+  void anAnswerUnderWayIsAwaited() {
+    begin();
+    announceLargeChange();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_->store.calls.size());
+    runWithReader(seconds(2));
+    other_->store.answer(200, eventsJson(9, {{objectJson("i-1", 9, large_), false}}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, other_->watch.revision());
+  }
+
+  void aReplyThatCannotBeGivenIsNotAskedForWhileTheStoreAnswers() {
+    begin();
+    announceLargeChange();
+    runWithReader(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_->store.calls.size());
+  }
+
+  /// An own call may have been answered by the store before the change that a peer gave meanwhile.
+  void anOlderAnswerOfTheStoreLeavesTheBaseOfDifferences() {
+    begin();
+    other_->watch.askStore();
+    store_relay::ChangePacker peer;
+    const auto version = [](int number) {
+      return wire::Json{{"version", number}, {"filler", std::string(5000, 'x')}};
+    };
+    CPPUNIT_ASSERT(other_->watch.takeChanges({peer.packPut("main", 9, version(1))}, 9));
+    CPPUNIT_ASSERT(other_->watch.takeChanges({peer.packPut("main", 11, version(2))}, 11));
+    other_->store.answer(200, eventsJson(9, {{objectJson("main", 9, version(1).dump()), false}}));
+    CPPUNIT_ASSERT(other_->watch.takeChanges({peer.packPut("main", 13, version(3))}, 13));
+  }
+
+  void aDifferenceThatCannotBeAppliedIsNotTaken() {
+    begin();
+    store_relay::ChangePacker peer;
+    const wire::Json content = {{"filler", std::string(5000, 'x')}};
+    CPPUNIT_ASSERT(other_->watch.takeChanges({peer.packPut("main", 9, content)}, 9));
+    store_relay::StoreChange broken{"main", 11, false, "?"};
+    broken.encoding = store_relay::ContentEncoding::kPackedDifference;
+    broken.base_revision = 9;
+    CPPUNIT_ASSERT(!other_->watch.takeChanges({broken}, 11));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, other_->watch.revision());
+  }
+
  private:
+  /// The reader learns of a change that is too large for a reply.
+  void announceLargeChange() {
+    std::string filler;
+    while (filler.size() < 400'000) {
+      filler += "0123456789abcdef"[random_.below(16)];
+    }
+    large_ = R"({"filler": ")" + filler + R"("})";
+    reader_->store.answer(200, eventsJson(9, {{objectJson("i-1", 9, large_), false}}));
+    simulation_.time().runFor(milliseconds(10));
+  }
+  /// Time passes, and the store goes on to tell the reader that nothing changed.
+  void runWithReader(common::Duration time) {
+    constexpr auto kStep = milliseconds(100);
+    for (common::Duration passed{0}; passed < time; passed += kStep) {
+      simulation_.time().runFor(kStep);
+      if (!reader_->store.calls.empty()) {
+        reader_->store.answer(200, eventsJson(9, {}));
+      }
+    }
+  }
+
   /// Both have listed at revision 7, and one of them reads the store for both.
   void begin() {
     const std::vector<membership::Member> members = {
@@ -94,6 +165,8 @@
     CPPUNIT_ASSERT(!other_->watch.asking());
   }
 
+  common::SeededRandom random_{7};
+  std::string large_;
   simulation::Simulation simulation_{1};
   RelayNode first_{simulation_, "10.0.0.1:7000"};
   RelayNode second_{simulation_, "10.0.0.2:7000"};
--- a/tests/store_relay/store_relay_test.cpp
+++ b/tests/store_relay/store_relay_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(readersThatTheStoreIgnoresAreNotReliedOn);
   CPPUNIT_TEST(nodeCutFromItsPeersAsksTheStore);
   CPPUNIT_TEST(lostRepliesAreMadeUpByTheStore);
+  CPPUNIT_TEST(repliesThatComeLateAreTaken);
   CPPUNIT_TEST(waitingCallComesFirst);
   CPPUNIT_TEST(convergesUnderFaults);
   CPPUNIT_TEST_SUITE_END();
@@ -167,6 +168,26 @@
     CPPUNIT_ASSERT_EQUAL(1.0, zone.total("cypresswall_store_relay_unanswered_total"));
   }
 
+  /// Peers' links and the store's are slow at once.
+  void repliesThatComeLateAreTaken() {
+    for (const int way : {90, 110, 130, 150, 200, 300, 400}) {
+      RelayZone zone(9);
+      zone.run(kSettled);
+      simulation::LinkSettings slow;
+      slow.delay = milliseconds(way);
+      zone.simulation.network().setLink(testing::kZone, testing::kZone, slow);
+      zone.run(seconds(2));
+      for (const auto& node : zone.nodes) {
+        if (!zone.reads(node)) {
+          zone.store.silent_to.push_back(node.process->id().address);
+        }
+      }
+      zone.store.put("a", "1");
+      zone.run(seconds(3));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(way) + " ms one way", 0, zone.nodesBehind());
+    }
+  }
+
   /// A storm of configurations after a silent store once broke a bound of 2 s with more patience.
   void waitingCallComesFirst() {
     RelayZone zone(3);
