--- a/tests/objects_platform/relayed_watch_test.cpp
+++ b/tests/objects_platform/relayed_watch_test.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(aReplyThatCannotBeGivenIsNotAskedForWhileTheStoreAnswers);
   CPPUNIT_TEST(anOlderAnswerOfTheStoreLeavesTheBaseOfDifferences);
   CPPUNIT_TEST(aDifferenceThatCannotBeAppliedIsNotTaken);
+  CPPUNIT_TEST(aReadersCallOutlastsALargeAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -123,6 +124,18 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, other_->watch.revision());
   }
 
+  /// A configuration of 1,900 routes has some 460 KB. A call that is cut before its answer is whole
+  /// is made again and cut again.
+  void aReadersCallOutlastsALargeAnswer() {
+    begin();
+    constexpr double kLargeBytes = 460e3;
+    const store_relay::StoreRelaySettings settings;
+    const double transfer = kLargeBytes / static_cast<double>(settings.slow_bytes_per_second);
+    const auto limit = reader_->store.calls.back().request.total_time_limit;
+    CPPUNIT_ASSERT(limit == common::Duration{0} ||
+                   limit >= settings.reader_poll_time + common::fromSeconds(transfer));
+  }
+
  private:
   /// The reader learns of a change that is too large for a reply.
   void announceLargeChange() {
