Await the store's answer to an outdated node, and let no node serve an outdated fleet for long

Cause, by review and tests that failed first: a change that no reader could give was asked for at the store, and asked for again at each announcement that followed, which dropped the call under way; over a busy link its answer never counted. An older answer of an own call replaced the base of packed differences. Replies that came after their time limit were thrown away. A node that knew itself behind went on by its old routes without limit.

--- a/src/cypresswall/store_relay/change_packer.cpp
+++ b/src/cypresswall/store_relay/change_packer.cpp
@@ -31,6 +31,10 @@
 
 void ChangePacker::keep(const std::string& name, std::uint64_t revision, const Json& content,
                         std::size_t bytes) {
+  const auto held = large_.find(name);
+  if (held != large_.end() && held->second.revision > revision) {
+    return;
+  }
   if (bytes < settings_.packed_from_bytes) {
     large_.erase(name);
   } else {
--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -156,6 +156,9 @@
   }
   followed->heard_time = context_.clock.now();
   if (announcement.changed > followed->announced) {
+    if (!behind(*followed)) {
+      followed->behind_since = context_.clock.now();
+    }
     followed->announced = announcement.changed;
     followed->announced_bytes = announcement.bytes;
   }
@@ -165,7 +168,8 @@
     }
     return;
   }
-  if (followed->pull_timer != 0) {
+  const bool sender_lacks_it = announcement.changed <= followed->copy.revision();
+  if (followed->pull_timer != 0 || sender_lacks_it) {
     return;
   }
   const auto topic = static_cast<Topic>(announcement.topic);
@@ -210,7 +214,7 @@
   followed.pull_timer = 0;
   if (behind(followed)) {
     unanswered_pulls_.add();
-    followed.copy.askStore();
+    askStore(followed);
   }
 }
 
@@ -230,14 +234,19 @@
   context_.sendTo(sender, reply);
 }
 
+/// A reply that comes after its time limit still tells what it tells.
 void StoreRelay::onReply(const common::NodeId& sender, const ChangesReply& reply) {
   Followed* const followed = find(reply.topic);
-  if (followed == nullptr || followed->pull_timer == 0) {
+  if (followed == nullptr) {
     return;
   }
-  context_.scheduler.cancel(std::exchange(followed->pull_timer, 0));
+  const bool awaited = followed->pull_timer != 0;
   const bool useful = reply.available && reply.revision > followed->copy.revision() &&
                       take(*followed, reply.changes, reply.revision);
+  if (!awaited && !useful) {
+    return;
+  }
+  context_.scheduler.cancel(std::exchange(followed->pull_timer, 0));
   if (!behind(*followed)) {
     return;
   }
@@ -245,8 +254,26 @@
     pull(static_cast<Topic>(reply.topic), sender);
   } else {
     unavailable_.add();
-    followed->copy.askStore();
+    askStore(*followed);
+  }
+}
+
+void StoreRelay::askStore(Followed& followed) {
+  const common::Duration limit =
+      settings_.store_patience + replyLimit(followed) - settings_.reply_limit;
+  if (followed.copy.asking() && withinLimit(followed.asked_time, limit)) {
+    return;
+  }
+  followed.asked_time = context_.clock.now();
+  followed.copy.askStore();
+}
+
+std::optional<common::Duration> StoreRelay::outdatedFor(Topic topic) const {
+  const Followed& followed = followed_.at(topic);
+  if (!behind(followed)) {
+    return std::nullopt;
   }
+  return context_.clock.now() - followed.behind_since;
 }
 
 }  // namespace cypresswall::store_relay
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -39,6 +39,10 @@
   /// A reader that hasn't given changes within this, and the time that their bytes may take, is
   /// passed over: the store is asked.
   common::Duration reply_limit = std::chrono::milliseconds(200);
+  /// An own call to the store is not dropped for another one before this, and the time that its
+  /// bytes may take: dropped each time that a reader can't give a change, it would never be
+  /// answered over a busy link. Above the 2 s after which a dead connection is noticed.
+  common::Duration store_patience = std::chrono::milliseconds(2500);
   /// What a link of 10 Mbit/s that is busy with requests leaves to one connection.
   std::size_t slow_bytes_per_second = std::size_t{64} << 10;
   /// Bytes of changes kept for peers, and sent in one reply. Readers are the nodes with the most
@@ -63,8 +67,9 @@
   void listed(Topic topic, std::uint64_t revision);
   /// The store answered this node's call for changes, perhaps with none.
   void read(Topic topic, std::vector<StoreChange> changes, std::uint64_t revision);
-  /// \return true if a reader announced a later change than the copy holds
-  bool outdated(Topic topic) const { return behind(followed_.at(topic)); }
+  /// \return for how long the copy has lacked a change that a reader announced; nothing if it lacks
+  ///   none
+  std::optional<common::Duration> outdatedFor(Topic topic) const;
   /// \return how long this node's next call may wait at the store, or nothing if this node leaves
   ///   the store to its zone's readers now
   std::optional<common::Duration> pollTime(Topic topic) const;
@@ -78,6 +83,10 @@
     ChangeHistory history;
     /// When the store last answered this node.
     std::optional<common::MonotonicTime> contact_time;
+    /// When this node last asked the store for what readers couldn't give.
+    std::optional<common::MonotonicTime> asked_time;
+    /// Since when the copy has lacked an announced change; no matter if it lacks none.
+    common::MonotonicTime behind_since{};
     /// When a reader was last heard of.
     std::optional<common::MonotonicTime> heard_time;
     /// The newest change that a reader announced.
@@ -110,6 +119,8 @@
   void pull(Topic topic, const common::NodeId& reader);
   void giveUpPull(Topic topic);
   common::Duration replyLimit(const Followed& followed) const;
+  /// Asks the store for what is announced, unless such a call is under way.
+  void askStore(Followed& followed);
   static bool behind(const Followed& followed) {
     return followed.copy.revision() < followed.announced;
   }
--- a/tests/objects_platform/ingress_test.cpp
+++ b/tests/objects_platform/ingress_test.cpp
@@ -47,9 +47,9 @@
 
   gateway::GatewayFixture world;
   RouteTable routes;
-  bool outdated = false;
+  std::optional<common::Duration> outdated_for;
   Ingress ingress{world.gateway, [this]() -> const RouteTable& { return routes; },
-                  [this] { return outdated; }};
+                  [this] { return outdated_for; }};
 };
 
 class IngressTest : public CppUnit::TestFixture {
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(splitsByWeight);
   CPPUNIT_TEST(refusesUnknownRoutesAndEarlyRequests);
   CPPUNIT_TEST(anOutdatedNodeDeniesNoRoute);
+  CPPUNIT_TEST(aNodeThatStaysOutdatedTakesNoRequest);
   CPPUNIT_TEST(onlyProvedRefusalsPromise);
   CPPUNIT_TEST_SUITE_END();
 
@@ -121,7 +122,7 @@
   void anOutdatedNodeDeniesNoRoute() {
     IngressFixture fixture;
     CPPUNIT_ASSERT_EQUAL(404, fixture.send("/nowhere/")->status);
-    fixture.outdated = true;
+    fixture.outdated_for = milliseconds(0);
     const auto answer = fixture.send("/nowhere/");
     CPPUNIT_ASSERT_EQUAL(503, answer->status);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer->headers.count("Retry-After"));
@@ -129,6 +130,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("digest@new"), fixture.world.call().call.service);
   }
 
+  void aNodeThatStaysOutdatedTakesNoRequest() {
+    IngressFixture fixture;
+    fixture.outdated_for = milliseconds(1499);
+    fixture.send("/digest/a");
+    CPPUNIT_ASSERT_EQUAL(std::string("digest@new"), fixture.world.call().call.service);
+    fixture.outdated_for = milliseconds(1500);
+    const auto refused = fixture.send("/digest/a");
+    CPPUNIT_ASSERT_EQUAL(503, refused->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, refused->headers.count("Retry-After"));
+  }
+
   void splitsByWeight() {
     IngressFixture fixture;
     std::map<std::string, int> turns;
