--- a/src/cypresswall/engines/engine_client.h
+++ b/src/cypresswall/engines/engine_client.h
@@ -52,7 +52,8 @@
   /// call returns, and never after the returned object was destroyed.
   virtual std::unique_ptr<Stream> startStream(const EngineEndpoint& engine, StreamRequest request,
                                               StreamHandler& handler) = 0;
-  /// \return true if an attempt can go on behind a token of this text, by StreamRequest::last_token.
+  /// \return true if an attempt can go on behind a token of this text, by
+  /// StreamRequest::last_token.
   ///   Only asked for requests that are passed through.
   virtual bool marksPosition(const std::string& /*token*/) const { return true; }
   /// Sends a fenced order. The callback is called exactly once, never before the call returns.
