Round the told times of an engine, and don't ask for an identity again on its answer

Cause: times in whole picoseconds were cut off, so that for 3 in 100 values a receiver's tag of an identity is another than its sender's. The receiver then drops every load that it is told of the engine, and each answer to its request makes it ask anew; each publication adds one more such pair of messages that goes back and forth without end. The value of engines with 163,840 bytes a token on links of 1,300 Gbit/s is one of the 3 in 100.

The times are rounded now, which gives the same number at each telling. And whatever an answer holds, it is not asked for again before the next publication: a peer of another build, whose reports have other fields, would start the same exchange.

--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -261,7 +261,9 @@
   applyConfirmations(message, unknown);
   applyHeard(message);
   applyHints(message);
-  if (!unknown.empty()) {
+  // An answer that doesn't fit is not asked for again, or the two nodes would never stop: the next
+  // publication tells whether the identity is still missing.
+  if (!unknown.empty() && !answer) {
     identity_requests_.add();
     context_.sendTo(sender, IdentityRequest{table_.digest(), {unknown.begin(), unknown.end()}});
   }
--- a/src/cypresswall/routing/engine_deltas.cpp
+++ b/src/cypresswall/routing/engine_deltas.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kPicosecondsPerSecond = 1e12;
-/// Longer times are told as this one: 4 ms for a token.
+/// Longer times are told as this one: 4 ms.
 constexpr double kMostPicoseconds = 4e9;
 
 constexpr std::uint64_t kTokensPerUnit = 100;
@@ -25,6 +25,13 @@
 /// Ranks changes of state and identity before all changes of load.
 constexpr double kUrgent = 1000.0;
 
+/// Rounds to the nearest: what a receiver turns back into seconds must give the same number again,
+/// or the tag of what it was told is not the tag of the report.
+std::uint32_t toPicoseconds(double seconds) {
+  return static_cast<std::uint32_t>(
+      std::llround(std::clamp(seconds * kPicosecondsPerSecond, 0.0, kMostPicoseconds)));
+}
+
 std::uint32_t tokensToUnits(std::uint64_t tokens) {
   return static_cast<std::uint32_t>((tokens + kTokensPerUnit / 2) / kTokensPerUnit);
 }
@@ -102,10 +109,8 @@
   identity.decode_step_per_stream_us =
       static_cast<std::uint32_t>(load.decode_step_per_stream.count());
   identity.prefill_base_us = static_cast<std::uint32_t>(load.prefill_base.count());
-  identity.prefill_pair_picoseconds =
-      static_cast<std::uint32_t>(load.prefill_seconds_per_pair * kPicosecondsPerSecond);
-  identity.kv_token_picoseconds = static_cast<std::uint32_t>(
-      std::min(load.kv_seconds_per_token * kPicosecondsPerSecond, kMostPicoseconds));
+  identity.prefill_pair_picoseconds = toPicoseconds(load.prefill_seconds_per_pair);
+  identity.kv_token_picoseconds = toPicoseconds(load.kv_seconds_per_token);
   return identity;
 }
 
