--- /dev/null
+++ b/tests/support/routing_node.h
@@ -0,0 +1,344 @@
+/// One node of a zone with its router, among other nodes and before engines whose caches are as
+/// full as after a minute of load. What it sends is encoded and counted, and goes nowhere; what
+/// peers and engines say is said by the test or benchmark. Its clock stands still unless run() is
+/// called.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cypresswall/membership/membership.h"
+#include "cypresswall/routing/cost_router.h"
+#include "cypresswall/routing/engine_deltas.h"
+#include "tests/support/engine_world.h"
+
+namespace cypresswall::testing {
+
+/// Encodes each message as a transport to other machines does.
+class CountingTransport final : public api::PeerTransport {
+ public:
+  void send(api::Envelope envelope) override {
+    ++messages;
+    bytes += api::encodeEnvelope(envelope).size();
+  }
+
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+};
+
+/// A platform that lists no machines.
+class NoMachines final : public platform::MachineList {
+ public:
+  void fetch(const common::ZoneName&, platform::MachineListCallback) override {}
+};
+
+/// Passes all questions on, and counts those whose answer grows with the zone.
+class CountingMembership final : public membership::MembershipView {
+ public:
+  explicit CountingMembership(membership::Membership& membership) : membership_(membership) {}
+
+  const common::NodeId& self() const override { return membership_.self(); }
+  const common::ZoneName& zone() const override { return membership_.zone(); }
+  std::vector<membership::Member> members() const override {
+    ++lists;
+    return membership_.members();
+  }
+  bool machineLeaving(const common::MachineName& machine) const override {
+    return membership_.machineLeaving(machine);
+  }
+  bool addressLeaving(const common::Address& address) const override {
+    return membership_.addressLeaving(address);
+  }
+  bool surelyDead(const common::NodeId& node) const override {
+    return membership_.surelyDead(node);
+  }
+  void setDigest(membership::DigestTopic topic, std::uint64_t value) override {
+    membership_.setDigest(topic, value);
+  }
+  std::optional<std::uint64_t> digest(const common::NodeId& node,
+                                      membership::DigestTopic topic) const override {
+    return membership_.digest(node, topic);
+  }
+  void onChange(std::function<void()> listener) override {
+    membership_.onChange(std::move(listener));
+  }
+
+  /// Calls of members().
+  mutable std::uint64_t lists = 0;
+
+ private:
+  membership::Membership& membership_;
+};
+
+class RoutingNode {
+ public:
+  /// Memory of an engine, in whole cache pieces: 418,000 tokens.
+  static constexpr std::uint32_t kPiecesPerEngine = 209;
+
+  /// \param size engines, and nodes of the zone
+  explicit RoutingNode(int size) : simulation_(1), random_(7), size_(size) {
+    process_ = &simulation_.start(addressOf(0), "z");
+    auto& own = process_->context();
+    transport_ = &process_->emplace<CountingTransport>();
+    context_ = &process_->emplace<api::ProcessContext>(
+        api::ProcessContext{own.self, own.zone, own.clock, own.scheduler, own.random, own.log,
+                            own.counters, *transport_, own.dispatcher});
+    auto& machines = process_->emplace<NoMachines>();
+    auto& members = process_->emplace<membership::Membership>(membership::MembershipSettings{},
+                                                              *context_, machines);
+    membership_ = &process_->emplace<CountingMembership>(members);
+    configuration_ = &process_->emplace<SettableConfiguration>();
+    auto& client = process_->emplace<ScriptedEngineClient>(*process_, engines_);
+    directory_ = &process_->emplace<routing::EngineDirectory>(
+        routing::DirectorySettings{}, *context_, client, *configuration_, *membership_);
+    routing::RouterSettings settings;
+    settings.copies_prefixes = true;
+    router_ = &process_->emplace<routing::CostRouter>(settings, *context_, *directory_);
+    members.start();
+    directory_->start();
+    meetPeers();
+    declareEngines();
+    run(std::chrono::seconds(1));
+    reportEngines();
+    fillCaches();
+    beginPeersPrompts();
+  }
+
+  /// A request with 17,020 prompt tokens in four named parts: two that all or many share, a text
+  /// of 429 that a third of the prompts of one kind share, and the caller's own.
+  routing::RouteRequest longRequest() {
+    constexpr std::array<std::uint32_t, 4> kEnds = {1000, 4000, 13300, 17020};
+    constexpr std::array<std::uint64_t, 4> kThings = {1, 30, 429, std::uint64_t{1} << 40U};
+    routing::RouteRequest request = plainRequest("long");
+    request.shape = shapeOf({kEnds.begin(), kEnds.end()}, {kThings.begin(), kThings.end()});
+    request.maximum_tokens = 13;
+    request.first_token_limit = std::chrono::seconds(6);
+    return request;
+  }
+  /// A request with 383 prompt tokens in three named parts.
+  routing::RouteRequest shortRequest() {
+    routing::RouteRequest request = plainRequest("short");
+    request.shape = shapeOf({55, 92, 383}, {80, 1833, std::uint64_t{1} << 40U});
+    request.maximum_tokens = 5;
+    request.first_token_limit = std::chrono::seconds(3);
+    return request;
+  }
+
+  /// Routes the request, and gives it a whole answer at once.
+  /// \return false if it was refused
+  bool route(const routing::RouteRequest& request) {
+    const routing::RouteChoice choice = router_->choose(request);
+    if (!std::holds_alternative<routing::Route>(choice)) {
+      return false;
+    }
+    router_->attemptStarted(request, std::get<routing::Route>(choice));
+    router_->firstTokenReceived(request.stream_id);
+    router_->answerCompleted(request.stream_id);
+    router_->attemptFinished(request.stream_id);
+    return true;
+  }
+
+  /// Takes in the report that this node read of an engine, with one stream more or less.
+  void takeReport(int number) {
+    engines::EngineLoad& load = engines_[engineName(number) + ":1"].load;
+    load.running_streams = (load.running_streams + 1) % load.maximum_streams;
+    directory_->table().observe(slotOf(number), {load, now(), true}, now());
+  }
+
+  /// \return what a peer publishes of one engine whose load changed
+  api::Envelope publicationOf(int number) {
+    engines::EngineLoad load = engines_[engineName(number) + ":1"].load;
+    load.running_streams = static_cast<std::uint32_t>(random_.below(load.maximum_streams));
+    const auto& names = directory_->table().names();
+    const auto index = static_cast<std::uint16_t>(
+        std::find(names.begin(), names.end(), engineName(number)) - names.begin());
+    routing::EngineDeltas message;
+    message.roster_digest = directory_->table().digest();
+    message.sequence = ++publications_;
+    message.changed.push_back(routing::makeDelta(index, load, true, common::Duration{0}));
+    return fromPeer(1, message);
+  }
+
+  /// \return a peer's notice that it sent a long prompt to an engine
+  api::Envelope startedNotice(int number, std::uint32_t prompt_number) {
+    const routing::RouteRequest request = longRequest();
+    routing::StartedPrompt prompt;
+    prompt.engine = engineName(number);
+    prompt.number = prompt_number;
+    prompt.uncached_tokens = request.shape.tokens;
+    prompt.pieces = request.shape.pieces;
+    prompt.piece_ends = request.shape.piece_ends;
+    routing::WorkNotice notice;
+    notice.started.push_back(prompt);
+    return fromPeer(1, notice);
+  }
+  api::Envelope endedNotice(int number, std::uint32_t prompt_number) {
+    routing::WorkNotice notice;
+    notice.ended.push_back({engineName(number), prompt_number, true});
+    return fromPeer(1, notice);
+  }
+  /// The node receives a message.
+  void receive(const api::Envelope& envelope) { context_->dispatcher.dispatch(envelope); }
+
+  /// Heartbeats of all peers come in.
+  void hearPeers() {
+    for (int peer = 1; peer < size_; ++peer) {
+      hearPeer(peer);
+    }
+  }
+  void hearPeer(int peer) {
+    receive(fromPeer(peer, membership::Heartbeat{1, membersHash(), 0, 0}));
+  }
+
+  /// Time passes, in which all peers are heard of as often as they send heartbeats, and at once.
+  void run(common::Duration time) {
+    const common::Duration step = membership::MembershipSettings{}.heartbeat_interval;
+    for (common::Duration passed{0}; passed < time; passed += step) {
+      hearPeers();
+      simulation_.time().runFor(std::min<common::Duration>(step, time - passed));
+    }
+  }
+
+  std::string engineName(int number) const { return "engine-" + std::to_string(1000 + number); }
+  routing::EngineSlot slotOf(int number) const {
+    return directory_->table().slotOf(engineName(number));
+  }
+  common::MonotonicTime now() const { return context_->clock.now(); }
+  const api::ProcessContext& context() const { return *context_; }
+  simulation::SimulatedProcess& process() { return *process_; }
+  CountingTransport& transport() { return *transport_; }
+  CountingMembership& membership() { return *membership_; }
+  routing::EngineDirectory& directory() { return *directory_; }
+  routing::CostRouter& router() { return *router_; }
+  common::SeededRandom& random() { return random_; }
+  int size() const { return size_; }
+
+ private:
+  static common::Address addressOf(int node) {
+    constexpr int kHosts = 250;
+    return "10.0." + std::to_string(node / kHosts) + "." + std::to_string(node % kHosts + 1) +
+           ":7000";
+  }
+  common::NodeId peerOf(int peer) const { return {addressOf(peer), 1}; }
+
+  template <typename Message>
+  api::Envelope fromPeer(int peer, const Message& message) const {
+    return api::Envelope::make(peerOf(peer), context_->self, message);
+  }
+
+  void meetPeers() {
+    for (int peer = 1; peer < size_; ++peer) {
+      receive(fromPeer(peer, membership::NodeDetails{
+                                 "z", "machine-" + std::to_string(peer), "gateway", false, 1, {}}));
+    }
+  }
+
+  /// \return the hash that peers tell which see the same members
+  std::uint32_t membersHash() {
+    if (members_hash_ == 0) {
+      std::vector<common::NodeId> nodes = {context_->self};
+      for (int peer = 1; peer < size_; ++peer) {
+        nodes.push_back(peerOf(peer));
+      }
+      std::sort(nodes.begin(), nodes.end());
+      std::uint64_t hash = 0;
+      for (const common::NodeId& node : nodes) {
+        hash = common::hash64(node.toString(), hash);
+      }
+      members_hash_ = static_cast<std::uint32_t>(hash);
+    }
+    return members_hash_;
+  }
+
+  void declareEngines() {
+    constexpr int kInTen = 10;
+    constexpr int kPrefillInTen = 3;
+    configuration::FleetConfiguration fleet;
+    for (int number = 0; number < size_; ++number) {
+      declareEngine(fleet, engineName(number), "m");
+      const bool prefill = number % kInTen < kPrefillInTen;
+      engines::EngineLoad load =
+          idleLoad("m", prefill ? engines::EngineRole::kPrefill : engines::EngineRole::kDecode);
+      load.cache_pieces_total = kPiecesPerEngine;
+      load.prefill_tokens_per_second = prefill ? 49600 : 24800;
+      load.decode_step_base = std::chrono::microseconds(5180);
+      load.decode_step_per_stream = std::chrono::microseconds(37);
+      load.kv_seconds_per_token = 2e-6;
+      load.running_streams = static_cast<std::uint32_t>(random_.below(8));
+      engines_[engineName(number) + ":1"].load = load;
+    }
+    configuration_->set(fleet);
+  }
+
+  void reportEngines() {
+    for (int number = 0; number < size_; ++number) {
+      takeReport(number);
+    }
+  }
+
+  void fillCaches() {
+    constexpr int kPromptsPerEngine = 60;
+    for (int number = 0; number < size_; ++number) {
+      for (int prompt = 0; prompt < kPromptsPerEngine; ++prompt) {
+        directory_->prefixes().usedBy(slotOf(number), longRequest().shape, now());
+      }
+    }
+  }
+
+  /// Two of five engines compute a peer's prompt.
+  void beginPeersPrompts() {
+    constexpr int kInFive = 5;
+    constexpr int kBusyInFive = 2;
+    for (int number = 0; number < size_; ++number) {
+      if (number % kInFive < kBusyInFive) {
+        receive(startedNotice(number, static_cast<std::uint32_t>(number) + 1));
+      }
+    }
+  }
+
+  routing::RouteRequest plainRequest(const std::string& kind) {
+    routing::RouteRequest request;
+    request.stream_id = kind + "-" + std::to_string(++requests_);
+    request.model = "m";
+    request.version = "1";
+    request.between_tokens_limit = std::chrono::milliseconds(200);
+    return request;
+  }
+
+  /// \param ends tokens up to the end of each part
+  /// \param things how many different texts there are for each part
+  common::PromptShape shapeOf(const std::vector<std::uint32_t>& ends,
+                              const std::vector<std::uint64_t>& things) {
+    common::PromptShape shape;
+    shape.tokens = ends.back();
+    shape.piece_ends = ends;
+    common::PieceHash before = ends.front();
+    for (const std::uint64_t count : things) {
+      before = common::hash64(std::to_string(random_.below(count)), before);
+      shape.pieces.push_back(before);
+    }
+    return shape;
+  }
+
+  simulation::Simulation simulation_;
+  common::SeededRandom random_;
+  int size_;
+  ScriptedEngines engines_;
+  simulation::SimulatedProcess* process_ = nullptr;
+  CountingTransport* transport_ = nullptr;
+  api::ProcessContext* context_ = nullptr;
+  CountingMembership* membership_ = nullptr;
+  SettableConfiguration* configuration_ = nullptr;
+  routing::EngineDirectory* directory_ = nullptr;
+  routing::CostRouter* router_ = nullptr;
+  std::uint32_t members_hash_ = 0;
+  std::uint64_t requests_ = 0;
+  std::uint64_t publications_ = 0;
+};
+
+}  // namespace cypresswall::testing
