Bound one node's work by counts, and fail on the hashes of a steady zone's heartbeats

NodeWorkTest counts messages, lists of members asked for and estimates worked out anew in zones of 10, 65 and 200 nodes before as many engines: a long request tells each peer twice, a short one nobody, and a report or notice touches its engine's estimate only. Two counters are new for it: the router's refreshed estimates, and cypresswall_membership_hashes_total.

The benchmark's node now watches at least one engine, so that it has something to publish.

--- a/bench/decision_cost/node_work_benchmark.cpp
+++ b/bench/decision_cost/node_work_benchmark.cpp
@@ -126,11 +126,12 @@
   });
 }
 
-/// A second passes: reads of watched engines, publications, heartbeats sent and received.
+/// A second passes in which all loads change: reads of watched engines, publications, heartbeats
+/// sent and received.
 void controlSecond(benchmark::State& state) {
   RoutingNode node(static_cast<int>(state.range(0)));
   measure(state, node, [&] {
-    node.takeReport(0);
+    node.moveEngines();
     node.run(std::chrono::seconds(1));
   });
 }
--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -21,7 +21,9 @@
       pause_count_(context.counters.counter("cypresswall_membership_own_pauses_total",
                                             "Times this process stood still for long")),
       death_count_(context.counters.counter("cypresswall_membership_expired_total",
-                                            "Times that silent or ended peers were removed")) {
+                                            "Times that silent or ended peers were removed")),
+      hash_count_(context.counters.counter("cypresswall_membership_hashes_total",
+                                           "Times that the hash over the members was worked out")) {
   own_details_ =
       NodeDetails{context_.zone, settings_.machine, settings_.gateway_address, false, 1, {}};
   if (settings_.link_megabits > 0) {
@@ -199,7 +201,8 @@
   return rank;
 }
 
-std::uint32_t Membership::membersHash() const {
+std::uint32_t Membership::membersHash() {
+  hash_count_.add();
   std::vector<common::NodeId> nodes = peerNodes();
   nodes.push_back(context_.self);
   std::sort(nodes.begin(), nodes.end());
--- a/src/cypresswall/membership/membership.h
+++ b/src/cypresswall/membership/membership.h
@@ -60,7 +60,7 @@
   void introduceTo(const common::Address& address);
   std::vector<common::NodeId> peerNodes() const;
   std::size_t rank() const;
-  std::uint32_t membersHash() const;
+  std::uint32_t membersHash();
   void notify();
 
   MembershipSettings settings_;
@@ -76,6 +76,7 @@
   common::Counter& outdated_count_;
   common::Counter& pause_count_;
   common::Counter& death_count_;
+  common::Counter& hash_count_;
 };
 
 }  // namespace cypresswall::membership
--- a/src/cypresswall/routing/cost_model.h
+++ b/src/cypresswall/routing/cost_model.h
@@ -104,12 +104,18 @@
   /// \return the estimate for changing; call refresh() afterwards.
   EngineEstimate& edit(EngineSlot slot) { return estimates_[slot]; }
   /// Works the inputs of an engine out anew.
-  void refresh(EngineSlot slot) { inputs_[slot] = costInputs(estimates_[slot], chunks_per_token_); }
+  void refresh(EngineSlot slot) {
+    ++refreshed_;
+    inputs_[slot] = costInputs(estimates_[slot], chunks_per_token_);
+  }
+  /// \return how often inputs were worked out anew, of all engines together.
+  std::uint64_t refreshed() const { return refreshed_; }
   const EngineEstimate& estimate(EngineSlot slot) const { return estimates_[slot]; }
   const CostInputs& inputs(EngineSlot slot) const { return inputs_[slot]; }
 
  private:
   double chunks_per_token_;
+  std::uint64_t refreshed_ = 0;
   std::vector<EngineEstimate> estimates_;
   std::vector<CostInputs> inputs_;
 };
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -37,6 +37,9 @@
   void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
                      engines::StreamFailure failure) override;
 
+  /// \return how often what is known of an engine was worked out anew, of all engines together.
+  std::uint64_t estimatesRefreshed() const { return estimates_.refreshed(); }
+
  private:
   /// One engine with the cost of its offer.
   struct PricedEngine {
--- /dev/null
+++ b/tests/routing/node_work_test.cpp
@@ -0,0 +1,154 @@
+/// Bounds on one node's work, counted and not timed, in zones of as many nodes as engines. Where a
+/// bound doesn't name a number of the zone, the work must not grow with it.
+#include "tests/support/property.h"
+#include "tests/support/routing_node.h"
+
+namespace cypresswall::routing {
+namespace {
+
+using testing::RoutingNode;
+
+constexpr std::array<int, 3> kSizes = {10, 65, 200};
+/// Estimates that a request with one computing engine and one for the output makes anew: each of
+/// the two at its start, first token and end, and the backlog and the speed of the computing one.
+constexpr std::uint64_t kEstimatesPerRequest = 12;
+/// Estimates that a report makes anew: the engine's own, with its speed and backlog.
+constexpr std::uint64_t kEstimatesPerReport = 3;
+/// Estimates that the start of a peer's prompt makes anew, and its end: backlog, then speed too.
+constexpr std::uint64_t kEstimatesPerStart = 1;
+constexpr std::uint64_t kEstimatesPerEnd = 2;
+
+/// What a node did since the count began.
+class WorkCount {
+ public:
+  explicit WorkCount(RoutingNode& node)
+      : node_(node),
+        messages_(node.transport().messages),
+        lists_(node.membership().lists),
+        estimates_(node.router().estimatesRefreshed()) {}
+
+  std::uint64_t messages() const { return node_.transport().messages - messages_; }
+  std::uint64_t memberLists() const { return node_.membership().lists - lists_; }
+  std::uint64_t estimates() const { return node_.router().estimatesRefreshed() - estimates_; }
+
+ private:
+  RoutingNode& node_;
+  std::uint64_t messages_;
+  std::uint64_t lists_;
+  std::uint64_t estimates_;
+};
+
+class NodeWorkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NodeWorkTest);
+  CPPUNIT_TEST(aLongRequestTellsEachPeerTwice);
+  CPPUNIT_TEST(aShortRequestTellsNobody);
+  CPPUNIT_TEST(aReportTouchesItsEngineOnly);
+  CPPUNIT_TEST(aPeersReportTouchesItsEngineOnly);
+  CPPUNIT_TEST(aPeersNoticeTouchesItsEngineOnly);
+  CPPUNIT_TEST(aSteadyZonesHeartbeatsAreNotHashedAnew);
+  CPPUNIT_TEST(aSecondsControlIsLinearInThePeers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void aLongRequestTellsEachPeerTwice() {
+    for (const int size : kSizes) {
+      RoutingNode node(size);
+      for (int i = 0; i < 20; ++i) {
+        const WorkCount work(node);
+        CPPUNIT_ASSERT(node.route(node.longRequest()));
+        CPPUNIT_ASSERT_LESSEQUAL(2 * peersOf(node), work.messages());
+        CPPUNIT_ASSERT_LESSEQUAL(std::uint64_t{2}, work.memberLists());
+        CPPUNIT_ASSERT_LESSEQUAL(kEstimatesPerRequest, work.estimates());
+      }
+    }
+  }
+
+  void aShortRequestTellsNobody() {
+    for (const int size : kSizes) {
+      RoutingNode node(size);
+      const WorkCount work(node);
+      CPPUNIT_ASSERT(node.route(node.shortRequest()));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, work.messages());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, work.memberLists());
+      CPPUNIT_ASSERT_LESSEQUAL(kEstimatesPerRequest, work.estimates());
+    }
+  }
+
+  void aReportTouchesItsEngineOnly() {
+    for (const int size : kSizes) {
+      RoutingNode node(size);
+      const WorkCount work(node);
+      node.takeReport(0);
+      assertOneEngine(work, kEstimatesPerReport);
+    }
+  }
+
+  void aPeersReportTouchesItsEngineOnly() {
+    for (const int size : kSizes) {
+      RoutingNode node(size);
+      const api::Envelope publication = node.publicationOf(0);
+      const WorkCount work(node);
+      node.receive(publication);
+      assertOneEngine(work, kEstimatesPerReport);
+      CPPUNIT_ASSERT(work.estimates() > 0);
+    }
+  }
+
+  void aPeersNoticeTouchesItsEngineOnly() {
+    constexpr std::uint32_t kNumber = 1000000;
+    for (const int size : kSizes) {
+      RoutingNode node(size);
+      const WorkCount start(node);
+      node.receive(node.startedNotice(0, kNumber));
+      assertOneEngine(start, kEstimatesPerStart);
+      CPPUNIT_ASSERT(start.estimates() > 0);
+      const WorkCount end(node);
+      node.receive(node.endedNotice(0, kNumber));
+      assertOneEngine(end, kEstimatesPerEnd);
+      CPPUNIT_ASSERT(end.estimates() > 0);
+    }
+  }
+
+  void aSteadyZonesHeartbeatsAreNotHashedAnew() {
+    for (const int size : kSizes) {
+      RoutingNode node(size);
+      node.run(std::chrono::seconds(1));
+      const double before = hashes(node);
+      node.run(std::chrono::seconds(10));
+      CPPUNIT_ASSERT_EQUAL(before, hashes(node));
+    }
+  }
+
+  void aSecondsControlIsLinearInThePeers() {
+    // Two heartbeats to each peer, and what the budget of bytes pays for: the settings' budget lets
+    // a zone of few nodes be told of each read.
+    constexpr std::uint64_t kSeconds = 5;
+    constexpr std::uint64_t kMessagesPerPeerSecond = 6;
+    for (const int size : kSizes) {
+      RoutingNode node(size);
+      node.moveEngines();
+      const WorkCount work(node);
+      node.run(std::chrono::seconds(kSeconds));
+      CPPUNIT_ASSERT(work.messages() > kSeconds * 2 * peersOf(node));
+      CPPUNIT_ASSERT_LESSEQUAL(kSeconds * kMessagesPerPeerSecond * peersOf(node), work.messages());
+    }
+  }
+
+ private:
+  static std::uint64_t peersOf(const RoutingNode& node) {
+    return static_cast<std::uint64_t>(node.size()) - 1;
+  }
+  static double hashes(RoutingNode& node) {
+    return node.process().counters().total("cypresswall_membership_hashes_total");
+  }
+  static void assertOneEngine(const WorkCount& work, std::uint64_t estimates) {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, work.messages());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, work.memberLists());
+    CPPUNIT_ASSERT_LESSEQUAL(estimates, work.estimates());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeWorkTest);
+
+}  // namespace
+}  // namespace cypresswall::routing
--- a/tests/support/routing_node.h
+++ b/tests/support/routing_node.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cypresswall/membership/membership.h"
+#include "cypresswall/membership/rendezvous.h"
 #include "cypresswall/routing/cost_router.h"
 #include "cypresswall/routing/engine_deltas.h"
 #include "tests/support/engine_world.h"
@@ -92,6 +93,8 @@
     auto& members = process_->emplace<membership::Membership>(membership::MembershipSettings{},
                                                               *context_, machines);
     membership_ = &process_->emplace<CountingMembership>(members);
+    meetPeers();
+    nameEngines();
     configuration_ = &process_->emplace<SettableConfiguration>();
     auto& client = process_->emplace<ScriptedEngineClient>(*process_, engines_);
     directory_ = &process_->emplace<routing::EngineDirectory>(
@@ -101,7 +104,6 @@
     router_ = &process_->emplace<routing::CostRouter>(settings, *context_, *directory_);
     members.start();
     directory_->start();
-    meetPeers();
     declareEngines();
     run(std::chrono::seconds(1));
     reportEngines();
@@ -150,6 +152,13 @@
     directory_->table().observe(slotOf(number), {load, now(), true}, now());
   }
 
+  /// The loads that all engines report from now on are others than before.
+  void moveEngines() {
+    for (auto& [address, engine] : engines_) {
+      engine.load.running_streams = (engine.load.running_streams + 8) % engine.load.maximum_streams;
+    }
+  }
+
   /// \return what a peer publishes of one engine whose load changed
   api::Envelope publicationOf(int number) {
     engines::EngineLoad load = engines_[engineName(number) + ":1"].load;
@@ -204,7 +213,10 @@
     }
   }
 
-  std::string engineName(int number) const { return "engine-" + std::to_string(1000 + number); }
+  /// This node watches at least the first engine.
+  const common::EngineName& engineName(int number) const {
+    return names_[static_cast<std::size_t>(number)];
+  }
   routing::EngineSlot slotOf(int number) const {
     return directory_->table().slotOf(engineName(number));
   }
@@ -255,6 +267,16 @@
     return members_hash_;
   }
 
+  void nameEngines() {
+    const auto members = membership_->members();
+    for (int number = 0; number < size_; ++number) {
+      names_.push_back("engine-" + std::to_string(1000 + number));
+    }
+    while (membership::rendezvousNode(names_.front(), members) != context_->self) {
+      names_.front() += "-";
+    }
+  }
+
   void declareEngines() {
     constexpr int kInTen = 10;
     constexpr int kPrefillInTen = 3;
@@ -328,6 +350,7 @@
   simulation::Simulation simulation_;
   common::SeededRandom random_;
   int size_;
+  std::vector<common::EngineName> names_;
   ScriptedEngines engines_;
   simulation::SimulatedProcess* process_ = nullptr;
   CountingTransport* transport_ = nullptr;
