Work the hash over the members out when they change, not at each heartbeat

Cause: each heartbeat that comes in was compared with a hash over all members that was worked out for it, so the heartbeats of n peers cost n times n log n. The hash now is kept with the number of the peer table's last change of members.

NodeWorkTest and the tests of membership and routing pass.

--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -202,6 +202,9 @@
 }
 
 std::uint32_t Membership::membersHash() {
+  if (members_hashed_at_ == peers_.changes()) {
+    return members_hash_;
+  }
   hash_count_.add();
   std::vector<common::NodeId> nodes = peerNodes();
   nodes.push_back(context_.self);
@@ -210,7 +213,9 @@
   for (const auto& node : nodes) {
     hash = common::hash64(node.toString(), hash);
   }
-  return static_cast<std::uint32_t>(hash);
+  members_hash_ = static_cast<std::uint32_t>(hash);
+  members_hashed_at_ = peers_.changes();
+  return members_hash_;
 }
 
 std::vector<Member> Membership::members() const {
--- a/src/cypresswall/membership/membership.h
+++ b/src/cypresswall/membership/membership.h
@@ -60,6 +60,8 @@
   void introduceTo(const common::Address& address);
   std::vector<common::NodeId> peerNodes() const;
   std::size_t rank() const;
+  /// \return the hash of heartbeats over this node and its peers; each heartbeat that comes in is
+  ///   compared with it.
   std::uint32_t membersHash();
   void notify();
 
@@ -68,6 +70,9 @@
   PeerTable peers_;
   MachineRegister machines_;
   NodeDetails own_details_;
+  /// The hash over the members, and PeerTable::changes() at which it was worked out.
+  std::uint32_t members_hash_ = 0;
+  std::optional<std::uint64_t> members_hashed_at_;
   common::MonotonicTime last_tick_;
   /// The IP number that was probed last.
   std::string probe_position_;
--- a/src/cypresswall/membership/peer_table.cpp
+++ b/src/cypresswall/membership/peer_table.cpp
@@ -27,6 +27,7 @@
   if (contact == Contact::kUnknown) {
     peers_[node.address] = Peer{node, details, MemberState::kAlive, now, {}};
     departed_.erase(node.address);
+    ++changes_;
     return true;
   }
   Peer& peer = peers_[node.address];
@@ -46,6 +47,7 @@
     if (silence >= settings_.dead_after || outdated) {
       departed_[it->first] = now;
       it = peers_.erase(it);
+      ++changes_;
       changed = true;
       continue;
     }
@@ -76,6 +78,7 @@
     return false;
   }
   peers_.erase(node.address);
+  ++changes_;
   departed_[node.address] = now;
   return true;
 }
--- a/src/cypresswall/membership/peer_table.h
+++ b/src/cypresswall/membership/peer_table.h
@@ -41,6 +41,8 @@
   bool remove(const common::NodeId& node, common::MonotonicTime now);
 
   const std::map<common::Address, Peer>& peers() const { return peers_; }
+  /// \return a number that rises whenever a node becomes a peer or no longer is one.
+  std::uint64_t changes() const { return changes_; }
   Peer* find(const common::NodeId& node);
   const Peer* find(const common::NodeId& node) const;
   /// \return true if a later life was seen at the node's address.
@@ -51,6 +53,7 @@
  private:
   MembershipSettings settings_;
   std::map<common::Address, Peer> peers_;
+  std::uint64_t changes_ = 0;
   std::map<common::Address, common::MonotonicTime> departed_;
   /// Highest incarnation seen per address; bounded by forgetting departed addresses.
   std::map<common::Address, std::uint64_t> newest_incarnation_;
