--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -21,7 +21,9 @@
       pause_count_(context.counters.counter("cypresswall_membership_own_pauses_total",
                                             "Times this process stood still for long")),
       death_count_(context.counters.counter("cypresswall_membership_expired_total",
-                                            "Times that silent or ended peers were removed")) {
+                                            "Times that silent or ended peers were removed")),
+      hash_count_(context.counters.counter("cypresswall_membership_hashes_total",
+                                           "Times that the hash over the members was worked out")) {
   own_details_ =
       NodeDetails{context_.zone, settings_.machine, settings_.gateway_address, false, 1, {}};
   if (settings_.link_megabits > 0) {
@@ -199,7 +201,11 @@
   return rank;
 }
 
-std::uint32_t Membership::membersHash() const {
+std::uint32_t Membership::membersHash() {
+  if (members_hashed_at_ == peers_.changes()) {
+    return members_hash_;
+  }
+  hash_count_.add();
   std::vector<common::NodeId> nodes = peerNodes();
   nodes.push_back(context_.self);
   std::sort(nodes.begin(), nodes.end());
@@ -207,7 +213,9 @@
   for (const auto& node : nodes) {
     hash = common::hash64(node.toString(), hash);
   }
-  return static_cast<std::uint32_t>(hash);
+  members_hash_ = static_cast<std::uint32_t>(hash);
+  members_hashed_at_ = peers_.changes();
+  return members_hash_;
 }
 
 std::vector<Member> Membership::members() const {
