Give each mechanism against overload a switch among the settings

Change: nine keys under `mechanisms`, all on: learnt prompt speeds, learnt output speeds, admission within the target, foretold caches, a least share of the engines in each role, gathered long answers, the remaining time of streams, ejection of engines, copied prefixes. Each is read by the class that is the mechanism, that of copies where the platform's abilities are set. What caches are expected to hold goes through one call now (PrefixIndex::foretold), so that sent prompts can be told from computed ones; without foretelling, a told eviction counts at once, since nothing else would mend it. Each switch has a test of both ways; the settings' test requires that a key of the table switches its mechanism alone.

--- a/src/cypresswall/execution/execution_settings.h
+++ b/src/cypresswall/execution/execution_settings.h
@@ -25,6 +25,9 @@
   /// the pause before; each pause is shortened at random by up to a half.
   common::Duration backoff_base = std::chrono::milliseconds(10);
   common::Duration backoff_maximum = std::chrono::milliseconds(200);
+  /// Off: requests are admitted by the callers' patience, which is the time limit to the first
+  /// token, whatever the operators' target.
+  bool admits_within_target = true;
   /// Share of the operators' target within which the first token has to be expected for a request
   /// to be admitted; the rest is time on the way and the error of estimates. Under a load beyond
   /// what engines can compute, a queue up to the callers' patience makes nearly every answer late:
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -92,7 +92,7 @@
   const auto left = timeToFirstToken();
   const auto target = target_.service.first_token_target;
   const bool begun = !record_->attempts.empty();
-  if (begun || target <= common::Duration{0}) {
+  if (!core_.settings.admits_within_target || begun || target <= common::Duration{0}) {
     return left;
   }
   const double planned = common::toSeconds(target) * core_.settings.planned_target_share;
--- a/src/cypresswall/planning/disaggregated_planner.cpp
+++ b/src/cypresswall/planning/disaggregated_planner.cpp
@@ -162,10 +162,14 @@
   return weight * recent + (1.0 - weight) * past;
 }
 
+double DisaggregatedPlanner::keptEngines(const ModelState& state) const {
+  const double share = settings_.keeps_share ? settings_.minimum_share : 0.0;
+  return std::max<double>(settings_.minimum_engines, std::ceil(share * state.engines));
+}
+
 PlanAlternative DisaggregatedPlanner::best(const ModelState& state) const {
   PlanAlternative best;
-  const double kept = std::max<double>(settings_.minimum_engines,
-                                       std::ceil(settings_.minimum_share * state.engines));
+  const double kept = keptEngines(state);
   const auto weigh = [&](const auto& movable, double engines, EngineRole from, EngineRole to) {
     if (movable.empty() || engines <= kept) {
       return;
--- a/src/cypresswall/planning/disaggregated_planner.h
+++ b/src/cypresswall/planning/disaggregated_planner.h
@@ -25,6 +25,8 @@
   double comfortable_decode_utilisation = 0.6;
   /// Share of the answers that are late for that at full utilisation.
   double late_share_at_full_decode = 0.7;
+  /// Off: each role keeps `minimum_engines` only.
+  bool keeps_share = true;
   /// Share of the engines that each role keeps, if it has them, and their least number: mixes swing
   /// faster than engines that finish their streams can follow, and the loss of one engine must not
   /// take a role away.
@@ -78,6 +80,8 @@
   };
 
   ModelState stateOf(const common::ModelName& model, const PlanningInput& input) const;
+  /// \return engines that each role keeps, if it has them
+  double keptEngines(const ModelState& state) const;
   void planModel(ModelState& state, Plan& plan) const;
   /// \return the most useful move, with its benefit; an empty engine name if none is possible.
   PlanAlternative best(const ModelState& state) const;
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -96,7 +96,7 @@
     name_hashes_.resize(static_cast<std::size_t>(slot) + 1);
     cached_tokens_.resize(static_cast<std::size_t>(slot) + 1);
     last_attempt_.resize(static_cast<std::size_t>(slot) + 1);
-    output_hosts_.resize(static_cast<std::size_t>(slot) + 1);
+    output_places_.resize(static_cast<std::size_t>(slot) + 1);
   }
   const EngineRecord& record = table_.record(slot);
   name_hashes_[slot] = common::hash64(record.declaration.name);
@@ -221,12 +221,15 @@
 }
 
 void CostRouter::chooseOutputHosts() {
+  if (!settings_.gathers_long_answers) {
+    return;
+  }
   decode_order_.clear();
   double outputs = 0;
   double places = 1;
   for (const EngineSlot slot : narrowed_) {
     const EngineEstimate& engine = estimates_.estimate(slot);
-    output_hosts_[slot] = false;
+    output_places_[slot] = OutputPlace::kApart;
     if (engine.role == engines::EngineRole::kDecode) {
       decode_order_.push_back(slot);
       outputs += engine.output_streams;
@@ -245,10 +248,15 @@
                       return name_hashes_[left] < name_hashes_[right];
                     });
   for (std::size_t i = 0; i < hosts; ++i) {
-    output_hosts_[decode_order_[i]] = true;
+    output_places_[decode_order_[i]] = OutputPlace::kHost;
   }
 }
 
+bool CostRouter::astray(EngineSlot slot, const Work& work) const {
+  return output_places_[slot] == OutputPlace::kApart &&
+         work.decode_tokens >= settings_.output_speed.minimum_tokens;
+}
+
 bool CostRouter::crowdsOut(EngineSlot slot, const Work& work, const PromptWork& prompt,
                            double now) const {
   const CostInputs& engine = estimates_.inputs(slot);
@@ -300,10 +308,9 @@
   }
   for (PricedEngine& whole : whole_engines_) {
     const double cost = model_.decode(estimates_.inputs(whole.engine), work, now).cost;
-    const bool astray =
-        work.decode_tokens >= settings_.output_speed.minimum_tokens && !hostsOutput(whole.engine);
-    decode_engines_.push_back({cost + (astray ? kAstrayPenalty : 0.0), whole.engine});
-    whole.cost += (whole.crowds_out ? kLatePenalty : 0.0) + (astray ? kAstrayPenalty : 0.0);
+    const double penalty = astray(whole.engine, work) ? kAstrayPenalty : 0.0;
+    decode_engines_.push_back({cost + penalty, whole.engine});
+    whole.cost += (whole.crowds_out ? kLatePenalty : 0.0) + penalty;
   }
 }
 
@@ -533,7 +540,7 @@
     shares.push_back({computing, prompt.uncached, computing == engine ? work.decode_tokens : 0});
     long_prompts_.started(request.stream_id, computing,
                           engine == computing ? kNoEngineSlot : engine, prompt, request.shape);
-    prefixes_.usedBy(computing, request.shape, context_.clock.now());
+    prefixes_.foretold(computing, request.shape, context_.clock.now());
   }
   if (engine != kNoEngineSlot && engine != computing) {
     last_attempt_[engine] = attempts_;
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -58,6 +58,12 @@
     EngineSlot computing() const { return split() ? prefill : engine; }
   };
 
+  /// Where long answers are given.
+  enum class OutputPlace : std::uint8_t {
+    kAnywhere,  ///< they are not gathered
+    kHost,      ///< gathered at this engine
+    kApart,     ///< gathered at others
+  };
   /// An answer that has not begun.
   struct AwaitedOutput {
     EngineSlot engine = kNoEngineSlot;
@@ -74,9 +80,11 @@
   void findPrefixSource(const RouteRequest& request);
   /// \return what the engine would have to do for the prompt, copying what it lacks if it can
   PromptWork promptWork(EngineSlot slot, const Work& work) const;
-  /// Finds the decode engines on which long answers are gathered.
+  /// Finds the decode engines on which long answers are gathered, if they are.
   void chooseOutputHosts();
-  bool hostsOutput(EngineSlot slot) const { return output_hosts_[slot]; }
+  bool hostsOutput(EngineSlot slot) const { return output_places_[slot] == OutputPlace::kHost; }
+  /// \return true if the answer is long, and would be given apart from where long ones are gathered
+  bool astray(EngineSlot slot, const Work& work) const;
   /// \return true if `engine` is a decode engine and the prompt takes it longer than one step, and
   ///   than its streams may be held up.
   bool crowdsOut(EngineSlot slot, const Work& work, const PromptWork& prompt, double now) const;
@@ -136,8 +144,8 @@
   std::vector<PricedEngine> decode_engines_;
   std::vector<PricedEngine> equals_;
   std::vector<EngineSlot> decode_order_;
-  /// By slot, whether long answers are gathered there.
-  std::vector<bool> output_hosts_;
+  /// By slot.
+  std::vector<OutputPlace> output_places_;
   common::Counter& routed_;
   common::Counter& routed_disaggregated_;
   common::Counter& refused_overloaded_;
--- a/src/cypresswall/routing/engine_ejection.cpp
+++ b/src/cypresswall/routing/engine_ejection.cpp
@@ -141,6 +141,9 @@
 }
 
 bool EngineEjection::mayEject(EngineSlot slot, bool unreached) const {
+  if (!settings_.ejects) {
+    return false;
+  }
   const EngineRecord& wanted = table_.record(slot);
   std::size_t alike = 0;
   std::size_t ejected = 0;
--- a/src/cypresswall/routing/engine_ejection.h
+++ b/src/cypresswall/routing/engine_ejection.h
@@ -75,7 +75,8 @@
   void ejectForZone(EngineSlot slot, bool unreached);
   /// \return for how long the engine's next ejection lasts
   common::Duration nextTime(EngineSlot slot);
-  /// \return true unless as many engines of the model and role are ejected as may be
+  /// \return true unless ejection is switched off, or as many engines of the model and role are
+  ///   ejected as may be
   bool mayEject(EngineSlot slot, bool unreached) const;
   void eject(EngineSlot slot, common::Duration time, bool unreached, const char* source);
 
--- a/src/cypresswall/routing/long_prompts.cpp
+++ b/src/cypresswall/routing/long_prompts.cpp
@@ -191,7 +191,7 @@
 void LongPrompts::onPeerStarted(EngineSlot engine, EngineSlot output, PromptKey key,
                                 const StartedPrompt& prompt) {
   add(engine, output, key, prompt);
-  prefixes_.usedBy(engine, prompt.shape(), clock_.now());
+  prefixes_.foretold(engine, prompt.shape(), clock_.now());
 }
 
 void LongPrompts::onPeerEnded(EngineSlot engine, PromptKey key, const EndedPrompt& prompt) {
--- a/src/cypresswall/routing/output_speed.cpp
+++ b/src/cypresswall/routing/output_speed.cpp
@@ -20,7 +20,7 @@
   const double kept = settings_.length_retention;
   sums.seconds = kept * sums.seconds + lasted;
   sums.squared_seconds = kept * sums.squared_seconds + lasted * lasted;
-  if (stream.promised <= 0) {
+  if (!settings_.learns_steps || stream.promised <= 0) {
     return;
   }
   if (sums.promised <= 0) {
@@ -46,7 +46,7 @@
   // over the mean.
   constexpr double kHalf = 0.5;
   const auto found = models_.find(model);
-  if (found == models_.end() || found->second.seconds <= 0) {
+  if (!settings_.learns_remaining_time || found == models_.end() || found->second.seconds <= 0) {
     return 0;
   }
   return kHalf * found->second.squared_seconds / found->second.seconds;
--- a/src/cypresswall/routing/prefix_index.cpp
+++ b/src/cypresswall/routing/prefix_index.cpp
@@ -20,6 +20,9 @@
 }
 
 void PrefixIndex::setCapacity(EngineSlot engine, std::uint64_t tokens) {
+  if (!settings_.foretells) {
+    return;
+  }
   engineAt(engine).capacity = tokens;
   makeRoom(engine);
 }
@@ -89,6 +92,13 @@
   makeRoom(engine);
 }
 
+void PrefixIndex::foretold(EngineSlot engine, const common::PromptShape& shape,
+                           common::MonotonicTime now) {
+  if (settings_.foretells) {
+    usedBy(engine, shape, now);
+  }
+}
+
 void PrefixIndex::usedBy(EngineSlot engine, const common::PromptShape& shape,
                          common::MonotonicTime now) {
   for (std::size_t i = shape.pieces.size(); i-- > 0;) {
@@ -108,7 +118,11 @@
                                    common::MonotonicTime now) {
   Engine& state = engineAt(engine);
   const auto known = state.by_piece.find(piece);
-  if (known == state.by_piece.end() || now - known->second->used_at < settings_.event_lag) {
+  if (known == state.by_piece.end()) {
+    return false;
+  }
+  const bool outdated = now - known->second->used_at < settings_.event_lag;
+  if (settings_.foretells && outdated) {
     return false;
   }
   erase(engine, known->second);
--- a/src/cypresswall/routing/prefix_index.h
+++ b/src/cypresswall/routing/prefix_index.h
@@ -30,20 +30,23 @@
  public:
   explicit PrefixIndex(const PrefixIndexSettings& settings) : settings_(settings) {}
 
-  /// Sets the tokens that an engine has memory for; zero if that is not known.
+  /// Sets the tokens that an engine has memory for; zero if that is not known. Does nothing unless
+  /// caches are foretold.
   void setCapacity(EngineSlot engine, std::uint64_t tokens);
   /// Notes that `engine` holds `piece`, and that it was used just now.
   /// \param tokens length of the piece; zero takes the length known of it, or the usual one
   void stored(EngineSlot engine, common::PieceHash piece, std::uint32_t tokens,
               common::MonotonicTime now);
+  /// Notes that a prompt of this shape was sent to `engine`, which will hold its pieces. Does
+  /// nothing unless caches are foretold.
+  void foretold(EngineSlot engine, const common::PromptShape& shape, common::MonotonicTime now);
   /// Notes that a prompt of this shape uses its pieces at `engine`. The start of a prompt outlives
   /// its end.
   void usedBy(EngineSlot engine, const common::PromptShape& shape, common::MonotonicTime now);
   /// Notes that `engine` does not hold `piece`.
   void removed(EngineSlot engine, common::PieceHash piece);
-  /// Takes in an event that `engine` gave `piece` up. It is passed over if the piece was used
-  /// since: events are late.
-  /// \return true if it changed what is known
+  /// Takes in an event that `engine` gave `piece` up. Where caches are foretold it is passed over
+  /// if the piece was used since: events are late. \return true if it changed what is known
   bool evictionReported(EngineSlot engine, common::PieceHash piece, common::MonotonicTime now);
   /// Forgets all that is known of an engine: it restarted, or its slot has another engine.
   void forgetEngine(EngineSlot engine);
--- a/src/cypresswall/routing/prompt_speed.cpp
+++ b/src/cypresswall/routing/prompt_speed.cpp
@@ -53,7 +53,7 @@
 
 void PromptSpeeds::add(const common::ModelName& model, EngineSlot engine,
                        const PromptSample& sample, double assumed_way, double now) {
-  if (!(sample.promised > 0) || !(sample.taken > 0)) {
+  if (!settings_.learns || !(sample.promised > 0) || !(sample.taken > 0)) {
     return;
   }
   const PromptSpeed known = modelSpeed(model, assumed_way);
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -21,10 +21,15 @@
   double minimum_trust = 0.8;
   /// Part of the lost trust that each batch of events without a gap restores.
   double trust_recovery = 0.1;
+  /// Counts what nobody told yet: pieces of prompts that were sent but not computed, and what full
+  /// engines give up. Off: told pieces count until their loss is told.
+  bool foretells = true;
 };
 
 /// When engines at which attempts fail get no work, and for how long.
 struct EjectionSettings {
+  /// Off: failures are told to peers, which may have it on, but this node ejects no engine.
+  bool ejects = true;
   /// Failures older than this don't count.
   common::Duration window = std::chrono::seconds(1);
   /// First ejection; doubled with each one that begins within `memory` of the end of the last.
@@ -78,6 +83,8 @@
 
 /// How the time that prompts take is learnt.
 struct PromptSpeedSettings {
+  /// Off: the engines' declared or assumed speeds hold.
+  bool learns = true;
   /// Weight that the former samples of a model keep at each new one: some 50 samples count.
   double retention = 0.98;
   /// Samples of a model that the assumed speed counts for.
@@ -99,6 +106,10 @@
 
 /// How the time between tokens is learnt.
 struct OutputSpeedSettings {
+  /// Off: the engines' declared or assumed steps hold.
+  bool learns_steps = true;
+  /// Off: what running streams have left follows from the tokens that engines report.
+  bool learns_remaining_time = true;
   /// Weight that the former answers of a model keep at each new one: some 30 answers count.
   double retention = 0.97;
   /// The same for the time that answers last, of which all count: some 300.
@@ -155,6 +166,8 @@
   double affinity_share = 0.1;
   /// Part of the limit between tokens for which a prompt may hold up the output of a decode engine.
   double crowding_share = 0.6;
+  /// Off: long answers go to any decode engine, and prompts may be computed at each.
+  bool gathers_long_answers = true;
   /// Long answers are gathered on as few decode engines as hold them with this share of their
   /// places taken, and one more: a step takes little longer with many streams, but a prompt between
   /// their steps holds up all of them.
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -11,6 +11,7 @@
 #include "cypresswall/gateway/session.h"
 #include "cypresswall/http/server.h"
 #include "cypresswall/node/node_settings.h"
+#include "cypresswall/planning/disaggregated_planner.h"
 #include "cypresswall/platform/http_machine_list.h"
 #include "cypresswall/platform/http_object_store.h"
 #include "cypresswall/runtime/fault_switch.h"
@@ -32,6 +33,10 @@
   PlatformProtocol platform_protocol = PlatformProtocol::kCypresswall;
   /// Policy of planning where the platform declares the fleet, but no policy.
   configuration::PlanningPolicy planning;
+  /// The planner of roles where engines have only the roles "prefill" and "decode".
+  planning::DisaggregatedPlannerSettings disaggregated_planner;
+  /// Cached prefixes are copied where the platform's engines can do that.
+  bool copied_prefixes = true;
   /// Where the daemon serves its own paths; empty serves them with the callers'.
   common::Address readiness_address;
   /// A planned stop takes requests for so long after the node has said that it isn't ready.
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -298,6 +298,52 @@
   };
 }
 
+/// Each mechanism by which the system copes with overload, to be switched off by itself.
+Keys mechanismKeys() {
+  return {
+      switchKey(
+          "mechanisms.learnt_prompt_speeds",
+          [](auto& s) -> auto& { return s.node.router.prompt_speed.learns; },
+          "Speeds at which engines compute prompts are learnt; off: as declared or assumed."),
+      switchKey(
+          "mechanisms.learnt_output_speeds",
+          [](auto& s) -> auto& { return s.node.router.output_speed.learns_steps; },
+          "Times of decode steps are learnt; off: as declared or assumed."),
+      switchKey(
+          "mechanisms.admission_within_target",
+          [](auto& s) -> auto& { return s.node.execution.admits_within_target; },
+          "Requests are admitted if the first token is expected within the operators' target; off: "
+          "within the time limit to the first token."),
+      switchKey(
+          "mechanisms.foretold_caches",
+          [](auto& s) -> auto& { return s.node.directory.prefix_index.foretells; },
+          "Engines are taken to hold what they are sent, and to give up what was unused for "
+          "longest; off: only cache events and told ends of prompts count."),
+      switchKey(
+          "mechanisms.least_role_share",
+          [](auto& s) -> auto& { return s.disaggregated_planner.keeps_share; },
+          "A share of the engines stays in each role, with planning.automatic_roles; off: two "
+          "engines."),
+      switchKey(
+          "mechanisms.gathered_long_answers",
+          [](auto& s) -> auto& { return s.node.router.gathers_long_answers; },
+          "Long answers are gathered on few decode engines; off: spread over all."),
+      switchKey(
+          "mechanisms.remaining_stream_time",
+          [](auto& s) -> auto& { return s.node.router.output_speed.learns_remaining_time; },
+          "The wait for a place counts how long running streams go on, as learnt; off: by the "
+          "reported tokens."),
+      switchKey(
+          "mechanisms.engine_ejection",
+          [](auto& s) -> auto& { return s.node.directory.ejection.ejects; },
+          "Engines at which attempts fail get no work for a short time; off: until load reports "
+          "show it."),
+      switchKey(
+          "mechanisms.copied_prefixes", [](auto& s) -> auto& { return s.copied_prefixes; },
+          "Engines copy cached prefixes from one another, where they can; off: they compute them."),
+  };
+}
+
 Keys requestTimingKeys() {
   return {
       durationKey(
@@ -361,7 +407,7 @@
 Keys allKeys() {
   Keys keys;
   for (Keys (*const part)() : {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys,
-                               planningKeys, requestTimingKeys, faultKeys}) {
+                               planningKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "cypresswall/planning/disaggregated_planner.h"
 #include "cypresswall/settings/key_table.h"
 
 namespace cypresswall::settings {
@@ -103,15 +102,14 @@
     // That platform counts every request that arrives at a back end, refused or not, over all nodes
     // together: a node may save up only its part of what the platform allows at once.
     settings.node.execution.charge_refused_attempts = true;
-    settings.node.router.copies_prefixes = true;
+    settings.node.router.copies_prefixes = settings.copied_prefixes;
     settings.node.execution.retry_burst = kRetryBurstOfCountingPlatform;
     settings.node.execution.first_token_silence_share = kSilenceShareOfCountingPlatform;
     // Its engines have only the roles "prefill" and "decode", and its store outlives the nodes.
     settings.node.lease_in_store = true;
     settings.node.controller.order.engines_finish_streams = true;
-    settings.node.make_planner = [] {
-      return std::make_unique<planning::DisaggregatedPlanner>(
-          planning::DisaggregatedPlannerSettings{});
+    settings.node.make_planner = [planner = settings.disaggregated_planner] {
+      return std::make_unique<planning::DisaggregatedPlanner>(planner);
     };
   }
   return settings;
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(refusedAttemptsStayWithinTheShare);
   CPPUNIT_TEST(longFirstTokenLimitIsGivenToTheRouter);
   CPPUNIT_TEST(onlyTheFirstAttemptIsPlannedWithinTheTarget);
+  CPPUNIT_TEST(callersPatienceAdmitsWhereTheTargetIsSwitchedOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -51,6 +52,18 @@
     CPPUNIT_ASSERT(world.router.requests.at(1).first_token_limit > milliseconds(1900));
   }
 
+  void callersPatienceAdmitsWhereTheTargetIsSwitchedOff() {
+    ExecutionSettings settings;
+    settings.admits_within_target = false;
+    World world(settings);
+    world.service().first_token_limit = seconds(2);
+    world.service().first_token_target = milliseconds(200);
+    RecordingObserver observer;
+    const auto handle = world.start(observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(world.router.requests.at(0).first_token_limit == seconds(2));
+  }
+
   void passesTheRequestThroughAndTheHeadOnce() {
     World world;
     world.engines.scripts = {{Kind::kBrokenAt, 5}};
--- a/tests/planning/disaggregated_planner_test.cpp
+++ b/tests/planning/disaggregated_planner_test.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(aHigherWeightOfChangesKeepsRoles);
   CPPUNIT_TEST(changesUnderWayCountAgainstTheShareAway);
   CPPUNIT_TEST(lastEngineOfARoleStays);
+  CPPUNIT_TEST(aShareOfTheEnginesStaysInEachRoleUnlessSwitchedOff);
   CPPUNIT_TEST(outputOfManyStreamsSharesSteps);
   CPPUNIT_TEST(promptsOfEitherRoleMoveIdleDecodeEngines);
   CPPUNIT_TEST(measuredOutputCountsBeforeAssumedSteps);
@@ -164,6 +165,13 @@
     CPPUNIT_ASSERT(planner_.plan(input).changes.empty());
   }
 
+  void aShareOfTheEnginesStaysInEachRoleUnlessSwitchedOff() {
+    DisaggregatedPlannerSettings without = settings();
+    without.keeps_share = false;
+    CPPUNIT_ASSERT_EQUAL(6, decodeEnginesLeft(settings()));
+    CPPUNIT_ASSERT_EQUAL(2, decodeEnginesLeft(without));
+  }
+
   void outputOfManyStreamsSharesSteps() {
     PlanningInput input = zoneOf(24, 12);
     DemandRate rate = demandOf(5, 4);
@@ -238,6 +246,17 @@
   }
 
  private:
+  /// \return of 20 engines, those left for output by prompts that ask for all of them and more
+  static int decodeEnginesLeft(const DisaggregatedPlannerSettings& settings) {
+    DisaggregatedPlanner planner(settings);
+    int decode = 10;
+    for (int round = 0; round < 20; ++round) {
+      PlanningInput input = zoneOf(20 - decode, decode);
+      ask(input, demandOf(40, 0), demandOf(40, 0));
+      decode -= static_cast<int>(planner.plan(input).changes.size());
+    }
+    return decode;
+  }
   static DisaggregatedPlannerSettings settings() {
     DisaggregatedPlannerSettings settings;
     settings.maximum_away_share = kAwayShare;
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -13,7 +13,9 @@
 /// One node with a router before scripted engines, all reported.
 class RouterWorld {
  public:
-  explicit RouterWorld(int engine_count, std::uint64_t seed = 1) : simulation_(seed) {
+  explicit RouterWorld(int engine_count, std::uint64_t seed = 1,
+                       const RouterSettings& settings = {})
+      : simulation_(seed) {
     for (int i = 0; i < engine_count; ++i) {
       const std::string name = nameOf(i);
       testing::declareEngine(fleet, name, "m");
@@ -25,7 +27,7 @@
     auto& client = process->emplace<testing::ScriptedEngineClient>(*process, engines);
     directory = &process->emplace<EngineDirectory>(DirectorySettings{}, process->context(), client,
                                                    *configuration, *membership);
-    router = &process->emplace<CostRouter>(RouterSettings{}, process->context(), *directory);
+    router = &process->emplace<CostRouter>(settings, process->context(), *directory);
     directory->start();
     membership->setMembers({process->id()});
     configuration->set(fleet);
@@ -101,6 +103,7 @@
   CPPUNIT_TEST(longPromptIsTakenByAnIdleEngine);
   CPPUNIT_TEST(splitsPrefillAndDecode);
   CPPUNIT_TEST(longAnswersAreGathered);
+  CPPUNIT_TEST(longAnswersAreSpreadWhereGatheringIsSwitchedOff);
   CPPUNIT_TEST(longPromptsLeaveDecodeEnginesAlone);
   CPPUNIT_TEST(prefillEnginesAloneServeNothing);
   CPPUNIT_TEST(otherVersionServesDuringRollOut);
@@ -243,22 +246,7 @@
   /// Prompts between the steps of many streams would hold all of these up.
   void longAnswersAreGathered() {
     RouterWorld world(9);
-    world.load(0).role = EngineRole::kPrefill;
-    for (int i = 1; i < 9; ++i) {
-      world.load(i).role = EngineRole::kDecode;
-      world.load(i).maximum_streams = 16;
-      world.load(i).output_streams = 2;
-    }
-    world.run(std::chrono::seconds(1));
-    std::set<std::string> hosts;
-    for (int i = 0; i < 30; ++i) {
-      RouteRequest request = requestOf(100);
-      request.stream_id = "long" + std::to_string(i);
-      request.maximum_tokens = 200;
-      const Route route = world.route(request);
-      world.router->attemptStarted(request, route);
-      hosts.insert(route.engine.name);
-    }
+    const std::set<std::string> hosts = hostsOfLongAnswers(world);
     // Sixteen streams half fill two engines; one more is for those to come.
     CPPUNIT_ASSERT(hosts.size() <= 3);
     for (int i = 0; i < 30; ++i) {
@@ -270,6 +258,13 @@
     }
   }
 
+  void longAnswersAreSpreadWhereGatheringIsSwitchedOff() {
+    RouterSettings settings;
+    settings.gathers_long_answers = false;
+    RouterWorld world(9, 1, settings);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, hostsOfLongAnswers(world).size());
+  }
+
   void longPromptsLeaveDecodeEnginesAlone() {
     RouterWorld world(2);
     world.load(0).role = EngineRole::kPrefill;
@@ -361,6 +356,29 @@
       }
     });
   }
+
+ private:
+  /// Routes thirty long answers in a world of one prefill engine and eight decode engines, on each
+  /// of which two answers run. \return the engines that got one
+  static std::set<std::string> hostsOfLongAnswers(RouterWorld& world) {
+    world.load(0).role = EngineRole::kPrefill;
+    for (int i = 1; i < 9; ++i) {
+      world.load(i).role = EngineRole::kDecode;
+      world.load(i).maximum_streams = 16;
+      world.load(i).output_streams = 2;
+    }
+    world.run(std::chrono::seconds(1));
+    std::set<std::string> hosts;
+    for (int i = 0; i < 30; ++i) {
+      RouteRequest request = requestOf(100);
+      request.stream_id = "long" + std::to_string(i);
+      request.maximum_tokens = 200;
+      const Route route = world.route(request);
+      world.router->attemptStarted(request, route);
+      hosts.insert(route.engine.name);
+    }
+    return hosts;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CostRouterTest);
--- a/tests/routing/engine_ejection_test.cpp
+++ b/tests/routing/engine_ejection_test.cpp
@@ -18,7 +18,8 @@
 /// Nodes of one zone, each with the table of the same idle engines.
 class EjectionZone {
  public:
-  EjectionZone(int node_count, int engine_count) : simulation_(1) {
+  EjectionZone(int node_count, int engine_count, const EjectionSettings& given = {})
+      : settings(given), simulation_(1) {
     for (int i = 0; i < engine_count; ++i) {
       testing::declareEngine(fleet_, nameOf(i), kModel);
     }
@@ -113,6 +114,7 @@
   CPPUNIT_TEST(aNodeCutOffFromEnginesKeepsHalfOfThem);
   CPPUNIT_TEST(ejectionCostsOneMessageAFailureAndOneANode);
   CPPUNIT_TEST(neverMoreThanTheShare);
+  CPPUNIT_TEST(nothingIsEjectedWhereThatIsSwitchedOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -124,6 +126,18 @@
     CPPUNIT_ASSERT_EQUAL(1, zone.nodesWithout(3));
   }
 
+  /// The same failures eject at all nodes otherwise, see twoNodesEjectForTheZone.
+  void nothingIsEjectedWhereThatIsSwitchedOff() {
+    EjectionSettings off;
+    off.ejects = false;
+    EjectionZone zone(5, 10, off);
+    for (std::size_t node = 0; node < 5; ++node) {
+      zone.fail(node, 3, StreamFailure::kNotSent);
+    }
+    zone.run(100ms);
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesWithout(3));
+  }
+
   void twoNodesEjectForTheZone() {
     EjectionZone zone(5, 10);
     zone.fail(0, 3, StreamFailure::kNotSent);
--- a/tests/routing/long_prompts_test.cpp
+++ b/tests/routing/long_prompts_test.cpp
@@ -18,7 +18,10 @@
 /// The engines copy cached prefixes from one another.
 class TwoNodes {
  public:
-  TwoNodes() : simulation_(1) {
+  explicit TwoNodes(bool copies = true, bool foretells = true) : simulation_(1) {
+    settings_.copies_prefixes = copies;
+    settings_.kv_transfer_per_thousand_tokens = milliseconds(1);
+    directory_settings_.prefix_index.foretells = foretells;
     for (const char* name : {"p0", "p1", "p2", "q0"}) {
       testing::declareEngine(fleet_, name, "m");
       const auto role = name[0] == 'p' ? EngineRole::kPrefill : EngineRole::kDecode;
@@ -48,6 +51,11 @@
     router(node).attemptStarted(request, route);
     return route;
   }
+  /// \return the engines that a node takes to hold the start of a prompt of `subject`
+  std::uint32_t knownHolders(std::size_t node, const std::string& subject) {
+    const RouteChoice choice = router(node).choose(requestOf("other", subject));
+    return std::get<Route>(choice).known_holders;
+  }
   void compute(std::size_t node, const std::string& id, common::Duration time) {
     run(time);
     router(node).promptComputed(id);
@@ -70,12 +78,9 @@
     node.membership = &node.process->emplace<testing::SettableMembership>(node.process->id(), "z");
     auto& client = node.process->emplace<testing::ScriptedEngineClient>(*node.process, engines_);
     auto& directory =
-        node.process->emplace<EngineDirectory>(DirectorySettings{}, node.process->context(), client,
+        node.process->emplace<EngineDirectory>(directory_settings_, node.process->context(), client,
                                                *node.configuration, *node.membership);
-    RouterSettings settings;
-    settings.copies_prefixes = true;
-    settings.kv_transfer_per_thousand_tokens = milliseconds(1);
-    node.router = &node.process->emplace<CostRouter>(settings, node.process->context(), directory);
+    node.router = &node.process->emplace<CostRouter>(settings_, node.process->context(), directory);
     directory.start();
     nodes_.push_back(node);
   }
@@ -95,6 +100,8 @@
   }
 
   simulation::Simulation simulation_;
+  RouterSettings settings_;
+  DirectorySettings directory_settings_;
   configuration::FleetConfiguration fleet_;
   testing::ScriptedEngines engines_;
   std::vector<Node> nodes_;
@@ -105,6 +112,8 @@
   CPPUNIT_TEST(peersAvoidAnEngineThatIsBusy);
   CPPUNIT_TEST(peersKnowWhereASharedPartIs);
   CPPUNIT_TEST(aBusyHolderIsCopiedFrom);
+  CPPUNIT_TEST(nothingIsCopiedWhereThatIsSwitchedOff);
+  CPPUNIT_TEST(sentPromptsAreHeldOnceComputedUnlessForetold);
   CPPUNIT_TEST(aShortQueueIsWaitedFor);
   CPPUNIT_TEST(nothingIsCopiedBeforeItIsComputed);
   CPPUNIT_TEST(nothingIsCopiedFromASilentHolder);
@@ -157,6 +166,33 @@
     CPPUNIT_ASSERT_EQUAL(kSharedTokens, relieved.expected_copied_tokens);
   }
 
+  /// The same prompts as in aBusyHolderIsCopiedFrom.
+  void nothingIsCopiedWhereThatIsSwitchedOff() {
+    TwoNodes zone(false);
+    zone.begin(0, "a", "one");
+    zone.compute(0, "a", milliseconds(320));
+    for (const char* id : {"b", "c", "e", "f"}) {
+      zone.begin(0, id, "one");
+    }
+    zone.run(milliseconds(5));
+    CPPUNIT_ASSERT(!zone.begin(1, "d", "one").prefix_source.has_value());
+  }
+
+  void sentPromptsAreHeldOnceComputedUnlessForetold() {
+    for (const bool foretells : {true, false}) {
+      for (const std::size_t node : {0U, 1U}) {
+        TwoNodes zone(true, foretells);
+        zone.begin(0, "a", "one");
+        zone.run(milliseconds(5));
+        const std::uint32_t while_computed = zone.knownHolders(node, "one");
+        CPPUNIT_ASSERT_EQUAL(foretells ? 1U : 0U, while_computed);
+        zone.compute(0, "a", milliseconds(320));
+        // The engine that computed it, and the one that gives its output.
+        CPPUNIT_ASSERT_EQUAL(2U, zone.knownHolders(node, "one"));
+      }
+    }
+  }
+
   /// A copy displaces cached tokens that others want: the less is copied, the more prompts wait.
   void aShortQueueIsWaitedFor() {
     TwoNodes zone;
--- a/tests/routing/output_speed_test.cpp
+++ b/tests/routing/output_speed_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(slowStepsAreLearnt);
   CPPUNIT_TEST(brokenAnswersTellNothing);
   CPPUNIT_TEST(longAnswersDominateWhatIsLeft);
+  CPPUNIT_TEST(stepsAndWhatIsLeftAreSwitchedApart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -48,6 +49,22 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1, speeds.scale(kModel), 1e-9);
   }
 
+  void stepsAndWhatIsLeftAreSwitchedApart() {
+    for (const bool steps : {true, false}) {
+      for (const bool remaining : {true, false}) {
+        OutputSpeedSettings settings;
+        settings.learns_steps = steps;
+        settings.learns_remaining_time = remaining;
+        OutputSpeeds speeds{settings};
+        for (int i = 0; i < 40; ++i) {
+          answer(speeds, 0.5, 3.5);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(steps ? 7.0 : 1.0, speeds.scale(kModel), 0.3);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(remaining ? 1.75 : 0.0, speeds.remainingSeconds(kModel), 0.01);
+      }
+    }
+  }
+
  private:
   static void answer(OutputSpeeds& speeds, double promised, double lasted) {
     speeds.begin("a", kModel, promised, 10);
--- a/tests/routing/prefix_index_test.cpp
+++ b/tests/routing/prefix_index_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(theStartOfAPromptOutlivesItsEnd);
   CPPUNIT_TEST(anEventOlderThanTheLastUseIsPassedOver);
   CPPUNIT_TEST(aPieceIsFoundAtEveryEngine);
+  CPPUNIT_TEST(onlyWhatIsToldCountsUnlessForetold);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -137,6 +138,27 @@
     CPPUNIT_ASSERT_EQUAL(0U, depthOf(index, 1, {11}));
   }
 
+  void onlyWhatIsToldCountsUnlessForetold() {
+    for (const bool foretells : {true, false}) {
+      PrefixIndexSettings settings;
+      settings.foretells = foretells;
+      PrefixIndex index(settings);
+      common::PromptShape sent;
+      sent.pieces = {11};
+      sent.tokens = common::kTokensPerCachePiece;
+      index.foretold(1, sent, kNow);
+      CPPUNIT_ASSERT_EQUAL(foretells ? 1U : 0U, depthOf(index, 1, {11}));
+      // A full engine.
+      index.setCapacity(2, 10000);
+      index.stored(2, 12, 6000, kNow);
+      index.stored(2, 13, 6000, kNow);
+      CPPUNIT_ASSERT_EQUAL(foretells ? 0U : 1U, depthOf(index, 2, {12}));
+      // An event as soon as the last use.
+      CPPUNIT_ASSERT_EQUAL(!foretells, index.evictionReported(2, 13, kNow));
+      CPPUNIT_ASSERT_EQUAL(foretells ? 1U : 0U, depthOf(index, 2, {13}));
+    }
+  }
+
   void aPieceIsFoundAtEveryEngine() {
     PrefixIndex index({});
     for (EngineSlot slot = 0; slot < 200; ++slot) {
--- a/tests/routing/prompt_speed_test.cpp
+++ b/tests/routing/prompt_speed_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(aSlowEngineIsTriedAgain);
   CPPUNIT_TEST(aRestartedEngineHasItsModelsSpeed);
   CPPUNIT_TEST(anySpeedIsLearnt);
+  CPPUNIT_TEST(switchedOffAssumptionsHold);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -29,6 +30,16 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1, speed.scale, 1e-9);
   }
 
+  void switchedOffAssumptionsHold() {
+    PromptSpeedSettings settings;
+    settings.learns = false;
+    PromptSpeeds speeds{settings};
+    teach(speeds, 0, 0.006, 0.16, 100);
+    const PromptSpeed speed = speeds.speed(kModel, 0, kAssumedWay, 10);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kAssumedWay, speed.way, 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1, speed.scale, 1e-9);
+  }
+
   void wayAndScaleAreToldApart() {
     PromptSpeeds speeds{PromptSpeedSettings{}};
     teach(speeds, 0, 0.006, 0.16, 100);
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -1,4 +1,6 @@
 #include <fstream>
+#include <functional>
+#include <map>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -6,6 +8,7 @@
 #include "cypresswall/settings/key_table.h"
 #include "cypresswall/settings/settings_documents.h"
 #include "cypresswall/settings/settings_loader.h"
+#include "tests/planning/planned_zone.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::settings {
@@ -41,6 +44,12 @@
   return text;
 }
 
+/// \return the least settings with one switch of a mechanism
+std::string withMechanism(const std::string& name, const std::string& value) {
+  std::string text = kLeast;
+  return text.append("mechanisms: {").append(name).append(": ").append(value).append("}");
+}
+
 class SettingsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SettingsTest);
   CPPUNIT_TEST(leastSettingsTakeAllDefaults);
@@ -48,6 +57,9 @@
   CPPUNIT_TEST(errorsNameFileLineAndKey);
   CPPUNIT_TEST(reportsAllProblemsAtOnce);
   CPPUNIT_TEST(checksKeysTogether);
+  CPPUNIT_TEST(eachMechanismIsSwitchedByItself);
+  CPPUNIT_TEST(copiesNeedEnginesThatCanAndTheSwitch);
+  CPPUNIT_TEST(thePlannerOfRolesGetsItsSwitch);
   CPPUNIT_TEST(flagsGoOverTheFile);
   CPPUNIT_TEST(defaultsReadBack);
   CPPUNIT_TEST(pageListsEveryKey);
@@ -145,6 +157,51 @@
     CPPUNIT_ASSERT(problemsOf(both).find("node.readiness_address") != std::string::npos);
   }
 
+  void eachMechanismIsSwitchedByItself() {
+    const std::map<std::string, std::function<bool(const DaemonSettings&)>> mechanisms = {
+        {"learnt_prompt_speeds", [](const auto& s) { return s.node.router.prompt_speed.learns; }},
+        {"learnt_output_speeds",
+         [](const auto& s) { return s.node.router.output_speed.learns_steps; }},
+        {"admission_within_target",
+         [](const auto& s) { return s.node.execution.admits_within_target; }},
+        {"foretold_caches", [](const auto& s) { return s.node.directory.prefix_index.foretells; }},
+        {"least_role_share", [](const auto& s) { return s.disaggregated_planner.keeps_share; }},
+        {"gathered_long_answers", [](const auto& s) { return s.node.router.gathers_long_answers; }},
+        {"remaining_stream_time",
+         [](const auto& s) { return s.node.router.output_speed.learns_remaining_time; }},
+        {"engine_ejection", [](const auto& s) { return s.node.directory.ejection.ejects; }},
+        {"copied_prefixes", [](const auto& s) { return s.copied_prefixes; }}};
+    for (const SettingKey& key : settingKeys()) {
+      const bool is_mechanism = key.name.starts_with("mechanisms.");
+      CPPUNIT_ASSERT_MESSAGE(
+          key.name, !is_mechanism || mechanisms.contains(key.name.substr(key.name.find('.') + 1)));
+    }
+    for (const auto& [off, unused] : mechanisms) {
+      const DaemonSettings settings = load(withMechanism(off, "off"));
+      for (const auto& [name, is_on] : mechanisms) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, name != off, is_on(settings));
+        CPPUNIT_ASSERT_MESSAGE(name, is_on(load(kLeast)));
+      }
+      const std::string problems = problemsOf(withMechanism(off, "perhaps"));
+      CPPUNIT_ASSERT(problems.find("node.yaml:10: mechanisms." + off) != std::string::npos);
+    }
+  }
+
+  void copiesNeedEnginesThatCanAndTheSwitch() {
+    const std::string objects = kLeast + "  protocol: objects\n";
+    const std::string off = "mechanisms: {copied_prefixes: off}";
+    CPPUNIT_ASSERT(load(objects).node.router.copies_prefixes);
+    CPPUNIT_ASSERT(!load(objects + off).node.router.copies_prefixes);
+    CPPUNIT_ASSERT(!load(kLeast).node.router.copies_prefixes);
+  }
+
+  void thePlannerOfRolesGetsItsSwitch() {
+    const std::string objects = kLeast + "  protocol: objects\n";
+    const std::string off = "mechanisms: {least_role_share: off}";
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, changesPlannedBy(load(objects)));
+    CPPUNIT_ASSERT(changesPlannedBy(load(objects + off)) > 0);
+  }
+
   void flagsGoOverTheFile() {
     SourceValues flags;
     flags["node.zone"] = {{{"mangalia"}, false}, "--node_zone"};
@@ -189,6 +246,23 @@
                                }
                              });
   }
+
+ private:
+  /// \return changes of role while prompts ask for more than all engines, 3 of 10 of which are left
+  ///   for output
+  static std::size_t changesPlannedBy(const DaemonSettings& settings) {
+    using engines::EngineRole;
+    planning::PlanningInput input =
+        testing::plannedZone({}, {{EngineRole::kPrefill, 7}, {EngineRole::kDecode, 3}});
+    planning::DemandRate rate;
+    rate.prefill_engine_requests_per_second = 120;
+    rate.prefill_engine_seconds = 12;
+    testing::setDemand(input, rate, rate);
+    input.demand[testing::kPlannedModel].long_first_token_limit = std::chrono::milliseconds(600);
+    input.policy.horizon = std::chrono::seconds(20);
+    input.policy.role_change_weight = 5;
+    return settings.node.make_planner()->plan(input).changes.size();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
