--- /dev/null
+++ b/tests/scripts/ablation_test.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Tests scripts/ablation.sh with days that are made up: the daemon takes each template's settings,
+# the table shows what was played, and a run that was broken off goes on.
+# usage: ablation_test.sh SOURCE_DIR DAEMON
+set -euo pipefail
+source_dir=$1
+export DAEMON=$2
+scratch=$(mktemp -d)
+export scratch
+trap 'rm -rf "$scratch"' EXIT
+
+fail() {
+  printf '%s\n' "$*" >&2
+  exit 1
+}
+
+# Plays a made-up day: it is worth 0.5 on day "a" and 0.7 on day "b", less 0.1 and 0.3 without
+# learnt prompt speeds. Day "b" fails while a file "broken" is there.
+playMadeUpDay() {
+  sed -e 's/{{seeds}}//; s/{{region}}/dobrogea/; s/{{node_name}}/m1/; s/{{limits.link_mbps}}/1000/' \
+    -e 's/{{listen_addrs.control}}/127.0.1.1:7000/; s/{{listen_addrs.front}}/127.0.1.1:8080/' \
+    -e 's/{{listen_addrs.readiness}}/127.0.1.1:8081/; s/{{platform.address}}/127.0.0.1:9000/' \
+    "$TEMPLATE" >"$scratch/settings.yaml"
+  "$DAEMON" --settings "$scratch/settings.yaml" --check_settings >"$scratch/check" 2>&1 ||
+    { cat "$scratch/check" >&2; return 1; }
+  echo "$TEMPLATE $DEPLOYMENT $DAY $SEED" >>"$scratch/played"
+  if [ "$DAY" = b ] && [ -e "$scratch/broken" ]; then
+    return 1
+  fi
+  local worth=0.5
+  [ "$DAY" = b ] && worth=0.7
+  if grep -q '^  learnt_prompt_speeds: off$' "$TEMPLATE"; then
+    worth=0.4
+  fi
+  printf 'some words\n%s\n' "$worth"
+}
+export -f playMadeUpDay
+
+ablation() { # days, switches...
+  local days=$1
+  shift
+  "$source_dir/scripts/ablation.sh" playMadeUpDay "$scratch/out" one.toml,two.toml "$days" 1,2 "$@"
+}
+expectRow() {
+  grep -Fqx -- "$1" "$scratch/table" || fail "no row $1 in:" "$(cat "$scratch/table")"
+}
+expectPlayed() {
+  local played
+  played=$(wc -l <"$scratch/played")
+  [ "$played" -eq "$1" ] || fail "$played days were played, $1 expected"
+}
+
+# Every switch of the settings page, once, and nothing else.
+ablation a >"$scratch/table"
+switches=$(grep -c '| switch |' "$source_dir/docs/settings.md")
+[ "$switches" -ge 10 ] || fail "only $switches switches on the page"
+expectPlayed $((4 * (switches + 1)))
+expectRow '| none | 4 | 0.500 | | |'
+expectRow '| mechanisms.learnt_prompt_speeds | 4 | 0.400 | -0.100 | 0.000 |'
+expectRow '| planning.automatic_roles | 4 | 0.500 | 0.000 | 0.000 |'
+[ "$(grep -c ': off$' "$scratch/out/planning.automatic_roles.template")" -eq 1 ] || fail "not off once"
+grep -q 'automatic_roles: on' "$scratch/out/planning.automatic_roles.template" && fail "on and off"
+
+# Days that fail are named, left out, and played by the next run, which plays nothing else.
+: >"$scratch/played"
+touch "$scratch/broken"
+ablation a,b mechanisms.learnt_prompt_speeds >"$scratch/table" 2>"$scratch/errors" && fail "no error told"
+expectPlayed 8
+grep -Fqx 'not played: without none, one.toml, b, seed 1' "$scratch/errors" || fail "no day named"
+expectRow '| mechanisms.learnt_prompt_speeds | 4 | 0.400 | -0.100 | 0.000 |'
+rm "$scratch/broken"
+ablation a,b mechanisms.learnt_prompt_speeds >"$scratch/table"
+expectPlayed 16
+expectRow '| none | 8 | 0.600 | | |'
+expectRow '| mechanisms.learnt_prompt_speeds | 8 | 0.400 | -0.200 | 0.100 |'
+echo OK
