--- /dev/null
+++ b/apps/cypressctl/explain.h
@@ -0,0 +1,15 @@
+/// The command `explain LOGFILES... --request ID`, which asks no daemon.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "cypresswall/operators/command_client.h"
+
+namespace cypresswall::cypressctl {
+
+/// Prints the time line of the request, and on standard error how many lines can't be read.
+/// \return kRefused if no log names the request, kUsage if a log can't be read
+operators::ExitCode explain(const std::vector<std::string>& logs, const std::string& request);
+
+}  // namespace cypresswall::cypressctl
--- a/apps/cypressctl/main.cpp
+++ b/apps/cypressctl/main.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "apps/cypressctl/console.h"
+#include "apps/cypressctl/explain.h"
 #include "apps/cypressctl/http_post.h"
 #include "cypresswall/operators/command_api.h"
 #include "cypresswall/operators/command_client.h"
@@ -30,6 +31,7 @@
 DEFINE_string(f, "", "with apply: the fleet file; otherwise a file of commands, one a line");
 DEFINE_string(change_id, "", "identifier of the change, to settle an earlier attempt");
 DEFINE_string(author, "", "who makes changes; user@host if empty");
+DEFINE_string(request, "", "with explain: the identifier of the request");
 DEFINE_int32(timeout_seconds, 25, "time limit of one request");
 
 namespace cypresswall::cypressctl {
@@ -169,6 +171,9 @@
 }
 
 ExitCode run(std::vector<std::string> words) {
+  if (!words.empty() && words.front() == "explain") {
+    return explain({words.begin() + 1, words.end()}, FLAGS_request);
+  }
   const auto format = operators::parseOutputFormat(FLAGS_output);
   if (!format) {
     throw UsageError("--output must be table, json or yaml");
--- /dev/null
+++ b/src/cypresswall/request_trace/event_words.cpp
@@ -0,0 +1,124 @@
+#include "cypresswall/request_trace/event_words.h"
+
+#include <fmt/format.h>
+
+namespace cypresswall::request_trace {
+namespace {
+
+std::string tokensOf(const RequestRouted& event) {
+  std::string text = fmt::format("{} tokens, {} cached", event.prompt_tokens, event.cached_tokens);
+  if (event.copied_tokens > 0) {
+    text += fmt::format(", {} to copy from {}", event.copied_tokens, event.copied_from);
+  }
+  return text + fmt::format(", {} holders known", event.known_holders);
+}
+
+/// Writes each event of a line that stood at `time`.
+struct EventWriter {
+  WallTime time;
+
+  std::string operator()(const OtherEvent&) const { return {}; }
+  std::string operator()(const RequestRouted& event) const {
+    const std::string prompt =
+        event.prefill_engine.empty() ? "" : ", prompt on " + event.prefill_engine;
+    const std::string resumed = event.tokens_given.value_or(0) > 0
+                                    ? fmt::format(", goes on after token {}", *event.tokens_given)
+                                    : "";
+    return fmt::format(
+        "routed to {}{}{}: {}; expected: wait {}, prompt {}, first token {}; {} left", event.engine,
+        prompt, resumed, tokensOf(event), inWords(event.expected_wait),
+        inWords(event.expected_prompt), inWords(event.expected_first_token),
+        inWords(event.time_left));
+  }
+  std::string operator()(const LoadRefusal& event) const {
+    return fmt::format(
+        "refused: the best engine {} is expected to give the first token in {} (wait {}), the "
+        "limit is {}; its report is {} old; come back in {}",
+        event.engine, inWords(event.expected_first_token), inWords(event.expected_wait),
+        inWords(event.limit), inWords(event.report_age), inWords(event.retry_after));
+  }
+  std::string operator()(const FrontRefusal& event) const {
+    return fmt::format("refused at the front: {} {}: {}", event.status, event.code, event.reason);
+  }
+  std::string operator()(const PromptComputed& event) const {
+    return fmt::format("prompt computed by {}, {} after the route", event.engine,
+                       inWords(event.after_routed));
+  }
+  std::string operator()(const FirstToken& event) const {
+    return fmt::format("first token from {}, {} after the route", event.engine,
+                       inWords(event.after_routed));
+  }
+  std::string operator()(const AttemptFailed& event) const {
+    return fmt::format("attempt failed at {}, tokens given {}: {}", event.engine,
+                       event.tokens_given, event.reason);
+  }
+  std::string operator()(const RequestFailed& event) const {
+    return fmt::format("{} failed, {}: {}",
+                       event.kind == RequestKind::kModel ? "request" : "service request",
+                       event.outcome, event.reason);
+  }
+  std::string operator()(const RequestEnded& event) const {
+    const std::string tokens =
+        event.output_tokens ? fmt::format(", {} tokens given", *event.output_tokens) : "";
+    return fmt::format("ended at the front, {} ({}){}", event.result, event.reason, tokens);
+  }
+  std::string operator()(const ConfigurationTaken& event) const {
+    const std::string runners =
+        event.runners ? fmt::format(", {} runners known", *event.runners) : "";
+    return fmt::format("configuration version {} taken{}", event.version, runners);
+  }
+  std::string operator()(const EngineEjected& event) const {
+    return fmt::format("{} ejected, {} by {}, {} in a row; readmitted at {}", event.engine,
+                       event.failure, event.source, event.in_a_row,
+                       timeOfDay(time + event.duration));
+  }
+  std::string operator()(const EngineChangeStarted& event) const {
+    return fmt::format("{} changes: {} {} under epoch {}: {}", event.engine, event.order,
+                       event.role, event.epoch, event.reason);
+  }
+  std::string operator()(const EngineChangeEnded& event) const {
+    return fmt::format("change of {} under epoch {} ended, {} after {}", event.engine, event.epoch,
+                       event.outcome, inWords(event.took));
+  }
+  std::string operator()(const StoreWatchFailed& event) const {
+    return fmt::format("store not read: {} of {} at revision {}: {}", event.call, event.kind,
+                       event.revision, event.reason);
+  }
+  std::string operator()(const StoreSourceChanged& event) const {
+    return fmt::format("{} now read from {}, revision {}", event.topic,
+                       event.source == "store" ? "the store itself" : "the zone's readers",
+                       event.revision);
+  }
+  std::string operator()(const NodeStarted& event) const {
+    return "node started, version " + event.version;
+  }
+  std::string operator()(const NodeStopping& event) const {
+    return fmt::format("node began to stop, {} requests in flight", event.in_flight);
+  }
+  std::string operator()(const LinesDropped& event) const {
+    return fmt::format("{} lines of the log were dropped before this one", event.lines);
+  }
+};
+
+}  // namespace
+
+std::string inWords(const LogRecord& record) {
+  return std::visit(EventWriter{record.time}, record.event);
+}
+
+std::string timeOfDay(WallTime time) {
+  const auto milliseconds = (time - std::chrono::floor<std::chrono::days>(time)).count();
+  const auto seconds = milliseconds / 1000;
+  return fmt::format("{:02}:{:02}:{:02}.{:03}", seconds / 3600, seconds / 60 % 60, seconds % 60,
+                     milliseconds % 1000);
+}
+
+std::string dayOf(WallTime time) {
+  const std::chrono::year_month_day day(std::chrono::floor<std::chrono::days>(time));
+  return fmt::format("{:04}-{:02}-{:02}", static_cast<int>(day.year()),
+                     static_cast<unsigned>(day.month()), static_cast<unsigned>(day.day()));
+}
+
+std::string inWords(Milliseconds duration) { return fmt::format("{} ms", duration.count()); }
+
+}  // namespace cypresswall::request_trace
--- /dev/null
+++ b/src/cypresswall/request_trace/failure_reason.cpp
@@ -0,0 +1,47 @@
+#include "cypresswall/request_trace/failure_reason.h"
+
+#include <array>
+
+namespace cypresswall::request_trace {
+namespace {
+
+struct Phrase {
+  std::string_view text;
+  FailureReason reason;
+};
+
+/// The first phrase that stands in the text decides.
+constexpr auto kPhrases = std::to_array<Phrase>({
+    {"this node was paused", FailureReason::kNodePaused},
+    {"can meet the request's limits now", FailureReason::kNoEngineInTime},
+    {"is available now", FailureReason::kNoEngineAvailable},
+    {"requests of this urgency are shed", FailureReason::kShed},
+    {"time limit has passed", FailureReason::kTimeLimitPassed},
+    {"first token can't be given in time", FailureReason::kFirstTokenTooLate},
+    {"Failed to connect", FailureReason::kNotReached},
+    {"Could not connect", FailureReason::kNotReached},
+    {"Couldn't connect", FailureReason::kNotReached},
+    {"Connection timeout after", FailureReason::kNotReached},
+    {"Connection timed out after", FailureReason::kNotReached},
+    {"silent for too long", FailureReason::kBackEndSilent},
+    {"Operation timed out", FailureReason::kBackEndSilent},
+    {" came after event ", FailureReason::kEventsMissing},
+    {"Connection reset", FailureReason::kConnectionLost},
+    {"Empty reply", FailureReason::kConnectionLost},
+    {"closed", FailureReason::kConnectionLost},
+    {"caller went away", FailureReason::kCallerGone},
+    {"connection ended", FailureReason::kCallerGone},
+});
+
+}  // namespace
+
+FailureReason failureReasonOf(std::string_view reason) {
+  for (const Phrase& phrase : kPhrases) {
+    if (reason.find(phrase.text) != std::string_view::npos) {
+      return phrase.reason;
+    }
+  }
+  return FailureReason::kOther;
+}
+
+}  // namespace cypresswall::request_trace
--- /dev/null
+++ b/src/cypresswall/request_trace/failure_reason.h
@@ -0,0 +1,26 @@
+/// The kinds of reason that nodes give when a request or an attempt fails.
+#pragma once
+
+#include <string_view>
+
+namespace cypresswall::request_trace {
+
+enum class FailureReason {
+  kNoEngineAvailable,
+  kNoEngineInTime,
+  kShed,
+  kNodePaused,
+  kTimeLimitPassed,
+  kFirstTokenTooLate,
+  kBackEndSilent,
+  kNotReached,
+  kConnectionLost,
+  kEventsMissing,
+  kCallerGone,
+  kOther,
+};
+
+/// \param reason the text as it stands in the log
+FailureReason failureReasonOf(std::string_view reason);
+
+}  // namespace cypresswall::request_trace
--- /dev/null
+++ b/src/cypresswall/request_trace/log_record.h
@@ -0,0 +1,184 @@
+/// The events of a node's log that tell what became of a request, each as its own type. Values that
+/// older nodes did not write are optional.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <variant>
+
+namespace cypresswall::request_trace {
+
+/// Time of day as a node's own clock gave it; clocks of two nodes may differ.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+using Milliseconds = std::chrono::milliseconds;
+
+/// A node chose the engine of an attempt.
+struct RequestRouted {
+  std::string request;
+  std::string service;
+  std::string engine;
+  /// Empty if `engine` computes the prompt itself.
+  std::string prefill_engine;
+  std::optional<std::int64_t> tokens_given;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t cached_tokens = 0;
+  std::int64_t copied_tokens = 0;
+  std::string copied_from;
+  std::int64_t known_holders = 0;
+  Milliseconds expected_wait{0};
+  Milliseconds expected_prompt{0};
+  Milliseconds expected_first_token{0};
+  Milliseconds time_left{0};
+};
+
+/// No engine could serve a request in time; this one would have come nearest.
+struct LoadRefusal {
+  std::string request;
+  std::string service;
+  std::string engine;
+  Milliseconds expected_wait{0};
+  Milliseconds expected_first_token{0};
+  Milliseconds limit{0};
+  Milliseconds report_age{0};
+  Milliseconds retry_after{0};
+};
+
+/// The front refused a request before any engine was looked for.
+struct FrontRefusal {
+  std::string request;
+  std::int64_t status = 0;
+  std::string code;
+  std::string reason;
+};
+
+struct PromptComputed {
+  std::string request;
+  std::string engine;
+  Milliseconds after_routed{0};
+};
+
+struct FirstToken {
+  std::string request;
+  std::string engine;
+  Milliseconds after_routed{0};
+};
+
+struct AttemptFailed {
+  std::string request;
+  std::string engine;
+  std::int64_t tokens_given = 0;
+  std::string reason;
+};
+
+/// Which kind of request failed.
+enum class RequestKind { kModel, kService };
+
+struct RequestFailed {
+  std::string request;
+  RequestKind kind = RequestKind::kModel;
+  /// `not-run` or `unknown`.
+  std::string outcome;
+  std::string reason;
+};
+
+struct RequestEnded {
+  std::string request;
+  std::string service;
+  /// `done`, `not-run`, `unknown` or `caller-gone`.
+  std::string result;
+  std::string reason;
+  std::optional<std::int64_t> output_tokens;
+};
+
+/// A node took a version of the configuration into force.
+struct ConfigurationTaken {
+  std::int64_t version = 0;
+  std::optional<std::int64_t> runners;
+};
+
+/// A node gives an engine no work for a while; it is readmitted when the while is over.
+struct EngineEjected {
+  std::string engine;
+  std::string source;
+  std::string failure;
+  std::int64_t in_a_row = 0;
+  Milliseconds duration{0};
+};
+
+struct EngineChangeStarted {
+  std::string engine;
+  std::string epoch;
+  std::string order;
+  std::string role;
+  std::string reason;
+};
+
+struct EngineChangeEnded {
+  std::string engine;
+  std::string epoch;
+  std::string outcome;
+  Milliseconds took{0};
+};
+
+struct StoreWatchFailed {
+  std::string kind;
+  std::string call;
+  std::int64_t revision = 0;
+  std::string reason;
+};
+
+struct StoreSourceChanged {
+  std::string topic;
+  /// `store` or `readers`.
+  std::string source;
+  std::int64_t revision = 0;
+};
+
+struct NodeStarted {
+  std::string version;
+};
+
+struct NodeStopping {
+  std::int64_t in_flight = 0;
+};
+
+/// Lines that the node could not write since their reader stalled.
+struct LinesDropped {
+  std::int64_t lines = 0;
+};
+
+/// An event that this command does not use.
+struct OtherEvent {};
+
+using Event =
+    std::variant<OtherEvent, RequestRouted, LoadRefusal, FrontRefusal, PromptComputed, FirstToken,
+                 AttemptFailed, RequestFailed, RequestEnded, ConfigurationTaken, EngineEjected,
+                 EngineChangeStarted, EngineChangeEnded, StoreWatchFailed, StoreSourceChanged,
+                 NodeStarted, NodeStopping, LinesDropped>;
+
+/// Where a line stands: the how many-th log, and the line within it, from 1.
+struct LogPosition {
+  std::size_t log = 0;
+  std::uint64_t line = 0;
+};
+
+inline bool operator<(const LogPosition& left, const LogPosition& right) {
+  return std::tie(left.log, left.line) < std::tie(right.log, right.line);
+}
+
+/// One line of a node's log.
+struct LogRecord {
+  WallTime time{};
+  std::string node;
+  Event event;
+  LogPosition position{};
+};
+
+/// \return the request that the event is about; empty if it is about none
+std::string requestOf(const Event& event);
+
+}  // namespace cypresswall::request_trace
--- /dev/null
+++ b/src/cypresswall/request_trace/time_line.cpp
@@ -0,0 +1,66 @@
+#include "cypresswall/request_trace/time_line.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cypresswall::request_trace {
+namespace {
+
+/// Follows the attempts of a request from line to line.
+class AttemptFollower {
+ public:
+  void take(const LogRecord& record) {
+    if (const auto* route = std::get_if<RequestRouted>(&record.event)) {
+      attempts_.push_back({*route, record.time, record.node, {}, {}, {}, {}, {}});
+      return;
+    }
+    if (Attempt* attempt = underWayAt(record.node)) {
+      std::visit([attempt](const auto& event) { apply(event, *attempt); }, record.event);
+      if (attempt->failure) {
+        attempt->failed_at = record.time;
+      }
+    }
+  }
+  std::vector<Attempt> takeAttempts() { return std::move(attempts_); }
+
+ private:
+  static void apply(const PromptComputed& event, Attempt& attempt) {
+    attempt.prompt_computed = event.after_routed;
+  }
+  static void apply(const FirstToken& event, Attempt& attempt) {
+    attempt.first_token = event.after_routed;
+  }
+  static void apply(const AttemptFailed& event, Attempt& attempt) { attempt.failure = event; }
+  static void apply(const RequestEnded& event, Attempt& attempt) { attempt.end = event; }
+  template <typename Other>
+  static void apply(const Other&, Attempt&) {}
+
+  /// \return the newest attempt of the node if neither it nor the request has ended
+  Attempt* underWayAt(const std::string& node) {
+    const auto newest =
+        std::find_if(attempts_.rbegin(), attempts_.rend(),
+                     [&node](const Attempt& attempt) { return attempt.node == node; });
+    const bool under_way = newest != attempts_.rend() && !newest->failure && !newest->end;
+    return under_way ? &*newest : nullptr;
+  }
+
+  std::vector<Attempt> attempts_;
+};
+
+}  // namespace
+
+TimeLine makeTimeLine(const std::string& request, std::vector<LogRecord> records,
+                      NeighbourCounts neighbours) {
+  std::stable_sort(
+      records.begin(), records.end(), [](const LogRecord& left, const LogRecord& right) {
+        return std::tie(left.time, left.position) < std::tie(right.time, right.position);
+      });
+  AttemptFollower follower;
+  for (const LogRecord& record : records) {
+    follower.take(record);
+  }
+  return {request, std::move(records), follower.takeAttempts(), std::move(neighbours)};
+}
+
+}  // namespace cypresswall::request_trace
--- /dev/null
+++ b/src/cypresswall/request_trace/time_line.h
@@ -0,0 +1,51 @@
+/// One request from its first line to its last, over all nodes.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cypresswall/request_trace/log_record.h"
+#include "cypresswall/request_trace/neighbour_failures.h"
+
+namespace cypresswall::request_trace {
+
+/// One try of a request at an engine.
+struct Attempt {
+  RequestRouted route;
+  WallTime routed_at{};
+  std::string node;
+  std::optional<Milliseconds> prompt_computed;
+  std::optional<Milliseconds> first_token;
+  std::optional<AttemptFailed> failure;
+  std::optional<WallTime> failed_at;
+  /// How the request ended while this attempt was under way.
+  std::optional<RequestEnded> end;
+};
+
+struct TimeLine {
+  std::string request;
+  /// The request's own lines and those in force around it, in order of time.
+  std::vector<LogRecord> records;
+  std::vector<Attempt> attempts;
+  NeighbourCounts neighbours;
+};
+
+/// Orders lines by time; those of the same millisecond by their position in the logs.
+/// Then follows the attempts through them.
+TimeLine makeTimeLine(const std::string& request, std::vector<LogRecord> records,
+                      NeighbourCounts neighbours);
+
+/// \return the newest event of this type that is about the request, or nullptr
+template <typename RequestEvent>
+const RequestEvent* lastOf(const TimeLine& time_line) {
+  const RequestEvent* last = nullptr;
+  for (const LogRecord& record : time_line.records) {
+    if (const auto* event = std::get_if<RequestEvent>(&record.event)) {
+      last = event;
+    }
+  }
+  return last;
+}
+
+}  // namespace cypresswall::request_trace
--- /dev/null
+++ b/src/cypresswall/request_trace/time_line_rendering.h
@@ -0,0 +1,20 @@
+/// A time line as text for a terminal.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "cypresswall/request_trace/log_scan.h"
+#include "cypresswall/request_trace/time_line.h"
+#include "cypresswall/request_trace/verdict.h"
+
+namespace cypresswall::request_trace {
+
+/// \return the lines in order, the attempts, and last the verdict in one line. Control characters
+/// that a log may hold are shown as `?`.
+std::string renderTimeLine(const TimeLine& time_line, const Verdict& verdict);
+
+/// \return a line for each log with lines that can't be read; empty if there is none
+std::string renderUnreadable(const std::vector<ScanCount>& counts);
+
+}  // namespace cypresswall::request_trace
--- /dev/null
+++ b/src/cypresswall/request_trace/verdict.cpp
@@ -0,0 +1,275 @@
+#include "cypresswall/request_trace/verdict.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "cypresswall/request_trace/event_words.h"
+#include "cypresswall/request_trace/failure_reason.h"
+
+namespace cypresswall::request_trace {
+namespace {
+
+/// A time is called long if it is more than this many times what was expected, and by this much.
+constexpr int kLongFactor = 2;
+constexpr Milliseconds kLongMargin{100};
+
+bool muchLonger(Milliseconds taken, Milliseconds expected) {
+  return taken > expected * kLongFactor && taken - expected > kLongMargin;
+}
+
+const Attempt* lastFailedAttempt(const TimeLine& time_line) {
+  const Attempt* last = nullptr;
+  for (const Attempt& attempt : time_line.attempts) {
+    last = attempt.failure ? &attempt : last;
+  }
+  return last;
+}
+
+/// Whether one engine failed, or many did at once.
+std::string enginesInWords(const NeighbourCounts& counts, const std::string& engine) {
+  const std::size_t others = counts.failing_engines.size() - counts.failing_engines.count(engine);
+  if (others > 0) {
+    return fmt::format(
+        "attempts failed at {} other engines within a second ({} gave first tokens): the network "
+        "or the engines' platform rather than this engine",
+        others, counts.answering_engines.size());
+  }
+  return counts.answering_engines.empty()
+             ? "no other attempt of that second tells whether it is this engine alone"
+             : fmt::format(
+                   "no attempt failed elsewhere within a second and {} engines gave first "
+                   "tokens: this engine alone",
+                   counts.answering_engines.size());
+}
+
+/// Whether one node refused, or many did.
+std::string nodesInWords(const NeighbourCounts& counts) {
+  return fmt::format(
+      "within a second {} more requests failed so here, and {} at {} of {} other nodes",
+      counts.same_failures_here, counts.same_failures_elsewhere, counts.failing_nodes.size(),
+      counts.other_nodes.size());
+}
+
+std::string attemptCause(const AttemptFailed& failure) {
+  switch (failureReasonOf(failure.reason)) {
+    case FailureReason::kNotReached:
+      return failure.engine + " was not reached";
+    case FailureReason::kBackEndSilent:
+      return failure.engine + " had the request and was silent";
+    case FailureReason::kConnectionLost:
+      return failure.engine + " lost the connection after the request was sent";
+    case FailureReason::kEventsMissing:
+      return fmt::format("a part of the answer of {} was lost on the way ({})", failure.engine,
+                         failure.reason);
+    default:
+      return fmt::format("{} failed ({})", failure.engine, failure.reason);
+  }
+}
+
+std::string failedAttemptCause(const TimeLine& time_line) {
+  const AttemptFailed& failure = *lastFailedAttempt(time_line)->failure;
+  return attemptCause(failure) + "; " + enginesInWords(time_line.neighbours, failure.engine);
+}
+
+std::string loadCause(const LoadRefusal& refusal) {
+  const Milliseconds without_wait = refusal.expected_first_token - refusal.expected_wait;
+  if (without_wait > refusal.limit) {
+    return fmt::format(
+        "even without its wait of {} the best engine {} is expected to need {} for the first "
+        "token, "
+        "beyond the limit of {}: slow engines or a short limit rather than load",
+        inWords(refusal.expected_wait), refusal.engine, inWords(without_wait),
+        inWords(refusal.limit));
+  }
+  return fmt::format(
+      "load: a wait of {} at the best engine {}, by a report {} old, takes the first "
+      "token beyond the limit of {}",
+      inWords(refusal.expected_wait), refusal.engine, inWords(refusal.report_age),
+      inWords(refusal.limit));
+}
+
+std::string noEngineCause(const TimeLine& time_line) {
+  const NeighbourCounts& counts = time_line.neighbours;
+  const std::string seen = nodesInWords(counts);
+  if (counts.other_nodes.empty()) {
+    return "the node knew no engine to be usable; the logs of no other node of that second are "
+           "here";
+  }
+  return counts.failing_nodes.empty()
+             ? "this node alone knew no usable engine, as after a pause or when it is cut off; " +
+                   seen
+             : "several nodes knew no usable engine, so that the engines, their platform or the "
+               "network failed; " +
+                   seen;
+}
+
+std::string lateCause(const Attempt& attempt) {
+  const RequestRouted& route = attempt.route;
+  if (attempt.prompt_computed &&
+      muchLonger(*attempt.prompt_computed, route.expected_wait + route.expected_prompt)) {
+    return fmt::format(
+        "the prompt took {} on {} where {} were expected: a part believed cached was "
+        "read again, or that engine is slow",
+        inWords(*attempt.prompt_computed), route.prefill_engine,
+        inWords(route.expected_wait + route.expected_prompt));
+  }
+  if (!attempt.first_token || !muchLonger(*attempt.first_token, route.expected_first_token)) {
+    return {};
+  }
+  if (attempt.prompt_computed) {
+    return fmt::format(
+        "the prompt was computed in time, and {} passed from there to the first token from {}, "
+        "which "
+        "was expected {} after the route: that engine or the way between the two is slow",
+        inWords(*attempt.first_token - *attempt.prompt_computed), route.engine,
+        inWords(route.expected_first_token));
+  }
+  return fmt::format(
+      "the first token took {} on {} where {} were expected: a part believed cached was read "
+      "again, "
+      "or that engine is slow",
+      inWords(*attempt.first_token), route.engine, inWords(route.expected_first_token));
+}
+
+/// \return what earlier attempts took of the request's time; empty if none failed
+std::string lostBefore(const TimeLine& time_line) {
+  const Attempt* last = lastFailedAttempt(time_line);
+  if (last == nullptr) {
+    return {};
+  }
+  const auto failed = std::count_if(time_line.attempts.begin(), time_line.attempts.end(),
+                                    [](const Attempt& one) { return one.failure.has_value(); });
+  const Milliseconds lost =
+      last->failed_at.value_or(last->routed_at) - time_line.attempts.front().routed_at;
+  return fmt::format("{} was lost before by {} failed attempt{}, the last since {}", inWords(lost),
+                     failed, failed == 1 ? "" : "s", attemptCause(*last->failure));
+}
+
+/// \param ended how it ended, like "its time limit passed"
+std::string underWayCause(const TimeLine& time_line, const std::string& ended) {
+  if (time_line.attempts.empty()) {
+    return ended + " before a line tells of an engine or back end that had it; " +
+           nodesInWords(time_line.neighbours);
+  }
+  const Attempt& attempt = time_line.attempts.back();
+  std::string late = lateCause(attempt);
+  if (!late.empty()) {
+    return late;
+  }
+  const RequestRouted& route = attempt.route;
+  const std::string lost = lostBefore(time_line);
+  const std::string before = lost.empty() ? "" : "; " + lost;
+  if (route.expected_first_token > route.time_left && !attempt.first_token) {
+    return fmt::format(
+        "it was routed to {} with {} left where {} were expected for the first token{}",
+        route.engine, inWords(route.time_left), inWords(route.expected_first_token), before);
+  }
+  return ended + " while " + route.engine + " had it" + before;
+}
+
+std::string silentServiceCause(const RequestFailed& failed, const TimeLine& time_line) {
+  const auto* configuration = lastOf<ConfigurationTaken>(time_line);
+  const std::string version =
+      configuration == nullptr
+          ? ""
+          : fmt::format(" (configuration version {} was in force)", configuration->version);
+  return fmt::format("the back end had it and said nothing until the route's time limit ({}){}; {}",
+                     failed.reason, version, nodesInWords(time_line.neighbours));
+}
+
+std::string refusalCause(const TimeLine& time_line) {
+  const std::string lost = lostBefore(time_line);
+  const auto* refusal = lastOf<LoadRefusal>(time_line);
+  return (lost.empty() ? "" : lost + "; then ") +
+         (refusal == nullptr
+              ? "no engine could serve it in time; " + nodesInWords(time_line.neighbours)
+              : loadCause(*refusal));
+}
+
+std::string failedCause(const RequestFailed& failed, const TimeLine& time_line) {
+  const bool attempt_failed = lastFailedAttempt(time_line) != nullptr;
+  switch (failureReasonOf(failed.reason)) {
+    case FailureReason::kNodePaused:
+      return "the node was paused and routes nothing until it has heard of the engines again";
+    case FailureReason::kNoEngineInTime:
+      return refusalCause(time_line);
+    case FailureReason::kNoEngineAvailable:
+      return (attempt_failed ? failedAttemptCause(time_line) + "; then " : "") +
+             noEngineCause(time_line);
+    case FailureReason::kShed:
+      return "overload: its urgency is shed; " + nodesInWords(time_line.neighbours);
+    case FailureReason::kTimeLimitPassed:
+    case FailureReason::kFirstTokenTooLate:
+      return underWayCause(time_line, "its time was over");
+    case FailureReason::kCallerGone:
+      return "the caller went away before it was sent";
+    case FailureReason::kBackEndSilent:
+      return attempt_failed ? failedAttemptCause(time_line) : silentServiceCause(failed, time_line);
+    default:
+      return attempt_failed ? failedAttemptCause(time_line) : failed.reason;
+  }
+}
+
+std::string doneCause(const TimeLine& time_line) {
+  if (const Attempt* failed = lastFailedAttempt(time_line)) {
+    const Attempt& last = time_line.attempts.back();
+    return fmt::format("it went on {} after {} tokens since {}",
+                       last.failure ? "where no line tells" : "at " + last.route.engine,
+                       failed->failure->tokens_given, failedAttemptCause(time_line));
+  }
+  const std::string late =
+      time_line.attempts.empty() ? std::string() : lateCause(time_line.attempts.back());
+  return late.empty() ? "nothing unusual stands in these lines" : late;
+}
+
+std::string outcomeOf(const RequestEnded* ended, const RequestFailed* failed) {
+  if (ended == nullptr && failed == nullptr) {
+    return "not known, no line tells the end";
+  }
+  const std::string& result = ended != nullptr ? ended->result : failed->outcome;
+  if (result == "not-run") {
+    return "not-run, it surely did not run";
+  }
+  if (result == "unknown") {
+    return "unknown, it may have run";
+  }
+  return result == "caller-gone" ? "caller-gone, the caller left before the answer was whole"
+                                 : result;
+}
+
+/// Of a service's answer that is passed on, the reason is its status.
+std::string frontCause(const RequestEnded& ended) {
+  const bool status =
+      !ended.reason.empty() && ended.reason.find_first_not_of("0123456789") == std::string::npos;
+  return status ? "the back end answered with status " + ended.reason
+                : "the front tells only: " + ended.reason;
+}
+
+std::string causeOf(const TimeLine& time_line, const RequestEnded* ended,
+                    const RequestFailed* failed) {
+  if (const auto* refusal = lastOf<FrontRefusal>(time_line)) {
+    return fmt::format("the front refused it, {} {}: {}", refusal->status, refusal->code,
+                       refusal->reason);
+  }
+  if (ended != nullptr && ended->result == "done") {
+    return doneCause(time_line);
+  }
+  if (failed != nullptr) {
+    return failedCause(*failed, time_line);
+  }
+  if (ended != nullptr && ended->result == "caller-gone") {
+    return underWayCause(time_line, "the caller left");
+  }
+  return ended != nullptr ? frontCause(*ended) : underWayCause(time_line, "the lines end");
+}
+
+}  // namespace
+
+Verdict judge(const TimeLine& time_line) {
+  const auto* ended = lastOf<RequestEnded>(time_line);
+  const auto* failed = lastOf<RequestFailed>(time_line);
+  return {outcomeOf(ended, failed), causeOf(time_line, ended, failed)};
+}
+
+}  // namespace cypresswall::request_trace
--- /dev/null
+++ b/tests/request_trace/explanation_test.cpp
@@ -0,0 +1,81 @@
+#include "cypresswall/request_trace/explanation.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+
+#include "tests/request_trace/log_lines.h"
+
+namespace cypresswall::request_trace {
+namespace {
+
+using namespace testing;
+
+/// A log file that is removed with the test.
+class LogFile {
+ public:
+  explicit LogFile(const Log& lines) {
+    std::string name = (std::filesystem::temp_directory_path() / "request-trace-XXXXXX").string();
+    const int file = mkstemp(name.data());
+    CPPUNIT_ASSERT(file >= 0);
+    close(file);
+    path_ = name;
+    std::ofstream stream(path_);
+    for (const std::string& line : lines) {
+      stream << line << "\n";
+    }
+  }
+  ~LogFile() { std::filesystem::remove(path_); }
+  LogFile(const LogFile&) = delete;
+  LogFile& operator=(const LogFile&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+class ExplanationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ExplanationTest);
+  CPPUNIT_TEST(explainsFromFiles);
+  CPPUNIT_TEST(refusesARequestThatIsNotThere);
+  CPPUNIT_TEST(keepsABoundedNumberOfLines);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void explainsFromFiles() {
+    const LogFile one({"cut line", lineOf("20:25:49.000", kNodeOne, routedPairs("a1", "i-1"))});
+    const LogFile two({lineOf("20:25:50.000", kNodeTwo, endedPairs("a1", "done", "stop"))});
+    const Explanation explanation = explainRequest({two.path(), one.path()}, "a1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, explanation.time_line.records.size());
+    CPPUNIT_ASSERT_EQUAL(std::string(kNodeOne), explanation.time_line.records[0].node);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, explanation.counts[1].unreadable);
+  }
+
+  void refusesARequestThatIsNotThere() {
+    const LogFile log(
+        {"cut line", lineOf("20:25:50.000", kNodeTwo, endedPairs("a1", "done", "x"))});
+    for (const char* request : {"a", "a11", ""}) {
+      try {
+        explainRequest({log.path()}, request);
+        CPPUNIT_FAIL("was found");
+      } catch (const UnknownRequestError& error) {
+        requirePart("1 can't be read", error.what());
+      }
+    }
+    CPPUNIT_ASSERT_THROW(explainRequest({log.path(), log.path() + ".none"}, "a1"), LogFileError);
+  }
+
+  void keepsABoundedNumberOfLines() {
+    const LogFile log(Log(kMostKeptLines + 5,
+                          lineOf("20:25:50.000", kNodeTwo, endedPairs("a1", "done", "stop"))));
+    const Explanation explanation = explainRequest({log.path()}, "a1");
+    CPPUNIT_ASSERT_EQUAL(kMostKeptLines, explanation.time_line.records.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, explanation.left_out);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExplanationTest);
+
+}  // namespace
+}  // namespace cypresswall::request_trace
