--- a/src/cypresswall/request_trace/failure_reason.cpp
+++ b/src/cypresswall/request_trace/failure_reason.cpp
@@ -25,7 +25,7 @@
     {"Connection timed out after", FailureReason::kNotReached},
     {"silent for too long", FailureReason::kBackEndSilent},
     {"Operation timed out", FailureReason::kBackEndSilent},
-    {" came after event ", FailureReason::kEventsMissing},
+    {" came after event ", FailureReason::kEventsOutOfOrder},
     {"Connection reset", FailureReason::kConnectionLost},
     {"Empty reply", FailureReason::kConnectionLost},
     {"closed", FailureReason::kConnectionLost},
--- a/src/cypresswall/request_trace/failure_reason.h
+++ b/src/cypresswall/request_trace/failure_reason.h
@@ -15,7 +15,7 @@
   kBackEndSilent,
   kNotReached,
   kConnectionLost,
-  kEventsMissing,
+  kEventsOutOfOrder,
   kCallerGone,
   kOther,
 };
--- a/src/cypresswall/request_trace/verdict.cpp
+++ b/src/cypresswall/request_trace/verdict.cpp
@@ -59,8 +59,8 @@
       return failure.engine + " had the request and was silent";
     case FailureReason::kConnectionLost:
       return failure.engine + " lost the connection after the request was sent";
-    case FailureReason::kEventsMissing:
-      return fmt::format("a part of the answer of {} was lost on the way ({})", failure.engine,
+    case FailureReason::kEventsOutOfOrder:
+      return fmt::format("the events of {} came out of order or twice ({})", failure.engine,
                          failure.reason);
     default:
       return fmt::format("{} failed ({})", failure.engine, failure.reason);
