--- a/tests/request_trace/log_lines.h
+++ b/tests/request_trace/log_lines.h
@@ -1,8 +1,6 @@
 /// Lines as the daemon writes them, for tests.
 #pragma once
 
-#include <fstream>
-#include <initializer_list>
 #include <sstream>
 #include <string>
 #include <vector>
