Remove the scale run and its hollow nodes

Purpose: the slopes of docs/CAPACITY.md are to come from the users' bench. The scale run (`cypresswall-bench scale`, scripts/scale.sh, bench/scale) measured nodes without a gateway and engines without a process, and is asked for by nobody any more. The counter cypresswall_transport_queued_bytes_total stays: operators read it at /metrics, and the transport's test holds it against the bytes sent. Readings of processes (bench/load/process_usage) stay for the load tool. Measured: cypresswall-bench and bench_test build, bench_test passes, `cypresswall-bench scale` ends with the usage message and exit code 2; format and tidy are clean on main.cpp. No test was removed: none covered the scale run.

--- a/apps/cypresswall-bench/main.cpp
+++ b/apps/cypresswall-bench/main.cpp
@@ -8,7 +8,6 @@
 #include <string>
 #include <vector>
 
-#include "apps/cypresswall-bench/scale_command.h"
 #include "bench/load/load_report.h"
 #include "bench/load/load_run.h"
 #include "bench/simulate/offline_planner.h"
@@ -233,17 +232,14 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("cypresswall-bench load | scale | simulate SCENARIO... [flags]");
+  gflags::SetUsageMessage("cypresswall-bench load | simulate SCENARIO... [flags]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (argc == 2 && std::string(argv[1]) == "load") {
     return load();
   }
-  if (argc == 2 && std::string(argv[1]) == "scale") {
-    return bench::runScaleCommand();
-  }
   if (argc >= 2 && std::string(argv[1]) == "simulate") {
     return simulate(std::vector<std::string>(argv + 2, argv + argc));
   }
-  std::cerr << "usage: cypresswall-bench load | scale | simulate SCENARIO... [flags]; see --help\n";
+  std::cerr << "usage: cypresswall-bench load | simulate SCENARIO... [flags]; see --help\n";
   return kExitBadUsage;
 }
