--- a/bench/simulate/scenario_fleet.cpp
+++ b/bench/simulate/scenario_fleet.cpp
@@ -130,13 +130,13 @@
       engines_.add(engineAddress(zone, number), zoneName(zone), std::move(engine));
       platform_.machines().setAtOnce({machineName("accelerator", zone, number),
                                       zoneName(zone),
-                                      platform::MachineState::kLive,
+                                      object_store::MachineState::kLive,
                                       {engineIp(zone, number)}});
     }
     for (std::uint32_t number = 0; number < scenario_.fleet.nodes_per_zone; ++number) {
       platform_.machines().setAtOnce({machineName("node", zone, number),
                                       zoneName(zone),
-                                      platform::MachineState::kLive,
+                                      object_store::MachineState::kLive,
                                       {nodeIp(zone, number)}});
     }
   }
--- a/src/cypresswall/configuration/committer.cpp
+++ b/src/cypresswall/configuration/committer.cpp
@@ -8,7 +8,7 @@
 namespace cypresswall::configuration {
 namespace {
 
-using platform::StoreFailure;
+using object_store::StoreFailure;
 
 /// A store may answer a read from an old copy; a base that seems to be missing is read this often.
 constexpr int kBaseReads = 3;
@@ -25,7 +25,7 @@
 
 Committer::Committer(const ConfigurationSettings& settings, const api::ProcessContext& context,
                      ReplicaState& state, PeerExchange& exchange, ZoneApproval& approval,
-                     platform::ObjectStore& store)
+                     object_store::ObjectStore& store)
     : settings_(settings),
       context_(context),
       state_(state),
@@ -182,8 +182,8 @@
     attempt->settle_deadline = context_.clock.now() + settings_.settle_limit;
   }
   const std::uint64_t version = attempt->entry.change.version;
-  platform::ObjectWrite write{changeKey(version), 0, encodeChange(attempt->entry),
-                              attempt->request.change_id};
+  object_store::ObjectWrite write{changeKey(version), 0, encodeChange(attempt->entry),
+                                  attempt->request.change_id};
   store_.compareAndSet(std::move(write),
                        [this, attempt](const Stored& result) { written(attempt, result); });
 }
--- a/src/cypresswall/configuration/committer.h
+++ b/src/cypresswall/configuration/committer.h
@@ -15,7 +15,7 @@
 #include "cypresswall/configuration/peer_exchange.h"
 #include "cypresswall/configuration/replica_state.h"
 #include "cypresswall/configuration/zone_approval.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/object_store.h"
 
 namespace cypresswall::configuration {
 
@@ -63,7 +63,7 @@
  public:
   Committer(const ConfigurationSettings& settings, const api::ProcessContext& context,
             ReplicaState& state, PeerExchange& exchange, ZoneApproval& approval,
-            platform::ObjectStore& store);
+            object_store::ObjectStore& store);
   Committer(const Committer&) = delete;
   Committer& operator=(const Committer&) = delete;
 
@@ -71,7 +71,7 @@
   void submit(ConfigurationChangeRequest request, CommitCallback callback);
 
  private:
-  using Stored = platform::StoreResult<platform::StoredObject>;
+  using Stored = object_store::StoreResult<object_store::StoredObject>;
   /// One change on its way.
   struct Attempt {
     ConfigurationChangeRequest request;
@@ -108,7 +108,7 @@
   ReplicaState& state_;
   PeerExchange& exchange_;
   ZoneApproval& approval_;
-  platform::ObjectStore& store_;
+  object_store::ObjectStore& store_;
 };
 
 }  // namespace cypresswall::configuration
--- a/src/cypresswall/configuration/configuration_replica.cpp
+++ b/src/cypresswall/configuration/configuration_replica.cpp
@@ -6,7 +6,7 @@
                                            const api::ProcessContext& context,
                                            membership::MembershipView& membership,
                                            membership::ZoneGossip& gossip,
-                                           platform::ObjectStore& store)
+                                           object_store::ObjectStore& store)
     : settings_(settings),
       context_(context),
       gossip_(gossip),
--- a/src/cypresswall/configuration/configuration_replica.h
+++ b/src/cypresswall/configuration/configuration_replica.h
@@ -17,7 +17,7 @@
 #include "cypresswall/configuration/zone_approval.h"
 #include "cypresswall/membership/membership_view.h"
 #include "cypresswall/membership/zone_gossip.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/object_store.h"
 
 namespace cypresswall::configuration {
 
@@ -37,7 +37,7 @@
   /// All references must outlive the replica.
   ConfigurationReplica(ConfigurationSettings settings, const api::ProcessContext& context,
                        membership::MembershipView& membership, membership::ZoneGossip& gossip,
-                       platform::ObjectStore& store);
+                       object_store::ObjectStore& store);
 
   /// Begins to look for a configuration and to keep it up to date.
   void start();
--- a/src/cypresswall/configuration/store_reader.cpp
+++ b/src/cypresswall/configuration/store_reader.cpp
@@ -6,10 +6,10 @@
 
 using common::LogEvent;
 using common::LogLevel;
-using platform::StoreFailure;
+using object_store::StoreFailure;
 
 StoreReader::StoreReader(const ConfigurationSettings& settings, const api::ProcessContext& context,
-                         ReplicaState& state, platform::ObjectStore& store,
+                         ReplicaState& state, object_store::ObjectStore& store,
                          std::function<bool()> is_reader)
     : settings_(settings),
       context_(context),
@@ -131,7 +131,7 @@
   loading_ = false;
 }
 
-bool StoreReader::take(const platform::StoredObject& object) {
+bool StoreReader::take(const object_store::StoredObject& object) {
   try {
     const AppendResult result = state_.apply({decodeChange(object.value)}, ChangeSource::kStore);
     if (result == AppendResult::kGap) {
@@ -156,20 +156,22 @@
     startWatch();
     return;
   }
-  store_.watch(
-      std::string(kChangesPrefix), revision_,
-      [this](const platform::StoreResult<platform::ObjectListing>& result) { watched(result); });
+  store_.watch(std::string(kChangesPrefix), revision_,
+               [this](const object_store::StoreResult<object_store::ObjectListing>& result) {
+                 watched(result);
+               });
 }
 
 /// Learns the store's revision from a listing that holds the next change at most: listing all
 /// changes would grow with the age of the fleet.
 void StoreReader::startWatch() {
-  store_.list(
-      changeKey(state_.log().version() + 1),
-      [this](const platform::StoreResult<platform::ObjectListing>& result) { watched(result); });
+  store_.list(changeKey(state_.log().version() + 1),
+              [this](const object_store::StoreResult<object_store::ObjectListing>& result) {
+                watched(result);
+              });
 }
 
-void StoreReader::watched(const platform::StoreResult<platform::ObjectListing>& result) {
+void StoreReader::watched(const object_store::StoreResult<object_store::ObjectListing>& result) {
   watching_ = false;
   if (!result.ok()) {
     failures_.add();
@@ -179,7 +181,7 @@
     retryWatch();
     return;
   }
-  for (const platform::StoredObject& object : result.value().objects) {
+  for (const object_store::StoredObject& object : result.value().objects) {
     take(object);
   }
   const bool went_back = result.value().revision < revision_;
@@ -195,7 +197,7 @@
   context_.scheduler.schedule(settings_.store_retry, [this] { watch(); });
 }
 
-bool StoreReader::sameAsOwn(const platform::StoredObject& object, std::uint64_t version) {
+bool StoreReader::sameAsOwn(const object_store::StoredObject& object, std::uint64_t version) {
   try {
     const LoggedChange stored = decodeChange(object.value);
     const auto own = state_.log().digestAt(version);
@@ -244,8 +246,8 @@
       return;
     }
     const std::uint64_t expected = absent ? 0 : result.value().version;
-    platform::ObjectWrite write{key, expected, encodeSnapshot(state_.log().snapshot()),
-                                "snapshot-" + std::to_string(state_.log().version())};
+    object_store::ObjectWrite write{key, expected, encodeSnapshot(state_.log().snapshot()),
+                                    "snapshot-" + std::to_string(state_.log().version())};
     store_.compareAndSet(std::move(write), [this, version](const Stored& written) {
       if (written.ok()) {
         writeBack(version);
@@ -263,7 +265,8 @@
     behind_ = version <= state_.log().version();
     return;
   }
-  platform::ObjectWrite write{changeKey(version), 0, encodeChange(*entry), entry->change.change_id};
+  object_store::ObjectWrite write{changeKey(version), 0, encodeChange(*entry),
+                                  entry->change.change_id};
   store_.compareAndSet(std::move(write), [this, version](const Stored& result) {
     if (result.ok()) {
       written_back_.add();
--- a/src/cypresswall/configuration/store_reader.h
+++ b/src/cypresswall/configuration/store_reader.h
@@ -9,7 +9,7 @@
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/configuration/replica_state.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/object_store.h"
 
 namespace cypresswall::configuration {
 
@@ -17,7 +17,8 @@
  public:
   /// \param is_reader tells whether this node reads the store for its zone now
   StoreReader(const ConfigurationSettings& settings, const api::ProcessContext& context,
-              ReplicaState& state, platform::ObjectStore& store, std::function<bool()> is_reader);
+              ReplicaState& state, object_store::ObjectStore& store,
+              std::function<bool()> is_reader);
   StoreReader(const StoreReader&) = delete;
   StoreReader& operator=(const StoreReader&) = delete;
 
@@ -28,7 +29,7 @@
   bool storeBehind() const { return behind_; }
 
  private:
-  using Stored = platform::StoreResult<platform::StoredObject>;
+  using Stored = object_store::StoreResult<object_store::StoredObject>;
 
   void loadWhenDue();
   void load();
@@ -40,20 +41,20 @@
   void fetchEnded(bool complete);
   void watch();
   void startWatch();
-  void watched(const platform::StoreResult<platform::ObjectListing>& result);
+  void watched(const object_store::StoreResult<object_store::ObjectListing>& result);
   void retryWatch();
-  bool take(const platform::StoredObject& object);
+  bool take(const object_store::StoredObject& object);
   void findMissing(std::uint64_t version);
   void writeBack(std::uint64_t version);
   void writeSnapshotThenBack(std::uint64_t version);
   void compareStored(std::uint64_t version, std::function<void()> same);
-  bool sameAsOwn(const platform::StoredObject& object, std::uint64_t version);
+  bool sameAsOwn(const object_store::StoredObject& object, std::uint64_t version);
   void noteReachable(const Stored& result);
 
   const ConfigurationSettings& settings_;
   const api::ProcessContext& context_;
   ReplicaState& state_;
-  platform::ObjectStore& store_;
+  object_store::ObjectStore& store_;
   std::function<bool()> is_reader_;
   common::MonotonicTime started_;
   bool loading_ = false;
--- a/src/cypresswall/emulation/machine_list.cpp
+++ b/src/cypresswall/emulation/machine_list.cpp
@@ -5,18 +5,18 @@
 namespace cypresswall::emulation {
 
 void EmulatedMachineList::fetch(const common::ZoneName& zone,
-                                platform::MachineListCallback callback) {
+                                object_store::MachineListCallback callback) {
   scheduler_.schedule(common::Duration{0}, [this, zone, callback = std::move(callback)] {
     if (down_) {
-      callback(common::Failure<platform::MachineListFailure>{
-          platform::MachineListFailure::kUnavailable, "machine list is down"});
+      callback(common::Failure<object_store::MachineListFailure>{
+          object_store::MachineListFailure::kUnavailable, "machine list is down"});
       return;
     }
     callback(visible(zone));
   });
 }
 
-void EmulatedMachineList::set(platform::Machine machine) {
+void EmulatedMachineList::set(object_store::Machine machine) {
   auto& changes = changes_[machine.name];
   changes.push_back({clock_.now(), std::move(machine)});
   while (changes.size() > 1 && changes[1].made_at + lag_ <= clock_.now()) {
@@ -24,14 +24,15 @@
   }
 }
 
-void EmulatedMachineList::setAtOnce(platform::Machine machine) {
+void EmulatedMachineList::setAtOnce(object_store::Machine machine) {
   auto& changes = changes_[machine.name];
   changes.clear();
   changes.push_back({common::MonotonicTime::min() + lag_, std::move(machine)});
 }
 
-std::vector<platform::Machine> EmulatedMachineList::visible(const common::ZoneName& zone) const {
-  std::vector<platform::Machine> machines;
+std::vector<object_store::Machine> EmulatedMachineList::visible(
+    const common::ZoneName& zone) const {
+  std::vector<object_store::Machine> machines;
   for (const auto& [name, changes] : changes_) {
     const Change* newest = nullptr;
     for (const Change& change : changes) {
--- a/src/cypresswall/emulation/machine_list.h
+++ b/src/cypresswall/emulation/machine_list.h
@@ -6,32 +6,32 @@
 #include <string>
 
 #include "cypresswall/common/time.h"
-#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/object_store/machine_list.h"
 
 namespace cypresswall::emulation {
 
-class EmulatedMachineList final : public platform::MachineList {
+class EmulatedMachineList final : public object_store::MachineList {
  public:
   /// \param lag how long a change is hidden
   EmulatedMachineList(common::Duration lag, const common::Clock& clock,
                       common::Scheduler& scheduler)
       : lag_(lag), clock_(clock), scheduler_(scheduler) {}
 
-  void fetch(const common::ZoneName& zone, platform::MachineListCallback callback) override;
+  void fetch(const common::ZoneName& zone, object_store::MachineListCallback callback) override;
 
   /// Adds or replaces a machine; readers see it after the lag.
-  void set(platform::Machine machine);
+  void set(object_store::Machine machine);
   /// Adds or replaces a machine that readers see at once.
-  void setAtOnce(platform::Machine machine);
+  void setAtOnce(object_store::Machine machine);
   void setLag(common::Duration lag) { lag_ = lag; }
   void setDown(bool down) { down_ = down; }
   /// \return the machines that readers see now, ordered by name; all zones if `zone` is empty.
-  std::vector<platform::Machine> visible(const common::ZoneName& zone) const;
+  std::vector<object_store::Machine> visible(const common::ZoneName& zone) const;
 
  private:
   struct Change {
     common::MonotonicTime made_at;
-    platform::Machine machine;
+    object_store::Machine machine;
   };
 
   common::Duration lag_;
--- a/src/cypresswall/emulation/object_store.cpp
+++ b/src/cypresswall/emulation/object_store.cpp
@@ -5,9 +5,9 @@
 
 namespace cypresswall::emulation {
 
-using platform::ObjectListing;
-using platform::StoredObject;
-using platform::StoreFailure;
+using object_store::ObjectListing;
+using object_store::StoredObject;
+using object_store::StoreFailure;
 
 namespace {
 
@@ -18,10 +18,10 @@
 }  // namespace
 
 template <typename Value, typename Effect>
-void EmulatedObjectStore::serve(platform::StoreCallback<Value> callback, Effect effect) {
+void EmulatedObjectStore::serve(object_store::StoreCallback<Value> callback, Effect effect) {
   const common::Duration half = faults_.delay / 2;
   scheduler_.schedule(half, [this, half, callback = std::move(callback), effect]() mutable {
-    std::optional<platform::StoreResult<Value>> result;
+    std::optional<object_store::StoreResult<Value>> result;
     if (faults_.down) {
       ++ledger_.refused_while_down;
       result.emplace(failure(StoreFailure::kUnavailable, "store is down"));
@@ -37,22 +37,23 @@
 }
 
 void EmulatedObjectStore::get(const std::string& key,
-                              platform::StoreCallback<StoredObject> callback) {
-  serve<StoredObject>(std::move(callback), [this, key]() -> platform::StoreResult<StoredObject> {
-    ++ledger_.reads;
-    const auto found = objects_.find(key);
-    if (found == objects_.end()) {
-      return failure(StoreFailure::kNotFound, "no object " + key);
-    }
-    return found->second.object;
-  });
-}
-
-void EmulatedObjectStore::compareAndSet(platform::ObjectWrite request,
-                                        platform::StoreCallback<StoredObject> callback) {
+                              object_store::StoreCallback<StoredObject> callback) {
+  serve<StoredObject>(std::move(callback),
+                      [this, key]() -> object_store::StoreResult<StoredObject> {
+                        ++ledger_.reads;
+                        const auto found = objects_.find(key);
+                        if (found == objects_.end()) {
+                          return failure(StoreFailure::kNotFound, "no object " + key);
+                        }
+                        return found->second.object;
+                      });
+}
+
+void EmulatedObjectStore::compareAndSet(object_store::ObjectWrite request,
+                                        object_store::StoreCallback<StoredObject> callback) {
   serve<StoredObject>(
       std::move(callback),
-      [this, request = std::move(request)]() -> platform::StoreResult<StoredObject> {
+      [this, request = std::move(request)]() -> object_store::StoreResult<StoredObject> {
         auto result = write(request);
         if (faults_.lose_next_answers == 0) {
           return result;
@@ -64,8 +65,8 @@
       });
 }
 
-platform::StoreResult<StoredObject> EmulatedObjectStore::write(
-    const platform::ObjectWrite& request) {
+object_store::StoreResult<StoredObject> EmulatedObjectStore::write(
+    const object_store::ObjectWrite& request) {
   const std::uint64_t present = peek(request.key).version;
   const bool matches = present == request.expected_version;
   if (matches) {
@@ -83,9 +84,9 @@
 }
 
 void EmulatedObjectStore::list(const std::string& prefix,
-                               platform::StoreCallback<ObjectListing> callback) {
+                               object_store::StoreCallback<ObjectListing> callback) {
   serve<ObjectListing>(std::move(callback),
-                       [this, prefix]() -> platform::StoreResult<ObjectListing> {
+                       [this, prefix]() -> object_store::StoreResult<ObjectListing> {
                          ++ledger_.lists;
                          return changesAfter(prefix, 0);
                        });
@@ -93,7 +94,7 @@
 
 void EmulatedObjectStore::watchFor(const std::string& prefix, std::uint64_t revision,
                                    common::Duration wait,
-                                   platform::StoreCallback<ObjectListing> callback) {
+                                   object_store::StoreCallback<ObjectListing> callback) {
   const common::Duration half = faults_.delay / 2;
   scheduler_.schedule(half, [this, prefix, revision, wait, callback = std::move(callback)] {
     beginWatch(prefix, revision, wait, callback);
@@ -102,7 +103,7 @@
 
 void EmulatedObjectStore::beginWatch(const std::string& prefix, std::uint64_t revision,
                                      common::Duration wait,
-                                     platform::StoreCallback<ObjectListing> callback) {
+                                     object_store::StoreCallback<ObjectListing> callback) {
   if (faults_.down) {
     ++ledger_.refused_while_down;
     callback(failure(StoreFailure::kUnavailable, "store is down"));
@@ -159,7 +160,7 @@
 }
 
 void EmulatedObjectStore::endWatch(std::uint64_t watch,
-                                   platform::StoreResult<ObjectListing> result) {
+                                   object_store::StoreResult<ObjectListing> result) {
   const auto found = watches_.find(watch);
   if (found == watches_.end()) {
     return;
--- a/src/cypresswall/emulation/object_store.h
+++ b/src/cypresswall/emulation/object_store.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "cypresswall/common/time.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/object_store.h"
 
 namespace cypresswall::emulation {
 
@@ -27,7 +27,7 @@
 
 /// One write that the store received while it was up.
 struct ObjectWriteEntry {
-  platform::ObjectWrite write;
+  object_store::ObjectWrite write;
   bool took_effect = false;
   bool answer_lost = false;
   /// Revision of the store after the write.
@@ -45,7 +45,7 @@
   std::uint64_t restores = 0;
 };
 
-class EmulatedObjectStore final : public platform::ObjectStore {
+class EmulatedObjectStore final : public object_store::ObjectStore {
  public:
   /// How long watch() waits for a change.
   static constexpr common::Duration kWatchTime = std::chrono::seconds(5);
@@ -54,18 +54,18 @@
       : clock_(clock), scheduler_(scheduler) {}
 
   void get(const std::string& key,
-           platform::StoreCallback<platform::StoredObject> callback) override;
-  void compareAndSet(platform::ObjectWrite write,
-                     platform::StoreCallback<platform::StoredObject> callback) override;
+           object_store::StoreCallback<object_store::StoredObject> callback) override;
+  void compareAndSet(object_store::ObjectWrite write,
+                     object_store::StoreCallback<object_store::StoredObject> callback) override;
   void list(const std::string& prefix,
-            platform::StoreCallback<platform::ObjectListing> callback) override;
+            object_store::StoreCallback<object_store::ObjectListing> callback) override;
   void watch(const std::string& prefix, std::uint64_t revision,
-             platform::StoreCallback<platform::ObjectListing> callback) override {
+             object_store::StoreCallback<object_store::ObjectListing> callback) override {
     watchFor(prefix, revision, kWatchTime, std::move(callback));
   }
   /// Like watch(), for a chosen time.
   void watchFor(const std::string& prefix, std::uint64_t revision, common::Duration wait,
-                platform::StoreCallback<platform::ObjectListing> callback);
+                object_store::StoreCallback<object_store::ObjectListing> callback);
 
   /// Pending watches fail at once when the store goes down.
   void setFaults(const ObjectStoreFaults& faults);
@@ -78,33 +78,34 @@
   /// \return revision of the last write of `key`, zero if there is none.
   std::uint64_t revisionOf(const std::string& key) const;
   /// \return the object as it is now, without faults; version 0 if there is none.
-  platform::StoredObject peek(const std::string& key) const;
+  object_store::StoredObject peek(const std::string& key) const;
   const ObjectStoreLedger& ledger() const { return ledger_; }
 
  private:
   struct Versioned {
     std::uint64_t revision = 0;
-    platform::StoredObject object;
+    object_store::StoredObject object;
   };
   struct PendingWatch {
     std::string prefix;
     std::uint64_t revision = 0;
     common::TimerId timer = 0;
-    platform::StoreCallback<platform::ObjectListing> callback;
+    object_store::StoreCallback<object_store::ObjectListing> callback;
   };
 
   /// Runs `effect` after half of the delay, unless the store is down, and gives what it returns to
   /// `callback` after the other half.
   template <typename Value, typename Effect>
-  void serve(platform::StoreCallback<Value> callback, Effect effect);
-  platform::StoreResult<platform::StoredObject> write(const platform::ObjectWrite& write);
-  platform::ObjectListing changesAfter(const std::string& prefix, std::uint64_t revision) const;
+  void serve(object_store::StoreCallback<Value> callback, Effect effect);
+  object_store::StoreResult<object_store::StoredObject> write(
+      const object_store::ObjectWrite& write);
+  object_store::ObjectListing changesAfter(const std::string& prefix, std::uint64_t revision) const;
   void beginWatch(const std::string& prefix, std::uint64_t revision, common::Duration wait,
-                  platform::StoreCallback<platform::ObjectListing> callback);
+                  object_store::StoreCallback<object_store::ObjectListing> callback);
   void answerWatches();
-  void endWatch(std::uint64_t watch, platform::StoreResult<platform::ObjectListing> result);
-  void failWatches(platform::StoreFailure failure, std::uint64_t ahead_of);
-  void leaveGap(platform::ObjectListing& listing);
+  void endWatch(std::uint64_t watch, object_store::StoreResult<object_store::ObjectListing> result);
+  void failWatches(object_store::StoreFailure failure, std::uint64_t ahead_of);
+  void leaveGap(object_store::ObjectListing& listing);
 
   const common::Clock& clock_;
   common::Scheduler& scheduler_;
--- a/src/cypresswall/lease/generation_keeper.cpp
+++ b/src/cypresswall/lease/generation_keeper.cpp
@@ -8,8 +8,8 @@
 namespace cypresswall::lease {
 namespace {
 
-using platform::StoreFailure;
-using StoredResult = platform::StoreResult<platform::StoredObject>;
+using object_store::StoreFailure;
+using StoredResult = object_store::StoreResult<object_store::StoredObject>;
 
 void addAnchor(std::vector<NodeList>& anchors, const NodeList& anchor) {
   if (!anchor.empty() && std::find(anchors.begin(), anchors.end(), anchor) == anchors.end()) {
@@ -22,7 +22,7 @@
 GenerationKeeper::GenerationKeeper(const LeaseSettings& settings,
                                    const api::ProcessContext& context,
                                    membership::MembershipView& membership,
-                                   platform::ObjectStore& store, Authority authority)
+                                   object_store::ObjectStore& store, Authority authority)
     : settings_(settings),
       context_(context),
       membership_(membership),
@@ -192,8 +192,8 @@
 void GenerationKeeper::write(std::uint64_t expected_version, const AuthorityRecord& record,
                              const std::function<void(bool)>& done) {
   const std::string change_id = context_.self.toString() + "/" + std::to_string(++change_count_);
-  platform::ObjectWrite write{authorityKey(context_.zone), expected_version,
-                              encodeAuthorityRecord(record), change_id};
+  object_store::ObjectWrite write{authorityKey(context_.zone), expected_version,
+                                  encodeAuthorityRecord(record), change_id};
   store_.compareAndSet(std::move(write), [=, this](const StoredResult& result) {
     if (result.ok()) {
       done(true);
--- a/src/cypresswall/lease/generation_keeper.h
+++ b/src/cypresswall/lease/generation_keeper.h
@@ -16,7 +16,7 @@
 #include "cypresswall/lease/messages.h"
 #include "cypresswall/lease/voter_set.h"
 #include "cypresswall/membership/membership_view.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/object_store.h"
 
 namespace cypresswall::lease {
 
@@ -33,7 +33,7 @@
   };
 
   GenerationKeeper(const LeaseSettings& settings, const api::ProcessContext& context,
-                   membership::MembershipView& membership, platform::ObjectStore& store,
+                   membership::MembershipView& membership, object_store::ObjectStore& store,
                    Authority authority);
 
   /// To be called often while no holder is believed in.
@@ -79,7 +79,7 @@
   LeaseSettings settings_;
   api::ProcessContext context_;
   membership::MembershipView& membership_;
-  platform::ObjectStore& store_;
+  object_store::ObjectStore& store_;
   Authority authority_;
   common::MonotonicTime start_time_;
   std::optional<common::MonotonicTime> holderless_since_;
--- a/src/cypresswall/lease/store_lease.cpp
+++ b/src/cypresswall/lease/store_lease.cpp
@@ -8,9 +8,9 @@
 namespace cypresswall::lease {
 namespace {
 
-using platform::StoredObject;
-using platform::StoreFailure;
-using platform::StoreResult;
+using object_store::StoredObject;
+using object_store::StoreFailure;
+using object_store::StoreResult;
 
 /// Own writes whose late effect is still recognized.
 constexpr std::size_t kRememberedWrites = 64;
@@ -18,7 +18,8 @@
 }  // namespace
 
 StoreLease::StoreLease(const StoreLeaseSettings& settings, const api::ProcessContext& context,
-                       const membership::MembershipView& membership, platform::ObjectStore& store)
+                       const membership::MembershipView& membership,
+                       object_store::ObjectStore& store)
     : settings_(settings),
       context_(context),
       membership_(membership),
@@ -113,7 +114,7 @@
 }
 
 void StoreLease::write(std::uint32_t term) {
-  platform::ObjectWrite request;
+  object_store::ObjectWrite request;
   request.key = key_;
   request.expected_version = seen_->version;
   request.value = encodeLeaseRecord({context_.self, term});
--- a/src/cypresswall/lease/store_lease.h
+++ b/src/cypresswall/lease/store_lease.h
@@ -14,7 +14,7 @@
 #include "cypresswall/lease/authority_view.h"
 #include "cypresswall/lease/lease_record.h"
 #include "cypresswall/membership/membership_view.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/object_store.h"
 
 namespace cypresswall::lease {
 
@@ -44,7 +44,7 @@
 class StoreLease final : public AuthorityView {
  public:
   StoreLease(const StoreLeaseSettings& settings, const api::ProcessContext& context,
-             const membership::MembershipView& membership, platform::ObjectStore& store);
+             const membership::MembershipView& membership, object_store::ObjectStore& store);
   StoreLease(const StoreLease&) = delete;
   StoreLease& operator=(const StoreLease&) = delete;
 
@@ -65,11 +65,11 @@
   void tick();
   void act();
   void read();
-  void onRead(const platform::StoreResult<platform::StoredObject>& result);
+  void onRead(const object_store::StoreResult<object_store::StoredObject>& result);
   void write(std::uint32_t term);
-  void onWritten(const platform::StoreResult<platform::StoredObject>& result);
+  void onWritten(const object_store::StoreResult<object_store::StoredObject>& result);
   /// Notes the stored object, and how long this node may act if it wrote it.
-  void observe(const platform::StoredObject& object);
+  void observe(const object_store::StoredObject& object);
   void observeOwn(const std::string& change_id);
   bool owned() const;
   bool mayTakeOver() const;
@@ -82,7 +82,7 @@
   StoreLeaseSettings settings_;
   const api::ProcessContext& context_;
   const membership::MembershipView& membership_;
-  platform::ObjectStore& store_;
+  object_store::ObjectStore& store_;
   std::string key_;
 
   bool needed_ = false;
--- a/src/cypresswall/lease/zone_authority.cpp
+++ b/src/cypresswall/lease/zone_authority.cpp
@@ -12,7 +12,8 @@
 }  // namespace
 
 ZoneAuthority::ZoneAuthority(LeaseSettings settings, const api::ProcessContext& context,
-                             membership::MembershipView& membership, platform::ObjectStore& store)
+                             membership::MembershipView& membership,
+                             object_store::ObjectStore& store)
     : settings_(settings),
       context_(context),
       membership_(membership),
--- a/src/cypresswall/lease/zone_authority.h
+++ b/src/cypresswall/lease/zone_authority.h
@@ -19,14 +19,14 @@
 #include "cypresswall/lease/replicator.h"
 #include "cypresswall/lease/voter.h"
 #include "cypresswall/membership/membership_view.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/object_store.h"
 
 namespace cypresswall::lease {
 
 class ZoneAuthority final : public AuthorityView, public QuorumLog {
  public:
   ZoneAuthority(LeaseSettings settings, const api::ProcessContext& context,
-                membership::MembershipView& membership, platform::ObjectStore& store);
+                membership::MembershipView& membership, object_store::ObjectStore& store);
   ZoneAuthority(const ZoneAuthority&) = delete;
   ZoneAuthority& operator=(const ZoneAuthority&) = delete;
 
--- a/src/cypresswall/membership/machine_register.cpp
+++ b/src/cypresswall/membership/machine_register.cpp
@@ -11,15 +11,15 @@
 
 std::string hostOf(const common::Address& address) { return address.substr(0, address.rfind(':')); }
 
-MachineEntry toEntry(const platform::Machine& machine) {
+MachineEntry toEntry(const object_store::Machine& machine) {
   return MachineEntry{machine.name, machine.state, machine.addresses};
 }
 
 }  // namespace
 
 MachineRegister::MachineRegister(const MembershipSettings& settings,
-                                 const api::ProcessContext& context, platform::MachineList& list,
-                                 ZonePeers zone_peers)
+                                 const api::ProcessContext& context,
+                                 object_store::MachineList& list, ZonePeers zone_peers)
     : settings_(settings),
       context_(context),
       list_(list),
@@ -64,7 +64,7 @@
   });
 }
 
-void MachineRegister::readFinished(const std::vector<platform::Machine>& machines) {
+void MachineRegister::readFinished(const std::vector<object_store::Machine>& machines) {
   read_count_.add();
   ++reads_;
   last_fresh_read_ = context_.clock.now();
@@ -80,7 +80,7 @@
 }
 
 std::vector<MachineEntry> MachineRegister::changesAgainst(
-    const std::vector<platform::Machine>& machines) const {
+    const std::vector<object_store::Machine>& machines) const {
   std::vector<MachineEntry> changes;
   std::set<common::MachineName> listed;
   for (const auto& machine : machines) {
@@ -91,9 +91,9 @@
     }
   }
   for (const auto& [name, entry] : machines_) {
-    if (!listed.contains(name) && entry.state != platform::MachineState::kGone) {
+    if (!listed.contains(name) && entry.state != object_store::MachineState::kGone) {
       MachineEntry gone = entry;
-      gone.state = platform::MachineState::kGone;
+      gone.state = object_store::MachineState::kGone;
       changes.push_back(gone);
     }
   }
@@ -156,12 +156,12 @@
   gone_addresses_.clear();
   for (const auto& [name, entry] : machines_) {
     for (const auto& address : entry.addresses) {
-      if (entry.state == platform::MachineState::kLive) {
+      if (entry.state == object_store::MachineState::kLive) {
         live_addresses_.insert(address);
       } else {
         leaving_addresses_.insert(address);
       }
-      if (entry.state == platform::MachineState::kGone) {
+      if (entry.state == object_store::MachineState::kGone) {
         gone_addresses_.insert(address);
       }
     }
@@ -172,7 +172,7 @@
   }
   for (const auto& [name, entry] : machines_) {
     for (const auto& address : entry.addresses) {
-      if (entry.state == platform::MachineState::kLeaving) {
+      if (entry.state == object_store::MachineState::kLeaving) {
         gone_addresses_.erase(address);
       }
     }
@@ -181,7 +181,7 @@
 
 bool MachineRegister::machineLeaving(const common::MachineName& machine) const {
   const auto entry = machines_.find(machine);
-  return entry != machines_.end() && entry->second.state != platform::MachineState::kLive;
+  return entry != machines_.end() && entry->second.state != object_store::MachineState::kLive;
 }
 
 bool MachineRegister::addressLeaving(const common::Address& address) const {
--- a/src/cypresswall/membership/machine_register.h
+++ b/src/cypresswall/membership/machine_register.h
@@ -12,7 +12,7 @@
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/membership/membership_settings.h"
 #include "cypresswall/membership/messages.h"
-#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/object_store/machine_list.h"
 
 namespace cypresswall::membership {
 
@@ -26,7 +26,7 @@
   };
 
   MachineRegister(const MembershipSettings& settings, const api::ProcessContext& context,
-                  platform::MachineList& list, ZonePeers zone_peers);
+                  object_store::MachineList& list, ZonePeers zone_peers);
 
   void start();
   bool machineLeaving(const common::MachineName& machine) const;
@@ -44,8 +44,9 @@
 
  private:
   void poll();
-  void readFinished(const std::vector<platform::Machine>& machines);
-  std::vector<MachineEntry> changesAgainst(const std::vector<platform::Machine>& machines) const;
+  void readFinished(const std::vector<object_store::Machine>& machines);
+  std::vector<MachineEntry> changesAgainst(
+      const std::vector<object_store::Machine>& machines) const;
   void apply(std::uint64_t version, const std::vector<MachineEntry>& machines);
   void receive(const common::NodeId& sender, const MachinesUpdate& update);
   void answer(const common::NodeId& sender, const MachinesRequest& request);
@@ -53,7 +54,7 @@
 
   MembershipSettings settings_;
   api::ProcessContext context_;
-  platform::MachineList& list_;
+  object_store::MachineList& list_;
   ZonePeers zone_peers_;
   std::function<void()> listener_;
   std::map<common::MachineName, MachineEntry> machines_;
--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -7,7 +7,7 @@
 
 namespace cypresswall::membership {
 Membership::Membership(MembershipSettings settings, const api::ProcessContext& context,
-                       platform::MachineList& machine_list)
+                       object_store::MachineList& machine_list)
     : settings_(std::move(settings)),
       context_(context),
       peers_(settings_),
--- a/src/cypresswall/membership/membership.h
+++ b/src/cypresswall/membership/membership.h
@@ -14,14 +14,14 @@
 #include "cypresswall/membership/membership_settings.h"
 #include "cypresswall/membership/membership_view.h"
 #include "cypresswall/membership/peer_table.h"
-#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/object_store/machine_list.h"
 
 namespace cypresswall::membership {
 
 class Membership final : public MembershipView {
  public:
   Membership(MembershipSettings settings, const api::ProcessContext& context,
-             platform::MachineList& machine_list);
+             object_store::MachineList& machine_list);
   Membership(const Membership&) = delete;
   Membership& operator=(const Membership&) = delete;
 
--- a/src/cypresswall/membership/messages.h
+++ b/src/cypresswall/membership/messages.h
@@ -8,9 +8,9 @@
 
 #include "cypresswall/api/envelope.h"
 #include "cypresswall/common/identifiers.h"
-#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/object_store/machine_list.h"
 
-MSGPACK_ADD_ENUM(cypresswall::platform::MachineState)
+MSGPACK_ADD_ENUM(cypresswall::object_store::MachineState)
 
 namespace cypresswall::membership {
 
@@ -61,7 +61,7 @@
 
 struct MachineEntry {
   common::MachineName name;
-  platform::MachineState state = platform::MachineState::kLive;
+  object_store::MachineState state = object_store::MachineState::kLive;
   std::vector<std::string> addresses;
 
   bool operator==(const MachineEntry&) const = default;
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -68,7 +68,7 @@
   controller_.start();
 }
 
-lease::AuthorityView& Node::makeOrdersAuthority(platform::ObjectStore& store) {
+lease::AuthorityView& Node::makeOrdersAuthority(object_store::ObjectStore& store) {
   if (!settings_.lease_in_store) {
     return authority_;
   }
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -20,10 +20,10 @@
 #include "cypresswall/membership/zone_gossip.h"
 #include "cypresswall/node/node_settings.h"
 #include "cypresswall/node/node_state.h"
+#include "cypresswall/object_store/machine_list.h"
+#include "cypresswall/object_store/object_store.h"
 #include "cypresswall/operators/command_service.h"
 #include "cypresswall/orders/zone_controller.h"
-#include "cypresswall/platform/machine_list.h"
-#include "cypresswall/platform/object_store.h"
 #include "cypresswall/routing/cost_router.h"
 #include "cypresswall/routing/engine_directory.h"
 #include "cypresswall/services/service_client.h"
@@ -32,8 +32,8 @@
 
 /// Clients of everything outside the system. All must outlive the node.
 struct NodeClients {
-  platform::ObjectStore& object_store;
-  platform::MachineList& machine_list;
+  object_store::ObjectStore& object_store;
+  object_store::MachineList& machine_list;
   engines::EngineClient& engines;
   services::ServiceClient& services;
   /// Set where the platform itself declares the fleet: followed in place of the replicated
@@ -82,7 +82,7 @@
   void followDeclared();
   /// Stops taking new work; what runs goes on.
   void drain();
-  lease::AuthorityView& makeOrdersAuthority(platform::ObjectStore& store);
+  lease::AuthorityView& makeOrdersAuthority(object_store::ObjectStore& store);
   void startAuthority();
   void checkStop();
   bool mayStop() const;
--- a/src/cypresswall/platform/http_machine_list.cpp
+++ b/src/cypresswall/object_store/http_machine_list.cpp
@@ -1,10 +1,10 @@
-#include "cypresswall/platform/http_machine_list.h"
+#include "cypresswall/object_store/http_machine_list.h"
 
 #include <utility>
 
-#include "cypresswall/platform/platform_json.h"
+#include "cypresswall/object_store/platform_json.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 namespace {
 
 using runtime::CurlResponse;
@@ -42,4 +42,4 @@
   });
 }
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/http_machine_list.h
+++ b/src/cypresswall/object_store/http_machine_list.h
@@ -3,10 +3,10 @@
 
 #include <chrono>
 
-#include "cypresswall/platform/machine_list.h"
+#include "cypresswall/object_store/machine_list.h"
 #include "cypresswall/runtime/curl_multi.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 
 struct HttpMachineListSettings {
   common::Address address;
@@ -25,4 +25,4 @@
   HttpMachineListSettings settings_;
 };
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/http_object_store.cpp
+++ b/src/cypresswall/object_store/http_object_store.cpp
@@ -1,10 +1,10 @@
-#include "cypresswall/platform/http_object_store.h"
+#include "cypresswall/object_store/http_object_store.h"
 
 #include <utility>
 
-#include "cypresswall/platform/platform_json.h"
+#include "cypresswall/object_store/platform_json.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 namespace {
 
 using runtime::CurlRequest;
@@ -76,4 +76,4 @@
   return made;
 }
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/http_object_store.h
+++ b/src/cypresswall/object_store/http_object_store.h
@@ -4,11 +4,11 @@
 #include <chrono>
 
 #include "cypresswall/common/counters.h"
-#include "cypresswall/platform/object_store.h"
-#include "cypresswall/platform/store_answer.h"
+#include "cypresswall/object_store/object_store.h"
+#include "cypresswall/object_store/store_answer.h"
 #include "cypresswall/runtime/curl_multi.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 
 struct HttpObjectStoreSettings {
   common::Address address;
@@ -41,4 +41,4 @@
   HttpObjectStoreSettings settings_;
 };
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/machine_list.h
+++ b/src/cypresswall/object_store/machine_list.h
@@ -8,7 +8,7 @@
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/result.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 
 enum class MachineState { kLive, kLeaving, kGone };
 
@@ -33,4 +33,4 @@
   virtual void fetch(const common::ZoneName& zone, MachineListCallback callback) = 0;
 };
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/object_store.h
+++ b/src/cypresswall/object_store/object_store.h
@@ -9,7 +9,7 @@
 
 #include "cypresswall/common/result.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 
 /// Why a call to the store failed.
 enum class StoreFailure {
@@ -64,4 +64,4 @@
                      StoreCallback<ObjectListing> callback) = 0;
 };
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/platform_json.cpp
+++ b/src/cypresswall/object_store/platform_json.cpp
@@ -1,8 +1,8 @@
-#include "cypresswall/platform/platform_json.h"
+#include "cypresswall/object_store/platform_json.h"
 
 #include <nlohmann/json.hpp>
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 namespace {
 
 using Json = nlohmann::json;
@@ -80,4 +80,4 @@
   });
 }
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/platform_json.h
+++ b/src/cypresswall/object_store/platform_json.h
@@ -6,10 +6,10 @@
 #include <vector>
 
 #include "cypresswall/common/errors.h"
-#include "cypresswall/platform/machine_list.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/machine_list.h"
+#include "cypresswall/object_store/object_store.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 
 /// An answer of the platform that can't be understood.
 class PlatformProtocolError : public common::Error {
@@ -25,4 +25,4 @@
 ObjectListing parseObjectListing(std::string_view json);
 std::vector<Machine> parseMachines(std::string_view json);
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/store_answer.cpp
+++ b/src/cypresswall/object_store/store_answer.cpp
@@ -1,6 +1,6 @@
-#include "cypresswall/platform/store_answer.h"
+#include "cypresswall/object_store/store_answer.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 namespace {
 
 using runtime::CurlOutcome;
@@ -114,4 +114,4 @@
   }
 }
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/platform/store_answer.h
+++ b/src/cypresswall/object_store/store_answer.h
@@ -8,11 +8,11 @@
 #include <string_view>
 
 #include "cypresswall/common/counters.h"
-#include "cypresswall/platform/object_store.h"
-#include "cypresswall/platform/platform_json.h"
+#include "cypresswall/object_store/object_store.h"
+#include "cypresswall/object_store/platform_json.h"
 #include "cypresswall/runtime/curl_request.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 
 /// Numbers of calls by how they ended.
 struct StoreCallCounters {
@@ -63,4 +63,4 @@
                                       const std::function<StoredObject(std::string_view)>& parse,
                                       const std::function<bool(const StoredObject&)>& own);
 
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -11,8 +11,8 @@
 #include "cypresswall/gateway/session.h"
 #include "cypresswall/http/server.h"
 #include "cypresswall/node/node_settings.h"
-#include "cypresswall/platform/http_machine_list.h"
-#include "cypresswall/platform/http_object_store.h"
+#include "cypresswall/object_store/http_machine_list.h"
+#include "cypresswall/object_store/http_object_store.h"
 #include "cypresswall/runtime/fault_switch.h"
 #include "cypresswall/runtime/transport_settings.h"
 #include "cypresswall/services/http_service_client.h"
@@ -41,8 +41,8 @@
   gateway::GatewaySettings gateway;
   engines::HttpEngineSettings engines;
   services::HttpServiceSettings services;
-  platform::HttpObjectStoreSettings object_store;
-  platform::HttpMachineListSettings machine_list;
+  object_store::HttpObjectStoreSettings object_store;
+  object_store::HttpMachineListSettings machine_list;
   /// Used only in builds with fault switches.
   runtime::BlockedPeers blocked_peers;
 };
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -31,7 +31,7 @@
 void SimulatedFleet::addMachine(std::uint32_t zone, const common::MachineName& name,
                                 const common::Address& address) {
   platform_.machines().setAtOnce(
-      {name, zoneName(zone), platform::MachineState::kLive, {ipOf(address)}});
+      {name, zoneName(zone), object_store::MachineState::kLive, {ipOf(address)}});
 }
 
 void SimulatedFleet::addOutside() {
@@ -154,7 +154,7 @@
     return;
   }
   const auto old_machine = nodeMachine(slot.zone, slot.number, slot.generation);
-  platform_.setMachineState(old_machine, platform::MachineState::kGone);
+  platform_.setMachineState(old_machine, object_store::MachineState::kGone);
   ++slot.generation;
   addMachine(slot.zone, nodeMachine(slot.zone, slot.number, slot.generation),
              nodeAddress(slot.zone, slot.number, slot.generation));
--- a/src/cypresswall/simulation/simulated_platform.cpp
+++ b/src/cypresswall/simulation/simulated_platform.cpp
@@ -57,14 +57,14 @@
 }
 
 void SimulatedPlatform::setMachineState(const common::MachineName& machine,
-                                        platform::MachineState state) {
-  for (platform::Machine known : machines_.visible("")) {
+                                        object_store::MachineState state) {
+  for (object_store::Machine known : machines_.visible("")) {
     if (known.name == machine) {
       known.state = state;
       machines_.set(std::move(known));
     }
   }
-  if (state != platform::MachineState::kLive) {
+  if (state != object_store::MachineState::kLive) {
     simulation_.faults().add(FaultKind::kMachineLeaving);
   }
 }
@@ -76,9 +76,9 @@
       platform_(platform) {}
 
 template <typename Value, typename Request>
-void SimulatedObjectStore::ask(common::Duration time_limit, platform::StoreFailure unknown,
-                               Request request, platform::StoreCallback<Value> callback) {
-  using Answer = platform::StoreResult<Value>;
+void SimulatedObjectStore::ask(common::Duration time_limit, object_store::StoreFailure unknown,
+                               Request request, object_store::StoreCallback<Value> callback) {
+  using Answer = object_store::StoreResult<Value>;
   auto effect = [&platform = platform_,
                  request = std::move(request)](typename OutsideCall<Answer>::Reply reply) {
     request(platform.store(), [reply = std::move(reply)](Answer answer) { reply(answer); });
@@ -90,30 +90,31 @@
       return;
     }
     const bool sent = result == CallResult::kUnknown;
-    callback(common::Failure<platform::StoreFailure>{
-        sent ? unknown : platform::StoreFailure::kUnavailable, "no answer from the store"});
+    callback(common::Failure<object_store::StoreFailure>{
+        sent ? unknown : object_store::StoreFailure::kUnavailable, "no answer from the store"});
   };
   OutsideCall<Answer>::start(path_, CallFaults{}, time_limit, std::move(effect), std::move(done));
 }
 
 void SimulatedObjectStore::get(const std::string& key,
-                               platform::StoreCallback<platform::StoredObject> callback) {
-  ask<platform::StoredObject>(
-      kStoreTimeLimit, platform::StoreFailure::kUnavailable,
+                               object_store::StoreCallback<object_store::StoredObject> callback) {
+  ask<object_store::StoredObject>(
+      kStoreTimeLimit, object_store::StoreFailure::kUnavailable,
       [key](auto& store, auto reply) { store.get(key, std::move(reply)); }, std::move(callback));
 }
 
-void SimulatedObjectStore::compareAndSet(platform::ObjectWrite write,
-                                         platform::StoreCallback<platform::StoredObject> callback) {
+void SimulatedObjectStore::compareAndSet(
+    object_store::ObjectWrite write,
+    object_store::StoreCallback<object_store::StoredObject> callback) {
   // The emulated store says itself that an answer was lost, so the count is taken there.
   auto counted = [this, callback = std::move(callback)](auto result) {
-    if (!result.ok() && result.failure().kind == platform::StoreFailure::kUnknownOutcome) {
+    if (!result.ok() && result.failure().kind == object_store::StoreFailure::kUnknownOutcome) {
       simulation_.faults().add(FaultKind::kStoreAnswerLost);
     }
     callback(std::move(result));
   };
-  ask<platform::StoredObject>(
-      kStoreTimeLimit, platform::StoreFailure::kUnknownOutcome,
+  ask<object_store::StoredObject>(
+      kStoreTimeLimit, object_store::StoreFailure::kUnknownOutcome,
       [write = std::move(write)](auto& store, auto reply) {
         store.compareAndSet(write, std::move(reply));
       },
@@ -121,17 +122,18 @@
 }
 
 void SimulatedObjectStore::list(const std::string& prefix,
-                                platform::StoreCallback<platform::ObjectListing> callback) {
-  ask<platform::ObjectListing>(
-      kStoreTimeLimit, platform::StoreFailure::kUnavailable,
+                                object_store::StoreCallback<object_store::ObjectListing> callback) {
+  ask<object_store::ObjectListing>(
+      kStoreTimeLimit, object_store::StoreFailure::kUnavailable,
       [prefix](auto& store, auto reply) { store.list(prefix, std::move(reply)); },
       std::move(callback));
 }
 
-void SimulatedObjectStore::watch(const std::string& prefix, std::uint64_t revision,
-                                 platform::StoreCallback<platform::ObjectListing> callback) {
-  ask<platform::ObjectListing>(
-      kWatchTimeLimit, platform::StoreFailure::kUnavailable,
+void SimulatedObjectStore::watch(
+    const std::string& prefix, std::uint64_t revision,
+    object_store::StoreCallback<object_store::ObjectListing> callback) {
+  ask<object_store::ObjectListing>(
+      kWatchTimeLimit, object_store::StoreFailure::kUnavailable,
       [prefix, revision](auto& store, auto reply) {
         store.watch(prefix, revision, std::move(reply));
       },
@@ -143,8 +145,9 @@
     : path_(simulation, process, SimulatedPlatform::place()), platform_(platform) {}
 
 void SimulatedMachineList::fetch(const common::ZoneName& zone,
-                                 platform::MachineListCallback callback) {
-  using Answer = common::Result<std::vector<platform::Machine>, platform::MachineListFailure>;
+                                 object_store::MachineListCallback callback) {
+  using Answer =
+      common::Result<std::vector<object_store::Machine>, object_store::MachineListFailure>;
   auto effect = [&platform = platform_, zone](OutsideCall<Answer>::Reply reply) {
     platform.machines().fetch(zone, [reply = std::move(reply)](Answer answer) { reply(answer); });
   };
@@ -153,8 +156,8 @@
       callback(std::move(*answer));
       return;
     }
-    callback(common::Failure<platform::MachineListFailure>{
-        platform::MachineListFailure::kUnavailable, "no answer from the machine list"});
+    callback(common::Failure<object_store::MachineListFailure>{
+        object_store::MachineListFailure::kUnavailable, "no answer from the machine list"});
   };
   OutsideCall<Answer>::start(path_, CallFaults{}, kMachineListTimeLimit, std::move(effect),
                              std::move(done));
--- a/src/cypresswall/simulation/simulated_platform.h
+++ b/src/cypresswall/simulation/simulated_platform.h
@@ -6,8 +6,8 @@
 
 #include "cypresswall/emulation/machine_list.h"
 #include "cypresswall/emulation/object_store.h"
-#include "cypresswall/platform/machine_list.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/machine_list.h"
+#include "cypresswall/object_store/object_store.h"
 #include "cypresswall/simulation/outside_call.h"
 
 namespace cypresswall::simulation {
@@ -39,7 +39,7 @@
   /// Sets the store back by `revisions`.
   void restore(std::uint64_t revisions);
   /// Marks a machine as leaving (or gone) and counts the fault.
-  void setMachineState(const common::MachineName& machine, platform::MachineState state);
+  void setMachineState(const common::MachineName& machine, object_store::MachineState state);
 
  private:
   Simulation& simulation_;
@@ -47,35 +47,35 @@
   emulation::EmulatedMachineList machines_;
 };
 
-class SimulatedObjectStore final : public platform::ObjectStore {
+class SimulatedObjectStore final : public object_store::ObjectStore {
  public:
   SimulatedObjectStore(Simulation& simulation, SimulatedProcess& process,
                        SimulatedPlatform& platform);
 
   void get(const std::string& key,
-           platform::StoreCallback<platform::StoredObject> callback) override;
-  void compareAndSet(platform::ObjectWrite write,
-                     platform::StoreCallback<platform::StoredObject> callback) override;
+           object_store::StoreCallback<object_store::StoredObject> callback) override;
+  void compareAndSet(object_store::ObjectWrite write,
+                     object_store::StoreCallback<object_store::StoredObject> callback) override;
   void list(const std::string& prefix,
-            platform::StoreCallback<platform::ObjectListing> callback) override;
+            object_store::StoreCallback<object_store::ObjectListing> callback) override;
   void watch(const std::string& prefix, std::uint64_t revision,
-             platform::StoreCallback<platform::ObjectListing> callback) override;
+             object_store::StoreCallback<object_store::ObjectListing> callback) override;
 
  private:
   template <typename Value, typename Request>
-  void ask(common::Duration time_limit, platform::StoreFailure unknown, Request request,
-           platform::StoreCallback<Value> callback);
+  void ask(common::Duration time_limit, object_store::StoreFailure unknown, Request request,
+           object_store::StoreCallback<Value> callback);
 
   Simulation& simulation_;
   OutsidePath path_;
   SimulatedPlatform& platform_;
 };
 
-class SimulatedMachineList final : public platform::MachineList {
+class SimulatedMachineList final : public object_store::MachineList {
  public:
   SimulatedMachineList(Simulation& simulation, SimulatedProcess& process,
                        SimulatedPlatform& platform);
-  void fetch(const common::ZoneName& zone, platform::MachineListCallback callback) override;
+  void fetch(const common::ZoneName& zone, object_store::MachineListCallback callback) override;
 
  private:
   OutsidePath path_;
--- a/src/cypresswall/surroundings/http_surroundings.cpp
+++ b/src/cypresswall/surroundings/http_surroundings.cpp
@@ -4,8 +4,8 @@
 
 #include "cypresswall/engines/http_engine_client.h"
 #include "cypresswall/gateway/gateway.h"
-#include "cypresswall/platform/http_machine_list.h"
-#include "cypresswall/platform/http_object_store.h"
+#include "cypresswall/object_store/http_machine_list.h"
+#include "cypresswall/object_store/http_object_store.h"
 #include "cypresswall/services/http_service_client.h"
 #include "cypresswall/surroundings/gateway_context.h"
 
@@ -50,8 +50,8 @@
 
  private:
   SurroundingsContext context_;
-  platform::HttpObjectStore object_store_;
-  platform::HttpMachineList machine_list_;
+  object_store::HttpObjectStore object_store_;
+  object_store::HttpMachineList machine_list_;
   engines::HttpEngineClient engines_;
   services::HttpServiceClient services_;
 };
--- a/standins/fronts/platform_front.cpp
+++ b/standins/fronts/platform_front.cpp
@@ -6,8 +6,8 @@
 namespace cypresswall::standins {
 
 using nlohmann::json;
-using platform::MachineState;
-using platform::StoreFailure;
+using object_store::MachineState;
+using object_store::StoreFailure;
 
 namespace {
 
@@ -90,7 +90,7 @@
 void PlatformFront::putObject(const std::string& key, const http::Request& request,
                               const ResponderPointer& responder) {
   const json body = parseObject(request.body);
-  platform::ObjectWrite write;
+  object_store::ObjectWrite write;
   write.key = key;
   write.expected_version = requiredField<std::uint64_t>(body, "expected_version");
   write.value = requiredField<std::string>(body, "value");
@@ -156,7 +156,7 @@
       return;
     }
     json list = json::array();
-    for (const platform::Machine& machine : result.value()) {
+    for (const object_store::Machine& machine : result.value()) {
       list.push_back({{"name", machine.name},
                       {"zone", machine.zone},
                       {"state", toString(machine.state)},
@@ -168,7 +168,7 @@
 
 void PlatformFront::setMachine(const http::Request& request, const ResponderPointer& responder) {
   const json body = parseObject(request.body);
-  platform::Machine machine;
+  object_store::Machine machine;
   machine.name = requiredField<std::string>(body, "name");
   machine.zone = requiredField<std::string>(body, "zone");
   machine.state = parseState(fieldOr<std::string>(body, "state", "live"));
@@ -214,7 +214,7 @@
   responder->respond(204, {}, "");
 }
 
-json PlatformFront::encodeObject(const platform::StoredObject& object) const {
+json PlatformFront::encodeObject(const object_store::StoredObject& object) const {
   return {{"key", object.key},
           {"version", object.version},
           {"value", object.value},
@@ -222,9 +222,9 @@
           {"revision", store_.revisionOf(object.key)}};
 }
 
-json PlatformFront::encodeListing(const platform::ObjectListing& listing) const {
+json PlatformFront::encodeListing(const object_store::ObjectListing& listing) const {
   json objects = json::array();
-  for (const platform::StoredObject& object : listing.objects) {
+  for (const object_store::StoredObject& object : listing.objects) {
     objects.push_back(encodeObject(object));
   }
   return {{"revision", listing.revision}, {"objects", std::move(objects)}};
--- a/standins/fronts/platform_front.h
+++ b/standins/fronts/platform_front.h
@@ -30,10 +30,10 @@
   void setMachine(const http::Request& request, const ResponderPointer& responder);
   void fetchWeights(const http::Request& request, const ResponderPointer& responder);
   void setFaults(const http::Request& request, const ResponderPointer& responder);
-  nlohmann::json encodeObject(const platform::StoredObject& object) const;
-  nlohmann::json encodeListing(const platform::ObjectListing& listing) const;
+  nlohmann::json encodeObject(const object_store::StoredObject& object) const;
+  nlohmann::json encodeListing(const object_store::ObjectListing& listing) const;
   nlohmann::json encodeLedger() const;
-  void respondFailure(const common::Failure<platform::StoreFailure>& failure,
+  void respondFailure(const common::Failure<object_store::StoreFailure>& failure,
                       const std::string& key, const ResponderPointer& responder) const;
 
   emulation::EmulatedObjectStore& store_;
--- a/tests/configuration/replica_fleet.h
+++ b/tests/configuration/replica_fleet.h
@@ -32,36 +32,37 @@
 };
 
 /// One process's client of the shared store.
-class StoreClient final : public platform::ObjectStore {
+class StoreClient final : public object_store::ObjectStore {
  public:
   StoreClient(simulation::SimulatedProcess& process, SharedStore& store)
       : process_(process), store_(store) {}
 
   void get(const std::string& key,
-           platform::StoreCallback<platform::StoredObject> callback) override {
+           object_store::StoreCallback<object_store::StoredObject> callback) override {
     if (store_.stale_reads > 0) {
       --store_.stale_reads;
       ++store_.stale_reads_given;
-      answer<platform::StoredObject>(callback, {platform::StoreFailure::kNotFound, "stale"});
+      answer<object_store::StoredObject>(callback,
+                                         {object_store::StoreFailure::kNotFound, "stale"});
     } else if (reachable(callback)) {
       store_.objects.get(key, back(std::move(callback)));
     }
   }
-  void compareAndSet(platform::ObjectWrite write,
-                     platform::StoreCallback<platform::StoredObject> callback) override {
+  void compareAndSet(object_store::ObjectWrite write,
+                     object_store::StoreCallback<object_store::StoredObject> callback) override {
     if (reachable(callback)) {
       store_.objects.compareAndSet(
-          std::move(write), back(std::move(callback), platform::StoreFailure::kUnknownOutcome));
+          std::move(write), back(std::move(callback), object_store::StoreFailure::kUnknownOutcome));
     }
   }
   void list(const std::string& prefix,
-            platform::StoreCallback<platform::ObjectListing> callback) override {
+            object_store::StoreCallback<object_store::ObjectListing> callback) override {
     if (reachable(callback)) {
       store_.objects.list(prefix, back(std::move(callback)));
     }
   }
   void watch(const std::string& prefix, std::uint64_t revision,
-             platform::StoreCallback<platform::ObjectListing> callback) override {
+             object_store::StoreCallback<object_store::ObjectListing> callback) override {
     if (reachable(callback)) {
       store_.objects.watch(prefix, revision, back(std::move(callback)));
     }
@@ -71,29 +72,29 @@
   static constexpr common::Duration kDelay = std::chrono::milliseconds(3);
 
   template <typename Value>
-  void answer(platform::StoreCallback<Value> callback,
-              common::Failure<platform::StoreFailure> failure) {
+  void answer(object_store::StoreCallback<Value> callback,
+              common::Failure<object_store::StoreFailure> failure) {
     process_.deliverAfter(kDelay, [callback = std::move(callback), failure = std::move(failure)] {
       callback(failure);
     });
   }
   template <typename Value>
-  bool reachable(const platform::StoreCallback<Value>& callback) {
+  bool reachable(const object_store::StoreCallback<Value>& callback) {
     if (store_.unreachable_from.count(process_.zone()) == 0) {
       return true;
     }
-    answer<Value>(callback, {platform::StoreFailure::kUnavailable, "no path to the store"});
+    answer<Value>(callback, {object_store::StoreFailure::kUnavailable, "no path to the store"});
     return false;
   }
   /// The process may be dead, or cut off, when the store answers.
   template <typename Value>
-  platform::StoreCallback<Value> back(
-      platform::StoreCallback<Value> callback,
-      platform::StoreFailure cut = platform::StoreFailure::kUnavailable) {
+  object_store::StoreCallback<Value> back(
+      object_store::StoreCallback<Value> callback,
+      object_store::StoreFailure cut = object_store::StoreFailure::kUnavailable) {
     return [process = &process_, store = &store_, cut,
-            callback = std::move(callback)](platform::StoreResult<Value> result) {
+            callback = std::move(callback)](object_store::StoreResult<Value> result) {
       if (store->unreachable_from.count(process->zone()) > 0) {
-        result = common::Failure<platform::StoreFailure>{cut, "the path to the store was cut"};
+        result = common::Failure<object_store::StoreFailure>{cut, "the path to the store was cut"};
       }
       process->deliverAfter(kDelay, [callback, result = std::move(result)] { callback(result); });
     };
@@ -103,11 +104,11 @@
   SharedStore& store_;
 };
 
-class MachineClient final : public platform::MachineList {
+class MachineClient final : public object_store::MachineList {
  public:
   MachineClient(simulation::SimulatedProcess& process, emulation::EmulatedMachineList& machines)
       : process_(process), machines_(machines) {}
-  void fetch(const common::ZoneName& zone, platform::MachineListCallback callback) override {
+  void fetch(const common::ZoneName& zone, object_store::MachineListCallback callback) override {
     machines_.fetch(zone, [process = &process_, callback = std::move(callback)](auto result) {
       process->deliverAfter(std::chrono::milliseconds(1),
                             [callback, result = std::move(result)] { callback(result); });
--- a/tests/emulation/object_store_test.cpp
+++ b/tests/emulation/object_store_test.cpp
@@ -8,10 +8,10 @@
 namespace cypresswall::emulation {
 namespace {
 
-using platform::ObjectListing;
-using platform::StoredObject;
-using platform::StoreFailure;
-using platform::StoreResult;
+using object_store::ObjectListing;
+using object_store::StoredObject;
+using object_store::StoreFailure;
+using object_store::StoreResult;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/lease/lease_zone.h
+++ b/tests/lease/lease_zone.h
@@ -89,7 +89,7 @@
                             ? fixed_rate->second
                             : 1.0 + drift_ * (2 * world.random.unit() - 1);
     auto& process = world.spawn({address(index), ++next_incarnation_}, "hall-a", rate);
-    setMachine(index, platform::MachineState::kLive);
+    setMachine(index, object_store::MachineState::kLive);
     membership::MembershipSettings settings;
     settings.machine = machine(index);
     settings.seeds = {address(1), address(2)};
@@ -123,7 +123,7 @@
     nodes.erase(index);
     world.kill(address(index));
   }
-  void setMachine(int index, platform::MachineState state) {
+  void setMachine(int index, object_store::MachineState state) {
     for (auto& entry : world.machines) {
       if (entry.name == machine(index)) {
         entry.state = state;
@@ -215,7 +215,7 @@
       case FaultKind::kReplace:
         ++ledger.departures;
         stop(index);
-        setMachine(index, platform::MachineState::kGone);
+        setMachine(index, object_store::MachineState::kGone);
         break;
     }
   }
@@ -292,13 +292,13 @@
     ++ledger.departures;
     nodes.at(index).membership->announceLeaving();
     nodes.at(index).authority->resign();
-    setMachine(index, platform::MachineState::kLeaving);
+    setMachine(index, object_store::MachineState::kLeaving);
     const auto incarnation = nodes.at(index).membership->self().incarnation;
     world.at(world.now() + kDepartureTime, [this, index, incarnation] {
       const auto node = nodes.find(index);
       if (node != nodes.end() && node->second.membership->self().incarnation == incarnation) {
         stop(index);
-        setMachine(index, platform::MachineState::kGone);
+        setMachine(index, object_store::MachineState::kGone);
       }
     });
   }
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -40,7 +40,7 @@
     for (int index = 1; index <= count; ++index) {
       world.machines.push_back({machineOf(index),
                                 kZone,
-                                platform::MachineState::kLive,
+                                object_store::MachineState::kLive,
                                 {"10.0.0." + std::to_string(index)}});
       start(index);
     }
@@ -201,7 +201,7 @@
     zone.startAll(13);
     zone.world.runFor(5s);
     zone.kill(1);  // the reader
-    zone.world.machines[7].state = platform::MachineState::kLeaving;
+    zone.world.machines[7].state = object_store::MachineState::kLeaving;
     zone.world.runFor(2500ms);
     for (const auto& [index, membership] : zone.memberships) {
       CPPUNIT_ASSERT(membership->machineLeaving(machineOf(8)));
@@ -218,7 +218,7 @@
     zone.world.runFor(5s);
     zone.world.setStoreReachable(addressOf(1), false);
     zone.world.runFor(50ms);
-    zone.world.machines[3].state = platform::MachineState::kLeaving;
+    zone.world.machines[3].state = object_store::MachineState::kLeaving;
     zone.world.runFor(2500ms);
     for (const auto& [index, membership] : zone.memberships) {
       CPPUNIT_ASSERT(membership->machineLeaving(machineOf(4)));
--- a/tests/platform/http_platform_test.cpp
+++ b/tests/object_store/http_platform_test.cpp
@@ -2,14 +2,14 @@
 #include <optional>
 #include <string>
 
-#include "cypresswall/platform/http_machine_list.h"
-#include "cypresswall/platform/http_object_store.h"
-#include "cypresswall/platform/platform_json.h"
+#include "cypresswall/object_store/http_machine_list.h"
+#include "cypresswall/object_store/http_object_store.h"
+#include "cypresswall/object_store/platform_json.h"
 #include "tests/support/event_loop.h"
 #include "tests/support/property.h"
 #include "tests/support/scripted_server.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 namespace {
 
 using testing::httpAnswer;
@@ -155,4 +155,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpPlatformTest);
 
 }  // namespace
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/tests/platform/platform_standin_test.cpp
+++ b/tests/object_store/platform_standin_test.cpp
@@ -7,15 +7,15 @@
 #include "cypresswall/emulation/object_store.h"
 #include "cypresswall/emulation/weight_store.h"
 #include "cypresswall/http/server.h"
-#include "cypresswall/platform/http_machine_list.h"
-#include "cypresswall/platform/http_object_store.h"
+#include "cypresswall/object_store/http_machine_list.h"
+#include "cypresswall/object_store/http_object_store.h"
 #include "cypresswall/runtime/asio_clock.h"
 #include "cypresswall/runtime/asio_scheduler.h"
 #include "standins/fronts/platform_front.h"
 #include "tests/support/event_loop.h"
 #include "tests/support/property.h"
 
-namespace cypresswall::platform {
+namespace cypresswall::object_store {
 namespace {
 
 using testing::runUntil;
@@ -154,4 +154,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStandinTest);
 
 }  // namespace
-}  // namespace cypresswall::platform
+}  // namespace cypresswall::object_store
--- a/tests/objects_platform/fleet_declaration_test.cpp
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -222,11 +222,11 @@
 
   void drainingRunnersAreLeavingMachines() {
     RunnerMachineList list(process_, runners_);
-    std::vector<platform::Machine> machines;
+    std::vector<object_store::Machine> machines;
     bool failed = false;
     const auto read = [&](auto result) {
       failed = !result.ok();
-      machines = result.ok() ? result.value() : std::vector<platform::Machine>();
+      machines = result.ok() ? result.value() : std::vector<object_store::Machine>();
     };
     list.fetch("dobrogea", read);
     CPPUNIT_ASSERT(!failed);
@@ -238,8 +238,8 @@
     list.fetch("dobrogea", read);
     world_.runFor(milliseconds(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, machines.size());
-    CPPUNIT_ASSERT(machines.at(0).state == platform::MachineState::kLive);
-    CPPUNIT_ASSERT(machines.at(1).state == platform::MachineState::kLeaving);
+    CPPUNIT_ASSERT(machines.at(0).state == object_store::MachineState::kLive);
+    CPPUNIT_ASSERT(machines.at(1).state == object_store::MachineState::kLeaving);
     CPPUNIT_ASSERT(machines.at(1).addresses.empty());
   }
 
--- a/tests/objects_platform/object_store_client_test.cpp
+++ b/tests/objects_platform/object_store_client_test.cpp
@@ -9,10 +9,10 @@
 namespace cypresswall::objects_platform {
 namespace {
 
-using platform::ObjectListing;
-using platform::StoredObject;
-using platform::StoreFailure;
-using platform::StoreResult;
+using object_store::ObjectListing;
+using object_store::StoredObject;
+using object_store::StoreFailure;
+using object_store::StoreResult;
 using testing::eventsJson;
 using testing::objectJson;
 using testing::pageJson;
--- a/tests/properties/leaving/leaving_machine_test.cpp
+++ b/tests/properties/leaving/leaving_machine_test.cpp
@@ -67,7 +67,7 @@
  private:
   void leave(std::uint32_t zone, std::uint32_t engine) {
     fleet_.platform().setMachineState(simulation::engineMachine(zone, engine),
-                                      platform::MachineState::kLeaving);
+                                      object_store::MachineState::kLeaving);
     shown_at_[simulation::engineAddress(zone, engine)] = fleet_.time().now() + list_lag_;
   }
 
--- a/tests/properties/leaving/leaving_services_test.cpp
+++ b/tests/properties/leaving/leaving_services_test.cpp
@@ -100,7 +100,7 @@
     const auto lag = simulation::PlatformSettings{}.machine_list_lag;
     const auto at = common::Duration(fleet_.simulation().random().below(kAskingTime.count()));
     fleet_.time().schedule(at, [this, machine] {
-      fleet_.platform().setMachineState(machine, platform::MachineState::kLeaving);
+      fleet_.platform().setMachineState(machine, object_store::MachineState::kLeaving);
     });
     fleet_.time().schedule(at + lag + kNoWorkAfter, std::forward<Callback>(work_over));
   }
--- a/tests/simulation/simulated_clients_test.cpp
+++ b/tests/simulation/simulated_clients_test.cpp
@@ -169,11 +169,11 @@
     World world;
     SimulatedObjectStore store(world.simulation, world.process, world.platform);
     world.platform.loseAnswers(1);
-    std::optional<platform::StoreFailure> failure;
+    std::optional<object_store::StoreFailure> failure;
     store.compareAndSet({"key", 0, "value", "change-1"},
                         [&](const auto& result) { failure = result.failure().kind; });
     world.simulation.time().runFor(seconds(5));
-    CPPUNIT_ASSERT(failure == platform::StoreFailure::kUnknownOutcome);
+    CPPUNIT_ASSERT(failure == object_store::StoreFailure::kUnknownOutcome);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.platform.store().peek("key").version);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
                          world.simulation.faults().count(FaultKind::kStoreAnswerLost));
@@ -183,27 +183,27 @@
     World world;
     SimulatedObjectStore store(world.simulation, world.process, world.platform);
     world.simulation.network().cutZones("a", SimulatedPlatform::kZone);
-    std::optional<platform::StoreFailure> failure;
+    std::optional<object_store::StoreFailure> failure;
     store.get("key", [&](const auto& result) { failure = result.failure().kind; });
     world.simulation.time().runFor(seconds(5));
-    CPPUNIT_ASSERT(failure == platform::StoreFailure::kUnavailable);
+    CPPUNIT_ASSERT(failure == object_store::StoreFailure::kUnavailable);
   }
 
   void machineListShowsLeavingAfterItsLag() {
     World world;
-    world.platform.machines().setAtOnce({"machine-1", "a", platform::MachineState::kLive, {}});
+    world.platform.machines().setAtOnce({"machine-1", "a", object_store::MachineState::kLive, {}});
     SimulatedMachineList list(world.simulation, world.process, world.platform);
-    platform::MachineState seen = platform::MachineState::kLive;
+    object_store::MachineState seen = object_store::MachineState::kLive;
     const auto read = [&] {
       list.fetch("a", [&](const auto& result) { seen = result.value().at(0).state; });
       world.simulation.time().runFor(milliseconds(100));
     };
-    world.platform.setMachineState("machine-1", platform::MachineState::kLeaving);
+    world.platform.setMachineState("machine-1", object_store::MachineState::kLeaving);
     read();
-    CPPUNIT_ASSERT(seen == platform::MachineState::kLive);
+    CPPUNIT_ASSERT(seen == object_store::MachineState::kLive);
     world.simulation.time().runFor(seconds(1));
     read();
-    CPPUNIT_ASSERT(seen == platform::MachineState::kLeaving);
+    CPPUNIT_ASSERT(seen == object_store::MachineState::kLeaving);
   }
 
   static services::ServiceRequest booking() {
--- a/tests/support/virtual_world.cpp
+++ b/tests/support/virtual_world.cpp
@@ -74,20 +74,20 @@
 }
 
 template <typename Value>
-void VirtualProcess::answerLater(platform::StoreCallback<Value> callback,
-                                 std::function<platform::StoreResult<Value>()> work) {
-  using Failure = common::Failure<platform::StoreFailure>;
+void VirtualProcess::answerLater(object_store::StoreCallback<Value> callback,
+                                 std::function<object_store::StoreResult<Value>()> work) {
+  using Failure = common::Failure<object_store::StoreFailure>;
   const bool reachable = !world_.store.down && !world_.store_unreachable_.contains(node_.address);
   if (!reachable) {
     world_.post(world_.now_ + kStoreTimeLimit,
                 {serial_, node_.address, [callback = std::move(callback)] {
-                   callback(Failure{platform::StoreFailure::kUnavailable, "store down"});
+                   callback(Failure{object_store::StoreFailure::kUnavailable, "store down"});
                  }});
     return;
   }
   auto arrive = [serial = serial_, address = node_.address, callback = std::move(callback),
                  work = std::move(work), &world = world_] {
-    auto result = std::make_shared<platform::StoreResult<Value>>(work());
+    auto result = std::make_shared<object_store::StoreResult<Value>>(work());
     world.post(world.now_ + world.networkDelay(),
                {serial, address, [callback, result] { callback(*result); }});
   };
@@ -95,19 +95,22 @@
 }
 
 void VirtualProcess::get(const std::string& key,
-                         platform::StoreCallback<platform::StoredObject> callback) {
+                         object_store::StoreCallback<object_store::StoredObject> callback) {
   auto& store = world_.store;
-  answerLater<platform::StoredObject>(
-      std::move(callback), [&store, key]() -> platform::StoreResult<platform::StoredObject> {
+  answerLater<object_store::StoredObject>(
+      std::move(callback),
+      [&store, key]() -> object_store::StoreResult<object_store::StoredObject> {
         const auto object = store.objects.find(key);
         if (object == store.objects.end()) {
-          return common::Failure<platform::StoreFailure>{platform::StoreFailure::kNotFound, key};
+          return common::Failure<object_store::StoreFailure>{object_store::StoreFailure::kNotFound,
+                                                             key};
         }
         return object->second;
       });
 }
 
-std::optional<platform::StoredObject> VirtualStore::write(const platform::ObjectWrite& write) {
+std::optional<object_store::StoredObject> VirtualStore::write(
+    const object_store::ObjectWrite& write) {
   const auto known = objects.find(write.key);
   const auto version = known == objects.end() ? 0 : known->second.version;
   if (version != write.expected_version) {
@@ -117,56 +120,60 @@
   return objects[write.key] = {write.key, version + 1, write.value, write.change_id};
 }
 
-void VirtualProcess::compareAndSet(platform::ObjectWrite write,
-                                   platform::StoreCallback<platform::StoredObject> callback) {
-  using Result = platform::StoreResult<platform::StoredObject>;
-  using Failure = common::Failure<platform::StoreFailure>;
+void VirtualProcess::compareAndSet(
+    object_store::ObjectWrite write,
+    object_store::StoreCallback<object_store::StoredObject> callback) {
+  using Result = object_store::StoreResult<object_store::StoredObject>;
+  using Failure = common::Failure<object_store::StoreFailure>;
   auto& world = world_;
-  answerLater<platform::StoredObject>(
+  answerLater<object_store::StoredObject>(
       std::move(callback), [&world, write = std::move(write)]() -> Result {
         auto& store = world.store;
         if (store.late_writes > 0 && world.random.unit() < store.late_writes) {
           const auto delay = kLeastLateness + common::fromSeconds(3.0 * world.random.unit());
           world.at(world.now() + delay,
                    [&store, write] { store.late_effects += store.write(write) ? 1 : 0; });
-          return Failure{platform::StoreFailure::kUnknownOutcome, "no answer yet"};
+          return Failure{object_store::StoreFailure::kUnknownOutcome, "no answer yet"};
         }
         const auto object = store.write(write);
         if (!object) {
-          return Failure{platform::StoreFailure::kConflict, write.key};
+          return Failure{object_store::StoreFailure::kConflict, write.key};
         }
         if (world.random.unit() < store.lost_answers) {
           ++store.answers_lost;
-          return Failure{platform::StoreFailure::kUnknownOutcome, "answer lost"};
+          return Failure{object_store::StoreFailure::kUnknownOutcome, "answer lost"};
         }
         return *object;
       });
 }
 
 void VirtualProcess::list(const std::string&,
-                          platform::StoreCallback<platform::ObjectListing> callback) {
-  answerLater<platform::ObjectListing>(
-      std::move(callback), []() -> platform::StoreResult<platform::ObjectListing> {
-        return common::Failure<platform::StoreFailure>{platform::StoreFailure::kUnavailable, ""};
+                          object_store::StoreCallback<object_store::ObjectListing> callback) {
+  answerLater<object_store::ObjectListing>(
+      std::move(callback), []() -> object_store::StoreResult<object_store::ObjectListing> {
+        return common::Failure<object_store::StoreFailure>{object_store::StoreFailure::kUnavailable,
+                                                           ""};
       });
 }
 
 void VirtualProcess::watch(const std::string& prefix, std::uint64_t,
-                           platform::StoreCallback<platform::ObjectListing> callback) {
+                           object_store::StoreCallback<object_store::ObjectListing> callback) {
   list(prefix, std::move(callback));
 }
 
-void VirtualProcess::fetch(const common::ZoneName& zone, platform::MachineListCallback callback) {
-  using Result = common::Result<std::vector<platform::Machine>, platform::MachineListFailure>;
+void VirtualProcess::fetch(const common::ZoneName& zone,
+                           object_store::MachineListCallback callback) {
+  using Result =
+      common::Result<std::vector<object_store::Machine>, object_store::MachineListFailure>;
   const bool unreachable = world_.store_unreachable_.contains(node_.address);
   auto answer = [&world = world_, unreachable, zone, callback = std::move(callback)] {
     if (world.machine_list_down || unreachable) {
-      callback(common::Failure<platform::MachineListFailure>{
-          platform::MachineListFailure::kUnavailable, "down"});
+      callback(common::Failure<object_store::MachineListFailure>{
+          object_store::MachineListFailure::kUnavailable, "down"});
       return;
     }
     ++world.machine_list_reads;
-    std::vector<platform::Machine> machines;
+    std::vector<object_store::Machine> machines;
     for (const auto& machine : world.machines) {
       if (machine.zone == zone) {
         machines.push_back(machine);
--- a/tests/support/virtual_world.h
+++ b/tests/support/virtual_world.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
-#include "cypresswall/platform/machine_list.h"
-#include "cypresswall/platform/object_store.h"
+#include "cypresswall/object_store/machine_list.h"
+#include "cypresswall/object_store/object_store.h"
 
 namespace cypresswall::testing {
 
@@ -30,21 +30,21 @@
   /// Share of writes that get no answer and take effect seconds later, if their condition still
   /// holds then.
   double late_writes = 0;
-  std::map<std::string, platform::StoredObject> objects;
+  std::map<std::string, object_store::StoredObject> objects;
   std::uint64_t writes = 0;
   std::uint64_t answers_lost = 0;
   std::uint64_t late_effects = 0;
 
   /// \return the object as written, or nothing if another version is there.
-  std::optional<platform::StoredObject> write(const platform::ObjectWrite& write);
+  std::optional<object_store::StoredObject> write(const object_store::ObjectWrite& write);
 };
 
 /// One process: clock, timers, transport and clients. Destroying it drops all its callbacks.
 class VirtualProcess final : public common::Clock,
                              public common::Scheduler,
                              public api::PeerTransport,
-                             public platform::ObjectStore,
-                             public platform::MachineList {
+                             public object_store::ObjectStore,
+                             public object_store::MachineList {
  public:
   VirtualProcess(VirtualWorld& world, common::NodeId node, common::ZoneName zone,
                  double clock_rate);
@@ -58,20 +58,20 @@
   void cancel(common::TimerId timer) override;
   void send(api::Envelope envelope) override;
   void get(const std::string& key,
-           platform::StoreCallback<platform::StoredObject> callback) override;
-  void compareAndSet(platform::ObjectWrite write,
-                     platform::StoreCallback<platform::StoredObject> callback) override;
+           object_store::StoreCallback<object_store::StoredObject> callback) override;
+  void compareAndSet(object_store::ObjectWrite write,
+                     object_store::StoreCallback<object_store::StoredObject> callback) override;
   void list(const std::string& prefix,
-            platform::StoreCallback<platform::ObjectListing> callback) override;
+            object_store::StoreCallback<object_store::ObjectListing> callback) override;
   void watch(const std::string& prefix, std::uint64_t revision,
-             platform::StoreCallback<platform::ObjectListing> callback) override;
-  void fetch(const common::ZoneName& zone, platform::MachineListCallback callback) override;
+             object_store::StoreCallback<object_store::ObjectListing> callback) override;
+  void fetch(const common::ZoneName& zone, object_store::MachineListCallback callback) override;
 
  private:
   friend class VirtualWorld;
   template <typename Value>
-  void answerLater(platform::StoreCallback<Value> callback,
-                   std::function<platform::StoreResult<Value>()> work);
+  void answerLater(object_store::StoreCallback<Value> callback,
+                   std::function<object_store::StoreResult<Value>()> work);
 
   VirtualWorld& world_;
   common::NodeId node_;
@@ -121,7 +121,7 @@
   common::Duration maximum_delay = std::chrono::milliseconds(5);
   double message_loss = 0;
   VirtualStore store;
-  std::vector<platform::Machine> machines;
+  std::vector<object_store::Machine> machines;
   bool machine_list_down = false;
   std::uint64_t machine_list_reads = 0;
   std::uint64_t messages = 0;
