Check that folders import downwards only

Purpose: the layers of src/cypresswall were a rule in words; seven pairs of folders went against it without anybody seeing. CONTRIBUTING.md names the order. Measured: passes with 7 known pairs. Trials on a scratch copy: an import of node in routing, one of services in engines, a new folder, and the only import of routing in planning taken out each end with exit code 1 and the name; a folder without sources with 2. shellcheck is clean. Conclusion: the list can only shrink. Known: idempotency -> configuration, lease, membership; planning -> routing; store_relay -> membership; surroundings -> node, settings.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?=
 BUILD_DIR ?= build
 
-.PHONY: demo build test check-format check-tidy test-sanitized mutants soak packages clean
+.PHONY: demo build test check-format check-layers check-tidy test-sanitized mutants soak packages clean
 
 packages:
 	@scripts/install-packages.sh
@@ -26,6 +26,9 @@
 check-format:
 	@scripts/check-format.sh
 
+check-layers:
+	@scripts/check-layers.sh
+
 check-tidy: build
 	@scripts/check-tidy.sh $(BUILD_DIR)
 
--- /dev/null
+++ b/scripts/check-layers.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# Fails if a folder of src/cypresswall imports another one that isn't in a layer below its own, unless
+# the pair is listed as known. Also fails for a listed pair that is gone, so that the list only
+# shrinks, and for a folder without a layer. Prints the known pairs that are left.
+# usage: check-layers.sh [FOLDER]      (default: src/cypresswall)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+sources=${1:-src/cypresswall}
+
+# From the top to the bottom; folders of one line don't import each other. CONTRIBUTING.md names the
+# order. Only what emulates the outside stands above the node.
+layers=(
+  "simulation"
+  "emulation"
+  "settings"
+  "node"
+  "surroundings"
+  "gateway operators"
+  "execution orders"
+  "admission"
+  "routing"
+  "planning"
+  "configuration"
+  "lease"
+  "membership"
+  "idempotency"
+  "object_store engines services store_relay"
+  "http runtime"
+  "api"
+  "common"
+)
+
+# Pairs that go upwards today. Never add one: declare an interface below instead.
+known=(
+  "idempotency configuration"
+  "idempotency lease"
+  "idempotency membership"
+  "planning routing"
+  "store_relay membership"
+  "surroundings node"
+  "surroundings settings"
+)
+
+# Prints "FOLDER IMPORTED" for each pair of two folders.
+importedPairs() {
+  grep -rhoE --include='*.h' --include='*.cpp' --with-filename \
+      '^ *# *include "cypresswall/[a-z_]+/' "$sources" |
+    sed -E "s#^$sources/([^/]+)/.*\"cypresswall/([a-z_]+)/#\\1 \\2#" |
+    awk '$1 != $2' | sort -u
+}
+
+# Prints "FOLDER NUMBER", the number counted from the top.
+numberedLayers() {
+  printf '%s\n' "${layers[@]}" | awk '{ for (i = 1; i <= NF; ++i) print $i, NR }'
+}
+
+pairs=$(importedPairs)
+if [ -z "$pairs" ]; then
+  echo "layers: no imports found below $sources" >&2
+  exit 1
+fi
+folders=$(find "$sources" -mindepth 1 -maxdepth 1 -type d -printf '%f\n' | sort)
+unplaced=$(comm -23 <(echo "$folders") <(numberedLayers | cut -d ' ' -f 1 | sort))
+upward=$(awk 'NR == FNR { number[$1] = $2; next } number[$1] >= number[$2]' \
+  <(numberedLayers) <(echo "$pairs"))
+listed=$(printf '%s\n' "${known[@]}" | sort)
+added=$(comm -13 <(echo "$listed") <(echo "$upward" | sort))
+gone=$(comm -23 <(echo "$listed") <(echo "$upward" | sort))
+
+status=0
+complain() { # what is wrong, lines
+  if [ -n "$2" ]; then
+    printf '%s\n' "$2" | sed "s/^/layers: $1: /" >&2
+    status=1
+  fi
+}
+complain "folder without a layer" "$unplaced"
+complain "imports upwards or sideways" "${added// / -> }"
+complain "known, but gone; take it off the list" "${gone// / -> }"
+printf '%s\n' "${listed// / -> }" | sed 's/^/layers: known, goes upwards: /'
+if [ "$status" = 0 ]; then
+  echo "layers: no other import goes upwards (${#known[@]} known)"
+fi
+exit "$status"
