Let the planner own the count of demand that routing fills

Purpose: planning imported routing for one type, DemandCount, though routing stands above planning. Change: demand_ledger.h goes from routing to planning with its namespace; routing imports it downwards. Conclusion: the field's layout on the wire is as before, only its home is another.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -35,7 +35,6 @@
   "idempotency configuration"
   "idempotency lease"
   "idempotency membership"
-  "planning routing"
   "store_relay membership"
   "surroundings node"
   "surroundings settings"
--- a/src/cypresswall/orders/messages.h
+++ b/src/cypresswall/orders/messages.h
@@ -7,7 +7,7 @@
 
 #include "cypresswall/api/envelope.h"
 #include "cypresswall/common/identifiers.h"
-#include "cypresswall/routing/demand_ledger.h"
+#include "cypresswall/planning/demand_ledger.h"
 
 namespace cypresswall::orders {
 
@@ -37,7 +37,7 @@
 struct DemandReport {
   static constexpr api::MessageType kType = api::messageType(api::MessageType::kOrdersFirst, 2);
 
-  std::map<common::ModelName, routing::DemandCount> counts;
+  std::map<common::ModelName, planning::DemandCount> counts;
 
   MSGPACK_DEFINE(counts)
 };
--- a/src/cypresswall/planning/demand_estimator.cpp
+++ b/src/cypresswall/planning/demand_estimator.cpp
@@ -35,7 +35,7 @@
   updated_at = now;
 }
 
-void DemandEstimator::add(const common::ModelName& model, const routing::DemandCount& count,
+void DemandEstimator::add(const common::ModelName& model, const DemandCount& count,
                           common::MonotonicTime now) {
   ModelSums& sums = sums_[model];
   for (const auto& [sum, window] : {std::pair(&sums.short_window, settings_.short_window),
--- a/src/cypresswall/planning/demand_estimator.h
+++ b/src/cypresswall/planning/demand_estimator.h
@@ -6,8 +6,8 @@
 #include <map>
 
 #include "cypresswall/common/time.h"
+#include "cypresswall/planning/demand_ledger.h"
 #include "cypresswall/planning/planner.h"
-#include "cypresswall/routing/demand_ledger.h"
 
 namespace cypresswall::planning {
 
@@ -22,8 +22,7 @@
       : settings_(settings), started_at_(now) {}
 
   /// Adds what one node counted since its last report.
-  void add(const common::ModelName& model, const routing::DemandCount& count,
-           common::MonotonicTime now);
+  void add(const common::ModelName& model, const DemandCount& count, common::MonotonicTime now);
   /// \return the rates of a model; zero for one never asked for.
   ModelDemand demand(const common::ModelName& model, common::MonotonicTime now) const;
   /// \return true once the short window was seen whole.
--- a/src/cypresswall/routing/demand_ledger.h
+++ b/src/cypresswall/planning/demand_ledger.h
@@ -9,7 +9,7 @@
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/time.h"
 
-namespace cypresswall::routing {
+namespace cypresswall::planning {
 
 /// Work asked for, since the counting began.
 struct DemandCount {
@@ -85,4 +85,4 @@
   std::map<common::ModelName, DemandCount> counts_;
 };
 
-}  // namespace cypresswall::routing
+}  // namespace cypresswall::planning
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -418,7 +418,7 @@
     return;
   }
   const bool refused = selection.empty() || !selection.offer.meetsLimits();
-  DemandOfRequest demand;
+  planning::DemandOfRequest demand;
   double uncached = work.prompt_tokens;
   if (!selection.empty()) {
     const PromptWork prompt = promptWork(selection.computing(), work);
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -11,8 +11,8 @@
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/membership/membership_view.h"
+#include "cypresswall/planning/demand_ledger.h"
 #include "cypresswall/routing/delta_exchange.h"
-#include "cypresswall/routing/demand_ledger.h"
 #include "cypresswall/routing/engine_ejection.h"
 #include "cypresswall/routing/engine_poller.h"
 #include "cypresswall/routing/engine_table.h"
@@ -45,7 +45,7 @@
   /// \return the zone's nodes that are alive, at least 1.
   std::size_t aliveNodes() const { return alive_nodes_; }
   /// What callers asked of each model at this node.
-  DemandLedger& demand() { return demand_; }
+  planning::DemandLedger& demand() { return demand_; }
   EngineTable& table() { return table_; }
   PrefixIndex& prefixes() { return prefixes_; }
   WorkExchange& work() { return work_; }
@@ -65,7 +65,7 @@
   std::size_t alive_nodes_ = 1;
   common::MonotonicTime swept_at_;
   common::MonotonicTime catch_up_until_;
-  DemandLedger demand_;
+  planning::DemandLedger demand_;
   /// Members for which the watches were last assigned.
   std::vector<membership::Member> assigned_members_;
   bool roster_changed_ = true;
--- a/tests/planning/role_planner_test.cpp
+++ b/tests/planning/role_planner_test.cpp
@@ -247,7 +247,7 @@
     common::MonotonicTime now = start;
     for (int second = 0; second < 30; ++second) {
       now += std::chrono::seconds(1);
-      estimator.add("m", routing::DemandCount{10, 5000, 800, 0, 2, 4000}, now);
+      estimator.add("m", DemandCount{10, 5000, 800, 0, 2, 4000}, now);
     }
     const ModelDemand demand = estimator.demand("m", now);
     for (const DemandRate& rate : {demand.short_window, demand.long_window}) {
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -278,7 +278,7 @@
     world.run(std::chrono::seconds(1));
     CPPUNIT_ASSERT(world.route(requestOf(3000)).prefill_engine.has_value());
     CPPUNIT_ASSERT(!world.route(requestOf(200)).prefill_engine.has_value());
-    const DemandCount demand = world.directory->demand().take()["m"];
+    const planning::DemandCount demand = world.directory->demand().take()["m"];
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, demand.long_requests);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3000}, demand.long_prefill_tokens);
     world.load(0).queued_prefill_tokens = 50000;
