--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -11,8 +11,9 @@
 #include "cypresswall/gateway/session.h"
 #include "cypresswall/http/server.h"
 #include "cypresswall/node/node_settings.h"
-#include "cypresswall/platform/http_machine_list.h"
-#include "cypresswall/platform/http_object_store.h"
+#include "cypresswall/object_store/http_machine_list.h"
+#include "cypresswall/object_store/http_object_store.h"
+#include "cypresswall/planning/disaggregated_planner.h"
 #include "cypresswall/runtime/fault_switch.h"
 #include "cypresswall/runtime/transport_settings.h"
 #include "cypresswall/services/http_service_client.h"
@@ -32,6 +33,10 @@
   PlatformProtocol platform_protocol = PlatformProtocol::kCypresswall;
   /// Policy of planning where the platform declares the fleet, but no policy.
   configuration::PlanningPolicy planning;
+  /// The planner of roles where engines have only the roles "prefill" and "decode".
+  planning::DisaggregatedPlannerSettings disaggregated_planner;
+  /// Cached prefixes are copied where the platform's engines can do that.
+  bool copied_prefixes = true;
   /// Where the daemon serves its own paths; empty serves them with the callers'.
   common::Address readiness_address;
   /// A planned stop takes requests for so long after the node has said that it isn't ready.
@@ -41,8 +46,8 @@
   gateway::GatewaySettings gateway;
   engines::HttpEngineSettings engines;
   services::HttpServiceSettings services;
-  platform::HttpObjectStoreSettings object_store;
-  platform::HttpMachineListSettings machine_list;
+  object_store::HttpObjectStoreSettings object_store;
+  object_store::HttpMachineListSettings machine_list;
   /// Used only in builds with fault switches.
   runtime::BlockedPeers blocked_peers;
 };
