--- a/tests/routing/engine_directory_test.cpp
+++ b/tests/routing/engine_directory_test.cpp
@@ -178,7 +178,7 @@
     message.changed = {delta};
     constexpr int kMessages = 100;
     for (int i = 0; i < kMessages; ++i) {
-      message.sequence = static_cast<std::uint64_t>(1000 + i);
+      message.sequence = 1000 + static_cast<std::uint64_t>(i);
       zone.nodes[0].process->context().sendTo(zone.nodes[1].process->id(), message);
       zone.run(std::chrono::milliseconds(100));
     }
