Keep the base of a difference in one place, and name the time of a transfer

Read again: the check whether a newer version is held stood twice, once in unpacking and once in keeping, and each plain or packed change that came from a peer was written as text once more to learn a length that was at hand. A limit was worked out by taking away what had just been added.

--- a/src/cypresswall/store_relay/change_packer.cpp
+++ b/src/cypresswall/store_relay/change_packer.cpp
@@ -29,10 +29,14 @@
 
 }  // namespace
 
+bool ChangePacker::holds(const std::string& name, std::uint64_t revision) const {
+  const auto held = large_.find(name);
+  return held != large_.end() && held->second.revision >= revision;
+}
+
 void ChangePacker::keep(const std::string& name, std::uint64_t revision, const Json& content,
                         std::size_t bytes) {
-  const auto held = large_.find(name);
-  if (held != large_.end() && held->second.revision > revision) {
+  if (holds(name, revision)) {
     return;
   }
   if (bytes < settings_.packed_from_bytes) {
@@ -113,19 +117,18 @@
     large_.erase(change.name);
     return {};
   }
-  Json content;
   if (change.encoding == ContentEncoding::kPackedDifference) {
-    content = patched(change);
-  } else if (change.encoding == ContentEncoding::kPacked) {
-    const auto text = inflated(change.content);
-    content = text ? Json::parse(*text, nullptr, false) : Json();
-  } else {
-    content = Json::parse(change.content, nullptr, false);
+    Json content = patched(change);
+    if (content.is_object() && !holds(change.name, change.revision)) {
+      note(change.name, change.revision, content);
+    }
+    return content;
   }
-  const auto held = large_.find(change.name);
-  const bool newer = held == large_.end() || held->second.revision < change.revision;
-  if (newer && content.is_object()) {
-    note(change.name, change.revision, content);
+  const bool packed = change.encoding == ContentEncoding::kPacked;
+  const auto text = packed ? inflated(change.content) : std::optional(change.content);
+  Json content = text ? Json::parse(*text, nullptr, false) : Json();
+  if (content.is_object()) {
+    keep(change.name, change.revision, content, text->size());
   }
   return content;
 }
--- a/src/cypresswall/store_relay/change_packer.h
+++ b/src/cypresswall/store_relay/change_packer.h
@@ -47,6 +47,10 @@
     Json content;
   };
 
+  /// \return true if this version of a large object, or a later one, is held
+  bool holds(const std::string& name, std::uint64_t revision) const;
+  /// Keeps the newest version of a large object as the base of differences.
+  /// \param bytes length of the content as text
   void keep(const std::string& name, std::uint64_t revision, const Json& content,
             std::size_t bytes);
   std::optional<std::string> inflated(const std::string& packed) const;
--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -199,14 +199,14 @@
   pulls_.add();
   context_.sendTo(reader,
                   ChangesRequest{static_cast<std::uint8_t>(topic), followed.copy.revision()});
-  followed.pull_timer =
-      context_.scheduler.schedule(replyLimit(followed), [this, topic] { giveUpPull(topic); });
+  followed.pull_timer = context_.scheduler.schedule(settings_.reply_limit + transferTime(followed),
+                                                    [this, topic] { giveUpPull(topic); });
 }
 
-common::Duration StoreRelay::replyLimit(const Followed& followed) const {
+common::Duration StoreRelay::transferTime(const Followed& followed) const {
   const double seconds = static_cast<double>(followed.announced_bytes) /
                          static_cast<double>(settings_.slow_bytes_per_second);
-  return settings_.reply_limit + common::fromSeconds(seconds);
+  return common::fromSeconds(seconds);
 }
 
 void StoreRelay::giveUpPull(Topic topic) {
@@ -259,8 +259,7 @@
 }
 
 void StoreRelay::askStore(Followed& followed) {
-  const common::Duration limit =
-      settings_.store_patience + replyLimit(followed) - settings_.reply_limit;
+  const common::Duration limit = settings_.store_patience + transferTime(followed);
   if (followed.copy.asking() && withinLimit(followed.asked_time, limit)) {
     return;
   }
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -118,7 +118,8 @@
   static bool take(Followed& followed, std::vector<StoreChange> changes, std::uint64_t revision);
   void pull(Topic topic, const common::NodeId& reader);
   void giveUpPull(Topic topic);
-  common::Duration replyLimit(const Followed& followed) const;
+  /// \return what the bytes of the announced change may take over a busy link
+  common::Duration transferTime(const Followed& followed) const;
   /// Asks the store for what is announced, unless such a call is under way.
   void askStore(Followed& followed);
   static bool behind(const Followed& followed) {
