--- a/src/cypresswall/admission/observed_router.cpp
+++ b/src/cypresswall/admission/observed_router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "cypresswall/admission/engine_priority.h"
 
@@ -62,16 +63,29 @@
 
 routing::RouteChoice ObservedRouter::choose(const routing::RouteRequest& request) {
   auto choice = router_.choose(request);
-  const auto* refusal = std::get_if<routing::RouteRefusal>(&choice);
+  note(request.model, request.priority, choice);
+  return choice;
+}
+
+void ObservedRouter::place(const routing::RouteRequest& request,
+                           const routing::PlacementCallback& done) {
+  router_.place(request, [this, model = request.model, priority = request.priority,
+                          done](routing::RouteChoice choice) {
+    note(model, priority, choice);
+    done(std::move(choice));
+  });
+}
+
+void ObservedRouter::note(const common::ModelName& model, std::uint8_t priority,
+                          const routing::RouteChoice& choice) {
+  const auto* const refusal = std::get_if<routing::RouteRefusal>(&choice);
   const bool overloaded =
       refusal != nullptr && refusal->reason == routing::RouteFailure::kOverloaded;
-  auto& load =
-      models_.try_emplace(request.model, ModelLoad{SheddingLevel(settings_)}).first->second;
-  load.level.onChoice(urgencyOfPriority(request.priority), overloaded, clock_.now());
+  auto& load = models_.try_emplace(model, ModelLoad{SheddingLevel(settings_)}).first->second;
+  load.level.onChoice(urgencyOfPriority(priority), overloaded, clock_.now());
   if (overloaded) {
     load.last_retry_after = refusal->retry_after;
   }
-  return choice;
 }
 
 double ObservedRouter::admittedShare(const common::ModelName& model,
--- a/src/cypresswall/admission/observed_router.h
+++ b/src/cypresswall/admission/observed_router.h
@@ -44,6 +44,10 @@
                  const SheddingSettings& settings = {});
 
   routing::RouteChoice choose(const routing::RouteRequest& request) override;
+  void place(const routing::RouteRequest& request, const routing::PlacementCallback& done) override;
+  void abandonPlacement(const std::string& stream_id) override {
+    router_.abandonPlacement(stream_id);
+  }
   bool takesWork(const engines::EngineEndpoint& engine) const override {
     return router_.takesWork(engine);
   }
@@ -75,6 +79,9 @@
     common::Duration last_retry_after{0};
   };
 
+  void note(const common::ModelName& model, std::uint8_t priority,
+            const routing::RouteChoice& choice);
+
   routing::Router& router_;
   const common::Clock& clock_;
   const SheddingSettings settings_;
--- a/src/cypresswall/api/process_context.h
+++ b/src/cypresswall/api/process_context.h
@@ -2,6 +2,8 @@
 /// runtime fills it in the daemon, the simulator in tests and experiments.
 #pragma once
 
+#include <vector>
+
 #include "cypresswall/api/envelope.h"
 #include "cypresswall/common/counters.h"
 #include "cypresswall/common/event_log.h"
@@ -30,6 +32,15 @@
   void sendTo(const common::NodeId& peer, const Message& message) const {
     transport.send(Envelope::make(self, peer, message));
   }
+  /// Sends `message`, encoded once, to several peers.
+  template <typename Message>
+  void sendToAll(const std::vector<common::NodeId>& peers, const Message& message) const {
+    Envelope envelope = Envelope::make(self, {}, message);
+    for (const common::NodeId& peer : peers) {
+      envelope.receiver = peer;
+      transport.send(envelope);
+    }
+  }
   /// Sends `message` to whichever process listens at `address`.
   template <typename Message>
   void sendToAddress(const common::Address& address, const Message& message) const {
--- a/src/cypresswall/configuration/peer_exchange.cpp
+++ b/src/cypresswall/configuration/peer_exchange.cpp
@@ -321,7 +321,7 @@
 }
 
 bool PeerExchange::zonePeer(const common::NodeId& node) const {
-  const auto members = membership_.members();
+  const auto& members = membership_.members();
   return std::any_of(members.begin(), members.end(),
                      [&](const membership::Member& member) { return member.node == node; });
 }
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -59,14 +59,21 @@
            core_.settings.default_retry_after);
     return;
   }
-  const auto request = routeRequest();
-  auto choice = core_.router.choose(request);
+  placing_ = true;
+  core_.router.place(routeRequest(), [weak = weak_from_this()](routing::RouteChoice choice) {
+    if (const auto self = weak.lock()) {
+      self->onPlaced(std::move(choice));
+    }
+  });
+}
+
+void ModelRequest::onPlaced(routing::RouteChoice choice) {
+  placing_ = false;
   if (const auto* refusal = std::get_if<routing::RouteRefusal>(&choice)) {
     onRefused(*refusal);
     return;
   }
   route_ = std::get<routing::Route>(std::move(choice));
-  core_.router.attemptStarted(request, *route_);
   recordAttempt();
   logRoute();
   beginAttempt();
@@ -273,6 +280,9 @@
 
 void ModelRequest::close(const std::string& state) {
   closed_ = true;
+  if (std::exchange(placing_, false)) {
+    core_.router.abandonPlacement(stream_id_);
+  }
   core_.journal.end(record_, state, core_.process.clock.now());
   silence_.stop();
   core_.process.scheduler.cancel(std::exchange(step_timer_, 0));
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -40,6 +40,7 @@
 
   bool admit();
   void nextAttempt();
+  void onPlaced(routing::RouteChoice choice);
   routing::RouteRequest routeRequest() const;
   /// Time left for the first token, or for the next one of a resumed answer.
   common::Duration timeToFirstToken() const;
@@ -111,6 +112,8 @@
   std::string last_token_;
   std::uint32_t runs_ = 0;
   std::uint32_t unrun_attempts_ = 0;
+  /// The router was asked for a place and has not answered.
+  bool placing_ = false;
   bool head_given_ = false;
   bool may_have_run_ = false;
   bool token_seen_in_attempt_ = false;
--- a/src/cypresswall/execution/model_request_log.cpp
+++ b/src/cypresswall/execution/model_request_log.cpp
@@ -22,6 +22,7 @@
       .field("service", call_.service)
       .field("engine", route_->engine.name)
       .field("prefill_engine", nameOf(route_->prefill_engine))
+      .field("chosen_by", route_->chosen_by.address)
       .field("tokens_given", tokens_given_)
       .field("prompt_tokens", target_.shape.tokens)
       .field("cached_tokens", route_->expected_cached_tokens)
--- a/src/cypresswall/idempotency/claim_table.cpp
+++ b/src/cypresswall/idempotency/claim_table.cpp
@@ -284,7 +284,7 @@
   if (record.zone != context_.zone) {
     return true;
   }
-  const auto members = membership_.members();
+  const auto& members = membership_.members();
   return std::any_of(members.begin(), members.end(),
                      [&](const auto& member) { return member.node == record.claim.node; });
 }
--- a/src/cypresswall/lease/generation_keeper.cpp
+++ b/src/cypresswall/lease/generation_keeper.cpp
@@ -52,7 +52,7 @@
   if (busy_ || now < next_look_) {
     return;
   }
-  const auto members = membership_.members();
+  const auto& members = membership_.members();
   std::size_t rank = 0;
   while (rank < members.size() && members[rank].node != context_.self) {
     ++rank;
--- a/src/cypresswall/lease/zone_authority.cpp
+++ b/src/cypresswall/lease/zone_authority.cpp
@@ -251,7 +251,7 @@
 void ZoneAuthority::resign() { resigned_ = true; }
 
 bool ZoneAuthority::mayStop() const {
-  const auto members = membership_.members();
+  const auto& members = membership_.members();
   const bool others = std::any_of(members.begin(), members.end(), [this](const auto& member) {
     return member.node != context_.self && member.state == membership::MemberState::kAlive;
   });
--- a/src/cypresswall/lease/zone_authority_holder.cpp
+++ b/src/cypresswall/lease/zone_authority_holder.cpp
@@ -89,7 +89,7 @@
 
 void ZoneAuthority::planChange() {
   const auto now = context_.clock.now();
-  const auto members = membership_.members();
+  const auto& members = membership_.members();
   if (ownNodeLeaving() || resigned_) {
     for (const auto& member : members) {
       const bool successor = member.node != context_.self && current_.contains(member.node) &&
--- a/src/cypresswall/membership/machine_register.cpp
+++ b/src/cypresswall/membership/machine_register.cpp
@@ -45,7 +45,7 @@
 
 void MachineRegister::poll() {
   context_.scheduler.schedule(settings_.machine_poll_interval, [this] { poll(); });
-  const auto rank = static_cast<std::int64_t>(zone_peers_.rank());
+  const auto rank = list_.costsNothing() ? 0 : static_cast<std::int64_t>(zone_peers_.rank());
   const auto now = context_.clock.now();
   const bool stale = now - last_fresh_read_ >= settings_.machine_read_patience * rank;
   const bool due = now - last_poll_ >= settings_.machine_poll_interval * rank;
@@ -74,11 +74,16 @@
   }
   const MachinesUpdate update{version_, version_ + 1, changes};
   apply(update.version, update.machines);
+  if (list_.costsNothing()) {
+    return;
+  }
   for (const auto& peer : zone_peers_.peers()) {
     context_.sendTo(peer, update);
   }
 }
 
+std::uint64_t MachineRegister::version() const { return list_.costsNothing() ? 0 : version_; }
+
 std::vector<MachineEntry> MachineRegister::changesAgainst(
     const std::vector<object_store::Machine>& machines) const {
   std::vector<MachineEntry> changes;
--- a/src/cypresswall/membership/machine_register.h
+++ b/src/cypresswall/membership/machine_register.h
@@ -1,5 +1,6 @@
 /// The zone's copy of the platform's machine list. In the usual case one node of the zone reads the
-/// list and sends changes to its peers; the others read only when no fresh read is seen.
+/// list and sends changes to its peers; the others read only when no fresh read is seen. A list
+/// that each node has at hand anyway is read by each.
 #pragma once
 
 #include <cstdint>
@@ -36,7 +37,8 @@
   bool addressGone(const common::Address& address) const;
   /// \return the IP numbers of live machines, in order.
   const std::set<std::string>& liveAddresses() const { return live_addresses_; }
-  std::uint64_t version() const { return version_; }
+  /// \return the version to compare with peers; zero if each node reads the list for itself.
+  std::uint64_t version() const;
   std::uint32_t reads() const { return reads_; }
   void onChange(std::function<void()> listener) { listener_ = std::move(listener); }
   /// Notes a peer's heartbeat: whether it read the list, and which version it holds.
--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "cypresswall/common/prompt.h"
+#include "cypresswall/membership/member_packing.h"
 
 namespace cypresswall::membership {
+
 Membership::Membership(MembershipSettings settings, const api::ProcessContext& context,
                        object_store::MachineList& machine_list)
     : settings_(std::move(settings)),
@@ -22,10 +23,15 @@
                                             "Times this process stood still for long")),
       death_count_(context.counters.counter("cypresswall_membership_expired_total",
                                             "Times that silent or ended peers were removed")),
-      hash_count_(context.counters.counter("cypresswall_membership_hashes_total",
-                                           "Times that the hash over the members was worked out")) {
+      unreadable_count_(context.counters.counter("cypresswall_membership_unreadable_total",
+                                                 "Lists of members that could not be read")),
+      comparison_count_(
+          context.counters.counter("cypresswall_membership_comparisons_total",
+                                   "Times that a neighbour saw other members for long")),
+      refuted_count_(context.counters.counter("cypresswall_membership_refuted_total",
+                                              "Times that this node was taken for dead wrongly")) {
   own_details_ =
-      NodeDetails{context_.zone, settings_.machine, settings_.gateway_address, false, 1, {}};
+      NodeDetails{context_.zone, settings_.machine, settings_.gateway_address, false, 1, {}, 1};
   if (settings_.link_megabits > 0) {
     own_details_.digests[static_cast<std::uint16_t>(DigestTopic::kLinkMegabits)] =
         static_cast<std::uint64_t>(settings_.link_megabits);
@@ -39,18 +45,22 @@
   dispatcher.handle<Heartbeat>([this](const common::NodeId& sender, const Heartbeat& heartbeat) {
     receiveHeartbeat(sender, heartbeat);
   });
-  dispatcher.handle<NodeDetails>([this](const common::NodeId& sender, const NodeDetails& details) {
-    receiveDetails(sender, details);
-  });
+  dispatcher.handle<Introduction>(
+      [this](const common::NodeId& sender, const Introduction& introduction) {
+        receiveIntroduction(sender, introduction);
+      });
   dispatcher.handle<DetailsRequest>([this](const common::NodeId& sender, const DetailsRequest&) {
-    context_.sendTo(sender, own_details_);
-  });
-  dispatcher.handle<PeerList>([this](const common::NodeId& sender, const PeerList& list) {
-    receivePeerList(sender, list);
+    context_.sendTo(sender, Introduction{own_details_, false});
   });
+  dispatcher.handle<MemberNews>(
+      [this](const common::NodeId& sender, const MemberNews& news) { receiveNews(sender, news); });
+  dispatcher.handle<MemberVersions>(
+      [this](const common::NodeId& sender, const MemberVersions& versions) {
+        receiveVersions(sender, versions);
+      });
   dispatcher.handle<Goodbye>([this](const common::NodeId& sender, const Goodbye&) {
-    if (peers_.remove(sender, context_.clock.now())) {
-      death_count_.add();
+    const Peer* const peer = peers_.find(sender);
+    if (peer != nullptr && takeDeparture({sender, peer->details.version})) {
       notify();
     }
   });
@@ -58,6 +68,8 @@
 
 void Membership::start() {
   last_tick_ = context_.clock.now();
+  started_at_ = last_tick_;
+  join();
   probe();
   tick();
   machines_.start();
@@ -73,27 +85,63 @@
     peers_.extend(late);
   }
   sendHeartbeats();
-  if (peers_.expire(now)) {
-    death_count_.add();
-    notify();
+  expirePeers();
+}
+
+bool Membership::mesh() const { return peers_.peers().size() < settings_.neighbours.mesh_limit; }
+
+const Neighbours& Membership::neighbours() {
+  if (neighbours_at_ != peers_.changes()) {
+    neighbours_ = findNeighbours(settings_.neighbours, context_.self, peerNodes());
+    neighbours_at_ = peers_.changes();
+    peers_.watch(neighbours_.predecessors, context_.clock.now());
+    std::erase_if(disagreeing_since_,
+                  [this](const auto& entry) { return peers_.find(entry.first) == nullptr; });
   }
+  return neighbours_;
 }
 
 void Membership::sendHeartbeats() {
   const Heartbeat heartbeat{own_details_.version, membersHash(), machines_.version(),
                             machines_.reads()};
-  for (const auto& [address, peer] : peers_.peers()) {
-    context_.sendTo(peer.node, heartbeat);
+  for (const auto& node : neighbours().successors) {
+    context_.sendTo(node, heartbeat);
+  }
+}
+
+void Membership::expirePeers() {
+  bool changed = false;
+  for (const Departure& departure : peers_.expire(context_.clock.now(), changed)) {
+    death_count_.add();
+    passOn(departure);
+  }
+  if (changed) {
+    notify();
   }
 }
 
+/// Seeds may be down or old: one after the other is tried until one gives its list of members.
+void Membership::join() {
+  if (!joining_ || settings_.seeds.empty()) {
+    return;
+  }
+  context_.scheduler.schedule(settings_.join_interval, [this] { join(); });
+  const auto& seed = settings_.seeds[next_seed_++ % settings_.seeds.size()];
+  const bool own = seed == context_.self.address;
+  introduceTo(own ? settings_.seeds[next_seed_++ % settings_.seeds.size()] : seed);
+}
+
 void Membership::probe() {
   context_.scheduler.schedule(settings_.probe_interval, [this] { probe(); });
-  for (const auto& seed : settings_.seeds) {
-    introduceTo(seed);
-  }
-  for (const auto& address : peers_.departed()) {
-    introduceTo(address);
+  std::vector<common::Address> addresses = peers_.departed();
+  addresses.insert(addresses.end(), settings_.seeds.begin(), settings_.seeds.end());
+  if (mesh()) {
+    for (const auto& address : addresses) {
+      introduceTo(address);
+    }
+  } else if (!addresses.empty()) {
+    // The nodes of a large zone share the work.
+    introduceTo(addresses[context_.random.below(addresses.size())]);
   }
   probeMachines();
 }
@@ -115,32 +163,125 @@
 }
 
 void Membership::introduceTo(const common::Address& address) {
-  if (address != context_.self.address && !peers_.peers().contains(address)) {
-    context_.sendToAddress(address, own_details_);
+  if (address != context_.self.address && (joining_ || !peers_.peers().contains(address))) {
+    context_.sendToAddress(address, Introduction{own_details_, true});
   }
 }
 
 void Membership::receiveHeartbeat(const common::NodeId& sender, const Heartbeat& heartbeat) {
-  const auto contact = peers_.heard(sender, context_.clock.now());
+  const auto now = context_.clock.now();
+  const auto contact = peers_.heard(sender, now);
   if (contact == PeerTable::Contact::kOutdated) {
     outdated_count_.add();
     return;
   }
-  Peer* peer = peers_.find(sender);
+  const Peer* const peer = peers_.find(sender);
   if (peer == nullptr) {
-    context_.sendTo(sender, DetailsRequest{});
+    // A later life of a member, perhaps.
+    members_known_ = false;
+    if (const auto departure = peers_.departureOf(sender, heartbeat.details_version, now)) {
+      context_.sendTo(sender, MemberNews{{}, {*departure}, false});
+    } else {
+      context_.sendTo(sender, DetailsRequest{});
+    }
     return;
   }
   if (heartbeat.details_version > peer->details.version) {
     context_.sendTo(sender, DetailsRequest{});
   }
-  if (heartbeat.members_hash != membersHash()) {
-    sendPeerList(*peer);
-  }
+  compareWith(sender, heartbeat.members_hash);
   machines_.heartbeatReceived(sender, heartbeat.machines_version, heartbeat.machine_reads);
 }
 
-void Membership::receiveDetails(const common::NodeId& sender, const NodeDetails& details) {
+void Membership::compareWith(const common::NodeId& peer, std::uint32_t peers_hash) {
+  if (peers_hash == membersHash()) {
+    disagreeing_since_.erase(peer);
+    return;
+  }
+  const auto now = context_.clock.now();
+  const auto since = disagreeing_since_.try_emplace(peer, now).first->second;
+  const bool lasting = mesh() || now - since >= settings_.disagreement_limit;
+  const bool compared = compared_at_ && now - *compared_at_ < settings_.comparison_interval;
+  if (!lasting || compared) {
+    return;
+  }
+  compared_at_ = now;
+  comparison_count_.add();
+  context_.sendTo(peer, ownVersions(true));
+}
+
+MemberVersions Membership::ownVersions(bool answer_wanted) const {
+  MemberVersions versions;
+  versions.answer_wanted = answer_wanted;
+  versions.members.push_back({context_.self, own_details_.version});
+  for (const auto& [address, peer] : peers_.peers()) {
+    versions.members.push_back({peer.node, peer.details.version});
+  }
+  return versions;
+}
+
+void Membership::receiveVersions(const common::NodeId& sender, const MemberVersions& versions) {
+  const MemberNews news = newsFor(versions);
+  if (!news.packed_records.empty() || !news.departures.empty()) {
+    context_.sendTo(sender, news);
+  }
+  const auto lacks = [this](const MemberVersion& member) {
+    const Peer* const peer = peers_.find(member.node);
+    const bool older = peer == nullptr || peer->details.version < member.details_version;
+    return older && member.node != context_.self && !peers_.replaced(member.node) &&
+           !peers_.departureOf(member.node, member.details_version, context_.clock.now());
+  };
+  if (versions.answer_wanted &&
+      std::any_of(versions.members.begin(), versions.members.end(), lacks)) {
+    context_.sendTo(sender, ownVersions(false));
+  }
+}
+
+MemberNews Membership::newsFor(const MemberVersions& versions) const {
+  std::map<common::NodeId, std::uint32_t> known;
+  MemberNews news;
+  for (const MemberVersion& member : versions.members) {
+    known[member.node] = member.details_version;
+    const auto departure =
+        peers_.departureOf(member.node, member.details_version, context_.clock.now());
+    if (departure) {
+      news.departures.push_back(*departure);
+    } else if (peers_.replaced(member.node)) {
+      // A later life that the sender missed has ended as well by now, or follows among the records.
+      news.departures.push_back({member.node, member.details_version});
+    }
+  }
+  std::vector<MemberRecord> records = allRecords();
+  std::erase_if(records, [&known](const MemberRecord& record) {
+    const auto version = known.find(record.node);
+    return version != known.end() && version->second >= record.details.version;
+  });
+  news.packed_records = packMembers(records);
+  return news;
+}
+
+std::vector<MemberRecord> Membership::allRecords() const {
+  std::vector<MemberRecord> records;
+  records.reserve(peers_.peers().size() + 1);
+  records.push_back({context_.self, own_details_});
+  for (const auto& [address, peer] : peers_.peers()) {
+    records.push_back({peer.node, peer.details});
+  }
+  return records;
+}
+
+bool Membership::recordOf(const common::NodeId& node, MemberRecord& record) const {
+  const Peer* const peer = peers_.find(node);
+  if (node != context_.self && peer == nullptr) {
+    return false;
+  }
+  record = {node, peer == nullptr ? own_details_ : peer->details};
+  return true;
+}
+
+void Membership::receiveIntroduction(const common::NodeId& sender,
+                                     const Introduction& introduction) {
+  const NodeDetails& details = introduction.details;
   if (details.zone != context_.zone) {
     foreign_count_.add();
     return;
@@ -148,43 +289,152 @@
   if (sender.address == context_.self.address) {
     return;
   }
-  const bool known = peers_.find(sender) != nullptr;
-  if (!peers_.describe(sender, details, context_.clock.now())) {
+  const auto now = context_.clock.now();
+  if (peers_.heard(sender, now) == PeerTable::Contact::kOutdated) {
+    outdated_count_.add();
     return;
   }
-  if (!known) {
-    context_.sendTo(sender, own_details_);
-    sendPeerList(*peers_.find(sender));
+  if (const auto departure = peers_.departureOf(sender, details.version, now)) {
+    context_.sendTo(sender, MemberNews{{}, {*departure}, false});
+    return;
+  }
+  const bool known = peers_.find(sender) != nullptr;
+  takeOwnWord(sender, details);
+  if (introduction.wants_members) {
+    joiners_.insert(sender);
+    scheduleNews(mesh() ? common::Duration{0} : settings_.join_reply_interval);
+  } else if (!known) {
+    context_.sendTo(sender, Introduction{own_details_, false});
   }
-  notify();
 }
 
-void Membership::sendPeerList(Peer& peer) {
-  const auto now = context_.clock.now();
-  const bool sent_before = peer.last_peer_list != common::MonotonicTime{};
-  if (sent_before && now - peer.last_peer_list < settings_.peer_list_interval) {
+void Membership::takeOwnWord(const common::NodeId& node, const NodeDetails& details) {
+  using Described = PeerTable::Described;
+  const Described described = peers_.describe(node, details, context_.clock.now());
+  // In a mesh a member tells all others of a change itself.
+  if (described == Described::kAdded || (described == Described::kDetails && !mesh())) {
+    passOn(node);
+  }
+  if (described != Described::kNothing) {
+    notify();
+  }
+}
+
+/// A departure is passed on also by nodes that didn't know the member: those behind them may.
+bool Membership::takeDeparture(const Departure& departure) {
+  const bool known = peers_.find(departure.node) != nullptr;
+  if (!peers_.remove(departure, context_.clock.now())) {
+    return false;
+  }
+  passOn(departure);
+  death_count_.add(known ? 1 : 0);
+  return known;
+}
+
+void Membership::refute(std::uint32_t details_version) {
+  if (details_version < own_details_.version) {
     return;
   }
-  peer.last_peer_list = now;
-  PeerList list{peerNodes()};
-  list.members.push_back(context_.self);
-  context_.sendTo(peer.node, list);
+  refuted_count_.add();
+  own_details_.version = details_version;
+  detailsChanged(false);
+}
+
+void Membership::receiveNews(const common::NodeId& sender, const MemberNews& news) {
+  const auto records = unpackMembers(news.packed_records);
+  if (!records) {
+    unreadable_count_.add();
+    return;
+  }
+  // The first list is no news to anybody else.
+  const bool first_list = news.complete && std::exchange(joining_, joining_ && !news.complete);
+  bool changed = false;
+  for (const MemberRecord& record : *records) {
+    if (record.node.address == context_.self.address || record.details.zone != context_.zone) {
+      continue;
+    }
+    const auto described = peers_.describe(record.node, record.details, context_.clock.now());
+    const bool is_news =
+        described == PeerTable::Described::kAdded || described == PeerTable::Described::kDetails;
+    if (is_news && !first_list && !mesh()) {
+      passOn(record.node);
+    }
+    changed = changed || is_news || described == PeerTable::Described::kDigests;
+  }
+  for (const Departure& departure : news.departures) {
+    if (departure.node == context_.self) {
+      refute(departure.details_version);
+      context_.sendTo(sender, Introduction{own_details_, false});
+    } else if (heardLately(departure.node)) {
+      // Who is alive has to say so itself: only newer details undo a departure.
+      context_.sendTo(departure.node, MemberNews{{}, {departure}, false});
+    } else {
+      changed = takeDeparture(departure) || changed;
+    }
+  }
+  if (changed) {
+    notify();
+  }
+}
+
+bool Membership::heardLately(const common::NodeId& node) const {
+  const Peer* const peer = peers_.find(node);
+  return peer != nullptr && peer->watched &&
+         context_.clock.now() - peer->last_heard < settings_.heartbeat_interval * 2;
+}
+
+void Membership::passOn(const common::NodeId& node) {
+  changed_.insert(node);
+  scheduleNews(settings_.news_interval);
+}
+
+void Membership::passOn(const Departure& departure) {
+  if (!mesh()) {
+    departures_.push_back(departure);
+    scheduleNews(settings_.news_interval);
+  }
+}
+
+void Membership::scheduleNews(common::Duration delay) {
+  if (news_timer_ == 0) {
+    news_timer_ = context_.scheduler.schedule(delay, [this] {
+      news_timer_ = 0;
+      answerJoiners();
+      sendNews();
+    });
+  }
 }
 
-void Membership::receivePeerList(const common::NodeId& sender, const PeerList& list) {
-  if (peers_.find(sender) == nullptr) {
+void Membership::answerJoiners() {
+  if (joiners_.empty()) {
     return;
   }
-  for (const auto& node : list.members) {
-    if (node.address != context_.self.address && !peers_.replaced(node) &&
-        peers_.find(node) == nullptr) {
-      context_.sendTo(node, own_details_);
+  const MemberNews list{packMembers(allRecords()), {}, true};
+  for (const auto& joiner : std::exchange(joiners_, {})) {
+    context_.sendTo(joiner, list);
+  }
+}
+
+void Membership::sendNews() {
+  std::vector<MemberRecord> records;
+  for (const auto& node : std::exchange(changed_, {})) {
+    MemberRecord record;
+    if (recordOf(node, record)) {
+      records.push_back(std::move(record));
     }
   }
+  const MemberNews news{packMembers(records), std::exchange(departures_, {}), false};
+  if (records.empty() && news.departures.empty()) {
+    return;
+  }
+  for (const auto& receiver : neighbours().news_receivers) {
+    context_.sendTo(receiver, news);
+  }
 }
 
 std::vector<common::NodeId> Membership::peerNodes() const {
   std::vector<common::NodeId> nodes;
+  nodes.reserve(peers_.peers().size());
   for (const auto& [address, peer] : peers_.peers()) {
     nodes.push_back(peer.node);
   }
@@ -201,28 +451,26 @@
   return rank;
 }
 
-std::uint32_t Membership::membersHash() {
-  if (members_hashed_at_ == peers_.changes()) {
-    return members_hash_;
-  }
-  hash_count_.add();
-  std::vector<common::NodeId> nodes = peerNodes();
-  nodes.push_back(context_.self);
-  std::sort(nodes.begin(), nodes.end());
-  std::uint64_t hash = 0;
-  for (const auto& node : nodes) {
-    hash = common::hash64(node.toString(), hash);
-  }
-  members_hash_ = static_cast<std::uint32_t>(hash);
-  members_hashed_at_ = peers_.changes();
-  return members_hash_;
+bool Membership::joining() const {
+  const bool has_seeds =
+      std::any_of(settings_.seeds.begin(), settings_.seeds.end(),
+                  [this](const common::Address& seed) { return seed != context_.self.address; });
+  return joining_ && has_seeds && context_.clock.now() - started_at_ < settings_.join_patience;
+}
+
+std::uint32_t Membership::membersHash() const {
+  return static_cast<std::uint32_t>(peers_.hash() +
+                                    PeerTable::memberHash(context_.self, own_details_.version));
 }
 
-std::vector<Member> Membership::members() const {
-  std::vector<Member> members;
-  members.push_back(Member{context_.self, settings_.machine,
-                           leaving() ? MemberState::kLeaving : MemberState::kAlive,
-                           settings_.gateway_address});
+const std::vector<Member>& Membership::members() const {
+  if (std::exchange(members_known_, true)) {
+    return members_;
+  }
+  members_.clear();
+  members_.push_back(Member{context_.self, settings_.machine,
+                            leaving() ? MemberState::kLeaving : MemberState::kAlive,
+                            settings_.gateway_address});
   for (const auto& [address, peer] : peers_.peers()) {
     if (peers_.replaced(peer.node)) {
       continue;
@@ -231,11 +479,12 @@
         peer.details.leaving || machines_.machineLeaving(peer.details.machine);
     const auto state =
         peer.state == MemberState::kAlive && peer_leaving ? MemberState::kLeaving : peer.state;
-    members.push_back(Member{peer.node, peer.details.machine, state, peer.details.gateway_address});
+    members_.push_back(
+        Member{peer.node, peer.details.machine, state, peer.details.gateway_address});
   }
-  std::sort(members.begin(), members.end(),
+  std::sort(members_.begin(), members_.end(),
             [](const Member& a, const Member& b) { return a.node < b.node; });
-  return members;
+  return members_;
 }
 
 bool Membership::machineLeaving(const common::MachineName& machine) const {
@@ -262,13 +511,13 @@
 void Membership::announceLeaving() {
   if (!own_details_.leaving) {
     own_details_.leaving = true;
-    detailsChanged();
+    detailsChanged(false);
     notify();
   }
 }
 
 void Membership::announceStopped() {
-  for (const auto& node : peerNodes()) {
+  for (const auto& node : neighbours().successors) {
     context_.sendTo(node, Goodbye{});
   }
 }
@@ -281,7 +530,7 @@
   const auto [entry, added] = own_details_.digests.try_emplace(static_cast<std::uint16_t>(topic));
   if (added || entry->second != value) {
     entry->second = value;
-    detailsChanged();
+    detailsChanged(true);
   }
 }
 
@@ -296,14 +545,21 @@
   return entry == digests.end() ? std::nullopt : std::optional(entry->second);
 }
 
-void Membership::detailsChanged() {
-  ++own_details_.version;
-  for (const auto& node : peerNodes()) {
-    context_.sendTo(node, own_details_);
+/// Digests are told to those who hear this node's heartbeats, other changes to the zone.
+void Membership::detailsChanged(bool digests_only) {
+  ++(digests_only ? own_details_.digests_version : own_details_.version);
+  if (mesh() || digests_only) {
+    for (const auto& node : neighbours().successors) {
+      context_.sendTo(node, Introduction{own_details_, false});
+    }
+  } else {
+    changed_.insert(context_.self);
+    sendNews();
   }
 }
 
 void Membership::notify() {
+  members_known_ = false;
   for (const auto& listener : listeners_) {
     listener();
   }
--- a/src/cypresswall/membership/membership.h
+++ b/src/cypresswall/membership/membership.h
@@ -1,5 +1,6 @@
 /// The nodes of one zone, seen from one of them: heartbeats, joining, leaving, and the zone's copy
-/// of the machine list.
+/// of the machine list. In a large zone each node hears a few neighbours only; what these learn is
+/// passed on from node to node, and neighbours that see different members compare their lists.
 #pragma once
 
 #include <functional>
@@ -13,6 +14,7 @@
 #include "cypresswall/membership/machine_register.h"
 #include "cypresswall/membership/membership_settings.h"
 #include "cypresswall/membership/membership_view.h"
+#include "cypresswall/membership/neighbours.h"
 #include "cypresswall/membership/peer_table.h"
 #include "cypresswall/object_store/machine_list.h"
 
@@ -30,7 +32,7 @@
 
   const common::NodeId& self() const override { return context_.self; }
   const common::ZoneName& zone() const override { return context_.zone; }
-  std::vector<Member> members() const override;
+  const std::vector<Member>& members() const override;
   bool machineLeaving(const common::MachineName& machine) const override;
   bool addressLeaving(const common::Address& address) const override;
   bool surelyDead(const common::NodeId& node) const override;
@@ -45,24 +47,53 @@
 
   void setDigest(DigestTopic topic, std::uint64_t value) override;
   std::optional<std::uint64_t> digest(const common::NodeId& node, DigestTopic topic) const override;
+  bool joining() const override;
 
  private:
   void registerHandlers();
   void tick();
+  void join();
   void probe();
   void probeMachines();
-  void detailsChanged();
+  void introduceTo(const common::Address& address);
+  void detailsChanged(bool digests_only);
   void sendHeartbeats();
+  void expirePeers();
+  /// \return true if the zone is so small that all hear all
+  bool mesh() const;
+  /// \return whom this node hears and tells, brought up to date with the peers
+  const Neighbours& neighbours();
+
   void receiveHeartbeat(const common::NodeId& sender, const Heartbeat& heartbeat);
-  void receiveDetails(const common::NodeId& sender, const NodeDetails& details);
-  void receivePeerList(const common::NodeId& sender, const PeerList& list);
-  void sendPeerList(Peer& peer);
-  void introduceTo(const common::Address& address);
+  void receiveIntroduction(const common::NodeId& sender, const Introduction& introduction);
+  void receiveNews(const common::NodeId& sender, const MemberNews& news);
+  void receiveVersions(const common::NodeId& sender, const MemberVersions& versions);
+  /// Takes what a member says of itself.
+  void takeOwnWord(const common::NodeId& node, const NodeDetails& details);
+  /// Takes the news that a node ended. \return true if it was a member
+  bool takeDeparture(const Departure& departure);
+  /// Says that this node, taken for dead, is alive.
+  void refute(std::uint32_t details_version);
+
+  /// \return true if the node is watched here and not even late with a heartbeat
+  bool heardLately(const common::NodeId& node) const;
+
+  /// Passes news on, after a short time in which more may come.
+  void passOn(const common::NodeId& node);
+  void passOn(const Departure& departure);
+  void scheduleNews(common::Duration delay);
+  void sendNews();
+  void answerJoiners();
+  void compareWith(const common::NodeId& peer, std::uint32_t peers_hash);
+  MemberVersions ownVersions(bool answer_wanted) const;
+  MemberNews newsFor(const MemberVersions& versions) const;
+  std::vector<MemberRecord> allRecords() const;
+  bool recordOf(const common::NodeId& node, MemberRecord& record) const;
+
   std::vector<common::NodeId> peerNodes() const;
   std::size_t rank() const;
-  /// \return the hash of heartbeats over this node and its peers; each heartbeat that comes in is
-  ///   compared with it.
-  std::uint32_t membersHash();
+  /// \return the hash over this node and its peers
+  std::uint32_t membersHash() const;
   void notify();
 
   MembershipSettings settings_;
@@ -70,9 +101,25 @@
   PeerTable peers_;
   MachineRegister machines_;
   NodeDetails own_details_;
-  /// The hash over the members, and PeerTable::changes() at which it was worked out.
-  std::uint32_t members_hash_ = 0;
-  std::optional<std::uint64_t> members_hashed_at_;
+  Neighbours neighbours_;
+  /// PeerTable::changes() at which the neighbours were found.
+  std::optional<std::uint64_t> neighbours_at_;
+  /// members(), found again after each change.
+  mutable std::vector<Member> members_;
+  mutable bool members_known_ = false;
+  /// News to be passed on, and the timer that does so.
+  std::set<common::NodeId> changed_;
+  std::vector<Departure> departures_;
+  common::TimerId news_timer_ = 0;
+  /// Nodes that wait for the list of members.
+  std::set<common::NodeId> joiners_;
+  /// Since when each neighbour has seen other members.
+  std::map<common::NodeId, common::MonotonicTime> disagreeing_since_;
+  std::optional<common::MonotonicTime> compared_at_;
+  /// No peer has given its list of members yet.
+  bool joining_ = true;
+  std::size_t next_seed_ = 0;
+  common::MonotonicTime started_at_;
   common::MonotonicTime last_tick_;
   /// The IP number that was probed last.
   std::string probe_position_;
@@ -81,7 +128,9 @@
   common::Counter& outdated_count_;
   common::Counter& pause_count_;
   common::Counter& death_count_;
-  common::Counter& hash_count_;
+  common::Counter& unreadable_count_;
+  common::Counter& comparison_count_;
+  common::Counter& refuted_count_;
 };
 
 }  // namespace cypresswall::membership
--- a/src/cypresswall/membership/membership_settings.h
+++ b/src/cypresswall/membership/membership_settings.h
@@ -7,6 +7,7 @@
 
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/time.h"
+#include "cypresswall/membership/neighbours.h"
 
 namespace cypresswall::membership {
 
@@ -32,7 +33,8 @@
   std::vector<common::Address> seeds;
   std::vector<ZoneSeed> other_zones;
 
-  /// Heartbeats go to every node of the zone (about 13), so the period sets the bytes per second.
+  /// Who hears whom.
+  NeighbourSettings neighbours;
   common::Duration heartbeat_interval = std::chrono::milliseconds(500);
   common::Duration suspect_after = std::chrono::milliseconds(1250);
   common::Duration dead_after = std::chrono::milliseconds(2500);
@@ -43,8 +45,24 @@
   std::size_t machine_probes = 4;
   /// How long an address that fell silent is tried again.
   common::Duration departed_retention = std::chrono::minutes(30);
-  /// The least time between two peer lists sent to one peer.
-  common::Duration peer_list_interval = std::chrono::seconds(1);
+  /// How often a node that knows no other tries the next seed.
+  common::Duration join_interval = std::chrono::milliseconds(300);
+  /// A node that no seed answered for this long goes on alone.
+  common::Duration join_patience = std::chrono::seconds(2);
+  /// Nodes that ask to be let into a large zone within this time get one list, packed once: when
+  /// the whole zone starts, the list then holds nearly all of it.
+  common::Duration join_reply_interval = std::chrono::milliseconds(200);
+  /// News of members is collected for this long before it is passed on.
+  common::Duration news_interval = std::chrono::milliseconds(20);
+  /// A neighbour that has seen other members for this long lacks news that got lost: the two
+  /// compare their lists. In a ring news is still on its way for some hundred milliseconds.
+  common::Duration disagreement_limit = std::chrono::milliseconds(900);
+  /// The least time between two comparisons.
+  common::Duration comparison_interval = std::chrono::milliseconds(900);
+  /// For this long a node that was taken for dead is let in again with newer details only, so that
+  /// peers that have not heard of its death don't bring it back. Above the time that a peer needs
+  /// to hear of it by a comparison.
+  common::Duration departure_memory = std::chrono::seconds(5);
 
   common::Duration machine_poll_interval = std::chrono::milliseconds(500);
   /// A node polls itself when no fresh read was seen for this long, times its rank in the zone.
--- a/src/cypresswall/membership/membership_view.h
+++ b/src/cypresswall/membership/membership_view.h
@@ -38,8 +38,9 @@
   virtual ~MembershipView() = default;
   virtual const common::NodeId& self() const = 0;
   virtual const common::ZoneName& zone() const = 0;
-  /// \return members of the own zone that are not dead, this node included, ordered by node.
-  virtual std::vector<Member> members() const = 0;
+  /// \return members of the own zone that are not dead, this node included, ordered by node. Valid
+  ///   until the next change.
+  virtual const std::vector<Member>& members() const = 0;
   /// \return true if the platform's machine list shows the machine as leaving or gone.
   virtual bool machineLeaving(const common::MachineName& machine) const = 0;
   /// \return true if the IP number belongs to a machine that is leaving or gone.
@@ -52,6 +53,9 @@
   /// \return the newest value known of a member's digest, nothing if there is none.
   virtual std::optional<std::uint64_t> digest(const common::NodeId& node,
                                               DigestTopic topic) const = 0;
+  /// \return true for a short time after the start in which this node knows no other yet, though it
+  ///   was told of some.
+  virtual bool joining() const { return false; }
   /// Calls `listener` after each change of members, their digests or machines; listeners live as
   /// long as the view.
   virtual void onChange(std::function<void()> listener) = 0;
--- a/src/cypresswall/membership/messages.h
+++ b/src/cypresswall/membership/messages.h
@@ -14,12 +14,13 @@
 
 namespace cypresswall::membership {
 
-/// Sent to every peer each heartbeat interval; everything larger is sent on change only.
+/// Sent to the neighbours each heartbeat interval; everything larger is sent on change only.
 struct Heartbeat {
   static constexpr auto kType = api::messageType(api::MessageType::kMembershipFirst, 0);
   /// Version of the sender's NodeDetails; a receiver that lacks it asks for them.
   std::uint32_t details_version = 0;
-  /// Hash over the members that the sender sees; a receiver that sees others sends its peer list.
+  /// Hash over the members that the sender sees and the versions of their details; a receiver that
+  /// sees others compares its list with the sender's.
   std::uint32_t members_hash = 0;
   std::uint64_t machines_version = 0;
   /// Number of successful reads of the machine list by the sender itself.
@@ -27,16 +28,27 @@
   MSGPACK_DEFINE(details_version, members_hash, machines_version, machine_reads)
 };
 
-/// What a node says of itself; sent on change and on request.
+/// What a node says of itself.
 struct NodeDetails {
-  static constexpr auto kType = api::messageType(api::MessageType::kMembershipFirst, 1);
   common::ZoneName zone;
   common::MachineName machine;
   common::Address gateway_address;
   bool leaving = false;
+  /// Rises with each change of the fields above, and when the node was wrongly taken for dead.
   std::uint32_t version = 0;
   std::map<std::uint16_t, std::uint64_t> digests;
-  MSGPACK_DEFINE(zone, machine, gateway_address, leaving, version, digests)
+  /// Rises with each change of the digests.
+  std::uint32_t digests_version = 0;
+  MSGPACK_DEFINE(zone, machine, gateway_address, leaving, version, digests, digests_version)
+};
+
+/// A node tells a peer of itself: on change, on request, and to be let in.
+struct Introduction {
+  static constexpr auto kType = api::messageType(api::MessageType::kMembershipFirst, 1);
+  NodeDetails details;
+  /// The sender doesn't know the receiver, and wants its list of members.
+  bool wants_members = false;
+  MSGPACK_DEFINE(details, wants_members)
 };
 
 struct DetailsRequest {
@@ -45,11 +57,29 @@
   MSGPACK_DEFINE(unused)
 };
 
-/// The members that the sender sees; receivers introduce themselves to those they lack.
-struct PeerList {
+/// One member as a peer tells of it.
+struct MemberRecord {
+  common::NodeId node;
+  NodeDetails details;
+  MSGPACK_DEFINE(node, details)
+};
+
+/// A member ended or fell silent. Details of a higher version undo it.
+struct Departure {
+  common::NodeId node;
+  std::uint32_t details_version = 0;
+  MSGPACK_DEFINE(node, details_version)
+};
+
+/// What the sender learnt of members, or all that it knows of them.
+struct MemberNews {
   static constexpr auto kType = api::messageType(api::MessageType::kMembershipFirst, 3);
-  std::vector<common::NodeId> members;
-  MSGPACK_DEFINE(members)
+  /// A list of MemberRecord, as packMembers() writes it; empty for none.
+  std::string packed_records;
+  std::vector<Departure> departures;
+  /// The answer to an Introduction: all members that the sender sees.
+  bool complete = false;
+  MSGPACK_DEFINE(packed_records, departures, complete)
 };
 
 /// The sender is about to end; it is dead from now on.
@@ -59,6 +89,22 @@
   MSGPACK_DEFINE(unused)
 };
 
+/// One member and the version that the sender has of its details.
+struct MemberVersion {
+  common::NodeId node;
+  std::uint32_t details_version = 0;
+  MSGPACK_DEFINE(node, details_version)
+};
+
+/// All members that the sender sees. The receiver answers with news of those that the sender lacks.
+struct MemberVersions {
+  static constexpr auto kType = api::messageType(api::MessageType::kMembershipFirst, 5);
+  std::vector<MemberVersion> members;
+  /// The receiver is to send its own versions if it lacks something itself.
+  bool answer_wanted = false;
+  MSGPACK_DEFINE(members, answer_wanted)
+};
+
 struct MachineEntry {
   common::MachineName name;
   object_store::MachineState state = object_store::MachineState::kLive;
--- /dev/null
+++ b/src/cypresswall/membership/neighbours.cpp
@@ -0,0 +1,78 @@
+#include "cypresswall/membership/neighbours.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+
+#include "cypresswall/common/prompt.h"
+
+namespace cypresswall::membership {
+namespace {
+
+std::uint64_t ringPosition(const common::NodeId& node) {
+  return common::hash64(node.address, node.incarnation);
+}
+
+/// A node and its distance on the ring behind the own node.
+struct RingNode {
+  std::uint64_t distance = 0;
+  const common::NodeId* node = nullptr;
+};
+
+/// \return the nodes in ring order, beginning with the one that follows `self`
+std::vector<RingNode> ringFrom(const common::NodeId& self,
+                               const std::vector<common::NodeId>& peers) {
+  std::vector<RingNode> ring;
+  ring.reserve(peers.size());
+  const std::uint64_t own = ringPosition(self);
+  for (const common::NodeId& peer : peers) {
+    // Unsigned, so that it wraps around the ring's end.
+    ring.push_back({ringPosition(peer) - own, &peer});
+  }
+  std::sort(ring.begin(), ring.end(), [](const RingNode& left, const RingNode& right) {
+    return std::tie(left.distance, *left.node) < std::tie(right.distance, *right.node);
+  });
+  return ring;
+}
+
+/// \return the first node at or behind a place drawn by hashing. Such links make a random graph, in
+///   which all are few hops apart; a node that comes or goes moves few of them.
+const common::NodeId& distantNode(const common::NodeId& self, std::size_t number,
+                                  const std::vector<RingNode>& ring) {
+  const std::uint64_t place = common::hash64(self.address, number + 1);
+  const auto found = std::lower_bound(
+      ring.begin(), ring.end(), place,
+      [](const RingNode& node, std::uint64_t distance) { return node.distance < distance; });
+  return found == ring.end() ? *ring.front().node : *found->node;
+}
+
+}  // namespace
+
+Neighbours findNeighbours(const NeighbourSettings& settings, const common::NodeId& self,
+                          const std::vector<common::NodeId>& peers) {
+  Neighbours neighbours;
+  neighbours.mesh = peers.size() < settings.mesh_limit;
+  if (neighbours.mesh) {
+    neighbours.successors = peers;
+    neighbours.predecessors = peers;
+    neighbours.news_receivers = peers;
+    return neighbours;
+  }
+  const std::vector<RingNode> ring = ringFrom(self, peers);
+  const std::size_t heard_by = std::min(settings.heard_by, ring.size());
+  for (std::size_t i = 0; i < heard_by; ++i) {
+    neighbours.successors.push_back(*ring[i].node);
+    neighbours.predecessors.push_back(*ring[ring.size() - 1 - i].node);
+  }
+  auto& receivers = neighbours.news_receivers;
+  receivers.push_back(*ring.front().node);
+  for (std::size_t i = 0; i < settings.distant_receivers; ++i) {
+    const common::NodeId& distant = distantNode(self, i, ring);
+    if (std::find(receivers.begin(), receivers.end(), distant) == receivers.end()) {
+      receivers.push_back(distant);
+    }
+  }
+  return neighbours;
+}
+
+}  // namespace cypresswall::membership
--- a/src/cypresswall/membership/peer_table.cpp
+++ b/src/cypresswall/membership/peer_table.cpp
@@ -1,6 +1,9 @@
 #include "cypresswall/membership/peer_table.h"
 
 #include <algorithm>
+#include <tuple>
+
+#include "cypresswall/common/prompt.h"
 
 namespace cypresswall::membership {
 
@@ -18,36 +21,84 @@
   return Contact::kKnown;
 }
 
-bool PeerTable::describe(const common::NodeId& node, const NodeDetails& details,
-                         common::MonotonicTime now) {
-  const Contact contact = heard(node, now);
-  if (contact == Contact::kOutdated) {
-    return false;
+std::uint64_t PeerTable::memberHash(const common::NodeId& node, std::uint32_t details_version) {
+  return common::hash64(node.address,
+                        common::hash64(node.address, node.incarnation) + details_version);
+}
+
+PeerTable::Described PeerTable::describe(const common::NodeId& node, const NodeDetails& details,
+                                         common::MonotonicTime now) {
+  auto& newest = newest_incarnation_[node.address];
+  if (node.incarnation < newest) {
+    return Described::kOutdated;
   }
-  if (contact == Contact::kUnknown) {
-    peers_[node.address] = Peer{node, details, MemberState::kAlive, now, {}};
-    departed_.erase(node.address);
-    ++changes_;
-    return true;
+  if (departureOf(node, details.version, now)) {
+    return Described::kDeparted;
   }
-  Peer& peer = peers_[node.address];
-  if (details.version <= peer.details.version) {
-    return false;
+  newest = node.incarnation;
+  Peer* const peer = find(node);
+  if (peer == nullptr) {
+    add(node, details, now);
+    return Described::kAdded;
+  }
+  const auto known = std::tie(peer->details.version, peer->details.digests_version);
+  if (std::tie(details.version, details.digests_version) <= known) {
+    return Described::kNothing;
+  }
+  const bool only_digests = details.version == peer->details.version;
+  setDetails(*peer, details);
+  return only_digests ? Described::kDigests : Described::kDetails;
+}
+
+void PeerTable::add(const common::NodeId& node, const NodeDetails& details,
+                    common::MonotonicTime now) {
+  const auto earlier = peers_.find(node.address);
+  if (earlier != peers_.end()) {
+    hash_ -= memberHash(earlier->second.node, earlier->second.details.version);
   }
+  peers_[node.address] = Peer{node, details, MemberState::kAlive, false, now};
+  hash_ += memberHash(node, details.version);
+  departed_.erase(node.address);
+  ++changes_;
+}
+
+void PeerTable::setDetails(Peer& peer, const NodeDetails& details) {
+  hash_ -= memberHash(peer.node, peer.details.version);
   peer.details = details;
-  return true;
+  hash_ += memberHash(peer.node, peer.details.version);
+}
+
+std::map<common::Address, Peer>::iterator PeerTable::erase(
+    std::map<common::Address, Peer>::iterator peer, common::MonotonicTime now) {
+  const std::uint32_t version = peer->second.details.version;
+  hash_ -= memberHash(peer->second.node, version);
+  departed_[peer->first] = Gone{{peer->second.node, version}, now};
+  ++changes_;
+  return peers_.erase(peer);
 }
 
-bool PeerTable::expire(common::MonotonicTime now) {
-  bool changed = false;
+void PeerTable::watch(const std::vector<common::NodeId>& nodes, common::MonotonicTime now) {
+  const std::set<common::NodeId> wanted(nodes.begin(), nodes.end());
+  for (auto& [address, peer] : peers_) {
+    const bool watched = wanted.contains(peer.node);
+    if (watched && !peer.watched) {
+      peer.last_heard = now;
+    }
+    if (!watched) {
+      peer.state = MemberState::kAlive;
+    }
+    peer.watched = watched;
+  }
+}
+
+std::vector<Departure> PeerTable::expire(common::MonotonicTime now, bool& changed) {
+  std::vector<Departure> dead;
   for (auto it = peers_.begin(); it != peers_.end();) {
     Peer& peer = it->second;
-    const auto silence = now - peer.last_heard;
-    const bool outdated = replaced(peer.node);
-    if (silence >= settings_.dead_after || outdated) {
-      departed_[it->first] = now;
-      it = peers_.erase(it);
-      ++changes_;
+    const auto silence = peer.watched ? now - peer.last_heard : common::Duration{0};
+    if (silence >= settings_.dead_after || replaced(peer.node)) {
+      dead.push_back({peer.node, peer.details.version});
+      it = erase(it, now);
       changed = true;
       continue;
     }
@@ -58,13 +109,13 @@
     ++it;
   }
   std::erase_if(departed_, [&](const auto& entry) {
-    const bool forget = now - entry.second > settings_.departed_retention;
+    const bool forget = now - entry.second.at > settings_.departed_retention;
     if (forget) {
       newest_incarnation_.erase(entry.first);
     }
     return forget;
   });
-  return changed;
+  return dead;
 }
 
 void PeerTable::extend(common::Duration pause) {
@@ -73,13 +124,19 @@
   }
 }
 
-bool PeerTable::remove(const common::NodeId& node, common::MonotonicTime now) {
-  if (find(node) == nullptr) {
+bool PeerTable::remove(const Departure& departure, common::MonotonicTime now) {
+  const common::NodeId& node = departure.node;
+  const Peer* const peer = find(node);
+  const auto newest = newest_incarnation_.find(node.address);
+  const bool outdated = newest != newest_incarnation_.end() && newest->second > node.incarnation;
+  const bool undone = peer != nullptr && peer->details.version > departure.details_version;
+  if (outdated || undone || departureOf(node, departure.details_version, now)) {
     return false;
   }
-  peers_.erase(node.address);
-  ++changes_;
-  departed_[node.address] = now;
+  if (peer != nullptr) {
+    erase(peers_.find(node.address), now);
+  }
+  departed_[node.address] = Gone{departure, now};
   return true;
 }
 
@@ -98,9 +155,19 @@
   return newest != newest_incarnation_.end() && newest->second > node.incarnation;
 }
 
+std::optional<Departure> PeerTable::departureOf(const common::NodeId& node,
+                                                std::uint32_t details_version,
+                                                common::MonotonicTime now) const {
+  const auto gone = departed_.find(node.address);
+  const bool kept_out = gone != departed_.end() && gone->second.departure.node == node &&
+                        gone->second.departure.details_version >= details_version &&
+                        now - gone->second.at < settings_.departure_memory;
+  return kept_out ? std::optional(gone->second.departure) : std::nullopt;
+}
+
 std::vector<common::Address> PeerTable::departed() const {
   std::vector<common::Address> addresses;
-  for (const auto& [address, since] : departed_) {
+  for (const auto& [address, gone] : departed_) {
     addresses.push_back(address);
   }
   return addresses;
--- a/src/cypresswall/membership/zone_gossip.cpp
+++ b/src/cypresswall/membership/zone_gossip.cpp
@@ -68,6 +68,10 @@
 }
 
 bool ZoneGossip::representative() const {
+  // Alone for now, perhaps, and without what its zone knows.
+  if (membership_.joining()) {
+    return false;
+  }
   for (const auto& member : membership_.members()) {
     if (member.state == MemberState::kAlive) {
       return member.node == context_.self;
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -28,10 +28,12 @@
       configuration_view_(declared_ != nullptr ? *declared_ : configuration_),
       engines_(settings_.directory, context_, clients.engines, configuration_view_, membership_),
       router_(makeRouter(settings_, context_, engines_)),
+      placement_service_(settings_.placement, context_, engines_, *router_),
+      placement_router_(settings_.placement, settings_.router, context_, engines_, *router_),
       controller_(settings_.controller, context_, orders_authority_, engines_, clients.engines,
                   configuration_view_, membership_,
                   settings_.make_planner ? settings_.make_planner() : nullptr),
-      observed_router_(*router_, context_.clock, settings_.shedding),
+      observed_router_(placement_router_, context_.clock, settings_.shedding),
       admission_(context_, configuration_view_, membership_, observed_router_, settings_.admission),
       key_claims_(settings_.claims, context_,
                   idempotency::ClaimInterfaces{authority_, authority_, membership_, gossip_,
@@ -46,6 +48,7 @@
                               engines_, controller_, model_executor_.journal(),
                               service_executor_.journal()}),
       commands_(context_, configuration_, state_, declared_) {
+  engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   membership_.onChange([this] {
     if (membership_.leaving()) {
       drain();
@@ -57,7 +60,9 @@
 
 void Node::start() {
   membership_.start();
-  gossip_.start();
+  if (declared_ == nullptr) {
+    gossip_.start();
+  }
   startAuthority();
   if (declared_ == nullptr) {
     configuration_.start();
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -26,6 +26,8 @@
 #include "cypresswall/orders/zone_controller.h"
 #include "cypresswall/routing/cost_router.h"
 #include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/routing/placement_router.h"
+#include "cypresswall/routing/placement_service.h"
 #include "cypresswall/services/service_client.h"
 
 namespace cypresswall::node {
@@ -100,6 +102,8 @@
   configuration::ConfigurationView& configuration_view_;
   routing::EngineDirectory engines_;
   std::unique_ptr<routing::Router> router_;
+  routing::PlacementService placement_service_;
+  routing::PlacementRouter placement_router_;
   orders::ZoneController controller_;
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -30,6 +30,7 @@
   configuration::ConfigurationSettings configuration;
   routing::DirectorySettings directory;
   routing::RouterSettings router;
+  routing::PlacementSettings placement;
   orders::ControllerSettings controller;
   /// Makes the planner of roles; empty takes the cost-based one.
   std::function<std::unique_ptr<planning::Planner>()> make_planner = {};
--- a/src/cypresswall/object_store/machine_list.h
+++ b/src/cypresswall/object_store/machine_list.h
@@ -31,6 +31,8 @@
   /// Reads the machines of one zone. The callback is called exactly once, never before the call
   /// returns.
   virtual void fetch(const common::ZoneName& zone, MachineListCallback callback) = 0;
+  /// \return true if the list is at hand on each node, so that reading it calls nobody.
+  virtual bool costsNothing() const { return false; }
 };
 
 }  // namespace cypresswall::object_store
--- a/src/cypresswall/orders/drain_table.cpp
+++ b/src/cypresswall/orders/drain_table.cpp
@@ -5,10 +5,12 @@
 namespace cypresswall::orders {
 
 DrainTable::DrainTable(const DrainSettings& settings, const api::ProcessContext& context,
-                       membership::MembershipView& membership, DrainFollower& own_follower)
+                       const membership::MembershipView& membership,
+                       const routing::EngineGroups& groups, DrainFollower& own_follower)
     : settings_(settings),
       context_(context),
       membership_(membership),
+      groups_(groups),
       own_follower_(own_follower),
       announcements_(context.counters.counter("cypresswall_drain_announcements_total",
                                               "Drain tables announced to the zone")) {
@@ -46,7 +48,7 @@
   if (added == added_at_.end()) {
     return false;
   }
-  const auto members = membership_.members();
+  const auto members = workGivers();
   return std::all_of(members.begin(), members.end(), [&](const membership::Member& member) {
     const bool live = member.state == membership::MemberState::kAlive ||
                       member.state == membership::MemberState::kLeaving;
@@ -69,6 +71,17 @@
   return added_at_.empty() && seen != acknowledged_.end() && seen->second == version_;
 }
 
+std::vector<membership::Member> DrainTable::workGivers() const {
+  std::vector<membership::Member> givers = membership_.members();
+  if (!groups_.everyNodeDecides()) {
+    const auto& deciders = groups_.allDeciders();
+    std::erase_if(givers, [&deciders](const membership::Member& member) {
+      return std::find(deciders.begin(), deciders.end(), member.node) == deciders.end();
+    });
+  }
+  return givers;
+}
+
 void DrainTable::announce() {
   announced_at_ = context_.clock.now();
   DrainAnnouncement announcement;
@@ -78,7 +91,7 @@
     announcement.engines.push_back(engine);
   }
   own_follower_.apply(announcement);
-  for (const membership::Member& member : membership_.members()) {
+  for (const membership::Member& member : workGivers()) {
     if (member.node != context_.self && member.state != membership::MemberState::kDead &&
         !holdsEmptyTable(member.node)) {
       context_.sendTo(member.node, announcement);
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -6,6 +6,8 @@
 #include <limits>
 #include <tuple>
 
+#include "cypresswall/routing/shared_part.h"
+
 namespace cypresswall::routing {
 namespace {
 
@@ -24,19 +26,6 @@
   return value ^ (value >> 31);
 }
 
-/// Prompts that share fewer tokens than these needn't meet on one engine.
-constexpr std::uint32_t kLeastAffinityTokens = 1024;
-
-/// \return the number of pieces by whose last one equal prompts meet. Where callers name the parts
-///   of their prompts, that is the longest prefix that others may share; otherwise one piece, since
-///   nobody knows which of the rest is the prompt's own.
-std::size_t affinityPieces(const common::PromptShape& shape) {
-  const std::size_t pieces = shape.piece_ends.empty()
-                                 ? std::min<std::size_t>(shape.pieces.size(), 1)
-                                 : shape.sharedPieces();
-  return shape.tokensOfPieces(pieces) < kLeastAffinityTokens ? 0 : pieces;
-}
-
 /// How many of the engines that compute prompts have prompts waiting.
 class Contention {
  public:
@@ -129,7 +118,7 @@
   work.inverse_first_token_limit = 1.0 / work.first_token_limit;
   work.inverse_between_tokens_limit = 1.0 / work.between_tokens_limit;
   const std::size_t pieces = affinityPieces(request.shape);
-  work.affinity = pieces == 0 ? 0 : request.shape.pieces[pieces - 1];
+  work.affinity = sharedPartOf(request.shape);
   work.affinity_tokens = request.shape.tokensOfPieces(pieces);
   return work;
 }
@@ -486,7 +475,7 @@
 RouteRefusal CostRouter::refuse(const Selection& best, const Work& work,
                                 const common::ModelName& model) {
   // Callers told earlier to come back take the next places; this one comes after them. The other
-  // nodes refuse about as many as this one.
+  // nodes that decide refuse about as many as this one.
   const double now = toModelTime(context_.clock.now());
   double& promised = promised_until_[model];
   promised = std::max(promised, now);
@@ -494,7 +483,7 @@
   const CostInputs& engine = estimates_.inputs(best.computing());
   const double service = work.prompt_tokens * engine.seconds_per_prefill_token;
   const double relief = reliefSeconds(best.offer, work, estimates_.estimate(best.engine));
-  promised += service * static_cast<double>(directory_.aliveNodes()) /
+  promised += service * static_cast<double>(directory_.groups().decidersPerEngine()) /
               static_cast<double>(std::max<std::size_t>(narrowed_.size(), 1));
   promised = std::min(promised, now + common::toSeconds(settings_.maximum_retry_after));
   RouteRefusal refusal;
--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -33,11 +33,10 @@
 }  // namespace
 
 DeltaExchange::DeltaExchange(const DirectorySettings& settings, const api::ProcessContext& context,
-                             membership::MembershipView& membership, EngineTable& table,
-                             PrefixIndex& prefixes)
+                             const EngineGroups& groups, EngineTable& table, PrefixIndex& prefixes)
     : settings_(settings),
       context_(context),
-      membership_(membership),
+      groups_(groups),
       table_(table),
       prefixes_(prefixes),
       sent_bytes_(context.counters.counter("cypresswall_engine_deltas_sent_bytes_total",
@@ -96,19 +95,26 @@
   return context_.clock.now() - table_.record(slot).observed_at;
 }
 
-std::vector<common::NodeId> DeltaExchange::peers() const {
-  std::vector<common::NodeId> found;
-  for (const membership::Member& member : membership_.members()) {
-    if (member.node != context_.self && member.state != membership::MemberState::kDead) {
-      found.push_back(member.node);
-    }
+std::vector<common::NodeId> DeltaExchange::receivers() const {
+  if (groups_.everyNodeDecides()) {
+    return groups_.otherDeciders(kNoEngineSlot);
+  }
+  std::set<common::NodeId> found;
+  for (const EngineSlot slot : poller_->watched()) {
+    const auto& deciders = groups_.otherDeciders(slot);
+    found.insert(deciders.begin(), deciders.end());
   }
-  return found;
+  if (planning_node_ && !poller_->watched().empty()) {
+    found.insert(planning_node_());
+  }
+  found.erase(context_.self);
+  found.erase(common::NodeId{});
+  return {found.begin(), found.end()};
 }
 
 void DeltaExchange::tick() {
   const common::MonotonicTime now = context_.clock.now();
-  const auto targets = peers();
+  const auto targets = receivers();
   const double rate = std::max<double>(settings_.publish_bytes_per_second,
                                        kLeastBytesPerPeerSecond * targets.size());
   budget_bytes_ += rate * common::toSeconds(now - budget_filled_at_);
@@ -227,11 +233,8 @@
   addChanges(message, changes, budget - fixed);
   message.sequence = ++sequence_;
   last_sent_at_ = context_.clock.now();
-  api::Envelope envelope = api::Envelope::make(context_.self, targets.front(), message);
-  for (const common::NodeId& peer : targets) {
-    envelope.receiver = peer;
-    context_.transport.send(envelope);
-  }
+  context_.sendToAll(targets, message);
+  const auto envelope = api::Envelope::make(context_.self, targets.front(), message);
   const std::size_t bytes = api::encodeEnvelope(envelope).size() * targets.size();
   budget_bytes_ -= static_cast<double>(bytes);
   sent_bytes_.add(bytes);
--- a/src/cypresswall/routing/delta_exchange.h
+++ b/src/cypresswall/routing/delta_exchange.h
@@ -1,16 +1,18 @@
-/// Passes on what this node learnt by watching engines to the zone's other nodes, within a budget
-/// of bytes, and takes in what they publish.
+/// Passes on what this node learnt by watching engines to the other nodes that decide about them,
+/// within a budget of bytes, and takes in what they publish.
 #pragma once
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
-#include "cypresswall/membership/membership_view.h"
 #include "cypresswall/routing/engine_deltas.h"
+#include "cypresswall/routing/engine_groups.h"
 #include "cypresswall/routing/engine_poller.h"
 #include "cypresswall/routing/engine_table.h"
 
@@ -20,10 +22,12 @@
  public:
   /// Registers the handlers of EngineDeltas and IdentityRequest.
   DeltaExchange(const DirectorySettings& settings, const api::ProcessContext& context,
-                membership::MembershipView& membership, EngineTable& table, PrefixIndex& prefixes);
+                const EngineGroups& groups, EngineTable& table, PrefixIndex& prefixes);
 
   /// Begins to publish what `poller` learns; called once.
   void start(EnginePoller& poller);
+  /// Sets how to find the node that plans roles, which is told of every engine.
+  void setPlanningNode(std::function<common::NodeId()> find) { planning_node_ = std::move(find); }
   /// Queues a change of a watched engine's cache for the peers.
   void addCacheHint(EngineSlot slot, bool stored, common::PieceHash piece);
   /// Forgets what was published of an engine, as its slot has another engine now.
@@ -47,7 +51,9 @@
   void publish(const std::vector<common::NodeId>& peers);
   /// \return true if peers were told nothing for as long as steady engines go unread.
   bool confirmationDue() const;
-  std::vector<common::NodeId> peers() const;
+  /// \return the nodes that need what this one learns: those that decide about the engines that it
+  ///   watches, and the one that plans roles.
+  std::vector<common::NodeId> receivers() const;
   std::vector<PendingChange> collectChanges(EngineDeltas& message);
   /// \param budget bytes left for this message
   /// \return true if the engine's model, version, adapters or speeds differ from those published.
@@ -71,7 +77,8 @@
 
   DirectorySettings settings_;
   const api::ProcessContext& context_;
-  membership::MembershipView& membership_;
+  const EngineGroups& groups_;
+  std::function<common::NodeId()> planning_node_;
   EngineTable& table_;
   PrefixIndex& prefixes_;
   EnginePoller* poller_ = nullptr;
--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "cypresswall/membership/rendezvous.h"
-
 namespace cypresswall::routing {
 
 EngineDirectory::EngineDirectory(const DirectorySettings& settings,
@@ -17,10 +15,11 @@
       swept_at_(context.clock.now()),
       catch_up_until_(context.clock.now()),
       table_(settings),
+      groups_(settings.groups, membership, table_),
       prefixes_(settings.prefix_index),
-      exchange_(settings, context, membership, table_, prefixes_),
-      work_(context, membership, table_),
-      ejection_(settings.ejection, context, membership, table_),
+      exchange_(settings, context, groups_, table_, prefixes_),
+      work_(context, groups_, table_),
+      ejection_(settings.ejection, context, groups_, table_),
       poller_(settings, context, client, table_, prefixes_,
               [this](EngineSlot slot, bool stored, common::PieceHash piece) {
                 exchange_.addCacheHint(slot, stored, piece);
@@ -62,22 +61,47 @@
                membership_.addressLeaving(engine.address);
       },
       context_.clock.now());
-  assignWatches();
+  members_changed_ = true;
+  // Where few nodes decide, the others learn who does from the next sweep: while many nodes come
+  // and go, the groups are not worked out for each.
+  if (roster_changed_ || groups_.everyNodeDecides()) {
+    assignWatches();
+  }
+}
+
+bool EngineDirectory::awaitsPeers() const {
+  return membership_.joining() && membership_.members().size() == 1;
+}
+
+void EngineDirectory::forgetUndecided() {
+  for (const EngineSlot slot : table_.roster()) {
+    if (!groups_.decides(slot)) {
+      prefixes_.forgetEngine(slot);
+    }
+  }
+  prefixes_.shareAmong(groups_.enginesDecided());
 }
 
 void EngineDirectory::assignWatches() {
-  const auto members = membership_.members();
+  const auto& members = membership_.members();
   const common::MonotonicTime now = context_.clock.now();
+  members_changed_ = false;
   if (members == assigned_members_ && !roster_changed_ && handed_over_.empty()) {
     return;
   }
-  assigned_members_ = members;
-  roster_changed_ = false;
-  alive_nodes_ = std::max<std::size_t>(1, members.size());
+  if (awaitsPeers()) {
+    return;
+  }
+  if (members != assigned_members_ || roster_changed_) {
+    assigned_members_ = members;
+    roster_changed_ = false;
+    groups_.update();
+    forgetUndecided();
+  }
   std::set<EngineSlot> watched;
   for (const EngineSlot slot : table_.roster()) {
     const EngineRecord& record = table_.record(slot);
-    const common::NodeId watcher = membership::rendezvousNode(record.declaration.name, members);
+    const common::NodeId watcher = groups_.watcherOf(slot);
     if (watcher == context_.self || watcher.empty()) {
       watched.insert(slot);
       handed_over_.erase(slot);
@@ -114,7 +138,7 @@
   notePause();
   swept_at_ = context_.clock.now();
   table_.sweep(context_.clock.now());
-  if (!handed_over_.empty()) {
+  if (!handed_over_.empty() || members_changed_ || roster_changed_) {
     assignWatches();
   }
   context_.scheduler.schedule(settings_.poll_period, [this] { sweep(); });
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -1,10 +1,13 @@
-/// What this node knows of its zone's engines: their load, kept fresh by watching a share of them
-/// and by the publications of the zone's other nodes; the pieces of KV cache they are believed to
-/// hold; and which of them may be given work.
+/// What this node knows of the engines that it decides about: their load, kept fresh by watching a
+/// share of them and by the publications of the others that decide; the pieces of KV cache they are
+/// believed to hold; and which of them may be given work. Of the zone's other engines it knows
+/// where they are and which are leaving.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
@@ -14,6 +17,7 @@
 #include "cypresswall/planning/demand_ledger.h"
 #include "cypresswall/routing/delta_exchange.h"
 #include "cypresswall/routing/engine_ejection.h"
+#include "cypresswall/routing/engine_groups.h"
 #include "cypresswall/routing/engine_poller.h"
 #include "cypresswall/routing/engine_table.h"
 #include "cypresswall/routing/prefix_index.h"
@@ -42,8 +46,11 @@
   ///   is old, and messages that waited for it look newer than they are.
   bool catchingUp();
 
-  /// \return the zone's nodes that are alive, at least 1.
-  std::size_t aliveNodes() const { return alive_nodes_; }
+  const EngineGroups& groups() const { return groups_; }
+  /// Sets how to find the node that plans roles, which is told of every engine.
+  void setPlanningNode(std::function<common::NodeId()> find) {
+    exchange_.setPlanningNode(std::move(find));
+  }
   /// What callers asked of each model at this node.
   planning::DemandLedger& demand() { return demand_; }
   EngineTable& table() { return table_; }
@@ -55,6 +62,9 @@
   void onConfiguration(const configuration::FleetConfiguration& fleet);
   void onMembership();
   void assignWatches();
+  /// \return true until this node knows who else may watch engines.
+  bool awaitsPeers() const;
+  void forgetUndecided();
   void sweep();
   void notePause();
 
@@ -62,14 +72,15 @@
   const api::ProcessContext& context_;
   membership::MembershipView& membership_;
   configuration::ConfigurationView& configuration_;
-  std::size_t alive_nodes_ = 1;
   common::MonotonicTime swept_at_;
   common::MonotonicTime catch_up_until_;
   planning::DemandLedger demand_;
   /// Members for which the watches were last assigned.
   std::vector<membership::Member> assigned_members_;
   bool roster_changed_ = true;
+  bool members_changed_ = false;
   EngineTable table_;
+  EngineGroups groups_;
   PrefixIndex prefixes_;
   DeltaExchange exchange_;
   WorkExchange work_;
--- a/src/cypresswall/routing/engine_ejection.cpp
+++ b/src/cypresswall/routing/engine_ejection.cpp
@@ -3,22 +3,26 @@
 #include <algorithm>
 #include <set>
 
-#include "cypresswall/membership/rendezvous.h"
-#include "cypresswall/membership/zone_broadcast.h"
-
 namespace cypresswall::routing {
 namespace {
 
 constexpr const char* kOwnAttempts = "own attempts";
 constexpr const char* kZone = "zone";
 
+/// \return true if the failure says something of the engine's health.
+bool unhealthy(engines::StreamFailure failure) {
+  return failure == engines::StreamFailure::kNotSent ||
+         failure == engines::StreamFailure::kBroken ||
+         failure == engines::StreamFailure::kMalformed;
+}
+
 }  // namespace
 
 EngineEjection::EngineEjection(const EjectionSettings& settings, const api::ProcessContext& context,
-                               const membership::MembershipView& membership, EngineTable& table)
+                               const EngineGroups& groups, EngineTable& table)
     : settings_(settings),
       context_(context),
-      membership_(membership),
+      groups_(groups),
       table_(table),
       own_(context.counters.counter("cypresswall_engine_ejections_total",
                                     "Engines taken out of routing for a while", "source", "own")),
@@ -41,10 +45,7 @@
 }
 
 void EngineEjection::attemptFailed(EngineSlot slot, engines::StreamFailure failure) {
-  const bool unhealthy = failure == engines::StreamFailure::kNotSent ||
-                         failure == engines::StreamFailure::kBroken ||
-                         failure == engines::StreamFailure::kMalformed;
-  if (slot == kNoEngineSlot || !unhealthy) {
+  if (slot == kNoEngineSlot || !unhealthy(failure)) {
     return;
   }
   const common::MonotonicTime now = context_.clock.now();
@@ -63,9 +64,17 @@
   tell(slot, unreached);
 }
 
+void EngineEjection::placedAttemptFailed(const common::NodeId& node, EngineSlot slot,
+                                         engines::StreamFailure failure) {
+  if (slot != kNoEngineSlot && unhealthy(failure)) {
+    onReport(node,
+             {table_.record(slot).declaration.name, failure == engines::StreamFailure::kNotSent});
+  }
+}
+
 void EngineEjection::tell(EngineSlot slot, bool unreached) {
   const EngineFailureReport report{table_.record(slot).declaration.name, unreached};
-  const common::NodeId watcher = membership::rendezvousNode(report.engine, membership_.members());
+  const common::NodeId watcher = groups_.watcherOf(slot);
   if (watcher == context_.self) {
     onReport(context_.self, report);
   } else if (!watcher.empty()) {
@@ -110,7 +119,7 @@
   notice.engine = table_.record(slot).declaration.name;
   notice.unreached = unreached;
   notice.milliseconds = static_cast<std::uint32_t>(time / std::chrono::milliseconds(1));
-  membership::sendToZone(context_, membership_, notice);
+  context_.sendToAll(groups_.otherDeciders(slot), notice);
   by_peers_.add();
   eject(slot, time, unreached, kZone);
 }
--- a/src/cypresswall/routing/engine_ejection.h
+++ b/src/cypresswall/routing/engine_ejection.h
@@ -11,7 +11,7 @@
 
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/engines/engine_types.h"
-#include "cypresswall/membership/membership_view.h"
+#include "cypresswall/routing/engine_groups.h"
 #include "cypresswall/routing/engine_table.h"
 #include "cypresswall/routing/settings.h"
 
@@ -43,13 +43,17 @@
  public:
   /// Registers the handlers of both messages. \pre all references outlive this object
   EngineEjection(const EjectionSettings& settings, const api::ProcessContext& context,
-                 const membership::MembershipView& membership, EngineTable& table);
+                 const EngineGroups& groups, EngineTable& table);
   EngineEjection(const EngineEjection&) = delete;
   EngineEjection& operator=(const EngineEjection&) = delete;
 
   /// An attempt of this node failed at the engine. Refusals and attempts
   /// that were not tried say nothing of its health.
   void attemptFailed(EngineSlot slot, engines::StreamFailure failure);
+  /// An attempt that this node placed for another one failed at the engine: a word of that node's,
+  /// which alone ejects nothing.
+  void placedAttemptFailed(const common::NodeId& node, EngineSlot slot,
+                           engines::StreamFailure failure);
 
  private:
   /// One failure that was told.
@@ -82,7 +86,7 @@
 
   EjectionSettings settings_;
   const api::ProcessContext& context_;
-  const membership::MembershipView& membership_;
+  const EngineGroups& groups_;
   EngineTable& table_;
   std::unordered_map<EngineSlot, Engine> engines_;
   common::Counter& own_;
--- /dev/null
+++ b/src/cypresswall/routing/engine_groups.cpp
@@ -0,0 +1,231 @@
+#include "cypresswall/routing/engine_groups.h"
+
+#include <algorithm>
+#include <bit>
+#include <functional>
+#include <set>
+#include <utility>
+
+#include "cypresswall/membership/rendezvous.h"
+
+namespace cypresswall::routing {
+namespace {
+
+using membership::Member;
+using membership::MemberState;
+
+/// Groups that may be asked for one request.
+constexpr std::size_t kHomes = 2;
+
+std::uint64_t mix(std::uint64_t first, std::uint64_t second) {
+  return common::hash64({}, first ^ (second * 0x9E3779B97F4A7C15ULL));
+}
+
+}  // namespace
+
+EngineGroups::EngineGroups(const GroupSettings& settings,
+                           const membership::MembershipView& membership, const EngineTable& table)
+    : settings_(settings), membership_(membership), table_(table) {}
+
+void EngineGroups::update() {
+  const auto& members = membership_.members();
+  every_node_decides_ = members.size() <= settings_.shared_limit;
+  other_members_.clear();
+  for (const Member& member : members) {
+    if (member.node != membership_.self() && member.state != MemberState::kDead) {
+      other_members_.push_back(member.node);
+    }
+  }
+  divideEngines();
+  findOwners();
+  noteDeciders();
+}
+
+void EngineGroups::divideEngines() {
+  std::map<common::ModelName, std::vector<EngineSlot>> by_model;
+  for (const EngineSlot slot : table_.roster()) {
+    by_model[table_.record(slot).declaration.model].push_back(slot);
+  }
+  groups_.clear();
+  homes_.clear();
+  group_of_.assign(table_.slotCount(), 0);
+  for (const auto& [model, slots] : by_model) {
+    const std::size_t count =
+        every_node_decides_
+            ? 1
+            : (slots.size() + settings_.engines_per_group - 1) / settings_.engines_per_group;
+    const std::size_t first = groups_.size();
+    for (std::size_t number = 0; number < count; ++number) {
+      groups_.push_back({model + "/" + std::to_string(number), {}, {}});
+    }
+    for (const EngineSlot slot : slots) {
+      const auto& declaration = table_.record(slot).declaration;
+      const std::uint64_t hash = common::hash64(declaration.name);
+      // Rendezvous hashing: one group more or less moves that group's share of the engines only.
+      std::size_t best = first;
+      for (std::size_t group = first; group < groups_.size(); ++group) {
+        best = mix(hash, group - first) > mix(hash, best - first) ? group : best;
+      }
+      groups_[best].engines.push_back(slot);
+      group_of_[slot] = best;
+      homes_[model].push_back({hash, best, declaration.initial_role});
+    }
+  }
+}
+
+std::vector<Member> EngineGroups::eligibleMembers() const {
+  std::map<std::uint64_t, std::vector<Member>, std::greater<>> by_link;
+  for (const Member& member : membership_.members()) {
+    if (member.state == MemberState::kAlive) {
+      const auto megabits =
+          membership_.digest(member.node, membership::DigestTopic::kLinkMegabits).value_or(0);
+      by_link[static_cast<std::uint64_t>(std::bit_width(megabits))].push_back(member);
+    }
+  }
+  const std::size_t wanted = std::max(settings_.owners, groups_.size() / 2);
+  std::vector<Member> eligible;
+  for (const auto& [width, members] : by_link) {
+    if (eligible.size() >= wanted) {
+      break;
+    }
+    eligible.insert(eligible.end(), members.begin(), members.end());
+  }
+  return eligible;
+}
+
+void EngineGroups::findOwners() {
+  if (every_node_decides_) {
+    return;
+  }
+  const std::vector<Member> eligible = eligibleMembers();
+  for (EngineGroup& group : groups_) {
+    std::vector<std::pair<std::uint64_t, const Member*>> ranked;
+    ranked.reserve(eligible.size());
+    for (const Member& member : eligible) {
+      ranked.emplace_back(membership::rendezvousRank(group.name, member.node), &member);
+    }
+    const auto count = static_cast<std::ptrdiff_t>(std::min(settings_.owners, ranked.size()));
+    std::partial_sort(ranked.begin(), ranked.begin() + count, ranked.end(),
+                      [](const auto& left, const auto& right) { return left.first > right.first; });
+    for (auto owner = ranked.begin(); owner != ranked.begin() + count; ++owner) {
+      group.owners.push_back(owner->second->node);
+    }
+  }
+}
+
+void EngineGroups::noteDeciders() {
+  other_owners_.clear();
+  all_deciders_.clear();
+  if (every_node_decides_) {
+    all_deciders_ = other_members_;
+    all_deciders_.push_back(membership_.self());
+    return;
+  }
+  std::set<common::NodeId> deciders;
+  for (const EngineGroup& group : groups_) {
+    deciders.insert(group.owners.begin(), group.owners.end());
+    auto& others = other_owners_.emplace_back(group.owners);
+    std::erase(others, membership_.self());
+  }
+  all_deciders_.assign(deciders.begin(), deciders.end());
+}
+
+common::NodeId EngineGroups::watcherOf(EngineSlot engine) const {
+  const auto& name = table_.record(engine).declaration.name;
+  if (every_node_decides_) {
+    return membership::rendezvousNode(name, membership_.members());
+  }
+  if (engine >= group_of_.size() || groups_.empty()) {
+    return {};
+  }
+  // The owners share the reading, as it is the most of their work.
+  common::NodeId best;
+  std::uint64_t best_rank = 0;
+  for (const common::NodeId& owner : groups_[group_of_[engine]].owners) {
+    const std::uint64_t rank = membership::rendezvousRank(name, owner);
+    if (best.empty() || rank > best_rank) {
+      best = owner;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+const std::vector<common::NodeId>& EngineGroups::otherDeciders(EngineSlot engine) const {
+  static const std::vector<common::NodeId> kNone;
+  if (every_node_decides_) {
+    return other_members_;
+  }
+  return engine < group_of_.size() && group_of_[engine] < other_owners_.size()
+             ? other_owners_[group_of_[engine]]
+             : kNone;
+}
+
+std::size_t EngineGroups::decidersPerEngine() const {
+  return every_node_decides_ ? other_members_.size() + 1 : 1;
+}
+
+bool EngineGroups::ownedHere(const EngineGroup& group) const {
+  return std::find(group.owners.begin(), group.owners.end(), membership_.self()) !=
+         group.owners.end();
+}
+
+bool EngineGroups::owns(const std::string& group) const {
+  return std::any_of(groups_.begin(), groups_.end(), [&](const EngineGroup& each) {
+    return each.name == group && ownedHere(each);
+  });
+}
+
+bool EngineGroups::decides(EngineSlot engine) const {
+  return every_node_decides_ ||
+         (engine < group_of_.size() && ownedHere(groups_[group_of_[engine]]));
+}
+
+std::size_t EngineGroups::enginesDecided() const {
+  std::size_t count = 0;
+  for (const EngineGroup& group : groups_) {
+    count += every_node_decides_ || ownedHere(group) ? group.engines.size() : 0;
+  }
+  return count;
+}
+
+std::vector<const EngineGroup*> EngineGroups::homesOf(const common::ModelName& model,
+                                                      common::PieceHash shared_part,
+                                                      common::RandomSource& random) const {
+  std::vector<const EngineGroup*> homes;
+  const auto found = homes_.find(model);
+  if (found == homes_.end()) {
+    return homes;
+  }
+  const engines::EngineRole unsuited =
+      shared_part != 0 ? engines::EngineRole::kDecode : engines::EngineRole::kPrefill;
+  std::vector<const HomeEngine*> engines;
+  for (const HomeEngine& engine : found->second) {
+    if (engine.role != unsuited) {
+      engines.push_back(&engine);
+    }
+  }
+  if (engines.empty()) {
+    for (const HomeEngine& engine : found->second) {
+      engines.push_back(&engine);
+    }
+  }
+  const auto rank = [shared_part](const HomeEngine* engine) {
+    return mix(engine->name_hash, shared_part);
+  };
+  const auto add = [&](const HomeEngine* engine) {
+    homes.push_back(&groups_[engine->group]);
+    std::erase_if(engines,
+                  [engine](const HomeEngine* other) { return other->group == engine->group; });
+  };
+  while (homes.size() < kHomes && !engines.empty()) {
+    add(shared_part == 0 ? engines[random.below(engines.size())]
+                         : *std::max_element(engines.begin(), engines.end(),
+                                             [&rank](const auto* left, const auto* right) {
+                                               return rank(left) < rank(right);
+                                             }));
+  }
+  return homes;
+}
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/engine_table.cpp
+++ b/src/cypresswall/routing/engine_table.cpp
@@ -68,6 +68,11 @@
   }
 }
 
+bool EngineTable::leaves(EngineSlot slot) const {
+  const Entry& entry = entries_[slot];
+  return entry.machine_leaving || entry.drained_by_operator || entry.record.draining;
+}
+
 void EngineTable::applyOperatorDrains(const configuration::FleetConfiguration& fleet) {
   for (const EngineSlot slot : roster_) {
     Entry& entry = entries_[slot];
--- a/src/cypresswall/routing/engine_table.h
+++ b/src/cypresswall/routing/engine_table.h
@@ -47,6 +47,9 @@
   void eject(EngineSlot slot, common::MonotonicTime until, common::MonotonicTime now);
   /// \return the end of its last ejection; the clock's beginning if it never was ejected.
   common::MonotonicTime ejectedUntil(EngineSlot slot) const { return entries_[slot].ejected_until; }
+  /// \return true if the engine may get no work whatever its load: its machine leaves, or operators
+  ///   or the zone's controller drain it.
+  bool leaves(EngineSlot slot) const;
   void setReachable(EngineSlot slot, bool reachable, common::MonotonicTime now);
   void setWatched(EngineSlot slot, bool watched) { entries_[slot].record.watched_here = watched; }
   /// Finds engines that fell silent.
--- /dev/null
+++ b/src/cypresswall/routing/placement_messages.h
@@ -0,0 +1,128 @@
+/// Messages by which a node asks the owner of a group of engines for a place, and tells it what
+/// became of the attempt.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cypresswall/api/envelope.h"
+#include "cypresswall/routing/router.h"
+
+namespace cypresswall::routing {
+enum class PlacementOutcome : std::uint8_t;
+enum class AttemptStep : std::uint8_t;
+}  // namespace cypresswall::routing
+MSGPACK_ADD_ENUM(cypresswall::routing::PlacementOutcome)
+MSGPACK_ADD_ENUM(cypresswall::routing::AttemptStep)
+MSGPACK_ADD_ENUM(cypresswall::engines::StreamFailure)
+
+namespace cypresswall::routing {
+
+/// Asks for a place on one of a group's engines. Fields as in RouteRequest; times in microseconds.
+struct PlacementRequest {
+  static constexpr api::MessageType kType = api::messageType(api::MessageType::kRoutingFirst, 5);
+
+  /// Tells the answers to several requests for one stream apart.
+  std::uint64_t number = 0;
+  std::string group;
+  std::string stream_id;
+  common::ModelName model;
+  std::string version;
+  std::string adapter;
+  std::uint32_t tokens = 0;
+  std::vector<common::PieceHash> pieces;
+  std::vector<std::uint32_t> piece_ends;
+  std::uint32_t maximum_tokens = 0;
+  std::uint32_t resume_from = 0;
+  std::uint8_t priority = 0;
+  std::int64_t first_token_limit = 0;
+  std::int64_t between_tokens_limit = 0;
+  std::vector<common::EngineName> excluded;
+
+  MSGPACK_DEFINE(number, group, stream_id, model, version, adapter, tokens, pieces, piece_ends,
+                 maximum_tokens, resume_from, priority, first_token_limit, between_tokens_limit,
+                 excluded)
+};
+
+enum class PlacementOutcome : std::uint8_t {
+  kPlaced = 0,
+  /// No engine of the group can meet the limits.
+  kOverloaded = 1,
+  /// The node can't choose now: it is no owner of the group, or knows no engine that may get work.
+  kUnable = 2,
+  /// No engine is known to serve the model.
+  kUnknownModel = 3,
+};
+
+/// An engine as messages name it.
+struct PlacedEngine {
+  common::EngineName name;
+  common::Address address;
+
+  MSGPACK_DEFINE(name, address)
+};
+
+/// Answers a PlacementRequest. Fields as in Route and RouteRefusal; times in microseconds.
+struct PlacementAnswer {
+  static constexpr api::MessageType kType = api::messageType(api::MessageType::kRoutingFirst, 6);
+
+  std::uint64_t number = 0;
+  std::string stream_id;
+  PlacementOutcome outcome = PlacementOutcome::kUnable;
+  PlacedEngine engine;
+  /// Empty names: the same engine computes the prompt; nothing is copied.
+  PlacedEngine prefill_engine;
+  PlacedEngine prefix_source;
+  std::string version;
+  std::int64_t expected_first_token = 0;
+  std::int64_t expected_between_tokens = 0;
+  std::int64_t expected_prompt = 0;
+  std::int64_t expected_wait = 0;
+  std::uint32_t expected_cached_tokens = 0;
+  std::uint32_t expected_copied_tokens = 0;
+  std::uint32_t known_holders = 0;
+  common::PieceHash shared_part = 0;
+  std::int64_t retry_after = 0;
+  std::int64_t report_age = 0;
+  std::string message;
+
+  MSGPACK_DEFINE(number, stream_id, outcome, engine, prefill_engine, prefix_source, version,
+                 expected_first_token, expected_between_tokens, expected_prompt, expected_wait,
+                 expected_cached_tokens, expected_copied_tokens, known_holders, shared_part,
+                 retry_after, report_age, message)
+};
+
+/// How far an attempt got.
+enum class AttemptStep : std::uint8_t {
+  kPromptComputed = 0,
+  kFirstToken = 1,
+  /// Ended with its whole answer.
+  kCompleted = 2,
+  /// Ended otherwise; also gives back a place that is not used.
+  kEnded = 3,
+  kFailed = 4,
+};
+
+/// Tells the owner that gave a place what became of the attempt. Nothing is sent again: a lost
+/// message costs worse estimates until the engine's next reports.
+struct AttemptProgress {
+  static constexpr api::MessageType kType = api::messageType(api::MessageType::kRoutingFirst, 7);
+
+  std::string stream_id;
+  AttemptStep step = AttemptStep::kEnded;
+  /// Of a failed attempt: where, and how.
+  common::EngineName engine;
+  engines::StreamFailure failure = engines::StreamFailure::kNotTried;
+
+  MSGPACK_DEFINE(stream_id, step, engine, failure)
+};
+
+PlacementRequest toMessage(const RouteRequest& request);
+/// \return false if the message can't be of a well-behaved node
+bool fromMessage(const PlacementRequest& message, RouteRequest& request);
+PlacementAnswer toMessage(const RouteChoice& choice);
+Route routeOf(const PlacementAnswer& answer);
+RouteRefusal refusalOf(const PlacementAnswer& answer);
+
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/src/cypresswall/routing/placement_router.h
@@ -0,0 +1,108 @@
+/// The asking side of placing: where this node decides about the engines itself it chooses at once,
+/// elsewhere it asks the owners of the groups in which the prompt is at home, one after the other,
+/// and tells the one that gave a place what becomes of the attempt. What waits for an owner waits
+/// for a bounded time; an owner that is silent is passed over.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/routing/placement_messages.h"
+#include "cypresswall/routing/router.h"
+
+namespace cypresswall::routing {
+
+class PlacementRouter final : public Router {
+ public:
+  /// Registers the handler of PlacementAnswer.
+  /// \param local chooses among the engines that this node decides about
+  /// \pre all references outlive this object
+  PlacementRouter(const PlacementSettings& settings, const RouterSettings& router_settings,
+                  const api::ProcessContext& context, EngineDirectory& directory, Router& local);
+
+  RouteChoice choose(const RouteRequest& request) override { return local_.choose(request); }
+  void place(const RouteRequest& request, const PlacementCallback& done) override;
+  void abandonPlacement(const std::string& stream_id) override;
+  bool takesWork(const engines::EngineEndpoint& engine) const override;
+  void attemptStarted(const RouteRequest& request, const Route& route) override {
+    local_.attemptStarted(request, route);
+  }
+  void promptComputed(const std::string& stream_id) override;
+  void firstTokenReceived(const std::string& stream_id) override;
+  void answerCompleted(const std::string& stream_id) override;
+  void attemptFinished(const std::string& stream_id) override;
+  void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
+                     engines::StreamFailure failure) override;
+
+  /// \return requests that wait for an owner's answer.
+  std::size_t waiting() const { return waiting_.size(); }
+
+ private:
+  /// One owner that may be asked.
+  struct Candidate {
+    common::NodeId node;
+    std::string group;
+  };
+  /// A request that waits for a place.
+  struct Waiting {
+    RouteRequest request;
+    PlacementCallback done;
+    std::deque<Candidate> candidates;
+    Candidate asked;
+    std::uint64_t number = 0;
+    std::size_t asks = 0;
+    common::TimerId timer = 0;
+    common::MonotonicTime asked_at{};
+    /// The last refusal, for when nobody gives a place.
+    std::optional<RouteRefusal> refusal;
+  };
+  /// A place that another node gave.
+  struct Placed {
+    common::NodeId owner;
+    /// The owner's estimates rest on the time of the first token.
+    bool tells_first_token = false;
+    bool completed = false;
+  };
+
+  std::deque<Candidate> candidatesFor(const RouteRequest& request);
+  bool unresponsive(const common::NodeId& node) const;
+  /// Asks the next owner, or chooses here if that is this node, or gives up.
+  void askNext(const std::string& stream_id);
+  void ask(Waiting& waiting, const Candidate& candidate);
+  void placeHere(const std::string& stream_id);
+  void giveUp(const std::string& stream_id);
+  void onSilence(const std::string& stream_id);
+  void onAnswer(const common::NodeId& sender, const PlacementAnswer& answer);
+  void onRefusal(Waiting& waiting, const PlacementAnswer& answer);
+  void giveBackUnlessUsed(const common::NodeId& owner, const std::string& stream_id);
+  /// \return true if the place can be used: its engines are known here and may get work
+  bool usable(const Route& route) const;
+  bool known(const engines::EngineEndpoint& engine) const;
+  void tell(const common::NodeId& owner, const std::string& stream_id, AttemptStep step);
+  void finish(const std::string& stream_id, RouteChoice choice);
+  common::Duration answerLimit(const RouteRequest& request) const;
+
+  PlacementSettings settings_;
+  double long_prompt_tokens_;
+  std::uint32_t long_answer_tokens_;
+  const api::ProcessContext& context_;
+  EngineDirectory& directory_;
+  Router& local_;
+  std::unordered_map<std::string, Waiting> waiting_;
+  std::unordered_map<std::string, Placed> placed_;
+  std::unordered_map<common::NodeId, common::MonotonicTime> unresponsive_until_;
+  std::uint64_t next_number_ = 1;
+  common::Counter& asked_;
+  common::Counter& answered_;
+  common::Counter& silent_;
+  common::Counter& late_;
+  common::Counter& unusable_;
+  common::Counter& no_owner_;
+};
+
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/src/cypresswall/routing/placement_service.cpp
@@ -0,0 +1,144 @@
+#include "cypresswall/routing/placement_service.h"
+
+#include <utility>
+#include <vector>
+
+namespace cypresswall::routing {
+namespace {
+
+constexpr common::Duration kSweepInterval = std::chrono::seconds(1);
+
+common::Counter& answers(common::CounterRegistry& registry, const char* outcome) {
+  return registry.counter("cypresswall_placement_answers_total",
+                          "Answers to other nodes that asked for a place", "outcome", outcome);
+}
+
+common::Counter& dropped(common::CounterRegistry& registry, const char* reason) {
+  return registry.counter("cypresswall_placement_dropped_total",
+                          "Messages about places that were dropped", "reason", reason);
+}
+
+}  // namespace
+
+PlacementService::PlacementService(const PlacementSettings& settings,
+                                   const api::ProcessContext& context, EngineDirectory& directory,
+                                   Router& router)
+    : settings_(settings),
+      context_(context),
+      directory_(directory),
+      router_(router),
+      placed_(answers(context.counters, "placed")),
+      refused_(answers(context.counters, "refused")),
+      not_owner_(answers(context.counters, "not-owner")),
+      full_(answers(context.counters, "full")),
+      invalid_(dropped(context.counters, "invalid")),
+      unknown_(dropped(context.counters, "unknown-place")),
+      expired_(context.counters.counter("cypresswall_placement_expired_total",
+                                        "Places taken back: their end was never told")) {
+  context_.dispatcher.handle<PlacementRequest>(
+      [this](const common::NodeId& sender, const PlacementRequest& message) {
+        onRequest(sender, message);
+      });
+  context_.dispatcher.handle<AttemptProgress>(
+      [this](const common::NodeId& sender, const AttemptProgress& progress) {
+        onProgress(sender, progress);
+      });
+  context_.scheduler.schedule(kSweepInterval, [this] { sweep(); });
+}
+
+void PlacementService::onRequest(const common::NodeId& sender, const PlacementRequest& message) {
+  RouteRequest request;
+  const auto known = places_.find(message.stream_id);
+  const bool of_another = known != places_.end() && known->second.node != sender;
+  if (of_another || !fromMessage(message, request)) {
+    invalid_.add();
+    return;
+  }
+  // Asked again, or told twice by the network: what was given before is not used.
+  giveBack(request.stream_id);
+  const RouteChoice choice = choose(request, message.group);
+  if (const auto* const route = std::get_if<Route>(&choice)) {
+    router_.attemptStarted(request, *route);
+    places_[request.stream_id] = Place{sender, context_.clock.now()};
+    placed_.add();
+  }
+  PlacementAnswer answer = toMessage(choice);
+  answer.number = message.number;
+  answer.stream_id = message.stream_id;
+  context_.sendTo(sender, answer);
+}
+
+RouteChoice PlacementService::choose(const RouteRequest& request, const std::string& group) {
+  if (!directory_.groups().everyNodeDecides() && !directory_.groups().owns(group)) {
+    not_owner_.add();
+    return RouteRefusal{RouteFailure::kOverloaded, settings_.retry_after,
+                        "this node does not decide about these engines", std::nullopt};
+  }
+  if (places_.size() >= settings_.maximum_places) {
+    full_.add();
+    return RouteRefusal{RouteFailure::kOverloaded, settings_.retry_after,
+                        "this node has given as many places as it can follow", std::nullopt};
+  }
+  RouteChoice choice = router_.choose(request);
+  if (std::holds_alternative<RouteRefusal>(choice)) {
+    refused_.add();
+  }
+  return choice;
+}
+
+void PlacementService::onProgress(const common::NodeId& sender, const AttemptProgress& progress) {
+  const auto place = places_.find(progress.stream_id);
+  if (place == places_.end() || place->second.node != sender) {
+    unknown_.add();
+    return;
+  }
+  switch (progress.step) {
+    case AttemptStep::kPromptComputed:
+      router_.promptComputed(progress.stream_id);
+      break;
+    case AttemptStep::kFirstToken:
+      router_.firstTokenReceived(progress.stream_id);
+      break;
+    case AttemptStep::kCompleted:
+      router_.answerCompleted(progress.stream_id);
+      giveBack(progress.stream_id);
+      break;
+    case AttemptStep::kEnded:
+      giveBack(progress.stream_id);
+      break;
+    case AttemptStep::kFailed:
+      onFailed(sender, progress);
+      break;
+    default:
+      invalid_.add();
+  }
+}
+
+void PlacementService::onFailed(const common::NodeId& sender, const AttemptProgress& progress) {
+  giveBack(progress.stream_id);
+  directory_.ejection().placedAttemptFailed(sender, directory_.table().slotOf(progress.engine),
+                                            progress.failure);
+}
+
+void PlacementService::giveBack(const std::string& stream_id) {
+  if (places_.erase(stream_id) != 0) {
+    router_.attemptFinished(stream_id);
+  }
+}
+
+void PlacementService::sweep() {
+  context_.scheduler.schedule(kSweepInterval, [this] { sweep(); });
+  const auto now = context_.clock.now();
+  std::vector<std::string> expired;
+  for (const auto& [stream_id, place] : places_) {
+    if (now - place.given_at > settings_.place_time_limit) {
+      expired.push_back(stream_id);
+    }
+  }
+  for (const std::string& stream_id : expired) {
+    expired_.add();
+    giveBack(stream_id);
+  }
+}
+
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/src/cypresswall/routing/placement_service.h
@@ -0,0 +1,53 @@
+/// The owner's side of placing: gives other nodes places on the engines of the groups that this
+/// node owns, and follows what becomes of them.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "cypresswall/api/process_context.h"
+#include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/routing/placement_messages.h"
+
+namespace cypresswall::routing {
+
+class PlacementService {
+ public:
+  /// Registers the handlers of PlacementRequest and AttemptProgress.
+  /// \param router chooses among the engines that this node decides about
+  /// \pre all references outlive this object
+  PlacementService(const PlacementSettings& settings, const api::ProcessContext& context,
+                   EngineDirectory& directory, Router& router);
+
+  /// \return places that were given and not given back.
+  std::size_t places() const { return places_.size(); }
+
+ private:
+  struct Place {
+    /// The node that got it.
+    common::NodeId node;
+    common::MonotonicTime given_at{};
+  };
+
+  void onRequest(const common::NodeId& sender, const PlacementRequest& message);
+  RouteChoice choose(const RouteRequest& request, const std::string& group);
+  void onProgress(const common::NodeId& sender, const AttemptProgress& progress);
+  void onFailed(const common::NodeId& sender, const AttemptProgress& progress);
+  void giveBack(const std::string& stream_id);
+  void sweep();
+
+  PlacementSettings settings_;
+  const api::ProcessContext& context_;
+  EngineDirectory& directory_;
+  Router& router_;
+  std::unordered_map<std::string, Place> places_;
+  common::Counter& placed_;
+  common::Counter& refused_;
+  common::Counter& not_owner_;
+  common::Counter& full_;
+  common::Counter& invalid_;
+  common::Counter& unknown_;
+  common::Counter& expired_;
+};
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/prefix_index.cpp
+++ b/src/cypresswall/routing/prefix_index.cpp
@@ -66,7 +66,8 @@
 
 void PrefixIndex::makeRoom(EngineSlot slot) {
   Engine& engine = engines_[slot];
-  const std::size_t most = std::max<std::size_t>(1, settings_.maximum_pieces / engines_.size());
+  const std::size_t sharers = sharers_ == 0 ? engines_.size() : sharers_;
+  const std::size_t most = std::max<std::size_t>(1, settings_.maximum_pieces / sharers);
   const auto full = [&] {
     return engine.held.size() > most || (engine.capacity > 0 && engine.tokens > engine.capacity);
   };
--- a/src/cypresswall/routing/prefix_index.h
+++ b/src/cypresswall/routing/prefix_index.h
@@ -33,6 +33,9 @@
   /// Sets the tokens that an engine has memory for; zero if that is not known. Does nothing unless
   /// caches are foretold.
   void setCapacity(EngineSlot engine, std::uint64_t tokens);
+  /// Sets the number of engines that share the memory of the index; as many as were ever named
+  /// unless this is called.
+  void shareAmong(std::size_t engines) { sharers_ = engines; }
   /// Notes that `engine` holds `piece`, and that it was used just now.
   /// \param tokens length of the piece; zero takes the length known of it, or the usual one
   void stored(EngineSlot engine, common::PieceHash piece, std::uint32_t tokens,
@@ -101,6 +104,7 @@
   std::vector<Engine> engines_;
   std::unordered_map<common::PieceHash, Piece> pieces_;
   std::size_t size_ = 0;
+  std::size_t sharers_ = 0;
 };
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -2,11 +2,14 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/prompt.h"
 #include "cypresswall/common/result.h"
 #include "cypresswall/common/time.h"
@@ -43,6 +46,8 @@
   common::Duration expected_first_token{0};
   common::Duration expected_between_tokens{0};
   std::uint32_t expected_cached_tokens = 0;
+  /// The node that chose, if it was another one.
+  common::NodeId chosen_by;
   /// Set when the engine that computes the prompt first copies a cached part of it from another.
   std::optional<engines::EngineEndpoint> prefix_source;
   std::uint32_t expected_copied_tokens = 0;
@@ -81,11 +86,24 @@
 };
 
 using RouteChoice = std::variant<Route, RouteRefusal>;
+using PlacementCallback = std::function<void(RouteChoice)>;
 
 class Router {
  public:
   virtual ~Router() = default;
+  /// Chooses by what this node knows.
   virtual RouteChoice choose(const RouteRequest& request) = 0;
+  /// Chooses, perhaps by asking another node, and notes the attempt as started. `done` is called
+  /// once, before the call returns or later, unless the placement is abandoned.
+  virtual void place(const RouteRequest& request, const PlacementCallback& done) {
+    RouteChoice choice = choose(request);
+    if (const Route* const route = std::get_if<Route>(&choice)) {
+      attemptStarted(request, *route);
+    }
+    done(std::move(choice));
+  }
+  /// The request ended before its placement was answered.
+  virtual void abandonPlacement(const std::string&) {}
   /// Asked again before the second stream of a route that was chosen some time ago.
   /// \return false if the engine may not be given new work by now: leaving, drained or away
   virtual bool takesWork(const engines::EngineEndpoint& engine) const = 0;
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -50,6 +50,39 @@
   std::size_t remembered_failures = 32;
 };
 
+/// How engines are divided among the nodes that decide about them.
+struct GroupSettings {
+  /// Up to so many nodes, each decides about all engines.
+  std::size_t shared_limit = 24;
+  /// Engines of one model in a group, on average. Few enough for one small node to read and place:
+  /// at the users' 6 requests a second an engine some 100 requests; enough for roles and caches to
+  /// even out within a group.
+  std::size_t engines_per_group = 16;
+  /// Nodes that know a group's engines.
+  std::size_t owners = 2;
+};
+
+/// How places are asked of the owners of a group.
+struct PlacementSettings {
+  /// An owner that has not answered within this is passed over: some ten times what an answer takes
+  /// between zones. Shorter where the request's own limit is short.
+  common::Duration answer_limit = std::chrono::milliseconds(100);
+  common::Duration least_answer_limit = std::chrono::milliseconds(25);
+  /// Share of the time to the first token that waiting for one answer may take.
+  double answer_share = 0.25;
+  /// An owner that did not answer is asked last for this long. Its death is known after 2.5 s.
+  common::Duration unresponsive_time = std::chrono::milliseconds(500);
+  /// Owners asked for one attempt.
+  std::size_t maximum_asks = 4;
+  /// Retry-After where no owner answered.
+  common::Duration retry_after = std::chrono::seconds(1);
+  /// An owner forgets a place that it gave after this, though its end was not told.
+  common::Duration place_time_limit = std::chrono::seconds(60);
+  /// Places that an owner has given and not got back; beyond, it gives none. At 100 requests a
+  /// second that last 10 s, twenty times as many as are open.
+  std::size_t maximum_places = 20000;
+};
+
 /// How engines are watched and how what is learnt is passed on.
 struct DirectorySettings {
   /// Between two load reports read from one watched engine whose load moves.
@@ -79,6 +112,7 @@
   std::uint32_t unreachable_after_failures = 2;
   PrefixIndexSettings prefix_index;
   EjectionSettings ejection;
+  GroupSettings groups;
 };
 
 /// How the time that prompts take is learnt.
--- /dev/null
+++ b/src/cypresswall/routing/shared_part.cpp
@@ -0,0 +1,25 @@
+#include "cypresswall/routing/shared_part.h"
+
+#include <algorithm>
+
+namespace cypresswall::routing {
+namespace {
+
+/// Prompts that share fewer tokens than these needn't meet on one engine.
+constexpr std::uint32_t kLeastAffinityTokens = 1024;
+
+}  // namespace
+
+std::size_t affinityPieces(const common::PromptShape& shape) {
+  const std::size_t pieces = shape.piece_ends.empty()
+                                 ? std::min<std::size_t>(shape.pieces.size(), 1)
+                                 : shape.sharedPieces();
+  return shape.tokensOfPieces(pieces) < kLeastAffinityTokens ? 0 : pieces;
+}
+
+common::PieceHash sharedPartOf(const common::PromptShape& shape) {
+  const std::size_t pieces = affinityPieces(shape);
+  return pieces == 0 ? 0 : shape.pieces[pieces - 1];
+}
+
+}  // namespace cypresswall::routing
--- a/src/cypresswall/routing/work_exchange.cpp
+++ b/src/cypresswall/routing/work_exchange.cpp
@@ -3,14 +3,12 @@
 #include <string>
 #include <utility>
 
-#include "cypresswall/membership/zone_broadcast.h"
-
 namespace cypresswall::routing {
 
-WorkExchange::WorkExchange(const api::ProcessContext& context,
-                           const membership::MembershipView& membership, const EngineTable& table)
+WorkExchange::WorkExchange(const api::ProcessContext& context, const EngineGroups& groups,
+                           const EngineTable& table)
     : context_(context),
-      membership_(membership),
+      groups_(groups),
       table_(table),
       sent_(context.counters.counter("cypresswall_work_notices_sent_total",
                                      "Notices of long prompts sent to peers")),
@@ -36,7 +34,7 @@
   const std::uint32_t number = prompt.number;
   WorkNotice notice;
   notice.started.push_back(std::move(prompt));
-  send(notice);
+  send(engine, notice);
   return number;
 }
 
@@ -44,11 +42,13 @@
   prompt.engine = table_.record(engine).declaration.name;
   WorkNotice notice;
   notice.ended.push_back(std::move(prompt));
-  send(notice);
+  send(engine, notice);
 }
 
-void WorkExchange::send(const WorkNotice& notice) {
-  sent_.add(membership::sendToZone(context_, membership_, notice));
+void WorkExchange::send(EngineSlot engine, const WorkNotice& notice) {
+  const auto& receivers = groups_.otherDeciders(engine);
+  context_.sendToAll(receivers, notice);
+  sent_.add(receivers.size());
 }
 
 void WorkExchange::onNotice(const common::NodeId& sender, const WorkNotice& notice) {
--- a/src/cypresswall/routing/work_exchange.h
+++ b/src/cypresswall/routing/work_exchange.h
@@ -1,13 +1,13 @@
-/// Tells the zone's other nodes at once of each long prompt that this node sends to an engine, and
-/// of its end. Load reports come too late for that: such a prompt holds an engine for a tenth of a
-/// second and more, and reports are a few tenths old.
+/// Tells the other nodes that decide about an engine at once of each long prompt that this node
+/// sends to it, and of its end. Load reports come too late for that: such a prompt holds an engine
+/// for a tenth of a second and more, and reports are a few tenths old.
 #pragma once
 
 #include <cstdint>
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
-#include "cypresswall/membership/membership_view.h"
+#include "cypresswall/routing/engine_groups.h"
 #include "cypresswall/routing/engine_table.h"
 #include "cypresswall/routing/prompt_backlog.h"
 
@@ -76,13 +76,13 @@
   };
 
   /// Registers the handler of WorkNotice.
-  WorkExchange(const api::ProcessContext& context, const membership::MembershipView& membership,
+  WorkExchange(const api::ProcessContext& context, const EngineGroups& groups,
                const EngineTable& table);
 
   /// \param listener outlives this object, or nullptr
   void setListener(Listener* listener) { listener_ = listener; }
 
-  /// Tells the peers that this node sent a prompt to an engine. The names of the engines and
+  /// Tells them that this node sent a prompt to an engine. The names of the engines and
   /// `prompt.number` are filled in here.
   /// \param output kNoEngineSlot if the prompt stays where it is
   /// \return the number to end it with
@@ -94,11 +94,11 @@
 
  private:
   static PromptKey keyOf(const common::NodeId& node, std::uint32_t number);
-  void send(const WorkNotice& notice);
+  void send(EngineSlot engine, const WorkNotice& notice);
   void onNotice(const common::NodeId& sender, const WorkNotice& notice);
 
   const api::ProcessContext& context_;
-  const membership::MembershipView& membership_;
+  const EngineGroups& groups_;
   const EngineTable& table_;
   Listener* listener_ = nullptr;
   std::uint32_t next_number_ = 1;
--- a/src/cypresswall/store_relay/messages.h
+++ b/src/cypresswall/store_relay/messages.h
@@ -23,7 +23,8 @@
 }
 
 /// A reader tells its zone, at each change and each announcement interval, how far it has read. It
-/// tells so only while the store answers it.
+/// tells so only while the store answers it. In a large zone each node passes it on to a few others
+/// once it has what is announced.
 struct Announcement {
   static constexpr auto kType = api::messageType(api::MessageType::kStoreRelayFirst, 0);
   std::uint8_t topic = 0;
@@ -33,7 +34,10 @@
   std::uint64_t seen = 0;
   /// Bytes of the last batch of changes.
   std::uint32_t bytes = 0;
-  MSGPACK_DEFINE(topic, changed, seen, bytes)
+  /// The reader that tells, and a number that rises with each of its announcements of the topic.
+  common::NodeId reader;
+  std::uint64_t sequence = 0;
+  MSGPACK_DEFINE(topic, changed, seen, bytes, reader, sequence)
 };
 
 /// Asks a reader for all changes after `revision`.
--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -4,10 +4,16 @@
 #include <bit>
 #include <utility>
 
+#include "cypresswall/membership/broadcast_tree.h"
 #include "cypresswall/membership/rendezvous.h"
-#include "cypresswall/membership/zone_broadcast.h"
 
 namespace cypresswall::store_relay {
+namespace {
+
+/// Readers whose announcements are told apart; those that left the zone are forgotten beyond.
+constexpr std::size_t kRememberedReaders = 32;
+
+}  // namespace
 
 using membership::Member;
 using membership::MemberState;
@@ -58,7 +64,7 @@
 
 void StoreRelay::tickTopic(Topic topic, Followed& followed) {
   const bool reads = reader(topic);
-  if (reads) {
+  if (reads && !leavesAnnouncing(followed)) {
     announce(topic, followed);
   }
   const bool relying = !reads && hearsReaders(followed);
@@ -82,24 +88,60 @@
       .field("revision", followed.copy.revision());
 }
 
-void StoreRelay::announce(Topic topic, const Followed& followed) {
-  if (!withinLimit(followed.contact_time, settings_.reader_contact_limit)) {
-    return;
+void StoreRelay::announce(Topic topic, Followed& followed) {
+  if (withinLimit(followed.contact_time, settings_.reader_contact_limit)) {
+    passOn(Announcement{static_cast<std::uint8_t>(topic), followed.history.changed(),
+                        followed.history.revision(), followed.history.newestBytes(),
+                        membership_.self(), ++followed.own_sequence});
   }
-  membership::sendToZone(context_, membership_,
-                         Announcement{static_cast<std::uint8_t>(topic), followed.history.changed(),
-                                      followed.history.revision(), followed.history.newestBytes()});
+}
+
+bool StoreRelay::star() const { return membership_.members().size() <= settings_.star_limit; }
+
+bool StoreRelay::leavesAnnouncing(const Followed& followed) const {
+  return !star() && withinLimit(followed.first_reader_time, 2 * settings_.announcement_interval);
+}
+
+void StoreRelay::passOn(const Announcement& announcement) {
+  const auto& members = membership_.members();
+  const std::size_t fan_out = star() ? members.size() : settings_.fan_out;
+  for (const common::NodeId& child :
+       membership::treeChildren(announcement.reader, membership_.self(), members, fan_out)) {
+    context_.sendTo(child, announcement);
+  }
+}
+
+void StoreRelay::passOnWaiting(Followed& followed) {
+  std::erase_if(followed.waiting, [&](const auto& entry) {
+    const bool held = followed.copy.revision() >= entry.second.changed;
+    if (held) {
+      passOn(entry.second);
+    }
+    return held;
+  });
+}
+
+bool StoreRelay::noteSequence(Followed& followed, const Announcement& announcement) {
+  if (followed.sequences.size() > kRememberedReaders) {
+    followed.sequences.clear();
+    followed.waiting.clear();
+  }
+  std::uint64_t& last = followed.sequences[announcement.reader];
+  const bool later = announcement.sequence > last;
+  last = std::max(last, announcement.sequence);
+  return later;
+}
+
+StoreRelay::Rank StoreRelay::rankOf(Topic topic, const common::NodeId& node) const {
+  return {linkClass(node), rendezvousRank(nameOf(topic), node)};
 }
 
 bool StoreRelay::reader(Topic topic) const {
-  const auto rankOf = [&](const common::NodeId& node) {
-    return std::pair(linkClass(node), rendezvousRank(nameOf(topic), node));
-  };
-  const auto own = rankOf(membership_.self());
-  const auto members = membership_.members();
+  const Rank own = rankOf(topic, membership_.self());
+  const auto& members = membership_.members();
   const auto ahead = std::count_if(members.begin(), members.end(), [&](const Member& member) {
     return member.state == MemberState::kAlive && member.node != membership_.self() &&
-           rankOf(member.node) > own;
+           rankOf(topic, member.node) > own;
   });
   return static_cast<std::size_t>(ahead) < settings_.readers;
 }
@@ -132,6 +174,7 @@
   Followed& followed = followed_.at(topic);
   followed.contact_time = context_.clock.now();
   followed.history.restart(revision);
+  passOnWaiting(followed);
 }
 
 void StoreRelay::read(Topic topic, std::vector<StoreChange> changes, std::uint64_t revision) {
@@ -139,6 +182,7 @@
   followed.contact_time = context_.clock.now();
   const bool changed = !changes.empty();
   followed.history.add(std::move(changes), revision);
+  passOnWaiting(followed);
   if (changed && reader(topic)) {
     announce(topic, followed);
   }
@@ -151,10 +195,20 @@
 
 void StoreRelay::onAnnouncement(const common::NodeId& sender, const Announcement& announcement) {
   Followed* const followed = find(announcement.topic);
-  if (followed == nullptr || followed->copy.revision() == 0) {
+  const bool own = announcement.reader == membership_.self();
+  if (followed == nullptr || own || !noteSequence(*followed, announcement)) {
     return;
   }
+  followed->waiting[announcement.reader] = announcement;
+  if (followed->copy.revision() == 0) {
+    return;
+  }
+  passOnWaiting(*followed);
   followed->heard_time = context_.clock.now();
+  const auto followed_topic = static_cast<Topic>(announcement.topic);
+  if (rankOf(followed_topic, announcement.reader) > rankOf(followed_topic, membership_.self())) {
+    followed->first_reader_time = followed->heard_time;
+  }
   if (announcement.changed > followed->announced) {
     if (!behind(*followed)) {
       followed->behind_since = context_.clock.now();
@@ -187,6 +241,7 @@
     return false;
   }
   followed.history.add(std::move(changes), revision);
+  passOnWaiting(followed);
   return true;
 }
 
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -4,12 +4,14 @@
 /// far they have read. The other nodes ask a reader for what changed, and call the store only if no
 /// reader was heard of lately, or if a reader can't give them what they lack. So the store's calls
 /// don't grow with the number of nodes, and a change goes to each node once instead of from all to
-/// all.
+/// all. In a large zone announcements go down a tree that the reader is the root of, and each node
+/// asks the one that told it: no node serves more than a few.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
@@ -23,10 +25,14 @@
 struct StoreRelaySettings {
   /// Readers of each topic in a zone.
   std::size_t readers = 3;
+  /// Up to so many nodes, a reader tells all others itself; beyond, each node tells `fan_out`.
+  std::size_t star_limit = 24;
+  std::size_t fan_out = 4;
   /// Longest wait of a reader's call at the store, and of another node's that hears of no reader.
   common::Duration reader_poll_time = std::chrono::milliseconds(1000);
   common::Duration other_poll_time = std::chrono::seconds(3);
-  /// Time between two announcements without a change between them.
+  /// Time between two announcements without a change between them. In a tree one reader makes them;
+  /// the others begin when they miss two of them.
   common::Duration announcement_interval = std::chrono::milliseconds(300);
   /// A reader that the store has not answered for this long announces nothing. Above the time of a
   /// poll that the store held to its end.
@@ -89,6 +95,13 @@
     common::MonotonicTime behind_since{};
     /// When a reader was last heard of.
     std::optional<common::MonotonicTime> heard_time;
+    /// When a reader that goes before this node was last heard of.
+    std::optional<common::MonotonicTime> first_reader_time;
+    /// Number of the last announcement of each reader.
+    std::map<common::NodeId, std::uint64_t> sequences;
+    /// Announcements that wait to be passed on until this node has what they tell of.
+    std::map<common::NodeId, Announcement> waiting;
+    std::uint64_t own_sequence = 0;
     /// The newest change that a reader announced.
     std::uint64_t announced = 0;
     /// Bytes of that change.
@@ -101,7 +114,18 @@
   void registerHandlers();
   void tick();
   void tickTopic(Topic topic, Followed& followed);
-  void announce(Topic topic, const Followed& followed);
+  void announce(Topic topic, Followed& followed);
+  /// \return true if another reader makes the regular announcements
+  bool leavesAnnouncing(const Followed& followed) const;
+  bool star() const;
+  /// Sends an announcement on to the nodes that this one serves.
+  void passOn(const Announcement& announcement);
+  void passOnWaiting(Followed& followed);
+  /// Notes an announcement. \return false if it, or a later one of its reader, came before
+  static bool noteSequence(Followed& followed, const Announcement& announcement);
+  using Rank = std::pair<std::uint64_t, std::uint64_t>;
+  /// \return the node's rank among possible readers of the topic
+  Rank rankOf(Topic topic, const common::NodeId& node) const;
   bool reader(Topic topic) const;
   /// \return the doublings of the node's link, so that nodes of like links share the reading
   std::uint64_t linkClass(const common::NodeId& node) const;
@@ -115,7 +139,7 @@
   void onReply(const common::NodeId& sender, const ChangesReply& reply);
   /// Takes what a peer read.
   /// \return false if the copy can't take it
-  static bool take(Followed& followed, std::vector<StoreChange> changes, std::uint64_t revision);
+  bool take(Followed& followed, std::vector<StoreChange> changes, std::uint64_t revision);
   void pull(Topic topic, const common::NodeId& reader);
   void giveUpPull(Topic topic);
   /// \return what the bytes of the announced change may take over a busy link
--- /dev/null
+++ b/tests/membership/peer_table_test.cpp
@@ -0,0 +1,131 @@
+#include "cypresswall/membership/peer_table.h"
+
+#include <map>
+
+#include "tests/support/property.h"
+
+namespace cypresswall::membership {
+namespace {
+
+using Described = PeerTable::Described;
+using std::chrono::milliseconds;
+
+NodeDetails detailsOf(std::uint32_t version, std::uint32_t digests_version = 1) {
+  NodeDetails details;
+  details.zone = "z";
+  details.version = version;
+  details.digests_version = digests_version;
+  return details;
+}
+
+class PeerTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerTableTest);
+  CPPUNIT_TEST(tellsWhatDetailsBrought);
+  CPPUNIT_TEST(onlyTheSilenceOfWatchedPeersCounts);
+  CPPUNIT_TEST(aDepartedNodeIsKeptOutUntilItSaysMore);
+  CPPUNIT_TEST(newerDetailsOutliveADeparture);
+  CPPUNIT_TEST(theDepartureOfAnUnknownNodeIsNewsOnce);
+  CPPUNIT_TEST(theHashIsThatOfTheMembers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void tellsWhatDetailsBrought() {
+    CPPUNIT_ASSERT(table_.describe(node_, detailsOf(1), at(0)) == Described::kAdded);
+    CPPUNIT_ASSERT(table_.describe(node_, detailsOf(1), at(0)) == Described::kNothing);
+    CPPUNIT_ASSERT(table_.describe(node_, detailsOf(1, 2), at(0)) == Described::kDigests);
+    CPPUNIT_ASSERT(table_.describe(node_, detailsOf(2, 2), at(0)) == Described::kDetails);
+    CPPUNIT_ASSERT(table_.describe(node_, detailsOf(1, 9), at(0)) == Described::kNothing);
+    const common::NodeId earlier{node_.address, node_.incarnation - 1};
+    CPPUNIT_ASSERT(table_.describe(earlier, detailsOf(9), at(0)) == Described::kOutdated);
+  }
+
+  void onlyTheSilenceOfWatchedPeersCounts() {
+    const common::NodeId other{"10.0.0.2:1", 1};
+    table_.describe(node_, detailsOf(1), at(0));
+    table_.describe(other, detailsOf(1), at(0));
+    table_.watch({node_}, at(1000));
+    bool changed = false;
+    CPPUNIT_ASSERT(table_.expire(at(2000), changed).empty());
+    CPPUNIT_ASSERT(!changed);
+    CPPUNIT_ASSERT(table_.expire(at(2400), changed).empty());
+    CPPUNIT_ASSERT(changed);
+    CPPUNIT_ASSERT(table_.find(node_)->state == MemberState::kSuspect);
+    CPPUNIT_ASSERT(table_.find(other)->state == MemberState::kAlive);
+    const auto dead = table_.expire(at(3500), changed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dead.size());
+    CPPUNIT_ASSERT(dead.front().node == node_);
+    CPPUNIT_ASSERT(table_.find(other) != nullptr);
+  }
+
+  void aDepartedNodeIsKeptOutUntilItSaysMore() {
+    table_.describe(node_, detailsOf(3), at(0));
+    CPPUNIT_ASSERT(table_.remove({node_, 3}, at(100)));
+    CPPUNIT_ASSERT(table_.describe(node_, detailsOf(3), at(200)) == Described::kDeparted);
+    CPPUNIT_ASSERT(table_.describe(node_, detailsOf(4), at(200)) == Described::kAdded);
+    CPPUNIT_ASSERT(table_.remove({node_, 4}, at(300)));
+    // Who missed the news for so long may be right.
+    CPPUNIT_ASSERT(table_.describe(node_, detailsOf(4), at(5400)) == Described::kAdded);
+  }
+
+  void newerDetailsOutliveADeparture() {
+    table_.describe(node_, detailsOf(3), at(0));
+    CPPUNIT_ASSERT(!table_.remove({node_, 2}, at(100)));
+    CPPUNIT_ASSERT(table_.find(node_) != nullptr);
+  }
+
+  void theDepartureOfAnUnknownNodeIsNewsOnce() {
+    CPPUNIT_ASSERT(table_.remove({node_, 1}, at(0)));
+    CPPUNIT_ASSERT(!table_.remove({node_, 1}, at(100)));
+    CPPUNIT_ASSERT(table_.remove({node_, 2}, at(100)));
+    const common::NodeId later{node_.address, node_.incarnation + 1};
+    CPPUNIT_ASSERT(table_.describe(later, detailsOf(1), at(200)) == Described::kAdded);
+    CPPUNIT_ASSERT(!table_.remove({node_, 7}, at(300)));
+    CPPUNIT_ASSERT(table_.find(later) != nullptr);
+  }
+
+  void theHashIsThatOfTheMembers() {
+    testing::requireProperty("the hash is that of the members", 100, [this] {
+      PeerTable table(settings_);
+      std::int64_t now = 0;
+      for (int step = 0; step < 60; ++step) {
+        now += 700;
+        const common::NodeId node{"10.0.0." + std::to_string(*rc::gen::inRange(1, 6)) + ":1",
+                                  *rc::gen::inRange<std::uint64_t>(1, 4)};
+        const auto version = *rc::gen::inRange<std::uint32_t>(1, 5);
+        bool changed = false;
+        switch (*rc::gen::inRange(0, 4)) {
+          case 0:
+            table.remove({node, version}, at(now));
+            break;
+          case 1:
+            table.expire(at(now), changed);
+            break;
+          case 2:
+            table.watch({node}, at(now));
+            break;
+          default:
+            table.describe(node, detailsOf(version), at(now));
+        }
+        std::uint64_t hash = 0;
+        for (const auto& [address, peer] : table.peers()) {
+          hash += PeerTable::memberHash(peer.node, peer.details.version);
+        }
+        RC_ASSERT(table.hash() == hash);
+      }
+    });
+  }
+
+ private:
+  static common::MonotonicTime at(std::int64_t count) {
+    return common::MonotonicTime(milliseconds(count));
+  }
+
+  MembershipSettings settings_;
+  PeerTable table_{settings_};
+  common::NodeId node_{"10.0.0.1:1", 5};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTableTest);
+
+}  // namespace
+}  // namespace cypresswall::membership
--- a/tests/orders/engine_control_test.cpp
+++ b/tests/orders/engine_control_test.cpp
@@ -153,7 +153,7 @@
     follower_ =
         std::make_unique<DrainFollower>(settings_.drain, *context_, *zone_->nodes[0].directory);
     drains_ = std::make_unique<DrainTable>(settings_.drain, *context_, *zone_->nodes[0].membership,
-                                           *follower_);
+                                           zone_->nodes[0].directory->groups(), *follower_);
     drains_->begin(authority_.epoch);
     control_ = std::make_unique<EngineControl>(
         settings_, *context_, authority_, *engine_, *drains_,
--- a/tests/routing/engine_directory_test.cpp
+++ b/tests/routing/engine_directory_test.cpp
@@ -83,6 +83,33 @@
   simulation::Simulation simulation_;
 };
 
+/// A node that knows no other yet, as long as the test says so.
+class JoiningMembership final : public membership::MembershipView {
+ public:
+  JoiningMembership(common::NodeId self, common::ZoneName zone)
+      : members_(std::move(self), std::move(zone)) {}
+
+  const common::NodeId& self() const override { return members_.self(); }
+  const common::ZoneName& zone() const override { return members_.zone(); }
+  const std::vector<membership::Member>& members() const override { return members_.members(); }
+  bool machineLeaving(const common::MachineName&) const override { return false; }
+  bool addressLeaving(const common::Address&) const override { return false; }
+  bool surelyDead(const common::NodeId&) const override { return false; }
+  void setDigest(membership::DigestTopic, std::uint64_t) override {}
+  std::optional<std::uint64_t> digest(const common::NodeId&,
+                                      membership::DigestTopic) const override {
+    return std::nullopt;
+  }
+  bool joining() const override { return is_joining; }
+  void onChange(std::function<void()> listener) override { members_.onChange(std::move(listener)); }
+  void setMembers(const std::vector<common::NodeId>& nodes) { members_.setMembers(nodes); }
+
+  bool is_joining = true;
+
+ private:
+  testing::SettableMembership members_;
+};
+
 class EngineDirectoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EngineDirectoryTest);
   CPPUNIT_TEST(everyNodeLearnsEveryEngine);
@@ -101,6 +128,8 @@
   CPPUNIT_TEST(quietCacheIsReadLessOften);
   CPPUNIT_TEST(listedCacheIsKnownToAllAtOnce);
   CPPUNIT_TEST(zoneOfManyNodesKnowsEveryEngine);
+  CPPUNIT_TEST(thePlanningNodeKnowsEveryEngine);
+  CPPUNIT_TEST(aNodeThatJoinsReadsNothingYet);
   CPPUNIT_TEST(steadyZoneIsConfirmedLessOften);
   CPPUNIT_TEST(anEnginesSpeedIsToldOnce);
   CPPUNIT_TEST(identityThatNeverMatchesIsAskedForSeldom);
@@ -379,7 +408,7 @@
     }
   }
 
-  /// Two publications to 59 peers once cost more than the budget could ever save up.
+  /// Every engine is known, and stays so, at the two nodes of a large zone that decide about it.
   void zoneOfManyNodesKnowsEveryEngine() {
     Zone zone(17, 60, 60);
     for (int second = 0; second < 10; ++second) {
@@ -390,14 +419,59 @@
       if (second < 4) {
         continue;
       }
+      std::map<common::EngineName, int> knowing;
       for (const Node& node : zone.nodes) {
         for (const EngineRecord& record : node.directory->records()) {
-          CPPUNIT_ASSERT(record.availability == EngineAvailability::kAvailable);
+          const EngineSlot slot = node.directory->table().slotOf(record.declaration.name);
+          const bool known = record.availability == EngineAvailability::kAvailable;
+          CPPUNIT_ASSERT(known || !node.directory->groups().decides(slot));
+          knowing[record.declaration.name] += known ? 1 : 0;
         }
       }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{60}, knowing.size());
+      // An owner of two groups tells the owners of either of both.
+      constexpr int kMostKnowing = 6;
+      for (const auto& [engine, nodes] : knowing) {
+        CPPUNIT_ASSERT(nodes >= 2 && nodes <= kMostKnowing);
+      }
     }
   }
 
+  /// The node that plans roles knows every engine as well.
+  void thePlanningNodeKnowsEveryEngine() {
+    Zone zone(18, 40, 60);
+    const common::NodeId planner = zone.nodes[11].process->id();
+    for (const Node& node : zone.nodes) {
+      node.directory->setPlanningNode([planner] { return planner; });
+    }
+    zone.run(std::chrono::seconds(4));
+    for (const EngineRecord& record : zone.nodes[11].directory->records()) {
+      CPPUNIT_ASSERT(record.availability == EngineAvailability::kAvailable);
+    }
+  }
+
+  /// Until it knows others, a node of a large zone reads no engine: alone it would read all.
+  void aNodeThatJoinsReadsNothingYet() {
+    simulation::Simulation simulation(19);
+    auto& process = simulation.start("10.0.0.1:7000", "z");
+    auto& membership = process.emplace<JoiningMembership>(process.id(), "z");
+    membership.setMembers({process.id()});
+    testing::ScriptedEngines engines;
+    configuration::FleetConfiguration fleet;
+    testing::declareEngine(fleet, "e1", "m");
+    auto& configuration = process.emplace<testing::SettableConfiguration>();
+    auto& client = process.emplace<testing::ScriptedEngineClient>(process, engines);
+    auto& directory = process.emplace<EngineDirectory>(DirectorySettings{}, process.context(),
+                                                       client, configuration, membership);
+    directory.start();
+    configuration.set(fleet);
+    simulation.time().runFor(std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, engines["e1:1"].load_reads);
+    membership.is_joining = false;
+    simulation.time().runFor(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(engines["e1:1"].load_reads > 0);
+  }
+
   void steadyZoneIsConfirmedLessOften() {
     Zone zone(15, 2, 8);
     zone.run(std::chrono::seconds(3));
--- /dev/null
+++ b/tests/routing/engine_groups_test.cpp
@@ -0,0 +1,267 @@
+#include "cypresswall/routing/engine_groups.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "tests/support/engine_world.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::routing {
+namespace {
+
+using membership::Member;
+using membership::MemberState;
+
+constexpr const char* kModel = "m";
+
+common::NodeId nodeOf(int index) {
+  return {"10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250) + ":7000", 1};
+}
+
+/// The groups as one node of a zone works them out.
+class GroupsAt {
+ public:
+  GroupsAt(int self, const std::vector<Member>& members, int engines)
+      : membership_(nodeOf(self), "z"), table_(DirectorySettings{}) {
+    membership_.setMembers(members);
+    declare(engines);
+    groups_ = std::make_unique<EngineGroups>(GroupSettings{}, membership_, table_);
+    groups_->update();
+  }
+
+  void declare(int engines) {
+    configuration::FleetConfiguration fleet;
+    for (int i = 0; i < engines; ++i) {
+      const std::string name = "engine-" + std::to_string(i);
+      testing::declareEngine(fleet, name, kModel);
+      fleet.engines.at(name).initial_role =
+          i % 3 == 0 ? engines::EngineRole::kPrefill : engines::EngineRole::kDecode;
+    }
+    table_.declare(fleet, "z", {});
+  }
+  EngineGroups& groups() { return *groups_; }
+  testing::SettableMembership& membership() { return membership_; }
+  EngineTable& table() { return table_; }
+
+ private:
+  testing::SettableMembership membership_;
+  EngineTable table_;
+  std::unique_ptr<EngineGroups> groups_;
+};
+
+std::vector<Member> membersOf(int count) {
+  std::vector<Member> members;
+  for (int i = 0; i < count; ++i) {
+    members.push_back({nodeOf(i), "", MemberState::kAlive, ""});
+  }
+  std::sort(members.begin(), members.end(),
+            [](const Member& left, const Member& right) { return left.node < right.node; });
+  return members;
+}
+
+class EngineGroupsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EngineGroupsTest);
+  CPPUNIT_TEST(everyNodeDecidesInASmallZone);
+  CPPUNIT_TEST(fewNodesDecideInALargeZone);
+  CPPUNIT_TEST(allNodesWorkOutTheSame);
+  CPPUNIT_TEST(aLostNodeMovesItsShareOnly);
+  CPPUNIT_TEST(anEngineMoreMovesFew);
+  CPPUNIT_TEST(nodesWithRoomOnTheirLinksOwn);
+  CPPUNIT_TEST(leavingAndSuspectedNodesOwnNothing);
+  CPPUNIT_TEST(equalPromptsHaveEqualHomes);
+  CPPUNIT_TEST(homesGetAsMuchAsTheyCanCompute);
+  CPPUNIT_TEST(promptsWithoutASharedPartSpreadOverTheOutputEngines);
+  CPPUNIT_TEST(unknownModelsHaveNoHome);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void everyNodeDecidesInASmallZone() {
+    GroupsAt at(3, membersOf(24), 22);
+    CPPUNIT_ASSERT(at.groups().everyNodeDecides());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{24}, at.groups().decidersPerEngine());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{22}, at.groups().enginesDecided());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{23}, at.groups().otherDeciders(0).size());
+    CPPUNIT_ASSERT(at.groups().decides(21));
+  }
+
+  void fewNodesDecideInALargeZone() {
+    constexpr int kEngines = 163;
+    for (const int count : {25, 59, 295, 1000}) {
+      std::map<EngineSlot, int> deciders;
+      std::map<EngineSlot, int> watchers;
+      std::size_t most = 0;
+      for (int node = 0; node < count; ++node) {
+        GroupsAt at(node, membersOf(count), kEngines);
+        most = std::max(most, at.groups().enginesDecided());
+        for (const EngineSlot slot : at.table().roster()) {
+          deciders[slot] += at.groups().decides(slot) ? 1 : 0;
+          watchers[slot] += at.groups().watcherOf(slot) == nodeOf(node) ? 1 : 0;
+          CPPUNIT_ASSERT(at.groups().otherDeciders(slot).size() <= 2);
+        }
+      }
+      for (const auto& [slot, number] : deciders) {
+        CPPUNIT_ASSERT_EQUAL(2, number);
+        CPPUNIT_ASSERT_EQUAL(1, watchers[slot]);
+      }
+      // Eleven groups, so a node owns one or two where nodes are many.
+      CPPUNIT_ASSERT(count < 100 || most <= 75);
+    }
+  }
+
+  void allNodesWorkOutTheSame() {
+    GroupsAt first(0, membersOf(80), 60);
+    GroupsAt second(57, membersOf(80), 60);
+    common::SeededRandom random(1);
+    for (common::PieceHash part = 1; part < 200; ++part) {
+      const auto here = first.groups().homesOf(kModel, part, random);
+      const auto there = second.groups().homesOf(kModel, part, random);
+      CPPUNIT_ASSERT_EQUAL(here.size(), there.size());
+      for (std::size_t i = 0; i < here.size(); ++i) {
+        CPPUNIT_ASSERT_EQUAL(here[i]->name, there[i]->name);
+        CPPUNIT_ASSERT(here[i]->owners == there[i]->owners);
+      }
+    }
+  }
+
+  void aLostNodeMovesItsShareOnly() {
+    const auto members = membersOf(100);
+    GroupsAt at(0, members, 160);
+    std::map<EngineSlot, common::NodeId> before;
+    for (const EngineSlot slot : at.table().roster()) {
+      before[slot] = at.groups().watcherOf(slot);
+    }
+    const common::NodeId lost = before.begin()->second;
+    auto left = members;
+    std::erase_if(left, [&lost](const Member& member) { return member.node == lost; });
+    at.membership().setMembers(left);
+    at.groups().update();
+    for (const auto& [slot, watcher] : before) {
+      const common::NodeId now = at.groups().watcherOf(slot);
+      CPPUNIT_ASSERT(now != lost);
+      CPPUNIT_ASSERT(watcher == lost || now == watcher || at.groups().decides(slot) ||
+                     !at.groups().otherDeciders(slot).empty());
+    }
+  }
+
+  void anEngineMoreMovesFew() {
+    GroupsAt fewer(0, membersOf(100), 160);
+    GroupsAt more(0, membersOf(100), 161);
+    common::SeededRandom random(1);
+    int moved = 0;
+    constexpr int kParts = 1000;
+    for (common::PieceHash part = 1; part <= kParts; ++part) {
+      moved += fewer.groups().homesOf(kModel, part, random).front()->name !=
+                       more.groups().homesOf(kModel, part, random).front()->name
+                   ? 1
+                   : 0;
+    }
+    // One group of eleven is new.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(moved), moved < kParts / 5);
+  }
+
+  void nodesWithRoomOnTheirLinksOwn() {
+    const auto members = membersOf(295);
+    GroupsAt at(0, members, 163);
+    for (int node = 0; node < 295; ++node) {
+      at.membership().setLinkMegabits(nodeOf(node), node % 16 == 5 ? 200 : 20);
+    }
+    at.groups().update();
+    for (const common::NodeId& owner : at.groups().allDeciders()) {
+      CPPUNIT_ASSERT(at.membership().digest(owner, membership::DigestTopic::kLinkMegabits) ==
+                     std::optional<std::uint64_t>(200));
+    }
+    CPPUNIT_ASSERT(at.groups().allDeciders().size() >= 8);
+    // With too few of them, the others own as well.
+    for (int node = 0; node < 295; ++node) {
+      at.membership().setLinkMegabits(nodeOf(node), node == 5 ? 200 : 20);
+    }
+    at.groups().update();
+    CPPUNIT_ASSERT(at.groups().allDeciders().size() >= 8);
+  }
+
+  void leavingAndSuspectedNodesOwnNothing() {
+    auto members = membersOf(60);
+    GroupsAt at(0, members, 60);
+    const common::NodeId gone = at.groups().allDeciders().front();
+    for (const MemberState state : {MemberState::kLeaving, MemberState::kSuspect}) {
+      for (Member& member : members) {
+        member.state = member.node == gone ? state : MemberState::kAlive;
+      }
+      at.membership().setMembers(members);
+      at.groups().update();
+      const auto& deciders = at.groups().allDeciders();
+      CPPUNIT_ASSERT(std::find(deciders.begin(), deciders.end(), gone) == deciders.end());
+    }
+  }
+
+  void equalPromptsHaveEqualHomes() {
+    GroupsAt at(0, membersOf(295), 163);
+    common::SeededRandom random(1);
+    for (common::PieceHash part = 1; part < 50; ++part) {
+      const auto homes = at.groups().homesOf(kModel, part, random);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, homes.size());
+      CPPUNIT_ASSERT(homes[0] != homes[1]);
+      CPPUNIT_ASSERT(homes == at.groups().homesOf(kModel, part, random));
+    }
+  }
+
+  /// Groups differ in the engines that compute prompts, by chance: each is to get prompts for what
+  /// it has, so that none is busier than the rest.
+  void homesGetAsMuchAsTheyCanCompute() {
+    GroupsAt at(0, membersOf(295), 163);
+    common::SeededRandom random(1);
+    constexpr int kParts = 20000;
+    std::map<std::string, int> prompts;
+    std::map<std::string, std::set<EngineSlot>> computing;
+    for (common::PieceHash part = 1; part <= kParts; ++part) {
+      const EngineGroup& home = *at.groups().homesOf(kModel, part, random).front();
+      ++prompts[home.name];
+      for (const EngineSlot slot : home.engines) {
+        if (at.table().record(slot).declaration.initial_role == engines::EngineRole::kPrefill) {
+          computing[home.name].insert(slot);
+        }
+      }
+    }
+    constexpr double kMean = kParts / 55.0;
+    for (const auto& [group, count] : prompts) {
+      const double share = count / static_cast<double>(computing[group].size()) / kMean;
+      CPPUNIT_ASSERT_MESSAGE(group + " " + std::to_string(share), share > 0.8 && share < 1.2);
+    }
+  }
+
+  void promptsWithoutASharedPartSpreadOverTheOutputEngines() {
+    GroupsAt at(0, membersOf(295), 163);
+    common::SeededRandom random(1);
+    constexpr int kPrompts = 20000;
+    std::map<std::string, int> prompts;
+    std::map<std::string, int> outputs;
+    for (int i = 0; i < kPrompts; ++i) {
+      const EngineGroup& home = *at.groups().homesOf(kModel, 0, random).front();
+      ++prompts[home.name];
+      outputs[home.name] = static_cast<int>(
+          std::count_if(home.engines.begin(), home.engines.end(), [&at](EngineSlot slot) {
+            return at.table().record(slot).declaration.initial_role == engines::EngineRole::kDecode;
+          }));
+    }
+    constexpr double kMean = kPrompts / 108.0;
+    for (const auto& [group, count] : prompts) {
+      const double share = count / static_cast<double>(outputs[group]) / kMean;
+      CPPUNIT_ASSERT_MESSAGE(group + " " + std::to_string(share), share > 0.85 && share < 1.15);
+    }
+  }
+
+  void unknownModelsHaveNoHome() {
+    GroupsAt at(0, membersOf(295), 163);
+    common::SeededRandom random(1);
+    CPPUNIT_ASSERT(at.groups().homesOf("other", 7, random).empty());
+    CPPUNIT_ASSERT(at.groups().homesOf("other", 0, random).empty());
+    CPPUNIT_ASSERT(!at.groups().owns("other/0"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineGroupsTest);
+
+}  // namespace
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/tests/routing/placement_test.cpp
@@ -0,0 +1,613 @@
+/// Asking owners for places: who is asked, what becomes of silence, late and wrong answers, and how
+/// places are given back.
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "cypresswall/routing/placement_router.h"
+#include "cypresswall/routing/placement_service.h"
+#include "tests/support/engine_world.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kModel = "assistant";
+constexpr int kNodes = 30;
+constexpr int kEngines = 40;
+
+std::string idOf(const std::string& kind, int number) {
+  std::string id = kind;
+  return id.append(std::to_string(number));
+}
+
+/// A node's own router: gives the first engine that the node decides about, and notes what it is
+/// told.
+class OwnRouter final : public Router {
+ public:
+  explicit OwnRouter(EngineDirectory& directory) : directory_(directory) {}
+
+  RouteChoice choose(const RouteRequest& request) override {
+    ++chosen;
+    if (refuses) {
+      RouteRefusal refusal;
+      refusal.retry_after = seconds(3);
+      if (!knows_nothing) {
+        refusal.best = RefusedOffer{"engine", {}, {}, {}, {}};
+      }
+      return refusal;
+    }
+    for (const EngineSlot slot : directory_.table().roster()) {
+      const EngineRecord& record = directory_.table().record(slot);
+      const bool excluded = std::find(request.excluded.begin(), request.excluded.end(),
+                                      record.declaration.name) != request.excluded.end();
+      if (directory_.groups().decides(slot) && !excluded) {
+        Route route;
+        route.engine = record.endpoint();
+        if (wrong_address) {
+          route.engine.address = "10.9.9.9:1";
+        }
+        return route;
+      }
+    }
+    return RouteRefusal{};
+  }
+  bool takesWork(const engines::EngineEndpoint&) const override { return true; }
+  void attemptStarted(const RouteRequest& request, const Route&) override {
+    ++started;
+    open.insert(request.stream_id);
+  }
+  void promptComputed(const std::string&) override { ++computed; }
+  void firstTokenReceived(const std::string&) override { ++first_tokens; }
+  void answerCompleted(const std::string&) override { ++completed; }
+  void attemptFinished(const std::string& stream_id) override { open.erase(stream_id); }
+  void attemptFailed(const std::string& stream_id, const common::EngineName&,
+                     engines::StreamFailure) override {
+    open.erase(stream_id);
+  }
+
+  bool refuses = false;
+  bool knows_nothing = false;
+  bool wrong_address = false;
+  int chosen = 0;
+  int started = 0;
+  int computed = 0;
+  int first_tokens = 0;
+  int completed = 0;
+  std::set<std::string> open;
+
+ private:
+  EngineDirectory& directory_;
+};
+
+class PlacementZone {
+ public:
+  struct Node {
+    simulation::SimulatedProcess* process = nullptr;
+    testing::SettableMembership* membership = nullptr;
+    testing::SettableConfiguration* configuration = nullptr;
+    EngineDirectory* directory = nullptr;
+    OwnRouter* own = nullptr;
+    PlacementService* service = nullptr;
+    PlacementRouter* router = nullptr;
+  };
+
+  explicit PlacementZone(std::uint64_t seed = 1, PlacementSettings placement = {})
+      : settings(placement), simulation(seed) {
+    for (int i = 0; i < kEngines; ++i) {
+      testing::declareEngine(fleet, idOf("engine-", i), kModel);
+    }
+    for (int i = 0; i < kNodes; ++i) {
+      start(i);
+    }
+    showMembers();
+    simulation.time().runFor(seconds(1));
+  }
+
+  static common::Address addressOf(int index) { return idOf("10.0.0.", index + 1).append(":7000"); }
+
+  void start(int index) {
+    Node node;
+    node.process = &simulation.start(addressOf(index), "z");
+    auto& process = *node.process;
+    node.membership = &process.emplace<testing::SettableMembership>(process.id(), "z");
+    node.configuration = &process.emplace<testing::SettableConfiguration>();
+    auto& client = process.emplace<testing::ScriptedEngineClient>(process, engines_);
+    node.directory = &process.emplace<EngineDirectory>(
+        DirectorySettings{}, process.context(), client, *node.configuration, *node.membership);
+    node.own = &process.emplace<OwnRouter>(*node.directory);
+    node.service =
+        &process.emplace<PlacementService>(settings, process.context(), *node.directory, *node.own);
+    node.router = &process.emplace<PlacementRouter>(settings, RouterSettings{}, process.context(),
+                                                    *node.directory, *node.own);
+    node.directory->start();
+    node.configuration->set(fleet);
+    if (static_cast<std::size_t>(index) < nodes.size()) {
+      nodes[static_cast<std::size_t>(index)] = node;
+    } else {
+      nodes.push_back(node);
+    }
+  }
+  /// All nodes see those that run.
+  void showMembers() {
+    std::vector<membership::Member> members;
+    for (const Node& node : nodes) {
+      if (node.process->alive()) {
+        members.push_back({node.process->id(), "", membership::MemberState::kAlive, ""});
+      }
+    }
+    std::sort(members.begin(), members.end(),
+              [](const auto& left, const auto& right) { return left.node < right.node; });
+    for (const Node& node : nodes) {
+      if (node.process->alive()) {
+        node.membership->setMembers(members);
+      }
+    }
+  }
+  void run(common::Duration time) { simulation.time().runFor(time); }
+
+  static RouteRequest requestOf(const std::string& id, common::PieceHash part = 77) {
+    RouteRequest request;
+    request.stream_id = id;
+    request.model = kModel;
+    request.shape.tokens = 17000;
+    request.shape.pieces = {part, common::hash64(id)};
+    request.shape.piece_ends = {13000, 17000};
+    request.maximum_tokens = 5;
+    request.first_token_limit = seconds(1);
+    return request;
+  }
+  /// Asks at a node; the answer is noted under the request's stream.
+  void place(std::size_t node, const RouteRequest& request) {
+    nodes[node].router->place(request, [this, id = request.stream_id](RouteChoice choice) {
+      CPPUNIT_ASSERT_MESSAGE("answered twice", answers.count(id) == 0);
+      answers.emplace(id, std::move(choice));
+    });
+  }
+  bool placed(const std::string& id) const {
+    const auto answer = answers.find(id);
+    return answer != answers.end() && std::holds_alternative<Route>(answer->second);
+  }
+  const Route& route(const std::string& id) const { return std::get<Route>(answers.at(id)); }
+  const RouteRefusal& refusal(const std::string& id) const {
+    return std::get<RouteRefusal>(answers.at(id));
+  }
+  /// \return the owners of the homes of a shared part, in the order in which they are asked
+  std::vector<Node*> ownersOf(common::PieceHash part = 77) {
+    std::vector<Node*> owners;
+    common::SeededRandom random(1);
+    for (const EngineGroup* group : nodes[0].directory->groups().homesOf(kModel, part, random)) {
+      for (const common::NodeId& owner : group->owners) {
+        owners.push_back(&nodeAt(owner.address));
+      }
+    }
+    return owners;
+  }
+  /// \return a node that decides about nothing
+  std::size_t asker() {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (nodes[i].process->alive() && nodes[i].directory->groups().enginesDecided() == 0) {
+        return i;
+      }
+    }
+    CPPUNIT_FAIL("every node owns engines");
+    return 0;
+  }
+  Node& nodeAt(const common::Address& address) {
+    return *std::find_if(nodes.begin(), nodes.end(), [&address](const Node& node) {
+      return node.process->id().address == address;
+    });
+  }
+  std::size_t openPlaces() const {
+    std::size_t open = 0;
+    for (const Node& node : nodes) {
+      open += node.process->alive() ? node.own->open.size() : 0;
+    }
+    return open;
+  }
+  double count(const Node& node, const std::string& counter) const {
+    return node.process->counters().total(counter);
+  }
+
+  PlacementSettings settings;
+  simulation::Simulation simulation;
+  configuration::FleetConfiguration fleet;
+  std::deque<Node> nodes;
+  std::map<std::string, RouteChoice> answers;
+
+ private:
+  testing::ScriptedEngines engines_;
+};
+
+class PlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementTest);
+  CPPUNIT_TEST(theFirstOwnerGivesThePlace);
+  CPPUNIT_TEST(fewMessagesForARequest);
+  CPPUNIT_TEST(anOwnerChoosesByItself);
+  CPPUNIT_TEST(aKilledOwnerIsPassedOver);
+  CPPUNIT_TEST(aSilentOwnerIsAskedLast);
+  CPPUNIT_TEST(aFrozenOwnersLatePlaceIsGivenBack);
+  CPPUNIT_TEST(anOwnerCutOffOneWayIsPassedOver);
+  CPPUNIT_TEST(aFullGroupLeadsToTheSecondHome);
+  CPPUNIT_TEST(nobodyAnswers);
+  CPPUNIT_TEST(nodesThatSeeOtherMembersFindAPlace);
+  CPPUNIT_TEST(abandonedRequestsGiveTheirPlacesBack);
+  CPPUNIT_TEST(aPlaceOnALeavingEngineIsNotUsed);
+  CPPUNIT_TEST(aPlaceOnAnUnknownEngineIsNotUsed);
+  CPPUNIT_TEST(placesThatNobodyGivesBackExpire);
+  CPPUNIT_TEST(placesAreBounded);
+  CPPUNIT_TEST(strangersProgressIsDropped);
+  CPPUNIT_TEST(failuresAreTheAskersWordOnly);
+  CPPUNIT_TEST(brokenMessagesAreCountedAndRefused);
+  CPPUNIT_TEST(everyPlaceIsGivenBackUnderFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void theFirstOwnerGivesThePlace() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT(zone.placed("a"));
+    PlacementZone::Node& owner = *zone.ownersOf().front();
+    CPPUNIT_ASSERT(zone.route("a").chosen_by == owner.process->id());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.service->places());
+    auto& router = *zone.nodes[asker].router;
+    router.firstTokenReceived("a");
+    router.answerCompleted("a");
+    router.attemptFinished("a");
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(1, owner.own->first_tokens);
+    CPPUNIT_ASSERT_EQUAL(1, owner.own->completed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.openPlaces());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owner.service->places());
+  }
+
+  void fewMessagesForARequest() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    auto& router = *zone.nodes[asker].router;
+    router.promptComputed("a");
+    router.firstTokenReceived("a");
+    router.answerCompleted("a");
+    router.attemptFinished("a");
+    zone.run(milliseconds(20));
+    double messages = 0;
+    for (const auto& node : zone.nodes) {
+      messages += zone.count(node, "cypresswall_placement_asked_total") +
+                  zone.count(node, "cypresswall_placement_answers_total");
+    }
+    CPPUNIT_ASSERT_EQUAL(2.0, messages);
+  }
+
+  void anOwnerChoosesByItself() {
+    PlacementZone zone;
+    PlacementZone::Node* const owner = zone.ownersOf().front();
+    for (std::size_t i = 0; i < zone.nodes.size(); ++i) {
+      if (&zone.nodes[i] == owner) {
+        zone.place(i, PlacementZone::requestOf("a"));
+      }
+    }
+    CPPUNIT_ASSERT(zone.placed("a"));
+    CPPUNIT_ASSERT(zone.route("a").chosen_by.empty());
+    CPPUNIT_ASSERT_EQUAL(0.0, zone.count(*owner, "cypresswall_placement_asked_total"));
+  }
+
+  void aKilledOwnerIsPassedOver() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    const auto owners = zone.ownersOf();
+    zone.simulation.kill(*owners[0]->process);
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(zone.settings.answer_limit + milliseconds(20));
+    CPPUNIT_ASSERT(zone.placed("a"));
+    CPPUNIT_ASSERT(zone.route("a").chosen_by == owners[1]->process->id());
+    // Once its death is known the others have moved up.
+    zone.showMembers();
+    zone.run(milliseconds(500));
+    zone.place(asker, PlacementZone::requestOf("b"));
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT(zone.placed("b"));
+  }
+
+  void aSilentOwnerIsAskedLast() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    const auto owners = zone.ownersOf();
+    zone.simulation.pauseFor(*owners[0]->process, milliseconds(900));
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(150));
+    CPPUNIT_ASSERT(zone.placed("a"));
+    zone.place(asker, PlacementZone::requestOf("b"));
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT(zone.placed("b"));
+    CPPUNIT_ASSERT_EQUAL(1.0, zone.count(zone.nodes[asker], "cypresswall_placement_silent_total"));
+    // It is back, and is asked first again.
+    zone.run(seconds(1));
+    zone.place(asker, PlacementZone::requestOf("c"));
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT(zone.route("c").chosen_by == owners[0]->process->id());
+  }
+
+  void aFrozenOwnersLatePlaceIsGivenBack() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    const auto owners = zone.ownersOf();
+    zone.simulation.pauseFor(*owners[0]->process, seconds(1));
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(200));
+    CPPUNIT_ASSERT(zone.placed("a"));
+    zone.run(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1, owners[0]->own->started);
+    CPPUNIT_ASSERT(owners[0]->own->open.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.openPlaces());
+    CPPUNIT_ASSERT_EQUAL(1.0, zone.count(zone.nodes[asker], "cypresswall_placement_late_total"));
+  }
+
+  void anOwnerCutOffOneWayIsPassedOver() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    const auto owners = zone.ownersOf();
+    zone.simulation.network().cutAddresses(owners[0]->process->id().address,
+                                           zone.nodes[asker].process->id().address);
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(150));
+    CPPUNIT_ASSERT(zone.placed("a"));
+    CPPUNIT_ASSERT(zone.route("a").chosen_by == owners[1]->process->id());
+  }
+
+  void aFullGroupLeadsToTheSecondHome() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    const auto owners = zone.ownersOf();
+    owners[0]->own->refuses = true;
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT(zone.placed("a"));
+    CPPUNIT_ASSERT(zone.route("a").chosen_by == owners[2]->process->id());
+    // The other owner of the full group is not asked.
+    CPPUNIT_ASSERT_EQUAL(0, owners[1]->own->chosen);
+    for (const auto& owner : owners) {
+      owner->own->refuses = true;
+    }
+    zone.place(asker, PlacementZone::requestOf("b"));
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT(zone.refusal("b").retry_after == seconds(3));
+    CPPUNIT_ASSERT(zone.refusal("b").reason == RouteFailure::kOverloaded);
+  }
+
+  void nobodyAnswers() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    for (const auto& owner : zone.ownersOf()) {
+      zone.simulation.kill(*owner->process);
+    }
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(4 * zone.settings.answer_limit + milliseconds(20));
+    CPPUNIT_ASSERT(zone.refusal("a").retry_after == zone.settings.retry_after);
+    CPPUNIT_ASSERT_EQUAL(1.0,
+                         zone.count(zone.nodes[asker], "cypresswall_placement_no_owner_total"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodes[asker].router->waiting());
+  }
+
+  void nodesThatSeeOtherMembersFindAPlace() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    const auto owners = zone.ownersOf();
+    // The asker alone believes the first owner dead, so it asks one that is none.
+    std::vector<membership::Member> members = zone.nodes[asker].membership->members();
+    std::erase_if(members, [&](const membership::Member& member) {
+      return member.node == owners[0]->process->id();
+    });
+    zone.nodes[asker].membership->setMembers(members);
+    zone.run(milliseconds(500));
+    for (int i = 0; i < 20; ++i) {
+      zone.place(asker,
+                 PlacementZone::requestOf(idOf("a", i), static_cast<common::PieceHash>(i + 1)));
+    }
+    zone.run(milliseconds(100));
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT(zone.placed(idOf("a", i)));
+    }
+  }
+
+  void abandonedRequestsGiveTheirPlacesBack() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.nodes[asker].router->abandonPlacement("a");
+    zone.run(milliseconds(50));
+    CPPUNIT_ASSERT(zone.answers.empty());
+    CPPUNIT_ASSERT_EQUAL(1, zone.ownersOf().front()->own->started);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.openPlaces());
+  }
+
+  void aPlaceOnALeavingEngineIsNotUsed() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    const common::EngineName first = zone.route("a").engine.name;
+    // The asker knows already that the engine leaves, the owner does not.
+    zone.nodes[asker].membership->setLeaving(std::string("machine-").append(first), true);
+    CPPUNIT_ASSERT(!zone.nodes[asker].router->takesWork(zone.route("a").engine));
+    zone.place(asker, PlacementZone::requestOf("b"));
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT(zone.placed("b"));
+    CPPUNIT_ASSERT(zone.route("b").engine.name != first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, zone.openPlaces());
+    CPPUNIT_ASSERT_EQUAL(1.0,
+                         zone.count(zone.nodes[asker], "cypresswall_placement_unusable_total"));
+  }
+
+  void aPlaceOnAnUnknownEngineIsNotUsed() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    const auto owners = zone.ownersOf();
+    owners[0]->own->wrong_address = true;
+    owners[1]->own->wrong_address = true;
+    owners[2]->own->wrong_address = true;
+    owners[3]->own->wrong_address = true;
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(100));
+    CPPUNIT_ASSERT(!zone.placed("a"));
+    CPPUNIT_ASSERT(zone.answers.count("a") != 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.openPlaces());
+  }
+
+  void placesThatNobodyGivesBackExpire() {
+    PlacementSettings settings;
+    settings.place_time_limit = seconds(5);
+    PlacementZone zone(1, settings);
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    const PlacementZone::Node& owner = *zone.ownersOf().front();
+    zone.simulation.kill(*zone.nodes[asker].process);
+    zone.run(seconds(7));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.openPlaces());
+    CPPUNIT_ASSERT_EQUAL(1.0, zone.count(owner, "cypresswall_placement_expired_total"));
+  }
+
+  void placesAreBounded() {
+    PlacementSettings settings;
+    settings.maximum_places = 10;
+    PlacementZone zone(1, settings);
+    const std::size_t asker = zone.asker();
+    for (int i = 0; i < 100; ++i) {
+      zone.place(asker, PlacementZone::requestOf(idOf("a", i)));
+    }
+    zone.run(milliseconds(500));
+    for (const auto& node : zone.nodes) {
+      CPPUNIT_ASSERT(node.service->places() <= 10);
+    }
+    CPPUNIT_ASSERT(zone.openPlaces() <= 40);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, zone.answers.size());
+  }
+
+  void strangersProgressIsDropped() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    PlacementZone::Node& owner = *zone.ownersOf().front();
+    AttemptProgress progress;
+    progress.stream_id = "a";
+    const std::size_t stranger = asker == 0 ? 1 : 0;
+    const auto& context = zone.nodes[stranger].process->context();
+    context.sendTo(owner.process->id(), progress);
+    progress.stream_id = "no such stream";
+    context.sendTo(owner.process->id(), progress);
+    // Nor can it ask in the other's name.
+    PlacementRequest request = toMessage(PlacementZone::requestOf("a"));
+    context.sendTo(owner.process->id(), request);
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.service->places());
+    CPPUNIT_ASSERT_EQUAL(3.0, zone.count(owner, "cypresswall_placement_dropped_total"));
+  }
+
+  void failuresAreTheAskersWordOnly() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    const common::EngineName engine = zone.route("a").engine.name;
+    zone.nodes[asker].router->attemptFailed("a", engine, engines::StreamFailure::kNotSent);
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.openPlaces());
+    for (const auto& node : zone.nodes) {
+      CPPUNIT_ASSERT_EQUAL(0.0, zone.count(node, "cypresswall_engine_ejections_total"));
+    }
+  }
+
+  void brokenMessagesAreCountedAndRefused() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    PlacementZone::Node& owner = *zone.ownersOf().front();
+    const auto send = [&](const PlacementRequest& request) {
+      zone.nodes[asker].process->context().sendTo(owner.process->id(), request);
+      zone.run(milliseconds(5));
+    };
+    PlacementRequest request = toMessage(PlacementZone::requestOf("a"));
+    request.piece_ends.pop_back();
+    send(request);
+    request = toMessage(PlacementZone::requestOf("a"));
+    request.piece_ends = {17000, 13000};
+    send(request);
+    request = toMessage(PlacementZone::requestOf("a"));
+    request.excluded.resize(1000);
+    send(request);
+    CPPUNIT_ASSERT_EQUAL(3.0, zone.count(owner, "cypresswall_placement_dropped_total"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owner.service->places());
+    // A group that the node doesn't own, or that doesn't exist.
+    request = toMessage(PlacementZone::requestOf("a"));
+    request.group = "assistant/99";
+    send(request);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owner.service->places());
+    // An answer that nobody asked for.
+    PlacementAnswer answer;
+    answer.stream_id = "b";
+    answer.outcome = PlacementOutcome::kPlaced;
+    owner.process->context().sendTo(zone.nodes[asker].process->id(), answer);
+    zone.run(milliseconds(5));
+    CPPUNIT_ASSERT(zone.count(zone.nodes[asker], "cypresswall_placement_late_total") >= 1);
+  }
+
+  void everyPlaceIsGivenBackUnderFaults() {
+    testing::requireProperty("every place is given back", 30, [](std::uint32_t seed) {
+      PlacementSettings settings;
+      settings.place_time_limit = seconds(3);
+      PlacementZone zone(seed, settings);
+      simulation::LinkSettings link;
+      link.loss = 0.05;
+      link.duplication = 0.05;
+      link.reordering = 0.1;
+      zone.simulation.network().setDefaults(link, link);
+      common::SeededRandom random(seed);
+      std::vector<std::pair<std::size_t, std::string>> asked;
+      for (int step = 0; step < 60; ++step) {
+        const std::size_t node = random.below(zone.nodes.size());
+        if (!zone.nodes[node].process->alive()) {
+          continue;
+        }
+        const std::string id = idOf(std::to_string(node).append("-"), step);
+        zone.place(node, PlacementZone::requestOf(id, random.below(20)));
+        asked.emplace_back(node, id);
+        if (random.below(20) == 0) {
+          zone.simulation.kill(*zone.nodes[random.below(zone.nodes.size())].process);
+        }
+        if (random.below(10) == 0) {
+          auto& victim = *zone.nodes[random.below(zone.nodes.size())].process;
+          if (victim.alive() && !victim.paused()) {
+            zone.simulation.pauseFor(victim, milliseconds(400));
+          }
+        }
+        zone.run(milliseconds(random.below(60)));
+      }
+      zone.run(seconds(2));
+      for (const auto& [node, id] : asked) {
+        if (!zone.nodes[node].process->alive()) {
+          continue;
+        }
+        RC_ASSERT(zone.answers.count(id) == 1);
+        if (zone.placed(id)) {
+          zone.nodes[node].router->attemptFinished(id);
+        }
+      }
+      zone.run(seconds(6));
+      RC_ASSERT(zone.openPlaces() == 0);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+}  // namespace
+}  // namespace cypresswall::routing
--- /dev/null
+++ b/tests/store_relay/large_zone_test.cpp
@@ -0,0 +1,98 @@
+/// Readers of the store in a zone of hundreds of nodes: announcements and changes go down a tree.
+#include <map>
+
+#include "tests/store_relay/relay_zone.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::store_relay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::RelayZone;
+
+constexpr int kNodes = 295;
+constexpr common::Duration kSettled = seconds(6);
+
+class LargeRelayZoneTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LargeRelayZoneTest);
+  CPPUNIT_TEST(aChangeReachesAllThroughTheTree);
+  CPPUNIT_TEST(messagesAndCallsDoNotGrowWithTheZone);
+  CPPUNIT_TEST(theLossOfFortyPercentIsMadeUpWithinTheBound);
+  CPPUNIT_TEST(theFirstReaderIsReplaced);
+  CPPUNIT_TEST(aStoreThatComesBackIsFollowedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void aChangeReachesAllThroughTheTree() {
+    RelayZone zone(kNodes);
+    zone.run(kSettled);
+    const std::uint64_t before = zone.store.calls;
+    zone.store.put("a", std::string(30000, 'x'));
+    zone.run(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesBehind());
+    CPPUNIT_ASSERT(zone.store.calls - before <= 9);
+  }
+
+  void messagesAndCallsDoNotGrowWithTheZone() {
+    std::map<int, double> messages;
+    for (const int count : {30, kNodes, 1000}) {
+      RelayZone zone(count);
+      zone.run(kSettled);
+      const std::uint64_t calls = zone.store.calls;
+      const std::uint64_t delivered = zone.simulation.network().deliveredMessages();
+      zone.run(seconds(10));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(zone.store.calls - calls),
+                             zone.store.calls - calls <= 33);
+      messages[count] =
+          static_cast<double>(zone.simulation.network().deliveredMessages() - delivered) / count /
+          10;
+    }
+    // One announcement in 300 ms comes in at each node.
+    CPPUNIT_ASSERT(messages[1000] <= 1.2 * messages[30]);
+    CPPUNIT_ASSERT(messages[1000] <= 4);
+  }
+
+  void theLossOfFortyPercentIsMadeUpWithinTheBound() {
+    RelayZone zone(kNodes, 3);
+    zone.run(kSettled);
+    for (RelayZone::Node& node : zone.nodes) {
+      if (zone.simulation.random().unit() < 0.4) {
+        zone.simulation.kill(*node.process);
+      }
+    }
+    // Nobody knows yet who is gone.
+    zone.store.put("a", "1");
+    zone.run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesBehind());
+  }
+
+  void theFirstReaderIsReplaced() {
+    RelayZone zone(60, 4);
+    zone.run(kSettled);
+    for (RelayZone::Node* const reader : zone.readers()) {
+      zone.simulation.kill(*reader->process);
+      zone.store.put("a", reader->process->id().address);
+      zone.run(seconds(2));
+      CPPUNIT_ASSERT_EQUAL(0, zone.nodesBehind());
+    }
+  }
+
+  void aStoreThatComesBackIsFollowedAgain() {
+    RelayZone zone(kNodes, 5);
+    zone.run(kSettled);
+    for (const RelayZone::Node& node : zone.nodes) {
+      zone.store.silent_to.push_back(node.process->id().address);
+    }
+    zone.run(seconds(4));
+    zone.store.silent_to.clear();
+    zone.store.put("a", "1");
+    zone.run(seconds(4));
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesBehind());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LargeRelayZoneTest);
+
+}  // namespace
+}  // namespace cypresswall::store_relay
