Let a node that starts take a peer's copy of what the store told

It also could not become ready while the store was away.

Change: a node that has nothing asks a random member of a large zone, or the first reader of a small one, for its copy, packed; readers list as before, and whoever got no copy for 1.2 s does too. Measured in virtual time: a zone of 295 starts with at most 20 calls a topic in 3 s (96 while nodes that waited for a copy had not yet noted that they hear a reader), and a node that starts while the store is away has its copy within 100 ms.

--- a/src/cypresswall/store_relay/change_packer.cpp
+++ b/src/cypresswall/store_relay/change_packer.cpp
@@ -35,25 +35,29 @@
 }
 
 void ChangePacker::keep(const std::string& name, std::uint64_t revision, const Json& content,
-                        std::size_t bytes) {
-  if (holds(name, revision)) {
+                        const std::string& text) {
+  const auto small = small_.find(name);
+  if (holds(name, revision) || (small != small_.end() && small->second.revision >= revision)) {
     return;
   }
-  if (bytes < settings_.packed_from_bytes) {
+  if (text.size() < settings_.packed_from_bytes) {
     large_.erase(name);
+    small_[name] = SmallVersion{revision, text};
   } else {
+    small_.erase(name);
     large_[name] = Version{revision, content};
   }
 }
 
 void ChangePacker::note(const std::string& name, std::uint64_t revision, const Json& content) {
-  keep(name, revision, content, textOf(content).size());
+  keep(name, revision, content, textOf(content));
 }
 
 StoreChange ChangePacker::packPut(const std::string& name, std::uint64_t revision,
                                   const Json& content) {
-  StoreChange change{name, revision, false, textOf(content)};
-  const std::size_t bytes = change.content.size();
+  const std::string text = textOf(content);
+  StoreChange change{name, revision, false, text};
+  const std::size_t bytes = text.size();
   const auto before = large_.find(name);
   if (bytes >= settings_.packed_from_bytes) {
     std::string difference;
@@ -68,15 +72,32 @@
       change.content = std::move(*packed);
     }
   }
-  keep(name, revision, content, bytes);
+  keep(name, revision, content, text);
   return change;
 }
 
 StoreChange ChangePacker::packGone(const std::string& name, std::uint64_t revision) {
   large_.erase(name);
+  small_.erase(name);
   return StoreChange{name, revision, true, ""};
 }
 
+std::vector<StoreChange> ChangePacker::packAll() const {
+  std::vector<StoreChange> objects;
+  for (const auto& [name, version] : small_) {
+    objects.push_back({name, version.revision, false, version.text});
+  }
+  for (const auto& [name, version] : large_) {
+    StoreChange change{name, version.revision, false, textOf(version.content)};
+    if (auto packed = deflated(change.content)) {
+      change.encoding = ContentEncoding::kPacked;
+      change.content = std::move(*packed);
+    }
+    objects.push_back(std::move(change));
+  }
+  return objects;
+}
+
 bool ChangePacker::canUnpack(const StoreChange& change) const {
   if (change.gone || change.encoding != ContentEncoding::kPackedDifference) {
     return true;
@@ -115,6 +136,7 @@
 Json ChangePacker::unpack(const StoreChange& change) {
   if (change.gone) {
     large_.erase(change.name);
+    small_.erase(change.name);
     return {};
   }
   if (change.encoding == ContentEncoding::kPackedDifference) {
@@ -128,7 +150,7 @@
   const auto text = packed ? inflated(change.content) : std::optional(change.content);
   Json content = text ? Json::parse(*text, nullptr, false) : Json();
   if (content.is_object()) {
-    keep(change.name, change.revision, content, text->size());
+    keep(change.name, change.revision, content, *text);
   }
   return content;
 }
--- a/src/cypresswall/store_relay/change_packer.h
+++ b/src/cypresswall/store_relay/change_packer.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cypresswall/store_relay/messages.h"
 
@@ -22,7 +23,8 @@
   std::size_t maximum_bytes = std::size_t{4} << 20;
 };
 
-/// Keeps the large objects of one topic as they were last seen, since differences build on them.
+/// Keeps the objects of one topic as they were last seen: differences of large ones build on them,
+/// and a node that has nothing yet is given all.
 class ChangePacker {
  public:
   using Json = nlohmann::json;
@@ -34,6 +36,8 @@
   /// Packs an object that was put, and notes its content.
   StoreChange packPut(const std::string& name, std::uint64_t revision, const Json& content);
   StoreChange packGone(const std::string& name, std::uint64_t revision);
+  /// \return every object held, packed without a base
+  std::vector<StoreChange> packAll() const;
   /// \return false if the change builds on a version that is not held here, and neither is a later
   ///   one
   bool canUnpack(const StoreChange& change) const;
@@ -46,18 +50,23 @@
     std::uint64_t revision = 0;
     Json content;
   };
+  /// A small object, as text.
+  struct SmallVersion {
+    std::uint64_t revision = 0;
+    std::string text;
+  };
 
   /// \return true if this version of a large object, or a later one, is held
   bool holds(const std::string& name, std::uint64_t revision) const;
-  /// Keeps the newest version of a large object as the base of differences.
-  /// \param bytes length of the content as text
+  /// Keeps the newest version of an object: of a large one as the base of differences.
   void keep(const std::string& name, std::uint64_t revision, const Json& content,
-            std::size_t bytes);
+            const std::string& text);
   std::optional<std::string> inflated(const std::string& packed) const;
   Json patched(const StoreChange& change) const;
 
   ChangePackerSettings settings_;
   std::map<std::string, Version> large_;
+  std::map<std::string, SmallVersion> small_;
 };
 
 }  // namespace cypresswall::store_relay
--- a/src/cypresswall/store_relay/messages.h
+++ b/src/cypresswall/store_relay/messages.h
@@ -40,7 +40,7 @@
   MSGPACK_DEFINE(topic, changed, seen, bytes, reader, sequence)
 };
 
-/// Asks a reader for all changes after `revision`.
+/// Asks a peer for all changes after `revision`; for all objects if that is zero.
 struct ChangesRequest {
   static constexpr auto kType = api::messageType(api::MessageType::kStoreRelayFirst, 1);
   std::uint8_t topic = 0;
--- a/src/cypresswall/store_relay/store_copy.h
+++ b/src/cypresswall/store_relay/store_copy.h
@@ -15,8 +15,11 @@
   virtual std::uint64_t revision() const = 0;
   /// \return true while a call to the store is under way or will follow by itself
   virtual bool asking() const = 0;
-  /// Asks the store at once for what changed, in place of a call that waits there.
+  /// Asks the store at once for what changed, in place of a call that waits there; for everything
+  /// if nothing is known yet.
   virtual void askStore() = 0;
+  /// \return all objects as of revision(), for a node that has none
+  virtual std::vector<StoreChange> everything() const = 0;
   /// Takes what a peer read: all changes after revision() up to `revision`.
   /// \return false if nothing was taken: a change builds on a version that is not held here
   virtual bool takeChanges(const std::vector<StoreChange>& changes, std::uint64_t revision) = 0;
--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -30,6 +30,8 @@
                                                  "Requests to readers without an answer in time")),
       unavailable_(context.counters.counter("cypresswall_store_relay_unavailable_total",
                                             "Requests to readers that could not give the changes")),
+      copies_(context.counters.counter("cypresswall_store_relay_copies_total",
+                                       "Whole copies given to peers that had nothing")),
       silences_(context.counters.counter("cypresswall_store_relay_silences_total",
                                          "Times that a node heard of no reader any more")) {
   registerHandlers();
@@ -53,7 +55,16 @@
   followed_.try_emplace(topic, copy, settings_.history_bytes);
 }
 
-void StoreRelay::start() { tick(); }
+void StoreRelay::start() {
+  membership_.onChange([this] {
+    for (auto& [topic, followed] : followed_) {
+      if (followed.copy.revision() == 0) {
+        beginCopy(topic, followed);
+      }
+    }
+  });
+  tick();
+}
 
 void StoreRelay::tick() {
   context_.scheduler.schedule(settings_.announcement_interval, [this] { tick(); });
@@ -62,7 +73,45 @@
   }
 }
 
+void StoreRelay::beginCopy(Topic topic, Followed& followed) {
+  if (followed.copy.asking() || membership_.joining()) {
+    return;
+  }
+  const auto now = context_.clock.now();
+  const bool first = !followed.begun_time;
+  const auto since = first ? now : *followed.begun_time;
+  followed.begun_time = since;
+  const auto source = copySource(topic);
+  if (reader(topic) || !source || now - since >= settings_.copy_patience) {
+    followed.copy.askStore();
+  } else if (first) {
+    pull(topic, *source);
+  }
+}
+
+std::optional<common::NodeId> StoreRelay::copySource(Topic topic) const {
+  std::vector<common::NodeId> peers;
+  for (const Member& member : membership_.members()) {
+    if (member.state == MemberState::kAlive && member.node != membership_.self()) {
+      peers.push_back(member.node);
+    }
+  }
+  if (peers.empty()) {
+    return std::nullopt;
+  }
+  if (!star()) {
+    return peers[context_.random.below(peers.size())];
+  }
+  return *std::max_element(peers.begin(), peers.end(), [&](const auto& left, const auto& right) {
+    return rankOf(topic, left) < rankOf(topic, right);
+  });
+}
+
 void StoreRelay::tickTopic(Topic topic, Followed& followed) {
+  if (followed.copy.revision() == 0) {
+    beginCopy(topic, followed);
+    return;
+  }
   const bool reads = reader(topic);
   if (reads && !leavesAnnouncing(followed)) {
     announce(topic, followed);
@@ -200,13 +249,17 @@
     return;
   }
   followed->waiting[announcement.reader] = announcement;
+  followed->heard_time = context_.clock.now();
+  const auto known_topic = static_cast<Topic>(announcement.topic);
   if (followed->copy.revision() == 0) {
+    followed->announced = std::max(followed->announced, announcement.changed);
+    if (followed->pull_timer == 0 && !followed->copy.asking()) {
+      pull(known_topic, sender);
+    }
     return;
   }
   passOnWaiting(*followed);
-  followed->heard_time = context_.clock.now();
-  const auto followed_topic = static_cast<Topic>(announcement.topic);
-  if (rankOf(followed_topic, announcement.reader) > rankOf(followed_topic, membership_.self())) {
+  if (rankOf(known_topic, announcement.reader) > rankOf(known_topic, membership_.self())) {
     followed->first_reader_time = followed->heard_time;
   }
   if (announcement.changed > followed->announced) {
@@ -237,10 +290,15 @@
 
 bool StoreRelay::take(Followed& followed, std::vector<StoreChange> changes,
                       std::uint64_t revision) {
+  const bool first = followed.copy.revision() == 0;
   if (!followed.copy.takeChanges(changes, revision)) {
     return false;
   }
-  followed.history.add(std::move(changes), revision);
+  if (first) {
+    followed.history.restart(revision);
+  } else {
+    followed.history.add(std::move(changes), revision);
+  }
   passOnWaiting(followed);
   return true;
 }
@@ -248,7 +306,7 @@
 void StoreRelay::pull(Topic topic, const common::NodeId& reader) {
   Followed& followed = followed_.at(topic);
   followed.pull_timer = 0;
-  if (!behind(followed)) {
+  if (!behind(followed) && followed.copy.revision() != 0) {
     return;
   }
   pulls_.add();
@@ -267,19 +325,31 @@
 void StoreRelay::giveUpPull(Topic topic) {
   Followed& followed = followed_.at(topic);
   followed.pull_timer = 0;
-  if (behind(followed)) {
+  if (followed.copy.revision() == 0) {
+    unanswered_pulls_.add();
+  } else if (behind(followed)) {
     unanswered_pulls_.add();
     askStore(followed);
   }
 }
 
 void StoreRelay::onRequest(const common::NodeId& sender, const ChangesRequest& request) {
-  const Followed* const followed = find(request.topic);
+  Followed* const followed = find(request.topic);
   if (followed == nullptr) {
     return;
   }
   ChangesReply reply;
   reply.topic = request.topic;
+  if (request.revision == 0) {
+    reply.revision = followed->copy.revision();
+    reply.available = reply.revision != 0;
+    if (reply.available) {
+      copies_.add();
+      reply.changes = followed->copy.everything();
+    }
+    context_.sendTo(sender, reply);
+    return;
+  }
   reply.revision = followed->history.revision();
   auto changes = followed->history.since(request.revision, settings_.reply_bytes);
   if (changes && reply.revision > request.revision) {
@@ -302,7 +372,7 @@
     return;
   }
   context_.scheduler.cancel(std::exchange(followed->pull_timer, 0));
-  if (!behind(*followed)) {
+  if (!behind(*followed) || followed->copy.revision() == 0) {
     return;
   }
   if (useful) {
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -2,7 +2,8 @@
 /// nodes, those with the most room on their links and among these found by rendezvous hashing, are
 /// its readers: they ask the store often and announce how
 /// far they have read. The other nodes ask a reader for what changed, and call the store only if no
-/// reader was heard of lately, or if a reader can't give them what they lack. So the store's calls
+/// reader was heard of lately, or if a reader can't give them what they lack. A node that starts
+/// takes the copy of a peer. So the store's calls
 /// don't grow with the number of nodes, and a change goes to each node once instead of from all to
 /// all. In a large zone announcements go down a tree that the reader is the root of, and each node
 /// asks the one that told it: no node serves more than a few.
@@ -45,6 +46,9 @@
   /// A reader that hasn't given changes within this, and the time that their bytes may take, is
   /// passed over: the store is asked.
   common::Duration reply_limit = std::chrono::milliseconds(200);
+  /// A node that has nothing yet and gets no copy from a peer within this asks the store. Above two
+  /// announcements.
+  common::Duration copy_patience = std::chrono::milliseconds(1200);
   /// An own call to the store is not dropped for another one before this, and the time that its
   /// bytes may take: dropped each time that a reader can't give a change, it would never be
   /// answered over a busy link. Above the 2 s after which a dead connection is noticed.
@@ -102,6 +106,8 @@
     /// Announcements that wait to be passed on until this node has what they tell of.
     std::map<common::NodeId, Announcement> waiting;
     std::uint64_t own_sequence = 0;
+    /// Since when this node, which has nothing yet, could have asked a peer for a copy.
+    std::optional<common::MonotonicTime> begun_time;
     /// The newest change that a reader announced.
     std::uint64_t announced = 0;
     /// Bytes of that change.
@@ -114,6 +120,11 @@
   void registerHandlers();
   void tick();
   void tickTopic(Topic topic, Followed& followed);
+  /// Lets a node that has nothing yet have a peer's copy; the store is asked by the readers, and
+  /// where no peer gives one.
+  void beginCopy(Topic topic, Followed& followed);
+  /// \return the peer to ask for a copy: the first reader if it tells all others itself, else any
+  std::optional<common::NodeId> copySource(Topic topic) const;
   void announce(Topic topic, Followed& followed);
   /// \return true if another reader makes the regular announcements
   bool leavesAnnouncing(const Followed& followed) const;
@@ -157,6 +168,7 @@
   common::Counter& pulls_;
   common::Counter& unanswered_pulls_;
   common::Counter& unavailable_;
+  common::Counter& copies_;
   common::Counter& silences_;
 };
 
--- a/tests/objects_platform/relayed_watch_test.cpp
+++ b/tests/objects_platform/relayed_watch_test.cpp
@@ -165,7 +165,7 @@
         {second_.process.id(), "", membership::MemberState::kAlive, ""}};
     for (RelayNode* const node : {&first_, &second_}) {
       node->membership.setMembers(members);
-      node->watch.start();
+      node->watch.askStore();
       node->store.answer(200, pageJson(7, {}));
       node->relay.start();
     }
--- a/tests/store_relay/large_zone_test.cpp
+++ b/tests/store_relay/large_zone_test.cpp
@@ -21,6 +21,10 @@
   CPPUNIT_TEST(theLossOfFortyPercentIsMadeUpWithinTheBound);
   CPPUNIT_TEST(theFirstReaderIsReplaced);
   CPPUNIT_TEST(aStoreThatComesBackIsFollowedAgain);
+  CPPUNIT_TEST(aZoneThatStartsAsksTheStoreFewTimes);
+  CPPUNIT_TEST(aNodeThatStartsTakesAPeersCopy);
+  CPPUNIT_TEST(aNodeThatStartsWhileTheStoreIsAwayHasAPeersCopy);
+  CPPUNIT_TEST(nodesThatAllLostEverythingReadTheStoreAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -90,6 +94,58 @@
     zone.run(seconds(4));
     CPPUNIT_ASSERT_EQUAL(0, zone.nodesBehind());
   }
+
+  /// Each node's own listing and first watch came to 590 calls for one topic.
+  void aZoneThatStartsAsksTheStoreFewTimes() {
+    RelayZone zone(kNodes, 6);
+    zone.run(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesBehind());
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(zone.store.calls), zone.store.calls <= 20);
+  }
+
+  void aNodeThatStartsTakesAPeersCopy() {
+    for (const int count : {9, kNodes}) {
+      RelayZone zone(count, 7);
+      zone.store.put("a", "1");
+      zone.run(kSettled);
+      const std::uint64_t before = zone.store.calls;
+      const int index = zone.restartOneThatDoesNotRead();
+      zone.run(milliseconds(100));
+      CPPUNIT_ASSERT(zone.nodes[static_cast<std::size_t>(index)].copy->objects ==
+                     zone.store.objects());
+      // The readers go on reading, and the new life may have become one of them.
+      CPPUNIT_ASSERT(zone.store.calls - before <= 5);
+      // From then on it follows as the others do.
+      zone.store.put("b", "2");
+      zone.run(seconds(1));
+      CPPUNIT_ASSERT_EQUAL(0, zone.nodesBehind());
+    }
+  }
+
+  void aNodeThatStartsWhileTheStoreIsAwayHasAPeersCopy() {
+    RelayZone zone(60, 8);
+    zone.store.put("a", "1");
+    zone.run(kSettled);
+    for (const RelayZone::Node& node : zone.nodes) {
+      zone.store.silent_to.push_back(node.process->id().address);
+    }
+    zone.run(seconds(3));
+    const int index = zone.restartOneThatDoesNotRead();
+    zone.run(milliseconds(100));
+    CPPUNIT_ASSERT(zone.nodes[static_cast<std::size_t>(index)].copy->objects ==
+                   zone.store.objects());
+  }
+
+  void nodesThatAllLostEverythingReadTheStoreAgain() {
+    RelayZone zone(60, 9);
+    zone.store.put("a", "1");
+    zone.run(kSettled);
+    for (int index = 0; index < 60; ++index) {
+      zone.restart(index);
+    }
+    zone.run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesBehind());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LargeRelayZoneTest);
--- a/tests/store_relay/relay_zone.h
+++ b/tests/store_relay/relay_zone.h
@@ -67,19 +67,22 @@
   ScriptedCopy(ScriptedStore& store, simulation::SimulatedProcess& process, StoreRelay& relay)
       : store_(store), process_(process), relay_(relay) {}
 
-  /// Reads everything, then follows.
-  void start() {
-    process_.deliverAfter(kLatency, [this] {
-      objects = store_.objects();
-      revision_ = store_.revision();
-      relay_.listed(kTopic, revision_);
-      follow();
-    });
-  }
-
   std::uint64_t revision() const override { return revision_; }
   bool asking() const override { return asking_; }
-  void askStore() override { ask(relay_.pollTime(kTopic).value_or(std::chrono::seconds(3))); }
+  void askStore() override {
+    if (revision_ == 0) {
+      list();
+    } else {
+      ask(relay_.pollTime(kTopic).value_or(std::chrono::seconds(3)));
+    }
+  }
+  std::vector<StoreChange> everything() const override {
+    std::vector<StoreChange> all;
+    for (const auto& [name, content] : objects) {
+      all.push_back({name, revision_, false, content});
+    }
+    return all;
+  }
   bool takeChanges(const std::vector<StoreChange>& changes, std::uint64_t revision) override {
     if (revision < revision_) {
       return true;
@@ -99,6 +102,27 @@
   std::uint64_t calls = 0;
 
  private:
+  /// Reads everything, then follows.
+  void list() {
+    asking_ = true;
+    ++calls;
+    ++store_.calls;
+    process_.deliverAfter(kLatency, [this] {
+      const bool silent = std::find(store_.silent_to.begin(), store_.silent_to.end(),
+                                    process_.id().address) != store_.silent_to.end();
+      if (silent) {
+        process_.deliverAfter(kRetry, [this] { list(); });
+        return;
+      }
+      if (store_.revision() < revision_) {
+        return;
+      }
+      objects = store_.objects();
+      revision_ = store_.revision();
+      relay_.listed(kTopic, revision_);
+      follow();
+    });
+  }
   void follow() {
     const auto poll_time = relay_.pollTime(kTopic);
     asking_ = poll_time.has_value();
@@ -142,7 +166,7 @@
   StoreRelay& relay_;
   std::uint64_t revision_ = 0;
   std::uint64_t call_ = 0;
-  bool asking_ = true;
+  bool asking_ = false;
 };
 
 class RelayZone {
@@ -154,25 +178,35 @@
     ScriptedCopy* copy = nullptr;
   };
 
-  explicit RelayZone(int count, std::uint64_t seed = 1, StoreRelaySettings settings = {})
-      : simulation(seed) {
+  explicit RelayZone(int count, std::uint64_t seed = 1, StoreRelaySettings given = {})
+      : simulation(seed), settings(given) {
     for (int number = 0; number < count; ++number) {
-      Node node;
-      node.process = &simulation.start(addressOf(number), kZone);
-      node.membership = std::make_unique<SettableMembership>(node.process->id(), kZone);
-      node.relay =
-          &node.process->emplace<StoreRelay>(settings, node.process->context(), *node.membership);
-      node.copy = &node.process->emplace<ScriptedCopy>(store, *node.process, *node.relay);
-      nodes.push_back(std::move(node));
+      nodes.push_back(makeNode(number));
     }
     showMembers();
     for (Node& node : nodes) {
-      node.relay->follow(kTopic, *node.copy);
-      node.relay->start();
-      node.copy->start();
+      begin(node);
     }
   }
 
+  /// Ends the process of a node and starts another one in its place, which knows nothing but the
+  /// members; the others learn of its new life.
+  void restart(int number) {
+    Node& node = nodes[static_cast<std::size_t>(number)];
+    node = makeNode(number);
+    showMembers();
+    begin(node);
+  }
+  /// \return which node was restarted
+  int restartOneThatDoesNotRead() {
+    int number = 0;
+    while (reads(nodes[static_cast<std::size_t>(number)])) {
+      ++number;
+    }
+    restart(number);
+    return number;
+  }
+
   static common::Address addressOf(int number) {
     constexpr int kHosts = 250;
     return "10.0." + std::to_string(number / kHosts) + "." + std::to_string(number % kHosts + 1) +
@@ -191,7 +225,9 @@
     std::sort(members.begin(), members.end(),
               [](const auto& left, const auto& right) { return left.node < right.node; });
     for (Node& node : nodes) {
-      node.membership->setMembers(members);
+      if (node.process->alive()) {
+        node.membership->setMembers(members);
+      }
     }
   }
 
@@ -225,7 +261,23 @@
 
   ScriptedStore store;
   simulation::Simulation simulation;
+  StoreRelaySettings settings;
   std::vector<Node> nodes;
+
+ private:
+  Node makeNode(int number) {
+    Node node;
+    node.process = &simulation.start(addressOf(number), kZone);
+    node.membership = std::make_unique<SettableMembership>(node.process->id(), kZone);
+    node.relay =
+        &node.process->emplace<StoreRelay>(settings, node.process->context(), *node.membership);
+    node.copy = &node.process->emplace<ScriptedCopy>(store, *node.process, *node.relay);
+    return node;
+  }
+  static void begin(Node& node) {
+    node.relay->follow(kTopic, *node.copy);
+    node.relay->start();
+  }
 };
 
 }  // namespace cypresswall::store_relay::testing
