Count a node as joining from the moment that it is made

The relay starts before the membership does: asked then, a node took itself for alone in its zone and listed the store at once, so that copies of peers were never used at a start.

--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -14,6 +14,7 @@
       peers_(settings_),
       machines_(settings_, context, machine_list,
                 {[this] { return peerNodes(); }, [this] { return rank(); }}),
+      started_at_(context.clock.now()),
       last_tick_(context.clock.now()),
       foreign_count_(context.counters.counter("cypresswall_membership_foreign_zone_total",
                                               "Introductions of nodes of another zone, dropped")),
--- a/tests/membership/large_zone_test.cpp
+++ b/tests/membership/large_zone_test.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(frozenNodesComeBack);
   CPPUNIT_TEST(twoThirdsMoreAreAddedAtOnce);
   CPPUNIT_TEST(digestsStayWithTheNeighbours);
+  CPPUNIT_TEST(aNodeJoinsFromItsBeginning);
   CPPUNIT_TEST(unreadableNewsIsCounted);
   CPPUNIT_TEST(viewsAgreeAfterAnyFaults);
   CPPUNIT_TEST_SUITE_END();
@@ -251,6 +252,26 @@
     }));
   }
 
+  /// Whoever asks before the node began must not take it for alone in its zone.
+  void aNodeJoinsFromItsBeginning() {
+    testing::VirtualWorld world(12);
+    world.runFor(10s);
+    auto& process = world.spawn({LargeZone::addressOf(1), 1}, kZone);
+    MembershipSettings settings;
+    settings.seeds = {LargeZone::addressOf(0), LargeZone::addressOf(1)};
+    NoMachines machines;
+    Membership membership(settings, process.context(), machines);
+    CPPUNIT_ASSERT(membership.joining());
+    membership.start();
+    world.runFor(settings.join_patience - 100ms);
+    CPPUNIT_ASSERT(membership.joining());
+    world.runFor(200ms);
+    CPPUNIT_ASSERT(!membership.joining());
+    settings.seeds = {LargeZone::addressOf(1)};
+    Membership alone(settings, process.context(), machines);
+    CPPUNIT_ASSERT(!alone.joining());
+  }
+
   void unreadableNewsIsCounted() {
     LargeZone zone(11);
     zone.startAll(0, 5);
