Make the size of a shared zone, of a group of engines and the wait for an owner settings

limits.shared_zone_nodes (24), limits.engines_per_group (16) and timings.owner_answer_limit (100 ms), checked like the others; a large limits.shared_zone_nodes is the switch that gives back the old way.

--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -14,10 +14,16 @@
   return std::make_unique<routing::CostRouter>(settings.router, context, directory);
 }
 
+NodeSettings withSharedZone(NodeSettings settings) {
+  settings.membership.neighbours.mesh_limit = settings.shared_zone_nodes;
+  settings.directory.groups.shared_limit = settings.shared_zone_nodes;
+  return settings;
+}
+
 }  // namespace
 
 Node::Node(NodeSettings settings, const api::ProcessContext& context, const NodeClients& clients)
-    : settings_(std::move(settings)),
+    : settings_(withSharedZone(std::move(settings))),
       context_(context),
       membership_(settings_.membership, context_, clients.machine_list),
       gossip_(settings_.membership, context_, membership_),
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -20,6 +20,9 @@
 namespace cypresswall::node {
 
 struct NodeSettings {
+  /// Nodes of a zone up to which all hear all and decide about all engines. Put into
+  /// `membership.neighbours`, `directory.groups` and the relay of the store.
+  std::size_t shared_zone_nodes = 24;
   membership::MembershipSettings membership;
   lease::LeaseSettings lease;
   /// The lease for orders is an object of the platform's store; otherwise, and for idempotency
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -171,6 +171,16 @@
           "limits.cache_pieces", 64, 16777216,
           [](auto& s) -> auto& { return s.node.directory.prefix_index.maximum_pieces; },
           "Cached pieces of prompts whose engines a node remembers; each takes some 150 bytes."),
+      countKey(
+          "limits.shared_zone_nodes", 1, 100000,
+          [](auto& s) -> auto& { return s.node.shared_zone_nodes; },
+          "Nodes up to which all nodes of a zone hear each other and decide about all engines; in a "
+          "larger zone each hears four, and two decide about an engine. The same on all nodes."),
+      countKey(
+          "limits.engines_per_group", 1, 10000,
+          [](auto& s) -> auto& { return s.node.directory.groups.engines_per_group; },
+          "Engines of a model that the same two nodes decide about in a larger zone, on average. The "
+          "same on all nodes."),
       bytesKey(
           "limits.header_bytes", kKibibyte, kMebibyte,
           [](auto& s) -> auto& { return s.server.maximum_header_bytes; },
@@ -251,6 +261,11 @@
           "timings.engine_publish_interval", milliseconds(10), seconds(60),
           [](auto& s) -> auto& { return s.node.directory.publish_period; },
           "Least time between two publications of engines' load to the zone."),
+      durationKey(
+          "timings.owner_answer_limit", milliseconds(1), seconds(10),
+          [](auto& s) -> auto& { return s.node.placement.answer_limit; },
+          "Longest wait for the answer of a node that decides about engines, before another one is "
+          "asked."),
       durationKey(
           "timings.configuration_repair_interval", milliseconds(50), seconds(60),
           [](auto& s) -> auto& { return s.node.configuration.repair_interval; },
