--- a/tests/membership/neighbours_test.cpp
+++ b/tests/membership/neighbours_test.cpp
@@ -116,6 +116,7 @@
   static std::vector<Member> membersOf(std::vector<common::NodeId> nodes) {
     std::sort(nodes.begin(), nodes.end());
     std::vector<Member> members;
+    members.reserve(nodes.size());
     for (const auto& node : nodes) {
       members.push_back({node, "", MemberState::kAlive, ""});
     }
--- a/tests/routing/engine_groups_test.cpp
+++ b/tests/routing/engine_groups_test.cpp
@@ -53,6 +53,7 @@
 
 std::vector<Member> membersOf(int count) {
   std::vector<Member> members;
+  members.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     members.push_back({nodeOf(i), "", MemberState::kAlive, ""});
   }
