--- a/src/cypresswall/routing/engine_groups.cpp
+++ b/src/cypresswall/routing/engine_groups.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t kHomes = 2;
 
 std::uint64_t mix(std::uint64_t first, std::uint64_t second) {
-  return common::hash64({}, first ^ (second * 0x9E3779B97F4A7C15ULL));
+  return common::hash64("", first ^ (second * 0x9E3779B97F4A7C15ULL));
 }
 
 }  // namespace
