--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -174,12 +174,14 @@
       countKey(
           "limits.shared_zone_nodes", 1, 100000,
           [](auto& s) -> auto& { return s.node.shared_zone_nodes; },
-          "Nodes up to which all nodes of a zone hear each other and decide about all engines; in a "
+          "Nodes up to which all nodes of a zone hear each other and decide about all engines; in "
+          "a "
           "larger zone each hears four, and two decide about an engine. The same on all nodes."),
       countKey(
           "limits.engines_per_group", 1, 10000,
           [](auto& s) -> auto& { return s.node.directory.groups.engines_per_group; },
-          "Engines of a model that the same two nodes decide about in a larger zone, on average. The "
+          "Engines of a model that the same two nodes decide about in a larger zone, on average. "
+          "The "
           "same on all nodes."),
       bytesKey(
           "limits.header_bytes", kKibibyte, kMebibyte,
