--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -348,7 +348,7 @@
     return;
   }
   // The first list is no news to anybody else.
-  const bool first_list = news.complete && std::exchange(joining_, joining_ && !news.complete);
+  const bool first_list = news.complete && std::exchange(joining_, false);
   bool changed = false;
   for (const MemberRecord& record : *records) {
     if (record.node.address == context_.self.address || record.details.zone != context_.zone) {
--- a/src/cypresswall/membership/rendezvous.cpp
+++ b/src/cypresswall/membership/rendezvous.cpp
@@ -1,27 +1,59 @@
 #include "cypresswall/membership/rendezvous.h"
 
+#include <bit>
+
 #include "cypresswall/common/prompt.h"
 
 namespace cypresswall::membership {
+namespace {
+
+/// The node of the highest rank among those offered.
+class HighestRank {
+ public:
+  explicit HighestRank(std::string_view name) : name_(name) {}
+
+  void offer(const common::NodeId& node) {
+    const std::uint64_t rank = rendezvousRank(name_, node);
+    if (best_ == nullptr || rank > rank_) {
+      best_ = &node;
+      rank_ = rank;
+    }
+  }
+  common::NodeId node() const { return best_ == nullptr ? common::NodeId{} : *best_; }
+
+ private:
+  std::string_view name_;
+  const common::NodeId* best_ = nullptr;
+  std::uint64_t rank_ = 0;
+};
+
+}  // namespace
 
 std::uint64_t rendezvousRank(std::string_view name, const common::NodeId& node) {
   return common::hash64(name, common::hash64(node.address, node.incarnation));
 }
 
 common::NodeId rendezvousNode(std::string_view name, const std::vector<Member>& members) {
-  const Member* best = nullptr;
-  std::uint64_t best_rank = 0;
+  HighestRank highest(name);
   for (const Member& member : members) {
-    if (member.state != MemberState::kAlive) {
-      continue;
-    }
-    const std::uint64_t rank = rendezvousRank(name, member.node);
-    if (best == nullptr || rank > best_rank) {
-      best = &member;
-      best_rank = rank;
+    if (member.state == MemberState::kAlive) {
+      highest.offer(member.node);
     }
   }
-  return best == nullptr ? common::NodeId{} : best->node;
+  return highest.node();
+}
+
+common::NodeId rendezvousNode(std::string_view name, const std::vector<common::NodeId>& nodes) {
+  HighestRank highest(name);
+  for (const common::NodeId& node : nodes) {
+    highest.offer(node);
+  }
+  return highest.node();
+}
+
+std::uint64_t linkClass(const MembershipView& membership, const common::NodeId& node) {
+  const auto megabits = membership.digest(node, DigestTopic::kLinkMegabits);
+  return static_cast<std::uint64_t>(std::bit_width(megabits.value_or(0)));
 }
 
 }  // namespace cypresswall::membership
--- a/src/cypresswall/membership/rendezvous.h
+++ b/src/cypresswall/membership/rendezvous.h
@@ -17,5 +17,11 @@
 /// \return the one member of `members` that does it: the alive one of the highest rank; empty if no
 ///   member is alive. Members that are suspected or leaving do nothing.
 common::NodeId rendezvousNode(std::string_view name, const std::vector<Member>& members);
+/// \return the one of `nodes` with the highest rank; empty if there is none.
+common::NodeId rendezvousNode(std::string_view name, const std::vector<common::NodeId>& nodes);
+/// \return the doublings of the node's link, zero if its bandwidth isn't known: what takes much
+/// room
+///   goes to the nodes with the widest links, and nodes of like links share it
+std::uint64_t linkClass(const MembershipView& membership, const common::NodeId& node);
 
 }  // namespace cypresswall::membership
--- a/src/cypresswall/routing/engine_groups.cpp
+++ b/src/cypresswall/routing/engine_groups.cpp
@@ -1,7 +1,6 @@
 #include "cypresswall/routing/engine_groups.h"
 
 #include <algorithm>
-#include <bit>
 #include <functional>
 #include <set>
 #include <utility>
@@ -77,9 +76,7 @@
   std::map<std::uint64_t, std::vector<Member>, std::greater<>> by_link;
   for (const Member& member : membership_.members()) {
     if (member.state == MemberState::kAlive) {
-      const auto megabits =
-          membership_.digest(member.node, membership::DigestTopic::kLinkMegabits).value_or(0);
-      by_link[static_cast<std::uint64_t>(std::bit_width(megabits))].push_back(member);
+      by_link[membership::linkClass(membership_, member.node)].push_back(member);
     }
   }
   const std::size_t wanted = std::max(settings_.owners, groups_.size() / 2);
@@ -139,16 +136,7 @@
     return {};
   }
   // The owners share the reading, as it is the most of their work.
-  common::NodeId best;
-  std::uint64_t best_rank = 0;
-  for (const common::NodeId& owner : groups_[group_of_[engine]].owners) {
-    const std::uint64_t rank = membership::rendezvousRank(name, owner);
-    if (best.empty() || rank > best_rank) {
-      best = owner;
-      best_rank = rank;
-    }
-  }
-  return best;
+  return membership::rendezvousNode(name, groups_[group_of_[engine]].owners);
 }
 
 const std::vector<common::NodeId>& EngineGroups::otherDeciders(EngineSlot engine) const {
--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -1,7 +1,6 @@
 #include "cypresswall/store_relay/store_relay.h"
 
 #include <algorithm>
-#include <bit>
 #include <utility>
 
 #include "cypresswall/membership/broadcast_tree.h"
@@ -182,7 +181,7 @@
 }
 
 StoreRelay::Rank StoreRelay::rankOf(Topic topic, const common::NodeId& node) const {
-  return {linkClass(node), rendezvousRank(nameOf(topic), node)};
+  return {membership::linkClass(membership_, node), rendezvousRank(nameOf(topic), node)};
 }
 
 bool StoreRelay::reader(Topic topic) const {
@@ -195,11 +194,6 @@
   return static_cast<std::size_t>(ahead) < settings_.readers;
 }
 
-std::uint64_t StoreRelay::linkClass(const common::NodeId& node) const {
-  const auto megabits = membership_.digest(node, membership::DigestTopic::kLinkMegabits);
-  return static_cast<std::uint64_t>(std::bit_width(megabits.value_or(0)));
-}
-
 bool StoreRelay::withinLimit(const std::optional<common::MonotonicTime>& time,
                              common::Duration limit) const {
   return time && context_.clock.now() - *time <= limit;
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -138,8 +138,6 @@
   /// \return the node's rank among possible readers of the topic
   Rank rankOf(Topic topic, const common::NodeId& node) const;
   bool reader(Topic topic) const;
-  /// \return the doublings of the node's link, so that nodes of like links share the reading
-  std::uint64_t linkClass(const common::NodeId& node) const;
   bool withinLimit(const std::optional<common::MonotonicTime>& time, common::Duration limit) const;
   bool hearsReaders(const Followed& followed) const;
   void noteReliance(Topic topic, Followed& followed, bool relying, bool reads);
--- a/tests/store_relay/large_zone_test.cpp
+++ b/tests/store_relay/large_zone_test.cpp
@@ -113,6 +113,9 @@
       zone.run(milliseconds(100));
       CPPUNIT_ASSERT(zone.nodes[static_cast<std::size_t>(index)].copy->objects ==
                      zone.store.objects());
+      // Unless it reads for the others, it asks the store nothing itself.
+      const auto& node = zone.nodes[static_cast<std::size_t>(index)];
+      CPPUNIT_ASSERT(zone.reads(node) || node.copy->calls == 0);
       // The readers go on reading, and the new life may have become one of them.
       CPPUNIT_ASSERT(zone.store.calls - before <= 5);
       // From then on it follows as the others do.
