--- a/src/cypresswall/emulation/engine.cpp
+++ b/src/cypresswall/emulation/engine.cpp
@@ -6,6 +6,12 @@
 #include "cypresswall/emulation/engine_stream.h"
 
 namespace cypresswall::emulation {
+namespace {
+
+/// Failures are dealt out among so many streams in a row.
+constexpr std::uint64_t kStreamsPerDeal = 10;
+
+}  // namespace
 
 using engines::StreamPhase;
 
@@ -60,6 +66,7 @@
   auto stream = std::make_shared<ActiveStream>();
   stream->observer = &observer;
   stream->arrival = ++arrivals_;
+  stream->fails = stream->arrival % kStreamsPerDeal < faults_.failing_of_ten;
   stream->seed = answerSeed(model_, version_, request.adapter, request.shape.content_hash);
   stream->answer_length =
       expectedLength(stream->seed, request.maximum_tokens, settings_.minimum_answer_share);
--- a/src/cypresswall/emulation/engine.h
+++ b/src/cypresswall/emulation/engine.h
@@ -140,6 +140,7 @@
   void decodeStreams();
   void giveToken(ActiveStream& stream);
   void finishStream(ActiveStream& stream);
+  void breakStream(ActiveStream& stream);
   void endStream(ActiveStream& stream, StreamEnd end);
   void breakAllStreams(StreamEnd end);
   void removeEnded();
--- a/src/cypresswall/emulation/engine_settings.h
+++ b/src/cypresswall/emulation/engine_settings.h
@@ -73,6 +73,9 @@
   std::uint32_t break_stream_after_tokens = 0;
   /// Refuse new streams.
   bool refuse = false;
+  /// Of ten streams taken in a row, how many break in place of their first token, though load
+  /// reports look well.
+  std::uint32_t failing_of_ten = 0;
 };
 
 }  // namespace cypresswall::emulation
--- a/src/cypresswall/emulation/engine_steps.cpp
+++ b/src/cypresswall/emulation/engine_steps.cpp
@@ -134,6 +134,10 @@
     if (stream.prefill_remaining > 0) {
       continue;
     }
+    if (stream.fails) {
+      breakStream(stream);
+      continue;
+    }
     cache_.store(stream.request.shape.pieces);
     if (stream.request.phase == StreamPhase::kPrefillOnly) {
       const common::MonotonicTime now = clock_.now();
@@ -166,9 +170,7 @@
   }
   if (faults_.break_stream_after_tokens != 0 && stream.given >= faults_.break_stream_after_tokens) {
     faults_.break_stream_after_tokens = 0;
-    StreamObserver& observer = *stream.observer;
-    endStream(stream, StreamEnd::kBroken);
-    observer.onBroken();
+    breakStream(stream);
     return;
   }
   if (stream.next_index >= stream.answer_length) {
@@ -189,6 +191,12 @@
   observer.onFinished(usage);
 }
 
+void EmulatedEngine::breakStream(ActiveStream& stream) {
+  StreamObserver& observer = *stream.observer;
+  endStream(stream, StreamEnd::kBroken);
+  observer.onBroken();
+}
+
 void EmulatedEngine::endStream(ActiveStream& stream, StreamEnd end) {
   if (stream.ledger_index < ledger_.streams.size()) {
     ledger_.streams[stream.ledger_index].end = end;
--- a/src/cypresswall/emulation/engine_stream.h
+++ b/src/cypresswall/emulation/engine_stream.h
@@ -23,6 +23,8 @@
   std::uint32_t prefill_remaining = 0;
   std::uint32_t cached_tokens = 0;
   std::uint32_t imported_tokens = 0;
+  /// Breaks in place of its first token.
+  bool fails = false;
   /// Index in the ledger's list, or its size limit if the entry is not kept.
   std::size_t ledger_index = 0;
 };
