Keep the repeats of a service within the fleet's limit, whatever its nodes go through

Cause: the burst that a node may repeat at once was a constant of each process (5), full at its start; and a repeat was paid for by attempt where back ends count arrivals.

Change: fleet_limits/ holds one account a service and the node's part of the fleet's burst, which the operators' bounds name. A node that starts, wakes or was cut off holds no part for a window and the settling time; one that sees half of its fleet or fewer holds none.

Failures beyond a node's part aren't repeated now; parts of other nodes aren't lent yet.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -21,7 +21,7 @@
   "routing"
   "planning"
   "configuration"
-  "lease"
+  "lease fleet_limits"
   "membership"
   "idempotency"
   "object_store engines services store_relay"
--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -73,6 +73,9 @@
   common::Duration time_limit{0};
   /// Engines that one request may run on, one after the other; zero leaves it to the node.
   std::uint32_t maximum_runs = 0;
+  /// Services of the same pool share their back ends and the limits of these, like that of repeats;
+  /// empty if the model's engines serve no other pool.
+  std::string backend_pool;
 };
 
 /// One kind of call to a plain HTTP service, found by method and longest path prefix.
@@ -99,6 +102,9 @@
   Urgency urgency = Urgency::kNormal;
   std::vector<BackendDeclaration> backends;
   std::vector<OperationDeclaration> operations;
+  /// Services of the same pool share their back ends and the limits of these, like that of repeats;
+  /// empty if no other service has them.
+  std::string backend_pool;
 };
 
 /// Limits of one tenant over the whole zone, zero meaning no limit.
--- a/src/cypresswall/execution/retry_budget.cpp
+++ b/src/cypresswall/execution/backoff.cpp
@@ -1,4 +1,4 @@
-#include "cypresswall/execution/retry_budget.h"
+#include "cypresswall/execution/backoff.h"
 
 #include <algorithm>
 
@@ -10,19 +10,6 @@
 
 }  // namespace
 
-RetryBudget::RetryBudget(const ExecutionSettings& settings)
-    : share_(settings.retry_share), burst_(settings.retry_burst), saved_(settings.retry_burst) {}
-
-void RetryBudget::requestStarted() { saved_ = std::min(burst_, saved_ + share_); }
-
-bool RetryBudget::withdraw() {
-  if (!available()) {
-    return false;
-  }
-  saved_ -= 1;
-  return true;
-}
-
 common::Duration backoffBefore(std::uint32_t retry, const ExecutionSettings& settings,
                                common::RandomSource& random) {
   if (retry <= 1) {
--- a/src/cypresswall/execution/engine_model_executor.cpp
+++ b/src/cypresswall/execution/engine_model_executor.cpp
@@ -27,8 +27,9 @@
                                          const configuration::ConfigurationView& configuration,
                                          admission::AdmissionController& admission,
                                          routing::Router& router, engines::EngineClient& engines,
+                                         fleet_limits::RetryAccounts& retries,
                                          const ExecutionSettings& settings)
-    : core_(process, configuration, admission, router, engines, settings) {}
+    : core_(process, configuration, admission, router, engines, retries, settings) {}
 
 std::unique_ptr<ModelExecution> EngineModelExecutor::start(ModelCall call,
                                                            ModelCallObserver& observer) {
--- a/src/cypresswall/execution/engine_model_executor.h
+++ b/src/cypresswall/execution/engine_model_executor.h
@@ -15,7 +15,8 @@
   EngineModelExecutor(const api::ProcessContext& process,
                       const configuration::ConfigurationView& configuration,
                       admission::AdmissionController& admission, routing::Router& router,
-                      engines::EngineClient& engines, const ExecutionSettings& settings = {});
+                      engines::EngineClient& engines, fleet_limits::RetryAccounts& retries,
+                      const ExecutionSettings& settings = {});
   std::unique_ptr<ModelExecution> start(ModelCall call, ModelCallObserver& observer) override;
   const RequestJournal& journal() const { return core_.journal; }
 
--- a/src/cypresswall/execution/execution_settings.h
+++ b/src/cypresswall/execution/execution_settings.h
@@ -17,10 +17,6 @@
   /// An attempt that a back end refused counts as one of the request's runs, and the next one is
   /// paid for from the retry budget: for platforms that count whatever arrives at a back end.
   bool charge_refused_attempts = false;
-  /// Retries allowed to the node for each request it starts.
-  double retry_share = 0.1;
-  /// Retries that the node may save up, so that the streams of one lost engine can resume at once.
-  double retry_burst = 50;
   /// The first retry goes out at once, the second after this pause, and each later one after twice
   /// the pause before; each pause is shortened at random by up to a half.
   common::Duration backoff_base = std::chrono::milliseconds(10);
--- a/src/cypresswall/execution/model_execution_core.cpp
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -17,7 +17,7 @@
                           "Model requests by how they ended", "outcome", outcome);
 }
 
-common::Counter& retries(common::CounterRegistry& registry, const char* reason) {
+common::Counter& retriesCounter(common::CounterRegistry& registry, const char* reason) {
   return registry.counter("cypresswall_execution_model_retries_total",
                           "Further attempts at model requests", "reason", reason);
 }
@@ -41,8 +41,8 @@
       refused(ended(registry, "refused")),
       attempts(registry.counter("cypresswall_execution_model_attempts_total",
                                 "Streams started on engines")),
-      retries_after_run(retries(registry, "broken")),
-      retries_after_no_run(retries(registry, "not_run")),
+      retries_after_run(retriesCounter(registry, "broken")),
+      retries_after_no_run(retriesCounter(registry, "not_run")),
       resumed(registry.counter("cypresswall_execution_model_resumed_total",
                                "Answers resumed after their first token")),
       silent(registry.counter("cypresswall_execution_model_silent_total",
@@ -55,14 +55,15 @@
                                        admission::AdmissionController& admission_controller,
                                        routing::Router& request_router,
                                        engines::EngineClient& engine_client,
+                                       fleet_limits::RetryAccounts& retry_accounts,
                                        const ExecutionSettings& execution_settings)
     : process(process_context),
       configuration(configuration_view),
       admission(admission_controller),
       router(request_router),
       engines(engine_client),
+      retries(retry_accounts),
       settings(execution_settings),
-      budget(execution_settings),
       stream_events(process_context.counters),
       counters(process_context.counters),
       journal(execution_settings.kept_request_records),
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -13,7 +13,7 @@
 #include "cypresswall/execution/engine_attempt.h"
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/execution/request_journal.h"
-#include "cypresswall/execution/retry_budget.h"
+#include "cypresswall/fleet_limits/retry_accounts.h"
 #include "cypresswall/routing/router.h"
 
 namespace cypresswall::execution {
@@ -42,6 +42,7 @@
                      const configuration::ConfigurationView& configuration_view,
                      admission::AdmissionController& admission_controller,
                      routing::Router& request_router, engines::EngineClient& engine_client,
+                     fleet_limits::RetryAccounts& retry_accounts,
                      const ExecutionSettings& execution_settings);
 
   /// \return an identifier that no other request of any process has
@@ -57,8 +58,8 @@
   admission::AdmissionController& admission;
   routing::Router& router;
   engines::EngineClient& engines;
+  fleet_limits::RetryAccounts& retries;
   const ExecutionSettings settings;
-  RetryBudget budget;
   StreamEventCounters stream_events;
   ModelRequestCounters counters;
   RequestJournal journal;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -19,13 +19,13 @@
   starting_ = true;
   openRecord();
   core_.counters.started.add();
-  core_.budget.requestStarted();
   auto target = resolveTarget(*core_.configuration.current(), call_);
   if (!target) {
     giveUp(ErrorKind::kUnknownModel, "no model or service is named " + call_.service,
            common::Duration{0});
   } else {
     target_ = std::move(*target);
+    account().requestStarted();
     record_->model = target_.service.model;
     record_->prompt_tokens = target_.shape.tokens;
     record_->maximum_tokens = target_.maximum_tokens;
@@ -76,7 +76,9 @@
   route_ = std::get<routing::Route>(std::move(choice));
   recordAttempt();
   logRoute();
-  beginAttempt();
+  if (payUpTo(repeatsWithRoute(), ErrorKind::kOverloaded, "a further attempt can't be paid for")) {
+    beginAttempt();
+  }
 }
 
 routing::RouteRequest ModelRequest::routeRequest() const {
@@ -133,6 +135,10 @@
   }
 }
 
+std::uint32_t ModelRequest::repeatsWithRoute() const {
+  return route_->prefill_engine ? arrivals_.repeatsWithPromptApart() : arrivals_.repeatsWithWhole();
+}
+
 void ModelRequest::beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase) {
   phase_ = phase;
   token_seen_in_attempt_ = false;
@@ -159,6 +165,11 @@
     request.prefix_source = route_->prefix_source->address;
   }
   core_.counters.attempts.add();
+  if (phase == engines::StreamPhase::kPrefillOnly) {
+    arrivals_.promptSent();
+  } else {
+    arrivals_.outputSent();
+  }
   EngineAttempt::Listener& listener = *this;
   attempt_ = std::make_unique<EngineAttempt>(listener, core_.stream_events);
   attempt_->begin(core_.engines, engine, std::move(request));
@@ -201,6 +212,7 @@
   if (phase_ == engines::StreamPhase::kPrefillOnly) {
     may_have_run_ = may_have_run_ || attemptRuns();
     logPrompt();
+    arrivals_.promptComputed();
     core_.router.promptComputed(stream_id_);
     handOverToDecode();
     return;
@@ -239,6 +251,11 @@
   attemptLost(failure, message);
 }
 
+fleet_limits::RetryAccount& ModelRequest::account() const {
+  return core_.retries.of(target_.service.backend_pool.empty() ? target_.service.model
+                                                               : target_.service.backend_pool);
+}
+
 void ModelRequest::giveUp(ErrorKind kind, const std::string& message,
                           common::Duration retry_after) {
   ExecutionError error;
@@ -265,15 +282,19 @@
   });
 }
 
+void ModelRequest::leaveRoute() {
+  if (route_) {
+    core_.router.attemptFinished(stream_id_);
+    route_.reset();
+  }
+}
+
 void ModelRequest::abandon() {
   observer_ = nullptr;
   if (closed_) {
     return;
   }
-  if (route_) {
-    core_.router.attemptFinished(stream_id_);
-    route_.reset();
-  }
+  leaveRoute();
   core_.counters.abandoned.add();
   close("the caller went away");
 }
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -14,6 +14,7 @@
 #include "cypresswall/execution/model_execution_core.h"
 #include "cypresswall/execution/model_executor.h"
 #include "cypresswall/execution/model_target.h"
+#include "cypresswall/execution/request_arrivals.h"
 #include "cypresswall/execution/silence_watch.h"
 #include "cypresswall/routing/router.h"
 
@@ -53,6 +54,8 @@
   void onDeadline();
   void onRefused(const routing::RouteRefusal& refusal);
   void beginAttempt();
+  /// \return repeats in all once the chosen route is taken
+  std::uint32_t repeatsWithRoute() const;
   void beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase);
   void handOverToDecode();
   void beginDecode();
@@ -60,7 +63,17 @@
   void attemptLost(engines::StreamFailure failure, const std::string& message);
   void retryAfterRun(const std::string& message);
   void retryAfterNoRun(engines::StreamFailure failure, const std::string& message);
-  bool payForRefusal(const std::string& message);
+  /// Counts a refused attempt as one of the request's runs.
+  /// \return false if the request was given up, since no further attempt may be made
+  bool countRefusal(const std::string& message);
+  /// Pays for what the request makes of repeats with its next attempt, so far as not yet paid.
+  /// \return false if the request was given up, since the account is empty
+  bool payUpTo(std::uint32_t repeats, ErrorKind kind, const std::string& message);
+  /// Takes the attempt that is under way out of the arrivals.
+  void notArrived();
+  /// \return true if an attempt that failed so counts as an arrival at its engine
+  bool arrived(engines::StreamFailure failure) const;
+  fleet_limits::RetryAccount& account() const;
   void scheduleAttempt(common::Duration delay);
   void scheduleStep(common::Duration delay, std::function<void()> step);
 
@@ -80,6 +93,8 @@
   /// Ends everything but the observer's last call.
   void close(const std::string& state);
   void retireAttempt();
+  /// Gives back the place that the router gave.
+  void leaveRoute();
   void openRecord();
   void recordAttempt();
   void recordResult(const std::string& result);
@@ -110,6 +125,9 @@
   std::uint32_t tokens_given_ = 0;
   /// Kept only of answers that are passed through.
   std::string last_token_;
+  RequestArrivals arrivals_;
+  /// Repeats paid for.
+  std::uint32_t paid_repeats_ = 0;
   std::uint32_t runs_ = 0;
   std::uint32_t unrun_attempts_ = 0;
   /// The router was asked for a place and has not answered.
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cypresswall/execution/backoff.h"
 #include "cypresswall/execution/model_request.h"
 
 namespace cypresswall::execution {
@@ -60,7 +61,7 @@
 
 bool ModelRequest::retryAffordable() const {
   const bool repeatable = target_.service.repeatable || !attemptRuns();
-  return repeatable && runs_ + 1 < maximumRuns() && core_.budget.available() &&
+  return repeatable && runs_ + 1 < maximumRuns() && account().available() &&
          timeToFirstToken() > common::Duration{0};
 }
 
@@ -85,6 +86,9 @@
       .field("reason", message);
   recordResult(engine.name + ": " + message);
   excluded_.push_back(engine.name);
+  if (!arrived(failure) && failure != engines::StreamFailure::kNotTried) {
+    notArrived();
+  }
   retireAttempt();
   core_.router.attemptFailed(stream_id_, engine.name, failure);
   route_.reset();
@@ -115,10 +119,7 @@
     giveUp(ErrorKind::kBackendFailed, message, core_.settings.default_retry_after);
     return;
   }
-  if (!core_.budget.withdraw()) {
-    core_.counters.budget_spent.add();
-    giveUp(ErrorKind::kBackendFailed, message + "; the retry budget is spent",
-           core_.settings.default_retry_after);
+  if (!payUpTo(arrivals_.repeatsWithWhole(), ErrorKind::kBackendFailed, message)) {
     return;
   }
   core_.counters.retries_after_run.add();
@@ -129,9 +130,7 @@
 }
 
 void ModelRequest::retryAfterNoRun(engines::StreamFailure failure, const std::string& message) {
-  const bool charged =
-      core_.settings.charge_refused_attempts && failure == engines::StreamFailure::kRefused;
-  if (charged && !payForRefusal(message)) {
+  if (arrived(failure) && !countRefusal(message)) {
     return;
   }
   ++unrun_attempts_;
@@ -143,23 +142,42 @@
   scheduleAttempt(backoffBefore(unrun_attempts_, core_.settings, core_.process.random));
 }
 
-/// A refused attempt reached an engine, like one that ran.
-/// \return false if the request was given up, since no further attempt may be made
-bool ModelRequest::payForRefusal(const std::string& message) {
+bool ModelRequest::countRefusal(const std::string& message) {
   ++runs_;
   if (runs_ >= maximumRuns()) {
     giveUp(ErrorKind::kOverloaded, message, core_.settings.default_retry_after);
     return false;
   }
-  if (!core_.budget.withdraw()) {
+  return payUpTo(arrivals_.repeatsWithWhole(), ErrorKind::kOverloaded, message);
+}
+
+bool ModelRequest::payUpTo(std::uint32_t repeats, ErrorKind kind, const std::string& message) {
+  if (repeats <= paid_repeats_) {
+    return true;
+  }
+  if (!account().withdraw(repeats - paid_repeats_)) {
     core_.counters.budget_spent.add();
-    giveUp(ErrorKind::kOverloaded, message + "; the retry budget is spent",
-           core_.settings.default_retry_after);
+    leaveRoute();
+    giveUp(kind, message + "; the retry budget is spent", core_.settings.default_retry_after);
     return false;
   }
+  paid_repeats_ = repeats;
   return true;
 }
 
+bool ModelRequest::arrived(engines::StreamFailure failure) const {
+  const bool refused = failure == engines::StreamFailure::kRefused;
+  return !provedNotRun(failure) || (refused && core_.settings.charge_refused_attempts);
+}
+
+void ModelRequest::notArrived() {
+  if (phase_ == engines::StreamPhase::kPrefillOnly) {
+    arrivals_.promptNotArrived();
+  } else {
+    arrivals_.outputNotArrived();
+  }
+}
+
 void ModelRequest::scheduleAttempt(common::Duration delay) {
   scheduleStep(delay, [this] { nextAttempt(); });
 }
@@ -200,9 +218,8 @@
   may_have_run_ = may_have_run_ || (attempt_ != nullptr && attemptRuns());
   if (route_) {
     recordResult("ended by the request's time limit");
-    core_.router.attemptFinished(stream_id_);
-    route_.reset();
   }
+  leaveRoute();
   giveUp(ErrorKind::kDeadlineExceeded, "the request's time limit has passed",
          core_.settings.default_retry_after);
 }
--- a/src/cypresswall/execution/service_execution_core.cpp
+++ b/src/cypresswall/execution/service_execution_core.cpp
@@ -45,7 +45,6 @@
     : process(process_context),
       interfaces(service_interfaces),
       settings(execution_settings),
-      budget(execution_settings),
       counters(process_context.counters),
       journal(execution_settings.kept_request_records),
       ended_calls(process_context.scheduler) {}
--- a/src/cypresswall/execution/service_execution_core.h
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -12,7 +12,7 @@
 #include "cypresswall/execution/deferred_destruction.h"
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/execution/request_journal.h"
-#include "cypresswall/execution/retry_budget.h"
+#include "cypresswall/fleet_limits/retry_accounts.h"
 #include "cypresswall/idempotency/key_claims.h"
 #include "cypresswall/membership/membership_view.h"
 #include "cypresswall/services/service_client.h"
@@ -28,6 +28,7 @@
   admission::AdmissionController& admission;
   services::ServiceClient& client;
   idempotency::KeyClaims& claims;
+  fleet_limits::RetryAccounts& retries;
 };
 
 /// Counters of service requests.
@@ -61,7 +62,6 @@
   const api::ProcessContext& process;
   const ServiceInterfaces interfaces;
   const ExecutionSettings settings;
-  RetryBudget budget;
   ServiceRequestCounters counters;
   RequestJournal journal;
   DeferredDestruction<services::ServiceCall> ended_calls;
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cypresswall/execution/backend_choice.h"
+#include "cypresswall/execution/backoff.h"
 #include "cypresswall/execution/refusal_error.h"
 #include "cypresswall/execution/service_headers.h"
 #include "cypresswall/execution/service_operation.h"
@@ -37,25 +38,32 @@
   arrival_ = core_.process.clock.now();
   openRecord();
   core_.counters.started.add();
-  core_.budget.requestStarted();
   const auto fleet = core_.interfaces.configuration.current();
   const auto declared = fleet->http_services.find(request_.service);
   if (declared == fleet->http_services.end()) {
     fail(ErrorKind::kUnknownService, "no service is named " + request_.service,
          common::Duration{0});
-  } else if (admit(declared->second)) {
+  } else {
     service_ = declared->second;
-    operation_ = findOperation(service_, request_.method, request_.target);
-    setDeadline();
-    if (usesClaim()) {
-      claimKey();
-    } else {
-      nextAttempt();
-    }
+    account().requestStarted();
+    beginIfAdmitted();
   }
   starting_ = false;
 }
 
+void ServiceRun::beginIfAdmitted() {
+  if (!admit(service_)) {
+    return;
+  }
+  operation_ = findOperation(service_, request_.method, request_.target);
+  setDeadline();
+  if (usesClaim()) {
+    claimKey();
+  } else {
+    nextAttempt();
+  }
+}
+
 void ServiceRun::setDeadline() {
   deadline_ = core_.process.clock.now() + operation_.time_limit;
   if (request_.time_limit > common::Duration{0}) {
@@ -63,6 +71,11 @@
   }
 }
 
+fleet_limits::RetryAccount& ServiceRun::account() const {
+  return core_.interfaces.retries.of(service_.backend_pool.empty() ? service_.name
+                                                                   : service_.backend_pool);
+}
+
 std::uint32_t ServiceRun::maximumRuns() const {
   return operation_.maximum_runs > 0 ? operation_.maximum_runs : core_.settings.maximum_runs;
 }
@@ -139,7 +152,7 @@
 
 common::Duration ServiceRun::attemptTimeLimit(common::Duration remaining) const {
   const bool retry_possible = operation_.repeatable && service_.backends.size() > 1 &&
-                              runs_ + 1 < maximumRuns() && core_.budget.available();
+                              runs_ + 1 < maximumRuns() && account().available();
   return retry_possible ? remaining / kAttemptsPerRemainingTime : remaining;
 }
 
@@ -217,7 +230,7 @@
   if (runs_ >= maximumRuns() || deadline_ <= core_.process.clock.now()) {
     return false;
   }
-  if (!core_.budget.withdraw()) {
+  if (!account().withdraw()) {
     core_.counters.budget_spent.add();
     return false;
   }
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -27,6 +27,7 @@
 
  private:
   bool admit(const configuration::HttpServiceDeclaration& service);
+  void beginIfAdmitted();
   void claimKey();
   void onClaim(const idempotency::ClaimAnswer& answer);
   void onGranted();
@@ -40,6 +41,8 @@
   void onAnswered(services::ServiceResponse response);
   void onProvedNotRun(const services::ServiceResponse& response);
   void onBroken(const services::ServiceResponse& response);
+  /// \return the account that pays for repeats
+  fleet_limits::RetryAccount& account() const;
   bool payForRetry();
   /// Counts a run. \return false if no further one may be made
   bool payForRun();
--- /dev/null
+++ b/src/cypresswall/fleet_limits/fleet_part.cpp
@@ -0,0 +1,78 @@
+#include "cypresswall/fleet_limits/fleet_part.h"
+
+#include <utility>
+
+namespace cypresswall::fleet_limits {
+namespace {
+
+constexpr common::Duration kWatchInterval = std::chrono::milliseconds(500);
+/// A timer later than this shows that the process stood still; the settling time covers less.
+constexpr common::Duration kNoticedPause = std::chrono::seconds(1);
+/// How long a fleet is remembered, to notice that this node sees only the smaller part of it.
+constexpr common::Duration kRememberedFleet = std::chrono::minutes(10);
+/// A node needs to see more than the most members divided by this.
+constexpr std::size_t kMajority = 2;
+
+}  // namespace
+
+FleetPart::FleetPart(const FleetPartSettings& settings, const api::ProcessContext& context,
+                     membership::MembershipView& membership)
+    : settings_(settings),
+      context_(context),
+      membership_(membership),
+      lately_(settings.window + settings.settling_time),
+      remembered_(kRememberedFleet),
+      holds_from_(context.clock.now()),
+      watched_at_(context.clock.now()),
+      part_gauge_(context.counters.gauge(
+          "cypresswall_fleet_limits_part",
+          "Part of the fleet's limits that this node may use without asking")) {
+  if (settings_.waits_after_start) {
+    waitAnew("the node started");
+  }
+  membership.onChange([this] { countMembers(); });
+  countMembers();
+  watch();
+}
+
+void FleetPart::watch() {
+  const auto now = context_.clock.now();
+  if (settings_.waits_after_start && now - watched_at_ > kWatchInterval + kNoticedPause) {
+    waitAnew("the process stood still");
+  }
+  watched_at_ = now;
+  countMembers();
+  part_gauge_.set(part());
+  context_.scheduler.schedule(kWatchInterval, [this] { watch(); });
+}
+
+void FleetPart::countMembers() {
+  const auto now = context_.clock.now();
+  const std::size_t members = membership_.members().size();
+  lately_.add(members, now);
+  remembered_.add(members, now);
+  if (!settings_.waits_after_start) {
+    return;
+  }
+  const bool cut_off = members > 0 && members * kMajority <= remembered_.value();
+  const bool back = std::exchange(cut_off_, cut_off) && !cut_off;
+  if (back) {
+    waitAnew("the node was cut off from most others");
+  }
+}
+
+void FleetPart::waitAnew(const char* reason) {
+  holds_from_ = context_.clock.now() + settings_.window + settings_.settling_time;
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "fleet_part_withheld")
+      .field("reason", reason)
+      .field("members", membership_.members().size());
+}
+
+double FleetPart::part() const {
+  if (cut_off_ || context_.clock.now() < holds_from_ || lately_.value() == 0) {
+    return 0;
+  }
+  return 1.0 / static_cast<double>(lately_.value() * settings_.regions);
+}
+
+}  // namespace cypresswall::fleet_limits
--- /dev/null
+++ b/src/cypresswall/fleet_limits/recent_maximum.h
@@ -0,0 +1,33 @@
+/// The largest value of a series over a recent span of time.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "cypresswall/common/time.h"
+
+namespace cypresswall::fleet_limits {
+
+/// Forgets a value after one to two spans, and needs two numbers for it.
+class RecentMaximum {
+ public:
+  explicit RecentMaximum(common::Duration span) : span_(span) {}
+
+  void add(std::size_t value, common::MonotonicTime now) {
+    if (now - begun_ >= span_) {
+      before_ = now - begun_ >= span_ * 2 ? value : current_;
+      current_ = value;
+      begun_ = now;
+    }
+    current_ = std::max(current_, value);
+  }
+  std::size_t value() const { return std::max(before_, current_); }
+
+ private:
+  const common::Duration span_;
+  common::MonotonicTime begun_{};
+  std::size_t before_ = 0;
+  std::size_t current_ = 0;
+};
+
+}  // namespace cypresswall::fleet_limits
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -13,6 +13,8 @@
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/execution/engine_model_executor.h"
 #include "cypresswall/execution/http_service_executor.h"
+#include "cypresswall/fleet_limits/fleet_part.h"
+#include "cypresswall/fleet_limits/retry_accounts.h"
 #include "cypresswall/idempotency/quorum_key_claims.h"
 #include "cypresswall/lease/store_lease.h"
 #include "cypresswall/lease/zone_authority.h"
@@ -108,6 +110,8 @@
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
   idempotency::QuorumKeyClaims key_claims_;
+  fleet_limits::FleetPart fleet_part_;
+  fleet_limits::RetryAccounts retries_;
   execution::EngineModelExecutor model_executor_;
   execution::HttpServiceExecutor service_executor_;
   NodeState state_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -7,6 +7,8 @@
 #include "cypresswall/admission/admission_settings.h"
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/execution/execution_settings.h"
+#include "cypresswall/fleet_limits/fleet_part.h"
+#include "cypresswall/fleet_limits/retry_accounts.h"
 #include "cypresswall/idempotency/claim_settings.h"
 #include "cypresswall/lease/lease_settings.h"
 #include "cypresswall/lease/store_lease.h"
@@ -44,6 +46,8 @@
   admission::SheddingSettings shedding;
   admission::AdmissionSettings admission;
   execution::ExecutionSettings execution;
+  fleet_limits::RetryLimitSettings retries;
+  fleet_limits::FleetPartSettings fleet_part;
   /// A planned stop waits no longer than this for requests that run.
   common::Duration stop_limit = std::chrono::minutes(10);
   /// How often a planned stop looks whether anything still runs.
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "cypresswall/runtime/log_sink.h"
@@ -315,6 +316,43 @@
   };
 }
 
+SettingKey fleetRegionsKey() {
+  SettingKey key;
+  key.name = "retries.regions";
+  key.unit = "list of regions";
+  key.range = "names, also several times each";
+  key.default_text = "[]";
+  key.meaning =
+      "Regions of all nodes of the fleet; those of each region divide the same part of "
+      "retries.fleet_burst. Empty for one region.";
+  key.is_list = true;
+  key.apply = [](DaemonSettings& settings, const GivenValue& value) {
+    const std::set<std::string> regions(value.items.begin(), value.items.end());
+    settings.node.fleet_part.regions = std::max<std::size_t>(1, regions.size());
+  };
+  return key;
+}
+
+Keys retryKeys() {
+  return {
+      numberKey(
+          "retries.fleet_share", 0, 1, [](auto& s) -> auto& { return s.node.retries.fleet_share; },
+          "Repeats that all nodes together may make for each request of a service, in each "
+          "window."),
+      numberKey(
+          "retries.fleet_burst", 0, 1e6,
+          [](auto& s) -> auto& { return s.node.retries.fleet_burst; },
+          "Repeats of a service that all nodes together may make beyond that share, in each "
+          "window. "
+          "The nodes divide it."),
+      durationKey(
+          "retries.window", seconds(1), minutes(10),
+          [](auto& s) -> auto& { return s.node.retries.window; },
+          "Span of time over which repeats are summed."),
+      fleetRegionsKey(),
+  };
+}
+
 /// Each mechanism by which the system copes with overload, to be switched off by itself.
 Keys mechanismKeys() {
   return {
@@ -423,8 +461,9 @@
 
 Keys allKeys() {
   Keys keys;
-  for (Keys (*const part)() : {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys,
-                               planningKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
+  for (Keys (*const part)() :
+       {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys, planningKeys, retryKeys,
+        mechanismKeys, requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -7,7 +7,6 @@
 namespace cypresswall::settings {
 namespace {
 
-constexpr double kRetryBurstOfCountingPlatform = 5;
 /// Twice the limit: an attempt given up earlier has its prompt read again elsewhere for nothing.
 constexpr double kSilenceShareOfCountingPlatform = 2;
 
@@ -27,6 +26,7 @@
       throw SettingsError(problems_);
     }
     settings_.node.membership.gateway_address = settings_.server.address;
+    settings_.node.fleet_part.window = settings_.node.retries.window;
     return std::move(settings_);
   }
 
@@ -67,6 +67,9 @@
             "must be less than timings.lease_duration without its margin");
     require(settings_.gateway.resume_below_bytes < settings_.gateway.pause_above_bytes,
             "limits.resume_below_bytes", "must be less than limits.pause_above_bytes");
+    const auto& retries = settings_.node.retries;
+    require(retries.fleet_share > 0 || retries.fleet_burst <= 0 || retries.fleet_burst >= 1,
+            "retries.fleet_burst", "no node could ever use less than one repeat; write 0 for none");
     checkSeeds();
   }
 
@@ -100,10 +103,10 @@
   DaemonSettings settings = Loader(values).load();
   if (settings.platform_protocol == PlatformProtocol::kObjects) {
     // That platform counts every request that arrives at a back end, refused or not, over all nodes
-    // together: a node may save up only its part of what the platform allows at once.
+    // together, whatever happened to them meanwhile.
     settings.node.execution.charge_refused_attempts = true;
+    settings.node.fleet_part.waits_after_start = true;
     settings.node.router.copies_prefixes = settings.copied_prefixes;
-    settings.node.execution.retry_burst = kRetryBurstOfCountingPlatform;
     settings.node.execution.first_token_silence_share = kSilenceShareOfCountingPlatform;
     // Its engines have only the roles "prefill" and "decode", and its store outlives the nodes.
     settings.node.lease_in_store = true;
--- a/tests/execution/engine_model_executor_test.cpp
+++ b/tests/execution/engine_model_executor_test.cpp
@@ -96,9 +96,7 @@
   }
 
   void refusedAttemptsGoElsewhereWithoutBudget() {
-    ExecutionSettings settings;
-    settings.retry_burst = 0;
-    World world(settings);
+    World world(ExecutionSettings{}, testing::withRetryBurst(0));
     world.engines.scripts = {{Kind::kRefused}, {Kind::kNotSent}};
     RecordingObserver observer;
     const auto handle = world.start(observer);
@@ -211,10 +209,10 @@
   }
 
   void retryBudgetBoundsRetries() {
-    ExecutionSettings settings;
-    settings.retry_burst = 1;
-    settings.retry_share = 0;
-    World world(settings);
+    fleet_limits::RetryLimitSettings limits;
+    limits.fleet_burst = 1;
+    limits.fleet_share = 0;
+    World world(ExecutionSettings{}, limits);
     world.engines.scripts.assign(3, {Kind::kBrokenAt, 0});
     RecordingObserver observer;
     const auto handle = world.start(observer);
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -20,8 +20,10 @@
 
 /// A zone whose claims and back ends several nodes share.
 struct World {
-  explicit World(ExecutionSettings settings = {})
-      : interfaces{configuration, membership, admission, client, claims},
+  explicit World(const ExecutionSettings& settings = {},
+                 const fleet_limits::RetryLimitSettings& retry_limits = {})
+      : retries(retry_limits, process.context, [] { return 1.0; }),
+        interfaces{configuration, membership, admission, client, claims, retries},
         first(process.context, interfaces, settings),
         second(process.context, interfaces, settings) {
     auto& service = configuration.fleet.http_services["booking"];
@@ -83,6 +85,7 @@
   testing::FakeAdmission admission;
   testing::FakeServiceClient client{process.time};
   testing::FakeClaims claims{process.time};
+  fleet_limits::RetryAccounts retries;
   ServiceInterfaces interfaces;
   HttpServiceExecutor first;
   HttpServiceExecutor second;
@@ -312,9 +315,10 @@
   void refusedAttemptsDrawOnTheBudget() {
     ExecutionSettings settings;
     settings.charge_refused_attempts = true;
-    settings.retry_burst = 1;
-    settings.retry_share = 0;
-    World world(settings);
+    fleet_limits::RetryLimitSettings limits;
+    limits.fleet_burst = 1;
+    limits.fleet_share = 0;
+    World world(settings, limits);
     world.client.scripts = {CallScript::kRefused, CallScript::kNotSent, CallScript::kRefused};
     const auto answer = world.ask(World::request("POST", "/slots"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.client.calls.size());
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -178,9 +178,7 @@
   }
 
   void silentEngineIsHeldToTheDeadlineOnly() {
-    ExecutionSettings settings;
-    settings.retry_burst = 0;
-    World world(settings);
+    World world(ExecutionSettings{}, testing::withRetryBurst(0));
     world.engines.scripts = {{Kind::kSilentAt, 3}};
     auto call = World::call();
     call.time_limit = seconds(30);
@@ -289,9 +287,9 @@
   void refusedAttemptsDrawOnTheBudget() {
     ExecutionSettings settings;
     settings.charge_refused_attempts = true;
-    settings.retry_burst = 1;
-    settings.retry_share = 0;
-    World world(settings);
+    auto limits = testing::withRetryBurst(1);
+    limits.fleet_share = 0;
+    World world(settings, limits);
     world.engines.scripts = {
         {Kind::kNotSent}, {Kind::kRefused}, {Kind::kNotSent}, {Kind::kRefused}, {Kind::kRefused}};
     RecordingObserver observer;
@@ -307,8 +305,10 @@
   void refusedAttemptsStayWithinTheShare() {
     ExecutionSettings settings;
     settings.charge_refused_attempts = true;
-    settings.retry_burst = 3;
-    World world(settings);
+    auto limits = testing::withRetryBurst(3);
+    // All requests fall into one window.
+    limits.window = std::chrono::minutes(10);
+    World world(settings, limits);
     world.service().maximum_runs = 3;
     for (int number = 0; number < 300; ++number) {
       world.engines.scripts.push_back({number % 2 == 0 ? Kind::kRefused : Kind::kBrokenAt, 0});
--- a/tests/execution/model_world.h
+++ b/tests/execution/model_world.h
@@ -43,10 +43,22 @@
   std::optional<execution::ExecutionError> error;
 };
 
+/// \return limits by which so many repeats are allowed beyond the share of the requests
+inline fleet_limits::RetryLimitSettings withRetryBurst(double burst) {
+  fleet_limits::RetryLimitSettings limits;
+  limits.fleet_burst = burst;
+  return limits;
+}
+
 /// One node with an executor over fake engines.
 struct ModelWorld {
   explicit ModelWorld(const execution::ExecutionSettings& settings = {})
-      : executor(process.context, configuration, admission, router, engines, settings) {
+      : ModelWorld(settings, {}) {}
+  /// \param retry_limits what this node alone may repeat
+  ModelWorld(const execution::ExecutionSettings& settings,
+             const fleet_limits::RetryLimitSettings& retry_limits)
+      : retries(retry_limits, process.context, [] { return 1.0; }),
+        executor(process.context, configuration, admission, router, engines, retries, settings) {
     configuration.fleet.models["dispatch"] = {"dispatch", "v1", "", {}};
     configuration.fleet.model_services["summary"].name = "summary";
     configuration.fleet.model_services["summary"].model = "dispatch";
@@ -85,6 +97,7 @@
   FakeAdmission admission;
   FakeRouter router;
   FakeEngines engines{process.time};
+  fleet_limits::RetryAccounts retries;
   execution::EngineModelExecutor executor;
 };
 
--- a/tests/fleet_limits/arrivals_test.cpp
+++ b/tests/fleet_limits/arrivals_test.cpp
@@ -25,9 +25,10 @@
   void promptComputedAgainIsPaidFor() {
     execution::ExecutionSettings settings;
     settings.charge_refused_attempts = true;
-    settings.retry_burst = 1;
-    settings.retry_share = 0;
-    World world(settings);
+    RetryLimitSettings limits;
+    limits.fleet_burst = 1;
+    limits.fleet_share = 0;
+    World world(settings, limits);
     world.router.prefill_name = "prefill-1";
     world.engines.scripts = {{Kind::kGood, 0}, {Kind::kRefused, 0}};
     RecordingObserver observer;
--- a/tests/fleet_limits/repeats_test.cpp
+++ b/tests/fleet_limits/repeats_test.cpp
@@ -75,7 +75,10 @@
     settings.topology.nodes_per_zone = scenario.nodes;
     settings.topology.engines_per_zone = scenario.engines;
     settings.declared = &declared_;
-    settings.node.execution = deployedSettings(scenario).execution;
+    const node::NodeSettings deployed = deployedSettings(scenario);
+    settings.node.execution = deployed.execution;
+    settings.node.retries = deployed.retries;
+    settings.node.fleet_part = deployed.fleet_part;
     configuration::ConfigurationChange change;
     change.version = kVersion;
     change.objects = simulation::declarations(settings.topology);
