Tell lives of a runner apart, and let entries of other writers name no runner

Cause: what is kept of a runner was kept by its id, which may now come back for a runner that knows nothing. And an entry of the store with a number out of range was converted to some other number, one with bytes that are no text hid its whole page, and one that was written over left the runner that stood there before.

Entries are checked whole.

--- /dev/null
+++ b/tests/objects_platform/runner_entries_test.cpp
@@ -0,0 +1,209 @@
+/// Entries of runners as any writer may leave them in the store: of a second life of a runner under
+/// the same id, and such that name no runner to use.
+#include <string>
+#include <vector>
+
+#include "platform/fleet_declaration.h"
+#include "platform/load_report.h"
+#include "platform/runner_machine_list.h"
+#include "tests/support/property.h"
+#include "tests/support/virtual_world.h"
+
+namespace cypresswall::objects_platform {
+namespace {
+
+constexpr const char* kDeclared = R"({"version": 7, "routes": [
+    {"name": "r", "host": "a.example", "path_prefix": "/", "kind": "streaming", "service": "llm"}],
+  "services": [{"name": "llm", "engine": {"kv_tokens": 1000, "models": [{"name": "m"}]}}]})";
+
+wire::Json entry(std::uint64_t born, const std::string& state = "ready") {
+  return {{"service", "llm"}, {"address", "10.0.0.1:80"}, {"zone", "hall-a"}, {"slots", 48},
+          {"state", state},   {"stage", "prefill"},       {"call_seq", 4},    {"born", born}};
+}
+
+class RunnerEntriesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RunnerEntriesTest);
+  CPPUNIT_TEST(aSecondLifeIsAnotherEngine);
+  CPPUNIT_TEST(anOlderClockMakesALifeToo);
+  CPPUNIT_TEST(aDrainEndsWithItsLife);
+  CPPUNIT_TEST(callsNameTheIdAlone);
+  CPPUNIT_TEST(reportsOfAnotherLifeAreDropped);
+  CPPUNIT_TEST(foreignEntriesNameNoRunner);
+  CPPUNIT_TEST(anEntryThatIsWrittenOverNamesNoRunner);
+  CPPUNIT_TEST(pagesHoldBesideForeignEntries);
+  CPPUNIT_TEST(manyForeignEntriesAreToldOnceEach);
+  CPPUNIT_TEST(anyEntryIsReadOrRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { declared_.onPut({"main", 1, wire::Json::parse(kDeclared)}); }
+
+  void aSecondLifeIsAnotherEngine() {
+    put("i-1", entry(1000));
+    const auto first = onlyEngine();
+    put("i-1", entry(2000));
+    const auto second = onlyEngine();
+    CPPUNIT_ASSERT(first != second);
+    CPPUNIT_ASSERT(runners_.findByLife(first) == nullptr);
+    CPPUNIT_ASSERT(runners_.findByLife(second) != nullptr);
+    CPPUNIT_ASSERT(incarnationOf(first) != incarnationOf(second));
+  }
+
+  void anOlderClockMakesALifeToo() {
+    put("i-1", entry(2000));
+    const auto first = onlyEngine();
+    put("i-1", entry(1000));
+    CPPUNIT_ASSERT(first != onlyEngine());
+  }
+
+  void aDrainEndsWithItsLife() {
+    put("i-1", entry(1000, "draining"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, declared_.current()->engine_overrides.size());
+    put("i-1", entry(2000));
+    CPPUNIT_ASSERT(declared_.current()->engine_overrides.empty());
+    const auto engine = onlyEngine();
+    CPPUNIT_ASSERT_EQUAL(engine, declared_.current()->engines.at(engine).machine);
+  }
+
+  void callsNameTheIdAlone() {
+    put("i-1", entry(1000));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), runnerIdOf(onlyEngine()));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), runnerIdOf("i-1"));
+  }
+
+  void reportsOfAnotherLifeAreDropped() {
+    put("i-1", entry(1000));
+    const auto engine = onlyEngine();
+    const RunnerFacts facts{48, "llm/m", "1", 0};
+    const auto report = [&](const std::string& more) {
+      return parseLoadReport(R"({"stage":"prefill")" + more + "}", engine, facts, {});
+    };
+    CPPUNIT_ASSERT(report(R"(,"born":1000)").has_value());
+    CPPUNIT_ASSERT(report("").has_value());
+    CPPUNIT_ASSERT(!report(R"(,"born":2000)").has_value());
+    CPPUNIT_ASSERT(
+        !parseCacheEvents(R"({"epoch":3,"next_token":4,"events":[],"born":2000})", engine, facts));
+    CPPUNIT_ASSERT(
+        !parseCacheList(R"({"epoch":3,"next_token":4,"held":[],"born":2000})", engine, facts));
+  }
+
+  void foreignEntriesNameNoRunner() {
+    put("i-1", entry(1000));
+    std::uint64_t number = 0;
+    for (const wire::Json& spec : foreignSpecs()) {
+      put("x-" + std::to_string(++number), spec);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(spec.dump(), std::size_t{1}, runners_.runners().size());
+    }
+    CPPUNIT_ASSERT_EQUAL(static_cast<double>(number),
+                         process_.counters().total("cypresswall_runners_unreadable_total"));
+  }
+
+  void anEntryThatIsWrittenOverNamesNoRunner() {
+    put("i-1", entry(1000));
+    put("i-1", wire::Json("of another"));
+    CPPUNIT_ASSERT(runners_.runners().empty());
+    CPPUNIT_ASSERT(declared_.current()->engines.empty());
+    put("i-1", entry(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, declared_.current()->engines.size());
+  }
+
+  void pagesHoldBesideForeignEntries() {
+    const std::string good = R"({"metadata":{"name":"i-1","revision":3},"spec":{"a":1}})";
+    for (const std::string bad :
+         {R"(7)", R"({"spec":{}})", R"({"metadata":{"name":7}})", R"({"metadata":"none"})",
+          R"({"metadata":{"name":"x","revision":"3"},"spec":{}})",
+          R"({"metadata":{"name":"x","revision":-3},"spec":{}})",
+          "{\"metadata\":{\"name\":\"x\",\"revision\":3},\"spec\":\"\xff\xfe\"}"}) {
+      const auto page = wire::parsePage(R"({"at":9,"items":[)" + bad + "," + good + "]}");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(bad, std::string("i-1"), page.items.back().name);
+      const auto events = wire::parseEvents(R"({"at":9,"events":[{"object":)" + bad +
+                                            R"(},{"object":)" + good + "}]}");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(bad, std::string("i-1"), events.events.back().object.name);
+    }
+  }
+
+  void manyForeignEntriesAreToldOnceEach() {
+    constexpr int kEntries = 5000;
+    for (int number = 0; number < kEntries; ++number) {
+      runners_.onPut({"x-" + std::to_string(number), 1, wire::Json(number)});
+    }
+    runners_.onCaughtUp();
+    CPPUNIT_ASSERT(runners_.runners().empty());
+    CPPUNIT_ASSERT_EQUAL(double{kEntries},
+                         process_.counters().total("cypresswall_runners_unreadable_total"));
+  }
+
+  void anyEntryIsReadOrRefused() {
+    testing::requireProperty("any entry is read or refused", 2000, [this] {
+      wire::Json spec = entry(1000);
+      const auto fields = *rc::gen::inRange(1, 4);
+      for (int field = 0; field < fields; ++field) {
+        auto place = spec.begin();
+        std::advance(place, *rc::gen::inRange<int>(0, static_cast<int>(spec.size())));
+        *place =
+            *rc::gen::element(wire::Json(), wire::Json(-1), wire::Json(1e30), wire::Json("\xff"),
+                              wire::Json::array({1, "a"}), wire::Json::object({{"a", 1}}),
+                              wire::Json(true), wire::Json(std::string(1000, 'a')));
+      }
+      runners_.onPut({"i-2", 1, spec});
+      runners_.onCaughtUp();
+      for (const auto& [id, runner] : runners_.runners()) {
+        RC_ASSERT(runner.slots <= kMostSlots);
+        RC_ASSERT(runner.state == RunnerState::kReady || runner.state == RunnerState::kDraining);
+      }
+    });
+  }
+
+ private:
+  /// Each is a whole entry but for one thing.
+  static std::vector<wire::Json> foreignSpecs() {
+    std::vector<wire::Json> specs = {wire::Json(), wire::Json(7), wire::Json("text"),
+                                     wire::Json::array()};
+    const auto with = [&](const char* name, wire::Json value) {
+      specs.push_back(entry(1000));
+      specs.back()[name] = std::move(value);
+    };
+    for (const char* name : {"address", "service", "state"}) {
+      specs.push_back(entry(1000));
+      specs.back().erase(name);
+      with(name, 7);
+      with(name, nullptr);
+    }
+    with("state", "resting");
+    with("address", "somewhere");
+    with("address", "10.0.0.1:99999");
+    with("address", "10.0.0.1");
+    with("slots", -1);
+    with("slots", 1e12);
+    with("slots", "48");
+    with("slots", 0.5);
+    with("call_seq", -4);
+    with("born", "now");
+    with("born", -1);
+    with("born", 1.5);
+    with("stage", "resting");
+    with("models", 7);
+    with("models", wire::Json::array({wire::Json::object({{"version", 1}})}));
+    return specs;
+  }
+  void put(const std::string& name, wire::Json spec) {
+    runners_.onPut({name, ++revision_, std::move(spec)});
+    runners_.onCaughtUp();
+    declared_.onCaughtUp();
+  }
+  common::EngineName onlyEngine() const {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, declared_.current()->engines.size());
+    return declared_.current()->engines.begin()->first;
+  }
+
+  testing::VirtualWorld world_{1};
+  testing::VirtualProcess& process_ = world_.spawn({"10.0.0.1:1", 1}, "z");
+  std::uint64_t revision_ = 1;
+  RunnerRegistry runners_{process_.context()};
+  FleetDeclaration declared_{process_.context(), runners_, "region", {}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RunnerEntriesTest);
+
+}  // namespace
+}  // namespace cypresswall::objects_platform
