--- a/src/cypresswall/fleet_limits/retry_accounts.cpp
+++ b/src/cypresswall/fleet_limits/retry_accounts.cpp
@@ -31,7 +31,7 @@
                                          "Repeats that the account holds", "service", service)) {}
 
 void RetryAccount::requestStarted() {
-  ledger_.earn(settings_.fleet_share * kUsedShare, context_.clock.now());
+  ledger_.earn(1, context_.clock.now());
   left_gauge_.set(left());
 }
 
@@ -39,8 +39,9 @@
 
 double RetryAccount::left() const {
   const auto now = context_.clock.now();
+  const double share = settings_.fleet_share * kUsedShare;
   const double burst = settings_.fleet_burst * part_of_fleet_();
-  return std::max(0.0, ledger_.earned(now) + burst - ledger_.used(now));
+  return std::max(0.0, ledger_.earned(now) * share + burst - ledger_.used(now));
 }
 
 bool RetryAccount::available(std::uint32_t repeats) const { return left() >= repeats; }
@@ -58,6 +59,7 @@
 void RetryAccount::refused() {
   refused_count_.add();
   ++refusals_;
+  ++refused_in_all_;
   refused_at_ = context_.clock.now();
   if (std::exchange(empty_, true)) {
     return;
--- a/src/cypresswall/fleet_limits/retry_accounts.h
+++ b/src/cypresswall/fleet_limits/retry_accounts.h
@@ -44,6 +44,8 @@
   double used() const;
   /// \return repeats that can be paid for now
   double left() const;
+  /// \return repeats that were not paid for since the start
+  std::uint64_t refusedInAll() const { return refused_in_all_; }
 
  private:
   void refused();
@@ -57,7 +59,9 @@
   /// Set from the first refusal until repeats are paid for again.
   bool empty_ = false;
   common::MonotonicTime refused_at_{};
+  /// Since the account was found empty.
   std::uint64_t refusals_ = 0;
+  std::uint64_t refused_in_all_ = 0;
   common::Counter& paid_count_;
   common::Counter& refused_count_;
   common::Counter& left_gauge_;
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -54,7 +54,7 @@
                         settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, controller_, model_executor_.journal(),
-                              service_executor_.journal()}),
+                              service_executor_.journal(), retries_, fleet_part_}),
       commands_(context_, configuration_, state_, declared_) {
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   membership_.onChange([this] {
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -167,6 +167,20 @@
   return rows;
 }
 
+std::vector<operators::RetryRow> NodeState::retries() const {
+  std::vector<operators::RetryRow> rows;
+  for (const auto& [service, account] : sources_.retries.all()) {
+    operators::RetryRow row;
+    row.service = service;
+    row.used = account->used();
+    row.left = account->left();
+    row.refused = account->refusedInAll();
+    row.part = sources_.fleet_part.part();
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
 std::vector<operators::Explanation> NodeState::explainEngine(const common::EngineName& name) const {
   std::vector<operators::Explanation> lines;
   explainView(name, lines);
--- a/src/cypresswall/node/node_state.h
+++ b/src/cypresswall/node/node_state.h
@@ -7,6 +7,8 @@
 
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/execution/request_journal.h"
+#include "cypresswall/fleet_limits/fleet_part.h"
+#include "cypresswall/fleet_limits/retry_accounts.h"
 #include "cypresswall/lease/authority_view.h"
 #include "cypresswall/membership/membership.h"
 #include "cypresswall/operators/state_providers.h"
@@ -25,6 +27,8 @@
   const orders::ZoneController& controller;
   const execution::RequestJournal& model_requests;
   const execution::RequestJournal& service_requests;
+  const fleet_limits::RetryAccounts& retries;
+  const fleet_limits::FleetPart& fleet_part;
 };
 
 class NodeState final : public operators::StateProviders {
@@ -35,6 +39,7 @@
   std::vector<operators::RequestRow> requests() const override;
   std::vector<operators::LeaseRow> leases() const override;
   std::vector<operators::NodeRow> nodes() const override;
+  std::vector<operators::RetryRow> retries() const override;
   std::vector<operators::Explanation> explainEngine(const common::EngineName& name) const override;
 
   std::vector<operators::Explanation> explainRequest(const std::string& id) const override;
--- a/src/cypresswall/operators/command.h
+++ b/src/cypresswall/operators/command.h
@@ -24,6 +24,7 @@
   kLeases,
   kNodes,
   kTenants,
+  kRetries,
 };
 
 enum class Comparison { kEqual, kNotEqual, kLess, kLessOrEqual, kGreater, kGreaterOrEqual };
--- a/src/cypresswall/operators/queries.cpp
+++ b/src/cypresswall/operators/queries.cpp
@@ -136,6 +136,9 @@
     case Subject::kTenants:
       table = tenants();
       break;
+    case Subject::kRetries:
+      table = retries();
+      break;
   }
   filterRows(table, command.conditions);
   return table;
@@ -276,6 +279,15 @@
   return table;
 }
 
+ResultTable Queries::retries() const {
+  ResultTable table = tableOf(Subject::kRetries);
+  for (const RetryRow& row : providers_.retries()) {
+    table.rows.push_back(
+        {text(row.service), Cell{row.used}, Cell{row.left}, count(row.refused), Cell{row.part}});
+  }
+  return table;
+}
+
 ResultTable Queries::nodes() const {
   ResultTable table = tableOf(Subject::kNodes);
   const auto fleet = configuration_.current();
--- a/src/cypresswall/operators/queries.h
+++ b/src/cypresswall/operators/queries.h
@@ -38,6 +38,7 @@
   ResultTable zones() const;
   ResultTable changes() const;
   ResultTable leases() const;
+  ResultTable retries() const;
   ResultTable nodes() const;
   ResultTable tenants() const;
   ResultTable requests() const;
--- a/src/cypresswall/operators/state_providers.h
+++ b/src/cypresswall/operators/state_providers.h
@@ -58,6 +58,18 @@
   std::uint64_t configuration_version = 0;
 };
 
+/// A service's account of repeats at this node.
+struct RetryRow {
+  common::ServiceName service;
+  /// Repeats of the last window.
+  double used = 0;
+  double left = 0;
+  /// Repeats that were not made, since the account was empty.
+  std::uint64_t refused = 0;
+  /// Part of the fleet's burst that this node may use now, from 0 to 1.
+  double part = 0;
+};
+
 /// What this node knows of another zone, in one line.
 struct ZoneSummaryRow {
   common::ZoneName zone;
@@ -77,6 +89,7 @@
   virtual std::vector<RequestRow> requests() const { return {}; }
   virtual std::vector<LeaseRow> leases() const { return {}; }
   virtual std::vector<NodeRow> nodes() const { return {}; }
+  virtual std::vector<RetryRow> retries() const { return {}; }
   virtual std::vector<ZoneSummaryRow> zoneSummaries() const { return {}; }
   /// \return inputs, alternatives and costs of the last decision about an engine's role; empty if
   ///   there was none.
--- a/src/cypresswall/operators/vocabulary.cpp
+++ b/src/cypresswall/operators/vocabulary.cpp
@@ -47,6 +47,8 @@
                                                         "gateway", "version", "drained"};
   static const std::vector<std::string> kTenantColumns = {"tenant", "requests_per_second",
                                                           "tokens_per_second"};
+  static const std::vector<std::string> kRetryColumns = {"service", "used", "left", "refused",
+                                                         "part"};
   switch (subject) {
     case Subject::kEngines:
       return kEngineColumns;
@@ -65,15 +67,17 @@
     case Subject::kNodes:
       return kNodeColumns;
     case Subject::kTenants:
+      return kTenantColumns;
+    case Subject::kRetries:
       break;
   }
-  return kTenantColumns;
+  return kRetryColumns;
 }
 
 const std::vector<CommandHelp>& commandHelp() {
   static const std::vector<CommandHelp> kHelp = {
       {"show",
-       "show engines|requests|services|models|zones|changes|leases|nodes|tenants "
+       "show engines|requests|services|models|zones|changes|leases|nodes|tenants|retries "
        "[where COLUMN =|!=|<|<=|>|>= VALUE [and ...]]",
        "list what is running and declared"},
       {"why", "why engine NAME | request ID | change VERSION-OR-ID", "explain a decision"},
--- a/src/cypresswall/operators/vocabulary.h
+++ b/src/cypresswall/operators/vocabulary.h
@@ -17,7 +17,7 @@
   Enumeration value;
 };
 
-inline constexpr std::array<NamedValue<Subject>, 9> kSubjects = {{
+inline constexpr std::array<NamedValue<Subject>, 10> kSubjects = {{
     {"engines", Subject::kEngines},
     {"requests", Subject::kRequests},
     {"services", Subject::kServices},
@@ -27,6 +27,7 @@
     {"leases", Subject::kLeases},
     {"nodes", Subject::kNodes},
     {"tenants", Subject::kTenants},
+    {"retries", Subject::kRetries},
 }};
 inline constexpr std::array<NamedValue<Comparison>, 6> kComparisons = {{
     {"=", Comparison::kEqual},
--- a/tests/fleet_limits/simulated_accounts.h
+++ b/tests/fleet_limits/simulated_accounts.h
@@ -85,14 +85,15 @@
 class AccountNode {
  public:
   AccountNode(simulation::VirtualTime& time, const fleet_limits::RetryLimitSettings& limits,
-              const fleet_limits::FleetPartSettings& part)
+              const fleet_limits::FleetPartSettings& part,
+              common::LogSink& log = common::nullLogSink())
       : timers(time),
         context_{common::NodeId{"127.0.0.1:1", 7},
                  "quay",
                  time,
                  timers,
                  random_,
-                 common::nullLogSink(),
+                 log,
                  counters_,
                  transport_,
                  dispatcher_},
--- a/tests/node/declared_fleet_test.cpp
+++ b/tests/node/declared_fleet_test.cpp
@@ -95,6 +95,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, caller_.heads.size());
     CPPUNIT_ASSERT_EQUAL(first, caller_.heads[0].headers.at(0).value);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs());
+    const auto account = command("show retries").table.rows.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string(simulation::kModelName), std::get<std::string>(account.at(0)));
+    CPPUNIT_ASSERT(std::get<double>(account.at(4)) > 0);
   }
 
   void unrepeatableRequestRunsOnceAndIsToldUnknown() {
