--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 #include "cypresswall/runtime/log_sink.h"
+#include "cypresswall/settings/policy_keys.h"
 
 namespace cypresswall::settings {
 namespace {
@@ -284,121 +284,6 @@
   };
 }
 
-Keys planningKeys() {
-  return {
-      switchKey(
-          "planning.automatic_roles", [](auto& s) -> auto& { return s.planning.automatic_roles; },
-          "Whether engines' roles follow the demand, where the platform declares the fleet."),
-      numberKey(
-          "planning.role_change_weight", 0, 1e6,
-          [](auto& s) -> auto& { return s.planning.role_change_weight; },
-          "What a change of role has to gain there, in the planner's units."),
-      durationKey(
-          "planning.horizon", seconds(1), hours(1),
-          [](auto& s) -> auto& { return s.planning.horizon; },
-          "Over how long a change of role has to pay for itself there."),
-      durationKey(
-          "planning.short_window", milliseconds(500), minutes(10),
-          [](auto& s) -> auto& { return s.node.controller.demand.short_window; },
-          "Window of the newest demand by which roles are planned."),
-      durationKey(
-          "planning.long_window", seconds(1), hours(1),
-          [](auto& s) -> auto& { return s.node.controller.demand.long_window; },
-          "Window of the demand against which the newest is held."),
-      durationKey(
-          "planning.interval", milliseconds(100), minutes(10),
-          [](auto& s) -> auto& { return s.node.controller.planning_period; },
-          "Between two rounds of the planner."),
-      durationKey(
-          "planning.report_interval", milliseconds(100), minutes(10),
-          [](auto& s) -> auto& { return s.node.controller.demand_period; },
-          "Between two reports of a node's demand to the node that plans."),
-  };
-}
-
-SettingKey fleetRegionsKey() {
-  SettingKey key;
-  key.name = "retries.regions";
-  key.unit = "list of regions";
-  key.range = "names, also several times each";
-  key.default_text = "[]";
-  key.meaning =
-      "Regions of all nodes of the fleet; those of each region divide the same part of "
-      "retries.fleet_burst. Empty for one region.";
-  key.is_list = true;
-  key.apply = [](DaemonSettings& settings, const GivenValue& value) {
-    const std::set<std::string> regions(value.items.begin(), value.items.end());
-    settings.node.fleet_part.regions = std::max<std::size_t>(1, regions.size());
-  };
-  return key;
-}
-
-Keys retryKeys() {
-  return {
-      numberKey(
-          "retries.fleet_share", 0, 1, [](auto& s) -> auto& { return s.node.retries.fleet_share; },
-          "Repeats that all nodes together may make for each request of a service, in each "
-          "window."),
-      numberKey(
-          "retries.fleet_burst", 0, 1e6,
-          [](auto& s) -> auto& { return s.node.retries.fleet_burst; },
-          "Repeats of a service that all nodes together may make beyond that share, in each "
-          "window. "
-          "The nodes divide it."),
-      durationKey(
-          "retries.window", seconds(1), minutes(10),
-          [](auto& s) -> auto& { return s.node.retries.window; },
-          "Span of time over which repeats are summed."),
-      fleetRegionsKey(),
-  };
-}
-
-/// Each mechanism by which the system copes with overload, to be switched off by itself.
-Keys mechanismKeys() {
-  return {
-      switchKey(
-          "mechanisms.learnt_prompt_speeds",
-          [](auto& s) -> auto& { return s.node.router.prompt_speed.learns; },
-          "Speeds at which engines compute prompts are learnt; off: as declared or assumed."),
-      switchKey(
-          "mechanisms.learnt_output_speeds",
-          [](auto& s) -> auto& { return s.node.router.output_speed.learns_steps; },
-          "Times of decode steps are learnt; off: as declared or assumed."),
-      switchKey(
-          "mechanisms.admission_within_target",
-          [](auto& s) -> auto& { return s.node.execution.admits_within_target; },
-          "Requests are admitted if the first token is expected within the operators' target; off: "
-          "within the time limit to the first token."),
-      switchKey(
-          "mechanisms.foretold_caches",
-          [](auto& s) -> auto& { return s.node.directory.prefix_index.foretells; },
-          "Engines are taken to hold what they are sent, and to give up what was unused for "
-          "longest; off: only cache events and told ends of prompts count."),
-      switchKey(
-          "mechanisms.least_role_share",
-          [](auto& s) -> auto& { return s.disaggregated_planner.keeps_share; },
-          "A share of the engines stays in each role, with planning.automatic_roles; off: two "
-          "engines."),
-      switchKey(
-          "mechanisms.gathered_long_answers",
-          [](auto& s) -> auto& { return s.node.router.gathers_long_answers; },
-          "Long answers are gathered on few decode engines; off: spread over all."),
-      switchKey(
-          "mechanisms.remaining_stream_time",
-          [](auto& s) -> auto& { return s.node.router.output_speed.learns_remaining_time; },
-          "The wait for a place counts how long running streams go on, as learnt; off: by the "
-          "reported tokens."),
-      switchKey(
-          "mechanisms.engine_ejection",
-          [](auto& s) -> auto& { return s.node.directory.ejection.ejects; },
-          "Engines at which attempts fail get no work for a short time; off: until load reports "
-          "show it."),
-      switchKey(
-          "mechanisms.copied_prefixes", [](auto& s) -> auto& { return s.copied_prefixes; },
-          "Engines copy cached prefixes from one another, where they can; off: they compute them."),
-  };
-}
-
 Keys requestTimingKeys() {
   return {
       durationKey(
--- /dev/null
+++ b/src/cypresswall/settings/policy_keys.h
@@ -0,0 +1,17 @@
+/// Keys of the settings by which operators choose how the system decides.
+#pragma once
+
+#include <vector>
+
+#include "cypresswall/settings/setting_key.h"
+
+namespace cypresswall::settings {
+
+/// \return how roles of engines are planned
+std::vector<SettingKey> planningKeys();
+/// \return how often requests may be repeated
+std::vector<SettingKey> retryKeys();
+/// \return each mechanism by which the system copes with overload, to be switched off by itself
+std::vector<SettingKey> mechanismKeys();
+
+}  // namespace cypresswall::settings
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -146,6 +146,9 @@
         {"timings: {lease_drift_margin: 600ms}", "timings.lease_drift_margin"},
         {"timings: {lease_renew_interval: 2s}", "timings.lease_renew_interval"},
         {"limits: {resume_below_bytes: 1MiB}", "limits.resume_below_bytes"},
+        {"retries: {fleet_burst: -1}", "retries.fleet_burst"},
+        {"retries: {fleet_share: 1.5}", "retries.fleet_share"},
+        {"retries: {fleet_share: 0, fleet_burst: 0.5}", "retries.fleet_burst: no node could"},
         {"seeds: [constanta/dobrogea@127.0.0.1:1]", "seeds: zone 'constanta' is the own"}};
     for (const auto& [text, key] : cases) {
       CPPUNIT_ASSERT_MESSAGE(key, problemsOf(kLeast + text).find(key) != std::string::npos);
