--- a/src/cypresswall/fleet_limits/fleet_part.h
+++ b/src/cypresswall/fleet_limits/fleet_part.h
@@ -22,16 +22,17 @@
   bool waits_after_start = false;
 };
 
-/// One divided by the nodes of the fleet, by which the parts of all nodes add up to one at the most
-/// in each window, whatever members they see:
-///  - A node that starts, or wakes from a pause, has nothing for a window and the settling time.
-///  Its
-///    earlier life may have used the part up, and others may still count without it.
-///  - A node divides by the most members that it saw in that time, so that those that are lost have
-///    used their parts long ago when the others take them over.
-///  - A node that sees no more than half of the most members in ten minutes takes itself for cut
-///    off and has nothing: the others may divide without it. Once it sees more, it waits as after
-///    its start.
+/// One divided by the nodes of the fleet. The parts of all nodes add up to one at the most in each
+/// window, whatever members they see:
+///
+/// A node that starts, or wakes from a pause, has nothing for a window and the settling time: its
+/// earlier life may have used the part up, and others may still divide without it.
+///
+/// A node divides by the most members that it saw in that time: those that are lost have used their
+/// parts long ago when the others take them over.
+///
+/// A node that sees no more than half of the most members of ten minutes takes itself for cut off
+/// and has nothing: the others may divide without it. Once it sees more, it waits as after a start.
 class FleetPart {
  public:
   FleetPart(const FleetPartSettings& settings, const api::ProcessContext& context,
