--- a/tests/objects_platform/runner_entries_test.cpp
+++ b/tests/objects_platform/runner_entries_test.cpp
@@ -114,10 +114,13 @@
           R"({"metadata":{"name":"x","revision":"3"},"spec":{}})",
           R"({"metadata":{"name":"x","revision":-3},"spec":{}})",
           "{\"metadata\":{\"name\":\"x\",\"revision\":3},\"spec\":\"\xff\xfe\"}"}) {
-      const auto page = wire::parsePage(R"({"at":9,"items":[)" + bad + "," + good + "]}");
+      std::string items = R"({"at":9,"items":[)";
+      items.append(bad).append(",").append(good).append("]}");
+      const auto page = wire::parsePage(items);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(bad, std::string("i-1"), page.items.back().name);
-      const auto events = wire::parseEvents(R"({"at":9,"events":[{"object":)" + bad +
-                                            R"(},{"object":)" + good + "}]}");
+      std::string changes = R"({"at":9,"events":[{"object":)";
+      changes.append(bad).append(R"(},{"object":)").append(good).append("}]}");
+      const auto events = wire::parseEvents(changes);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(bad, std::string("i-1"), events.events.back().object.name);
     }
   }
