Tell in the lines by what a request is known again

What the lines could not tell: that a request under a new identifier is one that was there before. A fingerprint, a hash over tenant, method, host with path, and body, stands in request_routed, attempt_failed, request_failed and service_request_failed. No decision uses it yet.

Addresses of clients are left out: the bytes that an engine gets are what ends it.

--- a/src/cypresswall/execution/model_executor.h
+++ b/src/cypresswall/execution/model_executor.h
@@ -7,6 +7,7 @@
 
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/prompt.h"
+#include "cypresswall/common/request_fingerprint.h"
 #include "cypresswall/engines/engine_types.h"
 #include "cypresswall/execution/outcome.h"
 
@@ -15,6 +16,8 @@
 /// One model request of a caller.
 struct ModelCall {
   std::string request_id;
+  /// By what the request is known again when its caller sends it anew; zero if not worked out.
+  common::RequestFingerprint fingerprint = 0;
   common::TenantName tenant;
   /// Declared model service, or a model's own name.
   common::ServiceName service;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -267,6 +267,7 @@
   counter.add();
   common::LogEvent(core_.process.log, common::LogLevel::kWarning, "request_failed")
       .field("request", call_.request_id)
+      .field("fingerprint", common::toString(call_.fingerprint))
       .field("stream", stream_id_)
       .field("outcome", toString(error.outcome))
       .field("reason", message);
--- a/src/cypresswall/execution/model_request_log.cpp
+++ b/src/cypresswall/execution/model_request_log.cpp
@@ -19,6 +19,7 @@
 void ModelRequest::logRoute() const {
   common::LogEvent(core_.process.log, common::LogLevel::kInfo, "request_routed")
       .field("request", call_.request_id)
+      .field("fingerprint", common::toString(call_.fingerprint))
       .field("service", call_.service)
       .field("engine", route_->engine.name)
       .field("prefill_engine", nameOf(route_->prefill_engine))
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -80,6 +80,7 @@
       phase_ == engines::StreamPhase::kPrefillOnly ? *route_->prefill_engine : route_->engine;
   common::LogEvent(core_.process.log, common::LogLevel::kWarning, "attempt_failed")
       .field("request", call_.request_id)
+      .field("fingerprint", common::toString(call_.fingerprint))
       .field("stream", stream_id_)
       .field("engine", engine.name)
       .field("tokens_given", tokens_given_)
--- a/src/cypresswall/execution/service_executor.h
+++ b/src/cypresswall/execution/service_executor.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cypresswall/common/identifiers.h"
+#include "cypresswall/common/request_fingerprint.h"
 #include "cypresswall/execution/outcome.h"
 #include "cypresswall/services/service_client.h"
 
@@ -15,6 +16,8 @@
 /// One service request of a caller.
 struct ServiceCallRequest {
   std::string request_id;
+  /// By what the request is known again when its caller sends it anew; zero if not worked out.
+  common::RequestFingerprint fingerprint = 0;
   common::TenantName tenant;
   common::ServiceName service;
   std::string method;
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -257,6 +257,7 @@
   answer.error = {kind, outcome, message, retry_after};
   common::LogEvent(core_.process.log, common::LogLevel::kWarning, "service_request_failed")
       .field("request", request_.request_id)
+      .field("fingerprint", common::toString(request_.fingerprint))
       .field("service", request_.service)
       .field("outcome", toString(outcome))
       .field("reason", message);
--- a/src/cypresswall/gateway/model_session.cpp
+++ b/src/cypresswall/gateway/model_session.cpp
@@ -26,6 +26,7 @@
   call.request_id = identity_.request_id;
   call.tenant = tenant_;
   call.service = request_.model;
+  call.fingerprint = common::fingerprintOf(tenant_, "", request_.model, request_.prompt);
   call.prompt = std::move(request_.prompt);
   call.maximum_tokens = request_.maximum_tokens;
   execution_ = context_.models.start(std::move(call), *this);
