--- a/src/cypresswall/emulation/engine.cpp
+++ b/src/cypresswall/emulation/engine.cpp
@@ -82,7 +82,7 @@
     stream->ledger_index = ledger_.streams.size();
     ledger_.streams.push_back({kept.stream_id, kept.attempt, incarnation_, model_, version_,
                                kept.adapter, kept.phase, kept.resume_from, 0, StreamEnd::kRunning,
-                               clock_.now()});
+                               clock_.now(), kept.shape.content_hash});
   }
   if (kept.phase == StreamPhase::kDecodeOnly && !kept.kv_source.empty() && kv_peer_ != nullptr) {
     importKv(stream);
--- a/src/cypresswall/emulation/engine.h
+++ b/src/cypresswall/emulation/engine.h
@@ -90,6 +90,7 @@
   std::optional<KvExport> exportKv(const std::string& stream_id);
 
   /// Breaks all streams and stays down for the restart time; then another incarnation runs.
+  /// Faults stay set.
   void crash();
   void setFaults(const EngineFaults& faults);
   const EngineFaults& faults() const { return faults_; }
--- a/src/cypresswall/emulation/engine_ledger.h
+++ b/src/cypresswall/emulation/engine_ledger.h
@@ -35,6 +35,8 @@
   std::uint32_t tokens = 0;
   StreamEnd end = StreamEnd::kRunning;
   common::MonotonicTime started_at;
+  /// PromptShape::content_hash.
+  std::uint64_t content_hash = 0;
 };
 
 /// One order that the engine received.
--- a/src/cypresswall/emulation/engine_steps.cpp
+++ b/src/cypresswall/emulation/engine_steps.cpp
@@ -158,6 +158,11 @@
     finishStream(stream);
     return;
   }
+  if (faults_.crashing_content != 0 &&
+      stream.request.shape.content_hash == faults_.crashing_content) {
+    crash();
+    return;
+  }
   const std::uint32_t index = stream.next_index++;
   ++stream.given;
   ++ledger_.tokens;
--- a/src/cypresswall/simulation/fleet/simulated_callers.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_callers.cpp
@@ -73,6 +73,7 @@
                                  std::uint32_t prompt_tokens) {
   execution::ModelCall call;
   call.request_id = record.request_id;
+  call.fingerprint = record.content_hash;
   call.service = kModelServiceName;
   call.maximum_tokens = record.maximum_tokens;
   call.shape.tokens = prompt_tokens;
--- a/src/cypresswall/simulation/fleet/simulated_callers.h
+++ b/src/cypresswall/simulation/fleet/simulated_callers.h
@@ -38,6 +38,7 @@
   std::uint32_t misplaced_tokens = 0;
   /// Calls after the last one.
   std::uint32_t late_calls = 0;
+  /// Also serves as the request's fingerprint.
   std::uint64_t content_hash = 0;
   std::uint32_t maximum_tokens = 0;
   common::MonotonicTime asked_at;
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -223,8 +223,14 @@
 
 CallerRecord& SimulatedFleet::askModel(std::size_t index, std::uint32_t prompt_tokens,
                                        std::uint32_t maximum_tokens) {
+  const auto content = simulation_.deriveSeed("prompt", records_.size() + 1);
+  return askModelAgain(index, prompt_tokens, maximum_tokens, content);
+}
+
+CallerRecord& SimulatedFleet::askModelAgain(std::size_t index, std::uint32_t prompt_tokens,
+                                            std::uint32_t maximum_tokens, std::uint64_t content) {
   CallerRecord& record = newRecord("model");
-  record.content_hash = simulation_.deriveSeed("prompt", records_.size());
+  record.content_hash = content;
   record.maximum_tokens = maximum_tokens;
   const NodeSlot& slot = slots_[index];
   if (slot.process == nullptr) {
