Keep requests from engines that crash each engine that runs them

Cause: a request was known by its identifier only and at one node only; the same one came again under a new identifier at any node and ended further engines, for which the engines were ejected and the repeats of all others were spent. Ruled out: engines that end by themselves or under load (all 23 that ended in the logged span had the one request on them, the first with five other streams on an idle fleet); engines chosen after their end make repeats, no ends.

Change: quarantine/. A fingerprint names a request for all nodes; a node whose stream broke asks the engine whether it still runs; two nodes found by hashing count the ends under a request; at the third all nodes are told, and refuse the request at once with Retry-After. A request that was answered anywhere within a minute is never kept away. The list is repeated to nodes that missed it and kept in the store, which outlives all nodes.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -21,7 +21,7 @@
   "routing"
   "planning"
   "configuration"
-  "lease fleet_limits"
+  "lease fleet_limits quarantine"
   "membership"
   "idempotency"
   "object_store engines services store_relay"
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -31,6 +31,7 @@
   kExecutionFirst = 800,
   kOperatorsFirst = 900,
   kStoreRelayFirst = 1000,
+  kQuarantineFirst = 1100,
 };
 
 /// \return the `offset`-th message type of the block that starts at `first`.
--- a/src/cypresswall/execution/engine_model_executor.cpp
+++ b/src/cypresswall/execution/engine_model_executor.cpp
@@ -28,8 +28,9 @@
                                          admission::AdmissionController& admission,
                                          routing::Router& router, engines::EngineClient& engines,
                                          fleet_limits::RetryAccounts& retries,
+                                         quarantine::RequestQuarantine& quarantine,
                                          const ExecutionSettings& settings)
-    : core_(process, configuration, admission, router, engines, retries, settings) {}
+    : core_(process, configuration, admission, router, engines, retries, quarantine, settings) {}
 
 std::unique_ptr<ModelExecution> EngineModelExecutor::start(ModelCall call,
                                                            ModelCallObserver& observer) {
--- a/src/cypresswall/execution/engine_model_executor.h
+++ b/src/cypresswall/execution/engine_model_executor.h
@@ -16,6 +16,7 @@
                       const configuration::ConfigurationView& configuration,
                       admission::AdmissionController& admission, routing::Router& router,
                       engines::EngineClient& engines, fleet_limits::RetryAccounts& retries,
+                      quarantine::RequestQuarantine& quarantine,
                       const ExecutionSettings& settings = {});
   std::unique_ptr<ModelExecution> start(ModelCall call, ModelCallObserver& observer) override;
   const RequestJournal& journal() const { return core_.journal; }
--- a/src/cypresswall/execution/model_execution_core.cpp
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -56,6 +56,7 @@
                                        routing::Router& request_router,
                                        engines::EngineClient& engine_client,
                                        fleet_limits::RetryAccounts& retry_accounts,
+                                       quarantine::RequestQuarantine& request_quarantine,
                                        const ExecutionSettings& execution_settings)
     : process(process_context),
       configuration(configuration_view),
@@ -63,6 +64,7 @@
       router(request_router),
       engines(engine_client),
       retries(retry_accounts),
+      quarantine(request_quarantine),
       settings(execution_settings),
       stream_events(process_context.counters),
       counters(process_context.counters),
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -14,6 +14,7 @@
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/execution/request_journal.h"
 #include "cypresswall/fleet_limits/retry_accounts.h"
+#include "cypresswall/quarantine/request_quarantine.h"
 #include "cypresswall/routing/router.h"
 
 namespace cypresswall::execution {
@@ -43,6 +44,7 @@
                      admission::AdmissionController& admission_controller,
                      routing::Router& request_router, engines::EngineClient& engine_client,
                      fleet_limits::RetryAccounts& retry_accounts,
+                     quarantine::RequestQuarantine& request_quarantine,
                      const ExecutionSettings& execution_settings);
 
   /// \return an identifier that no other request of any process has
@@ -59,6 +61,7 @@
   routing::Router& router;
   engines::EngineClient& engines;
   fleet_limits::RetryAccounts& retries;
+  quarantine::RequestQuarantine& quarantine;
   const ExecutionSettings settings;
   StreamEventCounters stream_events;
   ModelRequestCounters counters;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -25,6 +25,8 @@
            common::Duration{0});
   } else {
     target_ = std::move(*target);
+  }
+  if (target && maySend()) {
     account().requestStarted();
     record_->model = target_.service.model;
     record_->prompt_tokens = target_.shape.tokens;
@@ -38,6 +40,17 @@
   starting_ = false;
 }
 
+/// Of 46 engines that one such request ended in 50 s, at five copies a second, this leaves the
+/// three by which it is known and what is under way meanwhile.
+bool ModelRequest::maySend() {
+  const auto kept_away = core_.quarantine.keptAway(call_.fingerprint);
+  if (kept_away) {
+    leaveRoute();
+    giveUp(ErrorKind::kQuarantined, "engines end under this request", *kept_away);
+  }
+  return !kept_away;
+}
+
 bool ModelRequest::admit() {
   admission::AdmissionRequest request;
   request.tenant = call_.tenant;
@@ -54,6 +67,9 @@
 }
 
 void ModelRequest::nextAttempt() {
+  if (!maySend()) {
+    return;
+  }
   if (timeToFirstToken() <= common::Duration{0}) {
     giveUp(ErrorKind::kDeadlineExceeded, "the first token can't be given in time any more",
            core_.settings.default_retry_after);
@@ -74,6 +90,9 @@
     return;
   }
   route_ = std::get<routing::Route>(std::move(choice));
+  if (!maySend()) {
+    return;
+  }
   recordAttempt();
   logRoute();
   if (payUpTo(repeatsWithRoute(), ErrorKind::kOverloaded, "a further attempt can't be paid for")) {
@@ -217,6 +236,7 @@
     handOverToDecode();
     return;
   }
+  core_.quarantine.answered(call_.fingerprint);
   core_.router.answerCompleted(stream_id_);
   core_.router.attemptFinished(stream_id_);
   route_.reset();
@@ -238,6 +258,9 @@
     onDeadline();
     return;
   }
+  if (!maySend()) {
+    return;
+  }
   phase_ = engines::StreamPhase::kDecodeOnly;
   if (core_.router.takesWork(route_->engine)) {
     beginStream(route_->engine, engines::StreamPhase::kDecodeOnly);
@@ -248,9 +271,16 @@
 
 void ModelRequest::onAttemptFailed(engines::StreamFailure failure, const std::string& message) {
   const auto self = shared_from_this();
+  if (failure == engines::StreamFailure::kBroken) {
+    core_.quarantine.streamBroken(call_.fingerprint, attemptedEngine());
+  }
   attemptLost(failure, message);
 }
 
+const engines::EngineEndpoint& ModelRequest::attemptedEngine() const {
+  return phase_ == engines::StreamPhase::kPrefillOnly ? *route_->prefill_engine : route_->engine;
+}
+
 fleet_limits::RetryAccount& ModelRequest::account() const {
   return core_.retries.of(target_.service.backend_pool.empty() ? target_.service.model
                                                                : target_.service.backend_pool);
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -39,6 +39,8 @@
   void onAttemptFinished(const engines::StreamUsage& usage) override;
   void onAttemptFailed(engines::StreamFailure failure, const std::string& message) override;
 
+  /// \return false if the request was given up, since engines end under it
+  bool maySend();
   bool admit();
   void nextAttempt();
   void onPlaced(routing::RouteChoice choice);
@@ -60,6 +62,8 @@
   void handOverToDecode();
   void beginDecode();
 
+  /// \pre an attempt is under way
+  const engines::EngineEndpoint& attemptedEngine() const;
   void attemptLost(engines::StreamFailure failure, const std::string& message);
   void retryAfterRun(const std::string& message);
   void retryAfterNoRun(engines::StreamFailure failure, const std::string& message);
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -76,8 +76,7 @@
 
 void ModelRequest::attemptLost(engines::StreamFailure failure, const std::string& message) {
   silence_.stop();
-  const auto& engine =
-      phase_ == engines::StreamPhase::kPrefillOnly ? *route_->prefill_engine : route_->engine;
+  const auto& engine = attemptedEngine();
   common::LogEvent(core_.process.log, common::LogLevel::kWarning, "attempt_failed")
       .field("request", call_.request_id)
       .field("fingerprint", common::toString(call_.fingerprint))
--- a/src/cypresswall/execution/outcome.h
+++ b/src/cypresswall/execution/outcome.h
@@ -29,6 +29,7 @@
   kInProgress,  ///< an earlier request with the same idempotency key still runs
   kKeyReused,   ///< the idempotency key was used for another request
   kDraining,
+  kQuarantined,  ///< engines end under this request
 };
 
 /// The final answer to a request that was not served.
--- a/src/cypresswall/execution/service_execution_core.h
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -15,6 +15,7 @@
 #include "cypresswall/fleet_limits/retry_accounts.h"
 #include "cypresswall/idempotency/key_claims.h"
 #include "cypresswall/membership/membership_view.h"
+#include "cypresswall/quarantine/request_quarantine.h"
 #include "cypresswall/services/service_client.h"
 
 namespace cypresswall::execution {
@@ -29,6 +30,7 @@
   services::ServiceClient& client;
   idempotency::KeyClaims& claims;
   fleet_limits::RetryAccounts& retries;
+  quarantine::RequestQuarantine& quarantine;
 };
 
 /// Counters of service requests.
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -45,12 +45,22 @@
          common::Duration{0});
   } else {
     service_ = declared->second;
-    account().requestStarted();
-    beginIfAdmitted();
+    if (maySend()) {
+      account().requestStarted();
+      beginIfAdmitted();
+    }
   }
   starting_ = false;
 }
 
+bool ServiceRun::maySend() {
+  const auto kept_away = core_.interfaces.quarantine.keptAway(request_.fingerprint);
+  if (kept_away) {
+    fail(ErrorKind::kQuarantined, "back ends end under this request", *kept_away);
+  }
+  return !kept_away;
+}
+
 void ServiceRun::beginIfAdmitted() {
   if (!admit(service_)) {
     return;
@@ -105,6 +115,9 @@
          core_.settings.default_retry_after);
     return;
   }
+  if (!maySend()) {
+    return;
+  }
   const auto backend = nextBackend();
   if (!backend) {
     fail(ErrorKind::kNoBackend, "no back end of " + request_.service + " can take the request",
@@ -138,6 +151,7 @@
   call.headers = headersForBackend(request_, operation_.repeatable);
   call.body = request_.body;
   call.time_limit = attemptTimeLimit(remaining);
+  attempt_until_ = core_.process.clock.now() + call.time_limit;
   excluded_.insert(backend);
   recordAttempt(backend);
   core_.counters.attempts.add();
@@ -178,6 +192,7 @@
 }
 
 void ServiceRun::onAnswered(services::ServiceResponse response) {
+  core_.interfaces.quarantine.answered(request_.fingerprint);
   const bool elsewhere_may_help =
       response.status == kInternalError ||
       (response.status >= kBadGateway && response.status <= kGatewayTimeout);
@@ -210,6 +225,10 @@
 
 void ServiceRun::onBroken(const services::ServiceResponse& response) {
   may_have_run_ = true;
+  // A back end that is silent until the attempt's time is over has not ended.
+  if (core_.process.clock.now() < attempt_until_) {
+    core_.interfaces.quarantine.callBroken(request_.fingerprint, record_->attempts.back().target);
+  }
   if (operation_.repeatable && payForRetry()) {
     scheduleAttempt(backoffBefore(runs_, core_.settings, core_.process.random));
     return;
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -26,6 +26,8 @@
   void abandon();
 
  private:
+  /// \return false if the request was given up, since back ends end under it
+  bool maySend();
   bool admit(const configuration::HttpServiceDeclaration& service);
   void beginIfAdmitted();
   void claimKey();
@@ -74,6 +76,8 @@
   common::MonotonicTime arrival_{};
   common::MonotonicTime deadline_{};
   common::MonotonicTime claim_sent_{};
+  /// When the attempt that is under way is given up.
+  common::MonotonicTime attempt_until_{};
   std::set<common::Address> excluded_;
   std::unique_ptr<services::ServiceCall> call_;
   std::shared_ptr<RequestRecord> record_;
--- a/src/cypresswall/gateway/error_answer.cpp
+++ b/src/cypresswall/gateway/error_answer.cpp
@@ -45,6 +45,8 @@
       return {422, kInvalidRequestType, "idempotency_key_reused", false};
     case ErrorKind::kDraining:
       return {503, kServerErrorType, "draining", true};
+    case ErrorKind::kQuarantined:
+      return {503, kServerErrorType, "quarantined", true};
   }
   return {500, kServerErrorType, "internal_error", false};
 }
--- a/src/cypresswall/gateway/gateway.cpp
+++ b/src/cypresswall/gateway/gateway.cpp
@@ -132,8 +132,8 @@
     throw RequestError(
         invalidRequestError("Idempotency-Key is too long", "", "invalid_idempotency_key"));
   }
-  call.fingerprint = common::fingerprintOf(call.tenant, call.method, call.service + call.target,
-                                           request.body);
+  call.fingerprint =
+      common::fingerprintOf(call.tenant, call.method, call.service + call.target, request.body);
   call.body = std::move(request.body);
   const auto write_error = [](http::Responder& caller, const execution::ExecutionError& error,
                               const std::string& id) {
--- a/src/cypresswall/membership/rendezvous.cpp
+++ b/src/cypresswall/membership/rendezvous.cpp
@@ -1,5 +1,6 @@
 #include "cypresswall/membership/rendezvous.h"
 
+#include <algorithm>
 #include <bit>
 
 #include "cypresswall/common/prompt.h"
@@ -43,6 +44,24 @@
   return highest.node();
 }
 
+std::vector<common::NodeId> rendezvousNodes(std::string_view name,
+                                            const std::vector<Member>& members, std::size_t count) {
+  std::vector<common::NodeId> nodes;
+  for (const Member& member : members) {
+    if (member.state == MemberState::kAlive) {
+      nodes.push_back(member.node);
+    }
+  }
+  const auto wanted = std::min(count, nodes.size());
+  const auto higher = [name](const common::NodeId& left, const common::NodeId& right) {
+    return rendezvousRank(name, left) > rendezvousRank(name, right);
+  };
+  std::partial_sort(nodes.begin(), nodes.begin() + static_cast<std::ptrdiff_t>(wanted), nodes.end(),
+                    higher);
+  nodes.resize(wanted);
+  return nodes;
+}
+
 common::NodeId rendezvousNode(std::string_view name, const std::vector<common::NodeId>& nodes) {
   HighestRank highest(name);
   for (const common::NodeId& node : nodes) {
--- a/src/cypresswall/membership/rendezvous.h
+++ b/src/cypresswall/membership/rendezvous.h
@@ -2,6 +2,7 @@
 /// on every node without a word exchanged. A node that comes or goes moves only its own share.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,10 @@
 /// \return the one member of `members` that does it: the alive one of the highest rank; empty if no
 ///   member is alive. Members that are suspected or leaving do nothing.
 common::NodeId rendezvousNode(std::string_view name, const std::vector<Member>& members);
+/// \return the `count` alive members of the highest ranks, the highest first; fewer if not so many
+///   are alive
+std::vector<common::NodeId> rendezvousNodes(std::string_view name,
+                                            const std::vector<Member>& members, std::size_t count);
 /// \return the one of `nodes` with the highest rank; empty if there is none.
 common::NodeId rendezvousNode(std::string_view name, const std::vector<common::NodeId>& nodes);
 /// \return the doublings of the node's link, zero if its bandwidth isn't known: what takes much
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -46,15 +46,18 @@
                                                configuration_view_}),
       fleet_part_(settings_.fleet_part, context_, membership_),
       retries_(settings_.retries, context_, [this] { return fleet_part_.part(); }),
+      quarantine_(settings_.quarantine, settings_.membership.neighbours, context_, membership_,
+                  clients.engines, clients.object_store),
       model_executor_(context_, configuration_view_, admission_, observed_router_, clients.engines,
-                      retries_, settings_.execution),
-      service_executor_(context_,
-                        execution::ServiceInterfaces{configuration_view_, membership_, admission_,
-                                                     clients.services, key_claims_, retries_},
-                        settings_.execution),
+                      retries_, quarantine_, settings_.execution),
+      service_executor_(
+          context_,
+          execution::ServiceInterfaces{configuration_view_, membership_, admission_,
+                                       clients.services, key_claims_, retries_, quarantine_},
+          settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, controller_, model_executor_.journal(),
-                              service_executor_.journal(), retries_, fleet_part_}),
+                              service_executor_.journal(), retries_, fleet_part_, quarantine_}),
       commands_(context_, configuration_, state_, declared_) {
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   membership_.onChange([this] {
@@ -78,6 +81,7 @@
     followDeclared();
   }
   engines_.start();
+  quarantine_.start();
   controller_.start();
 }
 
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -26,6 +26,7 @@
 #include "cypresswall/object_store/object_store.h"
 #include "cypresswall/operators/command_service.h"
 #include "cypresswall/orders/zone_controller.h"
+#include "cypresswall/quarantine/fleet_quarantine.h"
 #include "cypresswall/routing/cost_router.h"
 #include "cypresswall/routing/engine_directory.h"
 #include "cypresswall/routing/placement_router.h"
@@ -112,6 +113,7 @@
   idempotency::QuorumKeyClaims key_claims_;
   fleet_limits::FleetPart fleet_part_;
   fleet_limits::RetryAccounts retries_;
+  quarantine::FleetQuarantine quarantine_;
   execution::EngineModelExecutor model_executor_;
   execution::HttpServiceExecutor service_executor_;
   NodeState state_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -15,6 +15,7 @@
 #include "cypresswall/membership/membership_settings.h"
 #include "cypresswall/orders/settings.h"
 #include "cypresswall/planning/planner.h"
+#include "cypresswall/quarantine/quarantine_settings.h"
 #include "cypresswall/routing/engine_directory.h"
 #include "cypresswall/routing/router.h"
 #include "cypresswall/routing/settings.h"
@@ -48,6 +49,7 @@
   execution::ExecutionSettings execution;
   fleet_limits::RetryLimitSettings retries;
   fleet_limits::FleetPartSettings fleet_part;
+  quarantine::QuarantineSettings quarantine;
   /// A planned stop waits no longer than this for requests that run.
   common::Duration stop_limit = std::chrono::minutes(10);
   /// How often a planned stop looks whether anything still runs.
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -181,6 +181,14 @@
   return rows;
 }
 
+std::vector<operators::QuarantineRow> NodeState::quarantine() const {
+  std::vector<operators::QuarantineRow> rows;
+  for (const quarantine::KeptAwayRequest& kept : sources_.quarantine.all()) {
+    rows.push_back({kept.request, std::chrono::milliseconds(kept.milliseconds_left)});
+  }
+  return rows;
+}
+
 std::vector<operators::Explanation> NodeState::explainEngine(const common::EngineName& name) const {
   std::vector<operators::Explanation> lines;
   explainView(name, lines);
--- a/src/cypresswall/node/node_state.h
+++ b/src/cypresswall/node/node_state.h
@@ -13,6 +13,7 @@
 #include "cypresswall/membership/membership.h"
 #include "cypresswall/operators/state_providers.h"
 #include "cypresswall/orders/zone_controller.h"
+#include "cypresswall/quarantine/fleet_quarantine.h"
 #include "cypresswall/routing/engine_directory.h"
 
 namespace cypresswall::node {
@@ -29,6 +30,7 @@
   const execution::RequestJournal& service_requests;
   const fleet_limits::RetryAccounts& retries;
   const fleet_limits::FleetPart& fleet_part;
+  const quarantine::FleetQuarantine& quarantine;
 };
 
 class NodeState final : public operators::StateProviders {
@@ -40,6 +42,7 @@
   std::vector<operators::LeaseRow> leases() const override;
   std::vector<operators::NodeRow> nodes() const override;
   std::vector<operators::RetryRow> retries() const override;
+  std::vector<operators::QuarantineRow> quarantine() const override;
   std::vector<operators::Explanation> explainEngine(const common::EngineName& name) const override;
 
   std::vector<operators::Explanation> explainRequest(const std::string& id) const override;
--- a/src/cypresswall/operators/command.h
+++ b/src/cypresswall/operators/command.h
@@ -25,6 +25,7 @@
   kNodes,
   kTenants,
   kRetries,
+  kQuarantine,
 };
 
 enum class Comparison { kEqual, kNotEqual, kLess, kLessOrEqual, kGreater, kGreaterOrEqual };
--- a/src/cypresswall/operators/queries.cpp
+++ b/src/cypresswall/operators/queries.cpp
@@ -139,6 +139,9 @@
     case Subject::kRetries:
       table = retries();
       break;
+    case Subject::kQuarantine:
+      table = quarantine();
+      break;
   }
   filterRows(table, command.conditions);
   return table;
@@ -288,6 +291,15 @@
   return table;
 }
 
+ResultTable Queries::quarantine() const {
+  ResultTable table = tableOf(Subject::kQuarantine);
+  for (const QuarantineRow& row : providers_.quarantine()) {
+    table.rows.push_back(
+        {text(common::toString(row.request)), Cell{common::toSeconds(row.time_left)}});
+  }
+  return table;
+}
+
 ResultTable Queries::nodes() const {
   ResultTable table = tableOf(Subject::kNodes);
   const auto fleet = configuration_.current();
--- a/src/cypresswall/operators/queries.h
+++ b/src/cypresswall/operators/queries.h
@@ -39,6 +39,7 @@
   ResultTable changes() const;
   ResultTable leases() const;
   ResultTable retries() const;
+  ResultTable quarantine() const;
   ResultTable nodes() const;
   ResultTable tenants() const;
   ResultTable requests() const;
--- a/src/cypresswall/operators/state_providers.h
+++ b/src/cypresswall/operators/state_providers.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cypresswall/common/identifiers.h"
+#include "cypresswall/common/request_fingerprint.h"
 #include "cypresswall/common/time.h"
 #include "cypresswall/engines/engine_types.h"
 
@@ -70,6 +71,12 @@
   double part = 0;
 };
 
+/// A request that is kept from engines, since engines end under it.
+struct QuarantineRow {
+  common::RequestFingerprint request = 0;
+  common::Duration time_left{0};
+};
+
 /// What this node knows of another zone, in one line.
 struct ZoneSummaryRow {
   common::ZoneName zone;
@@ -90,6 +97,7 @@
   virtual std::vector<LeaseRow> leases() const { return {}; }
   virtual std::vector<NodeRow> nodes() const { return {}; }
   virtual std::vector<RetryRow> retries() const { return {}; }
+  virtual std::vector<QuarantineRow> quarantine() const { return {}; }
   virtual std::vector<ZoneSummaryRow> zoneSummaries() const { return {}; }
   /// \return inputs, alternatives and costs of the last decision about an engine's role; empty if
   ///   there was none.
--- a/src/cypresswall/operators/vocabulary.cpp
+++ b/src/cypresswall/operators/vocabulary.cpp
@@ -49,6 +49,7 @@
                                                           "tokens_per_second"};
   static const std::vector<std::string> kRetryColumns = {"service", "used", "left", "refused",
                                                          "part"};
+  static const std::vector<std::string> kQuarantineColumns = {"fingerprint", "seconds_left"};
   switch (subject) {
     case Subject::kEngines:
       return kEngineColumns;
@@ -69,15 +70,18 @@
     case Subject::kTenants:
       return kTenantColumns;
     case Subject::kRetries:
+      return kRetryColumns;
+    case Subject::kQuarantine:
       break;
   }
-  return kRetryColumns;
+  return kQuarantineColumns;
 }
 
 const std::vector<CommandHelp>& commandHelp() {
   static const std::vector<CommandHelp> kHelp = {
       {"show",
-       "show engines|requests|services|models|zones|changes|leases|nodes|tenants|retries "
+       "show "
+       "engines|requests|services|models|zones|changes|leases|nodes|tenants|retries|quarantine "
        "[where COLUMN =|!=|<|<=|>|>= VALUE [and ...]]",
        "list what is running and declared"},
       {"why", "why engine NAME | request ID | change VERSION-OR-ID", "explain a decision"},
--- a/src/cypresswall/operators/vocabulary.h
+++ b/src/cypresswall/operators/vocabulary.h
@@ -17,7 +17,7 @@
   Enumeration value;
 };
 
-inline constexpr std::array<NamedValue<Subject>, 10> kSubjects = {{
+inline constexpr std::array<NamedValue<Subject>, 11> kSubjects = {{
     {"engines", Subject::kEngines},
     {"requests", Subject::kRequests},
     {"services", Subject::kServices},
@@ -28,6 +28,7 @@
     {"nodes", Subject::kNodes},
     {"tenants", Subject::kTenants},
     {"retries", Subject::kRetries},
+    {"quarantine", Subject::kQuarantine},
 }};
 inline constexpr std::array<NamedValue<Comparison>, 6> kComparisons = {{
     {"=", Comparison::kEqual},
--- /dev/null
+++ b/src/cypresswall/quarantine/quarantine_store.cpp
@@ -0,0 +1,121 @@
+#include "cypresswall/quarantine/quarantine_store.h"
+
+#include <utility>
+
+#include "cypresswall/membership/rendezvous.h"
+
+namespace cypresswall::quarantine {
+namespace {
+
+using object_store::StoredObject;
+using object_store::StoreFailure;
+using object_store::StoreResult;
+
+/// Between two looks whether this node is the keeper and the list has changed.
+constexpr common::Duration kLookInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+QuarantineStore::QuarantineStore(const QuarantineSettings& settings,
+                                 const api::ProcessContext& context,
+                                 const membership::MembershipView& membership,
+                                 object_store::ObjectStore& store, Interfaces interfaces)
+    : settings_(settings),
+      context_(context),
+      membership_(membership),
+      store_(store),
+      interfaces_(std::move(interfaces)),
+      key_("quarantine/" + context.zone),
+      failures_(context.counters.counter("cypresswall_quarantine_store_failures_total",
+                                         "Calls to the store for the quarantine that failed")),
+      unreadable_(context.counters.counter("cypresswall_quarantine_store_unreadable_total",
+                                           "Stored quarantines that could not be read")) {}
+
+void QuarantineStore::start() { tick(); }
+
+void QuarantineStore::tick() {
+  context_.scheduler.schedule(kLookInterval, [this] { tick(); });
+  if (membership_.joining() || call_under_way_) {
+    return;
+  }
+  if (!keeper()) {
+    stored_.reset();
+    return;
+  }
+  if (context_.clock.now() < next_call_at_) {
+    return;
+  }
+  if (!stored_) {
+    read();
+    return;
+  }
+  const auto present = interfaces_.present();
+  if (present != stored_->requests) {
+    write(present);
+  }
+}
+
+bool QuarantineStore::keeper() const {
+  return membership::rendezvousNode(key_, membership_.members()) == context_.self;
+}
+
+void QuarantineStore::read() {
+  call_under_way_ = true;
+  store_.get(key_, [this](const StoreResult<StoredObject>& result) { onRead(result); });
+}
+
+void QuarantineStore::onRead(const StoreResult<StoredObject>& result) {
+  call_under_way_ = false;
+  if (result.ok()) {
+    observe(result.value());
+    interfaces_.take(stored_->requests);
+  } else if (result.failure().kind == StoreFailure::kNotFound) {
+    stored_.emplace();
+    version_ = 0;
+  } else {
+    failures_.add();
+    next_call_at_ = context_.clock.now() + settings_.store_retry_delay;
+  }
+}
+
+void QuarantineStore::write(const std::vector<common::RequestFingerprint>& requests) {
+  object_store::ObjectWrite request;
+  request.key = key_;
+  request.expected_version = version_;
+  request.value = encodeStoredQuarantine({requests, stored_->origin});
+  request.change_id = context_.self.toString() + "/" + std::to_string(++next_change_);
+  call_under_way_ = true;
+  store_.compareAndSet(std::move(request),
+                       [this](const StoreResult<StoredObject>& result) { onWritten(result); });
+}
+
+void QuarantineStore::onWritten(const StoreResult<StoredObject>& result) {
+  call_under_way_ = false;
+  if (result.ok()) {
+    observe(result.value());
+    return;
+  }
+  // Another keeper may have written, or the write took effect unheard.
+  stored_.reset();
+  if (result.failure().kind != StoreFailure::kConflict) {
+    failures_.add();
+    next_call_at_ = context_.clock.now() + settings_.store_retry_delay;
+  }
+}
+
+void QuarantineStore::observe(const StoredObject& object) {
+  version_ = object.version;
+  try {
+    stored_ = decodeStoredQuarantine(object.value);
+  } catch (const StoredQuarantineError& error) {
+    // Nothing in it can be kept away; the next write replaces it.
+    stored_.emplace();
+    unreadable_.add();
+    common::LogEvent(context_.log, common::LogLevel::kWarning, "stored_quarantine_unreadable")
+        .field("key", key_)
+        .field("version", object.version)
+        .field("reason", error.what());
+  }
+}
+
+}  // namespace cypresswall::quarantine
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -348,7 +348,7 @@
   Keys keys;
   for (Keys (*const part)() :
        {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys, planningKeys, retryKeys,
-        mechanismKeys, requestTimingKeys, faultKeys}) {
+        quarantineKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -83,6 +83,19 @@
   };
 }
 
+std::vector<SettingKey> quarantineKeys() {
+  return {
+      countKey(
+          "quarantine.crashes", 2, 100, [](auto& s) -> auto& { return s.node.quarantine.crashes; },
+          "Engines or back ends that end under a request before it is kept from all."),
+      durationKey(
+          "quarantine.memory", seconds(10), hours(24),
+          [](auto& s) -> auto& { return s.node.quarantine.memory; },
+          "How long such an end is held against a request, and how long a request is kept away "
+          "after it last came."),
+  };
+}
+
 std::vector<SettingKey> mechanismKeys() {
   return {
       switchKey(
@@ -122,6 +135,11 @@
           [](auto& s) -> auto& { return s.node.directory.ejection.ejects; },
           "Engines at which attempts fail get no work for a short time; off: until load reports "
           "show it."),
+      switchKey(
+          "mechanisms.request_quarantine",
+          [](auto& s) -> auto& { return s.node.quarantine.quarantines; },
+          "Requests under which engines end one after the other are kept from all engines; off: "
+          "they are sent on."),
       switchKey(
           "mechanisms.copied_prefixes", [](auto& s) -> auto& { return s.copied_prefixes; },
           "Engines copy cached prefixes from one another, where they can; off: they compute them."),
--- a/src/cypresswall/settings/policy_keys.h
+++ b/src/cypresswall/settings/policy_keys.h
@@ -11,6 +11,8 @@
 std::vector<SettingKey> planningKeys();
 /// \return how often requests may be repeated
 std::vector<SettingKey> retryKeys();
+/// \return when requests are kept from engines
+std::vector<SettingKey> quarantineKeys();
 /// \return each mechanism by which the system copes with overload, to be switched off by itself
 std::vector<SettingKey> mechanismKeys();
 
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -23,7 +23,7 @@
   explicit World(const ExecutionSettings& settings = {},
                  const fleet_limits::RetryLimitSettings& retry_limits = {})
       : retries(retry_limits, process.context, [] { return 1.0; }),
-        interfaces{configuration, membership, admission, client, claims, retries},
+        interfaces{configuration, membership, admission, client, claims, retries, quarantine},
         first(process.context, interfaces, settings),
         second(process.context, interfaces, settings) {
     auto& service = configuration.fleet.http_services["booking"];
@@ -86,6 +86,7 @@
   testing::FakeServiceClient client{process.time};
   testing::FakeClaims claims{process.time};
   fleet_limits::RetryAccounts retries;
+  testing::FakeQuarantine quarantine;
   ServiceInterfaces interfaces;
   HttpServiceExecutor first;
   HttpServiceExecutor second;
--- a/tests/execution/process_fixture.h
+++ b/tests/execution/process_fixture.h
@@ -5,12 +5,15 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/configuration/configuration_view.h"
+#include "cypresswall/quarantine/request_quarantine.h"
 #include "cypresswall/simulation/virtual_time.h"
 
 namespace cypresswall::testing {
@@ -63,6 +66,27 @@
   configuration::FleetConfiguration fleet;
 };
 
+/// Keeps away what a test names; notes what it is told.
+class FakeQuarantine final : public quarantine::RequestQuarantine {
+ public:
+  std::optional<common::Duration> keptAway(common::RequestFingerprint request) override {
+    return kept.contains(request) ? std::optional<common::Duration>(std::chrono::minutes(1))
+                                  : std::nullopt;
+  }
+  void streamBroken(common::RequestFingerprint request,
+                    const engines::EngineEndpoint& engine) override {
+    broken.emplace_back(request, engine.name);
+  }
+  void callBroken(common::RequestFingerprint request, const common::Address& backend) override {
+    broken.emplace_back(request, backend);
+  }
+  void answered(common::RequestFingerprint request) override { answers.push_back(request); }
+
+  std::set<common::RequestFingerprint> kept;
+  std::vector<std::pair<common::RequestFingerprint, std::string>> broken;
+  std::vector<common::RequestFingerprint> answers;
+};
+
 /// Admits everything unless told otherwise; keeps count of what was not released.
 class FakeAdmission final : public admission::AdmissionController {
  public:
--- a/tests/quarantine/crashing_requests_test.cpp
+++ b/tests/quarantine/crashing_requests_test.cpp
@@ -123,19 +123,19 @@
   }
   std::size_t othersAnsweredOfTen() const {
     const auto done = count(CallerResult::kDone, false);
-    const auto all = done + count(CallerResult::kError, false) + count(CallerResult::kBroken, false);
+    const auto all =
+        done + count(CallerResult::kError, false) + count(CallerResult::kBroken, false);
     return all == 0 ? 0 : done * 10 / all;
   }
 
  private:
   std::size_t anyNode() { return fleet_->simulation().random().below(scenario_.nodes); }
   std::size_t count(CallerResult result, bool crashing) const {
-    return static_cast<std::size_t>(
-        std::count_if(fleet_->records().begin(), fleet_->records().end(),
-                      [=](const CallerRecord& record) {
-                        const bool crashes = record.content_hash == kCrashingContent;
-                        return record.result == result && crashes == crashing;
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        fleet_->records().begin(), fleet_->records().end(), [=](const CallerRecord& record) {
+          const bool crashes = record.content_hash == kCrashingContent;
+          return record.result == result && crashes == crashing;
+        }));
   }
 
   Scenario scenario_;
--- /dev/null
+++ b/tests/quarantine/quarantine_zone.h
@@ -0,0 +1,126 @@
+/// Nodes of one zone with their quarantines, engines that run or not, and the platform's store, in
+/// virtual time.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cypresswall/quarantine/fleet_quarantine.h"
+#include "cypresswall/simulation/simulated_platform.h"
+#include "tests/support/engine_world.h"
+
+namespace cypresswall::testing {
+
+class QuarantineZone {
+ public:
+  explicit QuarantineZone(std::size_t node_count, std::uint64_t seed = 1)
+      : simulation_(seed), platform_(simulation_) {
+    for (std::size_t i = 0; i < node_count; ++i) {
+      add();
+    }
+    tellMembers();
+  }
+
+  /// Starts one more node; it and the others know of each other after tellMembers().
+  void add() {
+    nodes_.emplace_back();
+    startNode(nodes_.size() - 1);
+  }
+  /// Ends a node and starts it anew, knowing nothing.
+  void restart(std::size_t node) {
+    nodes_[node].process->kill();
+    startNode(node);
+  }
+  void end(std::size_t node) {
+    nodes_[node].process->kill();
+    nodes_[node].process = nullptr;
+  }
+  void tellMembers() {
+    std::vector<common::NodeId> ids;
+    for (const Node& node : nodes_) {
+      if (node.process != nullptr) {
+        ids.push_back(node.process->id());
+      }
+    }
+    for (const Node& node : nodes_) {
+      if (node.process != nullptr) {
+        node.membership->setMembers(ids);
+      }
+    }
+  }
+  void endEngine(int engine) { engines_[endpoint(engine).address].reachable = false; }
+  /// An engine that nothing happened to.
+  void runEngine(int engine) { engines_[endpoint(engine).address].reachable = true; }
+  void run(common::Duration time) { simulation_.time().runFor(time); }
+
+  /// An engine ends under a stream of the request that this node had sent there.
+  void crash(std::size_t node, common::RequestFingerprint request, int engine) {
+    endEngine(engine);
+    breakStream(node, request, engine);
+  }
+  void breakStream(std::size_t node, common::RequestFingerprint request, int engine) {
+    nodes_[node].quarantine->streamBroken(request, endpoint(engine));
+  }
+  quarantine::FleetQuarantine& at(std::size_t node) { return *nodes_[node].quarantine; }
+  bool keptAway(std::size_t node, common::RequestFingerprint request) const {
+    const auto kept = nodes_[node].quarantine->all();
+    return std::any_of(kept.begin(), kept.end(),
+                       [request](const auto& entry) { return entry.request == request; });
+  }
+  std::size_t nodesThatKeepAway(common::RequestFingerprint request) const {
+    std::size_t count = 0;
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      count += nodes_[node].process != nullptr && keptAway(node, request) ? 1 : 0;
+    }
+    return count;
+  }
+  std::size_t size() const { return nodes_.size(); }
+  std::uint64_t engineQuestions() const {
+    std::uint64_t questions = 0;
+    for (const auto& [address, engine] : engines_) {
+      questions += engine.load_reads;
+    }
+    return questions;
+  }
+  std::uint64_t messages() { return simulation_.network().deliveredMessages(); }
+  simulation::SimulatedPlatform& platform() { return platform_; }
+
+  quarantine::QuarantineSettings settings;
+
+ private:
+  struct Node {
+    simulation::SimulatedProcess* process = nullptr;
+    SettableMembership* membership = nullptr;
+    quarantine::FleetQuarantine* quarantine = nullptr;
+  };
+
+  static engines::EngineEndpoint endpoint(int engine) {
+    const std::string name = "engine-" + std::to_string(engine);
+    return {name, name + ":1"};
+  }
+  void startNode(std::size_t index) {
+    const auto address =
+        "10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1) + ":7000";
+    auto& process = simulation_.start(address, "z");
+    Node& node = nodes_[index];
+    node.process = &process;
+    node.membership = &process.emplace<SettableMembership>(process.id(), "z");
+    node.membership->setMembers(std::vector<common::NodeId>{process.id()});
+    auto& client = process.emplace<ScriptedEngineClient>(process, engines_);
+    auto& store =
+        process.emplace<simulation::SimulatedObjectStore>(simulation_, process, platform_);
+    node.quarantine = &process.emplace<quarantine::FleetQuarantine>(
+        settings, membership::NeighbourSettings{}, process.context(), *node.membership, client,
+        store);
+    process.deliver([quarantine = node.quarantine] { quarantine->start(); });
+  }
+
+  ScriptedEngines engines_;
+  std::vector<Node> nodes_;
+  simulation::Simulation simulation_;
+  simulation::SimulatedPlatform platform_;
+};
+
+}  // namespace cypresswall::testing
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -149,6 +149,8 @@
         {"retries: {fleet_burst: -1}", "retries.fleet_burst"},
         {"retries: {fleet_share: 1.5}", "retries.fleet_share"},
         {"retries: {fleet_share: 0, fleet_burst: 0.5}", "retries.fleet_burst: no node could"},
+        {"quarantine: {crashes: 1}", "quarantine.crashes"},
+        {"quarantine: {memory: 1s}", "quarantine.memory"},
         {"seeds: [constanta/dobrogea@127.0.0.1:1]", "seeds: zone 'constanta' is the own"}};
     for (const auto& [text, key] : cases) {
       CPPUNIT_ASSERT_MESSAGE(key, problemsOf(kLeast + text).find(key) != std::string::npos);
@@ -173,6 +175,7 @@
         {"remaining_stream_time",
          [](const auto& s) { return s.node.router.output_speed.learns_remaining_time; }},
         {"engine_ejection", [](const auto& s) { return s.node.directory.ejection.ejects; }},
+        {"request_quarantine", [](const auto& s) { return s.node.quarantine.quarantines; }},
         {"copied_prefixes", [](const auto& s) { return s.copied_prefixes; }}};
     for (const SettingKey& key : settingKeys()) {
       const bool is_mechanism = key.name.starts_with("mechanisms.");
