Look at the stored quarantine only when something changed; withhold the burst before a pause is noticed

Cause of the first: a look each 100 ms is ten wake-ups a second of every node for a list that seldom changes. It is looked at when the list or the members change, and again after a failure of the store. Cause of the second: timers of a suspended machine go on where they were, while its clock has moved on. A node went on holding its part of the burst of repeats for up to half a second after it woke, until a timer noticed the pause.

--- a/src/cypresswall/fleet_limits/fleet_part.cpp
+++ b/src/cypresswall/fleet_limits/fleet_part.cpp
@@ -36,11 +36,10 @@
 }
 
 void FleetPart::watch() {
-  const auto now = context_.clock.now();
-  if (settings_.waits_after_start && now - watched_at_ > kWatchInterval + kNoticedPause) {
+  if (stoodStill()) {
     waitAnew("the process stood still");
   }
-  watched_at_ = now;
+  watched_at_ = context_.clock.now();
   countMembers();
   part_gauge_.set(part());
   context_.scheduler.schedule(kWatchInterval, [this] { watch(); });
@@ -68,8 +67,15 @@
       .field("members", membership_.members().size());
 }
 
+bool FleetPart::stoodStill() const {
+  return settings_.waits_after_start &&
+         context_.clock.now() - watched_at_ > kWatchInterval + kNoticedPause;
+}
+
 double FleetPart::part() const {
-  if (cut_off_ || context_.clock.now() < holds_from_ || lately_.value() == 0) {
+  // Timers of a machine that was suspended go on where they were: a request may come before the
+  // one that notices it.
+  if (stoodStill() || cut_off_ || context_.clock.now() < holds_from_ || lately_.value() == 0) {
     return 0;
   }
   return 1.0 / static_cast<double>(lately_.value() * settings_.regions);
--- a/src/cypresswall/fleet_limits/fleet_part.h
+++ b/src/cypresswall/fleet_limits/fleet_part.h
@@ -45,6 +45,7 @@
 
  private:
   void watch();
+  bool stoodStill() const;
   void countMembers();
   /// Has nothing from now on until the wait is over.
   void waitAnew(const char* reason);
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -22,7 +22,7 @@
 FleetQuarantine::FleetQuarantine(const QuarantineSettings& settings,
                                  const membership::NeighbourSettings& neighbours,
                                  const api::ProcessContext& context,
-                                 const membership::MembershipView& membership,
+                                 membership::MembershipView& membership,
                                  engines::EngineClient& client, object_store::ObjectStore& store)
     : settings_(settings),
       neighbours_(neighbours),
@@ -193,7 +193,7 @@
     return false;
   }
   let_go_.add(kept ? 1 : 0);
-  kept_gauge_.set(static_cast<double>(list_.size()));
+  listChanged();
   common::LogEvent(context_.log, common::LogLevel::kInfo, "request_let_go")
       .field("fingerprint", common::toString(request))
       .field("kept", kept);
@@ -206,7 +206,7 @@
     return false;
   }
   added_.add();
-  kept_gauge_.set(static_cast<double>(list_.size()));
+  listChanged();
   common::LogEvent(context_.log, common::LogLevel::kWarning, "request_quarantined")
       .field("fingerprint", common::toString(kept.request))
       .field("source", source)
@@ -215,6 +215,11 @@
   return true;
 }
 
+void FleetQuarantine::listChanged() {
+  kept_gauge_.set(static_cast<double>(list_.size()));
+  stored_.listChanged();
+}
+
 std::uint32_t FleetQuarantine::fullTime() const {
   const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.memory);
   return static_cast<std::uint32_t>(time.count());
@@ -229,7 +234,7 @@
   context_.scheduler.schedule(settings_.repeat_interval, [this] { repeat(); });
   const auto now = context_.clock.now();
   if (list_.expire(now)) {
-    kept_gauge_.set(static_cast<double>(list_.size()));
+    listChanged();
   }
   const auto nodes = peers();
   if (list_.size() == 0 || nodes.empty()) {
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -32,7 +32,7 @@
   /// Registers the handlers of both messages. \pre all references outlive this object
   FleetQuarantine(const QuarantineSettings& settings,
                   const membership::NeighbourSettings& neighbours,
-                  const api::ProcessContext& context, const membership::MembershipView& membership,
+                  const api::ProcessContext& context, membership::MembershipView& membership,
                   engines::EngineClient& client, object_store::ObjectStore& store);
   FleetQuarantine(const FleetQuarantine&) = delete;
   FleetQuarantine& operator=(const FleetQuarantine&) = delete;
@@ -67,6 +67,8 @@
   /// one. The loss of some is made up by others, and by the repetitions.
   void tellOthers(const std::vector<KeptAwayRequest>& requests);
   void repeat();
+  /// What is kept away is another than before.
+  void listChanged();
   std::vector<common::RequestFingerprint> fingerprints() const;
   std::vector<common::NodeId> peers() const;
 
--- a/src/cypresswall/quarantine/quarantine_store.cpp
+++ b/src/cypresswall/quarantine/quarantine_store.cpp
@@ -11,14 +11,16 @@
 using object_store::StoreFailure;
 using object_store::StoreResult;
 
-/// Between two looks whether this node is the keeper and the list has changed.
-constexpr common::Duration kLookInterval = std::chrono::milliseconds(100);
+/// After a change of members, in which more may come: a zone that starts would otherwise have
+/// several keepers one after the other. Nodes have to know the list three seconds after their
+/// start.
+constexpr common::Duration kSettlingTime = std::chrono::milliseconds(200);
 
 }  // namespace
 
 QuarantineStore::QuarantineStore(const QuarantineSettings& settings,
                                  const api::ProcessContext& context,
-                                 const membership::MembershipView& membership,
+                                 membership::MembershipView& membership,
                                  object_store::ObjectStore& store, Interfaces interfaces)
     : settings_(settings),
       context_(context),
@@ -31,18 +33,37 @@
       unreadable_(context.counters.counter("cypresswall_quarantine_store_unreadable_total",
                                            "Stored quarantines that could not be read")) {}
 
-void QuarantineStore::start() { tick(); }
+void QuarantineStore::start() {
+  started_ = true;
+  membership_.onChange([this] { lookAfter(kSettlingTime); });
+  lookAfter(kSettlingTime);
+}
 
-void QuarantineStore::tick() {
-  context_.scheduler.schedule(kLookInterval, [this] { tick(); });
-  if (membership_.joining() || call_under_way_) {
+void QuarantineStore::lookAfter(common::Duration delay) {
+  if (!started_ || look_timer_ != 0) {
+    return;
+  }
+  look_timer_ = context_.scheduler.schedule(delay, [this] {
+    look_timer_ = 0;
+    look();
+  });
+}
+
+void QuarantineStore::look() {
+  if (call_under_way_) {
+    return;
+  }
+  if (membership_.joining()) {
+    lookAfter(kSettlingTime);
     return;
   }
   if (!keeper()) {
     stored_.reset();
     return;
   }
-  if (context_.clock.now() < next_call_at_) {
+  const auto now = context_.clock.now();
+  if (now < next_call_at_) {
+    lookAfter(next_call_at_ - now);
     return;
   }
   if (!stored_) {
@@ -73,9 +94,14 @@
     stored_.emplace();
     version_ = 0;
   } else {
-    failures_.add();
-    next_call_at_ = context_.clock.now() + settings_.store_retry_delay;
+    storeFailed();
   }
+  lookAfter(common::Duration{0});
+}
+
+void QuarantineStore::storeFailed() {
+  failures_.add();
+  next_call_at_ = context_.clock.now() + settings_.store_retry_delay;
 }
 
 void QuarantineStore::write(const std::vector<common::RequestFingerprint>& requests) {
@@ -93,14 +119,14 @@
   call_under_way_ = false;
   if (result.ok()) {
     observe(result.value());
-    return;
-  }
-  // Another keeper may have written, or the write took effect unheard.
-  stored_.reset();
-  if (result.failure().kind != StoreFailure::kConflict) {
-    failures_.add();
-    next_call_at_ = context_.clock.now() + settings_.store_retry_delay;
+  } else {
+    // Another keeper may have written, or the write took effect unheard.
+    stored_.reset();
+    if (result.failure().kind != StoreFailure::kConflict) {
+      storeFailed();
+    }
   }
+  lookAfter(common::Duration{0});
 }
 
 void QuarantineStore::observe(const StoredObject& object) {
--- a/src/cypresswall/quarantine/quarantine_store.h
+++ b/src/cypresswall/quarantine/quarantine_store.h
@@ -31,30 +31,38 @@
   };
 
   QuarantineStore(const QuarantineSettings& settings, const api::ProcessContext& context,
-                  const membership::MembershipView& membership, object_store::ObjectStore& store,
+                  membership::MembershipView& membership, object_store::ObjectStore& store,
                   Interfaces interfaces);
   QuarantineStore(const QuarantineStore&) = delete;
   QuarantineStore& operator=(const QuarantineStore&) = delete;
 
   void start();
+  /// The list of what is kept away has changed.
+  void listChanged() { lookAfter(common::Duration{0}); }
 
  private:
-  void tick();
+  void lookAfter(common::Duration delay);
+  /// Reads or writes, if this node is the keeper and there is something to do.
+  void look();
   bool keeper() const;
   void read();
   void onRead(const object_store::StoreResult<object_store::StoredObject>& result);
   void write(const std::vector<common::RequestFingerprint>& requests);
+  void storeFailed();
   void onWritten(const object_store::StoreResult<object_store::StoredObject>& result);
   void observe(const object_store::StoredObject& object);
 
   const QuarantineSettings settings_;
   const api::ProcessContext& context_;
-  const membership::MembershipView& membership_;
+  membership::MembershipView& membership_;
   object_store::ObjectStore& store_;
   const Interfaces interfaces_;
   const std::string key_;
+  bool started_ = false;
   bool call_under_way_ = false;
+  /// The store failed; nothing is called before this.
   common::MonotonicTime next_call_at_{};
+  common::TimerId look_timer_ = 0;
   /// As last read or written by this keeper; empty until then.
   std::optional<StoredQuarantine> stored_;
   std::uint64_t version_ = 0;
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -114,9 +114,36 @@
   CPPUNIT_TEST(declaredRunsReplaceTheNodesOwn);
   CPPUNIT_TEST(refusedAttemptsDrawOnTheBudget);
   CPPUNIT_TEST(runsAtMostOnceUnderFaults);
+  CPPUNIT_TEST(quarantinedRequestIsRefusedAtOnce);
+  CPPUNIT_TEST(brokenCallsAndAnswersAreToldToTheQuarantine);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void quarantinedRequestIsRefusedAtOnce() {
+    World world;
+    world.quarantine.kept = {17};
+    auto request = World::request("GET", "/slots");
+    request.fingerprint = 17;
+    const auto answer = world.ask(std::move(request));
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(answer.error.kind == ErrorKind::kQuarantined);
+    CPPUNIT_ASSERT(answer.error.retry_after == std::chrono::minutes(1));
+    CPPUNIT_ASSERT(world.client.calls.empty());
+    CPPUNIT_ASSERT(world.idle());
+  }
+
+  void brokenCallsAndAnswersAreToldToTheQuarantine() {
+    World world;
+    world.client.scripts = {CallScript::kBrokenAfterRun};
+    auto request = World::request("GET", "/slots");
+    request.fingerprint = 17;
+    const auto answer = world.ask(std::move(request));
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.quarantine.broken.size());
+    CPPUNIT_ASSERT_EQUAL(world.client.calls[0].first, world.quarantine.broken[0].second);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.quarantine.answers.size());
+  }
+
   void relaysTheAnswer() {
     World world;
     const auto answer = world.ask(World::request("GET", "/slots?day=1"));
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -16,6 +16,7 @@
 using std::chrono::seconds;
 
 constexpr auto kLongRun = std::chrono::minutes(5);
+constexpr common::RequestFingerprint kFingerprint = 17;
 
 class ModelRequestTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ModelRequestTest);
@@ -37,9 +38,79 @@
   CPPUNIT_TEST(longFirstTokenLimitIsGivenToTheRouter);
   CPPUNIT_TEST(onlyTheFirstAttemptIsPlannedWithinTheTarget);
   CPPUNIT_TEST(callersPatienceAdmitsWhereTheTargetIsSwitchedOff);
+  CPPUNIT_TEST(quarantinedRequestIsRefusedAtOnce);
+  CPPUNIT_TEST(requestQuarantinedBetweenAttemptsIsNotSentAgain);
+  CPPUNIT_TEST(promptIsNotHandedOverOnceTheRequestIsQuarantined);
+  CPPUNIT_TEST(brokenStreamsAndAnswersAreToldToTheQuarantine);
+  CPPUNIT_TEST(refusalsAndSilenceAreNoCrashes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void quarantinedRequestIsRefusedAtOnce() {
+    World world({}, testing::withRetryBurst(0));
+    world.quarantine.kept = {kFingerprint};
+    RecordingObserver observer;
+    const auto handle = world.executor.start(knownAgain(), observer);
+    world.process.time.runFor(milliseconds(1));
+    CPPUNIT_ASSERT(observer.error.has_value());
+    CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kQuarantined);
+    CPPUNIT_ASSERT(observer.error->outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(observer.error->retry_after == std::chrono::minutes(1));
+    CPPUNIT_ASSERT(world.engines.started.empty() && world.router.requests.empty());
+    CPPUNIT_ASSERT_EQUAL(0, world.admission.held);
+    CPPUNIT_ASSERT_EQUAL(0.0, world.retries.of("dispatch").left());
+  }
+
+  void requestQuarantinedBetweenAttemptsIsNotSentAgain() {
+    World world;
+    world.engines.scripts = {{Kind::kBrokenAt, 0}};
+    RecordingObserver observer;
+    const auto handle = world.executor.start(knownAgain(), observer);
+    world.process.time.runFor(milliseconds(1));
+    world.quarantine.kept = {kFingerprint};
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.engines.started.size());
+    // An engine had it: nobody may promise that it didn't run.
+    CPPUNIT_ASSERT(observer.error->outcome == Outcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(0, world.router.open);
+    CPPUNIT_ASSERT_EQUAL(0, world.admission.held);
+  }
+
+  void promptIsNotHandedOverOnceTheRequestIsQuarantined() {
+    World world;
+    world.router.prefill_name = "prefill-1";
+    RecordingObserver observer;
+    const auto handle = world.executor.start(knownAgain(), observer);
+    world.process.time.runFor(milliseconds(1));
+    world.quarantine.kept = {kFingerprint};
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.engines.started.size());
+    CPPUNIT_ASSERT_EQUAL(0, world.router.open);
+  }
+
+  void brokenStreamsAndAnswersAreToldToTheQuarantine() {
+    World world;
+    world.engines.scripts = {{Kind::kBrokenAt, 3}};
+    RecordingObserver observer;
+    const auto handle = world.executor.start(knownAgain(), observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(observer.done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.quarantine.broken.size());
+    CPPUNIT_ASSERT_EQUAL(kFingerprint, world.quarantine.broken[0].first);
+    CPPUNIT_ASSERT_EQUAL(world.engines.started[0].first, world.quarantine.broken[0].second);
+    CPPUNIT_ASSERT(world.quarantine.answers == std::vector{kFingerprint});
+  }
+
+  void refusalsAndSilenceAreNoCrashes() {
+    World world;
+    world.engines.scripts = {{Kind::kRefused}, {Kind::kNotSent}, {Kind::kSilentAt, 2}};
+    RecordingObserver observer;
+    const auto handle = world.executor.start(knownAgain(), observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(observer.done);
+    CPPUNIT_ASSERT(world.quarantine.broken.empty());
+  }
+
   void onlyTheFirstAttemptIsPlannedWithinTheTarget() {
     World world;
     world.service().first_token_limit = seconds(2);
@@ -338,6 +409,11 @@
   }
 
  private:
+  static execution::ModelCall knownAgain() {
+    auto call = World::call();
+    call.fingerprint = kFingerprint;
+    return call;
+  }
   static ModelCall passedThrough(const std::string& body) {
     auto call = World::call("");
     call.pass_through = std::make_shared<const engines::PassThroughRequest>(
--- a/tests/fleet_limits/retry_account_test.cpp
+++ b/tests/fleet_limits/retry_account_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(whatWasNotUsedIsForgotten);
   CPPUNIT_TEST(servicesPayForThemselves);
   CPPUNIT_TEST(tellsOnceThatItIsEmptyAndOnceThatItRecovered);
+  CPPUNIT_TEST(burstIsWithheldBeforeAPauseIsNoticed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -44,6 +45,23 @@
     node_ = std::make_unique<testing::AccountNode>(time_, limits_, FleetPartSettings{}, lines_);
   }
 
+  /// Timers of a suspended machine go on where they were, while its clock has moved.
+  void burstIsWithheldBeforeAPauseIsNoticed() {
+    FleetPartSettings part;
+    part.waits_after_start = true;
+    testing::AccountNode node(time_, limits_, part, lines_);
+    time_.runFor(seconds(20));
+    CPPUNIT_ASSERT(node.account().available());
+    node.timers.paused = true;
+    time_.runFor(seconds(5));
+    CPPUNIT_ASSERT(!node.account().available());
+    node.timers.wake();
+    time_.runFor(seconds(10));
+    CPPUNIT_ASSERT(!node.account().available());
+    time_.runFor(seconds(10));
+    CPPUNIT_ASSERT(node.account().available());
+  }
+
   void paysHalfOfTheShareAndThePartOfTheBurst() {
     request(50);
     CPPUNIT_ASSERT(node_->account().available(8));
