Ask only nodes that handle the messages of the quarantine; tell what each node's build handles

While nodes are replaced one after the other some of them know no quarantine. Found by hashing over all members, both nodes that count could be such ones, and nobody would count. Each node now tells in its membership record which messages its build handles (show nodes, daemon_started); counting, keeping and telling go by it.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -105,6 +105,7 @@
 int Daemon::run() {
   LogEvent(log_, LogLevel::kInfo, "daemon_started")
       .field("version", CYPRESSWALL_VERSION)
+      .field("messages", static_cast<std::uint32_t>(api::kHandledMessages))
       .field("incarnation", self_.incarnation)
       .field("gateway", settings_.server.address)
       .field("machine", settings_.node.membership.machine)
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -16,6 +16,14 @@
 
 /// Version of the internal protocol. A peer with another version is not talked to.
 inline constexpr std::uint16_t kProtocolVersion = 1;
+/// The messages that this build handles. Rises with each change that adds one; nodes tell it with
+/// their membership, so that a node of a later build sends a message only to those that handle it,
+/// and asks only these to do what others can't. A fleet is mixed while its nodes are replaced.
+enum class MessageSet : std::uint8_t {
+  kFirst = 1,       ///< also of builds that don't tell
+  kQuarantine = 2,  ///< and those of `quarantine`
+};
+inline constexpr MessageSet kHandledMessages = MessageSet::kQuarantine;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -33,6 +33,8 @@
                                               "Times that this node was taken for dead wrongly")) {
   own_details_ =
       NodeDetails{context_.zone, settings_.machine, settings_.gateway_address, false, 1, {}, 1};
+  own_details_.digests[static_cast<std::uint16_t>(DigestTopic::kMessageSet)] =
+      static_cast<std::uint64_t>(api::kHandledMessages);
   if (settings_.link_megabits > 0) {
     own_details_.digests[static_cast<std::uint16_t>(DigestTopic::kLinkMegabits)] =
         static_cast<std::uint64_t>(settings_.link_megabits);
--- a/src/cypresswall/membership/membership_view.h
+++ b/src/cypresswall/membership/membership_view.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cypresswall/api/envelope.h"
 #include "cypresswall/common/identifiers.h"
 
 namespace cypresswall::membership {
@@ -19,6 +20,8 @@
   kHeldEpoch = 2,
   /// Bandwidth of the node's link in Mbit/s, rounded down; absent if its settings don't tell.
   kLinkMegabits = 3,
+  /// The api::MessageSet that the node's build handles; absent if it is the first one.
+  kMessageSet = 4,
 };
 
 enum class MemberState : std::uint8_t { kAlive, kSuspect, kLeaving, kDead };
@@ -53,6 +56,12 @@
   /// \return the newest value known of a member's digest, nothing if there is none.
   virtual std::optional<std::uint64_t> digest(const common::NodeId& node,
                                               DigestTopic topic) const = 0;
+  /// \return true if the member's build handles these messages
+  bool handles(const common::NodeId& node, api::MessageSet messages) const {
+    constexpr auto kUntold = static_cast<std::uint64_t>(api::MessageSet::kFirst);
+    return digest(node, DigestTopic::kMessageSet).value_or(kUntold) >=
+           static_cast<std::uint64_t>(messages);
+  }
   /// \return true for a short time after the start in which this node knows no other yet, though it
   ///   was told of some.
   virtual bool joining() const { return false; }
--- a/src/cypresswall/membership/rendezvous.cpp
+++ b/src/cypresswall/membership/rendezvous.cpp
@@ -45,13 +45,7 @@
 }
 
 std::vector<common::NodeId> rendezvousNodes(std::string_view name,
-                                            const std::vector<Member>& members, std::size_t count) {
-  std::vector<common::NodeId> nodes;
-  for (const Member& member : members) {
-    if (member.state == MemberState::kAlive) {
-      nodes.push_back(member.node);
-    }
-  }
+                                            std::vector<common::NodeId> nodes, std::size_t count) {
   const auto wanted = std::min(count, nodes.size());
   const auto higher = [name](const common::NodeId& left, const common::NodeId& right) {
     return rendezvousRank(name, left) > rendezvousRank(name, right);
--- a/src/cypresswall/membership/rendezvous.h
+++ b/src/cypresswall/membership/rendezvous.h
@@ -18,10 +18,9 @@
 /// \return the one member of `members` that does it: the alive one of the highest rank; empty if no
 ///   member is alive. Members that are suspected or leaving do nothing.
 common::NodeId rendezvousNode(std::string_view name, const std::vector<Member>& members);
-/// \return the `count` alive members of the highest ranks, the highest first; fewer if not so many
-///   are alive
+/// \return the `count` nodes of the highest ranks, the highest first; fewer if there aren't so many
 std::vector<common::NodeId> rendezvousNodes(std::string_view name,
-                                            const std::vector<Member>& members, std::size_t count);
+                                            std::vector<common::NodeId> nodes, std::size_t count);
 /// \return the one of `nodes` with the highest rank; empty if there is none.
 common::NodeId rendezvousNode(std::string_view name, const std::vector<common::NodeId>& nodes);
 /// \return the doublings of the node's link, zero if its bandwidth isn't known: what takes much
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -162,6 +162,9 @@
             : sources_.membership
                   .digest(member.node, membership::DigestTopic::kConfigurationVersion)
                   .value_or(0);
+    constexpr auto kUntold = static_cast<std::uint64_t>(api::MessageSet::kFirst);
+    row.message_set = sources_.membership.digest(member.node, membership::DigestTopic::kMessageSet)
+                          .value_or(kUntold);
     rows.push_back(std::move(row));
   }
   return rows;
--- a/src/cypresswall/operators/queries.cpp
+++ b/src/cypresswall/operators/queries.cpp
@@ -308,7 +308,7 @@
         fleet->drained_nodes.count(row.address) > 0 || fleet->drained_nodes.count(row.machine) > 0;
     table.rows.push_back({text(row.address), text(zone_), text(row.machine), text(row.state),
                           text(row.gateway_address), count(row.configuration_version),
-                          Cell{drained}});
+                          Cell{drained}, count(row.message_set)});
   }
   return table;
 }
--- a/src/cypresswall/operators/state_providers.h
+++ b/src/cypresswall/operators/state_providers.h
@@ -57,6 +57,8 @@
   std::string state;
   common::Address gateway_address;
   std::uint64_t configuration_version = 0;
+  /// The messages that the node's build handles (api::MessageSet); nodes with less are older.
+  std::uint64_t message_set = 0;
 };
 
 /// A service's account of repeats at this node.
--- a/src/cypresswall/operators/vocabulary.cpp
+++ b/src/cypresswall/operators/vocabulary.cpp
@@ -43,8 +43,8 @@
                                                         "newest", "in_force", "summary"};
   static const std::vector<std::string> kChangeColumns = {"version", "change", "author", "objects"};
   static const std::vector<std::string> kLeaseColumns = {"zone", "holder", "epoch", "here"};
-  static const std::vector<std::string> kNodeColumns = {"node",    "zone",    "machine", "state",
-                                                        "gateway", "version", "drained"};
+  static const std::vector<std::string> kNodeColumns = {
+      "node", "zone", "machine", "state", "gateway", "version", "drained", "messages"};
   static const std::vector<std::string> kTenantColumns = {"tenant", "requests_per_second",
                                                           "tokens_per_second"};
   static const std::vector<std::string> kRetryColumns = {"service", "used", "left", "refused",
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -34,7 +34,7 @@
       list_(settings),
       answered_(settings),
       stored_(settings, context, membership, store,
-              {[this] { return fingerprints(); },
+              {[this] { return members(); }, [this] { return fingerprints(); },
                [this](const std::vector<common::RequestFingerprint>& requests) {
                  for (const auto request : requests) {
                    convict(request, "store");
@@ -119,8 +119,8 @@
 }
 
 void FleetQuarantine::report(const CrashReport& report) {
-  for (const auto& node : membership::rendezvousNodes(common::toString(report.request),
-                                                      membership_.members(), kCountingNodes)) {
+  for (const auto& node :
+       membership::rendezvousNodes(common::toString(report.request), members(), kCountingNodes)) {
     if (node == context_.self) {
       onReport(report);
     } else {
@@ -265,14 +265,21 @@
   return requests;
 }
 
-std::vector<common::NodeId> FleetQuarantine::peers() const {
+std::vector<common::NodeId> FleetQuarantine::members() const {
   std::vector<common::NodeId> nodes;
   for (const membership::Member& member : membership_.members()) {
-    if (member.node != context_.self) {
+    const bool handles = membership_.handles(member.node, api::MessageSet::kQuarantine);
+    if (handles && member.state == membership::MemberState::kAlive) {
       nodes.push_back(member.node);
     }
   }
   return nodes;
 }
 
+std::vector<common::NodeId> FleetQuarantine::peers() const {
+  std::vector<common::NodeId> nodes = members();
+  std::erase(nodes, context_.self);
+  return nodes;
+}
+
 }  // namespace cypresswall::quarantine
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -70,6 +70,8 @@
   /// What is kept away is another than before.
   void listChanged();
   std::vector<common::RequestFingerprint> fingerprints() const;
+  /// \return the members whose build counts and keeps away, this node included, ordered
+  std::vector<common::NodeId> members() const;
   std::vector<common::NodeId> peers() const;
 
   const QuarantineSettings settings_;
--- a/src/cypresswall/quarantine/quarantine_store.cpp
+++ b/src/cypresswall/quarantine/quarantine_store.cpp
@@ -77,7 +77,7 @@
 }
 
 bool QuarantineStore::keeper() const {
-  return membership::rendezvousNode(key_, membership_.members()) == context_.self;
+  return membership::rendezvousNode(key_, interfaces_.members()) == context_.self;
 }
 
 void QuarantineStore::read() {
--- a/src/cypresswall/quarantine/quarantine_store.h
+++ b/src/cypresswall/quarantine/quarantine_store.h
@@ -24,6 +24,8 @@
 class QuarantineStore {
  public:
   struct Interfaces {
+    /// \return the nodes of which one keeps the object
+    std::function<std::vector<common::NodeId>()> members;
     /// \return what is kept away now, ordered
     std::function<std::vector<common::RequestFingerprint>()> present;
     /// Takes what was read from the store.
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 
 #include "cypresswall/quarantine/stored_quarantine.h"
@@ -34,6 +35,8 @@
   CPPUNIT_TEST(outlivesAllNodes);
   CPPUNIT_TEST(outlivesAllNodesThoughTheStoreWasDown);
   CPPUNIT_TEST(oneCountingNodeMayEnd);
+  CPPUNIT_TEST(aNodeThatBeginsToCountIsToldOfEarlierCrashes);
+  CPPUNIT_TEST(worksBesideNodesOfAnEarlierBuild);
   CPPUNIT_TEST(isForgottenOnceItNoLongerComes);
   CPPUNIT_TEST(lastsWhileItComes);
   CPPUNIT_TEST(isBoundedInNumber);
@@ -198,6 +201,45 @@
     }
   }
 
+  /// Both nodes that counted have ended.
+  void aNodeThatBeginsToCountIsToldOfEarlierCrashes() {
+    QuarantineZone zone(9);
+    const auto counting = zone.countingNodes(kCulprit, 2);
+    std::size_t reporter = 0;
+    while (std::count(counting.begin(), counting.end(), reporter) != 0) {
+      ++reporter;
+    }
+    zone.crash(reporter, kCulprit, 1);
+    zone.crash(reporter, kCulprit, 2);
+    zone.run(milliseconds(200));
+    for (const std::size_t node : counting) {
+      zone.end(node);
+    }
+    zone.tellMembers();
+    zone.crash(reporter, kCulprit, 3);
+    zone.run(kTold);
+    CPPUNIT_ASSERT_EQUAL(zone.size() - 2, zone.nodesThatKeepAway(kCulprit));
+  }
+
+  /// While nodes are replaced one after the other, those that count must be among the new ones.
+  void worksBesideNodesOfAnEarlierBuild() {
+    constexpr std::size_t kNodes = 9;
+    for (std::size_t earlier = 1; earlier < kNodes - 1; ++earlier) {
+      for (common::RequestFingerprint request = kCulprit; request < kCulprit + 5; ++request) {
+        QuarantineZone zone(kNodes);
+        zone.runEarlierBuild(0, earlier - 1);
+        for (int engine = 1; engine <= 3; ++engine) {
+          zone.crash(earlier + static_cast<std::size_t>(engine) % (kNodes - earlier), request,
+                     engine);
+          zone.run(milliseconds(100));
+        }
+        zone.run(kTold);
+        CPPUNIT_ASSERT_EQUAL(kNodes - earlier, zone.nodesThatKeepAway(request));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, zone.messagesNotHandled());
+      }
+    }
+  }
+
   void isForgottenOnceItNoLongerComes() {
     QuarantineZone zone(9);
     crashThree(zone);
--- a/tests/quarantine/quarantine_zone.h
+++ b/tests/quarantine/quarantine_zone.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cypresswall/membership/rendezvous.h"
 #include "cypresswall/quarantine/fleet_quarantine.h"
 #include "cypresswall/simulation/simulated_platform.h"
 #include "tests/support/engine_world.h"
@@ -33,6 +34,20 @@
     nodes_[node].process->kill();
     startNode(node);
   }
+  /// \return the nodes that count the crashes of the request
+  std::vector<std::size_t> countingNodes(common::RequestFingerprint request,
+                                         std::size_t count) const {
+    std::vector<common::NodeId> ids;
+    for (const Node& node : nodes_) {
+      ids.push_back(node.process->id());
+    }
+    std::vector<std::size_t> counting;
+    for (const auto& id : membership::rendezvousNodes(common::toString(request), ids, count)) {
+      counting.push_back(
+          static_cast<std::size_t>(std::find(ids.begin(), ids.end(), id) - ids.begin()));
+    }
+    return counting;
+  }
   void end(std::size_t node) {
     nodes_[node].process->kill();
     nodes_[node].process = nullptr;
@@ -50,6 +65,24 @@
       }
     }
   }
+  /// These nodes run a build that knows no quarantine: they count nothing and keep nothing away.
+  void runEarlierBuild(std::size_t first, std::size_t last) {
+    for (const Node& node : nodes_) {
+      for (std::size_t earlier = first; earlier <= last; ++earlier) {
+        node.membership->setEarlierBuild(nodes_[earlier].process->id());
+      }
+    }
+    for (std::size_t earlier = first; earlier <= last; ++earlier) {
+      nodes_[earlier].process->context().dispatcher = {};
+    }
+  }
+  std::uint64_t messagesNotHandled() {
+    std::uint64_t count = 0;
+    for (const auto& process : simulation_.processes()) {
+      count += process->undispatchedMessages();
+    }
+    return count;
+  }
   void endEngine(int engine) { engines_[endpoint(engine).address].reachable = false; }
   /// An engine that nothing happened to.
   void runEngine(int engine) { engines_[endpoint(engine).address].reachable = true; }
--- a/tests/support/engine_world.h
+++ b/tests/support/engine_world.h
@@ -125,11 +125,18 @@
   void setDigest(membership::DigestTopic, std::uint64_t) override {}
   std::optional<std::uint64_t> digest(const common::NodeId& node,
                                       membership::DigestTopic topic) const override {
+    if (topic == membership::DigestTopic::kMessageSet) {
+      return earlier_builds_.contains(node)
+                 ? std::nullopt
+                 : std::optional(static_cast<std::uint64_t>(api::kHandledMessages));
+    }
     const auto links = link_megabits_.find(node);
     const bool known =
         topic == membership::DigestTopic::kLinkMegabits && links != link_megabits_.end();
     return known ? std::optional(links->second) : std::nullopt;
   }
+  /// The node's build doesn't tell which messages it handles.
+  void setEarlierBuild(const common::NodeId& node) { earlier_builds_.insert(node); }
   void setLinkMegabits(const common::NodeId& node, std::uint64_t megabits) {
     link_megabits_[node] = megabits;
   }
@@ -170,6 +177,7 @@
   std::set<common::MachineName> leaving_;
   std::vector<std::function<void()>> listeners_;
   std::map<common::NodeId, std::uint64_t> link_megabits_;
+  std::set<common::NodeId> earlier_builds_;
 };
 
 /// \return an idle engine's report with plain speeds.
