Ask an engine twice before it counts as ended; tell nodes that leave as well

Read, not seen: the first question may go out on a kept connection that the engine has closed, which would take an engine that runs for ended; and a node that is leaving takes requests for seconds but was not told what is kept away. Each has a test that fails without it (aConnectionThatEndsIsNoCrash, nodesThatLeaveAreTold).

--- a/src/cypresswall/quarantine/crash_detector.cpp
+++ b/src/cypresswall/quarantine/crash_detector.cpp
@@ -5,6 +5,8 @@
 namespace cypresswall::quarantine {
 namespace {
 
+constexpr std::uint32_t kQuestions = 2;
+
 common::Counter& answers(const api::ProcessContext& context, const char* engine) {
   return context.counters.counter("cypresswall_quarantine_engines_asked_total",
                                   "Engines asked whether they still run after a stream broke there",
@@ -24,26 +26,34 @@
 void CrashDetector::ask(const engines::EngineEndpoint& engine, Answer answer) {
   forgetOld();
   const auto [found, is_new] = questions_.try_emplace(engine.name);
-  Question& question = found->second;
-  if (question.answered) {
-    answer(question.ended);
+  Question& asked = found->second;
+  if (asked.answered) {
+    answer(asked.ended);
     return;
   }
-  question.waiting.push_back(std::move(answer));
-  if (!is_new) {
-    return;
+  asked.waiting.push_back(std::move(answer));
+  if (is_new) {
+    asked.asked_at = context_.clock.now();
+    question(engine, 1);
   }
-  question.asked_at = context_.clock.now();
-  client_.fetchLoad(engine,
-                    [this, name = engine.name](const auto& load) { onAnswer(name, !load.ok()); });
+}
+
+void CrashDetector::question(const engines::EngineEndpoint& engine, std::uint32_t number) {
+  client_.fetchLoad(engine, [this, engine, number](const auto& load) {
+    if (!load.ok() && number < kQuestions) {
+      question(engine, number + 1);
+    } else {
+      onAnswer(engine.name, !load.ok());
+    }
+  });
 }
 
 void CrashDetector::onAnswer(const common::EngineName& engine, bool ended) {
   (ended ? ended_ : alive_).add();
-  Question& question = questions_[engine];
-  question.answered = true;
-  question.ended = ended;
-  for (const Answer& answer : std::exchange(question.waiting, {})) {
+  Question& asked = questions_[engine];
+  asked.answered = true;
+  asked.ended = ended;
+  for (const Answer& answer : std::exchange(asked.waiting, {})) {
     answer(ended);
   }
 }
--- a/src/cypresswall/quarantine/crash_detector.h
+++ b/src/cypresswall/quarantine/crash_detector.h
@@ -1,6 +1,7 @@
 /// Finds out whether an engine ended or only broke a stream.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <unordered_map>
 #include <vector>
@@ -13,7 +14,8 @@
 
 /// Asks the engine for its load right after a stream broke there: one that only resets connections
 /// answers. Engines that fail part of their streams would otherwise bring their callers' requests
-/// under suspicion. One question serves all streams that broke there within a short time.
+/// under suspicion. It is asked twice, since the first question may go out on a kept connection
+/// that the engine has closed. One answer serves all streams that broke there within a short time.
 class CrashDetector {
  public:
   using Answer = std::function<void(bool ended)>;
@@ -34,6 +36,7 @@
     std::vector<Answer> waiting;
   };
 
+  void question(const engines::EngineEndpoint& engine, std::uint32_t number);
   void onAnswer(const common::EngineName& engine, bool ended);
   void forgetOld();
 
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -34,7 +34,7 @@
       list_(settings),
       answered_(settings),
       stored_(settings, context, membership, store,
-              {[this] { return members(); }, [this] { return fingerprints(); },
+              {[this] { return deciders(); }, [this] { return fingerprints(); },
                [this](const std::vector<common::RequestFingerprint>& requests) {
                  for (const auto request : requests) {
                    convict(request, "store");
@@ -120,7 +120,7 @@
 
 void FleetQuarantine::report(const CrashReport& report) {
   for (const auto& node :
-       membership::rendezvousNodes(common::toString(report.request), members(), kCountingNodes)) {
+       membership::rendezvousNodes(common::toString(report.request), deciders(), kCountingNodes)) {
     if (node == context_.self) {
       onReport(report);
     } else {
@@ -236,8 +236,11 @@
   if (list_.expire(now)) {
     listChanged();
   }
+  if (list_.size() == 0) {
+    return;
+  }
   const auto nodes = peers();
-  if (list_.size() == 0 || nodes.empty()) {
+  if (nodes.empty()) {
     return;
   }
   const auto requests = list_.all(now);
@@ -265,21 +268,29 @@
   return requests;
 }
 
-std::vector<common::NodeId> FleetQuarantine::members() const {
+std::vector<common::NodeId> FleetQuarantine::deciders() const {
   std::vector<common::NodeId> nodes;
   for (const membership::Member& member : membership_.members()) {
-    const bool handles = membership_.handles(member.node, api::MessageSet::kQuarantine);
-    if (handles && member.state == membership::MemberState::kAlive) {
+    if (member.state == membership::MemberState::kAlive && handles(member.node)) {
       nodes.push_back(member.node);
     }
   }
   return nodes;
 }
 
+/// Nodes that are late or leaving take requests still.
 std::vector<common::NodeId> FleetQuarantine::peers() const {
-  std::vector<common::NodeId> nodes = members();
-  std::erase(nodes, context_.self);
+  std::vector<common::NodeId> nodes;
+  for (const membership::Member& member : membership_.members()) {
+    if (member.node != context_.self && handles(member.node)) {
+      nodes.push_back(member.node);
+    }
+  }
   return nodes;
 }
 
+bool FleetQuarantine::handles(const common::NodeId& node) const {
+  return membership_.handles(node, api::MessageSet::kQuarantine);
+}
+
 }  // namespace cypresswall::quarantine
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -70,9 +70,11 @@
   /// What is kept away is another than before.
   void listChanged();
   std::vector<common::RequestFingerprint> fingerprints() const;
-  /// \return the members whose build counts and keeps away, this node included, ordered
-  std::vector<common::NodeId> members() const;
+  /// \return the nodes that may count crashes and keep the stored list, ordered
+  std::vector<common::NodeId> deciders() const;
+  /// \return the other nodes that keep requests away, ordered
   std::vector<common::NodeId> peers() const;
+  bool handles(const common::NodeId& node) const;
 
   const QuarantineSettings settings_;
   const membership::NeighbourSettings neighbours_;
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -28,6 +28,8 @@
   CPPUNIT_TEST(aLifeThatEndsAgainCountsAgain);
   CPPUNIT_TEST(brokenStreamsOfAnEngineThatRunsAreNoCrashes);
   CPPUNIT_TEST(oneQuestionServesManyBrokenStreams);
+  CPPUNIT_TEST(aConnectionThatEndsIsNoCrash);
+  CPPUNIT_TEST(nodesThatLeaveAreTold);
   CPPUNIT_TEST(anAnswerClearsARequest);
   CPPUNIT_TEST(aRequestThatIsAnsweredElsewhereIsNotKeptAway);
   CPPUNIT_TEST(aLateAnswerFreesTheRequestEverywhere);
@@ -103,7 +105,27 @@
       zone.crash(0, request, 1);
     }
     zone.run(milliseconds(100));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, zone.engineQuestions());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, zone.engineQuestions());
+  }
+
+  /// The first question is lost with the kept connection that it went out on.
+  void aConnectionThatEndsIsNoCrash() {
+    QuarantineZone zone(9);
+    for (int engine = 0; engine < 6; ++engine) {
+      zone.loseQuestions(engine, 1);
+      zone.breakStream(static_cast<std::size_t>(engine), kCulprit, engine);
+    }
+    zone.run(kTold);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatKeepAway(kCulprit));
+  }
+
+  /// They take requests until their callers have gone elsewhere.
+  void nodesThatLeaveAreTold() {
+    QuarantineZone zone(9);
+    zone.leave(4);
+    crashThree(zone);
+    zone.run(kTold);
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatKeepAway(kCulprit));
   }
 
   /// Two engines ended beside it; the third attempt was answered.
--- a/tests/quarantine/quarantine_zone.h
+++ b/tests/quarantine/quarantine_zone.h
@@ -84,6 +84,22 @@
     return count;
   }
   void endEngine(int engine) { engines_[endpoint(engine).address].reachable = false; }
+  /// An engine that runs, but doesn't answer the next questions.
+  void loseQuestions(int engine, std::uint32_t count) {
+    runEngine(engine);
+    engines_[endpoint(engine).address].questions_to_lose = count;
+  }
+  /// The node is about to be taken away.
+  void leave(std::size_t leaving) {
+    for (const Node& node : nodes_) {
+      auto members = node.membership->members();
+      for (membership::Member& member : members) {
+        const bool leaves = member.node == nodes_[leaving].process->id();
+        member.state = leaves ? membership::MemberState::kLeaving : member.state;
+      }
+      node.membership->setMembers(std::move(members));
+    }
+  }
   /// An engine that nothing happened to.
   void runEngine(int engine) { engines_[endpoint(engine).address].reachable = true; }
   void run(common::Duration time) { simulation_.time().runFor(time); }
--- a/tests/support/engine_world.h
+++ b/tests/support/engine_world.h
@@ -24,6 +24,8 @@
   /// The engine begins with all that it holds, leaves out changes of no use and tells gaps itself.
   bool lists_cache = false;
   bool reachable = true;
+  /// Questions for its load that get no answer, though it runs.
+  std::uint32_t questions_to_lose = 0;
   std::uint64_t load_reads = 0;
 };
 
@@ -46,6 +48,13 @@
                  engines::EngineCallback<engines::EngineLoad> callback) override {
     ScriptedEngine& engine = engines_[endpoint.address];
     ++engine.load_reads;
+    if (engine.questions_to_lose > 0) {
+      --engine.questions_to_lose;
+      ScriptedEngine lost;
+      lost.reachable = false;
+      answer(lost, engine.load, std::move(callback));
+      return;
+    }
     answer(engine, engine.load, std::move(callback));
   }
   void fetchCacheEvents(const engines::EngineEndpoint& endpoint, std::uint64_t after,
