Read the stored quarantine again where a node sees no other

Read, not seen: a node that reaches the store and its callers but none of its peers would learn what they keep away only by three ends of its own.

--- a/src/cypresswall/quarantine/quarantine_store.cpp
+++ b/src/cypresswall/quarantine/quarantine_store.cpp
@@ -15,6 +15,9 @@
 /// several keepers one after the other. Nodes have to know the list three seconds after their
 /// start.
 constexpr common::Duration kSettlingTime = std::chrono::milliseconds(200);
+/// Between two reads of a node that sees no other. Nodes have to know the list within three
+/// seconds.
+constexpr common::Duration kDesertedInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -58,6 +61,7 @@
     return;
   }
   if (!keeper()) {
+    has_seen_others_ = true;
     stored_.reset();
     return;
   }
@@ -73,9 +77,18 @@
   const auto present = interfaces_.present();
   if (present != stored_->requests) {
     write(present);
+  } else if (deserted()) {
+    stored_.reset();
+    lookAfter(kDesertedInterval);
   }
 }
 
+bool QuarantineStore::deserted() {
+  const bool alone = interfaces_.members().size() <= 1;
+  has_seen_others_ = has_seen_others_ || !alone;
+  return alone && has_seen_others_;
+}
+
 bool QuarantineStore::keeper() const {
   return membership::rendezvousNode(key_, interfaces_.members()) == context_.self;
 }
--- a/src/cypresswall/quarantine/quarantine_store.h
+++ b/src/cypresswall/quarantine/quarantine_store.h
@@ -20,7 +20,8 @@
 /// One node of the zone, found by rendezvous hashing, keeps the object: it reads it when it takes
 /// that over, tells the others what it holds, and writes it when the list has changed. A calm zone
 /// makes one call for each node that takes over. Two nodes that both take themselves for the keeper
-/// lose nothing: each reads the other's object before it writes again.
+/// lose nothing: each reads the other's object before it writes again. A node that has lost all
+/// others, perhaps by a cut, reads it again each second: nobody else tells it what they keep away.
 class QuarantineStore {
  public:
   struct Interfaces {
@@ -47,6 +48,8 @@
   /// Reads or writes, if this node is the keeper and there is something to do.
   void look();
   bool keeper() const;
+  /// \return true if this node sees no other though it has seen some
+  bool deserted();
   void read();
   void onRead(const object_store::StoreResult<object_store::StoredObject>& result);
   void write(const std::vector<common::RequestFingerprint>& requests);
@@ -61,6 +64,7 @@
   const Interfaces interfaces_;
   const std::string key_;
   bool started_ = false;
+  bool has_seen_others_ = false;
   bool call_under_way_ = false;
   /// The store failed; nothing is called before this.
   common::MonotonicTime next_call_at_{};
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(aLateAnswerFreesTheRequestEverywhere);
   CPPUNIT_TEST(nodesThatStartLearnIt);
   CPPUNIT_TEST(outlivesAllNodes);
+  CPPUNIT_TEST(reachesANodeThatIsCutOffThroughTheStore);
   CPPUNIT_TEST(outlivesAllNodesThoughTheStoreWasDown);
   CPPUNIT_TEST(oneCountingNodeMayEnd);
   CPPUNIT_TEST(aNodeThatBeginsToCountIsToldOfEarlierCrashes);
@@ -192,6 +193,22 @@
     CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatKeepAway(kCulprit));
   }
 
+  void reachesANodeThatIsCutOffThroughTheStore() {
+    for (std::size_t cut = 0; cut < 9; ++cut) {
+      QuarantineZone zone(9);
+      zone.run(seconds(1));
+      zone.cutOff(cut);
+      zone.run(seconds(3));
+      for (int engine = 1; engine <= 3; ++engine) {
+        zone.crash((cut + static_cast<std::size_t>(engine)) % zone.size(), kCulprit, engine);
+        zone.run(milliseconds(100));
+      }
+      zone.run(seconds(3));
+      CPPUNIT_ASSERT_MESSAGE("node " + std::to_string(cut), zone.keptAway(cut, kCulprit));
+      CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatKeepAway(kCulprit));
+    }
+  }
+
   void outlivesAllNodesThoughTheStoreWasDown() {
     QuarantineZone zone(9);
     zone.platform().setDown(true);
--- a/tests/quarantine/quarantine_zone.h
+++ b/tests/quarantine/quarantine_zone.h
@@ -89,6 +89,23 @@
     runEngine(engine);
     engines_[endpoint(engine).address].questions_to_lose = count;
   }
+  /// The node reaches the store only, and each side takes the other for dead.
+  void cutOff(std::size_t cut) {
+    std::vector<common::NodeId> others;
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      if (node != cut) {
+        const auto address = nodes_[node].process->id().address;
+        const auto cut_address = nodes_[cut].process->id().address;
+        simulation_.network().cutAddresses(address, cut_address);
+        simulation_.network().cutAddresses(cut_address, address);
+        others.push_back(nodes_[node].process->id());
+      }
+    }
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      nodes_[node].membership->setMembers(node == cut ? std::vector{nodes_[cut].process->id()}
+                                                      : others);
+    }
+  }
   /// The node is about to be taken away.
   void leave(std::size_t leaving) {
     for (const Node& node : nodes_) {
