Check callers' keys at the ingress, and put their tenant's name on the request

Cause: the way to the platform passed every call as the one tenant "default", with the key itself.

Change: the operator's tenants are tenants of the product's configuration, with several keys and an urgency of their own, so that both interfaces look keys up in one index. Unknown and missing keys get 401 (503 at a node that knows of a later version), public routes none; the key goes no further than the ingress, and what only the system sets is taken off. A key that is taken away stops retries and what waits. A configuration whose tenants share a key, or with an empty one, is not taken.

Ruled out: a second table of keys in platform/ (two ways, two ages of knowledge).

--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,10 @@
   std::string api_key;
   double requests_per_second = 0;
   double tokens_per_second = 0;
+  /// Further keys of the tenant: a key is replaced by adding one before the old one goes.
+  std::vector<std::string> further_api_keys = {};
+  /// Goes before the urgency of the service that the tenant calls; nothing leaves that in force.
+  std::optional<Urgency> urgency = {};
 };
 
 /// How the planner weighs goodput against role changes.
--- a/src/cypresswall/configuration/object_codec.cpp
+++ b/src/cypresswall/configuration/object_codec.cpp
@@ -31,6 +31,10 @@
   static json encodeValue(common::Duration value) { return formatDuration(value); }
   static json encodeValue(engines::EngineRole value) { return engines::toString(value); }
   static json encodeValue(Urgency value) { return toString(value); }
+  static json encodeValue(const std::optional<Urgency>& value) {
+    return value ? json(toString(*value)) : json();
+  }
+  static json encodeValue(const std::vector<std::string>& values) { return values; }
   template <typename Element>
   static json encodeValue(const std::vector<Element>& values) {
     json list = json::array();
@@ -162,6 +166,22 @@
     value = *parsed;
   }
 
+  static void decodeValue(const json& source, const std::string& path,
+                          std::optional<Urgency>& value) {
+    decodeValue(source, path, value.emplace());
+  }
+
+  static void decodeValue(const json& source, const std::string& path,
+                          std::vector<std::string>& values) {
+    if (!source.is_array()) {
+      fail(path, "must be a list");
+    }
+    values.clear();
+    for (std::size_t index = 0; index < source.size(); ++index) {
+      decodeValue(source[index], path + "[" + std::to_string(index) + "]", values.emplace_back());
+    }
+  }
+
   template <typename Element>
   void decodeValue(const json& source, const std::string& path,
                    std::vector<Element>& values) const {
--- a/src/cypresswall/configuration/object_fields.h
+++ b/src/cypresswall/configuration/object_fields.h
@@ -83,6 +83,8 @@
   visitor("api_key", tenant.api_key, FieldPresence::kOptional);
   visitor("requests_per_second", tenant.requests_per_second, FieldPresence::kOptional);
   visitor("tokens_per_second", tenant.tokens_per_second, FieldPresence::kOptional);
+  visitor("further_api_keys", tenant.further_api_keys, FieldPresence::kOptional);
+  visitor("urgency", tenant.urgency, FieldPresence::kOptional);
 }
 
 template <typename Visitor>
--- a/src/cypresswall/configuration/validation.cpp
+++ b/src/cypresswall/configuration/validation.cpp
@@ -180,9 +180,21 @@
       }
       return;
     }
-    const auto [entry, inserted] = owner_of_key_.emplace(tenant.api_key, tenant.name);
+    checkKey(tenant, "api_key", tenant.api_key);
+    for (std::size_t index = 0; index < tenant.further_api_keys.size(); ++index) {
+      checkKey(tenant, "further_api_keys[" + std::to_string(index) + "]",
+               tenant.further_api_keys[index]);
+    }
+  }
+
+  void checkKey(const TenantDeclaration& tenant, const std::string& field, const std::string& key) {
+    if (key.empty()) {
+      add(ObjectKind::kTenant, tenant.name, field, "must not be empty");
+      return;
+    }
+    const auto [entry, inserted] = owner_of_key_.emplace(key, tenant.name);
     if (!inserted) {
-      add(kKind, tenant.name, "api_key", "is already the key of tenant " + entry->second);
+      add(ObjectKind::kTenant, tenant.name, field, "is already the key of tenant " + entry->second);
     }
   }
 
--- a/src/cypresswall/execution/model_executor.h
+++ b/src/cypresswall/execution/model_executor.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/prompt.h"
 #include "cypresswall/common/request_fingerprint.h"
+#include "cypresswall/configuration/fleet.h"
 #include "cypresswall/engines/engine_types.h"
 #include "cypresswall/execution/outcome.h"
 
@@ -19,6 +22,10 @@
   /// By what the request is known again when its caller sends it anew; zero if not worked out.
   common::RequestFingerprint fingerprint = 0;
   common::TenantName tenant;
+  /// The tenant's own urgency, which goes before the service's.
+  std::optional<configuration::Urgency> urgency;
+  /// Asked before each attempt: false once the caller's key has been taken away. Empty: always.
+  std::function<bool()> still_allowed;
   /// Declared model service, or a model's own name.
   common::ServiceName service;
   std::string prompt;
--- a/src/cypresswall/execution/outcome.h
+++ b/src/cypresswall/execution/outcome.h
@@ -30,6 +30,7 @@
   kKeyReused,   ///< the idempotency key was used for another request
   kDraining,
   kQuarantined,  ///< engines end under this request
+  kKeyRevoked,   ///< the caller's key was taken away while the request waited
 };
 
 /// The final answer to a request that was not served.
--- a/src/cypresswall/execution/service_executor.h
+++ b/src/cypresswall/execution/service_executor.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/request_fingerprint.h"
+#include "cypresswall/configuration/fleet.h"
 #include "cypresswall/execution/outcome.h"
 #include "cypresswall/services/service_client.h"
 
@@ -19,6 +21,10 @@
   /// By what the request is known again when its caller sends it anew; zero if not worked out.
   common::RequestFingerprint fingerprint = 0;
   common::TenantName tenant;
+  /// The tenant's own urgency, which goes before the service's.
+  std::optional<configuration::Urgency> urgency;
+  /// Asked before each attempt: false once the caller's key has been taken away. Empty: always.
+  std::function<bool()> still_allowed;
   common::ServiceName service;
   std::string method;
   /// Path below /services/<name>, with query, beginning with a slash.
--- a/src/cypresswall/gateway/error_answer.cpp
+++ b/src/cypresswall/gateway/error_answer.cpp
@@ -47,6 +47,8 @@
       return {503, kServerErrorType, "draining", true};
     case ErrorKind::kQuarantined:
       return {503, kServerErrorType, "quarantined", true};
+    case ErrorKind::kKeyRevoked:
+      return {401, kInvalidRequestType, "invalid_api_key", false};
   }
   return {500, kServerErrorType, "internal_error", false};
 }
--- a/src/cypresswall/gateway/gateway.cpp
+++ b/src/cypresswall/gateway/gateway.cpp
@@ -81,6 +81,10 @@
   routes.add("", handler);
 }
 
+const KeyHolder* Gateway::holderOf(const std::string& key) {
+  return tenants_.holderOf(key, *context_.configuration.current());
+}
+
 void Gateway::handle(http::Request request, const std::shared_ptr<http::Responder>& responder) {
   const auto request_id = makeRequestId();
   try {
--- a/src/cypresswall/gateway/gateway.h
+++ b/src/cypresswall/gateway/gateway.h
@@ -43,6 +43,9 @@
   /// Takes a request to a plain HTTP service whose errors are written in the caller's protocol.
   void passServiceCall(execution::ServiceCallRequest request,
                        const std::shared_ptr<http::Responder>& responder, ErrorWriter write_error);
+  /// \return the holder of a caller's key by the configuration in force, null if no tenant has it;
+  ///   valid until the next call
+  const KeyHolder* holderOf(const std::string& key);
   /// Logs and counts a request that the HTTP server itself refused.
   void reportRejection(const http::Rejection& rejection);
 
--- a/src/cypresswall/gateway/tenants.cpp
+++ b/src/cypresswall/gateway/tenants.cpp
@@ -40,21 +40,31 @@
   if (!hasBearerScheme(authorization)) {
     refuseKey("Authorization must be 'Bearer <key>'");
   }
+  const KeyHolder* const holder =
+      holderOf(authorization.substr(kBearerLower.size()), configuration);
+  if (holder == nullptr) {
+    refuseKey("no tenant has this API key");
+  }
+  return holder->tenant;
+}
+
+const KeyHolder* TenantIndex::holderOf(const std::string& key,
+                                       const configuration::FleetConfiguration& configuration) {
   if (version_ != configuration.version) {
     rebuild(configuration);
   }
-  const auto found = tenant_by_key_.find(authorization.substr(kBearerLower.size()));
-  if (found == tenant_by_key_.end()) {
-    refuseKey("no tenant has this API key");
-  }
-  return found->second;
+  const auto found = holder_by_key_.find(key);
+  return found == holder_by_key_.end() ? nullptr : &found->second;
 }
 
 void TenantIndex::rebuild(const configuration::FleetConfiguration& configuration) {
-  tenant_by_key_.clear();
+  holder_by_key_.clear();
   for (const auto& [name, tenant] : configuration.tenants) {
     if (!tenant.api_key.empty()) {
-      tenant_by_key_.emplace(tenant.api_key, name);
+      holder_by_key_.emplace(tenant.api_key, KeyHolder{name, tenant.urgency});
+    }
+    for (const std::string& key : tenant.further_api_keys) {
+      holder_by_key_.emplace(key, KeyHolder{name, tenant.urgency});
     }
   }
   version_ = configuration.version;
--- a/tests/objects_platform/fleet_declaration_test.cpp
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -62,6 +62,8 @@
   CPPUNIT_TEST(runnersChangeUnderTheSameVersion);
   CPPUNIT_TEST(versionsNeverGoBack);
   CPPUNIT_TEST(whatCannotBeReadChangesNothing);
+  CPPUNIT_TEST(translatesTenants);
+  CPPUNIT_TEST(keysThatContradictChangeNothing);
   CPPUNIT_TEST(routesMatchTheLongestPrefix);
   CPPUNIT_TEST(runnersAreFoundByAddress);
   CPPUNIT_TEST(drainingRunnersAreLeavingMachines);
@@ -184,6 +186,32 @@
     CPPUNIT_ASSERT_EQUAL(1.0, process_.counters().total("cypresswall_runners_unreadable_total"));
   }
 
+  void translatesTenants() {
+    declare();
+    CPPUNIT_ASSERT(!fleet_.routes().asksForKeys());
+    putTenants(8, R"([{"name": "t-1", "api_keys": ["k-1", "k-2"], "priority": 1},
+                      {"name": "t-2", "api_keys": ["k-3"]}, {"name": "t-3", "api_keys": []}])");
+    const auto& tenants = fleet_.current()->tenants;
+    CPPUNIT_ASSERT(fleet_.routes().asksForKeys());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, tenants.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, tenants.at("t-1").further_api_keys.size());
+    CPPUNIT_ASSERT(tenants.at("t-1").urgency == Urgency::kHigh);
+    CPPUNIT_ASSERT(!tenants.at("t-2").urgency);
+    putTenants(9, "[]");
+    CPPUNIT_ASSERT(fleet_.routes().asksForKeys());
+    CPPUNIT_ASSERT(fleet_.current()->tenants.empty());
+  }
+
+  void keysThatContradictChangeNothing() {
+    declare();
+    putTenants(8,
+               R"([{"name": "t-1", "api_keys": ["k-1"]}, {"name": "t-2", "api_keys": ["k-1"]}])");
+    putTenants(9, R"([{"name": "t-1", "api_keys": [""]}])");
+    putTenants(10, R"([{"api_keys": ["k-1"]}])");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fleet_.current()->version);
+    CPPUNIT_ASSERT_EQUAL(3.0, process_.counters().total("cypresswall_declared_unreadable_total"));
+  }
+
   void routesMatchTheLongestPrefix() {
     declare();
     const RouteTable& routes = fleet_.routes();
@@ -244,6 +272,12 @@
   }
 
  private:
+  void putTenants(std::uint64_t version, const std::string& tenants) {
+    std::string configuration = configurationJson(version);
+    configuration.insert(configuration.rfind('}'), R"(, "tenants": )" + tenants);
+    fleet_.onPut(object("main", version, configuration));
+    fleet_.onCaughtUp();
+  }
   void putConfiguration(std::uint64_t version) {
     fleet_.onPut(object("main", version, configurationJson(version)));
     fleet_.onCaughtUp();
--- a/tests/objects_platform/ingress_test.cpp
+++ b/tests/objects_platform/ingress_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/ingress.h"
 
+#include <algorithm>
+
+#include "cypresswall/common/header_names.h"
 #include "platform/headers.h"
 #include "tests/gateway/gateway_fixture.h"
 #include "tests/support/property.h"
@@ -29,7 +32,29 @@
     routes = RouteTable(7, {digest, fix}, {});
   }
 
-  std::shared_ptr<gateway::RecordingResponder::Record> send(const std::string& target) {
+  /// Declares one tenant with two keys, and routes that ask for one.
+  void declareTenant() {
+    configuration::TenantDeclaration tenant;
+    tenant.name = "haulier";
+    tenant.further_api_keys = {"key-1", "key-2"};
+    tenant.urgency = configuration::Urgency::kHigh;
+    world.configuration.fleet->version = 2;
+    world.configuration.fleet->tenants = {{tenant.name, tenant}};
+    Route digest = *routes.match("docks.example", "/digest/");
+    Route fix = *routes.match("docks.example", "/fix/");
+    Route open = digest;
+    open.name = "open";
+    open.path_prefix = "/open/";
+    open.is_public = true;
+    routes = RouteTable(8, {digest, fix, open}, {}, true);
+  }
+  void takeKeyAway(const std::string& key) {
+    ++world.configuration.fleet->version;
+    std::erase(world.configuration.fleet->tenants.at("haulier").further_api_keys, key);
+  }
+
+  std::shared_ptr<gateway::RecordingResponder::Record> send(
+      const std::string& target, const std::vector<http::Header>& more = {}) {
     http::Request request;
     request.method = "POST";
     request.target = target;
@@ -39,6 +64,7 @@
                        {"X-Deadline-Ms", "3000"},
                        {"X-Token-Counts", "4100,12"},
                        {"X-Prefix-Hash", "aa:4000,bb:100"}};
+    request.headers.insert(request.headers.end(), more.begin(), more.end());
     request.body = "the body";
     auto record = std::make_shared<gateway::RecordingResponder::Record>();
     ingress.handle(std::move(request), std::make_shared<gateway::RecordingResponder>(record));
@@ -63,6 +89,12 @@
   CPPUNIT_TEST(anOutdatedNodeDeniesNoRoute);
   CPPUNIT_TEST(aNodeThatStaysOutdatedTakesNoRequest);
   CPPUNIT_TEST(onlyProvedRefusalsPromise);
+  CPPUNIT_TEST(aKeyBecomesItsTenant);
+  CPPUNIT_TEST(refusesKeysThatNoTenantHas);
+  CPPUNIT_TEST(publicRoutesAskForNoKey);
+  CPPUNIT_TEST(aKeyTakenAwayStopsWhatWaits);
+  CPPUNIT_TEST(anOutdatedNodeDeniesNoKey);
+  CPPUNIT_TEST(callersSetNothingThatIsTheSystems);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -169,6 +201,85 @@
       CPPUNIT_ASSERT(unknown == 502 || unknown == 504);
     }
   }
+
+  void aKeyBecomesItsTenant() {
+    IngressFixture fixture;
+    fixture.declareTenant();
+    fixture.send("/digest/a", {{"api-key", "key-2"}, {"x-tenant", "somebody"}});
+    const auto& call = fixture.world.call().call;
+    CPPUNIT_ASSERT_EQUAL(std::string("haulier"), call.tenant);
+    CPPUNIT_ASSERT(call.urgency == configuration::Urgency::kHigh);
+    const HeaderFields& fields = call.pass_through->headers;
+    CPPUNIT_ASSERT_EQUAL(std::string("haulier"), valueOf(fields, kTenantHeader));
+    CPPUNIT_ASSERT_EQUAL(std::string(), valueOf(fields, kKeyHeader));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                         std::count_if(fields.begin(), fields.end(), [](const auto& field) {
+                           return common::sameHeaderName(field.name, kTenantHeader);
+                         }));
+    fixture.send("/fix/1", {{"Api-Key", "key-1"}});
+    const auto& service_call = fixture.world.services.calls.back()->request;
+    CPPUNIT_ASSERT_EQUAL(std::string("haulier"), service_call.tenant);
+    CPPUNIT_ASSERT_EQUAL(std::string("haulier"), valueOf(service_call.headers, kTenantHeader));
+    CPPUNIT_ASSERT_EQUAL(std::string(), valueOf(service_call.headers, kKeyHeader));
+    for (const std::string& line : fixture.world.log.lines) {
+      CPPUNIT_ASSERT(line.find("key-") == std::string::npos);
+    }
+  }
+
+  void refusesKeysThatNoTenantHas() {
+    IngressFixture fixture;
+    fixture.declareTenant();
+    CPPUNIT_ASSERT_EQUAL(401, fixture.send("/digest/a")->status);
+    CPPUNIT_ASSERT_EQUAL(401, fixture.send("/digest/a", {{"Api-Key", ""}})->status);
+    const auto refused = fixture.send("/fix/1", {{"Api-Key", "key-3"}});
+    CPPUNIT_ASSERT_EQUAL(401, refused->status);
+    CPPUNIT_ASSERT_EQUAL(std::string("id-1"), refused->headers.at("X-Request-Id"));
+    CPPUNIT_ASSERT(fixture.world.models.calls.empty());
+    CPPUNIT_ASSERT(fixture.world.services.calls.empty());
+    CPPUNIT_ASSERT_EQUAL(404, fixture.send("/nowhere/", {{"Api-Key", "key-1"}})->status);
+  }
+
+  void publicRoutesAskForNoKey() {
+    IngressFixture fixture;
+    fixture.declareTenant();
+    fixture.send("/open/a", {{"X-Tenant", "haulier"}});
+    const auto& call = fixture.world.call().call;
+    CPPUNIT_ASSERT_EQUAL(std::string("default"), call.tenant);
+    CPPUNIT_ASSERT_EQUAL(std::string(), valueOf(call.pass_through->headers, kTenantHeader));
+    CPPUNIT_ASSERT_EQUAL(401, fixture.send("/open/a", {{"Api-Key", "key-3"}})->status);
+  }
+
+  void aKeyTakenAwayStopsWhatWaits() {
+    IngressFixture fixture;
+    fixture.declareTenant();
+    fixture.send("/digest/a", {{"Api-Key", "key-1"}});
+    fixture.send("/digest/a", {{"Api-Key", "key-2"}});
+    const auto& first = fixture.world.models.calls.front()->call;
+    const auto& second = fixture.world.models.calls.back()->call;
+    CPPUNIT_ASSERT(first.still_allowed() && second.still_allowed());
+    fixture.takeKeyAway("key-1");
+    CPPUNIT_ASSERT(!first.still_allowed());
+    CPPUNIT_ASSERT(second.still_allowed());
+    CPPUNIT_ASSERT_EQUAL(401, fixture.send("/digest/a", {{"Api-Key", "key-1"}})->status);
+    CPPUNIT_ASSERT_EQUAL(401, statusOf({ErrorKind::kKeyRevoked, Outcome::kNotRun, "", {}}));
+  }
+
+  void anOutdatedNodeDeniesNoKey() {
+    IngressFixture fixture;
+    fixture.declareTenant();
+    fixture.outdated_for = milliseconds(0);
+    CPPUNIT_ASSERT_EQUAL(503, fixture.send("/digest/a", {{"Api-Key", "key-3"}})->status);
+  }
+
+  void callersSetNothingThatIsTheSystems() {
+    const HeaderFields passed = fieldsForRunner({{"x-kv-hold", "1"},
+                                                 {"X-Pin-Ms", "2"},
+                                                 {"X-KV-Backup", "3"},
+                                                 {"X-Kv-Source", "4"},
+                                                 {"X-Model", "m"}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, passed.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("X-Model"), passed.front().name);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(IngressTest);
