Count tenants' requests once and report them as a duty of the whole fleet

Cause: nothing called the platform's API.

Change: src/cypresswall/duties. Each node tells its counts to three collectors (the widest links, then rendezvous), as sums by window, three times a second; a collector that comes is handed all that the others hold, so that what ended with its node is still counted. The first collector takes the fleet's lease (StoreLease, one level up; its term is the fencing token), writes what is to be said of a window to the store under a condition, then says it; a successor says what it finds there, and makes up for windows without a report. Windows are cut by a time that steps of one machine's clock don't move. platform/duty_client speaks the platform's words.

Ruled out: asking all nodes at a window's end (what ended with its node is gone); each node writing to the store (13 calls a second at 63 nodes, 200 at 1,000).

Found by the tests before landing: a new collector believed that all windows since its start were late and reported without the counts of nodes that had ended (12.5% off); three collectors corrected a wrong clock three times. Both have their test.

Left: fleets of several regions count within one region only.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -21,6 +21,7 @@
   "routing"
   "planning"
   "configuration"
+  "duties"
   "lease fleet_limits quarantine"
   "membership"
   "idempotency"
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -22,8 +22,9 @@
 enum class MessageSet : std::uint8_t {
   kFirst = 1,       ///< also of builds that don't tell
   kQuarantine = 2,  ///< and those of `quarantine`
+  kUsage = 3,       ///< and those of `duties`
 };
-inline constexpr MessageSet kHandledMessages = MessageSet::kQuarantine;
+inline constexpr MessageSet kHandledMessages = MessageSet::kUsage;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
@@ -40,6 +41,7 @@
   kOperatorsFirst = 900,
   kStoreRelayFirst = 1000,
   kQuarantineFirst = 1100,
+  kDutiesFirst = 1200,
 };
 
 /// \return the `offset`-th message type of the block that starts at `first`.
--- a/src/cypresswall/common/time.h
+++ b/src/cypresswall/common/time.h
@@ -31,6 +31,10 @@
   virtual MonotonicTime now() const = 0;
 };
 
+/// Reads the machine's time of day: microseconds since the start of 1970. Machines may disagree on
+/// it, and it may jump either way.
+using TimeOfDay = std::function<Duration()>;
+
 /// Names one scheduled callback; zero is never given out.
 using TimerId = std::uint64_t;
 
--- a/src/cypresswall/execution/engine_model_executor.cpp
+++ b/src/cypresswall/execution/engine_model_executor.cpp
@@ -29,8 +29,10 @@
                                          routing::Router& router, engines::EngineClient& engines,
                                          fleet_limits::RetryAccounts& retries,
                                          quarantine::RequestQuarantine& quarantine,
+                                         duties::UsageRecorder& usage,
                                          const ExecutionSettings& settings)
-    : core_(process, configuration, admission, router, engines, retries, quarantine, settings) {}
+    : core_(process, configuration, admission, router, engines, retries, quarantine, usage,
+            settings) {}
 
 std::unique_ptr<ModelExecution> EngineModelExecutor::start(ModelCall call,
                                                            ModelCallObserver& observer) {
--- a/src/cypresswall/execution/engine_model_executor.h
+++ b/src/cypresswall/execution/engine_model_executor.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "cypresswall/duties/usage_recorder.h"
 #include "cypresswall/execution/model_execution_core.h"
 #include "cypresswall/execution/model_executor.h"
 
@@ -16,7 +17,7 @@
                       const configuration::ConfigurationView& configuration,
                       admission::AdmissionController& admission, routing::Router& router,
                       engines::EngineClient& engines, fleet_limits::RetryAccounts& retries,
-                      quarantine::RequestQuarantine& quarantine,
+                      quarantine::RequestQuarantine& quarantine, duties::UsageRecorder& usage,
                       const ExecutionSettings& settings = {});
   std::unique_ptr<ModelExecution> start(ModelCall call, ModelCallObserver& observer) override;
   const RequestJournal& journal() const { return core_.journal; }
--- a/src/cypresswall/execution/model_execution_core.cpp
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -57,6 +57,7 @@
                                        engines::EngineClient& engine_client,
                                        fleet_limits::RetryAccounts& retry_accounts,
                                        quarantine::RequestQuarantine& request_quarantine,
+                                       duties::UsageRecorder& usage_recorder,
                                        const ExecutionSettings& execution_settings)
     : process(process_context),
       configuration(configuration_view),
@@ -65,6 +66,7 @@
       engines(engine_client),
       retries(retry_accounts),
       quarantine(request_quarantine),
+      usage(usage_recorder),
       settings(execution_settings),
       stream_events(process_context.counters),
       counters(process_context.counters),
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -8,6 +8,7 @@
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/configuration/configuration_view.h"
+#include "cypresswall/duties/usage_recorder.h"
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/execution/deferred_destruction.h"
 #include "cypresswall/execution/engine_attempt.h"
@@ -45,6 +46,7 @@
                      routing::Router& request_router, engines::EngineClient& engine_client,
                      fleet_limits::RetryAccounts& retry_accounts,
                      quarantine::RequestQuarantine& request_quarantine,
+                     duties::UsageRecorder& usage_recorder,
                      const ExecutionSettings& execution_settings);
 
   /// \return an identifier that no other request of any process has
@@ -62,6 +64,7 @@
   engines::EngineClient& engines;
   fleet_limits::RetryAccounts& retries;
   quarantine::RequestQuarantine& quarantine;
+  duties::UsageRecorder& usage;
   const ExecutionSettings settings;
   StreamEventCounters stream_events;
   ModelRequestCounters counters;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -25,6 +25,7 @@
            common::Duration{0});
   } else {
     target_ = std::move(*target);
+    target_.service.urgency = call_.urgency.value_or(target_.service.urgency);
   }
   if (target && maySend()) {
     account().requestStarted();
@@ -43,6 +44,11 @@
 /// A request that ends each engine, sent a few times a second, ended 46 engines of a fleet of 18.
 /// This leaves the three by which it is known, and what is under way meanwhile.
 bool ModelRequest::maySend() {
+  if (call_.still_allowed && !call_.still_allowed()) {
+    leaveRoute();
+    giveUp(ErrorKind::kKeyRevoked, "the caller's key was taken away", common::Duration{0});
+    return false;
+  }
   const auto kept_away = core_.quarantine.keptAway(call_.fingerprint);
   if (kept_away) {
     leaveRoute();
@@ -219,6 +225,9 @@
     silence_.progress();
   } else {
     token_seen_in_attempt_ = true;
+    if (!std::exchange(began_, true)) {
+      core_.usage.requestBegan(call_.tenant);
+    }
     logFirstToken();
     core_.router.firstTokenReceived(stream_id_);
     silence_.progress(silenceLimits());
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -39,7 +39,7 @@
   void onAttemptFinished(const engines::StreamUsage& usage) override;
   void onAttemptFailed(engines::StreamFailure failure, const std::string& message) override;
 
-  /// \return false if the request was given up, since engines end under it
+  /// \return false if the request was given up: engines end under it, or its key was taken away
   bool maySend();
   bool admit();
   void nextAttempt();
@@ -139,6 +139,8 @@
   bool head_given_ = false;
   bool may_have_run_ = false;
   bool token_seen_in_attempt_ = false;
+  /// Its first token came, from whichever engine.
+  bool began_ = false;
   bool paused_ = false;
   bool starting_ = false;
   bool closed_ = false;
--- a/src/cypresswall/execution/service_execution_core.h
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -9,6 +9,7 @@
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/configuration/configuration_view.h"
+#include "cypresswall/duties/usage_recorder.h"
 #include "cypresswall/execution/deferred_destruction.h"
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/execution/request_journal.h"
@@ -31,6 +32,7 @@
   idempotency::KeyClaims& claims;
   fleet_limits::RetryAccounts& retries;
   quarantine::RequestQuarantine& quarantine;
+  duties::UsageRecorder& usage;
 };
 
 /// Counters of service requests.
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -54,6 +54,10 @@
 }
 
 bool ServiceRun::maySend() {
+  if (request_.still_allowed && !request_.still_allowed()) {
+    fail(ErrorKind::kKeyRevoked, "the caller's key was taken away", common::Duration{0});
+    return false;
+  }
   const auto kept_away = core_.interfaces.quarantine.keptAway(request_.fingerprint);
   if (kept_away) {
     fail(ErrorKind::kQuarantined, "back ends end under this request", *kept_away);
@@ -94,7 +98,7 @@
   admission::AdmissionRequest request;
   request.tenant = request_.tenant;
   request.service = request_.service;
-  request.urgency = service.urgency;
+  request.urgency = request_.urgency.value_or(service.urgency);
   const auto refusal = core_.interfaces.admission.admit(request);
   if (refusal) {
     fail(errorKindOf(refusal->reason), refusal->message, refusal->retry_after);
@@ -191,7 +195,14 @@
   }
 }
 
+void ServiceRun::countBegin() {
+  if (!std::exchange(began_, true)) {
+    core_.interfaces.usage.requestBegan(request_.tenant);
+  }
+}
+
 void ServiceRun::onAnswered(services::ServiceResponse response) {
+  countBegin();
   core_.interfaces.quarantine.answered(request_.fingerprint);
   const bool elsewhere_may_help =
       response.status == kInternalError ||
@@ -225,6 +236,7 @@
 
 void ServiceRun::onBroken(const services::ServiceResponse& response) {
   may_have_run_ = true;
+  countBegin();
   // A back end that is silent until the attempt's time is over has not ended.
   if (core_.process.clock.now() < attempt_until_) {
     core_.interfaces.quarantine.callBroken(request_.fingerprint, record_->attempts.back().target);
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -26,7 +26,7 @@
   void abandon();
 
  private:
-  /// \return false if the request was given up, since back ends end under it
+  /// \return false if the request was given up: back ends end under it, or its key was taken away
   bool maySend();
   bool admit(const configuration::HttpServiceDeclaration& service);
   void beginIfAdmitted();
@@ -42,6 +42,8 @@
   void onResponse(std::uint32_t attempt, services::ServiceResponse response);
   void onAnswered(services::ServiceResponse response);
   void onProvedNotRun(const services::ServiceResponse& response);
+  /// Counts the request for its tenant, once: a back end has answered it, or may have run it.
+  void countBegin();
   void onBroken(const services::ServiceResponse& response);
   /// \return the account that pays for repeats
   fleet_limits::RetryAccount& account() const;
@@ -85,6 +87,7 @@
   std::uint32_t attempt_ = 0;
   std::uint32_t runs_ = 0;
   std::uint32_t unrun_attempts_ = 0;
+  bool began_ = false;
   bool claim_held_ = false;
   bool may_have_run_ = false;
   bool starting_ = false;
--- a/src/cypresswall/lease/store_lease.cpp
+++ b/src/cypresswall/lease/store_lease.cpp
@@ -17,14 +17,15 @@
 
 }  // namespace
 
-StoreLease::StoreLease(const StoreLeaseSettings& settings, const api::ProcessContext& context,
+StoreLease::StoreLease(const StoreLeaseSettings& settings, std::string key,
+                       const api::ProcessContext& context,
                        const membership::MembershipView& membership,
                        object_store::ObjectStore& store)
     : settings_(settings),
       context_(context),
       membership_(membership),
       store_(store),
-      key_(leaseKey(context.zone)),
+      key_(std::move(key)),
       acquired_(context.counters.counter("cypresswall_store_lease_acquired_total",
                                          "Times that this node got the lease in the store")),
       lost_(context.counters.counter("cypresswall_store_lease_lost_total",
@@ -189,6 +190,7 @@
   acquired_.add();
   common::LogEvent(context_.log, common::LogLevel::kInfo, "lease_acquired")
       .field("zone", context_.zone)
+      .field("key", key_)
       .field("epoch", held_->toString())
       .field("version", seen_->version);
   for (const auto& listener : listeners_) {
@@ -199,6 +201,7 @@
 void StoreLease::lose(const char* reason) {
   common::LogEvent(context_.log, common::LogLevel::kInfo, "lease_lost")
       .field("zone", context_.zone)
+      .field("key", key_)
       .field("epoch", held_->toString())
       .field("needed", needed_)
       .field("reason", reason);
--- a/src/cypresswall/lease/store_lease.h
+++ b/src/cypresswall/lease/store_lease.h
@@ -1,6 +1,7 @@
-/// The zone's lease as one object of the platform's store, for platforms whose store outlives any
-/// number of nodes. It is taken and renewed by conditional writes, and only while its node has
-/// something to order: a calm zone makes no call. docs/design/authority.md states the rules.
+/// The lease of a zone, or of a duty of the whole fleet, as one object of the platform's store, for
+/// platforms whose store outlives any number of nodes. It is taken and renewed by conditional
+/// writes, and only while its node has something to order: a calm zone makes no call.
+/// docs/design/authority.md states the rules.
 #pragma once
 
 #include <cstdint>
@@ -43,8 +44,10 @@
 
 class StoreLease final : public AuthorityView {
  public:
-  StoreLease(const StoreLeaseSettings& settings, const api::ProcessContext& context,
-             const membership::MembershipView& membership, object_store::ObjectStore& store);
+  /// \param key of the lease's object in the store
+  StoreLease(const StoreLeaseSettings& settings, std::string key,
+             const api::ProcessContext& context, const membership::MembershipView& membership,
+             object_store::ObjectStore& store);
   StoreLease(const StoreLease&) = delete;
   StoreLease& operator=(const StoreLease&) = delete;
 
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -48,13 +48,15 @@
       retries_(settings_.retries, context_, [this] { return fleet_part_.part(); }),
       quarantine_(settings_.quarantine, settings_.membership.neighbours, context_, membership_,
                   clients.engines, clients.object_store),
+      duties_(settings_.duties, context_, membership_, settings_.membership.machine,
+              clients.object_store, clients.duties, clients.time_of_day),
       model_executor_(context_, configuration_view_, admission_, observed_router_, clients.engines,
-                      retries_, quarantine_, settings_.execution),
-      service_executor_(
-          context_,
-          execution::ServiceInterfaces{configuration_view_, membership_, admission_,
-                                       clients.services, key_claims_, retries_, quarantine_},
-          settings_.execution),
+                      retries_, quarantine_, duties_.usage(), settings_.execution),
+      service_executor_(context_,
+                        execution::ServiceInterfaces{configuration_view_, membership_, admission_,
+                                                     clients.services, key_claims_, retries_,
+                                                     quarantine_, duties_.usage()},
+                        settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, controller_, model_executor_.journal(),
                               service_executor_.journal(), retries_, fleet_part_, quarantine_}),
@@ -82,6 +84,7 @@
   }
   engines_.start();
   quarantine_.start();
+  duties_.start();
   controller_.start();
 }
 
@@ -89,7 +92,8 @@
   if (!settings_.lease_in_store) {
     return authority_;
   }
-  return store_lease_.emplace(settings_.store_lease, context_, membership_, store);
+  return store_lease_.emplace(settings_.store_lease, lease::leaseKey(context_.zone), context_,
+                              membership_, store);
 }
 
 void Node::startAuthority() {
@@ -125,6 +129,7 @@
   if (store_lease_) {
     store_lease_->resign();
   }
+  duties_.resign();
 }
 
 void Node::beginStop(std::function<void()> done) {
@@ -153,6 +158,7 @@
   common::LogEvent(context_.log, common::LogLevel::kInfo, "drain_finished")
       .field("in_flight", admission_.inFlight())
       .field("limit_reached", late);
+  duties_.tellNow();
   membership_.announceStopped();
   stopped_();
 }
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -10,6 +10,7 @@
 #include "cypresswall/admission/zone_admission_controller.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/configuration/configuration_replica.h"
+#include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/execution/engine_model_executor.h"
 #include "cypresswall/execution/http_service_executor.h"
@@ -44,6 +45,10 @@
   /// Set where the platform itself declares the fleet: followed in place of the replicated
   /// configuration, which then takes no changes.
   configuration::ConfigurationView* declared = nullptr;
+  /// Set where the platform has duties for one node of the whole fleet.
+  duties::DutyPlatform* duties = nullptr;
+  /// Needed where usage is reported.
+  common::TimeOfDay time_of_day = {};
 };
 
 class Node {
@@ -79,6 +84,7 @@
   operators::CommandService& commands() { return commands_; }
   admission::ZoneAdmissionController& admission() { return admission_; }
   execution::ModelExecutor& modelExecutor() { return model_executor_; }
+  duties::FleetDuties& duties() { return duties_; }
   execution::ServiceExecutor& serviceExecutor() { return service_executor_; }
 
  private:
@@ -114,6 +120,7 @@
   fleet_limits::FleetPart fleet_part_;
   fleet_limits::RetryAccounts retries_;
   quarantine::FleetQuarantine quarantine_;
+  duties::FleetDuties duties_;
   execution::EngineModelExecutor model_executor_;
   execution::HttpServiceExecutor service_executor_;
   NodeState state_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -6,6 +6,7 @@
 
 #include "cypresswall/admission/admission_settings.h"
 #include "cypresswall/configuration/configuration_settings.h"
+#include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/fleet_limits/fleet_part.h"
 #include "cypresswall/fleet_limits/retry_accounts.h"
@@ -50,6 +51,7 @@
   fleet_limits::RetryLimitSettings retries;
   fleet_limits::FleetPartSettings fleet_part;
   quarantine::QuarantineSettings quarantine;
+  duties::DutySettings duties;
   /// A planned stop waits no longer than this for requests that run.
   common::Duration stop_limit = std::chrono::minutes(10);
   /// How often a planned stop looks whether anything still runs.
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -48,6 +48,9 @@
   services::HttpServiceSettings services;
   object_store::HttpObjectStoreSettings object_store;
   object_store::HttpMachineListSettings machine_list;
+  /// Where the platform takes the calls that are the duty of one node of the fleet; empty if it has
+  /// none.
+  common::Address duty_api;
   /// Used only in builds with fault switches.
   runtime::BlockedPeers blocked_peers;
 };
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -57,22 +57,6 @@
   return key;
 }
 
-SettingKey readinessAddressKey() {
-  SettingKey key = addressKey(
-      "node.readiness_address", "none", [](auto& s) -> auto& { return s.readiness_address; },
-      "Where the node serves /readyz, /healthz, /metrics and /operators, if not at the address "
-      "for callers.");
-  key.range = "an IP number, port 1 to 65535, or none";
-  key.apply = [with_address = key.apply](DaemonSettings& settings, const GivenValue& value) {
-    if (singleText(value) == "none") {
-      settings.readiness_address.clear();
-    } else {
-      with_address(settings, value);
-    }
-  };
-  return key;
-}
-
 void addOtherZoneSeed(std::vector<membership::ZoneSeed>& zones, const Seed& seed) {
   const auto known = std::find_if(zones.begin(), zones.end(),
                                   [&](const auto& zone) { return zone.zone == seed.zone; });
@@ -135,7 +119,10 @@
       addressKey(
           "node.gateway_address", "", [](auto& s) -> auto& { return s.server.address; },
           "Where callers, operators and metrics readers reach this node over HTTP."),
-      readinessAddressKey(),
+      optionalAddressKey(
+          "node.readiness_address", [](auto& s) -> auto& { return s.readiness_address; },
+          "Where the node serves /readyz, /healthz, /metrics and /operators, if not at the address "
+          "for callers."),
       nameKey(
           "node.zone", [](auto& s) -> auto& { return s.zone; }, "Zone that this node works in."),
       nameKey(
@@ -348,7 +335,7 @@
   Keys keys;
   for (Keys (*const part)() :
        {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys, planningKeys, retryKeys,
-        quarantineKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
+        quarantineKeys, dutyKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -29,6 +29,24 @@
   return key;
 }
 
+/// Names of duties as platforms give them.
+constexpr const char* kUsageDuty = "usage_report";
+
+SettingKey dutyNamesKey() {
+  SettingKey key;
+  key.name = "duties.names";
+  key.unit = "list of duties";
+  key.range = "usage_report, autoscale; others are passed over";
+  key.default_text = "[]";
+  key.meaning = "What the platform asks of the fleet: to report usage, to order engines.";
+  key.is_list = true;
+  key.apply = [](DaemonSettings& settings, const GivenValue& value) {
+    const std::set<std::string> names(value.items.begin(), value.items.end());
+    settings.node.duties.usage.reports = names.contains(kUsageDuty);
+  };
+  return key;
+}
+
 }  // namespace
 
 std::vector<SettingKey> planningKeys() {
@@ -96,6 +114,23 @@
   };
 }
 
+std::vector<SettingKey> dutyKeys() {
+  return {
+      optionalAddressKey(
+          "duties.api", [](auto& s) -> auto& { return s.duty_api; },
+          "Where the platform takes the calls that are the duty of one node of the whole fleet."),
+      dutyNamesKey(),
+      durationKey(
+          "duties.usage_window", milliseconds(500), hours(24),
+          [](auto& s) -> auto& { return s.node.duties.usage.window; },
+          "Length of the windows of true time for which tenants' requests are counted."),
+      durationKey(
+          "duties.usage_due_after", seconds(1), hours(24),
+          [](auto& s) -> auto& { return s.node.duties.usage.due_after; },
+          "How long after its end a window's count has to be reported."),
+  };
+}
+
 std::vector<SettingKey> mechanismKeys() {
   return {
       switchKey(
--- a/src/cypresswall/settings/policy_keys.h
+++ b/src/cypresswall/settings/policy_keys.h
@@ -13,6 +13,8 @@
 std::vector<SettingKey> retryKeys();
 /// \return when requests are kept from engines
 std::vector<SettingKey> quarantineKeys();
+/// \return what one node does for the whole fleet
+std::vector<SettingKey> dutyKeys();
 /// \return each mechanism by which the system copes with overload, to be switched off by itself
 std::vector<SettingKey> mechanismKeys();
 
--- a/src/cypresswall/settings/setting_key.cpp
+++ b/src/cypresswall/settings/setting_key.cpp
@@ -142,4 +142,19 @@
   return key;
 }
 
+SettingKey optionalAddressKey(std::string name, SettingField<common::Address> field,
+                              std::string meaning) {
+  constexpr const char* kNone = "none";
+  SettingKey key = addressKey(std::move(name), kNone, field, std::move(meaning));
+  key.range = "an IP number, port 1 to 65535, or none";
+  key.apply = [field, with_address = key.apply](DaemonSettings& settings, const GivenValue& value) {
+    if (singleText(value) == kNone) {
+      field(settings).clear();
+    } else {
+      with_address(settings, value);
+    }
+  };
+  return key;
+}
+
 }  // namespace cypresswall::settings
--- a/src/cypresswall/settings/setting_key.h
+++ b/src/cypresswall/settings/setting_key.h
@@ -50,6 +50,9 @@
 /// \param default_text empty if the key must be given
 SettingKey addressKey(std::string name, std::string default_text,
                       SettingField<common::Address> field, std::string meaning);
+/// A key that is an address or "none".
+SettingKey optionalAddressKey(std::string name, SettingField<common::Address> field,
+                              std::string meaning);
 
 /// \return the one text of a value that may not be a list. \throws ValueError
 const std::string& singleText(const GivenValue& value);
--- /dev/null
+++ b/tests/duties/usage_test.cpp
@@ -0,0 +1,388 @@
+#include <iostream>
+#include <set>
+
+#include "tests/duties/duty_zone.h"
+#include "tests/support/property.h"
+
+namespace cypresswall::duties {
+namespace {
+
+/// Stated by the platform: a count may be off by this share; what the project aims at is less.
+constexpr double kAllowedError = 0.05;
+constexpr double kAimedError = 0.01;
+constexpr double kAimedErrorAfterKills = 0.02;
+
+enum class FaultKind : std::uint8_t {
+  kRestart,
+  kKill,
+  kPauseHolder,
+  kKillHolder,
+  kHideStoreFromHolder,
+  kStoreDown,
+  kPlatformDown,
+  kHeal,
+  kCutPeers,
+  kStartWithWrongClock,
+};
+constexpr int kFaultKinds = 10;
+
+struct Fault {
+  FaultKind kind = FaultKind::kRestart;
+  int node = 0;
+  std::uint32_t pattern = 0;
+  std::int64_t wait_ms = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Fault& fault) {
+  return out << "{kind " << static_cast<int>(fault.kind) << ", node " << fault.node << ", pattern "
+             << fault.pattern << ", wait " << fault.wait_ms << "}";
+}
+
+rc::Gen<std::vector<Fault>> faultSchedule(int length) {
+  const auto fault =
+      rc::gen::map(rc::gen::tuple(rc::gen::inRange(0, kFaultKinds), rc::gen::inRange(0, 32),
+                                  rc::gen::inRange<std::uint32_t>(0, 1U << 16U),
+                                  rc::gen::inRange<std::int64_t>(50, 4000)),
+                   [](const auto& drawn) {
+                     return Fault{static_cast<FaultKind>(std::get<0>(drawn)), std::get<1>(drawn),
+                                  std::get<2>(drawn), std::get<3>(drawn)};
+                   });
+  return rc::gen::container<std::vector<Fault>>(static_cast<std::size_t>(length), fault);
+}
+
+void heal(DutyZone& zone, int count) {
+  zone.world.healNetwork();
+  zone.world.store.down = false;
+  zone.platform.down = false;
+  for (int node = 1; node <= count; ++node) {
+    zone.world.setStoreReachable(DutyZone::address(node), true);
+  }
+}
+
+void apply(DutyZone& zone, const Fault& fault, int count) {
+  const int index = 1 + fault.node % count;
+  const auto holder = zone.holder();
+  switch (fault.kind) {
+    case FaultKind::kRestart:
+      zone.start(index);
+      break;
+    case FaultKind::kKill:
+      zone.stop(index);
+      break;
+    case FaultKind::kPauseHolder:
+      if (holder) {
+        zone.world.pause(DutyZone::address(*holder), milliseconds(200 + fault.pattern % 8000));
+      }
+      break;
+    case FaultKind::kKillHolder:
+      if (holder) {
+        zone.stop(*holder);
+      }
+      break;
+    case FaultKind::kHideStoreFromHolder:
+      if (holder) {
+        zone.world.setStoreReachable(DutyZone::address(*holder), false);
+      }
+      break;
+    case FaultKind::kStoreDown:
+      zone.world.store.down = true;
+      break;
+    case FaultKind::kPlatformDown:
+      zone.platform.down = true;
+      break;
+    case FaultKind::kHeal:
+      heal(zone, count);
+      break;
+    case FaultKind::kCutPeers:
+      for (int node = 1; node <= count; ++node) {
+        zone.world.setGroup(DutyZone::address(node),
+                            static_cast<int>((fault.pattern >> node) & 1U));
+      }
+      break;
+    case FaultKind::kStartWithWrongClock:
+      zone.start(index, milliseconds(static_cast<int>(fault.pattern % 4000) - 2000));
+      break;
+  }
+}
+
+class UsageTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UsageTest);
+  CPPUNIT_TEST(eachWindowIsReportedOnceInTime);
+  CPPUNIT_TEST(theLossOfTheHolderIsMadeUpFor);
+  CPPUNIT_TEST(aHolderWithoutTheStoreIsReplacedInTime);
+  CPPUNIT_TEST(halfOfTheFleetKilledIsStillCounted);
+  CPPUNIT_TEST(collectorsThatComeAreToldOfNodesThatEnded);
+  CPPUNIT_TEST(windowsWithoutAReporterAreMadeUpFor);
+  CPPUNIT_TEST(aClockThatIsWrongMovesNoWindow);
+  CPPUNIT_TEST(whatIsSaidIsFixedBefore);
+  CPPUNIT_TEST(aLedgerThatCannotBeReadIsLeftAlone);
+  CPPUNIT_TEST(messagesOfANodeStayConstant);
+  CPPUNIT_TEST(ledgersAreReadAsWritten);
+  CPPUNIT_TEST(oneCountAWindowInFaultStorms);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void eachWindowIsReportedOnceInTime() {
+    DutyZone zone(1);
+    zone.startAll(9);
+    const std::uint64_t first = zone.currentWindow();
+    zone.serve(seconds(31));
+    for (std::uint64_t window = first; window < zone.currentWindow() - 1; ++window) {
+      CPPUNIT_ASSERT(zone.platform.taken.contains(window));
+      CPPUNIT_ASSERT(zone.error(window) <= kAimedError);
+      CPPUNIT_ASSERT(lateness(zone, window) < seconds(2));
+    }
+    CPPUNIT_ASSERT_EQUAL(zone.platform.taken.size(), std::size_t{zone.platform.calls});
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.platform.violation);
+  }
+
+  void theLossOfTheHolderIsMadeUpFor() {
+    DutyZone zone(2);
+    zone.startAll(9);
+    zone.serve(seconds(12));
+    for (int loss = 0; loss < 3; ++loss) {
+      while (!zone.holder()) {
+        zone.serve(milliseconds(20));
+      }
+      zone.stop(*zone.holder());
+      zone.serve(seconds(13));
+    }
+    requireWindowsInTime(zone, 3, kAllowedError);
+  }
+
+  void aHolderWithoutTheStoreIsReplacedInTime() {
+    DutyZone zone(3);
+    zone.startAll(9);
+    zone.serve(seconds(12));
+    while (!zone.holder()) {
+      zone.serve(milliseconds(20));
+    }
+    zone.world.setStoreReachable(DutyZone::address(*zone.holder()), false);
+    zone.serve(seconds(30));
+    requireWindowsInTime(zone, 0, kAimedError);
+  }
+
+  void halfOfTheFleetKilledIsStillCounted() {
+    DutyZone zone(4);
+    zone.startAll(20);
+    zone.serve(seconds(12));
+    // Seconds into a window.
+    while (zone.trueTime() % zone.settings.usage.window < seconds(3)) {
+      zone.serve(milliseconds(20));
+    }
+    const std::uint64_t window = zone.currentWindow();
+    const auto collectors =
+        collectorsOf(*zone.nodes.begin()->second.membership, zone.settings.usage.collectors);
+    const auto kept = collectors.back().address;
+    for (int index = 1; index <= 20; ++index) {
+      const auto address = DutyZone::address(index);
+      const bool collects = std::any_of(collectors.begin(), collectors.end(),
+                                        [&](const auto& node) { return node.address == address; });
+      if (address != kept && (collects || index % 2 == 0)) {
+        zone.stop(index);
+      }
+    }
+    zone.serve(seconds(25));
+    CPPUNIT_ASSERT(zone.error(window) <= kAimedErrorAfterKills);
+    requireWindowsInTime(zone, 0, kAllowedError);
+  }
+
+  void collectorsThatComeAreToldOfNodesThatEnded() {
+    DutyZone zone(5);
+    zone.startAll(10);
+    zone.serve(seconds(11));
+    while (zone.trueTime() % zone.settings.usage.window > milliseconds(100)) {
+      zone.serve(milliseconds(20));
+    }
+    const std::uint64_t window = zone.currentWindow();
+    zone.serve(milliseconds(600));
+    // A node ends, then, one after the other, all that had collected its counts.
+    const auto before = collectorsOf(*zone.nodes.begin()->second.membership, 3);
+    for (int index = 1; index <= 10; ++index) {
+      const auto address = DutyZone::address(index);
+      if (std::none_of(before.begin(), before.end(),
+                       [&](const auto& node) { return node.address == address; })) {
+        zone.world.runFor(milliseconds(350));
+        zone.stop(index);
+        break;
+      }
+    }
+    for (const auto& collector : before) {
+      zone.world.runFor(milliseconds(1200));
+      for (int index = 1; index <= 10; ++index) {
+        if (DutyZone::address(index) == collector.address) {
+          zone.stop(index);
+        }
+      }
+    }
+    zone.world.runFor(seconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.platform.violation);
+    CPPUNIT_ASSERT(zone.platform.taken.contains(window));
+    CPPUNIT_ASSERT(zone.error(window) <= kAllowedError);
+  }
+
+  void windowsWithoutAReporterAreMadeUpFor() {
+    DutyZone zone(6);
+    zone.startAll(5);
+    zone.serve(seconds(12));
+    zone.platform.down = true;
+    zone.serve(seconds(30));
+    zone.platform.down = false;
+    zone.serve(seconds(6));
+    std::uint64_t last = 0;
+    for (const auto& [window, counts] : zone.platform.taken) {
+      CPPUNIT_ASSERT(last == 0 || window == last + 1);
+      CPPUNIT_ASSERT(zone.error(window) <= kAimedError);
+      last = window;
+    }
+    CPPUNIT_ASSERT(last + 2 >= zone.currentWindow());
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.platform.violation);
+  }
+
+  void aClockThatIsWrongMovesNoWindow() {
+    DutyZone zone(7);
+    for (int index = 1; index <= 10; ++index) {
+      zone.start(index, index <= 3 ? milliseconds(2000) : Duration{0});
+    }
+    zone.serve(seconds(10));
+    const std::uint64_t settled = zone.currentWindow();
+    zone.serve(seconds(25));
+    for (std::uint64_t window = settled; window < zone.currentWindow() - 2; ++window) {
+      CPPUNIT_ASSERT(zone.platform.taken.contains(window));
+      CPPUNIT_ASSERT(zone.error(window) <= kAllowedError);
+    }
+  }
+
+  void whatIsSaidIsFixedBefore() {
+    DutyZone zone(8);
+    zone.platform.lost_answers = 1;
+    zone.startAll(5);
+    zone.serve(seconds(9));
+    CPPUNIT_ASSERT(!zone.platform.taken.empty());
+    const auto window = zone.platform.taken.begin()->first;
+    const UsageLedger ledger =
+        decodeUsageLedger(zone.world.store.objects.at(kUsageLedgerKey).value);
+    CPPUNIT_ASSERT_EQUAL(window, ledger.fixed.front().window);
+    CPPUNIT_ASSERT(ledger.fixed.front().counts == zone.platform.taken.begin()->second);
+  }
+
+  void aLedgerThatCannotBeReadIsLeftAlone() {
+    DutyZone zone(9);
+    zone.world.store.objects[kUsageLedgerKey] = {kUsageLedgerKey, 3, "{\"fixed\": 7}", "somebody"};
+    zone.startAll(3);
+    zone.serve(seconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, zone.platform.calls);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, zone.world.store.objects.at(kUsageLedgerKey).version);
+  }
+
+  /// Messages and bytes of counting a second and node don't grow with the fleet.
+  void messagesOfANodeStayConstant() {
+    std::map<int, double> per_node;
+    for (const int count : {9, 63, 200}) {
+      DutyZone zone(10);
+      std::uint64_t messages = 0;
+      zone.world.on_send = [&](const api::Envelope& envelope) {
+        const auto type = static_cast<std::uint16_t>(envelope.type);
+        messages += type / 100 == static_cast<std::uint16_t>(api::MessageType::kDutiesFirst) / 100;
+      };
+      zone.startAll(count);
+      zone.serve(seconds(5));
+      messages = 0;
+      zone.serve(seconds(10));
+      per_node[count] = static_cast<double>(messages) / 10 / count;
+      std::cout << "\n  " << count << " nodes: " << per_node[count]
+                << " messages a second and node";
+    }
+    std::cout << "\n";
+    CPPUNIT_ASSERT(per_node[200] <= per_node[9] * 1.2);
+    CPPUNIT_ASSERT(per_node[63] <= per_node[9] * 1.2);
+  }
+
+  void ledgersAreReadAsWritten() {
+    testing::requireProperty("usage ledgers are read as written", 100, [] {
+      UsageLedger ledger;
+      ledger.taken_through = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40U);
+      const int fixed = *rc::gen::inRange(0, 5);
+      for (int index = 0; index < fixed; ++index) {
+        UsageReport report;
+        report.window = ledger.fixedThrough() + 1;
+        report.counts[std::string("t").append(std::to_string(index))] = *rc::gen::arbitrary<std::uint32_t>();
+        ledger.fixed.push_back(report);
+      }
+      const UsageLedger read = decodeUsageLedger(encodeUsageLedger(ledger));
+      RC_ASSERT(read.taken_through == ledger.taken_through);
+      RC_ASSERT(read.fixed == ledger.fixed);
+    });
+  }
+
+  /// Whatever becomes of nodes, links, store, platform, clocks, answers and late calls: no two
+  /// counts for a window, no token of two holders, no window without a report once faults end.
+  void oneCountAWindowInFaultStorms() {
+    constexpr int kRuns = 40;
+    constexpr int kFaults = 14;
+    std::uint64_t reports = 0;
+    std::uint64_t refused = 0;
+    testing::requireProperty("one count a window", kRuns, [&] {
+      const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40U);
+      const int nodes = *rc::gen::inRange(3, 9);
+      const auto faults = *faultSchedule(kFaults);
+      DutyZone zone(seed);
+      zone.world.message_loss = 0.02;
+      zone.world.store.lost_answers = 0.1;
+      zone.world.store.late_writes = 0.1;
+      zone.platform.lost_answers = 0.15;
+      zone.platform.late_calls = 0.15;
+      zone.startAll(nodes);
+      const std::uint64_t first = zone.currentWindow() + 1;
+      zone.serve(seconds(6));
+      for (const Fault& fault : faults) {
+        apply(zone, fault, nodes);
+        zone.serve(milliseconds(fault.wait_ms));
+        RC_LOG() << zone.platform.violation;
+        RC_ASSERT(zone.platform.violation.empty());
+      }
+      heal(zone, nodes);
+      zone.world.store.lost_answers = 0;
+      zone.world.store.late_writes = 0;
+      zone.platform.lost_answers = 0;
+      zone.platform.late_calls = 0;
+      zone.startAll(nodes);
+      const std::uint64_t last = zone.currentWindow();
+      zone.serve(seconds(45));
+      RC_LOG() << zone.platform.violation;
+      RC_ASSERT(zone.platform.violation.empty());
+      for (std::uint64_t window = first; window <= last; ++window) {
+        RC_LOG() << "window " << window - first << " of " << last - first;
+        RC_ASSERT(zone.platform.taken.contains(window));
+      }
+      reports += zone.platform.calls;
+      refused += zone.platform.refused;
+    });
+    std::cout << "\n  reports " << reports << ", refused for a token " << refused << "\n";
+    CPPUNIT_ASSERT(reports > 10 * kRuns);
+  }
+
+ private:
+  static Duration lateness(DutyZone& zone, std::uint64_t window) {
+    const Duration end = zone.settings.usage.window * static_cast<std::int64_t>(window + 1);
+    return kWorldStart + zone.platform.taken_at.at(window) - end;
+  }
+  /// \param killed windows in which a node was killed, whose count may be off by what is allowed
+  static void requireWindowsInTime(DutyZone& zone, std::size_t killed, double error) {
+    CPPUNIT_ASSERT_EQUAL(std::string(), zone.platform.violation);
+    const std::uint64_t last = zone.currentWindow() - 3;
+    std::size_t off = 0;
+    for (std::uint64_t window = zone.platform.taken.begin()->first; window <= last; ++window) {
+      CPPUNIT_ASSERT(zone.platform.taken.contains(window));
+      CPPUNIT_ASSERT(lateness(zone, window) <= zone.settings.usage.due_after);
+      CPPUNIT_ASSERT(zone.error(window) <= error);
+      off += zone.error(window) > kAimedError ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(off <= killed + 1);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UsageTest);
+
+}  // namespace
+}  // namespace cypresswall::duties
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -23,7 +23,8 @@
   explicit World(const ExecutionSettings& settings = {},
                  const fleet_limits::RetryLimitSettings& retry_limits = {})
       : retries(retry_limits, process.context, [] { return 1.0; }),
-        interfaces{configuration, membership, admission, client, claims, retries, quarantine},
+        interfaces{configuration, membership, admission,  client,
+                   claims,        retries,    quarantine, usage},
         first(process.context, interfaces, settings),
         second(process.context, interfaces, settings) {
     auto& service = configuration.fleet.http_services["booking"];
@@ -87,6 +88,7 @@
   testing::FakeClaims claims{process.time};
   fleet_limits::RetryAccounts retries;
   testing::FakeQuarantine quarantine;
+  testing::FakeUsage usage;
   ServiceInterfaces interfaces;
   HttpServiceExecutor first;
   HttpServiceExecutor second;
@@ -116,9 +118,38 @@
   CPPUNIT_TEST(runsAtMostOnceUnderFaults);
   CPPUNIT_TEST(quarantinedRequestIsRefusedAtOnce);
   CPPUNIT_TEST(brokenCallsAndAnswersAreToldToTheQuarantine);
+  CPPUNIT_TEST(aRequestIsCountedOnceForItsTenant);
+  CPPUNIT_TEST(aKeyTakenAwayStopsTheNextAttempt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void aRequestIsCountedOnceForItsTenant() {
+    World world;
+    world.client.scripts = {CallScript::kBrokenAfterRun};
+    auto request = World::request("GET", "/slots");
+    request.tenant = "porter";
+    CPPUNIT_ASSERT(world.ask(request).outcome == Outcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.client.calls.size());
+    CPPUNIT_ASSERT_EQUAL(1, world.usage.began["porter"]);
+    world.quarantine.kept = {17};
+    request.fingerprint = 17;
+    world.ask(request);
+    CPPUNIT_ASSERT_EQUAL(1, world.usage.began["porter"]);
+  }
+
+  void aKeyTakenAwayStopsTheNextAttempt() {
+    World world;
+    world.client.scripts = {CallScript::kBrokenAfterRun};
+    auto request = World::request("GET", "/slots");
+    int asked = 0;
+    request.still_allowed = [&asked] { return ++asked < 3; };
+    const auto answer = world.ask(std::move(request));
+    CPPUNIT_ASSERT(answer.error.kind == ErrorKind::kKeyRevoked);
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.client.calls.size());
+    CPPUNIT_ASSERT(world.idle());
+  }
+
   void quarantinedRequestIsRefusedAtOnce() {
     World world;
     world.quarantine.kept = {17};
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "cypresswall/admission/engine_priority.h"
 #include "tests/execution/model_world.h"
 
 namespace cypresswall::execution {
@@ -43,9 +44,54 @@
   CPPUNIT_TEST(promptIsNotHandedOverOnceTheRequestIsQuarantined);
   CPPUNIT_TEST(brokenStreamsAndAnswersAreToldToTheQuarantine);
   CPPUNIT_TEST(refusalsAndSilenceAreNoCrashes);
+  CPPUNIT_TEST(aRequestIsCountedOnceWithItsFirstToken);
+  CPPUNIT_TEST(aKeyTakenAwayStopsARequestThatHasNotRun);
+  CPPUNIT_TEST(theTenantsUrgencyGoesBeforeTheServices);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void aRequestIsCountedOnceWithItsFirstToken() {
+    World world;
+    world.engines.scripts = {{Kind::kRefused}, {Kind::kBrokenAt, 2}};
+    RecordingObserver observer;
+    auto call = World::call();
+    call.tenant = "porter";
+    const auto handle = world.executor.start(call, observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(observer.done);
+    CPPUNIT_ASSERT_EQUAL(1, world.usage.began["porter"]);
+  }
+
+  void aKeyTakenAwayStopsARequestThatHasNotRun() {
+    World world;
+    world.engines.scripts = {{Kind::kRefused}};
+    RecordingObserver observer;
+    auto call = World::call();
+    bool allowed = true;
+    call.still_allowed = [&allowed] { return allowed; };
+    const auto handle = world.executor.start(call, observer);
+    world.process.time.runFor(milliseconds(1));
+    allowed = false;
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.engines.started.size());
+    CPPUNIT_ASSERT(observer.error->kind == ErrorKind::kKeyRevoked);
+    CPPUNIT_ASSERT(observer.error->outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(0, world.router.open);
+    CPPUNIT_ASSERT_EQUAL(0, world.admission.held);
+    CPPUNIT_ASSERT(world.usage.began.empty());
+  }
+
+  void theTenantsUrgencyGoesBeforeTheServices() {
+    World world;
+    RecordingObserver observer;
+    auto call = World::call();
+    call.urgency = configuration::Urgency::kLow;
+    const auto handle = world.executor.start(call, observer);
+    world.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT_EQUAL(admission::enginePriority(configuration::Urgency::kLow, false),
+                         world.router.requests.front().priority);
+  }
+
   void quarantinedRequestIsRefusedAtOnce() {
     World world({}, testing::withRetryBurst(0));
     world.quarantine.kept = {kFingerprint};
--- a/tests/execution/model_world.h
+++ b/tests/execution/model_world.h
@@ -59,7 +59,7 @@
              const fleet_limits::RetryLimitSettings& retry_limits)
       : retries(retry_limits, process.context, [] { return 1.0; }),
         executor(process.context, configuration, admission, router, engines, retries, quarantine,
-                 settings) {
+                 usage, settings) {
     configuration.fleet.models["dispatch"] = {"dispatch", "v1", "", {}};
     configuration.fleet.model_services["summary"].name = "summary";
     configuration.fleet.model_services["summary"].model = "dispatch";
@@ -100,6 +100,7 @@
   FakeEngines engines{process.time};
   fleet_limits::RetryAccounts retries;
   FakeQuarantine quarantine;
+  FakeUsage usage;
   execution::EngineModelExecutor executor;
 };
 
--- a/tests/execution/process_fixture.h
+++ b/tests/execution/process_fixture.h
@@ -13,6 +13,7 @@
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/configuration/configuration_view.h"
+#include "cypresswall/duties/usage_recorder.h"
 #include "cypresswall/quarantine/request_quarantine.h"
 #include "cypresswall/simulation/virtual_time.h"
 
@@ -87,6 +88,14 @@
   std::vector<common::RequestFingerprint> answers;
 };
 
+/// Counts per tenant the requests that began.
+class FakeUsage final : public duties::UsageRecorder {
+ public:
+  void requestBegan(const common::TenantName& tenant) override { ++began[tenant]; }
+
+  std::map<common::TenantName, int> began;
+};
+
 /// Admits everything unless told otherwise; keeps count of what was not released.
 class FakeAdmission final : public admission::AdmissionController {
  public:
--- a/tests/lease/store_lease_test.cpp
+++ b/tests/lease/store_lease_test.cpp
@@ -72,8 +72,8 @@
     contexts_[index] = std::make_unique<api::ProcessContext>(process.context());
     node.membership =
         std::make_unique<membership::Membership>(settings, process.context(), process);
-    node.lease =
-        std::make_unique<StoreLease>(lease_settings, *contexts_[index], *node.membership, process);
+    node.lease = std::make_unique<StoreLease>(lease_settings, leaseKey("hall-a"), *contexts_[index],
+                                              *node.membership, process);
     node.membership->start();
     node.lease->start();
   }
