Order engines from the platform: planners of their number, a duty of the fleet's one holder

Change: src/cypresswall/autoscaling. A planner (no clock, no I/O) chooses a pool's number by the most that was seen within a time longer than a boot; the controller on the first holder of the fleet's duties orders it, the cheaper kind first, and orders a lasting engine away only once another serves in its place. A location that has none keeps its order, and the others make up for it. A holder that knows no demand yet orders nothing away. show usage and show capacity tell what was reported and ordered.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -16,7 +16,7 @@
   "node"
   "surroundings"
   "gateway operators request_trace"
-  "execution orders"
+  "execution orders autoscaling"
   "admission"
   "routing"
   "planning"
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -42,6 +42,7 @@
   kStoreRelayFirst = 1000,
   kQuarantineFirst = 1100,
   kDutiesFirst = 1200,
+  kAutoscalingFirst = 1300,
 };
 
 /// \return the `offset`-th message type of the block that starts at `first`.
--- /dev/null
+++ b/src/cypresswall/autoscaling/planner.cpp
@@ -0,0 +1,252 @@
+#include "cypresswall/autoscaling/planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <utility>
+
+namespace cypresswall::autoscaling {
+namespace {
+
+using configuration::AutoscalingDeclaration;
+
+/// Utilisation from which on queues only grow.
+constexpr double kFullUtilisation = 0.98;
+
+std::uint32_t totalOf(const PoolNumbers& numbers) {
+  std::uint32_t total = 0;
+  for (const auto& [location, engines] : numbers) {
+    total += engines.total();
+  }
+  return total;
+}
+
+bool offersPreemptible(const PoolInput& input) {
+  const double price = input.declaration.preemptible_price;
+  return price > 0 && price < 1;
+}
+
+std::string describe(const char* policy, const PoolNumbers& wanted, double busy_engines) {
+  constexpr std::size_t kLength = 96;
+  std::string text(kLength, '\0');
+  const int length = std::snprintf(text.data(), text.size(), "%s: %u engines for %.1f busy", policy,
+                                   totalOf(wanted), busy_engines);
+  text.resize(static_cast<std::size_t>(std::max(length, 0)));
+  return text;
+}
+
+double largestLoad(const PoolInput& input) {
+  double largest = 0;
+  for (const PoolLoad& load : input.loads) {
+    largest = std::max(largest, load.busy_engines);
+  }
+  return largest;
+}
+
+/// Divides engines of a location by kind.
+EngineNumbers byKind(const AutoscalingSettings& settings, const PoolInput& input,
+                     std::uint32_t total) {
+  if (!offersPreemptible(input)) {
+    return {total, 0};
+  }
+  const auto lasting =
+      static_cast<std::uint32_t>(std::ceil(settings.lasting_share * static_cast<double>(total)));
+  return {std::min(lasting, total), total - std::min(lasting, total)};
+}
+
+/// Adds engines to the locations of `numbers`, as evenly as their bound allows, the cheapest first.
+void addEvenly(std::map<std::string, std::uint32_t>& numbers,
+               const AutoscalingDeclaration& declared, std::uint32_t engines) {
+  const auto price = [&](const std::string& location) {
+    return declared.location_prices.at(location);
+  };
+  for (; engines > 0; --engines) {
+    auto best = numbers.end();
+    for (auto entry = numbers.begin(); entry != numbers.end(); ++entry) {
+      if (entry->second >= declared.maximum_engines) {
+        continue;
+      }
+      const bool better =
+          best == numbers.end() || entry->second < best->second ||
+          (entry->second == best->second && price(entry->first) < price(best->first));
+      best = better ? entry : best;
+    }
+    if (best == numbers.end()) {
+      return;
+    }
+    ++best->second;
+  }
+}
+
+/// Spreads `total` engines over the locations. What a location can't have now is wanted in the
+/// others as well; its own order stands, so that it is filled again as soon as there are any.
+PoolNumbers spread(const AutoscalingSettings& settings, const PoolInput& input,
+                   std::uint32_t total) {
+  const AutoscalingDeclaration& declared = input.declaration;
+  std::map<std::string, std::uint32_t> numbers;
+  for (const auto& [location, price] : declared.location_prices) {
+    numbers[location] = declared.minimum_engines;
+  }
+  const auto least = declared.minimum_engines * static_cast<std::uint32_t>(numbers.size());
+  addEvenly(numbers, declared, total > least ? total - least : 0);
+  std::map<std::string, std::uint32_t> others = numbers;
+  std::uint32_t lacking = 0;
+  for (const std::string& location : input.without_preemptible) {
+    const auto present = input.present.find(location);
+    const std::uint32_t there = present == input.present.end() ? 0 : present->second.total();
+    lacking += numbers[location] > there ? numbers[location] - there : 0;
+    others.erase(location);
+  }
+  addEvenly(others, declared, lacking);
+  for (const auto& [location, number] : others) {
+    numbers[location] = number;
+  }
+  PoolNumbers wanted;
+  for (const auto& [location, number] : numbers) {
+    wanted[location] = byKind(settings, input, number);
+  }
+  return wanted;
+}
+
+/// A planner that chooses the number of all engines together, and spreads them.
+class TotalPlanner : public Planner {
+ public:
+  TotalPlanner(const AutoscalingSettings& settings, const char* name)
+      : settings_(settings), name_(name) {}
+
+  PoolPlan plan(const PoolInput& input) const override {
+    std::uint32_t total = input.loads.empty() ? 0 : totalFor(input);
+    if (!input.may_shrink) {
+      total = std::max(total, totalOf(input.present));
+    }
+    PoolPlan plan;
+    plan.wanted = spread(settings_, input, total);
+    plan.reason = describe(name_, plan.wanted, largestLoad(input));
+    return plan;
+  }
+
+ protected:
+  virtual std::uint32_t totalFor(const PoolInput& input) const = 0;
+  const AutoscalingSettings settings_;
+
+ private:
+  const char* name_;
+};
+
+class ThresholdPlanner final : public TotalPlanner {
+ public:
+  explicit ThresholdPlanner(const AutoscalingSettings& settings)
+      : TotalPlanner(settings, "threshold") {}
+
+ private:
+  std::uint32_t totalFor(const PoolInput& input) const override {
+    return static_cast<std::uint32_t>(std::ceil(largestLoad(input) / settings_.utilisation_limit));
+  }
+};
+
+/// Adds engines as long as one more is worth more than its price.
+class WorthPlanner final : public TotalPlanner {
+ public:
+  explicit WorthPlanner(const AutoscalingSettings& settings) : TotalPlanner(settings, "worth") {}
+
+ private:
+  std::uint32_t totalFor(const PoolInput& input) const override {
+    const std::uint32_t most = input.declaration.maximum_engines *
+                               static_cast<std::uint32_t>(input.declaration.location_prices.size());
+    const double price = priceOfOne(input);
+    std::uint32_t best = 1;
+    double least_cost = cost(input, 1, price);
+    for (std::uint32_t engines = 2; engines <= most; ++engines) {
+      const double candidate = cost(input, engines, price);
+      if (candidate < least_cost) {
+        least_cost = candidate;
+        best = engines;
+      }
+    }
+    return best;
+  }
+
+  /// \return the mean price of a second of one more engine
+  double priceOfOne(const PoolInput& input) const {
+    double sum = 0;
+    for (const auto& [location, price] : input.declaration.location_prices) {
+      const double lasting = offersPreemptible(input) ? settings_.lasting_share : 1.0;
+      sum += price * (lasting + (1 - lasting) * input.declaration.preemptible_price);
+    }
+    const auto locations = static_cast<double>(input.declaration.location_prices.size());
+    return locations > 0 ? sum / locations : 0;
+  }
+
+  /// \return prices and lost work a second with so many engines
+  double cost(const PoolInput& input, std::uint32_t engines, double price) const {
+    const auto locations = static_cast<double>(input.declaration.location_prices.size());
+    const double all = engines;
+    // The preemptible engines of one location leave together.
+    const double after_loss = all - all / locations * (1 - settings_.lasting_share);
+    const double lost = (1 - settings_.loss_share) * lostWork(input, all) +
+                        settings_.loss_share * lostWork(input, after_loss);
+    return all * price + settings_.worth_of_work * lost;
+  }
+
+  /// \return engine seconds a second whose answers come late, over the loads that were seen
+  static double lostWork(const PoolInput& input, double engines) {
+    double lost = 0;
+    for (const PoolLoad& load : input.loads) {
+      const double utilisation = engines > 0 ? load.busy_engines / engines : kFullUtilisation;
+      lost += load.busy_engines * lateShare(utilisation, load);
+    }
+    return lost / static_cast<double>(input.loads.size());
+  }
+};
+
+class FixedPlanner final : public Planner {
+ public:
+  explicit FixedPlanner(const AutoscalingSettings& settings) : settings_(settings) {}
+
+  PoolPlan plan(const PoolInput& input) const override {
+    PoolPlan plan;
+    const AutoscalingDeclaration& declared = input.declaration;
+    for (const auto& [location, price] : declared.location_prices) {
+      const auto lasting = static_cast<std::uint32_t>(
+          std::min<std::size_t>(settings_.fixed_lasting, declared.maximum_engines));
+      const auto preemptible = static_cast<std::uint32_t>(
+          std::min<std::size_t>(settings_.fixed_preemptible, declared.maximum_engines - lasting));
+      plan.wanted[location] = offersPreemptible(input) ? EngineNumbers{lasting, preemptible}
+                                                       : EngineNumbers{lasting + preemptible, 0};
+    }
+    plan.reason = describe("fixed", plan.wanted, largestLoad(input));
+    return plan;
+  }
+
+ private:
+  const AutoscalingSettings settings_;
+};
+
+}  // namespace
+
+double lateShare(double utilisation, const PoolLoad& load) {
+  const double busy = std::min(utilisation, kFullUtilisation);
+  if (load.long_prompt_seconds <= 0) {
+    return utilisation >= 1 ? 1.0 : 0.0;
+  }
+  const double waited =
+      busy * std::exp(-(1 - busy) * load.slack_seconds / load.long_prompt_seconds);
+  return utilisation > 1 ? std::max(waited, 1 - 1 / utilisation) : waited;
+}
+
+std::unique_ptr<Planner> makePlanner(const AutoscalingSettings& settings) {
+  switch (settings.policy) {
+    case Policy::kNone:
+      return nullptr;
+    case Policy::kFixed:
+      return std::make_unique<FixedPlanner>(settings);
+    case Policy::kThreshold:
+      return std::make_unique<ThresholdPlanner>(settings);
+    case Policy::kWorth:
+      return std::make_unique<WorthPlanner>(settings);
+  }
+  return nullptr;
+}
+
+}  // namespace cypresswall::autoscaling
--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -52,6 +52,25 @@
   /// Model that the engine is to serve.
   common::ModelName model;
   engines::EngineRole initial_role = engines::EngineRole::kMixed;
+  /// Where the platform lets the number of engines be chosen: the pool that the engine belongs to,
+  /// the platform's own zone that it stands in, and whether it may be taken away at short notice.
+  std::string pool = {};
+  std::string location = {};
+  bool preemptible = false;
+};
+
+/// A pool of engines whose number the system orders from the platform.
+struct AutoscalingDeclaration {
+  std::string pool;
+  /// Bounds of the engines in each location, of both kinds together.
+  std::uint32_t minimum_engines = 0;
+  std::uint32_t maximum_engines = 0;
+  /// From an order to the first request that the engine takes.
+  common::Duration boot_time{0};
+  /// Price of a preemptible engine relative to a lasting one; zero if none are offered.
+  double preemptible_price = 0;
+  /// Price of a second of a lasting engine by location.
+  std::map<std::string, double> location_prices;
 };
 
 enum class Urgency : std::uint8_t { kLow, kNormal, kHigh, kCritical };
@@ -153,6 +172,8 @@
   /// Nodes and machines that operators drain, by machine or node address.
   std::map<std::string, bool> drained_nodes;
   PlanningPolicy planning;
+  /// By pool; only where the platform declares the fleet.
+  std::map<std::string, AutoscalingDeclaration> autoscaling;
   /// Follows from the changes: the sets of zones up to now, oldest first, the last one in force.
   /// Empty until a zone is declared; as many as kRememberedZoneSets may lack earlier ones.
   std::vector<ZoneSet> zone_sets;
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -50,6 +50,8 @@
                   clients.engines, clients.object_store),
       duties_(settings_.duties, context_, membership_, settings_.membership.machine,
               clients.object_store, clients.duties, clients.time_of_day),
+      autoscaling_(settings_.autoscaling, context_, membership_, configuration_view_, duties_,
+                   [this] { return controller_.demand(); }),
       model_executor_(context_, configuration_view_, admission_, observed_router_, clients.engines,
                       retries_, quarantine_, duties_.usage(), settings_.execution),
       service_executor_(context_,
@@ -59,7 +61,8 @@
                         settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, controller_, model_executor_.journal(),
-                              service_executor_.journal(), retries_, fleet_part_, quarantine_}),
+                              service_executor_.journal(), retries_, fleet_part_, quarantine_,
+                              duties_, autoscaling_}),
       commands_(context_, configuration_, state_, declared_) {
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   membership_.onChange([this] {
@@ -85,6 +88,7 @@
   engines_.start();
   quarantine_.start();
   duties_.start();
+  autoscaling_.start();
   controller_.start();
 }
 
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -9,6 +9,7 @@
 #include "cypresswall/admission/observed_router.h"
 #include "cypresswall/admission/zone_admission_controller.h"
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/autoscaling/controller.h"
 #include "cypresswall/configuration/configuration_replica.h"
 #include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/engines/engine_client.h"
@@ -121,6 +122,7 @@
   fleet_limits::RetryAccounts retries_;
   quarantine::FleetQuarantine quarantine_;
   duties::FleetDuties duties_;
+  autoscaling::Controller autoscaling_;
   execution::EngineModelExecutor model_executor_;
   execution::HttpServiceExecutor service_executor_;
   NodeState state_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "cypresswall/admission/admission_settings.h"
+#include "cypresswall/autoscaling/settings.h"
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/execution/execution_settings.h"
@@ -52,6 +53,7 @@
   fleet_limits::FleetPartSettings fleet_part;
   quarantine::QuarantineSettings quarantine;
   duties::DutySettings duties;
+  autoscaling::AutoscalingSettings autoscaling;
   /// A planned stop waits no longer than this for requests that run.
   common::Duration stop_limit = std::chrono::minutes(10);
   /// How often a planned stop looks whether anything still runs.
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -192,6 +192,42 @@
   return rows;
 }
 
+std::vector<operators::UsageRow> NodeState::usage() const {
+  std::vector<operators::UsageRow> rows;
+  for (const duties::ReportedWindow& window : sources_.duties.reporter().windows()) {
+    operators::UsageRow row;
+    row.window = window.window;
+    row.requests = window.requests;
+    row.tenants = window.tenants;
+    row.state = window.token == 0 ? "fixed" : "reported";
+    row.token = window.token;
+    row.nodes_missing = window.nodes_missing;
+    row.age = sources_.clock.now() - window.at;
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::vector<operators::CapacityRow> NodeState::capacity() const {
+  std::vector<operators::CapacityRow> rows;
+  for (const autoscaling::PoolState& pool : sources_.autoscaling.pools()) {
+    for (const auto& [location, wanted] : pool.wanted) {
+      const auto present = pool.present.find(location);
+      operators::CapacityRow row;
+      row.pool = pool.pool;
+      row.location = location;
+      row.lasting = present == pool.present.end() ? 0 : present->second.lasting;
+      row.preemptible = present == pool.present.end() ? 0 : present->second.preemptible;
+      row.wanted_lasting = wanted.lasting;
+      row.wanted_preemptible = wanted.preemptible;
+      row.token = pool.token;
+      row.reason = pool.reason;
+      rows.push_back(std::move(row));
+    }
+  }
+  return rows;
+}
+
 std::vector<operators::Explanation> NodeState::explainEngine(const common::EngineName& name) const {
   std::vector<operators::Explanation> lines;
   explainView(name, lines);
--- a/src/cypresswall/node/node_state.h
+++ b/src/cypresswall/node/node_state.h
@@ -5,7 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "cypresswall/autoscaling/controller.h"
 #include "cypresswall/configuration/configuration_view.h"
+#include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/execution/request_journal.h"
 #include "cypresswall/fleet_limits/fleet_part.h"
 #include "cypresswall/fleet_limits/retry_accounts.h"
@@ -31,6 +33,8 @@
   const fleet_limits::RetryAccounts& retries;
   const fleet_limits::FleetPart& fleet_part;
   const quarantine::FleetQuarantine& quarantine;
+  const duties::FleetDuties& duties;
+  const autoscaling::Controller& autoscaling;
 };
 
 class NodeState final : public operators::StateProviders {
@@ -43,6 +47,8 @@
   std::vector<operators::NodeRow> nodes() const override;
   std::vector<operators::RetryRow> retries() const override;
   std::vector<operators::QuarantineRow> quarantine() const override;
+  std::vector<operators::UsageRow> usage() const override;
+  std::vector<operators::CapacityRow> capacity() const override;
   std::vector<operators::Explanation> explainEngine(const common::EngineName& name) const override;
 
   std::vector<operators::Explanation> explainRequest(const std::string& id) const override;
--- a/src/cypresswall/operators/command.h
+++ b/src/cypresswall/operators/command.h
@@ -26,6 +26,8 @@
   kTenants,
   kRetries,
   kQuarantine,
+  kUsage,
+  kCapacity,
 };
 
 enum class Comparison { kEqual, kNotEqual, kLess, kLessOrEqual, kGreater, kGreaterOrEqual };
--- a/src/cypresswall/operators/queries.cpp
+++ b/src/cypresswall/operators/queries.cpp
@@ -142,6 +142,12 @@
     case Subject::kQuarantine:
       table = quarantine();
       break;
+    case Subject::kUsage:
+      table = usage();
+      break;
+    case Subject::kCapacity:
+      table = capacity();
+      break;
   }
   filterRows(table, command.conditions);
   return table;
@@ -300,6 +306,26 @@
   return table;
 }
 
+ResultTable Queries::usage() const {
+  ResultTable table = tableOf(Subject::kUsage);
+  for (const UsageRow& row : providers_.usage()) {
+    table.rows.push_back({count(row.window), count(row.requests), count(row.tenants),
+                          text(row.state), count(row.token), count(row.nodes_missing),
+                          milliseconds(row.age)});
+  }
+  return table;
+}
+
+ResultTable Queries::capacity() const {
+  ResultTable table = tableOf(Subject::kCapacity);
+  for (const CapacityRow& row : providers_.capacity()) {
+    table.rows.push_back({text(row.pool), text(row.location), count(row.lasting),
+                          count(row.preemptible), count(row.wanted_lasting),
+                          count(row.wanted_preemptible), count(row.token), text(row.reason)});
+  }
+  return table;
+}
+
 ResultTable Queries::nodes() const {
   ResultTable table = tableOf(Subject::kNodes);
   const auto fleet = configuration_.current();
--- a/src/cypresswall/operators/queries.h
+++ b/src/cypresswall/operators/queries.h
@@ -40,6 +40,8 @@
   ResultTable leases() const;
   ResultTable retries() const;
   ResultTable quarantine() const;
+  ResultTable usage() const;
+  ResultTable capacity() const;
   ResultTable nodes() const;
   ResultTable tenants() const;
   ResultTable requests() const;
--- a/src/cypresswall/operators/state_providers.h
+++ b/src/cypresswall/operators/state_providers.h
@@ -79,6 +79,34 @@
   common::Duration time_left{0};
 };
 
+/// A window of time whose requests were counted for the platform, as the node knows that reported
+/// it.
+struct UsageRow {
+  std::uint64_t window = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t tenants = 0;
+  /// "fixed" until the platform has taken the report, then "reported".
+  std::string state;
+  /// Fencing token of the report; zero if there was none.
+  std::uint64_t token = 0;
+  /// Nodes that had not told all of it when it was fixed.
+  std::uint64_t nodes_missing = 0;
+  common::Duration age{0};
+};
+
+/// Engines of a pool in one location, on the node that orders them.
+struct CapacityRow {
+  std::string pool;
+  std::string location;
+  std::uint64_t lasting = 0;
+  std::uint64_t preemptible = 0;
+  std::uint64_t wanted_lasting = 0;
+  std::uint64_t wanted_preemptible = 0;
+  /// Fencing token of the duty.
+  std::uint64_t token = 0;
+  std::string reason;
+};
+
 /// What this node knows of another zone, in one line.
 struct ZoneSummaryRow {
   common::ZoneName zone;
@@ -100,6 +128,8 @@
   virtual std::vector<NodeRow> nodes() const { return {}; }
   virtual std::vector<RetryRow> retries() const { return {}; }
   virtual std::vector<QuarantineRow> quarantine() const { return {}; }
+  virtual std::vector<UsageRow> usage() const { return {}; }
+  virtual std::vector<CapacityRow> capacity() const { return {}; }
   virtual std::vector<ZoneSummaryRow> zoneSummaries() const { return {}; }
   /// \return inputs, alternatives and costs of the last decision about an engine's role; empty if
   ///   there was none.
--- a/src/cypresswall/operators/vocabulary.cpp
+++ b/src/cypresswall/operators/vocabulary.cpp
@@ -50,6 +50,11 @@
   static const std::vector<std::string> kRetryColumns = {"service", "used", "left", "refused",
                                                          "part"};
   static const std::vector<std::string> kQuarantineColumns = {"fingerprint", "seconds_left"};
+  static const std::vector<std::string> kUsageColumns = {
+      "window", "requests", "tenants", "state", "token", "nodes_missing", "age_ms"};
+  static const std::vector<std::string> kCapacityColumns = {
+      "pool",           "location",           "lasting", "preemptible",
+      "wanted_lasting", "wanted_preemptible", "token",   "reason"};
   switch (subject) {
     case Subject::kEngines:
       return kEngineColumns;
@@ -72,16 +77,21 @@
     case Subject::kRetries:
       return kRetryColumns;
     case Subject::kQuarantine:
+      return kQuarantineColumns;
+    case Subject::kUsage:
+      return kUsageColumns;
+    case Subject::kCapacity:
       break;
   }
-  return kQuarantineColumns;
+  return kCapacityColumns;
 }
 
 const std::vector<CommandHelp>& commandHelp() {
   static const std::vector<CommandHelp> kHelp = {
       {"show",
        "show "
-       "engines|requests|services|models|zones|changes|leases|nodes|tenants|retries|quarantine "
+       "engines|requests|services|models|zones|changes|leases|nodes|tenants|retries|quarantine|"
+       "usage|capacity "
        "[where COLUMN =|!=|<|<=|>|>= VALUE [and ...]]",
        "list what is running and declared"},
       {"why", "why engine NAME | request ID | change VERSION-OR-ID", "explain a decision"},
--- a/src/cypresswall/operators/vocabulary.h
+++ b/src/cypresswall/operators/vocabulary.h
@@ -17,7 +17,7 @@
   Enumeration value;
 };
 
-inline constexpr std::array<NamedValue<Subject>, 11> kSubjects = {{
+inline constexpr std::array<NamedValue<Subject>, 13> kSubjects = {{
     {"engines", Subject::kEngines},
     {"requests", Subject::kRequests},
     {"services", Subject::kServices},
@@ -29,6 +29,8 @@
     {"tenants", Subject::kTenants},
     {"retries", Subject::kRetries},
     {"quarantine", Subject::kQuarantine},
+    {"usage", Subject::kUsage},
+    {"capacity", Subject::kCapacity},
 }};
 inline constexpr std::array<NamedValue<Comparison>, 6> kComparisons = {{
     {"=", Comparison::kEqual},
--- a/src/cypresswall/orders/zone_controller.cpp
+++ b/src/cypresswall/orders/zone_controller.cpp
@@ -331,6 +331,18 @@
   return active_ && found != controls_.end() ? found->second.get() : nullptr;
 }
 
+std::optional<std::map<common::ModelName, planning::ModelDemand>> ZoneController::demand() const {
+  const common::MonotonicTime now = context_.clock.now();
+  if (!demand_ || !demand_->warm(now)) {
+    return std::nullopt;
+  }
+  std::map<common::ModelName, planning::ModelDemand> demands;
+  for (const auto& [name, model] : configuration_.current()->models) {
+    demands[name] = demand_->demand(name, now);
+  }
+  return demands;
+}
+
 std::vector<ChangeRecord> ZoneController::changes() const {
   std::vector<ChangeRecord> rows;
   for (const auto& [name, control] : controls_) {
--- a/src/cypresswall/orders/zone_controller.h
+++ b/src/cypresswall/orders/zone_controller.h
@@ -46,6 +46,9 @@
   std::vector<ChangeRecord> changes() const;
   /// \return why the planner changed or left each model's roles in its last round.
   const std::vector<planning::ModelExplanation>& explanations() const { return explanations_; }
+  /// \return what callers ask of each model; nothing unless this node plans the zone's roles and
+  ///   has seen demand for the short window.
+  std::optional<std::map<common::ModelName, planning::ModelDemand>> demand() const;
   /// \return the drain table that this node obeys.
   const DrainFollower& drains() const { return follower_; }
 
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -335,7 +335,7 @@
   Keys keys;
   for (Keys (*const part)() :
        {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys, planningKeys, retryKeys,
-        quarantineKeys, dutyKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
+        quarantineKeys, dutyKeys, autoscalingKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -31,6 +31,32 @@
 
 /// Names of duties as platforms give them.
 constexpr const char* kUsageDuty = "usage_report";
+constexpr const char* kAutoscalingDuty = "autoscale";
+
+SettingKey autoscalingPolicyKey() {
+  using autoscaling::Policy;
+  static const std::map<std::string, Policy> kPolicies = {{"none", Policy::kNone},
+                                                          {"fixed", Policy::kFixed},
+                                                          {"threshold", Policy::kThreshold},
+                                                          {"worth", Policy::kWorth}};
+  SettingKey key;
+  key.name = "autoscaling.policy";
+  key.unit = "policy";
+  key.range = "none, fixed, threshold, worth";
+  key.default_text = "worth";
+  key.meaning =
+      "How many engines are ordered where the platform lets the system choose: none are, so many, "
+      "as many as keep utilisation below a limit, or as many as are worth their price.";
+  key.apply = [](DaemonSettings& settings, const GivenValue& value) {
+    const auto policy = kPolicies.find(singleText(value));
+    if (policy == kPolicies.end()) {
+      throw ValueError("'" + singleText(value) +
+                       "' is no policy; write none, fixed, threshold or worth");
+    }
+    settings.node.autoscaling.policy = policy->second;
+  };
+  return key;
+}
 
 SettingKey dutyNamesKey() {
   SettingKey key;
@@ -43,6 +69,7 @@
   key.apply = [](DaemonSettings& settings, const GivenValue& value) {
     const std::set<std::string> names(value.items.begin(), value.items.end());
     settings.node.duties.usage.reports = names.contains(kUsageDuty);
+    settings.node.autoscaling.available = names.contains(kAutoscalingDuty);
   };
   return key;
 }
@@ -131,6 +158,43 @@
   };
 }
 
+std::vector<SettingKey> autoscalingKeys() {
+  constexpr std::size_t kMostEngines = 10000;
+  return {
+      autoscalingPolicyKey(),
+      countKey(
+          "autoscaling.fixed_lasting", 0, kMostEngines,
+          [](auto& s) -> auto& { return s.node.autoscaling.fixed_lasting; },
+          "Lasting engines in each location, with the policy fixed."),
+      countKey(
+          "autoscaling.fixed_preemptible", 0, kMostEngines,
+          [](auto& s) -> auto& { return s.node.autoscaling.fixed_preemptible; },
+          "Preemptible engines in each location, with the policy fixed."),
+      numberKey(
+          "autoscaling.utilisation_limit", 0.01, 1,
+          [](auto& s) -> auto& { return s.node.autoscaling.utilisation_limit; },
+          "Largest utilisation of the engines, with the policy threshold."),
+      numberKey(
+          "autoscaling.worth_of_work", 0, 1e6,
+          [](auto& s) -> auto& { return s.node.autoscaling.worth_of_work; },
+          "Worth of an engine's second of work on an answer in time, in prices of a second of a "
+          "lasting engine, with the policy worth."),
+      numberKey(
+          "autoscaling.loss_share", 0, 1,
+          [](auto& s) -> auto& { return s.node.autoscaling.loss_share; },
+          "Part of the time for which a location's preemptible engines are taken to be gone, with "
+          "the policy worth."),
+      numberKey(
+          "autoscaling.lasting_share", 0, 1,
+          [](auto& s) -> auto& { return s.node.autoscaling.lasting_share; },
+          "Share of each location's engines that is lasting where preemptible ones are cheaper."),
+      durationKey(
+          "autoscaling.memory", seconds(1), hours(24),
+          [](auto& s) -> auto& { return s.node.autoscaling.memory; },
+          "How long demand is remembered when engines are ordered."),
+  };
+}
+
 std::vector<SettingKey> mechanismKeys() {
   return {
       switchKey(
--- a/src/cypresswall/settings/policy_keys.h
+++ b/src/cypresswall/settings/policy_keys.h
@@ -15,6 +15,8 @@
 std::vector<SettingKey> quarantineKeys();
 /// \return what one node does for the whole fleet
 std::vector<SettingKey> dutyKeys();
+/// \return how the number of engines follows the work
+std::vector<SettingKey> autoscalingKeys();
 /// \return each mechanism by which the system copes with overload, to be switched off by itself
 std::vector<SettingKey> mechanismKeys();
 
