Let engines be ordered by worth: wait for the list, spend half of the first bill, keep until demand was seen

Its foretelling also took load as even, which it isn't (the busiest engine got 3.4 times the mean).

Change: nothing is ordered before the list stood still for 1.5 s; what was there at first and what was wanted since is kept until demand was seen for as long as it is remembered; before that, half of what the first engines cost buys cheaper ones; one lasting engine stays in each location; late answers are foretold for engines 2.5 times as busy as the mean. Tests: engines that appear one by one, the first bill.

--- a/src/cypresswall/autoscaling/controller.cpp
+++ b/src/cypresswall/autoscaling/controller.cpp
@@ -15,8 +15,8 @@
 constexpr common::Duration kTickInterval = std::chrono::milliseconds(250);
 /// Lasting engines are ordered away in steps of at least so many while others take their place.
 constexpr std::uint32_t kLeastStep = 4;
-/// Boots for which demand has to be seen before engines are ordered away.
-constexpr int kBootsBeforeShrinking = 2;
+/// Engines that run already have appeared in the platform's list once it stood still for so long.
+constexpr common::Duration kAppearingTime = std::chrono::milliseconds(1500);
 /// Share of a target latency in which a first token is planned.
 constexpr double kPlannedShare = 0.85;
 
@@ -157,8 +157,8 @@
       continue;
     }
     Pool& pool = pools_[name];
-    if (!pool.begun_with) {
-      pool.begun_with = presentOf(declaration);
+    if (!settled(declaration, pool)) {
+      continue;
     }
     while (!pool.loads.empty() && now - pool.loads.front().first > settings_.memory) {
       pool.loads.pop_front();
@@ -178,16 +178,37 @@
   }
 }
 
+bool Controller::settled(const AutoscalingDeclaration& declaration, Pool& pool) const {
+  const auto now = context_.clock.now();
+  if (pool.begun_with) {
+    return true;
+  }
+  const PoolNumbers present = presentOf(declaration);
+  if (!pool.led_since) {
+    pool.led_since = now;
+  }
+  if (present != pool.appeared) {
+    pool.appeared = present;
+    pool.unchanged_since = now;
+  }
+  const bool all_there = totalOf(present) > 0 && now - pool.unchanged_since >= kAppearingTime;
+  if (all_there || now - *pool.led_since >= std::max(declaration.boot_time, kAppearingTime)) {
+    pool.begun_with = present;
+  }
+  return pool.begun_with.has_value();
+}
+
 PoolInput Controller::inputOf(const AutoscalingDeclaration& declaration, Pool& pool) const {
   const auto now = context_.clock.now();
   PoolInput input;
   input.declaration = declaration;
   input.present = presentOf(declaration);
+  input.at_first = totalOf(*pool.begun_with);
+  input.kept = std::max(input.at_first, totalOf(pool.plan.wanted));
   for (const auto& [time, load] : pool.loads) {
     input.loads.push_back(load);
   }
-  input.may_shrink = pool.demand_since &&
-                     now - *pool.demand_since >= kBootsBeforeShrinking * declaration.boot_time;
+  input.may_shrink = pool.demand_since && now - *pool.demand_since >= settings_.memory;
   std::erase_if(pool.none_until, [now](const auto& entry) { return entry.second <= now; });
   for (const auto& [location, until] : pool.none_until) {
     input.without_preemptible.push_back(location);
--- a/src/cypresswall/autoscaling/controller.h
+++ b/src/cypresswall/autoscaling/controller.h
@@ -61,6 +61,10 @@
   struct Pool {
     std::deque<std::pair<common::MonotonicTime, PoolLoad>> loads;
     PoolPlan plan;
+    /// Since when this node leads; it orders only once the engines that run have appeared.
+    std::optional<common::MonotonicTime> led_since;
+    PoolNumbers appeared;
+    common::MonotonicTime unchanged_since{};
     /// What was there when this node began to plan.
     std::optional<PoolNumbers> begun_with;
     /// The last order for each location and kind, by (location, preemptible).
@@ -74,6 +78,8 @@
   void passDemandOn();
   void onDemand(const DemandNews& news);
   void planAll();
+  /// \return false while engines that run already may not have appeared yet
+  bool settled(const configuration::AutoscalingDeclaration& declaration, Pool& pool) const;
   PoolInput inputOf(const configuration::AutoscalingDeclaration& declaration, Pool& pool) const;
   PoolNumbers presentOf(const configuration::AutoscalingDeclaration& declaration) const;
   void collectOrders(const configuration::AutoscalingDeclaration& declaration, Pool& pool,
--- a/src/cypresswall/autoscaling/planner.cpp
+++ b/src/cypresswall/autoscaling/planner.cpp
@@ -14,14 +14,6 @@
 /// Utilisation from which on queues only grow.
 constexpr double kFullUtilisation = 0.98;
 
-std::uint32_t totalOf(const PoolNumbers& numbers) {
-  std::uint32_t total = 0;
-  for (const auto& [location, engines] : numbers) {
-    total += engines.total();
-  }
-  return total;
-}
-
 bool offersPreemptible(const PoolInput& input) {
   const double price = input.declaration.preemptible_price;
   return price > 0 && price < 1;
@@ -118,7 +110,7 @@
   PoolPlan plan(const PoolInput& input) const override {
     std::uint32_t total = input.loads.empty() ? 0 : totalFor(input);
     if (!input.may_shrink) {
-      total = std::max(total, totalOf(input.present));
+      total = std::max({total, input.kept, affordable(input)});
     }
     PoolPlan plan;
     plan.wanted = spread(settings_, input, total);
@@ -126,6 +118,17 @@
     return plan;
   }
 
+ private:
+  /// \return how many of the cheaper engines the first bill's share pays for
+  std::uint32_t affordable(const PoolInput& input) const {
+    if (!offersPreemptible(input)) {
+      return 0;
+    }
+    const double engines =
+        settings_.first_bill_share * input.at_first / input.declaration.preemptible_price;
+    return static_cast<std::uint32_t>(engines);
+  }
+
  protected:
   virtual std::uint32_t totalFor(const PoolInput& input) const = 0;
   const AutoscalingSettings settings_;
@@ -190,11 +193,11 @@
   }
 
   /// \return engine seconds a second whose answers come late, over the loads that were seen
-  static double lostWork(const PoolInput& input, double engines) {
+  double lostWork(const PoolInput& input, double engines) const {
     double lost = 0;
     for (const PoolLoad& load : input.loads) {
-      const double utilisation = engines > 0 ? load.busy_engines / engines : kFullUtilisation;
-      lost += load.busy_engines * lateShare(utilisation, load);
+      const double mean = engines > 0 ? load.busy_engines / engines : kFullUtilisation;
+      lost += load.busy_engines * lateShare(settings_.unevenness * mean, load);
     }
     return lost / static_cast<double>(input.loads.size());
   }
@@ -225,6 +228,14 @@
 
 }  // namespace
 
+std::uint32_t totalOf(const PoolNumbers& numbers) {
+  std::uint32_t total = 0;
+  for (const auto& [location, engines] : numbers) {
+    total += engines.total();
+  }
+  return total;
+}
+
 double lateShare(double utilisation, const PoolLoad& load) {
   const double busy = std::min(utilisation, kFullUtilisation);
   if (load.long_prompt_seconds <= 0) {
--- a/src/cypresswall/autoscaling/planner.h
+++ b/src/cypresswall/autoscaling/planner.h
@@ -39,6 +39,10 @@
   configuration::AutoscalingDeclaration declaration;
   /// Engines that serve.
   PoolNumbers present;
+  /// Engines that were there when this node began to plan.
+  std::uint32_t at_first = 0;
+  /// What is kept until `may_shrink`: engines that were there at first, or were wanted since.
+  std::uint32_t kept = 0;
   /// The loads seen lately, the newest last; empty if nothing was seen yet.
   std::vector<PoolLoad> loads;
   /// False until demand was seen for long enough to order engines away.
@@ -47,6 +51,8 @@
   std::vector<std::string> without_preemptible;
 };
 
+std::uint32_t totalOf(const PoolNumbers& numbers);
+
 /// What is wanted, and why.
 struct PoolPlan {
   PoolNumbers wanted;
--- a/src/cypresswall/autoscaling/settings.h
+++ b/src/cypresswall/autoscaling/settings.h
@@ -28,12 +28,20 @@
   /// What a second of an engine's work on an answer that comes in time is worth, in prices of a
   /// second of a lasting engine.
   double worth_of_work = 20;
+  /// Utilisation of the engine that a request goes to, relative to the mean of all: requests follow
+  /// the prefixes that engines hold, so that the busiest engines get most of them.
+  double unevenness = 2.5;
   /// Part of the time for which the preemptible engines of a location are taken to be gone.
   double loss_share = 0.1;
-  /// Share of a location's engines that is lasting, where preemptible ones are cheaper.
-  double lasting_share = 0;
+  /// Share of a location's engines that is lasting, at least one, where preemptible ones are
+  /// cheaper: a location that loses all others still serves.
+  double lasting_share = 0.02;
+  /// Until demand was seen, preemptible engines are ordered for this part of what the engines cost
+  /// that were there at first, and at least as many as these.
+  double first_bill_share = 0.5;
   /// How long demand is remembered: the most that was seen counts, since an engine that is ordered
-  /// serves only after its boot, when the demand may have turned.
+  /// serves only after its boot, when the demand may have turned. Nothing is ordered away before
+  /// demand was seen for so long.
   common::Duration memory = std::chrono::seconds(60);
   /// Between two decisions.
   common::Duration interval = std::chrono::seconds(1);
--- a/src/cypresswall/duties/usage_reporter.cpp
+++ b/src/cypresswall/duties/usage_reporter.cpp
@@ -143,7 +143,7 @@
   if (ledger.fixed.empty()) {
     return false;
   }
-  writeLedger(std::move(ledger));
+  writeLedger(ledger);
   return true;
 }
 
@@ -155,7 +155,7 @@
          (collector_.complete(window) || now >= end + patience);
 }
 
-void UsageReporter::writeLedger(UsageLedger ledger) {
+void UsageReporter::writeLedger(const UsageLedger& ledger) {
   object_store::ObjectWrite request;
   request.key = kUsageLedgerKey;
   request.expected_version = ledger_version_;
--- a/src/cypresswall/duties/usage_reporter.h
+++ b/src/cypresswall/duties/usage_reporter.h
@@ -63,7 +63,7 @@
   /// \return true if something is written
   bool fixDueWindows();
   bool due(std::uint64_t window) const;
-  void writeLedger(UsageLedger ledger);
+  void writeLedger(const UsageLedger& ledger);
   void onWritten(const object_store::StoreResult<object_store::StoredObject>& result);
   void observe(const object_store::StoredObject& object);
   void send(const UsageReport& report);
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -179,6 +179,11 @@
           [](auto& s) -> auto& { return s.node.autoscaling.worth_of_work; },
           "Worth of an engine's second of work on an answer in time, in prices of a second of a "
           "lasting engine, with the policy worth."),
+      numberKey(
+          "autoscaling.unevenness", 1, 100,
+          [](auto& s) -> auto& { return s.node.autoscaling.unevenness; },
+          "Utilisation of the engines that requests go to, relative to the mean of all, with the "
+          "policy worth."),
       numberKey(
           "autoscaling.loss_share", 0, 1,
           [](auto& s) -> auto& { return s.node.autoscaling.loss_share; },
@@ -187,7 +192,14 @@
       numberKey(
           "autoscaling.lasting_share", 0, 1,
           [](auto& s) -> auto& { return s.node.autoscaling.lasting_share; },
-          "Share of each location's engines that is lasting where preemptible ones are cheaper."),
+          "Share of each location's engines that is lasting where preemptible ones are cheaper; at "
+          "least one is."),
+      numberKey(
+          "autoscaling.first_bill_share", 0, 1,
+          [](auto& s) -> auto& { return s.node.autoscaling.first_bill_share; },
+          "Until demand was seen, preemptible engines are ordered for this part of what the "
+          "engines "
+          "cost that were there at first."),
       durationKey(
           "autoscaling.memory", seconds(1), hours(24),
           [](auto& s) -> auto& { return s.node.autoscaling.memory; },
--- a/tests/autoscaling/controller_test.cpp
+++ b/tests/autoscaling/controller_test.cpp
@@ -210,6 +210,8 @@
     settings.available = true;
     settings.policy = Policy::kThreshold;
     settings.memory = seconds(20);
+    settings.lasting_share = 0;
+    settings.first_bill_share = 0;
   }
 
   static common::Address address(int index) { return "10.0.0." + std::to_string(index) + ":7000"; }
@@ -277,7 +279,9 @@
 class AutoscalingControllerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AutoscalingControllerTest);
   CPPUNIT_TEST(cheaperEnginesTakeThePlaceOfLastingOnes);
+  CPPUNIT_TEST(enginesThatAppearOneByOneAreAllReplaced);
   CPPUNIT_TEST(theBoundOfBothKindsDoesNotStopTheExchange);
+  CPPUNIT_TEST(theFirstBillPaysForMoreOfTheCheaperKind);
   CPPUNIT_TEST(nothingIsLostBeforeDemandIsSeen);
   CPPUNIT_TEST(followsTheDemandUpAtOnceAndDownLate);
   CPPUNIT_TEST(aLocationThatGoesIsMadeUpForAndFilledAgain);
@@ -302,6 +306,26 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), zone.platform.violation);
   }
 
+  /// A platform that starts: its engines enter the list one after the other.
+  void enginesThatAppearOneByOneAreAllReplaced() {
+    ScalingZone zone(11);
+    auto late = zone.declared.fleet.engines;
+    zone.declared.fleet.engines.clear();
+    zone.startAll();
+    while (!late.empty()) {
+      zone.world.runFor(milliseconds(150));
+      zone.declared.fleet.engines.insert(late.extract(late.begin()));
+    }
+    std::size_t least = zone.platform.all();
+    for (int step = 0; step < 200; ++step) {
+      zone.world.runFor(milliseconds(100));
+      least = std::min(least, zone.platform.all());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20}, least);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20}, zone.platform.all());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, zone.platform.count("east", true));
+  }
+
   void theBoundOfBothKindsDoesNotStopTheExchange() {
     ScalingZone zone(2);
     zone.setDemand(9);
@@ -312,6 +336,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{15}, zone.platform.count("west", true));
   }
 
+  void theFirstBillPaysForMoreOfTheCheaperKind() {
+    ScalingZone zone(12);
+    zone.settings.lasting_share = 0.02;
+    zone.settings.first_bill_share = 0.25;
+    zone.startAll();
+    zone.world.runFor(seconds(30));
+    // A quarter of the price of 20 pays for 25 at a fifth of it; one in each location is lasting.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{25}, zone.platform.all());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.platform.count("east", false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.platform.count("west", false));
+  }
+
   void nothingIsLostBeforeDemandIsSeen() {
     ScalingZone zone(3);
     zone.startAll();
--- a/tests/autoscaling/planner_test.cpp
+++ b/tests/autoscaling/planner_test.cpp
@@ -26,22 +26,18 @@
   for (const char* location : {"a", "b", "c", "d"}) {
     input.present[location] = {18, 0};
   }
+  input.kept = 72;
   input.loads = std::move(loads);
   input.may_shrink = true;
   return input;
 }
 
-std::uint32_t total(const PoolNumbers& numbers) {
-  std::uint32_t sum = 0;
-  for (const auto& [location, engines] : numbers) {
-    sum += engines.total();
-  }
-  return sum;
-}
+std::uint32_t total(const PoolNumbers& numbers) { return totalOf(numbers); }
 
 PoolPlan plan(Policy policy, const PoolInput& input) {
   AutoscalingSettings settings;
   settings.policy = policy;
+  settings.first_bill_share = 0;
   return makePlanner(settings)->plan(input);
 }
 
--- a/tests/duties/duty_zone.h
+++ b/tests/duties/duty_zone.h
@@ -57,7 +57,7 @@
     if (first) {
       taken_at[report.window] = world_.now();
     } else if (entry->second != report.counts) {
-      report_violation("two counts for window " + std::to_string(report.window));
+      reportViolation("two counts for window " + std::to_string(report.window));
     }
     return std::nullopt;
   }
@@ -67,10 +67,10 @@
   void checkToken(const DutyAuthority& authority) {
     const auto [holder, first] = holders_.emplace(authority.token, authority.holder);
     if (!first && holder->second != authority.holder) {
-      report_violation("two holders with token " + std::to_string(authority.token));
+      reportViolation("two holders with token " + std::to_string(authority.token));
     }
   }
-  void report_violation(const std::string& what) {
+  void reportViolation(const std::string& what) {
     if (violation.empty()) {
       violation = what + " at " + std::to_string(common::toSeconds(world_.now())) + " s";
     }
