--- a/tests/duties/usage_test.cpp
+++ b/tests/duties/usage_test.cpp
@@ -306,7 +306,8 @@
       for (int index = 0; index < fixed; ++index) {
         UsageReport report;
         report.window = ledger.fixedThrough() + 1;
-        report.counts[std::string("t").append(std::to_string(index))] = *rc::gen::arbitrary<std::uint32_t>();
+        report.counts[std::string("t").append(std::to_string(index))] =
+            *rc::gen::arbitrary<std::uint32_t>();
         ledger.fixed.push_back(report);
       }
       const UsageLedger read = decodeUsageLedger(encodeUsageLedger(ledger));
