--- a/src/cypresswall/autoscaling/controller.cpp
+++ b/src/cypresswall/autoscaling/controller.cpp
@@ -46,6 +46,13 @@
                      [](const auto& entry) { return entry.second > 0; });
 }
 
+/// \return true if an order within the bounds would take away engines that stand there
+bool exceeds(const PoolNumbers& present, const AutoscalingDeclaration& declaration) {
+  return std::any_of(present.begin(), present.end(), [&](const auto& entry) {
+    return entry.second.total() > declaration.maximum_engines;
+  });
+}
+
 }  // namespace
 
 Controller::Controller(const AutoscalingSettings& settings, const api::ProcessContext& context,
@@ -150,16 +157,18 @@
   const auto fleet = configuration_.current();
   orders_.clear();
   for (const auto& [name, declaration] : fleet->autoscaling) {
+    Pool& pool = pools_[name];
     if (!usable(declaration)) {
-      common::LogEvent(context_.log, common::LogLevel::kWarning, "autoscaling_not_usable")
-          .field("pool", name)
-          .field("reason", "bounds or prices contradict each other");
+      tellUnusable(name, pool, "bounds or prices contradict each other");
       continue;
     }
-    Pool& pool = pools_[name];
     if (!settled(declaration, pool)) {
       continue;
     }
+    if (exceeds(*pool.begun_with, declaration)) {
+      tellUnusable(name, pool, "more engines stand there than its bounds allow");
+      continue;
+    }
     while (!pool.loads.empty() && now - pool.loads.front().first > settings_.memory) {
       pool.loads.pop_front();
     }
@@ -178,6 +187,14 @@
   }
 }
 
+void Controller::tellUnusable(const std::string& name, Pool& pool, const char* reason) {
+  if (!std::exchange(pool.unusable_told, true)) {
+    common::LogEvent(context_.log, common::LogLevel::kWarning, "autoscaling_not_usable")
+        .field("pool", name)
+        .field("reason", reason);
+  }
+}
+
 bool Controller::settled(const AutoscalingDeclaration& declaration, Pool& pool) const {
   const auto now = context_.clock.now();
   if (pool.begun_with) {
--- a/src/cypresswall/autoscaling/controller.h
+++ b/src/cypresswall/autoscaling/controller.h
@@ -72,12 +72,15 @@
     /// Until when a location is taken to have no preemptible engines.
     std::map<std::string, common::MonotonicTime> none_until;
     std::optional<common::MonotonicTime> demand_since;
+    bool unusable_told = false;
   };
 
   void tick();
   void passDemandOn();
   void onDemand(const DemandNews& news);
   void planAll();
+  /// Says once that nothing is ordered for a pool.
+  void tellUnusable(const std::string& name, Pool& pool, const char* reason);
   /// \return false while engines that run already may not have appeared yet
   bool settled(const configuration::AutoscalingDeclaration& declaration, Pool& pool) const;
   PoolInput inputOf(const configuration::AutoscalingDeclaration& declaration, Pool& pool) const;
--- a/tests/autoscaling/controller_test.cpp
+++ b/tests/autoscaling/controller_test.cpp
@@ -432,15 +432,18 @@
   }
 
   void boundsThatContradictOrderNothing() {
-    for (int wrong = 0; wrong < 3; ++wrong) {
+    for (int wrong = 0; wrong < 4; ++wrong) {
       ScalingZone zone(9);
       auto& pool = zone.declared.fleet.autoscaling.at(kPool);
       if (wrong == 0) {
         pool.minimum_engines = 20;
       } else if (wrong == 1) {
         pool.location_prices["east"] = 0;
-      } else {
+      } else if (wrong == 2) {
         pool.location_prices.clear();
+      } else {
+        // Ten stand in each location: an order within the bound would take most of them away.
+        pool.maximum_engines = 5;
       }
       zone.setDemand(9);
       zone.startAll();
