Rank the collectors anew only after a change of members

Change: Collectors keeps the ranking until the members change; a collector that isn't new hands nothing on. Before and after were not measured apart.

--- a/src/cypresswall/autoscaling/controller.cpp
+++ b/src/cypresswall/autoscaling/controller.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "cypresswall/duties/usage_counter.h"
-
 namespace cypresswall::autoscaling {
 namespace {
 
@@ -100,8 +98,7 @@
 }
 
 bool Controller::leads() const {
-  const auto holders = duties::collectorsOf(membership_, 1);
-  return !membership_.joining() && !holders.empty() && holders.front() == context_.self;
+  return !membership_.joining() && duties_.collectors().first() == context_.self;
 }
 
 void Controller::passDemandOn() {
@@ -113,11 +110,11 @@
   for (const auto& [model, of_model] : *demand) {
     news.loads[model] = loadOf(of_model);
   }
-  const auto holders = duties::collectorsOf(membership_, 1);
-  if (!holders.empty() && holders.front() == context_.self) {
+  const common::NodeId holder = duties_.collectors().first();
+  if (holder == context_.self) {
     onDemand(news);
-  } else if (!holders.empty()) {
-    context_.sendTo(holders.front(), news);
+  } else if (!holder.empty()) {
+    context_.sendTo(holder, news);
   }
 }
 
--- a/src/cypresswall/duties/fleet_duties.cpp
+++ b/src/cypresswall/duties/fleet_duties.cpp
@@ -24,12 +24,13 @@
       no_platform_(context.scheduler),
       platform_(platform != nullptr ? *platform : no_platform_),
       time_(context.clock, orZero(time_of_day)),
+      collectors_(membership, settings.usage.collectors),
       lease_(settings.lease, kDutiesLeaseKey, context, membership, store),
-      collector_(settings.usage, context, membership, time_),
-      counter_(settings.usage, context, membership, time_,
+      collector_(settings.usage, context, membership, collectors_, time_),
+      counter_(settings.usage, context, membership, collectors_, time_,
                [this](const UsageTold& told) { collector_.onTold(context_.self, told); }),
-      reporter_(settings.usage, context, membership, machine_, time_, collector_, lease_, store,
-                platform_) {}
+      reporter_(settings.usage, context, membership, collectors_, machine_, time_, collector_,
+                lease_, store, platform_) {}
 
 void FleetDuties::start() {
   if (!settings_.usage.reports && further_work_.empty()) {
--- a/src/cypresswall/duties/fleet_duties.h
+++ b/src/cypresswall/duties/fleet_duties.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/duties/collectors.h"
 #include "cypresswall/duties/duty_platform.h"
 #include "cypresswall/duties/fleet_time.h"
 #include "cypresswall/duties/usage_collector.h"
@@ -70,6 +71,7 @@
   const UsageReporter& reporter() const { return reporter_; }
   lease::AuthorityView& authority() { return lease_; }
   DutyPlatform& platform() { return platform_; }
+  const Collectors& collectors() const { return collectors_; }
   const common::MachineName& machine() const { return machine_; }
   /// Further work of the holder. \param needed asked at each tick whether there is some
   void addWork(std::function<bool()> needed) { further_work_.push_back(std::move(needed)); }
@@ -83,6 +85,7 @@
   NoDutyPlatform no_platform_;
   DutyPlatform& platform_;
   FleetTime time_;
+  Collectors collectors_;
   lease::StoreLease lease_;
   UsageCollector collector_;
   UsageCounter counter_;
--- a/src/cypresswall/duties/usage_collector.cpp
+++ b/src/cypresswall/duties/usage_collector.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "cypresswall/duties/usage_counter.h"
-
 namespace cypresswall::duties {
 namespace {
 
@@ -16,10 +14,12 @@
 }  // namespace
 
 UsageCollector::UsageCollector(const UsageSettings& settings, const api::ProcessContext& context,
-                               const membership::MembershipView& membership, FleetTime& time)
+                               const membership::MembershipView& membership,
+                               const Collectors& collectors, FleetTime& time)
     : settings_(settings),
       context_(context),
       membership_(membership),
+      ranking_(collectors),
       time_(time),
       asked_again_(context.counters.counter("cypresswall_usage_asked_again_total",
                                             "Messages with counts that did not arrive")),
@@ -83,8 +83,7 @@
   counts.times_told = 0;
   counts.ahead = own;
   // One collector judges, so that nobody is corrected twice.
-  const auto collectors = collectorsOf(membership_, 1);
-  if (!fleet || collectors.empty() || collectors.front() != context_.self) {
+  if (!fleet || ranking_.first() != context_.self) {
     return;
   }
   const common::Duration difference = own - *fleet;
@@ -120,7 +119,10 @@
 }
 
 void UsageCollector::handOn() {
-  const auto collectors = collectorsOf(membership_, settings_.collectors);
+  const auto& collectors = ranking_.all();
+  if (collectors == collectors_) {
+    return;
+  }
   std::vector<common::NodeId> added;
   for (const common::NodeId& collector : collectors) {
     const bool known =
--- a/src/cypresswall/duties/usage_collector.h
+++ b/src/cypresswall/duties/usage_collector.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/duties/collectors.h"
 #include "cypresswall/duties/duty_platform.h"
 #include "cypresswall/duties/fleet_time.h"
 #include "cypresswall/duties/messages.h"
@@ -21,7 +22,8 @@
  public:
   /// Registers the handlers of UsageTold and ClockCorrection. \pre all references outlive this
   UsageCollector(const UsageSettings& settings, const api::ProcessContext& context,
-                 const membership::MembershipView& membership, FleetTime& time);
+                 const membership::MembershipView& membership, const Collectors& collectors,
+                 FleetTime& time);
   UsageCollector(const UsageCollector&) = delete;
   UsageCollector& operator=(const UsageCollector&) = delete;
 
@@ -59,6 +61,7 @@
   const UsageSettings settings_;
   const api::ProcessContext& context_;
   const membership::MembershipView& membership_;
+  const Collectors& ranking_;
   FleetTime& time_;
   std::map<common::NodeId, NodeCounts> nodes_;
   std::vector<common::NodeId> collectors_;
--- a/src/cypresswall/duties/usage_counter.cpp
+++ b/src/cypresswall/duties/usage_counter.cpp
@@ -1,44 +1,17 @@
 #include "cypresswall/duties/usage_counter.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
-#include "cypresswall/membership/rendezvous.h"
-
 namespace cypresswall::duties {
-namespace {
-
-constexpr const char* kDutyName = "usage";
-
-}  // namespace
-
-std::vector<common::NodeId> collectorsOf(const membership::MembershipView& membership,
-                                         std::size_t count) {
-  std::vector<std::tuple<std::uint64_t, std::uint64_t, common::NodeId>> ranked;
-  for (const membership::Member& member : membership.members()) {
-    if (member.state == membership::MemberState::kAlive &&
-        membership.handles(member.node, api::MessageSet::kUsage)) {
-      ranked.emplace_back(membership::linkClass(membership, member.node),
-                          membership::rendezvousRank(kDutyName, member.node), member.node);
-    }
-  }
-  const std::size_t wanted = std::min(count, ranked.size());
-  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(wanted),
-                    ranked.end(), std::greater<>());
-  std::vector<common::NodeId> collectors;
-  for (std::size_t place = 0; place < wanted; ++place) {
-    collectors.push_back(std::get<common::NodeId>(ranked[place]));
-  }
-  return collectors;
-}
-
 UsageCounter::UsageCounter(const UsageSettings& settings, const api::ProcessContext& context,
-                           const membership::MembershipView& membership, const FleetTime& time,
+                           const membership::MembershipView& membership,
+                           const Collectors& collectors, const FleetTime& time,
                            std::function<void(const UsageTold&)> tell_self)
     : settings_(settings),
       context_(context),
       membership_(membership),
+      collectors_(collectors),
       time_(time),
       tell_self_(std::move(tell_self)),
       counted_(context.counters.counter("cypresswall_usage_requests_total",
@@ -87,7 +60,7 @@
 void UsageCounter::tell() {
   const std::uint64_t closed = std::max(closed_through_, currentWindow() - 1);
   const bool window_ended = std::exchange(closed_through_, closed) != closed;
-  const auto collectors = collectorsOf(membership_, settings_.collectors);
+  const auto& collectors = collectors_.all();
   std::erase_if(told_, [&](const auto& entry) {
     return std::find(collectors.begin(), collectors.end(), entry.first) == collectors.end();
   });
--- a/src/cypresswall/duties/usage_counter.h
+++ b/src/cypresswall/duties/usage_counter.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/duties/collectors.h"
 #include "cypresswall/duties/duty_platform.h"
 #include "cypresswall/duties/fleet_time.h"
 #include "cypresswall/duties/messages.h"
@@ -16,11 +17,6 @@
 
 namespace cypresswall::duties {
 
-/// \return the nodes that collect the counts of all, the one that reports first: those with the
-///   widest links that run, the same on every node without a word exchanged.
-std::vector<common::NodeId> collectorsOf(const membership::MembershipView& membership,
-                                         std::size_t count);
-
 /// Sends a message for each collector and interval in which something changed, and one at each end
 /// of a window: constant for a node, whatever the size of the fleet.
 class UsageCounter final : public UsageRecorder {
@@ -28,8 +24,8 @@
   /// Registers the handler of UsageAsk. \pre all references outlive this object
   /// \param tell_self takes what this node, being a collector, tells itself
   UsageCounter(const UsageSettings& settings, const api::ProcessContext& context,
-               const membership::MembershipView& membership, const FleetTime& time,
-               std::function<void(const UsageTold&)> tell_self);
+               const membership::MembershipView& membership, const Collectors& collectors,
+               const FleetTime& time, std::function<void(const UsageTold&)> tell_self);
   UsageCounter(const UsageCounter&) = delete;
   UsageCounter& operator=(const UsageCounter&) = delete;
 
@@ -57,6 +53,7 @@
   const UsageSettings settings_;
   const api::ProcessContext& context_;
   const membership::MembershipView& membership_;
+  const Collectors& collectors_;
   const FleetTime& time_;
   std::function<void(const UsageTold&)> tell_self_;
   std::map<std::uint64_t, TenantCounts> windows_;
--- a/src/cypresswall/duties/usage_reporter.cpp
+++ b/src/cypresswall/duties/usage_reporter.cpp
@@ -30,12 +30,14 @@
 
 UsageReporter::UsageReporter(const UsageSettings& settings, const api::ProcessContext& context,
                              const membership::MembershipView& membership,
-                             common::MachineName machine, const FleetTime& time,
-                             UsageCollector& collector, lease::AuthorityView& authority,
-                             object_store::ObjectStore& store, DutyPlatform& platform)
+                             const Collectors& collectors, common::MachineName machine,
+                             const FleetTime& time, UsageCollector& collector,
+                             lease::AuthorityView& authority, object_store::ObjectStore& store,
+                             DutyPlatform& platform)
     : settings_(settings),
       context_(context),
       membership_(membership),
+      collectors_(collectors),
       machine_(std::move(machine)),
       time_(time),
       collector_(collector),
@@ -77,7 +79,7 @@
   if (membership_.joining()) {
     return std::nullopt;
   }
-  const auto collectors = collectorsOf(membership_, settings_.collectors);
+  const auto& collectors = collectors_.all();
   const auto own = std::find(collectors.begin(), collectors.end(), context_.self);
   return own == collectors.end()
              ? std::nullopt
@@ -229,8 +231,7 @@
       ledger_->fixed.erase(ledger_->fixed.begin());
       ledger_->taken_through = report.window;
     }
-    context_.sendToAll(collectorsOf(membership_, settings_.collectors),
-                       UsageSettled{report.window});
+    context_.sendToAll(collectors_.all(), UsageSettled{report.window});
     return;
   }
   failed_.add();
--- a/src/cypresswall/duties/usage_reporter.h
+++ b/src/cypresswall/duties/usage_reporter.h
@@ -8,9 +8,10 @@
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/duties/collectors.h"
 #include "cypresswall/duties/duty_platform.h"
+#include "cypresswall/duties/fleet_time.h"
 #include "cypresswall/duties/usage_collector.h"
-#include "cypresswall/duties/usage_counter.h"
 #include "cypresswall/duties/usage_ledger.h"
 #include "cypresswall/duties/usage_settings.h"
 #include "cypresswall/lease/authority_view.h"
@@ -38,9 +39,10 @@
  public:
   /// \pre all references outlive this object
   UsageReporter(const UsageSettings& settings, const api::ProcessContext& context,
-                const membership::MembershipView& membership, common::MachineName machine,
-                const FleetTime& time, UsageCollector& collector, lease::AuthorityView& authority,
-                object_store::ObjectStore& store, DutyPlatform& platform);
+                const membership::MembershipView& membership, const Collectors& collectors,
+                common::MachineName machine, const FleetTime& time, UsageCollector& collector,
+                lease::AuthorityView& authority, object_store::ObjectStore& store,
+                DutyPlatform& platform);
   UsageReporter(const UsageReporter&) = delete;
   UsageReporter& operator=(const UsageReporter&) = delete;
 
@@ -83,6 +85,7 @@
   const UsageSettings settings_;
   const api::ProcessContext& context_;
   const membership::MembershipView& membership_;
+  const Collectors& collectors_;
   const common::MachineName machine_;
   const FleetTime& time_;
   UsageCollector& collector_;
