--- a/src/cypresswall/duties/fleet_duties.h
+++ b/src/cypresswall/duties/fleet_duties.h
@@ -63,7 +63,7 @@
   FleetDuties& operator=(const FleetDuties&) = delete;
 
   void start();
-  /// Takes no duty any more, and tells the collectors what is not told yet.
+  /// Takes no duty any more; see tellNow() for what is not told yet.
   void resign();
   void tellNow() { counter_.tellNow(); }
 
