Let only nodes of an engine's own region give it orders

Cause: each region is a zone with a lease of its own whose terms begin at 1, but every node declared the runners of the whole fleet as engines of its own zone. Backends of plain services were all declared local for the same reason.

Ruled out: a runner taken over by another region or declared twice; the fences themselves, which rise within each region's lease.

Change: the settings name the region of each platform zone (platform.zone_regions), and engines and backends are declared in the zone named after their runner's region. Routing and orders already left out engines of other zones, and backends of other zones are already second choice.

--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 #include "cypresswall/common/event_log.h"
 #include "cypresswall/common/identifiers.h"
@@ -31,6 +33,8 @@
   common::LogLevel log_level = common::LogLevel::kInfo;
   node::NodeSettings node;
   PlatformProtocol platform_protocol = PlatformProtocol::kCypresswall;
+  /// Region of each of the platform's zones; may be empty if the platform has one region.
+  std::map<std::string, std::string> platform_zone_regions;
   /// Planning policy that applies if the platform declares the fleet: its declaration contains no
   /// policy.
   configuration::PlanningPolicy planning;
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -111,6 +111,38 @@
   return key;
 }
 
+SettingKey zoneRegionsKey() {
+  constexpr char kSeparator = '/';
+  SettingKey key;
+  key.name = "platform.zone_regions";
+  key.unit = "list of ZONE/REGION";
+  key.range = "names";
+  key.default_text = "[]";
+  key.meaning =
+      "Region of each zone of the platform, if the platform has several regions. Engines are "
+      "ordered "
+      "by nodes of their own region only.";
+  key.is_list = true;
+  key.apply = [](DaemonSettings& settings, const RawValue& value) {
+    for (const std::string& item : value.items) {
+      const auto separator = item.find(kSeparator);
+      const bool complete = separator != std::string::npos && separator > 0 &&
+                            separator + 1 < item.size() &&
+                            item.find(kSeparator, separator + 1) == std::string::npos;
+      if (!complete) {
+        throw ValueError("'" + item + "' is not ZONE/REGION");
+      }
+      const std::string zone = item.substr(0, separator);
+      const auto [known, added] =
+          settings.platform_zone_regions.try_emplace(zone, item.substr(separator + 1));
+      if (!added && known->second != item.substr(separator + 1)) {
+        throw ValueError("zone '" + zone + "' is given two regions");
+      }
+    }
+  };
+  return key;
+}
+
 Keys nodeKeys() {
   return {
       addressKey(
@@ -145,6 +177,7 @@
       addressKey(
           "platform.machine_list", "", [](auto& s) -> auto& { return s.machine_list.address; },
           "The platform's machine list."),
+      zoneRegionsKey(),
       logLevelKey(),
   };
 }
--- a/tests/objects_platform/fleet_declaration_test.cpp
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -293,7 +293,7 @@
   FleetDeclaration fleet_{
       process_.context(),
       runners_,
-      "dobrogea",
+      ZoneRegions("dobrogea"),
       {.role_change_weight = 5, .horizon = seconds(20), .automatic_roles = false}};
   int changes_ = 0;
 
--- a/tests/objects_platform/runner_entries_test.cpp
+++ b/tests/objects_platform/runner_entries_test.cpp
@@ -204,7 +204,7 @@
   testing::VirtualProcess& process_ = world_.spawn({"10.0.0.1:1", 1}, "z");
   std::uint64_t revision_ = 1;
   RunnerRegistry runners_{process_.context()};
-  FleetDeclaration declared_{process_.context(), runners_, "region", {}};
+  FleetDeclaration declared_{process_.context(), runners_, ZoneRegions("region"), {}};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunnerEntriesTest);
