Keep tenants' quotas as sums over all nodes

Ruled out: shares of the limit in each node (TenantLimits): a tenant within its quota is refused where its requests meet few nodes, and the exchange of unused shares finds one peer in four per second. Asking the keeper before each request: exact, but a round trip in each request's way.

Change: TenantAccounts. A node admits at once and reports the cost to the tenant's account, whose keeper AccountKeepers determines as for servers' limits; an overdrawn account is told to all nodes by the way of DisseminationPeers, and these refuse with 429 and the time until the account is balanced.

--- a/src/cypresswall/admission/admission.h
+++ b/src/cypresswall/admission/admission.h
@@ -17,9 +17,17 @@
   configuration::Urgency urgency = configuration::Urgency::kNormal;
   /// Prompt tokens plus requested output tokens; zero for plain HTTP services.
   std::uint32_t tokens = 0;
+  /// Tokens by which the request counts towards the tenant's quota; zero if the caller named none.
+  std::uint32_t quota_tokens = 0;
 };
 
-enum class RefusalReason { kTenantRequestLimit, kTenantTokenLimit, kShedding, kDraining };
+enum class RefusalReason {
+  kTenantRequestLimit,
+  kTenantTokenLimit,
+  kTenantQuota,
+  kShedding,
+  kDraining
+};
 
 /// A refusal. It is returned at once; the refused request is not queued.
 struct Refusal {
--- a/src/cypresswall/admission/zone_admission_controller.cpp
+++ b/src/cypresswall/admission/zone_admission_controller.cpp
@@ -16,6 +16,8 @@
       return "tenant_requests";
     case RefusalReason::kTenantTokenLimit:
       return "tenant_tokens";
+    case RefusalReason::kTenantQuota:
+      return "tenant_quota";
     case RefusalReason::kShedding:
       return "shedding";
     case RefusalReason::kDraining:
@@ -65,9 +67,33 @@
     return refuse(RefusalReason::kShedding, load_.drainTime(model),
                   "requests of this urgency are shed while model " + model + " is overloaded");
   }
+  if (auto over_quota = chargeQuota(request)) {
+    return over_quota;
+  }
   return tenants_.take(request);
 }
 
+std::optional<Refusal> ZoneAdmissionController::chargeQuota(const AdmissionRequest& request) {
+  if (accounts_ == nullptr) {
+    return std::nullopt;
+  }
+  const auto fleet = configuration_.current();
+  const auto tenant = fleet->tenants.find(request.tenant);
+  if (tenant == fleet->tenants.end() || tenant->second.quota.rate <= 0) {
+    return std::nullopt;
+  }
+  const configuration::TenantQuota& quota = tenant->second.quota;
+  const double tokens =
+      request.quota_tokens > 0 ? request.quota_tokens : quota.tokens_of_plain_request;
+  const auto wait = accounts_->charge(request.tenant, {quota.rate, quota.burst},
+                                      quota.counts_tokens ? tokens : 1);
+  if (!wait) {
+    return std::nullopt;
+  }
+  return refuse(RefusalReason::kTenantQuota, *wait,
+                "tenant " + request.tenant + " has used up its quota");
+}
+
 bool ZoneAdmissionController::shouldShed(const AdmissionRequest& request,
                                          const common::ModelName& model) {
   const double admitted_share = load_.admittedShare(model, request.urgency);
@@ -76,8 +102,9 @@
 
 Refusal ZoneAdmissionController::refuse(RefusalReason reason, common::Duration retry_after,
                                         std::string message) {
-  const double jitter =
-      reason == RefusalReason::kShedding ? 1 + kRetryAfterJitter * process_.random.unit() : 1;
+  const double jitter = reason == RefusalReason::kShedding || reason == RefusalReason::kTenantQuota
+                            ? 1 + kRetryAfterJitter * process_.random.unit()
+                            : 1;
   const auto jittered = common::fromSeconds(common::toSeconds(retry_after) * jitter);
   Refusal refusal;
   refusal.reason = reason;
--- a/src/cypresswall/admission/zone_admission_controller.h
+++ b/src/cypresswall/admission/zone_admission_controller.h
@@ -7,11 +7,13 @@
 #include "cypresswall/admission/admission_settings.h"
 #include "cypresswall/admission/load_probe.h"
 #include "cypresswall/admission/tenant_limits.h"
+#include "cypresswall/fleet_limits/tenant_accounts.h"
 
 namespace cypresswall::admission {
 
 /// Refuses, in this order: all requests while the node drains; requests above the in-flight limit;
-/// requests to an overloaded model, lowest urgency first; requests above the tenant's share.
+/// requests to an overloaded model, lowest urgency first; requests above the tenant's quota or
+/// share.
 class ZoneAdmissionController final : public AdmissionController {
  public:
   ZoneAdmissionController(const api::ProcessContext& process,
@@ -21,12 +23,16 @@
 
   std::optional<Refusal> admit(const AdmissionRequest& request) override;
   void released(const AdmissionRequest& request) override;
+  /// Sets the accounts of tenants' quotas; without them, quotas are not enforced.
+  /// \pre `accounts` outlives this object
+  void setTenantAccounts(fleet_limits::TenantAccounts& accounts) { accounts_ = &accounts; }
   /// While draining, new requests are refused; running requests are not affected.
   void setDraining(bool draining) { draining_ = draining; }
   std::uint32_t inFlight() const { return in_flight_; }
 
  private:
   std::optional<Refusal> decide(const AdmissionRequest& request);
+  std::optional<Refusal> chargeQuota(const AdmissionRequest& request);
   bool shouldShed(const AdmissionRequest& request, const common::ModelName& model);
   Refusal refuse(RefusalReason reason, common::Duration retry_after, std::string message);
   /// \return the model of a service; the name itself if it is a model's name; empty for plain HTTP
@@ -39,6 +45,7 @@
   const LoadProbe& load_;
   const AdmissionSettings settings_;
   TenantLimits tenants_;
+  fleet_limits::TenantAccounts* accounts_ = nullptr;
   common::Counter& admitted_;
   common::Counter& in_flight_gauge_;
   std::uint32_t in_flight_ = 0;
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -21,12 +21,13 @@
 /// a newer node sends a message, or assigns work that depends on the message, only to nodes that
 /// handle the message.
 enum class MessageSet : std::uint8_t {
-  kFirst = 1,       ///< also assumed for builds that don't announce a set
-  kQuarantine = 2,  ///< adds the messages of `quarantine`
-  kUsage = 3,       ///< adds the messages of `duties`
-  kRateLimits = 4,  ///< adds the messages of `fleet_limits`
+  kFirst = 1,           ///< also assumed for builds that don't announce a set
+  kQuarantine = 2,      ///< adds the messages of `quarantine`
+  kUsage = 3,           ///< adds the messages of `duties`
+  kRateLimits = 4,      ///< adds the messages of `fleet_limits` on servers' limits
+  kTenantAccounts = 5,  ///< adds the messages of `fleet_limits` on tenants' limits
 };
-inline constexpr MessageSet kHandledMessages = MessageSet::kRateLimits;
+inline constexpr MessageSet kHandledMessages = MessageSet::kTenantAccounts;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -134,6 +134,17 @@
   std::string backend_pool;
 };
 
+/// Limit on a tenant's requests, kept as a sum over all nodes.
+struct TenantQuota {
+  /// Units per second; zero means no limit. A unit is a token or a request.
+  double rate = 0;
+  /// Units that the tenant may use at once after a pause.
+  double burst = 0;
+  bool counts_tokens = false;
+  /// Units that a request with unknown token counts uses if tokens are counted.
+  double tokens_of_plain_request = 0;
+};
+
 /// A tenant. Its rate limits apply to all nodes of a zone together; zero means no limit.
 struct TenantDeclaration {
   common::TenantName name;
@@ -145,6 +156,7 @@
   std::vector<std::string> further_api_keys = {};
   /// If set, overrides the urgency of the service that the tenant calls.
   std::optional<Urgency> urgency = {};
+  TenantQuota quota = {};
 };
 
 /// Policy by which the planner weighs goodput (the rate of answers delivered in time) against the
--- a/src/cypresswall/execution/model_executor.h
+++ b/src/cypresswall/execution/model_executor.h
@@ -24,6 +24,8 @@
   /// computed.
   common::RequestFingerprint fingerprint = 0;
   common::TenantName tenant;
+  /// Tokens by which the request counts towards the tenant's quota; zero if the caller named none.
+  std::uint32_t quota_tokens = 0;
   /// Urgency set for the tenant, which overrides the urgency of the service; empty if none is set.
   std::optional<configuration::Urgency> urgency;
   /// Called before each attempt; returns false once the caller's API key has been revoked. If no
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -65,6 +65,7 @@
   request.service = call_.service;
   request.urgency = target_.service.urgency;
   request.tokens = target_.shape.tokens + target_.maximum_tokens;
+  request.quota_tokens = call_.quota_tokens;
   const auto refusal = core_.admission.admit(request);
   if (refusal) {
     giveUp(errorKindOf(refusal->reason), refusal->message, refusal->retry_after);
--- a/src/cypresswall/execution/refusal_error.cpp
+++ b/src/cypresswall/execution/refusal_error.cpp
@@ -6,6 +6,7 @@
   switch (reason) {
     case admission::RefusalReason::kTenantRequestLimit:
     case admission::RefusalReason::kTenantTokenLimit:
+    case admission::RefusalReason::kTenantQuota:
       return ErrorKind::kTenantLimit;
     case admission::RefusalReason::kShedding:
       return ErrorKind::kOverloaded;
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -100,6 +100,7 @@
   admission::AdmissionRequest request;
   request.tenant = request_.tenant;
   request.service = request_.service;
+  request.quota_tokens = request_.quota_tokens;
   request.urgency = request_.urgency.value_or(service.urgency);
   const auto refusal = core_.interfaces.admission.admit(request);
   if (refusal) {
--- a/src/cypresswall/fleet_limits/account_keepers.cpp
+++ b/src/cypresswall/fleet_limits/account_keepers.cpp
@@ -17,10 +17,11 @@
 
 AccountKeepers::AccountKeepers(const AccountKeeperSettings& settings,
                                const api::ProcessContext& context,
-                               membership::MembershipView& membership)
+                               membership::MembershipView& membership, api::MessageSet messages)
     : settings_(settings),
       context_(context),
       membership_(membership),
+      messages_(messages),
       changed_at_(context.clock.now()) {
   membership.onChange([this] { membersChanged(); });
   membersChanged();
@@ -43,7 +44,7 @@
   std::vector<common::NodeId> nodes;
   for (const membership::Member& member : membership_.members()) {
     if (member.state == membership::MemberState::kAlive &&
-        membership_.handles(member.node, api::MessageSet::kRateLimits)) {
+        membership_.handles(member.node, messages_)) {
       nodes.push_back(member.node);
     }
   }
@@ -77,4 +78,8 @@
   return settled && !size_history_.seesMinority() ? 1.0 : kUnsettledShare;
 }
 
+double AccountKeepers::visibleShare() const {
+  return size_history_.seesMinority() ? size_history_.seenFraction() : 1.0;
+}
+
 }  // namespace cypresswall::fleet_limits
--- a/src/cypresswall/fleet_limits/account_keepers.h
+++ b/src/cypresswall/fleet_limits/account_keepers.h
@@ -32,7 +32,8 @@
 class AccountKeepers {
  public:
   AccountKeepers(const AccountKeeperSettings& settings, const api::ProcessContext& context,
-                 membership::MembershipView& membership);
+                 membership::MembershipView& membership,
+                 api::MessageSet messages = api::MessageSet::kRateLimits);
   AccountKeepers(const AccountKeepers&) = delete;
   AccountKeepers& operator=(const AccountKeepers&) = delete;
 
@@ -42,15 +43,19 @@
   common::NodeId keeperOf(const std::string& server);
   /// \return the fraction of a limit that this node may grant as the keeper, up to 1
   double share() const;
+  /// \return the fraction of a limit that this node may grant as the keeper if short-lived second
+  ///   keepers are acceptable: less than 1 only while this node sees a minority of the fleet
+  double visibleShare() const;
 
  private:
   void membersChanged();
-  /// \return the members that are alive and support the rate limit messages
+  /// \return the members that are alive and support the messages given to the constructor
   const std::vector<common::NodeId>& candidates();
 
   const AccountKeeperSettings settings_;
   const api::ProcessContext& context_;
   const membership::MembershipView& membership_;
+  const api::MessageSet messages_;
   OwnerLookup owner_lookup_;
   std::vector<common::NodeId> candidates_;
   /// True if the members have changed since `candidates_` was computed.
--- a/src/cypresswall/fleet_limits/fleet_size_history.h
+++ b/src/cypresswall/fleet_limits/fleet_size_history.h
@@ -19,6 +19,12 @@
   }
   /// \return true if the node sees at most half as many members as at the recent maximum
   bool seesMinority() const { return members_ * kMinorityDivisor <= maximum_.value(); }
+  /// \return the members that the node sees now as a fraction of the recent maximum; 1 if unknown
+  double seenFraction() const {
+    return maximum_.value() == 0
+               ? 1.0
+               : static_cast<double>(members_) / static_cast<double>(maximum_.value());
+  }
 
  private:
   /// The recent maximum covers the last one to two of these spans (see RecentMaximum).
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -46,6 +46,8 @@
       key_claims_(settings_.claims, context_,
                   idempotency::ClaimInterfaces{authority_, authority_, membership_, gossip_,
                                                configuration_view_}),
+      tenant_accounts_(settings_.tenant_accounts, settings_.membership.neighbours, context_,
+                       membership_),
       local_share_(settings_.local_share, context_, membership_),
       retries_(settings_.retries, context_, [this] { return local_share_.fraction(); }),
       quarantine_(settings_.quarantine, settings_.membership.neighbours, context_, membership_,
@@ -67,6 +69,7 @@
                               quarantine_, duties_, autoscaling_}),
       commands_(context_, configuration_, state_, declared_) {
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
+  admission_.setTenantAccounts(tenant_accounts_);
   engines_.setRateLimiter(rate_limits_);
   rate_limits_.setOwnerLookup([this](const std::string& server) {
     const routing::EngineSlot slot = engines_.table().slotOf(server);
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -18,6 +18,7 @@
 #include "cypresswall/fleet_limits/engine_rate_limits.h"
 #include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
+#include "cypresswall/fleet_limits/tenant_accounts.h"
 #include "cypresswall/idempotency/quorum_key_claims.h"
 #include "cypresswall/lease/store_lease.h"
 #include "cypresswall/lease/zone_authority.h"
@@ -125,6 +126,7 @@
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
   idempotency::QuorumKeyClaims key_claims_;
+  fleet_limits::TenantAccounts tenant_accounts_;
   fleet_limits::LocalShare local_share_;
   fleet_limits::RetryBudgets retries_;
   quarantine::FleetQuarantine quarantine_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -12,6 +12,7 @@
 #include "cypresswall/fleet_limits/engine_rate_limits.h"
 #include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
+#include "cypresswall/fleet_limits/tenant_accounts.h"
 #include "cypresswall/idempotency/claim_settings.h"
 #include "cypresswall/lease/lease_settings.h"
 #include "cypresswall/lease/store_lease.h"
@@ -54,6 +55,7 @@
   execution::ExecutionSettings execution;
   fleet_limits::RetryLimitSettings retries;
   fleet_limits::LocalShareSettings local_share;
+  fleet_limits::TenantAccountSettings tenant_accounts;
   fleet_limits::RateLimitSettings rate_limits;
   quarantine::QuarantineSettings quarantine;
   duties::DutySettings duties;
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -20,11 +20,12 @@
   key.default_text = "[]";
   key.meaning =
       "Regions of all nodes of the fleet; those of each region divide the same part of "
-      "retries.fleet_burst. Empty for one region.";
+      "retries.fleet_burst and of tenants' quotas. Empty for one region.";
   key.is_list = true;
   key.apply = [](DaemonSettings& settings, const RawValue& value) {
     const std::set<std::string> regions(value.items.begin(), value.items.end());
     settings.node.local_share.regions = std::max<std::size_t>(1, regions.size());
+    settings.node.tenant_accounts.regions = settings.node.local_share.regions;
   };
   return key;
 }
