Let the sample of engines grow with the load

Cause: a sample of a fixed size would refuse callers before idle engines once the load needs more than it has. The size to design for, 26,000 requests a second before 11,000 engines, needs nearly all.

Change: the node that plans roles announces, as a digest of its membership record, how many engines the load needs: four times those in use while the busiest role is utilised more than 0.4, half as many after a minute below 0.1.

--- a/src/cypresswall/membership/membership_view.h
+++ b/src/cypresswall/membership/membership_view.h
@@ -23,6 +23,9 @@
   kLinkMegabits = 3,
   /// The api::MessageSet that the node's build supports; absent if it is the first set.
   kMessageSet = 4,
+  /// Number of engines that the zone's load needs, according to the node that plans roles; absent
+  /// or zero if the load asks for no particular number.
+  kNeededEngines = 5,
 };
 
 enum class MemberState : std::uint8_t { kAlive, kSuspect, kLeaving, kDead };
--- a/src/cypresswall/orders/zone_controller.cpp
+++ b/src/cypresswall/orders/zone_controller.cpp
@@ -30,6 +30,7 @@
       directory_(directory),
       client_(client),
       configuration_(configuration),
+      membership_(membership),
       planner_(std::move(planner)),
       follower_(settings.drain, context, directory),
       drains_(settings.drain, context, membership, directory.groups(), follower_),
@@ -78,6 +79,8 @@
   active_ = held.has_value();
   if (!isPlanner()) {
     demand_.reset();
+    need_ = planning::EngineNeed();
+    announceNeed(0);
   } else if (!demand_) {
     demand_.emplace(settings_.demand, context_.clock.now());
   }
@@ -254,6 +257,7 @@
   input.expected_change_time = unavailable_time_;
   planning::Plan plan = planner_->plan(input);
   explanations_ = std::move(plan.explanations);
+  announceNeed(need_.update(explanations_, records.size(), planned_at_));
   if (!fleet->planning.automatic_roles) {
     plan.changes.clear();
   }
@@ -263,6 +267,15 @@
   return plan;
 }
 
+void ZoneController::announceNeed(std::size_t engines) {
+  if (std::exchange(announced_need_, engines) != engines) {
+    membership_.setDigest(membership::DigestTopic::kNeededEngines, engines);
+    common::LogEvent(context_.log, common::LogLevel::kInfo, "needed_engines_changed")
+        .field("zone", context_.zone)
+        .field("engines", engines);
+  }
+}
+
 void ZoneController::logPlan() const {
   for (const planning::ModelExplanation& model : explanations_) {
     common::LogEvent(context_.log, common::LogLevel::kInfo, "roles_planned")
--- a/src/cypresswall/orders/zone_controller.h
+++ b/src/cypresswall/orders/zone_controller.h
@@ -21,6 +21,7 @@
 #include "cypresswall/orders/settings.h"
 #include "cypresswall/planning/capacity_model.h"
 #include "cypresswall/planning/demand_estimator.h"
+#include "cypresswall/planning/engine_need.h"
 #include "cypresswall/planning/planner.h"
 #include "cypresswall/routing/engine_directory.h"
 
@@ -79,6 +80,8 @@
   planning::Plan makePlan(const std::vector<routing::EngineRecord>& records,
                           const Controls& controls, bool without_lease);
   void logPlan() const;
+  /// Tells the zone how many engines its load needs.
+  void announceNeed(std::size_t engines);
   void planRoles(const std::vector<routing::EngineRecord>& records);
   bool isChangeable(const routing::EngineRecord& record) const;
   bool withinUnavailableLimit(const common::ModelName& model,
@@ -94,6 +97,7 @@
   routing::EngineDirectory& directory_;
   engines::EngineClient& client_;
   configuration::ConfigurationView& configuration_;
+  membership::MembershipView& membership_;
   std::unique_ptr<planning::Planner> planner_;
   DrainFollower follower_;
   DrainTable drains_;
@@ -108,6 +112,9 @@
   common::MonotonicTime planned_at_{};
   common::MonotonicTime needed_at_{};
   std::vector<planning::ModelExplanation> explanations_;
+  planning::EngineNeed need_;
+  /// The number of engines announced last; zero if none.
+  std::size_t announced_need_ = 0;
   std::deque<ChangeRecord> ended_;
   /// Moving average of the duration of a completed change of role, from the start of the drain to
   /// its end; zero before the first such change.
