--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -86,8 +86,6 @@
   /// \pre `copy` outlives the object; each topic is followed once, before start()
   void follow(Topic topic, StoreCopy& copy);
   void start();
-  /// \return true if the zone is so small that readers announce to all nodes themselves
-  bool starTopology() const;
   /// \return true if this node reads the topic from the store for its zone
   bool isReader(Topic topic) const;
 
@@ -155,6 +153,8 @@
   void announce(Topic topic, TopicState& followed);
   /// \return true if a higher-ranked reader makes the regular announcements
   bool defersAnnouncing(const TopicState& followed) const;
+  /// \return true if the zone is so small that readers announce to all nodes themselves
+  bool starTopology() const;
   /// Sends an announcement to this node's children in the reader's broadcast tree; in a small zone,
   /// all other nodes are children of the reader.
   void fanOut(const Announcement& announcement);
