--- a/tests/objects_platform/engine_sample_test.cpp
+++ b/tests/objects_platform/engine_sample_test.cpp
@@ -89,7 +89,7 @@
     if (const auto watched = valueOf(target, "watch=")) {
       std::uint64_t revision = 0;
       std::from_chars(watched->data(), watched->data() + watched->size(), revision);
-      awaitChange(revision, std::move(answer), context_.clock.now() + seconds(1));
+      awaitChange(revision, answer, context_.clock.now() + seconds(1));
       return;
     }
     const std::string after = valueOf(target, "after=").value_or("");
@@ -114,7 +114,7 @@
     response.body = body;
     return response;
   }
-  void awaitChange(std::uint64_t revision, StoreAnswer answer, common::MonotonicTime until) {
+  void awaitChange(std::uint64_t revision, const StoreAnswer& answer, common::MonotonicTime until) {
     context_.scheduler.schedule(milliseconds(10), [=, this] {
       if (store_.changedSince(revision) || context_.clock.now() >= until) {
         answer(response(store_.eventsSince(revision)));
