Record what servers say about themselves in answers

What callers saw: requests still reached a back end that had said it leaves, and engines that had refused with 503 and Retry-After. The nodes' lines could not tell whether a node had read the field, read it in some answers only, or lost it.

Each client of engines and back ends now tells an observer what an answer of any kind announces, before the answer is delivered; AnnouncedAvailability keeps it by server and logs and counts it. Nothing acts on it yet. The emulated servers can announce both.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -23,7 +23,7 @@
   "planning"
   "configuration"
   "duties"
-  "lease fleet_limits quarantine"
+  "lease fleet_limits quarantine availability"
   "membership"
   "idempotency"
   "object_store engines services store_relay"
--- a/src/cypresswall/emulation/engine_settings.h
+++ b/src/cypresswall/emulation/engine_settings.h
@@ -86,6 +86,10 @@
   /// Limit on the requests per second of all nodes together that the engine advertises in its
   /// answers but does not enforce; none if not set.
   std::optional<double> rate_limit = {};
+  /// If true, the engine announces in all answers that it leaves. It goes on serving.
+  bool leaving = false;
+  /// Time without requests that a refused node is asked for; none if not set.
+  std::optional<common::Duration> pause = {};
 };
 
 }  // namespace cypresswall::emulation
--- a/src/cypresswall/emulation/service.cpp
+++ b/src/cypresswall/emulation/service.cpp
@@ -21,7 +21,9 @@
                              std::function<void(EmulatedServiceAnswer)> callback) {
   EmulatedServiceAnswer answer;
   answer.rate_limit = faults_.rate_limit;
-  if (consumeOne(faults_.refuse_next)) {
+  answer.leaving = faults_.leaving;
+  if (faults_.pause || consumeOne(faults_.refuse_next)) {
+    answer.pause = faults_.pause;
     answer.end = EmulatedServiceOutcome::kRefused;
     answer.status = 503;
     answer.body = R"({"error":"busy"})";
--- a/src/cypresswall/emulation/service.h
+++ b/src/cypresswall/emulation/service.h
@@ -25,6 +25,10 @@
   /// Limit on the requests per second of all nodes together that the service advertises in its
   /// responses but does not enforce; none if not set.
   std::optional<double> rate_limit = {};
+  /// If true, the service announces in all answers that it leaves. It goes on serving.
+  bool leaving = false;
+  /// If set, the service refuses all calls and asks for this time without requests.
+  std::optional<common::Duration> pause = {};
 };
 
 struct EmulatedServiceCall {
@@ -44,6 +48,9 @@
   std::string body;
   /// ServiceFaults::rate_limit at the time of the call.
   std::optional<double> rate_limit = {};
+  bool leaving = false;
+  /// Time without requests that a refusal asks for.
+  std::optional<common::Duration> pause = {};
 };
 
 /// Executions of all calls with the same request identifier and idempotency key.
--- a/src/cypresswall/engines/engine_client.h
+++ b/src/cypresswall/engines/engine_client.h
@@ -6,9 +6,11 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "cypresswall/common/rate_limit_notice.h"
 #include "cypresswall/common/result.h"
+#include "cypresswall/common/server_announcement.h"
 #include "cypresswall/engines/engine_types.h"
 
 namespace cypresswall::engines {
@@ -71,6 +73,22 @@
   /// Fetches the cache events with sequence numbers greater than `after`.
   virtual void fetchCacheEvents(const EngineEndpoint& engine, std::uint64_t after,
                                 EngineCallback<CacheEvents> callback) = 0;
+  /// Sets the function that is told what an engine announces in an answer of any kind: to a stream,
+  /// an order or a query, whatever its status. It is called before the answer is delivered.
+  void observeAnnouncements(common::AnnouncementObserver observer) {
+    announcement_observer_ = std::move(observer);
+  }
+
+ protected:
+  void announce(const common::EngineName& engine,
+                const common::ServerAnnouncement& announcement) const {
+    if (announcement_observer_) {
+      announcement_observer_(engine, announcement);
+    }
+  }
+
+ private:
+  common::AnnouncementObserver announcement_observer_;
 };
 
 }  // namespace cypresswall::engines
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/execution/backend_choice.h"
 #include "cypresswall/execution/backoff.h"
 #include "cypresswall/execution/refusal_error.h"
@@ -210,6 +211,7 @@
   const auto remaining = deadline_ - core_.process.clock.now();
   services::ServiceRequest call;
   call.request_id = request_.request_id;
+  call.server = nameOf(backend);
   call.attempt = ++attempt_;
   call.method = request_.method;
   call.target = request_.target;
@@ -230,6 +232,14 @@
       });
 }
 
+std::string ServiceRun::nameOf(const common::Address& backend) const {
+  const auto declared =
+      std::find_if(service_.backends.begin(), service_.backends.end(),
+                   [&backend](const auto& candidate) { return candidate.address == backend; });
+  return availability::backendName(
+      declared == service_.backends.end() ? std::string() : declared->machine, backend);
+}
+
 common::Duration ServiceRun::attemptTimeLimit(common::Duration remaining) const {
   const bool retry_possible = operation_.repeatable && service_.backends.size() > 1 &&
                               runs_ + 1 < maximumRuns() && retryBudget().available();
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -57,6 +57,8 @@
   /// \param exhausted back ends whose rate limit is exhausted
   void failWithoutBackend(const std::set<common::Address>& exhausted);
   void beginCall(const common::Address& backend);
+  /// \return the identity of a back end's present life (see AnnouncedAvailability)
+  std::string nameOf(const common::Address& backend) const;
   common::Duration attemptTimeLimit(common::Duration remaining) const;
   /// Passes the rate limit in the response, if there is one, to the rate limiter.
   void reportRateLimit(const services::ServiceResponse& response);
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -25,6 +25,7 @@
 Node::Node(NodeSettings settings, const api::ProcessContext& context, const NodeClients& clients)
     : settings_(withSharedZoneLimit(std::move(settings))),
       context_(context),
+      clients_(clients),
       membership_(settings_.membership, context_, clients.machine_list),
       gossip_(settings_.membership, context_, membership_),
       authority_(settings_.lease, context_, membership_, clients.object_store),
@@ -32,6 +33,7 @@
       configuration_(settings_.configuration, context_, membership_, gossip_, clients.object_store),
       declared_(clients.declared),
       configuration_view_(declared_ != nullptr ? *declared_ : configuration_),
+      announced_(settings_.announced, context_),
       engines_(settings_.directory, context_, clients.engines, configuration_view_, membership_),
       router_(makeRouter(settings_, context_, engines_)),
       rate_limits_(settings_.rate_limits, settings_.membership.neighbours, context_, membership_),
@@ -71,6 +73,12 @@
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   admission_.setTenantAccounts(tenant_accounts_);
   engines_.setRateLimiter(rate_limits_);
+  const auto record = [this](const std::string& server,
+                             const common::ServerAnnouncement& announcement) {
+    announced_.answered(server, announcement);
+  };
+  clients_.engines.observeAnnouncements(record);
+  clients_.services.observeAnnouncements(record);
   rate_limits_.setOwnerLookup([this](const std::string& server) {
     const routing::EngineSlot slot = engines_.table().slotOf(server);
     return slot == routing::kNoEngineSlot ? common::NodeId{}
@@ -83,7 +91,10 @@
   });
 }
 
-Node::~Node() = default;
+Node::~Node() {
+  clients_.engines.observeAnnouncements({});
+  clients_.services.observeAnnouncements({});
+}
 
 void Node::start() {
   membership_.start();
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -10,6 +10,7 @@
 #include "cypresswall/admission/zone_admission_controller.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/autoscaling/controller.h"
+#include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/configuration/configuration_replica.h"
 #include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/engines/engine_client.h"
@@ -106,6 +107,7 @@
 
   NodeSettings settings_;
   api::ProcessContext context_;
+  NodeClients clients_;
   membership::Membership membership_;
   membership::ZoneGossip gossip_;
   /// Lease of the zone that a quorum of its nodes grants. Not started if the lease for orders is in
@@ -116,6 +118,7 @@
   configuration::ConfigurationReplica configuration_;
   configuration::ConfigurationView* declared_;
   configuration::ConfigurationView& configuration_view_;
+  availability::AnnouncedAvailability announced_;
   routing::EngineDirectory engines_;
   std::unique_ptr<routing::Router> router_;
   fleet_limits::EngineRateLimits rate_limits_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -6,6 +6,7 @@
 
 #include "cypresswall/admission/admission_settings.h"
 #include "cypresswall/autoscaling/settings.h"
+#include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/execution/execution_settings.h"
@@ -62,6 +63,7 @@
   std::size_t backends_per_node = 16;
   fleet_limits::TenantAccountSettings tenant_accounts;
   fleet_limits::RateLimitSettings rate_limits;
+  availability::AnnouncedAvailabilitySettings announced;
   quarantine::QuarantineSettings quarantine;
   duties::DutySettings duties;
   autoscaling::AutoscalingSettings autoscaling;
--- a/src/cypresswall/services/service_client.h
+++ b/src/cypresswall/services/service_client.h
@@ -13,6 +13,7 @@
 #include "cypresswall/common/header_field.h"
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/rate_limit_notice.h"
+#include "cypresswall/common/server_announcement.h"
 #include "cypresswall/common/time.h"
 
 namespace cypresswall::services {
@@ -22,6 +23,8 @@
 /// One attempt at a service request.
 struct ServiceRequest {
   std::string request_id;
+  /// Identity of the back end's present life, under which its announcements are reported.
+  std::string server;
   std::uint32_t attempt = 1;
   std::string method;
   /// Path with query, beginning with a slash.
@@ -64,6 +67,21 @@
   ///   object is destroyed first
   virtual std::unique_ptr<ServiceCall> call(const common::Address& address, ServiceRequest request,
                                             std::function<void(ServiceResponse)> callback) = 0;
+  /// Sets the function that is told what a back end announces in an answer, whatever its status. It
+  /// is called before the answer is delivered.
+  void observeAnnouncements(common::AnnouncementObserver observer) {
+    announcement_observer_ = std::move(observer);
+  }
+
+ protected:
+  void announce(const std::string& server, const common::ServerAnnouncement& announcement) const {
+    if (announcement_observer_) {
+      announcement_observer_(server, announcement);
+    }
+  }
+
+ private:
+  common::AnnouncementObserver announcement_observer_;
 };
 
 }  // namespace cypresswall::services
--- a/src/cypresswall/simulation/simulated_engines.cpp
+++ b/src/cypresswall/simulation/simulated_engines.cpp
@@ -62,8 +62,10 @@
     const engines::EngineEndpoint& engine, engines::StreamRequest request,
     engines::StreamHandler& handler) {
   const ExternalPath path(simulation_, process_, engines_.endpointOf(engine.address));
-  return SimulatedStream::start(path, engines_, engine.address, std::move(request), handler,
-                                settings_.break_detection_time);
+  return SimulatedStream::start(
+      path, engines_, engine.address, std::move(request), handler,
+      [this, name = engine.name](const auto& announcement) { announce(name, announcement); },
+      settings_.break_detection_time);
 }
 
 template <typename Answer, typename Question>
@@ -76,8 +78,11 @@
     emulation::EmulatedEngine* found = engines.find(address);
     reply(found == nullptr ? std::nullopt : question(*found));
   };
-  auto done = [callback = std::move(callback)](CallResult result, std::optional<Answer> answer) {
+  auto done = [this, engine, callback = std::move(callback)](CallResult result,
+                                                             std::optional<Answer> answer) {
     if (result == CallResult::kAnswered) {
+      const emulation::EmulatedEngine* const found = engines_.find(engine.address);
+      announce(engine.name, {found != nullptr && found->faults().leaving, {}});
       callback(std::move(*answer));
       return;
     }
--- a/src/cypresswall/simulation/simulated_engines.h
+++ b/src/cypresswall/simulation/simulated_engines.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cypresswall/emulation/engine.h"
 #include "cypresswall/engines/engine_client.h"
@@ -44,6 +46,17 @@
   void retain(const std::shared_ptr<void>& connection) { retained_[connection.get()] = connection; }
   void release(const void* connection) { retained_.erase(connection); }
 
+  /// Records that a stream request of a node reached an engine.
+  void arrived(const common::Address& address, const common::NodeId& sender) {
+    arrivals_[address].emplace_back(simulation_.time().now(), sender);
+  }
+  /// \return times at which stream requests reached the engine, and the nodes that sent them,
+  ///   including refused ones
+  const std::vector<std::pair<common::MonotonicTime, common::NodeId>>& arrivals(
+      const common::Address& address) {
+    return arrivals_[address];
+  }
+
   EngineCallFaults faults;
 
  private:
@@ -63,6 +76,8 @@
   emulation::WeightSource* weights_;
   KvDirectory kv_peer_{*this};
   std::map<common::Address, common::ZoneName> zones_;
+  std::map<common::Address, std::vector<std::pair<common::MonotonicTime, common::NodeId>>>
+      arrivals_;
   /// Connections kept alive by retain(). Declared before the engines, which reference the
   /// connections, and so destroyed after them.
   std::map<const void*, std::shared_ptr<void>> retained_;
--- a/src/cypresswall/simulation/simulated_services.cpp
+++ b/src/cypresswall/simulation/simulated_services.cpp
@@ -115,17 +115,22 @@
     std::function<void(services::ServiceResponse)> callback) {
   using Answer = emulation::EmulatedServiceAnswer;
   auto call = std::make_unique<AbandonableCall>(std::move(callback));
-  auto effect = [&services = services_, address, request](ExternalCall<Answer>::Reply reply) {
+  auto effect = [&services = services_, address, request,
+                 sender = process_.id()](ExternalCall<Answer>::Reply reply) {
     emulation::EmulatedService* service = services.find(address);
     if (service == nullptr) {
       reply(std::nullopt);
       return;
     }
-    services.arrived(address);
+    services.arrived(address, sender);
     service->handle(emulatedCall(request),
                     [reply = std::move(reply)](Answer answer) { reply(std::move(answer)); });
   };
-  auto done = [kept = call->callback()](CallResult result, std::optional<Answer> answer) {
+  auto done = [this, server = request.server, kept = call->callback()](
+                  CallResult result, std::optional<Answer> answer) {
+    if (result == CallResult::kAnswered && *kept) {
+      announce(server, {answer->leaving, answer->pause});
+    }
     // The callback may destroy the call, and with it the stored callback while that is running.
     // Therefore the callback is moved out before it is called.
     const auto run = std::exchange(*kept, nullptr);
--- a/src/cypresswall/simulation/simulated_services.h
+++ b/src/cypresswall/simulation/simulated_services.h
@@ -31,14 +31,19 @@
   const std::map<common::Address, std::unique_ptr<emulation::EmulatedService>>& all() const {
     return services_;
   }
-  /// Records that a call reached a back end.
-  void arrived(const common::Address& address) {
+  /// Records that a call of a node reached a back end.
+  void arrived(const common::Address& address, const common::NodeId& sender) {
     arrivals_[address].push_back(simulation_.time().now());
+    senders_[address].push_back(sender);
   }
   /// \return times at which calls reached the back end, including refused and broken ones
   const std::vector<common::MonotonicTime>& arrivals(const common::Address& address) {
     return arrivals_[address];
   }
+  /// \return the nodes that made the calls, in the order of arrivals()
+  const std::vector<common::NodeId>& senders(const common::Address& address) {
+    return senders_[address];
+  }
 
   CallFaults faults;
 
@@ -46,6 +51,7 @@
   Simulation& simulation_;
   std::map<common::Address, common::ZoneName> zones_;
   std::map<common::Address, std::vector<common::MonotonicTime>> arrivals_;
+  std::map<common::Address, std::vector<common::NodeId>> senders_;
   std::map<common::Address, std::unique_ptr<emulation::EmulatedService>> services_;
 };
 
--- a/src/cypresswall/simulation/simulated_stream.cpp
+++ b/src/cypresswall/simulation/simulated_stream.cpp
@@ -20,7 +20,7 @@
  public:
   Connection(const ExternalPath& path, SimulatedEngines& engines, common::Address address,
              engines::StreamRequest request, engines::StreamHandler& handler,
-             common::Duration break_detection_time)
+             AnnouncementReporter announce, common::Duration break_detection_time)
       : path_(path),
         engines_(engines),
         address_(std::move(address)),
@@ -28,6 +28,7 @@
         attempt_(request.attempt),
         request_(std::move(request)),
         handler_(&handler),
+        announce_(std::move(announce)),
         break_detection_time_(break_detection_time) {}
 
   void connect() {
@@ -93,13 +94,16 @@
     // The engine holds only a non-owning reference to this object, its observer.
     engines_.retain(shared_from_this());
     engine_side_ended_ = false;
+    engines_.arrived(address_, path_.process().id());
     const bool pass_through = request_.pass_through != nullptr;
     const auto start = engine->startStream(std::move(request_), *this);
     if (start.result != emulation::StartResult::kUnreachable) {
       rate_limit_ = common::namedRateLimit(engine->faults().rate_limit);
+      announcement_.leaving = engine->faults().leaving;
     }
     if (start.result != emulation::StartResult::kStarted) {
       endEngineSide();
+      announcement_.pause = engine->faults().pause;
       fail(start.result == emulation::StartResult::kRefused ? engines::StreamFailure::kRefused
                                                             : engines::StreamFailure::kNotSent);
       return;
@@ -214,6 +218,9 @@
     engines::StreamHandler& handler = *handler_;
     const bool answered =
         event.kind != Event::Kind::kFailed || event.failure == engines::StreamFailure::kRefused;
+    if (answered && !std::exchange(announced_, true)) {
+      announce_(announcement_);
+    }
     if (answered && rate_limit_) {
       handler.onRateLimit(attempt_, *std::exchange(rate_limit_, std::nullopt));
     }
@@ -243,11 +250,15 @@
   engines::StreamRequest request_;
   /// Null after the process has closed its side or received the final call.
   engines::StreamHandler* handler_;
+  AnnouncementReporter announce_;
   common::Duration break_detection_time_;
   std::deque<Event> incoming_;
   /// Rate limit that the engine advertises in its response; reset when the first event has been
   /// delivered.
   std::optional<common::RateLimitNotice> rate_limit_;
+  /// What the engine announces in its answer; reported with the first event.
+  common::ServerAnnouncement announcement_;
+  bool announced_ = false;
   bool engine_side_ended_ = true;
   bool closed_ = false;
   bool broken_ = false;
@@ -262,14 +273,13 @@
 
 SimulatedStream::~SimulatedStream() { connection_->close(); }
 
-std::unique_ptr<SimulatedStream> SimulatedStream::start(const ExternalPath& path,
-                                                        SimulatedEngines& engines,
-                                                        const common::Address& address,
-                                                        engines::StreamRequest request,
-                                                        engines::StreamHandler& handler,
-                                                        common::Duration break_detection_time) {
-  return std::unique_ptr<SimulatedStream>(new SimulatedStream(std::make_shared<Connection>(
-      path, engines, address, std::move(request), handler, break_detection_time)));
+std::unique_ptr<SimulatedStream> SimulatedStream::start(
+    const ExternalPath& path, SimulatedEngines& engines, const common::Address& address,
+    engines::StreamRequest request, engines::StreamHandler& handler, AnnouncementReporter announce,
+    common::Duration break_detection_time) {
+  return std::unique_ptr<SimulatedStream>(new SimulatedStream(
+      std::make_shared<Connection>(path, engines, address, std::move(request), handler,
+                                   std::move(announce), break_detection_time)));
 }
 
 void SimulatedStream::pause() { connection_->pauseReading(); }
