Send nothing to a server that has said in an answer that it leaves

What callers saw: requests 2 to 3.5 s after a node had passed on an answer with Server-Leaving still went to that back end, and were cut when it ended. Only the store tells that a server leaves, and while the store is away nothing does. Ruled out: notice of some answers only (all kinds of requests went on, at engines and back ends), requests placed before (the cases were sent by their clients after the answer).

What a server said to this node now decides for this node: an engine counts as leaving (EngineTable), a plain back end is not chosen. The knowledge is kept by the name of one life of the server, apart from the table of declared engines, so neither a lost store nor an older entry takes it back. The check stands where a request leaves the node: also after a permit or a place was awaited, before a decode engine gets a computed prompt, and at repeats. Owners that choose for others are asked again with all servers excluded that they may not know of.

--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -158,11 +158,20 @@
 }
 
 void ModelRequest::beginAttempt() {
-  if (route_->prefill_engine) {
-    beginStream(*route_->prefill_engine, engines::StreamPhase::kPrefillOnly);
-  } else {
-    beginStream(route_->engine, engines::StreamPhase::kWhole);
+  sendIfTaken(route_->prefill_engine ? engines::StreamPhase::kPrefillOnly
+                                     : engines::StreamPhase::kWhole);
+}
+
+/// Checks the engine again, because time has passed since it was chosen: for the permit of another
+/// node, or for seconds while another engine computed the prompt.
+void ModelRequest::sendIfTaken(engines::StreamPhase phase) {
+  phase_ = phase;
+  const engines::EngineEndpoint engine = attemptedEngine();
+  if (core_.router.takesWork(engine)) {
+    beginStream(engine, phase);
+    return;
   }
+  onAttemptLost(engines::StreamFailure::kNotTried, "the engine takes no new work any more");
 }
 
 std::uint32_t ModelRequest::repeatsForRoute() const {
@@ -272,8 +281,8 @@
   scheduleStep(common::Duration{0}, [this] { beginDecode(); });
 }
 
-/// Repeats the checks of the deadline, the permission and the decode engine, because computing the
-/// prompt may have taken seconds. The decode engine may have started draining in that time.
+/// Repeats the checks of the deadline and the permission, because computing the prompt may have
+/// taken seconds.
 void ModelRequest::beginDecode() {
   if (deadlinePassed()) {
     onDeadline();
@@ -282,12 +291,7 @@
   if (!checkPermitted()) {
     return;
   }
-  phase_ = engines::StreamPhase::kDecodeOnly;
-  if (core_.router.takesWork(route_->engine)) {
-    beginStream(route_->engine, engines::StreamPhase::kDecodeOnly);
-    return;
-  }
-  onAttemptLost(engines::StreamFailure::kNotTried, "the engine takes no new work any more");
+  sendIfTaken(engines::StreamPhase::kDecodeOnly);
 }
 
 void ModelRequest::onAttemptFailed(engines::StreamFailure failure, const std::string& message) {
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -65,6 +65,8 @@
   /// \return the total number of repeats of the request (see RepeatCounter) once it has been sent
   ///   to the engine or engines of the chosen route
   std::uint32_t repeatsForRoute() const;
+  /// Begins the stream of a phase unless its engine takes no new work any more.
+  void sendIfTaken(engines::StreamPhase phase);
   void beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase);
   void handOverToDecode();
   void beginDecode();
--- a/src/cypresswall/execution/service_execution_core.h
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -8,6 +8,7 @@
 
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/duties/usage_recorder.h"
 #include "cypresswall/execution/deferred_destruction.h"
@@ -35,6 +36,7 @@
   fleet_limits::RateLimiter& rate_limiter;
   quarantine::RequestQuarantine& quarantine;
   duties::UsageRecorder& usage;
+  const availability::AnnouncedAvailability& announced;
 };
 
 /// Counters of service requests.
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -145,6 +145,11 @@
   const auto choose = [&] {
     std::set<common::Address> skipped = excluded_;
     skipped.insert(exhausted.begin(), exhausted.end());
+    for (const auto& backend : service_.backends) {
+      if (!acceptsCalls(backend.address)) {
+        skipped.insert(backend.address);
+      }
+    }
     return chooseBackend(service_, *fleet, core_.interfaces.membership, skipped,
                          core_.process.random);
   };
@@ -185,7 +190,7 @@
         // If the rate limiter had to ask another node, the caller may have disconnected or the
         // deadline may have passed in the meantime.
         const bool immediate = self->core_.process.clock.now() == asked_at;
-        if (!granted) {
+        if (!granted || !self->acceptsCalls(backend)) {
           self->onPermitRefused(backend);
         } else if (immediate || self->checkSendable()) {
           self->beginCall(backend);
@@ -240,6 +245,10 @@
       declared == service_.backends.end() ? std::string() : declared->machine, backend);
 }
 
+bool ServiceRun::acceptsCalls(const common::Address& backend) const {
+  return !core_.interfaces.announced.leaving(nameOf(backend));
+}
+
 common::Duration ServiceRun::attemptTimeLimit(common::Duration remaining) const {
   const bool retry_possible = operation_.repeatable && service_.backends.size() > 1 &&
                               runs_ + 1 < maximumRuns() && retryBudget().available();
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -45,13 +45,14 @@
   /// passed, or if checkPermitted() fails.
   /// \return false if the request was ended
   bool checkSendable();
+  /// Chooses among the back ends that accept calls.
   /// \param exhausted back ends that must not be chosen because their rate limit is exhausted
   std::optional<common::Address> nextBackend(const std::set<common::Address>& exhausted);
   /// Asks the rate limiter for a permit to send one request to the back end, and sends the request
   /// once the permit is granted.
   void acquirePermit(const common::Address& backend);
   /// Schedules an attempt at another back end, because the rate limiter refused a permit for this
-  /// one.
+  /// one, or because this one accepts no more calls.
   void onPermitRefused(const common::Address& backend);
   /// Ends the request with an error because no back end is eligible.
   /// \param exhausted back ends whose rate limit is exhausted
@@ -59,6 +60,8 @@
   void beginCall(const common::Address& backend);
   /// \return the identity of a back end's present life (see AnnouncedAvailability)
   std::string nameOf(const common::Address& backend) const;
+  /// \return false if the back end has said in an answer to this node that it takes no more calls
+  bool acceptsCalls(const common::Address& backend) const;
   common::Duration attemptTimeLimit(common::Duration remaining) const;
   /// Passes the rate limit in the response, if there is one, to the rate limiter.
   void reportRateLimit(const services::ServiceResponse& response);
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -60,11 +60,12 @@
                    [this] { return controller_.demand(); }),
       model_executor_(context_, configuration_view_, admission_, observed_router_, clients.engines,
                       retries_, rate_limits_, quarantine_, duties_.usage(), settings_.execution),
-      service_executor_(context_,
-                        execution::ServiceInterfaces{configuration_view_, membership_, admission_,
-                                                     clients.services, key_claims_, retries_,
-                                                     rate_limits_, quarantine_, duties_.usage()},
-                        settings_.execution),
+      service_executor_(
+          context_,
+          execution::ServiceInterfaces{configuration_view_, membership_, admission_,
+                                       clients.services, key_claims_, retries_, rate_limits_,
+                                       quarantine_, duties_.usage(), announced_},
+          settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, controller_, model_executor_.journal(),
                               service_executor_.journal(), retries_, local_share_, rate_limits_,
@@ -73,6 +74,7 @@
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   admission_.setTenantAccounts(tenant_accounts_);
   engines_.setRateLimiter(rate_limits_);
+  engines_.setAnnounced(announced_);
   const auto record = [this](const std::string& server,
                              const common::ServerAnnouncement& announcement) {
     announced_.answered(server, announcement);
--- a/src/cypresswall/orders/zone_controller.cpp
+++ b/src/cypresswall/orders/zone_controller.cpp
@@ -217,10 +217,11 @@
   if (control.phase() != ControlPhase::kDraining) {
     return;
   }
-  // If an operator drains the engine or its machine is leaving, the change is withdrawn before an
-  // order is sent to the engine.
+  // If an operator drains the engine, or the engine or its machine is leaving, the change is
+  // withdrawn before an order is sent to the engine.
   const bool withdrawn = record.availability == routing::EngineAvailability::kDrainedByOperator ||
-                         record.availability == routing::EngineAvailability::kMachineLeaving;
+                         record.availability == routing::EngineAvailability::kMachineLeaving ||
+                         record.availability == routing::EngineAvailability::kLeaving;
   const auto& content = control.change().change.content;
   const auto fleet = configuration_.current();
   const auto declared = declaredChange(*fleet, record);
--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -144,6 +144,18 @@
   context_.scheduler.schedule(settings_.poll_period, [this] { sweep(); });
 }
 
+void EngineDirectory::setAnnounced(availability::AnnouncedAvailability& announced) {
+  announced_ = &announced;
+  table_.setAnnounced(announced);
+  announced.onChange([this](const std::string& server) {
+    table_.announcementChanged(server, context_.clock.now());
+  });
+}
+
+std::vector<std::string> EngineDirectory::unavailableByAnnouncement() const {
+  return announced_ == nullptr ? std::vector<std::string>{} : announced_->unavailable();
+}
+
 void EngineDirectory::setDraining(const std::set<common::EngineName>& engines) {
   table_.setDraining(engines, context_.clock.now());
 }
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/fleet_limits/rate_limiter.h"
@@ -59,6 +60,10 @@
   /// a rate limit.
   void setRateLimiter(fleet_limits::RateLimiter& limiter) { rate_limiter_ = &limiter; }
   fleet_limits::RateLimiter* rateLimiter() const { return rate_limiter_; }
+  /// Sets what engines have said about themselves in answers to this node; without it, nothing.
+  void setAnnounced(availability::AnnouncedAvailability& announced);
+  /// \return the servers that may get nothing from this node, by what they have announced to it
+  std::vector<std::string> unavailableByAnnouncement() const;
   /// Demand for each model at this node.
   planning::DemandCounter& demand() { return demand_; }
   EngineTable& table() { return table_; }
@@ -95,6 +100,7 @@
   EngineEjection ejection_;
   EnginePoller poller_;
   fleet_limits::RateLimiter* rate_limiter_ = nullptr;
+  const availability::AnnouncedAvailability* announced_ = nullptr;
   /// Engines that another node has taken over, with the time until which this node keeps watching
   /// them.
   std::map<EngineSlot, common::MonotonicTime> handed_over_;
--- a/src/cypresswall/routing/engine_record.cpp
+++ b/src/cypresswall/routing/engine_record.cpp
@@ -24,6 +24,8 @@
       return "drained-by-operator";
     case EngineAvailability::kMachineLeaving:
       return "machine-leaving";
+    case EngineAvailability::kLeaving:
+      return "leaving";
   }
   return "unknown";
 }
--- a/src/cypresswall/routing/engine_record.h
+++ b/src/cypresswall/routing/engine_record.h
@@ -21,6 +21,7 @@
   kDraining,           ///< the zone's controller drains it for a planned change
   kDrainedByOperator,  ///< an operator drained it or its machine
   kMachineLeaving,     ///< the machine list shows its machine as leaving or gone
+  kLeaving,            ///< the engine said in an answer to this node that it leaves
 };
 
 /// \return a name for tables and logs, such as "available" or "machine-leaving".
--- a/src/cypresswall/routing/engine_table.cpp
+++ b/src/cypresswall/routing/engine_table.cpp
@@ -70,7 +70,19 @@
 
 bool EngineTable::isLeaving(EngineSlot slot) const {
   const Entry& entry = entries_[slot];
-  return entry.machine_leaving || entry.drained_by_operator || entry.record.draining;
+  return entry.machine_leaving || entry.drained_by_operator || entry.record.draining ||
+         saidItLeaves(entry);
+}
+
+bool EngineTable::saidItLeaves(const Entry& entry) const {
+  return announced_ != nullptr && announced_->leaving(entry.record.declaration.name);
+}
+
+void EngineTable::announcementChanged(const common::EngineName& engine, common::MonotonicTime now) {
+  const EngineSlot slot = slotOf(engine);
+  if (slot != kNoEngineSlot) {
+    refresh(slot, now);
+  }
 }
 
 void EngineTable::applyOperatorDrains(const configuration::FleetConfiguration& fleet) {
@@ -171,6 +183,9 @@
   if (entry.machine_leaving) {
     return EngineAvailability::kMachineLeaving;
   }
+  if (saidItLeaves(entry)) {
+    return EngineAvailability::kLeaving;
+  }
   if (entry.drained_by_operator) {
     return EngineAvailability::kDrainedByOperator;
   }
--- a/src/cypresswall/routing/engine_table.h
+++ b/src/cypresswall/routing/engine_table.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/routing/engine_record.h"
 #include "cypresswall/routing/prefix_index.h"
 #include "cypresswall/routing/settings.h"
@@ -47,8 +48,14 @@
   void eject(EngineSlot slot, common::MonotonicTime until, common::MonotonicTime now);
   /// \return the end of the engine's last ejection; the clock's epoch if it was never ejected.
   common::MonotonicTime ejectedUntil(EngineSlot slot) const { return entries_[slot].ejected_until; }
-  /// \return true if the engine must receive no new work whatever its load: its machine is leaving,
-  ///   or an operator or the zone's controller drains the engine.
+  /// Sets what engines have said about themselves in answers to this node; without it, nothing.
+  void setAnnounced(const availability::AnnouncedAvailability& announced) {
+    announced_ = &announced;
+  }
+  /// Re-evaluates the availability of an engine after its announcements have changed.
+  void announcementChanged(const common::EngineName& engine, common::MonotonicTime now);
+  /// \return true if the engine must receive no new work whatever its load: it or its machine is
+  ///   leaving, or an operator or the zone's controller drains the engine.
   bool isLeaving(EngineSlot slot) const;
   void setReachable(EngineSlot slot, bool reachable, common::MonotonicTime now);
   void setWatched(EngineSlot slot, bool watched) { entries_[slot].record.watched_here = watched; }
@@ -81,6 +88,8 @@
   };
 
   EngineSlot takeSlot();
+  /// \return true if the engine said in an answer to this node that it leaves
+  bool saidItLeaves(const Entry& entry) const;
   void applyOperatorDrains(const configuration::FleetConfiguration& fleet);
   EngineAvailability evaluateAvailability(const Entry& entry, common::MonotonicTime now) const;
   /// Recomputes availability; invalidates cached candidate lists if it changed.
@@ -91,6 +100,7 @@
                                          const std::string& adapter) const;
 
   DirectorySettings settings_;
+  const availability::AnnouncedAvailability* announced_ = nullptr;
   std::vector<Entry> entries_;
   std::vector<EngineSlot> roster_;
   std::vector<common::EngineName> names_;
--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -185,7 +185,7 @@
   if (!usable(route)) {
     unusable_.add();
     sendProgress(sender, answer.stream_id, AttemptStep::kEnded);
-    pending.request.excluded.push_back(route.engine.name);
+    excludeUnusable(pending.request, route);
     pending.candidates.push_front(pending.asked);
     tryNextOwner(answer.stream_id);
     return;
@@ -227,6 +227,18 @@
          (!route.prefix_source || known(*route.prefix_source));
 }
 
+void PlacementRouter::excludeUnusable(RouteRequest& request, const Route& route) const {
+  for (const common::EngineName& name : directory_.unavailableByAnnouncement()) {
+    request.excluded.push_back(name);
+  }
+  if (route.prefill_engine && !takesWork(*route.prefill_engine)) {
+    request.excluded.push_back(route.prefill_engine->name);
+  }
+  if (!route.prefill_engine || !takesWork(route.engine)) {
+    request.excluded.push_back(route.engine.name);
+  }
+}
+
 bool PlacementRouter::takesWork(const engines::EngineEndpoint& engine) const {
   const EngineSlot slot = directory_.table().slotOf(engine.name);
   if (slot == kNoEngineSlot) {
--- a/src/cypresswall/routing/placement_router.h
+++ b/src/cypresswall/routing/placement_router.h
@@ -84,6 +84,9 @@
   void releaseUnlessInUse(const common::NodeId& owner, const std::string& stream_id);
   /// \return true if the engines of the route are known here and may get work
   bool usable(const Route& route) const;
+  /// Excludes the engines for which an owner's choice could not be used, and those that the owner
+  /// may choose next since it does not know what they announced to this node.
+  void excludeUnusable(RouteRequest& request, const Route& route) const;
   bool known(const engines::EngineEndpoint& engine) const;
   void sendProgress(const common::NodeId& owner, const std::string& stream_id, AttemptStep step);
   void finish(const std::string& stream_id, RouteChoice choice);
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -24,7 +24,7 @@
                    const fleet_limits::RetryLimitSettings& retry_limits = {})
       : retries(retry_limits, process.context, [] { return 1.0; }),
         interfaces{configuration, membership,   admission,  client, claims,
-                   retries,       rate_limiter, quarantine, usage},
+                   retries,       rate_limiter, quarantine, usage,  announced},
         first(process.context, interfaces, settings),
         second(process.context, interfaces, settings) {
     auto& service = configuration.fleet.http_services["booking"];
@@ -90,6 +90,7 @@
   testing::FakeRateLimiter rate_limiter;
   testing::FakeQuarantine quarantine;
   testing::FakeUsage usage;
+  availability::AnnouncedAvailability announced{{}, process.context};
   ServiceInterfaces interfaces;
   HttpServiceExecutor first;
   HttpServiceExecutor second;
