Send nothing to a server before the pause that it asked for is over

What callers saw: prefill engines that shed load answered 503 with Retry-After, and got 20 to 53 further requests a second, each of which was refused and had to go elsewhere. Cause: Retry-After of an engine's refusal was dropped with the attempt; only the refused request avoided the engine. Ruled out: a pause kept too short (none was kept: requests came in its first second).

Paused engines are no candidates, paused back ends are not chosen, and their load and caches are not queried unless the last report grows old. If all servers pause, callers are refused at once with the earliest end. Planners count a paused engine as present, since the pause is shorter than a change of roles.

--- a/src/cypresswall/execution/service_headers.cpp
+++ b/src/cypresswall/execution/service_headers.cpp
@@ -1,9 +1,9 @@
 #include "cypresswall/execution/service_headers.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 #include "cypresswall/common/header_names.h"
+#include "cypresswall/common/server_announcement.h"
 
 namespace cypresswall::execution {
 namespace {
@@ -11,8 +11,6 @@
 constexpr const char* kRequestIdHeader = "X-Request-Id";
 constexpr const char* kIdempotencyKeyHeader = "Idempotency-Key";
 constexpr const char* kRetryAfterHeader = "Retry-After";
-/// Upper bound, in seconds, applied to the time in a back end's Retry-After header.
-constexpr long kMaximumRetrySeconds = 3600;
 
 }  // namespace
 
@@ -37,9 +35,7 @@
 common::Duration retryAfterOf(const services::ServiceResponse& response, common::Duration minimum) {
   for (const auto& header : response.headers) {
     if (common::sameHeaderName(header.name, kRetryAfterHeader)) {
-      const auto seconds =
-          std::min(std::strtol(header.value.c_str(), nullptr, 10), kMaximumRetrySeconds);
-      return std::max<common::Duration>(std::chrono::seconds(seconds), minimum);
+      return std::max(common::parseRetryAfter(header.value).value_or(minimum), minimum);
     }
   }
   return minimum;
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -22,6 +22,8 @@
 /// If a retry is possible, the time limit of an attempt is the request's remaining time divided by
 /// this number, so that time is left for the retry.
 constexpr int kAttemptsPerRemainingTime = 2;
+/// Retry-After is extended at random by up to this share, so that callers don't retry in lockstep.
+constexpr double kRetryJitter = 0.25;
 
 std::string resultOf(const services::ServiceResponse& response) {
   if (response.outcome == services::ServiceOutcome::kAnswered) {
@@ -168,6 +170,11 @@
       limited.push_back(backend.address);
     }
   }
+  if (const auto pause = timeUntilPauseEnds(); pause && limited.empty()) {
+    fail(ErrorKind::kOverloaded, "back ends of " + request_.service + " want no requests for now",
+         *pause);
+    return;
+  }
   if (limited.empty()) {
     fail(ErrorKind::kNoBackend, "no back end of " + request_.service + " can take the request",
          core_.settings.default_retry_after);
@@ -246,7 +253,25 @@
 }
 
 bool ServiceRun::acceptsCalls(const common::Address& backend) const {
-  return !core_.interfaces.announced.leaving(nameOf(backend));
+  return core_.interfaces.announced.acceptsRequests(nameOf(backend));
+}
+
+std::optional<common::Duration> ServiceRun::timeUntilPauseEnds() const {
+  const auto& announced = core_.interfaces.announced;
+  const auto now = core_.process.clock.now();
+  std::optional<common::Duration> shortest;
+  for (const auto& backend : service_.backends) {
+    const std::string name = nameOf(backend.address);
+    const auto left = announced.pausedUntil(name) - now;
+    if (left > common::Duration{0} && !announced.leaving(name)) {
+      shortest = std::min(shortest.value_or(left), left);
+    }
+  }
+  if (!shortest) {
+    return std::nullopt;
+  }
+  return common::fromSeconds(common::toSeconds(*shortest) *
+                             (1.0 + kRetryJitter * core_.process.random.unit()));
 }
 
 common::Duration ServiceRun::attemptTimeLimit(common::Duration remaining) const {
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -60,8 +60,11 @@
   void beginCall(const common::Address& backend);
   /// \return the identity of a back end's present life (see AnnouncedAvailability)
   std::string nameOf(const common::Address& backend) const;
-  /// \return false if the back end has said in an answer to this node that it takes no more calls
+  /// \return false if the back end has said in an answer to this node that it takes no calls now
   bool acceptsCalls(const common::Address& backend) const;
+  /// \return the time after which the first of the paused back ends takes calls again, extended at
+  ///   random so that callers do not return in lockstep; nothing if none is paused
+  std::optional<common::Duration> timeUntilPauseEnds() const;
   common::Duration attemptTimeLimit(common::Duration remaining) const;
   /// Passes the rate limit in the response, if there is one, to the rate limiter.
   void reportRateLimit(const services::ServiceResponse& response);
--- a/src/cypresswall/orders/planning_input.cpp
+++ b/src/cypresswall/orders/planning_input.cpp
@@ -31,8 +31,10 @@
   engine.name = record.declaration.name;
   engine.model = record.declaration.model;
   engine.role = record.load.role;
-  engine.available = record.availability == routing::EngineAvailability::kAvailable &&
-                     record.load.model == record.declaration.model;
+  // A pause ends within seconds, sooner than a change of roles that would make up for it.
+  const bool works = record.availability == routing::EngineAvailability::kAvailable ||
+                     record.availability == routing::EngineAvailability::kPaused;
+  engine.available = works && record.load.model == record.declaration.model;
   engine.prefill_tokens_per_second = fullPrefillSpeed(record.load, capacity);
   engine.decode_step_base = common::toSeconds(record.load.decode_step_base);
   engine.decode_step_per_stream = common::toSeconds(record.load.decode_step_per_stream);
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -528,8 +528,10 @@
     refusal.message = "no engine of this zone serves model " + model;
     return refusal;
   }
+  const auto pause_end = table_.earliestPauseEnd(model);
   refusal.reason = RouteFailure::kOverloaded;
-  refusal.retry_after = boundedRetry(kNoEngineRetrySeconds);
+  refusal.retry_after = boundedRetry(
+      pause_end ? common::toSeconds(*pause_end - context_.clock.now()) : kNoEngineRetrySeconds);
   refusal.message = "no engine of model " + model + " is available now";
   return refusal;
 }
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -51,7 +51,7 @@
   const bool steady_turn = turn_ % std::max(settings_.steady_poll_factor, 1U) == 0;
   const common::MonotonicTime now = context_.clock.now();
   for (const EngineSlot slot : watched_) {
-    if (slot % kPhases != phase_) {
+    if (slot % kPhases != phase_ || isPaused(slot, now)) {
       continue;
     }
     PollState& state = states_[slot];
@@ -67,6 +67,11 @@
   context_.scheduler.schedule(settings_.poll_period / kPhases, [this] { tick(); });
 }
 
+bool EnginePoller::isPaused(EngineSlot slot, common::MonotonicTime now) const {
+  const auto report_age = now - table_.record(slot).last_contact_at;
+  return now < table_.pausedUntil(slot) && report_age < settings_.maximum_report_age / 2;
+}
+
 bool EnginePoller::stillDeclared(EngineSlot slot, const common::EngineName& name) const {
   return table_.slotOf(name) == slot && watched_.count(slot) != 0;
 }
--- a/src/cypresswall/routing/engine_poller.h
+++ b/src/cypresswall/routing/engine_poller.h
@@ -61,6 +61,9 @@
   void onLoad(EngineSlot slot, const common::Result<engines::EngineLoad, engines::EngineFailure>&);
   void applyCacheEvent(EngineSlot slot, const engines::CacheEvent& event);
   void onCacheEvents(EngineSlot slot, const engines::CacheEvents& events);
+  /// \return true if the engine asked for a time without requests and its last report is recent
+  ///   enough for routing to do without another one
+  bool isPaused(EngineSlot slot, common::MonotonicTime now) const;
   bool stillDeclared(EngineSlot slot, const common::EngineName& name) const;
 
   DirectorySettings settings_;
--- a/src/cypresswall/routing/engine_record.cpp
+++ b/src/cypresswall/routing/engine_record.cpp
@@ -14,6 +14,8 @@
       return "unreachable";
     case EngineAvailability::kEjected:
       return "ejected";
+    case EngineAvailability::kPaused:
+      return "paused";
     case EngineAvailability::kChanging:
       return "changing";
     case EngineAvailability::kFailed:
--- a/src/cypresswall/routing/engine_record.h
+++ b/src/cypresswall/routing/engine_record.h
@@ -16,6 +16,7 @@
   kSilent,             ///< the newest report is too old
   kUnreachable,        ///< the node that polls the engine can't reach it
   kEjected,            ///< temporarily removed from routing because attempts failed
+  kPaused,             ///< the engine asked this node for a time without requests
   kChanging,           ///< the engine is changing its role or loading weights
   kFailed,             ///< the engine reported that it failed
   kDraining,           ///< the zone's controller drains it for a planned change
--- a/src/cypresswall/routing/engine_table.cpp
+++ b/src/cypresswall/routing/engine_table.cpp
@@ -78,6 +78,23 @@
   return announced_ != nullptr && announced_->leaving(entry.record.declaration.name);
 }
 
+common::MonotonicTime EngineTable::pausedUntil(EngineSlot slot) const {
+  return announced_ == nullptr ? common::MonotonicTime{}
+                               : announced_->pausedUntil(entries_[slot].record.declaration.name);
+}
+
+std::optional<common::MonotonicTime> EngineTable::earliestPauseEnd(
+    const common::ModelName& model) const {
+  std::optional<common::MonotonicTime> earliest;
+  for (const EngineSlot slot : roster_) {
+    const EngineRecord& record = entries_[slot].record;
+    if (record.availability == EngineAvailability::kPaused && record.load.model == model) {
+      earliest = std::min(earliest.value_or(pausedUntil(slot)), pausedUntil(slot));
+    }
+  }
+  return earliest;
+}
+
 void EngineTable::announcementChanged(const common::EngineName& engine, common::MonotonicTime now) {
   const EngineSlot slot = slotOf(engine);
   if (slot != kNoEngineSlot) {
@@ -177,8 +194,9 @@
 
 void EngineTable::sweep(common::MonotonicTime now) { refreshAll(now); }
 
-EngineAvailability EngineTable::evaluateAvailability(const Entry& entry,
+EngineAvailability EngineTable::evaluateAvailability(EngineSlot slot,
                                                      common::MonotonicTime now) const {
+  const Entry& entry = entries_[slot];
   const EngineRecord& record = entry.record;
   if (entry.machine_leaving) {
     return EngineAvailability::kMachineLeaving;
@@ -210,12 +228,15 @@
   if (record.load.state == engines::EngineState::kFailed) {
     return EngineAvailability::kFailed;
   }
+  if (now < pausedUntil(slot)) {
+    return EngineAvailability::kPaused;
+  }
   return EngineAvailability::kAvailable;
 }
 
 void EngineTable::refresh(EngineSlot slot, common::MonotonicTime now) {
   Entry& entry = entries_[slot];
-  const EngineAvailability availability = evaluateAvailability(entry, now);
+  const EngineAvailability availability = evaluateAvailability(slot, now);
   if (availability != entry.record.availability) {
     entry.record.availability = availability;
     candidate_lists_.clear();
--- a/src/cypresswall/routing/engine_table.h
+++ b/src/cypresswall/routing/engine_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -57,6 +58,12 @@
   /// \return true if the engine must receive no new work whatever its load: it or its machine is
   ///   leaving, or an operator or the zone's controller drains the engine.
   bool isLeaving(EngineSlot slot) const;
+  /// \return the end of the time without requests that the engine asked this node for; in the past
+  ///   if there is none
+  common::MonotonicTime pausedUntil(EngineSlot slot) const;
+  /// \return the earliest end of a pause among the model's engines that are paused and otherwise
+  ///   available; nothing if there are none
+  std::optional<common::MonotonicTime> earliestPauseEnd(const common::ModelName& model) const;
   void setReachable(EngineSlot slot, bool reachable, common::MonotonicTime now);
   void setWatched(EngineSlot slot, bool watched) { entries_[slot].record.watched_here = watched; }
   /// Re-evaluates availability, to detect engines whose reports have become too old.
@@ -91,7 +98,7 @@
   /// \return true if the engine said in an answer to this node that it leaves
   bool saidItLeaves(const Entry& entry) const;
   void applyOperatorDrains(const configuration::FleetConfiguration& fleet);
-  EngineAvailability evaluateAvailability(const Entry& entry, common::MonotonicTime now) const;
+  EngineAvailability evaluateAvailability(EngineSlot slot, common::MonotonicTime now) const;
   /// Recomputes availability; invalidates cached candidate lists if it changed.
   void refresh(EngineSlot slot, common::MonotonicTime now);
   void refreshAll(common::MonotonicTime now);
--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -244,8 +244,11 @@
   if (slot == kNoEngineSlot) {
     return false;
   }
-  return directory_.groups().routesTo(slot) ? local_.takesWork(engine)
-                                            : !directory_.table().isLeaving(slot);
+  if (directory_.groups().routesTo(slot)) {
+    return local_.takesWork(engine);
+  }
+  const EngineTable& table = directory_.table();
+  return !table.isLeaving(slot) && table.pausedUntil(slot) <= context_.clock.now();
 }
 
 void PlacementRouter::abandonPlacement(const std::string& stream_id) {
