Choose among the back ends declared now for each attempt at a service call

What callers could see: a retry at a back end that the store has listed as leaving since the request began; it ends, and the call with it. Cause: a request kept the list of back ends of its beginning. HttpServiceExecutorTest::retryChoosesAmongBackendsDeclaredNow failed before (a retry at 127.0.0.1:12, which was no longer declared); execution_test (86) passes.

--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -144,6 +144,11 @@
 
 std::optional<common::Address> ServiceRun::nextBackend(const std::set<common::Address>& exhausted) {
   const auto fleet = core_.interfaces.configuration.current();
+  // Back ends may have been added or taken away since the request began.
+  const auto declared = fleet->http_services.find(request_.service);
+  if (declared != fleet->http_services.end()) {
+    service_.backends = declared->second.backends;
+  }
   const auto choose = [&] {
     std::set<common::Address> skipped = excluded_;
     skipped.insert(exhausted.begin(), exhausted.end());
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -128,6 +128,7 @@
   CPPUNIT_TEST(pausedBackendsAreNotCalled);
   CPPUNIT_TEST(backendThatPausesDuringPermitRequestIsNotCalled);
   CPPUNIT_TEST(nextLifeOfABackendIsCalled);
+  CPPUNIT_TEST(retryChoosesAmongBackendsDeclaredNow);
   CPPUNIT_TEST(permitIsNotUsedAfterAbandon);
   CPPUNIT_TEST(rateLimitOfAnswerIsReported);
   CPPUNIT_TEST_SUITE_END();
@@ -247,6 +248,22 @@
                    Outcome::kDone);
   }
 
+  /// Guards against retries at a back end that was taken out of the configuration after the request
+  /// had begun.
+  void retryChoosesAmongBackendsDeclaredNow() {
+    for (int run = 0; run < 20; ++run) {
+      Fixture fixture;
+      fixture.client.scripts = {CallScript::kRefused};
+      const auto caller = fixture.start(Fixture::request("POST", "/slots"));
+      fixture.process.time.runFor(milliseconds(1));
+      fixture.configuration.fleet.http_services["booking"].backends = {
+          {"yard", "machine-3", "127.0.0.1:13"}};
+      fixture.process.time.runFor(kLongRun);
+      CPPUNIT_ASSERT(caller->answer().outcome == Outcome::kDone);
+      CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls.back().first);
+    }
+  }
+
   void permitIsNotUsedAfterAbandon() {
     for (const char* method : {"GET", "POST"}) {
       Fixture fixture;
