--- a/src/cypresswall/store_relay/messages.h
+++ b/src/cypresswall/store_relay/messages.h
@@ -42,7 +42,9 @@
   std::uint64_t sequence = 0;
   /// Level of the reader's sample of the topic's objects (see ObjectSample).
   std::uint32_t sample_level = 0;
-  MSGPACK_DEFINE(topic, changed, seen, bytes, reader, sequence, sample_level)
+  /// Incarnation of the store to which the revisions belong; zero if the sender names none.
+  std::uint64_t incarnation = 0;
+  MSGPACK_DEFINE(topic, changed, seen, bytes, reader, sequence, sample_level, incarnation)
 };
 
 /// Requests all changes after `revision` from a peer; all objects if `revision` is zero.
@@ -52,7 +54,9 @@
   std::uint64_t revision = 0;
   /// True if the sender reads ChangesReply::packed_changes.
   bool accepts_packed = false;
-  MSGPACK_DEFINE(topic, revision, accepts_packed)
+  /// Incarnation of the store to which `revision` belongs; zero if the sender names none.
+  std::uint64_t incarnation = 0;
+  MSGPACK_DEFINE(topic, revision, accepts_packed, incarnation)
 };
 
 /// Encoding of an object's content.
@@ -94,7 +98,9 @@
   std::uint32_t sample_level = 0;
   /// In place of `changes`, if not empty: the changes as a compressed msgpack array.
   std::string packed_changes;
-  MSGPACK_DEFINE(topic, available, revision, changes, sample_level, packed_changes)
+  /// Incarnation of the store to which the revisions belong; zero if the sender names none.
+  std::uint64_t incarnation = 0;
+  MSGPACK_DEFINE(topic, available, revision, changes, sample_level, packed_changes, incarnation)
 };
 
 }  // namespace cypresswall::store_relay
--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -16,6 +16,8 @@
 /// Maximum number of announcements of one reader that wait for their changes: the oldest, which is
 /// forwarded first, and the newest.
 constexpr std::size_t kWaitingAnnouncements = 2;
+/// Source of an incarnation of the store, for the log.
+constexpr const char* kPeerSource = "peer";
 
 }  // namespace
 
@@ -24,10 +26,11 @@
 using membership::rendezvousRank;
 
 StoreRelay::StoreRelay(const StoreRelaySettings& settings, const api::ProcessContext& context,
-                       membership::MembershipView& membership)
+                       membership::MembershipView& membership, StoreIncarnation& incarnation)
     : settings_(settings),
       context_(context),
       membership_(membership),
+      incarnation_(incarnation),
       pulls_(context.counters.counter("cypresswall_store_relay_pulls_total",
                                       "Requests to readers of the store for changes")),
       unanswered_pulls_(context.counters.counter("cypresswall_store_relay_unanswered_total",
@@ -151,7 +154,8 @@
   if (withinLimit(followed.last_store_answer_time, settings_.store_contact_limit)) {
     fanOut(Announcement{static_cast<std::uint8_t>(topic), followed.history.changed(),
                         followed.history.revision(), followed.history.newestBytes(),
-                        membership_.self(), ++followed.own_sequence, followed.copy.sampleLevel()});
+                        membership_.self(), ++followed.own_sequence, followed.copy.sampleLevel(),
+                        incarnation_.current()});
   }
 }
 
@@ -268,6 +272,7 @@
 }
 
 void StoreRelay::onAnnouncement(const common::NodeId& sender, const Announcement& announcement) {
+  incarnation_.observe(announcement.incarnation, kPeerSource);
   TopicState* const followed = find(announcement.topic);
   const bool own = announcement.reader == membership_.self();
   if (followed == nullptr || own || !recordSequence(*followed, announcement)) {
@@ -382,8 +387,8 @@
     return;
   }
   pulls_.add();
-  context_.sendTo(reader,
-                  ChangesRequest{static_cast<std::uint8_t>(topic), followed.copy.revision(), true});
+  context_.sendTo(reader, ChangesRequest{static_cast<std::uint8_t>(topic), followed.copy.revision(),
+                                         true, incarnation_.current()});
   followed.pull_timer = context_.scheduler.schedule(
       settings_.reply_timeout + transferTime(followed), [this, topic] { pullTimedOut(topic); });
 }
@@ -412,6 +417,7 @@
   }
   ChangesReply reply;
   reply.topic = request.topic;
+  reply.incarnation = incarnation_.current();
   reply.sample_level = followed->copy.sampleLevel();
   if (request.revision == 0) {
     reply.revision = followed->copy.revision();
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -21,6 +21,7 @@
 #include "cypresswall/store_relay/change_history.h"
 #include "cypresswall/store_relay/messages.h"
 #include "cypresswall/store_relay/store_copy.h"
+#include "cypresswall/store_relay/store_incarnation.h"
 
 namespace cypresswall::store_relay {
 
@@ -77,9 +78,10 @@
 
 class StoreRelay {
  public:
-  /// \pre `membership` outlives the object, and the object outlives its scheduled callbacks
+  /// \pre `membership` and `incarnation` outlive the object, and the object outlives its scheduled
+  ///   callbacks
   StoreRelay(const StoreRelaySettings& settings, const api::ProcessContext& context,
-             membership::MembershipView& membership);
+             membership::MembershipView& membership, StoreIncarnation& incarnation);
   StoreRelay(const StoreRelay&) = delete;
   StoreRelay& operator=(const StoreRelay&) = delete;
 
@@ -201,6 +203,7 @@
   StoreRelaySettings settings_;
   api::ProcessContext context_;
   membership::MembershipView& membership_;
+  StoreIncarnation& incarnation_;
   std::map<Topic, TopicState> followed_;
   /// Cache of the topics that this node reads, recomputed after a change of the members.
   mutable std::set<Topic> reader_topics_;
--- a/tests/objects_platform/engine_sample_test.cpp
+++ b/tests/objects_platform/engine_sample_test.cpp
@@ -134,7 +134,8 @@
         store(runner_store, process.context()),
         membership(process.id(), "z"),
         runners(process.context()),
-        relay(relaySettings(), process.context(), membership),
+        incarnation(process.context()),
+        relay(relaySettings(), process.context(), membership, incarnation),
         watch(Topic::kListedEngines, "servers", {}, process.context(), store, runners, sampling()) {
     watch.joinRelay(relay);
     runners.onChange([this] { ++changes; });
@@ -166,6 +167,7 @@
   RunnerStoreCalls store;
   SettableMembership membership;
   RunnerRegistry runners;
+  store_relay::StoreIncarnation incarnation;
   store_relay::StoreRelay relay;
   RelayedWatch watch;
   std::size_t maximum = kMaximum;
--- a/tests/objects_platform/relayed_watch_test.cpp
+++ b/tests/objects_platform/relayed_watch_test.cpp
@@ -28,7 +28,8 @@
       : process(simulation.start(address, "z")),
         membership(process.id(), "z"),
         runners(process.context()),
-        relay(settings(), process.context(), membership),
+        incarnation(process.context()),
+        relay(settings(), process.context(), membership, incarnation),
         watch(Topic::kListedEngines, "servers", {}, process.context(), store, runners) {
     watch.joinRelay(relay);
   }
@@ -42,6 +43,7 @@
   testing::FakeStore store;
   SettableMembership membership;
   RunnerRegistry runners;
+  store_relay::StoreIncarnation incarnation;
   store_relay::StoreRelay relay;
   RelayedWatch watch;
 };
--- a/tests/store_relay/relay_zone.h
+++ b/tests/store_relay/relay_zone.h
@@ -269,8 +269,9 @@
     Node node;
     node.process = &simulation.start(addressOf(number), kZone);
     node.membership = std::make_unique<SettableMembership>(node.process->id(), kZone);
-    node.relay =
-        &node.process->emplace<StoreRelay>(settings, node.process->context(), *node.membership);
+    node.relay = &node.process->emplace<StoreRelay>(
+        settings, node.process->context(), *node.membership,
+        node.process->emplace<StoreIncarnation>(node.process->context()));
     node.copy = &node.process->emplace<ScriptedCopy>(store, *node.process, *node.relay);
     return node;
   }
