Begin anew with revisions when the store was restored from a copy

What callers saw: for some 6 s after a restore, requests were handled by the operator's version from before, and reached back ends that had said they leave. The class: values compared that are ordered only within one incarnation of what gives them out.

An answer or message that names a later incarnation makes this node forget all revisions at once: its copies count as outdated, are listed anew or copied from a peer that is in the new incarnation, and stay in use meanwhile. Answers and messages of earlier incarnations are dropped. Messages of the build before name no incarnation; they are used until a restore was seen.

--- a/src/cypresswall/store_relay/change_packer.cpp
+++ b/src/cypresswall/store_relay/change_packer.cpp
@@ -87,6 +87,20 @@
   small_.erase(name);
 }
 
+void ChangePacker::beginIncarnation() {
+  for (auto& [name, version] : small_) {
+    version.revision = 0;
+  }
+  for (auto& [name, version] : large_) {
+    version.revision = 0;
+  }
+}
+
+void ChangePacker::forgetOutdated() {
+  std::erase_if(small_, [](const auto& item) { return item.second.revision == 0; });
+  std::erase_if(large_, [](const auto& item) { return item.second.revision == 0; });
+}
+
 std::vector<std::string> ChangePacker::names() const {
   std::vector<std::string> names;
   names.reserve(small_.size() + large_.size());
--- a/src/cypresswall/store_relay/change_packer.h
+++ b/src/cypresswall/store_relay/change_packer.h
@@ -49,6 +49,11 @@
   bool holds(const std::string& name) const {
     return large_.contains(name) || small_.contains(name);
   }
+  /// Called when the store has begun a new incarnation: the held contents are older than any that
+  /// is stored from now on, and no base of differences.
+  void beginIncarnation();
+  /// Forgets the contents that beginIncarnation() has outdated and that were not stored again.
+  void forgetOutdated();
   /// \return the names of all held objects
   std::vector<std::string> names() const;
   void forget(const std::string& name);
--- a/src/cypresswall/store_relay/store_copy.h
+++ b/src/cypresswall/store_relay/store_copy.h
@@ -14,6 +14,9 @@
   virtual ~StoreCopy() = default;
   /// \return revision up to which all changes are known; zero before the first listing
   virtual std::uint64_t revision() const = 0;
+  /// Called when the store has begun a new incarnation. The copy is outdated: revision() is zero
+  /// until all objects have been read anew or applied. The objects stay in use meanwhile.
+  virtual void beginIncarnation() = 0;
   /// \return true while a call to the store is in flight or scheduled
   virtual bool callPending() const = 0;
   /// Requests the changes after revision() from the store immediately, or all objects if revision()
--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -43,6 +43,30 @@
                                          "Times that a node heard of no reader any more")) {
   registerHandlers();
   membership_.onChange([this] { reader_topics_outdated_ = true; });
+  incarnation_.onChange([this] { beginIncarnation(); });
+}
+
+void StoreRelay::beginIncarnation() {
+  for (auto& [topic, followed] : followed_) {
+    context_.scheduler.cancel(std::exchange(followed.pull_timer, 0));
+    followed.announced = 0;
+    followed.announced_bytes = 0;
+    followed.waiting.clear();
+    followed.copy_requested_since.reset();
+    followed.asked_time.reset();
+    followed.history.restart(0);
+    // The first incarnation that this node hears of is no news for a copy that is still empty.
+    if (incarnation_.restored() || followed.copy.revision() != 0) {
+      followed.copy.beginIncarnation();
+    }
+  }
+}
+
+/// Builds that name no incarnation don't notice that the store was restored. Once it was, their
+/// revisions may belong to an earlier incarnation.
+bool StoreRelay::comparable(std::uint64_t incarnation) const {
+  return incarnation == incarnation_.current() ||
+         ((incarnation == 0 || incarnation_.current() == 0) && !incarnation_.restored());
 }
 
 void StoreRelay::registerHandlers() {
@@ -275,7 +299,8 @@
   incarnation_.observe(announcement.incarnation, kPeerSource);
   TopicState* const followed = find(announcement.topic);
   const bool own = announcement.reader == membership_.self();
-  if (followed == nullptr || own || !recordSequence(*followed, announcement)) {
+  if (followed == nullptr || own || !comparable(announcement.incarnation) ||
+      !recordSequence(*followed, announcement)) {
     return;
   }
   auto& waiting = followed->waiting[announcement.reader];
@@ -411,6 +436,7 @@
 }
 
 void StoreRelay::onRequest(const common::NodeId& sender, const ChangesRequest& request) {
+  incarnation_.observe(request.incarnation, kPeerSource);
   TopicState* const followed = find(request.topic);
   if (followed == nullptr) {
     return;
@@ -433,6 +459,10 @@
     context_.sendTo(sender, reply);
     return;
   }
+  if (!comparable(request.incarnation)) {
+    context_.sendTo(sender, reply);
+    return;
+  }
   reply.revision = followed->history.revision();
   auto changes = followed->history.since(request.revision, settings_.reply_bytes);
   if (changes && reply.revision > request.revision) {
@@ -444,8 +474,9 @@
 
 /// Applies the changes in a reply even if the reply arrives after the pull has timed out.
 void StoreRelay::onReply(const common::NodeId& sender, const ChangesReply& reply) {
+  incarnation_.observe(reply.incarnation, kPeerSource);
   TopicState* const followed = find(reply.topic);
-  if (followed == nullptr) {
+  if (followed == nullptr || !comparable(reply.incarnation)) {
     return;
   }
   const bool awaited = followed->pull_timer != 0;
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -144,6 +144,11 @@
   };
 
   void registerHandlers();
+  /// Forgets everything that is compared by revision, and lets the copies be read anew.
+  void beginIncarnation();
+  /// \return true if a message that names this incarnation can be used: its revisions are
+  ///   comparable with those known here
+  bool comparable(std::uint64_t incarnation) const;
   void tick();
   void tickTopic(Topic topic, TopicState& followed);
   /// Called while this node has no objects: requests a copy of all objects from a peer. If this
--- a/tests/store_relay/relay_zone.h
+++ b/tests/store_relay/relay_zone.h
@@ -68,6 +68,11 @@
       : store_(store), process_(process), relay_(relay) {}
 
   std::uint64_t revision() const override { return revision_; }
+  void beginIncarnation() override {
+    revision_ = 0;
+    ++call_;
+    list();
+  }
   bool callPending() const override { return asking_; }
   void fetchFromStore() override {
     if (revision_ == 0) {
