--- a/src/cypresswall/object_store/object_store.h
+++ b/src/cypresswall/object_store/object_store.h
@@ -64,6 +64,12 @@
   /// nothing changed within the poll time. The store may leave out some changes from the listing.
   virtual void watch(const std::string& prefix, std::uint64_t revision,
                      StoreCallback<ObjectListing> callback) = 0;
+  /// \return the latest known incarnation of the store; zero if unknown. The store begins a new one
+  ///   when it is restored from a copy: writes after the copy are then lost, and versions of an
+  ///   earlier incarnation mean nothing.
+  virtual std::uint64_t incarnation() const { return 0; }
+  /// \param listener called when incarnation() has changed
+  virtual void onIncarnation(std::function<void()> /*listener*/) {}
 };
 
 }  // namespace cypresswall::object_store
--- a/tests/support/virtual_world.cpp
+++ b/tests/support/virtual_world.cpp
@@ -25,7 +25,8 @@
       zone_(std::move(zone)),
       clock_rate_(clock_rate),
       serial_(world.next_serial_++),
-      random_(world.random.next()) {}
+      random_(world.random.next()),
+      incarnation_(world.store.incarnation) {}
 
 api::ProcessContext VirtualProcess::context() {
   return api::ProcessContext{node_,     zone_, *this,      *this, random_, common::nullLogSink(),
@@ -89,7 +90,16 @@
                  work = std::move(work), &world = world_] {
     auto result = std::make_shared<object_store::StoreResult<Value>>(work());
     world.post(world.now_ + world.networkDelay(),
-               {serial, address, [callback, result] { callback(*result); }});
+               {serial, address,
+                [callback, result, &world, address, incarnation = world.store.incarnation] {
+                  std::uint64_t& known = world.process(address).incarnation_;
+                  if (incarnation < known) {
+                    callback(Failure{object_store::StoreFailure::kUnknownOutcome, "outdated"});
+                    return;
+                  }
+                  known = incarnation;
+                  callback(*result);
+                }});
   };
   world_.post(world_.now_ + world_.networkDelay(), {0, "", std::move(arrive)});
 }
--- a/tests/support/virtual_world.h
+++ b/tests/support/virtual_world.h
@@ -35,8 +35,21 @@
   std::uint64_t answers_lost = 0;
   std::uint64_t late_effects = 0;
 
+  /// Takes the copy from which restore() restores.
+  void copy() { copy_ = objects; }
+  /// Loses all writes since the copy and begins a new incarnation.
+  void restore() {
+    objects = copy_;
+    ++incarnation;
+  }
+
   /// \return the object as written, or std::nullopt if the stored version is another.
   std::optional<object_store::StoredObject> write(const object_store::ObjectWrite& write);
+
+  std::uint64_t incarnation = 1;
+
+ private:
+  std::map<std::string, object_store::StoredObject> copy_;
 };
 
 /// One process: clock, timers, transport and clients. Destroying it drops all its callbacks.
@@ -65,6 +78,8 @@
             object_store::StoreCallback<object_store::ObjectListing> callback) override;
   void watch(const std::string& prefix, std::uint64_t revision,
              object_store::StoreCallback<object_store::ObjectListing> callback) override;
+  /// Known from the process's start, and then from answers of the store.
+  std::uint64_t incarnation() const override { return incarnation_; }
   void fetch(const common::ZoneName& zone, object_store::MachineListCallback callback) override;
 
  private:
@@ -82,6 +97,7 @@
   api::MessageDispatcher dispatcher_;
   common::SeededRandom random_;
   std::set<common::TimerId> timers_;
+  std::uint64_t incarnation_ = 0;
   common::Duration paused_until_{0};
 };
 
