Take no lease of a restored store for held, and give no term out twice

What operators could see: two nodes that give orders at once, and orders under a term that was used before, after the store was restored from a copy in which the lease names an earlier holder, or is missing. Cause: a lease record counts as its holder's own whenever it names that holder, and the next term as the stored one plus one; both hold only if nothing that was acknowledged is lost.

A node that hears of a new incarnation holds nothing at once; nobody takes the lease before a holder from before has let go and its late orders have passed; a record counts as own only if it was written in the present incarnation; and terms begin at the incarnation times 65,536, above all lost ones, so that older builds, which add one, stay above too.

--- a/src/cypresswall/lease/lease_record.cpp
+++ b/src/cypresswall/lease/lease_record.cpp
@@ -8,6 +8,7 @@
 constexpr const char* kHolder = "holder";
 constexpr const char* kIncarnation = "incarnation";
 constexpr const char* kTerm = "term";
+constexpr const char* kStoreIncarnation = "store_incarnation";
 
 }  // namespace
 
@@ -16,7 +17,8 @@
 std::string encodeLeaseRecord(const LeaseRecord& record) {
   return nlohmann::json{{kHolder, record.holder.address},
                         {kIncarnation, record.holder.incarnation},
-                        {kTerm, record.term}}
+                        {kTerm, record.term},
+                        {kStoreIncarnation, record.store_incarnation}}
       .dump();
 }
 
@@ -27,6 +29,7 @@
     record.holder = {json.at(kHolder).get<std::string>(),
                      json.at(kIncarnation).get<std::uint64_t>()};
     record.term = json.at(kTerm).get<std::uint32_t>();
+    record.store_incarnation = json.value(kStoreIncarnation, std::uint64_t{0});
     if (record.holder.empty() || record.term == 0) {
       throw LeaseRecordError("lease record lacks holder or term");
     }
--- a/src/cypresswall/lease/lease_record.h
+++ b/src/cypresswall/lease/lease_record.h
@@ -20,6 +20,8 @@
   common::NodeId holder;
   /// From 1; increases with each holder, so that no two holders share a term.
   std::uint32_t term = 0;
+  /// Incarnation of the store in which the record was written; zero if the writer names none.
+  std::uint64_t store_incarnation = 0;
 };
 
 /// \return the key of a zone's lease in the store.
--- a/src/cypresswall/lease/store_lease.cpp
+++ b/src/cypresswall/lease/store_lease.cpp
@@ -14,6 +14,16 @@
 
 /// Maximum number of own writes whose late effect is still recognised.
 constexpr std::size_t kRememberedWrites = 64;
+/// Terms are numbered from the store's incarnation times two to this power, so that the first term
+/// after a restore is higher than all terms of lost writes. A new term takes seconds, so that the
+/// terms of one incarnation do not reach those of the next one.
+constexpr unsigned kTermBitsPerIncarnation = 16;
+constexpr std::uint64_t kMaximumIncarnation = (1U << (32 - kTermBitsPerIncarnation)) - 1;
+
+std::uint32_t lastTermBefore(std::uint64_t incarnation) {
+  return static_cast<std::uint32_t>(std::min(incarnation, kMaximumIncarnation)
+                                    << kTermBitsPerIncarnation);
+}
 
 }  // namespace
 
@@ -40,7 +50,7 @@
 bool StoreLease::running() const { return context_.clock.now() < lease_until_; }
 
 std::optional<common::Epoch> StoreLease::heldEpoch() const {
-  return held_ && running() ? held_ : std::nullopt;
+  return held_ && running() && store_.incarnation() == incarnation_ ? held_ : std::nullopt;
 }
 
 common::NodeId StoreLease::believedHolder() const {
@@ -62,6 +72,7 @@
 
 void StoreLease::tick() {
   context_.scheduler.schedule(settings_.tick_interval, [this] { tick(); });
+  checkIncarnation();
   if (held_ && !running()) {
     lose("expired");
   }
@@ -70,6 +81,22 @@
   }
 }
 
+void StoreLease::checkIncarnation() {
+  const std::uint64_t before = std::exchange(incarnation_, store_.incarnation());
+  if (before == incarnation_) {
+    return;
+  }
+  if (held_) {
+    lose("store restored");
+  }
+  seen_.reset();
+  seen_outdated_ = true;
+  sent_.clear();
+  if (before != 0) {
+    takeover_not_before_ = context_.clock.now() + settings_.duration + settings_.handover_gap;
+  }
+}
+
 void StoreLease::act() {
   if (seen_outdated_) {
     read();
@@ -82,20 +109,26 @@
   }
 }
 
-bool StoreLease::owned() const {
+bool StoreLease::writtenHere() const {
   return seen_->version != 0 && seen_->record.holder == context_.self &&
-         seen_->record.term > spent_term_;
+         seen_->record.store_incarnation == incarnation_;
 }
 
+bool StoreLease::owned() const { return writtenHere() && seen_->record.term > spent_term_; }
+
 bool StoreLease::mayTakeOver() const {
   // The last holder's lease ends `duration` after that node sent the write that created the stored
   // version, so at the latest `duration` after this node first saw that version.
   const common::Duration wait = settings_.duration + settings_.handover_gap;
-  return seen_->version == 0 || seen_->record.holder == context_.self ||
-         context_.clock.now() - seen_->since >= wait;
+  if (context_.clock.now() < takeover_not_before_) {
+    return false;
+  }
+  return seen_->version == 0 || writtenHere() || context_.clock.now() - seen_->since >= wait;
 }
 
-std::uint32_t StoreLease::nextTerm() const { return std::max(seen_->record.term, spent_term_) + 1; }
+std::uint32_t StoreLease::nextTerm() const {
+  return std::max({highest_term_, spent_term_, lastTermBefore(incarnation_)}) + 1;
+}
 
 void StoreLease::read() {
   call_in_flight_ = true;
@@ -104,6 +137,7 @@
 
 void StoreLease::onRead(const StoreResult<StoredObject>& result) {
   call_in_flight_ = false;
+  checkIncarnation();
   if (result.ok()) {
     observe(result.value());
   } else if (result.failure().kind == StoreFailure::kNotFound) {
@@ -118,7 +152,7 @@
   object_store::ObjectWrite request;
   request.key = key_;
   request.expected_version = seen_->version;
-  request.value = encodeLeaseRecord({context_.self, term});
+  request.value = encodeLeaseRecord({context_.self, term, incarnation_});
   request.change_id = context_.self.toString() + "/" + std::to_string(++next_change_);
   last_sent_ = context_.clock.now();
   sent_[request.change_id] = last_sent_;
@@ -133,6 +167,7 @@
 
 void StoreLease::onWritten(const StoreResult<StoredObject>& result) {
   call_in_flight_ = false;
+  checkIncarnation();
   if (result.ok()) {
     observe(result.value());
     return;
@@ -148,6 +183,7 @@
   try {
     LeaseRecord record = decodeLeaseRecord(object.value);
     seen_outdated_ = false;
+    highest_term_ = std::max(highest_term_, record.term);
     if (changed) {
       SeenLease& seen = seen_.emplace();
       seen.version = object.version;
--- a/src/cypresswall/lease/store_lease.h
+++ b/src/cypresswall/lease/store_lease.h
@@ -1,7 +1,8 @@
 /// The lease of a zone, or of a fleet-wide duty, as one object of the platform's store, for
 /// platforms whose store survives the loss of any number of nodes. A node acquires and renews the
 /// lease by compare-and-set, and only while it has orders to give: an idle zone makes no store
-/// calls. docs/design/authority.md states the rules.
+/// calls. If the store is restored from a copy, no node holds the lease until it has written it
+/// again, under a term that no lost write can have used. docs/design/authority.md states the rules.
 #pragma once
 
 #include <cstdint>
@@ -59,13 +60,15 @@
   /// \return the node that should acquire the lease once there are orders to give: the member with
   ///   the highest rendezvous rank, which each node computes without exchanging messages.
   common::NodeId believedHolder() const override;
-  common::Epoch highestEpoch() const override { return {0, seen_ ? seen_->record.term : 0}; }
+  common::Epoch highestEpoch() const override { return {0, highest_term_}; }
   void onChange(std::function<void(std::optional<common::Epoch>)> listener) override;
   void setNeeded(bool needed) override { needed_ = needed; }
   void superseded(const common::Epoch& epoch) override;
 
  private:
   void tick();
+  /// Gives up the lease if the store has begun a new incarnation.
+  void checkIncarnation();
   void act();
   void read();
   void onRead(const object_store::StoreResult<object_store::StoredObject>& result);
@@ -74,6 +77,9 @@
   /// Records the stored object and, if this node wrote it, extends the lease.
   void observe(const object_store::StoredObject& object);
   void observeOwn(const std::string& change_id);
+  /// \return true if this process wrote the stored record in the store's present incarnation. One
+  ///   from before a restore may have been succeeded by another holder's.
+  bool writtenHere() const;
   bool owned() const;
   bool mayTakeOver() const;
   std::uint32_t nextTerm() const;
@@ -93,6 +99,13 @@
   bool call_in_flight_ = false;
   common::MonotonicTime next_call_at_{};
   std::optional<SeenLease> seen_;
+  /// Incarnation of the store that this lease has last acted in; zero if unknown.
+  std::uint64_t incarnation_ = 0;
+  /// After a restore of the store: until when a holder from before may consider itself the holder,
+  /// and its orders may be on their way.
+  common::MonotonicTime takeover_not_before_{};
+  /// Highest term seen in any incarnation of the store.
+  std::uint32_t highest_term_ = 0;
   /// True if the stored object may have changed since this node last saw it; the object is then
   /// read again before the next write.
   bool seen_outdated_ = true;
--- a/tests/objects_platform/object_store_client_test.cpp
+++ b/tests/objects_platform/object_store_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include "tests/objects_platform/fake_store.h"
 #include "tests/support/property.h"
+#include "tests/support/virtual_world.h"
 
 namespace cypresswall::objects_platform {
 namespace {
@@ -141,7 +142,10 @@
 
   common::CounterRegistry counters_;
   testing::FakeStore store_;
-  ObjectStoreClient client_{store_, counters_, {}};
+  cypresswall::testing::VirtualWorld world_{1};
+  api::ProcessContext context_ = world_.spawn({"10.0.0.1:7000", 1}, "hall-a").context();
+  store_relay::StoreIncarnation incarnation_{context_};
+  ObjectStoreClient client_{store_, counters_, {}, incarnation_};
   std::optional<StoreResult<StoredObject>> written_;
 };
 
