Keep the process context by value where the adapter is built from a passing one

Cause: StoreIncarnation, new in this change, kept a reference to the context of the adapter's constructor argument, which ends with the call; it was first used when a restore was logged. No test built the whole adapter. objects_platform_adapter_test builds it over real connections and crashed before, passes now; store_relay_test (40) and restored_store_test (6) pass.

--- a/src/cypresswall/store_relay/store_incarnation.h
+++ b/src/cypresswall/store_relay/store_incarnation.h
@@ -17,7 +17,6 @@
  public:
   using Listener = std::function<void()>;
 
-  /// \pre `context` outlives this object
   explicit StoreIncarnation(const api::ProcessContext& context);
   StoreIncarnation(const StoreIncarnation&) = delete;
   StoreIncarnation& operator=(const StoreIncarnation&) = delete;
@@ -34,7 +33,7 @@
   void onChange(Listener listener) { listeners_.push_back(std::move(listener)); }
 
  private:
-  const api::ProcessContext& context_;
+  api::ProcessContext context_;
   std::uint64_t current_ = 0;
   bool restored_ = false;
   std::vector<Listener> listeners_;
