Report no window of usage again that a restored store has forgotten

What the platform would see: two different counts for one window, since the ledger of a restored store lacks that the window was reported, and its counts are dropped by then. Cause: the ledger in the store counted as the newest knowledge of what was reported. A node now holds the windows that it has reported itself against an older ledger. What it only heard from others, or assumed at its start, is no such evidence: with it, oneCountPerWindowUnderFaults failed (a window missing), tried and dropped. usage_test, reportedWindowsStayReportedOverRestoreOfStore: different counts for a window at 38.6 s before; duties_test (13) passes, three times. Left: a successor that never reported has no such evidence.

--- a/src/cypresswall/duties/usage_reporter.cpp
+++ b/src/cypresswall/duties/usage_reporter.cpp
@@ -195,6 +195,7 @@
   try {
     ledger_ = decodeUsageLedger(object.value);
     ledger_version_ = object.version;
+    skipReportedWindows(*ledger_);
   } catch (const UsageLedgerError& error) {
     // The unreadable ledger is not replaced, because a window could then be reported a second time
     // with different counts.
@@ -207,6 +208,14 @@
   }
 }
 
+/// A store that was restored from a copy may have lost that windows were reported. Their counts are
+/// no longer kept, so that a second report would differ from the first.
+void UsageReporter::skipReportedWindows(UsageLedger& ledger) const {
+  std::erase_if(ledger.fixed,
+                [this](const UsageReport& report) { return report.window <= confirmed_through_; });
+  ledger.taken_through = std::max(ledger.taken_through, confirmed_through_);
+}
+
 void UsageReporter::send(const UsageReport& report) {
   const auto epoch = authority_.heldEpoch();
   if (!epoch) {
@@ -232,6 +241,7 @@
   if (!failure || failure == DutyFailure::kInvalid) {
     (failure ? failed_ : reported_).add();
     recordReported(report, epoch.term);
+    confirmed_through_ = std::max(confirmed_through_, report.window);
     markReportedThrough(report.window);
     if (ledger_ && !ledger_->fixed.empty() && ledger_->fixed.front().window == report.window) {
       ledger_->fixed.erase(ledger_->fixed.begin());
--- a/src/cypresswall/duties/usage_reporter.h
+++ b/src/cypresswall/duties/usage_reporter.h
@@ -72,6 +72,7 @@
   void writeLedger(const UsageLedger& ledger);
   void onWritten(const object_store::StoreResult<object_store::StoredObject>& result);
   void observe(const object_store::StoredObject& object);
+  void skipReportedWindows(UsageLedger& ledger) const;
   void send(const UsageReport& report);
   void onSent(const UsageReport& report, const common::Epoch& epoch,
               std::optional<DutyFailure> failure);
@@ -103,6 +104,8 @@
   std::uint64_t ledger_version_ = 0;
   std::uint32_t ledger_token_ = 0;
   std::uint64_t reported_through_ = 0;
+  /// Last window whose report this node has sent itself, so that no older ledger can deny it.
+  std::uint64_t confirmed_through_ = 0;
   /// Time at which this node became a collector; nothing if it is not a collector.
   std::optional<common::MonotonicTime> collector_since_;
   bool needed_ = false;
--- a/tests/duties/usage_test.cpp
+++ b/tests/duties/usage_test.cpp
@@ -115,6 +115,7 @@
   CPPUNIT_TEST(backlogIsReportedAfterOutage);
   CPPUNIT_TEST(wrongClocksAreCorrected);
   CPPUNIT_TEST(countsAreStoredBeforeReporting);
+  CPPUNIT_TEST(reportedWindowsStayReportedOverRestoreOfStore);
   CPPUNIT_TEST(unreadableLedgerIsNotOverwritten);
   CPPUNIT_TEST(messagesPerNodeAreIndependentOfFleetSize);
   CPPUNIT_TEST(ledgerRoundTrip);
@@ -221,6 +222,21 @@
     CPPUNIT_ASSERT(zone.error(window) <= kAllowedError);
   }
 
+  /// The copy lacks the reports of three windows, whose counts the collectors have dropped.
+  void reportedWindowsStayReportedOverRestoreOfStore() {
+    DutyZone zone(7);
+    zone.startAll(9);
+    zone.serve(seconds(12));
+    for (int restore = 0; restore < 3; ++restore) {
+      zone.world.store.copy();
+      zone.serve(seconds(17));
+      zone.world.store.restore();
+      zone.serve(seconds(15));
+      CPPUNIT_ASSERT_EQUAL(std::string(), zone.platform.violation);
+    }
+    CPPUNIT_ASSERT(zone.platform.taken.rbegin()->first >= zone.currentWindow() - 3);
+  }
+
   void backlogIsReportedAfterOutage() {
     DutyZone zone(6);
     zone.startAll(5);
