Use no runner that only the copy of a restored store lists

What callers could see: a runner whose entry had gone, so that it was about to end, is listed again by the copy, and nodes send to it. Cause: an entry's presence counted as a sign of life. It is one only if the runner writes it; the entry of a runner that is gone goes within three heartbeats.

--- a/tests/objects_platform/restored_store/restored_store_test.cpp
+++ b/tests/objects_platform/restored_store/restored_store_test.cpp
@@ -60,6 +60,7 @@
         relay({}, process.context(), membership, incarnation),
         runner_watch(Topic::kListedEngines, kRunners, {}, process.context(), calls, runners),
         fleet_watch(Topic::kDeclaredFleet, kConfiguration, {}, process.context(), calls, fleet) {
+    incarnation.onChange([this] { runners.storeRestored(); });
     runner_watch.joinRelay(relay);
     fleet_watch.joinRelay(relay);
   }
@@ -191,6 +192,8 @@
   CPPUNIT_TEST(changesAfterRestoreAreInForceInTime);
   CPPUNIT_TEST(changesAreFoundThoughTheirRevisionsWereUsedBefore);
   CPPUNIT_TEST(drainKnownBeforeRestoreIsNotUndone);
+  CPPUNIT_TEST(removedRunnerIsNotUsedWhileOnlyTheCopyListsIt);
+  CPPUNIT_TEST(removedRunnerThatStaysListedIsUsedAgain);
   CPPUNIT_TEST(runnerThatTheCopyLacksIsKeptUntilItIsWrittenAgain);
   CPPUNIT_TEST(runnerThatIsNotWrittenAgainIsRemoved);
   CPPUNIT_TEST(nodesAgreeAfterRestoresInSeries);
@@ -244,6 +247,38 @@
     }
   }
 
+  /// The entry of a runner that does not live any more goes again after three heartbeats.
+  void removedRunnerIsNotUsedWhileOnlyTheCopyListsIt() {
+    RestoredZone zone;
+    zone.store.copy();
+    zone.removeRunner(5);
+    zone.run(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesThatUse(5));
+    zone.outage(seconds(2));
+    for (int step = 0; step < 20; ++step) {
+      zone.run(milliseconds(200));
+      CPPUNIT_ASSERT_EQUAL(0, zone.nodesThatUse(5));
+    }
+    zone.removeRunner(5);
+    zone.run(seconds(10));
+    CPPUNIT_ASSERT_EQUAL(0, zone.nodesThatUse(5));
+  }
+
+  void removedRunnerThatStaysListedIsUsedAgain() {
+    RestoredZone zone;
+    zone.store.copy();
+    zone.removeRunner(5);
+    zone.removeRunner(6);
+    zone.run(seconds(1));
+    zone.outage(seconds(2));
+    zone.run(seconds(1));
+    zone.writeRunner(6);
+    zone.run(kApplyLimit);
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatUse(6));
+    zone.run(seconds(6));
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatUse(5));
+  }
+
   void runnerThatTheCopyLacksIsKeptUntilItIsWrittenAgain() {
     RestoredZone zone;
     zone.store.copy();
