--- a/bench/decision_cost/node_work_benchmark.cpp
+++ b/bench/decision_cost/node_work_benchmark.cpp
@@ -164,6 +164,7 @@
 class UpToDateStoreCopy final : public store_relay::StoreCopy {
  public:
   std::uint64_t revision() const override { return 1; }
+  void beginIncarnation() override {}
   bool callPending() const override { return true; }
   void fetchFromStore() override {}
   std::vector<store_relay::StoreChange> allObjects() const override { return {}; }
@@ -178,8 +179,9 @@
   auto& copy = node.process().emplace<UpToDateStoreCopy>();
   store_relay::StoreRelaySettings settings;
   settings.readers = static_cast<std::size_t>(node.size());
-  auto& relay =
-      node.process().emplace<store_relay::StoreRelay>(settings, node.context(), node.membership());
+  auto& incarnation = node.process().emplace<store_relay::StoreIncarnation>(node.context());
+  auto& relay = node.process().emplace<store_relay::StoreRelay>(settings, node.context(),
+                                                                node.membership(), incarnation);
   const auto topics = {store_relay::Topic::kListedEngines, store_relay::Topic::kDeclaredFleet};
   for (const store_relay::Topic topic : topics) {
     relay.follow(topic, copy);
