Let engines and back ends of the product's own protocol say that they leave or want a pause

An engine of this protocol restarts under its name, so that what it announced ends when its incarnation changes. PlacementRouter's exclusion after an unusable choice is told engine by engine.

--- a/src/cypresswall/availability/announced_availability.cpp
+++ b/src/cypresswall/availability/announced_availability.cpp
@@ -68,6 +68,12 @@
   notify(server);
 }
 
+void AnnouncedAvailability::forget(const std::string& server) {
+  if (states_.erase(server) != 0) {
+    notify(server);
+  }
+}
+
 void AnnouncedAvailability::notify(const std::string& server) const {
   unavailable_gauge_.set(static_cast<double>(unavailable().size()));
   for (const Listener& listener : listeners_) {
--- a/src/cypresswall/availability/announced_availability.h
+++ b/src/cypresswall/availability/announced_availability.h
@@ -46,6 +46,8 @@
 
   /// Records what a server's answer says. Of several pauses, the one that ends last is kept.
   void answered(const std::string& server, const common::ServerAnnouncement& announcement);
+  /// Forgets what a server announced. To be called when it has restarted under the same name.
+  void forget(const std::string& server);
   /// \return true if the server said that it leaves
   bool leaving(const std::string& server) const;
   /// \return the end of the server's pause; in the past if it has none
--- a/src/cypresswall/common/server_announcement.h
+++ b/src/cypresswall/common/server_announcement.h
@@ -25,6 +25,9 @@
 using AnnouncementObserver =
     std::function<void(const std::string& server, const ServerAnnouncement& announcement)>;
 
+/// Called with what one server's answer says about the server.
+using AnnouncementReporter = std::function<void(const ServerAnnouncement& announcement)>;
+
 /// Longest time that a server can ask for with Retry-After; longer times are cut to it.
 inline constexpr Duration kMaximumPause = std::chrono::hours(1);
 
--- a/src/cypresswall/engines/http_engine_client.cpp
+++ b/src/cypresswall/engines/http_engine_client.cpp
@@ -49,33 +49,39 @@
   sent.idle_time_limit = settings_.stream_idle_time_limit;
   sent.maximum_body_bytes = 0;
   sent.buffer_bytes = kStreamBufferBytes;
-  return std::make_unique<HttpStream>(curl_, std::move(sent), request.attempt, stream_counters_,
-                                      handler);
+  return std::make_unique<HttpStream>(
+      curl_, std::move(sent), request.attempt, stream_counters_, handler,
+      [this, name = engine.name](const auto& announcement) { announce(name, announcement); });
 }
 
 void HttpEngineClient::sendOrder(const EngineEndpoint& engine, const EngineOrder& order,
                                  EngineCallback<OrderReply> callback) {
   CurlRequest request = post(engine, "/v1/orders", orderJson(order));
   request.total_time_limit = settings_.order_time_limit;
-  curl_.fetch(std::move(request), [callback = std::move(callback)](const CurlResponse& response) {
+  curl_.fetch(std::move(request), [this, name = engine.name,
+                                   callback = std::move(callback)](const CurlResponse& response) {
+    announce(name, announcementIn(response));
     callback(resultOf<OrderReply>(response, parseOrderReply));
   });
 }
 
 void HttpEngineClient::fetchLoad(const EngineEndpoint& engine,
                                  EngineCallback<EngineLoad> callback) {
-  curl_.fetch(get(engine, "/v1/load"),
-              [callback = std::move(callback)](const CurlResponse& response) {
-                callback(resultOf<EngineLoad>(response, parseEngineLoad));
-              });
+  curl_.fetch(get(engine, "/v1/load"), [this, name = engine.name, callback = std::move(callback)](
+                                           const CurlResponse& response) {
+    announce(name, announcementIn(response));
+    callback(resultOf<EngineLoad>(response, parseEngineLoad));
+  });
 }
 
 void HttpEngineClient::fetchCacheEvents(const EngineEndpoint& engine, std::uint64_t after,
                                         EngineCallback<CacheEvents> callback) {
-  curl_.fetch(get(engine, "/v1/cache/events?after=" + std::to_string(after)),
-              [callback = std::move(callback)](const CurlResponse& response) {
-                callback(resultOf<CacheEvents>(response, parseCacheEvents));
-              });
+  curl_.fetch(
+      get(engine, "/v1/cache/events?after=" + std::to_string(after)),
+      [this, name = engine.name, callback = std::move(callback)](const CurlResponse& response) {
+        announce(name, announcementIn(response));
+        callback(resultOf<CacheEvents>(response, parseCacheEvents));
+      });
 }
 
 CurlRequest HttpEngineClient::get(const EngineEndpoint& engine, std::string target) const {
--- a/src/cypresswall/engines/http_stream.cpp
+++ b/src/cypresswall/engines/http_stream.cpp
@@ -9,19 +9,28 @@
 
 constexpr int kStatusOk = 200;
 constexpr const char* kRateLimitHeader = "X-Cypresswall-Rate-Limit";
+constexpr const char* kLeavingHeader = "X-Cypresswall-Leaving";
+constexpr const char* kRetryAfterHeader = "Retry-After";
 
 }  // namespace
 
+common::ServerAnnouncement announcementIn(const runtime::CurlResponse& response) {
+  return common::announcementOf(response.status, response.header(kLeavingHeader),
+                                response.header(kRetryAfterHeader));
+}
+
 HttpStreamCounters::HttpStreamCounters(common::CounterRegistry& registry)
     : tokens(registry.counter("cypresswall_engine_tokens_total", "Tokens received from engines.")),
       failed(registry.counter("cypresswall_engine_streams_failed_total",
                               "Attempts at streams that failed on the engine's side.")) {}
 
 HttpStream::HttpStream(runtime::CurlMulti& curl, runtime::CurlRequest request,
-                       std::uint32_t attempt, HttpStreamCounters& counters, StreamHandler& handler)
+                       std::uint32_t attempt, HttpStreamCounters& counters, StreamHandler& handler,
+                       common::AnnouncementReporter announce)
     : attempt_(attempt),
       counters_(counters),
       handler_(&handler),
+      announce_(std::move(announce)),
       transfer_(curl.start(std::move(request), *this)) {}
 
 void HttpStream::pause() { transfer_->pause(); }
@@ -30,14 +39,15 @@
 
 void HttpStream::onHead(const runtime::CurlResponse& head) {
   if (handler_ != nullptr) {
-    reportRateLimit(head);
+    reportAnnouncements(head);
   }
 }
 
-void HttpStream::reportRateLimit(const runtime::CurlResponse& head) {
-  if (std::exchange(rate_limit_reported_, true) || head.status == 0) {
+void HttpStream::reportAnnouncements(const runtime::CurlResponse& head) {
+  if (std::exchange(announcements_reported_, true) || head.status == 0) {
     return;
   }
+  announce_(announcementIn(head));
   handler_->onRateLimit(attempt_, common::parseRateLimit(head.header(kRateLimitHeader)));
 }
 
@@ -95,7 +105,7 @@
   if (handler_ == nullptr) {
     return;
   }
-  reportRateLimit(response);
+  reportAnnouncements(response);
   if (usage_) {
     std::exchange(handler_, nullptr)->onFinished(attempt_, *usage_);
   } else {
--- a/src/cypresswall/engines/http_stream.h
+++ b/src/cypresswall/engines/http_stream.h
@@ -13,6 +13,11 @@
 
 namespace cypresswall::engines {
 
+/// \return what an engine says about itself in an answer: that it leaves, or for how long it wants
+/// no
+///   requests
+common::ServerAnnouncement announcementIn(const runtime::CurlResponse& response);
+
 /// Counters shared by all streams of a client.
 struct HttpStreamCounters {
   explicit HttpStreamCounters(common::CounterRegistry& registry);
@@ -27,7 +32,8 @@
 class HttpStream final : public Stream, private runtime::CurlTransferHandler {
  public:
   HttpStream(runtime::CurlMulti& curl, runtime::CurlRequest request, std::uint32_t attempt,
-             HttpStreamCounters& counters, StreamHandler& handler);
+             HttpStreamCounters& counters, StreamHandler& handler,
+             common::AnnouncementReporter announce);
   void pause() override;
   void resume() override;
 
@@ -36,9 +42,9 @@
   void onBody(std::string_view bytes) override;
   void onDone(runtime::CurlResponse response) override;
 
-  /// Reports the announced rate limit to the handler once, when the answer's head is first
-  /// available.
-  void reportRateLimit(const runtime::CurlResponse& head);
+  /// Reports what the answer's head says about the engine once, when the head is first available:
+  /// its rate limit to the handler, the rest to the client.
+  void reportAnnouncements(const runtime::CurlResponse& head);
   /// The three handle functions return false if no more events are to be read, because the stream
   /// has ended or the handler has destroyed this object.
   bool handleEvent(std::string_view data);
@@ -54,7 +60,8 @@
   SseParser parser_;
   TokenEvent token_;
   std::optional<StreamUsage> usage_;
-  bool rate_limit_reported_ = false;
+  common::AnnouncementReporter announce_;
+  bool announcements_reported_ = false;
   /// Weak pointers to this flag expire when this object is destroyed; the parsing loop uses them to
   /// detect that the handler destroyed the object.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/cypresswall/routing/engine_table.cpp
+++ b/src/cypresswall/routing/engine_table.cpp
@@ -140,6 +140,9 @@
   }
   if (restarted) {
     entries_[slot].ejected_until = {};
+    if (announced_ != nullptr) {
+      announced_->forget(record.declaration.name);
+    }
   }
   const bool identity_changed = !record.reported || restarted ||
                                 record.load.model != observation.load.model ||
--- a/src/cypresswall/routing/engine_table.h
+++ b/src/cypresswall/routing/engine_table.h
@@ -50,9 +50,7 @@
   /// \return the end of the engine's last ejection; the clock's epoch if it was never ejected.
   common::MonotonicTime ejectedUntil(EngineSlot slot) const { return entries_[slot].ejected_until; }
   /// Sets what engines have said about themselves in answers to this node; without it, nothing.
-  void setAnnounced(const availability::AnnouncedAvailability& announced) {
-    announced_ = &announced;
-  }
+  void setAnnounced(availability::AnnouncedAvailability& announced) { announced_ = &announced; }
   /// Re-evaluates the availability of an engine after its announcements have changed.
   void announcementChanged(const common::EngineName& engine, common::MonotonicTime now);
   /// \return true if the engine must receive no new work whatever its load: it or its machine is
@@ -107,7 +105,7 @@
                                          const std::string& adapter) const;
 
   DirectorySettings settings_;
-  const availability::AnnouncedAvailability* announced_ = nullptr;
+  availability::AnnouncedAvailability* announced_ = nullptr;
   std::vector<Entry> entries_;
   std::vector<EngineSlot> roster_;
   std::vector<common::EngineName> names_;
--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -219,10 +219,11 @@
          directory_.table().record(slot).declaration.address == engine.address;
 }
 
+bool PlacementRouter::fits(const engines::EngineEndpoint& engine) const {
+  return known(engine) && takesWork(engine);
+}
+
 bool PlacementRouter::usable(const Route& route) const {
-  const auto fits = [this](const engines::EngineEndpoint& engine) {
-    return known(engine) && takesWork(engine);
-  };
   return fits(route.engine) && (!route.prefill_engine || fits(*route.prefill_engine)) &&
          (!route.prefix_source || known(*route.prefix_source));
 }
@@ -231,10 +232,11 @@
   for (const common::EngineName& name : directory_.unavailableByAnnouncement()) {
     request.excluded.push_back(name);
   }
-  if (route.prefill_engine && !takesWork(*route.prefill_engine)) {
+  const bool prefill_fits = !route.prefill_engine || fits(*route.prefill_engine);
+  if (!prefill_fits) {
     request.excluded.push_back(route.prefill_engine->name);
   }
-  if (!route.prefill_engine || !takesWork(route.engine)) {
+  if (prefill_fits || !fits(route.engine)) {
     request.excluded.push_back(route.engine.name);
   }
 }
--- a/src/cypresswall/routing/placement_router.h
+++ b/src/cypresswall/routing/placement_router.h
@@ -83,6 +83,8 @@
   void onRefusal(PendingRequest& pending, const PlacementAnswer& answer);
   void releaseUnlessInUse(const common::NodeId& owner, const std::string& stream_id);
   /// \return true if the engines of the route are known here and may get work
+  /// \return true if this node knows the engine and may send to it
+  bool fits(const engines::EngineEndpoint& engine) const;
   bool usable(const Route& route) const;
   /// Excludes the engines for which an owner's choice could not be used, and those that the owner
   /// may choose next since it does not know what they announced to this node.
--- a/src/cypresswall/services/http_service_client.cpp
+++ b/src/cypresswall/services/http_service_client.cpp
@@ -18,6 +18,8 @@
 constexpr int kStatusServerError = 500;
 constexpr const char* kOutcomeHeader = "X-Cypresswall-Outcome";
 constexpr const char* kRateLimitHeader = "X-Cypresswall-Rate-Limit";
+constexpr const char* kLeavingHeader = "X-Cypresswall-Leaving";
+constexpr const char* kRetryAfterHeader = "Retry-After";
 constexpr const char* kOutcomeNotRun = "not-run";
 constexpr const char* kRequestIdHeader = "X-Request-Id";
 
@@ -123,8 +125,11 @@
   sent.connect_time_limit = settings_.connect_time_limit;
   sent.total_time_limit = request.time_limit;
   sent.maximum_body_bytes = settings_.maximum_answer_bytes;
-  return std::make_unique<HttpServiceCall>(
-      curl_.startFetch(std::move(sent), [callback = std::move(callback)](CurlResponse response) {
+  return std::make_unique<HttpServiceCall>(curl_.startFetch(
+      std::move(sent),
+      [this, server = request.server, callback = std::move(callback)](CurlResponse response) {
+        announce(server, common::announcementOf(response.status, response.header(kLeavingHeader),
+                                                response.header(kRetryAfterHeader)));
         callback(serviceResponseOf(std::move(response)));
       }));
 }
--- a/src/cypresswall/simulation/simulated_stream.cpp
+++ b/src/cypresswall/simulation/simulated_stream.cpp
@@ -20,7 +20,7 @@
  public:
   Connection(const ExternalPath& path, SimulatedEngines& engines, common::Address address,
              engines::StreamRequest request, engines::StreamHandler& handler,
-             AnnouncementReporter announce, common::Duration break_detection_time)
+             common::AnnouncementReporter announce, common::Duration break_detection_time)
       : path_(path),
         engines_(engines),
         address_(std::move(address)),
@@ -250,7 +250,7 @@
   engines::StreamRequest request_;
   /// Null after the process has closed its side or received the final call.
   engines::StreamHandler* handler_;
-  AnnouncementReporter announce_;
+  common::AnnouncementReporter announce_;
   common::Duration break_detection_time_;
   std::deque<Event> incoming_;
   /// Rate limit that the engine advertises in its response; reset when the first event has been
@@ -275,8 +275,8 @@
 
 std::unique_ptr<SimulatedStream> SimulatedStream::start(
     const ExternalPath& path, SimulatedEngines& engines, const common::Address& address,
-    engines::StreamRequest request, engines::StreamHandler& handler, AnnouncementReporter announce,
-    common::Duration break_detection_time) {
+    engines::StreamRequest request, engines::StreamHandler& handler,
+    common::AnnouncementReporter announce, common::Duration break_detection_time) {
   return std::unique_ptr<SimulatedStream>(new SimulatedStream(
       std::make_shared<Connection>(path, engines, address, std::move(request), handler,
                                    std::move(announce), break_detection_time)));
--- a/src/cypresswall/simulation/simulated_stream.h
+++ b/src/cypresswall/simulation/simulated_stream.h
@@ -17,9 +17,6 @@
 
 class SimulatedEngines;
 
-/// Called with what the engine's answer says about the engine.
-using AnnouncementReporter = std::function<void(const common::ServerAnnouncement&)>;
-
 /// The process's side of the stream; destroying this object closes the connection.
 class SimulatedStream final : public engines::Stream {
  public:
@@ -27,7 +24,7 @@
                                                 const common::Address& address,
                                                 engines::StreamRequest request,
                                                 engines::StreamHandler& handler,
-                                                AnnouncementReporter announce,
+                                                common::AnnouncementReporter announce,
                                                 common::Duration break_detection_time);
   ~SimulatedStream() override;
   SimulatedStream(const SimulatedStream&) = delete;
--- a/standins/fronts/engine_front.cpp
+++ b/standins/fronts/engine_front.cpp
@@ -22,7 +22,7 @@
         event_start_("data: {\"attempt\": " + std::to_string(key_.second)) {}
 
   void begin() {
-    auto headers = rateLimitHeaders(front_.engine_.faults().rate_limit);
+    auto headers = front_.headers();
     headers.push_back({"Content-Type", "text/event-stream"});
     responder_->startStream(200, headers);
   }
@@ -66,6 +66,14 @@
   std::string event_start_;
 };
 
+std::vector<http::Header> EngineFront::headers() const {
+  auto headers = rateLimitHeaders(engine_.faults().rate_limit);
+  for (http::Header& header : announcementHeaders(engine_.faults().leaving)) {
+    headers.push_back(std::move(header));
+  }
+  return headers;
+}
+
 EngineFront::~EngineFront() {
   for (const auto& [key, connection] : connections_) {
     engine_.cancelStream(key.first, key.second);
@@ -93,7 +101,7 @@
   } else if (call == "POST /v1/orders") {
     handleOrder(request, responder);
   } else if (call == "GET /v1/load") {
-    respondJson(*responder, 200, encodeLoad(*engine_.load()));
+    respondJson(*responder, 200, encodeLoad(*engine_.load()), headers());
   } else if (call == "GET /v1/cache/events") {
     const auto events = engine_.cacheEvents(queryNumberOr(request, "after", 0));
     respondJson(*responder, 200, encodeCacheEvents(*events));
@@ -121,8 +129,13 @@
   auto connection = std::make_shared<StreamConnection>(*this, key, responder);
   const emulation::StreamStart start = engine_.startStream(std::move(stream), *connection);
   if (start.result != emulation::StartResult::kStarted) {
-    respondJson(*responder, 409, {{"error", start.message}, {"ran", false}},
-                rateLimitHeaders(engine_.faults().rate_limit));
+    const auto& pause = engine_.faults().pause;
+    auto refused = headers();
+    for (http::Header& header : announcementHeaders(false, pause)) {
+      refused.push_back(std::move(header));
+    }
+    respondJson(*responder, pause ? 503 : 409, {{"error", start.message}, {"ran", false}},
+                std::move(refused));
     return;
   }
   connection->begin();
--- a/standins/fronts/engine_front.h
+++ b/standins/fronts/engine_front.h
@@ -26,6 +26,8 @@
   class StreamConnection;
   using StreamKey = std::pair<std::string, std::uint32_t>;
 
+  /// \return the header fields in which the engine announces its limit and that it leaves
+  std::vector<http::Header> headers() const;
   void route(const http::Request& request, const ResponderPointer& responder);
   void routeAdmin(const http::Request& request, const ResponderPointer& responder);
   void startStream(const http::Request& request, const ResponderPointer& responder);
--- a/standins/fronts/engine_json.cpp
+++ b/standins/fronts/engine_json.cpp
@@ -151,6 +151,8 @@
       fieldOr(body, "break_stream_after_tokens", faults.break_stream_after_tokens);
   faults.refuse = fieldOr(body, "refuse", faults.refuse);
   faults.rate_limit = rateLimitOr(body, faults.rate_limit);
+  faults.leaving = fieldOr(body, "leaving", faults.leaving);
+  faults.pause = pauseOr(body, faults.pause);
 }
 
 json encodeReply(const engines::OrderReply& reply) {
--- a/standins/fronts/json_http.cpp
+++ b/standins/fronts/json_http.cpp
@@ -22,6 +22,28 @@
                           : std::optional(requiredField<double>(object, "rate_limit"));
 }
 
+std::optional<common::Duration> pauseOr(const json& object,
+                                        std::optional<common::Duration> fallback) {
+  const auto field = object.find("pause_ms");
+  if (field == object.end()) {
+    return fallback;
+  }
+  return field->is_null() ? std::nullopt
+                          : std::optional(millisecondsOr(object, "pause_ms", common::Duration{0}));
+}
+
+std::vector<http::Header> announcementHeaders(bool leaving,
+                                              const std::optional<common::Duration>& pause) {
+  std::vector<http::Header> headers;
+  if (leaving) {
+    headers.push_back({"X-Cypresswall-Leaving", "1"});
+  }
+  if (pause) {
+    headers.push_back({"Retry-After", std::to_string(common::toSeconds(*pause))});
+  }
+  return headers;
+}
+
 std::vector<http::Header> rateLimitHeaders(const std::optional<double>& requests_per_second) {
   if (!requests_per_second) {
     return {};
--- a/standins/fronts/json_http.h
+++ b/standins/fronts/json_http.h
@@ -28,6 +28,14 @@
 /// \return the header field in which a server announces how many requests per second it accepts
 ///   from the whole fleet; empty if it announces no limit
 std::vector<http::Header> rateLimitHeaders(const std::optional<double>& requests_per_second);
+/// \param leaving whether the server announces that it leaves
+/// \param pause time without requests that a refusal asks for
+/// \return the header fields that announce both; empty if there is nothing to announce
+std::vector<http::Header> announcementHeaders(bool leaving,
+                                              const std::optional<common::Duration>& pause = {});
+/// Reads the fault `pause_ms`: a time without requests, or null for none.
+std::optional<common::Duration> pauseOr(const nlohmann::json& object,
+                                        std::optional<common::Duration> fallback);
 /// Answers with `{"error": message}`.
 void respondError(http::Responder& responder, int status, const std::string& message);
 
--- a/standins/fronts/service_front.cpp
+++ b/standins/fronts/service_front.cpp
@@ -29,6 +29,9 @@
                                             request.target, request.body};
   service_.handle(call, [responder](const emulation::EmulatedServiceAnswer& answer) {
     std::vector<http::Header> headers = rateLimitHeaders(answer.rate_limit);
+    for (http::Header& header : announcementHeaders(answer.leaving, answer.pause)) {
+      headers.push_back(std::move(header));
+    }
     headers.push_back({"Content-Type", "application/json"});
     switch (answer.end) {
       case emulation::EmulatedServiceOutcome::kAnswered:
@@ -53,6 +56,8 @@
   faults.break_after_run = fieldOr(body, "break_after_run", faults.break_after_run);
   faults.delay = millisecondsOr(body, "delay_ms", faults.delay);
   faults.rate_limit = rateLimitOr(body, faults.rate_limit);
+  faults.leaving = fieldOr(body, "leaving", faults.leaving);
+  faults.pause = pauseOr(body, faults.pause);
   service_.setFaults(faults);
   responder->respond(204, {}, "");
 }
--- a/tests/availability/announced_availability_test.cpp
+++ b/tests/availability/announced_availability_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(leavingOutlastsAnswersThatDoNotSaySo);
   CPPUNIT_TEST(leavingEndsWithoutConfirmation);
   CPPUNIT_TEST(nextLifeBeginsWithoutAnnouncements);
+  CPPUNIT_TEST(restartUnderTheSameNameEndsAnnouncements);
   CPPUNIT_TEST(pauseEndsWithinItsJitter);
   CPPUNIT_TEST(pauseThatEndsLastWins);
   CPPUNIT_TEST(unreadablePauseChangesNothing);
@@ -59,6 +60,11 @@
     announced_.answered(kServer, {true, seconds(5)});
     CPPUNIT_ASSERT(announced_.acceptsRequests(kNextLife));
   }
+  void restartUnderTheSameNameEndsAnnouncements() {
+    announced_.answered(kServer, {true, seconds(5)});
+    announced_.forget(kServer);
+    CPPUNIT_ASSERT(announced_.acceptsRequests(kServer));
+  }
   void pauseEndsWithinItsJitter() {
     announced_.answered(kServer, pauseOf(seconds(4)));
     time_.runFor(seconds(4) - std::chrono::milliseconds(1));
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -20,7 +20,7 @@
 }  // namespace
 
 std::vector<PlannedFault> planFaults(std::uint64_t seed, std::size_t count, std::size_t nodes,
-                                     std::size_t engines) {
+                                     std::size_t engines, std::size_t kinds) {
   common::SeededRandom random(seed);
   const auto time = [&random] {
     return std::chrono::milliseconds(kMinimumMilliseconds + random.below(kMillisecondsRange));
@@ -28,7 +28,7 @@
   std::vector<PlannedFault> plan;
   for (std::size_t i = 0; i < count; ++i) {
     PlannedFault fault;
-    fault.kind = static_cast<FaultKind>(random.below(kFaultKinds));
+    fault.kind = static_cast<FaultKind>(random.below(kinds));
     fault.target = random.below(affectsNode(fault.kind) ? nodes : engines);
     fault.duration = time();
     fault.pause_after = time();
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -25,13 +25,18 @@
   kEngineReset,
   kEngineAnswersCut,
   kEngineStreamBroken,
+  kEngineLeaving,  ///< the engine says that it leaves, serves on, and restarts
+  kEnginePaused,   ///< the engine refuses requests and asks for a pause
 };
-inline constexpr std::size_t kFaultKinds = 15;
+inline constexpr std::size_t kFaultKinds = 17;
+/// Number of kinds, from the first, that plans without announcements of engines draw from.
+inline constexpr std::size_t kKindsWithoutAnnouncements = 15;
 inline constexpr std::array<const char*, kFaultKinds> kFaultNames = {
-    "node-killed",       "node-paused",        "node-stopped",        "store-down",
-    "store-silent",      "store-slow",         "store-reset",         "store-answers-cut",
-    "store-answer-lost", "engine-crashed",     "engine-silent",       "engine-slow",
-    "engine-reset",      "engine-answers-cut", "engine-stream-broken"};
+    "node-killed",       "node-paused",        "node-stopped",         "store-down",
+    "store-silent",      "store-slow",         "store-reset",          "store-answers-cut",
+    "store-answer-lost", "engine-crashed",     "engine-silent",        "engine-slow",
+    "engine-reset",      "engine-answers-cut", "engine-stream-broken", "engine-leaving",
+    "engine-paused"};
 
 inline const char* nameOf(FaultKind kind) { return kFaultNames[static_cast<std::size_t>(kind)]; }
 
@@ -46,9 +51,11 @@
   bool overlaps_next = false;
 };
 
+/// \param kinds number of kinds, from the first, to draw from
 /// \return the faults of one round, in order
 std::vector<PlannedFault> planFaults(std::uint64_t seed, std::size_t count, std::size_t nodes,
-                                     std::size_t engines);
+                                     std::size_t engines,
+                                     std::size_t kinds = kKindsWithoutAnnouncements);
 
 /// \return the plan on one line
 std::string describe(const std::vector<PlannedFault>& plan);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,7 @@
 
 DEFINE_int64(minutes, 3, "minutes in which new rounds are started; ignored with --seed");
 DEFINE_uint64(seed, 0, "run only the round of this seed; zero for rounds with random seeds");
+DEFINE_bool(announcements, true, "engines also say that they leave or ask for a pause");
 DEFINE_uint64(faults, 8, "faults in a round; a seed gives the same plan only with the same number");
 
 namespace {
@@ -65,8 +66,9 @@
 };
 
 void play(std::uint64_t seed, Ledger& ledger) {
-  const auto plan =
-      cypresswall::testing::planFaults(seed, FLAGS_faults, SoakRound::kNodes, SoakRound::kEngines);
+  const auto plan = cypresswall::testing::planFaults(
+      seed, FLAGS_faults, SoakRound::kNodes, SoakRound::kEngines,
+      FLAGS_announcements ? kFaultKinds : cypresswall::testing::kKindsWithoutAnnouncements);
   std::printf("round seed=%lu faults=%lu: %s\n", seed, FLAGS_faults,
               cypresswall::testing::describe(plan).c_str());
   std::fflush(stdout);
--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t kThreads = 6;
 constexpr int kStopSeconds = 30;
 constexpr std::chrono::milliseconds kSlow{300};
+/// Time without requests that a paused engine asks for.
+constexpr std::chrono::milliseconds kPause{1500};
 constexpr std::uint64_t kStreamsAfterFaults = 20;
 constexpr std::uint64_t kBookingsAfterFaults = 5;
 
@@ -77,6 +79,12 @@
     case FaultKind::kEngineStreamBroken:
       fleet_->engineFault(fault.target, {{"break_stream_after_tokens", 3}});
       break;
+    case FaultKind::kEngineLeaving:
+      fleet_->engineFault(fault.target, {{"leaving", true}});
+      break;
+    case FaultKind::kEnginePaused:
+      fleet_->engineFault(fault.target, {{"refuse", true}, {"pause_ms", kPause.count()}});
+      break;
     case FaultKind::kStoreReset:
     case FaultKind::kEngineReset:
       proxyOf(fault).resetConnections();
@@ -104,6 +112,12 @@
     case FaultKind::kStoreDown:
       fleet_->platformFault({{"down", false}});
       break;
+    case FaultKind::kEngineLeaving:
+      fleet_->engineFault(fault.target, {{"leaving", false}, {"crash", true}});
+      break;
+    case FaultKind::kEnginePaused:
+      fleet_->engineFault(fault.target, {{"refuse", false}, {"pause_ms", nullptr}});
+      break;
     case FaultKind::kStoreAnswerLost:
     case FaultKind::kEngineCrashed:
     case FaultKind::kEngineStreamBroken:
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -24,7 +24,7 @@
 
   void everyKindIsPlanned() {
     std::array<int, kFaultKinds> planned{};
-    for (const PlannedFault& fault : planFaults(1, 400, 3, 4)) {
+    for (const PlannedFault& fault : planFaults(1, 400, 3, 4, kFaultKinds)) {
       ++planned[static_cast<std::size_t>(fault.kind)];
       CPPUNIT_ASSERT(fault.target < 4);
     }
