--- a/src/cypresswall/engines/http_stream.h
+++ b/src/cypresswall/engines/http_stream.h
@@ -13,9 +13,8 @@
 
 namespace cypresswall::engines {
 
-/// \return what an engine says about itself in an answer: that it leaves, or for how long it wants
-/// no
-///   requests
+/// \return what an engine says about itself in an answer: that it leaves, or how long a pause it
+///   wants
 common::ServerAnnouncement announcementIn(const runtime::CurlResponse& response);
 
 /// Counters shared by all streams of a client.
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -25,6 +25,10 @@
 /// Retry-After is extended at random by up to this share, so that callers don't retry in lockstep.
 constexpr double kRetryJitter = 0.25;
 
+std::string nameOf(const configuration::BackendDeclaration& backend) {
+  return availability::backendName(backend.machine, backend.address);
+}
+
 std::string resultOf(const services::ServiceResponse& response) {
   if (response.outcome == services::ServiceOutcome::kAnswered) {
     return "status " + std::to_string(response.status);
@@ -153,7 +157,7 @@
     std::set<common::Address> skipped = excluded_;
     skipped.insert(exhausted.begin(), exhausted.end());
     for (const auto& backend : service_.backends) {
-      if (!acceptsCalls(backend.address)) {
+      if (!core_.interfaces.announced.acceptsRequests(nameOf(backend))) {
         skipped.insert(backend.address);
       }
     }
@@ -228,7 +232,7 @@
   const auto remaining = deadline_ - core_.process.clock.now();
   services::ServiceRequest call;
   call.request_id = request_.request_id;
-  call.server = nameOf(backend);
+  call.server = nameOfBackendAt(backend);
   call.attempt = ++attempt_;
   call.method = request_.method;
   call.target = request_.target;
@@ -249,16 +253,16 @@
       });
 }
 
-std::string ServiceRun::nameOf(const common::Address& backend) const {
+std::string ServiceRun::nameOfBackendAt(const common::Address& backend) const {
   const auto declared =
       std::find_if(service_.backends.begin(), service_.backends.end(),
                    [&backend](const auto& candidate) { return candidate.address == backend; });
-  return availability::backendName(
-      declared == service_.backends.end() ? std::string() : declared->machine, backend);
+  return declared == service_.backends.end() ? availability::backendName({}, backend)
+                                             : nameOf(*declared);
 }
 
 bool ServiceRun::acceptsCalls(const common::Address& backend) const {
-  return core_.interfaces.announced.acceptsRequests(nameOf(backend));
+  return core_.interfaces.announced.acceptsRequests(nameOfBackendAt(backend));
 }
 
 std::optional<common::Duration> ServiceRun::timeUntilPauseEnds() const {
@@ -266,7 +270,7 @@
   const auto now = core_.process.clock.now();
   std::optional<common::Duration> shortest;
   for (const auto& backend : service_.backends) {
-    const std::string name = nameOf(backend.address);
+    const std::string name = nameOf(backend);
     const auto left = announced.pausedUntil(name) - now;
     if (left > common::Duration{0} && !announced.leaving(name)) {
       shortest = std::min(shortest.value_or(left), left);
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -59,7 +59,7 @@
   void failWithoutBackend(const std::set<common::Address>& exhausted);
   void beginCall(const common::Address& backend);
   /// \return the identity of a back end's present life (see AnnouncedAvailability)
-  std::string nameOf(const common::Address& backend) const;
+  std::string nameOfBackendAt(const common::Address& backend) const;
   /// \return false if the back end has said in an answer to this node that it takes no calls now
   bool acceptsCalls(const common::Address& backend) const;
   /// \return the time after which the first of the paused back ends takes calls again, extended at
