Let routing hear of an attempt's output, its deadline and idle connections

Placement by learnt engine speed, moving of slow streams and kept connections need three facts that the router is not told today: how fast output arrives, until when an answer must be complete, and to which engines the sending node has an idle connection.

No decision uses them yet. PlacementTest::ownerLearnsTheOutputWithTheEnd covers the way to the owner; syntax checked, not yet run.

--- a/src/cypresswall/admission/observed_router.h
+++ b/src/cypresswall/admission/observed_router.h
@@ -60,6 +60,9 @@
   void firstTokenReceived(const std::string& stream_id) override {
     router_.firstTokenReceived(stream_id);
   }
+  void outputReceived(const std::string& stream_id, const routing::OutputSample& sample) override {
+    router_.outputReceived(stream_id, sample);
+  }
   void answerCompleted(const std::string& stream_id) override {
     router_.answerCompleted(stream_id);
   }
--- a/src/cypresswall/routing/permit_router.h
+++ b/src/cypresswall/routing/permit_router.h
@@ -36,6 +36,9 @@
   void firstTokenReceived(const std::string& stream_id) override {
     router_.firstTokenReceived(stream_id);
   }
+  void outputReceived(const std::string& stream_id, const OutputSample& sample) override {
+    router_.outputReceived(stream_id, sample);
+  }
   void answerCompleted(const std::string& stream_id) override {
     router_.answerCompleted(stream_id);
   }
--- a/src/cypresswall/routing/placement_messages.cpp
+++ b/src/cypresswall/routing/placement_messages.cpp
@@ -84,6 +84,8 @@
   message.first_token_limit = request.first_token_limit.count();
   message.between_tokens_limit = request.between_tokens_limit.count();
   message.excluded = request.excluded;
+  message.finish_limit = request.finish_limit.count();
+  message.connected = request.connected;
   return message;
 }
 
@@ -93,7 +95,8 @@
   const bool ends_sorted = std::is_sorted(message.piece_ends.begin(), message.piece_ends.end());
   if (!ends_match || !ends_sorted || message.pieces.size() > kMaximumPieces ||
       message.excluded.size() > kMaximumExcluded || message.tokens > kMaximumTokens ||
-      message.maximum_tokens > kMaximumTokens || message.resume_from > kMaximumTokens) {
+      message.maximum_tokens > kMaximumTokens || message.resume_from > kMaximumTokens ||
+      message.connected.size() > kMaximumConnectedEngines) {
     return false;
   }
   request.stream_id = message.stream_id;
@@ -109,9 +112,21 @@
   request.first_token_limit = micros(message.first_token_limit);
   request.between_tokens_limit = micros(message.between_tokens_limit);
   request.excluded = message.excluded;
+  request.finish_limit = micros(message.finish_limit);
+  request.connected = message.connected;
   return true;
 }
 
+void setSample(AttemptProgress& progress, const OutputSample& sample) {
+  progress.output_tokens = sample.tokens;
+  progress.output_duration = sample.duration.count();
+  progress.longest_pause = sample.longest_pause.count();
+}
+
+OutputSample sampleOf(const AttemptProgress& progress) {
+  return {progress.output_tokens, micros(progress.output_duration), micros(progress.longest_pause)};
+}
+
 PlacementAnswer toMessage(const RouteChoice& choice) {
   const auto* const route = std::get_if<Route>(&choice);
   return route != nullptr ? answerWith(*route) : answerWith(std::get<RouteRefusal>(choice));
--- a/src/cypresswall/routing/placement_messages.h
+++ b/src/cypresswall/routing/placement_messages.h
@@ -41,10 +41,13 @@
   std::int64_t first_token_limit = 0;
   std::int64_t between_tokens_limit = 0;
   std::vector<common::EngineName> excluded;
+  // Unknown to earlier builds, which ignore them.
+  std::int64_t finish_limit = 0;
+  std::vector<common::EngineName> connected;
 
   MSGPACK_DEFINE(number, group, stream_id, model, version, adapter, tokens, pieces, piece_ends,
                  maximum_tokens, resume_from, priority, first_token_limit, between_tokens_limit,
-                 excluded)
+                 excluded, finish_limit, connected)
 };
 
 enum class PlacementOutcome : std::uint8_t {
@@ -107,6 +110,8 @@
   /// used.
   kEnded = 3,
   kFailed = 4,
+  /// The attempt goes on; the message only carries a sample of its output.
+  kOutput = 5,
 };
 
 /// Reports the progress of an attempt to the owner that placed it. The message is never
@@ -119,13 +124,20 @@
   /// For kFailed only: the engine on which the attempt failed, and the kind of failure.
   common::EngineName engine;
   engines::StreamFailure failure = engines::StreamFailure::kNotTried;
+  // A sample of the output (see OutputSample), in microseconds; no tokens if there is none. Unknown
+  // to earlier builds, which ignore it.
+  std::uint32_t output_tokens = 0;
+  std::int64_t output_duration = 0;
+  std::int64_t longest_pause = 0;
 
-  MSGPACK_DEFINE(stream_id, step, engine, failure)
+  MSGPACK_DEFINE(stream_id, step, engine, failure, output_tokens, output_duration, longest_pause)
 };
 
 PlacementRequest toMessage(const RouteRequest& request);
 /// \return false if the message is invalid
 bool fromMessage(const PlacementRequest& message, RouteRequest& request);
+void setSample(AttemptProgress& progress, const OutputSample& sample);
+OutputSample sampleOf(const AttemptProgress& progress);
 PlacementAnswer toMessage(const RouteChoice& choice);
 Route routeOf(const PlacementAnswer& answer);
 RouteRefusal refusalOf(const PlacementAnswer& answer);
--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -272,10 +272,11 @@
 }
 
 void PlacementRouter::sendProgress(const common::NodeId& owner, const std::string& stream_id,
-                                   AttemptStep step) {
+                                   AttemptStep step, const OutputSample& output) {
   AttemptProgress progress;
   progress.stream_id = stream_id;
   progress.step = step;
+  setSample(progress, output);
   context_.sendTo(owner, progress);
 }
 
@@ -297,6 +298,18 @@
   }
 }
 
+void PlacementRouter::outputReceived(const std::string& stream_id, const OutputSample& sample) {
+  const auto placed = remote_placements_.find(stream_id);
+  if (placed == remote_placements_.end()) {
+    local_.outputReceived(stream_id, sample);
+    return;
+  }
+  OutputSample& output = placed->second.output;
+  output.tokens += sample.tokens;
+  output.duration += sample.duration;
+  output.longest_pause = std::max(output.longest_pause, sample.longest_pause);
+}
+
 void PlacementRouter::answerCompleted(const std::string& stream_id) {
   const auto placed = remote_placements_.find(stream_id);
   if (placed == remote_placements_.end()) {
@@ -313,7 +326,8 @@
     return;
   }
   sendProgress(placed.mapped().owner, stream_id,
-               placed.mapped().completed ? AttemptStep::kCompleted : AttemptStep::kEnded);
+               placed.mapped().completed ? AttemptStep::kCompleted : AttemptStep::kEnded,
+               placed.mapped().output);
 }
 
 void PlacementRouter::attemptFailed(const std::string& stream_id, const common::EngineName& engine,
@@ -328,6 +342,7 @@
   progress.step = AttemptStep::kFailed;
   progress.engine = engine;
   progress.failure = failure;
+  setSample(progress, placed.mapped().output);
   context_.sendTo(placed.mapped().owner, progress);
 }
 
--- a/src/cypresswall/routing/placement_router.h
+++ b/src/cypresswall/routing/placement_router.h
@@ -34,6 +34,7 @@
   }
   void promptComputed(const std::string& stream_id) override;
   void firstTokenReceived(const std::string& stream_id) override;
+  void outputReceived(const std::string& stream_id, const OutputSample& sample) override;
   void answerCompleted(const std::string& stream_id) override;
   void attemptFinished(const std::string& stream_id) override;
   void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
@@ -68,6 +69,8 @@
     /// and long answers.
     bool reports_first_token = false;
     bool completed = false;
+    /// Output not yet reported to the owner.
+    OutputSample output;
   };
 
   std::deque<Candidate> candidatesFor(const RouteRequest& request);
@@ -90,7 +93,8 @@
   /// may choose next since it does not know what they announced to this node.
   void excludeUnusable(RouteRequest& request, const Route& route) const;
   bool known(const engines::EngineEndpoint& engine) const;
-  void sendProgress(const common::NodeId& owner, const std::string& stream_id, AttemptStep step);
+  void sendProgress(const common::NodeId& owner, const std::string& stream_id, AttemptStep step,
+                    const OutputSample& output = {});
   void finish(const std::string& stream_id, RouteChoice choice);
   common::Duration answerTimeout(const RouteRequest& request) const;
 
--- a/src/cypresswall/routing/placement_service.cpp
+++ b/src/cypresswall/routing/placement_service.cpp
@@ -101,6 +101,9 @@
     unknown_.add();
     return;
   }
+  if (progress.output_tokens > 0) {
+    router_.outputReceived(progress.stream_id, sampleOf(progress));
+  }
   switch (progress.step) {
     case AttemptStep::kPromptComputed:
       router_.promptComputed(progress.stream_id);
@@ -118,6 +121,8 @@
     case AttemptStep::kFailed:
       onFailed(sender, progress);
       break;
+    case AttemptStep::kOutput:
+      break;
     default:
       invalid_.add();
   }
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -1,6 +1,7 @@
 /// Choice of the engine for one attempt at a model request.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -33,6 +34,23 @@
   common::Duration between_tokens_limit{0};
   /// Engines that already failed or refused this request.
   std::vector<common::EngineName> excluded;
+  /// Time remaining until the answer must be complete; zero if there is no limit.
+  common::Duration finish_limit{0};
+  /// Engines to which the node that sends the attempt has an idle connection, at most
+  /// kMaximumConnectedEngines of them.
+  std::vector<common::EngineName> connected;
+};
+
+inline constexpr std::size_t kMaximumConnectedEngines = 32;
+
+/// Output that an attempt received since its first token or since the previous sample.
+struct OutputSample {
+  /// Tokens, or events if the answer is passed through unchanged.
+  std::uint32_t tokens = 0;
+  /// Time in which they arrived.
+  common::Duration duration{0};
+  /// Longest time between two of them.
+  common::Duration longest_pause{0};
 };
 
 /// The chosen engine or engines, with the expected times.
@@ -118,6 +136,9 @@
   /// Reports that the prefill engine of a route has computed the prompt.
   virtual void promptComputed(const std::string& stream_id) = 0;
   virtual void firstTokenReceived(const std::string& stream_id) = 0;
+  /// Reports output of a running attempt, also just before answerCompleted() and before the end of
+  /// an attempt that is abandoned.
+  virtual void outputReceived(const std::string& /*stream_id*/, const OutputSample& /*sample*/) {}
   /// Reports that the attempt delivered its complete answer; attemptFinished() is called next.
   virtual void answerCompleted(const std::string& stream_id) = 0;
   virtual void attemptFinished(const std::string& stream_id) = 0;
--- a/tests/routing/placement_test.cpp
+++ b/tests/routing/placement_test.cpp
@@ -64,6 +64,7 @@
   }
   void promptComputed(const std::string&) override { ++computed; }
   void firstTokenReceived(const std::string&) override { ++first_tokens; }
+  void outputReceived(const std::string&, const OutputSample& sample) override { output = sample; }
   void answerCompleted(const std::string&) override { ++completed; }
   void attemptFinished(const std::string& stream_id) override { open.erase(stream_id); }
   void attemptFailed(const std::string& stream_id, const common::EngineName&,
@@ -79,6 +80,7 @@
   int computed = 0;
   int first_tokens = 0;
   int completed = 0;
+  OutputSample output;
   std::set<std::string> open;
 
  private:
@@ -228,6 +230,7 @@
 class PlacementTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(firstOwnerPlacesTheRequest);
+  CPPUNIT_TEST(ownerLearnsTheOutputWithTheEnd);
   CPPUNIT_TEST(oneRequestAndOneAnswerPerPlacement);
   CPPUNIT_TEST(ownerPlacesItsOwnRequestsLocally);
   CPPUNIT_TEST(killedOwnerIsSkipped);
@@ -269,6 +272,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owner.service->placements());
   }
 
+  void ownerLearnsTheOutputWithTheEnd() {
+    PlacementZone zone;
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    auto& router = *zone.nodes[asker].router;
+    router.outputReceived("a", {10, milliseconds(300), milliseconds(50)});
+    router.outputReceived("a", {5, milliseconds(100), milliseconds(90)});
+    router.answerCompleted("a");
+    router.attemptFinished("a");
+    zone.run(milliseconds(20));
+    const OutputSample& output = zone.ownersOf().front()->local_router->output;
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{15}, output.tokens);
+    CPPUNIT_ASSERT(output.duration == milliseconds(400));
+    CPPUNIT_ASSERT(output.longest_pause == milliseconds(90));
+  }
+
   void oneRequestAndOneAnswerPerPlacement() {
     PlacementZone zone;
     const std::size_t asker = zone.asker();
