Name the function that changes a topic's leader for what it does

StoreRelay::leads was const and changed the topic's state through its argument. It is followLeader now, not const. No change of behaviour; store_relay_test passes.

--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -350,7 +350,7 @@
 
 void StoreRelay::adoptSampleLevel(Topic topic, TopicState& followed,
                                   const Announcement& announcement) {
-  if (!leads(topic, followed, announcement.reader) || followed.copy.revision() == 0 ||
+  if (!followLeader(topic, followed, announcement.reader) || followed.copy.revision() == 0 ||
       followed.copy.sampleLevel() == announcement.sample_level) {
     return;
   }
@@ -361,7 +361,7 @@
   }
 }
 
-bool StoreRelay::leads(Topic topic, TopicState& followed, const common::NodeId& reader) const {
+bool StoreRelay::followLeader(Topic topic, TopicState& followed, const common::NodeId& reader) {
   const bool replaces = followed.leader.empty() || followed.leader == reader ||
                         !withinLimit(followed.leader_time, settings_.announcement_timeout) ||
                         rankOf(topic, reader) > rankOf(topic, followed.leader);
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -182,10 +182,10 @@
   void onAnnouncement(const common::NodeId& sender, const Announcement& announcement);
   void onRequest(const common::NodeId& sender, const ChangesRequest& request);
   void onReply(const common::NodeId& sender, const ChangesReply& reply);
-  /// \return true if no higher-ranked reader announces, so that the reader decides which objects
-  /// are
-  ///   sampled
-  bool leads(Topic topic, TopicState& followed, const common::NodeId& reader) const;
+  /// Makes `reader` the topic's leader, which decides which objects are sampled, unless a
+  /// higher-ranked reader announces.
+  /// \return true if `reader` is the leader now
+  bool followLeader(Topic topic, TopicState& followed, const common::NodeId& reader);
   void adoptSampleLevel(Topic topic, TopicState& followed, const Announcement& announcement);
   /// Applies the changes in a peer's reply. \return false if they can't be applied
   bool applyReply(TopicState& followed, const ChangesReply& reply);
