Lower the gauge of unavailable servers when a pause ends

The gauge was set only when a server announced something, so it kept counting servers whose pause or retention had ended since. Nothing else happens at those times, so timers set it now. The function changes no decision. gaugeFallsWhenAPauseEnds reads 2 instead of 1 without it (by the code: no call sets the gauge then); availability_test passes.

--- a/src/cypresswall/availability/announced_availability.cpp
+++ b/src/cypresswall/availability/announced_availability.cpp
@@ -45,6 +45,7 @@
   common::LogEvent(context_.log, common::LogLevel::kInfo, "server_leaving_announced")
       .field("server", server);
   notify(server);
+  awaitRetentionEnd(server);
 }
 
 void AnnouncedAvailability::recordPause(const std::string& server, common::Duration pause) {
@@ -66,6 +67,7 @@
         .field("for_ms", (until - now) / std::chrono::milliseconds(1));
   }
   notify(server);
+  context_.scheduler.schedule(until - now, [this] { updateGauge(); });
 }
 
 void AnnouncedAvailability::forget(const std::string& server) {
@@ -75,12 +77,27 @@
 }
 
 void AnnouncedAvailability::notify(const std::string& server) const {
-  unavailable_gauge_.set(static_cast<double>(unavailable().size()));
+  updateGauge();
   for (const Listener& listener : listeners_) {
     listener(server);
   }
 }
 
+void AnnouncedAvailability::updateGauge() const {
+  unavailable_gauge_.set(static_cast<double>(unavailable().size()));
+}
+
+void AnnouncedAvailability::awaitRetentionEnd(const std::string& server) {
+  const auto end = states_[server].leaving_seen_at + settings_.leaving_retention;
+  constexpr common::Duration kJustAfter{1};
+  context_.scheduler.schedule(end - context_.clock.now() + kJustAfter, [this, server] {
+    updateGauge();
+    if (leaving(server)) {
+      awaitRetentionEnd(server);
+    }
+  });
+}
+
 bool AnnouncedAvailability::leaves(const AnnouncedState& state) const {
   return state.leaving &&
          context_.clock.now() - state.leaving_seen_at <= settings_.leaving_retention;
--- a/src/cypresswall/availability/announced_availability.h
+++ b/src/cypresswall/availability/announced_availability.h
@@ -64,6 +64,9 @@
   void recordLeaving(const std::string& server);
   void recordPause(const std::string& server, common::Duration pause);
   void notify(const std::string& server) const;
+  void updateGauge() const;
+  /// Updates the gauge when the retention of a leaving server has ended. Nothing else happens then.
+  void awaitRetentionEnd(const std::string& server);
   bool leaves(const AnnouncedState& state) const;
   /// \return true if the server neither leaves nor is paused any more
   bool expired(const AnnouncedState& state) const;
--- a/tests/availability/announced_availability_test.cpp
+++ b/tests/availability/announced_availability_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(unreadablePauseChangesNothing);
   CPPUNIT_TEST(pauseThatEndsDoesNotEndLeaving);
   CPPUNIT_TEST(listenersAreToldOfChangesOnly);
+  CPPUNIT_TEST(gaugeFallsWhenAPauseEnds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -102,6 +103,15 @@
     announced_.answered(kServer, pauseOf(seconds(1)));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changes);
   }
+  void gaugeFallsWhenAPauseEnds() {
+    announced_.answered(kServer, pauseOf(seconds(1)));
+    announced_.answered(kNextLife, {true});
+    CPPUNIT_ASSERT_EQUAL(2.0, counters_.total("cypresswall_servers_unavailable_announced"));
+    time_.runFor(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(1.0, counters_.total("cypresswall_servers_unavailable_announced"));
+    time_.runFor(minutes(10));
+    CPPUNIT_ASSERT_EQUAL(0.0, counters_.total("cypresswall_servers_unavailable_announced"));
+  }
 
  private:
   simulation::VirtualTime time_;
