Move streams whose output is too slow for their deadline

A stream on a crowded or slow engine was followed by nobody: it held its place until its deadline cut it.

AnswerLengths learns how long answers are compared with what callers announce (events may hold several tokens, and guesses are often far off). A stream that is expected to miss its deadline at two checks, half a second apart, asks the router for another engine and goes on where it is; only if a granted engine is expected to complete the answer in time, and in three quarters of the time, is the old attempt cancelled and the answer resumed there. The move is charged as a repeat, within a part of the retry budget; one move a request. If most of the output of a model at this node is too slow, none moves.

A request that ends incomplete because of the pace logs output_too_slow; `cypressctl explain` names it. Choices for answers that go on elsewhere no longer count for shedding: a refused move is no overload.

--- a/src/cypresswall/admission/observed_router.cpp
+++ b/src/cypresswall/admission/observed_router.cpp
@@ -65,12 +65,18 @@
 
 routing::RouteChoice ObservedRouter::choose(const routing::RouteRequest& request) {
   auto choice = router_.choose(request);
-  recordChoice(request.model, request.priority, choice);
+  if (request.resume_from == 0) {
+    recordChoice(request.model, request.priority, choice);
+  }
   return choice;
 }
 
 void ObservedRouter::place(const routing::RouteRequest& request,
                            const routing::PlacementCallback& done) {
+  if (request.resume_from > 0) {
+    router_.place(request, done);
+    return;
+  }
   router_.place(request, [this, model = request.model, priority = request.priority,
                           done](routing::RouteChoice choice) {
     recordChoice(model, priority, choice);
--- a/src/cypresswall/admission/observed_router.h
+++ b/src/cypresswall/admission/observed_router.h
@@ -39,7 +39,8 @@
 };
 
 /// Decorator that forwards all calls to a router and derives a shedding level for each model from
-/// the router's choices.
+/// the router's choices. Choices for answers that go on at another engine do not count: these are
+/// no new demand, and a refusal may only mean that a slow stream stays where it is.
 class ObservedRouter final : public routing::Router, public LoadProbe {
  public:
   ObservedRouter(routing::Router& router, const common::Clock& clock,
--- a/src/cypresswall/execution/execution_settings.h
+++ b/src/cypresswall/execution/execution_settings.h
@@ -8,6 +8,22 @@
 
 namespace cypresswall::execution {
 
+/// Moves of slow streams to other engines (see StreamMoves).
+struct StreamMoveSettings {
+  /// If false, streams stay at their engine whatever their pace.
+  bool enabled = false;
+  /// Fraction of a service's retry budget that moves may use in each of its windows; the rest is
+  /// kept for streams that break. The fleet's moves are thus at most this fraction of its repeats.
+  double budget_share = 0.25;
+  /// Time between two checks of a running stream's pace.
+  common::Duration check_interval = std::chrono::milliseconds(500);
+  /// Number of times that a request asks for another engine before it stays where it is.
+  std::uint32_t maximum_asks = 3;
+  /// If more than this share of the recent output of a model at this node was too slow, the engines
+  /// are overloaded rather than one of them slow, and no stream is moved.
+  double overload_share = 0.5;
+};
+
 /// Retry, time-out and admission parameters of model and service requests.
 struct ExecutionSettings {
   /// Maximum number of attempts of one request that ran or may have run on a back end. A service or
@@ -70,6 +86,7 @@
   /// Maximum size, in bytes, of an answer that is recorded under an idempotency key. A longer
   /// answer is recorded as empty; a repeated request then receives an error instead of the answer.
   std::size_t maximum_recorded_bytes = 16U << 10;
+  StreamMoveSettings stream_moves;
 };
 
 }  // namespace cypresswall::execution
--- a/src/cypresswall/execution/model_execution_core.cpp
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -75,6 +75,7 @@
       stream_events(process_context.counters),
       counters(process_context.counters),
       journal(execution_settings.retained_request_records),
+      moves(execution_settings.stream_moves, process_context),
       retired_(process_context.scheduler),
       stream_prefix_(streamPrefix(process_context.self)),
       next_attempt_(
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -14,6 +14,7 @@
 #include "cypresswall/execution/engine_attempt.h"
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/execution/request_journal.h"
+#include "cypresswall/execution/stream_moves.h"
 #include "cypresswall/fleet_limits/rate_limiter.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
 #include "cypresswall/quarantine/request_quarantine.h"
@@ -73,6 +74,7 @@
   StreamEventCounters stream_events;
   ModelRequestCounters counters;
   RequestJournal journal;
+  StreamMoves moves;
 
  private:
   DeferredDestruction<EngineAttempt> retired_;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -13,6 +13,7 @@
       call_(std::move(call)),
       observer_(&observer),
       stream_id_(core.nextStreamId()),
+      placement_id_(stream_id_),
       stall_detector_(core.process.clock, core.process.scheduler, core.settings.pause_detection) {}
 
 void ModelRequest::start() {
@@ -104,7 +105,7 @@
   }
   recordAttempt();
   logRoute();
-  if (chargeRepeats(repeatsForRoute(), ErrorKind::kOverloaded,
+  if (chargeRepeats(repeatsFor(*route_), ErrorKind::kOverloaded,
                     "a further attempt can't be paid for")) {
     beginAttempt();
   }
@@ -112,7 +113,7 @@
 
 routing::RouteRequest ModelRequest::routeRequest() const {
   routing::RouteRequest request;
-  request.stream_id = stream_id_;
+  request.stream_id = placement_id_;
   request.model = target_.service.model;
   request.version = target_.version;
   request.adapter = target_.service.adapter;
@@ -177,15 +178,16 @@
   onAttemptLost(engines::StreamFailure::kNotTried, "the engine takes no new work any more");
 }
 
-std::uint32_t ModelRequest::repeatsForRoute() const {
-  return route_->prefill_engine ? repeat_counter_.repeatsWithSeparatePrefill()
-                                : repeat_counter_.repeatsWithSingleEngine();
+std::uint32_t ModelRequest::repeatsFor(const routing::Route& route) const {
+  return route.prefill_engine ? repeat_counter_.repeatsWithSeparatePrefill()
+                              : repeat_counter_.repeatsWithSingleEngine();
 }
 
 void ModelRequest::beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase) {
   phase_ = phase;
   token_seen_in_attempt_ = false;
   output_meter_.reset();
+  output_pace_.reset();
   engines::StreamRequest request;
   request.stream_id = stream_id_;
   request.attempt = core_.nextAttemptNumber();
@@ -247,6 +249,7 @@
   record_->tokens_given = tokens_given_;
   const auto now = core_.process.clock.now();
   const bool sample_due = output_meter_.tokenReceived(now);
+  output_pace_.tokenReceived(now);
   if (token_seen_in_attempt_) {
     stall_detector_.progress(now);
     if (sample_due) {
@@ -254,12 +257,15 @@
     }
   } else {
     token_seen_in_attempt_ = true;
+    first_token_at_ = now;
+    first_token_index_ = index;
     if (!std::exchange(usage_recorded_, true)) {
       core_.usage.requestBegan(call_.tenant);
     }
     logFirstToken();
-    core_.router.firstTokenReceived(stream_id_);
+    core_.router.firstTokenReceived(placement_id_);
     stall_detector_.progress(now, stallLimits());
+    watchPace();
   }
   observer_->onToken(index, text);
 }
@@ -270,14 +276,15 @@
     may_have_run_ = may_have_run_ || attemptCountsAsRun();
     logPrompt();
     repeat_counter_.promptComputed();
-    core_.router.promptComputed(stream_id_);
+    core_.router.promptComputed(placement_id_);
     handOverToDecode();
     return;
   }
   core_.quarantine.answered(call_.fingerprint);
+  core_.moves.lengths().completed(call_.service, target_.maximum_tokens, tokens_given_);
   reportOutput();
-  core_.router.answerCompleted(stream_id_);
-  core_.router.attemptFinished(stream_id_);
+  core_.router.answerCompleted(placement_id_);
+  core_.router.attemptFinished(placement_id_);
   route_.reset();
   core_.counters.done.add();
   recordResult("done");
@@ -351,14 +358,16 @@
 void ModelRequest::reportOutput() {
   const auto sample = output_meter_.take();
   if (sample.tokens > 0) {
-    core_.router.outputReceived(stream_id_, sample);
+    core_.router.outputReceived(placement_id_, sample);
+    core_.moves.pace(target_.service.model)
+        .record(sample, route_->expected_between_tokens, too_slow_, core_.process.clock.now());
   }
 }
 
 void ModelRequest::releaseRoute() {
   if (route_) {
     reportOutput();
-    core_.router.attemptFinished(stream_id_);
+    core_.router.attemptFinished(placement_id_);
     route_.reset();
   }
 }
@@ -368,6 +377,7 @@
   if (closed_) {
     return;
   }
+  logIfTooSlow();
   releaseRoute();
   core_.counters.abandoned.add();
   close("the caller went away");
@@ -376,10 +386,11 @@
 void ModelRequest::close(const std::string& state) {
   closed_ = true;
   if (std::exchange(awaiting_placement_, false)) {
-    core_.router.abandonPlacement(stream_id_);
+    core_.router.abandonPlacement(placement_id_);
   }
   core_.journal.end(record_, state, core_.process.clock.now());
   stall_detector_.stop();
+  stopWatchingPace();
   core_.process.scheduler.cancel(std::exchange(step_timer_, 0));
   core_.process.scheduler.cancel(std::exchange(deadline_timer_, 0));
   retireAttempt();
@@ -399,6 +410,7 @@
   paused_ = true;
   stall_detector_.stop();
   output_meter_.interrupt();
+  output_pace_.interrupt();
   if (attempt_) {
     attempt_->pause();
   }
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -15,6 +15,7 @@
 #include "cypresswall/execution/model_executor.h"
 #include "cypresswall/execution/model_target.h"
 #include "cypresswall/execution/output_meter.h"
+#include "cypresswall/execution/output_pace.h"
 #include "cypresswall/execution/repeat_counter.h"
 #include "cypresswall/execution/stall_detector.h"
 #include "cypresswall/routing/router.h"
@@ -64,8 +65,8 @@
   void onRefused(const routing::RouteRefusal& refusal);
   void beginAttempt();
   /// \return the total number of repeats of the request (see RepeatCounter) once it has been sent
-  ///   to the engine or engines of the chosen route
-  std::uint32_t repeatsForRoute() const;
+  ///   to the engine or engines of `route`
+  std::uint32_t repeatsFor(const routing::Route& route) const;
   /// Begins the stream of a phase unless its engine takes no new work any more.
   void sendIfTaken(engines::StreamPhase phase);
   void beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase);
@@ -107,6 +108,30 @@
   ///   beginning of the answer a second time.
   bool canResume() const { return !resuming() || !call_.pass_through || !last_token_.empty(); }
 
+  /// Checks the pace of the current attempt at regular intervals, from its first token on.
+  void watchPace();
+  /// Also ends a request for a place at another engine.
+  void stopWatchingPace();
+  void onPaceCheck();
+  /// \return empty until the pace and the usual length of the answers are known
+  std::optional<StreamOutlook> outlook() const;
+  /// \return empty until the usual length of the answers is known
+  std::optional<double> tokensLeft() const;
+  void considerMove(const StreamOutlook& outlook);
+  /// \return true if the rules for broken streams would let the answer go on at another engine
+  bool movable() const;
+  bool couldCompleteElsewhere(const StreamOutlook& outlook) const;
+  void requestMove(const StreamOutlook& outlook);
+  void onMovePlaced(const std::string& placement_id, routing::RouteChoice choice);
+  /// \return why the stream stays where it is; empty if the move was paid for
+  std::optional<MoveRefusal> payForMove(const routing::Route& route);
+  /// Ends the current attempt and continues the answer at the engine of `route`.
+  void moveTo(const std::string& placement_id, routing::Route route);
+  void recordRefusedMove(MoveRefusal refusal);
+  /// Logs that the request ended incomplete because of the pace of its stream, if so.
+  void logIfTooSlow() const;
+  void logMove(const StreamOutlook& outlook, const routing::Route& route) const;
+
   void giveUp(ErrorKind kind, const std::string& message, common::Duration retry_after);
   /// Releases all resources and records `state` as the request's final state. Does not call the
   /// observer.
@@ -130,6 +155,9 @@
   ModelCallObserver* observer_;
   ModelTarget target_;
   std::string stream_id_;
+  /// Identifies the request's placement to the router. Differs from `stream_id_` after a move,
+  /// because two placements exist while a move is prepared.
+  std::string placement_id_;
   std::shared_ptr<RequestRecord> record_;
   std::optional<admission::AdmissionRequest> admitted_;
   common::MonotonicTime first_token_deadline_{};
@@ -144,6 +172,20 @@
   engines::StreamPhase phase_ = engines::StreamPhase::kWhole;
   StallDetector stall_detector_;
   OutputMeter output_meter_;
+  OutputPace output_pace_;
+  common::TimerId pace_timer_ = 0;
+  common::MonotonicTime pace_check_due_{};
+  /// Time and index of the first token of the current attempt.
+  common::MonotonicTime first_token_at_{};
+  std::uint32_t first_token_index_ = 0;
+  /// Whether the stream was too slow at the last check of its pace.
+  bool too_slow_ = false;
+  bool was_too_slow_ = false;
+  /// Placement of a move that the router was asked for; empty if there is none.
+  std::string requested_move_;
+  std::uint32_t moves_requested_ = 0;
+  bool moved_ = false;
+  std::optional<MoveRefusal> refused_move_;
   common::TimerId step_timer_ = 0;
   std::uint32_t tokens_given_ = 0;
   /// Last delivered token from whose text an engine can determine where to resume; set only for
--- a/src/cypresswall/execution/model_request_log.cpp
+++ b/src/cypresswall/execution/model_request_log.cpp
@@ -1,5 +1,6 @@
 /// Log events about the routing and the progress of a model request.
 #include <chrono>
+#include <cmath>
 
 #include "cypresswall/execution/model_request.h"
 
@@ -10,6 +11,8 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+std::int64_t inWholeTokens(double tokens) { return std::llround(tokens); }
+
 std::string nameOf(const std::optional<engines::EngineEndpoint>& engine) {
   return engine ? engine->name : std::string();
 }
@@ -67,6 +70,48 @@
       .field("after_ms", millisecondsSinceRouted());
 }
 
+void ModelRequest::logMove(const StreamOutlook& outlook, const routing::Route& route) const {
+  common::LogEvent event(core_.process.log, common::LogLevel::kInfo, "stream_moved");
+  event.field("request", call_.request_id)
+      .field("from", route_->engine.name)
+      .field("to", route.engine.name)
+      .field("tokens_given", tokens_given_)
+      .field("tokens_left", inWholeTokens(outlook.tokens_left))
+      .field("gap_ms", inMilliseconds(outlook.gap));
+  if (outlook.time_left) {
+    event.field("time_left_ms", inMilliseconds(*outlook.time_left));
+  }
+}
+
+void ModelRequest::logIfTooSlow() const {
+  const auto now = core_.process.clock.now();
+  const auto gap = route_ && token_seen_in_attempt_ ? output_pace_.gap(now) : std::nullopt;
+  if (!gap) {
+    return;
+  }
+  StreamOutlook outlook;
+  outlook.gap = *gap;
+  outlook.tokens_left = tokensLeft().value_or(1);
+  outlook.between_tokens_limit = target_.service.between_tokens_limit;
+  common::Duration needed = outlook.between_tokens_limit;
+  if (deadline_) {
+    const double tokens = tokens_given_ - first_token_index_ + outlook.tokens_left;
+    outlook.time_left = *deadline_ - now;
+    needed = common::fromSeconds(common::toSeconds(*deadline_ - first_token_at_) / tokens);
+  }
+  if (!isTooSlow(outlook) || *gap <= needed) {
+    return;
+  }
+  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "output_too_slow")
+      .field("request", call_.request_id)
+      .field("engine", route_->engine.name)
+      .field("tokens_given", tokens_given_)
+      .field("tokens_left", inWholeTokens(outlook.tokens_left))
+      .field("gap_ms", inMilliseconds(*gap))
+      .field("needed_gap_ms", inMilliseconds(needed))
+      .field("stayed", refused_move_ ? toString(*refused_move_) : "");
+}
+
 std::int64_t ModelRequest::millisecondsSinceRouted() const {
   return inMilliseconds(core_.process.clock.now() - record_->attempts.back().started);
 }
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -77,6 +77,7 @@
 
 void ModelRequest::onAttemptLost(engines::StreamFailure failure, const std::string& message) {
   stall_detector_.stop();
+  stopWatchingPace();
   const auto& engine = attemptedEngine();
   common::LogEvent(core_.process.log, common::LogLevel::kWarning, "attempt_failed")
       .field("request", call_.request_id)
@@ -92,7 +93,7 @@
   }
   retireAttempt();
   reportOutput();
-  core_.router.attemptFailed(stream_id_, engine.name, failure);
+  core_.router.attemptFailed(placement_id_, engine.name, failure);
   route_.reset();
   if (token_seen_in_attempt_) {
     resume_until_ = core_.process.clock.now() + core_.settings.resume_time_limit;
@@ -221,6 +222,7 @@
 /// run, because the engine works on it until the cancellation arrives.
 void ModelRequest::onDeadline() {
   may_have_run_ = may_have_run_ || (attempt_ != nullptr && attemptCountsAsRun());
+  logIfTooSlow();
   if (route_) {
     recordResult("ended by the request's time limit");
   }
--- a/src/cypresswall/fleet_limits/retry_budgets.h
+++ b/src/cypresswall/fleet_limits/retry_budgets.h
@@ -40,6 +40,7 @@
   bool withdraw(std::uint32_t retries = 1);
 
   const common::ServiceName& service() const { return service_; }
+  common::Duration window() const { return settings_.window; }
   /// \return retries made in the last window
   double used() const;
   /// \return retries that the budget covers now
--- a/src/cypresswall/request_trace/diagnosis.cpp
+++ b/src/cypresswall/request_trace/diagnosis.cpp
@@ -148,6 +148,31 @@
                      failed, failed == 1 ? "" : "s", attemptCause(*last->failure));
 }
 
+std::string whyNotMoved(const std::string& stayed) {
+  if (stayed == "not-resumable") {
+    return "; the answer may not be resumed elsewhere";
+  }
+  if (stayed == "no-budget") {
+    return "; the retry budget did not cover a move";
+  }
+  if (stayed == "all-slow") {
+    return "; most streams of the model were too slow";
+  }
+  return stayed == "no-better-engine" ? "; no other engine could complete it in time" : "";
+}
+
+std::string tooSlowCause(const OutputTooSlow& output) {
+  return fmt::format(
+      "output too slow on {}: {} tokens given, one each {} where {} were needed, some {} left{}",
+      output.engine, output.tokens_given, toText(output.gap), toText(output.needed_gap),
+      output.tokens_left, whyNotMoved(output.stayed));
+}
+
+std::string movedCause(const StreamMoved& move) {
+  return fmt::format("it was moved from {} to {} after {} tokens, since one came each {}",
+                     move.from, move.to, move.tokens_given, toText(move.gap));
+}
+
 /// \param ended how the request ended, for example "its time was over"
 std::string inProgressCause(const TimeLine& time_line, const std::string& ended) {
   if (time_line.attempts.empty()) {
@@ -156,6 +181,11 @@
   }
   const Attempt& attempt = time_line.attempts.back();
   std::string late = lateCause(attempt);
+  if (const auto* output = lastOf<OutputTooSlow>(time_line)) {
+    const auto* move = lastOf<StreamMoved>(time_line);
+    return tooSlowCause(*output) + (move == nullptr ? "" : "; before, " + movedCause(*move)) +
+           (late.empty() ? "" : "; " + late);
+  }
   if (!late.empty()) {
     return late;
   }
@@ -221,6 +251,9 @@
                        last.failure ? "where no line tells" : "at " + last.route.engine,
                        failed->failure->tokens_given, failedAttemptCause(time_line));
   }
+  if (const auto* move = lastOf<StreamMoved>(time_line)) {
+    return movedCause(*move);
+  }
   const std::string late =
       time_line.attempts.empty() ? std::string() : lateCause(time_line.attempts.back());
   return late.empty() ? "nothing unusual stands in these lines" : late;
--- a/src/cypresswall/request_trace/event_text.cpp
+++ b/src/cypresswall/request_trace/event_text.cpp
@@ -51,6 +51,18 @@
     return fmt::format("attempt failed at {}, tokens given {}: {}", event.engine,
                        event.tokens_given, event.reason);
   }
+  std::string operator()(const StreamMoved& event) const {
+    const std::string left =
+        event.time_left ? fmt::format(" and {}", toText(Milliseconds(*event.time_left))) : "";
+    return fmt::format("moved from {} to {}: {} tokens given, one each {}, some {} tokens{} left",
+                       event.from, event.to, event.tokens_given, toText(event.gap),
+                       event.tokens_left, left);
+  }
+  std::string operator()(const OutputTooSlow& event) const {
+    return fmt::format("output too slow on {}: {} tokens given, one each {}, {} were needed",
+                       event.engine, event.tokens_given, toText(event.gap),
+                       toText(event.needed_gap));
+  }
   std::string operator()(const RequestFailed& event) const {
     return fmt::format("{} failed, {}: {}",
                        event.kind == RequestKind::kModel ? "request" : "service request",
--- a/src/cypresswall/request_trace/log_record.h
+++ b/src/cypresswall/request_trace/log_record.h
@@ -75,6 +75,32 @@
   std::string reason;
 };
 
+/// A stream was moved to another engine because its output was too slow.
+struct StreamMoved {
+  std::string request;
+  std::string from;
+  std::string to;
+  std::int64_t tokens_given = 0;
+  std::int64_t tokens_left = 0;
+  Milliseconds gap{0};
+  std::optional<std::int64_t> time_left;
+};
+
+/// A request ended incomplete because the output of its engine was too slow.
+struct OutputTooSlow {
+  std::string request;
+  std::string engine;
+  std::int64_t tokens_given = 0;
+  /// Expected number of tokens that were still to come.
+  std::int64_t tokens_left = 0;
+  /// Time between two tokens, and the longest with which the answer would have been complete in
+  /// time.
+  Milliseconds gap{0};
+  Milliseconds needed_gap{0};
+  /// Why the stream was not moved to another engine; empty if that was not considered.
+  std::string stayed;
+};
+
 enum class RequestKind { kModel, kService };
 
 struct RequestFailed {
@@ -156,9 +182,9 @@
 
 using Event =
     std::variant<OtherEvent, RequestRouted, LatencyRefusal, FrontEndRefusal, PromptComputed,
-                 FirstToken, AttemptFailed, RequestFailed, RequestEnded, ConfigurationApplied,
-                 EngineEjected, EngineChangeStarted, EngineChangeEnded, StoreWatchFailed,
-                 StoreSourceChanged, NodeStarted, NodeStopping, LinesDropped>;
+                 FirstToken, AttemptFailed, StreamMoved, OutputTooSlow, RequestFailed, RequestEnded,
+                 ConfigurationApplied, EngineEjected, EngineChangeStarted, EngineChangeEnded,
+                 StoreWatchFailed, StoreSourceChanged, NodeStarted, NodeStopping, LinesDropped>;
 
 /// Position of a line in the logs that are read together.
 struct LogPosition {
--- a/src/cypresswall/request_trace/log_record_parser.cpp
+++ b/src/cypresswall/request_trace/log_record_parser.cpp
@@ -91,6 +91,23 @@
                        fields.text("reason")};
 }
 
+Event readMoved(FieldReader& fields) {
+  return StreamMoved{fields.text("request"),
+                     fields.text("from"),
+                     fields.text("to"),
+                     fields.number("tokens_given"),
+                     fields.number("tokens_left"),
+                     fields.milliseconds("gap_ms"),
+                     fields.optionalNumber("time_left_ms")};
+}
+
+Event readTooSlow(FieldReader& fields) {
+  return OutputTooSlow{fields.text("request"),        fields.text("engine"),
+                       fields.number("tokens_given"), fields.number("tokens_left"),
+                       fields.milliseconds("gap_ms"), fields.milliseconds("needed_gap_ms"),
+                       fields.text("stayed")};
+}
+
 Event readModelFailed(FieldReader& fields) {
   return RequestFailed{fields.text("request"), RequestKind::kModel, fields.text("outcome"),
                        fields.text("reason")};
@@ -151,6 +168,8 @@
     {"prompt_computed", readPromptComputed},
     {"first_token", readFirstToken},
     {"attempt_failed", readAttemptFailed},
+    {"stream_moved", readMoved},
+    {"output_too_slow", readTooSlow},
     {"request_failed", readModelFailed},
     {"service_request_failed", readServiceFailed},
     {"request_ended", readEnded},
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -208,6 +208,20 @@
   };
 }
 
+std::vector<SettingKey> executionKeys() {
+  return {
+      switchKey(
+          "execution.moves_slow_streams",
+          [](auto& s) -> auto& { return s.node.execution.stream_moves.enabled; },
+          "A running answer whose output is too slow for its deadline goes on at another engine, "
+          "if it may be resumed and one is expected to complete it in time."),
+      numberKey(
+          "execution.moves_budget_share", 0.01, 1,
+          [](auto& s) -> auto& { return s.node.execution.stream_moves.budget_share; },
+          "Part of the repeats of a service that such moves may use in each retries.window."),
+  };
+}
+
 std::vector<SettingKey> mechanismKeys() {
   return {
       switchKey(
--- a/src/cypresswall/settings/policy_keys.h
+++ b/src/cypresswall/settings/policy_keys.h
@@ -17,6 +17,8 @@
 std::vector<SettingKey> dutyKeys();
 /// \return keys of autoscaling
 std::vector<SettingKey> autoscalingKeys();
+/// \return keys of the execution of model requests
+std::vector<SettingKey> executionKeys();
 /// \return keys that switch off individual mechanisms against overload
 std::vector<SettingKey> mechanismKeys();
 
--- a/tests/execution/fake_engines.cpp
+++ b/tests/execution/fake_engines.cpp
@@ -13,9 +13,10 @@
 
 class FakeEngines::FakeStream final : public engines::Stream {
  public:
-  FakeStream(FakeEngines& owner, engines::StreamRequest request, engines::StreamHandler& handler,
-             StreamScript script)
+  FakeStream(FakeEngines& owner, std::string engine, engines::StreamRequest request,
+             engines::StreamHandler& handler, StreamScript script)
       : owner_(owner),
+        engine_(std::move(engine)),
         request_(std::move(request)),
         handler_(handler),
         script_(script),
@@ -27,6 +28,7 @@
     owner_.time_.cancel(timer_);
     owner_.open_.erase(this);
   }
+  const std::string& streamId() const { return request_.stream_id; }
   void pause() override {
     paused_ = true;
     owner_.time_.cancel(timer_);
@@ -38,7 +40,9 @@
 
  private:
   void arm() {
-    timer_ = owner_.time_.schedule(owner_.token_time, [this] { step(); });
+    const auto own = owner_.token_times.find(engine_);
+    const auto token_time = own == owner_.token_times.end() ? owner_.token_time : own->second;
+    timer_ = owner_.time_.schedule(token_time, [this] { step(); });
   }
 
   void step() {
@@ -151,6 +155,7 @@
   }
 
   FakeEngines& owner_;
+  const std::string engine_;
   engines::StreamRequest request_;
   engines::StreamHandler& handler_;
   StreamScript script_;
@@ -168,7 +173,10 @@
     script = scripts[started.size()];
   }
   started.emplace_back(engine.name, request);
-  return std::make_unique<FakeStream>(*this, std::move(request), handler, script);
+  overlapping += std::any_of(open_.begin(), open_.end(), [&request](const FakeStream* stream) {
+    return stream->streamId() == request.stream_id;
+  });
+  return std::make_unique<FakeStream>(*this, engine.name, std::move(request), handler, script);
 }
 
 routing::RouteChoice FakeRouter::choose(const routing::RouteRequest& request) {
@@ -185,10 +193,27 @@
   routing::Route route;
   route.engine = {*engine, *engine + ":1"};
   route.expected_first_token = expected_first_token;
+  const auto gap = expected_gaps.find(*engine);
+  route.expected_between_tokens = gap == expected_gaps.end() ? common::Duration{0} : gap->second;
   if (!prefill_name.empty() && !excluded(prefill_name)) {
     route.prefill_engine = engines::EngineEndpoint{prefill_name, prefill_name + ":1"};
   }
   return route;
 }
 
+void FakeRouter::place(const routing::RouteRequest& request,
+                       const routing::PlacementCallback& done) {
+  if (!answers_late) {
+    Router::place(request, done);
+    return;
+  }
+  pending_[request.stream_id] = [this, request, done] { Router::place(request, done); };
+}
+
+void FakeRouter::answerPlacements() {
+  for (const auto& [stream_id, answer] : std::exchange(pending_, {})) {
+    answer();
+  }
+}
+
 }  // namespace cypresswall::testing
--- a/tests/execution/fake_engines.h
+++ b/tests/execution/fake_engines.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,10 +64,14 @@
   /// Rate limit announced by every answer.
   std::optional<common::RateLimitNotice> rate_limit;
   common::Duration token_time = std::chrono::milliseconds(20);
+  /// Overrides `token_time` for single engines; may be changed while streams run.
+  std::map<std::string, common::Duration> token_times;
   /// All started streams, with the name of the engine.
   std::vector<std::pair<std::string, engines::StreamRequest>> started;
   /// Identifiers of streams that an engine ran at least in part.
   std::set<std::string> ran;
+  /// Number of streams that were started while another stream of their request was open.
+  int overlapping = 0;
   /// Number of faults that occurred, by kind.
   std::map<StreamScript::Kind, int> faults;
 
@@ -80,6 +85,8 @@
 class FakeRouter final : public routing::Router {
  public:
   routing::RouteChoice choose(const routing::RouteRequest& request) override;
+  void place(const routing::RouteRequest& request, const routing::PlacementCallback& done) override;
+  void abandonPlacement(const std::string& stream_id) override { pending_.erase(stream_id); }
   bool takesWork(const engines::EngineEndpoint& engine) const override {
     return leaving.count(engine.name) == 0;
   }
@@ -103,10 +110,18 @@
   bool refuses = false;
   common::Duration retry_after = std::chrono::seconds(3);
   common::Duration expected_first_token = std::chrono::milliseconds(20);
+  /// Expected time between two tokens, by engine; zero for all others.
+  std::map<std::string, common::Duration> expected_gaps;
+  /// If true, placements are only answered by answerPlacements().
+  bool answers_late = false;
+  void answerPlacements();
   std::vector<routing::RouteRequest> requests;
   /// All reported output, with the identifier of its stream.
   std::vector<std::pair<std::string, routing::OutputSample>> samples;
   int open = 0;
+
+ private:
+  std::map<std::string, std::function<void()>> pending_;
 };
 
 }  // namespace cypresswall::testing
--- a/tests/request_trace/diagnosis_test.cpp
+++ b/tests/request_trace/diagnosis_test.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(interruptedByEventsOutOfOrder);
   CPPUNIT_TEST(failedAtOneEngine);
   CPPUNIT_TEST(failedAtManyEngines);
+  CPPUNIT_TEST(outputTooSlow);
+  CPPUNIT_TEST(movedForBeingTooSlow);
   CPPUNIT_TEST(statusOfBackend);
   CPPUNIT_TEST(endIsMissingFromLogs);
   CPPUNIT_TEST_SUITE_END();
@@ -184,6 +186,38 @@
                 diagnosisOf({brokenLog(), other}).cause);
   }
 
+  void outputTooSlow() {
+    Log log = slowLog(
+        "output_too_slow request=a1 engine=i-1 tokens_given=18 tokens_left=9 "
+        "gap_ms=410 needed_gap_ms=286 stayed=not-resumable");
+    log.push_back(lineOf("20:25:56.001", kNodeOne, endedPairs("a1", "caller-gone", "gone")));
+    const Diagnosis diagnosis = diagnosisOf({log});
+    requirePart("caller-gone", diagnosis.outcome);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("output too slow on i-1: 18 tokens given, one each 410 ms where 286 ms were "
+                    "needed, some 9 left; the answer may not be resumed elsewhere"),
+        diagnosis.cause);
+    log.back() = lineOf("20:25:56.001", kNodeOne,
+                        requestFailedPairs("a1", "unknown", "the request's time limit has passed"));
+    requirePart("output too slow on i-1", diagnosisOf({log}).cause);
+  }
+
+  void movedForBeingTooSlow() {
+    Log log = slowLog(
+        "stream_moved request=a1 from=i-1 to=i-2 tokens_given=18 tokens_left=9 gap_ms=410 "
+        "time_left_ms=2900");
+    log.push_back(lineOf("20:25:52.002", kNodeOne, routedPairs("a1", "i-2", 18)));
+    log.push_back(lineOf("20:25:54.001", kNodeOne, endedPairs("a1", "done", "stop")));
+    requirePart("moved from i-1 to i-2 after 18 tokens, since one came each 410 ms",
+                diagnosisOf({log}).cause);
+    log.back() = lineOf("20:25:54.001", kNodeOne,
+                        "event=output_too_slow request=a1 engine=i-2 tokens_given=20 "
+                        "tokens_left=7 gap_ms=900 needed_gap_ms=300 stayed=\"\"");
+    log.push_back(lineOf("20:25:54.002", kNodeOne, endedPairs("a1", "caller-gone", "gone")));
+    requirePart("output too slow on i-2", diagnosisOf({log}).cause);
+    requirePart("before, it was moved from i-1", diagnosisOf({log}).cause);
+  }
+
   void statusOfBackend() {
     requirePart(
         "answered with status 500",
@@ -199,6 +233,13 @@
   }
 
  private:
+  /// A stream whose output is described by `pairs`.
+  static Log slowLog(const std::string& pairs) {
+    return {
+        lineOf("20:25:48.000", kNodeOne, routedPairs("a1", "i-1")),
+        lineOf("20:25:48.600", kNodeOne, "event=first_token request=a1 engine=i-1 after_ms=600"),
+        lineOf("20:25:52.000", kNodeOne, "event=" + pairs)};
+  }
   /// A separate engine does the prefill; times are relative to the routing decision.
   static Log lateLog(int prompt_computed, int first_token) {
     const std::string none = "prefill_engine=\"\"";
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(eachMechanismHasItsOwnSwitch);
   CPPUNIT_TEST(prefixCopiesNeedPlatformSupportAndTheSwitch);
   CPPUNIT_TEST(leastRoleShareSwitchReachesThePlanner);
+  CPPUNIT_TEST(movesOfSlowStreamsAreOffUnlessSet);
   CPPUNIT_TEST(flagsOverrideTheFile);
   CPPUNIT_TEST(defaultsRoundTrip);
   CPPUNIT_TEST(settingsPageListsEveryKey);
@@ -227,6 +228,20 @@
     CPPUNIT_ASSERT(plannedRoleChanges(load(objects + off)) > 0);
   }
 
+  void movesOfSlowStreamsAreOffUnlessSet() {
+    CPPUNIT_ASSERT(!load(kMinimalSettings).node.execution.stream_moves.enabled);
+    const auto settings =
+        load(kMinimalSettings + "execution: {moves_slow_streams: on, moves_budget_share: 0.1}");
+    CPPUNIT_ASSERT(settings.node.execution.stream_moves.enabled);
+    CPPUNIT_ASSERT_EQUAL(0.1, settings.node.execution.stream_moves.budget_share);
+    for (const std::string value : {"-0.1", "0", "nan", "half", "1e9", "1.01"}) {
+      const auto problems =
+          problemsOf(kMinimalSettings + "execution: {moves_budget_share: " + value + "}");
+      CPPUNIT_ASSERT_MESSAGE(
+          value, problems.starts_with("node.yaml:10: execution.moves_budget_share: '" + value));
+    }
+  }
+
   void flagsOverrideTheFile() {
     SourceValues flags;
     flags["node.zone"] = {{{"mangalia"}, false}, "--node_zone"};
