--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -95,19 +95,6 @@
   void scheduleAttempt(common::Duration delay);
   void scheduleStep(common::Duration delay, std::function<void()> step);
 
-  void watchForStall();
-  StallDetector::Limits stallLimits() const;
-  void onStall(bool hard_limit_exceeded);
-  bool retryAffordable() const;
-  /// \return true if the current attempt counts as a run of the request
-  bool attemptCountsAsRun() const;
-  std::uint32_t maximumRuns() const;
-  bool resuming() const { return tokens_given_ > 0; }
-  /// \return true if the request can continue on another engine: no tokens were delivered yet, or
-  ///   the position to resume from is known. Without the position, the caller would receive the
-  ///   beginning of the answer a second time.
-  bool canResume() const { return !resuming() || !call_.pass_through || !last_token_.empty(); }
-
   /// Checks the pace of the current attempt at regular intervals, from its first token on.
   void watchPace();
   /// Also ends a request for a place at another engine.
@@ -132,6 +119,19 @@
   void logIfTooSlow() const;
   void logMove(const StreamOutlook& outlook, const routing::Route& route) const;
 
+  void watchForStall();
+  StallDetector::Limits stallLimits() const;
+  void onStall(bool hard_limit_exceeded);
+  bool retryAffordable() const;
+  /// \return true if the current attempt counts as a run of the request
+  bool attemptCountsAsRun() const;
+  std::uint32_t maximumRuns() const;
+  bool resuming() const { return tokens_given_ > 0; }
+  /// \return true if the request can continue on another engine: no tokens were delivered yet, or
+  ///   the position to resume from is known. Without the position, the caller would receive the
+  ///   beginning of the answer a second time.
+  bool canResume() const { return !resuming() || !call_.pass_through || !last_token_.empty(); }
+
   void giveUp(ErrorKind kind, const std::string& message, common::Duration retry_after);
   /// Releases all resources and records `state` as the request's final state. Does not call the
   /// observer.
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -222,10 +222,10 @@
 /// run, because the engine works on it until the cancellation arrives.
 void ModelRequest::onDeadline() {
   may_have_run_ = may_have_run_ || (attempt_ != nullptr && attemptCountsAsRun());
-  logIfTooSlow();
   if (route_) {
     recordResult("ended by the request's time limit");
   }
+  logIfTooSlow();
   releaseRoute();
   giveUp(ErrorKind::kDeadlineExceeded, "the request's time limit has passed",
          core_.settings.default_retry_after);
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -96,6 +96,7 @@
     row.version = record.load.version;
     row.running_streams = record.load.running_streams;
     row.waiting_streams = record.load.waiting_streams;
+    row.maximum_streams = record.load.maximum_streams;
     row.cache_pieces_used = record.load.cache_pieces_used;
     row.cache_pieces_total = record.load.cache_pieces_total;
     row.age = record.reported ? now - record.observed_at : common::Duration(0);
--- a/src/cypresswall/operators/state_providers.h
+++ b/src/cypresswall/operators/state_providers.h
@@ -24,6 +24,8 @@
   std::string version;
   std::uint32_t running_streams = 0;
   std::uint32_t waiting_streams = 0;
+  /// Number of streams that the engine runs at a time; zero if not known.
+  std::uint32_t maximum_streams = 0;
   std::uint32_t cache_pieces_used = 0;
   std::uint32_t cache_pieces_total = 0;
   /// Age of the load report.
--- a/tests/operators/command_service_test.cpp
+++ b/tests/operators/command_service_test.cpp
@@ -1,7 +1,10 @@
 #include "cypresswall/operators/command_service.h"
 
+#include <algorithm>
+
 #include "cypresswall/operators/command_api.h"
 #include "cypresswall/operators/rendering.h"
+#include "cypresswall/operators/vocabulary.h"
 #include "tests/configuration/replica_fleet.h"
 #include "tests/support/property.h"
 
@@ -26,6 +29,7 @@
     row.seen = true;
     row.role = engines::EngineRole::kDecode;
     row.running_streams = 3;
+    row.maximum_streams = 48;
     return {row};
   }
   std::vector<Explanation> explainEngine(const common::EngineName& name) const override {
@@ -53,6 +57,12 @@
   std::string body;
 };
 
+std::size_t columnOf(const std::string& name) {
+  const auto& columns = columnsOf(Subject::kEngines);
+  return static_cast<std::size_t>(std::find(columns.begin(), columns.end(), name) -
+                                  columns.begin());
+}
+
 class CommandServiceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CommandServiceTest);
   CPPUNIT_TEST(appliesFleetFileAndWaitsUntilInForce);
@@ -94,6 +104,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run("show engines").table.rows.size());
     const auto busy = run("show engines where running >= 3 and role = decode");
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), cellText(busy.table.rows.at(0).at(0)));
+    CPPUNIT_ASSERT_EQUAL(std::string("48"),
+                         cellText(busy.table.rows.at(0).at(columnOf("maximum"))));
     const auto other = run("show engines where zone = zone-1");
     CPPUNIT_ASSERT_EQUAL(std::string("e2"), cellText(other.table.rows.at(0).at(0)));
     CPPUNIT_ASSERT_EQUAL(std::string("unseen"), cellText(other.table.rows.at(0).at(7)));
