Let engines of the soak slow down while streams run

The soak did not bring about the load that moves of streams answer. Emulated engines take the fault decode_slowdown; the soak has it as its eighteenth kind, drawn last, so that earlier seeds give the same plans; its daemons move slow streams.

--- a/src/cypresswall/emulation/engine_settings.h
+++ b/src/cypresswall/emulation/engine_settings.h
@@ -75,6 +75,8 @@
   /// The next stream to reach this number of emitted tokens breaks; zero breaks none. Reset to zero
   /// once a stream has broken.
   std::uint32_t break_stream_after_tokens = 0;
+  /// Factor on the duration of decode steps.
+  double decode_slowdown = 1;
   /// If true, the engine refuses new streams.
   bool refuse = false;
   /// Number of streams out of ten consecutive ones that break before their first token. Load
--- a/src/cypresswall/emulation/engine_steps.cpp
+++ b/src/cypresswall/emulation/engine_steps.cpp
@@ -81,8 +81,11 @@
                                               std::uint32_t prefill_tokens) const {
   common::Duration duration{0};
   if (decoding > 0) {
-    duration += decode_steps_ * (settings_.speed.decode_step_base +
-                                 decoding * settings_.speed.decode_step_per_stream);
+    const auto steps = decode_steps_ * (settings_.speed.decode_step_base +
+                                        decoding * settings_.speed.decode_step_per_stream);
+    duration += faults_.decode_slowdown > 1
+                    ? common::fromSeconds(common::toSeconds(steps) * faults_.decode_slowdown)
+                    : steps;
   }
   duration += common::fromSeconds(prefill_tokens / prefillSpeed(decoding > 0));
   return duration;
--- a/standins/fronts/engine_json.cpp
+++ b/standins/fronts/engine_json.cpp
@@ -149,6 +149,7 @@
   faults.cache_events.loss = fieldOr(body, "cache_event_loss", faults.cache_events.loss);
   faults.break_stream_after_tokens =
       fieldOr(body, "break_stream_after_tokens", faults.break_stream_after_tokens);
+  faults.decode_slowdown = fieldOr(body, "decode_slowdown", faults.decode_slowdown);
   faults.refuse = fieldOr(body, "refuse", faults.refuse);
   faults.rate_limit = rateLimitOr(body, faults.rate_limit);
   faults.leaving = fieldOr(body, "leaving", faults.leaving);
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -115,7 +115,8 @@
           "--node_peer_address", peerAddress(node), "--node_gateway_address", gateways_[node],
           "--node_zone", kZone, "--node_region", kRegion, "--node_machine",
           "machine-" + std::to_string(node), "--seeds", joined(seeds), "--platform_object_api",
-          platform_address_for_daemons_, "--platform_machine_list", platform_address_for_daemons_},
+          platform_address_for_daemons_, "--platform_machine_list", platform_address_for_daemons_,
+          "--execution_moves_slow_streams", "on"},
       folder_ + "/node-" + std::to_string(node) + ".log");
 }
 
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -25,10 +25,11 @@
   kEngineReset,
   kEngineAnswersCut,
   kEngineStreamBroken,
-  kEngineLeaving,  ///< the engine says that it leaves, serves on, and restarts
-  kEnginePaused,   ///< the engine refuses requests and asks for a pause
+  kEngineLeaving,    ///< the engine says that it leaves, serves on, and restarts
+  kEnginePaused,     ///< the engine refuses requests and asks for a pause
+  kEngineSlowsDown,  ///< the engine's output is slow, also that of running streams
 };
-inline constexpr std::size_t kFaultKinds = 17;
+inline constexpr std::size_t kFaultKinds = 18;
 /// Number of kinds, from the first, that plans without announcements of engines draw from.
 inline constexpr std::size_t kKindsWithoutAnnouncements = 15;
 inline constexpr std::array<const char*, kFaultKinds> kFaultNames = {
@@ -36,7 +37,7 @@
     "store-silent",      "store-slow",         "store-reset",          "store-answers-cut",
     "store-answer-lost", "engine-crashed",     "engine-silent",        "engine-slow",
     "engine-reset",      "engine-answers-cut", "engine-stream-broken", "engine-leaving",
-    "engine-paused"};
+    "engine-paused",     "engine-slows-down"};
 
 inline const char* nameOf(FaultKind kind) { return kFaultNames[static_cast<std::size_t>(kind)]; }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,7 +10,8 @@
 
 DEFINE_int64(minutes, 3, "minutes in which new rounds are started; ignored with --seed");
 DEFINE_uint64(seed, 0, "run only the round of this seed; zero for rounds with random seeds");
-DEFINE_bool(announcements, true, "engines also say that they leave or ask for a pause");
+DEFINE_bool(announcements, true,
+            "engines also say that they leave or ask for a pause, and slow down");
 DEFINE_uint64(faults, 8, "faults in a round; a seed gives the same plan only with the same number");
 
 namespace {
--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds kSlow{300};
 /// Time without requests that a paused engine asks for.
 constexpr std::chrono::milliseconds kPause{1500};
+/// Makes an answer of the workload take some 6 s.
+constexpr int kSlowdown = 20;
 constexpr std::uint64_t kStreamsAfterFaults = 20;
 constexpr std::uint64_t kBookingsAfterFaults = 5;
 
@@ -85,6 +87,9 @@
     case FaultKind::kEnginePaused:
       fleet_->engineFault(fault.target, {{"refuse", true}, {"pause_ms", kPause.count()}});
       break;
+    case FaultKind::kEngineSlowsDown:
+      fleet_->engineFault(fault.target, {{"decode_slowdown", kSlowdown}});
+      break;
     case FaultKind::kStoreReset:
     case FaultKind::kEngineReset:
       proxyOf(fault).resetConnections();
@@ -118,6 +123,9 @@
     case FaultKind::kEnginePaused:
       fleet_->engineFault(fault.target, {{"refuse", false}, {"pause_ms", nullptr}});
       break;
+    case FaultKind::kEngineSlowsDown:
+      fleet_->engineFault(fault.target, {{"decode_slowdown", 1}});
+      break;
     case FaultKind::kStoreAnswerLost:
     case FaultKind::kEngineCrashed:
     case FaultKind::kEngineStreamBroken:
