--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -77,6 +77,7 @@
 
 void ModelRequest::onAttemptLost(engines::StreamFailure failure, const std::string& message) {
   stall_detector_.stop();
+  stopWatchingPace();
   const auto& engine = attemptedEngine();
   common::LogEvent(core_.process.log, common::LogLevel::kWarning, "attempt_failed")
       .field("request", call_.request_id)
@@ -91,7 +92,8 @@
     recordNotDelivered();
   }
   retireAttempt();
-  core_.router.attemptFailed(stream_id_, engine.name, failure);
+  reportOutput();
+  core_.router.attemptFailed(placement_id_, engine.name, failure);
   route_.reset();
   if (token_seen_in_attempt_) {
     resume_until_ = core_.process.clock.now() + core_.settings.resume_time_limit;
@@ -223,6 +225,7 @@
   if (route_) {
     recordResult("ended by the request's time limit");
   }
+  logIfTooSlow();
   releaseRoute();
   giveUp(ErrorKind::kDeadlineExceeded, "the request's time limit has passed",
          core_.settings.default_retry_after);
