--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -23,7 +23,7 @@
   "planning"
   "configuration"
   "duties"
-  "lease fleet_limits quarantine availability"
+  "lease fleet_limits quarantine availability checkpoint"
   "membership"
   "idempotency"
   "object_store engines services store_relay"
