Repeat unanswered attempts to connect to a peer sooner

Cause: after a power loss of all machines the first nodes to start connect to seeds whose machines don't answer yet. The kernel repeats the SYN after a second, which was also the time limit of an attempt, so that no node heard of any other, nor of the declared services, for a second. Change: the first attempt waits 200 ms, doubled with each unanswered one up to the limit.

--- a/src/cypresswall/runtime/outgoing_peer.cpp
+++ b/src/cypresswall/runtime/outgoing_peer.cpp
@@ -38,7 +38,8 @@
       log_(log),
       socket_(context),
       timer_(context),
-      idle_timer_(context) {}
+      idle_timer_(context),
+      connect_limit_(settings.first_connect_limit) {}
 
 void OutgoingPeer::send(std::string frame) {
   if (state_ == State::kClosed) {
@@ -72,7 +73,7 @@
                             self->finishConnect(error);
                           }
                         });
-  timer_.expires_after(settings_.connect_time_limit);
+  timer_.expires_after(connect_limit_);
   timer_.async_wait([self = shared_from_this(), connection](const std::error_code& error) {
     if (!error && connection == self->connection_ && self->state_ == State::kConnecting) {
       self->finishConnect(asio::error::timed_out);
@@ -82,6 +83,9 @@
 
 void OutgoingPeer::finishConnect(const std::error_code& error) {
   timer_.cancel();
+  connect_limit_ = error == asio::error::timed_out
+                       ? std::min(connect_limit_ * 2, settings_.connect_time_limit)
+                       : settings_.first_connect_limit;
   if (error) {
     counters_.failed_connects.add();
     common::LogEvent(log_, common::LogLevel::kDebug, "peer_connect_failed")
--- a/src/cypresswall/runtime/outgoing_peer.h
+++ b/src/cypresswall/runtime/outgoing_peer.h
@@ -77,6 +77,8 @@
   /// nothing.
   std::uint64_t connection_ = 0;
   common::Duration backoff_{0};
+  /// Time limit of the next attempt to connect.
+  common::Duration connect_limit_;
 };
 
 }  // namespace cypresswall::runtime
--- a/src/cypresswall/runtime/transport_settings.h
+++ b/src/cypresswall/runtime/transport_settings.h
@@ -24,6 +24,10 @@
   /// A message that has waited longer than this for a connection is dropped, since its content is
   /// outdated.
   common::Duration queue_time_limit = std::chrono::seconds(2);
+  /// Time limit of the first attempt to connect. It doubles with each attempt that is not answered,
+  /// up to `connect_time_limit`. Short, since the kernel repeats an unanswered SYN only after a
+  /// second: a peer that starts a moment later than this node would be reached that much too late.
+  common::Duration first_connect_limit = std::chrono::milliseconds(200);
   common::Duration connect_time_limit = std::chrono::seconds(1);
   /// Delay after the first failed attempt to connect. It doubles with each further failure; the
   /// delay actually used is chosen at random between half of it and all of it.
--- a/tests/runtime/tcp_peer_transport_test.cpp
+++ b/tests/runtime/tcp_peer_transport_test.cpp
@@ -45,6 +45,7 @@
     settings.maximum_queued_messages = 8;
     settings.minimum_backoff = std::chrono::milliseconds(5);
     settings.maximum_backoff = std::chrono::milliseconds(20);
+    settings.first_connect_limit = std::chrono::milliseconds(50);
     return settings;
   }
   void send(const common::NodeId& to, const std::string& text) {
@@ -69,6 +70,7 @@
   CPPUNIT_TEST(dropsMessagesForAnotherIncarnation);
   CPPUNIT_TEST(reconnectsToARestartedPeer);
   CPPUNIT_TEST(boundsTheQueueOfAnUnreachablePeer);
+  CPPUNIT_TEST(repeatsUnansweredAttemptsSooner);
   CPPUNIT_TEST(closesOnInvalidDataWithOneLogLine);
   CPPUNIT_TEST(closesOnAnotherProtocolVersion);
   CPPUNIT_TEST(refusesAPortInUse);
@@ -140,6 +142,28 @@
     CPPUNIT_ASSERT_EQUAL(92.0, left.dropped());
   }
 
+  /// Load: all machines of a zone get power at the same moment, and the first ones to start connect
+  /// to peers whose machines don't answer yet.
+  void repeatsUnansweredAttemptsSooner() {
+    Node left(context_, 1);
+    // The kernel ignores SYNs while the queue of connections that wait to be accepted is full.
+    asio::ip::tcp::acceptor silent(context_, asio::ip::tcp::v4());
+    silent.bind({asio::ip::make_address("127.0.0.1"), 0});
+    silent.listen(0);
+    std::vector<asio::ip::tcp::socket> waiting;
+    for (int i = 0; i < 4; ++i) {
+      waiting.emplace_back(context_);
+      waiting.back().async_connect(silent.local_endpoint(), [](const std::error_code&) {});
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    left.send({"127.0.0.1:" + std::to_string(silent.local_endpoint().port()), 0}, "note");
+    CPPUNIT_ASSERT(testing::runUntil(context_, [&] {
+      return left.counters.total("cypresswall_transport_failed_connects_total") >= 3;
+    }));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin <
+                   2 * TransportSettings{}.connect_time_limit);
+  }
+
   void closesOnInvalidDataWithOneLogLine() {
     Node node(context_, 1);
     expectClosed(node, "GET / HTTP/1.1\r\n\r\n");
