Give starting peers a copy as soon as there is one

Cause: when all nodes of a zone start at once, nearly every peer that a node asks for a copy of the store's objects has none yet and says so. The node then waited for the next regular announcement of a reader, and in a large zone, where member lists differ at that time, often for the whole copy timeout, after which it read the store itself. Change: a node without objects remembers who asked, up to eight, and sends the copy when it has one; a reader announces its first listing at once; a node without a copy asks again.

--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -16,6 +16,9 @@
 /// Maximum number of announcements of one reader that wait for their changes: the oldest, which is
 /// forwarded first, and the newest.
 constexpr std::size_t kWaitingAnnouncements = 2;
+/// Maximum number of peers that wait for this node's first copy. Peers choose whom they ask at
+/// random, so that more than a few are rare; the others ask again.
+constexpr std::size_t kMaximumAwaitingCopy = 8;
 /// Source of an incarnation of the store, for the log.
 constexpr const char* kPeerSource = "peer";
 
@@ -111,8 +114,7 @@
     return;
   }
   const auto now = context_.clock.now();
-  const bool first = !followed.copy_requested_since;
-  const auto since = first ? now : *followed.copy_requested_since;
+  const auto since = followed.copy_requested_since.value_or(now);
   followed.copy_requested_since = since;
   const auto source = copySource(topic);
   // In a large zone the copies come down the announcement tree; if every node that waits for its
@@ -121,7 +123,7 @@
   const bool late = now - since >= settings_.copy_timeout;
   if (isReader(topic) || !source || (late && !copy_expected)) {
     followed.copy.fetchFromStore();
-  } else if (first) {
+  } else if (followed.pull_timer == 0) {
     pull(topic, *source);
   }
 }
@@ -277,6 +279,11 @@
   followed.copy_requested_since.reset();
   followed.history.restart(revision);
   fanOutWaiting(followed);
+  // Nodes that started at the same time wait for the first announcement.
+  if (isReader(topic) && !defersAnnouncing(followed)) {
+    announce(topic, followed);
+  }
+  serveAwaitingCopy(topic, followed);
 }
 
 void StoreRelay::read(Topic topic, std::vector<StoreChange> changes, std::uint64_t revision) {
@@ -331,7 +338,7 @@
   }
   if (!behind(*followed)) {
     if (followed->copy.revision() < announcement.seen) {
-      apply(*followed, {}, announcement.seen);
+      apply(known_topic, *followed, {}, announcement.seen);
     }
     return;
   }
@@ -372,7 +379,7 @@
   return replaces;
 }
 
-bool StoreRelay::applyReply(TopicState& followed, const ChangesReply& reply) {
+bool StoreRelay::applyReply(Topic topic, TopicState& followed, const ChangesReply& reply) {
   if (followed.copy.incomplete() && reply.packed_changes.empty()) {
     // The late answer to a request for the changes after a revision.
     return false;
@@ -385,10 +392,10 @@
   }
   auto changes = reply.packed_changes.empty() ? std::make_optional(reply.changes)
                                               : unpackChanges(reply.packed_changes);
-  return changes && apply(followed, std::move(*changes), reply.revision);
+  return changes && apply(topic, followed, std::move(*changes), reply.revision);
 }
 
-bool StoreRelay::apply(TopicState& followed, std::vector<StoreChange> changes,
+bool StoreRelay::apply(Topic topic, TopicState& followed, std::vector<StoreChange> changes,
                        std::uint64_t revision) {
   const bool first = followed.copy.revision() == 0;
   if (!followed.copy.applyPeerChanges(changes, revision)) {
@@ -402,6 +409,9 @@
     followed.history.add(std::move(changes), revision);
   }
   fanOutWaiting(followed);
+  if (first) {
+    serveAwaitingCopy(topic, followed);
+  }
   return true;
 }
 
@@ -441,24 +451,20 @@
   if (followed == nullptr) {
     return;
   }
-  ChangesReply reply;
-  reply.topic = request.topic;
-  reply.incarnation = incarnation_.current();
-  reply.sample_level = followed->copy.sampleLevel();
   if (request.revision == 0) {
-    reply.revision = followed->copy.revision();
-    reply.available = reply.revision != 0;
-    if (reply.available) {
-      copies_.add();
-      reply.changes = followed->copy.allObjects();
-      if (request.accepts_packed) {
-        reply.packed_changes = packChanges(reply.changes);
-        reply.changes.clear();
-      }
+    const bool waits = followed->copy.revision() == 0 && request.accepts_packed &&
+                       followed->awaiting_copy.size() < kMaximumAwaitingCopy;
+    if (waits) {
+      followed->awaiting_copy.insert(sender);
+    } else {
+      sendCopy(static_cast<Topic>(request.topic), *followed, sender, request.accepts_packed);
     }
-    context_.sendTo(sender, reply);
     return;
   }
+  ChangesReply reply;
+  reply.topic = request.topic;
+  reply.incarnation = incarnation_.current();
+  reply.sample_level = followed->copy.sampleLevel();
   if (!comparable(request.incarnation)) {
     context_.sendTo(sender, reply);
     return;
@@ -472,6 +478,31 @@
   context_.sendTo(sender, reply);
 }
 
+void StoreRelay::sendCopy(Topic topic, const TopicState& followed, const common::NodeId& peer,
+                          bool packed) {
+  ChangesReply reply;
+  reply.topic = static_cast<std::uint8_t>(topic);
+  reply.incarnation = incarnation_.current();
+  reply.sample_level = followed.copy.sampleLevel();
+  reply.revision = followed.copy.revision();
+  reply.available = reply.revision != 0;
+  if (reply.available) {
+    copies_.add();
+    reply.changes = followed.copy.allObjects();
+    if (packed) {
+      reply.packed_changes = packChanges(reply.changes);
+      reply.changes.clear();
+    }
+  }
+  context_.sendTo(peer, reply);
+}
+
+void StoreRelay::serveAwaitingCopy(Topic topic, TopicState& followed) {
+  for (const common::NodeId& peer : std::exchange(followed.awaiting_copy, {})) {
+    sendCopy(topic, followed, peer, true);
+  }
+}
+
 /// Applies the changes in a reply even if the reply arrives after the pull has timed out.
 void StoreRelay::onReply(const common::NodeId& sender, const ChangesReply& reply) {
   incarnation_.observe(reply.incarnation, kPeerSource);
@@ -480,8 +511,8 @@
     return;
   }
   const bool awaited = followed->pull_timer != 0;
-  const bool useful =
-      reply.available && reply.revision > followed->copy.revision() && applyReply(*followed, reply);
+  const bool useful = reply.available && reply.revision > followed->copy.revision() &&
+                      applyReply(static_cast<Topic>(reply.topic), *followed, reply);
   if (!awaited && !useful) {
     return;
   }
--- a/src/cypresswall/store_relay/store_relay.h
+++ b/src/cypresswall/store_relay/store_relay.h
@@ -132,6 +132,9 @@
     std::uint64_t own_sequence = 0;
     /// Time of the first attempt to get a copy while this node has no objects yet.
     std::optional<common::MonotonicTime> copy_requested_since;
+    /// Peers without objects that asked for a copy while this node had none either. They get one as
+    /// soon as this node has one.
+    std::set<common::NodeId> awaiting_copy;
     /// Revision of the newest announced change.
     std::uint64_t announced = 0;
     /// Size in bytes of the batch of changes that `announced` refers to.
@@ -154,6 +157,9 @@
   /// Called while this node has no objects: requests a copy of all objects from a peer. If this
   /// node is a reader or gets no copy from a peer, it reads the store instead.
   void requestCopy(Topic topic, TopicState& followed);
+  void sendCopy(Topic topic, const TopicState& followed, const common::NodeId& peer, bool packed);
+  /// Called once this node has its first objects.
+  void serveAwaitingCopy(Topic topic, TopicState& followed);
   /// \return the peer to request a copy from: the highest-ranked reader if readers announce to all
   ///   nodes themselves, else a random peer
   std::optional<common::NodeId> copySource(Topic topic) const;
@@ -188,10 +194,11 @@
   bool leads(Topic topic, TopicState& followed, const common::NodeId& reader) const;
   void adoptSampleLevel(Topic topic, TopicState& followed, const Announcement& announcement);
   /// Applies the changes in a peer's reply. \return false if they can't be applied
-  bool applyReply(TopicState& followed, const ChangesReply& reply);
+  bool applyReply(Topic topic, TopicState& followed, const ChangesReply& reply);
   /// Applies changes read by a peer.
   /// \return false if the copy cannot apply them
-  bool apply(TopicState& followed, std::vector<StoreChange> changes, std::uint64_t revision);
+  bool apply(Topic topic, TopicState& followed, std::vector<StoreChange> changes,
+             std::uint64_t revision);
   void pull(Topic topic, const common::NodeId& reader);
   void pullTimedOut(Topic topic);
   /// \return estimated transfer time of the announced change over a busy link
