Count a peer's first copy as news of the store's readers

A node that got its first copy from a peer before any announcement took the readers for silent and polled the store itself until the next announcement: over 60 calls instead of some 50 when 300 nodes start with 2,000 engines (EngineSampleTest::startingNodesCopyFromPeers, which failed with the change before this one).

--- a/src/cypresswall/store_relay/store_relay.cpp
+++ b/src/cypresswall/store_relay/store_relay.cpp
@@ -401,7 +401,8 @@
   if (!followed.copy.applyPeerChanges(changes, revision)) {
     return false;
   }
-  followed.progress_time = context_.clock.now();
+  const auto now = context_.clock.now();
+  followed.progress_time = now;
   followed.copy_requested_since.reset();
   if (first) {
     followed.history.restart(revision);
@@ -410,6 +411,8 @@
   }
   fanOutWaiting(followed);
   if (first) {
+    // The copy comes from readers, whose first announcement may still be on its way.
+    followed.last_announcement_time = followed.last_announcement_time.value_or(now);
     serveAwaitingCopy(topic, followed);
   }
   return true;
