--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -21,6 +21,7 @@
   "admission"
   "routing"
   "planning"
+  "engine_speed"
   "configuration"
   "duties"
   "lease fleet_limits quarantine availability"
