Place streams by what they cost the output of all streams on an engine

Output went to few engines, also to slow ones. The limit on pauses counts tokens as callers receive them, steps were counted by declared token (15 of them for each received one on the site measured), so the time between tokens was 0.02 to 0.04 of its limit for any engine: all were near equals, and long answers were gathered on a quarter of the decode engines by constants.

With engine_speed.enabled the learned step replaces the declared one. A stream costs the probability of a pause over its limit, its increase for the streams there, and the probability of ending too late. An engine without a free place comes after all that have one and meet the limits. Hosts of long answers are filled until the streams added cause pauses as long as prompts do, fastest engines first. The router counts the streams that it placed itself: reports lag, and don't show a stream whose prompt another engine computes. Among near equals an engine with an idle connection is preferred, within engine_speed.connection_discount.

Even engines with a flat step keep their hosts (CostRouterTest::consolidationFollowsTheLearnedStep).

A string literal assigned in tests/support/engine_world.h is constructed instead: GCC 12 reports a false overlap there once cost_router.h is inlined differently.

--- a/src/cypresswall/routing/cost_model.cpp
+++ b/src/cypresswall/routing/cost_model.cpp
@@ -1,12 +1,15 @@
 #include "cypresswall/routing/cost_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cypresswall::routing {
 namespace {
 
 /// Prompt speed assumed for an engine that declares none.
 constexpr double kDefaultPrefillTokensPerSecond = 5000;
+/// Least time between tokens whose logarithm is taken.
+constexpr double kMinimumBetweenTokens = 1e-6;
 /// Factor on the duration of a single-stream step for CostInputs::relaxed_single_stream_step.
 constexpr double kSingleStreamStepSlack = 1.25;
 
@@ -39,6 +42,11 @@
   return remaining * places_needed / engine.maximum_streams;
 }
 
+/// \return seconds between two tokens that a caller receives, with `streams` streams
+double betweenTokens(const EngineEstimate& engine, double streams) {
+  return stepSeconds(engine, streams) * engine.tokens_per_delivery;
+}
+
 }  // namespace
 
 void applyReport(EngineEstimate& estimate, const engines::EngineLoad& load,
@@ -74,10 +82,18 @@
   inputs.unreported_wait = engine.unreported_prefill_tokens * per_token;
   inputs.slot_wait = slotWait(engine, step);
   inputs.relaxed_single_stream_step =
-      static_cast<float>(stepSeconds(engine, 1.0) * kSingleStreamStepSlack);
+      static_cast<float>(betweenTokens(engine, 1.0) * kSingleStreamStepSlack);
   inputs.role = engine.role;
   inputs.has_backlog = engine.has_backlog;
   inputs.backlog_empty_at = engine.backlog_empty_at;
+  const double streams = streamsOn(engine);
+  inputs.full = engine.maximum_streams > 0 && streamsOn(engine) >= engine.maximum_streams;
+  inputs.streams = static_cast<float>(streams);
+  const double next = betweenTokens(engine, streams + 1.0);
+  inputs.between_tokens = static_cast<float>(next);
+  inputs.log_between_next = static_cast<float>(std::log(std::max(next, kMinimumBetweenTokens)));
+  inputs.log_between_now =
+      static_cast<float>(std::log(std::max(betweenTokens(engine, streams), kMinimumBetweenTokens)));
   return inputs;
 }
 
--- a/src/cypresswall/routing/cost_model.h
+++ b/src/cypresswall/routing/cost_model.h
@@ -2,6 +2,7 @@
 /// load report and the work sent to it since.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -40,6 +41,13 @@
   double step_scale = 1;
   /// Mean remaining seconds of a running stream; zero if unknown.
   double stream_remaining = 0;
+  /// Declared tokens per token that a caller receives, learned from measured output. The times of
+  /// steps are per declared token, limits on the time between tokens per received one.
+  double tokens_per_delivery = 1;
+  /// Part of `step_scale` that lasts longer than a spell.
+  double lasting_scale = 1;
+  /// Streams in progress that this node placed on the engine; zero if not counted.
+  std::uint32_t placed_streams = 0;
   /// Whether the engine was sent long prompts (see LongPromptTracker) that it has not computed yet.
   bool has_backlog = false;
   /// When the engine will have computed all of these prompts; not meaningful if there are none.
@@ -47,7 +55,8 @@
 };
 
 /// The values of an estimate that every routing decision reads, precomputed when the estimate
-/// changes. Fits into one cache line, so that all engines of a zone are evaluated in microseconds.
+/// changes. Fits into two cache lines, of which the choice of an engine for a prompt reads one, so
+/// that all engines of a zone are evaluated in microseconds.
 struct alignas(64) CostInputs {
   /// When the engine will have computed the prompts that were queued at its last load report.
   double queue_empty_at = 0;
@@ -64,13 +73,22 @@
   float prefill_seconds_per_pair = 0;
   /// Duration of a decode step with one additional stream.
   float step = 0;
-  /// Duration of a decode step with a single stream, plus some slack. Accepted as time between
-  /// tokens even if a request's limit is lower, because the engine can't be faster.
+  /// Time between tokens with a single stream, plus some slack. Accepted even if a request's limit
+  /// is lower, because the engine can't be faster.
   float relaxed_single_stream_step = 0;
   /// As in EngineEstimate.
   float kv_seconds_per_token = 0;
   engines::EngineRole role = engines::EngineRole::kMixed;
   bool has_backlog = false;
+  /// All stream slots are in use.
+  bool full = false;
+  // Second cache line.
+  /// Time between tokens with one additional stream, as callers receive them.
+  float between_tokens = 0;
+  /// Logarithms of the time between tokens with one additional stream, and with none.
+  float log_between_next = 0;
+  float log_between_now = 0;
+  float streams = 0;
 };
 
 /// \return `time` in seconds on this node's clock, as used in EngineEstimate.
@@ -88,9 +106,10 @@
 }
 
 /// \return number of streams in the engine's last load report and of those that this node started
-///   since.
+///   since, or of all that this node placed if these are more: a report may be older than it is
+///   assumed to be, and doesn't show a stream whose prompt another engine is still computing.
 inline std::uint32_t streamsOn(const EngineEstimate& engine) {
-  return engine.streams + engine.unreported_streams;
+  return std::max(engine.streams + engine.unreported_streams, engine.placed_streams);
 }
 
 /// \param chunks_per_token inverse of the number of prompt tokens that an engine computes in one
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 #include "cypresswall/routing/shared_part.h"
 
@@ -20,6 +21,9 @@
 /// engines. Lower than kLatePenalty, so that meeting the limits matters more.
 constexpr double kNonHostPenalty = 10.0;
 
+/// Lower bound of a divisor in seconds.
+constexpr double kNegligibleSeconds = 1e-9;
+
 /// Finalizer of splitmix64, to mix the bits of `value`.
 std::uint64_t mixBits(std::uint64_t value) {
   value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9ULL;
@@ -62,6 +66,8 @@
       sent_(settings.report_slack, estimates_),
       long_prompts_(settings_, model_, context.clock, directory, estimates_),
       output_speeds_(settings.output_speed),
+      outputs_(settings_, context, table_, estimates_),
+      connection_saving_(common::toSeconds(settings.connection_discount)),
       tie_break_salt_(context.random.next()),
       routed_(
           context.counters.counter("cypresswall_routes_total", "Engines chosen", "kind", "whole")),
@@ -94,6 +100,7 @@
   if (restarted) {
     sent_.forgetEngine(slot);
     long_prompts_.forgetEngine(slot);
+    outputs_.forgetEngine(slot);
   }
   if (record.reported) {
     applyReport(estimates_.edit(slot), record.load, record.observed_at);
@@ -104,6 +111,7 @@
     sent_.reported(slot, record.observed_at);
     long_prompts_.refresh(slot);
     estimates_.refresh(slot);
+    outputs_.reported(slot);
   }
 }
 
@@ -122,9 +130,33 @@
   const std::size_t pieces = affinityPieces(request.shape);
   work.affinity = sharedPartOf(request.shape);
   work.affinity_tokens = request.shape.tokensOfPieces(pieces);
+  work.finish_limit = common::toSeconds(request.finish_limit);
   return work;
 }
 
+void CostRouter::prepareRisk(RequestWork& work, const common::ModelName& model) {
+  if (!outputs_.enabled()) {
+    return;
+  }
+  risk_ = outputs_.risk(model);
+  risk_.stream_remaining = output_speeds_.remainingSeconds(model);
+  work.log_between_limit = std::log(work.between_tokens_limit);
+  work.risk = &risk_;
+}
+
+double CostRouter::hostFill(double places) const {
+  if (!outputs_.enabled() || risk_.prompt_pause <= 0 || decode_order_.empty()) {
+    return settings_.output_fill;
+  }
+  // Consolidation pays while the pauses that the additional streams cause are shorter than those
+  // that prompts cause on an engine that computes them between its steps.
+  const EngineEstimate& engine = estimates_.estimate(decode_order_.front());
+  const double usual_pause = std::exp(risk_.pauses.meanLog() + risk_.pauses.deviationLog());
+  const double added = engine.decode_step_per_stream * engine.tokens_per_delivery * usual_pause;
+  const double streams = risk_.prompt_pause / std::max(added, kNegligibleSeconds);
+  return std::clamp(streams / places, 1.0 / places, settings_.output_fill);
+}
+
 const std::vector<EngineSlot>& CostRouter::candidatesFor(const RouteRequest& request) {
   const auto& exact = table_.candidates(request.model, request.version, request.adapter);
   // An answer that has begun must be continued by the same version.
@@ -242,17 +274,18 @@
       places = std::max<double>(places, engine.maximum_streams);
     }
   }
-  const double needed = std::ceil(outputs / (settings_.output_fill * places)) + 1;
+  const double needed = std::ceil(outputs / (hostFill(places) * places)) + 1;
   const double least =
       std::ceil(settings_.minimum_host_share * static_cast<double>(decode_order_.size()));
   const auto hosts =
       std::min(decode_order_.size(), static_cast<std::size_t>(std::max(needed, least)));
-  // Selects engines in order of their name hashes, so that nodes with the same candidates select
-  // the same hosts without communication.
+  // Selects the fastest engines, and among equally fast ones in order of their name hashes, so that
+  // nodes with the same candidates select the same hosts without communication.
   std::partial_sort(decode_order_.begin(),
                     decode_order_.begin() + static_cast<std::ptrdiff_t>(hosts), decode_order_.end(),
                     [this](EngineSlot left, EngineSlot right) {
-                      return name_hashes_[left] < name_hashes_[right];
+                      return std::pair(outputs_.speedClass(left), name_hashes_[left]) <
+                             std::pair(outputs_.speedClass(right), name_hashes_[right]);
                     });
   for (std::size_t i = 0; i < hosts; ++i) {
     output_hosting_[decode_order_[i]] = OutputHosting::kHost;
@@ -305,8 +338,9 @@
     // Decode engines can also compute prompts, but slowly. Mixed engines can also generate the
     // output for prompts that prefill engines computed.
     const Offer offer = model_.whole(engine, work, prompt, now);
+    const double output = OfferModel::outputCost(estimates_.inputs(slot), work, offer.first_token);
     whole_engines_.push_back(
-        {offer.cost, slot, delaysDecoding(slot, work, prompt, now), offer.occupancy});
+        {offer.cost + output, slot, delaysDecoding(slot, work, prompt, now), offer.occupancy});
     contention.count(engine, offer);
   }
   contention_ = contention.share();
@@ -315,9 +349,11 @@
     return;
   }
   for (PricedEngine& whole : whole_engines_) {
-    const double cost = model_.decode(estimates_.inputs(whole.engine), work, now).cost;
+    const Offer offer = model_.decode(estimates_.inputs(whole.engine), work, now);
     const double penalty = offOutputHost(whole.engine, work) ? kNonHostPenalty : 0.0;
-    decode_engines_.push_back({cost + penalty, whole.engine});
+    const double output =
+        OfferModel::outputCost(estimates_.inputs(whole.engine), work, offer.first_token);
+    decode_engines_.push_back({offer.cost + output + penalty, whole.engine});
     whole.cost += (whole.delays_decoding ? kLatePenalty : 0.0) + penalty;
   }
 }
@@ -346,9 +382,31 @@
   equals_.clear();
   std::copy_if(engines.begin(), engines.end(), std::back_inserter(equals_),
                [limit](const PricedEngine& engine) { return engine.cost <= limit; });
+  if (!connected_.empty() && (work.affinity == 0 || &engines == &decode_engines_)) {
+    preferConnected(least + connection_saving_ * work.inverse_first_token_limit);
+  }
   return work.affinity != 0 ? preferredByHash(equals_, work.affinity) : leastRecentlyUsed(equals_);
 }
 
+void CostRouter::preferConnected(double limit) {
+  const auto preferred = [this, limit](const PricedEngine& engine) {
+    return engine.cost <= limit && connected_.contains(engine.engine);
+  };
+  if (std::any_of(equals_.begin(), equals_.end(), preferred)) {
+    std::erase_if(equals_, [&preferred](const auto& engine) { return !preferred(engine); });
+  }
+}
+
+void CostRouter::lookUpConnections(const RouteRequest& request) {
+  connected_.clear();
+  if (connection_saving_ <= 0) {
+    return;
+  }
+  for (const common::EngineName& name : request.connected) {
+    connected_.insert(table_.slotOf(name));
+  }
+}
+
 EngineSlot CostRouter::preferredByHash(const std::vector<PricedEngine>& equals,
                                        common::PieceHash piece) const {
   EngineSlot best = kNoEngineSlot;
@@ -388,6 +446,8 @@
         !prefill_engines_.empty() && delaysDecoding(whole.engine, work, prompt, now);
     whole.offer.cost += whole.offer.delays_decoding ? kLatePenalty : 0.0;
     whole.offer.cost += contention_ * whole.offer.occupancy;
+    whole.offer.cost +=
+        OfferModel::outputCost(estimates_.inputs(whole.engine), work, whole.offer.first_token);
   }
   Selection split;
   split.engine = cheapest(decode_engines_, work, settings_.cost_tolerance);
@@ -400,6 +460,8 @@
       model_.prefill(estimates_.inputs(split.prefill), work, promptWork(split.prefill, work), now);
   split.offer = model_.combined(prefill, model_.decode(decode, work, now), decode, work);
   split.offer.cost += contention_ * split.offer.occupancy;
+  split.offer.cost +=
+      OfferModel::outputCost(estimates_.inputs(split.engine), work, split.offer.first_token);
   return whole.empty() || split.offer.cost < whole.offer.cost ? split : whole;
 }
 
@@ -465,9 +527,11 @@
     refusal.message = "this node was paused and learns the state of the engines anew";
     return refusal;
   }
-  const RequestWork work = workOf(request);
+  RequestWork work = workOf(request);
+  prepareRisk(work, request.model);
   const auto& all = candidatesFor(request);
   lookUpPrefixes(request);
+  lookUpConnections(request);
   narrow(request, all);
   const Selection selection = select(work, toModelTime(context_.clock.now()));
   countDemand(request, work, selection);
@@ -570,6 +634,10 @@
   }
   sent_.started(request.stream_id, shares, context_.clock.now());
   if (engine != kNoEngineSlot) {
+    outputs_.started(request.stream_id, engine, work.decode_tokens);
+    if (computing == engine) {
+      outputs_.promptSent(engine, model_.occupyingSeconds(estimates_.inputs(engine), prompt));
+    }
     awaited_outputs_[request.stream_id] = {engine, work.decode_tokens - 1};
   }
 }
@@ -581,6 +649,7 @@
 
 void CostRouter::firstTokenReceived(const std::string& stream_id) {
   promptComputed(stream_id);
+  outputs_.firstToken(stream_id);
   const auto awaited = awaited_outputs_.extract(stream_id);
   if (awaited.empty()) {
     return;
@@ -589,21 +658,27 @@
   const EngineEstimate& engine = estimates_.estimate(slot);
   // On an engine with long prompts, the time to compute them between steps would be counted as step
   // time.
-  const bool measurable =
-      !engine.has_backlog && awaited.mapped().tokens >= settings_.output_speed.minimum_tokens;
+  const bool measurable = !outputs_.enabled() && !engine.has_backlog &&
+                          awaited.mapped().tokens >= settings_.output_speed.minimum_tokens;
   const double step = stepSeconds(engine, streamsOn(engine)) / engine.step_scale;
   output_speeds_.begin(stream_id, table_.record(slot).load.model,
                        measurable ? awaited.mapped().tokens * step : 0,
                        toModelTime(context_.clock.now()));
 }
 
+void CostRouter::outputReceived(const std::string& stream_id, const OutputSample& sample) {
+  outputs_.received(stream_id, sample);
+}
+
 void CostRouter::answerCompleted(const std::string& stream_id) {
+  outputs_.completed(stream_id);
   output_speeds_.complete(stream_id, toModelTime(context_.clock.now()));
 }
 
 void CostRouter::attemptFinished(const std::string& stream_id) {
   awaited_outputs_.erase(stream_id);
   output_speeds_.forget(stream_id);
+  outputs_.ended(stream_id);
   long_prompts_.abandoned(stream_id);
   sent_.ended(stream_id);
 }
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
@@ -13,6 +14,7 @@
 #include "cypresswall/routing/long_prompt_tracker.h"
 #include "cypresswall/routing/offers.h"
 #include "cypresswall/routing/output_speed.h"
+#include "cypresswall/routing/output_tracker.h"
 #include "cypresswall/routing/router.h"
 #include "cypresswall/routing/unreported_work.h"
 
@@ -33,6 +35,7 @@
   void attemptStarted(const RouteRequest& request, const Route& route) override;
   void promptComputed(const std::string& stream_id) override;
   void firstTokenReceived(const std::string& stream_id) override;
+  void outputReceived(const std::string& stream_id, const OutputSample& sample) override;
   void answerCompleted(const std::string& stream_id) override;
   void attemptFinished(const std::string& stream_id) override;
   void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
@@ -40,6 +43,10 @@
 
   /// \return number of recomputations of engine estimates, over all engines.
   std::uint64_t estimatesRefreshed() const { return estimates_.refreshed(); }
+  /// \return the learned speeds of output, to be stored and restored
+  engine_speed::DecodeSpeedEstimator& engineSpeeds() { return outputs_.speeds(); }
+  /// \return the learned speeds of output by engine, for operators
+  std::vector<engine_speed::EngineSpeedView> engineSpeedView() const { return outputs_.view(); }
 
  private:
   /// An engine with the cost of its offer.
@@ -91,6 +98,10 @@
   /// \return the work that the prompt causes on the engine, with missing cache pieces copied from
   ///   the prefix source where that is possible
   PromptWork promptWork(EngineSlot slot, const RequestWork& work) const;
+  /// Prepares the weighing of output for a request.
+  void prepareRisk(RequestWork& work, const common::ModelName& model);
+  /// \return share of the stream slots to which hosts of long answers are filled
+  double hostFill(double places) const;
   /// Selects the decode engines on which long answers are consolidated, if that is enabled.
   void chooseOutputHosts();
   bool hostsOutput(EngineSlot slot) const { return output_hosting_[slot] == OutputHosting::kHost; }
@@ -106,6 +117,10 @@
   /// \param tolerance cost difference to the cheapest engine up to which engines are tied
   EngineSlot cheapest(const std::vector<PricedEngine>& engines, const RequestWork& work,
                       double tolerance);
+  /// Keeps only those of `equals_` to which the sending node has an idle connection and whose cost
+  /// is at most `limit`, if there are any.
+  void preferConnected(double limit);
+  void lookUpConnections(const RouteRequest& request);
   /// \return the cost difference up to which engines that would compute the prompt are tied
   double computingTolerance(const RequestWork& work) const;
   /// \return the engine with the highest rendezvous rank for `piece`.
@@ -140,6 +155,13 @@
   UnreportedWork sent_;
   LongPromptTracker long_prompts_;
   OutputSpeedEstimator output_speeds_;
+  OutputTracker outputs_;
+  /// RouterSettings::connection_discount in seconds.
+  double connection_saving_;
+  /// Engines to which the node that sends the current request has an idle connection.
+  std::unordered_set<EngineSlot> connected_;
+  /// Ratios of the model of the current request.
+  OutputRisk risk_;
   /// By stream.
   std::unordered_map<std::string, AwaitedOutput> awaited_outputs_;
   /// By slot, the sequence number of the last attempt; zero if there was none.
--- a/src/cypresswall/routing/offers.cpp
+++ b/src/cypresswall/routing/offers.cpp
@@ -10,8 +10,9 @@
   }
   if (offer.between_tokens > offer.step_limit && engine.decode_step_per_stream > 0) {
     const double streams = streamsOn(engine) + 1.0;
-    const double excess = (offer.between_tokens - offer.step_limit) /
-                          (engine.decode_step_per_stream * engine.step_scale);
+    const double excess =
+        (offer.between_tokens - offer.step_limit) /
+        (engine.decode_step_per_stream * engine.step_scale * engine.tokens_per_delivery);
     const double tokens = engine.queued_decode_tokens + engine.unreported_decode_tokens;
     const double stream_seconds = tokens / streams * offer.between_tokens;
     relief = std::max(relief, stream_seconds * excess / streams);
--- a/src/cypresswall/routing/offers.h
+++ b/src/cypresswall/routing/offers.h
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <cstdint>
 
+#include "cypresswall/engine_speed/ratio_distribution.h"
 #include "cypresswall/routing/cost_model.h"
 #include "cypresswall/routing/settings.h"
 
@@ -15,6 +16,21 @@
 /// Added to the cost of an engine that can't meet the limits, so that any engine that can is
 /// preferred.
 inline constexpr double kLatePenalty = 100.0;
+/// Added to the cost of an engine whose stream slots are all in use. Lower than kLatePenalty, so
+/// that meeting the limits matters more.
+inline constexpr double kFullPenalty = 30.0;
+
+/// How the output of a model's streams deviates from what is expected, and what that costs.
+struct OutputRisk {
+  engine_speed::RatioDistribution pauses;
+  engine_speed::RatioDistribution durations;
+  /// Mean remaining seconds of a running stream.
+  double stream_remaining = 0;
+  /// Mean pause that a prompt computed between steps causes.
+  double prompt_pause = 0;
+  /// RouterSettings::late_output_weight.
+  double weight = 0;
+};
 
 /// The work and the limits of a request; times in seconds.
 struct RequestWork {
@@ -30,6 +46,11 @@
   std::uint64_t affinity = 0;
   /// Number of prompt tokens up to the end of that piece.
   double affinity_tokens = 0;
+  /// Time until the answer must be complete; zero if there is no limit.
+  double finish_limit = 0;
+  double log_between_limit = 0;
+  /// Null if the output of other streams is not weighed.
+  const OutputRisk* risk = nullptr;
 };
 
 /// How an engine obtains the KV cache of a whole prompt, in prompt tokens.
@@ -88,7 +109,7 @@
               double now) const {
     Offer offer;
     offer.wait = wait(engine, now);
-    offer.between_tokens = engine.step;
+    offer.between_tokens = engine.between_tokens;
     offer.first_token = offer.wait + promptSeconds(engine, prompt) + engine.step;
     offer.occupancy = occupancy(engine, work, prompt);
     setCost(offer, work, engine);
@@ -136,11 +157,31 @@
   Offer decode(const CostInputs& engine, const RequestWork& work, double now) const {
     Offer offer;
     offer.wait = wait(engine, now);
-    offer.between_tokens = engine.step;
+    offer.between_tokens = engine.between_tokens;
     offer.first_token = offer.wait + engine.step;
     setCost(offer, work, engine);
     return offer;
   }
+  /// \return the cost of one more stream of output on an engine: the probability that the stream
+  ///   has a pause over its limit or ends too late, and the increase of the probability of such
+  ///   pauses in the engine's other streams, for the time for which they run together
+  /// \param first_token expected seconds until the first token
+  static double outputCost(const CostInputs& engine, const RequestWork& work, double first_token) {
+    if (work.risk == nullptr) {
+      return 0;
+    }
+    const OutputRisk& risk = *work.risk;
+    const double duration = work.decode_tokens * engine.step;
+    const double together = duration / std::max(duration + risk.stream_remaining, kTinySeconds);
+    const double with = risk.pauses.exceeds(work.log_between_limit - engine.log_between_next);
+    const double without = risk.pauses.exceeds(work.log_between_limit - engine.log_between_now);
+    double late = together * (with + engine.streams * (with - without));
+    if (work.finish_limit > 0) {
+      const double left = std::max(work.finish_limit - first_token, kTinySeconds);
+      late += risk.durations.exceeds(std::log(left / std::max(duration, kTinySeconds)));
+    }
+    return risk.weight * late + (engine.full ? kFullPenalty : 0.0);
+  }
   /// \return the offer of a prefill engine and a decode engine that share the request
   /// \param decode_engine the engine that made the offer `decode`
   Offer combined(const Offer& prefill, const Offer& decode, const CostInputs& decode_engine,
@@ -156,6 +197,7 @@
 
  private:
   static constexpr double kThousand = 1000;
+  static constexpr double kTinySeconds = 1e-6;
 
   static double wait(const CostInputs& engine, double now) {
     return prefillWait(engine, now) + engine.slot_wait;
--- a/src/cypresswall/routing/settings.h
+++ b/src/cypresswall/routing/settings.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "cypresswall/common/time.h"
+#include "cypresswall/engine_speed/settings.h"
 
 namespace cypresswall::routing {
 
@@ -258,6 +259,15 @@
   common::Duration backlog_expiry = std::chrono::seconds(2);
   PromptSpeedSettings prompt_speed;
   OutputSpeedSettings output_speed;
+  /// If enabled, the learned steps replace the declared ones and those of `output_speed`, and a
+  /// stream is placed by its effect on the output of all streams of an engine.
+  engine_speed::EngineSpeedSettings engine_speed;
+  /// Cost of a stream that certainly has a pause longer than the limit between tokens, or that
+  /// certainly ends after its time limit; a first token at its limit costs 1.
+  double late_output_weight = 10;
+  /// Cost, as a time to first token, that is saved by sending to an engine to which the node has an
+  /// idle connection. Decides among near equals only.
+  common::Duration connection_discount{0};
   /// A load report is assumed to include an attempt only if the report describes a time at least
   /// this long after the start of the attempt.
   common::Duration report_slack = std::chrono::milliseconds(20);
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -109,6 +109,21 @@
   };
 }
 
+std::vector<SettingKey> engineSpeedKeys() {
+  return {
+      switchKey(
+          "engine_speed.enabled",
+          [](auto& s) -> auto& { return s.node.router.engine_speed.enabled; },
+          "Whether the output speed of each engine is learned by the number of its streams, and "
+          "streams are placed by their effect on all streams of an engine."),
+      durationKey(
+          "engine_speed.connection_discount", milliseconds(0), seconds(1),
+          [](auto& s) -> auto& { return s.node.router.connection_discount; },
+          "Time to first token that an idle connection to an engine saves; decides among near "
+          "equals."),
+  };
+}
+
 std::vector<SettingKey> retryKeys() {
   return {
       numberKey(
--- a/src/cypresswall/settings/policy_keys.h
+++ b/src/cypresswall/settings/policy_keys.h
@@ -10,6 +10,7 @@
 /// \return keys of role planning
 std::vector<SettingKey> planningKeys();
 /// \return keys of the retry budget
+std::vector<SettingKey> engineSpeedKeys();
 std::vector<SettingKey> retryKeys();
 /// \return keys of the quarantine, which blocks requests that crash engines
 std::vector<SettingKey> quarantineKeys();
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -1,5 +1,6 @@
 #include "cypresswall/routing/cost_router.h"
 
+#include <map>
 #include <set>
 
 #include "tests/execution/process_fixture.h"
@@ -11,6 +12,8 @@
 
 using engines::EngineRole;
 
+std::string numbered(std::string name, int number) { return name.append(std::to_string(number)); }
+
 /// One node with a router and scripted engines, all of which report their load.
 class RouterFixture {
  public:
@@ -34,7 +37,7 @@
     configuration->set(fleet);
   }
 
-  static std::string nameOf(int i) { return "e" + std::to_string(100 + i); }
+  static std::string nameOf(int i) { return numbered("e", 100 + i); }
   engines::EngineLoad& load(int i) { return engines[nameOf(i) + ":1"].load; }
   void run(common::Duration time) { simulation_.time().runFor(time); }
   Route route(const RouteRequest& request) {
@@ -106,6 +109,9 @@
   CPPUNIT_TEST(splitsPrefillAndDecode);
   CPPUNIT_TEST(longAnswersAreConsolidated);
   CPPUNIT_TEST(longAnswersAreSpreadWithoutConsolidation);
+  CPPUNIT_TEST(consolidationFollowsTheLearnedStep);
+  CPPUNIT_TEST(fullEngineIsChosenLast);
+  CPPUNIT_TEST(idleConnectionsDecideAmongNearEquals);
   CPPUNIT_TEST(longPromptsAvoidDecodeEngines);
   CPPUNIT_TEST(prefillEnginesAloneAreRefused);
   CPPUNIT_TEST(otherVersionServesDuringRollout);
@@ -284,6 +290,63 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{8}, hostsOfLongAnswers(fixture).size());
   }
 
+  /// Consolidation keeps output away from prompts, which pays only while streams disturb each other
+  /// less than prompts do.
+  void consolidationFollowsTheLearnedStep() {
+    RouterFixture declared(9);
+    const std::set<std::string> hosts = hostsOfLongAnswers(declared);
+    RouterSettings settings;
+    settings.engine_speed.enabled = true;
+    RouterFixture flat(9, 1, settings);
+    learnStep(flat, {0.04, 0.0001}, 0.02);
+    CPPUNIT_ASSERT(hosts == hostsOfLongAnswers(flat));
+    RouterFixture steep(9, 1, settings);
+    learnStep(steep, {0.04, 0.0015}, 0.005);
+    CPPUNIT_ASSERT(hostsOfLongAnswers(steep).size() > 2 * hosts.size());
+  }
+
+  void fullEngineIsChosenLast() {
+    RouterSettings settings;
+    settings.engine_speed.enabled = true;
+    RouterFixture fixture(3, 1, settings);
+    for (int i = 0; i < 3; ++i) {
+      fixture.load(i).role = i == 0 ? EngineRole::kPrefill : EngineRole::kDecode;
+      fixture.load(i).maximum_streams = 16;
+    }
+    fixture.load(1).running_streams = 8;
+    fixture.run(std::chrono::seconds(1));
+    // Reports don't change: the router has to count the streams that it placed itself.
+    std::map<std::string, int> placed;
+    for (int i = 0; i < 32; ++i) {
+      RouteRequest request = requestOf(100, numbered("s", i));
+      request.between_tokens_limit = std::chrono::seconds(1);
+      const Route route = fixture.route(request);
+      fixture.router->attemptStarted(request, route);
+      ++placed[route.engine.name];
+      fixture.run(std::chrono::milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(16, placed["e101"]);
+    CPPUNIT_ASSERT_EQUAL(16, placed["e102"]);
+  }
+
+  void idleConnectionsDecideAmongNearEquals() {
+    RouterSettings settings;
+    settings.connection_discount = std::chrono::milliseconds(3);
+    RouterFixture fixture(4, 1, settings);
+    fixture.run(std::chrono::seconds(1));
+    RouteRequest request = requestOf(60);
+    request.connected = {"e102", "unknown"};
+    for (int i = 0; i < 5; ++i) {
+      const Route route = fixture.route(request);
+      CPPUNIT_ASSERT_EQUAL(std::string("e102"), route.engine.name);
+      fixture.router->attemptStarted(request, route);
+      fixture.router->attemptFinished(request.stream_id);
+    }
+    fixture.load(2).running_streams = 5;
+    fixture.run(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(fixture.route(request).engine.name != "e102");
+  }
+
   void longPromptsAvoidDecodeEngines() {
     RouterFixture fixture(2);
     fixture.load(0).role = EngineRole::kPrefill;
@@ -377,6 +440,25 @@
   }
 
  private:
+  /// Lets the router learn a step and the duration of the prompts between steps.
+  static void learnStep(RouterFixture& fixture, const engine_speed::DecodeCurve& curve,
+                        double prompt_seconds) {
+    fixture.run(std::chrono::seconds(1));
+    engine_speed::DecodeSpeedEstimator& speeds = fixture.router->engineSpeeds();
+    double now = toModelTime(fixture.process->context().clock.now());
+    for (int i = 0; i < 400; ++i) {
+      const EngineSlot engine = fixture.directory->table().slotOf(RouterFixture::nameOf(1 + i % 8));
+      const double streams = 1 + i % 15;
+      speeds.setStreams(engine, streams, now);
+      speeds.streamStarted("learned", engine, 0, now);
+      speeds.promptSent(engine, prompt_seconds);
+      speeds.firstToken("learned", now);
+      const double step = curve.seconds(streams);
+      speeds.outputMeasured("learned", {10, 10 * step, 1.3 * step}, now);
+      speeds.ended("learned");
+    }
+  }
+
   /// Routes thirty long answers with one prefill engine and eight decode engines, each of which
   /// already runs two answers. \return the engines that received one
   static std::set<std::string> hostsOfLongAnswers(RouterFixture& fixture) {
--- a/tests/support/engine_world.h
+++ b/tests/support/engine_world.h
@@ -198,7 +198,7 @@
   load.incarnation = 1;
   load.role = role;
   load.model = model;
-  load.version = "1";
+  load.version = std::string("1");
   load.maximum_streams = 32;
   load.cache_pieces_total = 256;
   load.prefill_tokens_per_second = 10000;
