Report the output of running attempts and the time left to finish to the router

Routing can neither learn an engine's output speed nor weigh when an answer must be complete, since execution reported the first token and the end only.

OutputMeter collects the tokens of an attempt; a sample goes to Router::outputReceived every 64 tokens or half a second of output, before answerCompleted, and before the end of an attempt that failed or was abandoned. Time in which the caller does not read is left out. routeRequest() fills finish_limit from the caller's or service's time limit. The clock is read once per token, as before.

Syntax checked, not yet run.

--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -123,6 +123,9 @@
   request.first_token_limit = plannedFirstTokenLimit();
   request.between_tokens_limit = target_.service.between_tokens_limit;
   request.excluded = excluded_;
+  if (deadline_) {
+    request.finish_limit = *deadline_ - core_.process.clock.now();
+  }
   return request;
 }
 
@@ -182,6 +185,7 @@
 void ModelRequest::beginStream(const engines::EngineEndpoint& engine, engines::StreamPhase phase) {
   phase_ = phase;
   token_seen_in_attempt_ = false;
+  output_meter_.reset();
   engines::StreamRequest request;
   request.stream_id = stream_id_;
   request.attempt = core_.nextAttemptNumber();
@@ -241,8 +245,13 @@
     last_token_ = text;
   }
   record_->tokens_given = tokens_given_;
+  const auto now = core_.process.clock.now();
+  const bool sample_due = output_meter_.tokenReceived(now);
   if (token_seen_in_attempt_) {
-    stall_detector_.progress();
+    stall_detector_.progress(now);
+    if (sample_due) {
+      reportOutput();
+    }
   } else {
     token_seen_in_attempt_ = true;
     if (!std::exchange(usage_recorded_, true)) {
@@ -250,7 +259,7 @@
     }
     logFirstToken();
     core_.router.firstTokenReceived(stream_id_);
-    stall_detector_.progress(stallLimits());
+    stall_detector_.progress(now, stallLimits());
   }
   observer_->onToken(index, text);
 }
@@ -266,6 +275,7 @@
     return;
   }
   core_.quarantine.answered(call_.fingerprint);
+  reportOutput();
   core_.router.answerCompleted(stream_id_);
   core_.router.attemptFinished(stream_id_);
   route_.reset();
@@ -338,8 +348,16 @@
   });
 }
 
+void ModelRequest::reportOutput() {
+  const auto sample = output_meter_.take();
+  if (sample.tokens > 0) {
+    core_.router.outputReceived(stream_id_, sample);
+  }
+}
+
 void ModelRequest::releaseRoute() {
   if (route_) {
+    reportOutput();
     core_.router.attemptFinished(stream_id_);
     route_.reset();
   }
@@ -380,6 +398,7 @@
 void ModelRequest::pause() {
   paused_ = true;
   stall_detector_.stop();
+  output_meter_.interrupt();
   if (attempt_) {
     attempt_->pause();
   }
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -14,6 +14,7 @@
 #include "cypresswall/execution/model_execution_core.h"
 #include "cypresswall/execution/model_executor.h"
 #include "cypresswall/execution/model_target.h"
+#include "cypresswall/execution/output_meter.h"
 #include "cypresswall/execution/repeat_counter.h"
 #include "cypresswall/execution/stall_detector.h"
 #include "cypresswall/routing/router.h"
@@ -111,6 +112,8 @@
   /// observer.
   void close(const std::string& state);
   void retireAttempt();
+  /// Reports the output collected by `output_meter_` to the router.
+  void reportOutput();
   /// Tells the router that the request no longer uses its route, if it has one.
   void releaseRoute();
   void openRecord();
@@ -140,6 +143,7 @@
   common::MonotonicTime attempt_sent_at_{};
   engines::StreamPhase phase_ = engines::StreamPhase::kWhole;
   StallDetector stall_detector_;
+  OutputMeter output_meter_;
   common::TimerId step_timer_ = 0;
   std::uint32_t tokens_given_ = 0;
   /// Last delivered token from whose text an engine can determine where to resume; set only for
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -91,6 +91,7 @@
     recordNotDelivered();
   }
   retireAttempt();
+  reportOutput();
   core_.router.attemptFailed(stream_id_, engine.name, failure);
   route_.reset();
   if (token_seen_in_attempt_) {
--- a/src/cypresswall/execution/stall_detector.cpp
+++ b/src/cypresswall/execution/stall_detector.cpp
@@ -17,9 +17,9 @@
   arm(limits_.soft);
 }
 
-void StallDetector::progress(Limits limits) {
+void StallDetector::progress(common::MonotonicTime now, Limits limits) {
   limits_ = limits;
-  progress();
+  progress(now);
 }
 
 void StallDetector::stop() {
--- a/src/cypresswall/execution/stall_detector.h
+++ b/src/cypresswall/execution/stall_detector.h
@@ -31,10 +31,10 @@
   /// \param on_stall called with false each time the soft limit elapses without progress, and with
   ///   true once the hard limit has elapsed without progress; may stop or restart the detector
   void start(Limits limits, std::function<void(bool hard_limit_exceeded)> on_stall);
-  /// Records progress and replaces the limits. The timer that is already running is not changed, so
-  /// that a new, shorter limit may be noticed late.
-  void progress(Limits limits);
-  void progress() { last_progress_ = clock_.now(); }
+  /// Records progress at `now` and replaces the limits. The timer that is already running is not
+  /// changed, so that a new, shorter limit may be noticed late.
+  void progress(common::MonotonicTime now, Limits limits);
+  void progress(common::MonotonicTime now) { last_progress_ = now; }
   void stop();
 
  private:
--- a/tests/execution/fake_engines.h
+++ b/tests/execution/fake_engines.h
@@ -86,6 +86,9 @@
   void attemptStarted(const routing::RouteRequest&, const routing::Route&) override { ++open; }
   void promptComputed(const std::string&) override {}
   void firstTokenReceived(const std::string&) override {}
+  void outputReceived(const std::string& stream_id, const routing::OutputSample& sample) override {
+    samples.emplace_back(stream_id, sample);
+  }
   void answerCompleted(const std::string&) override {}
   void attemptFinished(const std::string&) override { --open; }
   void attemptFailed(const std::string&, const common::EngineName&,
@@ -101,6 +104,8 @@
   common::Duration retry_after = std::chrono::seconds(3);
   common::Duration expected_first_token = std::chrono::milliseconds(20);
   std::vector<routing::RouteRequest> requests;
+  /// All reported output, with the identifier of its stream.
+  std::vector<std::pair<std::string, routing::OutputSample>> samples;
   int open = 0;
 };
 
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -48,6 +48,10 @@
   CPPUNIT_TEST(revokedKeyStopsRequestThatHasNotRun);
   CPPUNIT_TEST(tenantUrgencyOverridesServiceUrgency);
   CPPUNIT_TEST(rateLimitsOfAllAnswersAreReported);
+  CPPUNIT_TEST(routerHearsTheTimeLeftToFinish);
+  CPPUNIT_TEST(outputIsReportedWhileItArrivesAndAtTheEnd);
+  CPPUNIT_TEST(outputOfBrokenAndAbandonedAttemptsIsReported);
+  CPPUNIT_TEST(timeInWhichTheCallerDoesNotReadIsNotReported);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,6 +97,63 @@
                          fixture.router.requests.front().priority);
   }
 
+  void routerHearsTheTimeLeftToFinish() {
+    Fixture fixture;
+    fixture.service().time_limit = seconds(9);
+    fixture.engines.scripts = {{Kind::kBrokenAt, 1}};
+    RecordingObserver observer;
+    const auto handle = fixture.start(observer);
+    fixture.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(fixture.router.requests.at(0).finish_limit == seconds(9));
+    CPPUNIT_ASSERT(fixture.router.requests.at(1).finish_limit < seconds(9));
+    CPPUNIT_ASSERT(fixture.router.requests.at(1).finish_limit > seconds(8));
+
+    Fixture unlimited;
+    const auto second = unlimited.start(observer);
+    CPPUNIT_ASSERT(unlimited.router.requests.at(0).finish_limit == common::Duration{0});
+  }
+
+  void outputIsReportedWhileItArrivesAndAtTheEnd() {
+    Fixture fixture;
+    fixture.engines.answer_tokens = 60;
+    RecordingObserver observer;
+    const auto handle = fixture.start(observer);
+    fixture.process.time.runFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.router.samples.size());
+    fixture.process.time.runFor(kLongRun);
+    const auto total = totalOutput(fixture);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{59}, total.tokens);
+    CPPUNIT_ASSERT(total.duration == 59 * fixture.engines.token_time);
+    CPPUNIT_ASSERT(total.longest_pause == fixture.engines.token_time);
+  }
+
+  void outputOfBrokenAndAbandonedAttemptsIsReported() {
+    Fixture fixture;
+    fixture.engines.scripts = {{Kind::kBrokenAt, 4}};
+    RecordingObserver observer;
+    auto handle = fixture.start(observer);
+    fixture.process.time.runFor(5 * fixture.engines.token_time);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, totalOutput(fixture).tokens);
+    fixture.process.time.runFor(4 * fixture.engines.token_time);
+    handle.reset();
+    CPPUNIT_ASSERT_EQUAL(observer.tokens.size() - 2, std::size_t{totalOutput(fixture).tokens});
+    CPPUNIT_ASSERT(totalOutput(fixture).longest_pause == fixture.engines.token_time);
+  }
+
+  void timeInWhichTheCallerDoesNotReadIsNotReported() {
+    Fixture fixture;
+    RecordingObserver observer;
+    const auto handle = fixture.start(observer);
+    fixture.process.time.runFor(5 * fixture.engines.token_time);
+    handle->pause();
+    fixture.process.time.runFor(seconds(9));
+    handle->resume();
+    fixture.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(observer.done);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{10}, totalOutput(fixture).tokens);
+    CPPUNIT_ASSERT(totalOutput(fixture).longest_pause == fixture.engines.token_time);
+  }
+
   /// Covers the rate limits in a refusal, in a prefill answer and in the final answer.
   void rateLimitsOfAllAnswersAreReported() {
     Fixture fixture;
@@ -473,6 +534,16 @@
   }
 
  private:
+  static routing::OutputSample totalOutput(const Fixture& fixture) {
+    routing::OutputSample total;
+    for (const auto& [stream, sample] : fixture.router.samples) {
+      CPPUNIT_ASSERT_EQUAL(fixture.engines.started.front().second.stream_id, stream);
+      total.tokens += sample.tokens;
+      total.duration += sample.duration;
+      total.longest_pause = std::max(total.longest_pause, sample.longest_pause);
+    }
+    return total;
+  }
   static execution::ModelCall callWithFingerprint() {
     auto call = Fixture::call();
     call.fingerprint = kFingerprint;
--- a/tests/execution/stall_detector_test.cpp
+++ b/tests/execution/stall_detector_test.cpp
@@ -51,7 +51,7 @@
     watch.start(kLimits, [&reports](bool) { ++reports; });
     for (int step = 0; step < 100; ++step) {
       time.runFor(milliseconds(900));
-      watch.progress();
+      watch.progress(time.now());
     }
     CPPUNIT_ASSERT_EQUAL(0, reports);
     watch.stop();
