--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -376,9 +376,10 @@
 
 Keys allKeys() {
   Keys keys;
-  for (Keys (*const part)() : {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys,
-                               planningKeys, retryKeys, quarantineKeys, dutyKeys, autoscalingKeys,
-                               executionKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
+  for (Keys (*const part)() :
+       {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys, planningKeys, engineSpeedKeys,
+        retryKeys, quarantineKeys, dutyKeys, autoscalingKeys, executionKeys, mechanismKeys,
+        requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
