Decide in a pool which connections are kept

Every call to an engine or back end opens a connection and closes it, since a kept one may be closed by its peer just as a request is sent. libcurl's own cache can't tell such a close from a failure of the peer, knows no limit for one peer and does not read Keep-Alive.

ConnectionPool decides without a socket: share of a peer's connections, idle time (the announced one less a margin, or a limit; halved for a minute after a stale connection), total. CurlMulti reports what happens to connections and shuts down those that the pool names; libcurl's check before reuse drops what the peer has closed. A reused connection that ends within 100 ms of the request, or whose peer acknowledges nothing (TCP_USER_TIMEOUT), before any byte of an answer is CurlOutcome::kStale; one that ends later is still kBroken, since then the request most likely caused it. libcurl's own second try stays suppressed.

A peer that goes silent can't be made over the loopback device without privileges; no test covers TCP_USER_TIMEOUT.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -5,12 +5,18 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
+#include "cypresswall/common/header_names.h"
+
 namespace cypresswall::runtime {
 namespace {
 
 constexpr int kStatusOk = 200;
+/// A kept connection that ends within this time after a request was sent on it had been closed by
+/// the peer before the request arrived.
+constexpr auto kStaleWindow = std::chrono::milliseconds(100);
 /// Longer error bodies are truncated; they are only used in messages for people.
 constexpr std::size_t kMaximumErrorBodyBytes = 64U << 10;
 /// Size of the send buffer of each request. It is the minimum that libcurl allows: many streams are
@@ -78,21 +84,39 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlJob::beforeSending);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
-  if (request_.dead_peer_limit.count() > 0) {
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlJob::onSocketMade);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
-  }
-  if (request_.connection_use != ConnectionUse::kReuse) {
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-  }
-  if (request_.connection_use == ConnectionUse::kOnce) {
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-  }
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlJob::onSocketMade);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
+  setConnectionUse(request_.connection_use);
   configureMethod();
   configureHeaders();
   configureTimeLimits();
 }
 
+void CurlJob::setConnectionUse(ConnectionUse use) {
+  curl_easy_setopt(easy(), CURLOPT_FRESH_CONNECT, use == ConnectionUse::kReuse ? 0L : 1L);
+  curl_easy_setopt(easy(), CURLOPT_FORBID_REUSE, use == ConnectionUse::kOnce ? 1L : 0L);
+}
+
+void CurlJob::enterPool(common::Duration silence_limit) {
+  pooled_ = true;
+  silence_limit_ = silence_limit;
+}
+
+void CurlJob::socketClosed() {
+  // Later the error of a new connection may replace this one.
+  timed_out_ = timed_out_ || numberOf(CURLINFO_OS_ERRNO) == ETIMEDOUT;
+  socket_.reset();
+}
+
+void CurlJob::probeIdleConnection() const {
+  if (socket_) {
+    setNumber(*socket_, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setNumber(*socket_, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+    setNumber(*socket_, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    setNumber(*socket_, IPPROTO_TCP, TCP_KEEPCNT, 1);
+  }
+}
+
 void CurlJob::configureMethod() {
   CURL* const easy = easy_.get();
   if (request_.method == "HEAD") {
@@ -147,11 +171,12 @@
 }
 
 int CurlJob::onSocketMade(void* job, curl_socket_t socket, curlsocktype purpose) {
-  if (purpose == CURLSOCKTYPE_IPCXN) {
+  static_cast<CurlJob*>(job)->socket_ = socket;
+  const auto limit = static_cast<CurlJob*>(job)->request_.dead_peer_limit;
+  if (purpose == CURLSOCKTYPE_IPCXN && limit.count() > 0) {
     // Keepalive probes are sent every second; TCP_USER_TIMEOUT closes the connection if none is
     // acknowledged.
     constexpr int kProbeSeconds = 1;
-    const auto limit = static_cast<CurlJob*>(job)->request_.dead_peer_limit;
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(limit).count();
     setNumber(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     setNumber(socket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
@@ -162,10 +187,34 @@
   return CURL_SOCKOPT_OK;
 }
 
-int CurlJob::beforeSending(void* job, char*, char*, int, int) {
+int CurlJob::beforeSending(void* job, char*, char*, int, int local_port) {
+  return static_cast<CurlJob*>(job)->prepareToSend(local_port) ? CURL_PREREQFUNC_OK
+                                                               : CURL_PREREQFUNC_ABORT;
+}
+
+bool CurlJob::prepareToSend(int local_port) {
   // libcurl calls this a second time if a reused connection was closed before a response arrived.
-  const bool sent_before = static_cast<CurlJob*>(job)->numberOf(CURLINFO_REQUEST_SIZE) != 0;
-  return sent_before ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  if (numberOf(CURLINFO_REQUEST_SIZE) != 0) {
+    return false;
+  }
+  reused_ = numberOf(CURLINFO_NUM_CONNECTS) == 0;
+  sent_at_ = std::chrono::steady_clock::now();
+  if (on_sending_) {
+    socket_ = on_sending_(reused_ ? std::nullopt : socket_, local_port);
+  }
+  silence_checked_ = pooled_ && reused_ && socket_ && silence_limit_.count() > 0;
+  if (silence_checked_) {
+    setNumber(*socket_, SOL_SOCKET, SO_KEEPALIVE, 0);
+    setNumber(*socket_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(milliseconds(silence_limit_)));
+  }
+  return true;
+}
+
+void CurlJob::stopSilenceCheck() {
+  if (std::exchange(silence_checked_, false) && socket_) {
+    setNumber(*socket_, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+  }
 }
 
 std::size_t CurlJob::takeBody(std::string_view bytes) {
@@ -192,11 +241,13 @@
 
 void CurlJob::forwardHead() {
   if (!std::exchange(head_forwarded_, true)) {
+    response_.reused_connection = reused_;
     handler_->onHead(response_);
   }
 }
 
 void CurlJob::takeHeader(std::string_view line) {
+  stopSilenceCheck();
   if (line.starts_with("HTTP/")) {
     response_.headers.clear();
     response_.status = static_cast<int>(numberOf(CURLINFO_RESPONSE_CODE));
@@ -209,6 +260,10 @@
   }
   response_.headers.push_back(
       {std::string(trimmed(line.substr(0, colon))), std::string(trimmed(line.substr(colon + 1)))});
+  const CurlHeader& header = response_.headers.back();
+  if (pooled_ && common::sameHeaderName(header.name, "Keep-Alive")) {
+    announced_idle_time_ = parseKeepAlive(header.value);
+  }
 }
 
 long CurlJob::numberOf(CURLINFO info) const {
@@ -223,11 +278,29 @@
   }
   const bool nothing_sent = numberOf(CURLINFO_REQUEST_SIZE) == 0;
   const bool nothing_received = numberOf(CURLINFO_RESPONSE_CODE) == 0;
-  return nothing_sent && nothing_received ? CurlOutcome::kNotSent : CurlOutcome::kBroken;
+  if (nothing_sent && nothing_received) {
+    return CurlOutcome::kNotSent;
+  }
+  return stale_ ? CurlOutcome::kStale : CurlOutcome::kBroken;
+}
+
+/// A connection that ends long after the request was sent most likely ends because of the request:
+/// a peer that had closed it would have answered the first packet with a reset.
+bool CurlJob::foundStaleConnection(CURLcode code) const {
+  const bool ended = code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR ||
+                     code == CURLE_GOT_NOTHING || code == CURLE_ABORTED_BY_CALLBACK;
+  if (!pooled_ || !reused_ || !ended || numberOf(CURLINFO_RESPONSE_CODE) != 0 ||
+      numberOf(CURLINFO_REQUEST_SIZE) == 0) {
+    return false;
+  }
+  const auto elapsed = std::chrono::steady_clock::now() - sent_at_;
+  const bool silent = silence_checked_ && (timed_out_ || numberOf(CURLINFO_OS_ERRNO) == ETIMEDOUT);
+  return elapsed <= kStaleWindow || silent;
 }
 
 void CurlJob::finish(CURLcode code) {
   CurlResponse response = std::move(response_);
+  response.reused_connection = reused_;
   response.outcome = outcomeOf(code);
   response.status = static_cast<int>(numberOf(CURLINFO_RESPONSE_CODE));
   if (code != CURLE_OK) {
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -3,8 +3,10 @@
 
 #include <curl/curl.h>
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cypresswall/runtime/curl_multi.h"
@@ -34,6 +36,30 @@
   /// null.
   CurlEasyPointer takeEasy();
   const CurlRequest& request() const { return request_; }
+  /// Sets how the request uses connections, before it is passed to libcurl.
+  void setConnectionUse(ConnectionUse use);
+  /// Marks the request as one that counts against its peer's share of connections.
+  void enterPool(common::Duration silence_limit);
+  /// Called whenever the request is about to be sent. libcurl does not tell the socket of a reused
+  /// connection, only its local port.
+  /// \param opened the socket if the connection was opened for this request
+  /// \return the socket of the connection, if it is known
+  using SendingListener = std::function<std::optional<curl_socket_t>(
+      std::optional<curl_socket_t> opened, int local_port)>;
+  void onSending(SendingListener listener) { on_sending_ = std::move(listener); }
+  bool pooled() const { return pooled_; }
+  /// \return the connection on which the request was last sent, while it is open.
+  std::optional<curl_socket_t> socket() const { return socket_; }
+  /// Called when the connection socket() is closed.
+  void socketClosed();
+  /// Has the kernel probe the connection while it is idle.
+  void probeIdleConnection() const;
+  /// Records libcurl's result; called before finish().
+  void ended(CURLcode code) { stale_ = foundStaleConnection(code); }
+  /// \return true if the request met a kept connection that was closed or silent.
+  bool stale() const { return stale_; }
+  /// \return the time for which the peer keeps an idle connection, if it announced one.
+  std::optional<common::Duration> announcedIdleTime() const { return announced_idle_time_; }
   /// Called when the owner of the request is destroyed. No further calls to `handler` or `callback`
   /// are made, and the next byte received ends the request.
   void abandon();
@@ -55,6 +81,10 @@
                            int local_port);
 
   void configure();
+  bool prepareToSend(int local_port);
+  /// Ends the check for a silent peer, after the first byte of a response.
+  void stopSilenceCheck();
+  bool foundStaleConnection(CURLcode code) const;
   void configureMethod();
   void configureHeaders();
   void configureTimeLimits();
@@ -72,6 +102,17 @@
   std::unique_ptr<curl_slist, CurlListDeleter> header_list_;
   CurlResponse response_;
   bool body_too_long_ = false;
+  bool pooled_ = false;
+  common::Duration silence_limit_{0};
+  SendingListener on_sending_;
+  std::optional<curl_socket_t> socket_;
+  /// Whether the request was first sent on a kept connection.
+  bool reused_ = false;
+  bool stale_ = false;
+  bool silence_checked_ = false;
+  bool timed_out_ = false;
+  std::chrono::steady_clock::time_point sent_at_;
+  std::optional<common::Duration> announced_idle_time_;
   /// Whether the body is passed to the handler as it arrives; depends on the status.
   bool streaming_ = false;
   bool head_forwarded_ = false;
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -1,6 +1,9 @@
 #include "cypresswall/runtime/curl_multi.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <asio/post.hpp>
@@ -36,7 +39,7 @@
 /// Owns the multi handle. Handlers queued in Asio hold weak references to the driver.
 class CurlMulti::Driver : public std::enable_shared_from_this<CurlMulti::Driver> {
  public:
-  Driver(asio::io_context& context, const CurlMultiSettings& settings);
+  Driver(asio::io_context& context, const CurlMultiSettings& settings, ConnectionPool* pool);
   ~Driver();
 
   /// \return a request whose complete response is passed to `callback`.
@@ -46,12 +49,20 @@
   void setPaused(const JobPointer& job, bool paused);
   std::size_t running() const { return jobs_.size(); }
   FaultSwitch& faultSwitch() { return fault_switch_; }
+  bool hasIdleConnection(const common::Address& peer) const {
+    return pool_ != nullptr && pool_->keeping() && pool_->hasIdle(peer, now());
+  }
 
  private:
+  static common::MonotonicTime now() {
+    return common::MonotonicTime(std::chrono::duration_cast<common::Duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+  }
   static int onSocketWanted(CURL* easy, curl_socket_t handle, int what, void* driver, void* unused);
   static int onTimerWanted(CURLM* multi, long milliseconds, void* driver);
   static int onSocketClosed(void* driver, curl_socket_t handle);
 
+  void socketClosed(curl_socket_t handle);
   void watch(curl_socket_t handle, int what);
   void socketReady(curl_socket_t handle, SocketReadiness readiness);
   void setTimer(long milliseconds);
@@ -65,6 +76,16 @@
   /// Posts the failure of a request that was never passed to libcurl.
   void postFailure(const JobPointer& job, const char* error);
   void remove(const JobPointer& job);
+  /// Asks the pool for a connection, if the request is subject to it.
+  void enterPool(const JobPointer& job);
+  /// Gives the connection of a request that ended to the pool.
+  void leavePool(CurlJob& job);
+  /// Closes idle connections. libcurl finds out when it next looks for a connection, at the latest
+  /// a second later; the peer is told at once.
+  void shutDown(const std::vector<int>& sockets);
+  void closeExpired();
+  /// \return the kept connection to the peer that has this local port
+  std::optional<int> findIdle(const common::Address& peer, int local_port) const;
   /// Keeps the handle of a finished fetch for reuse.
   void recycle(CurlJob& job);
 
@@ -76,6 +97,11 @@
   std::optional<std::chrono::steady_clock::time_point> timer_deadline_;
   bool timer_armed_ = false;
   FaultSwitch fault_switch_;
+  /// May be null.
+  ConnectionPool* pool_;
+  common::MonotonicTime expiry_checked_at_;
+  /// Pooled requests by the open connection on which they were sent.
+  std::unordered_map<int, CurlJob*> sending_;
   std::shared_ptr<SocketPoll> sockets_;
   std::unordered_map<CURL*, JobPointer> jobs_;
   /// Jobs to add or remove once no libcurl call is on the stack.
@@ -87,10 +113,12 @@
   std::vector<CurlEasyPointer> idle_handles_;
 };
 
-CurlMulti::Driver::Driver(asio::io_context& context, const CurlMultiSettings& settings)
+CurlMulti::Driver::Driver(asio::io_context& context, const CurlMultiSettings& settings,
+                          ConnectionPool* pool)
     : context_(context),
       multi_(nullptr),
       timer_(context),
+      pool_(pool),
       sockets_(std::make_shared<SocketPoll>(context, [this](int socket, SocketReadiness readiness) {
         socketReady(socket, readiness);
       })) {
@@ -162,12 +190,90 @@
   }
   curl_easy_setopt(job->easy(), CURLOPT_CLOSESOCKETFUNCTION, &Driver::onSocketClosed);
   curl_easy_setopt(job->easy(), CURLOPT_CLOSESOCKETDATA, this);
+  enterPool(job);
   job->added = curl_multi_add_handle(multi_, job->easy()) == CURLM_OK;
   if (!job->added) {
+    leavePool(*job);
     postFailure(job, "libcurl refused the request");
   }
 }
 
+void CurlMulti::Driver::enterPool(const JobPointer& job) {
+  if (pool_ == nullptr) {
+    return;
+  }
+  closeExpired();
+  const auto& wanted = job->request().pooled_use;
+  if (!wanted || !pool_->keeping()) {
+    job->onSending([this, peer = job->request().address](std::optional<int> opened, int port) {
+      const auto socket = opened ? opened : findIdle(peer, port);
+      if (socket) {
+        pool_->claimed(*socket);
+      }
+      return socket;
+    });
+    return;
+  }
+  job->setConnectionUse(*wanted);
+  job->enterPool(pool_->settings().silence_limit);
+  job->onSending([this, job = job.get()](std::optional<int> opened, int port) {
+    const auto socket = opened ? opened : findIdle(job->request().address, port);
+    pool_->taken(socket, !opened);
+    if (socket) {
+      sending_[*socket] = job;
+    }
+    return socket;
+  });
+  shutDown(pool_->requestBegan(job->request().address, *wanted == ConnectionUse::kReuse, now()));
+}
+
+void CurlMulti::Driver::leavePool(CurlJob& job) {
+  if (pool_ == nullptr || !job.pooled()) {
+    return;
+  }
+  const common::Address& peer = job.request().address;
+  if (job.stale()) {
+    pool_->foundStale(peer, now());
+  }
+  // A socket that never became a connection is not in `sending_`.
+  auto socket = job.socket();
+  if (socket && sending_.erase(*socket) == 0) {
+    socket.reset();
+  }
+  const bool kept = pool_->requestEnded(peer, socket, job.announcedIdleTime(), now());
+  if (kept) {
+    job.probeIdleConnection();
+  } else if (socket) {
+    shutDown({*socket});
+  }
+}
+
+std::optional<int> CurlMulti::Driver::findIdle(const common::Address& peer, int local_port) const {
+  for (const int socket : pool_->idleSockets(peer)) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    if (::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0 &&
+        ntohs(address.sin_port) == local_port) {
+      return socket;
+    }
+  }
+  return std::nullopt;
+}
+
+void CurlMulti::Driver::shutDown(const std::vector<int>& sockets) {
+  for (const int socket : sockets) {
+    ::shutdown(socket, SHUT_RDWR);
+  }
+}
+
+void CurlMulti::Driver::closeExpired() {
+  constexpr auto kCheckInterval = std::chrono::milliseconds(500);
+  if (now() - expiry_checked_at_ >= kCheckInterval) {
+    expiry_checked_at_ = now();
+    shutDown(pool_->expired(now()));
+  }
+}
+
 void CurlMulti::Driver::postFailure(const JobPointer& job, const char* error) {
   asio::post(context_, [weak = weak_from_this(), job, error] {
     const auto driver = weak.lock();
@@ -196,6 +302,7 @@
     inside_curl_ = true;
     curl_multi_remove_handle(multi_, job->easy());
     inside_curl_ = false;
+    leavePool(*job);
   }
 }
 
@@ -229,10 +336,22 @@
 }
 
 int CurlMulti::Driver::onSocketClosed(void* driver, curl_socket_t handle) {
-  static_cast<Driver*>(driver)->sockets_->forget(handle);
+  static_cast<Driver*>(driver)->socketClosed(handle);
   return ::close(handle);
 }
 
+void CurlMulti::Driver::socketClosed(curl_socket_t handle) {
+  sockets_->forget(handle);
+  if (pool_ == nullptr) {
+    return;
+  }
+  pool_->closed(handle);
+  const auto job = sending_.extract(handle);
+  if (!job.empty()) {
+    job.mapped()->socketClosed();
+  }
+}
+
 void CurlMulti::Driver::watch(curl_socket_t handle, int what) {
   if (what == CURL_POLL_REMOVE) {
     sockets_->forget(handle);
@@ -306,6 +425,7 @@
       continue;
     }
     const JobPointer job = known->second;
+    job->ended(code);
     remove(job);
     job->finish(code);
     recycle(*job);
@@ -358,8 +478,13 @@
 
 }  // namespace
 
-CurlMulti::CurlMulti(asio::io_context& context, const CurlMultiSettings& settings)
-    : driver_(std::make_shared<Driver>(context, settings)) {}
+CurlMulti::CurlMulti(asio::io_context& context, const CurlMultiSettings& settings,
+                     ConnectionPool* pool)
+    : driver_(std::make_shared<Driver>(context, settings, pool)) {}
+
+bool CurlMulti::hasIdleConnection(const common::Address& peer) const {
+  return driver_->hasIdleConnection(peer);
+}
 
 CurlMulti::~CurlMulti() = default;
 
--- a/src/cypresswall/runtime/curl_multi.h
+++ b/src/cypresswall/runtime/curl_multi.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "cypresswall/common/errors.h"
+#include "cypresswall/runtime/connection_pool.h"
 #include "cypresswall/runtime/curl_request.h"
 #include "cypresswall/runtime/fault_switch.h"
 
@@ -53,7 +54,10 @@
 class CurlMulti {
  public:
   /// \throws CurlError
-  explicit CurlMulti(asio::io_context& context, const CurlMultiSettings& settings = {});
+  /// \param pool decides about connections of requests with CurlRequest::pooled_use; may be null,
+  ///   and must outlive this object
+  explicit CurlMulti(asio::io_context& context, const CurlMultiSettings& settings = {},
+                     ConnectionPool* pool = nullptr);
   /// Aborts all requests without calling any handler or callback.
   ~CurlMulti();
   CurlMulti(const CurlMulti&) = delete;
@@ -72,6 +76,8 @@
 
   /// \return number of requests in progress.
   std::size_t running() const;
+  /// \return true if a request with pooled_use kReuse may find an idle connection to the peer.
+  bool hasIdleConnection(const common::Address& peer) const;
   /// \return the switch that blocks peers; effective in test builds only. Requests to blocked peers
   ///   end as kNotSent.
   FaultSwitch& faultSwitch();
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,10 @@
   std::vector<CurlHeader> headers;
   std::string body;
   ConnectionUse connection_use = ConnectionUse::kReuse;
+  /// Set for requests to peers whose connections are limited: while the ConnectionPool keeps
+  /// connections, this replaces `connection_use`, and the pool decides whether the connection is
+  /// kept after the response.
+  std::optional<ConnectionUse> pooled_use;
   common::Duration connect_time_limit = std::chrono::seconds(1);
   /// Time limit of the whole request; zero for no limit.
   common::Duration total_time_limit{0};
@@ -56,11 +61,17 @@
   kAnswered,  ///< a complete response arrived, with any status
   kNotSent,   ///< no byte of the request was sent
   kBroken,    ///< part of the request was sent and no complete response arrived
+  /// The request was sent on a kept connection that proved to be closed or silent, before any byte
+  /// of a response. The peer may have executed it. Only for requests with pooled_use.
+  kStale,
 };
 
 /// Result of a request.
 struct CurlResponse {
   CurlOutcome outcome = CurlOutcome::kNotSent;
+  /// True if the request was sent on a kept connection; the response may then be a surplus one to
+  /// an earlier request.
+  bool reused_connection = false;
   /// Zero if no status line arrived.
   int status = 0;
   std::vector<CurlHeader> headers;
--- a/src/cypresswall/services/http_service_client.cpp
+++ b/src/cypresswall/services/http_service_client.cpp
@@ -71,6 +71,7 @@
     case CurlOutcome::kNotSent:
       return ServiceOutcome::kNotSent;
     case CurlOutcome::kBroken:
+    case CurlOutcome::kStale:
       return ServiceOutcome::kBroken;
     case CurlOutcome::kAnswered:
       break;
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -54,6 +54,8 @@
   /// Sends more bytes on the newest connection.
   void sendMore(const std::string& bytes) { asio::write(newest_->socket, asio::buffer(bytes)); }
   void closeNewest() { newest_->socket.close(); }
+  /// Resets connections that the server closes from now on.
+  void resetOnClose() { reset_on_close_ = true; }
 
  private:
   struct Connection {
@@ -121,6 +123,9 @@
     answers_.pop_front();
     asio::write(connection.socket, asio::buffer(answer.bytes));
     if (answer.close) {
+      if (reset_on_close_) {
+        connection.socket.set_option(asio::socket_base::linger(true, 0));
+      }
       connection.socket.close();
     }
   }
@@ -129,6 +134,7 @@
   std::shared_ptr<Connection> newest_;
   std::deque<ScriptedAnswer> answers_;
   std::vector<std::string> requests_;
+  bool reset_on_close_ = false;
   int connections_ = 0;
   int closed_by_client_ = 0;
 };
