Send what can be repeated on kept connections

Attempts that are not repeats themselves and whose repeat the retry budget can pay may reuse a connection; all others, and orders, take a fresh one, which may be kept afterwards. An answer to another request on a reused connection is a surplus answer to an earlier one: stale, too. A stale connection is charged like a broken attempt, as the request may have arrived, but neither ejects the engine, nor is reported to the quarantine, nor excludes the engine from the repeat.

Weighed: repeating inside the client at the same server. Execution already charges the budget and checks deadline, permission and announcements; the client would need all of these.

--- a/src/cypresswall/engines/engine_client.h
+++ b/src/cypresswall/engines/engine_client.h
@@ -73,6 +73,8 @@
   /// Fetches the cache events with sequence numbers greater than `after`.
   virtual void fetchCacheEvents(const EngineEndpoint& engine, std::uint64_t after,
                                 EngineCallback<CacheEvents> callback) = 0;
+  /// \return true if a call to this engine may find an idle connection.
+  virtual bool hasIdleConnection(const EngineEndpoint& /*engine*/) const { return false; }
   /// Sets the function that is told what an engine announces in an answer of any kind: to a stream,
   /// an order or a query, whatever its status. It is called before the answer is delivered.
   void observeAnnouncements(common::AnnouncementObserver observer) {
--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -221,6 +221,9 @@
   std::shared_ptr<const PassThroughRequest> pass_through;
   /// Time left until the caller's deadline; zero means no limit.
   common::Duration time_limit{0};
+  /// True if the request may be sent on a kept connection: it can be repeated after
+  /// StreamFailure::kStale.
+  bool may_reuse_connection = false;
 };
 
 /// Token usage of a finished stream.
@@ -236,11 +239,14 @@
 
 /// Why an attempt failed.
 enum class StreamFailure : std::uint8_t {
-  kNotTried,  ///< abandoned before sending because the engine no longer accepts work
-  kNotSent,   ///< no byte reached the engine
-  kRefused,   ///< the engine stated that it did not run the stream (busy, changing, wrong model)
-  kBroken,    ///< the connection ended or timed out after bytes were sent
-  kMalformed  ///< the engine's answer violates the protocol
+  kNotTried,   ///< abandoned before sending because the engine no longer accepts work
+  kNotSent,    ///< no byte reached the engine
+  kRefused,    ///< the engine stated that it did not run the stream (busy, changing, wrong model)
+  kBroken,     ///< the connection ended or timed out after bytes were sent
+  kMalformed,  ///< the engine's answer violates the protocol
+  /// The request was sent on a kept connection that the engine had closed, or whose answer was not
+  /// one to this request. The engine may have run the stream, but it has not failed.
+  kStale,
 };
 
 /// Name and network address of an engine.
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -204,6 +204,7 @@
   } else if (route_->prefix_source) {
     request.prefix_source = route_->prefix_source->address;
   }
+  request.may_reuse_connection = mayReuseConnection();
   core_.counters.attempts.add();
   if (phase == engines::StreamPhase::kPrefillOnly) {
     repeat_counter_.promptSent();
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -99,6 +99,9 @@
   bool retryAffordable() const;
   /// \return true if the current attempt counts as a run of the request
   bool attemptCountsAsRun() const;
+  /// \return true if the attempt may be sent on a kept connection: a repeat can be paid for, and
+  ///   this is not a repeat itself.
+  bool mayReuseConnection() const;
   std::uint32_t maximumRuns() const;
   bool resuming() const { return tokens_given_ > 0; }
   /// \return true if the request can continue on another engine: no tokens were delivered yet, or
--- a/src/cypresswall/execution/model_request_recovery.cpp
+++ b/src/cypresswall/execution/model_request_recovery.cpp
@@ -66,6 +66,9 @@
          timeToFirstToken() > common::Duration{0};
 }
 
+/// Repeats take a new connection, since a second closed connection would cost a further repeat.
+bool ModelRequest::mayReuseConnection() const { return runs_ == 0 && retryAffordable(); }
+
 bool ModelRequest::attemptCountsAsRun() const {
   return target_.service.repeatable || phase_ != engines::StreamPhase::kPrefillOnly;
 }
@@ -86,7 +89,9 @@
       .field("tokens_given", tokens_given_)
       .field("reason", message);
   recordResult(engine.name + ": " + message);
-  excluded_.push_back(engine.name);
+  if (failure != engines::StreamFailure::kStale) {
+    excluded_.push_back(engine.name);
+  }
   if (!countsAsDelivered(failure) && failure != engines::StreamFailure::kNotTried) {
     recordNotDelivered();
   }
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -239,6 +239,7 @@
   call.headers = headersForBackend(request_, operation_.repeatable);
   call.body = request_.body;
   call.time_limit = attemptTimeLimit(remaining);
+  call.may_reuse_connection = mayReuseConnection();
   attempt_sent_at_ = core_.process.clock.now();
   attempt_deadline_ = attempt_sent_at_ + call.time_limit;
   excluded_.insert(backend);
@@ -308,6 +309,9 @@
     case services::ServiceOutcome::kBroken:
       onBroken(response);
       return;
+    case services::ServiceOutcome::kStale:
+      onStaleConnection(response);
+      return;
   }
 }
 
@@ -372,6 +376,23 @@
   fail(ErrorKind::kBackendFailed, response.error, core_.settings.default_retry_after);
 }
 
+bool ServiceRun::mayReuseConnection() const {
+  return operation_.repeatable && runs_ == 0 && runs_ + 1 < maximumRuns() &&
+         retryBudget().available();
+}
+
+void ServiceRun::onStaleConnection(const services::ServiceResponse& response) {
+  may_have_run_ = true;
+  recordUsageOnce();
+  // The back end is not at fault, so it may be chosen again.
+  excluded_.erase(record_->attempts.back().target);
+  if (operation_.repeatable && chargeRetry()) {
+    scheduleAttempt(common::Duration{0});
+    return;
+  }
+  fail(ErrorKind::kBackendFailed, response.error, core_.settings.default_retry_after);
+}
+
 bool ServiceRun::chargeRetry() {
   if (!chargeRun()) {
     return false;
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -77,6 +77,10 @@
   void onBroken(const services::ServiceResponse& response);
   /// \return the retry budget that this request's retries are charged to
   fleet_limits::RetryBudget& retryBudget() const;
+  /// \return true if the attempt may be sent on a kept connection: a repeat can be paid for, and
+  ///   this is not a repeat itself.
+  bool mayReuseConnection() const;
+  void onStaleConnection(const services::ServiceResponse& response);
   bool chargeRetry();
   /// Counts one run of the request and charges a further run to the retry budget.
   /// \return false if no further run is allowed
--- a/src/cypresswall/services/service_client.h
+++ b/src/cypresswall/services/service_client.h
@@ -32,6 +32,9 @@
   std::vector<HttpHeader> headers;
   std::string body;
   common::Duration time_limit{0};
+  /// True if the request may be sent on a kept connection: the caller of the client can repeat it
+  /// after ServiceOutcome::kStale.
+  bool may_reuse_connection = false;
 };
 
 /// Outcome of an attempt. Only kNotSent and kRefused prove that the service did not run the
@@ -41,6 +44,9 @@
   kNotSent,  ///< no byte reached the service
   kRefused,  ///< the service reported "not-run" in its outcome header
   kBroken,   ///< bytes were sent, but no complete answer was received
+  /// The request was sent on a kept connection that the back end had closed, or whose answer was
+  /// not one to this request. The service may have run it, but the back end has not failed.
+  kStale,
 };
 
 struct ServiceResponse {
@@ -67,6 +73,8 @@
   ///   object is destroyed first
   virtual std::unique_ptr<ServiceCall> call(const common::Address& address, ServiceRequest request,
                                             std::function<void(ServiceResponse)> callback) = 0;
+  /// \return true if a request to this address may find an idle connection.
+  virtual bool hasIdleConnection(const common::Address& /*address*/) const { return false; }
   /// Sets the function that is told what a back end announces in an answer, whatever its status. It
   /// is called before the answer is delivered.
   void observeAnnouncements(common::AnnouncementObserver observer) {
