Divide the connections of a server among the nodes

connections.per_server times the node's local share (see LocalShare) is how many connections, idle and in use, a node may have to a server while it keeps idle ones. With less than one connection nothing is kept. Placement requests name the engines of the asked group to which the node has an idle connection.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -1,5 +1,6 @@
 #include "apps/cypresswalld/daemon.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <random>
@@ -32,6 +33,13 @@
       std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
+runtime::CurlMultiSettings curlSettings(const settings::DaemonSettings& settings) {
+  runtime::CurlMultiSettings curl;
+  curl.maximum_idle_connections =
+      std::max(curl.maximum_idle_connections, settings.connections.maximum_idle);
+  return curl;
+}
+
 }  // namespace
 
 Daemon::Daemon(settings::DaemonSettings settings, Reload reload,
@@ -42,11 +50,14 @@
       log_(settings_.log_level),
       transport_(context_, settings_.transport, random_, log_, counters_),
       self_{transport_.listen(), newIncarnation()},
+      connections_(settings_.connections, counters_),
+      curl_(context_, curlSettings(settings_), &connections_),
       platform_adapter_(make_platform_adapter({settings_, processContext(), curl_})),
       node_(settings_.node, processContext(), platform_adapter_->clients()),
       frontend_(platform_adapter_->makeFrontend(node_)),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   log_.setProcess(self_.address, settings_.zone);
+  connections_.setShare([this] { return node_.connectionShares().perServer(); });
   applyReloadable(settings_);
   frontend_->mount(routes_);
   mountManagementPaths();
--- a/apps/cypresswalld/daemon.h
+++ b/apps/cypresswalld/daemon.h
@@ -70,7 +70,8 @@
   api::MessageDispatcher dispatcher_;
   runtime::TcpPeerTransport transport_;
   common::NodeId self_;
-  runtime::CurlMulti curl_{context_};
+  runtime::ConnectionPool connections_;
+  runtime::CurlMulti curl_;
   std::unique_ptr<surroundings::PlatformAdapter> platform_adapter_;
   node::Node node_;
   std::unique_ptr<surroundings::Frontend> frontend_;
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -52,6 +52,8 @@
                        membership_),
       local_share_(settings_.local_share, context_, membership_),
       retries_(settings_.retries, context_, [this] { return local_share_.fraction(); }),
+      connection_shares_(settings_.connections, context_.counters,
+                         [this] { return local_share_.fraction(); }),
       quarantine_(settings_.quarantine, settings_.membership.neighbours, context_, membership_,
                   clients.engines, clients.object_store),
       duties_(settings_.duties, context_, membership_, settings_.membership.machine,
@@ -71,6 +73,9 @@
                               service_executor_.journal(), retries_, local_share_, rate_limits_,
                               quarantine_, duties_, autoscaling_}),
       commands_(context_, configuration_, state_, declared_) {
+  placement_router_.setIdleConnectionCheck([this](const engines::EngineEndpoint& engine) {
+    return clients_.engines.hasIdleConnection(engine);
+  });
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   admission_.setTenantAccounts(tenant_accounts_);
   engines_.setRateLimiter(rate_limits_);
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -16,6 +16,7 @@
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/execution/engine_model_executor.h"
 #include "cypresswall/execution/http_service_executor.h"
+#include "cypresswall/fleet_limits/connection_shares.h"
 #include "cypresswall/fleet_limits/engine_rate_limits.h"
 #include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
@@ -91,6 +92,7 @@
   admission::ZoneAdmissionController& admission() { return admission_; }
   execution::ModelExecutor& modelExecutor() { return model_executor_; }
   duties::FleetDuties& duties() { return duties_; }
+  const fleet_limits::ConnectionShares& connectionShares() const { return connection_shares_; }
   execution::ServiceExecutor& serviceExecutor() { return service_executor_; }
 
  private:
@@ -132,6 +134,7 @@
   fleet_limits::TenantAccounts tenant_accounts_;
   fleet_limits::LocalShare local_share_;
   fleet_limits::RetryBudgets retries_;
+  fleet_limits::ConnectionShares connection_shares_;
   quarantine::FleetQuarantine quarantine_;
   duties::FleetDuties duties_;
   autoscaling::Controller autoscaling_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -10,6 +10,7 @@
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/execution/execution_settings.h"
+#include "cypresswall/fleet_limits/connection_shares.h"
 #include "cypresswall/fleet_limits/engine_rate_limits.h"
 #include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
@@ -56,6 +57,7 @@
   execution::ExecutionSettings execution;
   fleet_limits::RetryLimitSettings retries;
   fleet_limits::LocalShareSettings local_share;
+  fleet_limits::ConnectionLimitSettings connections;
   /// Maximum number of engines that the zone's nodes use unless the load needs more; zero uses all.
   /// The others are in reserve: nodes know nothing of them.
   std::size_t working_engines = 1024;
--- a/src/cypresswall/routing/engine_groups.cpp
+++ b/src/cypresswall/routing/engine_groups.cpp
@@ -167,6 +167,13 @@
          group.owners.end();
 }
 
+const std::vector<EngineSlot>& EngineGroups::enginesOf(const std::string& group) const {
+  static const std::vector<EngineSlot> kNone;
+  const auto found = std::find_if(groups_.begin(), groups_.end(),
+                                  [&](const EngineGroup& each) { return each.name == group; });
+  return found == groups_.end() ? kNone : found->engines;
+}
+
 bool EngineGroups::owns(const std::string& group) const {
   return std::any_of(groups_.begin(), groups_.end(), [&](const EngineGroup& each) {
     return each.name == group && ownedHere(each);
--- a/src/cypresswall/routing/engine_groups.h
+++ b/src/cypresswall/routing/engine_groups.h
@@ -52,6 +52,8 @@
   const std::vector<common::NodeId>& allRoutingNodes() const { return all_routing_nodes_; }
   /// \return number of nodes that place requests on one engine at the same time, at least 1.
   std::size_t routingNodesPerEngine() const;
+  /// \return the engines of a group; empty if no group has that name.
+  const std::vector<EngineSlot>& enginesOf(const std::string& group) const;
   /// \return true if this node is an owner of the group.
   bool owns(const std::string& group) const;
   /// \return true if this node routes to the engine.
--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -44,7 +44,9 @@
 
 void PlacementRouter::place(const RouteRequest& request, const PlacementCallback& done) {
   if (directory_.groups().everyNodeRoutes()) {
-    local_.place(request, done);
+    RouteRequest local = request;
+    local.connected = connectedEngines(directory_.table().roster());
+    local_.place(local, done);
     return;
   }
   PendingRequest pending;
@@ -84,6 +86,7 @@
   const Candidate candidate = std::move(pending.candidates.front());
   pending.candidates.pop_front();
   ++pending.attempts;
+  pending.request.connected = connectedEngines(directory_.groups().enginesOf(candidate.group));
   if (candidate.node == context_.self) {
     placeLocally(stream_id);
   } else {
@@ -91,6 +94,19 @@
   }
 }
 
+std::vector<common::EngineName> PlacementRouter::connectedEngines(
+    const std::vector<EngineSlot>& engines) const {
+  std::vector<common::EngineName> connected;
+  for (const EngineSlot slot : engines) {
+    const auto& declared = directory_.table().record(slot).declaration;
+    if (connected.size() < kMaximumConnectedEngines && has_idle_connection_ &&
+        has_idle_connection_({declared.name, declared.address})) {
+      connected.push_back(declared.name);
+    }
+  }
+  return connected;
+}
+
 void PlacementRouter::sendRequest(PendingRequest& pending, const Candidate& candidate) {
   asked_.add();
   pending.asked = candidate;
--- a/src/cypresswall/routing/placement_router.h
+++ b/src/cypresswall/routing/placement_router.h
@@ -17,6 +17,8 @@
 
 namespace cypresswall::routing {
 
+using IdleConnectionCheck = std::function<bool(const engines::EngineEndpoint& engine)>;
+
 class PlacementRouter final : public Router {
  public:
   /// Registers the handler of PlacementAnswer.
@@ -40,6 +42,11 @@
   void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
                      engines::StreamFailure failure) override;
 
+  /// Sets the function that tells to which engines this node has an idle connection. Placements
+  /// then name those engines (RouteRequest::connected).
+  void setIdleConnectionCheck(IdleConnectionCheck check) {
+    has_idle_connection_ = std::move(check);
+  }
   /// \return number of requests waiting for an owner's answer.
   std::size_t pendingRequests() const { return pending_.size(); }
 
@@ -79,6 +86,8 @@
   /// the maximum number of owners was asked.
   void tryNextOwner(const std::string& stream_id);
   void sendRequest(PendingRequest& pending, const Candidate& candidate);
+  /// \return those of the engines to which this node has an idle connection
+  std::vector<common::EngineName> connectedEngines(const std::vector<EngineSlot>& engines) const;
   void placeLocally(const std::string& stream_id);
   void giveUp(const std::string& stream_id);
   void onAnswerTimeout(const std::string& stream_id);
@@ -104,6 +113,7 @@
   const api::ProcessContext& context_;
   EngineDirectory& directory_;
   Router& local_;
+  IdleConnectionCheck has_idle_connection_;
   std::unordered_map<std::string, PendingRequest> pending_;
   std::unordered_map<std::string, RemotePlacement> remote_placements_;
   std::unordered_map<common::NodeId, common::MonotonicTime> unresponsive_until_;
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -16,6 +16,7 @@
 #include "cypresswall/object_store/http_machine_list.h"
 #include "cypresswall/object_store/http_object_store.h"
 #include "cypresswall/planning/disaggregated_planner.h"
+#include "cypresswall/runtime/connection_pool.h"
 #include "cypresswall/runtime/fault_switch.h"
 #include "cypresswall/runtime/transport_settings.h"
 #include "cypresswall/services/http_service_client.h"
@@ -50,6 +51,7 @@
   /// this long, so that load balancers can notice.
   common::Duration stop_lame_duck{0};
   runtime::TransportSettings transport;
+  runtime::ConnectionPoolSettings connections;
   http::ServerSettings server;
   gateway::GatewaySettings gateway;
   engines::HttpEngineSettings engines;
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -208,6 +208,27 @@
   };
 }
 
+std::vector<SettingKey> connectionKeys() {
+  return {
+      switchKey(
+          "connections.keep", [](auto& s) -> auto& { return s.connections.keeps; },
+          "Connections to engines and back ends are kept for requests that can be repeated; off: "
+          "each request to them but reads takes a connection of its own."),
+      durationKey(
+          "connections.idle_limit", milliseconds(100), seconds(10),
+          [](auto& s) -> auto& { return s.connections.idle_limit; },
+          "Longest time that a kept connection may be idle, also where its server announces more."),
+      countKey(
+          "connections.per_server", 1, 1000000,
+          [](auto& s) -> auto& { return s.node.connections.per_server; },
+          "Connections that an engine or back end accepts from all nodes together. Connections are "
+          "kept within each node's share of them."),
+      countKey(
+          "connections.idle", 1, 65536, [](auto& s) -> auto& { return s.connections.maximum_idle; },
+          "Idle connections that a node keeps to all engines and back ends."),
+  };
+}
+
 std::vector<SettingKey> mechanismKeys() {
   return {
       switchKey(
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -71,6 +71,10 @@
     const auto& retries = settings_.node.retries;
     require(retries.fleet_share > 0 || retries.fleet_burst <= 0 || retries.fleet_burst >= 1,
             "retries.fleet_burst", "no node could ever use less than one repeat; write 0 for none");
+    // The share of a lost node passes to others after that window, when its connections have ended.
+    require(!settings_.connections.keeps ||
+                settings_.connections.idle_limit <= settings_.node.retries.window,
+            "connections.idle_limit", "must not be longer than retries.window");
     checkSeeds();
   }
 
