Test kept connections against closing, silent and surplus-answering peers

Stale connections in execution: repeated once on a fresh connection, no report to the quarantine, never for what may not be repeated or can't be paid for. The two fault properties know a stale connection as one more kind of fault, so the counts of kinds that must occur rise by one. A socket filter that drops everything makes a peer silent without privileges: TCP_USER_TIMEOUT ends the request, probes end the idle connection.

--- a/tests/execution/engine_model_executor_test.cpp
+++ b/tests/execution/engine_model_executor_test.cpp
@@ -263,7 +263,7 @@
           dropped += fixture.count("cypresswall_execution_stream_events_dropped_total");
         });
     // The property is only meaningful if every kind of fault occurred.
-    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, faults.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{11}, faults.size());
     CPPUNIT_ASSERT(dropped > 0);
   }
 
--- a/tests/execution/fake_engines.cpp
+++ b/tests/execution/fake_engines.cpp
@@ -53,6 +53,14 @@
       return;
     }
     owner_.ran.insert(request_.stream_id);
+    if (script_.kind == Kind::kStale) {
+      if (request_.may_reuse_connection) {
+        fail(engines::StreamFailure::kStale);
+        return;
+      }
+      ++owner_.faults[script_.kind];
+      script_.kind = Kind::kGood;
+    }
     if (request_.phase == engines::StreamPhase::kPrefillOnly) {
       stepPrefill();
     } else if (next_ >= owner_.answer_tokens) {
--- a/tests/execution/fake_engines.h
+++ b/tests/execution/fake_engines.h
@@ -29,6 +29,7 @@
     kReordersAt,    ///< the token at the position is delivered after the next one
     kMisdirectsAt,  ///< the token at the position is delivered to another open stream
     kEndsAt,        ///< the final event is delivered in place of the token
+    kStale,         ///< a kept connection breaks before any event; a fresh one works
     kLateEvents,    ///< the stream breaks at the position and delivers further events afterwards
   };
   Kind kind = Kind::kGood;
--- a/tests/execution/fake_services.cpp
+++ b/tests/execution/fake_services.cpp
@@ -25,6 +25,7 @@
       : owner_(owner),
         request_id_(request.request_id),
         key_(headerOf(request, "Idempotency-Key")),
+        may_reuse_connection_(request.may_reuse_connection),
         script_(script),
         callback_(std::move(callback)) {
     const auto delay =
@@ -76,6 +77,8 @@
       response.headers = {{"retry-after", "4"}};
     } else if (script == CallScript::kBrokenBeforeRun || script == CallScript::kBrokenAfterRun) {
       response.outcome = services::ServiceOutcome::kBroken;
+    } else if (script == CallScript::kStale && may_reuse_connection_) {
+      response.outcome = services::ServiceOutcome::kStale;
     }
     return response;
   }
@@ -83,6 +86,7 @@
   FakeServiceClient& owner_;
   const std::string request_id_;
   const std::string key_;
+  const bool may_reuse_connection_;
   const CallScript script_;
   const std::function<void(services::ServiceResponse)> callback_;
   common::TimerId timer_ = 0;
--- a/tests/execution/fake_services.h
+++ b/tests/execution/fake_services.h
@@ -27,9 +27,10 @@
   kBrokenBeforeRun,
   kBrokenAfterRun,
   kDuplicateAnswer,
-  kSlow,  ///< runs, answers shortly before the time limit
+  kSlow,   ///< runs, answers shortly before the time limit
+  kStale,  ///< runs, but its kept connection breaks; answers if it took a fresh one
 };
-constexpr int kCallScripts = static_cast<int>(CallScript::kSlow) + 1;
+constexpr int kCallScripts = static_cast<int>(CallScript::kStale) + 1;
 
 /// The n-th call uses the n-th script, later ones succeed.
 class FakeServiceClient final : public services::ServiceClient {
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -118,6 +118,8 @@
   CPPUNIT_TEST(declaredRunLimitOverridesDefault);
   CPPUNIT_TEST(refusedAttemptsAreChargedToRetryBudget);
   CPPUNIT_TEST(runsAtMostOnceUnderFaults);
+  CPPUNIT_TEST(onlyRepeatableCallsReuseConnections);
+  CPPUNIT_TEST(staleConnectionIsNoFailureOfTheBackend);
   CPPUNIT_TEST(quarantinedRequestIsRefusedImmediately);
   CPPUNIT_TEST(brokenCallsAndAnswersAreReportedToQuarantine);
   CPPUNIT_TEST(usageIsRecordedOncePerRequest);
@@ -526,6 +528,42 @@
                                   "cypresswall_execution_service_retry_budget_spent_total"));
   }
 
+  void onlyRepeatableCallsReuseConnections() {
+    Fixture fixture;
+    fixture.callAndWait(Fixture::request("POST", "/slots"));
+    fixture.callAndWait(Fixture::request("POST", "/slots", "key-1"));
+    fixture.callAndWait(Fixture::request("GET", "/slots"));
+    fixture.client.scripts.resize(fixture.client.calls.size());
+    fixture.client.scripts.push_back(CallScript::kBrokenAfterRun);
+    fixture.callAndWait(Fixture::request("GET", "/slots"));
+    const auto& calls = fixture.client.calls;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, calls.size());
+    CPPUNIT_ASSERT(!calls[0].second.may_reuse_connection);
+    CPPUNIT_ASSERT(!calls[1].second.may_reuse_connection);
+    CPPUNIT_ASSERT(calls[2].second.may_reuse_connection);
+    CPPUNIT_ASSERT(calls[3].second.may_reuse_connection);
+    CPPUNIT_ASSERT(!calls[4].second.may_reuse_connection);
+
+    Fixture poor;
+    while (poor.retries.of("booking").withdraw()) {
+    }
+    poor.callAndWait(Fixture::request("GET", "/slots"));
+    CPPUNIT_ASSERT(!poor.client.calls.front().second.may_reuse_connection);
+  }
+
+  void staleConnectionIsNoFailureOfTheBackend() {
+    Fixture fixture;
+    fixture.client.scripts = {CallScript::kStale, CallScript::kStale};
+    auto request = Fixture::request("GET", "/slots");
+    request.fingerprint = 17;
+    const auto answer = fixture.callAndWait(std::move(request));
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.client.calls.size());
+    CPPUNIT_ASSERT(fixture.quarantine.broken.empty());
+    CPPUNIT_ASSERT_EQUAL(1.0, fixture.process.counters.total(
+                                  "cypresswall_execution_service_retries_total"));
+  }
+
   void runsAtMostOnceUnderFaults() {
     std::map<CallScript, int> faults;
     std::map<ClaimVerdict, int> verdicts;
@@ -582,6 +620,9 @@
 
   static void checkRunsAndOutcomes(const Fixture& fixture,
                                    const std::vector<std::shared_ptr<Fixture::Caller>>& callers) {
+    for (const auto& [backend, call] : fixture.client.calls) {
+      RC_ASSERT(!call.may_reuse_connection);
+    }
     for (const auto& [key, runs] : fixture.client.runs_by_key) {
       RC_ASSERT(runs <= 1);
     }
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -26,6 +26,9 @@
   CPPUNIT_TEST(answerWithoutResumePositionIsNotRestarted);
   CPPUNIT_TEST(requestThatMayHaveRunIsNotRepeated);
   CPPUNIT_TEST(requestThatDidNotRunIsRepeated);
+  CPPUNIT_TEST(onlyRepeatableRequestsReuseConnections);
+  CPPUNIT_TEST(staleConnectionIsRepeatedOnAFreshOne);
+  CPPUNIT_TEST(withoutRetryBudgetConnectionsAreFresh);
   CPPUNIT_TEST(failedPrefillIsRepeated);
   CPPUNIT_TEST(stallDoesNotEndNonRepeatableRequest);
   CPPUNIT_TEST(stalledAttemptWithoutRetryBudgetRunsUntilDeadline);
@@ -260,6 +263,44 @@
     }
   }
 
+  void onlyRepeatableRequestsReuseConnections() {
+    for (const bool repeatable : {false, true}) {
+      Fixture fixture;
+      fixture.service().repeatable = repeatable;
+      fixture.router.prefill_name = "prefill-1";
+      RecordingObserver observer;
+      const auto handle = fixture.start(observer);
+      fixture.process.time.runFor(kLongRun);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.engines.started.size());
+      CPPUNIT_ASSERT(fixture.engines.started[0].second.may_reuse_connection);
+      CPPUNIT_ASSERT_EQUAL(repeatable, fixture.engines.started[1].second.may_reuse_connection);
+    }
+  }
+
+  void staleConnectionIsRepeatedOnAFreshOne() {
+    Fixture fixture;
+    fixture.router.names = {"engine-1"};
+    fixture.engines.scripts = {{Kind::kStale}, {Kind::kStale}};
+    RecordingObserver observer;
+    const auto handle = fixture.executor.start(callWithFingerprint(), observer);
+    fixture.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(observer.done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.engines.started.size());
+    CPPUNIT_ASSERT(!fixture.engines.started[1].second.may_reuse_connection);
+    CPPUNIT_ASSERT(fixture.quarantine.broken.empty());
+    CPPUNIT_ASSERT_EQUAL(1.0, fixture.count("cypresswall_execution_model_retries_total"));
+  }
+
+  void withoutRetryBudgetConnectionsAreFresh() {
+    Fixture fixture;
+    while (fixture.retries.of("dispatch").withdraw()) {
+    }
+    RecordingObserver observer;
+    const auto handle = fixture.start(observer);
+    fixture.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(!fixture.engines.started.front().second.may_reuse_connection);
+  }
+
   void requestThatDidNotRunIsRepeated() {
     Fixture fixture;
     fixture.service().repeatable = false;
--- a/tests/objects_platform/engine_client/engine_client_test.cpp
+++ b/tests/objects_platform/engine_client/engine_client_test.cpp
@@ -36,8 +36,12 @@
     events.push_back(text);
   }
   void onFinished(std::uint32_t, const StreamUsage&) override { ended = true; }
-  void onFailed(StreamFailure, const std::string&) override { ended = true; }
+  void onFailed(StreamFailure given, const std::string&) override {
+    ended = true;
+    failure = given;
+  }
 
+  std::optional<StreamFailure> failure;
   std::vector<std::string> events;
   bool ended = false;
 };
@@ -52,9 +56,16 @@
   CPPUNIT_TEST(reportsAnnouncementsOfStreams);
   CPPUNIT_TEST(reportsAnnouncementsOfPromptsOrdersAndQueries);
   CPPUNIT_TEST(answersToOtherRequestsAnnounceNothing);
+  CPPUNIT_TEST(onlyRequestsThatMayAreSentOnKeptConnections);
+  CPPUNIT_TEST(closedKeptConnectionIsStale);
+  CPPUNIT_TEST(surplusAnswerOnKeptConnectionIsStale);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void setUp() override {
+    pool_.setShare([] { return std::size_t{4}; });
+  }
+
   void resumedRequestHasOneLastEventId() {
     server_.answer(std::string(kHead) + "id: 21\ndata: a\n\nid: 25\ndata: b\n\nid: 2", true);
     engines::StreamRequest request = resumedCall();
@@ -149,7 +160,79 @@
     CPPUNIT_ASSERT(announced_.empty());
   }
 
+  void onlyRequestsThatMayAreSentOnKeptConnections() {
+    engines::StreamRequest request = promptCall();
+    request.may_reuse_connection = false;
+    for (int i = 1; i <= 3; ++i) {
+      server_.answer(promptAnswer("r1"));
+      run(request);
+      CPPUNIT_ASSERT_EQUAL(i, server_.connections());
+    }
+    request.may_reuse_connection = true;
+    server_.answer(promptAnswer("r1"));
+    run(request);
+    bool ended = false;
+    server_.answer(testing::httpAnswer(200, "{}", "Keep-Alive: timeout=5\r\n"));
+    client_.fetchLoad({"runner", server_.address()}, [&ended](const auto&) { ended = true; });
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return ended; }));
+    CPPUNIT_ASSERT_EQUAL(3, server_.connections());
+    ended = false;
+    server_.answer(testing::httpAnswer(200, "{}", "Keep-Alive: timeout=5\r\n"));
+    engines::EngineOrder order;
+    order.content.kind = engines::OrderKind::kChangeRole;
+    client_.sendOrder({"runner", server_.address()}, order,
+                      [&ended](const auto&) { ended = true; });
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return ended; }));
+    CPPUNIT_ASSERT_EQUAL(4, server_.connections());
+  }
+
+  void closedKeptConnectionIsStale() {
+    server_.answer(promptAnswer("r1"));
+    run(promptCall());
+    server_.answer("", true);
+    CPPUNIT_ASSERT(failureOf(promptCall()) == StreamFailure::kStale);
+    server_.answer("", true);
+    CPPUNIT_ASSERT(failureOf(promptCall()) == StreamFailure::kBroken);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, server_.requests().size());
+  }
+
+  void surplusAnswerOnKeptConnectionIsStale() {
+    for (const auto phase : {engines::StreamPhase::kPrefillOnly, engines::StreamPhase::kWhole}) {
+      server_.answer(promptAnswer("r1"));
+      run(promptCall());
+      engines::StreamRequest request = promptCall();
+      request.phase = phase;
+      server_.answer(promptAnswer("other"), true);
+      CPPUNIT_ASSERT(failureOf(request) == StreamFailure::kStale);
+      server_.answer(promptAnswer("other"), true);
+      CPPUNIT_ASSERT(failureOf(request) != StreamFailure::kStale);
+    }
+  }
+
  private:
+  static engines::StreamRequest promptCall() {
+    engines::StreamRequest request = resumedCall();
+    request.phase = engines::StreamPhase::kPrefillOnly;
+    request.may_reuse_connection = true;
+    return request;
+  }
+  static std::string promptAnswer(const std::string& request_id) {
+    return testing::httpAnswer(
+        200, R"({"kv_handle":"h1"})",
+        "X-Request-Id: " + request_id + "\r\nX-Response-Seal: s\r\nKeep-Alive: timeout=5\r\n");
+  }
+  std::optional<StreamFailure> failureOf(const engines::StreamRequest& request) {
+    RecordingStreamHandler handler;
+    const auto stream = client_.startStream({"runner", server_.address()}, request, handler);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return handler.ended; }));
+    return handler.failure;
+  }
+  static runtime::ConnectionPoolSettings poolSettings() {
+    runtime::ConnectionPoolSettings settings;
+    settings.keeps = true;
+    return settings;
+  }
+
   static std::string answerHead(const std::string& status, const std::string& fields) {
     return "HTTP/1.1 " + status +
            "\r\nX-Request-Id: r1\r\nX-Response-Seal: s\r\nConnection: close\r\n" + fields + "\r\n";
@@ -195,7 +278,9 @@
   std::vector<common::ServerAnnouncement> announced_;
   asio::io_context context_;
   runtime::AsioScheduler scheduler_{context_};
-  runtime::CurlMulti curl_{context_};
+  common::CounterRegistry counters_;
+  runtime::ConnectionPool pool_{poolSettings(), counters_};
+  runtime::CurlMulti curl_{context_, {}, &pool_};
   testing::ScriptedServer server_{context_};
   EngineClient client_{curl_, scheduler_, [](const common::EngineName&) { return std::nullopt; }};
 };
--- a/tests/runtime/kept_connection_test.cpp
+++ b/tests/runtime/kept_connection_test.cpp
@@ -1,5 +1,6 @@
 /// CurlMulti with a ConnectionPool, against a server in this process.
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -27,6 +28,9 @@
   CPPUNIT_TEST(closedLongAfterTheRequestIsBroken);
   CPPUNIT_TEST(closedWithinTheAnswerIsBroken);
   CPPUNIT_TEST(freshConnectionIsNeverStale);
+  CPPUNIT_TEST(silentPeerIsStale);
+  CPPUNIT_TEST(silenceWhileIdleIsFoundByProbes);
+  CPPUNIT_TEST(slowAnswerOfALivePeerIsAwaited);
   CPPUNIT_TEST(announcedTimeIsObeyed);
   CPPUNIT_TEST(connectionCloseIsObeyed);
   CPPUNIT_TEST(withoutShareConnectionsAreUsedOnce);
@@ -121,6 +125,40 @@
     CPPUNIT_ASSERT_EQUAL(2, server_.connections());
   }
 
+  void silentPeerIsStale() {
+    keepOne();
+    server_.silenceNewest();
+    const auto begin = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT(fetch(request(ConnectionUse::kReuse)).outcome == CurlOutcome::kStale);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < 4 * settings().silence_limit);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_.requests().size());
+  }
+
+  void silenceWhileIdleIsFoundByProbes() {
+    keepOne();
+    server_.silenceNewest();
+    context_.restart();
+    context_.run_for(milliseconds(2500));
+    server_.answer(httpAnswer(200, "second"));
+    const CurlResponse response = fetch(request(ConnectionUse::kReuse));
+    CPPUNIT_ASSERT(response.outcome == CurlOutcome::kAnswered);
+    CPPUNIT_ASSERT(!response.reused_connection);
+  }
+
+  void slowAnswerOfALivePeerIsAwaited() {
+    keepOne();
+    std::optional<CurlResponse> result;
+    curl_->fetch(request(ConnectionUse::kReuse),
+                 [&](CurlResponse response) { result = std::move(response); });
+    context_.restart();
+    context_.run_for(3 * settings().silence_limit);
+    CPPUNIT_ASSERT(!result.has_value());
+    server_.sendMore(httpAnswer(200, "late"));
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return result.has_value(); }));
+    CPPUNIT_ASSERT(result->outcome == CurlOutcome::kAnswered);
+    CPPUNIT_ASSERT(result->reused_connection);
+  }
+
   void announcedTimeIsObeyed() {
     server_.answer(httpAnswer(200, "body", "Keep-Alive: timeout=0\r\n"));
     fetch(request(ConnectionUse::kReuse));
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -2,6 +2,9 @@
 /// with raw bytes scripted by the test, so that it can also give truncated and malformed answers.
 #pragma once
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
@@ -54,6 +57,13 @@
   /// Sends more bytes on the newest connection.
   void sendMore(const std::string& bytes) { asio::write(newest_->socket, asio::buffer(bytes)); }
   void closeNewest() { newest_->socket.close(); }
+  /// From now on the kernel drops what arrives on the newest connection, unacknowledged.
+  void silenceNewest() {
+    sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &drop_all};
+    setsockopt(newest_->socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+               sizeof program);
+  }
   /// Resets connections that the server closes from now on.
   void resetOnClose() { reset_on_close_ = true; }
 
