--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -2,6 +2,9 @@
 /// with raw bytes scripted by the test, so that it can also give truncated and malformed answers.
 #pragma once
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
@@ -54,6 +57,15 @@
   /// Sends more bytes on the newest connection.
   void sendMore(const std::string& bytes) { asio::write(newest_->socket, asio::buffer(bytes)); }
   void closeNewest() { newest_->socket.close(); }
+  /// From now on the kernel drops what arrives on the newest connection, unacknowledged.
+  void silenceNewest() {
+    sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &drop_all};
+    setsockopt(newest_->socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+               sizeof program);
+  }
+  /// Resets connections that the server closes from now on.
+  void resetOnClose() { reset_on_close_ = true; }
 
  private:
   struct Connection {
@@ -121,6 +133,9 @@
     answers_.pop_front();
     asio::write(connection.socket, asio::buffer(answer.bytes));
     if (answer.close) {
+      if (reset_on_close_) {
+        connection.socket.set_option(asio::socket_base::linger(true, 0));
+      }
       connection.socket.close();
     }
   }
@@ -129,6 +144,7 @@
   std::shared_ptr<Connection> newest_;
   std::deque<ScriptedAnswer> answers_;
   std::vector<std::string> requests_;
+  bool reset_on_close_ = false;
   int connections_ = 0;
   int closed_by_client_ = 0;
 };
