Withhold a node's share of connections for as long as needed

A starting node kept nothing for 15 s: the window of repeats and the time for lists of members to agree. A repeat counts for a whole window; a connection counts only while it is open, and a node whose share shrinks closes idle ones within 0.5 s. What remains to be waited for is that all others know of the node, and that servers forget the idle connections of a machine that lost power: 5.5 s with the idle limit of 5 s (10 s before).

--- a/src/cypresswall/fleet_limits/connection_shares.h
+++ b/src/cypresswall/fleet_limits/connection_shares.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "cypresswall/common/counters.h"
+#include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
 
 namespace cypresswall::fleet_limits {
@@ -13,6 +14,14 @@
   std::size_t per_server = 100;
 };
 
+/// \return how a node's share of a server's connections is determined. Unlike a repeat, which
+/// counts
+///   for a whole window, a connection counts only while it is open: a node with a smaller share
+///   closes idle ones at once. The window thus only covers the time for which a server may count
+///   the idle connections of a machine without power.
+LocalShareSettings connectionShareSettings(const LocalShareSettings& general,
+                                           common::Duration idle_limit);
+
 /// A node keeps idle connections to a server only while all its connections to it, idle and in use,
 /// are no more than its share. The shares of all nodes add up to at most
 /// ConnectionLimitSettings::per_server, also while member lists differ (see LocalShare). A node
--- a/src/cypresswall/fleet_limits/local_share.cpp
+++ b/src/cypresswall/fleet_limits/local_share.cpp
@@ -21,8 +21,7 @@
       allowed_at_(context.clock.now()),
       checked_at_(context.clock.now()),
       part_gauge_(context.counters.gauge(
-          "cypresswall_fleet_limits_part",
-          "Part of the fleet's limits that this node may use without asking")) {
+          settings.gauge, "Part of the fleet's limits that this node may use without asking")) {
   if (settings_.withhold_after_start) {
     withhold("the node started");
   }
--- a/src/cypresswall/fleet_limits/local_share.h
+++ b/src/cypresswall/fleet_limits/local_share.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <string>
 
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/fleet_limits/fleet_size_history.h"
@@ -25,6 +26,8 @@
   /// start, a pause or a partition, so that the total stays within the limit when nodes restart or
   /// are cut off.
   bool withhold_after_start = false;
+  /// Gauge that shows the share.
+  std::string gauge = "cypresswall_fleet_limits_part";
 };
 
 /// One divided by the number of nodes in the fleet, which is taken to be the number of members that
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -134,6 +134,7 @@
   fleet_limits::TenantAccounts tenant_accounts_;
   fleet_limits::LocalShare local_share_;
   fleet_limits::RetryBudgets retries_;
+  fleet_limits::LocalShare connection_part_;
   fleet_limits::ConnectionShares connection_shares_;
   quarantine::FleetQuarantine quarantine_;
   duties::FleetDuties duties_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -58,6 +58,7 @@
   fleet_limits::RetryLimitSettings retries;
   fleet_limits::LocalShareSettings local_share;
   fleet_limits::ConnectionLimitSettings connections;
+  fleet_limits::LocalShareSettings connection_share;
   /// Maximum number of engines that the zone's nodes use unless the load needs more; zero uses all.
   /// The others are in reserve: nodes know nothing of them.
   std::size_t working_engines = 1024;
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -28,6 +28,8 @@
     }
     settings_.node.membership.gateway_address = settings_.server.address;
     settings_.node.local_share.window = settings_.node.retries.window;
+    settings_.node.connection_share = fleet_limits::connectionShareSettings(
+        settings_.node.local_share, settings_.connections.idle_limit);
     return std::move(settings_);
   }
 
@@ -71,10 +73,6 @@
     const auto& retries = settings_.node.retries;
     require(retries.fleet_share > 0 || retries.fleet_burst <= 0 || retries.fleet_burst >= 1,
             "retries.fleet_burst", "no node could ever use less than one repeat; write 0 for none");
-    // The share of a lost node passes to others after that window, when its connections have ended.
-    require(!settings_.connections.keeps ||
-                settings_.connections.idle_limit <= settings_.node.retries.window,
-            "connections.idle_limit", "must not be longer than retries.window");
     checkSeeds();
   }
 
@@ -111,6 +109,7 @@
     // It counts the requests of all nodes together and keeps the counts when nodes restart.
     settings.node.execution.charge_refused_attempts = true;
     settings.node.local_share.withhold_after_start = true;
+    settings.node.connection_share.withhold_after_start = true;
     settings.node.router.copies_prefixes = settings.copied_prefixes;
     settings.node.execution.first_token_stall_share = kObjectsPlatformStallShare;
     // The platform's engines have only the roles "prefill" and "decode", and its store stays
