Move a stream that another engine is expected to complete in time, without a margin

A stream that is judged is expected to miss its deadline anyway, and must be completed in three quarters of its own time elsewhere; that margin is enough. Execution tests pass.

--- a/src/cypresswall/execution/output_pace.cpp
+++ b/src/cypresswall/execution/output_pace.cpp
@@ -6,9 +6,6 @@
 namespace cypresswall::execution {
 namespace {
 
-/// Share of the time left in which another engine must be expected to complete the answer. The
-/// rest covers errors of the estimates, which are made for a batch that may grow.
-constexpr double kUsableTime = 0.9;
 /// Largest ratio of the time that another engine needs to the time that the present one needs.
 /// Between engines of nearly the same speed, a move only costs the computation of the prompt.
 constexpr double kMaximumTimeRatio = 0.75;
@@ -89,7 +86,7 @@
   if (needed > scaled(outlook.remaining(), kMaximumTimeRatio)) {
     return false;
   }
-  return outlook.time_left ? needed <= scaled(*outlook.time_left, kUsableTime)
+  return outlook.time_left ? needed <= *outlook.time_left
                            : offer.gap <= outlook.between_tokens_limit;
 }
 
--- a/src/cypresswall/execution/output_pace.h
+++ b/src/cypresswall/execution/output_pace.h
@@ -72,8 +72,8 @@
 ///   tokens keep arriving further apart than the limit between tokens
 bool isTooSlow(const StreamOutlook& outlook);
 
-/// \return true if the other engine is expected to complete the answer in time with a margin, and
-///   clearly earlier than the present one. Without a deadline, it must keep the limit between
+/// \return true if the other engine is expected to complete the answer in time, and clearly earlier
+///   than the present one. Without a deadline, it must keep the limit between
 ///   tokens.
 bool completesInTime(const StreamOutlook& outlook, const ContinuationOffer& offer);
 
