--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kPause{1500};
 /// Makes an answer of the workload take some 6 s.
 constexpr int kSlowdown = 20;
+/// Added to the time of that fault, since a stream is moved only after about 2 s.
+constexpr std::chrono::milliseconds kSlowSpell{2500};
 constexpr std::uint64_t kStreamsAfterFaults = 20;
 constexpr std::uint64_t kBookingsAfterFaults = 5;
 
@@ -89,6 +91,7 @@
       break;
     case FaultKind::kEngineSlowsDown:
       fleet_->engineFault(fault.target, {{"decode_slowdown", kSlowdown}});
+      sleepFor(kSlowSpell);
       break;
     case FaultKind::kStoreReset:
     case FaultKind::kEngineReset:
