Let the nominal shape of a step count for less

The prior on its shape weighed as much as a third of a window of samples. It now counts as 0.3 samples in place of 2.

--- a/src/cypresswall/engine_speed/settings.h
+++ b/src/cypresswall/engine_speed/settings.h
@@ -14,7 +14,7 @@
   /// Weight of the shape of the nominal step (its growth with the number of streams), as an
   /// equivalent number of samples. It decides only while samples of few different numbers of
   /// streams are known.
-  double prior_samples = 2;
+  double prior_samples = 0.3;
   /// Samples that deviate from the expected step by up to this share have full weight; the weight
   /// decreases with larger deviations.
   double usual_deviation = 0.2;
