Weigh the pause that a prompt causes in the streams of its engine

A prompt that an engine computes between the steps of its output delays all streams there once. That was only bounded, by a share of the limit between tokens, and cost the prompt's engine nothing below it. The cost of an engine now holds the rise of the probability of a late pause in its streams, for the time that the pause lasts as a share of their remaining time. Nothing is added before the remaining time is known.

--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -338,7 +338,8 @@
     // Decode engines can also compute prompts, but slowly. Mixed engines can also generate the
     // output for prompts that prefill engines computed.
     const Offer offer = model_.whole(engine, work, prompt, now);
-    const double output = OfferModel::outputCost(estimates_.inputs(slot), work, offer.first_token);
+    const double output = OfferModel::outputCost(engine, work, offer.first_token,
+                                                 OfferModel::computingSeconds(engine, prompt));
     whole_engines_.push_back(
         {offer.cost + output, slot, delaysDecoding(slot, work, prompt, now), offer.occupancy});
     contention.count(engine, offer);
@@ -352,7 +353,7 @@
     const Offer offer = model_.decode(estimates_.inputs(whole.engine), work, now);
     const double penalty = offOutputHost(whole.engine, work) ? kNonHostPenalty : 0.0;
     const double output =
-        OfferModel::outputCost(estimates_.inputs(whole.engine), work, offer.first_token);
+        OfferModel::outputCost(estimates_.inputs(whole.engine), work, offer.first_token, 0);
     decode_engines_.push_back({offer.cost + output + penalty, whole.engine});
     whole.cost += (whole.delays_decoding ? kLatePenalty : 0.0) + penalty;
   }
@@ -446,8 +447,8 @@
         !prefill_engines_.empty() && delaysDecoding(whole.engine, work, prompt, now);
     whole.offer.cost += whole.offer.delays_decoding ? kLatePenalty : 0.0;
     whole.offer.cost += contention_ * whole.offer.occupancy;
-    whole.offer.cost +=
-        OfferModel::outputCost(estimates_.inputs(whole.engine), work, whole.offer.first_token);
+    whole.offer.cost += OfferModel::outputCost(engine, work, whole.offer.first_token,
+                                               OfferModel::computingSeconds(engine, prompt));
   }
   Selection split;
   split.engine = cheapest(decode_engines_, work, settings_.cost_tolerance);
@@ -460,8 +461,7 @@
       model_.prefill(estimates_.inputs(split.prefill), work, promptWork(split.prefill, work), now);
   split.offer = model_.combined(prefill, model_.decode(decode, work, now), decode, work);
   split.offer.cost += contention_ * split.offer.occupancy;
-  split.offer.cost +=
-      OfferModel::outputCost(estimates_.inputs(split.engine), work, split.offer.first_token);
+  split.offer.cost += OfferModel::outputCost(decode, work, split.offer.first_token, 0);
   return whole.empty() || split.offer.cost < whole.offer.cost ? split : whole;
 }
 
--- a/src/cypresswall/routing/offers.h
+++ b/src/cypresswall/routing/offers.h
@@ -166,7 +166,10 @@
   ///   has a pause over its limit or ends too late, and the increase of the probability of such
   ///   pauses in the engine's other streams, for the time for which they run together
   /// \param first_token expected seconds until the first token
-  static double outputCost(const CostInputs& engine, const RequestWork& work, double first_token) {
+  /// \param prompt_seconds time to compute the prompt, if the engine computes it between the steps
+  ///   of these streams
+  static double outputCost(const CostInputs& engine, const RequestWork& work, double first_token,
+                           double prompt_seconds) {
     if (work.risk == nullptr) {
       return 0;
     }
@@ -176,6 +179,12 @@
     const double with = risk.pauses.exceeds(work.log_between_limit - engine.log_between_next);
     const double without = risk.pauses.exceeds(work.log_between_limit - engine.log_between_now);
     double late = together * (with + engine.streams * (with - without));
+    if (prompt_seconds > 0 && risk.stream_remaining > 0) {
+      const double pause = engine.between_tokens + prompt_seconds;
+      const double share = pause / (pause + risk.stream_remaining);
+      const double delayed = risk.pauses.exceeds(work.log_between_limit - std::log(pause));
+      late += share * engine.streams * std::max(0.0, delayed - with);
+    }
     if (work.finish_limit > 0) {
       const double left = std::max(work.finish_limit - first_token, kTinySeconds);
       late += risk.durations.exceeds(std::log(left / std::max(duration, kTinySeconds)));
