Report output to owners while attempts run

Owners learned the output of a stream on another node only with its end, so that an engine that had become slow went on receiving streams for as long as those on it took. With engine_speed.enabled a node reports what it received about every half second (AttemptStep::kOutput, some 100 bytes a running stream).

--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -12,6 +12,10 @@
 /// Number of entries in the table of unresponsive owners from which expired entries are removed.
 constexpr std::size_t kMaximumUnresponsiveOwners = 256;
 
+/// Output is reported to the owner of a running attempt about this often, so that an engine that
+/// has become slow is noticed before its streams end.
+constexpr common::Duration kOutputReportInterval = std::chrono::milliseconds(500);
+
 }  // namespace
 
 PlacementRouter::PlacementRouter(const PlacementSettings& settings,
@@ -21,6 +25,8 @@
     : settings_(settings),
       long_prompt_tokens_(router_settings.prefill_chunk_tokens),
       long_answer_tokens_(router_settings.output_speed.minimum_tokens),
+      output_report_interval_(router_settings.engine_speed.enabled ? kOutputReportInterval
+                                                                   : common::Duration::max()),
       context_(context),
       directory_(directory),
       local_(local),
@@ -324,6 +330,9 @@
   output.tokens += sample.tokens;
   output.duration += sample.duration;
   output.longest_pause = std::max(output.longest_pause, sample.longest_pause);
+  if (output.duration >= output_report_interval_) {
+    sendProgress(placed->second.owner, stream_id, AttemptStep::kOutput, std::exchange(output, {}));
+  }
 }
 
 void PlacementRouter::answerCompleted(const std::string& stream_id) {
--- a/src/cypresswall/routing/placement_router.h
+++ b/src/cypresswall/routing/placement_router.h
@@ -110,6 +110,8 @@
   PlacementSettings settings_;
   double long_prompt_tokens_;
   std::uint32_t long_answer_tokens_;
+  /// Output of this duration is reported to the owner before the attempt ends.
+  common::Duration output_report_interval_;
   const api::ProcessContext& context_;
   EngineDirectory& directory_;
   Router& local_;
--- a/tests/routing/placement_test.cpp
+++ b/tests/routing/placement_test.cpp
@@ -99,8 +99,9 @@
     PlacementRouter* router = nullptr;
   };
 
-  explicit PlacementZone(std::uint64_t seed = 1, PlacementSettings placement = {})
-      : settings(placement), simulation(seed) {
+  explicit PlacementZone(std::uint64_t seed = 1, PlacementSettings placement = {},
+                         const RouterSettings& router = {})
+      : settings(placement), router_settings(router), simulation(seed) {
     for (int i = 0; i < kEngines; ++i) {
       testing::declareEngine(fleet, idOf("engine-", i), kModel);
     }
@@ -125,7 +126,7 @@
     node.local_router = &process.emplace<RecordingRouter>(*node.directory);
     node.service = &process.emplace<PlacementService>(settings, process.context(), *node.directory,
                                                       *node.local_router);
-    node.router = &process.emplace<PlacementRouter>(settings, RouterSettings{}, process.context(),
+    node.router = &process.emplace<PlacementRouter>(settings, router_settings, process.context(),
                                                     *node.directory, *node.local_router);
     node.directory->start();
     node.configuration->set(fleet);
@@ -218,6 +219,7 @@
   }
 
   PlacementSettings settings;
+  RouterSettings router_settings;
   simulation::Simulation simulation;
   configuration::FleetConfiguration fleet;
   std::deque<Node> nodes;
@@ -231,6 +233,7 @@
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(firstOwnerPlacesTheRequest);
   CPPUNIT_TEST(ownerLearnsTheOutputWithTheEnd);
+  CPPUNIT_TEST(ownerLearnsTheOutputOfRunningAttempts);
   CPPUNIT_TEST(oneRequestAndOneAnswerPerPlacement);
   CPPUNIT_TEST(ownerPlacesItsOwnRequestsLocally);
   CPPUNIT_TEST(killedOwnerIsSkipped);
@@ -289,6 +292,28 @@
     CPPUNIT_ASSERT(output.longest_pause == milliseconds(90));
   }
 
+  void ownerLearnsTheOutputOfRunningAttempts() {
+    RouterSettings learning;
+    learning.engine_speed.enabled = true;
+    PlacementZone zone(1, {}, learning);
+    const std::size_t asker = zone.asker();
+    zone.place(asker, PlacementZone::requestOf("a"));
+    zone.run(milliseconds(20));
+    auto& router = *zone.nodes[asker].router;
+    const OutputSample& output = zone.ownersOf().front()->local_router->output;
+    router.outputReceived("a", {10, milliseconds(300), milliseconds(50)});
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, output.tokens);
+    router.outputReceived("a", {9, milliseconds(250), milliseconds(60)});
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{19}, output.tokens);
+    router.outputReceived("a", {2, milliseconds(100), milliseconds(70)});
+    router.attemptFinished("a");
+    zone.run(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, output.tokens);
+    CPPUNIT_ASSERT(output.duration == milliseconds(100));
+  }
+
   void oneRequestAndOneAnswerPerPlacement() {
     PlacementZone zone;
     const std::size_t asker = zone.asker();
