Hold requests at a starting node until it knows services and engines

Cause: a caller that returns to a node which has just started is refused until the node has the declaration, and again until it has read an engine's load; it returns after half a second or more, and its answer misses its time. Refusals that name an engine's load are given at once as before.

--- a/src/cypresswall/execution/execution_settings.h
+++ b/src/cypresswall/execution/execution_settings.h
@@ -69,6 +69,9 @@
   /// If a stall timer fires more than this long after it was due, this process was probably paused.
   /// Received data may then still be unread, so the attempt is not considered stalled.
   common::Duration pause_detection = std::chrono::milliseconds(250);
+  /// How long a request may wait at a node that has just started until the node knows the declared
+  /// services, and the state of an engine that can take it. Zero refuses such requests at once.
+  common::Duration startup_hold{0};
   /// After an engine failed while it delivered an answer, how long the request keeps trying to find
   /// another engine that can resume the answer.
   common::Duration resume_time_limit = std::chrono::seconds(5);
--- a/src/cypresswall/execution/model_execution_core.cpp
+++ b/src/cypresswall/execution/model_execution_core.cpp
@@ -72,6 +72,7 @@
       quarantine(request_quarantine),
       usage(usage_recorder),
       settings(execution_settings),
+      started_at(process_context.clock.now()),
       stream_events(process_context.counters),
       counters(process_context.counters),
       journal(execution_settings.retained_request_records),
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -71,6 +71,7 @@
   quarantine::RequestQuarantine& quarantine;
   duties::UsageRecorder& usage;
   const ExecutionSettings settings;
+  const common::MonotonicTime started_at;
   StreamEventCounters stream_events;
   ModelRequestCounters counters;
   RequestJournal journal;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -7,6 +7,14 @@
 #include "cypresswall/execution/refusal_error.h"
 
 namespace cypresswall::execution {
+namespace {
+
+/// How long after its start a node may lack the state of engines.
+constexpr common::Duration kStartupTime = std::chrono::seconds(3);
+/// Interval at which a request that waits for the state of engines asks for a route again.
+constexpr common::Duration kEngineStateWait = std::chrono::milliseconds(50);
+
+}  // namespace
 
 ModelRequest::ModelRequest(ModelExecutionCore& core, ModelCall call, ModelCallObserver& observer)
     : core_(core),
@@ -147,7 +155,19 @@
   return deadline_ ? std::min(left, *deadline_ - now) : left;
 }
 
+bool ModelRequest::awaitsEngineState(const routing::RouteRefusal& refusal) const {
+  const auto now = core_.process.clock.now();
+  const auto began_at = first_token_deadline_ - target_.service.first_token_limit;
+  return refusal.reason == routing::RouteFailure::kOverloaded && !refusal.best &&
+         record_->attempts.empty() && now - core_.started_at < kStartupTime &&
+         now - began_at < core_.settings.startup_hold && timeToFirstToken() > kEngineStateWait;
+}
+
 void ModelRequest::onRefused(const routing::RouteRefusal& refusal) {
+  if (awaitsEngineState(refusal)) {
+    scheduleAttempt(kEngineStateWait);
+    return;
+  }
   logRefusal(refusal);
   if (resuming() && core_.process.clock.now() < resume_until_) {
     // The caller already has part of the answer, so try again and also allow engines on which
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -146,6 +146,9 @@
   void recordResult(const std::string& result);
   void logRoute() const;
   void logRefusal(const routing::RouteRefusal& refusal) const;
+  /// \return true if the refusal shows only that this node, or the one that decides about the
+  ///   engines, has just started and doesn't know the engines' state yet
+  bool awaitsEngineState(const routing::RouteRefusal& refusal) const;
   void logPrompt() const;
   void logFirstToken() const;
   std::int64_t millisecondsSinceRouted() const;
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -356,6 +356,11 @@
           "timings.stop_lame_duck", milliseconds(0), hours(1),
           [](auto& s) -> auto& { return s.stop_lame_duck; },
           "How long a planned stop takes requests after /readyz has turned, before stop_limit."),
+      durationKey(
+          "timings.startup_hold", milliseconds(0), seconds(2),
+          [](auto& s) -> auto& { return s.node.execution.startup_hold; },
+          "How long a request may wait at a node that has just started, until the node knows the "
+          "declared services and engines; zero refuses it at once."),
   };
 }
 
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -52,9 +52,31 @@
   CPPUNIT_TEST(outputIsReportedWhileItArrivesAndAtTheEnd);
   CPPUNIT_TEST(outputOfBrokenAndAbandonedAttemptsIsReported);
   CPPUNIT_TEST(timeInWhichTheCallerDoesNotReadIsNotReported);
+  CPPUNIT_TEST(startingNodeWaitsForTheStateOfEngines);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Load: callers return to a node that has just started and has not read its engines' load.
+  void startingNodeWaitsForTheStateOfEngines() {
+    execution::ExecutionSettings settings;
+    settings.startup_hold = milliseconds(500);
+    Fixture fixture(settings);
+    fixture.router.refuses = true;
+    RecordingObserver served;
+    const auto first = fixture.start(served);
+    fixture.process.time.runFor(milliseconds(200));
+    CPPUNIT_ASSERT(!served.error);
+    fixture.router.refuses = false;
+    fixture.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(served.done);
+    // Later, and for longer than the limit, it refuses at once.
+    fixture.router.refuses = true;
+    RecordingObserver refused;
+    const auto second = fixture.start(refused);
+    fixture.process.time.runFor(milliseconds(1));
+    CPPUNIT_ASSERT(refused.error.has_value());
+  }
+
   void usageIsRecordedOnceAtFirstToken() {
     Fixture fixture;
     fixture.engines.scripts = {{Kind::kRefused}, {Kind::kBrokenAt, 2}};
--- a/tests/objects_platform/ingress_test.cpp
+++ b/tests/objects_platform/ingress_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/headers.h"
 #include "tests/gateway/gateway_fixture.h"
 #include "tests/support/property.h"
+#include "tests/support/virtual_world.h"
 
 namespace cypresswall::objects_platform {
 namespace {
@@ -16,7 +17,10 @@
 
 /// An ingress on a gateway with scripted executors, one streaming and one non-idempotent route.
 struct IngressFixture {
-  IngressFixture() {
+  explicit IngressFixture(common::Duration startup_hold = {})
+      : ingress(
+            world.gateway, process.context(), [this]() -> const RouteTable& { return routes; },
+            [this] { return outdated_for; }, startup_hold) {
     Route digest;
     digest.name = "digest";
     digest.host = "docks.example";
@@ -74,8 +78,9 @@
   gateway::GatewayFixture world;
   RouteTable routes;
   std::optional<common::Duration> outdated_for;
-  Ingress ingress{world.gateway, [this]() -> const RouteTable& { return routes; },
-                  [this] { return outdated_for; }};
+  testing::VirtualWorld processes{1};
+  testing::VirtualProcess& process = processes.spawn({"10.0.0.1:7000", 1}, "hall-a");
+  Ingress ingress;
 };
 
 class IngressTest : public CppUnit::TestFixture {
@@ -86,6 +91,7 @@
   CPPUNIT_TEST(passesAServiceRequestThrough);
   CPPUNIT_TEST(splitsByWeight);
   CPPUNIT_TEST(rejectsUnknownRoutesAndEarlyRequests);
+  CPPUNIT_TEST(startingNodeHoldsRequestsUntilItHasRoutes);
   CPPUNIT_TEST(outdatedNodeDoesNotRejectUnknownRoutes);
   CPPUNIT_TEST(longOutdatedNodeAcceptsNoRequests);
   CPPUNIT_TEST(notRunStatusNeedsCertainty);
@@ -151,6 +157,22 @@
     CPPUNIT_ASSERT_EQUAL(std::string("id-1"), answer->headers.at("X-Request-Id"));
   }
 
+  /// Load: callers return to a zone of which all nodes have just started.
+  void startingNodeHoldsRequestsUntilItHasRoutes() {
+    IngressFixture fixture(milliseconds(500));
+    const RouteTable routes = std::exchange(fixture.routes, RouteTable());
+    const auto record = fixture.send("/digest/a");
+    CPPUNIT_ASSERT_EQUAL(0, record->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.ingress.heldRequests());
+    fixture.processes.runFor(milliseconds(200));
+    fixture.routes = routes;
+    fixture.processes.runFor(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.ingress.heldRequests());
+    // The time for which it was held is taken off the caller's limit.
+    const auto limit = fixture.world.models.calls.at(0)->call.time_limit;
+    CPPUNIT_ASSERT(limit <= milliseconds(2800) && limit >= milliseconds(2700));
+  }
+
   void outdatedNodeDoesNotRejectUnknownRoutes() {
     IngressFixture fixture;
     CPPUNIT_ASSERT_EQUAL(404, fixture.send("/nowhere/")->status);
