--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -26,8 +26,9 @@
   kUsage = 3,           ///< adds the messages of `duties`
   kRateLimits = 4,      ///< adds the messages of `fleet_limits` on servers' limits
   kTenantAccounts = 5,  ///< adds the messages of `fleet_limits` on tenants' limits
+  kFairShares = 6,      ///< adds the messages of `fleet_limits` on fair shares of scarce pools
 };
-inline constexpr MessageSet kHandledMessages = MessageSet::kTenantAccounts;
+inline constexpr MessageSet kHandledMessages = MessageSet::kFairShares;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
