Refuse by tenants' shares while engines or back ends are short

Change: admission asks FairShares before it sheds by urgency; the router's choices and the answers of back ends tell it of shortages. Tenants have a weight. Keys admission.fair_shares, admission.service_limits (both off by default) and admission.share_interval.

--- a/src/cypresswall/admission/admission.h
+++ b/src/cypresswall/admission/admission.h
@@ -25,6 +25,8 @@
   kTenantRequestLimit,
   kTenantTokenLimit,
   kTenantQuota,
+  /// The engines or back ends are short of room, and the tenant is above its share of them.
+  kFairShare,
   kShedding,
   kDraining
 };
--- a/src/cypresswall/admission/observed_router.cpp
+++ b/src/cypresswall/admission/observed_router.cpp
@@ -85,6 +85,9 @@
       refusal != nullptr && refusal->reason == routing::RouteFailure::kOverloaded;
   auto& load = models_.try_emplace(model, ModelLoad{SheddingLevel(settings_)}).first->second;
   load.level.recordChoice(urgencyOfPriority(priority), overloaded, clock_.now());
+  if (fair_shares_ != nullptr && (refusal == nullptr || overloaded)) {
+    fair_shares_->recordPlaced(modelPool(model), urgencyOfPriority(priority), overloaded);
+  }
   if (overloaded) {
     load.last_retry_after = refusal->retry_after;
   }
--- a/src/cypresswall/admission/observed_router.h
+++ b/src/cypresswall/admission/observed_router.h
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "cypresswall/admission/admission_settings.h"
+#include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/admission/load_probe.h"
 #include "cypresswall/routing/router.h"
 
@@ -74,6 +75,8 @@
     router_.attemptFailed(stream_id, engine, failure);
   }
 
+  /// Sets what is told of each choice beside the shedding level. \pre `shares` outlives this object
+  void setFairShares(FairShares& shares) { fair_shares_ = &shares; }
   double admittedShare(const common::ModelName& model,
                        configuration::Urgency urgency) const override;
   common::Duration drainTime(const common::ModelName& model) const override;
@@ -91,6 +94,7 @@
   const common::Clock& clock_;
   const SheddingSettings settings_;
   std::map<common::ModelName, ModelLoad> models_;
+  FairShares* fair_shares_ = nullptr;
 };
 
 }  // namespace cypresswall::admission
--- a/src/cypresswall/admission/zone_admission_controller.cpp
+++ b/src/cypresswall/admission/zone_admission_controller.cpp
@@ -9,6 +9,8 @@
 /// The Retry-After of a shed request is extended at random by up to this fraction, so that the
 /// retries of shed requests are spread over time.
 constexpr double kRetryAfterJitter = 0.5;
+/// With fewer tenants there is nobody to divide engines among.
+constexpr std::size_t kLeastTenantsToDivide = 2;
 
 const char* nameOf(RefusalReason reason) {
   switch (reason) {
@@ -18,6 +20,8 @@
       return "tenant_tokens";
     case RefusalReason::kTenantQuota:
       return "tenant_quota";
+    case RefusalReason::kFairShare:
+      return "fair_share";
     case RefusalReason::kShedding:
       return "shedding";
     case RefusalReason::kDraining:
@@ -48,6 +52,9 @@
     refusedCounter(refusal->reason).add();
     return refusal;
   }
+  if (const auto share = shareRequestOf(request)) {
+    fair_shares_->recordAdmitted(*share);
+  }
   admitted_.add();
   in_flight_gauge_.set(++in_flight_);
   return std::nullopt;
@@ -62,15 +69,59 @@
     return refuse(RefusalReason::kShedding, settings_.minimum_retry_after,
                   "this node serves as many requests as it can hold");
   }
+  if (auto refusal = refuseByLoad(request)) {
+    return refusal;
+  }
+  if (auto over_quota = chargeQuota(request)) {
+    return over_quota;
+  }
+  return tenants_.take(request);
+}
+
+std::optional<Refusal> ZoneAdmissionController::refuseByLoad(const AdmissionRequest& request) {
+  if (const auto share = shareRequestOf(request)) {
+    const ShareDecision decision = fair_shares_->decide(*share);
+    if (decision.retry_after) {
+      return refuse(RefusalReason::kFairShare, *decision.retry_after,
+                    "tenant " + request.tenant + " is above its share of " + share->pool);
+    }
+    if (decision.decided) {
+      return std::nullopt;
+    }
+  }
   const auto model = modelOf(request.service);
   if (!model.empty() && shouldShed(request, model)) {
     return refuse(RefusalReason::kShedding, load_.drainTime(model),
                   "requests of this urgency are shed while model " + model + " is overloaded");
   }
-  if (auto over_quota = chargeQuota(request)) {
-    return over_quota;
+  return std::nullopt;
+}
+
+std::optional<ShareRequest> ZoneAdmissionController::shareRequestOf(
+    const AdmissionRequest& request) const {
+  if (fair_shares_ == nullptr) {
+    return std::nullopt;
   }
-  return tenants_.take(request);
+  const auto fleet = configuration_.current();
+  ShareRequest share;
+  share.tenant = request.tenant;
+  share.urgency = request.urgency;
+  const auto tenant = fleet->tenants.find(request.tenant);
+  share.weight = tenant == fleet->tenants.end() ? 1 : tenant->second.weight;
+  const auto service = fleet->http_services.find(request.service);
+  if (service != fleet->http_services.end()) {
+    share.pool = servicePool(service->second);
+    return fair_shares_->limitsServices() ? std::optional(std::move(share)) : std::nullopt;
+  }
+  const auto model = modelOf(request.service);
+  if (model.empty() || !fair_shares_->dividesEngines() ||
+      fleet->tenants.size() < kLeastTenantsToDivide) {
+    return std::nullopt;
+  }
+  share.pool = modelPool(model);
+  share.cost = std::max(1U, request.tokens);
+  share.unshed_share = load_.admittedShare(model, request.urgency);
+  return share;
 }
 
 std::optional<Refusal> ZoneAdmissionController::chargeQuota(const AdmissionRequest& request) {
--- a/src/cypresswall/admission/zone_admission_controller.h
+++ b/src/cypresswall/admission/zone_admission_controller.h
@@ -5,6 +5,7 @@
 
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/admission/admission_settings.h"
+#include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/admission/load_probe.h"
 #include "cypresswall/admission/tenant_limits.h"
 #include "cypresswall/fleet_limits/tenant_accounts.h"
@@ -12,8 +13,8 @@
 namespace cypresswall::admission {
 
 /// Refuses, in this order: all requests while the node drains; requests above the in-flight limit;
-/// requests to an overloaded model, lowest urgency first; requests above the tenant's quota or
-/// share.
+/// requests to scarce engines or back ends, of tenants above their fair share; requests to an
+/// overloaded model, lowest urgency first; requests above the tenant's quota or rate limit.
 class ZoneAdmissionController final : public AdmissionController {
  public:
   ZoneAdmissionController(const api::ProcessContext& process,
@@ -26,12 +27,20 @@
   /// Sets the accounts of tenants' quotas; without them, quotas are not enforced.
   /// \pre `accounts` outlives this object
   void setTenantAccounts(fleet_limits::TenantAccounts& accounts) { accounts_ = &accounts; }
+  /// Sets the division of scarce engines and back ends among tenants; without it there is none.
+  /// \pre `shares` outlives this object
+  void setFairShares(FairShares& shares) { fair_shares_ = &shares; }
   /// While draining, new requests are refused; running requests are not affected.
   void setDraining(bool draining) { draining_ = draining; }
   std::uint32_t inFlight() const { return in_flight_; }
 
  private:
   std::optional<Refusal> decide(const AdmissionRequest& request);
+  /// Refuses by the tenant's share of the pool or, if none is in force, by urgency.
+  std::optional<Refusal> refuseByLoad(const AdmissionRequest& request);
+  /// \return what a division of the request's engines or back ends has to know; empty if they are
+  ///   not divided
+  std::optional<ShareRequest> shareRequestOf(const AdmissionRequest& request) const;
   std::optional<Refusal> chargeQuota(const AdmissionRequest& request);
   bool shouldShed(const AdmissionRequest& request, const common::ModelName& model);
   Refusal refuse(RefusalReason reason, common::Duration retry_after, std::string message);
@@ -46,6 +55,7 @@
   const AdmissionSettings settings_;
   TenantLimits tenants_;
   fleet_limits::TenantAccounts* accounts_ = nullptr;
+  FairShares* fair_shares_ = nullptr;
   common::Counter& admitted_;
   common::Counter& in_flight_gauge_;
   std::uint32_t in_flight_ = 0;
--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -157,6 +157,8 @@
   /// If set, overrides the urgency of the service that the tenant calls.
   std::optional<Urgency> urgency = {};
   TenantQuota quota = {};
+  /// The tenant's part of scarce engines and back ends, relative to that of other tenants.
+  double weight = 1;
 };
 
 /// Policy by which the planner weighs goodput (the rate of answers delivered in time) against the
--- a/src/cypresswall/configuration/object_fields.h
+++ b/src/cypresswall/configuration/object_fields.h
@@ -85,6 +85,7 @@
   visitor("tokens_per_second", tenant.tokens_per_second, FieldPresence::kOptional);
   visitor("further_api_keys", tenant.further_api_keys, FieldPresence::kOptional);
   visitor("urgency", tenant.urgency, FieldPresence::kOptional);
+  visitor("weight", tenant.weight, FieldPresence::kOptional);
 }
 
 template <typename Visitor>
--- a/src/cypresswall/configuration/validation.cpp
+++ b/src/cypresswall/configuration/validation.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kMaximumNameLength = 128;
+constexpr double kSmallestTenantWeight = 0.001;
+constexpr double kLargestTenantWeight = 1000;
 
 /// Collects the errors of a configuration.
 class Validator {
@@ -174,6 +176,9 @@
     checkName(kKind, tenant.name);
     requireNotNegative(kKind, tenant.name, "requests_per_second", tenant.requests_per_second);
     requireNotNegative(kKind, tenant.name, "tokens_per_second", tenant.tokens_per_second);
+    if (!(tenant.weight >= kSmallestTenantWeight && tenant.weight <= kLargestTenantWeight)) {
+      add(kKind, tenant.name, "weight", "must be from 0.001 to 1000");
+    }
     if (tenant.api_key.empty()) {
       if (tenant.name != "default") {
         add(kKind, tenant.name, "api_key", "must not be empty");
--- a/src/cypresswall/execution/refusal_error.cpp
+++ b/src/cypresswall/execution/refusal_error.cpp
@@ -8,6 +8,7 @@
     case admission::RefusalReason::kTenantTokenLimit:
     case admission::RefusalReason::kTenantQuota:
       return ErrorKind::kTenantLimit;
+    case admission::RefusalReason::kFairShare:
     case admission::RefusalReason::kShedding:
       return ErrorKind::kOverloaded;
     case admission::RefusalReason::kDraining:
--- a/src/cypresswall/execution/service_execution_core.h
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "cypresswall/admission/admission.h"
+#include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/configuration/configuration_view.h"
@@ -37,6 +38,8 @@
   quarantine::RequestQuarantine& quarantine;
   duties::UsageRecorder& usage;
   const availability::AnnouncedAvailability& announced;
+  /// Told how back ends answer; null if their room is not divided.
+  admission::FairShares* fair_shares = nullptr;
 };
 
 /// Counters of service requests.
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -297,6 +297,7 @@
   core_.ended_calls.add(std::move(call_));
   record_->attempts.back().result = resultOf(response);
   reportRateLimit(response);
+  reportRoom(response);
   switch (response.outcome) {
     case services::ServiceOutcome::kAnswered:
       onAnswered(std::move(response));
@@ -318,6 +319,20 @@
   }
 }
 
+void ServiceRun::reportRoom(const services::ServiceResponse& response) {
+  admission::FairShares* const shares = core_.interfaces.fair_shares;
+  if (shares == nullptr || !shares->limitsServices() || !admitted_) {
+    return;
+  }
+  const std::string pool = admission::servicePool(service_);
+  if (response.outcome == services::ServiceOutcome::kAnswered) {
+    shares->recordAnswer(pool, admitted_->urgency, core_.process.clock.now() - attempt_sent_at_);
+  } else if (response.outcome == services::ServiceOutcome::kRefused &&
+             acceptsCalls(record_->attempts.back().target)) {
+    shares->recordPlaced(pool, admitted_->urgency, true);
+  }
+}
+
 void ServiceRun::recordUsageOnce() {
   if (!std::exchange(usage_recorded_, true)) {
     core_.interfaces.usage.requestBegan(request_.tenant);
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -68,6 +68,8 @@
   common::Duration attemptTimeLimit(common::Duration remaining) const;
   /// Passes the rate limit in the response, if there is one, to the rate limiter.
   void reportRateLimit(const services::ServiceResponse& response);
+  /// Tells the division of scarce back ends whether this one had room, and how long it took.
+  void reportRoom(const services::ServiceResponse& response);
   void onResponse(std::uint32_t attempt, services::ServiceResponse response);
   void onAnswered(services::ServiceResponse response);
   void onProvenNotRun(const services::ServiceResponse& response);
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -17,6 +17,8 @@
 NodeSettings withSharedZoneLimit(NodeSettings settings) {
   settings.membership.neighbours.mesh_limit = settings.shared_zone_nodes;
   settings.directory.groups.shared_zone_node_limit = settings.shared_zone_nodes;
+  settings.fair_share_accounts.enabled =
+      settings.fair_shares.divides_engines || settings.fair_shares.limits_services;
   return settings;
 }
 
@@ -43,6 +45,9 @@
       controller_(settings_.controller, context_, orders_authority_, engines_, clients.engines,
                   configuration_view_, membership_,
                   settings_.make_planner ? settings_.make_planner() : nullptr),
+      fair_shares_(settings_.fair_shares, context_.clock, context_.random, context_.counters),
+      fair_share_accounts_(settings_.fair_share_accounts, settings_.membership.neighbours, context_,
+                           membership_, fair_shares_),
       observed_router_(placement_router_, context_.clock, settings_.shedding),
       admission_(context_, configuration_view_, membership_, observed_router_, settings_.admission),
       key_claims_(settings_.claims, context_,
@@ -64,7 +69,7 @@
           context_,
           execution::ServiceInterfaces{configuration_view_, membership_, admission_,
                                        clients.services, key_claims_, retries_, rate_limits_,
-                                       quarantine_, duties_.usage(), announced_},
+                                       quarantine_, duties_.usage(), announced_, &fair_shares_},
           settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, controller_, model_executor_.journal(),
@@ -73,6 +78,12 @@
       commands_(context_, configuration_, state_, declared_) {
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   admission_.setTenantAccounts(tenant_accounts_);
+  fair_shares_.onShortage(
+      [this](const std::string& pool) { fair_share_accounts_.onShortage(pool); });
+  if (settings_.fair_share_accounts.enabled) {
+    admission_.setFairShares(fair_shares_);
+    observed_router_.setFairShares(fair_shares_);
+  }
   engines_.setRateLimiter(rate_limits_);
   engines_.setAnnounced(announced_);
   const auto record = [this](const std::string& server,
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/admission/observed_router.h"
 #include "cypresswall/admission/zone_admission_controller.h"
 #include "cypresswall/api/process_context.h"
@@ -17,6 +18,7 @@
 #include "cypresswall/execution/engine_model_executor.h"
 #include "cypresswall/execution/http_service_executor.h"
 #include "cypresswall/fleet_limits/engine_rate_limits.h"
+#include "cypresswall/fleet_limits/fair_share_accounts.h"
 #include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
 #include "cypresswall/fleet_limits/tenant_accounts.h"
@@ -126,6 +128,8 @@
   routing::PlacementService placement_service_;
   routing::PlacementRouter placement_router_;
   orders::ZoneController controller_;
+  admission::FairShares fair_shares_;
+  fleet_limits::FairShareAccounts fair_share_accounts_;
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
   idempotency::QuorumKeyClaims key_claims_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -5,12 +5,14 @@
 #include <memory>
 
 #include "cypresswall/admission/admission_settings.h"
+#include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/autoscaling/settings.h"
 #include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/execution/execution_settings.h"
 #include "cypresswall/fleet_limits/engine_rate_limits.h"
+#include "cypresswall/fleet_limits/fair_share_accounts.h"
 #include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
 #include "cypresswall/fleet_limits/tenant_accounts.h"
@@ -62,6 +64,9 @@
   /// Maximum number of back ends of a plain HTTP service that this node uses; zero uses all.
   std::size_t backends_per_node = 16;
   fleet_limits::TenantAccountSettings tenant_accounts;
+  admission::FairShareSettings fair_shares;
+  /// `enabled` follows from `fair_shares`.
+  fleet_limits::FairShareAccountSettings fair_share_accounts;
   fleet_limits::RateLimitSettings rate_limits;
   availability::AnnouncedAvailabilitySettings announced;
   quarantine::QuarantineSettings quarantine;
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -376,9 +376,9 @@
 
 Keys allKeys() {
   Keys keys;
-  for (Keys (*const part)() :
-       {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys, planningKeys, retryKeys,
-        quarantineKeys, dutyKeys, autoscalingKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
+  for (Keys (*const part)() : {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys,
+                               planningKeys, retryKeys, admissionKeys, quarantineKeys, dutyKeys,
+                               autoscalingKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -129,6 +129,27 @@
   };
 }
 
+std::vector<SettingKey> admissionKeys() {
+  return {
+      switchKey(
+          "admission.fair_shares",
+          [](auto& s) -> auto& { return s.node.fair_shares.divides_engines; },
+          "While engines are short of room, they are divided max-min fair among the declared "
+          "tenants, over all nodes."),
+      switchKey(
+          "admission.service_limits",
+          [](auto& s) -> auto& { return s.node.fair_shares.limits_services; },
+          "While back ends of a plain HTTP service are short of room, requests beyond what they "
+          "answer in time are refused at once, by tenants' shares."),
+      durationKey(
+          "admission.share_interval", milliseconds(50), seconds(10),
+          [](auto& s) -> auto& { return s.node.fair_share_accounts.report_interval; },
+          "Between two reports of a node on what tenants ask of engines or back ends that are "
+          "short "
+          "of room; a millisecond more for each node of the zone."),
+  };
+}
+
 std::vector<SettingKey> quarantineKeys() {
   return {
       countKey(
--- a/src/cypresswall/settings/policy_keys.h
+++ b/src/cypresswall/settings/policy_keys.h
@@ -11,6 +11,8 @@
 std::vector<SettingKey> planningKeys();
 /// \return keys of the retry budget
 std::vector<SettingKey> retryKeys();
+/// \return keys of the division of scarce engines and back ends among tenants
+std::vector<SettingKey> admissionKeys();
 /// \return keys of the quarantine, which blocks requests that crash engines
 std::vector<SettingKey> quarantineKeys();
 /// \return keys of the duties that one node performs for the whole fleet
