--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -73,8 +73,8 @@
           settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, controller_, model_executor_.journal(),
-                              service_executor_.journal(), retries_, local_share_, rate_limits_,
-                              quarantine_, duties_, autoscaling_}),
+                              service_executor_.journal(), retries_, fair_shares_, local_share_,
+                              rate_limits_, quarantine_, duties_, autoscaling_}),
       commands_(context_, configuration_, state_, declared_) {
   engines_.setPlanningNode([this] { return orders_authority_.believedHolder(); });
   admission_.setTenantAccounts(tenant_accounts_);
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -201,6 +201,14 @@
   return rows;
 }
 
+std::vector<operators::TenantShareRow> NodeState::tenantShares() const {
+  std::vector<operators::TenantShareRow> rows;
+  for (const admission::TenantShareRow& row : sources_.fair_shares.rows()) {
+    rows.push_back({row.tenant, row.asked, row.admitted, row.refused, row.share});
+  }
+  return rows;
+}
+
 std::vector<operators::UsageRow> NodeState::usage() const {
   std::vector<operators::UsageRow> rows;
   for (const duties::ReportedWindow& window : sources_.duties.reporter().windows()) {
--- a/src/cypresswall/node/node_state.h
+++ b/src/cypresswall/node/node_state.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/autoscaling/controller.h"
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/duties/fleet_duties.h"
@@ -32,6 +33,7 @@
   const execution::RequestJournal& model_requests;
   const execution::RequestJournal& service_requests;
   const fleet_limits::RetryBudgets& retries;
+  const admission::FairShares& fair_shares;
   const fleet_limits::LocalShare& local_share;
   fleet_limits::EngineRateLimits& rate_limits;
   const quarantine::FleetQuarantine& quarantine;
@@ -50,6 +52,7 @@
   std::vector<operators::RetryRow> retries() const override;
   std::vector<operators::QuarantineRow> quarantine() const override;
   std::vector<operators::RateLimitRow> limits() const override;
+  std::vector<operators::TenantShareRow> tenantShares() const override;
   std::vector<operators::UsageRow> usage() const override;
   std::vector<operators::CapacityRow> capacity() const override;
   std::vector<operators::Explanation> explainEngine(const common::EngineName& name) const override;
--- a/src/cypresswall/operators/queries.cpp
+++ b/src/cypresswall/operators/queries.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/operators/queries.h"
 
 #include <algorithm>
+#include <map>
 
 #include "cypresswall/configuration/duration_text.h"
 #include "cypresswall/configuration/object_kind.h"
@@ -354,9 +355,15 @@
 
 ResultTable Queries::tenants() const {
   ResultTable table = tableOf(Subject::kTenants);
+  std::map<common::TenantName, TenantShareRow> shares;
+  for (TenantShareRow& row : providers_.tenantShares()) {
+    shares.emplace(row.tenant, row);
+  }
   for (const auto& [name, tenant] : configuration_.current()->tenants) {
-    table.rows.push_back(
-        {text(name), Cell{tenant.requests_per_second}, Cell{tenant.tokens_per_second}});
+    const TenantShareRow& row = shares[name];
+    table.rows.push_back({text(name), Cell{tenant.requests_per_second},
+                          Cell{tenant.tokens_per_second}, Cell{row.share}, count(row.asked),
+                          count(row.admitted), count(row.refused)});
   }
   return table;
 }
--- a/src/cypresswall/operators/state_providers.h
+++ b/src/cypresswall/operators/state_providers.h
@@ -94,6 +94,16 @@
   std::uint64_t refused = 0;
 };
 
+/// What a node saw a tenant ask of the pools that are divided while they are short of room.
+struct TenantShareRow {
+  common::TenantName tenant;
+  std::uint64_t asked = 0;
+  std::uint64_t admitted = 0;
+  std::uint64_t refused = 0;
+  /// Fraction of its requests that the tenant may send now; 1 if it is not limited.
+  double share = 1;
+};
+
 /// A time window for which a node reports usage to the platform, as known on that node.
 struct UsageRow {
   std::uint64_t window = 0;
@@ -145,6 +155,7 @@
   virtual std::vector<RetryRow> retries() const { return {}; }
   virtual std::vector<QuarantineRow> quarantine() const { return {}; }
   virtual std::vector<RateLimitRow> limits() const { return {}; }
+  virtual std::vector<TenantShareRow> tenantShares() const { return {}; }
   virtual std::vector<UsageRow> usage() const { return {}; }
   virtual std::vector<CapacityRow> capacity() const { return {}; }
   virtual std::vector<ZoneSummaryRow> zoneSummaries() const { return {}; }
--- a/src/cypresswall/operators/vocabulary.cpp
+++ b/src/cypresswall/operators/vocabulary.cpp
@@ -46,8 +46,9 @@
   static const std::vector<std::string> kLeaseColumns = {"zone", "holder", "epoch", "here"};
   static const std::vector<std::string> kNodeColumns = {
       "node", "zone", "machine", "state", "gateway", "version", "drained", "messages"};
-  static const std::vector<std::string> kTenantColumns = {"tenant", "requests_per_second",
-                                                          "tokens_per_second"};
+  static const std::vector<std::string> kTenantColumns = {
+      "tenant", "requests_per_second", "tokens_per_second", "share", "asked", "admitted",
+      "refused"};
   static const std::vector<std::string> kRetryColumns = {"service", "used", "left", "refused",
                                                          "part"};
   static const std::vector<std::string> kQuarantineColumns = {"fingerprint", "seconds_left"};
--- a/tests/admission/fair_share_fleet.h
+++ b/tests/admission/fair_share_fleet.h
@@ -131,6 +131,13 @@
     sender.sendTo(nodes_[to].process->id(), message);
     run(std::chrono::milliseconds(50));
   }
+  /// \return the count of one event of the division at a node
+  double eventCount(std::size_t node, const std::string& event) {
+    return nodes_[node]
+        .process->context()
+        .counters.counter("cypresswall_fair_share_events_total", "", "event", event)
+        .value();
+  }
   double counter(std::size_t node, const std::string& name) {
     return nodes_[node].process->context().counters.total(name);
   }
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -77,6 +77,8 @@
     CPPUNIT_ASSERT(settings.node.lease.duration == lease::LeaseSettings().duration);
     CPPUNIT_ASSERT(settings.platform_protocol == PlatformProtocol::kCypresswall);
     CPPUNIT_ASSERT(settings.readiness_address.empty());
+    CPPUNIT_ASSERT(!settings.node.fair_shares.divides_engines);
+    CPPUNIT_ASSERT(!settings.node.fair_shares.limits_services);
   }
 
   void readsEveryValueType() {
@@ -120,6 +122,16 @@
         {kMinimalSettings + "timings: {idle_limit: 5}", "node.yaml:10: timings.idle_limit: '5'"},
         {kMinimalSettings + "timings: {idle_limit: -5s}",
          "node.yaml:10: timings.idle_limit: '-5s'"},
+        {kMinimalSettings + "admission: {fair_shares: maybe}",
+         "node.yaml:10: admission.fair_shares: 'maybe'"},
+        {kMinimalSettings + "admission: {share_interval: 0s}",
+         "node.yaml:10: admission.share_interval: '0s' is outside"},
+        {kMinimalSettings + "admission: {share_interval: -1s}",
+         "node.yaml:10: admission.share_interval: '-1s'"},
+        {kMinimalSettings + "admission: {share_interval: nans}",
+         "node.yaml:10: admission.share_interval: 'nans'"},
+        {kMinimalSettings + "admission: {share_interval: 99999h}",
+         "node.yaml:10: admission.share_interval: '99999h'"},
         {kMinimalSettings + "  protocol: other", "node.yaml:10: platform.protocol: 'other'"},
         {kMinimalSettings + "seeds: [localhost:1]", "node.yaml:10: seeds: 'localhost:1'"},
         {kMinimalSettings + "seeds: [{a: b}]", "node.yaml:10: seeds: an item"},
