--- a/src/cypresswall/admission/fair_shares.cpp
+++ b/src/cypresswall/admission/fair_shares.cpp
@@ -252,6 +252,7 @@
     }
   }
   std::vector<TenantShareRow> sorted;
+  sorted.reserve(rows.size());
   for (auto& [tenant, row] : rows) {
     sorted.push_back(std::move(row));
   }
