--- a/src/cypresswall/settings/policy_keys.h
+++ b/src/cypresswall/settings/policy_keys.h
@@ -9,11 +9,14 @@
 
 /// \return keys of role planning
 std::vector<SettingKey> planningKeys();
-/// \return keys of the retry budget
+/// \return keys of the learned output speed of engines
 std::vector<SettingKey> engineSpeedKeys();
+/// \return keys of the retry budget
 std::vector<SettingKey> retryKeys();
 /// \return keys of kept connections to engines and back ends
 std::vector<SettingKey> connectionKeys();
+/// \return keys of the division of scarce engines and back ends among tenants
+std::vector<SettingKey> admissionKeys();
 /// \return keys of the quarantine, which blocks requests that crash engines
 std::vector<SettingKey> quarantineKeys();
 /// \return keys of the duties that one node performs for the whole fleet
