--- a/src/cypresswall/runtime/connection_pool.h
+++ b/src/cypresswall/runtime/connection_pool.h
@@ -21,7 +21,7 @@
   /// If false, the pool keeps no connection.
   bool keeps = false;
   /// Maximum time that a connection is idle before it is reused, whatever its peer announces.
-  common::Duration idle_limit = std::chrono::seconds(5);
+  common::Duration idle_limit = std::chrono::seconds(10);
   /// The same for peers that announce no time.
   common::Duration unannounced_idle_limit = std::chrono::milliseconds(500);
   /// A connection is not reused in the last part of the time that its peer announced, since a
