Follow the queue of plain services within a round, and end a division soon

Change: the usual time is an average over time, not over answers; what is served is no more than what is answered; the last round counts where it has many answers; the capacity is probed slowly near the most that was served.

--- a/src/cypresswall/admission/fair_shares.cpp
+++ b/src/cypresswall/admission/fair_shares.cpp
@@ -166,8 +166,9 @@
   fleet_limits::ClassOutcomes& outcomes = pool.classes[static_cast<std::size_t>(urgency)];
   ++outcomes.placed;
   ++outcomes.answered;
-  const bool short_of_room = clock_.now() < pool.shares_until || pool.met_shortage;
-  if (!pool.latency.record(latency, short_of_room)) {
+  const auto now = clock_.now();
+  const bool short_of_room = now < pool.shares_until || pool.met_shortage;
+  if (!pool.latency.record(latency, short_of_room, now)) {
     return;
   }
   ++outcomes.delayed;
--- a/src/cypresswall/admission/latency_baseline.h
+++ b/src/cypresswall/admission/latency_baseline.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <utility>
 
 #include "cypresswall/common/time.h"
 
@@ -14,25 +15,32 @@
 class LatencyBaseline {
  public:
   /// \return true if the answer took several times as long as usual
-  bool record(common::Duration latency, bool short_of_room) {
+  bool record(common::Duration latency, bool short_of_room, common::MonotonicTime now) {
     const double seconds = common::toSeconds(latency);
-    const bool known = samples_ >= kLeastSamples;
-    const bool delayed = known && seconds > kDelayFactor * baseline_seconds_;
-    const double weight = !known ? 1.0 / (samples_ + 1) : short_of_room ? kShortWeight : kWeight;
+    const double elapsed = common::toSeconds(now - std::exchange(recorded_at_, now));
+    if (samples_ < kLeastSamples) {
+      ++samples_;
+      baseline_seconds_ += (seconds - baseline_seconds_) / samples_;
+      return false;
+    }
+    const double longest = kDelayFactor * baseline_seconds_;
+    const double weight =
+        std::min(elapsed / (short_of_room ? kShortSeconds : kCalmSeconds), kLargestWeight);
     // A single extreme value must not raise the baseline.
-    const double counted = known ? std::min(seconds, kDelayFactor * baseline_seconds_) : seconds;
-    baseline_seconds_ += weight * (counted - baseline_seconds_);
-    samples_ = std::min(samples_ + 1, kLeastSamples);
-    return delayed;
+    baseline_seconds_ += weight * (std::min(seconds, longest) - baseline_seconds_);
+    return seconds > longest;
   }
   common::Duration value() const { return common::fromSeconds(baseline_seconds_); }
 
  private:
   static constexpr std::uint32_t kLeastSamples = 20;
   static constexpr double kDelayFactor = 2.5;
-  static constexpr double kWeight = 0.02;
-  static constexpr double kShortWeight = 0.001;
+  /// Time constants of the average.
+  static constexpr double kCalmSeconds = 10;
+  static constexpr double kShortSeconds = 120;
+  static constexpr double kLargestWeight = 0.02;
 
+  common::MonotonicTime recorded_at_{};
   double baseline_seconds_ = 0;
   std::uint32_t samples_ = 0;
 };
--- a/src/cypresswall/fleet_limits/fair_share_messages.h
+++ b/src/cypresswall/fleet_limits/fair_share_messages.h
@@ -32,7 +32,8 @@
   /// Attempts that an engine or back end had room for, and those that found none.
   std::uint32_t placed = 0;
   std::uint32_t refused = 0;
-  /// Answers received, and those among them that took much longer than without a queue.
+  /// Answers received, and those among them that took much longer than without a queue. Counted
+  /// only for plain services, where each request costs 1.
   std::uint32_t answered = 0;
   std::uint32_t delayed = 0;
   MSGPACK_DEFINE(urgency, asked, unshed, admitted, placed, refused, answered, delayed)
--- a/src/cypresswall/fleet_limits/pool_ledger.cpp
+++ b/src/cypresswall/fleet_limits/pool_ledger.cpp
@@ -17,6 +17,10 @@
 constexpr double kLeastRefusedPerSecond = 2;
 /// Answers per second below which the share of delayed ones says nothing.
 constexpr double kLeastAnsweredPerSecond = 10;
+/// Answers in a round that tell more of the present than an average.
+constexpr double kManyAnswers = 20;
+/// Capacity is near to the most that was served lately from this fraction of it on.
+constexpr double kNearShare = 0.9;
 /// Demand below this is taken for none.
 constexpr double kNegligibleDemand = 1e-3;
 /// A tenant's average follows at once if its demand has at least doubled, by at least so many
@@ -30,6 +34,15 @@
   return std::isfinite(value) && value >= 0 && value <= kMaximumReportedCost;
 }
 
+/// \return the cost per second that found room and, as far as answers are counted, was answered:
+///   what is placed in a queue that grows is not served yet
+template <typename Rates>
+double servedOf(const Rates& rates) {
+  const double attempts = rates.placed + rates.refused;
+  const double placed = attempts > 0 ? rates.admitted * rates.placed / attempts : rates.admitted;
+  return rates.answered > 0 ? std::min(placed, rates.answered) : placed;
+}
+
 bool isWeight(double value) { return std::isfinite(value) && value > 0 && value <= kMaximumWeight; }
 
 }  // namespace
@@ -114,7 +127,8 @@
     for (double Rates::*rate : {&Rates::asked, &Rates::unshed, &Rates::admitted, &Rates::placed,
                                 &Rates::refused, &Rates::answered, &Rates::delayed}) {
       double& average = urgency_class.average.*rate;
-      average += weight * (urgency_class.round.*rate / seconds - average);
+      urgency_class.last.*rate = urgency_class.round.*rate / seconds;
+      average += weight * (urgency_class.last.*rate - average);
     }
     urgency_class.round = {};
   };
@@ -139,32 +153,55 @@
   }
 }
 
+bool PoolLedger::refuses(const Rates& rates) const {
+  return rates.refused > kLeastRefusedPerSecond &&
+         rates.refused > settings_.short_refused_share * (rates.placed + rates.refused);
+}
+
+bool PoolLedger::delays(const Rates& rates, double least_share) const {
+  return rates.answered > kLeastAnsweredPerSecond && rates.delayed > least_share * rates.answered;
+}
+
 void PoolLedger::updateCapacity(Class& urgency_class, double seconds, common::MonotonicTime now) {
-  const Rates& rates = urgency_class.average;
-  const double attempts = rates.placed + rates.refused;
-  const bool refuses = rates.refused > kLeastRefusedPerSecond &&
-                       rates.refused > settings_.short_refused_share * attempts;
-  const bool delays = rates.answered > kLeastAnsweredPerSecond &&
-                      rates.delayed > settings_.short_delayed_share * rates.answered;
-  const double served = attempts > 0 ? rates.admitted * rates.placed / attempts : rates.admitted;
-  if (!refuses && !delays) {
-    if (urgency_class.capacity) {
-      *urgency_class.capacity *= 1 + settings_.increase_per_second * seconds;
-      if (*urgency_class.capacity > (1 + settings_.increase_per_second) * rates.asked) {
-        urgency_class.capacity.reset();
-      } else {
-        short_at_ = now;
-      }
+  const Rates& average = urgency_class.average;
+  // With many answers a round, the last round tells sooner whether there is still a queue.
+  const bool many = urgency_class.last.answered * seconds >= kManyAnswers;
+  const Rates& newest = many ? urgency_class.last : average;
+  const bool delayed = delays(newest, settings_.short_delayed_share);
+  if (!refuses(average) && !delayed) {
+    if (!delays(newest, settings_.short_delayed_share / 2)) {
+      raiseCapacity(urgency_class, seconds, now);
     }
     return;
   }
   short_at_ = now;
+  urgency_class.probing_seconds = 0;
+  const double served = std::max(servedOf(average), servedOf(newest));
   urgency_class.best_served = std::max(
       served, urgency_class.best_served * (1 - std::min(1.0, kBestServedFading * seconds)));
   const double capacity = std::min(urgency_class.capacity.value_or(served), served);
-  const double least = settings_.least_capacity_share * urgency_class.best_served;
+  const double least =
+      std::min(capacity, settings_.least_capacity_share * urgency_class.best_served);
   const double lowered = capacity * (1 - std::min(1.0, settings_.decrease_per_second * seconds));
-  urgency_class.capacity = delays ? std::max(lowered, std::min(least, capacity)) : capacity;
+  urgency_class.capacity = delayed ? std::max(lowered, least) : capacity;
+}
+
+void PoolLedger::raiseCapacity(Class& urgency_class, double seconds, common::MonotonicTime now) {
+  if (!urgency_class.capacity) {
+    return;
+  }
+  double& capacity = *urgency_class.capacity;
+  const bool near = capacity > kNearShare * urgency_class.best_served;
+  urgency_class.probing_seconds = near ? urgency_class.probing_seconds + seconds : 0;
+  const double probing = settings_.probing_per_second * std::exp2(urgency_class.probing_seconds);
+  capacity *= 1 + (near ? std::min(probing, settings_.increase_per_second)
+                        : settings_.increase_per_second) *
+                      seconds;
+  if (capacity > (1 + settings_.increase_per_second) * urgency_class.average.asked) {
+    urgency_class.capacity.reset();
+  } else {
+    short_at_ = now;
+  }
 }
 
 std::optional<double> PoolLedger::roomOf(std::size_t urgency) const {
--- a/src/cypresswall/fleet_limits/pool_ledger.h
+++ b/src/cypresswall/fleet_limits/pool_ledger.h
@@ -22,12 +22,15 @@
   /// ... or more than this fraction of its answers was delayed by a queue.
   double short_delayed_share = 0.2;
   /// While a class is short only of time, its capacity falls by this fraction a second, ...
-  double decrease_per_second = 0.4;
+  double decrease_per_second = 1.0;
   /// ... down to this fraction of the most that it was served lately.
-  double least_capacity_share = 0.7;
+  double least_capacity_share = 0.75;
   /// While it is not short, its capacity rises by this fraction a second, until it covers the
-  /// demand.
+  /// demand, ...
   double increase_per_second = 0.25;
+  /// ... and from this fraction on, twice as much after each second, near the most that was served
+  /// lately.
+  double probing_per_second = 0.08;
   /// Relative excess over its share up to which a tenant is not limited. Covers the error of the
   /// averages.
   double tolerated_excess = 0.05;
@@ -80,17 +83,25 @@
   };
   struct Class {
     Rates round;
+    /// Rates of the last round, and their average.
+    Rates last;
     Rates average;
     /// Cost per second that the pool takes of this class; empty until it was short of room.
     std::optional<double> capacity;
     /// Most cost per second that was served lately.
     double best_served = 0;
+    /// Time for which the capacity was raised near that.
+    double probing_seconds = 0;
   };
   using TenantKey = std::pair<std::uint8_t, common::TenantName>;
 
   void closeAverages(double seconds);
   void closeTenants(double seconds, double kept);
   void updateCapacity(Class& urgency_class, double seconds, common::MonotonicTime now);
+  void raiseCapacity(Class& urgency_class, double seconds, common::MonotonicTime now);
+  bool refuses(const Rates& rates) const;
+  /// \param least_share share of delayed answers above which the class counts as delayed
+  bool delays(const Rates& rates, double least_share) const;
   /// \return the room of a class in cost per second; empty if it is not limited
   std::optional<double> roomOf(std::size_t urgency) const;
   /// Divides `room` among the tenants of one class.
--- a/tests/admission/zone_admission_controller_test.cpp
+++ b/tests/admission/zone_admission_controller_test.cpp
@@ -44,6 +44,33 @@
       process.time.runFor(milliseconds(10));
     }
   }
+  /// Divides the engines, with shares that let `large` send a tenth of its requests.
+  void divide(std::vector<common::TenantName> tenants) {
+    for (const common::TenantName& tenant : tenants) {
+      configuration.fleet.tenants[tenant].name = tenant;
+    }
+    controller.setFairShares(shares);
+    router.setFairShares(shares);
+    fleet_limits::PoolShares told;
+    told.pool = modelPool("dispatch");
+    const auto urgency = static_cast<std::uint8_t>(Urgency::kLow);
+    told.classes = {{urgency, true, false}};
+    told.tenants = {{"large", urgency, 0.1}};
+    shares.apply(told);
+  }
+  int admittedOfHundred(Urgency urgency, const common::TenantName& tenant) {
+    int admitted = 0;
+    for (int number = 0; number < 100; ++number) {
+      AdmissionRequest request;
+      request.service = "summary";
+      request.urgency = urgency;
+      request.tenant = tenant;
+      const auto refusal = controller.admit(request);
+      admitted += refusal ? 0 : 1;
+      last_reason = refusal ? refusal->reason : last_reason;
+    }
+    return admitted;
+  }
   int admittedOfHundred(Urgency urgency) {
     int admitted = 0;
     for (int number = 0; number < 100; ++number) {
@@ -58,6 +85,8 @@
   testing::FakeRouter engines_router;
   ObservedRouter router{engines_router, process.time};
   ZoneAdmissionController controller;
+  FairShares shares{{.divides_engines = true}, process.time, process.random, process.counters};
+  RefusalReason last_reason = RefusalReason::kDraining;
 };
 
 class ZoneAdmissionControllerTest : public CppUnit::TestFixture {
@@ -67,6 +96,8 @@
   CPPUNIT_TEST(refusalsOfAnUrgencyDoNotShedIt);
   CPPUNIT_TEST(sheddingEndsWithTheOverload);
   CPPUNIT_TEST(boundsRequestsInFlight);
+  CPPUNIT_TEST(tenantAboveItsShareIsRefusedInPlaceOfShedding);
+  CPPUNIT_TEST(singleTenantIsShedAsWithoutShares);
   CPPUNIT_TEST(priorityRoundTripsUrgency);
   CPPUNIT_TEST_SUITE_END();
 
@@ -113,6 +144,24 @@
     CPPUNIT_ASSERT_EQUAL(100, fixture.admittedOfHundred(Urgency::kLow));
   }
 
+  void tenantAboveItsShareIsRefusedInPlaceOfShedding() {
+    Fixture fixture;
+    fixture.route(Urgency::kHigh, true, milliseconds(1500));
+    CPPUNIT_ASSERT_LESS(20, fixture.admittedOfHundred(Urgency::kLow));
+    fixture.divide({"large", "small"});
+    CPPUNIT_ASSERT_EQUAL(100, fixture.admittedOfHundred(Urgency::kLow, "small"));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10, fixture.admittedOfHundred(Urgency::kLow, "large"), 1);
+    CPPUNIT_ASSERT(fixture.last_reason == RefusalReason::kFairShare);
+  }
+
+  void singleTenantIsShedAsWithoutShares() {
+    Fixture fixture;
+    fixture.route(Urgency::kHigh, true, milliseconds(1500));
+    fixture.divide({"large"});
+    CPPUNIT_ASSERT_LESS(20, fixture.admittedOfHundred(Urgency::kLow, "large"));
+    CPPUNIT_ASSERT(fixture.last_reason == RefusalReason::kShedding);
+  }
+
   void boundsRequestsInFlight() {
     AdmissionSettings settings;
     settings.maximum_in_flight = 2;
