Probe the capacity of a pool slowly for a limited time

Change: 8% a second for 3 s near the most that was served, a quarter after that, so that a division ends soon after the shortage.

--- a/src/cypresswall/fleet_limits/pool_ledger.cpp
+++ b/src/cypresswall/fleet_limits/pool_ledger.cpp
@@ -193,10 +193,10 @@
   double& capacity = *urgency_class.capacity;
   const bool near = capacity > kNearShare * urgency_class.best_served;
   urgency_class.probing_seconds = near ? urgency_class.probing_seconds + seconds : 0;
-  const double probing = settings_.probing_per_second * std::exp2(urgency_class.probing_seconds);
-  capacity *= 1 + (near ? std::min(probing, settings_.increase_per_second)
-                        : settings_.increase_per_second) *
-                      seconds;
+  const bool probing =
+      near && urgency_class.probing_seconds < common::toSeconds(settings_.probing_time);
+  capacity *=
+      1 + (probing ? settings_.probing_per_second : settings_.increase_per_second) * seconds;
   if (capacity > (1 + settings_.increase_per_second) * urgency_class.average.asked) {
     urgency_class.capacity.reset();
   } else {
--- a/src/cypresswall/fleet_limits/pool_ledger.h
+++ b/src/cypresswall/fleet_limits/pool_ledger.h
@@ -28,9 +28,9 @@
   /// While it is not short, its capacity rises by this fraction a second, until it covers the
   /// demand, ...
   double increase_per_second = 0.25;
-  /// ... and from this fraction on, twice as much after each second, near the most that was served
-  /// lately.
+  /// ... and by this fraction for a time near the most that was served lately.
   double probing_per_second = 0.08;
+  common::Duration probing_time = std::chrono::seconds(3);
   /// Relative excess over its share up to which a tenant is not limited. Covers the error of the
   /// averages.
   double tolerated_excess = 0.05;
