Show the learned pace of engines to operators

`show engines` gets the columns gap_ms and slowness: the expected time between two delivered tokens at the engine's present number of streams, and its ratio to that of a usual engine of the model. The values are those that placement uses; Router::engineSpeedView() hands them out.

--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -69,7 +69,7 @@
                                        quarantine_, duties_.usage(), announced_},
           settings_.execution),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
-                              engines_, controller_, model_executor_.journal(),
+                              engines_, *router_, controller_, model_executor_.journal(),
                               service_executor_.journal(), retries_, local_share_, rate_limits_,
                               quarantine_, duties_, autoscaling_}),
       commands_(context_, configuration_, state_, declared_) {
--- a/src/cypresswall/node/node_state.cpp
+++ b/src/cypresswall/node/node_state.cpp
@@ -1,7 +1,9 @@
 #include "cypresswall/node/node_state.h"
 
 #include <iomanip>
+#include <map>
 #include <sstream>
+#include <utility>
 
 namespace cypresswall::node {
 namespace {
@@ -86,6 +88,10 @@
 std::vector<operators::EngineRow> NodeState::engines() const {
   std::vector<operators::EngineRow> rows;
   const auto now = sources_.clock.now();
+  std::map<common::EngineName, engine_speed::EngineSpeedView> speeds;
+  for (auto& view : sources_.router.engineSpeedView()) {
+    speeds[view.engine] = std::move(view);
+  }
   for (const routing::EngineRecord& record : sources_.engines.records()) {
     operators::EngineRow row;
     row.name = record.declaration.name;
@@ -97,6 +103,10 @@
     row.running_streams = record.load.running_streams;
     row.waiting_streams = record.load.waiting_streams;
     row.maximum_streams = record.load.maximum_streams;
+    if (const auto speed = speeds.find(row.name); speed != speeds.end()) {
+      row.token_gap = common::fromSeconds(speed->second.expected_step);
+      row.slowness = speed->second.factor * speed->second.spell;
+    }
     row.cache_pieces_used = record.load.cache_pieces_used;
     row.cache_pieces_total = record.load.cache_pieces_total;
     row.age = record.reported ? now - record.observed_at : common::Duration(0);
--- a/src/cypresswall/node/node_state.h
+++ b/src/cypresswall/node/node_state.h
@@ -18,6 +18,7 @@
 #include "cypresswall/orders/zone_controller.h"
 #include "cypresswall/quarantine/fleet_quarantine.h"
 #include "cypresswall/routing/engine_directory.h"
+#include "cypresswall/routing/router.h"
 
 namespace cypresswall::node {
 
@@ -28,6 +29,7 @@
   const lease::AuthorityView& authority;
   const configuration::ConfigurationView& configuration;
   const routing::EngineDirectory& engines;
+  const routing::Router& router;
   const orders::ZoneController& controller;
   const execution::RequestJournal& model_requests;
   const execution::RequestJournal& service_requests;
--- a/src/cypresswall/operators/queries.cpp
+++ b/src/cypresswall/operators/queries.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/operators/queries.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "cypresswall/configuration/duration_text.h"
 #include "cypresswall/configuration/object_kind.h"
@@ -22,6 +23,11 @@
   return count(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
+Cell roundedToHundredths(double value) {
+  constexpr double kHundredths = 100;
+  return std::round(value * kHundredths) / kHundredths;
+}
+
 const char* toString(engines::EngineState state) {
   switch (state) {
     case engines::EngineState::kReady:
@@ -75,6 +81,8 @@
                         count(0),
                         count(0),
                         count(0),
+                        count(0),
+                        0.0,
                         drained,
                         pinned,
                         text(""),
@@ -92,6 +100,8 @@
                     count(live->running_streams),
                     count(live->waiting_streams),
                     count(live->maximum_streams),
+                    milliseconds(live->token_gap),
+                    roundedToHundredths(live->slowness),
                     drained,
                     pinned,
                     text(cache),
--- a/src/cypresswall/operators/state_providers.h
+++ b/src/cypresswall/operators/state_providers.h
@@ -26,6 +26,11 @@
   std::uint32_t waiting_streams = 0;
   /// Number of streams that the engine runs at a time; zero if not known.
   std::uint32_t maximum_streams = 0;
+  /// Expected time between two delivered tokens of a stream; zero if this node does not learn it.
+  common::Duration token_gap{0};
+  /// That time relative to the one at a usual engine of the model with as many streams; zero if
+  /// this node does not learn it.
+  double slowness = 0;
   std::uint32_t cache_pieces_used = 0;
   std::uint32_t cache_pieces_total = 0;
   /// Age of the load report.
--- a/src/cypresswall/operators/vocabulary.cpp
+++ b/src/cypresswall/operators/vocabulary.cpp
@@ -31,8 +31,9 @@
 
 const std::vector<std::string>& columnsOf(Subject subject) {
   static const std::vector<std::string> kEngineColumns = {
-      "engine",  "zone",    "machine", "address", "model",  "version", "role",  "state",
-      "running", "waiting", "maximum", "drained", "pinned", "cache",   "age_ms"};
+      "engine",   "zone",    "machine", "address", "model",   "version",
+      "role",     "state",   "running", "waiting", "maximum", "gap_ms",
+      "slowness", "drained", "pinned",  "cache",   "age_ms"};
   static const std::vector<std::string> kRequestColumns = {"request", "tenant", "service", "engine",
                                                            "state",   "tokens", "age_ms"};
   static const std::vector<std::string> kServiceColumns = {
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -45,8 +45,9 @@
   std::uint64_t estimatesRefreshed() const { return estimates_.refreshed(); }
   /// \return the learned speeds of output, to be stored and restored
   engine_speed::DecodeSpeedEstimator& engineSpeeds() { return outputs_.speeds(); }
-  /// \return the learned speeds of output by engine, for operators
-  std::vector<engine_speed::EngineSpeedView> engineSpeedView() const { return outputs_.view(); }
+  std::vector<engine_speed::EngineSpeedView> engineSpeedView() const override {
+    return outputs_.view();
+  }
 
  private:
   /// An engine with the cost of its offer.
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -14,6 +14,7 @@
 #include "cypresswall/common/prompt.h"
 #include "cypresswall/common/result.h"
 #include "cypresswall/common/time.h"
+#include "cypresswall/engine_speed/decode_speed_estimator.h"
 #include "cypresswall/engines/engine_types.h"
 
 namespace cypresswall::routing {
@@ -142,6 +143,8 @@
   /// Reports that the attempt delivered its complete answer; attemptFinished() is called next.
   virtual void answerCompleted(const std::string& stream_id) = 0;
   virtual void attemptFinished(const std::string& stream_id) = 0;
+  /// \return the learned output speeds of the engines that this node decides about, for operators
+  virtual std::vector<engine_speed::EngineSpeedView> engineSpeedView() const { return {}; }
   /// \param engine the engine of the route at which the attempt failed
   virtual void attemptFailed(const std::string& stream_id, const common::EngineName& engine,
                              engines::StreamFailure failure) = 0;
--- a/tests/operators/command_service_test.cpp
+++ b/tests/operators/command_service_test.cpp
@@ -30,6 +30,8 @@
     row.role = engines::EngineRole::kDecode;
     row.running_streams = 3;
     row.maximum_streams = 48;
+    row.token_gap = std::chrono::milliseconds(90);
+    row.slowness = 1.704;
     return {row};
   }
   std::vector<Explanation> explainEngine(const common::EngineName& name) const override {
@@ -106,6 +108,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), cellText(busy.table.rows.at(0).at(0)));
     CPPUNIT_ASSERT_EQUAL(std::string("48"),
                          cellText(busy.table.rows.at(0).at(columnOf("maximum"))));
+    CPPUNIT_ASSERT_EQUAL(std::string("90"), cellText(busy.table.rows[0].at(columnOf("gap_ms"))));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         run("show engines where slowness > 1.69").table.rows.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         run("show engines where slowness > 1.7").table.rows.size());
     const auto other = run("show engines where zone = zone-1");
     CPPUNIT_ASSERT_EQUAL(std::string("e2"), cellText(other.table.rows.at(0).at(0)));
     CPPUNIT_ASSERT_EQUAL(std::string("unseen"), cellText(other.table.rows.at(0).at(7)));
