--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -48,6 +48,13 @@
       fair_shares_(settings_.fair_shares, context_.clock, context_.random, context_.counters),
       fair_share_accounts_(settings_.fair_share_accounts, settings_.membership.neighbours, context_,
                            membership_, fair_shares_),
+      demand_part_(context_, controller_),
+      checkpoint_reader_(settings_.checkpoint, context_, membership_, clients.object_store,
+                         clients.time_of_day,
+                         [this] { return orders_authority_.believedHolder(); }),
+      checkpoint_writer_(
+          settings_.checkpoint, context_, clients.object_store, clients.time_of_day,
+          [this] { return orders_authority_.believedHolder(); }, checkpoint_reader_),
       observed_router_(placement_router_, context_.clock, settings_.shedding),
       admission_(context_, configuration_view_, membership_, observed_router_, settings_.admission),
       key_claims_(settings_.claims, context_,
@@ -132,6 +139,7 @@
   duties_.start();
   autoscaling_.start();
   controller_.start();
+  startCheckpoint();
 }
 
 lease::AuthorityView& Node::makeOrdersAuthority(object_store::ObjectStore& store) {
@@ -151,6 +159,15 @@
   key_claims_.start();
 }
 
+void Node::startCheckpoint() {
+  if (!settings_.checkpoint.enabled || !clients_.time_of_day) {
+    return;
+  }
+  checkpoint_reader_.addPart(demand_part_);
+  checkpoint_reader_.start();
+  checkpoint_writer_.start();
+}
+
 bool Node::hasConfiguration() const {
   return declared_ != nullptr ? declared_->current()->version > 0 : configuration_.ready();
 }
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -12,6 +12,8 @@
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/autoscaling/controller.h"
 #include "cypresswall/availability/announced_availability.h"
+#include "cypresswall/checkpoint/checkpoint_reader.h"
+#include "cypresswall/checkpoint/checkpoint_writer.h"
 #include "cypresswall/configuration/configuration_replica.h"
 #include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/engines/engine_client.h"
@@ -33,6 +35,7 @@
 #include "cypresswall/object_store/machine_list.h"
 #include "cypresswall/object_store/object_store.h"
 #include "cypresswall/operators/command_service.h"
+#include "cypresswall/orders/demand_part.h"
 #include "cypresswall/orders/zone_controller.h"
 #include "cypresswall/quarantine/fleet_quarantine.h"
 #include "cypresswall/routing/cost_router.h"
@@ -55,7 +58,8 @@
   configuration::ConfigurationView* declared = nullptr;
   /// Set if the platform assigns fleet-wide duties to a single node.
   duties::DutyPlatform* duties = nullptr;
-  /// Wall-clock time, required for usage reports; may be empty if the node sends none.
+  /// Wall-clock time, required for usage reports and checkpoints; may be empty if the node sends
+  /// none.
   common::TimeOfDay time_of_day = {};
 };
 
@@ -106,6 +110,7 @@
   void drain();
   lease::AuthorityView& makeOrdersAuthority(object_store::ObjectStore& store);
   void startAuthority();
+  void startCheckpoint();
   void checkStop();
   bool mayStop() const;
 
@@ -132,6 +137,9 @@
   orders::ZoneController controller_;
   admission::FairShares fair_shares_;
   fleet_limits::FairShareAccounts fair_share_accounts_;
+  orders::DemandPart demand_part_;
+  checkpoint::CheckpointReader checkpoint_reader_;
+  checkpoint::CheckpointWriter checkpoint_writer_;
   admission::ObservedRouter observed_router_;
   admission::ZoneAdmissionController admission_;
   idempotency::QuorumKeyClaims key_claims_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -8,6 +8,7 @@
 #include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/autoscaling/settings.h"
 #include "cypresswall/availability/announced_availability.h"
+#include "cypresswall/checkpoint/settings.h"
 #include "cypresswall/configuration/configuration_settings.h"
 #include "cypresswall/duties/fleet_duties.h"
 #include "cypresswall/execution/execution_settings.h"
@@ -73,6 +74,7 @@
   fleet_limits::RateLimitSettings rate_limits;
   availability::AnnouncedAvailabilitySettings announced;
   quarantine::QuarantineSettings quarantine;
+  checkpoint::CheckpointSettings checkpoint;
   duties::DutySettings duties;
   autoscaling::AutoscalingSettings autoscaling;
   /// Maximum time that a graceful shutdown waits for requests in flight.
--- a/src/cypresswall/orders/zone_controller.cpp
+++ b/src/cypresswall/orders/zone_controller.cpp
@@ -359,6 +359,16 @@
   return demands;
 }
 
+std::string ZoneController::encodedDemand() const {
+  const common::MonotonicTime now = context_.clock.now();
+  return demand_ && demand_->warm(now) ? demand_->encode(now) : std::string();
+}
+
+bool ZoneController::restoreDemand(const std::string& bytes) {
+  updateAuthority();
+  return demand_ && demand_->restore(bytes);
+}
+
 std::vector<ChangeRecord> ZoneController::changes() const {
   std::vector<ChangeRecord> rows;
   for (const auto& [name, control] : controls_) {
--- a/src/cypresswall/orders/zone_controller.h
+++ b/src/cypresswall/orders/zone_controller.h
@@ -52,6 +52,11 @@
   /// \return the demand for each model; nothing unless this node plans the zone's roles and has
   ///   collected demand for at least DemandSettings::short_window
   std::optional<std::map<common::ModelName, planning::ModelDemand>> demand() const;
+  /// \return the observed demand for restoreDemand(); empty where demand() returns nothing
+  std::string encodedDemand() const;
+  /// Takes over the demand that the zone had before its nodes started.
+  /// \return false if this node does not plan the zone's roles or the bytes can't be used
+  bool restoreDemand(const std::string& bytes);
   /// \return the drain table in force on this node.
   const DrainFollower& drains() const { return follower_; }
 
--- a/src/cypresswall/planning/demand_estimator.cpp
+++ b/src/cypresswall/planning/demand_estimator.cpp
@@ -1,7 +1,10 @@
 #include "cypresswall/planning/demand_estimator.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <msgpack.hpp>
+#include <utility>
 
 namespace cypresswall::planning {
 namespace {
@@ -15,6 +18,43 @@
   return static_cast<double>(microseconds) / kMicrosecondsPerSecond;
 }
 
+/// A restored estimator counts as having observed this many windows before its creation.
+constexpr int kRestoredWindows = 8;
+/// Bounds of restored state. No zone has that many models, and no engine group that much demand.
+constexpr std::size_t kMaximumRestoredModels = 1024;
+constexpr double kMaximumRestoredRate = 1e12;
+
+constexpr std::size_t kRateFields = 12;
+using RateArray = std::array<double, kRateFields>;
+/// By model: the rates in the short and in the long window.
+using EncodedRates = std::map<common::ModelName, std::pair<RateArray, RateArray>>;
+
+RateArray toArray(const DemandRate& rate) {
+  return {rate.requests_per_second,
+          rate.prefill_tokens_per_second,
+          rate.decode_tokens_per_second,
+          rate.long_requests_per_second,
+          rate.long_prefill_tokens_per_second,
+          rate.prefill_engine_requests_per_second,
+          rate.prefill_engine_seconds,
+          rate.decode_engine_seconds,
+          rate.flexible_prefill_seconds,
+          rate.flexible_decode_seconds,
+          rate.flexible_decode_requests_per_second,
+          rate.output_seconds};
+}
+
+DemandRate fromArray(const RateArray& rate) {
+  return {rate[0], rate[1], rate[2], rate[3], rate[4],  rate[5],
+          rate[6], rate[7], rate[8], rate[9], rate[10], rate[11]};
+}
+
+bool possible(const RateArray& rates) {
+  return std::all_of(rates.begin(), rates.end(), [](double rate) {
+    return std::isfinite(rate) && rate >= 0 && rate <= kMaximumRestoredRate;
+  });
+}
+
 }  // namespace
 
 void DemandEstimator::DecayingSum::decayTo(common::MonotonicTime now, common::Duration window) {
@@ -35,6 +75,21 @@
   updated_at = now;
 }
 
+void DemandEstimator::DecayingSum::addHistory(const DemandRate& rate, double seconds) {
+  requests += rate.requests_per_second * seconds;
+  prefill_tokens += rate.prefill_tokens_per_second * seconds;
+  decode_tokens += rate.decode_tokens_per_second * seconds;
+  long_requests += rate.long_requests_per_second * seconds;
+  long_prefill_tokens += rate.long_prefill_tokens_per_second * seconds;
+  prefill_engine_requests += rate.prefill_engine_requests_per_second * seconds;
+  prefill_engine_seconds += rate.prefill_engine_seconds * seconds;
+  decode_engine_seconds += rate.decode_engine_seconds * seconds;
+  flexible_prefill_seconds += rate.flexible_prefill_seconds * seconds;
+  flexible_decode_seconds += rate.flexible_decode_seconds * seconds;
+  flexible_decode_requests += rate.flexible_decode_requests_per_second * seconds;
+  output_seconds += rate.output_seconds * seconds;
+}
+
 void DemandEstimator::add(const common::ModelName& model, const DemandCount& count,
                           common::MonotonicTime now) {
   ModelSums& sums = sums_[model];
@@ -91,4 +146,45 @@
   return demand;
 }
 
+std::string DemandEstimator::encode(common::MonotonicTime now) const {
+  EncodedRates rates;
+  for (const auto& [model, sums] : sums_) {
+    const ModelDemand observed = demand(model, now);
+    rates[model] = {toArray(observed.short_window), toArray(observed.long_window)};
+  }
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, rates);
+  return {buffer.data(), buffer.size()};
+}
+
+bool DemandEstimator::restore(const std::string& bytes) {
+  EncodedRates restored;
+  try {
+    msgpack::unpack(bytes.data(), bytes.size()).get().convert(restored);
+  } catch (const std::exception&) {
+    return false;
+  }
+  const bool usable = restored.size() <= kMaximumRestoredModels &&
+                      std::all_of(restored.begin(), restored.end(), [](const auto& entry) {
+                        return possible(entry.second.first) && possible(entry.second.second);
+                      });
+  if (!usable) {
+    return false;
+  }
+  // What was observed before the creation has decayed since, as the counts added meanwhile have.
+  const auto add = [this](DecayingSum& sum, const RateArray& rates, common::Duration window) {
+    sum.updated_at = std::max(sum.updated_at, started_at_);
+    const double seconds = common::toSeconds(window);
+    const double age = common::toSeconds(sum.updated_at - started_at_);
+    sum.addHistory(fromArray(rates), seconds * std::exp(-age / seconds));
+  };
+  for (const auto& [model, rates] : restored) {
+    ModelSums& sums = sums_[model];
+    add(sums.short_window, rates.first, settings_.short_window);
+    add(sums.long_window, rates.second, settings_.long_window);
+  }
+  started_at_ -= kRestoredWindows * std::max(settings_.short_window, settings_.long_window);
+  return true;
+}
+
 }  // namespace cypresswall::planning
--- a/src/cypresswall/planning/demand_estimator.h
+++ b/src/cypresswall/planning/demand_estimator.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "cypresswall/common/time.h"
 #include "cypresswall/planning/demand_counter.h"
@@ -27,6 +28,12 @@
   void add(const common::ModelName& model, const DemandCount& count, common::MonotonicTime now);
   /// \return the rates of a model; zero if it was never requested.
   ModelDemand demand(const common::ModelName& model, common::MonotonicTime now) const;
+  /// \return the rates of all models, as msgpack bytes for restore()
+  std::string encode(common::MonotonicTime now) const;
+  /// Takes over rates that were observed before this estimator was created: from then on it counts
+  /// as having observed them until its creation.
+  /// \return false, without a change, if the bytes are malformed or contain impossible rates
+  bool restore(const std::string& bytes);
   /// \return true once the short window has been observed in full.
   bool warm(common::MonotonicTime now) const { return now - started_at_ >= settings_.short_window; }
 
@@ -48,6 +55,9 @@
     common::MonotonicTime updated_at{};
 
     void decayTo(common::MonotonicTime now, common::Duration window);
+    /// Adds what a constant rate would have left in the sum.
+    /// \param seconds time of that rate that the sum still contains
+    void addHistory(const DemandRate& rate, double seconds);
   };
   struct ModelSums {
     DecayingSum short_window;
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -383,8 +383,8 @@
   Keys keys;
   for (Keys (*const part)() :
        {nodeKeys, limitKeys, membershipTimingKeys, controlTimingKeys, planningKeys, engineSpeedKeys,
-        retryKeys, connectionKeys, admissionKeys, quarantineKeys, dutyKeys, autoscalingKeys,
-        executionKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
+        retryKeys, connectionKeys, admissionKeys, quarantineKeys, checkpointKeys, dutyKeys,
+        autoscalingKeys, executionKeys, mechanismKeys, requestTimingKeys, faultKeys}) {
     Keys added = part();
     std::move(added.begin(), added.end(), std::back_inserter(keys));
   }
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -178,6 +178,27 @@
   };
 }
 
+std::vector<SettingKey> checkpointKeys() {
+  constexpr std::size_t kKibibyte = 1024;
+  return {
+      switchKey(
+          "checkpoint.enabled", [](auto& s) -> auto& { return s.node.checkpoint.enabled; },
+          "Keeps what the zone's nodes have learnt in the platform's store, for a restart of all."),
+      durationKey(
+          "checkpoint.interval", seconds(5), hours(1),
+          [](auto& s) -> auto& { return s.node.checkpoint.interval; },
+          "Between two writes of it, by one node of the zone, if anything has changed."),
+      durationKey(
+          "checkpoint.maximum_age", seconds(30), hours(24),
+          [](auto& s) -> auto& { return s.node.checkpoint.maximum_age; },
+          "What was saved longer ago is not used; longer than twice the interval."),
+      countKey(
+          "checkpoint.maximum_bytes", kKibibyte, 256 * kKibibyte,
+          [](auto& s) -> auto& { return s.node.checkpoint.maximum_bytes; },
+          "Size of the stored object at most; parts that don't fit are left out."),
+  };
+}
+
 std::vector<SettingKey> dutyKeys() {
   return {
       optionalAddressKey(
--- a/src/cypresswall/settings/policy_keys.h
+++ b/src/cypresswall/settings/policy_keys.h
@@ -19,6 +19,8 @@
 std::vector<SettingKey> admissionKeys();
 /// \return keys of the quarantine, which blocks requests that crash engines
 std::vector<SettingKey> quarantineKeys();
+/// \return keys of the checkpoint of what the nodes have learnt
+std::vector<SettingKey> checkpointKeys();
 /// \return keys of the duties that one node performs for the whole fleet
 std::vector<SettingKey> dutyKeys();
 /// \return keys of autoscaling
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -73,6 +73,8 @@
     const auto& retries = settings_.node.retries;
     require(retries.fleet_share > 0 || retries.fleet_burst <= 0 || retries.fleet_burst >= 1,
             "retries.fleet_burst", "no node could ever use less than one repeat; write 0 for none");
+    require(settings_.node.checkpoint.maximum_age > 2 * settings_.node.checkpoint.interval,
+            "checkpoint.maximum_age", "must be longer than twice checkpoint.interval");
     checkSeeds();
   }
 
