--- a/tests/execution/stream_move_test.cpp
+++ b/tests/execution/stream_move_test.cpp
@@ -43,6 +43,13 @@
     engines.started.clear();
     router.requests.clear();
   }
+  std::vector<std::unique_ptr<ModelExecution>> startAll(std::vector<RecordingObserver>& observers) {
+    std::vector<std::unique_ptr<ModelExecution>> handles(observers.size());
+    for (std::size_t index = 0; index < observers.size(); ++index) {
+      handles[index] = start(observers[index]);
+    }
+    return handles;
+  }
   void slowDown(const std::string& engine, common::Duration gap = milliseconds(200)) {
     engines.token_times[engine] = gap;
   }
@@ -162,10 +169,7 @@
     MoveFixture fixture(movingSettings(), limits);
     fixture.slowDown(kFirst);
     std::vector<RecordingObserver> observers(6);
-    std::vector<std::unique_ptr<ModelExecution>> handles;
-    for (auto& observer : observers) {
-      handles.push_back(fixture.start(observer));
-    }
+    const auto handles = fixture.startAll(observers);
     fixture.process.time.runFor(seconds(7));
     CPPUNIT_ASSERT_EQUAL(2.0, fixture.moves());
     CPPUNIT_ASSERT_EQUAL(2.0, fixture.retries.of("dispatch").left());
@@ -197,10 +201,7 @@
     fixture.engines.token_time = milliseconds(200);
     fixture.service().repeatable = false;
     std::vector<RecordingObserver> observers(4);
-    std::vector<std::unique_ptr<ModelExecution>> handles;
-    for (auto& observer : observers) {
-      handles.push_back(fixture.start(observer));
-    }
+    const auto handles = fixture.startAll(observers);
     fixture.process.time.runFor(seconds(5));
     fixture.service().repeatable = true;
     requireStays(fixture, handles.size());
