Close a kept connection whose answer is not one to the request

Callers: an answer could reach the caller of the request before it on the connection only as far as the checks of request identifiers allow, but each such answer cost a repeat, and the answer to the request itself stayed on the connection for its next user; reads of load have no identifier to check.

Cause: the pool took the connection back before the client saw that the answer was another one.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -60,6 +60,11 @@
   return std::move(easy_);
 }
 
+bool CurlJob::receivedForeignAnswer() const {
+  return request_.belongs_to_request && !response_.headers.empty() &&
+         !request_.belongs_to_request(response_.headers);
+}
+
 void CurlJob::abandon() {
   handler_ = nullptr;
   callback_ = nullptr;
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -56,6 +56,8 @@
   void probeIdleConnection() const;
   /// Records libcurl's result; called before finish().
   void ended(CURLcode code) { stale_ = foundStaleConnection(code); }
+  /// \return true if the answer is not one to this request.
+  bool receivedForeignAnswer() const;
   /// \return true if the request met a kept connection that was closed or silent.
   bool stale() const { return stale_; }
   /// \return the time for which the peer keeps an idle connection, if it announced one.
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -240,6 +240,10 @@
   if (socket && sending_.erase(*socket) == 0) {
     socket.reset();
   }
+  if (socket && job.receivedForeignAnswer()) {
+    shutDown({*socket});
+    socket.reset();
+  }
   const bool kept = pool_->requestEnded(peer, socket, job.announcedIdleTime(), now());
   if (kept) {
     job.probeIdleConnection();
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,10 @@
   /// connections, this replaces `connection_use`, and the pool decides whether the connection is
   /// kept after the response.
   std::optional<ConnectionUse> pooled_use;
+  /// If set: \return false if an answer with these headers is not one to this request. Its
+  /// connection is then closed: the answer to this request may still arrive there and would be
+  /// taken for the answer to the next one.
+  std::function<bool(const std::vector<CurlHeader>&)> belongs_to_request;
   common::Duration connect_time_limit = std::chrono::seconds(1);
   /// Time limit of the whole request; zero for no limit.
   common::Duration total_time_limit{0};
--- a/tests/objects_platform/engine_client/engine_client_test.cpp
+++ b/tests/objects_platform/engine_client/engine_client_test.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(onlyRequestsThatMayAreSentOnKeptConnections);
   CPPUNIT_TEST(closedKeptConnectionIsStale);
   CPPUNIT_TEST(surplusAnswerOnKeptConnectionIsStale);
+  CPPUNIT_TEST(connectionWithASurplusAnswerIsNotReused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,6 +210,27 @@
     }
   }
 
+  /// The answer to the request itself may follow on the connection, and would be given to the next
+  /// user of the connection.
+  void connectionWithASurplusAnswerIsNotReused() {
+    server_.answer(promptAnswer("r1"));
+    run(promptCall());
+    server_.answer(promptAnswer("other"));
+    CPPUNIT_ASSERT(failureOf(promptCall()) == StreamFailure::kStale);
+    CPPUNIT_ASSERT_EQUAL(1, server_.connections());
+    server_.answer(promptAnswer("r1"));
+    CPPUNIT_ASSERT(!failureOf(promptCall()));
+    CPPUNIT_ASSERT_EQUAL(2, server_.connections());
+
+    server_.answer(promptAnswer("other"));
+    bool read = false;
+    client_.fetchLoad({"runner", server_.address()}, [&read](const auto&) { read = true; });
+    CPPUNIT_ASSERT(runUntil(context_, [&read] { return read; }));
+    server_.answer(promptAnswer("r1"));
+    CPPUNIT_ASSERT(!failureOf(promptCall()));
+    CPPUNIT_ASSERT_EQUAL(3, server_.connections());
+  }
+
  private:
   static engines::StreamRequest promptCall() {
     engines::StreamRequest request = resumedCall();
--- a/tests/objects_platform/service_client_test.cpp
+++ b/tests/objects_platform/service_client_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(onlyCallsThatMayReuseAConnection);
   CPPUNIT_TEST(closedKeptConnectionIsStale);
   CPPUNIT_TEST(surplusAnswerOnKeptConnectionIsStale);
+  CPPUNIT_TEST(connectionWithASurplusAnswerIsNotReused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,6 +66,17 @@
     CPPUNIT_ASSERT(call(true) == ServiceOutcome::kBroken);
   }
 
+  void connectionWithASurplusAnswerIsNotReused() {
+    server_.answer(answerTo("r1"));
+    call(false);
+    server_.answer(answerTo("other"));
+    CPPUNIT_ASSERT(call(true) == ServiceOutcome::kStale);
+    CPPUNIT_ASSERT_EQUAL(1, server_.connections());
+    server_.answer(answerTo("r1"));
+    CPPUNIT_ASSERT(call(true) == ServiceOutcome::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(2, server_.connections());
+  }
+
  private:
   ServiceOutcome call(bool may_reuse_connection) {
     services::ServiceRequest request;
