--- a/tests/admission/zone_admission_controller_test.cpp
+++ b/tests/admission/zone_admission_controller_test.cpp
@@ -45,7 +45,7 @@
     }
   }
   /// Divides the engines, with shares that let `large` send a tenth of its requests.
-  void divide(std::vector<common::TenantName> tenants) {
+  void divide(const std::vector<common::TenantName>& tenants) {
     for (const common::TenantName& tenant : tenants) {
       configuration.fleet.tenants[tenant].name = tenant;
     }
