--- a/tests/runtime/kept_connection_test.cpp
+++ b/tests/runtime/kept_connection_test.cpp
@@ -190,7 +190,7 @@
 
   void abandonedRequestLeavesNoConnection() {
     keepOne();
-    auto transfer = curl_->startFetch(request(ConnectionUse::kReuse), [](CurlResponse) {});
+    auto transfer = curl_->startFetch(request(ConnectionUse::kReuse), [](const CurlResponse&) {});
     CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.requests().size() == 2; }));
     transfer.reset();
     CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.closedByClient() == 1; }));
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -251,8 +251,9 @@
     CPPUNIT_ASSERT(settings.node.execution.stream_moves.enabled);
     CPPUNIT_ASSERT_EQUAL(0.1, settings.node.execution.stream_moves.budget_share);
     for (const std::string value : {"-0.1", "0", "nan", "half", "1e9", "1.01"}) {
-      const auto problems =
-          problemsOf(kMinimalSettings + "execution: {moves_budget_share: " + value + "}");
+      std::string text = kMinimalSettings;
+      text.append("execution: {moves_budget_share: ").append(value).append("}");
+      const auto problems = problemsOf(text);
       CPPUNIT_ASSERT_MESSAGE(
           value, problems.starts_with("node.yaml:10: execution.moves_budget_share: '" + value));
     }
