Bound what a damaged copy of learned speeds may allocate

A damaged length made restore() ask for 137 GB (AddressSanitizer, engine_speed_test unusableStoredSpeedsAreIgnored, which failed before). Lengths are limited by the bytes at hand.

--- a/src/cypresswall/engine_speed/stored_speeds.cpp
+++ b/src/cypresswall/engine_speed/stored_speeds.cpp
@@ -96,7 +96,10 @@
     if (bytes.size() > kMaximumBytes) {
       return false;
     }
-    msgpack::unpack(bytes.data(), bytes.size()).get().convert(stored);
+    // A damaged length must not allocate more than the bytes can hold.
+    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(),
+                                      bytes.size());
+    msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit).get().convert(stored);
   } catch (const std::exception&) {
     return false;
   }
