--- a/src/cypresswall/planning/demand_estimator.cpp
+++ b/src/cypresswall/planning/demand_estimator.cpp
@@ -160,7 +160,10 @@
 bool DemandEstimator::restore(const std::string& bytes) {
   EncodedRates restored;
   try {
-    msgpack::unpack(bytes.data(), bytes.size()).get().convert(restored);
+    // A damaged length must not allocate more than the bytes can hold.
+    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(),
+                                      bytes.size());
+    msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit).get().convert(restored);
   } catch (const std::exception&) {
     return false;
   }
