--- a/src/cypresswall/engine_speed/stored_speeds.cpp
+++ b/src/cypresswall/engine_speed/stored_speeds.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <msgpack.hpp>
 
+#include "cypresswall/common/bounded_unpack.h"
 #include "cypresswall/engine_speed/decode_speed_estimator.h"
 
 namespace cypresswall::engine_speed {
@@ -96,10 +97,7 @@
     if (bytes.size() > kMaximumBytes) {
       return false;
     }
-    // A damaged length must not allocate more than the bytes can hold.
-    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(),
-                                      bytes.size());
-    msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit).get().convert(stored);
+    common::unpackBounded(bytes).get().convert(stored);
   } catch (const std::exception&) {
     return false;
   }
--- a/src/cypresswall/planning/demand_estimator.cpp
+++ b/src/cypresswall/planning/demand_estimator.cpp
@@ -6,6 +6,8 @@
 #include <msgpack.hpp>
 #include <utility>
 
+#include "cypresswall/common/bounded_unpack.h"
+
 namespace cypresswall::planning {
 namespace {
 
@@ -160,10 +162,7 @@
 bool DemandEstimator::restore(const std::string& bytes) {
   EncodedRates restored;
   try {
-    // A damaged length must not allocate more than the bytes can hold.
-    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(),
-                                      bytes.size());
-    msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit).get().convert(restored);
+    common::unpackBounded(bytes).get().convert(restored);
   } catch (const std::exception&) {
     return false;
   }
