Log who says that an engine can or can't be reached

The lines of nodes cut off from all servers couldn't tell ejections, which end after some seconds, from statements of a watcher, which last until it polls the engine again: the latter wrote no line. One line at the watcher when its polls show a change, and one at each node that takes a peer's word; nothing else changes.

--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -272,7 +272,7 @@
   for (const EngineIdentity& identity : message.identities) {
     identities_[identity.index] = identity;
   }
-  applyChanges(message, unknown);
+  applyChanges(sender, message, unknown);
   applyConfirmations(message, unknown);
   applyDeferred(message);
   applyHints(message);
@@ -292,7 +292,8 @@
   return true;
 }
 
-void DeltaExchange::applyChanges(const EngineDeltas& message, std::set<std::uint16_t>& unknown) {
+void DeltaExchange::applyChanges(const common::NodeId& sender, const EngineDeltas& message,
+                                 std::set<std::uint16_t>& unknown) {
   const common::MonotonicTime now = context_.clock.now();
   for (const EngineDelta& delta : message.changed) {
     const EngineSlot slot = slotAt(delta.index);
@@ -315,10 +316,22 @@
     unknown.erase(delta.index);
     observation.reachable = applyDelta(delta, observation.load);
     observation.observed_at = now - kAgeUnit * delta.age_centiseconds;
+    logReachability(sender, slot, observation.reachable);
     table_.observe(slot, observation, now);
   }
 }
 
+void DeltaExchange::logReachability(const common::NodeId& sender, EngineSlot slot,
+                                    bool reachable) const {
+  const EngineRecord& record = table_.record(slot);
+  if (record.reported && record.reachable != reachable) {
+    common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_reachability_changed")
+        .field("engine", record.declaration.name)
+        .field("reachable", reachable)
+        .field("source", sender.address);
+  }
+}
+
 void DeltaExchange::applyConfirmations(const EngineDeltas& message,
                                        std::set<std::uint16_t>& unknown) {
   const common::MonotonicTime now = context_.clock.now();
--- a/src/cypresswall/routing/delta_exchange.h
+++ b/src/cypresswall/routing/delta_exchange.h
@@ -71,7 +71,10 @@
   void onDeltas(const common::NodeId& sender, const EngineDeltas& message);
   /// \return false if the identity of the engine at `index` was requested recently
   bool mayRequestIdentity(std::uint16_t index);
-  void applyChanges(const EngineDeltas& message, std::set<std::uint16_t>& unknown);
+  void applyChanges(const common::NodeId& sender, const EngineDeltas& message,
+                    std::set<std::uint16_t>& unknown);
+  /// Logs what a peer says of an engine, if the engine's record says otherwise.
+  void logReachability(const common::NodeId& sender, EngineSlot slot, bool reachable) const;
   void applyConfirmations(const EngineDeltas& message, std::set<std::uint16_t>& unknown);
   void applyDeferred(const EngineDeltas& message);
   void applyHints(const EngineDeltas& message);
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -97,15 +97,27 @@
     ++state.failures;
     state.steady = false;
     if (state.failures >= settings_.unreachable_after_failures) {
+      logReachability(slot, false);
       table_.setReachable(slot, false, now);
     }
     return;
   }
   state.failures = 0;
+  logReachability(slot, true);
   updateSteadiness(state, result.value());
   table_.observe(slot, EngineObservation{result.value(), now - result.value().age, true}, now);
 }
 
+void EnginePoller::logReachability(EngineSlot slot, bool reachable) const {
+  const EngineRecord& record = table_.record(slot);
+  if (record.reachable != reachable) {
+    common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_reachability_changed")
+        .field("engine", record.declaration.name)
+        .field("reachable", reachable)
+        .field("source", "own polls");
+  }
+}
+
 void EnginePoller::updateSteadiness(PollState& state, const engines::EngineLoad& load) {
   const EngineDelta delta = makeDelta(0, load, true, common::Duration{0});
   const bool moved = !state.reference || changeSignificance(*state.reference, delta, load) > 0;
--- a/src/cypresswall/routing/engine_poller.h
+++ b/src/cypresswall/routing/engine_poller.h
@@ -59,6 +59,8 @@
   void pollLoad(EngineSlot slot);
   void pollCache(EngineSlot slot);
   void onLoad(EngineSlot slot, const common::Result<engines::EngineLoad, engines::EngineFailure>&);
+  /// Logs what this node's polls show, if the engine's record says otherwise.
+  void logReachability(EngineSlot slot, bool reachable) const;
   void applyCacheEvent(EngineSlot slot, const engines::CacheEvent& event);
   void onCacheEvents(EngineSlot slot, const engines::CacheEvents& events);
   /// \return true if the engine asked for a time without requests and its last report is recent
