Serve the callers of a node that reaches no server through its peers

Seen: six of nine nodes lost their links to all engines and back ends for 12 s and served 0 of 601 first tries, though callers and peers reached them.

Cause: a node had no other way to a server than its own links, and found out that they were gone engine by engine. The record shows it: each request at a cut node tried engines of its own, or was refused since all were ejected; processor use was 1 to 4% at all nodes, which rules out overload of the others.

Change: PathMonitor follows the connections that a node opens; after failures to two hosts it probes six servers, and counts the path as lost if none can be reached. Requests that have not been sent then end as kPathLost and are executed by a peer that reaches servers; the answer flows back message by message. One try stays one try: deadline less what is spent, admission, budget, fingerprint and key claims at the receiver only, no second forwarding, not-run only if every receiver said so, cancel and back-pressure passed on. A request that may have run, or has begun to answer, stays where it is. Nodes of builds before are never asked.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -52,7 +52,9 @@
       self_{transport_.listen(), newIncarnation()},
       connections_(settings_.connections, counters_),
       curl_(context_, curlSettings(settings_), &connections_),
-      platform_adapter_(make_platform_adapter({settings_, processContext(), curl_})),
+      server_connections_(context_, log_, settings_.engines.connect_time_limit),
+      platform_adapter_(
+          make_platform_adapter({settings_, processContext(), curl_, server_connections_})),
       node_(settings_.node, processContext(), platform_adapter_->clients()),
       frontend_(platform_adapter_->makeFrontend(node_)),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
--- a/apps/cypresswalld/daemon.h
+++ b/apps/cypresswalld/daemon.h
@@ -16,6 +16,7 @@
 #include "cypresswall/runtime/curl_multi.h"
 #include "cypresswall/runtime/log_sink.h"
 #include "cypresswall/runtime/tcp_peer_transport.h"
+#include "cypresswall/runtime/tcp_server_connections.h"
 #include "cypresswall/settings/daemon_settings.h"
 #include "cypresswall/surroundings/platform_adapter.h"
 
@@ -72,6 +73,7 @@
   common::NodeId self_;
   runtime::ConnectionPool connections_;
   runtime::CurlMulti curl_;
+  runtime::TcpServerConnections server_connections_;
   std::unique_ptr<surroundings::PlatformAdapter> platform_adapter_;
   node::Node node_;
   std::unique_ptr<surroundings::Frontend> frontend_;
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -27,8 +27,9 @@
   kRateLimits = 4,      ///< adds the messages of `fleet_limits` on servers' limits
   kTenantAccounts = 5,  ///< adds the messages of `fleet_limits` on tenants' limits
   kFairShares = 6,      ///< adds the messages of `fleet_limits` on fair shares of scarce pools
+  kForwarding = 7,      ///< adds the messages of `forwarding`
 };
-inline constexpr MessageSet kHandledMessages = MessageSet::kFairShares;
+inline constexpr MessageSet kHandledMessages = MessageSet::kForwarding;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
@@ -48,6 +49,7 @@
   kDutiesFirst = 1200,
   kAutoscalingFirst = 1300,
   kFleetLimitsFirst = 1400,
+  kForwardingFirst = 1500,
 };
 
 /// \return the `offset`-th message type of the block that starts at `first`.
--- a/src/cypresswall/engines/engine_client.h
+++ b/src/cypresswall/engines/engine_client.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "cypresswall/api/server_connections.h"
 #include "cypresswall/common/rate_limit_notice.h"
 #include "cypresswall/common/result.h"
 #include "cypresswall/common/server_announcement.h"
@@ -80,8 +81,20 @@
   void observeAnnouncements(common::AnnouncementObserver observer) {
     announcement_observer_ = std::move(observer);
   }
+  /// Sets where the client reports connections that it opens, or could not open.
+  void reportConnectionsTo(const api::ServerConnections* connections) {
+    connections_ = connections;
+  }
 
  protected:
+  /// \return a function that reports whether a connection to the server was established
+  std::function<void(bool established)> connectionReporter(const common::Address& address) const {
+    return [this, address](bool established) {
+      if (connections_ != nullptr) {
+        connections_->report(address, established);
+      }
+    };
+  }
   void announce(const common::EngineName& engine,
                 const common::ServerAnnouncement& announcement) const {
     if (announcement_observer_) {
@@ -91,6 +104,7 @@
 
  private:
   common::AnnouncementObserver announcement_observer_;
+  const api::ServerConnections* connections_ = nullptr;
 };
 
 }  // namespace cypresswall::engines
--- a/src/cypresswall/engines/http_engine_client.cpp
+++ b/src/cypresswall/engines/http_engine_client.cpp
@@ -88,6 +88,7 @@
   CurlRequest request;
   request.address = engine.address;
   request.target = std::move(target);
+  request.on_connection = connectionReporter(engine.address);
   request.connect_time_limit = settings_.connect_time_limit;
   request.total_time_limit = settings_.report_time_limit;
   return request;
@@ -101,6 +102,7 @@
   request.target = std::move(target);
   request.headers.push_back({"Content-Type", "application/json"});
   request.body = std::move(body);
+  request.on_connection = connectionReporter(engine.address);
   request.connect_time_limit = settings_.connect_time_limit;
   return request;
 }
--- a/src/cypresswall/execution/engine_model_executor.h
+++ b/src/cypresswall/execution/engine_model_executor.h
@@ -22,6 +22,9 @@
                       quarantine::RequestQuarantine& quarantine, duties::UsageRecorder& usage,
                       const ExecutionSettings& settings = {});
   std::unique_ptr<ModelExecution> start(ModelCall call, ModelCallObserver& observer) override;
+  /// Sets how requests learn that this node reaches no engine; they then end with
+  /// ErrorKind::kPathLost. Without it, they try one engine after the other.
+  void setServerPath(const api::ServerPath& path) { core_.server_path = &path; }
   const RequestJournal& journal() const { return core_.journal; }
 
  private:
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -7,6 +7,7 @@
 
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/api/server_path.h"
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/duties/usage_recorder.h"
 #include "cypresswall/engines/engine_client.h"
@@ -55,6 +56,7 @@
 
   /// \return a stream identifier that is unique across all processes
   std::string nextStreamId();
+  bool pathLost() const { return server_path != nullptr && server_path->lost(); }
   /// \return an attempt number that is unique within this process
   std::uint32_t nextAttemptNumber() { return next_attempt_++; }
   /// Detaches a finished attempt from its listener and destroys it in the next scheduler callback,
@@ -70,6 +72,8 @@
   fleet_limits::RateLimiter& rate_limiter;
   quarantine::RequestQuarantine& quarantine;
   duties::UsageRecorder& usage;
+  /// Whether this node reaches engines; null if that is not known.
+  const api::ServerPath* server_path = nullptr;
   const ExecutionSettings settings;
   const common::MonotonicTime started_at;
   StreamEventCounters stream_events;
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -93,6 +93,9 @@
            core_.settings.default_retry_after);
     return;
   }
+  if (endIfPathLost()) {
+    return;
+  }
   awaiting_placement_ = true;
   core_.router.place(routeRequest(), [weak = weak_from_this()](routing::RouteChoice choice) {
     if (const auto self = weak.lock()) {
@@ -101,6 +104,14 @@
   });
 }
 
+bool ModelRequest::endIfPathLost() {
+  if (!core_.pathLost() || may_have_run_ || resuming()) {
+    return false;
+  }
+  giveUp(ErrorKind::kPathLost, "this node reaches no engine", core_.settings.default_retry_after);
+  return true;
+}
+
 void ModelRequest::onPlaced(routing::RouteChoice choice) {
   awaiting_placement_ = false;
   if (const auto* refusal = std::get_if<routing::RouteRefusal>(&choice)) {
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -49,6 +49,10 @@
   bool checkPermitted();
   bool admit();
   void nextAttempt();
+  /// Ends the request if this node reaches no engine and no engine may have run it. A request that
+  /// may have run keeps looking for an engine here, since only this node knows its state.
+  /// \return true if the request was ended
+  bool endIfPathLost();
   void onPlaced(routing::RouteChoice choice);
   routing::RouteRequest routeRequest() const;
   /// \return the time left for the first token or, if the answer is being resumed, the service's
--- a/src/cypresswall/execution/outcome.h
+++ b/src/cypresswall/execution/outcome.h
@@ -31,6 +31,7 @@
   kKeyReused,   ///< the idempotency key was already used for a different request
   kDraining,
   kQuarantined,  ///< the request is refused because back ends crashed on it
+  kPathLost,     ///< this node can't reach any engine or back end, and nothing was sent
   kKeyRevoked,   ///< the caller's API key was revoked while the request was waiting
 };
 
--- a/src/cypresswall/execution/service_execution_core.h
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -9,6 +9,7 @@
 #include "cypresswall/admission/admission.h"
 #include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/api/server_path.h"
 #include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/configuration/configuration_view.h"
 #include "cypresswall/duties/usage_recorder.h"
@@ -40,6 +41,8 @@
   const availability::AnnouncedAvailability& announced;
   /// Told how back ends answer; null if their room is not divided.
   admission::FairShares* fair_shares = nullptr;
+  /// Whether this node reaches back ends; null if that is not known.
+  const api::ServerPath* server_path = nullptr;
 };
 
 /// Counters of service requests.
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -129,6 +129,11 @@
          core_.settings.default_retry_after);
     return false;
   }
+  if (core_.interfaces.server_path != nullptr && core_.interfaces.server_path->lost() &&
+      !may_have_run_) {
+    fail(ErrorKind::kPathLost, "this node reaches no back end", core_.settings.default_retry_after);
+    return false;
+  }
   return checkPermitted();
 }
 
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -42,7 +42,7 @@
 
   void nextAttempt();
   /// Ends the request with an error if its caller has disconnected, if the request's deadline has
-  /// passed, or if checkPermitted() fails.
+  /// passed, if this node reaches no back end, or if checkPermitted() fails.
   /// \return false if the request was ended
   bool checkSendable();
   /// Chooses among the back ends that accept calls.
--- a/src/cypresswall/gateway/error_answer.cpp
+++ b/src/cypresswall/gateway/error_answer.cpp
@@ -34,6 +34,7 @@
     case ErrorKind::kOverloaded:
       return {503, kServerErrorType, "overloaded", true};
     case ErrorKind::kNoBackend:
+    case ErrorKind::kPathLost:
       return {503, kServerErrorType, "no_backend", true};
     case ErrorKind::kDeadlineExceeded:
       return {504, kServerErrorType, "deadline_exceeded", false};
--- a/src/cypresswall/membership/membership_view.h
+++ b/src/cypresswall/membership/membership_view.h
@@ -26,6 +26,8 @@
   /// Number of engines that the zone's load needs, according to the node that plans roles; absent
   /// or zero if the load asks for no particular number.
   kNeededEngines = 5,
+  /// One while the node reaches no server; absent or zero otherwise.
+  kServersUnreached = 6,
 };
 
 enum class MemberState : std::uint8_t { kAlive, kSuspect, kLeaving, kDead };
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -14,9 +14,22 @@
   return std::make_unique<routing::CostRouter>(settings.router, context, directory);
 }
 
-NodeSettings withSharedZoneLimit(NodeSettings settings) {
+/// Stands in where the platform adapter has no probes; the path monitor is then disabled.
+class NoServerConnections final : public api::ServerConnections {
+ public:
+  void probe(const common::Address&, ProbeCallback) override {}
+};
+
+api::ServerConnections& connectionsOf(const NodeClients& clients) {
+  static NoServerConnections none;
+  return clients.connections == nullptr ? none : *clients.connections;
+}
+
+/// \return the settings with those that follow from others
+NodeSettings completed(NodeSettings settings, bool probes_servers) {
   settings.membership.neighbours.mesh_limit = settings.shared_zone_nodes;
   settings.directory.groups.shared_zone_node_limit = settings.shared_zone_nodes;
+  settings.reachability.enabled = settings.reachability.enabled && probes_servers;
   settings.fair_share_accounts.enabled =
       settings.fair_shares.divides_engines || settings.fair_shares.limits_services;
   return settings;
@@ -25,7 +38,7 @@
 }  // namespace
 
 Node::Node(NodeSettings settings, const api::ProcessContext& context, const NodeClients& clients)
-    : settings_(withSharedZoneLimit(std::move(settings))),
+    : settings_(completed(std::move(settings), clients.connections != nullptr)),
       context_(context),
       clients_(clients),
       membership_(settings_.membership, context_, clients.machine_list),
@@ -36,6 +49,7 @@
       declared_(clients.declared),
       configuration_view_(declared_ != nullptr ? *declared_ : configuration_),
       announced_(settings_.announced, context_),
+      server_path_(settings_.reachability, context_, configuration_view_, connectionsOf(clients)),
       engines_(settings_.directory, context_, clients.engines, configuration_view_, membership_),
       router_(makeRouter(settings_, context_, engines_)),
       rate_limits_(settings_.rate_limits, settings_.membership.neighbours, context_, membership_),
@@ -75,12 +89,17 @@
                    [this] { return controller_.demand(); }),
       model_executor_(context_, configuration_view_, admission_, observed_router_, clients.engines,
                       retries_, rate_limits_, quarantine_, duties_.usage(), settings_.execution),
-      service_executor_(
-          context_,
-          execution::ServiceInterfaces{configuration_view_, membership_, admission_,
-                                       clients.services, key_claims_, retries_, rate_limits_,
-                                       quarantine_, duties_.usage(), announced_, &fair_shares_},
-          settings_.execution),
+      service_executor_(context_,
+                        execution::ServiceInterfaces{configuration_view_, membership_, admission_,
+                                                     clients.services, key_claims_, retries_,
+                                                     rate_limits_, quarantine_, duties_.usage(),
+                                                     announced_, &fair_shares_, &server_path_},
+                        settings_.execution),
+      forwarder_(settings_.forwarding, context_, membership_, server_path_),
+      forwarding_models_(forwarder_, configuration_view_, model_executor_),
+      forwarding_services_(forwarder_, configuration_view_, service_executor_),
+      forwarding_server_(settings_.forwarding, context_, membership_, server_path_, model_executor_,
+                         service_executor_, [this] { return !draining_; }),
       state_(NodeStateSources{context_.clock, membership_, orders_authority_, configuration_view_,
                               engines_, *router_, controller_, model_executor_.journal(),
                               service_executor_.journal(), retries_, fair_shares_, local_share_,
@@ -105,6 +124,7 @@
   };
   clients_.engines.observeAnnouncements(record);
   clients_.services.observeAnnouncements(record);
+  watchServerPath();
   rate_limits_.setOwnerLookup([this](const std::string& server) {
     const routing::EngineSlot slot = engines_.table().slotOf(server);
     return slot == routing::kNoEngineSlot ? common::NodeId{}
@@ -120,6 +140,20 @@
 Node::~Node() {
   clients_.engines.observeAnnouncements({});
   clients_.services.observeAnnouncements({});
+  connectionsOf(clients_).observe({});
+}
+
+void Node::watchServerPath() {
+  api::ServerConnections& connections = connectionsOf(clients_);
+  connections.observe([this](const common::Address& server, bool established) {
+    server_path_.onConnection(server, established);
+  });
+  clients_.engines.reportConnectionsTo(&connections);
+  clients_.services.reportConnectionsTo(&connections);
+  server_path_.onChange([this] {
+    membership_.setDigest(membership::DigestTopic::kServersUnreached, server_path_.lost() ? 1 : 0);
+  });
+  model_executor_.setServerPath(server_path_);
 }
 
 void Node::start() {
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -10,6 +10,7 @@
 #include "cypresswall/admission/observed_router.h"
 #include "cypresswall/admission/zone_admission_controller.h"
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/api/server_connections.h"
 #include "cypresswall/autoscaling/controller.h"
 #include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/checkpoint/checkpoint_reader.h"
@@ -25,6 +26,10 @@
 #include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
 #include "cypresswall/fleet_limits/tenant_accounts.h"
+#include "cypresswall/forwarding/forwarder.h"
+#include "cypresswall/forwarding/forwarding_model_executor.h"
+#include "cypresswall/forwarding/forwarding_server.h"
+#include "cypresswall/forwarding/forwarding_service_executor.h"
 #include "cypresswall/idempotency/quorum_key_claims.h"
 #include "cypresswall/lease/store_lease.h"
 #include "cypresswall/lease/zone_authority.h"
@@ -38,6 +43,7 @@
 #include "cypresswall/orders/demand_part.h"
 #include "cypresswall/orders/zone_controller.h"
 #include "cypresswall/quarantine/fleet_quarantine.h"
+#include "cypresswall/reachability/path_monitor.h"
 #include "cypresswall/routing/cost_router.h"
 #include "cypresswall/routing/engine_directory.h"
 #include "cypresswall/routing/permit_router.h"
@@ -61,6 +67,9 @@
   /// Wall-clock time, required for usage reports and checkpoints; may be empty if the node sends
   /// none.
   common::TimeOfDay time_of_day = {};
+  /// Reports and probes connections to engines and back ends. Without it, the node doesn't notice
+  /// that it has lost its links to all of them.
+  api::ServerConnections* connections = nullptr;
 };
 
 class Node {
@@ -96,10 +105,10 @@
   idempotency::KeyClaims& keyClaims() { return key_claims_; }
   operators::CommandService& commands() { return commands_; }
   admission::ZoneAdmissionController& admission() { return admission_; }
-  execution::ModelExecutor& modelExecutor() { return model_executor_; }
+  execution::ModelExecutor& modelExecutor() { return forwarding_models_; }
   duties::FleetDuties& duties() { return duties_; }
   const fleet_limits::ConnectionShares& connectionShares() const { return connection_shares_; }
-  execution::ServiceExecutor& serviceExecutor() { return service_executor_; }
+  execution::ServiceExecutor& serviceExecutor() { return forwarding_services_; }
 
  private:
   bool hasConfiguration() const;
@@ -111,6 +120,8 @@
   lease::AuthorityView& makeOrdersAuthority(object_store::ObjectStore& store);
   void startAuthority();
   void startCheckpoint();
+  /// Connects the clients and the modules with the monitor of this node's path to servers.
+  void watchServerPath();
   void checkStop();
   bool mayStop() const;
 
@@ -128,6 +139,7 @@
   configuration::ConfigurationView* declared_;
   configuration::ConfigurationView& configuration_view_;
   availability::AnnouncedAvailability announced_;
+  reachability::PathMonitor server_path_;
   routing::EngineDirectory engines_;
   std::unique_ptr<routing::Router> router_;
   fleet_limits::EngineRateLimits rate_limits_;
@@ -153,6 +165,10 @@
   autoscaling::Controller autoscaling_;
   execution::EngineModelExecutor model_executor_;
   execution::HttpServiceExecutor service_executor_;
+  forwarding::Forwarder forwarder_;
+  forwarding::ForwardingModelExecutor forwarding_models_;
+  forwarding::ForwardingServiceExecutor forwarding_services_;
+  forwarding::ForwardingServer forwarding_server_;
   NodeState state_;
   operators::CommandService commands_;
   bool draining_ = false;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -18,6 +18,7 @@
 #include "cypresswall/fleet_limits/local_share.h"
 #include "cypresswall/fleet_limits/retry_budgets.h"
 #include "cypresswall/fleet_limits/tenant_accounts.h"
+#include "cypresswall/forwarding/forwarding_settings.h"
 #include "cypresswall/idempotency/claim_settings.h"
 #include "cypresswall/lease/lease_settings.h"
 #include "cypresswall/lease/store_lease.h"
@@ -25,6 +26,7 @@
 #include "cypresswall/orders/settings.h"
 #include "cypresswall/planning/planner.h"
 #include "cypresswall/quarantine/quarantine_settings.h"
+#include "cypresswall/reachability/reachability_settings.h"
 #include "cypresswall/routing/engine_directory.h"
 #include "cypresswall/routing/router.h"
 #include "cypresswall/routing/settings.h"
@@ -74,6 +76,8 @@
   fleet_limits::RateLimitSettings rate_limits;
   availability::AnnouncedAvailabilitySettings announced;
   quarantine::QuarantineSettings quarantine;
+  reachability::ReachabilitySettings reachability;
+  forwarding::ForwardingSettings forwarding;
   checkpoint::CheckpointSettings checkpoint;
   duties::DutySettings duties;
   autoscaling::AutoscalingSettings autoscaling;
--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -203,6 +203,9 @@
     return false;
   }
   reused_ = numberOf(CURLINFO_NUM_CONNECTS) == 0;
+  if (!reused_ && request_.on_connection) {
+    request_.on_connection(true);
+  }
   sent_at_ = std::chrono::steady_clock::now();
   if (on_sending_) {
     socket_ = on_sending_(reused_ ? std::nullopt : socket_, local_port);
@@ -307,6 +310,9 @@
   CurlResponse response = std::move(response_);
   response.reused_connection = reused_;
   response.outcome = outcomeOf(code);
+  if (response.outcome == CurlOutcome::kNotSent && request_.on_connection) {
+    request_.on_connection(false);
+  }
   response.status = static_cast<int>(numberOf(CURLINFO_RESPONSE_CODE));
   if (code != CURLE_OK) {
     const std::string detail =
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -46,6 +46,9 @@
   /// connection is then closed: the answer to this request may still arrive there and would be
   /// taken for the answer to the next one.
   std::function<bool(const std::vector<CurlHeader>&)> belongs_to_request;
+  /// If set: called when a new connection for the request is established, or could not be. Not
+  /// called if the request uses a kept connection.
+  std::function<void(bool established)> on_connection;
   common::Duration connect_time_limit = std::chrono::seconds(1);
   /// Time limit of the whole request; zero for no limit.
   common::Duration total_time_limit{0};
--- a/src/cypresswall/services/http_service_client.cpp
+++ b/src/cypresswall/services/http_service_client.cpp
@@ -123,6 +123,7 @@
   const bool only_reads = sent.method == "GET" || sent.method == "HEAD";
   sent.connection_use =
       only_reads ? runtime::ConnectionUse::kReuse : runtime::ConnectionUse::kFresh;
+  sent.on_connection = connectionReporter(address);
   sent.connect_time_limit = settings_.connect_time_limit;
   sent.total_time_limit = request.time_limit;
   sent.maximum_body_bytes = settings_.maximum_answer_bytes;
--- a/src/cypresswall/services/service_client.h
+++ b/src/cypresswall/services/service_client.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "cypresswall/api/server_connections.h"
 #include "cypresswall/common/header_field.h"
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/rate_limit_notice.h"
@@ -80,8 +81,20 @@
   void observeAnnouncements(common::AnnouncementObserver observer) {
     announcement_observer_ = std::move(observer);
   }
+  /// Sets where the client reports connections that it opens, or could not open.
+  void reportConnectionsTo(const api::ServerConnections* connections) {
+    connections_ = connections;
+  }
 
  protected:
+  /// \return a function that reports whether a connection to the server was established
+  std::function<void(bool established)> connectionReporter(const common::Address& address) const {
+    return [this, address](bool established) {
+      if (connections_ != nullptr) {
+        connections_->report(address, established);
+      }
+    };
+  }
   void announce(const std::string& server, const common::ServerAnnouncement& announcement) const {
     if (announcement_observer_) {
       announcement_observer_(server, announcement);
@@ -90,6 +103,7 @@
 
  private:
   common::AnnouncementObserver announcement_observer_;
+  const api::ServerConnections* connections_ = nullptr;
 };
 
 }  // namespace cypresswall::services
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cypresswall/emulation/answer.h"
+#include "cypresswall/simulation/simulated_connections.h"
 
 namespace cypresswall::simulation {
 namespace {
@@ -102,7 +103,10 @@
   auto& machines = process.emplace<SimulatedMachineList>(simulation_, process, platform_);
   auto& engines = process.emplace<SimulatedEngineClient>(simulation_, process, engines_);
   auto& services = process.emplace<SimulatedServiceClient>(simulation_, process, services_);
-  const node::NodeClients clients{store, machines, engines, services, settings_.declared};
+  auto& connections =
+      process.emplace<SimulatedServerConnections>(simulation_, process, engines_, services_);
+  node::NodeClients clients{store, machines, engines, services, settings_.declared};
+  clients.connections = &connections;
   slot.process = &process;
   slot.node = &process.emplace<node::Node>(nodeSettings(slot), process.context(), clients);
   slot.connections = &process.emplace<CallerConnections>(simulation_, process);
--- a/src/cypresswall/simulation/simulated_engines.cpp
+++ b/src/cypresswall/simulation/simulated_engines.cpp
@@ -65,7 +65,7 @@
   return SimulatedStream::start(
       path, engines_, engine.address, std::move(request), handler,
       [this, name = engine.name](const auto& announcement) { announce(name, announcement); },
-      settings_.break_detection_time);
+      connectionReporter(engine.address), settings_.break_detection_time);
 }
 
 template <typename Answer, typename Question>
@@ -80,6 +80,9 @@
   };
   auto done = [this, engine, callback = std::move(callback)](CallResult result,
                                                              std::optional<Answer> answer) {
+    if (result != CallResult::kUnknown) {
+      connectionReporter(engine.address)(result == CallResult::kAnswered);
+    }
     if (result == CallResult::kAnswered) {
       const emulation::EmulatedEngine* const found = engines_.find(engine.address);
       announce(engine.name, {found != nullptr && found->faults().leaving, {}});
--- a/src/cypresswall/simulation/simulated_services.cpp
+++ b/src/cypresswall/simulation/simulated_services.cpp
@@ -126,8 +126,11 @@
     service->handle(emulatedCall(request),
                     [reply = std::move(reply)](Answer answer) { reply(std::move(answer)); });
   };
-  auto done = [this, server = request.server, kept = call->callback()](
+  auto done = [this, address, server = request.server, kept = call->callback()](
                   CallResult result, std::optional<Answer> answer) {
+    if (result != CallResult::kUnknown) {
+      connectionReporter(address)(result == CallResult::kAnswered);
+    }
     if (result == CallResult::kAnswered && *kept) {
       announce(server, {answer->leaving, answer->pause});
     }
--- a/src/cypresswall/simulation/simulated_stream.cpp
+++ b/src/cypresswall/simulation/simulated_stream.cpp
@@ -20,7 +20,8 @@
  public:
   Connection(const ExternalPath& path, SimulatedEngines& engines, common::Address address,
              engines::StreamRequest request, engines::StreamHandler& handler,
-             common::AnnouncementReporter announce, common::Duration break_detection_time)
+             common::AnnouncementReporter announce, ConnectionReporter report_connection,
+             common::Duration break_detection_time)
       : path_(path),
         engines_(engines),
         address_(std::move(address)),
@@ -29,6 +30,7 @@
         request_(std::move(request)),
         handler_(&handler),
         announce_(std::move(announce)),
+        report_connection_(std::move(report_connection)),
         break_detection_time_(break_detection_time) {}
 
   void connect() {
@@ -82,6 +84,7 @@
   }
 
   void requestArrives() {
+    reportConnection();
     if (path_.requestCut()) {
       fail(engines::StreamFailure::kNotSent);
       return;
@@ -120,6 +123,14 @@
     }
   }
 
+  /// A connection needs both directions of the link.
+  void reportConnection() {
+    const emulation::EmulatedEngine* const engine = engines_.find(address_);
+    const bool established =
+        !path_.requestCut() && !path_.answerCut() && engine != nullptr && !engine->down();
+    path_.process().deliver([report = report_connection_, established] { report(established); });
+  }
+
   void handlePeerClose() {
     if (engine_side_ended_) {
       return;
@@ -251,6 +262,7 @@
   /// Null after the process has closed its side or received the final call.
   engines::StreamHandler* handler_;
   common::AnnouncementReporter announce_;
+  ConnectionReporter report_connection_;
   common::Duration break_detection_time_;
   std::deque<Event> incoming_;
   /// Rate limit that the engine advertises in its response; reset when the first event has been
@@ -276,10 +288,11 @@
 std::unique_ptr<SimulatedStream> SimulatedStream::start(
     const ExternalPath& path, SimulatedEngines& engines, const common::Address& address,
     engines::StreamRequest request, engines::StreamHandler& handler,
-    common::AnnouncementReporter announce, common::Duration break_detection_time) {
-  return std::unique_ptr<SimulatedStream>(new SimulatedStream(
-      std::make_shared<Connection>(path, engines, address, std::move(request), handler,
-                                   std::move(announce), break_detection_time)));
+    common::AnnouncementReporter announce, ConnectionReporter report_connection,
+    common::Duration break_detection_time) {
+  return std::unique_ptr<SimulatedStream>(new SimulatedStream(std::make_shared<Connection>(
+      path, engines, address, std::move(request), handler, std::move(announce),
+      std::move(report_connection), break_detection_time)));
 }
 
 void SimulatedStream::pause() { connection_->pauseReading(); }
--- a/src/cypresswall/simulation/simulated_stream.h
+++ b/src/cypresswall/simulation/simulated_stream.h
@@ -17,6 +17,9 @@
 
 class SimulatedEngines;
 
+/// Told whether the connection of a stream was established.
+using ConnectionReporter = std::function<void(bool established)>;
+
 /// The process's side of the stream; destroying this object closes the connection.
 class SimulatedStream final : public engines::Stream {
  public:
@@ -25,6 +28,7 @@
                                                 engines::StreamRequest request,
                                                 engines::StreamHandler& handler,
                                                 common::AnnouncementReporter announce,
+                                                ConnectionReporter report_connection,
                                                 common::Duration break_detection_time);
   ~SimulatedStream() override;
   SimulatedStream(const SimulatedStream&) = delete;
--- a/src/cypresswall/surroundings/http_platform_adapter.cpp
+++ b/src/cypresswall/surroundings/http_platform_adapter.cpp
@@ -40,7 +40,9 @@
         services_(context.curl, context.settings.services) {}
 
   node::NodeClients clients() override {
-    return {object_store_, machine_list_, engines_, services_};
+    node::NodeClients clients{object_store_, machine_list_, engines_, services_};
+    clients.connections = &context_.connections;
+    return clients;
   }
   std::unique_ptr<Frontend> makeFrontend(node::Node& node) override {
     return std::make_unique<GatewayFrontend>(gatewayContext(context_.process, node),
--- a/src/cypresswall/surroundings/platform_adapter.h
+++ b/src/cypresswall/surroundings/platform_adapter.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/api/server_connections.h"
 #include "cypresswall/gateway/http_routes.h"
 #include "cypresswall/http/server.h"
 #include "cypresswall/node/node.h"
@@ -22,6 +23,7 @@
   const settings::DaemonSettings& settings;
   api::ProcessContext process;
   runtime::CurlMulti& curl;
+  api::ServerConnections& connections;
 };
 
 /// Serves callers by passing their requests to the node. Must outlive the HTTP server that calls
