Put the parts of a forwarded answer in order

A skipped index was taken for a loss. Head, tokens and end now carry a sequence number; a part is held until those before it came, and is lost after 500 ms.

--- a/src/cypresswall/forwarding/forwarding_server.cpp
+++ b/src/cypresswall/forwarding/forwarding_server.cpp
@@ -34,14 +34,15 @@
   void cancel() { execution_.reset(); }
 
   void onHead(const engines::AnswerHead& head) override {
-    send(ForwardedHead{key_.second, head.status, encodeHeaders(head.headers)});
+    send(ForwardedHead{key_.second, next_sequence_++, head.status, encodeHeaders(head.headers)});
   }
   void onToken(std::uint32_t index, const std::string& text) override {
-    send(ForwardedToken{key_.second, index, text});
+    send(ForwardedToken{key_.second, next_sequence_++, index, text});
   }
   void onFinished(const engines::StreamUsage& usage) override {
     ForwardedModelEnd end;
     end.number = key_.second;
+    end.sequence = next_sequence_;
     end.complete = true;
     end.prompt_tokens = usage.prompt_tokens;
     end.cached_prompt_tokens = usage.cached_prompt_tokens;
@@ -53,6 +54,7 @@
   void onError(const execution::ExecutionError& error) override {
     ForwardedModelEnd end;
     end.number = key_.second;
+    end.sequence = next_sequence_;
     end.error = encodeError(error);
     send(end);
     server_.retireModel(key_);
@@ -66,6 +68,7 @@
 
   ForwardingServer& server_;
   const Key key_;
+  std::uint32_t next_sequence_ = 0;
   std::unique_ptr<execution::ModelExecution> execution_;
 };
 
--- a/src/cypresswall/forwarding/forwarding_settings.h
+++ b/src/cypresswall/forwarding/forwarding_settings.h
@@ -27,6 +27,8 @@
   std::size_t maximum_body_bytes = 1U << 20;
   /// A node whose caller has a time limit waits this much longer for the receiver's final answer.
   common::Duration answer_slack = std::chrono::milliseconds(100);
+  /// Time for which a missing part of an answer is awaited after a later part has arrived.
+  common::Duration part_limit = std::chrono::milliseconds(500);
   /// Retry-After of a request that no node could execute. Links to servers fail for seconds.
   common::Duration retry_after = std::chrono::seconds(1);
 };
--- a/src/cypresswall/forwarding/messages.h
+++ b/src/cypresswall/forwarding/messages.h
@@ -1,5 +1,6 @@
 /// Messages by which a node that reaches no server has a request executed by another node of its
-/// zone. A request is known by a number that its sender never uses again.
+/// zone. A request is known by a number that its sender never uses again. The parts of an answer
+/// have sequence numbers, since messages may overtake each other.
 #pragma once
 
 #include <cstdint>
@@ -93,17 +94,19 @@
 struct ForwardedHead {
   static constexpr auto kType = forwardingMessage(4);
   std::uint64_t number = 0;
+  std::uint32_t sequence = 0;
   int status = 0;
   std::vector<ForwardedHeader> headers;
-  MSGPACK_DEFINE(number, status, headers)
+  MSGPACK_DEFINE(number, sequence, status, headers)
 };
 
 struct ForwardedToken {
   static constexpr auto kType = forwardingMessage(5);
   std::uint64_t number = 0;
+  std::uint32_t sequence = 0;
   std::uint32_t index = 0;
   std::string text;
-  MSGPACK_DEFINE(number, index, text)
+  MSGPACK_DEFINE(number, sequence, index, text)
 };
 
 /// An execution::ExecutionError.
@@ -119,13 +122,14 @@
 struct ForwardedModelEnd {
   static constexpr auto kType = forwardingMessage(6);
   std::uint64_t number = 0;
+  std::uint32_t sequence = 0;
   bool complete = false;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t cached_prompt_tokens = 0;
   std::uint32_t output_tokens = 0;
   std::string finish_reason;
   ForwardedError error;
-  MSGPACK_DEFINE(number, complete, prompt_tokens, cached_prompt_tokens, output_tokens,
+  MSGPACK_DEFINE(number, sequence, complete, prompt_tokens, cached_prompt_tokens, output_tokens,
                  finish_reason, error)
 };
 
