--- a/src/cypresswall/simulation/simulated_stream.cpp
+++ b/src/cypresswall/simulation/simulated_stream.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kPassedThroughStatus = 200;
+/// Time after which a connection that can't be established fails, as with the daemon's HTTP client.
+constexpr common::Duration kConnectTimeLimit = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -86,7 +88,11 @@
   void requestArrives() {
     reportConnection();
     if (path_.requestCut()) {
-      fail(engines::StreamFailure::kNotSent);
+      // The process learns by its own time limit that no connection was established.
+      const bool hangs = path_.answerCut();
+      later(hangs ? kConnectTimeLimit : common::Duration{0}, [](Connection& self) {
+        self.enqueue(Event{Event::Kind::kFailed, 0, {}, {}, engines::StreamFailure::kNotSent, {}});
+      });
       return;
     }
     emulation::EmulatedEngine* engine = engines_.find(address_);
