Check what other nodes say of an engine's reachability by a connection of one's own

Seen: while six of nine nodes had lost their links to all engines, the three that had not served 82 of 350 first tries. They refused since no engine was available, with idle engines that answered.

Cause: a statement about an engine is one about the path to it. Two nodes that could not reach an engine had it ejected at all; a watcher whose polls failed made it unreachable for all. Overload of the three is ruled out by 1 to 4% of processor use. Class: one node's observation taken for the fleet's.

Change: what a peer says is a claim; who hears it opens one connection to the engine itself, and goes by that. Load reports then come from the next node by rendezvous that has made no such claim. A node that has lost its links reports no failures, and gives up its engines at once. A stream that breaks counts as a crash only if this node reaches other servers.

--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -151,8 +151,13 @@
   clients_.engines.reportConnectionsTo(&connections);
   clients_.services.reportConnectionsTo(&connections);
   server_path_.onChange([this] {
+    if (server_path_.lost()) {
+      engines_.onServerPathLost();
+    }
     membership_.setDigest(membership::DigestTopic::kServersUnreached, server_path_.lost() ? 1 : 0);
   });
+  engines_.setServerPath(server_path_, connections);
+  quarantine_.setServerPath(server_path_);
   model_executor_.setServerPath(server_path_);
 }
 
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -87,6 +87,18 @@
   }
   detector_.probeEngine(engine, [this, request, name = engine.name](bool ended) {
     if (ended) {
+      onEngineSilent(request, name);
+    }
+  });
+}
+
+void FleetQuarantine::onEngineSilent(common::RequestFingerprint request, const std::string& name) {
+  if (server_path_ == nullptr) {
+    crashed(request, name);
+    return;
+  }
+  server_path_->check([this, request, name](bool works) {
+    if (works) {
       crashed(request, name);
     }
   });
@@ -94,7 +106,8 @@
 
 void FleetQuarantine::callBroken(common::RequestFingerprint request,
                                  const common::Address& backend) {
-  if (settings_.quarantines && request != 0) {
+  const bool path_lost = server_path_ != nullptr && server_path_->lost();
+  if (settings_.quarantines && request != 0 && !path_lost) {
     crashed(request, backend);
   }
 }
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/api/server_path.h"
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/membership/dissemination_peers.h"
 #include "cypresswall/membership/membership_view.h"
@@ -39,6 +40,9 @@
   FleetQuarantine(const FleetQuarantine&) = delete;
   FleetQuarantine& operator=(const FleetQuarantine&) = delete;
 
+  /// Sets how this node finds out whether it reaches any server. Without it, an engine that doesn't
+  /// answer this node counts as crashed.
+  void setServerPath(api::ServerPath& path) { server_path_ = &path; }
   /// Starts the periodic announcements of the list, and its synchronisation with the object store.
   void start();
 
@@ -52,6 +56,8 @@
   std::vector<QuarantinedRequest> all() const;
 
  private:
+  /// Records the crash of an engine that does not answer, if this node reaches other servers.
+  void onEngineSilent(common::RequestFingerprint request, const std::string& name);
   /// \param name name of the crashed engine, or address of the crashed back end
   void crashed(common::RequestFingerprint request, const std::string& name);
   void report(const CrashReport& report);
@@ -93,6 +99,7 @@
   /// Requests answered by this node, or by others according to their notices.
   AnsweredRequests answered_;
   QuarantineStore stored_;
+  api::ServerPath* server_path_ = nullptr;
   /// Position in the list at which the next periodic announcement starts.
   std::size_t next_announced_ = 0;
   common::Counter& crashes_;
--- a/src/cypresswall/reachability/path_monitor.cpp
+++ b/src/cypresswall/reachability/path_monitor.cpp
@@ -67,14 +67,13 @@
   startRound();
 }
 
-std::vector<common::Address> PathMonitor::chooseServers() {
+std::vector<common::Address> PathMonitor::chooseServers(std::size_t count) {
   const auto all = serversOf(*configuration_.current(), context_.zone);
   std::vector<common::Address> chosen;
   std::set<std::string> hosts;
-  const std::size_t draws = settings_.probed_servers * kDrawsPerServer;
-  for (std::size_t draw = 0; draw < draws && !all.empty(); ++draw) {
+  for (std::size_t draw = 0; draw < count * kDrawsPerServer && !all.empty(); ++draw) {
     const common::Address& server = all[context_.random.below(all.size())];
-    if (chosen.size() < settings_.probed_servers && hosts.insert(hostOf(server)).second) {
+    if (chosen.size() < count && hosts.insert(hostOf(server)).second) {
       chosen.push_back(server);
     }
   }
@@ -86,11 +85,16 @@
     return;
   }
   context_.scheduler.cancel(std::exchange(next_round_, 0));
-  const auto servers = chooseServers();
+  probe(lost_ ? settings_.probed_servers : settings_.first_probes);
+}
+
+void PathMonitor::probe(std::size_t count) {
+  const auto servers = chooseServers(count);
   if (servers.empty()) {
     endRound(true);
     return;
   }
+  probing_all_ = count >= settings_.probed_servers;
   established_probes_ = 0;
   pending_probes_ = servers.size();
   probes_.add(servers.size());
@@ -101,7 +105,12 @@
 
 void PathMonitor::onProbe(bool established) {
   established_probes_ += established ? 1 : 0;
-  if (--pending_probes_ == 0) {
+  if (--pending_probes_ > 0) {
+    return;
+  }
+  if (established_probes_ == 0 && !probing_all_) {
+    probe(settings_.probed_servers);
+  } else {
     endRound(established_probes_ > 0);
   }
 }
--- a/src/cypresswall/reachability/path_monitor.h
+++ b/src/cypresswall/reachability/path_monitor.h
@@ -36,9 +36,13 @@
   void onConnection(const common::Address& server, bool established);
 
  private:
+  /// Probes a few servers, unless a round is in progress.
   void startRound();
-  /// \return up to ReachabilitySettings::probed_servers servers at random, on different hosts
-  std::vector<common::Address> chooseServers();
+  /// Probes up to `count` servers; their results end the round or, if none is reached and fewer
+  /// than ReachabilitySettings::probed_servers were probed, lead to further probes.
+  void probe(std::size_t count);
+  /// \return up to `count` servers at random, on different hosts
+  std::vector<common::Address> chooseServers(std::size_t count);
   void onProbe(bool established);
   /// \param works true if a probe of the round succeeded, or there are no servers to probe
   void endRound(bool works);
@@ -54,6 +58,7 @@
   /// Probes of the current round without a result; zero if no round is in progress.
   std::size_t pending_probes_ = 0;
   std::size_t established_probes_ = 0;
+  bool probing_all_ = false;
   std::size_t good_rounds_ = 0;
   common::TimerId next_round_ = 0;
   /// Waiting for the result of the current round.
--- a/src/cypresswall/reachability/reachability_settings.h
+++ b/src/cypresswall/reachability/reachability_settings.h
@@ -14,8 +14,12 @@
   /// Number of hosts to which connections fail, with none established in between, after which other
   /// servers are probed.
   std::size_t suspicious_hosts = 2;
-  /// Number of servers that are probed at a time, on different hosts. While three quarters of all
-  /// servers are down, at least one of six still answers in four rounds of five.
+  /// Number of servers that are probed first, while the path works; if one of them is reached, the
+  /// path still does.
+  std::size_t first_probes = 2;
+  /// Number of servers that are probed at a time before the path counts as lost, and while it is,
+  /// on different hosts. While three quarters of all servers are down, at least one of six still
+  /// answers in four rounds of five.
   std::size_t probed_servers = 6;
   /// Interval between the probes of a lost path.
   common::Duration probe_interval = std::chrono::milliseconds(250);
--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -35,12 +35,14 @@
 }  // namespace
 
 DeltaExchange::DeltaExchange(const DirectorySettings& settings, const api::ProcessContext& context,
-                             const EngineGroups& groups, EngineTable& table, PrefixIndex& prefixes)
+                             const EngineGroups& groups, EngineTable& table, PrefixIndex& prefixes,
+                             ReachabilityClaims& claims)
     : settings_(settings),
       context_(context),
       groups_(groups),
       table_(table),
       prefixes_(prefixes),
+      claims_(claims),
       sent_bytes_(context.counters.counter("cypresswall_engine_deltas_sent_bytes_total",
                                            "Bytes of engine deltas sent, envelopes included")),
       sent_messages_(context.counters.counter("cypresswall_engine_deltas_sent_total",
@@ -316,11 +318,24 @@
     unknown.erase(delta.index);
     observation.reachable = applyDelta(delta, observation.load);
     observation.observed_at = now - kAgeUnit * delta.age_centiseconds;
-    logReachability(sender, slot, observation.reachable);
-    table_.observe(slot, observation, now);
+    applyObservation(sender, slot, observation);
   }
 }
 
+void DeltaExchange::applyObservation(const common::NodeId& sender, EngineSlot slot,
+                                     EngineObservation observation) {
+  if (!observation.reachable) {
+    claims_.add(sender, slot);
+    return;
+  }
+  claims_.remove(sender, slot);
+  // A node that polls the engine itself goes by its own polls.
+  const EngineRecord& record = table_.record(slot);
+  observation.reachable = record.reachable || !record.watched_here;
+  logReachability(sender, slot, observation.reachable);
+  table_.observe(slot, observation, context_.clock.now());
+}
+
 void DeltaExchange::logReachability(const common::NodeId& sender, EngineSlot slot,
                                     bool reachable) const {
   const EngineRecord& record = table_.record(slot);
--- a/src/cypresswall/routing/delta_exchange.h
+++ b/src/cypresswall/routing/delta_exchange.h
@@ -15,6 +15,7 @@
 #include "cypresswall/routing/engine_groups.h"
 #include "cypresswall/routing/engine_poller.h"
 #include "cypresswall/routing/engine_table.h"
+#include "cypresswall/routing/reachability_claims.h"
 
 namespace cypresswall::routing {
 
@@ -22,7 +23,8 @@
  public:
   /// Registers the handlers of EngineDeltas and IdentityRequest.
   DeltaExchange(const DirectorySettings& settings, const api::ProcessContext& context,
-                const EngineGroups& groups, EngineTable& table, PrefixIndex& prefixes);
+                const EngineGroups& groups, EngineTable& table, PrefixIndex& prefixes,
+                ReachabilityClaims& claims);
 
   /// Starts publishing the state of the engines that `poller` watches; called once.
   void start(EnginePoller& poller);
@@ -73,6 +75,9 @@
   bool mayRequestIdentity(std::uint16_t index);
   void applyChanges(const common::NodeId& sender, const EngineDeltas& message,
                     std::set<std::uint16_t>& unknown);
+  /// Applies what a peer says of an engine. That it can't reach the engine is only a claim.
+  void applyObservation(const common::NodeId& sender, EngineSlot slot,
+                        EngineObservation observation);
   /// Logs what a peer says of an engine, if the engine's record says otherwise.
   void logReachability(const common::NodeId& sender, EngineSlot slot, bool reachable) const;
   void applyConfirmations(const EngineDeltas& message, std::set<std::uint16_t>& unknown);
@@ -86,6 +91,7 @@
   std::function<common::NodeId()> planning_node_;
   EngineTable& table_;
   PrefixIndex& prefixes_;
+  ReachabilityClaims& claims_;
   EnginePoller* poller_ = nullptr;
   std::uint64_t sequence_ = 0;
   double budget_bytes_ = 0;
--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -17,9 +17,10 @@
       table_(settings),
       groups_(settings.groups, membership, table_),
       prefixes_(settings.prefix_index),
-      exchange_(settings, context, groups_, table_, prefixes_),
+      claims_(context, table_),
+      exchange_(settings, context, groups_, table_, prefixes_, claims_),
       work_(context, groups_, table_),
-      ejection_(settings.ejection, context, groups_, table_),
+      ejection_(settings.ejection, context, groups_, table_, claims_),
       poller_(settings, context, client, table_, prefixes_,
               [this](EngineSlot slot, bool stored, common::PieceHash piece) {
                 exchange_.addCacheHint(slot, stored, piece);
@@ -33,6 +34,7 @@
       exchange_.forget(slot);
     }
   });
+  claims_.onChange([this] { claims_changed_ = true; });
   configuration.onChange(
       [this](const configuration::FleetConfiguration& fleet) { onConfiguration(fleet); });
   membership.onChange([this] { onMembership(); });
@@ -86,7 +88,8 @@
   const auto& members = membership_.members();
   const common::MonotonicTime now = context_.clock.now();
   members_changed_ = false;
-  if (members == assigned_members_ && !roster_changed_ && handed_over_.empty()) {
+  if (members == assigned_members_ && !roster_changed_ && !claims_changed_ &&
+      handed_over_.empty()) {
     return;
   }
   if (awaitsPeers()) {
@@ -97,12 +100,13 @@
     roster_changed_ = false;
     groups_.update();
     forgetUnroutedEngines();
+    dropClaimsOfFormerMembers();
   }
+  claims_changed_ = false;
   std::set<EngineSlot> watched;
   for (const EngineSlot slot : table_.roster()) {
     const EngineRecord& record = table_.record(slot);
-    const common::NodeId watcher = groups_.watcherOf(slot);
-    if (watcher == context_.self || watcher.empty()) {
+    if (watches(slot)) {
       watched.insert(slot);
       handed_over_.erase(slot);
       continue;
@@ -120,6 +124,23 @@
   poller_.watch(watched);
 }
 
+bool EngineDirectory::watches(EngineSlot slot) const {
+  const common::NodeId watcher = groups_.watcherOf(slot);
+  if (watcher == context_.self || watcher.empty()) {
+    return true;
+  }
+  const auto& unable = claims_.of(slot);
+  return !unable.empty() && groups_.watcherOf(slot, unable) == context_.self;
+}
+
+void EngineDirectory::dropClaimsOfFormerMembers() {
+  std::set<common::NodeId> members;
+  for (const membership::Member& member : membership_.members()) {
+    members.insert(member.node);
+  }
+  claims_.keepOnly(members);
+}
+
 void EngineDirectory::detectPause() {
   const common::MonotonicTime now = context_.clock.now();
   if (now - swept_at_ > settings_.pause_limit) {
@@ -138,7 +159,7 @@
   detectPause();
   swept_at_ = context_.clock.now();
   table_.sweep(context_.clock.now());
-  if (!handed_over_.empty() || members_changed_ || roster_changed_) {
+  if (!handed_over_.empty() || members_changed_ || roster_changed_ || claims_changed_) {
     assignWatches();
   }
   context_.scheduler.schedule(settings_.poll_period, [this] { sweep(); });
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -23,6 +23,7 @@
 #include "cypresswall/routing/engine_poller.h"
 #include "cypresswall/routing/engine_table.h"
 #include "cypresswall/routing/prefix_index.h"
+#include "cypresswall/routing/reachability_claims.h"
 #include "cypresswall/routing/settings.h"
 #include "cypresswall/routing/work_exchange.h"
 
@@ -62,6 +63,15 @@
   fleet_limits::RateLimiter* rateLimiter() const { return rate_limiter_; }
   /// Sets what engines have said about themselves in answers to this node; without it, nothing.
   void setAnnounced(availability::AnnouncedAvailability& announced);
+  /// Sets how this node finds out for itself whether it reaches an engine, or any server. Without
+  /// it, what other nodes say about the reachability of engines is believed.
+  void setServerPath(const api::ServerPath& path, api::ServerConnections& connections) {
+    ejection_.setServerPath(path);
+    claims_.setConnections(connections);
+  }
+  /// To be called when this node has lost its links to all servers: without waiting for its polls
+  /// to fail, it says so of the engines that it watches, so that other nodes watch them.
+  void onServerPathLost() { poller_.markUnreachable(); }
   /// \return the servers that may get nothing from this node, by what they have announced to it
   std::vector<std::string> unavailableByAnnouncement() const;
   /// Demand for each model at this node.
@@ -75,6 +85,10 @@
   void onConfiguration(const configuration::FleetConfiguration& fleet);
   void onMembership();
   void assignWatches();
+  /// \return true if this node is to poll the engine: as its watcher, or in place of watchers that
+  ///   can't reach it
+  bool watches(EngineSlot slot) const;
+  void dropClaimsOfFormerMembers();
   /// \return true if this node is joining and knows no other member that could watch engines yet.
   bool awaitsPeers() const;
   void forgetUnroutedEngines();
@@ -92,9 +106,11 @@
   std::vector<membership::Member> assigned_members_;
   bool roster_changed_ = true;
   bool members_changed_ = false;
+  bool claims_changed_ = false;
   EngineTable table_;
   EngineGroups groups_;
   PrefixIndex prefixes_;
+  ReachabilityClaims claims_;
   DeltaExchange exchange_;
   WorkExchange work_;
   EngineEjection ejection_;
--- a/src/cypresswall/routing/engine_ejection.cpp
+++ b/src/cypresswall/routing/engine_ejection.cpp
@@ -19,11 +19,13 @@
 }  // namespace
 
 EngineEjection::EngineEjection(const EjectionSettings& settings, const api::ProcessContext& context,
-                               const EngineGroups& groups, EngineTable& table)
+                               const EngineGroups& groups, EngineTable& table,
+                               ReachabilityClaims& claims)
     : settings_(settings),
       context_(context),
       groups_(groups),
       table_(table),
+      claims_(claims),
       own_ejections_(context.counters.counter("cypresswall_engine_ejections_total",
                                               "Engines taken out of routing for a while", "source",
                                               "own")),
@@ -32,7 +34,11 @@
                                                "zone")),
       refused_ejections_(
           context.counters.counter("cypresswall_engine_ejections_refused_total",
-                                   "Engines kept since too many are ejected already")) {
+                                   "Engines kept since too many are ejected already, or this node "
+                                   "reaches them")),
+      lifted_ejections_(
+          context.counters.counter("cypresswall_engine_ejections_lifted_total",
+                                   "Ejections ended since this node reaches the engine")) {
   context_.dispatcher.handle<EngineFailureReport>(
       [this](const common::NodeId& sender, const EngineFailureReport& report) {
         onReport(sender, report);
@@ -63,7 +69,9 @@
     own_ejections_.add();
     eject(slot, nextEjectionTime(slot), unreached, kOwnAttempts);
   }
-  reportFailure(slot, unreached);
+  if (server_path_ == nullptr || !server_path_->lost()) {
+    reportFailure(slot, unreached);
+  }
 }
 
 void EngineEjection::placedAttemptFailed(const common::NodeId& node, EngineSlot slot,
@@ -122,8 +130,7 @@
   notice.unreached = unreached;
   notice.milliseconds = static_cast<std::uint32_t>(time / std::chrono::milliseconds(1));
   context_.sendToAll(groups_.otherRoutingNodes(slot), notice);
-  zone_ejections_.add();
-  eject(slot, time, unreached, kZone);
+  ejectAsTold(slot, time, unreached);
 }
 
 void EngineEjection::onEjected(const EngineEjected& notice) {
@@ -135,9 +142,35 @@
     refused_ejections_.add();
     return;
   }
-  zone_ejections_.add();
   const common::Duration announced = std::chrono::milliseconds(notice.milliseconds);
-  eject(slot, std::min(announced, settings_.maximum_time), notice.unreached, kZone);
+  ejectAsTold(slot, std::min(announced, settings_.maximum_time), notice.unreached);
+}
+
+void EngineEjection::ejectAsTold(EngineSlot slot, common::Duration time, bool unreached) {
+  if (unreached && claims_.reachedJustNow(slot)) {
+    refused_ejections_.add();
+    return;
+  }
+  zone_ejections_.add();
+  eject(slot, time, unreached, kZone);
+  if (unreached) {
+    claims_.probe(slot, [this, slot](bool reached) {
+      if (reached) {
+        liftEjection(slot);
+      }
+    });
+  }
+}
+
+void EngineEjection::liftEjection(EngineSlot slot) {
+  const common::MonotonicTime now = context_.clock.now();
+  if (table_.ejectedUntil(slot) <= now) {
+    return;
+  }
+  lifted_ejections_.add();
+  table_.eject(slot, now, now);
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_ejection_lifted")
+      .field("engine", table_.record(slot).declaration.name);
 }
 
 common::Duration EngineEjection::nextEjectionTime(EngineSlot slot) {
--- a/src/cypresswall/routing/engine_ejection.h
+++ b/src/cypresswall/routing/engine_ejection.h
@@ -11,9 +11,11 @@
 #include <vector>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/api/server_path.h"
 #include "cypresswall/engines/engine_types.h"
 #include "cypresswall/routing/engine_groups.h"
 #include "cypresswall/routing/engine_table.h"
+#include "cypresswall/routing/reachability_claims.h"
 #include "cypresswall/routing/settings.h"
 
 namespace cypresswall::routing {
@@ -44,10 +46,12 @@
  public:
   /// Registers the handlers of both messages. \pre all references outlive this object
   EngineEjection(const EjectionSettings& settings, const api::ProcessContext& context,
-                 const EngineGroups& groups, EngineTable& table);
+                 const EngineGroups& groups, EngineTable& table, ReachabilityClaims& claims);
   EngineEjection(const EngineEjection&) = delete;
   EngineEjection& operator=(const EngineEjection&) = delete;
 
+  /// Sets how this object learns that this node reaches no server; it then reports no failures.
+  void setServerPath(const api::ServerPath& path) { server_path_ = &path; }
   /// Records a failed attempt of this node. Refusals by the engine and attempts that were never
   /// tried are ignored, because they say nothing about the engine's health.
   void attemptFailed(EngineSlot slot, engines::StreamFailure failure);
@@ -86,16 +90,23 @@
   /// \return false if ejection is disabled, or if ejecting this engine too would exceed the maximum
   ///   share of ejected engines of the same model and role
   bool mayEject(EngineSlot slot, bool unreached) const;
+  /// Ejects the engine because of other nodes' failures. If they can't reach it, this node probes
+  /// it as well and ends the ejection if it reaches the engine.
+  void ejectAsTold(EngineSlot slot, common::Duration time, bool unreached);
+  void liftEjection(EngineSlot slot);
   void eject(EngineSlot slot, common::Duration time, bool unreached, const char* source);
 
   EjectionSettings settings_;
   const api::ProcessContext& context_;
   const EngineGroups& groups_;
   EngineTable& table_;
+  ReachabilityClaims& claims_;
+  const api::ServerPath* server_path_ = nullptr;
   std::unordered_map<EngineSlot, Engine> engines_;
   common::Counter& own_ejections_;
   common::Counter& zone_ejections_;
   common::Counter& refused_ejections_;
+  common::Counter& lifted_ejections_;
 };
 
 }  // namespace cypresswall::routing
--- a/src/cypresswall/routing/engine_groups.cpp
+++ b/src/cypresswall/routing/engine_groups.cpp
@@ -127,17 +127,26 @@
   all_routing_nodes_.assign(routing_nodes.begin(), routing_nodes.end());
 }
 
-common::NodeId EngineGroups::watcherOf(EngineSlot engine) const {
+common::NodeId EngineGroups::watcherOf(EngineSlot engine,
+                                       const std::set<common::NodeId>& excluded) const {
   const auto& name = table_.record(engine).declaration.name;
   if (every_node_routes_) {
-    return membership::rendezvousNode(name, membership_.members());
+    if (excluded.empty()) {
+      return membership::rendezvousNode(name, membership_.members());
+    }
+    auto members = membership_.members();
+    std::erase_if(members, [&](const Member& member) { return excluded.contains(member.node); });
+    return membership::rendezvousNode(name, members.empty() ? membership_.members() : members);
   }
   if (engine >= group_of_.size() || groups_.empty()) {
     return {};
   }
   // Polling is most of the owners' work, so each owner of a group polls a part of the group's
   // engines.
-  return membership::rendezvousNode(name, groups_[group_of_[engine]].owners);
+  const auto& all_owners = groups_[group_of_[engine]].owners;
+  auto owners = all_owners;
+  std::erase_if(owners, [&](const common::NodeId& owner) { return excluded.contains(owner); });
+  return membership::rendezvousNode(name, owners.empty() ? all_owners : owners);
 }
 
 common::NodeId EngineGroups::primaryOwnerOf(EngineSlot engine) const {
--- a/src/cypresswall/routing/engine_groups.h
+++ b/src/cypresswall/routing/engine_groups.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,8 +42,9 @@
 
   /// \return true if every node routes to every engine.
   bool everyNodeRoutes() const { return every_node_routes_; }
+  /// \param excluded nodes that can't reach the engine; not excluded if none other is left
   /// \return the node that polls an engine; empty if no member is alive.
-  common::NodeId watcherOf(EngineSlot engine) const;
+  common::NodeId watcherOf(EngineSlot engine, const std::set<common::NodeId>& excluded = {}) const;
   /// \return the node that places all requests on an engine; empty if several nodes place requests
   ///   on it
   common::NodeId primaryOwnerOf(EngineSlot engine) const;
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -44,6 +44,13 @@
   }
 }
 
+void EnginePoller::markUnreachable() {
+  for (const EngineSlot slot : watched_) {
+    logReachability(slot, false);
+    table_.setReachable(slot, false, context_.clock.now());
+  }
+}
+
 void EnginePoller::tick() {
   phase_ = (phase_ + 1) % kPhases;
   turn_ += phase_ == 0 ? 1 : 0;
--- a/src/cypresswall/settings/policy_keys.cpp
+++ b/src/cypresswall/settings/policy_keys.cpp
@@ -344,6 +344,15 @@
           [](auto& s) -> auto& { return s.node.quarantine.quarantines; },
           "Requests under which engines end one after the other are kept from all engines; off: "
           "they are sent on."),
+      switchKey(
+          "mechanisms.lost_path_detection",
+          [](auto& s) -> auto& { return s.node.reachability.enabled; },
+          "A node that can't open connections to any of several servers takes its links for lost, "
+          "not the servers; off: each engine and back end is judged by itself."),
+      switchKey(
+          "mechanisms.forwarding", [](auto& s) -> auto& { return s.node.forwarding.enabled; },
+          "A node that has lost its links to all servers has its callers' requests executed by "
+          "other nodes; off: it rejects them."),
       switchKey(
           "mechanisms.engine_rate_limits",
           [](auto& s) -> auto& { return s.node.rate_limits.enforced; },
--- a/tests/forwarding/cut_nodes_test.cpp
+++ b/tests/forwarding/cut_nodes_test.cpp
@@ -85,6 +85,28 @@
       }
     }
   }
+  /// Cuts each engine off from all nodes but a third of them.
+  void cutEnginesFromTwoThirds() {
+    auto& network = fleet_->simulation().network();
+    for (std::uint32_t engine = 0; engine < kEngines; ++engine) {
+      for (std::uint32_t node = 0; node < kNodes; ++node) {
+        if (node % 3 != engine % 3) {
+          network.cutAddresses(simulation::nodeAddress(0, node),
+                               simulation::engineAddress(0, engine));
+          network.cutAddresses(simulation::engineAddress(0, engine),
+                               simulation::nodeAddress(0, node));
+        }
+      }
+    }
+  }
+  /// \return the number of engines that may get work from the node
+  std::size_t availableEngines(std::size_t node) const {
+    const auto records = fleet_->slot(node).node->engines().records();
+    return static_cast<std::size_t>(
+        std::count_if(records.begin(), records.end(), [](const routing::EngineRecord& record) {
+          return record.availability == routing::EngineAvailability::kAvailable;
+        }));
+  }
   void heal() { fleet_->simulation().network().healAll(); }
 
   /// Sends model requests and polls of the plain service to each node in turn.
@@ -155,6 +177,8 @@
   CPPUNIT_TEST(flappingCut);
   CPPUNIT_TEST(nodeRestartedWhileCut);
   CPPUNIT_TEST(serversNobodyReachesAreRefusedAtOnce);
+  CPPUNIT_TEST(othersKeepAllEngines);
+  CPPUNIT_TEST(enginesCutOffFromMostNodes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -211,6 +235,38 @@
     }
   }
 
+  /// What cut nodes say about engines must not take the engines from the other nodes.
+  void othersKeepAllEngines() {
+    for (const std::size_t cut : {1, 3, 6}) {
+      Fleet fleet(1);
+      fleet.sendRequests(seconds(2));
+      fleet.cutFirst(cut);
+      fleet.sendRequests(kTimeToNotice);
+      for (int sample = 0; sample < 40; ++sample) {
+        fleet.sendRequests(milliseconds(250));
+        for (std::size_t node = cut; node < kNodes; ++node) {
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(cut) + " cut, node " + std::to_string(node),
+                                       std::size_t{kEngines}, fleet.availableEngines(node));
+        }
+      }
+    }
+  }
+
+  /// Each engine is cut off from two thirds of the nodes, but each node reaches a third of them.
+  void enginesCutOffFromMostNodes() {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      Fleet fleet(seed);
+      fleet.sendRequests(seconds(2));
+      fleet.cutEnginesFromTwoThirds();
+      fleet.sendRequests(kTimeToNotice);
+      const auto noticed = fleet.now();
+      fleet.sendRequests(seconds(9));
+      const Served served = fleet.servedSince(noticed, false);
+      CPPUNIT_ASSERT_MESSAGE("served " + served.text() + ", seed " + std::to_string(seed),
+                             served.share() >= kServedElsewhere);
+    }
+  }
+
  private:
   static void requireServed(std::size_t cut, CutKind kind) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
--- a/tests/routing/engine_ejection_test.cpp
+++ b/tests/routing/engine_ejection_test.cpp
@@ -39,8 +39,10 @@
           node.process->emplace<EngineGroups>(GroupSettings{}, *node.membership, *node.table);
       groups.update();
       node.groups = &groups;
+      node.claims =
+          &node.process->emplace<ReachabilityClaims>(node.process->context(), *node.table);
       node.ejection = &node.process->emplace<EngineEjection>(settings, node.process->context(),
-                                                             groups, *node.table);
+                                                             groups, *node.table, *node.claims);
     }
     members = nodes.front().membership->members();
     report();
@@ -51,6 +53,7 @@
     testing::SettableMembership* membership = nullptr;
     EngineTable* table = nullptr;
     EngineGroups* groups = nullptr;
+    ReachabilityClaims* claims = nullptr;
     EngineEjection* ejection = nullptr;
   };
 
