Log the prompt's shared parts when an engine ends under a request

The lines of engines that ended one after the other named fingerprints of whole requests, no two alike, so that what they have in common could not be seen. One line for each stream whose engine has ended, with the shared parts and whether the stream had given output. What is counted stays as it was.

--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -34,6 +34,7 @@
            common::Duration{0});
   } else {
     target_ = std::move(*target);
+    content_ = common::contentOf(call_.fingerprint, target_.shape);
     target_.service.urgency = call_.urgency.value_or(target_.service.urgency);
   }
   if (target && checkPermitted()) {
@@ -60,7 +61,7 @@
     giveUp(ErrorKind::kKeyRevoked, "the caller's key was taken away", common::Duration{0});
     return false;
   }
-  const auto quarantined_for = core_.quarantine.quarantinedFor(call_.fingerprint);
+  const auto quarantined_for = core_.quarantine.quarantinedFor(content_);
   if (quarantined_for) {
     releaseRoute();
     giveUp(ErrorKind::kQuarantined, "engines end under this request", *quarantined_for);
@@ -312,7 +313,7 @@
     handOverToDecode();
     return;
   }
-  core_.quarantine.answered(call_.fingerprint);
+  core_.quarantine.answered(content_);
   core_.moves.lengths().completed(call_.service, target_.maximum_tokens, tokens_given_);
   reportOutput();
   core_.router.answerCompleted(placement_id_);
@@ -346,7 +347,7 @@
 void ModelRequest::onAttemptFailed(engines::StreamFailure failure, const std::string& message) {
   const auto self = shared_from_this();
   if (failure == engines::StreamFailure::kBroken) {
-    core_.quarantine.streamBroken(call_.fingerprint, attemptedEngine());
+    core_.quarantine.streamBroken(content_, attemptedEngine(), token_seen_in_attempt_);
   }
   onAttemptLost(failure, message);
 }
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -164,6 +164,8 @@
   ModelCall call_;
   ModelCallObserver* observer_;
   ModelTarget target_;
+  /// By which the quarantine recognizes the request.
+  common::RequestContent content_;
   std::string stream_id_;
   /// Identifies the request's placement to the router. Differs from `stream_id_` after a move,
   /// because two placements exist while a move is prepared.
--- a/src/cypresswall/execution/model_request_move.cpp
+++ b/src/cypresswall/execution/model_request_move.cpp
@@ -139,8 +139,8 @@
   const auto gap = core_.moves.pace(target_.service.model).gapFor(route.expected_between_tokens);
   const bool better = expected && gap && isTooSlow(*expected) &&
                       completesInTime(*expected, {route.expected_first_token, *gap});
-  const bool permitted = (!call_.still_allowed || call_.still_allowed()) &&
-                         !core_.quarantine.quarantinedFor(call_.fingerprint);
+  const bool permitted =
+      (!call_.still_allowed || call_.still_allowed()) && !core_.quarantine.quarantinedFor(content_);
   if (!better || !permitted || !core_.router.takesWork(route.engine)) {
     return MoveRefusal::kNoBetterEngine;
   }
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -67,7 +67,8 @@
     fail(ErrorKind::kKeyRevoked, "the caller's key was taken away", common::Duration{0});
     return false;
   }
-  const auto quarantined_for = core_.interfaces.quarantine.quarantinedFor(request_.fingerprint);
+  const auto quarantined_for =
+      core_.interfaces.quarantine.quarantinedFor({request_.fingerprint, {}});
   if (quarantined_for) {
     fail(ErrorKind::kQuarantined, "back ends end under this request", *quarantined_for);
   }
@@ -350,7 +351,7 @@
 
 void ServiceRun::onAnswered(services::ServiceResponse response) {
   recordUsageOnce();
-  core_.interfaces.quarantine.answered(request_.fingerprint);
+  core_.interfaces.quarantine.answered({request_.fingerprint, {}});
   const bool retry_may_help =
       response.status == kInternalError ||
       (response.status >= kBadGateway && response.status <= kGatewayTimeout);
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -70,7 +70,8 @@
 }
 
 std::optional<common::Duration> FleetQuarantine::quarantinedFor(
-    common::RequestFingerprint request) {
+    const common::RequestContent& content) {
+  const common::RequestFingerprint request = content.request;
   const auto now = context_.clock.now();
   if (!list_.remaining(request, now)) {
     return std::nullopt;
@@ -80,30 +81,41 @@
   return settings_.memory;
 }
 
-void FleetQuarantine::streamBroken(common::RequestFingerprint request,
-                                   const engines::EngineEndpoint& engine) {
-  if (!settings_.quarantines || request == 0) {
+void FleetQuarantine::streamBroken(const common::RequestContent& content,
+                                   const engines::EngineEndpoint& engine, bool output_began) {
+  if (!settings_.quarantines || content.request == 0) {
     return;
   }
-  detector_.probeEngine(engine, [this, request, name = engine.name](bool ended) {
+  detector_.probeEngine(engine, [this, content, name = engine.name, output_began](bool ended) {
     if (ended) {
-      onEngineSilent(request, name);
+      onEngineSilent(content, name, output_began);
     }
   });
 }
 
-void FleetQuarantine::onEngineSilent(common::RequestFingerprint request, const std::string& name) {
+void FleetQuarantine::onEngineSilent(const common::RequestContent& content, const std::string& name,
+                                     bool output_began) {
   if (server_path_ == nullptr) {
-    crashed(request, name);
+    streamCrashed(content, name, output_began);
     return;
   }
-  server_path_->check([this, request, name](bool works) {
+  server_path_->check([this, content, name, output_began](bool works) {
     if (works) {
-      crashed(request, name);
+      streamCrashed(content, name, output_began);
     }
   });
 }
 
+void FleetQuarantine::streamCrashed(const common::RequestContent& content, const std::string& name,
+                                    bool output_began) {
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_crashed_under_request")
+      .field("fingerprint", common::toString(content.request))
+      .field("parts", common::sharedPartsText(content))
+      .field("engine", name)
+      .field("output_began", output_began);
+  crashed(content.request, name);
+}
+
 void FleetQuarantine::callBroken(common::RequestFingerprint request,
                                  const common::Address& backend) {
   const bool path_lost = server_path_ != nullptr && server_path_->lost();
@@ -119,7 +131,8 @@
   report({request, observed_.all(request, now)});
 }
 
-void FleetQuarantine::answered(common::RequestFingerprint request) {
+void FleetQuarantine::answered(const common::RequestContent& content) {
+  const common::RequestFingerprint request = content.request;
   if (!settings_.quarantines || request == 0) {
     return;
   }
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -46,18 +46,21 @@
   /// Starts the periodic announcements of the list, and its synchronisation with the object store.
   void start();
 
-  std::optional<common::Duration> quarantinedFor(common::RequestFingerprint request) override;
-  void streamBroken(common::RequestFingerprint request,
-                    const engines::EngineEndpoint& engine) override;
+  std::optional<common::Duration> quarantinedFor(const common::RequestContent& content) override;
+  void streamBroken(const common::RequestContent& content, const engines::EngineEndpoint& engine,
+                    bool output_began) override;
   void callBroken(common::RequestFingerprint request, const common::Address& backend) override;
-  void answered(common::RequestFingerprint request) override;
+  void answered(const common::RequestContent& content) override;
 
   /// \return all quarantined requests, ordered by fingerprint
   std::vector<QuarantinedRequest> all() const;
 
  private:
   /// Records the crash of an engine that does not answer, if this node reaches other servers.
-  void onEngineSilent(common::RequestFingerprint request, const std::string& name);
+  void onEngineSilent(const common::RequestContent& content, const std::string& name,
+                      bool output_began);
+  void streamCrashed(const common::RequestContent& content, const std::string& name,
+                     bool output_began);
   /// \param name name of the crashed engine, or address of the crashed back end
   void crashed(common::RequestFingerprint request, const std::string& name);
   void report(const CrashReport& report);
--- a/src/cypresswall/quarantine/request_quarantine.h
+++ b/src/cypresswall/quarantine/request_quarantine.h
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "cypresswall/common/identifiers.h"
-#include "cypresswall/common/request_fingerprint.h"
+#include "cypresswall/common/request_content.h"
 #include "cypresswall/common/time.h"
 #include "cypresswall/engines/engine_types.h"
 
@@ -16,18 +16,19 @@
   /// To be called before a request is sent to an engine or back end. If the request is quarantined,
   /// its quarantine starts anew.
   /// \return how long the request stays quarantined; nothing if it may be sent
-  virtual std::optional<common::Duration> quarantinedFor(common::RequestFingerprint request) = 0;
+  virtual std::optional<common::Duration> quarantinedFor(const common::RequestContent& content) = 0;
   /// To be called when a stream of the request broke after the request was sent. Probes the engine
   /// to find out whether it crashed.
-  virtual void streamBroken(common::RequestFingerprint request,
-                            const engines::EngineEndpoint& engine) = 0;
+  /// \param output_began whether the stream had delivered output of this engine
+  virtual void streamBroken(const common::RequestContent& content,
+                            const engines::EngineEndpoint& engine, bool output_began) = 0;
   /// To be called when a plain back end (one that is not an engine) closed the connection while it
   /// processed the request. This counts as a crash without a probe, since a probe would occupy one
   /// of the back end's request slots.
   virtual void callBroken(common::RequestFingerprint request, const common::Address& backend) = 0;
   /// To be called when the request was answered completely. Engines that crashed under it must have
   /// done so for another reason, so its crashes are forgotten and its quarantine ends.
-  virtual void answered(common::RequestFingerprint request) = 0;
+  virtual void answered(const common::RequestContent& content) = 0;
 };
 
 }  // namespace cypresswall::quarantine
--- a/tests/execution/process_fixture.h
+++ b/tests/execution/process_fixture.h
@@ -71,18 +71,21 @@
 /// Quarantines the requests set by the test and records all reports.
 class FakeQuarantine final : public quarantine::RequestQuarantine {
  public:
-  std::optional<common::Duration> quarantinedFor(common::RequestFingerprint request) override {
-    return quarantined.contains(request) ? std::optional<common::Duration>(std::chrono::minutes(1))
-                                         : std::nullopt;
+  std::optional<common::Duration> quarantinedFor(const common::RequestContent& content) override {
+    return quarantined.contains(content.request)
+               ? std::optional<common::Duration>(std::chrono::minutes(1))
+               : std::nullopt;
   }
-  void streamBroken(common::RequestFingerprint request,
-                    const engines::EngineEndpoint& engine) override {
-    broken.emplace_back(request, engine.name);
+  void streamBroken(const common::RequestContent& content, const engines::EngineEndpoint& engine,
+                    bool) override {
+    broken.emplace_back(content.request, engine.name);
   }
   void callBroken(common::RequestFingerprint request, const common::Address& backend) override {
     broken.emplace_back(request, backend);
   }
-  void answered(common::RequestFingerprint request) override { answers.push_back(request); }
+  void answered(const common::RequestContent& content) override {
+    answers.push_back(content.request);
+  }
 
   std::set<common::RequestFingerprint> quarantined;
   std::vector<std::pair<common::RequestFingerprint, std::string>> broken;
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -57,8 +57,8 @@
       zone.run(kPropagationTime);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(nodes) + " nodes", nodes,
                                    zone.nodesThatQuarantine(kCrashingRequest));
-      CPPUNIT_ASSERT(zone.at(0).quarantinedFor(kCrashingRequest).has_value());
-      CPPUNIT_ASSERT(!zone.at(0).quarantinedFor(kInnocentRequest).has_value());
+      CPPUNIT_ASSERT(zone.at(0).quarantinedFor({kCrashingRequest, {}}).has_value());
+      CPPUNIT_ASSERT(!zone.at(0).quarantinedFor({kInnocentRequest, {}}).has_value());
     }
   }
 
@@ -135,7 +135,7 @@
     zone.crash(0, kInnocentRequest, 1);
     zone.crash(0, kInnocentRequest, 2);
     zone.run(milliseconds(200));
-    zone.at(0).answered(kInnocentRequest);
+    zone.at(0).answered({kInnocentRequest, {}});
     zone.run(milliseconds(200));
     zone.crash(0, kInnocentRequest, 3);
     zone.run(kPropagationTime);
@@ -146,7 +146,7 @@
   void requestAnsweredElsewhereIsNotQuarantined() {
     for (const std::size_t nodes : {9, 60}) {
       QuarantineZone zone(nodes);
-      zone.at(nodes - 1).answered(kInnocentRequest);
+      zone.at(nodes - 1).answered({kInnocentRequest, {}});
       zone.run(seconds(20));
       for (int engine = 1; engine <= 3; ++engine) {
         zone.crash(static_cast<std::size_t>(engine), kInnocentRequest, engine);
@@ -166,7 +166,7 @@
     QuarantineZone zone(60);
     crashThree(zone);
     zone.run(kPropagationTime);
-    zone.at(40).answered(kCrashingRequest);
+    zone.at(40).answered({kCrashingRequest, {}});
     zone.run(seconds(5));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingRequest));
   }
@@ -299,7 +299,7 @@
     zone.run(kPropagationTime);
     for (int i = 0; i < 4; ++i) {
       zone.run(zone.settings.memory / 2);
-      CPPUNIT_ASSERT(zone.at(5).quarantinedFor(kCrashingRequest).has_value());
+      CPPUNIT_ASSERT(zone.at(5).quarantinedFor({kCrashingRequest, {}}).has_value());
     }
   }
 
--- a/tests/quarantine/quarantine_zone.h
+++ b/tests/quarantine/quarantine_zone.h
@@ -126,7 +126,7 @@
     breakStream(node, request, engine);
   }
   void breakStream(std::size_t node, common::RequestFingerprint request, int engine) {
-    nodes_[node].quarantine->streamBroken(request, endpoint(engine));
+    nodes_[node].quarantine->streamBroken({request, {}}, endpoint(engine), false);
   }
   quarantine::FleetQuarantine& at(std::size_t node) { return *nodes_[node].quarantine; }
   bool isQuarantined(std::size_t node, common::RequestFingerprint request) const {
