Quarantine the part of prompts that crashes engines, not each request that has it

Cause: crashes were counted by the whole request alone, and every stream on an engine that ended was counted. The record shows it: each end had a stream without a token, always of another fingerprint; most quarantined fingerprints were of streams with tokens. Ends without such a stream, and news that come late, are ruled out by the lines.

Change: the shared parts of a prompt are counted by the same two nodes and messages as requests. A stream that had given output blames no part, and counts half for its request. Crashes under a part that have the next part in common count as one, so that the narrowest part which explains them is blamed, and not the first part of a whole route. Any answer since the first crash clears a part; before it, none does. Fields are added at the end of messages; builds before ignore them.

--- a/src/cypresswall/common/time.h
+++ b/src/cypresswall/common/time.h
@@ -2,9 +2,11 @@
 /// and in the simulator's virtual time.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 
 namespace cypresswall::common {
 
@@ -56,6 +58,14 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+/// \return `duration` in whole milliseconds, for messages: rounded towards zero, zero if negative
+constexpr std::uint32_t millisecondsOf(Duration duration) {
+  const std::int64_t count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  constexpr std::int64_t kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, kMost));
+}
+
 /// \return `seconds` as a Duration, rounded towards zero to whole microseconds.
 constexpr Duration fromSeconds(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
--- a/src/cypresswall/forwarding/encoding.cpp
+++ b/src/cypresswall/forwarding/encoding.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -16,15 +15,9 @@
 
 constexpr std::int32_t kNoUrgency = -1;
 
-std::uint32_t millisecondsOf(common::Duration duration) {
-  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  constexpr std::int64_t kMost = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, kMost));
-}
-
 /// \return zero only if there is no limit
 std::uint32_t timeLimitMilliseconds(common::Duration left) {
-  return left > common::Duration{0} ? std::max(millisecondsOf(left), 1U) : 0;
+  return left > common::Duration{0} ? std::max(common::millisecondsOf(left), 1U) : 0;
 }
 
 std::int32_t encodeUrgency(const std::optional<configuration::Urgency>& urgency) {
@@ -170,7 +163,7 @@
 
 ForwardedError encodeError(const ExecutionError& error) {
   return {static_cast<std::uint8_t>(error.kind), static_cast<std::uint8_t>(error.outcome),
-          error.message, millisecondsOf(error.retry_after)};
+          error.message, common::millisecondsOf(error.retry_after)};
 }
 
 ExecutionError decodeError(const ForwardedError& error) {
--- a/src/cypresswall/quarantine/crash_history.cpp
+++ b/src/cypresswall/quarantine/crash_history.cpp
@@ -3,26 +3,39 @@
 #include <algorithm>
 
 namespace cypresswall::quarantine {
+namespace {
 
-void CrashHistory::add(common::RequestFingerprint request, std::uint64_t engine,
-                       common::MonotonicTime at, common::MonotonicTime now) {
+/// Weight of a crash before any output, in units of one after output began.
+constexpr std::size_t kWeightWithoutOutput = 2;
+
+}  // namespace
+
+void CrashHistory::add(common::RequestFingerprint request, const CrashObservation& crash,
+                       common::MonotonicTime now) {
   if (!requests_.contains(request)) {
     evictOldest();
   }
   RequestCrashes& entry = requests_[request];
-  std::erase_if(entry.crashes, [&](const Crash& crash) { return !recent(crash, now); });
-  entry.last = std::max(entry.last, at);
-  const bool known =
-      std::any_of(entry.crashes.begin(), entry.crashes.end(), [&](const Crash& crash) {
-        const auto apart = crash.at > at ? crash.at - at : at - crash.at;
-        return crash.engine == engine && apart < settings_.crash_merge_window;
-      });
-  // Crashes beyond the threshold need not be stored, since they do not change the decision.
-  if (!known && entry.crashes.size() < settings_.crashes) {
-    entry.crashes.push_back({engine, at});
+  std::erase_if(entry.crashes, [&](const CrashObservation& old) { return !recent(old, now); });
+  entry.last = std::max(entry.last, crash.at);
+  const auto known =
+      std::find_if(entry.crashes.begin(), entry.crashes.end(),
+                   [&](const CrashObservation& other) { return same(other, crash); });
+  if (known != entry.crashes.end()) {
+    // Several copies of the request ran on the engine.
+    known->output_began = known->output_began && crash.output_began;
+  } else if (entry.crashes.size() < settings_.crashes * kWeightWithoutOutput) {
+    // Crashes beyond the threshold need not be stored, since they do not change the decision.
+    entry.crashes.push_back(crash);
   }
 }
 
+bool CrashHistory::same(const CrashObservation& left, const CrashObservation& right) const {
+  const auto apart = left.at > right.at ? left.at - right.at : right.at - left.at;
+  const bool same_engine = left.engine == right.engine && apart < settings_.crash_merge_window;
+  return same_engine || (left.next_part != 0 && left.next_part == right.next_part);
+}
+
 std::size_t CrashHistory::crashes(common::RequestFingerprint request,
                                   common::MonotonicTime now) const {
   const auto found = requests_.find(request);
@@ -30,8 +43,35 @@
     return 0;
   }
   const auto& crashes = found->second.crashes;
-  return static_cast<std::size_t>(std::count_if(
-      crashes.begin(), crashes.end(), [&](const Crash& crash) { return recent(crash, now); }));
+  return static_cast<std::size_t>(
+      std::count_if(crashes.begin(), crashes.end(),
+                    [&](const CrashObservation& crash) { return recent(crash, now); }));
+}
+
+bool CrashHistory::suffices(common::RequestFingerprint request, common::MonotonicTime now) const {
+  const auto found = requests_.find(request);
+  if (found == requests_.end()) {
+    return false;
+  }
+  std::size_t weight = 0;
+  for (const CrashObservation& crash : found->second.crashes) {
+    if (recent(crash, now)) {
+      weight += crash.output_began ? 1 : kWeightWithoutOutput;
+    }
+  }
+  return weight >= settings_.crashes * kWeightWithoutOutput;
+}
+
+common::MonotonicTime CrashHistory::firstCrash(common::RequestFingerprint request,
+                                               common::MonotonicTime now) const {
+  common::MonotonicTime first = now;
+  const auto found = requests_.find(request);
+  if (found != requests_.end()) {
+    for (const CrashObservation& crash : found->second.crashes) {
+      first = recent(crash, now) ? std::min(first, crash.at) : first;
+    }
+  }
+  return first;
 }
 
 std::vector<EngineCrash> CrashHistory::all(common::RequestFingerprint request,
@@ -41,10 +81,11 @@
   if (found == requests_.end()) {
     return crashes;
   }
-  for (const Crash& crash : found->second.crashes) {
+  for (const CrashObservation& crash : found->second.crashes) {
     if (recent(crash, now)) {
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
-      crashes.push_back({crash.engine, static_cast<std::uint32_t>(age.count())});
+      crashes.push_back({crash.engine, static_cast<std::uint32_t>(age.count()), crash.output_began,
+                         crash.next_part});
     }
   }
   return crashes;
--- a/src/cypresswall/quarantine/crash_history.h
+++ b/src/cypresswall/quarantine/crash_history.h
@@ -13,39 +13,50 @@
 
 namespace cypresswall::quarantine {
 
+/// A crash of an engine under a request or a part of its prompt; see EngineCrash.
+struct CrashObservation {
+  std::uint64_t engine = 0;
+  bool output_began = false;
+  common::RequestFingerprint next_part = 0;
+  common::MonotonicTime at{};
+};
+
 /// Bounded by the maximum number of requests and the age of crashes in QuarantineSettings. Does no
 /// I/O.
 class CrashHistory {
  public:
   explicit CrashHistory(const QuarantineSettings& settings) : settings_(settings) {}
 
-  /// Records that an engine crashed at `at` while it ran the request. Reports of one engine for one
-  /// request count as one crash if they are less than QuarantineSettings::crash_merge_window apart.
-  /// \param engine hash of the engine's name
-  void add(common::RequestFingerprint request, std::uint64_t engine, common::MonotonicTime at,
+  /// Records that an engine crashed while it ran the request. Reports of one engine for one request
+  /// count as one crash if they are less than QuarantineSettings::crash_merge_window apart. Crashes
+  /// under a part of prompts that have the next part in common count as one as well: that part,
+  /// which fewer prompts have, explains them better.
+  void add(common::RequestFingerprint request, const CrashObservation& crash,
            common::MonotonicTime now);
   /// Removes all crashes under the request. \return false if there were none
   bool forget(common::RequestFingerprint request) { return requests_.erase(request) != 0; }
-  /// \return the number of recent engine crashes under the request, at most
-  ///   QuarantineSettings::crashes
+  /// \return the number of recent engine crashes under the request that are stored
   std::size_t crashes(common::RequestFingerprint request, common::MonotonicTime now) const;
+  /// \return true if the recent crashes suffice to quarantine the request
+  bool suffices(common::RequestFingerprint request, common::MonotonicTime now) const;
+  /// \return the time of the first recent crash; `now` if there is none
+  common::MonotonicTime firstCrash(common::RequestFingerprint request,
+                                   common::MonotonicTime now) const;
   /// \return the recent crashes under the request, as sent in a CrashReport
   std::vector<EngineCrash> all(common::RequestFingerprint request, common::MonotonicTime now) const;
   std::size_t size() const { return requests_.size(); }
 
  private:
-  struct Crash {
-    std::uint64_t engine = 0;
-    common::MonotonicTime at{};
-  };
   struct RequestCrashes {
-    std::vector<Crash> crashes;
+    std::vector<CrashObservation> crashes;
     common::MonotonicTime last{};
   };
 
-  bool recent(const Crash& crash, common::MonotonicTime now) const {
+  bool recent(const CrashObservation& crash, common::MonotonicTime now) const {
     return now - crash.at < settings_.memory;
   }
+  /// \return true if the two count as one crash
+  bool same(const CrashObservation& left, const CrashObservation& right) const;
   void evictOldest();
 
   const QuarantineSettings settings_;
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -35,11 +35,12 @@
       counted_(settings),
       list_(settings),
       answered_(settings),
+      answered_parts_(settings),
       stored_(settings, context, membership, store,
               {[this] { return eligibleNodes(); }, [this] { return fingerprints(); },
                [this](const std::vector<common::RequestFingerprint>& requests) {
                  for (const auto request : requests) {
-                   quarantineForZone(request, "store");
+                   quarantineForZone({request, quarantineMilliseconds(), 0}, "store");
                  }
                }}),
       crashes_(context.counters.counter("cypresswall_quarantine_crashes_seen_total",
@@ -69,16 +70,23 @@
   announcePeriodically();
 }
 
+/// A part is quarantined for a fixed time, however often it comes: if it was blamed wrongly,
+/// nothing else would show it, since no prompt with the part is answered any more.
 std::optional<common::Duration> FleetQuarantine::quarantinedFor(
     const common::RequestContent& content) {
-  const common::RequestFingerprint request = content.request;
   const auto now = context_.clock.now();
-  if (!list_.remaining(request, now)) {
-    return std::nullopt;
+  if (list_.remaining(content.request, now)) {
+    refused_.add();
+    list_.add(content.request, settings_.memory, now);
+    return settings_.memory;
   }
-  refused_.add();
-  list_.add(request, settings_.memory, now);
-  return settings_.memory;
+  for (const common::RequestFingerprint part : content.shared_parts) {
+    if (const auto remaining = list_.remaining(part, now)) {
+      refused_.add();
+      return remaining;
+    }
+  }
+  return std::nullopt;
 }
 
 void FleetQuarantine::streamBroken(const common::RequestContent& content,
@@ -113,38 +121,55 @@
       .field("parts", common::sharedPartsText(content))
       .field("engine", name)
       .field("output_began", output_began);
-  crashed(content.request, name);
+  crashes_.add();
+  crashed(content.request, false, name, output_began, 0);
+  if (output_began) {
+    return;
+  }
+  const auto& parts = content.shared_parts;
+  for (std::size_t index = 0; index < parts.size(); ++index) {
+    crashed(parts[index], true, name, false, index + 1 < parts.size() ? parts[index + 1] : 0);
+  }
 }
 
 void FleetQuarantine::callBroken(common::RequestFingerprint request,
                                  const common::Address& backend) {
   const bool path_lost = server_path_ != nullptr && server_path_->lost();
   if (settings_.quarantines && request != 0 && !path_lost) {
-    crashed(request, backend);
+    crashes_.add();
+    crashed(request, false, backend, false, 0);
   }
 }
 
-void FleetQuarantine::crashed(common::RequestFingerprint request, const std::string& name) {
+void FleetQuarantine::crashed(common::RequestFingerprint fingerprint, bool is_part,
+                              const std::string& name, bool output_began,
+                              common::RequestFingerprint next_part) {
   const auto now = context_.clock.now();
-  crashes_.add();
-  observed_.add(request, common::hash64(name), now, now);
-  report({request, observed_.all(request, now)});
+  observed_.add(fingerprint, {common::hash64(name), output_began, next_part, now}, now);
+  report({fingerprint, observed_.all(fingerprint, now), is_part});
 }
 
 void FleetQuarantine::answered(const common::RequestContent& content) {
-  const common::RequestFingerprint request = content.request;
-  if (!settings_.quarantines || request == 0) {
+  if (!settings_.quarantines || content.request == 0) {
     return;
   }
   const auto now = context_.clock.now();
-  answered_.add(request, now);
-  if (observed_.forget(request)) {
-    report({request, {}});
+  answered_.add(content.request, now);
+  clear(content.request, false);
+  for (const common::RequestFingerprint part : content.shared_parts) {
+    answered_parts_.add(part, now);
+    clear(part, true);
   }
-  // A request that was sent before it was quarantined may be answered during its quarantine, which
-  // then ends.
-  if (list_.remaining(request, now) && release(request)) {
-    notifyPeers({{request, 0}});
+}
+
+/// A request that was sent before it was quarantined may be answered during its quarantine, which
+/// then ends.
+void FleetQuarantine::clear(common::RequestFingerprint fingerprint, bool is_part) {
+  if (observed_.forget(fingerprint)) {
+    report({fingerprint, {}, is_part});
+  }
+  if (list_.remaining(fingerprint, context_.clock.now()) && release(fingerprint)) {
+    notifyPeers({{fingerprint, 0, 0}});
   }
 }
 
@@ -170,23 +195,37 @@
   const auto now = context_.clock.now();
   for (const EngineCrash& crash : report.crashes) {
     const common::Duration age = std::chrono::milliseconds(crash.age_milliseconds);
-    counted_.add(report.request, crash.engine, now - age, now);
+    counted_.add(report.request, {crash.engine, crash.output_began, crash.next_part, now - age},
+                 now);
   }
-  if (counted_.crashes(report.request, now) < settings_.crashes) {
+  if (!counted_.suffices(report.request, now)) {
     return;
   }
-  quarantineForZone(report.request, "crashes");
+  QuarantinedRequest kept{report.request, quarantineMilliseconds(), 0};
+  if (report.is_part) {
+    const auto since = counted_.firstCrash(report.request, now);
+    kept.evidence_milliseconds = std::max(common::millisecondsOf(now - since), 1U);
+  }
+  quarantineForZone(kept, "crashes");
 }
 
-void FleetQuarantine::quarantineForZone(common::RequestFingerprint request, const char* source) {
-  const QuarantinedRequest kept{request, quarantineMilliseconds()};
-  if (answered_.contains(request, context_.clock.now())) {
-    counted_.forget(request);
+void FleetQuarantine::quarantineForZone(const QuarantinedRequest& kept, const char* source) {
+  if (contradictedByAnswer(kept)) {
+    counted_.forget(kept.request);
   } else if (addToList(kept, source)) {
     notifyPeers({kept});
   }
 }
 
+bool FleetQuarantine::contradictedByAnswer(const QuarantinedRequest& kept) const {
+  const auto now = context_.clock.now();
+  if (kept.evidence_milliseconds == 0) {
+    return answered_.contains(kept.request, now);
+  }
+  const common::Duration evidence = std::chrono::milliseconds(kept.evidence_milliseconds);
+  return answered_parts_.answeredSince(kept.request, now - evidence);
+}
+
 void FleetQuarantine::onNotice(const common::NodeId& sender, const QuarantineNotice& notice) {
   if (!settings_.quarantines) {
     return;
@@ -198,8 +237,8 @@
       if (release(entry.request)) {
         updates.push_back(entry);
       }
-    } else if (answered_.contains(entry.request, context_.clock.now())) {
-      releases.push_back({entry.request, 0});
+    } else if (contradictedByAnswer(entry)) {
+      releases.push_back({entry.request, 0, 0});
     } else if (addToList(entry, "peer")) {
       updates.push_back(entry);
     }
@@ -216,7 +255,10 @@
   const auto now = context_.clock.now();
   const bool kept = list_.remaining(request, now).has_value();
   counted_.forget(request);
+  observed_.forget(request);
   list_.remove(request);
+  // Notices that were sent before the release may still arrive; they must not begin a quarantine.
+  answered_parts_.add(request, now);
   if (!answered_.contains(request, now)) {
     answered_.add(request, now);
   } else if (!kept) {
@@ -232,13 +274,18 @@
 
 bool FleetQuarantine::addToList(const QuarantinedRequest& kept, const char* source) {
   const auto now = context_.clock.now();
-  if (kept.request == 0 || !list_.add(kept.request, timeLeft(kept), now)) {
+  const bool is_part = kept.evidence_milliseconds != 0;
+  const common::Duration evidence = std::chrono::milliseconds(kept.evidence_milliseconds);
+  if (kept.request == 0 ||
+      !list_.add(kept.request, timeLeft(kept), now,
+                 is_part ? std::make_optional(now - evidence) : std::nullopt)) {
     return false;
   }
   added_.add();
   listChanged();
   common::LogEvent(context_.log, common::LogLevel::kWarning, "request_quarantined")
       .field("fingerprint", common::toString(kept.request))
+      .field("part", is_part)
       .field("source", source)
       .field("crashes", counted_.crashes(kept.request, now))
       .field("for_ms", kept.milliseconds_left);
@@ -251,8 +298,7 @@
 }
 
 std::uint32_t FleetQuarantine::quarantineMilliseconds() const {
-  const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.memory);
-  return static_cast<std::uint32_t>(time.count());
+  return common::millisecondsOf(settings_.memory);
 }
 
 void FleetQuarantine::notifyPeers(const std::vector<QuarantinedRequest>& requests) {
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -12,6 +12,7 @@
 #include "cypresswall/membership/dissemination_peers.h"
 #include "cypresswall/membership/membership_view.h"
 #include "cypresswall/object_store/object_store.h"
+#include "cypresswall/quarantine/answered_parts.h"
 #include "cypresswall/quarantine/answered_requests.h"
 #include "cypresswall/quarantine/crash_detector.h"
 #include "cypresswall/quarantine/crash_history.h"
@@ -26,9 +27,12 @@
 /// fingerprint and count the crashes under the request. Once one of them has counted
 /// QuarantineSettings::crashes, all nodes quarantine the request, unless one of them has recently
 /// received a complete answer to it: a request that many callers send may happen to run on several
-/// engines that crash for another reason. Messages are sent only for broken streams and quarantined
-/// requests: two for each stream that a crash broke, whatever the size of the zone, and a few per
-/// node for each quarantined request. docs/design/quarantine.md discusses the alternatives.
+/// engines that crash for another reason. The parts of a prompt that other prompts may share are
+/// counted in the same way, as requests of which no two are alike may crash engines by a part that
+/// they have in common; a part is cleared by any answer since its first crash. Messages are sent
+/// only for broken streams and quarantined requests: two for each stream that a crash broke,
+/// whatever the size of the zone, and a few per node for each quarantined request.
+/// docs/design/quarantine.md discusses the alternatives.
 class FleetQuarantine final : public RequestQuarantine {
  public:
   /// Registers the handlers of CrashReport and QuarantineNotice.
@@ -61,8 +65,13 @@
                       bool output_began);
   void streamCrashed(const common::RequestContent& content, const std::string& name,
                      bool output_began);
+  /// \param fingerprint of a whole request or, if `is_part` is set, of a part of its prompt
   /// \param name name of the crashed engine, or address of the crashed back end
-  void crashed(common::RequestFingerprint request, const std::string& name);
+  /// \param next_part see EngineCrash::next_part
+  void crashed(common::RequestFingerprint fingerprint, bool is_part, const std::string& name,
+               bool output_began, common::RequestFingerprint next_part);
+  /// Forgets the crashes under a request or part that was answered, and ends its quarantine.
+  void clear(common::RequestFingerprint fingerprint, bool is_part);
   void report(const CrashReport& report);
   void onReport(const CrashReport& report);
   void onNotice(const common::NodeId& sender, const QuarantineNotice& notice);
@@ -70,9 +79,13 @@
   std::uint32_t quarantineMilliseconds() const;
   /// \return true if the request was not quarantined yet
   bool addToList(const QuarantinedRequest& request, const char* source);
-  /// Quarantines a request on all nodes of the zone, unless this node knows that it was answered
-  /// recently.
-  void quarantineForZone(common::RequestFingerprint request, const char* source);
+  /// Quarantines a request or a part on all nodes of the zone, unless this node knows that an
+  /// answer contradicts.
+  void quarantineForZone(const QuarantinedRequest& request, const char* source);
+  /// \return true if this node knows of an answer to the request, or to a prompt with the part,
+  /// that
+  ///   shows that the engines crashed for another reason
+  bool contradictedByAnswer(const QuarantinedRequest& request) const;
   /// Ends the quarantine of a request that was answered.
   /// \return false if nothing changed: this node already knew of the answer, and the request was
   ///   not quarantined here
@@ -101,6 +114,8 @@
   QuarantineList list_;
   /// Requests answered by this node, or by others according to their notices.
   AnsweredRequests answered_;
+  /// Parts of the prompts that this node had answered.
+  AnsweredParts answered_parts_;
   QuarantineStore stored_;
   api::ServerPath* server_path_ = nullptr;
   /// Position in the list at which the next periodic announcement starts.
--- a/src/cypresswall/quarantine/messages.h
+++ b/src/cypresswall/quarantine/messages.h
@@ -14,7 +14,12 @@
   /// Hash of the engine's name.
   std::uint64_t engine = 0;
   std::uint32_t age_milliseconds = 0;
-  MSGPACK_DEFINE(engine, age_milliseconds)
+  /// The engine had given output to the request. Not sent by earlier builds.
+  bool output_began = false;
+  /// For a crash under a part of a prompt: the next part, if other prompts may share that one as
+  /// well; zero otherwise. Not sent by earlier builds.
+  common::RequestFingerprint next_part = 0;
+  MSGPACK_DEFINE(engine, age_milliseconds, output_began, next_part)
 };
 
 /// Sent to the two nodes that count the crashes of a request. Contains all recent crashes that the
@@ -25,7 +30,9 @@
   /// Empty if the request was answered completely; the receiver then forgets the crashes reported
   /// earlier.
   std::vector<EngineCrash> crashes;
-  MSGPACK_DEFINE(request, crashes)
+  /// `request` is the fingerprint of a part of prompts. Earlier builds ignore the field.
+  bool is_part = false;
+  MSGPACK_DEFINE(request, crashes, is_part)
 };
 
 /// A quarantined request, or one that has been released.
@@ -35,7 +42,11 @@
   /// means that the engines crashed for another reason. A release takes precedence over quarantine
   /// notices from other nodes.
   std::uint32_t milliseconds_left = 0;
-  MSGPACK_DEFINE(request, milliseconds_left)
+  /// For a part of prompts: time since the first crash that counts, so that an answer since then
+  /// releases it. Zero for a whole request, which any recent answer releases. Earlier builds ignore
+  /// the field.
+  std::uint32_t evidence_milliseconds = 0;
+  MSGPACK_DEFINE(request, milliseconds_left, evidence_milliseconds)
 };
 
 /// Gossiped when a request is quarantined or released, and announced periodically to a few nodes.
--- a/src/cypresswall/quarantine/quarantine_list.h
+++ b/src/cypresswall/quarantine/quarantine_list.h
@@ -20,9 +20,11 @@
   explicit QuarantineList(const QuarantineSettings& settings) : settings_(settings) {}
 
   /// Quarantines the request for `time`; never shortens a quarantine that lasts longer.
+  /// \param evidence_since for a part of prompts, the time of the first crash that counts
   /// \return true if the request was not quarantined yet
-  bool add(common::RequestFingerprint request, common::Duration time, common::MonotonicTime now);
-  void remove(common::RequestFingerprint request) { until_.erase(request); }
+  bool add(common::RequestFingerprint request, common::Duration time, common::MonotonicTime now,
+           std::optional<common::MonotonicTime> evidence_since = std::nullopt);
+  void remove(common::RequestFingerprint request) { entries_.erase(request); }
   /// \return the remaining time of the quarantine; nothing if the request is not quarantined
   std::optional<common::Duration> remaining(common::RequestFingerprint request,
                                             common::MonotonicTime now) const;
@@ -30,13 +32,20 @@
   bool expire(common::MonotonicTime now);
   /// \return all quarantined requests, ordered by fingerprint
   std::vector<QuarantinedRequest> all(common::MonotonicTime now) const;
-  std::size_t size() const { return until_.size(); }
+  std::size_t size() const { return entries_.size(); }
 
  private:
+  struct Entry {
+    common::MonotonicTime until{};
+    std::optional<common::MonotonicTime> evidence_since;
+  };
+
+  /// \return the value of QuarantinedRequest::evidence_milliseconds
+  static std::uint32_t evidenceAge(const Entry& entry, common::MonotonicTime now);
   void evictOldest();
 
   const QuarantineSettings settings_;
-  std::unordered_map<common::RequestFingerprint, common::MonotonicTime> until_;
+  std::unordered_map<common::RequestFingerprint, Entry> entries_;
 };
 
 }  // namespace cypresswall::quarantine
--- a/src/cypresswall/quarantine/quarantine_settings.h
+++ b/src/cypresswall/quarantine/quarantine_settings.h
@@ -10,9 +10,11 @@
 struct QuarantineSettings {
   /// False disables the quarantine.
   bool quarantines = true;
-  /// Number of engine crashes while running a request after which the request is quarantined. When
-  /// one request crashed 23 engines in ten seconds, a fifth of the harmless requests on these
-  /// engines were hit by two crashes, and none by three.
+  /// Number of engine crashes while running a request, or requests with one part of their prompts
+  /// in common, after which the request or the part is quarantined. A crash counts half if the
+  /// engine had given output to the request: what crashes engines mostly does so at once. When one
+  /// request crashed 23 engines in ten seconds, a fifth of the harmless requests on these engines
+  /// were hit by two crashes, and none by three.
   std::size_t crashes = 3;
   /// How long a crash counts against a request. Also how long a request stays quarantined after it
   /// was quarantined or last received, since callers that retry automatically do so within minutes.
@@ -40,6 +42,9 @@
   /// Maximum number of answered requests that a node remembers, 16 bytes each. A busy node answers
   /// about this many in a minute.
   std::size_t maximum_answered_requests = 4096;
+  /// Maximum number of prompt parts of which a node remembers when they were last answered, about
+  /// 60 bytes each.
+  std::size_t maximum_answered_parts = 4096;
   /// Maximum number of quarantined requests; those whose quarantine ends first are evicted first.
   std::size_t maximum_quarantined = 256;
 };
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -17,6 +17,10 @@
 
 constexpr common::RequestFingerprint kCrashingRequest = 0xC0FFEE;
 constexpr common::RequestFingerprint kInnocentRequest = 0xBEEF;
+constexpr common::RequestFingerprint kFirstRequest = 0x100;
+constexpr common::RequestFingerprint kFirstPart = 0xA100;
+constexpr common::RequestFingerprint kSecondPart = 0xA200;
+constexpr common::RequestFingerprint kCrashingPart = 0xA300;
 /// All nodes must know within this time, a third of the limit required for a small zone.
 constexpr common::Duration kPropagationTime = seconds(1);
 
@@ -47,6 +51,14 @@
   CPPUNIT_TEST(nothingIsQuarantinedWhenDisabled);
   CPPUNIT_TEST(requestsWithoutFingerprintAreIgnored);
   CPPUNIT_TEST(unreadableStoredListIsReplaced);
+  CPPUNIT_TEST(partOfDifferentRequestsIsQuarantinedOnAllNodes);
+  CPPUNIT_TEST(narrowestPartIsBlamed);
+  CPPUNIT_TEST(firstPartOfDifferentPromptsIsBlamed);
+  CPPUNIT_TEST(partAnsweredSinceFirstCrashIsNotBlamed);
+  CPPUNIT_TEST(partAnsweredBeforeFirstCrashIsBlamed);
+  CPPUNIT_TEST(streamsWithOutputDoNotBlameParts);
+  CPPUNIT_TEST(streamsWithOutputCountHalf);
+  CPPUNIT_TEST(partIsReleasedAfterFixedTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -343,6 +355,99 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(0));
   }
 
+  void partOfDifferentRequestsIsQuarantinedOnAllNodes() {
+    for (const std::size_t nodes : {1, 2, 9, 24, 66, 300}) {
+      QuarantineZone zone(nodes);
+      crashThreeWith(zone, {kFirstPart, kCrashingPart});
+      zone.run(kPropagationTime);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(nodes) + " nodes", nodes,
+                                   zone.nodesThatQuarantine(kCrashingPart));
+      CPPUNIT_ASSERT(zone.at(0).quarantinedFor({kInnocentRequest, {kCrashingPart}}).has_value());
+      CPPUNIT_ASSERT(!zone.at(0).quarantinedFor({kInnocentRequest, {kFirstPart}}).has_value());
+    }
+  }
+
+  void narrowestPartIsBlamed() {
+    QuarantineZone zone(9);
+    crashThreeWith(zone, {kFirstPart, kSecondPart, kCrashingPart});
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingPart));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kFirstPart));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kSecondPart));
+  }
+
+  void firstPartOfDifferentPromptsIsBlamed() {
+    QuarantineZone zone(9);
+    for (std::size_t number = 1; number <= 3; ++number) {
+      zone.crashUnder(number, {kFirstRequest + number, {kCrashingPart, kSecondPart + number}},
+                      static_cast<int>(number));
+      zone.run(milliseconds(100));
+    }
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingPart));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kSecondPart + 1));
+  }
+
+  void partAnsweredSinceFirstCrashIsNotBlamed() {
+    for (const std::size_t nodes : {9, 66}) {
+      QuarantineZone zone(nodes);
+      zone.crashUnder(1, {kFirstRequest, {kFirstPart}}, 1);
+      zone.run(milliseconds(100));
+      zone.at(nodes - 1).answered({kInnocentRequest, {kFirstPart}});
+      zone.crashUnder(2, {kFirstRequest + 1, {kFirstPart}}, 2);
+      zone.run(milliseconds(100));
+      zone.crashUnder(3, {kFirstRequest + 2, {kFirstPart}}, 3);
+      zone.run(seconds(3));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kFirstPart));
+    }
+  }
+
+  /// Engines began to crash on a part with which prompts were answered until then.
+  void partAnsweredBeforeFirstCrashIsBlamed() {
+    QuarantineZone zone(9);
+    for (std::size_t node = 0; node < zone.size(); ++node) {
+      zone.at(node).answered({kInnocentRequest + node, {kCrashingPart}});
+    }
+    zone.run(milliseconds(200));
+    crashThreeWith(zone, {kCrashingPart});
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingPart));
+  }
+
+  void streamsWithOutputDoNotBlameParts() {
+    QuarantineZone zone(9);
+    for (int engine = 1; engine <= 9; ++engine) {
+      const auto number = static_cast<std::size_t>(engine);
+      zone.crashUnder(number % zone.size(), {kFirstRequest + number, {kFirstPart}}, engine, true);
+      zone.run(milliseconds(100));
+    }
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kFirstPart));
+  }
+
+  void streamsWithOutputCountHalf() {
+    QuarantineZone zone(9);
+    for (int engine = 1; engine <= 6; ++engine) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingRequest));
+      zone.crashUnder(static_cast<std::size_t>(engine), {kCrashingRequest, {}}, engine, true);
+      zone.run(milliseconds(100));
+    }
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingRequest));
+  }
+
+  /// A part that was blamed wrongly must not be refused for as long as callers send it.
+  void partIsReleasedAfterFixedTime() {
+    QuarantineZone zone(9);
+    crashThreeWith(zone, {kCrashingPart});
+    const auto end = zone.settings.memory + seconds(10);
+    for (common::Duration spent{0}; spent < end; spent += seconds(10)) {
+      zone.run(seconds(10));
+      zone.at(5).quarantinedFor({kFirstRequest + 9, {kCrashingPart}});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingPart));
+  }
+
   void unreadableStoredListIsReplaced() {
     QuarantineZone zone(3);
     zone.platform().store().compareAndSet({"quarantine/z", 0, "\xff{", "another"},
@@ -363,6 +468,15 @@
       zone.run(milliseconds(100));
     }
   }
+  /// Crashes three engines under different requests that have these parts in common.
+  static void crashThreeWith(QuarantineZone& zone,
+                             const std::vector<common::RequestFingerprint>& parts) {
+    for (std::size_t number = 1; number <= 3; ++number) {
+      zone.crashUnder(number % zone.size(), {kFirstRequest + number, parts},
+                      static_cast<int>(number));
+      zone.run(milliseconds(100));
+    }
+  }
   static void restartAll(QuarantineZone& zone) {
     for (std::size_t node = 0; node < zone.size(); ++node) {
       zone.restart(node);
--- a/tests/quarantine/quarantine_zone.h
+++ b/tests/quarantine/quarantine_zone.h
@@ -128,6 +128,12 @@
   void breakStream(std::size_t node, common::RequestFingerprint request, int engine) {
     nodes_[node].quarantine->streamBroken({request, {}}, endpoint(engine), false);
   }
+  /// Crashes an engine under a request whose prompt has shared parts.
+  void crashUnder(std::size_t node, const common::RequestContent& content, int engine,
+                  bool output_began = false) {
+    endEngine(engine);
+    nodes_[node].quarantine->streamBroken(content, endpoint(engine), output_began);
+  }
   quarantine::FleetQuarantine& at(std::size_t node) { return *nodes_[node].quarantine; }
   bool isQuarantined(std::size_t node, common::RequestFingerprint request) const {
     const auto kept = nodes_[node].quarantine->all();
