Notice when a forwarded request's messages were lost

The sender now checks each open request every half second. A receiver that does not execute it says so, and the request ends as unknown if the rest of the answer does not come in 500 ms; 3 s of silence count as a lost receiver. A receiver cancels what its sender has not checked for 3 s, and takes over whether the caller reads.

--- a/src/cypresswall/forwarding/forwarded_attempts.cpp
+++ b/src/cypresswall/forwarding/forwarded_attempts.cpp
@@ -21,12 +21,15 @@
         acknowledgement_timer_ = 0;
         onUnacknowledged();
       });
+  heard_at_ = forwarder_.context().clock.now();
+  scheduleCheck();
   forwarder_.countForwarded();
   send_(receiver_, number_);
   return true;
 }
 
 void ForwardedAttempts::acknowledged() {
+  heard_at_ = forwarder_.context().clock.now();
   forwarder_.context().scheduler.cancel(std::exchange(acknowledgement_timer_, 0));
 }
 
@@ -47,6 +50,34 @@
   }
 }
 
+void ForwardedAttempts::scheduleCheck() {
+  check_timer_ =
+      forwarder_.context().scheduler.schedule(forwarder_.settings().check_interval, [this] {
+        check_timer_ = 0;
+        check();
+      });
+}
+
+void ForwardedAttempts::check() {
+  const auto silence = forwarder_.context().clock.now() - heard_at_;
+  if (silence > forwarder_.settings().silence_limit) {
+    handler_.onReceiverLost();
+    return;
+  }
+  forwarder_.context().sendTo(receiver_, ForwardCheck{number_, paused_});
+  scheduleCheck();
+}
+
+void ForwardedAttempts::ended() {
+  acknowledged();
+  if (end_timer_ == 0) {
+    end_timer_ = forwarder_.context().scheduler.schedule(forwarder_.settings().part_limit, [this] {
+      end_timer_ = 0;
+      handler_.onReceiverLost();
+    });
+  }
+}
+
 std::optional<ForwardedAttempts::Failure> ForwardedAttempts::rejected() {
   close();
   if (next()) {
@@ -77,12 +108,15 @@
 
 void ForwardedAttempts::close() {
   acknowledged();
+  forwarder_.context().scheduler.cancel(std::exchange(check_timer_, 0));
+  forwarder_.context().scheduler.cancel(std::exchange(end_timer_, 0));
   if (number_ != 0) {
     forwarder_.close(std::exchange(number_, 0));
   }
 }
 
-void ForwardedAttempts::sendFlow(bool paused) const {
+void ForwardedAttempts::sendFlow(bool paused) {
+  paused_ = paused;
   if (number_ != 0) {
     forwarder_.context().sendTo(receiver_, ForwardFlow{number_, paused});
   }
--- a/src/cypresswall/forwarding/forwarded_attempts.h
+++ b/src/cypresswall/forwarding/forwarded_attempts.h
@@ -36,6 +36,10 @@
   /// \return the failure if the request can't be sent to another receiver
   std::optional<Failure> rejected();
   std::optional<Failure> receiverLost();
+  /// To be called if the receiver says that the request has ended. The rest of the answer may still
+  /// be on its way; if it does not arrive in time, ForwardedCallHandler::onReceiverLost() is
+  /// called.
+  void ended();
   /// To be called when a part of the answer has arrived: from then on, the request stays with its
   /// receiver.
   void answerBegan();
@@ -44,10 +48,12 @@
   /// Drops all further messages.
   void close();
   /// Sends a message about the request to its receiver.
-  void sendFlow(bool paused) const;
+  void sendFlow(bool paused);
 
  private:
   void onUnacknowledged();
+  void scheduleCheck();
+  void check();
 
   Forwarder& forwarder_;
   ForwardedCallHandler& handler_;
@@ -61,6 +67,11 @@
   /// A receiver that did not acknowledge the request may execute it.
   bool may_have_run_ = false;
   common::TimerId acknowledgement_timer_ = 0;
+  common::TimerId check_timer_ = 0;
+  common::TimerId end_timer_ = 0;
+  /// When the receiver was last heard of.
+  common::MonotonicTime heard_at_{};
+  bool paused_ = false;
 };
 
 }  // namespace cypresswall::forwarding
--- a/src/cypresswall/forwarding/forwarder.cpp
+++ b/src/cypresswall/forwarding/forwarder.cpp
@@ -24,6 +24,7 @@
   handle<ForwardAcknowledged>(
       [](ForwardedCallHandler& call, const auto&) { call.onAcknowledged(); });
   handle<ForwardRejected>([](ForwardedCallHandler& call, const auto&) { call.onRejected(); });
+  handle<ForwardEnded>([](ForwardedCallHandler& call, const auto&) { call.onEnded(); });
   handle<ForwardedHead>([](ForwardedCallHandler& call, const auto& head) { call.onHead(head); });
   handle<ForwardedToken>(
       [](ForwardedCallHandler& call, const auto& token) { call.onToken(token); });
--- a/src/cypresswall/forwarding/forwarder.h
+++ b/src/cypresswall/forwarding/forwarder.h
@@ -23,6 +23,8 @@
   virtual ~ForwardedCallHandler() = default;
   virtual void onAcknowledged() = 0;
   virtual void onRejected() = 0;
+  /// The receiver does not execute the request any more.
+  virtual void onEnded() = 0;
   virtual void onHead(const ForwardedHead&) {}
   virtual void onToken(const ForwardedToken&) {}
   virtual void onModelEnd(const ForwardedModelEnd&) {}
--- a/src/cypresswall/forwarding/forwarding_model_executor.cpp
+++ b/src/cypresswall/forwarding/forwarding_model_executor.cpp
@@ -103,6 +103,7 @@
   // Of the receiver.
   void onAcknowledged() override { attempts_.acknowledged(); }
   void onRejected() override { failIf(attempts_.rejected()); }
+  void onEnded() override { attempts_.ended(); }
   void onReceiverLost() override { failIf(attempts_.receiverLost()); }
   void onHead(const ForwardedHead& head) override {
     attempts_.answerBegan();
--- a/src/cypresswall/forwarding/forwarding_server.cpp
+++ b/src/cypresswall/forwarding/forwarding_server.cpp
@@ -24,14 +24,23 @@
 /// Passes the answer to one model request to the node that forwarded it.
 class ForwardingServer::ModelRun final : public execution::ModelCallObserver {
  public:
-  ModelRun(ForwardingServer& server, Key key) : server_(server), key_(std::move(key)) {}
+  ModelRun(ForwardingServer& server, Key key)
+      : server_(server), key_(std::move(key)), checked_at_(server.context_.clock.now()) {}
 
   void start(execution::ModelCall call) {
     execution_ = server_.model_executor_.start(std::move(call), *this);
   }
-  void setPaused(bool paused) { paused ? execution_->pause() : execution_->resume(); }
-  /// Cancels the request; nothing more is sent.
-  void cancel() { execution_.reset(); }
+  void setPaused(bool paused) {
+    if (std::exchange(paused_, paused) != paused) {
+      paused ? execution_->pause() : execution_->resume();
+    }
+  }
+  /// To be called when the sender has checked the request.
+  void checked(bool paused) {
+    checked_at_ = server_.context_.clock.now();
+    setPaused(paused);
+  }
+  common::MonotonicTime checkedAt() const { return checked_at_; }
 
   void onHead(const engines::AnswerHead& head) override {
     send(ForwardedHead{key_.second, next_sequence_++, head.status, encodeHeaders(head.headers)});
@@ -69,6 +78,8 @@
   ForwardingServer& server_;
   const Key key_;
   std::uint32_t next_sequence_ = 0;
+  common::MonotonicTime checked_at_;
+  bool paused_ = false;
   std::unique_ptr<execution::ModelExecution> execution_;
 };
 
@@ -97,6 +108,8 @@
       [this](const auto& sender, const auto& message) { onCancelled(sender, message); });
   context_.dispatcher.handle<ForwardFlow>(
       [this](const auto& sender, const auto& message) { onFlow(sender, message); });
+  context_.dispatcher.handle<ForwardCheck>(
+      [this](const auto& sender, const auto& message) { onCheck(sender, message); });
   membership.onChange([this] { onMembershipChanged(); });
 }
 
@@ -110,6 +123,7 @@
   }
   served_.add();
   context_.sendTo(sender, ForwardAcknowledged{number});
+  scheduleSweep();
   return true;
 }
 
@@ -130,7 +144,9 @@
   if (services_.contains(key) || !admit(sender, message.number)) {
     return;
   }
-  services_[key] = service_executor_.start(
+  ServiceRun& run = services_[key];
+  run.checked_at = context_.clock.now();
+  run.execution = service_executor_.start(
       decodeServiceCall(message), [this, key](const execution::ServiceCallAnswer& answer) {
         const bool fits = answer.body.size() <= kMaximumAnswerBytes;
         context_.sendTo(key.first,
@@ -152,6 +168,42 @@
   }
 }
 
+void ForwardingServer::onCheck(const common::NodeId& sender, const ForwardCheck& message) {
+  const auto model = models_.find({sender, message.number});
+  const auto service = services_.find({sender, message.number});
+  if (model != models_.end()) {
+    model->second->checked(message.paused);
+  } else if (service != services_.end()) {
+    service->second.checked_at = context_.clock.now();
+  } else {
+    context_.sendTo(sender, ForwardEnded{message.number});
+    return;
+  }
+  context_.sendTo(sender, ForwardAcknowledged{message.number});
+}
+
+void ForwardingServer::scheduleSweep() {
+  if (sweep_timer_ == 0) {
+    sweep_timer_ = context_.scheduler.schedule(settings_.check_interval, [this] {
+      sweep_timer_ = 0;
+      sweep();
+    });
+  }
+}
+
+void ForwardingServer::sweep() {
+  const auto now = context_.clock.now();
+  std::erase_if(models_, [&](const auto& run) {
+    return now - run.second->checkedAt() > settings_.silence_limit;
+  });
+  std::erase_if(services_, [&](const auto& run) {
+    return now - run.second.checked_at > settings_.silence_limit;
+  });
+  if (running() > 0) {
+    scheduleSweep();
+  }
+}
+
 void ForwardingServer::onMembershipChanged() {
   if (running() == 0) {
     return;
--- a/src/cypresswall/forwarding/forwarding_server.h
+++ b/src/cypresswall/forwarding/forwarding_server.h
@@ -36,7 +36,11 @@
 
  private:
   class ModelRun;
-  class ServiceRun;
+  /// A request to a plain service.
+  struct ServiceRun {
+    std::unique_ptr<execution::ServiceExecution> execution;
+    common::MonotonicTime checked_at{};
+  };
   /// The sender, and the number that it gave the request.
   using Key = std::pair<common::NodeId, std::uint64_t>;
 
@@ -46,6 +50,10 @@
   void onServiceCall(const common::NodeId& sender, const ForwardedServiceCall& message);
   void onCancelled(const common::NodeId& sender, const ForwardCancelled& message);
   void onFlow(const common::NodeId& sender, const ForwardFlow& message);
+  void onCheck(const common::NodeId& sender, const ForwardCheck& message);
+  /// Cancels requests that their senders have given up, at intervals while there are requests.
+  void scheduleSweep();
+  void sweep();
   /// Ends the requests of nodes that have ended.
   void onMembershipChanged();
   /// Removes a request in the next scheduler callback, since its executor may be on the stack.
@@ -60,7 +68,8 @@
   execution::ServiceExecutor& service_executor_;
   const std::function<bool()> accepting_;
   std::map<Key, std::unique_ptr<ModelRun>> models_;
-  std::map<Key, std::unique_ptr<execution::ServiceExecution>> services_;
+  std::map<Key, ServiceRun> services_;
+  common::TimerId sweep_timer_ = 0;
   common::Counter& served_;
   common::Counter& rejected_;
 };
--- a/src/cypresswall/forwarding/forwarding_service_executor.cpp
+++ b/src/cypresswall/forwarding/forwarding_service_executor.cpp
@@ -71,6 +71,7 @@
 
   void onAcknowledged() override { attempts_.acknowledged(); }
   void onRejected() override { failIf(attempts_.rejected()); }
+  void onEnded() override { attempts_.ended(); }
   void onReceiverLost() override { failIf(attempts_.receiverLost()); }
   void onServiceAnswer(const ForwardedServiceAnswer& answer) override {
     finish(decodeServiceAnswer(answer));
--- a/src/cypresswall/forwarding/forwarding_settings.h
+++ b/src/cypresswall/forwarding/forwarding_settings.h
@@ -29,6 +29,11 @@
   common::Duration answer_slack = std::chrono::milliseconds(100);
   /// Time for which a missing part of an answer is awaited after a later part has arrived.
   common::Duration part_limit = std::chrono::milliseconds(500);
+  /// Interval at which the sender of a request checks that the receiver still executes it.
+  common::Duration check_interval = std::chrono::milliseconds(500);
+  /// A receiver from which nothing was heard for this long counts as lost; a receiver cancels a
+  /// request whose sender did not check it for this long.
+  common::Duration silence_limit = std::chrono::seconds(3);
   /// Retry-After of a request that no node could execute. Links to servers fail for seconds.
   common::Duration retry_after = std::chrono::seconds(1);
 };
--- a/src/cypresswall/forwarding/messages.h
+++ b/src/cypresswall/forwarding/messages.h
@@ -161,4 +161,21 @@
   MSGPACK_DEFINE(number, paused)
 };
 
+/// Sent at intervals for each open request, since messages may be lost. Answered with
+/// ForwardAcknowledged or, if the receiver does not execute the request any more, with
+/// ForwardEnded.
+struct ForwardCheck {
+  static constexpr auto kType = forwardingMessage(10);
+  std::uint64_t number = 0;
+  /// As in the last ForwardFlow.
+  bool paused = false;
+  MSGPACK_DEFINE(number, paused)
+};
+
+struct ForwardEnded {
+  static constexpr auto kType = forwardingMessage(11);
+  std::uint64_t number = 0;
+  MSGPACK_DEFINE(number)
+};
+
 }  // namespace cypresswall::forwarding
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -105,6 +105,8 @@
   idempotency::KeyClaims& keyClaims() { return key_claims_; }
   operators::CommandService& commands() { return commands_; }
   admission::ZoneAdmissionController& admission() { return admission_; }
+  /// Records of the model requests that this node executed, also for other nodes.
+  const execution::RequestJournal& modelJournal() const { return model_executor_.journal(); }
   execution::ModelExecutor& modelExecutor() { return forwarding_models_; }
   duties::FleetDuties& duties() { return duties_; }
   const fleet_limits::ConnectionShares& connectionShares() const { return connection_shares_; }
--- a/src/cypresswall/simulation/fleet/fault_schedule.cpp
+++ b/src/cypresswall/simulation/fleet/fault_schedule.cpp
@@ -16,27 +16,12 @@
 
 const char* toString(FaultAction action) {
   static constexpr std::array<const char*, static_cast<std::size_t>(FaultAction::kCount)> kNames{
-      "kill_node",
-      "stop_node",
-      "replace_node",
-      "pause_node",
-      "cut_off_node",
-      "cut_zones",
-      "cut_one_way",
-      "cut_platform",
-      "store_down",
-      "store_slow",
-      "lose_store_answers",
-      "store_watch_gap",
-      "restore_store",
-      "crash_engine",
-      "crash_engine_in_change",
-      "lose_order_answers",
-      "late_orders",
-      "break_stream",
-      "service_break_before",
-      "service_break_after",
-      "service_refuse"};
+      "kill_node",           "stop_node",     "replace_node", "pause_node",
+      "cut_off_node",        "cut_servers",   "cut_zones",    "cut_one_way",
+      "cut_platform",        "store_down",    "store_slow",   "lose_store_answers",
+      "store_watch_gap",     "restore_store", "crash_engine", "crash_engine_in_change",
+      "lose_order_answers",  "late_orders",   "break_stream", "service_break_before",
+      "service_break_after", "service_refuse"};
   return action < FaultAction::kCount ? kNames[static_cast<std::size_t>(action)] : "unknown";
 }
 
@@ -87,6 +72,9 @@
     case FaultAction::kCutOffNode:
       fleet_.isolateNode(nodeOf(fault));
       break;
+    case FaultAction::kCutServers:
+      fleet_.cutNodeFromServers(nodeOf(fault));
+      break;
     case FaultAction::kCutPlatform:
       network.cutZones(zoneName(zone), SimulatedPlatform::kZone);
       break;
@@ -174,6 +162,7 @@
       fleet_.pauseNode(nodeOf(fault), fault.duration);
       break;
     case FaultAction::kCutOffNode:
+    case FaultAction::kCutServers:
     case FaultAction::kCutZones:
     case FaultAction::kCutOneWay:
     case FaultAction::kCutPlatform:
@@ -229,6 +218,7 @@
       fleet_.replaceNode(nodeOf(fault));
       break;
     case FaultAction::kCutOffNode:
+    case FaultAction::kCutServers:
     case FaultAction::kCutZones:
     case FaultAction::kCutOneWay:
     case FaultAction::kCutPlatform:
--- a/src/cypresswall/simulation/fleet/fault_schedule.h
+++ b/src/cypresswall/simulation/fleet/fault_schedule.h
@@ -19,6 +19,7 @@
   kReplaceNode,  ///< kills a node; a new machine replaces it when the fault ends
   kPauseNode,
   kCutOffNode,  ///< cuts a node off from all other nodes of its zone
+  kCutServers,  ///< cuts a node off from all engines and back ends
   kCutZones,
   kCutOneWay,
   kCutPlatform,  ///< cuts a zone off from the platform
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -176,6 +176,21 @@
   }
 }
 
+void SimulatedFleet::cutNodeFromServers(std::size_t index) {
+  const NodeSlot& slot = slots_[index];
+  const auto node = nodeAddress(slot.zone, slot.number, slot.generation);
+  const auto cut = [&](const common::Address& server) {
+    simulation_.network().cutAddresses(node, server);
+    simulation_.network().cutAddresses(server, node);
+  };
+  for (const auto& [address, engine] : engines_.all()) {
+    cut(address);
+  }
+  for (const auto& [address, service] : services_.all()) {
+    cut(address);
+  }
+}
+
 bool SimulatedFleet::everyNodeHasVersion(std::uint64_t version) const {
   return std::all_of(slots_.begin(), slots_.end(), [version](const NodeSlot& slot) {
     return slot.node == nullptr || slot.node->configurationView().current()->version >= version;
--- a/src/cypresswall/simulation/fleet/simulated_fleet.h
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.h
@@ -90,6 +90,8 @@
   void replaceNode(std::size_t index);
   /// Cuts the links between one node and all others of its zone, in both directions.
   void isolateNode(std::size_t index);
+  /// Cuts the links between one node and all engines and back ends, in both directions.
+  void cutNodeFromServers(std::size_t index);
 
   /// Sends a model request to a node.
   /// \return its record, valid for the lifetime of the fleet
--- a/tests/objects_platform/adapter/objects_platform_adapter_test.cpp
+++ b/tests/objects_platform/adapter/objects_platform_adapter_test.cpp
@@ -11,6 +11,7 @@
 #include "cypresswall/node/node.h"
 #include "cypresswall/runtime/asio_clock.h"
 #include "cypresswall/runtime/asio_scheduler.h"
+#include "cypresswall/runtime/tcp_server_connections.h"
 #include "tests/support/event_loop.h"
 #include "tests/support/scripted_server.h"
 
@@ -30,7 +31,7 @@
  public:
   void followsIncarnationsOfTheStore() {
     settings_.object_store.address = server_.address();
-    const auto adapter = makeObjectsPlatformAdapter({settings_, context(), curl_});
+    const auto adapter = makeObjectsPlatformAdapter({settings_, context(), curl_, connections_});
     object_store::ObjectStore& store = adapter->clients().object_store;
     for (const int incarnation : {1, 1, 2, 3}) {
       CPPUNIT_ASSERT(read(store, incarnation) == object_store::StoreFailure::kNotFound);
@@ -65,6 +66,7 @@
   runtime::AsioClock clock_;
   runtime::AsioScheduler scheduler_{io_};
   runtime::CurlMulti curl_{io_};
+  runtime::TcpServerConnections connections_{io_, common::nullLogSink(), std::chrono::seconds(1)};
   testing::ScriptedServer server_{io_};
   settings::DaemonSettings settings_;
   common::SeededRandom random_{1};
--- a/tests/properties/answers/refusals_test.cpp
+++ b/tests/properties/answers/refusals_test.cpp
@@ -58,9 +58,7 @@
     if (slot.process == nullptr || slot.process->id() != record.node) {
       continue;
     }
-    const auto& executor =
-        dynamic_cast<const execution::EngineModelExecutor&>(slot.node->modelExecutor());
-    const auto kept = executor.journal().find(record.request_id);
+    const auto kept = slot.node->modelJournal().find(record.request_id);
     return kept ? std::optional(kept->attempts) : std::nullopt;
   }
   return std::nullopt;
--- a/tests/properties/answers/whole_answers_test.cpp
+++ b/tests/properties/answers/whole_answers_test.cpp
@@ -41,17 +41,6 @@
   RC_ASSERT(!for_load || record.error.retry_after > common::Duration{0});
 }
 
-void requireOwnAnswer(const CallerRecord& record) {
-  const std::string expected = simulation::SimulatedFleet::expectedAnswer(record);
-  RC_ASSERT(record.misplaced_tokens == 0U);
-  RC_ASSERT(record.late_calls == 0U);
-  if (record.result == CallerResult::kDone) {
-    RC_ASSERT(record.answer == expected);
-  } else {
-    RC_ASSERT(expected.compare(0, record.answer.size(), record.answer) == 0);
-  }
-}
-
 class WholeAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WholeAnswersTest);
   CPPUNIT_TEST(eachCallerGetsItsOwnWholeAnswer);
--- a/tests/properties/support/workload.cpp
+++ b/tests/properties/support/workload.cpp
@@ -1,5 +1,7 @@
 #include "tests/properties/support/workload.h"
 
+#include <rapidcheck.h>
+
 namespace cypresswall::testing {
 
 void planRequests(simulation::SimulatedFleet& fleet, const ModelWorkload& workload) {
@@ -15,6 +17,17 @@
   }
 }
 
+void requireOwnAnswer(const simulation::CallerRecord& record) {
+  const std::string expected = simulation::SimulatedFleet::expectedAnswer(record);
+  RC_ASSERT(record.misplaced_tokens == 0U);
+  RC_ASSERT(record.late_calls == 0U);
+  if (record.result == simulation::CallerResult::kDone) {
+    RC_ASSERT(record.answer == expected);
+  } else {
+    RC_ASSERT(expected.compare(0, record.answer.size(), record.answer) == 0);
+  }
+}
+
 void RequestTally::add(const simulation::SimulatedFleet& fleet) {
   for (const simulation::CallerRecord& record : fleet.records()) {
     switch (record.result) {
--- a/tests/properties/support/workload.h
+++ b/tests/properties/support/workload.h
@@ -17,6 +17,10 @@
 /// Schedules all requests of a workload from now on.
 void planRequests(simulation::SimulatedFleet& fleet, const ModelWorkload& workload);
 
+/// Requires that a caller received its own answer, in order: whole if the request was done, else
+/// its beginning.
+void requireOwnAnswer(const simulation::CallerRecord& record);
+
 /// Number of requests by result.
 struct RequestTally {
   std::uint64_t done = 0;
