--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -211,6 +211,8 @@
         {"engine_ejection",
          [](const auto& s) { return s.node.directory.ejection.ejection_enabled; }},
         {"request_quarantine", [](const auto& s) { return s.node.quarantine.quarantines; }},
+        {"lost_path_detection", [](const auto& s) { return s.node.reachability.enabled; }},
+        {"forwarding", [](const auto& s) { return s.node.forwarding.enabled; }},
         {"engine_rate_limits", [](const auto& s) { return s.node.rate_limits.enforced; }},
         {"copied_prefixes", [](const auto& s) { return s.copied_prefixes; }}};
     for (const SettingKey& key : settingKeys()) {
