Look up whether a request may be repeated without hashing its prompt again

The forwarding executor resolved each request's target, which hashes a whole prompt where callers name no parts, only to learn whether the service may be repeated.

--- a/src/cypresswall/forwarding/forwarding_model_executor.cpp
+++ b/src/cypresswall/forwarding/forwarding_model_executor.cpp
@@ -3,7 +3,6 @@
 #include <optional>
 #include <utility>
 
-#include "cypresswall/execution/model_target.h"
 #include "cypresswall/forwarding/deadline.h"
 #include "cypresswall/forwarding/encoding.h"
 #include "cypresswall/forwarding/forwarded_attempts.h"
@@ -176,12 +175,20 @@
   bool ended_ = false;
 };
 
+/// A model that no service declares has the limits of a service without any.
+bool isRepeatable(const configuration::FleetConfiguration& fleet,
+                  const common::ServiceName& service) {
+  const auto declared = fleet.model_services.find(service);
+  return declared == fleet.model_services.end()
+             ? configuration::ModelServiceDeclaration{}.repeatable
+             : declared->second.repeatable;
+}
+
 }  // namespace
 
 std::unique_ptr<execution::ModelExecution> ForwardingModelExecutor::start(
     execution::ModelCall call, execution::ModelCallObserver& observer) {
-  const auto target = execution::resolveTarget(*configuration_.current(), call);
-  const bool repeatable = target && target->service.repeatable;
+  const bool repeatable = isRepeatable(*configuration_.current(), call.service);
   auto forwarding =
       std::make_unique<ModelForwarding>(forwarder_, repeatable, std::move(call), observer);
   forwarding->start(local_);
