Show each engine's software build, and that a caller takes an answer up

Two hypotheses of answers of two builds could not be told apart by the nodes' own lines: the build of an engine stood only in the operators' log, and a caller that takes an answer up looked like a new one. The build is now read from the engine's entry in the store, and stands in request_routed, first_token and the table of engines; an entry whose build is no text names no engine, as with its other fields. answer_taken_up names the request that began the answer and the caller's position.

--- a/src/cypresswall/common/identifiers.h
+++ b/src/cypresswall/common/identifiers.h
@@ -13,6 +13,9 @@
 using ZoneName = std::string;
 /// Name of an engine (a process that runs a model), unique in the fleet.
 using EngineName = std::string;
+/// Name of a build of the engines' software. The outputs of different builds must not be joined in
+/// one answer. Empty if unknown.
+using BuildName = std::string;
 /// Name of a model, unique in the fleet.
 using ModelName = std::string;
 /// Name of a service, unique in the fleet.
--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -59,6 +59,7 @@
   std::string location = {};
   /// True if the platform may reclaim the engine at short notice.
   bool preemptible = false;
+  common::BuildName build = {};
 };
 
 /// A pool of engines whose number the system changes by ordering or releasing engines at the
--- a/src/cypresswall/execution/model_executor.h
+++ b/src/cypresswall/execution/model_executor.h
@@ -17,6 +17,15 @@
 
 namespace cypresswall::execution {
 
+/// An answer that a caller has received in part and takes up again with a new request.
+struct AnswerContinuation {
+  /// Identifier of the request that brought the answer's first token; empty if the caller names
+  /// none.
+  std::string began_as;
+  /// The last token that the caller has received, by the engines' own identifier of it.
+  std::string position;
+};
+
 /// A caller's model request.
 struct ModelCall {
   std::string request_id;
@@ -43,6 +52,8 @@
   std::shared_ptr<const engines::PassThroughRequest> pass_through;
   /// Caller's time limit for the complete answer; zero means that only the service's limit applies.
   common::Duration time_limit{0};
+  /// Set if the caller already has the beginning of the answer.
+  std::optional<AnswerContinuation> continues;
 };
 
 /// Receives the answer. Exactly one of onFinished() and onError() is called, as the last call.
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -28,6 +28,9 @@
   starting_ = true;
   openRecord();
   core_.counters.started.add();
+  if (call_.continues) {
+    logContinuation();
+  }
   auto target = resolveTarget(*core_.configuration.current(), call_);
   if (!target) {
     giveUp(ErrorKind::kUnknownModel, "no model or service is named " + call_.service,
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -158,6 +158,8 @@
   bool awaitsEngineState(const routing::RouteRefusal& refusal) const;
   void logPrompt() const;
   void logFirstToken() const;
+  /// \pre the caller takes an answer up again
+  void logContinuation() const;
   std::int64_t millisecondsSinceRouted() const;
 
   ModelExecutionCore& core_;
--- a/src/cypresswall/execution/model_request_log.cpp
+++ b/src/cypresswall/execution/model_request_log.cpp
@@ -25,6 +25,7 @@
       .field("fingerprint", common::toString(call_.fingerprint))
       .field("service", call_.service)
       .field("engine", route_->engine.name)
+      .field("build", route_->build)
       .field("prefill_engine", nameOf(route_->prefill_engine))
       .field("chosen_by", route_->chosen_by.address)
       .field("tokens_given", tokens_given_)
@@ -67,9 +68,19 @@
   common::LogEvent(core_.process.log, common::LogLevel::kInfo, "first_token")
       .field("request", call_.request_id)
       .field("engine", route_->engine.name)
+      .field("build", route_->build)
       .field("after_ms", millisecondsSinceRouted());
 }
 
+void ModelRequest::logContinuation() const {
+  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "answer_taken_up")
+      .field("request", call_.request_id)
+      .field("fingerprint", common::toString(call_.fingerprint))
+      .field("service", call_.service)
+      .field("began_as", call_.continues->began_as)
+      .field("position", call_.continues->position);
+}
+
 void ModelRequest::logMove(const StreamOutlook& outlook, const routing::Route& route) const {
   common::LogEvent event(core_.process.log, common::LogLevel::kInfo, "stream_moved");
   event.field("request", call_.request_id)
--- a/src/cypresswall/operators/queries.cpp
+++ b/src/cypresswall/operators/queries.cpp
@@ -87,7 +87,8 @@
                         drained,
                         pinned,
                         text(""),
-                        text("")};
+                        text(""),
+                        text(declared.build)};
     row.insert(row.end(), unseen.begin(), unseen.end());
     return row;
   }
@@ -106,7 +107,8 @@
                     drained,
                     pinned,
                     text(cache),
-                    milliseconds(live->age)};
+                    milliseconds(live->age),
+                    text(declared.build)};
   row.insert(row.end(), seen.begin(), seen.end());
   return row;
 }
--- a/src/cypresswall/operators/vocabulary.cpp
+++ b/src/cypresswall/operators/vocabulary.cpp
@@ -33,7 +33,7 @@
   static const std::vector<std::string> kEngineColumns = {
       "engine",   "zone",    "machine", "address", "model",   "version",
       "role",     "state",   "running", "waiting", "maximum", "gap_ms",
-      "slowness", "drained", "pinned",  "cache",   "age_ms"};
+      "slowness", "drained", "pinned",  "cache",   "age_ms",  "build"};
   static const std::vector<std::string> kRequestColumns = {"request", "tenant", "service", "engine",
                                                            "state",   "tokens", "age_ms"};
   static const std::vector<std::string> kServiceColumns = {
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -470,6 +470,7 @@
   Route route;
   route.engine = record.endpoint();
   route.version = record.load.version;
+  route.build = record.declaration.build;
   route.expected_first_token = common::fromSeconds(selection.offer.first_token);
   route.expected_between_tokens = common::fromSeconds(selection.offer.between_tokens);
   const PromptWork prompt = promptWork(selection.computing(), work);
--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -212,6 +212,7 @@
     tryNextOwner(answer.stream_id);
     return;
   }
+  route.build = buildOf(route.engine);
   RemotePlacement placed;
   placed.owner = sender;
   const double uncached = static_cast<double>(pending.request.shape.tokens) -
@@ -241,6 +242,13 @@
          directory_.table().record(slot).declaration.address == engine.address;
 }
 
+/// From this node's own table, since owners of earlier builds don't name it.
+/// \pre the engine is known
+common::BuildName PlacementRouter::buildOf(const engines::EngineEndpoint& engine) const {
+  const EngineTable& table = directory_.table();
+  return table.record(table.slotOf(engine.name)).declaration.build;
+}
+
 bool PlacementRouter::fits(const engines::EngineEndpoint& engine) const {
   return known(engine) && takesWork(engine);
 }
--- a/src/cypresswall/routing/placement_router.h
+++ b/src/cypresswall/routing/placement_router.h
@@ -102,6 +102,7 @@
   /// may choose next since it does not know what they announced to this node.
   void excludeUnusable(RouteRequest& request, const Route& route) const;
   bool known(const engines::EngineEndpoint& engine) const;
+  common::BuildName buildOf(const engines::EngineEndpoint& engine) const;
   void sendProgress(const common::NodeId& owner, const std::string& stream_id, AttemptStep step,
                     const OutputSample& output = {});
   void finish(const std::string& stream_id, RouteChoice choice);
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -60,6 +60,8 @@
   /// Model version that the engine has loaded; differs from the requested one while a new version
   /// is being rolled out.
   std::string version;
+  /// Software build of `engine`.
+  common::BuildName build;
   /// Set if another engine computes the prompt first and transfers the KV cache.
   std::optional<engines::EngineEndpoint> prefill_engine;
   common::Duration expected_first_token{0};
--- a/tests/objects_platform/ingress_test.cpp
+++ b/tests/objects_platform/ingress_test.cpp
@@ -86,6 +86,7 @@
 class IngressTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(IngressTest);
   CPPUNIT_TEST(passesAModelRequestThrough);
+  CPPUNIT_TEST(recognizesAnswersThatCallersTakeUp);
   CPPUNIT_TEST(forwardsEnginesAnswerByteForByte);
   CPPUNIT_TEST(abortsInterruptedAnswers);
   CPPUNIT_TEST(passesAServiceRequestThrough);
@@ -117,6 +118,18 @@
     CPPUNIT_ASSERT(call.time_limit == milliseconds(3000));
   }
 
+  void recognizesAnswersThatCallersTakeUp() {
+    IngressFixture fixture;
+    fixture.send("/digest/a", {{"Resumes", "id-0"}});
+    CPPUNIT_ASSERT(!fixture.world.call().call.continues);
+    fixture.send("/digest/a", {{"Last-Event-Id", "7"}, {"Resumes", "id-0"}});
+    const auto& call = fixture.world.call().call;
+    CPPUNIT_ASSERT_EQUAL(std::string("id-0"), call.continues->began_as);
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), call.continues->position);
+    fixture.send("/digest/a", {{"Last-Event-Id", "7"}});
+    CPPUNIT_ASSERT(fixture.world.call().call.continues->began_as.empty());
+  }
+
   void forwardsEnginesAnswerByteForByte() {
     IngressFixture fixture;
     const auto answer = fixture.send("/digest/a");
--- a/tests/objects_platform/runner_entries_test.cpp
+++ b/tests/objects_platform/runner_entries_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST_SUITE(RunnerEntriesTest);
   CPPUNIT_TEST(restartedRunnerIsAnotherEngine);
   CPPUNIT_TEST(earlierStartTimeIsAnotherEngineToo);
+  CPPUNIT_TEST(enginesHaveTheBuildOfTheirEntry);
   CPPUNIT_TEST(drainEndsWithIncarnation);
   CPPUNIT_TEST(runnerIdExcludesStartTime);
   CPPUNIT_TEST(dropsReportsOfOtherIncarnations);
@@ -57,6 +58,15 @@
     CPPUNIT_ASSERT(first != onlyEngine());
   }
 
+  void enginesHaveTheBuildOfTheirEntry() {
+    put("i-1", entry(1000));
+    CPPUNIT_ASSERT(declared_.current()->engines.begin()->second.build.empty());
+    auto spec = entry(1000);
+    spec["version"] = "v1.1";
+    put("i-1", spec);
+    CPPUNIT_ASSERT_EQUAL(std::string("v1.1"), declared_.current()->engines.begin()->second.build);
+  }
+
   void drainEndsWithIncarnation() {
     put("i-1", entry(1000, "draining"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, declared_.current()->engine_overrides.size());
@@ -186,6 +196,7 @@
     with("born", -1);
     with("born", 1.5);
     with("stage", "resting");
+    with("version", 7);
     with("models", 7);
     with("models", wire::Json::array({wire::Json::object({{"version", 1}})}));
     return specs;
