Test that an answer goes on at the software build that began it (red)

Whole nodes in virtual time; engines give other answers with each build, so that every answer tells its builds.

--- a/src/cypresswall/emulation/answer.cpp
+++ b/src/cypresswall/emulation/answer.cpp
@@ -36,8 +36,10 @@
 }  // namespace
 
 AnswerSeed answerSeed(const common::ModelName& model, const std::string& version,
-                      const std::string& adapter, std::uint64_t content_hash) {
-  return common::hash64(model + "/" + version + "/" + adapter, content_hash);
+                      const std::string& adapter, std::uint64_t content_hash,
+                      const common::BuildName& build) {
+  const auto seed = common::hash64(model + "/" + version + "/" + adapter, content_hash);
+  return build.empty() ? seed : common::hash64(build, seed);
 }
 
 const std::string& expectedToken(AnswerSeed seed, std::uint32_t index) {
--- a/src/cypresswall/emulation/answer.h
+++ b/src/cypresswall/emulation/answer.h
@@ -14,8 +14,10 @@
 using AnswerSeed = std::uint64_t;
 
 /// \param content_hash PromptShape::content_hash of the prompt
+/// \param build software build of the engine
 AnswerSeed answerSeed(const common::ModelName& model, const std::string& version,
-                      const std::string& adapter, std::uint64_t content_hash);
+                      const std::string& adapter, std::uint64_t content_hash,
+                      const common::BuildName& build = {});
 
 /// \return the text of token `index` (from 0), with its leading space; valid until the program
 ///   exits.
--- a/src/cypresswall/emulation/engine.cpp
+++ b/src/cypresswall/emulation/engine.cpp
@@ -67,7 +67,8 @@
   stream->observer = &observer;
   stream->arrival = ++arrivals_;
   stream->fails = stream->arrival % kStreamsPerFailureGroup < faults_.failures_per_ten_streams;
-  stream->seed = answerSeed(model_, version_, request.adapter, request.shape.content_hash);
+  stream->seed =
+      answerSeed(model_, version_, request.adapter, request.shape.content_hash, settings_.build);
   stream->answer_length =
       expectedLength(stream->seed, request.maximum_tokens, settings_.minimum_answer_share);
   stream->next_index = std::min(request.resume_from, stream->answer_length);
--- a/src/cypresswall/emulation/engine_settings.h
+++ b/src/cypresswall/emulation/engine_settings.h
@@ -39,6 +39,8 @@
   std::string name;
   common::ModelName model;
   std::string version;
+  /// Software build. Engines of different builds give different answers to the same request.
+  common::BuildName build = {};
   std::vector<std::string> adapters;
   engines::EngineRole role = engines::EngineRole::kMixed;
   EngineSpeed speed;
--- a/src/cypresswall/simulation/fleet/simulated_callers.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_callers.cpp
@@ -69,19 +69,21 @@
   process_.deliverAfter(common::Duration{0}, [this, session] { models_.erase(session); });
 }
 
-void CallerConnections::startModelCall(execution::ModelExecutor& executor, CallerRecord& record,
-                                       std::uint32_t prompt_tokens) {
+void CallerConnections::startModelCall(execution::ModelExecutor& executor, CallerRecord& record) {
   execution::ModelCall call;
   call.request_id = record.request_id;
   call.fingerprint = record.content_hash;
   call.service = kModelServiceName;
   call.maximum_tokens = record.maximum_tokens;
-  call.shape.tokens = prompt_tokens;
+  call.shape.tokens = record.prompt_tokens;
   call.shape.content_hash = record.content_hash;
   call.shape.pieces = record.parts;
   for (std::uint32_t part = 1; part <= record.parts.size(); ++part) {
     const auto parts = static_cast<std::uint32_t>(record.parts.size());
-    call.shape.piece_ends.push_back(prompt_tokens * part / parts);
+    call.shape.piece_ends.push_back(record.prompt_tokens * part / parts);
+  }
+  if (!record.began_as.empty()) {
+    call.continues = execution::AnswerContinuation{record.began_as, {}};
   }
   const std::uint64_t number = next_session_++;
   auto& session = models_[number];
--- a/src/cypresswall/simulation/fleet/simulated_callers.h
+++ b/src/cypresswall/simulation/fleet/simulated_callers.h
@@ -30,6 +30,8 @@
 struct CallerRecord {
   std::string request_id;
   std::string key;
+  /// For a request that takes an answer up: the one that began it; empty otherwise.
+  std::string began_as;
   CallerResult result = CallerResult::kOpen;
   execution::ExecutionError error;
   /// Answer received so far: tokens of a model, or body of a service response.
@@ -44,6 +46,7 @@
   std::uint64_t content_hash = 0;
   /// Parts into which the caller divides the prompt; empty if it does not.
   std::vector<common::PieceHash> parts;
+  std::uint32_t prompt_tokens = 0;
   std::uint32_t maximum_tokens = 0;
   common::MonotonicTime asked_at;
   common::MonotonicTime ended_at;
@@ -63,8 +66,7 @@
   /// Registers a request to this process. Called when the client's connection is established, so
   /// that the request breaks if the process dies from then on.
   void registerRequest(CallerRecord& record);
-  void startModelCall(execution::ModelExecutor& executor, CallerRecord& record,
-                      std::uint32_t prompt_tokens);
+  void startModelCall(execution::ModelExecutor& executor, CallerRecord& record);
   void startServiceCall(execution::ServiceExecutor& executor, CallerRecord& record,
                         execution::ServiceCallRequest request);
   /// \return number of requests in progress.
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -42,6 +42,9 @@
       engine.name = engineName(zone, number);
       engine.model = kModelName;
       engine.version = kModelVersion;
+      if (settings_.engine_build) {
+        engine.build = settings_.engine_build(number);
+      }
       engine.incarnation = simulation_.deriveSeed(engine.name) >> 1U;
       engines_.add(engineAddress(zone, number), zoneName(zone), std::move(engine));
       addMachine(zone, engineMachine(zone, number), engineAddress(zone, number));
@@ -266,17 +269,33 @@
   CallerRecord& record = newRecord("model");
   record.content_hash = content;
   record.parts = std::move(parts);
+  record.prompt_tokens = prompt_tokens;
   record.maximum_tokens = maximum_tokens;
+  startModelCall(index, record);
+  return record;
+}
+
+CallerRecord& SimulatedFleet::takeUpAnswer(std::size_t index, const CallerRecord& begun) {
+  CallerRecord& record = newRecord("model");
+  record.began_as = begun.began_as.empty() ? begun.request_id : begun.began_as;
+  record.content_hash = begun.content_hash;
+  record.parts = begun.parts;
+  record.prompt_tokens = begun.prompt_tokens;
+  record.maximum_tokens = begun.maximum_tokens;
+  startModelCall(index, record);
+  return record;
+}
+
+void SimulatedFleet::startModelCall(std::size_t index, CallerRecord& record) {
   const NodeSlot& slot = slots_[index];
   if (slot.process == nullptr) {
     record.result = CallerResult::kNotConnected;
-    return record;
+    return;
   }
   slot.connections->registerRequest(record);
-  slot.process->deliver([connections = slot.connections, node = slot.node, &record, prompt_tokens] {
-    connections->startModelCall(node->modelExecutor(), record, prompt_tokens);
+  slot.process->deliver([connections = slot.connections, node = slot.node, &record] {
+    connections->startModelCall(node->modelExecutor(), record);
   });
-  return record;
 }
 
 CallerRecord& SimulatedFleet::callService(std::size_t index, const char* kind,
--- a/src/cypresswall/simulation/fleet/simulated_fleet.h
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.h
@@ -39,6 +39,8 @@
   std::int64_t maximum_drift_ppm = 200;
   common::Duration service_answer_time = std::chrono::milliseconds(5);
   common::LogSink* log = nullptr;
+  /// \return the software build of an engine; the function may be empty
+  std::function<common::BuildName(std::uint32_t engine)> engine_build;
   /// The platform's declaration of the fleet; null if the fleet declares itself by a configuration
   /// change. If set, it must contain the objects of `topology` before bringUp() is called.
   configuration::ConfigurationView* declared = nullptr;
@@ -107,6 +109,8 @@
   CallerRecord& sendPromptOfParts(std::size_t index, std::uint32_t prompt_tokens,
                                   std::uint32_t maximum_tokens,
                                   std::vector<common::PieceHash> parts);
+  /// Has a caller take up the answer that it began to receive with an earlier request.
+  CallerRecord& takeUpAnswer(std::size_t index, const CallerRecord& begun);
   /// Sends a booking, which must be executed at most once, to a node.
   /// \param key idempotency key; empty for none
   CallerRecord& book(std::size_t index, const std::string& key);
@@ -136,6 +140,8 @@
   CallerRecord& callModel(std::size_t index, std::uint32_t prompt_tokens,
                           std::uint32_t maximum_tokens, std::uint64_t content,
                           std::vector<common::PieceHash> parts);
+  /// Sends the request that `record` describes.
+  void startModelCall(std::size_t index, CallerRecord& record);
   CallerRecord& callService(std::size_t index, const char* kind,
                             execution::ServiceCallRequest request);
   void clear(NodeSlot& slot);
--- /dev/null
+++ b/tests/answer_builds/mixed_builds_fleet.h
@@ -0,0 +1,202 @@
+/// Whole nodes in virtual time before engines of several software builds. Callers take up answers
+/// that break. An engine's answer depends on its build, so that each answer tells its builds.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cypresswall/configuration/change.h"
+#include "cypresswall/configuration/static_view.h"
+#include "cypresswall/emulation/answer.h"
+#include "cypresswall/simulation/fleet/simulated_fleet.h"
+
+namespace cypresswall::testing {
+
+class MixedBuildsFleet {
+ public:
+  struct Settings {
+    std::uint32_t nodes = 9;
+    std::uint32_t engines = 18;
+    std::vector<common::BuildName> builds = {"v1", "v2"};
+    /// \return the position in `builds` of an engine's build; by default, engines take turns
+    std::function<std::size_t(std::uint32_t engine)> build_of = {};
+    bool moves_slow_streams = false;
+    common::Duration between_answers = std::chrono::milliseconds(14);
+    /// How long callers wait before they take up an answer that broke.
+    common::Duration take_up_delay{0};
+  };
+
+  MixedBuildsFleet(std::uint64_t seed, const Settings& settings) : settings_(settings) {
+    simulation::FleetSettings fleet;
+    fleet.topology.zones = 1;
+    fleet.topology.nodes_per_zone = settings.nodes;
+    fleet.topology.engines_per_zone = settings.engines;
+    fleet.engine.restart_time = std::chrono::seconds(2);
+    fleet.engine_build = [this](std::uint32_t engine) { return buildOf(engine); };
+    fleet.node.execution.stream_moves.enabled = settings.moves_slow_streams;
+    fleet.declared = &declared_;
+    topology_ = fleet.topology;
+    declareEngines(0, settings.engines);
+    fleet_ = std::make_unique<simulation::SimulatedFleet>(seed, fleet);
+    fleet_->bringUp();
+  }
+
+  /// Declares the engines from `first` to `last` - 1 only. Not to be called after a node has ended.
+  void declareEngines(std::uint32_t first, std::uint32_t last) {
+    configuration::ConfigurationChange change;
+    change.version = kVersion;
+    change.objects = simulation::declarations(topology_);
+    auto declared = configuration::applyChange({}, change);
+    std::map<common::EngineName, configuration::EngineDeclaration> engines;
+    for (std::uint32_t engine = first; engine < last; ++engine) {
+      const auto name = simulation::engineName(0, engine);
+      engines[name] = declared.engines.at(name);
+      engines[name].build = buildOf(engine);
+    }
+    declared.engines = std::move(engines);
+    declared_.set(std::move(declared));
+  }
+
+  /// Has callers ask for answers at random nodes, and take up those that break.
+  void sendAnswers(common::Duration duration) {
+    for (common::Duration spent{0}; spent < duration; spent += settings_.between_answers) {
+      Caller& caller = callers_.emplace_back();
+      caller.attempts.push_back(&fleet_->sendModelRequest(anyNode(), kPromptTokens, kAnswerTokens));
+      run(settings_.between_answers);
+    }
+  }
+  /// Lets time pass without new answers.
+  void run(common::Duration duration) {
+    fleet_->time().runFor(duration);
+    for (Caller& caller : callers_) {
+      takeUpIfBroken(caller);
+    }
+  }
+  void crashEngine(std::uint32_t engine) {
+    fleet_->engines().crash(simulation::engineAddress(0, engine));
+  }
+  /// Kills the nodes at the same moment; they start again at once.
+  void restartNodes(const std::vector<std::size_t>& nodes) {
+    for (const std::size_t node : nodes) {
+      fleet_->killNode(node);
+    }
+    for (const std::size_t node : nodes) {
+      fleet_->startNode(node);
+    }
+  }
+  simulation::SimulatedFleet& fleet() { return *fleet_; }
+  common::BuildName buildOf(std::uint32_t engine) const {
+    const std::size_t position =
+        settings_.build_of ? settings_.build_of(engine) : engine % settings_.builds.size();
+    return settings_.builds[position];
+  }
+
+  /// Which of the callers' answers were begun by the builds to count; empty counts all.
+  std::set<common::BuildName> counted_builds;
+
+  /// \return the number of answers that hold tokens of two builds
+  std::size_t mixedAnswers() const { return countIf(&MixedBuildsFleet::isMixed); }
+  /// \return the number of answers that broke after their first token and were taken up by their
+  ///   callers
+  std::size_t takenUp() const { return countIf(&MixedBuildsFleet::isTakenUp); }
+  /// \return the number of these that went on
+  std::size_t wentOn() const { return countIf(&MixedBuildsFleet::isContinued); }
+  /// \return the number of answers that nodes resumed at another engine, unnoticed by the caller
+  double resumedByNodes() {
+    double resumed = 0;
+    for (std::size_t node = 0; node < settings_.nodes; ++node) {
+      if (fleet_->running(node)) {
+        resumed += fleet_->slot(node).process->counters().total(
+            "cypresswall_execution_model_resumed_total");
+      }
+    }
+    return resumed;
+  }
+  /// \return the share of new answers that began
+  double newAnswersBegun() const {
+    std::size_t begun = 0;
+    for (const Caller& caller : callers_) {
+      begun += caller.attempts.front()->tokens > 0 ? 1 : 0;
+    }
+    return static_cast<double>(begun) / static_cast<double>(callers_.size());
+  }
+  std::string figures() {
+    return std::to_string(mixedAnswers()) + " mixed of " + std::to_string(callers_.size()) +
+           " answers, " + std::to_string(wentOn()) + " of " + std::to_string(takenUp()) +
+           " taken up went on, " + std::to_string(resumedByNodes()) + " resumed by nodes, " +
+           std::to_string(newAnswersBegun()) + " of the new ones began";
+  }
+
+ private:
+  static constexpr std::uint64_t kVersion = 41;
+  static constexpr std::uint32_t kPromptTokens = 300;
+  static constexpr std::uint32_t kAnswerTokens = 40;
+  /// A caller takes a broken answer up once.
+  static constexpr std::size_t kMaximumAttempts = 2;
+
+  /// One answer, over all attempts of its caller.
+  struct Caller {
+    std::vector<const simulation::CallerRecord*> attempts;
+  };
+
+  std::size_t anyNode() { return fleet_->simulation().random().below(settings_.nodes); }
+
+  void takeUpIfBroken(Caller& caller) {
+    const simulation::CallerRecord& last = *caller.attempts.back();
+    const bool broken = last.result == simulation::CallerResult::kBroken ||
+                        last.result == simulation::CallerResult::kError;
+    const bool due = fleet_->time().now() >= last.ended_at + settings_.take_up_delay;
+    if (broken && due && last.tokens > 0 && caller.attempts.size() < kMaximumAttempts) {
+      caller.attempts.push_back(&fleet_->takeUpAnswer(anyNode(), last));
+    }
+  }
+
+  /// \return the builds whose engines give this text
+  std::set<common::BuildName> buildsOf(const simulation::CallerRecord& record) const {
+    std::set<common::BuildName> builds;
+    for (const common::BuildName& build : settings_.builds) {
+      const auto seed = emulation::answerSeed(simulation::kModelName, simulation::kModelVersion, "",
+                                              record.content_hash, build);
+      if (emulation::expectedAnswer(seed, record.tokens) == record.answer) {
+        builds.insert(build);
+      }
+    }
+    return builds;
+  }
+  bool isMixed(const Caller& caller) const {
+    std::set<common::BuildName> common_builds(settings_.builds.begin(), settings_.builds.end());
+    for (const auto* attempt : caller.attempts) {
+      const auto builds = buildsOf(*attempt);
+      std::erase_if(common_builds, [&](const auto& build) { return !builds.contains(build); });
+    }
+    return common_builds.empty();
+  }
+  bool isTakenUp(const Caller& caller) const {
+    const auto builds = buildsOf(*caller.attempts.front());
+    const bool counted = counted_builds.empty() ||
+                         std::any_of(builds.begin(), builds.end(), [this](const auto& build) {
+                           return counted_builds.contains(build);
+                         });
+    return caller.attempts.size() > 1 && counted;
+  }
+  bool isContinued(const Caller& caller) const {
+    return isTakenUp(caller) && caller.attempts[1]->tokens > 0;
+  }
+  std::size_t countIf(bool (MixedBuildsFleet::*condition)(const Caller&) const) const {
+    return static_cast<std::size_t>(
+        std::count_if(callers_.begin(), callers_.end(),
+                      [&](const Caller& caller) { return (this->*condition)(caller); }));
+  }
+
+  Settings settings_;
+  simulation::FleetTopology topology_;
+  configuration::StaticConfigurationView declared_;
+  std::unique_ptr<simulation::SimulatedFleet> fleet_;
+  std::vector<Caller> callers_;
+};
+
+}  // namespace cypresswall::testing
--- /dev/null
+++ b/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
@@ -0,0 +1,207 @@
+/// Guards against an incident in which callers took up answers at nodes that did not know which
+/// software build had begun them: of the answers that went on after a node had ended, many did so
+/// at another build.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/answer_builds/mixed_builds_fleet.h"
+
+namespace cypresswall::answer_builds {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::MixedBuildsFleet;
+
+/// Of the answers that callers take up while two engines of their build serve, at least this share
+/// of the share of new answers that begin must go on.
+constexpr double kGoesOn = 0.5;
+/// Number of answers taken up from which the share counts.
+constexpr std::size_t kEnough = 12;
+constexpr std::uint64_t kSeeds = 3;
+/// A node that starts serves within this time.
+constexpr common::Duration kUntilReady = milliseconds(1500);
+
+class TakenUpAnswersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TakenUpAnswersTest);
+  CPPUNIT_TEST(twoBuilds);
+  CPPUNIT_TEST(threeBuilds);
+  CPPUNIT_TEST(twoEnginesOfABuildLeft);
+  CPPUNIT_TEST(largeZone);
+  CPPUNIT_TEST(nodesRestartInSeries);
+  CPPUNIT_TEST(allNodesRestart);
+  CPPUNIT_TEST(releaseWithNodesThatEnd);
+  CPPUNIT_TEST(firstBuildGone);
+  CPPUNIT_TEST(nodeCutOffFromItsPeers);
+  CPPUNIT_TEST(nodeCutOffFromEngines);
+  CPPUNIT_TEST(oneBuild);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void twoBuilds() { requireOneBuild({}); }
+  void threeBuilds() {
+    MixedBuildsFleet::Settings settings;
+    settings.builds = {"v1", "v1.1", "v1.2"};
+    requireOneBuild(settings);
+  }
+  void twoEnginesOfABuildLeft() {
+    MixedBuildsFleet::Settings settings;
+    settings.build_of = [](std::uint32_t engine) { return engine < 2 ? 0 : 1; };
+    requireOneBuild(settings);
+  }
+  void largeZone() {
+    MixedBuildsFleet::Settings settings;
+    settings.nodes = 40;
+    settings.engines = 36;
+    requireOneBuild(settings);
+  }
+
+  /// A node that has just started again ends a second time.
+  void nodesRestartInSeries() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet fleet(seed, {});
+      fleet.sendAnswers(seconds(3));
+      for (std::size_t turn = 0; turn < 12; ++turn) {
+        fleet.restartNodes({turn % 9, (turn + 1) % 9});
+        fleet.sendAnswers(seconds(1));
+      }
+      requireShare(fleet, seed);
+    }
+  }
+
+  /// Nobody knows what began the answers, and both builds may have: none goes on.
+  void allNodesRestart() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet::Settings settings;
+      settings.take_up_delay = kUntilReady;
+      MixedBuildsFleet fleet(seed, settings);
+      fleet.sendAnswers(seconds(3));
+      fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
+      fleet.sendAnswers(seconds(5));
+      CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.takenUp() > 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.figures(), std::size_t{0}, fleet.mixedAnswers());
+    }
+  }
+
+  /// Nodes end just after the engines of a second build have come. The answers in progress were
+  /// begun by the first build, as those before.
+  void releaseWithNodesThatEnd() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet::Settings settings;
+      settings.engines = 26;
+      settings.build_of = [](std::uint32_t engine) { return engine < 18 ? 0 : 1; };
+      MixedBuildsFleet fleet(seed, settings);
+      fleet.declareEngines(0, 18);
+      fleet.sendAnswers(seconds(5));
+      fleet.declareEngines(0, 20);
+      fleet.sendAnswers(milliseconds(100));
+      fleet.declareEngines(6, 26);
+      fleet.sendAnswers(milliseconds(200));
+      fleet.restartNodes({0, 3, 6});
+      fleet.sendAnswers(seconds(3));
+      fleet.restartNodes({1, 4, 7});
+      fleet.sendAnswers(seconds(3));
+      requireShare(fleet, seed);
+    }
+  }
+
+  /// All engines of the first build are replaced at once, and a node ends: what it had begun at the
+  /// first build goes on nowhere, neither at nodes that saw the first build nor at one that did
+  /// not.
+  void firstBuildGone() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet::Settings settings;
+      settings.engines = 36;
+      settings.build_of = [](std::uint32_t engine) { return engine < 18 ? 0 : 1; };
+      settings.take_up_delay = kUntilReady;
+      MixedBuildsFleet fleet(seed, settings);
+      fleet.declareEngines(0, 18);
+      fleet.sendAnswers(seconds(5));
+      fleet.declareEngines(0, 36);
+      fleet.run(milliseconds(100));
+      fleet.declareEngines(18, 36);
+      fleet.restartNodes({0, 3, 6});
+      fleet.sendAnswers(seconds(5));
+      CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.takenUp() > 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.figures(), std::size_t{0}, fleet.mixedAnswers());
+    }
+  }
+
+  /// A node that reaches no other one can't ask which build began an answer.
+  void nodeCutOffFromItsPeers() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet fleet(seed, {});
+      fleet.sendAnswers(seconds(3));
+      for (const std::size_t node : {4, 5, 6, 7, 8}) {
+        fleet.fleet().isolateNode(node);
+      }
+      fleet.restartNodes({0, 1, 2});
+      fleet.sendAnswers(seconds(6));
+      CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.takenUp() > 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.figures(), std::size_t{0}, fleet.mixedAnswers());
+    }
+  }
+
+  /// Nodes that reach no engine have answers taken up by others.
+  void nodeCutOffFromEngines() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet fleet(seed, {});
+      fleet.sendAnswers(seconds(3));
+      for (const std::size_t node : {6, 7, 8}) {
+        fleet.fleet().cutNodeFromServers(node);
+      }
+      fleet.sendAnswers(seconds(4));
+      fleet.restartNodes({0, 1});
+      fleet.sendAnswers(seconds(2));
+      fleet.restartNodes({2, 3});
+      fleet.sendAnswers(seconds(4));
+      requireShare(fleet, seed);
+    }
+  }
+
+  /// With engines of one build, everything goes on, whoever may know what.
+  void oneBuild() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet::Settings settings;
+      settings.builds = {"v1"};
+      MixedBuildsFleet fleet(seed, settings);
+      fleet.sendAnswers(seconds(3));
+      fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
+      fleet.run(seconds(2));
+      fleet.sendAnswers(seconds(3));
+      fleet.restartNodes({0, 3, 6});
+      fleet.sendAnswers(seconds(4));
+      requireShare(fleet, seed);
+    }
+  }
+
+ private:
+  /// Three nodes end at once, three times.
+  static void requireOneBuild(const MixedBuildsFleet::Settings& settings) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet fleet(seed, settings);
+      fleet.counted_builds = {settings.builds.front()};
+      fleet.sendAnswers(seconds(3));
+      for (std::size_t turn = 0; turn < 3; ++turn) {
+        const std::size_t third = settings.nodes / 3;
+        fleet.restartNodes({turn, third + turn, 2 * third + turn});
+        fleet.sendAnswers(seconds(4));
+      }
+      requireShare(fleet, seed);
+    }
+  }
+  static void requireShare(MixedBuildsFleet& fleet, std::uint64_t seed) {
+    fleet.run(seconds(5));
+    const std::string figures = fleet.figures() + ", seed " + std::to_string(seed);
+    CPPUNIT_ASSERT_MESSAGE(figures, fleet.takenUp() > 0);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(figures, std::size_t{0}, fleet.mixedAnswers());
+    const auto taken_up = static_cast<double>(fleet.takenUp());
+    const auto went_on = static_cast<double>(fleet.wentOn());
+    CPPUNIT_ASSERT_MESSAGE(figures, fleet.takenUp() < kEnough ||
+                                        went_on >= kGoesOn * fleet.newAnswersBegun() * taken_up);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TakenUpAnswersTest);
+
+}  // namespace
+}  // namespace cypresswall::answer_builds
