Resume an answer only at engines of the software build that began it

Seen: streams whose events came from engines of two builds, in one answer (ORDER).

Cause: after a break, and for moves of slow streams, the router was asked for model, weights and adapter; the build of an engine was not known to it. Two engines of one model were taken to be alike because they have one name.

Change: the build of the engine that gave the first token is a condition on the candidates from then on, for the engine that writes, the one that computes the prompt and the source of a copied prefix, and in the message to owners of engine groups. A node checks what an owner gives by its own list, since owners of earlier builds ignore the field; only groups with engines of the build are asked. If none with the build takes work any more, the answer ends at once. An engine whose entry changes its build counts as another one.

--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -140,6 +140,7 @@
   request.model = target_.service.model;
   request.version = target_.version;
   request.adapter = target_.service.adapter;
+  request.build = answer_build_;
   request.shape = target_.shape;
   request.maximum_tokens = target_.maximum_tokens;
   request.resume_from = tokens_given_;
@@ -184,6 +185,10 @@
     return;
   }
   logRefusal(refusal);
+  if (refusal.reason == routing::RouteFailure::kNoEngineOfBuild) {
+    giveUp(ErrorKind::kNoBackend, refusal.message, common::Duration{0});
+    return;
+  }
   if (resuming() && core_.process.clock.now() < resume_until_) {
     // The caller already has part of the answer, so try again and also allow engines on which
     // attempts failed.
@@ -295,6 +300,9 @@
     token_seen_in_attempt_ = true;
     first_token_at_ = now;
     first_token_index_ = index;
+    if (!answer_build_) {
+      answer_build_ = route_->build;
+    }
     if (!std::exchange(usage_recorded_, true)) {
       core_.usage.requestBegan(call_.tenant);
     }
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -205,6 +205,8 @@
   /// Last delivered token from whose text an engine can determine where to resume; set only for
   /// passed-through answers.
   std::string last_token_;
+  /// Software build of the engine that gave the first token; set from then on.
+  std::optional<common::BuildName> answer_build_;
   RepeatCounter repeat_counter_;
   /// Number of repeats already charged to the retry budget.
   std::uint32_t charged_repeats_ = 0;
--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -158,12 +158,13 @@
 }
 
 const std::vector<EngineSlot>& CostRouter::candidatesFor(const RouteRequest& request) {
-  const auto& exact = table_.candidates(request.model, request.version, request.adapter);
+  const auto& exact =
+      table_.candidates(request.model, request.version, request.adapter, request.build);
   // An answer that has begun must be continued by the same version.
   if (!exact.empty() || request.version.empty() || request.resume_from > 0) {
     return exact;
   }
-  const auto& any = table_.candidates(request.model, "", request.adapter);
+  const auto& any = table_.candidates(request.model, "", request.adapter, request.build);
   other_version_.add(any.empty() ? 0 : 1);
   return any;
 }
@@ -225,9 +226,10 @@
   for (const PrefixMatch& match : matches_) {
     const std::uint32_t tokens =
         match.engine < cached_tokens_.size() ? cached_tokens_[match.engine] : 0;
+    const EngineRecord& record = table_.record(match.engine);
     const bool usable =
-        tokens > source_tokens_ &&
-        table_.record(match.engine).availability == EngineAvailability::kAvailable &&
+        tokens > source_tokens_ && record.availability == EngineAvailability::kAvailable &&
+        (!request.build || record.declaration.build == *request.build) &&
         !long_prompts_.overdue(match.engine) &&
         !long_prompts_.beingComputed(match.engine, request.shape.pieces[match.pieces - 1]);
     if (usable) {
@@ -524,7 +526,7 @@
 RouteChoice CostRouter::choose(const RouteRequest& request) {
   if (directory_.catchingUp()) {
     refused_no_engine_.add();
-    RouteRefusal refusal = refuseWithoutEngine(request.model);
+    RouteRefusal refusal = refuseWithoutEngine(request);
     refusal.message = "this node was paused and learns the state of the engines anew";
     return refusal;
   }
@@ -538,8 +540,7 @@
   countDemand(request, work, selection);
   RouteChoice choice;
   if (selection.empty()) {
-    choice =
-        exhausted_.empty() ? refuseWithoutEngine(request.model) : refuseExhausted(request.model);
+    choice = exhausted_.empty() ? refuseWithoutEngine(request) : refuseExhausted(request.model);
     refused_no_engine_.add();
   } else if (!selection.offer.meetsLimits()) {
     choice = refuse(selection, work, request.model);
@@ -586,13 +587,19 @@
   return refusal;
 }
 
-RouteRefusal CostRouter::refuseWithoutEngine(const common::ModelName& model) const {
+RouteRefusal CostRouter::refuseWithoutEngine(const RouteRequest& request) const {
+  const common::ModelName& model = request.model;
   RouteRefusal refusal;
   if (!table_.knowsModel(model)) {
     refusal.reason = RouteFailure::kUnknownModel;
     refusal.message = "no engine of this zone serves model " + model;
     return refusal;
   }
+  if (request.build && !table_.hasEngineOfBuild(model, *request.build)) {
+    refusal.reason = RouteFailure::kNoEngineOfBuild;
+    refusal.message = noEngineOfBuild(model, *request.build);
+    return refusal;
+  }
   const auto pause_end = table_.earliestPauseEnd(model);
   refusal.reason = RouteFailure::kOverloaded;
   refusal.retry_after = boundedRetry(
--- a/src/cypresswall/routing/cost_router.h
+++ b/src/cypresswall/routing/cost_router.h
@@ -139,7 +139,7 @@
   Route makeRoute(const Selection& selection, const RequestWork& work) const;
   RouteRefusal refuse(const Selection& best, const RequestWork& work,
                       const common::ModelName& model);
-  RouteRefusal refuseWithoutEngine(const common::ModelName& model) const;
+  RouteRefusal refuseWithoutEngine(const RouteRequest& request) const;
   /// Refusal for the case that every candidate has used up its rate limit.
   RouteRefusal refuseExhausted(const common::ModelName& model) const;
   common::Duration boundedRetry(double seconds) const;
--- a/src/cypresswall/routing/engine_groups.cpp
+++ b/src/cypresswall/routing/engine_groups.cpp
@@ -67,7 +67,7 @@
       }
       groups_[best].engines.push_back(slot);
       group_of_[slot] = best;
-      engines_by_model_[model].push_back({hash, best, declaration.initial_role});
+      engines_by_model_[model].push_back({slot, hash, best, declaration.initial_role});
     }
   }
 }
@@ -202,8 +202,8 @@
 }
 
 std::vector<const EngineGroup*> EngineGroups::candidateGroupsFor(
-    const common::ModelName& model, common::PieceHash shared_part,
-    common::RandomSource& random) const {
+    const common::ModelName& model, common::PieceHash shared_part, common::RandomSource& random,
+    const std::optional<common::BuildName>& build) const {
   std::vector<const EngineGroup*> candidates;
   const auto found = engines_by_model_.find(model);
   if (found == engines_by_model_.end()) {
@@ -211,13 +211,16 @@
   }
   const engines::EngineRole excluded_role =
       shared_part != 0 ? engines::EngineRole::kDecode : engines::EngineRole::kPrefill;
+  const auto hasBuild = [&](const GroupedEngine& engine) {
+    return !build || table_.record(engine.slot).declaration.build == *build;
+  };
   std::vector<const GroupedEngine*> engines;
   for (const GroupedEngine& engine : found->second) {
-    if (engine.role != excluded_role) {
+    if ((build || engine.role != excluded_role) && hasBuild(engine)) {
       engines.push_back(&engine);
     }
   }
-  if (engines.empty()) {
+  if (engines.empty() && !build) {
     for (const GroupedEngine& engine : found->second) {
       engines.push_back(&engine);
     }
@@ -230,7 +233,7 @@
     std::erase_if(engines,
                   [engine](const GroupedEngine* other) { return other->group == engine->group; });
   };
-  while (candidates.size() < kMaximumCandidateGroups && !engines.empty()) {
+  while ((build || candidates.size() < kMaximumCandidateGroups) && !engines.empty()) {
     add(shared_part == 0 ? engines[random.below(engines.size())]
                          : *std::max_element(engines.begin(), engines.end(),
                                              [&rank](const auto* left, const auto* right) {
--- a/src/cypresswall/routing/engine_groups.h
+++ b/src/cypresswall/routing/engine_groups.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,13 +70,16 @@
   /// A group thus receives prompts in proportion to the number of its engines that compute prompts.
   /// Prompts without a shared part get the groups of randomly chosen decode and mixed engines.
   /// \param shared_part hash of the part shared with other prompts, zero if there is none
-  std::vector<const EngineGroup*> candidateGroupsFor(const common::ModelName& model,
-                                                     common::PieceHash shared_part,
-                                                     common::RandomSource& random) const;
+  /// \param build if set, only groups with engines of that software build are returned, and all of
+  ///   them
+  std::vector<const EngineGroup*> candidateGroupsFor(
+      const common::ModelName& model, common::PieceHash shared_part, common::RandomSource& random,
+      const std::optional<common::BuildName>& build = {}) const;
 
  private:
   /// An engine with its group, for the choice of candidate groups.
   struct GroupedEngine {
+    EngineSlot slot = kNoEngineSlot;
     std::uint64_t name_hash = 0;
     std::size_t group = 0;
     engines::EngineRole role = engines::EngineRole::kMixed;
--- a/src/cypresswall/routing/engine_table.cpp
+++ b/src/cypresswall/routing/engine_table.cpp
@@ -11,9 +11,10 @@
 /// Maximum number of cached candidate lists; when it is reached, all lists are dropped.
 constexpr std::size_t kMaximumCandidateLists = 1024;
 
+/// An engine whose software build changed has restarted.
 bool sameEngine(const configuration::EngineDeclaration& left,
                 const configuration::EngineDeclaration& right) {
-  return left.name == right.name && left.address == right.address;
+  return left.name == right.name && left.address == right.address && left.build == right.build;
 }
 
 }  // namespace
@@ -266,15 +267,19 @@
   return roster_[static_cast<std::size_t>(found - names_.begin())];
 }
 
-const std::vector<EngineSlot>& EngineTable::candidates(const common::ModelName& model,
-                                                       const std::string& version,
-                                                       const std::string& adapter) {
+const std::vector<EngineSlot>& EngineTable::candidates(
+    const common::ModelName& model, const std::string& version, const std::string& adapter,
+    const std::optional<common::BuildName>& build) {
   candidate_key_.clear();
   candidate_key_ += model;
   candidate_key_ += kKeySeparator;
   candidate_key_ += version;
   candidate_key_ += kKeySeparator;
   candidate_key_ += adapter;
+  if (build) {
+    candidate_key_ += kKeySeparator;
+    candidate_key_ += *build;
+  }
   const auto found = candidate_lists_.find(candidate_key_);
   if (found != candidate_lists_.end()) {
     return found->second;
@@ -282,12 +287,12 @@
   if (candidate_lists_.size() >= kMaximumCandidateLists) {
     candidate_lists_.clear();
   }
-  return candidate_lists_[candidate_key_] = findCandidates(model, version, adapter);
+  return candidate_lists_[candidate_key_] = findCandidates(model, version, adapter, build);
 }
 
-std::vector<EngineSlot> EngineTable::findCandidates(const common::ModelName& model,
-                                                    const std::string& version,
-                                                    const std::string& adapter) const {
+std::vector<EngineSlot> EngineTable::findCandidates(
+    const common::ModelName& model, const std::string& version, const std::string& adapter,
+    const std::optional<common::BuildName>& build) const {
   std::vector<EngineSlot> found;
   for (const EngineSlot slot : roster_) {
     const EngineRecord& record = entries_[slot].record;
@@ -295,6 +300,7 @@
     const bool serves =
         record.availability == EngineAvailability::kAvailable && record.load.model == model &&
         (version.empty() || record.load.version == version) &&
+        (!build || record.declaration.build == *build) &&
         (adapter.empty() || std::find(adapters.begin(), adapters.end(), adapter) != adapters.end());
     if (serves) {
       found.push_back(slot);
@@ -304,6 +310,16 @@
   return found;
 }
 
+bool EngineTable::hasEngineOfBuild(const common::ModelName& model,
+                                   const common::BuildName& build) const {
+  return std::any_of(roster_.begin(), roster_.end(), [&](EngineSlot slot) {
+    const EngineRecord& record = entries_[slot].record;
+    const bool serves =
+        record.reported ? record.load.model == model : record.declaration.model == model;
+    return serves && record.declaration.build == build && !isLeaving(slot);
+  });
+}
+
 bool EngineTable::knowsModel(const common::ModelName& model) const {
   return std::any_of(roster_.begin(), roster_.end(), [&](EngineSlot slot) {
     const EngineRecord& record = entries_[slot].record;
--- a/src/cypresswall/routing/engine_table.h
+++ b/src/cypresswall/routing/engine_table.h
@@ -76,9 +76,12 @@
   EngineSlot slotOf(const common::EngineName& name) const;
   std::size_t slotCount() const { return entries_.size(); }
   /// \return available engines that serve the model, in slot order. An empty version or adapter
-  ///   matches any. Valid until the next change of the table.
+  ///   matches any, and so does a build that is not set. Valid until the next change of the table.
   const std::vector<EngineSlot>& candidates(const common::ModelName& model,
-                                            const std::string& version, const std::string& adapter);
+                                            const std::string& version, const std::string& adapter,
+                                            const std::optional<common::BuildName>& build = {});
+  /// \return true if an engine of the model with that software build is declared and not leaving
+  bool hasEngineOfBuild(const common::ModelName& model, const common::BuildName& build) const;
   /// \return true if any engine of the zone is declared for, or reports, the model.
   bool knowsModel(const common::ModelName& model) const;
   void onChange(Listener listener) { listeners_.push_back(std::move(listener)); }
@@ -102,7 +105,8 @@
   void refreshAll(common::MonotonicTime now);
   void notify(EngineSlot slot, bool restarted);
   std::vector<EngineSlot> findCandidates(const common::ModelName& model, const std::string& version,
-                                         const std::string& adapter) const;
+                                         const std::string& adapter,
+                                         const std::optional<common::BuildName>& build) const;
 
   DirectorySettings settings_;
   availability::AnnouncedAvailability* announced_ = nullptr;
--- a/src/cypresswall/routing/placement_messages.cpp
+++ b/src/cypresswall/routing/placement_messages.cpp
@@ -28,10 +28,24 @@
   return engines::EngineEndpoint{engine.name, engine.address};
 }
 
+RouteFailure reasonOf(PlacementOutcome outcome) {
+  switch (outcome) {
+    case PlacementOutcome::kUnknownModel:
+      return RouteFailure::kUnknownModel;
+    case PlacementOutcome::kNoEngineOfBuild:
+      return RouteFailure::kNoEngineOfBuild;
+    default:
+      return RouteFailure::kOverloaded;
+  }
+}
+
 PlacementOutcome outcomeOf(const RouteRefusal& refusal) {
   if (refusal.reason == RouteFailure::kUnknownModel) {
     return PlacementOutcome::kUnknownModel;
   }
+  if (refusal.reason == RouteFailure::kNoEngineOfBuild) {
+    return PlacementOutcome::kNoEngineOfBuild;
+  }
   return refusal.best ? PlacementOutcome::kOverloaded : PlacementOutcome::kUnable;
 }
 
@@ -86,6 +100,8 @@
   message.excluded = request.excluded;
   message.finish_limit = request.finish_limit.count();
   message.connected = request.connected;
+  message.requires_build = request.build.has_value();
+  message.build = request.build.value_or("");
   return message;
 }
 
@@ -114,6 +130,9 @@
   request.excluded = message.excluded;
   request.finish_limit = micros(message.finish_limit);
   request.connected = message.connected;
+  if (message.requires_build) {
+    request.build = message.build;
+  }
   return true;
 }
 
@@ -151,8 +170,7 @@
 
 RouteRefusal refusalOf(const PlacementAnswer& answer) {
   RouteRefusal refusal;
-  refusal.reason = answer.outcome == PlacementOutcome::kUnknownModel ? RouteFailure::kUnknownModel
-                                                                     : RouteFailure::kOverloaded;
+  refusal.reason = reasonOf(answer.outcome);
   refusal.retry_after = micros(answer.retry_after);
   refusal.message = answer.message;
   if (answer.outcome == PlacementOutcome::kOverloaded) {
--- a/src/cypresswall/routing/placement_messages.h
+++ b/src/cypresswall/routing/placement_messages.h
@@ -44,10 +44,13 @@
   // Unknown to earlier builds, which ignore them.
   std::int64_t finish_limit = 0;
   std::vector<common::EngineName> connected;
+  bool requires_build = false;
+  /// Empty unless `requires_build` is set.
+  common::BuildName build;
 
   MSGPACK_DEFINE(number, group, stream_id, model, version, adapter, tokens, pieces, piece_ends,
                  maximum_tokens, resume_from, priority, first_token_limit, between_tokens_limit,
-                 excluded, finish_limit, connected)
+                 excluded, finish_limit, connected, requires_build, build)
 };
 
 enum class PlacementOutcome : std::uint8_t {
@@ -59,6 +62,8 @@
   kUnable = 2,
   /// No engine is known to serve the model.
   kUnknownModel = 3,
+  /// No engine of the group has the required software build. Only sent to nodes that required one.
+  kNoEngineOfBuild = 4,
 };
 
 /// Identifies an engine in messages.
--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -65,7 +65,7 @@
 
 std::deque<PlacementRouter::Candidate> PlacementRouter::candidatesFor(const RouteRequest& request) {
   const auto candidate_groups = directory_.groups().candidateGroupsFor(
-      request.model, sharedPartOf(request.shape), context_.random);
+      request.model, sharedPartOf(request.shape), context_.random, request.build);
   std::deque<Candidate> candidates;
   for (const EngineGroup* group : candidate_groups) {
     for (const common::NodeId& owner : group->owners) {
@@ -146,8 +146,15 @@
 }
 
 void PlacementRouter::giveUp(const std::string& stream_id) {
+  const RouteRequest& request = pending_.at(stream_id).request;
   auto& refusal = pending_.at(stream_id).refusal;
-  if (!refusal) {
+  const bool without_build =
+      request.build && !directory_.table().hasEngineOfBuild(request.model, *request.build);
+  if (without_build) {
+    refusal.emplace();
+    refusal->reason = RouteFailure::kNoEngineOfBuild;
+    refusal->message = noEngineOfBuild(request.model, *request.build);
+  } else if (!refusal) {
     no_owner_.add();
     refusal.emplace();
     refusal->retry_after = settings_.retry_after;
@@ -204,10 +211,10 @@
   }
   Route route = routeOf(answer);
   route.chosen_by = sender;
-  if (!usable(route)) {
+  if (!usable(pending.request, route)) {
     unusable_.add();
     sendProgress(sender, answer.stream_id, AttemptStep::kEnded);
-    excludeUnusable(pending.request, route);
+    excludeUnusable(pending, route);
     pending.candidates.push_front(pending.asked);
     tryNextOwner(answer.stream_id);
     return;
@@ -225,8 +232,12 @@
 }
 
 void PlacementRouter::onRefusal(PendingRequest& pending, const PlacementAnswer& answer) {
-  pending.refusal = refusalOf(answer);
-  if (answer.outcome == PlacementOutcome::kOverloaded) {
+  // Engines of the required build in one group outweigh their absence from another.
+  if (!pending.refusal || answer.outcome != PlacementOutcome::kNoEngineOfBuild) {
+    pending.refusal = refusalOf(answer);
+  }
+  if (answer.outcome == PlacementOutcome::kOverloaded ||
+      answer.outcome == PlacementOutcome::kNoEngineOfBuild) {
     // The group's other owners know the same engines and would refuse as well, so they are not
     // asked.
     std::erase_if(pending.candidates, [&pending](const Candidate& candidate) {
@@ -249,26 +260,47 @@
   return table.record(table.slotOf(engine.name)).declaration.build;
 }
 
-bool PlacementRouter::fits(const engines::EngineEndpoint& engine) const {
-  return known(engine) && takesWork(engine);
+bool PlacementRouter::fits(const RouteRequest& request,
+                           const engines::EngineEndpoint& engine) const {
+  return known(engine) && takesWork(engine) &&
+         (!request.build || buildOf(engine) == *request.build);
 }
 
-bool PlacementRouter::usable(const Route& route) const {
-  return fits(route.engine) && (!route.prefill_engine || fits(*route.prefill_engine)) &&
+bool PlacementRouter::usable(const RouteRequest& request, const Route& route) const {
+  return fits(request, route.engine) &&
+         (!route.prefill_engine || fits(request, *route.prefill_engine)) &&
          (!route.prefix_source || known(*route.prefix_source));
 }
 
-void PlacementRouter::excludeUnusable(RouteRequest& request, const Route& route) const {
+void PlacementRouter::excludeUnusable(PendingRequest& pending, const Route& route) const {
+  RouteRequest& request = pending.request;
   for (const common::EngineName& name : directory_.unavailableByAnnouncement()) {
     request.excluded.push_back(name);
   }
-  const bool prefill_fits = !route.prefill_engine || fits(*route.prefill_engine);
+  const bool prefill_fits = !route.prefill_engine || fits(request, *route.prefill_engine);
   if (!prefill_fits) {
     request.excluded.push_back(route.prefill_engine->name);
   }
-  if (prefill_fits || !fits(route.engine)) {
+  if (prefill_fits || !fits(request, route.engine)) {
     request.excluded.push_back(route.engine.name);
   }
+  excludeOtherBuilds(pending);
+}
+
+/// For owners of earlier builds, which ignore the required software build.
+void PlacementRouter::excludeOtherBuilds(PendingRequest& pending) const {
+  RouteRequest& request = pending.request;
+  if (!request.build) {
+    return;
+  }
+  for (const EngineSlot slot : directory_.groups().enginesOf(pending.asked.group)) {
+    const auto& engine = directory_.table().record(slot).declaration;
+    const bool excluded = std::find(request.excluded.begin(), request.excluded.end(),
+                                    engine.name) != request.excluded.end();
+    if (engine.build != *request.build && !excluded) {
+      request.excluded.push_back(engine.name);
+    }
+  }
 }
 
 bool PlacementRouter::takesWork(const engines::EngineEndpoint& engine) const {
--- a/src/cypresswall/routing/placement_router.h
+++ b/src/cypresswall/routing/placement_router.h
@@ -94,13 +94,13 @@
   void onAnswer(const common::NodeId& sender, const PlacementAnswer& answer);
   void onRefusal(PendingRequest& pending, const PlacementAnswer& answer);
   void releaseUnlessInUse(const common::NodeId& owner, const std::string& stream_id);
-  /// \return true if the engines of the route are known here and may get work
-  /// \return true if this node knows the engine and may send to it
-  bool fits(const engines::EngineEndpoint& engine) const;
-  bool usable(const Route& route) const;
+  /// \return true if this node knows the engine, may send to it, and it has the required build
+  bool fits(const RouteRequest& request, const engines::EngineEndpoint& engine) const;
+  bool usable(const RouteRequest& request, const Route& route) const;
   /// Excludes the engines for which an owner's choice could not be used, and those that the owner
   /// may choose next since it does not know what they announced to this node.
-  void excludeUnusable(RouteRequest& request, const Route& route) const;
+  void excludeUnusable(PendingRequest& pending, const Route& route) const;
+  void excludeOtherBuilds(PendingRequest& pending) const;
   bool known(const engines::EngineEndpoint& engine) const;
   common::BuildName buildOf(const engines::EngineEndpoint& engine) const;
   void sendProgress(const common::NodeId& owner, const std::string& stream_id, AttemptStep step,
--- a/src/cypresswall/routing/router.h
+++ b/src/cypresswall/routing/router.h
@@ -25,6 +25,9 @@
   common::ModelName model;
   std::string version;
   std::string adapter;
+  /// Software build that began the answer; the only one whose engines may continue it. Not set
+  /// before the first token.
+  std::optional<common::BuildName> build;
   common::PromptShape shape;
   std::uint32_t maximum_tokens = 0;
   /// Tokens that earlier attempts already delivered to the caller.
@@ -84,8 +87,9 @@
 };
 
 enum class RouteFailure {
-  kUnknownModel,  ///< no engine of the zone serves the model
-  kOverloaded,    ///< no engine can meet the limits; see RouteRefusal
+  kUnknownModel,     ///< no engine of the zone serves the model
+  kNoEngineOfBuild,  ///< no engine with the required software build takes new work any more
+  kOverloaded,       ///< no engine can meet the limits; see RouteRefusal
 };
 
 /// The best engine for a refused request, with the times expected on that engine.
@@ -111,6 +115,12 @@
 using RouteChoice = std::variant<Route, RouteRefusal>;
 using PlacementCallback = std::function<void(RouteChoice)>;
 
+/// \return the message of a refusal for the reason kNoEngineOfBuild
+inline std::string noEngineOfBuild(const common::ModelName& model, const common::BuildName& build) {
+  return "no engine of model " + model + " has the software build " + build +
+         " that began the answer";
+}
+
 class Router {
  public:
   virtual ~Router() = default;
