Take answers up only at the software build that began them

Cause: the node at which a caller arrives placed the request like a new one. What had begun the answer was known to nobody but the node that had served it, mostly the very node that had ended.

Change: while a model has engines of several builds, or has had within two minutes, a node tells two others, by rendezvous hashing over the request's identifier, of each answer before its caller gets the first token. A node at which an answer is taken up looks at its own records, then asks the four nodes of highest rank. Nobody knows: refused at once, without Retry-After. The second build appears: records of the last 30 s are sent. A build has left: members tell nodes that join. With one build nothing is sent and nothing refused. Forwarded requests carry what they continue, and go only to nodes that read it.

The test counts attempts at nodes that have started within 3 s apart, as the users do, except where all nodes have.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -25,7 +25,7 @@
   "engine_speed reachability"
   "configuration"
   "duties"
-  "lease fleet_limits quarantine availability checkpoint"
+  "lease fleet_limits quarantine answer_builds availability checkpoint"
   "membership"
   "idempotency"
   "object_store engines services store_relay"
--- /dev/null
+++ b/src/cypresswall/answer_builds/messages.h
@@ -0,0 +1,61 @@
+/// Messages between the nodes of a zone about the software builds that began answers.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cypresswall/answer_builds/answer_records.h"
+#include "cypresswall/api/envelope.h"
+
+namespace cypresswall::answer_builds {
+
+constexpr api::MessageType answerBuildMessage(std::uint16_t offset) {
+  return api::messageType(api::MessageType::kAnswerBuildsFirst, offset);
+}
+
+/// Engines of the build gave the first token of these answers. Sent to the nodes that keep copies
+/// of the records.
+struct AnswersBegan {
+  static constexpr auto kType = answerBuildMessage(0);
+  common::ModelName model;
+  common::BuildName build;
+  std::vector<AnswerKey> answers;
+  MSGPACK_DEFINE(model, build, answers)
+};
+
+/// Asks which build began an answer.
+struct AnswerBuildQuery {
+  static constexpr auto kType = answerBuildMessage(1);
+  /// Returned in the reply.
+  std::uint64_t number = 0;
+  AnswerKey answer = 0;
+  MSGPACK_DEFINE(number, answer)
+};
+
+struct AnswerBuildReply {
+  static constexpr auto kType = answerBuildMessage(2);
+  std::uint64_t number = 0;
+  /// False if the sender does not know the answer; `build` is then empty.
+  bool known = false;
+  common::BuildName build;
+  MSGPACK_DEFINE(number, known, build)
+};
+
+/// A build of which no engine is in the fleet any more.
+struct DepartedBuild {
+  common::ModelName model;
+  common::BuildName build;
+  /// Time since its last engine left the fleet.
+  std::uint32_t age_milliseconds = 0;
+  MSGPACK_DEFINE(model, build, age_milliseconds)
+};
+
+/// Sent to a node that joins the zone, which can't see these builds itself.
+struct DepartedBuilds {
+  static constexpr auto kType = answerBuildMessage(3);
+  std::vector<DepartedBuild> builds;
+  MSGPACK_DEFINE(builds)
+};
+
+}  // namespace cypresswall::answer_builds
--- /dev/null
+++ b/src/cypresswall/answer_builds/settings.h
@@ -0,0 +1,26 @@
+/// Settings of the records of which software build began an answer.
+#pragma once
+
+#include <cstddef>
+
+#include "cypresswall/common/time.h"
+
+namespace cypresswall::answer_builds {
+
+struct AnswerBuildSettings {
+  /// How long an answer may still be taken up after its first token; longer than callers wait for
+  /// an answer. Engines of a build that has left the fleet count for as long.
+  common::Duration retention = std::chrono::minutes(2);
+  /// Number of other nodes that are told of each answer.
+  std::size_t copies = 2;
+  /// Number of nodes that are asked about an answer: more than hold copies, since some of these
+  /// may have ended and others have become their successors by rendezvous hashing.
+  std::size_t asked_nodes = 4;
+  /// Time within which a node that was asked must answer.
+  common::Duration answer_limit = std::chrono::milliseconds(150);
+  /// Maximum number of answers that a node knows, about 60 bytes each. The oldest are evicted
+  /// first.
+  std::size_t maximum_records = 65536;
+};
+
+}  // namespace cypresswall::answer_builds
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -28,8 +28,9 @@
   kTenantAccounts = 5,  ///< adds the messages of `fleet_limits` on tenants' limits
   kFairShares = 6,      ///< adds the messages of `fleet_limits` on fair shares of scarce pools
   kForwarding = 7,      ///< adds the messages of `forwarding`
+  kAnswerBuilds = 8,    ///< adds the messages of `answer_builds`
 };
-inline constexpr MessageSet kHandledMessages = MessageSet::kForwarding;
+inline constexpr MessageSet kHandledMessages = MessageSet::kAnswerBuilds;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
@@ -50,6 +51,7 @@
   kAutoscalingFirst = 1300,
   kFleetLimitsFirst = 1400,
   kForwardingFirst = 1500,
+  kAnswerBuildsFirst = 1600,
 };
 
 /// \return the `offset`-th message type of the block that starts at `first`.
--- a/src/cypresswall/execution/engine_model_executor.h
+++ b/src/cypresswall/execution/engine_model_executor.h
@@ -25,6 +25,9 @@
   /// Sets how requests learn that this node reaches no engine; they then end with
   /// ErrorKind::kPathLost. Without it, they try one engine after the other.
   void setServerPath(const api::ServerPath& path) { core_.server_path = &path; }
+  /// Sets how requests that take an answer up learn which software build began it. Without it, any
+  /// engine may continue such an answer.
+  void setAnswerBuilds(answer_builds::AnswerBuilds& builds) { core_.answer_builds = &builds; }
   const RequestJournal& journal() const { return core_.journal; }
 
  private:
--- a/src/cypresswall/execution/model_execution_core.h
+++ b/src/cypresswall/execution/model_execution_core.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "cypresswall/admission/admission.h"
+#include "cypresswall/answer_builds/answer_builds.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/api/server_path.h"
 #include "cypresswall/configuration/configuration_view.h"
@@ -74,6 +75,8 @@
   duties::UsageRecorder& usage;
   /// Whether this node reaches engines; null if that is not known.
   const api::ServerPath* server_path = nullptr;
+  /// Which software build began an answer; null if that is not recorded.
+  answer_builds::AnswerBuilds* answer_builds = nullptr;
   const ExecutionSettings settings;
   const common::MonotonicTime started_at;
   StreamEventCounters stream_events;
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -48,6 +48,12 @@
   /// \return false if the request was ended
   bool checkPermitted();
   bool admit();
+  /// Finds out which software build began the answer that the caller takes up, then begins.
+  void findOrigin();
+  void onOriginFound(const answer_builds::AnswerOrigin& origin);
+  /// Records the software build of the current attempt's engine if it gave the answer's first
+  /// token.
+  void recordOrigin();
   void nextAttempt();
   /// Ends the request if this node reaches no engine and no engine may have run it. A request that
   /// may have run keeps looking for an engine here, since only this node knows its state.
--- a/src/cypresswall/forwarding/encoding.cpp
+++ b/src/cypresswall/forwarding/encoding.cpp
@@ -89,6 +89,11 @@
   message.maximum_tokens = call.maximum_tokens;
   message.shape = {call.shape.tokens, call.shape.pieces, call.shape.piece_ends,
                    call.shape.content_hash};
+  if (call.continues) {
+    message.continues = true;
+    message.began_as = call.continues->began_as;
+    message.position = call.continues->position;
+  }
   if (call.pass_through) {
     message.passes_through = true;
     message.request.method = call.pass_through->method;
@@ -108,6 +113,9 @@
   call.shape.pieces = message.shape.pieces;
   call.shape.piece_ends = message.shape.piece_ends;
   call.shape.content_hash = message.shape.content_hash;
+  if (message.continues) {
+    call.continues = execution::AnswerContinuation{message.began_as, message.position};
+  }
   if (message.passes_through) {
     call.pass_through = std::make_shared<const engines::PassThroughRequest>(
         engines::PassThroughRequest{message.request.method, message.request.target,
--- a/src/cypresswall/forwarding/forwarded_attempts.cpp
+++ b/src/cypresswall/forwarding/forwarded_attempts.cpp
@@ -8,7 +8,7 @@
   if (tried_.size() >= forwarder_.settings().maximum_receivers) {
     return false;
   }
-  const auto receiver = forwarder_.chooseReceiver(tried_);
+  const auto receiver = forwarder_.chooseReceiver(tried_, messages_);
   if (!receiver) {
     return false;
   }
--- a/src/cypresswall/forwarding/forwarded_attempts.h
+++ b/src/cypresswall/forwarding/forwarded_attempts.h
@@ -22,9 +22,15 @@
   };
 
   /// \param repeatable whether the request may run more than once
+  /// \param messages the messages that receivers must handle
   /// \pre all references outlive this object
-  ForwardedAttempts(Forwarder& forwarder, ForwardedCallHandler& handler, bool repeatable, Send send)
-      : forwarder_(forwarder), handler_(handler), repeatable_(repeatable), send_(std::move(send)) {}
+  ForwardedAttempts(Forwarder& forwarder, ForwardedCallHandler& handler, bool repeatable, Send send,
+                    api::MessageSet messages = api::MessageSet::kForwarding)
+      : forwarder_(forwarder),
+        handler_(handler),
+        repeatable_(repeatable),
+        send_(std::move(send)),
+        messages_(messages) {}
   ~ForwardedAttempts() { close(); }
   ForwardedAttempts(const ForwardedAttempts&) = delete;
   ForwardedAttempts& operator=(const ForwardedAttempts&) = delete;
@@ -59,6 +65,7 @@
   ForwardedCallHandler& handler_;
   const bool repeatable_;
   const Send send_;
+  const api::MessageSet messages_;
   std::set<common::NodeId> tried_;
   common::NodeId receiver_;
   /// Zero while the request is with no receiver.
--- a/src/cypresswall/forwarding/forwarder.cpp
+++ b/src/cypresswall/forwarding/forwarder.cpp
@@ -48,8 +48,8 @@
       });
 }
 
-std::optional<common::NodeId> Forwarder::chooseReceiver(
-    const std::set<common::NodeId>& tried) const {
+std::optional<common::NodeId> Forwarder::chooseReceiver(const std::set<common::NodeId>& tried,
+                                                        api::MessageSet messages) const {
   const auto now = context_.clock.now();
   std::vector<common::NodeId> responsive;
   std::vector<common::NodeId> others;
@@ -58,8 +58,7 @@
         membership_.digest(member.node, membership::DigestTopic::kServersUnreached).value_or(0) ==
         0;
     if (member.node == context_.self || member.state != membership::MemberState::kAlive ||
-        !reaches || tried.contains(member.node) ||
-        !membership_.handles(member.node, api::MessageSet::kForwarding)) {
+        !reaches || tried.contains(member.node) || !membership_.handles(member.node, messages)) {
       continue;
     }
     const auto unresponsive = unresponsive_until_.find(member.node.address);
--- a/src/cypresswall/forwarding/forwarder.h
+++ b/src/cypresswall/forwarding/forwarder.h
@@ -47,7 +47,9 @@
   /// Chooses a random node that is alive, handles forwarded requests and reaches servers as far as
   /// is known here. Nodes that recently did not acknowledge a request are chosen last.
   /// \param tried nodes that must not be chosen
-  std::optional<common::NodeId> chooseReceiver(const std::set<common::NodeId>& tried) const;
+  /// \param messages the messages that the node must handle
+  std::optional<common::NodeId> chooseReceiver(const std::set<common::NodeId>& tried,
+                                               api::MessageSet messages) const;
   /// \return the number of a new request to `receiver`, whose answer is passed to `handler` until
   ///   close() is called
   std::uint64_t open(const common::NodeId& receiver, ForwardedCallHandler& handler);
--- a/src/cypresswall/forwarding/forwarding_model_executor.cpp
+++ b/src/cypresswall/forwarding/forwarding_model_executor.cpp
@@ -19,6 +19,12 @@
   return call.prompt.size() + (call.pass_through ? call.pass_through->body.size() : 0);
 }
 
+/// An answer that is taken up is forwarded only to nodes that find out which software build began
+/// it.
+api::MessageSet messagesFor(const execution::ModelCall& call) {
+  return call.continues ? api::MessageSet::kAnswerBuilds : api::MessageSet::kForwarding;
+}
+
 /// One request; executed locally first, unless the path is known to be lost.
 class ModelForwarding final : public execution::ModelExecution,
                               private execution::ModelCallObserver,
@@ -30,8 +36,10 @@
         call_(std::move(call)),
         observer_(observer),
         deadline_(forwarder, call_.time_limit, [this] { onDeadline(); }),
-        attempts_(forwarder, *this, repeatable,
-                  [this](const auto& receiver, std::uint64_t number) { send(receiver, number); }),
+        attempts_(
+            forwarder, *this, repeatable,
+            [this](const auto& receiver, std::uint64_t number) { send(receiver, number); },
+            messagesFor(call_)),
         answer_(forwarder.context().scheduler, forwarder.settings().part_limit,
                 [this] { onPartLost(); }) {}
   ~ModelForwarding() override {
--- a/src/cypresswall/forwarding/messages.h
+++ b/src/cypresswall/forwarding/messages.h
@@ -62,7 +62,12 @@
   ForwardedPromptShape shape;
   /// The request is passed through to the engine unchanged.
   bool passes_through = false;
-  MSGPACK_DEFINE(number, request, prompt, maximum_tokens, shape, passes_through)
+  // See execution::AnswerContinuation. Unknown to earlier builds, which ignore it.
+  bool continues = false;
+  std::string began_as;
+  std::string position;
+  MSGPACK_DEFINE(number, request, prompt, maximum_tokens, shape, passes_through, continues,
+                 began_as, position)
 };
 
 /// Asks the receiver to execute a request to a plain service. Answered with ForwardAcknowledged,
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -83,6 +83,7 @@
                          [this] { return connection_part_.fraction(); }),
       quarantine_(settings_.quarantine, settings_.membership.neighbours, context_, membership_,
                   clients.engines, clients.object_store),
+      answer_builds_(settings_.answer_builds, context_, membership_),
       duties_(settings_.duties, context_, membership_, settings_.membership.machine,
               clients.object_store, clients.duties, clients.time_of_day),
       autoscaling_(settings_.autoscaling, context_, membership_, configuration_view_, duties_,
@@ -125,6 +126,7 @@
   clients_.engines.observeAnnouncements(record);
   clients_.services.observeAnnouncements(record);
   watchServerPath();
+  recordAnswerBuilds();
   rate_limits_.setOwnerLookup([this](const std::string& server) {
     const routing::EngineSlot slot = engines_.table().slotOf(server);
     return slot == routing::kNoEngineSlot ? common::NodeId{}
@@ -161,6 +163,21 @@
   model_executor_.setServerPath(server_path_);
 }
 
+void Node::recordAnswerBuilds() {
+  const auto update = [this](const configuration::FleetConfiguration& fleet) {
+    answer_builds::BuildsByModel builds;
+    for (const auto& [name, engine] : fleet.engines) {
+      if (engine.zone == context_.zone) {
+        builds[engine.model].insert(engine.build);
+      }
+    }
+    answer_builds_.enginesChanged(std::move(builds));
+  };
+  configuration_view_.onChange(update);
+  update(*configuration_view_.current());
+  model_executor_.setAnswerBuilds(answer_builds_);
+}
+
 void Node::start() {
   membership_.start();
   if (declared_ == nullptr) {
--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -9,6 +9,7 @@
 #include "cypresswall/admission/fair_shares.h"
 #include "cypresswall/admission/observed_router.h"
 #include "cypresswall/admission/zone_admission_controller.h"
+#include "cypresswall/answer_builds/fleet_answer_builds.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/api/server_connections.h"
 #include "cypresswall/autoscaling/controller.h"
@@ -124,6 +125,9 @@
   void startCheckpoint();
   /// Connects the clients and the modules with the monitor of this node's path to servers.
   void watchServerPath();
+  /// Connects the records of which software build began an answer with the engines declared and
+  /// with the requests.
+  void recordAnswerBuilds();
   void checkStop();
   bool mayStop() const;
 
@@ -163,6 +167,7 @@
   fleet_limits::LocalShare connection_part_;
   fleet_limits::ConnectionShares connection_shares_;
   quarantine::FleetQuarantine quarantine_;
+  answer_builds::FleetAnswerBuilds answer_builds_;
   duties::FleetDuties duties_;
   autoscaling::Controller autoscaling_;
   execution::EngineModelExecutor model_executor_;
--- a/src/cypresswall/node/node_settings.h
+++ b/src/cypresswall/node/node_settings.h
@@ -6,6 +6,7 @@
 
 #include "cypresswall/admission/admission_settings.h"
 #include "cypresswall/admission/fair_shares.h"
+#include "cypresswall/answer_builds/settings.h"
 #include "cypresswall/autoscaling/settings.h"
 #include "cypresswall/availability/announced_availability.h"
 #include "cypresswall/checkpoint/settings.h"
@@ -76,6 +77,7 @@
   fleet_limits::RateLimitSettings rate_limits;
   availability::AnnouncedAvailabilitySettings announced;
   quarantine::QuarantineSettings quarantine;
+  answer_builds::AnswerBuildSettings answer_builds;
   reachability::ReachabilitySettings reachability;
   forwarding::ForwardingSettings forwarding;
   checkpoint::CheckpointSettings checkpoint;
--- /dev/null
+++ b/tests/answer_builds/fleet_answer_builds_test.cpp
@@ -0,0 +1,367 @@
+/// The record of which build began an answer, in zones of up to 1,000 nodes. Guards against answers
+/// that go on at another build because a record was lost, late or never sent, and against messages
+/// while all engines have one build.
+#include "cypresswall/answer_builds/fleet_answer_builds.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "cypresswall/membership/rendezvous.h"
+#include "tests/support/engine_world.h"
+
+namespace cypresswall::answer_builds {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kModel = "m";
+const BuildsByModel kOneBuild = {{kModel, {"v1"}}};
+const BuildsByModel kTwoBuilds = {{kModel, {"v1", "v2"}}};
+const BuildsByModel kOtherBuild = {{kModel, {"v2"}}};
+
+std::string requestNamed(std::uint64_t number) {
+  std::string name = "a";
+  name += std::to_string(number);
+  return name;
+}
+
+bool contains(const std::vector<std::size_t>& nodes, std::size_t node) {
+  return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+}
+
+class Zone {
+ public:
+  explicit Zone(std::size_t nodes) : simulation_(1), nodes_(nodes) {
+    for (std::size_t node = 0; node < nodes; ++node) {
+      start(node);
+    }
+    updateMembers();
+  }
+  void start(std::size_t index) {
+    const auto address =
+        "10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1) + ":7000";
+    auto& process = simulation_.start(address, "z");
+    Node& node = nodes_[index];
+    node.process = &process;
+    node.membership = &process.emplace<testing::SettableMembership>(process.id(), "z");
+    node.builds =
+        &process.emplace<FleetAnswerBuilds>(settings_, process.context(), *node.membership);
+  }
+  void kill(std::size_t node) {
+    nodes_[node].process->kill();
+    nodes_[node].process = nullptr;
+  }
+  void restart(std::size_t node) {
+    kill(node);
+    start(node);
+  }
+  void updateMembers() {
+    std::vector<common::NodeId> ids;
+    for (const Node& node : nodes_) {
+      if (node.process != nullptr) {
+        ids.push_back(node.process->id());
+      }
+    }
+    for (const Node& node : nodes_) {
+      if (node.process != nullptr) {
+        node.membership->setMembers(ids);
+      }
+    }
+  }
+  void setEngines(const BuildsByModel& builds) {
+    for (const Node& node : nodes_) {
+      if (node.process != nullptr) {
+        node.builds->enginesChanged(builds);
+      }
+    }
+    run(milliseconds(100));
+  }
+  void cutOff(std::size_t cut) {
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      const auto& address = nodes_[node].process->id().address;
+      const auto& cut_address = nodes_[cut].process->id().address;
+      if (node != cut) {
+        simulation_.network().cutAddresses(address, cut_address);
+        simulation_.network().cutAddresses(cut_address, address);
+      }
+    }
+  }
+  void runEarlierBuild(std::size_t earlier) {
+    for (const Node& node : nodes_) {
+      node.membership->setCapabilitiesUnknown(nodes_[earlier].process->id());
+    }
+    nodes_[earlier].process->context().dispatcher = {};
+  }
+  void run(common::Duration time) { simulation_.time().runFor(time); }
+  FleetAnswerBuilds& at(std::size_t node) { return *nodes_[node].builds; }
+  void began(std::size_t node, const std::string& request, const char* build) {
+    at(node).began(kModel, request, build);
+    run(milliseconds(50));
+  }
+  /// \return what the node finds within the time in which others must answer
+  AnswerOrigin find(std::size_t node, const std::string& request) {
+    std::vector<AnswerOrigin> origins;
+    at(node).find(kModel, request, [&](const AnswerOrigin& origin) { origins.push_back(origin); });
+    run(settings_.answer_limit);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, origins.size());
+    return origins.front();
+  }
+  void requireBuild(const char* build, std::size_t node, const std::string& request) {
+    const AnswerOrigin origin = find(node, request);
+    CPPUNIT_ASSERT_MESSAGE("node " + std::to_string(node) + " knows " + request, origin.known);
+    CPPUNIT_ASSERT_EQUAL(std::string(build), *origin.build);
+  }
+  void requireUnknown(std::size_t node, const std::string& request) {
+    CPPUNIT_ASSERT(!find(node, request).known);
+  }
+  /// \return the nodes other than `sender` that are told of the answer, in the order of their ranks
+  std::vector<std::size_t> keepersOf(const std::string& request, std::size_t sender) {
+    std::vector<common::NodeId> ids;
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      if (node != sender) {
+        ids.push_back(nodes_[node].process->id());
+      }
+    }
+    std::vector<std::size_t> keepers;
+    const auto name = std::to_string(answerKey(request));
+    for (const auto& id : membership::rendezvousNodes(name, ids, settings_.copies)) {
+      const auto keeper = std::find_if(nodes_.begin(), nodes_.end(),
+                                       [&](const Node& node) { return node.process->id() == id; });
+      keepers.push_back(static_cast<std::size_t>(keeper - nodes_.begin()));
+    }
+    return keepers;
+  }
+  std::uint64_t messages() { return simulation_.network().deliveredMessages(); }
+  std::size_t size() const { return nodes_.size(); }
+
+ private:
+  struct Node {
+    simulation::SimulatedProcess* process = nullptr;
+    testing::SettableMembership* membership = nullptr;
+    FleetAnswerBuilds* builds = nullptr;
+  };
+
+  AnswerBuildSettings settings_;
+  simulation::Simulation simulation_;
+  std::vector<Node> nodes_;
+};
+
+class FleetAnswerBuildsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetAnswerBuildsTest);
+  CPPUNIT_TEST(nothingIsSentForOneBuild);
+  CPPUNIT_TEST(messagesDoNotGrowWithTheZone);
+  CPPUNIT_TEST(anyNodeFindsTheBuild);
+  CPPUNIT_TEST(recordSurvivesItsNodeAndOneKeeper);
+  CPPUNIT_TEST(restartedKeepersDoNotHideTheRecord);
+  CPPUNIT_TEST(lostRecordIsUnknown);
+  CPPUNIT_TEST(answersBegunBeforeTheSecondBuild);
+  CPPUNIT_TEST(nodeThatSeesTheSecondBuildLate);
+  CPPUNIT_TEST(departedBuildIsToldToNewNodes);
+  CPPUNIT_TEST(departedBuildIsForgotten);
+  CPPUNIT_TEST(nodeWithoutPeersKnowsItsOwnAnswersOnly);
+  CPPUNIT_TEST(earlierBuildsOfNodesAreNotAsked);
+  CPPUNIT_TEST(callersThatNameNoRequest);
+  CPPUNIT_TEST(manyAttemptsOfOneCaller);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void nothingIsSentForOneBuild() {
+    Zone zone(9);
+    zone.setEngines(kOneBuild);
+    for (std::size_t answer = 0; answer < 100; ++answer) {
+      zone.began(answer % 9, requestNamed(answer), "v1");
+      zone.requireBuild("v1", (answer + 1) % 9, requestNamed(answer));
+    }
+    zone.restart(3);
+    zone.at(3).enginesChanged(kOneBuild);
+    zone.updateMembers();
+    zone.requireBuild("v1", 3, "a1");
+    zone.requireBuild("v1", 3, "");
+    zone.run(seconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, zone.messages());
+  }
+
+  void messagesDoNotGrowWithTheZone() {
+    constexpr std::uint64_t kAnswers = 50;
+    for (const std::size_t size : {9, 300, 1000}) {
+      Zone zone(size);
+      zone.setEngines(kTwoBuilds);
+      for (std::uint64_t answer = 0; answer < kAnswers; ++answer) {
+        zone.began(answer % size, requestNamed(answer), "v1");
+      }
+      CPPUNIT_ASSERT_EQUAL(2 * kAnswers, zone.messages());
+      zone.requireBuild("v1", size - 1, "a1");
+      CPPUNIT_ASSERT(zone.messages() <= 2 * kAnswers + 8);
+    }
+  }
+
+  void anyNodeFindsTheBuild() {
+    for (const std::size_t size : {2, 9, 300}) {
+      Zone zone(size);
+      zone.setEngines(kTwoBuilds);
+      zone.began(0, "a", "v1");
+      zone.began(1, "b", "v2");
+      for (std::size_t node = 0; node < std::min<std::size_t>(size, 20); ++node) {
+        zone.requireBuild("v1", node, "a");
+        zone.requireBuild("v2", node, "b");
+      }
+    }
+  }
+
+  void recordSurvivesItsNodeAndOneKeeper() {
+    for (std::uint64_t answer = 0; answer < 20; ++answer) {
+      const std::string request = requestNamed(answer);
+      Zone zone(9);
+      zone.setEngines(kTwoBuilds);
+      zone.began(0, request, "v2");
+      const auto keepers = zone.keepersOf(request, 0);
+      zone.kill(0);
+      zone.kill(keepers.front());
+      const std::size_t asking = keepers.back() == 8 ? 7 : 8;
+      const std::size_t node = asking == keepers.front() ? 6 : asking;
+      if (node == keepers.back()) {
+        continue;
+      }
+      zone.requireBuild("v2", node, request);
+      zone.updateMembers();
+      zone.requireBuild("v2", node, request);
+    }
+  }
+
+  /// Nodes that ended are back under their addresses, and may rank highest, but know nothing.
+  void restartedKeepersDoNotHideTheRecord() {
+    for (std::uint64_t answer = 0; answer < 20; ++answer) {
+      const std::string request = requestNamed(answer);
+      Zone zone(9);
+      zone.setEngines(kTwoBuilds);
+      zone.began(0, request, "v2");
+      const auto keepers = zone.keepersOf(request, 0);
+      zone.restart(0);
+      zone.restart(keepers.front());
+      zone.updateMembers();
+      zone.setEngines(kTwoBuilds);
+      for (std::size_t node = 0; node < zone.size(); ++node) {
+        zone.requireBuild("v2", node, request);
+      }
+    }
+  }
+
+  void lostRecordIsUnknown() {
+    Zone zone(9);
+    zone.setEngines(kTwoBuilds);
+    zone.began(0, "a", "v1");
+    for (std::size_t node = 0; node < zone.size(); ++node) {
+      zone.restart(node);
+    }
+    zone.updateMembers();
+    zone.setEngines(kTwoBuilds);
+    for (std::size_t node = 0; node < zone.size(); ++node) {
+      zone.requireUnknown(node, "a");
+    }
+  }
+
+  /// Their records are sent once a second build has appeared.
+  void answersBegunBeforeTheSecondBuild() {
+    Zone zone(9);
+    zone.setEngines(kOneBuild);
+    zone.began(0, "a", "v1");
+    zone.setEngines(kTwoBuilds);
+    zone.kill(0);
+    zone.updateMembers();
+    for (std::size_t node = 1; node < zone.size(); ++node) {
+      zone.requireBuild("v1", node, "a");
+    }
+  }
+
+  /// A node at which the second build's engines are not listed yet learns of it by the records that
+  /// others send to it.
+  void nodeThatSeesTheSecondBuildLate() {
+    Zone zone(3);
+    zone.setEngines(kOneBuild);
+    zone.at(0).enginesChanged(kTwoBuilds);
+    zone.at(1).enginesChanged(kTwoBuilds);
+    zone.began(0, "a", "v2");
+    zone.requireBuild("v2", 2, "a");
+  }
+
+  /// A node that starts after the last engine of a build has left can't have seen that build.
+  void departedBuildIsToldToNewNodes() {
+    for (const std::size_t size : {9, 300}) {
+      Zone zone(size);
+      zone.setEngines(kTwoBuilds);
+      zone.began(0, "a", "v1");
+      zone.setEngines(kOtherBuild);
+      zone.restart(5);
+      zone.at(5).enginesChanged(kOtherBuild);
+      const auto before = zone.messages();
+      zone.updateMembers();
+      zone.run(milliseconds(100));
+      CPPUNIT_ASSERT(zone.messages() - before <= 2);
+      zone.requireBuild("v1", 5, "a");
+      zone.requireUnknown(5, "b");
+    }
+  }
+
+  void departedBuildIsForgotten() {
+    Zone zone(9);
+    zone.setEngines(kTwoBuilds);
+    zone.setEngines(kOtherBuild);
+    zone.run(seconds(119));
+    zone.requireUnknown(4, "a");
+    zone.run(seconds(2));
+    zone.requireBuild("v2", 4, "a");
+    const auto before = zone.messages();
+    zone.began(4, "b", "v2");
+    CPPUNIT_ASSERT_EQUAL(before, zone.messages());
+  }
+
+  void nodeWithoutPeersKnowsItsOwnAnswersOnly() {
+    Zone zone(9);
+    zone.setEngines(kTwoBuilds);
+    zone.began(0, "a", "v1");
+    std::string other = "b";
+    while (contains(zone.keepersOf(other, 1), 0)) {
+      other += "b";
+    }
+    zone.began(1, other, "v1");
+    zone.cutOff(0);
+    zone.requireBuild("v1", 0, "a");
+    zone.requireUnknown(0, other);
+    Zone alone(1);
+    alone.setEngines(kTwoBuilds);
+    alone.requireUnknown(0, "a");
+  }
+
+  void earlierBuildsOfNodesAreNotAsked() {
+    Zone zone(4);
+    zone.runEarlierBuild(2);
+    zone.runEarlierBuild(3);
+    zone.setEngines(kTwoBuilds);
+    zone.began(0, "a", "v2");
+    zone.requireBuild("v2", 1, "a");
+  }
+
+  void callersThatNameNoRequest() {
+    Zone zone(3);
+    zone.setEngines(kTwoBuilds);
+    zone.began(0, "", "v1");
+    zone.requireUnknown(0, "");
+  }
+
+  void manyAttemptsOfOneCaller() {
+    Zone zone(9);
+    zone.setEngines(kTwoBuilds);
+    zone.began(0, "a", "v1");
+    for (std::size_t attempt = 0; attempt < 40; ++attempt) {
+      zone.requireBuild("v1", (attempt * 5 + 1) % zone.size(), "a");
+      zone.run(seconds(2));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetAnswerBuildsTest);
+
+}  // namespace
+}  // namespace cypresswall::answer_builds
--- a/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
+++ b/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
@@ -75,6 +75,7 @@
       settings.take_up_delay = kUntilReady;
       MixedBuildsFleet fleet(seed, settings);
       fleet.sendAnswers(seconds(3));
+      fleet.counts_started_nodes = true;
       fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
       fleet.sendAnswers(seconds(5));
       CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.takenUp() > 0);
@@ -163,7 +164,9 @@
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       MixedBuildsFleet::Settings settings;
       settings.builds = {"v1"};
+      settings.take_up_delay = kUntilReady;
       MixedBuildsFleet fleet(seed, settings);
+      fleet.counts_started_nodes = true;
       fleet.sendAnswers(seconds(3));
       fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
       fleet.run(seconds(2));
