--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -48,6 +48,12 @@
   /// \return false if the request was ended
   bool checkPermitted();
   bool admit();
+  /// Finds out which software build began the answer that the caller takes up, then begins.
+  void findOrigin();
+  void onOriginFound(const answer_builds::AnswerOrigin& origin);
+  /// Records the software build of the current attempt's engine if it gave the answer's first
+  /// token.
+  void recordOrigin();
   void nextAttempt();
   /// Ends the request if this node reaches no engine and no engine may have run it. A request that
   /// may have run keeps looking for an engine here, since only this node knows its state.
@@ -158,6 +164,8 @@
   bool awaitsEngineState(const routing::RouteRefusal& refusal) const;
   void logPrompt() const;
   void logFirstToken() const;
+  /// \pre the caller takes an answer up again
+  void logContinuation() const;
   std::int64_t millisecondsSinceRouted() const;
 
   ModelExecutionCore& core_;
@@ -203,6 +211,8 @@
   /// Last delivered token from whose text an engine can determine where to resume; set only for
   /// passed-through answers.
   std::string last_token_;
+  /// Software build of the engine that gave the first token; set from then on.
+  std::optional<common::BuildName> answer_build_;
   RepeatCounter repeat_counter_;
   /// Number of repeats already charged to the retry budget.
   std::uint32_t charged_repeats_ = 0;
