Grow a zone's voters from one to three in one step

Trace: the soak submits a change to the node that it has paused, and so keeps it paused for 30 s. The holder drops the silent voter, then the other one, since two nodes should have one voter. When the paused node returns it is added at once, and 0.3 s later it is killed, while the set is of two: both are needed, the quorum is lost, a new generation begins, and keys of which it knows nothing are uncertain for ten minutes, as they must be. The paths of the new parts and the store outages are ruled out: the lease is lost before the first outage. voters_committed, new, shows the steps.

Change: the third voter comes with the second if the holder is in each quorum of the new set because the store names it alone (its anchor); otherwise the sets' quorums might not intersect, and the step stays one by one.

--- a/src/cypresswall/lease/voter_set_planner.cpp
+++ b/src/cypresswall/lease/voter_set_planner.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/lease/voter_set_planner.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cypresswall::lease {
 namespace {
@@ -19,17 +20,44 @@
 }
 
 bool keepsQuorum(const VoterSet& current, const VoterSetChange& change, const NodeSet& answering) {
-  VoterSet next = current;
-  if (change.add) {
-    next.members = unionOf(next.members, {change.node});
-  } else {
-    std::erase(next.members, change.node);
+  return applied(change, current).hasQuorum(answering);
+}
+
+/// \return true if each quorum of `next` includes `node`, since it is the only member of an anchor
+bool isInEachQuorum(const common::NodeId& node, const VoterSet& next) {
+  return std::any_of(next.anchors.begin(), next.anchors.end(), [&](const NodeList& anchor) {
+    const auto others = std::count_if(
+        anchor.begin(), anchor.end(),
+        [&](const common::NodeId& other) { return other != node && next.contains(other); });
+    return others == 0 && std::find(anchor.begin(), anchor.end(), node) != anchor.end();
+  });
+}
+
+/// \param candidates nodes that may become voters, the preferred ones first
+VoterSetChange planAddition(const VoterSet& current, const NodeList& candidates,
+                            std::size_t wanted) {
+  if (current.members.size() == 1 && wanted > 2 && candidates.size() > 1) {
+    const VoterSetChange pair{{candidates[0], candidates[1]}, true};
+    if (isInEachQuorum(current.members.front(), applied(pair, current))) {
+      return pair;
+    }
   }
-  return next.hasQuorum(answering);
+  return {{candidates.front()}, true};
 }
 
 }  // namespace
 
+VoterSet applied(const VoterSetChange& change, VoterSet set) {
+  if (change.add) {
+    set.members = unionOf(set.members, change.nodes);
+  } else {
+    std::erase_if(set.members, [&](const common::NodeId& member) {
+      return std::find(change.nodes.begin(), change.nodes.end(), member) != change.nodes.end();
+    });
+  }
+  return set;
+}
+
 std::size_t targetVoterCount(std::size_t nodes, std::size_t maximum) {
   const std::size_t voters = std::min(nodes, maximum);
   return voters % 2 == 0 && voters > 0 ? voters - 1 : voters;
@@ -44,31 +72,31 @@
   const NodeSet answering = nodesIn(members, {MemberState::kAlive, MemberState::kLeaving});
   const std::size_t wanted = targetVoterCount(staying.size(), maximum_voters);
 
-  std::optional<VoterSetChange> addition;
+  NodeList candidates;
   std::optional<VoterSetChange> removal;
-  for (const auto& node : usable) {
-    if (!current.contains(node) && !addition) {
-      addition = VoterSetChange{node, true};
-    }
-  }
+  std::copy_if(usable.begin(), usable.end(), std::back_inserter(candidates),
+               [&](const auto& node) { return !current.contains(node); });
   std::size_t staying_voters = 0;
   for (const auto& voter : current.members) {
     if (staying.contains(voter)) {
       ++staying_voters;
     } else if (voter != self && (!removal || !answering.contains(voter))) {
       // Prefer removing voters that have ended over leaving voters that still answer.
-      removal = VoterSetChange{voter, false};
+      removal = VoterSetChange{{voter}, false};
     }
   }
   const auto surplus = std::find_if(current.members.rbegin(), current.members.rend(),
                                     [&](const auto& voter) { return voter != self; });
   if (!removal && staying_voters > wanted && surplus != current.members.rend()) {
-    removal = VoterSetChange{*surplus, false};
+    removal = VoterSetChange{{*surplus}, false};
   }
-  const bool add_wanted = addition && staying_voters < wanted;
+  const bool add_wanted = !candidates.empty() && staying_voters < wanted;
   const bool room = current.members.size() < maximum_voters;
-  if (add_wanted && room && keepsQuorum(current, *addition, answering)) {
-    return addition;
+  if (add_wanted && room) {
+    const VoterSetChange addition = planAddition(current, candidates, wanted);
+    if (keepsQuorum(current, addition, answering)) {
+      return addition;
+    }
   }
   if (removal && current.members.size() > 1 && keepsQuorum(current, *removal, answering)) {
     return removal;
--- a/src/cypresswall/lease/voter_set_planner.h
+++ b/src/cypresswall/lease/voter_set_planner.h
@@ -1,4 +1,6 @@
-/// Plans the next change of a zone's voter set, which adds or removes one node at a time.
+/// Plans the next change of a zone's voter set, which adds or removes one node at a time, so that
+/// the quorums of successive sets intersect. The only exception is the step from one voter to
+/// three: two voters would both be needed for a quorum, and the loss of either would cost it.
 #pragma once
 
 #include <cstddef>
@@ -11,8 +13,8 @@
 namespace cypresswall::lease {
 
 struct VoterSetChange {
-  common::NodeId node;
-  /// True to add the node, false to remove it.
+  NodeList nodes;
+  /// True to add the nodes, false to remove them.
   bool add = false;
 };
 
@@ -20,6 +22,9 @@
 ///   zero: one voter more would enlarge the quorum without tolerating another failure.
 std::size_t targetVoterCount(std::size_t nodes, std::size_t maximum);
 
+/// \return the set with the nodes added or removed, under the same version
+VoterSet applied(const VoterSetChange& change, VoterSet set);
+
 /// \param members members of the zone, ordered by node
 /// \param self the holder, which is never removed
 /// \return nothing if no change is needed, or if the change would cost the set its quorum
--- a/src/cypresswall/lease/zone_authority.h
+++ b/src/cypresswall/lease/zone_authority.h
@@ -91,6 +91,7 @@
                 bool with_set);
   void roundGranted(const common::NodeId& sender, const LeaseReply& reply, Round& round);
   void commitPending();
+  void logVoters() const;
   void becomeHolder();
   void planChange();
   void propose(NodeList members, std::vector<NodeList> anchors);
--- a/src/cypresswall/lease/zone_authority_holder.cpp
+++ b/src/cypresswall/lease/zone_authority_holder.cpp
@@ -31,6 +31,7 @@
   pending_.reset();
   proposed_members_.clear();
   last_change_ = context_.clock.now();
+  logVoters();
   for (const auto& node : before) {
     if (!current_.contains(node)) {
       deliver(node, VoterSetNotice{current_, true, 0});
@@ -41,6 +42,18 @@
   replicator_.checkCommitted();
 }
 
+void ZoneAuthority::logVoters() const {
+  std::string addresses;
+  for (const auto& voter : current_.members) {
+    addresses += (addresses.empty() ? "" : ",") + voter.address;
+  }
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "voters_committed")
+      .field("zone", context_.zone)
+      .field("epoch", epoch_.toString())
+      .field("voters", addresses)
+      .field("anchors", current_.anchors.size());
+}
+
 bool ZoneAuthority::isDurableOn(const NodeSet& nodes) const {
   return current_.hasMajority(nodes) && (!pending_ || pending_->hasMajority(nodes));
 }
@@ -115,12 +128,11 @@
   if (!change) {
     return;
   }
-  VoterSet next = current_;
+  const VoterSet next = applied(*change, current_);
   if (change->add) {
-    next.members = unionOf(current_.members, {change->node});
-    replicator_.track(change->node);
-  } else {
-    std::erase(next.members, change->node);
+    for (const auto& node : change->nodes) {
+      replicator_.track(node);
+    }
   }
   NodeSet synced;
   for (const auto& node : next.members) {
@@ -128,7 +140,9 @@
       synced.insert(node);
     }
   }
-  const bool ready = !change->add || synced.contains(change->node);
+  const bool ready =
+      !change->add || std::all_of(change->nodes.begin(), change->nodes.end(),
+                                  [&](const auto& node) { return synced.contains(node); });
   if (ready && next.hasMajority(synced)) {
     propose(next.members, next.anchors);
   }
--- a/tests/lease/zone_authority_test.cpp
+++ b/tests/lease/zone_authority_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(allVotersReplacedOneByOneWithTheStoreDown);
   CPPUNIT_TEST(newGenerationAfterEveryVoterRestarted);
   CPPUNIT_TEST(unreachableMajorityIsNotReplaced);
+  CPPUNIT_TEST(nodeThatEndsSoonAfterItsReturnCostsNoQuorum);
   CPPUNIT_TEST(lostStoreAnswersAreResolvedByReadBack);
   CPPUNIT_TEST(slowHolderClockNeverOverlapsNextLease);
   CPPUNIT_TEST(idleControlTrafficStaysWithinLimit);
@@ -177,6 +178,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
   }
 
+  /// A node was silent for so long that the holder became the only voter. While the voters grow
+  /// again, the returned node ends: with two voters that would cost the quorum, and with it all
+  /// that is known about idempotency keys.
+  void nodeThatEndsSoonAfterItsReturnCostsNoQuorum() {
+    for (int moment = 0; moment < 60; ++moment) {
+      LeaseZone zone(static_cast<std::uint64_t>(20 + moment));
+      zone.startAll(3);
+      zone.awaitHolder(5s);
+      zone.world.runFor(2s);
+      const int holder = zone.holder().value();
+      const int returning = holder == 1 ? 2 : 1;
+      zone.world.pause(LeaseZone::address(returning), 8s);
+      zone.world.runFor(8s);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           zone.nodes.at(holder).authority->voterSet().members.size());
+      zone.world.runFor(moment * 30ms);
+      zone.stop(returning);
+      zone.world.runFor(10s);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("ended " + std::to_string(moment * 30) + " ms after its return",
+                                   std::uint64_t{1}, zone.counts.generations);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, zone.counts.acquisitions);
+      CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation);
+    }
+  }
+
   void lostStoreAnswersAreResolvedByReadBack() {
     LeaseZone zone(11);
     zone.world.store.lost_answers = 1;
