Declare the software builds of engines, and let the soak run engines of two

Operators of the product's own interface can declare an engine's build as the users' platform does (declare engine ... build B, and in files).

--- a/src/cypresswall/configuration/fleet.h
+++ b/src/cypresswall/configuration/fleet.h
@@ -52,6 +52,7 @@
   /// Model that the engine serves.
   common::ModelName model;
   engines::EngineRole initial_role = engines::EngineRole::kMixed;
+  common::BuildName build = {};
   /// Autoscaling pool that the engine belongs to. This and the following fields are set only if the
   /// platform declares the fleet.
   std::string pool = {};
@@ -59,7 +60,6 @@
   std::string location = {};
   /// True if the platform may reclaim the engine at short notice.
   bool preemptible = false;
-  common::BuildName build = {};
 };
 
 /// A pool of engines whose number the system changes by ordering or releasing engines at the
--- a/src/cypresswall/configuration/object_fields.h
+++ b/src/cypresswall/configuration/object_fields.h
@@ -36,6 +36,7 @@
   visitor("address", engine.address, FieldPresence::kRequired);
   visitor("model", engine.model, FieldPresence::kRequired);
   visitor("initial_role", engine.initial_role, FieldPresence::kOptional);
+  visitor("build", engine.build, FieldPresence::kOptional);
 }
 
 template <typename Visitor>
--- a/src/cypresswall/operators/change_builder.cpp
+++ b/src/cypresswall/operators/change_builder.cpp
@@ -62,6 +62,7 @@
     assignIfGiven(engine.address, command.address);
     assignIfGiven(engine.model, command.model);
     assignIfGiven(engine.initial_role, command.role);
+    assignIfGiven(engine.build, command.build);
     return set(ObjectKind::kEngine, engine.name, engine);
   }
 
--- a/src/cypresswall/operators/command.h
+++ b/src/cypresswall/operators/command.h
@@ -85,6 +85,7 @@
   std::optional<std::string> address;
   std::optional<std::string> model;
   std::optional<engines::EngineRole> role;
+  std::optional<std::string> build;
   bool operator==(const DeclareEngineCommand&) const = default;
 };
 
--- a/src/cypresswall/operators/formatter.cpp
+++ b/src/cypresswall/operators/formatter.cpp
@@ -52,6 +52,7 @@
     option("address", command.address);
     option("model", command.model);
     option("role", command.role);
+    option("build", command.build);
   }
   void operator()(const DeclareTenantCommand& command) {
     add("declare tenant");
--- a/src/cypresswall/operators/parser.cpp
+++ b/src/cypresswall/operators/parser.cpp
@@ -125,7 +125,8 @@
              {"machine", [&] { command.machine = name("a machine"); }},
              {"address", [&] { command.address = name("IP:port"); }},
              {"model", [&] { command.model = name("a model"); }},
-             {"role", [&] { command.role = choice("a role", kRoles); }}});
+             {"role", [&] { command.role = choice("a role", kRoles); }},
+             {"build", [&] { command.build = name("a software build"); }}});
     return command;
   }
 
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -17,6 +17,9 @@
 DEFINE_string(platform, "", "IP:port of the weight store; empty loads weights at once");
 DEFINE_string(model, "model", "model that the engines serve at the start");
 DEFINE_string(model_version, "1", "version of that model");
+DEFINE_string(builds, "",
+              "comma-separated software builds that the engines have in turn; answers differ "
+              "between builds");
 DEFINE_string(adapters, "", "comma-separated adapters loaded at the start");
 DEFINE_string(role, "mixed", "mixed, prefill or decode");
 DEFINE_double(prefill_tokens_per_second, 16000, "prompt tokens computed a second");
@@ -108,9 +111,11 @@
   common::SeededRandom random(FLAGS_seed);
   standins::HttpKvPeer kv_peer(curl, process.scheduler());
   standins::HttpWeightSource weights(FLAGS_platform, curl);
+  const auto builds = standins::splitList(FLAGS_builds);
   std::vector<EngineInstance> hosted;
   for (const std::string& address : standins::splitList(FLAGS_addresses)) {
     settings.name = address;
+    settings.build = builds.empty() ? "" : builds[hosted.size() % builds.size()];
     EngineInstance host;
     host.engine =
         std::make_unique<EmulatedEngine>(settings, process.clock(), process.scheduler(), random,
