--- a/src/cypresswall/lease/voter_set_planner.cpp
+++ b/src/cypresswall/lease/voter_set_planner.cpp
@@ -37,7 +37,7 @@
 VoterSetChange planAddition(const VoterSet& current, const NodeList& candidates,
                             std::size_t wanted) {
   if (current.members.size() == 1 && wanted > 2 && candidates.size() > 1) {
-    const VoterSetChange pair{{candidates[0], candidates[1]}, true};
+    VoterSetChange pair{{candidates[0], candidates[1]}, true};
     if (isInEachQuorum(current.members.front(), applied(pair, current))) {
       return pair;
     }
