Ask all groups for an engine of a build only beside other builds

With engines of one build, a resumed answer in a large zone asked other owners than a new one, and more of them: the condition of the build dropped the choice by role and the limit of two groups wherever a build was named. It does so now only if the model has engines of other builds. A refusal for want of the build no longer hides that of a group that has such engines when this node owns the group. Found while reading the change; EngineGroupsTest groupsOfABuild fails without it (candidates differ). routing_test 161 of 161, both whole-node programs pass.

--- a/src/cypresswall/routing/engine_groups.cpp
+++ b/src/cypresswall/routing/engine_groups.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -211,19 +212,20 @@
   }
   const engines::EngineRole excluded_role =
       shared_part != 0 ? engines::EngineRole::kDecode : engines::EngineRole::kPrefill;
-  const auto hasBuild = [&](const GroupedEngine& engine) {
-    return !build || table_.record(engine.slot).declaration.build == *build;
-  };
-  std::vector<const GroupedEngine*> engines;
+  std::vector<const GroupedEngine*> all;
   for (const GroupedEngine& engine : found->second) {
-    if ((build || engine.role != excluded_role) && hasBuild(engine)) {
-      engines.push_back(&engine);
+    if (!build || table_.record(engine.slot).declaration.build == *build) {
+      all.push_back(&engine);
     }
   }
-  if (engines.empty() && !build) {
-    for (const GroupedEngine& engine : found->second) {
-      engines.push_back(&engine);
-    }
+  // The few engines of a build that is being replaced may be in any group, and of one role only.
+  const bool has_other_builds = all.size() < found->second.size();
+  std::vector<const GroupedEngine*> engines;
+  std::copy_if(all.begin(), all.end(), std::back_inserter(engines), [&](const auto* engine) {
+    return has_other_builds || engine->role != excluded_role;
+  });
+  if (engines.empty()) {
+    engines = all;
   }
   const auto rank = [shared_part](const GroupedEngine* engine) {
     return mix(engine->name_hash, shared_part);
@@ -233,7 +235,8 @@
     std::erase_if(engines,
                   [engine](const GroupedEngine* other) { return other->group == engine->group; });
   };
-  while ((build || candidates.size() < kMaximumCandidateGroups) && !engines.empty()) {
+  const std::size_t most = has_other_builds ? groups_.size() : kMaximumCandidateGroups;
+  while (candidates.size() < most && !engines.empty()) {
     add(shared_part == 0 ? engines[random.below(engines.size())]
                          : *std::max_element(engines.begin(), engines.end(),
                                              [&rank](const auto* left, const auto* right) {
--- a/src/cypresswall/routing/engine_groups.h
+++ b/src/cypresswall/routing/engine_groups.h
@@ -70,8 +70,8 @@
   /// A group thus receives prompts in proportion to the number of its engines that compute prompts.
   /// Prompts without a shared part get the groups of randomly chosen decode and mixed engines.
   /// \param shared_part hash of the part shared with other prompts, zero if there is none
-  /// \param build if set, only groups with engines of that software build are returned, and all of
-  ///   them
+  /// \param build if set and the model has engines of several software builds, all groups with
+  ///   engines of that build are returned
   std::vector<const EngineGroup*> candidateGroupsFor(
       const common::ModelName& model, common::PieceHash shared_part, common::RandomSource& random,
       const std::optional<common::BuildName>& build = {}) const;
--- a/src/cypresswall/routing/placement_router.cpp
+++ b/src/cypresswall/routing/placement_router.cpp
@@ -140,7 +140,7 @@
       finish(stream_id, std::move(choice));
       return;
     }
-    pending_.at(stream_id).refusal = std::move(*refusal);
+    keepRefusal(pending_.at(stream_id), std::move(*refusal));
     tryNextOwner(stream_id);
   });
 }
@@ -231,11 +231,16 @@
   finish(answer.stream_id, std::move(route));
 }
 
-void PlacementRouter::onRefusal(PendingRequest& pending, const PlacementAnswer& answer) {
-  // Engines of the required build in one group outweigh their absence from another.
-  if (!pending.refusal || answer.outcome != PlacementOutcome::kNoEngineOfBuild) {
-    pending.refusal = refusalOf(answer);
+/// Keeps the last refusal, except that engines of the required build in one group outweigh their
+/// absence from another.
+void PlacementRouter::keepRefusal(PendingRequest& pending, RouteRefusal refusal) {
+  if (!pending.refusal || refusal.reason != RouteFailure::kNoEngineOfBuild) {
+    pending.refusal = std::move(refusal);
   }
+}
+
+void PlacementRouter::onRefusal(PendingRequest& pending, const PlacementAnswer& answer) {
+  keepRefusal(pending, refusalOf(answer));
   if (answer.outcome == PlacementOutcome::kOverloaded ||
       answer.outcome == PlacementOutcome::kNoEngineOfBuild) {
     // The group's other owners know the same engines and would refuse as well, so they are not
--- a/src/cypresswall/routing/placement_router.h
+++ b/src/cypresswall/routing/placement_router.h
@@ -93,6 +93,7 @@
   void onAnswerTimeout(const std::string& stream_id);
   void onAnswer(const common::NodeId& sender, const PlacementAnswer& answer);
   void onRefusal(PendingRequest& pending, const PlacementAnswer& answer);
+  static void keepRefusal(PendingRequest& pending, RouteRefusal refusal);
   void releaseUnlessInUse(const common::NodeId& owner, const std::string& stream_id);
   /// \return true if this node knows the engine, may send to it, and it has the required build
   bool fits(const RouteRequest& request, const engines::EngineEndpoint& engine) const;
--- a/tests/routing/engine_groups_test.cpp
+++ b/tests/routing/engine_groups_test.cpp
@@ -1,9 +1,11 @@
 #include "cypresswall/routing/engine_groups.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 
 #include "tests/support/engine_world.h"
 #include "tests/support/property.h"
@@ -31,13 +33,15 @@
     groups_->update();
   }
 
-  void declare(int engines) {
+  /// \param new_build_from engines from this one on have another software build
+  void declare(int engines, int new_build_from = std::numeric_limits<int>::max()) {
     configuration::FleetConfiguration fleet;
     for (int i = 0; i < engines; ++i) {
       const std::string name = "engine-" + std::to_string(i);
       testing::declareEngine(fleet, name, kModel);
       fleet.engines.at(name).initial_role =
           i % 3 == 0 ? engines::EngineRole::kPrefill : engines::EngineRole::kDecode;
+      fleet.engines.at(name).build = i < new_build_from ? "v1" : "v2";
     }
     table_.declare(fleet, "z", {});
   }
@@ -75,6 +79,7 @@
   CPPUNIT_TEST(promptsFollowPrefillCapacity);
   CPPUNIT_TEST(promptsWithoutSharedPartFollowDecodeCapacity);
   CPPUNIT_TEST(unknownModelHasNoGroup);
+  CPPUNIT_TEST(groupsOfABuild);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -254,6 +259,33 @@
     }
   }
 
+  /// The last engines of a build are found whichever groups they are in. With one build, the
+  /// candidates are the same as for a request that requires none.
+  void groupsOfABuild() {
+    GroupsOfNode at(0, membersOf(40), 160);
+    common::SeededRandom random(1);
+    for (common::PieceHash part = 1; part < 50; ++part) {
+      CPPUNIT_ASSERT(at.groups().candidateGroupsFor(kModel, part, random) ==
+                     at.groups().candidateGroupsFor(kModel, part, random, "v1"));
+    }
+    CPPUNIT_ASSERT(at.groups().candidateGroupsFor(kModel, 1, random, "v2").empty());
+    at.declare(160, 157);
+    at.groups().update();
+    std::set<std::string> expected;
+    for (const EngineSlot slot : at.table().roster()) {
+      if (at.table().record(slot).declaration.build == "v2") {
+        for (const EngineGroup* group :
+             at.groups().candidateGroupsFor(kModel, 7, random, std::string("v2"))) {
+          const auto& engines = at.groups().enginesOf(group->name);
+          if (std::find(engines.begin(), engines.end(), slot) != engines.end()) {
+            expected.insert(at.table().record(slot).declaration.name);
+          }
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, expected.size());
+  }
+
   void unknownModelHasNoGroup() {
     GroupsOfNode at(0, membersOf(295), 163);
     common::SeededRandom random(1);
