Re-evaluate the builds of models only when a build is new

Each record that a node keeps for another one went through the whole history of builds and set its timer anew, two for each answer of the fleet, though the build was known already. A build that counts can't make a model mixed, and the timer that is set sets itself again for a build seen since. Found while reading the change; behaviour as before: answer_builds_test 20 of 20, the whole-node programs 11 of 11 and 5 of 5.

--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -58,8 +58,11 @@
 
 void FleetAnswerBuilds::seen(const common::ModelName& model, const common::BuildName& build,
                              common::MonotonicTime seen_at) {
+  const bool known = history_.possible(model, context_.clock.now()).contains(build);
   history_.addSeen(model, build, seen_at);
-  historyChanged();
+  if (!known) {
+    historyChanged();
+  }
 }
 
 void FleetAnswerBuilds::historyChanged() {
