--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,5 @@
-"""One daemon is killed; half a second later the first runners of a new software version start. The
-clients of the killed daemon take their streams up at the other daemons, whose runners of the old
-version all serve on."""
+"""One part of prompts crashes each runner that begins to write an answer on it. The part is the first
+one; the part behind it is the same in all prompts, sound ones too."""
 import asyncio
 import os
 import sys
@@ -8,16 +7,17 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 import world as w  # noqa: E402
 
-STREAMS = 15
-PIECES = 25      # the largest answer of hours-faq
-DEADLINE = 3.0   # of hours-faq
-PARTS = [("X-Model", "m"), ("X-Token-Counts", f"383,{PIECES}")]
+BAD = "badbad01"
+SECONDS = 30
 
 
 def routes():
     return [{"name": "r-faq", "host": "a.example", "path_prefix": "/faq/", "kind": "streaming", "timeout_ms": 3000,
              "target_latency_ms": 300, "priority": 0, "service": "assistant-llm", "max_attempts": 2, "sticky": True,
-             "resumable": True, "target_gap_ms": 150}]
+             "resumable": True, "target_gap_ms": 150},
+            {"name": "r-review", "host": "a.example", "path_prefix": "/review/", "kind": "streaming",
+             "timeout_ms": 6000, "target_latency_ms": 600, "priority": 1, "service": "assistant-llm",
+             "max_attempts": 1, "sticky": True, "resumable": False, "target_gap_ms": 150}]
 
 
 def services():
@@ -27,64 +27,68 @@
                         "stage_switch_s": 1.1, "pin_ms": 4000.0, "hold_ms": 2000.0, "models": [{"name": "m"}]}}]
 
 
-async def attempt(world, node, ident, number, left, more=()):
-    headers = [*PARTS, ("X-Prefix-Hash", f"5c1e07a2:92,{number + 16:x}:291"),
-               ("X-Deadline-Ms", str(int(left * 1000))), *more]
-    world.record.add("client_sends", id=ident, node=node.name, **{k.replace("-", "_"): v for k, v in more})
-    got = await w.stream(node.front, "/faq/2f", headers, ident)
-    world.record.add("client_got", id=ident, status=got.status, events=len(got.events), complete=got.complete,
-                     seal=got.headers.get("x-response-seal"), error=got.error)
-    return got
+class CrashingEngine(w.Engine):
+    async def run(self, request, writer):
+        if BAD not in request.header("X-Prefix-Hash") or request.header("X-Stage"):
+            return await super().run(request, writer)
+        self.ran(request, crashes=1)
+        asyncio.get_running_loop().call_soon(lambda: asyncio.ensure_future(self.crash()))
+        await asyncio.sleep(10)
 
-
-async def client(world, number, taken_up):
-    began = w.now()
-    one = await attempt(world, world.nodes[0], f"first-{number:02d}", number, DEADLINE)
-    if not one.events or one.complete:
-        return
-    await asyncio.sleep(1.0)
-    node = world.nodes[1 + number % 3]
-    two = await attempt(world, node, f"second-{number:02d}", number, began + DEADLINE - w.now(),
-                        [("Last-Event-Id", str(one.events[-1][0])), ("Resumes", one.ident)])
-    taken_up.append(bool(two.events))
-
-
-async def newcomer(world, number, new):
-    got = await attempt(world, world.nodes[1 + number % 3], f"new-{number:02d}", number + 100, DEADLINE)
-    new.append(bool(got.events))
+    async def crash(self):
+        """The runner ends, and is back after three seconds, as a new incarnation with a new id."""
+        old, self.life = self.ident, getattr(self, "life", 0) + 1
+        self.world.record.add("runner_crashed", runner=old)
+        await self.stop()
+        await asyncio.sleep(3)
+        self.ident = f"{old.split('-life')[0]}-life{self.life}"
+        await self.start()
+        await asyncio.sleep(0.6)  # three heartbeats after the crash
+        self.world.store.delete("servers", old)
 
 
 async def main(world, trouble):
     await world.store.start()
-    old = [w.Engine(world, f"127.0.2.{i + 1}", f"i-old{i}", "assistant-llm", "v1", slots=32, zone=world.zones[i])
-           for i in range(3)]
-    new_ones = [w.Engine(world, f"127.0.2.{i + 11}", f"i-new{i}", "assistant-llm", "v2", slots=32,
-                         zone=world.zones[i]) for i in range(2)]
-    for runner in old:
+    runners = [CrashingEngine(world, f"127.0.2.{i + 1}", f"i-{i:02d}", "assistant-llm", "v1", slots=32,
+                              zone=world.zones[i % 3]) for i in range(18)]
+    for runner in runners:
         await runner.start()
     world.configure(7, routes(), services())
     if not await world.start_nodes():
         print("the nodes did not become ready")
         return 2
-    await asyncio.sleep(4)  # contact_ms is 3,000
-    taken_up, new = [], []
-    clients = [asyncio.create_task(client(world, n, taken_up)) for n in range(STREAMS)]
-    await asyncio.sleep(0.4)
-    if trouble:
-        world.nodes[0].kill()
-    await asyncio.sleep(0.5)
-    for runner in new_ones:
-        await runner.start()
-        world.record.add("runner_starts", runner=runner.ident, version=runner.version)
-    await asyncio.sleep(0.5)
-    newcomers = [asyncio.create_task(newcomer(world, n, new)) for n in range(STREAMS)]
-    await asyncio.gather(*clients, *newcomers)
-    print(f"taken up {len(taken_up)}, of these went on {sum(taken_up)}; new {len(new)}, of these began {sum(new)}")
-    if not trouble:
-        return 0 if not taken_up and sum(new) == len(new) else 1
-    if len(taken_up) < 12 or not new or not sum(new):
-        return 2
-    return 1 if sum(taken_up) / len(taken_up) < 0.5 * sum(new) / len(new) else 0
+    await asyncio.sleep(4)
+    tasks, whole = [], {"poison": [], "faq": [], "review": []}
+
+    async def send(kind, number, target, parts, counts, deadline):
+        ident = f"{kind}-{number:03d}"
+        got = await w.stream(world.nodes[number % 4].front, target,
+                             [("X-Model", "m"), ("X-Token-Counts", counts), ("X-Prefix-Hash", parts),
+                              ("X-Deadline-Ms", deadline)], ident)
+        world.record.add("client_got", id=ident, status=got.status, events=len(got.events), complete=got.complete)
+        whole[kind].append(got.complete)
+
+    began = w.now()
+    number = 0
+    while w.now() - began < SECONDS:
+        number += 1
+        last = f"{number + 4096:x}:291"
+        tasks.append(asyncio.create_task(send("faq", number, "/faq/2f", f"a0a0a0a0:55,b0b0b0b0:37,{last}", "383,6",
+                                              "3000")))
+        if number % 2 == 0:
+            tasks.append(asyncio.create_task(send("review", number, "/review/2f", f"{number % 38 + 256:x}:1000,{last}",
+                                                  "1291,30", "6000")))
+        if trouble and number % 10 == 0:
+            tasks.append(asyncio.create_task(send("poison", number, "/faq/2f", f"{BAD}:55,b0b0b0b0:37,{last}", "383,6",
+                                                  "3000")))
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*tasks)
+    crashes = [at for at, _, request in world.runs if BAD in request.header("X-Prefix-Hash")]
+    late = [at for at in crashes if len(crashes) > 4 and at > crashes[4] + world.bounds["contact_ms"] / 1000]
+    print(f"{len(crashes)} crashes; {len(late)} requests with the part reached runners later than 3 s after the "
+          f"fifth; sound streams whole: faq {sum(whole['faq'])} of {len(whole['faq'])}, "
+          f"review {sum(whole['review'])} of {len(whole['review'])}")
+    return 1 if len(late) > 3 else 0
 
 
 w.run_case(main)
