--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -602,10 +602,12 @@
 
     async def guarded():
         world = None
+        for ending in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(ending, asyncio.current_task().cancel)
         try:
             world = World(folder)
             return await asyncio.wait_for(main(world, trouble), 100)
-        except Exception as error:  # the case could not run
+        except (Exception, asyncio.CancelledError) as error:  # the case could not run
             print(f"could not run: {type(error).__name__}: {error}")
             return 2
         finally:
