Name the back end that was chosen in calls to plain services

Cause: callers of a service got answers of another service's runner, and calls that may run once at most ran there. A call names its runner in X-Target-Instance, and that identifier was looked up by address when the call was sent. Two seconds after a runner has ended, its address may go to a runner of another service, while the store lists both for up to 1.6 s; the look-up then gives the new one, which runs what names it.

Ruled out: a kept connection that ended at another server (calls that may run once use none after a reset; the field is checked on each of them); the engines' client, which names the engine that was chosen.

Change: common::ServerIdentity (machine and address) goes with a call from the choice to the client, in place of an address; nothing below can look it up again, and RunnerRegistry::findByAddress is gone. The same cause in ServiceRun: exclusions and announcements of one of two back ends at one address applied to the other one.

Tests, seen to fail before: callNamesTheRunnerThatWasChosen (the call named the runner that was listed last), callNamesTheChosenOfTwoBackendsAtOneAddress (no back end was left). runnersAreFoundByAddress tested the look-up that is gone; runnersMayShareAnAddress takes its place and checks both entries.

--- a/src/cypresswall/availability/announced_availability.h
+++ b/src/cypresswall/availability/announced_availability.h
@@ -82,9 +82,4 @@
   common::Counter& unavailable_gauge_;
 };
 
-/// \return the identity of one life of a back end
-inline std::string backendName(const std::string& machine, const std::string& address) {
-  return machine + "@" + address;
-}
-
 }  // namespace cypresswall::availability
--- a/src/cypresswall/common/server_announcement.h
+++ b/src/cypresswall/common/server_announcement.h
@@ -21,7 +21,7 @@
 };
 
 /// Called for each answer of a server. A server is identified by the name of an engine incarnation,
-/// or by the identity that the caller gave to a back end.
+/// or by common::ServerIdentity::toString() of a back end.
 using AnnouncementObserver =
     std::function<void(const std::string& server, const ServerAnnouncement& announcement)>;
 
--- a/src/cypresswall/execution/backend_choice.cpp
+++ b/src/cypresswall/execution/backend_choice.cpp
@@ -12,22 +12,22 @@
 
 }  // namespace
 
-std::optional<common::Address> chooseBackend(const configuration::HttpServiceDeclaration& service,
-                                             const configuration::FleetConfiguration& fleet,
-                                             const membership::MembershipView& membership,
-                                             const std::set<common::Address>& excluded,
-                                             common::RandomSource& random) {
-  std::vector<common::Address> local;
-  std::vector<common::Address> remote;
+std::optional<common::ServerIdentity> chooseBackend(
+    const configuration::HttpServiceDeclaration& service,
+    const configuration::FleetConfiguration& fleet, const membership::MembershipView& membership,
+    const std::set<common::ServerIdentity>& excluded, common::RandomSource& random) {
+  std::vector<common::ServerIdentity> local;
+  std::vector<common::ServerIdentity> remote;
   for (const auto& backend : service.backends) {
     const bool leaving = membership.machineLeaving(backend.machine) ||
                          membership.addressLeaving(backend.address) ||
                          drained(fleet, backend.machine);
-    if (leaving || excluded.count(backend.address) != 0) {
+    const common::ServerIdentity identity{backend.machine, backend.address};
+    if (leaving || excluded.contains(identity)) {
       continue;
     }
     auto& candidates = backend.zone == membership.zone() ? local : remote;
-    candidates.push_back(backend.address);
+    candidates.push_back(identity);
   }
   const auto& candidates = local.empty() ? remote : local;
   if (candidates.empty()) {
--- a/src/cypresswall/execution/backend_choice.h
+++ b/src/cypresswall/execution/backend_choice.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "cypresswall/common/random.h"
+#include "cypresswall/common/server_identity.h"
 #include "cypresswall/configuration/fleet.h"
 #include "cypresswall/membership/membership_view.h"
 
@@ -14,10 +15,9 @@
 /// zone. Back ends in `excluded` and back ends on machines that are leaving or drained are not
 /// eligible.
 /// \return empty if no back end is eligible
-std::optional<common::Address> chooseBackend(const configuration::HttpServiceDeclaration& service,
-                                             const configuration::FleetConfiguration& fleet,
-                                             const membership::MembershipView& membership,
-                                             const std::set<common::Address>& excluded,
-                                             common::RandomSource& random);
+std::optional<common::ServerIdentity> chooseBackend(
+    const configuration::HttpServiceDeclaration& service,
+    const configuration::FleetConfiguration& fleet, const membership::MembershipView& membership,
+    const std::set<common::ServerIdentity>& excluded, common::RandomSource& random);
 
 }  // namespace cypresswall::execution
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -25,8 +25,8 @@
 /// Retry-After is extended at random by up to this share, so that callers don't retry in lockstep.
 constexpr double kRetryJitter = 0.25;
 
-std::string nameOf(const configuration::BackendDeclaration& backend) {
-  return availability::backendName(backend.machine, backend.address);
+common::ServerIdentity identityOf(const configuration::BackendDeclaration& backend) {
+  return {backend.machine, backend.address};
 }
 
 std::string resultOf(const services::ServiceResponse& response) {
@@ -152,7 +152,8 @@
   }
 }
 
-std::optional<common::Address> ServiceRun::nextBackend(const std::set<common::Address>& exhausted) {
+std::optional<common::ServerIdentity> ServiceRun::nextBackend(
+    const std::set<common::Address>& exhausted) {
   const auto fleet = core_.interfaces.configuration.current();
   // Back ends may have been added or taken away since the request began.
   const auto declared = fleet->http_services.find(request_.service);
@@ -160,11 +161,11 @@
     service_.backends = declared->second.backends;
   }
   const auto choose = [&] {
-    std::set<common::Address> skipped = excluded_;
-    skipped.insert(exhausted.begin(), exhausted.end());
+    std::set<common::ServerIdentity> skipped = excluded_;
     for (const auto& backend : service_.backends) {
-      if (!core_.interfaces.announced.acceptsRequests(nameOf(backend))) {
-        skipped.insert(backend.address);
+      const auto identity = identityOf(backend);
+      if (exhausted.contains(backend.address) || !acceptsCalls(identity)) {
+        skipped.insert(identity);
       }
     }
     return chooseBackend(service_, *fleet, core_.interfaces.membership, skipped,
@@ -201,10 +202,10 @@
        core_.interfaces.rate_limiter.retryAfter(request_.service, limited, nodes));
 }
 
-void ServiceRun::acquirePermit(const common::Address& backend) {
+void ServiceRun::acquirePermit(const common::ServerIdentity& backend) {
   const auto asked_at = core_.process.clock.now();
   core_.interfaces.rate_limiter.acquire(
-      backend, [weak = weak_from_this(), backend, asked_at](bool granted) {
+      backend.address, [weak = weak_from_this(), backend, asked_at](bool granted) {
         const auto self = weak.lock();
         if (!self || self->closed_) {
           return;
@@ -220,25 +221,24 @@
       });
 }
 
-void ServiceRun::onPermitRefused(const common::Address& backend) {
+void ServiceRun::onPermitRefused(const common::ServerIdentity& backend) {
   common::LogEvent(core_.process.log, common::LogLevel::kInfo, "permit_refused")
       .field("request", request_.request_id)
-      .field("server", backend);
+      .field("server", backend.toString());
   excluded_.insert(backend);
   ++unrun_attempts_;
   if (unrun_attempts_ >= core_.settings.maximum_unrun_attempts) {
-    failWithoutBackend({backend});
+    failWithoutBackend({backend.address});
     return;
   }
   core_.counters.retries_after_no_run.add();
   scheduleAttempt(backoffBefore(unrun_attempts_, core_.settings, core_.process.random));
 }
 
-void ServiceRun::beginCall(const common::Address& backend) {
+void ServiceRun::beginCall(const common::ServerIdentity& backend) {
   const auto remaining = deadline_ - core_.process.clock.now();
   services::ServiceRequest call;
   call.request_id = request_.request_id;
-  call.server = nameOfBackendAt(backend);
   call.attempt = ++attempt_;
   call.method = request_.method;
   call.target = request_.target;
@@ -249,7 +249,8 @@
   attempt_sent_at_ = core_.process.clock.now();
   attempt_deadline_ = attempt_sent_at_ + call.time_limit;
   excluded_.insert(backend);
-  recordAttempt(backend);
+  attempted_ = backend;
+  recordAttempt();
   core_.counters.attempts.add();
   call_ = core_.interfaces.client.call(
       backend, std::move(call),
@@ -260,16 +261,8 @@
       });
 }
 
-std::string ServiceRun::nameOfBackendAt(const common::Address& backend) const {
-  const auto declared =
-      std::find_if(service_.backends.begin(), service_.backends.end(),
-                   [&backend](const auto& candidate) { return candidate.address == backend; });
-  return declared == service_.backends.end() ? availability::backendName({}, backend)
-                                             : nameOf(*declared);
-}
-
-bool ServiceRun::acceptsCalls(const common::Address& backend) const {
-  return core_.interfaces.announced.acceptsRequests(nameOfBackendAt(backend));
+bool ServiceRun::acceptsCalls(const common::ServerIdentity& backend) const {
+  return core_.interfaces.announced.acceptsRequests(backend.toString());
 }
 
 std::optional<common::Duration> ServiceRun::timeUntilPauseEnds() const {
@@ -277,7 +270,7 @@
   const auto now = core_.process.clock.now();
   std::optional<common::Duration> shortest;
   for (const auto& backend : service_.backends) {
-    const std::string name = nameOf(backend);
+    const std::string name = identityOf(backend).toString();
     const auto left = announced.pausedUntil(name) - now;
     if (left > common::Duration{0} && !announced.leaving(name)) {
       shortest = std::min(shortest.value_or(left), left);
@@ -324,7 +317,7 @@
 
 void ServiceRun::reportRateLimit(const services::ServiceResponse& response) {
   if (response.rate_limit) {
-    core_.interfaces.rate_limiter.answered(record_->attempts.back().target, *response.rate_limit,
+    core_.interfaces.rate_limiter.answered(attempted_.address, *response.rate_limit,
                                            attempt_sent_at_);
   }
 }
@@ -337,8 +330,7 @@
   const std::string pool = admission::servicePool(service_);
   if (response.outcome == services::ServiceOutcome::kAnswered) {
     shares->recordAnswer(pool, admitted_->urgency, core_.process.clock.now() - attempt_sent_at_);
-  } else if (response.outcome == services::ServiceOutcome::kRefused &&
-             acceptsCalls(record_->attempts.back().target)) {
+  } else if (response.outcome == services::ServiceOutcome::kRefused && acceptsCalls(attempted_)) {
     shares->recordPlaced(pool, admitted_->urgency, true);
   }
 }
@@ -388,7 +380,7 @@
   // Only a call that broke before the attempt's time-out is reported to the quarantine as a
   // possible crash: a back end that merely answers too late has not crashed.
   if (core_.process.clock.now() < attempt_deadline_) {
-    core_.interfaces.quarantine.callBroken(request_.fingerprint, record_->attempts.back().target);
+    core_.interfaces.quarantine.callBroken(request_.fingerprint, attempted_.address);
   }
   if (operation_.repeatable && chargeRetry()) {
     scheduleAttempt(backoffBefore(runs_, core_.settings, core_.process.random));
@@ -406,7 +398,7 @@
   may_have_run_ = true;
   recordUsageOnce();
   // The back end is not at fault, so it may be chosen again.
-  excluded_.erase(record_->attempts.back().target);
+  excluded_.erase(attempted_);
   if (operation_.repeatable && chargeRetry()) {
     scheduleAttempt(common::Duration{0});
     return;
@@ -525,10 +517,10 @@
   record_ = core_.journal.begin(std::move(record));
 }
 
-void ServiceRun::recordAttempt(const common::Address& backend) {
+void ServiceRun::recordAttempt() {
   AttemptRecord attempt;
   attempt.started = core_.process.clock.now();
-  attempt.target = backend;
+  attempt.target = attempted_.address;
   record_->attempts.push_back(std::move(attempt));
 }
 
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -47,21 +47,19 @@
   bool checkSendable();
   /// Chooses among the back ends that accept calls.
   /// \param exhausted back ends that must not be chosen because their rate limit is exhausted
-  std::optional<common::Address> nextBackend(const std::set<common::Address>& exhausted);
+  std::optional<common::ServerIdentity> nextBackend(const std::set<common::Address>& exhausted);
   /// Asks the rate limiter for a permit to send one request to the back end, and sends the request
   /// once the permit is granted.
-  void acquirePermit(const common::Address& backend);
+  void acquirePermit(const common::ServerIdentity& backend);
   /// Schedules an attempt at another back end, because the rate limiter refused a permit for this
   /// one, or because this one accepts no more calls.
-  void onPermitRefused(const common::Address& backend);
+  void onPermitRefused(const common::ServerIdentity& backend);
   /// Ends the request with an error because no back end is eligible.
   /// \param exhausted back ends whose rate limit is exhausted
   void failWithoutBackend(const std::set<common::Address>& exhausted);
-  void beginCall(const common::Address& backend);
-  /// \return the identity of a back end's present life (see AnnouncedAvailability)
-  std::string nameOfBackendAt(const common::Address& backend) const;
+  void beginCall(const common::ServerIdentity& backend);
   /// \return false if the back end has said in an answer to this node that it takes no calls now
-  bool acceptsCalls(const common::Address& backend) const;
+  bool acceptsCalls(const common::ServerIdentity& backend) const;
   /// \return the time after which the first of the paused back ends takes calls again, extended at
   ///   random so that callers do not return in lockstep; nothing if none is paused
   std::optional<common::Duration> timeUntilPauseEnds() const;
@@ -104,7 +102,7 @@
   void finish(ServiceCallAnswer answer);
   void close(const std::string& state);
   void openRecord();
-  void recordAttempt(const common::Address& backend);
+  void recordAttempt();
 
   ServiceExecutionCore& core_;
   ServiceCallRequest request_;
@@ -119,7 +117,9 @@
   common::MonotonicTime attempt_sent_at_{};
   /// Time at which the current attempt times out.
   common::MonotonicTime attempt_deadline_{};
-  std::set<common::Address> excluded_;
+  std::set<common::ServerIdentity> excluded_;
+  /// The back end of the current attempt.
+  common::ServerIdentity attempted_;
   std::unique_ptr<services::ServiceCall> call_;
   std::shared_ptr<RequestRecord> record_;
   common::TimerId retry_timer_ = 0;
--- a/src/cypresswall/services/http_service_client.cpp
+++ b/src/cypresswall/services/http_service_client.cpp
@@ -112,24 +112,23 @@
     : curl_(curl), settings_(settings) {}
 
 std::unique_ptr<ServiceCall> HttpServiceClient::call(
-    const common::Address& address, ServiceRequest request,
+    const common::ServerIdentity& server, ServiceRequest request,
     std::function<void(ServiceResponse)> callback) {
   CurlRequest sent;
   sent.method = request.method;
-  sent.address = address;
+  sent.address = server.address;
   sent.target = request.target;
   sent.headers = requestHeaders(request);
   sent.body = std::move(request.body);
   const bool only_reads = sent.method == "GET" || sent.method == "HEAD";
   sent.connection_use =
       only_reads ? runtime::ConnectionUse::kReuse : runtime::ConnectionUse::kFresh;
-  sent.on_connection = connectionReporter(address);
+  sent.on_connection = connectionReporter(server.address);
   sent.connect_time_limit = settings_.connect_time_limit;
   sent.total_time_limit = request.time_limit;
   sent.maximum_body_bytes = settings_.maximum_answer_bytes;
   return std::make_unique<HttpServiceCall>(curl_.startFetch(
-      std::move(sent),
-      [this, server = request.server, callback = std::move(callback)](CurlResponse response) {
+      std::move(sent), [this, server, callback = std::move(callback)](CurlResponse response) {
         announce(server, common::announcementOf(response.status, response.header(kLeavingHeader),
                                                 response.header(kRetryAfterHeader)));
         callback(serviceResponseOf(std::move(response)));
--- a/src/cypresswall/services/http_service_client.h
+++ b/src/cypresswall/services/http_service_client.h
@@ -20,7 +20,7 @@
 class HttpServiceClient final : public ServiceClient {
  public:
   explicit HttpServiceClient(runtime::CurlMulti& curl, const HttpServiceSettings& settings = {});
-  std::unique_ptr<ServiceCall> call(const common::Address& address, ServiceRequest request,
+  std::unique_ptr<ServiceCall> call(const common::ServerIdentity& server, ServiceRequest request,
                                     std::function<void(ServiceResponse)> callback) override;
 
  private:
--- a/src/cypresswall/services/service_client.h
+++ b/src/cypresswall/services/service_client.h
@@ -15,6 +15,7 @@
 #include "cypresswall/common/identifiers.h"
 #include "cypresswall/common/rate_limit_notice.h"
 #include "cypresswall/common/server_announcement.h"
+#include "cypresswall/common/server_identity.h"
 #include "cypresswall/common/time.h"
 
 namespace cypresswall::services {
@@ -24,8 +25,6 @@
 /// One attempt at a service request.
 struct ServiceRequest {
   std::string request_id;
-  /// Identity of the back end's present life, under which its announcements are reported.
-  std::string server;
   std::uint32_t attempt = 1;
   std::string method;
   /// Path with query, beginning with a slash.
@@ -70,9 +69,13 @@
 class ServiceClient {
  public:
   virtual ~ServiceClient() = default;
+  /// \param server the back end that was chosen. If the protocol lets a request name its server,
+  /// the
+  ///   implementation does so, and another server at the address does not run it.
   /// \param callback called exactly once, never before this function returns, unless the returned
   ///   object is destroyed first
-  virtual std::unique_ptr<ServiceCall> call(const common::Address& address, ServiceRequest request,
+  virtual std::unique_ptr<ServiceCall> call(const common::ServerIdentity& server,
+                                            ServiceRequest request,
                                             std::function<void(ServiceResponse)> callback) = 0;
   /// \return true if a request to this address may find an idle connection.
   virtual bool hasIdleConnection(const common::Address& /*address*/) const { return false; }
@@ -95,9 +98,10 @@
       }
     };
   }
-  void announce(const std::string& server, const common::ServerAnnouncement& announcement) const {
+  void announce(const common::ServerIdentity& server,
+                const common::ServerAnnouncement& announcement) const {
     if (announcement_observer_) {
-      announcement_observer_(server, announcement);
+      announcement_observer_(server.toString(), announcement);
     }
   }
 
--- a/src/cypresswall/simulation/simulated_services.cpp
+++ b/src/cypresswall/simulation/simulated_services.cpp
@@ -111,11 +111,11 @@
     : simulation_(simulation), process_(process), services_(services) {}
 
 std::unique_ptr<services::ServiceCall> SimulatedServiceClient::call(
-    const common::Address& address, services::ServiceRequest request,
+    const common::ServerIdentity& server, services::ServiceRequest request,
     std::function<void(services::ServiceResponse)> callback) {
   using Answer = emulation::EmulatedServiceAnswer;
   auto call = std::make_unique<AbandonableCall>(std::move(callback));
-  auto effect = [&services = services_, address, request,
+  auto effect = [&services = services_, address = server.address, request,
                  sender = process_.id()](ExternalCall<Answer>::Reply reply) {
     emulation::EmulatedService* service = services.find(address);
     if (service == nullptr) {
@@ -126,10 +126,10 @@
     service->handle(emulatedCall(request),
                     [reply = std::move(reply)](Answer answer) { reply(std::move(answer)); });
   };
-  auto done = [this, address, server = request.server, kept = call->callback()](
-                  CallResult result, std::optional<Answer> answer) {
+  auto done = [this, server, kept = call->callback()](CallResult result,
+                                                      std::optional<Answer> answer) {
     if (result != CallResult::kUnknown) {
-      connectionReporter(address)(result == CallResult::kAnswered);
+      connectionReporter(server.address)(result == CallResult::kAnswered);
     }
     if (result == CallResult::kAnswered && *kept) {
       announce(server, {answer->leaving, answer->pause});
@@ -141,7 +141,7 @@
       run(responseOf(result, std::move(answer)));
     }
   };
-  const ExternalPath path(simulation_, process_, services_.endpointOf(address));
+  const ExternalPath path(simulation_, process_, services_.endpointOf(server.address));
   ExternalCall<Answer>::start(path, services_.faults, request.time_limit, std::move(effect),
                               std::move(done));
   return call;
--- a/src/cypresswall/simulation/simulated_services.h
+++ b/src/cypresswall/simulation/simulated_services.h
@@ -61,7 +61,7 @@
   SimulatedServiceClient(Simulation& simulation, SimulatedProcess& process,
                          SimulatedServices& services);
   std::unique_ptr<services::ServiceCall> call(
-      const common::Address& address, services::ServiceRequest request,
+      const common::ServerIdentity& server, services::ServiceRequest request,
       std::function<void(services::ServiceResponse)> callback) override;
 
  private:
--- a/tests/execution/fake_services.cpp
+++ b/tests/execution/fake_services.cpp
@@ -93,10 +93,10 @@
 };
 
 std::unique_ptr<services::ServiceCall> FakeServiceClient::call(
-    const common::Address& address, services::ServiceRequest request,
+    const common::ServerIdentity& server, services::ServiceRequest request,
     std::function<void(services::ServiceResponse)> callback) {
   const auto script = calls.size() < scripts.size() ? scripts[calls.size()] : CallScript::kGood;
-  calls.emplace_back(address, request);
+  calls.emplace_back(server, request);
   return std::make_unique<FakeCall>(*this, request, script, std::move(callback));
 }
 
--- a/tests/execution/fake_services.h
+++ b/tests/execution/fake_services.h
@@ -37,12 +37,12 @@
  public:
   explicit FakeServiceClient(simulation::VirtualTime& time) : time_(time) {}
   std::unique_ptr<services::ServiceCall> call(
-      const common::Address& address, services::ServiceRequest request,
+      const common::ServerIdentity& server, services::ServiceRequest request,
       std::function<void(services::ServiceResponse)> callback) override;
 
   std::vector<CallScript> scripts;
-  /// All calls, with the address of the back end.
-  std::vector<std::pair<common::Address, services::ServiceRequest>> calls;
+  /// All calls, with the back end that each named.
+  std::vector<std::pair<common::ServerIdentity, services::ServiceRequest>> calls;
   /// Number of runs of each request and of each idempotency key.
   std::map<std::string, int> runs_by_request;
   std::map<std::string, int> runs_by_key;
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -130,6 +130,7 @@
   CPPUNIT_TEST(pausedBackendsAreNotCalled);
   CPPUNIT_TEST(backendThatPausesDuringPermitRequestIsNotCalled);
   CPPUNIT_TEST(nextLifeOfABackendIsCalled);
+  CPPUNIT_TEST(callNamesTheChosenOfTwoBackendsAtOneAddress);
   CPPUNIT_TEST(retryChoosesAmongBackendsDeclaredNow);
   CPPUNIT_TEST(permitIsNotUsedAfterAbandon);
   CPPUNIT_TEST(rateLimitOfAnswerIsReported);
@@ -176,7 +177,7 @@
     const auto answer = fixture.callAndWait(Fixture::request("GET", "/slots"));
     CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.client.calls.size());
-    CPPUNIT_ASSERT(!fixture.rate_limiter.refusing.contains(fixture.client.calls[0].first));
+    CPPUNIT_ASSERT(!fixture.rate_limiter.refusing.contains(fixture.client.calls[0].first.address));
   }
 
   void exhaustedBackendsAreNotCalled() {
@@ -198,7 +199,7 @@
     fixture.announced.answered("machine-2@127.0.0.1:12", {true});
     CPPUNIT_ASSERT(fixture.callAndWait(Fixture::request("POST", "/slots")).outcome ==
                    Outcome::kDone);
-    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls[0].first);
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls[0].first.address);
     fixture.announced.answered("machine-3@127.0.0.1:13", {true});
     const auto answer = fixture.callAndWait(Fixture::request("GET", "/slots"));
     CPPUNIT_ASSERT(answer.outcome == Outcome::kNotRun);
@@ -237,7 +238,7 @@
     fixture.rate_limiter.answers_late = false;
     fixture.process.time.runFor(kLongRun);
     CPPUNIT_ASSERT(caller->answer().outcome == Outcome::kDone);
-    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls[0].first);
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls[0].first.address);
   }
 
   void nextLifeOfABackendIsCalled() {
@@ -250,6 +251,19 @@
                    Outcome::kDone);
   }
 
+  /// Guards against calls that name, or are kept from, another back end which is declared at the
+  /// same address.
+  void callNamesTheChosenOfTwoBackendsAtOneAddress() {
+    Fixture fixture;
+    fixture.configuration.fleet.http_services["booking"].backends = {
+        {"quay", "machine-1", "127.0.0.1:11"}, {"quay", "machine-2", "127.0.0.1:11"}};
+    fixture.announced.answered("machine-1@127.0.0.1:11", {true});
+    CPPUNIT_ASSERT(fixture.callAndWait(Fixture::request("POST", "/slots")).outcome ==
+                   Outcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::string("machine-2@127.0.0.1:11"),
+                         fixture.client.calls.at(0).first.toString());
+  }
+
   /// Guards against retries at a back end that was taken out of the configuration after the request
   /// had begun.
   void retryChoosesAmongBackendsDeclaredNow() {
@@ -262,7 +276,7 @@
           {"yard", "machine-3", "127.0.0.1:13"}};
       fixture.process.time.runFor(kLongRun);
       CPPUNIT_ASSERT(caller->answer().outcome == Outcome::kDone);
-      CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls.back().first);
+      CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls.back().first.address);
     }
   }
 
@@ -285,7 +299,8 @@
     fixture.client.rate_limit = common::namedRateLimit(1.5);
     fixture.callAndWait(Fixture::request("GET", "/slots"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.rate_limiter.notices.size());
-    CPPUNIT_ASSERT_EQUAL(fixture.client.calls[0].first, fixture.rate_limiter.notices[0].first);
+    CPPUNIT_ASSERT_EQUAL(fixture.client.calls[0].first.address,
+                         fixture.rate_limiter.notices[0].first);
     CPPUNIT_ASSERT(common::namedRateLimit(1.5) == fixture.rate_limiter.notices[0].second);
   }
 
@@ -310,7 +325,8 @@
     const auto answer = fixture.callAndWait(std::move(request));
     CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.quarantine.broken.size());
-    CPPUNIT_ASSERT_EQUAL(fixture.client.calls[0].first, fixture.quarantine.broken[0].second);
+    CPPUNIT_ASSERT_EQUAL(fixture.client.calls[0].first.address,
+                         fixture.quarantine.broken[0].second);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.quarantine.answers.size());
   }
 
@@ -329,7 +345,7 @@
     const auto answer = fixture.callAndWait(Fixture::request("GET", "/slots"));
     CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.client.calls.size());
-    CPPUNIT_ASSERT(fixture.client.calls[0].first != fixture.client.calls[1].first);
+    CPPUNIT_ASSERT(fixture.client.calls[0].first.address != fixture.client.calls[1].first.address);
   }
 
   void internalErrorIsRetriedOnAnotherBackend() {
@@ -339,7 +355,7 @@
     CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
     CPPUNIT_ASSERT_EQUAL(200, answer.status);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.client.calls.size());
-    CPPUNIT_ASSERT(fixture.client.calls[0].first != fixture.client.calls[1].first);
+    CPPUNIT_ASSERT(fixture.client.calls[0].first.address != fixture.client.calls[1].first.address);
     Fixture spent;
     spent.client.scripts.assign(10, CallScript::kServerError);
     const auto given_up = spent.callAndWait(Fixture::request("GET", "/slots"));
@@ -371,7 +387,7 @@
     const auto answer = fixture.callAndWait(Fixture::request("POST", "/slots"));
     CPPUNIT_ASSERT(answer.outcome == Outcome::kDone);
     CPPUNIT_ASSERT_EQUAL(1, fixture.runsOf("request-1"));
-    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls[2].first);
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls[2].first.address);
   }
 
   void refusalKeepsRetryAfterOfTheBackend() {
@@ -388,11 +404,11 @@
     fixture.membership.leaving = {"machine-1"};
     for (int number = 0; number < 20; ++number) {
       fixture.callAndWait(Fixture::request("GET", "/slots"));
-      CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:12"), fixture.client.calls.back().first);
+      CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:12"), fixture.client.calls.back().first.address);
     }
     fixture.configuration.fleet.drained_nodes["machine-2"] = true;
     fixture.callAndWait(Fixture::request("GET", "/slots"));
-    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls.back().first);
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:13"), fixture.client.calls.back().first.address);
     fixture.membership.leaving = {"machine-1", "machine-3"};
     const auto answer = fixture.callAndWait(Fixture::request("GET", "/slots"));
     CPPUNIT_ASSERT(answer.error.kind == ErrorKind::kNoBackend);
--- a/tests/objects_platform/fleet_declaration_test.cpp
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -65,7 +65,7 @@
   CPPUNIT_TEST(translatesTenants);
   CPPUNIT_TEST(rejectsConflictingKeys);
   CPPUNIT_TEST(routesMatchTheLongestPrefix);
-  CPPUNIT_TEST(runnersAreFoundByAddress);
+  CPPUNIT_TEST(runnersMayShareAnAddress);
   CPPUNIT_TEST(drainingRunnersAreLeavingMachines);
   CPPUNIT_TEST_SUITE_END();
 
@@ -235,17 +235,29 @@
     CPPUNIT_ASSERT(routes.limits().idle_time_limit == milliseconds(15000));
   }
 
-  void runnersAreFoundByAddress() {
-    runners_.onPut(runnerObject("i-1", "api", "10.0.0.1:80"));
-    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), runners_.findByAddress("10.0.0.1:80")->id);
-    // Another runner gets the address before the entry of the first is deleted.
-    runners_.onPut(runnerObject("i-2", "llm", "10.0.0.1:80"));
-    runners_.onDeleted("i-1");
-    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), runners_.findByAddress("10.0.0.1:80")->id);
-    CPPUNIT_ASSERT(runners_.findById("i-1") == nullptr);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, runners_.findById("i-2")->call_sequence);
-    runners_.onDeleted("i-2");
-    CPPUNIT_ASSERT(runners_.findByAddress("10.0.0.1:80") == nullptr);
+  /// A runner may get the address of another before the entry of that one is deleted.
+  void runnersMayShareAnAddress() {
+    declare();
+    runners_.onPut(runnerObject("i-8", "api", "10.0.0.8:80"));
+    runners_.onPut(runnerObject("i-9", "llm", "10.0.0.8:80", "ready", kPrefill));
+    runners_.onCaughtUp();
+    const auto machineAtAddress = [&] {
+      std::string machine;
+      for (const auto& backend : fleet_.current()->http_services.at("r-c@api").backends) {
+        machine += backend.address == "10.0.0.8:80" ? backend.machine : "";
+      }
+      return machine;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("i-8"), machineAtAddress());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.8:80"), fleet_.current()->engines.at("i-9").address);
+    runners_.onDeleted("i-8");
+    runners_.onCaughtUp();
+    CPPUNIT_ASSERT_EQUAL(std::string(), machineAtAddress());
+    CPPUNIT_ASSERT(runners_.findById("i-8") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, runners_.findById("i-9")->call_sequence);
+    runners_.onDeleted("i-9");
+    runners_.onCaughtUp();
+    CPPUNIT_ASSERT(!fleet_.current()->engines.contains("i-9"));
   }
 
   void drainingRunnersAreLeavingMachines() {
--- a/tests/objects_platform/service_client_test.cpp
+++ b/tests/objects_platform/service_client_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(closedKeptConnectionIsStale);
   CPPUNIT_TEST(surplusAnswerOnKeptConnectionIsStale);
   CPPUNIT_TEST(connectionWithASurplusAnswerIsNotReused);
+  CPPUNIT_TEST(callNamesTheRunnerThatWasChosen);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +78,15 @@
     CPPUNIT_ASSERT_EQUAL(2, server_.connections());
   }
 
+  /// Guards against calls that name whoever is listed last at the address: once the chosen runner
+  /// has ended, that may be a runner of another service, which then runs the call.
+  void callNamesTheRunnerThatWasChosen() {
+    server_.answer(answerTo("r1"));
+    call(false);
+    CPPUNIT_ASSERT(server_.requests().at(0).find("X-Target-Instance: i-chosen\r\n") !=
+                   std::string::npos);
+  }
+
  private:
   ServiceOutcome call(bool may_reuse_connection) {
     services::ServiceRequest request;
@@ -87,7 +97,7 @@
     request.may_reuse_connection = may_reuse_connection;
     std::optional<ServiceOutcome> outcome;
     const auto running = client_.call(
-        server_.address(), request,
+        {"i-chosen+1700000000", server_.address()}, request,
         [&](const services::ServiceResponse& response) { outcome = response.outcome; });
     CPPUNIT_ASSERT(runUntil(context_, [&] { return outcome.has_value(); }));
     return *outcome;
@@ -104,7 +114,7 @@
   runtime::ConnectionPool pool_{poolSettings(), counters_};
   runtime::CurlMulti curl_{context_, {}, &pool_};
   testing::ScriptedServer server_{context_};
-  ServiceClient client_{curl_, [](const common::Address&) { return std::nullopt; }};
+  ServiceClient client_{curl_};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServiceClientTest);
--- a/tests/services/http_service_client_test.cpp
+++ b/tests/services/http_service_client_test.cpp
@@ -76,7 +76,8 @@
 
   void destroyingCallAbortsIt() {
     bool called = false;
-    auto running = client_.call(address_, post(), [&](const ServiceResponse&) { called = true; });
+    auto running = client_.call({"machine-1", address_}, post(),
+                                [&](const ServiceResponse&) { called = true; });
     CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.requests().size() == 1; }));
     running.reset();
     CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.closedByClient() == 1; }));
@@ -96,8 +97,9 @@
 
   ServiceResponse call(const ServiceRequest& request) {
     std::optional<ServiceResponse> answer;
-    const auto running = client_.call(
-        address_, request, [&](ServiceResponse response) { answer = std::move(response); });
+    const auto running =
+        client_.call({"machine-1", address_}, request,
+                     [&](ServiceResponse response) { answer = std::move(response); });
     CPPUNIT_ASSERT(!answer.has_value());
     CPPUNIT_ASSERT(runUntil(context_, [&] { return answer.has_value(); }));
     return *answer;
--- a/tests/services/service_standin_test.cpp
+++ b/tests/services/service_standin_test.cpp
@@ -53,7 +53,7 @@
     request.time_limit = std::chrono::seconds(5);
     std::optional<ServiceOutcome> outcome;
     const auto running =
-        client_.call("127.0.0.1:" + std::to_string(server_->port()), request,
+        client_.call({"machine-1", "127.0.0.1:" + std::to_string(server_->port())}, request,
                      [&](const ServiceResponse& response) { outcome = response.outcome; });
     CPPUNIT_ASSERT(testing::runUntil(context_, [&] { return outcome.has_value(); }));
     return *outcome;
--- a/tests/simulation/simulated_clients_test.cpp
+++ b/tests/simulation/simulated_clients_test.cpp
@@ -228,7 +228,7 @@
     SimulatedServiceClient client(environment.simulation, environment.process,
                                   environment.services);
     std::optional<services::ServiceOutcome> outcome;
-    const auto call = client.call(kServiceAddress, booking(),
+    const auto call = client.call({"machine-1", kServiceAddress}, booking(),
                                   [&](const auto& response) { outcome = response.outcome; });
     environment.simulation.time().runFor(seconds(3));
     CPPUNIT_ASSERT(outcome == services::ServiceOutcome::kBroken);
@@ -240,7 +240,8 @@
     SimulatedServiceClient client(environment.simulation, environment.process,
                                   environment.services);
     bool answered = false;
-    auto call = client.call(kServiceAddress, booking(), [&](const auto&) { answered = true; });
+    auto call = client.call({"machine-1", kServiceAddress}, booking(),
+                            [&](const auto&) { answered = true; });
     call.reset();
     environment.simulation.time().runFor(seconds(3));
     CPPUNIT_ASSERT(!answered);
