A call that finds another server at the address goes elsewhere at once

Cause: a back end that has ended may be listed for seconds beside the server that has got its address. That one turns the call away with 421, which counted as a run: a request that may be sent to one back end only was refused with 503, though others had room. What the other server said in that answer (a rate limit, that it leaves) was recorded for the one that was chosen.

Change: ServiceOutcome::kMisdirected. Such a call is charged to the retry budget, but not as a run, and is sent elsewhere without delay; the back end is paused for 2 s at this node, as its declaration goes soon. Counted (cypresswall_execution_service_misdirected_total) and logged (service_call_misdirected). The same cause in our own protocol for plain services: calls named no server there. They carry X-Cypresswall-Server, and a server on another machine answers 421; the stand-in does so.

--- a/src/cypresswall/execution/service_execution_core.cpp
+++ b/src/cypresswall/execution/service_execution_core.cpp
@@ -33,6 +33,8 @@
       retry_budget_exhausted(
           registry.counter("cypresswall_execution_service_retry_budget_spent_total",
                            "Retries not made because the budget was spent")),
+      misdirected(registry.counter("cypresswall_execution_service_misdirected_total",
+                                   "Calls that found another back end at the address")),
       late_answers(registry.counter("cypresswall_execution_service_late_answers_total",
                                     "Answers dropped because their attempt was over")),
       late_grants(registry.counter("cypresswall_execution_service_late_grants_total",
--- a/src/cypresswall/execution/service_execution_core.h
+++ b/src/cypresswall/execution/service_execution_core.h
@@ -57,8 +57,9 @@
   common::Counter& retries_after_run;
   common::Counter& retries_after_no_run;
   common::Counter& retry_budget_exhausted;
-  common::Counter& late_answers;            ///< answers ignored because their attempt had ended
-  common::Counter& late_grants;             ///< key claims not used: granted after claim_use_limit
+  common::Counter& misdirected;   ///< attempts that reached another server than the chosen one
+  common::Counter& late_answers;  ///< answers ignored because their attempt had ended
+  common::Counter& late_grants;   ///< key claims not used: granted after claim_use_limit
   common::Counter& finished_after_abandon;  ///< operations completed after the caller disconnected
 };
 
--- a/src/cypresswall/execution/service_run.cpp
+++ b/src/cypresswall/execution/service_run.cpp
@@ -306,6 +306,9 @@
     case services::ServiceOutcome::kRefused:
       onProvenNotRun(response);
       return;
+    case services::ServiceOutcome::kMisdirected:
+      onMisdirected(response);
+      return;
     case services::ServiceOutcome::kBroken:
       onBroken(response);
       return;
@@ -374,6 +377,20 @@
   scheduleAttempt(backoffBefore(unrun_attempts_, core_.settings, core_.process.random));
 }
 
+/// The back end that was chosen has had no attempt, so that this one does not count as a run.
+void ServiceRun::onMisdirected(const services::ServiceResponse& response) {
+  core_.counters.misdirected.add();
+  common::LogEvent(core_.process.log, common::LogLevel::kInfo, "service_call_misdirected")
+      .field("request", request_.request_id)
+      .field("server", attempted_.toString());
+  ++unrun_attempts_;
+  if (unrun_attempts_ >= core_.settings.maximum_unrun_attempts || !withdrawRetry()) {
+    fail(ErrorKind::kNoBackend, response.error, core_.settings.default_retry_after);
+    return;
+  }
+  scheduleAttempt(common::Duration{0});
+}
+
 void ServiceRun::onBroken(const services::ServiceResponse& response) {
   may_have_run_ = true;
   recordUsageOnce();
@@ -419,6 +436,10 @@
   if (runs_ >= maximumRuns() || deadline_ <= core_.process.clock.now()) {
     return false;
   }
+  return withdrawRetry();
+}
+
+bool ServiceRun::withdrawRetry() {
   if (!retryBudget().withdraw()) {
     core_.counters.retry_budget_exhausted.add();
     return false;
--- a/src/cypresswall/execution/service_run.h
+++ b/src/cypresswall/execution/service_run.h
@@ -71,6 +71,7 @@
   void onResponse(std::uint32_t attempt, services::ServiceResponse response);
   void onAnswered(services::ServiceResponse response);
   void onProvenNotRun(const services::ServiceResponse& response);
+  void onMisdirected(const services::ServiceResponse& response);
   /// Counts the request in the tenant's usage unless it was counted already. To be called when a
   /// back end has answered the request or may have run it.
   void recordUsageOnce();
@@ -85,6 +86,8 @@
   /// Counts one run of the request and charges a further run to the retry budget.
   /// \return false if no further run is allowed
   bool chargeRun();
+  /// \return false if the retry budget is exhausted
+  bool withdrawRetry();
   std::uint32_t maximumRuns() const;
   /// Sets the deadline to the earlier of two times: the operation's time limit counted from now,
   /// and the caller's time limit, if given, counted from the arrival of the request.
--- a/src/cypresswall/services/http_service_client.cpp
+++ b/src/cypresswall/services/http_service_client.cpp
@@ -14,10 +14,13 @@
 using runtime::CurlRequest;
 using runtime::CurlResponse;
 
+constexpr int kStatusMisdirected = 421;
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusServerError = 500;
 constexpr const char* kOutcomeHeader = "X-Cypresswall-Outcome";
 constexpr const char* kRateLimitHeader = "X-Cypresswall-Rate-Limit";
+/// Machine of the back end that a request is meant for.
+constexpr const char* kServerHeader = "X-Cypresswall-Server";
 constexpr const char* kLeavingHeader = "X-Cypresswall-Leaving";
 constexpr const char* kRetryAfterHeader = "Retry-After";
 constexpr const char* kOutcomeNotRun = "not-run";
@@ -25,7 +28,7 @@
 
 /// Headers that apply to one connection only, headers that the HTTP client or server sets itself,
 /// and the outcome header, which the gateway sets itself.
-constexpr std::array<const char*, 13> kNotForwardedHeaders = {"Connection",
+constexpr std::array<const char*, 14> kNotForwardedHeaders = {"Connection",
                                                               "Keep-Alive",
                                                               "Proxy-Authenticate",
                                                               "Proxy-Authorization",
@@ -37,7 +40,8 @@
                                                               "Host",
                                                               "Content-Length",
                                                               "Expect",
-                                                              kOutcomeHeader};
+                                                              kOutcomeHeader,
+                                                              kServerHeader};
 
 bool isForwarded(const std::string& name) {
   return std::none_of(kNotForwardedHeaders.begin(), kNotForwardedHeaders.end(),
@@ -48,8 +52,12 @@
   return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos;
 }
 
-std::vector<CurlHeader> requestHeaders(const ServiceRequest& request) {
+std::vector<CurlHeader> requestHeaders(const common::ServerIdentity& server,
+                                       const ServiceRequest& request) {
   std::vector<CurlHeader> headers = {{kRequestIdHeader, request.request_id}};
+  if (!server.machine.empty()) {
+    headers.push_back({kServerHeader, server.machine});
+  }
   for (const HttpHeader& header : request.headers) {
     const bool own = common::sameHeaderName(header.name, kRequestIdHeader);
     if (!own && isForwarded(header.name) && !hasLineBreak(header.name + header.value)) {
@@ -76,6 +84,9 @@
     case CurlOutcome::kAnswered:
       break;
   }
+  if (response.status == kStatusMisdirected) {
+    return ServiceOutcome::kMisdirected;
+  }
   return reportsNotRun(response) ? ServiceOutcome::kRefused : ServiceOutcome::kAnswered;
 }
 
@@ -84,7 +95,8 @@
   result.outcome = outcomeOf(response);
   result.status = response.status;
   result.error = std::move(response.error);
-  if (response.outcome != CurlOutcome::kAnswered) {
+  if (response.outcome != CurlOutcome::kAnswered ||
+      result.outcome == ServiceOutcome::kMisdirected) {
     return result;
   }
   result.rate_limit = common::parseRateLimit(response.header(kRateLimitHeader));
@@ -118,7 +130,7 @@
   sent.method = request.method;
   sent.address = server.address;
   sent.target = request.target;
-  sent.headers = requestHeaders(request);
+  sent.headers = requestHeaders(server, request);
   sent.body = std::move(request.body);
   const bool only_reads = sent.method == "GET" || sent.method == "HEAD";
   sent.connection_use =
@@ -129,9 +141,15 @@
   sent.maximum_body_bytes = settings_.maximum_answer_bytes;
   return std::make_unique<HttpServiceCall>(curl_.startFetch(
       std::move(sent), [this, server, callback = std::move(callback)](CurlResponse response) {
-        announce(server, common::announcementOf(response.status, response.header(kLeavingHeader),
-                                                response.header(kRetryAfterHeader)));
-        callback(serviceResponseOf(std::move(response)));
+        const auto announcement = common::announcementOf(
+            response.status, response.header(kLeavingHeader), response.header(kRetryAfterHeader));
+        ServiceResponse answer = serviceResponseOf(std::move(response));
+        if (answer.outcome == ServiceOutcome::kMisdirected) {
+          announceReplaced(server);
+        } else {
+          announce(server, announcement);
+        }
+        callback(std::move(answer));
       }));
 }
 
--- a/src/cypresswall/services/service_client.h
+++ b/src/cypresswall/services/service_client.h
@@ -37,13 +37,15 @@
   bool may_reuse_connection = false;
 };
 
-/// Outcome of an attempt. Only kNotSent and kRefused prove that the service did not run the
-/// request.
+/// Outcome of an attempt. Only kNotSent, kRefused and kMisdirected prove that the service did not
+/// run the request.
 enum class ServiceOutcome : std::uint8_t {
   kAnswered,
   kNotSent,  ///< no byte reached the service
   kRefused,  ///< the service reported "not-run" in its outcome header
-  kBroken,   ///< bytes were sent, but no complete answer was received
+  /// Another server than the one that was named answered, and did not run the request.
+  kMisdirected,
+  kBroken,  ///< bytes were sent, but no complete answer was received
   /// The request was sent on a kept connection that the back end had closed, or whose answer was
   /// not one to this request. The service may have run it, but the back end has not failed.
   kStale,
@@ -105,6 +107,13 @@
     }
   }
 
+  /// Records that another server answers at the address of this one, which has ended. It is not
+  /// used again before its declaration has had time to go.
+  void announceReplaced(const common::ServerIdentity& server) const {
+    constexpr common::Duration kPause = std::chrono::seconds(2);
+    announce(server, {false, kPause});
+  }
+
  private:
   common::AnnouncementObserver announcement_observer_;
   const api::ServerConnections* connections_ = nullptr;
--- a/standins/fronts/service_front.cpp
+++ b/standins/fronts/service_front.cpp
@@ -24,6 +24,11 @@
 }
 
 void ServiceFront::call(const http::Request& request, const ResponderPointer& responder) {
+  const std::string meant_for = request.header("X-Cypresswall-Server");
+  if (!machine_.empty() && !meant_for.empty() && meant_for != machine_) {
+    respondError(*responder, 421, "the request is meant for another server");
+    return;
+  }
   const emulation::EmulatedServiceCall call{request.header("X-Request-Id"),
                                             request.header("Idempotency-Key"), request.method,
                                             request.target, request.body};
@@ -59,6 +64,7 @@
   faults.leaving = fieldOr(body, "leaving", faults.leaving);
   faults.pause = pauseOr(body, faults.pause);
   service_.setFaults(faults);
+  machine_ = fieldOr(body, "machine", machine_);
   responder->respond(204, {}, "");
 }
 
--- a/standins/fronts/service_front.h
+++ b/standins/fronts/service_front.h
@@ -1,6 +1,8 @@
 /// HTTP front end of an emulated plain HTTP service.
 #pragma once
 
+#include <string>
+
 #include "cypresswall/emulation/service.h"
 #include "cypresswall/http/server.h"
 #include "standins/fronts/json_http.h"
@@ -21,6 +23,8 @@
   nlohmann::json encodeLedger() const;
 
   emulation::EmulatedService& service_;
+  /// Machine on which the service runs; empty if it runs the requests meant for any.
+  std::string machine_;
 };
 
 }  // namespace cypresswall::standins
--- a/tests/execution/fake_services.h
+++ b/tests/execution/fake_services.h
@@ -24,6 +24,7 @@
   kUnavailable,  ///< runs, answers 503
   kNotSent,
   kRefused,
+  kMisdirected,
   kBrokenBeforeRun,
   kBrokenAfterRun,
   kDuplicateAnswer,
--- a/tests/execution/http_service_executor_test.cpp
+++ b/tests/execution/http_service_executor_test.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(backendThatPausesDuringPermitRequestIsNotCalled);
   CPPUNIT_TEST(nextLifeOfABackendIsCalled);
   CPPUNIT_TEST(callNamesTheChosenOfTwoBackendsAtOneAddress);
+  CPPUNIT_TEST(misdirectedCallGoesElsewhereAtOnce);
   CPPUNIT_TEST(retryChoosesAmongBackendsDeclaredNow);
   CPPUNIT_TEST(permitIsNotUsedAfterAbandon);
   CPPUNIT_TEST(rateLimitOfAnswerIsReported);
@@ -264,6 +265,22 @@
                          fixture.client.calls.at(0).first.toString());
   }
 
+  /// Guards against refusing a call that may be sent to one back end only, since the first one had
+  /// ended and another server had its address.
+  void misdirectedCallGoesElsewhereAtOnce() {
+    ExecutionSettings settings;
+    settings.charge_refused_attempts = true;
+    settings.maximum_runs = 1;
+    Fixture fixture(settings);
+    fixture.client.scripts = {CallScript::kMisdirected};
+    const auto caller = fixture.start(Fixture::request("POST", "/slots"));
+    fixture.process.time.runFor(2 * fixture.client.answer_time + milliseconds(1));
+    CPPUNIT_ASSERT(caller->answer().outcome == Outcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.client.calls.size());
+    CPPUNIT_ASSERT(fixture.client.calls[0].first != fixture.client.calls[1].first);
+    CPPUNIT_ASSERT_EQUAL(1, fixture.runsOf(caller->request_id));
+  }
+
   /// Guards against retries at a back end that was taken out of the configuration after the request
   /// had begun.
   void retryChoosesAmongBackendsDeclaredNow() {
