--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -26,6 +26,7 @@
   "configuration"
   "duties"
   "lease fleet_limits quarantine answer_builds availability checkpoint"
+  "zone_object"
   "membership"
   "idempotency"
   "object_store engines services store_relay"
