Keep the builds that models had in the store, and guess none after a start

Cause: streams held events of two software builds after all nodes had been killed in a release. FleetAnswerBuilds::find takes the only build it knows of for the one that began the answer; which builds have left is known to nodes alone, so after a start of all of them to none.

Ruled out: a wrong record (none exists after the start, and the search for one isn't reached).

Change: the builds of each model that may still have answers are an object of the store, written when one appears or is forgotten. A node that has started asks four others for them, and again other ones after 0.5 s; the object's owner reads it, if nobody knows. Until then one listed build is not taken for the only one: a request that takes an answer up waits for up to 1 s, and is refused unless a record is found. Builds that the store names count as seen just now, so what the object and the list don't have in common is possible. Messages go to builds with MessageSet::kBuildHistory; members without it are told as before.

Ways weighed: refuse all resumes after such a start (with one build ever nothing need be refused: oneBuild, oneBuildBeforeAndAfterAllNodesRestart); the checkpoint (15 s old); records of answers in the store (grow with requests); how long each engine has been up (doesn't tell which have left).

Tests: seven new ones of the record at 1 to 300 nodes and one of whole nodes with three delays, seen to fail before. nothingIsSentForOneBuild required no message at all, though a node that starts can't know from silence that nothing was there; it now requires none but the eight of each start. departedBuildIsToldToNewNodes counted two messages to a new node; it counts its four questions and their answers.

--- a/src/cypresswall/answer_builds/answer_builds.h
+++ b/src/cypresswall/answer_builds/answer_builds.h
@@ -13,7 +13,8 @@
 
 /// What is known about the build that began an answer.
 struct AnswerOrigin {
-  /// False if several builds may have begun the answer and no node in reach knows which one did.
+  /// False if several builds may have begun the answer, or this node does not know all that may
+  /// have, and no node in reach knows which one did.
   bool known = false;
   /// Empty if the model has no engines.
   std::optional<common::BuildName> build;
--- a/src/cypresswall/answer_builds/build_history.cpp
+++ b/src/cypresswall/answer_builds/build_history.cpp
@@ -46,6 +46,27 @@
   return builds;
 }
 
+BuildsByModel BuildHistory::possible(common::MonotonicTime now) const {
+  BuildsByModel all;
+  for (const auto& [model, builds] : last_seen_) {
+    if (auto builds_of_model = possible(model, now); !builds_of_model.empty()) {
+      all[model] = std::move(builds_of_model);
+    }
+  }
+  return all;
+}
+
+common::MonotonicTime BuildHistory::lastSeen(const common::ModelName& model,
+                                             const common::BuildName& build,
+                                             common::MonotonicTime now) const {
+  const auto builds = last_seen_.find(model);
+  if (builds == last_seen_.end() || isPresent(model, build)) {
+    return now;
+  }
+  const auto last_seen = builds->second.find(build);
+  return last_seen == builds->second.end() ? now : last_seen->second;
+}
+
 std::set<common::ModelName> BuildHistory::mixedModels(common::MonotonicTime now) const {
   std::set<common::ModelName> mixed;
   for (const auto& [model, builds] : last_seen_) {
--- a/src/cypresswall/answer_builds/build_history.h
+++ b/src/cypresswall/answer_builds/build_history.h
@@ -34,6 +34,11 @@
   /// \return the builds that may have begun answers of the model
   std::set<common::BuildName> possible(const common::ModelName& model,
                                        common::MonotonicTime now) const;
+  /// \return the possible builds of all models
+  BuildsByModel possible(common::MonotonicTime now) const;
+  /// \return when a build was last seen; `now` if its engines are in the fleet, or if it is unknown
+  common::MonotonicTime lastSeen(const common::ModelName& model, const common::BuildName& build,
+                                 common::MonotonicTime now) const;
   /// \return the models with more than one possible build
   std::set<common::ModelName> mixedModels(common::MonotonicTime now) const;
   /// \return when the next of past() no longer counts; nothing if there are none
--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "cypresswall/answer_builds/stored_builds.h"
 #include "cypresswall/membership/rendezvous.h"
 
 namespace cypresswall::answer_builds {
@@ -14,6 +15,8 @@
 constexpr common::Duration kRecentAnswers = std::chrono::seconds(30);
 /// Number of nodes that tell a new member of the builds that have left the fleet.
 constexpr std::size_t kTellingNodes = 2;
+/// Interval at which a node that does not know the earlier builds checks whom it can ask.
+constexpr common::Duration kHistoryCheckInterval = std::chrono::milliseconds(100);
 
 common::Counter& originsFound(common::CounterRegistry& registry, const char* source) {
   return registry.counter("cypresswall_answer_builds_origins_total",
@@ -26,12 +29,20 @@
 
 FleetAnswerBuilds::FleetAnswerBuilds(const AnswerBuildSettings& settings,
                                      const api::ProcessContext& context,
-                                     membership::MembershipView& membership)
+                                     membership::MembershipView& membership,
+                                     object_store::ObjectStore& store)
     : settings_(settings),
       context_(context),
       membership_(membership),
       history_(settings.retention),
       records_(settings),
+      stored_builds_(
+          {"answer-builds/" + context.zone, settings.store_retry_delay}, context, membership, store,
+          {[this] { return historyNodes(); },
+           [this](const std::string& stored) { return newStoredBuilds(stored); },
+           [this](const std::string& stored) { onStoredBuilds(stored); }},
+          context.counters.counter("cypresswall_answer_builds_store_failures_total",
+                                   "Calls to the store for the builds of models that failed")),
       recorded_(context.counters.counter("cypresswall_answer_builds_recorded_total",
                                          "Answers of which other nodes were told")),
       only_build_(originsFound(context.counters, "only-build")),
@@ -48,9 +59,131 @@
       [this](const common::NodeId&, const AnswerBuildReply& reply) { onReply(reply); });
   context_.dispatcher.handle<DepartedBuilds>(
       [this](const common::NodeId&, const DepartedBuilds& message) { onDeparted(message); });
+  context_.dispatcher.handle<BuildHistoryQuery>(
+      [this](const common::NodeId& sender, const BuildHistoryQuery&) { onHistoryQuery(sender); });
+  context_.dispatcher.handle<BuildHistoryReply>(
+      [this](const common::NodeId&, const BuildHistoryReply& reply) { onHistory(reply); });
   membership.onChange([this] { membersChanged(); });
 }
 
+void FleetAnswerBuilds::start() {
+  stored_builds_.start();
+  askForHistory();
+}
+
+void FleetAnswerBuilds::askForHistory() {
+  if (history_known_) {
+    return;
+  }
+  const auto now = context_.clock.now();
+  if (now >= next_history_query_at_ && !membership_.joining()) {
+    auto nodes = historyNodes();
+    std::erase(nodes, context_.self);
+    const auto chosen = membership::rendezvousNodes(
+        context_.self.toString() + "/" + std::to_string(history_queries_), nodes,
+        settings_.nodes_asked_for_history);
+    if (!chosen.empty()) {
+      ++history_queries_;
+      next_history_query_at_ = now + settings_.history_interval;
+      context_.sendToAll(chosen, BuildHistoryQuery{});
+    }
+  }
+  context_.scheduler.schedule(kHistoryCheckInterval, [this] { askForHistory(); });
+}
+
+void FleetAnswerBuilds::onHistoryQuery(const common::NodeId& sender) {
+  if (history_known_) {
+    sendHistory(sender);
+  } else {
+    asking_nodes_.insert(sender);
+  }
+}
+
+void FleetAnswerBuilds::sendHistory(const common::NodeId& node) {
+  const auto now = context_.clock.now();
+  BuildHistoryReply reply;
+  for (const auto& [model, builds] : history_.possible(now)) {
+    for (const common::BuildName& build : builds) {
+      const auto age = now - history_.lastSeen(model, build, now);
+      reply.builds.push_back({model, build, common::millisecondsOf(age)});
+    }
+  }
+  context_.sendTo(node, reply);
+}
+
+void FleetAnswerBuilds::onHistory(const BuildHistoryReply& reply) {
+  const auto now = context_.clock.now();
+  for (const DepartedBuild& build : reply.builds) {
+    const common::Duration age = std::chrono::milliseconds(build.age_milliseconds);
+    seen(build.model, build.build, now - age);
+  }
+  historyKnown("peer");
+}
+
+/// When the builds in the store were last seen is not known: each of them may have left just now.
+void FleetAnswerBuilds::onStoredBuilds(const std::string& stored) {
+  const auto now = context_.clock.now();
+  bool learnt = false;
+  try {
+    for (const auto& [model, builds] : decodeStoredBuilds(stored)) {
+      const auto possible = history_.possible(model, now);
+      for (const common::BuildName& build : builds) {
+        if (!possible.contains(build)) {
+          seen(model, build, now);
+          learnt = true;
+        }
+      }
+    }
+  } catch (const StoredBuildsError& error) {
+    common::LogEvent(context_.log, common::LogLevel::kWarning, "stored_builds_unreadable")
+        .field("zone", context_.zone)
+        .field("reason", error.what());
+  }
+  if (learnt && history_known_) {
+    context_.sendToAll(peers(), departedBuilds());
+  }
+  historyKnown("store");
+}
+
+void FleetAnswerBuilds::historyKnown(const char* source) {
+  if (std::exchange(history_known_, true)) {
+    return;
+  }
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "build_history_known")
+      .field("source", source)
+      .field("models", history_.possible(context_.clock.now()).size())
+      .field("mixed", mixed_models_.size());
+  for (const common::NodeId& node : std::exchange(asking_nodes_, {})) {
+    sendHistory(node);
+  }
+  for (auto& [number, search] : std::exchange(waiting_searches_, {})) {
+    context_.scheduler.cancel(search.timer);
+    find(search.model, search.began_as, std::move(search.found));
+  }
+}
+
+std::optional<std::string> FleetAnswerBuilds::newStoredBuilds(const std::string& stored) const {
+  const auto builds = history_.possible(context_.clock.now());
+  try {
+    if (decodeStoredBuilds(stored) == builds) {
+      return std::nullopt;
+    }
+  } catch (const StoredBuildsError&) {  // NOLINT(bugprone-empty-catch): replaced
+  }
+  return encodeStoredBuilds(builds, stored);
+}
+
+std::vector<common::NodeId> FleetAnswerBuilds::historyNodes() const {
+  std::vector<common::NodeId> nodes;
+  for (const membership::Member& member : membership_.members()) {
+    if (member.state == membership::MemberState::kAlive &&
+        membership_.handles(member.node, api::MessageSet::kBuildHistory)) {
+      nodes.push_back(member.node);
+    }
+  }
+  return nodes;
+}
+
 void FleetAnswerBuilds::enginesChanged(BuildsByModel present) {
   history_.setPresent(std::move(present), context_.clock.now());
   historyChanged();
@@ -76,6 +209,10 @@
       sendRecords(model);
     }
   }
+  if (auto possible = history_.possible(now); possible != possible_builds_) {
+    possible_builds_ = std::move(possible);
+    stored_builds_.valueChanged();
+  }
   const auto expiry = history_.nextExpiry(now);
   if (!expiry) {
     told_members_.reset();
@@ -121,31 +258,64 @@
 
 void FleetAnswerBuilds::find(const common::ModelName& model, const std::string& began_as,
                              OriginCallback found) {
-  const auto now = context_.clock.now();
-  const auto builds = history_.possible(model, now);
-  if (builds.size() <= 1) {
+  const auto builds = history_.possible(model, context_.clock.now());
+  if (builds.size() > 1) {
+    findRecord(model, began_as, std::move(found));
+  } else if (!history_known_) {
+    awaitHistory(model, began_as, std::move(found));
+  } else {
     only_build_.add();
     found({true, builds.empty() ? std::nullopt : std::make_optional(*builds.begin())});
+  }
+}
+
+void FleetAnswerBuilds::awaitHistory(const common::ModelName& model, const std::string& began_as,
+                                     OriginCallback found) {
+  if (findOwnRecord(began_as, found)) {
     return;
   }
+  const std::uint64_t number = next_number_++;
+  const auto timer = context_.scheduler.schedule(settings_.history_limit, [this, number] {
+    auto search = waiting_searches_.extract(number);
+    findRecord(search.mapped().model, search.mapped().began_as, std::move(search.mapped().found));
+  });
+  waiting_searches_.emplace(number, WaitingSearch{model, began_as, std::move(found), timer});
+}
+
+void FleetAnswerBuilds::findRecord(const common::ModelName& model, const std::string& began_as,
+                                   OriginCallback found) {
   if (began_as.empty()) {
-    unknown_.add();
-    found({});
-    return;
+    reportUnknown(model, found);
+  } else if (!findOwnRecord(began_as, found)) {
+    ask(model, answerKey(began_as), std::move(found));
   }
-  const AnswerKey answer = answerKey(began_as);
-  if (const auto build = records_.find(answer, now)) {
-    own_record_.add();
-    found({true, build});
-    return;
+}
+
+bool FleetAnswerBuilds::findOwnRecord(const std::string& began_as, const OriginCallback& found) {
+  const auto build = records_.find(answerKey(began_as), context_.clock.now());
+  if (began_as.empty() || !build) {
+    return false;
   }
-  ask(answer, std::move(found));
+  own_record_.add();
+  found({true, build});
+  return true;
 }
 
-void FleetAnswerBuilds::ask(AnswerKey answer, OriginCallback found) {
+void FleetAnswerBuilds::reportUnknown(const common::ModelName& model, const OriginCallback& found) {
+  unknown_.add();
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "answer_build_unknown")
+      .field("model", model)
+      .field("builds", history_.possible(model, context_.clock.now()).size())
+      .field("history_known", history_known_);
+  found({});
+}
+
+void FleetAnswerBuilds::ask(const common::ModelName& model, AnswerKey answer,
+                            OriginCallback found) {
   const auto nodes = nodesFor(answer, settings_.asked_nodes);
   const std::uint64_t number = next_number_++;
   Search& search = searches_[number];
+  search.model = model;
   search.found = std::move(found);
   search.replies_missing = nodes.size();
   if (nodes.empty()) {
@@ -187,7 +357,11 @@
 void FleetAnswerBuilds::finish(std::uint64_t number, const AnswerOrigin& origin) {
   const auto search = searches_.extract(number);
   context_.scheduler.cancel(search.mapped().timer);
-  (origin.known ? record_of_peer_ : unknown_).add();
+  if (!origin.known) {
+    reportUnknown(search.mapped().model, search.mapped().found);
+    return;
+  }
+  record_of_peer_.add();
   search.mapped().found(origin);
 }
 
@@ -212,14 +386,12 @@
   for (const common::NodeId& node : peers()) {
     (told_members_->contains(node) ? tellers : new_members).push_back(node);
   }
-  DepartedBuilds message;
-  const auto now = context_.clock.now();
-  for (const PastBuild& past : history_.past(now)) {
-    message.builds.push_back(
-        {past.model, past.build, common::millisecondsOf(now - past.last_seen_at)});
-  }
+  const DepartedBuilds message = departedBuilds();
   for (const common::NodeId& node : new_members) {
     told_members_->insert(node);
+    if (membership_.handles(node, api::MessageSet::kBuildHistory)) {
+      continue;
+    }
     const auto chosen = membership::rendezvousNodes(node.toString(), tellers, kTellingNodes);
     if (std::find(chosen.begin(), chosen.end(), context_.self) != chosen.end()) {
       context_.sendTo(node, message);
@@ -227,6 +399,16 @@
   }
 }
 
+DepartedBuilds FleetAnswerBuilds::departedBuilds() const {
+  DepartedBuilds message;
+  const auto now = context_.clock.now();
+  for (const PastBuild& past : history_.past(now)) {
+    message.builds.push_back(
+        {past.model, past.build, common::millisecondsOf(now - past.last_seen_at)});
+  }
+  return message;
+}
+
 std::vector<common::NodeId> FleetAnswerBuilds::nodesFor(AnswerKey answer, std::size_t count) {
   return membership::rendezvousNodes(taskName(answer), peers(), count);
 }
--- a/src/cypresswall/answer_builds/fleet_answer_builds.h
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.h
@@ -15,6 +15,8 @@
 #include "cypresswall/answer_builds/settings.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/membership/membership_view.h"
+#include "cypresswall/object_store/object_store.h"
+#include "cypresswall/zone_object/zone_object.h"
 
 namespace cypresswall::answer_builds {
 
@@ -24,14 +26,21 @@
 /// the first token. These two are chosen by rendezvous hashing over the answer, so that any node at
 /// which the caller takes the answer up knows whom to ask. A node without knowledge of the answer
 /// reports it as unknown, since a guess could join outputs of two builds.
+///
+/// A node that has started can't see the builds that have left the fleet before. Until it has
+/// learnt of them from another node or, if all have just started, from the platform's store, it
+/// takes no build for the only one. The store holds the builds that each model may still have
+/// answers of; it is written when one appears, and when one has been away for
+/// AnswerBuildSettings::retention.
 class FleetAnswerBuilds final : public AnswerBuilds {
  public:
   /// Registers the message handlers. \pre all references outlive this object
   FleetAnswerBuilds(const AnswerBuildSettings& settings, const api::ProcessContext& context,
-                    membership::MembershipView& membership);
+                    membership::MembershipView& membership, object_store::ObjectStore& store);
   FleetAnswerBuilds(const FleetAnswerBuilds&) = delete;
   FleetAnswerBuilds& operator=(const FleetAnswerBuilds&) = delete;
 
+  void start();
   /// To be called with the builds of the engines in the fleet after each change.
   void enginesChanged(BuildsByModel present);
 
@@ -43,26 +52,57 @@
  private:
   /// A search that waits for the replies of other nodes.
   struct Search {
+    common::ModelName model;
     OriginCallback found;
     std::size_t replies_missing = 0;
     common::TimerId timer = 0;
   };
 
+  /// A search that waits until this node knows the earlier builds.
+  struct WaitingSearch {
+    common::ModelName model;
+    std::string began_as;
+    OriginCallback found;
+    common::TimerId timer = 0;
+  };
+
+  void awaitHistory(const common::ModelName& model, const std::string& began_as,
+                    OriginCallback found);
+  /// Finds the build by the record of the answer alone.
+  void findRecord(const common::ModelName& model, const std::string& began_as,
+                  OriginCallback found);
+  /// \return true if this node has a record of the answer; `found` has then been called
+  bool findOwnRecord(const std::string& began_as, const OriginCallback& found);
+  void reportUnknown(const common::ModelName& model, const OriginCallback& found);
+  /// Asks other nodes for the earlier builds until they are known.
+  void askForHistory();
+  void onHistoryQuery(const common::NodeId& sender);
+  void sendHistory(const common::NodeId& node);
+  void onHistory(const BuildHistoryReply& reply);
+  void onStoredBuilds(const std::string& stored);
+  /// To be called once the builds that the models had before the start are known.
+  void historyKnown(const char* source);
+  /// \return the builds to store instead of `stored`; nothing if `stored` holds them
+  std::optional<std::string> newStoredBuilds(const std::string& stored) const;
+  /// \return the alive members that may own the stored builds, this node included
+  std::vector<common::NodeId> historyNodes() const;
+
   void seen(const common::ModelName& model, const common::BuildName& build,
             common::MonotonicTime seen_at);
   /// To be called after each change of the history, and once a build no longer counts.
   void historyChanged();
   /// Sends the records of answers that were begun while the model had one build.
   void sendRecords(const common::ModelName& model);
-  void ask(AnswerKey answer, OriginCallback found);
+  void ask(const common::ModelName& model, AnswerKey answer, OriginCallback found);
   void onBegan(const AnswersBegan& message);
   void onQuery(const common::NodeId& sender, const AnswerBuildQuery& query);
   void onReply(const AnswerBuildReply& reply);
   void onDeparted(const DepartedBuilds& message);
   void finish(std::uint64_t number, const AnswerOrigin& origin);
   void membersChanged();
-  /// Tells new members of builds that have left the fleet.
+  /// Tells new members that would not ask of builds that have left the fleet.
   void tellNewMembers();
+  DepartedBuilds departedBuilds() const;
   /// \return other nodes with the highest ranks for the answer
   std::vector<common::NodeId> nodesFor(AnswerKey answer, std::size_t count);
   /// \return the other members that are alive and support these messages
@@ -75,6 +115,7 @@
   AnswerRecords records_;
   std::set<common::ModelName> mixed_models_;
   std::map<std::uint64_t, Search> searches_;
+  std::map<std::uint64_t, WaitingSearch> waiting_searches_;
   std::uint64_t next_number_ = 1;
   std::vector<common::NodeId> peers_;
   /// True if the members have changed since `peers_` was computed.
@@ -82,6 +123,15 @@
   /// Members that know the builds that have left the fleet; empty while there are none.
   std::optional<std::set<common::NodeId>> told_members_;
   common::TimerId expiry_timer_ = 0;
+  /// Whether this node knows the builds that the models had before it started.
+  bool history_known_ = false;
+  common::MonotonicTime next_history_query_at_{};
+  std::uint64_t history_queries_ = 0;
+  /// Nodes that asked for the earlier builds before this node knew them.
+  std::set<common::NodeId> asking_nodes_;
+  /// The possible builds after the last change of the history.
+  BuildsByModel possible_builds_;
+  zone_object::ZoneObject stored_builds_;
   common::Counter& recorded_;
   common::Counter& only_build_;
   common::Counter& own_record_;
--- a/src/cypresswall/answer_builds/messages.h
+++ b/src/cypresswall/answer_builds/messages.h
@@ -51,11 +51,27 @@
   MSGPACK_DEFINE(model, build, age_milliseconds)
 };
 
-/// Sent to a node that joins the zone, which can't see these builds itself.
+/// Sent to nodes that could not see these builds themselves: to a node that joins the zone and does
+/// not ask with BuildHistoryQuery, and to all nodes if the sender has learnt of the builds from the
+/// store.
 struct DepartedBuilds {
   static constexpr auto kType = answerBuildMessage(3);
   std::vector<DepartedBuild> builds;
   MSGPACK_DEFINE(builds)
 };
 
+/// Asks which builds the models had before the sender started. Answered once the receiver knows.
+struct BuildHistoryQuery {
+  static constexpr auto kType = answerBuildMessage(4);
+  MSGPACK_DEFINE()
+};
+
+struct BuildHistoryReply {
+  static constexpr auto kType = answerBuildMessage(5);
+  /// All builds that may have begun answers, also those with engines in the fleet, whose age is
+  /// zero.
+  std::vector<DepartedBuild> builds;
+  MSGPACK_DEFINE(builds)
+};
+
 }  // namespace cypresswall::answer_builds
--- a/src/cypresswall/answer_builds/settings.h
+++ b/src/cypresswall/answer_builds/settings.h
@@ -18,6 +18,15 @@
   std::size_t asked_nodes = 4;
   /// Time within which a node that was asked must answer.
   common::Duration answer_limit = std::chrono::milliseconds(150);
+  /// Number of nodes that a node which has started asks at a time for the builds that the models
+  /// had before.
+  std::size_t nodes_asked_for_history = 4;
+  /// Time after which a node that still doesn't know these builds asks other nodes.
+  common::Duration history_interval = std::chrono::milliseconds(500);
+  /// Longest time that a search for the build of an answer waits for these builds to be known.
+  common::Duration history_limit = std::chrono::seconds(1);
+  /// Delay before the next call to the store after a failed one.
+  common::Duration store_retry_delay = std::chrono::seconds(1);
   /// Maximum number of answers that a node knows, about 60 bytes each. The oldest are evicted
   /// first.
   std::size_t maximum_records = 65536;
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -29,8 +29,10 @@
   kFairShares = 6,      ///< adds the messages of `fleet_limits` on fair shares of scarce pools
   kForwarding = 7,      ///< adds the messages of `forwarding`
   kAnswerBuilds = 8,    ///< adds the messages of `answer_builds`
+  kAnsweredParts = 9,   ///< adds the message of `quarantine` on parts that were answered
+  kBuildHistory = 10,   ///< adds the messages of `answer_builds` on the builds that models had
 };
-inline constexpr MessageSet kHandledMessages = MessageSet::kAnswerBuilds;
+inline constexpr MessageSet kHandledMessages = MessageSet::kBuildHistory;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -83,7 +83,7 @@
                          [this] { return connection_part_.fraction(); }),
       quarantine_(settings_.quarantine, settings_.membership.neighbours, context_, membership_,
                   clients.engines, clients.object_store),
-      answer_builds_(settings_.answer_builds, context_, membership_),
+      answer_builds_(settings_.answer_builds, context_, membership_, clients.object_store),
       duties_(settings_.duties, context_, membership_, settings_.membership.machine,
               clients.object_store, clients.duties, clients.time_of_day),
       autoscaling_(settings_.autoscaling, context_, membership_, configuration_view_, duties_,
@@ -192,6 +192,7 @@
   engines_.start();
   rate_limits_.start();
   quarantine_.start();
+  answer_builds_.start();
   duties_.start();
   autoscaling_.start();
   controller_.start();
