Blame the part before one that turned out to be sound

Cause: a part of prompts crashed engines without end. Crashes under a part were stored as one if the next part was the same, so that a part isn't blamed for the one behind it. A crashing first part that always has the same part behind it therefore never had more than one crash. The part behind it was blamed instead, contradicted by the next sound answer and let go, and nothing turned to the part before it.

Whole nodes with one part behind the crashing one: no sound request served after 10 s, since the common part stayed quarantined.

Change: a crash is stored with its engine and the next part, and suffices() decides what counts as one. A part that is answered is exonerated where a crash under the part before it was seen; that node reports the crash again, now without a next part to explain it. A counting node that knows of an answer tells whoever reports a crash under the part (AnsweredPart). So blame moves towards the front, with the crashes that are counted already, also over several parts. One part in front of which answers come is not blamed, as before: any answer with it clears it.

Ways weighed: blame for pairs of parts (counted anew for each part in front); a trial request during a quarantine (three arrivals are all that may come); a set of suspects at one node (lost with it).

Tests, seen to fail before: crashingPartBeforePartsOfAllPrompts (whole nodes, 9 and 40, two, three and five shared parts, each position), partBeforeAnAnsweredPartIsBlamed (1 to 300 nodes, answers at three places, at most five crashes). soundPartsAreNotQuarantined holds: 60 engines that end for another reason blame no part.

--- a/src/cypresswall/quarantine/crash_history.cpp
+++ b/src/cypresswall/quarantine/crash_history.cpp
@@ -1,12 +1,15 @@
 #include "cypresswall/quarantine/crash_history.h"
 
 #include <algorithm>
+#include <map>
 
 namespace cypresswall::quarantine {
 namespace {
 
 /// Weight of a crash before any output, in units of one after output began.
 constexpr std::size_t kWeightWithoutOutput = 2;
+/// Maximum number of crashes that are stored for one request or part.
+constexpr std::size_t kMaximumCrashes = 16;
 
 }  // namespace
 
@@ -22,18 +25,45 @@
       std::find_if(entry.crashes.begin(), entry.crashes.end(),
                    [&](const CrashObservation& other) { return same(other, crash); });
   if (known != entry.crashes.end()) {
-    // Several copies of the request ran on the engine.
+    // Several copies of the request ran on the engine, or the next part has been exonerated since
+    // the earlier report.
     known->output_began = known->output_began && crash.output_began;
-  } else if (entry.crashes.size() < settings_.crashes * kWeightWithoutOutput) {
-    // Crashes beyond the threshold need not be stored, since they do not change the decision.
+    known->next_part = crash.next_part == 0 ? 0 : known->next_part;
+  } else if (hasRoomFor(entry.crashes, crash)) {
     entry.crashes.push_back(crash);
   }
 }
 
 bool CrashHistory::same(const CrashObservation& left, const CrashObservation& right) const {
   const auto apart = left.at > right.at ? left.at - right.at : right.at - left.at;
-  const bool same_engine = left.engine == right.engine && apart < settings_.crash_merge_window;
-  return same_engine || (left.next_part != 0 && left.next_part == right.next_part);
+  return left.engine == right.engine && apart < settings_.crash_merge_window;
+}
+
+bool CrashHistory::hasRoomFor(const std::vector<CrashObservation>& crashes,
+                              const CrashObservation& crash) const {
+  const auto alike = std::count_if(crashes.begin(), crashes.end(), [&](const auto& other) {
+    return other.next_part == crash.next_part && other.output_began == crash.output_began;
+  });
+  const std::size_t weight = crash.output_began ? 1 : kWeightWithoutOutput;
+  return static_cast<std::size_t>(alike) * weight < settings_.crashes * kWeightWithoutOutput &&
+         crashes.size() < kMaximumCrashes;
+}
+
+std::vector<common::RequestFingerprint> CrashHistory::exonerate(common::RequestFingerprint part) {
+  std::vector<common::RequestFingerprint> parts_before;
+  for (auto& [request, entry] : requests_) {
+    bool changed = false;
+    for (CrashObservation& crash : entry.crashes) {
+      if (crash.next_part == part) {
+        crash.next_part = 0;
+        changed = true;
+      }
+    }
+    if (changed) {
+      parts_before.push_back(request);
+    }
+  }
+  return parts_before;
 }
 
 std::size_t CrashHistory::crashes(common::RequestFingerprint request,
@@ -54,10 +84,21 @@
     return false;
   }
   std::size_t weight = 0;
+  std::map<common::RequestFingerprint, std::size_t> weight_by_next_part;
   for (const CrashObservation& crash : found->second.crashes) {
-    if (recent(crash, now)) {
-      weight += crash.output_began ? 1 : kWeightWithoutOutput;
+    if (!recent(crash, now)) {
+      continue;
     }
+    const std::size_t weight_of_crash = crash.output_began ? 1 : kWeightWithoutOutput;
+    if (crash.next_part == 0) {
+      weight += weight_of_crash;
+    } else {
+      auto& heaviest = weight_by_next_part[crash.next_part];
+      heaviest = std::max(heaviest, weight_of_crash);
+    }
+  }
+  for (const auto& [next_part, heaviest] : weight_by_next_part) {
+    weight += heaviest;
   }
   return weight >= settings_.crashes * kWeightWithoutOutput;
 }
--- a/src/cypresswall/quarantine/crash_history.h
+++ b/src/cypresswall/quarantine/crash_history.h
@@ -17,6 +17,7 @@
 struct CrashObservation {
   std::uint64_t engine = 0;
   bool output_began = false;
+  /// The next part of the prompt, if that part may have caused the crash instead; otherwise zero.
   common::RequestFingerprint next_part = 0;
   common::MonotonicTime at{};
 };
@@ -28,16 +29,19 @@
   explicit CrashHistory(const QuarantineSettings& settings) : settings_(settings) {}
 
   /// Records that an engine crashed while it ran the request. Reports of one engine for one request
-  /// count as one crash if they are less than QuarantineSettings::crash_merge_window apart. Crashes
-  /// under a part of prompts that have the next part in common count as one as well: that part,
-  /// which fewer prompts have, explains them better.
+  /// are one crash if they are less than QuarantineSettings::crash_merge_window apart.
   void add(common::RequestFingerprint request, const CrashObservation& crash,
            common::MonotonicTime now);
+  /// Records that prompts with the part were answered, so that the part did not cause the recorded
+  /// crashes. \return the parts that stood before it in crashes, whose evidence is stronger now
+  std::vector<common::RequestFingerprint> exonerate(common::RequestFingerprint part);
   /// Removes all crashes under the request. \return false if there were none
   bool forget(common::RequestFingerprint request) { return requests_.erase(request) != 0; }
   /// \return the number of recent engine crashes under the request that are stored
   std::size_t crashes(common::RequestFingerprint request, common::MonotonicTime now) const;
-  /// \return true if the recent crashes suffice to quarantine the request
+  /// \return true if the recent crashes suffice to quarantine the request. Crashes under a part of
+  ///   prompts that have the next part in common count as one: that part, which fewer prompts have,
+  ///   explains them better until it is exonerated.
   bool suffices(common::RequestFingerprint request, common::MonotonicTime now) const;
   /// \return the time of the first recent crash; `now` if there is none
   common::MonotonicTime firstCrash(common::RequestFingerprint request,
@@ -55,8 +59,11 @@
   bool recent(const CrashObservation& crash, common::MonotonicTime now) const {
     return now - crash.at < settings_.memory;
   }
-  /// \return true if the two count as one crash
+  /// \return true if both report the same crash of one engine
   bool same(const CrashObservation& left, const CrashObservation& right) const;
+  /// \return true if a further crash could change the decision of suffices()
+  bool hasRoomFor(const std::vector<CrashObservation>& crashes,
+                  const CrashObservation& crash) const;
   void evictOldest();
 
   const QuarantineSettings settings_;
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -55,7 +55,11 @@
       size_gauge_(context.counters.gauge("cypresswall_quarantine_requests",
                                          "Requests that are kept from engines")) {
   context_.dispatcher.handle<CrashReport>(
-      [this](const common::NodeId&, const CrashReport& report) { onReport(report); });
+      [this](const common::NodeId& sender, const CrashReport& report) {
+        onReport(sender, report);
+      });
+  context_.dispatcher.handle<AnsweredPart>(
+      [this](const common::NodeId&, const AnsweredPart& answer) { onPartAnswered(answer.part); });
   context_.dispatcher.handle<QuarantineNotice>(
       [this](const common::NodeId& sender, const QuarantineNotice& notice) {
         onNotice(sender, notice);
@@ -159,6 +163,7 @@
   for (const common::RequestFingerprint part : content.shared_parts) {
     answered_parts_.add(part, now);
     clear(part, true);
+    blamePartsBefore(part);
   }
 }
 
@@ -173,18 +178,25 @@
   }
 }
 
+void FleetQuarantine::blamePartsBefore(common::RequestFingerprint part) {
+  const auto now = context_.clock.now();
+  for (const common::RequestFingerprint before : observed_.exonerate(part)) {
+    report({before, observed_.all(before, now), true});
+  }
+}
+
 void FleetQuarantine::report(const CrashReport& report) {
   for (const auto& node : membership::rendezvousNodes(common::toString(report.request),
                                                       eligibleNodes(), kCountingNodes)) {
     if (node == context_.self) {
-      onReport(report);
+      onReport(context_.self, report);
     } else {
       context_.sendTo(node, report);
     }
   }
 }
 
-void FleetQuarantine::onReport(const CrashReport& report) {
+void FleetQuarantine::onReport(const common::NodeId& sender, const CrashReport& report) {
   if (!settings_.quarantines || report.request == 0) {
     return;
   }
@@ -198,6 +210,9 @@
     counted_.add(report.request, {crash.engine, crash.output_began, crash.next_part, now - age},
                  now);
   }
+  if (report.is_part && voidIfAnswered(sender, report.request)) {
+    return;
+  }
   if (!counted_.suffices(report.request, now)) {
     return;
   }
@@ -209,6 +224,26 @@
   quarantineForZone(kept, "crashes");
 }
 
+bool FleetQuarantine::voidIfAnswered(const common::NodeId& sender,
+                                     common::RequestFingerprint part) {
+  const auto first_crash = counted_.firstCrash(part, context_.clock.now());
+  if (!answered_parts_.answeredSince(part, first_crash)) {
+    return false;
+  }
+  counted_.forget(part);
+  if (sender == context_.self) {
+    onPartAnswered(part);
+  } else if (membership_.handles(sender, api::MessageSet::kAnsweredParts)) {
+    context_.sendTo(sender, AnsweredPart{part});
+  }
+  return true;
+}
+
+void FleetQuarantine::onPartAnswered(common::RequestFingerprint part) {
+  observed_.forget(part);
+  blamePartsBefore(part);
+}
+
 void FleetQuarantine::quarantineForZone(const QuarantinedRequest& kept, const char* source) {
   if (contradictedByAnswer(kept)) {
     counted_.forget(kept.request);
@@ -259,6 +294,7 @@
   list_.remove(request);
   // Notices that were sent before the release may still arrive; they must not begin a quarantine.
   answered_parts_.add(request, now);
+  blamePartsBefore(request);
   if (!answered_.contains(request, now)) {
     answered_.add(request, now);
   } else if (!kept) {
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -72,8 +72,15 @@
                bool output_began, common::RequestFingerprint next_part);
   /// Forgets the crashes under a request or part that was answered, and ends its quarantine.
   void clear(common::RequestFingerprint fingerprint, bool is_part);
+  /// Reports the crashes that the part no longer explains under the parts that stood before it.
+  void blamePartsBefore(common::RequestFingerprint part);
   void report(const CrashReport& report);
-  void onReport(const CrashReport& report);
+  void onReport(const common::NodeId& sender, const CrashReport& report);
+  /// \return true if the crash reports for a part were void, as a prompt with the part has been
+  ///   answered since the first of these crashes; `sender` is then told
+  bool voidIfAnswered(const common::NodeId& sender, common::RequestFingerprint part);
+  /// Handles the knowledge that a part did not cause the crashes that this node reported under it.
+  void onPartAnswered(common::RequestFingerprint part);
   void onNotice(const common::NodeId& sender, const QuarantineNotice& notice);
   /// \return the duration of a new quarantine
   std::uint32_t quarantineMilliseconds() const;
--- a/src/cypresswall/quarantine/messages.h
+++ b/src/cypresswall/quarantine/messages.h
@@ -56,4 +56,12 @@
   MSGPACK_DEFINE(requests)
 };
 
+/// Sent by a counting node to a node that reported a crash under a part of prompts, if a prompt
+/// with the part has been answered since: the part did not cause the crash.
+struct AnsweredPart {
+  static constexpr auto kType = api::messageType(api::MessageType::kQuarantineFirst, 2);
+  common::RequestFingerprint part = 0;
+  MSGPACK_DEFINE(part)
+};
+
 }  // namespace cypresswall::quarantine
--- a/tests/quarantine/crashing_parts_test.cpp
+++ b/tests/quarantine/crashing_parts_test.cpp
@@ -30,7 +30,6 @@
 /// First part of all prompts, and further parts that a few prompts share.
 constexpr PieceHash kFirstPart = 0xF1;
 constexpr PieceHash kFirstOfFewParts = 0x5000;
-constexpr std::uint64_t kFewParts = 30;
 constexpr PieceHash kCrashingPart = 0xDEAD;
 constexpr PieceHash kOtherCrashingPart = 0xBAD;
 /// The last part of each prompt is its own.
@@ -50,8 +49,12 @@
   std::set<PieceHash> crashing = {kCrashingPart};
   /// One request in this many has a crashing part.
   int crashing_interval = 6;
-  /// The crashing part is the first part of its prompts.
-  bool crashes_on_first_part = false;
+  /// Number of parts that a prompt shares with others. The first is the same in all sound prompts.
+  std::size_t shared_parts = 2;
+  /// Number of different parts at each later position.
+  std::uint64_t few_parts = 30;
+  /// Position of the crashing part in its prompts.
+  std::size_t crashing_position = 1;
   bool all_nodes_restart = false;
 };
 
@@ -141,11 +144,14 @@
  private:
   std::vector<PieceHash> partsOf(bool crashes) {
     auto& random = fleet_->simulation().random();
-    std::vector<PieceHash> parts = {kFirstPart, kFirstOfFewParts + random.below(kFewParts)};
+    std::vector<PieceHash> parts = {kFirstPart};
+    while (parts.size() < scenario_.shared_parts) {
+      parts.push_back(kFirstOfFewParts * parts.size() + random.below(scenario_.few_parts));
+    }
     if (crashes) {
       auto part = scenario_.crashing.begin();
       std::advance(part, random.below(scenario_.crashing.size()));
-      parts[scenario_.crashes_on_first_part ? 0 : 1] = *part;
+      parts[scenario_.crashing_position] = *part;
     }
     parts.push_back(kFirstOwnPart + fleet_->records().size());
     if (crashes) {
@@ -182,6 +188,7 @@
   CPPUNIT_TEST(partIsQuarantinedInLargeZone);
   CPPUNIT_TEST(twoPartsAtOnce);
   CPPUNIT_TEST(crashingFirstPart);
+  CPPUNIT_TEST(crashingPartBeforePartsOfAllPrompts);
   CPPUNIT_TEST(everyThirdRequestCrashes);
   CPPUNIT_TEST(quarantineSurvivesNodeRestarts);
   CPPUNIT_TEST(soundPartsAreNotQuarantined);
@@ -203,9 +210,28 @@
   }
   void crashingFirstPart() {
     Scenario scenario;
-    scenario.crashes_on_first_part = true;
+    scenario.crashing_position = 0;
     requireQuarantined(scenario);
   }
+  /// Guards against crashes without end: since the parts behind the crashing one were the same in
+  /// all prompts, they were blamed in its place and released again.
+  void crashingPartBeforePartsOfAllPrompts() {
+    for (const std::size_t shared_parts : {2, 3, 5}) {
+      for (std::size_t position = 0; position + 1 < shared_parts; ++position) {
+        Scenario scenario;
+        scenario.shared_parts = shared_parts;
+        scenario.few_parts = 1;
+        scenario.crashing_position = position;
+        requireQuarantined(scenario);
+      }
+    }
+    Scenario large;
+    large.nodes = 40;
+    large.engines = 36;
+    large.few_parts = 1;
+    large.crashing_position = 0;
+    requireQuarantined(large);
+  }
   void everyThirdRequestCrashes() {
     Scenario scenario;
     scenario.crashing_interval = 3;
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(partOfDifferentRequestsIsQuarantinedOnAllNodes);
   CPPUNIT_TEST(narrowestPartIsBlamed);
   CPPUNIT_TEST(firstPartOfDifferentPromptsIsBlamed);
+  CPPUNIT_TEST(partBeforeAnAnsweredPartIsBlamed);
   CPPUNIT_TEST(partAnsweredSinceFirstCrashIsNotBlamed);
   CPPUNIT_TEST(partAnsweredBeforeFirstCrashIsBlamed);
   CPPUNIT_TEST(streamsWithOutputDoNotBlameParts);
@@ -388,6 +389,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kSecondPart + 1));
   }
 
+  /// The same part stands behind the crashing one in all prompts, and sound prompts with it are
+  /// answered, at any node.
+  void partBeforeAnAnsweredPartIsBlamed() {
+    constexpr std::size_t kMaximumCrashes = 5;
+    for (const std::size_t nodes : {1, 2, 9, 24, 66, 300}) {
+      for (const std::size_t answering : {std::size_t{0}, nodes / 2, nodes - 1}) {
+        QuarantineZone zone(nodes);
+        for (std::size_t crash = 1; crash <= kMaximumCrashes; ++crash) {
+          zone.crashUnder(crash % nodes,
+                          {kFirstRequest + crash, {kCrashingPart, kFirstPart, kSecondPart}},
+                          static_cast<int>(crash));
+          zone.run(milliseconds(100));
+          zone.at(answering).answered({kInnocentRequest, {kFirstPart, kSecondPart}});
+          zone.run(milliseconds(400));
+        }
+        zone.run(kPropagationTime);
+        const std::string name =
+            std::to_string(nodes) + " nodes, answers at " + std::to_string(answering);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, nodes, zone.nodesThatQuarantine(kCrashingPart));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{0}, zone.nodesThatQuarantine(kFirstPart));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{0}, zone.nodesThatQuarantine(kSecondPart));
+      }
+    }
+  }
+
   void partAnsweredSinceFirstCrashIsNotBlamed() {
     for (const std::size_t nodes : {9, 66}) {
       QuarantineZone zone(nodes);
