A crash after the first token counts for the parts of the prompt

Cause: a part that crashes engines right after the first token was never quarantined: streamCrashed() blamed no part once a stream had output.

Change: the quarantine is told how far the answer had come (OutputProgress in place of a flag). A stream that had its first token only counts half for each shared part, as it does for its request. Streams that are further on blame no part, as before: on an engine with 32 streams they are the ones beside it, while one is at its first token for a short time only.

--- a/src/cypresswall/emulation/engine_settings.h
+++ b/src/cypresswall/emulation/engine_settings.h
@@ -90,6 +90,8 @@
   std::uint64_t crash_on_content_hash = 0;
   /// The same for streams whose prompt contains one of these pieces.
   std::set<common::PieceHash> crash_on_pieces = {};
+  /// These two crashes come instead of the second token.
+  bool crashes_after_first_token = false;
   /// Limit on the requests per second of all nodes together that the engine advertises in its
   /// answers but does not enforce; none if not set.
   std::optional<double> rate_limit = {};
--- a/src/cypresswall/emulation/engine_steps.cpp
+++ b/src/cypresswall/emulation/engine_steps.cpp
@@ -173,7 +173,8 @@
     finishStream(stream);
     return;
   }
-  if (crashesOn(stream.request.shape)) {
+  const std::uint32_t given_before_crash = faults_.crashes_after_first_token ? 1 : 0;
+  if (stream.given == given_before_crash && crashesOn(stream.request.shape)) {
     crash();
     return;
   }
--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -390,11 +390,19 @@
 void ModelRequest::onAttemptFailed(engines::StreamFailure failure, const std::string& message) {
   const auto self = shared_from_this();
   if (failure == engines::StreamFailure::kBroken) {
-    core_.quarantine.streamBroken(content_, attemptedEngine(), token_seen_in_attempt_);
+    core_.quarantine.streamBroken(content_, attemptedEngine(), attemptProgress());
   }
   onAttemptLost(failure, message);
 }
 
+quarantine::OutputProgress ModelRequest::attemptProgress() const {
+  if (!token_seen_in_attempt_) {
+    return quarantine::OutputProgress::kNone;
+  }
+  return tokens_given_ == first_token_index_ + 1 ? quarantine::OutputProgress::kFirstToken
+                                                 : quarantine::OutputProgress::kUnderWay;
+}
+
 const engines::EngineEndpoint& ModelRequest::attemptedEngine() const {
   return phase_ == engines::StreamPhase::kPrefillOnly ? *route_->prefill_engine : route_->engine;
 }
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -85,6 +85,7 @@
 
   /// \pre an attempt is in progress
   const engines::EngineEndpoint& attemptedEngine() const;
+  quarantine::OutputProgress attemptProgress() const;
   void onAttemptLost(engines::StreamFailure failure, const std::string& message);
   void retryAfterRun(const std::string& message);
   void retryAfterNoRun(engines::StreamFailure failure, const std::string& message);
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -94,32 +94,33 @@
 }
 
 void FleetQuarantine::streamBroken(const common::RequestContent& content,
-                                   const engines::EngineEndpoint& engine, bool output_began) {
+                                   const engines::EngineEndpoint& engine, OutputProgress progress) {
   if (!settings_.quarantines || content.request == 0) {
     return;
   }
-  detector_.probeEngine(engine, [this, content, name = engine.name, output_began](bool ended) {
+  detector_.probeEngine(engine, [this, content, name = engine.name, progress](bool ended) {
     if (ended) {
-      onEngineSilent(content, name, output_began);
+      onEngineSilent(content, name, progress);
     }
   });
 }
 
 void FleetQuarantine::onEngineSilent(const common::RequestContent& content, const std::string& name,
-                                     bool output_began) {
+                                     OutputProgress progress) {
   if (server_path_ == nullptr) {
-    streamCrashed(content, name, output_began);
+    streamCrashed(content, name, progress);
     return;
   }
-  server_path_->check([this, content, name, output_began](bool works) {
+  server_path_->check([this, content, name, progress](bool works) {
     if (works) {
-      streamCrashed(content, name, output_began);
+      streamCrashed(content, name, progress);
     }
   });
 }
 
 void FleetQuarantine::streamCrashed(const common::RequestContent& content, const std::string& name,
-                                    bool output_began) {
+                                    OutputProgress progress) {
+  const bool output_began = progress != OutputProgress::kNone;
   common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_crashed_under_request")
       .field("fingerprint", common::toString(content.request))
       .field("parts", common::sharedPartsText(content))
@@ -127,12 +128,13 @@
       .field("output_began", output_began);
   crashes_.add();
   crashed(content.request, false, name, output_began, 0);
-  if (output_began) {
+  if (progress == OutputProgress::kUnderWay) {
     return;
   }
   const auto& parts = content.shared_parts;
   for (std::size_t index = 0; index < parts.size(); ++index) {
-    crashed(parts[index], true, name, false, index + 1 < parts.size() ? parts[index + 1] : 0);
+    crashed(parts[index], true, name, output_began,
+            index + 1 < parts.size() ? parts[index + 1] : 0);
   }
 }
 
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -52,7 +52,7 @@
 
   std::optional<common::Duration> quarantinedFor(const common::RequestContent& content) override;
   void streamBroken(const common::RequestContent& content, const engines::EngineEndpoint& engine,
-                    bool output_began) override;
+                    OutputProgress progress) override;
   void callBroken(common::RequestFingerprint request, const common::Address& backend) override;
   void answered(const common::RequestContent& content) override;
 
@@ -62,9 +62,9 @@
  private:
   /// Records the crash of an engine that does not answer, if this node reaches other servers.
   void onEngineSilent(const common::RequestContent& content, const std::string& name,
-                      bool output_began);
+                      OutputProgress progress);
   void streamCrashed(const common::RequestContent& content, const std::string& name,
-                     bool output_began);
+                     OutputProgress progress);
   /// \param fingerprint of a whole request or, if `is_part` is set, of a part of its prompt
   /// \param name name of the crashed engine, or address of the crashed back end
   /// \param next_part see EngineCrash::next_part
--- a/src/cypresswall/quarantine/request_quarantine.h
+++ b/src/cypresswall/quarantine/request_quarantine.h
@@ -1,6 +1,7 @@
 /// Quarantine of requests that crash every engine that runs them.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "cypresswall/common/identifiers.h"
@@ -10,6 +11,13 @@
 
 namespace cypresswall::quarantine {
 
+/// What an engine had given of an answer when the stream broke.
+enum class OutputProgress : std::uint8_t {
+  kNone,
+  kFirstToken,  ///< the first token only
+  kUnderWay,    ///< more than that
+};
+
 class RequestQuarantine {
  public:
   virtual ~RequestQuarantine() = default;
@@ -19,9 +27,9 @@
   virtual std::optional<common::Duration> quarantinedFor(const common::RequestContent& content) = 0;
   /// To be called when a stream of the request broke after the request was sent. Probes the engine
   /// to find out whether it crashed.
-  /// \param output_began whether the stream had delivered output of this engine
+  /// \param progress the output of this engine that the stream had delivered
   virtual void streamBroken(const common::RequestContent& content,
-                            const engines::EngineEndpoint& engine, bool output_began) = 0;
+                            const engines::EngineEndpoint& engine, OutputProgress progress) = 0;
   /// To be called when a plain back end (one that is not an engine) closed the connection while it
   /// processed the request. This counts as a crash without a probe, since a probe would occupy one
   /// of the back end's request slots.
--- a/tests/execution/process_fixture.h
+++ b/tests/execution/process_fixture.h
@@ -77,7 +77,8 @@
                : std::nullopt;
   }
   void streamBroken(const common::RequestContent& content, const engines::EngineEndpoint& engine,
-                    bool) override {
+                    quarantine::OutputProgress progress) override {
+    progress_of_broken.push_back(progress);
     broken.emplace_back(content.request, engine.name);
   }
   void callBroken(common::RequestFingerprint request, const common::Address& backend) override {
@@ -89,6 +90,8 @@
 
   std::set<common::RequestFingerprint> quarantined;
   std::vector<std::pair<common::RequestFingerprint, std::string>> broken;
+  /// Of the broken streams, in order.
+  std::vector<quarantine::OutputProgress> progress_of_broken;
   std::vector<common::RequestFingerprint> answers;
 };
 
--- a/tests/quarantine/crashing_parts_test.cpp
+++ b/tests/quarantine/crashing_parts_test.cpp
@@ -56,6 +56,8 @@
   /// Position of the crashing part in its prompts.
   std::size_t crashing_position = 1;
   bool all_nodes_restart = false;
+  /// Engines crash on the part once they have given the first token.
+  bool crashes_after_first_token = false;
 };
 
 class Fleet {
@@ -75,6 +77,7 @@
     fleet_->bringUp();
     emulation::EngineFaults faults;
     faults.crash_on_pieces = scenario.crashing;
+    faults.crashes_after_first_token = scenario.crashes_after_first_token;
     for (const auto& [address, engine] : fleet_->engines().all()) {
       engine->setFaults(faults);
     }
@@ -189,6 +192,7 @@
   CPPUNIT_TEST(twoPartsAtOnce);
   CPPUNIT_TEST(crashingFirstPart);
   CPPUNIT_TEST(crashingPartBeforePartsOfAllPrompts);
+  CPPUNIT_TEST(crashesAfterTheFirstToken);
   CPPUNIT_TEST(everyThirdRequestCrashes);
   CPPUNIT_TEST(quarantineSurvivesNodeRestarts);
   CPPUNIT_TEST(soundPartsAreNotQuarantined);
@@ -232,6 +236,18 @@
     large.crashing_position = 0;
     requireQuarantined(large);
   }
+  /// Guards against crashes without end: a crash after the first token blamed no part.
+  void crashesAfterTheFirstToken() {
+    for (const std::size_t position : {0, 1}) {
+      for (const std::uint64_t few_parts : {1, 30}) {
+        Scenario scenario;
+        scenario.crashes_after_first_token = true;
+        scenario.crashing_position = position;
+        scenario.few_parts = few_parts;
+        requireQuarantined(scenario);
+      }
+    }
+  }
   void everyThirdRequestCrashes() {
     Scenario scenario;
     scenario.crashing_interval = 3;
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(partAnsweredBeforeFirstCrashIsBlamed);
   CPPUNIT_TEST(streamsWithOutputDoNotBlameParts);
   CPPUNIT_TEST(streamsWithOutputCountHalf);
+  CPPUNIT_TEST(firstTokensCountHalfForParts);
   CPPUNIT_TEST(partIsReleasedAfterFixedTime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -444,7 +445,8 @@
     QuarantineZone zone(9);
     for (int engine = 1; engine <= 9; ++engine) {
       const auto number = static_cast<std::size_t>(engine);
-      zone.crashUnder(number % zone.size(), {kFirstRequest + number, {kFirstPart}}, engine, true);
+      zone.crashUnder(number % zone.size(), {kFirstRequest + number, {kFirstPart}}, engine,
+                      OutputProgress::kUnderWay);
       zone.run(milliseconds(100));
     }
     zone.run(kPropagationTime);
@@ -455,13 +457,28 @@
     QuarantineZone zone(9);
     for (int engine = 1; engine <= 6; ++engine) {
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingRequest));
-      zone.crashUnder(static_cast<std::size_t>(engine), {kCrashingRequest, {}}, engine, true);
+      zone.crashUnder(static_cast<std::size_t>(engine), {kCrashingRequest, {}}, engine,
+                      OutputProgress::kUnderWay);
       zone.run(milliseconds(100));
     }
     zone.run(kPropagationTime);
     CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingRequest));
   }
 
+  /// Engines crash right after the first token of prompts with the part.
+  void firstTokensCountHalfForParts() {
+    QuarantineZone zone(9);
+    for (int engine = 1; engine <= 6; ++engine) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingPart));
+      const auto number = static_cast<std::size_t>(engine);
+      zone.crashUnder(number, {kFirstRequest + number, {kCrashingPart}}, engine,
+                      OutputProgress::kFirstToken);
+      zone.run(milliseconds(100));
+    }
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingPart));
+  }
+
   /// A part that was blamed wrongly must not be refused for as long as callers send it.
   void partIsReleasedAfterFixedTime() {
     QuarantineZone zone(9);
--- a/tests/quarantine/quarantine_zone.h
+++ b/tests/quarantine/quarantine_zone.h
@@ -126,13 +126,14 @@
     breakStream(node, request, engine);
   }
   void breakStream(std::size_t node, common::RequestFingerprint request, int engine) {
-    nodes_[node].quarantine->streamBroken({request, {}}, endpoint(engine), false);
+    nodes_[node].quarantine->streamBroken({request, {}}, endpoint(engine),
+                                          quarantine::OutputProgress::kNone);
   }
   /// Crashes an engine under a request whose prompt has shared parts.
   void crashUnder(std::size_t node, const common::RequestContent& content, int engine,
-                  bool output_began = false) {
+                  quarantine::OutputProgress progress = quarantine::OutputProgress::kNone) {
     endEngine(engine);
-    nodes_[node].quarantine->streamBroken(content, endpoint(engine), output_began);
+    nodes_[node].quarantine->streamBroken(content, endpoint(engine), progress);
   }
   quarantine::FleetQuarantine& at(std::size_t node) { return *nodes_[node].quarantine; }
   bool isQuarantined(std::size_t node, common::RequestFingerprint request) const {
