The soak kills all nodes, gives an address on and crashes parts of prompts

New kinds: all daemons are killed at the same moment, beside engines of two builds; another service has the address of the back end; engines crash on one part of prompts, first, second or third, which all nodes must refuse after 8 s.

--- a/standins/fronts/engine_json.cpp
+++ b/standins/fronts/engine_json.cpp
@@ -154,6 +154,9 @@
   faults.rate_limit = rateLimitOr(body, faults.rate_limit);
   faults.leaving = fieldOr(body, "leaving", faults.leaving);
   faults.pause = pauseOr(body, faults.pause);
+  if (const auto pieces = body.find("crash_on_pieces"); pieces != body.end()) {
+    faults.crash_on_pieces = pieces->get<std::set<common::PieceHash>>();
+  }
 }
 
 json encodeReply(const engines::OrderReply& reply) {
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -128,6 +128,29 @@
   waitUntil("a restarted node is ready", [this, node] { return ready(node); });
 }
 
+void TestFleet::killAll() {
+  for (const auto& daemon : daemons_) {
+    daemon->kill();
+  }
+}
+
+void TestFleet::startAll() {
+  for (std::size_t node = 0; node < nodes(); ++node) {
+    startDaemon(node);
+  }
+}
+
+void TestFleet::waitUntilAllAreReady() const {
+  waitUntil("all nodes are ready again", [this] {
+    for (std::size_t node = 0; node < nodes(); ++node) {
+      if (!ready(node)) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
 bool TestFleet::ready(std::size_t node) const {
   return httpCall("GET", gateways_[node], "/readyz").status == 200;
 }
@@ -208,6 +231,10 @@
   httpCall("POST", platform_, "/admin/faults", fault.dump());
 }
 
+void TestFleet::serviceFault(const json& fault) const {
+  httpCall("POST", service_, "/admin/faults", fault.dump());
+}
+
 json TestFleet::serviceLedger() const {
   return json::parse(httpCall("GET", service_, "/admin/ledger").body);
 }
--- a/tests/process/test_fleet.h
+++ b/tests/process/test_fleet.h
@@ -39,6 +39,11 @@
   Program& daemon(std::size_t node) { return *daemons_[node]; }
   /// Restarts a daemon that has ended, and waits until it is ready.
   void restart(std::size_t node);
+  /// Kills all daemons at the same moment.
+  void killAll();
+  /// Starts all daemons after killAll(); doesn't wait.
+  void startAll();
+  void waitUntilAllAreReady() const;
   bool ready(std::size_t node) const;
 
   /// Runs an operator command at a node. \return the JSON of the answer
@@ -52,6 +57,7 @@
   nlohmann::json engineLoad(std::size_t engine) const;
   nlohmann::json engineLedger(std::size_t engine) const;
   void platformFault(const nlohmann::json& fault) const;
+  void serviceFault(const nlohmann::json& fault) const;
   nlohmann::json serviceLedger() const;
   std::size_t engines() const { return engines_.size(); }
   const std::vector<std::string>& engineBuilds() const { return engine_builds_; }
--- a/tests/soak/soak_round.h
+++ b/tests/soak/soak_round.h
@@ -38,6 +38,9 @@
   std::string throughProxy(const std::string& target);
   void injectFault(const PlannedFault& fault);
   void clearFault(const PlannedFault& fault);
+  /// Has callers send prompts with a part that crashes engines, until all nodes must refuse them.
+  /// \param position of the part in the prompts
+  void sendCrashingPrompts(std::size_t position);
   /// Submits a configuration change; checkAcceptedChanges() requires that an accepted one persists.
   void submitChange(std::size_t number);
   void checkAcceptedChanges();
@@ -48,6 +51,7 @@
   std::vector<std::unique_ptr<TcpProxy>> proxies_;
   std::unique_ptr<TestFleet> fleet_;
   std::vector<std::string> accepted_;
+  std::size_t crashing_prompts_ = 0;
   SoakResult result_;
 };
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,6 +1,7 @@
 /// Replays soak rounds that failed before, and tests the fault plan.
 #include <fstream>
 #include <sstream>
+#include <vector>
 
 #include "tests/soak/soak_round.h"
 #include "tests/support/property.h"
@@ -13,6 +14,7 @@
   CPPUNIT_TEST(sameSeedGivesSamePlan);
   CPPUNIT_TEST(everyKindIsPlanned);
   CPPUNIT_TEST(regressionSeedsPass);
+  CPPUNIT_TEST(allNodesEndAndPartsOfPromptsCrash);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -33,6 +35,20 @@
     }
   }
 
+  /// All nodes end at once, the service's address is given to another one, and a part of prompts
+  /// crashes engines, first, second and third.
+  void allNodesEndAndPartsOfPromptsCrash() {
+    constexpr std::chrono::milliseconds kTime{500};
+    const std::vector<PlannedFault> plan = {
+        {FaultKind::kServiceReplaced, 0, kTime, kTime}, {FaultKind::kPartCrashes, 0, kTime, kTime},
+        {FaultKind::kPartCrashes, 1, kTime, kTime},     {FaultKind::kPartCrashes, 2, kTime, kTime},
+        {FaultKind::kAllNodesKilled, 0, kTime, kTime},
+    };
+    const auto result = SoakRound(plan).run();
+    const std::string first = result.violations.empty() ? "" : result.violations.front();
+    CPPUNIT_ASSERT_EQUAL(std::string(), first);
+  }
+
   /// Each line of regressions.txt has a seed, the number of faults, and the cause of the failure.
   void regressionSeedsPass() {
     std::ifstream file(CYPRESSWALL_SOAK_REGRESSIONS);
