Name builds in messages for what they are: seen, not departed

The reply to BuildHistoryQuery also holds builds with engines in the fleet. The encoding is unchanged.

--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -113,7 +113,7 @@
 
 void FleetAnswerBuilds::onHistory(const BuildHistoryReply& reply) {
   const auto now = context_.clock.now();
-  for (const DepartedBuild& build : reply.builds) {
+  for (const SeenBuild& build : reply.builds) {
     const common::Duration age = std::chrono::milliseconds(build.age_milliseconds);
     seen(build.model, build.build, now - age);
   }
@@ -367,7 +367,7 @@
 
 void FleetAnswerBuilds::onDeparted(const DepartedBuilds& message) {
   const auto now = context_.clock.now();
-  for (const DepartedBuild& departed : message.builds) {
+  for (const SeenBuild& departed : message.builds) {
     const common::Duration age = std::chrono::milliseconds(departed.age_milliseconds);
     seen(departed.model, departed.build, now - age);
   }
--- a/src/cypresswall/answer_builds/messages.h
+++ b/src/cypresswall/answer_builds/messages.h
@@ -42,21 +42,21 @@
   MSGPACK_DEFINE(number, known, build)
 };
 
-/// A build of which no engine is in the fleet any more.
-struct DepartedBuild {
+/// A build that may have begun answers of a model.
+struct SeenBuild {
   common::ModelName model;
   common::BuildName build;
-  /// Time since its last engine left the fleet.
+  /// Time since its last engine left the fleet; zero if engines are in the fleet.
   std::uint32_t age_milliseconds = 0;
   MSGPACK_DEFINE(model, build, age_milliseconds)
 };
 
-/// Sent to nodes that could not see these builds themselves: to a node that joins the zone and does
-/// not ask with BuildHistoryQuery, and to all nodes if the sender has learnt of the builds from the
-/// store.
+/// Builds of which no engine is in the fleet any more. Sent to nodes that could not see them: to a
+/// node that joins the zone and does not ask with BuildHistoryQuery, and to all nodes if the sender
+/// has learnt of the builds from the store.
 struct DepartedBuilds {
   static constexpr auto kType = answerBuildMessage(3);
-  std::vector<DepartedBuild> builds;
+  std::vector<SeenBuild> builds;
   MSGPACK_DEFINE(builds)
 };
 
@@ -68,9 +68,8 @@
 
 struct BuildHistoryReply {
   static constexpr auto kType = answerBuildMessage(5);
-  /// All builds that may have begun answers, also those with engines in the fleet, whose age is
-  /// zero.
-  std::vector<DepartedBuild> builds;
+  /// All such builds, with engines in the fleet or without.
+  std::vector<SeenBuild> builds;
   MSGPACK_DEFINE(builds)
 };
 
