--- a/src/cypresswall/quarantine/crash_history.cpp
+++ b/src/cypresswall/quarantine/crash_history.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t kWeightWithoutOutput = 2;
 /// Maximum number of crashes that are stored for one request or part.
 constexpr std::size_t kMaximumCrashes = 16;
+/// Bounds the next parts that are remembered, including those of crashes that are no longer stored.
+constexpr std::size_t kNextPartsPerRequest = 4;
 
 }  // namespace
 
@@ -31,6 +33,23 @@
     known->next_part = crash.next_part == 0 ? 0 : known->next_part;
   } else if (hasRoomFor(entry.crashes, crash)) {
     entry.crashes.push_back(crash);
+    recordNextPart(crash.next_part);
+  }
+}
+
+void CrashHistory::recordNextPart(common::RequestFingerprint part) {
+  if (part == 0) {
+    return;
+  }
+  next_parts_.insert(part);
+  if (next_parts_.size() <= kNextPartsPerRequest * settings_.maximum_tracked_requests) {
+    return;
+  }
+  next_parts_.clear();
+  for (const auto& [request, entry] : requests_) {
+    for (const CrashObservation& crash : entry.crashes) {
+      next_parts_.insert(crash.next_part);
+    }
   }
 }
 
@@ -51,6 +70,9 @@
 
 std::vector<common::RequestFingerprint> CrashHistory::exonerate(common::RequestFingerprint part) {
   std::vector<common::RequestFingerprint> parts_before;
+  if (next_parts_.erase(part) == 0) {
+    return parts_before;
+  }
   for (auto& [request, entry] : requests_) {
     bool changed = false;
     for (CrashObservation& crash : entry.crashes) {
--- a/src/cypresswall/quarantine/crash_history.h
+++ b/src/cypresswall/quarantine/crash_history.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "cypresswall/common/request_fingerprint.h"
@@ -65,9 +66,13 @@
   bool hasRoomFor(const std::vector<CrashObservation>& crashes,
                   const CrashObservation& crash) const;
   void evictOldest();
+  void recordNextPart(common::RequestFingerprint part);
 
   const QuarantineSettings settings_;
   std::unordered_map<common::RequestFingerprint, RequestCrashes> requests_;
+  /// The next parts of the stored crashes, and some of crashes that are no longer stored: most
+  /// answers exonerate nothing, which is found out without a search.
+  std::unordered_set<common::RequestFingerprint> next_parts_;
 };
 
 }  // namespace cypresswall::quarantine
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/quarantine/fleet_quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "cypresswall/common/prompt.h"
 #include "cypresswall/membership/rendezvous.h"
@@ -183,7 +184,10 @@
 void FleetQuarantine::blamePartsBefore(common::RequestFingerprint part) {
   const auto now = context_.clock.now();
   for (const common::RequestFingerprint before : observed_.exonerate(part)) {
-    report({before, observed_.all(before, now), true});
+    // A report without crashes would mean that the part was answered.
+    if (auto crashes = observed_.all(before, now); !crashes.empty()) {
+      report({before, std::move(crashes), true});
+    }
   }
 }
 
