--- a/src/cypresswall/services/service_client.h
+++ b/src/cypresswall/services/service_client.h
@@ -71,9 +71,8 @@
 class ServiceClient {
  public:
   virtual ~ServiceClient() = default;
-  /// \param server the back end that was chosen. If the protocol lets a request name its server,
-  /// the
-  ///   implementation does so, and another server at the address does not run it.
+  /// \param server the back end that was chosen; named in the request if the protocol allows it, so
+  ///   that another server at its address does not run the request
   /// \param callback called exactly once, never before this function returns, unless the returned
   ///   object is destroyed first
   virtual std::unique_ptr<ServiceCall> call(const common::ServerIdentity& server,
