One list of the alive members that handle a set of messages

The two messages with builds that others have seen also have one handler for their list (addSeen). Behaviour is the same.

--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cypresswall/answer_builds/stored_builds.h"
+#include "cypresswall/membership/alive_nodes.h"
 #include "cypresswall/membership/rendezvous.h"
 
 namespace cypresswall::answer_builds {
@@ -58,7 +59,7 @@
   context_.dispatcher.handle<AnswerBuildReply>(
       [this](const common::NodeId&, const AnswerBuildReply& reply) { onReply(reply); });
   context_.dispatcher.handle<DepartedBuilds>(
-      [this](const common::NodeId&, const DepartedBuilds& message) { onDeparted(message); });
+      [this](const common::NodeId&, const DepartedBuilds& message) { addSeen(message.builds); });
   context_.dispatcher.handle<BuildHistoryQuery>(
       [this](const common::NodeId& sender, const BuildHistoryQuery&) { onHistoryQuery(sender); });
   context_.dispatcher.handle<BuildHistoryReply>(
@@ -112,11 +113,7 @@
 }
 
 void FleetAnswerBuilds::onHistory(const BuildHistoryReply& reply) {
-  const auto now = context_.clock.now();
-  for (const SeenBuild& build : reply.builds) {
-    const common::Duration age = std::chrono::milliseconds(build.age_milliseconds);
-    seen(build.model, build.build, now - age);
-  }
+  addSeen(reply.builds);
   historyKnown("peer");
 }
 
@@ -174,14 +171,7 @@
 }
 
 std::vector<common::NodeId> FleetAnswerBuilds::historyNodes() const {
-  std::vector<common::NodeId> nodes;
-  for (const membership::Member& member : membership_.members()) {
-    if (member.state == membership::MemberState::kAlive &&
-        membership_.handles(member.node, api::MessageSet::kBuildHistory)) {
-      nodes.push_back(member.node);
-    }
-  }
-  return nodes;
+  return membership::aliveNodes(membership_, api::MessageSet::kBuildHistory);
 }
 
 void FleetAnswerBuilds::enginesChanged(BuildsByModel present) {
@@ -365,11 +355,11 @@
   search.mapped().found(origin);
 }
 
-void FleetAnswerBuilds::onDeparted(const DepartedBuilds& message) {
+void FleetAnswerBuilds::addSeen(const std::vector<SeenBuild>& builds) {
   const auto now = context_.clock.now();
-  for (const SeenBuild& departed : message.builds) {
-    const common::Duration age = std::chrono::milliseconds(departed.age_milliseconds);
-    seen(departed.model, departed.build, now - age);
+  for (const SeenBuild& build : builds) {
+    const common::Duration age = std::chrono::milliseconds(build.age_milliseconds);
+    seen(build.model, build.build, now - age);
   }
 }
 
@@ -415,14 +405,8 @@
 
 const std::vector<common::NodeId>& FleetAnswerBuilds::peers() {
   if (std::exchange(peers_stale_, false)) {
-    peers_.clear();
-    for (const membership::Member& member : membership_.members()) {
-      const bool alive = member.state == membership::MemberState::kAlive;
-      if (alive && member.node != context_.self &&
-          membership_.handles(member.node, api::MessageSet::kAnswerBuilds)) {
-        peers_.push_back(member.node);
-      }
-    }
+    peers_ = membership::aliveNodes(membership_, api::MessageSet::kAnswerBuilds);
+    std::erase(peers_, context_.self);
   }
   return peers_;
 }
--- a/src/cypresswall/answer_builds/fleet_answer_builds.h
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.h
@@ -97,7 +97,8 @@
   void onBegan(const AnswersBegan& message);
   void onQuery(const common::NodeId& sender, const AnswerBuildQuery& query);
   void onReply(const AnswerBuildReply& reply);
-  void onDeparted(const DepartedBuilds& message);
+  /// Records what another node has seen.
+  void addSeen(const std::vector<SeenBuild>& builds);
   void finish(std::uint64_t number, const AnswerOrigin& origin);
   void membersChanged();
   /// Tells new members that would not ask of builds that have left the fleet.
--- a/src/cypresswall/fleet_limits/account_keepers.cpp
+++ b/src/cypresswall/fleet_limits/account_keepers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cypresswall/membership/alive_nodes.h"
 #include "cypresswall/membership/rendezvous.h"
 
 namespace cypresswall::fleet_limits {
@@ -41,13 +42,7 @@
   if (!std::exchange(stale_, false)) {
     return candidates_;
   }
-  std::vector<common::NodeId> nodes;
-  for (const membership::Member& member : membership_.members()) {
-    if (member.state == membership::MemberState::kAlive &&
-        membership_.handles(member.node, messages_)) {
-      nodes.push_back(member.node);
-    }
-  }
+  auto nodes = membership::aliveNodes(membership_, messages_);
   if (nodes != candidates_) {
     changed_at_ = candidates_.empty() ? changed_at_ : context_.clock.now();
     candidates_ = std::move(nodes);
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cypresswall/common/prompt.h"
+#include "cypresswall/membership/alive_nodes.h"
 #include "cypresswall/membership/rendezvous.h"
 
 namespace cypresswall::quarantine {
@@ -382,13 +383,7 @@
 }
 
 std::vector<common::NodeId> FleetQuarantine::eligibleNodes() const {
-  std::vector<common::NodeId> nodes;
-  for (const membership::Member& member : membership_.members()) {
-    if (member.state == membership::MemberState::kAlive && peers_.handles(member.node)) {
-      nodes.push_back(member.node);
-    }
-  }
-  return nodes;
+  return membership::aliveNodes(membership_, api::MessageSet::kQuarantine);
 }
 
 }  // namespace cypresswall::quarantine
