--- a/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
+++ b/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
@@ -116,11 +116,7 @@
       settings.build_of = [](std::uint32_t engine) { return engine < 18 ? 0 : 1; };
       settings.take_up_delay = kUntilReady;
       MixedBuildsFleet fleet(seed, settings);
-      fleet.declareEngines(0, 18);
-      fleet.sendAnswers(seconds(5));
-      fleet.declareEngines(0, 36);
-      fleet.run(milliseconds(100));
-      fleet.declareEngines(18, 36);
+      replaceFirstBuild(fleet);
       fleet.restartNodes({0, 3, 6});
       fleet.sendAnswers(seconds(5));
       CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.takenUp() > 0);
@@ -137,11 +133,7 @@
         settings.build_of = [](std::uint32_t engine) { return engine < 18 ? 0 : 1; };
         settings.take_up_delay = delay;
         MixedBuildsFleet fleet(seed, settings);
-        fleet.declareEngines(0, 18);
-        fleet.sendAnswers(seconds(5));
-        fleet.declareEngines(0, 36);
-        fleet.run(milliseconds(100));
-        fleet.declareEngines(18, 36);
+        replaceFirstBuild(fleet);
         fleet.counts_started_nodes = true;
         fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
         fleet.sendAnswers(seconds(5));
@@ -203,6 +195,15 @@
   }
 
  private:
+  /// Replaces the engines of the first build, 0 to 17, by those of the second one, 18 to 35, while
+  /// answers are under way.
+  static void replaceFirstBuild(MixedBuildsFleet& fleet) {
+    fleet.declareEngines(0, 18);
+    fleet.sendAnswers(seconds(5));
+    fleet.declareEngines(0, 36);
+    fleet.run(milliseconds(100));
+    fleet.declareEngines(18, 36);
+  }
   /// Three nodes end at once, three times.
   static void requireOneBuild(const MixedBuildsFleet::Settings& settings) {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -84,9 +84,7 @@
   for (std::size_t node = 0; node < nodes; ++node) {
     startDaemon(node);
   }
-  for (std::size_t node = 0; node < nodes; ++node) {
-    waitUntil("a node is ready", [this, node] { return ready(node); });
-  }
+  waitUntilAllAreReady();
   declare();
 }
 
@@ -141,7 +139,7 @@
 }
 
 void TestFleet::waitUntilAllAreReady() const {
-  waitUntil("all nodes are ready again", [this] {
+  waitUntil("all nodes are ready", [this] {
     for (std::size_t node = 0; node < nodes(); ++node) {
       if (!ready(node)) {
         return false;
