A response is whole only if its own head and framing say so

A back end closed its connection within the head of its answer, behind the status line, identifier and seal; libcurl reports success for that, the body was empty, and the node framed it with a length of its own. The same for two lengths that differ: the last one counted.

The class: the end of a message is inferred from the end of the connection, or from a library's success, instead of from the message. Whether a response is whole is now decided in one place, where the transfer ends: the head ended, it declares one framing (RFC 9112, 6.3), and the body ended by it. Fields of half a head are not reported, and trailers are not fields of the head.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -236,6 +236,9 @@
     return CURL_WRITEFUNC_ERROR;
   }
   framing_.takeBody(bytes.size());
+  if (framing_.defect()) {
+    return CURL_WRITEFUNC_ERROR;
+  }
   if (streaming_) {
     forwardHead();
     if (abandoned()) {
@@ -244,9 +247,7 @@
     handler_->onBody(bytes);
     return bytes.size();
   }
-  const std::size_t limit =
-      handler_ != nullptr ? kMaximumErrorBodyBytes : request_.maximum_body_bytes;
-  if (limit != 0 && response_.body.size() + bytes.size() > limit) {
+  if (handler_ != nullptr && response_.body.size() + bytes.size() > kMaximumErrorBodyBytes) {
     error_body_too_long_ = true;
     return CURL_WRITEFUNC_ERROR;
   }
@@ -279,7 +280,7 @@
     case ResponseFraming::Line::kTrailer:
       break;
   }
-  return true;
+  return !framing_.defect();
 }
 
 void CurlJob::takeField(std::string_view line) {
@@ -308,7 +309,7 @@
 }
 
 CurlOutcome CurlJob::outcomeOf(CURLcode code) const {
-  if (code == CURLE_OK) {
+  if (code == CURLE_OK && !defect_) {
     return CurlOutcome::kAnswered;
   }
   const bool nothing_sent = numberOf(CURLINFO_REQUEST_SIZE) == 0;
@@ -352,6 +353,11 @@
   if (responseBegan()) {
     response.extent = framing_.describe();
   }
+  if (framing_.framing() == BodyFraming::kUnknown) {
+    // Half of a head says nothing: the field that follows could be the one that decides.
+    response.status = 0;
+    response.headers.clear();
+  }
   deliver(std::move(response));
 }
 
