Surplus bytes on a kept connection are no answer, nor the begin of one

Half of a surplus head and the answer that was due became one: "HTTP/1.1 200 " and then a 500 with its identifier and seal came out as 200 with the failure's body. Where no identifier is compared (load reports, the store) the whole surplus was taken, and the connection stayed one answer behind.

Before a request may use a kept connection, idle ones with unread bytes are closed, in the pool and in libcurl's own cache. A part that arrives just behind the request shows as a status line within a line of the head, which is malformed. An answer to another request on a kept connection is stale in one place, for reads too, which parsed it before.

OpenConnections knows the sockets of all connections by their addresses, which replaces the search through the pool and the look-up of a closing socket's name.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -43,10 +43,6 @@
 
 }  // namespace
 
-std::string connectionName(const std::string& remote_address, int remote_port, int local_port) {
-  return remote_address + " " + std::to_string(remote_port) + " " + std::to_string(local_port);
-}
-
 CurlJob::CurlJob(CurlRequest request, CurlTransferHandler* handler,
                  std::function<void(CurlResponse)> callback, CurlEasyPointer easy)
     : request_(std::move(request)),
@@ -66,7 +62,7 @@
 }
 
 bool CurlJob::receivedForeignAnswer() const {
-  return request_.belongs_to_request && !response_.headers.empty() &&
+  return request_.belongs_to_request && framing_.framing() != BodyFraming::kUnknown &&
          !request_.belongs_to_request(response_.headers);
 }
 
@@ -112,7 +108,8 @@
   silence_limit_ = silence_limit;
 }
 
-void CurlJob::socketClosed() {
+void CurlJob::socketClosed(bool by_peer_in_order) {
+  closed_in_order_ = by_peer_in_order;
   // Later the error of a new connection may replace this one.
   timed_out_ = timed_out_ || numberOf(CURLINFO_OS_ERRNO) == ETIMEDOUT;
   socket_.reset();
@@ -198,12 +195,12 @@
 }
 
 int CurlJob::beforeSending(void* job, char* remote_ip, char*, int remote_port, int local_port) {
-  static_cast<CurlJob*>(job)->connection_ = connectionName(remote_ip, remote_port, local_port);
-  return static_cast<CurlJob*>(job)->prepareToSend(local_port) ? CURL_PREREQFUNC_OK
-                                                               : CURL_PREREQFUNC_ABORT;
+  static_cast<CurlJob*>(job)->connection_ =
+      std::string(remote_ip) + " " + std::to_string(remote_port) + " " + std::to_string(local_port);
+  return static_cast<CurlJob*>(job)->prepareToSend() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
-bool CurlJob::prepareToSend(int local_port) {
+bool CurlJob::prepareToSend() {
   // libcurl calls this a second time if a reused connection was closed before a response arrived.
   if (numberOf(CURLINFO_REQUEST_SIZE) != 0) {
     return false;
@@ -214,7 +211,7 @@
   }
   sent_at_ = std::chrono::steady_clock::now();
   if (on_sending_) {
-    socket_ = on_sending_(reused_ ? std::nullopt : socket_, local_port);
+    socket_ = on_sending_(reused_ ? std::nullopt : socket_);
   }
   silence_checked_ = pooled_ && reused_ && socket_ && silence_limit_.count() > 0;
   if (silence_checked_) {
@@ -274,8 +271,6 @@
       takeField(line);
       break;
     case ResponseFraming::Line::kHeadEnd:
-      endHead();
-      break;
     case ResponseFraming::Line::kInterimEnd:
     case ResponseFraming::Line::kTrailer:
       break;
@@ -296,12 +291,6 @@
   }
 }
 
-void CurlJob::endHead() {
-  if (framing_.framing() == BodyFraming::kClose && on_reading_to_close_) {
-    on_reading_to_close_();
-  }
-}
-
 long CurlJob::numberOf(CURLINFO info) const {
   long value = 0;
   curl_easy_getinfo(easy_.get(), info, &value);
@@ -309,7 +298,10 @@
 }
 
 CurlOutcome CurlJob::outcomeOf(CURLcode code) const {
-  if (code == CURLE_OK && !defect_) {
+  if (reused_ && foreign_) {
+    return CurlOutcome::kStale;
+  }
+  if (!defect_ && code == CURLE_OK) {
     return CurlOutcome::kAnswered;
   }
   const bool nothing_sent = numberOf(CURLINFO_REQUEST_SIZE) == 0;
@@ -336,6 +328,7 @@
 
 void CurlJob::ended(CURLcode code) {
   stale_ = foundStaleConnection(code);
+  foreign_ = receivedForeignAnswer();
   if (code == CURLE_OK || responseBegan()) {
     defect_ = framing_.defectAtEnd(code == CURLE_OK && closed_in_order_);
   }
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -23,9 +23,6 @@
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
 
-/// \return a name that no other open connection of this process has.
-std::string connectionName(const std::string& remote_address, int remote_port, int local_port);
-
 /// A request in progress. Exactly one of `handler` and `callback` is set until the request ends or
 /// is abandoned.
 class CurlJob {
@@ -44,26 +41,22 @@
   void setConnectionUse(ConnectionUse use);
   /// Marks the request as one that counts against its peer's share of connections.
   void enterPool(common::Duration silence_limit);
-  /// Called whenever the request is about to be sent. libcurl does not tell the socket of a reused
-  /// connection, only its local port.
+  /// Called whenever the request is about to be sent on connection().
   /// \param opened the socket if the connection was opened for this request
   /// \return the socket of the connection, if it is known
-  using SendingListener = std::function<std::optional<curl_socket_t>(
-      std::optional<curl_socket_t> opened, int local_port)>;
+  using SendingListener =
+      std::function<std::optional<curl_socket_t>(std::optional<curl_socket_t> opened)>;
   void onSending(SendingListener listener) { on_sending_ = std::move(listener); }
-  /// Sets the function to call once the head has declared that the body ends with the connection.
-  void onReadingToClose(std::function<void()> listener) {
-    on_reading_to_close_ = std::move(listener);
-  }
-  /// \return the name of the connection on which the request was last sent.
+  /// \return the name of the connection on which the request was last sent. No other open
+  ///   connection of this process has it.
   const std::string& connection() const { return connection_; }
-  /// Records how the connection ended on which the body was read to its close.
-  void connectionClosed(bool by_peer_in_order) { closed_in_order_ = by_peer_in_order; }
   bool pooled() const { return pooled_; }
   /// \return the connection on which the request was last sent, while it is open.
   std::optional<curl_socket_t> socket() const { return socket_; }
   /// Called when the connection socket() is closed.
-  void socketClosed();
+  void socketClosed(bool by_peer_in_order);
+  /// Records whether the peer has closed the connection in order.
+  void recordClose(bool by_peer_in_order) { closed_in_order_ = by_peer_in_order; }
   /// Has the kernel probe the connection while it is idle.
   void probeIdleConnection() const;
   /// Records libcurl's result; called before finish().
@@ -101,7 +94,7 @@
                            int local_port);
 
   void configure();
-  bool prepareToSend(int local_port);
+  bool prepareToSend();
   /// Ends the check for a silent peer, after the first byte of a response.
   void stopSilenceCheck();
   bool foundStaleConnection(CURLcode code) const;
@@ -112,7 +105,6 @@
   /// \return false if the response is not worth reading further.
   bool takeHeader(std::string_view line);
   void takeField(std::string_view line);
-  void endHead();
   std::string errorOf(CURLcode code) const;
   void forwardHead();
   CurlOutcome outcomeOf(CURLcode code) const;
@@ -127,7 +119,6 @@
   CurlResponse response_;
   ResponseFraming framing_;
   std::optional<ResponseDefect> defect_;
-  std::function<void()> on_reading_to_close_;
   std::string connection_;
   bool closed_in_order_ = false;
   bool error_body_too_long_ = false;
@@ -138,6 +129,7 @@
   /// Whether the request was first sent on a kept connection.
   bool reused_ = false;
   bool stale_ = false;
+  bool foreign_ = false;
   bool silence_checked_ = false;
   bool timed_out_ = false;
   std::chrono::steady_clock::time_point sent_at_;
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -2,23 +2,22 @@
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
-#include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <cerrno>
 #include <chrono>
-#include <cstdlib>
 #include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "cypresswall/runtime/curl_job.h"
+#include "cypresswall/runtime/open_connections.h"
 #include "cypresswall/runtime/socket_poll.h"
 
 namespace cypresswall::runtime {
@@ -38,36 +37,35 @@
   }
 }
 
-/// \return true if the peer has closed the connection in order and this side has not closed it yet.
-/// The state outlives an error that another call on the socket has already taken.
+/// \return true if the peer has closed the connection in order, and this side has not closed it
+/// yet. The state outlives an error that another call on the socket has already taken.
 bool closedByPeerInOrder(int socket) {
   tcp_info info{};
-  socklen_t size = sizeof info;
-  return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-         info.tcpi_state == TCP_CLOSE_WAIT;
-}
-
-/// \return the name of an open connection; empty if it is not connected any more
-std::string nameOfSocket(int socket) {
-  sockaddr_storage local{};
-  sockaddr_storage remote{};
-  socklen_t local_size = sizeof local;
-  socklen_t remote_size = sizeof remote;
-  std::array<char, NI_MAXHOST> address{};
-  std::array<char, NI_MAXSERV> remote_port{};
-  std::array<char, NI_MAXSERV> local_port{};
-  auto* const local_address = reinterpret_cast<sockaddr*>(&local);
-  auto* const remote_address = reinterpret_cast<sockaddr*>(&remote);
-  constexpr int kNumeric = NI_NUMERICHOST | NI_NUMERICSERV;
-  const bool known = ::getsockname(socket, local_address, &local_size) == 0 &&
-                     ::getpeername(socket, remote_address, &remote_size) == 0 &&
-                     ::getnameinfo(local_address, local_size, nullptr, 0, local_port.data(),
-                                   local_port.size(), kNumeric) == 0 &&
-                     ::getnameinfo(remote_address, remote_size, address.data(), address.size(),
-                                   remote_port.data(), remote_port.size(), kNumeric) == 0;
-  return known ? connectionName(address.data(), std::atoi(remote_port.data()),
-                                std::atoi(local_port.data()))
-               : std::string();
+  socklen_t info_size = sizeof info;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &info_size) != 0) {
+    return false;
+  }
+  return info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
+/// \return true if bytes have arrived that nobody has read. On an idle connection they belong to no
+/// request.
+bool hasUnreadInput(int socket) {
+  char first = 0;
+  return ::recv(socket, &first, sizeof first, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/// Discards bytes that have arrived. libcurl takes a closed connection with unread bytes for an open
+/// one.
+void discardInput(int socket) {
+  constexpr std::size_t kMaximumBytes = 1U << 20;
+  // With MSG_TRUNC, TCP discards bytes instead of copying them.
+  ::recv(socket, nullptr, kMaximumBytes, MSG_DONTWAIT | MSG_TRUNC);
+}
+
+bool mayReuseConnection(const CurlRequest& request) {
+  return request.pooled_use.value_or(request.connection_use) == ConnectionUse::kReuse ||
+         request.connection_use == ConnectionUse::kReuse;
 }
 
 }  // namespace
@@ -100,9 +98,6 @@
   static int onSocketClosed(void* driver, curl_socket_t handle);
 
   void socketClosed(curl_socket_t handle);
-  /// Tells the request whose response ends with this connection how it ended.
-  void recordClose(curl_socket_t handle);
-  void stopReadingToClose(const CurlJob& job);
   void watch(curl_socket_t handle, int what);
   void socketReady(curl_socket_t handle, SocketReadiness readiness);
   void setTimer(long milliseconds);
@@ -120,13 +115,20 @@
   /// Asks the pool for a connection, if the request is subject to it.
   void enterPool(const JobPointer& job);
   /// Gives the connection of a request that ended to the pool.
-  void leavePool(CurlJob& job);
+  /// \param socket the connection, if it is still open
+  void leavePool(CurlJob& job, std::optional<int> socket);
   /// Closes idle connections. libcurl finds out when it next looks for a connection, at the latest
   /// a second later; the peer is told at once.
   void shutDown(const std::vector<int>& sockets);
   void closeExpired();
-  /// \return the kept connection to the peer that has this local port
-  std::optional<int> findIdle(const common::Address& peer, int local_port) const;
+  /// Closes idle connections to the peer on which a surplus answer, or a part of one, has arrived.
+  /// It would be taken for the answer to the next request.
+  void closeWithSurplus(const common::Address& peer);
+  /// \param opened the socket if the connection was opened for this request
+  /// \return the socket of the connection
+  std::optional<int> sending(CurlJob& job, std::optional<int> opened);
+  /// \return the connection of a request that ended, if it is still open
+  std::optional<int> stopSending(const CurlJob& job);
   /// Keeps the handle of a finished fetch for reuse.
   void recycle(CurlJob& job);
 
@@ -143,10 +145,9 @@
   /// May be null.
   common::CounterRegistry* counters_;
   common::MonotonicTime expiry_checked_at_;
-  /// Pooled requests by the open connection on which they were sent.
+  OpenConnections connections_;
+  /// Requests by the open connection on which they were sent.
   std::unordered_map<int, CurlJob*> sending_;
-  /// Requests whose response ends with the connection, by the connection's name.
-  std::unordered_map<std::string, CurlJob*> reading_to_close_;
   std::shared_ptr<SocketPoll> sockets_;
   std::unordered_map<CURL*, JobPointer> jobs_;
   /// Jobs to add or remove once no libcurl call is on the stack.
@@ -236,11 +237,15 @@
   }
   curl_easy_setopt(job->easy(), CURLOPT_CLOSESOCKETFUNCTION, &Driver::onSocketClosed);
   curl_easy_setopt(job->easy(), CURLOPT_CLOSESOCKETDATA, this);
-  job->onReadingToClose([this, job = job.get()] { reading_to_close_[job->connection()] = job; });
+  job->onSending(
+      [this, job = job.get()](std::optional<int> opened) { return sending(*job, opened); });
   enterPool(job);
+  if (mayReuseConnection(job->request())) {
+    closeWithSurplus(job->request().address);
+  }
   job->added = curl_multi_add_handle(multi_, job->easy()) == CURLM_OK;
   if (!job->added) {
-    leavePool(*job);
+    leavePool(*job, std::nullopt);
     postFailure(job, "libcurl refused the request");
   }
 }
@@ -252,29 +257,41 @@
   closeExpired();
   const auto& wanted = job->request().pooled_use;
   if (!wanted || !pool_->keeping()) {
-    job->onSending([this, peer = job->request().address](std::optional<int> opened, int port) {
-      const auto socket = opened ? opened : findIdle(peer, port);
-      if (socket) {
-        pool_->claimed(*socket);
-      }
-      return socket;
-    });
     return;
   }
   job->setConnectionUse(*wanted);
   job->enterPool(pool_->settings().silence_limit);
-  job->onSending([this, job = job.get()](std::optional<int> opened, int port) {
-    const auto socket = opened ? opened : findIdle(job->request().address, port);
-    pool_->taken(socket, !opened);
-    if (socket) {
-      sending_[*socket] = job;
-    }
-    return socket;
-  });
   shutDown(pool_->requestBegan(job->request().address, *wanted == ConnectionUse::kReuse, now()));
 }
 
-void CurlMulti::Driver::leavePool(CurlJob& job) {
+std::optional<int> CurlMulti::Driver::sending(CurlJob& job, std::optional<int> opened) {
+  if (opened) {
+    connections_.opened(*opened, job.connection(), job.request().address);
+  }
+  const auto socket = opened ? opened : connections_.find(job.connection());
+  if (job.pooled()) {
+    pool_->taken(socket, !opened);
+  } else if (pool_ != nullptr && socket) {
+    pool_->claimed(*socket);
+  }
+  if (socket) {
+    sending_[*socket] = &job;
+  }
+  return socket;
+}
+
+std::optional<int> CurlMulti::Driver::stopSending(const CurlJob& job) {
+  // A socket that never became a connection is not in `sending_`.
+  const auto sent = job.socket() ? sending_.find(*job.socket()) : sending_.end();
+  if (sent == sending_.end() || sent->second != &job) {
+    return std::nullopt;
+  }
+  const int socket = sent->first;
+  sending_.erase(sent);
+  return socket;
+}
+
+void CurlMulti::Driver::leavePool(CurlJob& job, std::optional<int> socket) {
   if (pool_ == nullptr || !job.pooled()) {
     return;
   }
@@ -282,11 +299,6 @@
   if (job.stale()) {
     pool_->foundStale(peer, now());
   }
-  // A socket that never became a connection is not in `sending_`.
-  auto socket = job.socket();
-  if (socket && sending_.erase(*socket) == 0) {
-    socket.reset();
-  }
   if (socket && job.receivedForeignAnswer()) {
     shutDown({*socket});
     socket.reset();
@@ -299,21 +311,18 @@
   }
 }
 
-std::optional<int> CurlMulti::Driver::findIdle(const common::Address& peer, int local_port) const {
-  for (const int socket : pool_->idleSockets(peer)) {
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    if (::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0 &&
-        ntohs(address.sin_port) == local_port) {
-      return socket;
+void CurlMulti::Driver::closeWithSurplus(const common::Address& peer) {
+  for (const int socket : connections_.socketsTo(peer)) {
+    if (!sending_.contains(socket) && hasUnreadInput(socket)) {
+      shutDown({socket});
     }
   }
-  return std::nullopt;
 }
 
 void CurlMulti::Driver::shutDown(const std::vector<int>& sockets) {
   for (const int socket : sockets) {
     ::shutdown(socket, SHUT_RDWR);
+    discardInput(socket);
   }
 }
 
@@ -353,8 +362,7 @@
     inside_curl_ = true;
     curl_multi_remove_handle(multi_, job->easy());
     inside_curl_ = false;
-    stopReadingToClose(*job);
-    leavePool(*job);
+    leavePool(*job, stopSending(*job));
   }
 }
 
@@ -394,30 +402,12 @@
 
 void CurlMulti::Driver::socketClosed(curl_socket_t handle) {
   sockets_->forget(handle);
-  recordClose(handle);
-  if (pool_ == nullptr) {
-    return;
+  connections_.closed(handle);
+  if (const auto job = sending_.extract(handle); !job.empty()) {
+    job.mapped()->socketClosed(closedByPeerInOrder(handle));
   }
-  pool_->closed(handle);
-  const auto job = sending_.extract(handle);
-  if (!job.empty()) {
-    job.mapped()->socketClosed();
-  }
-}
-
-void CurlMulti::Driver::recordClose(curl_socket_t handle) {
-  if (reading_to_close_.empty()) {
-    return;
-  }
-  if (const auto reading = reading_to_close_.extract(nameOfSocket(handle)); !reading.empty()) {
-    reading.mapped()->connectionClosed(closedByPeerInOrder(handle));
-  }
-}
-
-void CurlMulti::Driver::stopReadingToClose(const CurlJob& job) {
-  const auto reading = reading_to_close_.find(job.connection());
-  if (reading != reading_to_close_.end() && reading->second == &job) {
-    reading_to_close_.erase(reading);
+  if (pool_ != nullptr) {
+    pool_->closed(handle);
   }
 }
 
--- a/src/cypresswall/runtime/curl_request.h
+++ b/src/cypresswall/runtime/curl_request.h
@@ -70,7 +70,8 @@
   kNotSent,   ///< no byte of the request was sent
   kBroken,    ///< part of the request was sent and no complete response arrived
   /// The request was sent on a kept connection that proved to be closed or silent, before any byte
-  /// of a response. The peer may have executed it. Only for requests with pooled_use.
+  /// of a response, or on which the response to another request arrived. The peer may have executed
+  /// it. Only for requests with pooled_use.
   kStale,
 };
 
--- a/src/cypresswall/runtime/response_framing.cpp
+++ b/src/cypresswall/runtime/response_framing.cpp
@@ -52,6 +52,22 @@
   return digits && read.ec == std::errc() && read.ptr == end ? std::optional(number) : std::nullopt;
 }
 
+/// \return true if another status line begins within the text, as where a part of a surplus
+/// response precedes the one that is due, or if the text holds a line end that is not the line's
+/// own.
+bool holdsAnotherLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kStatusAt = kVersion.size() + 2;
+  constexpr std::size_t kStatusDigits = 3;
+  for (auto at = text.find(kVersion); at != text.npos; at = text.find(kVersion, at + 1)) {
+    const std::string_view status = text.substr(std::min(at + kStatusAt, text.size()));
+    if (status.size() >= kStatusDigits && numberIn<int>(status.substr(0, kStatusDigits))) {
+      return true;
+    }
+  }
+  return text.find('\r') != text.npos;
+}
+
 }  // namespace
 
 const char* toString(BodyFraming framing) {
@@ -120,7 +136,7 @@
   const bool ended =
       rest.size() == kStatusDigits || rest.substr(0, kStatusDigits + 1).ends_with(' ');
   if (!line.starts_with(kVersion) || !status || *status < 100 || !ended ||
-      *status == kSwitchingProtocols) {
+      *status == kSwitchingProtocols || holdsAnotherLine(rest)) {
     reject(ResponseDefect::kHeadMalformed);
     return;
   }
@@ -129,7 +145,8 @@
 
 void ResponseFraming::takeField(std::string_view line) {
   const auto colon = line.find(':');
-  if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) {
+  if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) ||
+      holdsAnotherLine(line.substr(colon))) {
     reject(ResponseDefect::kHeadMalformed);
     return;
   }
--- a/tests/runtime/kept_connection_test.cpp
+++ b/tests/runtime/kept_connection_test.cpp
@@ -1,4 +1,5 @@
 /// CurlMulti with a ConnectionPool, against a server in this process.
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <optional>
@@ -35,6 +36,9 @@
   CPPUNIT_TEST(connectionCloseIsObeyed);
   CPPUNIT_TEST(withoutShareConnectionsAreUsedOnce);
   CPPUNIT_TEST(abandonedRequestLeavesNoConnection);
+  CPPUNIT_TEST(surplusOnAnIdleConnectionIsNoAnswer);
+  CPPUNIT_TEST(partOfASurplusBeforeTheAnswerIsNoAnswer);
+  CPPUNIT_TEST(foreignAnswerIsStale);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -188,6 +192,53 @@
     }
   }
 
+  // Guards against surplus bytes that are taken for the answer to the next request, or its begin.
+  void surplusOnAnIdleConnectionIsNoAnswer() {
+    const std::string surplus = httpAnswer(200, "surplus");
+    for (std::size_t cut = 1; cut <= surplus.size(); ++cut) {
+      for (const bool pooled : {true, false}) {
+        keepOne();
+        server_.sendMore(surplus.substr(0, cut));
+        server_.answer(httpAnswer(500, "due", kKeepAlive));
+        CurlRequest next = request(ConnectionUse::kReuse);
+        if (!pooled) {
+          next.pooled_use.reset();
+          next.connection_use = ConnectionUse::kReuse;
+        }
+        const CurlResponse response = fetch(next);
+        CPPUNIT_ASSERT_MESSAGE(std::string(pooled ? "pooled, " : "") + std::to_string(cut) +
+                                   " bytes: " + response.error,
+                               response.outcome == CurlOutcome::kAnswered);
+        CPPUNIT_ASSERT_EQUAL(500, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("due"), response.body);
+      }
+    }
+  }
+
+  // Guards against a head that is joined from a part of a surplus answer and the one that is due.
+  void partOfASurplusBeforeTheAnswerIsNoAnswer() {
+    const std::string head = "HTTP/1.1 200 OK\r\nDate: now\r\nContent-Length: 7\r\n";
+    for (std::size_t cut = 1; cut <= head.size(); ++cut) {
+      keepOne();
+      server_.answer(head.substr(0, cut) + httpAnswer(500, "due", kKeepAlive));
+      CPPUNIT_ASSERT(fetch(request(ConnectionUse::kReuse)).outcome != CurlOutcome::kAnswered);
+    }
+  }
+
+  // Guards against the answer to another request that is taken for a failure of the server.
+  void foreignAnswerIsStale() {
+    CurlRequest reading = request(ConnectionUse::kReuse);
+    reading.belongs_to_request = [](const std::vector<CurlHeader>& headers) {
+      return std::none_of(headers.begin(), headers.end(),
+                          [](const CurlHeader& header) { return header.name == "X-Other"; });
+    };
+    keepOne();
+    server_.answer(httpAnswer(200, "surplus", "X-Other: yes\r\n"));
+    CPPUNIT_ASSERT(fetch(reading).outcome == CurlOutcome::kStale);
+    server_.answer(httpAnswer(200, "due", kKeepAlive));
+    CPPUNIT_ASSERT_EQUAL(std::string("due"), fetch(reading).body);
+  }
+
   void abandonedRequestLeavesNoConnection() {
     keepOne();
     auto transfer = curl_->startFetch(request(ConnectionUse::kReuse), [](const CurlResponse&) {});
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -57,6 +57,12 @@
   /// Sends more bytes on the newest connection.
   void sendMore(const std::string& bytes) { asio::write(newest_->socket, asio::buffer(bytes)); }
   void closeNewest() { newest_->socket.close(); }
+  /// Ends the newest connection in order, and resets it.
+  void endAndResetNewest() {
+    newest_->socket.shutdown(asio::socket_base::shutdown_send);
+    newest_->socket.set_option(asio::socket_base::linger(true, 0));
+    newest_->socket.close();
+  }
   /// From now on the kernel drops what arrives on the newest connection, unacknowledged.
   void silenceNewest() {
     sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
@@ -81,6 +87,7 @@
         return;
       }
       ++connections_;
+      socket.set_option(asio::ip::tcp::no_delay(true));
       newest_ = std::make_shared<Connection>(std::move(socket));
       read(newest_);
       accept();
