Whole answers pass although the connection ends badly behind them

A whole body without a length was broken when a reset followed the orderly close, and when HTTP/1.0 with keep-alive let libcurl keep the connection.

A response whose body has ended by its length, or has none, is whole whatever follows. A socket that was reset behind an orderly close reports EPIPE, one that was only reset does not. A kept connection is asked for its state.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -301,7 +301,8 @@
   if (reused_ && foreign_) {
     return CurlOutcome::kStale;
   }
-  if (!defect_ && code == CURLE_OK) {
+  // A server may answer before it has read the request, and then not read the rest of it.
+  if (!defect_ && (code == CURLE_OK || framing_.complete())) {
     return CurlOutcome::kAnswered;
   }
   const bool nothing_sent = numberOf(CURLINFO_REQUEST_SIZE) == 0;
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -45,7 +45,13 @@
   if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &info_size) != 0) {
     return false;
   }
-  return info.tcpi_state == TCP_CLOSE_WAIT;
+  if (info.tcpi_state != TCP_CLOSE) {
+    return info.tcpi_state == TCP_CLOSE_WAIT;
+  }
+  // A reset that follows an orderly close is reported with an error of its own.
+  int error = 0;
+  socklen_t error_size = sizeof error;
+  return ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &error_size) == 0 && error == EPIPE;
 }
 
 /// \return true if bytes have arrived that nobody has read. On an idle connection they belong to no
@@ -484,6 +490,10 @@
       continue;
     }
     const JobPointer job = known->second;
+    if (job->bodyFraming() == BodyFraming::kClose && job->socket()) {
+      // libcurl may keep the connection of such a response.
+      job->recordClose(closedByPeerInOrder(*job->socket()));
+    }
     job->ended(code);
     countResponse(*job);
     remove(job);
--- a/src/cypresswall/runtime/response_framing.cpp
+++ b/src/cypresswall/runtime/response_framing.cpp
@@ -206,6 +206,11 @@
   }
 }
 
+bool ResponseFraming::complete() const {
+  return framing_ == BodyFraming::kNone ||
+         (framing_ == BodyFraming::kLength && body_bytes_ == length_);
+}
+
 std::optional<ResponseDefect> ResponseFraming::defectAtEnd(bool closed_in_order) const {
   if (defect_) {
     return defect_;
--- a/src/cypresswall/runtime/response_framing.h
+++ b/src/cypresswall/runtime/response_framing.h
@@ -65,6 +65,9 @@
   bool began() const { return head_bytes_ > 0; }
   BodyFraming framing() const { return framing_; }
   std::uint64_t bodyBytes() const { return body_bytes_; }
+  /// \return true if the body has ended by what the head declares. False where only the parser of
+  ///   chunks or the end of the connection can tell.
+  bool complete() const;
   /// \return the first defect found so far; the rest of the response is not worth reading.
   std::optional<ResponseDefect> defect() const { return defect_; }
   /// \return the defect of a response of which nothing more will arrive. The end of chunks is left
--- a/tests/runtime/whole_response_test.cpp
+++ b/tests/runtime/whole_response_test.cpp
@@ -67,6 +67,9 @@
   CPPUNIT_TEST(fieldsOfAnIncompleteHeadAreNotReported);
   CPPUNIT_TEST(trailersAreNotFieldsOfTheHead);
   CPPUNIT_TEST(headsWithoutEndAreBroken);
+  CPPUNIT_TEST(wholeAnswerToARequestThatIsNotReadPasses);
+  CPPUNIT_TEST(resetBehindAnOrderlyCloseIsWhole);
+  CPPUNIT_TEST(keptConnectionWithoutLengthIsReadToItsClose);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -183,6 +186,41 @@
     assertEndedByClient(chunked, field);
   }
 
+  // Guards against a whole answer that is lost because the server does not read the rest of a long
+  // request.
+  void wholeAnswerToARequestThatIsNotReadPasses() {
+    constexpr std::size_t kMoreThanSocketBuffers = 32U << 20;
+    asio::ip::tcp::acceptor acceptor(context_, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::tcp::socket peer(context_);
+    acceptor.async_accept(peer, [&](const std::error_code&) {
+      asio::write(peer, asio::buffer(testing::httpAnswer(200, "ok")));
+    });
+    CurlRequest long_request = request();
+    long_request.method = "POST";
+    long_request.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    long_request.body = std::string(kMoreThanSocketBuffers, 'x');
+    long_request.total_time_limit = std::chrono::milliseconds(300);
+    const CurlResponse response = await(begin(long_request));
+    CPPUNIT_ASSERT(response.outcome == CurlOutcome::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), response.body);
+  }
+
+  // Guards against a whole body without a length that is taken for a broken one.
+  void resetBehindAnOrderlyCloseIsWhole() {
+    server_.answer("HTTP/1.1 200 OK\r\n\r\nbody");
+    const auto result = begin();
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.requests().size() == 1; }));
+    server_.endAndResetNewest();
+    CPPUNIT_ASSERT(await(result).outcome == CurlOutcome::kAnswered);
+  }
+
+  // Guards against a whole body without a length on a connection that libcurl keeps.
+  void keptConnectionWithoutLengthIsReadToItsClose() {
+    const CurlResponse response = fetch("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\nbody");
+    CPPUNIT_ASSERT(response.outcome == CurlOutcome::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), response.body);
+  }
+
  private:
   CurlRequest request() const {
     CurlRequest made;
@@ -192,9 +230,11 @@
     return made;
   }
 
-  std::shared_ptr<std::optional<CurlResponse>> begin() {
+  std::shared_ptr<std::optional<CurlResponse>> begin() { return begin(request()); }
+
+  std::shared_ptr<std::optional<CurlResponse>> begin(const CurlRequest& wanted) {
     auto result = std::make_shared<std::optional<CurlResponse>>();
-    curl_.fetch(request(), [result](CurlResponse response) { *result = std::move(response); });
+    curl_.fetch(wanted, [result](CurlResponse response) { *result = std::move(response); });
     return result;
   }
 
