--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -49,6 +49,9 @@
   void answer(std::string bytes, bool close = false) {
     answers_.push_back({std::move(bytes), close});
   }
+  /// Queues the answer to the next request before all others.
+  void answerFirst(std::string bytes) { answers_.push_front({std::move(bytes), false}); }
+  void discardAnswers() { answers_.clear(); }
   /// Requests received, each with its head and body.
   const std::vector<std::string>& requests() const { return requests_; }
   int connections() const { return connections_; }
@@ -70,8 +73,8 @@
     setsockopt(newest_->socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
                sizeof program);
   }
-  /// Resets connections that the server closes from now on.
-  void resetOnClose() { reset_on_close_ = true; }
+  /// Resets connections that the server closes from now on, or no longer does.
+  void resetOnClose(bool reset = true) { reset_on_close_ = reset; }
 
  private:
   struct Connection {
