A connection that ends without an answer's head says nothing of a rate limit

A call without X-Request-Id whose connection ended before an answer's head was whole counted as an answer to it that names no limit: without fields, its empty identifier matched. The node dropped the runner's limit, and told its peers.

Heads without any field are not concerned: runners name the request in each answer.

--- a/tests/objects_platform/cut_responses/cut_engine_response_test.cpp
+++ b/tests/objects_platform/cut_responses/cut_engine_response_test.cpp
@@ -133,9 +133,9 @@
   }
 
   /// Guards against a runner that is taken out of use, or whose rate limit changes, on the word of
-  /// a head that has not ended.
+  /// a head that has not ended. A request without an identifier matches a head without fields.
   void cutHeadAnnouncesNothing() {
-    for (const std::string id : {"r1"}) {
+    for (const std::string id : {"r1", ""}) {
       const std::string field = id.empty() ? "" : fieldsOf(id);
       const std::string response = httpAnswer(503, "full", field + kAnnouncements);
       request_id_ = id;
