Reject requests whose head leaves their end ambiguous

RESTinio's parser (http_parser 2.9.4, built without its strict checks) takes heads that others may read differently, who then see a part of the body as a request of its own, or none where it sees one: a blank before the colon of Content-Length or Transfer-Encoding, two Transfer-Encoding fields, a coding before "chunked" whose content then reached the handler undecoded.

The server checks the head before the request is run: header names are tokens, and a transfer coding is exactly one "chunked" (RFC 9112, sections 5.1 and 6.1). Otherwise the caller gets a 400 and the connection ends; nothing behind it is read.

Not changed: text behind the size of a chunk without ";" and other bytes than CR LF behind a chunk's data pass the parser. A line that continues a field is part of its value, as the RFC allows.

--- a/src/cypresswall/http/connection.cpp
+++ b/src/cypresswall/http/connection.cpp
@@ -122,6 +122,13 @@
   return taken;
 }
 
+void Connection::stopSending() {
+  if (socket_ != nullptr) {
+    asio::error_code ignored;
+    socket_->Base::shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+}
+
 void Connection::shutdown() {
   if (socket_ != nullptr) {
     asio::error_code ignored;
--- a/src/cypresswall/http/connection.h
+++ b/src/cypresswall/http/connection.h
@@ -69,6 +69,8 @@
   /// enables lingering on close so that the caller can read the answer. Does nothing while another
   /// exchange is open on this connection.
   void sendLastAnswer(const std::string& answer);
+  /// Shuts down the sending side, so that nothing follows the last answer.
+  void stopSending();
   /// Shuts down both directions; RESTinio detects this and closes the connection.
   void shutdown();
 
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cypresswall/common/header_names.h"
 #include "cypresswall/http/exchange.h"
 #include "cypresswall/http/listening_socket.h"
 #include "cypresswall/http/rejection.h"
@@ -88,6 +89,23 @@
   return request;
 }
 
+/// RESTinio's parser accepts some heads whose body others would end elsewhere.
+/// \return what makes the end of the request ambiguous (RFC 9112, sections 5.1 and 6.1), or null
+const char* framingDefect(const restinio::http_request_header_t& header) {
+  const char* defect = nullptr;
+  int codings = 0;
+  header.for_each_field([&](const restinio::http_header_field_t& field) {
+    if (!common::isHeaderName(field.name())) {
+      defect = "malformed header name";
+    } else if (common::sameHeaderName(field.name(), "Transfer-Encoding")) {
+      ++codings;
+      const bool chunked = common::sameHeaderName(field.value(), "chunked");
+      defect = chunked && codings == 1 ? defect : "unsupported transfer coding";
+    }
+  });
+  return defect;
+}
+
 std::size_t headerBytes(const restinio::http_request_header_t& header) {
   std::size_t bytes = header.request_target().size();
   header.for_each_field([&](const restinio::http_header_field_t& field) {
@@ -144,6 +162,15 @@
       return restinio::request_rejected();
     }
     const auto connection = found->second.connection;
+    if (const char* const defect = framingDefect(source->header())) {
+      const bool answered_now = !connection->hasExchanges();
+      reject(found->second, 400, defect);
+      if (answered_now) {
+        connection->stopSending();
+      }
+      // RESTinio reads no further request then.
+      return restinio::request_rejected();
+    }
     connection->onRequestCompleted();
     auto exchange = std::make_shared<Exchange>(
         state_, connection, std::move(restinio::impl::access_req_connection(*source)),
--- a/src/cypresswall/runtime/response_framing.cpp
+++ b/src/cypresswall/runtime/response_framing.cpp
@@ -1,7 +1,6 @@
 #include "cypresswall/runtime/response_framing.h"
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 
 #include "cypresswall/common/header_names.h"
@@ -33,15 +32,6 @@
   return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
 }
 
-bool isTokenCharacter(char c) {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return std::isalnum(static_cast<unsigned char>(c)) != 0 || kMarks.find(c) != kMarks.npos;
-}
-
-bool isToken(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
-}
-
 /// \return the number in a text of digits only; nothing if it is anything else or too large.
 template <typename Number>
 std::optional<Number> numberIn(std::string_view text) {
@@ -145,7 +135,7 @@
 
 void ResponseFraming::takeField(std::string_view line) {
   const auto colon = line.find(':');
-  if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) ||
+  if (colon == std::string_view::npos || !common::isHeaderName(line.substr(0, colon)) ||
       holdsAnotherLine(line.substr(colon))) {
     reject(ResponseDefect::kHeadMalformed);
     return;
--- a/tests/http/http_client.h
+++ b/tests/http/http_client.h
@@ -61,6 +61,10 @@
   }
   void shutdownSend() { socket_.shutdown(asio::ip::tcp::socket::shutdown_send); }
   void close() { socket_.close(); }
+  void reset() {
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
 
   std::string received;
   bool closed = false;
