cypressctl: a response that is cut has an unknown outcome

A daemon's connection that closed within the head of its answer gave cypressctl an empty answer: it ended with "the answer can't be read" and did not ask again, though the change may have been accepted. Cause: the end of the answer was inferred from libcurl's success, as in the clients of the daemon.

The answer is followed by ResponseFraming now and is one only if it is whole by its own framing; daemons frame by length or chunks, so a close ends none. Otherwise the outcome is unknown, and CommandClient asks again.

--- a/apps/cypressctl/http_post.cpp
+++ b/apps/cypressctl/http_post.cpp
@@ -3,8 +3,10 @@
 #include <curl/curl.h>
 
 #include <memory>
+#include <string_view>
 
 #include "cypresswall/operators/command_api.h"
+#include "cypresswall/runtime/response_framing.h"
 
 namespace cypresswall::cypressctl {
 namespace {
@@ -15,14 +17,25 @@
 constexpr long kConnectTimeLimitMs = 2000;
 constexpr std::size_t kMaximumAnswerBytes = 64U << 20;
 
-std::size_t appendBody(char* data, std::size_t size, std::size_t count, void* target) {
-  auto& body = *static_cast<std::string*>(target);
-  const std::size_t bytes = size * count;
-  if (body.size() + bytes > kMaximumAnswerBytes) {
+struct Reading {
+  runtime::ResponseFraming framing{false, kMaximumAnswerBytes};
+  std::string body;
+};
+
+std::size_t takeLine(char* data, std::size_t size, std::size_t count, void* target) {
+  auto& reading = *static_cast<Reading*>(target);
+  reading.framing.takeLine(std::string_view(data, size * count));
+  return reading.framing.defect() ? 0 : size * count;
+}
+
+std::size_t takeBody(char* data, std::size_t size, std::size_t count, void* target) {
+  auto& reading = *static_cast<Reading*>(target);
+  reading.framing.takeBody(size * count);
+  if (reading.framing.defect()) {
     return 0;
   }
-  body.append(data, bytes);
-  return bytes;
+  reading.body.append(data, size * count);
+  return size * count;
 }
 
 /// \return true if the error implies that the request was not sent.
@@ -38,6 +51,26 @@
   return code == CURLE_OPERATION_TIMEDOUT && request_bytes == 0 && connected_after == 0;
 }
 
+PostAnswer answerOf(CURLcode code, CURL* handle, Reading reading) {
+  PostAnswer answer;
+  // Daemons frame their answers by length or chunks, so that a close never ends one.
+  const auto defect = reading.framing.defectAtEnd(false);
+  if (code == CURLE_OK && !defect) {
+    answer.result = PostResult::kAnswered;
+    answer.body = std::move(reading.body);
+    return answer;
+  }
+  answer.result = provesNotSent(code, handle) ? PostResult::kNotSent : PostResult::kUnknown;
+  if (code != CURLE_OK) {
+    answer.error = curl_easy_strerror(code);
+  }
+  if (defect && reading.framing.began()) {
+    answer.error += (answer.error.empty() ? "" : ": ") + std::string(toString(*defect)) + ", " +
+                    reading.framing.describe();
+  }
+  return answer;
+}
+
 }  // namespace
 
 PostAnswer postCommand(const common::Address& server, const std::string& body,
@@ -48,25 +81,21 @@
       curl_slist_append(nullptr, "Content-Type: application/json"), &curl_slist_free_all);
   const std::string url = "http://" + server + operators::kCommandPath;
   const long limit_ms = std::chrono::duration_cast<std::chrono::milliseconds>(time_limit).count();
-  PostAnswer answer;
+  Reading reading;
   curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
   curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
   curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDS, body.data());
   curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
-  curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &appendBody);
-  curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &answer.body);
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, &takeLine);
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &reading);
+  curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &takeBody);
+  curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &reading);
   curl_easy_setopt(handle.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeLimitMs);
   curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, limit_ms);
   curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
   const CURLcode code = curl_easy_perform(handle.get());
-  if (code == CURLE_OK) {
-    answer.result = PostResult::kAnswered;
-    return answer;
-  }
-  answer.result = provesNotSent(code, handle.get()) ? PostResult::kNotSent : PostResult::kUnknown;
-  answer.error = curl_easy_strerror(code);
-  return answer;
+  return answerOf(code, handle.get(), std::move(reading));
 }
 
 }  // namespace cypresswall::cypressctl
--- a/apps/cypressctl/http_post.h
+++ b/apps/cypressctl/http_post.h
@@ -7,7 +7,8 @@
 
 namespace cypresswall::cypressctl {
 
-/// Sends `body` to the command path of `server` ("IP:port").
+/// Sends `body` to the command path of `server` ("IP:port"). A response that is not whole gives
+/// kUnknown.
 operators::PostAnswer postCommand(const common::Address& server, const std::string& body,
                                   common::Duration time_limit);
 
