Fields of a head with ambiguous framing are not reported

A response whose head had both a length and chunks was broken, but its fields were still passed on with the status, so that an announcement, a rate limit or the store's incarnation was believed from bytes that are no answer. The other defects of a head end it before it is whole, so that they had not this effect. Its framing stays unknown now, as with any head that can't be read.

WholeResponseTest::malformedHeadsAreBroken now requires status 0 and no fields as well: failed before for a length of 4 beside chunks, passes now.

--- a/src/cypresswall/runtime/response_framing.cpp
+++ b/src/cypresswall/runtime/response_framing.cpp
@@ -174,6 +174,7 @@
   }
   if (chunked_ && length_) {
     reject(ResponseDefect::kFramingAmbiguous);
+    return Line::kHeadEnd;
   }
   if (head_request_ || status_ == kNoContent || status_ == kNotModified) {
     framing_ = BodyFraming::kNone;
--- a/tests/runtime/whole_response_test.cpp
+++ b/tests/runtime/whole_response_test.cpp
@@ -157,7 +157,9 @@
         "no response",
     };
     for (const std::string& response : responses) {
-      CPPUNIT_ASSERT_MESSAGE(response, fetch(response).outcome == CurlOutcome::kBroken);
+      const CurlResponse fetched = fetch(response);
+      CPPUNIT_ASSERT_MESSAGE(response, fetched.outcome == CurlOutcome::kBroken);
+      CPPUNIT_ASSERT_MESSAGE(response, fetched.status == 0 && fetched.headers.empty());
       CPPUNIT_ASSERT_MESSAGE(response, stream(response).done->outcome == CurlOutcome::kBroken);
     }
   }
