Process tests: an answer is complete only by its own framing

httpCall, by which the tests of real processes and the soak test judge answers, took libcurl's success for completeness. An answer that a node left unfinished within its head counted as complete with the fields that had arrived: a booking as done without a body, a stream of a killed node as "ended without a final event". With the same cause as the clients of the daemon, it could not have shown their fault.

It follows the answer by ResponseFraming now.

--- a/tests/cypressctl/http_post_test.cpp
+++ b/tests/cypressctl/http_post_test.cpp
@@ -50,10 +50,9 @@
   operators::PostAnswer post() {
     std::atomic<bool> done = false;
     std::thread serving([&] {
-      context_.restart();
       while (!done) {
-        context_.run_for(std::chrono::milliseconds(1));
         context_.restart();
+        context_.run_for(std::chrono::milliseconds(1));
       }
     });
     auto answer = postCommand(server_.address(), "{}", std::chrono::seconds(5));
--- a/tests/process/http_call.cpp
+++ b/tests/process/http_call.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <cctype>
 #include <memory>
+#include <utility>
+
+#include "cypresswall/runtime/response_framing.h"
 
 namespace cypresswall::testing {
 namespace {
@@ -12,22 +15,36 @@
 constexpr long kConnectMilliseconds = 1000;
 constexpr long kTotalMilliseconds = 30000;
 
-std::size_t takeBody(char* data, std::size_t size, std::size_t count, void* answer) {
-  static_cast<HttpAnswer*>(answer)->body.append(data, size * count);
+struct Reading {
+  runtime::ResponseFraming framing;
+  HttpAnswer answer;
+};
+
+std::size_t takeBody(char* data, std::size_t size, std::size_t count, void* target) {
+  auto& reading = *static_cast<Reading*>(target);
+  reading.framing.takeBody(size * count);
+  reading.answer.body.append(data, size * count);
   return size * count;
 }
 
-std::size_t takeHeader(char* data, std::size_t size, std::size_t count, void* answer) {
-  const std::string line(data, size * count);
+void takeField(const std::string& line, HttpAnswer& answer) {
   const auto colon = line.find(": ");
   if (colon != std::string::npos) {
     std::string name = line.substr(0, colon);
     std::transform(name.begin(), name.end(), name.begin(),
                    [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
     const auto end = line.find_first_of("\r\n", colon);
-    static_cast<HttpAnswer*>(answer)->headers[name] = line.substr(colon + 2, end - colon - 2);
+    answer.headers[name] = line.substr(colon + 2, end - colon - 2);
   }
-  return size * count;
+}
+
+std::size_t takeHeader(char* data, std::size_t size, std::size_t count, void* target) {
+  auto& reading = *static_cast<Reading*>(target);
+  const std::string line(data, size * count);
+  if (reading.framing.takeLine(line) == runtime::ResponseFraming::Line::kField) {
+    takeField(line, reading.answer);
+  }
+  return reading.framing.defect() ? 0 : size * count;
 }
 
 }  // namespace
@@ -40,7 +57,8 @@
 HttpAnswer httpCall(const std::string& method, const std::string& address,
                     const std::string& target, const std::string& body,
                     const std::map<std::string, std::string>& headers) {
-  HttpAnswer answer;
+  Reading reading{{method == "HEAD", 0}, {}};
+  HttpAnswer& answer = reading.answer;
   const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl(curl_easy_init(),
                                                                  &curl_easy_cleanup);
   curl_slist* list = curl_slist_append(nullptr, "Content-Type: application/json");
@@ -57,9 +75,9 @@
   curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectMilliseconds);
   curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, kTotalMilliseconds);
   curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, &takeBody);
-  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &answer);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &reading);
   curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, &takeHeader);
-  curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &answer);
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &reading);
   if (!body.empty()) {
     curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.c_str());
     curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
@@ -68,15 +86,21 @@
   long status = 0;
   curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
   curl_slist_free_all(list);
-  answer.status = static_cast<int>(status);
-  answer.complete = result == CURLE_OK;
+  // The processes under test frame by length or chunks, so that a close never ends an answer.
+  const auto defect = reading.framing.defectAtEnd(false);
+  answer.complete = result == CURLE_OK && !defect;
+  if (reading.framing.framing() == runtime::BodyFraming::kUnknown) {
+    answer.headers.clear();
+  } else {
+    answer.status = static_cast<int>(status);
+  }
   double connected_after = 0;
   curl_easy_getinfo(curl.get(), CURLINFO_CONNECT_TIME, &connected_after);
   answer.not_connected = connected_after <= 0;
   if (!answer.complete) {
-    answer.error = curl_easy_strerror(result);
+    answer.error = result != CURLE_OK ? curl_easy_strerror(result) : toString(*defect);
   }
-  return answer;
+  return reading.answer;
 }
 
 }  // namespace cypresswall::testing
--- a/tests/process/http_call.h
+++ b/tests/process/http_call.h
@@ -7,13 +7,13 @@
 namespace cypresswall::testing {
 
 struct HttpAnswer {
-  /// Zero if no status line was received.
+  /// Zero if no complete head was received.
   int status = 0;
-  /// True if the complete answer was received.
+  /// True if the complete answer was received, by its own framing.
   bool complete = false;
   /// True if the connection failed, so that no request was sent.
   bool not_connected = false;
-  /// libcurl's message if the answer is incomplete.
+  /// What went wrong if the answer is incomplete.
   std::string error;
   std::string body;
   /// Field names are in lower case.
