--- a/tests/execution/recorded_answer_test.cpp
+++ b/tests/execution/recorded_answer_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(decodesWhatWasEncoded);
   CPPUNIT_TEST(garbageNeverDecodesAsNotRun);
   CPPUNIT_TEST(oversizedLengthsAreRejected);
+  CPPUNIT_TEST(cutRecordsAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -46,6 +47,19 @@
     // A string with a declared length of 2^32 - 1 bytes.
     CPPUNIT_ASSERT(!decodeRecordedAnswer("\xdb\xff\xff\xff\xff"));
   }
+
+  /// Guards against a part of an answer that is repeated to each caller with the same key.
+  void cutRecordsAreRejected() {
+    ServiceCallAnswer answer;
+    answer.outcome = Outcome::kDone;
+    answer.status = 201;
+    answer.headers = {{"X-Slot", "7"}};
+    answer.body = "body";
+    const std::string record = encodeRecordedAnswer(answer, kMaximumBytes);
+    for (std::size_t length = 0; length < record.size(); ++length) {
+      CPPUNIT_ASSERT(!decodeRecordedAnswer(record.substr(0, length)));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordedAnswerTest);
