Part of a status line on a kept connection is an answer that broke off

A runner that broke off its answer within the status line, on a kept connection, was treated as one that had closed the connection before the request arrived: it was not held at fault, and might be chosen again at once. The budget was charged, and only requests that may be repeated use kept connections. Cause: libcurl counts no byte of a line that does not end, and calls the connection dead.

The kernel's count of segments with data tells whether anything arrived since the request was sent; the end of a connection does not change it, so that a connection closed before the request arrived is still stale.

CutEngineResponseTest::partOfAStatusLineIsNoStaleConnection: kStale instead of kBroken before at 1 byte, passes now for each prefix of a service's answer and of a prefill's.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "cypresswall/common/header_names.h"
+#include "cypresswall/runtime/tcp_progress.h"
 
 namespace cypresswall::runtime {
 namespace {
@@ -112,6 +113,8 @@
   closed_in_order_ = by_peer_in_order;
   // Later the error of a new connection may replace this one.
   timed_out_ = timed_out_ || numberOf(CURLINFO_OS_ERRNO) == ETIMEDOUT;
+  bytes_received_ =
+      bytes_received_ || (socket_ && receivedDataSegments(*socket_) != segments_before_);
   socket_.reset();
 }
 
@@ -213,6 +216,9 @@
   if (on_sending_) {
     socket_ = on_sending_(reused_ ? std::nullopt : socket_);
   }
+  if (pooled_ && reused_ && socket_) {
+    segments_before_ = receivedDataSegments(*socket_);
+  }
   silence_checked_ = pooled_ && reused_ && socket_ && silence_limit_.count() > 0;
   if (silence_checked_) {
     setNumber(*socket_, SOL_SOCKET, SO_KEEPALIVE, 0);
@@ -318,7 +324,7 @@
 bool CurlJob::foundStaleConnection(CURLcode code) const {
   const bool ended = code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR ||
                      code == CURLE_GOT_NOTHING || code == CURLE_ABORTED_BY_CALLBACK;
-  if (!pooled_ || !reused_ || !ended || numberOf(CURLINFO_RESPONSE_CODE) != 0 ||
+  if (!pooled_ || !reused_ || !ended || bytes_received_ || numberOf(CURLINFO_RESPONSE_CODE) != 0 ||
       numberOf(CURLINFO_REQUEST_SIZE) == 0) {
     return false;
   }
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -130,6 +131,10 @@
   bool reused_ = false;
   bool stale_ = false;
   bool foreign_ = false;
+  /// Data segments that a kept connection had received when the request was sent, and whether more
+  /// came. libcurl does not count the bytes of a line that does not end.
+  std::uint32_t segments_before_ = 0;
+  bool bytes_received_ = false;
   bool silence_checked_ = false;
   bool timed_out_ = false;
   std::chrono::steady_clock::time_point sent_at_;
--- a/tests/objects_platform/cut_responses/cut_engine_response_test.cpp
+++ b/tests/objects_platform/cut_responses/cut_engine_response_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(cutOrderReplyIsNoReply);
   CPPUNIT_TEST(cutReportIsNoReport);
   CPPUNIT_TEST(cutHeadAnnouncesNothing);
+  CPPUNIT_TEST(partOfAStatusLineIsNoStaleConnection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -150,6 +151,24 @@
     }
   }
 
+  /// Guards against a runner that is not held at fault for an answer that it broke off: the kept
+  /// connection was not closed before the request arrived.
+  void partOfAStatusLineIsNoStaleConnection() {
+    const std::string response = httpAnswer(200, R"({"kv_handle":"h1"})", fieldsOf("r1"));
+    for (std::size_t bytes = 1; bytes < response.size(); ++bytes) {
+      const std::string message = std::to_string(bytes) + " bytes";
+      server_.answer(response);
+      CPPUNIT_ASSERT(call("r1").outcome == ServiceOutcome::kAnswered);
+      server_.answer(response.substr(0, bytes), true);
+      CPPUNIT_ASSERT_MESSAGE(message, call("r1", true).outcome == ServiceOutcome::kBroken);
+      server_.answer(response);
+      CPPUNIT_ASSERT(stream(engines::StreamPhase::kPrefillOnly).finished);
+      server_.answer(response.substr(0, bytes), true);
+      CPPUNIT_ASSERT_MESSAGE(message, stream(engines::StreamPhase::kPrefillOnly, true).failure ==
+                                          StreamFailure::kBroken);
+    }
+  }
+
  private:
   engines::EngineEndpoint endpoint() const { return {"runner", server_.address()}; }
 
