--- a/tests/process/http_call_test.cpp
+++ b/tests/process/http_call_test.cpp
@@ -49,7 +49,7 @@
         context_.run_for(std::chrono::milliseconds(1));
       }
     });
-    const HttpAnswer answer = httpCall("POST", server_.address(), "/a", "ask");
+    HttpAnswer answer = httpCall("POST", server_.address(), "/a", "ask");
     done = true;
     serving.join();
     return answer;
