Process tests: damaged responses of services and engines never reach callers as whole

Guards the rule that a response is whole only if its own head and framing say so, with real daemons: two nodes, two engines and two back ends, whose responses a proxy stops in the status line, the head, the length and the body (closed in order or reset), gives a second length, a head without end, or a body without a length that is reset. A success must be the back end's whole body for this call, byte by byte; a call that may be repeated must be served by the other back end; one that may not gets an unknown outcome, never 503, 429, 408 or 421. Streams run beside an engine damaged in the same ways.

TcpProxy moves from tests/soak to tests/process and damages responses. TestFleet takes several back ends. Workload also looks up slots, and compares each success of the service byte by byte with the body that it gives for the call; the identifier in it must be the call's own, or that of a run of its key in the ledger.

--- a/tests/soak/tcp_proxy.cpp
+++ b/tests/process/tcp_proxy.cpp
@@ -1,4 +1,4 @@
-#include "tests/soak/tcp_proxy.h"
+#include "tests/process/tcp_proxy.h"
 
 #include <algorithm>
 #include <array>
@@ -8,6 +8,13 @@
 namespace {
 
 using asio::ip::tcp;
+using emulation::ResponseDamager;
+
+/// A response without end is cut off here if the caller reads on.
+constexpr std::size_t kEndlessBytes = 64U << 20;
+constexpr std::size_t kFillersInAWrite = 16;
+/// Delay of a response that is sent again, at most.
+constexpr std::uint64_t kLateMilliseconds = 50;
 
 tcp::endpoint endpointOf(const std::string& address) {
   const auto colon = address.rfind(':');
@@ -23,11 +30,23 @@
 
 }  // namespace
 
+std::string proxyAddressFor(const std::string& target) {
+  const auto colon = target.rfind(':');
+  const auto dot = target.rfind('.');
+  constexpr int kProxyHosts = 20;
+  const int host = std::stoi(target.substr(dot + 1, colon - dot - 1)) + kProxyHosts;
+  return target.substr(0, dot + 1) + std::to_string(host) + target.substr(colon);
+}
+
 /// One proxied connection.
 class TcpProxy::Link : public std::enable_shared_from_this<Link> {
  public:
   Link(TcpProxy& proxy, tcp::socket caller)
-      : proxy_(proxy), to_target_(std::move(caller), proxy), to_caller_(proxy) {}
+      : proxy_(proxy),
+        to_target_(std::move(caller), proxy),
+        to_caller_(proxy),
+        damager_(proxy.damage_, proxy.random_),
+        late_timer_(proxy.context_) {}
 
   void start() {
     auto self = shared_from_this();
@@ -84,22 +103,102 @@
     auto self = shared_from_this();
     direction.timer.async_wait(
         [self, &direction, &to, request, bytes](const asio::error_code& error) {
-          if (!error) {
-            self->write(direction, to, request, bytes);
+          if (error) {
+            return;
+          }
+          if (request) {
+            self->damager_.takeRequest();
+            self->write(direction, to, bytes);
+          } else {
+            self->writeResponse(bytes);
           }
         });
   }
-  void write(Direction& direction, tcp::socket& to, bool request, std::size_t bytes) {
+  void write(Direction& direction, tcp::socket& to, std::size_t bytes) {
     auto self = shared_from_this();
     asio::async_write(to, asio::buffer(direction.buffer.data(), bytes),
-                      [self, &direction, &to, request](const asio::error_code& error, std::size_t) {
+                      [self, &direction, &to](const asio::error_code& error, std::size_t) {
                         if (error) {
                           self->close();
                         } else {
-                          self->pump(direction, to, request);
+                          self->pump(direction, to, true);
                         }
                       });
   }
+  void writeResponse(std::size_t bytes) {
+    const bool first = !damager_.responseBegan();
+    ResponseDamager::Output output = damager_.takeResponse({to_caller_.buffer.data(), bytes});
+    responses_ += first ? 1 : 0;
+    proxy_.damaged_responses_ += first && damager_.damaged() ? 1 : 0;
+    sendToCaller(std::move(output.bytes),
+                 [this, then = output.then, filler = std::move(output.filler)] {
+                   finishWrite(then, filler);
+                 });
+  }
+  /// Calls `next` once all is written. The link lives until then.
+  void sendToCaller(std::string bytes, std::function<void()> next) {
+    writing_to_caller_ = true;
+    auto held = std::make_shared<std::string>(std::move(bytes));
+    auto self = shared_from_this();
+    asio::async_write(
+        to_target_.from, asio::buffer(*held),
+        [self, held, next = std::move(next)](const asio::error_code& error, std::size_t) {
+          self->writing_to_caller_ = false;
+          if (error) {
+            self->close();
+          } else {
+            next();
+          }
+        });
+  }
+  void finishWrite(ResponseDamager::Then then, const std::string& filler) {
+    using Then = ResponseDamager::Then;
+    switch (then) {
+      case Then::kClose:
+        close();
+        return;
+      case Then::kReset:
+        end();
+        return;
+      case Then::kRepeatFiller: {
+        std::string block;
+        for (std::size_t i = 0; i < kFillersInAWrite; ++i) {
+          block += filler;
+        }
+        sendWithoutEnd(block, 0);
+        return;
+      }
+      case Then::kSendFillerLate:
+      case Then::kSendFillerLateAndClose:
+        sendLate(filler, then == Then::kSendFillerLateAndClose);
+        break;
+      case Then::kGoOn:
+        break;
+    }
+    pump(to_caller_, to_target_.from, false);
+  }
+  void sendWithoutEnd(const std::string& block, std::size_t sent) {
+    if (sent > kEndlessBytes) {
+      end();
+      return;
+    }
+    sendToCaller(block, [this, block, sent] { sendWithoutEnd(block, sent + block.size()); });
+  }
+  void sendLate(std::string bytes, bool then_close) {
+    late_timer_.expires_after(std::chrono::milliseconds(proxy_.random_.below(kLateMilliseconds)));
+    auto self = shared_from_this();
+    late_timer_.async_wait([self, bytes = std::move(bytes), then_close,
+                            response = responses_](const asio::error_code& error) mutable {
+      if (error || self->writing_to_caller_ || self->responses_ != response) {
+        return;
+      }
+      self->sendToCaller(std::move(bytes), [self, then_close] {
+        if (then_close) {
+          self->close();
+        }
+      });
+    });
+  }
   /// One peer closed its connection: closes the other too, after all bytes read were written.
   void close() {
     asio::error_code ignored;
@@ -112,6 +211,10 @@
   Direction to_target_;
   Direction to_caller_;
   bool lost_bytes_ = false;
+  ResponseDamager damager_;
+  asio::steady_timer late_timer_;
+  bool writing_to_caller_ = false;
+  std::uint64_t responses_ = 0;
 };
 
 TcpProxy::TcpProxy(const std::string& address, const std::string& target)
@@ -156,6 +259,13 @@
   });
 }
 
+void TcpProxy::damageResponses(const emulation::ResponseDamage& damage, std::uint64_t seed) {
+  asio::post(context_, [this, damage, seed] {
+    damage_ = damage;
+    random_ = common::SeededRandom(seed);
+  });
+}
+
 void TcpProxy::resetConnections() {
   asio::post(context_, [this] {
     const auto links = links_;
--- a/tests/soak/tcp_proxy.h
+++ b/tests/process/tcp_proxy.h
@@ -1,5 +1,5 @@
 /// A fault-injecting proxy between two processes on loopback: it delays bytes, drops bytes in one
-/// direction or both, and resets connections.
+/// direction or both, resets connections, and damages HTTP responses.
 #pragma once
 
 #include <asio.hpp>
@@ -10,6 +10,8 @@
 #include <string>
 #include <thread>
 
+#include "cypresswall/emulation/response_damage.h"
+
 namespace cypresswall::testing {
 
 /// Faults that a proxy injects. A connection that lost bytes is reset when the fault is cleared,
@@ -21,6 +23,9 @@
   bool drop_answers = false;
 };
 
+/// \return the address of a proxy for `target`: a higher loopback host, the same port
+std::string proxyAddressFor(const std::string& target);
+
 class TcpProxy {
  public:
   /// Listens at `address` and connects to `target`, both "IP:port". \throws asio::system_error
@@ -35,6 +40,11 @@
   void setFaults(const ProxyFaults& faults);
   /// Resets every open connection.
   void resetConnections();
+  /// Damages responses that begin from now on.
+  /// \param seed of the choice of responses, kinds and positions
+  void damageResponses(const emulation::ResponseDamage& damage, std::uint64_t seed);
+  /// \return the number of damaged responses so far.
+  std::uint64_t damagedResponses() const { return damaged_responses_; }
 
  private:
   class Link;
@@ -47,6 +57,9 @@
   asio::ip::tcp::endpoint target_;
   asio::ip::tcp::acceptor acceptor_;
   ProxyFaults faults_;
+  emulation::ResponseDamage damage_;
+  common::SeededRandom random_{1};
+  std::atomic<std::uint64_t> damaged_responses_{0};
   std::list<std::shared_ptr<Link>> links_;
   std::thread thread_;
 };
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -43,7 +43,7 @@
 
 TestFleet::TestFleet(std::size_t nodes, std::size_t engines,
                      const AddressMapping& daemon_address_of,
-                     std::vector<std::string> engine_builds)
+                     std::vector<std::string> engine_builds, std::size_t back_ends)
     : engine_builds_(std::move(engine_builds)) {
   constexpr int kNumbers = 200;
   const int process = getpid();
@@ -54,7 +54,9 @@
                 .string();
   std::filesystem::create_directories(folder_);
   platform_ = host(kPlatformPart, 0) + ":8000";
-  service_ = host(kServicePart, 0) + ":8100";
+  for (std::size_t back_end = 0; back_end < back_ends; ++back_end) {
+    back_ends_.push_back(host(kServicePart, back_end) + ":8100");
+  }
   for (std::size_t engine = 0; engine < engines; ++engine) {
     engines_.push_back(host(kEnginePart, engine) + ":8001");
   }
@@ -62,6 +64,10 @@
   for (const std::string& engine : engines_) {
     engine_addresses_for_daemons_.push_back(daemon_address_of ? daemon_address_of(engine) : engine);
   }
+  for (const std::string& back_end : back_ends_) {
+    back_end_addresses_for_daemons_.push_back(daemon_address_of ? daemon_address_of(back_end)
+                                                                : back_end);
+  }
   platform_program_ = std::make_unique<Program>(
       "cypresswall-platform-standin",
       std::vector<std::string>{"--address", platform_, "--machine_list_lag_ms", "100"},
@@ -72,9 +78,10 @@
                                "--model_version", kModelVersion, "--builds", joined(engine_builds_),
                                "--role_change_ms", "500", "--restart_ms", "1000"},
       folder_ + "/engines.log");
-  service_program_ = std::make_unique<Program>("cypresswall-service-standin",
-                                               std::vector<std::string>{"--addresses", service_},
-                                               folder_ + "/service.log");
+  service_program_ = std::make_unique<Program>(
+      "cypresswall-service-standin",
+      std::vector<std::string>{"--addresses", joined(back_ends_), "--name", kHttpService},
+      folder_ + "/service.log");
   for (std::size_t node = 0; node < nodes; ++node) {
     gateways_.push_back(host(kNodePart, node) + ":8080");
   }
@@ -159,10 +166,13 @@
       "models: [{name: model, version: \"1\", weights_uri: \"weights://model\"}]\n"
       "model_services: [{name: chat, model: model, urgency: high}]\n"
       "planning: {automatic_roles: false}\n"
-      "http_services:\n  - name: booking\n    backends: [{zone: hall, machine: web, "
-      "address: \"" +
-      service_ +
-      "\"}]\n    operations:\n      - {method: POST, path_prefix: /bookings, "
+      "http_services:\n  - name: booking\n    backends:\n";
+  for (std::size_t back_end = 0; back_end < back_ends_.size(); ++back_end) {
+    file += "      - {zone: hall, machine: web-" + std::to_string(back_end) + ", address: \"" +
+            back_end_addresses_for_daemons_[back_end] + "\"}\n";
+  }
+  file +=
+      "    operations:\n      - {method: POST, path_prefix: /bookings, "
       "repeatable: false, time_limit: 3s}\n"
       "      - {method: GET, path_prefix: /slots, repeatable: true}\nengines:\n";
   for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
@@ -230,11 +240,11 @@
 }
 
 void TestFleet::serviceFault(const json& fault) const {
-  httpCall("POST", service_, "/admin/faults", fault.dump());
+  httpCall("POST", back_ends_.front(), "/admin/faults", fault.dump());
 }
 
 json TestFleet::serviceLedger() const {
-  return json::parse(httpCall("GET", service_, "/admin/ledger").body);
+  return json::parse(httpCall("GET", back_ends_.front(), "/admin/ledger").body);
 }
 
 }  // namespace cypresswall::testing
--- a/tests/process/test_fleet.h
+++ b/tests/process/test_fleet.h
@@ -28,10 +28,11 @@
 
   /// Starts all processes, declares the fleet, and waits until it serves.
   /// \param engine_builds software builds that the engines have in turn
-  /// \param via called for the platform, then for each engine;
-  ///   without it, daemons use the addresses themselves
+  /// \param daemon_address_of called for the platform, then for each engine, then for each back end
+  ///   of the service; without it, daemons use the addresses themselves
+  /// \param back_ends of the service; they share one ledger
   TestFleet(std::size_t nodes, std::size_t engines, const AddressMapping& daemon_address_of = {},
-            std::vector<std::string> engine_builds = {""});
+            std::vector<std::string> engine_builds = {""}, std::size_t back_ends = 1);
   ~TestFleet();
 
   std::size_t nodes() const { return daemons_.size(); }
@@ -75,7 +76,8 @@
   /// Addresses at which daemons reach the platform and the engines.
   std::string platform_address_for_daemons_;
   std::vector<std::string> engine_addresses_for_daemons_;
-  std::string service_;
+  std::vector<std::string> back_ends_;
+  std::vector<std::string> back_end_addresses_for_daemons_;
   std::vector<std::string> engine_builds_;
   std::vector<std::string> engines_;
   std::vector<std::string> gateways_;
--- a/tests/process/workload.cpp
+++ b/tests/process/workload.cpp
@@ -1,8 +1,11 @@
 #include "tests/process/workload.h"
 
+#include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
-#include <optional>
+#include <set>
 #include <sstream>
+#include <utility>
 
 #include "cypresswall/common/prompt.h"
 #include "cypresswall/emulation/answer.h"
@@ -16,6 +19,8 @@
 constexpr int kBookingTries = 4;
 /// One in this many requests of a thread is a booking.
 constexpr std::uint64_t kBookingShare = 3;
+/// One in this many is a lookup, unless it is a booking.
+constexpr std::uint64_t kLookupShare = 4;
 
 std::string expectedText(const std::string& prompt, const std::string& build) {
   const auto shape = common::shapeOfPrompt(prompt, std::string(kModel) + "/" + kModelVersion + "/");
@@ -72,6 +77,32 @@
 
 }  // namespace
 
+std::optional<std::string> requestOfWholeBody(const std::string& body, const ServiceCall& call) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("request_id") || !parsed["request_id"].is_string()) {
+    return std::nullopt;
+  }
+  const json expected = {{"service", kHttpService}, {"request_id", parsed["request_id"]},
+                         {"key", call.key},         {"method", call.method},
+                         {"path", call.path},       {"echo", call.body}};
+  return body == expected.dump() ? parsed["request_id"].get<std::string>()
+                                 : std::optional<std::string>();
+}
+
+bool invitesRepeat(int status) {
+  constexpr std::array<int, 4> kStatuses = {408, 421, 429, 503};
+  return std::find(kStatuses.begin(), kStatuses.end(), status) != kStatuses.end();
+}
+
+HttpAnswer callService(const std::string& gateway, const ServiceCall& call) {
+  std::map<std::string, std::string> headers;
+  if (!call.key.empty()) {
+    headers["Idempotency-Key"] = call.key;
+  }
+  return httpCall(call.method, gateway, std::string("/services/") + kHttpService + call.path,
+                  call.body, headers);
+}
+
 Workload::Workload(const TestFleet& fleet, std::size_t threads)
     : fleet_(fleet), enabled_(fleet.nodes()) {
   for (auto& enabled : enabled_) {
@@ -94,6 +125,8 @@
     const std::string name = std::to_string(thread) + "-" + std::to_string(number);
     if (number % kBookingShare == 0) {
       book(thread, "key-" + name);
+    } else if (number % kLookupShare == 1) {
+      lookUp(pickGateway(thread + number), name);
     } else {
       stream(pickGateway(thread + number), "container " + name + " passed the gate");
     }
@@ -150,25 +183,27 @@
 }
 
 void Workload::book(std::size_t thread, const std::string& key) {
+  const ServiceCall call{"POST", "/bookings", key, R"({"slot":")" + key + "\"}"};
   for (int attempt = 0; attempt < kBookingTries && !stop_; ++attempt) {
     const auto& gateway = pickGateway(thread + static_cast<std::uint64_t>(attempt));
-    const auto answer =
-        httpCall("POST", gateway, std::string("/services/") + kHttpService + "/bookings",
-                 R"({"slot":")" + key + "\"}", {{"Idempotency-Key", key}});
-    recordBooking(answer, key);
+    const auto answer = callService(gateway, call);
+    recordBooking(answer, call);
     if (answer.status == 200) {
       return;
     }
   }
 }
 
-void Workload::recordBooking(const HttpAnswer& answer, const std::string& key) {
+void Workload::recordBooking(const HttpAnswer& answer, const ServiceCall& call) {
   const std::lock_guard lock(mutex_);
-  KeyHistory& history = keys_[key];
+  KeyHistory& history = keys_[call.key];
   if (answer.not_connected) {
     return;
   }
   const std::string outcome = answer.header("x-cypresswall-outcome");
+  if (answer.complete && answer.status == 200) {
+    history.answered_by.push_back(checkServiceBody(answer, call));
+  }
   if (answer.complete && outcome == "done") {
     history.reported_done = true;
     report_.bookings_done += 1;
@@ -178,11 +213,46 @@
     return;
   } else {
     report_.bookings_unknown += 1;
-    recordIncident(key, answer);
+    recordIncident(call.key, answer);
+    checkUnknownOutcome(answer);
   }
   history.only_reported_not_run = false;
 }
 
+void Workload::lookUp(const std::string& gateway, const std::string& name) {
+  const ServiceCall call{"GET", "/slots/" + name, "", ""};
+  const HttpAnswer answer = callService(gateway, call);
+  const std::lock_guard lock(mutex_);
+  if (!answer.complete || answer.status != 200) {
+    report_.lookups_failed += 1;
+    if (answer.complete) {
+      checkRefusal(answer);
+    }
+    return;
+  }
+  const std::string request = checkServiceBody(answer, call);
+  if (request != answer.header("x-request-id")) {
+    addViolation("the body of another request for " + call.path + ": " + answer.body);
+  }
+  report_.lookups_whole += 1;
+}
+
+std::string Workload::checkServiceBody(const HttpAnswer& answer, const ServiceCall& call) {
+  const auto request = requestOfWholeBody(answer.body, call);
+  if (!request) {
+    addViolation("a success for " + call.method + " " + call.path + " " + call.key + " with " +
+                 std::to_string(answer.body.size()) +
+                 " bytes isn't its whole body: " + answer.body);
+  }
+  return request.value_or("");
+}
+
+void Workload::checkUnknownOutcome(const HttpAnswer& answer) {
+  if (answer.complete && invitesRepeat(answer.status)) {
+    addViolation("an unknown outcome with status " + std::to_string(answer.status));
+  }
+}
+
 void Workload::checkRefusal(const HttpAnswer& answer) {
   const bool refused_for_load = answer.status == 503 || answer.status == 429;
   if (refused_for_load && answer.header("retry-after").empty()) {
@@ -216,9 +286,12 @@
 
 void Workload::checkLedger() {
   std::map<std::string, std::uint64_t> runs;
+  std::set<std::pair<std::string, std::string>> requests_run;
   const json ledger = fleet_.serviceLedger();
   for (const json& execution : ledger["executions"]) {
     runs[execution["key"].get<std::string>()] += execution["count"].get<std::uint64_t>();
+    requests_run.emplace(execution["key"].get<std::string>(),
+                         execution["request_id"].get<std::string>());
   }
   const std::lock_guard lock(mutex_);
   for (const auto& [key, history] : keys_) {
@@ -229,6 +302,11 @@
     if (history.reported_done && count != 1) {
       addViolation(key + " was reported done and ran " + std::to_string(count) + " times");
     }
+    for (const std::string& request : history.answered_by) {
+      if (!request.empty() && requests_run.count({key, request}) == 0) {
+        addViolation(key + " got the body of a request that did not run: " + request);
+      }
+    }
     if (history.only_reported_not_run && count != 0) {
       addViolation(key + " was reported as not run, but ran");
     }
--- a/tests/process/workload.h
+++ b/tests/process/workload.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,13 +27,34 @@
   std::uint64_t bookings_done = 0;
   std::uint64_t bookings_not_run = 0;
   std::uint64_t bookings_unknown = 0;
+  /// Calls of the service that may be repeated.
+  std::uint64_t lookups_whole = 0;
+  std::uint64_t lookups_failed = 0;
   /// Details of each broken stream and each booking with unknown outcome.
   std::vector<std::string> incidents;
-  /// Wrong answers, bookings that ran twice or contrary to their reported outcome, and refusals for
-  /// load without Retry-After.
+  /// Wrong or incomplete answers, bookings that ran twice or contrary to their reported outcome,
+  /// and refusals for load without Retry-After.
   std::vector<std::string> violations;
 };
 
+/// A call of the HTTP service, as the service receives it.
+struct ServiceCall {
+  std::string method;
+  std::string path;
+  std::string key;
+  std::string body;
+};
+
+/// \return the identifier of the request that the service ran for `call` if `body` is its whole
+///   response, byte by byte
+std::optional<std::string> requestOfWholeBody(const std::string& body, const ServiceCall& call);
+
+/// \return true for a status that must not be given to a request that may have run, since callers
+///   repeat it
+bool invitesRepeat(int status);
+
+HttpAnswer callService(const std::string& gateway, const ServiceCall& call);
+
 class Workload {
  public:
   Workload(const TestFleet& fleet, std::size_t threads);
@@ -53,14 +75,22 @@
   struct KeyHistory {
     bool reported_done = false;
     bool only_reported_not_run = true;
+    /// Identifiers of the runs whose answers the caller got.
+    std::vector<std::string> answered_by;
   };
 
   void run(std::size_t thread);
   void stream(const std::string& gateway, const std::string& prompt);
   void checkStream(const HttpAnswer& answer, const std::string& prompt);
   void book(std::size_t thread, const std::string& key);
-  void recordBooking(const HttpAnswer& answer, const std::string& key);
+  void recordBooking(const HttpAnswer& answer, const ServiceCall& call);
+  void lookUp(const std::string& gateway, const std::string& name);
+  /// Records a violation if a success isn't the service's whole body for this call.
+  /// \return the identifier of the request that the service ran; empty for a wrong body
+  std::string checkServiceBody(const HttpAnswer& answer, const ServiceCall& call);
   void checkRefusal(const HttpAnswer& answer);
+  /// Records a violation if the status invites the caller to repeat a request that may have run.
+  void checkUnknownOutcome(const HttpAnswer& answer);
   void checkLedger();
   const std::string& pickGateway(std::uint64_t number) const;
   void recordIncident(const std::string& request, const HttpAnswer& answer);
--- a/tests/soak/soak_round.h
+++ b/tests/soak/soak_round.h
@@ -11,7 +11,7 @@
 #include "tests/process/test_fleet.h"
 #include "tests/process/workload.h"
 #include "tests/soak/fault_plan.h"
-#include "tests/soak/tcp_proxy.h"
+#include "tests/process/tcp_proxy.h"
 
 namespace cypresswall::testing {
 
