Second copies of a response arrive late or with the next request, also behind streams

A copy that is sent after some milliseconds mostly meets an idle connection, where libcurl drops it. One that arrives with the next request, before its response, is the case that a client must tell from its own response: whole, or half of it before the server closes. Streams are now sent twice as well, not only responses with a length.

--- a/src/cypresswall/emulation/response_damage.cpp
+++ b/src/cypresswall/emulation/response_damage.cpp
@@ -12,6 +12,7 @@
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kLengthField = "\r\ncontent-length: ";
 constexpr std::string_view kCodingField = "\r\ntransfer-encoding: ";
+constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 constexpr std::size_t kFillerBytes = 1024;
 /// Position in a body of unknown size at which it stops at the latest.
 constexpr std::size_t kLatestStop = 400;
@@ -58,6 +59,7 @@
   if (stage_ == Stage::kNextResponse) {
     kind_.reset();
     limit_.reset();
+    at_limit_ = Then::kGoOn;
     head_.clear();
     copy_.clear();
     if (!damage_.kinds.empty() && random_.unit() < damage_.share) {
@@ -103,8 +105,8 @@
     case DamageKind::kSentTwice:
       if (length) {
         limit_ = head_.size() + *length;
-        at_limit_ = random_.below(2) == 0 ? Then::kSendFillerLate : Then::kSendFillerLateAndClose;
       }
+      at_limit_ = random_.below(2) == 0 ? Then::kSendFillerLate : Then::kSendFillerWithNextRequest;
       break;
     case DamageKind::kEndlessHead:
     case DamageKind::kEndlessBody:
@@ -115,19 +117,21 @@
 
 ResponseDamager::Output ResponseDamager::pass(std::string_view bytes) {
   Output output;
-  if (!limit_) {
-    output.bytes = bytes;
-    return output;
+  output.bytes = bytes.substr(0, limit_.value_or(std::string_view::npos));
+  if (limit_) {
+    *limit_ -= output.bytes.size();
   }
-  output.bytes = bytes.substr(0, *limit_);
-  *limit_ -= output.bytes.size();
+  bool ended = limit_ == std::size_t{0};
   if (kind_ == DamageKind::kSentTwice) {
     copy_ += output.bytes;
+    ended = ended || (!limit_ && copy_.ends_with(kLastChunk));
   }
-  if (*limit_ == 0 && at_limit_ != Then::kGoOn) {
+  if (ended && at_limit_ != Then::kGoOn) {
     output.then = std::exchange(at_limit_, Then::kGoOn);
-    output.filler =
-        output.then == Then::kSendFillerLate ? copy_ : copy_.substr(0, copy_.size() / 2);
+    if (kind_ == DamageKind::kSentTwice) {
+      output.then_close = random_.below(2) == 0;
+      output.filler = copy_.substr(0, output.then_close ? copy_.size() / 2 : copy_.size());
+    }
   }
   return output;
 }
--- a/src/cypresswall/emulation/response_damage.h
+++ b/src/cypresswall/emulation/response_damage.h
@@ -22,7 +22,7 @@
   kDifferentLengths,
   /// Ends a response that had a length by closing the connection.
   kWithoutLength,
-  /// Sends the response again, late: whole, or half of it.
+  /// Sends the response again, late or with the next request: whole, or half of it.
   kSentTwice,
   kEndlessHead,
   kEndlessBody,
@@ -45,15 +45,17 @@
     kReset,
     /// Send `filler` again and again until the client closes the connection.
     kRepeatFiller,
-    /// Send `filler` later, unless the next response has begun by then.
+    /// Send `filler` after a while, unless the next response has begun by then.
     kSendFillerLate,
-    /// As kSendFillerLate, then close the connection.
-    kSendFillerLateAndClose,
+    /// Send `filler` when the next request arrives, before its response.
+    kSendFillerWithNextRequest,
   };
   struct Output {
     std::string bytes;
     Then then = Then::kGoOn;
     std::string filler;
+    /// Close the connection once `filler` was sent late.
+    bool then_close = false;
   };
 
   /// \param damage may change between responses; must outlive this object, as `random`
--- a/tests/emulation/response_damage_test.cpp
+++ b/tests/emulation/response_damage_test.cpp
@@ -17,6 +17,7 @@
   std::string bytes;
   Then then = Then::kGoOn;
   std::string filler;
+  bool then_close = false;
 };
 
 class ResponseDamageTest : public CppUnit::TestFixture {
@@ -28,6 +29,7 @@
   CPPUNIT_TEST(responseWithoutLengthEndsWithTheConnection);
   CPPUNIT_TEST(resetResponseWithoutLengthLacksBytes);
   CPPUNIT_TEST(responseSentTwiceIsWholeFirst);
+  CPPUNIT_TEST(streamSentTwiceIsWholeFirst);
   CPPUNIT_TEST(endlessResponsesNeverEnd);
   CPPUNIT_TEST(piecesMakeNoDifference);
   CPPUNIT_TEST(onlyTheShareIsDamaged);
@@ -97,16 +99,33 @@
 
   void responseSentTwiceIsWholeFirst() {
     int halves = 0;
+    int late = 0;
     forEachSeed([&](std::uint64_t seed) {
       const Sent sent = send({{DamageKind::kSentTwice}}, seed);
       CPPUNIT_ASSERT_EQUAL(whole(), sent.bytes);
-      const bool half = sent.then == Then::kSendFillerLateAndClose;
-      CPPUNIT_ASSERT(half || sent.then == Then::kSendFillerLate);
+      const bool half = sent.then_close;
+      const bool with_next = sent.then == Then::kSendFillerWithNextRequest;
+      CPPUNIT_ASSERT(with_next || sent.then == Then::kSendFillerLate);
+      late += with_next ? 0 : 1;
       CPPUNIT_ASSERT_EQUAL(whole().substr(0, half ? whole().size() / 2 : whole().size()),
                            sent.filler);
       halves += half ? 1 : 0;
     });
     CPPUNIT_ASSERT(halves > 0 && halves < static_cast<int>(kSeeds));
+    CPPUNIT_ASSERT(late > 0 && late < static_cast<int>(kSeeds));
+  }
+
+  void streamSentTwiceIsWholeFirst() {
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string stream = head + "5\r\nhello\r\n0\r\n\r\n";
+    const ResponseDamage damage{{DamageKind::kSentTwice}};
+    common::SeededRandom random(1);
+    ResponseDamager damager(damage, random);
+    damager.takeRequest();
+    CPPUNIT_ASSERT(damager.takeResponse(stream.substr(0, head.size())).then == Then::kGoOn);
+    const auto rest = damager.takeResponse(stream.substr(head.size()));
+    CPPUNIT_ASSERT_EQUAL(stream.substr(head.size()), rest.bytes);
+    CPPUNIT_ASSERT(!rest.filler.empty() && stream.starts_with(rest.filler));
   }
 
   void endlessResponsesNeverEnd() {
@@ -171,6 +190,7 @@
       sent.bytes += output.bytes;
       sent.then = output.then;
       sent.filler = std::move(output.filler);
+      sent.then_close = output.then_close;
     }
     return sent;
   }
--- a/tests/process/damaged_responses_test.cpp
+++ b/tests/process/damaged_responses_test.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t kSeed = 1;
 /// For each kind of damage and each operation; each stops at another position.
 constexpr std::uint64_t kDamagedResponses = 4;
+/// Most responses of an engine are load reports; this many include streams.
+constexpr std::uint64_t kManyDamagedResponses = 40;
 
 struct Damage {
   const char* name;
@@ -48,6 +50,7 @@
 class DamagedResponsesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DamagedResponsesTest);
   CPPUNIT_TEST(damagedResponsesOfAServiceNeverReachCallersAsWhole);
+  CPPUNIT_TEST(lateSecondResponsesOfAnEngineNeverReachAnotherCaller);
   CPPUNIT_TEST(damagedResponsesOfAnEngineNeverReachCallersAsWhole);
   CPPUNIT_TEST_SUITE_END();
 
@@ -77,14 +80,27 @@
   }
 
   void damagedResponsesOfAnEngineNeverReachCallersAsWhole() {
+    runLoadBeside(damages(), kDamagedResponses);
+  }
+
+  /// Guards against a second stream that takes the place of the next one on a kept connection.
+  void lateSecondResponsesOfAnEngineNeverReachAnotherCaller() {
+    runLoadBeside({{"sent twice", DamageKind::kSentTwice, false}}, kManyDamagedResponses);
+  }
+
+ private:
+  /// Requires that no caller gets a wrong answer while an engine's responses are damaged.
+  void runLoadBeside(const std::vector<Damage>& series, std::uint64_t count) {
+    constexpr double kShare = 0.5;
     Workload load(*fleet_, kThreads);
     load.waitForMore(5, 1);
-    for (const Damage& damage : damages()) {
+    for (const Damage& damage : series) {
       TcpProxy& proxy = *proxies_.at(1);
       const auto before = proxy.damagedResponses();
-      constexpr double kShare = 0.5;
       proxy.damageResponses({{damage.kind}, kShare, damage.reset}, kSeed);
-      waitUntil(damage.name, [&] { return proxy.damagedResponses() >= before + 5; });
+      waitUntil(damage.name, [&] {
+        return proxy.damagedResponses() >= before + count || !load.report().violations.empty();
+      });
       proxy.damageResponses({}, 0);
       load.waitForMore(5, 1);
     }
@@ -96,7 +112,6 @@
     }
   }
 
- private:
   std::string throughProxy(const std::string& target) {
     proxies_.push_back(std::make_unique<TcpProxy>(proxyAddressFor(target), target));
     return proxies_.back()->address();
--- a/tests/process/tcp_proxy.cpp
+++ b/tests/process/tcp_proxy.cpp
@@ -80,6 +80,12 @@
     std::array<char, kBufferBytes> buffer{};
   };
 
+  /// Bytes behind a response.
+  struct Surplus {
+    std::string bytes;
+    bool then_close = false;
+  };
+
   void pump(Direction& direction, tcp::socket& to, bool request) {
     auto self = shared_from_this();
     direction.from.async_read_some(
@@ -108,6 +114,7 @@
           }
           if (request) {
             self->damager_.takeRequest();
+            self->sendSurplus(std::exchange(self->with_next_request_, {}));
             self->write(direction, to, bytes);
           } else {
             self->writeResponse(bytes);
@@ -130,10 +137,8 @@
     ResponseDamager::Output output = damager_.takeResponse({to_caller_.buffer.data(), bytes});
     responses_ += first ? 1 : 0;
     proxy_.damaged_responses_ += first && damager_.damaged() ? 1 : 0;
-    sendToCaller(std::move(output.bytes),
-                 [this, then = output.then, filler = std::move(output.filler)] {
-                   finishWrite(then, filler);
-                 });
+    auto sent = std::move(output.bytes);
+    sendToCaller(std::move(sent), [this, output = std::move(output)] { finishWrite(output); });
   }
   /// Calls `next` once all is written. The link lives until then.
   void sendToCaller(std::string bytes, std::function<void()> next) {
@@ -151,9 +156,9 @@
           }
         });
   }
-  void finishWrite(ResponseDamager::Then then, const std::string& filler) {
+  void finishWrite(const ResponseDamager::Output& output) {
     using Then = ResponseDamager::Then;
-    switch (then) {
+    switch (output.then) {
       case Then::kClose:
         close();
         return;
@@ -163,14 +168,16 @@
       case Then::kRepeatFiller: {
         std::string block;
         for (std::size_t i = 0; i < kFillersInAWrite; ++i) {
-          block += filler;
+          block += output.filler;
         }
         sendWithoutEnd(block, 0);
         return;
       }
       case Then::kSendFillerLate:
-      case Then::kSendFillerLateAndClose:
-        sendLate(filler, then == Then::kSendFillerLateAndClose);
+        sendLate({output.filler, output.then_close});
+        break;
+      case Then::kSendFillerWithNextRequest:
+        with_next_request_ = {output.filler, output.then_close};
         break;
       case Then::kGoOn:
         break;
@@ -184,20 +191,24 @@
     }
     sendToCaller(block, [this, block, sent] { sendWithoutEnd(block, sent + block.size()); });
   }
-  void sendLate(std::string bytes, bool then_close) {
+  void sendLate(Surplus surplus) {
     late_timer_.expires_after(std::chrono::milliseconds(proxy_.random_.below(kLateMilliseconds)));
     auto self = shared_from_this();
-    late_timer_.async_wait([self, bytes = std::move(bytes), then_close,
-                            response = responses_](const asio::error_code& error) mutable {
-      if (error || self->writing_to_caller_ || self->responses_ != response) {
-        return;
-      }
-      self->sendToCaller(std::move(bytes), [self, then_close] {
+    late_timer_.async_wait(
+        [self, surplus = std::move(surplus), response = responses_](const asio::error_code& error) {
+          if (!error && !self->writing_to_caller_ && self->responses_ == response) {
+            self->sendSurplus(surplus);
+          }
+        });
+  }
+  void sendSurplus(const Surplus& surplus) {
+    if (!surplus.bytes.empty()) {
+      sendToCaller(surplus.bytes, [this, then_close = surplus.then_close] {
         if (then_close) {
-          self->close();
+          close();
         }
       });
-    });
+    }
   }
   /// One peer closed its connection: closes the other too, after all bytes read were written.
   void close() {
@@ -213,6 +224,7 @@
   bool lost_bytes_ = false;
   ResponseDamager damager_;
   asio::steady_timer late_timer_;
+  Surplus with_next_request_;
   bool writing_to_caller_ = false;
   std::uint64_t responses_ = 0;
 };
--- a/tests/process/workload.cpp
+++ b/tests/process/workload.cpp
@@ -304,7 +304,7 @@
     }
     for (const std::string& request : history.answered_by) {
       if (!request.empty() && requests_run.count({key, request}) == 0) {
-        addViolation(key + " got the body of a request that did not run: " + request);
+        addViolation("the body of a request that did not run for a key: " + request);
       }
     }
     if (history.only_reported_not_run && count != 0) {
