Soak: responses that stop early, declare two lengths, come twice or never end

Six fault kinds behind those that exist, so that the plans of earlier seeds stay as they are. The service has two back ends, each behind a proxy.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,6 +12,7 @@
 DEFINE_uint64(seed, 0, "run only the round of this seed; zero for rounds with random seeds");
 DEFINE_bool(announcements, true,
             "engines also say that they leave or ask for a pause, and slow down");
+DEFINE_bool(damaged_responses, true, "responses also stop early, come twice or never end");
 DEFINE_uint64(faults, 8, "faults in a round; a seed gives the same plan only with the same number");
 
 namespace {
@@ -31,6 +32,9 @@
   std::uint64_t booked = 0;
   std::uint64_t not_run = 0;
   std::uint64_t unknown = 0;
+  std::uint64_t lookups = 0;
+  std::uint64_t lookups_failed = 0;
+  std::uint64_t damaged_responses = 0;
   std::uint64_t changes = 0;
   std::uint64_t checks = 0;
   std::uint64_t violations = 0;
@@ -45,6 +49,9 @@
     booked += result.load.bookings_done;
     not_run += result.load.bookings_not_run;
     unknown += result.load.bookings_unknown;
+    lookups += result.load.lookups_whole;
+    lookups_failed += result.load.lookups_failed;
+    damaged_responses += result.damaged_responses;
     changes += result.changes_accepted;
     checks += result.changes_checked;
     violations += result.violations.size();
@@ -55,10 +62,10 @@
   void print() const {
     std::printf(
         "soak: rounds=%lu streams_whole=%lu failed=%lu broken=%lu refused=%lu "
-        "bookings_done=%lu not_run=%lu unknown=%lu changes=%lu changes_checked=%lu "
-        "violations=%lu\n",
-        rounds, whole, failed, broken, refused, booked, not_run, unknown, changes, checks,
-        violations);
+        "bookings_done=%lu not_run=%lu unknown=%lu lookups_whole=%lu failed=%lu changes=%lu "
+        "changes_checked=%lu damaged_responses=%lu violations=%lu\n",
+        rounds, whole, failed, broken, refused, booked, not_run, unknown, lookups, lookups_failed,
+        changes, checks, damaged_responses, violations);
     for (std::size_t kind = 0; kind < kFaultKinds; ++kind) {
       std::printf("  %s: %lu%s\n", kFaultNames[kind], faults[kind],
                   faults[kind] == 0 ? " (never happened)" : "");
@@ -66,10 +73,17 @@
   }
 };
 
+std::size_t kindsToDrawFrom() {
+  if (!FLAGS_announcements) {
+    return cypresswall::testing::kKindsWithoutAnnouncements;
+  }
+  return FLAGS_damaged_responses ? kFaultKinds : cypresswall::testing::kKindsWithSoundResponses;
+}
+
 void play(std::uint64_t seed, Ledger& ledger) {
-  const auto plan = cypresswall::testing::planFaults(
-      seed, FLAGS_faults, SoakRound::kNodes, SoakRound::kEngines,
-      FLAGS_announcements ? kFaultKinds : cypresswall::testing::kKindsWithoutAnnouncements);
+  const auto plan =
+      cypresswall::testing::planFaults(seed, FLAGS_faults, SoakRound::kNodes, SoakRound::kEngines,
+                                       kindsToDrawFrom(), SoakRound::kBackEnds);
   std::printf("round seed=%lu faults=%lu: %s\n", seed, FLAGS_faults,
               cypresswall::testing::describe(plan).c_str());
   std::fflush(stdout);
--- a/tests/soak/soak_round.cpp
+++ b/tests/soak/soak_round.cpp
@@ -49,20 +49,46 @@
   return faults;
 }
 
+/// Leaves enough sound responses for the load to go on.
+constexpr double kDamagedShare = 0.4;
+
+emulation::ResponseDamage damageOf(FaultKind kind) {
+  using emulation::DamageKind;
+  const std::vector<DamageKind> stops = {DamageKind::kStopInStatusLine, DamageKind::kStopInHead,
+                                         DamageKind::kStopInLength, DamageKind::kStopInBody};
+  switch (kind) {
+    case FaultKind::kResponsesStop:
+      return {stops, kDamagedShare, false};
+    case FaultKind::kResponsesReset: {
+      auto kinds = stops;
+      kinds.push_back(DamageKind::kWithoutLength);
+      return {kinds, kDamagedShare, true};
+    }
+    case FaultKind::kResponsesTwoLengths:
+      return {{DamageKind::kDifferentLengths}, kDamagedShare, false};
+    case FaultKind::kResponsesWithoutLength:
+      return {{DamageKind::kWithoutLength}, kDamagedShare, false};
+    case FaultKind::kResponsesTwice:
+      return {{DamageKind::kSentTwice}, kDamagedShare, false};
+    case FaultKind::kResponsesEndless:
+      return {{DamageKind::kEndlessHead, DamageKind::kEndlessBody}, kDamagedShare, false};
+    default:
+      return {};
+  }
+}
+
 }  // namespace
 
 std::string SoakRound::throughProxy(const std::string& target) {
-  // The proxy listens on a higher loopback host, on the same port.
-  const auto colon = target.rfind(':');
-  const auto dot = target.rfind('.');
-  constexpr int kProxyHosts = 20;
-  const int host = std::stoi(target.substr(dot + 1, colon - dot - 1)) + kProxyHosts;
-  std::string address = target.substr(0, dot + 1) + std::to_string(host) + target.substr(colon);
+  std::string address = proxyAddressFor(target);
   proxies_.push_back(std::make_unique<TcpProxy>(address, target));
   return address;
 }
 
 TcpProxy& SoakRound::proxyOf(const PlannedFault& fault) {
+  if (damagesResponses(fault.kind)) {
+    return *proxies_.at(fault.target);
+  }
   const bool engine = fault.kind >= FaultKind::kEngineCrashed;
   return *proxies_.at(engine ? 1 + fault.target : 0);
 }
@@ -114,6 +140,14 @@
     case FaultKind::kEngineReset:
       proxyOf(fault).resetConnections();
       break;
+    case FaultKind::kResponsesStop:
+    case FaultKind::kResponsesReset:
+    case FaultKind::kResponsesTwoLengths:
+    case FaultKind::kResponsesWithoutLength:
+    case FaultKind::kResponsesTwice:
+    case FaultKind::kResponsesEndless:
+      proxyOf(fault).damageResponses(damageOf(fault.kind), fault.damage_seed);
+      break;
     default:
       proxyOf(fault).setFaults(proxyFaultsOf(fault.kind));
   }
@@ -159,6 +193,14 @@
     case FaultKind::kStoreReset:
     case FaultKind::kEngineReset:
       break;
+    case FaultKind::kResponsesStop:
+    case FaultKind::kResponsesReset:
+    case FaultKind::kResponsesTwoLengths:
+    case FaultKind::kResponsesWithoutLength:
+    case FaultKind::kResponsesTwice:
+    case FaultKind::kResponsesEndless:
+      proxyOf(fault).damageResponses({}, 0);
+      break;
     default:
       proxyOf(fault).setFaults({});
   }
@@ -225,7 +267,7 @@
   try {
     fleet_ = std::make_unique<TestFleet>(
         kNodes, kEngines, [this](const std::string& target) { return throughProxy(target); },
-        std::vector<std::string>{"b1", "b2"});
+        std::vector<std::string>{"b1", "b2"}, kBackEnds);
     Workload load(*fleet_, kThreads);
     load.waitForMore(kStreamsAfterFaults, kBookingsAfterFaults);
     const PlannedFault* open = nullptr;
@@ -263,6 +305,9 @@
     result_.violations.emplace_back(failure.what());
   }
   fleet_.reset();
+  for (const auto& proxy : proxies_) {
+    result_.damaged_responses += proxy->damagedResponses();
+  }
   proxies_.clear();
   return result_;
 }
--- a/tests/soak/soak_round.h
+++ b/tests/soak/soak_round.h
@@ -8,10 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "tests/process/tcp_proxy.h"
 #include "tests/process/test_fleet.h"
 #include "tests/process/workload.h"
 #include "tests/soak/fault_plan.h"
-#include "tests/process/tcp_proxy.h"
 
 namespace cypresswall::testing {
 
@@ -20,6 +20,7 @@
   std::array<std::uint64_t, kFaultKinds> faults{};
   std::uint64_t changes_accepted = 0;
   std::uint64_t changes_checked = 0;
+  std::uint64_t damaged_responses = 0;
   /// Violated invariants, including those found by the workload.
   std::vector<std::string> violations;
 };
@@ -28,6 +29,7 @@
  public:
   static constexpr std::size_t kNodes = 3;
   static constexpr std::size_t kEngines = 4;
+  static constexpr std::size_t kBackEnds = 2;
 
   explicit SoakRound(std::vector<PlannedFault> plan) : plan_(std::move(plan)) {}
 
@@ -47,7 +49,7 @@
   TcpProxy& proxyOf(const PlannedFault& fault);
 
   std::vector<PlannedFault> plan_;
-  /// Proxy of the store, then one for each engine.
+  /// Proxy of the store, then one for each engine, then one for each back end.
   std::vector<std::unique_ptr<TcpProxy>> proxies_;
   std::unique_ptr<TestFleet> fleet_;
   std::vector<std::string> accepted_;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,4 +1,5 @@
 /// Replays soak rounds that failed before, and tests the fault plan.
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <vector>
@@ -15,6 +16,7 @@
   CPPUNIT_TEST(everyKindIsPlanned);
   CPPUNIT_TEST(regressionSeedsPass);
   CPPUNIT_TEST(allNodesEndAndPartsOfPromptsCrash);
+  CPPUNIT_TEST(responsesAreDamagedWhileNodesEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -26,10 +28,16 @@
 
   void everyKindIsPlanned() {
     std::array<int, kFaultKinds> planned{};
-    for (const PlannedFault& fault : planFaults(1, 400, 3, 4, kFaultKinds)) {
+    std::array<int, 7> damaged{};
+    for (const PlannedFault& fault : planFaults(1, 800, 3, 4, kFaultKinds, 2)) {
       ++planned[static_cast<std::size_t>(fault.kind)];
-      CPPUNIT_ASSERT(fault.target < 4);
+      if (damagesResponses(fault.kind)) {
+        ++damaged.at(fault.target);
+      } else {
+        CPPUNIT_ASSERT(fault.target < 4);
+      }
     }
+    CPPUNIT_ASSERT(std::find(damaged.begin(), damaged.end(), 0) == damaged.end());
     for (std::size_t kind = 0; kind < kFaultKinds; ++kind) {
       CPPUNIT_ASSERT_MESSAGE(kFaultNames[kind], planned[kind] > 0);
     }
@@ -44,12 +52,32 @@
         {FaultKind::kPartCrashes, 1, kTime, kTime},     {FaultKind::kPartCrashes, 2, kTime, kTime},
         {FaultKind::kAllNodesKilled, 0, kTime, kTime},
     };
-    const auto result = SoakRound(plan).run();
-    const std::string first = result.violations.empty() ? "" : result.violations.front();
-    CPPUNIT_ASSERT_EQUAL(std::string(), first);
+    requireNoViolation("", plan);
+  }
+
+  /// Responses of the store, an engine and both back ends stop early, declare two lengths or none,
+  /// come twice or never end, also while a node is killed, paused or stopped.
+  void responsesAreDamagedWhileNodesEnd() {
+    constexpr std::chrono::milliseconds kTime{500};
+    constexpr std::size_t kEngine = 1;
+    constexpr std::size_t kBackEnd = 1 + SoakRound::kEngines;
+    const std::vector<PlannedFault> plan = {
+        {FaultKind::kResponsesStop, kBackEnd, kTime, kTime, true, 1},
+        {FaultKind::kNodeKilled, 0, kTime, kTime},
+        {FaultKind::kResponsesTwoLengths, kBackEnd + 1, kTime, kTime, false, 2},
+        {FaultKind::kResponsesReset, kBackEnd, kTime, kTime, true, 3},
+        {FaultKind::kNodeStopped, 1, kTime, kTime},
+        {FaultKind::kResponsesWithoutLength, kBackEnd, kTime, kTime, false, 4},
+        {FaultKind::kResponsesStop, 0, kTime, kTime, true, 5},
+        {FaultKind::kNodePaused, 2, kTime, kTime},
+        {FaultKind::kResponsesTwice, kEngine, kTime, kTime, false, 6},
+        {FaultKind::kResponsesEndless, kBackEnd + 1, kTime, kTime, false, 7},
+    };
+    requireNoViolation("", plan);
   }
 
-  /// Each line of regressions.txt has a seed, the number of faults, and the cause of the failure.
+  /// Each line of regressions.txt has a seed, the number of faults, the number of kinds that they
+  /// are drawn from, and the cause of the failure.
   void regressionSeedsPass() {
     std::ifstream file(CYPRESSWALL_SOAK_REGRESSIONS);
     CPPUNIT_ASSERT(file.good());
@@ -58,15 +86,22 @@
       std::istringstream words(line);
       std::uint64_t seed = 0;
       std::size_t faults = 0;
-      if (line.empty() || line[0] == '#' || !(words >> seed >> faults)) {
+      std::size_t kinds = 0;
+      if (line.empty() || line[0] == '#' || !(words >> seed >> faults >> kinds)) {
         continue;
       }
-      const auto result =
-          SoakRound(planFaults(seed, faults, SoakRound::kNodes, SoakRound::kEngines)).run();
-      const std::string first = result.violations.empty() ? "" : result.violations.front();
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(line, std::string(), first);
+      requireNoViolation(line, planFaults(seed, faults, SoakRound::kNodes, SoakRound::kEngines,
+                                          kinds, SoakRound::kBackEnds));
     }
   }
+
+ private:
+  static void requireNoViolation(const std::string& message,
+                                 const std::vector<PlannedFault>& plan) {
+    const auto result = SoakRound(plan).run();
+    const std::string first = result.violations.empty() ? "" : result.violations.front();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::string(), first);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakTest);
