An event of an engine's stream, and what comes between two, has a limited size

What callers saw: a stream that stays open without an event until its deadline, while the daemon grows with every byte of it. EventSplitter kept an event until its blank line, however long; comments and empty lines were forwarded without end.

The class: bytes of outside servers are collected until an end that the server decides on.

--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -249,6 +249,11 @@
   kStale,
 };
 
+/// Maximum size in bytes of one event of an engine's stream, which may carry several tokens, and of
+/// the comments and empty lines between two events. More than that means that the engine fails: the
+/// event has no end, or no event follows.
+inline constexpr std::size_t kMaximumEventBytes = 64U << 10;
+
 /// Name and network address of an engine.
 struct EngineEndpoint {
   common::EngineName name;
--- /dev/null
+++ b/tests/objects_platform/engine_client/endless_answer_test.cpp
@@ -0,0 +1,133 @@
+// Guards against a process that grows without limit before engines whose answers have no end: each
+// answer ends as the engine's failure, after a limited number of bytes.
+#include <asio/io_context.hpp>
+#include <optional>
+#include <string>
+
+#include "cypresswall/runtime/asio_scheduler.h"
+#include "platform/engine_client.h"
+#include "platform/headers.h"
+#include "tests/support/event_loop.h"
+#include "tests/support/property.h"
+#include "tests/support/scripted_server.h"
+
+namespace cypresswall::objects_platform {
+namespace {
+
+using engines::StreamFailure;
+using testing::runUntil;
+
+const std::string kFields = "X-Request-Id: r1\r\nX-Response-Seal: s\r\n";
+const std::string kSuccess = "HTTP/1.1 200 OK\r\n" + kFields + "\r\n";
+const std::string kThousand(1000, 'x');
+
+class CountingHandler final : public engines::StreamHandler {
+ public:
+  void onToken(std::uint32_t, std::uint32_t, const std::string&) override { ++events; }
+  void onFinished(std::uint32_t, const engines::StreamUsage&) override { finished = true; }
+  void onFailed(StreamFailure given, const std::string&) override { failure = given; }
+  bool ended() const { return finished || failure.has_value(); }
+
+  std::size_t events = 0;
+  bool finished = false;
+  std::optional<StreamFailure> failure;
+};
+
+class EndlessAnswerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EndlessAnswerTest);
+  CPPUNIT_TEST(eventWithoutEndFailsTheStream);
+  CPPUNIT_TEST(fieldWithoutEndFailsTheStream);
+  CPPUNIT_TEST(commentsWithoutEndFailTheStream);
+  CPPUNIT_TEST(emptyLinesWithoutEndFailTheStream);
+  CPPUNIT_TEST(errorBodyWithoutEndFailsTheStream);
+  CPPUNIT_TEST(longestEventsAndCommentsBetweenThemPass);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void eventWithoutEndFailsTheStream() {
+    CPPUNIT_ASSERT(failureOf(kSuccess + "id: 1\n", "data: " + kThousand + "\n") ==
+                   StreamFailure::kMalformed);
+  }
+
+  void fieldWithoutEndFailsTheStream() {
+    CPPUNIT_ASSERT(failureOf(kSuccess + "id: 1\ndata: ", kThousand) == StreamFailure::kMalformed);
+  }
+
+  void commentsWithoutEndFailTheStream() {
+    CPPUNIT_ASSERT(failureOf(kSuccess, ": still there\n") == StreamFailure::kMalformed);
+    CPPUNIT_ASSERT(failureOf(kSuccess, ": still there\n\n") == StreamFailure::kMalformed);
+  }
+
+  void emptyLinesWithoutEndFailTheStream() {
+    CPPUNIT_ASSERT(failureOf(kSuccess, "\n") == StreamFailure::kMalformed);
+  }
+
+  void errorBodyWithoutEndFailsTheStream() {
+    CPPUNIT_ASSERT(failureOf("HTTP/1.1 500 Failed\r\n" + kFields + "\r\n", kThousand) ==
+                   StreamFailure::kBroken);
+  }
+
+  void longestEventsAndCommentsBetweenThemPass() {
+    const std::string frame = "id: 10\ndata: \n\n";
+    const std::string content(engines::kMaximumEventBytes - frame.size(), 'x');
+    const std::string comment = ":" + std::string(engines::kMaximumEventBytes / 2, 'x') + "\n\n";
+    std::string body;
+    for (int id = 10; id < 13; ++id) {
+      body += comment + "id: " + std::to_string(id) + "\ndata: " + content + "\n\n";
+    }
+    server_.answer(kSuccess + body, true);
+    CountingHandler handler;
+    const auto stream = client_.startStream({"engine", server_.address()}, call(), handler);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return handler.ended(); }));
+    CPPUNIT_ASSERT(handler.finished);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, handler.events);
+  }
+
+ private:
+  static engines::StreamRequest call() {
+    engines::StreamRequest request;
+    request.stream_id = "s1";
+    request.pass_through = std::make_shared<const engines::PassThroughRequest>(
+        engines::PassThroughRequest{"POST", "/chat/1", {{kRequestIdHeader, "r1"}}, "ask"});
+    return request;
+  }
+
+  /// Answers a call with `begin`, and `filler` again and again until the stream ends.
+  /// \return the stream's failure; nothing if it goes on
+  std::optional<StreamFailure> failureOf(const std::string& begin, const std::string& filler,
+                                         const engines::StreamRequest& request = call()) {
+    constexpr std::size_t kFillersAtOnce = 100;
+    std::string fillers;
+    for (std::size_t i = 0; i < kFillersAtOnce; ++i) {
+      fillers += filler;
+    }
+    const auto sent = server_.requests().size() + 1;
+    server_.answer(begin);
+    CountingHandler handler;
+    const auto stream = client_.startStream({"engine", server_.address()}, request, handler);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.requests().size() == sent; }));
+    sendUntil(fillers, [&] { return handler.ended(); });
+    return handler.failure;
+  }
+
+  template <typename Ended>
+  void sendUntil(const std::string& filler, Ended ended) {
+    constexpr std::size_t kMoreThanAnyAnswer = 1U << 20;
+    for (std::size_t bytes = 0; !ended() && bytes < kMoreThanAnyAnswer; bytes += filler.size()) {
+      server_.sendMore(filler);
+      context_.restart();
+      context_.poll();
+    }
+  }
+
+  asio::io_context context_;
+  runtime::AsioScheduler scheduler_{context_};
+  testing::ScriptedServer server_{context_};
+  runtime::CurlMulti curl_{context_};
+  EngineClient client_{curl_, scheduler_, [](const common::EngineName&) { return std::nullopt; }};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswerTest);
+
+}  // namespace
+}  // namespace cypresswall::objects_platform
