Comments count towards the size of a server-sent event, and the limit is the one of all engines

An engine of the product's own protocol could send comments and empty lines without end: lines without data were dropped one by one, and never counted. Partial line and data each had a limit of 1 MiB, so that 100 streams could hold 200 MB.

HttpEngineClientTest::eventsWithoutEndFailTheStream on the code before: assertion failed, failure == kMalformed, for a line without end. Passes now for it, for data lines, comments, comment blocks and empty lines.

--- a/src/cypresswall/engines/sse_parser.cpp
+++ b/src/cypresswall/engines/sse_parser.cpp
@@ -5,18 +5,14 @@
 
 constexpr std::string_view kDataField = "data:";
 
-void requireWithinLimit(std::size_t size) {
-  if (size > SseParser::kMaximumEventBytes) {
-    throw SseError("server-sent event is longer than " +
-                   std::to_string(SseParser::kMaximumEventBytes) + " bytes");
-  }
-}
-
 }  // namespace
 
-void SseParser::keepPartialLine(std::string_view bytes) {
-  requireWithinLimit(partial_line_.size() + bytes.size());
-  partial_line_ += bytes;
+void SseParser::countBytes(std::size_t bytes) {
+  event_bytes_ += bytes;
+  if (event_bytes_ > kMaximumEventBytes) {
+    throw SseError("server-sent event is longer than " + std::to_string(kMaximumEventBytes) +
+                   " bytes");
+  }
 }
 
 void SseParser::handleField(std::string_view line) {
@@ -27,7 +23,6 @@
   if (line.starts_with(' ')) {
     line.remove_prefix(1);
   }
-  requireWithinLimit(data_.size() + line.size());
   if (has_data_) {
     data_ += '\n';
   }
--- a/src/cypresswall/engines/sse_parser.h
+++ b/src/cypresswall/engines/sse_parser.h
@@ -1,16 +1,18 @@
 /// Incremental parser for the subset of server-sent events that engines use: only "data" fields.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
 
 #include "cypresswall/common/errors.h"
+#include "cypresswall/engines/engine_types.h"
 
 namespace cypresswall::engines {
 
-/// Thrown if an event exceeds SseParser::kMaximumEventBytes.
+/// Thrown if an event, with the comments before it, exceeds kMaximumEventBytes.
 class SseError : public common::Error {
  public:
   using common::Error::Error;
@@ -21,8 +23,6 @@
 /// ignored, too.
 class SseParser {
  public:
-  static constexpr std::size_t kMaximumEventBytes = 1U << 20;
-
   /// Calls `on_data(std::string_view)` for each event completed by `bytes`. If `on_data` returns
   /// false, parsing stops permanently.
   /// \throws SseError, and whatever `on_data` throws
@@ -30,8 +30,9 @@
   void feed(std::string_view bytes, OnData&& on_data) {
     while (!bytes.empty() && !stopped_) {
       const auto end = bytes.find('\n');
+      countBytes(std::min(end, bytes.size() - 1) + 1);
       if (end == std::string_view::npos) {
-        keepPartialLine(bytes);
+        partial_line_ += bytes;
         return;
       }
       handleLine(bytes.substr(0, end), on_data);
@@ -43,7 +44,7 @@
   template <typename OnData>
   void handleLine(std::string_view line, OnData&& on_data) {
     if (!partial_line_.empty()) {
-      keepPartialLine(line);
+      partial_line_ += line;
       const std::string whole = std::exchange(partial_line_, {});
       handleCompleteLine(whole, on_data);
     } else {
@@ -60,16 +61,20 @@
       handleField(line);
     } else if (has_data_) {
       has_data_ = false;
+      event_bytes_ = 0;
       const std::string data = std::exchange(data_, {});
       stopped_ = !on_data(std::string_view(data));
     }
   }
 
-  void keepPartialLine(std::string_view bytes);
+  /// Counts bytes towards the next event.
+  /// \throws SseError
+  void countBytes(std::size_t bytes);
   void handleField(std::string_view line);
 
   std::string partial_line_;
   std::string data_;
+  std::size_t event_bytes_ = 0;
   bool has_data_ = false;
   bool stopped_ = false;
 };
--- a/tests/engines/http_engine_client_test.cpp
+++ b/tests/engines/http_engine_client_test.cpp
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(forwardsEventsOfOtherAttempts);
   CPPUNIT_TEST(failsOnMalformedEvents);
   CPPUNIT_TEST(streamWithoutFinalEventIsBroken);
+  CPPUNIT_TEST(eventsWithoutEndFailTheStream);
   CPPUNIT_TEST(onlyRanFalseCountsAsRefusal);
   CPPUNIT_TEST(unreachableEngineReportsNotSent);
   CPPUNIT_TEST(destroyingStreamClosesConnection);
@@ -131,6 +132,26 @@
     CPPUNIT_ASSERT(handler_.failure == StreamFailure::kBroken);
   }
 
+  /// Guards against a process that grows, or reads on, while no event is ever complete.
+  void eventsWithoutEndFailTheStream() {
+    const std::string text(1000, 'x');
+    for (const std::string& filler : {text, "data: " + text + "\n", ": " + text + "\n",
+                                      ": " + text + "\n\n", std::string(1000, '\n')}) {
+      handler_ = RecordingHandler();
+      const auto sent = server_.requests().size() + 1;
+      server_.answer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+      handler_.stream = client_.startStream(endpoint_, streamRequest(), handler_);
+      CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.requests().size() == sent; }));
+      for (std::size_t bytes = 0; !handler_.ended() && bytes < 2 * kMaximumEventBytes;) {
+        server_.sendMore(filler);
+        bytes += filler.size();
+        context_.restart();
+        context_.poll();
+      }
+      CPPUNIT_ASSERT_MESSAGE(filler.substr(0, 10), handler_.failure == StreamFailure::kMalformed);
+    }
+  }
+
   void onlyRanFalseCountsAsRefusal() {
     server_.answer(httpAnswer(409, R"({"error": "changing", "ran": false})"));
     run(streamRequest());
--- a/tests/engines/stream_event_test.cpp
+++ b/tests/engines/stream_event_test.cpp
@@ -133,7 +133,7 @@
     const std::string piece(64U << 10, 'x');
     const auto ignore = [](std::string_view) { return true; };
     const auto feedForever = [&] {
-      for (std::size_t fed = 0; fed <= 2 * SseParser::kMaximumEventBytes; fed += piece.size()) {
+      for (std::size_t fed = 0; fed <= 2 * kMaximumEventBytes; fed += piece.size()) {
         parser.feed(piece, ignore);
       }
     };
