--- a/tests/objects_platform/engine_client/endless_answer_test.cpp
+++ b/tests/objects_platform/engine_client/endless_answer_test.cpp
@@ -41,6 +41,9 @@
   CPPUNIT_TEST(emptyLinesWithoutEndFailTheStream);
   CPPUNIT_TEST(errorBodyWithoutEndFailsTheStream);
   CPPUNIT_TEST(longestEventsAndCommentsBetweenThemPass);
+  CPPUNIT_TEST(prefillAnswerWithoutEndIsBroken);
+  CPPUNIT_TEST(handleThatIsTooLongIsNotKept);
+  CPPUNIT_TEST(orderAnswerWithoutEndHasUnknownOutcome);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -83,7 +86,42 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{6}, handler.events);
   }
 
+  void prefillAnswerWithoutEndIsBroken() {
+    CPPUNIT_ASSERT(failureOf(kSuccess + R"({"kv_handle":")", kThousand, prefill()) ==
+                   StreamFailure::kBroken);
+  }
+
+  /// Thousands of handles are kept at once.
+  void handleThatIsTooLongIsNotKept() {
+    const std::string handle(4000, 'h');
+    server_.answer(testing::httpAnswer(200, R"({"kv_handle":")" + handle + R"("})", kFields), true);
+    CountingHandler handler;
+    const auto stream = client_.startStream({"engine", server_.address()}, prefill(), handler);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return handler.ended(); }));
+    CPPUNIT_ASSERT(handler.failure == StreamFailure::kMalformed);
+  }
+
+  void orderAnswerWithoutEndHasUnknownOutcome() {
+    engines::EngineOrder order;
+    order.content.kind = engines::OrderKind::kChangeRole;
+    std::optional<engines::EngineFailure> failure;
+    server_.answer(kSuccess);
+    client_.sendOrder({"engine", server_.address()}, order, [&](const auto& result) {
+      CPPUNIT_ASSERT(!result.ok());
+      failure = result.failure().kind;
+    });
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return !server_.requests().empty(); }));
+    sendUntil(kThousand, [&] { return failure.has_value(); });
+    CPPUNIT_ASSERT(failure == engines::EngineFailure::kUnknownOutcome);
+  }
+
  private:
+  static engines::StreamRequest prefill() {
+    engines::StreamRequest request = call();
+    request.phase = engines::StreamPhase::kPrefillOnly;
+    return request;
+  }
+
   static engines::StreamRequest call() {
     engines::StreamRequest request;
     request.stream_id = "s1";
