Answers are not joined after the store lost the builds that began them

The nodes took what the store holds for what they had last written. A ZoneObject was read once, so that a restored store kept its older object; and an object of another incarnation of the store looked like any other. The owner now reads it again when the incarnation changes, and writes what it lacks. The object with the builds names the incarnation in which it was written. Nodes that all start and find another one count a forgotten build beside those of each model for the retention: what they begin is recorded, and what they have no record of is refused.

--- a/src/cypresswall/answer_builds/build_history.cpp
+++ b/src/cypresswall/answer_builds/build_history.cpp
@@ -33,6 +33,13 @@
 
 std::set<common::BuildName> BuildHistory::possible(const common::ModelName& model,
                                                    common::MonotonicTime now) const {
+  auto builds = counted(model, now);
+  builds.merge(counted(kAnyModel, now));
+  return builds;
+}
+
+std::set<common::BuildName> BuildHistory::counted(const common::ModelName& model,
+                                                  common::MonotonicTime now) const {
   std::set<common::BuildName> builds;
   const auto found = last_seen_.find(model);
   if (found == last_seen_.end()) {
@@ -49,7 +56,7 @@
 BuildsByModel BuildHistory::possible(common::MonotonicTime now) const {
   BuildsByModel all;
   for (const auto& [model, builds] : last_seen_) {
-    if (auto builds_of_model = possible(model, now); !builds_of_model.empty()) {
+    if (auto builds_of_model = counted(model, now); !builds_of_model.empty()) {
       all[model] = std::move(builds_of_model);
     }
   }
@@ -70,7 +77,7 @@
 std::set<common::ModelName> BuildHistory::mixedModels(common::MonotonicTime now) const {
   std::set<common::ModelName> mixed;
   for (const auto& [model, builds] : last_seen_) {
-    if (builds.size() > 1 && possible(model, now).size() > 1) {
+    if (possible(model, now).size() > 1) {
       mixed.insert(model);
     }
   }
--- a/src/cypresswall/answer_builds/build_history.h
+++ b/src/cypresswall/answer_builds/build_history.h
@@ -14,6 +14,11 @@
 
 using BuildsByModel = std::map<common::ModelName, std::set<common::BuildName>>;
 
+/// Stands for builds that may have begun answers but that no node remembers. Since it is not known
+/// which model had them, it counts as a possible build of each; it belongs to kAnyModel.
+inline constexpr const char* kForgottenBuild = "(forgotten)";
+inline constexpr const char* kAnyModel = "";
+
 /// A build whose last engine has left the fleet.
 struct PastBuild {
   common::ModelName model;
@@ -34,7 +39,7 @@
   /// \return the builds that may have begun answers of the model
   std::set<common::BuildName> possible(const common::ModelName& model,
                                        common::MonotonicTime now) const;
-  /// \return the possible builds of all models
+  /// \return the possible builds of all models; kForgottenBuild only under kAnyModel
   BuildsByModel possible(common::MonotonicTime now) const;
   /// \return when a build was last seen; `now` if its engines are in the fleet, or if it is unknown
   common::MonotonicTime lastSeen(const common::ModelName& model, const common::BuildName& build,
@@ -47,6 +52,9 @@
   std::vector<PastBuild> past(common::MonotonicTime now) const;
 
  private:
+  /// \return the possible builds that are known by the model's name
+  std::set<common::BuildName> counted(const common::ModelName& model,
+                                      common::MonotonicTime now) const;
   bool isPresent(const common::ModelName& model, const common::BuildName& build) const;
   bool counts(common::MonotonicTime last_seen_at, common::MonotonicTime now) const {
     return now - last_seen_at < retention_;
--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <utility>
 
-#include "cypresswall/answer_builds/stored_builds.h"
 #include "cypresswall/membership/alive_nodes.h"
 #include "cypresswall/membership/rendezvous.h"
 
@@ -35,6 +34,7 @@
     : settings_(settings),
       context_(context),
       membership_(membership),
+      store_(store),
       history_(settings.retention),
       records_(settings),
       stored_builds_(
@@ -117,29 +117,45 @@
   historyKnown("peer");
 }
 
-/// When the builds in the store were last seen is not known: each of them may have left just now.
 void FleetAnswerBuilds::onStoredBuilds(const std::string& stored) {
-  const auto now = context_.clock.now();
-  bool learnt = false;
   try {
-    for (const auto& [model, builds] : decodeStoredBuilds(stored)) {
-      const auto possible = history_.possible(model, now);
-      for (const common::BuildName& build : builds) {
-        if (!possible.contains(build)) {
-          seen(model, build, now);
-          learnt = true;
-        }
-      }
-    }
+    addStored(decodeStoredBuilds(stored));
   } catch (const StoredBuildsError& error) {
     common::LogEvent(context_.log, common::LogLevel::kWarning, "stored_builds_unreadable")
         .field("zone", context_.zone)
         .field("reason", error.what());
   }
+  historyKnown("store");
+}
+
+/// When the builds in the store were last seen is not known: each of them may have left just now.
+void FleetAnswerBuilds::addStored(const StoredBuilds& stored) {
+  const auto now = context_.clock.now();
+  bool learnt = false;
+  for (const auto& [model, builds] : stored.builds) {
+    const auto possible = history_.possible(model, now);
+    for (const common::BuildName& build : builds) {
+      if (!possible.contains(build)) {
+        seen(model, build, now);
+        learnt = true;
+      }
+    }
+  }
+  const bool outdated = stored.store_incarnation != store_.incarnation();
+  if (!history_known_ && !stored.builds.empty() && outdated) {
+    addForgotten(stored);
+  }
   if (learnt && history_known_) {
     context_.sendToAll(peers(), departedBuilds());
   }
-  historyKnown("store");
+}
+
+void FleetAnswerBuilds::addForgotten(const StoredBuilds& stored) {
+  common::LogEvent(context_.log, common::LogLevel::kWarning, "stored_builds_outdated")
+      .field("zone", context_.zone)
+      .field("written_in", stored.store_incarnation)
+      .field("store_incarnation", store_.incarnation());
+  seen(kAnyModel, kForgottenBuild, context_.clock.now());
 }
 
 void FleetAnswerBuilds::historyKnown(const char* source) {
@@ -160,9 +176,10 @@
 }
 
 std::optional<std::string> FleetAnswerBuilds::newStoredBuilds(const std::string& stored) const {
-  const auto builds = history_.possible(context_.clock.now());
+  const StoredBuilds builds{history_.possible(context_.clock.now()), store_.incarnation()};
   try {
-    if (decodeStoredBuilds(stored) == builds) {
+    const StoredBuilds held = decodeStoredBuilds(stored);
+    if (held == builds || (held.builds.empty() && builds.builds.empty())) {
       return std::nullopt;
     }
   } catch (const StoredBuildsError&) {  // NOLINT(bugprone-empty-catch): replaced
@@ -249,7 +266,7 @@
 void FleetAnswerBuilds::find(const common::ModelName& model, const std::string& began_as,
                              OriginCallback found) {
   const auto builds = history_.possible(model, context_.clock.now());
-  if (builds.size() > 1) {
+  if (builds.size() > 1 || builds.contains(kForgottenBuild)) {
     findRecord(model, began_as, std::move(found));
   } else if (!history_known_) {
     awaitHistory(model, began_as, std::move(found));
--- a/src/cypresswall/answer_builds/fleet_answer_builds.h
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.h
@@ -13,6 +13,7 @@
 #include "cypresswall/answer_builds/build_history.h"
 #include "cypresswall/answer_builds/messages.h"
 #include "cypresswall/answer_builds/settings.h"
+#include "cypresswall/answer_builds/stored_builds.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/membership/membership_view.h"
 #include "cypresswall/object_store/object_store.h"
@@ -31,7 +32,8 @@
 /// learnt of them from another node or, if all have just started, from the platform's store, it
 /// takes no build for the only one. The store holds the builds that each model may still have
 /// answers of; it is written when one appears, and when one has been away for
-/// AnswerBuildSettings::retention.
+/// AnswerBuildSettings::retention. If the store was restored from a copy after they were written,
+/// they may lack some; nodes that have all just started then count kForgottenBuild among them.
 class FleetAnswerBuilds final : public AnswerBuilds {
  public:
   /// Registers the message handlers. \pre all references outlive this object
@@ -80,6 +82,10 @@
   void sendHistory(const common::NodeId& node);
   void onHistory(const BuildHistoryReply& reply);
   void onStoredBuilds(const std::string& stored);
+  /// Takes over builds that the store holds.
+  void addStored(const StoredBuilds& stored);
+  /// Records that there may have been builds that are known to nobody.
+  void addForgotten(const StoredBuilds& stored);
   /// To be called once the builds that the models had before the start are known.
   void historyKnown(const char* source);
   /// \return the builds to store instead of `stored`; nothing if `stored` holds them
@@ -112,6 +118,7 @@
   const AnswerBuildSettings settings_;
   const api::ProcessContext& context_;
   const membership::MembershipView& membership_;
+  const object_store::ObjectStore& store_;
   BuildHistory history_;
   AnswerRecords records_;
   std::set<common::ModelName> mixed_models_;
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -17,7 +17,7 @@
 SimulatedFleet::SimulatedFleet(std::uint64_t seed, FleetSettings settings)
     : settings_(std::move(settings)),
       simulation_(seed, settings_.network),
-      platform_(simulation_),
+      platform_(simulation_, settings_.platform),
       engines_(simulation_),
       services_(simulation_) {
   addOutside();
--- a/src/cypresswall/simulation/fleet/simulated_fleet.h
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.h
@@ -30,6 +30,7 @@
 struct FleetSettings {
   FleetTopology topology;
   NetworkSettings network;
+  PlatformSettings platform;
   /// Settings of all nodes; the fleet sets addresses, machine and seed nodes for each node.
   node::NodeSettings node;
   /// Settings of all engines; the fleet sets name and model for each engine.
--- a/src/cypresswall/simulation/simulated_platform.cpp
+++ b/src/cypresswall/simulation/simulated_platform.cpp
@@ -15,6 +15,7 @@
 
 SimulatedPlatform::SimulatedPlatform(Simulation& simulation, PlatformSettings settings)
     : simulation_(simulation),
+      names_incarnation_(settings.names_incarnation),
       store_(simulation.time(), simulation.time()),
       machines_(settings.machine_list_lag, simulation.time(), simulation.time()) {}
 
@@ -56,6 +57,10 @@
   simulation_.faults().add(FaultKind::kStoreRestored);
 }
 
+std::uint64_t SimulatedPlatform::incarnation() const {
+  return names_incarnation_ ? 1 + store_.ledger().restores : 0;
+}
+
 void SimulatedPlatform::setMachineState(const common::MachineName& machine,
                                         object_store::MachineState state) {
   for (object_store::Machine known : machines_.visible("")) {
--- a/src/cypresswall/simulation/simulated_platform.h
+++ b/src/cypresswall/simulation/simulated_platform.h
@@ -16,6 +16,8 @@
 struct PlatformSettings {
   /// Time until a change becomes visible in the machine list.
   common::Duration machine_list_lag = std::chrono::milliseconds(500);
+  /// Whether the store names its incarnation.
+  bool names_incarnation = false;
 };
 
 class SimulatedPlatform {
@@ -40,11 +42,14 @@
   void leaveWatchGap();
   /// Restores the store to its state `revisions` revisions ago, and counts the fault.
   void restore(std::uint64_t revisions);
+  /// \return the store's incarnation; zero if the store names none
+  std::uint64_t incarnation() const;
   /// Changes the state of a machine in the machine list to leaving or gone, and counts the fault.
   void setMachineState(const common::MachineName& machine, object_store::MachineState state);
 
  private:
   Simulation& simulation_;
+  const bool names_incarnation_;
   emulation::EmulatedObjectStore store_;
   emulation::EmulatedMachineList machines_;
 };
@@ -62,6 +67,7 @@
             object_store::StoreCallback<object_store::ObjectListing> callback) override;
   void watch(const std::string& prefix, std::uint64_t revision,
              object_store::StoreCallback<object_store::ObjectListing> callback) override;
+  std::uint64_t incarnation() const override { return platform_.incarnation(); }
 
  private:
   template <typename Value, typename Request>
--- a/src/cypresswall/zone_object/zone_object.cpp
+++ b/src/cypresswall/zone_object/zone_object.cpp
@@ -18,6 +18,8 @@
 /// Interval at which a node that sees no other node reads the object. The interval must be short,
 /// as nodes must know the value within three seconds.
 constexpr common::Duration kIsolatedReadInterval = std::chrono::seconds(1);
+/// Interval at which nodes check whether the store was restored.
+constexpr common::Duration kIncarnationCheckInterval = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -35,6 +37,20 @@
   started_ = true;
   membership_.onChange([this] { reconcileAfter(kSettlingTime); });
   reconcileAfter(kSettlingTime);
+  watchIncarnation();
+}
+
+void ZoneObject::watchIncarnation() {
+  checkIncarnation();
+  context_.scheduler.schedule(kIncarnationCheckInterval, [this] { watchIncarnation(); });
+}
+
+void ZoneObject::checkIncarnation() {
+  const std::uint64_t before = std::exchange(incarnation_, store_.incarnation());
+  if (before != incarnation_ && stored_) {
+    stored_.reset();
+    reconcileAfter(common::Duration{0});
+  }
 }
 
 void ZoneObject::reconcileAfter(common::Duration delay) {
@@ -60,6 +76,7 @@
     stored_.reset();
     return;
   }
+  checkIncarnation();
   const auto now = context_.clock.now();
   if (now < next_call_at_) {
     reconcileAfter(next_call_at_ - now);
@@ -94,6 +111,7 @@
 
 void ZoneObject::onRead(const StoreResult<StoredObject>& result) {
   call_in_flight_ = false;
+  checkIncarnation();
   if (result.ok()) {
     stored_ = Stored{result.value().version, result.value().value};
     callbacks_.onRead(stored_->value);
--- a/src/cypresswall/zone_object/zone_object.h
+++ b/src/cypresswall/zone_object/zone_object.h
@@ -25,8 +25,10 @@
 /// when it becomes the owner, and writes it when its value has changed. Without changes, each new
 /// owner makes a single call to the store. If two nodes both consider themselves the owner, nothing
 /// is lost: a write fails if the other node has written since, and the object is then read before
-/// it is written again. A node that has lost contact with all others, for example in a network
-/// partition, rereads the object every second, since the others can't tell it anything.
+/// it is written again. Once the store has been restored from a copy, which may hold an older
+/// object, the owner reads the object again. A node that has lost contact with all others, for
+/// example in a network partition, rereads the object every second, since the others can't tell it
+/// anything.
 class ZoneObject {
  public:
   struct Callbacks {
@@ -65,6 +67,9 @@
   bool isOwner() const;
   /// \return true if this node sees no other node but has seen some before
   bool isolated();
+  void watchIncarnation();
+  /// Forgets the object if the store has begun a new incarnation.
+  void checkIncarnation();
   void read();
   void onRead(const object_store::StoreResult<object_store::StoredObject>& result);
   void write(std::string value);
@@ -82,6 +87,8 @@
   /// Earliest time of the next call after a failure of the store.
   common::MonotonicTime next_call_at_{};
   common::TimerId reconcile_timer_ = 0;
+  /// Of the store, at the last check.
+  std::uint64_t incarnation_ = 0;
   /// Empty unless this node is the owner and has read the object.
   std::optional<Stored> stored_;
   std::uint64_t next_change_ = 0;
--- a/tests/answer_builds/build_history_test.cpp
+++ b/tests/answer_builds/build_history_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(buildsCountWhilePresentAndForAWhileAfterwards);
   CPPUNIT_TEST(modelsAreSeparate);
   CPPUNIT_TEST(buildsSeenByOthersCount);
+  CPPUNIT_TEST(forgottenBuildCountsForEachModel);
   CPPUNIT_TEST(recordsKeepTheFirstBuild);
   CPPUNIT_TEST(recordsAreBounded);
   CPPUNIT_TEST(onlyOwnRecentRecordsAreSentAgain);
@@ -59,6 +60,20 @@
     CPPUNIT_ASSERT(history.possible("m", at(130)) == Builds{"v1"});
   }
 
+  void forgottenBuildCountsForEachModel() {
+    BuildHistory history(kRetention);
+    history.addSeen(kAnyModel, kForgottenBuild, at(0));
+    CPPUNIT_ASSERT(history.mixedModels(at(1)).empty());
+    history.setPresent({{"m", {"v1"}}}, at(1));
+    CPPUNIT_ASSERT((history.possible("m", at(119)) == Builds{"v1", kForgottenBuild}));
+    CPPUNIT_ASSERT(history.possible("n", at(119)) == Builds{kForgottenBuild});
+    CPPUNIT_ASSERT(history.mixedModels(at(119)) == std::set<common::ModelName>{"m"});
+    const BuildsByModel all = {{kAnyModel, {kForgottenBuild}}, {"m", {"v1"}}};
+    CPPUNIT_ASSERT(history.possible(at(119)) == all);
+    CPPUNIT_ASSERT(history.possible("m", at(120)) == Builds{"v1"});
+    CPPUNIT_ASSERT(history.mixedModels(at(120)).empty());
+  }
+
   void recordsKeepTheFirstBuild() {
     AnswerRecords records({});
     records.add(7, "m", "v1", true, at(0));
--- a/tests/answer_builds/fleet_answer_builds_test.cpp
+++ b/tests/answer_builds/fleet_answer_builds_test.cpp
@@ -31,6 +31,8 @@
 
 /// Within this time all nodes of a zone that starts know the earlier builds.
 constexpr common::Duration kUntilHistoryKnown = seconds(2);
+/// Within this time the nodes have written what a restored store lacks.
+constexpr common::Duration kUntilRewritten = seconds(3);
 /// A node that starts asks four others, which answer.
 constexpr std::uint64_t kMessagesOfAStart = 8;
 
@@ -40,7 +42,8 @@
 
 class Zone {
  public:
-  explicit Zone(std::size_t nodes) : simulation_(1), platform_(simulation_), nodes_(nodes) {
+  explicit Zone(std::size_t nodes)
+      : simulation_(1), platform_(simulation_, {.names_incarnation = true}), nodes_(nodes) {
     for (std::size_t node = 0; node < nodes; ++node) {
       start(node);
     }
@@ -192,6 +195,9 @@
   CPPUNIT_TEST(nothingIsGuessedUntilTheStoreIsRead);
   CPPUNIT_TEST(storeIsWrittenWhenABuildComesOrIsForgotten);
   CPPUNIT_TEST(unreadableStoredBuildsAreReplaced);
+  CPPUNIT_TEST(storeRestoredBeforeABuildLeft);
+  CPPUNIT_TEST(storeRestoredWhileNoNodeRan);
+  CPPUNIT_TEST(oneBuildAndARestoredStore);
   CPPUNIT_TEST(nodeWithoutPeersKnowsItsOwnAnswersOnly);
   CPPUNIT_TEST(earlierBuildsOfNodesAreNotAsked);
   CPPUNIT_TEST(callersThatNameNoRequest);
@@ -447,6 +453,66 @@
     zone.requireUnknown(1, "a");
   }
 
+  /// Guards against answers that go on at another build: the copy from which the store was restored
+  /// did not name the build that began them, and nobody wrote it again.
+  void storeRestoredBeforeABuildLeft() {
+    for (const std::size_t size : {1, 2, 9, 300}) {
+      Zone zone(size);
+      zone.setEngines(kOneBuild);
+      zone.setEngines(kTwoBuilds);
+      zone.began(0, "a", "v2");
+      zone.platform().restore(1);
+      zone.run(kUntilRewritten);
+      zone.setEngines(kOneBuild);
+      zone.restartAll(kOneBuild);
+      zone.run(kUntilHistoryKnown);
+      for (std::size_t node = 0; node < std::min<std::size_t>(size, 20); ++node) {
+        zone.requireUnknown(node, "a");
+      }
+    }
+  }
+
+  /// Guards against answers that go on at another build: neither the copy from which the store was
+  /// restored nor the list of engines named the build that began them.
+  void storeRestoredWhileNoNodeRan() {
+    for (const std::size_t size : {1, 2, 9, 300}) {
+      Zone zone(size);
+      zone.setEngines(kOneBuild);
+      zone.setEngines(kTwoBuilds);
+      zone.began(0, "a", "v2");
+      zone.platform().restore(1);
+      for (int restarts = 0; restarts < 2; ++restarts) {
+        zone.restartAll(kOneBuild);
+        zone.run(kUntilHistoryKnown);
+        for (std::size_t node = 0; node < std::min<std::size_t>(size, 20); ++node) {
+          zone.requireUnknown(node, "a");
+        }
+      }
+      zone.began(0, "b", "v1");
+      for (std::size_t node = 0; node < std::min<std::size_t>(size, 20); ++node) {
+        zone.requireBuild("v1", node, "b");
+      }
+      zone.run(minutes(2));
+      zone.requireBuild("v1", size - 1, "c");
+    }
+  }
+
+  /// What the nodes know is written to the restored store, and holds at their restart.
+  void oneBuildAndARestoredStore() {
+    for (const std::size_t size : {1, 9, 300}) {
+      Zone zone(size);
+      zone.setEngines(kOneBuild);
+      zone.began(0, "a", "v1");
+      zone.platform().restore(1);
+      zone.run(kUntilRewritten);
+      zone.restartAll(kOneBuild);
+      zone.run(kUntilHistoryKnown);
+      for (std::size_t node = 0; node < std::min<std::size_t>(size, 20); ++node) {
+        zone.requireBuild("v1", node, "a");
+      }
+    }
+  }
+
   void nodeWithoutPeersKnowsItsOwnAnswersOnly() {
     Zone zone(9);
     zone.setEngines(kTwoBuilds);
--- a/tests/answer_builds/mixed_builds_fleet.h
+++ b/tests/answer_builds/mixed_builds_fleet.h
@@ -41,6 +41,7 @@
     fleet.engine_build = [this](std::uint32_t engine) { return buildOf(engine); };
     fleet.node.execution.stream_moves.enabled = settings.moves_slow_streams;
     fleet.declared = &declared_;
+    fleet.platform.names_incarnation = true;
     topology_ = fleet.topology;
     declareEngines(0, settings.engines);
     fleet_ = std::make_unique<simulation::SimulatedFleet>(seed, fleet);
--- a/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
+++ b/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
@@ -21,6 +21,9 @@
 /// A node that starts serves within this time.
 constexpr auto kUntilReady = milliseconds(1500);
 
+/// Within this time a build that has left is forgotten.
+constexpr auto kUntilForgotten = seconds(125);
+
 class TakenUpAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TakenUpAnswersTest);
   CPPUNIT_TEST(twoBuilds);
@@ -32,6 +35,8 @@
   CPPUNIT_TEST(releaseWithNodesThatEnd);
   CPPUNIT_TEST(firstBuildGone);
   CPPUNIT_TEST(allNodesEndWhenTheFirstBuildHasGone);
+  CPPUNIT_TEST(allNodesEndWhileTheStoreIsRestored);
+  CPPUNIT_TEST(allNodesEndAfterTheStoreWasRestored);
   CPPUNIT_TEST(nodeCutOffFromItsPeers);
   CPPUNIT_TEST(nodeCutOffFromEngines);
   CPPUNIT_TEST(oneBuild);
@@ -144,6 +149,14 @@
     }
   }
 
+  /// Guards against answers that go on at the first build: the copy from which the store is
+  /// restored names neither the second build nor its engines.
+  void allNodesEndWhileTheStoreIsRestored() { requireNoneMixedAfterRestore(seconds(0)); }
+
+  /// Guards against answers that go on at the first build: what the restored store lacked was not
+  /// written again before the second build was withdrawn.
+  void allNodesEndAfterTheStoreWasRestored() { requireNoneMixedAfterRestore(seconds(3)); }
+
   /// A node that reaches no other one can't ask which build began an answer.
   void nodeCutOffFromItsPeers() {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -204,6 +217,34 @@
     fleet.run(milliseconds(100));
     fleet.declareEngines(18, 36);
   }
+  /// The store is restored from a copy of before the second build; after a while, the second build
+  /// is withdrawn and all nodes end.
+  static void requireNoneMixedAfterRestore(common::Duration while_restored) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet::Settings settings;
+      settings.engines = 36;
+      settings.build_of = [](std::uint32_t engine) { return engine < 18 ? 0 : 1; };
+      settings.take_up_delay = kUntilReady;
+      MixedBuildsFleet fleet(seed, settings);
+      fleet.declareEngines(0, 18);
+      fleet.run(kUntilForgotten);
+      fleet.sendAnswers(seconds(5));
+      simulation::SimulatedPlatform& platform = fleet.fleet().platform();
+      const std::uint64_t copied = platform.store().revision();
+      fleet.declareEngines(0, 36);
+      fleet.sendAnswers(seconds(3));
+      platform.restore(platform.store().revision() - copied);
+      fleet.sendAnswers(while_restored);
+      fleet.declareEngines(0, 18);
+      fleet.counts_started_nodes = true;
+      fleet.counted_builds = {"v2"};
+      fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
+      fleet.sendAnswers(seconds(5));
+      CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.takenUp() > 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.figures(), std::size_t{0}, fleet.mixedAnswers());
+      CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.newAnswersBegun() > 0.5);
+    }
+  }
   /// Three nodes end at once, three times.
   static void requireOneBuild(const MixedBuildsFleet::Settings& settings) {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
