Three nodes keep the builds in the store, not one

If the store refused the node that owns the object with the builds, nobody wrote it.

A ZoneObject may now have several owners. After a change, those after the first leave it time to write, then read the object and write what is missing. The builds have three owners; the quarantine list keeps one.

TakenUpAnswersTest::largeZone ended 3 of 40 nodes at a time.

--- a/src/cypresswall/answer_builds/settings.h
+++ b/src/cypresswall/answer_builds/settings.h
@@ -25,6 +25,8 @@
   common::Duration history_interval = std::chrono::milliseconds(500);
   /// Longest time that a search for the build of an answer waits for these builds to be known.
   common::Duration history_limit = std::chrono::seconds(1);
+  /// Number of nodes that read and write the builds in the store.
+  std::size_t store_owners = 3;
   /// Delay before the next call to the store after a failed one.
   common::Duration store_retry_delay = std::chrono::seconds(1);
   /// Maximum number of answers that a node knows, about 60 bytes each. The oldest are evicted
--- a/src/cypresswall/zone_object/zone_object.cpp
+++ b/src/cypresswall/zone_object/zone_object.cpp
@@ -1,5 +1,6 @@
 #include "cypresswall/zone_object/zone_object.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cypresswall/membership/rendezvous.h"
@@ -18,6 +19,8 @@
 /// Interval at which a node that sees no other node reads the object. The interval must be short,
 /// as nodes must know the value within three seconds.
 constexpr common::Duration kIsolatedReadInterval = std::chrono::seconds(1);
+/// Time that an owner leaves to each owner before it for the write of a change.
+constexpr common::Duration kTimePerOwner = std::chrono::milliseconds(500);
 /// Interval at which nodes check whether the store was restored.
 constexpr common::Duration kIncarnationCheckInterval = std::chrono::milliseconds(500);
 
@@ -53,6 +56,14 @@
   }
 }
 
+void ZoneObject::valueChanged() {
+  const std::size_t rank = started_ ? ownerRank().value_or(0) : 0;
+  if (rank > 0) {
+    stored_.reset();
+  }
+  reconcileAfter(kTimePerOwner * static_cast<std::int64_t>(rank));
+}
+
 void ZoneObject::reconcileAfter(common::Duration delay) {
   if (!started_ || reconcile_timer_ != 0) {
     return;
@@ -71,7 +82,7 @@
     reconcileAfter(kSettlingTime);
     return;
   }
-  if (!isOwner()) {
+  if (!ownerRank()) {
     has_seen_others_ = true;
     stored_.reset();
     return;
@@ -100,8 +111,12 @@
   return alone && has_seen_others_;
 }
 
-bool ZoneObject::isOwner() const {
-  return membership::rendezvousNode(settings_.key, callbacks_.members()) == context_.self;
+std::optional<std::size_t> ZoneObject::ownerRank() const {
+  const auto owners =
+      membership::rendezvousNodes(settings_.key, callbacks_.members(), settings_.owners);
+  const auto own = std::find(owners.begin(), owners.end(), context_.self);
+  return own == owners.end() ? std::nullopt
+                             : std::make_optional(static_cast<std::size_t>(own - owners.begin()));
 }
 
 void ZoneObject::read() {
--- a/src/cypresswall/zone_object/zone_object.h
+++ b/src/cypresswall/zone_object/zone_object.h
@@ -19,16 +19,20 @@
   std::string key;
   /// Delay before the next call to the store after a failed one.
   common::Duration retry_delay = std::chrono::seconds(1);
+  /// Number of nodes that read and write the object: with several, it is kept although the store
+  /// refuses some of them.
+  std::size_t owners = 1;
 };
 
-/// One node of the zone, chosen by rendezvous hashing, owns the object. The owner reads the object
-/// when it becomes the owner, and writes it when its value has changed. Without changes, each new
-/// owner makes a single call to the store. If two nodes both consider themselves the owner, nothing
-/// is lost: a write fails if the other node has written since, and the object is then read before
-/// it is written again. Once the store has been restored from a copy, which may hold an older
-/// object, the owner reads the object again. A node that has lost contact with all others, for
-/// example in a network partition, rereads the object every second, since the others can't tell it
-/// anything.
+/// One node of the zone or a few, chosen by rendezvous hashing, own the object. An owner reads the
+/// object when it becomes one, and writes it when its value has changed. Without changes, each new
+/// owner makes a single call to the store. Nothing is lost if several nodes own the object, or
+/// consider themselves its owner: a write fails if another node has written since, and the object
+/// is then read before it is written again. After a change, the owners other than the first wait
+/// for its write, and read the object before they write it. Once the store has been restored from a
+/// copy, which may hold an older object, the owner reads the object again. A node that has lost
+/// contact with all others, for example in a network partition, rereads the object every second,
+/// since the others can't tell it anything.
 class ZoneObject {
  public:
   struct Callbacks {
@@ -50,7 +54,7 @@
 
   void start();
   /// To be called when newValue() may return another value than before.
-  void valueChanged() { reconcileAfter(common::Duration{0}); }
+  void valueChanged();
 
  private:
   /// The object as last read or written.
@@ -64,7 +68,8 @@
   /// If this node is the owner, reads the object if its value is unknown, or writes it if the value
   /// has changed.
   void reconcile();
-  bool isOwner() const;
+  /// \return this node's place among the owners, the first one being 0; nothing if it is none
+  std::optional<std::size_t> ownerRank() const;
   /// \return true if this node sees no other node but has seen some before
   bool isolated();
   void watchIncarnation();
@@ -89,7 +94,7 @@
   common::TimerId reconcile_timer_ = 0;
   /// Of the store, at the last check.
   std::uint64_t incarnation_ = 0;
-  /// Empty unless this node is the owner and has read the object.
+  /// Empty unless this node is an owner and has read the object.
   std::optional<Stored> stored_;
   std::uint64_t next_change_ = 0;
   common::Counter& failures_;
--- a/tests/answer_builds/fleet_answer_builds_test.cpp
+++ b/tests/answer_builds/fleet_answer_builds_test.cpp
@@ -29,6 +29,7 @@
   return name;
 }
 
+constexpr std::size_t kSmallZone = 9;
 /// Within this time all nodes of a zone that starts know the earlier builds.
 constexpr common::Duration kUntilHistoryKnown = seconds(2);
 /// Within this time the nodes have written what a restored store lacks.
@@ -42,8 +43,13 @@
 
 class Zone {
  public:
-  explicit Zone(std::size_t nodes)
+  /// \param without_store nodes whose calls to the store fail
+  explicit Zone(std::size_t nodes, const std::vector<std::size_t>& without_store = {})
       : simulation_(1), platform_(simulation_, {.names_incarnation = true}), nodes_(nodes) {
+    for (const std::size_t node : without_store) {
+      simulation_.network().cutAddresses(addressOf(node),
+                                         simulation::SimulatedPlatform::place().address);
+    }
     for (std::size_t node = 0; node < nodes; ++node) {
       start(node);
     }
@@ -52,9 +58,7 @@
     messages_of_start_ = simulation_.network().deliveredMessages();
   }
   void start(std::size_t index) {
-    const auto address =
-        "10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1) + ":7000";
-    auto& process = simulation_.start(address, "z");
+    auto& process = simulation_.start(addressOf(index), "z");
     Node& node = nodes_[index];
     node.process = &process;
     node.membership = &process.emplace<testing::SettableMembership>(process.id(), "z");
@@ -161,6 +165,9 @@
     return simulation_.network().deliveredMessages() - messages_of_start_;
   }
   simulation::SimulatedPlatform& platform() { return platform_; }
+  static common::Address addressOf(std::size_t index) {
+    return "10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1) + ":7000";
+  }
   std::size_t size() const { return nodes_.size(); }
 
  private:
@@ -198,6 +205,8 @@
   CPPUNIT_TEST(storeRestoredBeforeABuildLeft);
   CPPUNIT_TEST(storeRestoredWhileNoNodeRan);
   CPPUNIT_TEST(oneBuildAndARestoredStore);
+  CPPUNIT_TEST(nodesThatTheStoreRefuses);
+  CPPUNIT_TEST(oneBuildAndNodesThatTheStoreRefuses);
   CPPUNIT_TEST(nodeWithoutPeersKnowsItsOwnAnswersOnly);
   CPPUNIT_TEST(earlierBuildsOfNodesAreNotAsked);
   CPPUNIT_TEST(callersThatNameNoRequest);
@@ -513,6 +522,39 @@
     }
   }
 
+  /// Guards against answers that go on at another build: the nodes that were to write the builds
+  /// never reached the store, and its lack of builds was taken for a first start.
+  void nodesThatTheStoreRefuses() {
+    for (std::size_t refused = 0; refused < kSmallZone; ++refused) {
+      Zone zone(kSmallZone, {refused, (refused + 3) % kSmallZone});
+      zone.setEngines(kOneBuild);
+      zone.began(0, "a", "v1");
+      zone.setEngines(kTwoBuilds);
+      zone.run(kUntilRewritten);
+      zone.setEngines(kOtherBuild);
+      zone.restartAll(kOtherBuild);
+      zone.run(kUntilRewritten);
+      for (std::size_t node = 0; node < zone.size(); ++node) {
+        zone.requireUnknown(node, "a");
+      }
+    }
+  }
+
+  /// Guards against the refusal of all answers that are taken up while one node can't read the
+  /// store.
+  void oneBuildAndNodesThatTheStoreRefuses() {
+    for (std::size_t refused = 0; refused < kSmallZone; ++refused) {
+      Zone zone(kSmallZone, {refused, (refused + 3) % kSmallZone});
+      zone.setEngines(kOneBuild);
+      zone.began(0, "a", "v1");
+      zone.restartAll(kOneBuild);
+      zone.run(kUntilHistoryKnown);
+      for (std::size_t node = 0; node < zone.size(); ++node) {
+        zone.requireBuild("v1", node, "a");
+      }
+    }
+  }
+
   void nodeWithoutPeersKnowsItsOwnAnswersOnly() {
     Zone zone(9);
     zone.setEngines(kTwoBuilds);
--- a/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
+++ b/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
@@ -3,6 +3,8 @@
 /// at another build.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <vector>
+
 #include "tests/answer_builds/mixed_builds_fleet.h"
 
 namespace cypresswall::answer_builds {
@@ -245,15 +247,18 @@
       CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.newAnswersBegun() > 0.5);
     }
   }
-  /// Three nodes end at once, three times.
+  /// A third of the nodes ends at once, three times.
   static void requireOneBuild(const MixedBuildsFleet::Settings& settings) {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       MixedBuildsFleet fleet(seed, settings);
       fleet.counted_builds = {settings.builds.front()};
       fleet.sendAnswers(seconds(3));
       for (std::size_t turn = 0; turn < 3; ++turn) {
-        const std::size_t third = settings.nodes / 3;
-        fleet.restartNodes({turn, third + turn, 2 * third + turn});
+        std::vector<std::size_t> ended;
+        for (std::size_t node = turn; ended.size() < settings.nodes / 3; node += 3) {
+          ended.push_back(node);
+        }
+        fleet.restartNodes(ended);
         fleet.sendAnswers(seconds(4));
       }
       requireShare(fleet, seed);
