The load of process tests and the soak keeps its connections to the daemons

Each request had a connection of its own, so no caller used a connection until its process was gone. Streams and lookups of a thread now keep theirs; a booking still has its own, since libcurl sends a request again when a kept connection proves to be closed. not_connected tells by the bytes of the request that were sent, as a kept connection has no time of connecting.

--- a/tests/process/damaged_responses_test.cpp
+++ b/tests/process/damaged_responses_test.cpp
@@ -127,7 +127,8 @@
       const std::string number = std::to_string(calls_++);
       call.path += number;
       call.key += call.key.empty() ? "" : number;
-      const HttpAnswer answer = callService(fleet_->gateway(calls_ % kNodes), call);
+      HttpClient client;
+      const HttpAnswer answer = callService(client, fleet_->gateway(calls_ % kNodes), call);
       const bool damaged = proxy.damagedResponses() != before;
       const std::string fault = faultOf(answer, call, damaged);
       if (!fault.empty()) {
--- a/tests/process/http_call.cpp
+++ b/tests/process/http_call.cpp
@@ -1,10 +1,7 @@
 #include "tests/process/http_call.h"
 
-#include <curl/curl.h>
-
 #include <algorithm>
 #include <cctype>
-#include <memory>
 #include <utility>
 
 #include "cypresswall/runtime/response_framing.h"
@@ -57,10 +54,17 @@
 HttpAnswer httpCall(const std::string& method, const std::string& address,
                     const std::string& target, const std::string& body,
                     const std::map<std::string, std::string>& headers) {
+  return HttpClient().call(method, address, target, body, headers);
+}
+
+HttpClient::HttpClient() : curl_(curl_easy_init(), &curl_easy_cleanup) {}
+
+HttpAnswer HttpClient::call(const std::string& method, const std::string& address,
+                            const std::string& target, const std::string& body,
+                            const std::map<std::string, std::string>& headers) {
   Reading reading{{method == "HEAD", 0}, {}};
   HttpAnswer& answer = reading.answer;
-  const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl(curl_easy_init(),
-                                                                 &curl_easy_cleanup);
+  curl_easy_reset(curl_.get());
   curl_slist* list = curl_slist_append(nullptr, "Content-Type: application/json");
   for (const auto& [name, value] : headers) {
     std::string header = name;
@@ -68,23 +72,23 @@
     list = curl_slist_append(list, header.c_str());
   }
   const std::string url = "http://" + address + target;
-  curl_easy_setopt(curl.get(), CURLOPT_URL, url.c_str());
-  curl_easy_setopt(curl.get(), CURLOPT_CUSTOMREQUEST, method.c_str());
-  curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, list);
-  curl_easy_setopt(curl.get(), CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectMilliseconds);
-  curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, kTotalMilliseconds);
-  curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, &takeBody);
-  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &reading);
-  curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, &takeHeader);
-  curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &reading);
+  curl_easy_setopt(curl_.get(), CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl_.get(), CURLOPT_CUSTOMREQUEST, method.c_str());
+  curl_easy_setopt(curl_.get(), CURLOPT_HTTPHEADER, list);
+  curl_easy_setopt(curl_.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl_.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectMilliseconds);
+  curl_easy_setopt(curl_.get(), CURLOPT_TIMEOUT_MS, kTotalMilliseconds);
+  curl_easy_setopt(curl_.get(), CURLOPT_WRITEFUNCTION, &takeBody);
+  curl_easy_setopt(curl_.get(), CURLOPT_WRITEDATA, &reading);
+  curl_easy_setopt(curl_.get(), CURLOPT_HEADERFUNCTION, &takeHeader);
+  curl_easy_setopt(curl_.get(), CURLOPT_HEADERDATA, &reading);
   if (!body.empty()) {
-    curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.c_str());
-    curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+    curl_easy_setopt(curl_.get(), CURLOPT_POSTFIELDS, body.c_str());
+    curl_easy_setopt(curl_.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
   }
-  const CURLcode result = curl_easy_perform(curl.get());
+  const CURLcode result = curl_easy_perform(curl_.get());
   long status = 0;
-  curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo(curl_.get(), CURLINFO_RESPONSE_CODE, &status);
   curl_slist_free_all(list);
   // The processes under test frame by length or chunks, so that a close never ends an answer.
   const auto defect = reading.framing.defectAtEnd(false);
@@ -94,9 +98,9 @@
   } else {
     answer.status = static_cast<int>(status);
   }
-  double connected_after = 0;
-  curl_easy_getinfo(curl.get(), CURLINFO_CONNECT_TIME, &connected_after);
-  answer.not_connected = connected_after <= 0;
+  long request_bytes = 0;
+  curl_easy_getinfo(curl_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
+  answer.not_connected = request_bytes == 0;
   if (!answer.complete) {
     answer.error = result != CURLE_OK ? curl_easy_strerror(result) : toString(*defect);
   }
--- a/tests/process/workload.cpp
+++ b/tests/process/workload.cpp
@@ -94,13 +94,13 @@
   return std::find(kStatuses.begin(), kStatuses.end(), status) != kStatuses.end();
 }
 
-HttpAnswer callService(const std::string& gateway, const ServiceCall& call) {
+HttpAnswer callService(HttpClient& client, const std::string& gateway, const ServiceCall& call) {
   std::map<std::string, std::string> headers;
   if (!call.key.empty()) {
     headers["Idempotency-Key"] = call.key;
   }
-  return httpCall(call.method, gateway, std::string("/services/") + kHttpService + call.path,
-                  call.body, headers);
+  return client.call(call.method, gateway, std::string("/services/") + kHttpService + call.path,
+                     call.body, headers);
 }
 
 Workload::Workload(const TestFleet& fleet, std::size_t threads)
@@ -121,14 +121,15 @@
 }
 
 void Workload::run(std::size_t thread) {
+  HttpClient client;
   for (std::uint64_t number = 0; !stop_; ++number) {
     const std::string name = std::to_string(thread) + "-" + std::to_string(number);
     if (number % kBookingShare == 0) {
       book(thread, "key-" + name);
     } else if (number % kLookupShare == 1) {
-      lookUp(pickGateway(thread + number), name);
+      lookUp(client, pickGateway(thread + number), name);
     } else {
-      stream(pickGateway(thread + number), "container " + name + " passed the gate");
+      stream(client, pickGateway(thread + number), "container " + name + " passed the gate");
     }
   }
 }
@@ -143,12 +144,12 @@
   return fleet_.gateway(0);
 }
 
-void Workload::stream(const std::string& gateway, const std::string& prompt) {
+void Workload::stream(HttpClient& client, const std::string& gateway, const std::string& prompt) {
   const json request = {{"model", kModelService},
                         {"prompt", prompt},
                         {"max_tokens", kAnswerTokens},
                         {"stream", true}};
-  checkStream(httpCall("POST", gateway, "/v1/completions", request.dump()), prompt);
+  checkStream(client.call("POST", gateway, "/v1/completions", request.dump()), prompt);
 }
 
 void Workload::checkStream(const HttpAnswer& answer, const std::string& prompt) {
@@ -186,7 +187,8 @@
   const ServiceCall call{"POST", "/bookings", key, R"({"slot":")" + key + "\"}"};
   for (int attempt = 0; attempt < kBookingTries && !stop_; ++attempt) {
     const auto& gateway = pickGateway(thread + static_cast<std::uint64_t>(attempt));
-    const auto answer = callService(gateway, call);
+    HttpClient client;  // its request must not be sent twice
+    const auto answer = callService(client, gateway, call);
     recordBooking(answer, call);
     if (answer.status == 200) {
       return;
@@ -219,9 +221,9 @@
   history.only_reported_not_run = false;
 }
 
-void Workload::lookUp(const std::string& gateway, const std::string& name) {
+void Workload::lookUp(HttpClient& client, const std::string& gateway, const std::string& name) {
   const ServiceCall call{"GET", "/slots/" + name, "", ""};
-  const HttpAnswer answer = callService(gateway, call);
+  const HttpAnswer answer = callService(client, gateway, call);
   const std::lock_guard lock(mutex_);
   if (!answer.complete || answer.status != 200) {
     report_.lookups_failed += 1;
--- a/tests/process/workload.h
+++ b/tests/process/workload.h
@@ -53,7 +53,7 @@
 ///   repeat it
 bool invitesRepeat(int status);
 
-HttpAnswer callService(const std::string& gateway, const ServiceCall& call);
+HttpAnswer callService(HttpClient& client, const std::string& gateway, const ServiceCall& call);
 
 class Workload {
  public:
@@ -80,11 +80,11 @@
   };
 
   void run(std::size_t thread);
-  void stream(const std::string& gateway, const std::string& prompt);
+  void stream(HttpClient& client, const std::string& gateway, const std::string& prompt);
   void checkStream(const HttpAnswer& answer, const std::string& prompt);
   void book(std::size_t thread, const std::string& key);
   void recordBooking(const HttpAnswer& answer, const ServiceCall& call);
-  void lookUp(const std::string& gateway, const std::string& name);
+  void lookUp(HttpClient& client, const std::string& gateway, const std::string& name);
   /// Records a violation if a success isn't the service's whole body for this call.
   /// \return the identifier of the request that the service ran; empty for a wrong body
   std::string checkServiceBody(const HttpAnswer& answer, const ServiceCall& call);
