Test restarts of all nodes: twice, one by one, and with nodes that reach no engine

Whole nodes whose first build of engines has just been replaced: none of the answers taken up may hold two builds.

--- a/tests/answer_builds/mixed_builds_fleet.h
+++ b/tests/answer_builds/mixed_builds_fleet.h
@@ -92,6 +92,18 @@
       started_at_[node] = fleet_->time().now();
     }
   }
+  /// Kills all nodes at the same moment. They start again one by one, with these pauses between
+  /// them, while callers ask for answers at those that run.
+  void restartOneByOne(common::Duration pause) {
+    for (std::size_t node = 0; node < settings_.nodes; ++node) {
+      fleet_->killNode(node);
+    }
+    for (std::size_t node = 0; node < settings_.nodes; ++node) {
+      fleet_->startNode(node);
+      started_at_[node] = fleet_->time().now();
+      sendAnswers(pause);
+    }
+  }
   simulation::SimulatedFleet& fleet() { return *fleet_; }
   common::BuildName buildOf(std::uint32_t engine) const {
     const std::size_t position =
@@ -155,7 +167,14 @@
     bool node_in_touch = false;
   };
 
-  std::size_t anyNode() { return fleet_->simulation().random().below(settings_.nodes); }
+  /// \return a random node that runs
+  std::size_t anyNode() {
+    std::size_t node = fleet_->simulation().random().below(settings_.nodes);
+    while (!fleet_->running(node)) {
+      node = (node + 1) % settings_.nodes;
+    }
+    return node;
+  }
 
   static bool brokenOff(const simulation::CallerRecord& record) {
     return record.tokens > 0 && (record.result == simulation::CallerResult::kBroken ||
--- a/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
+++ b/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
@@ -3,6 +3,7 @@
 /// at another build.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <vector>
 
 #include "tests/answer_builds/mixed_builds_fleet.h"
@@ -37,6 +38,9 @@
   CPPUNIT_TEST(releaseWithNodesThatEnd);
   CPPUNIT_TEST(firstBuildGone);
   CPPUNIT_TEST(allNodesEndWhenTheFirstBuildHasGone);
+  CPPUNIT_TEST(allNodesEndTwice);
+  CPPUNIT_TEST(allNodesComeBackOneByOne);
+  CPPUNIT_TEST(allNodesEndAndSomeReachNoEngine);
   CPPUNIT_TEST(allNodesEndWhileTheStoreIsRestored);
   CPPUNIT_TEST(allNodesEndAfterTheStoreWasRestored);
   CPPUNIT_TEST(nodeCutOffFromItsPeers);
@@ -151,6 +155,35 @@
     }
   }
 
+  /// Guards against answers that go on at the second build: the nodes end again before they have
+  /// stored what they learnt of the first one, or just after.
+  void allNodesEndTwice() {
+    for (const auto between : {milliseconds(200), milliseconds(500), milliseconds(1200)}) {
+      requireNoneMixedAfter(milliseconds(700), [between](MixedBuildsFleet& fleet) {
+        fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
+        fleet.run(between);
+        fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
+      });
+    }
+  }
+
+  /// Guards against answers that go on at the second build at the first nodes that are back.
+  void allNodesComeBackOneByOne() {
+    requireNoneMixedAfter(
+        seconds(4), [](MixedBuildsFleet& fleet) { fleet.restartOneByOne(milliseconds(700)); });
+  }
+
+  /// Guards against answers that go on at the second build: nodes that reach no engine have them
+  /// executed by others.
+  void allNodesEndAndSomeReachNoEngine() {
+    requireNoneMixedAfter(milliseconds(700), [](MixedBuildsFleet& fleet) {
+      fleet.restartNodes({0, 1, 2, 3, 4, 5, 6, 7, 8});
+      for (const std::size_t node : {6, 7, 8}) {
+        fleet.fleet().cutNodeFromServers(node);
+      }
+    });
+  }
+
   /// Guards against answers that go on at the first build: the copy from which the store is
   /// restored names neither the second build nor its engines.
   void allNodesEndWhileTheStoreIsRestored() { requireNoneMixedAfterRestore(seconds(0)); }
@@ -219,6 +252,24 @@
     fleet.run(milliseconds(100));
     fleet.declareEngines(18, 36);
   }
+  /// The first build has just been replaced by the second one when the nodes end.
+  static void requireNoneMixedAfter(common::Duration take_up_delay,
+                                    const std::function<void(MixedBuildsFleet& fleet)>& end_nodes) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet::Settings settings;
+      settings.engines = 36;
+      settings.build_of = [](std::uint32_t engine) { return engine < 18 ? 0 : 1; };
+      settings.take_up_delay = take_up_delay;
+      MixedBuildsFleet fleet(seed, settings);
+      replaceFirstBuild(fleet);
+      fleet.counts_started_nodes = true;
+      end_nodes(fleet);
+      fleet.sendAnswers(seconds(5));
+      CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.takenUp() > 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.figures(), std::size_t{0}, fleet.mixedAnswers());
+      CPPUNIT_ASSERT_MESSAGE(fleet.figures(), fleet.newAnswersBegun() > 0.5);
+    }
+  }
   /// The store is restored from a copy of before the second build; after a while, the second build
   /// is withdrawn and all nodes end.
   static void requireNoneMixedAfterRestore(common::Duration while_restored) {
