The bodies of all unfinished responses together have a limit

Each body was limited to 16 MiB, but not their sum: 100 servers that answer without end could make a daemon hold 1.6 GB.

CurlMulti now counts what it holds of all bodies. Beyond 32 MiB, twice the longest body that one request may have, the request that holds the most ends as broken at once: its memory is freed, its connection closed, its server counted as at fault, its caller told, and cypresswall_http_responses_defective_total{defect="memory-limit"} counted. Shorter answers go on.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -255,7 +255,15 @@
     return CURL_WRITEFUNC_ERROR;
   }
   response_.body += bytes;
-  return bytes.size();
+  if (on_collected_) {
+    on_collected_(bytes.size());
+  }
+  return framing_.defect() ? CURL_WRITEFUNC_ERROR : bytes.size();
+}
+
+void CurlJob::giveUpBody() {
+  framing_.reject(ResponseDefect::kMemoryLimit);
+  response_.body = std::string();
 }
 
 void CurlJob::forwardHead() {
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -48,6 +48,14 @@
   using SendingListener =
       std::function<std::optional<curl_socket_t>(std::optional<curl_socket_t> opened)>;
   void onSending(SendingListener listener) { on_sending_ = std::move(listener); }
+  /// Sets the function to call with the size of each part of a body that is kept.
+  void onCollected(std::function<void(std::size_t)> listener) {
+    on_collected_ = std::move(listener);
+  }
+  /// \return the size of the part of the body that is kept until the request ends.
+  std::size_t collectedBytes() const { return response_.body.size(); }
+  /// Gives up the response and frees what is kept of its body; the request has to be ended.
+  void giveUpBody();
   /// \return the name of the connection on which the request was last sent. No other open
   ///   connection of this process has it.
   const std::string& connection() const { return connection_; }
@@ -120,6 +128,7 @@
   CurlResponse response_;
   ResponseFraming framing_;
   std::optional<ResponseDefect> defect_;
+  std::function<void(std::size_t)> on_collected_;
   std::string connection_;
   bool closed_in_order_ = false;
   bool error_body_too_long_ = false;
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <cerrno>
@@ -111,7 +112,12 @@
   void timerExpired();
   void act(curl_socket_t handle, int events);
   void collectFinished();
+  /// Ends a request with libcurl's result.
+  void end(const JobPointer& job, CURLcode code);
   void countResponse(const CurlJob& job);
+  /// Counts bytes of a body that is kept until its request ends.
+  void collected(std::size_t bytes);
+  void giveUpLargestBody();
   void runDeferred();
   void deferRun();
   void add(const JobPointer& job);
@@ -150,6 +156,7 @@
   ConnectionPool* pool_;
   /// May be null.
   common::CounterRegistry* counters_;
+  std::size_t maximum_collected_bytes_;
   common::MonotonicTime expiry_checked_at_;
   OpenConnections connections_;
   /// Requests by the open connection on which they were sent.
@@ -159,6 +166,10 @@
   /// Jobs to add or remove once no libcurl call is on the stack.
   std::vector<JobPointer> to_add_;
   std::vector<JobPointer> to_remove_;
+  /// Jobs whose response is given up.
+  std::vector<JobPointer> to_end_;
+  /// Bytes of bodies kept by all requests in progress.
+  std::size_t collected_bytes_ = 0;
   bool inside_curl_ = false;
   /// Handles of finished fetches, reused because creating one is a noticeable part of the cost of
   /// each read from an engine.
@@ -172,6 +183,7 @@
       timer_(context),
       pool_(pool),
       counters_(counters),
+      maximum_collected_bytes_(settings.maximum_collected_bytes),
       sockets_(std::make_shared<SocketPoll>(context, [this](int socket, SocketReadiness readiness) {
         socketReady(socket, readiness);
       })) {
@@ -245,6 +257,7 @@
   curl_easy_setopt(job->easy(), CURLOPT_CLOSESOCKETDATA, this);
   job->onSending(
       [this, job = job.get()](std::optional<int> opened) { return sending(*job, opened); });
+  job->onCollected([this](std::size_t bytes) { collected(bytes); });
   enterPool(job);
   if (mayReuseConnection(job->request())) {
     closeWithSurplus(job->request().address);
@@ -365,6 +378,7 @@
 void CurlMulti::Driver::remove(const JobPointer& job) {
   if (jobs_.erase(job->easy()) > 0 && job->added) {
     job->added = false;
+    collected_bytes_ -= job->collectedBytes();
     inside_curl_ = true;
     curl_multi_remove_handle(multi_, job->easy());
     inside_curl_ = false;
@@ -490,18 +504,41 @@
       continue;
     }
     const JobPointer job = known->second;
-    if (job->bodyFraming() == BodyFraming::kClose && job->socket()) {
-      // libcurl may keep the connection of such a response.
-      job->recordClose(closedByPeerInOrder(*job->socket()));
-    }
-    job->ended(code);
-    countResponse(*job);
-    remove(job);
-    job->finish(code);
-    recycle(*job);
+    end(job, code);
   }
 }
 
+void CurlMulti::Driver::end(const JobPointer& job, CURLcode code) {
+  if (job->bodyFraming() == BodyFraming::kClose && job->socket()) {
+    // libcurl may keep the connection of such a response.
+    job->recordClose(closedByPeerInOrder(*job->socket()));
+  }
+  job->ended(code);
+  countResponse(*job);
+  remove(job);
+  job->finish(code);
+  recycle(*job);
+}
+
+void CurlMulti::Driver::collected(std::size_t bytes) {
+  collected_bytes_ += bytes;
+  if (collected_bytes_ > maximum_collected_bytes_) {
+    giveUpLargestBody();
+  }
+}
+
+void CurlMulti::Driver::giveUpLargestBody() {
+  const auto largest =
+      std::max_element(jobs_.begin(), jobs_.end(), [](const auto& left, const auto& right) {
+        return left.second->collectedBytes() < right.second->collectedBytes();
+      });
+  const JobPointer& job = largest->second;
+  collected_bytes_ -= job->collectedBytes();
+  job->giveUpBody();
+  to_end_.push_back(job);
+  deferRun();
+}
+
 void CurlMulti::Driver::countResponse(const CurlJob& job) {
   if (counters_ == nullptr || !job.responseBegan()) {
     return;
@@ -532,6 +569,11 @@
   for (const JobPointer& job : std::exchange(to_remove_, {})) {
     remove(job);
   }
+  for (const JobPointer& job : std::exchange(to_end_, {})) {
+    if (job->added) {
+      end(job, CURLE_WRITE_ERROR);
+    }
+  }
   for (const JobPointer& job : std::exchange(to_add_, {})) {
     add(job);
   }
--- a/src/cypresswall/runtime/curl_multi.h
+++ b/src/cypresswall/runtime/curl_multi.h
@@ -50,6 +50,9 @@
 struct CurlMultiSettings {
   /// Idle connections kept for reuse, over all peers.
   std::size_t maximum_idle_connections = 512;
+  /// Maximum size of the bodies of all unfinished responses together. Beyond it, the request that
+  /// holds the most ends as kBroken.
+  std::size_t maximum_collected_bytes = 32U << 20;
 };
 
 class CurlMulti {
--- a/src/cypresswall/runtime/response_framing.cpp
+++ b/src/cypresswall/runtime/response_framing.cpp
@@ -90,6 +90,8 @@
       return "body-too-long";
     case ResponseDefect::kBodyIncomplete:
       return "body-incomplete";
+    case ResponseDefect::kMemoryLimit:
+      return "memory-limit";
   }
   return "unknown";
 }
--- a/src/cypresswall/runtime/response_framing.h
+++ b/src/cypresswall/runtime/response_framing.h
@@ -31,6 +31,8 @@
   kFramingAmbiguous,
   kBodyTooLong,
   kBodyIncomplete,
+  /// The bodies of all unfinished responses together are too long, and this one is the longest.
+  kMemoryLimit,
 };
 
 const char* toString(ResponseDefect defect);
@@ -61,6 +63,8 @@
   /// Counts bytes of the body, without chunk framing.
   void takeBody(std::size_t bytes);
 
+  void reject(ResponseDefect defect);
+
   /// \return true once a line was taken.
   bool began() const { return head_bytes_ > 0; }
   BodyFraming framing() const { return framing_; }
@@ -83,7 +87,6 @@
   void takeLength(std::string_view value);
   void takeTransferCoding(std::string_view value);
   Line endHead();
-  void reject(ResponseDefect defect);
 
   bool head_request_;
   std::size_t maximum_body_bytes_;
