Chunk extensions without end are broken, counted at the socket

The bytes read from the connection (TCP_INFO, less what waits in the socket) are compared with those of head and body: 64 KiB, and 16 bytes for each byte of content, may frame them. Beyond that the transfer ends as broken, defect "chunk-framing-too-long". That takes two system calls when a read brought no content, and at one of 16 other reads. On a kept connection libcurl doesn't tell the socket, so it is found while libcurl acts on it.

EndlessResponseTest without the check: chunkExtensionWithoutEndIsBroken and chunkFramingThatExceedsTheBodyIsBroken fail (response.has_value()); with the check but without kept connections the first one still fails "on a kept connection". All pass now. smallChunksPass, 200,000 chunks of a byte, guards against a limit that legitimate framing reaches.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -89,6 +89,9 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlJob::onHeaderBytes);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &CurlJob::onProgress);
+  curl_easy_setopt(easy, CURLOPT_XFERINFODATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlJob::beforeSending);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlJob::onSocketMade);
@@ -180,6 +183,26 @@
   return taken ? size * count : 0;
 }
 
+int CurlJob::onProgress(void* job, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
+  return static_cast<CurlJob*>(job)->checkChunkFraming() ? 0 : 1;
+}
+
+/// libcurl skips chunk extensions of any length without a call, so the bytes are counted at the
+/// socket. That takes system calls and is left out of most calls that brought content.
+bool CurlJob::checkChunkFraming() {
+  constexpr std::uint32_t kCallsPerCheck = 16;
+  if (framing_.framing() != BodyFraming::kChunks || !socket_) {
+    return true;
+  }
+  const bool progress =
+      std::exchange(body_bytes_at_progress_, framing_.bodyBytes()) != framing_.bodyBytes();
+  if (!progress || ++progress_calls_ % kCallsPerCheck == 0) {
+    const std::uint64_t read = bytesReadFrom(*socket_);
+    framing_.checkFraming(read - std::min(read, read_before_));
+  }
+  return !framing_.defect();
+}
+
 int CurlJob::onSocketMade(void* job, curl_socket_t socket, curlsocktype purpose) {
   static_cast<CurlJob*>(job)->socket_ = socket;
   const auto limit = static_cast<CurlJob*>(job)->request_.dead_peer_limit;
@@ -219,6 +242,7 @@
   if (pooled_ && reused_ && socket_) {
     segments_before_ = receivedDataSegments(*socket_);
   }
+  read_before_ = reused_ && socket_ ? bytesReadFrom(*socket_) : 0;
   silence_checked_ = pooled_ && reused_ && socket_ && silence_limit_.count() > 0;
   if (silence_checked_) {
     setNumber(*socket_, SOL_SOCKET, SO_KEEPALIVE, 0);
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -98,11 +98,14 @@
  private:
   static std::size_t onBodyBytes(char* data, std::size_t size, std::size_t count, void* job);
   static std::size_t onHeaderBytes(char* data, std::size_t size, std::size_t count, void* job);
+  static int onProgress(void* job, curl_off_t, curl_off_t, curl_off_t, curl_off_t);
   static int onSocketMade(void* job, curl_socket_t socket, curlsocktype purpose);
   static int beforeSending(void* job, char* remote_ip, char* local_ip, int remote_port,
                            int local_port);
 
   void configure();
+  /// \return false if the response is not worth reading further.
+  bool checkChunkFraming();
   bool prepareToSend();
   /// Ends the check for a silent peer, after the first byte of a response.
   void stopSilenceCheck();
@@ -130,6 +133,10 @@
   std::optional<ResponseDefect> defect_;
   std::function<void(std::size_t)> on_collected_;
   std::string connection_;
+  /// Bytes read from the connection before the request was sent.
+  std::uint64_t read_before_ = 0;
+  std::uint64_t body_bytes_at_progress_ = 0;
+  std::uint32_t progress_calls_ = 0;
   bool closed_in_order_ = false;
   bool error_body_too_long_ = false;
   bool pooled_ = false;
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -62,8 +62,8 @@
   return ::recv(socket, &first, sizeof first, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-/// Discards bytes that have arrived. libcurl takes a closed connection with unread bytes for an open
-/// one.
+/// Discards bytes that have arrived. libcurl takes a closed connection with unread bytes for an
+/// open one.
 void discardInput(int socket) {
   constexpr std::size_t kMaximumBytes = 1U << 20;
   // With MSG_TRUNC, TCP discards bytes instead of copying them.
--- a/src/cypresswall/runtime/response_framing.cpp
+++ b/src/cypresswall/runtime/response_framing.cpp
@@ -90,6 +90,8 @@
       return "body-too-long";
     case ResponseDefect::kBodyIncomplete:
       return "body-incomplete";
+    case ResponseDefect::kChunkFramingTooLong:
+      return "chunk-framing-too-long";
     case ResponseDefect::kMemoryLimit:
       return "memory-limit";
   }
@@ -204,6 +206,14 @@
          (framing_ == BodyFraming::kLength && body_bytes_ == length_);
 }
 
+void ResponseFraming::checkFraming(std::uint64_t bytes_read) {
+  const std::uint64_t most =
+      head_bytes_ + body_bytes_ + kMaximumHeadBytes + kMaximumFramingPerByte * body_bytes_;
+  if (framing_ == BodyFraming::kChunks && bytes_read > most) {
+    reject(ResponseDefect::kChunkFramingTooLong);
+  }
+}
+
 std::optional<ResponseDefect> ResponseFraming::defectAtEnd(bool closed_in_order) const {
   if (defect_) {
     return defect_;
--- a/src/cypresswall/runtime/response_framing.h
+++ b/src/cypresswall/runtime/response_framing.h
@@ -31,6 +31,8 @@
   kFramingAmbiguous,
   kBodyTooLong,
   kBodyIncomplete,
+  /// The chunks' framing is out of proportion to their content.
+  kChunkFramingTooLong,
   /// The bodies of all unfinished responses together are too long, and this one is the longest.
   kMemoryLimit,
 };
@@ -43,6 +45,9 @@
   /// Maximum size of all heads and trailers of one response together.
   static constexpr std::size_t kMaximumHeadBytes = 64U << 10;
 
+  /// Maximum framing of chunks in bytes: this, plus kMaximumHeadBytes, for each byte of content.
+  static constexpr std::uint64_t kMaximumFramingPerByte = 16;
+
   enum class Line : std::uint8_t {
     kStatus,
     kField,
@@ -63,6 +68,8 @@
   /// Counts bytes of the body, without chunk framing.
   void takeBody(std::size_t bytes);
 
+  /// Compares what was read from the connection, framing included, with what was taken.
+  void checkFraming(std::uint64_t bytes_read);
   void reject(ResponseDefect defect);
 
   /// \return true once a line was taken.
@@ -72,6 +79,7 @@
   /// \return true if the body has ended by what the head declares. False where only the parser of
   ///   chunks or the end of the connection can tell.
   bool complete() const;
+
   /// \return the first defect found so far; the rest of the response is not worth reading.
   std::optional<ResponseDefect> defect() const { return defect_; }
   /// \return the defect of a response of which nothing more will arrive. The end of chunks is left
--- a/src/cypresswall/runtime/tcp_progress.h
+++ b/src/cypresswall/runtime/tcp_progress.h
@@ -9,4 +9,7 @@
 ///   of bytes, it is not changed by the end of the connection.
 std::uint32_t receivedDataSegments(int socket);
 
+/// \return bytes read from the connection since it was opened; zero if the kernel does not tell
+std::uint64_t bytesReadFrom(int socket);
+
 }  // namespace cypresswall::runtime
--- a/tests/runtime/endless_response_test.cpp
+++ b/tests/runtime/endless_response_test.cpp
@@ -1,5 +1,5 @@
 /// Guards against servers whose responses have no end: the bytes kept of all unfinished responses
-/// together are limited.
+/// together, and the bytes that frame a body, are limited.
 #include <array>
 #include <asio/io_context.hpp>
 #include <optional>
@@ -16,11 +16,23 @@
 using testing::runUntil;
 
 constexpr std::size_t kMegabyte = 1U << 20;
+const std::string kChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+class IgnoringHandler final : public CurlTransferHandler {
+ public:
+  void onBody(std::string_view bytes) override { body_bytes += bytes.size(); }
+  void onDone(CurlResponse response) override { done = std::move(response); }
+  std::size_t body_bytes = 0;
+  std::optional<CurlResponse> done;
+};
 
 class EndlessResponseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessResponseTest);
   CPPUNIT_TEST(largestOfManyUnfinishedBodiesIsBroken);
   CPPUNIT_TEST(finishedBodiesDoNotCountAgainstLaterOnes);
+  CPPUNIT_TEST(chunkExtensionWithoutEndIsBroken);
+  CPPUNIT_TEST(chunkFramingThatExceedsTheBodyIsBroken);
+  CPPUNIT_TEST(smallChunksPass);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -53,6 +65,47 @@
     }
   }
 
+  void chunkExtensionWithoutEndIsBroken() {
+    const std::string filler(1000, 'x');
+    assertBroken(kChunkedHead + "5;", filler);
+    assertBroken(kChunkedHead + "5\r\nhello\r\n0;", filler);
+    assertBroken("HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n5;", filler);
+    for (int i = 0; i < 3; ++i) {
+      std::optional<CurlResponse> response;
+      begin(0, testing::httpAnswer(200, "kept"), response);
+      CPPUNIT_ASSERT(runUntil(context_, [&] { return response.has_value(); }));
+    }
+    const int connections = servers_[0].connections();
+    std::optional<CurlResponse> response;
+    begin(0, kChunkedHead + "5;", response);
+    sendUntil(filler, [&] { return response.has_value(); });
+    CPPUNIT_ASSERT_EQUAL(connections, servers_[0].connections());
+    CPPUNIT_ASSERT_MESSAGE("on a kept connection", response.has_value());
+  }
+
+  void chunkFramingThatExceedsTheBodyIsBroken() {
+    assertBroken(kChunkedHead, "1;" + std::string(1000, 'x') + "\r\nx\r\n");
+  }
+
+  void smallChunksPass() {
+    std::optional<CurlResponse> response;
+    begin(0, kChunkedHead, response);
+    std::string chunks;
+    constexpr int kChunks = 1000;
+    for (int i = 0; i < kChunks; ++i) {
+      chunks += "1\r\nx\r\n";
+    }
+    constexpr int kRounds = 200;
+    for (int i = 0; i < kRounds; ++i) {
+      servers_[0].sendMore(chunks);
+      drain();
+    }
+    servers_[0].sendMore("0\r\n\r\n");
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return response.has_value(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kChunks * kRounds}, response->body.size());
+    CPPUNIT_ASSERT(response->outcome == CurlOutcome::kAnswered);
+  }
+
  private:
   CurlRequest request(std::size_t server) const {
     CurlRequest made;
@@ -88,6 +141,30 @@
     }
   }
 
+  template <typename Ended>
+  void sendUntil(const std::string& filler, Ended ended) {
+    for (std::size_t bytes = 0; !ended() && bytes < kMegabyte; bytes += filler.size()) {
+      servers_[0].sendMore(filler);
+      drain();
+    }
+  }
+
+  void assertBroken(const std::string& begin_bytes, const std::string& filler) {
+    std::optional<CurlResponse> response;
+    begin(0, begin_bytes, response);
+    sendUntil(filler, [&] { return response.has_value(); });
+    CPPUNIT_ASSERT_MESSAGE(begin_bytes, response.has_value());
+    CPPUNIT_ASSERT(response->outcome == CurlOutcome::kBroken);
+    servers_[0].answer(begin_bytes);
+    IgnoringHandler handler;
+    const auto sent = servers_[0].requests().size() + 1;
+    const auto transfer = curl_.start(request(0), handler);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return servers_[0].requests().size() == sent; }));
+    sendUntil(filler, [&] { return handler.done.has_value(); });
+    CPPUNIT_ASSERT_MESSAGE(begin_bytes, handler.done.has_value());
+    CPPUNIT_ASSERT(handler.done->outcome == CurlOutcome::kBroken);
+  }
+
   asio::io_context context_;
   std::array<testing::ScriptedServer, 3> servers_{testing::ScriptedServer{context_},
                                                   testing::ScriptedServer{context_},
