--- a/apps/cypresswalld/main.cpp
+++ b/apps/cypresswalld/main.cpp
@@ -1,5 +1,6 @@
 /// cypresswalld: the daemon of cypresswall, identical on every machine.
 #include <gflags/gflags.h>
+#include <malloc.h>
 #ifdef __SANITIZE_ADDRESS__
 #include <sanitizer/lsan_interface.h>
 #endif
@@ -56,7 +57,16 @@
              : surroundings::makeHttpPlatformAdapter;
 }
 
+/// Returns large buffers, such as the bodies of responses, to the system when they are freed. By
+/// default glibc raises the threshold with the largest buffer that was freed, and the heap then
+/// keeps the gaps of bodies that grew beside each other.
+void returnLargeBuffers() {
+  constexpr int kLargeBufferBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, kLargeBufferBytes);
+}
+
 int runDaemon(const settings::DaemonSettings& loaded) {
+  returnLargeBuffers();
   try {
     daemon::Daemon daemon(loaded, loadSettings, selectPlatformAdapter(loaded));
     return daemon.run();
