--- a/tests/objects_platform/engine_client/endless_answer_test.cpp
+++ b/tests/objects_platform/engine_client/endless_answer_test.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(prefillAnswerWithoutEndIsBroken);
   CPPUNIT_TEST(handleThatIsTooLongIsNotKept);
   CPPUNIT_TEST(orderAnswerWithoutEndHasUnknownOutcome);
+  CPPUNIT_TEST(reportWithoutEndIsUnavailable);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -115,6 +116,17 @@
     CPPUNIT_ASSERT(failure == engines::EngineFailure::kUnknownOutcome);
   }
 
+  void reportWithoutEndIsUnavailable() {
+    bool failed = false;
+    server_.answer(kSuccess);
+    client_.fetchLoad({"engine", server_.address()},
+                      [&](const auto& result) { failed = !result.ok(); });
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return !server_.requests().empty(); }));
+    const std::string filler(64U << 10, 'x');
+    sendUntil(filler, [&] { return failed; });
+    CPPUNIT_ASSERT(failed);
+  }
+
  private:
   static engines::StreamRequest prefill() {
     engines::StreamRequest request = call();
@@ -150,12 +162,22 @@
 
   template <typename Ended>
   void sendUntil(const std::string& filler, Ended ended) {
-    constexpr std::size_t kMoreThanAnyAnswer = 1U << 20;
+    constexpr std::size_t kMoreThanAnyAnswer = 2U << 20;
     for (std::size_t bytes = 0; !ended() && bytes < kMoreThanAnyAnswer; bytes += filler.size()) {
       server_.sendMore(filler);
+      drain();
+    }
+  }
+
+  /// Runs handlers until the client has read what was sent. A write to a client that does not read
+  /// would block this thread.
+  void drain() {
+    constexpr auto kQuiet = std::chrono::milliseconds(2);
+    do {
       context_.restart();
       context_.poll();
-    }
+      context_.restart();
+    } while (context_.run_one_for(kQuiet) > 0);
   }
 
   asio::io_context context_;
