--- a/tests/objects_platform/engine_client/endless_answer_test.cpp
+++ b/tests/objects_platform/engine_client/endless_answer_test.cpp
@@ -77,7 +77,10 @@
     const std::string comment = ":" + std::string(engines::kMaximumEventBytes / 2, 'x') + "\n\n";
     std::string body;
     for (int id = 10; id < 13; ++id) {
-      body += comment + "id: " + std::to_string(id) + "\ndata: " + content + "\n\n";
+      body += comment;
+      body += "id: " + std::to_string(id) + "\ndata: ";
+      body += content;
+      body += "\n\n";
     }
     server_.answer(kSuccess + body, true);
     CountingHandler handler;
