A service's late second response never takes the place of another call's

The dialect of the users' platform has identifiers for this already.

A connection is kept only for a back end that returns X-Request-Id, also without a connection pool, and a response on a kept connection that names another request counts as stale: the call is repeated on a fresh connection, the old one is closed. The stand-in returns the identifier.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -309,6 +309,10 @@
       takeField(line);
       break;
     case ResponseFraming::Line::kHeadEnd:
+      if (receivedForeignAnswer()) {
+        curl_easy_setopt(easy(), CURLOPT_FORBID_REUSE, 1L);
+      }
+      break;
     case ResponseFraming::Line::kInterimEnd:
     case ResponseFraming::Line::kTrailer:
       break;
--- a/src/cypresswall/services/http_service_client.cpp
+++ b/src/cypresswall/services/http_service_client.cpp
@@ -74,29 +74,40 @@
   return refusing && response.header(kOutcomeHeader) == kOutcomeNotRun;
 }
 
-ServiceOutcome outcomeOf(const CurlResponse& response) {
+/// \return true if the back end names the request that it responds to, and it is this one.
+bool belongsTo(const std::string& request_id, const std::vector<CurlHeader>& headers) {
+  return std::any_of(headers.begin(), headers.end(), [&](const CurlHeader& header) {
+    return common::sameHeaderName(header.name, kRequestIdHeader) && header.value == request_id;
+  });
+}
+
+ServiceOutcome outcomeOf(const CurlResponse& response, const std::string& request_id) {
   switch (response.outcome) {
     case CurlOutcome::kNotSent:
       return ServiceOutcome::kNotSent;
     case CurlOutcome::kBroken:
-    case CurlOutcome::kStale:
       return ServiceOutcome::kBroken;
+    case CurlOutcome::kStale:
+      return ServiceOutcome::kStale;
     case CurlOutcome::kAnswered:
       break;
   }
+  if (response.reused_connection && !belongsTo(request_id, response.headers)) {
+    return ServiceOutcome::kStale;
+  }
   if (response.status == kStatusMisdirected) {
     return ServiceOutcome::kMisdirected;
   }
   return reportsNotRun(response) ? ServiceOutcome::kRefused : ServiceOutcome::kAnswered;
 }
 
-ServiceResponse serviceResponseOf(CurlResponse response) {
+ServiceResponse serviceResponseOf(CurlResponse response, const std::string& request_id) {
   ServiceResponse result;
-  result.outcome = outcomeOf(response);
+  result.outcome = outcomeOf(response, request_id);
   result.status = response.status;
   result.error = std::move(response.error);
   result.extent = std::move(response.extent);
-  if (response.outcome != CurlOutcome::kAnswered ||
+  if (response.outcome != CurlOutcome::kAnswered || result.outcome == ServiceOutcome::kStale ||
       result.outcome == ServiceOutcome::kMisdirected) {
     return result;
   }
@@ -134,20 +145,25 @@
   sent.headers = requestHeaders(server, request);
   sent.body = std::move(request.body);
   const bool only_reads = sent.method == "GET" || sent.method == "HEAD";
-  sent.connection_use =
-      only_reads ? runtime::ConnectionUse::kReuse : runtime::ConnectionUse::kFresh;
+  sent.connection_use = only_reads && request.may_reuse_connection ? runtime::ConnectionUse::kReuse
+                                                                   : runtime::ConnectionUse::kFresh;
+  // A connection is kept only for back ends that name the request they respond to.
+  sent.belongs_to_request = [id = request.request_id](const std::vector<CurlHeader>& headers) {
+    return belongsTo(id, headers);
+  };
   sent.on_connection = connectionReporter(server.address);
   sent.connect_time_limit = settings_.connect_time_limit;
   sent.total_time_limit = request.time_limit;
   sent.maximum_body_bytes = settings_.maximum_answer_bytes;
-  return std::make_unique<HttpServiceCall>(curl_.startFetch(
-      std::move(sent), [this, server, callback = std::move(callback)](CurlResponse response) {
+  return std::make_unique<HttpServiceCall>(
+      curl_.startFetch(std::move(sent), [this, id = request.request_id, server,
+                                         callback = std::move(callback)](CurlResponse response) {
         const auto announcement = common::announcementOf(
             response.status, response.header(kLeavingHeader), response.header(kRetryAfterHeader));
-        ServiceResponse answer = serviceResponseOf(std::move(response));
+        ServiceResponse answer = serviceResponseOf(std::move(response), id);
         if (answer.outcome == ServiceOutcome::kMisdirected) {
           announceReplaced(server);
-        } else {
+        } else if (answer.outcome != ServiceOutcome::kStale) {
           announce(server, announcement);
         }
         callback(std::move(answer));
--- a/standins/fronts/service_front.cpp
+++ b/standins/fronts/service_front.cpp
@@ -32,8 +32,10 @@
   const emulation::EmulatedServiceCall call{request.header("X-Request-Id"),
                                             request.header("Idempotency-Key"), request.method,
                                             request.target, request.body};
-  service_.handle(call, [responder](const emulation::EmulatedServiceAnswer& answer) {
+  service_.handle(call, [responder, request_id = call.request_id](
+                            const emulation::EmulatedServiceAnswer& answer) {
     std::vector<http::Header> headers = rateLimitHeaders(answer.rate_limit);
+    headers.push_back({"X-Request-Id", request_id});
     for (http::Header& header : announcementHeaders(answer.leaving, answer.pause)) {
       headers.push_back(std::move(header));
     }
--- a/tests/process/damaged_responses_test.cpp
+++ b/tests/process/damaged_responses_test.cpp
@@ -50,6 +50,7 @@
 class DamagedResponsesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DamagedResponsesTest);
   CPPUNIT_TEST(damagedResponsesOfAServiceNeverReachCallersAsWhole);
+  CPPUNIT_TEST(lateSecondResponsesOfAServiceNeverReachAnotherCaller);
   CPPUNIT_TEST(lateSecondResponsesOfAnEngineNeverReachAnotherCaller);
   CPPUNIT_TEST(damagedResponsesOfAnEngineNeverReachCallersAsWhole);
   CPPUNIT_TEST_SUITE_END();
@@ -79,6 +80,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
   }
 
+  /// Guards against a second response that takes the place of the next one on a kept connection.
+  void lateSecondResponsesOfAServiceNeverReachAnotherCaller() {
+    const Damage twice = {"sent twice", DamageKind::kSentTwice, false};
+    TcpProxy& proxy = *proxies_.at(1 + kEngines);
+    proxy.damageResponses({{twice.kind}, 1.0, false}, kSeed);
+    std::string wrong;
+    for (std::uint64_t i = 0; i < 5 * kDamagedResponses; ++i) {
+      wrong += callUntilDamaged(proxy, twice, {"GET", "/slots/", "", ""});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
+  }
+
   void damagedResponsesOfAnEngineNeverReachCallersAsWhole() {
     runLoadBeside(damages(), kDamagedResponses);
   }
--- a/tests/services/http_service_client_test.cpp
+++ b/tests/services/http_service_client_test.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(anotherServerAtTheAddressDoesNotRunTheRequest);
   CPPUNIT_TEST(distinguishesNotSentFromBroken);
   CPPUNIT_TEST(nonIdempotentRequestsUseNewConnections);
+  CPPUNIT_TEST(connectionsOfServicesWithoutIdentifiersAreNotKept);
+  CPPUNIT_TEST(responseToAnotherRequestIsStale);
   CPPUNIT_TEST(destroyingCallAbortsIt);
   CPPUNIT_TEST_SUITE_END();
 
@@ -76,11 +78,31 @@
 
   void nonIdempotentRequestsUseNewConnections() {
     for (const char* method : {"GET", "GET", "POST"}) {
+      server_.answer(httpAnswer(200, "x", "X-Request-Id: r1\r\n"));
+      CPPUNIT_ASSERT(call(reusing(method)).outcome == ServiceOutcome::kAnswered);
+    }
+    CPPUNIT_ASSERT_EQUAL(2, server_.connections());
+  }
+
+  void connectionsOfServicesWithoutIdentifiersAreNotKept() {
+    for (int connections = 1; connections <= 3; ++connections) {
       server_.answer(httpAnswer(200, "x"));
-      ServiceRequest request = post();
-      request.method = method;
-      call(request);
+      CPPUNIT_ASSERT(call(reusing("GET")).outcome == ServiceOutcome::kAnswered);
+      CPPUNIT_ASSERT_EQUAL(connections, server_.connections());
     }
+  }
+
+  /// Guards against a late second response that is taken for the response to the next request.
+  void responseToAnotherRequestIsStale() {
+    server_.answer(httpAnswer(200, "x", "X-Request-Id: r1\r\n"));
+    call(reusing("GET"));
+    server_.answer(httpAnswer(200, "x", "X-Request-Id: r1\r\n"));
+    ServiceRequest next = reusing("GET");
+    next.request_id = "r2";
+    CPPUNIT_ASSERT(call(next).outcome == ServiceOutcome::kStale);
+    CPPUNIT_ASSERT_EQUAL(1, server_.connections());
+    server_.answer(httpAnswer(200, "x", "X-Request-Id: r2\r\n"));
+    CPPUNIT_ASSERT(call(next).outcome == ServiceOutcome::kAnswered);
     CPPUNIT_ASSERT_EQUAL(2, server_.connections());
   }
 
@@ -105,6 +127,13 @@
     return request;
   }
 
+  static ServiceRequest reusing(const char* method) {
+    ServiceRequest request = post();
+    request.method = method;
+    request.may_reuse_connection = true;
+    return request;
+  }
+
   ServiceResponse call(const ServiceRequest& request) {
     std::optional<ServiceResponse> answer;
     const auto running =
