Discard surplus bytes into a buffer

Where a back end answers twice, an idle connection with unread bytes is shut down, and its bytes were discarded by recv() with a null buffer and MSG_TRUNC.

The bytes are read into a buffer, which any implementation of recv() understands.

--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <cerrno>
@@ -65,9 +66,13 @@
 /// Discards bytes that have arrived. libcurl takes a closed connection with unread bytes for an
 /// open one.
 void discardInput(int socket) {
-  constexpr std::size_t kMaximumBytes = 1U << 20;
-  // With MSG_TRUNC, TCP discards bytes instead of copying them.
-  ::recv(socket, nullptr, kMaximumBytes, MSG_DONTWAIT | MSG_TRUNC);
+  constexpr int kMaximumReads = 256;
+  std::array<char, 4096> discarded{};
+  for (int reads = 0; reads < kMaximumReads; ++reads) {
+    if (::recv(socket, discarded.data(), discarded.size(), MSG_DONTWAIT) <= 0) {
+      return;
+    }
+  }
 }
 
 bool mayReuseConnection(const CurlRequest& request) {
