Ask the kernel and the registry only where the answer is used

Read once more: each closed socket was asked for its TCP state and its count of segments, though only a response that ends with its connection needs the one, and only a kept connection of the pool the other; each response looked its counter up by name. Both lie on the path of every request.

--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -116,8 +116,8 @@
   closed_in_order_ = by_peer_in_order;
   // Later the error of a new connection may replace this one.
   timed_out_ = timed_out_ || numberOf(CURLINFO_OS_ERRNO) == ETIMEDOUT;
-  bytes_received_ =
-      bytes_received_ || (socket_ && receivedDataSegments(*socket_) != segments_before_);
+  bytes_received_ = bytes_received_ || (pooled_ && reused_ && socket_ &&
+                                        receivedDataSegments(*socket_) != segments_before_);
   socket_.reset();
 }
 
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -161,6 +161,9 @@
   ConnectionPool* pool_;
   /// May be null.
   common::CounterRegistry* counters_;
+  /// Responses by BodyFraming; null until the first of each.
+  std::array<common::Counter*, static_cast<std::size_t>(BodyFraming::kClose) + 1>
+      response_counters_{};
   std::size_t maximum_collected_bytes_;
   common::MonotonicTime expiry_checked_at_;
   OpenConnections connections_;
@@ -429,7 +432,8 @@
   sockets_->forget(handle);
   connections_.closed(handle);
   if (const auto job = sending_.extract(handle); !job.empty()) {
-    job.mapped()->socketClosed(closedByPeerInOrder(handle));
+    const bool ends_response = job.mapped()->bodyFraming() == BodyFraming::kClose;
+    job.mapped()->socketClosed(ends_response && closedByPeerInOrder(handle));
   }
   if (pool_ != nullptr) {
     pool_->closed(handle);
@@ -548,11 +552,13 @@
   if (counters_ == nullptr || !job.responseBegan()) {
     return;
   }
-  counters_
-      ->counter("cypresswall_http_responses_total",
-                "Responses of servers, by how their heads frame their bodies.", "framing",
-                toString(job.bodyFraming()))
-      .add();
+  common::Counter*& responses = response_counters_.at(static_cast<std::size_t>(job.bodyFraming()));
+  if (responses == nullptr) {
+    responses = &counters_->counter("cypresswall_http_responses_total",
+                                    "Responses of servers, by how their heads frame their bodies.",
+                                    "framing", toString(job.bodyFraming()));
+  }
+  responses->add();
   if (const auto defect = job.defect()) {
     counters_
         ->counter("cypresswall_http_responses_defective_total",
