--- a/tests/process/program.cpp
+++ b/tests/process/program.cpp
@@ -50,6 +50,17 @@
   }
 }
 
+std::string Program::ending() const {
+  siginfo_t found{};
+  // WNOWAIT leaves the ended process to waitForExit() and kill().
+  if (!running_ ||
+      waitid(P_PID, static_cast<id_t>(process_), &found, WEXITED | WNOHANG | WNOWAIT) != 0 ||
+      found.si_pid == 0) {
+    return "";
+  }
+  return (found.si_code == CLD_EXITED ? "exit " : "signal ") + std::to_string(found.si_status);
+}
+
 int Program::waitForExit(int seconds) {
   constexpr int kMillisecondsPerSecond = 1000;
   const auto descriptor = static_cast<int>(syscall(SYS_pidfd_open, process_, 0));
--- a/tests/process/program.h
+++ b/tests/process/program.h
@@ -17,12 +17,16 @@
   Program(const Program&) = delete;
   Program& operator=(const Program&) = delete;
 
+  pid_t id() const { return process_; }
   void signal(int number) const;
   /// Sends SIGKILL and waits until the process has ended.
   void kill();
   /// Waits at most `seconds` until the process has ended. \return the exit code; -1 on a time-out
   ///   or if a signal ended the process
   int waitForExit(int seconds);
+  /// \return how the process has ended by itself, "exit 1" or "signal 11"; empty while it runs and
+  ///   after kill()
+  std::string ending() const;
 
  private:
   pid_t process_ = 0;
