End one event, not the process, with an exception of its handler

Callers saw every stream of a node break when one answer, timer or request threw what its reader had not foreseen: only handlers of messages between nodes were guarded (and logged without a limit). An exception of a curl callback unwound through libcurl and left the driver believing that it was inside libcurl; one of a timer or of an Asio handler left io_context::run(), and main() ended the process.

HandlerGuard is the one place where such an exception ends: counted by source, one line that names source and origin, at most five lines a second. It stands where the owner of the event loop is consistent: around a message, around each call out of CurlJob (so that neither libcurl nor SocketPoll is unwound), around the handler of a request (500), around the callback of a timer, and around io_context::run() for the rest. A response of which a part could not be handled ends as kBroken, never as whole.

Why going on is right, errors of programming included: messages may be lost by contract; a broken response takes the path of a reset connection; a request is answered; connection handlers own their socket. Timers are the one place where going on could be worse than ending: a periodic task that stops for good leaves a node that looks alive. Nearly all schedule their next round first; those that did so last use AtScopeEnd now, so that the order of events is unchanged. Exceptions that are no std::exception still end the process: nothing here throws them.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cypresswall/operators/command_api.h"
+#include "cypresswall/runtime/event_loop.h"
 
 namespace cypresswall::daemon {
 namespace {
@@ -51,7 +52,7 @@
       transport_(context_, settings_.transport, random_, log_, counters_),
       self_{transport_.listen(), newIncarnation()},
       connections_(settings_.connections, counters_),
-      curl_(context_, curlSettings(settings_), &connections_, &counters_),
+      curl_(context_, curlSettings(settings_), &connections_, &counters_, &guard_),
       server_connections_(context_, log_, settings_.engines.connect_time_limit),
       platform_adapter_(
           make_platform_adapter({settings_, processContext(), curl_, server_connections_})),
@@ -75,6 +76,7 @@
 
 http::ServerSettings Daemon::serverSettings() {
   http::ServerSettings settings = settings_.server;
+  settings.guard = &guard_;
   settings.rejection_headers = frontend_->rejectionHeaders();
   settings.on_rejected = [this](const http::Rejection& rejection) {
     frontend_->reportRejection(rejection);
@@ -85,6 +87,7 @@
 http::ServerSettings Daemon::managementServerSettings() {
   http::ServerSettings settings;
   settings.address = settings_.readiness_address;
+  settings.guard = &guard_;
   return settings;
 }
 
@@ -129,7 +132,7 @@
   platform_adapter_->start();
   node_.start();
   waitForSignal();
-  context_.run();
+  runtime::runEventLoop(context_, guard_);
   LogEvent(log_, LogLevel::kInfo, "daemon_stopped").field("exit_code", exit_code_);
   return exit_code_;
 }
--- a/apps/cypresswalld/daemon.h
+++ b/apps/cypresswalld/daemon.h
@@ -8,6 +8,7 @@
 
 #include "apps/cypresswalld/health.h"
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/common/handler_guard.h"
 #include "cypresswall/gateway/http_routes.h"
 #include "cypresswall/http/server.h"
 #include "cypresswall/node/node.h"
@@ -64,10 +65,11 @@
   // Members are ordered by dependency: each uses only those above it.
   asio::io_context context_{1};
   runtime::AsioClock clock_;
-  runtime::AsioScheduler scheduler_{context_};
   common::SeededRandom random_;
   common::CounterRegistry counters_;
   runtime::Log4cplusSink log_;
+  common::HandlerGuard guard_{log_, counters_};
+  runtime::AsioScheduler scheduler_{context_, &guard_};
   api::MessageDispatcher dispatcher_;
   runtime::TcpPeerTransport transport_;
   common::NodeId self_;
--- a/src/cypresswall/checkpoint/checkpoint_reader.cpp
+++ b/src/cypresswall/checkpoint/checkpoint_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cypresswall/common/at_scope_end.h"
+
 namespace cypresswall::checkpoint {
 namespace {
 
@@ -45,11 +47,12 @@
     ignore(failures_ > 0 ? "store_away" : "not_writer");
     return;
   }
+  const common::AtScopeEnd again(
+      [this] { context_.scheduler.schedule(kCheckInterval, [this] { tick(); }); });
   const bool due = !call_in_flight_ && now >= next_call_at_ && !membership_.joining();
   if (due && writer_() == context_.self) {
     read();
   }
-  context_.scheduler.schedule(kCheckInterval, [this] { tick(); });
 }
 
 void CheckpointReader::read() {
--- a/src/cypresswall/fleet_limits/local_share.cpp
+++ b/src/cypresswall/fleet_limits/local_share.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "cypresswall/common/at_scope_end.h"
+
 namespace cypresswall::fleet_limits {
 namespace {
 
@@ -31,13 +33,14 @@
 }
 
 void LocalShare::check() {
+  const common::AtScopeEnd again(
+      [this] { context_.scheduler.schedule(kCheckInterval, [this] { check(); }); });
   if (wasPaused()) {
     withhold("the process was paused");
   }
   checked_at_ = context_.clock.now();
   countMembers();
   part_gauge_.set(fraction());
-  context_.scheduler.schedule(kCheckInterval, [this] { check(); });
 }
 
 void LocalShare::countMembers() {
--- a/src/cypresswall/http/rejection.cpp
+++ b/src/cypresswall/http/rejection.cpp
@@ -59,20 +59,22 @@
   return fault;
 }
 
-std::string rejectionBody(const std::string& reason) {
+std::string rejectionBody(int status, const std::string& reason) {
+  const bool own_fault = status >= 500;
   std::string escaped;
   for (const char c : reason) {
     const bool plain = static_cast<unsigned char>(c) >= ' ' && c != '"' && c != '\\' && c != 0x7f &&
                        static_cast<unsigned char>(c) < 0x80;
     escaped += plain ? c : '?';
   }
-  return R"({"error":{"message":")" + escaped +
-         R"(","type":"invalid_request_error","param":null,"code":"bad_request"}})";
+  return R"({"error":{"message":")" + escaped + R"(","type":")" +
+         (own_fault ? "server_error" : "invalid_request_error") + R"(","param":null,"code":")" +
+         (own_fault ? "internal_error" : "bad_request") + R"("}})";
 }
 
 std::string rejectionAnswer(int status, const std::string& reason,
                             const std::vector<Header>& headers) {
-  const auto body = rejectionBody(reason);
+  const auto body = rejectionBody(status, reason);
   std::string answer = "HTTP/1.1 " + std::to_string(status) + " " + statusText(status) + "\r\n";
   for (const Header& header : headers) {
     answer += header.name + ": " + header.value + "\r\n";
--- a/src/cypresswall/http/rejection.h
+++ b/src/cypresswall/http/rejection.h
@@ -22,7 +22,7 @@
 std::optional<RestinioError> parseRestinioError(const std::string& message);
 
 /// \return a JSON error object in the format of the OpenAI API.
-std::string rejectionBody(const std::string& reason);
+std::string rejectionBody(int status, const std::string& reason);
 
 /// \return a complete HTTP answer with "Connection: close".
 std::string rejectionAnswer(int status, const std::string& reason,
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -232,14 +232,20 @@
       respondWithRejection(*responder, source, 400, std::string("request target: ") + error.what());
       return;
     }
-    handler_(std::move(request), responder);
+    const auto origin = [&] {
+      return addressText(source->remote_endpoint()) + " " + source->header().request_target();
+    };
+    if (!common::runGuarded(settings_.guard, common::EventSource::kRequest, origin,
+                            [&] { handler_(std::move(request), responder); })) {
+      respondWithRejection(*responder, source, 500, "internal error");
+    }
   }
 
   void respondWithRejection(Responder& responder, const restinio::request_handle_t& source,
                             int status, const std::string& reason) {
     auto headers = settings_.rejection_headers;
     headers.push_back({"Content-Type", "application/json"});
-    responder.respond(status, headers, rejectionBody(reason));
+    responder.respond(status, headers, rejectionBody(status, reason));
     report({status, reason, addressText(source->remote_endpoint())});
   }
 
--- a/src/cypresswall/http/server.h
+++ b/src/cypresswall/http/server.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cypresswall/common/errors.h"
+#include "cypresswall/common/handler_guard.h"
 #include "cypresswall/common/header_field.h"
 #include "cypresswall/common/time.h"
 
@@ -90,6 +91,9 @@
   std::vector<Header> rejection_headers = {};
   /// Called once for each rejection, for logging and counters; may be empty.
   std::function<void(const Rejection&)> on_rejected = {};
+  /// Runs the handler of requests; a request whose handler throws gets a 500. If null, the
+  /// connection of such a request is closed. It must outlive the server's connections.
+  common::HandlerGuard* guard = nullptr;
 };
 
 class Server {
--- a/src/cypresswall/orders/zone_controller.cpp
+++ b/src/cypresswall/orders/zone_controller.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "cypresswall/common/at_scope_end.h"
 #include "cypresswall/orders/desired_state.h"
 #include "cypresswall/orders/planning_input.h"
 #include "cypresswall/planning/role_planner.h"
@@ -60,6 +61,8 @@
 }
 
 void ZoneController::tick() {
+  const common::AtScopeEnd again(
+      [this] { context_.scheduler.schedule(settings_.control_period, [this] { tick(); }); });
   updateAuthority();
   if (active_) {
     controlRound();
@@ -68,7 +71,6 @@
   } else {
     authority_.setNeeded(false);
   }
-  context_.scheduler.schedule(settings_.control_period, [this] { tick(); });
 }
 
 void ZoneController::updateAuthority() {
@@ -328,6 +330,8 @@
 }
 
 void ZoneController::reportDemand() {
+  const common::AtScopeEnd again(
+      [this] { context_.scheduler.schedule(settings_.demand_period, [this] { reportDemand(); }); });
   DemandReport report{directory_.demand().take()};
   const common::NodeId holder = authority_.believedHolder();
   if (demand_) {
@@ -339,7 +343,6 @@
   } else if (!report.counts.empty()) {
     context_.sendTo(holder, report);
   }
-  context_.scheduler.schedule(settings_.demand_period, [this] { reportDemand(); });
 }
 
 const EngineControl* ZoneController::control(const common::EngineName& engine) const {
--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cypresswall/common/at_scope_end.h"
+
 namespace cypresswall::routing {
 namespace {
 
@@ -117,6 +119,8 @@
 }
 
 void DeltaExchange::tick() {
+  const common::AtScopeEnd again(
+      [this] { context_.scheduler.schedule(settings_.publish_period, [this] { tick(); }); });
   const common::MonotonicTime now = context_.clock.now();
   const auto targets = receivers();
   const double rate = std::max<double>(settings_.publish_bytes_per_second,
@@ -134,7 +138,6 @@
   } else {
     publish(targets);
   }
-  context_.scheduler.schedule(settings_.publish_period, [this] { tick(); });
 }
 
 std::vector<DeltaExchange::PendingChange> DeltaExchange::collectChanges(EngineDeltas& message) {
--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cypresswall/common/at_scope_end.h"
+
 namespace cypresswall::routing {
 
 EngineDirectory::EngineDirectory(const DirectorySettings& settings,
@@ -156,13 +158,14 @@
 }
 
 void EngineDirectory::sweep() {
+  const common::AtScopeEnd again(
+      [this] { context_.scheduler.schedule(settings_.poll_period, [this] { sweep(); }); });
   detectPause();
   swept_at_ = context_.clock.now();
   table_.sweep(context_.clock.now());
   if (!handed_over_.empty() || members_changed_ || roster_changed_ || claims_changed_) {
     assignWatches();
   }
-  context_.scheduler.schedule(settings_.poll_period, [this] { sweep(); });
 }
 
 void EngineDirectory::setAnnounced(availability::AnnouncedAvailability& announced) {
--- a/src/cypresswall/runtime/asio_scheduler.h
+++ b/src/cypresswall/runtime/asio_scheduler.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "cypresswall/common/handler_guard.h"
 #include "cypresswall/common/time.h"
 
 namespace cypresswall::runtime {
@@ -14,7 +15,9 @@
 /// callbacks.
 class AsioScheduler final : public common::Scheduler {
  public:
-  explicit AsioScheduler(asio::io_context& context);
+  /// \param guard runs the callbacks; if null, their exceptions leave the event loop. It must
+  ///   outlive this object.
+  explicit AsioScheduler(asio::io_context& context, common::HandlerGuard* guard = nullptr);
   common::TimerId schedule(common::Duration delay, std::function<void()> callback) override;
   void cancel(common::TimerId timer) override;
   /// \return number of callbacks that have not run yet.
@@ -29,9 +32,10 @@
   };
   using Timers = std::unordered_map<common::TimerId, Timer>;
 
-  static void run(Timers& timers, common::TimerId id);
+  static void run(Timers& timers, common::TimerId id, common::HandlerGuard* guard);
 
   asio::io_context& context_;
+  common::HandlerGuard* guard_;
   /// Shared with the handlers queued in `context_`, which may outlive this object.
   std::shared_ptr<Timers> timers_;
   common::TimerId last_id_ = 0;
--- a/src/cypresswall/runtime/curl_job.cpp
+++ b/src/cypresswall/runtime/curl_job.cpp
@@ -175,11 +175,16 @@
 }
 
 std::size_t CurlJob::onBodyBytes(char* data, std::size_t size, std::size_t count, void* job) {
-  return static_cast<CurlJob*>(job)->takeBody(std::string_view(data, size * count));
+  auto* const self = static_cast<CurlJob*>(job);
+  std::size_t taken = CURL_WRITEFUNC_ERROR;
+  self->runHandler([&] { taken = self->takeBody(std::string_view(data, size * count)); });
+  return taken;
 }
 
 std::size_t CurlJob::onHeaderBytes(char* data, std::size_t size, std::size_t count, void* job) {
-  const bool taken = static_cast<CurlJob*>(job)->takeHeader(std::string_view(data, size * count));
+  auto* const self = static_cast<CurlJob*>(job);
+  bool taken = false;
+  self->runHandler([&] { taken = self->takeHeader(std::string_view(data, size * count)); });
   return taken ? size * count : 0;
 }
 
@@ -221,9 +226,14 @@
 }
 
 int CurlJob::beforeSending(void* job, char* remote_ip, char*, int remote_port, int local_port) {
-  static_cast<CurlJob*>(job)->connection_ =
-      std::string(remote_ip) + " " + std::to_string(remote_port) + " " + std::to_string(local_port);
-  return static_cast<CurlJob*>(job)->prepareToSend() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  auto* const self = static_cast<CurlJob*>(job);
+  bool prepared = false;
+  self->runHandler([&] {
+    self->connection_ = std::string(remote_ip) + " " + std::to_string(remote_port) + " " +
+                        std::to_string(local_port);
+    prepared = self->prepareToSend();
+  });
+  return prepared ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
 bool CurlJob::prepareToSend() {
@@ -344,7 +354,7 @@
     return CurlOutcome::kStale;
   }
   // A server may answer before it has read the request, and then not read the rest of it.
-  if (!defect_ && (code == CURLE_OK || framing_.complete())) {
+  if (!defect_ && !handler_failed_ && (code == CURLE_OK || framing_.complete())) {
     return CurlOutcome::kAnswered;
   }
   const bool nothing_sent = numberOf(CURLINFO_REQUEST_SIZE) == 0;
@@ -382,7 +392,7 @@
   response.reused_connection = reused_;
   response.outcome = outcomeOf(code);
   if (response.outcome == CurlOutcome::kNotSent && request_.on_connection) {
-    request_.on_connection(false);
+    runHandler([&] { request_.on_connection(false); });
   }
   response.status = static_cast<int>(numberOf(CURLINFO_RESPONSE_CODE));
   response.error = errorOf(code);
@@ -401,6 +411,9 @@
   if (defect_ == ResponseDefect::kBodyTooLong || error_body_too_long_) {
     return "answer is too long";
   }
+  if (handler_failed_) {
+    return "the handler of the answer failed";
+  }
   std::string text;
   if (code != CURLE_OK) {
     text =
@@ -423,11 +436,13 @@
 void CurlJob::deliver(CurlResponse response) {
   CurlTransferHandler* const handler = std::exchange(handler_, nullptr);
   const auto callback = std::exchange(callback_, nullptr);
-  if (handler != nullptr) {
-    handler->onDone(std::move(response));
-  } else if (callback) {
-    callback(std::move(response));
-  }
+  runHandler([&] {
+    if (handler != nullptr) {
+      handler->onDone(std::move(response));
+    } else if (callback) {
+      callback(std::move(response));
+    }
+  });
 }
 
 }  // namespace cypresswall::runtime
--- a/src/cypresswall/runtime/curl_job.h
+++ b/src/cypresswall/runtime/curl_job.h
@@ -9,7 +9,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
+#include "cypresswall/common/handler_guard.h"
 #include "cypresswall/runtime/curl_multi.h"
 #include "cypresswall/runtime/curl_request.h"
 #include "cypresswall/runtime/response_framing.h"
@@ -42,6 +44,9 @@
   void setConnectionUse(ConnectionUse use);
   /// Marks the request as one that counts against its peer's share of connections.
   void enterPool(common::Duration silence_limit);
+  /// Runs the owner's handlers under `guard` from now on; it may be null. A response whose handler
+  /// fails before its end is broken off.
+  void setGuard(common::HandlerGuard* guard) { guard_ = guard; }
   /// Called whenever the request is about to be sent on connection().
   /// \param opened the socket if the connection was opened for this request
   /// \return the socket of the connection, if it is known
@@ -103,6 +108,15 @@
   static int beforeSending(void* job, char* remote_ip, char* local_ip, int remote_port,
                            int local_port);
 
+  /// Calls `handler` under the guard.
+  template <typename Handler>
+  void runHandler(Handler&& handler) {
+    const auto origin = [this] { return request_.address + request_.target; };
+    if (!common::runGuarded(guard_, common::EventSource::kAnswer, origin,
+                            std::forward<Handler>(handler))) {
+      handler_failed_ = true;
+    }
+  }
   void configure();
   /// \return false if the response is not worth reading further.
   bool checkChunkFraming();
@@ -125,6 +139,8 @@
 
   CurlRequest request_;
   CurlTransferHandler* handler_;
+  common::HandlerGuard* guard_ = nullptr;
+  bool handler_failed_ = false;
   std::function<void(CurlResponse)> callback_;
   CurlEasyPointer easy_;
   std::unique_ptr<curl_slist, CurlListDeleter> header_list_;
--- a/src/cypresswall/runtime/curl_multi.cpp
+++ b/src/cypresswall/runtime/curl_multi.cpp
@@ -86,7 +86,7 @@
 class CurlMulti::Driver : public std::enable_shared_from_this<CurlMulti::Driver> {
  public:
   Driver(asio::io_context& context, const CurlMultiSettings& settings, ConnectionPool* pool,
-         common::CounterRegistry* counters);
+         common::CounterRegistry* counters, common::HandlerGuard* guard);
   ~Driver();
 
   /// \return a request whose complete response is passed to `callback`.
@@ -161,6 +161,8 @@
   ConnectionPool* pool_;
   /// May be null.
   common::CounterRegistry* counters_;
+  /// May be null.
+  common::HandlerGuard* guard_;
   /// Responses by BodyFraming; null until the first of each.
   std::array<common::Counter*, static_cast<std::size_t>(BodyFraming::kClose) + 1>
       response_counters_{};
@@ -185,12 +187,14 @@
 };
 
 CurlMulti::Driver::Driver(asio::io_context& context, const CurlMultiSettings& settings,
-                          ConnectionPool* pool, common::CounterRegistry* counters)
+                          ConnectionPool* pool, common::CounterRegistry* counters,
+                          common::HandlerGuard* guard)
     : context_(context),
       multi_(nullptr),
       timer_(context),
       pool_(pool),
       counters_(counters),
+      guard_(guard),
       maximum_collected_bytes_(settings.maximum_collected_bytes),
       sockets_(std::make_shared<SocketPoll>(context, [this](int socket, SocketReadiness readiness) {
         socketReady(socket, readiness);
@@ -242,6 +246,7 @@
 }
 
 void CurlMulti::Driver::begin(const JobPointer& job) {
+  job->setGuard(guard_);
   jobs_.emplace(job->easy(), job);
   // libcurl must not be called recursively.
   if (inside_curl_) {
@@ -620,8 +625,9 @@
 }  // namespace
 
 CurlMulti::CurlMulti(asio::io_context& context, const CurlMultiSettings& settings,
-                     ConnectionPool* pool, common::CounterRegistry* counters)
-    : driver_(std::make_shared<Driver>(context, settings, pool, counters)) {}
+                     ConnectionPool* pool, common::CounterRegistry* counters,
+                     common::HandlerGuard* guard)
+    : driver_(std::make_shared<Driver>(context, settings, pool, counters, guard)) {}
 
 bool CurlMulti::hasIdleConnection(const common::Address& peer) const {
   return driver_->hasIdleConnection(peer);
--- a/src/cypresswall/runtime/curl_multi.h
+++ b/src/cypresswall/runtime/curl_multi.h
@@ -10,6 +10,7 @@
 
 #include "cypresswall/common/counters.h"
 #include "cypresswall/common/errors.h"
+#include "cypresswall/common/handler_guard.h"
 #include "cypresswall/runtime/connection_pool.h"
 #include "cypresswall/runtime/curl_request.h"
 #include "cypresswall/runtime/fault_switch.h"
@@ -62,8 +63,11 @@
   ///   and must outlive this object
   /// \param counters counts responses by framing and by defect; may be null, and must outlive this
   ///   object
+  /// \param guard runs handlers and callbacks: one that throws on a part of a body ends its request
+  ///   as kBroken. If null, exceptions leave the event loop. It must outlive this object
   explicit CurlMulti(asio::io_context& context, const CurlMultiSettings& settings = {},
-                     ConnectionPool* pool = nullptr, common::CounterRegistry* counters = nullptr);
+                     ConnectionPool* pool = nullptr, common::CounterRegistry* counters = nullptr,
+                     common::HandlerGuard* guard = nullptr);
   /// Aborts all requests without calling any handler or callback.
   ~CurlMulti();
   CurlMulti(const CurlMulti&) = delete;
--- a/src/cypresswall/runtime/incoming_peer.cpp
+++ b/src/cypresswall/runtime/incoming_peer.cpp
@@ -78,7 +78,7 @@
       }
     });
     return true;
-  } catch (const common::Error& error) {
+  } catch (const std::exception& error) {
     if (transport_ == nullptr) {
       return false;
     }
--- a/src/cypresswall/runtime/tcp_peer_transport.cpp
+++ b/src/cypresswall/runtime/tcp_peer_transport.cpp
@@ -32,6 +32,7 @@
       random_(random),
       log_(log),
       counters_(counters),
+      guard_(log, counters),
       acceptor_(context),
       accept_timer_(context) {}
 
@@ -183,14 +184,13 @@
     counters_.dropped_other_incarnation.add();
     return;
   }
-  try {
-    dispatcher_->dispatch(envelope);
-  } catch (const std::exception& error) {
+  const auto origin = [&] {
+    return "type " + std::to_string(static_cast<std::uint16_t>(envelope.type)) + " of " +
+           envelope.sender.toString();
+  };
+  if (!guard_.run(common::EventSource::kPeerMessage, origin,
+                  [&] { dispatcher_->dispatch(envelope); })) {
     counters_.dropped_handler_error.add();
-    common::LogEvent(log_, common::LogLevel::kError, "message_dropped")
-        .field("peer", envelope.sender.toString())
-        .field("type", static_cast<std::uint16_t>(envelope.type))
-        .field("error", error.what());
   }
 }
 
--- a/src/cypresswall/runtime/tcp_peer_transport.h
+++ b/src/cypresswall/runtime/tcp_peer_transport.h
@@ -12,6 +12,7 @@
 
 #include "cypresswall/api/envelope.h"
 #include "cypresswall/common/event_log.h"
+#include "cypresswall/common/handler_guard.h"
 #include "cypresswall/common/random.h"
 #include "cypresswall/runtime/fault_switch.h"
 #include "cypresswall/runtime/outgoing_peer.h"
@@ -28,8 +29,8 @@
 class IncomingPeer;
 
 /// Invalid data or a message of another protocol version closes the connection on which it arrived,
-/// with one log line. A message addressed to another incarnation of this node's address is dropped
-/// and counted.
+/// with one log line. A message whose body or handling fails is dropped, counted and logged. A
+/// message addressed to another incarnation of this node's address is dropped and counted.
 class TcpPeerTransport final : public api::PeerTransport {
  public:
   TcpPeerTransport(asio::io_context& context, TransportSettings settings,
@@ -71,6 +72,7 @@
   common::RandomSource& random_;
   common::LogSink& log_;
   TransportCounters counters_;
+  common::HandlerGuard guard_;
   FaultSwitch fault_switch_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer accept_timer_;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,5 +1,6 @@
 #include "cypresswall/http/server.h"
 
+#include <stdexcept>
 #include <vector>
 
 #include "tests/http/http_client.h"
@@ -26,6 +27,7 @@
   CPPUNIT_TEST(sends100ContinueWhenExpected);
   CPPUNIT_TEST(abortTruncatesAnswer);
   CPPUNIT_TEST(droppedResponderGives500);
+  CPPUNIT_TEST(handlerThatThrowsGives500AndTheConnectionGoesOn);
   CPPUNIT_TEST(slowReaderBackpressureIsReportedAndDrains);
   CPPUNIT_TEST(slowReaderReceivesAllBytesInOrder);
   CPPUNIT_TEST(pipelinedAnswersAreNotMixed);
@@ -176,6 +178,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->openRequests());
   }
 
+  // Guards against: a request whose handler throws is never answered, or ends the process.
+  void handlerThatThrowsGives500AndTheConnectionGoesOn() {
+    common::CounterRegistry counters;
+    common::HandlerGuard guard(common::nullLogSink(), counters);
+    settings_.guard = &guard;
+    handler_failure_ = "odd request";
+    startServer();
+    RawClient client(context_, server_->port());
+    client.startReading();
+    client.send("GET /odd HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(client.waitFor("internal_error"));
+    CPPUNIT_ASSERT(client.received.starts_with("HTTP/1.1 500 "));
+    CPPUNIT_ASSERT_EQUAL(1.0, counters.total("cypresswall_failed_handlers_total"));
+    handler_failure_.clear();
+    client.send("GET /next HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(waitForRequests(2));
+    responders_[1]->respond(200, {}, "next answer");
+    CPPUNIT_ASSERT(client.waitFor("next answer"));
+  }
+
   void droppedResponderGives500() {
     startServer();
     auto client = request("GET /s HTTP/1.1\r\n\r\n");
@@ -345,6 +367,9 @@
                          [this](Request request, std::shared_ptr<Responder> responder) {
                            requests_.push_back(std::move(request));
                            responders_.push_back(std::move(responder));
+                           if (!handler_failure_.empty()) {
+                             throw std::runtime_error(handler_failure_);
+                           }
                          });
     server_->start();
     CPPUNIT_ASSERT(server_->port() != 0);
@@ -397,6 +422,8 @@
 
   asio::io_context context_;
   ServerSettings settings_;
+  /// If not empty, the handler throws it.
+  std::string handler_failure_;
   std::vector<Rejection> rejections_;
   std::vector<Request> requests_;
   std::vector<std::shared_ptr<Responder>> responders_;
