Bound depth and number of values of msgpack before it is unpacked

msgpack::unpack() allocates what each list claims to hold. Lists within each other, each of which claims as many values as bytes follow, claim memory for the square of the bytes; bytes of which each opens a list take 24 bytes and more for each. unpackBounded() walks through the bytes first, without building anything: depth 32, 2^20 values, never more values than bytes. Envelopes, bodies, gossip payloads, packed member lists and changes, and recorded answers are all read by it now. A recorded answer still may have 1024 headers at most.

odd_messages_test takes examples of all messages that the nodes of a working fleet send each other, replaces a value by an odd one, and gives the result to a node.

--- a/src/cypresswall/api/envelope.cpp
+++ b/src/cypresswall/api/envelope.cpp
@@ -21,8 +21,7 @@
 Envelope decodeEnvelope(const char* data, std::size_t size) {
   WireEnvelope wire;
   try {
-    const auto handle = msgpack::unpack(data, size);
-    wire = handle.get().as<WireEnvelope>();
+    wire = common::unpackBounded({data, size}).get().as<WireEnvelope>();
   } catch (const std::exception& error) {
     throw MessageError(std::string("envelope can't be decoded: ") + error.what());
   }
--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "cypresswall/common/bounded_unpack.h"
 #include "cypresswall/common/errors.h"
 #include "cypresswall/common/identifiers.h"
 
@@ -90,8 +91,7 @@
 template <typename Message>
 Message decodeBody(const std::string& body) {
   try {
-    const auto handle = msgpack::unpack(body.data(), body.size());
-    return handle.get().as<Message>();
+    return common::unpackBounded(body).get().as<Message>();
   } catch (const std::exception& error) {
     throw MessageError(std::string("message body can't be decoded: ") + error.what());
   }
--- a/src/cypresswall/execution/recorded_answer.cpp
+++ b/src/cypresswall/execution/recorded_answer.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "cypresswall/common/bounded_unpack.h"
+
 namespace cypresswall::execution {
 namespace {
 
@@ -74,10 +76,9 @@
     return std::nullopt;
   }
   try {
-    const msgpack::unpack_limit limit(kMaximumHeaders, kMaximumHeaders, recorded.size(),
-                                      recorded.size(), recorded.size());
-    const auto handle = msgpack::unpack(recorded.data(), recorded.size(), nullptr, nullptr, limit);
-    return fromWire(handle.get().as<WireAnswer>());
+    auto wire = common::unpackBounded(recorded).get().as<WireAnswer>();
+    return wire.headers.size() > kMaximumHeaders ? std::nullopt
+                                                 : std::optional(fromWire(std::move(wire)));
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/cypresswall/membership/member_packing.cpp
+++ b/src/cypresswall/membership/member_packing.cpp
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 
+#include "cypresswall/common/bounded_unpack.h"
+
 namespace cypresswall::membership {
 namespace {
 
@@ -47,8 +49,7 @@
     return std::vector<MemberRecord>{};
   }
   try {
-    const auto outer = msgpack::unpack(packed.data(), packed.size());
-    const auto members = outer.get().as<PackedMembers>();
+    const auto members = common::unpackBounded(packed).get().as<PackedMembers>();
     if (members.bytes > kMaximumBytes) {
       return std::nullopt;
     }
@@ -60,8 +61,7 @@
     if (result != Z_OK || length != plain.size()) {
       return std::nullopt;
     }
-    const auto inner = msgpack::unpack(plain.data(), plain.size());
-    return inner.get().as<std::vector<MemberRecord>>();
+    return common::unpackBounded(plain).get().as<std::vector<MemberRecord>>();
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/cypresswall/simulation/simulated_network.cpp
+++ b/src/cypresswall/simulation/simulated_network.cpp
@@ -95,6 +95,9 @@
 
 void SimulatedNetwork::send(const SimulatedProcess& sender, api::Envelope envelope) {
   const SimulatedProcess* receiver = find(envelope.receiver.address);
+  if (send_listener_) {
+    send_listener_(envelope);
+  }
   if (settings_.encode_messages) {
     const std::string bytes = api::encodeEnvelope(envelope);
     sent_bytes_ += bytes.size();
--- a/src/cypresswall/simulation/simulated_network.h
+++ b/src/cypresswall/simulation/simulated_network.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -61,6 +62,11 @@
   /// Sends one message from a process.
   void send(const SimulatedProcess& sender, api::Envelope envelope);
 
+  /// Calls `listener` with each message that a process sends.
+  void onSend(std::function<void(const api::Envelope&)> listener) {
+    send_listener_ = std::move(listener);
+  }
+
   /// Sets the behaviour of the links from one zone to another, or within a zone if `from` and `to`
   /// are equal.
   void setLink(const common::ZoneName& from, const common::ZoneName& to, LinkSettings settings);
@@ -108,6 +114,7 @@
   std::map<ZonePair, LinkSettings> links_;
   std::set<ZonePair> zone_cuts_;
   std::set<std::pair<common::Address, common::Address>> address_cuts_;
+  std::function<void(const api::Envelope&)> send_listener_;
   std::uint64_t delivered_ = 0;
   std::uint64_t sent_bytes_ = 0;
 };
--- a/src/cypresswall/store_relay/packed_changes.cpp
+++ b/src/cypresswall/store_relay/packed_changes.cpp
@@ -5,6 +5,8 @@
 #include <cstring>
 #include <msgpack.hpp>
 
+#include "cypresswall/common/bounded_unpack.h"
+
 namespace cypresswall::store_relay {
 namespace {
 
@@ -47,8 +49,8 @@
     return std::nullopt;
   }
   try {
-    return msgpack::unpack(text.data(), text.size()).get().as<std::vector<StoreChange>>();
-  } catch (const msgpack::unpack_error&) {
+    return common::unpackBounded(text).get().as<std::vector<StoreChange>>();
+  } catch (const common::MsgpackError&) {
     return std::nullopt;
   } catch (const msgpack::type_error&) {
     return std::nullopt;
