Read the rest of a runner's report and cache list beside an odd value

A number out of range or a lone surrogate in any field, also one that nobody reads, hid the whole report; one odd entry hid the whole list of cached parts, and one odd change its batch, again at each poll. Numbers were converted whatever they were: -1 queued requests became four billion, 1e300 was undefined, and the sum of two counts wrapped at 32 bits.

Reports are parsed with bounds, known numbers have to be integers in their range, and odd entries of a list are left out and counted; a batch with one counts as having a gap. An answer of which no entry can be read is malformed, as before. A line names the engine.

--- a/src/cypresswall/engines/engine_types.h
+++ b/src/cypresswall/engines/engine_types.h
@@ -163,6 +163,8 @@
   /// lower sequence number. Empty if the engine doesn't report losses; a jump in the sequence
   /// numbers then shows a loss.
   std::optional<bool> gap;
+  /// Number of events that could not be read and are left out.
+  std::size_t unreadable = 0;
   std::vector<CacheEvent> events;
 };
 
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cypresswall/common/at_scope_end.h"
+
 namespace cypresswall::routing {
 namespace {
 
@@ -52,6 +54,8 @@
 }
 
 void EnginePoller::tick() {
+  const common::AtScopeEnd again(
+      [this] { context_.scheduler.schedule(settings_.poll_period / kPhases, [this] { tick(); }); });
   phase_ = (phase_ + 1) % kPhases;
   turn_ += phase_ == 0 ? 1 : 0;
   // Steady engines are polled in the same periods, so that one publication confirms all of them.
@@ -71,7 +75,6 @@
       pollCache(slot);
     }
   }
-  context_.scheduler.schedule(settings_.poll_period / kPhases, [this] { tick(); });
 }
 
 bool EnginePoller::isPaused(EngineSlot slot, common::MonotonicTime now) const {
@@ -101,6 +104,9 @@
   const common::MonotonicTime now = context_.clock.now();
   if (!result.ok()) {
     poll_failures_.add();
+    if (result.failure().kind == engines::EngineFailure::kMalformed) {
+      countUnreadable(slot, "report", 1);
+    }
     ++state.failures;
     state.steady = false;
     if (state.failures >= settings_.unreachable_after_failures) {
@@ -125,6 +131,23 @@
   }
 }
 
+void EnginePoller::countUnreadable(EngineSlot slot, const char* part, std::uint64_t count) {
+  if (count == 0) {
+    return;
+  }
+  context_.counters
+      .counter("cypresswall_engine_unreadable_total",
+               "Reports, and events of caches, that engines sent and that could not be read",
+               "part", part)
+      .add(count);
+  if (const auto left_out = states_[slot].unreadable_lines.record(context_.clock.now(), count)) {
+    common::LogEvent(context_.log, common::LogLevel::kWarning, "engine_answer_unreadable")
+        .field("engine", table_.record(slot).declaration.name)
+        .field("part", part)
+        .field("left_out", *left_out);
+  }
+}
+
 void EnginePoller::updateSteadiness(PollState& state, const engines::EngineLoad& load) {
   const EngineDelta delta = makeDelta(0, load, true, common::Duration{0});
   const bool moved = !state.reference || changeSignificance(*state.reference, delta, load) > 0;
@@ -143,16 +166,18 @@
   state.cache_pending = true;
   cache_polls_.add();
   const engines::EngineEndpoint endpoint = table_.record(slot).endpoint();
-  client_.fetchCacheEvents(endpoint, state.last_cache_event,
-                           [this, slot, name = endpoint.name](const auto& result) {
-                             if (!stillDeclared(slot, name)) {
-                               return;
-                             }
-                             states_[slot].cache_pending = false;
-                             if (result.ok()) {
-                               onCacheEvents(slot, result.value());
-                             }
-                           });
+  client_.fetchCacheEvents(
+      endpoint, state.last_cache_event, [this, slot, name = endpoint.name](const auto& result) {
+        if (!stillDeclared(slot, name)) {
+          return;
+        }
+        states_[slot].cache_pending = false;
+        if (result.ok()) {
+          onCacheEvents(slot, result.value());
+        } else if (result.failure().kind == engines::EngineFailure::kMalformed) {
+          countUnreadable(slot, "cache_events", 1);
+        }
+      });
 }
 
 void EnginePoller::applyCacheEvent(EngineSlot slot, const engines::CacheEvent& event) {
@@ -170,6 +195,7 @@
   if (!record.reported || record.load.incarnation != events.incarnation) {
     return;
   }
+  countUnreadable(slot, "cache_event", events.unreadable);
   PollState& state = states_[slot];
   state.cache_poll_factor =
       events.events.empty()
--- a/src/cypresswall/routing/engine_poller.h
+++ b/src/cypresswall/routing/engine_poller.h
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "cypresswall/api/process_context.h"
+#include "cypresswall/common/log_interval.h"
 #include "cypresswall/engines/engine_client.h"
 #include "cypresswall/routing/engine_deltas.h"
 #include "cypresswall/routing/engine_table.h"
@@ -53,6 +54,7 @@
     /// The newest report has no significant change, and the engine is ready and executes no order
     /// (such as a role change).
     bool steady = false;
+    common::LogInterval unreadable_lines;
   };
 
   void tick();
@@ -63,6 +65,8 @@
   void onLoad(EngineSlot slot, const common::Result<engines::EngineLoad, engines::EngineFailure>&);
   /// Logs what this node's polls show, if the engine's record says otherwise.
   void logReachability(EngineSlot slot, bool reachable) const;
+  /// Counts and logs parts of an engine's answers that could not be read.
+  void countUnreadable(EngineSlot slot, const char* part, std::uint64_t count);
   void applyCacheEvent(EngineSlot slot, const engines::CacheEvent& event);
   void onCacheEvents(EngineSlot slot, const engines::CacheEvents& events);
   /// \return true if the engine asked for a time without requests and its last report is recent
--- a/tests/objects_platform/load_report_test.cpp
+++ b/tests/objects_platform/load_report_test.cpp
@@ -1,6 +1,9 @@
 #include "platform/load_report.h"
 
+#include <algorithm>
+
 #include "platform/prompt_parts.h"
+#include "tests/support/odd_json.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::objects_platform {
@@ -14,6 +17,10 @@
   CPPUNIT_TEST(readsCacheSnapshots);
   CPPUNIT_TEST(readsCacheChanges);
   CPPUNIT_TEST(rejectsMalformedCacheAnswers);
+  CPPUNIT_TEST(oddValuesOutsideKnownFieldsDoNotHideAReport);
+  CPPUNIT_TEST(oddNumbersAreNeverConverted);
+  CPPUNIT_TEST(oddCacheEntryIsLeftOutAlone);
+  CPPUNIT_TEST(noOddValueEndsTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -82,6 +89,77 @@
     }
   }
 
+  // Guards against: a number out of range or a broken text in a field that nobody reads makes an
+  // engine's report unreadable, so that the engine counts as unreachable.
+  void oddValuesOutsideKnownFieldsDoNotHideAReport() {
+    for (const std::string& odd : testing::oddJsonValues()) {
+      const auto load = parseLoadReport(
+          R"({"stage":"decode","note":)" + odd + R"(,"running":3,"queued":1})", "i-1", facts(), {});
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), load.has_value());
+      CPPUNIT_ASSERT_EQUAL(3U, load->running_streams);
+    }
+  }
+
+  // Guards against: a negative, fractional or huge number becomes another number, for example -1
+  // four billion waiting streams.
+  void oddNumbersAreNeverConverted() {
+    for (const char* field : {"running", "queued", "kv_used", "kv_total", "call_seq"}) {
+      for (const char* odd : {"-1", "0.5", "1e300", "-1e300", "1e19", "18446744073709551616",
+                              "true", "[]", "\"3\""}) {
+        const std::string body = R"({"stage":"decode",")" + std::string(field) + "\":" + odd + "}";
+        CPPUNIT_ASSERT_MESSAGE(body, !parseLoadReport(body, "i-1", facts(), {}).has_value());
+      }
+    }
+    // Two counts whose sum exceeds 32 bits, and a memory of more pieces than that.
+    const auto load = parseLoadReport(
+        R"({"stage":"decode","running":4294967295,"queued":4294967295,"kv_used":9007199254740991})",
+        "i-1", facts(), {});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2} * 4294967295 * 10, load->queued_decode_tokens);
+    CPPUNIT_ASSERT(load->cache_pieces_used > 1'000'000'000);
+  }
+
+  // Guards against: one odd entry makes a whole list of cached parts or of changes unreadable.
+  void oddCacheEntryIsLeftOutAlone() {
+    for (const std::string& odd : testing::oddJsonValues()) {
+      const auto changes =
+          parseCacheEvents(R"({"next_token":44,"events":[[41,"+","","5c1e",13300,"m"],)" + odd +
+                               R"(,[43,"-","","77aa",8000,"m"]]})",
+                           "i-1", facts());
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), changes.has_value());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changes->events.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes->unreadable);
+      CPPUNIT_ASSERT(changes->gap.value());
+      const auto list =
+          parseCacheList(R"({"next_token":41,"held":[["","5c1e",13300,"m"],["","91bd",)" + odd +
+                             R"(,"m"],["","77aa",8000,"m"]]})",
+                         "i-1", facts());
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), list.has_value());
+      CPPUNIT_ASSERT(list->events.size() >= 2);
+    }
+  }
+
+  // Guards against: a value of an engine's answer that is deep, long or out of range ends the
+  // process, or hides more than itself.
+  void noOddValueEndsTheProcess() {
+    const auto read = [](const std::string& body) {
+      parseLoadReport(body, "i-1", facts(), {});
+      const auto changes = parseCacheEvents(body, "i-1", facts());
+      const auto list = parseCacheList(body, "i-1", facts());
+      for (const auto& events : {changes, list}) {
+        CPPUNIT_ASSERT(!events || events->last_sequence < std::uint64_t{1} << 53U);
+      }
+    };
+    testing::forEachOddCopy(
+        R"({"stage":"decode","busy":false,"call_seq":2,"queued":1,"running":12,"kv_used":41000,
+            "kv_total":90000,"run_count":[["r1",1,7],["r2",0,2]],"born":2000,"next_token":44,
+            "lost":false,"events":[[41,"+","","5c1e",13300,"m"],[42,"-","","5c1e",0,"m"]],
+            "held":[["","5c1e",13300,"m"]]})",
+        read);
+    for (const std::string& odd : testing::oddJsonValues()) {
+      read(odd);
+    }
+  }
+
  private:
   static RunnerFacts facts() { return {48, "api/m", "1"}; }
 };
