Convert only numbers in range from engines' reports

Durations and counts of an engine's report were cast from doubles: an age of 1e300 ms is undefined behaviour, -1 streams wrapped. They have bounds now. One cache event that can't be read no longer hides its batch, and a number of a stream event is checked before it is converted, not after.

--- a/src/cypresswall/engines/engine_json.cpp
+++ b/src/cypresswall/engines/engine_json.cpp
@@ -1,8 +1,11 @@
 #include "cypresswall/engines/engine_json.h"
 
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::engines {
 namespace {
 
@@ -21,8 +24,29 @@
   return {{"generation", epoch.generation}, {"term", epoch.term}};
 }
 
+/// Upper bound of counts.
+constexpr std::uint64_t kLargestCount = std::numeric_limits<std::uint32_t>::max();
+
+std::uint32_t countAt(const Json& object, const char* name) {
+  return static_cast<std::uint32_t>(common::integerAt(object, name, kLargestCount));
+}
+
+std::uint64_t numberOfIncarnation(const Json& object) {
+  return common::integerAt(object, "incarnation", common::kLargestInteger);
+}
+
+/// \return the number `name` in `object`
+/// \throws EngineProtocolError if it is missing or not from 0 to `maximum`
+double numberAt(const Json& object, const char* name, double maximum) {
+  const auto number = common::numberIn(common::memberOrNull(object, name), 0, maximum);
+  if (!number) {
+    throw EngineProtocolError(std::string("'") + name + "' is no number in range");
+  }
+  return *number;
+}
+
 common::Epoch epochOf(const Json& value) {
-  return {value.at("generation").get<std::uint32_t>(), value.at("term").get<std::uint32_t>()};
+  return {countAt(value, "generation"), countAt(value, "term")};
 }
 
 const char* phaseName(StreamPhase phase) {
@@ -118,58 +142,76 @@
 
 CacheEvent cacheEventOf(const Json& value) {
   CacheEvent event;
-  event.sequence = value.at("sequence").get<std::uint64_t>();
+  event.sequence = common::integerAt(value, "sequence");
   event.kind = cacheEventKindOf(value.at("kind").get<std::string>());
   event.piece = pieceOf(value.at("piece").get<std::string>());
   return event;
 }
 
-common::Duration microseconds(const Json& value) {
-  return common::Duration(static_cast<std::int64_t>(value.get<double>()));
+/// Upper bound of the durations in a report; a longer one is a fault of the engine.
+constexpr double kLongestMicroseconds = 3600e6;
+
+common::Duration microseconds(const Json& object, const char* name) {
+  return common::Duration(static_cast<std::int64_t>(numberAt(object, name, kLongestMicroseconds)));
 }
 
 void readDemand(const Json& value, EngineLoad& load) {
-  load.running_streams = value.at("running_streams").get<std::uint32_t>();
-  load.waiting_streams = value.at("waiting_streams").get<std::uint32_t>();
-  load.maximum_streams = value.at("maximum_streams").get<std::uint32_t>();
-  load.queued_prefill_tokens = value.at("queued_prefill_tokens").get<std::uint64_t>();
-  load.queued_decode_tokens = value.at("queued_decode_tokens").get<std::uint64_t>();
-  load.cache_pieces_used = value.at("cache_pieces_used").get<std::uint32_t>();
-  load.cache_pieces_total = value.at("cache_pieces_total").get<std::uint32_t>();
+  load.running_streams = countAt(value, "running_streams");
+  load.waiting_streams = countAt(value, "waiting_streams");
+  load.maximum_streams = countAt(value, "maximum_streams");
+  load.queued_prefill_tokens = countAt(value, "queued_prefill_tokens");
+  load.queued_decode_tokens = countAt(value, "queued_decode_tokens");
+  load.cache_pieces_used = countAt(value, "cache_pieces_used");
+  load.cache_pieces_total = countAt(value, "cache_pieces_total");
 }
 
 void readSpeed(const Json& value, EngineLoad& load) {
   constexpr double kMicrosecondsPerMillisecond = 1000;
-  load.prefill_tokens_per_second = value.at("prefill_tokens_per_second").get<double>();
-  load.decode_step_base = microseconds(value.at("decode_step_base_us"));
-  load.decode_step_per_stream = microseconds(value.at("decode_step_per_stream_us"));
-  const double age = value.at("age_ms").get<double>() * kMicrosecondsPerMillisecond;
+  constexpr double kFastestPrefill = 1e12;
+  load.prefill_tokens_per_second = numberAt(value, "prefill_tokens_per_second", kFastestPrefill);
+  load.decode_step_base = microseconds(value, "decode_step_base_us");
+  load.decode_step_per_stream = microseconds(value, "decode_step_per_stream_us");
+  const double age = numberAt(value, "age_ms", kLongestMicroseconds / kMicrosecondsPerMillisecond) *
+                     kMicrosecondsPerMillisecond;
   load.age = common::Duration(static_cast<std::int64_t>(age));
 }
 
 EngineLoad loadOf(const Json& value) {
   EngineLoad load;
-  load.incarnation = value.at("incarnation").get<std::uint64_t>();
+  load.incarnation = numberOfIncarnation(value);
   load.state = stateOf(value.at("state").get<std::string>());
   load.role = roleOf(value.at("role").get<std::string>());
   load.model = value.at("model").get<std::string>();
   load.version = value.at("version").get<std::string>();
   load.adapters = value.at("adapters").get<std::vector<std::string>>();
   load.highest_epoch = epochOf(value.at("highest_epoch"));
-  load.last_sequence = value.at("last_sequence").get<std::uint64_t>();
+  load.last_sequence = common::integerAt(value, "last_sequence");
   load.order_in_progress = value.at("order_in_progress").get<bool>();
   readDemand(value, load);
   readSpeed(value, load);
   return load;
 }
 
+/// Adds one event; an event that can't be read is counted and left out.
+void addCacheEvent(const Json& value, CacheEvents& events) {
+  try {
+    events.events.push_back(cacheEventOf(value));
+  } catch (const Json::exception&) {
+    ++events.unreadable;
+  } catch (const common::Error&) {
+    ++events.unreadable;
+  }
+}
+
 /// Parses `json` and converts it; JSON errors are rethrown as EngineProtocolError.
 template <typename Convert>
 auto parseAndConvert(std::string_view json, Convert convert) {
   try {
-    return convert(Json::parse(json));
+    return convert(common::parseBoundedJson(json).value);
   } catch (const Json::exception& error) {
     throw EngineProtocolError(std::string("engine's answer can't be read: ") + error.what());
+  } catch (const common::JsonError& error) {
+    throw EngineProtocolError(std::string("engine's answer can't be read: ") + error.what());
   }
 }
 
@@ -208,7 +250,7 @@
     OrderReply reply;
     reply.verdict = verdictOf(value.at("verdict").get<std::string>());
     reply.highest_epoch = epochOf(value.at("highest_epoch"));
-    reply.last_sequence = value.at("last_sequence").get<std::uint64_t>();
+    reply.last_sequence = common::integerAt(value, "last_sequence");
     reply.in_progress = value.at("in_progress").get<bool>();
     return reply;
   });
@@ -219,10 +261,16 @@
 CacheEvents parseCacheEvents(std::string_view json) {
   return parseAndConvert(json, [](const Json& value) {
     CacheEvents events;
-    events.incarnation = value.at("incarnation").get<std::uint64_t>();
-    events.last_sequence = value.at("last_sequence").get<std::uint64_t>();
+    events.incarnation = numberOfIncarnation(value);
+    events.last_sequence = common::integerAt(value, "last_sequence");
     for (const Json& event : value.at("events")) {
-      events.events.push_back(cacheEventOf(event));
+      addCacheEvent(event, events);
+    }
+    if (events.unreadable > 0) {
+      if (events.events.empty()) {
+        throw EngineProtocolError("none of the cache events can be read");
+      }
+      events.gap = true;
     }
     return events;
   });
@@ -231,15 +279,16 @@
 StreamRefusal parseStreamRefusal(std::string_view json) {
   StreamRefusal refusal;
   refusal.error = std::string(json.substr(0, kMaximumQuotedBytes));
-  const Json value = Json::parse(json, nullptr, false);
-  if (!value.is_object()) {
-    return refusal;
-  }
-  const auto ran = value.find("ran");
-  refusal.not_run = ran != value.end() && ran->is_boolean() && !ran->get<bool>();
-  const auto error = value.find("error");
-  if (error != value.end() && error->is_string()) {
-    refusal.error = error->get<std::string>();
+  try {
+    const Json value = common::parseBoundedJson(json).value;
+    const Json& ran = common::memberOrNull(value, "ran");
+    refusal.not_run = ran.is_boolean() && !ran.get<bool>();
+    const Json& error = common::memberOrNull(value, "error");
+    if (error.is_string()) {
+      refusal.error = common::abbreviated(error.get_ref<const std::string&>(), kMaximumQuotedBytes);
+    }
+  } catch (const common::JsonError&) {
+    // The text is quoted as it is.
   }
   return refusal;
 }
--- a/src/cypresswall/engines/stream_event.cpp
+++ b/src/cypresswall/engines/stream_event.cpp
@@ -8,11 +8,11 @@
 using Json = nlohmann::json;
 
 std::uint32_t numberAt(const Json& object, const char* key) {
-  const auto number = object.at(key).get<std::uint64_t>();
-  if (!object.at(key).is_number_unsigned() || number > UINT32_MAX) {
+  const Json& value = object.at(key);
+  if (!value.is_number_unsigned() || value.get<std::uint64_t>() > UINT32_MAX) {
     throw EngineProtocolError(std::string("'") + key + "' is out of range");
   }
-  return static_cast<std::uint32_t>(number);
+  return value.get<std::uint32_t>();
 }
 
 DoneEvent doneEventOf(const Json& object) {
--- a/tests/engines/stream_event_test.cpp
+++ b/tests/engines/stream_event_test.cpp
@@ -6,6 +6,7 @@
 
 #include "cypresswall/engines/engine_json.h"
 #include "cypresswall/engines/sse_parser.h"
+#include "tests/support/odd_json.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::engines {
@@ -25,6 +26,9 @@
   CPPUNIT_TEST(eventsSurviveArbitrarySplits);
   CPPUNIT_TEST(limitsEventSize);
   CPPUNIT_TEST(rejectsMalformedAnswers);
+  CPPUNIT_TEST(oddNumbersOfAReportAreNeverConverted);
+  CPPUNIT_TEST(oddCacheEventIsLeftOutAlone);
+  CPPUNIT_TEST(noOddValueEndsTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -149,6 +153,76 @@
                          EngineProtocolError);
     CPPUNIT_ASSERT_THROW(parseStreamEvent(R"({"attempt": 1, "done": false})"), EngineProtocolError);
   }
+
+  // Guards against: a negative, fractional or huge number in a report becomes another number, or a
+  // duration out of range.
+  void oddNumbersOfAReportAreNeverConverted() {
+    const auto report = nlohmann::json::parse(kReport);
+    CPPUNIT_ASSERT_EQUAL(12U, parseEngineLoad(kReport).running_streams);
+    for (const char* field :
+         {"incarnation", "last_sequence", "running_streams", "waiting_streams", "maximum_streams",
+          "queued_prefill_tokens", "queued_decode_tokens", "cache_pieces_used",
+          "cache_pieces_total", "prefill_tokens_per_second", "decode_step_base_us",
+          "decode_step_per_stream_us", "age_ms"}) {
+      for (const double odd : {-1.0, 1e300, -1e300}) {
+        auto copy = report;
+        copy[field] = odd;
+        CPPUNIT_ASSERT_THROW_MESSAGE(field, parseEngineLoad(copy.dump()), EngineProtocolError);
+      }
+    }
+  }
+
+  // Guards against: one odd event makes a whole batch of cache events unreadable.
+  void oddCacheEventIsLeftOutAlone() {
+    for (const std::string& odd : testing::oddJsonValues()) {
+      const auto events = parseCacheEvents(
+          R"({"incarnation": 1, "last_sequence": 3, "events": [
+              {"sequence": 1, "kind": "stored", "piece": "a1"}, )" +
+          odd + R"(, {"sequence": 3, "kind": "evicted", "piece": "b2"}]})");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, events.events.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.unreadable);
+      CPPUNIT_ASSERT(events.gap.value());
+    }
+  }
+
+  // Guards against: a value of an engine's answer that is deep, long or out of range ends the
+  // process.
+  void noOddValueEndsTheProcess() {
+    requireReadOrRefused(kReport, [](const std::string& json) { parseEngineLoad(json); });
+    requireReadOrRefused(R"({"verdict": "accepted", "highest_epoch": {"generation": 1, "term": 2},
+                             "last_sequence": 3, "in_progress": false})",
+                         [](const std::string& json) { parseOrderReply(json); });
+    requireReadOrRefused(R"({"incarnation": 1, "last_sequence": 3, "events": [
+                             {"sequence": 1, "kind": "stored", "piece": "a1"}]})",
+                         [](const std::string& json) { parseCacheEvents(json); });
+    requireReadOrRefused(R"({"attempt": 3, "done": true, "prompt_tokens": 10, "output_tokens": 5,
+                             "cached_prompt_tokens": 4, "finish_reason": "stop"})",
+                         [](const std::string& json) { parseStreamEvent(json); });
+    requireReadOrRefused(R"({"attempt": 2, "index": 7, "token": "a"})",
+                         [](const std::string& json) { parseStreamEvent(json); });
+    requireReadOrRefused(R"({"ran": true, "error": "busy"})",
+                         [](const std::string& json) { parseStreamRefusal(json); });
+  }
+
+ private:
+  template <typename Parse>
+  static void requireReadOrRefused(const std::string& example, Parse parse) {
+    testing::forEachOddCopy(example, [&](const std::string& json) {
+      try {
+        parse(json);
+      } catch (const EngineProtocolError&) {
+        // Refused in order.
+      }
+    });
+  }
+
+  static constexpr const char* kReport =
+      R"({"incarnation": 5, "state": "ready", "role": "mixed", "model": "m", "version": "1",
+          "adapters": ["a"], "highest_epoch": {"generation": 1, "term": 2}, "last_sequence": 3,
+          "order_in_progress": false, "running_streams": 12, "waiting_streams": 1,
+          "maximum_streams": 48, "queued_prefill_tokens": 100, "queued_decode_tokens": 200,
+          "cache_pieces_used": 5, "cache_pieces_total": 10, "prefill_tokens_per_second": 1000.5,
+          "decode_step_base_us": 5000, "decode_step_per_stream_us": 30.5, "age_ms": 1.5})";
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamEventTest);
