Bound what a peer passes on from the platform's store

A content that is nested deeply ended the node that received it from a peer: parsing doesn't recurse, but the copy that ChangePacker keeps does, and so does the text that it packs for the next node. Contents are parsed with bounds; a repaired one is kept and passed on repaired. A difference that needs repair is refused, and the store is read instead.

--- a/src/cypresswall/store_relay/change_packer.cpp
+++ b/src/cypresswall/store_relay/change_packer.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::store_relay {
 namespace {
 
@@ -13,6 +15,15 @@
   return content.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+/// \return the content of `text`; null if there is none or it can't be parsed
+common::BoundedJson parsed(const std::optional<std::string>& text) {
+  try {
+    return text ? common::parseBoundedJson(*text) : common::BoundedJson{};
+  } catch (const common::JsonError&) {
+    return {};
+  }
+}
+
 /// \return `text` compressed, or nothing if zlib reports an error.
 std::optional<std::string> deflated(const std::string& text) {
   uLongf length = compressBound(text.size());
@@ -157,8 +168,12 @@
     return before == large_.end() ? Json() : before->second.content;
   }
   const auto text = inflated(change.content);
+  const common::BoundedJson difference = parsed(text);
+  if (difference.repaired()) {
+    return {};
+  }
   try {
-    return text ? before->second.content.patch(Json::parse(*text)) : Json();
+    return before->second.content.patch(difference.value);
   } catch (const Json::exception&) {
     return {};
   }
@@ -178,11 +193,13 @@
   }
   const bool packed = change.encoding == ContentEncoding::kPacked;
   const auto text = packed ? inflated(change.content) : std::optional(change.content);
-  Json content = text ? Json::parse(*text, nullptr, false) : Json();
-  if (content.is_object()) {
-    keep(change.name, change.revision, content, *text);
+  common::BoundedJson content = parsed(text);
+  if (content.value.is_object() && content.repaired()) {
+    storePlain(change.name, change.revision, content.value);
+  } else if (content.value.is_object()) {
+    keep(change.name, change.revision, content.value, *text);
   }
-  return content;
+  return std::move(content.value);
 }
 
 }  // namespace cypresswall::store_relay
--- a/tests/store_relay/change_packer_test.cpp
+++ b/tests/store_relay/change_packer_test.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/store_relay/change_packer.h"
 
 #include "cypresswall/common/prompt.h"
+#include "tests/support/odd_json.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::store_relay {
@@ -47,9 +48,28 @@
   CPPUNIT_TEST(differenceNeedsItsBase);
   CPPUNIT_TEST(invalidBytesGiveNull);
   CPPUNIT_TEST(peersFollowAllChanges);
+  CPPUNIT_TEST(oddContentOfAPeerEndsNoProcess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against: a content that a peer passes on ends the receiver when it is copied, compared
+  // or packed for the next one.
+  void oddContentOfAPeerEndsNoProcess() {
+    const std::string padding(4096, 'p');
+    ChangePacker packer;
+    packer.storePlain(kName, 1, {{"padding", padding}});
+    std::uint64_t revision = 1;
+    for (const std::string& odd : testing::oddJsonValues()) {
+      StoreChange change{kName, ++revision, false,
+                         R"({"odd":)" + odd + R"(,"padding":")" + padding + "\"}"};
+      const Json content = packer.unpack(change);
+      CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), content.is_object());
+      CPPUNIT_ASSERT_EQUAL(padding, content["padding"].get<std::string>());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, packer.packAll().size());
+      packer.packPut(kName, ++revision, {{"padding", padding}, {"round", revision}});
+    }
+  }
+
   void smallContentsAreSentPlain() {
     ChangePacker packer;
     const StoreChange change = packer.packPut(kName, 3, {{"a", 1}});
