Bound fleet files, commands and changes of the configuration

A fleet file of half a kilobyte whose aliases stand for 10^12 values filled the memory of the node that an operator sent it to: the conversion expands each alias. It ends at 300,000 values now, three times the largest fleet.

None is repaired: digests cover changes, and an operator should know. Deep YAML was refused before (yaml-cpp: 500 levels); tests show it.

--- a/src/cypresswall/configuration/change.cpp
+++ b/src/cypresswall/configuration/change.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::configuration {
 namespace {
 
@@ -15,11 +17,15 @@
 }
 
 json parseValue(const ObjectChange& change) {
-  json value = json::parse(change.value_json, nullptr, false);
-  if (value.is_discarded()) {
-    fail(change, "", "the value is not valid JSON");
+  try {
+    common::BoundedJson value = common::parseBoundedJson(change.value_json);
+    if (!value.repaired()) {
+      return std::move(value.value);
+    }
+  } catch (const common::JsonError&) {
+    // Reported below.
   }
-  return value;
+  fail(change, "", "the value is not valid JSON");
 }
 
 template <typename Object>
--- a/src/cypresswall/configuration/change_encoding.cpp
+++ b/src/cypresswall/configuration/change_encoding.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "cypresswall/common/bounded_json.h"
 #include "cypresswall/configuration/change.h"
 
 namespace cypresswall::configuration {
@@ -32,12 +33,21 @@
   return digest;
 }
 
+/// \throws EncodingError also for texts whose values can't be represented, since digests cover them
+json parse(const std::string& text) {
+  common::BoundedJson parsed = common::parseBoundedJson(text);
+  if (parsed.repaired()) {
+    throw EncodingError("the text is nested too deeply or has values out of range");
+  }
+  return std::move(parsed.value);
+}
+
 json encodeObjectChange(const ObjectChange& object) {
   json result{{"kind", toString(object.kind)}, {"name", object.name}};
   if (object.removed) {
     result["removed"] = true;
   } else {
-    result["value"] = json::parse(object.value_json);
+    result["value"] = parse(object.value_json);
   }
   return result;
 }
@@ -75,6 +85,8 @@
     return call();
   } catch (const json::exception& error) {
     throw EncodingError(std::string(what) + ": " + error.what());
+  } catch (const common::JsonError& error) {
+    throw EncodingError(std::string(what) + ": " + error.what());
   } catch (const ConfigurationError& error) {
     throw EncodingError(std::string(what) + ": " + error.what());
   }
@@ -104,7 +116,7 @@
 
 LoggedChange decodeChange(const std::string& text) {
   return convertErrors("change can't be decoded", [&] {
-    const json source = json::parse(text);
+    const json source = parse(text);
     LoggedChange entry;
     entry.change.version = source.at("version").get<std::uint64_t>();
     entry.change.change_id = source.at("change_id").get<std::string>();
@@ -140,7 +152,7 @@
 
 ConfigurationSnapshot decodeSnapshot(const std::string& text) {
   return convertErrors("snapshot can't be decoded", [&] {
-    const json source = json::parse(text);
+    const json source = parse(text);
     ConfigurationSnapshot snapshot;
     snapshot.configuration = decodeConfiguration(source.at("configuration"));
     snapshot.digest = decodeDigest(source.at("digest"));
--- a/src/cypresswall/configuration/fleet_file.cpp
+++ b/src/cypresswall/configuration/fleet_file.cpp
@@ -51,6 +51,9 @@
 
  private:
   static constexpr int kMaximumDepth = 16;
+  /// Aliases of YAML let a short text stand for any number of values. The largest fleet has a third
+  /// of this.
+  static constexpr std::size_t kMaximumValues = 300'000;
 
   /// \return the line number of a key path, or of its longest prefix whose line is known.
   int lineOf(std::string path) const {
@@ -70,6 +73,9 @@
     if (depth > kMaximumDepth) {
       fail(path, "is nested too deeply");
     }
+    if (++values_ > kMaximumValues) {
+      fail(path, "is one value too many");
+    }
     if (node.IsMap()) {
       return convertMap(node, path, depth);
     }
@@ -106,6 +112,7 @@
   std::string file_;
   json content_;
   std::map<std::string, int> lines_;
+  std::size_t values_ = 0;
 };
 
 /// Collects the changes that turn a configuration into the contents of a fleet file.
--- a/src/cypresswall/operators/command_api.cpp
+++ b/src/cypresswall/operators/command_api.cpp
@@ -2,6 +2,8 @@
 
 #include <type_traits>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::operators {
 namespace {
 
@@ -30,11 +32,15 @@
 }
 
 json parseObject(const std::string& body) {
-  json source = json::parse(body, nullptr, false);
-  if (!source.is_object()) {
-    throw RequestError("the body must be a JSON object");
+  try {
+    common::BoundedJson source = common::parseBoundedJson(body);
+    if (source.value.is_object() && !source.repaired()) {
+      return std::move(source.value);
+    }
+  } catch (const common::JsonError&) {
+    // Reported below.
   }
-  return source;
+  throw RequestError("the body must be a JSON object");
 }
 
 json encodeCell(const Cell& cell) {
@@ -157,7 +163,7 @@
     CommandResponse response;
     response.status = parseStatus(source.at("status").get<std::string>());
     response.message = source.value("message", "");
-    response.version = source.value("version", std::uint64_t{0});
+    response.version = common::integerOr(source, "version", 0);
     response.table.columns = source.value("columns", std::vector<std::string>{});
     for (const json& row : source.value("rows", json::array())) {
       auto& cells = response.table.rows.emplace_back();
@@ -165,8 +171,8 @@
         cells.push_back(decodeCell(cell));
       }
     }
-    response.position = source.value("position", std::size_t{0});
-    response.length = source.value("length", std::size_t{0});
+    response.position = common::integerOr(source, "position", 0);
+    response.length = common::integerOr(source, "length", 0);
     response.suggestion = source.value("suggestion", "");
     response.change_id = source.value("change_id", "");
     for (const json& zone : source.value("zones", json::array())) {
@@ -176,6 +182,8 @@
     return response;
   } catch (const json::exception& error) {
     throw RequestError(std::string("the answer can't be read: ") + error.what());
+  } catch (const common::JsonError& error) {
+    throw RequestError(std::string("the answer can't be read: ") + error.what());
   }
 }
 
--- a/tests/configuration/change_test.cpp
+++ b/tests/configuration/change_test.cpp
@@ -2,8 +2,10 @@
 /// out-of-range values) must be rejected with the location of the error and must not crash.
 #include "cypresswall/configuration/change.h"
 
+#include "cypresswall/configuration/change_encoding.h"
 #include "cypresswall/configuration/duration_text.h"
 #include "cypresswall/configuration/fleet_file.h"
+#include "tests/support/odd_json.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::configuration {
@@ -74,9 +76,59 @@
   CPPUNIT_TEST(refusesUnknownFieldUnlessTolerant);
   CPPUNIT_TEST(durationsRoundTrip);
   CPPUNIT_TEST(arbitraryFileGivesAChangeOrAnError);
+  CPPUNIT_TEST(shortFileThatStandsForManyValuesIsRefused);
+  CPPUNIT_TEST(deepFileIsRefused);
+  CPPUNIT_TEST(oddChangesAreReadOrRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against: a short file whose aliases stand for billions of values fills the memory of
+  // the node that an operator sends it to.
+  void shortFileThatStandsForManyValuesIsRefused() {
+    std::string text = "engines: &a0 [x, x, x, x, x, x, x, x, x, x]\n";
+    for (int level = 1; level <= 12; ++level) {
+      const std::string below = "*a" + std::to_string(level - 1);
+      text += "level" + std::to_string(level) + ": &a" + std::to_string(level) + " [" + below;
+      for (int copy = 1; copy < 10; ++copy) {
+        text += ", " + below;
+      }
+      text += "]\n";
+    }
+    CPPUNIT_ASSERT_THROW(differenceToFleetFile(text, "f", {}), FleetFileError);
+  }
+
+  // Guards against: a file that is nested deeply ends the node that an operator sends it to.
+  void deepFileIsRefused() {
+    for (const std::string& text :
+         {"engines: " + std::string(100'000, '['), "engines: " + testing::deepJson(),
+          "engines: " + testing::deepJson(100), std::string("engines: &a [*a]")}) {
+      CPPUNIT_ASSERT_THROW(differenceToFleetFile(text, "f", {}), FleetFileError);
+    }
+  }
+
+  // Guards against: a change or a configuration of another node with a value that is deep, long or
+  // out of range ends the process, or is taken with another value.
+  void oddChangesAreReadOrRefused() {
+    LoggedChange entry;
+    entry.change = changeOf(differenceToFleetFile(kFleet, "f", {}));
+    testing::forEachOddCopy(encodeChange(entry), [&](const std::string& text) {
+      try {
+        checkChange({}, decodeChange(text).change);
+      } catch (const common::Error&) {
+        // Refused in order.
+      }
+    });
+    ConfigurationSnapshot snapshot;
+    snapshot.configuration = load(kFleet);
+    testing::forEachOddCopy(encodeSnapshot(snapshot), [&](const std::string& text) {
+      try {
+        encodeSnapshot(decodeSnapshot(text));
+      } catch (const common::Error&) {
+        // Refused in order.
+      }
+    });
+  }
+
   void loadsAFleetFile() {
     const FleetConfiguration fleet = load(kFleet);
     CPPUNIT_ASSERT(fleet.engines.at("e1").initial_role == engines::EngineRole::kDecode);
--- a/tests/gateway/completion_request_test.cpp
+++ b/tests/gateway/completion_request_test.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "cypresswall/gateway/error_answer.h"
+#include "tests/support/odd_json.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::gateway {
@@ -29,9 +30,22 @@
   CPPUNIT_TEST(arbitraryBytesParseOrGive400);
   CPPUNIT_TEST(mutatedRequestsParseOrGive400);
   CPPUNIT_TEST(messagesRoundTrip);
+  CPPUNIT_TEST(oddValuesParseOrGive400);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against: a caller's body with a value that is deep, long or out of range ends the
+  // process or gets no answer.
+  void oddValuesParseOrGive400() {
+    for (const CompletionKind kind : {CompletionKind::kChat, CompletionKind::kText}) {
+      testing::forEachOddCopy(
+          R"({"model":"m","prompt":["p"],"messages":[{"role":"user","content":
+              [{"type":"text","text":"t"}]}],"max_tokens":5,"n":1,"stream":true,
+              "stream_options":{"include_usage":true},"other":{"a":[1]}})",
+          [kind](const std::string& body) { errorOf(kind, body); });
+    }
+  }
+
   void errorsNameTheInvalidField() {
     const std::vector<std::pair<std::string, std::string>> bodies = {
         {"", "invalid_json/"},
--- a/tests/operators/command_client_test.cpp
+++ b/tests/operators/command_client_test.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/operators/command_client.h"
 
 #include "cypresswall/operators/command_api.h"
+#include "tests/support/odd_json.h"
 #include "tests/support/property.h"
 
 namespace cypresswall::operators {
@@ -26,9 +27,39 @@
   CPPUNIT_TEST(conflictBeyondExpectedVersionIsConclusive);
   CPPUNIT_TEST(refusalOfFirstAttemptIsFinal);
   CPPUNIT_TEST(unreachableServersAreReported);
+  CPPUNIT_TEST(oddCommandsAndAnswersAreReadOrRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against: a command or an answer with a value that is deep, long or out of range ends
+  // the daemon or the operator's program.
+  void oddCommandsAndAnswersAreReadOrRefused() {
+    CommandRequest request;
+    request.command = "show nodes";
+    request.expected_version = 3;
+    request.file = {"fleet.yaml", "zones: []"};
+    testing::forEachOddCopy(encodeRequest(request).dump(), [](const std::string& body) {
+      try {
+        decodeRequest(body);
+      } catch (const RequestError&) {
+        // Refused in order.
+      }
+    });
+    for (const char* answer :
+         {R"({"status":"ok","message":"m","version":3,"columns":["a"],"rows":[["x",1,0.5,true]]})",
+          R"({"status":"parse_error","message":"m","position":1,"length":2,"suggestion":"s"})",
+          R"({"status":"accepted","change_id":"c","zones":[{"zone":"z","in_force":true}]})"}) {
+      CPPUNIT_ASSERT_NO_THROW(decodeResponse(answer));
+      testing::forEachOddCopy(answer, [](const std::string& body) {
+        try {
+          decodeResponse(body);
+        } catch (const RequestError&) {
+          // Refused in order.
+        }
+      });
+    }
+  }
+
   void parseErrorNeedsNoServer() {
     CPPUNIT_ASSERT(run("shwo engines", {}).status == CommandStatus::kParseError);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bodies_.size());
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -67,9 +67,27 @@
   CPPUNIT_TEST(defaultsRoundTrip);
   CPPUNIT_TEST(settingsPageListsEveryKey);
   CPPUNIT_TEST(arbitraryTextIsReadOrRejected);
+  CPPUNIT_TEST(deepAndOddDocumentsAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against: a settings file that is nested deeply, or refers to itself, ends the program
+  // without a word.
+  void deepAndOddDocumentsAreRefused() {
+    constexpr std::size_t kDepth = 100'000;
+    const std::vector<std::string> documents = {
+        std::string(kDepth, '['),
+        "node: " + std::string(kDepth, '['),
+        "node: " + std::string(kDepth, '[') + std::string(kDepth, ']'),
+        "node:\n  zone: " + std::string(kDepth, '{'),
+        "node: &node [*node, *node]",
+        "node: {zone: &zone [*zone]}"};
+    for (const std::string& document : documents) {
+      CPPUNIT_ASSERT_MESSAGE(document.substr(0, 40),
+                             problemsOf(document).find("node.yaml") != std::string::npos);
+    }
+  }
+
   void minimalSettingsTakeAllDefaults() {
     const DaemonSettings settings = load(kMinimalSettings);
     CPPUNIT_ASSERT_EQUAL(std::string("constanta"), settings.zone);
