Keep the other claims if one replicated claim can't be read

The next holder of a zone's lease decoded all replicated claims at once: the first unreadable one threw out of the lease's listener, and the keys behind it counted as new, so that their requests could run a second time. Such a key is uncertain now until its retention ends; all others are read.

--- a/src/cypresswall/idempotency/claim_table.cpp
+++ b/src/cypresswall/idempotency/claim_table.cpp
@@ -53,7 +53,9 @@
       not_owner_count_(context.counters.counter("cypresswall_claims_not_owner_total",
                                                 "Claims on keys that this zone does not own")),
       answer_dropped_count_(context.counters.counter("cypresswall_claim_answers_dropped_total",
-                                                     "Answers too large to keep")) {}
+                                                     "Answers too large to keep")),
+      unreadable_count_(context.counters.counter("cypresswall_claim_records_unreadable_total",
+                                                 "Replicated claims that could not be read")) {}
 
 void ClaimTable::start() {
   authority_.onChange([this](std::optional<common::Epoch> epoch) { leaseChanged(epoch); });
@@ -68,6 +70,19 @@
   }
 }
 
+template <typename Record>
+std::optional<Record> ClaimTable::readable(const std::string& key, const std::string& payload) {
+  try {
+    return api::decodeBody<Record>(payload);
+  } catch (const api::MessageError& error) {
+    unreadable_count_.add();
+    common::LogEvent(context_.log, common::LogLevel::kError, "claim_record_unreadable")
+        .field("key", key)
+        .field("error", error.what());
+    return std::nullopt;
+  }
+}
+
 void ClaimTable::load(const common::Epoch& epoch) {
   const auto now = context_.clock.now();
   generation_ = epoch.generation;
@@ -77,7 +92,10 @@
     if (!key.starts_with(prefix)) {
       continue;
     }
-    Entry entry{api::decodeBody<ClaimRecord>(payload), false, now + settings_.retention};
+    auto record = readable<ClaimRecord>(key, payload);
+    const bool unreadable = !record;
+    Entry entry{std::move(record).value_or(ClaimRecord{}), false, now + settings_.retention,
+                unreadable};
     answer_bytes_ += entry.record.answer.size();
     entries_[key.substr(prefix.size())] = std::move(entry);
   }
@@ -87,7 +105,9 @@
   }
   const auto settled = records.find(kSettledZonesKey);
   settled_zones_version_ =
-      settled == records.end() ? 0 : api::decodeBody<std::uint64_t>(settled->second);
+      settled == records.end()
+          ? 0
+          : readable<std::uint64_t>(settled->first, settled->second).value_or(0);
   zones_version_ = ownership_.version();
   zones_version_since_ = now;
 }
@@ -218,7 +238,9 @@
   ClaimReply reply;
   reply.claim = request.claim;
   reply.retry_after_us = static_cast<std::uint64_t>(settings_.retry_after.count());
-  if (entry.record.digest != request.digest) {
+  if (entry.unreadable) {
+    reply.verdict = HolderVerdict::kUncertain;
+  } else if (entry.record.digest != request.digest) {
     reply.verdict = HolderVerdict::kDifferentBody;
   } else if (entry.record.state == ClaimState::kCompleted) {
     reply.verdict = HolderVerdict::kCompleted;
--- a/src/cypresswall/idempotency/claim_table.h
+++ b/src/cypresswall/idempotency/claim_table.h
@@ -58,10 +58,15 @@
     /// True while `record` is not yet stored by a majority of the voters.
     bool committing = false;
     common::MonotonicTime expires;
+    /// The record could not be read: the key may have been used by any request.
+    bool unreadable = false;
   };
 
   void leaseChanged(std::optional<common::Epoch> epoch);
   void load(const common::Epoch& epoch);
+  /// \return the record, or nothing if it can't be read
+  template <typename Record>
+  std::optional<Record> readable(const std::string& key, const std::string& payload);
   void sweep();
   void settleOwnership();
   common::MonotonicTime ownershipSettlesAt() const;
@@ -99,6 +104,7 @@
   common::Counter& moved_count_;
   common::Counter& not_owner_count_;
   common::Counter& answer_dropped_count_;
+  common::Counter& unreadable_count_;
 };
 
 }  // namespace cypresswall::idempotency
--- a/tests/idempotency/quorum_key_claims_test.cpp
+++ b/tests/idempotency/quorum_key_claims_test.cpp
@@ -94,6 +94,7 @@
   CPPUNIT_TEST(claimOfDeadNodeIsUncertain);
   CPPUNIT_TEST(claimWithoutHolderIsUnavailable);
   CPPUNIT_TEST(claimInNewGenerationIsUncertain);
+  CPPUNIT_TEST(unreadableClaimIsUncertainAlone);
   CPPUNIT_TEST(claimTableIsBounded);
   CPPUNIT_TEST(keyRunsAtMostOnceUnderRandomFaults);
   CPPUNIT_TEST_SUITE_END();
@@ -178,6 +179,31 @@
     CPPUNIT_ASSERT(zone.claim(zone.zone.holder().value(), "l") == ClaimVerdict::kGranted);
   }
 
+  // Guards against: one replicated claim that the next holder can't read keeps it from reading the
+  // others, or lets a key run again.
+  void unreadableClaimIsUncertainAlone() {
+    ClaimZone zone(8);
+    zone.zone.startAll(3);
+    zone.zone.awaitHolder(6s);
+    zone.zone.world.runFor(2s);
+    CPPUNIT_ASSERT(zone.claim(1, "k") == ClaimVerdict::kGranted);
+    zone.claims.at(1)->complete("k", "answer");
+    const int holder = zone.zone.holder().value();
+    zone.zone.nodes.at(holder).authority->replicate(lease::RecordModule::kIdempotency, "claim/a",
+                                                    "\xc1", [](bool) {});
+    zone.zone.world.runFor(2s);
+    zone.zone.stop(holder);
+    zone.zone.awaitHolder(10s);
+    zone.zone.world.runFor(1s);
+    const int next = zone.zone.holder().value();
+    CPPUNIT_ASSERT(zone.claim(next, "k") == ClaimVerdict::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(std::string("answer"), zone.last_answer);
+    CPPUNIT_ASSERT(zone.claim(next, "a") == ClaimVerdict::kUncertain);
+    CPPUNIT_ASSERT(zone.claim(next, "new") == ClaimVerdict::kGranted);
+    zone.zone.world.runFor(11min);
+    CPPUNIT_ASSERT(zone.claim(next, "a") == ClaimVerdict::kGranted);
+  }
+
   void claimTableIsBounded() {
     ClaimZone zone(7);
     zone.settings.maximum_claims = 2;
