--- a/src/cypresswall/common/time.h
+++ b/src/cypresswall/common/time.h
@@ -66,9 +66,15 @@
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, kMost));
 }
 
-/// \return `seconds` as a Duration, rounded towards zero to whole microseconds.
+/// Longest duration that results from a conversion; sums of some of them can't overflow.
+inline constexpr Duration kLongestDuration = std::chrono::hours(24 * 365 * 100);
+
+/// \return `seconds` as a Duration, rounded towards zero to whole microseconds; at most
+///   kLongestDuration, negative or not, and zero for a value that is no number
 constexpr Duration fromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  constexpr double kMost = toSeconds(kLongestDuration);
+  const double bounded = seconds >= -kMost ? std::min(seconds, kMost) : (seconds < 0 ? -kMost : 0);
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
 }
 
 }  // namespace cypresswall::common
