Accept callers again after accepts have failed

Callers saw connections that nobody accepted: real daemons that had once run out of descriptors served none of 282 and 283 requests from 2 s after the surplus connections had closed, on 4 of 4 nodes, while /readyz said 200 and no line told of it (trials: 256 descriptors with 270 idle connections a node, 1024 with 1090).

Cause: RESTinio forgets an accept that fails and still counts it as under way. The server has 16 of them; once each has failed, none is left. A caller that resets its connection before it is accepted takes a place of the limit for good in the same way.

Change: a limiter of our own, which RESTinio lets its traits choose, counts an accept as ended when the next one begins. The server looks four times a second whether callers wait although accepts count as under way and nobody was accepted in between, and begins them again, with a line and a counter. The limit of connections leaves a quarter of the descriptors to connections to engines, peers and the store.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cypresswall/operators/command_api.h"
+#include "cypresswall/runtime/descriptor_limit.h"
 
 namespace cypresswall::daemon {
 namespace {
@@ -15,6 +16,8 @@
 using common::LogLevel;
 
 constexpr int kExitForced = 1;
+/// Callers may have all but this part of the descriptors.
+constexpr std::size_t kReservedDescriptorsDivisor = 4;
 /// Maximum time for sending the remaining responses and messages after the node has stopped.
 constexpr auto kFlushTimeout = std::chrono::seconds(2);
 constexpr auto kFlushCheckInterval = std::chrono::milliseconds(10);
@@ -79,15 +82,42 @@
   settings.on_rejected = [this](const http::Rejection& rejection) {
     frontend_->reportRejection(rejection);
   };
+  limitToDescriptors(settings);
+  reportAcceptRestarts(settings);
   return settings;
 }
 
 http::ServerSettings Daemon::managementServerSettings() {
   http::ServerSettings settings;
   settings.address = settings_.readiness_address;
+  reportAcceptRestarts(settings);
   return settings;
 }
 
+void Daemon::limitToDescriptors(http::ServerSettings& settings) {
+  const std::size_t descriptors = runtime::maximumDescriptors();
+  const std::size_t available = descriptors - descriptors / kReservedDescriptorsDivisor;
+  if (settings.maximum_connections <= available) {
+    return;
+  }
+  LogEvent(log_, LogLevel::kWarning, "connections_limited_by_descriptors")
+      .field("connections", settings.maximum_connections)
+      .field("descriptors", descriptors)
+      .field("limited_to", available);
+  settings.maximum_connections = available;
+}
+
+void Daemon::reportAcceptRestarts(http::ServerSettings& settings) {
+  auto& restarts = counters_.counter("cypresswall_http_accept_restarts_total",
+                                     "Times that callers waited since accepts had failed.");
+  settings.on_accepts_restarted = [this, &restarts, address = settings.address] {
+    restarts.add();
+    LogEvent(log_, LogLevel::kWarning, "accepts_restarted")
+        .field("address", address)
+        .field("descriptors", runtime::maximumDescriptors());
+  };
+}
+
 void Daemon::mountManagementPaths() {
   gateway::HttpRoutes& routes = settings_.readiness_address.empty() ? routes_ : management_routes_;
   mountHealth(
--- a/apps/cypresswalld/daemon.h
+++ b/apps/cypresswalld/daemon.h
@@ -43,6 +43,9 @@
   api::ProcessContext processContext();
   http::ServerSettings serverSettings();
   http::ServerSettings managementServerSettings();
+  /// Keeps descriptors free for connections to engines, peers and the store.
+  void limitToDescriptors(http::ServerSettings& settings);
+  void reportAcceptRestarts(http::ServerSettings& settings);
   /// Adds the health, metrics and operator paths to the routes of the management server, or to
   /// those of the gateway server if the settings configure no management server.
   void mountManagementPaths();
--- /dev/null
+++ b/src/cypresswall/http/accept_limiter.h
@@ -0,0 +1,132 @@
+/// Limit of a server's open connections, in place of RESTinio's. RESTinio forgets an accept that
+/// fails, as accepts do while the process is out of descriptors, and still counts it: once all of
+/// them have failed, the server accepts nobody any more. It also counts a caller that has reset its
+/// connection before it was accepted as a connection for good.
+#pragma once
+
+#include <cstddef>
+#include <restinio/connection_count_limiter.hpp>
+#include <utility>
+#include <vector>
+
+namespace cypresswall::http {
+
+/// Implements the limiter that RESTinio's acceptor requires; the names of some member functions are
+/// RESTinio's. For a server with one thread.
+class AcceptLimiter {
+ public:
+  using Acceptor = restinio::connection_count_limits::impl::acceptor_callback_iface_t;
+
+  /// Refers to the limiter that is constructed while this object is the last one that was
+  /// constructed; null before and after its life. RESTinio constructs the limiter itself and passes
+  /// only its own arguments.
+  class Reference {
+   public:
+    Reference() { expected() = this; }
+    ~Reference() {
+      if (limiter_ != nullptr) {
+        limiter_->reference_ = nullptr;
+      }
+      if (expected() == this) {
+        expected() = nullptr;
+      }
+    }
+    Reference(const Reference&) = delete;
+    Reference& operator=(const Reference&) = delete;
+
+    AcceptLimiter* get() const { return limiter_; }
+
+   private:
+    friend class AcceptLimiter;
+    AcceptLimiter* limiter_ = nullptr;
+  };
+
+  AcceptLimiter(restinio::not_null_pointer_t<Acceptor> acceptor,
+                restinio::connection_count_limits::max_parallel_connections_t maximum_connections,
+                restinio::connection_count_limits::max_active_accepts_t maximum_accepts)
+      : acceptor_(acceptor),
+        reference_(std::exchange(expected(), nullptr)),
+        maximum_connections_(maximum_connections.value()),
+        accepting_(maximum_accepts.value(), false) {
+    waiting_.reserve(maximum_accepts.value());
+    if (reference_ != nullptr) {
+      reference_->limiter_ = this;
+    }
+  }
+  ~AcceptLimiter() {
+    if (reference_ != nullptr) {
+      reference_->limiter_ = nullptr;
+    }
+  }
+  AcceptLimiter(const AcceptLimiter&) = delete;
+  AcceptLimiter& operator=(const AcceptLimiter&) = delete;
+
+  void increment_parallel_connections() noexcept {  // NOLINT
+    ++connections_;
+    ++accepted_;
+  }
+
+  void decrement_parallel_connections() noexcept {  // NOLINT
+    --connections_;
+    if (hasRoom() && !waiting_.empty()) {
+      const std::size_t accept = waiting_.back();
+      waiting_.pop_back();
+      acceptor_->schedule_next_accept_attempt(accept);
+    }
+  }
+
+  /// \param accept number of an accept that has ended, or has not begun yet
+  void accept_next(std::size_t accept) noexcept {  // NOLINT
+    end(accept);
+    if (hasRoom()) {
+      accepting_[accept] = true;
+      ++active_accepts_;
+      acceptor_->call_accept_now(accept);
+    } else {
+      waiting_.push_back(accept);
+    }
+  }
+
+  /// \return number of connections accepted so far
+  std::size_t accepted() const { return accepted_; }
+  bool hasRoom() const { return connections_ + active_accepts_ < maximum_connections_; }
+  /// \return true if accepts are under way, as far as RESTinio has told
+  bool isAccepting() const { return active_accepts_ != 0; }
+
+  /// Begins the accepts that count as under way again.
+  /// \pre they have failed: a caller waits to be accepted, and is not
+  void restartAccepts() {
+    for (std::size_t accept = 0; accept < accepting_.size(); ++accept) {
+      if (accepting_[accept]) {
+        end(accept);
+        acceptor_->schedule_next_accept_attempt(accept);
+      }
+    }
+  }
+
+ private:
+  static Reference*& expected() {
+    thread_local Reference* reference = nullptr;
+    return reference;
+  }
+
+  void end(std::size_t accept) {
+    if (accepting_[accept]) {
+      accepting_[accept] = false;
+      --active_accepts_;
+    }
+  }
+
+  Acceptor* acceptor_;
+  Reference* reference_;
+  std::size_t maximum_connections_;
+  std::size_t connections_ = 0;
+  std::size_t accepted_ = 0;
+  std::size_t active_accepts_ = 0;
+  /// Whether each accept, by its number, is under way.
+  std::vector<bool> accepting_;
+  /// Numbers of the accepts that wait for room.
+  std::vector<std::size_t> waiting_;
+};
+
+}  // namespace cypresswall::http
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -4,6 +4,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <charconv>
+#include <optional>
 #include <restinio/http_server.hpp>
 #include <restinio/settings.hpp>
 #include <restinio/uri_helpers.hpp>
@@ -11,6 +12,7 @@
 #include <utility>
 
 #include "cypresswall/common/header_names.h"
+#include "cypresswall/http/accept_limiter.h"
 #include "cypresswall/http/exchange.h"
 #include "cypresswall/http/listening_socket.h"
 #include "cypresswall/http/rejection.h"
@@ -30,6 +32,8 @@
 constexpr std::chrono::seconds kCheckPeriod(1);
 /// Interval at which a stopping server polls for connections waiting to be accepted.
 constexpr std::chrono::milliseconds kBacklogCheckPeriod(1);
+/// Interval of the checks for callers that wait to be accepted although there is room.
+constexpr std::chrono::milliseconds kAcceptCheckPeriod(250);
 /// RESTinio's handler timeout, effectively disabled: RESTinio does not see the writes that go
 /// directly to the socket. ServerSettings::idle_time_limit applies instead.
 constexpr std::chrono::hours kHandlerTimeout(24 * 365);
@@ -355,6 +359,20 @@
   static constexpr bool use_connection_count_limiter = true;  // NOLINT
 };
 
+}  // namespace
+}  // namespace cypresswall::http
+
+template <>
+struct restinio::connection_count_limit_types<cypresswall::http::ServerTraits> {
+  // These names are required by RESTinio.
+  using limiter_t = cypresswall::http::AcceptLimiter;  // NOLINT
+  using lifetime_monitor_t =                           // NOLINT
+      restinio::connection_count_limits::connection_lifetime_monitor_t<limiter_t>;
+};
+
+namespace cypresswall::http {
+namespace {
+
 /// Splits "IP:port". \throws ListenError
 std::pair<asio::ip::address, std::uint16_t> parseAddress(const std::string& address) {
   const auto colon = address.rfind(':');
@@ -375,7 +393,8 @@
   RestinioServer(asio::io_context& context, ServerSettings settings, Handler handler)
       : context_(context),
         table_(std::make_shared<ConnectionTable>(context, std::move(settings), std::move(handler))),
-        backlog_timer_(context) {}
+        backlog_timer_(context),
+        accept_timer_(context) {}
   ~RestinioServer() override { close(); }
   RestinioServer(const RestinioServer&) = delete;
   RestinioServer& operator=(const RestinioServer&) = delete;
@@ -383,12 +402,14 @@
   void start() override {
     const auto& address = table_->settings().address;
     const auto [ip, port] = parseAddress(address);
+    limiter_.emplace();
     try {
       server_ = std::make_shared<restinio::http_server_t<ServerTraits>>(
           restinio::external_io_context(context_), restinioSettings(ip, port));
       table_->setServer(server_);
       server_->open_sync();
       table_->state()->listening = true;
+      checkAcceptsLater();
     } catch (const std::exception& error) {
       server_.reset();
       throw ListenError("can't listen on " + address + ": " + error.what());
@@ -405,6 +426,7 @@
   void close() override {
     table_->state()->stopping = true;
     backlog_timer_.cancel();
+    accept_timer_.cancel();
     closeListener();
     table_->closeAll();
   }
@@ -432,6 +454,35 @@
     });
   }
 
+  void checkAcceptsLater() {
+    accept_timer_.expires_after(kAcceptCheckPeriod);
+    accept_timer_.async_wait([this, alive = std::weak_ptr(alive_)](const asio::error_code& error) {
+      if (!error && !alive.expired() && listening_socket_ >= 0) {
+        checkAccepts();
+        checkAcceptsLater();
+      }
+    });
+  }
+
+  /// Begins accepts again that RESTinio has given up: callers wait in two checks in a row, and
+  /// nobody was accepted between them.
+  void checkAccepts() {
+    AcceptLimiter* const limiter = limiter_->get();
+    const bool stalled =
+        limiter != nullptr && limiter->isAccepting() && hasPendingConnections(listening_socket_);
+    const bool still_stalled = stalled && stalled_after_ == limiter->accepted();
+    stalled_after_.reset();
+    if (stalled) {
+      stalled_after_ = limiter->accepted();
+    }
+    if (still_stalled) {
+      if (table_->settings().on_accepts_restarted) {
+        table_->settings().on_accepts_restarted();
+      }
+      limiter->restartAccepts();
+    }
+  }
+
   void closeListener() {
     if (server_) {
       server_->close_sync();
@@ -480,9 +531,13 @@
 
   asio::io_context& context_;
   std::shared_ptr<ConnectionTable> table_;
+  std::optional<AcceptLimiter::Reference> limiter_;
   std::shared_ptr<restinio::http_server_t<ServerTraits>> server_;
   int listening_socket_ = -1;
   asio::steady_timer backlog_timer_;
+  asio::steady_timer accept_timer_;
+  /// Number of connections accepted before the last check, if callers waited then.
+  std::optional<std::size_t> stalled_after_;
   /// Queued handlers hold weak pointers to this flag, which expire when this object is destroyed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::uint16_t port_ = 0;
--- a/src/cypresswall/http/server.h
+++ b/src/cypresswall/http/server.h
@@ -90,6 +90,9 @@
   std::vector<Header> rejection_headers = {};
   /// Called once for each rejection, for logging and counters; may be empty.
   std::function<void(const Rejection&)> on_rejected = {};
+  /// Called when connections could not be accepted, as happens while the process is out of
+  /// descriptors, and the server tries again; at most a few times a second. May be empty.
+  std::function<void()> on_accepts_restarted = {};
 };
 
 class Server {
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,5 +1,8 @@
 #include "cypresswall/http/server.h"
 
+#include <sys/resource.h>
+
+#include <memory>
 #include <vector>
 
 #include "tests/http/http_client.h"
@@ -34,6 +37,8 @@
   CPPUNIT_TEST(stopListeningFinishesOpenRequests);
   CPPUNIT_TEST(connectionMayOutliveServer);
   CPPUNIT_TEST(stopListeningAcceptsPendingConnections);
+  CPPUNIT_TEST(acceptsAgainAfterRunningOutOfDescriptors);
+  CPPUNIT_TEST(callersResetBeforeTheyAreAcceptedDoNotUseUpTheLimit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -335,6 +340,62 @@
   }
 
  private:
+  // A process that ran out of descriptors once never accepted a caller again.
+  void acceptsAgainAfterRunningOutOfDescriptors() {
+    std::size_t restarts = 0;
+    settings_.on_accepts_restarted = [&restarts] { ++restarts; };
+    startServer();
+    constexpr std::size_t kClients = 64;
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (std::size_t client = 0; client < kClients; ++client) {
+      clients.push_back(std::make_unique<RawClient>(context_, server_->port()));
+    }
+    {
+      const NoDescriptors none;
+      CPPUNIT_ASSERT(runUntil(context_, [&] { return restarts >= 2; }));
+    }
+    for (const auto& client : clients) {
+      client->startReading();
+      client->send("GET / HTTP/1.1\r\n\r\n");
+    }
+    CPPUNIT_ASSERT(waitForRequests(kClients));
+    auto later = request("GET / HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(waitForRequests(kClients + 1));
+  }
+
+  // Each such caller took a place of the limit for good.
+  void callersResetBeforeTheyAreAcceptedDoNotUseUpTheLimit() {
+    settings_.maximum_connections = 2;
+    startServer();
+    for (std::size_t caller = 0; caller < 4 * settings_.maximum_connections; ++caller) {
+      RawClient client(context_, server_->port());
+      client.reset();
+      context_.restart();
+      context_.run_for(std::chrono::milliseconds(5));
+    }
+    RawClient client(context_, server_->port());
+    client.startReading();
+    client.send("GET / HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(waitForRequests(1));
+  }
+
+  /// While it exists, the process can open no descriptor. poll() takes one.
+  class NoDescriptors {
+   public:
+    NoDescriptors() {
+      ::getrlimit(RLIMIT_NOFILE, &before_);
+      rlimit none = before_;
+      none.rlim_cur = 1;
+      CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &none));
+    }
+    ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+    NoDescriptors(const NoDescriptors&) = delete;
+    NoDescriptors& operator=(const NoDescriptors&) = delete;
+
+   private:
+    rlimit before_{};
+  };
+
   void startServer() {
     settings_.address = "127.0.0.1:0";
     settings_.rejection_headers = {{"X-Rejected", "yes"}};
