Wait for an address that is in use at the start

A daemon whose address was in use ended with exit code 3, at each start until the address was free (trial: 4 of 4 starts within 2 s). The process before it may still be stopping, or an outgoing connection may have taken the port for a moment.

It now tries for up to 10 s, longer than an orderly stop, and says so once. Test startsOnceAPortInUseIsFree, before: 'assertion failed: started', the daemon had ended; after: OK (11). The tests' bound port is no longer inherited by the daemon that they start, which had kept it in use.

--- a/apps/cypresswalld/main.cpp
+++ b/apps/cypresswalld/main.cpp
@@ -5,9 +5,12 @@
 #include <sanitizer/lsan_interface.h>
 #endif
 
+#include <chrono>
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <thread>
+#include <utility>
 
 #include "apps/cypresswalld/daemon.h"
 #include "cypresswall/settings/key_table.h"
@@ -36,6 +39,10 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitBadSettings = 2;
 constexpr int kExitCannotListen = 3;
+/// How long a start waits for an address that is in use: longer than an orderly stop of the process
+/// before it.
+constexpr std::chrono::seconds kAddressInUseLimit(10);
+constexpr std::chrono::milliseconds kAddressInUseDelay(500);
 
 settings::DaemonSettings loadSettings() {
   settings::SourceValues values;
@@ -65,11 +72,37 @@
   mallopt(M_MMAP_THRESHOLD, kLargeBufferBytes);
 }
 
+/// Runs a daemon. Its addresses may be in use by the process before it, which is about to stop, or
+/// by an outgoing connection of another process, so that it tries again for a limited time.
+int runOnFreeAddresses(const settings::DaemonSettings& loaded) {
+  const auto give_up_at = std::chrono::steady_clock::now() + kAddressInUseLimit;
+  bool reported = false;
+  const auto report = [&reported](const common::Error& error) {
+    if (!std::exchange(reported, true)) {
+      std::cerr << "cypresswalld: " << error.what() << "; trying for up to "
+                << kAddressInUseLimit.count() << " s" << std::endl;
+    }
+  };
+  while (true) {
+    try {
+      daemon::Daemon daemon(loaded, loadSettings, selectPlatformAdapter(loaded));
+      return daemon.run();
+    } catch (const runtime::AddressInUse& error) {
+      report(error);
+    } catch (const http::AddressInUse& error) {
+      report(error);
+    }
+    if (std::chrono::steady_clock::now() >= give_up_at) {
+      return kExitCannotListen;
+    }
+    std::this_thread::sleep_for(kAddressInUseDelay);
+  }
+}
+
 int runDaemon(const settings::DaemonSettings& loaded) {
   returnLargeBuffers();
   try {
-    daemon::Daemon daemon(loaded, loadSettings, selectPlatformAdapter(loaded));
-    return daemon.run();
+    return runOnFreeAddresses(loaded);
   } catch (const runtime::TransportError& error) {
     std::cerr << "cypresswalld: " << error.what() << "\n";
     return kExitCannotListen;
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -410,6 +410,13 @@
       server_->open_sync();
       table_->state()->listening = true;
       checkAcceptsLater();
+    } catch (const std::system_error& error) {
+      server_.reset();
+      const auto text = "can't listen on " + address + ": " + error.what();
+      if (error.code() == asio::error::address_in_use) {
+        throw AddressInUse(text);
+      }
+      throw ListenError(text);
     } catch (const std::exception& error) {
       server_.reset();
       throw ListenError("can't listen on " + address + ": " + error.what());
--- a/src/cypresswall/http/server.h
+++ b/src/cypresswall/http/server.h
@@ -23,6 +23,12 @@
   using common::Error::Error;
 };
 
+/// Thrown if another socket uses the address.
+class AddressInUse : public ListenError {
+ public:
+  using ListenError::ListenError;
+};
+
 using Header = common::HeaderField;
 
 struct Request {
--- a/src/cypresswall/runtime/tcp_peer_transport.cpp
+++ b/src/cypresswall/runtime/tcp_peer_transport.cpp
@@ -46,6 +46,12 @@
     acceptor_.listen();
     const auto local = acceptor_.local_endpoint();
     return common::formatSocketAddress({local.address().to_string(), local.port()});
+  } catch (const std::system_error& error) {
+    const auto text = "can't listen on " + settings_.listen_address + ": " + error.what();
+    if (error.code() == asio::error::address_in_use) {
+      throw AddressInUse(text);
+    }
+    throw TransportError(text);
   } catch (const std::exception& error) {
     throw TransportError("can't listen on " + settings_.listen_address + ": " + error.what());
   }
--- a/src/cypresswall/runtime/tcp_peer_transport.h
+++ b/src/cypresswall/runtime/tcp_peer_transport.h
@@ -25,6 +25,12 @@
   using common::Error::Error;
 };
 
+/// Thrown if another socket uses the listening address.
+class AddressInUse : public TransportError {
+ public:
+  using TransportError::TransportError;
+};
+
 class IncomingPeer;
 
 /// Invalid data or a message of another protocol version closes the connection on which it arrived,
--- a/tests/daemon/command_line_test.cpp
+++ b/tests/daemon/command_line_test.cpp
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <cstdio>
 #include <fstream>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/daemon/child_process.h"
@@ -24,6 +26,7 @@
   CPPUNIT_TEST(wrongSettingsExitWithTwo);
   CPPUNIT_TEST(checkSettingsOpensNoSockets);
   CPPUNIT_TEST(portsInUseExitWithThree);
+  CPPUNIT_TEST(startsOnceAPortInUseIsFree);
   CPPUNIT_TEST(stopsOnSigterm);
   CPPUNIT_TEST(reloadsLogLevelOnSighup);
   CPPUNIT_TEST_SUITE_END();
@@ -66,6 +69,21 @@
     expectPortInUse(taken.address());
   }
 
+  // A daemon that found an address in use ended, although the address was free a moment later.
+  void startsOnceAPortInUseIsFree() {
+    for (const bool gateway_taken : {false, true}) {
+      std::optional<BoundPort> taken(std::in_place);
+      const std::string address = taken->address();
+      writeSettings(gateway_taken ? freeAddress() : address,
+                    gateway_taken ? address : freeAddress(), "");
+      ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
+      CPPUNIT_ASSERT_MESSAGE(daemon.output(), daemon.waitForText("can't listen on " + address));
+      taken.reset();
+      const bool started = daemon.waitForText("event=daemon_started");
+      CPPUNIT_ASSERT_MESSAGE(daemon.output(), started);
+    }
+  }
+
   void stopsOnSigterm() {
     writeSettings(freeAddress(), freeAddress(), "");
     ChildProcess daemon(CYPRESSWALL_DAEMON, {"--settings", file_});
--- a/tests/daemon/free_address.h
+++ b/tests/daemon/free_address.h
@@ -15,7 +15,8 @@
 class BoundPort {
  public:
   /// \param port 0 for any free port
-  explicit BoundPort(std::uint16_t port = 0) : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+  explicit BoundPort(std::uint16_t port = 0)
+      : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
