--- a/src/cypresswall/http/server.h
+++ b/src/cypresswall/http/server.h
@@ -24,6 +24,12 @@
   using common::Error::Error;
 };
 
+/// Thrown if another socket uses the address.
+class AddressInUse : public ListenError {
+ public:
+  using ListenError::ListenError;
+};
+
 using Header = common::HeaderField;
 
 struct Request {
@@ -94,6 +100,9 @@
   /// Runs the handler of requests; a request whose handler throws gets a 500. If null, the
   /// connection of such a request is closed. It must outlive the server's connections.
   common::HandlerGuard* guard = nullptr;
+  /// Called when connections could not be accepted, as happens while the process is out of
+  /// descriptors, and the server tries again; at most a few times a second. May be empty.
+  std::function<void()> on_accepts_restarted = {};
 };
 
 class Server {
