--- a/tests/objects_platform/load_report_test.cpp
+++ b/tests/objects_platform/load_report_test.cpp
@@ -106,7 +106,11 @@
     for (const char* field : {"running", "queued", "kv_used", "kv_total", "call_seq"}) {
       for (const char* odd : {"-1", "0.5", "1e300", "-1e300", "1e19", "18446744073709551616",
                               "true", "[]", "\"3\""}) {
-        const std::string body = R"({"stage":"decode",")" + std::string(field) + "\":" + odd + "}";
+        const std::string body = std::string(R"({"stage":"decode",")")
+                                     .append(field)
+                                     .append("\":")
+                                     .append(odd)
+                                     .append("}");
         CPPUNIT_ASSERT_MESSAGE(body, !parseLoadReport(body, "i-1", facts(), {}).has_value());
       }
     }
--- a/tests/support/odd_json.h
+++ b/tests/support/odd_json.h
@@ -40,10 +40,10 @@
           "\"\\ud800\"",
           "\"\xff\"",
           "\"\\u0000\"",
-          "\"" + std::string(std::size_t{1} << 20, 'n') + "\"",
-          long_list + "]",
+          nlohmann::json(std::string(std::size_t{1} << 20, 'n')).dump(),
+          long_list.append("]"),
           deepJson(),
-          "{\"a\":" + deepJson() + "}"};
+          std::string("{\"a\":").append(deepJson()).append("}")};
 }
 
 namespace detail {
@@ -64,7 +64,7 @@
 template <typename Check>
 std::size_t forEachOddCopy(const std::string& example, const Check& check) {
   constexpr const char* kMark = "@odd value@";
-  const std::string marked = "\"" + std::string(kMark) + "\"";
+  const std::string marked = nlohmann::json(kMark).dump();
   const std::vector<std::string> odd_values = oddJsonValues();
   nlohmann::json document = nlohmann::json::parse(example);
   std::size_t copies = 0;
