--- a/tests/support/odd_json.h
+++ b/tests/support/odd_json.h
@@ -51,6 +51,10 @@
 /// Calls `found` with each value below `value`, which it may change.
 template <typename Found>
 void visitValues(nlohmann::json& value, const Found& found) {
+  // Iteration over a value that is no container yields the value itself.
+  if (!value.is_structured()) {
+    return;
+  }
   for (auto& member : value) {
     visitValues(member, found);
     found(member);
