--- a/src/cypresswall/common/bounded_json.cpp
+++ b/src/cypresswall/common/bounded_json.cpp
@@ -16,6 +16,8 @@
 /// Length of an escape such as \u00e9.
 constexpr std::size_t kUnicodeEscapeLength = 6;
 constexpr std::uint32_t kHexBase = 16;
+/// Depth of a list that is a member of the outermost object.
+constexpr std::size_t kListDepth = 2;
 
 bool opens(char letter) { return letter == '{' || letter == '['; }
 bool closes(char letter) { return letter == '}' || letter == ']'; }
@@ -109,6 +111,7 @@
   }
   std::size_t replacedValues() const { return replaced_values_; }
   std::size_t replacedCharacters() const { return replaced_characters_; }
+  std::set<std::size_t> takeReplacedElements() { return std::move(replaced_elements_); }
 
  private:
   void step() {
@@ -119,23 +122,39 @@
       skipContainer();
       replaceValue();
     } else if (endsWord(letter)) {
-      depth_ += opens(letter) ? 1 : 0;
-      depth_ -= closes(letter) && depth_ > 0 ? 1 : 0;
-      result_ += letter;
-      ++position_;
+      follow(letter);
+      copy(1);
     } else {
       copyWord();
     }
   }
 
+  void follow(char letter) {
+    if (opens(letter)) {
+      element_ = ++depth_ == kListDepth ? 0 : element_;
+    } else if (closes(letter) && depth_ > 0) {
+      --depth_;
+    } else if (letter == ',' && depth_ == kListDepth) {
+      ++element_;
+    }
+  }
+
+  void recordElement() {
+    if (depth_ >= kListDepth) {
+      replaced_elements_.insert(element_);
+    }
+  }
+
   void replaceValue() {
     result_ += kNull;
     ++replaced_values_;
+    recordElement();
   }
 
   void replaceCharacters(std::size_t length) {
     result_ += kReplacement;
     ++replaced_characters_;
+    recordElement();
     position_ += length;
   }
 
@@ -260,6 +279,9 @@
   std::string result_;
   std::size_t position_ = 0;
   std::size_t depth_ = 0;
+  /// Position in the list at kListDepth.
+  std::size_t element_ = 0;
+  std::set<std::size_t> replaced_elements_;
   std::size_t replaced_values_ = 0;
   std::size_t replaced_characters_ = 0;
 };
@@ -277,13 +299,14 @@
   if (shape.depth <= maximum_depth) {
     Json value = Json::parse(text, nullptr, false);
     if (!value.is_discarded()) {
-      return {std::move(value)};
+      return {std::move(value), 0, 0, {}};
     }
   }
   Repair repair(text, maximum_depth);
   const std::string repaired = repair.run();
   try {
-    return {Json::parse(repaired), repair.replacedValues(), repair.replacedCharacters()};
+    return {Json::parse(repaired), repair.replacedValues(), repair.replacedCharacters(),
+            repair.takeReplacedElements()};
   } catch (const Json::exception& error) {
     // The message may quote all of a token.
     throw JsonError(abbreviated(error.what(), 2 * kMaximumQuotedBytes));
@@ -374,7 +397,7 @@
   return result;
 }
 
-std::string abbreviated(std::string_view text, std::size_t maximum_bytes) {
+std::string abbreviated(std::string_view text, std::size_t maximum_bytes, std::string_view ending) {
   if (text.size() <= maximum_bytes) {
     return std::string(text);
   }
@@ -385,7 +408,7 @@
   while (end > 0 && continues(end)) {
     --end;
   }
-  return std::string(text.substr(0, end)) + "...";
+  return std::string(text.substr(0, end)).append(ending);
 }
 
 }  // namespace cypresswall::common
--- a/src/cypresswall/common/bounded_json.h
+++ b/src/cypresswall/common/bounded_json.h
@@ -9,6 +9,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,9 @@
   /// Number of bytes and escapes in strings that were replaced: invalid UTF-8, lone surrogates,
   /// unknown escapes and unescaped control characters.
   std::size_t replaced_characters = 0;
+  /// Where the text is an object with a list: the positions in that list of the elements in which
+  /// something was replaced. An answer with several lists yields the positions of all of them.
+  std::set<std::size_t> replaced_elements;
 
   bool repaired() const { return replaced_values + replaced_characters != 0; }
 };
@@ -84,8 +88,9 @@
 /// \return `text` with each byte that is not part of a valid UTF-8 character replaced by '?'
 std::string asUtf8(std::string_view text);
 
-/// \return `text`, or its beginning followed by "..." if it is longer than `maximum_bytes`. Does
+/// \return `text`, or its beginning followed by `ending` if it is longer than `maximum_bytes`. Does
 ///   not split UTF-8 characters.
-std::string abbreviated(std::string_view text, std::size_t maximum_bytes = kMaximumQuotedBytes);
+std::string abbreviated(std::string_view text, std::size_t maximum_bytes = kMaximumQuotedBytes,
+                        std::string_view ending = "...");
 
 }  // namespace cypresswall::common
--- a/src/cypresswall/common/log_interval.h
+++ b/src/cypresswall/common/log_interval.h
@@ -17,7 +17,7 @@
   /// \return the number of occurrences since the last line if a line is due, or else nothing
   std::optional<std::uint64_t> record(MonotonicTime now, std::uint64_t occurrences = 1) {
     unwritten_ += occurrences;
-    if (unwritten_ == 0 || (last_line_ && now - *last_line_ < interval_)) {
+    if (occurrences == 0 || (last_line_ && now - *last_line_ < interval_)) {
       return std::nullopt;
     }
     last_line_ = now;
--- a/tests/common/bounded_json_test.cpp
+++ b/tests/common/bounded_json_test.cpp
@@ -101,7 +101,7 @@
   }
 
   void replacesOnlyTheOddValue() {
-    for (const std::string odd :
+    for (const std::string& odd :
          {std::string("1e400"), std::string("-1e400"), std::string(400, '9'),
           std::string("Infinity"), std::string("NaN"), std::string("-"), std::string("01"),
           std::string("tru"), std::string("undefined"), std::string("1\0", 2),
