Read stored records with bounded depth and checked numbers

Another writer may overwrite an object of this system's own kinds. A field nested 100,000 deep ended every daemon that wrote the object again, at each start: parsing is iterative, the dump of the fields that are kept for later releases recurses. Numbers wrapped around on their way into 32 bits, and one odd object failed the whole listing of the own object API.

All records are parsed by parseBoundedJson() and their integers read within stated bounds; a malformed object is left out of a listing and counted in cypresswall_store_unreadable_objects_total. ownZoneRefusal() no longer throws when a field of an engine in a change has another type.

--- a/src/cypresswall/checkpoint/checkpoint.cpp
+++ b/src/cypresswall/checkpoint/checkpoint.cpp
@@ -1,9 +1,11 @@
 #include "cypresswall/checkpoint/checkpoint.h"
 
 #include <chrono>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "cypresswall/checkpoint/base64.h"
+#include "cypresswall/common/bounded_json.h"
 
 namespace cypresswall::checkpoint {
 namespace {
@@ -19,15 +21,17 @@
 constexpr const char* kBytes = "bytes";
 constexpr const char* kSavedAt = "saved_at_ms";
 /// Bound of `saved_at_ms`, far beyond any clock, so that conversions don't overflow.
-constexpr std::int64_t kMaximumMilliseconds = std::int64_t{1} << 50;
+constexpr std::uint64_t kMaximumMilliseconds = std::uint64_t{1} << 50U;
+constexpr std::uint64_t kMaximumNumber = std::numeric_limits<std::uint32_t>::max();
 
 SavedPart parsePart(const std::string& name, const Json& json) {
-  const auto saved_at = json.at(kSavedAt).get<std::int64_t>();
+  const auto saved_at =
+      common::integerIn(common::memberOrNull(json, kSavedAt), kMaximumMilliseconds);
   auto bytes = decodeBase64(json.at(kBytes).get<std::string>());
-  if (!bytes || saved_at < 0 || saved_at > kMaximumMilliseconds) {
-    throw CheckpointError("part '" + name + "' of the checkpoint is damaged");
+  if (!bytes || !saved_at) {
+    throw CheckpointError("part '" + common::abbreviated(name) + "' of the checkpoint is damaged");
   }
-  return {std::move(*bytes), milliseconds(saved_at)};
+  return {std::move(*bytes), milliseconds(*saved_at)};
 }
 
 }  // namespace
@@ -50,20 +54,25 @@
 
 Checkpoint decodeCheckpoint(const std::string& text) {
   try {
-    const Json json = Json::parse(text);
+    const Json json = common::parseBoundedJson(text).value;
     Checkpoint checkpoint;
-    checkpoint.schema = json.at(kSchema).get<std::uint32_t>();
-    checkpoint.build = json.value(kBuild, std::uint32_t{0});
+    checkpoint.schema =
+        static_cast<std::uint32_t>(common::integerAt(json, kSchema, kMaximumNumber));
+    checkpoint.build =
+        static_cast<std::uint32_t>(common::integerOr(json, kBuild, 0, kMaximumNumber));
     if (checkpoint.schema != kSchemaVersion) {
       return checkpoint;
     }
     checkpoint.zone = json.at(kZone).get<std::string>();
-    checkpoint.store_incarnation = json.value(kStoreIncarnation, std::uint64_t{0});
+    checkpoint.store_incarnation =
+        common::integerOr(json, kStoreIncarnation, 0, common::kLargestInteger);
     for (const auto& [name, part] : json.at(kParts).items()) {
       checkpoint.parts[name] = parsePart(name, part);
     }
     return checkpoint;
   } catch (const Json::exception& error) {
+    throw CheckpointError("checkpoint cannot be parsed: " + common::abbreviated(error.what()));
+  } catch (const common::JsonError& error) {
     throw CheckpointError(std::string("checkpoint cannot be parsed: ") + error.what());
   }
 }
--- a/src/cypresswall/configuration/change.cpp
+++ b/src/cypresswall/configuration/change.cpp
@@ -125,7 +125,7 @@
 
 void decodeZoneSets(const json& source, FleetConfiguration& result) {
   for (const json& set : source.value("zone_sets", json::array())) {
-    result.zone_sets.push_back({set.at("version").get<std::uint64_t>(),
+    result.zone_sets.push_back({common::integerAt(set, "version", common::kLargestInteger),
                                 set.at("zones").get<std::vector<common::ZoneName>>()});
   }
   if (result.zone_sets.empty() && !result.zones.empty()) {
@@ -226,7 +226,7 @@
 FleetConfiguration decodeConfiguration(const json& source) {
   FleetConfiguration result;
   try {
-    result.version = source.at("version").get<std::uint64_t>();
+    result.version = common::integerAt(source, "version", common::kLargestInteger);
     decodeList(source, "zones", ObjectKind::kZone, &ZoneDeclaration::name, result.zones);
     decodeZoneSets(source, result);
     decodeList(source, "models", ObjectKind::kModel, &ModelDeclaration::name, result.models);
@@ -244,6 +244,10 @@
     result.planning =
         decodeObject<PlanningPolicy>(source.value("planning", json::object()), {false, false});
   } catch (const json::exception& error) {
+    throw ConfigurationError(
+        {ObjectError{ObjectKind::kPlanning, "configuration", "",
+                     "can't be decoded: " + common::abbreviated(error.what())}});
+  } catch (const common::JsonError& error) {
     throw ConfigurationError({ObjectError{ObjectKind::kPlanning, "configuration", "",
                                           std::string("can't be decoded: ") + error.what()}});
   } catch (const FieldDecodeError& error) {
--- a/src/cypresswall/configuration/change_encoding.cpp
+++ b/src/cypresswall/configuration/change_encoding.cpp
@@ -28,7 +28,7 @@
   ChainDigest digest = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), digest, kHexadecimal);
   if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
-    throw EncodingError("digest \"" + text + "\" is not hexadecimal");
+    throw EncodingError("digest \"" + common::abbreviated(text) + "\" is not hexadecimal");
   }
   return digest;
 }
@@ -56,7 +56,7 @@
   ObjectChange object;
   const auto kind = parseObjectKind(source.at("kind").get<std::string>());
   if (!kind) {
-    throw EncodingError("unknown kind of object " + source.at("kind").dump());
+    throw EncodingError("unknown kind of object " + common::abbreviated(source.at("kind").dump()));
   }
   object.kind = *kind;
   object.name = source.at("name").get<std::string>();
@@ -84,7 +84,7 @@
   try {
     return call();
   } catch (const json::exception& error) {
-    throw EncodingError(std::string(what) + ": " + error.what());
+    throw EncodingError(std::string(what) + ": " + common::abbreviated(error.what()));
   } catch (const common::JsonError& error) {
     throw EncodingError(std::string(what) + ": " + error.what());
   } catch (const ConfigurationError& error) {
@@ -118,7 +118,7 @@
   return convertErrors("change can't be decoded", [&] {
     const json source = parse(text);
     LoggedChange entry;
-    entry.change.version = source.at("version").get<std::uint64_t>();
+    entry.change.version = common::integerAt(source, "version", common::kLargestInteger);
     entry.change.change_id = source.at("change_id").get<std::string>();
     entry.change.author = source.at("author").get<std::string>();
     for (const json& object : source.at("objects")) {
@@ -157,9 +157,10 @@
     snapshot.configuration = decodeConfiguration(source.at("configuration"));
     snapshot.digest = decodeDigest(source.at("digest"));
     for (const json& record : source.at("records")) {
-      snapshot.records.push_back(
-          {record.at("version").get<std::uint64_t>(), decodeDigest(record.at("digest")),
-           record.at("change_id").get<std::string>(), record.at("author").get<std::string>()});
+      snapshot.records.push_back({common::integerAt(record, "version", common::kLargestInteger),
+                                  decodeDigest(record.at("digest")),
+                                  record.at("change_id").get<std::string>(),
+                                  record.at("author").get<std::string>()});
     }
     if (source.contains("last_change")) {
       snapshot.last_change = decodeChange(source.at("last_change").get<std::string>());
--- a/src/cypresswall/configuration/zone_approval.cpp
+++ b/src/cypresswall/configuration/zone_approval.cpp
@@ -2,10 +2,28 @@
 
 #include <algorithm>
 
+#include "cypresswall/common/bounded_json.h"
 #include "cypresswall/configuration/change.h"
 #include "cypresswall/configuration/change_encoding.h"
 
 namespace cypresswall::configuration {
+namespace {
+
+nlohmann::json parsedOrNull(const std::string& text) {
+  try {
+    return common::parseBoundedJson(text).value;
+  } catch (const common::JsonError&) {
+    return {};
+  }
+}
+
+/// \return the text `name` in `object`; empty if it is missing or no text
+std::string textIn(const nlohmann::json& object, const char* name) {
+  const auto& member = common::memberOrNull(object, name);
+  return member.is_string() ? member.get<std::string>() : std::string();
+}
+
+}  // namespace
 
 ZoneApproval::ZoneApproval(const ConfigurationSettings& settings,
                            const api::ProcessContext& context, ReplicaState& state,
@@ -152,11 +170,11 @@
     if (object.kind != ObjectKind::kEngine || object.removed) {
       continue;
     }
-    const auto json = nlohmann::json::parse(object.value_json, nullptr, false);
-    if (!json.is_object() || json.value("zone", "") != context_.zone) {
+    const auto engine = parsedOrNull(object.value_json);
+    if (textIn(engine, "zone") != context_.zone) {
       continue;
     }
-    if (membership_.addressLeaving(json.value("address", ""))) {
+    if (membership_.addressLeaving(textIn(engine, "address"))) {
       return "engine " + object.name + " is on a machine that is leaving";
     }
   }
--- a/src/cypresswall/duties/usage_ledger.cpp
+++ b/src/cypresswall/duties/usage_ledger.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::duties {
 namespace {
 
@@ -10,6 +12,21 @@
 constexpr const char* kWindow = "window";
 constexpr const char* kCounts = "counts";
 
+TenantCounts countsIn(const nlohmann::json& json) {
+  if (!json.is_object()) {
+    throw UsageLedgerError("usage ledger has a window without counts");
+  }
+  TenantCounts counts;
+  for (const auto& [tenant, value] : json.items()) {
+    const auto count = common::integerIn(value);
+    if (!count) {
+      throw UsageLedgerError("usage ledger has a count that is not an integer");
+    }
+    counts[tenant] = *count;
+  }
+  return counts;
+}
+
 }  // namespace
 
 std::string encodeUsageLedger(const UsageLedger& ledger) {
@@ -22,12 +39,11 @@
 
 UsageLedger decodeUsageLedger(const std::string& text) {
   try {
-    const auto json = nlohmann::json::parse(text);
+    const auto json = common::parseBoundedJson(text).value;
     UsageLedger ledger;
-    ledger.taken_through = json.at(kTakenThrough).get<std::uint64_t>();
+    ledger.taken_through = common::integerAt(json, kTakenThrough);
     for (const auto& entry : json.at(kFixed)) {
-      UsageReport report{entry.at(kWindow).get<std::uint64_t>(),
-                         entry.at(kCounts).get<TenantCounts>()};
+      UsageReport report{common::integerAt(entry, kWindow), countsIn(entry.at(kCounts))};
       if (report.window != ledger.fixedThrough() + 1) {
         throw UsageLedgerError("usage ledger has a gap before window " +
                                std::to_string(report.window));
@@ -36,6 +52,8 @@
     }
     return ledger;
   } catch (const nlohmann::json::exception& error) {
+    throw UsageLedgerError("malformed usage ledger: " + common::abbreviated(error.what()));
+  } catch (const common::JsonError& error) {
     throw UsageLedgerError(std::string("malformed usage ledger: ") + error.what());
   }
 }
--- a/src/cypresswall/lease/authority_record.cpp
+++ b/src/cypresswall/lease/authority_record.cpp
@@ -1,8 +1,11 @@
 #include "cypresswall/lease/authority_record.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::lease {
 
 std::string authorityKey(const common::ZoneName& zone) { return "zones/" + zone + "/authority"; }
@@ -17,12 +20,14 @@
 
 AuthorityRecord decodeAuthorityRecord(const std::string& text) {
   try {
-    const auto json = nlohmann::json::parse(text);
+    constexpr std::uint64_t kMaximumGeneration = std::numeric_limits<std::uint32_t>::max();
+    const auto json = common::parseBoundedJson(text).value;
     AuthorityRecord record;
-    record.generation = json.at("generation").get<std::uint32_t>();
+    record.generation =
+        static_cast<std::uint32_t>(common::integerAt(json, "generation", kMaximumGeneration));
     for (const auto& voter : json.at("voters")) {
-      record.voters.push_back(
-          {voter.at("address").get<std::string>(), voter.at("incarnation").get<std::uint64_t>()});
+      record.voters.push_back({voter.at("address").get<std::string>(),
+                               common::integerAt(voter, "incarnation", common::kLargestInteger)});
     }
     std::sort(record.voters.begin(), record.voters.end());
     if (record.generation == 0 || record.voters.empty()) {
@@ -30,6 +35,9 @@
     }
     return record;
   } catch (const nlohmann::json::exception& error) {
+    throw AuthorityRecordError("authority record cannot be parsed: " +
+                               common::abbreviated(error.what()));
+  } catch (const common::JsonError& error) {
     throw AuthorityRecordError(std::string("authority record cannot be parsed: ") + error.what());
   }
 }
--- a/src/cypresswall/object_store/http_object_store.cpp
+++ b/src/cypresswall/object_store/http_object_store.cpp
@@ -43,12 +43,11 @@
 }
 
 void HttpObjectStore::list(const std::string& prefix, StoreCallback<ObjectListing> callback) {
-  curl_.fetch(
-      request("GET", "/objects?prefix=" + runtime::percentEncode(prefix),
-              settings_.read_time_limit),
-      [this, callback = std::move(callback)](const CurlResponse& response) {
-        callback(counters_.counted(readResult<ObjectListing>(response, parseObjectListing)));
-      });
+  curl_.fetch(request("GET", "/objects?prefix=" + runtime::percentEncode(prefix),
+                      settings_.read_time_limit),
+              [this, callback = std::move(callback)](const CurlResponse& response) {
+                callback(listingOf(response));
+              });
 }
 
 void HttpObjectStore::watch(const std::string& prefix, std::uint64_t revision,
@@ -58,11 +57,18 @@
   const std::string target = "/watch?prefix=" + runtime::percentEncode(prefix) +
                              "&after=" + std::to_string(revision) +
                              "&wait_ms=" + std::to_string(wait.count());
-  curl_.fetch(
-      request("GET", target, settings_.watch_poll_time + kWatchMargin),
-      [this, callback = std::move(callback)](const CurlResponse& response) {
-        callback(counters_.counted(readResult<ObjectListing>(response, parseObjectListing)));
-      });
+  curl_.fetch(request("GET", target, settings_.watch_poll_time + kWatchMargin),
+              [this, callback = std::move(callback)](const CurlResponse& response) {
+                callback(listingOf(response));
+              });
+}
+
+StoreResult<ObjectListing> HttpObjectStore::listingOf(const CurlResponse& response) {
+  auto result = counters_.counted(readResult<ObjectListing>(response, parseObjectListing));
+  if (result.ok()) {
+    counters_.unreadable_objects.add(result.value().unreadable);
+  }
+  return result;
 }
 
 CurlRequest HttpObjectStore::request(std::string method, std::string target,
--- a/src/cypresswall/object_store/http_object_store.h
+++ b/src/cypresswall/object_store/http_object_store.h
@@ -36,6 +36,7 @@
  private:
   runtime::CurlRequest request(std::string method, std::string target,
                                common::Duration time_limit) const;
+  StoreResult<ObjectListing> listingOf(const runtime::CurlResponse& response);
 
   runtime::CurlMulti& curl_;
   StoreCallCounters counters_;
--- a/src/cypresswall/object_store/object_store.h
+++ b/src/cypresswall/object_store/object_store.h
@@ -2,6 +2,7 @@
 /// Implemented over HTTP (HttpObjectStore) and by the simulator.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -36,6 +37,8 @@
 struct ObjectListing {
   std::uint64_t revision = 0;
   std::vector<StoredObject> objects;
+  /// Number of malformed objects, which are left out.
+  std::size_t unreadable = 0;
 };
 
 /// A compare-and-set write.
--- a/src/cypresswall/object_store/platform_json.cpp
+++ b/src/cypresswall/object_store/platform_json.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::object_store {
 namespace {
 
@@ -10,7 +12,7 @@
 StoredObject objectOf(const Json& value) {
   StoredObject object;
   object.key = value.at("key").get<std::string>();
-  object.version = value.at("version").get<std::uint64_t>();
+  object.version = common::integerAt(value, "version");
   object.value = value.at("value").get<std::string>();
   object.change_id = value.at("change_id").get<std::string>();
   return object;
@@ -26,7 +28,7 @@
   if (name == "gone") {
     return MachineState::kGone;
   }
-  throw PlatformProtocolError("unknown machine state '" + name + "'");
+  throw PlatformProtocolError("unknown machine state " + common::abbreviated(name));
 }
 
 Machine machineOf(const Json& value) {
@@ -42,8 +44,11 @@
 template <typename Convert>
 auto converted(std::string_view json, Convert convert) {
   try {
-    return convert(Json::parse(json));
+    return convert(common::parseBoundedJson(json).value);
   } catch (const Json::exception& error) {
+    throw PlatformProtocolError("platform's answer cannot be parsed: " +
+                                common::abbreviated(error.what()));
+  } catch (const common::JsonError& error) {
     throw PlatformProtocolError(std::string("platform's answer cannot be parsed: ") + error.what());
   }
 }
@@ -62,9 +67,15 @@
 ObjectListing parseObjectListing(std::string_view json) {
   return converted(json, [](const Json& value) {
     ObjectListing listing;
-    listing.revision = value.at("revision").get<std::uint64_t>();
+    listing.revision = common::integerAt(value, "revision");
     for (const Json& object : value.at("objects")) {
-      listing.objects.push_back(objectOf(object));
+      try {
+        listing.objects.push_back(objectOf(object));
+      } catch (const Json::exception&) {
+        ++listing.unreadable;
+      } catch (const common::JsonError&) {
+        ++listing.unreadable;
+      }
     }
     return listing;
   });
--- a/src/cypresswall/object_store/store_answer.cpp
+++ b/src/cypresswall/object_store/store_answer.cpp
@@ -46,7 +46,11 @@
       unknown_outcome(registry.counter("cypresswall_store_unknown_outcome_total",
                                        "Writes that may have taken effect.")),
       conflicts(registry.counter("cypresswall_store_conflicts_total",
-                                 "Writes refused for another version.")) {}
+                                 "Writes refused for another version.")),
+      unreadable_objects(
+          registry.counter("cypresswall_store_unreadable_objects_total",
+                           "Objects of this system left out of answers: another writer made or "
+                           "overwrote them.")) {}
 
 void StoreCallCounters::count(const StoreFailure* failure) {
   calls.add();
--- a/src/cypresswall/object_store/store_answer.h
+++ b/src/cypresswall/object_store/store_answer.h
@@ -31,6 +31,8 @@
   common::Counter& unavailable;
   common::Counter& unknown_outcome;
   common::Counter& conflicts;
+  /// Objects left out of answers: another writer made or overwrote them.
+  common::Counter& unreadable_objects;
 };
 
 /// \return the failure of a read, or nothing if the body contains the result.
--- a/src/cypresswall/quarantine/stored_quarantine.cpp
+++ b/src/cypresswall/quarantine/stored_quarantine.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::quarantine {
 namespace {
 
@@ -23,10 +25,18 @@
   return whole && fingerprint != 0 ? std::optional(fingerprint) : std::nullopt;
 }
 
+nlohmann::json parsedOrNull(const std::string& text) {
+  try {
+    return common::parseBoundedJson(text).value;
+  } catch (const common::JsonError&) {
+    return {};
+  }
+}
+
 }  // namespace
 
 StoredQuarantine decodeStoredQuarantine(const std::string& text) {
-  const auto content = nlohmann::json::parse(text, nullptr, false);
+  const auto content = parsedOrNull(text);
   if (!content.is_object()) {
     throw StoredQuarantineError("not a JSON object");
   }
@@ -46,7 +56,7 @@
 }
 
 std::string encodeStoredQuarantine(const StoredQuarantine& quarantine) {
-  auto content = nlohmann::json::parse(quarantine.original_text, nullptr, false);
+  auto content = parsedOrNull(quarantine.original_text);
   if (!content.is_object()) {
     content = nlohmann::json::object();
   }
