Keep reading the store beside an object that can't be read

One odd entry among those of the runners ended every daemon, at each start (nested 100,000 deep), or kept all lists and watches from being read (1e400, 400 digits, a lone surrogate): callers got 503 once the servers were replaced. A page or a batch of events was parsed as a whole, and the spec copied recursively.

Now each object fails alone, and the revision moves on. The next page's position comes from the last object with a name, readable or not; without progress the listing fails loudly. Listed objects that can't be read keep what was known of them. Names are bounded; the specs have one depth for all nodes. Numbers of the configuration are converted within bounds, and a configuration in which values were replaced is not taken: the last good one stays in force. An own object that another writer overwrote is read with its version and no valid value, so that its module decides whether to replace it.

--- a/tests/objects_platform/fleet_declaration_test.cpp
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/fleet_translation.h"
 #include "platform/runner_machine_list.h"
 #include "tests/objects_platform/fake_store.h"
+#include "tests/support/odd_json.h"
 #include "tests/support/property.h"
 #include "tests/support/virtual_world.h"
 
@@ -67,6 +68,7 @@
   CPPUNIT_TEST(routesMatchTheLongestPrefix);
   CPPUNIT_TEST(runnersMayShareAnAddress);
   CPPUNIT_TEST(drainingRunnersAreLeavingMachines);
+  CPPUNIT_TEST(oddConfigurationsAreTakenWholeOrNotAtAll);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -283,6 +285,47 @@
     CPPUNIT_ASSERT(machines.at(1).addresses.empty());
   }
 
+  /// Guards against a daemon that ends, or serves by half a configuration, because of one value.
+  void oddConfigurationsAreTakenWholeOrNotAtAll() {
+    declare();
+    auto spec = wire::Json::parse(configurationJson(9));
+    spec["services"][0]["engine"].update({{"token_kv_bytes", 163840.5}, {"link_mbps", 1e6}});
+    spec["services"][0]["autoscaling"] = {{"min_replicas", 1},
+                                          {"max_replicas", 8},
+                                          {"boot_timeout_s", 2.5},
+                                          {"spot_price", 0.5},
+                                          {"zone_prices", {{"hall-a", 1.5}}}};
+    spec["tenants"] = {{{"name", "t"},
+                        {"api_keys", {"k"}},
+                        {"priority", 1},
+                        {"rate_per_s", 5.5},
+                        {"burst", 10},
+                        {"unit", "generate"},
+                        {"plain_tokens", 3}}};
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, parseOperatorConfiguration(spec).version);
+    for (const auto& place : cypresswall::testing::placesIn(spec)) {
+      for (const std::string& odd : cypresswall::testing::oddJsonValues()) {
+        const std::string text = cypresswall::testing::mutatedText(spec, place, odd);
+        const auto page =
+            wire::parsePage(testing::pageJson(9, {testing::objectJson("main", 9, text)}));
+        try {
+          const auto read = parseOperatorConfiguration(page.items.at(0).spec);
+          CPPUNIT_ASSERT(read.version <= common::kLargestExactInteger);
+          for (const Route& route : read.routes) {
+            CPPUNIT_ASSERT(route.timeout.count() >= 0 && route.target_latency.count() >= 0);
+            CPPUNIT_ASSERT(firstTokenLimit(route).count() >= 0);
+            CPPUNIT_ASSERT(!route.backends.empty() && route.backends.front().weight >= 0);
+          }
+        } catch (const wire::PlatformProtocolError&) {
+          fleet_.onPut({"main", 9, page.items.at(0).spec});
+          fleet_.onCaughtUp();
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fleet_.current()->version);
+        }
+      }
+    }
+    CPPUNIT_ASSERT(process_.counters().total("cypresswall_declared_unreadable_total") > 100);
+  }
+
  private:
   void putTenants(std::uint64_t version, const std::string& tenants) {
     std::string configuration = configurationJson(version);
--- a/tests/objects_platform/object_store_client_test.cpp
+++ b/tests/objects_platform/object_store_client_test.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "tests/objects_platform/fake_store.h"
+#include "tests/objects_platform/odd_objects.h"
 #include "tests/support/property.h"
 #include "tests/support/virtual_world.h"
 
@@ -29,6 +30,10 @@
   CPPUNIT_TEST(listsAllPagesUnderAPrefix);
   CPPUNIT_TEST(watchesUnderAPrefix);
   CPPUNIT_TEST(anyKeySurvivesEscaping);
+  CPPUNIT_TEST(foreignObjectsDoNotHideOthers);
+  CPPUNIT_TEST(overwrittenObjectHasAVersionAndNoValidValue);
+  CPPUNIT_TEST(listingGoesOnBeyondUnreadablePages);
+  CPPUNIT_TEST(namesThatAreNotEscapedAreNoKeys);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +133,58 @@
     }
   }
 
+  /// Guards against a listing or a watch of this system's objects that fails because of one that
+  /// another writer left.
+  void foreignObjectsDoNotHideOthers() {
+    std::optional<StoreResult<ObjectListing>> listed;
+    const auto keep = [&](auto result) { listed = std::move(result); };
+    for (const std::string& odd : cypresswall::testing::oddJsonValues()) {
+      for (const std::string& object : testing::objectsWith(odd, 9)) {
+        client_.list("authority/", keep);
+        store_.answer(200, pageJson(9, {object, objectJson(kName, 9, kSpec)}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listed->value().objects.size());
+        client_.watch("authority/", 8, keep);
+        store_.answer(200, eventsJson(9, {{object, false}, {objectJson(kName, 9, kSpec), false}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listed->value().objects.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, listed->value().revision);
+      }
+    }
+    CPPUNIT_ASSERT(counters_.total("cypresswall_store_unreadable_objects_total") > 100);
+  }
+
+  /// Guards against an object that stays unusable because no node learns the version that it would
+  /// have to replace.
+  void overwrittenObjectHasAVersionAndNoValidValue() {
+    std::optional<StoreResult<StoredObject>> read;
+    for (const std::string& odd : cypresswall::testing::oddJsonValues()) {
+      client_.get("authority/z 1", [&](auto result) { read = std::move(result); });
+      store_.answer(200, objectJson(kName, 412, odd));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{412}, read->value().version);
+      CPPUNIT_ASSERT(!wire::Json::accept(read->value().value));
+    }
+  }
+
+  void listingGoesOnBeyondUnreadablePages() {
+    std::optional<StoreResult<ObjectListing>> listed;
+    const auto keep = [&](auto result) { listed = std::move(result); };
+    client_.list("authority/", keep);
+    store_.answer(200, pageJson(9, {R"({"metadata": {"name": "a", "revision": "x"}})"}, true));
+    CPPUNIT_ASSERT(!listed);
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /objects/cypresswall?after=a"), store_.targets.back());
+    store_.answer(200, pageJson(9, {objectJson(kName, 9, kSpec)}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listed->value().objects.size());
+    client_.list("authority/", keep);
+    store_.answer(200, pageJson(9, {"7"}, true));
+    CPPUNIT_ASSERT(listed->failure().kind == StoreFailure::kUnavailable);
+  }
+
+  /// Two names must not stand for one key.
+  void namesThatAreNotEscapedAreNoKeys() {
+    for (const char* name : {"_61", "a_", "a_5", "a_-5", "a_2F", "a/b", "a b"}) {
+      CPPUNIT_ASSERT_THROW_MESSAGE(name, wire::unescapedName(name), wire::PlatformProtocolError);
+    }
+  }
+
  private:
   void write(std::uint64_t expected_version) {
     written_.reset();
