Close the test's descriptors in the programs that it starts

Callers' requests waited for 10 s on an engine that had crashed.

Cause: a fault of the test's fleet, not of the daemon. posix_spawn left all descriptors open in the programs, and Asio's sockets are not closed on exec. The restarted daemon held copies of the sockets of the test's proxies. When an engine crashed, the proxy closed its socket to the sender, but the copy kept the connection open, so that no node saw it end. The engine was silent; no crash was counted within the 8 s in which the check expects five.

Evidence: ss 2.5 s after the crash shows connections of the proxies (CLOSE-WAIT towards the engines) held by the restarted cypresswalld alone. node-0: request routed to runner-1 at 19.242, "the engine was silent for too long" at 29.242; an answer with 21 tokens on the same engine had a gap of 1840 ms when it was moved.

Fix: posix_spawn closes descriptors above stderr, in Program and in ChildProcess, the only two places that start processes.

--- a/tests/daemon/child_process.h
+++ b/tests/daemon/child_process.h
@@ -29,7 +29,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
-    posix_spawn_file_actions_addclose(&actions, pipe_ends[0]);
+    // A connection that this process closes stays open while another one holds it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<char*> words = {const_cast<char*>(program.c_str())};
     for (const std::string& argument : arguments) {
       words.push_back(const_cast<char*>(argument.c_str()));
--- a/tests/process/program.cpp
+++ b/tests/process/program.cpp
@@ -27,6 +27,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A connection that this process closes stays open while another one holds it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int result = posix_spawn(&process_, path.c_str(), &actions, nullptr, words.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (result != 0) {
