Soak rounds of a release of the engines' software

Four real daemons with the objects protocol, a stand-in of its store and of streaming engines whose events name their build (the daemon's own gateway knows no resume, so the fleet of the other rounds can't show it). Engines of a second build join while one node is out of step: frozen; frozen twice; cut off from the store by a proxy; or frozen and then alone, since the others stand still and the store is cut off. Callers break most answers off and take them up at any node, half of them at the one out of step, at once or later, and name the request that brought the first event. Then nodes and store lose power; the store returns last.

Checked: no answer holds events of two builds or a gap; of what is taken up at nodes in step, while two engines of the build serve, half goes on; the route acknowledged last is served by all nodes within 12 s.

Proxies between nodes are not possible: a node's peer address is both what it listens at and what others learn of it.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <random>
 
+#include "tests/release_soak/release_round.h"
 #include "tests/soak/soak_round.h"
 
 DEFINE_int64(minutes, 3, "minutes in which new rounds are started; ignored with --seed");
@@ -13,12 +14,16 @@
 DEFINE_bool(announcements, true,
             "engines also say that they leave or ask for a pause, and slow down");
 DEFINE_bool(damaged_responses, true, "responses also stop early, come twice or never end");
+DEFINE_uint64(kinds, 0, "number of kinds of faults, from the first, to draw from; zero for all");
+DEFINE_bool(release, false, "rounds of a release of the engines' software instead");
 DEFINE_uint64(faults, 8, "faults in a round; a seed gives the same plan only with the same number");
 
 namespace {
 
 using cypresswall::testing::kFaultKinds;
 using cypresswall::testing::kFaultNames;
+using cypresswall::testing::planRelease;
+using cypresswall::testing::ReleaseRound;
 using cypresswall::testing::SoakResult;
 using cypresswall::testing::SoakRound;
 
@@ -74,17 +79,41 @@
 };
 
 std::size_t kindsToDrawFrom() {
+  if (FLAGS_kinds != 0) {
+    return FLAGS_kinds;
+  }
   if (!FLAGS_announcements) {
     return cypresswall::testing::kKindsWithoutAnnouncements;
   }
   return FLAGS_damaged_responses ? kFaultKinds : cypresswall::testing::kKindsWithSoundResponses;
 }
 
+void playRelease(std::uint64_t seed, Ledger& ledger) {
+  const auto plan = planRelease(seed, ReleaseRound::kNodes);
+  std::printf("release seed=%lu: %s\n", seed, cypresswall::testing::describe(plan).c_str());
+  std::fflush(stdout);
+  const auto result = ReleaseRound(plan).run();
+  std::printf(
+      "  answers=%lu whole=%lu taken_up=%lu in_step=%lu went_on=%lu out_of_step=%lu went_on=%lu "
+      "recovered_after_ms=%ld violations=%zu\n",
+      result.answers, result.whole, result.taken_up, result.counted, result.went_on,
+      result.out_of_step, result.out_of_step_went_on, result.recovered_after.count(),
+      result.violations.size());
+  for (const std::string& violation : result.violations) {
+    std::printf("VIOLATION seed=%lu: %s\n", seed, violation.c_str());
+  }
+  ledger.violations += result.violations.size();
+}
+
 void play(std::uint64_t seed, Ledger& ledger) {
+  if (FLAGS_release) {
+    playRelease(seed, ledger);
+    return;
+  }
   const auto plan =
       cypresswall::testing::planFaults(seed, FLAGS_faults, SoakRound::kNodes, SoakRound::kEngines,
                                        kindsToDrawFrom(), SoakRound::kBackEnds);
-  std::printf("round seed=%lu faults=%lu: %s\n", seed, FLAGS_faults,
+  std::printf("round seed=%lu faults=%lu kinds=%zu: %s\n", seed, FLAGS_faults, kindsToDrawFrom(),
               cypresswall::testing::describe(plan).c_str());
   std::fflush(stdout);
   const SoakResult result = SoakRound(plan).run();
@@ -108,6 +137,8 @@
       play(1 + fresh(), ledger);
     } while (std::chrono::steady_clock::now() < end);
   }
-  ledger.print();
+  if (!FLAGS_release) {
+    ledger.print();
+  }
   return ledger.violations == 0 ? 0 : 1;
 }
