Read the declared engines anew on demand

A simulated fleet can give each node its own reading of the declaration, and cut a node off from the platform. No caller yet.

--- a/src/cypresswall/configuration/static_view.h
+++ b/src/cypresswall/configuration/static_view.h
@@ -18,6 +18,8 @@
     listeners_.push_back(std::move(listener));
   }
 
+  void refresh(std::function<void(bool current)> done) override { done(true); }
+
   /// Replaces the configuration and calls the listeners.
   void set(FleetConfiguration configuration) {
     current_ = std::make_shared<const FleetConfiguration>(std::move(configuration));
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -108,7 +108,10 @@
   auto& services = process.emplace<SimulatedServiceClient>(simulation_, process, services_);
   auto& connections =
       process.emplace<SimulatedServerConnections>(simulation_, process, engines_, services_);
-  node::NodeClients clients{store, machines, engines, services, settings_.declared};
+  auto* const declared = settings_.declaration_of
+                             ? &settings_.declaration_of(process, store)
+                             : settings_.declared;
+  node::NodeClients clients{store, machines, engines, services, declared};
   clients.connections = &connections;
   slot.process = &process;
   slot.node = &process.emplace<node::Node>(nodeSettings(slot), process.context(), clients);
@@ -179,6 +182,14 @@
   }
 }
 
+void SimulatedFleet::cutNodeFromPlatform(std::size_t index) {
+  const NodeSlot& slot = slots_[index];
+  const auto node = nodeAddress(slot.zone, slot.number, slot.generation);
+  const auto platform = SimulatedPlatform::place().address;
+  simulation_.network().cutAddresses(node, platform);
+  simulation_.network().cutAddresses(platform, node);
+}
+
 void SimulatedFleet::cutNodeFromServers(std::size_t index) {
   const NodeSlot& slot = slots_[index];
   const auto node = nodeAddress(slot.zone, slot.number, slot.generation);
--- a/src/cypresswall/simulation/fleet/simulated_fleet.h
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.h
@@ -45,6 +45,11 @@
   /// The platform's declaration of the fleet; null if the fleet declares itself by a configuration
   /// change. If set, it must contain the objects of `topology` before bringUp() is called.
   configuration::ConfigurationView* declared = nullptr;
+  /// \return the declaration as one node reads it from its store; may be empty if all nodes see
+  ///   `declared` as it is
+  std::function<configuration::ConfigurationView&(SimulatedProcess& process,
+                                                  object_store::ObjectStore& store)>
+      declaration_of;
 };
 
 /// Place for one node of the topology. At most one process runs in a slot at a time.
@@ -95,6 +100,8 @@
   void isolateNode(std::size_t index);
   /// Cuts the links between one node and all engines and back ends, in both directions.
   void cutNodeFromServers(std::size_t index);
+  /// Cuts the links between one node and the platform, in both directions.
+  void cutNodeFromPlatform(std::size_t index);
 
   /// Sends a model request to a node.
   /// \return its record, valid for the lifetime of the fleet
