Confirm the only known build before an answer goes on

Callers saw answers go on at another software build when they took them up at a node that had been cut off, or had stood still, while engines of a new build joined: FleetAnswerBuilds::find() took the only build that it knew for the only one. That there is no other build is known only up to the moment at which a node last heard, and the node doesn't feel the gap.

A node now asks after the request has come: the four alive members with the highest ranks for the answer, which include those that were told of it before its caller had the first token, and the four highest of the members that have fallen silent and have not been shown to have ended. Replies name the possible builds. If somebody doesn't reply, the engines and the object with the builds are read from the store, by calls that begin after the request; waiting searches share them. If nothing confirms the build within a second, the answer is refused at once (reason=out-of-step). No clock is involved. A node that never had another member goes on. While the store doesn't answer, most nodes in reach suffice.

--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -23,6 +23,16 @@
                           "Answers taken up, by how their build was found", "source", source);
 }
 
+/// How long a build counts that only the store's object names: the object may be about to be
+/// rewritten without it, and is read again when an answer is taken up.
+constexpr common::Duration kConfirmedFor = std::chrono::seconds(5);
+/// Reasons for which the build of an answer is not known.
+constexpr const char* kSeveralBuilds = "several-builds";
+constexpr const char* kOutOfStep = "out-of-step";
+constexpr const char* kHistoryUnknown = "history-unknown";
+
+std::string storeKey(const api::ProcessContext& context) { return "answer-builds/" + context.zone; }
+
 std::string taskName(AnswerKey answer) { return std::to_string(answer); }
 
 }  // namespace
@@ -38,19 +48,27 @@
       history_(settings.retention),
       records_(settings),
       stored_builds_(
-          {"answer-builds/" + context.zone, settings.store_retry_delay, settings.store_owners},
-          context, membership, store,
+          {storeKey(context), settings.store_retry_delay, settings.store_owners}, context,
+          membership, store,
           {[this] { return historyNodes(); },
            [this](const std::string& stored) { return newStoredBuilds(stored); },
            [this](const std::string& stored) { onStoredBuilds(stored); }},
           context.counters.counter("cypresswall_answer_builds_store_failures_total",
                                    "Calls to the store for the builds of models that failed")),
+      confirmation_(storeKey(context), context, store,
+                    [this](const std::string& stored) { onConfirmedBuilds(stored); }),
       recorded_(context.counters.counter("cypresswall_answer_builds_recorded_total",
                                          "Answers of which other nodes were told")),
       only_build_(originsFound(context.counters, "only-build")),
+      only_build_by_peers_(originsFound(context.counters, "only-build-by-peers")),
+      only_build_by_store_(originsFound(context.counters, "only-build-by-store")),
+      only_build_without_store_(originsFound(context.counters, "only-build-without-store")),
       own_record_(originsFound(context.counters, "own-record")),
       record_of_peer_(originsFound(context.counters, "peer")),
-      unknown_(originsFound(context.counters, "unknown")) {
+      unknown_(originsFound(context.counters, "unknown")),
+      out_of_step_(context.counters.counter(
+          "cypresswall_answer_builds_out_of_step_total",
+          "Answers not taken up, since nobody confirmed the only build that this node knows")) {
   context_.dispatcher.handle<AnswersBegan>(
       [this](const common::NodeId&, const AnswersBegan& message) { onBegan(message); });
   context_.dispatcher.handle<AnswerBuildQuery>(
@@ -58,7 +76,9 @@
         onQuery(sender, query);
       });
   context_.dispatcher.handle<AnswerBuildReply>(
-      [this](const common::NodeId&, const AnswerBuildReply& reply) { onReply(reply); });
+      [this](const common::NodeId& sender, const AnswerBuildReply& reply) {
+        onReply(sender, reply);
+      });
   context_.dispatcher.handle<DepartedBuilds>(
       [this](const common::NodeId&, const DepartedBuilds& message) { addSeen(message.builds); });
   context_.dispatcher.handle<BuildHistoryQuery>(
@@ -129,6 +149,18 @@
   historyKnown("store");
 }
 
+void FleetAnswerBuilds::onConfirmedBuilds(const std::string& stored) {
+  try {
+    const auto now = context_.clock.now();
+    for (const auto& [model, builds] : decodeStoredBuilds(stored).builds) {
+      for (const common::BuildName& build : builds) {
+        seen(model, build, now - settings_.retention + kConfirmedFor);
+      }
+    }
+  } catch (const StoredBuildsError&) {  // NOLINT(bugprone-empty-catch): logged by the owners
+  }
+}
+
 /// When the builds in the store were last seen is not known: each of them may have left just now.
 void FleetAnswerBuilds::addStored(const StoredBuilds& stored) {
   const auto now = context_.clock.now();
@@ -254,6 +286,9 @@
 
 void FleetAnswerBuilds::began(const common::ModelName& model, const std::string& request_id,
                               const common::BuildName& build) {
+  if (request_id.empty()) {
+    return;
+  }
   const auto now = context_.clock.now();
   const AnswerKey answer = answerKey(request_id);
   records_.add(answer, model, build, true, now);
@@ -264,16 +299,19 @@
   context_.sendToAll(nodesFor(answer, settings_.copies), AnswersBegan{model, build, {answer}});
 }
 
+bool FleetAnswerBuilds::hasSeveralBuilds(const common::ModelName& model) const {
+  const auto builds = history_.possible(model, context_.clock.now());
+  return builds.size() > 1 || builds.contains(kForgottenBuild);
+}
+
 void FleetAnswerBuilds::find(const common::ModelName& model, const std::string& began_as,
                              OriginCallback found) {
-  const auto builds = history_.possible(model, context_.clock.now());
-  if (builds.size() > 1 || builds.contains(kForgottenBuild)) {
+  if (hasSeveralBuilds(model)) {
     findRecord(model, began_as, std::move(found));
   } else if (!history_known_) {
     awaitHistory(model, began_as, std::move(found));
-  } else {
-    only_build_.add();
-    found({true, builds.empty() ? std::nullopt : std::make_optional(*builds.begin())});
+  } else if (!findOwnRecord(began_as, found)) {
+    confirmOnlyBuild(model, began_as, std::move(found));
   }
 }
 
@@ -293,9 +331,30 @@
 void FleetAnswerBuilds::findRecord(const common::ModelName& model, const std::string& began_as,
                                    OriginCallback found) {
   if (began_as.empty()) {
-    reportUnknown(model, found);
+    reportUnknown(model, found, {});
   } else if (!findOwnRecord(began_as, found)) {
-    ask(model, answerKey(began_as), std::move(found));
+    decide(ask({.model = model, .answer = answerKey(began_as), .found = std::move(found)}));
+  }
+}
+
+void FleetAnswerBuilds::confirmOnlyBuild(const common::ModelName& model,
+                                         const std::string& began_as, OriginCallback found) {
+  const AnswerKey answer = answerKey(began_as);
+  const auto silent = membership::rendezvousNodes(taskName(answer), membership_.silentNodes(),
+                                                  settings_.silent_nodes_asked);
+  if (peers().empty() && silent.empty()) {
+    reportOnlyBuild(model, found, only_build_);
+    return;
+  }
+  const std::uint64_t number = ask({.model = model,
+                                    .answer = answer,
+                                    .found = std::move(found),
+                                    .silent_missing = {silent.begin(), silent.end()},
+                                    .confirms_only_build = true});
+  searches_.at(number).confirmation_timer = context_.scheduler.schedule(
+      settings_.confirmation_limit, [this, number] { onConfirmationLimit(number); });
+  if (!silent.empty()) {
+    askStore(number);
   }
 }
 
@@ -309,32 +368,145 @@
   return true;
 }
 
-void FleetAnswerBuilds::reportUnknown(const common::ModelName& model, const OriginCallback& found) {
+void FleetAnswerBuilds::reportOnlyBuild(const common::ModelName& model, const OriginCallback& found,
+                                        common::Counter& source) {
+  source.add();
+  const auto builds = history_.possible(model, context_.clock.now());
+  found({true, builds.empty() ? std::nullopt : std::make_optional(*builds.begin())});
+}
+
+void FleetAnswerBuilds::reportUnknown(const common::ModelName& model, const OriginCallback& found,
+                                      const Search& search) {
   unknown_.add();
+  if (history_known_ && !hasSeveralBuilds(model)) {
+    out_of_step_.add();
+  }
   common::LogEvent(context_.log, common::LogLevel::kInfo, "answer_build_unknown")
       .field("model", model)
+      .field("reason", reasonUnknown(model))
       .field("builds", history_.possible(model, context_.clock.now()).size())
-      .field("history_known", history_known_);
+      .field("history_known", history_known_)
+      .field("asked", search.alive_asked)
+      .field("unanswered", search.alive_missing.size())
+      .field("silent", search.silent_missing.size())
+      .field("store_confirmed", search.store_confirmed);
   found({});
 }
 
-void FleetAnswerBuilds::ask(const common::ModelName& model, AnswerKey answer,
-                            OriginCallback found) {
-  const auto nodes = nodesFor(answer, settings_.asked_nodes);
+const char* FleetAnswerBuilds::reasonUnknown(const common::ModelName& model) const {
+  if (!history_known_) {
+    return kHistoryUnknown;
+  }
+  return hasSeveralBuilds(model) ? kSeveralBuilds : kOutOfStep;
+}
+
+std::uint64_t FleetAnswerBuilds::ask(Search search) {
+  auto nodes = nodesFor(search.answer, settings_.asked_nodes);
   const std::uint64_t number = next_number_++;
-  Search& search = searches_[number];
-  search.model = model;
-  search.found = std::move(found);
-  search.replies_missing = nodes.size();
-  if (nodes.empty()) {
-    finish(number, {});
+  const AnswerBuildQuery query{number, search.answer,
+                               search.confirms_only_build ? search.model : common::ModelName{}};
+  search.alive_missing.insert(nodes.begin(), nodes.end());
+  search.alive_asked = nodes.size();
+  search.answer_timer = context_.scheduler.schedule(settings_.answer_limit,
+                                                    [this, number] { onAnswerLimit(number); });
+  nodes.insert(nodes.end(), search.silent_missing.begin(), search.silent_missing.end());
+  searches_.emplace(number, std::move(search));
+  context_.sendToAll(nodes, query);
+  return number;
+}
+
+void FleetAnswerBuilds::onAnswerLimit(std::uint64_t number) {
+  Search& search = searches_.at(number);
+  search.answer_timer = 0;
+  search.answer_limit_passed = true;
+  if (search.confirms_only_build && !search.store_asked) {
+    askStore(number);
+  }
+  decide(number);
+}
+
+void FleetAnswerBuilds::onConfirmationLimit(std::uint64_t number) {
+  Search& search = searches_.at(number);
+  search.confirmation_timer = 0;
+  search.store_failed = true;
+  decide(number);
+  if (searches_.contains(number)) {
+    finishUnknown(number);
+  }
+}
+
+void FleetAnswerBuilds::askStore(std::uint64_t number) {
+  searches_.at(number).store_asked = true;
+  const auto members = static_cast<std::int64_t>(membership_.members().size());
+  confirmation_.request(settings_.confirmation_interval_per_node * members,
+                        [this, number](bool confirmed) { onConfirmation(number, confirmed); });
+}
+
+void FleetAnswerBuilds::onConfirmation(std::uint64_t number, bool confirmed) {
+  const auto search = searches_.find(number);
+  if (search == searches_.end()) {
     return;
   }
-  search.timer = context_.scheduler.schedule(settings_.answer_limit, [this, number] {
-    searches_.at(number).timer = 0;
-    finish(number, {});
-  });
-  context_.sendToAll(nodes, AnswerBuildQuery{number, answer});
+  search->second.store_confirmed = confirmed;
+  search->second.store_failed = !confirmed;
+  decide(number);
+  if (!confirmed && searches_.contains(number)) {
+    context_.scheduler.schedule(settings_.confirmation_retry_delay, [this, number] {
+      if (searches_.contains(number)) {
+        askStore(number);
+      }
+    });
+  }
+}
+
+void FleetAnswerBuilds::decide(std::uint64_t number) {
+  Search& search = searches_.at(number);
+  const auto recorded = records_.find(search.answer, context_.clock.now());
+  if (recorded) {
+    finishKnown(number, *recorded, own_record_);
+    return;
+  }
+  updateMissing(search);
+  if (!search.confirms_only_build || hasSeveralBuilds(search.model)) {
+    decideAmongSeveral(number, search);
+    return;
+  }
+  const bool alive_replied = search.alive_missing.empty();
+  if (alive_replied && search.silent_missing.empty()) {
+    finishOnlyBuild(number, only_build_by_peers_);
+  } else if (search.store_confirmed && (alive_replied || search.answer_limit_passed)) {
+    finishOnlyBuild(number, only_build_by_store_);
+  } else if (search.store_failed && mostNodesReplied(search)) {
+    finishOnlyBuild(number, only_build_without_store_);
+  }
+}
+
+void FleetAnswerBuilds::decideAmongSeveral(std::uint64_t number, const Search& search) {
+  if ((search.alive_missing.empty() && search.silent_missing.empty()) ||
+      search.answer_limit_passed) {
+    finishUnknown(number);
+  }
+}
+
+void FleetAnswerBuilds::updateMissing(Search& search) const {
+  if (search.alive_missing.empty()) {
+    return;
+  }
+  for (const common::NodeId& node : membership_.silentNodes()) {
+    if (search.alive_missing.erase(node) != 0) {
+      search.silent_missing.insert(node);
+      --search.alive_asked;
+    }
+  }
+}
+
+/// A minority that reaches neither the others nor the store can't rule out that these know of
+/// another build.
+bool FleetAnswerBuilds::mostNodesReplied(const Search& search) {
+  const std::size_t replied = search.alive_asked - search.alive_missing.size();
+  const bool due = search.alive_missing.empty() || search.answer_limit_passed;
+  return due && replied > 0 && 2 * replied >= search.alive_asked &&
+         peers().size() + 1 > membership_.silentNodes().size();
 }
 
 void FleetAnswerBuilds::onBegan(const AnswersBegan& message) {
@@ -346,31 +518,65 @@
 }
 
 void FleetAnswerBuilds::onQuery(const common::NodeId& sender, const AnswerBuildQuery& query) {
-  const auto build = records_.find(query.answer, context_.clock.now());
-  context_.sendTo(sender, AnswerBuildReply{query.number, build.has_value(), build.value_or("")});
+  const auto now = context_.clock.now();
+  const auto build = records_.find(query.answer, now);
+  AnswerBuildReply reply{query.number, build.has_value(), build.value_or(""), {}};
+  if (!query.model.empty()) {
+    reply.builds = seenBuilds(query.model);
+  }
+  context_.sendTo(sender, reply);
 }
 
-void FleetAnswerBuilds::onReply(const AnswerBuildReply& reply) {
-  const auto search = searches_.find(reply.number);
-  if (search == searches_.end()) {
+std::vector<SeenBuild> FleetAnswerBuilds::seenBuilds(const common::ModelName& model) const {
+  const auto now = context_.clock.now();
+  std::vector<SeenBuild> builds;
+  for (const common::BuildName& build : history_.possible(model, now)) {
+    const common::ModelName known_as = build == kForgottenBuild ? kAnyModel : model;
+    const auto age = now - history_.lastSeen(known_as, build, now);
+    builds.push_back({known_as, build, common::millisecondsOf(age)});
+  }
+  return builds;
+}
+
+void FleetAnswerBuilds::onReply(const common::NodeId& sender, const AnswerBuildReply& reply) {
+  const auto found = searches_.find(reply.number);
+  if (found == searches_.end()) {
     return;
   }
   if (reply.known) {
-    finish(reply.number, {true, reply.build});
-  } else if (--search->second.replies_missing == 0) {
-    finish(reply.number, {});
+    finishKnown(reply.number, reply.build, record_of_peer_);
+    return;
   }
+  found->second.alive_missing.erase(sender);
+  found->second.silent_missing.erase(sender);
+  if (found->second.confirms_only_build) {
+    addSeen(reply.builds);
+  }
+  decide(reply.number);
 }
 
-void FleetAnswerBuilds::finish(std::uint64_t number, const AnswerOrigin& origin) {
-  const auto search = searches_.extract(number);
-  context_.scheduler.cancel(search.mapped().timer);
-  if (!origin.known) {
-    reportUnknown(search.mapped().model, search.mapped().found);
-    return;
-  }
-  record_of_peer_.add();
-  search.mapped().found(origin);
+FleetAnswerBuilds::Search FleetAnswerBuilds::extract(std::uint64_t number) {
+  auto search = searches_.extract(number);
+  context_.scheduler.cancel(search.mapped().answer_timer);
+  context_.scheduler.cancel(search.mapped().confirmation_timer);
+  return std::move(search.mapped());
+}
+
+void FleetAnswerBuilds::finishKnown(std::uint64_t number, const common::BuildName& build,
+                                    common::Counter& source) {
+  const Search search = extract(number);
+  source.add();
+  search.found({true, build});
+}
+
+void FleetAnswerBuilds::finishOnlyBuild(std::uint64_t number, common::Counter& source) {
+  const Search search = extract(number);
+  reportOnlyBuild(search.model, search.found, source);
+}
+
+void FleetAnswerBuilds::finishUnknown(std::uint64_t number) {
+  const Search search = extract(number);
+  reportUnknown(search.model, search.found, search);
 }
 
 void FleetAnswerBuilds::addSeen(const std::vector<SeenBuild>& builds) {
--- a/src/cypresswall/answer_builds/fleet_answer_builds.h
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.h
@@ -13,6 +13,7 @@
 #include "cypresswall/answer_builds/build_history.h"
 #include "cypresswall/answer_builds/messages.h"
 #include "cypresswall/answer_builds/settings.h"
+#include "cypresswall/answer_builds/store_confirmation.h"
 #include "cypresswall/answer_builds/stored_builds.h"
 #include "cypresswall/api/process_context.h"
 #include "cypresswall/membership/membership_view.h"
@@ -28,6 +29,12 @@
 /// which the caller takes the answer up knows whom to ask. A node without knowledge of the answer
 /// reports it as unknown, since a guess could join outputs of two builds.
 ///
+/// That there is one build only is known up to the time at which this node last heard of changes; a
+/// node that was cut off or stood still does not notice that it has not heard. Before it takes an
+/// answer to be of that build, it therefore asks the nodes that would have been told of the answer:
+/// of the alive members and of those that have fallen silent. If some of them don't reply, it reads
+/// the builds from the store.
+///
 /// A node that has started can't see the builds that have left the fleet before. Until it has
 /// learnt of them from another node or, if all have just started, from the platform's store, it
 /// takes no build for the only one. The store holds the builds that each model may still have
@@ -42,6 +49,10 @@
   FleetAnswerBuilds(const FleetAnswerBuilds&) = delete;
   FleetAnswerBuilds& operator=(const FleetAnswerBuilds&) = delete;
 
+  /// \param refresh reads the engines anew and calls enginesChanged() before its callback
+  void setListRefresh(StoreConfirmation::ListRefresh refresh) {
+    confirmation_.setListRefresh(std::move(refresh));
+  }
   void start();
   /// To be called with the builds of the engines in the fleet after each change.
   void enginesChanged(BuildsByModel present);
@@ -55,9 +66,20 @@
   /// A search that waits for the replies of other nodes.
   struct Search {
     common::ModelName model;
+    AnswerKey answer = 0;
     OriginCallback found;
-    std::size_t replies_missing = 0;
-    common::TimerId timer = 0;
+    /// Nodes that have not replied yet, and the number of those asked.
+    std::set<common::NodeId> alive_missing = {};
+    std::set<common::NodeId> silent_missing = {};
+    std::size_t alive_asked = 0;
+    /// This node knew one build when the search began. Confirming it takes replies or the store.
+    bool confirms_only_build = false;
+    bool answer_limit_passed = false;
+    bool store_asked = false;
+    bool store_confirmed = false;
+    bool store_failed = false;
+    common::TimerId answer_timer = 0;
+    common::TimerId confirmation_timer = 0;
   };
 
   /// A search that waits until this node knows the earlier builds.
@@ -75,13 +97,26 @@
                   OriginCallback found);
   /// \return true if this node has a record of the answer; `found` has then been called
   bool findOwnRecord(const std::string& began_as, const OriginCallback& found);
-  void reportUnknown(const common::ModelName& model, const OriginCallback& found);
+  /// Finds the build by the record of the answer, or confirms that there is one build only.
+  void confirmOnlyBuild(const common::ModelName& model, const std::string& began_as,
+                        OriginCallback found);
+  void reportOnlyBuild(const common::ModelName& model, const OriginCallback& found,
+                       common::Counter& source);
+  /// \param search how it ended, for the log
+  void reportUnknown(const common::ModelName& model, const OriginCallback& found,
+                     const Search& search);
+  /// \return for the log
+  const char* reasonUnknown(const common::ModelName& model) const;
+  /// \return true if several builds may have begun answers of the model
+  bool hasSeveralBuilds(const common::ModelName& model) const;
   /// Asks other nodes for the earlier builds until they are known.
   void askForHistory();
   void onHistoryQuery(const common::NodeId& sender);
   void sendHistory(const common::NodeId& node);
   void onHistory(const BuildHistoryReply& reply);
   void onStoredBuilds(const std::string& stored);
+  /// To be called with the builds that the store holds when it confirms the list of engines.
+  void onConfirmedBuilds(const std::string& stored);
   /// Takes over builds that the store holds.
   void addStored(const StoredBuilds& stored);
   /// Records that there may have been builds that are known to nobody.
@@ -99,13 +134,33 @@
   void historyChanged();
   /// Sends the records of answers that were begun while the model had one build.
   void sendRecords(const common::ModelName& model);
-  void ask(const common::ModelName& model, AnswerKey answer, OriginCallback found);
+  /// Asks nodes for the record of the answer.
+  /// \param search names the model, the answer, the callback and the silent nodes to ask
+  /// \return the number of the search
+  std::uint64_t ask(Search search);
+  void onAnswerLimit(std::uint64_t number);
+  void onConfirmationLimit(std::uint64_t number);
+  void askStore(std::uint64_t number);
+  void onConfirmation(std::uint64_t number, bool confirmed);
+  /// Ends the search if enough is known.
+  void decide(std::uint64_t number);
+  void decideAmongSeveral(std::uint64_t number, const Search& search);
+  /// \return true if enough nodes have replied to do without the store while it doesn't answer
+  bool mostNodesReplied(const Search& search);
+  /// Takes nodes that have fallen silent since they were asked for silent ones.
+  void updateMissing(Search& search) const;
   void onBegan(const AnswersBegan& message);
   void onQuery(const common::NodeId& sender, const AnswerBuildQuery& query);
-  void onReply(const AnswerBuildReply& reply);
+  void onReply(const common::NodeId& sender, const AnswerBuildReply& reply);
+  /// \return the builds that may have begun answers of the model
+  std::vector<SeenBuild> seenBuilds(const common::ModelName& model) const;
   /// Records what another node has seen.
   void addSeen(const std::vector<SeenBuild>& builds);
-  void finish(std::uint64_t number, const AnswerOrigin& origin);
+  /// Ends a search. \return the search
+  Search extract(std::uint64_t number);
+  void finishKnown(std::uint64_t number, const common::BuildName& build, common::Counter& source);
+  void finishOnlyBuild(std::uint64_t number, common::Counter& source);
+  void finishUnknown(std::uint64_t number);
   void membersChanged();
   /// Tells new members that would not ask of builds that have left the fleet.
   void tellNewMembers();
@@ -140,11 +195,16 @@
   /// The possible builds after the last change of the history.
   BuildsByModel possible_builds_;
   zone_object::ZoneObject stored_builds_;
+  StoreConfirmation confirmation_;
   common::Counter& recorded_;
   common::Counter& only_build_;
+  common::Counter& only_build_by_peers_;
+  common::Counter& only_build_by_store_;
+  common::Counter& only_build_without_store_;
   common::Counter& own_record_;
   common::Counter& record_of_peer_;
   common::Counter& unknown_;
+  common::Counter& out_of_step_;
 };
 
 }  // namespace cypresswall::answer_builds
--- a/src/cypresswall/answer_builds/messages.h
+++ b/src/cypresswall/answer_builds/messages.h
@@ -30,16 +30,9 @@
   /// Returned in the reply.
   std::uint64_t number = 0;
   AnswerKey answer = 0;
-  MSGPACK_DEFINE(number, answer)
-};
-
-struct AnswerBuildReply {
-  static constexpr auto kType = answerBuildMessage(2);
-  std::uint64_t number = 0;
-  /// False if the sender does not know the answer; `build` is then empty.
-  bool known = false;
-  common::BuildName build;
-  MSGPACK_DEFINE(number, known, build)
+  /// If the sender knows one build of the model only: the model, for AnswerBuildReply::builds.
+  common::ModelName model;
+  MSGPACK_DEFINE(number, answer, model)
 };
 
 /// A build that may have begun answers of a model.
@@ -51,6 +44,18 @@
   MSGPACK_DEFINE(model, build, age_milliseconds)
 };
 
+struct AnswerBuildReply {
+  static constexpr auto kType = answerBuildMessage(2);
+  std::uint64_t number = 0;
+  /// False if the sender does not know the answer; `build` is then empty.
+  bool known = false;
+  common::BuildName build;
+  /// The builds that may have begun answers of the model that was asked for; empty from earlier
+  /// builds of nodes.
+  std::vector<SeenBuild> builds;
+  MSGPACK_DEFINE(number, known, build, builds)
+};
+
 /// Builds of which no engine is in the fleet any more. Sent to nodes that could not see them: to a
 /// node that joins the zone and does not ask with BuildHistoryQuery, and to all nodes if the sender
 /// has learnt of the builds from the store.
--- a/src/cypresswall/answer_builds/settings.h
+++ b/src/cypresswall/answer_builds/settings.h
@@ -18,6 +18,16 @@
   std::size_t asked_nodes = 4;
   /// Time within which a node that was asked must answer.
   common::Duration answer_limit = std::chrono::milliseconds(150);
+  /// Number of nodes that have fallen silent which are asked besides, while this node knows one
+  /// build only: they may know another one.
+  std::size_t silent_nodes_asked = 4;
+  /// Longest time that a search waits for the store to confirm that there is one build only.
+  common::Duration confirmation_limit = std::chrono::seconds(1);
+  /// Delay before the next attempt after a failed one.
+  common::Duration confirmation_retry_delay = std::chrono::milliseconds(200);
+  /// Shortest time between two confirmations, multiplied by the number of members: the nodes of a
+  /// zone together ask the store 200 times a second at the most.
+  common::Duration confirmation_interval_per_node = std::chrono::milliseconds(5);
   /// Number of nodes that a node which has started asks at a time for the builds that the models
   /// had before.
   std::size_t nodes_asked_for_history = 4;
--- a/src/cypresswall/membership/membership.cpp
+++ b/src/cypresswall/membership/membership.cpp
@@ -65,7 +65,8 @@
       });
   dispatcher.handle<ShutdownNotice>([this](const common::NodeId& sender, const ShutdownNotice&) {
     const Peer* const peer = peers_.find(sender);
-    if (peer != nullptr && applyDeparture({sender, peer->details.version})) {
+    if (peer != nullptr &&
+        applyDeparture({sender, peer->details.version}, PeerTable::DepartureCause::kStopped)) {
       notify();
     }
   });
@@ -328,9 +329,9 @@
 }
 
 /// A node forwards a departure even if it did not know the member, since its receivers may know it.
-bool Membership::applyDeparture(const Departure& departure) {
+bool Membership::applyDeparture(const Departure& departure, PeerTable::DepartureCause cause) {
   const bool known = peers_.find(departure.node) != nullptr;
-  if (!peers_.remove(departure, context_.clock.now())) {
+  if (!peers_.remove(departure, context_.clock.now(), cause)) {
     return false;
   }
   enqueueUpdate(departure);
@@ -377,7 +378,7 @@
       // newer details undo a departure, so that node is told of it and has to announce them.
       context_.sendTo(departure.node, MembershipUpdate{{}, {departure}, false});
     } else {
-      changed = applyDeparture(departure) || changed;
+      changed = applyDeparture(departure, PeerTable::DepartureCause::kSilent) || changed;
     }
   }
   if (changed) {
@@ -513,6 +514,12 @@
   return own_earlier_incarnation || peers_.replaced(node) || machines_.isAddressGone(node.address);
 }
 
+std::vector<common::NodeId> Membership::silentNodes() const {
+  auto nodes = peers_.silent();
+  std::erase_if(nodes, [this](const common::NodeId& node) { return confirmedDead(node); });
+  return nodes;
+}
+
 void Membership::onChange(std::function<void()> listener) {
   listeners_.push_back(std::move(listener));
 }
--- a/src/cypresswall/membership/membership.h
+++ b/src/cypresswall/membership/membership.h
@@ -37,6 +37,7 @@
   bool machineLeaving(const common::MachineName& machine) const override;
   bool addressLeaving(const common::Address& address) const override;
   bool confirmedDead(const common::NodeId& node) const override;
+  std::vector<common::NodeId> silentNodes() const override;
   void onChange(std::function<void()> listener) override;
 
   /// Announces a planned stop. The node keeps sending heartbeats and answering until it stops.
@@ -73,7 +74,7 @@
   /// Applies the details that a node sent about itself.
   void applySelfReport(const common::NodeId& node, const NodeDetails& details);
   /// Applies the departure of a node. \return true if it was a member
-  bool applyDeparture(const Departure& departure);
+  bool applyDeparture(const Departure& departure, PeerTable::DepartureCause cause);
   /// Undoes a departure of this node that was announced wrongly and carries `details_version`:
   /// raises the version of this node's own details above it and announces the details.
   void refute(std::uint32_t details_version);
--- a/src/cypresswall/membership/membership_view.h
+++ b/src/cypresswall/membership/membership_view.h
@@ -57,6 +57,9 @@
   /// \return true if the process has certainly ended: a newer incarnation was seen at its address
   ///   or the machine list shows its machine as gone. Missing heartbeats alone are not enough.
   virtual bool confirmedDead(const common::NodeId& node) const = 0;
+  /// \return the nodes that were members until they fell silent and that have not been shown to
+  ///   have ended: they may run, cut off from this node, or this node may be cut off
+  virtual std::vector<common::NodeId> silentNodes() const { return {}; }
   /// Attaches a value to this node for its peers to read.
   virtual void setDigest(DigestTopic topic, std::uint64_t value) = 0;
   /// \return the newest known value of a member's digest, nothing if there is none
--- a/src/cypresswall/membership/peer_table.cpp
+++ b/src/cypresswall/membership/peer_table.cpp
@@ -73,7 +73,7 @@
     std::map<common::Address, Peer>::iterator peer, common::MonotonicTime now) {
   const std::uint32_t version = peer->second.details.version;
   hash_ -= memberHash(peer->second.node, version);
-  departed_[peer->first] = DepartedPeer{{peer->second.node, version}, now};
+  departed_[peer->first] = DepartedPeer{{peer->second.node, version}, DepartureCause::kSilent, now};
   ++changes_;
   return peers_.erase(peer);
 }
@@ -125,7 +125,8 @@
   }
 }
 
-bool PeerTable::remove(const Departure& departure, common::MonotonicTime now) {
+bool PeerTable::remove(const Departure& departure, common::MonotonicTime now,
+                       DepartureCause cause) {
   const common::NodeId& node = departure.node;
   const Peer* const peer = find(node);
   const auto newest = newest_incarnation_.find(node.address);
@@ -137,7 +138,11 @@
   if (peer != nullptr) {
     erase(peers_.find(node.address), now);
   }
-  departed_[node.address] = DepartedPeer{departure, now};
+  const auto earlier = departed_.find(node.address);
+  const bool stopped = earlier != departed_.end() && earlier->second.departure.node == node &&
+                       earlier->second.cause == DepartureCause::kStopped;
+  departed_[node.address] =
+      DepartedPeer{departure, stopped ? DepartureCause::kStopped : cause, now};
   return true;
 }
 
@@ -166,6 +171,21 @@
   return blocked ? std::optional(gone->second.departure) : std::nullopt;
 }
 
+std::vector<common::NodeId> PeerTable::silent() const {
+  std::vector<common::NodeId> nodes;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.state == MemberState::kSuspect) {
+      nodes.push_back(peer.node);
+    }
+  }
+  for (const auto& [address, gone] : departed_) {
+    if (gone.cause == DepartureCause::kSilent) {
+      nodes.push_back(gone.departure.node);
+    }
+  }
+  return nodes;
+}
+
 std::vector<common::Address> PeerTable::departed() const {
   std::vector<common::Address> addresses;
   for (const auto& [address, gone] : departed_) {
--- a/src/cypresswall/membership/peer_table.h
+++ b/src/cypresswall/membership/peer_table.h
@@ -61,10 +61,15 @@
   /// Extends the deadline of every peer by `pause`. To be called after this process was paused, as
   /// it received no heartbeats meanwhile.
   void extend(common::Duration pause);
+  enum class DepartureCause : std::uint8_t {
+    kSilent,   ///< no heartbeats came
+    kStopped,  ///< the node said that it stops
+  };
   /// Removes the departed node from the peers and records the departure, also if the node was not a
   /// peer. Does nothing if newer details or a newer incarnation of the node are known.
   /// \return true if the departure was recorded; false if it was known or is outdated
-  bool remove(const Departure& departure, common::MonotonicTime now);
+  bool remove(const Departure& departure, common::MonotonicTime now,
+              DepartureCause cause = DepartureCause::kSilent);
 
   const std::map<common::Address, Peer>& peers() const { return peers_; }
   /// \return a counter that is incremented whenever a peer is added or removed
@@ -83,11 +88,14 @@
                                              common::MonotonicTime now) const;
   /// Addresses of departed nodes, to be probed again.
   std::vector<common::Address> departed() const;
+  /// \return the suspect peers, and the departed ones that did not say that they stop
+  std::vector<common::NodeId> silent() const;
 
  private:
   /// The last node seen at an address, and when it departed.
   struct DepartedPeer {
     Departure departure;
+    DepartureCause cause = DepartureCause::kSilent;
     common::MonotonicTime at;
   };
 
--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -175,6 +175,13 @@
   };
   configuration_view_.onChange(update);
   update(*configuration_view_.current());
+  answer_builds_.setListRefresh([this](std::function<void(bool current)> done) {
+    if (declared_ == nullptr) {
+      done(false);
+    } else {
+      declared_->refresh(std::move(done));
+    }
+  });
   model_executor_.setAnswerBuilds(answer_builds_);
 }
 
--- a/tests/membership/peer_table_test.cpp
+++ b/tests/membership/peer_table_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(departedNodeIsBlockedUntilNewerDetails);
   CPPUNIT_TEST(newerDetailsOverrideDeparture);
   CPPUNIT_TEST(departureOfUnknownNodeIsNewOnce);
+  CPPUNIT_TEST(silentNodesMayStillRun);
   CPPUNIT_TEST(hashMatchesMembers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -86,6 +87,27 @@
     CPPUNIT_ASSERT(table_.find(later) != nullptr);
   }
 
+  /// Nodes that may still run, cut off from this one.
+  void silentNodesMayStillRun() {
+    const common::NodeId stopped{"10.0.0.2:1", 1};
+    const common::NodeId alive{"10.0.0.3:1", 1};
+    for (const common::NodeId& node : {node_, stopped, alive}) {
+      table_.applyDetails(node, detailsOf(1), at(0));
+    }
+    CPPUNIT_ASSERT(table_.remove({stopped, 1}, at(0), PeerTable::DepartureCause::kStopped));
+    table_.watch({node_}, at(0));
+    CPPUNIT_ASSERT(table_.silent().empty());
+    bool changed = false;
+    table_.expire(at(1400), changed);
+    CPPUNIT_ASSERT(table_.silent() == std::vector<common::NodeId>{node_});
+    table_.expire(at(2600), changed);
+    CPPUNIT_ASSERT(table_.silent() == std::vector<common::NodeId>{node_});
+    CPPUNIT_ASSERT(table_.remove({stopped, 1}, at(7000)));
+    CPPUNIT_ASSERT(table_.silent() == std::vector<common::NodeId>{node_});
+    table_.applyDetails(node_, detailsOf(2), at(7100));
+    CPPUNIT_ASSERT(table_.silent().empty());
+  }
+
   void hashMatchesMembers() {
     testing::requireProperty("the hash matches the members", 100, [this] {
       PeerTable table(settings_);
--- a/tests/objects_platform/relayed_watch_test.cpp
+++ b/tests/objects_platform/relayed_watch_test.cpp
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(staleStoreAnswerKeepsBaseOfDifferences);
   CPPUNIT_TEST(rejectsInapplicableDifferences);
   CPPUNIT_TEST(readersCallTimeLimitCoversLargeAnswers);
+  CPPUNIT_TEST(refreshReadsWhatReadersHaveNotAnnounced);
+  CPPUNIT_TEST(failedRefreshConfirmsNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -126,6 +128,41 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, other_->watch.revision());
   }
 
+  /// Guards against a node that takes its list for the present one: it heard of no change, since it
+  /// was cut off from the readers.
+  void refreshReadsWhatReadersHaveNotAnnounced() {
+    begin();
+    std::vector<bool> results;
+    other_->watch.refresh([&](bool current) { results.push_back(current); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_->store.calls.size());
+    CPPUNIT_ASSERT(other_->store.targets.back().ends_with("&wait_ms=1"));
+    CPPUNIT_ASSERT(results.empty());
+    other_->store.answer(200, eventsJson(9, {{objectJson("i-1", 9, kRunner), false}}));
+    CPPUNIT_ASSERT(results == std::vector<bool>{true});
+    CPPUNIT_ASSERT(other_->runners.findById("i-1") != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, other_->watch.revision());
+    other_->watch.refresh([&](bool current) { results.push_back(current); });
+    other_->watch.applyPeerChanges({}, 11);
+    other_->store.answer(200, eventsJson(10, {}));
+    CPPUNIT_ASSERT((results == std::vector<bool>{true, true}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{11}, other_->watch.revision());
+  }
+
+  void failedRefreshConfirmsNothing() {
+    begin();
+    std::vector<bool> results;
+    const auto record = [&](bool current) { results.push_back(current); };
+    other_->watch.refresh(record);
+    other_->store.fail(runtime::CurlOutcome::kBroken);
+    other_->watch.refresh(record);
+    other_->store.answer(410, "{}");
+    other_->watch.refresh(record);
+    other_->watch.beginIncarnation();
+    other_->store.answer(200, eventsJson(9, {}));
+    other_->watch.refresh(record);
+    CPPUNIT_ASSERT((results == std::vector<bool>{false, false, false, false}));
+  }
+
   /// A configuration of 1,900 routes has some 460 KB. A call aborted before its answer is complete
   /// is retried and aborted again.
   void readersCallTimeLimitCoversLargeAnswers() {
--- a/tests/support/engine_world.h
+++ b/tests/support/engine_world.h
@@ -131,6 +131,11 @@
   }
   bool addressLeaving(const common::Address&) const override { return false; }
   bool confirmedDead(const common::NodeId&) const override { return false; }
+  std::vector<common::NodeId> silentNodes() const override { return silent_; }
+  void setSilent(std::vector<common::NodeId> nodes) {
+    silent_ = std::move(nodes);
+    notify();
+  }
   void setDigest(membership::DigestTopic, std::uint64_t) override {}
   std::optional<std::uint64_t> digest(const common::NodeId& node,
                                       membership::DigestTopic topic) const override {
@@ -186,6 +191,7 @@
   common::NodeId self_;
   common::ZoneName zone_;
   std::vector<membership::Member> members_;
+  std::vector<common::NodeId> silent_;
   std::set<common::MachineName> leaving_;
   std::vector<std::function<void()>> listeners_;
   std::map<common::NodeId, std::uint64_t> link_megabits_;
