--- a/tests/objects_platform/fleet_declaration_test.cpp
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -5,7 +5,7 @@
 #include "platform/fleet_translation.h"
 #include "platform/runner_machine_list.h"
 #include "tests/objects_platform/fake_store.h"
-#include "tests/support/odd_json.h"
+#include "tests/support/odd_stored_json.h"
 #include "tests/support/property.h"
 #include "tests/support/virtual_world.h"
 
@@ -304,7 +304,7 @@
                         {"plain_tokens", 3}}};
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, parseOperatorConfiguration(spec).version);
     for (const auto& place : cypresswall::testing::placesIn(spec)) {
-      for (const std::string& odd : cypresswall::testing::oddJsonValues()) {
+      for (const std::string& odd : cypresswall::testing::oddStoredValues()) {
         const std::string text = cypresswall::testing::mutatedText(spec, place, odd);
         const auto page =
             wire::parsePage(testing::pageJson(9, {testing::objectJson("main", 9, text)}));
--- a/tests/objects_platform/object_store_client_test.cpp
+++ b/tests/objects_platform/object_store_client_test.cpp
@@ -138,7 +138,7 @@
   void foreignObjectsDoNotHideOthers() {
     std::optional<StoreResult<ObjectListing>> listed;
     const auto keep = [&](auto result) { listed = std::move(result); };
-    for (const std::string& odd : cypresswall::testing::oddJsonValues()) {
+    for (const std::string& odd : cypresswall::testing::oddStoredValues()) {
       for (const std::string& object : testing::objectsWith(odd, 9)) {
         client_.list("authority/", keep);
         store_.answer(200, pageJson(9, {object, objectJson(kName, 9, kSpec)}));
@@ -156,7 +156,7 @@
   /// have to replace.
   void overwrittenObjectHasAVersionAndNoValidValue() {
     std::optional<StoreResult<StoredObject>> read;
-    for (const std::string& odd : cypresswall::testing::oddJsonValues()) {
+    for (const std::string& odd : cypresswall::testing::oddStoredValues()) {
       client_.get("authority/z 1", [&](auto result) { read = std::move(result); });
       store_.answer(200, objectJson(kName, 412, odd));
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{412}, read->value().version);
--- a/tests/objects_platform/object_watch_test.cpp
+++ b/tests/objects_platform/object_watch_test.cpp
@@ -185,7 +185,7 @@
   void oddObjectsDoNotHideOthers() {
     begin();
     std::uint64_t revision = 9;
-    for (const std::string& odd : cypresswall::testing::oddJsonValues()) {
+    for (const std::string& odd : cypresswall::testing::oddStoredValues()) {
       const std::string at = std::to_string(++revision);
       for (const std::string& object : testing::objectsWith(odd, revision)) {
         RecordingListener listed;
--- a/tests/objects_platform/odd_objects.h
+++ b/tests/objects_platform/odd_objects.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/support/odd_json.h"
+#include "tests/support/odd_stored_json.h"
 
 namespace cypresswall::objects_platform::testing {
 
