--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -170,8 +170,8 @@
 void Daemon::waitForSignal() {
   signals_.async_wait([this](const std::error_code& error, int signal) {
     if (!error) {
-      handleSignal(signal);
       waitForSignal();
+      handleSignal(signal);
     }
   });
 }
@@ -192,7 +192,7 @@
   try {
     applyReloadable(reload_());
     LogEvent(log_, LogLevel::kInfo, "settings_reloaded");
-  } catch (const common::Error& error) {
+  } catch (const std::exception& error) {
     LogEvent(log_, LogLevel::kError, "settings_not_reloaded").field("error", error.what());
   }
 }
--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -520,6 +520,10 @@
 void FleetAnswerBuilds::onQuery(const common::NodeId& sender, const AnswerBuildQuery& query) {
   const auto now = context_.clock.now();
   const auto build = records_.find(query.answer, now);
+  if (!build && !query.model.empty() && !history_known_) {
+    // This node has just started: that it knows of no other build says nothing.
+    return;
+  }
   AnswerBuildReply reply{query.number, build.has_value(), build.value_or(""), {}};
   if (!query.model.empty()) {
     reply.builds = seenBuilds(query.model);
--- a/src/cypresswall/answer_builds/store_confirmation.cpp
+++ b/src/cypresswall/answer_builds/store_confirmation.cpp
@@ -1,5 +1,6 @@
 #include "cypresswall/answer_builds/store_confirmation.h"
 
+#include <exception>
 #include <utility>
 
 namespace cypresswall::answer_builds {
@@ -42,8 +43,13 @@
   calls_missing_ = kCalls;
   all_answered_ = true;
   store_.get(key_, [this](const object_store::StoreResult<object_store::StoredObject>& result) {
-    if (result.ok()) {
-      on_read_(result.value().value);
+    try {
+      if (result.ok()) {
+        on_read_(result.value().value);
+      }
+    } catch (const std::exception&) {
+      finishCall(false);
+      throw;
     }
     finishCall(result.ok() || result.failure().kind == object_store::StoreFailure::kNotFound);
   });
--- a/src/cypresswall/http/accept_limiter.h
+++ b/src/cypresswall/http/accept_limiter.h
@@ -63,7 +63,6 @@
 
   void increment_parallel_connections() noexcept {  // NOLINT
     ++connections_;
-    ++accepted_;
   }
 
   void decrement_parallel_connections() noexcept {  // NOLINT
@@ -77,6 +76,9 @@
 
   /// \param accept number of an accept that has ended, or has not begun yet
   void accept_next(std::size_t accept) noexcept {  // NOLINT
+    if (accepting_[accept]) {
+      ++ended_accepts_;
+    }
     end(accept);
     if (hasRoom()) {
       accepting_[accept] = true;
@@ -87,8 +89,8 @@
     }
   }
 
-  /// \return number of connections accepted so far
-  std::size_t accepted() const { return accepted_; }
+  /// \return number of accepts that have ended with a caller, whether it is still there or not
+  std::size_t endedAccepts() const { return ended_accepts_; }
   bool hasRoom() const { return connections_ + active_accepts_ < maximum_connections_; }
   /// \return true if accepts are under way, as far as RESTinio has told
   bool isAccepting() const { return active_accepts_ != 0; }
@@ -121,7 +123,7 @@
   Reference* reference_;
   std::size_t maximum_connections_;
   std::size_t connections_ = 0;
-  std::size_t accepted_ = 0;
+  std::size_t ended_accepts_ = 0;
   std::size_t active_accepts_ = 0;
   /// Whether each accept, by its number, is under way.
   std::vector<bool> accepting_;
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -471,8 +471,8 @@
     accept_timer_.expires_after(kAcceptCheckPeriod);
     accept_timer_.async_wait([this, alive = std::weak_ptr(alive_)](const asio::error_code& error) {
       if (!error && !alive.expired() && listening_socket_ >= 0) {
-        checkAccepts();
         checkAcceptsLater();
+        checkAccepts();
       }
     });
   }
@@ -483,10 +483,10 @@
     AcceptLimiter* const limiter = limiter_->get();
     const bool stalled =
         limiter != nullptr && limiter->isAccepting() && hasPendingConnections(listening_socket_);
-    const bool still_stalled = stalled && stalled_after_ == limiter->accepted();
+    const bool still_stalled = stalled && stalled_after_ == limiter->endedAccepts();
     stalled_after_.reset();
     if (stalled) {
-      stalled_after_ = limiter->accepted();
+      stalled_after_ = limiter->endedAccepts();
     }
     if (still_stalled) {
       if (table_->settings().on_accepts_restarted) {
@@ -549,7 +549,7 @@
   int listening_socket_ = -1;
   asio::steady_timer backlog_timer_;
   asio::steady_timer accept_timer_;
-  /// Number of connections accepted before the last check, if callers waited then.
+  /// Number of accepts that had ended at the last check, if callers waited then.
   std::optional<std::size_t> stalled_after_;
   /// Queued handlers hold weak pointers to this flag, which expire when this object is destroyed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/cypresswall/runtime/tcp_peer_transport.cpp
+++ b/src/cypresswall/runtime/tcp_peer_transport.cpp
@@ -150,8 +150,8 @@
       scheduleAccept();
       return;
     }
-    addIncoming(std::move(socket));
     accept();
+    addIncoming(std::move(socket));
   });
 }
 
