--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -97,6 +97,7 @@
   if (history_known_) {
     return;
   }
+  context_.scheduler.schedule(kHistoryCheckInterval, [this] { askForHistory(); });
   const auto now = context_.clock.now();
   if (now >= next_history_query_at_ && !membership_.joining()) {
     auto nodes = historyNodes();
@@ -110,7 +111,6 @@
       context_.sendToAll(chosen, BuildHistoryQuery{});
     }
   }
-  context_.scheduler.schedule(kHistoryCheckInterval, [this] { askForHistory(); });
 }
 
 void FleetAnswerBuilds::onHistoryQuery(const common::NodeId& sender) {
--- a/src/cypresswall/forwarding/forwarded_attempts.cpp
+++ b/src/cypresswall/forwarding/forwarded_attempts.cpp
@@ -64,8 +64,8 @@
     handler_.onReceiverLost();
     return;
   }
-  forwarder_.context().sendTo(receiver_, ForwardCheck{number_, paused_});
   scheduleCheck();
+  forwarder_.context().sendTo(receiver_, ForwardCheck{number_, paused_});
 }
 
 void ForwardedAttempts::ended() {
--- a/src/cypresswall/reachability/path_monitor.cpp
+++ b/src/cypresswall/reachability/path_monitor.cpp
@@ -123,15 +123,15 @@
   } else if (lost_ && ++good_rounds_ >= settings_.rounds_to_return) {
     setLost(false);
   }
-  for (const auto& callback : std::exchange(waiting_, {})) {
-    callback(works);
-  }
   if (lost_) {
     next_round_ = context_.scheduler.schedule(settings_.probe_interval, [this] {
       next_round_ = 0;
       startRound();
     });
   }
+  for (const auto& callback : std::exchange(waiting_, {})) {
+    callback(works);
+  }
 }
 
 void PathMonitor::setLost(bool lost) {
--- a/src/cypresswall/runtime/socket_poll.cpp
+++ b/src/cypresswall/runtime/socket_poll.cpp
@@ -8,6 +8,8 @@
 #include <system_error>
 #include <utility>
 
+#include "cypresswall/common/at_scope_end.h"
+
 namespace cypresswall::runtime {
 namespace {
 
@@ -85,6 +87,7 @@
 }
 
 void SocketPoll::poll() {
+  const common::AtScopeEnd again([this] { waitIfNeeded(); });
   std::array<epoll_event, kEventsPerTurn> events{};
   const int count = ::epoll_wait(set_.native_handle(), events.data(), kEventsPerTurn, 0);
   for (int at = 0; at < count && !stopped_; ++at) {
@@ -97,7 +100,6 @@
     listener_(event.data.fd,
               {failed || (event.events & EPOLLIN) != 0, failed || (event.events & EPOLLOUT) != 0});
   }
-  waitIfNeeded();
 }
 
 }  // namespace cypresswall::runtime
--- a/src/cypresswall/zone_object/zone_object.cpp
+++ b/src/cypresswall/zone_object/zone_object.cpp
@@ -44,8 +44,8 @@
 }
 
 void ZoneObject::watchIncarnation() {
-  checkIncarnation();
   context_.scheduler.schedule(kIncarnationCheckInterval, [this] { watchIncarnation(); });
+  checkIncarnation();
 }
 
 void ZoneObject::checkIncarnation() {
