Write stored texts although a name isn't valid UTF-8

A node that hears of a build whose name is not valid UTF-8 couldn't write the object of builds any more: the JSON library throws at each try. The same call wrote quarantine, checkpoint and usage. Such bytes are now replaced.

--- a/src/cypresswall/answer_builds/stored_builds.cpp
+++ b/src/cypresswall/answer_builds/stored_builds.cpp
@@ -41,7 +41,7 @@
   auto content = objectIn(replaced);
   content[kBuilds] = builds.builds;
   content[kStoreIncarnation] = builds.store_incarnation;
-  return content.dump();
+  return content.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace cypresswall::answer_builds
--- a/src/cypresswall/checkpoint/checkpoint.cpp
+++ b/src/cypresswall/checkpoint/checkpoint.cpp
@@ -49,7 +49,7 @@
               {kZone, checkpoint.zone},
               {kStoreIncarnation, checkpoint.store_incarnation},
               {kParts, std::move(parts)}}
-      .dump();
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Checkpoint decodeCheckpoint(const std::string& text) {
--- a/src/cypresswall/duties/usage_ledger.cpp
+++ b/src/cypresswall/duties/usage_ledger.cpp
@@ -34,7 +34,8 @@
   for (const UsageReport& report : ledger.fixed) {
     fixed.push_back({{kWindow, report.window}, {kCounts, report.counts}});
   }
-  return nlohmann::json{{kTakenThrough, ledger.taken_through}, {kFixed, std::move(fixed)}}.dump();
+  return nlohmann::json{{kTakenThrough, ledger.taken_through}, {kFixed, std::move(fixed)}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 UsageLedger decodeUsageLedger(const std::string& text) {
--- a/src/cypresswall/quarantine/stored_quarantine.cpp
+++ b/src/cypresswall/quarantine/stored_quarantine.cpp
@@ -64,7 +64,7 @@
   for (const auto request : quarantine.requests) {
     requests.push_back(common::toString(request));
   }
-  return content.dump();
+  return content.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace cypresswall::quarantine
