--- a/src/cypresswall/configuration/configuration_view.h
+++ b/src/cypresswall/configuration/configuration_view.h
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <memory>
-#include <utility>
 
 #include "cypresswall/configuration/fleet.h"
 
@@ -19,7 +18,8 @@
   /// Reads the engines anew from where they are declared.
   /// \param done called once, synchronously or later: with true once current() holds all engines
   ///   that were declared when refresh() was called; with false if that can't be found out
-  virtual void refresh(std::function<void(bool current)> done) { std::exchange(done, {})(false); }
+  // NOLINTNEXTLINE(performance-unnecessary-value-param): implementations keep the callback.
+  virtual void refresh(std::function<void(bool current)> done) { done(false); }
 };
 
 }  // namespace cypresswall::configuration
