--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -361,8 +361,8 @@
                                          restinio::details::autodetect_request_handler_type,
                                          restinio::noop_strand_t, ConnectionSocket> {
   // These names are required by RESTinio.
-  using connection_state_listener_t = StateListener;          // NOLINT
-  static constexpr bool use_connection_count_limiter = true;  // NOLINT
+  using connection_state_listener_t = StateListener;                           // NOLINT
+  [[maybe_unused]] static constexpr bool use_connection_count_limiter = true;  // NOLINT
 };
 
 }  // namespace
--- a/src/cypresswall/idempotency/claim_table.cpp
+++ b/src/cypresswall/idempotency/claim_table.cpp
@@ -238,9 +238,11 @@
   ClaimReply reply;
   reply.claim = request.claim;
   reply.retry_after_us = static_cast<std::uint64_t>(settings_.retry_after.count());
+  reply.verdict = HolderVerdict::kUncertain;
   if (entry.unreadable) {
-    reply.verdict = HolderVerdict::kUncertain;
-  } else if (entry.record.digest != request.digest) {
+    return reply;
+  }
+  if (entry.record.digest != request.digest) {
     reply.verdict = HolderVerdict::kDifferentBody;
   } else if (entry.record.state == ClaimState::kCompleted) {
     reply.verdict = HolderVerdict::kCompleted;
@@ -249,8 +251,6 @@
     reply.verdict = HolderVerdict::kGranted;
   } else if (claimerMayReport(entry.record)) {
     reply.verdict = HolderVerdict::kInProgress;
-  } else {
-    reply.verdict = HolderVerdict::kUncertain;
   }
   return reply;
 }
--- a/tests/objects_platform/object_watch_test.cpp
+++ b/tests/objects_platform/object_watch_test.cpp
@@ -172,8 +172,14 @@
           R"({"gone": true, "object": {"metadata": {"name": "", "revision": 9}}})",
           R"({"gone": true, "object": {"metadata": {"name": "a\u0000", "revision": 9}}})"}) {
       const std::string at = std::to_string(++revision);
-      store_.answer(200, "{\"events\": [" + odd + R"(, {"gone": false, "object": )" +
-                             objectJson("b", revision) + "}], \"at\": " + at + "}");
+      std::string answer = R"({"events": [)";
+      answer += odd;
+      answer += R"(, {"gone": false, "object": )";
+      answer += objectJson("b", revision);
+      answer += R"(}], "at": )";
+      answer += at;
+      answer += "}";
+      store_.answer(200, answer);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, "+b" + at + " . ", listener_.takeRecorded());
       CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, revision, watch_.revision());
     }
