--- a/tests/runtime/handler_guard_test.cpp
+++ b/tests/runtime/handler_guard_test.cpp
@@ -130,7 +130,7 @@
     const std::string huge(1U << 20, 'x');
     for (int i = 0; i < 1000; ++i) {
       CPPUNIT_ASSERT(!guard_.run(
-          common::EventSource::kPeerMessage, [&] { return huge; },
+          common::EventSource::kPeerMessage, [&] { return std::string(huge); },
           [&] { throw std::runtime_error(huge); }));
     }
     CPPUNIT_ASSERT_EQUAL(1000.0, counters_.total("cypresswall_failed_handlers_total"));
--- a/tests/store_relay/change_packer_test.cpp
+++ b/tests/store_relay/change_packer_test.cpp
@@ -60,8 +60,12 @@
     packer.storePlain(kName, 1, {{"padding", padding}});
     std::uint64_t revision = 1;
     for (const std::string& odd : testing::oddJsonValues()) {
-      StoreChange change{kName, ++revision, false,
-                         R"({"odd":)" + odd + R"(,"padding":")" + padding + "\"}"};
+      std::string text = R"({"odd":)";
+      text += odd;
+      text += R"(,"padding":")";
+      text += padding;
+      text += "\"}";
+      StoreChange change{kName, ++revision, false, text};
       const Json content = packer.unpack(change);
       CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 50), content.is_object());
       CPPUNIT_ASSERT_EQUAL(padding, content["padding"].get<std::string>());
