Runners: an invalid address is not another runner's

An entry that another writer had left over that of a living runner, with an address that can't be read ("10.0.0.1:99999"), removed the runner at once at all nodes and ended its streams; it came back with its next heartbeat. Any text that differed from the address held counted as another address.

--- a/tests/objects_platform/runner_entries_test.cpp
+++ b/tests/objects_platform/runner_entries_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(overwrittenEntryKeepsRunnerUntilItIsWrittenAgain);
   CPPUNIT_TEST(entryThatStaysOverwrittenRemovesRunner);
   CPPUNIT_TEST(unreadableEntryDrainsOrReplacesRunner);
+  CPPUNIT_TEST(invalidAddressIsNotAnotherRunner);
   CPPUNIT_TEST(entriesDoNotTakeTheNameOfAnotherEngine);
   CPPUNIT_TEST(oddFieldsLeaveOtherRunners);
   CPPUNIT_TEST(malformedEntriesDoNotHideOthers);
@@ -176,6 +177,24 @@
     CPPUNIT_ASSERT(runners_.runners().empty());
   }
 
+  /// Guards against runners removed at once because another writer left an invalid address in their
+  /// entries.
+  void invalidAddressIsNotAnotherRunner() {
+    put("i-1", entry(1000));
+    const auto engine = onlyEngine();
+    for (const char* address :
+         {"10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:-80", "10.0.0.1", "somewhere", ""}) {
+      auto spec = entry(1000);
+      spec["address"] = address;
+      put("i-1", spec);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(address, std::size_t{1}, runners_.runners().size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(address, engine, onlyEngine());
+    }
+    put("i-1", entry(1000));
+    world_.runFor(std::chrono::seconds(20));
+    CPPUNIT_ASSERT_EQUAL(engine, onlyEngine());
+  }
+
   /// An entry without a start time has its identifier as the name of its engine.
   void entriesDoNotTakeTheNameOfAnotherEngine() {
     put("i-1", entry(1000));
