Answers taken up: the node that continues one records what began it

With one build no other node is told which build began an answer. When its node had ended, another one continued the answer, then a second build came and that node ended as well, every further attempt was refused (answer_build_unknown reason=several-builds): the continuing node knew the build, and had no record to pass on. Now it keeps one, which is sent on when a second build appears, as for the answers that it began itself.

--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -109,6 +109,10 @@
     return;
   }
   answer_build_ = origin.build;
+  if (answer_build_) {
+    // From now on this node is one of those that know what began the answer.
+    core_.answer_builds->began(target_.service.model, call_.continues->began_as, *answer_build_);
+  }
   nextAttempt();
 }
 
--- a/tests/answer_builds/mixed_builds_fleet.h
+++ b/tests/answer_builds/mixed_builds_fleet.h
@@ -29,6 +29,8 @@
     bool moves_slow_streams = false;
     common::Duration between_answers = std::chrono::milliseconds(14);
     bool callers_take_up = true;
+    /// Number of attempts that a caller makes for one answer, with the first one.
+    std::size_t maximum_attempts = 2;
     /// How long callers wait before they take up an answer that broke.
     common::Duration take_up_delay{0};
     /// Number of engines declared at the start; zero for all.
@@ -153,6 +155,10 @@
   std::size_t takenUp() const { return countIf(&MixedBuildsFleet::isTakenUp); }
   /// \return the number of these that went on
   std::size_t wentOn() const { return countIf(&MixedBuildsFleet::isContinued); }
+  /// \return the number of answers that were taken up once more, after they had gone on
+  std::size_t takenUpAgain() const { return countIf(&MixedBuildsFleet::isTakenUpAgain); }
+  /// \return the number of these that went on
+  std::size_t wentOnAgain() const { return countIf(&MixedBuildsFleet::isContinuedAgain); }
   /// \return the number of answers that nodes resumed at another engine, unnoticed by the caller
   double resumedByNodes() {
     double resumed = 0;
@@ -196,8 +202,6 @@
   static constexpr std::uint32_t kPromptTokens = 300;
   static constexpr std::uint32_t kAnswerTokens = 40;
   static constexpr common::Duration kStartTime = std::chrono::seconds(3);
-  /// A caller takes a broken answer up once.
-  static constexpr std::size_t kMaximumAttempts = 2;
 
   /// One answer, over all attempts of its caller.
   struct Caller {
@@ -237,7 +241,7 @@
     const simulation::CallerRecord& last = *caller.attempts.back();
     const bool due = fleet_->time().now() >= last.ended_at + settings_.take_up_delay;
     if (settings_.callers_take_up && due && brokenOff(last) &&
-        caller.attempts.size() < kMaximumAttempts) {
+        caller.attempts.size() < settings_.maximum_attempts) {
       const std::size_t node = oneOf(nodes_asked_again);
       caller.attempts.push_back(&fleet_->takeUpAnswer(node, last));
       const auto started = started_at_.find(node);
@@ -277,6 +281,12 @@
   bool isContinued(const Caller& caller) const {
     return isTakenUp(caller) && caller.attempts[1]->tokens > 0;
   }
+  bool isTakenUpAgain(const Caller& caller) const {
+    return caller.attempts.size() > 2 && caller.node_in_touch;
+  }
+  bool isContinuedAgain(const Caller& caller) const {
+    return isTakenUpAgain(caller) && caller.attempts[2]->tokens > 0;
+  }
   std::size_t countIf(bool (MixedBuildsFleet::*condition)(const Caller&) const) const {
     return static_cast<std::size_t>(
         std::count_if(callers_.begin(), callers_.end(),
--- a/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
+++ b/tests/answer_builds/over_attempts/taken_up_answers_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(nodesRestartInSeries);
   CPPUNIT_TEST(allNodesRestart);
   CPPUNIT_TEST(releaseWithNodesThatEnd);
+  CPPUNIT_TEST(answersTakenUpBeforeASecondBuildCameAreTakenUpAgain);
   CPPUNIT_TEST(firstBuildGone);
   CPPUNIT_TEST(allNodesEndWhenTheFirstBuildHasGone);
   CPPUNIT_TEST(allNodesEndTwice);
@@ -117,6 +118,43 @@
     }
   }
 
+  /// Guards against answers that are refused when they are taken up a second time: the nodes that
+  /// began them ended before a second build came, and those that continued them end after it.
+  void answersTakenUpBeforeASecondBuildCameAreTakenUpAgain() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet::Settings settings;
+      settings.engines = 36;
+      settings.build_of = [](std::uint32_t engine) { return engine < 18 ? 0 : 1; };
+      settings.maximum_attempts = 3;
+      settings.engines_from_store = true;
+      settings.engines_at_start = 18;
+      MixedBuildsFleet fleet(seed, settings);
+      fleet.nodes_asked = {0, 1};
+      fleet.nodes_asked_again = {2, 3};
+      fleet.sendAnswers(seconds(3));
+      fleet.fleet().killNode(0);
+      fleet.fleet().killNode(1);
+      fleet.run(milliseconds(100));
+      // The nodes that have ended are not known to have yet, so that confirming the build takes
+      // longer.
+      fleet.run(milliseconds(250));
+      fleet.declareEngines(0, 36);
+      fleet.run(milliseconds(150));
+      fleet.nodes_asked_again = {4, 5, 6, 7, 8};
+      fleet.fleet().killNode(2);
+      fleet.fleet().killNode(3);
+      fleet.run(milliseconds(100));
+      fleet.run(seconds(5));
+      const std::string figures = fleet.figures() + ", " + std::to_string(fleet.wentOnAgain()) +
+                                  " of " + std::to_string(fleet.takenUpAgain()) +
+                                  " taken up again went on, seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(figures, std::size_t{0}, fleet.mixedAnswers());
+      CPPUNIT_ASSERT_MESSAGE(figures, fleet.takenUpAgain() >= kEnough);
+      CPPUNIT_ASSERT_MESSAGE(figures, static_cast<double>(fleet.wentOnAgain()) >=
+                                          kGoesOn * static_cast<double>(fleet.takenUpAgain()));
+    }
+  }
+
   /// All engines of the first build are replaced at once, and a node ends: what it had begun at the
   /// first build goes on nowhere, neither at nodes that saw the first build nor at one that did
   /// not.
