Read the rest of an answer beside entries with very many values

What callers see: an entry of the store with more than a million values, or a few that reach that together, makes a page or the events of a watch unreadable as a whole. Nodes that run no longer see engines come and go; nodes that start never get ready.

Cause: parseBoundedJson() refused a text with more than 1,000,000 values. The same bytes come again at the next call, so that the watch repeats it for ever.

Change: in such a text the repair pass replaces containers by null that have too many values, as it does those that are too deep, with a bound per container that is lowered until the rest fits. Only elements of a list of the outermost object and what is within them are replaced. The pass cuts its output off at the beginning of the container: linear time, no recursion, no more memory than the text. Nothing beyond 1,000,000 values is built, as before. It ends early where no replacement could help. Texts within the limit are read as before.

Left: what is replaced depends on the answer, so that nodes may read a large object differently; it is marked as repaired. An entry alone on its page that loses its name leaves the listing without a position, which fails and is counted as before. The memory of 1,000,000 values isn't measured.

--- a/src/cypresswall/common/bounded_json.cpp
+++ b/src/cypresswall/common/bounded_json.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <utility>
+#include <vector>
 
 namespace cypresswall::common {
 namespace {
@@ -18,6 +19,11 @@
 constexpr std::uint32_t kHexBase = 16;
 /// Depth of a list that is a member of the outermost object.
 constexpr std::size_t kListDepth = 2;
+/// Values that a container within a list's element may have if the whole text has too many. The
+/// bound is divided until the rest of the text fits, down to the smallest one.
+constexpr std::size_t kLargestContainerBound = 100'000;
+constexpr std::size_t kSmallestContainerBound = 100;
+constexpr std::size_t kContainerBoundDivisor = 10;
 
 bool opens(char letter) { return letter == '{' || letter == '['; }
 bool closes(char letter) { return letter == '}' || letter == ']'; }
@@ -95,31 +101,48 @@
   return shape;
 }
 
-/// Copies a text and replaces what nlohmann::json can't represent. Leaves the structure unchanged,
-/// whether it is valid or not.
+struct RepairLimits {
+  std::size_t depth = kMaximumJsonDepth;
+  /// Values that a container nested more deeply than kListDepth may have.
+  std::size_t container_values = kMaximumJsonValues;
+};
+
+/// Copies a text and replaces what nlohmann::json can't represent, and containers beyond the
+/// limits. Leaves the structure unchanged, whether it is valid or not.
 class Repair {
  public:
-  Repair(std::string_view text, std::size_t maximum_depth)
-      : text_(text), maximum_depth_(maximum_depth) {}
+  Repair(std::string_view text, const RepairLimits& limits) : text_(text), limits_(limits) {}
 
   std::string run() {
     result_.reserve(text_.size());
-    while (position_ < text_.size()) {
+    while (position_ < text_.size() && !exceedsMaximum()) {
       step();
     }
     return std::move(result_);
   }
+  /// \return a number not below that of the values in the result, which is incomplete if the number
+  ///   exceeds kMaximumJsonValues
+  std::size_t values() const { return values_; }
   std::size_t replacedValues() const { return replaced_values_; }
   std::size_t replacedCharacters() const { return replaced_characters_; }
   std::set<std::size_t> takeReplacedElements() { return std::move(replaced_elements_); }
 
  private:
+  /// A container that has begun and not ended.
+  struct OpenContainer {
+    /// Size of the result, and number of values, before the container.
+    std::size_t result_size = 0;
+    std::size_t values = 0;
+  };
+
   void step() {
     const char letter = text_[position_];
-    if (letter == '"') {
+    if (innermostIsTooLarge()) {
+      replaceInnermost();
+    } else if (letter == '"') {
       copyString();
-    } else if (opens(letter) && depth_ >= maximum_depth_) {
-      skipContainer();
+    } else if (opens(letter) && containers_.size() >= limits_.depth) {
+      skipContainers(0);
       replaceValue();
     } else if (endsWord(letter)) {
       follow(letter);
@@ -131,16 +154,37 @@
 
   void follow(char letter) {
     if (opens(letter)) {
-      element_ = ++depth_ == kListDepth ? 0 : element_;
-    } else if (closes(letter) && depth_ > 0) {
-      --depth_;
-    } else if (letter == ',' && depth_ == kListDepth) {
-      ++element_;
+      containers_.push_back({result_.size(), values_++});
+      element_ = containers_.size() == kListDepth ? 0 : element_;
+    } else if (closes(letter) && !containers_.empty()) {
+      containers_.pop_back();
+    } else if (letter == ',') {
+      ++values_;
+      element_ += containers_.size() == kListDepth ? 1 : 0;
     }
   }
 
+  /// \return true if there are too many values outside of containers that may be replaced
+  bool exceedsMaximum() const {
+    return containers_.size() <= kListDepth && values_ > kMaximumJsonValues;
+  }
+
+  bool innermostIsTooLarge() const {
+    return containers_.size() > kListDepth &&
+           values_ - containers_.back().values > limits_.container_values;
+  }
+
+  /// Removes what has been copied of the innermost container, and skips the rest of it.
+  void replaceInnermost() {
+    result_.resize(containers_.back().result_size);
+    values_ = containers_.back().values;
+    containers_.pop_back();
+    skipContainers(1);
+    replaceValue();
+  }
+
   void recordElement() {
-    if (depth_ >= kListDepth) {
+    if (containers_.size() >= kListDepth) {
       replaced_elements_.insert(element_);
     }
   }
@@ -163,9 +207,9 @@
     position_ += length;
   }
 
-  /// Skips the container that begins at the current position.
-  void skipContainer() {
-    std::size_t open = 0;
+  /// Skips the text up to the end of the `open` containers around the current position; if that is
+  /// zero, the container that begins there.
+  void skipContainers(std::size_t open) {
     while (position_ < text_.size()) {
       const char letter = text_[position_];
       if (letter == '"') {
@@ -275,10 +319,11 @@
   }
 
   std::string_view text_;
-  std::size_t maximum_depth_;
+  RepairLimits limits_;
   std::string result_;
   std::size_t position_ = 0;
-  std::size_t depth_ = 0;
+  std::vector<OpenContainer> containers_;
+  std::size_t values_ = 1;
   /// Position in the list at kListDepth.
   std::size_t element_ = 0;
   std::set<std::size_t> replaced_elements_;
@@ -286,6 +331,22 @@
   std::size_t replaced_characters_ = 0;
 };
 
+/// \return the repaired text as JSON, or nothing if it has more than kMaximumJsonValues values
+std::optional<BoundedJson> parseRepaired(std::string_view text, const RepairLimits& limits) {
+  Repair repair(text, limits);
+  const std::string repaired = repair.run();
+  if (repair.values() > kMaximumJsonValues) {
+    return std::nullopt;
+  }
+  try {
+    return BoundedJson{Json::parse(repaired), repair.replacedValues(), repair.replacedCharacters(),
+                       repair.takeReplacedElements()};
+  } catch (const Json::exception& error) {
+    // The message may quote all of a token.
+    throw JsonError(abbreviated(error.what(), 2 * kMaximumQuotedBytes));
+  }
+}
+
 }  // namespace
 
 BoundedJson parseBoundedJson(std::string_view text, std::size_t maximum_depth) {
@@ -293,24 +354,21 @@
     text.remove_prefix(kByteOrderMark.size());
   }
   const Shape shape = shapeOf(text);
-  if (shape.values > kMaximumJsonValues) {
-    throw JsonError("the text has more than " + std::to_string(kMaximumJsonValues) + " values");
-  }
-  if (shape.depth <= maximum_depth) {
+  const bool crowded = shape.values > kMaximumJsonValues;
+  if (!crowded && shape.depth <= maximum_depth) {
     Json value = Json::parse(text, nullptr, false);
     if (!value.is_discarded()) {
       return {std::move(value), 0, 0, {}};
     }
   }
-  Repair repair(text, maximum_depth);
-  const std::string repaired = repair.run();
-  try {
-    return {Json::parse(repaired), repair.replacedValues(), repair.replacedCharacters(),
-            repair.takeReplacedElements()};
-  } catch (const Json::exception& error) {
-    // The message may quote all of a token.
-    throw JsonError(abbreviated(error.what(), 2 * kMaximumQuotedBytes));
+  RepairLimits limits{maximum_depth, crowded ? kLargestContainerBound : kMaximumJsonValues};
+  for (; limits.container_values >= kSmallestContainerBound;
+       limits.container_values /= kContainerBoundDivisor) {
+    if (auto parsed = parseRepaired(text, limits)) {
+      return std::move(*parsed);
+    }
   }
+  throw JsonError("the text has more than " + std::to_string(kMaximumJsonValues) + " values");
 }
 
 std::size_t replaceDeeperValues(Json& value, std::size_t maximum_depth) {
--- a/src/cypresswall/common/bounded_json.h
+++ b/src/cypresswall/common/bounded_json.h
@@ -20,7 +20,7 @@
 /// Number of containers that may be nested within each other. The deepest format in use, a page of
 /// the store with a declared fleet, has fewer than 12.
 inline constexpr std::size_t kMaximumJsonDepth = 64;
-/// Upper bound for the values of one text. A value occupies up to about 100 bytes.
+/// Upper bound for the values of one text that are built. A value occupies up to about 100 bytes.
 inline constexpr std::size_t kMaximumJsonValues = 1'000'000;
 /// Upper bound up to which every JSON program represents all integers exactly, even one that stores
 /// numbers as doubles.
@@ -38,8 +38,8 @@
 
 struct BoundedJson {
   nlohmann::json value;
-  /// Number of values that were replaced by null: containers that are nested too deeply, numbers
-  /// out of range, and words that are not JSON.
+  /// Number of values that were replaced by null: containers that are nested too deeply or, in a
+  /// text with too many values, too large; numbers out of range, and words that are not JSON.
   std::size_t replaced_values = 0;
   /// Number of bytes and escapes in strings that were replaced: invalid UTF-8, lone surrogates,
   /// unknown escapes and unescaped control characters.
@@ -51,10 +51,10 @@
   bool repaired() const { return replaced_values + replaced_characters != 0; }
 };
 
-/// Parses `text`. Takes time linear in the size of the text, without recursion.
+/// Parses `text` in time linear in its size, without recursion. If it has more than
+/// kMaximumJsonValues, large containers below a list of the outermost object are replaced by null.
 /// \param maximum_depth containers that are nested more deeply are replaced by null
-/// \throws JsonError if the text is not JSON even after the replacements, or has more than
-///   kMaximumJsonValues values
+/// \throws JsonError if the text is not JSON, or has too many values, even after the replacements
 BoundedJson parseBoundedJson(std::string_view text, std::size_t maximum_depth = kMaximumJsonDepth);
 
 /// Replaces the containers in `value` that are nested more deeply by null.
--- a/tests/common/bounded_json_test.cpp
+++ b/tests/common/bounded_json_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +31,23 @@
   return text;
 }
 
+std::string repeated(const std::string& piece, std::size_t times) {
+  std::string text;
+  for (std::size_t time = 0; time < times; ++time) {
+    text += piece;
+  }
+  return text;
+}
+
+/// \return containers of various shapes with at least `values` values each
+std::vector<std::string> largeContainers(std::size_t values) {
+  return {
+      "[0" + repeated(",0", values) + "]", R"({"a":0)" + repeated(R"(,"a":0)", values) + "}",
+      "[{}" + repeated(R"(,{"[":[",]"]})", values / 2) + "]",
+      R"({"a":1e400,"b":"\ud800")" + repeated(R"(,"c":{})", values) + "}",
+      "[" + nested(2 * kMaximumJsonDepth, "[", "]") + repeated(",[[1,2],[3,4]]", values / 6) + "]"};
+}
+
 /// \return the number of nested containers
 std::size_t depthOf(const Json& value) {
   std::size_t depth = 0;
@@ -52,6 +70,9 @@
   CPPUNIT_TEST(keepsValidEscapes);
   CPPUNIT_TEST(brokenStructureIsAnError);
   CPPUNIT_TEST(tooManyValuesAreAnError);
+  CPPUNIT_TEST(manyValuesOfOneMemberLeaveTheOthers);
+  CPPUNIT_TEST(manyValuesOfManyMembersLeaveTheOthers);
+  CPPUNIT_TEST(brokenStructureWithManyValuesIsAnError);
   CPPUNIT_TEST(messagesAreShort);
   CPPUNIT_TEST(integersAreExactOrNothing);
   CPPUNIT_TEST(numbersAreWithinBounds);
@@ -162,6 +183,53 @@
     CPPUNIT_ASSERT_THROW(parseBoundedJson(text + "]"), JsonError);
   }
 
+  /// Guards against an answer that can't be read as a whole because one of its members has very
+  /// many values.
+  void manyValuesOfOneMemberLeaveTheOthers() {
+    const std::string first = R"({"name":"a","spec":{"b":[1,"[,"]}})";
+    const std::string last = R"({"spec":[[],{}],"name":"z"})";
+    for (const std::string& odd : largeContainers(kMaximumJsonValues)) {
+      const BoundedJson parsed =
+          parseBoundedJson(R"({"at":7,"items":[)" + first + R"(,{"name":"odd","spec":)" + odd +
+                           R"(,"end":1},)" + odd + "," + last + R"(],"more":true})");
+      const Json read =
+          Json::parse(R"({"at":7,"items":[)" + first +
+                      R"(,{"name":"odd","spec":null,"end":1},null,)" + last + R"(],"more":true})");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(odd.substr(0, 20), read, parsed.value);
+      CPPUNIT_ASSERT(parsed.replaced_values >= 2);
+      CPPUNIT_ASSERT(parsed.replaced_elements == (std::set<std::size_t>{1, 2}));
+    }
+  }
+
+  /// Guards against members none of which has too many values, while all of them together do.
+  void manyValuesOfManyMembersLeaveTheOthers() {
+    constexpr std::size_t kOddMembers = 400;
+    for (const std::string& odd : largeContainers(3000)) {
+      std::string text = R"({"items":[{"name":"a","spec":[1,2]})";
+      for (std::size_t member = 0; member < kOddMembers; ++member) {
+        text.append(R"(,{"name":"odd","spec":)").append(odd).append("}");
+      }
+      text += R"(,{"name":"z","spec":{"b":{}}}]})";
+      const BoundedJson parsed = parseBoundedJson(text);
+      const Json& items = parsed.value.at("items");
+      CPPUNIT_ASSERT_EQUAL(kOddMembers + 2, items.size());
+      CPPUNIT_ASSERT_EQUAL(Json::parse(R"({"name":"a","spec":[1,2]})"), items.front());
+      CPPUNIT_ASSERT_EQUAL(Json::parse(R"({"name":"z","spec":{"b":{}}})"), items.back());
+      CPPUNIT_ASSERT_EQUAL(Json::parse(R"({"name":"odd","spec":null})"), items.at(1));
+      CPPUNIT_ASSERT_EQUAL(kOddMembers, parsed.replaced_elements.size());
+    }
+  }
+
+  void brokenStructureWithManyValuesIsAnError() {
+    for (const std::string& odd : largeContainers(kMaximumJsonValues)) {
+      for (const std::string& text :
+           {R"({"items":[{"spec":)" + odd.substr(0, odd.size() - 1),
+            R"({"items":[{"spec":)" + odd + "}}", R"({"items":[{"spec":)" + odd + "]]]]]"}) {
+        CPPUNIT_ASSERT_THROW(parseBoundedJson(text), JsonError);
+      }
+    }
+  }
+
   void messagesAreShort() {
     try {
       parseBoundedJson("[\"" + std::string(1'000'000, 'a') + "\" 1]");
--- a/tests/objects_platform/object_watch_test.cpp
+++ b/tests/objects_platform/object_watch_test.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(malformedObjectsDoNotHideOthers);
   CPPUNIT_TEST(malformedEventsAreSkipped);
   CPPUNIT_TEST(oddObjectsDoNotHideOthers);
+  CPPUNIT_TEST(objectsWithManyValuesDoNotHideOthers);
   CPPUNIT_TEST(oneLineForAnEntryThatStaysUnreadable);
   CPPUNIT_TEST(listsBeyondAnUnreadablePage);
   CPPUNIT_TEST(listingWithoutAPositionFailsLoudly);
@@ -211,6 +212,31 @@
     }
   }
 
+  /// Guards against a node that never gets ready, or follows the store no longer, because of
+  /// entries that have more than a million values together.
+  void objectsWithManyValuesDoNotHideOthers() {
+    std::string odd = "[0";
+    for (std::size_t value = 0; value < common::kMaximumJsonValues / 2; ++value) {
+      odd += ",0";
+    }
+    odd += "]";
+    for (const std::string& object : testing::objectsWith(odd, 8)) {
+      RecordingListener listed;
+      testing::FakeStore store;
+      ObjectWatch other("servers", {}, process_.context(), store, listed);
+      other.start();
+      store.answer(200, pageJson(8, {object, object, objectJson("b", 7)}));
+      CPPUNIT_ASSERT_MESSAGE(object.substr(0, 200), listed.takeRecorded().ends_with("+b7 . "));
+      store.answer(200,
+                   eventsJson(9, {{object, false}, {object, false}, {objectJson("c", 9), false}}));
+      CPPUNIT_ASSERT_MESSAGE(object.substr(0, 200), listed.takeRecorded().ends_with("+c9 . "));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, other.revision());
+      store.answer(200, eventsJson(10, {{objectJson("c", 10), true}}));
+      CPPUNIT_ASSERT_EQUAL(std::string("-c . "), listed.takeRecorded());
+    }
+    CPPUNIT_ASSERT_EQUAL(0.0, process_.counters().total("cypresswall_object_watch_failures_total"));
+  }
+
   void oneLineForAnEntryThatStaysUnreadable() {
     RecordingSink sink;
     const api::ProcessContext quiet = process_.context();
--- a/tests/objects_platform/processes/odd_entries_test.cpp
+++ b/tests/objects_platform/processes/odd_entries_test.cpp
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(portOutOfRangeAppearsWhileServing);
   CPPUNIT_TEST(portOutOfRangeIsThereAtStart);
   CPPUNIT_TEST(oddConfigurationIsPassedOver);
+  CPPUNIT_TEST(manyValuesAppearWhileServing);
+  CPPUNIT_TEST(manyValuesAreThereAtStart);
   CPPUNIT_TEST(deeplyNestedOwnObjectIsReplaced);
   CPPUNIT_TEST_SUITE_END();
 
@@ -90,6 +92,13 @@
     CPPUNIT_ASSERT_MESSAGE("the daemons do not follow the configuration", followed);
   }
 
+  /// Guards against daemons that no longer follow the runners once an entry has more than a million
+  /// values.
+  void manyValuesAppearWhileServing() { expectServedDuring(manyValues()); }
+  /// Guards against daemons that never become ready because one entry has more than a million
+  /// values.
+  void manyValuesAreThereAtStart() { expectServedFromStart(manyValues()); }
+
   /// Guards against daemons that overflow their stack when they write an object of their own anew
   /// that another writer left deeply nested.
   void deeplyNestedOwnObjectIsReplaced() {
@@ -117,6 +126,15 @@
     return true;
   }
 
+  static std::string manyValues() {
+    constexpr std::size_t kValues = 1'010'000;
+    std::string values = "[0";
+    for (std::size_t value = 1; value < kValues; ++value) {
+      values += ",0";
+    }
+    return leavingRunner(",\"extra\":" + values + "]");
+  }
+
   static std::string deepEntry() { return leavingRunner(",\"extra\":" + nested(kDeepLevels)); }
   static std::string hugeNumber() { return leavingRunner(",\"extra\":1e400"); }
   static std::string loneSurrogate() { return leavingRunner(R"(,"zone":"\ud800")"); }
