Bound the reason that is given for an odd stream event

What operators see: an event that can't be read gives a reason of up to 64 KiB, the whole token that the parser quotes, in log lines and failures of attempts.

Cause: parseStreamEvent() passed on the message of the JSON library. The event itself is bounded: to 64 KiB by SseParser before it is parsed, which the library does without recursion; nothing copies or writes the value; numbers have 32 bits.

--- a/src/cypresswall/engines/stream_event.cpp
+++ b/src/cypresswall/engines/stream_event.cpp
@@ -2,11 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cypresswall/common/bounded_json.h"
+
 namespace cypresswall::engines {
 namespace {
 
 using Json = nlohmann::json;
 
+constexpr std::size_t kMaximumReasonBytes = 256;
+
 std::uint32_t numberAt(const Json& object, const char* key) {
   const Json& value = object.at(key);
   if (!value.is_number_unsigned() || value.get<std::uint64_t>() > UINT32_MAX) {
@@ -167,7 +171,9 @@
   try {
     return eventOf(Json::parse(json));
   } catch (const Json::exception& error) {
-    throw EngineProtocolError(std::string("stream event can't be read: ") + error.what());
+    // The message may quote all of a token.
+    throw EngineProtocolError("stream event can't be read: " +
+                              common::abbreviated(error.what(), kMaximumReasonBytes));
   }
 }
 
--- a/tests/engines/stream_event_test.cpp
+++ b/tests/engines/stream_event_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(eventsSurviveArbitrarySplits);
   CPPUNIT_TEST(limitsEventSize);
   CPPUNIT_TEST(rejectsMalformedAnswers);
+  CPPUNIT_TEST(messagesOnOddEventsAreShort);
   CPPUNIT_TEST(oddNumbersOfAReportAreNeverConverted);
   CPPUNIT_TEST(oddCacheEventIsLeftOutAlone);
   CPPUNIT_TEST(noOddValueEndsTheProcess);
@@ -154,6 +155,20 @@
     CPPUNIT_ASSERT_THROW(parseStreamEvent(R"({"attempt": 1, "done": false})"), EngineProtocolError);
   }
 
+  // Guards against: the reason that is logged for an odd event quotes all of its 64 KiB.
+  void messagesOnOddEventsAreShort() {
+    for (const std::string& odd : {std::string(kMaximumEventBytes, 'x') + "\xff",
+                                   std::string(kMaximumEventBytes, '9') + "\" x"}) {
+      try {
+        parseStreamEvent(R"({"attempt": 1, "index": 0, "token": ")" + odd);
+        CPPUNIT_FAIL("not refused");
+      } catch (const EngineProtocolError& error) {
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(std::string(error.what()).size()),
+                               std::string(error.what()).size() < 1000);
+      }
+    }
+  }
+
   // Guards against: a negative, fractional or huge number in a report becomes another number, or a
   // duration out of range.
   void oddNumbersOfAReportAreNeverConverted() {
