Refuse a machine list that is null instead of taking it for empty

What callers see, on this system's own platform only: an answer of the machine list whose list is null, out of range or too deep counted as a list without machines, as if all were gone.

Cause: parseMachines() iterated over whatever "machines" was; values that can't be represented are null, and iteration over null yields nothing. No process could end by it: depth, values and types are bounded by parseBoundedJson() and every failure is a PlatformProtocolError.

--- a/src/cypresswall/object_store/platform_json.cpp
+++ b/src/cypresswall/object_store/platform_json.cpp
@@ -83,8 +83,13 @@
 
 std::vector<Machine> parseMachines(std::string_view json) {
   return converted(json, [](const Json& value) {
+    // Iteration over null yields nothing, and machines that are not listed count as gone.
+    const Json& list = value.at("machines");
+    if (!list.is_array()) {
+      throw PlatformProtocolError("platform's answer has no list of machines");
+    }
     std::vector<Machine> machines;
-    for (const Json& machine : value.at("machines")) {
+    for (const Json& machine : list) {
       machines.push_back(machineOf(machine));
     }
     return machines;
--- a/tests/object_store/http_platform_test.cpp
+++ b/tests/object_store/http_platform_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(writesAndReportsWriteFailures);
   CPPUNIT_TEST(listsAndWatches);
   CPPUNIT_TEST(readsMachines);
+  CPPUNIT_TEST(oddMachineListIsNotAnEmptyOne);
   CPPUNIT_TEST(malformedAnswersAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +107,17 @@
     CPPUNIT_ASSERT(!fetch(machines).ok());
   }
 
+  /// Guards against nodes that take all machines for gone since the list can't be read.
+  void oddMachineListIsNotAnEmptyOne() {
+    CPPUNIT_ASSERT(parseMachines(R"({"machines": []})").empty());
+    for (const std::string& odd :
+         {std::string("null"), std::string("1e400"), std::string("{}"), std::string("7"),
+          std::string("\"\""), std::string(100'000, '[') + std::string(100'000, ']')}) {
+      CPPUNIT_ASSERT_THROW_MESSAGE(odd.substr(0, 20), parseMachines("{\"machines\": " + odd + "}"),
+                                   PlatformProtocolError);
+    }
+  }
+
   void malformedAnswersAreRefused() {
     testing::requireProperty(
         "no answer of the platform crashes a parser", 2000, [](const std::string& bytes) {
