Begin failed accepts again while others take the callers

Callers waited longer on a busy node that had once run out of descriptors: the server took one caller per iteration of its event loop instead of 16, and did so until no accept was left. The failed accepts also counted against the limit of connections, so that a caller at the limit waits for two checks of 250 ms (by reading, not run).

Cause: the server began failed accepts again only once all had failed. Some live on if a descriptor becomes free between two of them, as when a caller resets its connection.

Change: Asio ends accepts in the order in which they have begun. When one ends, those begun before it that count as under way have failed, and the limiter begins these again; accepts under way are left alone. The server reports it at its next check (accepts_restarted). It now restarts stalled accepts before it reports them, so that a report that throws doesn't keep them from it.

--- a/src/cypresswall/http/accept_limiter.h
+++ b/src/cypresswall/http/accept_limiter.h
@@ -1,11 +1,12 @@
 /// Limit of a server's open connections, in place of RESTinio's. RESTinio forgets an accept that
-/// fails, as accepts do while the process is out of descriptors, and still counts it: once all of
-/// them have failed, the server accepts nobody any more. It also counts a caller that has reset its
-/// connection before it was accepted as a connection for good.
+/// fails, as accepts do while the process is out of descriptors, and still counts it: the server
+/// then accepts fewer callers at a time, and nobody once all of them have failed. It also counts a
+/// caller that has reset its connection before it was accepted as a connection for good.
 #pragma once
 
 #include <cstddef>
-#include <restinio/connection_count_limiter.hpp>
+#include <cstdint>
+#include <restinio/http_server.hpp>
 #include <utility>
 #include <vector>
 
@@ -47,7 +48,7 @@
       : acceptor_(acceptor),
         reference_(std::exchange(expected(), nullptr)),
         maximum_connections_(maximum_connections.value()),
-        accepting_(maximum_accepts.value(), false) {
+        begun_(maximum_accepts.value(), 0) {
     waiting_.reserve(maximum_accepts.value());
     if (reference_ != nullptr) {
       reference_->limiter_ = this;
@@ -76,12 +77,14 @@
 
   /// \param accept number of an accept that has ended, or has not begun yet
   void accept_next(std::size_t accept) noexcept {  // NOLINT
-    if (accepting_[accept]) {
+    if (begun_[accept] != 0) {
       ++ended_accepts_;
+      // Asio ends accepts in the order in which they have begun, so that earlier ones have failed.
+      restartAcceptsBegunBefore(begun_[accept]);
     }
     end(accept);
     if (hasRoom()) {
-      accepting_[accept] = true;
+      begun_[accept] = next_begin_++;
       ++active_accepts_;
       acceptor_->call_accept_now(accept);
     } else {
@@ -91,20 +94,15 @@
 
   /// \return number of accepts that have ended with a caller, whether it is still there or not
   std::size_t endedAccepts() const { return ended_accepts_; }
+  /// \return number of times that an accept was begun again since it had failed
+  std::size_t restartedAccepts() const { return restarted_accepts_; }
   bool hasRoom() const { return connections_ + active_accepts_ < maximum_connections_; }
   /// \return true if accepts are under way, as far as RESTinio has told
   bool isAccepting() const { return active_accepts_ != 0; }
 
   /// Begins the accepts that count as under way again.
   /// \pre they have failed: a caller waits to be accepted, and is not
-  void restartAccepts() {
-    for (std::size_t accept = 0; accept < accepting_.size(); ++accept) {
-      if (accepting_[accept]) {
-        end(accept);
-        acceptor_->schedule_next_accept_attempt(accept);
-      }
-    }
-  }
+  void restartAccepts() { restartAcceptsBegunBefore(next_begin_); }
 
  private:
   static Reference*& expected() {
@@ -112,9 +110,19 @@
     return reference;
   }
 
+  void restartAcceptsBegunBefore(std::uint64_t begin) {
+    for (std::size_t accept = 0; accept < begun_.size(); ++accept) {
+      if (begun_[accept] != 0 && begun_[accept] < begin) {
+        end(accept);
+        ++restarted_accepts_;
+        acceptor_->schedule_next_accept_attempt(accept);
+      }
+    }
+  }
+
   void end(std::size_t accept) {
-    if (accepting_[accept]) {
-      accepting_[accept] = false;
+    if (begun_[accept] != 0) {
+      begun_[accept] = 0;
       --active_accepts_;
     }
   }
@@ -125,8 +133,11 @@
   std::size_t connections_ = 0;
   std::size_t ended_accepts_ = 0;
   std::size_t active_accepts_ = 0;
-  /// Whether each accept, by its number, is under way.
-  std::vector<bool> accepting_;
+  std::size_t restarted_accepts_ = 0;
+  std::uint64_t next_begin_ = 1;
+  /// Position of each accept, by its number, in the order in which they have begun; zero for those
+  /// that are not under way.
+  std::vector<std::uint64_t> begun_;
   /// Numbers of the accepts that wait for room.
   std::vector<std::size_t> waiting_;
 };
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -477,8 +477,8 @@
     });
   }
 
-  /// Begins accepts again that RESTinio has given up: callers wait in two checks in a row, and
-  /// nobody was accepted between them.
+  /// Begins accepts again if all have failed: callers wait in two checks in a row, and nobody was
+  /// accepted between them. Reports these and the accepts that the limiter has begun again.
   void checkAccepts() {
     AcceptLimiter* const limiter = limiter_->get();
     const bool stalled =
@@ -489,11 +489,13 @@
       stalled_after_ = limiter->endedAccepts();
     }
     if (still_stalled) {
-      if (table_->settings().on_accepts_restarted) {
-        table_->settings().on_accepts_restarted();
-      }
       limiter->restartAccepts();
     }
+    const std::size_t restarted = limiter != nullptr ? limiter->restartedAccepts() : 0;
+    const bool restarted_anew = restarted > std::exchange(reported_restarts_, restarted);
+    if (restarted_anew && table_->settings().on_accepts_restarted) {
+      table_->settings().on_accepts_restarted();
+    }
   }
 
   void closeListener() {
@@ -551,6 +553,8 @@
   asio::steady_timer accept_timer_;
   /// Number of accepts that had ended at the last check, if callers waited then.
   std::optional<std::size_t> stalled_after_;
+  /// Number of accepts that had been begun again at the last check.
+  std::size_t reported_restarts_ = 0;
   /// Queued handlers hold weak pointers to this flag, which expire when this object is destroyed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::uint16_t port_ = 0;
--- /dev/null
+++ b/tests/http/accept_limiter_test.cpp
@@ -0,0 +1,64 @@
+/// The limiter must not lose accepts that have failed.
+#include "cypresswall/http/accept_limiter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace cypresswall::http {
+namespace {
+
+constexpr std::size_t kAccepts = 3;
+constexpr std::size_t kConnections = 8;
+
+/// Records the numbers of the accepts that begin, and of those that are to begin later.
+class RecordingAcceptor final : public AcceptLimiter::Acceptor {
+ public:
+  void call_accept_now(std::size_t accept) noexcept override { begun += std::to_string(accept); }
+  void schedule_next_accept_attempt(std::size_t accept) noexcept override {
+    scheduled += std::to_string(accept);
+  }
+
+  std::string begun;
+  std::string scheduled;
+};
+
+class AcceptLimiterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AcceptLimiterTest);
+  CPPUNIT_TEST(acceptsBegunBeforeOneThatEndsHaveFailed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    for (std::size_t accept = 0; accept < kAccepts; ++accept) {
+      limiter_.accept_next(accept);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("012"), acceptor_.begun);
+  }
+
+  // Accepts that had failed counted as under way as long as others took the callers.
+  void acceptsBegunBeforeOneThatEndsHaveFailed() {
+    limiter_.accept_next(0);
+    limiter_.accept_next(1);
+    CPPUNIT_ASSERT_EQUAL(std::string(), acceptor_.scheduled);
+    limiter_.accept_next(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("02"), acceptor_.scheduled);
+    CPPUNIT_ASSERT_EQUAL(std::string("012011"), acceptor_.begun);
+    limiter_.accept_next(0);
+    limiter_.accept_next(2);
+    CPPUNIT_ASSERT_EQUAL(std::string("01201102"), acceptor_.begun);
+    limiter_.accept_next(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("02"), acceptor_.scheduled);
+  }
+
+ private:
+  RecordingAcceptor acceptor_;
+  AcceptLimiter limiter_{
+      &acceptor_, restinio::connection_count_limits::max_parallel_connections_t{kConnections},
+      restinio::connection_count_limits::max_active_accepts_t{kAccepts}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AcceptLimiterTest);
+
+}  // namespace
+}  // namespace cypresswall::http
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,7 +1,10 @@
 #include "cypresswall/http/server.h"
 
 #include <sys/resource.h>
+#include <unistd.h>
 
+#include <asio/post.hpp>
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <vector>
@@ -40,6 +43,7 @@
   CPPUNIT_TEST(connectionMayOutliveServer);
   CPPUNIT_TEST(stopListeningAcceptsPendingConnections);
   CPPUNIT_TEST(acceptsAgainAfterRunningOutOfDescriptors);
+  CPPUNIT_TEST(acceptsAsManyAtATimeAfterSomeAcceptsHaveFailed);
   CPPUNIT_TEST(callersResetBeforeTheyAreAcceptedDoNotUseUpTheLimit);
   CPPUNIT_TEST_SUITE_END();
 
@@ -373,7 +377,7 @@
       clients.push_back(std::make_unique<RawClient>(context_, server_->port()));
     }
     {
-      const NoDescriptors none;
+      const DescriptorLimit none(kNoDescriptors);
       CPPUNIT_ASSERT(runUntil(context_, [&] { return restarts >= 2; }));
     }
     for (const auto& client : clients) {
@@ -385,6 +389,38 @@
     CPPUNIT_ASSERT(waitForRequests(kClients + 1));
   }
 
+  // A server that lost some of its accepts took fewer callers per iteration of a busy event loop.
+  void acceptsAsManyAtATimeAfterSomeAcceptsHaveFailed() {
+    std::size_t restarts = 0;
+    settings_.on_accepts_restarted = [&restarts] { ++restarts; };
+    startServer();
+    {
+      RawClient client(context_, server_->port());
+      client.reset();
+      const DescriptorLimit one(lowestFreeDescriptor() + 1);
+      context_.restart();
+      context_.run_for(std::chrono::milliseconds(50));
+    }
+    constexpr std::size_t kClients = 64;
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (std::size_t client = 0; client < kClients; ++client) {
+      clients.push_back(std::make_unique<RawClient>(context_, server_->port()));
+      clients.back()->startReading();
+      clients.back()->send("GET / HTTP/1.1\r\n\r\n");
+    }
+    std::size_t iterations = 0;
+    const std::function<void()> iterate = [&] {
+      if (requests_.size() < kClients) {
+        ++iterations;
+        asio::post(context_, iterate);
+      }
+    };
+    asio::post(context_, iterate);
+    CPPUNIT_ASSERT(waitForRequests(kClients));
+    CPPUNIT_ASSERT_LESS(kClients / 2, iterations);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return restarts > 0; }));
+  }
+
   // Each such caller took a place of the limit for good.
   void callersResetBeforeTheyAreAcceptedDoNotUseUpTheLimit() {
     settings_.maximum_connections = 2;
@@ -401,23 +437,33 @@
     CPPUNIT_ASSERT(waitForRequests(1));
   }
 
-  /// While it exists, the process can open no descriptor. poll() takes one.
-  class NoDescriptors {
+  /// While it exists, the process can open only descriptors below `limit`.
+  class DescriptorLimit {
    public:
-    NoDescriptors() {
+    explicit DescriptorLimit(rlim_t limit) {
       ::getrlimit(RLIMIT_NOFILE, &before_);
-      rlimit none = before_;
-      none.rlim_cur = 1;
-      CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &none));
+      rlimit low = before_;
+      low.rlim_cur = limit;
+      CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &low));
     }
-    ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
-    NoDescriptors(const NoDescriptors&) = delete;
-    NoDescriptors& operator=(const NoDescriptors&) = delete;
+    ~DescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+    DescriptorLimit(const DescriptorLimit&) = delete;
+    DescriptorLimit& operator=(const DescriptorLimit&) = delete;
 
    private:
     rlimit before_{};
   };
 
+  /// Allows no descriptor. poll() takes one.
+  static constexpr rlim_t kNoDescriptors = 1;
+
+  static rlim_t lowestFreeDescriptor() {
+    const int descriptor = ::dup(STDIN_FILENO);
+    CPPUNIT_ASSERT(descriptor >= 0);
+    ::close(descriptor);
+    return static_cast<rlim_t>(descriptor);
+  }
+
   void startServer() {
     settings_.address = "127.0.0.1:0";
     settings_.rejection_headers = {{"X-Rejected", "yes"}};
