Check slow requests and idle handlers again after a failed check

Callers that sent their request too slowly, and those of handlers that did nothing, kept their connections without an end after one check had failed, until another caller connected; the slow request whose rejection failed was answered with 408 and never closed.

Cause: the check is scheduled again at the end of its round, and the connection is shut down after its rejection is reported. on_rejected is the part of the round that can throw.

Change: both happen at the end of their scope, also after an exception.

--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cypresswall/common/at_scope_end.h"
 #include "cypresswall/common/header_names.h"
 #include "cypresswall/http/accept_limiter.h"
 #include "cypresswall/http/exchange.h"
@@ -280,12 +281,14 @@
   }
 
   void check() {
+    const common::AtScopeEnd again([this] {
+      if (!connections_.empty()) {
+        scheduleCheck();
+      }
+    });
     ++state_->checks;
     endSlowRequests();
     endIdleHandlers();
-    if (!connections_.empty()) {
-      scheduleCheck();
-    }
   }
 
   void endIdleHandlers() {
@@ -303,8 +306,8 @@
     for (const auto& [id, entry] : connections_) {
       const auto since = entry.connection->receivingSince();
       if (since && *since < limit && !entry.connection->hasExchanges()) {
+        const common::AtScopeEnd end([&ended = *entry.connection] { ended.shutdown(); });
         reject(entry, 408, "request did not arrive in time");
-        entry.connection->shutdown();
       }
     }
   }
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <stdexcept>
+#include <utility>
 #include <vector>
 
 #include "tests/http/http_client.h"
@@ -30,6 +31,7 @@
   CPPUNIT_TEST(oversizedHeaderGets431);
   CPPUNIT_TEST(undecodableTargetGets400);
   CPPUNIT_TEST(slowRequestGets408);
+  CPPUNIT_TEST(slowRequestsEndAlthoughARejectionFailed);
   CPPUNIT_TEST(sends100ContinueWhenExpected);
   CPPUNIT_TEST(abortTruncatesAnswer);
   CPPUNIT_TEST(droppedResponderGives500);
@@ -164,6 +166,25 @@
     expectRejection("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc", "408");
   }
 
+  // An exception in the check for slow requests ended that check, and all later ones.
+  void slowRequestsEndAlthoughARejectionFailed() {
+    settings_.header_time_limit = std::chrono::milliseconds(50);
+    rejection_fails_ = true;
+    startServer();
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (std::size_t client = 0; client < 2; ++client) {
+      clients.push_back(std::make_unique<RawClient>(context_, server_->port()));
+      clients.back()->startReading();
+      clients.back()->send("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc");
+    }
+    CPPUNIT_ASSERT_THROW(runUntil(context_, [&] { return rejections_.size() >= 2; }),
+                         std::runtime_error);
+    for (const auto& client : clients) {
+      CPPUNIT_ASSERT(client->waitFor("HTTP/1.1 408 "));
+      CPPUNIT_ASSERT(client->waitClosed());
+    }
+  }
+
   void sends100ContinueWhenExpected() {
     startServer();
     RawClient client(context_, server_->port());
@@ -469,6 +490,9 @@
     settings_.rejection_headers = {{"X-Rejected", "yes"}};
     settings_.on_rejected = [this](const Rejection& rejection) {
       rejections_.push_back(rejection);
+      if (std::exchange(rejection_fails_, false)) {
+        throw std::runtime_error("rejection");
+      }
     };
     server_ = makeServer(context_, settings_,
                          [this](Request request, std::shared_ptr<Responder> responder) {
@@ -531,6 +555,8 @@
   ServerSettings settings_;
   /// If not empty, the handler throws it.
   std::string handler_failure_;
+  /// If set, the report of the next rejection throws.
+  bool rejection_fails_ = false;
   std::vector<Rejection> rejections_;
   std::vector<Request> requests_;
   std::vector<std::shared_ptr<Responder>> responders_;
