Read the configuration's store again after a listener has failed

Cause: the exception left the flag set that a reading of the store is under way, so that the next one was never due.

--- a/src/cypresswall/configuration/store_reader.cpp
+++ b/src/cypresswall/configuration/store_reader.cpp
@@ -1,5 +1,8 @@
 #include "cypresswall/configuration/store_reader.h"
 
+#include <exception>
+#include <utility>
+
 #include "cypresswall/configuration/change_encoding.h"
 
 namespace cypresswall::configuration {
@@ -8,6 +11,21 @@
 using common::LogLevel;
 using object_store::StoreFailure;
 
+namespace {
+
+/// Calls `step`; if it throws, clears `under_way` so that the work begins again when it is due.
+template <typename Step>
+void endOnFailure(bool& under_way, Step&& step) {
+  try {
+    std::forward<Step>(step)();
+  } catch (const std::exception&) {
+    under_way = false;
+    throw;
+  }
+}
+
+}  // namespace
+
 StoreReader::StoreReader(const ConfigurationSettings& settings, const api::ProcessContext& context,
                          ReplicaState& state, object_store::ObjectStore& store,
                          std::function<bool()> is_reader)
@@ -48,7 +66,9 @@
 
 void StoreReader::load() {
   loading_ = true;
-  store_.get(std::string(kSnapshotKey), [this](const Stored& result) { onSnapshotRead(result); });
+  store_.get(std::string(kSnapshotKey), [this](const Stored& result) {
+    endOnFailure(loading_, [&] { onSnapshotRead(result); });
+  });
 }
 
 void StoreReader::onSnapshotRead(const Stored& result) {
@@ -106,8 +126,9 @@
     return;
   }
   fetching_ = true;
-  store_.get(changeKey(state_.log().version() + 1),
-             [this](const Stored& result) { onChangeRead(result); });
+  store_.get(changeKey(state_.log().version() + 1), [this](const Stored& result) {
+    endOnFailure(loading_, [&] { onChangeRead(result); });
+  });
 }
 
 void StoreReader::onChangeRead(const Stored& result) {
--- a/tests/configuration/replica_test.cpp
+++ b/tests/configuration/replica_test.cpp
@@ -1,5 +1,8 @@
 /// An accepted change must not be lost or reverted by a store outage, a lost answer, a restored
 /// store, a partition or a replaced node, and must reach every zone in time.
+#include <stdexcept>
+#include <utility>
+
 #include "tests/configuration/replica_fleet.h"
 #include "tests/support/property.h"
 
@@ -28,6 +31,8 @@
   CPPUNIT_TEST(watchGapIsRepaired);
   CPPUNIT_TEST(invalidChangeNamesTheField);
   CPPUNIT_TEST(newNodeFarBehindInstallsASnapshot);
+  CPPUNIT_TEST(storedChangeIsReadAgainAfterAFailure);
+  CPPUNIT_TEST(storedSnapshotIsReadAgainAfterAFailure);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -203,20 +208,29 @@
   void newNodeFarBehindInstallsASnapshot() {
     ReplicaFleet fleet(13, 1, 2);
     start(fleet);
-    for (std::size_t change = 0; change < 70; ++change) {
-      CPPUNIT_ASSERT(
-          fleet.commit(change % 2, std::string("c").append(std::to_string(change))).status ==
-          CommitStatus::kAccepted);
-      fleet.convergesTo(fleet.newest_seen, kInForceLimit);
-    }
-    fleet.runFor(1s);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
-                         fleet.store.objects.peek(std::string(kSnapshotKey)).version);
+    commitUntilASnapshotIsStored(fleet);
     fleet.start(0);
     fleet.start(1);  // no peer is left, so the snapshot and later changes come from the store
     CPPUNIT_ASSERT(fleet.convergesTo(71, 10s));
   }
 
+  // A node whose listener failed once never read the store again, and never became ready.
+  void storedChangeIsReadAgainAfterAFailure() {
+    ReplicaFleet fleet(14, 1, 1);
+    start(fleet);
+    restartWithFailingListeners(fleet);
+    CPPUNIT_ASSERT(fleet.convergesTo(1, 10s));
+  }
+
+  // The same, while the snapshot is installed.
+  void storedSnapshotIsReadAgainAfterAFailure() {
+    ReplicaFleet fleet(15, 1, 2);
+    start(fleet);
+    commitUntilASnapshotIsStored(fleet);
+    restartWithFailingListeners(fleet);
+    CPPUNIT_ASSERT(fleet.convergesTo(71, 10s));
+  }
+
  private:
   /// Waits until the fleet is ready and declares its zones, which creates version 1.
   static void start(ReplicaFleet& fleet) {
@@ -228,6 +242,37 @@
     CPPUNIT_ASSERT(fleet.convergesTo(1, kInForceLimit));
     fleet.runFor(2s);
   }
+
+  /// Commits changes up to version 71. \pre version 1 is in force at both nodes
+  static void commitUntilASnapshotIsStored(ReplicaFleet& fleet) {
+    for (std::size_t change = 0; change < 70; ++change) {
+      CPPUNIT_ASSERT(
+          fleet.commit(change % 2, std::string("c").append(std::to_string(change))).status ==
+          CommitStatus::kAccepted);
+      fleet.convergesTo(fleet.newest_seen, kInForceLimit);
+    }
+    fleet.runFor(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         fleet.store.objects.peek(std::string(kSnapshotKey)).version);
+  }
+
+  /// Replaces all nodes by ones that fail when they first learn of a configuration, and runs until
+  /// each has.
+  static void restartWithFailingListeners(ReplicaFleet& fleet) {
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+      fleet.start(node);
+    }
+    for (const auto& node : fleet.nodes) {
+      node.replica->onChange([failed = false](const FleetConfiguration&) mutable {
+        if (!std::exchange(failed, true)) {
+          throw std::runtime_error("listener");
+        }
+      });
+    }
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+      CPPUNIT_ASSERT_THROW(fleet.runFor(5s), std::runtime_error);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaTest);
