Schedule the next sending before a message is sent

A round that threw was the last one, though the exception ends only that round: a change of the configuration was never answered, a claim of an idempotency key was never answered, and a report of a completed key was never sent and kept its node from stopping until it gave up.

Cause: these send first and schedule the next round last. Two rounds that send nothing did so, too: the wait of a command until its change is in force, and the closing of a fair-share round.

Change: the next round is scheduled first, and cancelled where none is needed. A command whose last round throws isn't asked for again.

No test makes a round of a command's wait or of a fair-share ledger throw: nothing that a test can replace takes part in them.

--- a/src/cypresswall/configuration/zone_approval.cpp
+++ b/src/cypresswall/configuration/zone_approval.cpp
@@ -79,17 +79,17 @@
     finish(number);
     return;
   }
+  context_.scheduler.schedule(settings_.approval_retry_interval,
+                              [this, number] { sendRound(number); });
+  const auto round = query.round++;
   const auto contacts = gossip_.zoneContacts();
   for (const common::ZoneName& zone : query.waiting) {
     const auto known = contacts.find(zone);
     if (known != contacts.end() && !known->second.empty()) {
-      context_.sendToAddress(known->second[query.round % known->second.size()],
+      context_.sendToAddress(known->second[round % known->second.size()],
                              ApprovalRequest{number, query.change});
     }
   }
-  ++query.round;
-  context_.scheduler.schedule(settings_.approval_retry_interval,
-                              [this, number] { sendRound(number); });
 }
 
 void ZoneApproval::finish(std::uint64_t number) {
--- a/src/cypresswall/fleet_limits/fair_share_accounts.cpp
+++ b/src/cypresswall/fleet_limits/fair_share_accounts.cpp
@@ -179,14 +179,14 @@
 void FairShareAccounts::closeRound(const std::string& pool) {
   const auto found = ledgers_.find(pool);
   const auto now = context_.clock.now();
+  const auto again = context_.scheduler.schedule(interval(), [this, pool] { closeRound(pool); });
   PoolShares shares = found->second.close(now);
   shares.pool = pool;
   shares.keeper = context_.self;
   shares.round = next_round_++;
   shares.active = !found->second.calm(now);
-  if (shares.active) {
-    context_.scheduler.schedule(interval(), [this, pool] { closeRound(pool); });
-  } else {
+  if (!shares.active) {
+    context_.scheduler.cancel(again);
     ledgers_.erase(found);
   }
   shares_told_.add();
--- a/src/cypresswall/idempotency/quorum_key_claims.cpp
+++ b/src/cypresswall/idempotency/quorum_key_claims.cpp
@@ -129,13 +129,13 @@
     return;
   }
   Waiting& claim = waiting->second;
-  sendToOwner(claim.owner, claim.request, claim.sent++);
   const auto interval =
       claim.owner == context_.zone ? settings_.resend_interval : settings_.remote_resend_interval;
   context_.scheduler.schedule(interval, [this, number] {
     resent_count_.add(waiting_.contains(number) ? 1 : 0);
     sendClaim(number);
   });
+  sendToOwner(claim.owner, claim.request, claim.sent++);
 }
 
 void QuorumKeyClaims::rememberAbandoned(Abandoned abandoned) {
@@ -230,11 +230,11 @@
     reports_.erase(report);
     return;
   }
-  sendToOwner(report->second.owner, report->second.report, report->second.sent++);
   context_.scheduler.schedule(settings_.report_interval, [this, number] {
     resent_count_.add(reports_.contains(number) ? 1 : 0);
     sendReport(number);
   });
+  sendToOwner(report->second.owner, report->second.report, report->second.sent++);
 }
 
 void QuorumKeyClaims::handle(const common::NodeId&, const ClaimReport& report) {
--- a/src/cypresswall/operators/command_service.cpp
+++ b/src/cypresswall/operators/command_service.cpp
@@ -145,18 +145,19 @@
 
 void CommandService::waitUntilInForce(CommandResponse response, common::MonotonicTime deadline,
                                       const Callback& callback) {
+  const bool late = context_.clock.now() >= deadline;
+  const common::TimerId again =
+      late ? 0 : context_.scheduler.schedule(kWaitInterval, [this, response, deadline, callback] {
+        waitUntilInForce(response, deadline, callback);
+      });
   response.zones = zoneProgress(response.version);
   const bool everywhere =
       std::all_of(response.zones.begin(), response.zones.end(),
                   [](const ZoneProgress& zone) { return zone.in_force || !zone.heard; });
-  if (everywhere || context_.clock.now() >= deadline) {
+  if (everywhere || late) {
+    context_.scheduler.cancel(again);
     callback(std::move(response));
-    return;
   }
-  context_.scheduler.schedule(kWaitInterval,
-                              [this, response = std::move(response), deadline, callback] {
-                                waitUntilInForce(response, deadline, callback);
-                              });
 }
 
 std::vector<ZoneProgress> CommandService::zoneProgress(std::uint64_t version) const {
--- a/tests/configuration/replica_test.cpp
+++ b/tests/configuration/replica_test.cpp
@@ -3,6 +3,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "cypresswall/configuration/messages.h"
 #include "tests/configuration/replica_fleet.h"
 #include "tests/support/property.h"
 
@@ -33,6 +34,7 @@
   CPPUNIT_TEST(newNodeFarBehindInstallsASnapshot);
   CPPUNIT_TEST(storedChangeIsReadAgainAfterAFailure);
   CPPUNIT_TEST(storedSnapshotIsReadAgainAfterAFailure);
+  CPPUNIT_TEST(changeIsAnsweredAlthoughItsApprovalCouldNotBeAskedFor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -231,6 +233,23 @@
     CPPUNIT_ASSERT(fleet.convergesTo(71, 10s));
   }
 
+  // A change was never answered if asking another zone for its approval failed once.
+  void changeIsAnsweredAlthoughItsApprovalCouldNotBeAskedFor() {
+    ReplicaFleet fleet(16, 2, 2);
+    start(fleet);
+    fleet.simulation.network().onSend([failed = false](const api::Envelope& envelope) mutable {
+      if (envelope.type == ApprovalRequest::kType && !std::exchange(failed, true)) {
+        throw std::runtime_error("send");
+      }
+    });
+    const std::size_t number = fleet.submit(0, "a");
+    CPPUNIT_ASSERT_THROW(fleet.runFor(1s), std::runtime_error);
+    fleet.runFor(10s);
+    CPPUNIT_ASSERT(fleet.submissions[number].answered);
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"),
+                         std::string(toString(fleet.submissions[number].result.status)));
+  }
+
  private:
   /// Waits until the fleet is ready and declares its zones, which creates version 1.
   static void start(ReplicaFleet& fleet) {
--- a/tests/idempotency/quorum_key_claims_test.cpp
+++ b/tests/idempotency/quorum_key_claims_test.cpp
@@ -1,10 +1,13 @@
 #include "cypresswall/idempotency/quorum_key_claims.h"
 
+#include <functional>
 #include <iostream>
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cypresswall/configuration/static_view.h"
@@ -92,6 +95,8 @@
   CPPUNIT_TEST(releasedKeyIsGrantedAgain);
   CPPUNIT_TEST(claimSurvivesLossOfHolder);
   CPPUNIT_TEST(claimOfDeadNodeIsUncertain);
+  CPPUNIT_TEST(claimIsSentAgainAfterAFailure);
+  CPPUNIT_TEST(reportIsSentAgainAfterAFailure);
   CPPUNIT_TEST(claimWithoutHolderIsUnavailable);
   CPPUNIT_TEST(claimInNewGenerationIsUncertain);
   CPPUNIT_TEST(unreadableClaimIsUncertainAlone);
@@ -155,6 +160,30 @@
     CPPUNIT_ASSERT(zone.claim(3, "k") == ClaimVerdict::kUncertain);
   }
 
+  // A claim that couldn't be sent once was never answered.
+  void claimIsSentAgainAfterAFailure() {
+    ClaimZone zone(14);
+    const int claimer = startThreeAndChooseAClaimer(zone);
+    std::optional<ClaimVerdict> verdict;
+    whileSendingFails(zone, [&] {
+      zone.claims.at(claimer)->claim("k", kDigest,
+                                     [&](const ClaimAnswer& answer) { verdict = answer.verdict; });
+    });
+    zone.zone.world.runFor(zone.settings.claim_timeout);
+    CPPUNIT_ASSERT(verdict == ClaimVerdict::kGranted);
+  }
+
+  // A report that couldn't be sent once was never sent, and counted as pending for good.
+  void reportIsSentAgainAfterAFailure() {
+    ClaimZone zone(15);
+    const int claimer = startThreeAndChooseAClaimer(zone);
+    CPPUNIT_ASSERT(zone.claim(claimer, "k") == ClaimVerdict::kGranted);
+    whileSendingFails(zone, [&] { zone.claims.at(claimer)->complete("k", "booked"); });
+    zone.zone.world.runFor(2 * zone.settings.report_interval);
+    CPPUNIT_ASSERT(!zone.claims.at(claimer)->reportsPending());
+    CPPUNIT_ASSERT(zone.claim(claimer, "k") == ClaimVerdict::kCompleted);
+  }
+
   void claimWithoutHolderIsUnavailable() {
     ClaimZone zone(5);
     zone.zone.world.store.down = true;
@@ -257,6 +286,24 @@
     CPPUNIT_ASSERT(verdicts[ClaimVerdict::kCompleted] > kRuns);
     CPPUNIT_ASSERT(verdicts[ClaimVerdict::kUncertain] > kRuns);
   }
+
+ private:
+  /// \return a node that doesn't hold the lease
+  static int startThreeAndChooseAClaimer(ClaimZone& zone) {
+    zone.zone.startAll(3);
+    zone.zone.awaitHolder(6s);
+    zone.zone.world.runFor(2s);
+    return zone.zone.holder().value() == 1 ? 2 : 1;
+  }
+
+  /// Calls `work`, which fails since no message can be sent.
+  static void whileSendingFails(ClaimZone& zone, const std::function<void()>& work) {
+    auto& on_send = zone.zone.world.on_send;
+    const auto before =
+        std::exchange(on_send, [](const api::Envelope&) { throw std::runtime_error("send"); });
+    CPPUNIT_ASSERT_THROW(work(), std::runtime_error);
+    on_send = before;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuorumKeyClaimsTest);
