Test three fixes that had none of their own

A watch of the store goes on after a listener has failed; nodes that have just started don't confirm the only build that another node knows; a caller that resets its connection before it is accepted ends an accept.

--- a/tests/answer_builds/fleet_answer_builds_test.cpp
+++ b/tests/answer_builds/fleet_answer_builds_test.cpp
@@ -245,6 +245,7 @@
   CPPUNIT_TEST(storeTellsOfASecondBuild);
   CPPUNIT_TEST(storeTellsOfABuildThatHasLeft);
   CPPUNIT_TEST(silentNodesAreAsked);
+  CPPUNIT_TEST(nodesThatHaveJustStartedConfirmNothing);
   CPPUNIT_TEST(oneBuildAndANodeAlone);
   CPPUNIT_TEST(oneBuildAndSilentNodesWithoutTheStore);
   CPPUNIT_TEST(manySearchesShareTheCallsToTheStore);
@@ -392,6 +393,20 @@
     zone.requireBuild("v2", 0, request);
   }
 
+  /// Guards against answers that go on at the only build that a node knows, since others confirm
+  /// it that have just started and don't know the earlier builds yet.
+  void nodesThatHaveJustStartedConfirmNothing() {
+    Zone zone(9);
+    zone.setEngines(kOneBuild);
+    zone.setEnginesUnseenBy(0, kTwoBuilds);
+    zone.began(1, "a", "v2");
+    for (std::size_t node = 1; node < zone.size(); ++node) {
+      zone.restart(node);
+    }
+    zone.updateMembers();
+    CPPUNIT_ASSERT(!zone.findAtLength(0, "a").known);
+  }
+
   /// With one build, a node that lost all others goes on once the store has confirmed it.
   void oneBuildAndANodeAlone() {
     Zone zone(9);
--- a/tests/http/accept_limiter_test.cpp
+++ b/tests/http/accept_limiter_test.cpp
@@ -1,4 +1,4 @@
-/// The limiter must not lose accepts that have failed.
+/// The limiter must not lose accepts that have failed, nor begin one twice that is under way.
 #include "cypresswall/http/accept_limiter.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -25,6 +25,7 @@
 
 class AcceptLimiterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AcceptLimiterTest);
+  CPPUNIT_TEST(callerResetBeforeItIsAcceptedEndsAnAccept);
   CPPUNIT_TEST(acceptsBegunBeforeOneThatEndsHaveFailed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -36,6 +37,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("012"), acceptor_.begun);
   }
 
+  // Such an accept counted as one that had never ended, so that the server took all accepts for
+  // failed and began those under way a second time.
+  void callerResetBeforeItIsAcceptedEndsAnAccept() {
+    limiter_.accept_next(0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, limiter_.endedAccepts());
+    CPPUNIT_ASSERT_EQUAL(std::string("0120"), acceptor_.begun);
+  }
+
   // Accepts that had failed counted as under way as long as others took the callers.
   void acceptsBegunBeforeOneThatEndsHaveFailed() {
     limiter_.accept_next(0);
--- a/tests/objects_platform/object_watch_test.cpp
+++ b/tests/objects_platform/object_watch_test.cpp
@@ -1,6 +1,8 @@
 #include "platform/object_watch.h"
 
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/objects_platform/fake_store.h"
@@ -16,16 +18,21 @@
 using testing::objectJson;
 using testing::pageJson;
 
-/// Records its calls as "+name", "-name" and ".".
+/// Records its calls as "+name", "-name" and ".". If `fails` is set, the next put throws instead.
 class RecordingListener final : public ObjectWatchListener {
  public:
   void onPut(const wire::StoreObject& object) override {
+    if (std::exchange(fails, false)) {
+      throw std::runtime_error("listener");
+    }
     recorded_ += "+" + object.name + std::to_string(object.revision) + " ";
   }
   void onDeleted(const std::string& name) override { recorded_ += "-" + name + " "; }
   void onCaughtUp() override { recorded_ += ". "; }
   std::string takeRecorded() { return std::exchange(recorded_, ""); }
 
+  bool fails = false;
+
  private:
   std::string recorded_;
 };
@@ -45,6 +52,7 @@
   CPPUNIT_TEST(listsAgainAfterCompaction);
   CPPUNIT_TEST(keepsStateWhileStoreIsDown);
   CPPUNIT_TEST(ignoresStaleAnswers);
+  CPPUNIT_TEST(readsAgainAfterAListenerHasFailed);
   CPPUNIT_TEST(malformedAnswersAreFailures);
   CPPUNIT_TEST(malformedObjectsDoNotHideOthers);
   CPPUNIT_TEST(malformedEventsAreSkipped);
@@ -135,6 +143,26 @@
                          process_.counters().total("cypresswall_object_watch_older_answers_total"));
   }
 
+  // A listener that failed once left the watch without a next call, so that the node never heard of
+  // the store's changes again.
+  void readsAgainAfterAListenerHasFailed() {
+    const auto page = pageJson(7, {objectJson("a", 3), objectJson("b", 7)});
+    listener_.fails = true;
+    watch_.start();
+    CPPUNIT_ASSERT_THROW(store_.answer(200, page), std::runtime_error);
+    world_.runFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.calls.size());
+    store_.answer(200, page);
+    CPPUNIT_ASSERT_EQUAL(std::string("+a3 +b7 . "), listener_.takeRecorded());
+    const auto events = eventsJson(8, {{objectJson("a", 8), false}});
+    listener_.fails = true;
+    CPPUNIT_ASSERT_THROW(store_.answer(200, events), std::runtime_error);
+    world_.runFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.calls.size());
+    store_.answer(200, events);
+    CPPUNIT_ASSERT_EQUAL(std::string("+a8 . "), listener_.takeRecorded());
+  }
+
   void malformedAnswersAreFailures() {
     begin();
     for (const char* unreadable :
