End a stopping node although its last messages can't be sent

A node that was told to stop stayed for good, with nothing under way, if the last report of its usage or the notice of its end threw: its supervisor had to kill it. The same if one look whether it may end threw.

Cause: the last look is not scheduled again, and the callback that ends the node comes after these messages.

Change: the next look is scheduled before each look, and the end before the last messages; both are cancelled where they aren't needed, so that the order of events is as before.

--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -278,15 +278,21 @@
 
 void Node::checkStop() {
   const bool late = context_.clock.now() >= stop_deadline_;
+  const auto next_check =
+      context_.scheduler.schedule(settings_.stop_check_interval, [this] { checkStop(); });
   if (!late && !mayStop()) {
-    context_.scheduler.schedule(settings_.stop_check_interval, [this] { checkStop(); });
     return;
   }
+  context_.scheduler.cancel(next_check);
+  // Ends the node also if its last messages can't be sent.
+  const auto end =
+      context_.scheduler.schedule(settings_.stop_check_interval, [this] { on_stopped_(); });
   common::LogEvent(context_.log, common::LogLevel::kInfo, "drain_finished")
       .field("in_flight", admission_.inFlight())
       .field("limit_reached", late);
   duties_.flushUsage();
   membership_.announceStopped();
+  context_.scheduler.cancel(end);
   on_stopped_();
 }
 
--- a/tests/node/declared_fleet_test.cpp
+++ b/tests/node/declared_fleet_test.cpp
@@ -5,12 +5,15 @@
 
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cypresswall/configuration/change.h"
 #include "cypresswall/configuration/static_view.h"
 #include "cypresswall/emulation/answer.h"
+#include "cypresswall/membership/messages.h"
 #include "cypresswall/simulation/fleet/simulated_fleet.h"
 
 namespace cypresswall::node {
@@ -46,6 +49,7 @@
   CPPUNIT_TEST(resumedPassThroughAnswerKeepsBytesAndFirstHead);
   CPPUNIT_TEST(operatorsSeeAdvertisedRateLimits);
   CPPUNIT_TEST(nonRepeatableRequestRunsOnceAndEndsUnknown);
+  CPPUNIT_TEST(nodeEndsAlthoughItsLastMessageCouldNotBeSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -135,6 +139,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, wholeAnswer().find(caller_.body));
   }
 
+  // A node that was told to stop went on for good if its last message couldn't be sent.
+  void nodeEndsAlthoughItsLastMessageCouldNotBeSent() {
+    bringUp();
+    fleet_->simulation().network().onSend([failed = false](const api::Envelope& envelope) mutable {
+      if (envelope.type == membership::ShutdownNotice::kType && !std::exchange(failed, true)) {
+        throw std::runtime_error("send");
+      }
+    });
+    const auto stop = [this] {
+      fleet_->stopNode(0);
+      fleet_->time().runFor(seconds(60));
+    };
+    CPPUNIT_ASSERT_THROW(stop(), std::runtime_error);
+    CPPUNIT_ASSERT(fleet_->running(0));
+    fleet_->time().runFor(seconds(60));
+    CPPUNIT_ASSERT(!fleet_->running(0));
+  }
+
  private:
   FleetConfiguration declaration() const {
     configuration::ConfigurationChange change;
