A store that refuses is no evidence that there is one build only

Callers on the smaller side of a cut that nobody had noticed yet, while the store refused fast (429, 503, connection refused): answers that had begun at a new build beyond the cut went on at the old one.

Cause: a refused call counted as "the store is away" at once, and half of the four alive members asked were enough to do without it. Members of the other side, not yet suspect, counted as neither silent nor missing.

Now a refused call is only repeated. After 0.5 s without confirmation all members are asked, alive or silent (64 at the most); at the limit of 1 s the answer goes on without the store if this node and those that replied are more than half of them. Of two sides one at the most can be. The larger side, which was refused by chance of whom it asked, goes on (up to 65 nodes). While the store is away and a member doesn't reply, what is taken up waits for 1 s.

answer_builds_test on the code before, with these tests: smallerSideOfACutWithoutTheStore: expected 0, actual 10 (of 20), 9 nodes storeThatRefusesForAMoment: assertion failed, origin && !origin->known oneBuildAndTheLargerSideOfACutWithoutTheStore: refused, 9 nodes with the change: OK (45).

--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -26,6 +26,11 @@
 /// How long a build counts that only the store's object names: the object may be about to be
 /// rewritten without it, and is read again when an answer is taken up.
 constexpr common::Duration kConfirmedFor = std::chrono::seconds(5);
+/// Time after which a search whose nodes have not all replied asks all members, alive or silent, in
+/// case that the store does not answer either.
+constexpr common::Duration kMajorityAskedAfter = std::chrono::milliseconds(500);
+/// Maximum number of members that are asked then; in a zone with more of them it is a sample.
+constexpr std::size_t kMajorityNodesAsked = 64;
 /// Reasons for which the build of an answer is not known.
 constexpr const char* kSeveralBuilds = "several-builds";
 constexpr const char* kOutOfStep = "out-of-step";
@@ -351,7 +356,10 @@
                                     .found = std::move(found),
                                     .silent_missing = {silent.begin(), silent.end()},
                                     .confirms_only_build = true});
-  searches_.at(number).confirmation_timer = context_.scheduler.schedule(
+  Search& search = searches_.at(number);
+  search.majority_timer =
+      context_.scheduler.schedule(kMajorityAskedAfter, [this, number] { askMajority(number); });
+  search.confirmation_timer = context_.scheduler.schedule(
       settings_.confirmation_limit, [this, number] { onConfirmationLimit(number); });
   if (!silent.empty()) {
     askStore(number);
@@ -386,7 +394,7 @@
       .field("reason", reasonUnknown(model))
       .field("builds", history_.possible(model, context_.clock.now()).size())
       .field("history_known", history_known_)
-      .field("asked", search.alive_asked)
+      .field("asked", asked(search))
       .field("unanswered", search.alive_missing.size())
       .field("silent", search.silent_missing.size())
       .field("store_confirmed", search.store_confirmed);
@@ -406,7 +414,6 @@
   const AnswerBuildQuery query{number, search.answer,
                                search.confirms_only_build ? search.model : common::ModelName{}};
   search.alive_missing.insert(nodes.begin(), nodes.end());
-  search.alive_asked = nodes.size();
   search.answer_timer = context_.scheduler.schedule(settings_.answer_limit,
                                                     [this, number] { onAnswerLimit(number); });
   nodes.insert(nodes.end(), search.silent_missing.begin(), search.silent_missing.end());
@@ -419,18 +426,39 @@
   Search& search = searches_.at(number);
   search.answer_timer = 0;
   search.answer_limit_passed = true;
-  if (search.confirms_only_build && !search.store_asked) {
+  decide(number);
+  const auto open = searches_.find(number);
+  if (open != searches_.end() && open->second.confirms_only_build && !open->second.store_asked) {
     askStore(number);
   }
-  decide(number);
 }
 
-void FleetAnswerBuilds::onConfirmationLimit(std::uint64_t number) {
+void FleetAnswerBuilds::askMajority(std::uint64_t number) {
   Search& search = searches_.at(number);
-  search.confirmation_timer = 0;
-  search.store_failed = true;
+  search.majority_timer = 0;
+  const auto silent_nodes = membership_.silentNodes();
+  const std::set<common::NodeId> silent(silent_nodes.begin(), silent_nodes.end());
+  std::vector<common::NodeId> nodes = peers();
+  nodes.insert(nodes.end(), silent.begin(), silent.end());
+  nodes =
+      membership::rendezvousNodes(taskName(search.answer), std::move(nodes), kMajorityNodesAsked);
+  std::erase_if(nodes, [&](const common::NodeId& node) { return search.replied.contains(node); });
+  for (const common::NodeId& node : nodes) {
+    (silent.contains(node) ? search.silent_missing : search.alive_missing).insert(node);
+  }
+  context_.sendToAll(nodes, AnswerBuildQuery{number, search.answer, search.model});
+}
+
+void FleetAnswerBuilds::onConfirmationLimit(std::uint64_t number) {
+  searches_.at(number).confirmation_timer = 0;
   decide(number);
-  if (searches_.contains(number)) {
+  const auto search = searches_.find(number);
+  if (search == searches_.end()) {
+    return;
+  }
+  if (!hasSeveralBuilds(search->second.model) && mostNodesReplied(search->second)) {
+    finishOnlyBuild(number, only_build_without_store_);
+  } else {
     finishUnknown(number);
   }
 }
@@ -448,7 +476,6 @@
     return;
   }
   search->second.store_confirmed = confirmed;
-  search->second.store_failed = !confirmed;
   decide(number);
   if (!confirmed && searches_.contains(number)) {
     context_.scheduler.schedule(settings_.confirmation_retry_delay, [this, number] {
@@ -476,8 +503,6 @@
     finishOnlyBuild(number, only_build_by_peers_);
   } else if (search.store_confirmed && (alive_replied || search.answer_limit_passed)) {
     finishOnlyBuild(number, only_build_by_store_);
-  } else if (search.store_failed && mostNodesReplied(search)) {
-    finishOnlyBuild(number, only_build_without_store_);
   }
 }
 
@@ -495,18 +520,18 @@
   for (const common::NodeId& node : membership_.silentNodes()) {
     if (search.alive_missing.erase(node) != 0) {
       search.silent_missing.insert(node);
-      --search.alive_asked;
     }
   }
 }
 
-/// A minority that reaches neither the others nor the store can't rule out that these know of
-/// another build.
+std::size_t FleetAnswerBuilds::asked(const Search& search) {
+  return search.replied.size() + search.alive_missing.size() + search.silent_missing.size();
+}
+
+/// Members that don't reply count, whether their silence has been noticed or not: a minority can't
+/// rule out that the others know of another build.
 bool FleetAnswerBuilds::mostNodesReplied(const Search& search) {
-  const std::size_t replied = search.alive_asked - search.alive_missing.size();
-  const bool due = search.alive_missing.empty() || search.answer_limit_passed;
-  return due && replied > 0 && 2 * replied >= search.alive_asked &&
-         peers().size() + 1 > membership_.silentNodes().size();
+  return 2 * (search.replied.size() + 1) > asked(search) + 1;
 }
 
 void FleetAnswerBuilds::onBegan(const AnswersBegan& message) {
@@ -551,8 +576,11 @@
     finishKnown(reply.number, reply.build, record_of_peer_);
     return;
   }
-  found->second.alive_missing.erase(sender);
-  found->second.silent_missing.erase(sender);
+  const bool missing = found->second.alive_missing.erase(sender) != 0 ||
+                       found->second.silent_missing.erase(sender) != 0;
+  if (missing) {
+    found->second.replied.insert(sender);
+  }
   if (found->second.confirms_only_build) {
     addSeen(reply.builds);
   }
@@ -562,6 +590,7 @@
 FleetAnswerBuilds::Search FleetAnswerBuilds::extract(std::uint64_t number) {
   auto search = searches_.extract(number);
   context_.scheduler.cancel(search.mapped().answer_timer);
+  context_.scheduler.cancel(search.mapped().majority_timer);
   context_.scheduler.cancel(search.mapped().confirmation_timer);
   return std::move(search.mapped());
 }
--- a/src/cypresswall/answer_builds/fleet_answer_builds.h
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.h
@@ -33,7 +33,8 @@
 /// node that was cut off or stood still does not notice that it has not heard. Before it takes an
 /// answer to be of that build, it therefore asks the nodes that would have been told of the answer:
 /// of the alive members and of those that have fallen silent. If some of them don't reply, it reads
-/// the builds from the store.
+/// the builds from the store. A store that refuses is asked again; if it has not answered within
+/// AnswerBuildSettings::confirmation_limit, replies of most members have to do.
 ///
 /// A node that has started can't see the builds that have left the fleet before. Until it has
 /// learnt of them from another node or, if all have just started, from the platform's store, it
@@ -68,17 +69,17 @@
     common::ModelName model;
     AnswerKey answer = 0;
     OriginCallback found;
-    /// Nodes that have not replied yet, and the number of those asked.
+    /// Nodes that have been asked.
     std::set<common::NodeId> alive_missing = {};
     std::set<common::NodeId> silent_missing = {};
-    std::size_t alive_asked = 0;
+    std::set<common::NodeId> replied = {};
     /// This node knew one build when the search began. Confirming it takes replies or the store.
     bool confirms_only_build = false;
     bool answer_limit_passed = false;
     bool store_asked = false;
     bool store_confirmed = false;
-    bool store_failed = false;
     common::TimerId answer_timer = 0;
+    common::TimerId majority_timer = 0;
     common::TimerId confirmation_timer = 0;
   };
 
@@ -139,14 +140,17 @@
   /// \return the number of the search
   std::uint64_t ask(Search search);
   void onAnswerLimit(std::uint64_t number);
+  /// Asks the members that have not replied, also those that were not asked before.
+  void askMajority(std::uint64_t number);
   void onConfirmationLimit(std::uint64_t number);
   void askStore(std::uint64_t number);
   void onConfirmation(std::uint64_t number, bool confirmed);
   /// Ends the search if enough is known.
   void decide(std::uint64_t number);
   void decideAmongSeveral(std::uint64_t number, const Search& search);
-  /// \return true if enough nodes have replied to do without the store while it doesn't answer
-  bool mostNodesReplied(const Search& search);
+  static std::size_t asked(const Search& search);
+  /// \return true if this node and those that replied are most of those asked
+  static bool mostNodesReplied(const Search& search);
   /// Takes nodes that have fallen silent since they were asked for silent ones.
   void updateMissing(Search& search) const;
   void onBegan(const AnswersBegan& message);
--- a/tests/answer_builds/fleet_answer_builds_test.cpp
+++ b/tests/answer_builds/fleet_answer_builds_test.cpp
@@ -128,6 +128,14 @@
     }
     run(milliseconds(100));
   }
+  /// Changes the list of engines; the nodes from `first` on see the change.
+  void setEnginesSeenFrom(std::size_t first, const BuildsByModel& builds) {
+    listed_ = builds;
+    for (std::size_t node = first; node < nodes_.size(); ++node) {
+      nodes_[node].builds->enginesChanged(builds);
+    }
+    run(milliseconds(100));
+  }
   void cutOffFromStore(std::size_t node) {
     simulation_.network().cutAddresses(addressOf(node),
                                        simulation::SimulatedPlatform::place().address);
@@ -152,6 +160,15 @@
       }
     }
   }
+  /// Cuts the first `side` nodes off from the others. No node holds another one for silent.
+  void cutInTwo(std::size_t side) {
+    for (std::size_t node = 0; node < side; ++node) {
+      for (std::size_t other = side; other < nodes_.size(); ++other) {
+        simulation_.network().cutAddresses(addressOf(node), addressOf(other));
+        simulation_.network().cutAddresses(addressOf(other), addressOf(node));
+      }
+    }
+  }
   void runEarlierBuild(std::size_t earlier) {
     for (const Node& node : nodes_) {
       node.membership->setCapabilitiesUnknown(nodes_[earlier].process->id());
@@ -194,6 +211,16 @@
   }
   /// \return the nodes other than `sender` that are told of the answer, in the order of their ranks
   std::vector<std::size_t> keepersOf(const std::string& request, std::size_t sender) {
+    return highestFor(request, sender, settings_.copies);
+  }
+  /// \return true if one of the nodes that `node` asks first is beyond a cut
+  bool asksBeyond(std::size_t side, const std::string& request, std::size_t node) {
+    const auto asked = highestFor(request, node, settings_.asked_nodes);
+    return std::any_of(asked.begin(), asked.end(),
+                       [side](std::size_t other) { return other >= side; });
+  }
+  std::vector<std::size_t> highestFor(const std::string& request, std::size_t sender,
+                                      std::size_t count) {
     std::vector<common::NodeId> ids;
     for (std::size_t node = 0; node < nodes_.size(); ++node) {
       if (node != sender) {
@@ -202,7 +229,7 @@
     }
     std::vector<std::size_t> keepers;
     const auto name = std::to_string(answerKey(request));
-    for (const auto& id : membership::rendezvousNodes(name, ids, settings_.copies)) {
+    for (const auto& id : membership::rendezvousNodes(name, ids, count)) {
       const auto keeper = std::find_if(nodes_.begin(), nodes_.end(),
                                        [&](const Node& node) { return node.process->id() == id; });
       keepers.push_back(static_cast<std::size_t>(keeper - nodes_.begin()));
@@ -247,6 +274,9 @@
   CPPUNIT_TEST(silentNodesAreAsked);
   CPPUNIT_TEST(oneBuildAndANodeAlone);
   CPPUNIT_TEST(oneBuildAndSilentNodesWithoutTheStore);
+  CPPUNIT_TEST(smallerSideOfACutWithoutTheStore);
+  CPPUNIT_TEST(storeThatRefusesForAMoment);
+  CPPUNIT_TEST(oneBuildAndTheLargerSideOfACutWithoutTheStore);
   CPPUNIT_TEST(manySearchesShareTheCallsToTheStore);
   CPPUNIT_TEST(messagesDoNotGrowWithTheZone);
   CPPUNIT_TEST(anyNodeFindsTheBuild);
@@ -414,6 +444,71 @@
     CPPUNIT_ASSERT_EQUAL(1.0, zone.counted(0, "only-build-without-store"));
   }
 
+  /// Guards against answers that go on at another build: a node on the smaller side of a cut that
+  /// nobody had noticed reached half of the nodes that it asked, and did without the store.
+  void smallerSideOfACutWithoutTheStore() {
+    constexpr std::uint64_t kAnswers = 20;
+    for (const bool slow : {false, true}) {
+      for (const std::size_t size : {9, 10, 60}) {
+        Zone zone(size);
+        zone.setEngines(kOneBuild);
+        const std::size_t side = size / 2;
+        zone.cutInTwo(side);
+        if (slow) {
+          zone.platform().setSlow(minutes(1));
+        } else {
+          zone.platform().setDown(true);
+        }
+        zone.setEnginesSeenFrom(side, kTwoBuilds);
+        std::size_t gone_on = 0;
+        for (std::uint64_t answer = 0; answer < kAnswers; ++answer) {
+          const std::size_t node = answer % side;
+          std::string request = requestNamed(answer);
+          while (!zone.asksBeyond(side, request, node)) {
+            request += "b";
+          }
+          zone.began(size - 1, request, "v2");
+          gone_on += zone.findAtLength(node, request).known ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(size) + " nodes", std::size_t{0}, gone_on);
+      }
+    }
+  }
+
+  /// Guards against answers that go on at another build: one call that the store refused was taken
+  /// for an outage, and the store knew of the other build.
+  void storeThatRefusesForAMoment() {
+    Zone zone(9);
+    zone.setEngines(kOneBuild);
+    zone.setSilent(0, {3});
+    zone.kill(3);
+    zone.setEnginesSeenFrom(zone.size(), kTwoBuilds);
+    zone.platform().setDown(true);
+    std::optional<AnswerOrigin> origin;
+    zone.at(0).find(kModel, "a", [&](const AnswerOrigin& found) { origin = found; });
+    zone.run(milliseconds(300));
+    zone.platform().setDown(false);
+    zone.run(milliseconds(700));
+    CPPUNIT_ASSERT(origin && !origin->known);
+  }
+
+  /// Guards against refusals at nodes that are in touch with most others.
+  void oneBuildAndTheLargerSideOfACutWithoutTheStore() {
+    constexpr std::uint64_t kAnswers = 20;
+    for (const std::size_t size : {3, 9, 10, 60}) {
+      Zone zone(size);
+      zone.setEngines(kOneBuild);
+      const std::size_t side = (size - 1) / 2;
+      zone.cutInTwo(side);
+      zone.platform().setDown(true);
+      for (std::uint64_t answer = 0; answer < kAnswers; ++answer) {
+        const std::size_t node = side + answer % (size - side);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(size) + " nodes",
+                               zone.findAtLength(node, requestNamed(answer)).known);
+      }
+    }
+  }
+
   void manySearchesShareTheCallsToTheStore() {
     Zone zone(9);
     zone.setEngines(kOneBuild);
