The smaller side of a cut that lasts doesn't forget that there were others

Callers at a node that had been cut off for more than half an hour: answers that had begun at a new build beyond the cut went on at the old one. So at a side of some nodes, which confirmed one another.

Cause: the membership forgets silent nodes after departed_retention; with no peers and no silent nodes left, a node took itself for one that had always been alone (only-build), and a side for the whole zone (only-build-by-peers).

Now answer_builds remembers silent nodes until they are members again, or are shown to have ended, as long as they are at least as many as the members that are not silent. These count as silent: the store has to confirm. The larger side forgets as before, so that a node that is gone for good costs no calls to the store for longer than before. A node whose peers said that they end, or were shown to have ended, is alone as before.

--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kTellingNodes = 2;
 /// Interval at which a node that does not know the earlier builds checks whom it can ask.
 constexpr common::Duration kHistoryCheckInterval = std::chrono::milliseconds(100);
+/// Shorter than the membership remembers silent nodes.
+constexpr common::Duration kSilentNodesCheckInterval = std::chrono::seconds(10);
 
 common::Counter& originsFound(common::CounterRegistry& registry, const char* source) {
   return registry.counter("cypresswall_answer_builds_origins_total",
@@ -50,6 +52,7 @@
       context_(context),
       membership_(membership),
       store_(store),
+      silent_nodes_(membership),
       history_(settings.retention),
       records_(settings),
       stored_builds_(
@@ -96,6 +99,17 @@
 void FleetAnswerBuilds::start() {
   stored_builds_.start();
   askForHistory();
+  watchSilentNodes();
+}
+
+void FleetAnswerBuilds::watchSilentNodes() {
+  context_.scheduler.schedule(kSilentNodesCheckInterval, [this] { watchSilentNodes(); });
+  silent_nodes_.update();
+}
+
+const std::set<common::NodeId>& FleetAnswerBuilds::silentNodes() {
+  silent_nodes_.update();
+  return silent_nodes_.nodes();
 }
 
 void FleetAnswerBuilds::askForHistory() {
@@ -345,8 +359,9 @@
 void FleetAnswerBuilds::confirmOnlyBuild(const common::ModelName& model,
                                          const std::string& began_as, OriginCallback found) {
   const AnswerKey answer = answerKey(began_as);
-  const auto silent = membership::rendezvousNodes(taskName(answer), membership_.silentNodes(),
-                                                  settings_.silent_nodes_asked);
+  const auto& all_silent = silentNodes();
+  const auto silent = membership::rendezvousNodes(
+      taskName(answer), {all_silent.begin(), all_silent.end()}, settings_.silent_nodes_asked);
   if (peers().empty() && silent.empty()) {
     reportOnlyBuild(model, found, only_build_);
     return;
@@ -436,8 +451,7 @@
 void FleetAnswerBuilds::askMajority(std::uint64_t number) {
   Search& search = searches_.at(number);
   search.majority_timer = 0;
-  const auto silent_nodes = membership_.silentNodes();
-  const std::set<common::NodeId> silent(silent_nodes.begin(), silent_nodes.end());
+  const auto& silent = silentNodes();
   std::vector<common::NodeId> nodes = peers();
   nodes.insert(nodes.end(), silent.begin(), silent.end());
   nodes =
@@ -513,11 +527,11 @@
   }
 }
 
-void FleetAnswerBuilds::updateMissing(Search& search) const {
+void FleetAnswerBuilds::updateMissing(Search& search) {
   if (search.alive_missing.empty()) {
     return;
   }
-  for (const common::NodeId& node : membership_.silentNodes()) {
+  for (const common::NodeId& node : silentNodes()) {
     if (search.alive_missing.erase(node) != 0) {
       search.silent_missing.insert(node);
     }
--- a/src/cypresswall/answer_builds/fleet_answer_builds.h
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.h
@@ -13,6 +13,7 @@
 #include "cypresswall/answer_builds/build_history.h"
 #include "cypresswall/answer_builds/messages.h"
 #include "cypresswall/answer_builds/settings.h"
+#include "cypresswall/answer_builds/silent_nodes.h"
 #include "cypresswall/answer_builds/store_confirmation.h"
 #include "cypresswall/answer_builds/stored_builds.h"
 #include "cypresswall/api/process_context.h"
@@ -152,7 +153,7 @@
   /// \return true if this node and those that replied are most of those asked
   static bool mostNodesReplied(const Search& search);
   /// Takes nodes that have fallen silent since they were asked for silent ones.
-  void updateMissing(Search& search) const;
+  void updateMissing(Search& search);
   void onBegan(const AnswersBegan& message);
   void onQuery(const common::NodeId& sender, const AnswerBuildQuery& query);
   void onReply(const common::NodeId& sender, const AnswerBuildReply& reply);
@@ -165,6 +166,8 @@
   void finishKnown(std::uint64_t number, const common::BuildName& build, common::Counter& source);
   void finishOnlyBuild(std::uint64_t number, common::Counter& source);
   void finishUnknown(std::uint64_t number);
+  void watchSilentNodes();
+  const std::set<common::NodeId>& silentNodes();
   void membersChanged();
   /// Tells new members that would not ask of builds that have left the fleet.
   void tellNewMembers();
@@ -178,6 +181,7 @@
   const api::ProcessContext& context_;
   const membership::MembershipView& membership_;
   const object_store::ObjectStore& store_;
+  SilentNodes silent_nodes_;
   BuildHistory history_;
   AnswerRecords records_;
   std::set<common::ModelName> mixed_models_;
--- a/tests/answer_builds/fleet_answer_builds_test.cpp
+++ b/tests/answer_builds/fleet_answer_builds_test.cpp
@@ -150,6 +150,8 @@
     nodes_[at].membership->setMembers(members);
     nodes_[at].membership->setSilent(silent_ids);
   }
+  /// Has a node hold nobody for silent any more; its members stay.
+  void forgetSilent(std::size_t at) { nodes_[at].membership->setSilent({}); }
   void cutOff(std::size_t cut) {
     for (std::size_t node = 0; node < nodes_.size(); ++node) {
       const auto& address = nodes_[node].process->id().address;
@@ -169,6 +171,7 @@
       }
     }
   }
+  void healAll() { simulation_.network().healAll(); }
   void runEarlierBuild(std::size_t earlier) {
     for (const Node& node : nodes_) {
       node.membership->setCapabilitiesUnknown(nodes_[earlier].process->id());
@@ -277,6 +280,8 @@
   CPPUNIT_TEST(smallerSideOfACutWithoutTheStore);
   CPPUNIT_TEST(storeThatRefusesForAMoment);
   CPPUNIT_TEST(oneBuildAndTheLargerSideOfACutWithoutTheStore);
+  CPPUNIT_TEST(smallerSideOfACutThatLasts);
+  CPPUNIT_TEST(oneBuildAndPeersThatAreGone);
   CPPUNIT_TEST(manySearchesShareTheCallsToTheStore);
   CPPUNIT_TEST(messagesDoNotGrowWithTheZone);
   CPPUNIT_TEST(anyNodeFindsTheBuild);
@@ -509,6 +514,51 @@
     }
   }
 
+  /// Guards against answers that go on at another build: the membership forgets nodes that have
+  /// been silent for long, and a side of a cut then took itself for the whole zone.
+  void smallerSideOfACutThatLasts() {
+    const std::vector<std::vector<std::size_t>> silent_nodes = {{1, 2, 3, 4, 5, 6, 7, 8},
+                                                                {3, 4, 5, 6, 7, 8}};
+    for (const auto& silent : silent_nodes) {
+      Zone zone(9);
+      zone.setEngines(kOneBuild);
+      const std::size_t side = zone.size() - silent.size();
+      zone.cutInTwo(side);
+      zone.platform().setDown(true);
+      zone.setSilent(0, silent);
+      zone.run(minutes(1));
+      zone.forgetSilent(0);
+      zone.run(minutes(1));
+      zone.setEnginesSeenFrom(side, kTwoBuilds);
+      zone.began(8, "a", "v2");
+      CPPUNIT_ASSERT(!zone.findAtLength(0, "a").known);
+      zone.setEnginesSeenFrom(0, kOneBuild);
+      zone.run(minutes(3));
+      zone.platform().setDown(false);
+      CPPUNIT_ASSERT(zone.findAtLength(0, "b").known);
+      zone.healAll();
+      zone.platform().setDown(true);
+      zone.updateMembers();
+      zone.requireBuild("v1", 0, "c");
+    }
+  }
+
+  /// Guards against refusals at nodes whose peers have ended for good.
+  void oneBuildAndPeersThatAreGone() {
+    Zone zone(3);
+    zone.setEngines(kOneBuild);
+    zone.setSilent(0, {2});
+    zone.kill(2);
+    zone.run(minutes(1));
+    zone.forgetSilent(0);
+    zone.platform().setDown(true);
+    zone.requireBuild("v1", 0, "a");
+    zone.kill(1);
+    zone.updateMembers();
+    zone.requireBuild("v1", 0, "b");
+    CPPUNIT_ASSERT_EQUAL(1.0, zone.counted(0, "only-build"));
+  }
+
   void manySearchesShareTheCallsToTheStore() {
     Zone zone(9);
     zone.setEngines(kOneBuild);
