One request for a confirmation that throws doesn't keep back the others

Callers whose answers are taken up while a member is silent share a read of the store. If the callback of one request threw, those after it were never called, and the next pair of calls didn't begin until another request came: these callers waited until the limit, and were refused or went on without the store.

Now each callback is an event of its own, so that the guard of the event loop ends only that one. Requests are never answered before request() returns.

--- a/src/cypresswall/answer_builds/store_confirmation.cpp
+++ b/src/cypresswall/answer_builds/store_confirmation.cpp
@@ -65,8 +65,11 @@
   if (--calls_missing_ != 0) {
     return;
   }
-  for (const Callback& done : std::exchange(served_, {})) {
-    done(all_answered_);
+  // Each is an event of its own, so that one that throws does not end the others.
+  for (Callback& done : std::exchange(served_, {})) {
+    context_.scheduler.schedule(
+        common::Duration{0},
+        [done = std::move(done), confirmed = all_answered_] { done(confirmed); });
   }
   beginWhenDue();
 }
--- a/src/cypresswall/answer_builds/store_confirmation.h
+++ b/src/cypresswall/answer_builds/store_confirmation.h
@@ -33,7 +33,8 @@
 
   void setListRefresh(ListRefresh refresh) { refresh_ = std::move(refresh); }
   /// \param interval shortest time between the starts of two pairs of calls
-  /// \param done called once with true if both calls were answered, with false if one failed
+  /// \param done called once, later, with true if both calls were answered, with false if one
+  /// failed
   void request(common::Duration interval, Callback done);
 
  private:
