Whole nodes in a cut that lasts longer than the membership remembers

One node, and a third of them, cut off from the others and the store for 31 minutes of virtual time, then a release.

--- a/tests/answer_builds/out_of_step/out_of_step_test.cpp
+++ b/tests/answer_builds/out_of_step/out_of_step_test.cpp
@@ -24,6 +24,8 @@
 /// Time between the start of the disturbance and the release.
 constexpr auto kBeforeRelease = milliseconds(300);
 constexpr double kGoesOn = 0.5;
+/// Longer than the membership remembers nodes that fell silent.
+constexpr common::Duration kForgotten = std::chrono::minutes(31);
 
 using Disturbance = std::function<void(MixedBuildsFleet& fleet, common::Duration duration)>;
 
@@ -41,6 +43,13 @@
   fleet.fleet().pauseNode(kNode, duration);
 }
 
+void cutFromEachOther(MixedBuildsFleet& fleet, std::size_t node, std::size_t other) {
+  const auto& first = fleet.fleet().slot(node).process->id().address;
+  const auto& second = fleet.fleet().slot(other).process->id().address;
+  fleet.fleet().simulation().network().cutAddresses(first, second);
+  fleet.fleet().simulation().network().cutAddresses(second, first);
+}
+
 class OutOfStepTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OutOfStepTest);
   CPPUNIT_TEST(nodeCutOffFromAll);
@@ -48,6 +57,7 @@
   CPPUNIT_TEST(nodeCutOffFromTheStore);
   CPPUNIT_TEST(pausedNode);
   CPPUNIT_TEST(severalNodesCutOff);
+  CPPUNIT_TEST(nodesCutOffForLong);
   CPPUNIT_TEST(buildThatCameAndLeft);
   CPPUNIT_TEST(answersBegunOutOfStep);
   CPPUNIT_TEST(recordsThatReachedNobody);
@@ -85,6 +95,28 @@
     }
   }
 
+  /// One node, and a third of them: the others are forgotten by the membership meanwhile.
+  void nodesCutOffForLong() {
+    for (const std::vector<std::size_t>& cut_off : {std::vector<std::size_t>{0}, {0, 1, 2}}) {
+      MixedBuildsFleet fleet(1, releaseSettings());
+      fleet.counted_builds = {"v2"};
+      fleet.nodes_asked = {3, 4, 5, 6, 7, 8};
+      fleet.nodes_asked_again = cut_off;
+      for (const std::size_t node : cut_off) {
+        fleet.fleet().cutNodeFromPlatform(node);
+        for (std::size_t other = 3; other < 9; ++other) {
+          cutFromEachOther(fleet, node, other);
+        }
+      }
+      fleet.run(kForgotten);
+      fleet.declareEngines(9, 36);
+      fleet.sendAnswers(seconds(1));
+      fleet.restartNodes({3, 4});
+      fleet.sendAnswers(seconds(3));
+      requireNoneMixed(fleet, 1);
+    }
+  }
+
   /// The new build is withdrawn before the node is in step again: nothing that it then reads lists
   /// it.
   void buildThatCameAndLeft() {
