--- a/tests/answer_builds/fleet_answer_builds_test.cpp
+++ b/tests/answer_builds/fleet_answer_builds_test.cpp
@@ -128,6 +128,14 @@
     }
     run(milliseconds(100));
   }
+  /// Changes the list of engines; the nodes from `first` on see the change.
+  void setEnginesSeenFrom(std::size_t first, const BuildsByModel& builds) {
+    listed_ = builds;
+    for (std::size_t node = first; node < nodes_.size(); ++node) {
+      nodes_[node].builds->enginesChanged(builds);
+    }
+    run(milliseconds(100));
+  }
   void cutOffFromStore(std::size_t node) {
     simulation_.network().cutAddresses(addressOf(node),
                                        simulation::SimulatedPlatform::place().address);
@@ -142,6 +150,8 @@
     nodes_[at].membership->setMembers(members);
     nodes_[at].membership->setSilent(silent_ids);
   }
+  /// Has a node hold nobody for silent any more; its members stay.
+  void forgetSilent(std::size_t at) { nodes_[at].membership->setSilent({}); }
   void cutOff(std::size_t cut) {
     for (std::size_t node = 0; node < nodes_.size(); ++node) {
       const auto& address = nodes_[node].process->id().address;
@@ -152,6 +162,16 @@
       }
     }
   }
+  /// Cuts the first `side` nodes off from the others. No node holds another one for silent.
+  void cutInTwo(std::size_t side) {
+    for (std::size_t node = 0; node < side; ++node) {
+      for (std::size_t other = side; other < nodes_.size(); ++other) {
+        simulation_.network().cutAddresses(addressOf(node), addressOf(other));
+        simulation_.network().cutAddresses(addressOf(other), addressOf(node));
+      }
+    }
+  }
+  void healAll() { simulation_.network().healAll(); }
   void runEarlierBuild(std::size_t earlier) {
     for (const Node& node : nodes_) {
       node.membership->setCapabilitiesUnknown(nodes_[earlier].process->id());
@@ -194,6 +214,16 @@
   }
   /// \return the nodes other than `sender` that are told of the answer, in the order of their ranks
   std::vector<std::size_t> keepersOf(const std::string& request, std::size_t sender) {
+    return highestFor(request, sender, settings_.copies);
+  }
+  /// \return true if one of the nodes that `node` asks first is beyond a cut
+  bool asksBeyond(std::size_t side, const std::string& request, std::size_t node) {
+    const auto asked = highestFor(request, node, settings_.asked_nodes);
+    return std::any_of(asked.begin(), asked.end(),
+                       [side](std::size_t other) { return other >= side; });
+  }
+  std::vector<std::size_t> highestFor(const std::string& request, std::size_t sender,
+                                      std::size_t count) {
     std::vector<common::NodeId> ids;
     for (std::size_t node = 0; node < nodes_.size(); ++node) {
       if (node != sender) {
@@ -202,7 +232,7 @@
     }
     std::vector<std::size_t> keepers;
     const auto name = std::to_string(answerKey(request));
-    for (const auto& id : membership::rendezvousNodes(name, ids, settings_.copies)) {
+    for (const auto& id : membership::rendezvousNodes(name, ids, count)) {
       const auto keeper = std::find_if(nodes_.begin(), nodes_.end(),
                                        [&](const Node& node) { return node.process->id() == id; });
       keepers.push_back(static_cast<std::size_t>(keeper - nodes_.begin()));
@@ -248,6 +278,11 @@
   CPPUNIT_TEST(nodesThatHaveJustStartedConfirmNothing);
   CPPUNIT_TEST(oneBuildAndANodeAlone);
   CPPUNIT_TEST(oneBuildAndSilentNodesWithoutTheStore);
+  CPPUNIT_TEST(smallerSideOfACutWithoutTheStore);
+  CPPUNIT_TEST(storeThatRefusesForAMoment);
+  CPPUNIT_TEST(oneBuildAndTheLargerSideOfACutWithoutTheStore);
+  CPPUNIT_TEST(smallerSideOfACutThatLasts);
+  CPPUNIT_TEST(oneBuildAndPeersThatAreGone);
   CPPUNIT_TEST(manySearchesShareTheCallsToTheStore);
   CPPUNIT_TEST(messagesDoNotGrowWithTheZone);
   CPPUNIT_TEST(anyNodeFindsTheBuild);
@@ -429,6 +464,116 @@
     CPPUNIT_ASSERT_EQUAL(1.0, zone.counted(0, "only-build-without-store"));
   }
 
+  /// Guards against answers that go on at another build: a node on the smaller side of a cut that
+  /// nobody had noticed reached half of the nodes that it asked, and did without the store.
+  void smallerSideOfACutWithoutTheStore() {
+    constexpr std::uint64_t kAnswers = 20;
+    for (const bool slow : {false, true}) {
+      for (const std::size_t size : {9, 10, 60}) {
+        Zone zone(size);
+        zone.setEngines(kOneBuild);
+        const std::size_t side = size / 2;
+        zone.cutInTwo(side);
+        if (slow) {
+          zone.platform().setSlow(minutes(1));
+        } else {
+          zone.platform().setDown(true);
+        }
+        zone.setEnginesSeenFrom(side, kTwoBuilds);
+        std::size_t gone_on = 0;
+        for (std::uint64_t answer = 0; answer < kAnswers; ++answer) {
+          const std::size_t node = answer % side;
+          std::string request = requestNamed(answer);
+          while (!zone.asksBeyond(side, request, node)) {
+            request += "b";
+          }
+          zone.began(size - 1, request, "v2");
+          gone_on += zone.findAtLength(node, request).known ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(size) + " nodes", std::size_t{0}, gone_on);
+      }
+    }
+  }
+
+  /// Guards against answers that go on at another build: one call that the store refused was taken
+  /// for an outage, and the store knew of the other build.
+  void storeThatRefusesForAMoment() {
+    Zone zone(9);
+    zone.setEngines(kOneBuild);
+    zone.setSilent(0, {3});
+    zone.kill(3);
+    zone.setEnginesSeenFrom(zone.size(), kTwoBuilds);
+    zone.platform().setDown(true);
+    std::optional<AnswerOrigin> origin;
+    zone.at(0).find(kModel, "a", [&](const AnswerOrigin& found) { origin = found; });
+    zone.run(milliseconds(300));
+    zone.platform().setDown(false);
+    zone.run(milliseconds(700));
+    CPPUNIT_ASSERT(origin && !origin->known);
+  }
+
+  /// Guards against refusals at nodes that are in touch with most others.
+  void oneBuildAndTheLargerSideOfACutWithoutTheStore() {
+    constexpr std::uint64_t kAnswers = 20;
+    for (const std::size_t size : {3, 9, 10, 60}) {
+      Zone zone(size);
+      zone.setEngines(kOneBuild);
+      const std::size_t side = (size - 1) / 2;
+      zone.cutInTwo(side);
+      zone.platform().setDown(true);
+      for (std::uint64_t answer = 0; answer < kAnswers; ++answer) {
+        const std::size_t node = side + answer % (size - side);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(size) + " nodes",
+                               zone.findAtLength(node, requestNamed(answer)).known);
+      }
+    }
+  }
+
+  /// Guards against answers that go on at another build: the membership forgets nodes that have
+  /// been silent for long, and a side of a cut then took itself for the whole zone.
+  void smallerSideOfACutThatLasts() {
+    const std::vector<std::vector<std::size_t>> silent_nodes = {{1, 2, 3, 4, 5, 6, 7, 8},
+                                                                {3, 4, 5, 6, 7, 8}};
+    for (const auto& silent : silent_nodes) {
+      Zone zone(9);
+      zone.setEngines(kOneBuild);
+      const std::size_t side = zone.size() - silent.size();
+      zone.cutInTwo(side);
+      zone.platform().setDown(true);
+      zone.setSilent(0, silent);
+      zone.run(minutes(1));
+      zone.forgetSilent(0);
+      zone.run(minutes(1));
+      zone.setEnginesSeenFrom(side, kTwoBuilds);
+      zone.began(8, "a", "v2");
+      CPPUNIT_ASSERT(!zone.findAtLength(0, "a").known);
+      zone.setEnginesSeenFrom(0, kOneBuild);
+      zone.run(minutes(3));
+      zone.platform().setDown(false);
+      CPPUNIT_ASSERT(zone.findAtLength(0, "b").known);
+      zone.healAll();
+      zone.platform().setDown(true);
+      zone.updateMembers();
+      zone.requireBuild("v1", 0, "c");
+    }
+  }
+
+  /// Guards against refusals at nodes whose peers have ended for good.
+  void oneBuildAndPeersThatAreGone() {
+    Zone zone(3);
+    zone.setEngines(kOneBuild);
+    zone.setSilent(0, {2});
+    zone.kill(2);
+    zone.run(minutes(1));
+    zone.forgetSilent(0);
+    zone.platform().setDown(true);
+    zone.requireBuild("v1", 0, "a");
+    zone.kill(1);
+    zone.updateMembers();
+    zone.requireBuild("v1", 0, "b");
+    CPPUNIT_ASSERT_EQUAL(1.0, zone.counted(0, "only-build"));
+  }
+
   void manySearchesShareTheCallsToTheStore() {
     Zone zone(9);
     zone.setEngines(kOneBuild);
