Release test: streams that are refused, cut short or unanswered fail it

nodeInTouchContinuesAnswers() waited for an answer that is complete by its framing, which a 503 is too. It now wants status 200 and each missing event once, of the released build, up to the last. The tests of the node out of step counted events of the former build only: a node that had ended or hung passed. Now all callers take their streams up again and again for `contact_ms`, in the isolated case once more after the cut has healed; each answer is whole or a 503 without events; no daemon has ended by itself; in the end the node serves with the released runners.

--- a/tests/objects_platform/processes/release_test.cpp
+++ b/tests/objects_platform/processes/release_test.cpp
@@ -25,6 +25,12 @@
 /// Time in which the streams have given some of their events.
 constexpr auto kFirstPart = std::chrono::milliseconds(700);
 constexpr auto kEventGap = std::chrono::milliseconds(50);
+/// How long callers take the streams up again and again: the platform's `contact_ms`, after which a
+/// node counts as in touch.
+constexpr auto kRetryTime = std::chrono::seconds(3);
+constexpr auto kRetryGap = std::chrono::milliseconds(100);
+constexpr int kOk = 200;
+constexpr int kRefused = 503;
 constexpr const char* kFormer = "v1";
 constexpr const char* kReleased = "v2";
 
@@ -32,6 +38,7 @@
 struct ReadEvents {
   std::set<std::string> builds;
   std::string last_event;
+  std::vector<std::string> numbers;
 };
 
 /// Reads the whole events of a stream; its last one may be cut.
@@ -44,11 +51,39 @@
     std::string build;
     event >> label >> read.last_event >> label >> build;
     read.builds.insert(build);
+    read.numbers.push_back(read.last_event);
     at = end + 2;
   }
   return read;
 }
 
+/// \return true if the answer has all events that were missing, each once, of the released build
+bool wentOn(const ModelCall& stream, const HttpAnswer& answer) {
+  std::vector<std::string> missing;
+  for (std::uint64_t number = std::stoull(stream.last_event) + 1; number <= kEvents; ++number) {
+    missing.push_back(std::to_string(number));
+  }
+  const ReadEvents read = readEvents(answer.body);
+  return answer.status == kOk && answer.complete && read.numbers == missing &&
+         read.builds == std::set<std::string>{kReleased};
+}
+
+bool refused(const HttpAnswer& answer) {
+  return answer.status == kRefused && answer.complete && readEvents(answer.body).numbers.empty();
+}
+
+std::string textOf(const ModelCall& stream, const HttpAnswer& answer) {
+  const ReadEvents read = readEvents(answer.body);
+  std::string text = "after event " + stream.last_event + ": status " +
+                     std::to_string(answer.status) + (answer.complete ? ", complete, " : ", ") +
+                     answer.error + " " + std::to_string(read.numbers.size()) + " events up to " +
+                     read.last_event + " of builds";
+  for (const std::string& build : read.builds) {
+    text.append(" ").append(build);
+  }
+  return text;
+}
+
 class ReleaseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReleaseTest);
   CPPUNIT_TEST(isolatedNodeDoesNotContinueAnswersOfAnotherBuild);
@@ -66,8 +101,11 @@
     startDaemons();
     fleet_->isolate(kOutdated);
     release();
-    expectNoMixedAnswers(brokenStreams(kOutdated));
+    const auto streams = brokenStreams(kOutdated);
+    expectNoMixedAnswers(streams);
     fleet_->heal();
+    expectNoMixedAnswers(streams);
+    expectInStep();
   }
 
   /// Guards against a node that stood still during a release, and continues streams of the new
@@ -79,6 +117,7 @@
     const auto streams = brokenStreams(kOutdated);
     fleet_->daemon(kOutdated).signal(SIGCONT);
     expectNoMixedAnswers(streams);
+    expectInStep();
   }
 
   /// Guards against refusing to continue streams of a new version at nodes that know its runners.
@@ -87,9 +126,14 @@
     release();
     CPPUNIT_ASSERT(holdsWithin(kChangeLimit, [this] { return servesReleased(kOutdated); }));
     for (const ModelCall& stream : brokenStreams(1)) {
-      CPPUNIT_ASSERT(holdsWithin(
-          kChangeLimit, [&] { return fleet_->callModel(kOutdated, retried(stream)).complete; }));
+      HttpAnswer answer;
+      const bool continued = holdsWithin(kChangeLimit, [&] {
+        answer = fleet_->callModel(kOutdated, retried(stream));
+        return wentOn(stream, answer);
+      });
+      CPPUNIT_ASSERT_MESSAGE("a stream did not go on: " + textOf(stream, answer), continued);
     }
+    expectAllRun();
   }
 
  private:
@@ -102,7 +146,9 @@
   }
 
   bool serves(std::size_t node, const std::string& build) {
-    return readEvents(fleet_->callModel(node, {}).body).builds.contains(build);
+    const HttpAnswer answer = fleet_->callModel(node, {});
+    return answer.status == kOk && answer.complete &&
+           readEvents(answer.body).builds == std::set<std::string>{build};
   }
   bool servesReleased(std::size_t node) { return serves(node, kReleased); }
 
@@ -161,13 +207,53 @@
     return call;
   }
 
+  /// Callers take the streams up at the node that is out of step, all at once and for a while. The
+  /// node has to answer each of them, whole or with a refusal.
   void expectNoMixedAnswers(const std::vector<ModelCall>& streams) {
-    std::size_t mixed = 0;
-    for (const ModelCall& stream : streams) {
-      const HttpAnswer answer = fleet_->callModel(kOutdated, stream);
-      mixed += readEvents(answer.body).builds.contains(kFormer) ? 1 : 0;
+    std::vector<std::string> faults(streams.size());
+    std::vector<std::thread> callers;
+    for (std::size_t number = 0; number < streams.size(); ++number) {
+      callers.emplace_back([this, &stream = streams[number], &fault = faults[number]] {
+        fault = faultOfTakeUps(stream);
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    std::string found;
+    for (const std::string& fault : faults) {
+      found.append(fault);
+    }
+    expectAllRun();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("streams neither continued by their build nor refused",
+                                 std::string(), found);
+  }
+
+  /// \return what was wrong with the first wrong answer
+  std::string faultOfTakeUps(const ModelCall& stream) {
+    const auto end = std::chrono::steady_clock::now() + kRetryTime;
+    while (std::chrono::steady_clock::now() < end) {
+      const HttpAnswer answer = fleet_->callModel(kOutdated, retried(stream));
+      if (!wentOn(stream, answer) && !refused(answer)) {
+        return std::string("\n").append(textOf(stream, answer));
+      }
+      std::this_thread::sleep_for(kRetryGap);
+    }
+    return "";
+  }
+
+  void expectInStep() {
+    const bool in_step = holdsWithin(kChangeLimit, [this] { return servesReleased(kOutdated); });
+    expectAllRun();
+    CPPUNIT_ASSERT_MESSAGE("the node does not serve with the released runners", in_step);
+  }
+
+  void expectAllRun() const {
+    std::string ended;
+    for (const std::string& ending : fleet_->endings()) {
+      ended.append("\n").append(ending);
     }
-    CPPUNIT_ASSERT_EQUAL_MESSAGE("streams continued by another build", std::size_t{0}, mixed);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("daemons that ended by themselves", std::string(), ended);
   }
 
   std::optional<ObjectsFleet> fleet_;
