Release soak: answers that end early, and a node that refuses on, fail a round

check() didn't compare the last event with the number asked for, and the share that goes on was judged in rounds with 12 or more counted answers alone. Now a complete answer has its last event; fewer than 12 answers taken up at nodes in step are a violation themselves; the share counts in each round, and apart for the node that is back in step, which a refusal of all would else dilute among the others; a daemon that ends by itself is a violation. The test wants whole answers, and take-ups at the node while it was out of step.

Rounds of random plans were not run.

--- a/tests/release_soak/release_callers.cpp
+++ b/tests/release_soak/release_callers.cpp
@@ -50,8 +50,8 @@
 }
 
 CallerAnswer ReleaseCallers::askFor(const std::string& name, common::RandomSource& random) {
-  CallerAnswer answer{name, {}};
   StreamCall call = fleet_.newCall(name + "-0", kPath);
+  CallerAnswer answer{name, call.events, {}};
   call.prompt = name;
   std::size_t node = random.below(fleet_.nodes());
   while (answer.attempts.size() < kAttempts) {
--- a/tests/release_soak/release_callers.h
+++ b/tests/release_soak/release_callers.h
@@ -28,6 +28,8 @@
 
 struct CallerAnswer {
   std::string name;
+  /// Number of events that a whole answer has.
+  std::uint64_t events = 0;
   std::vector<AnswerAttempt> attempts;
 };
 
--- a/tests/release_soak/release_round.cpp
+++ b/tests/release_soak/release_round.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds kContact{3000};
 /// The platform's `recover_s`.
 constexpr milliseconds kRecovery{12000};
-/// Number of answers taken up from which the share that goes on counts.
+/// Least number of answers taken up in a round, by which the share that goes on is judged.
 constexpr std::uint64_t kEnough = 12;
 
 void sleepFor(milliseconds time) { std::this_thread::sleep_for(time); }
@@ -54,10 +54,8 @@
     for (const CallerAnswer& answer : callers.finish()) {
       check(answer);
     }
-    if (result_.counted >= kEnough && 2 * result_.went_on < result_.counted) {
-      addViolation(std::to_string(result_.went_on) + " of " + std::to_string(result_.counted) +
-                   " answers taken up at nodes in step went on");
-    }
+    checkShares();
+    checkDaemons(fleet);
     losePower(fleet);
   } catch (const CppUnit::Exception& failure) {
     addViolation(failure.what());
@@ -170,12 +168,42 @@
       last = event.number;
     }
     result_.whole += attempt.result.complete ? 1 : 0;
+    if (attempt.result.complete && last != answer.events) {
+      addViolation("an answer ends as complete ahead of event " + std::to_string(answer.events) +
+                   ":" + textOf(answer));
+    }
   }
   if (builds.size() > 1) {
     addViolation("an answer holds events of two builds:" + textOf(answer));
   }
 }
 
+/// Half of what is taken up at nodes in touch has to go on, and so at the node that is back.
+void ReleaseRound::checkShares() {
+  const std::string counted = std::to_string(result_.counted);
+  if (result_.counted < kEnough) {
+    addViolation("only " + counted + " answers were taken up at nodes in step");
+  }
+  if (2 * result_.went_on < result_.counted) {
+    addViolation(std::to_string(result_.went_on) + " of " + counted +
+                 " answers taken up at nodes in step went on");
+  }
+  if (result_.returned == 0 || 2 * result_.returned_went_on < result_.returned) {
+    addViolation(std::to_string(result_.returned_went_on) + " of " +
+                 std::to_string(result_.returned) +
+                 " answers taken up at the node that is back in step went on");
+  }
+}
+
+void ReleaseRound::checkDaemons(ReleaseFleet& fleet) {
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    const std::string ending = fleet.daemon(node).ending();
+    if (!ending.empty()) {
+      addViolation("node " + std::to_string(node) + " ended by itself: " + ending);
+    }
+  }
+}
+
 void ReleaseRound::checkTakenUp(const CallerAnswer& answer, const AnswerAttempt& attempt) {
   ++result_.taken_up;
   const bool went_on = !attempt.result.events.empty() || attempt.result.complete;
@@ -189,6 +217,10 @@
   if (twoEnginesServeUntil(attempt.ended, build)) {
     ++result_.counted;
     result_.went_on += went_on ? 1 : 0;
+    if (attempt.node == plan_.node && attempt.began > in_step_at_) {
+      ++result_.returned;
+      result_.returned_went_on += went_on ? 1 : 0;
+    }
   }
 }
 
--- a/tests/release_soak/release_round.h
+++ b/tests/release_soak/release_round.h
@@ -25,6 +25,9 @@
   /// Requests that took an answer up at the node that was out of step, and those that went on.
   std::uint64_t out_of_step = 0;
   std::uint64_t out_of_step_went_on = 0;
+  /// Of `counted` and `went_on`, those at the node that had been out of step before.
+  std::uint64_t returned = 0;
+  std::uint64_t returned_went_on = 0;
   /// From the moment at which all machines ran again until all nodes served.
   std::chrono::milliseconds recovered_after{0};
   std::vector<std::string> violations;
@@ -50,6 +53,8 @@
   void signalOthers(ReleaseFleet& fleet, int number) const;
   void losePower(ReleaseFleet& fleet);
   void check(const CallerAnswer& answer);
+  void checkShares();
+  void checkDaemons(ReleaseFleet& fleet);
   void checkTakenUp(const CallerAnswer& answer, const AnswerAttempt& attempt);
   /// \return true if at least two engines of the build that began an answer serve until then
   bool twoEnginesServeUntil(Time time, const std::string& build) const;
--- a/tests/release_soak/release_test.cpp
+++ b/tests/release_soak/release_test.cpp
@@ -33,6 +33,9 @@
     plan.store_back_after = milliseconds(2000);
     const ReleaseResult result = ReleaseRound(plan).run();
     CPPUNIT_ASSERT(result.taken_up > 0);
+    CPPUNIT_ASSERT(result.whole > 0);
+    CPPUNIT_ASSERT_MESSAGE("no answer was taken up at the node that was out of step",
+                           result.out_of_step > 0);
     CPPUNIT_ASSERT_EQUAL(std::string(), result.violations.empty() ? "" : result.violations.front());
   }
 };
