Out-of-step test: half of what is taken up goes on once the nodes are in touch

nodeCutOffFromTheStore(), pausedNode() and severalNodesCutOff(), and the cuts from peers, had no lower bound on what goes on. Undisturbed for `contact_ms`, answers break again at four nodes in turn, and half of those taken up have to go on. While a node is out of step nothing need go on: it doesn't know the engines of the build. New: storeLostAfterTheRelease(), since peers that have a record decide without the store (docs/design/answer-builds.md).

--- a/tests/answer_builds/out_of_step/out_of_step_test.cpp
+++ b/tests/answer_builds/out_of_step/out_of_step_test.cpp
@@ -24,6 +24,8 @@
 /// Time between the start of the disturbance and the release.
 constexpr auto kBeforeRelease = milliseconds(300);
 constexpr double kGoesOn = 0.5;
+/// The platform's `contact_ms`: nodes that were undisturbed for so long are in touch.
+constexpr auto kContact = seconds(3);
 
 using Disturbance = std::function<void(MixedBuildsFleet& fleet, common::Duration duration)>;
 
@@ -47,6 +49,7 @@
   CPPUNIT_TEST(nodeCutOffFromPeers);
   CPPUNIT_TEST(nodeCutOffFromTheStore);
   CPPUNIT_TEST(pausedNode);
+  CPPUNIT_TEST(storeLostAfterTheRelease);
   CPPUNIT_TEST(severalNodesCutOff);
   CPPUNIT_TEST(buildThatCameAndLeft);
   CPPUNIT_TEST(answersBegunOutOfStep);
@@ -64,6 +67,19 @@
   void nodeCutOffFromTheStore() { requireNoneMixed(cutFromStore); }
   void pausedNode() { requireNoneMixed(pause); }
 
+  /// Guards against a node that knows both builds and has its peers, and still refuses what it
+  /// could ask them for, since the store is out of its reach.
+  void storeLostAfterTheRelease() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      MixedBuildsFleet fleet(seed, releaseSettings());
+      begin(fleet);
+      fleet.declareEngines(9, 36);
+      fleet.sendAnswers(seconds(1));
+      cutFromStore(fleet, {});
+      requireGoesOnInTouch(fleet, seed);
+    }
+  }
+
   /// A third of the nodes; the answers are taken up at any node.
   void severalNodesCutOff() {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -82,6 +98,7 @@
       fleet.restartNodes({5, 6});
       fleet.sendAnswers(seconds(3));
       requireNoneMixed(fleet, seed);
+      requireGoesOnInTouch(fleet, seed);
     }
   }
 
@@ -253,6 +270,7 @@
         fleet.restartNodes({4, 5, 6});
         fleet.sendAnswers(seconds(3));
         requireNoneMixed(fleet, seed);
+        requireGoesOnInTouch(fleet, seed);
       }
     }
   }
@@ -262,6 +280,27 @@
     CPPUNIT_ASSERT_MESSAGE(figures, fleet.takenUp() > 0);
     CPPUNIT_ASSERT_EQUAL_MESSAGE(figures, std::size_t{0}, fleet.mixedAnswers());
   }
+  /// Answers break again after a time without a disturbance of nodes and their links: a node that
+  /// was out of step before may not refuse for good what is taken up.
+  static void requireGoesOnInTouch(MixedBuildsFleet& fleet, std::uint64_t seed) {
+    fleet.run(kContact);
+    const std::size_t taken_up_before = fleet.takenUp();
+    const std::size_t went_on_before = fleet.wentOn();
+    fleet.sendAnswers(seconds(2));
+    for (const std::size_t node : {5, 6, 7, 8}) {
+      fleet.restartNodes({node});
+      fleet.sendAnswers(seconds(1));
+    }
+    fleet.run(seconds(2));
+    const std::size_t taken_up = fleet.takenUp() - taken_up_before;
+    const std::size_t went_on = fleet.wentOn() - went_on_before;
+    const std::string figures = fleet.figures() + "; in touch " + std::to_string(went_on) + " of " +
+                                std::to_string(taken_up) + ", seed " + std::to_string(seed);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(figures, std::size_t{0}, fleet.mixedAnswers());
+    CPPUNIT_ASSERT_MESSAGE(figures, taken_up > 0);
+    CPPUNIT_ASSERT_MESSAGE(figures,
+                           static_cast<double>(went_on) >= kGoesOn * static_cast<double>(taken_up));
+  }
   static void requireNoneRefused(MixedBuildsFleet& fleet, std::uint64_t seed) {
     fleet.run(seconds(3));
     const std::string figures = fleet.figures() + ", " + std::to_string(fleet.originsUnknown()) +
