Release test: a paused node that reaches nobody once it runs again

Takes the streams up past the second in which a thawed node places nothing. pausedNodeDoesNotContinueAnswersOfAnotherBuild() passes even if the only build isn't confirmed at all; this case needs the confirmation.

--- a/tests/objects_platform/processes/release_test.cpp
+++ b/tests/objects_platform/processes/release_test.cpp
@@ -88,6 +88,7 @@
   CPPUNIT_TEST_SUITE(ReleaseTest);
   CPPUNIT_TEST(isolatedNodeDoesNotContinueAnswersOfAnotherBuild);
   CPPUNIT_TEST(pausedNodeDoesNotContinueAnswersOfAnotherBuild);
+  CPPUNIT_TEST(pausedAndIsolatedNodeDoesNotContinueAnswersOfAnotherBuild);
   CPPUNIT_TEST(nodeInTouchContinuesAnswers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -120,6 +121,21 @@
     expectInStep();
   }
 
+  /// Guards against a node that stood still during a release, reaches nobody once it runs again,
+  /// and continues streams of the new runners at the former ones when it has caught up with itself.
+  void pausedAndIsolatedNodeDoesNotContinueAnswersOfAnotherBuild() {
+    startDaemons();
+    fleet_->daemon(kOutdated).signal(SIGSTOP);
+    fleet_->isolate(kOutdated);
+    release();
+    const auto streams = brokenStreams(kOutdated);
+    fleet_->daemon(kOutdated).signal(SIGCONT);
+    expectNoMixedAnswers(streams);
+    fleet_->heal();
+    expectNoMixedAnswers(streams);
+    expectInStep();
+  }
+
   /// Guards against refusing to continue streams of a new version at nodes that know its runners.
   void nodeInTouchContinuesAnswers() {
     startDaemons();
