Answers among several builds: silent nodes are asked too

A node that came back from a cut and still held the nodes with an answer's record for silent asked none of them, and refused the answer for good (several-builds), though they ran and could be reached.

--- a/src/cypresswall/answer_builds/fleet_answer_builds.cpp
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.cpp
@@ -352,16 +352,25 @@
   if (began_as.empty()) {
     reportUnknown(model, found, {});
   } else if (!findOwnRecord(began_as, found)) {
-    decide(ask({.model = model, .answer = answerKey(began_as), .found = std::move(found)}));
+    const AnswerKey answer = answerKey(began_as);
+    const auto silent = silentNodesFor(answer);
+    decide(ask({.model = model,
+                .answer = answer,
+                .found = std::move(found),
+                .silent_missing = {silent.begin(), silent.end()}}));
   }
 }
 
+std::vector<common::NodeId> FleetAnswerBuilds::silentNodesFor(AnswerKey answer) {
+  const auto& silent = silentNodes();
+  return membership::rendezvousNodes(taskName(answer), {silent.begin(), silent.end()},
+                                     settings_.silent_nodes_asked);
+}
+
 void FleetAnswerBuilds::confirmOnlyBuild(const common::ModelName& model,
                                          const std::string& began_as, OriginCallback found) {
   const AnswerKey answer = answerKey(began_as);
-  const auto& all_silent = silentNodes();
-  const auto silent = membership::rendezvousNodes(
-      taskName(answer), {all_silent.begin(), all_silent.end()}, settings_.silent_nodes_asked);
+  const auto silent = silentNodesFor(answer);
   if (peers().empty() && silent.empty()) {
     reportOnlyBuild(model, found, only_build_);
     return;
--- a/src/cypresswall/answer_builds/fleet_answer_builds.h
+++ b/src/cypresswall/answer_builds/fleet_answer_builds.h
@@ -168,6 +168,8 @@
   void finishUnknown(std::uint64_t number);
   void watchSilentNodes();
   const std::set<common::NodeId>& silentNodes();
+  /// \return the silent nodes that are asked for an answer: they may run, and this node be cut off
+  std::vector<common::NodeId> silentNodesFor(AnswerKey answer);
   void membersChanged();
   /// Tells new members that would not ask of builds that have left the fleet.
   void tellNewMembers();
--- a/tests/answer_builds/fleet_answer_builds_test.cpp
+++ b/tests/answer_builds/fleet_answer_builds_test.cpp
@@ -275,6 +275,7 @@
   CPPUNIT_TEST(storeTellsOfASecondBuild);
   CPPUNIT_TEST(storeTellsOfABuildThatHasLeft);
   CPPUNIT_TEST(silentNodesAreAsked);
+  CPPUNIT_TEST(silentNodesAreAskedAmongSeveralBuilds);
   CPPUNIT_TEST(nodesThatHaveJustStartedConfirmNothing);
   CPPUNIT_TEST(oneBuildAndANodeAlone);
   CPPUNIT_TEST(oneBuildAndSilentNodesWithoutTheStore);
@@ -428,6 +429,17 @@
     zone.requireBuild("v2", 0, request);
   }
 
+  /// Guards against refusals at a node that comes back from a cut and still holds the nodes that
+  /// know the answer for silent.
+  void silentNodesAreAskedAmongSeveralBuilds() {
+    Zone zone(9);
+    zone.setEngines(kTwoBuilds);
+    zone.began(1, "a", "v2");
+    zone.run(milliseconds(100));
+    zone.setSilent(0, {1, 2, 3, 4, 5, 6, 7, 8});
+    zone.requireBuild("v2", 0, "a");
+  }
+
   /// Guards against answers that go on at the only build that a node knows, since others confirm
   /// it that have just started and don't know the earlier builds yet.
   void nodesThatHaveJustStartedConfirmNothing() {
