A refresh of the runners ends although a listener of it failed

In a fleet of more than 256 runners a refresh publishes pending changes; an exception of a listener kept the caller of the refresh waiting.

--- a/tests/objects_platform/fleet_declaration_test.cpp
+++ b/tests/objects_platform/fleet_declaration_test.cpp
@@ -1,6 +1,8 @@
 #include "platform/fleet_declaration.h"
 
+#include <functional>
 #include <string>
+#include <vector>
 
 #include "platform/fleet_translation.h"
 #include "platform/runner_machine_list.h"
@@ -69,6 +71,7 @@
   CPPUNIT_TEST(runnersMayShareAnAddress);
   CPPUNIT_TEST(drainingRunnersAreLeavingMachines);
   CPPUNIT_TEST(oddConfigurationsAreTakenWholeOrNotAtAll);
+  CPPUNIT_TEST(refreshEndsAlthoughAListenerFailed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -326,6 +329,25 @@
     CPPUNIT_ASSERT(process_.counters().total("cypresswall_declared_unreadable_total") > 100);
   }
 
+  /// Guards against confirmations that wait for ever: the change that a refresh published failed at
+  /// one of its listeners.
+  void refreshEndsAlthoughAListenerFailed() {
+    constexpr int kRunners = 300;
+    for (int number = 0; number < kRunners; ++number) {
+      runners_.onPut(runnerObject("i-" + std::to_string(number), "api",
+                                  "10.0.1." + std::to_string(number % 250) + ":80"));
+    }
+    declare();
+    runners_.onDeleted("i-1");
+    runners_.onCaughtUp();
+    fleet_.onChange([](const FleetConfiguration&) { throw common::Error("listener"); });
+    fleet_.setRefresh([](const std::function<void(bool)>& done) { done(true); });
+    std::vector<bool> ended;
+    CPPUNIT_ASSERT_THROW(fleet_.refresh([&](bool current) { ended.push_back(current); }),
+                         common::Error);
+    CPPUNIT_ASSERT(ended == std::vector<bool>{false});
+  }
+
  private:
   void putTenants(std::uint64_t version, const std::string& tenants) {
     std::string configuration = configurationJson(version);
