Runners: a value that can't be read is no change of the runner

Values that can't be represented are replaced by null, and a null in the entry of a known runner counted as a missing field: "born":1e400 made it another engine until its next heartbeat, "version":1e400 took its build away, so that the model had several builds for two minutes, "slots":1e400 its slots.

--- a/tests/objects_platform/runner_entries_test.cpp
+++ b/tests/objects_platform/runner_entries_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(entryThatStaysOverwrittenRemovesRunner);
   CPPUNIT_TEST(unreadableEntryDrainsOrReplacesRunner);
   CPPUNIT_TEST(invalidAddressIsNotAnotherRunner);
+  CPPUNIT_TEST(replacedValuesLeaveTheRunnerAsItWas);
   CPPUNIT_TEST(entriesDoNotTakeTheNameOfAnotherEngine);
   CPPUNIT_TEST(oddFieldsLeaveOtherRunners);
   CPPUNIT_TEST(malformedEntriesDoNotHideOthers);
@@ -195,6 +196,36 @@
     CPPUNIT_ASSERT_EQUAL(engine, onlyEngine());
   }
 
+  /// Guards against a runner that becomes another engine, loses its build or its slots because
+  /// another writer left a number out of range in its entry.
+  void replacedValuesLeaveTheRunnerAsItWas() {
+    auto spec = entry(1000);
+    spec["version"] = "v1";
+    put("i-1", spec);
+    const Runner before = *runners_.findById("i-1");
+    for (const char* name : {"born", "version", "slots", "stage", "call_seq", "zone"}) {
+      std::string odd = spec.dump();
+      const std::string field = std::string("\"") + name + "\":";
+      odd.replace(odd.find(field) + field.size(), spec[name].dump().size(), "1e400");
+      const auto page =
+          wire::parsePage(testing::pageJson(9, {testing::objectJson("i-1", ++revision_, odd)}));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{1}, page.items.size());
+      runners_.onPut(page.items.front());
+      runners_.onCaughtUp();
+      const Runner* const after = runners_.findById("i-1");
+      CPPUNIT_ASSERT_MESSAGE(name, after != nullptr && *after == before);
+    }
+    // A value that is odd in a field of no interest changes nothing for the others.
+    std::string further = spec.dump();
+    further.insert(1, R"("further":1e400,)");
+    runners_.onPut(
+        wire::parsePage(testing::pageJson(9, {testing::objectJson("i-1", ++revision_, further)}))
+            .items.front());
+    runners_.onCaughtUp();
+    world_.runFor(std::chrono::seconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runners_.runners().size());
+  }
+
   /// An entry without a start time has its identifier as the name of its engine.
   void entriesDoNotTakeTheNameOfAnotherEngine() {
     put("i-1", entry(1000));
