A new engine is known to all nodes in touch at once

Callers see: where the last engine of a build leaves as the next one comes, nodes refuse new streams for up to 0.43 s ("no engine of model ... is available now"), and for as long as the node stands still that is to watch the new engine (1.18 s with a stop of 1 s).

Cause: an engine gets nothing before its first report. That one came in the periods of known engines: the watcher polled in its turn (0.25 s), and published in its turn (0.25 s). Nobody else read the engine until the watcher was suspect.

Now the watcher of an engine that is new to a running node polls it when the list changes and publishes the first report 50 ms later, so that peers have the changed list by then; a routing node that has no report after 0.4 s polls the engine itself, for 3 s at most, and hands it over as after a change of members. In a node's first 3 s polls are spread as before.

--- a/src/cypresswall/routing/delta_exchange.cpp
+++ b/src/cypresswall/routing/delta_exchange.cpp
@@ -31,6 +31,9 @@
 /// milliseconds; without the interval, a peer whose answers never match (such as one of another
 /// build) would be asked again at once after each answer.
 constexpr auto kIdentityRetryInterval = std::chrono::seconds(1);
+/// A first report of an engine is published after this time together with others, once the peers
+/// have the changed list of engines as well: they drop what is said of another list.
+constexpr auto kFirstReportDelay = std::chrono::milliseconds(50);
 /// Significance of a change of state, role, reachability or identity.
 constexpr double kUrgentSignificance = 1000.0;
 
@@ -121,6 +124,21 @@
 void DeltaExchange::tick() {
   const common::AtScopeEnd again(
       [this] { context_.scheduler.schedule(settings_.publish_period, [this] { tick(); }); });
+  publishDue();
+}
+
+void DeltaExchange::reported(EngineSlot slot) {
+  const EngineRecord& record = table_.record(slot);
+  const bool unpublished = record.reported && record.watched_here && !published_.contains(slot);
+  if (unpublished && !std::exchange(first_reports_wait_, true)) {
+    context_.scheduler.schedule(kFirstReportDelay, [this] {
+      first_reports_wait_ = false;
+      publishDue();
+    });
+  }
+}
+
+void DeltaExchange::publishDue() {
   const common::MonotonicTime now = context_.clock.now();
   const auto targets = receivers();
   const double rate = std::max<double>(settings_.publish_bytes_per_second,
--- a/src/cypresswall/routing/delta_exchange.h
+++ b/src/cypresswall/routing/delta_exchange.h
@@ -33,6 +33,9 @@
   void setPlanningNode(std::function<common::NodeId()> find) { planning_node_ = std::move(find); }
   /// Queues a cache change of a watched engine for publication.
   void addCacheHint(EngineSlot slot, bool stored, common::PieceHash piece);
+  /// To be called for the first report of a new engine. If this node watches it, the report is
+  /// published soon rather than in the next period: until then peers send the engine nothing.
+  void reported(EngineSlot slot);
   /// Forgets the last publication of a slot that is now used by another engine or incarnation.
   void forget(EngineSlot slot) { published_.erase(slot); }
 
@@ -51,6 +54,7 @@
   };
 
   void tick();
+  void publishDue();
   void publish(const std::vector<common::NodeId>& peers);
   /// \return true if at least one poll interval of steady engines has passed since the last
   ///   publication.
@@ -106,6 +110,8 @@
   /// not match the published tag.
   std::map<std::uint16_t, common::MonotonicTime> asked_;
   std::deque<CacheHint> hints_;
+  /// A publication of first reports is scheduled.
+  bool first_reports_wait_ = false;
   common::Counter& sent_bytes_;
   common::Counter& sent_messages_;
   common::Counter& deferred_changes_;
--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -5,6 +5,18 @@
 #include "cypresswall/common/at_scope_end.h"
 
 namespace cypresswall::routing {
+namespace {
+
+/// A node that has heard nothing of a new engine for this long reads its load itself: the engine's
+/// watcher may stand still, which is noticed much later. Far longer than a watcher needs.
+constexpr common::Duration kFirstReportLimit = std::chrono::milliseconds(400);
+/// Time after which an engine without reports isn't new any more: watchers that stand still have
+/// been replaced by then.
+constexpr common::Duration kNewEngineTime = std::chrono::seconds(3);
+/// In its first moments a node hears of all engines from their watchers, by and by.
+constexpr common::Duration kStartupTime = std::chrono::seconds(3);
+
+}  // namespace
 
 EngineDirectory::EngineDirectory(const DirectorySettings& settings,
                                  const api::ProcessContext& context, engines::EngineClient& client,
@@ -34,6 +46,10 @@
       prefixes_.forgetEngine(slot);
       poller_.engineRestarted(slot);
       exchange_.forget(slot);
+      noteNew(slot);
+    }
+    if (unreported_.contains(slot)) {
+      exchange_.reported(slot);
     }
   });
   claims_.onChange([this] { claims_changed_ = true; });
@@ -47,9 +63,33 @@
   poller_.start();
   exchange_.start(poller_);
   swept_at_ = context_.clock.now();
+  started_at_ = swept_at_;
   sweep();
 }
 
+void EngineDirectory::noteNew(EngineSlot slot) {
+  const common::MonotonicTime now = context_.clock.now();
+  if (!table_.record(slot).reported && now - started_at_ > kStartupTime) {
+    unreported_[slot] = now;
+  }
+}
+
+bool EngineDirectory::firstReportLate(EngineSlot slot) const {
+  const auto found = unreported_.find(slot);
+  if (found == unreported_.end() || table_.record(slot).reported || !groups_.routesTo(slot)) {
+    return false;
+  }
+  const common::Duration age = context_.clock.now() - found->second;
+  return age > kFirstReportLimit && age <= kNewEngineTime;
+}
+
+void EngineDirectory::forgetReported() {
+  std::erase_if(unreported_, [this](const auto& item) {
+    return table_.record(item.first).reported ||
+           context_.clock.now() - item.second > kNewEngineTime;
+  });
+}
+
 void EngineDirectory::onConfiguration(const configuration::FleetConfiguration& fleet) {
   table_.declare(fleet, context_.zone, context_.clock.now());
   std::set<EngineSlot> declared(table_.roster().begin(), table_.roster().end());
@@ -91,7 +131,7 @@
   const common::MonotonicTime now = context_.clock.now();
   members_changed_ = false;
   if (members == assigned_members_ && !roster_changed_ && !claims_changed_ &&
-      handed_over_.empty()) {
+      handed_over_.empty() && unreported_.empty()) {
     return;
   }
   if (awaitsPeers()) {
@@ -124,11 +164,15 @@
     }
   }
   poller_.watch(watched);
+  for (const auto& [slot, declared_at] : unreported_) {
+    poller_.pollFirst(slot);
+  }
+  forgetReported();
 }
 
 bool EngineDirectory::watches(EngineSlot slot) const {
   const common::NodeId watcher = groups_.watcherOf(slot);
-  if (watcher == context_.self || watcher.empty()) {
+  if (watcher == context_.self || watcher.empty() || firstReportLate(slot)) {
     return true;
   }
   const auto& unable = claims_.of(slot);
@@ -163,7 +207,9 @@
   detectPause();
   swept_at_ = context_.clock.now();
   table_.sweep(context_.clock.now());
-  if (!handed_over_.empty() || members_changed_ || roster_changed_ || claims_changed_) {
+  const bool assigns = !handed_over_.empty() || !unreported_.empty() || members_changed_ ||
+                       roster_changed_ || claims_changed_;
+  if (assigns) {
     assignWatches();
   }
 }
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -86,8 +86,13 @@
   void onMembership();
   void assignWatches();
   /// \return true if this node is to poll the engine: as its watcher, or in place of watchers that
-  ///   can't reach it
+  ///   can't reach it or have said nothing of a new engine
   bool watches(EngineSlot slot) const;
+  /// Records when an engine was declared that this node has no report of.
+  void noteNew(EngineSlot slot);
+  /// \return true if nothing was heard of a new engine for as long as no working watcher needs
+  bool firstReportLate(EngineSlot slot) const;
+  void forgetReported();
   void dropClaimsOfFormerMembers();
   /// \return true if this node is joining and knows no other member that could watch engines yet.
   bool awaitsPeers() const;
@@ -101,6 +106,7 @@
   configuration::ConfigurationView& configuration_;
   common::MonotonicTime swept_at_;
   common::MonotonicTime catch_up_until_;
+  common::MonotonicTime started_at_{};
   planning::DemandCounter demand_;
   /// Members at the last assignment of watched engines.
   std::vector<membership::Member> assigned_members_;
@@ -120,6 +126,8 @@
   /// Engines that another node has taken over, with the time until which this node keeps watching
   /// them.
   std::map<EngineSlot, common::MonotonicTime> handed_over_;
+  /// Engines without a report that were declared lately, with the times of their declaration.
+  std::map<EngineSlot, common::MonotonicTime> unreported_;
   common::Counter& pauses_;
 };
 
--- a/src/cypresswall/routing/engine_poller.cpp
+++ b/src/cypresswall/routing/engine_poller.cpp
@@ -77,6 +77,12 @@
   }
 }
 
+void EnginePoller::pollFirst(EngineSlot slot) {
+  if (watched_.contains(slot) && !states_.contains(slot)) {
+    pollLoad(slot);
+  }
+}
+
 bool EnginePoller::isPaused(EngineSlot slot, common::MonotonicTime now) const {
   const auto report_age = now - table_.record(slot).last_contact_at;
   return now < table_.pausedUntil(slot) && report_age < settings_.maximum_report_age / 2;
--- a/src/cypresswall/routing/engine_poller.h
+++ b/src/cypresswall/routing/engine_poller.h
@@ -31,6 +31,8 @@
   /// Replaces the set of watched engines.
   void watch(const std::set<EngineSlot>& slots);
   const std::set<EngineSlot>& watched() const { return watched_; }
+  /// Polls a watched engine that was never polled now rather than in its turn.
+  void pollFirst(EngineSlot slot);
   /// Marks all watched engines as unreachable until the next poll that reaches them.
   void markUnreachable();
   /// Resets the poll state of an engine, including its position in the cache events.
--- a/tests/routing/engine_directory_test.cpp
+++ b/tests/routing/engine_directory_test.cpp
@@ -1,5 +1,7 @@
 #include "cypresswall/routing/engine_directory.h"
 
+#include <algorithm>
+
 #include "tests/support/engine_world.h"
 #include "tests/support/property.h"
 
@@ -10,6 +12,8 @@
 using testing::SettableConfiguration;
 using testing::SettableMembership;
 
+constexpr auto kLongAfterStart = std::chrono::seconds(5);
+
 struct Node {
   simulation::SimulatedProcess* process = nullptr;
   SettableConfiguration* configuration = nullptr;
@@ -69,6 +73,27 @@
     }
     return sum;
   }
+  /// Declares further engines at all nodes.
+  void declareNewEngines(int count) {
+    for (int i = 0; i < count; ++i) {
+      testing::declareEngine(fleet, newEngine(i), "m");
+      engines[newEngine(i) + ":1"].load = testing::idleLoad("m", engines::EngineRole::kMixed);
+    }
+    for (const Node& node : nodes) {
+      node.configuration->set(fleet);
+    }
+  }
+  static std::string newEngine(int number) { return "new-" + std::to_string(number); }
+
+  bool eachHasOneWatcher() const {
+    const auto& names = nodes[0].directory->table().names();
+    return std::all_of(names.begin(), names.end(), [this](const auto& name) {
+      return std::count_if(nodes.begin(), nodes.end(), [&name](const Node& node) {
+               return node.directory->find(name)->watched_here;
+             }) == 1;
+    });
+  }
+
   void run(common::Duration time) { simulation_.time().runFor(time); }
   simulation::Simulation& simulation() { return simulation_; }
   EngineAvailability seenBy(std::size_t node, const std::string& engine) {
@@ -133,6 +158,9 @@
   CPPUNIT_TEST(steadyZoneIsConfirmedLessOften);
   CPPUNIT_TEST(engineSpeedIsPublishedOnce);
   CPPUNIT_TEST(mismatchedIdentityRequestsAreRateLimited);
+  CPPUNIT_TEST(newEngineIsKnownAtOnce);
+  CPPUNIT_TEST(newEngineIsKnownWhileItsWatcherStandsStill);
+  CPPUNIT_TEST(newEngineThatNeverReportsIsPolledByItsWatcherOnly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -147,6 +175,51 @@
     }
   }
 
+  /// Guards against callers refused for half a second at the nodes that don't watch a new engine,
+  /// the only one left of its model: it was polled and published in the periods of a known one.
+  void newEngineIsKnownAtOnce() {
+    constexpr int kNewEngines = 12;
+    Zone zone(20, 4, 4);
+    zone.run(kLongAfterStart);
+    zone.declareNewEngines(kNewEngines);
+    zone.run(std::chrono::milliseconds(150));
+    for (std::size_t node = 0; node < zone.nodes.size(); ++node) {
+      for (int engine = 0; engine < kNewEngines; ++engine) {
+        CPPUNIT_ASSERT(zone.seenBy(node, Zone::newEngine(engine)) ==
+                       EngineAvailability::kAvailable);
+      }
+    }
+  }
+
+  /// Guards against callers of nodes in touch that are refused because the one node that watches a
+  /// new engine stands still.
+  void newEngineIsKnownWhileItsWatcherStandsStill() {
+    constexpr int kNewEngines = 12;
+    Zone zone(21, 4, 4);
+    zone.run(kLongAfterStart);
+    zone.simulation().pauseFor(*zone.nodes[3].process, std::chrono::seconds(5));
+    zone.declareNewEngines(kNewEngines);
+    zone.run(std::chrono::milliseconds(800));
+    for (std::size_t node = 0; node < 3; ++node) {
+      for (int engine = 0; engine < kNewEngines; ++engine) {
+        CPPUNIT_ASSERT(zone.seenBy(node, Zone::newEngine(engine)) ==
+                       EngineAvailability::kAvailable);
+      }
+    }
+    zone.run(std::chrono::seconds(8));
+    CPPUNIT_ASSERT(zone.eachHasOneWatcher());
+  }
+
+  /// Guards against all nodes polling an engine that was listed and never answered.
+  void newEngineThatNeverReportsIsPolledByItsWatcherOnly() {
+    Zone zone(22, 4, 4);
+    zone.run(kLongAfterStart);
+    zone.engines[Zone::newEngine(0) + ":1"].reachable = false;
+    zone.declareNewEngines(1);
+    zone.run(std::chrono::seconds(6));
+    CPPUNIT_ASSERT(zone.eachHasOneWatcher());
+  }
+
   void eachEngineHasOneWatcher() {
     Zone zone(2, 4, 40);
     zone.run(std::chrono::seconds(3));
