A request that takes an answer up waits at a node that was paused

Cause: a refusal of the router was final before the first token of a request, also where the caller has part of the answer.

Now a request that takes an answer up and finds no engine known asks again for up to 1.5 s from its start, within the caller's own limit. In the first 3 s of a node timings.startup_hold decides alone, as before. Where engines are away for good such a refusal comes 1.5 s later. New answers are refused at once as before: what is held is sent at one moment (docs/design/restart.md).

Test on the code before (execution_test): requestThatTakesAnAnswerUpWaitsForTheStateOfEngines: assertion failed, !served.error With the change: execution_test OK (131).

--- a/src/cypresswall/execution/model_request.cpp
+++ b/src/cypresswall/execution/model_request.cpp
@@ -13,6 +13,9 @@
 constexpr common::Duration kStartupTime = std::chrono::seconds(3);
 /// Interval at which a request that waits for the state of engines asks for a route again.
 constexpr common::Duration kEngineStateWait = std::chrono::milliseconds(50);
+/// Longest time, from its start, that a request which takes an answer up waits for the state of
+/// engines. Longer than a node needs to learn it anew after a pause.
+constexpr common::Duration kTakeUpWait = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -209,8 +212,16 @@
   const auto now = core_.process.clock.now();
   const auto began_at = first_token_deadline_ - target_.service.first_token_limit;
   return refusal.reason == routing::RouteFailure::kOverloaded && !refusal.best &&
-         record_->attempts.empty() && now - core_.started_at < kStartupTime &&
-         now - began_at < core_.settings.startup_hold && timeToFirstToken() > kEngineStateWait;
+         record_->attempts.empty() && now - began_at < engineStateHold() &&
+         timeToFirstToken() > kEngineStateWait;
+}
+
+/// As with answers that break inside a request, the caller already has part of the answer.
+common::Duration ModelRequest::engineStateHold() const {
+  if (core_.process.clock.now() - core_.started_at < kStartupTime) {
+    return core_.settings.startup_hold;
+  }
+  return call_.continues ? kTakeUpWait : common::Duration{0};
 }
 
 void ModelRequest::onRefused(const routing::RouteRefusal& refusal) {
--- a/src/cypresswall/execution/model_request.h
+++ b/src/cypresswall/execution/model_request.h
@@ -161,8 +161,10 @@
   void logRoute() const;
   void logRefusal(const routing::RouteRefusal& refusal) const;
   /// \return true if the refusal shows only that this node, or the one that decides about the
-  ///   engines, has just started and doesn't know the engines' state yet
+  ///   engines, doesn't know the engines' state, and the request may wait for it
   bool awaitsEngineState(const routing::RouteRefusal& refusal) const;
+  /// \return the longest time, from its start, that the request may wait for the engines' state
+  common::Duration engineStateHold() const;
   void logPrompt() const;
   void logFirstToken() const;
   /// \pre the caller takes an answer up again
--- a/tests/execution/model_request_test.cpp
+++ b/tests/execution/model_request_test.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(outputOfBrokenAndAbandonedAttemptsIsReported);
   CPPUNIT_TEST(timeInWhichTheCallerDoesNotReadIsNotReported);
   CPPUNIT_TEST(startingNodeWaitsForTheStateOfEngines);
+  CPPUNIT_TEST(requestThatTakesAnAnswerUpWaitsForTheStateOfEngines);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -80,6 +81,35 @@
     CPPUNIT_ASSERT(refused.error.has_value());
   }
 
+  /// Guards against refusing whatever is taken up at a node that was paused and knows no engine's
+  /// state for a second: the caller has part of the answer, and the other nodes may have ended.
+  void requestThatTakesAnAnswerUpWaitsForTheStateOfEngines() {
+    Fixture fixture;
+    fixture.process.time.runFor(kLongRun);
+    fixture.router.refuses = true;
+    auto call = Fixture::call();
+    call.continues = execution::AnswerContinuation{"begun", "4"};
+    RecordingObserver served;
+    const auto first = fixture.executor.start(call, served);
+    fixture.process.time.runFor(milliseconds(1000));
+    CPPUNIT_ASSERT(!served.error);
+    fixture.router.refuses = false;
+    fixture.process.time.runFor(kLongRun);
+    CPPUNIT_ASSERT(served.done);
+    // For a bounded time, and not within a limit that the caller has set shorter.
+    fixture.router.refuses = true;
+    RecordingObserver refused;
+    const auto second = fixture.executor.start(call, refused);
+    fixture.process.time.runFor(milliseconds(1600));
+    CPPUNIT_ASSERT(refused.error.has_value());
+    call.time_limit = milliseconds(300);
+    RecordingObserver hurried;
+    const auto third = fixture.executor.start(call, hurried);
+    fixture.process.time.runFor(milliseconds(300));
+    CPPUNIT_ASSERT(hurried.error.has_value());
+    CPPUNIT_ASSERT(hurried.error->outcome == Outcome::kNotRun);
+  }
+
   void usageIsRecordedOnceAtFirstToken() {
     Fixture fixture;
     fixture.engines.scripts = {{Kind::kRefused}, {Kind::kBrokenAt, 2}};
