A node that was paused doesn't say that a build has no engine

Callers see: what is taken up at a node that has just woken from a pause over a release is refused for good ("no engine of model ... has the software build ... that began the answer", without Retry-After), though the engines are there.

Cause: while the node learns the engines' state anew, the router refused with the reason that its list of engines gave, and the list is as old as the pause.

Test on the code before (routing_test): pausedNodeDoesNotDenyABuild: assertion failed, paused.reason == RouteFailure::kOverloaded With the change: routing_test OK (166).

--- a/src/cypresswall/routing/cost_router.cpp
+++ b/src/cypresswall/routing/cost_router.cpp
@@ -526,7 +526,9 @@
 RouteChoice CostRouter::choose(const RouteRequest& request) {
   if (directory_.catchingUp()) {
     refused_no_engine_.add();
-    RouteRefusal refusal = refuseWithoutEngine(request);
+    // The list of engines may be outdated as well: that a model or a build has none isn't known.
+    RouteRefusal refusal;
+    refusal.retry_after = boundedRetry(kNoEngineRetrySeconds);
     refusal.message = "this node was paused and learns the state of the engines anew";
     return refusal;
   }
--- a/tests/routing/cost_router_test.cpp
+++ b/tests/routing/cost_router_test.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(prefillEnginesAloneAreRefused);
   CPPUNIT_TEST(otherVersionServesDuringRollout);
   CPPUNIT_TEST(unknownModelIsDistinguished);
+  CPPUNIT_TEST(pausedNodeDoesNotDenyABuild);
   CPPUNIT_TEST(neverChoosesUnavailableEngine);
   CPPUNIT_TEST(missingSpeedsAndLongLimitsAreRouted);
   CPPUNIT_TEST_SUITE_END();
@@ -388,6 +389,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e101"), fixture.route(request).engine.name);
   }
 
+  /// Guards against a final "no engine of the build" from a node that was paused during a release
+  /// and has not read the list of engines since.
+  void pausedNodeDoesNotDenyABuild() {
+    RouterFixture fixture(1);
+    fixture.run(std::chrono::seconds(3));
+    fixture.process->pause();
+    fixture.run(std::chrono::seconds(2));
+    fixture.process->resume();
+    RouteRequest request = requestOf(60);
+    request.build = "released";
+    const RouteRefusal paused = fixture.refusal(request);
+    CPPUNIT_ASSERT(paused.reason == RouteFailure::kOverloaded);
+    CPPUNIT_ASSERT(paused.retry_after > common::Duration{0});
+    fixture.run(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(fixture.refusal(request).reason == RouteFailure::kNoEngineOfBuild);
+  }
+
   void unknownModelIsDistinguished() {
     RouterFixture fixture(1);
     fixture.run(std::chrono::seconds(1));
