New engines: only nodes that route to an engine wait for its first report

A node hears of the engines that it routes to only, so the others are forgotten at the first assignment. The work at 11,000 engines wasn't measured.

--- a/src/cypresswall/routing/engine_directory.cpp
+++ b/src/cypresswall/routing/engine_directory.cpp
@@ -85,7 +85,7 @@
 
 void EngineDirectory::forgetReported() {
   std::erase_if(unreported_, [this](const auto& item) {
-    return table_.record(item.first).reported ||
+    return table_.record(item.first).reported || !groups_.routesTo(item.first) ||
            context_.clock.now() - item.second > kNewEngineTime;
   });
 }
--- a/src/cypresswall/routing/engine_directory.h
+++ b/src/cypresswall/routing/engine_directory.h
@@ -92,6 +92,7 @@
   void noteNew(EngineSlot slot);
   /// \return true if nothing was heard of a new engine for as long as no working watcher needs
   bool firstReportLate(EngineSlot slot) const;
+  /// Forgets the new engines that have reported, that other nodes route to, or that took too long.
   void forgetReported();
   void dropClaimsOfFormerMembers();
   /// \return true if this node is joining and knows no other member that could watch engines yet.
