--- a/tests/common/bounded_json_test.cpp
+++ b/tests/common/bounded_json_test.cpp
@@ -189,12 +189,14 @@
     const std::string first = R"({"name":"a","spec":{"b":[1,"[,"]}})";
     const std::string last = R"({"spec":[[],{}],"name":"z"})";
     for (const std::string& odd : largeContainers(kMaximumJsonValues)) {
-      const BoundedJson parsed =
-          parseBoundedJson(R"({"at":7,"items":[)" + first + R"(,{"name":"odd","spec":)" + odd +
-                           R"(,"end":1},)" + odd + "," + last + R"(],"more":true})");
-      const Json read =
-          Json::parse(R"({"at":7,"items":[)" + first +
-                      R"(,{"name":"odd","spec":null,"end":1},null,)" + last + R"(],"more":true})");
+      std::string text = R"({"at":7,"items":[)";
+      text.append(first).append(R"(,{"name":"odd","spec":)").append(odd).append(R"(,"end":1},)");
+      text.append(odd).append(",").append(last).append(R"(],"more":true})");
+      std::string expected = R"({"at":7,"items":[)";
+      expected.append(first).append(R"(,{"name":"odd","spec":null,"end":1},null,)");
+      expected.append(last).append(R"(],"more":true})");
+      const BoundedJson parsed = parseBoundedJson(text);
+      const Json read = Json::parse(expected);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(odd.substr(0, 20), read, parsed.value);
       CPPUNIT_ASSERT(parsed.replaced_values >= 2);
       CPPUNIT_ASSERT(parsed.replaced_elements == (std::set<std::size_t>{1, 2}));
