Stand-in runner: a stream that has ended releases its responder

LeakSanitizer still reported 237 streams and their servers in objects_processes_test: the callback that a stream sets at its responder holds the stream, which held the responder. Running the handlers that are queued at the end, as before, ends only the streams that are under way then.

--- a/tests/objects_platform/processes/runner_standin.cpp
+++ b/tests/objects_platform/processes/runner_standin.cpp
@@ -116,7 +116,10 @@
   stream->responder = responder;
   stream->next = numberOr(request.header("Last-Event-Id"), 0) + 1;
   stream->last = outputTokens(request);
-  responder->onClosed([stream] { stream->closed = true; });
+  responder->onClosed([stream] {
+    stream->closed = true;
+    stream->responder.reset();
+  });
   responder->startStream(kOk, {{"X-Request-Id", request.header("X-Request-Id")},
                                {"X-Response-Seal", "seal." + settings_.id},
                                {"X-Weight-Versions", "1"},
@@ -129,7 +132,8 @@
     return;
   }
   if (stream->next > stream->last) {
-    stream->responder->finishStream();
+    // The responder's callback holds the stream.
+    std::exchange(stream->responder, nullptr)->finishStream();
     return;
   }
   const std::string number = std::to_string(stream->next++);
