Review: disruptions stay inside the sheets' times, case 5 counts from the fifth crash, scripts end cleanly on a signal

Case 5 counted from a fixed time; it now counts from the fifth crash, or the last, up to the last request that crashes runners, as the rule says. On SIGTERM a case waits for the daemons that it ends.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -11,6 +11,7 @@
 constexpr double kWindowS = 5;   // bounds: window_s
 constexpr double kCopyAgeS = 8;  // TERMS.md: "a copy some seconds old"
 constexpr double kAwayS = 1;     // TERMS.md: "away for a moment"
+constexpr double kDarkS = 3.4;   // site file: kill_leader, for_s = 3.5
 constexpr double kRequestsPerS = 20;
 
 /// The platform's API for duties: takes a call unless it has seen a higher fencing token.
@@ -146,6 +147,7 @@
   if (trouble) {
     record.line("the store is away, and the node that acted last is killed");
     const std::string holder = before.empty() ? "" : before.back().holder;
+    const double killed_at = now();
     for (int i = 0; i < Fleet::kNodes; ++i) {
       if (fleet.node(i).name() == holder) {
         killed = i;
@@ -158,7 +160,7 @@
       return 2;
     }
     record.line("the store is back from the copy");
-    sleepFor(2.5);
+    sleepFor(killed_at + kDarkS - now());
     if (killed >= 0) {
       fleet.node(killed).start();
       record.line(fleet.node(killed).name() + " is started again");
@@ -185,7 +187,8 @@
   record.line("requests: " + std::to_string(asked) + ", served " + std::to_string(served) +
               "; windows reported: " + std::to_string(by_window.size()) +
               ", with different counts: " + std::to_string(broken));
-  if (died || before.empty() || by_window.size() < 5 || served * 2 < asked) {
+  if (died || before.empty() || (trouble && killed < 0) || by_window.size() < 5 ||
+      served * 2 < asked) {
     record.line("the case could not run");
     return 2;
   }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -13,6 +13,13 @@
 const std::string kFirstPart = "5c1e07a2:55";
 const std::string kCrashingPart = "ee77aa01:40";
 
+constexpr std::size_t kCountedCrash = 5;  // TERMS.md, LOST
+
+struct Sound {
+  double sent_at = 0;
+  bool begun = false;
+};
+
 struct Share {
   int asked = 0;
   int begun = 0;
@@ -50,13 +57,12 @@
   sleepFor(5);
 
   std::mutex mutex;
-  Share calm;
-  Share later;
+  std::vector<Sound> sounds;
+  double last_came_at = 0;
   std::vector<std::thread> threads;
   const double begin = now();
   const double end = begin + kCalmS + kTroubleS;
   const double trouble_at = begin + kCalmS + kSoundGapS / 2;
-  const double counted_from = trouble_at + 0.5 + 2 * kContactS;
   const auto soundRequest = [&](int n) {
     const double at = now();
     const Ask sound =
@@ -64,13 +70,7 @@
     const Answer answer = ask(fleet.node(n), sound);
     const bool begun = answer.status == 200 && !answer.message.body.empty();
     const std::lock_guard lock(mutex);
-    if (at < trouble_at) {
-      calm.asked += 1;
-      calm.begun += begun;
-    } else if (at > counted_from) {
-      later.asked += 1;
-      later.begun += begun;
-    }
+    sounds.push_back({at, begun});
     if (!begun) {
       record.line("sound: " + sound.id + " at " + fleet.node(n).name() + " -> " +
                   std::to_string(answer.status));
@@ -79,6 +79,7 @@
   std::thread crashing([&] {
     for (int n = 0; trouble_at + n / kClients * kComesAgainS < end; n += kClients) {
       sleepFor(trouble_at + n / kClients * kComesAgainS - now());
+      last_came_at = now();
       std::vector<std::thread> clients;
       for (int client = n; client < n + kClients; ++client) {
         clients.emplace_back([&, client] {
@@ -105,6 +106,23 @@
   }
   const bool died = fleet.end();
   const auto crash_times = fleet.crashes();
+  // From 2 x contact_ms after the fifth crash, or the last, while such requests still come. Without
+  // crashes: from the time at which such requests begin to come.
+  const double counted_from =
+      (crash_times.empty() ? trouble_at
+                           : crash_times[std::min(crash_times.size(), kCountedCrash) - 1]) +
+      2 * kContactS;
+  Share calm;
+  Share later;
+  for (const Sound& sound : sounds) {
+    if (sound.sent_at < trouble_at) {
+      calm.asked += 1;
+      calm.begun += sound.begun;
+    } else if (sound.sent_at > counted_from && sound.sent_at <= last_came_at) {
+      later.asked += 1;
+      later.begun += sound.begun;
+    }
+  }
   record.line("runners that crashed: " + std::to_string(crash_times.size()));
   record.line("sound requests with the first part that began at the first attempt, before: " +
               calm.text());
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int kAllowedRetries = 3;  // TERMS.md, BUDGET
-constexpr double kDarkS = 2.0;      // site file: herd_kill, how = power, on = core, for_s = 2.0
+constexpr double kDarkS = 1.9;      // site file: herd_kill, how = power, on = core, for_s = 2.0
 constexpr double kSoundPerSecond = 14.9;  // sheet: booking-confirm
 const std::string kPath = "/slots/day-7";
 /// Seconds after the beginning at which the request comes; every 5 s but while the machines start.
@@ -57,11 +57,12 @@
         continue;
       }
       record.line("all processes are killed");
+      const double killed_at = now();
       dark = true;
       for (int i = 0; i < Fleet::kNodes; ++i) {
         fleet.node(i).kill();
       }
-      sleepFor(kDarkS);
+      sleepFor(killed_at + kDarkS - now());
       for (int i = 0; i < Fleet::kNodes; ++i) {
         fleet.node(i).start();
       }
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,8 +5,12 @@
 program=target/review-2/case-$(basename "$here")
 [ -x "$program" ] && [ -x target/bin/cypresswalld ] || exit 2
 folder=$(mktemp -d) || exit 2
-timeout -k 1 118 "$program" "$folder" "$here/record.txt"
+timeout -k 1 118 "$program" "$folder" "$here/record.txt" &
+child=$!
+trap 'kill $child 2>/dev/null' TERM INT
+wait $child
 code=$?
+while kill -0 $child 2>/dev/null; do wait $child; done
 rm -rf "$folder"
 [ $code -le 2 ] || code=2
 exit $code
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -983,6 +983,11 @@
         ::kill(process, SIGKILL);
       }
     }
+    for (const auto& process : daemons()) {
+      if (process > 0) {
+        ::waitpid(process, nullptr, 0);
+      }
+    }
     ::_exit(2);
   };
   ::signal(SIGTERM, end);
