Usage: a restored store causes no second report of a window

Cause: which windows are done was known to the ledger in the store and to the process that had reported them. The other collectors were told, but used it only to discard the counts, and held it in one variable with a guess of the start, so that the next holder believed the restored ledger and reported empty sums under a higher fencing token.

Change: the holder sends each report to the other collectors and waits for their confirmation, half a second at most, before the platform gets it. The ledger names the store's incarnation in which it was written. Windows that one of an earlier incarnation may lack are skipped if somebody said that they are done, repeated exactly if a copy is known, summed up by a collector that must have had a copy, and given up by others. Two messages and two confirmations more a window.

--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -32,8 +32,9 @@
   kAnswerBuilds = 8,    ///< adds the messages of `answer_builds`
   kAnsweredParts = 9,   ///< adds the message of `quarantine` on parts that were answered
   kBuildHistory = 10,   ///< adds the messages of `answer_builds` on the builds that models had
+  kReportCopies = 11,   ///< adds the messages of `duties` on copies of usage reports
 };
-inline constexpr MessageSet kHandledMessages = MessageSet::kBuildHistory;
+inline constexpr MessageSet kHandledMessages = MessageSet::kReportCopies;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
--- a/src/cypresswall/duties/messages.h
+++ b/src/cypresswall/duties/messages.h
@@ -64,4 +64,34 @@
   MSGPACK_DEFINE(window)
 };
 
+/// The counts that a lease holder is about to report for a window.
+struct UsageReportCopy {
+  /// Fencing token of the lease holder.
+  std::uint32_t token = 0;
+  /// Increases each time that the lease holder decides on counts for a window.
+  std::uint64_t attempt = 0;
+  WindowCounts report;
+  MSGPACK_DEFINE(token, attempt, report)
+};
+
+/// Sent by the lease holder to the other collectors before it reports a window, and by each
+/// collector to new ones.
+struct UsageReportCopies {
+  static constexpr auto kType = api::messageType(api::MessageType::kDutiesFirst, 4);
+  /// The sender waits for a UsageReportCopiesStored.
+  bool confirm = false;
+  /// The sender has a copy of each report of the windows after this one.
+  std::uint64_t complete_after = 0;
+  std::vector<UsageReportCopy> copies;
+  MSGPACK_DEFINE(confirm, complete_after, copies)
+};
+
+/// Tells the lease holder which of its copies a collector has stored.
+struct UsageReportCopiesStored {
+  static constexpr auto kType = api::messageType(api::MessageType::kDutiesFirst, 5);
+  std::uint32_t token = 0;
+  std::vector<std::uint64_t> attempts;
+  MSGPACK_DEFINE(token, attempts)
+};
+
 }  // namespace cypresswall::duties
--- a/src/cypresswall/duties/usage_collector.cpp
+++ b/src/cypresswall/duties/usage_collector.cpp
@@ -122,12 +122,12 @@
   return *middle;
 }
 
-void UsageCollector::transferToNewCollectors() {
+std::vector<common::NodeId> UsageCollector::transferToNewCollectors() {
   const auto& collectors = ranking_.all();
+  std::vector<common::NodeId> added;
   if (collectors == collectors_) {
-    return;
+    return added;
   }
-  std::vector<common::NodeId> added;
   for (const common::NodeId& collector : collectors) {
     const bool known =
         std::find(collectors_.begin(), collectors_.end(), collector) != collectors_.end();
@@ -137,10 +137,7 @@
   }
   collectors_ = collectors;
   if (added.empty()) {
-    return;
-  }
-  if (discarded_through_ > 0) {
-    context_.sendToAll(added, UsageReportedThrough{discarded_through_});
+    return added;
   }
   for (const auto& [node, counts] : nodes_) {
     if (counts.windows.empty()) {
@@ -153,6 +150,7 @@
     }
     context_.sendToAll(added, update);
   }
+  return added;
 }
 
 bool UsageCollector::reportsUsage(const membership::Member& member) const {
--- a/src/cypresswall/duties/usage_collector.h
+++ b/src/cypresswall/duties/usage_collector.h
@@ -31,8 +31,8 @@
   void onUpdate(const common::NodeId& sender, const UsageUpdate& update);
   /// Forwards the counts of all nodes to collectors that were added since the last call. A node
   /// that has ended cannot send its counts to a new collector itself, and it may not have been
-  /// detected as dead yet.
-  void transferToNewCollectors();
+  /// detected as dead yet. \return the collectors that were added
+  std::vector<common::NodeId> transferToNewCollectors();
 
   /// \return true once this collector has the final counts for the window from every member that
   ///   counts usage
--- a/src/cypresswall/duties/usage_ledger.cpp
+++ b/src/cypresswall/duties/usage_ledger.cpp
@@ -11,6 +11,8 @@
 constexpr const char* kFixed = "fixed";
 constexpr const char* kWindow = "window";
 constexpr const char* kCounts = "counts";
+constexpr const char* kStoreIncarnation = "store_incarnation";
+constexpr const char* kUncertainThrough = "uncertain_through";
 
 TenantCounts countsIn(const nlohmann::json& json) {
   if (!json.is_object()) {
@@ -27,6 +29,11 @@
   return counts;
 }
 
+/// \return zero for a field that earlier builds don't write
+std::uint64_t optionalIntegerIn(const nlohmann::json& json, const char* field) {
+  return json.contains(field) ? common::integerAt(json, field) : 0;
+}
+
 }  // namespace
 
 std::string encodeUsageLedger(const UsageLedger& ledger) {
@@ -34,8 +41,11 @@
   for (const UsageReport& report : ledger.fixed) {
     fixed.push_back({{kWindow, report.window}, {kCounts, report.counts}});
   }
-  return nlohmann::json{{kTakenThrough, ledger.taken_through}, {kFixed, std::move(fixed)}}.dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return nlohmann::json{{kTakenThrough, ledger.taken_through},
+                        {kFixed, std::move(fixed)},
+                        {kStoreIncarnation, ledger.store_incarnation},
+                        {kUncertainThrough, ledger.uncertain_through}}
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 UsageLedger decodeUsageLedger(const std::string& text) {
@@ -43,6 +53,8 @@
     const auto json = common::parseBoundedJson(text).value;
     UsageLedger ledger;
     ledger.taken_through = common::integerAt(json, kTakenThrough);
+    ledger.store_incarnation = optionalIntegerIn(json, kStoreIncarnation);
+    ledger.uncertain_through = optionalIntegerIn(json, kUncertainThrough);
     for (const auto& entry : json.at(kFixed)) {
       UsageReport report{common::integerAt(entry, kWindow), countsIn(entry.at(kCounts))};
       if (report.window != ledger.fixedThrough() + 1) {
--- a/src/cypresswall/duties/usage_ledger.h
+++ b/src/cypresswall/duties/usage_ledger.h
@@ -24,6 +24,12 @@
   /// Stored reports that remain to be sent, without gaps: the first one is for window
   /// `taken_through` + 1. Their counts must not change any more.
   std::vector<UsageReport> fixed;
+  /// Incarnation of the store in which the ledger was written; zero if unknown. A ledger of an
+  /// earlier incarnation than the store's comes from a copy and may lack reports.
+  std::uint64_t store_incarnation = 0;
+  /// Windows after fixedThrough() up to and including this number may have been reported in an
+  /// earlier incarnation of the store.
+  std::uint64_t uncertain_through = 0;
 
   /// \return the last window whose counts must not change any more
   std::uint64_t fixedThrough() const { return fixed.empty() ? taken_through : fixed.back().window; }
--- a/src/cypresswall/duties/usage_reporter.cpp
+++ b/src/cypresswall/duties/usage_reporter.cpp
@@ -45,6 +45,7 @@
       authority_(authority),
       store_(store),
       platform_(platform),
+      copies_(settings, context, membership, collectors),
       reported_(usageCounter(context.counters, "taken")),
       failed_(usageCounter(context.counters, "failed")),
       given_up_(usageCounter(context.counters, "given_up")),
@@ -59,18 +60,24 @@
 void UsageReporter::start() {
   if (settings_.reports) {
     reported_through_ = currentWindow() - 1;
+    incarnation_ = store_.incarnation();
+    incarnation_seen_at_ = time_.now();
     tick();
   }
 }
 
 void UsageReporter::tick() {
   context_.scheduler.schedule(settings_.tick_interval, [this] { tick(); });
-  collector_.transferToNewCollectors();
+  watchIncarnation();
+  informNewCollectors();
   const auto own_rank = rank();
   if (!own_rank) {
-    collector_since_.reset();
+    if (std::exchange(collector_since_, std::nullopt)) {
+      copies_.collectsNoMore();
+    }
   } else if (!collector_since_) {
     collector_since_ = context_.clock.now();
+    copies_.collectsSince(currentWindow());
   }
   needed_ = own_rank && reportingDue(*own_rank);
   if (needed_ && !call_in_flight_ && context_.clock.now() >= next_call_at_) {
@@ -78,6 +85,23 @@
   }
 }
 
+void UsageReporter::watchIncarnation() {
+  if (std::exchange(incarnation_, store_.incarnation()) != incarnation_) {
+    incarnation_seen_at_ = time_.now();
+  }
+}
+
+void UsageReporter::informNewCollectors() {
+  const auto added = collector_.transferToNewCollectors();
+  if (added.empty()) {
+    return;
+  }
+  if (confirmed_through_ > 0) {
+    context_.sendToAll(added, UsageReportedThrough{confirmed_through_});
+  }
+  copies_.transferTo(added);
+}
+
 std::optional<std::size_t> UsageReporter::rank() const {
   if (membership_.joining()) {
     return std::nullopt;
@@ -105,7 +129,7 @@
   if (!ledger_ || ledger_token_ != epoch->term) {
     readLedger();
   } else if (!ledger_->fixed.empty()) {
-    send(ledger_->fixed.front());
+    replicateThenSend(ledger_->fixed.front());
   } else if (!fixDueWindows()) {
     markReportedThrough(ledger_->taken_through);
   }
@@ -119,6 +143,7 @@
 
 void UsageReporter::onRead(const StoreResult<StoredObject>& result) {
   call_in_flight_ = false;
+  watchIncarnation();
   if (result.ok()) {
     observe(result.value());
   } else if (result.failure().kind == StoreFailure::kNotFound) {
@@ -126,34 +151,57 @@
     // had ended when this node started, or that it knows to be reported.
     ledger_.emplace().taken_through = reported_through_;
     ledger_version_ = 0;
+    recordLostReports(*ledger_);
   } else {
     retryAfter(settings_.retry_delay);
   }
 }
 
 bool UsageReporter::fixDueWindows() {
+  giveUpWindows();
   UsageLedger ledger = *ledger_;
-  const std::uint64_t current = currentWindow();
-  const std::uint64_t oldest =
-      current > settings_.maximum_backlog_windows ? current - settings_.maximum_backlog_windows : 0;
-  if (ledger.taken_through + 1 < oldest) {
-    given_up_.add(static_cast<double>(oldest - 1 - ledger.taken_through));
-    common::LogEvent(context_.log, common::LogLevel::kError, "usage_given_up")
-        .field("first_window", ledger.taken_through + 1)
-        .field("last_window", oldest - 1);
-    ledger.taken_through = oldest - 1;
-  }
-  while (due(ledger.fixedThrough() + 1)) {
-    const std::uint64_t window = ledger.fixedThrough() + 1;
-    ledger.fixed.push_back({window, collector_.sum(window)});
+  for (std::uint64_t window = ledger.fixedThrough() + 1; due(window) && !counterpartUnknown(window);
+       ++window) {
+    const auto reported =
+        window <= ledger.uncertain_through ? copies_.countsOf(window) : std::nullopt;
+    ledger.fixed.push_back({window, reported ? *reported : collector_.sum(window)});
   }
   if (ledger.fixed.empty()) {
     return false;
   }
-  writeLedger(ledger);
+  writeLedger(std::move(ledger));
   return true;
 }
 
+void UsageReporter::giveUpWindows() {
+  const std::uint64_t current = currentWindow();
+  if (current > settings_.maximum_backlog_windows + 1) {
+    giveUpThrough(current - settings_.maximum_backlog_windows - 1, "too_old");
+  }
+  std::uint64_t unknown_through = ledger_->taken_through;
+  while (counterpartUnknown(unknown_through + 1)) {
+    ++unknown_through;
+  }
+  giveUpThrough(unknown_through, "may_have_been_reported");
+}
+
+void UsageReporter::giveUpThrough(std::uint64_t window, const char* reason) {
+  if (window <= ledger_->taken_through) {
+    return;
+  }
+  given_up_.add(static_cast<double>(window - ledger_->taken_through));
+  common::LogEvent(context_.log, common::LogLevel::kError, "usage_given_up")
+      .field("first_window", ledger_->taken_through + 1)
+      .field("last_window", window)
+      .field("reason", reason);
+  ledger_->taken_through = window;
+}
+
+bool UsageReporter::counterpartUnknown(std::uint64_t window) const {
+  return window <= ledger_->uncertain_through && !copies_.countsOf(window) &&
+         !copies_.complete(window);
+}
+
 bool UsageReporter::due(std::uint64_t window) const {
   const common::Duration now = time_.now();
   const common::Duration end = windowEnd(window);
@@ -162,7 +210,8 @@
          (collector_.complete(window) || now >= end + collection_limit);
 }
 
-void UsageReporter::writeLedger(const UsageLedger& ledger) {
+void UsageReporter::writeLedger(UsageLedger ledger) {
+  ledger.store_incarnation = incarnation_;
   object_store::ObjectWrite request;
   request.key = kUsageLedgerKey;
   request.expected_version = ledger_version_;
@@ -171,6 +220,7 @@
   call_in_flight_ = true;
   for (const UsageReport& report : ledger.fixed) {
     recordFixed(report);
+    copies_.replicate(report, ledger_token_);
   }
   store_.compareAndSet(std::move(request),
                        [this](const StoreResult<StoredObject>& result) { onWritten(result); });
@@ -178,6 +228,7 @@
 
 void UsageReporter::onWritten(const StoreResult<StoredObject>& result) {
   call_in_flight_ = false;
+  watchIncarnation();
   if (result.ok()) {
     observe(result.value());
     advance();
@@ -196,6 +247,7 @@
     ledger_ = decodeUsageLedger(object.value);
     ledger_version_ = object.version;
     skipReportedWindows(*ledger_);
+    recordLostReports(*ledger_);
   } catch (const UsageLedgerError& error) {
     // The unreadable ledger is not replaced, because a window could then be reported a second time
     // with different counts.
@@ -208,14 +260,32 @@
   }
 }
 
-/// A store that was restored from a copy may have lost that windows were reported. Their counts are
-/// no longer kept, so that a second report would differ from the first.
+/// A store that was restored from a copy may have lost that windows were reported.
 void UsageReporter::skipReportedWindows(UsageLedger& ledger) const {
   std::erase_if(ledger.fixed,
                 [this](const UsageReport& report) { return report.window <= confirmed_through_; });
   ledger.taken_through = std::max(ledger.taken_through, confirmed_through_);
 }
 
+/// Windows that ended only after this node had learned of the store's present incarnation can't
+/// have been reported in an earlier one.
+void UsageReporter::recordLostReports(UsageLedger& ledger) const {
+  if (ledger.store_incarnation == incarnation_) {
+    return;
+  }
+  const auto windows_ended = static_cast<std::uint64_t>(
+      (incarnation_seen_at_ + settings_.clock_tolerance) / settings_.window);
+  ledger.uncertain_through = std::max(ledger.uncertain_through, windows_ended - 1);
+  ledger.store_incarnation = incarnation_;
+}
+
+void UsageReporter::replicateThenSend(const UsageReport& report) {
+  copies_.replicate(report, ledger_token_);
+  if (copies_.replicated(report.window)) {
+    send(report);
+  }
+}
+
 void UsageReporter::send(const UsageReport& report) {
   const auto epoch = authority_.heldEpoch();
   if (!epoch) {
@@ -237,11 +307,11 @@
       .field("requests", totalOf(report.counts))
       .field("tenants", report.counts.size())
       .field("token", epoch.term)
+      .field("copies_unconfirmed", copies_.unconfirmed(report.window))
       .field("failure", toString(failure));
   if (!failure || failure == DutyFailure::kInvalid) {
     (failure ? failed_ : reported_).add();
     recordReported(report, epoch.term);
-    confirmed_through_ = std::max(confirmed_through_, report.window);
     markReportedThrough(report.window);
     if (ledger_ && !ledger_->fixed.empty() && ledger_->fixed.front().window == report.window) {
       ledger_->fixed.erase(ledger_->fixed.begin());
@@ -259,8 +329,12 @@
 }
 
 void UsageReporter::markReportedThrough(std::uint64_t window) {
-  reported_through_ = std::max(reported_through_, window);
-  collector_.discardThrough(reported_through_);
+  confirmed_through_ = std::max(confirmed_through_, window);
+  reported_through_ = std::max(reported_through_, confirmed_through_);
+  collector_.discardThrough(confirmed_through_);
+  if (confirmed_through_ > settings_.retained_windows) {
+    copies_.discardThrough(confirmed_through_ - settings_.retained_windows);
+  }
 }
 
 void UsageReporter::retryAfter(common::Duration delay) {
--- a/src/cypresswall/duties/usage_reporter.h
+++ b/src/cypresswall/duties/usage_reporter.h
@@ -11,6 +11,7 @@
 #include "cypresswall/duties/collectors.h"
 #include "cypresswall/duties/duty_platform.h"
 #include "cypresswall/duties/fleet_time.h"
+#include "cypresswall/duties/report_copies.h"
 #include "cypresswall/duties/usage_collector.h"
 #include "cypresswall/duties/usage_ledger.h"
 #include "cypresswall/duties/usage_settings.h"
@@ -58,6 +59,9 @@
 
  private:
   void tick();
+  /// Tells collectors that were added which windows were reported, and with which counts.
+  void informNewCollectors();
+  void watchIncarnation();
   /// \return this node's rank among the collectors, zero for the first; nothing if it is not a
   ///   collector
   std::optional<std::size_t> rank() const;
@@ -68,14 +72,25 @@
   /// Stores the reports of all windows that are due in the usage ledger. \return true if a write
   /// was started
   bool fixDueWindows();
+  /// Gives up windows that are too old, and those after the last fixed one of which this node can't
+  /// tell whether they were reported.
+  void giveUpWindows();
+  void giveUpThrough(std::uint64_t window, const char* reason);
+  /// \return true if the window may have been reported before the store was restored from a copy,
+  ///   with counts that this node doesn't know
+  bool counterpartUnknown(std::uint64_t window) const;
+  /// Marks the windows that the ledger of an earlier incarnation of the store may lack.
+  void recordLostReports(UsageLedger& ledger) const;
   bool due(std::uint64_t window) const;
-  void writeLedger(const UsageLedger& ledger);
+  void writeLedger(UsageLedger ledger);
   void onWritten(const object_store::StoreResult<object_store::StoredObject>& result);
   void observe(const object_store::StoredObject& object);
   void skipReportedWindows(UsageLedger& ledger) const;
   void send(const UsageReport& report);
   void onSent(const UsageReport& report, const common::Epoch& epoch,
               std::optional<DutyFailure> failure);
+  void replicateThenSend(const UsageReport& report);
+  /// Records that somebody has said that the reports up to and including `window` are completed.
   void markReportedThrough(std::uint64_t window);
   void retryAfter(common::Duration delay);
   common::Duration windowEnd(std::uint64_t window) const {
@@ -103,9 +118,16 @@
   std::optional<UsageLedger> ledger_;
   std::uint64_t ledger_version_ = 0;
   std::uint32_t ledger_token_ = 0;
+  /// Last window that needs no report by this node. At the start this is the last window that had
+  /// ended, whether it was reported or not.
   std::uint64_t reported_through_ = 0;
-  /// Last window whose report this node has sent itself, so that no older ledger can deny it.
+  /// Last window whose report is completed, as this node, a lease holder or the ledger has said. An
+  /// older ledger can't deny it.
   std::uint64_t confirmed_through_ = 0;
+  ReportCopies copies_;
+  /// Latest known incarnation of the store, and when this node learned of it (FleetTime).
+  std::uint64_t incarnation_ = 0;
+  common::Duration incarnation_seen_at_{};
   /// Time at which this node became a collector; nothing if it is not a collector.
   std::optional<common::MonotonicTime> collector_since_;
   bool needed_ = false;
--- a/src/cypresswall/duties/usage_settings.h
+++ b/src/cypresswall/duties/usage_settings.h
@@ -31,7 +31,9 @@
   /// Maximum number of updates per second that a collector should receive from all nodes together.
   /// In a large fleet, each node therefore sends updates less often than `update_interval` allows.
   double maximum_updates_per_second = 250;
-  /// Number of windows whose counts a node retains, so that it can send them to a new collector.
+  /// Number of windows whose counts a node retains, so that it can send them to a new collector,
+  /// and number of reported windows of which collectors retain the report. A copy from which the
+  /// store may be restored must not be older.
   std::size_t retained_windows = 12;
   /// Maximum number of past windows that are still reported after an outage; older windows are
   /// given up.
@@ -42,6 +44,9 @@
   /// Time that a new collector waits before it reports, so that the other collectors can tell it
   /// which windows were reported and send it the counts of nodes that have ended.
   common::Duration handover_time = std::chrono::milliseconds(500);
+  /// Maximum time that the lease holder waits until the other collectors have confirmed their copy
+  /// of a report.
+  common::Duration replication_timeout = std::chrono::milliseconds(500);
   /// Delay after a failed call to the object store or the platform before the next call.
   common::Duration retry_delay = std::chrono::milliseconds(250);
   common::Duration tick_interval = std::chrono::milliseconds(100);
--- a/tests/duties/duty_zone.h
+++ b/tests/duties/duty_zone.h
@@ -43,6 +43,8 @@
   std::uint64_t calls = 0;
   std::string violation;
   std::uint32_t highest_token = 0;
+  /// The holder of the last report that was taken.
+  common::MachineName last_holder;
 
   /// Handles a call that reaches the platform now. \return the failure, if any
   std::optional<DutyFailure> take(const DutyAuthority& authority, const UsageReport& report) {
@@ -53,6 +55,7 @@
       return DutyFailure::kSuperseded;
     }
     highest_token = std::max(highest_token, authority.token);
+    last_holder = authority.holder;
     const auto [entry, first] = taken.emplace(report.window, report.counts);
     if (first) {
       taken_at[report.window] = world_.now();
@@ -129,6 +132,7 @@
     settings.usage.reports = true;
   }
 
+  static common::MachineName machine(int index) { return "machine-" + std::to_string(index); }
   static common::Address address(int index) { return "10.0.0." + std::to_string(index) + ":7000"; }
 
   /// \param clock_error error of the wall-clock time that the node reads when it starts
@@ -136,7 +140,7 @@
     stop(index);
     auto& process = world.spawn({address(index), ++next_incarnation_}, "hall-a", 1.0);
     membership::MembershipSettings membership;
-    membership.machine = "machine-" + std::to_string(index);
+    membership.machine = machine(index);
     membership.seeds = {address(1), address(2)};
     contexts_[index] = std::make_unique<api::ProcessContext>(process.context());
     Node& node = nodes[index];
@@ -186,6 +190,15 @@
     }
     return std::nullopt;
   }
+  /// \return the node that sent the last report that was taken; zero if it does not run
+  int lastReporter() const {
+    for (const auto& [index, node] : nodes) {
+      if (machine(index) == platform.last_holder) {
+        return index;
+      }
+    }
+    return 0;
+  }
   /// \return the relative error of a window's report, summed over all tenants
   double error(std::uint64_t window) {
     double off = 0;
--- a/tests/duties/usage_test.cpp
+++ b/tests/duties/usage_test.cpp
@@ -116,10 +116,14 @@
   CPPUNIT_TEST(wrongClocksAreCorrected);
   CPPUNIT_TEST(countsAreStoredBeforeReporting);
   CPPUNIT_TEST(reportedWindowsStayReportedOverRestoreOfStore);
+  CPPUNIT_TEST(reporterLostWithRestoreOfStore);
+  CPPUNIT_TEST(reporterLostAfterRestoreOfStore);
+  CPPUNIT_TEST(allNodesLostWithRestoreOfStore);
   CPPUNIT_TEST(unreadableLedgerIsNotOverwritten);
   CPPUNIT_TEST(messagesPerNodeAreIndependentOfFleetSize);
   CPPUNIT_TEST(ledgerRoundTrip);
   CPPUNIT_TEST(oneCountPerWindowUnderFaults);
+  CPPUNIT_TEST(oneCountPerWindowOverRestoresOfStore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -237,6 +241,75 @@
     CPPUNIT_ASSERT(zone.platform.taken.rbegin()->first >= zone.currentWindow() - 3);
   }
 
+  /// Guards against a second report of windows that the restored ledger lacks: their counts had
+  /// been discarded, and the node that had reported them was lost with the store's copy.
+  void reporterLostWithRestoreOfStore() {
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+      DutyZone zone(seed);
+      zone.startAll(9);
+      zone.serve(seconds(12));
+      // At another moment of the window for each seed.
+      zone.serve(milliseconds(600) * static_cast<std::int64_t>(seed));
+      const std::uint64_t first = zone.currentWindow();
+      zone.world.store.copy();
+      zone.serve(seconds(8));
+      const int reporter = zone.lastReporter();
+      zone.world.store.down = true;
+      zone.stop(reporter);
+      zone.serve(seconds(1));
+      zone.world.store.restore();
+      zone.world.store.down = false;
+      zone.serve(milliseconds(2400));
+      zone.start(reporter);
+      zone.serve(seconds(25));
+      requireWindowsSince(zone, first, seed);
+    }
+  }
+
+  /// The reporter is lost a moment after the store is back, alone or with half of the fleet.
+  void reporterLostAfterRestoreOfStore() {
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+      DutyZone zone(seed);
+      zone.startAll(9);
+      zone.serve(seconds(12));
+      const std::uint64_t first = zone.currentWindow();
+      zone.world.store.copy();
+      zone.serve(seconds(8) + milliseconds(600) * static_cast<std::int64_t>(seed));
+      zone.world.store.restore();
+      zone.serve(milliseconds(300));
+      const auto collectors = collectorsOf(*zone.nodes.begin()->second.membership, 3);
+      const int reporter = zone.lastReporter();
+      for (int index = 1; index <= 9; ++index) {
+        const bool last_collector = collectors.back().address == DutyZone::address(index);
+        if (index == reporter || (seed % 2 == 0 && index % 2 == 0 && !last_collector)) {
+          zone.stop(index);
+        }
+      }
+      zone.serve(seconds(25));
+      requireWindowsSince(zone, first, seed);
+    }
+  }
+
+  /// Nobody is left who knows which windows the restored ledger lacks: they are given up.
+  void allNodesLostWithRestoreOfStore() {
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+      DutyZone zone(seed);
+      zone.startAll(9);
+      zone.serve(seconds(12));
+      zone.world.store.copy();
+      zone.serve(seconds(8) + milliseconds(600) * static_cast<std::int64_t>(seed));
+      for (int index = 1; index <= 9; ++index) {
+        zone.stop(index);
+      }
+      zone.world.store.restore();
+      zone.world.runFor(seconds(2));
+      zone.startAll(9);
+      const std::uint64_t first = zone.currentWindow() + 1;
+      zone.serve(seconds(25));
+      requireWindowsSince(zone, first, seed);
+    }
+  }
+
   void backlogIsReportedAfterOutage() {
     DutyZone zone(6);
     zone.startAll(5);
@@ -318,6 +391,8 @@
     testing::requireProperty("usage ledgers are read as written", 100, [] {
       UsageLedger ledger;
       ledger.taken_through = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40U);
+      ledger.store_incarnation = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40U);
+      ledger.uncertain_through = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40U);
       const int fixed = *rc::gen::inRange(0, 5);
       for (int index = 0; index < fixed; ++index) {
         UsageReport report;
@@ -329,6 +404,8 @@
       const UsageLedger read = decodeUsageLedger(encodeUsageLedger(ledger));
       RC_ASSERT(read.taken_through == ledger.taken_through);
       RC_ASSERT(read.fixed == ledger.fixed);
+      RC_ASSERT(read.store_incarnation == ledger.store_incarnation);
+      RC_ASSERT(read.uncertain_through == ledger.uncertain_through);
     });
   }
 
@@ -380,7 +457,58 @@
     CPPUNIT_ASSERT(reports > 10 * kRuns);
   }
 
+  /// No window gets two different counts, whatever is lost together with writes to the store.
+  void oneCountPerWindowOverRestoresOfStore() {
+    constexpr int kRuns = 60;
+    constexpr int kSteps = 8;
+    testing::requireProperty("one count a window over restores", kRuns, [&] {
+      const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40U);
+      const int nodes = *rc::gen::inRange(3, 9);
+      DutyZone zone(seed);
+      zone.world.message_loss = 0.02;
+      zone.platform.lost_answers = 0.1;
+      zone.startAll(nodes);
+      zone.serve(seconds(12));
+      for (int step = 0; step < kSteps; ++step) {
+        zone.world.store.copy();
+        zone.serve(milliseconds(zone.world.random.below(15'000)));
+        const std::uint64_t lost = zone.world.random.below(4);
+        for (int index = 1; index <= nodes; ++index) {
+          const bool all = lost == 3;
+          const bool reporter = lost > 0 && index == zone.lastReporter();
+          const bool other = lost > 1 && zone.world.random.below(3) == 0;
+          if (all || reporter || other) {
+            zone.stop(index);
+          }
+        }
+        zone.world.store.restore();
+        zone.serve(milliseconds(zone.world.random.below(4000)));
+        for (int index = 1; index <= nodes; ++index) {
+          if (!zone.nodes.contains(index)) {
+            zone.start(index);
+          }
+        }
+        zone.serve(milliseconds(zone.world.random.below(12'000)));
+        RC_LOG() << zone.platform.violation;
+        RC_ASSERT(zone.platform.violation.empty());
+      }
+      const std::uint64_t last = zone.currentWindow();
+      zone.serve(seconds(30));
+      RC_ASSERT(zone.platform.violation.empty());
+      RC_ASSERT(zone.platform.taken.contains(last + 1));
+    });
+  }
+
  private:
+  /// Requires one count for each window from `first` on.
+  static void requireWindowsSince(DutyZone& zone, std::uint64_t first, std::uint64_t seed) {
+    const std::string name = "seed " + std::to_string(seed);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string(), zone.platform.violation);
+    for (std::uint64_t window = first; window < zone.currentWindow() - 2; ++window) {
+      CPPUNIT_ASSERT_MESSAGE(name + ", window " + std::to_string(window - first),
+                             zone.platform.taken.contains(window));
+    }
+  }
   static Duration lateness(DutyZone& zone, std::uint64_t window) {
     const Duration end = zone.settings.usage.window * static_cast<std::int64_t>(window + 1);
     return kWorldStart + zone.platform.taken_at.at(window) - end;
