Quarantine: a first part isn't blamed for a crashing part further on

Cause: a crash report named the next part only, and crashes under a part counted as one if that was the same. A part two places on that all of them had in common was not in the report. No answer came within the 40 ms of the crashes, and none could come later.

Change: reports list all shared parts of the prompt. Crashes under a part that have any narrower part in common count as one; parts of which nobody knows a recent answer come before those that were answered, later ones before earlier ones. Before a part is quarantined, its counting node asks the others when the parts were last answered, 0.1 s at most. Earlier builds read and send the next part as before.

--- a/src/cypresswall/api/envelope.h
+++ b/src/cypresswall/api/envelope.h
@@ -33,8 +33,9 @@
   kAnsweredParts = 9,   ///< adds the message of `quarantine` on parts that were answered
   kBuildHistory = 10,   ///< adds the messages of `answer_builds` on the builds that models had
   kReportCopies = 11,   ///< adds the messages of `duties` on copies of usage reports
+  kPartAnswers = 12,    ///< adds the messages of `quarantine` that ask when parts were answered
 };
-inline constexpr MessageSet kHandledMessages = MessageSet::kReportCopies;
+inline constexpr MessageSet kHandledMessages = MessageSet::kPartAnswers;
 /// Largest encoded envelope that a transport accepts, in bytes.
 inline constexpr std::size_t kMaximumEnvelopeBytes = 4U << 20;
 
--- a/src/cypresswall/quarantine/answered_parts.h
+++ b/src/cypresswall/quarantine/answered_parts.h
@@ -1,6 +1,8 @@
 /// When prompts with a part were last answered.
 #pragma once
 
+#include <algorithm>
+#include <optional>
 #include <unordered_map>
 
 #include "cypresswall/common/request_fingerprint.h"
@@ -19,12 +21,18 @@
     if (answered_.size() >= settings_.maximum_answered_parts && !answered_.contains(part)) {
       makeRoom(now);
     }
-    answered_[part] = now;
+    common::MonotonicTime& last = answered_[part];
+    last = std::max(last, now);
+  }
+  /// \return when a prompt with the part was last answered; nothing if that is not known
+  std::optional<common::MonotonicTime> lastAnswer(common::RequestFingerprint part) const {
+    const auto found = answered_.find(part);
+    return found == answered_.end() ? std::nullopt : std::make_optional(found->second);
   }
   /// \return true if a prompt with the part was answered at `since` or later
   bool answeredSince(common::RequestFingerprint part, common::MonotonicTime since) const {
-    const auto found = answered_.find(part);
-    return found != answered_.end() && found->second >= since;
+    const auto last = lastAnswer(part);
+    return last && *last >= since;
   }
 
  private:
--- a/src/cypresswall/quarantine/crash_history.cpp
+++ b/src/cypresswall/quarantine/crash_history.cpp
@@ -1,7 +1,10 @@
 #include "cypresswall/quarantine/crash_history.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <set>
+#include <utility>
 
 namespace cypresswall::quarantine {
 namespace {
@@ -10,8 +13,66 @@
 constexpr std::size_t kWeightWithoutOutput = 2;
 /// Maximum number of crashes that are stored for one request or part.
 constexpr std::size_t kMaximumCrashes = 16;
-/// Bounds the next parts that are remembered, including those of crashes that are no longer stored.
-constexpr std::size_t kNextPartsPerRequest = 4;
+/// Bounds the later parts that are remembered, including those of crashes that are no longer
+/// stored.
+constexpr std::size_t kLaterPartsPerRequest = 4;
+
+std::size_t weightOf(const CrashObservation& crash) {
+  return crash.output_began ? 1 : kWeightWithoutOutput;
+}
+
+bool contains(const std::vector<common::RequestFingerprint>& parts,
+              common::RequestFingerprint part) {
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+void addMissing(std::vector<common::RequestFingerprint>& parts,
+                const std::vector<common::RequestFingerprint>& added) {
+  for (const common::RequestFingerprint part : added) {
+    if (parts.size() < kMaximumOtherParts && !contains(parts, part)) {
+      parts.push_back(part);
+    }
+  }
+}
+
+/// A crash and the parts that are more likely to have caused it than the part that is examined.
+struct ExplainedCrash {
+  std::size_t weight = 0;
+  std::vector<common::RequestFingerprint> narrower_parts;
+};
+
+/// \return the narrower part that most of the crashes have; zero if they have none
+common::RequestFingerprint mostFrequentPart(const std::vector<ExplainedCrash>& crashes) {
+  std::map<common::RequestFingerprint, std::size_t> frequency;
+  for (const ExplainedCrash& crash : crashes) {
+    for (const common::RequestFingerprint part : crash.narrower_parts) {
+      ++frequency[part];
+    }
+  }
+  const auto most =
+      std::max_element(frequency.begin(), frequency.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  return most == frequency.end() ? 0 : most->first;
+}
+
+/// Of the crashes that have a narrower part in common, the heaviest one counts. The parts that most
+/// crashes have come first, so that few of them explain all crashes.
+std::size_t combinedWeight(std::vector<ExplainedCrash> crashes) {
+  std::size_t weight = 0;
+  while (const common::RequestFingerprint part = mostFrequentPart(crashes)) {
+    std::size_t heaviest = 0;
+    std::erase_if(crashes, [&](const ExplainedCrash& crash) {
+      const bool explained = contains(crash.narrower_parts, part);
+      heaviest = explained ? std::max(heaviest, crash.weight) : heaviest;
+      return explained;
+    });
+    weight += heaviest;
+  }
+  for (const ExplainedCrash& crash : crashes) {
+    weight += crash.weight;
+  }
+  return weight;
+}
 
 }  // namespace
 
@@ -27,28 +88,26 @@
       std::find_if(entry.crashes.begin(), entry.crashes.end(),
                    [&](const CrashObservation& other) { return same(other, crash); });
   if (known != entry.crashes.end()) {
-    // Several copies of the request ran on the engine, or the next part has been exonerated since
-    // the earlier report.
+    // Several prompts with the part ran on the engine, and any of their parts may be the cause.
     known->output_began = known->output_began && crash.output_began;
-    known->next_part = crash.next_part == 0 ? 0 : known->next_part;
+    addMissing(known->earlier_parts, crash.earlier_parts);
+    addMissing(known->later_parts, crash.later_parts);
+    recordLaterParts(*known);
   } else if (hasRoomFor(entry.crashes, crash)) {
     entry.crashes.push_back(crash);
-    recordNextPart(crash.next_part);
+    recordLaterParts(crash);
   }
 }
 
-void CrashHistory::recordNextPart(common::RequestFingerprint part) {
-  if (part == 0) {
+void CrashHistory::recordLaterParts(const CrashObservation& crash) {
+  later_parts_.insert(crash.later_parts.begin(), crash.later_parts.end());
+  if (later_parts_.size() <= kLaterPartsPerRequest * settings_.maximum_tracked_requests) {
     return;
   }
-  next_parts_.insert(part);
-  if (next_parts_.size() <= kNextPartsPerRequest * settings_.maximum_tracked_requests) {
-    return;
-  }
-  next_parts_.clear();
+  later_parts_.clear();
   for (const auto& [request, entry] : requests_) {
-    for (const CrashObservation& crash : entry.crashes) {
-      next_parts_.insert(crash.next_part);
+    for (const CrashObservation& stored : entry.crashes) {
+      later_parts_.insert(stored.later_parts.begin(), stored.later_parts.end());
     }
   }
 }
@@ -61,25 +120,23 @@
 bool CrashHistory::hasRoomFor(const std::vector<CrashObservation>& crashes,
                               const CrashObservation& crash) const {
   const auto alike = std::count_if(crashes.begin(), crashes.end(), [&](const auto& other) {
-    return other.next_part == crash.next_part && other.output_began == crash.output_began;
+    return other.later_parts == crash.later_parts && other.earlier_parts == crash.earlier_parts &&
+           other.output_began == crash.output_began;
   });
-  const std::size_t weight = crash.output_began ? 1 : kWeightWithoutOutput;
-  return static_cast<std::size_t>(alike) * weight < settings_.crashes * kWeightWithoutOutput &&
+  return static_cast<std::size_t>(alike) * weightOf(crash) <
+             settings_.crashes * kWeightWithoutOutput &&
          crashes.size() < kMaximumCrashes;
 }
 
 std::vector<common::RequestFingerprint> CrashHistory::exonerate(common::RequestFingerprint part) {
   std::vector<common::RequestFingerprint> parts_before;
-  if (next_parts_.erase(part) == 0) {
+  if (later_parts_.erase(part) == 0) {
     return parts_before;
   }
   for (auto& [request, entry] : requests_) {
     bool changed = false;
     for (CrashObservation& crash : entry.crashes) {
-      if (crash.next_part == part) {
-        crash.next_part = 0;
-        changed = true;
-      }
+      changed = std::erase(crash.later_parts, part) != 0 || changed;
     }
     if (changed) {
       parts_before.push_back(request);
@@ -90,49 +147,77 @@
 
 std::size_t CrashHistory::crashes(common::RequestFingerprint request,
                                   common::MonotonicTime now) const {
-  const auto found = requests_.find(request);
-  if (found == requests_.end()) {
-    return 0;
+  return recentCrashes(request, now).size();
+}
+
+bool CrashHistory::mightSuffice(common::RequestFingerprint request,
+                                common::MonotonicTime now) const {
+  std::size_t weight = 0;
+  for (const CrashObservation& crash : recentCrashes(request, now)) {
+    weight += weightOf(crash);
   }
-  const auto& crashes = found->second.crashes;
-  return static_cast<std::size_t>(
-      std::count_if(crashes.begin(), crashes.end(),
-                    [&](const CrashObservation& crash) { return recent(crash, now); }));
+  return weight >= settings_.crashes * kWeightWithoutOutput;
 }
 
-bool CrashHistory::suffices(common::RequestFingerprint request, common::MonotonicTime now) const {
-  const auto found = requests_.find(request);
-  if (found == requests_.end()) {
-    return false;
+bool CrashHistory::suffices(common::RequestFingerprint request, const AnsweredParts& answers,
+                            common::MonotonicTime now) const {
+  std::vector<ExplainedCrash> crashes;
+  for (const CrashObservation& crash : recentCrashes(request, now)) {
+    crashes.push_back({weightOf(crash), narrowerParts(request, crash, answers)});
   }
-  std::size_t weight = 0;
-  std::map<common::RequestFingerprint, std::size_t> weight_by_next_part;
-  for (const CrashObservation& crash : found->second.crashes) {
-    if (!recent(crash, now)) {
-      continue;
+  return combinedWeight(std::move(crashes)) >= settings_.crashes * kWeightWithoutOutput;
+}
+
+std::vector<common::RequestFingerprint> CrashHistory::narrowerParts(
+    common::RequestFingerprint part, const CrashObservation& crash,
+    const AnsweredParts& answers) const {
+  const auto before = crash.at - settings_.answer_validity;
+  const bool answered = answers.answeredSince(part, before);
+  std::vector<common::RequestFingerprint> narrower;
+  for (const common::RequestFingerprint other : crash.later_parts) {
+    const bool less_likely = !answered && answers.answeredSince(other, before);
+    if (!less_likely && !answers.answeredSince(other, crash.at)) {
+      narrower.push_back(other);
     }
-    const std::size_t weight_of_crash = crash.output_began ? 1 : kWeightWithoutOutput;
-    if (crash.next_part == 0) {
-      weight += weight_of_crash;
-    } else {
-      auto& heaviest = weight_by_next_part[crash.next_part];
-      heaviest = std::max(heaviest, weight_of_crash);
+  }
+  for (const common::RequestFingerprint other : crash.earlier_parts) {
+    if (answered && !answers.answeredSince(other, before)) {
+      narrower.push_back(other);
     }
   }
-  for (const auto& [next_part, heaviest] : weight_by_next_part) {
-    weight += heaviest;
+  return narrower;
+}
+
+std::vector<common::RequestFingerprint> CrashHistory::otherParts(
+    common::RequestFingerprint part) const {
+  std::set<common::RequestFingerprint> parts;
+  const auto found = requests_.find(part);
+  if (found != requests_.end()) {
+    for (const CrashObservation& crash : found->second.crashes) {
+      parts.insert(crash.earlier_parts.begin(), crash.earlier_parts.end());
+      parts.insert(crash.later_parts.begin(), crash.later_parts.end());
+    }
   }
-  return weight >= settings_.crashes * kWeightWithoutOutput;
+  return {parts.begin(), parts.end()};
+}
+
+std::vector<CrashObservation> CrashHistory::recentCrashes(common::RequestFingerprint request,
+                                                          common::MonotonicTime now) const {
+  std::vector<CrashObservation> crashes;
+  const auto found = requests_.find(request);
+  if (found != requests_.end()) {
+    std::copy_if(found->second.crashes.begin(), found->second.crashes.end(),
+                 std::back_inserter(crashes),
+                 [&](const CrashObservation& crash) { return recent(crash, now); });
+  }
+  return crashes;
 }
 
 common::MonotonicTime CrashHistory::firstCrash(common::RequestFingerprint request,
                                                common::MonotonicTime now) const {
   common::MonotonicTime first = now;
-  const auto found = requests_.find(request);
-  if (found != requests_.end()) {
-    for (const CrashObservation& crash : found->second.crashes) {
-      first = recent(crash, now) ? std::min(first, crash.at) : first;
-    }
+  for (const CrashObservation& crash : recentCrashes(request, now)) {
+    first = std::min(first, crash.at);
   }
   return first;
 }
@@ -140,16 +225,11 @@
 std::vector<EngineCrash> CrashHistory::all(common::RequestFingerprint request,
                                            common::MonotonicTime now) const {
   std::vector<EngineCrash> crashes;
-  const auto found = requests_.find(request);
-  if (found == requests_.end()) {
-    return crashes;
-  }
-  for (const CrashObservation& crash : found->second.crashes) {
-    if (recent(crash, now)) {
-      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
-      crashes.push_back({crash.engine, static_cast<std::uint32_t>(age.count()), crash.output_began,
-                         crash.next_part});
-    }
+  for (const CrashObservation& crash : recentCrashes(request, now)) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
+    crashes.push_back({crash.engine, static_cast<std::uint32_t>(age.count()), crash.output_began,
+                       crash.later_parts.empty() ? 0 : crash.later_parts.front(),
+                       crash.earlier_parts, crash.later_parts});
   }
   return crashes;
 }
--- a/src/cypresswall/quarantine/crash_history.h
+++ b/src/cypresswall/quarantine/crash_history.h
@@ -9,18 +9,23 @@
 
 #include "cypresswall/common/request_fingerprint.h"
 #include "cypresswall/common/time.h"
+#include "cypresswall/quarantine/answered_parts.h"
 #include "cypresswall/quarantine/messages.h"
 #include "cypresswall/quarantine/quarantine_settings.h"
 
 namespace cypresswall::quarantine {
 
+/// Maximum number of parts of one list of a CrashObservation.
+inline constexpr std::size_t kMaximumOtherParts = 16;
+
 /// A crash of an engine under a request or a part of its prompt; see EngineCrash.
 struct CrashObservation {
   std::uint64_t engine = 0;
   bool output_began = false;
-  /// The next part of the prompt, if that part may have caused the crash instead; otherwise zero.
-  common::RequestFingerprint next_part = 0;
   common::MonotonicTime at{};
+  /// See EngineCrash; the parts of all prompts with the part that ran on the engine.
+  std::vector<common::RequestFingerprint> earlier_parts;
+  std::vector<common::RequestFingerprint> later_parts;
 };
 
 /// Bounded by the maximum number of requests and the age of crashes in QuarantineSettings. Does no
@@ -40,10 +45,16 @@
   bool forget(common::RequestFingerprint request) { return requests_.erase(request) != 0; }
   /// \return the number of recent engine crashes under the request that are stored
   std::size_t crashes(common::RequestFingerprint request, common::MonotonicTime now) const;
+  /// \return true if the recent crashes would suffice if no other part explained them
+  bool mightSuffice(common::RequestFingerprint request, common::MonotonicTime now) const;
   /// \return true if the recent crashes suffice to quarantine the request. Crashes under a part of
-  ///   prompts that have the next part in common count as one: that part, which fewer prompts have,
-  ///   explains them better until it is exonerated.
-  bool suffices(common::RequestFingerprint request, common::MonotonicTime now) const;
+  ///   prompts that have a narrower part in common (see narrowerParts()) count as one: that part
+  ///   explains them better.
+  /// \param answers known answers to prompts with parts
+  bool suffices(common::RequestFingerprint request, const AnsweredParts& answers,
+                common::MonotonicTime now) const;
+  /// \return the other parts in the crashes under the part
+  std::vector<common::RequestFingerprint> otherParts(common::RequestFingerprint part) const;
   /// \return the time of the first recent crash; `now` if there is none
   common::MonotonicTime firstCrash(common::RequestFingerprint request,
                                    common::MonotonicTime now) const;
@@ -66,13 +77,22 @@
   bool hasRoomFor(const std::vector<CrashObservation>& crashes,
                   const CrashObservation& crash) const;
   void evictOldest();
-  void recordNextPart(common::RequestFingerprint part);
+  void recordLaterParts(const CrashObservation& crash);
+  /// \return the parts that are more likely than `part` to have caused the crash. Parts of which
+  ///   nobody knows an answer shortly before the crash come before those that were answered, and
+  ///   among either, those that stand later in the prompt, as fewer prompts have them. A part that
+  ///   was answered since did not cause the crash.
+  std::vector<common::RequestFingerprint> narrowerParts(common::RequestFingerprint part,
+                                                        const CrashObservation& crash,
+                                                        const AnsweredParts& answers) const;
+  std::vector<CrashObservation> recentCrashes(common::RequestFingerprint request,
+                                              common::MonotonicTime now) const;
 
   const QuarantineSettings settings_;
   std::unordered_map<common::RequestFingerprint, RequestCrashes> requests_;
-  /// The next parts of the stored crashes, and some of crashes that are no longer stored: most
+  /// The later parts of the stored crashes, and some of crashes that are no longer stored: most
   /// answers exonerate nothing, which is found out without a search.
-  std::unordered_set<common::RequestFingerprint> next_parts_;
+  std::unordered_set<common::RequestFingerprint> later_parts_;
 };
 
 }  // namespace cypresswall::quarantine
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -62,6 +62,14 @@
       });
   context_.dispatcher.handle<AnsweredPart>(
       [this](const common::NodeId&, const AnsweredPart& answer) { onPartAnswered(answer.part); });
+  context_.dispatcher.handle<PartAnswersRequest>(
+      [this](const common::NodeId& sender, const PartAnswersRequest& request) {
+        onAnswersRequest(sender, request);
+      });
+  context_.dispatcher.handle<PartAnswers>(
+      [this](const common::NodeId& sender, const PartAnswers& message) {
+        onAnswers(sender, message);
+      });
   context_.dispatcher.handle<QuarantineNotice>(
       [this](const common::NodeId& sender, const QuarantineNotice& notice) {
         onNotice(sender, notice);
@@ -129,14 +137,19 @@
       .field("engine", name)
       .field("output_began", output_began);
   crashes_.add();
-  crashed(content.request, false, name, output_began, 0);
+  CrashObservation crash;
+  crash.output_began = output_began;
+  crashed(content.request, false, name, crash);
   if (progress == OutputProgress::kUnderWay) {
     return;
   }
   const auto& parts = content.shared_parts;
-  for (std::size_t index = 0; index < parts.size(); ++index) {
-    crashed(parts[index], true, name, output_began,
-            index + 1 < parts.size() ? parts[index + 1] : 0);
+  const auto count = std::min(parts.size(), kMaximumOtherParts);
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto part = parts.begin() + static_cast<std::ptrdiff_t>(index);
+    crash.earlier_parts.assign(parts.begin(), part);
+    crash.later_parts.assign(part + 1, parts.begin() + static_cast<std::ptrdiff_t>(count));
+    crashed(*part, true, name, crash);
   }
 }
 
@@ -145,16 +158,17 @@
   const bool path_lost = server_path_ != nullptr && server_path_->lost();
   if (settings_.quarantines && request != 0 && !path_lost) {
     crashes_.add();
-    crashed(request, false, backend, false, 0);
+    crashed(request, false, backend, {});
   }
 }
 
 void FleetQuarantine::crashed(common::RequestFingerprint fingerprint, bool is_part,
-                              const std::string& name, bool output_began,
-                              common::RequestFingerprint next_part) {
+                              const std::string& name, CrashObservation crash) {
   const auto now = context_.clock.now();
-  observed_.add(fingerprint, {common::hash64(name), output_began, next_part, now}, now);
-  report({fingerprint, observed_.all(fingerprint, now), is_part});
+  crash.engine = common::hash64(name);
+  crash.at = now;
+  observed_.add(fingerprint, crash, now);
+  report({fingerprint, observed_.all(fingerprint, now), is_part, 0});
 }
 
 void FleetQuarantine::answered(const common::RequestContent& content) {
@@ -167,7 +181,7 @@
   for (const common::RequestFingerprint part : content.shared_parts) {
     answered_parts_.add(part, now);
     clear(part, true);
-    blamePartsBefore(part);
+    blameOtherParts(part);
   }
 }
 
@@ -175,19 +189,19 @@
 /// then ends.
 void FleetQuarantine::clear(common::RequestFingerprint fingerprint, bool is_part) {
   if (observed_.forget(fingerprint)) {
-    report({fingerprint, {}, is_part});
+    report({fingerprint, {}, is_part, 0});
   }
   if (list_.remaining(fingerprint, context_.clock.now()) && release(fingerprint)) {
     notifyPeers({{fingerprint, 0, 0}});
   }
 }
 
-void FleetQuarantine::blamePartsBefore(common::RequestFingerprint part) {
+void FleetQuarantine::blameOtherParts(common::RequestFingerprint part) {
   const auto now = context_.clock.now();
   for (const common::RequestFingerprint before : observed_.exonerate(part)) {
     // A report without crashes would mean that the part was answered.
     if (auto crashes = observed_.all(before, now); !crashes.empty()) {
-      report({before, std::move(crashes), true});
+      report({before, std::move(crashes), true, part});
     }
   }
 }
@@ -212,43 +226,117 @@
     return;
   }
   const auto now = context_.clock.now();
+  if (report.exonerated_part != 0) {
+    answered_parts_.add(report.exonerated_part, now);
+    counted_.exonerate(report.exonerated_part);
+  }
   for (const EngineCrash& crash : report.crashes) {
-    const common::Duration age = std::chrono::milliseconds(crash.age_milliseconds);
-    counted_.add(report.request, {crash.engine, crash.output_began, crash.next_part, now - age},
-                 now);
+    counted_.add(report.request, observationOf(crash), now);
   }
-  if (report.is_part && voidIfAnswered(sender, report.request)) {
+  const bool is_void = report.is_part && voidIfAnswered({sender}, report.request);
+  if (is_void || !counted_.mightSuffice(report.request, now)) {
     return;
   }
-  if (!counted_.suffices(report.request, now)) {
+  if (report.is_part) {
+    examine(sender, report.request);
+  } else {
+    quarantineForZone({report.request, quarantineMilliseconds(), 0}, "crashes");
+  }
+}
+
+void FleetQuarantine::examine(const common::NodeId& sender, common::RequestFingerprint part) {
+  const auto [entry, is_new] = examinations_.try_emplace(part);
+  Examination& examination = entry->second;
+  examination.reporters.insert(sender);
+  if (!is_new) {
     return;
   }
-  QuarantinedRequest kept{report.request, quarantineMilliseconds(), 0};
-  if (report.is_part) {
-    const auto since = counted_.firstCrash(report.request, now);
-    kept.evidence_milliseconds = std::max(common::millisecondsOf(now - since), 1U);
+  for (const common::NodeId& node : peers_.updateReceivers()) {
+    examination.awaited.insert(node);
+  }
+  examination.awaited.insert(sender);
+  std::erase_if(examination.awaited, [this](const common::NodeId& node) {
+    return node == context_.self || !membership_.handles(node, api::MessageSet::kPartAnswers);
+  });
+  PartAnswersRequest request{part, counted_.otherParts(part)};
+  request.parts.push_back(part);
+  context_.sendToAll({examination.awaited.begin(), examination.awaited.end()}, request);
+  const auto time = examination.awaited.empty() ? common::Duration{0} : settings_.examination_time;
+  examination.timer = context_.scheduler.schedule(time, [this, part] { decide(part); });
+}
+
+void FleetQuarantine::decide(common::RequestFingerprint part) {
+  const auto now = context_.clock.now();
+  const auto reporters = std::move(examinations_.extract(part).mapped().reporters);
+  if (voidIfAnswered(reporters, part) || !counted_.suffices(part, answered_parts_, now)) {
+    return;
+  }
+  const auto since = counted_.firstCrash(part, now);
+  quarantineForZone(
+      {part, quarantineMilliseconds(), std::max(common::millisecondsOf(now - since), 1U)},
+      "crashes");
+}
+
+void FleetQuarantine::onAnswersRequest(const common::NodeId& sender,
+                                       const PartAnswersRequest& request) {
+  const auto now = context_.clock.now();
+  PartAnswers reply;
+  reply.examined = request.examined;
+  for (const common::RequestFingerprint part : request.parts) {
+    const auto last = answered_parts_.lastAnswer(part);
+    if (last && now - *last < settings_.answer_validity) {
+      reply.answers.push_back({part, common::millisecondsOf(now - *last)});
+    }
   }
-  quarantineForZone(kept, "crashes");
+  context_.sendTo(sender, reply);
 }
 
-bool FleetQuarantine::voidIfAnswered(const common::NodeId& sender,
+void FleetQuarantine::onAnswers(const common::NodeId& sender, const PartAnswers& message) {
+  const auto now = context_.clock.now();
+  for (const PartAnswerAge& answer : message.answers) {
+    answered_parts_.add(answer.part, now - std::chrono::milliseconds(answer.age_milliseconds));
+  }
+  const auto examination = examinations_.find(message.examined);
+  if (examination == examinations_.end()) {
+    return;
+  }
+  examination->second.awaited.erase(sender);
+  if (examination->second.awaited.empty()) {
+    context_.scheduler.cancel(examination->second.timer);
+    decide(message.examined);
+  }
+}
+
+CrashObservation FleetQuarantine::observationOf(const EngineCrash& crash) const {
+  const common::Duration age = std::chrono::milliseconds(crash.age_milliseconds);
+  CrashObservation observation{crash.engine, crash.output_began, context_.clock.now() - age,
+                               crash.earlier_parts, crash.later_parts};
+  if (observation.later_parts.empty() && crash.next_part != 0) {
+    observation.later_parts.push_back(crash.next_part);
+  }
+  return observation;
+}
+
+bool FleetQuarantine::voidIfAnswered(const std::set<common::NodeId>& senders,
                                      common::RequestFingerprint part) {
   const auto first_crash = counted_.firstCrash(part, context_.clock.now());
   if (!answered_parts_.answeredSince(part, first_crash)) {
     return false;
   }
   counted_.forget(part);
-  if (sender == context_.self) {
-    onPartAnswered(part);
-  } else if (membership_.handles(sender, api::MessageSet::kAnsweredParts)) {
-    context_.sendTo(sender, AnsweredPart{part});
+  for (const common::NodeId& sender : senders) {
+    if (sender == context_.self) {
+      onPartAnswered(part);
+    } else if (membership_.handles(sender, api::MessageSet::kAnsweredParts)) {
+      context_.sendTo(sender, AnsweredPart{part});
+    }
   }
   return true;
 }
 
 void FleetQuarantine::onPartAnswered(common::RequestFingerprint part) {
   observed_.forget(part);
-  blamePartsBefore(part);
+  blameOtherParts(part);
 }
 
 void FleetQuarantine::quarantineForZone(const QuarantinedRequest& kept, const char* source) {
@@ -301,7 +389,7 @@
   list_.remove(request);
   // Notices that were sent before the release may still arrive; they must not begin a quarantine.
   answered_parts_.add(request, now);
-  blamePartsBefore(request);
+  blameOtherParts(request);
   if (!answered_.contains(request, now)) {
     answered_.add(request, now);
   } else if (!kept) {
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +62,14 @@
   std::vector<QuarantinedRequest> all() const;
 
  private:
+  /// The examination of a part under which engines crashed.
+  struct Examination {
+    std::set<common::NodeId> reporters;
+    /// The nodes that have not replied yet.
+    std::set<common::NodeId> awaited;
+    common::TimerId timer = 0;
+  };
+
   /// Records the crash of an engine that does not answer, if this node reaches other servers.
   void onEngineSilent(const common::RequestContent& content, const std::string& name,
                       OutputProgress progress);
@@ -67,18 +77,25 @@
                      OutputProgress progress);
   /// \param fingerprint of a whole request or, if `is_part` is set, of a part of its prompt
   /// \param name name of the crashed engine, or address of the crashed back end
-  /// \param next_part see EngineCrash::next_part
+  /// \param crash the crash; its engine and time are set by this function
   void crashed(common::RequestFingerprint fingerprint, bool is_part, const std::string& name,
-               bool output_began, common::RequestFingerprint next_part);
+               CrashObservation crash);
+  CrashObservation observationOf(const EngineCrash& crash) const;
   /// Forgets the crashes under a request or part that was answered, and ends its quarantine.
   void clear(common::RequestFingerprint fingerprint, bool is_part);
-  /// Reports the crashes that the part no longer explains under the parts that stood before it.
-  void blamePartsBefore(common::RequestFingerprint part);
+  /// Reports the crashes that the part no longer explains under the other parts of their prompts.
+  void blameOtherParts(common::RequestFingerprint part);
   void report(const CrashReport& report);
   void onReport(const common::NodeId& sender, const CrashReport& report);
+  /// Asks other nodes when the parts of the prompts were last answered, and decides on their
+  /// replies whether the part is quarantined.
+  void examine(const common::NodeId& sender, common::RequestFingerprint part);
+  void decide(common::RequestFingerprint part);
+  void onAnswersRequest(const common::NodeId& sender, const PartAnswersRequest& request);
+  void onAnswers(const common::NodeId& sender, const PartAnswers& message);
   /// \return true if the crash reports for a part were void, as a prompt with the part has been
-  ///   answered since the first of these crashes; `sender` is then told
-  bool voidIfAnswered(const common::NodeId& sender, common::RequestFingerprint part);
+  ///   answered since the first of these crashes; `senders`, who reported them, are then told
+  bool voidIfAnswered(const std::set<common::NodeId>& senders, common::RequestFingerprint part);
   /// Handles the knowledge that a part did not cause the crashes that this node reported under it.
   void onPartAnswered(common::RequestFingerprint part);
   void onNotice(const common::NodeId& sender, const QuarantineNotice& notice);
@@ -121,8 +138,10 @@
   QuarantineList list_;
   /// Requests answered by this node, or by others according to their notices.
   AnsweredRequests answered_;
-  /// Parts of the prompts that this node had answered.
+  /// Parts of the prompts that this node had answered, or others according to their messages.
   AnsweredParts answered_parts_;
+  /// By the parts that are being examined.
+  std::map<common::RequestFingerprint, Examination> examinations_;
   QuarantineStore stored_;
   api::ServerPath* server_path_ = nullptr;
   /// Position in the list at which the next periodic announcement starts.
--- a/src/cypresswall/quarantine/messages.h
+++ b/src/cypresswall/quarantine/messages.h
@@ -16,10 +16,14 @@
   std::uint32_t age_milliseconds = 0;
   /// The engine had given output to the request. Not sent by earlier builds.
   bool output_began = false;
-  /// For a crash under a part of a prompt: the next part, if other prompts may share that one as
-  /// well; zero otherwise. Not sent by earlier builds.
+  /// For a crash under a part of a prompt: the next part that other prompts may share; zero if
+  /// there is none. Earlier builds read and send this one only.
   common::RequestFingerprint next_part = 0;
-  MSGPACK_DEFINE(engine, age_milliseconds, output_began, next_part)
+  /// The other parts of that prompt that other prompts may share, before and behind the part. Not
+  /// sent by earlier builds.
+  std::vector<common::RequestFingerprint> earlier_parts;
+  std::vector<common::RequestFingerprint> later_parts;
+  MSGPACK_DEFINE(engine, age_milliseconds, output_began, next_part, earlier_parts, later_parts)
 };
 
 /// Sent to the two nodes that count the crashes of a request. Contains all recent crashes that the
@@ -32,7 +36,10 @@
   std::vector<EngineCrash> crashes;
   /// `request` is the fingerprint of a part of prompts. Earlier builds ignore the field.
   bool is_part = false;
-  MSGPACK_DEFINE(request, crashes, is_part)
+  /// A later part that has been answered, so that it did not cause the crashes; zero if none.
+  /// Earlier builds ignore the field.
+  common::RequestFingerprint exonerated_part = 0;
+  MSGPACK_DEFINE(request, crashes, is_part, exonerated_part)
 };
 
 /// A quarantined request, or one that has been released.
@@ -64,4 +71,29 @@
   MSGPACK_DEFINE(part)
 };
 
+/// Asks when prompts with these parts were last answered. Sent by a counting node that has to
+/// decide which of them has caused crashes.
+struct PartAnswersRequest {
+  static constexpr auto kType = api::messageType(api::MessageType::kQuarantineFirst, 3);
+  /// The part whose crashes are examined.
+  common::RequestFingerprint examined = 0;
+  std::vector<common::RequestFingerprint> parts;
+  MSGPACK_DEFINE(examined, parts)
+};
+
+/// Time since a prompt with the part was last answered.
+struct PartAnswerAge {
+  common::RequestFingerprint part = 0;
+  std::uint32_t age_milliseconds = 0;
+  MSGPACK_DEFINE(part, age_milliseconds)
+};
+
+/// Reply to a PartAnswersRequest, with the parts that the sender has had answered recently.
+struct PartAnswers {
+  static constexpr auto kType = api::messageType(api::MessageType::kQuarantineFirst, 4);
+  common::RequestFingerprint examined = 0;
+  std::vector<PartAnswerAge> answers;
+  MSGPACK_DEFINE(examined, answers)
+};
+
 }  // namespace cypresswall::quarantine
--- a/src/cypresswall/quarantine/quarantine_settings.h
+++ b/src/cypresswall/quarantine/quarantine_settings.h
@@ -31,6 +31,9 @@
   /// How long after its start a probe's result applies to further streams that break on the same
   /// engine.
   common::Duration probe_validity = std::chrono::milliseconds(500);
+  /// Time that other nodes have to tell when parts were last answered, before a part is
+  /// quarantined.
+  common::Duration examination_time = std::chrono::milliseconds(100);
   /// Interval at which each node announces its list to two other nodes. A node that starts, or that
   /// missed a notice, learns the list within about two intervals.
   common::Duration announcement_interval = std::chrono::seconds(1);
--- a/tests/quarantine/crashing_parts_test.cpp
+++ b/tests/quarantine/crashing_parts_test.cpp
@@ -55,6 +55,9 @@
   std::uint64_t few_parts = 30;
   /// Position of the crashing part in its prompts.
   std::size_t crashing_position = 1;
+  /// Number of requests with a crashing part that come at the same moment at different nodes, in
+  /// sendBursts().
+  std::size_t callers = 1;
   bool all_nodes_restart = false;
   /// Engines crash on the part once they have given the first token.
   bool crashes_after_first_token = false;
@@ -92,6 +95,24 @@
       fleet_->time().runFor(kStep);
     }
   }
+  /// Sends few sound requests, one after the other to all nodes, and, if `crashing` is set,
+  /// requests with a crashing part from several callers at once every four seconds.
+  void sendBursts(common::Duration duration, bool crashing) {
+    constexpr common::Duration kStep = milliseconds(400);
+    constexpr int kStepsBetweenBursts = 10;
+    for (common::Duration spent{0}; spent < duration; spent += kStep) {
+      const bool burst = crashing && sent_ % kStepsBetweenBursts == 0;
+      for (std::size_t caller = 0; burst && caller < scenario_.callers; ++caller) {
+        fleet_->sendPromptOfParts(next_node_++ % scenario_.nodes, kPromptTokens, kAnswerTokens,
+                                  partsOf(true));
+      }
+      fleet_->time().runFor(kStep / 2);
+      fleet_->sendPromptOfParts(next_node_++ % scenario_.nodes, kPromptTokens, kAnswerTokens,
+                                partsOf(false));
+      fleet_->time().runFor(kStep / 2);
+      ++sent_;
+    }
+  }
   /// Crashes engines one after the other while sound requests are sent.
   void crashEngines(int count) {
     for (int i = 0; i < count; ++i) {
@@ -183,6 +204,7 @@
   /// Contents of the requests with a crashing part.
   std::set<std::uint64_t> crashing_;
   int sent_ = 0;
+  std::size_t next_node_ = 0;
 };
 
 class CrashingPartsTest : public CppUnit::TestFixture {
@@ -193,6 +215,8 @@
   CPPUNIT_TEST(crashingFirstPart);
   CPPUNIT_TEST(crashingPartBeforePartsOfAllPrompts);
   CPPUNIT_TEST(crashesAfterTheFirstToken);
+  CPPUNIT_TEST(callersAtOnceBehindOneFirstPart);
+  CPPUNIT_TEST(callersAtOnceAmongPartsOfAllPrompts);
   CPPUNIT_TEST(everyThirdRequestCrashes);
   CPPUNIT_TEST(quarantineSurvivesNodeRestarts);
   CPPUNIT_TEST(soundPartsAreNotQuarantined);
@@ -248,6 +272,11 @@
       }
     }
   }
+  /// Guards against refusing all prompts of a sound first part, with few requests of which none is
+  /// answered while the engines crash. The other parts differ.
+  void callersAtOnceBehindOneFirstPart() { requireBurstsQuarantined(7); }
+  /// The same, with parts that all prompts have on both sides of the crashing one.
+  void callersAtOnceAmongPartsOfAllPrompts() { requireBurstsQuarantined(1); }
   void everyThirdRequestCrashes() {
     Scenario scenario;
     scenario.crashing_interval = 3;
@@ -277,6 +306,45 @@
   }
 
  private:
+  static void requireBurstsQuarantined(std::uint64_t few_parts) {
+    std::string failures;
+    for (const std::size_t callers : {1, 2, 4, 8}) {
+      for (std::size_t shared_parts = 1; shared_parts <= 5; ++shared_parts) {
+        for (std::size_t position = 0; position < shared_parts; ++position) {
+          Scenario scenario;
+          scenario.callers = callers;
+          scenario.shared_parts = shared_parts;
+          scenario.few_parts = few_parts;
+          scenario.crashing_position = position;
+          failures += burstFailure(scenario);
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+  }
+  /// \return the figures of a run in which a requirement was not met; otherwise empty
+  static std::string burstFailure(const Scenario& scenario) {
+    Fleet fleet(1, scenario);
+    const auto calm = fleet.now();
+    fleet.sendBursts(seconds(10), false);
+    const auto begin = fleet.now();
+    fleet.sendBursts(seconds(26), true);
+    const auto known_at = fleet.knownAt();
+    const double before = fleet.soundServed(calm, begin - seconds(1));
+    const double after = fleet.soundServed(
+        known_at == common::MonotonicTime::max() ? begin : known_at + kTimeUntilKnown,
+        fleet.now() - seconds(1));
+    const std::string figures =
+        std::to_string(scenario.callers) + " callers, crashing part " +
+        std::to_string(scenario.crashing_position) + " of " +
+        std::to_string(scenario.shared_parts) +
+        ", arrivals once known: " + std::to_string(fleet.arrivalsOnceKnown()) +
+        ", crashes: " + std::to_string(fleet.crashes()) + ", sound requests served " +
+        std::to_string(before) + " before, " + std::to_string(after) + " after";
+    const bool met = fleet.crashes() > 0 && fleet.arrivalsOnceKnown() <= kAllowedArrivals &&
+                     after >= kServedAmongCrashes * before;
+    return met ? std::string() : figures + "\n";
+  }
   static void requireQuarantined(const Scenario& scenario) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
       Fleet fleet(seed, scenario);
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -54,6 +54,8 @@
   CPPUNIT_TEST(partOfDifferentRequestsIsQuarantinedOnAllNodes);
   CPPUNIT_TEST(narrowestPartIsBlamed);
   CPPUNIT_TEST(firstPartOfDifferentPromptsIsBlamed);
+  CPPUNIT_TEST(firstPartBeforeACrashingOneIsNotBlamed);
+  CPPUNIT_TEST(partBehindACrashingOneIsNotBlamed);
   CPPUNIT_TEST(partBeforeAnAnsweredPartIsBlamed);
   CPPUNIT_TEST(partAnsweredSinceFirstCrashIsNotBlamed);
   CPPUNIT_TEST(partAnsweredBeforeFirstCrashIsBlamed);
@@ -390,6 +392,48 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kSecondPart + 1));
   }
 
+  /// Guards against the quarantine of a sound first part: four callers at once sent different
+  /// second parts before the crashing one, before any prompt with the first part was answered.
+  void firstPartBeforeACrashingOneIsNotBlamed() {
+    for (const std::size_t nodes : {1, 2, 9, 24, 66, 300}) {
+      for (const std::size_t callers : {1, 2, 4, 8}) {
+        QuarantineZone zone(nodes);
+        for (std::size_t number = 0; number < 2 * callers; ++number) {
+          const std::size_t caller = number / 2;
+          zone.crashUnder(
+              caller % nodes,
+              {kFirstRequest + caller, {kFirstPart, kSecondPart + caller, kCrashingPart}},
+              static_cast<int>(number));
+        }
+        zone.run(milliseconds(100));
+        zone.crashUnder(0, {kFirstRequest + callers, {kFirstPart, kSecondPart, kCrashingPart}},
+                        static_cast<int>(2 * callers));
+        zone.run(kPropagationTime);
+        const std::string name =
+            std::to_string(nodes) + " nodes, " + std::to_string(callers) + " callers";
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, nodes, zone.nodesThatQuarantine(kCrashingPart));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{0}, zone.nodesThatQuarantine(kFirstPart));
+      }
+    }
+  }
+
+  /// Guards against the quarantine of a sound part that stands behind the crashing one in all
+  /// prompts, if none of them is answered while engines crash.
+  void partBehindACrashingOneIsNotBlamed() {
+    for (const std::size_t nodes : {1, 9, 66}) {
+      QuarantineZone zone(nodes);
+      for (std::size_t node = 0; node < nodes; ++node) {
+        zone.at(node).answered({kInnocentRequest + node, {kFirstPart, kSecondPart}});
+      }
+      zone.run(seconds(2));
+      crashThreeWith(zone, {kFirstPart, kCrashingPart, kSecondPart});
+      zone.run(kPropagationTime);
+      CPPUNIT_ASSERT_EQUAL(nodes, zone.nodesThatQuarantine(kCrashingPart));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kFirstPart));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kSecondPart));
+    }
+  }
+
   /// The same part stands behind the crashing one in all prompts, and sound prompts with it are
   /// answered, at any node.
   void partBeforeAnAnsweredPartIsBlamed() {
