Quarantine: crashes below the limit survive a restart of all nodes

Cause: crashes were counted in the memory of two nodes and of the one that saw them. The object in the store held what was quarantined, not what was counted, so that the count began anew with each restart.

Change: the owner of the stored list gets the reports too, counts them, and stores them 0.2 s later beside the list, with wall-clock times; it reads them when it becomes the owner. Requests and parts that were answered are not stored, or removed 5 s later. At most 128 crashes. Earlier builds keep the field as it is. One message more for each report.

Tests: crashesCountOverRestartsOfAllNodes, crashesOfPartsCountOverRestarts- OfAllNodes and crashesCountOverRestartsBesideNodesOfEarlierBuild failed on the code before (expected 1, 9 and 5 nodes that quarantine, 0 did); three more hold the other side: answered and old crashes don't count, a rack with 128 streams takes at most six writes.

--- a/src/cypresswall/node/node.cpp
+++ b/src/cypresswall/node/node.cpp
@@ -82,7 +82,7 @@
       connection_shares_(settings_.connections, context_.counters,
                          [this] { return connection_part_.fraction(); }),
       quarantine_(settings_.quarantine, settings_.membership.neighbours, context_, membership_,
-                  clients.engines, clients.object_store),
+                  clients.engines, clients.object_store, clients.time_of_day),
       answer_builds_(settings_.answer_builds, context_, membership_, clients.object_store),
       duties_(settings_.duties, context_, membership_, settings_.membership.machine,
               clients.object_store, clients.duties, clients.time_of_day),
--- a/src/cypresswall/quarantine/crash_history.cpp
+++ b/src/cypresswall/quarantine/crash_history.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace cypresswall::quarantine {
@@ -16,6 +17,8 @@
 /// Bounds the later parts that are remembered, including those of crashes that are no longer
 /// stored.
 constexpr std::size_t kLaterPartsPerRequest = 4;
+/// Maximum difference between the wall clocks of two nodes. An engine takes longer to restart.
+constexpr common::Duration kClockTolerance = std::chrono::seconds(2);
 
 std::size_t weightOf(const CrashObservation& crash) {
   return crash.output_began ? 1 : kWeightWithoutOutput;
@@ -81,7 +84,7 @@
   if (!requests_.contains(request)) {
     evictOldest();
   }
-  RequestCrashes& entry = requests_[request];
+  Entry& entry = requests_[request];
   std::erase_if(entry.crashes, [&](const CrashObservation& old) { return !recent(old, now); });
   entry.last = std::max(entry.last, crash.at);
   const auto known =
@@ -99,6 +102,19 @@
   }
 }
 
+void CrashHistory::restore(const RequestCrashes& stored, common::MonotonicTime now) {
+  const auto known = recentCrashes(stored.request, now);
+  for (const CrashObservation& crash : stored.crashes) {
+    const bool is_known = std::any_of(known.begin(), known.end(), [&](const auto& other) {
+      return other.engine == crash.engine &&
+             std::chrono::abs(other.at - crash.at) < kClockTolerance;
+    });
+    if (!is_known && recent(crash, now)) {
+      add(stored.request, crash, now);
+    }
+  }
+}
+
 void CrashHistory::recordLaterParts(const CrashObservation& crash) {
   later_parts_.insert(crash.later_parts.begin(), crash.later_parts.end());
   if (later_parts_.size() <= kLaterPartsPerRequest * settings_.maximum_tracked_requests) {
@@ -234,6 +250,20 @@
   return crashes;
 }
 
+std::vector<RequestCrashes> CrashHistory::all(common::MonotonicTime now) const {
+  std::vector<RequestCrashes> all;
+  for (const auto& [request, entry] : requests_) {
+    if (auto crashes = recentCrashes(request, now); !crashes.empty()) {
+      all.push_back({request, std::move(crashes)});
+    }
+  }
+  std::sort(all.begin(), all.end(), [](const RequestCrashes& a, const RequestCrashes& b) {
+    return std::make_tuple(b.crashes.size(), b.crashes.back().at, b.request) <
+           std::make_tuple(a.crashes.size(), a.crashes.back().at, a.request);
+  });
+  return all;
+}
+
 void CrashHistory::evictOldest() {
   if (requests_.size() < settings_.maximum_tracked_requests) {
     return;
--- a/src/cypresswall/quarantine/crash_history.h
+++ b/src/cypresswall/quarantine/crash_history.h
@@ -28,6 +28,12 @@
   std::vector<common::RequestFingerprint> later_parts;
 };
 
+/// All recent crashes under one request or part.
+struct RequestCrashes {
+  common::RequestFingerprint request = 0;
+  std::vector<CrashObservation> crashes;
+};
+
 /// Bounded by the maximum number of requests and the age of crashes in QuarantineSettings. Does no
 /// I/O.
 class CrashHistory {
@@ -38,6 +44,9 @@
   /// are one crash if they are less than QuarantineSettings::crash_merge_window apart.
   void add(common::RequestFingerprint request, const CrashObservation& crash,
            common::MonotonicTime now);
+  /// Records crashes that were read from the store. A crash of an engine that is known already is
+  /// the same one, although the clocks of the nodes differ.
+  void restore(const RequestCrashes& stored, common::MonotonicTime now);
   /// Records that prompts with the part were answered, so that the part did not cause the recorded
   /// crashes. \return the parts that stood before it in crashes, whose evidence is stronger now
   std::vector<common::RequestFingerprint> exonerate(common::RequestFingerprint part);
@@ -60,10 +69,12 @@
                                    common::MonotonicTime now) const;
   /// \return the recent crashes under the request, as sent in a CrashReport
   std::vector<EngineCrash> all(common::RequestFingerprint request, common::MonotonicTime now) const;
+  /// \return all recent crashes, those under the requests with most crashes first
+  std::vector<RequestCrashes> all(common::MonotonicTime now) const;
   std::size_t size() const { return requests_.size(); }
 
  private:
-  struct RequestCrashes {
+  struct Entry {
     std::vector<CrashObservation> crashes;
     common::MonotonicTime last{};
   };
@@ -89,7 +100,7 @@
                                               common::MonotonicTime now) const;
 
   const QuarantineSettings settings_;
-  std::unordered_map<common::RequestFingerprint, RequestCrashes> requests_;
+  std::unordered_map<common::RequestFingerprint, Entry> requests_;
   /// The later parts of the stored crashes, and some of crashes that are no longer stored: most
   /// answers exonerate nothing, which is found out without a search.
   std::unordered_set<common::RequestFingerprint> later_parts_;
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -27,7 +27,8 @@
                                  const membership::NeighbourSettings& neighbours,
                                  const api::ProcessContext& context,
                                  membership::MembershipView& membership,
-                                 engines::EngineClient& client, object_store::ObjectStore& store)
+                                 engines::EngineClient& client, object_store::ObjectStore& store,
+                                 const common::TimeOfDay& time_of_day)
     : settings_(settings),
       context_(context),
       membership_(membership),
@@ -38,12 +39,18 @@
       list_(settings),
       answered_(settings),
       answered_parts_(settings),
-      stored_(settings, context, membership, store,
+      stored_(settings, context, membership, store, time_of_day,
               {[this] { return eligibleNodes(); }, [this] { return fingerprints(); },
                [this](const std::vector<common::RequestFingerprint>& requests) {
                  for (const auto request : requests) {
                    quarantineForZone({request, quarantineMilliseconds(), 0}, "store");
                  }
+               },
+               [this] { return crashesToStore(); },
+               [this](const std::vector<RequestCrashes>& crashes) {
+                 for (const RequestCrashes& of_request : crashes) {
+                   counted_.restore(of_request, context_.clock.now());
+                 }
                }}),
       crashes_(context.counters.counter("cypresswall_quarantine_crashes_seen_total",
                                         "Streams of this node whose engine ended under them")),
@@ -207,8 +214,7 @@
 }
 
 void FleetQuarantine::report(const CrashReport& report) {
-  for (const auto& node : membership::rendezvousNodes(common::toString(report.request),
-                                                      eligibleNodes(), kCountingNodes)) {
+  for (const common::NodeId& node : countingNodes(report.request)) {
     if (node == context_.self) {
       onReport(context_.self, report);
     } else {
@@ -233,6 +239,7 @@
   for (const EngineCrash& crash : report.crashes) {
     counted_.add(report.request, observationOf(crash), now);
   }
+  stored_.crashAdded();
   const bool is_void = report.is_part && voidIfAnswered({sender}, report.request);
   if (is_void || !counted_.mightSuffice(report.request, now)) {
     return;
@@ -244,6 +251,27 @@
   }
 }
 
+std::set<common::NodeId> FleetQuarantine::countingNodes(common::RequestFingerprint request) const {
+  const auto counting =
+      membership::rendezvousNodes(common::toString(request), eligibleNodes(), kCountingNodes);
+  std::set<common::NodeId> nodes(counting.begin(), counting.end());
+  for (const common::NodeId& owner : stored_.owners()) {
+    nodes.insert(owner);
+  }
+  return nodes;
+}
+
+std::vector<RequestCrashes> FleetQuarantine::crashesToStore() const {
+  const auto now = context_.clock.now();
+  auto all = counted_.all(now);
+  std::erase_if(all, [&](const RequestCrashes& of_request) {
+    const auto first_crash = counted_.firstCrash(of_request.request, now);
+    return list_.remaining(of_request.request, now) ||
+           answered_parts_.answeredSince(of_request.request, first_crash);
+  });
+  return all;
+}
+
 void FleetQuarantine::examine(const common::NodeId& sender, common::RequestFingerprint part) {
   const auto [entry, is_new] = examinations_.try_emplace(part);
   Examination& examination = entry->second;
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -39,10 +39,13 @@
  public:
   /// Registers the handlers of CrashReport and QuarantineNotice.
   /// \pre all references outlive this object
+  /// \param time_of_day wall-clock time since the Unix epoch; if it is empty, crashes are forgotten
+  ///   when all nodes restart
   FleetQuarantine(const QuarantineSettings& settings,
                   const membership::NeighbourSettings& neighbours,
                   const api::ProcessContext& context, membership::MembershipView& membership,
-                  engines::EngineClient& client, object_store::ObjectStore& store);
+                  engines::EngineClient& client, object_store::ObjectStore& store,
+                  const common::TimeOfDay& time_of_day);
   FleetQuarantine(const FleetQuarantine&) = delete;
   FleetQuarantine& operator=(const FleetQuarantine&) = delete;
 
@@ -122,6 +125,12 @@
   /// To be called after each change of `list_`. Updates the gauge and the stored list.
   void listChanged();
   std::vector<common::RequestFingerprint> fingerprints() const;
+  /// \return the nodes that count the crashes under the request: two by its fingerprint, and the
+  ///   owner of the stored list, which stores them
+  std::set<common::NodeId> countingNodes(common::RequestFingerprint request) const;
+  /// \return the crashes to store: those under requests that are not quarantined and that this node
+  ///   doesn't know to be answered since
+  std::vector<RequestCrashes> crashesToStore() const;
   /// \return the nodes that may count crashes or own the stored list, ordered: the alive members
   ///   whose build supports the quarantine messages
   std::vector<common::NodeId> eligibleNodes() const;
--- a/src/cypresswall/quarantine/quarantine_settings.h
+++ b/src/cypresswall/quarantine/quarantine_settings.h
@@ -37,6 +37,14 @@
   /// Interval at which each node announces its list to two other nodes. A node that starts, or that
   /// missed a notice, learns the list within about two intervals.
   common::Duration announcement_interval = std::chrono::seconds(1);
+  /// Delay between a crash and the write that stores it. Crashes of that time are written together,
+  /// and most innocent requests are answered within it, so that they need not be stored.
+  common::Duration crash_write_delay = std::chrono::milliseconds(200);
+  /// Delay after a write of crashes until those that were answered meanwhile are removed.
+  common::Duration answered_crash_delay = std::chrono::seconds(5);
+  /// Maximum number of crashes in the store, about 150 bytes each. Those under the requests with
+  /// most crashes are kept.
+  std::size_t maximum_stored_crashes = 128;
   /// Delay before the next call to the store after a failed one.
   common::Duration store_retry_delay = std::chrono::seconds(1);
   /// Maximum number of requests whose crashes a node remembers, about 100 bytes each. The request
--- a/src/cypresswall/simulation/fleet/simulated_fleet.cpp
+++ b/src/cypresswall/simulation/fleet/simulated_fleet.cpp
@@ -11,6 +11,8 @@
 
 constexpr common::Duration kBringUpLimit = std::chrono::seconds(60);
 constexpr common::Duration kLargestClockOffset = std::chrono::hours(24);
+/// Wall-clock time at the start of the simulation.
+constexpr common::Duration kSimulationStart = std::chrono::hours(500'000);
 
 }  // namespace
 
@@ -112,6 +114,7 @@
       settings_.declaration_of ? &settings_.declaration_of(process, store) : settings_.declared;
   node::NodeClients clients{store, machines, engines, services, declared};
   clients.connections = &connections;
+  clients.time_of_day = [this] { return kSimulationStart + time().now().time_since_epoch(); };
   slot.process = &process;
   slot.node = &process.emplace<node::Node>(nodeSettings(slot), process.context(), clients);
   slot.connections = &process.emplace<CallerConnections>(simulation_, process);
--- a/src/cypresswall/zone_object/zone_object.cpp
+++ b/src/cypresswall/zone_object/zone_object.cpp
@@ -112,11 +112,14 @@
 }
 
 std::optional<std::size_t> ZoneObject::ownerRank() const {
-  const auto owners =
-      membership::rendezvousNodes(settings_.key, callbacks_.members(), settings_.owners);
-  const auto own = std::find(owners.begin(), owners.end(), context_.self);
-  return own == owners.end() ? std::nullopt
-                             : std::make_optional(static_cast<std::size_t>(own - owners.begin()));
+  const auto nodes = owners();
+  const auto own = std::find(nodes.begin(), nodes.end(), context_.self);
+  return own == nodes.end() ? std::nullopt
+                            : std::make_optional(static_cast<std::size_t>(own - nodes.begin()));
+}
+
+std::vector<common::NodeId> ZoneObject::owners() const {
+  return membership::rendezvousNodes(settings_.key, callbacks_.members(), settings_.owners);
 }
 
 void ZoneObject::read() {
--- a/src/cypresswall/zone_object/zone_object.h
+++ b/src/cypresswall/zone_object/zone_object.h
@@ -55,6 +55,8 @@
   void start();
   /// To be called when newValue() may return another value than before.
   void valueChanged();
+  /// \return the nodes that own the object, the first owner first
+  std::vector<common::NodeId> owners() const;
 
  private:
   /// The object as last read or written.
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -44,6 +44,13 @@
   CPPUNIT_TEST(toleratesLossOfOneCountingNode);
   CPPUNIT_TEST(newCountingNodesReceiveEarlierCrashes);
   CPPUNIT_TEST(worksWithNodesOfEarlierBuild);
+  CPPUNIT_TEST(crashesCountOverRestartsOfAllNodes);
+  CPPUNIT_TEST(crashesOfPartsCountOverRestartsOfAllNodes);
+  CPPUNIT_TEST(crashesBeforeAnAnswerDoNotCountAfterRestart);
+  CPPUNIT_TEST(oldCrashesDoNotCountAfterRestart);
+  CPPUNIT_TEST(crashesCountOverRestartsBesideNodesOfEarlierBuild);
+  CPPUNIT_TEST(manyCrashesTakeFewStoreCalls);
+  CPPUNIT_TEST(storedCrashesRoundTrip);
   CPPUNIT_TEST(expiresWithoutFurtherRequests);
   CPPUNIT_TEST(lastsWhileRequestsArrive);
   CPPUNIT_TEST(listSizeIsBounded);
@@ -298,6 +305,148 @@
     }
   }
 
+  /// Guards against a request that crashes engines for ever: the crashes below the limit were
+  /// forgotten each time that all nodes were killed.
+  void crashesCountOverRestartsOfAllNodes() {
+    for (const std::size_t nodes : {1, 2, 9, 60}) {
+      // Restarts after each crash, after the first and after the second.
+      for (const std::vector<bool>& restarts :
+           {std::vector{true, true}, std::vector{true, false}, std::vector{false, true}}) {
+        for (const bool plain_call : {false, true}) {
+          QuarantineZone zone(nodes);
+          zone.run(seconds(2));
+          for (int number = 1; number <= 3; ++number) {
+            const auto node = static_cast<std::size_t>(number) % nodes;
+            if (plain_call) {
+              zone.at(node).callBroken(kCrashingRequest, "10.1.0.1:80");
+            } else {
+              zone.crash(node, kCrashingRequest, number);
+            }
+            zone.run(seconds(3));
+            if (number <= 2 && restarts[static_cast<std::size_t>(number - 1)]) {
+              restartAll(zone);
+              zone.run(seconds(2));
+            }
+          }
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(nodes) + " nodes", nodes,
+                                       zone.nodesThatQuarantine(kCrashingRequest));
+        }
+      }
+    }
+  }
+
+  void crashesOfPartsCountOverRestartsOfAllNodes() {
+    QuarantineZone zone(9);
+    for (std::size_t number = 1; number <= 3; ++number) {
+      zone.run(seconds(2));
+      zone.crashUnder(number,
+                      {kFirstRequest + number, {kFirstPart, kSecondPart + number, kCrashingPart}},
+                      static_cast<int>(number));
+      zone.run(seconds(1));
+      if (number < 3) {
+        restartAll(zone);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingPart));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kFirstPart));
+  }
+
+  /// Two engines of a rack crash, the requests that ran on them are answered, then all nodes are
+  /// killed.
+  void crashesBeforeAnAnswerDoNotCountAfterRestart() {
+    QuarantineZone zone(9);
+    zone.run(seconds(2));
+    const common::RequestContent content{kInnocentRequest, {kFirstPart, kSecondPart}};
+    zone.crashUnder(1, content, 1);
+    zone.crashUnder(1, content, 2);
+    zone.run(milliseconds(300));
+    for (std::size_t node = 0; node < zone.size(); ++node) {
+      zone.at(node).answered(content);
+    }
+    zone.run(seconds(6));
+    restartAll(zone);
+    zone.run(seconds(2));
+    for (std::size_t number = 3; number <= 4; ++number) {
+      zone.crashUnder(number, content, static_cast<int>(number));
+    }
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kInnocentRequest));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kSecondPart));
+  }
+
+  void oldCrashesDoNotCountAfterRestart() {
+    QuarantineZone zone(9);
+    zone.run(seconds(2));
+    zone.crash(1, kCrashingRequest, 1);
+    zone.crash(2, kCrashingRequest, 2);
+    zone.run(zone.settings.memory - seconds(10));
+    restartAll(zone);
+    zone.run(seconds(20));
+    zone.crash(3, kCrashingRequest, 3);
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingRequest));
+  }
+
+  void crashesCountOverRestartsBesideNodesOfEarlierBuild() {
+    QuarantineZone zone(9);
+    zone.runEarlierBuild(0, 3);
+    zone.run(seconds(2));
+    zone.crash(5, kCrashingRequest, 1);
+    zone.crash(6, kCrashingRequest, 2);
+    zone.run(seconds(1));
+    restartAll(zone);
+    zone.runEarlierBuild(0, 3);
+    zone.run(seconds(2));
+    zone.crash(7, kCrashingRequest, 3);
+    zone.run(kPropagationTime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, zone.nodesThatQuarantine(kCrashingRequest));
+  }
+
+  /// A rack with four engines ends, each with 32 streams.
+  void manyCrashesTakeFewStoreCalls() {
+    constexpr std::uint64_t kMaximumChanges = 6;
+    QuarantineZone zone(60);
+    zone.run(seconds(2));
+    const std::uint64_t before = zone.platform().store().revision();
+    for (int engine = 1; engine <= 4; ++engine) {
+      for (std::size_t stream = 0; stream < 32; ++stream) {
+        const auto number = static_cast<std::size_t>(engine) * 32 + stream;
+        zone.crashUnder(number % zone.size(),
+                        {kFirstRequest + number, {kFirstPart, kSecondPart + number}}, engine);
+      }
+      zone.run(milliseconds(50));
+    }
+    zone.run(milliseconds(600));
+    for (std::size_t number = 32; number < 160; ++number) {
+      zone.at(number % zone.size())
+          .answered({kFirstRequest + number, {kFirstPart, kSecondPart + number}});
+    }
+    zone.run(seconds(20));
+    const std::uint64_t changes = zone.platform().store().revision() - before;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(changes) + " changes", changes <= kMaximumChanges);
+  }
+
+  void storedCrashesRoundTrip() {
+    StoredQuarantine stored;
+    stored.requests = {kInnocentRequest, kCrashingRequest};
+    stored.crashes = {{kFirstPart,
+                       {{7, milliseconds(1'800'000'000'123), true, {kSecondPart}, {}},
+                        {8, milliseconds(1'800'000'004'456), false, {}, {kCrashingPart}}}}};
+    stored.original_text = R"({"requests": [], "of_a_later_build": 5})";
+    const std::string text = encodeStoredQuarantine(stored);
+    const StoredQuarantine read = decodeStoredQuarantine(text);
+    CPPUNIT_ASSERT(read.requests == stored.requests);
+    CPPUNIT_ASSERT(read.crashes == stored.crashes);
+    CPPUNIT_ASSERT(text.find("of_a_later_build") != std::string::npos);
+    const StoredQuarantine damaged = decodeStoredQuarantine(
+        R"({"requests": [], "crashes": [7, {}, {"request": 1, "crashes": []},
+            {"request": "a1", "crashes": [7, {}, {"engine": "b1"}, {"engine": "b1", "at_ms": -1},
+             {"engine": "b1", "at_ms": 5, "output_began": "no", "later_parts": [1, "c1"]}]}]})");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, damaged.crashes.size());
+    const std::vector<StoredCrash> readable = {{0xB1, milliseconds(5), false, {}, {0xC1}}};
+    CPPUNIT_ASSERT(damaged.crashes.front().crashes == readable);
+  }
+
   void expiresWithoutFurtherRequests() {
     QuarantineZone zone(9);
     crashThree(zone);
--- a/tests/quarantine/quarantine_zone.h
+++ b/tests/quarantine/quarantine_zone.h
@@ -14,6 +14,9 @@
 
 namespace cypresswall::testing {
 
+/// Wall-clock time at the start of the simulation.
+inline constexpr common::Duration kZoneStart = std::chrono::hours(500'000);
+
 class QuarantineZone {
  public:
   explicit QuarantineZone(std::size_t node_count, std::uint64_t seed = 1)
@@ -185,7 +188,7 @@
         process.emplace<simulation::SimulatedObjectStore>(simulation_, process, platform_);
     node.quarantine = &process.emplace<quarantine::FleetQuarantine>(
         settings, membership::NeighbourSettings{}, process.context(), *node.membership, client,
-        store);
+        store, [this] { return kZoneStart + simulation_.time().now().time_since_epoch(); });
     process.deliver([quarantine = node.quarantine] { quarantine->start(); });
   }
 
