--- a/src/cypresswall/node/node.h
+++ b/src/cypresswall/node/node.h
@@ -65,8 +65,8 @@
   configuration::ConfigurationView* declared = nullptr;
   /// Set if the platform assigns fleet-wide duties to a single node.
   duties::DutyPlatform* duties = nullptr;
-  /// Wall-clock time, required for usage reports, checkpoints and stored crashes; may be empty if the
-  /// node writes none.
+  /// Wall-clock time, required for usage reports, checkpoints and stored crashes; may be empty if
+  /// the node writes none.
   common::TimeOfDay time_of_day = {};
   /// Reports and probes connections to engines and back ends. Without it, the node doesn't notice
   /// that it has lost its links to all of them.
