Planned stop: requests that outlast it are answered

Cause: at the end of stop_limit the executions went on and their connections were waited for, until the process was killed.

Change: the gateway ends all open requests then, with 502 and outcome unknown.

requestsThatOutlastAPlannedStopAreAnswered of process_test, without the call: "expected 502, actual 0, Server returned nothing"; with it 3 of 3 pass. gateway_test 34 of 34, daemon_test 11, settings_test 14, the rolling replacement of process_test: pass.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -216,6 +216,7 @@
 void Daemon::stopNode() {
   node_.beginStop([this] {
     server_->stopListening();
+    frontend_->cancelOpenRequests();
     finishStop(clock_.now() + kFlushTimeout);
   });
 }
--- a/src/cypresswall/gateway/gateway.cpp
+++ b/src/cypresswall/gateway/gateway.cpp
@@ -224,6 +224,20 @@
   }
 }
 
+void Gateway::cancelOpenRequests() {
+  const execution::ExecutionError error{
+      execution::ErrorKind::kBackendFailed, execution::Outcome::kUnknown,
+      "this node stops before the answer is complete", common::Duration::zero()};
+  std::vector<Session*> open;
+  for (const auto& [id, session] : sessions_) {
+    open.push_back(session.get());
+  }
+  // Ended sessions are destroyed only in the next iteration of the event loop.
+  for (Session* session : open) {
+    session->cancel(error);
+  }
+}
+
 std::string Gateway::makeRequestId() {
   constexpr std::string_view kDigits = "0123456789abcdef";
   std::string id;
--- a/src/cypresswall/gateway/gateway.h
+++ b/src/cypresswall/gateway/gateway.h
@@ -52,6 +52,11 @@
   /// Logs and counts a request that the HTTP server itself rejected.
   void reportRejection(const http::Rejection& rejection);
 
+  /// Ends all requests in progress, whose outcome is then unknown to their callers. Called at the
+  /// end of a planned stop: a caller must not take a closed connection for a request that was not
+  /// sent.
+  void cancelOpenRequests();
+
   /// \return the number of requests in progress.
   std::size_t openRequests() const { return sessions_.size(); }
 
--- a/src/cypresswall/gateway/model_session.cpp
+++ b/src/cypresswall/gateway/model_session.cpp
@@ -111,6 +111,11 @@
   end(execution::toString(error.outcome), answer.code + ": " + error.message);
 }
 
+void ModelSession::cancel(const execution::ExecutionError& error) {
+  execution_.reset();
+  onError(error);
+}
+
 void ModelSession::onCallerDisconnected() {
   if (finished_) {
     return;
--- a/src/cypresswall/gateway/model_session.h
+++ b/src/cypresswall/gateway/model_session.h
@@ -22,6 +22,7 @@
                std::shared_ptr<http::Responder> responder);
 
   void start(std::function<void()> ended) override;
+  void cancel(const execution::ExecutionError& error) override;
 
  private:
   void onToken(std::uint32_t index, const std::string& text) override;
--- a/src/cypresswall/gateway/pass_through_session.cpp
+++ b/src/cypresswall/gateway/pass_through_session.cpp
@@ -67,6 +67,11 @@
   end(execution::toString(error.outcome), error.message);
 }
 
+void PassThroughSession::cancel(const execution::ExecutionError& error) {
+  execution_.reset();
+  onError(error);
+}
+
 void PassThroughSession::onCallerDisconnected(const std::string& reason) {
   if (finished_) {
     return;
--- a/src/cypresswall/gateway/pass_through_session.h
+++ b/src/cypresswall/gateway/pass_through_session.h
@@ -22,6 +22,7 @@
                      std::shared_ptr<http::Responder> responder, ErrorWriter write_error);
 
   void start(std::function<void()> ended) override;
+  void cancel(const execution::ExecutionError& error) override;
 
  private:
   void onHead(const engines::AnswerHead& head) override;
--- a/src/cypresswall/gateway/service_session.cpp
+++ b/src/cypresswall/gateway/service_session.cpp
@@ -91,6 +91,14 @@
   end(execution::toString(answer.outcome), std::to_string(answer.status));
 }
 
+void ServiceSession::cancel(const execution::ExecutionError& error) {
+  execution_.reset();
+  execution::ServiceCallAnswer answer;
+  answer.outcome = error.outcome;
+  answer.error = error;
+  onAnswer(std::move(answer));
+}
+
 void ServiceSession::onCallerDisconnected() {
   if (finished_) {
     return;
--- a/src/cypresswall/gateway/service_session.h
+++ b/src/cypresswall/gateway/service_session.h
@@ -19,6 +19,7 @@
                  ErrorWriter write_error);
 
   void start(std::function<void()> ended) override;
+  void cancel(const execution::ExecutionError& error) override;
 
  private:
   void onAnswer(execution::ServiceCallAnswer answer);
--- a/src/cypresswall/gateway/session.h
+++ b/src/cypresswall/gateway/session.h
@@ -73,6 +73,9 @@
   /// Starts the execution. `ended` is called once, possibly from a callback of the execution; the
   /// session must then be destroyed, but only after that callback has returned.
   virtual void start(std::function<void()> ended) = 0;
+  /// Cancels the execution and answers the caller with the error; does nothing once the session has
+  /// ended. Not to be called from a callback of the execution.
+  virtual void cancel(const execution::ExecutionError& error) = 0;
 };
 
 }  // namespace cypresswall::gateway
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -351,7 +351,8 @@
       durationKey(
           "timings.stop_limit", milliseconds(0), hours(24),
           [](auto& s) -> auto& { return s.node.stop_limit; },
-          "How long a planned stop (SIGTERM) waits for requests that run."),
+          "How long a planned stop (SIGTERM) waits for requests that run; callers of those that "
+          "still run then get an error."),
       durationKey(
           "timings.stop_lame_duck", milliseconds(0), hours(1),
           [](auto& s) -> auto& { return s.stop_lame_duck; },
--- a/src/cypresswall/surroundings/http_platform_adapter.cpp
+++ b/src/cypresswall/surroundings/http_platform_adapter.cpp
@@ -25,6 +25,7 @@
     gateway_.reportRejection(rejection);
   }
   std::size_t openRequests() const override { return gateway_.openRequests(); }
+  void cancelOpenRequests() override { gateway_.cancelOpenRequests(); }
 
  private:
   gateway::Gateway gateway_;
--- a/src/cypresswall/surroundings/platform_adapter.h
+++ b/src/cypresswall/surroundings/platform_adapter.h
@@ -41,6 +41,8 @@
   virtual void reportRejection(const http::Rejection& rejection) = 0;
   /// \return the number of requests in flight.
   virtual std::size_t openRequests() const = 0;
+  /// Answers all requests in flight with an error at once, at the end of a planned stop.
+  virtual void cancelOpenRequests() = 0;
 };
 
 /// Provides the clients and the frontend of one platform protocol. Must outlive the node.
--- a/tests/gateway/service_session_test.cpp
+++ b/tests/gateway/service_session_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(overloadErrorsHaveRetryAfter);
   CPPUNIT_TEST(errorsCarryExecutionOutcome);
   CPPUNIT_TEST(callerDisconnectCancelsExecution);
+  CPPUNIT_TEST(openRequestsAreAnsweredAtTheEndOfAStop);
   CPPUNIT_TEST(invalidTargetsAreRejected);
   CPPUNIT_TEST(routesByLongestPrefix);
   CPPUNIT_TEST_SUITE_END();
@@ -103,6 +104,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.gateway.openRequests());
   }
 
+  void openRequestsAreAnsweredAtTheEndOfAStop() {
+    GatewayFixture fixture;
+    const auto first = fixture.send(bookingRequest("/services/booking/1"));
+    const auto second = fixture.send(bookingRequest("/services/booking/2"));
+    const auto stream = fixture.chat(true);
+    fixture.call().observer->onToken(0, "part");
+    fixture.gateway.cancelOpenRequests();
+    for (const auto& answer : {first, second}) {
+      CPPUNIT_ASSERT_EQUAL(502, answer->status);
+      CPPUNIT_ASSERT_EQUAL(std::string("unknown"), answer->headers.at("X-Cypresswall-Outcome"));
+    }
+    CPPUNIT_ASSERT(fixture.services.calls[0]->cancelled && fixture.call().cancelled);
+    CPPUNIT_ASSERT(stream->finished);
+    CPPUNIT_ASSERT(stream->body.find("[DONE]") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.gateway.openRequests());
+  }
+
   void invalidTargetsAreRejected() {
     GatewayFixture fixture;
     CPPUNIT_ASSERT_EQUAL(404, fixture.send(bookingRequest("/services/"))->status);
--- a/tests/process/process_faults_test.cpp
+++ b/tests/process/process_faults_test.cpp
@@ -2,6 +2,10 @@
 /// mixed load, with kills, pauses longer than the lease, store outages and engine crashes.
 #include <csignal>
 #include <cstdio>
+#include <future>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/process/order_check.h"
 #include "tests/process/test_fleet.h"
@@ -25,6 +29,7 @@
   CPPUNIT_TEST(storeOutageAndLostAnswerAreReportedCorrectly);
   CPPUNIT_TEST(engineCrashDuringChangeLeavesNoEngineDrained);
   CPPUNIT_TEST(rollingReplacementCutsNoRequest);
+  CPPUNIT_TEST(requestsThatOutlastAPlannedStopAreAnswered);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -136,6 +141,39 @@
     checkAndReport("rolling", fleet, report);
   }
 
+  /// Guards against connections that close without an answer at the end of a planned stop, while
+  /// back ends still run their requests, among them requests that must not be repeated.
+  void requestsThatOutlastAPlannedStopAreAnswered() {
+    constexpr int kBadGateway = 502;
+    TestFleet fleet(kNodes, kEngines);
+    fleet.addDaemonFlags({"--timings_stop_limit", "1s"});
+    fleet.daemon(0).signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.daemon(0).waitForExit(kStopSeconds));
+    fleet.restart(0);
+    const std::string prefix = std::string("/services/") + kHttpService;
+    waitUntil("the restarted node serves", [&] {
+      return httpCall("GET", fleet.gateway(0), prefix + "/slots/warm-up").status == 200;
+    });
+    fleet.serviceFault({{"delay_ms", 4000}});
+    std::vector<std::future<HttpAnswer>> answers;
+    for (const auto& [method, target] : std::vector<std::pair<std::string, std::string>>{
+             {"GET", "/slots/late"}, {"POST", "/bookings/late"}}) {
+      answers.push_back(std::async(std::launch::async, [&fleet, prefix, method, target] {
+        return httpCall(method, fleet.gateway(0), prefix + target, method == "POST" ? "{}" : "",
+                        {{"Idempotency-Key", "late"}});
+      }));
+    }
+    waitUntil("both requests run", [&] { return fleet.serviceLedger()["executions"].size() >= 3; });
+    fleet.daemon(0).signal(SIGTERM);
+    for (auto& answer : answers) {
+      const HttpAnswer given = answer.get();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(given.error, kBadGateway, given.status);
+      CPPUNIT_ASSERT(given.complete);
+      CPPUNIT_ASSERT_EQUAL(std::string("unknown"), given.header("x-cypresswall-outcome"));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, fleet.daemon(0).waitForExit(kStopSeconds));
+  }
+
  private:
   static std::vector<std::size_t> others(std::size_t left_out) {
     std::vector<std::size_t> nodes;
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -118,15 +118,27 @@
   for (std::size_t other = 0; other < daemons_.size(); ++other) {
     seeds.push_back(peerAddress(other));
   }
-  daemons_[node] = std::make_unique<Program>(
-      "cypresswalld",
-      std::vector<std::string>{
-          "--node_peer_address", peerAddress(node), "--node_gateway_address", gateways_[node],
-          "--node_zone", kZone, "--node_region", kRegion, "--node_machine",
-          "machine-" + std::to_string(node), "--seeds", joined(seeds), "--platform_object_api",
-          platform_address_for_daemons_, "--platform_machine_list", platform_address_for_daemons_,
-          "--execution_moves_slow_streams", "on"},
-      folder_ + "/node-" + std::to_string(node) + ".log");
+  std::vector<std::string> flags = {"--node_peer_address",
+                                    peerAddress(node),
+                                    "--node_gateway_address",
+                                    gateways_[node],
+                                    "--node_zone",
+                                    kZone,
+                                    "--node_region",
+                                    kRegion,
+                                    "--node_machine",
+                                    "machine-" + std::to_string(node),
+                                    "--seeds",
+                                    joined(seeds),
+                                    "--platform_object_api",
+                                    platform_address_for_daemons_,
+                                    "--platform_machine_list",
+                                    platform_address_for_daemons_,
+                                    "--execution_moves_slow_streams",
+                                    "on"};
+  flags.insert(flags.end(), more_flags_.begin(), more_flags_.end());
+  daemons_[node] = std::make_unique<Program>("cypresswalld", flags,
+                                             folder_ + "/node-" + std::to_string(node) + ".log");
 }
 
 void TestFleet::restart(std::size_t node) {
--- a/tests/process/test_fleet.h
+++ b/tests/process/test_fleet.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/process/http_call.h"
@@ -38,6 +39,8 @@
   std::size_t nodes() const { return daemons_.size(); }
   const std::string& gateway(std::size_t node) const { return gateways_[node]; }
   Program& daemon(std::size_t node) { return *daemons_[node]; }
+  /// Adds flags to the command lines of daemons that are started from now on.
+  void addDaemonFlags(std::vector<std::string> flags) { more_flags_ = std::move(flags); }
   /// Restarts a daemon that has ended, and waits until it is ready.
   void restart(std::size_t node);
   /// Kills all daemons at the same moment.
@@ -88,6 +91,7 @@
   std::unique_ptr<Program> platform_program_;
   std::unique_ptr<Program> engine_program_;
   std::unique_ptr<Program> service_program_;
+  std::vector<std::string> more_flags_;
   std::vector<std::unique_ptr<Program>> daemons_;
 };
 
