Tests: cache lists, answers of duties and of the store without end

Reports say that servers send bytes without end until the caller closes. The bounds stand (docs/design/responses.md); these three calls had no test of their own. All pass on the code as it is: no fault was shown.

--- a/tests/objects_platform/engine_client/endless_answer_test.cpp
+++ b/tests/objects_platform/engine_client/endless_answer_test.cpp
@@ -5,8 +5,10 @@
 #include <string>
 
 #include "cypresswall/runtime/asio_scheduler.h"
+#include "platform/duty_client.h"
 #include "platform/engine_client.h"
 #include "platform/headers.h"
+#include "platform/store_calls.h"
 #include "tests/support/event_loop.h"
 #include "tests/support/property.h"
 #include "tests/support/scripted_server.h"
@@ -20,6 +22,8 @@
 const std::string kFields = "X-Request-Id: r1\r\nX-Response-Seal: s\r\n";
 const std::string kSuccess = "HTTP/1.1 200 OK\r\n" + kFields + "\r\n";
 const std::string kThousand(1000, 'x');
+/// Larger than the limit of each answer of an engine.
+constexpr std::size_t kMoreThanAnyAnswer = 2U << 20;
 
 class CountingHandler final : public engines::StreamHandler {
  public:
@@ -45,6 +49,9 @@
   CPPUNIT_TEST(handleThatIsTooLongIsNotKept);
   CPPUNIT_TEST(orderAnswerWithoutEndHasUnknownOutcome);
   CPPUNIT_TEST(reportWithoutEndIsUnavailable);
+  CPPUNIT_TEST(cacheListsWithoutEndAreUnavailable);
+  CPPUNIT_TEST(dutyAnswerWithoutEndHasUnknownOutcome);
+  CPPUNIT_TEST(storeAnswerWithoutEndIsBroken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -130,6 +137,46 @@
     CPPUNIT_ASSERT(failed);
   }
 
+  void cacheListsWithoutEndAreUnavailable() {
+    for (const std::uint64_t after : {0, 7}) {
+      bool failed = false;
+      const auto sent = server_.requests().size() + 1;
+      server_.answer(kSuccess);
+      client_.fetchCacheEvents({"engine", server_.address()}, after,
+                               [&](const auto& result) { failed = !result.ok(); });
+      CPPUNIT_ASSERT(runUntil(context_, [&] { return server_.requests().size() == sent; }));
+      sendUntil(std::string(64U << 10, 'x'), [&] { return failed; });
+      CPPUNIT_ASSERT(failed);
+    }
+  }
+
+  void dutyAnswerWithoutEndHasUnknownOutcome() {
+    DutyClientSettings settings;
+    settings.address = server_.address();
+    DutyClient duties(curl_, settings);
+    std::optional<duties::DutyFailure> failure;
+    server_.answer(kSuccess);
+    duties.reportUsage({"machine", 1}, {5, {{"tenant", 3}}}, [&](auto given) { failure = given; });
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return !server_.requests().empty(); }));
+    sendUntil(kThousand, [&] { return failure.has_value(); });
+    CPPUNIT_ASSERT(failure == duties::DutyFailure::kUnknownOutcome);
+  }
+
+  void storeAnswerWithoutEndIsBroken() {
+    constexpr std::size_t kMoreThanAStoreAnswer = 24U << 20;
+    StoreCallSettings settings;
+    settings.address = server_.address();
+    CurlStoreCalls calls(curl_, settings);
+    std::optional<runtime::CurlResponse> response;
+    server_.answer("HTTP/1.1 200 OK\r\n\r\n{\"items\":[");
+    calls.fetch(readCall("/objects/x", std::chrono::seconds(30)),
+                [&](const runtime::CurlResponse& given) { response = given; });
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return !server_.requests().empty(); }));
+    sendUntil(
+        std::string(64U << 10, ' '), [&] { return response.has_value(); }, kMoreThanAStoreAnswer);
+    CPPUNIT_ASSERT(response && response->outcome == runtime::CurlOutcome::kBroken);
+  }
+
  private:
   static engines::StreamRequest prefill() {
     engines::StreamRequest request = call();
@@ -164,9 +211,8 @@
   }
 
   template <typename Ended>
-  void sendUntil(const std::string& filler, Ended ended) {
-    constexpr std::size_t kMoreThanAnyAnswer = 2U << 20;
-    for (std::size_t bytes = 0; !ended() && bytes < kMoreThanAnyAnswer; bytes += filler.size()) {
+  void sendUntil(const std::string& filler, Ended ended, std::size_t limit = kMoreThanAnyAnswer) {
+    for (std::size_t bytes = 0; !ended() && bytes < limit; bytes += filler.size()) {
       server_.sendMore(filler);
       drain();
     }
