Quarantine: a crash right after the first token counts in full

Cause: a crash under a stream with any output counted half, since streams well under way are mostly there by chance. Streams that have given their first token only are fewer than those that wait for it, which count in full.

--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -137,7 +137,9 @@
 
 void FleetQuarantine::streamCrashed(const common::RequestContent& content, const std::string& name,
                                     OutputProgress progress) {
-  const bool output_began = progress != OutputProgress::kNone;
+  // Few streams on an engine have given their first token only, so that one of them is hardly there
+  // by chance.
+  const bool output_began = progress == OutputProgress::kUnderWay;
   common::LogEvent(context_.log, common::LogLevel::kInfo, "engine_crashed_under_request")
       .field("fingerprint", common::toString(content.request))
       .field("parts", common::sharedPartsText(content))
--- a/src/cypresswall/quarantine/messages.h
+++ b/src/cypresswall/quarantine/messages.h
@@ -14,7 +14,7 @@
   /// Hash of the engine's name.
   std::uint64_t engine = 0;
   std::uint32_t age_milliseconds = 0;
-  /// The engine had given output to the request. Not sent by earlier builds.
+  /// The engine had given more of the answer than its first token. Not sent by earlier builds.
   bool output_began = false;
   /// For a crash under a part of a prompt: the next part that other prompts may share; zero if
   /// there is none. Earlier builds read and send this one only.
--- a/src/cypresswall/quarantine/quarantine_settings.h
+++ b/src/cypresswall/quarantine/quarantine_settings.h
@@ -12,9 +12,9 @@
   bool quarantines = true;
   /// Number of engine crashes while running a request, or requests with one part of their prompts
   /// in common, after which the request or the part is quarantined. A crash counts half if the
-  /// engine had given output to the request: what crashes engines mostly does so at once. When one
-  /// request crashed 23 engines in ten seconds, a fifth of the harmless requests on these engines
-  /// were hit by two crashes, and none by three.
+  /// engine had given more than the first token of the answer: what crashes engines mostly does so
+  /// at once. When one request crashed 23 engines in ten seconds, a fifth of the harmless requests
+  /// on these engines were hit by two crashes, and none by three.
   std::size_t crashes = 3;
   /// How long a crash counts against a request. Also how long a request stays quarantined after it
   /// was quarantined or last received, since callers that retry automatically do so within minutes.
--- a/tests/quarantine/crashing_parts_test.cpp
+++ b/tests/quarantine/crashing_parts_test.cpp
@@ -311,12 +311,15 @@
     for (const std::size_t callers : {1, 2, 4, 8}) {
       for (std::size_t shared_parts = 1; shared_parts <= 5; ++shared_parts) {
         for (std::size_t position = 0; position < shared_parts; ++position) {
-          Scenario scenario;
-          scenario.callers = callers;
-          scenario.shared_parts = shared_parts;
-          scenario.few_parts = few_parts;
-          scenario.crashing_position = position;
-          failures += burstFailure(scenario);
+          for (const bool first_token : {false, true}) {
+            Scenario scenario;
+            scenario.callers = callers;
+            scenario.shared_parts = shared_parts;
+            scenario.few_parts = few_parts;
+            scenario.crashing_position = position;
+            scenario.crashes_after_first_token = first_token;
+            failures += burstFailure(scenario);
+          }
         }
       }
     }
@@ -334,8 +337,10 @@
     const double after = fleet.soundServed(
         known_at == common::MonotonicTime::max() ? begin : known_at + kTimeUntilKnown,
         fleet.now() - seconds(1));
+    const std::string moment =
+        scenario.crashes_after_first_token ? "after a first token, " : "before a first token, ";
     const std::string figures =
-        std::to_string(scenario.callers) + " callers, crashing part " +
+        moment + std::to_string(scenario.callers) + " callers, crashing part " +
         std::to_string(scenario.crashing_position) + " of " +
         std::to_string(scenario.shared_parts) +
         ", arrivals once known: " + std::to_string(fleet.arrivalsOnceKnown()) +
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -68,7 +68,7 @@
   CPPUNIT_TEST(partAnsweredBeforeFirstCrashIsBlamed);
   CPPUNIT_TEST(streamsWithOutputDoNotBlameParts);
   CPPUNIT_TEST(streamsWithOutputCountHalf);
-  CPPUNIT_TEST(firstTokensCountHalfForParts);
+  CPPUNIT_TEST(crashesAfterAFirstTokenCountInFull);
   CPPUNIT_TEST(partIsReleasedAfterFixedTime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -658,18 +658,24 @@
     CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingRequest));
   }
 
-  /// Engines crash right after the first token of prompts with the part.
-  void firstTokensCountHalfForParts() {
-    QuarantineZone zone(9);
-    for (int engine = 1; engine <= 6; ++engine) {
-      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingPart));
-      const auto number = static_cast<std::size_t>(engine);
-      zone.crashUnder(number, {kFirstRequest + number, {kCrashingPart}}, engine,
-                      OutputProgress::kFirstToken);
-      zone.run(milliseconds(100));
+  /// Guards against a request, or a part of prompts, that crashes six engines instead of three,
+  /// since each crash right after the first token counted half.
+  void crashesAfterAFirstTokenCountInFull() {
+    for (const std::size_t nodes : {1, 9, 60}) {
+      QuarantineZone zone(nodes);
+      for (std::size_t number = 1; number <= 3; ++number) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingPart));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kCrashingRequest));
+        zone.crashUnder(number % nodes, {kFirstRequest + number, {kCrashingPart}},
+                        static_cast<int>(2 * number), OutputProgress::kFirstToken);
+        zone.crashUnder(number % nodes, {kCrashingRequest, {}}, static_cast<int>(2 * number + 1),
+                        OutputProgress::kFirstToken);
+        zone.run(milliseconds(200));
+      }
+      zone.run(kPropagationTime);
+      CPPUNIT_ASSERT_EQUAL(nodes, zone.nodesThatQuarantine(kCrashingPart));
+      CPPUNIT_ASSERT_EQUAL(nodes, zone.nodesThatQuarantine(kCrashingRequest));
     }
-    zone.run(kPropagationTime);
-    CPPUNIT_ASSERT_EQUAL(zone.size(), zone.nodesThatQuarantine(kCrashingPart));
   }
 
   /// A part that was blamed wrongly must not be refused for as long as callers send it.
