--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -39,6 +39,9 @@
       list_(settings),
       answered_(settings),
       answered_parts_(settings),
+      examinations_(settings, context, membership, peers_, answered_parts_,
+                    [this](common::RequestFingerprint part,
+                           const std::set<common::NodeId>& reporters) { decide(part, reporters); }),
       stored_(settings, context, membership, store, time_of_day,
               {[this] { return eligibleNodes(); }, [this] { return fingerprints(); },
                [this](const std::vector<common::RequestFingerprint>& requests) {
@@ -69,14 +72,6 @@
       });
   context_.dispatcher.handle<AnsweredPart>(
       [this](const common::NodeId&, const AnsweredPart& answer) { onPartAnswered(answer.part); });
-  context_.dispatcher.handle<PartAnswersRequest>(
-      [this](const common::NodeId& sender, const PartAnswersRequest& request) {
-        onAnswersRequest(sender, request);
-      });
-  context_.dispatcher.handle<PartAnswers>(
-      [this](const common::NodeId& sender, const PartAnswers& message) {
-        onAnswers(sender, message);
-      });
   context_.dispatcher.handle<QuarantineNotice>(
       [this](const common::NodeId& sender, const QuarantineNotice& notice) {
         onNotice(sender, notice);
@@ -247,7 +242,9 @@
     return;
   }
   if (report.is_part) {
-    examine(sender, report.request);
+    auto parts = counted_.otherParts(report.request);
+    parts.push_back(report.request);
+    examinations_.begin(report.request, sender, parts);
   } else {
     quarantineForZone({report.request, quarantineMilliseconds(), 0}, "crashes");
   }
@@ -274,66 +271,21 @@
   return all;
 }
 
-void FleetQuarantine::examine(const common::NodeId& sender, common::RequestFingerprint part) {
-  const auto [entry, is_new] = examinations_.try_emplace(part);
-  Examination& examination = entry->second;
-  examination.reporters.insert(sender);
-  if (!is_new) {
-    return;
-  }
-  for (const common::NodeId& node : peers_.updateReceivers()) {
-    examination.awaited.insert(node);
-  }
-  examination.awaited.insert(sender);
-  std::erase_if(examination.awaited, [this](const common::NodeId& node) {
-    return node == context_.self || !membership_.handles(node, api::MessageSet::kPartAnswers);
-  });
-  PartAnswersRequest request{part, counted_.otherParts(part)};
-  request.parts.push_back(part);
-  context_.sendToAll({examination.awaited.begin(), examination.awaited.end()}, request);
-  const auto time = examination.awaited.empty() ? common::Duration{0} : settings_.examination_time;
-  examination.timer = context_.scheduler.schedule(time, [this, part] { decide(part); });
-}
-
-void FleetQuarantine::decide(common::RequestFingerprint part) {
+void FleetQuarantine::decide(common::RequestFingerprint part,
+                             const std::set<common::NodeId>& reporters) {
   const auto now = context_.clock.now();
-  const auto reporters = std::move(examinations_.extract(part).mapped().reporters);
-  if (voidIfAnswered(reporters, part) || !counted_.suffices(part, answered_parts_, now)) {
-    return;
-  }
-  const auto since = counted_.firstCrash(part, now);
-  quarantineForZone(
-      {part, quarantineMilliseconds(), std::max(common::millisecondsOf(now - since), 1U)},
-      "crashes");
-}
-
-void FleetQuarantine::onAnswersRequest(const common::NodeId& sender,
-                                       const PartAnswersRequest& request) {
-  const auto now = context_.clock.now();
-  PartAnswers reply;
-  reply.examined = request.examined;
-  for (const common::RequestFingerprint part : request.parts) {
-    const auto last = answered_parts_.lastAnswer(part);
-    if (last && now - *last < settings_.answer_validity) {
-      reply.answers.push_back({part, common::millisecondsOf(now - *last)});
-    }
-  }
-  context_.sendTo(sender, reply);
-}
-
-void FleetQuarantine::onAnswers(const common::NodeId& sender, const PartAnswers& message) {
-  const auto now = context_.clock.now();
-  for (const PartAnswerAge& answer : message.answers) {
-    answered_parts_.add(answer.part, now - std::chrono::milliseconds(answer.age_milliseconds));
-  }
-  const auto examination = examinations_.find(message.examined);
-  if (examination == examinations_.end()) {
-    return;
-  }
-  examination->second.awaited.erase(sender);
-  if (examination->second.awaited.empty()) {
-    context_.scheduler.cancel(examination->second.timer);
-    decide(message.examined);
+  const bool answered = voidIfAnswered(reporters, part);
+  const bool blamed = !answered && counted_.suffices(part, answered_parts_, now);
+  common::LogEvent(context_.log, common::LogLevel::kInfo, "part_examined")
+      .field("fingerprint", common::toString(part))
+      .field("crashes", counted_.crashes(part, now))
+      .field("answered", answered)
+      .field("blamed", blamed);
+  if (blamed) {
+    const auto since = counted_.firstCrash(part, now);
+    quarantineForZone(
+        {part, quarantineMilliseconds(), std::max(common::millisecondsOf(now - since), 1U)},
+        "crashes");
   }
 }
 
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -18,6 +17,7 @@
 #include "cypresswall/quarantine/answered_requests.h"
 #include "cypresswall/quarantine/crash_detector.h"
 #include "cypresswall/quarantine/crash_history.h"
+#include "cypresswall/quarantine/part_examinations.h"
 #include "cypresswall/quarantine/quarantine_list.h"
 #include "cypresswall/quarantine/quarantine_store.h"
 #include "cypresswall/quarantine/request_quarantine.h"
@@ -65,14 +65,6 @@
   std::vector<QuarantinedRequest> all() const;
 
  private:
-  /// The examination of a part under which engines crashed.
-  struct Examination {
-    std::set<common::NodeId> reporters;
-    /// The nodes that have not replied yet.
-    std::set<common::NodeId> awaited;
-    common::TimerId timer = 0;
-  };
-
   /// Records the crash of an engine that does not answer, if this node reaches other servers.
   void onEngineSilent(const common::RequestContent& content, const std::string& name,
                       OutputProgress progress);
@@ -90,12 +82,8 @@
   void blameOtherParts(common::RequestFingerprint part);
   void report(const CrashReport& report);
   void onReport(const common::NodeId& sender, const CrashReport& report);
-  /// Asks other nodes when the parts of the prompts were last answered, and decides on their
-  /// replies whether the part is quarantined.
-  void examine(const common::NodeId& sender, common::RequestFingerprint part);
-  void decide(common::RequestFingerprint part);
-  void onAnswersRequest(const common::NodeId& sender, const PartAnswersRequest& request);
-  void onAnswers(const common::NodeId& sender, const PartAnswers& message);
+  /// Decides whether a part is quarantined, after other nodes have told of its answers.
+  void decide(common::RequestFingerprint part, const std::set<common::NodeId>& reporters);
   /// \return true if the crash reports for a part were void, as a prompt with the part has been
   ///   answered since the first of these crashes; `senders`, who reported them, are then told
   bool voidIfAnswered(const std::set<common::NodeId>& senders, common::RequestFingerprint part);
@@ -149,8 +137,7 @@
   AnsweredRequests answered_;
   /// Parts of the prompts that this node had answered, or others according to their messages.
   AnsweredParts answered_parts_;
-  /// By the parts that are being examined.
-  std::map<common::RequestFingerprint, Examination> examinations_;
+  PartExaminations examinations_;
   QuarantineStore stored_;
   api::ServerPath* server_path_ = nullptr;
   /// Position in the list at which the next periodic announcement starts.
