Quarantine: what was answered elsewhere isn't stored as a crash

A request that was answered at the node that stores crashes, but had crashed engines under another node, was stored and counted after a restart of all nodes.

Beside it: uncertain windows are never later than the current one, a clearer name in UsageReporter, and comments.

--- a/src/cypresswall/duties/usage_reporter.cpp
+++ b/src/cypresswall/duties/usage_reporter.cpp
@@ -160,8 +160,8 @@
 bool UsageReporter::fixDueWindows() {
   giveUpWindows();
   UsageLedger ledger = *ledger_;
-  for (std::uint64_t window = ledger.fixedThrough() + 1; due(window) && !counterpartUnknown(window);
-       ++window) {
+  for (std::uint64_t window = ledger.fixedThrough() + 1;
+       due(window) && !mayHaveBeenReported(window); ++window) {
     const auto reported =
         window <= ledger.uncertain_through ? copies_.countsOf(window) : std::nullopt;
     ledger.fixed.push_back({window, reported ? *reported : collector_.sum(window)});
@@ -179,7 +179,7 @@
     giveUpThrough(current - settings_.maximum_backlog_windows - 1, "too_old");
   }
   std::uint64_t unknown_through = ledger_->taken_through;
-  while (counterpartUnknown(unknown_through + 1)) {
+  while (mayHaveBeenReported(unknown_through + 1)) {
     ++unknown_through;
   }
   giveUpThrough(unknown_through, "may_have_been_reported");
@@ -197,7 +197,7 @@
   ledger_->taken_through = window;
 }
 
-bool UsageReporter::counterpartUnknown(std::uint64_t window) const {
+bool UsageReporter::mayHaveBeenReported(std::uint64_t window) const {
   return window <= ledger_->uncertain_through && !copies_.countsOf(window) &&
          !copies_.complete(window);
 }
@@ -270,6 +270,7 @@
 /// Windows that ended only after this node had learned of the store's present incarnation can't
 /// have been reported in an earlier one.
 void UsageReporter::recordLostReports(UsageLedger& ledger) const {
+  ledger.uncertain_through = std::min(ledger.uncertain_through, currentWindow());
   if (ledger.store_incarnation == incarnation_) {
     return;
   }
--- a/src/cypresswall/duties/usage_reporter.h
+++ b/src/cypresswall/duties/usage_reporter.h
@@ -78,8 +78,8 @@
   void giveUpThrough(std::uint64_t window, const char* reason);
   /// \return true if the window may have been reported before the store was restored from a copy,
   ///   with counts that this node doesn't know
-  bool counterpartUnknown(std::uint64_t window) const;
-  /// Marks the windows that the ledger of an earlier incarnation of the store may lack.
+  bool mayHaveBeenReported(std::uint64_t window) const;
+  /// Marks the windows that a ledger of an earlier incarnation of the store may lack.
   void recordLostReports(UsageLedger& ledger) const;
   bool due(std::uint64_t window) const;
   void writeLedger(UsageLedger ledger);
--- a/src/cypresswall/quarantine/fleet_quarantine.cpp
+++ b/src/cypresswall/quarantine/fleet_quarantine.cpp
@@ -266,6 +266,7 @@
   std::erase_if(all, [&](const RequestCrashes& of_request) {
     const auto first_crash = counted_.firstCrash(of_request.request, now);
     return list_.remaining(of_request.request, now) ||
+           answered_.contains(of_request.request, now) ||
            answered_parts_.answeredSince(of_request.request, first_crash);
   });
   return all;
--- a/src/cypresswall/quarantine/fleet_quarantine.h
+++ b/src/cypresswall/quarantine/fleet_quarantine.h
@@ -25,15 +25,15 @@
 namespace cypresswall::quarantine {
 
 /// When an engine crashes while it runs a request, the node that sent the request reports the crash
-/// to two nodes of the zone. These two are chosen by rendezvous hashing over the request's
-/// fingerprint and count the crashes under the request. Once one of them has counted
-/// QuarantineSettings::crashes, all nodes quarantine the request, unless one of them has recently
-/// received a complete answer to it: a request that many callers send may happen to run on several
-/// engines that crash for another reason. The parts of a prompt that other prompts may share are
-/// counted in the same way, as requests of which no two are alike may crash engines by a part that
-/// they have in common; a part is cleared by any answer since its first crash. Messages are sent
-/// only for broken streams and quarantined requests: two for each stream that a crash broke,
-/// whatever the size of the zone, and a few per node for each quarantined request.
+/// to two nodes of the zone, chosen by rendezvous hashing over the request's fingerprint, and to
+/// the owner of the stored quarantine, which count the crashes under the request. Once one has
+/// counted QuarantineSettings::crashes, all nodes quarantine the request, unless one of them has
+/// recently received a complete answer to it: a request that many callers send may happen to run on
+/// several engines that crash for another reason. The parts of a prompt that other prompts may
+/// share are counted in the same way, as requests of which no two are alike may crash engines by a
+/// part that they have in common; a part is cleared by any answer since its first crash. Messages
+/// are sent only for broken streams and quarantined requests: three for each stream that a crash
+/// broke, whatever the size of the zone, and a few per node for each quarantined request.
 /// docs/design/quarantine.md discusses the alternatives.
 class FleetQuarantine final : public RequestQuarantine {
  public:
@@ -98,8 +98,7 @@
   /// answer contradicts.
   void quarantineForZone(const QuarantinedRequest& request, const char* source);
   /// \return true if this node knows of an answer to the request, or to a prompt with the part,
-  /// that
-  ///   shows that the engines crashed for another reason
+  ///   which shows that the engines crashed for another reason
   bool contradictedByAnswer(const QuarantinedRequest& request) const;
   /// Ends the quarantine of a request that was answered.
   /// \return false if nothing changed: this node already knew of the answer, and the request was
--- a/tests/quarantine/fleet_quarantine_test.cpp
+++ b/tests/quarantine/fleet_quarantine_test.cpp
@@ -351,17 +351,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.nodesThatQuarantine(kFirstPart));
   }
 
-  /// Two engines of a rack crash, the requests that ran on them are answered, then all nodes are
-  /// killed.
+  /// Two engines of a rack crash, requests like those that ran on them are answered at other nodes,
+  /// then all nodes are killed.
   void crashesBeforeAnAnswerDoNotCountAfterRestart() {
     QuarantineZone zone(9);
     zone.run(seconds(2));
     const common::RequestContent content{kInnocentRequest, {kFirstPart, kSecondPart}};
-    zone.crashUnder(1, content, 1);
-    zone.crashUnder(1, content, 2);
+    const std::size_t observer = (zone.storingNode() + 1) % zone.size();
+    zone.crashUnder(observer, content, 1);
+    zone.crashUnder(observer, content, 2);
     zone.run(milliseconds(300));
     for (std::size_t node = 0; node < zone.size(); ++node) {
-      zone.at(node).answered(content);
+      if (node != observer) {
+        zone.at(node).answered(content);
+      }
     }
     zone.run(seconds(6));
     restartAll(zone);
--- a/tests/quarantine/quarantine_zone.h
+++ b/tests/quarantine/quarantine_zone.h
@@ -37,15 +37,20 @@
     nodes_[node].process->kill();
     startNode(node);
   }
+  /// \return the index of the node that stores the crashes and the list
+  std::size_t storingNode() const { return rankedNodes("quarantine/z", 1).front(); }
   /// \return the indices of the nodes that count the crashes of the request
   std::vector<std::size_t> countingNodes(common::RequestFingerprint request,
                                          std::size_t count) const {
+    return rankedNodes(common::toString(request), count);
+  }
+  std::vector<std::size_t> rankedNodes(const std::string& key, std::size_t count) const {
     std::vector<common::NodeId> ids;
     for (const Node& node : nodes_) {
       ids.push_back(node.process->id());
     }
     std::vector<std::size_t> counting;
-    for (const auto& id : membership::rendezvousNodes(common::toString(request), ids, count)) {
+    for (const auto& id : membership::rendezvousNodes(key, ids, count)) {
       counting.push_back(
           static_cast<std::size_t>(std::find(ids.begin(), ids.end(), id) - ids.begin()));
     }
