--- a/src/cypresswall/emulation/response_damage.cpp
+++ b/src/cypresswall/emulation/response_damage.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/emulation/response_damage.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <charconv>
 #include <utility>
@@ -95,6 +96,9 @@
     case DamageKind::kDifferentLengths:
       head = withSecondLength(length);
       break;
+    case DamageKind::kInvalidStatus:
+      head = withInvalidStatus();
+      break;
     case DamageKind::kWithoutLength:
       if (length.value_or(0) > 0) {
         head = withoutField(head_, kLengthField);
@@ -162,6 +166,14 @@
   return status_line + random_.below(head_.size() - status_line);
 }
 
+std::string ResponseDamager::withInvalidStatus() {
+  constexpr std::array<const char*, 6> kStatuses = {"000", "099", "600", "999", "1000", "20"};
+  constexpr std::size_t kStatusDigits = 3;
+  std::string head = head_;
+  const std::size_t status = head.find(' ') + 1;
+  return head.replace(status, kStatusDigits, kStatuses.at(random_.below(kStatuses.size())));
+}
+
 std::string ResponseDamager::withSecondLength(std::optional<std::size_t> length) {
   if (length.value_or(0) == 0 && valuePosition(head_, kCodingField) == std::string::npos) {
     return head_;
--- a/src/cypresswall/emulation/response_damage.h
+++ b/src/cypresswall/emulation/response_damage.h
@@ -1,5 +1,5 @@
 /// Damages the HTTP/1.1 responses on one connection, as servers in trouble do: they stop early,
-/// declare two lengths or none, come twice, or never end.
+/// declare two lengths or none, have an invalid status, come twice, or never end.
 #pragma once
 
 #include <cstdint>
@@ -20,6 +20,8 @@
   kStopInBody,
   /// Declares a second length that differs, or a length beside chunks.
   kDifferentLengths,
+  /// Has a status that no response can have.
+  kInvalidStatus,
   /// Ends a response that had a length by closing the connection.
   kWithoutLength,
   /// Sends the response again, late or with the next request: whole, or half of it.
@@ -80,6 +82,7 @@
   Output pass(std::string_view bytes);
   /// \return how many bytes of the response pass before it stops
   std::size_t stopPosition(std::optional<std::size_t> length);
+  std::string withInvalidStatus();
   std::string withSecondLength(std::optional<std::size_t> length);
   Output withoutEnd();
 
--- a/tests/emulation/response_damage_test.cpp
+++ b/tests/emulation/response_damage_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(stoppedResponsesAreProperPrefixes);
   CPPUNIT_TEST(stopsAreInTheNamedPart);
   CPPUNIT_TEST(secondLengthDiffers);
+  CPPUNIT_TEST(statusIsInvalid);
   CPPUNIT_TEST(responseWithoutLengthEndsWithTheConnection);
   CPPUNIT_TEST(resetResponseWithoutLengthLacksBytes);
   CPPUNIT_TEST(responseSentTwiceIsWholeFirst);
@@ -82,6 +83,16 @@
     });
   }
 
+  void statusIsInvalid() {
+    forEachSeed([&](std::uint64_t seed) {
+      const Sent sent = send({{DamageKind::kInvalidStatus}}, seed);
+      CPPUNIT_ASSERT(sent.bytes.starts_with("HTTP/1.1 "));
+      CPPUNIT_ASSERT(!sent.bytes.starts_with("HTTP/1.1 200 "));
+      CPPUNIT_ASSERT(sent.bytes.find(" OK\r\nX-Request-Id: r\r\n") != std::string::npos);
+      CPPUNIT_ASSERT(sent.bytes.ends_with(kBody));
+    });
+  }
+
   void responseWithoutLengthEndsWithTheConnection() {
     const Sent sent = send({{DamageKind::kWithoutLength}}, 1);
     CPPUNIT_ASSERT_EQUAL(
--- a/tests/process/damaged_responses_test.cpp
+++ b/tests/process/damaged_responses_test.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kBackEnds = 2;
 constexpr std::size_t kThreads = 4;
 constexpr std::uint64_t kSeed = 1;
+/// Responses with a status above are invalid.
+constexpr int kLastStatus = 599;
 /// For each kind of damage and each operation; each stops at another position.
 constexpr std::uint64_t kDamagedResponses = 4;
 /// Most responses of an engine are load reports; this many include streams.
@@ -50,6 +52,7 @@
 class DamagedResponsesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DamagedResponsesTest);
   CPPUNIT_TEST(damagedResponsesOfAServiceNeverReachCallersAsWhole);
+  CPPUNIT_TEST(invalidStatusesOfAServiceNeverReachCallers);
   CPPUNIT_TEST(lateSecondResponsesOfAServiceNeverReachAnotherCaller);
   CPPUNIT_TEST(lateSecondResponsesOfAnEngineNeverReachAnotherCaller);
   CPPUNIT_TEST(damagedResponsesOfAnEngineNeverReachCallersAsWhole);
@@ -80,6 +83,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
   }
 
+  /// Guards against a status that no response can have, passed on to a caller.
+  void invalidStatusesOfAServiceNeverReachCallers() {
+    const Damage invalid = {"invalid status", DamageKind::kInvalidStatus, false};
+    TcpProxy& proxy = *proxies_.at(1 + kEngines);
+    proxy.damageResponses({{invalid.kind}, 1.0, false}, kSeed);
+    std::string wrong;
+    for (std::uint64_t i = 0; i < 5 * kDamagedResponses; ++i) {
+      wrong += callUntilDamaged(proxy, invalid, {"GET", "/slots/", "", ""});
+      wrong += callUntilDamaged(proxy, invalid, {"POST", "/bookings/", "key-", "{}"});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
+  }
+
   /// Guards against a second response that takes the place of the next one on a kept connection.
   void lateSecondResponsesOfAServiceNeverReachAnotherCaller() {
     const Damage twice = {"sent twice", DamageKind::kSentTwice, false};
@@ -161,7 +177,8 @@
       return answer.complete && requestOfWholeBody(answer.body, call) ? "" : seen;
     }
     const bool repeatable = call.key.empty();
-    const bool unknown = answer.complete && !invitesRepeat(answer.status) &&
+    const bool unknown = answer.complete && answer.status <= kLastStatus &&
+                         !invitesRepeat(answer.status) &&
                          answer.header("x-cypresswall-outcome") == "unknown";
     return !repeatable && damaged && unknown ? "" : seen;
   }
