--- a/tests/process/process_faults_test.cpp
+++ b/tests/process/process_faults_test.cpp
@@ -4,7 +4,6 @@
 #include <cstdio>
 #include <future>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "tests/process/order_check.h"
@@ -156,13 +155,14 @@
     });
     fleet.serviceFault({{"delay_ms", 4000}});
     std::vector<std::future<HttpAnswer>> answers;
-    for (const auto& [method, target] : std::vector<std::pair<std::string, std::string>>{
-             {"GET", "/slots/late"}, {"POST", "/bookings/late"}}) {
-      answers.push_back(std::async(std::launch::async, [&fleet, prefix, method, target] {
-        return httpCall(method, fleet.gateway(0), prefix + target, method == "POST" ? "{}" : "",
+    const auto callLate = [&fleet, prefix](const std::string& method, const std::string& target) {
+      return std::async(std::launch::async, [&fleet, method, target = prefix + target] {
+        return httpCall(method, fleet.gateway(0), target, method == "POST" ? "{}" : "",
                         {{"Idempotency-Key", "late"}});
-      }));
-    }
+      });
+    };
+    answers.push_back(callLate("GET", "/slots/late"));
+    answers.push_back(callLate("POST", "/bookings/late"));
     waitUntil("both requests run", [&] { return fleet.serviceLedger()["executions"].size() >= 3; });
     fleet.daemon(0).signal(SIGTERM);
     for (auto& answer : answers) {
