--- a/tests/objects_platform/processes/objects_fleet.cpp
+++ b/tests/objects_platform/processes/objects_fleet.cpp
@@ -93,7 +93,8 @@
   return true;
 }
 
-ObjectsFleet::ObjectsFleet(std::size_t nodes) : nodes_(nodes) {
+ObjectsFleet::ObjectsFleet(std::size_t nodes, const DaemonLimits& limits)
+    : nodes_(nodes), limits_(limits) {
   constexpr int kNumbers = 200;
   const int process = getpid();
   network_ = "127." + std::to_string(20 + process % kNumbers) + "." +
@@ -170,6 +171,7 @@
                {"region", "coast"},
                {"node_name", numbered("node", node)},
                {"limits.link_mbps", "1000"},
+               {"limits.memory_mb", std::to_string(limits_.memory_megabytes)},
                {"seeds", seeds},
                {"platform.address", storeAddress(node)},
                {"zones", ""},
@@ -191,8 +193,11 @@
 void ObjectsFleet::start(std::size_t node) {
   const std::string file = folder_ + "/" + numbered("node", node) + ".yaml";
   std::ofstream(file) << settingsOf(node);
-  programs_[node] = std::make_unique<Program>(
-      "cypresswalld", std::vector<std::string>{"--settings", file}, logOf(node));
+  std::vector<std::string> arguments = {"--settings", file};
+  if (limits_.connections != 0) {
+    arguments.push_back("--limits_connections=" + std::to_string(limits_.connections));
+  }
+  programs_[node] = std::make_unique<Program>("cypresswalld", arguments, logOf(node));
 }
 
 bool ObjectsFleet::ready(std::size_t node) const {
@@ -237,6 +242,11 @@
                   {{"Host", kHost}, {"X-Request-Id", newRequest()}, {"X-Deadline-Ms", "3000"}});
 }
 
+std::string ObjectsFleet::plainHead(const std::string& target, const std::string& more_fields) {
+  return "POST /slots/" + target + " HTTP/1.1\r\nHost: " + kHost +
+         "\r\nX-Request-Id: " + newRequest() + "\r\nX-Deadline-Ms: 5000\r\n" + more_fields + "\r\n";
+}
+
 HttpAnswer ObjectsFleet::callModel(std::size_t node, const ModelCall& call) {
   const std::string request = call.request.empty() ? newRequest() : call.request;
   std::map<std::string, std::string> headers = {
--- a/tests/objects_platform/processes/objects_fleet.h
+++ b/tests/objects_platform/processes/objects_fleet.h
@@ -43,10 +43,17 @@
 /// Polls until `condition` holds. \return false if it doesn't within the limit
 bool holdsWithin(common::Duration limit, const std::function<bool()>& condition);
 
+/// What a daemon may take of its machine, and from callers.
+struct DaemonLimits {
+  std::size_t memory_megabytes = 260;
+  /// Connections of callers; zero leaves it to the deployed settings.
+  std::size_t connections = 0;
+};
+
 class ObjectsFleet {
  public:
   /// Starts the store with a configuration and two runners of each service, but no daemon.
-  explicit ObjectsFleet(std::size_t nodes);
+  explicit ObjectsFleet(std::size_t nodes, const DaemonLimits& limits = {});
   ~ObjectsFleet();
   ObjectsFleet(const ObjectsFleet&) = delete;
   ObjectsFleet& operator=(const ObjectsFleet&) = delete;
@@ -71,8 +78,14 @@
 
   /// A plain call, or a stream, through a node. No repeats. May be called on any thread.
   HttpAnswer callPlain(std::size_t node, const std::string& prefix = "slots");
+  /// \return the head of a request of the plain route, up to its empty line
+  std::string plainHead(const std::string& target, const std::string& more_fields = "");
   HttpAnswer callModel(std::size_t node, const ModelCall& call);
   std::string newRequest();
+  /// \return where a node takes callers' requests, "IP:port"
+  std::string frontAddress(std::size_t node) const;
+  /// \return where a node takes management requests, "IP:port"
+  std::string readinessAddress(std::size_t node) const;
 
   /// Cuts a node off from the other nodes and from the store, but not from callers and runners.
   void isolate(std::size_t node);
@@ -87,8 +100,6 @@
  private:
   std::string host(int part, std::size_t number) const;
   std::string peerAddress(std::size_t node) const;
-  std::string frontAddress(std::size_t node) const;
-  std::string readinessAddress(std::size_t node) const;
   std::string settingsOf(std::size_t node) const;
   std::string storeAddress(std::size_t node) const;
   std::string logOf(std::size_t node) const;
@@ -99,6 +110,7 @@
   std::string network_;
   std::string folder_;
   std::size_t nodes_;
+  DaemonLimits limits_;
   std::size_t addresses_ = 0;
   std::atomic<std::size_t> requests_{0};
   StandinLoop loop_;
--- a/tests/objects_platform/processes/runner_standin.cpp
+++ b/tests/objects_platform/processes/runner_standin.cpp
@@ -105,10 +105,28 @@
 }
 
 void RunnerStandin::answerPlain(const http::Request& request, const Responder& responder) const {
-  responder->respond(kOk,
-                     {{"X-Request-Id", request.header("X-Request-Id")},
-                      {"X-Response-Seal", "seal." + settings_.id}},
-                     settings_.id + " did " + request.target);
+  const auto asked = [&request](const char* name) {
+    const auto found = request.query.find(name);
+    return found == request.query.end() ? std::string() : found->second;
+  };
+  std::string body = settings_.id + " did " + request.target;
+  if (!asked("echo").empty()) {
+    body = request.body;
+  } else if (!asked("bytes").empty()) {
+    body.assign(numberOr(asked("bytes"), 0), 'x');
+  }
+  const auto answer =
+      [responder, body = std::move(body),
+       fields = std::vector<http::Header>{{"X-Request-Id", request.header("X-Request-Id")},
+                                          {"X-Response-Seal", "seal." + settings_.id}}] {
+        responder->respond(kOk, fields, body);
+      };
+  const std::string hold = asked("hold_ms");
+  if (hold.empty()) {
+    answer();
+  } else {
+    scheduler_.schedule(std::chrono::milliseconds(numberOr(hold, 0)), answer);
+  }
 }
 
 void RunnerStandin::startStream(const http::Request& request, const Responder& responder) const {
--- a/tests/objects_platform/processes/runner_standin.h
+++ b/tests/objects_platform/processes/runner_standin.h
@@ -44,6 +44,8 @@
 
   /// \return true if the call is one of a runner's own, which it has answered
   bool answerOwnCall(const http::Request& request, const Responder& responder) const;
+  /// The query may ask for an answer of so many `bytes`, for the request's body (`echo`), and for
+  /// an answer only after `hold_ms`.
   void answerPlain(const http::Request& request, const Responder& responder) const;
   void startStream(const http::Request& request, const Responder& responder) const;
   void sendEvent(const std::shared_ptr<Stream>& stream) const;
