Requests: what all callers make a process hold is bounded together

Callers saw a node end: a crowd of chunked bodies that stop just short of their end, or of whole bodies at once, took all memory of its machine.

Cause: a request was bounded alone, and all connections together nowhere. Besides, RESTinio's parser callbacks keep an entry of 48 bytes for each chunk (11 MB for 0.7 MB in chunks of one byte), and the body was copied from its buffer to the handler.

Change: CallerMemory counts what arrives, waits or runs on all connections of all servers of the process. At its limit (limits.caller_memory, by default a quarter of the machine's memory, which the platform's settings name) the connection ends that holds the most for the longest time without progress; requests that run are never ended, and a new one is then refused with 503 and Retry-After before it has run. RESTinio's parser gets callbacks of our own (request_parser.h) that keep nothing of chunks and pass the body to IncomingRequest, from where it is moved to the handler. A request that was refused while it arrived is not run, whatever of it still arrives; before, the rest of one that got a 408 could complete it.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -61,6 +61,7 @@
           make_platform_adapter({settings_, processContext(), curl_, server_connections_})),
       node_(settings_.node, processContext(), platform_adapter_->clients()),
       frontend_(platform_adapter_->makeFrontend(node_)),
+      caller_memory_(std::make_shared<http::CallerMemory>(settings_.caller_memory_bytes)),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   log_.setProcess(self_.address, settings_.zone);
   connections_.setShare([this] { return node_.connectionShares().perServer(); });
@@ -80,6 +81,7 @@
 http::ServerSettings Daemon::serverSettings() {
   http::ServerSettings settings = settings_.server;
   settings.guard = &guard_;
+  settings.caller_memory = caller_memory_;
   settings.rejection_headers = frontend_->rejectionHeaders();
   settings.on_rejected = [this](const http::Rejection& rejection) {
     frontend_->reportRejection(rejection);
@@ -93,6 +95,10 @@
   http::ServerSettings settings;
   settings.address = settings_.readiness_address;
   settings.guard = &guard_;
+  settings.caller_memory = caller_memory_;
+  settings.on_rejected = [this](const http::Rejection& rejection) {
+    frontend_->reportRejection(rejection);
+  };
   reportAcceptRestarts(settings);
   return settings;
 }
@@ -157,6 +163,7 @@
       .field("incarnation", self_.incarnation)
       .field("gateway", settings_.server.address)
       .field("machine", settings_.node.membership.machine)
+      .field("caller_memory", settings_.caller_memory_bytes)
       .field("region", settings_.node.membership.region);
   transport_.start(self_, dispatcher_);
   platform_adapter_->start();
--- a/apps/cypresswalld/daemon.h
+++ b/apps/cypresswalld/daemon.h
@@ -84,6 +84,7 @@
   std::unique_ptr<surroundings::Frontend> frontend_;
   gateway::HttpRoutes routes_;
   gateway::HttpRoutes management_routes_;
+  std::shared_ptr<http::CallerMemory> caller_memory_;
   std::unique_ptr<http::Server> server_;
   /// Null if the management paths are served by the gateway server.
   std::unique_ptr<http::Server> management_server_;
--- a/src/cypresswall/http/connection.cpp
+++ b/src/cypresswall/http/connection.cpp
@@ -1,23 +1,13 @@
 #include "cypresswall/http/connection.h"
 
 #include <algorithm>
-#include <array>
 #include <asio/buffer.hpp>
-#include <asio/steady_timer.hpp>
-#include <asio/write.hpp>
 #include <cctype>
 #include <string_view>
 
 namespace cypresswall::http {
 namespace {
 
-/// Limits of the time and of the discarded input for draining a connection after its last answer.
-/// Closing a socket with unread input would reset the connection before the caller has read the
-/// answer.
-constexpr std::chrono::seconds kLingerTime(2);
-constexpr std::size_t kLingerBytes = 64U << 20;
-constexpr std::size_t kLingerBufferBytes = 4096;
-
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// \return true if the bytes are a complete header with "Expect: 100-continue".
@@ -31,59 +21,31 @@
              bytes.end();
 }
 
-/// Reads and discards input until the caller closes the connection or a limit is reached.
-class LingeringClose : public std::enable_shared_from_this<LingeringClose> {
- public:
-  explicit LingeringClose(asio::ip::tcp::socket socket)
-      : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
-
-  void start() {
-    asio::error_code ignored;
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    timer_.expires_after(kLingerTime);
-    timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
-      if (!error) {
-        self->finish();
-      }
-    });
-    readNext();
-  }
+}  // namespace
 
- private:
-  void readNext() {
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [self = shared_from_this()](const asio::error_code& error, std::size_t length) {
-          self->discarded_bytes_ += length;
-          if (error || self->discarded_bytes_ > kLingerBytes) {
-            self->finish();
-          } else {
-            self->readNext();
-          }
-        });
-  }
+void Connection::join(const std::shared_ptr<ServerState>& server,
+                      std::function<void()> on_reclaimed) {
+  server_state_ = server;
+  memory_.emplace(server->memory, std::move(on_reclaimed));
+  incoming_.emplace(*server, *memory_);
+}
 
-  void finish() {
-    asio::error_code ignored;
-    socket_.close(ignored);
-    timer_.cancel();
+void Connection::onSocketClosed() {
+  socket_ = nullptr;
+  if (incoming_) {
+    incoming_->release();
   }
-
-  asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
-  std::array<char, kLingerBufferBytes> buffer_{};
-  std::size_t discarded_bytes_ = 0;
-};
-
-}  // namespace
+}
 
 void Connection::removeExchange(const Exchange* exchange) {
   std::erase_if(exchanges_, [&](const auto& held) { return held.get() == exchange; });
 }
 
 void Connection::onRead(const asio::error_code& error, std::string_view bytes) {
+  const auto now = std::chrono::steady_clock::now();
+  memory_->noteProgress(now);
   if (!error && !receiving_since_) {
-    receiving_since_ = std::chrono::steady_clock::now();
+    receiving_since_ = now;
     if (!hasExchanges() && expectsContinue(bytes)) {
       sendNow(kContinue);
     }
@@ -136,6 +98,16 @@
   }
 }
 
+void Connection::end() {
+  ended_ = true;
+  incoming_->discard();
+  memory_->close();
+  if (socket_ != nullptr) {
+    asio::error_code ignored;
+    socket_->Base::cancel(ignored);
+  }
+}
+
 void ConnectionSocket::attach(std::shared_ptr<Connection> connection) {
   connection_ = std::move(connection);
   asio::error_code ignored;
@@ -159,7 +131,7 @@
     connection_->onSocketClosed();
   }
   if (std::exchange(linger_on_close_, false) && is_open()) {
-    std::make_shared<LingeringClose>(Base(std::move(static_cast<Base&>(*this))))->start();
+    connection_->lingering().close(Base(std::move(static_cast<Base&>(*this))));
     return;
   }
   Base::close();
--- a/src/cypresswall/http/connection.h
+++ b/src/cypresswall/http/connection.h
@@ -16,6 +16,9 @@
 #include <utility>
 #include <vector>
 
+#include "cypresswall/http/incoming_request.h"
+#include "cypresswall/http/server_state.h"
+
 namespace cypresswall::http {
 
 class ConnectionSocket;
@@ -27,10 +30,20 @@
 /// on the server's thread only.
 class Connection {
  public:
+  using TimePoint = CallerMemory::TimePoint;
+
   Connection(ConnectionId id, ConnectionSocket& socket) : id_(id), socket_(&socket) {}
 
   ConnectionId id() const { return id_; }
 
+  /// Makes this a connection of `server`. Called once, before anything is read.
+  /// \param on_reclaimed called if the server needs the memory that the connection takes
+  void join(const std::shared_ptr<ServerState>& server, std::function<void()> on_reclaimed);
+  /// \pre join() was called, as for the functions below
+  MemoryAccount& memory() { return *memory_; }
+  IncomingRequest& incoming() { return *incoming_; }
+  LingeringConnections& lingering() { return server_state_->lingering; }
+
   void addExchange(const std::shared_ptr<Exchange>& exchange) { exchanges_.push_back(exchange); }
   void removeExchange(const Exchange* exchange);
   /// Removes and returns the open exchanges.
@@ -57,9 +70,7 @@
   bool awaitsRequest() const;
   /// \return the time at which the request that is being received began to arrive; empty if none is
   ///   being received.
-  std::optional<std::chrono::steady_clock::time_point> receivingSince() const {
-    return receiving_since_;
-  }
+  std::optional<TimePoint> receivingSince() const { return receiving_since_; }
 
   /// Writes bytes to the socket without blocking, bypassing RESTinio.
   /// \pre RESTinio has no pending writes on this connection
@@ -73,9 +84,14 @@
   void stopSending();
   /// Shuts down both directions; RESTinio detects this and closes the connection.
   void shutdown();
+  /// Discards what has arrived of a request, and whatever arrives later; RESTinio then closes the
+  /// connection as if the caller had. The last answer can still be read.
+  void end();
+  /// \return true after end()
+  bool ended() const { return ended_; }
 
   /// Called when the socket is destroyed or closed.
-  void onSocketClosed() { socket_ = nullptr; }
+  void onSocketClosed();
   /// Keeps `server` alive until the socket is destroyed: RESTinio's connection holds only a raw
   /// pointer to RESTinio's server and uses it to report that the connection ended.
   void retainServer(std::shared_ptr<const void> server) { server_ = std::move(server); }
@@ -83,10 +99,14 @@
  private:
   ConnectionId id_;
   ConnectionSocket* socket_;
+  std::shared_ptr<ServerState> server_state_;
+  std::optional<MemoryAccount> memory_;
+  std::optional<IncomingRequest> incoming_;
   std::vector<std::shared_ptr<Exchange>> exchanges_;
-  std::optional<std::chrono::steady_clock::time_point> receiving_since_;
+  std::optional<TimePoint> receiving_since_;
   std::function<void()> on_truncated_;
   bool request_received_ = false;
+  bool ended_ = false;
   std::shared_ptr<const void> server_;
 };
 
@@ -114,9 +134,16 @@
     const asio::mutable_buffer target = *asio::buffer_sequence_begin(buffers);
     Base::async_read_some(target, [connection = connection_, target, handler = std::move(handler)](
                                       const asio::error_code& error, std::size_t length) mutable {
-      if (connection) {
-        connection->onRead(error, {static_cast<const char*>(target.data()), length});
+      if (!connection) {
+        handler(error, length);
+        return;
+      }
+      if (connection->ended()) {
+        handler(asio::error::eof, 0);
+        return;
       }
+      connection->onRead(error, {static_cast<const char*>(target.data()), length});
+      const IncomingRequest::Reading reading(connection->incoming());
       handler(error, length);
     });
   }
--- a/src/cypresswall/http/exchange.cpp
+++ b/src/cypresswall/http/exchange.cpp
@@ -15,6 +15,7 @@
       handle_(std::move(handle)),
       request_id_(request_id),
       keep_alive_(keep_alive),
+      request_bytes_(connection_->memory().completeArriving()),
       last_activity_(server_->checks) {
   ++server_->open_requests;
 }
@@ -22,6 +23,7 @@
 Exchange::~Exchange() {
   if (!completed_) {
     --server_->open_requests;
+    releaseMemory();
   }
 }
 
@@ -184,6 +186,10 @@
   }
 }
 
+void Exchange::releaseMemory() {
+  connection_->memory().releaseRunning(std::exchange(request_bytes_, 0));
+}
+
 void Exchange::onWritten(bool last) {
   write_in_flight_ = false;
   bytes_in_flight_ = 0;
@@ -212,6 +218,7 @@
     return;
   }
   --server_->open_requests;
+  releaseMemory();
   on_drained_ = nullptr;
   builder_.reset();
   handle_.reset();
--- a/src/cypresswall/http/exchange.h
+++ b/src/cypresswall/http/exchange.h
@@ -1,7 +1,6 @@
 /// One request and its answer, processed through RESTinio.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -13,25 +12,10 @@
 #include "cypresswall/http/chunk_buffer.h"
 #include "cypresswall/http/connection.h"
 #include "cypresswall/http/server.h"
+#include "cypresswall/http/server_state.h"
 
 namespace cypresswall::http {
 
-/// State shared by all exchanges of a server.
-struct ServerState {
-  explicit ServerState(asio::io_context& io_context) : context(io_context) {}
-
-  asio::io_context& context;
-  std::size_t open_requests = 0;
-  /// Number of the server's periodic checks so far, which serves as a coarse clock for the last
-  /// activity of exchanges.
-  std::uint64_t checks = 0;
-  /// Set once the server accepts no new connections; each answer then closes its connection.
-  bool stopping = false;
-  /// False once the listening socket is closed and all accepted connections are in the server's
-  /// ConnectionTable.
-  bool listening = false;
-};
-
 /// Passes the answer from the handler's Responder to RESTinio. Bytes written within one iteration
 /// of the event loop, or during an earlier write, are coalesced into one write. Chunks between a
 /// stream's header and its end are written directly to the socket; only the part that the socket
@@ -76,6 +60,7 @@
   void flushThroughRestinio();
   void notifyDrained();
   void onWritten(bool last);
+  void releaseMemory();
   /// Ends the exchange: updates the open-request count and removes it from the connection.
   void complete();
 
@@ -91,6 +76,8 @@
       restinio::response_connection_attr_t::connection_close;
   ChunkBuffer buffer_;
   std::size_t bytes_in_flight_ = 0;
+  /// Bytes of the request that the connection is charged for.
+  std::size_t request_bytes_;
   std::uint64_t last_activity_;
   bool header_pending_ = false;
   bool flush_scheduled_ = false;
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -17,6 +17,7 @@
 #include "cypresswall/http/exchange.h"
 #include "cypresswall/http/listening_socket.h"
 #include "cypresswall/http/rejection.h"
+#include "cypresswall/http/request_parser.h"
 
 namespace cypresswall::http {
 namespace {
@@ -27,8 +28,12 @@
 /// Connections accepted per iteration of the event loop. Limits how long callers wait to be
 /// accepted while the loop is busy with streams.
 constexpr std::size_t kAcceptsPerIteration = 16;
+/// When a caller may send a request again for which there was no memory, in seconds.
+constexpr const char* kMemoryRetryAfter = "1";
 constexpr std::size_t kMaximumHeaderFields = 128;
 constexpr std::size_t kReadBufferBytes = 4096;
+constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
 /// Interval of the checks for requests that arrive too slowly and for idle handlers.
 constexpr std::chrono::seconds kCheckPeriod(1);
 /// Interval at which a stopping server polls for connections waiting to be accepted.
@@ -73,7 +78,8 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-/// Converts RESTinio's request to a Request. \throws std::exception if the target can't be decoded
+/// Converts RESTinio's request to a Request without its body. \throws std::exception if the target
+/// can't be decoded
 Request convertRequest(const restinio::request_handle_t& source) {
   Request request;
   const auto& header = source->header();
@@ -89,7 +95,6 @@
   header.for_each_field([&](const restinio::http_header_field_t& field) {
     request.headers.push_back({field.name(), field.value()});
   });
-  request.body = source->body();
   request.remote_address = addressText(source->remote_endpoint());
   return request;
 }
@@ -111,12 +116,24 @@
   return defect;
 }
 
-std::size_t headerBytes(const restinio::http_request_header_t& header) {
-  std::size_t bytes = header.request_target().size();
-  header.for_each_field([&](const restinio::http_header_field_t& field) {
-    bytes += field.name().size() + field.value().size();
-  });
-  return bytes;
+std::size_t smallerLimit(std::size_t first, std::size_t second) {
+  return first == 0 || second == 0 ? std::max(first, second) : std::min(first, second);
+}
+
+common::Duration smallerLimit(common::Duration first, common::Duration second) {
+  const common::Duration none{0};
+  return first == none || second == none ? std::max(first, second) : std::min(first, second);
+}
+
+/// \return the limits of a server's settings and those that apply besides them
+RequestLimits limitsInForce(const ServerSettings& settings) {
+  RequestLimits limits = settings.request_limits ? settings.request_limits() : RequestLimits();
+  limits.maximum_header_bytes =
+      smallerLimit(limits.maximum_header_bytes, settings.maximum_header_bytes);
+  limits.maximum_body_bytes = smallerLimit(limits.maximum_body_bytes, settings.maximum_body_bytes);
+  limits.header_time_limit = smallerLimit(limits.header_time_limit, settings.header_time_limit);
+  limits.resting_time_limit = smallerLimit(limits.resting_time_limit, settings.idle_time_limit);
+  return limits;
 }
 
 /// Holds all connections of a server and routes RESTinio's events to the handler. Outlives the
@@ -127,7 +144,12 @@
       : state_(std::make_shared<ServerState>(context)),
         settings_(std::move(settings)),
         handler_(std::move(handler)),
-        check_timer_(context) {}
+        check_timer_(context) {
+    if (settings_.caller_memory) {
+      state_->memory = settings_.caller_memory;
+    }
+    state_->request_limits = [&settings = settings_] { return limitsInForce(settings); };
+  }
 
   const std::shared_ptr<ServerState>& state() const { return state_; }
   const ServerSettings& settings() const { return settings_; }
@@ -144,6 +166,7 @@
     Entry entry{std::exchange(lastPreparedConnection(), nullptr), addressText(remote)};
     entry.connection->onTruncated([this, id] { requestTruncated(id); });
     entry.connection->retainServer(server_.lock());
+    entry.connection->join(state_, [this, id] { connectionReclaimed(id); });
     connections_[id] = std::move(entry);
     scheduleCheck();
   }
@@ -156,6 +179,7 @@
     const auto connection = found->second.connection;
     connections_.erase(found);
     connection->onTruncated(nullptr);
+    connection->memory().close();
     for (const auto& exchange : connection->takeExchanges()) {
       exchange->connectionClosed();
     }
@@ -163,7 +187,7 @@
 
   restinio::request_handling_status_t handleRequest(const restinio::request_handle_t& source) {
     const auto found = connections_.find(source->connection_id());
-    if (found == connections_.end() || !handler_) {
+    if (found == connections_.end() || !handler_ || found->second.connection->ended()) {
       return restinio::request_rejected();
     }
     const auto connection = found->second.connection;
@@ -181,7 +205,8 @@
         state_, connection, std::move(restinio::impl::access_req_connection(*source)),
         source->request_id(), source->header().should_keep_alive());
     connection->addExchange(exchange);
-    runHandler(source, std::make_shared<ExchangeResponder>(std::move(exchange)));
+    runHandler(source, connection->incoming().takeBody(),
+               std::make_shared<ExchangeResponder>(std::move(exchange)));
     return restinio::request_accepted();
   }
 
@@ -193,9 +218,11 @@
       return;
     }
     const auto found = connections_.find(fault->connection);
-    if (found != connections_.end()) {
-      reject(found->second, fault->status, fault->reason);
+    if (found == connections_.end() || found->second.connection->ended()) {
+      return;
     }
+    const auto& refusal = found->second.connection->incoming().refusal();
+    refuse(found->second, refusal ? *refusal : Refusal{fault->status, fault->reason});
   }
 
   void requestTruncated(ConnectionId id) {
@@ -205,12 +232,29 @@
     }
   }
 
+  /// Ends a connection whose memory others need.
+  void connectionReclaimed(ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+      return;
+    }
+    const Entry entry = found->second;
+    if (entry.connection->hasExchanges()) {
+      report({kServiceUnavailable, "no memory for the request", entry.remote_address});
+      entry.connection->incoming().discard();
+      entry.connection->shutdown();
+    } else {
+      refuse(entry, {kServiceUnavailable, "no memory for the request", true});
+    }
+  }
+
   void closeAll() {
     handler_ = nullptr;
     check_timer_.cancel();
     auto connections = std::exchange(connections_, {});
     for (auto& [id, entry] : connections) {
       entry.connection->onTruncated(nullptr);
+      entry.connection->memory().close();
       entry.connection->shutdown();
       for (const auto& exchange : entry.connection->takeExchanges()) {
         exchange->connectionClosed();
@@ -224,15 +268,12 @@
     std::string remote_address;
   };
 
-  void runHandler(const restinio::request_handle_t& source,
+  void runHandler(const restinio::request_handle_t& source, std::string body,
                   const std::shared_ptr<Responder>& responder) {
     Request request;
-    if (headerBytes(source->header()) > settings_.maximum_header_bytes) {
-      respondWithRejection(*responder, source, 431, "request header too large");
-      return;
-    }
     try {
       request = convertRequest(source);
+      request.body = std::move(body);
     } catch (const std::exception& error) {
       respondWithRejection(*responder, source, 400, std::string("request target: ") + error.what());
       return;
@@ -260,6 +301,18 @@
     report({status, reason, entry.remote_address});
   }
 
+  /// Rejects a request that has not arrived yet and closes its connection.
+  void refuse(const Entry& entry, const Refusal& refusal) {
+    auto headers = settings_.rejection_headers;
+    if (refusal.temporary) {
+      headers.push_back({"Retry-After", kMemoryRetryAfter});
+    }
+    entry.connection->sendLastAnswer(rejectionAnswer(refusal.status, refusal.reason, headers));
+    entry.connection->onRequestCompleted();
+    entry.connection->end();
+    report({refusal.status, refusal.reason, entry.remote_address});
+  }
+
   void report(const Rejection& rejection) const {
     if (settings_.on_rejected) {
       settings_.on_rejected(rejection);
@@ -302,16 +355,23 @@
   }
 
   void endSlowRequests() {
-    const auto limit = std::chrono::steady_clock::now() - settings_.header_time_limit;
+    const auto now = std::chrono::steady_clock::now();
     for (const auto& [id, entry] : connections_) {
-      const auto since = entry.connection->receivingSince();
-      if (since && *since < limit && !entry.connection->hasExchanges()) {
-        const common::AtScopeEnd end([&ended = *entry.connection] { ended.shutdown(); });
-        reject(entry, 408, "request did not arrive in time");
+      Connection& connection = *entry.connection;
+      const auto since = connection.receivingSince();
+      if (since && !connection.hasExchanges() && now - *since > timeLimit(connection)) {
+        refuse(entry, {kRequestTimeout, "request did not arrive in time"});
       }
     }
   }
 
+  /// \return the time in which what the connection receives must arrive
+  common::Duration timeLimit(Connection& connection) const {
+    const IncomingRequest& request = connection.incoming();
+    return request.headComplete() ? settings_.header_time_limit
+                                  : request.limits().header_time_limit;
+  }
+
   std::shared_ptr<ServerState> state_;
   std::weak_ptr<const void> server_;
   ServerSettings settings_;
@@ -364,6 +424,7 @@
                                          restinio::details::autodetect_request_handler_type,
                                          restinio::noop_strand_t, ConnectionSocket> {
   // These names are required by RESTinio.
+  using http_methods_mapper_t = RequestMethods;                                // NOLINT
   using connection_state_listener_t = StateListener;                           // NOLINT
   [[maybe_unused]] static constexpr bool use_connection_count_limiter = true;  // NOLINT
 };
--- a/src/cypresswall/http/server.h
+++ b/src/cypresswall/http/server.h
@@ -15,6 +15,8 @@
 #include "cypresswall/common/handler_guard.h"
 #include "cypresswall/common/header_field.h"
 #include "cypresswall/common/time.h"
+#include "cypresswall/http/caller_memory.h"
+#include "cypresswall/http/request_limits.h"
 
 namespace cypresswall::http {
 
@@ -97,6 +99,11 @@
   std::vector<Header> rejection_headers = {};
   /// Called once for each rejection, for logging and counters; may be empty.
   std::function<void(const Rejection&)> on_rejected = {};
+  /// Returns limits that apply besides those above, to each request that begins; may be empty.
+  std::function<RequestLimits()> request_limits = {};
+  /// What the server keeps for callers is bounded together with that of other servers that use the
+  /// same object. If null, it is not bounded.
+  std::shared_ptr<CallerMemory> caller_memory = {};
   /// Runs the handler of requests; a request whose handler throws gets a 500. If null, the
   /// connection of such a request is closed. It must outlive the server's connections.
   common::HandlerGuard* guard = nullptr;
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -53,6 +53,11 @@
   runtime::TransportSettings transport;
   runtime::ConnectionPoolSettings connections;
   http::ServerSettings server;
+  /// Memory that the process may use, in units of 10^6 bytes; zero for all that the system reports.
+  double machine_megabytes = 0;
+  /// Memory for requests and answers of callers, in bytes. Zero in a settings file selects a share
+  /// of the machine's memory.
+  std::size_t caller_memory_bytes = 0;
   gateway::GatewaySettings gateway;
   engines::HttpEngineSettings engines;
   services::HttpServiceSettings services;
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -188,6 +188,17 @@
           "limits.connections", 1, 1000000,
           [](auto& s) -> auto& { return s.server.maximum_connections; },
           "Connections of callers held at a time; further ones are not accepted."),
+      numberKey(
+          "limits.machine_megabytes", 0, 1e9, [](auto& s) -> auto& { return s.machine_megabytes; },
+          "Memory that the process may use, in units of 10^6 bytes; zero is all that the system "
+          "reports."),
+      bytesKey(
+          "limits.caller_memory", 0, 1024 * kGibibyte,
+          [](auto& s) -> auto& { return s.caller_memory_bytes; },
+          "Memory for callers' requests that arrive, wait or run, and for answers that they have "
+          "not taken. Beyond it, the connection that holds the most for the longest time without "
+          "progress is ended. Zero is a quarter of the machine's memory, but at least one and a "
+          "half times limits.body_bytes."),
       countKey(
           "limits.cache_pieces", 64, 16777216,
           [](auto& s) -> auto& { return s.node.directory.prefix_index.maximum_pieces; },
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -1,7 +1,9 @@
 #include "cypresswall/settings/settings_loader.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "cypresswall/runtime/machine_memory.h"
 #include "cypresswall/settings/key_table.h"
 
 namespace cypresswall::settings {
@@ -11,6 +13,21 @@
 /// twice the first-token limit: earlier, another engine would only have to repeat the prefill.
 constexpr double kObjectsPlatformStallShare = 2;
 
+/// Share of the machine's memory that callers' requests and answers may take.
+constexpr std::size_t kCallerMemoryDivisor = 4;
+
+std::size_t machineBytes(const DaemonSettings& settings) {
+  constexpr double kBytesPerMegabyte = 1e6;
+  return settings.machine_megabytes > 0
+             ? static_cast<std::size_t>(settings.machine_megabytes * kBytesPerMegabyte)
+             : runtime::machineMemoryBytes();
+}
+
+/// \return the memory in which a request with the longest body has room beside small ones
+std::size_t leastCallerMemory(const DaemonSettings& settings) {
+  return settings.server.maximum_body_bytes + settings.server.maximum_body_bytes / 2;
+}
+
 /// Applies values to the defaults and collects all problems.
 class Loader {
  public:
@@ -70,6 +87,9 @@
             "must be less than timings.lease_duration without its margin");
     require(settings_.gateway.resume_below_bytes < settings_.gateway.pause_above_bytes,
             "limits.resume_below_bytes", "must be less than limits.pause_above_bytes");
+    require(settings_.caller_memory_bytes == 0 ||
+                settings_.caller_memory_bytes >= leastCallerMemory(settings_),
+            "limits.caller_memory", "must be one and a half times limits.body_bytes or more");
     const auto& retries = settings_.node.retries;
     require(retries.fleet_share > 0 || retries.fleet_burst <= 0 || retries.fleet_burst >= 1,
             "retries.fleet_burst", "no node could ever use less than one repeat; write 0 for none");
@@ -106,6 +126,10 @@
 
 DaemonSettings makeSettings(const SourceValues& values) {
   DaemonSettings settings = Loader(values).load();
+  if (settings.caller_memory_bytes == 0) {
+    settings.caller_memory_bytes =
+        std::max(machineBytes(settings) / kCallerMemoryDivisor, leastCallerMemory(settings));
+  }
   if (settings.platform_protocol == PlatformProtocol::kObjects) {
     // This platform counts every request that reaches a back end, even if the back end refuses it.
     // It counts the requests of all nodes together and keeps the counts when nodes restart.
