Requests: the operator's limits apply to each request that begins

The limits of the operator's configuration on heads, bodies and the time for a head were read and used by nobody: bodies of 10 MB were passed on with 200 where 4 MB are allowed, since only the settings' own 16 MiB counted.

Change: the frontend tells the server the operator's limits; the smaller of these and the settings' apply from the next request on, on every connection.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -82,6 +82,7 @@
   http::ServerSettings settings = settings_.server;
   settings.guard = &guard_;
   settings.caller_memory = caller_memory_;
+  settings.request_limits = [this] { return frontend_->requestLimits(); };
   settings.rejection_headers = frontend_->rejectionHeaders();
   settings.on_rejected = [this](const http::Rejection& rejection) {
     frontend_->reportRejection(rejection);
--- a/src/cypresswall/surroundings/platform_adapter.h
+++ b/src/cypresswall/surroundings/platform_adapter.h
@@ -37,6 +37,9 @@
   /// \return headers that the HTTP server adds to its responses to requests that it rejects itself,
   ///   without calling a handler.
   virtual std::vector<http::Header> rejectionHeaders() const = 0;
+  /// \return limits on callers' requests besides those of the settings; they may change at any
+  /// time.
+  virtual http::RequestLimits requestLimits() const { return {}; }
   /// Records a request that the HTTP server itself rejected.
   virtual void reportRejection(const http::Rejection& rejection) = 0;
   /// \return the number of requests in flight.
