Answers: what callers have not taken counts, and the slowest reader gives way

A crowd that asks for answers and takes none made a node keep all of them: a plain answer was kept whole for each request until its connection ended.

Change: an answer counts in CallerMemory from the moment it is ready until the socket has taken it. It is never refused itself; beyond the limit the connection ends that holds the most for the longest time without a byte taken, and its buffer is freed at once instead of when RESTinio has closed the connection.

Unit test: UntrustedClientTest::unreadAnswersAreBounded.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -41,6 +41,7 @@
   runtime::CurlMultiSettings curl;
   curl.maximum_idle_connections =
       std::max(curl.maximum_idle_connections, settings.connections.maximum_idle);
+  curl.maximum_collected_bytes = settings.collected_response_bytes;
   return curl;
 }
 
--- a/src/cypresswall/http/connection.cpp
+++ b/src/cypresswall/http/connection.cpp
@@ -55,6 +55,12 @@
   }
 }
 
+void Connection::onWritten(std::size_t bytes) {
+  if (bytes > 0) {
+    memory_->noteProgress(std::chrono::steady_clock::now());
+  }
+}
+
 bool Connection::awaitsRequest() const {
   if (socket_ == nullptr) {
     return false;
@@ -106,6 +112,9 @@
     asio::error_code ignored;
     socket_->Base::cancel(ignored);
   }
+  if (hasExchanges()) {
+    shutdown();
+  }
 }
 
 void ConnectionSocket::attach(std::shared_ptr<Connection> connection) {
--- a/src/cypresswall/http/connection.h
+++ b/src/cypresswall/http/connection.h
@@ -48,6 +48,7 @@
   void removeExchange(const Exchange* exchange);
   /// Removes and returns the open exchanges.
   std::vector<std::shared_ptr<Exchange>> takeExchanges() { return std::exchange(exchanges_, {}); }
+  const std::vector<std::shared_ptr<Exchange>>& exchanges() const { return exchanges_; }
   bool hasExchanges() const { return !exchanges_.empty(); }
   /// \return the exchange that is answered next on the connection; null if there is none.
   const Exchange* firstExchange() const {
@@ -58,6 +59,8 @@
   /// answered with "100 Continue" if the caller expects it. Calls the truncation listener if the
   /// connection ends in the middle of a request.
   void onRead(const asio::error_code& error, std::string_view bytes);
+  /// Processes the result of a write of an answer.
+  void onWritten(std::size_t bytes);
   /// Sets the listener called when the caller closes its side in the middle of a request.
   void onTruncated(std::function<void()> listener) { on_truncated_ = std::move(listener); }
   /// Records that a request was received completely.
@@ -84,8 +87,9 @@
   void stopSending();
   /// Shuts down both directions; RESTinio detects this and closes the connection.
   void shutdown();
-  /// Discards what has arrived of a request, and whatever arrives later; RESTinio then closes the
-  /// connection as if the caller had. The last answer can still be read.
+  /// Discards what has arrived of a request, and whatever arrives later, and gives up answers that
+  /// are being sent: no buffer of theirs is used any more. RESTinio then closes the connection as if
+  /// the caller had. What sendLastAnswer() has sent can still be read.
   void end();
   /// \return true after end()
   bool ended() const { return ended_; }
@@ -148,6 +152,20 @@
     });
   }
 
+  /// The handler is a reference as in the base: it owns the buffers that asio::async_write()
+  /// passes.
+  template <typename Buffers, typename Handler>
+  void async_write_some(const Buffers& buffers, Handler&& handler) {  // NOLINT: name of the base
+    Base::async_write_some(buffers,
+                           [connection = connection_, handler = std::forward<Handler>(handler)](
+                               const asio::error_code& error, std::size_t length) mutable {
+                             if (connection) {
+                               connection->onWritten(length);
+                             }
+                             handler(error, length);
+                           });
+  }
+
   void shutdown(shutdown_type what, asio::error_code& error);
   void close();
 
--- a/src/cypresswall/http/exchange.cpp
+++ b/src/cypresswall/http/exchange.cpp
@@ -1,6 +1,7 @@
 #include "cypresswall/http/exchange.h"
 
 #include <asio/post.hpp>
+#include <chrono>
 #include <utility>
 
 #include "cypresswall/http/status_text.h"
@@ -46,9 +47,11 @@
   }
   state_ = State::kSent;
   bytes_in_flight_ = body.size();
+  chargeUnsent();
   auto builder = makeBuilder<restinio::restinio_controlled_output_t>(status, headers);
   if (!body.empty()) {
-    builder.set_body(std::move(body));
+    answer_ = std::make_shared<std::string>(std::move(body));
+    builder.set_body(answer_);
   }
   builder.done([self = shared_from_this()](const auto&) { self->onWritten(true); });
 }
@@ -69,6 +72,9 @@
     return;
   }
   buffer_.append(chunk);
+  if (write_in_flight_) {
+    chargeUnsent();
+  }
   scheduleFlush();
 }
 
@@ -90,6 +96,12 @@
   complete();
 }
 
+void Exchange::discardAnswer() {
+  if (answer_) {
+    *answer_ = std::string();
+  }
+}
+
 void Exchange::responderDropped() {
   if (state_ == State::kWaiting) {
     respond(500, {}, "");
@@ -158,6 +170,7 @@
   buffer_.clear();
   write_in_flight_ = true;
   bytes_in_flight_ = rest.size();
+  chargeUnsent();
   restinio::writable_items_container_t items;
   items.emplace_back(std::move(rest));
   restinio::write_group_t group(std::move(items));
@@ -186,13 +199,24 @@
   }
 }
 
+void Exchange::chargeUnsent() {
+  const std::size_t charged = std::exchange(unsent_bytes_, pendingBytes());
+  if (unsent_bytes_ > charged) {
+    connection_->memory().addUnsent(unsent_bytes_ - charged, std::chrono::steady_clock::now());
+  } else {
+    connection_->memory().releaseUnsent(charged - unsent_bytes_);
+  }
+}
+
 void Exchange::releaseMemory() {
   connection_->memory().releaseRunning(std::exchange(request_bytes_, 0));
+  connection_->memory().releaseUnsent(std::exchange(unsent_bytes_, 0));
 }
 
 void Exchange::onWritten(bool last) {
   write_in_flight_ = false;
   bytes_in_flight_ = 0;
+  chargeUnsent();
   if (last) {
     complete();
     return;
@@ -222,6 +246,7 @@
   on_drained_ = nullptr;
   builder_.reset();
   handle_.reset();
+  answer_.reset();
   connection_->removeExchange(this);
 }
 
--- a/src/cypresswall/http/exchange.h
+++ b/src/cypresswall/http/exchange.h
@@ -41,6 +41,8 @@
   void onDrained(std::function<void()> callback) { on_drained_ = std::move(callback); }
   void onClosed(std::function<void()> callback) { on_closed_ = std::move(callback); }
 
+  /// Frees a complete answer. \pre its connection has ended
+  void discardAnswer();
   /// Called when the handler released its Responder; ends an unfinished answer.
   void responderDropped();
   /// Called when the caller's connection ended.
@@ -60,6 +62,8 @@
   void flushThroughRestinio();
   void notifyDrained();
   void onWritten(bool last);
+  /// Charges the connection for the bytes that the socket has not accepted yet.
+  void chargeUnsent();
   void releaseMemory();
   /// Ends the exchange: updates the open-request count and removes it from the connection.
   void complete();
@@ -74,10 +78,13 @@
   std::optional<ChunkedBuilder> builder_;
   restinio::response_connection_attr_t connection_attribute_ =
       restinio::response_connection_attr_t::connection_close;
+  /// Body of a complete answer, which RESTinio uses until it is sent.
+  std::shared_ptr<std::string> answer_;
   ChunkBuffer buffer_;
   std::size_t bytes_in_flight_ = 0;
-  /// Bytes of the request that the connection is charged for.
+  /// Bytes of the request and of the answer that the connection is charged for.
   std::size_t request_bytes_;
+  std::size_t unsent_bytes_ = 0;
   std::uint64_t last_activity_;
   bool header_pending_ = false;
   bool flush_scheduled_ = false;
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -240,9 +240,11 @@
     }
     const Entry entry = found->second;
     if (entry.connection->hasExchanges()) {
-      report({kServiceUnavailable, "no memory for the request", entry.remote_address});
-      entry.connection->incoming().discard();
-      entry.connection->shutdown();
+      report({kServiceUnavailable, "answer not taken in time", entry.remote_address});
+      entry.connection->end();
+      for (const auto& exchange : entry.connection->exchanges()) {
+        exchange->discardAnswer();
+      }
     } else {
       refuse(entry, {kServiceUnavailable, "no memory for the request", true});
     }
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -58,6 +58,9 @@
   /// Memory for requests and answers of callers, in bytes. Zero in a settings file selects a share
   /// of the machine's memory.
   std::size_t caller_memory_bytes = 0;
+  /// Memory for responses of servers that are still arriving, in bytes; derived from the machine's
+  /// memory.
+  std::size_t collected_response_bytes = 0;
   gateway::GatewaySettings gateway;
   engines::HttpEngineSettings engines;
   services::HttpServiceSettings services;
--- a/src/cypresswall/settings/settings_loader.cpp
+++ b/src/cypresswall/settings/settings_loader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cypresswall/runtime/curl_multi.h"
 #include "cypresswall/runtime/machine_memory.h"
 #include "cypresswall/settings/key_table.h"
 
@@ -23,6 +24,14 @@
              : runtime::machineMemoryBytes();
 }
 
+/// \return an eighth of the machine's memory, within a range that holds the longest answer
+std::size_t collectedResponseBytes(const DaemonSettings& settings) {
+  constexpr std::size_t kMachineDivisor = 8;
+  const std::size_t most = runtime::CurlMultiSettings().maximum_collected_bytes;
+  const std::size_t least = std::min(settings.services.maximum_answer_bytes, most);
+  return std::clamp(machineBytes(settings) / kMachineDivisor, least, most);
+}
+
 /// \return the memory in which a request with the longest body has room beside small ones
 std::size_t leastCallerMemory(const DaemonSettings& settings) {
   return settings.server.maximum_body_bytes + settings.server.maximum_body_bytes / 2;
@@ -130,6 +139,7 @@
     settings.caller_memory_bytes =
         std::max(machineBytes(settings) / kCallerMemoryDivisor, leastCallerMemory(settings));
   }
+  settings.collected_response_bytes = collectedResponseBytes(settings);
   if (settings.platform_protocol == PlatformProtocol::kObjects) {
     // This platform counts every request that reaches a back end, even if the back end refuses it.
     // It counts the requests of all nodes together and keeps the counts when nodes restart.
--- a/tests/http/untrusted_client_test.cpp
+++ b/tests/http/untrusted_client_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(requestWithoutRoomIsToldWhenToComeBack);
   CPPUNIT_TEST(requestsThatRunKeepTheirMemory);
   CPPUNIT_TEST(memoryIsFreeOnceAllAreGone);
+  CPPUNIT_TEST(unreadAnswersAreBounded);
   CPPUNIT_TEST(changedLimitsApplyToTheNextRequest);
   CPPUNIT_TEST(lateRestOfARefusedRequestIsNotRun);
   CPPUNIT_TEST(slowHeadHasItsOwnTimeLimit);
@@ -114,6 +115,24 @@
     CPPUNIT_ASSERT(runUntil(context_, [this] { return memory_->used() == 0; }));
   }
 
+  /// Guards against callers that ask for answers and take none.
+  void unreadAnswersAreBounded() {
+    answer_ = std::string(8192 * kKibibyte, 'x');
+    memory_ = std::make_shared<CallerMemory>(3 * answer_.size());
+    startServer();
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    for (std::size_t number = 0; number < 8; ++number) {
+      crowd.push_back(std::make_unique<RawClient>(context_, server_->port()));
+      crowd.back()->send(kGet);
+      CPPUNIT_ASSERT(runUntil(context_, [&] { return requests_.size() == number + 1; }));
+      CPPUNIT_ASSERT(memory_->used() <= memory_->limit());
+    }
+    RawClient reader(context_, server_->port());
+    reader.startReading();
+    reader.send(kGet);
+    CPPUNIT_ASSERT(runUntil(context_, [&] { return reader.received.size() > answer_.size(); }));
+  }
+
   void changedLimitsApplyToTheNextRequest() {
     startServer();
     RawClient client(context_, server_->port());
