Connections: those that callers don't count on give way to new ones

A crowd that opens more connections than limits.connections and says nothing kept every ordinary caller out, for as long as it stayed (up to five minutes).

Change: before the server is full, it closes the connection that was active longest ago among those that have sent nothing, requests of which nothing has arrived for a second, and connections that have rested for longer than the operator lets callers count on. A connection whose bytes wait in the socket is left alone. What is closed gets a 408, which promises that nothing has run. Connections that linger after a refusal are no longer counted by the server, so these are limited as well, to an eighth of its connections.

Unit tests: silentConnectionsGiveWay, stalledRequestsGiveWay, restingConnectionsGiveWayAfterTheirTime.

--- a/src/cypresswall/http/connection.cpp
+++ b/src/cypresswall/http/connection.cpp
@@ -26,6 +26,7 @@
 void Connection::join(const std::shared_ptr<ServerState>& server,
                       std::function<void()> on_reclaimed) {
   server_state_ = server;
+  last_active_ = std::chrono::steady_clock::now();
   memory_.emplace(server->memory, std::move(on_reclaimed));
   incoming_.emplace(*server, *memory_);
 }
@@ -39,13 +40,14 @@
 
 void Connection::removeExchange(const Exchange* exchange) {
   std::erase_if(exchanges_, [&](const auto& held) { return held.get() == exchange; });
+  last_active_ = std::chrono::steady_clock::now();
 }
 
 void Connection::onRead(const asio::error_code& error, std::string_view bytes) {
-  const auto now = std::chrono::steady_clock::now();
-  memory_->noteProgress(now);
+  last_active_ = std::chrono::steady_clock::now();
+  memory_->noteProgress(last_active_);
   if (!error && !receiving_since_) {
-    receiving_since_ = now;
+    receiving_since_ = last_active_;
     if (!hasExchanges() && expectsContinue(bytes)) {
       sendNow(kContinue);
     }
@@ -61,12 +63,13 @@
   }
 }
 
-bool Connection::awaitsRequest() const {
-  if (socket_ == nullptr) {
-    return false;
-  }
+bool Connection::hasUnreadInput() const {
   asio::error_code ignored;
-  return !request_received_ || receiving_since_ || socket_->available(ignored) > 0;
+  return socket_ != nullptr && socket_->available(ignored) > 0;
+}
+
+bool Connection::awaitsRequest() const {
+  return socket_ != nullptr && (!request_received_ || receiving_since_ || hasUnreadInput());
 }
 
 void Connection::sendLastAnswer(const std::string& answer) {
--- a/src/cypresswall/http/connection.h
+++ b/src/cypresswall/http/connection.h
@@ -68,6 +68,15 @@
     receiving_since_.reset();
     request_received_ = true;
   }
+  /// \return true if nothing has been read since the connection was opened
+  bool isSilent() const { return !request_received_ && !receiving_since_; }
+  /// \return true if bytes have arrived that were not read
+  bool hasUnreadInput() const;
+  /// \return true if the connection is open between two requests
+  bool isResting() const { return request_received_ && !receiving_since_ && !hasExchanges(); }
+  /// \return the time at which bytes arrived or an answer was sent last, or else the connection was
+  ///   opened
+  TimePoint lastActive() const { return last_active_; }
   /// \return true if a request is being received, is waiting in the socket, or has yet to arrive
   ///   on a new connection.
   bool awaitsRequest() const;
@@ -111,6 +120,7 @@
   std::function<void()> on_truncated_;
   bool request_received_ = false;
   bool ended_ = false;
+  TimePoint last_active_{};
   std::shared_ptr<const void> server_;
 };
 
--- a/src/cypresswall/http/lingering_close.cpp
+++ b/src/cypresswall/http/lingering_close.cpp
@@ -4,7 +4,6 @@
 #include <asio/buffer.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
-#include <memory>
 #include <utility>
 
 namespace cypresswall::http {
@@ -62,7 +61,16 @@
 };
 
 void LingeringConnections::close(asio::ip::tcp::socket socket) {
-  std::make_shared<LingeringClose>(std::move(socket))->start();
+  std::erase_if(open_, [](const auto& connection) { return connection.expired(); });
+  while (!open_.empty() && open_.size() >= maximum_) {
+    if (const auto oldest = open_.front().lock()) {
+      oldest->finish();
+    }
+    open_.pop_front();
+  }
+  const auto connection = std::make_shared<LingeringClose>(std::move(socket));
+  open_.push_back(connection);
+  connection->start();
 }
 
 }  // namespace cypresswall::http
--- a/src/cypresswall/http/server.cpp
+++ b/src/cypresswall/http/server.cpp
@@ -28,6 +28,13 @@
 /// Connections accepted per iteration of the event loop. Limits how long callers wait to be
 /// accepted while the loop is busy with streams.
 constexpr std::size_t kAcceptsPerIteration = 16;
+/// Before a server is full by less than this share, connections are closed for new ones.
+constexpr std::size_t kSpareConnectionsDivisor = 8;
+/// Share of the connections that may linger besides those that are open.
+constexpr std::size_t kLingeringConnectionsDivisor = 8;
+constexpr std::size_t kLeastLingeringConnections = 16;
+/// A request of which nothing has arrived for this long gives way to a new connection.
+constexpr std::chrono::seconds kStalledTime(1);
 /// When a caller may send a request again for which there was no memory, in seconds.
 constexpr const char* kMemoryRetryAfter = "1";
 constexpr std::size_t kMaximumHeaderFields = 128;
@@ -149,6 +156,8 @@
       state_->memory = settings_.caller_memory;
     }
     state_->request_limits = [&settings = settings_] { return limitsInForce(settings); };
+    state_->lingering.setMaximum(std::max(
+        settings_.maximum_connections / kLingeringConnectionsDivisor, kLeastLingeringConnections));
   }
 
   const std::shared_ptr<ServerState>& state() const { return state_; }
@@ -168,6 +177,7 @@
     entry.connection->retainServer(server_.lock());
     entry.connection->join(state_, [this, id] { connectionReclaimed(id); });
     connections_[id] = std::move(entry);
+    makeRoomForConnections(id);
     scheduleCheck();
   }
 
@@ -315,6 +325,52 @@
     report({refusal.status, refusal.reason, entry.remote_address});
   }
 
+  /// Keeps places free for new connections: closes connections that callers don't count on, the
+  /// oldest first, but not `newest`.
+  void makeRoomForConnections(ConnectionId newest) {
+    const std::size_t spare =
+        std::min(kAcceptsPerIteration, settings_.maximum_connections / kSpareConnectionsDivisor);
+    if (connections_.size() + spare <= settings_.maximum_connections) {
+      return;
+    }
+    auto open = static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto& item) { return !item.second.connection->ended(); }));
+    while (open + spare > settings_.maximum_connections) {
+      const auto oldest = oldestToClose(newest);
+      if (!oldest || oldest->connection->hasUnreadInput()) {
+        return;
+      }
+      refuse(*oldest, {kRequestTimeout, "connection closed for a new one"});
+      --open;
+    }
+  }
+
+  std::optional<Entry> oldestToClose(ConnectionId newest) const {
+    const auto now = std::chrono::steady_clock::now();
+    const auto resting_limit = limitsInForce(settings_).resting_time_limit;
+    std::optional<Entry> oldest;
+    for (const auto& [id, entry] : connections_) {
+      if (id != newest && mayClose(*entry.connection, now, resting_limit) &&
+          (!oldest || entry.connection->lastActive() < oldest->connection->lastActive())) {
+        oldest = entry;
+      }
+    }
+    return oldest;
+  }
+
+  static bool mayClose(const Connection& connection, CallerMemory::TimePoint now,
+                       common::Duration resting_limit) {
+    if (connection.ended() || connection.hasExchanges()) {
+      return false;
+    }
+    const auto inactive = now - connection.lastActive();
+    if (connection.receivingSince()) {
+      return inactive > kStalledTime;
+    }
+    return connection.isSilent() || (connection.isResting() && inactive > resting_limit);
+  }
+
   void report(const Rejection& rejection) const {
     if (settings_.on_rejected) {
       settings_.on_rejected(rejection);
--- a/src/cypresswall/http/server.h
+++ b/src/cypresswall/http/server.h
@@ -88,6 +88,8 @@
   std::string address;
   std::size_t maximum_header_bytes = 32U << 10;
   std::size_t maximum_body_bytes = 16U << 20;
+  /// Further connections wait to be accepted. Before so many are open, those that have sent nothing
+  /// are closed for new ones, and others that callers can't expect to stay open.
   std::size_t maximum_connections = 10000;
   /// Time limit within which a request must arrive completely, counted from its first byte.
   common::Duration header_time_limit = std::chrono::seconds(10);
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -187,7 +187,10 @@
       countKey(
           "limits.connections", 1, 1000000,
           [](auto& s) -> auto& { return s.server.maximum_connections; },
-          "Connections of callers held at a time; further ones are not accepted."),
+          "Connections of callers held at a time; further ones are not accepted. Before so many "
+          "are "
+          "open, those that have sent nothing are closed for new ones, as are requests that have "
+          "stopped arriving."),
       numberKey(
           "limits.machine_megabytes", 0, 1e9, [](auto& s) -> auto& { return s.machine_megabytes; },
           "Memory that the process may use, in units of 10^6 bytes; zero is all that the system "
--- a/tests/http/untrusted_client_test.cpp
+++ b/tests/http/untrusted_client_test.cpp
@@ -39,6 +39,9 @@
   CPPUNIT_TEST(changedLimitsApplyToTheNextRequest);
   CPPUNIT_TEST(lateRestOfARefusedRequestIsNotRun);
   CPPUNIT_TEST(slowHeadHasItsOwnTimeLimit);
+  CPPUNIT_TEST(silentConnectionsGiveWay);
+  CPPUNIT_TEST(stalledRequestsGiveWay);
+  CPPUNIT_TEST(restingConnectionsGiveWayAfterTheirTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -184,6 +187,64 @@
     CPPUNIT_ASSERT(slow_body.waitFor("HTTP/1.1 200 "));
   }
 
+  void silentConnectionsGiveWay() {
+    settings_.maximum_connections = 32;
+    startServer();
+    std::vector<std::unique_ptr<RawClient>> silent;
+    for (std::size_t number = 0; number < 100; ++number) {
+      silent.push_back(std::make_unique<RawClient>(context_, server_->port()));
+      silent.back()->startReading();
+    }
+    RawClient caller(context_, server_->port());
+    caller.startReading();
+    caller.send(kGet);
+    CPPUNIT_ASSERT(caller.waitFor("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(silent.front()->closed);
+    CPPUNIT_ASSERT(!silent.back()->closed);
+  }
+
+  void stalledRequestsGiveWay() {
+    settings_.maximum_connections = 32;
+    startServer();
+    std::vector<std::unique_ptr<RawClient>> stalled;
+    for (std::size_t number = 0; number < 32; ++number) {
+      stalled.push_back(std::make_unique<RawClient>(context_, server_->port()));
+      stalled.back()->startReading();
+      stalled.back()->send("GET /a HTTP/1.1\r\nX-Na");
+    }
+    for (std::size_t number = 0; number < 8; ++number) {
+      RawClient caller(context_, server_->port());
+      caller.startReading();
+      caller.send(kGet);
+      CPPUNIT_ASSERT(caller.waitFor("HTTP/1.1 200 "));
+    }
+  }
+
+  /// Connections may be used again within the time that callers are told.
+  void restingConnectionsGiveWayAfterTheirTime() {
+    settings_.maximum_connections = 16;
+    limits_.resting_time_limit = std::chrono::hours(1);
+    startServer();
+    std::vector<std::unique_ptr<RawClient>> resting;
+    for (std::size_t number = 0; number < 16; ++number) {
+      resting.push_back(std::make_unique<RawClient>(context_, server_->port()));
+      resting.back()->startReading();
+      resting.back()->send(kGet);
+      CPPUNIT_ASSERT(resting.back()->waitFor("HTTP/1.1 200 "));
+    }
+    for (const auto& client : resting) {
+      CPPUNIT_ASSERT(!client->closed);
+    }
+    limits_.resting_time_limit = std::chrono::milliseconds(1);
+    resting.front()->close();
+    for (std::size_t number = 0; number < 8; ++number) {
+      RawClient caller(context_, server_->port());
+      caller.startReading();
+      caller.send(kGet);
+      CPPUNIT_ASSERT(caller.waitFor("HTTP/1.1 200 "));
+    }
+  }
+
  private:
   using Clients = std::vector<std::unique_ptr<RawClient>>;
 
