Management address: connections are limited there too

The server at node.readiness_address took 10,000 connections, whatever the process's descriptors: 1,200 that say nothing were all held, so that they could use up the descriptors that callers and servers need.

Change: limits.management_connections, 256 by default, with the same rule as at the callers' address: those that have sent nothing are closed for new ones, so that health checks are answered.

--- a/apps/cypresswalld/daemon.cpp
+++ b/apps/cypresswalld/daemon.cpp
@@ -98,6 +98,7 @@
   settings.address = settings_.readiness_address;
   settings.guard = &guard_;
   settings.caller_memory = caller_memory_;
+  settings.maximum_connections = settings_.management_connections;
   settings.on_rejected = [this](const http::Rejection& rejection) {
     frontend_->reportRejection(rejection);
   };
--- a/src/cypresswall/settings/daemon_settings.h
+++ b/src/cypresswall/settings/daemon_settings.h
@@ -61,6 +61,8 @@
   /// Memory for responses of servers that are still arriving, in bytes; derived from the machine's
   /// memory.
   std::size_t collected_response_bytes = 0;
+  /// Connections at the readiness address.
+  std::size_t management_connections = 256;
   gateway::GatewaySettings gateway;
   engines::HttpEngineSettings engines;
   services::HttpServiceSettings services;
--- a/src/cypresswall/settings/key_table.cpp
+++ b/src/cypresswall/settings/key_table.cpp
@@ -191,6 +191,11 @@
           "are "
           "open, those that have sent nothing are closed for new ones, as are requests that have "
           "stopped arriving."),
+      countKey(
+          "limits.management_connections", 1, 1000000,
+          [](auto& s) -> auto& { return s.management_connections; },
+          "Connections held at a time at node.readiness_address; before so many are open, those "
+          "that have sent nothing are closed for new ones."),
       numberKey(
           "limits.machine_megabytes", 0, 1e9, [](auto& s) -> auto& { return s.machine_megabytes; },
           "Memory that the process may use, in units of 10^6 bytes; zero is all that the system "
