--- a/src/cypresswall/http/connection.h
+++ b/src/cypresswall/http/connection.h
@@ -97,8 +97,8 @@
   /// Shuts down both directions; RESTinio detects this and closes the connection.
   void shutdown();
   /// Discards what has arrived of a request, and whatever arrives later, and gives up answers that
-  /// are being sent: no buffer of theirs is used any more. RESTinio then closes the connection as if
-  /// the caller had. What sendLastAnswer() has sent can still be read.
+  /// are being sent: no buffer of theirs is used any more. RESTinio then closes the connection as
+  /// if the caller had. What sendLastAnswer() has sent can still be read.
   void end();
   /// \return true after end()
   bool ended() const { return ended_; }
