Accepts: one that ends out of order is not taken for a failed one before it

At a full server under churn accepts were begun again again and again ("accepts_restarted" at every check), although none had failed. An accept that is under way and begun again accepts two callers, of which the limiter counts one, so a server may take more connections than its limit.

Cause: the limiter took each accept for failed that had begun before one that ended, since Asio ends them in the order in which they began. A trace (400 connections allowed, 1,200 clients, 5,000 a second closed and opened anew) shows that this is not so: the 3,619th accept ended while the 3,618th was under way; from then on each pair ended out of order. Why Asio's order differs is not known.

Change: an accept has failed if it has not ended although as many accepts that began after it have ended as there are accepts.

--- a/src/cypresswall/http/accept_limiter.h
+++ b/src/cypresswall/http/accept_limiter.h
@@ -79,8 +79,11 @@
   void accept_next(std::size_t accept) noexcept {  // NOLINT
     if (begun_[accept] != 0) {
       ++ended_accepts_;
-      // Asio ends accepts in the order in which they have begun, so that earlier ones have failed.
-      restartAcceptsBegunBefore(begun_[accept]);
+      // Accepts end nearly in the order in which they have begun. One that has not ended although
+      // as many begun after it have as there are accepts has failed. One that is under way must
+      // not be begun again: each of the two would accept a caller, and the limiter counts one.
+      restartAcceptsBegunBefore(begun_[accept] -
+                                std::min<std::uint64_t>(begun_[accept], begun_.size()));
     }
     end(accept);
     if (hasRoom()) {
