Requests: an exception in a callback refuses the request

The callbacks for RESTinio's parser are called from C code, which an exception such as one from an allocation can't pass: it would end the process. It refuses the request with 503 now. By reading; no test makes an allocation fail.

--- a/src/cypresswall/http/incoming_request.cpp
+++ b/src/cypresswall/http/incoming_request.cpp
@@ -107,6 +107,8 @@
   return true;
 }
 
+void IncomingRequest::fail(const char* reason) { refuse(kServiceUnavailable, reason, true); }
+
 std::string IncomingRequest::takeBody() { return std::exchange(body_, {}); }
 
 bool IncomingRequest::refuse(int status, std::string reason, bool temporary) {
--- a/src/cypresswall/http/incoming_request.h
+++ b/src/cypresswall/http/incoming_request.h
@@ -59,6 +59,8 @@
   /// \param announced_bytes length of the body, if the head tells it
   bool completeHead(std::optional<std::uint64_t> announced_bytes);
   bool appendBody(std::string_view bytes);
+  /// Refuses the request because of an error of this process.
+  void fail(const char* reason);
   /// \return the body that has arrived
   std::string takeBody();
   /// Frees the body that has arrived.
--- a/src/cypresswall/http/request_parser.cpp
+++ b/src/cypresswall/http/request_parser.cpp
@@ -3,6 +3,7 @@
 #include <climits>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <optional>
 
 #include "cypresswall/http/incoming_request.h"
@@ -13,7 +14,22 @@
 constexpr int kContinueParsing = 0;
 constexpr int kStopParsing = -1;
 
-int resultOf(bool accepted) { return accepted ? kContinueParsing : kStopParsing; }
+/// Calls `accept` with the request that `parser` receives. Exceptions must not pass the parser,
+/// which is C code.
+/// \return the result of a callback, which stops the parser unless the request is accepted
+template <typename Accept>
+int resultFor(const http_parser* parser, Accept accept) noexcept {
+  IncomingRequest* const request = IncomingRequest::of(parser);
+  if (request == nullptr) {
+    return kStopParsing;
+  }
+  try {
+    return accept(*request) ? kContinueParsing : kStopParsing;
+  } catch (const std::exception& error) {
+    request->fail(error.what());
+    return kStopParsing;
+  }
+}
 
 int onMessageBegin(http_parser* parser) {
   IncomingRequest* request = IncomingRequest::of(parser);
@@ -32,30 +48,28 @@
 
 template <DataCallback keep>
 int onHead(http_parser* parser, const char* data, std::size_t size) {
-  IncomingRequest* const request = IncomingRequest::of(parser);
-  if (request == nullptr || !request->addHead(size)) {
-    return kStopParsing;
-  }
-  return keep(parser, data, size);
+  return resultFor(parser, [&](IncomingRequest& request) {
+    return request.addHead(size) && keep(parser, data, size) == kContinueParsing;
+  });
 }
 
 int onHeadersComplete(http_parser* parser) {
-  IncomingRequest* const request = IncomingRequest::of(parser);
-  if (request == nullptr) {
-    return kStopParsing;
-  }
-  // Fields that follow are trailers.
-  static_cast<restinio::impl::http_parser_ctx_t*>(parser->data)->m_leading_headers_completed = true;
-  std::optional<std::uint64_t> announced;
-  if (parser->content_length != ULLONG_MAX) {
-    announced = parser->content_length;
-  }
-  return resultOf(request->completeHead(announced));
+  return resultFor(parser, [parser](IncomingRequest& request) {
+    // Fields that follow are trailers.
+    static_cast<restinio::impl::http_parser_ctx_t*>(parser->data)->m_leading_headers_completed =
+        true;
+    std::optional<std::uint64_t> announced;
+    if (parser->content_length != ULLONG_MAX) {
+      announced = parser->content_length;
+    }
+    return request.completeHead(announced);
+  });
 }
 
 int onBody(http_parser* parser, const char* data, std::size_t size) {
-  IncomingRequest* const request = IncomingRequest::of(parser);
-  return resultOf(request != nullptr && request->appendBody({data, size}));
+  return resultFor(parser, [&](IncomingRequest& request) {
+    return request.appendBody({data, size});
+  });
 }
 
 http_parser_settings makeSettings() noexcept {
