--- a/tests/scripts/ablation_test.sh
+++ b/tests/scripts/ablation_test.sh
@@ -20,6 +20,7 @@
   sed -e 's/{{seeds}}//; s/{{region}}/dobrogea/; s/{{node_name}}/m1/; s/{{limits.link_mbps}}/1000/' \
     -e 's/{{listen_addrs.control}}/127.0.1.1:7000/; s/{{listen_addrs.front}}/127.0.1.1:8080/' \
     -e 's/{{listen_addrs.readiness}}/127.0.1.1:8081/; s/{{platform.address}}/127.0.0.1:9000/' \
+    -e '/{{[#\/]limits.memory_mb/d; s/{{limits.memory_mb}}/260/' \
     -e '/{{#cloud_api/,/{{\/cloud_api/d' -e '/{{[#\/]bounds/d; s/{{bounds.budget_ratio}}/0.2/; s/{{bounds.budget_slack}}/54/' \
     -e 's/{{bounds.budget_window_s}}/10/; s/{{#zones}}{{@}}.*{{\/zones}}/hall-a\/dobrogea/; s/{{#zones}}.*{{\/zones}}/dobrogea/' \
     "$TEMPLATE" >"$scratch/settings.yaml"
